--- /dev/null
+++ b/crates/kingcupwinch-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/kingcupwinch-cli/src/main.rs
@@ -0,0 +1,2 @@
+//! The command line.
+fn main() {}
--- /dev/null
+++ b/crates/kingcupwinch-config/src/lib.rs
@@ -0,0 +1,1 @@
+//! The configuration folder: merge, check and the typed tree.
--- /dev/null
+++ b/crates/kingcupwinch-coord/src/lib.rs
@@ -0,0 +1,7 @@
+//! Embeddable coordination parts as pure state machines.
+//!
+//! Each part takes an event and the current time and returns actions; none does I/O or reads a
+//! clock, so one sequence of events always gives the same result.
+
+pub mod id;
+pub mod record;
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon of each entry instance.
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/main.rs
@@ -0,0 +1,2 @@
+//! The daemon.
+fn main() {}
--- /dev/null
+++ b/crates/kingcupwinch-policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Scheduling decisions: queues, shares, placement, gangs, admission, retries and worker health.
--- /dev/null
+++ b/crates/kingcupwinch-time/src/lib.rs
@@ -0,0 +1,19 @@
+//! Time points on a monotonic clock, shared by the pure crates.
+//!
+//! A [`Time`] counts microseconds since an arbitrary origin on the clock of one process. The
+//! coordination and policy crates take it as an argument and never read a clock themselves.
+//!
+//! ```
+//! use kingcupwinch_time::{Span, Time};
+//!
+//! let now = Time::from_micros(1_000);
+//! let deadline = now + Span::from_millis(2);
+//! assert_eq!(deadline - now, Span::from_micros(2_000));
+//! assert!(now < deadline);
+//! ```
+
+mod clock;
+mod point;
+
+pub use clock::{Clock, ManualClock, SuspendClock, WallClock};
+pub use point::{Drift, Span, Time, WallTime};
--- /dev/null
+++ b/crates/kingcupwinch-wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Protocol buffer messages and their conversions at the border.
