Add the JSON documents of the HTTP interfaces

Cause: daemon and command line must agree on the same documents. Change: problem, job and status types in kingcupwinch-wire. Conclusion: both sides can be written against one set of types.

--- a/crates/kingcupwinch-wire/src/lib.rs
+++ b/crates/kingcupwinch-wire/src/lib.rs
@@ -1,1 +1,3 @@
 //! Protocol buffer messages and their conversions at the border.
+
+pub mod api;
