--- a/crates/kingcupwinch-fakes/src/lib.rs
+++ b/crates/kingcupwinch-fakes/src/lib.rs
@@ -1,1 +1,34 @@
 //! Small stand-ins for the log service, the instance list and workers.
+//!
+//! Each stand-in is an in-memory engine with no input or output of its own, and an HTTP server
+//! around it that speaks HTTP/1.1 and HTTP/2. A handle gives the address and brings about faults.
+//! The [`Ledger`] records every start on every worker, so that a test can prove what ran where.
+//!
+//! ```
+//! use kingcupwinch_fakes::{FakeLog, LogFront};
+//!
+//! # fn main() -> std::io::Result<()> {
+//! # tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(async {
+//! let log = FakeLog::new();
+//! let front = LogFront::start(&log, "127.0.0.1:0".parse().expect("a valid address")).await?;
+//! assert_ne!(front.address().port(), 0);
+//! assert_eq!(log.records("config"), []);
+//! # Ok(())
+//! # })
+//! # }
+//! ```
+
+mod clock;
+mod fault;
+mod http;
+mod log;
+mod roster;
+mod worker;
+
+pub use fault::Reach;
+pub use log::{FakeLog, LogEngine, LogFront};
+pub use roster::{FakeRoster, RosterEngine, RosterFront};
+pub use worker::{
+    Conduct, Counts, FakeWorker, Ledger, LiveStart, Place, Start, WorkerEngine, WorkerSpec,
+    live_answer,
+};
--- /dev/null
+++ b/crates/kingcupwinch-fakes/src/roster.rs
@@ -0,0 +1,7 @@
+//! The list of instances.
+
+mod engine;
+mod service;
+
+pub use engine::RosterEngine;
+pub use service::{FakeRoster, RosterFront};
--- /dev/null
+++ b/crates/kingcupwinch-fakes/src/roster/service.rs
@@ -0,0 +1,142 @@
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use kingcupwinch_time::Span;
+use kingcupwinch_wire::roster::{Instance, InstanceState, Instances};
+
+use super::RosterEngine;
+use crate::clock::TokioClock;
+use crate::fault::{Faults, Reach};
+use crate::http::{Answer, Dropped, Handler, Server, empty, json, query_text};
+
+const PATH: &str = "/v1/instances";
+
+/// The list behind any number of servers; clones share one list.
+#[derive(Debug, Clone)]
+pub struct FakeRoster {
+    clock: TokioClock,
+    engine: Arc<Mutex<RosterEngine>>,
+}
+
+impl FakeRoster {
+    /// Makes an empty list that shows each change at once.
+    pub fn new() -> Self {
+        FakeRoster::with_engine(RosterEngine::new())
+    }
+
+    /// Makes a list around an engine.
+    pub fn with_engine(engine: RosterEngine) -> Self {
+        FakeRoster {
+            clock: TokioClock::new(),
+            engine: Arc::new(Mutex::new(engine)),
+        }
+    }
+
+    /// Adds or replaces an instance.
+    pub fn put(&self, instance: Instance) {
+        self.engine().put(self.clock.now(), instance);
+    }
+
+    /// Removes an instance.
+    pub fn remove(&self, name: &str) {
+        self.engine().remove(self.clock.now(), name);
+    }
+
+    /// Marks an instance as live or leaving.
+    pub fn set_state(&self, name: &str, state: InstanceState) {
+        self.engine().set_state(self.clock.now(), name, state);
+    }
+
+    /// Makes the list omit an instance wrongly until it is shown again.
+    pub fn hide(&self, name: &str) {
+        self.engine().hide(name);
+    }
+
+    /// Ends [`FakeRoster::hide`].
+    pub fn show(&self, name: &str) {
+        self.engine().show(name);
+    }
+
+    fn read(&self, domain: Option<&str>) -> Vec<Instance> {
+        self.engine().read(self.clock.now(), domain)
+    }
+
+    fn engine(&self) -> MutexGuard<'_, RosterEngine> {
+        self.engine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Default for FakeRoster {
+    fn default() -> Self {
+        FakeRoster::new()
+    }
+}
+
+/// One server of a list, with faults of its own. Dropping it stops it gracefully.
+#[derive(Debug)]
+pub struct RosterFront {
+    server: Server,
+    faults: Arc<Faults>,
+}
+
+impl RosterFront {
+    /// Starts a server; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound.
+    pub async fn start(roster: &FakeRoster, address: SocketAddr) -> io::Result<Self> {
+        let faults = Arc::new(Faults::new());
+        let service = RosterService {
+            roster: roster.clone(),
+            faults: Arc::clone(&faults),
+        };
+        let server = Server::start(address, Arc::new(service)).await?;
+        Ok(RosterFront { server, faults })
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Sets how it meets requests.
+    pub fn set_reach(&self, reach: Reach) {
+        self.faults.set_reach(reach);
+    }
+
+    /// Sets how long each request waits before it is looked at.
+    pub fn set_delay(&self, delay: Span) {
+        self.faults.set_delay(delay);
+    }
+
+    /// Cuts every connection and stops listening.
+    pub fn kill(&self) {
+        self.server.kill();
+    }
+}
+
+struct RosterService {
+    roster: FakeRoster,
+    faults: Arc<Faults>,
+}
+
+impl Handler for RosterService {
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Result<Answer, Dropped> {
+        if !self.faults.admit().await {
+            return Ok(empty(StatusCode::SERVICE_UNAVAILABLE));
+        }
+        if request.uri().path() != PATH {
+            return Ok(empty(StatusCode::NOT_FOUND));
+        }
+        if request.method() != Method::GET {
+            return Ok(empty(StatusCode::METHOD_NOT_ALLOWED));
+        }
+        let domain = query_text(&request, "domain");
+        let instances = self.roster.read(domain);
+        Ok(json(StatusCode::OK, &Instances { instances }))
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-fakes/src/worker.rs
@@ -0,0 +1,16 @@
+//! Workers, and the ledger of all that was started on them.
+
+mod answer;
+mod engine;
+mod ledger;
+mod live;
+mod report;
+mod run;
+mod service;
+mod spec;
+
+pub use answer::live_answer;
+pub use engine::{Counts, LiveStart, WorkerEngine};
+pub use ledger::{Ledger, Place, Start};
+pub use service::FakeWorker;
+pub use spec::{Conduct, WorkerSpec};
--- /dev/null
+++ b/crates/kingcupwinch-fakes/src/worker/answer.rs
@@ -0,0 +1,15 @@
+use std::hash::Hasher;
+
+use bytes::Bytes;
+use twox_hash::XxHash64;
+
+/// Returns the body that a worker answers to a live request: a line made of the request's id and
+/// body, repeated up to `size` bytes, and at least once.
+pub fn live_answer(request: &str, body: &[u8], size: usize) -> Bytes {
+    let mut hasher = XxHash64::with_seed(0);
+    hasher.write(body);
+    let sum = hasher.finish();
+    let line = format!("{request} {} {sum:016x}\n", body.len());
+    let size = size.max(line.len());
+    line.bytes().cycle().take(size).collect()
+}
--- /dev/null
+++ b/crates/kingcupwinch-fakes/src/worker/engine.rs
@@ -0,0 +1,399 @@
+use std::sync::Arc;
+
+use kingcupwinch_time::{Span, Time};
+use kingcupwinch_wire::worker::{
+    EndedWork, Refusal, Renewal, RenewalReply, RunningWork, TaskStart, Usage, WorkKind, WorkOutcome,
+};
+use uuid::Uuid;
+
+use super::report::Reports;
+use super::run::{Run, Size};
+use super::{Conduct, Ledger, Start, WorkerSpec};
+
+/// What a worker was given and how much of it at once.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// The most work that ran at one time.
+    pub highest_running: u32,
+    /// The most connections that were open at one time.
+    pub highest_connections: u32,
+    /// Work that arrived while all slots or the resources were taken.
+    pub overflows: u32,
+    /// Connections beyond the limit.
+    pub connection_overflows: u32,
+    /// Work that was started.
+    pub starts: u32,
+    /// Work that was refused, for any reason.
+    pub refusals: u32,
+    /// Checkpoints taken.
+    pub checkpoints: u32,
+    /// Tasks throttled.
+    pub throttles: u32,
+    /// Tasks stopped on request.
+    pub stops: u32,
+    /// Tasks whose lease lapsed.
+    pub lapses: u32,
+}
+
+/// A live request at its arrival.
+#[derive(Debug, Clone)]
+pub struct LiveStart {
+    /// Its id.
+    pub task: Uuid,
+    /// The attempt.
+    pub attempt: u32,
+    /// The owner's term.
+    pub term: u64,
+    /// Until when it may start.
+    pub not_after: Time,
+    /// The service.
+    pub service: Arc<str>,
+    /// Its idempotency key.
+    pub key: Option<Arc<str>>,
+    /// The caller's own id of it.
+    pub request: Option<Arc<str>>,
+    /// How long it runs on a usual worker, in milliseconds.
+    pub run_ms: Option<u64>,
+}
+
+/// A worker's state.
+#[derive(Debug)]
+pub struct WorkerEngine {
+    spec: WorkerSpec,
+    conduct: Conduct,
+    leaving: bool,
+    newest_term: u64,
+    connections: u32,
+    running: Vec<Run>,
+    reports: Reports,
+    counts: Counts,
+    ledger: Ledger,
+}
+
+impl WorkerEngine {
+    /// Makes an idle worker that writes what it starts into `ledger`.
+    pub fn new(now: Time, spec: WorkerSpec, ledger: Ledger) -> Self {
+        let reports = Reports::new(now, spec.usage_lag, spec.report_gap);
+        WorkerEngine {
+            spec,
+            conduct: Conduct::default(),
+            leaving: false,
+            newest_term: 0,
+            connections: 0,
+            running: Vec::new(),
+            reports,
+            counts: Counts::default(),
+            ledger,
+        }
+    }
+
+    /// Returns the worker as it is built.
+    pub fn spec(&self) -> &WorkerSpec {
+        &self.spec
+    }
+
+    /// Returns how it behaves.
+    pub fn conduct(&self) -> Conduct {
+        self.conduct
+    }
+
+    /// Sets how it behaves from now on.
+    pub fn set_conduct(&mut self, conduct: Conduct) {
+        self.conduct = conduct;
+    }
+
+    /// Sets whether it is leaving: it then finishes what runs and refuses new work.
+    pub fn set_leaving(&mut self, leaving: bool) {
+        self.leaving = leaving;
+        self.reports.change();
+    }
+
+    /// Returns what it was given so far.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Starts a live request; returns how long it runs.
+    ///
+    /// # Errors
+    ///
+    /// Refuses work for the platform's reasons; it then certainly did not start.
+    pub fn start_live(&mut self, now: Time, live: &LiveStart) -> Result<Span, Refusal> {
+        let services = &self.spec.capacity.services;
+        let known = services.contains(&live.service);
+        let checked = if known {
+            self.check(now, live.term, live.not_after, Size::default())
+        } else {
+            Err(Refusal::UnknownService)
+        };
+        self.count_refusal(checked)?;
+        let work = RunningWork {
+            task: live.task,
+            attempt: live.attempt,
+            term: live.term,
+            kind: WorkKind::Live,
+        };
+        let start = self.start(now, work, Arc::clone(&live.service));
+        let place = self.ledger.begin(Start {
+            key: live.key.clone(),
+            request: live.request.clone(),
+            ..start
+        });
+        self.add_run(Run::new(now, work, place));
+        if self.conduct.fails {
+            return Ok(Span::ZERO);
+        }
+        Ok(self.spec.run_time(&live.service, live.run_ms))
+    }
+
+    /// Ends a live request.
+    pub fn end_live(&mut self, now: Time, task: Uuid, attempt: u32) {
+        let matches = |r: &Run| r.work.task == task && r.work.attempt == attempt;
+        if let Some(at) = self.running.iter().position(matches) {
+            let run = self.running.swap_remove(at);
+            self.ledger.end(run.place, now);
+            self.reports.change();
+        }
+    }
+
+    /// Starts a task; a second start of the same task and attempt starts nothing.
+    ///
+    /// # Errors
+    ///
+    /// Refuses work for the platform's reasons; it then certainly did not start.
+    pub fn start_task(
+        &mut self,
+        now: Time,
+        task: &TaskStart,
+        not_after: Time,
+    ) -> Result<(), Refusal> {
+        self.tick(now);
+        let same = |r: &Run| r.work.task == task.task && r.work.attempt == task.attempt;
+        let repeated = self.running.iter().any(same);
+        if repeated || self.reports.has_ended(task.task, task.attempt) {
+            return Ok(());
+        }
+        let size = Size {
+            millicores: task.millicores,
+            memory_mb: task.memory_mb,
+            accelerators: task.accelerators,
+        };
+        let checked = self.check(now, task.term, not_after, size);
+        self.count_refusal(checked)?;
+        let work = RunningWork {
+            task: task.task,
+            attempt: task.attempt,
+            term: task.term,
+            kind: WorkKind::Task,
+        };
+        let start = self.start(now, work, Arc::clone(&task.class));
+        let place = self.ledger.begin(start);
+        let left = if self.conduct.fails {
+            Span::ZERO
+        } else {
+            self.spec.run_time(&task.class, task.run_ms)
+        };
+        let lease = now + Span::from_millis(task.lease_ms);
+        let run = Run::new(now, work, place).with_size(size);
+        self.add_run(run.with_left(left).with_lease(lease));
+        Ok(())
+    }
+
+    /// Renews leases.
+    pub fn renew(&mut self, now: Time, renewal: &Renewal) -> RenewalReply {
+        self.tick(now);
+        let lease = now + Span::from_millis(renewal.lease_ms);
+        let stale = self.conduct.checks && renewal.term < self.newest_term;
+        self.newest_term = self.newest_term.max(renewal.term);
+        let mut reply = RenewalReply::default();
+        for task in &renewal.tasks {
+            match self.task_mut(*task) {
+                Some(run) if !stale => run.lease = lease,
+                _ => reply.unknown.push(*task),
+            }
+        }
+        reply
+    }
+
+    /// Takes a checkpoint; returns false if the task does not run here.
+    pub fn checkpoint(&mut self, now: Time, task: Uuid) -> bool {
+        self.tick(now);
+        let runs = self.task_mut(task).is_some();
+        self.counts.checkpoints += u32::from(runs);
+        runs
+    }
+
+    /// Slows a task to a share of full speed; returns false if it does not run here.
+    pub fn throttle(&mut self, now: Time, task: Uuid, percent: u8) -> bool {
+        self.tick(now);
+        let Some(run) = self.task_mut(task) else {
+            return false;
+        };
+        run.throttle(percent);
+        self.counts.throttles += 1;
+        true
+    }
+
+    /// Stops a task; returns false if it does not run here.
+    pub fn stop(&mut self, now: Time, task: Uuid) -> bool {
+        self.tick(now);
+        let matches = |r: &Run| r.is_task() && r.work.task == task;
+        let Some(at) = self.running.iter().position(matches) else {
+            return false;
+        };
+        self.counts.stops += 1;
+        self.end_task(now, at, WorkOutcome::Stopped);
+        true
+    }
+
+    /// Brings the worker up to `now`: tasks end, leases lapse, a due report is made.
+    pub fn tick(&mut self, now: Time) {
+        for run in &mut self.running {
+            run.progress(now);
+        }
+        while let Some((at, outcome)) = self.ended_task(now) {
+            self.counts.lapses += u32::from(outcome == WorkOutcome::Expired);
+            self.end_task(now, at, outcome);
+        }
+        if self.reports.due().is_some_and(|due| due <= now) {
+            let usage = self.describe();
+            self.reports.add(now, usage);
+        }
+    }
+
+    /// Returns when [`WorkerEngine::tick`] next has something to do.
+    pub fn next_event(&self) -> Option<Time> {
+        let ends = self.running.iter().filter_map(Run::next_event);
+        ends.chain(self.reports.due()).min()
+    }
+
+    /// Returns whether a report newer than `after` can be seen.
+    pub fn has_news(&mut self, now: Time, after: u64) -> bool {
+        self.tick(now);
+        self.reports.has_news(now, after)
+    }
+
+    /// Returns the report that can be seen, with the tasks that ended after report `after`.
+    pub fn usage(&mut self, now: Time, after: u64) -> Usage {
+        self.tick(now);
+        self.reports.read(now, after)
+    }
+
+    /// Returns when a newer report can be seen, none if none is made yet.
+    pub fn next_visible(&self, now: Time) -> Option<Time> {
+        self.reports.next_visible(now)
+    }
+
+    /// Opens a connection; returns false if it is beyond the limit and refused.
+    pub fn connect(&mut self) -> bool {
+        if self.connections >= self.spec.capacity.connections {
+            self.counts.connection_overflows += 1;
+            if self.conduct.enforces {
+                return false;
+            }
+        }
+        self.connections += 1;
+        let highest = self.counts.highest_connections;
+        self.counts.highest_connections = highest.max(self.connections);
+        true
+    }
+
+    /// Closes a connection.
+    pub fn disconnect(&mut self) {
+        self.connections -= 1;
+    }
+
+    fn check(&mut self, now: Time, term: u64, not_after: Time, size: Size) -> Result<(), Refusal> {
+        if let Some(refusal) = self.conduct.refuses {
+            return Err(refusal);
+        }
+        if self.leaving {
+            return Err(Refusal::Leaving);
+        }
+        if self.conduct.checks && term < self.newest_term {
+            return Err(Refusal::StaleTerm);
+        }
+        if self.conduct.checks && now >= not_after {
+            return Err(Refusal::Late);
+        }
+        self.newest_term = self.newest_term.max(term);
+        if !self.has_room(size) {
+            self.counts.overflows += 1;
+            if self.conduct.enforces {
+                return Err(Refusal::Full);
+            }
+        }
+        Ok(())
+    }
+
+    fn count_refusal(&mut self, checked: Result<(), Refusal>) -> Result<(), Refusal> {
+        self.counts.refusals += u32::from(checked.is_err());
+        checked
+    }
+
+    fn has_room(&self, size: Size) -> bool {
+        let capacity = &self.spec.capacity;
+        let slots = usize::try_from(capacity.slots).unwrap_or(usize::MAX);
+        let used = self.running.iter().map(|r| r.size).fold(size, Size::plus);
+        self.running.len() < slots && used.fits(capacity)
+    }
+
+    fn start(&self, now: Time, work: RunningWork, class: Arc<str>) -> Start {
+        Start {
+            worker: Arc::clone(&self.spec.name),
+            task: work.task,
+            attempt: work.attempt,
+            term: work.term,
+            kind: work.kind,
+            class,
+            key: None,
+            request: None,
+            started: now,
+            ended: None,
+        }
+    }
+
+    fn add_run(&mut self, run: Run) {
+        self.running.push(run);
+        let running = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        self.counts.highest_running = self.counts.highest_running.max(running);
+        self.counts.starts += 1;
+        self.reports.change();
+    }
+
+    fn task_mut(&mut self, task: Uuid) -> Option<&mut Run> {
+        let matches = |r: &&mut Run| r.is_task() && r.work.task == task;
+        self.running.iter_mut().find(matches)
+    }
+
+    fn ended_task(&self, now: Time) -> Option<(usize, WorkOutcome)> {
+        let mut runs = self.running.iter().enumerate();
+        let fails = self.conduct.fails;
+        runs.find_map(|(at, run)| run.outcome(now, fails).map(|o| (at, o)))
+    }
+
+    fn end_task(&mut self, now: Time, at: usize, outcome: WorkOutcome) {
+        let run = self.running.swap_remove(at);
+        self.ledger.end(run.place, now);
+        let work = EndedWork {
+            task: run.work.task,
+            attempt: run.work.attempt,
+            outcome,
+            run_ms: (now - run.started).as_millis(),
+        };
+        self.reports.end(now, work);
+    }
+
+    fn describe(&self) -> Usage {
+        let busy = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        let slots = self.spec.capacity.slots.max(1);
+        Usage {
+            leaving: self.leaving,
+            busy_slots: busy,
+            busy_connections: self.connections,
+            cpu_percent: busy.saturating_mul(100) / slots,
+            running: self.running.iter().map(|r| r.work).collect(),
+            ..Usage::default()
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-fakes/src/worker/service.rs
@@ -0,0 +1,272 @@
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use kingcupwinch_time::{Span, Time};
+use kingcupwinch_wire::roster::{Instance, InstanceState, Role};
+use kingcupwinch_wire::worker::{Renewal, TaskStart, Throttle};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use uuid::Uuid;
+
+use super::live;
+use super::{Conduct, Counts, Ledger, WorkerEngine, WorkerSpec};
+use crate::clock::TokioClock;
+use crate::fault::{Faults, Reach};
+use crate::http::{Answer, Dropped, Handler, Server, empty, json, query_number, read_json};
+
+/// The longest wait for a usage report, in milliseconds.
+const MAX_WAIT_MS: u64 = 60_000;
+const IDLE_WAIT: Duration = Duration::from_secs(3_600);
+
+/// A running worker. Dropping it stops it gracefully.
+#[derive(Debug)]
+pub struct FakeWorker {
+    server: Server,
+    shared: Arc<Shared>,
+    driver: JoinHandle<()>,
+}
+
+impl FakeWorker {
+    /// Starts a worker that writes what it starts into `ledger`; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound.
+    pub async fn start(spec: WorkerSpec, ledger: &Ledger, address: SocketAddr) -> io::Result<Self> {
+        let clock = ledger.clock();
+        let shared = Arc::new(Shared {
+            name: Arc::clone(&spec.name),
+            clock,
+            engine: Mutex::new(WorkerEngine::new(clock.now(), spec, ledger.clone())),
+            changes: watch::Sender::new(()),
+            faults: Faults::new(),
+        });
+        let service = WorkerService(Arc::clone(&shared));
+        let server = Server::start(address, Arc::new(service)).await?;
+        let driver = tokio::spawn(drive(Arc::clone(&shared)));
+        Ok(FakeWorker {
+            server,
+            shared,
+            driver,
+        })
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the worker as the instance list shows it.
+    pub fn instance(&self, domain: &str, rack: &str) -> Instance {
+        Instance {
+            name: Arc::clone(&self.shared.name),
+            domain: domain.into(),
+            rack: rack.into(),
+            role: Role::Worker,
+            state: InstanceState::Live,
+            address: self.address(),
+            capacity: self.shared.read(|engine| engine.spec().capacity.clone()),
+        }
+    }
+
+    /// Returns how it behaves.
+    pub fn conduct(&self) -> Conduct {
+        self.shared.read(WorkerEngine::conduct)
+    }
+
+    /// Sets how it behaves from now on.
+    pub fn set_conduct(&self, conduct: Conduct) {
+        self.shared.change(|engine| engine.set_conduct(conduct));
+    }
+
+    /// Sets whether it is leaving.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.shared.change(|engine| engine.set_leaving(leaving));
+    }
+
+    /// Sets how it meets requests.
+    pub fn set_reach(&self, reach: Reach) {
+        self.shared.faults.set_reach(reach);
+    }
+
+    /// Sets how long each request waits before it is looked at.
+    pub fn set_delay(&self, delay: Span) {
+        self.shared.faults.set_delay(delay);
+    }
+
+    /// Returns what it was given so far.
+    pub fn counts(&self) -> Counts {
+        self.shared.read(WorkerEngine::counts)
+    }
+
+    /// Cuts every connection and stops listening; tasks end only as their leases lapse.
+    pub fn kill(&self) {
+        self.server.kill();
+    }
+}
+
+impl Drop for FakeWorker {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+#[derive(Debug)]
+pub(super) struct Shared {
+    pub(super) name: Arc<str>,
+    clock: TokioClock,
+    engine: Mutex<WorkerEngine>,
+    changes: watch::Sender<()>,
+    faults: Faults,
+}
+
+impl Shared {
+    pub(super) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    pub(super) fn read<T>(&self, f: impl FnOnce(&WorkerEngine) -> T) -> T {
+        f(&self.engine())
+    }
+
+    /// Changes the worker and wakes whoever waits for a change.
+    pub(super) fn change<T>(&self, f: impl FnOnce(&mut WorkerEngine) -> T) -> T {
+        let result = f(&mut self.engine());
+        self.changes.send_replace(());
+        result
+    }
+
+    fn engine(&self) -> MutexGuard<'_, WorkerEngine> {
+        self.engine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Ends tasks and makes reports when they are due.
+async fn drive(shared: Arc<Shared>) {
+    let mut changes = shared.changes.subscribe();
+    loop {
+        let now = shared.now();
+        let next = {
+            let mut engine = shared.engine();
+            engine.tick(now);
+            engine.next_event()
+        };
+        let idle = Instant::now() + IDLE_WAIT;
+        let until = next.map_or(idle, |t| shared.clock.instant(t).min(idle));
+        tokio::select! {
+            _ = changes.changed() => {}
+            () = tokio::time::sleep_until(until) => shared.changes.send_replace(()),
+        }
+    }
+}
+
+struct WorkerService(Arc<Shared>);
+
+impl Handler for WorkerService {
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Result<Answer, Dropped> {
+        if !self.0.faults.admit().await {
+            return Ok(empty(StatusCode::SERVICE_UNAVAILABLE));
+        }
+        let path = request.uri().path().to_owned();
+        let parts: Vec<_> = path.split('/').skip(1).collect();
+        match (request.method(), parts.as_slice()) {
+            (_, ["v1", "run", service]) => live::run(&self.0, service, request).await,
+            (&Method::POST, ["v1", "tasks"]) => Ok(self.start_task(request).await),
+            (&Method::POST, ["v1", "leases"]) => Ok(self.renew(request).await),
+            (&Method::POST, ["v1", "tasks", task, action]) => {
+                Ok(self.act(task, action, request).await)
+            }
+            (&Method::GET, ["v1", "usage"]) => Ok(self.usage(&request).await),
+            _ => Ok(empty(StatusCode::NOT_FOUND)),
+        }
+    }
+
+    fn connected(&self) -> bool {
+        self.0.engine().connect()
+    }
+
+    fn closed(&self) {
+        self.0.engine().disconnect();
+    }
+}
+
+impl WorkerService {
+    async fn start_task(&self, request: Request<Incoming>) -> Answer {
+        let arrived = self.0.now();
+        let Some(not_after) = live::not_after(&request, arrived) else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        let task: TaskStart = match read_json(request.into_body()).await {
+            Ok(task) => task,
+            Err(answer) => return answer,
+        };
+        let now = self.0.now();
+        let started = self.0.change(|e| e.start_task(now, &task, not_after));
+        match started {
+            Ok(()) => empty(StatusCode::ACCEPTED),
+            Err(refusal) => live::refused(refusal),
+        }
+    }
+
+    async fn renew(&self, request: Request<Incoming>) -> Answer {
+        let renewal: Renewal = match read_json(request.into_body()).await {
+            Ok(renewal) => renewal,
+            Err(answer) => return answer,
+        };
+        let now = self.0.now();
+        let reply = self.0.change(|engine| engine.renew(now, &renewal));
+        json(StatusCode::OK, &reply)
+    }
+
+    async fn act(&self, task: &str, action: &str, request: Request<Incoming>) -> Answer {
+        let Ok(task) = task.parse::<Uuid>() else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        let now = self.0.now();
+        let found = match action {
+            "checkpoint" => self.0.change(|engine| engine.checkpoint(now, task)),
+            "stop" => self.0.change(|engine| engine.stop(now, task)),
+            "throttle" => match read_json::<Throttle>(request.into_body()).await {
+                Ok(t) => self
+                    .0
+                    .change(|engine| engine.throttle(now, task, t.percent)),
+                Err(answer) => return answer,
+            },
+            _ => false,
+        };
+        let status = if found {
+            StatusCode::ACCEPTED
+        } else {
+            StatusCode::NOT_FOUND
+        };
+        empty(status)
+    }
+
+    async fn usage(&self, request: &Request<Incoming>) -> Answer {
+        let after = query_number(request, "after");
+        let wait = query_number(request, "wait_ms").min(MAX_WAIT_MS);
+        let until = Instant::now() + Duration::from_millis(wait);
+        let mut changes = self.0.changes.subscribe();
+        loop {
+            let now = self.0.now();
+            let (news, visible) = {
+                let mut engine = self.0.engine();
+                (engine.has_news(now, after), engine.next_visible(now))
+            };
+            if news || Instant::now() >= until {
+                let usage = self.0.engine().usage(now, after);
+                return json(StatusCode::OK, &usage);
+            }
+            let wake = visible.map_or(until, |t| self.0.clock.instant(t).min(until));
+            tokio::select! {
+                _ = changes.changed() => {}
+                () = tokio::time::sleep_until(wake) => {}
+            }
+        }
+    }
+}
--- a/crates/kingcupwinch-wire/src/lib.rs
+++ b/crates/kingcupwinch-wire/src/lib.rs
@@ -20,7 +20,9 @@
 
 pub mod api;
 pub mod pb;
+pub mod roster;
 pub mod sibling;
+pub mod worker;
 
 mod config;
 mod error;
@@ -34,4 +36,4 @@
 pub use field::{MAX_LIST, MAX_RECORD_BYTES};
 pub use job::{decode_job, encode_job};
 pub use owner::{decode_owner, encode_owner};
-pub use platform::{LogPage, LogRecord, MAX_PAGE_BYTES, decode_page, encode_page};
+pub use platform::{Appended, LogPage, LogRecord, MAX_PAGE_BYTES, decode_page, encode_page};
--- a/crates/kingcupwinch-wire/src/platform.rs
+++ b/crates/kingcupwinch-wire/src/platform.rs
@@ -1,8 +1,9 @@
-//! The log service's answer to a read.
+//! The log service's answers.
 
 use bytes::Bytes;
 use kingcupwinch_coord::id::Offset;
 use prost::Message;
+use serde::{Deserialize, Serialize};
 
 use crate::DecodeError;
 use crate::field::{check_list, check_size};
@@ -33,6 +34,13 @@
     pub records: Vec<LogRecord>,
 }
 
+/// The log service's answer to an append.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Appended {
+    /// Where the record stands in the stream.
+    pub offset: u64,
+}
+
 /// Decodes the log service's answer to a read.
 ///
 /// # Errors
