Add configuration history, key memories and job records

The daemon needs pure state machines for what the log decides and for at-most-once runs. History judges records by their content and offset alone, so that memory bounds can't make two readers differ.

--- /dev/null
+++ b/crates/kingcupwinch-coord/src/history.rs
@@ -0,0 +1,468 @@
+//! The configuration in force and its history, decided alike by every reader of the log.
+//!
+//! The first valid record in log order over the version it names wins. Decisions depend only on
+//! the records and their offsets, never on record ids seen before, so a reader with a short
+//! memory decides like one with a long memory.
+//!
+//! A snapshot changes nothing for a reader that has judged every record since its base. A reader
+//! that has lost records holds publications back until a snapshot covers an offset from which it
+//! has all of them; then it judges the held ones in order.
+//!
+//! ```
+//! use kingcupwinch_coord::history::{Applied, History, Limits};
+//! use kingcupwinch_coord::id::{Offset, RecordId, Version};
+//! use kingcupwinch_coord::record::{ConfigRecord, Stamped};
+//! use kingcupwinch_time::{Time, WallTime};
+//!
+//! let record = Stamped {
+//!     id: RecordId(uuid::Uuid::from_u128(1)),
+//!     body: ConfigRecord {
+//!         based: Version(0),
+//!         version: Version(1),
+//!         origin: None,
+//!         author: "operator".into(),
+//!         published: WallTime::from_millis(0),
+//!         tree: "{}".into(),
+//!     },
+//! };
+//! let mut history = History::new(Offset(0), Limits::new());
+//! let applied = history.apply(Offset(0), Some(record), Time::ZERO, &|_| Ok(()));
+//! assert_eq!(applied, Applied::InForce { version: Version(1) });
+//! ```
+
+mod held;
+mod past;
+mod verdict;
+
+use std::sync::Arc;
+
+use kingcupwinch_time::{Span, Time, WallTime};
+
+use crate::id::{Offset, RecordId, Version};
+use crate::record::{ConfigRecord, Origin, Stamped};
+
+use held::Held;
+use past::Past;
+use verdict::Verdicts;
+
+pub use verdict::Verdict;
+
+/// Judges a merged tree; the error says what is wrong with it.
+pub type Check<'a> = &'a dyn Fn(&str) -> Result<(), Arc<str>>;
+
+/// Bounds of a history's memory and the pace of its snapshots.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Limits {
+    past_entries: usize,
+    past_bytes: usize,
+    held_bytes: usize,
+    verdict_count: usize,
+    copy_age: Span,
+    copy_records: u64,
+}
+
+impl Limits {
+    /// Makes the default limits: 64 past versions in 8 MiB, 8 MiB held back, 4,096 verdicts, a
+    /// snapshot every hour or 128 records after a change.
+    pub fn new() -> Self {
+        const MIB: usize = 1 << 20;
+        Limits {
+            past_entries: 64,
+            past_bytes: 8 * MIB,
+            held_bytes: 8 * MIB,
+            verdict_count: 4_096,
+            copy_age: Span::from_secs(3_600),
+            copy_records: 128,
+        }
+    }
+
+    /// Bounds the list of past versions.
+    #[must_use]
+    pub fn with_past(mut self, entries: usize, bytes: usize) -> Self {
+        self.past_entries = entries;
+        self.past_bytes = bytes;
+        self
+    }
+
+    /// Bounds the bytes held back while a base is searched.
+    #[must_use]
+    pub fn with_held(mut self, bytes: usize) -> Self {
+        self.held_bytes = bytes;
+        self
+    }
+
+    /// Sets the age and the number of records after which a snapshot is due; the age must stay
+    /// under half of the log's retention.
+    #[must_use]
+    pub fn with_copies(mut self, age: Span, records: u64) -> Self {
+        self.copy_age = age;
+        self.copy_records = records;
+        self
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits::new()
+    }
+}
+
+/// A version that is or was in force.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
+    /// The version.
+    pub version: Version,
+    /// The record that made it.
+    pub id: RecordId,
+    /// The first offset not yet judged when this version was known to be in force.
+    pub covers: Offset,
+    /// Who published it, for people.
+    pub author: Arc<str>,
+    /// When it was published, for people.
+    pub published: WallTime,
+    /// The merged tree as canonical JSON.
+    pub tree: Arc<str>,
+}
+
+impl Entry {
+    fn new(id: RecordId, covers: Offset, body: &ConfigRecord) -> Self {
+        Entry {
+            version: body.version,
+            id,
+            covers,
+            author: body.author.clone(),
+            published: body.published,
+            tree: body.tree.clone(),
+        }
+    }
+}
+
+/// What a record did to the history.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Applied {
+    /// A new version is in force.
+    InForce {
+        /// The version.
+        version: Version,
+    },
+    /// The record names a version that another record has already replaced.
+    Lost {
+        /// The record that won over the same version, none if it is no longer remembered.
+        winner: Option<RecordId>,
+    },
+    /// The record names a version that is not yet made.
+    Ahead {
+        /// The version in force.
+        current: Version,
+    },
+    /// The tree fails its checks.
+    Invalid {
+        /// What is wrong.
+        why: Arc<str>,
+    },
+    /// The record does not make the version after the one it names.
+    Malformed,
+    /// The record could not be decoded.
+    Undecodable,
+    /// The offset or the version was already taken in.
+    Repeat,
+    /// The snapshot repeats the version in force.
+    Copy,
+    /// The snapshot contradicts what this reader has judged, or covers too little.
+    StaleSnapshot,
+    /// The record waits until a base is known.
+    Held,
+}
+
+/// The configuration in force as one reader knows it.
+#[derive(Debug, Clone)]
+pub struct History {
+    limits: Limits,
+    next: Offset,
+    held: Option<Held>,
+    current: Option<Arc<Entry>>,
+    past: Past,
+    verdicts: Verdicts,
+    copied: Offset,
+    copy_due: Option<Time>,
+}
+
+impl History {
+    /// Makes a history whose reader starts at `start`; from offset zero it knows everything, from
+    /// a later one it waits for a snapshot or a relay.
+    pub fn new(start: Offset, limits: Limits) -> Self {
+        let held = (start > Offset(0)).then(|| Held::new(start, limits.held_bytes));
+        History {
+            next: start,
+            held,
+            current: None,
+            past: Past::new(limits.past_entries, limits.past_bytes),
+            verdicts: Verdicts::new(limits.verdict_count),
+            copied: start,
+            copy_due: None,
+            limits,
+        }
+    }
+
+    /// Returns the version in force, zero before the first.
+    pub fn version(&self) -> Version {
+        self.current.as_ref().map_or(Version(0), |e| e.version)
+    }
+
+    /// Returns the entry in force.
+    pub fn current(&self) -> Option<&Arc<Entry>> {
+        self.current.as_ref()
+    }
+
+    /// Returns the offset to read next.
+    pub fn next(&self) -> Offset {
+        self.next
+    }
+
+    /// Returns whether every record since the base was judged.
+    pub fn is_complete(&self) -> bool {
+        self.held.is_none()
+    }
+
+    /// Returns the past versions, oldest first.
+    pub fn past(&self) -> impl Iterator<Item = &Arc<Entry>> {
+        self.past.iter()
+    }
+
+    /// Returns what became of a publication, by its record id.
+    pub fn verdict(&self, id: RecordId) -> Option<&Verdict> {
+        self.verdicts.get(id)
+    }
+
+    /// Takes in the record at `offset`, none where it can't be decoded.
+    ///
+    /// A skipped offset counts as lost records.
+    pub fn apply(
+        &mut self,
+        offset: Offset,
+        record: Option<Stamped<ConfigRecord>>,
+        now: Time,
+        check: Check<'_>,
+    ) -> Applied {
+        if offset < self.next {
+            return Applied::Repeat;
+        }
+        self.lose_until(offset);
+        self.next = offset.next();
+        let Some(record) = record else {
+            return Applied::Undecodable;
+        };
+        match record.body.origin {
+            Some(origin) => self.apply_snapshot(offset, origin, &record.body, now, check),
+            None => self.apply_publication(offset, record, now, check),
+        }
+    }
+
+    /// Notes that the records before `first` have expired unread.
+    pub fn lose_until(&mut self, first: Offset) {
+        if first <= self.next {
+            return;
+        }
+        self.next = first;
+        self.held = Some(Held::new(first, self.limits.held_bytes));
+    }
+
+    /// Returns the versions after `version` in order, for a sibling that is cut from the log.
+    ///
+    /// Where the older ones are no longer kept, the list starts at the oldest kept one.
+    pub fn since(&self, version: Version) -> Vec<Arc<Entry>> {
+        let entries = self.past.iter().chain(self.current.as_ref());
+        entries.filter(|e| e.version > version).cloned().collect()
+    }
+
+    /// Takes in an entry relayed by a sibling that has judged the log up to what it covers.
+    pub fn apply_relay(&mut self, entry: &Arc<Entry>, now: Time, check: Check<'_>) -> Applied {
+        if entry.version <= self.version() {
+            return Applied::Repeat;
+        }
+        let contradicts = self.is_complete() && entry.covers <= self.next;
+        if contradicts {
+            return Applied::StaleSnapshot;
+        }
+        if let Err(why) = check(&entry.tree) {
+            return Applied::Invalid { why };
+        }
+        self.put_in_force(entry.clone(), now);
+        self.next = self.next.max(entry.covers);
+        self.replay_from(entry.covers, now, check);
+        self.in_force()
+    }
+
+    /// Returns whether the version in force should be appended again as a snapshot.
+    pub fn is_copy_due(&self, now: Time) -> bool {
+        let aged = self.copy_due.is_some_and(|due| now >= due);
+        let buried = self.next.0.saturating_sub(self.copied.0) > self.limits.copy_records;
+        self.is_complete() && self.current.is_some() && (aged || buried)
+    }
+
+    /// Returns a snapshot of the version in force, none while records are missing.
+    pub fn snapshot(&self) -> Option<ConfigRecord> {
+        if !self.is_complete() {
+            return None;
+        }
+        let entry = self.current.as_ref()?;
+        Some(ConfigRecord {
+            based: entry.version,
+            version: entry.version,
+            origin: Some(Origin {
+                id: entry.id,
+                covers: self.next,
+            }),
+            author: entry.author.clone(),
+            published: entry.published,
+            tree: entry.tree.clone(),
+        })
+    }
+
+    fn apply_publication(
+        &mut self,
+        offset: Offset,
+        record: Stamped<ConfigRecord>,
+        now: Time,
+        check: Check<'_>,
+    ) -> Applied {
+        if let Some(held) = &mut self.held {
+            held.push(offset, record);
+            return Applied::Held;
+        }
+        self.judge(offset, &record, now, check)
+    }
+
+    fn judge(
+        &mut self,
+        offset: Offset,
+        record: &Stamped<ConfigRecord>,
+        now: Time,
+        check: Check<'_>,
+    ) -> Applied {
+        let applied = self.outcome(record, check);
+        if let Applied::InForce { .. } = applied {
+            let entry = Entry::new(record.id, offset.next(), &record.body);
+            self.put_in_force(Arc::new(entry), now);
+        }
+        self.verdicts.note(record.id, &applied);
+        applied
+    }
+
+    fn outcome(&self, record: &Stamped<ConfigRecord>, check: Check<'_>) -> Applied {
+        let (body, current) = (&record.body, self.version());
+        if body.version.0.checked_sub(1) != Some(body.based.0) {
+            return Applied::Malformed;
+        }
+        if body.based < current {
+            return self.lost(record.id, body.version);
+        }
+        if body.based > current {
+            return Applied::Ahead { current };
+        }
+        match check(&body.tree) {
+            Ok(()) => Applied::InForce {
+                version: body.version,
+            },
+            Err(why) => Applied::Invalid { why },
+        }
+    }
+
+    fn lost(&self, id: RecordId, made: Version) -> Applied {
+        let winner = self.maker(made);
+        if winner == Some(id) {
+            return Applied::Repeat;
+        }
+        Applied::Lost { winner }
+    }
+
+    fn maker(&self, version: Version) -> Option<RecordId> {
+        let mut entries = self.past.iter().chain(self.current.as_ref());
+        entries.find(|e| e.version == version).map(|e| e.id)
+    }
+
+    fn apply_snapshot(
+        &mut self,
+        offset: Offset,
+        origin: Origin,
+        body: &ConfigRecord,
+        now: Time,
+        check: Check<'_>,
+    ) -> Applied {
+        if origin.covers > offset {
+            return Applied::Malformed;
+        }
+        let repeats = self.is_in_force(origin.id, body.version);
+        match &self.held {
+            None if repeats => self.note_copy(origin.covers, now),
+            None => Applied::StaleSnapshot,
+            Some(held) if origin.covers < held.floor() => Applied::StaleSnapshot,
+            Some(_) if body.version < self.version() => Applied::StaleSnapshot,
+            Some(_) if body.version == self.version() && !repeats => Applied::StaleSnapshot,
+            Some(_) => self.adopt(origin, body, now, check),
+        }
+    }
+
+    fn is_in_force(&self, id: RecordId, version: Version) -> bool {
+        let current = self.current.as_ref();
+        current.is_some_and(|e| e.id == id && e.version == version)
+    }
+
+    fn note_copy(&mut self, covers: Offset, now: Time) -> Applied {
+        self.copied = self.copied.max(covers);
+        self.copy_due = Some(now + self.limits.copy_age);
+        Applied::Copy
+    }
+
+    fn adopt(
+        &mut self,
+        origin: Origin,
+        body: &ConfigRecord,
+        now: Time,
+        check: Check<'_>,
+    ) -> Applied {
+        if let Err(why) = check(&body.tree) {
+            return Applied::Invalid { why };
+        }
+        if body.version > self.version() {
+            let entry = Entry::new(origin.id, origin.covers, body);
+            self.put_in_force(Arc::new(entry), now);
+        }
+        self.replay_from(origin.covers, now, check);
+        self.in_force()
+    }
+
+    /// Judges the held records from `covers` on, if none of them is missing.
+    fn replay_from(&mut self, covers: Offset, now: Time, check: Check<'_>) {
+        let whole = self.held.as_ref().is_some_and(|h| h.floor() <= covers);
+        if !whole {
+            return;
+        }
+        let Some(held) = self.held.take() else {
+            return;
+        };
+        for (offset, record) in held.from(covers) {
+            self.judge(offset, &record, now, check);
+        }
+    }
+
+    fn in_force(&self) -> Applied {
+        Applied::InForce {
+            version: self.version(),
+        }
+    }
+
+    fn put_in_force(&mut self, entry: Arc<Entry>, now: Time) {
+        self.verdicts.note(
+            entry.id,
+            &Applied::InForce {
+                version: entry.version,
+            },
+        );
+        self.copied = entry.covers;
+        self.copy_due = Some(now + self.limits.copy_age);
+        if let Some(old) = self.current.replace(entry) {
+            self.past.push(old);
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-coord/src/history/verdict.rs
@@ -0,0 +1,89 @@
+//! What became of publications, for publishers that read back.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use rustc_hash::FxHashMap;
+
+use super::Applied;
+use crate::id::{RecordId, Version};
+
+/// What became of one publication.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Verdict {
+    /// It made this version.
+    Won(Version),
+    /// Another record replaced the version that it names.
+    Lost {
+        /// The record that won, none if it is no longer remembered.
+        winner: Option<RecordId>,
+    },
+    /// It named a version that was not made when it was read.
+    Ahead,
+    /// Its tree or its form is wrong.
+    Invalid {
+        /// What is wrong.
+        why: Arc<str>,
+    },
+}
+
+/// The newest verdicts; a win is never replaced by what a doubled record got.
+#[derive(Debug, Clone)]
+pub(super) struct Verdicts {
+    by_id: FxHashMap<RecordId, Verdict>,
+    order: VecDeque<RecordId>,
+    most: usize,
+}
+
+impl Verdicts {
+    pub(super) fn new(most: usize) -> Self {
+        Verdicts {
+            by_id: FxHashMap::default(),
+            order: VecDeque::new(),
+            most,
+        }
+    }
+
+    pub(super) fn get(&self, id: RecordId) -> Option<&Verdict> {
+        self.by_id.get(&id)
+    }
+
+    pub(super) fn note(&mut self, id: RecordId, applied: &Applied) {
+        let Some(verdict) = Self::from_applied(applied) else {
+            return;
+        };
+        let won = matches!(self.by_id.get(&id), Some(Verdict::Won(_)));
+        if won {
+            return;
+        }
+        if self.by_id.insert(id, verdict).is_none() {
+            self.order.push_back(id);
+        }
+        self.trim();
+    }
+
+    fn from_applied(applied: &Applied) -> Option<Verdict> {
+        match applied {
+            Applied::InForce { version } => Some(Verdict::Won(*version)),
+            Applied::Lost { winner } => Some(Verdict::Lost { winner: *winner }),
+            Applied::Ahead { .. } => Some(Verdict::Ahead),
+            Applied::Invalid { why } => Some(Verdict::Invalid { why: why.clone() }),
+            Applied::Malformed => Some(Verdict::Invalid {
+                why: "it does not make the version after the one it names".into(),
+            }),
+            Applied::Undecodable
+            | Applied::Repeat
+            | Applied::Copy
+            | Applied::StaleSnapshot
+            | Applied::Held => None,
+        }
+    }
+
+    fn trim(&mut self) {
+        while self.order.len() > self.most {
+            if let Some(old) = self.order.pop_front() {
+                self.by_id.remove(&old);
+            }
+        }
+    }
+}
--- a/crates/kingcupwinch-coord/src/lib.rs
+++ b/crates/kingcupwinch-coord/src/lib.rs
@@ -3,5 +3,8 @@
 //! Each part takes an event and the current time and returns actions; none does I/O or reads a
 //! clock, so one sequence of events always gives the same result.
 
+pub mod dedupe;
+pub mod history;
 pub mod id;
+pub mod jobs;
 pub mod record;
--- a/crates/kingcupwinch-coord/src/record.rs
+++ b/crates/kingcupwinch-coord/src/record.rs
@@ -152,9 +152,20 @@
         open: Vec<AcceptedJob>,
         /// Those of them that may have started.
         started: Vec<(JobId, Term)>,
+        /// Jobs that ended lately, so that a doubled `Accepted` can't open them again.
+        ended: Vec<(JobId, JobEnd)>,
     },
 }
 
+/// What a configuration snapshot repeats.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Origin {
+    /// The record that made the version.
+    pub id: RecordId,
+    /// The first offset that the snapshot's writer had not judged.
+    pub covers: Offset,
+}
+
 /// A record of the configuration stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ConfigRecord {
@@ -162,8 +173,8 @@
     pub based: Version,
     /// The version it makes: `based` plus one, except in a snapshot.
     pub version: Version,
-    /// Set in a snapshot: the id of the record that made this version.
-    pub origin: Option<RecordId>,
+    /// Set in a snapshot, none in a publication.
+    pub origin: Option<Origin>,
     /// Who published it, for people.
     pub author: Arc<str>,
     /// When it was published, for people.
--- /dev/null
+++ b/crates/kingcupwinch-coord/tests/history.rs
@@ -0,0 +1,218 @@
+//! Configuration history: races, lost records, snapshots and relays.
+
+use std::sync::Arc;
+
+use kingcupwinch_coord::history::{Applied, History, Limits, Verdict};
+use kingcupwinch_coord::id::{Offset, RecordId, Version};
+use kingcupwinch_coord::record::{ConfigRecord, Origin, Stamped};
+use kingcupwinch_time::{Span, Time, WallTime};
+use rstest::rstest;
+use uuid::Uuid;
+
+type Record = Stamped<ConfigRecord>;
+
+fn check(tree: &str) -> Result<(), Arc<str>> {
+    match tree {
+        "bad" => Err("bad tree".into()),
+        _ => Ok(()),
+    }
+}
+
+fn id(n: u128) -> RecordId {
+    RecordId(Uuid::from_u128(n))
+}
+
+fn record(n: u128, based: u64, version: u64, origin: Option<Origin>, tree: &str) -> Record {
+    let body = ConfigRecord {
+        based: Version(based),
+        version: Version(version),
+        origin,
+        author: "operator".into(),
+        published: WallTime::from_millis(0),
+        tree: tree.into(),
+    };
+    Stamped { id: id(n), body }
+}
+
+fn publish(n: u128, based: u64) -> Record {
+    record(n, based, based + 1, None, "{}")
+}
+
+fn copy(n: u128, version: u64, origin: u128, covers: u64) -> Record {
+    let origin = Origin {
+        id: id(origin),
+        covers: Offset(covers),
+    };
+    record(n, version, version, Some(origin), "{}")
+}
+
+fn apply(history: &mut History, offset: u64, record: Record) -> Applied {
+    history.apply(Offset(offset), Some(record), Time::ZERO, &check)
+}
+
+fn read(start: u64, log: &[Record]) -> History {
+    let mut history = History::new(Offset(start), Limits::new());
+    for (offset, record) in log.iter().enumerate().skip(start as usize) {
+        apply(&mut history, offset as u64, record.clone());
+    }
+    history
+}
+
+fn in_force(version: u64) -> Applied {
+    Applied::InForce {
+        version: Version(version),
+    }
+}
+
+#[test]
+fn two_operators_race_and_the_first_record_wins() {
+    let mut history = read(0, &[publish(1, 0)]);
+    assert_eq!(apply(&mut history, 1, publish(2, 1)), in_force(2));
+    let lost = Applied::Lost {
+        winner: Some(id(2)),
+    };
+    assert_eq!(apply(&mut history, 2, publish(3, 1)), lost);
+    assert_eq!(history.verdict(id(2)), Some(&Verdict::Won(Version(2))));
+    let verdict = Verdict::Lost {
+        winner: Some(id(2)),
+    };
+    assert_eq!(history.verdict(id(3)), Some(&verdict));
+}
+
+#[test]
+fn an_invalid_record_leaves_the_version_to_the_next() {
+    let mut history = read(0, &[record(1, 0, 1, None, "bad")]);
+    assert_eq!(history.version(), Version(0));
+    assert_eq!(apply(&mut history, 1, publish(2, 0)), in_force(1));
+}
+
+#[test]
+fn a_publication_appended_twice_wins_once_and_its_verdict_stays() {
+    let mut history = read(0, &[publish(1, 0)]);
+    assert_eq!(apply(&mut history, 1, publish(1, 0)), Applied::Repeat);
+    assert_eq!(history.verdict(id(1)), Some(&Verdict::Won(Version(1))));
+}
+
+#[rstest]
+#[case::ahead(publish(9, 5), Applied::Ahead { current: Version(1) })]
+#[case::skips(record(9, 1, 3, None, "{}"), Applied::Malformed)]
+#[case::overflow(record(9, 1, 0, None, "{}"), Applied::Malformed)]
+#[case::covers_the_future(copy(9, 1, 1, 7), Applied::Malformed)]
+#[case::foreign_copy(copy(9, 1, 8, 1), Applied::StaleSnapshot)]
+#[case::copy_of_a_later_version(copy(9, 4, 8, 1), Applied::StaleSnapshot)]
+#[case::copy(copy(9, 1, 1, 1), Applied::Copy)]
+fn a_complete_reader_judges(#[case] bad: Record, #[case] expected: Applied) {
+    let mut history = read(0, &[publish(1, 0)]);
+    assert_eq!(apply(&mut history, 1, bad), expected);
+    assert_eq!(history.version(), Version(1));
+}
+
+#[test]
+fn an_undecodable_record_does_not_stop_the_reader() {
+    let mut history = History::new(Offset(0), Limits::new());
+    let applied = history.apply(Offset(0), None, Time::ZERO, &check);
+    assert_eq!(applied, Applied::Undecodable);
+    assert_eq!(apply(&mut history, 1, publish(1, 0)), in_force(1));
+}
+
+#[test]
+fn a_late_snapshot_never_takes_a_version_back() {
+    let log = [
+        publish(1, 0),
+        publish(2, 1),
+        copy(3, 1, 1, 1),
+        publish(4, 2),
+    ];
+    assert_eq!(read(0, &log).version(), Version(3));
+    let starts_at_one = read(1, &log);
+    assert_eq!(starts_at_one.version(), Version(3));
+    let starts_at_two = read(2, &log);
+    assert_eq!(starts_at_two.version(), Version(0), "no trusted base");
+}
+
+#[test]
+fn a_record_published_ahead_of_its_time_loses_for_a_late_starter_too() {
+    let ahead = publish(9, 1);
+    let log = [ahead, publish(1, 0), copy(3, 1, 1, 2), publish(4, 1)];
+    for start in 0..3 {
+        let history = read(start, &log);
+        let origin = history.current().map(|e| e.id);
+        assert_eq!(origin, Some(id(4)), "reader from {start}");
+    }
+}
+
+#[test]
+fn lost_records_are_bridged_by_a_snapshot() {
+    let mut history = read(0, &[publish(1, 0)]);
+    assert_eq!(apply(&mut history, 50, publish(7, 6)), Applied::Held);
+    assert_eq!(history.version(), Version(1), "the old version stays");
+    assert_eq!(apply(&mut history, 51, copy(8, 6, 5, 50)), in_force(7));
+    assert!(history.is_complete());
+    let after = apply(&mut history, 52, copy(9, 1, 1, 51));
+    assert_eq!(after, Applied::StaleSnapshot);
+}
+
+#[test]
+fn held_records_beyond_the_bound_need_a_newer_snapshot() {
+    let limits = Limits::new().with_held(4);
+    let mut history = History::new(Offset(10), limits);
+    for offset in 10..14 {
+        apply(&mut history, offset, publish(offset.into(), offset));
+    }
+    let early = apply(&mut history, 14, copy(90, 11, 10, 11));
+    assert_eq!(early, Applied::StaleSnapshot);
+    let later = apply(&mut history, 15, copy(91, 12, 11, 12));
+    assert_eq!(later, in_force(14));
+}
+
+#[test]
+fn a_sibling_relays_what_a_cut_reader_misses() {
+    let log = [publish(1, 0), publish(2, 1), publish(3, 1), publish(4, 2)];
+    let whole = read(0, &log);
+    let mut cut = read(0, &log[..1]);
+    for entry in whole.since(cut.version()) {
+        cut.apply_relay(&entry, Time::ZERO, &check);
+    }
+    assert_eq!(cut.current(), whole.current());
+    assert_eq!(apply(&mut cut, 1, publish(2, 1)), Applied::Repeat);
+    assert_eq!(cut.next(), Offset(4));
+}
+
+#[test]
+fn a_relay_that_contradicts_the_log_is_refused() {
+    let mut history = read(0, &[publish(1, 0), publish(2, 0)]);
+    let other = read(0, &[publish(1, 0), publish(5, 1)]);
+    let entry = other.current().cloned().unwrap();
+    let applied = history.apply_relay(&entry, Time::ZERO, &check);
+    assert_eq!(applied, Applied::StaleSnapshot);
+    assert_eq!(history.version(), Version(1));
+}
+
+#[test]
+fn snapshots_fall_due_by_age_and_by_records() {
+    let limits = Limits::new().with_copies(Span::from_secs(10), 2);
+    let mut history = History::new(Offset(0), limits);
+    assert!(!history.is_copy_due(Time::MAX), "nothing to copy");
+    apply(&mut history, 0, publish(1, 0));
+    assert!(!history.is_copy_due(Time::from_millis(9_999)));
+    assert!(history.is_copy_due(Time::from_millis(10_000)));
+    for offset in 1..4 {
+        apply(&mut history, offset, publish(2, 0));
+    }
+    assert!(history.is_copy_due(Time::ZERO));
+    let body = history.snapshot().unwrap();
+    let stamped = Stamped { id: id(77), body };
+    assert_eq!(apply(&mut history, 4, stamped), Applied::Copy);
+    assert!(!history.is_copy_due(Time::ZERO));
+}
+
+#[test]
+fn past_versions_are_bounded() {
+    let limits = Limits::new().with_past(2, 1_000);
+    let mut history = History::new(Offset(0), limits);
+    for n in 0..5 {
+        apply(&mut history, n, publish(n.into(), n));
+    }
+    let versions: Vec<Version> = history.past().map(|e| e.version).collect();
+    assert_eq!(versions, [Version(3), Version(4)]);
+}
