Merge and check the configuration folder

Operators need one typed tree from a folder of TOML files, and readers of the log need the same checks on a published tree. Add the merge with the place of each value, the decoder that gathers all faults, the checks and canonical JSON. Covered so far by the crate's example; tests of faults follow.

--- /dev/null
+++ b/crates/kingcupwinch-config/src/check/report.rs
@@ -0,0 +1,63 @@
+//! Gathers the faults of the checks.
+
+use std::sync::Arc;
+
+use crate::fault::{Fault, FaultKind};
+use crate::node::Place;
+use crate::origin::Origins;
+
+/// Notes faults by the paths of the settings, and finds where those were set.
+pub(super) struct Report<'a> {
+    origins: &'a Origins,
+    faults: &'a mut Vec<Fault>,
+}
+
+impl<'a> Report<'a> {
+    pub(super) fn new(origins: &'a Origins, faults: &'a mut Vec<Fault>) -> Self {
+        Report { origins, faults }
+    }
+
+    /// Returns whether a file set the setting.
+    pub(super) fn is_set(&self, path: &str) -> bool {
+        self.origins.place(path).is_some()
+    }
+
+    /// Notes a fault of one setting.
+    pub(super) fn fault(&mut self, path: &str, kind: FaultKind) {
+        self.add(path, kind, None);
+    }
+
+    /// Notes a setting without a default that isn't set.
+    pub(super) fn require(&mut self, table: &str, setting: &'static str) {
+        if !self.is_set(&format!("{table}.{setting}")) {
+            self.add(table, FaultKind::Missing(setting), None);
+        }
+    }
+
+    /// Notes that two settings contradict each other.
+    pub(super) fn contradiction(&mut self, path: &str, other: &str, cause: String) {
+        if self.is_faulty(other) {
+            return;
+        }
+        let clash = self.origins.place(other).cloned();
+        self.add(path, FaultKind::Contradiction(Arc::from(cause)), clash);
+    }
+
+    /// Leaves out what only follows from a fault already noted of the same setting.
+    fn add(&mut self, path: &str, kind: FaultKind, clash: Option<Place>) {
+        if self.is_faulty(path) {
+            return;
+        }
+        let place = self.origins.nearest(path);
+        self.faults.push(Fault {
+            place: place.cloned().unwrap_or_else(|| Place::new("")),
+            path: Arc::from(path),
+            kind,
+            clash,
+        });
+    }
+
+    fn is_faulty(&self, path: &str) -> bool {
+        self.faults.iter().any(|fault| *fault.path == *path)
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-config/src/check/sizes.rs
@@ -0,0 +1,98 @@
+//! Checks that tasks and gangs fit the domains.
+
+use super::report::Report;
+use crate::tree::{Class, Domain, Kind, Task, Tree};
+
+pub(super) fn check(tree: &Tree, report: &mut Report<'_>) {
+    for (name, domain) in &tree.domains {
+        check_domain(name, domain, report);
+    }
+    for (name, class) in &tree.classes {
+        check_class(name, class, tree, report);
+    }
+}
+
+fn check_domain(name: &str, domain: &Domain, report: &mut Report<'_>) {
+    let path = format!("domains.{name}");
+    if domain.shards == 0 {
+        let cause = "is 0; a domain needs at least one shard".to_owned();
+        report.contradiction(&format!("{path}.shards"), "", cause);
+    }
+    if domain.rack_workers > domain.workers {
+        let cause = format!(
+            "is {}, but the domain has {} workers",
+            domain.rack_workers, domain.workers
+        );
+        report.contradiction(
+            &format!("{path}.rack_workers"),
+            &format!("{path}.workers"),
+            cause,
+        );
+    }
+}
+
+fn check_class(name: &str, class: &Class, tree: &Tree, report: &mut Report<'_>) {
+    let path = format!("classes.{name}");
+    let gang_path = format!("{path}.gang_most");
+    if class.retry.attempts == 0 {
+        let cause = "is 0; the first attempt counts".to_owned();
+        report.contradiction(&format!("{path}.retry.attempts"), "", cause);
+    }
+    if class.retry.base_ms > class.retry.cap_ms {
+        let cause = format!(
+            "is {}, above `cap_ms` of {}",
+            class.retry.base_ms, class.retry.cap_ms
+        );
+        report.contradiction(
+            &format!("{path}.retry.base_ms"),
+            &format!("{path}.retry.cap_ms"),
+            cause,
+        );
+    }
+    if class.kind != Kind::Gang && class.gang_most != 1 {
+        let cause = format!("is {}, but only a gang may have several", class.gang_most);
+        report.contradiction(&gang_path, &format!("{path}.kind"), cause);
+        return;
+    }
+    check_fit(&path, class, tree, report);
+}
+
+/// Notes a class whose gang, or single task, fits no domain even when it is empty.
+fn check_fit(path: &str, class: &Class, tree: &Tree, report: &mut Report<'_>) {
+    let sized = tree.domains.iter().filter(|(_, domain)| domain.workers > 0);
+    let widest = sized
+        .map(|(name, domain)| (task_room(domain, &class.task), name))
+        .max();
+    let Some((room, domain)) = widest else {
+        return;
+    };
+    if room >= u64::from(class.gang_most) {
+        return;
+    }
+    if room == 0 {
+        let cause = "is larger than every worker".to_owned();
+        report.contradiction(&format!("{path}.task"), "domains", cause);
+        return;
+    }
+    let cause = format!(
+        "is {}, but the widest domain, {domain}, has room for {room} such tasks",
+        class.gang_most
+    );
+    let other = format!("domains.{domain}.workers");
+    report.contradiction(&format!("{path}.gang_most"), &other, cause);
+}
+
+/// Returns the tasks that the domain's workers could run at once.
+fn task_room(domain: &Domain, task: &Task) -> u64 {
+    let per_worker = [
+        (domain.slots, 1),
+        (domain.millicores, task.millicores),
+        (domain.memory_mb, task.memory_mb),
+        (domain.accelerators, task.accelerators),
+    ]
+    .into_iter()
+    .filter_map(|(capacity, need)| capacity.checked_div(need))
+    .min()
+    .unwrap_or(0);
+    u64::from(per_worker) * u64::from(domain.workers)
+}
--- /dev/null
+++ b/crates/kingcupwinch-config/src/decode.rs
@@ -0,0 +1,302 @@
+//! Decodes untyped nodes into the typed tree and gathers the faults.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use crate::fault::{Fault, FaultKind};
+use crate::node::{Node, Table, Value};
+use crate::origin::join_path;
+use crate::units::{Millis, Share, Weight};
+
+/// The least likeness of a known key that is worth a suggestion.
+const MIN_LIKENESS: f64 = 0.7;
+
+/// The longest name of a domain, service, class or customer.
+const MAX_NAME_CHARS: usize = 64;
+
+/// A type that a node decodes into.
+pub(crate) trait Decode: Sized {
+    /// Returns none where the node has the wrong type or range, after noting the fault.
+    fn decode(node: &Node, cx: &mut Decoder) -> Option<Self>;
+}
+
+/// The faults so far and the path of the node under way.
+#[derive(Debug, Default)]
+pub(crate) struct Decoder {
+    path: String,
+    pub(crate) faults: Vec<Fault>,
+}
+
+impl Decoder {
+    /// Notes a fault of the node under way.
+    pub(crate) fn fault(&mut self, node: &Node, kind: FaultKind) {
+        self.faults.push(Fault {
+            place: node.place.clone(),
+            path: Arc::from(self.path.as_str()),
+            kind,
+            clash: None,
+        });
+    }
+
+    /// Returns a table's entries, after noting every key that isn't one of `keys`.
+    pub(crate) fn table<'n>(&mut self, node: &'n Node, keys: &[&str]) -> Option<&'n Table> {
+        let table = self.entries(node)?;
+        for (key, entry) in table {
+            if !keys.contains(&key.as_ref()) {
+                let nearest = nearest_name(key, keys.iter().copied());
+                self.within(key, |cx| cx.fault(entry, FaultKind::UnknownKey(nearest)));
+            }
+        }
+        Some(table)
+    }
+
+    /// Decodes one field of a table, none where it is absent or at fault.
+    pub(crate) fn field<T: Decode>(&mut self, table: &Table, key: &str) -> Option<T> {
+        let node = table.get(key)?;
+        self.within(key, |cx| T::decode(node, cx))
+    }
+
+    fn entries<'n>(&mut self, node: &'n Node) -> Option<&'n Table> {
+        match &node.value {
+            Value::Table(table) => Some(table),
+            other => {
+                self.fault(node, FaultKind::WrongType("a table", other.type_name()));
+                None
+            }
+        }
+    }
+
+    fn within<T>(&mut self, key: &str, decode: impl FnOnce(&mut Self) -> T) -> T {
+        let length = self.path.len();
+        self.path = join_path(&self.path, key);
+        let result = decode(self);
+        self.path.truncate(length);
+        result
+    }
+
+    fn wrong_type<T>(&mut self, node: &Node, wanted: &'static str) -> Option<T> {
+        let found = node.value.type_name();
+        self.fault(node, FaultKind::WrongType(wanted, found));
+        None
+    }
+
+    fn in_range<T>(&mut self, node: &Node, value: Option<T>, range: &str) -> Option<T> {
+        if value.is_none() {
+            self.fault(node, FaultKind::OutOfRange(Arc::from(range)));
+        }
+        value
+    }
+}
+
+/// Returns the known name most like `name`, if one is like it at all.
+pub(crate) fn nearest_name<'a>(
+    name: &str,
+    known: impl Iterator<Item = &'a str>,
+) -> Option<Arc<str>> {
+    known
+        .map(|candidate| (strsim::jaro_winkler(name, candidate), candidate))
+        .filter(|(likeness, _)| *likeness >= MIN_LIKENESS)
+        .max_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(_, candidate)| Arc::from(candidate))
+}
+
+/// Returns whether an entry may bear this name.
+fn is_name(name: &str) -> bool {
+    let chars = name.bytes();
+    let mut allowed = chars.map(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-');
+    (1..=MAX_NAME_CHARS).contains(&name.len()) && allowed.all(|ok| ok)
+}
+
+fn number(node: &Node) -> Option<f64> {
+    match node.value {
+        Value::Float(n) => Some(n),
+        Value::Integer(n) => Some(n as f64),
+        _ => None,
+    }
+}
+
+impl<T: Decode> Decode for IndexMap<Arc<str>, T> {
+    fn decode(node: &Node, cx: &mut Decoder) -> Option<Self> {
+        let table = cx.entries(node)?;
+        let mut entries = IndexMap::with_capacity(table.len());
+        for (name, child) in table {
+            cx.within(name, |cx| {
+                if !is_name(name) {
+                    cx.fault(child, FaultKind::BadName);
+                }
+                if let Some(entry) = T::decode(child, cx) {
+                    entries.insert(Arc::clone(name), entry);
+                }
+            });
+        }
+        entries.sort_keys();
+        Some(entries)
+    }
+}
+
+impl<T: Decode> Decode for Vec<T> {
+    fn decode(node: &Node, cx: &mut Decoder) -> Option<Self> {
+        let Value::List(list) = &node.value else {
+            return cx.wrong_type(node, "a list");
+        };
+        let items = list.iter().filter_map(|item| T::decode(item, cx));
+        Some(items.collect())
+    }
+}
+
+impl<T: Decode> Decode for Option<T> {
+    fn decode(node: &Node, cx: &mut Decoder) -> Option<Self> {
+        T::decode(node, cx).map(Some)
+    }
+}
+
+impl Decode for Arc<str> {
+    fn decode(node: &Node, cx: &mut Decoder) -> Option<Self> {
+        let Value::Text(text) = &node.value else {
+            return cx.wrong_type(node, "a string");
+        };
+        if !is_name(text) {
+            cx.fault(node, FaultKind::BadName);
+            return None;
+        }
+        Some(Arc::clone(text))
+    }
+}
+
+impl Decode for bool {
+    fn decode(node: &Node, cx: &mut Decoder) -> Option<Self> {
+        match node.value {
+            Value::Bool(b) => Some(b),
+            _ => cx.wrong_type(node, "true or false"),
+        }
+    }
+}
+
+macro_rules! decode_integer {
+    ($($name:ty),*) => {$(
+        impl Decode for $name {
+            fn decode(node: &Node, cx: &mut Decoder) -> Option<Self> {
+                let Value::Integer(n) = node.value else {
+                    return cx.wrong_type(node, "a whole number");
+                };
+                let range = format!("a whole number from 0 to {}", <$name>::MAX);
+                cx.in_range(node, <$name>::try_from(n).ok(), &range)
+            }
+        }
+    )*};
+}
+
+decode_integer!(u8, u16, u32);
+
+impl Decode for Millis {
+    fn decode(node: &Node, cx: &mut Decoder) -> Option<Self> {
+        let Value::Integer(n) = node.value else {
+            return cx.wrong_type(node, Millis::RANGE);
+        };
+        let length = u64::try_from(n).ok().and_then(Millis::new);
+        cx.in_range(node, length, Millis::RANGE)
+    }
+}
+
+impl Decode for Share {
+    fn decode(node: &Node, cx: &mut Decoder) -> Option<Self> {
+        let Some(n) = number(node) else {
+            return cx.wrong_type(node, Share::RANGE);
+        };
+        cx.in_range(node, Share::new(n), Share::RANGE)
+    }
+}
+
+impl Decode for Weight {
+    fn decode(node: &Node, cx: &mut Decoder) -> Option<Self> {
+        let Some(n) = number(node) else {
+            return cx.wrong_type(node, Weight::RANGE);
+        };
+        cx.in_range(node, Weight::new(n), Weight::RANGE)
+    }
+}
+
+/// Declares a table of settings: the struct, its defaults and its decoding.
+macro_rules! settings {
+    ($(#[$meta:meta])* struct $name:ident {
+        $($(#[$field_meta:meta])* $field:ident: $type:ty = $default:expr,)*
+    }) => {
+        $(#[$meta])*
+        #[derive(Debug, Clone, PartialEq)]
+        #[derive(serde::Serialize)]
+        pub struct $name {
+            $($(#[$field_meta])* pub $field: $type,)*
+        }
+
+        impl Default for $name {
+            fn default() -> Self {
+                $name { $($field: $default,)* }
+            }
+        }
+
+        impl $crate::decode::Decode for $name {
+            fn decode(
+                node: &$crate::node::Node,
+                cx: &mut $crate::decode::Decoder,
+            ) -> Option<Self> {
+                let table = cx.table(node, &[$(stringify!($field)),*])?;
+                Some($name {
+                    $($field: cx.field(table, stringify!($field)).unwrap_or_else(|| $default),)*
+                })
+            }
+        }
+    };
+}
+
+/// Declares a setting that takes one of several words.
+macro_rules! choices {
+    ($(#[$meta:meta])* enum $name:ident {
+        $($(#[$variant_meta:meta])* $variant:ident = $word:literal,)*
+    }) => {
+        $(#[$meta])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+        #[derive(serde::Serialize)]
+        pub enum $name {
+            $($(#[$variant_meta])* #[serde(rename = $word)] $variant,)*
+        }
+
+        impl $name {
+            /// Returns the word that stands for the choice in the settings.
+            pub const fn as_str(self) -> &'static str {
+                match self {
+                    $($name::$variant => $word,)*
+                }
+            }
+        }
+
+        impl $crate::decode::Decode for $name {
+            fn decode(
+                node: &$crate::node::Node,
+                cx: &mut $crate::decode::Decoder,
+            ) -> Option<Self> {
+                $crate::decode::decode_word(node, cx, &[$(($word, $name::$variant)),*])
+            }
+        }
+    };
+}
+
+pub(crate) use {choices, settings};
+
+/// Decodes a word into the choice that it stands for.
+pub(crate) fn decode_word<T: Copy>(
+    node: &Node,
+    cx: &mut Decoder,
+    choices: &[(&str, T)],
+) -> Option<T> {
+    let Value::Text(text) = &node.value else {
+        return cx.wrong_type(node, "a string");
+    };
+    let found = choices.iter().find(|(word, _)| *word == text.as_ref());
+    if found.is_none() {
+        let words: Vec<&str> = choices.iter().map(|(word, _)| *word).collect();
+        let kind = FaultKind::UnknownWord(Arc::clone(text), Arc::from(words.join(", ")));
+        cx.fault(node, kind);
+    }
+    found.map(|(_, choice)| *choice)
+}
--- /dev/null
+++ b/crates/kingcupwinch-config/src/folder.rs
@@ -0,0 +1,218 @@
+//! Reads a folder of TOML files within bounds.
+
+use std::fs::{self, DirEntry, File};
+use std::io::{self, Read};
+use std::path::Path;
+use std::sync::Arc;
+
+use crate::check::check_node;
+use crate::fault::{Fault, FaultKind, Faults};
+use crate::merge::merge_table;
+use crate::node::{Node, Place, Table, Value};
+use crate::origin::Loaded;
+use crate::parse::parse_toml;
+
+/// The most files of one folder.
+pub const MAX_FILES: usize = 1_000;
+
+/// The most bytes of one file.
+pub const MAX_FILE_BYTES: usize = 1_048_576;
+
+/// The most bytes of a folder's files together.
+pub const MAX_FOLDER_BYTES: usize = 4 * MAX_FILE_BYTES;
+
+/// The most entries of a folder that are looked at, merged or not.
+const MAX_ENTRIES: usize = 4_000;
+
+/// The ending of the files that are merged.
+const FILE_ENDING: &str = ".toml";
+
+/// Why an entry of the folder was passed over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SkipReason {
+    /// Its name starts with a dot.
+    Hidden,
+    /// It is an editor's backup or lock file.
+    Backup,
+    /// Its name doesn't end in `.toml`.
+    OtherEnding,
+    /// It is a folder.
+    Folder,
+}
+
+impl SkipReason {
+    /// Returns the reason in words.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            SkipReason::Hidden => "hidden",
+            SkipReason::Backup => "an editor's backup",
+            SkipReason::OtherEnding => "not *.toml",
+            SkipReason::Folder => "a folder",
+        }
+    }
+}
+
+/// An entry of the folder that was passed over.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Skipped {
+    /// The entry's name.
+    pub name: Arc<str>,
+    /// Why it was passed over.
+    pub reason: SkipReason,
+}
+
+/// Reads, merges and checks the `*.toml` files of a folder in the order of their names.
+///
+/// # Errors
+///
+/// Returns every fault that was found, from unreadable files to contradicting settings.
+pub fn load_folder(path: impl AsRef<Path>) -> Result<Loaded, Faults> {
+    let path = path.as_ref();
+    let shown = path.display().to_string();
+    let listing = Listing::read(path).map_err(|kind| Faults::with_file(&shown, kind))?;
+    if listing.names.is_empty() {
+        return Err(Faults::with_file(&shown, FaultKind::Empty));
+    }
+    let mut faults = Vec::new();
+    let mut texts = Vec::new();
+    let mut left = MAX_FOLDER_BYTES;
+    for name in &listing.names {
+        match read_file(&path.join(name.as_ref()), left) {
+            Ok(text) => {
+                left -= text.len();
+                texts.push((Arc::clone(name), text));
+            }
+            Err(kind) => faults.push(file_fault(name, kind)),
+        }
+    }
+    merge_texts(&texts, listing.skipped, faults)
+}
+
+/// Merges and checks texts that are already in memory, each with its file's name.
+///
+/// # Errors
+///
+/// Returns every fault that was found.
+pub fn load_texts<'a>(
+    texts: impl IntoIterator<Item = (&'a str, &'a str)>,
+) -> Result<Loaded, Faults> {
+    let mut texts: Vec<(Arc<str>, String)> = texts
+        .into_iter()
+        .map(|(name, text)| (Arc::from(name), text.to_owned()))
+        .collect();
+    texts.sort();
+    merge_texts(&texts, Vec::new(), Vec::new())
+}
+
+fn merge_texts(
+    texts: &[(Arc<str>, String)],
+    skipped: Vec<Skipped>,
+    mut faults: Vec<Fault>,
+) -> Result<Loaded, Faults> {
+    let mut root = Table::new();
+    for (name, text) in texts {
+        match parse_toml(name, text) {
+            Ok(layer) => merge_table(&mut root, layer, "", &mut faults),
+            Err(fault) => faults.push(fault),
+        }
+    }
+    let first = texts.first().map_or("", |(name, _)| name.as_ref());
+    let root = Node {
+        place: Place::new(first),
+        value: Value::Table(root),
+    };
+    let (tree, origins) = check_node(&root, &mut faults);
+    if !faults.is_empty() {
+        return Err(Faults::new(faults));
+    }
+    Ok(Loaded {
+        tree,
+        origins,
+        files: texts.iter().map(|(name, _)| Arc::clone(name)).collect(),
+        skipped,
+    })
+}
+
+fn file_fault(name: &str, kind: FaultKind) -> Fault {
+    Fault {
+        place: Place::new(name),
+        path: Arc::from(""),
+        kind,
+        clash: None,
+    }
+}
+
+fn unreadable(error: &io::Error) -> FaultKind {
+    FaultKind::Unreadable(Arc::from(error.to_string()))
+}
+
+/// The names in a folder.
+#[derive(Debug, Default)]
+struct Listing {
+    names: Vec<Arc<str>>,
+    skipped: Vec<Skipped>,
+}
+
+impl Listing {
+    fn read(path: &Path) -> Result<Self, FaultKind> {
+        let mut listing = Listing::default();
+        let entries = fs::read_dir(path).map_err(|e| unreadable(&e))?;
+        for entry in entries {
+            let entry = entry.map_err(|e| unreadable(&e))?;
+            listing.add(&entry);
+            let looked_at = listing.names.len() + listing.skipped.len();
+            if listing.names.len() > MAX_FILES || looked_at > MAX_ENTRIES {
+                return Err(FaultKind::TooManyFiles(MAX_FILES));
+            }
+        }
+        listing.names.sort();
+        listing.skipped.sort_by(|a, b| a.name.cmp(&b.name));
+        Ok(listing)
+    }
+
+    fn add(&mut self, entry: &DirEntry) {
+        let name: Arc<str> = Arc::from(entry.file_name().to_string_lossy());
+        let is_folder = entry.file_type().is_ok_and(|kind| kind.is_dir());
+        match skip_reason(&name, is_folder) {
+            Some(reason) => self.skipped.push(Skipped { name, reason }),
+            None => self.names.push(name),
+        }
+    }
+}
+
+fn skip_reason(name: &str, is_folder: bool) -> Option<SkipReason> {
+    let is_backup = name.ends_with('~')
+        || name.starts_with('#')
+        || [".swp", ".swo", ".bak", ".orig", ".rej"]
+            .iter()
+            .any(|ending| name.ends_with(ending));
+    if name.starts_with('.') {
+        Some(SkipReason::Hidden)
+    } else if is_backup {
+        Some(SkipReason::Backup)
+    } else if is_folder {
+        Some(SkipReason::Folder)
+    } else if !name.ends_with(FILE_ENDING) {
+        Some(SkipReason::OtherEnding)
+    } else {
+        None
+    }
+}
+
+/// Reads a regular file of at most [`MAX_FILE_BYTES`] and `left` bytes.
+fn read_file(path: &Path, left: usize) -> Result<String, FaultKind> {
+    let metadata = fs::metadata(path).map_err(|e| unreadable(&e))?;
+    if !metadata.is_file() {
+        return Err(FaultKind::Unreadable(Arc::from("not a regular file")));
+    }
+    let most = MAX_FILE_BYTES.min(left);
+    let file = File::open(path).map_err(|e| unreadable(&e))?;
+    let mut bytes = Vec::new();
+    file.take(most as u64 + 1)
+        .read_to_end(&mut bytes)
+        .map_err(|e| unreadable(&e))?;
+    if bytes.len() > most {
+        return Err(FaultKind::TooLarge(most));
+    }
+    String::from_utf8(bytes).map_err(|_| FaultKind::NotUtf8)
+}
--- a/crates/kingcupwinch-config/src/lib.rs
+++ b/crates/kingcupwinch-config/src/lib.rs
@@ -1,1 +1,44 @@
 //! The configuration folder: merge, check and the typed tree.
+//!
+//! Operators declare domains, services, classes, customers and objectives in a folder of TOML
+//! files. The files are merged in the order of their names: tables by key, lists and scalars
+//! replaced. [`load_folder`] returns the typed [`Tree`] or every fault of the folder at once. The
+//! tree travels as canonical JSON; [`Tree::from_json`] runs the same checks on it, so that every
+//! reader of a published record decides alike whether it is valid.
+//!
+//! ```
+//! use kingcupwinch_config::{Tree, load_texts};
+//!
+//! let base = ("10-base.toml", "[domains.north]\nregion = \"coast\"\nslots = 8");
+//! let later = ("20-more.toml", "[domains.north]\nslots = 16");
+//! let loaded = load_texts([base, later])?;
+//! assert_eq!(loaded.tree.domains["north"].slots, 16);
+//! assert_eq!(loaded.origins.place("domains.north.slots").unwrap().line, 2);
+//!
+//! let json = loaded.tree.to_canonical_json();
+//! assert_eq!(Tree::from_json(&json)?, loaded.tree);
+//! # Ok::<(), kingcupwinch_config::Faults>(())
+//! ```
+
+mod check;
+mod decode;
+mod fault;
+mod folder;
+mod merge;
+mod node;
+mod origin;
+mod parse;
+mod tree;
+mod units;
+
+pub use fault::{Fault, FaultKind, Faults};
+pub use folder::{
+    MAX_FILE_BYTES, MAX_FILES, MAX_FOLDER_BYTES, SkipReason, Skipped, load_folder, load_texts,
+};
+pub use node::Place;
+pub use origin::{Loaded, Origins};
+pub use tree::{
+    Class, Contract, Customer, Domain, Kind, Limits, Objective, Ownership, Retry, Service, Task,
+    Timers, Tree, Weights,
+};
+pub use units::{Millis, Share, Weight};
--- /dev/null
+++ b/crates/kingcupwinch-config/src/merge.rs
@@ -0,0 +1,83 @@
+//! Merges one file's tables over those of the files before it.
+
+use std::sync::Arc;
+
+use crate::fault::{Fault, FaultKind};
+use crate::node::{Node, Place, Table, Value};
+use crate::origin::join_path;
+
+/// The key that removes an entry which an earlier file set.
+const REMOVE_KEY: &str = "remove";
+
+/// Merges `layer` into `base`: tables by key, everything else replaced.
+pub(crate) fn merge_table(base: &mut Table, layer: Table, path: &str, faults: &mut Vec<Fault>) {
+    for (key, node) in layer {
+        let path = join_path(path, &key);
+        let place = node.place.clone();
+        match node.value {
+            Value::Table(entries) if entries.contains_key(REMOVE_KEY) => {
+                remove_entry(base, &key, place, &entries, &path, faults);
+            }
+            Value::Table(entries) => merge_entry(base, key, place, entries, &path, faults),
+            value => replace_value(base, key, Node { place, value }, &path, faults),
+        }
+    }
+}
+
+fn remove_entry(
+    base: &mut Table,
+    key: &str,
+    place: Place,
+    entries: &Table,
+    path: &str,
+    faults: &mut Vec<Fault>,
+) {
+    let is_true = matches!(entries[REMOVE_KEY].value, Value::Bool(true));
+    if entries.len() > 1 || !is_true {
+        faults.push(fault(place, path, FaultKind::RemoveMixed, None));
+        return;
+    }
+    if base.shift_remove(key).is_none() {
+        faults.push(fault(place, path, FaultKind::RemoveNothing, None));
+    }
+}
+
+fn merge_entry(
+    base: &mut Table,
+    key: Arc<str>,
+    place: Place,
+    entries: Table,
+    path: &str,
+    faults: &mut Vec<Fault>,
+) {
+    let entry = base
+        .entry(key)
+        .or_insert_with(|| Node::new_table(place.clone()));
+    match &mut entry.value {
+        Value::Table(table) => merge_table(table, entries, path, faults),
+        before => {
+            let kind = FaultKind::TypeClash("a table", before.type_name());
+            faults.push(fault(place, path, kind, Some(entry.place.clone())));
+        }
+    }
+}
+
+fn replace_value(base: &mut Table, key: Arc<str>, node: Node, path: &str, faults: &mut Vec<Fault>) {
+    if let Some(before) = base.get(&key)
+        && matches!(before.value, Value::Table(_))
+    {
+        let kind = FaultKind::TypeClash(node.value.type_name(), "a table");
+        faults.push(fault(node.place, path, kind, Some(before.place.clone())));
+        return;
+    }
+    base.insert(key, node);
+}
+
+fn fault(place: Place, path: &str, kind: FaultKind, clash: Option<Place>) -> Fault {
+    Fault {
+        place,
+        path: Arc::from(path),
+        kind,
+        clash,
+    }
+}
