--- a/crates/kingcupwinch-config/src/check/report.rs
+++ b/crates/kingcupwinch-config/src/check/report.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Notes a value that can't work, whatever the other settings are.
+    pub(super) fn refuse(&mut self, path: &str, cause: String) {
+        self.add(path, FaultKind::Contradiction(Arc::from(cause)), None);
+    }
+
     /// Notes that two settings contradict each other.
     pub(super) fn contradiction(&mut self, path: &str, other: &str, cause: String) {
         if self.is_faulty(other) {
--- a/crates/kingcupwinch-config/src/check/shares.rs
+++ b/crates/kingcupwinch-config/src/check/shares.rs
@@ -63,6 +63,6 @@
     if objective.waiting_target.get() >= 1.0 {
         let path = format!("objectives.{name}.waiting_target");
         let cause = "is 1, which leaves no budget for a burn rate; use less than 1";
-        report.contradiction(&path, "", cause.to_owned());
+        report.refuse(&path, cause.to_owned());
     }
 }
--- a/crates/kingcupwinch-config/src/check/sizes.rs
+++ b/crates/kingcupwinch-config/src/check/sizes.rs
@@ -16,7 +16,12 @@
     let path = format!("domains.{name}");
     if domain.shards == 0 {
         let cause = "is 0; a domain needs at least one shard".to_owned();
-        report.contradiction(&format!("{path}.shards"), "", cause);
+        report.refuse(&format!("{path}.shards"), cause);
+    }
+    if domain.workers > 0 {
+        for setting in ["slots", "millicores", "memory_mb"] {
+            report.require(&path, setting);
+        }
     }
     if domain.rack_workers > domain.workers {
         let cause = format!(
@@ -36,7 +41,7 @@
     let gang_path = format!("{path}.gang_most");
     if class.retry.attempts == 0 {
         let cause = "is 0; the first attempt counts".to_owned();
-        report.contradiction(&format!("{path}.retry.attempts"), "", cause);
+        report.refuse(&format!("{path}.retry.attempts"), cause);
     }
     if class.retry.base_ms > class.retry.cap_ms {
         let cause = format!(
@@ -59,7 +64,7 @@
 
 /// Notes a class whose gang, or single task, fits no domain even when it is empty.
 fn check_fit(path: &str, class: &Class, tree: &Tree, report: &mut Report<'_>) {
-    let sized = tree.domains.iter().filter(|(_, domain)| domain.workers > 0);
+    let sized = tree.domains.iter().filter(|(_, domain)| has_sizes(domain));
     let widest = sized
         .map(|(name, domain)| (task_room(domain, &class.task), name))
         .max();
@@ -82,6 +87,11 @@
     report.contradiction(&format!("{path}.gang_most"), &other, cause);
 }
 
+/// Returns whether the shape of the domain's workers is known.
+fn has_sizes(domain: &Domain) -> bool {
+    domain.workers > 0 && domain.slots > 0 && domain.millicores > 0 && domain.memory_mb > 0
+}
+
 /// Returns the tasks that the domain's workers could run at once.
 fn task_room(domain: &Domain, task: &Task) -> u64 {
     let per_worker = [
