--- a/crates/kingcupwinch-coord/src/lib.rs
+++ b/crates/kingcupwinch-coord/src/lib.rs
@@ -3,5 +3,8 @@
 //! Each part takes an event and the current time and returns actions; none does I/O or reads a
 //! clock, so one sequence of events always gives the same result.
 
+pub mod hash;
 pub mod id;
+pub mod log;
+pub mod ownership;
 pub mod record;
--- /dev/null
+++ b/crates/kingcupwinch-coord/src/log/fresh.rs
@@ -0,0 +1,52 @@
+//! How old a view of the log is.
+
+use kingcupwinch_time::Time;
+
+use crate::id::Offset;
+
+/// A read whose records have not all been applied yet.
+#[derive(Debug, Clone, Copy)]
+struct Waiting {
+    sent: Time,
+    tail: Offset,
+}
+
+/// The time up to which a view is known to hold everything appended before.
+///
+/// A read sent at `sent` that saw the stream end at `tail` makes the view fresh as of `sent`, once
+/// everything before `tail` has been applied.
+#[derive(Debug, Clone, Default)]
+pub struct Freshness {
+    at: Option<Time>,
+    waiting: Option<Waiting>,
+}
+
+impl Freshness {
+    /// Returns the time as of which the view is complete, none before the first such read.
+    pub fn at(&self) -> Option<Time> {
+        self.at
+    }
+
+    /// Records a read that was sent at `sent` and saw the stream end at `tail`.
+    pub(crate) fn read(&mut self, sent: Time, tail: Offset, applied: Offset) {
+        if applied >= tail {
+            self.at = self.at.max(Some(sent));
+        } else if self.waiting.is_none() {
+            self.waiting = Some(Waiting { sent, tail });
+        }
+        self.applied(applied);
+    }
+
+    /// Forgets reads that were waiting for records that will not come.
+    pub(crate) fn rebased(&mut self) {
+        self.waiting = None;
+    }
+
+    fn applied(&mut self, applied: Offset) {
+        let Some(waiting) = self.waiting else { return };
+        if applied >= waiting.tail {
+            self.at = self.at.max(Some(waiting.sent));
+            self.waiting = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-coord/src/ownership/coordinator.rs
@@ -0,0 +1,428 @@
+//! The state machine of one instance.
+
+use std::sync::Arc;
+
+use kingcupwinch_time::{Span, Time};
+use twox_hash::XxHash64;
+
+use crate::id::{Incarnation, Offset, ShardId};
+use crate::log::{Batch, Covers, Entry, LogFault, LogView};
+use crate::record::{Member, Members, OwnerRecord, OwnerSnapshot, Stamped};
+
+use super::core::Core;
+use super::event::{Action, Event, Note, OwnedShard, Permit};
+use super::evidence::Evidence;
+use super::excuse::Excuse;
+use super::free::FreeShards;
+use super::group::Group;
+use super::handover::{HandOvers, answer_offer};
+use super::heartbeat::{Heartbeats, take_heartbeat};
+use super::holding::Holdings;
+use super::ledger::{Change, Ledger, RecordFault};
+use super::life::{Joining, Life, Phase};
+use super::message::{Message, PromiseAsk, PromiseOutcome, Relay, RelayAsk};
+use super::outbox::Outbox;
+use super::peers::Peers;
+use super::reclaim::Reclaim;
+use super::relay::{self, Relays};
+use super::snapshot::Snapshots;
+use super::takeover::TakeOver;
+use super::timers::Timers;
+use super::votes::Votes;
+
+/// Longest time between two steps.
+const TICK: Span = Span::from_millis(100);
+
+/// Ownership as one instance sees it.
+///
+/// Feed it every [`Event`] with the time at which it is handled, and at the latest at
+/// [`deadline`](Coordinator::deadline) an [`Event::Tick`]; carry out the actions in order.
+#[derive(Debug, Clone)]
+pub struct Coordinator {
+    core: Core,
+    relays: Relays,
+    heartbeats: Heartbeats,
+    excuse: Excuse,
+    votes: Votes,
+    evidence: Evidence,
+    free: FreeShards,
+    takeover: TakeOver,
+    reclaim: Reclaim,
+    handovers: HandOvers,
+    snapshots: Snapshots,
+    stepped: Time,
+    lapsed: bool,
+}
+
+impl Coordinator {
+    /// Makes the coordinator of a fresh incarnation in a domain of `shards` shards.
+    ///
+    /// `seed` makes the ids of its records; it must be random.
+    pub fn new(member: Member, shards: u16, timers: Timers, seed: u64, now: Time) -> Self {
+        let seed = XxHash64::oneshot(seed, member.incarnation.0.as_bytes());
+        let core = Core {
+            ledger: Ledger::new(shards),
+            view: LogView::new(),
+            life: Life::Joining(Joining),
+            outbox: Outbox::new(seed, timers.append_retry),
+            holdings: Holdings::new(shards),
+            peers: Peers::default(),
+            changed: now,
+            regrouped: now,
+            audience: Members::new(),
+            me: member,
+            timers,
+        };
+        Coordinator {
+            core,
+            relays: Relays::default(),
+            heartbeats: Heartbeats::default(),
+            excuse: Excuse::default(),
+            votes: Votes::default(),
+            evidence: Evidence::default(),
+            free: FreeShards::default(),
+            takeover: TakeOver::default(),
+            reclaim: Reclaim::default(),
+            handovers: HandOvers::default(),
+            snapshots: Snapshots::new(now),
+            stepped: now,
+            lapsed: false,
+        }
+    }
+
+    /// Returns the member that this coordinator stands for.
+    pub fn member(&self) -> &Member {
+        &self.core.me
+    }
+
+    /// Returns the phase of the incarnation's life.
+    pub fn phase(&self) -> Phase {
+        self.core.life.phase()
+    }
+
+    /// Returns the live members of the domain.
+    pub fn group(&self) -> &Group {
+        self.core.ledger.group()
+    }
+
+    /// Returns the offset to read the ownership stream from.
+    pub fn next_offset(&self) -> Offset {
+        self.core.view.next()
+    }
+
+    /// Returns the time as of which the view of the log is complete, none before the first read.
+    pub fn fresh_at(&self) -> Option<Time> {
+        self.core.view.fresh_at()
+    }
+
+    /// Returns the member that owns a shard, none if nobody or no member does.
+    pub fn owner_of(&self, shard: ShardId) -> Option<&Member> {
+        let owner = self.core.ledger.shard(shard)?.owner?;
+        self.group().member(owner)
+    }
+
+    /// Returns the shards whose ownership by this instance has taken effect.
+    pub fn owned(&self, now: Time) -> impl Iterator<Item = OwnedShard> {
+        self.core
+            .holdings
+            .kept()
+            .filter(move |(_, holding)| holding.effective <= now)
+            .map(|(shard, holding)| holding.as_owned(shard))
+    }
+
+    /// Returns leave to dispatch to a shard's workers, none if it may not be dispatched now.
+    pub fn permit(&self, shard: ShardId, now: Time) -> Option<Permit> {
+        let holding = self.core.holdings.get(shard)?;
+        if holding.stopping || now < holding.effective || !self.core.life.is_member() {
+            return None;
+        }
+        let leased = self.core.fresh_until();
+        let until = match leased {
+            Some(until) if now < until => until,
+            _ => self.excuse.until(&self.core, shard, now)?,
+        };
+        let term = holding.term;
+        (now < until).then_some(Permit { shard, term, until })
+    }
+
+    /// Returns when [`Event::Tick`] is due at the latest.
+    pub fn deadline(&self) -> Time {
+        match self.phase() {
+            Phase::Stopped => Time::MAX,
+            _ => self.stepped + TICK,
+        }
+    }
+
+    /// Makes a question for the state, to send to a sibling whose incarnation is not yet known.
+    pub fn relay_ask(&self, now: Time) -> RelayAsk {
+        relay::ask(&self.core, now)
+    }
+
+    /// Takes an event at the time `now`, and pushes what is to be done.
+    pub fn handle(&mut self, event: Event, now: Time, out: &mut Vec<Action>) {
+        if self.phase() == Phase::Stopped {
+            return;
+        }
+        self.notice_pause(now);
+        match event {
+            Event::Read {
+                sent,
+                first,
+                tail,
+                records,
+            } => {
+                self.snapshots.bounds(first, tail);
+                let batch = Batch {
+                    sent,
+                    first,
+                    tail,
+                    records,
+                };
+                self.take_batch(batch, now, out);
+            }
+            Event::ReadFailed | Event::Tick => {}
+            Event::AppendAcked { id } => self.core.outbox.acked(id, now),
+            Event::AppendFailed { id } => self.core.outbox.failed(id, now),
+            Event::Message { from, body } => self.take_message(from, body, now, out),
+            Event::Roster {
+                sent,
+                live,
+                leaving,
+            } => self.take_list(sent, &live, &leaving),
+            Event::Drain => self.drain(now, out),
+        }
+        self.step(now, out);
+    }
+
+    /// Counts the silence of siblings anew after a pause of this instance.
+    fn notice_pause(&mut self, now: Time) {
+        let bound = self.core.timers.silence.divided_by(2);
+        if self.stepped + bound <= now {
+            self.core.peers.restart(now);
+        }
+    }
+
+    fn take_list(&mut self, sent: Time, live: &[Arc<str>], leaving: &[Arc<str>]) {
+        self.evidence.take_list(&self.core, sent, live, leaving);
+    }
+
+    fn drain(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.core.life = self.core.life.drain(now);
+        if self.phase() == Phase::Stopped {
+            out.push(Action::Stopped);
+        }
+    }
+
+    fn step(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.stepped = now;
+        if self.phase() == Phase::Stopped {
+            return;
+        }
+        let core = &mut self.core;
+        join(core, now, out);
+        core.outbox.step(&core.ledger, now, out);
+        self.heartbeats.step(core, now, out);
+        self.relays.step(core, now, out);
+        self.excuse.step(core, now, out);
+        self.votes.step(core, now);
+        self.evidence.step(core, now);
+        self.free.step(core, &self.evidence, now, out);
+        self.takeover
+            .step(core, &mut self.votes, &self.evidence, now, out);
+        self.evidence.retire_stopped(core, now, out);
+        self.reclaim.step(core, &mut self.excuse, now, out);
+        self.handovers.step(core, &self.evidence, now, out);
+        self.snapshots.step(core, now, out);
+        self.note_lapse(now, out);
+    }
+
+    /// Notes when dispatching lapses and when it is allowed again.
+    fn note_lapse(&mut self, now: Time, out: &mut Vec<Action>) {
+        let first = self.owned(now).next();
+        let lapsed = first.is_some_and(|owned| self.permit(owned.shard, now).is_none());
+        if lapsed != self.lapsed {
+            self.lapsed = lapsed;
+            let note = if lapsed { Note::Lapsed } else { Note::Restored };
+            out.push(Action::Note(note));
+        }
+    }
+
+    fn take_batch(&mut self, batch: Batch<OwnerRecord>, now: Time, out: &mut Vec<Action>) {
+        let mut entries = Vec::new();
+        self.core.view.read(batch, &mut entries);
+        if entries.is_empty() {
+            return;
+        }
+        for entry in entries {
+            self.take_entry(entry, now, out);
+        }
+        self.core.refresh_audience();
+    }
+
+    fn take_entry(&mut self, entry: Entry<OwnerRecord>, now: Time, out: &mut Vec<Action>) {
+        match entry {
+            Entry::Base { offset, record } => {
+                self.relays.clear();
+                if let OwnerRecord::Snapshot(snapshot) = &record.body {
+                    self.restore(offset, snapshot, now, out);
+                }
+            }
+            Entry::Record { offset, record } => self.take_record(offset, record, now, out),
+            Entry::Skipped { offset, fault } => {
+                if fault != LogFault::Hole {
+                    self.relays.keep(offset, None);
+                }
+                out.push(Action::Note(Note::Log { offset, fault }));
+            }
+            Entry::Expired { from, to } if from > Offset(0) => {
+                out.push(Action::Note(Note::Expired { from, to }));
+            }
+            Entry::Expired { .. } => {}
+        }
+    }
+
+    fn take_record(
+        &mut self,
+        offset: Offset,
+        record: Stamped<OwnerRecord>,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let mut changes = Vec::new();
+        let mut faults = Vec::new();
+        self.core
+            .ledger
+            .apply(&record.body, &mut changes, &mut faults);
+        self.core.outbox.read(record.id);
+        self.snapshots.record(record.body.covers(), now);
+        self.relays.keep(offset, Some(record));
+        self.follow(offset, changes, &faults, now, out);
+    }
+
+    fn restore(
+        &mut self,
+        offset: Offset,
+        snapshot: &OwnerSnapshot,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let mut changes = Vec::new();
+        let mut faults = Vec::new();
+        self.core
+            .ledger
+            .restore(snapshot, &mut changes, &mut faults);
+        self.follow(offset, changes, &faults, now, out);
+    }
+
+    fn follow(
+        &mut self,
+        offset: Offset,
+        changes: Vec<Change>,
+        faults: &[RecordFault],
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        for change in changes {
+            self.core.follow(change, now, out);
+        }
+        for fault in faults {
+            let fault = *fault;
+            out.push(Action::Note(Note::Skipped { offset, fault }));
+        }
+    }
+
+    fn take_message(&mut self, from: Incarnation, body: Message, now: Time, out: &mut Vec<Action>) {
+        let is_open = matches!(body, Message::RelayAsk(_) | Message::Relay(_));
+        if !is_open && !self.group().contains(from) {
+            out.push(Action::Note(Note::Stranger { from }));
+            return;
+        }
+        let core = &mut self.core;
+        match body {
+            Message::Heartbeat(heartbeat) => {
+                take_heartbeat(core, from, heartbeat, now);
+                self.votes.warn(from, out);
+            }
+            Message::RelayAsk(ask) => self.relays.answer(core, from, ask, now, out),
+            Message::Relay(relay) => self.take_relay(relay, now, out),
+            Message::PromiseAsk(ask) => self.take_promise_ask(from, ask, now, out),
+            Message::PromiseReply(reply) => {
+                self.excuse.take_reply(core, from, reply, now, out);
+            }
+            Message::SupportAsk(ask) => self.votes.support(core, from, &ask, now, out),
+            Message::Support(support) => self.takeover.take_support(core, from, &support),
+            Message::Offer(offer) => answer_offer(core, from, &offer, now, out),
+            Message::OfferReply(reply) => {
+                self.handovers.take_reply(core, from, reply, now, out);
+            }
+        }
+    }
+
+    /// Answers an owner that wants a promise, with the records that it lacks if any.
+    fn take_promise_ask(
+        &mut self,
+        from: Incarnation,
+        ask: PromiseAsk,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        self.core.peers.heard(from, now);
+        let outcome = self.votes.promise(&self.core, from, ask, now, out);
+        if outcome == PromiseOutcome::Behind {
+            let asked = ask.asked;
+            let from_offset = Some(ask.applied);
+            let ask = RelayAsk {
+                asked,
+                from: from_offset,
+            };
+            self.relays.answer(&self.core, from, ask, now, out);
+        }
+    }
+
+    /// Takes records from a sibling as if they had been read when the sibling read them.
+    fn take_relay(&mut self, relay: Relay, now: Time, out: &mut Vec<Action>) {
+        if relay.asked > now {
+            return;
+        }
+        if let Some(snapshot) = &relay.snapshot {
+            self.take_relayed_snapshot(snapshot, now, out);
+        }
+        let Some(age) = relay.age else { return };
+        let age = self.core.timers.drift.lengthen(age);
+        if age > relay.asked.since(Time::ZERO) {
+            return;
+        }
+        let sent = relay.asked - age;
+        let batch = Batch {
+            sent,
+            first: Offset(0),
+            tail: relay.next,
+            records: relay.records,
+        };
+        self.take_batch(batch, now, out);
+    }
+
+    fn take_relayed_snapshot(
+        &mut self,
+        snapshot: &OwnerSnapshot,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        if self.core.applied() >= Some(snapshot.covers) {
+            return;
+        }
+        self.core.view.rebase(snapshot.covers);
+        self.relays.clear();
+        self.restore(snapshot.covers, snapshot, now, out);
+        self.core.refresh_audience();
+    }
+}
+
+/// Appends the join of this incarnation once the state of the domain is known.
+fn join(core: &mut Core, now: Time, out: &mut Vec<Action>) {
+    let is_joining = matches!(core.life, Life::Joining(_));
+    if is_joining && core.is_fresh(now) && core.outbox.is_empty() {
+        let member = core.me.clone();
+        core.append(OwnerRecord::Join(member), now, out);
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-coord/src/ownership/evidence.rs
@@ -0,0 +1,126 @@
+//! Evidence that a member has stopped, from the instance list.
+//!
+//! The list lags and flickers: a member counts as stopped only once every list read over the lag
+//! bound left it out. A newer incarnation of the same instance is evidence too.
+
+use std::sync::Arc;
+
+use kingcupwinch_time::Time;
+use rustc_hash::{FxHashMap, FxHashSet};
+
+use crate::id::Incarnation;
+use crate::record::OwnerRecord;
+
+use super::core::Core;
+use super::event::Action;
+
+/// What the instance list said of members.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Evidence {
+    absent: FxHashMap<Incarnation, Time>,
+    superseded: FxHashMap<Incarnation, Time>,
+    leaving: FxHashSet<Arc<str>>,
+    read: Time,
+}
+
+impl Evidence {
+    /// Takes the instance list. A list that leaves out this instance itself is not used.
+    pub(crate) fn take_list(
+        &mut self,
+        core: &Core,
+        sent: Time,
+        live: &[Arc<str>],
+        leaving: &[Arc<str>],
+    ) {
+        let listed: FxHashSet<&Arc<str>> = live.iter().chain(leaving).collect();
+        if sent < self.read || !listed.contains(&core.me.instance) {
+            return;
+        }
+        self.read = sent;
+        self.leaving = leaving.iter().cloned().collect();
+        for member in core.ledger.group().members() {
+            if listed.contains(&member.instance) {
+                self.absent.remove(&member.incarnation);
+            } else {
+                self.absent.entry(member.incarnation).or_insert(sent);
+            }
+        }
+    }
+
+    /// Notices newer incarnations, and forgets those who are no longer members.
+    pub(crate) fn step(&mut self, core: &Core, now: Time) {
+        let group = core.ledger.group();
+        self.absent.retain(|member, _| group.contains(*member));
+        self.superseded.retain(|member, _| group.contains(*member));
+        for member in group.members() {
+            if group.is_superseded(member.incarnation) {
+                self.superseded.entry(member.incarnation).or_insert(now);
+            }
+        }
+    }
+
+    /// Returns since when a member counts as stopped, none if it does not.
+    pub(crate) fn stopped_since(
+        &self,
+        core: &Core,
+        member: Incarnation,
+        now: Time,
+    ) -> Option<Time> {
+        if !core.timers.trust_list || member == core.id() {
+            return None;
+        }
+        let lag = core.timers.drift.lengthen(core.timers.list_lag);
+        let absent = self.absent.get(&member).map(|since| *since + lag);
+        if let Some(at) = absent.filter(|at| *at <= self.read) {
+            return Some(at);
+        }
+        let superseded = self.superseded.get(&member).map(|since| *since + lag);
+        superseded.filter(|at| *at <= now)
+    }
+
+    /// Returns whether the list says that an instance is leaving.
+    pub(crate) fn is_leaving(&self, instance: &Arc<str>) -> bool {
+        self.leaving.contains(instance)
+    }
+
+    /// Retires members that have stopped and own nothing; the oldest live member goes first.
+    pub(crate) fn retire_stopped(&self, core: &mut Core, now: Time, out: &mut Vec<Action>) {
+        if !core.may_claim(now) {
+            return;
+        }
+        let live: Vec<Incarnation> = self.live_members(core, now);
+        let Some(rank) = live.iter().position(|member| *member == core.id()) else {
+            return;
+        };
+        let delay = core.timers.stagger.times(rank as u64);
+        let stopped: Vec<Incarnation> = core
+            .ledger
+            .group()
+            .members()
+            .iter()
+            .map(|member| member.incarnation)
+            .filter(|member| core.ledger.count(*member) == 0)
+            .filter(|member| {
+                self.stopped_since(core, *member, now)
+                    .is_some_and(|since| since + delay <= now)
+            })
+            .collect();
+        for member in stopped {
+            let record = OwnerRecord::Retire(member);
+            if !core.outbox.any(|pending| *pending == record) {
+                core.append(record, now, out);
+            }
+        }
+    }
+
+    /// Returns the members that do not count as stopped, in the order in which they joined.
+    pub(crate) fn live_members(&self, core: &Core, now: Time) -> Vec<Incarnation> {
+        core.ledger
+            .group()
+            .members()
+            .iter()
+            .map(|member| member.incarnation)
+            .filter(|member| self.stopped_since(core, *member, now).is_none())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-coord/src/ownership/free.rs
@@ -0,0 +1,85 @@
+//! Claims of shards that nobody owns.
+//!
+//! Members are ranked for each shard by weighted rendezvous hashing; each waits a little longer
+//! than the one before it, so that a dead favourite delays a shard only briefly.
+
+use kingcupwinch_time::Time;
+use rustc_hash::FxHashMap;
+
+use crate::hash::member_rank;
+use crate::id::{Incarnation, ShardId, Term};
+use crate::record::Member;
+
+use super::core::Core;
+use super::event::Action;
+use super::evidence::Evidence;
+use super::life::Life;
+
+/// Since when shards are known to be free.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct FreeShards {
+    since: FxHashMap<ShardId, Time>,
+}
+
+impl FreeShards {
+    pub(crate) fn step(
+        &mut self,
+        core: &mut Core,
+        evidence: &Evidence,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let Life::Serving(serving) = core.life else {
+            return;
+        };
+        self.refresh(core, now);
+        let is_settled = serving.joined + core.timers.settle <= now;
+        if self.since.is_empty() || !is_settled || !core.may_claim(now) {
+            return;
+        }
+        let live = evidence.live_members(core, now);
+        let candidates = candidates(core, evidence, &live);
+        let due: Vec<(ShardId, Term)> = self
+            .since
+            .iter()
+            .filter(|(shard, since)| is_due(core, &candidates, **shard, **since, now))
+            .filter(|(shard, _)| !core.outbox.holds(**shard))
+            .filter_map(|(shard, _)| Some((*shard, core.ledger.shard(*shard)?.term.next())))
+            .collect();
+        core.claim(due, now, out);
+    }
+
+    fn refresh(&mut self, core: &Core, now: Time) {
+        let ledger = &core.ledger;
+        if ledger.free() == 0 {
+            self.since.clear();
+            return;
+        }
+        self.since.retain(|shard, _| {
+            ledger
+                .shard(*shard)
+                .is_some_and(|ownership| ownership.owner.is_none())
+        });
+        for (shard, ownership) in ledger.shards() {
+            if ownership.owner.is_none() {
+                self.since.entry(shard).or_insert(now);
+            }
+        }
+    }
+}
+
+/// Returns the members that may claim, without those that are leaving.
+fn candidates<'a>(core: &'a Core, evidence: &Evidence, live: &[Incarnation]) -> Vec<&'a Member> {
+    core.ledger
+        .group()
+        .members()
+        .iter()
+        .filter(|member| live.contains(&member.incarnation))
+        .filter(|member| !evidence.is_leaving(&member.instance))
+        .collect()
+}
+
+fn is_due(core: &Core, candidates: &[&Member], shard: ShardId, since: Time, now: Time) -> bool {
+    let rank = member_rank(shard, &core.me, candidates.iter().copied());
+    since + core.timers.stagger.times(rank as u64) <= now
+}
--- /dev/null
+++ b/crates/kingcupwinch-coord/src/ownership/handover.rs
@@ -0,0 +1,259 @@
+//! Planned hand-over: an owner offers shards, stops, and appends the record that moves them.
+
+use kingcupwinch_time::Time;
+use rustc_hash::FxHashMap;
+
+use crate::hash::member_score;
+use crate::id::{Incarnation, ShardId, Term};
+use crate::record::{HandOver, Member, OwnerRecord};
+
+use super::core::{Core, send};
+use super::event::{Action, LostReason};
+use super::evidence::Evidence;
+use super::life::Life;
+use super::message::{Message, Offer, OfferReply};
+use super::plan::{Move, Share, moves};
+
+/// An offer that has not been answered.
+#[derive(Debug, Clone)]
+struct OpenOffer {
+    to: Incarnation,
+    offer: Offer,
+    expires: Time,
+}
+
+/// Offers by this instance.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct HandOvers {
+    open: Vec<OpenOffer>,
+    refused: FxHashMap<Incarnation, Time>,
+    next: Time,
+}
+
+impl HandOvers {
+    pub(crate) fn step(
+        &mut self,
+        core: &mut Core,
+        evidence: &Evidence,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        self.expire(core, now);
+        if !core.is_fresh(now) || now < self.next || !self.open.is_empty() {
+            return;
+        }
+        match core.life {
+            Life::Serving(_) => self.even_out(core, evidence, now, out),
+            Life::Draining(_) => self.drain(core, evidence, now, out),
+            Life::Joining(_) | Life::Stopped(_) => {}
+        }
+    }
+
+    /// Offers surplus shards once the group and its owners are settled.
+    fn even_out(&mut self, core: &mut Core, evidence: &Evidence, now: Time, out: &mut Vec<Action>) {
+        let is_settled = core.changed + core.timers.settle <= now;
+        if !is_settled || !core.outbox.is_empty() {
+            return;
+        }
+        self.next = now + core.timers.settle;
+        let live = evidence.live_members(core, now);
+        let shares = shares(core, |member| live.contains(&member.incarnation));
+        let planned = moves(&shares);
+        self.offer_all(core, evidence, &planned, now, out);
+    }
+
+    /// Offers every shard; gives up those that nobody takes; leaves when none is left.
+    fn drain(&mut self, core: &mut Core, evidence: &Evidence, now: Time, out: &mut Vec<Action>) {
+        if !core.outbox.is_empty() {
+            return;
+        }
+        if core.ledger.count(core.id()) == 0 {
+            let record = OwnerRecord::Leave(core.id());
+            core.append(record, now, out);
+            return;
+        }
+        let live = evidence.live_members(core, now);
+        let mut shares = shares(core, |member| {
+            live.contains(&member.incarnation) && self.is_willing(evidence, member, now)
+        });
+        for share in &mut shares {
+            if share.member == core.id() {
+                share.weight = 0;
+            }
+        }
+        let planned = moves(&shares);
+        self.offer_all(core, evidence, &planned, now, out);
+        if self.open.is_empty() {
+            release_all(core, now, out);
+        }
+    }
+
+    fn is_willing(&self, evidence: &Evidence, member: &Member, now: Time) -> bool {
+        let is_refusing = self
+            .refused
+            .get(&member.incarnation)
+            .is_some_and(|until| now < *until);
+        !is_refusing && !evidence.is_leaving(&member.instance)
+    }
+
+    fn offer_all(
+        &mut self,
+        core: &Core,
+        evidence: &Evidence,
+        planned: &[Move],
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let mut left: Vec<(ShardId, Term)> = core
+            .holdings
+            .kept()
+            .map(|(shard, holding)| (shard, holding.term))
+            .collect();
+        for step in planned.iter().filter(|step| step.from == core.id()) {
+            let Some(heir) = core.ledger.group().member(step.to) else {
+                continue;
+            };
+            if self.is_willing(evidence, heir, now) {
+                let shards = take_preferred(&mut left, heir, step.count);
+                self.offer(core, step.to, shards, now, out);
+            }
+        }
+    }
+
+    fn offer(
+        &mut self,
+        core: &Core,
+        to: Incarnation,
+        shards: Vec<(ShardId, Term)>,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        if shards.is_empty() {
+            return;
+        }
+        let offer = Offer { asked: now, shards };
+        send(to, Message::Offer(offer.clone()), out);
+        let expires = now + core.timers.offer_wait;
+        self.open.push(OpenOffer { to, offer, expires });
+    }
+
+    fn expire(&mut self, core: &Core, now: Time) {
+        self.refused.retain(|_, until| *until > now);
+        let until = now + core.timers.refusal_pause;
+        let refused = &mut self.refused;
+        self.open.retain(|open| {
+            if open.expires <= now {
+                refused.insert(open.to, until);
+            }
+            open.expires > now
+        });
+    }
+
+    /// Takes an heir's answer: stops, then appends the record.
+    pub(crate) fn take_reply(
+        &mut self,
+        core: &mut Core,
+        from: Incarnation,
+        reply: OfferReply,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let is_answered = |open: &OpenOffer| open.to == from && open.offer.asked == reply.asked;
+        let Some(index) = self.open.iter().position(is_answered) else {
+            return;
+        };
+        let open = self.open.swap_remove(index);
+        if reply.accepted && open.expires > now && core.is_fresh(now) {
+            hand_over(core, open, now, out);
+        } else {
+            self.refused.insert(from, now + core.timers.refusal_pause);
+        }
+    }
+}
+
+/// Answers an owner's offer: a serving member with a fresh view takes it.
+pub(crate) fn answer_offer(
+    core: &Core,
+    from: Incarnation,
+    offer: &Offer,
+    now: Time,
+    out: &mut Vec<Action>,
+) {
+    let reply = OfferReply {
+        asked: offer.asked,
+        accepted: core.may_claim(now),
+    };
+    send(from, Message::OfferReply(reply), out);
+}
+
+fn hand_over(core: &mut Core, open: OpenOffer, now: Time, out: &mut Vec<Action>) {
+    let Some(heir) = core.ledger.group().member(open.to) else {
+        return;
+    };
+    let voters = core.ledger.group().voters_of(heir, core.timers.max_voters);
+    let given: Vec<(ShardId, Term)> = open
+        .offer
+        .shards
+        .into_iter()
+        .filter(|(shard, term)| is_kept(core, *shard, *term))
+        .collect();
+    if given.is_empty() {
+        return;
+    }
+    core.stop(&given, LostReason::HandedOver, out);
+    let plan = HandOver {
+        from: core.id(),
+        to: open.to,
+        shards: given
+            .into_iter()
+            .map(|(shard, term)| (shard, term.next()))
+            .collect(),
+        voters,
+    };
+    core.append(OwnerRecord::HandOver(plan), now, out);
+}
+
+fn is_kept(core: &Core, shard: ShardId, term: Term) -> bool {
+    let is_held = core
+        .holdings
+        .get(shard)
+        .is_some_and(|holding| holding.term == term && !holding.stopping);
+    is_held && !core.outbox.holds(shard)
+}
+
+fn release_all(core: &mut Core, now: Time, out: &mut Vec<Action>) {
+    let shards: Vec<(ShardId, Term)> = core
+        .holdings
+        .kept()
+        .map(|(shard, holding)| (shard, holding.term))
+        .collect();
+    if shards.is_empty() {
+        return;
+    }
+    core.stop(&shards, LostReason::Released, out);
+    let owner = core.id();
+    core.append(OwnerRecord::Release { owner, shards }, now, out);
+}
+
+fn shares(core: &Core, is_counted: impl Fn(&Member) -> bool) -> Vec<Share> {
+    let group = core.ledger.group();
+    group
+        .members()
+        .iter()
+        .filter(|member| member.incarnation == core.id() || is_counted(member))
+        .map(|member| Share::new(member, core.ledger.count(member.incarnation)))
+        .collect()
+}
+
+/// Takes the shards that an heir stands highest for, in ascending order.
+fn take_preferred(
+    left: &mut Vec<(ShardId, Term)>,
+    heir: &Member,
+    count: u64,
+) -> Vec<(ShardId, Term)> {
+    left.sort_by(|(a, _), (b, _)| member_score(*a, heir).compare(&member_score(*b, heir)));
+    let kept = left.len().saturating_sub(count as usize);
+    let mut taken = left.split_off(kept);
+    taken.sort_unstable();
+    taken
+}
--- /dev/null
+++ b/crates/kingcupwinch-coord/src/ownership/heartbeat.rs
@@ -0,0 +1,49 @@
+//! Heartbeats from an owner to the voters of its terms.
+
+use kingcupwinch_time::Time;
+
+use crate::id::Incarnation;
+
+use super::core::{Core, send};
+use super::event::Action;
+use super::message::{Heartbeat, Message};
+
+/// The schedule of this instance's heartbeats.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Heartbeats {
+    next: Time,
+}
+
+impl Heartbeats {
+    pub(crate) fn step(&mut self, core: &Core, now: Time, out: &mut Vec<Action>) {
+        if now < self.next || core.audience.is_empty() {
+            return;
+        }
+        let Some(applied) = core.applied() else {
+            return;
+        };
+        self.next = now + core.timers.heartbeat;
+        let heartbeat = Heartbeat {
+            applied,
+            age: core.age(now),
+        };
+        for voter in &core.audience {
+            send(*voter, Message::Heartbeat(heartbeat), out);
+        }
+    }
+}
+
+/// Takes a sibling's heartbeat.
+///
+/// A sibling whose view is long stale while this instance's is fresh can't dispatch, so it counts
+/// as silent.
+pub(crate) fn take_heartbeat(core: &mut Core, from: Incarnation, heartbeat: Heartbeat, now: Time) {
+    if let Some(age) = heartbeat.age {
+        core.peers.told_age(from, age, now);
+    }
+    let bound = core.timers.lease.times(2);
+    let is_stale = heartbeat.age.is_none_or(|age| age > bound);
+    if !is_stale || !core.is_fresh(now) {
+        core.peers.heard(from, now);
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-coord/src/ownership/holding.rs
@@ -0,0 +1,71 @@
+//! The shards that this instance owns.
+
+use kingcupwinch_time::Time;
+
+use crate::id::{ShardId, Term};
+
+use super::event::OwnedShard;
+
+/// One owned shard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Holding {
+    pub(crate) term: Term,
+    pub(crate) effective: Time,
+    pub(crate) inherited: bool,
+    /// Set before a hand-over or release is appended; the instance dispatches nothing more.
+    pub(crate) stopping: bool,
+}
+
+/// The owned shards, by number.
+#[derive(Debug, Clone)]
+pub(crate) struct Holdings {
+    slots: Vec<Option<Holding>>,
+}
+
+impl Holdings {
+    pub(crate) fn new(shards: u16) -> Self {
+        Holdings {
+            slots: vec![None; usize::from(shards)],
+        }
+    }
+
+    pub(crate) fn get(&self, shard: ShardId) -> Option<Holding> {
+        self.slots.get(usize::from(shard.0)).copied().flatten()
+    }
+
+    pub(crate) fn set(&mut self, shard: ShardId, holding: Option<Holding>) {
+        if let Some(slot) = self.slots.get_mut(usize::from(shard.0)) {
+            *slot = holding;
+        }
+    }
+
+    /// Marks a shard as stopping.
+    pub(crate) fn stop(&mut self, shard: ShardId) {
+        if let Some(Some(holding)) = self.slots.get_mut(usize::from(shard.0)) {
+            holding.stopping = true;
+        }
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (ShardId, Holding)> {
+        (0..)
+            .map(ShardId)
+            .zip(&self.slots)
+            .filter_map(|(shard, slot)| slot.map(|holding| (shard, holding)))
+    }
+
+    /// Returns the owned shards that are not stopping.
+    pub(crate) fn kept(&self) -> impl Iterator<Item = (ShardId, Holding)> {
+        self.iter().filter(|(_, holding)| !holding.stopping)
+    }
+}
+
+impl Holding {
+    pub(crate) fn as_owned(self, shard: ShardId) -> OwnedShard {
+        OwnedShard {
+            shard,
+            term: self.term,
+            effective: self.effective,
+            inherited: self.inherited,
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-coord/src/ownership/ledger.rs
@@ -0,0 +1,399 @@
+//! The state that the records of the ownership stream make, alike for every reader.
+//!
+//! Whether a record is valid depends only on the records before it. Every rule is idempotent, so a
+//! repeat of a record changes nothing even where a reader has forgotten its id.
+
+use quick_error::quick_error;
+use rustc_hash::FxHashMap;
+
+use crate::id::{Incarnation, Offset, ShardId, Term};
+use crate::record::{Claim, HandOver, Member, Members, OwnerRecord, OwnerSnapshot, ShardState};
+
+use super::group::Group;
+
+quick_error! {
+    /// Why a record, or its part about one shard, is skipped.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    pub enum RecordFault {
+        /// The domain has no such shard.
+        UnknownShard(shard: ShardId) {
+            display("the domain has no shard {}", shard.0)
+        }
+        /// The term is not the one after the shard's newest.
+        StaleTerm(shard: ShardId, term: Term) {
+            display("term {} does not follow the newest term of shard {}", term.0, shard.0)
+        }
+        /// The incarnation is no member.
+        UnknownMember(incarnation: Incarnation) {
+            display("incarnation {} is no member", incarnation)
+        }
+        /// The incarnation is a member already.
+        AlreadyMember(incarnation: Incarnation) {
+            display("incarnation {} is a member already", incarnation)
+        }
+        /// The incarnation does not own the shard at that term.
+        NotOwner(shard: ShardId, incarnation: Incarnation) {
+            display("incarnation {} does not own shard {}", incarnation, shard.0)
+        }
+        /// The new owner is not among the voters.
+        NoVote(incarnation: Incarnation) {
+            display("incarnation {} is not among its own voters", incarnation)
+        }
+    }
+}
+
+/// One shard as the log has it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct Ownership {
+    pub(crate) term: Term,
+    pub(crate) owner: Option<Incarnation>,
+    pub(crate) voters: Members,
+}
+
+/// How a shard's ownership came to change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Means {
+    Claim,
+    HandOver,
+    Release,
+    Snapshot,
+}
+
+/// A change that a record made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Change {
+    Joined(Incarnation),
+    Left(Incarnation),
+    Retired(Incarnation),
+    Shard {
+        shard: ShardId,
+        before: Option<Incarnation>,
+        means: Means,
+    },
+}
+
+/// Members and owners up to an offset.
+#[derive(Debug, Clone)]
+pub(crate) struct Ledger {
+    group: Group,
+    shards: Vec<Ownership>,
+    counts: FxHashMap<Incarnation, usize>,
+    free: usize,
+}
+
+impl Ledger {
+    pub(crate) fn new(shards: u16) -> Self {
+        Ledger {
+            group: Group::default(),
+            shards: vec![Ownership::default(); usize::from(shards)],
+            counts: FxHashMap::default(),
+            free: usize::from(shards),
+        }
+    }
+
+    pub(crate) fn group(&self) -> &Group {
+        &self.group
+    }
+
+    /// Returns a shard, none if the domain has no such shard.
+    pub(crate) fn shard(&self, shard: ShardId) -> Option<&Ownership> {
+        self.shards.get(usize::from(shard.0))
+    }
+
+    pub(crate) fn shards(&self) -> impl Iterator<Item = (ShardId, &Ownership)> {
+        (0..).map(ShardId).zip(&self.shards)
+    }
+
+    /// Returns how many shards an incarnation owns.
+    pub(crate) fn count(&self, owner: Incarnation) -> usize {
+        self.counts.get(&owner).copied().unwrap_or(0)
+    }
+
+    /// Returns how many shards nobody owns.
+    pub(crate) fn free(&self) -> usize {
+        self.free
+    }
+
+    /// Returns the incarnations that own a shard.
+    pub(crate) fn owners(&self) -> impl Iterator<Item = Incarnation> {
+        self.counts.keys().copied()
+    }
+
+    /// Applies a record; skipped parts go to `faults`.
+    pub(crate) fn apply(
+        &mut self,
+        record: &OwnerRecord,
+        changes: &mut Vec<Change>,
+        faults: &mut Vec<RecordFault>,
+    ) {
+        match record {
+            OwnerRecord::Join(member) => self.join(member, changes, faults),
+            OwnerRecord::Leave(member) => self.leave(*member, changes, faults),
+            OwnerRecord::Retire(member) => self.retire(*member, changes, faults),
+            OwnerRecord::Claim(claim) => self.claim(claim, changes, faults),
+            OwnerRecord::Release { owner, shards } => {
+                self.release(*owner, shards, changes, faults);
+            }
+            OwnerRecord::HandOver(plan) => self.hand_over(plan, changes, faults),
+            OwnerRecord::Snapshot(_) => {}
+        }
+    }
+
+    fn join(&mut self, member: &Member, changes: &mut Vec<Change>, faults: &mut Vec<RecordFault>) {
+        let incarnation = member.incarnation;
+        if self.group.join(member.clone()) {
+            changes.push(Change::Joined(incarnation));
+        } else {
+            faults.push(RecordFault::AlreadyMember(incarnation));
+        }
+    }
+
+    /// A member that leaves has stopped before: its shards are free.
+    fn leave(
+        &mut self,
+        member: Incarnation,
+        changes: &mut Vec<Change>,
+        faults: &mut Vec<RecordFault>,
+    ) {
+        if !self.group.remove(member) {
+            faults.push(RecordFault::UnknownMember(member));
+            return;
+        }
+        for index in 0..self.shards.len() {
+            if self.shards[index].owner == Some(member) {
+                self.set_owner(index, None, Means::Release, changes);
+            }
+        }
+        changes.push(Change::Left(member));
+    }
+
+    /// The shards of a retired member keep it as owner, so that whoever claims them waits.
+    fn retire(
+        &mut self,
+        member: Incarnation,
+        changes: &mut Vec<Change>,
+        faults: &mut Vec<RecordFault>,
+    ) {
+        if self.group.remove(member) {
+            changes.push(Change::Retired(member));
+        } else {
+            faults.push(RecordFault::UnknownMember(member));
+        }
+    }
+
+    fn claim(&mut self, claim: &Claim, changes: &mut Vec<Change>, faults: &mut Vec<RecordFault>) {
+        if let Err(fault) = self.check_owner(claim.owner, &claim.voters) {
+            faults.push(fault);
+            return;
+        }
+        for (shard, term) in &claim.shards {
+            match self.check_term(*shard, *term) {
+                Ok(index) => {
+                    self.begin_term(index, claim.owner, &claim.voters, Means::Claim, changes);
+                }
+                Err(fault) => faults.push(fault),
+            }
+        }
+    }
+
+    fn hand_over(
+        &mut self,
+        plan: &HandOver,
+        changes: &mut Vec<Change>,
+        faults: &mut Vec<RecordFault>,
+    ) {
+        if let Err(fault) = self.check_owner(plan.to, &plan.voters) {
+            faults.push(fault);
+            return;
+        }
+        for (shard, term) in &plan.shards {
+            match self.check_hand_over(plan.from, *shard, *term) {
+                Ok(index) => {
+                    self.begin_term(index, plan.to, &plan.voters, Means::HandOver, changes);
+                }
+                Err(fault) => faults.push(fault),
+            }
+        }
+    }
+
+    fn release(
+        &mut self,
+        owner: Incarnation,
+        shards: &[(ShardId, Term)],
+        changes: &mut Vec<Change>,
+        faults: &mut Vec<RecordFault>,
+    ) {
+        for (shard, term) in shards {
+            match self.check_release(owner, *shard, *term) {
+                Ok(index) => self.set_owner(index, None, Means::Release, changes),
+                Err(fault) => faults.push(fault),
+            }
+        }
+    }
+
+    fn check_owner(&self, owner: Incarnation, voters: &Members) -> Result<(), RecordFault> {
+        if !self.group.contains(owner) {
+            return Err(RecordFault::UnknownMember(owner));
+        }
+        if !voters.contains(&owner) {
+            return Err(RecordFault::NoVote(owner));
+        }
+        Ok(())
+    }
+
+    fn check_shard(&self, shard: ShardId) -> Result<usize, RecordFault> {
+        let index = usize::from(shard.0);
+        if index >= self.shards.len() {
+            return Err(RecordFault::UnknownShard(shard));
+        }
+        Ok(index)
+    }
+
+    fn check_term(&self, shard: ShardId, term: Term) -> Result<usize, RecordFault> {
+        let index = self.check_shard(shard)?;
+        if term != self.shards[index].term.next() {
+            return Err(RecordFault::StaleTerm(shard, term));
+        }
+        Ok(index)
+    }
+
+    fn check_hand_over(
+        &self,
+        from: Incarnation,
+        shard: ShardId,
+        term: Term,
+    ) -> Result<usize, RecordFault> {
+        let index = self.check_term(shard, term)?;
+        if self.shards[index].owner != Some(from) {
+            return Err(RecordFault::NotOwner(shard, from));
+        }
+        Ok(index)
+    }
+
+    fn check_release(
+        &self,
+        owner: Incarnation,
+        shard: ShardId,
+        term: Term,
+    ) -> Result<usize, RecordFault> {
+        let index = self.check_shard(shard)?;
+        if self.shards[index].term != term {
+            return Err(RecordFault::StaleTerm(shard, term));
+        }
+        if self.shards[index].owner != Some(owner) {
+            return Err(RecordFault::NotOwner(shard, owner));
+        }
+        Ok(index)
+    }
+
+    fn begin_term(
+        &mut self,
+        index: usize,
+        owner: Incarnation,
+        voters: &Members,
+        means: Means,
+        changes: &mut Vec<Change>,
+    ) {
+        self.shards[index].term = self.shards[index].term.next();
+        self.shards[index].voters = voters.clone();
+        self.set_owner(index, Some(owner), means, changes);
+    }
+
+    fn set_owner(
+        &mut self,
+        index: usize,
+        owner: Option<Incarnation>,
+        means: Means,
+        changes: &mut Vec<Change>,
+    ) {
+        let before = std::mem::replace(&mut self.shards[index].owner, owner);
+        self.count_owner(before, owner);
+        let shard = ShardId(u16::try_from(index).unwrap_or(u16::MAX));
+        changes.push(Change::Shard {
+            shard,
+            before,
+            means,
+        });
+    }
+
+    fn count_owner(&mut self, before: Option<Incarnation>, after: Option<Incarnation>) {
+        match before {
+            None => self.free -= 1,
+            Some(before) => self.uncount(before),
+        }
+        match after {
+            None => self.free += 1,
+            Some(after) => *self.counts.entry(after).or_insert(0) += 1,
+        }
+    }
+
+    fn uncount(&mut self, owner: Incarnation) {
+        let Some(count) = self.counts.get_mut(&owner) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            self.counts.remove(&owner);
+        }
+    }
+
+    /// Returns the state as a snapshot of everything before `covers`.
+    pub(crate) fn snapshot(&self, covers: Offset) -> OwnerSnapshot {
+        let shards = self
+            .shards()
+            .filter(|(_, ownership)| ownership.term > Term(0))
+            .map(|(shard, ownership)| ShardState {
+                shard,
+                term: ownership.term,
+                owner: ownership.owner,
+                voters: ownership.voters.clone(),
+            })
+            .collect();
+        OwnerSnapshot {
+            covers,
+            members: self.group.members().to_vec(),
+            shards,
+        }
+    }
+
+    /// Replaces the state by a snapshot; a shard whose term is not newer keeps what is known.
+    pub(crate) fn restore(
+        &mut self,
+        snapshot: &OwnerSnapshot,
+        changes: &mut Vec<Change>,
+        faults: &mut Vec<RecordFault>,
+    ) {
+        let before = std::mem::replace(&mut self.group, Group::new(snapshot.members.clone()));
+        self.note_members(&before, changes);
+        for state in &snapshot.shards {
+            match self.check_shard(state.shard) {
+                Ok(index) => self.restore_shard(index, state, changes),
+                Err(fault) => faults.push(fault),
+            }
+        }
+    }
+
+    fn note_members(&self, before: &Group, changes: &mut Vec<Change>) {
+        for member in before.members() {
+            if !self.group.contains(member.incarnation) {
+                changes.push(Change::Retired(member.incarnation));
+            }
+        }
+        for member in self.group.members() {
+            if !before.contains(member.incarnation) {
+                changes.push(Change::Joined(member.incarnation));
+            }
+        }
+    }
+
+    fn restore_shard(&mut self, index: usize, state: &ShardState, changes: &mut Vec<Change>) {
+        let current = &mut self.shards[index];
+        let released = state.term == current.term && state.owner.is_none();
+        if state.term <= current.term && !released {
+            return;
+        }
+        current.term = state.term;
+        current.voters = state.voters.clone();
+        self.set_owner(index, state.owner, Means::Snapshot, changes);
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-coord/src/ownership/life.rs
@@ -0,0 +1,115 @@
+//! The life cycle of an incarnation: joining, serving, draining, stopped.
+//!
+//! Each step consumes the state before it, so no incarnation goes back.
+
+use kingcupwinch_time::Time;
+
+/// Reads the log and asks to join; owns nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Joining;
+
+/// A member that may own shards.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Serving {
+    pub(crate) joined: Time,
+}
+
+/// A member that gives its shards to heirs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Draining {
+    pub(crate) began: Time,
+}
+
+/// No longer a member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Stopped;
+
+impl Joining {
+    pub(crate) fn joined(self, now: Time) -> Serving {
+        Serving { joined: now }
+    }
+
+    pub(crate) fn give_up(self) -> Stopped {
+        Stopped
+    }
+}
+
+impl Serving {
+    pub(crate) fn drain(self, now: Time) -> Draining {
+        Draining { began: now }
+    }
+
+    pub(crate) fn retire(self) -> Stopped {
+        Stopped
+    }
+}
+
+impl Draining {
+    pub(crate) fn leave(self) -> Stopped {
+        Stopped
+    }
+}
+
+/// The state of an incarnation's life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Life {
+    Joining(Joining),
+    Serving(Serving),
+    Draining(Draining),
+    Stopped(Stopped),
+}
+
+/// The phase of an incarnation's life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// It reads the log and asks to join.
+    Joining,
+    /// It is a member and may own shards.
+    Serving,
+    /// It gives its shards to heirs, then leaves.
+    Draining,
+    /// It is no longer a member.
+    Stopped,
+}
+
+impl Life {
+    pub(crate) fn phase(self) -> Phase {
+        match self {
+            Life::Joining(_) => Phase::Joining,
+            Life::Serving(_) => Phase::Serving,
+            Life::Draining(_) => Phase::Draining,
+            Life::Stopped(_) => Phase::Stopped,
+        }
+    }
+
+    /// Its own join was read back.
+    pub(crate) fn joined(self, now: Time) -> Life {
+        match self {
+            Life::Joining(joining) => Life::Serving(joining.joined(now)),
+            other => other,
+        }
+    }
+
+    /// A planned stop begins.
+    pub(crate) fn drain(self, now: Time) -> Life {
+        match self {
+            Life::Joining(joining) => Life::Stopped(joining.give_up()),
+            Life::Serving(serving) => Life::Draining(serving.drain(now)),
+            other => other,
+        }
+    }
+
+    /// Its own leave, or its retirement, was read.
+    pub(crate) fn ended(self) -> Life {
+        match self {
+            Life::Joining(joining) => Life::Stopped(joining.give_up()),
+            Life::Serving(serving) => Life::Stopped(serving.retire()),
+            Life::Draining(draining) => Life::Stopped(draining.leave()),
+            Life::Stopped(stopped) => Life::Stopped(stopped),
+        }
+    }
+
+    pub(crate) fn is_member(self) -> bool {
+        matches!(self, Life::Serving(_) | Life::Draining(_))
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-coord/src/ownership/takeover.rs
@@ -0,0 +1,245 @@
+//! Claims of the shards of an owner that is silent or has stopped.
+
+use kingcupwinch_time::Time;
+use rustc_hash::FxHashMap;
+
+use crate::hash::member_rank;
+use crate::id::{Incarnation, ShardId, Term};
+use crate::record::{Member, Members};
+
+use super::core::{Core, send};
+use super::event::{Action, Note};
+use super::evidence::Evidence;
+use super::ledger::Ownership;
+use super::message::{Message, Support, SupportAsk};
+use super::votes::Votes;
+
+/// Support gathered for a claim against one term.
+#[derive(Debug, Clone)]
+struct Gathered {
+    term: Term,
+    from: Members,
+}
+
+/// Take-overs in progress.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct TakeOver {
+    gathered: FxHashMap<ShardId, Gathered>,
+    orphaned: FxHashMap<Incarnation, Time>,
+    next: Time,
+}
+
+impl TakeOver {
+    pub(crate) fn step(
+        &mut self,
+        core: &mut Core,
+        votes: &mut Votes,
+        evidence: &Evidence,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        self.expect_owners(core, now);
+        if !core.may_claim(now) {
+            return;
+        }
+        self.prune(core);
+        let owners: Vec<Incarnation> = core
+            .ledger
+            .owners()
+            .filter(|owner| *owner != core.id())
+            .collect();
+        for owner in owners {
+            match self.stopped_since(core, evidence, owner, now) {
+                Some(since) => claim_stopped(core, evidence, owner, since, now, out),
+                None => self.claim_silent(core, votes, owner, now, out),
+            }
+        }
+    }
+
+    /// Counts a voter's support.
+    pub(crate) fn take_support(&mut self, core: &Core, from: Incarnation, support: &Support) {
+        for (shard, term) in &support.shards {
+            let Some(ownership) = core.ledger.shard(*shard) else {
+                continue;
+            };
+            let is_current = ownership.term == *term && ownership.owner == Some(support.owner);
+            if is_current && ownership.voters.contains(&from) {
+                self.count(*shard, *term, from);
+            }
+        }
+    }
+
+    fn count(&mut self, shard: ShardId, term: Term, from: Incarnation) {
+        let fresh = || Gathered {
+            term,
+            from: Members::new(),
+        };
+        let gathered = self.gathered.entry(shard).or_insert_with(fresh);
+        if gathered.term != term {
+            *gathered = fresh();
+        }
+        if !gathered.from.contains(&from) {
+            gathered.from.push(from);
+        }
+    }
+
+    /// Begins to count the silence of owners, and the time since an owner was retired.
+    fn expect_owners(&mut self, core: &mut Core, now: Time) {
+        let Core {
+            ledger, peers, me, ..
+        } = core;
+        for owner in ledger.owners().filter(|owner| *owner != me.incarnation) {
+            peers.expect(owner, now);
+            if !ledger.group().contains(owner) {
+                self.orphaned.entry(owner).or_insert(now);
+            }
+        }
+        self.orphaned.retain(|owner, _| ledger.count(*owner) > 0);
+    }
+
+    fn prune(&mut self, core: &Core) {
+        self.gathered.retain(|shard, gathered| {
+            core.ledger
+                .shard(*shard)
+                .is_some_and(|ownership| ownership.term == gathered.term)
+        });
+    }
+
+    fn stopped_since(
+        &self,
+        core: &Core,
+        evidence: &Evidence,
+        owner: Incarnation,
+        now: Time,
+    ) -> Option<Time> {
+        let orphaned = self.orphaned.get(&owner).copied();
+        orphaned.or_else(|| evidence.stopped_since(core, owner, now))
+    }
+
+    /// Gathers support against a silent owner, and claims what is supported.
+    fn claim_silent(
+        &mut self,
+        core: &mut Core,
+        votes: &mut Votes,
+        owner: Incarnation,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let due = due_shards(core, owner, now);
+        if due.is_empty() {
+            return;
+        }
+        let ask = SupportAsk {
+            owner,
+            shards: due.clone(),
+        };
+        for (shard, term) in votes.grant(core, &ask, now) {
+            self.count(shard, term, core.id());
+        }
+        self.ask(core, ask, now, out);
+        let supported = due
+            .into_iter()
+            .filter(|(shard, _)| self.is_supported(core, *shard))
+            .map(|(shard, term)| (shard, term.next()))
+            .collect();
+        core.claim(supported, now, out);
+    }
+
+    fn ask(&mut self, core: &Core, ask: SupportAsk, now: Time, out: &mut Vec<Action>) {
+        if now < self.next {
+            return;
+        }
+        self.next = now + core.timers.heartbeat.divided_by(2);
+        out.push(Action::Note(Note::TakingOver { owner: ask.owner }));
+        for voter in voters_asked(core, &ask) {
+            send(voter, Message::SupportAsk(ask.clone()), out);
+        }
+    }
+
+    /// Returns whether at least half of a term's voters support a claim.
+    fn is_supported(&self, core: &Core, shard: ShardId) -> bool {
+        let Some(gathered) = self.gathered.get(&shard) else {
+            return false;
+        };
+        core.ledger
+            .shard(shard)
+            .is_some_and(|ownership| gathered.from.len() * 2 >= ownership.voters.len())
+    }
+}
+
+/// Returns the owner's shards that this instance should claim by now, each with its term.
+fn due_shards(core: &Core, owner: Incarnation, now: Time) -> Vec<(ShardId, Term)> {
+    let Some(since) = core.peers.silent_since(owner) else {
+        return Vec::new();
+    };
+    let silent = since + core.timers.silence;
+    if now < silent {
+        return Vec::new();
+    }
+    owned_by(core, owner)
+        .filter(|(_, ownership)| ownership.voters.contains(&core.id()))
+        .filter(|(shard, ownership)| {
+            let heirs = heirs(core, ownership, owner);
+            let rank = member_rank(*shard, &core.me, heirs.into_iter());
+            silent + core.timers.stagger.times(rank as u64) <= now
+        })
+        .filter(|(shard, _)| !core.outbox.holds(*shard))
+        .map(|(shard, ownership)| (shard, ownership.term))
+        .collect()
+}
+
+fn owned_by(core: &Core, owner: Incarnation) -> impl Iterator<Item = (ShardId, &Ownership)> {
+    core.ledger
+        .shards()
+        .filter(move |(_, ownership)| ownership.owner == Some(owner))
+}
+
+fn heirs<'a>(core: &'a Core, ownership: &Ownership, owner: Incarnation) -> Vec<&'a Member> {
+    ownership
+        .voters
+        .iter()
+        .filter(|voter| **voter != owner)
+        .filter_map(|voter| core.ledger.group().member(*voter))
+        .collect()
+}
+
+fn voters_asked(core: &Core, ask: &SupportAsk) -> Members {
+    let mut voters = Members::new();
+    for (shard, _) in &ask.shards {
+        let Some(ownership) = core.ledger.shard(*shard) else {
+            continue;
+        };
+        for voter in &ownership.voters {
+            let is_other = *voter != core.id() && *voter != ask.owner;
+            if is_other && !voters.contains(voter) {
+                voters.push(*voter);
+            }
+        }
+    }
+    voters
+}
+
+/// Claims the shards of an owner that has stopped; no support is needed.
+fn claim_stopped(
+    core: &mut Core,
+    evidence: &Evidence,
+    owner: Incarnation,
+    since: Time,
+    now: Time,
+    out: &mut Vec<Action>,
+) {
+    let live = evidence.live_members(core, now);
+    let heirs: Vec<&Member> = live
+        .iter()
+        .filter_map(|member| core.ledger.group().member(*member))
+        .collect();
+    let due = owned_by(core, owner)
+        .filter(|(shard, _)| {
+            let rank = member_rank(*shard, &core.me, heirs.iter().copied());
+            since + core.timers.stagger.times(rank as u64) <= now
+        })
+        .filter(|(shard, _)| !core.outbox.holds(*shard))
+        .map(|(shard, ownership)| (shard, ownership.term.next()))
+        .collect();
+    core.claim(due, now, out);
+}
--- /dev/null
+++ b/crates/kingcupwinch-coord/src/ownership/votes.rs
@@ -0,0 +1,153 @@
+//! What this instance owes as a voter: promises to owners and support of claims.
+//!
+//! A promise to an owner and support against it never overlap: support is given only after the
+//! last promise has run out, and while it stands no promise is given.
+
+use kingcupwinch_time::Time;
+use rustc_hash::FxHashMap;
+
+use crate::id::{Incarnation, ShardId, Term};
+
+use super::core::{Core, send};
+use super::event::Action;
+use super::message::{Message, PromiseAsk, PromiseOutcome, PromiseReply, Support, SupportAsk};
+
+/// A supported claim against an owner's term.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Standing {
+    owner: Incarnation,
+    term: Term,
+}
+
+/// Promises and support that this instance has given.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Votes {
+    promised: FxHashMap<Incarnation, Time>,
+    standing: FxHashMap<ShardId, Standing>,
+}
+
+impl Votes {
+    /// Drops support of terms that are no longer the newest, and promises that have run out.
+    pub(crate) fn step(&mut self, core: &Core, now: Time) {
+        self.promised.retain(|_, until| *until > now);
+        self.standing.retain(|shard, standing| {
+            core.ledger
+                .shard(*shard)
+                .is_some_and(|ownership| ownership.term == standing.term)
+        });
+    }
+
+    /// Answers an owner that asks for a promise.
+    ///
+    /// An owner that has applied less of the log than this instance may have lost a shard that
+    /// this instance already saw claimed; it must catch up first.
+    pub(crate) fn promise(
+        &mut self,
+        core: &Core,
+        from: Incarnation,
+        ask: PromiseAsk,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) -> PromiseOutcome {
+        let outcome = self.outcome(core, from, ask);
+        if outcome == PromiseOutcome::Granted {
+            let until = now + core.timers.drift.lengthen(core.timers.promise);
+            self.promised.insert(from, until);
+        }
+        let asked = ask.asked;
+        let reply = PromiseReply { asked, outcome };
+        send(from, Message::PromiseReply(reply), out);
+        outcome
+    }
+
+    fn outcome(&self, core: &Core, from: Incarnation, ask: PromiseAsk) -> PromiseOutcome {
+        if self.is_against(from) {
+            return PromiseOutcome::Supporting;
+        }
+        match core.applied() {
+            Some(applied) if applied <= ask.applied => PromiseOutcome::Granted,
+            _ => PromiseOutcome::Behind,
+        }
+    }
+
+    /// Returns whether support against an owner stands.
+    pub(crate) fn is_against(&self, owner: Incarnation) -> bool {
+        self.standing
+            .values()
+            .any(|standing| standing.owner == owner)
+    }
+
+    /// Tells an owner that is heard again that support against it stands.
+    pub(crate) fn warn(&self, owner: Incarnation, out: &mut Vec<Action>) {
+        if self.is_against(owner) {
+            let reply = PromiseReply {
+                asked: Time::ZERO,
+                outcome: PromiseOutcome::Supporting,
+            };
+            send(owner, Message::PromiseReply(reply), out);
+        }
+    }
+
+    /// Answers a sibling that asks for support, if any can be given.
+    pub(crate) fn support(
+        &mut self,
+        core: &Core,
+        from: Incarnation,
+        ask: &SupportAsk,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let shards = self.grant(core, ask, now);
+        if shards.is_empty() {
+            return;
+        }
+        let owner = ask.owner;
+        let support = Support { owner, shards };
+        send(from, Message::Support(support), out);
+    }
+
+    /// Supports a claim of those of the shards for which this instance may vote.
+    pub(crate) fn grant(
+        &mut self,
+        core: &Core,
+        ask: &SupportAsk,
+        now: Time,
+    ) -> Vec<(ShardId, Term)> {
+        if !self.may_support(core, ask.owner, now) {
+            return Vec::new();
+        }
+        let granted: Vec<(ShardId, Term)> = ask
+            .shards
+            .iter()
+            .copied()
+            .filter(|(shard, term)| has_vote(core, *shard, *term, ask.owner))
+            .collect();
+        for (shard, term) in &granted {
+            let (owner, term) = (ask.owner, *term);
+            self.standing.insert(*shard, Standing { owner, term });
+        }
+        granted
+    }
+
+    /// Returns whether this instance may support a claim against an owner.
+    fn may_support(&self, core: &Core, owner: Incarnation, now: Time) -> bool {
+        let is_promised = self.promised.get(&owner).is_some_and(|until| now < *until);
+        let is_silent = core
+            .peers
+            .silent_since(owner)
+            .is_some_and(|since| since + core.timers.silence <= now);
+        owner != core.id()
+            && core.life.is_member()
+            && core.is_fresh(now)
+            && is_silent
+            && !is_promised
+    }
+}
+
+fn has_vote(core: &Core, shard: ShardId, term: Term, owner: Incarnation) -> bool {
+    core.ledger.shard(shard).is_some_and(|ownership| {
+        ownership.term == term
+            && ownership.owner == Some(owner)
+            && ownership.voters.contains(&core.id())
+    })
+}
