--- /dev/null
+++ b/crates/kingcupwinch-policy/src/cell.rs
@@ -0,0 +1,237 @@
+//! The machines of one owner and the work that waits and runs on them.
+
+mod credits;
+mod decide;
+mod events;
+mod gangs;
+mod machines;
+mod reclaim;
+mod retries;
+mod runs;
+mod submit;
+#[cfg(test)]
+mod tests;
+
+use std::collections::BTreeSet;
+
+use kingcupwinch_time::Time;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use slotmap::SlotMap;
+
+use crate::class::{Class, Customer};
+use crate::counters::{ClassCounters, Counters};
+use crate::decision::{Credit, Decision};
+use crate::fleet::Fleet;
+use crate::gang::{Gang, Reservation};
+use crate::health::CellHealth;
+use crate::key::{ClassKey, CreditKey, CustomerKey, GangKey, HoldKey, MachineKey, TaskKey};
+use crate::plan::{MAX_ENTRIES, Plan, Weights};
+use crate::refusal::Fault;
+use crate::size::Size;
+use crate::task::Task;
+
+/// Capacity of a machine held for work of unknown extent.
+#[derive(Debug, Clone, Copy)]
+struct Hold {
+    machine: MachineKey,
+    size: Size,
+}
+
+/// A credit and the room that each of its tasks was promised.
+#[derive(Debug, Clone, Copy)]
+struct Grant {
+    credit: Credit,
+    each: Size,
+}
+
+/// The machines of one owner and the work that waits and runs on them.
+///
+/// Every event is a call with the time. [`Cell::decide`] then appends what to do; call it after each
+/// event or batch of events, and at [`Cell::next_deadline`].
+#[derive(Debug)]
+pub struct Cell {
+    fleet: Fleet,
+    classes: Vec<Class>,
+    customers: Vec<Customer>,
+    weights: Weights,
+    tasks: SlotMap<TaskKey, Task>,
+    gangs: SlotMap<GangKey, Gang>,
+    holds: SlotMap<HoldKey, Hold>,
+    credits: SlotMap<CreditKey, Grant>,
+    /// Capacity promised by credits.
+    promised: Size,
+    /// Deadlines of waiting tasks.
+    deadlines: BTreeSet<(Time, TaskKey)>,
+    /// Ends of backoffs.
+    delayed: BTreeSet<(Time, TaskKey)>,
+    /// Ends of claims.
+    claims: BTreeSet<(Time, TaskKey)>,
+    /// Ends of credits.
+    expiries: BTreeSet<(Time, CreditKey)>,
+    /// Times of probes.
+    probes: BTreeSet<(Time, MachineKey)>,
+    /// Machines kept for a task on which capacity came free.
+    ready: Vec<MachineKey>,
+    /// Machines with throttled tasks on which capacity came free.
+    relief: Vec<MachineKey>,
+    /// Decisions made by events.
+    orders: Vec<Decision>,
+    reservation: Option<Reservation>,
+    health: CellHealth,
+    headroom: Size,
+    rng: ChaCha8Rng,
+    counters: Counters,
+}
+
+impl Cell {
+    /// Makes a cell without machines.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault::BadPlan`] if the plan fails [`Plan::check`].
+    pub fn new(plan: Plan, seed: u64) -> Result<Self, Fault> {
+        let mut cell = Cell {
+            fleet: Fleet::new(),
+            classes: Vec::new(),
+            customers: Vec::new(),
+            weights: plan.weights,
+            tasks: SlotMap::with_key(),
+            gangs: SlotMap::with_key(),
+            holds: SlotMap::with_key(),
+            credits: SlotMap::with_key(),
+            promised: Size::ZERO,
+            deadlines: BTreeSet::new(),
+            delayed: BTreeSet::new(),
+            claims: BTreeSet::new(),
+            expiries: BTreeSet::new(),
+            probes: BTreeSet::new(),
+            ready: Vec::new(),
+            relief: Vec::new(),
+            orders: Vec::new(),
+            reservation: None,
+            health: CellHealth::default(),
+            headroom: Size::ZERO,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            counters: Counters::default(),
+        };
+        cell.replan(plan, Time::ZERO)?;
+        Ok(cell)
+    }
+
+    /// Puts a new plan in force. No task is lost: work of a class or customer that the plan no longer
+    /// has runs and waits on, but nothing new is accepted for it.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault::BadPlan`]; the old plan then stays in force.
+    pub fn replan(&mut self, plan: Plan, now: Time) -> Result<(), Fault> {
+        plan.check()?;
+        let room = self.classes.len() + plan.classes.len();
+        if room.max(self.customers.len() + plan.customers.len()) > 2 * MAX_ENTRIES {
+            return Err(Fault::BadPlan("too many classes or customers over time"));
+        }
+        self.weights = plan.weights;
+        self.classes.iter_mut().for_each(|c| c.open = false);
+        for spec in plan.classes {
+            match self.classes.iter_mut().find(|c| c.spec.name == spec.name) {
+                Some(class) => class.replan(spec, now),
+                None => self.classes.push(Class::new(spec, now)),
+            }
+        }
+        self.customers.iter_mut().for_each(|c| c.open = false);
+        for spec in plan.customers {
+            match self.customers.iter_mut().find(|c| c.spec.name == spec.name) {
+                Some(customer) => customer.replan(spec, now),
+                None => self.customers.push(Customer::new(spec, now)),
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the key of a class of the plan.
+    pub fn class(&self, name: &str) -> Option<ClassKey> {
+        let index = self
+            .classes
+            .iter()
+            .position(|c| c.open && &*c.spec.name == name)?;
+        u16::try_from(index).ok().map(ClassKey)
+    }
+
+    /// Returns the key of a customer of the plan.
+    pub fn customer(&self, name: &str) -> Option<CustomerKey> {
+        let index = self
+            .customers
+            .iter()
+            .position(|c| c.open && &*c.spec.name == name)?;
+        u16::try_from(index).ok().map(CustomerKey)
+    }
+
+    /// Returns the number of waiting tasks of a class; a gang counts as one.
+    pub fn queued(&self, class: ClassKey) -> usize {
+        self.classes.get(class.index()).map_or(0, |c| c.queue.len())
+    }
+
+    /// Returns the number of running tasks of a class.
+    pub fn running(&self, class: ClassKey) -> u32 {
+        self.classes.get(class.index()).map_or(0, |c| c.running)
+    }
+
+    /// Returns the dominant share of the cell that a class uses.
+    pub fn class_share(&self, class: ClassKey) -> f64 {
+        let capacity = self.fleet.capacity();
+        self.classes
+            .get(class.index())
+            .map_or(0.0, |c| c.share(capacity))
+    }
+
+    /// Returns the dominant share of the cell that a customer uses.
+    pub fn customer_share(&self, customer: CustomerKey) -> f64 {
+        let capacity = self.fleet.capacity();
+        self.customers
+            .get(customer.index())
+            .map_or(0.0, |c| c.used.dominant_share(capacity))
+    }
+
+    /// Returns what is counted on machines that are not gone.
+    pub fn used(&self) -> Size {
+        *self.fleet.used()
+    }
+
+    /// Returns the capacity of machines that are not gone, all of it paid for.
+    pub fn capacity(&self) -> Size {
+        *self.fleet.capacity()
+    }
+
+    /// Returns the number of tasks that wait or run.
+    pub fn tasks(&self) -> usize {
+        self.tasks.len()
+    }
+
+    /// Returns the counts of a class.
+    pub fn class_counters(&self, class: ClassKey) -> Option<&ClassCounters> {
+        self.classes.get(class.index()).map(|c| &c.counters)
+    }
+
+    /// Returns the counts of the cell.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Returns when `decide` has something to do even if nothing happens until then.
+    pub fn next_deadline(&self) -> Option<Time> {
+        let firsts = [
+            self.deadlines.first().map(|d| d.0),
+            self.delayed.first().map(|d| d.0),
+            self.claims.first().map(|d| d.0),
+            self.expiries.first().map(|d| d.0),
+            self.probes.first().map(|d| d.0),
+            self.reservation.as_ref().map(|r| r.check),
+        ];
+        firsts.into_iter().flatten().min()
+    }
+
+    fn class_of(&self, task: &Task) -> &Class {
+        &self.classes[task.spec.class.index()]
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-policy/src/cell/credits.rs
@@ -0,0 +1,115 @@
+//! Demand granted to sibling instances.
+
+use kingcupwinch_time::Time;
+
+use super::{Cell, Grant};
+use crate::decision::{Credit, TaskSpec};
+use crate::key::{ClassKey, CreditKey, TaskKey};
+use crate::refusal::{Fault, Refusal};
+
+impl Cell {
+    /// Returns how many more live tasks of a class could start now, a lower bound: what is free, less
+    /// what waits here and what was granted.
+    pub fn free_for(&self, key: ClassKey) -> u32 {
+        let Some(class) = self.classes.get(key.index()).filter(|c| c.open) else {
+            return 0;
+        };
+        let need = class.spec.typical;
+        let places = self.fleet.places_floor(&need);
+        let granted = need.times_in(&self.promised);
+        let granted = if self.promised.is_zero() { 0 } else { granted };
+        let spare = places
+            .saturating_sub(class.queue.len() as u64)
+            .saturating_sub(granted);
+        let lid = self.fleet.capacity().part(class.spec.most.fraction());
+        let under_lid = need.times_in(&lid.minus(&class.used));
+        u32::try_from(spare.min(under_lid)).unwrap_or(u32::MAX)
+    }
+
+    /// Promises room for up to `count` live tasks of a class until a deadline; none if there is no
+    /// room.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault::UnknownClass`].
+    pub fn grant(
+        &mut self,
+        class: ClassKey,
+        count: u32,
+        deadline: Time,
+        now: Time,
+    ) -> Result<Option<Credit>, Fault> {
+        let known = self.classes.get(class.index()).is_some_and(|c| c.open);
+        if !known {
+            return Err(Fault::UnknownClass);
+        }
+        let count = count.min(self.free_for(class));
+        if count == 0 || deadline <= now {
+            return Ok(None);
+        }
+        let each = self.classes[class.index()].spec.typical;
+        let key = self.credits.insert_with_key(|key| {
+            let credit = Credit {
+                key,
+                class,
+                count,
+                deadline,
+            };
+            Grant { credit, each }
+        });
+        self.expiries.insert((deadline, key));
+        self.promised = self.promised.plus(&each.times(u64::from(count)));
+        Ok(Some(self.credits[key].credit))
+    }
+
+    /// Takes in a task under a credit, which is then worth one less. A task of another class than the
+    /// credit's is [`Refusal::UnknownClass`]; one whose credit has expired is submitted without.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`]: the task did not run and never will. The credit is then unchanged.
+    pub fn spend(&mut self, key: CreditKey, spec: TaskSpec, now: Time) -> Result<TaskKey, Refusal> {
+        let credit = self.credits.get(key).map(|g| g.credit);
+        let credit = credit.filter(|c| c.deadline > now);
+        if credit.is_some_and(|c| c.class != spec.class) {
+            return Err(Refusal::UnknownClass);
+        }
+        let task = self.submit(spec, now)?;
+        if credit.is_some() {
+            self.lower_credit(key, 1);
+        }
+        Ok(task)
+    }
+
+    /// Takes a credit back before its deadline; what was left of it.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault::UnknownCredit`] if it is spent or has expired.
+    pub fn revoke(&mut self, key: CreditKey) -> Result<u32, Fault> {
+        let grant = self.credits.get(key).ok_or(Fault::UnknownCredit)?;
+        let count = grant.credit.count;
+        self.lower_credit(key, count);
+        Ok(count)
+    }
+
+    pub(super) fn end_credits(&mut self, now: Time) {
+        while let Some(&(deadline, key)) = self.expiries.first() {
+            if deadline > now {
+                return;
+            }
+            let count = self.credits[key].credit.count;
+            self.lower_credit(key, count);
+        }
+    }
+
+    fn lower_credit(&mut self, key: CreditKey, by: u32) {
+        let grant = &mut self.credits[key];
+        self.promised = self.promised.minus(&grant.each.times(u64::from(by)));
+        grant.credit.count -= by;
+        if grant.credit.count == 0 {
+            self.expiries.remove(&(grant.credit.deadline, key));
+            self.credits.remove(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-policy/src/cell/events.rs
@@ -0,0 +1,160 @@
+//! What workers report about runs.
+
+use kingcupwinch_time::Time;
+
+use super::Cell;
+use crate::decision::{End, Next, NotStarted, Outcome, Placement};
+use crate::key::TaskKey;
+use crate::plan::Kind;
+use crate::refusal::{Fault, Refusal};
+use crate::size::Dimension;
+use crate::task::{Asked, Phase, Run};
+
+impl Cell {
+    /// A worker refused a start, or nothing was written to it: the task certainly did not run.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault`] if this run is not the present one; the state is unchanged.
+    pub fn not_started(
+        &mut self,
+        place: Placement,
+        why: NotStarted,
+        now: Time,
+    ) -> Result<Next, Fault> {
+        let run = self.present_run(place)?;
+        self.end_run(place.task, &run);
+        let fault = matches!(why, NotStarted::Unreachable | NotStarted::Refused);
+        self.judge_machine(place.task, run.machine, fault, now);
+        if self.tasks[place.task].cancelled {
+            self.leave(place.task);
+            return Ok(Next::Left);
+        }
+        if self.tasks[place.task].gang.is_some() {
+            return Ok(self.break_gang(place.task, now));
+        }
+        Ok(self.retry(place.task, now))
+    }
+
+    /// A run ended.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault`] if this run is not the present one; the state is unchanged.
+    pub fn ended(&mut self, place: Placement, end: End, now: Time) -> Result<Next, Fault> {
+        let run = self.present_run(place)?;
+        self.end_run(place.task, &run);
+        self.learn(place.task, &run, &end, now);
+        let task = &self.tasks[place.task];
+        if end.outcome == Outcome::Done {
+            return Ok(self.finish(place.task, now));
+        }
+        if task.cancelled {
+            self.leave(place.task);
+            return Ok(Next::Left);
+        }
+        if !task.spec.idempotent && end.outcome != Outcome::Checkpointed {
+            self.classes[task.spec.class.index()].counters.failed += 1;
+            self.leave(place.task);
+            return Ok(Next::Left);
+        }
+        if task.gang.is_some() {
+            return Ok(self.break_gang(place.task, now));
+        }
+        Ok(self.resume(place.task, &run, &end, now))
+    }
+
+    /// A running task was throttled: the processor share that it gave back is free.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault`] if this run is not the present one, or nothing was asked of it.
+    pub fn throttled(&mut self, place: Placement, _now: Time) -> Result<(), Fault> {
+        let run = self.present_run(place)?;
+        let Asked::Throttle(percent) = run.asked else {
+            return Err(Fault::WrongState);
+        };
+        let share = run.charge.get(Dimension::Millicores);
+        let left = share - share * u64::from(percent) / 100;
+        self.recharge(place.task, Dimension::Millicores, left);
+        if let Phase::Running(run) = &mut self.tasks[place.task].phase {
+            run.asked = Asked::Throttled;
+        }
+        self.fleet.update(run.machine, |m| m.throttled += 1);
+        self.note_release(run.machine);
+        Ok(())
+    }
+
+    fn present_run(&self, place: Placement) -> Result<Run, Fault> {
+        let task = self.tasks.get(place.task).ok_or(Fault::UnknownTask)?;
+        let run = *task.run().ok_or(Fault::WrongState)?;
+        if run.machine != place.machine || task.attempts != place.attempt {
+            return Err(Fault::StaleAttempt);
+        }
+        Ok(run)
+    }
+
+    fn finish(&mut self, key: TaskKey, now: Time) -> Next {
+        let class = self.tasks[key].spec.class.index();
+        let class = &mut self.classes[class];
+        class.counters.done += 1;
+        class.budget.earn(&class.spec.retry);
+        let gang = self.tasks[key].gang;
+        self.leave(key);
+        if let Some(gang) = gang {
+            self.settle_gang(gang, now);
+        }
+        Next::Left
+    }
+
+    /// Queues again what was moved on our word, and retries the rest.
+    fn resume(&mut self, key: TaskKey, run: &Run, end: &End, now: Time) -> Next {
+        match end.outcome {
+            Outcome::Checkpointed => {
+                let speed = self
+                    .fleet
+                    .get(run.machine)
+                    .map_or(1.0, super::super::machine::Machine::mean_speed);
+                self.tasks[key].keep_progress(end.ran, speed);
+            }
+            Outcome::Failed => self.tasks[key].faults += 1,
+            _ => {}
+        }
+        if run.asked != Asked::Nothing || end.outcome == Outcome::Checkpointed {
+            self.enqueue(key);
+            return Next::Requeued;
+        }
+        if end.outcome == Outcome::Failed && self.is_faulty(key, run) {
+            return self.give_up(key, Refusal::Faulty);
+        }
+        self.retry(key, now)
+    }
+
+    fn learn(&mut self, key: TaskKey, run: &Run, end: &End, now: Time) {
+        let spec = self.tasks[key].spec;
+        let class = &mut self.classes[spec.class.index()];
+        if class.is_urgent() {
+            class.forecast.note_end(now);
+        }
+        if let Some(peak) = &end.peak {
+            class.estimates.note_peak(&spec.size, peak);
+        }
+        let throttled = run.asked != Asked::Nothing;
+        if end.outcome == Outcome::Done && !throttled {
+            let speed = self
+                .fleet
+                .get(run.machine)
+                .map_or(1.0, |m| m.speed(spec.class));
+            let likely = class.estimates.likely_run(spec.run);
+            class.estimates.note_run(spec.run, end.ran, speed);
+            if class.spec.kind != Kind::Gang {
+                let seen = likely.as_secs_f64() / end.ran.as_secs_f64().max(1e-6);
+                self.fleet.note_speed(run.machine, spec.class, seen);
+            }
+        }
+        if matches!(end.outcome, Outcome::Done | Outcome::Failed) {
+            let failed = end.outcome == Outcome::Failed;
+            self.judge_machine(key, run.machine, failed, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-policy/src/cell/retries.rs
@@ -0,0 +1,175 @@
+//! Retries, blame and quarantine.
+
+use kingcupwinch_time::Time;
+
+use super::Cell;
+use crate::decision::{Decision, Next};
+use crate::health::Probe;
+use crate::key::{MachineKey, TaskKey};
+use crate::machine::Standing;
+use crate::plan::Kind;
+use crate::refusal::Refusal;
+use crate::retry::{backoff, delay_up_to};
+use crate::task::{Phase, Run};
+
+/// Distinct healthy machines on which a task must fail to be at fault itself.
+const FAULTY_AT: usize = 3;
+/// At most one machine in this many is in quarantine.
+const CONFINED_PART: usize = 5;
+
+impl Cell {
+    /// Sends a task that certainly doesn't run back to its queue after a backoff, within its class's
+    /// budget. Live work without a budget leaves; other work waits until there is one.
+    pub(super) fn retry(&mut self, key: TaskKey, now: Time) -> Next {
+        let task = &self.tasks[key];
+        let class = &mut self.classes[task.spec.class.index()];
+        let retry = class.spec.retry;
+        let live = class.spec.kind == Kind::Live;
+        let tries = if live { task.attempts } else { task.faults };
+        let paid = tries < retry.attempts && class.budget.spend();
+        if !paid && (live || tries >= retry.attempts) {
+            let retry_after = retry.cap;
+            return self.give_up(key, Refusal::NoRetry(retry_after));
+        }
+        let delay = if paid {
+            backoff(&retry, task.attempts, &mut self.rng)
+        } else {
+            delay_up_to(retry.cap, &mut self.rng)
+        };
+        self.tasks[key].unpaid = !paid;
+        self.delay(key, now + delay);
+        Next::Requeued
+    }
+
+    fn delay(&mut self, key: TaskKey, until: Time) {
+        self.tasks[key].phase = Phase::Delayed(until);
+        self.delayed.insert((until, key));
+        self.watch_deadline(key);
+    }
+
+    /// Queues the tasks whose backoff is over.
+    pub(super) fn end_backoffs(&mut self, now: Time) {
+        while let Some(&(until, key)) = self.delayed.first() {
+            if until > now {
+                return;
+            }
+            self.delayed.remove(&(until, key));
+            self.end_backoff(key, now);
+        }
+    }
+
+    fn end_backoff(&mut self, key: TaskKey, now: Time) {
+        let task = &self.tasks[key];
+        let class = &mut self.classes[task.spec.class.index()];
+        if task.unpaid && !class.budget.spend() {
+            let wait = delay_up_to(class.spec.retry.cap, &mut self.rng);
+            self.delay(key, now + wait);
+            return;
+        }
+        class.counters.retried += 1;
+        self.tasks[key].unpaid = false;
+        self.enqueue(key);
+    }
+
+    /// Removes a task that is in no list; the event's answer says why.
+    pub(super) fn give_up(&mut self, key: TaskKey, refusal: Refusal) -> Next {
+        let class = self.tasks[key].spec.class.index();
+        self.classes[class].counters.failed += 1;
+        self.leave(key);
+        Next::GaveUp(refusal)
+    }
+
+    /// Gives up a waiting task by a decision.
+    pub(super) fn abandon(&mut self, key: TaskKey, refusal: Refusal, out: &mut Vec<Decision>) {
+        let members = match self.tasks[key].gang {
+            Some(gang) => self.gangs[gang].tasks.clone(),
+            None => vec![key],
+        };
+        for task in members {
+            let Some(class) = self.tasks.get(task).map(|t| t.spec.class.index()) else {
+                continue;
+            };
+            self.stop_waiting(task);
+            self.leave(task);
+            self.classes[class].counters.refused += 1;
+            self.counters.given_up += 1;
+            out.push(Decision::GiveUp { task, refusal });
+        }
+    }
+
+    /// Notes a failure of the task; whether the task is at fault itself. The machines on which it
+    /// failed are then forgiven.
+    pub(super) fn is_faulty(&mut self, key: TaskKey, run: &Run) -> bool {
+        let healthy = |m: MachineKey| {
+            self.fleet
+                .get(m)
+                .is_some_and(|m| m.standing == Standing::Active)
+        };
+        let task = &mut self.tasks[key];
+        if healthy(run.machine) && !task.failed.contains(&run.machine) {
+            task.failed.push(run.machine);
+        }
+        if task.failed.len() < FAULTY_AT {
+            return false;
+        }
+        let forgiven = task.failed.clone();
+        for machine in forgiven {
+            self.fleet.update(machine, |m| m.health.forgive());
+        }
+        true
+    }
+
+    /// Takes the outcome of a run into the health of its machine.
+    pub(super) fn judge_machine(
+        &mut self,
+        key: TaskKey,
+        machine: MachineKey,
+        failed: bool,
+        now: Time,
+    ) {
+        let Some(m) = self.fleet.get(machine) else {
+            return;
+        };
+        match m.standing {
+            Standing::Active => self.judge_active(machine, failed, now),
+            Standing::Quarantined if m.probe == Some(key) => self.judge_probe(machine, failed, now),
+            _ => {}
+        }
+    }
+
+    fn judge_active(&mut self, machine: MachineKey, failed: bool, now: Time) {
+        self.health.note(failed);
+        self.fleet.update(machine, |m| m.health.note(failed));
+        let bad = self
+            .fleet
+            .get(machine)
+            .is_some_and(|m| m.health.is_bad(&self.health));
+        let room = (self.fleet.confined() + 1) * CONFINED_PART <= self.fleet.len();
+        if !bad || !room {
+            return;
+        }
+        self.drop_keep(machine);
+        self.fleet.set_standing(machine, Standing::Quarantined);
+        self.fleet.update(machine, |m| m.health.confine(now));
+        self.counters.quarantines += 1;
+        self.plan_probe(machine);
+    }
+
+    fn judge_probe(&mut self, machine: MachineKey, failed: bool, now: Time) {
+        let mut verdict = Probe::Again;
+        self.fleet.update(machine, |m| {
+            m.probe = None;
+            verdict = m.health.note_probe(failed, now);
+        });
+        match verdict {
+            Probe::Healed => self.fleet.set_standing(machine, Standing::Active),
+            Probe::Again => self.plan_probe(machine),
+        }
+    }
+
+    fn plan_probe(&mut self, machine: MachineKey) {
+        if let Some(m) = self.fleet.get(machine) {
+            self.probes.insert((m.health.probe, machine));
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-policy/src/cell/runs.rs
@@ -0,0 +1,238 @@
+//! The bookkeeping of waits and runs.
+
+use kingcupwinch_time::Time;
+
+use super::Cell;
+use crate::class::Stuck;
+use crate::decision::Placement;
+use crate::key::{MachineKey, TaskKey};
+use crate::machine::Keep;
+use crate::place::{Request, run_at};
+use crate::plan::Kind;
+use crate::queue::lane_of;
+use crate::size::{Dimension, Size};
+use crate::task::{Asked, Phase, Run, Task};
+
+impl Cell {
+    /// Returns what is counted for a task: its size as corrected, unless no machine holds that.
+    pub(super) fn charge_of(&self, task: &Task) -> Size {
+        let corrected = self.class_of(task).estimates.charge(&task.spec.size);
+        if self.fleet.misfit(&corrected).is_some() {
+            return task.spec.size;
+        }
+        corrected
+    }
+
+    /// Returns what a placement of a task looks for.
+    pub(super) fn request_of(&self, task: &Task) -> Request {
+        Request {
+            class: task.spec.class,
+            need: self.charge_of(task),
+            run: self.class_of(task).estimates.high_run(task.spec.run),
+            urgency: self.weights.urgency(),
+        }
+    }
+
+    /// Whether running work of this kind may give capacity back.
+    pub(super) fn is_movable(&self, task: &Task) -> bool {
+        let class = self.class_of(task);
+        let means = class.spec.means;
+        let stops = means.stop && task.spec.idempotent;
+        class.spec.kind != Kind::Live
+            && task.gang.is_none()
+            && (means.throttle > 0 || means.checkpoint || stops)
+    }
+
+    /// Queues a task; a gang is queued by its leader.
+    pub(super) fn enqueue(&mut self, key: TaskKey) {
+        let task = &self.tasks[key];
+        let need = self.charge_of(task);
+        let (class, customer) = (task.spec.class, task.spec.customer);
+        let class = &mut self.classes[class.index()];
+        let urgent = class.is_urgent();
+        let order = match task.spec.deadline {
+            Some(deadline) if urgent => deadline,
+            _ => task.submitted,
+        };
+        let rank = class.queue.next_rank(order, lane_of(customer, urgent));
+        class.queue.insert(rank, key);
+        class.unstick(&need);
+        self.tasks[key].phase = Phase::Queued(rank);
+        self.watch_deadline(key);
+    }
+
+    /// Gives the task up at its deadline if it still waits.
+    pub(super) fn watch_deadline(&mut self, key: TaskKey) {
+        if let Some(deadline) = self.tasks[key].spec.deadline {
+            self.deadlines.insert((deadline, key));
+        }
+    }
+
+    /// Takes a waiting task out of every list of waits.
+    pub(super) fn stop_waiting(&mut self, key: TaskKey) {
+        let task = &self.tasks[key];
+        let class = task.spec.class.index();
+        match task.phase {
+            Phase::Queued(rank) => {
+                self.classes[class].queue.remove(rank);
+            }
+            Phase::Delayed(until) => {
+                self.delayed.remove(&(until, key));
+            }
+            Phase::Claiming(claim) => {
+                self.claims.remove(&(claim.until, key));
+                self.fleet.keep(claim.machine, None);
+                self.note_release(claim.machine);
+            }
+            Phase::Ganged | Phase::Running(_) => {}
+        }
+        if let Some(deadline) = self.tasks[key].spec.deadline {
+            self.deadlines.remove(&(deadline, key));
+        }
+        self.tasks[key].phase = Phase::Ganged;
+    }
+
+    /// Counts a waiting task as running on a machine.
+    pub(super) fn begin_run(&mut self, key: TaskKey, machine: MachineKey, now: Time) -> Placement {
+        self.stop_waiting(key);
+        let task = &self.tasks[key];
+        let charge = self.charge_of(task);
+        let speed = self
+            .fleet
+            .get(machine)
+            .map_or(1.0, |m| m.speed(task.spec.class));
+        let high = self.class_of(task).estimates.high_run(task.spec.run);
+        let run = Run {
+            machine,
+            since: now,
+            expected: now + run_at(high, speed),
+            charge,
+            position: self.fleet.enlist(machine, key),
+            asked: Asked::Nothing,
+        };
+        if self.is_movable(task) {
+            self.fleet.count_movable(machine, true);
+        }
+        self.count_run(key, &charge, now);
+        self.fleet.charge(machine, &charge);
+        if let Some(gang) = self.tasks[key].gang {
+            self.gangs[gang].running += 1;
+        }
+        let task = &mut self.tasks[key];
+        task.attempts += 1;
+        task.phase = Phase::Running(run);
+        Placement {
+            task: key,
+            machine,
+            attempt: task.attempts,
+        }
+    }
+
+    fn count_run(&mut self, key: TaskKey, charge: &Size, now: Time) {
+        let task = &self.tasks[key];
+        let class = &mut self.classes[task.spec.class.index()];
+        class.used = class.used.plus(charge);
+        class.running += 1;
+        let waiting = !class.queue.is_empty();
+        class.drain.note(now, waiting);
+        if task.attempts == 0 {
+            class.counters.started += 1;
+            class.counters.note_wait(now - task.submitted);
+        }
+        let customer = &mut self.customers[task.spec.customer.index()];
+        customer.used = customer.used.plus(charge);
+        customer.running += 1;
+        customer.waiting = customer.waiting.saturating_sub(1);
+        self.counters.starts += 1;
+    }
+
+    /// Counts a running task no longer; it is left in no list.
+    pub(super) fn end_run(&mut self, key: TaskKey, run: &Run) {
+        let task = &self.tasks[key];
+        let movable = self.is_movable(task);
+        let class = &mut self.classes[task.spec.class.index()];
+        class.used = class.used.minus(&run.charge);
+        class.running -= 1;
+        let customer = &mut self.customers[task.spec.customer.index()];
+        customer.used = customer.used.minus(&run.charge);
+        customer.running -= 1;
+        customer.waiting += 1;
+        if movable {
+            self.fleet.count_movable(run.machine, false);
+        }
+        let moved = self.fleet.delist(run.machine, run.position);
+        if let Some(Phase::Running(other)) = moved.map(|m| &mut self.tasks[m].phase) {
+            other.position = run.position;
+        }
+        if run.asked == Asked::Throttled {
+            self.fleet.update(run.machine, |m| m.throttled -= 1);
+        }
+        self.fleet.refund(run.machine, &run.charge);
+        self.note_release(run.machine);
+        self.fleet.forget(run.machine);
+        if let Some(gang) = self.tasks[key].gang {
+            self.gangs[gang].running -= 1;
+        }
+        self.tasks[key].phase = Phase::Ganged;
+    }
+
+    /// Changes what is counted for a running task in one dimension.
+    pub(super) fn recharge(&mut self, key: TaskKey, dimension: Dimension, amount: u64) {
+        let Some(run) = self.tasks[key].run().copied() else {
+            return;
+        };
+        let charge = run.charge.with(dimension, amount);
+        let (class, customer) = (self.tasks[key].spec.class, self.tasks[key].spec.customer);
+        let class = &mut self.classes[class.index()];
+        class.used = class.used.plus(&charge).minus(&run.charge);
+        let customer = &mut self.customers[customer.index()];
+        customer.used = customer.used.plus(&charge).minus(&run.charge);
+        self.fleet.refund(run.machine, &run.charge);
+        self.fleet.charge(run.machine, &charge);
+        if let Phase::Running(run) = &mut self.tasks[key].phase {
+            run.charge = charge;
+        }
+    }
+
+    /// Removes a task that is in no list from the arena, and its gang with the last task.
+    pub(super) fn leave(&mut self, key: TaskKey) {
+        let Some(task) = self.tasks.remove(key) else {
+            return;
+        };
+        let customer = &mut self.customers[task.spec.customer.index()];
+        customer.waiting = customer.waiting.saturating_sub(1);
+        let Some(gang) = task.gang else {
+            return;
+        };
+        self.gangs[gang].alive -= 1;
+        if self.gangs[gang].alive == 0 {
+            self.drop_reservation(gang);
+            self.gangs.remove(gang);
+        }
+    }
+
+    /// Puts a claimant back into its queue and opens the machine.
+    pub(super) fn drop_claim(&mut self, key: TaskKey) {
+        let Some(Phase::Claiming(claim)) = self.tasks.get(key).map(|t| t.phase) else {
+            return;
+        };
+        self.claims.remove(&(claim.until, key));
+        self.fleet.keep(claim.machine, None);
+        self.note_release(claim.machine);
+        self.enqueue(key);
+    }
+
+    /// Returns who a machine is kept for, if it is one task.
+    pub(super) fn claimant(&self, machine: MachineKey) -> Option<TaskKey> {
+        match self.fleet.get(machine)?.keep {
+            Some(Keep::Task(task)) => Some(task),
+            _ => None,
+        }
+    }
+
+    /// Remembers that nothing of a class's queue could be placed.
+    pub(super) fn set_stuck(&mut self, class: usize, least: Size) {
+        let releases = self.fleet.releases();
+        self.classes[class].stuck = Some(Stuck { releases, least });
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-policy/src/cell/submit.rs
@@ -0,0 +1,278 @@
+//! Admission of work, and its cancellation.
+
+use kingcupwinch_time::{Span, Time};
+
+use super::Cell;
+use crate::decision::{Cancel, Decision, GangTicket, Placement, TaskSpec};
+use crate::gang::{Gang, GangSpec};
+use crate::key::{GangKey, MachineKey, TaskKey};
+use crate::place::run_at;
+use crate::plan::Kind;
+use crate::refusal::{Fault, Refusal};
+use crate::size::{Dimension, MAX_AMOUNT, Size};
+use crate::task::{Asked, Phase, Run, Task};
+
+/// The longest run that is accepted: one year.
+const MAX_RUN: Span = Span::from_secs(365 * 86_400);
+/// The most tasks of one gang.
+const MAX_GANG: u32 = 100_000;
+
+impl Cell {
+    /// Takes in a task.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`]: the task did not run and never will.
+    pub fn submit(&mut self, spec: TaskSpec, now: Time) -> Result<TaskKey, Refusal> {
+        let spec = self
+            .admit(spec, 1, now)
+            .inspect_err(|_| self.count_refusal(&spec))?;
+        let key = self.tasks.insert(Task::new(spec, now, Phase::Ganged));
+        self.customers[spec.customer.index()].waiting += 1;
+        let class = &mut self.classes[spec.class.index()];
+        class.counters.accepted += 1;
+        if class.is_urgent() {
+            class.forecast.note_arrival(now);
+        }
+        self.enqueue(key);
+        Ok(key)
+    }
+
+    /// Takes in a gang.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`]: none of its tasks ran or ever will.
+    pub fn submit_gang(&mut self, gang: GangSpec, now: Time) -> Result<GangTicket, Refusal> {
+        if gang.count == 0 || gang.count > MAX_GANG {
+            return Err(Refusal::BadSpec);
+        }
+        let refused = |cell: &mut Self| cell.count_refusal(&gang.task);
+        let task = self
+            .admit(gang.task, gang.count, now)
+            .inspect_err(|_| refused(self))?;
+        let places = self.fleet.places_ever(&task.size);
+        if places < u64::from(gang.count) {
+            refused(self);
+            return Err(Refusal::TooWide);
+        }
+        let spec = GangSpec { task, ..gang };
+        let tasks: Vec<TaskKey> = (0..gang.count)
+            .map(|_| self.tasks.insert(Task::new(task, now, Phase::Ganged)))
+            .collect();
+        let key = self.gangs.insert(Gang::new(spec, tasks.clone()));
+        for &t in &tasks {
+            self.tasks[t].gang = Some(key);
+        }
+        self.customers[task.customer.index()].waiting += gang.count;
+        self.classes[task.class.index()].counters.accepted += u64::from(gang.count);
+        self.enqueue(tasks[0]);
+        Ok(GangTicket { gang: key, tasks })
+    }
+
+    /// Takes in a task that already runs on a machine, as much of it as is free there.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault`] for an unknown machine, class or customer; the state is unchanged.
+    pub fn adopt(
+        &mut self,
+        spec: TaskSpec,
+        machine: MachineKey,
+        now: Time,
+    ) -> Result<Placement, Fault> {
+        self.known(machine)?;
+        let class = self
+            .classes
+            .get(spec.class.index())
+            .ok_or(Fault::UnknownClass)?;
+        if class.spec.kind == Kind::Gang || self.customers.len() <= spec.customer.index() {
+            return Err(Fault::UnknownClass);
+        }
+        let free = self
+            .fleet
+            .get(machine)
+            .map_or(Size::ZERO, |m| m.spec.capacity.minus(&m.used));
+        let spec = TaskSpec {
+            size: spec.size.min(&free),
+            ..spec
+        };
+        let key = self.tasks.insert(Task::new(spec, now, Phase::Ganged));
+        self.customers[spec.customer.index()].waiting += 1;
+        Ok(self.begin_run(key, machine, now))
+    }
+
+    /// Cancels a task; with a member, its whole gang.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault::UnknownTask`], or [`Fault::NotIdempotent`] if it runs and must not be stopped.
+    pub fn cancel(&mut self, key: TaskKey, _now: Time) -> Result<Cancel, Fault> {
+        let task = self.tasks.get(key).ok_or(Fault::UnknownTask)?;
+        match task.gang {
+            Some(gang) => self.cancel_gang(gang),
+            None => self.cancel_one(key),
+        }
+    }
+
+    /// Cancels many tasks; the number that were in the cell and have left or will.
+    pub fn cancel_many(&mut self, keys: &[TaskKey], now: Time) -> usize {
+        keys.iter()
+            .filter(|key| self.cancel(**key, now).is_ok())
+            .count()
+    }
+
+    fn cancel_gang(&mut self, gang: GangKey) -> Result<Cancel, Fault> {
+        self.drop_reservation(gang);
+        let members = self.gangs[gang].tasks.clone();
+        let runs = self.gangs[gang].running > 0;
+        if runs && !self.gangs[gang].spec.task.idempotent {
+            return Err(Fault::NotIdempotent);
+        }
+        for key in members
+            .into_iter()
+            .filter(|k| self.tasks.contains_key(*k))
+            .collect::<Vec<_>>()
+        {
+            self.cancel_one(key)?;
+        }
+        Ok(if runs { Cancel::Leaving } else { Cancel::Left })
+    }
+
+    fn cancel_one(&mut self, key: TaskKey) -> Result<Cancel, Fault> {
+        let task = &self.tasks[key];
+        let live = self.class_of(task).spec.kind == Kind::Live;
+        let class = task.spec.class.index();
+        let Some(run) = task.run().copied() else {
+            self.stop_waiting(key);
+            self.leave(key);
+            self.classes[class].counters.cancelled += 1;
+            return Ok(Cancel::Left);
+        };
+        if !task.spec.idempotent {
+            return Err(Fault::NotIdempotent);
+        }
+        if !task.cancelled {
+            let place = self.placement(key, &run);
+            self.tasks[key].cancelled = true;
+            self.classes[class].counters.cancelled += 1;
+            if !live {
+                self.order_stop(place, &run);
+            }
+        }
+        Ok(Cancel::Leaving)
+    }
+
+    /// Checks a submission of `count` tasks; the task with its effective deadline.
+    fn admit(&mut self, spec: TaskSpec, count: u32, now: Time) -> Result<TaskSpec, Refusal> {
+        check_spec(&spec)?;
+        self.check_keys(&spec, count)?;
+        self.check_fit(&spec)?;
+        let class = &self.classes[spec.class.index()];
+        if class.queue.len() >= class.spec.bound {
+            let retry_after = class.likely_wait();
+            return Err(Refusal::QueueFull(retry_after));
+        }
+        let deadline = class.deadline_of(&spec, now);
+        self.check_deadline(&spec, deadline, now)?;
+        self.take_tokens(&spec, count, now)?;
+        Ok(TaskSpec { deadline, ..spec })
+    }
+
+    fn check_keys(&self, spec: &TaskSpec, count: u32) -> Result<(), Refusal> {
+        let class = self.classes.get(spec.class.index());
+        let class = class.filter(|c| c.open).ok_or(Refusal::UnknownClass)?;
+        if (class.spec.kind == Kind::Gang) != (count > 1) && count > 1 {
+            return Err(Refusal::BadSpec);
+        }
+        let customer = self.customers.get(spec.customer.index());
+        let customer = customer
+            .filter(|c| c.open)
+            .ok_or(Refusal::UnknownCustomer)?;
+        let capacity = self.fleet.capacity();
+        let need = spec.size.times(u64::from(count));
+        let share = need.dominant_share(capacity);
+        let over = count > customer.spec.running || share > customer.spec.quota.fraction();
+        if over && !capacity.is_zero() {
+            return Err(Refusal::OverQuota);
+        }
+        Ok(())
+    }
+
+    fn check_fit(&self, spec: &TaskSpec) -> Result<(), Refusal> {
+        self.fleet.misfit(&spec.size).map_or(Ok(()), Err)
+    }
+
+    fn check_deadline(
+        &self,
+        spec: &TaskSpec,
+        deadline: Option<Time>,
+        now: Time,
+    ) -> Result<(), Refusal> {
+        let Some(deadline) = deadline else {
+            return Ok(());
+        };
+        let class = &self.classes[spec.class.index()];
+        let wait = class.likely_wait();
+        let run = run_at(class.estimates.likely_run(spec.run), self.fleet.top_speed());
+        let late = now + wait + run > deadline;
+        if late {
+            Err(Refusal::Deadline(wait))
+        } else {
+            Ok(())
+        }
+    }
+
+    fn take_tokens(&mut self, spec: &TaskSpec, count: u32, now: Time) -> Result<(), Refusal> {
+        let count = f64::from(count);
+        let class = &mut self.classes[spec.class.index()].bucket;
+        let customer = &mut self.customers[spec.customer.index()].bucket;
+        let waits = [&mut *class, &mut *customer].map(|bucket| {
+            bucket
+                .as_mut()
+                .map_or(Span::ZERO, |b| b.wait_for(count, now))
+        });
+        let retry_after = waits[0].max(waits[1]);
+        if retry_after > Span::ZERO {
+            return Err(Refusal::RateLimit(retry_after));
+        }
+        for bucket in [class, customer].into_iter().flatten() {
+            bucket.take(count);
+        }
+        Ok(())
+    }
+
+    fn count_refusal(&mut self, spec: &TaskSpec) {
+        if let Some(class) = self.classes.get_mut(spec.class.index()) {
+            class.counters.refused += 1;
+        }
+    }
+
+    pub(super) fn placement(&self, key: TaskKey, run: &Run) -> Placement {
+        Placement {
+            task: key,
+            machine: run.machine,
+            attempt: self.tasks[key].attempts,
+        }
+    }
+
+    pub(super) fn order_stop(&mut self, place: Placement, run: &Run) {
+        self.set_asked(place.task, run, Asked::Leave);
+        self.counters.stops += 1;
+        self.orders.push(Decision::Stop(place));
+    }
+}
+
+fn check_spec(spec: &TaskSpec) -> Result<(), Refusal> {
+    let absurd = |&d: &Dimension| spec.size.get(d) > MAX_AMOUNT;
+    if let Some(d) = Dimension::ALL.into_iter().find(absurd) {
+        return Err(Refusal::BadSize(d));
+    }
+    if spec.size.get(Dimension::Slots) == 0 {
+        return Err(Refusal::BadSize(Dimension::Slots));
+    }
+    if spec.run == Span::ZERO || spec.run > MAX_RUN {
+        return Err(Refusal::BadSpec);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/kingcupwinch-policy/src/cell/tests.rs
@@ -0,0 +1,507 @@
+//! Random events against the cell's invariants.
+
+use kingcupwinch_time::{Span, Time};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rustc_hash::{FxHashMap, FxHashSet};
+
+use super::Cell;
+use crate::decision::{Decision, End, Next, NotStarted, Outcome, Placement, TaskSpec, Usage};
+use crate::gang::{GangSpec, Spread};
+use crate::key::{HoldKey, MachineKey, TaskKey};
+use crate::machine::{MachineSpec, Standing};
+use crate::plan::{ClassSpec, CustomerSpec, Kind, Means, Permille, Plan, Weights};
+use crate::size::Size;
+use crate::task::{Asked, Phase};
+
+const MOVES: Means = Means {
+    throttle: 50,
+    checkpoint: true,
+    stop: true,
+};
+const STOPS: Means = Means {
+    throttle: 0,
+    checkpoint: false,
+    stop: true,
+};
+
+fn plan() -> Plan {
+    let live = ClassSpec::new("live", Kind::Live, 0).with_patience(Span::from_secs(2));
+    let heavy = ClassSpec::new("heavy", Kind::Batch, 2).with_means(MOVES);
+    let light = ClassSpec::new("light", Kind::Batch, 1).with_means(STOPS);
+    let gang = ClassSpec::new("gang", Kind::Gang, 1);
+    Plan::new()
+        .with_class(live.with_shares(Permille::NONE, Permille(800)))
+        .with_class(
+            heavy
+                .with_shares(Permille(200), Permille(900))
+                .with_bound(40),
+        )
+        .with_class(light.with_shares(Permille(100), Permille::ALL))
+        .with_class(gang)
+        .with_customer(CustomerSpec::new("a", 1.0))
+        .with_customer(
+            CustomerSpec::new("b", 3.0)
+                .with_quota(Permille(700))
+                .with_running(30),
+        )
+        .with_weights(Weights {
+            waiting: 2.0,
+            packing: 1.0,
+        })
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Add {
+        cores: u64,
+        rack: u8,
+        speed: u8,
+    },
+    Submit {
+        class: u16,
+        customer: u16,
+        cores: u64,
+        run: u64,
+        idempotent: bool,
+    },
+    Gang {
+        customer: u16,
+        count: u32,
+        spread: u8,
+        idempotent: bool,
+    },
+    End {
+        pick: usize,
+        outcome: u8,
+    },
+    Refuse {
+        pick: usize,
+        why: u8,
+    },
+    Throttled {
+        pick: usize,
+    },
+    Cancel {
+        pick: usize,
+    },
+    Leave {
+        pick: usize,
+    },
+    Remove {
+        pick: usize,
+    },
+    Observe {
+        pick: usize,
+        cores: u64,
+    },
+    Occupy {
+        pick: usize,
+    },
+    Release {
+        pick: usize,
+    },
+    Grant {
+        count: u32,
+        life: u64,
+    },
+    Replan {
+        least: u16,
+    },
+    Wait {
+        millis: u64,
+    },
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let pick = any::<usize>();
+    prop_oneof![
+        1 => (1u64..16, 0u8..3, 1u8..8).prop_map(|(cores, rack, speed)| Event::Add { cores, rack, speed }),
+        12 => (0u16..4, 0u16..3, 0u64..6, 1u64..4000, any::<bool>()).prop_map(
+            |(class, customer, cores, run, idempotent)| Event::Submit { class, customer, cores, run, idempotent }
+        ),
+        2 => (0u16..2, 0u32..12, 0u8..3, any::<bool>())
+            .prop_map(|(customer, count, spread, idempotent)| Event::Gang { customer, count, spread, idempotent }),
+        10 => (pick, 0u8..12).prop_map(|(pick, outcome)| Event::End { pick, outcome }),
+        2 => (pick, 0u8..4).prop_map(|(pick, why)| Event::Refuse { pick, why }),
+        2 => pick.prop_map(|pick| Event::Throttled { pick }),
+        2 => pick.prop_map(|pick| Event::Cancel { pick }),
+        1 => pick.prop_map(|pick| Event::Leave { pick }),
+        1 => pick.prop_map(|pick| Event::Remove { pick }),
+        1 => (pick, 0u64..20_000).prop_map(|(pick, cores)| Event::Observe { pick, cores }),
+        1 => pick.prop_map(|pick| Event::Occupy { pick }),
+        1 => pick.prop_map(|pick| Event::Release { pick }),
+        1 => (0u32..5, 0u64..500).prop_map(|(count, life)| Event::Grant { count, life }),
+        1 => (0u16..300).prop_map(|least| Event::Replan { least }),
+        5 => (1u64..3000).prop_map(|millis| Event::Wait { millis }),
+    ]
+}
+
+/// The cell with what its embedder knows.
+struct World {
+    cell: Cell,
+    now: Time,
+    machines: Vec<MachineKey>,
+    holds: Vec<HoldKey>,
+    running: Vec<Placement>,
+    /// Non-idempotent tasks that may have run.
+    spent: FxHashSet<TaskKey>,
+    guarded: FxHashSet<TaskKey>,
+}
+
+impl World {
+    fn new() -> Self {
+        World {
+            cell: Cell::new(plan(), 1).unwrap(),
+            now: Time::ZERO,
+            machines: Vec::new(),
+            holds: Vec::new(),
+            running: Vec::new(),
+            spent: FxHashSet::default(),
+            guarded: FxHashSet::default(),
+        }
+    }
+
+    fn apply(&mut self, event: Event) {
+        self.now += Span::from_millis(1);
+        match event {
+            Event::Add { cores, rack, speed } => self.add(cores, rack, speed),
+            Event::Submit {
+                class,
+                customer,
+                cores,
+                run,
+                idempotent,
+            } => {
+                let spec = spec(class, customer, cores, run).with_idempotent(idempotent);
+                if let Ok(key) = self.cell.submit(spec, self.now) {
+                    self.guard(&[key], idempotent);
+                }
+            }
+            Event::Gang {
+                customer,
+                count,
+                spread,
+                idempotent,
+            } => {
+                let task = spec(3, customer, 1, 500).with_idempotent(idempotent);
+                let spread =
+                    [Spread::Anywhere, Spread::PreferRack, Spread::OneRack][usize::from(spread)];
+                let gang = GangSpec::new(task, count).with_spread(spread);
+                if let Ok(ticket) = self.cell.submit_gang(gang, self.now) {
+                    self.guard(&ticket.tasks, idempotent);
+                }
+            }
+            Event::End { pick, outcome } => self.end(pick, outcome),
+            Event::Refuse { pick, why } => self.refuse(pick, why),
+            Event::Throttled { pick } => {
+                if let Some(place) = at(&self.running, pick) {
+                    let _ = self.cell.throttled(place, self.now);
+                }
+            }
+            Event::Cancel { pick } => {
+                let key = self
+                    .cell
+                    .tasks
+                    .keys()
+                    .nth(pick % self.cell.tasks.len().max(1));
+                if let Some(key) = key {
+                    let _ = self.cell.cancel(key, self.now);
+                }
+            }
+            Event::Leave { pick } => {
+                if let Some(machine) = at(&self.machines, pick) {
+                    let _ = self.cell.set_leaving(machine, self.now);
+                }
+            }
+            Event::Remove { pick } => {
+                if let Some(machine) = at(&self.machines, pick) {
+                    let _ = self.cell.remove_machine(machine, self.now);
+                }
+            }
+            Event::Observe { pick, cores } => {
+                if let Some(machine) = at(&self.machines, pick) {
+                    let used = Size::new(cores, 0);
+                    let _ = self.cell.observe(
+                        machine,
+                        Usage {
+                            used,
+                            taken: self.now,
+                        },
+                    );
+                }
+            }
+            Event::Occupy { pick } => {
+                let machine = at(&self.machines, pick);
+                let hold = machine.and_then(|m| self.cell.occupy(m, Size::new(2_000, 512)).ok());
+                self.holds.extend(hold);
+            }
+            Event::Release { pick } => {
+                if let Some(hold) = at(&self.holds, pick) {
+                    let _ = self.cell.release(hold);
+                }
+            }
+            Event::Grant { count, life } => {
+                let class = self.cell.class("live").unwrap();
+                let deadline = self.now + Span::from_millis(life);
+                self.cell.grant(class, count, deadline, self.now).unwrap();
+            }
+            Event::Replan { least } => {
+                let mut plan = plan();
+                plan.classes[1].least = Permille(least);
+                self.cell.replan(plan, self.now).unwrap();
+            }
+            Event::Wait { millis } => self.now += Span::from_millis(millis),
+        }
+        self.decide();
+        self.audit();
+    }
+
+    fn add(&mut self, cores: u64, rack: u8, speed: u8) {
+        let capacity = Size::new(cores * 1000, cores * 2048)
+            .with_slots(8)
+            .with_connections(16);
+        let spec = MachineSpec::new("m", "z", &format!("r{rack}"), capacity);
+        let spec = spec.with_speed(f64::from(speed));
+        self.machines
+            .push(self.cell.add_machine(spec, self.now).unwrap());
+    }
+
+    fn guard(&mut self, keys: &[TaskKey], idempotent: bool) {
+        if !idempotent {
+            self.guarded.extend(keys);
+        }
+    }
+
+    fn end(&mut self, pick: usize, outcome: u8) {
+        let Some(place) = at(&self.running, pick) else {
+            return;
+        };
+        let outcome = match outcome {
+            0..=6 => Outcome::Done,
+            7 | 8 => Outcome::Failed,
+            9 => Outcome::Stopped,
+            10 => Outcome::Checkpointed,
+            _ => Outcome::Lost,
+        };
+        let end = End::new(outcome, Span::from_millis(300)).with_peak(Size::new(900, 700));
+        self.running.retain(|p| *p != place);
+        self.cell.ended(place, end, self.now).unwrap();
+        if outcome == Outcome::Checkpointed {
+            self.spent.remove(&place.task);
+        }
+        let again = self.cell.ended(place, end, self.now);
+        assert!(again.is_err(), "a doubled end was taken");
+    }
+
+    fn refuse(&mut self, pick: usize, why: u8) {
+        let Some(place) = at(&self.running, pick) else {
+            return;
+        };
+        let why = match why {
+            0 => NotStarted::Full,
+            1 => NotStarted::Leaving,
+            2 => NotStarted::Unreachable,
+            _ => NotStarted::Refused,
+        };
+        self.running.retain(|p| *p != place);
+        let next = self.cell.not_started(place, why, self.now).unwrap();
+        self.spent.remove(&place.task);
+        let present = self.cell.tasks.contains_key(place.task);
+        assert_eq!(present, next == Next::Requeued);
+    }
+
+    fn decide(&mut self) {
+        let mut out = Vec::new();
+        self.cell.decide(self.now, &mut out);
+        for decision in out {
+            match decision {
+                Decision::Start(place) => self.start(place),
+                Decision::StartGang { places, .. } => {
+                    places.into_iter().for_each(|p| self.start(p));
+                }
+                Decision::Stop(place) => assert!(!self.guarded.contains(&place.task)),
+                Decision::Throttle { target, .. } | Decision::Checkpoint(target) => {
+                    assert!(self.running.contains(&target));
+                }
+                Decision::GiveUp { task, .. } => assert!(!self.cell.tasks.contains_key(task)),
+            }
+        }
+        let next = self.cell.next_deadline();
+        assert!(
+            next.is_none_or(|t| t > self.now),
+            "a deadline is left in the past"
+        );
+    }
+
+    fn start(&mut self, place: Placement) {
+        let fresh = self.running.iter().all(|p| p.task != place.task);
+        assert!(fresh, "a task runs in two places");
+        let standing = self.cell.standing(place.machine).unwrap();
+        assert!(matches!(standing, Standing::Active | Standing::Quarantined));
+        if self.guarded.contains(&place.task) {
+            assert!(self.spent.insert(place.task), "a guarded task runs twice");
+        }
+        self.running.push(place);
+    }
+
+    fn audit(&self) {
+        self.audit_machines();
+        self.audit_tasks();
+        self.audit_sums();
+    }
+
+    fn audit_machines(&self) {
+        let cell = &self.cell;
+        let (mut used, mut free, mut confined) = (Size::ZERO, Size::ZERO, 0);
+        for (key, m) in cell.fleet.iter() {
+            assert!(
+                m.used.fits(&m.spec.capacity),
+                "a machine is over its capacity"
+            );
+            let mut sum = Size::ZERO;
+            let (mut movable, mut throttled) = (0, 0);
+            for (position, &task) in m.running.iter().enumerate() {
+                let run = *cell.tasks[task].run().unwrap();
+                assert_eq!((run.machine, run.position as usize), (key, position));
+                sum = sum.plus(&run.charge);
+                movable += u32::from(cell.is_movable(&cell.tasks[task]));
+                throttled += u32::from(run.asked == Asked::Throttled);
+            }
+            let holds = cell.holds.values().filter(|h| h.machine == key);
+            sum = holds.fold(sum, |s, h| s.plus(&h.size));
+            if m.standing != Standing::Gone {
+                assert_eq!(m.used, sum);
+                used = used.plus(&sum);
+            }
+            assert_eq!((m.movable.count, m.throttled), (movable, throttled));
+            confined += usize::from(m.standing == Standing::Quarantined);
+            if m.standing == Standing::Active && m.keep.is_none() {
+                free = free.plus(&m.free());
+            }
+            assert_eq!(
+                m.spot.is_some(),
+                m.standing == Standing::Active && cell.claimant(key).is_none()
+            );
+        }
+        assert_eq!((*cell.fleet.used(), *cell.fleet.free()), (used, free));
+        assert_eq!(cell.fleet.confined(), confined);
+        assert!(confined * 5 <= cell.fleet.len() + 5 * self.machines.len());
+        let racks = cell.fleet.racks().iter();
+        assert_eq!(racks.fold(Size::ZERO, |s, r| s.plus(&r.free)), free);
+    }
+
+    fn audit_tasks(&self) {
+        let cell = &self.cell;
+        let queued: FxHashMap<TaskKey, _> = cell
+            .classes
+            .iter()
+            .flat_map(|c| c.queue.iter())
+            .map(|(rank, key)| (key, rank))
+            .collect();
+        let listed: usize = cell.classes.iter().map(|c| c.queue.iter().count()).sum();
+        assert_eq!(queued.len(), listed, "a task stands in two queues");
+        for (key, task) in &cell.tasks {
+            let places = [
+                queued.contains_key(&key),
+                cell.delayed.iter().any(|(_, k)| *k == key),
+                cell.claims.iter().any(|(_, k)| *k == key),
+                self.running.iter().any(|p| p.task == key),
+            ];
+            let count = places.into_iter().filter(|p| *p).count();
+            let expected = match task.phase {
+                Phase::Queued(rank) => queued.get(&key) == Some(&rank),
+                Phase::Delayed(until) => cell.delayed.contains(&(until, key)),
+                Phase::Claiming(claim) => cell.claimant(claim.machine) == Some(key),
+                Phase::Running(_) => places[3],
+                Phase::Ganged => task.gang.is_some(),
+            };
+            assert!(expected, "{task:?} is not where its phase says");
+            assert_eq!(count, usize::from(task.phase != Phase::Ganged));
+        }
+        for place in &self.running {
+            assert!(cell.tasks[place.task].run().is_some());
+        }
+    }
+
+    fn audit_sums(&self) {
+        let cell = &self.cell;
+        for (index, class) in cell.classes.iter().enumerate() {
+            let tasks = cell
+                .tasks
+                .values()
+                .filter(|t| t.spec.class.index() == index);
+            let runs: Vec<_> = tasks.filter_map(|t| t.run()).collect();
+            let sum = runs.iter().fold(Size::ZERO, |s, r| s.plus(&r.charge));
+            assert_eq!((class.used, class.running), (sum, runs.len() as u32));
+            assert_eq!(class.queue.len(), class.queue.iter().count());
+        }
+        for (index, customer) in cell.customers.iter().enumerate() {
+            let tasks = cell
+                .tasks
+                .values()
+                .filter(|t| t.spec.customer.index() == index);
+            let (runs, waits): (Vec<_>, Vec<_>) = tasks.partition(|t| t.run().is_some());
+            let sum = runs
+                .iter()
+                .filter_map(|t| t.run())
+                .fold(Size::ZERO, |s, r| s.plus(&r.charge));
+            let counts = (customer.running, customer.waiting);
+            assert_eq!(
+                (customer.used, counts),
+                (sum, (runs.len() as u32, waits.len() as u32))
+            );
+        }
+        let grants = cell.credits.values();
+        let promised = grants.fold(Size::ZERO, |s, g| {
+            s.plus(&g.each.times(u64::from(g.credit.count)))
+        });
+        assert_eq!(cell.promised, promised);
+        for gang in cell.gangs.values() {
+            let running = gang
+                .tasks
+                .iter()
+                .filter_map(|t| cell.tasks.get(*t)?.run())
+                .count();
+            let alive = gang
+                .tasks
+                .iter()
+                .filter(|t| cell.tasks.contains_key(**t))
+                .count();
+            assert_eq!((gang.running, gang.alive), (running as u32, alive as u32));
+        }
+    }
+}
+
+fn spec(class: u16, customer: u16, cores: u64, run: u64) -> TaskSpec {
+    let size = Size::new(cores * 500, cores * 256).with_connections(u64::from(class == 0));
+    let (class, customer) = (
+        crate::key::ClassKey(class),
+        crate::key::CustomerKey(customer),
+    );
+    TaskSpec::new(class, customer, size, Span::from_millis(run))
+}
+
+fn at<T: Copy>(list: &[T], pick: usize) -> Option<T> {
+    (!list.is_empty()).then(|| list[pick % list.len()])
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 192,
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn random_events_keep_the_invariants(events in prop::collection::vec(event(), 1..250)) {
+        let mut world = World::new();
+        for rack in 0..3 {
+            world.add(8, rack, 1);
+        }
+        for event in events {
+            world.apply(event);
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-policy/src/class.rs
@@ -0,0 +1,170 @@
+//! The state of a class and of a customer.
+
+use kingcupwinch_time::{Span, Time};
+
+use crate::counters::ClassCounters;
+use crate::decision::TaskSpec;
+use crate::estimate::Estimates;
+use crate::headroom::Forecast;
+use crate::limit::{Bucket, Drain};
+use crate::plan::{ClassSpec, CustomerSpec, Kind};
+use crate::queue::Queue;
+use crate::retry::Budget;
+use crate::size::Size;
+
+/// What is known of a queue of which nothing could be placed.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Stuck {
+    /// The fleet's number of releases at that time.
+    pub(crate) releases: u64,
+    /// The least need that was tried, by dimension.
+    pub(crate) least: Size,
+}
+
+/// A class and what it uses.
+#[derive(Debug)]
+pub(crate) struct Class {
+    pub(crate) spec: ClassSpec,
+    /// Whether the plan still has it.
+    pub(crate) open: bool,
+    pub(crate) queue: Queue,
+    pub(crate) used: Size,
+    pub(crate) running: u32,
+    pub(crate) bucket: Option<Bucket>,
+    pub(crate) budget: Budget,
+    pub(crate) drain: Drain,
+    pub(crate) estimates: Estimates,
+    pub(crate) forecast: Forecast,
+    pub(crate) counters: ClassCounters,
+    /// Set while nothing of the queue could be placed.
+    pub(crate) stuck: Option<Stuck>,
+    /// Before this time it takes nothing back from others.
+    pub(crate) calm: Time,
+}
+
+impl Class {
+    pub(crate) fn new(spec: ClassSpec, now: Time) -> Self {
+        Class {
+            bucket: spec.rate.map(|r| Bucket::new(r, now)),
+            spec,
+            open: true,
+            queue: Queue::default(),
+            used: Size::ZERO,
+            running: 0,
+            budget: Budget::default(),
+            drain: Drain::default(),
+            estimates: Estimates::default(),
+            forecast: Forecast::default(),
+            counters: ClassCounters::new(),
+            stuck: None,
+            calm: Time::ZERO,
+        }
+    }
+
+    /// Takes over a new declaration.
+    pub(crate) fn replan(&mut self, spec: ClassSpec, now: Time) {
+        update_bucket(&mut self.bucket, spec.rate, now);
+        self.spec = spec;
+        self.open = true;
+        self.stuck = None;
+    }
+
+    /// Lets the queue be tried again if this need is less than what was tried, or urgent.
+    pub(crate) fn unstick(&mut self, need: &Size) {
+        let smaller = self.stuck.is_some_and(|s| !s.least.fits(need));
+        if smaller || self.is_urgent() {
+            self.stuck = None;
+        }
+    }
+
+    /// Whether nothing was released since its queue was tried in vain.
+    pub(crate) fn is_stuck(&self, releases: u64) -> bool {
+        self.stuck.is_some_and(|s| s.releases == releases)
+    }
+
+    /// Whether it holds urgent live work.
+    pub(crate) fn is_urgent(&self) -> bool {
+        self.spec.band == 0 && self.spec.kind == Kind::Live
+    }
+
+    /// Returns its share of the cell.
+    pub(crate) fn share(&self, capacity: &Size) -> f64 {
+        self.used.dominant_share(capacity)
+    }
+
+    /// Whether it has less than its least share.
+    pub(crate) fn is_under_least(&self, capacity: &Size) -> bool {
+        self.spec.least.0 > 0 && self.share(capacity) < self.spec.least.fraction()
+    }
+
+    /// Whether `need` more stays within its most share.
+    pub(crate) fn allows(&self, need: &Size, capacity: &Size) -> bool {
+        self.used.plus(need).dominant_share(capacity) <= self.spec.most.fraction()
+    }
+
+    /// Returns the deadline of a task.
+    pub(crate) fn deadline_of(&self, spec: &TaskSpec, now: Time) -> Option<Time> {
+        spec.deadline
+            .or_else(|| self.spec.patience.map(|p| now + p))
+    }
+
+    /// Returns how long a task that arrives now is likely to wait.
+    pub(crate) fn likely_wait(&self) -> Span {
+        self.drain.wait(self.queue.len())
+    }
+}
+
+/// A customer and what it uses.
+#[derive(Debug)]
+pub(crate) struct Customer {
+    pub(crate) spec: CustomerSpec,
+    /// Whether the plan still has it.
+    pub(crate) open: bool,
+    pub(crate) used: Size,
+    pub(crate) running: u32,
+    pub(crate) waiting: u32,
+    pub(crate) bucket: Option<Bucket>,
+}
+
+impl Customer {
+    pub(crate) fn new(spec: CustomerSpec, now: Time) -> Self {
+        Customer {
+            bucket: spec.rate.map(|r| Bucket::new(r, now)),
+            spec,
+            open: true,
+            used: Size::ZERO,
+            running: 0,
+            waiting: 0,
+        }
+    }
+
+    /// Takes over a new declaration.
+    pub(crate) fn replan(&mut self, spec: CustomerSpec, now: Time) {
+        update_bucket(&mut self.bucket, spec.rate, now);
+        self.spec = spec;
+        self.open = true;
+    }
+
+    /// Returns its dominant share over its weight.
+    pub(crate) fn weighted_share(&self, capacity: &Size) -> f64 {
+        self.used.dominant_share(capacity) / self.spec.weight
+    }
+
+    /// Whether `need` more in `count` tasks stays within its quota.
+    pub(crate) fn allows(&self, need: &Size, count: u32, capacity: &Size) -> bool {
+        self.running.saturating_add(count) <= self.spec.running
+            && self.used.plus(need).dominant_share(capacity) <= self.spec.quota.fraction()
+    }
+
+    /// Whether it has work running or waiting.
+    pub(crate) fn is_active(&self) -> bool {
+        self.running > 0 || self.waiting > 0
+    }
+}
+
+fn update_bucket(bucket: &mut Option<Bucket>, rate: Option<crate::plan::Rate>, now: Time) {
+    match (bucket.as_mut(), rate) {
+        (Some(old), Some(rate)) => old.set_rate(rate),
+        (_, rate) => *bucket = rate.map(|r| Bucket::new(r, now)),
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-policy/src/estimate.rs
@@ -0,0 +1,149 @@
+//! Corrections of declared run times and sizes from what was observed.
+//!
+//! A class keeps the distribution of observed over declared values in logarithmic bins and forgets
+//! by halving. Quantiles of it correct later declarations.
+
+use kingcupwinch_time::Span;
+
+use crate::size::{Dimension, Size};
+
+/// Bins for each doubling of the ratio.
+const BINS_PER_OCTAVE: f64 = 4.0;
+/// Doublings on each side of one.
+const OCTAVES: f64 = 6.0;
+const BINS: usize = 49;
+/// The count at which every bin is halved.
+const HALVE_AT: u32 = 1024;
+/// The fewest observations before a correction applies.
+const MIN_COUNT: u32 = 20;
+/// Observations between two computations of the quantiles.
+const REFRESH: u32 = 8;
+const MIDDLE: f64 = 0.5;
+const HIGH: f64 = 0.95;
+
+/// A forgetting distribution of observed over declared values.
+#[derive(Debug, Clone)]
+pub(crate) struct Ratio {
+    bins: [u32; BINS],
+    count: u32,
+    fresh: u32,
+    middle: f64,
+    high: f64,
+}
+
+impl Default for Ratio {
+    fn default() -> Self {
+        Ratio {
+            bins: [0; BINS],
+            count: 0,
+            fresh: 0,
+            middle: 1.0,
+            high: 1.0,
+        }
+    }
+}
+
+impl Ratio {
+    /// Takes in one observation.
+    pub(crate) fn note(&mut self, ratio: f64) {
+        if !ratio.is_finite() || ratio <= 0.0 {
+            return;
+        }
+        let octave = ratio.log2().clamp(-OCTAVES, OCTAVES);
+        let bin = ((octave + OCTAVES) * BINS_PER_OCTAVE).ceil() as usize;
+        self.bins[bin.min(BINS - 1)] += 1;
+        self.count += 1;
+        self.fresh += 1;
+        if self.count >= HALVE_AT {
+            self.forget();
+        }
+        if self.fresh >= REFRESH && self.count >= MIN_COUNT {
+            self.refresh();
+        }
+    }
+
+    /// Returns the median ratio, 1 before enough observations.
+    pub(crate) fn middle(&self) -> f64 {
+        self.middle
+    }
+
+    /// Returns the high quantile of the ratio, 1 before enough observations.
+    pub(crate) fn high(&self) -> f64 {
+        self.high
+    }
+
+    fn forget(&mut self) {
+        for bin in &mut self.bins {
+            *bin /= 2;
+        }
+        self.count = self.bins.iter().sum();
+    }
+
+    fn refresh(&mut self) {
+        self.fresh = 0;
+        self.middle = self.quantile(MIDDLE);
+        self.high = self.quantile(HIGH);
+    }
+
+    /// Returns the upper edge of the bin that holds the quantile.
+    fn quantile(&self, part: f64) -> f64 {
+        let target = (part * f64::from(self.count)).ceil() as u32;
+        let mut seen = 0;
+        for (bin, count) in self.bins.iter().enumerate() {
+            seen += count;
+            if seen >= target {
+                return (bin as f64 / BINS_PER_OCTAVE - OCTAVES).exp2();
+            }
+        }
+        OCTAVES.exp2()
+    }
+}
+
+/// What a class has learnt about its declarations.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Estimates {
+    run: Ratio,
+    millicores: Ratio,
+    memory: Ratio,
+}
+
+impl Estimates {
+    /// Takes in a run of known length on a machine of this speed.
+    pub(crate) fn note_run(&mut self, declared: Span, observed: Span, speed: f64) {
+        self.run
+            .note(observed.as_secs_f64() * speed / declared.as_secs_f64());
+    }
+
+    /// Takes in the most that a task used.
+    pub(crate) fn note_peak(&mut self, declared: &Size, peak: &Size) {
+        let ratio = |d| peak.get(d) as f64 / declared.get(d) as f64;
+        self.millicores.note(ratio(Dimension::Millicores));
+        self.memory.note(ratio(Dimension::Memory));
+    }
+
+    /// Returns the median run for a declared one.
+    pub(crate) fn likely_run(&self, declared: Span) -> Span {
+        scale_span(declared, self.run.middle())
+    }
+
+    /// Returns the high quantile of the run for a declared one.
+    pub(crate) fn high_run(&self, declared: Span) -> Span {
+        scale_span(declared, self.run.high())
+    }
+
+    /// Returns what to count for a declared size.
+    pub(crate) fn charge(&self, declared: &Size) -> Size {
+        let corrected = [
+            (Dimension::Millicores, self.millicores.high()),
+            (Dimension::Memory, self.memory.high()),
+        ];
+        corrected.into_iter().fold(*declared, |size, (d, ratio)| {
+            let amount = (declared.get(d) as f64 * ratio).ceil() as u64;
+            size.with(d, amount)
+        })
+    }
+}
+
+fn scale_span(span: Span, ratio: f64) -> Span {
+    Span::from_micros((span.as_micros() as f64 * ratio) as u64)
+}
--- /dev/null
+++ b/crates/kingcupwinch-policy/src/fleet.rs
@@ -0,0 +1,407 @@
+//! The machines of a cell, their racks and the indexes of their free capacity.
+
+use std::sync::Arc;
+
+use rand_chacha::ChaCha8Rng;
+use rustc_hash::FxHashMap;
+use slotmap::SlotMap;
+
+use crate::index::{Buckets, FreeIndex};
+use crate::key::{ClassKey, MachineKey, RackKey, TaskKey};
+use crate::machine::{Keep, Machine, MachineSpec, Standing};
+use crate::refusal::{Fault, Refusal};
+use crate::size::{Dimension, MAX_AMOUNT, Size};
+
+/// The number of speed tiers.
+pub(crate) const TIERS: usize = 4;
+/// The upper speeds of all tiers but the last.
+const TIER_SPEEDS: [f64; TIERS - 1] = [1.5, 3.0, 6.0];
+/// The tier number of machines kept for a gang.
+const KEPT: u8 = TIERS as u8;
+
+/// A rack and what is free on it.
+#[derive(Debug)]
+pub(crate) struct Rack {
+    pub(crate) name: Arc<str>,
+    pub(crate) zone: Arc<str>,
+    pub(crate) machines: Vec<MachineKey>,
+    /// Free on its open machines.
+    pub(crate) free: Size,
+}
+
+/// The machines of a cell.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    machines: SlotMap<MachineKey, Machine>,
+    racks: Vec<Rack>,
+    shapes: FxHashMap<Size, u32>,
+    buckets: Buckets,
+    /// Open machines by speed tier, then machines kept for a gang.
+    indexes: Vec<FreeIndex>,
+    movable: Vec<MachineKey>,
+    capacity: Size,
+    used: Size,
+    free: Size,
+    confined: usize,
+    top_speed: f64,
+    releases: u64,
+}
+
+impl Fleet {
+    pub(crate) fn new() -> Self {
+        Fleet {
+            machines: SlotMap::with_key(),
+            racks: Vec::new(),
+            shapes: FxHashMap::default(),
+            buckets: Buckets::new(),
+            indexes: (0..=KEPT).map(FreeIndex::new).collect(),
+            movable: Vec::new(),
+            capacity: Size::ZERO,
+            used: Size::ZERO,
+            free: Size::ZERO,
+            confined: 0,
+            top_speed: 1.0,
+            releases: 0,
+        }
+    }
+
+    /// Returns the capacity of all machines that are not gone.
+    pub(crate) fn capacity(&self) -> &Size {
+        &self.capacity
+    }
+
+    /// Returns what is counted on machines that are not gone.
+    pub(crate) fn used(&self) -> &Size {
+        &self.used
+    }
+
+    /// Returns what is free on open machines.
+    pub(crate) fn free(&self) -> &Size {
+        &self.free
+    }
+
+    /// Returns a number that grows with every release of capacity.
+    pub(crate) fn releases(&self) -> u64 {
+        self.releases
+    }
+
+    /// Returns the number of machines in quarantine.
+    pub(crate) fn confined(&self) -> usize {
+        self.confined
+    }
+
+    /// Returns the highest speed declared or seen.
+    pub(crate) fn top_speed(&self) -> f64 {
+        self.top_speed
+    }
+
+    /// Takes in the speed that a machine showed on a class.
+    pub(crate) fn note_speed(&mut self, key: MachineKey, class: ClassKey, speed: f64) {
+        let mut seen = 0.0;
+        self.update(key, |machine| seen = machine.note_speed(class, speed));
+        self.top_speed = self.top_speed.max(seen);
+    }
+
+    /// Returns the racks.
+    pub(crate) fn racks(&self) -> &[Rack] {
+        &self.racks
+    }
+
+    /// Returns the machines with running work that can be moved.
+    pub(crate) fn movable(&self) -> &[MachineKey] {
+        &self.movable
+    }
+
+    /// Returns a machine.
+    pub(crate) fn get(&self, key: MachineKey) -> Option<&Machine> {
+        self.machines.get(key)
+    }
+
+    /// Returns every machine.
+    #[cfg(test)]
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (MachineKey, &Machine)> {
+        self.machines.iter()
+    }
+
+    /// Returns the number of machines, those that are gone included.
+    pub(crate) fn len(&self) -> usize {
+        self.machines.len()
+    }
+
+    /// Adds a machine.
+    pub(crate) fn add(&mut self, spec: MachineSpec) -> Result<MachineKey, Fault> {
+        check_capacity(&spec.capacity)?;
+        if !spec.speed.is_finite() || spec.speed <= 0.0 {
+            return Err(Fault::BadPlan("a machine's speed must be above zero"));
+        }
+        let rack = self.rack_of(&spec)?;
+        let capacity = spec.capacity;
+        self.top_speed = self.top_speed.max(spec.speed);
+        let key = self.machines.insert(Machine::new(spec, rack));
+        self.racks[rack.index()].machines.push(key);
+        *self.shapes.entry(capacity).or_insert(0) += 1;
+        self.capacity = self.capacity.plus(&capacity);
+        self.releases += 1;
+        self.reindex(key);
+        Ok(key)
+    }
+
+    fn rack_of(&mut self, spec: &MachineSpec) -> Result<RackKey, Fault> {
+        let known = self
+            .racks
+            .iter()
+            .position(|r| r.name == spec.rack && r.zone == spec.zone);
+        let index = match known {
+            Some(index) => index,
+            None => {
+                self.racks.push(Rack {
+                    name: spec.rack.clone(),
+                    zone: spec.zone.clone(),
+                    machines: Vec::new(),
+                    free: Size::ZERO,
+                });
+                self.racks.len() - 1
+            }
+        };
+        u16::try_from(index)
+            .map(RackKey)
+            .map_err(|_| Fault::BadPlan("too many racks"))
+    }
+
+    /// Changes a machine's standing.
+    pub(crate) fn set_standing(&mut self, key: MachineKey, standing: Standing) {
+        let Some(machine) = self.machines.get_mut(key) else {
+            return;
+        };
+        let old = std::mem::replace(&mut machine.standing, standing);
+        if old == Standing::Quarantined {
+            self.confined -= 1;
+        }
+        if standing == Standing::Quarantined {
+            self.confined += 1;
+        }
+        if standing == Standing::Active {
+            self.releases += 1;
+        }
+        self.reindex(key);
+    }
+
+    /// Takes a machine out of service; its tasks stay counted on it until they end.
+    pub(crate) fn retire(&mut self, key: MachineKey) {
+        self.set_standing(key, Standing::Gone);
+        let machine = &self.machines[key];
+        let (capacity, used, rack) = (machine.spec.capacity, machine.used, machine.rack);
+        self.capacity = self.capacity.minus(&capacity);
+        self.used = self.used.minus(&used);
+        self.racks[rack.index()].machines.retain(|&m| m != key);
+        if let Some(count) = self.shapes.get_mut(&capacity) {
+            *count -= 1;
+            if *count == 0 {
+                self.shapes.remove(&capacity);
+            }
+        }
+    }
+
+    /// Drops a machine that is gone and empty.
+    pub(crate) fn forget(&mut self, key: MachineKey) {
+        let empty = self
+            .get(key)
+            .is_some_and(|m| m.standing == Standing::Gone && m.running.is_empty());
+        if empty {
+            self.machines.remove(key);
+        }
+    }
+
+    /// Counts `size` on a machine.
+    pub(crate) fn charge(&mut self, key: MachineKey, size: &Size) {
+        let machine = &mut self.machines[key];
+        machine.used = machine.used.plus(size);
+        if machine.standing != Standing::Gone {
+            self.used = self.used.plus(size);
+        }
+        self.reindex(key);
+    }
+
+    /// Counts `size` no longer on a machine.
+    pub(crate) fn refund(&mut self, key: MachineKey, size: &Size) {
+        let machine = &mut self.machines[key];
+        machine.used = machine.used.minus(size);
+        if machine.standing != Standing::Gone {
+            self.used = self.used.minus(size);
+        }
+        self.releases += 1;
+        self.reindex(key);
+    }
+
+    /// Adds a task to a machine's list; its position.
+    pub(crate) fn enlist(&mut self, key: MachineKey, task: TaskKey) -> u32 {
+        let running = &mut self.machines[key].running;
+        running.push(task);
+        (running.len() - 1) as u32
+    }
+
+    /// Removes the task at a position; the one that took its place, if any.
+    pub(crate) fn delist(&mut self, key: MachineKey, position: u32) -> Option<TaskKey> {
+        let running = &mut self.machines[key].running;
+        running.swap_remove(position as usize);
+        running.get(position as usize).copied()
+    }
+
+    /// Adds to or takes from the number of a machine's tasks that can be moved.
+    pub(crate) fn count_movable(&mut self, key: MachineKey, more: bool) {
+        let machine = &mut self.machines[key];
+        if more {
+            machine.movable.count += 1;
+            if machine.movable.count == 1 {
+                machine.movable.position = self.movable.len() as u32;
+                self.movable.push(key);
+            }
+            return;
+        }
+        machine.movable.count -= 1;
+        if machine.movable.count > 0 {
+            return;
+        }
+        let position = machine.movable.position;
+        self.movable.swap_remove(position as usize);
+        if let Some(&moved) = self.movable.get(position as usize) {
+            self.machines[moved].movable.position = position;
+        }
+    }
+
+    /// Keeps a machine's free capacity for one task or gang, or opens it again.
+    pub(crate) fn keep(&mut self, key: MachineKey, keep: Option<Keep>) {
+        let Some(machine) = self.machines.get_mut(key) else {
+            return;
+        };
+        machine.keep = keep;
+        if keep.is_none() {
+            self.releases += 1;
+        }
+        self.reindex(key);
+    }
+
+    /// Changes a machine by `change` and brings the indexes up to date.
+    pub(crate) fn update(&mut self, key: MachineKey, change: impl FnOnce(&mut Machine)) {
+        if let Some(machine) = self.machines.get_mut(key) {
+            change(machine);
+            self.reindex(key);
+        }
+    }
+
+    /// Visits open machines of a tier that may fit; see [`FreeIndex::visit`].
+    pub(crate) fn visit(
+        &self,
+        tier: usize,
+        need: &Size,
+        cap: usize,
+        rng: &mut ChaCha8Rng,
+        mut visitor: impl FnMut(MachineKey, &Machine, &Size) -> bool,
+    ) {
+        self.indexes[tier].visit(&self.buckets, need, cap, rng, |key| {
+            let machine = &self.machines[key];
+            let free = machine.free();
+            !need.fits(&free) || visitor(key, machine, &free)
+        });
+    }
+
+    /// Visits machines kept for a gang that may fit.
+    pub(crate) fn visit_kept(
+        &self,
+        need: &Size,
+        cap: usize,
+        rng: &mut ChaCha8Rng,
+        visitor: impl FnMut(MachineKey, &Machine, &Size) -> bool,
+    ) {
+        self.visit(usize::from(KEPT), need, cap, rng, visitor);
+    }
+
+    /// Returns a lower bound of how many tasks of this size fit on open machines.
+    pub(crate) fn places_floor(&self, need: &Size) -> u64 {
+        self.indexes[..TIERS]
+            .iter()
+            .filter(|i| i.len() > 0)
+            .map(|i| i.places_floor(&self.buckets, need))
+            .sum()
+    }
+
+    /// Returns why no machine could ever hold this size.
+    pub(crate) fn misfit(&self, need: &Size) -> Option<Refusal> {
+        if self.shapes.keys().any(|s| need.fits(s)) {
+            return None;
+        }
+        let largest = self.shapes.keys().fold(Size::ZERO, |m, s| m.max(s));
+        Some(
+            need.exceeds(&largest)
+                .map_or(Refusal::NoShape, Refusal::TooLarge),
+        )
+    }
+
+    /// Returns how many tasks of this size the empty machines could hold.
+    pub(crate) fn places_ever(&self, need: &Size) -> u64 {
+        self.shapes
+            .iter()
+            .map(|(shape, count)| need.times_in(shape) * u64::from(*count))
+            .sum()
+    }
+
+    /// Brings indexes and sums up to date with a machine's free capacity.
+    fn reindex(&mut self, key: MachineKey) {
+        let machine = &self.machines[key];
+        let (tier, free) = (index_of(machine), machine.free());
+        let open = matches!(tier, Some(t) if t != KEPT);
+        let shown = if open { free } else { Size::ZERO };
+        self.count_free(key, shown);
+        let spot = self.machines[key].spot;
+        if let (Some(spot), Some(tier)) = (spot, tier) {
+            let index = &self.indexes[usize::from(tier)];
+            if spot.tier == tier && index.stays(&self.buckets, spot, &free) {
+                return;
+            }
+        }
+        if let Some(spot) = spot {
+            let moved = self.indexes[usize::from(spot.tier)].remove(spot);
+            if let Some(moved) = moved {
+                self.machines[moved.machine].spot = Some(moved.spot);
+            }
+        }
+        let place = tier.map(|t| self.indexes[usize::from(t)].insert(&self.buckets, key, &free));
+        self.machines[key].spot = place;
+    }
+
+    fn count_free(&mut self, key: MachineKey, shown: Size) {
+        let machine = &mut self.machines[key];
+        let old = std::mem::replace(&mut machine.shown, shown);
+        let rack = &mut self.racks[machine.rack.index()];
+        rack.free = rack.free.plus(&shown).minus(&old);
+        self.free = self.free.plus(&shown).minus(&old);
+    }
+}
+
+/// Returns the index that a machine belongs in.
+fn index_of(machine: &Machine) -> Option<u8> {
+    if machine.standing != Standing::Active {
+        return None;
+    }
+    match machine.keep {
+        Some(Keep::Task(_)) => None,
+        Some(Keep::Gang(_)) => Some(KEPT),
+        None => {
+            let speed = machine.mean_speed();
+            Some(TIER_SPEEDS.iter().filter(|s| speed >= **s).count() as u8)
+        }
+    }
+}
+
+fn check_capacity(capacity: &Size) -> Result<(), Fault> {
+    if let Some(d) = Dimension::ALL
+        .into_iter()
+        .find(|&d| capacity.get(d) > MAX_AMOUNT)
+    {
+        return Err(Fault::BadCapacity(d));
+    }
+    if capacity.get(Dimension::Slots) == 0 {
+        return Err(Fault::BadCapacity(Dimension::Slots));
+    }
+    Ok(())
+}
--- a/crates/kingcupwinch-policy/src/lib.rs
+++ b/crates/kingcupwinch-policy/src/lib.rs
@@ -1,1 +1,71 @@
 //! Scheduling decisions: queues, shares, placement, gangs, admission, retries and worker health.
+//!
+//! A [`Cell`] holds the machines of one owner and the work that waits and runs on them. It is pure:
+//! it takes events and the time, and [`Cell::decide`] says what to do. It does no I/O, reads no
+//! clock and draws its random numbers from a seed, so one sequence of calls always gives the same
+//! decisions.
+//!
+//! ```
+//! use kingcupwinch_policy::{Cell, ClassSpec, CustomerSpec, Decision, End, Kind, MachineSpec};
+//! use kingcupwinch_policy::{Outcome, Plan, Size, TaskSpec};
+//! use kingcupwinch_time::{Span, Time};
+//!
+//! let plan = Plan::new()
+//!     .with_class(ClassSpec::new("check", Kind::Live, 0))
+//!     .with_customer(CustomerSpec::new("festival", 1.0));
+//! let mut cell = Cell::new(plan, 7)?;
+//! let check = cell.class("check").expect("declared above");
+//! let festival = cell.customer("festival").expect("declared above");
+//!
+//! let now = Time::ZERO;
+//! let capacity = Size::new(16_000, 65_536).with_slots(8).with_connections(64);
+//! cell.add_machine(MachineSpec::new("w1", "harju-a", "r1", capacity), now)?;
+//!
+//! let size = Size::new(500, 256).with_connections(1);
+//! let task = cell.submit(TaskSpec::new(check, festival, size, Span::from_millis(80)), now)?;
+//! let mut decisions = Vec::new();
+//! cell.decide(now, &mut decisions);
+//! assert!(matches!(decisions[..], [Decision::Start(p)] if p.task == task));
+//! let Decision::Start(place) = decisions[0] else { return Ok(()) };
+//!
+//! let later = now + Span::from_millis(75);
+//! cell.ended(place, End::new(Outcome::Done, Span::from_millis(75)), later)?;
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod cell;
+mod class;
+mod counters;
+mod decision;
+mod estimate;
+mod fleet;
+mod gang;
+mod headroom;
+mod health;
+mod index;
+mod key;
+mod limit;
+mod machine;
+mod place;
+mod plan;
+mod queue;
+mod refusal;
+mod retry;
+mod size;
+mod task;
+
+pub use cell::Cell;
+pub use counters::{ClassCounters, Counters};
+pub use decision::{
+    Cancel, Credit, Decision, End, GangTicket, Next, NotStarted, Outcome, Placement, Placements,
+    TaskSpec, Usage,
+};
+pub use gang::{GangSpec, Spread};
+pub use key::{ClassKey, CreditKey, CustomerKey, GangKey, HoldKey, MachineKey, RackKey, TaskKey};
+pub use machine::{MachineSpec, Standing};
+pub use plan::{
+    ClassSpec, Contract, CustomerSpec, Kind, MAX_ENTRIES, Means, Permille, Plan, Rate, Retry,
+    Weights,
+};
+pub use refusal::{Fault, Refusal};
+pub use size::{DIMENSIONS, Dimension, MAX_AMOUNT, Size};
--- /dev/null
+++ b/crates/kingcupwinch-policy/src/machine.rs
@@ -0,0 +1,169 @@
+//! One machine as the cell sees it.
+
+use std::sync::Arc;
+
+use kingcupwinch_time::Time;
+
+use crate::health::Health;
+use crate::index::Spot;
+use crate::key::{ClassKey, GangKey, RackKey, TaskKey};
+use crate::size::Size;
+
+/// The weight of a new observation of a machine's speed.
+const SPEED_WEIGHT: f64 = 0.1;
+/// The slowest speed that is believed.
+const MIN_SPEED: f64 = 0.05;
+/// The fastest speed that is believed.
+const MAX_SPEED: f64 = 64.0;
+
+/// A machine as the platform declares it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct MachineSpec {
+    /// Its name in the platform's list.
+    pub name: Arc<str>,
+    /// Its failure domain.
+    pub zone: Arc<str>,
+    /// Its rack.
+    pub rack: Arc<str>,
+    /// What it can hold.
+    pub capacity: Size,
+    /// Its declared speed, 1 for the reference machine.
+    pub speed: f64,
+}
+
+impl MachineSpec {
+    /// Makes a machine of speed 1.
+    pub fn new(name: &str, zone: &str, rack: &str, capacity: Size) -> Self {
+        MachineSpec {
+            name: Arc::from(name),
+            zone: Arc::from(zone),
+            rack: Arc::from(rack),
+            capacity,
+            speed: 1.0,
+        }
+    }
+
+    /// Sets the declared speed.
+    #[must_use]
+    pub fn with_speed(mut self, speed: f64) -> Self {
+        self.speed = speed;
+        self
+    }
+}
+
+/// Whether a machine takes work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// It takes work.
+    Active,
+    /// It takes single probes until this deadline for the next one.
+    Quarantined,
+    /// It takes no new work and finishes what runs.
+    Leaving,
+    /// It is gone; its tasks wait for their leases to lapse.
+    Gone,
+}
+
+/// Who a machine's free capacity is kept for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Keep {
+    /// One task for which others are being moved.
+    Task(TaskKey),
+    /// A gang that gathers places.
+    Gang(GangKey),
+}
+
+/// A machine of the cell.
+#[derive(Debug)]
+pub(crate) struct Machine {
+    pub(crate) spec: MachineSpec,
+    pub(crate) rack: RackKey,
+    pub(crate) standing: Standing,
+    /// Counted for tasks and holds.
+    pub(crate) used: Size,
+    /// Observed beyond what is counted.
+    pub(crate) excess: Size,
+    /// When the last use was taken.
+    pub(crate) observed: Time,
+    pub(crate) running: Vec<TaskKey>,
+    pub(crate) keep: Option<Keep>,
+    /// How many of its running tasks are throttled.
+    pub(crate) throttled: u32,
+    pub(crate) health: Health,
+    /// The task that runs as a probe of its health.
+    pub(crate) probe: Option<TaskKey>,
+    /// What the sums of free capacity hold for it.
+    pub(crate) shown: Size,
+    /// Where it stands in an index of free capacity.
+    pub(crate) spot: Option<Spot>,
+    /// Where it stands in the list of machines with work that can be moved.
+    pub(crate) movable: Movable,
+    speeds: Vec<f64>,
+}
+
+/// Running work that can be moved off a machine.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Movable {
+    /// How many running tasks can be moved.
+    pub(crate) count: u32,
+    /// The machine's position in the list.
+    pub(crate) position: u32,
+}
+
+impl Machine {
+    pub(crate) fn new(spec: MachineSpec, rack: RackKey) -> Self {
+        Machine {
+            spec,
+            rack,
+            standing: Standing::Active,
+            used: Size::ZERO,
+            excess: Size::ZERO,
+            observed: Time::ZERO,
+            running: Vec::new(),
+            keep: None,
+            throttled: 0,
+            health: Health::default(),
+            probe: None,
+            shown: Size::ZERO,
+            spot: None,
+            movable: Movable::default(),
+            speeds: Vec::new(),
+        }
+    }
+
+    /// Returns what is neither counted nor seen in use.
+    pub(crate) fn free(&self) -> Size {
+        self.spec.capacity.minus(&self.used).minus(&self.excess)
+    }
+
+    /// Returns the speed seen for a class, the declared one before any observation.
+    pub(crate) fn speed(&self, class: ClassKey) -> f64 {
+        match self.speeds.get(class.index()) {
+            Some(speed) if *speed > 0.0 => *speed,
+            _ => self.spec.speed,
+        }
+    }
+
+    /// Takes in the speed of one run; the new speed.
+    pub(crate) fn note_speed(&mut self, class: ClassKey, speed: f64) -> f64 {
+        let old = self.speed(class);
+        let seen = speed.clamp(MIN_SPEED, MAX_SPEED);
+        let new = old + SPEED_WEIGHT * (seen - old);
+        if self.speeds.len() <= class.index() {
+            self.speeds.resize(class.index() + 1, 0.0);
+        }
+        self.speeds[class.index()] = new;
+        new
+    }
+
+    /// Returns the mean of the speeds seen, the declared one before any observation.
+    pub(crate) fn mean_speed(&self) -> f64 {
+        let seen = self.speeds.iter().filter(|s| **s > 0.0);
+        let (sum, count) = seen.fold((0.0, 0u32), |(s, n), v| (s + v, n + 1));
+        if count == 0 {
+            self.spec.speed
+        } else {
+            sum / f64::from(count)
+        }
+    }
+}
