--- /dev/null
+++ b/crates/kingcupwinch-link/src/lib.rs
@@ -0,0 +1,1 @@
+//! Message links between the instances of one failure domain.
--- /dev/null
+++ b/crates/kingcupwinch-platform/src/lib.rs
@@ -0,0 +1,41 @@
+//! HTTP clients for the platform's log service, instance list and workers.
+//!
+//! Every call has a deadline and a typed error that tells apart what certainly did not happen
+//! from what may have happened. A request is certainly not sent only if no byte of it was written;
+//! hyper certifies this by handing the request back.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use kingcupwinch_fakes::{FakeLog, LogFront};
+//! use kingcupwinch_platform::LogClient;
+//! use tokio::time::Instant;
+//!
+//! # fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! # tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(async {
+//! let log = FakeLog::new();
+//! let front = LogFront::start(&log, "127.0.0.1:0".parse()?).await?;
+//! let client = LogClient::new(front.address());
+//! let deadline = Instant::now() + Duration::from_secs(5);
+//! let offset = client.append("config", "a record", deadline).await?;
+//! assert_eq!(offset.0, 0);
+//! # Ok(())
+//! # })
+//! # }
+//! ```
+
+mod body;
+mod error;
+mod log;
+mod pool;
+mod reply;
+mod roster;
+mod worker;
+
+pub use body::{AnswerBody, BodyError, RequestBody, full_body};
+pub use error::{
+    AppendError, LostCause, NotSentCause, ReadError, RosterError, SendError, WorkerError,
+};
+pub use log::LogClient;
+pub use roster::RosterClient;
+pub use worker::{CONTROL_CONNECTIONS, Stamp, WorkerClient};
--- /dev/null
+++ b/crates/kingcupwinch-platform/src/pool.rs
@@ -0,0 +1,192 @@
+//! A bounded pool of HTTP/1.1 connections to one address.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{HOST, HeaderMap, HeaderValue};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, timeout_at};
+
+use crate::body::{AnswerBody, RequestBody};
+use crate::error::{LostCause, NotSentCause, SendError};
+
+/// How long a connection may take to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a connection may take to end a request whose answer has ended.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The pool; never has more connections open than its limit.
+#[derive(Debug)]
+pub(crate) struct Pool {
+    address: SocketAddr,
+    host: HeaderValue,
+    permits: Arc<Semaphore>,
+    idle: Mutex<Vec<Connection>>,
+    freed: Notify,
+}
+
+/// An open connection; dropping it closes it.
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<RequestBody>,
+    task: AbortHandle,
+    fresh: bool,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// A connection in use.
+#[derive(Debug)]
+pub(crate) struct Lease {
+    connection: Connection,
+    pool: Arc<Pool>,
+}
+
+impl Pool {
+    pub(crate) fn new(address: SocketAddr, limit: usize) -> Arc<Self> {
+        let host = HeaderValue::from_str(&address.to_string());
+        Arc::new(Pool {
+            address,
+            host: host.unwrap_or_else(|_| HeaderValue::from_static("")),
+            permits: Arc::new(Semaphore::new(limit)),
+            idle: Mutex::default(),
+            freed: Notify::new(),
+        })
+    }
+
+    /// Sends a request and waits for the head of its answer. `check` sees the headers at the last
+    /// step before each write and may refuse the request.
+    pub(crate) async fn send(
+        self: &Arc<Self>,
+        mut request: Request<RequestBody>,
+        deadline: Instant,
+        mut check: impl FnMut(&mut HeaderMap) -> bool,
+    ) -> Result<Response<AnswerBody>, SendError> {
+        let host = self.host.clone();
+        request.headers_mut().insert(HOST, host);
+        loop {
+            let mut connection = self.acquire(deadline).await?;
+            if !check(request.headers_mut()) {
+                self.put_back(connection);
+                return Err(NotSentCause::Withheld.into());
+            }
+            let answer = connection.sender.try_send_request(request);
+            let Ok(answer) = timeout_at(deadline, answer).await else {
+                return Err(LostCause::Timeout.into());
+            };
+            let mut error = match answer {
+                Ok(answer) => {
+                    let pool = Arc::clone(self);
+                    let lease = Lease { connection, pool };
+                    return Ok(answer.map(|incoming| AnswerBody::new(incoming, lease)));
+                }
+                Err(error) => error,
+            };
+            // hyper hands the request back only if it had not begun to write it.
+            match error.take_message() {
+                None => return Err(LostCause::Broken(error.into_error()).into()),
+                Some(_) if connection.fresh => {
+                    return Err(NotSentCause::Closed(error.into_error()).into());
+                }
+                Some(unsent) => request = unsent,
+            }
+        }
+    }
+
+    /// Closes the connections that are not in use.
+    pub(crate) fn close_idle(&self) {
+        self.idle().clear();
+    }
+
+    async fn acquire(&self, deadline: Instant) -> Result<Connection, NotSentCause> {
+        loop {
+            if let Some(connection) = self.pop_idle() {
+                return Ok(connection);
+            }
+            tokio::select! {
+                biased;
+                () = self.freed.notified() => {}
+                permit = Arc::clone(&self.permits).acquire_owned() => {
+                    let Ok(permit) = permit else {
+                        return Err(NotSentCause::Timeout);
+                    };
+                    return self.open(permit, deadline).await;
+                }
+                () = tokio::time::sleep_until(deadline) => return Err(NotSentCause::Timeout),
+            }
+        }
+    }
+
+    fn pop_idle(&self) -> Option<Connection> {
+        let mut idle = self.idle();
+        loop {
+            let connection = idle.pop()?;
+            if connection.sender.is_ready() {
+                return Some(connection);
+            }
+        }
+    }
+
+    async fn open(
+        &self,
+        permit: OwnedSemaphorePermit,
+        deadline: Instant,
+    ) -> Result<Connection, NotSentCause> {
+        let until = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+        let connected = timeout_at(until, TcpStream::connect(self.address)).await;
+        let stream = connected.map_err(|_| NotSentCause::Timeout)??;
+        stream.set_nodelay(true)?;
+        let shaken = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = shaken.map_err(NotSentCause::Closed)?;
+        let task = tokio::spawn(async move {
+            // An error reaches the request that meets it.
+            let _ended = connection.await;
+            drop(permit);
+        });
+        Ok(Connection {
+            sender,
+            task: task.abort_handle(),
+            fresh: true,
+        })
+    }
+
+    fn put_back(&self, mut connection: Connection) {
+        connection.fresh = false;
+        self.idle().push(connection);
+        self.freed.notify_one();
+    }
+
+    fn idle(&self) -> MutexGuard<'_, Vec<Connection>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Lease {
+    /// Gives the connection back as soon as it can carry another request.
+    pub(crate) fn release(self) {
+        let Lease {
+            mut connection,
+            pool,
+        } = self;
+        if connection.sender.is_ready() {
+            pool.put_back(connection);
+            return;
+        }
+        tokio::spawn(async move {
+            let ready = tokio::time::timeout(RELEASE_TIMEOUT, connection.sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
+                pool.put_back(connection);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-platform/src/roster.rs
@@ -0,0 +1,47 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+use kingcupwinch_wire::roster::{Instance, Instances};
+use tokio::time::Instant;
+
+use crate::body::full_body;
+use crate::error::RosterError;
+use crate::pool::Pool;
+use crate::reply::{Reply, request};
+
+const CONNECTIONS: usize = 2;
+
+/// A client of the instance list; clones share its connections.
+#[derive(Debug, Clone)]
+pub struct RosterClient {
+    pool: Arc<Pool>,
+}
+
+impl RosterClient {
+    /// Makes a client of the list at an address; connections are made when they are needed.
+    pub fn new(address: SocketAddr) -> Self {
+        RosterClient {
+            pool: Pool::new(address, CONNECTIONS),
+        }
+    }
+
+    /// Returns the instances of a failure domain as they are listed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the list can't be reached or its answer is malformed.
+    pub async fn list(
+        &self,
+        domain: &str,
+        deadline: Instant,
+    ) -> Result<Vec<Instance>, RosterError> {
+        let path = format!("/v1/instances?domain={domain}");
+        let request = request(Method::GET, &path, full_body(Bytes::new()));
+        let answer = self.pool.send(request, deadline, |_| true).await?;
+        let reply = Reply::read(answer, deadline).await?;
+        let instances: Instances = reply.expect(StatusCode::OK)?.json()?;
+        Ok(instances.instances)
+    }
+}
--- a/crates/kingcupwinch-wire/src/config.rs
+++ b/crates/kingcupwinch-wire/src/config.rs
@@ -1,7 +1,7 @@
 //! Records of the configuration stream.
 
-use kingcupwinch_coord::id::Version;
-use kingcupwinch_coord::record::{ConfigRecord, Stamped};
+use kingcupwinch_coord::id::{Offset, Version};
+use kingcupwinch_coord::record::{ConfigRecord, Origin, Stamped};
 use kingcupwinch_time::WallTime;
 use prost::Message;
 
@@ -17,7 +17,7 @@
 pub fn decode_config(bytes: &[u8]) -> Result<Stamped<ConfigRecord>, DecodeError> {
     check_size(bytes.len(), MAX_RECORD_BYTES)?;
     let entry = pb::ConfigEntry::decode(bytes)?;
-    let origin = entry.origin.as_ref().map(|o| record_id(o, "origin"));
+    let origin = entry.origin.as_ref().map(decode_origin);
     let body = ConfigRecord {
         based: Version(entry.based),
         version: Version(entry.version),
@@ -39,10 +39,24 @@
         id: record_id_bytes(record.id),
         based: body.based.0,
         version: body.version.0,
-        origin: body.origin.map(record_id_bytes),
+        origin: body.origin.map(encode_origin),
         author: body.author.to_string(),
         published_ms: body.published.as_millis(),
         tree: body.tree.to_string(),
     };
     entry.encode_to_vec()
 }
+
+fn decode_origin(origin: &pb::Origin) -> Result<Origin, DecodeError> {
+    Ok(Origin {
+        id: record_id(&origin.id, "origin.id")?,
+        covers: Offset(origin.covers),
+    })
+}
+
+fn encode_origin(origin: Origin) -> pb::Origin {
+    pb::Origin {
+        id: record_id_bytes(origin.id),
+        covers: origin.covers.0,
+    }
+}
--- a/crates/kingcupwinch-wire/src/job.rs
+++ b/crates/kingcupwinch-wire/src/job.rs
@@ -30,6 +30,7 @@
             covers: Offset(s.covers),
             open: decode_accepted(&s.open)?,
             started: decode_started(&s.started)?,
+            ended: decode_ended(&s.ended)?,
         },
     };
     Ok(Stamped {
@@ -54,10 +55,12 @@
             covers,
             open,
             started,
+            ended,
         } => Body::Snapshot(pb::JobSnapshot {
             covers: covers.0,
             open: encode_accepted(open),
             started: encode_started(started),
+            ended: encode_ended(ended),
         }),
     };
     let entry = pb::JobEntry {
--- a/crates/kingcupwinch-wire/tests/round_trip.rs
+++ b/crates/kingcupwinch-wire/tests/round_trip.rs
@@ -5,7 +5,7 @@
     Attempt, Incarnation, JobId, Offset, RecordId, ShardId, TaskId, Term, Version,
 };
 use kingcupwinch_coord::record::{
-    AcceptedJob, Claim, ConfigRecord, HandOver, JobEnd, JobRecord, Member, OwnerRecord,
+    AcceptedJob, Claim, ConfigRecord, HandOver, JobEnd, JobRecord, Member, Origin, OwnerRecord,
     OwnerSnapshot, ShardState, Stamped,
 };
 use kingcupwinch_time::{Span, WallTime};
@@ -103,6 +103,7 @@
             covers: Offset(2),
             open: vec![accepted],
             started: vec![(job, Term(8))],
+            ended: vec![(job, JobEnd::Done)],
         },
     ]
 }
@@ -117,7 +118,10 @@
         tree: "{}".into(),
     };
     let snapshot = ConfigRecord {
-        origin: Some(RecordId(Uuid::from_u128(6))),
+        origin: Some(Origin {
+            id: RecordId(Uuid::from_u128(6)),
+            covers: Offset(4),
+        }),
         ..made.clone()
     };
     vec![made, snapshot]
