--- a/crates/kingcupwinch-wire/src/config.rs
+++ b/crates/kingcupwinch-wire/src/config.rs
@@ -47,15 +47,15 @@
     entry.encode_to_vec()
 }
 
-fn decode_origin(origin: &pb::ConfigOrigin) -> Result<Origin, DecodeError> {
+fn decode_origin(origin: &pb::Origin) -> Result<Origin, DecodeError> {
     Ok(Origin {
-        id: record_id(&origin.id, "origin")?,
+        id: record_id(&origin.id, "origin.id")?,
         covers: Offset(origin.covers),
     })
 }
 
-fn encode_origin(origin: Origin) -> pb::ConfigOrigin {
-    pb::ConfigOrigin {
+fn encode_origin(origin: Origin) -> pb::Origin {
+    pb::Origin {
         id: record_id_bytes(origin.id),
         covers: origin.covers.0,
     }
