--- /dev/null
+++ b/crates/kingcupwinch-cli/src/burn/mod.rs
@@ -0,0 +1,19 @@
+//! Burn rates of service-level objectives, from scrapes of the daemons' metrics.
+//!
+//! The burn rate is the share of bad events divided by the share that the objective allows; at 1
+//! the budget lasts exactly its period. An alert needs a high rate over a long and a short window
+//! at once, after "Alerting on SLOs" in the Site Reliability Workbook.
+
+mod plot;
+mod rate;
+mod sample;
+mod scrape;
+mod series;
+mod window;
+
+pub(crate) use plot::{PlotError, draw_svg};
+pub(crate) use rate::{Report, Row, WindowRate, assess, rate_series};
+pub(crate) use sample::{ClassSample, Sample, parse_scrape};
+pub(crate) use scrape::{Scrape, ScrapeError, file_name, load_scrapes};
+pub(crate) use series::{Events, History};
+pub(crate) use window::{BUDGET_MS, PAIRS, WindowPair};
--- /dev/null
+++ b/crates/kingcupwinch-cli/src/burn/rate.rs
@@ -0,0 +1,254 @@
+//! Burn rates, alerts and what is left of each budget.
+
+use std::sync::Arc;
+
+use kingcupwinch_config::{Objective, Tree};
+use serde::Serialize;
+
+use super::scrape::Scrape;
+use super::series::{Events, History};
+use super::window::{BUDGET_MS, PAIRS, WindowPair, scale_ms};
+
+/// What an objective counts as bad.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum Indicator {
+    /// Work that waited longer than the bound.
+    Waiting,
+    /// Requests refused as not run.
+    NotRun,
+    /// Requests whose outcome is unknown.
+    Unknown,
+}
+
+impl Indicator {
+    const ALL: [Indicator; 3] = [Indicator::Waiting, Indicator::NotRun, Indicator::Unknown];
+
+    /// Returns the indicator's name.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Indicator::Waiting => "waiting",
+            Indicator::NotRun => "not-run",
+            Indicator::Unknown => "unknown",
+        }
+    }
+
+    /// Returns the bad events and all events.
+    fn count(self, events: &Events) -> (f64, f64) {
+        match self {
+            Indicator::Waiting => (events.starts - events.in_time, events.starts),
+            Indicator::NotRun => (events.not_run, events.requests),
+            Indicator::Unknown => (events.unknown, events.requests),
+        }
+    }
+
+    /// Returns the share of events that may be bad.
+    fn allowed(self, objective: &Objective) -> f64 {
+        match self {
+            Indicator::Waiting => 1.0 - objective.waiting_target.get(),
+            Indicator::NotRun => objective.not_run_most.get(),
+            Indicator::Unknown => objective.unknown_most.get(),
+        }
+    }
+
+    /// Returns the burn rate, none without events.
+    fn rate(self, events: &Events, allowed: f64) -> Option<f64> {
+        let (bad, all) = self.count(events);
+        if all <= 0.0 {
+            return None;
+        }
+        if bad <= 0.0 {
+            return Some(0.0);
+        }
+        Some((bad / all / allowed).min(MAX_RATE))
+    }
+}
+
+/// The largest burn rate that is told, for objectives that allow nothing bad at all.
+const MAX_RATE: f64 = 1_000_000.0;
+
+/// The burn rates of one pair of windows.
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize)]
+pub(crate) struct WindowRate {
+    /// The alert's name.
+    pub(crate) pair: &'static str,
+    /// The length of the long window in milliseconds.
+    pub(crate) long_ms: u64,
+    /// The length of the short window in milliseconds.
+    pub(crate) short_ms: u64,
+    /// The burn rate over the long window, none without events.
+    pub(crate) long_rate: Option<f64>,
+    /// The burn rate over the short window, none without events.
+    pub(crate) short_rate: Option<f64>,
+    /// The rate from which the alert is raised.
+    pub(crate) threshold: f64,
+    /// The share of the long window that the scrapes span.
+    pub(crate) covered: f64,
+    /// Whether both rates reach the threshold.
+    pub(crate) is_alert: bool,
+}
+
+/// One indicator of one class.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
+pub(crate) struct Row {
+    /// The class.
+    pub(crate) class: Arc<str>,
+    /// What counts as bad.
+    pub(crate) indicator: Indicator,
+    /// The share of events that may be bad.
+    pub(crate) allowed: f64,
+    /// Bad events in the span of the scrapes.
+    pub(crate) bad: f64,
+    /// All events in that span.
+    pub(crate) all: f64,
+    /// The share of the 30-day budget that is left, counting only the span of the scrapes.
+    pub(crate) budget_left: f64,
+    /// The burn rates by pair of windows.
+    pub(crate) windows: Vec<WindowRate>,
+}
+
+/// The burn rates of every objective.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
+pub(crate) struct Report {
+    /// The time of the oldest scrape, in milliseconds since the Unix epoch.
+    pub(crate) start_ms: u64,
+    /// The time of the newest scrape, in milliseconds since the Unix epoch.
+    pub(crate) end_ms: u64,
+    /// Instances scraped.
+    pub(crate) instances: usize,
+    /// The indicators by class.
+    pub(crate) rows: Vec<Row>,
+}
+
+impl Report {
+    /// Returns whether any alert is raised.
+    pub(crate) fn is_alert(&self) -> bool {
+        self.rows.iter().any(|row| row.windows.iter().any(|w| w.is_alert))
+    }
+}
+
+/// The span of the scrapes and the factor on every window.
+#[derive(Debug, Clone, Copy)]
+struct Span {
+    start_ms: u64,
+    end_ms: u64,
+    scale: f64,
+}
+
+/// Assesses every objective of the tree; none without scrapes.
+pub(crate) fn assess(tree: &Tree, scrapes: &[Scrape], scale: f64) -> Option<Report> {
+    let span = Span {
+        start_ms: scrapes.first()?.taken_ms,
+        end_ms: scrapes.last()?.taken_ms,
+        scale,
+    };
+    let mut rows = Vec::new();
+    for (class, objective) in &tree.objectives {
+        let history = History::new(scrapes, class, objective.waiting_ms.get());
+        for indicator in Indicator::ALL {
+            let allowed = indicator.allowed(objective);
+            rows.push(row(class, indicator, allowed, &history, span));
+        }
+    }
+    let mut instances: Vec<&Arc<str>> = scrapes.iter().map(|s| &s.instance).collect();
+    instances.sort();
+    instances.dedup();
+    Some(Report {
+        start_ms: span.start_ms,
+        end_ms: span.end_ms,
+        instances: instances.len(),
+        rows,
+    })
+}
+
+fn row(
+    class: &Arc<str>,
+    indicator: Indicator,
+    allowed: f64,
+    history: &History,
+    span: Span,
+) -> Row {
+    let events = history.events(span.start_ms, span.end_ms);
+    let (bad, all) = indicator.count(&events);
+    let rate = indicator.rate(&events, allowed).unwrap_or_default();
+    let length = span.end_ms.saturating_sub(span.start_ms) as f64;
+    let spent = rate * length / scale_ms(BUDGET_MS, span.scale) as f64;
+    let windows = PAIRS.map(|pair| {
+        let pair = pair.with_scale(span.scale);
+        window_rate(indicator, allowed, history, span, pair)
+    });
+    Row {
+        class: Arc::clone(class),
+        indicator,
+        allowed,
+        bad,
+        all,
+        budget_left: 1.0 - spent,
+        windows: windows.to_vec(),
+    }
+}
+
+fn window_rate(
+    indicator: Indicator,
+    allowed: f64,
+    history: &History,
+    span: Span,
+    pair: WindowPair,
+) -> WindowRate {
+    let over = |length_ms: u64| {
+        let start_ms = span.end_ms.saturating_sub(length_ms);
+        indicator.rate(&history.events(start_ms, span.end_ms), allowed)
+    };
+    let long_rate = over(pair.long_ms);
+    let short_rate = over(pair.short_ms);
+    let reaches = |rate: Option<f64>| rate.is_some_and(|r| r >= pair.threshold);
+    let spanned = span.end_ms.saturating_sub(span.start_ms);
+    WindowRate {
+        pair: pair.name,
+        long_ms: pair.long_ms,
+        short_ms: pair.short_ms,
+        long_rate,
+        short_rate,
+        threshold: pair.threshold,
+        covered: (spanned as f64 / pair.long_ms as f64).min(1.0),
+        is_alert: reaches(long_rate) && reaches(short_rate),
+    }
+}
+
+/// The burn rate of one indicator over the fast pair's short window, at the time of each scrape.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct RateSeries {
+    /// The class and the indicator.
+    pub(crate) label: String,
+    /// Seconds since the first scrape, and the burn rate.
+    pub(crate) points: Vec<(f64, f64)>,
+}
+
+/// Returns the burn rates over time for a plot.
+pub(crate) fn rate_series(tree: &Tree, scrapes: &[Scrape], scale: f64) -> Vec<RateSeries> {
+    let window_ms = PAIRS[0].with_scale(scale).short_ms;
+    let start_ms = scrapes.first().map_or(0, |s| s.taken_ms);
+    let mut times: Vec<u64> = scrapes.iter().map(|s| s.taken_ms).collect();
+    times.dedup();
+    let mut series = Vec::new();
+    for (class, objective) in &tree.objectives {
+        let history = History::new(scrapes, class, objective.waiting_ms.get());
+        for indicator in Indicator::ALL {
+            let allowed = indicator.allowed(objective);
+            let point = |time: &u64| {
+                let events = history.events(time.saturating_sub(window_ms), *time);
+                let rate = indicator.rate(&events, allowed)?;
+                Some(((time - start_ms) as f64 / 1_000.0, rate))
+            };
+            series.push(RateSeries {
+                label: format!("{class} {}", indicator.as_str()),
+                points: times.iter().filter_map(point).collect(),
+            });
+        }
+    }
+    series
+}
--- /dev/null
+++ b/crates/kingcupwinch-cli/src/burn/scrape.rs
@@ -0,0 +1,76 @@
+//! Scrapes of instances, held in memory or saved in a folder.
+
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use quick_error::quick_error;
+
+use super::sample::{Sample, parse_scrape};
+
+/// The ending of a saved scrape's file.
+const FILE_ENDING: &str = "prom";
+
+quick_error! {
+    /// A saved scrape that can't be used.
+    #[derive(Debug)]
+    pub(crate) enum ScrapeError {
+        /// The folder or a file can't be read.
+        Read(path: PathBuf, cause: io::Error) {
+            display("{} can't be read: {cause}", path.display())
+            source(cause)
+        }
+        /// A file's name isn't `<milliseconds>-<instance>.prom`.
+        Name(path: PathBuf) {
+            display("{} isn't named <milliseconds>-<instance>.prom", path.display())
+        }
+    }
+}
+
+/// The counters of one instance at one time.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Scrape {
+    /// When it was taken, in milliseconds since the Unix epoch.
+    pub(crate) taken_ms: u64,
+    /// The instance.
+    pub(crate) instance: Arc<str>,
+    /// Its counters.
+    pub(crate) sample: Sample,
+}
+
+/// Returns the file name of a saved scrape.
+pub(crate) fn file_name(taken_ms: u64, instance: &str) -> String {
+    format!("{taken_ms}-{instance}.{FILE_ENDING}")
+}
+
+/// Reads the saved scrapes of a folder, oldest first.
+pub(crate) fn load_scrapes(folder: &Path) -> Result<Vec<Scrape>, ScrapeError> {
+    let read_error = |path: &Path| {
+        let path = path.to_owned();
+        move |cause| ScrapeError::Read(path, cause)
+    };
+    let mut scrapes = Vec::new();
+    for entry in fs::read_dir(folder).map_err(read_error(folder))? {
+        let path = entry.map_err(read_error(folder))?.path();
+        if path.extension().is_none_or(|ending| ending != FILE_ENDING) {
+            continue;
+        }
+        let (taken_ms, instance) =
+            split_name(&path).ok_or_else(|| ScrapeError::Name(path.clone()))?;
+        let text = fs::read_to_string(&path).map_err(read_error(&path))?;
+        let sample = parse_scrape(&text).map_err(read_error(&path))?;
+        scrapes.push(Scrape {
+            taken_ms,
+            instance,
+            sample,
+        });
+    }
+    scrapes.sort_by(|a, b| (a.taken_ms, &a.instance).cmp(&(b.taken_ms, &b.instance)));
+    Ok(scrapes)
+}
+
+fn split_name(path: &Path) -> Option<(u64, Arc<str>)> {
+    let (taken, instance) = path.file_stem()?.to_str()?.split_once('-')?;
+    Some((taken.parse().ok()?, Arc::from(instance)))
+}
--- /dev/null
+++ b/crates/kingcupwinch-cli/src/burn/series.rs
@@ -0,0 +1,121 @@
+//! Events between scrapes, with the resets of replaced instances taken into account.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::sample::ClassSample;
+use super::scrape::Scrape;
+
+/// Events of one class.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(crate) struct Events {
+    /// Work that started.
+    pub(crate) starts: f64,
+    /// Work that started within the bound on waiting.
+    pub(crate) in_time: f64,
+    /// Requests with an outcome.
+    pub(crate) requests: f64,
+    /// Requests refused as not run.
+    pub(crate) not_run: f64,
+    /// Requests whose outcome is unknown.
+    pub(crate) unknown: f64,
+}
+
+impl Events {
+    /// Reads the counters of a sample; a bound between two buckets counts by the lower one.
+    fn with_sample(sample: &ClassSample, bound_s: f64) -> Self {
+        let within = sample.buckets.iter().rev().find(|(le, _)| *le <= bound_s);
+        let outcome = |name: &str| sample.outcomes.get(name).copied().unwrap_or_default();
+        Events {
+            starts: sample.buckets.last().map_or(0.0, |(_, count)| *count),
+            in_time: within.map_or(0.0, |(_, count)| *count),
+            requests: sample.outcomes.values().sum(),
+            not_run: outcome("not_run"),
+            unknown: outcome("unknown"),
+        }
+    }
+
+    /// Combines two counts field by field.
+    fn zip(self, other: Events, combine: impl Fn(f64, f64) -> f64) -> Self {
+        Events {
+            starts: combine(self.starts, other.starts),
+            in_time: combine(self.in_time, other.in_time),
+            requests: combine(self.requests, other.requests),
+            not_run: combine(self.not_run, other.not_run),
+            unknown: combine(self.unknown, other.unknown),
+        }
+    }
+
+    /// Returns the growth since `before`, or all of it where a counter has started anew.
+    ///
+    /// The total of a family of counters shows the reset: its parts can't fall on their own.
+    fn since(self, before: Events) -> Self {
+        let is_reset = self.starts < before.starts || self.requests < before.requests;
+        if is_reset {
+            return self;
+        }
+        self.zip(before, |now, then| (now - then).max(0.0))
+    }
+
+    fn add_scaled(&mut self, other: Events, part: f64) {
+        *self = self.zip(other, |sum, more| sum + more * part);
+    }
+}
+
+/// Events of one class at one instance between two scrapes.
+#[derive(Debug, Clone, Copy)]
+struct Step {
+    from_ms: u64,
+    to_ms: u64,
+    events: Events,
+}
+
+impl Step {
+    /// Returns the part of the step that lies after `start_ms` and up to `end_ms`.
+    fn overlap(&self, start_ms: u64, end_ms: u64) -> f64 {
+        let from = self.from_ms.max(start_ms);
+        let to = self.to_ms.min(end_ms);
+        let length = self.to_ms.saturating_sub(self.from_ms).max(1);
+        to.saturating_sub(from) as f64 / length as f64
+    }
+}
+
+/// The events of one class over time, all instances together.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct History {
+    steps: Vec<Step>,
+}
+
+impl History {
+    /// Builds the history of a class from scrapes in the order of time.
+    pub(crate) fn new(scrapes: &[Scrape], class: &str, bound_ms: u64) -> Self {
+        let bound_s = bound_ms as f64 / 1_000.0;
+        let mut last: BTreeMap<&Arc<str>, (u64, Events)> = BTreeMap::new();
+        let mut steps = Vec::new();
+        for scrape in scrapes {
+            let sample = scrape.sample.classes.get(class);
+            let now = sample.map_or_else(Events::default, |s| Events::with_sample(s, bound_s));
+            if let Some((from_ms, before)) = last.get(&scrape.instance) {
+                steps.push(Step {
+                    from_ms: *from_ms,
+                    to_ms: scrape.taken_ms,
+                    events: now.since(*before),
+                });
+            }
+            last.insert(&scrape.instance, (scrape.taken_ms, now));
+        }
+        History { steps }
+    }
+
+    /// Returns the events after `start_ms` and up to `end_ms`, in proportion within a step.
+    pub(crate) fn events(&self, start_ms: u64, end_ms: u64) -> Events {
+        let mut sum = Events::default();
+        for step in &self.steps {
+            let part = step.overlap(start_ms, end_ms);
+            if part > 0.0 {
+                sum.add_scaled(step.events, part);
+            }
+        }
+        sum
+    }
+}
