--- /dev/null
+++ b/crates/kingcupwinch-cli/src/burn/collect.rs
@@ -0,0 +1,80 @@
+//! Collects scrapes from instances over a period.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use kingcupwinch_time::WallClock;
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+use super::sample::parse_scrape;
+use super::scrape::{Scrape, file_name};
+use crate::console::Console;
+use crate::error::Error;
+use crate::http::HttpError;
+use crate::settings::Settings;
+
+/// How long and how often to collect, and where to keep what is collected.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Plan {
+    /// The length of the period in seconds.
+    pub(crate) length_s: u64,
+    /// The time between two rounds in seconds.
+    pub(crate) every_s: u64,
+    /// The folder that scrapes are saved in.
+    pub(crate) save: Option<PathBuf>,
+}
+
+/// Asks every instance at each round; one that does not answer is noted and left out.
+pub(crate) async fn collect(
+    settings: &Settings,
+    plan: &Plan,
+    console: &mut Console<'_>,
+) -> Result<Vec<Scrape>, Error> {
+    let instances = settings.known_instances()?;
+    let operator = settings.operator();
+    if let Some(folder) = &plan.save {
+        fs::create_dir_all(folder).map_err(|cause| Error::File(folder.clone(), cause))?;
+    }
+    let end = Instant::now() + Duration::from_secs(plan.length_s);
+    let mut rounds = interval(Duration::from_secs(plan.every_s));
+    rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut scrapes = Vec::new();
+    loop {
+        rounds.tick().await;
+        let taken_ms = WallClock.now().as_millis();
+        for address in instances {
+            let answer = operator.get_text(*address, "/metrics").await;
+            let scrape = answer.and_then(|text| read(taken_ms, &address.to_string(), text));
+            match scrape {
+                Ok((scrape, text)) => {
+                    save(plan.save.as_deref(), &scrape, &text)?;
+                    scrapes.push(scrape);
+                }
+                Err(cause) => console.note(format_args!("{address}: left out: {cause}"))?,
+            }
+        }
+        if Instant::now() >= end {
+            return Ok(scrapes);
+        }
+    }
+}
+
+fn read(taken_ms: u64, instance: &str, text: String) -> Result<(Scrape, String), HttpError> {
+    let sample = parse_scrape(&text).map_err(|e| HttpError::Answer(e.to_string()))?;
+    let scrape = Scrape {
+        taken_ms,
+        instance: Arc::from(instance),
+        sample,
+    };
+    Ok((scrape, text))
+}
+
+fn save(folder: Option<&Path>, scrape: &Scrape, text: &str) -> Result<(), Error> {
+    let Some(folder) = folder else {
+        return Ok(());
+    };
+    let path = folder.join(file_name(scrape.taken_ms, &scrape.instance));
+    fs::write(&path, text).map_err(|cause| Error::File(path, cause))
+}
--- a/crates/kingcupwinch-cli/src/burn/mod.rs
+++ b/crates/kingcupwinch-cli/src/burn/mod.rs
@@ -4,6 +4,7 @@
 //! the budget lasts exactly its period. An alert needs a high rate over a long and a short window
 //! at once, after "Alerting on SLOs" in the Site Reliability Workbook.
 
+pub(crate) mod collect;
 mod plot;
 mod rate;
 mod sample;
@@ -13,7 +14,4 @@
 
 pub(crate) use plot::{PlotError, draw_svg};
 pub(crate) use rate::{Report, Row, WindowRate, assess, rate_series};
-pub(crate) use sample::{ClassSample, Sample, parse_scrape};
-pub(crate) use scrape::{Scrape, ScrapeError, file_name, load_scrapes};
-pub(crate) use series::{Events, History};
-pub(crate) use window::{BUDGET_MS, PAIRS, WindowPair};
+pub(crate) use scrape::{Scrape, ScrapeError, load_scrapes};
--- /dev/null
+++ b/crates/kingcupwinch-cli/src/cmd/check.rs
@@ -0,0 +1,124 @@
+//! `check`: reads a folder and tells every fault.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use kingcupwinch_config::{Fault, Loaded, load_folder};
+use serde::Serialize;
+
+use crate::console::Console;
+use crate::error::Error;
+use crate::exit::Exit;
+
+/// A fault as a JSON object.
+#[derive(Debug)]
+#[derive(Serialize)]
+struct FaultView {
+    file: Arc<str>,
+    line: u32,
+    column: u32,
+    path: Arc<str>,
+    message: String,
+    clash: Option<String>,
+}
+
+impl From<&Fault> for FaultView {
+    fn from(fault: &Fault) -> Self {
+        FaultView {
+            file: Arc::clone(&fault.place.file),
+            line: fault.place.line,
+            column: fault.place.column,
+            path: Arc::clone(&fault.path),
+            message: fault.kind.to_string(),
+            clash: fault.clash.as_ref().map(ToString::to_string),
+        }
+    }
+}
+
+/// The outcome of a check as a JSON document.
+#[derive(Debug)]
+#[derive(Serialize)]
+struct CheckView {
+    is_valid: bool,
+    files: Vec<Arc<str>>,
+    faults: Vec<FaultView>,
+}
+
+/// Makes the subcommand.
+pub(super) fn make_subcommand() -> Command {
+    Command::new("check")
+        .about("Checks a configuration folder and tells every fault")
+        .arg(folder_arg())
+        .arg(
+            Arg::new("verbose")
+                .long("verbose")
+                .short('v')
+                .action(ArgAction::SetTrue)
+                .help("Also tell the merge order and what is passed over"),
+        )
+}
+
+/// Makes the argument that names a configuration folder.
+pub(super) fn folder_arg() -> Arg {
+    Arg::new("folder")
+        .value_name("DIR")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("Folder of *.toml files, merged in the order of their names")
+}
+
+/// Loads the folder that an argument names.
+pub(super) fn load(matches: &ArgMatches) -> Result<Loaded, Error> {
+    let folder = matches.get_one::<PathBuf>("folder").cloned();
+    Ok(load_folder(folder.unwrap_or_default())?)
+}
+
+/// Runs the subcommand.
+pub(super) fn execute(matches: &ArgMatches, console: &mut Console<'_>) -> Result<Exit, Error> {
+    let loaded = match load(matches) {
+        Err(Error::Faults(faults)) if console.is_json() => {
+            console.json(&CheckView {
+                is_valid: false,
+                files: Vec::new(),
+                faults: faults.list.iter().map(FaultView::from).collect(),
+            })?;
+            return Ok(Exit::Fault);
+        }
+        other => other?,
+    };
+    if console.is_json() {
+        console.json(&CheckView {
+            is_valid: true,
+            files: loaded.files,
+            faults: Vec::new(),
+        })?;
+        return Ok(Exit::Success);
+    }
+    if matches.get_flag("verbose") {
+        describe(&loaded, console)?;
+    }
+    let tree = &loaded.tree;
+    console.line(format_args!(
+        "ok: {} files, {} passed over; {} domains, {} services, {} classes, {} customers, {} objectives",
+        loaded.files.len(),
+        loaded.skipped.len(),
+        tree.domains.len(),
+        tree.services.len(),
+        tree.classes.len(),
+        tree.customers.len(),
+        tree.objectives.len(),
+    ))?;
+    Ok(Exit::Success)
+}
+
+fn describe(loaded: &Loaded, console: &mut Console<'_>) -> Result<(), Error> {
+    for name in &loaded.files {
+        console.line(format_args!("merged {name}"))?;
+    }
+    for skipped in &loaded.skipped {
+        let reason = skipped.reason.as_str();
+        console.line(format_args!("passed over {} ({reason})", skipped.name))?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/kingcupwinch-cli/src/cmd/history.rs
@@ -0,0 +1,109 @@
+//! `history`: lists the versions that the log still holds, and settles a publication.
+
+use std::sync::Arc;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use kingcupwinch_coord::history::{Entry, Verdict};
+use kingcupwinch_coord::id::RecordId;
+use serde::Serialize;
+use uuid::Uuid;
+
+use crate::console::Console;
+use crate::error::Error;
+use crate::exit::Exit;
+use crate::published::{Published, winner_text};
+use crate::settings::{Settings, with_addresses};
+use crate::table::Table;
+
+/// One version as a JSON object.
+#[derive(Debug)]
+#[derive(Serialize)]
+struct VersionView {
+    version: u64,
+    record: String,
+    author: Arc<str>,
+    published_ms: u64,
+    in_force: bool,
+}
+
+impl VersionView {
+    fn new(entry: &Entry, current: u64) -> Self {
+        VersionView {
+            version: entry.version.0,
+            record: entry.id.to_string(),
+            author: Arc::clone(&entry.author),
+            published_ms: entry.published.as_millis(),
+            in_force: entry.version.0 == current,
+        }
+    }
+}
+
+/// Makes the subcommand.
+pub(super) fn make_subcommand() -> Command {
+    let command = Command::new("history")
+        .about("Lists the published versions, or tells what became of one publication")
+        .arg(
+            Arg::new("record")
+                .long("record")
+                .value_name("ID")
+                .value_parser(value_parser!(Uuid))
+                .help("Tell what became of the publication with this record id"),
+        );
+    with_addresses(command)
+}
+
+/// Runs the subcommand.
+pub(super) async fn execute(
+    matches: &ArgMatches,
+    console: &mut Console<'_>,
+) -> Result<Exit, Error> {
+    let settings = Settings::with_matches(matches)?;
+    let published = Published::read(settings.log()?, settings.timeout()).await?;
+    match matches.get_one::<Uuid>("record") {
+        Some(id) => settle(RecordId(*id), &published, console),
+        None => list(&published, console),
+    }
+}
+
+fn list(published: &Published, console: &mut Console<'_>) -> Result<Exit, Error> {
+    let current = published.version();
+    let views: Vec<VersionView> = published
+        .entries()
+        .map(|entry| VersionView::new(entry, current))
+        .collect();
+    if console.is_json() {
+        console.json(&views)?;
+        return Ok(Exit::Success);
+    }
+    let mut table = Table::new(["VERSION", "IN FORCE", "AUTHOR", "PUBLISHED (MS)", "RECORD"]);
+    for view in views {
+        let in_force = if view.in_force { "yes" } else { "" };
+        table.push([
+            view.version.to_string(),
+            in_force.to_owned(),
+            view.author.to_string(),
+            view.published_ms.to_string(),
+            view.record,
+        ]);
+    }
+    console.table(&table)?;
+    Ok(Exit::Success)
+}
+
+fn settle(id: RecordId, published: &Published, console: &mut Console<'_>) -> Result<Exit, Error> {
+    let (text, exit) = match published.verdict(id) {
+        Some(Verdict::Won(version)) => (format!("it made version {}", version.0), Exit::Success),
+        Some(Verdict::Lost { winner }) => (winner_text(published, *winner), Exit::Lost),
+        Some(Verdict::Ahead) => (
+            "it named a version that was not made yet, so it has no effect".to_owned(),
+            Exit::Lost,
+        ),
+        Some(Verdict::Invalid { why }) => (format!("it is refused: {why}"), Exit::Lost),
+        None => (
+            "the log does not hold it; it may still arrive if it was sent only just now".to_owned(),
+            Exit::Pending,
+        ),
+    };
+    console.line(format_args!("record {id}: {text}"))?;
+    Ok(exit)
+}
--- /dev/null
+++ b/crates/kingcupwinch-cli/src/cmd/status.rs
@@ -0,0 +1,163 @@
+//! `status`: what each instance says of itself, its workers, its queues and the log.
+
+use std::net::SocketAddr;
+
+use anstyle::AnsiColor;
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use kingcupwinch_wire::api::{Status, WorkerState};
+use serde::Serialize;
+
+use crate::console::Console;
+use crate::error::Error;
+use crate::exit::Exit;
+use crate::settings::{Settings, with_addresses};
+use crate::table::Table;
+
+/// One instance's answer as a JSON object.
+#[derive(Debug)]
+#[derive(Serialize)]
+struct InstanceView {
+    address: SocketAddr,
+    status: Option<Status>,
+    error: Option<String>,
+}
+
+/// Makes the subcommand.
+pub(super) fn make_subcommand() -> Command {
+    let command = Command::new("status")
+        .about("Tells how the instances, workers, queues and the log stand")
+        .arg(
+            Arg::new("workers")
+                .long("workers")
+                .action(ArgAction::SetTrue)
+                .help("List every worker"),
+        );
+    with_addresses(command)
+}
+
+/// Runs the subcommand.
+pub(super) async fn execute(
+    matches: &ArgMatches,
+    console: &mut Console<'_>,
+) -> Result<Exit, Error> {
+    let settings = Settings::with_matches(matches)?;
+    let operator = settings.operator();
+    let mut views = Vec::new();
+    for address in settings.known_instances()? {
+        let answer = operator.get_json::<Status>(*address, "/v1/status").await;
+        let error = answer.as_ref().err().map(ToString::to_string);
+        views.push(InstanceView {
+            address: *address,
+            status: answer.ok(),
+            error,
+        });
+    }
+    let is_whole = views.iter().all(|view| view.status.is_some());
+    if console.is_json() {
+        console.json(&views)?;
+    } else {
+        write_instances(&views, console)?;
+        write_queues(&views, console)?;
+        if matches.get_flag("workers") {
+            write_workers(&views, console)?;
+        }
+        write_errors(&views, console)?;
+    }
+    Ok(if is_whole {
+        Exit::Success
+    } else {
+        Exit::Unreachable
+    })
+}
+
+fn statuses(views: &[InstanceView]) -> impl Iterator<Item = &Status> {
+    views.iter().filter_map(|view| view.status.as_ref())
+}
+
+fn write_instances(views: &[InstanceView], console: &mut Console<'_>) -> Result<(), Error> {
+    let mut table = Table::new([
+        "INSTANCE", "DOMAIN", "PHASE", "VERSION", "LOG LAG", "VIEW", "SHARDS", "WORKERS", "BUSY",
+        "SLOTS",
+    ]);
+    for status in statuses(views) {
+        let owned = status.shards.iter().filter(|s| s.dispatching).count();
+        let busy: u32 = status.workers.iter().map(|w| w.busy).sum();
+        let slots: u32 = status.workers.iter().map(|w| w.slots).sum();
+        let lag = status.log.tail.saturating_sub(status.log.next);
+        let view = if status.log.fresh { "fresh" } else { "stale" };
+        table.push([
+            status.instance.to_string(),
+            status.domain.to_string(),
+            status.phase.to_string(),
+            status.version.to_string(),
+            lag.to_string(),
+            view.to_owned(),
+            format!("{owned}/{}", status.shards.len()),
+            status.workers.len().to_string(),
+            busy.to_string(),
+            slots.to_string(),
+        ]);
+    }
+    console.table(&table)?;
+    Ok(())
+}
+
+fn write_queues(views: &[InstanceView], console: &mut Console<'_>) -> Result<(), Error> {
+    let mut table = Table::new(["INSTANCE", "CLASS", "WAITING", "RUNNING"]);
+    let mut is_empty = true;
+    for status in statuses(views) {
+        for queue in &status.queues {
+            is_empty = false;
+            table.push([
+                status.instance.to_string(),
+                queue.class.to_string(),
+                queue.waiting.to_string(),
+                queue.running.to_string(),
+            ]);
+        }
+    }
+    if !is_empty {
+        console.line("")?;
+        console.table(&table)?;
+    }
+    Ok(())
+}
+
+fn write_workers(views: &[InstanceView], console: &mut Console<'_>) -> Result<(), Error> {
+    let mut table = Table::new(["WORKER", "RACK", "OWNER", "SHARD", "STATE", "BUSY", "SLOTS"]);
+    for status in statuses(views) {
+        for worker in &status.workers {
+            table.push([
+                worker.name.to_string(),
+                worker.rack.to_string(),
+                status.instance.to_string(),
+                worker.shard.to_string(),
+                state_text(worker.state).to_owned(),
+                worker.busy.to_string(),
+                worker.slots.to_string(),
+            ]);
+        }
+    }
+    console.line("")?;
+    console.table(&table)?;
+    Ok(())
+}
+
+fn state_text(state: WorkerState) -> &'static str {
+    match state {
+        WorkerState::Live => "live",
+        WorkerState::Leaving => "leaving",
+        WorkerState::Quarantined => "quarantined",
+        WorkerState::Inherited => "inherited",
+    }
+}
+
+fn write_errors(views: &[InstanceView], console: &mut Console<'_>) -> Result<(), Error> {
+    for view in views {
+        if let Some(error) = &view.error {
+            let word = console.paint("no answer", AnsiColor::Red);
+            console.note(format_args!("{}: {word}: {error}", view.address))?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/kingcupwinch-cli/src/console.rs
@@ -0,0 +1,106 @@
+//! Where a command writes, and in what form.
+
+use std::fmt;
+use std::io::{self, Write};
+
+use anstyle::{AnsiColor, Style};
+use serde::Serialize;
+
+use crate::table::Table;
+
+/// The form of a command's output.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) enum Format {
+    /// For people.
+    #[default]
+    Table,
+    /// For programs: one JSON document.
+    Json,
+}
+
+/// The output and error streams of a command.
+pub struct Console<'a> {
+    out: &'a mut dyn Write,
+    err: &'a mut dyn Write,
+    has_colour: bool,
+    format: Format,
+}
+
+impl fmt::Debug for Console<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Console")
+            .field("has_colour", &self.has_colour)
+            .field("format", &self.format)
+            .finish_non_exhaustive()
+    }
+}
+
+impl<'a> Console<'a> {
+    /// Makes a console without colour.
+    pub fn new(out: &'a mut dyn Write, err: &'a mut dyn Write) -> Self {
+        Console {
+            out,
+            err,
+            has_colour: false,
+            format: Format::Table,
+        }
+    }
+
+    /// Sets whether the output is coloured.
+    #[must_use]
+    pub fn with_colour(mut self, has_colour: bool) -> Self {
+        self.has_colour = has_colour;
+        self
+    }
+
+    /// Sets the form of the output.
+    pub(crate) fn set_format(&mut self, format: Format) {
+        self.format = format;
+    }
+
+    /// Returns whether the output is for programs.
+    pub(crate) fn is_json(&self) -> bool {
+        self.format == Format::Json
+    }
+
+    /// Writes a line of the result.
+    pub(crate) fn line(&mut self, text: impl fmt::Display) -> io::Result<()> {
+        writeln!(self.out, "{text}")
+    }
+
+    /// Writes the result as it is.
+    pub(crate) fn raw(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.out.write_all(bytes)
+    }
+
+    /// Writes a note that is not part of the result.
+    pub(crate) fn note(&mut self, text: impl fmt::Display) -> io::Result<()> {
+        writeln!(self.err, "{text}")
+    }
+
+    /// Writes why the command failed.
+    pub(crate) fn error(&mut self, text: impl fmt::Display) -> io::Result<()> {
+        let label = self.paint("error:", AnsiColor::Red);
+        writeln!(self.err, "{label} {text}")
+    }
+
+    /// Writes a document as JSON.
+    pub(crate) fn json(&mut self, document: &impl Serialize) -> io::Result<()> {
+        serde_json::to_writer_pretty(&mut self.out, document)?;
+        writeln!(self.out)
+    }
+
+    /// Writes a table.
+    pub(crate) fn table(&mut self, table: &Table) -> io::Result<()> {
+        write!(self.out, "{table}")
+    }
+
+    /// Colours a word where the output is a terminal.
+    pub(crate) fn paint(&self, word: &str, colour: AnsiColor) -> String {
+        if !self.has_colour {
+            return word.to_owned();
+        }
+        let style = Style::new().fg_color(Some(colour.into())).bold();
+        format!("{style}{word}{style:#}")
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-cli/src/error.rs
@@ -0,0 +1,118 @@
+//! Why a command failed: a sentence that names cause and remedy.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use kingcupwinch_config::Faults;
+use quick_error::quick_error;
+
+use crate::burn::{PlotError, ScrapeError};
+use crate::exit::Exit;
+use crate::http::HttpError;
+use crate::published::LogError;
+
+quick_error! {
+    /// A failed command.
+    #[derive(Debug)]
+    pub(crate) enum Error {
+        /// The configuration folder is at fault.
+        Faults(faults: Faults) {
+            display("the configuration has {}", count_faults(faults))
+            from()
+        }
+        /// The output can't be written.
+        Write(cause: io::Error) {
+            display("the output can't be written: {cause}")
+            source(cause)
+            from()
+        }
+        /// A file of the command's own can't be read or written.
+        File(path: PathBuf, cause: io::Error) {
+            display("{} can't be used: {cause}", path.display())
+            source(cause)
+        }
+        /// The settings file of the command is wrong.
+        Settings(path: PathBuf, cause: String) {
+            display("the settings file {} is wrong: {cause}", path.display())
+        }
+        /// No address of the log service is known.
+        NoLog {
+            display("no log service is known; give --log IP:PORT or set `log` in the settings file")
+        }
+        /// No address of an instance is known.
+        NoInstance {
+            display("no instance is known; give --instance IP:PORT or set `instances` in the settings file")
+        }
+        /// An instance can't be asked.
+        Instance(address: SocketAddr, cause: HttpError) {
+            display("the instance at {address} did not answer: {cause}; check the address, or ask another instance")
+            source(cause)
+        }
+        /// The log service failed.
+        Log(cause: LogError) {
+            display("{cause}")
+            source(cause)
+            from()
+        }
+        /// A version that the log no longer holds, or never held.
+        NoVersion(version: u64, newest: u64) {
+            display("version {version} is not kept; the newest is {newest}, and `kingcupwinch history` lists those that are")
+        }
+        /// No version was ever published.
+        Unpublished {
+            display("nothing is published yet; `kingcupwinch publish DIR --on 0` makes the first version")
+        }
+        /// A path that the tree doesn't have.
+        NoPath(path: Arc<str>) {
+            display("the configuration has no `{path}`; show it whole to see its settings")
+        }
+        /// A saved scrape can't be used.
+        Scrape(cause: ScrapeError) {
+            display("{cause}")
+            source(cause)
+            from()
+        }
+        /// There is nothing to report on.
+        NoScrapes {
+            display("there are no two scrapes of one instance; collect for longer, or give a folder with more of them")
+        }
+        /// The configuration has no objectives.
+        NoObjectives {
+            display("the configuration sets no objectives; add a table [objectives.CLASS]")
+        }
+        /// The plot can't be drawn.
+        Plot(cause: PlotError) {
+            display("{cause}")
+            source(cause)
+            from()
+        }
+    }
+}
+
+fn count_faults(faults: &Faults) -> String {
+    match faults.list.len() {
+        1 => "1 fault".to_owned(),
+        n => format!("{n} faults"),
+    }
+}
+
+impl Error {
+    /// Returns how the command ends.
+    pub(crate) fn exit(&self) -> Exit {
+        match self {
+            Error::Faults(_) | Error::Scrape(_) | Error::NoScrapes | Error::NoObjectives => {
+                Exit::Fault
+            }
+            Error::Settings(..)
+            | Error::NoLog
+            | Error::NoInstance
+            | Error::NoVersion(..)
+            | Error::NoPath(_)
+            | Error::Unpublished => Exit::Usage,
+            Error::Write(_) | Error::File(..) | Error::Plot(_) => Exit::Fault,
+            Error::Instance(..) | Error::Log(_) => Exit::Unreachable,
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-cli/src/table.rs
@@ -0,0 +1,49 @@
+//! Text tables with aligned columns.
+
+use std::fmt;
+
+/// Spaces between two columns.
+const GAP: usize = 2;
+
+/// Rows of cells under a head.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct Table {
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// Makes a table with a head.
+    pub(crate) fn new<const N: usize>(head: [&str; N]) -> Self {
+        Table {
+            rows: vec![head.map(str::to_owned).to_vec()],
+        }
+    }
+
+    /// Adds a row.
+    pub(crate) fn push<const N: usize>(&mut self, row: [String; N]) {
+        self.rows.push(row.to_vec());
+    }
+
+    fn widths(&self) -> Vec<usize> {
+        let columns = self.rows.iter().map(Vec::len).max().unwrap_or(0);
+        let width = |column: usize| {
+            let cells = self.rows.iter().filter_map(|row| row.get(column));
+            cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+        };
+        (0..columns).map(width).collect()
+    }
+}
+
+impl fmt::Display for Table {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let widths = self.widths();
+        for row in &self.rows {
+            let mut line = String::new();
+            for (cell, width) in row.iter().zip(&widths) {
+                line.push_str(&format!("{cell:<width$}", width = width + GAP));
+            }
+            writeln!(f, "{}", line.trim_end())?;
+        }
+        Ok(())
+    }
+}
