Join the log client and write the operators' guide

Cause: publish, show, history and diff need the log; operators need pages. Change: a client of the configuration stream that tells a refused append from a lost answer, docs/CLI.md, docs/GLOSSARY.md, docs/CONFLICTS.md, CONTRIBUTING.md and guide/.

--- a/crates/kingcupwinch-cli/src/burn/plot.rs
+++ b/crates/kingcupwinch-cli/src/burn/plot.rs
@@ -49,7 +49,10 @@
     let end = points().map(|p| p.0).fold(1.0, f64::max);
     let top = points().map(|p| p.1 * 1.1).fold(MIN_TOP, f64::max);
     let mut chart = ChartBuilder::on(area)
-        .caption("Burn rate of the service-level objectives", ("sans-serif", 20))
+        .caption(
+            "Burn rate of the service-level objectives",
+            ("sans-serif", 20),
+        )
         .margin(12)
         .x_label_area_size(36)
         .y_label_area_size(56)
@@ -69,7 +72,10 @@
     for (i, one) in series.iter().enumerate() {
         let colour = Palette99::pick(i).to_rgba();
         chart
-            .draw_series(LineSeries::new(one.points.iter().copied(), colour.stroke_width(2)))?
+            .draw_series(LineSeries::new(
+                one.points.iter().copied(),
+                colour.stroke_width(2),
+            ))?
             .label(&one.label)
             .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour));
     }
--- a/crates/kingcupwinch-cli/src/burn/rate.rs
+++ b/crates/kingcupwinch-cli/src/burn/rate.rs
@@ -10,8 +10,7 @@
 use super::window::{BUDGET_MS, PAIRS, WindowPair, scale_ms};
 
 /// What an objective counts as bad.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum Indicator {
     /// Work that waited longer than the bound.
@@ -69,8 +68,7 @@
 const MAX_RATE: f64 = 1_000_000.0;
 
 /// The burn rates of one pair of windows.
-#[derive(Debug, Clone, Copy, PartialEq)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
 pub(crate) struct WindowRate {
     /// The alert's name.
     pub(crate) pair: &'static str,
@@ -91,8 +89,7 @@
 }
 
 /// One indicator of one class.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize)]
 pub(crate) struct Row {
     /// The class.
     pub(crate) class: Arc<str>,
@@ -111,8 +108,7 @@
 }
 
 /// The burn rates of every objective.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize)]
 pub(crate) struct Report {
     /// The time of the oldest scrape, in milliseconds since the Unix epoch.
     pub(crate) start_ms: u64,
@@ -127,7 +123,9 @@
 impl Report {
     /// Returns whether any alert is raised.
     pub(crate) fn is_alert(&self) -> bool {
-        self.rows.iter().any(|row| row.windows.iter().any(|w| w.is_alert))
+        self.rows
+            .iter()
+            .any(|row| row.windows.iter().any(|w| w.is_alert))
     }
 }
 
@@ -165,13 +163,7 @@
     })
 }
 
-fn row(
-    class: &Arc<str>,
-    indicator: Indicator,
-    allowed: f64,
-    history: &History,
-    span: Span,
-) -> Row {
+fn row(class: &Arc<str>, indicator: Indicator, allowed: f64, history: &History, span: Span) -> Row {
     let events = history.events(span.start_ms, span.end_ms);
     let (bad, all) = indicator.count(&events);
     let rate = indicator.rate(&events, allowed).unwrap_or_default();
--- a/crates/kingcupwinch-cli/src/burn/sample.rs
+++ b/crates/kingcupwinch-cli/src/burn/sample.rs
@@ -24,7 +24,11 @@
 impl ClassSample {
     fn add_buckets(&mut self, counts: &[HistogramCount]) {
         for count in counts {
-            match self.buckets.iter_mut().find(|(le, _)| *le == count.less_than) {
+            match self
+                .buckets
+                .iter_mut()
+                .find(|(le, _)| *le == count.less_than)
+            {
                 Some((_, total)) => *total += count.count,
                 None => self.buckets.push((count.less_than, count.count)),
             }
@@ -50,7 +54,11 @@
         };
         match (entry.metric.as_str(), entry.value) {
             (WAITING_METRIC, Value::Histogram(counts)) => {
-                sample.classes.entry(class).or_default().add_buckets(&counts);
+                sample
+                    .classes
+                    .entry(class)
+                    .or_default()
+                    .add_buckets(&counts);
             }
             (REQUESTS_METRIC, Value::Counter(n) | Value::Untyped(n)) => {
                 add_outcome(sample.classes.entry(class).or_default(), &entry.labels, n);
--- a/crates/kingcupwinch-cli/src/change.rs
+++ b/crates/kingcupwinch-cli/src/change.rs
@@ -8,8 +8,7 @@
 use serde_json::Value;
 
 /// One setting that differs.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize)]
 pub(crate) struct Change {
     /// The setting's dotted path.
     pub(crate) path: Arc<str>,
--- a/crates/kingcupwinch-cli/src/cmd/check.rs
+++ b/crates/kingcupwinch-cli/src/cmd/check.rs
@@ -12,8 +12,7 @@
 use crate::exit::Exit;
 
 /// A fault as a JSON object.
-#[derive(Debug)]
-#[derive(Serialize)]
+#[derive(Debug, Serialize)]
 struct FaultView {
     file: Arc<str>,
     line: u32,
@@ -37,8 +36,7 @@
 }
 
 /// The outcome of a check as a JSON document.
-#[derive(Debug)]
-#[derive(Serialize)]
+#[derive(Debug, Serialize)]
 struct CheckView {
     is_valid: bool,
     files: Vec<Arc<str>>,
--- a/crates/kingcupwinch-cli/src/cmd/diff.rs
+++ b/crates/kingcupwinch-cli/src/cmd/diff.rs
@@ -44,7 +44,9 @@
         write_change(change, &loaded.origins, console)?;
     }
     let count = changes.len();
-    console.line(format_args!("{count} settings differ from version {version}"))?;
+    console.line(format_args!(
+        "{count} settings differ from version {version}"
+    ))?;
     Ok(Exit::Success)
 }
 
@@ -59,7 +61,11 @@
     let (sign, colour, values) = match (&change.before, &change.after) {
         (None, Some(after)) => ("+", AnsiColor::Green, after.to_string()),
         (Some(before), None) => ("-", AnsiColor::Red, before.to_string()),
-        (before, after) => ("~", AnsiColor::Yellow, both(before.as_ref(), after.as_ref())),
+        (before, after) => (
+            "~",
+            AnsiColor::Yellow,
+            both(before.as_ref(), after.as_ref()),
+        ),
     };
     let sign = console.paint(sign, colour);
     console.line(format_args!("{sign} {path} {values}{origin}"))?;
--- a/crates/kingcupwinch-cli/src/cmd/history.rs
+++ b/crates/kingcupwinch-cli/src/cmd/history.rs
@@ -16,8 +16,7 @@
 use crate::table::Table;
 
 /// One version as a JSON object.
-#[derive(Debug)]
-#[derive(Serialize)]
+#[derive(Debug, Serialize)]
 struct VersionView {
     version: u64,
     record: String,
--- a/crates/kingcupwinch-cli/src/cmd/mod.rs
+++ b/crates/kingcupwinch-cli/src/cmd/mod.rs
@@ -59,7 +59,10 @@
         Ok(matches) => matches,
         Err(error) => return explain(&error, console),
     };
-    if matches.get_one::<String>("output").is_some_and(|f| f == "json") {
+    if matches
+        .get_one::<String>("output")
+        .is_some_and(|f| f == "json")
+    {
         console.set_format(Format::Json);
     }
     match execute(&matches, console).await {
--- /dev/null
+++ b/crates/kingcupwinch-cli/src/cmd/publish.rs
@@ -0,0 +1,230 @@
+//! `publish`: appends a folder's tree to the log, and waits until it is in force.
+//!
+//! The record is appended once. Where the answer is lost, the log is read until it shows what
+//! became of the record; it is never sent again.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use kingcupwinch_config::Tree;
+use kingcupwinch_coord::history::Verdict;
+use kingcupwinch_coord::id::{RecordId, Version};
+use kingcupwinch_coord::record::{ConfigRecord, Stamped};
+use kingcupwinch_time::WallClock;
+use kingcupwinch_wire::encode_config;
+use serde::Serialize;
+use tokio::time::Instant;
+use uuid::Uuid;
+
+use super::check;
+use crate::console::Console;
+use crate::error::Error;
+use crate::exit::Exit;
+use crate::log::AppendError;
+use crate::published::{Published, winner_text};
+use crate::rollout::{Rollout, wait_in_force};
+use crate::settings::{Settings, with_addresses};
+
+/// The longest long poll while a lost answer is settled.
+const SETTLE_POLL: Duration = Duration::from_millis(500);
+
+/// The outcome of a publication as a JSON document.
+#[derive(Debug, Serialize)]
+struct PublishView {
+    record: String,
+    outcome: &'static str,
+    version: Option<u64>,
+    detail: String,
+    behind: Vec<String>,
+}
+
+/// Makes the subcommand.
+pub(super) fn make_subcommand() -> Command {
+    let command = Command::new("publish")
+        .about("Publishes a configuration folder and waits until it is in force")
+        .arg(check::folder_arg())
+        .arg(
+            Arg::new("on")
+                .long("on")
+                .value_name("VERSION")
+                .required(true)
+                .value_parser(value_parser!(u64))
+                .help("The version that the folder was based on; 0 before the first"),
+        )
+        .arg(
+            Arg::new("author")
+                .long("author")
+                .value_name("NAME")
+                .env("USER")
+                .default_value("unknown")
+                .help("Who publishes, for the history"),
+        )
+        .arg(
+            Arg::new("wait-ms")
+                .long("wait-ms")
+                .value_name("MS")
+                .default_value("10000")
+                .value_parser(value_parser!(u64).range(1..=600_000))
+                .help("Longest wait for the outcome and for the instances, each"),
+        );
+    with_addresses(command)
+}
+
+/// Runs the subcommand.
+pub(super) async fn execute(
+    matches: &ArgMatches,
+    console: &mut Console<'_>,
+) -> Result<Exit, Error> {
+    let loaded = check::load(matches)?;
+    let settings = Settings::with_matches(matches)?;
+    let based = Version(matches.get_one::<u64>("on").copied().unwrap_or_default());
+    let mut published = Published::read(settings.log()?, settings.timeout()).await?;
+    if published.version() != based.0 {
+        let current = published.version();
+        console.error(format_args!(
+            "version {current} is in force, not {}; look at it with `diff` and publish again with `--on {current}`; nothing was changed",
+            based.0
+        ))?;
+        return Ok(Exit::Lost);
+    }
+    let record = make_record(matches, based, &loaded.tree);
+    let wait_ms = matches.get_one::<u64>("wait-ms").copied().unwrap_or(1);
+    let wait = Duration::from_millis(wait_ms);
+    append(&record, &mut published, wait, console).await?;
+    match published.verdict(record.id).cloned() {
+        Some(Verdict::Won(version)) => finish(record.id, version, &settings, wait, console).await,
+        verdict => explain(record.id, verdict.as_ref(), &published, console),
+    }
+}
+
+fn make_record(matches: &ArgMatches, based: Version, tree: &Tree) -> Stamped<ConfigRecord> {
+    let author = matches.get_one::<String>("author");
+    Stamped {
+        id: RecordId(Uuid::now_v7()),
+        body: ConfigRecord {
+            based,
+            version: Version(based.0 + 1),
+            origin: None,
+            author: Arc::from(author.map_or("unknown", String::as_str)),
+            published: WallClock.now(),
+            tree: Arc::from(tree.to_canonical_json()),
+        },
+    }
+}
+
+/// Appends the record and reads on until its verdict is known or the wait is over.
+async fn append(
+    record: &Stamped<ConfigRecord>,
+    published: &mut Published,
+    wait: Duration,
+    console: &mut Console<'_>,
+) -> Result<(), Error> {
+    match published.log().append(encode_config(record)).await {
+        Ok(_) => {}
+        Err(AppendError::Refused(cause)) => return Err(cause.into()),
+        Err(AppendError::Lost(cause)) => {
+            console.note(format_args!(
+                "the answer was lost ({cause}); reading back record {}",
+                record.id
+            ))?;
+        }
+    }
+    let deadline = Instant::now() + wait;
+    while published.verdict(record.id).is_none() && Instant::now() < deadline {
+        // A log that is out for the moment may be back before the wait is over.
+        if published.read_page(SETTLE_POLL).await.is_err() {
+            tokio::time::sleep(SETTLE_POLL).await;
+        }
+    }
+    Ok(())
+}
+
+async fn finish(
+    id: RecordId,
+    version: Version,
+    settings: &Settings,
+    wait: Duration,
+    console: &mut Console<'_>,
+) -> Result<Exit, Error> {
+    let rollout = wait_in_force(settings, version.0, wait).await;
+    let text = rollout_text(version.0, &rollout);
+    let exit = if rollout.behind.is_empty() {
+        Exit::Success
+    } else {
+        Exit::Pending
+    };
+    let view = PublishView {
+        record: id.to_string(),
+        outcome: "won",
+        version: Some(version.0),
+        detail: text,
+        behind: rollout.behind,
+    };
+    write_view(&view, console)?;
+    Ok(exit)
+}
+
+fn rollout_text(version: u64, rollout: &Rollout) -> String {
+    if rollout.asked == 0 {
+        return format!("version {version} is published; no instance is known, so none was asked");
+    }
+    if rollout.behind.is_empty() {
+        return format!(
+            "version {version} is in force on all {} instances",
+            rollout.asked
+        );
+    }
+    format!(
+        "version {version} is published, but {} of {} instances are behind; they take it when they reach the log or a sibling",
+        rollout.behind.len(),
+        rollout.asked
+    )
+}
+
+fn explain(
+    id: RecordId,
+    verdict: Option<&Verdict>,
+    published: &Published,
+    console: &mut Console<'_>,
+) -> Result<Exit, Error> {
+    let (outcome, detail, exit) = match verdict {
+        Some(Verdict::Lost { winner }) => ("lost", winner_text(published, *winner), Exit::Lost),
+        Some(Verdict::Invalid { why }) => ("refused", format!("it is refused: {why}"), Exit::Lost),
+        Some(Verdict::Ahead) => {
+            let detail = "it named a version that is not made; nothing was changed";
+            ("refused", detail.to_owned(), Exit::Lost)
+        }
+        Some(Verdict::Won(_)) | None => {
+            let detail = format!(
+                "its outcome is not known yet; ask again with `kingcupwinch history --record {id}` before you publish anything else"
+            );
+            ("unknown", detail, Exit::Pending)
+        }
+    };
+    let view = PublishView {
+        record: id.to_string(),
+        outcome,
+        version: None,
+        detail,
+        behind: Vec::new(),
+    };
+    write_view(&view, console)?;
+    Ok(exit)
+}
+
+fn write_view(view: &PublishView, console: &mut Console<'_>) -> Result<(), Error> {
+    if console.is_json() {
+        console.json(view)?;
+        return Ok(());
+    }
+    if view.outcome == "won" {
+        console.line(&view.detail)?;
+    } else {
+        console.error(format_args!("record {}: {}", view.record, view.detail))?;
+    }
+    for behind in &view.behind {
+        console.line(format_args!("behind: {behind}"))?;
+    }
+    Ok(())
+}
--- a/crates/kingcupwinch-cli/src/cmd/report.rs
+++ b/crates/kingcupwinch-cli/src/cmd/report.rs
@@ -39,7 +39,11 @@
                 .conflicts_with("scrapes")
                 .help("Save the scrapes that are collected"),
         )
-        .arg(seconds_arg("for", "60", "How long to collect from the instances"))
+        .arg(seconds_arg(
+            "for",
+            "60",
+            "How long to collect from the instances",
+        ))
         .arg(seconds_arg("every", "5", "How often to collect"))
         .arg(
             Arg::new("folder")
@@ -149,7 +153,14 @@
         report.instances
     ))?;
     let mut table = Table::new([
-        "CLASS", "OBJECTIVE", "BAD", "ALL", "BUDGET LEFT", "FAST", "MEDIUM", "SLOW",
+        "CLASS",
+        "OBJECTIVE",
+        "BAD",
+        "ALL",
+        "BUDGET LEFT",
+        "FAST",
+        "MEDIUM",
+        "SLOW",
     ]);
     for row in &report.rows {
         table.push(row_cells(row));
@@ -176,11 +187,19 @@
 fn window_text(window: &WindowRate) -> String {
     let rate = |rate: Option<f64>| rate.map_or_else(|| "-".to_owned(), |r| format!("{r:.2}"));
     let mark = if window.covered < 1.0 { "*" } else { "" };
-    format!("{}{mark}/{}", rate(window.long_rate), rate(window.short_rate))
+    format!(
+        "{}{mark}/{}",
+        rate(window.long_rate),
+        rate(window.short_rate)
+    )
 }
 
 fn write_alerts(report: &Report, console: &mut Console<'_>) -> Result<(), Error> {
-    let is_partial = report.rows.iter().flat_map(|r| &r.windows).any(|w| w.covered < 1.0);
+    let is_partial = report
+        .rows
+        .iter()
+        .flat_map(|r| &r.windows)
+        .any(|w| w.covered < 1.0);
     if is_partial {
         console.line("* the scrapes span only a part of this window")?;
     }
--- a/crates/kingcupwinch-cli/src/cmd/status.rs
+++ b/crates/kingcupwinch-cli/src/cmd/status.rs
@@ -14,8 +14,7 @@
 use crate::table::Table;
 
 /// One instance's answer as a JSON object.
-#[derive(Debug)]
-#[derive(Serialize)]
+#[derive(Debug, Serialize)]
 struct InstanceView {
     address: SocketAddr,
     status: Option<Status>,
--- a/crates/kingcupwinch-cli/src/error.rs
+++ b/crates/kingcupwinch-cli/src/error.rs
@@ -11,7 +11,7 @@
 use crate::burn::{PlotError, ScrapeError};
 use crate::exit::Exit;
 use crate::http::HttpError;
-use crate::published::LogError;
+use crate::log::LogError;
 
 quick_error! {
     /// A failed command.
@@ -56,6 +56,10 @@
             source(cause)
             from()
         }
+        /// The oldest records have expired and no snapshot covers them.
+        Truncated {
+            display("the log no longer holds the whole configuration; the instances append a snapshot while they run, so start one and try again")
+        }
         /// A version that the log no longer holds, or never held.
         NoVersion(version: u64, newest: u64) {
             display("version {version} is not kept; the newest is {newest}, and `kingcupwinch history` lists those that are")
@@ -112,7 +116,7 @@
             | Error::NoPath(_)
             | Error::Unpublished => Exit::Usage,
             Error::Write(_) | Error::File(..) | Error::Plot(_) => Exit::Fault,
-            Error::Instance(..) | Error::Log(_) => Exit::Unreachable,
+            Error::Instance(..) | Error::Log(_) | Error::Truncated => Exit::Unreachable,
         }
     }
 }
--- a/crates/kingcupwinch-cli/src/http.rs
+++ b/crates/kingcupwinch-cli/src/http.rs
@@ -1,22 +1,20 @@
-//! Requests to the operators' port of an instance.
+//! Bounded HTTP requests.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use quick_error::quick_error;
-use serde::de::DeserializeOwned;
 
-/// The most bytes of an instance's answer.
+/// The most bytes of an answer.
 const MAX_BODY_BYTES: usize = 32 << 20;
 
 quick_error! {
-    /// An instance that could not be asked.
+    /// A request without a usable answer.
     #[derive(Debug)]
     pub(crate) enum HttpError {
         /// The request could not be made.
@@ -24,7 +22,11 @@
             display("the request can't be made: {cause}")
             from()
         }
-        /// The connection failed.
+        /// No connection was made, so nothing was sent.
+        Connect(cause: String) {
+            display("{cause}")
+        }
+        /// The connection failed after the request may have been sent.
         Connection(cause: String) {
             display("{cause}")
         }
@@ -47,64 +49,60 @@
     }
 }
 
-/// A client of the operators' ports.
+/// A client whose requests are bounded in time and size.
 #[derive(Debug, Clone)]
-pub(crate) struct Operator {
-    client: Client<HttpConnector, Empty<Bytes>>,
+pub(crate) struct Http {
+    client: Client<HttpConnector, Full<Bytes>>,
     timeout: Duration,
 }
 
-impl Operator {
+impl Http {
     /// Makes a client whose requests end within `timeout`.
     pub(crate) fn new(timeout: Duration) -> Self {
-        Operator {
+        Http {
             client: Client::builder(TokioExecutor::new()).build_http(),
             timeout,
         }
     }
 
-    /// Gets a JSON document.
-    pub(crate) async fn get_json<T: DeserializeOwned>(
-        &self,
-        address: SocketAddr,
-        path: &str,
-    ) -> Result<T, HttpError> {
-        let body = self.send(Method::GET, address, path).await?;
-        serde_json::from_slice(&body).map_err(|e| HttpError::Answer(e.to_string()))
+    /// Returns the longest wait for an answer.
+    pub(crate) fn timeout(&self) -> Duration {
+        self.timeout
     }
 
-    /// Gets a text.
-    pub(crate) async fn get_text(
+    /// Sends a request and returns the body of a successful answer.
+    pub(crate) async fn send(
         &self,
-        address: SocketAddr,
-        path: &str,
-    ) -> Result<String, HttpError> {
-        let body = self.send(Method::GET, address, path).await?;
-        String::from_utf8(body.into()).map_err(|e| HttpError::Answer(e.to_string()))
-    }
-
-    /// Posts an empty body.
-    pub(crate) async fn post(&self, address: SocketAddr, path: &str) -> Result<(), HttpError> {
-        self.send(Method::POST, address, path).await.map(drop)
+        method: Method,
+        uri: &str,
+        body: Bytes,
+    ) -> Result<Bytes, HttpError> {
+        self.send_within(self.timeout, method, uri, body).await
     }
 
-    async fn send(
+    /// Does the same with a timeout of its own.
+    pub(crate) async fn send_within(
         &self,
+        timeout: Duration,
         method: Method,
-        address: SocketAddr,
-        path: &str,
+        uri: &str,
+        body: Bytes,
     ) -> Result<Bytes, HttpError> {
         let request = Request::builder()
             .method(method)
-            .uri(format!("http://{address}{path}"))
-            .body(Empty::new())?;
-        let answer = tokio::time::timeout(self.timeout, self.exchange(request)).await;
-        answer.unwrap_or(Err(HttpError::Timeout(self.timeout)))
+            .uri(uri)
+            .body(Full::new(body))?;
+        let answer = tokio::time::timeout(timeout, self.exchange(request)).await;
+        answer.unwrap_or(Err(HttpError::Timeout(timeout)))
     }
 
-    async fn exchange(&self, request: Request<Empty<Bytes>>) -> Result<Bytes, HttpError> {
-        let answer = self.client.request(request).await;
-        let answer = answer.map_err(|e| HttpError::Connection(root_cause(&e)))?;
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Bytes, HttpError> {
+        let answer = self.client.request(request).await.map_err(|e| {
+            if e.is_connect() {
+                return HttpError::Connect(root_cause(&e));
+            }
+            HttpError::Connection(root_cause(&e))
+        })?;
         let status = answer.status();
         let body = Limited::new(answer.into_body(), MAX_BODY_BYTES);
         let body = body.collect().await.map_err(|e| {
--- a/crates/kingcupwinch-cli/src/lib.rs
+++ b/crates/kingcupwinch-cli/src/lib.rs
@@ -22,7 +22,10 @@
 mod error;
 mod exit;
 mod http;
+mod log;
+mod operator;
 mod published;
+mod rollout;
 mod settings;
 mod table;
 
--- /dev/null
+++ b/crates/kingcupwinch-cli/src/operator.rs
@@ -0,0 +1,60 @@
+//! Requests to the operators' port of an instance.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Method;
+use serde::de::DeserializeOwned;
+
+use crate::http::{Http, HttpError};
+
+/// A client of the operators' ports.
+#[derive(Debug, Clone)]
+pub(crate) struct Operator {
+    http: Http,
+}
+
+impl Operator {
+    /// Makes a client whose requests end within `timeout`.
+    pub(crate) fn new(timeout: Duration) -> Self {
+        Operator {
+            http: Http::new(timeout),
+        }
+    }
+
+    /// Gets a JSON document.
+    pub(crate) async fn get_json<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+    ) -> Result<T, HttpError> {
+        let body = self.send(Method::GET, address, path).await?;
+        serde_json::from_slice(&body).map_err(|e| HttpError::Answer(e.to_string()))
+    }
+
+    /// Gets a text.
+    pub(crate) async fn get_text(
+        &self,
+        address: SocketAddr,
+        path: &str,
+    ) -> Result<String, HttpError> {
+        let body = self.send(Method::GET, address, path).await?;
+        String::from_utf8(body.into()).map_err(|e| HttpError::Answer(e.to_string()))
+    }
+
+    /// Posts an empty body.
+    pub(crate) async fn post(&self, address: SocketAddr, path: &str) -> Result<(), HttpError> {
+        self.send(Method::POST, address, path).await.map(drop)
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+    ) -> Result<Bytes, HttpError> {
+        let uri = format!("http://{address}{path}");
+        self.http.send(method, &uri, Bytes::new()).await
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-cli/src/published.rs
@@ -0,0 +1,118 @@
+//! The published configuration as the log tells it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kingcupwinch_config::Tree;
+use kingcupwinch_coord::history::{Entry, History, Limits, Verdict};
+use kingcupwinch_coord::id::{Offset, RecordId};
+use kingcupwinch_time::{Clock, SuspendClock};
+use kingcupwinch_wire::{LogPage, decode_config};
+
+use crate::error::Error;
+use crate::log::{LogClient, LogError};
+
+/// The history of the configuration stream, read up to its newest record.
+#[derive(Debug)]
+pub(crate) struct Published {
+    log: LogClient,
+    history: History,
+}
+
+impl Published {
+    /// Reads the stream from its oldest retained record to its newest.
+    pub(crate) async fn read(address: SocketAddr, timeout: Duration) -> Result<Self, Error> {
+        let mut published = Published {
+            log: LogClient::new(address, timeout),
+            history: History::new(Offset(0), Limits::new()),
+        };
+        published.read_tail().await?;
+        if !published.history.is_complete() {
+            return Err(Error::Truncated);
+        }
+        Ok(published)
+    }
+
+    /// Returns the client of the log.
+    pub(crate) fn log(&self) -> &LogClient {
+        &self.log
+    }
+
+    /// Reads on to the newest record.
+    pub(crate) async fn read_tail(&mut self) -> Result<(), LogError> {
+        while !self.read_page(Duration::ZERO).await? {}
+        Ok(())
+    }
+
+    /// Reads one page, after waiting up to `wait` for a record; tells whether it was the newest.
+    pub(crate) async fn read_page(&mut self, wait: Duration) -> Result<bool, LogError> {
+        let page = self.log.read(self.history.next(), wait).await?;
+        self.take_in(&page);
+        Ok(page.next >= page.tail)
+    }
+
+    fn take_in(&mut self, page: &LogPage) {
+        let now = SuspendClock.now();
+        self.history.lose_until(page.first);
+        for record in &page.records {
+            let decoded = decode_config(&record.bytes).ok();
+            self.history.apply(record.offset, decoded, now, &check_tree);
+        }
+    }
+
+    /// Returns the version in force, zero before the first.
+    pub(crate) fn version(&self) -> u64 {
+        self.history.version().0
+    }
+
+    /// Returns the tree in force, none before the first version.
+    pub(crate) fn tree(&self) -> Result<Option<Tree>, Error> {
+        let entry = self.history.current();
+        entry.map(|entry| parse_tree(entry)).transpose()
+    }
+
+    /// Returns the tree of a version that the log still holds.
+    pub(crate) fn tree_of(&self, version: u64) -> Result<Tree, Error> {
+        let entry = self.entries().find(|entry| entry.version.0 == version);
+        let entry = entry.ok_or(Error::NoVersion(version, self.version()))?;
+        parse_tree(entry)
+    }
+
+    /// Returns the versions that the log still holds, oldest first.
+    pub(crate) fn entries(&self) -> impl Iterator<Item = &Arc<Entry>> {
+        self.history.past().chain(self.history.current())
+    }
+
+    /// Returns what became of a publication.
+    pub(crate) fn verdict(&self, id: RecordId) -> Option<&Verdict> {
+        self.history.verdict(id)
+    }
+}
+
+/// Judges a published tree, as every reader of the stream does.
+fn check_tree(tree: &str) -> Result<(), Arc<str>> {
+    match Tree::from_json(tree) {
+        Ok(_) => Ok(()),
+        Err(faults) => Err(Arc::from(faults.to_string())),
+    }
+}
+
+fn parse_tree(entry: &Entry) -> Result<Tree, Error> {
+    Ok(Tree::from_json(&entry.tree)?)
+}
+
+/// Says who won over a publication.
+pub(crate) fn winner_text(published: &Published, winner: Option<RecordId>) -> String {
+    let entry = winner.and_then(|id| published.entries().find(|entry| entry.id == id));
+    let current = published.version();
+    match entry {
+        Some(entry) => format!(
+            "it lost to version {}, published by {}; version {current} is in force, so look at it with `diff` and publish again with `--on {current}`",
+            entry.version.0, entry.author
+        ),
+        None => format!(
+            "it lost to a version that the log no longer holds; version {current} is in force"
+        ),
+    }
+}
--- a/crates/kingcupwinch-cli/src/settings.rs
+++ b/crates/kingcupwinch-cli/src/settings.rs
@@ -9,11 +9,10 @@
 use serde::Deserialize;
 
 use crate::error::Error;
-use crate::http::Operator;
+use crate::operator::Operator;
 
 /// The settings file.
-#[derive(Debug, Default)]
-#[derive(Deserialize)]
+#[derive(Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 struct File {
     /// The log service.
