--- a/crates/kingcupwinch-cli/src/burn/plot.rs
+++ b/crates/kingcupwinch-cli/src/burn/plot.rs
@@ -15,7 +15,7 @@
 quick_error! {
     /// The plot can't be drawn.
     #[derive(Debug, PartialEq)]
-    pub(crate) enum PlotError {
+    pub enum PlotError {
         /// The drawing library refused.
         Draw(cause: String) {
             display("the plot can't be drawn: {cause}")
--- a/crates/kingcupwinch-cli/src/burn/scrape.rs
+++ b/crates/kingcupwinch-cli/src/burn/scrape.rs
@@ -15,7 +15,7 @@
 quick_error! {
     /// A saved scrape that can't be used.
     #[derive(Debug)]
-    pub(crate) enum ScrapeError {
+    pub enum ScrapeError {
         /// The folder or a file can't be read.
         Read(path: PathBuf, cause: io::Error) {
             display("{} can't be read: {cause}", path.display())
--- a/crates/kingcupwinch-cli/src/error.rs
+++ b/crates/kingcupwinch-cli/src/error.rs
@@ -16,7 +16,7 @@
 quick_error! {
     /// A failed command.
     #[derive(Debug)]
-    pub(crate) enum Error {
+    pub enum Error {
         /// The configuration folder is at fault.
         Faults(faults: Faults) {
             display("the configuration has {}", count_faults(faults))
--- a/crates/kingcupwinch-cli/src/http.rs
+++ b/crates/kingcupwinch-cli/src/http.rs
@@ -16,7 +16,7 @@
 quick_error! {
     /// A request without a usable answer.
     #[derive(Debug)]
-    pub(crate) enum HttpError {
+    pub enum HttpError {
         /// The request could not be made.
         Request(cause: hyper::http::Error) {
             display("the request can't be made: {cause}")
--- a/crates/kingcupwinch-cli/src/log.rs
+++ b/crates/kingcupwinch-cli/src/log.rs
@@ -20,7 +20,7 @@
 quick_error! {
     /// The log service failed.
     #[derive(Debug)]
-    pub(crate) enum LogError {
+    pub enum LogError {
         /// No usable answer came.
         Http(address: SocketAddr, cause: HttpError) {
             display("the log service at {address} did not answer: {cause}; nothing was changed, try again when it is back")
@@ -37,7 +37,7 @@
 quick_error! {
     /// An append without an answer of success.
     #[derive(Debug)]
-    pub(crate) enum AppendError {
+    pub enum AppendError {
         /// The record was certainly not appended.
         Refused(cause: LogError) {
             display("{cause}")
