--- a/crates/kingcupwinch-coord/src/lib.rs
+++ b/crates/kingcupwinch-coord/src/lib.rs
@@ -4,7 +4,10 @@
 //! clock, so one sequence of events always gives the same result.
 
 pub mod dedupe;
+pub mod hash;
 pub mod history;
 pub mod id;
 pub mod jobs;
+pub mod log;
+pub mod ownership;
 pub mod record;
