--- /dev/null
+++ b/crates/kingcupwinch-cli/src/http.rs
@@ -0,0 +1,135 @@
+//! Bounded HTTP requests.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use quick_error::quick_error;
+
+/// The most bytes of an answer.
+const MAX_BODY_BYTES: usize = 32 << 20;
+
+quick_error! {
+    /// A request without a usable answer.
+    #[derive(Debug)]
+    pub enum HttpError {
+        /// The request could not be made.
+        Request(cause: hyper::http::Error) {
+            display("the request can't be made: {cause}")
+            from()
+        }
+        /// No connection was made, so nothing was sent.
+        Connect(cause: String) {
+            display("{cause}")
+        }
+        /// The connection failed after the request may have been sent.
+        Connection(cause: String) {
+            display("{cause}")
+        }
+        /// No answer came in time.
+        Timeout(after: Duration) {
+            display("no answer within {} ms", after.as_millis())
+        }
+        /// The answer is not a success.
+        Status(status: StatusCode, detail: String) {
+            display("it answered {status}{detail}")
+        }
+        /// The answer is too large.
+        TooLarge {
+            display("its answer is larger than {MAX_BODY_BYTES} bytes")
+        }
+        /// The answer is not what was expected.
+        Answer(cause: String) {
+            display("its answer can't be understood: {cause}")
+        }
+    }
+}
+
+/// A client whose requests are bounded in time and size.
+#[derive(Debug, Clone)]
+pub(crate) struct Http {
+    client: Client<HttpConnector, Full<Bytes>>,
+    timeout: Duration,
+}
+
+impl Http {
+    /// Makes a client whose requests end within `timeout`.
+    pub(crate) fn new(timeout: Duration) -> Self {
+        Http {
+            client: Client::builder(TokioExecutor::new()).build_http(),
+            timeout,
+        }
+    }
+
+    /// Returns the longest wait for an answer.
+    pub(crate) fn timeout(&self) -> Duration {
+        self.timeout
+    }
+
+    /// Sends a request and returns the body of a successful answer.
+    pub(crate) async fn send(
+        &self,
+        method: Method,
+        uri: &str,
+        body: Bytes,
+    ) -> Result<Bytes, HttpError> {
+        self.send_within(self.timeout, method, uri, body).await
+    }
+
+    /// Does the same with a timeout of its own.
+    pub(crate) async fn send_within(
+        &self,
+        timeout: Duration,
+        method: Method,
+        uri: &str,
+        body: Bytes,
+    ) -> Result<Bytes, HttpError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(uri)
+            .body(Full::new(body))?;
+        let answer = tokio::time::timeout(timeout, self.exchange(request)).await;
+        answer.unwrap_or(Err(HttpError::Timeout(timeout)))
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Bytes, HttpError> {
+        let answer = self.client.request(request).await.map_err(|e| {
+            if e.is_connect() {
+                return HttpError::Connect(root_cause(&e));
+            }
+            HttpError::Connection(root_cause(&e))
+        })?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), MAX_BODY_BYTES);
+        let body = body.collect().await.map_err(|e| {
+            if e.is::<LengthLimitError>() {
+                return HttpError::TooLarge;
+            }
+            HttpError::Connection(e.to_string())
+        })?;
+        let body = body.to_bytes();
+        if !status.is_success() {
+            return Err(HttpError::Status(status, detail(&body)));
+        }
+        Ok(body)
+    }
+}
+
+/// Returns a problem document's detail, ready to follow the status.
+fn detail(body: &[u8]) -> String {
+    let problem: Option<kingcupwinch_wire::api::Problem> = serde_json::from_slice(body).ok();
+    problem.map_or_else(String::new, |p| format!(" ({})", p.detail))
+}
+
+/// Returns the innermost cause, which names what happened on the connection.
+fn root_cause(error: &(dyn std::error::Error + 'static)) -> String {
+    let mut cause = error;
+    while let Some(inner) = cause.source() {
+        cause = inner;
+    }
+    cause.to_string()
+}
