--- a/crates/kingcupwinch-coord/src/hash.rs
+++ b/crates/kingcupwinch-coord/src/hash.rs
@@ -30,6 +30,17 @@
     ShardId(u16::try_from(index).unwrap_or(0))
 }
 
+/// Returns the shard of a worker, by its name in the instance list.
+///
+/// # Panics
+///
+/// Panics if `shards` is zero.
+pub fn shard_of_name(name: &str, shards: u16) -> ShardId {
+    let hash = XxHash64::oneshot(SHARD_SEED, name.as_bytes());
+    let index = hash % u64::from(shards);
+    ShardId(u16::try_from(index).unwrap_or(0))
+}
+
 /// Returns the home domain of a key among the declared domains, none if there are none.
 pub fn domain_of(key: Uuid, domains: &[Domain]) -> Option<&Domain> {
     let seed = XxHash64::oneshot(DOMAIN_SEED, key.as_bytes());
--- a/crates/kingcupwinch-coord/src/ownership/coordinator.rs
+++ b/crates/kingcupwinch-coord/src/ownership/coordinator.rs
@@ -5,7 +5,7 @@
 use kingcupwinch_time::{Span, Time};
 use twox_hash::XxHash64;
 
-use crate::id::{Incarnation, Offset, ShardId};
+use crate::id::{Incarnation, Offset, ShardId, Term};
 use crate::log::{Batch, Covers, Entry, LogFault, LogView};
 use crate::record::{Member, Members, OwnerRecord, OwnerSnapshot, Stamped};
 
@@ -121,6 +121,12 @@
         self.group().member(owner)
     }
 
+    /// Returns the newest term of a shard, zero before its first claim.
+    pub fn term_of(&self, shard: ShardId) -> Term {
+        let state = self.core.ledger.shard(shard);
+        state.map_or(Term(0), |state| state.term)
+    }
+
     /// Returns the shards whose ownership by this instance has taken effect.
     pub fn owned(&self, now: Time) -> impl Iterator<Item = OwnedShard> {
         self.core
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/actors/config.rs
@@ -0,0 +1,199 @@
+//! Follows the configuration stream and puts each new version in force.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::error::Infallible;
+use kameo::message::{Context, Message};
+use kingcupwinch_config::Tree;
+use kingcupwinch_coord::history::{Applied, Entry, History, Limits};
+use kingcupwinch_coord::id::{Offset, RecordId, Version};
+use kingcupwinch_coord::record::Stamped;
+use kingcupwinch_platform::LogClient;
+use kingcupwinch_wire::{decode_config, encode_config};
+use slog::o;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use uuid::Uuid;
+
+use super::reader::{NextOffset, PageRead, ReadFailed};
+use crate::logging::EventId;
+use crate::shared::{InForce, Shared};
+
+/// The name of the configuration stream.
+pub(crate) const STREAM: &str = "config";
+
+/// What the configuration actor starts from.
+pub(crate) struct ConfigArgs {
+    /// What every part shares.
+    pub(crate) shared: Arc<Shared>,
+    /// The log service.
+    pub(crate) log: LogClient,
+    /// Hears of each version in force.
+    pub(crate) versions: watch::Sender<Version>,
+}
+
+/// Asks for the versions after one, for a sibling that is cut from the log.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Since(pub(crate) Version);
+
+/// Versions relayed by a sibling, in order.
+#[derive(Debug)]
+pub(crate) struct Relayed(pub(crate) Vec<Arc<Entry>>);
+
+/// Drives a [`History`].
+pub(crate) struct Config {
+    args: ConfigArgs,
+    history: History,
+    copying: bool,
+}
+
+impl Actor for Config {
+    type Args = ConfigArgs;
+    type Error = Infallible;
+
+    async fn on_start(args: ConfigArgs, _me: ActorRef<Self>) -> Result<Self, Infallible> {
+        let history = History::new(Offset(0), Limits::new());
+        Ok(Config {
+            args,
+            history,
+            copying: false,
+        })
+    }
+}
+
+impl Config {
+    fn apply_page(&mut self, read: &PageRead) {
+        let now = self.args.shared.now();
+        self.history.lose_until(read.page.first);
+        for record in &read.page.records {
+            let decoded = decode_config(&record.bytes).ok();
+            let applied = self.history.apply(record.offset, decoded, now, &check);
+            self.note(&applied, record.offset);
+        }
+    }
+
+    fn note(&mut self, applied: &Applied, offset: Offset) {
+        match applied {
+            Applied::InForce { version } => self.put_in_force(*version),
+            Applied::Copy | Applied::Repeat | Applied::Held => {}
+            other => {
+                let fields = o!("offset" => offset.0, "why" => format!("{other:?}"));
+                self.args.shared.log.write(EventId::ConfigRejected, fields);
+            }
+        }
+    }
+
+    fn put_in_force(&mut self, version: Version) {
+        let Some(entry) = self.history.current() else {
+            return;
+        };
+        let Ok(tree) = Tree::from_json(&entry.tree) else {
+            return;
+        };
+        let fields = o!("version" => version.0, "author" => entry.author.to_string());
+        self.args.shared.log.write(EventId::ConfigInForce, fields);
+        self.args
+            .shared
+            .config
+            .store(Arc::new(InForce { version, tree }));
+        self.args
+            .shared
+            .metrics
+            .version
+            .set(i64::try_from(version.0).unwrap_or(i64::MAX));
+        self.args.versions.send_replace(version);
+    }
+
+    /// Appends the version in force again before retention drops its record.
+    fn copy_if_due(&mut self, me: &ActorRef<Self>) {
+        if self.copying || !self.history.is_copy_due(self.args.shared.now()) {
+            return;
+        }
+        let Some(body) = self.history.snapshot() else {
+            return;
+        };
+        self.copying = true;
+        let record = Stamped {
+            id: RecordId(Uuid::now_v7()),
+            body,
+        };
+        let log = self.args.log.clone();
+        let shared = Arc::clone(&self.args.shared);
+        shared.metrics.appends.inc();
+        let me = me.downgrade();
+        tokio::spawn(async move {
+            let call = Duration::from_millis(shared.settings.platform.call_ms);
+            let bytes = encode_config(&record);
+            if let Err(err) = log.append(STREAM, bytes, Instant::now() + call).await {
+                let fields = o!("stream" => STREAM, "error" => err.to_string());
+                shared.log.write(EventId::AppendUnsure, fields);
+            }
+            if let Some(me) = me.upgrade() {
+                let _ = me.tell(Copied).await;
+            }
+        });
+    }
+}
+
+/// The append of a copy has ended.
+#[derive(Debug, Clone, Copy)]
+struct Copied;
+
+/// Checks a tree as every reader of the log does.
+fn check(json: &str) -> Result<(), Arc<str>> {
+    match Tree::from_json(json) {
+        Ok(_) => Ok(()),
+        Err(faults) => Err(faults.to_string().into()),
+    }
+}
+
+impl Message<PageRead> for Config {
+    type Reply = NextOffset;
+
+    async fn handle(&mut self, read: PageRead, ctx: &mut Context<Self, NextOffset>) -> NextOffset {
+        self.apply_page(&read);
+        self.copy_if_due(ctx.actor_ref());
+        NextOffset(self.history.next())
+    }
+}
+
+impl Message<ReadFailed> for Config {
+    type Reply = ();
+
+    async fn handle(&mut self, _failed: ReadFailed, _ctx: &mut Context<Self, ()>) {}
+}
+
+impl Message<Copied> for Config {
+    type Reply = ();
+
+    async fn handle(&mut self, _copied: Copied, _ctx: &mut Context<Self, ()>) {
+        self.copying = false;
+    }
+}
+
+impl Message<Since> for Config {
+    type Reply = Vec<Arc<Entry>>;
+
+    async fn handle(
+        &mut self,
+        since: Since,
+        _ctx: &mut Context<Self, Vec<Arc<Entry>>>,
+    ) -> Vec<Arc<Entry>> {
+        self.history.since(since.0)
+    }
+}
+
+impl Message<Relayed> for Config {
+    type Reply = ();
+
+    async fn handle(&mut self, relayed: Relayed, _ctx: &mut Context<Self, ()>) {
+        let now = self.args.shared.now();
+        for entry in &relayed.0 {
+            let applied = self.history.apply_relay(entry, now, &check);
+            self.note(&applied, entry.covers);
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/actors/ownership.rs
@@ -0,0 +1,305 @@
+//! Drives the ownership state machine: log records, sibling messages and the instance list in;
+//! appends, messages and published permits out.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::Actor;
+use kameo::actor::{ActorRef, WeakActorRef};
+use kameo::error::Infallible;
+use kameo::message::{Context, Message};
+use kingcupwinch_coord::id::{Incarnation, ShardId};
+use kingcupwinch_coord::ownership::{Action, Coordinator, Event, Phase, message};
+use kingcupwinch_coord::record::{Member, OwnerRecord, Stamped};
+use kingcupwinch_platform::LogClient;
+use kingcupwinch_wire::{decode_owner, encode_owner};
+use slog::o;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::alarm::{Alarm, Tick};
+use super::reader::{NextOffset, PageRead, ReadFailed};
+use super::scheduler::{Gained, Lost, PermitsChanged, Renewed, Scheduler};
+use crate::logging::EventId;
+use crate::shared::{OwnershipView, ShardView, Shared};
+
+/// What the ownership actor starts from.
+pub(crate) struct OwnershipArgs {
+    /// What every part shares.
+    pub(crate) shared: Arc<Shared>,
+    /// The pure state machine.
+    pub(crate) coordinator: Coordinator,
+    /// The log service.
+    pub(crate) log: LogClient,
+    /// The ownership stream's name.
+    pub(crate) stream: Arc<str>,
+    /// The number of shards of the domain.
+    pub(crate) shards: u16,
+    /// The actor that dispatches.
+    pub(crate) scheduler: ActorRef<Scheduler>,
+    /// Turns true when this incarnation has left the group.
+    pub(crate) stopped: watch::Sender<bool>,
+    /// Sends to siblings.
+    pub(crate) outbox: Outbox,
+}
+
+/// Sends ownership messages to siblings; they may be lost.
+pub(crate) trait SendToSibling: Send + Sync + 'static {
+    /// Sends one message.
+    fn send(&self, to: Incarnation, body: message::Message);
+
+    /// Says where the members of the group are.
+    fn set_members(&self, members: &[Arc<Member>]);
+}
+
+/// The way to siblings.
+pub(crate) type Outbox = Arc<dyn SendToSibling>;
+
+/// Something that happened to the instance.
+#[derive(Debug)]
+pub(crate) struct Observe(pub(crate) Event);
+
+/// Drives a [`Coordinator`].
+pub(crate) struct Ownership {
+    args: OwnershipArgs,
+    me: ActorRef<Ownership>,
+    alarm: Alarm,
+    actions: Vec<Action>,
+    members: Vec<Arc<Member>>,
+    permitted: Vec<ShardId>,
+    tail: u64,
+}
+
+impl Actor for Ownership {
+    type Args = OwnershipArgs;
+    type Error = Infallible;
+
+    async fn on_start(args: OwnershipArgs, me: ActorRef<Self>) -> Result<Self, Infallible> {
+        let mut actor = Ownership {
+            args,
+            me,
+            alarm: Alarm::default(),
+            actions: Vec::new(),
+            members: Vec::new(),
+            permitted: Vec::new(),
+            tail: 0,
+        };
+        actor.observe(Event::Tick).await;
+        Ok(actor)
+    }
+
+    async fn on_stop(
+        &mut self,
+        _me: WeakActorRef<Self>,
+        _reason: kameo::error::ActorStopReason,
+    ) -> Result<(), Infallible> {
+        self.alarm.clear();
+        Ok(())
+    }
+}
+
+impl Ownership {
+    async fn observe(&mut self, event: Event) {
+        let now = self.args.shared.now();
+        let mut actions = std::mem::take(&mut self.actions);
+        self.args.coordinator.handle(event, now, &mut actions);
+        // Publishing first makes sure that a lost shard's permit is gone before anyone hears of it.
+        self.publish();
+        for action in actions.drain(..) {
+            self.perform(action).await;
+        }
+        self.actions = actions;
+        self.tell_permits().await;
+        let deadline = self.args.coordinator.deadline();
+        self.alarm.set(Some(deadline), now, &self.me);
+    }
+
+    async fn perform(&mut self, action: Action) {
+        match action {
+            Action::Append(record) => self.append(record),
+            Action::Send { to, body } => {
+                self.args.shared.metrics.messages.inc();
+                self.args.outbox.send(to, body);
+            }
+            Action::Gained(owned) => {
+                let fields = o!("shard" => owned.shard.0, "term" => owned.term.0);
+                self.args.shared.log.write(EventId::ShardGained, fields);
+                self.tell_scheduler(Gained(owned)).await;
+            }
+            Action::Renewed { shard, term } => self.tell_scheduler(Renewed { shard, term }).await,
+            Action::Lost {
+                shard,
+                term,
+                reason,
+            } => {
+                let why = format!("{reason:?}");
+                let fields = o!("shard" => shard.0, "term" => term.0, "why" => why);
+                self.args.shared.log.write(EventId::ShardLost, fields);
+                self.tell_scheduler(Lost { shard }).await;
+            }
+            Action::Note(note) => {
+                let fields = o!("note" => format!("{note:?}"));
+                self.args.shared.log.write(EventId::OwnershipNote, fields);
+            }
+            Action::Stopped => {
+                self.args.stopped.send_replace(true);
+            }
+        }
+    }
+
+    async fn tell_scheduler<M: Send + 'static>(&self, message: M)
+    where
+        Scheduler: Message<M>,
+    {
+        // A stopped scheduler dispatches nothing, so there is nobody to tell.
+        let _ = self.args.scheduler.tell(message).await;
+    }
+
+    fn append(&self, record: Stamped<OwnerRecord>) {
+        let log = self.args.log.clone();
+        let stream = Arc::clone(&self.args.stream);
+        let shared = Arc::clone(&self.args.shared);
+        let me = self.me.downgrade();
+        shared.metrics.appends.inc();
+        tokio::spawn(async move {
+            let id = record.id;
+            let call = Duration::from_millis(shared.settings.platform.call_ms);
+            let bytes = encode_owner(&record);
+            let event = match log.append(&stream, bytes, Instant::now() + call).await {
+                Ok(_) => Event::AppendAcked { id },
+                Err(err) => {
+                    let fields = o!("stream" => stream.to_string(), "error" => err.to_string());
+                    shared.log.write(EventId::AppendUnsure, fields);
+                    Event::AppendFailed { id }
+                }
+            };
+            if let Some(me) = me.upgrade() {
+                let _ = me.tell(Observe(event)).await;
+            }
+        });
+    }
+
+    /// Publishes owners and permits for everyone who dispatches or forwards.
+    fn publish(&mut self) {
+        self.refresh_members();
+        let now = self.args.shared.now();
+        let coordinator = &self.args.coordinator;
+        let shards = (0..self.args.shards).map(|index| {
+            let shard = ShardId(index);
+            let owner = coordinator.owner_of(shard);
+            let owner = owner.and_then(|owner| self.find_member(owner.incarnation));
+            let permit = coordinator.permit(shard, now);
+            let term = coordinator.term_of(shard).0;
+            ShardView {
+                term,
+                owner,
+                permit,
+            }
+        });
+        let view = OwnershipView {
+            phase: phase_name(coordinator.phase()),
+            members: self.members.clone(),
+            shards: shards.collect(),
+            next: coordinator.next_offset().0,
+            tail: self.tail,
+        };
+        self.args.shared.ownership.store(Arc::new(view));
+    }
+
+    fn find_member(&self, incarnation: Incarnation) -> Option<Arc<Member>> {
+        self.members
+            .iter()
+            .find(|member| member.incarnation == incarnation)
+            .cloned()
+    }
+
+    fn refresh_members(&mut self) {
+        let group = self.args.coordinator.group().members();
+        let same = self.members.len() == group.len()
+            && self
+                .members
+                .iter()
+                .zip(group)
+                .all(|(old, new)| **old == *new);
+        if same {
+            return;
+        }
+        self.members = group.iter().cloned().map(Arc::new).collect();
+        self.args.outbox.set_members(&self.members);
+    }
+
+    /// Tells the scheduler when the set of shards that it may dispatch to has changed.
+    async fn tell_permits(&mut self) {
+        let view = self.args.shared.ownership.load_full();
+        let permits = view
+            .shards
+            .iter()
+            .enumerate()
+            .filter(|(_, shard)| shard.permit.is_some());
+        let permitted: Vec<ShardId> = permits
+            .filter_map(|(index, _)| u16::try_from(index).ok().map(ShardId))
+            .collect();
+        if permitted == self.permitted {
+            return;
+        }
+        self.args
+            .shared
+            .metrics
+            .shards
+            .set(i64::try_from(permitted.len()).unwrap_or(i64::MAX));
+        self.permitted.clone_from(&permitted);
+        self.tell_scheduler(PermitsChanged(permitted)).await;
+    }
+}
+
+fn phase_name(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Joining => "joining",
+        Phase::Serving => "serving",
+        Phase::Draining => "draining",
+        Phase::Stopped => "stopped",
+    }
+}
+
+impl Message<Observe> for Ownership {
+    type Reply = ();
+
+    async fn handle(&mut self, message: Observe, _ctx: &mut Context<Self, ()>) {
+        self.observe(message.0).await;
+    }
+}
+
+impl Message<Tick> for Ownership {
+    type Reply = ();
+
+    async fn handle(&mut self, _tick: Tick, _ctx: &mut Context<Self, ()>) {
+        self.alarm.clear();
+        self.observe(Event::Tick).await;
+    }
+}
+
+impl Message<PageRead> for Ownership {
+    type Reply = NextOffset;
+
+    async fn handle(&mut self, read: PageRead, _ctx: &mut Context<Self, NextOffset>) -> NextOffset {
+        self.tail = self.tail.max(read.page.tail.0);
+        let records = read.page.records.iter();
+        let records = records.map(|record| (record.offset, decode_owner(&record.bytes).ok()));
+        let event = Event::Read {
+            sent: read.sent,
+            first: read.page.first,
+            tail: read.page.tail,
+            records: records.collect(),
+        };
+        self.observe(event).await;
+        NextOffset(self.args.coordinator.next_offset())
+    }
+}
+
+impl Message<ReadFailed> for Ownership {
+    type Reply = ();
+
+    async fn handle(&mut self, _failed: ReadFailed, _ctx: &mut Context<Self, ()>) {
+        self.observe(Event::ReadFailed).await;
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/inspect.rs
@@ -0,0 +1,93 @@
+//! What operators see of the scheduler.
+
+use std::sync::Arc;
+
+use kameo::Reply;
+use kameo::message::{Context, Message};
+use kingcupwinch_policy::{Dimension, Standing};
+use kingcupwinch_wire::api::{QueueStatus, WorkerState, WorkerStatus};
+
+use super::Scheduler;
+use super::seat::Seat;
+
+/// Asks for the workers and queues of this instance.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Inspect;
+
+/// The workers and queues of this instance.
+#[derive(Debug, Clone, Reply)]
+pub(crate) struct Inspected {
+    /// Workers of its shards, by name.
+    pub(crate) workers: Vec<WorkerStatus>,
+    /// Queues, in the configuration's order.
+    pub(crate) queues: Vec<QueueStatus>,
+}
+
+impl Scheduler {
+    fn inspect(&self) -> Inspected {
+        let mut workers: Vec<_> = self
+            .seats
+            .values()
+            .map(|seat| self.worker_status(seat))
+            .collect();
+        workers.sort_by(|a, b| a.name.cmp(&b.name));
+        let config = self.shared.config.load_full();
+        let queues = config
+            .tree
+            .classes
+            .keys()
+            .map(|name| self.queue_status(name));
+        Inspected {
+            workers,
+            queues: queues.collect(),
+        }
+    }
+
+    fn worker_status(&self, seat: &Seat) -> WorkerStatus {
+        let worker = &seat.worker;
+        let slots = worker.capacity.get(Dimension::Slots);
+        let used = self.cell.machine_used(seat.machine).unwrap_or_default();
+        WorkerStatus {
+            name: Arc::clone(&worker.name),
+            rack: Arc::clone(&worker.rack),
+            shard: worker.shard.0,
+            state: self.worker_state(seat),
+            slots: u32::try_from(slots).unwrap_or(u32::MAX),
+            busy: u32::try_from(used.get(Dimension::Slots)).unwrap_or(u32::MAX),
+        }
+    }
+
+    fn worker_state(&self, seat: &Seat) -> WorkerState {
+        if seat.inherited.is_some() {
+            return WorkerState::Inherited;
+        }
+        match self.cell.standing(seat.machine) {
+            Some(Standing::Active) => WorkerState::Live,
+            Some(Standing::Quarantined) => WorkerState::Quarantined,
+            Some(Standing::Leaving | Standing::Gone) | None => WorkerState::Leaving,
+        }
+    }
+
+    fn queue_status(&self, name: &Arc<str>) -> QueueStatus {
+        let key = self.cell.class(name);
+        let waiting = key.map_or(0, |key| self.cell.queued(key));
+        let running = key.map_or(0, |key| self.cell.running(key));
+        QueueStatus {
+            class: Arc::clone(name),
+            waiting: u64::try_from(waiting).unwrap_or(u64::MAX),
+            running: u64::from(running),
+        }
+    }
+}
+
+impl Message<Inspect> for Scheduler {
+    type Reply = Inspected;
+
+    async fn handle(
+        &mut self,
+        _inspect: Inspect,
+        _ctx: &mut Context<Self, Inspected>,
+    ) -> Inspected {
+        self.inspect()
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/live.rs
@@ -0,0 +1,274 @@
+//! Live requests: they wait here and are dispatched by whoever answers their callers.
+
+use std::sync::Arc;
+
+use kameo::message::{Context, Message};
+use kingcupwinch_policy::{End, Next, NotStarted, Outcome, Placement, Refusal, TaskKey, TaskSpec};
+use kingcupwinch_time::{Span, Time};
+use tokio::sync::mpsc;
+use uuid::Uuid;
+
+use super::Scheduler;
+use crate::metrics::ClassLabel;
+use crate::plan::typical_size;
+use crate::world::Worker;
+
+/// What the scheduler says to a waiting live request; it may say several things in turn.
+#[derive(Debug)]
+pub(crate) enum Verdict {
+    /// Run it now, and report the outcome.
+    Start(LiveStart),
+    /// It did not run and never will.
+    GiveUp(Refusal),
+}
+
+/// Leave to run a request once.
+#[derive(Debug, Clone)]
+pub(crate) struct LiveStart {
+    /// The run, to be named in the report.
+    pub(crate) place: Placement,
+    /// Where to run it.
+    pub(crate) worker: Arc<Worker>,
+}
+
+/// A live request that wants to run.
+#[derive(Debug)]
+pub(crate) struct Submit {
+    /// Its id.
+    pub(crate) id: Uuid,
+    /// Its class.
+    pub(crate) class: Arc<str>,
+    /// Its customer.
+    pub(crate) customer: Arc<str>,
+    /// When it arrived.
+    pub(crate) arrived: Time,
+    /// When its answer is of no more use.
+    pub(crate) deadline: Option<Time>,
+    /// Whether it may run more than once.
+    pub(crate) idempotent: bool,
+    /// Hears what becomes of it.
+    pub(crate) verdicts: mpsc::UnboundedSender<Verdict>,
+}
+
+/// The caller of a request has hung up; what has not started never will.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Cancel(pub(crate) TaskKey);
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum RunEnd {
+    /// It certainly did not start.
+    NotStarted(NotStarted),
+    /// The worker answered.
+    Done {
+        /// How long it ran.
+        ran: Span,
+    },
+    /// The worker answered that it failed.
+    Failed {
+        /// How long it ran.
+        ran: Span,
+    },
+    /// It may still run.
+    Unsure {
+        /// How long it has been running.
+        ran: Span,
+    },
+}
+
+/// Reports the end of a run; the reply says what becomes of the request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RunReport {
+    /// The run.
+    pub(crate) place: Placement,
+    /// Its end.
+    pub(crate) end: RunEnd,
+}
+
+/// A live request in the cell.
+#[derive(Debug)]
+pub(super) struct LiveEntry {
+    /// Its id.
+    pub(super) id: Uuid,
+    class: Arc<str>,
+    arrived: Time,
+    verdicts: mpsc::UnboundedSender<Verdict>,
+}
+
+impl Scheduler {
+    fn submit_live(&mut self, submit: Submit) -> Result<TaskKey, Refusal> {
+        let now = self.now();
+        let config = self.shared.config.load_full();
+        let class = config
+            .tree
+            .classes
+            .get(&submit.class)
+            .ok_or(Refusal::UnknownClass)?;
+        let class_key = self
+            .cell
+            .class(&submit.class)
+            .ok_or(Refusal::UnknownClass)?;
+        let customer = self
+            .cell
+            .customer(&submit.customer)
+            .ok_or(Refusal::UnknownCustomer)?;
+        let run = Span::from_millis(class.task.run_ms.get());
+        let mut spec = TaskSpec::new(class_key, customer, typical_size(class), run)
+            .with_idempotent(submit.idempotent);
+        if let Some(deadline) = submit.deadline {
+            spec = spec.with_deadline(deadline);
+        }
+        let task = self.cell.submit(spec, now)?;
+        let entry = LiveEntry {
+            id: submit.id,
+            class: submit.class,
+            arrived: submit.arrived,
+            verdicts: submit.verdicts,
+        };
+        self.live.insert(task, entry);
+        Ok(task)
+    }
+
+    /// Tells the request's handler to run it; one whose handler is gone is withdrawn.
+    pub(super) fn start_live(&mut self, place: Placement, now: Time) {
+        let name = self.machines.get(&place.machine);
+        let seat = name.and_then(|name| self.seats.get(name));
+        let entry = self.live.get(&place.task);
+        let (Some(seat), Some(entry)) = (seat, entry) else {
+            return self.withdraw(place, now);
+        };
+        let worker = Arc::clone(&seat.worker);
+        let label = ClassLabel {
+            class: Arc::clone(&entry.class),
+        };
+        let waited = now.since(entry.arrived).as_secs_f64();
+        let start = LiveStart { place, worker };
+        if entry.verdicts.send(Verdict::Start(start)).is_err() {
+            return self.withdraw(place, now);
+        }
+        if place.attempt > 1 {
+            self.shared.metrics.retries.get_or_create(&label).inc();
+        } else {
+            self.shared
+                .metrics
+                .waiting
+                .get_or_create(&label)
+                .observe(waited);
+        }
+    }
+
+    fn withdraw(&mut self, place: Placement, now: Time) {
+        match self.cell.not_started(place, NotStarted::Full, now) {
+            Ok(Next::Requeued) => self.cancel_live(place.task),
+            Ok(_) => {
+                self.live.remove(&place.task);
+            }
+            Err(fault) => self.note_fault("not_started", fault),
+        }
+    }
+
+    pub(super) fn give_up_live(&mut self, task: TaskKey, refusal: Refusal) {
+        if let Some(entry) = self.live.remove(&task) {
+            // A handler that is gone needs no answer.
+            let _ = entry.verdicts.send(Verdict::GiveUp(refusal));
+        }
+    }
+
+    fn cancel_live(&mut self, task: TaskKey) {
+        let now = self.now();
+        if self.cell.cancel(task, now).is_ok() {
+            self.live.remove(&task);
+        }
+    }
+
+    fn take_run_report(&mut self, report: RunReport) -> Next {
+        let now = self.now();
+        let place = report.place;
+        let next = match report.end {
+            RunEnd::NotStarted(why) => self.take_refusal(place, why, now),
+            RunEnd::Done { ran } => self.cell.ended(place, End::new(Outcome::Done, ran), now),
+            RunEnd::Failed { ran } => self.cell.ended(place, End::new(Outcome::Failed, ran), now),
+            RunEnd::Unsure { ran } => self.take_unsure(place, ran, now),
+        };
+        let next = next.unwrap_or_else(|fault| {
+            self.note_fault("run report", fault);
+            Next::Left
+        });
+        if next != Next::Requeued {
+            self.live.remove(&place.task);
+        }
+        next
+    }
+
+    fn take_refusal(
+        &mut self,
+        place: Placement,
+        why: NotStarted,
+        now: Time,
+    ) -> Result<Next, kingcupwinch_policy::Fault> {
+        let name = self.machines.get(&place.machine).cloned();
+        if let Some(name) = name.filter(|_| why == NotStarted::Leaving) {
+            self.mark_leaving(&name);
+        }
+        self.cell.not_started(place, why, now)
+    }
+
+    /// Keeps the capacity of a run that may go on counted until a report shows that it ended.
+    fn take_unsure(
+        &mut self,
+        place: Placement,
+        ran: Span,
+        now: Time,
+    ) -> Result<Next, kingcupwinch_policy::Fault> {
+        let work = self
+            .live
+            .get(&place.task)
+            .map(|entry| (entry.id, Arc::clone(&entry.class)));
+        let next = self.cell.ended(place, End::new(Outcome::Lost, ran), now)?;
+        if let (Some((id, class)), Some(name)) = (work, self.machines.get(&place.machine).cloned())
+        {
+            let config = self.shared.config.load_full();
+            if let Some(class) = config.tree.classes.get(&class) {
+                self.doubt(&name, place.machine, id, typical_size(class), now);
+            }
+        }
+        Ok(next)
+    }
+}
+
+impl Message<Submit> for Scheduler {
+    type Reply = Result<TaskKey, Refusal>;
+
+    async fn handle(
+        &mut self,
+        submit: Submit,
+        _ctx: &mut Context<Self, Self::Reply>,
+    ) -> Result<TaskKey, Refusal> {
+        let submitted = self.submit_live(submit);
+        self.decide();
+        submitted
+    }
+}
+
+impl Message<Cancel> for Scheduler {
+    type Reply = ();
+
+    async fn handle(&mut self, cancel: Cancel, _ctx: &mut Context<Self, ()>) {
+        self.cancel_live(cancel.0);
+        self.decide();
+    }
+}
+
+impl Message<RunReport> for Scheduler {
+    type Reply = Result<Next, std::convert::Infallible>;
+
+    async fn handle(
+        &mut self,
+        report: RunReport,
+        _ctx: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        let next = self.take_run_report(report);
+        self.decide();
+        Ok(next)
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/seat.rs
@@ -0,0 +1,148 @@
+//! One worker of a shard that this instance owns, and the task that follows its reports.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use kameo::actor::{ActorRef, WeakActorRef};
+use kingcupwinch_policy::{HoldKey, MachineKey};
+use kingcupwinch_time::{Span, Time};
+use slog::o;
+use smallvec::SmallVec;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+use uuid::Uuid;
+
+use super::{Reported, Scheduler};
+use crate::logging::EventId;
+use crate::shared::Shared;
+use crate::world::Worker;
+
+/// How long the follower pauses between reports that somebody waits for.
+const EAGER_PAUSE: Duration = Duration::from_millis(50);
+
+/// How long the follower pauses after a report that could not be read.
+const FAILED_PAUSE: Duration = Duration::from_millis(250);
+
+/// Capacity counted for work that may still run although nobody waits for it here.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Doubt {
+    /// The capacity.
+    pub(super) hold: HoldKey,
+    /// The work, as the worker's reports name it.
+    pub(super) work: Uuid,
+    /// Only a report made after this time is evidence that it has ended.
+    pub(super) since: Time,
+}
+
+/// One worker of a shard that this instance owns.
+#[derive(Debug)]
+pub(super) struct Seat {
+    /// The worker.
+    pub(super) worker: Arc<Worker>,
+    /// The machine that the policy knows it as.
+    pub(super) machine: MachineKey,
+    /// Everything that is free, counted as taken until a report made after `since`.
+    pub(super) inherited: Option<(HoldKey, Time)>,
+    /// Everything that is free, counted as taken while dispatching is not allowed.
+    pub(super) barred: Option<HoldKey>,
+    /// Work that may still run.
+    pub(super) doubts: SmallVec<[Doubt; 4]>,
+    /// Whether it gets nothing new.
+    pub(super) leaving: bool,
+    /// Whether reports are wanted at once.
+    eager: Arc<AtomicBool>,
+    follower: AbortHandle,
+}
+
+impl Seat {
+    /// Makes a seat and follows its worker's reports.
+    pub(super) fn new(
+        worker: Arc<Worker>,
+        machine: MachineKey,
+        shared: &Arc<Shared>,
+        scheduler: &ActorRef<Scheduler>,
+    ) -> Self {
+        let eager = Arc::new(AtomicBool::new(true));
+        let follower = Follower {
+            shared: Arc::clone(shared),
+            worker: Arc::clone(&worker),
+            eager: Arc::clone(&eager),
+            scheduler: scheduler.downgrade(),
+        };
+        let follower = tokio::spawn(follower.run()).abort_handle();
+        Seat {
+            worker,
+            machine,
+            inherited: None,
+            barred: None,
+            doubts: SmallVec::new(),
+            leaving: false,
+            eager,
+            follower,
+        }
+    }
+
+    /// Asks for reports at once while something waits for their evidence.
+    pub(super) fn set_pace(&self) {
+        let eager = self.inherited.is_some() || !self.doubts.is_empty();
+        self.eager.store(eager, Ordering::Relaxed);
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.follower.abort();
+        self.worker.client.close_idle();
+    }
+}
+
+/// Reads a worker's usage reports on and on.
+struct Follower {
+    shared: Arc<Shared>,
+    worker: Arc<Worker>,
+    eager: Arc<AtomicBool>,
+    scheduler: WeakActorRef<Scheduler>,
+}
+
+impl Follower {
+    async fn run(self) {
+        let mut after = 0;
+        loop {
+            let eager = self.eager.load(Ordering::Relaxed);
+            let wait = if eager { Span::ZERO } else { self.usual_wait() };
+            let sent = self.shared.now();
+            let call = Duration::from_millis(self.shared.settings.platform.call_ms);
+            let deadline = Instant::now() + Duration::from(wait) + call;
+            match self.worker.client.usage(after, wait, deadline).await {
+                Ok(usage) => {
+                    after = usage.seq;
+                    let name = Arc::clone(&self.worker.name);
+                    let Some(scheduler) = self.scheduler.upgrade() else {
+                        return;
+                    };
+                    if scheduler
+                        .tell(Reported { name, sent, usage })
+                        .await
+                        .is_err()
+                    {
+                        return;
+                    }
+                    if eager {
+                        tokio::time::sleep(EAGER_PAUSE).await;
+                    }
+                }
+                Err(err) => {
+                    let worker = self.worker.name.to_string();
+                    let fields = o!("worker" => worker, "error" => err.to_string());
+                    self.shared.log.write(EventId::UsageUnreadable, fields);
+                    tokio::time::sleep(FAILED_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn usual_wait(&self) -> Span {
+        Span::from_millis(self.shared.config.load().tree.timers.usage_ms.get())
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/daemon/boot.rs
@@ -0,0 +1,156 @@
+//! What starts once a configuration has been read.
+
+use std::sync::Arc;
+
+use kameo::actor::{ActorRef, Spawn};
+use kingcupwinch_coord::id::{Incarnation, Offset, Version};
+use kingcupwinch_coord::ownership::{Coordinator, Timers, message};
+use kingcupwinch_coord::record::Member;
+use kingcupwinch_platform::{LogClient, RosterClient};
+use kingcupwinch_time::Span;
+use rand::Rng;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::actors::config::{self, Config};
+use crate::actors::ownership::{Ownership, OwnershipArgs, SendToSibling};
+use crate::actors::reader::Reader;
+use crate::actors::roster::RosterPoll;
+use crate::actors::scheduler::{Replan, Scheduler};
+use crate::shared::Shared;
+
+/// How long a read of the configuration stream waits.
+const CONFIG_WAIT: Span = Span::from_secs(2);
+
+/// How long a read of the ownership stream waits; well below the lease that it keeps fresh.
+const OWNERS_WAIT: Span = Span::from_millis(400);
+
+/// What exists once the configuration is known.
+#[derive(Clone)]
+pub(super) struct Booted {
+    /// The ownership actor.
+    pub(super) ownership: ActorRef<Ownership>,
+    /// Turns true when this incarnation has left the group.
+    pub(super) left: watch::Receiver<bool>,
+}
+
+/// Starts ownership when the configuration names this failure domain.
+pub(super) struct Boot {
+    /// What every part shares.
+    pub(super) shared: Arc<Shared>,
+    /// The log service.
+    pub(super) log: LogClient,
+    /// Follows the configuration.
+    pub(super) config: ActorRef<Config>,
+    /// Dispatches.
+    pub(super) scheduler: ActorRef<Scheduler>,
+    /// The version in force.
+    pub(super) version: watch::Receiver<Version>,
+    /// Hears of the ownership actor.
+    pub(super) booted: watch::Sender<Option<Booted>>,
+}
+
+impl Boot {
+    /// Starts the tasks that run as long as the daemon.
+    pub(super) fn spawn(self) -> Vec<JoinHandle<()>> {
+        let reader = self.reader(config::STREAM.into(), CONFIG_WAIT);
+        let config = self.config.clone();
+        let reader = tokio::spawn(reader.run(config, Offset(0)));
+        let boot = tokio::spawn(self.run());
+        vec![reader, boot]
+    }
+
+    fn reader(&self, stream: Arc<str>, wait: Span) -> Reader {
+        let shared = Arc::clone(&self.shared);
+        Reader {
+            shared,
+            log: self.log.clone(),
+            stream,
+            wait,
+        }
+    }
+
+    async fn run(mut self) {
+        let shards = self.wait_for_domain().await;
+        let Some(shards) = shards else { return };
+        let (stopped, left) = watch::channel(false);
+        let ownership = Ownership::spawn(self.ownership_args(shards, stopped));
+        let reader = self.reader(self.owners_stream(), OWNERS_WAIT);
+        let poll = RosterPoll {
+            shared: Arc::clone(&self.shared),
+            list: RosterClient::new(self.shared.settings.platform.list),
+            ownership: ownership.clone(),
+            scheduler: self.scheduler.clone(),
+        };
+        self.booted.send_replace(Some(Booted {
+            ownership: ownership.clone(),
+            left,
+        }));
+        tokio::join!(
+            reader.run(ownership, Offset(0)),
+            poll.run(),
+            self.follow_versions()
+        );
+    }
+
+    /// Waits for a configuration that names this failure domain, and returns its shards.
+    async fn wait_for_domain(&mut self) -> Option<u16> {
+        loop {
+            let config = self.shared.config.load_full();
+            let domain = &self.shared.settings.instance.domain;
+            if let Some(domain) = config.tree.domains.get(domain) {
+                return Some(domain.shards);
+            }
+            self.version.changed().await.ok()?;
+        }
+    }
+
+    async fn follow_versions(&self) {
+        let mut version = self.version.clone();
+        version.mark_changed();
+        while version.changed().await.is_ok() {
+            if self.scheduler.tell(Replan).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn owners_stream(&self) -> Arc<str> {
+        format!("owners-{}", self.shared.settings.instance.domain).into()
+    }
+
+    fn ownership_args(&self, shards: u16, stopped: watch::Sender<bool>) -> OwnershipArgs {
+        let settings = &self.shared.settings;
+        let member = Member {
+            incarnation: self.shared.incarnation,
+            instance: Arc::clone(&settings.instance.name),
+            link: settings.listen.link.to_string().into(),
+            forward: settings.listen.forward.to_string().into(),
+            weight: settings.instance.weight,
+        };
+        let seed = settings
+            .instance
+            .seed
+            .unwrap_or_else(|| rand::rng().random());
+        let now = self.shared.now();
+        OwnershipArgs {
+            shared: Arc::clone(&self.shared),
+            coordinator: Coordinator::new(member, shards, Timers::default(), seed, now),
+            log: self.log.clone(),
+            stream: self.owners_stream(),
+            shards,
+            scheduler: self.scheduler.clone(),
+            stopped,
+            outbox: Arc::new(NoSiblings),
+        }
+    }
+}
+
+/// The way to siblings of an instance that has none.
+struct NoSiblings;
+
+impl SendToSibling for NoSiblings {
+    fn send(&self, _to: Incarnation, _body: message::Message) {}
+
+    fn set_members(&self, _members: &[Arc<Member>]) {}
+}
--- a/crates/kingcupwinch-daemon/src/lib.rs
+++ b/crates/kingcupwinch-daemon/src/lib.rs
@@ -1,1 +1,31 @@
-//! The daemon of each entry instance.
+//! The daemon of each entry instance: it takes callers' requests, decides where and when they
+//! run, and passes answers back.
+//!
+//! ```no_run
+//! use kingcupwinch_daemon::Daemon;
+//! use kingcupwinch_daemon::settings::{Overrides, load_from_disk};
+//!
+//! # async fn example() -> Result<(), Box<dyn std::error::Error>> {
+//! let settings = load_from_disk(Some("kingcupwinchd.toml".as_ref()), &Overrides::default())?;
+//! let running = Daemon::new(settings).start().await?;
+//! println!("callers are served at {}", running.addresses().callers);
+//! let end = running.stop().await;
+//! println!("stopped: {end:?}");
+//! # Ok(())
+//! # }
+//! ```
+
+pub mod cmd;
+pub mod logging;
+pub mod metrics;
+pub mod settings;
+
+mod actors;
+mod daemon;
+mod live;
+mod plan;
+mod server;
+mod shared;
+mod world;
+
+pub use daemon::{Addresses, Daemon, Running, StartError, StopEnd};
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/live/dispatch.rs
@@ -0,0 +1,83 @@
+//! One run of a live request on a worker.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::{Request, Response};
+use kingcupwinch_coord::id::{Attempt, TaskId};
+use kingcupwinch_platform::{AnswerBody, Stamp, WorkerError};
+use kingcupwinch_policy::NotStarted;
+use kingcupwinch_time::{Span, Time};
+use kingcupwinch_wire::worker::Refusal;
+use tokio::time::Instant;
+
+use super::LiveRequest;
+use crate::actors::scheduler::LiveStart;
+use crate::server::body::Body;
+use crate::shared::Shared;
+
+/// The longest that a worker may take to begin its answer where the request has no deadline.
+const MAX_RUN: Span = Span::from_secs(3_600);
+
+/// Sends a request to the worker, with a last check of the permit before each write.
+pub(super) async fn run_on_worker(
+    shared: &Arc<Shared>,
+    request: &LiveRequest,
+    body: Body,
+    start: &LiveStart,
+) -> Result<Response<AnswerBody>, WorkerError> {
+    let now = shared.now();
+    let left = request
+        .deadline
+        .map_or(MAX_RUN, |deadline| deadline.since(now));
+    let deadline = Instant::now() + Duration::from(left);
+    let worker = &start.worker;
+    let stamp = || {
+        let now = shared.now();
+        let permit = shared.ownership.load().permit(worker.shard, now)?;
+        let until = request
+            .deadline
+            .map_or(permit.until, |deadline| deadline.min(permit.until));
+        Some(Stamp {
+            task: TaskId(request.id),
+            attempt: Attempt(start.place.attempt),
+            term: permit.term,
+            left: until.since(now),
+        })
+    };
+    let message = make_message(request, body);
+    worker
+        .client
+        .run(&request.service, message, deadline, stamp)
+        .await
+}
+
+fn make_message(request: &LiveRequest, body: Body) -> Request<Body> {
+    let mut message = Request::new(body);
+    *message.method_mut() = request.method.clone();
+    *message.headers_mut() = request.headers.clone();
+    message
+}
+
+/// Returns why a run did not start, as the policy counts it; none if it may have started.
+pub(super) fn why_not_started(error: &WorkerError) -> Option<NotStarted> {
+    match error {
+        WorkerError::Refused(Refusal::Leaving) => Some(NotStarted::Leaving),
+        WorkerError::Refused(Refusal::Full | Refusal::Late | Refusal::StaleTerm) => {
+            Some(NotStarted::Full)
+        }
+        WorkerError::Refused(Refusal::UnknownService) | WorkerError::RefusedOtherwise => {
+            Some(NotStarted::Refused)
+        }
+        WorkerError::NotSent(kingcupwinch_platform::NotSentCause::Withheld) => {
+            Some(NotStarted::Full)
+        }
+        WorkerError::NotSent(_) => Some(NotStarted::Unreachable),
+        WorkerError::Unknown(_) => None,
+    }
+}
+
+/// Returns how long ago a run began.
+pub(super) fn ran_since(shared: &Shared, began: Time) -> Span {
+    shared.now().since(began)
+}
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/metrics/mod.rs
@@ -0,0 +1,224 @@
+//! Metrics for waiting time, packing and control cost, in the Prometheus text format.
+
+use std::fmt;
+use std::sync::Arc;
+
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::{Family, MetricConstructor};
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Upper bounds of the waiting buckets, in seconds.
+const WAITING_BUCKETS: [f64; 16] = [
+    0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 3.5, 10.0, 60.0, 600.0,
+    3_600.0,
+];
+
+/// Upper bounds of the decision buckets, in seconds.
+const DECISION_BUCKETS: [f64; 9] = [
+    0.000_005, 0.000_01, 0.000_025, 0.000_05, 0.000_1, 0.000_25, 0.001, 0.01, 0.1,
+];
+
+/// The label of a class of work.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ClassLabel {
+    /// The class, one of those configured.
+    pub class: Arc<str>,
+}
+
+/// The labels of an answered request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OutcomeLabel {
+    /// The class, one of those configured.
+    pub class: Arc<str>,
+    /// How it ended.
+    pub outcome: Outcome,
+}
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Outcome {
+    /// The worker answered.
+    Ran,
+    /// It certainly did not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+    /// It ran and failed.
+    Failed,
+}
+
+impl Outcome {
+    /// Returns the label's value.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Outcome::Ran => "ran",
+            Outcome::NotRun => "not_run",
+            Outcome::Unknown => "unknown",
+            Outcome::Failed => "failed",
+        }
+    }
+}
+
+impl EncodeLabelValue for Outcome {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), fmt::Error> {
+        EncodeLabelValue::encode(&self.as_str(), encoder)
+    }
+}
+
+/// Makes the histograms of waiting time.
+#[derive(Debug, Clone, Copy)]
+pub struct WaitingBuckets;
+
+impl MetricConstructor<Histogram> for WaitingBuckets {
+    fn new_metric(&self) -> Histogram {
+        Histogram::new(WAITING_BUCKETS)
+    }
+}
+
+/// Every metric of the daemon; `docs/METRICS.md` lists them.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Time from arrival to dispatch.
+    pub waiting: Family<ClassLabel, Histogram, WaitingBuckets>,
+    /// Answered requests.
+    pub requests: Family<OutcomeLabel, Counter>,
+    /// Dispatches beyond a request's first.
+    pub retries: Family<ClassLabel, Counter>,
+    /// Answers of attempts that had already ended.
+    pub late: Counter,
+    /// Work that waits.
+    pub queued: Family<ClassLabel, Gauge>,
+    /// Tasks that run on this instance's workers.
+    pub running: Family<ClassLabel, Gauge>,
+    /// Slots of this instance's workers.
+    pub slots: Gauge,
+    /// Slots in use.
+    pub busy: Gauge,
+    /// Time that one round of decisions took.
+    pub decisions: Histogram,
+    /// Shards that this instance may dispatch to.
+    pub shards: Gauge,
+    /// Appends to the log.
+    pub appends: Counter,
+    /// Records read from the log.
+    pub records: Counter,
+    /// Sibling messages sent.
+    pub messages: Counter,
+    /// The configuration version in force.
+    pub version: Gauge,
+}
+
+impl Metrics {
+    /// Makes every metric and registers it.
+    pub fn new() -> Self {
+        let mut metrics = Metrics {
+            registry: Registry::with_prefix("kingcupwinch"),
+            waiting: Family::new_with_constructor(WaitingBuckets),
+            requests: Family::default(),
+            retries: Family::default(),
+            late: Counter::default(),
+            queued: Family::default(),
+            running: Family::default(),
+            slots: Gauge::default(),
+            busy: Gauge::default(),
+            decisions: Histogram::new(DECISION_BUCKETS),
+            shards: Gauge::default(),
+            appends: Counter::default(),
+            records: Counter::default(),
+            messages: Counter::default(),
+            version: Gauge::default(),
+        };
+        metrics.register_requests();
+        metrics.register_capacity();
+        metrics.register_control();
+        metrics
+    }
+
+    fn register_requests(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "waiting_seconds",
+            "Time from arrival to dispatch",
+            self.waiting.clone(),
+        );
+        registry.register("requests", "Answered requests", self.requests.clone());
+        registry.register(
+            "retries",
+            "Dispatches beyond a request's first",
+            self.retries.clone(),
+        );
+        registry.register(
+            "late_answers",
+            "Answers of attempts that had already ended",
+            self.late.clone(),
+        );
+        registry.register("queued_tasks", "Work that waits", self.queued.clone());
+    }
+
+    fn register_capacity(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("running_tasks", "Tasks that run", self.running.clone());
+        registry.register(
+            "worker_slots",
+            "Slots of this instance's workers",
+            self.slots.clone(),
+        );
+        registry.register("worker_slots_busy", "Slots in use", self.busy.clone());
+        registry.register("owned_shards", "Shards dispatched to", self.shards.clone());
+    }
+
+    fn register_control(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "decision_seconds",
+            "Time that one round of decisions took",
+            self.decisions.clone(),
+        );
+        registry.register("log_appends", "Appends to the log", self.appends.clone());
+        registry.register(
+            "log_records",
+            "Records read from the log",
+            self.records.clone(),
+        );
+        registry.register(
+            "link_messages",
+            "Sibling messages sent",
+            self.messages.clone(),
+        );
+        registry.register(
+            "config_version",
+            "Configuration in force",
+            self.version.clone(),
+        );
+    }
+
+    /// Writes all metrics in the OpenMetrics text format.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`fmt::Error`] if a label can't be written.
+    pub fn encode(&self) -> Result<String, fmt::Error> {
+        let mut text = String::new();
+        prometheus_client::encoding::text::encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+
+    /// Counts an answered request.
+    pub fn count(&self, class: &Arc<str>, outcome: Outcome) {
+        let label = OutcomeLabel {
+            class: Arc::clone(class),
+            outcome,
+        };
+        self.requests.get_or_create(&label).inc();
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Metrics::new()
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/plan.rs
@@ -0,0 +1,97 @@
+//! The policy's plan, made from the configuration in force.
+
+use kingcupwinch_config as config;
+use kingcupwinch_policy::{
+    ClassSpec, Contract, CustomerSpec, Kind, Means, Permille, Plan, Rate, Retry, Size, Weights,
+};
+use kingcupwinch_time::Span;
+
+const PERMILLE: f64 = 1_000.0;
+
+/// How far a class or a task that may be throttled is slowed, in percent.
+const THROTTLE_PERCENT: u8 = 50;
+
+/// Makes the plan for one failure domain.
+pub(crate) fn make_plan(tree: &config::Tree, domain: &str) -> Plan {
+    let mut plan = Plan::new().with_weights(Weights {
+        waiting: tree.weights.waiting.get(),
+        packing: tree.weights.packing.get(),
+    });
+    for (name, class) in &tree.classes {
+        plan = plan.with_class(make_class(name, class));
+    }
+    for (name, customer) in &tree.customers {
+        plan = plan.with_customer(make_customer(name, customer, tree, domain));
+    }
+    plan
+}
+
+fn make_class(name: &str, class: &config::Class) -> ClassSpec {
+    let mut spec = ClassSpec::new(name, make_kind(class.kind), class.band)
+        .with_shares(permille(class.least), permille(class.most))
+        .with_means(Means {
+            throttle: if class.throttle { THROTTLE_PERCENT } else { 0 },
+            checkpoint: class.checkpoint,
+            stop: class.stop,
+        })
+        .with_bound(usize::try_from(class.queue_most).unwrap_or(usize::MAX))
+        .with_retry(Retry {
+            ratio: class.retry.budget.get(),
+            base: span(class.retry.base_ms),
+            cap: span(class.retry.cap_ms),
+            attempts: u32::from(class.retry.attempts),
+        })
+        .with_typical(typical_size(class));
+    if let Some(deadline) = class.deadline_ms {
+        spec = spec.with_patience(span(deadline));
+    }
+    if let Some(rate) = class.rate_most {
+        spec = spec.with_rate(Rate {
+            each_second: f64::from(rate),
+            burst: f64::from(rate),
+        });
+    }
+    spec
+}
+
+fn make_kind(kind: config::Kind) -> Kind {
+    match kind {
+        config::Kind::Live => Kind::Live,
+        config::Kind::Batch => Kind::Batch,
+        config::Kind::Gang => Kind::Gang,
+    }
+}
+
+/// Returns the size of a class's usual task; a live one takes a slot and a connection.
+pub(crate) fn typical_size(class: &config::Class) -> Size {
+    let task = &class.task;
+    let connections = u64::from(class.kind == config::Kind::Live);
+    Size::new(u64::from(task.millicores), u64::from(task.memory_mb))
+        .with_accelerators(u64::from(task.accelerators))
+        .with_slots(1)
+        .with_connections(connections)
+}
+
+fn make_customer(
+    name: &str,
+    customer: &config::Customer,
+    tree: &config::Tree,
+    domain: &str,
+) -> CustomerSpec {
+    let workers = tree.domains.get(domain).map_or(0, |domain| domain.workers);
+    let paid = f64::from(customer.contract.workers) / f64::from(workers.max(1));
+    CustomerSpec::new(name, customer.weight.get())
+        .with_quota(permille(customer.quota))
+        .with_contract(Contract {
+            paid: paid.min(1.0),
+        })
+}
+
+fn permille(share: config::Share) -> Permille {
+    // A share is from 0 to 1, so the cast can't overflow.
+    Permille((share.get() * PERMILLE).round() as u16)
+}
+
+fn span(millis: config::Millis) -> Span {
+    Span::from_millis(millis.get())
+}
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/server/callers.rs
@@ -0,0 +1,75 @@
+//! The callers' port.
+
+use std::sync::Arc;
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+
+use super::body::{Body, BodyError, Held};
+use super::listener::Handler;
+use super::problem::{not_run, respond};
+use crate::live::{Admission, LiveService};
+use crate::metrics::Outcome;
+use crate::shared::Shared;
+
+const RUN_PATH: &str = "/v1/run/";
+
+/// Answers callers.
+#[derive(Debug)]
+pub(crate) struct Callers {
+    shared: Arc<Shared>,
+    live: LiveService,
+}
+
+impl Callers {
+    /// Makes the handler.
+    pub(crate) fn new(shared: Arc<Shared>, live: LiveService) -> Self {
+        Callers { shared, live }
+    }
+
+    async fn run_live(&self, service: &str, request: Request<Incoming>) -> Response<Body> {
+        let arrived = self.shared.now();
+        let config = self.shared.config.load_full();
+        let admission = match Admission::check(&config, service, request.headers(), arrived) {
+            Ok(admission) => admission,
+            Err(problem) => return respond(&problem),
+        };
+        let (parts, body) = request.into_parts();
+        match Held::read(body, &self.shared.settings.hold).await {
+            Ok(body) => self.live.run(admission.admit(parts, body)).await,
+            Err(err) => {
+                self.shared
+                    .metrics
+                    .count(admission.class(), Outcome::NotRun);
+                respond_bad_body(&err)
+            }
+        }
+    }
+}
+
+/// Refuses a request whose body could not be read.
+pub(crate) fn respond_bad_body(err: &BodyError) -> Response<Body> {
+    let (status, code) = match err {
+        BodyError::TooLarge(_) => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
+        BodyError::Idle => (StatusCode::REQUEST_TIMEOUT, "body-too-slow"),
+        BodyError::Broken(_) => (StatusCode::BAD_REQUEST, "body-broken"),
+    };
+    respond(&not_run(status, code, err.to_string()))
+}
+
+impl Handler for Callers {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let path = request.uri().path().to_owned();
+        if let Some(service) = path.strip_prefix(RUN_PATH) {
+            return self.run_live(service, request).await;
+        }
+        match (request.method(), path.as_str()) {
+            (&Method::GET, "/healthz") => super::operators::healthz(),
+            (&Method::GET, "/readyz") => super::operators::readyz(&self.shared),
+            _ => {
+                let detail = format!("there is nothing at {path}");
+                respond(&not_run(StatusCode::NOT_FOUND, "not-found", detail))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/server/headers.rs
@@ -0,0 +1,175 @@
+//! The headers of a live request, and those that callers and workers may not set.
+
+use std::sync::Arc;
+
+use hyper::HeaderMap;
+use hyper::header::{
+    CONNECTION, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use kingcupwinch_time::{Span, Time, WallTime};
+use quick_error::quick_error;
+use uuid::Uuid;
+
+/// The class of a request's work.
+pub(crate) const CLASS: HeaderName = HeaderName::from_static("kcw-class");
+/// The customer a request counts for.
+pub(crate) const CUSTOMER: HeaderName = HeaderName::from_static("kcw-customer");
+/// The time left at sending, in milliseconds.
+pub(crate) const DEADLINE: HeaderName = HeaderName::from_static("kcw-deadline-ms");
+/// The caller's key of non-idempotent work.
+pub(crate) const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+const SYSTEM_PREFIXES: [&str; 2] = ["kcw-", "platform-"];
+const HOP_HEADERS: [HeaderName; 7] = [
+    CONNECTION,
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+const KEEP_ALIVE: &str = "keep-alive";
+
+/// The longest deadline that is taken at its word, in milliseconds.
+const MAX_DEADLINE_MS: u64 = 24 * 60 * 60 * 1_000;
+
+quick_error! {
+    /// Why a header can't be used.
+    #[derive(Debug, PartialEq, Eq)]
+    pub enum HeaderError {
+        /// It is there more than once.
+        Repeated(name: HeaderName) {
+            display("header {name} is there more than once")
+        }
+        /// It is not visible ASCII.
+        NotText(name: HeaderName) {
+            display("header {name} is not visible ASCII text")
+        }
+        /// It is not a whole number in range.
+        NotNumber(name: HeaderName) {
+            display("header {name} is not a whole number of milliseconds from 1 to a day")
+        }
+        /// It is not a UUIDv7.
+        NotKey {
+            display("header idempotency-key is not a UUID of version 7")
+        }
+    }
+}
+
+/// A caller's idempotency key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Key {
+    /// The key itself.
+    pub(crate) id: Uuid,
+    /// When the caller made it, by the caller's clock.
+    pub(crate) issued: WallTime,
+}
+
+/// What a live request's headers say.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Wanted {
+    /// The class, where named.
+    pub(crate) class: Option<Arc<str>>,
+    /// The customer, where named.
+    pub(crate) customer: Option<Arc<str>>,
+    /// When the answer is of no more use, where named.
+    pub(crate) deadline: Option<Time>,
+    /// The caller's key, where named.
+    pub(crate) key: Option<Key>,
+}
+
+impl Wanted {
+    /// Reads the headers of a request that arrived at `now`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HeaderError`] if one is repeated or malformed.
+    pub(crate) fn read(headers: &HeaderMap, now: Time) -> Result<Self, HeaderError> {
+        let deadline = match text(headers, &DEADLINE)? {
+            Some(value) => Some(now + parse_left(value)?),
+            None => None,
+        };
+        Ok(Wanted {
+            class: text(headers, &CLASS)?.map(Arc::from),
+            customer: text(headers, &CUSTOMER)?.map(Arc::from),
+            deadline,
+            key: text(headers, &KEY)?.map(parse_key).transpose()?,
+        })
+    }
+}
+
+fn parse_left(value: &str) -> Result<Span, HeaderError> {
+    let millis: u64 = value
+        .parse()
+        .map_err(|_| HeaderError::NotNumber(DEADLINE))?;
+    if millis == 0 || millis > MAX_DEADLINE_MS {
+        return Err(HeaderError::NotNumber(DEADLINE));
+    }
+    Ok(Span::from_millis(millis))
+}
+
+fn parse_key(value: &str) -> Result<Key, HeaderError> {
+    let id = Uuid::parse_str(value).map_err(|_| HeaderError::NotKey)?;
+    if id.get_version_num() != 7 {
+        return Err(HeaderError::NotKey);
+    }
+    let (secs, nanos) = id.get_timestamp().ok_or(HeaderError::NotKey)?.to_unix();
+    let millis = secs
+        .saturating_mul(1_000)
+        .saturating_add(u64::from(nanos / 1_000_000));
+    Ok(Key {
+        id,
+        issued: WallTime::from_millis(millis),
+    })
+}
+
+/// Returns a header's text, or `None` where it is absent.
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>, HeaderError> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(HeaderError::Repeated(name.clone()));
+    }
+    value
+        .to_str()
+        .map(Some)
+        .map_err(|_| HeaderError::NotText(name.clone()))
+}
+
+/// Removes the headers of one hop and those that only the system and the platform set.
+pub(crate) fn strip(headers: &mut HeaderMap) {
+    let named = named_by_connection(headers);
+    let drop: Vec<HeaderName> = headers
+        .keys()
+        .filter(|name| is_reserved(name))
+        .cloned()
+        .collect();
+    for name in drop.into_iter().chain(named) {
+        headers.remove(&name);
+    }
+}
+
+fn is_reserved(name: &HeaderName) -> bool {
+    let text = name.as_str();
+    HOP_HEADERS.contains(name)
+        || text == KEEP_ALIVE
+        || SYSTEM_PREFIXES
+            .iter()
+            .any(|prefix| text.starts_with(prefix))
+}
+
+/// Returns the headers that a `Connection` header declares to be of one hop.
+fn named_by_connection(headers: &HeaderMap) -> Vec<HeaderName> {
+    let values = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok());
+    let tokens = values.flat_map(|value| value.split(','));
+    tokens
+        .filter_map(|token| token.trim().parse().ok())
+        .collect()
+}
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/server/listener.rs
@@ -0,0 +1,154 @@
+//! Accepting connections, within limits, until a graceful stop.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful::{GracefulShutdown, Watcher};
+use slog::o;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+
+use super::body::Body;
+use crate::logging::{EventId, EventLog};
+use crate::settings::Hold;
+
+/// Streams that one HTTP/2 connection may have open.
+const MAX_STREAMS: u32 = 512;
+
+/// How long a failing accept waits before the next try.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers requests.
+pub(crate) trait Handler: Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Response<Body>> + Send;
+}
+
+/// A bound port that serves one handler.
+#[derive(Debug)]
+pub(crate) struct Listener {
+    socket: TcpListener,
+    address: SocketAddr,
+    hold: Hold,
+    log: EventLog,
+}
+
+impl Listener {
+    /// Binds the address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the socket's error if the address can't be bound.
+    pub(crate) async fn bind(
+        address: SocketAddr,
+        hold: Hold,
+        log: EventLog,
+    ) -> std::io::Result<Self> {
+        let socket = TcpListener::bind(address).await?;
+        let address = socket.local_addr()?;
+        Ok(Listener {
+            socket,
+            address,
+            hold,
+            log,
+        })
+    }
+
+    /// Returns the bound address.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Serves until `stop` turns true, then lets open requests end.
+    pub(crate) async fn serve<H: Handler>(self, handler: Arc<H>, mut stop: watch::Receiver<bool>) {
+        let graceful = GracefulShutdown::new();
+        let limit = Arc::new(Semaphore::new(self.hold.connections));
+        let builder = Arc::new(make_builder(&self.hold));
+        loop {
+            tokio::select! {
+                accepted = self.socket.accept() => match accepted {
+                    Ok((stream, _)) => {
+                        let Ok(permit) = Arc::clone(&limit).try_acquire_owned() else {
+                            self.log.write(EventId::ConnectionRefused, o!());
+                            continue;
+                        };
+                        let connection = Connection {
+                            stream,
+                            permit,
+                            watcher: graceful.watcher(),
+                            builder: Arc::clone(&builder),
+                            log: self.log.clone(),
+                        };
+                        tokio::spawn(connection.run(Arc::clone(&handler)));
+                    }
+                    Err(err) => {
+                        self.log.write(EventId::AcceptFailed, o!("error" => err.to_string()));
+                        tokio::time::sleep(ACCEPT_PAUSE).await;
+                    }
+                },
+                () = told_to_stop(&mut stop) => break,
+            }
+        }
+        drop(self.socket);
+        graceful.shutdown().await;
+    }
+}
+
+/// Waits until the server is told to stop, or nobody is left to tell it.
+async fn told_to_stop(stop: &mut watch::Receiver<bool>) {
+    let _ = stop.wait_for(|stop| *stop).await;
+}
+
+fn make_builder(hold: &Hold) -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(hold.idle_ms))
+        .max_buf_size(hold.header_bytes);
+    let headers = u32::try_from(hold.header_bytes).unwrap_or(u32::MAX);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(headers)
+        .max_concurrent_streams(MAX_STREAMS);
+    builder
+}
+
+/// One accepted connection.
+struct Connection {
+    stream: TcpStream,
+    permit: OwnedSemaphorePermit,
+    watcher: Watcher,
+    builder: Arc<auto::Builder<TokioExecutor>>,
+    log: EventLog,
+}
+
+impl Connection {
+    async fn run<H: Handler>(self, handler: Arc<H>) {
+        // A failure to turn off batching costs only latency.
+        let _ = self.stream.set_nodelay(true);
+        let service = service_fn(move |request| {
+            let handler = Arc::clone(&handler);
+            async move { Ok::<_, Infallible>(handler.handle(request).await) }
+        });
+        let io = TokioIo::new(self.stream);
+        let connection = self.builder.serve_connection(io, service).into_owned();
+        if let Err(err) = self.watcher.watch(connection).await {
+            self.log
+                .write(EventId::ConnectionBroken, o!("error" => err.to_string()));
+        }
+        drop(self.permit);
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/server/mod.rs
@@ -0,0 +1,8 @@
+//! HTTP servers towards callers, siblings and operators.
+
+pub(crate) mod body;
+pub(crate) mod callers;
+pub(crate) mod headers;
+pub(crate) mod listener;
+pub(crate) mod operators;
+pub(crate) mod problem;
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/settings/check.rs
@@ -0,0 +1,181 @@
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use quick_error::quick_error;
+
+use super::Settings;
+
+/// The least header limit that an ordinary HTTP client can live with, in bytes.
+const MIN_HEADER_BYTES: usize = 8 * 1024;
+
+quick_error! {
+    /// Why the settings can't be used.
+    #[derive(Debug)]
+    pub enum SettingsError {
+        /// The file is not there or can't be read.
+        Unreadable(path: PathBuf, err: std::io::Error) {
+            display("can't read settings file {}: {}; name another with --settings", path.display(), err)
+            source(err)
+        }
+        /// A source holds something that is not a setting, or a value of the wrong type.
+        Malformed(err: Box<figment::Error>) {
+            display("settings are malformed: {err}")
+            source(err)
+        }
+        /// The values were read but can't work together.
+        Invalid(faults: Vec<Fault>) {
+            display("settings are invalid: {}", join(faults))
+        }
+    }
+}
+
+/// One value that can't work.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// The setting's path, such as `listen.link`.
+    pub key: &'static str,
+    /// What is wrong with it.
+    pub why: Arc<str>,
+}
+
+fn join(faults: &[Fault]) -> String {
+    let texts: Vec<_> = faults
+        .iter()
+        .map(|fault| format!("{}: {}", fault.key, fault.why))
+        .collect();
+    texts.join("; ")
+}
+
+/// Checks what types alone can't and gathers every fault.
+pub(super) fn check(settings: &Settings) -> Result<(), SettingsError> {
+    let mut faults = Vec::new();
+    check_names(settings, &mut faults);
+    check_addresses(settings, &mut faults);
+    check_limits(settings, &mut faults);
+    if faults.is_empty() {
+        Ok(())
+    } else {
+        Err(SettingsError::Invalid(faults))
+    }
+}
+
+fn fault(faults: &mut Vec<Fault>, bad: bool, key: &'static str, why: &str) {
+    if bad {
+        faults.push(Fault {
+            key,
+            why: why.into(),
+        });
+    }
+}
+
+fn check_names(settings: &Settings, faults: &mut Vec<Fault>) {
+    let instance = &settings.instance;
+    fault(
+        faults,
+        instance.name.is_empty(),
+        "instance.name",
+        "is empty",
+    );
+    fault(
+        faults,
+        instance.domain.is_empty(),
+        "instance.domain",
+        "is empty",
+    );
+    fault(faults, instance.weight == 0, "instance.weight", "is zero");
+}
+
+fn check_addresses(settings: &Settings, faults: &mut Vec<Fault>) {
+    let listen = &settings.listen;
+    let listeners = [
+        ("listen.callers", listen.callers),
+        ("listen.forward", listen.forward),
+        ("listen.link", listen.link),
+        ("listen.operators", listen.operators),
+    ];
+    for (index, (key, address)) in listeners.iter().enumerate() {
+        let taken = listeners[..index]
+            .iter()
+            .any(|(_, other)| clashes(*other, *address));
+        fault(
+            faults,
+            taken,
+            key,
+            "is the same address as another listener's",
+        );
+    }
+    for (key, address) in [
+        ("listen.link", listen.link),
+        ("listen.forward", listen.forward),
+    ] {
+        fault(
+            faults,
+            is_any(address.ip()),
+            key,
+            "must be an address that siblings can reach",
+        );
+    }
+    fault(
+        faults,
+        settings.platform.log.port() == 0,
+        "platform.log",
+        "has port 0",
+    );
+    fault(
+        faults,
+        settings.platform.list.port() == 0,
+        "platform.list",
+        "has port 0",
+    );
+}
+
+fn clashes(a: SocketAddr, b: SocketAddr) -> bool {
+    a.port() != 0 && a == b
+}
+
+fn is_any(ip: IpAddr) -> bool {
+    ip.is_unspecified()
+}
+
+fn check_limits(settings: &Settings, faults: &mut Vec<Fault>) {
+    let hold = &settings.hold;
+    let small = hold.header_bytes < MIN_HEADER_BYTES;
+    fault(faults, small, "hold.header_bytes", "is below 8192");
+    fault(faults, hold.connections == 0, "hold.connections", "is zero");
+    fault(faults, hold.idle_ms == 0, "hold.idle_ms", "is zero");
+    fault(
+        faults,
+        hold.answer_bytes == 0,
+        "hold.answer_bytes",
+        "is zero",
+    );
+    let body = usize::try_from(hold.body_bytes).unwrap_or(usize::MAX);
+    let inverted = hold.request_bytes > body;
+    fault(
+        faults,
+        inverted,
+        "hold.request_bytes",
+        "is above hold.body_bytes",
+    );
+    fault(
+        faults,
+        settings.platform.poll_ms == 0,
+        "platform.poll_ms",
+        "is zero",
+    );
+    fault(
+        faults,
+        settings.platform.call_ms == 0,
+        "platform.call_ms",
+        "is zero",
+    );
+    let stop = &settings.stop;
+    let late = stop.balancer_ms >= stop.deadline_ms;
+    fault(
+        faults,
+        late,
+        "stop.deadline_ms",
+        "is not above stop.balancer_ms",
+    );
+}
--- /dev/null
+++ b/crates/kingcupwinch-daemon/tests/testsuite/caller.rs
@@ -0,0 +1,104 @@
+//! A caller, and waiting for a condition.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Collected, Full};
+use hyper::{HeaderMap, Method, Request, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use kingcupwinch_wire::api::Problem;
+
+/// How long a condition may take to come true before the test fails.
+const GUARD: Duration = Duration::from_secs(60);
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub(crate) struct Reply {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl Reply {
+    /// Reads the answer as a refusal.
+    pub(crate) fn problem(&self) -> Problem {
+        serde_json::from_slice(&self.body).unwrap()
+    }
+
+    pub(crate) fn text(&self) -> &str {
+        std::str::from_utf8(&self.body).unwrap()
+    }
+}
+
+/// A caller with its own pool of connections.
+#[derive(Debug, Clone)]
+pub(crate) struct Caller {
+    client: Client<HttpConnector, Full<Bytes>>,
+    address: SocketAddr,
+}
+
+impl Caller {
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        Caller { client, address }
+    }
+
+    /// Sends one request and reads the whole answer.
+    pub(crate) async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Result<Reply, hyper_util::client::legacy::Error> {
+        let uri = format!("http://{}{path}", self.address);
+        let mut request = Request::builder().method(method).uri(uri);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new(body.into())).unwrap();
+        let (parts, body) = self.client.request(request).await?.into_parts();
+        let body = body
+            .collect()
+            .await
+            .map(Collected::to_bytes)
+            .unwrap_or_default();
+        Ok(Reply {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+        })
+    }
+
+    pub(crate) async fn get(&self, path: &str) -> Reply {
+        self.send(Method::GET, path, &[], "").await.unwrap()
+    }
+
+    /// Runs a live request.
+    pub(crate) async fn run(
+        &self,
+        service: &str,
+        headers: &[(&str, &str)],
+        body: &'static str,
+    ) -> Reply {
+        let path = format!("/v1/run/{service}");
+        self.send(Method::POST, &path, headers, body).await.unwrap()
+    }
+}
+
+/// Waits until the condition holds.
+pub(crate) async fn wait_until<F: Future<Output = bool>>(
+    what: &str,
+    mut condition: impl FnMut() -> F,
+) {
+    let waited = tokio::time::timeout(GUARD, async {
+        while !condition().await {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    });
+    assert!(waited.await.is_ok(), "{what} did not come true");
+}
--- /dev/null
+++ b/crates/kingcupwinch-daemon/tests/testsuite/main.rs
@@ -0,0 +1,8 @@
+//! Whole-program tests: daemons, stand-ins for the platform, and callers on loopback.
+
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
+mod caller;
+mod live;
+mod process;
+mod site;
--- /dev/null
+++ b/crates/kingcupwinch-daemon/tests/testsuite/process.rs
@@ -0,0 +1,85 @@
+//! The daemon as a process of its own.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+
+use kingcupwinch_fakes::live_answer;
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::caller::{Caller, wait_until};
+use crate::site::{DOMAIN, Site};
+
+/// A daemon process that ends with the test.
+struct Process {
+    child: Child,
+    callers: SocketAddr,
+}
+
+impl Process {
+    fn start(site: &Site, name: &str) -> Self {
+        let log = site.log_front.address().to_string();
+        let list = site.roster_front.address().to_string();
+        let any = "127.0.0.1:0";
+        let mut child = Command::new(env!("CARGO_BIN_EXE_kingcupwinchd"))
+            .args([
+                "--name", name, "--domain", DOMAIN, "--log", &log, "--list", &list,
+            ])
+            .args([
+                "--callers",
+                any,
+                "--forward",
+                any,
+                "--link",
+                any,
+                "--operators",
+                any,
+            ])
+            .args(["--log-format", "off"])
+            .env("KINGCUPWINCHD_STOP__BALANCER_MS", "50")
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().unwrap())
+            .read_line(&mut line)
+            .unwrap();
+        let callers = line
+            .split_whitespace()
+            .find_map(|part| part.strip_prefix("callers="));
+        let callers = callers.unwrap().parse().unwrap();
+        Process { child, callers }
+    }
+
+    fn terminate(&self) {
+        let id = i32::try_from(self.child.id()).unwrap();
+        kill_process(Pid::from_raw(id).unwrap(), Signal::TERM).unwrap();
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_separate_process_serves_and_stops_with_exit_code_zero() {
+    let site = Site::start(2).await;
+    let mut process = Process::start(&site, "entry-1");
+    let caller = Caller::new(process.callers);
+    wait_until("the daemon is ready", || async {
+        caller.get("/readyz").await.status == 200
+    })
+    .await;
+    let reply = caller
+        .run("booking", &[("x-request-id", "p1")], "stage")
+        .await;
+    assert_eq!(reply.status, 200, "{reply:?}");
+    assert_eq!(reply.body, live_answer("p1", b"stage", 0));
+    process.terminate();
+    let status = tokio::task::spawn_blocking(move || process.child.wait().unwrap());
+    assert_eq!(status.await.unwrap().code(), Some(0));
+}
--- /dev/null
+++ b/crates/kingcupwinch-daemon/tests/testsuite/site.rs
@@ -0,0 +1,176 @@
+//! A failure domain with its stand-ins, in which daemons start.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use kingcupwinch_config::load_texts;
+use kingcupwinch_coord::id::{RecordId, Version};
+use kingcupwinch_coord::record::{ConfigRecord, Stamped};
+use kingcupwinch_daemon::settings::{
+    Hold, Instance, Listen, Log, LogFormat, Platform, Settings, Stop,
+};
+use kingcupwinch_daemon::{Daemon, Running};
+use kingcupwinch_fakes::{
+    FakeLog, FakeRoster, FakeWorker, Ledger, LogFront, RosterFront, WorkerSpec,
+};
+use kingcupwinch_time::WallTime;
+use kingcupwinch_wire::encode_config;
+use kingcupwinch_wire::roster::Capacity;
+use uuid::Uuid;
+
+use crate::caller::{Caller, wait_until};
+
+pub(crate) const DOMAIN: &str = "harju-a";
+
+pub(crate) const BASE: &str = r#"
+[domains.harju-a]
+region = "harju"
+shards = 16
+workers = 4
+rack_workers = 2
+slots = 4
+connections = 32
+millicores = 16_000
+memory_mb = 65_536
+
+[classes.check]
+kind = "live"
+band = 0
+deadline_ms = 20_000
+idempotent = true
+task = { millicores = 500, memory_mb = 256, run_ms = 20 }
+
+[classes.dispatch]
+kind = "live"
+band = 1
+deadline_ms = 20_000
+task = { millicores = 500, memory_mb = 256, run_ms = 20 }
+
+[services.booking]
+classes = ["check", "dispatch"]
+default_class = "check"
+
+[customers.festival]
+weight = 1
+"#;
+
+pub(crate) fn any_port() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+/// The platform of one failure domain.
+pub(crate) struct Site {
+    pub(crate) log: FakeLog,
+    pub(crate) log_front: LogFront,
+    pub(crate) roster: FakeRoster,
+    pub(crate) roster_front: RosterFront,
+    pub(crate) workers: Vec<FakeWorker>,
+    pub(crate) ledger: Ledger,
+}
+
+impl Site {
+    /// Starts the platform with `workers` equal workers and publishes [`BASE`].
+    pub(crate) async fn start(workers: usize) -> Self {
+        let log = FakeLog::new();
+        let roster = FakeRoster::new();
+        let mut site = Site {
+            log_front: LogFront::start(&log, any_port()).await.unwrap(),
+            roster_front: RosterFront::start(&roster, any_port()).await.unwrap(),
+            log,
+            roster,
+            workers: Vec::new(),
+            ledger: Ledger::new(),
+        };
+        for index in 0..workers {
+            site.add_worker(index).await;
+        }
+        site.publish(BASE, 0);
+        site
+    }
+
+    async fn add_worker(&mut self, index: usize) {
+        let capacity = Capacity {
+            slots: 4,
+            connections: 32,
+            millicores: 16_000,
+            memory_mb: 65_536,
+            accelerators: 0,
+            services: vec!["booking".into()],
+        };
+        let spec = WorkerSpec::new(format!("worker-{index}"), capacity);
+        let worker = FakeWorker::start(spec, &self.ledger, any_port())
+            .await
+            .unwrap();
+        let rack = format!("rack-{}", index % 2);
+        self.roster.put(worker.instance(DOMAIN, &rack));
+        self.workers.push(worker);
+    }
+
+    /// Publishes a tree over version `based`.
+    pub(crate) fn publish(&self, toml: &str, based: u64) {
+        let loaded = load_texts([("10-base.toml", toml)]).unwrap();
+        let record = ConfigRecord {
+            based: Version(based),
+            version: Version(based + 1),
+            origin: None,
+            author: "test".into(),
+            published: WallTime::from_millis(0),
+            tree: loaded.tree.to_canonical_json().into(),
+        };
+        let record = Stamped {
+            id: RecordId(Uuid::now_v7()),
+            body: record,
+        };
+        self.log.append("config", encode_config(&record));
+    }
+
+    /// Returns the settings of an entry instance.
+    pub(crate) fn settings(&self, name: &str) -> Settings {
+        Settings {
+            instance: Instance {
+                name: name.into(),
+                domain: Arc::from(DOMAIN),
+                weight: 1,
+                seed: None,
+            },
+            listen: Listen {
+                callers: any_port(),
+                forward: any_port(),
+                link: any_port(),
+                operators: any_port(),
+            },
+            platform: Platform {
+                log: self.log_front.address(),
+                list: self.roster_front.address(),
+                poll_ms: 100,
+                call_ms: 1_500,
+            },
+            log: Log {
+                format: LogFormat::Off,
+                ..Log::default()
+            },
+            stop: Stop {
+                balancer_ms: 50,
+                deadline_ms: 30_000,
+            },
+            hold: Hold::default(),
+        }
+    }
+
+    /// Starts an entry instance and waits until it dispatches to some worker.
+    pub(crate) async fn start_daemon(&self, name: &str) -> Running {
+        let running = Daemon::new(self.settings(name)).start().await.unwrap();
+        let operators = Caller::new(running.addresses().operators);
+        wait_until("a worker takes work", || async {
+            let metrics = operators.get("/metrics").await;
+            let slots = metrics.text().lines().find_map(|line| {
+                line.strip_prefix("kingcupwinch_worker_slots ")?
+                    .parse::<u64>()
+                    .ok()
+            });
+            slots.is_some_and(|slots| slots > 0)
+        })
+        .await;
+        running
+    }
+}
--- a/crates/kingcupwinch-policy/src/cell/machines.rs
+++ b/crates/kingcupwinch-policy/src/cell/machines.rs
@@ -19,6 +19,13 @@
         self.fleet.add(spec)
     }
 
+    /// Sets the capacities of machines that other owners hold: a task that fits one of them waits
+    /// here instead of being refused. None means that they are not known, so nothing is refused
+    /// for its size; a new cell assumes that there are none.
+    pub fn set_elsewhere(&mut self, shapes: Option<Vec<Size>>) {
+        self.fleet.set_elsewhere(shapes);
+    }
+
     /// Returns whether a machine takes work.
     pub fn standing(&self, machine: MachineKey) -> Option<Standing> {
         self.fleet.get(machine).map(|m| m.standing)
--- a/crates/kingcupwinch-policy/src/fleet.rs
+++ b/crates/kingcupwinch-policy/src/fleet.rs
@@ -35,6 +35,8 @@
     machines: SlotMap<MachineKey, Machine>,
     racks: Vec<Rack>,
     shapes: FxHashMap<Size, u32>,
+    /// Capacities of machines that others own; none means that they are not known.
+    elsewhere: Option<Vec<Size>>,
     buckets: Buckets,
     /// Open machines by speed tier, then machines kept for a gang.
     indexes: Vec<FreeIndex>,
@@ -53,6 +55,7 @@
             machines: SlotMap::with_key(),
             racks: Vec::new(),
             shapes: FxHashMap::default(),
+            elsewhere: Some(Vec::new()),
             buckets: Buckets::new(),
             indexes: (0..=KEPT).map(FreeIndex::new).collect(),
             movable: Vec::new(),
@@ -327,16 +330,23 @@
 
     /// Returns why no machine could ever hold this size.
     pub(crate) fn misfit(&self, need: &Size) -> Option<Refusal> {
-        if self.shapes.keys().any(|s| need.fits(s)) {
+        let elsewhere = self.elsewhere.as_ref()?;
+        let shapes = || self.shapes.keys().chain(elsewhere);
+        if shapes().any(|s| need.fits(s)) {
             return None;
         }
-        let largest = self.shapes.keys().fold(Size::ZERO, |m, s| m.max(s));
+        let largest = shapes().fold(Size::ZERO, |m, s| m.max(s));
         Some(
             need.exceeds(&largest)
                 .map_or(Refusal::NoShape, Refusal::TooLarge),
         )
     }
 
+    /// Sets the capacities of machines that others own; none if they are not known.
+    pub(crate) fn set_elsewhere(&mut self, shapes: Option<Vec<Size>>) {
+        self.elsewhere = shapes;
+    }
+
     /// Returns how many tasks of this size the empty machines could hold.
     pub(crate) fn places_ever(&self, need: &Size) -> u64 {
         self.shapes
