--- a/crates/kingcupwinch-coord/src/ownership/coordinator.rs
+++ b/crates/kingcupwinch-coord/src/ownership/coordinator.rs
@@ -133,7 +133,7 @@
     /// Returns leave to dispatch to a shard's workers, none if it may not be dispatched now.
     pub fn permit(&self, shard: ShardId, now: Time) -> Option<Permit> {
         let holding = self.core.holdings.get(shard)?;
-        if holding.stopping || now < holding.effective || !self.core.life.is_member() {
+        if holding.stopping || now < holding.effective || !self.core.life.may_own() {
             return None;
         }
         let leased = self.core.fresh_until();
@@ -189,7 +189,7 @@
                 live,
                 leaving,
             } => self.take_list(sent, &live, &leaving),
-            Event::Drain => self.drain(now, out),
+            Event::Drain => self.drain(out),
         }
         self.step(now, out);
     }
@@ -206,8 +206,8 @@
         self.evidence.take_list(&self.core, sent, live, leaving);
     }
 
-    fn drain(&mut self, now: Time, out: &mut Vec<Action>) {
-        self.core.life = self.core.life.drain(now);
+    fn drain(&mut self, out: &mut Vec<Action>) {
+        self.core.life = self.core.life.drain();
         if self.phase() == Phase::Stopped {
             out.push(Action::Stopped);
         }
@@ -366,7 +366,9 @@
         now: Time,
         out: &mut Vec<Action>,
     ) {
-        self.core.peers.heard(from, now);
+        if !self.core.is_stuck(from, now) {
+            self.core.peers.heard(from, now);
+        }
         let outcome = self.votes.promise(&self.core, from, ask, now, out);
         if outcome == PromiseOutcome::Behind {
             let asked = ask.asked;
--- a/crates/kingcupwinch-coord/src/ownership/core.rs
+++ b/crates/kingcupwinch-coord/src/ownership/core.rs
@@ -16,6 +16,9 @@
 use super::peers::Peers;
 use super::timers::Timers;
 
+/// After how many leases without a fresh view an instance that is heard counts as silent.
+const STUCK_LEASES: u64 = 2;
+
 /// State of one instance that more than one rule reads.
 #[derive(Debug, Clone)]
 pub(crate) struct Core {
@@ -60,6 +63,14 @@
         self.view.fresh_at().is_none_or(|at| at + usual <= now)
     }
 
+    /// Returns whether a sibling is heard, yet has had no fresh view for long while this instance
+    /// has one: it can't hear the others, so it can't dispatch and counts as silent.
+    pub(crate) fn is_stuck(&self, peer: Incarnation, now: Time) -> bool {
+        let bound = self.timers.lease.times(STUCK_LEASES);
+        let view = self.peers.view_of(peer);
+        self.is_fresh(now) && view.is_some_and(|at| at + bound < now)
+    }
+
     /// Returns the age of the view, lengthened by the drift bound; none if it never was fresh.
     pub(crate) fn age(&self, now: Time) -> Option<Span> {
         let at = self.view.fresh_at()?;
@@ -169,7 +180,7 @@
             self.peers.heard(owner, now);
         }
         let held = self.holdings.get(shard);
-        let is_mine = owner == Some(self.id()) && self.life.is_member();
+        let is_mine = owner == Some(self.id()) && self.life.may_own();
         match held {
             Some(holding) if is_mine && means == Means::Claim && !holding.stopping => {
                 self.renew(shard, holding, term, out);
@@ -202,7 +213,7 @@
     fn wait_after(&self, before: Option<Incarnation>, means: Means) -> Span {
         let is_vacant = match means {
             Means::HandOver => true,
-            Means::Claim => before.is_none(),
+            Means::Claim => before.is_none_or(|owner| owner == self.id()),
             Means::Release | Means::Snapshot => false,
         };
         if is_vacant {
--- a/crates/kingcupwinch-coord/src/ownership/evidence.rs
+++ b/crates/kingcupwinch-coord/src/ownership/evidence.rs
@@ -14,6 +14,9 @@
 use super::core::Core;
 use super::event::Action;
 
+/// Fewest lists that must be read over the lag bound: after a longer gap the count begins anew.
+const LIST_READS: u64 = 4;
+
 /// What the instance list said of members.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Evidence {
@@ -36,6 +39,10 @@
         if sent < self.read || !listed.contains(&core.me.instance) {
             return;
         }
+        let longest = core.timers.list_lag.divided_by(LIST_READS);
+        if self.read + longest < sent {
+            self.absent.clear();
+        }
         self.read = sent;
         self.leaving = leaving.iter().cloned().collect();
         for member in core.ledger.group().members() {
--- a/crates/kingcupwinch-coord/src/ownership/handover.rs
+++ b/crates/kingcupwinch-coord/src/ownership/handover.rs
@@ -45,7 +45,7 @@
         match core.life {
             Life::Serving(_) => self.even_out(core, evidence, now, out),
             Life::Draining(_) => self.drain(core, evidence, now, out),
-            Life::Joining(_) | Life::Stopped(_) => {}
+            Life::Joining(_) | Life::Leaving(_) | Life::Stopped(_) => {}
         }
     }
 
@@ -68,6 +68,7 @@
             return;
         }
         if core.ledger.count(core.id()) == 0 {
+            core.life = core.life.leave();
             let record = OwnerRecord::Leave(core.id());
             core.append(record, now, out);
             return;
--- a/crates/kingcupwinch-coord/src/ownership/heartbeat.rs
+++ b/crates/kingcupwinch-coord/src/ownership/heartbeat.rs
@@ -34,16 +34,9 @@
 }
 
 /// Takes a sibling's heartbeat.
-///
-/// A sibling whose view is long stale while this instance's is fresh can't dispatch, so it counts
-/// as silent.
 pub(crate) fn take_heartbeat(core: &mut Core, from: Incarnation, heartbeat: Heartbeat, now: Time) {
-    if let Some(age) = heartbeat.age {
-        core.peers.told_age(from, age, now);
-    }
-    let bound = core.timers.lease.times(2);
-    let is_stale = heartbeat.age.is_none_or(|age| age > bound);
-    if !is_stale || !core.is_fresh(now) {
+    core.peers.told_age(from, heartbeat.age, now);
+    if !core.is_stuck(from, now) {
         core.peers.heard(from, now);
     }
 }
--- a/crates/kingcupwinch-coord/src/ownership/life.rs
+++ b/crates/kingcupwinch-coord/src/ownership/life.rs
@@ -1,4 +1,4 @@
-//! The life cycle of an incarnation: joining, serving, draining, stopped.
+//! The life cycle of an incarnation: joining, serving, draining, leaving, stopped.
 //!
 //! Each step consumes the state before it, so no incarnation goes back.
 
@@ -16,9 +16,11 @@
 
 /// A member that gives its shards to heirs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Draining {
-    pub(crate) began: Time,
-}
+pub(crate) struct Draining;
+
+/// A member whose leave has been appended; it dispatches nothing, whatever it may yet be given.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Leaving;
 
 /// No longer a member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,8 +37,8 @@
 }
 
 impl Serving {
-    pub(crate) fn drain(self, now: Time) -> Draining {
-        Draining { began: now }
+    pub(crate) fn drain(self) -> Draining {
+        Draining
     }
 
     pub(crate) fn retire(self) -> Stopped {
@@ -45,7 +47,17 @@
 }
 
 impl Draining {
-    pub(crate) fn leave(self) -> Stopped {
+    pub(crate) fn leave(self) -> Leaving {
+        Leaving
+    }
+
+    pub(crate) fn retire(self) -> Stopped {
+        Stopped
+    }
+}
+
+impl Leaving {
+    pub(crate) fn left(self) -> Stopped {
         Stopped
     }
 }
@@ -56,6 +68,7 @@
     Joining(Joining),
     Serving(Serving),
     Draining(Draining),
+    Leaving(Leaving),
     Stopped(Stopped),
 }
 
@@ -77,7 +90,7 @@
         match self {
             Life::Joining(_) => Phase::Joining,
             Life::Serving(_) => Phase::Serving,
-            Life::Draining(_) => Phase::Draining,
+            Life::Draining(_) | Life::Leaving(_) => Phase::Draining,
             Life::Stopped(_) => Phase::Stopped,
         }
     }
@@ -91,10 +104,18 @@
     }
 
     /// A planned stop begins.
-    pub(crate) fn drain(self, now: Time) -> Life {
+    pub(crate) fn drain(self) -> Life {
         match self {
             Life::Joining(joining) => Life::Stopped(joining.give_up()),
-            Life::Serving(serving) => Life::Draining(serving.drain(now)),
+            Life::Serving(serving) => Life::Draining(serving.drain()),
+            other => other,
+        }
+    }
+
+    /// Its leave is about to be appended.
+    pub(crate) fn leave(self) -> Life {
+        match self {
+            Life::Draining(draining) => Life::Leaving(draining.leave()),
             other => other,
         }
     }
@@ -104,12 +125,14 @@
         match self {
             Life::Joining(joining) => Life::Stopped(joining.give_up()),
             Life::Serving(serving) => Life::Stopped(serving.retire()),
-            Life::Draining(draining) => Life::Stopped(draining.leave()),
+            Life::Draining(draining) => Life::Stopped(draining.retire()),
+            Life::Leaving(leaving) => Life::Stopped(leaving.left()),
             Life::Stopped(stopped) => Life::Stopped(stopped),
         }
     }
 
-    pub(crate) fn is_member(self) -> bool {
+    /// Returns whether it may dispatch to shards that it owns.
+    pub(crate) fn may_own(self) -> bool {
         matches!(self, Life::Serving(_) | Life::Draining(_))
     }
 }
--- a/crates/kingcupwinch-coord/src/ownership/message.rs
+++ b/crates/kingcupwinch-coord/src/ownership/message.rs
@@ -82,7 +82,7 @@
 pub enum PromiseOutcome {
     /// It supports no claim against the asker for the promise's length.
     Granted,
-    /// It has applied records that the asker lacks; a relay of them follows.
+    /// Its view is ahead of the asker's; a relay follows.
     Behind,
     /// It supports a claim against the asker, who must claim again for itself.
     Supporting,
--- a/crates/kingcupwinch-coord/src/ownership/peers.rs
+++ b/crates/kingcupwinch-coord/src/ownership/peers.rs
@@ -18,9 +18,10 @@
         self.heard.insert(peer, now);
     }
 
-    /// A sibling said that its view is `age` old.
-    pub(crate) fn told_age(&mut self, peer: Incarnation, age: Span, now: Time) {
-        self.views.insert(peer, now - age);
+    /// A sibling said that its view is `age` old, none if it never was fresh.
+    pub(crate) fn told_age(&mut self, peer: Incarnation, age: Option<Span>, now: Time) {
+        let at = age.map_or(Time::ZERO, |age| now - age);
+        self.views.insert(peer, at);
     }
 
     /// Begins to count a sibling's silence, if that has not begun.
@@ -40,9 +41,9 @@
         self.heard.get(&peer).copied()
     }
 
-    /// Returns as of when a sibling's view was fresh when last told.
-    pub(crate) fn view_of(&self, peer: Incarnation) -> Time {
-        self.views.get(&peer).copied().unwrap_or(Time::ZERO)
+    /// Returns as of when a sibling's view was fresh when last told, none if it never told.
+    pub(crate) fn view_of(&self, peer: Incarnation) -> Option<Time> {
+        self.views.get(&peer).copied()
     }
 
     pub(crate) fn forget(&mut self, peer: Incarnation) {
--- a/crates/kingcupwinch-coord/src/ownership/reclaim.rs
+++ b/crates/kingcupwinch-coord/src/ownership/reclaim.rs
@@ -1,4 +1,5 @@
-//! An owner's claims for itself: after its voters went, and after a voter distrusted it.
+//! An owner's claims for itself: after its voters went, after a voter distrusted it, and after a
+//! hand-over or release that proved invalid.
 
 use kingcupwinch_time::{Span, Time};
 
@@ -26,14 +27,15 @@
         now: Time,
         out: &mut Vec<Action>,
     ) {
-        if now < self.next || !core.may_claim(now) {
+        if now < self.next || !core.life.may_own() || !core.is_fresh(now) {
             return;
         }
-        let shards = if excuse.distrusted {
-            kept(core, |_, _| true)
-        } else {
-            self.outvoted(core, now)
-        };
+        let mut shards = withheld(core);
+        if excuse.distrusted {
+            shards.extend(kept(core, |_, _| true));
+        } else if core.may_claim(now) {
+            shards.extend(self.outvoted(core, now));
+        }
         excuse.distrusted = false;
         if shards.is_empty() {
             return;
@@ -64,6 +66,15 @@
     SPREAD.times(position as u64)
 }
 
+/// Returns the shards that were given up by a record that took no effect.
+fn withheld(core: &Core) -> Vec<(ShardId, Term)> {
+    core.holdings
+        .iter()
+        .filter(|(shard, holding)| holding.stopping && !core.outbox.holds(*shard))
+        .map(|(shard, holding)| (shard, holding.term.next()))
+        .collect()
+}
+
 /// Returns the kept shards that `is_wanted` accepts, each with the term after its own.
 fn kept(core: &Core, is_wanted: impl Fn(&Core, ShardId) -> bool) -> Vec<(ShardId, Term)> {
     core.holdings
--- a/crates/kingcupwinch-coord/src/ownership/votes.rs
+++ b/crates/kingcupwinch-coord/src/ownership/votes.rs
@@ -49,7 +49,7 @@
         now: Time,
         out: &mut Vec<Action>,
     ) -> PromiseOutcome {
-        let outcome = self.outcome(core, from, ask);
+        let outcome = self.outcome(core, from, ask, now);
         if outcome == PromiseOutcome::Granted {
             let until = now + core.timers.drift.lengthen(core.timers.promise);
             self.promised.insert(from, until);
@@ -60,10 +60,19 @@
         outcome
     }
 
-    fn outcome(&self, core: &Core, from: Incarnation, ask: PromiseAsk) -> PromiseOutcome {
+    fn outcome(
+        &self,
+        core: &Core,
+        from: Incarnation,
+        ask: PromiseAsk,
+        now: Time,
+    ) -> PromiseOutcome {
         if self.is_against(from) {
             return PromiseOutcome::Supporting;
         }
+        if core.is_stuck(from, now) {
+            return PromiseOutcome::Behind;
+        }
         match core.applied() {
             Some(applied) if applied <= ask.applied => PromiseOutcome::Granted,
             _ => PromiseOutcome::Behind,
@@ -136,11 +145,7 @@
             .peers
             .silent_since(owner)
             .is_some_and(|since| since + core.timers.silence <= now);
-        owner != core.id()
-            && core.life.is_member()
-            && core.is_fresh(now)
-            && is_silent
-            && !is_promised
+        owner != core.id() && core.life.may_own() && core.is_fresh(now) && is_silent && !is_promised
     }
 }
 
--- /dev/null
+++ b/crates/kingcupwinch-coord/tests/ownership/main.rs
@@ -0,0 +1,6 @@
+//! The ownership protocol under failures, in virtual time.
+
+mod failures;
+mod input;
+mod net;
+mod random;
--- /dev/null
+++ b/crates/kingcupwinch-coord/tests/ownership/random.rs
@@ -0,0 +1,101 @@
+//! Random schedules of faults, with fixed seeds.
+//!
+//! `KCW_SCHEDULES` sets the number of schedules of each group, `KCW_FIRST_SEED` the first seed.
+
+use std::env;
+
+use kingcupwinch_coord::ownership::{Event, Timers};
+use kingcupwinch_time::Span;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+use crate::net::Net;
+
+const SCHEDULES: u64 = 60;
+const FAULTS: u32 = 25;
+const SHARDS: u16 = 6;
+/// Once faults stop, every shard is served in this time, the instance list's lag included.
+const RECOVERY: Span = Span::from_secs(30);
+
+#[rstest]
+fn random_faults_never_make_two_owners(
+    #[values(2, 3, 4, 5)] nodes: usize,
+    #[values(true, false)] short_promises: bool,
+) {
+    let first = number("KCW_FIRST_SEED", 0);
+    for seed in first..first + number("KCW_SCHEDULES", SCHEDULES) {
+        run_schedule(nodes, short_promises, seed);
+    }
+}
+
+fn number(name: &str, default: u64) -> u64 {
+    env::var(name)
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(default)
+}
+
+fn run_schedule(nodes: usize, short_promises: bool, seed: u64) {
+    let mut timers = Timers::default().with_snapshots(Span::from_secs(30), 40);
+    if short_promises {
+        timers = timers.with_promise(Span::from_millis(1_200));
+    }
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut net = Net::new(nodes, SHARDS, timers, seed);
+    net.run(Span::from_secs(3));
+    for _ in 0..FAULTS {
+        inject(&mut net, &mut rng);
+        net.run(Span::from_millis(rng.random_range(10..5_000)));
+    }
+    net.heal();
+    net.run(Span::from_millis(1));
+    let took = net.run_until_served(RECOVERY);
+    assert!(
+        took.is_some(),
+        "{nodes} nodes, short promises {short_promises}, seed {seed}: not served, {:?}",
+        net.counts()
+    );
+}
+
+fn inject(net: &mut Net, rng: &mut ChaCha8Rng) {
+    let alive: Vec<usize> = (0..net.nodes.len())
+        .filter(|index| net.nodes[*index].alive)
+        .collect();
+    let Some(node) = pick(&alive, rng) else {
+        net.start("entry-0", 1);
+        return;
+    };
+    let other = pick(&alive, rng).unwrap_or(node);
+    match rng.random_range(0..16) {
+        0 => net.pause(node, Span::from_millis(rng.random_range(100..15_000))),
+        1 => net.pause(node, Span::from_millis(rng.random_range(1_000..6_000))),
+        2 => net.cut(node, other),
+        3 => net.cut_one_way(node, other),
+        4 => net.isolate(node),
+        5 => net.nodes[node].log_cut = true,
+        6 => net.log_down = true,
+        7 => net.lose_answers = true,
+        8 => net.loss = rng.random_range(0..60),
+        9 => net.delay = Span::from_millis(rng.random_range(1..3_000)),
+        10 => net.append_delay.1 = Span::from_millis(rng.random_range(5..20_000)),
+        11 => {
+            net.restart(node);
+        }
+        12 => net.flicker = true,
+        13 => replace(net, node),
+        14 => net.log_down = false,
+        _ => net.heal(),
+    }
+}
+
+/// Drains an instance and starts its successor beside it.
+fn replace(net: &mut Net, node: usize) {
+    net.tell(node, Event::Drain);
+    let instance = net.nodes[node].coord.member().instance.to_string();
+    net.start(&format!("{instance}+"), 1);
+}
+
+fn pick(nodes: &[usize], rng: &mut ChaCha8Rng) -> Option<usize> {
+    (!nodes.is_empty()).then(|| nodes[rng.random_range(0..nodes.len())])
+}
