Hand over and release only shards whose ownership has taken effect

An owner that waited for its predecessor's lease to lapse could hand the shard on, or release it, before the wait was over; the next owner took it at once, while the predecessor still dispatched (random schedules 3 nodes, seed 318; 4 nodes, seed 1292). Only shards in effect are now given up. The seeds that found faults are kept as cases.

--- a/crates/kingcupwinch-coord/src/ownership/coordinator.rs
+++ b/crates/kingcupwinch-coord/src/ownership/coordinator.rs
@@ -125,8 +125,7 @@
     pub fn owned(&self, now: Time) -> impl Iterator<Item = OwnedShard> {
         self.core
             .holdings
-            .kept()
-            .filter(move |(_, holding)| holding.effective <= now)
+            .effective(now)
             .map(|(shard, holding)| holding.as_owned(shard))
     }
 
--- a/crates/kingcupwinch-coord/src/ownership/handover.rs
+++ b/crates/kingcupwinch-coord/src/ownership/handover.rs
@@ -107,7 +107,7 @@
     ) {
         let mut left: Vec<(ShardId, Term)> = core
             .holdings
-            .kept()
+            .effective(now)
             .map(|(shard, holding)| (shard, holding.term))
             .collect();
         for step in planned.iter().filter(|step| step.from == core.id()) {
@@ -225,7 +225,7 @@
 fn release_all(core: &mut Core, now: Time, out: &mut Vec<Action>) {
     let shards: Vec<(ShardId, Term)> = core
         .holdings
-        .kept()
+        .effective(now)
         .map(|(shard, holding)| (shard, holding.term))
         .collect();
     if shards.is_empty() {
--- a/crates/kingcupwinch-coord/src/ownership/holding.rs
+++ b/crates/kingcupwinch-coord/src/ownership/holding.rs
@@ -53,6 +53,14 @@
             .filter_map(|(shard, slot)| slot.map(|holding| (shard, holding)))
     }
 
+    /// Returns the shards that may be given up: kept ones whose ownership has taken effect.
+    ///
+    /// Before that an earlier owner may still dispatch, and the next owner would not wait for it.
+    pub(crate) fn effective(&self, now: Time) -> impl Iterator<Item = (ShardId, Holding)> {
+        self.kept()
+            .filter(move |(_, holding)| holding.effective <= now)
+    }
+
     /// Returns the owned shards that are not stopping.
     pub(crate) fn kept(&self) -> impl Iterator<Item = (ShardId, Holding)> {
         self.iter().filter(|(_, holding)| !holding.stopping)
--- a/crates/kingcupwinch-coord/tests/ownership/random.rs
+++ b/crates/kingcupwinch-coord/tests/ownership/random.rs
@@ -29,6 +29,21 @@
     }
 }
 
+/// Schedules that once found a fault.
+#[rstest]
+#[case::leaving_member_was_handed_a_shard(4, true, 21)]
+#[case::hand_over_to_a_member_that_left(4, false, 5)]
+#[case::release_that_took_no_effect(3, true, 54)]
+#[case::hand_over_before_the_wait_was_over(3, false, 318)]
+#[case::release_before_the_wait_was_over(4, true, 1292)]
+fn schedules_that_found_faults(
+    #[case] nodes: usize,
+    #[case] short_promises: bool,
+    #[case] seed: u64,
+) {
+    run_schedule(nodes, short_promises, seed);
+}
+
 fn number(name: &str, default: u64) -> u64 {
     env::var(name)
         .ok()
