--- /dev/null
+++ b/crates/kingcupwinch-spec/src/explore.rs
@@ -0,0 +1,148 @@
+//! Breadth-first exploration of every reachable state.
+
+use std::fmt;
+use std::hash::Hash;
+
+use indexmap::IndexSet;
+use rustc_hash::FxBuildHasher;
+
+/// A specification as a pure transition function.
+pub trait Model {
+    /// A state, small and cheap to copy.
+    type State: Copy + Eq + Hash;
+    /// What leads from one state to the next.
+    type Event: fmt::Display;
+
+    /// Returns the state in which every run starts.
+    fn initial(&self) -> Self::State;
+
+    /// Calls `visit` with every enabled event and the state it leads to.
+    fn for_each_next(&self, state: &Self::State, visit: &mut dyn FnMut(Self::Event, Self::State));
+
+    /// Returns the state that stands for all states equal to this one by symmetry.
+    fn canonical(&self, state: Self::State) -> Self::State {
+        state
+    }
+
+    /// Returns the name of a property that the state violates.
+    fn violation(&self, state: &Self::State) -> Option<&'static str>;
+}
+
+/// How an exploration ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// Every reachable state satisfies every property.
+    Holds,
+    /// A state violates a property.
+    Violated {
+        /// The property's name.
+        property: &'static str,
+        /// A shortest sequence of events that leads there.
+        trace: Vec<String>,
+    },
+    /// The bound on states was reached first.
+    Truncated,
+}
+
+/// The result of an exploration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Distinct states reached.
+    pub states: usize,
+    /// Transitions taken.
+    pub transitions: u64,
+    /// The longest of the shortest distances from the initial state, in events.
+    pub depth: u32,
+}
+
+const NO_PARENT: u32 = u32::MAX;
+
+struct Search<'a, M: Model> {
+    model: &'a M,
+    seen: IndexSet<M::State, FxBuildHasher>,
+    parents: Vec<u32>,
+    transitions: u64,
+    depth: u32,
+}
+
+/// Visits every reachable state, or `most` of them.
+pub fn explore<M: Model>(model: &M, most: usize) -> Report {
+    let mut search = Search {
+        model,
+        seen: IndexSet::default(),
+        parents: Vec::new(),
+        transitions: 0,
+        depth: 0,
+    };
+    let outcome = search.run(most);
+    Report {
+        outcome,
+        states: search.seen.len(),
+        transitions: search.transitions,
+        depth: search.depth,
+    }
+}
+
+impl<M: Model> Search<'_, M> {
+    fn run(&mut self, most: usize) -> Outcome {
+        self.add(self.model.initial(), NO_PARENT);
+        let mut index = 0;
+        let mut level_end = 1;
+        while let Some(state) = self.seen.get_index(index).copied() {
+            if let Some(property) = self.model.violation(&state) {
+                let trace = self.trace(index);
+                return Outcome::Violated { property, trace };
+            }
+            if self.seen.len() > most {
+                return Outcome::Truncated;
+            }
+            if index == level_end {
+                self.depth += 1;
+                level_end = self.seen.len();
+            }
+            self.expand(index, &state);
+            index += 1;
+        }
+        Outcome::Holds
+    }
+
+    fn expand(&mut self, index: usize, state: &M::State) {
+        let model = self.model;
+        let parent = u32::try_from(index).unwrap_or(NO_PARENT);
+        model.for_each_next(state, &mut |_, next| {
+            self.transitions += 1;
+            self.add(next, parent);
+        });
+    }
+
+    fn add(&mut self, state: M::State, parent: u32) {
+        if self.seen.insert(self.model.canonical(state)) {
+            self.parents.push(parent);
+        }
+    }
+
+    fn trace(&self, index: usize) -> Vec<String> {
+        let mut path = vec![index];
+        let mut at = self.parents[index];
+        while at != NO_PARENT {
+            path.push(at as usize);
+            at = self.parents[at as usize];
+        }
+        path.reverse();
+        path.windows(2).map(|w| self.event(w[0], w[1])).collect()
+    }
+
+    /// Names the event between two neighbouring states.
+    fn event(&self, from: usize, to: usize) -> String {
+        let (from, to) = (&self.seen[from], &self.seen[to]);
+        let mut name = None;
+        self.model.for_each_next(from, &mut |event, next| {
+            if name.is_none() && self.model.canonical(next) == *to {
+                name = Some(event.to_string());
+            }
+        });
+        name.unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-spec/src/ownership/symmetry.rs
@@ -0,0 +1,52 @@
+//! States that differ only by which instance is which are explored once.
+
+use super::state::{SLOTS, State};
+use super::{Id, Instance};
+
+const PERMUTATIONS: [[usize; SLOTS]; 6] = [
+    [0, 1, 2],
+    [0, 2, 1],
+    [1, 0, 2],
+    [1, 2, 0],
+    [2, 0, 1],
+    [2, 1, 0],
+];
+
+/// Returns the least of the states that a permutation of slots makes equal.
+pub(super) fn canonical(state: State) -> State {
+    let all = PERMUTATIONS.iter().map(|to| permute(&state, to));
+    all.min().unwrap_or(state)
+}
+
+fn permute(state: &State, to: &[usize; SLOTS]) -> State {
+    let mut next = *state;
+    for record in &mut next.log[..state.len as usize] {
+        record.owner = permute_id(record.owner, to);
+        record.voters = permute_set(record.voters, to);
+    }
+    next.supported = permute_set(state.supported, to);
+    for (slot, instance) in state.instances.iter().enumerate() {
+        next.instances[to[slot]] = permute_instance(instance, to);
+    }
+    next
+}
+
+fn permute_instance(instance: &Instance, to: &[usize; SLOTS]) -> Instance {
+    let mut next = *instance;
+    for (slot, excuse) in instance.excuses.iter().enumerate() {
+        next.excuses[to[slot]] = *excuse;
+    }
+    next.own = instance.own.map(|set| permute_set(set, to));
+    next.hand = instance.hand.map(|id| permute_id(id, to));
+    next
+}
+
+fn permute_id(id: Id, to: &[usize; SLOTS]) -> Id {
+    Id::of(to[id.slot()], id.is_dead())
+}
+
+fn permute_set(set: u8, to: &[usize; SLOTS]) -> u8 {
+    let ids = (0..2 * SLOTS as u8).map(Id);
+    let members = ids.filter(|id| set & id.bit() != 0);
+    members.fold(0, |all, id| all | permute_id(id, to).bit())
+}
--- /dev/null
+++ b/crates/kingcupwinch-spec/tests/ownership.rs
@@ -0,0 +1,74 @@
+//! The ownership rules hold, and each mutation of them gives a counterexample.
+
+use kingcupwinch_spec::ownership::{
+    Mutation, ONE_DISPATCHER, ONE_WINNER, Ownership, PROGRESS, Rules,
+};
+use kingcupwinch_spec::{Outcome, explore};
+use rstest::rstest;
+
+const MOST_STATES: usize = 3_000_000;
+
+fn base() -> Rules {
+    Rules::small().with_restarts(0)
+}
+
+#[rstest]
+#[case::plain("plain", base())]
+#[case::restart("restart", Rules::small().with_own_claims(false))]
+#[case::hand_over("hand-over", base().with_hand_over(true).with_own_claims(false))]
+#[case::drift("drift", base().with_drifts(2).with_own_claims(false))]
+#[case::long_lease("long lease", base().with_spans(2, 1))]
+#[case::long_promise("long promise", base().with_spans(1, 2))]
+fn the_rules_hold(#[case] name: &str, #[case] rules: Rules) {
+    let model = Ownership::new(rules.with_symmetry().with_progress());
+    let report = explore(&model, MOST_STATES);
+    println!(
+        "{name}: {} states, {} transitions, depth {}: {ONE_DISPATCHER}; {ONE_WINNER}; {PROGRESS}",
+        report.states, report.transitions, report.depth
+    );
+    assert_eq!(report.outcome, Outcome::Holds, "{name}");
+}
+
+#[rstest]
+#[case::no_wait("no_wait", Mutation::NoWait, base())]
+#[case::no_drift_bound("no_drift_bound", Mutation::NoDriftBound, base().with_drifts(2))]
+#[case::no_promise("no_promise", Mutation::NoPromise, base())]
+#[case::one_supporter("one_supporter", Mutation::OneSupporter, base())]
+#[case::promise_after_support("promise_after_support", Mutation::PromiseAfterSupport, base())]
+#[case::expiring_support("expiring_support", Mutation::ExpiringSupport, base())]
+#[case::old_majority_alone("old_majority_alone", Mutation::OldMajorityAlone, base())]
+#[case::age_from_answer("age_from_answer", Mutation::AgeFromAnswer, base())]
+#[case::last_claim_wins("last_claim_wins", Mutation::LastClaimWins, base())]
+#[case::hand_over_without_stop(
+    "hand_over_without_stop",
+    Mutation::HandOverWithoutStop,
+    base().with_hand_over(true)
+)]
+#[case::hand_over_while_waiting(
+    "hand_over_while_waiting",
+    Mutation::HandOverWhileWaiting,
+    base().with_hand_over(true)
+)]
+#[case::same_incarnation("same_incarnation", Mutation::SameIncarnation, Rules::small())]
+#[case::wrong_list("wrong_list", Mutation::WrongList, base())]
+#[case::no_list_evidence(
+    "no_list_evidence",
+    Mutation::NoListEvidence,
+    Rules::small().with_restarts(2).with_progress()
+)]
+fn each_mutation_gives_a_counterexample(
+    #[case] name: &str,
+    #[case] mutation: Mutation,
+    #[case] rules: Rules,
+) {
+    let model = Ownership::new(rules.with_mutation(mutation));
+    let report = explore(&model, MOST_STATES);
+    let Outcome::Violated { property, trace } = report.outcome else {
+        panic!(
+            "{name}: {:?} after {} states",
+            report.outcome, report.states
+        );
+    };
+    let text = format!("violates: {property}\n{}\n", trace.join("\n"));
+    insta::assert_snapshot!(name, text);
+}
