Add the at-most-once specification; cover releases and leaves

Ownership now covers releases, claims of free shards and leaves, each with mutations. A window of three records can't show an owner that releases before its own term took effect: the laggard needs four.

The at-most-once model found a fault in Keys: a request refused for want of memory was called certainly not run even where its key was issued in an earlier term, in which it may have run.

--- a/crates/kingcupwinch-coord/src/dedupe/keys.rs
+++ b/crates/kingcupwinch-coord/src/dedupe/keys.rs
@@ -21,7 +21,7 @@
     Ask,
     /// It has ended.
     Remembered(Outcome),
-    /// The key is older than the memory; the request may have run.
+    /// The key is older than the memory or its term, and not remembered; the request may have run.
     TooOld,
     /// The key's time lies beyond the clock bound; it is not a valid key.
     Ahead,
@@ -187,14 +187,16 @@
     }
 
     fn begin_unknown(&mut self, request: &Request) -> Decision {
-        if !self.table.make_room() {
+        let has_room = self.table.make_room();
+        let is_earlier = request.issued <= self.since;
+        if !has_room && !is_earlier {
             self.table.raise_floor(request.issued);
             return Decision::Full;
         }
-        if request.issued <= self.table.floor() {
+        if !has_room || request.issued <= self.table.floor() {
             return Decision::TooOld;
         }
-        if request.issued <= self.since {
+        if is_earlier {
             self.insert(request, State::Asking);
             return Decision::Ask;
         }
--- a/crates/kingcupwinch-coord/tests/dedupe.rs
+++ b/crates/kingcupwinch-coord/tests/dedupe.rs
@@ -164,6 +164,13 @@
     assert_eq!(begin(&mut keys, 3, 105_002), "run");
 }
 
+#[test]
+fn a_full_memory_says_nothing_certain_of_an_earlier_term() {
+    let mut keys = Keys::new(Term(4), EFFECT, limits().with_memory(1, 10_000));
+    let _run = keys.begin(&request(1, 105_000), NOW);
+    assert_eq!(begin(&mut keys, 2, 101_000), "too old");
+}
+
 #[test]
 fn answers_count_against_the_byte_bound() {
     let mut keys = Keys::new(Term(4), EFFECT, limits().with_memory(100, 1_000));
--- a/crates/kingcupwinch-spec/examples/explore.rs
+++ b/crates/kingcupwinch-spec/examples/explore.rs
@@ -18,6 +18,8 @@
         ("restarts", rare.clone().with_restarts(3)),
         ("hand-over", still.clone().with_hand_over(true)),
         ("hand-over-restart", rare.with_hand_over(true)),
+        ("releases", still.clone().with_releases(true).with_window(4)),
+        ("releases-hand-over", giving()),
         ("drift", still.clone().with_drifts(2)),
         ("drift-restart", base.clone().with_drifts(2)),
         ("long-spans", still.clone().with_spans(2, 2)),
@@ -27,6 +29,15 @@
     ]
 }
 
+fn giving() -> Rules {
+    Rules::small()
+        .with_symmetry()
+        .with_progress()
+        .with_own_claims(false)
+        .with_releases(true)
+        .with_hand_over(true)
+}
+
 fn run(name: &str, rules: Rules, most: usize) {
     let start = Instant::now();
     let report = explore(&Ownership::new(rules), most);
--- a/crates/kingcupwinch-spec/src/lib.rs
+++ b/crates/kingcupwinch-spec/src/lib.rs
@@ -15,6 +15,7 @@
 //! ```
 
 mod explore;
+pub mod once;
 pub mod ownership;
 
 pub use explore::{Model, Outcome, Report, explore};
--- /dev/null
+++ b/crates/kingcupwinch-spec/src/once/state.rs
@@ -0,0 +1,176 @@
+//! The state: the key, its home, the runners and the messages in flight.
+
+use super::OnceRules;
+
+/// Instances that may be home or run the key.
+pub(super) const SLOTS: usize = 3;
+/// Most attempts of the home in one term.
+pub(super) const ATTEMPTS: u8 = 2;
+/// Most terms in a run.
+pub(super) const TERMS: usize = 3;
+
+/// The number of an attempt, from one.
+pub type Attempt = u8;
+
+/// What the home's memory says of the key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Home {
+    /// Nothing.
+    Unknown,
+    /// The token is fresh: no permit of this attempt was sent.
+    Fresh(Attempt),
+    /// A permit was sent to a slot.
+    Sent(Attempt, u8),
+    /// The siblings are being asked.
+    Asking,
+    /// It ended.
+    Over(Reply),
+    /// It was refused for want of memory; it lies at or before the floor.
+    Below,
+    /// It was forgotten; it lies at or before the floor.
+    Forgotten,
+}
+
+/// An outcome.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Reply {
+    /// It certainly did not run.
+    NotRun,
+    /// It ran.
+    Ran,
+    /// It may have run.
+    MayHaveRun,
+}
+
+/// What a runner's memory says of the key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Run {
+    /// Nothing.
+    Unseen,
+    /// It took the permit and wrote nothing to the worker.
+    Fresh(Attempt),
+    /// It wrote the dispatch.
+    Dispatched(Attempt),
+    /// It ended.
+    Over(Attempt, Reply),
+}
+
+/// One slot as a runner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Runner {
+    /// Its memory.
+    pub run: Run,
+    /// The newest term that it has heard of.
+    pub fence: u8,
+    /// Dispatches on their way to the worker.
+    pub sent: u8,
+    /// Whether the worker's answer is on its way.
+    pub answered: bool,
+    /// Whether the worker's refusal is on its way.
+    pub refused: bool,
+}
+
+/// What the caller was told, at any time.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct Told {
+    /// It was refused as not run.
+    pub not_run: bool,
+    /// It was answered.
+    pub ran: bool,
+}
+
+/// The whole system.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct OnceState {
+    /// The term in effect.
+    pub term: u8,
+    /// The home's slot, none while the shard has no owner.
+    pub home_slot: Option<u8>,
+    /// The home's memory.
+    pub home: Home,
+    /// The term in which the caller issued the key, zero before.
+    pub issued: u8,
+    /// Whether the key lies at or before the floor of that term.
+    pub early: bool,
+    /// Permits in flight, by term, attempt and slot.
+    pub permits: u32,
+    /// The runners' results in flight to the home of the term, by attempt and outcome.
+    pub results: u8,
+    /// Runners by slot.
+    pub runners: [Runner; SLOTS],
+    /// Dispatches on their way from incarnations that are dead.
+    pub orphans: u8,
+    /// Times that the worker ran the key.
+    pub runs: u8,
+    /// What the caller was told.
+    pub told: Told,
+    /// Restarts left.
+    pub restarts: u8,
+}
+
+pub(super) const IDLE: Runner = Runner {
+    run: Run::Unseen,
+    fence: 0,
+    sent: 0,
+    answered: false,
+    refused: false,
+};
+
+impl OnceState {
+    pub(super) fn new(rules: &OnceRules) -> Self {
+        OnceState {
+            term: 1,
+            home_slot: Some(0),
+            home: Home::Unknown,
+            issued: 0,
+            early: false,
+            permits: 0,
+            results: 0,
+            runners: [IDLE; SLOTS],
+            orphans: 0,
+            runs: 0,
+            told: Told::default(),
+            restarts: rules.restarts,
+        }
+    }
+
+    /// Returns the bit of a permit in flight.
+    pub(super) fn permit_bit(term: u8, attempt: Attempt, slot: usize) -> u32 {
+        let row = (term as usize - 1) * ATTEMPTS as usize + attempt as usize - 1;
+        1 << (row * SLOTS + slot)
+    }
+
+    /// Returns the bit of a result in flight.
+    pub(super) fn result_bit(attempt: Attempt, reply: Reply) -> u8 {
+        let column = match reply {
+            Reply::NotRun => 0,
+            Reply::Ran => 1,
+            Reply::MayHaveRun => 2,
+        };
+        1 << ((attempt - 1) * 3 + column)
+    }
+
+    /// Drops the permits in flight to a slot.
+    pub(super) fn drop_permits_to(&mut self, slot: usize) {
+        for term in 1..=TERMS as u8 {
+            for attempt in 1..=ATTEMPTS {
+                self.permits &= !Self::permit_bit(term, attempt, slot);
+            }
+        }
+    }
+
+    /// Ends the key at home and tells the caller.
+    pub(super) fn end(&mut self, reply: Reply) {
+        self.home = Home::Over(reply);
+        self.tell(reply);
+    }
+
+    /// Tells the caller.
+    pub(super) fn tell(&mut self, reply: Reply) {
+        match reply {
+            Reply::NotRun => self.told.not_run = true,
+            Reply::Ran => self.told.ran = true,
+            Reply::MayHaveRun => {}
+        }
+    }
+}
--- a/crates/kingcupwinch-spec/src/ownership.rs
+++ b/crates/kingcupwinch-spec/src/ownership.rs
@@ -11,6 +11,7 @@
 //! in its slot or a dead one that records still name.
 
 mod event;
+mod give;
 mod progress;
 mod rules;
 mod state;
@@ -51,7 +52,8 @@
     /// Returns whether the instance in `slot` may dispatch now.
     pub fn may_dispatch(&self, state: &State, slot: usize) -> bool {
         let me = &state.instances[slot];
-        let acts = me.owns && me.wait == 0 && !me.stopped;
+        let leaves = me.leaving && self.rules.leaver_stops;
+        let acts = me.owns && me.wait == 0 && !me.stopped && !leaves;
         acts && (me.fresh > 0 || self.is_excused(state, slot))
     }
 
--- a/crates/kingcupwinch-spec/src/ownership/event.rs
+++ b/crates/kingcupwinch-spec/src/ownership/event.rs
@@ -63,6 +63,12 @@
         /// The heir's slot.
         heir: usize,
     },
+    /// An owner stops and sends a release.
+    SendRelease(usize),
+    /// A member that owns nothing sends its leave.
+    SendLeave(usize),
+    /// A leave lands.
+    Leave(usize),
     /// A process dies and its slot starts a new incarnation.
     Restart(usize),
 }
@@ -124,6 +130,9 @@
             Event::SendHandOver { slot, heir } => {
                 write!(f, "{} sends a hand-over to {}", NAMES[slot], NAMES[heir])
             }
+            Event::SendRelease(slot) => write!(f, "{} sends a release", NAMES[slot]),
+            Event::SendLeave(slot) => write!(f, "{} sends its leave", NAMES[slot]),
+            Event::Leave(slot) => write!(f, "the leave of {} lands", NAMES[slot]),
             Event::Restart(slot) => write!(f, "{} restarts", NAMES[slot]),
         }
     }
--- a/crates/kingcupwinch-spec/src/ownership/progress.rs
+++ b/crates/kingcupwinch-spec/src/ownership/progress.rs
@@ -4,6 +4,7 @@
 //! lands, voters support where the owner can't act, the first that may take over does, and a
 //! tick passes.
 
+use super::give::left;
 use super::state::{ALL_LIVE, SLOTS};
 use super::step::{may_take_over, read, supported, tick};
 use super::{Id, Kind, Ownership, Record, State};
@@ -30,11 +31,14 @@
         return at;
     }
     for slot in 0..SLOTS {
+        at = land_leave(model, &at, slot);
         at = resume(model, &at, slot);
     }
-    let owner = at.newest().owner;
-    if !owner.is_dead() && at.instances[owner.slot()].owns {
-        return read_all(model, &at);
+    at = read_all(model, &at);
+    let holder = at.newest().holder();
+    let serves = |id: Id| !id.is_dead() && at.instances[id.slot()].owns;
+    if holder.is_some_and(serves) {
+        return at;
     }
     for slot in 0..SLOTS {
         at = supported(model.rules(), &at, slot).unwrap_or(at);
@@ -42,15 +46,23 @@
     read_all(model, &take_over(model, &at))
 }
 
+fn land_leave(model: &Ownership, state: &State, slot: usize) -> State {
+    let me = &state.instances[slot];
+    if !me.leaving || me.gone {
+        return *state;
+    }
+    left(model.rules(), state, slot).unwrap_or(*state)
+}
+
 fn read_all(model: &Ownership, state: &State) -> State {
     let all = 0..SLOTS;
     all.fold(*state, |at, slot| read(model.rules(), &at, slot, at.len, 0))
 }
 
-/// Lets an owner that stopped for a hand-over claim again for itself.
+/// Lets an owner that stopped to give the shard up claim again for itself.
 fn resume(model: &Ownership, state: &State, slot: usize) -> State {
     let me = &state.instances[slot];
-    if !(me.owns && me.stopped && state.is_current(slot)) {
+    if !(me.owns && me.stopped && state.is_current(slot) && !me.leaving) {
         return *state;
     }
     let record = Record {
@@ -69,7 +81,7 @@
     let record = Record {
         owner: Id::live(heir),
         voters: ALL_LIVE,
-        kind: Kind::TakeOver,
+        kind: state.kind_over_newest(Kind::TakeOver),
     };
     appended(model, state, record)
 }
--- a/crates/kingcupwinch-spec/src/ownership/rules.rs
+++ b/crates/kingcupwinch-spec/src/ownership/rules.rs
@@ -28,6 +28,8 @@
     pub drifts: u8,
     /// Whether planned hand-over is explored.
     pub hand_over: bool,
+    /// Whether releases and leaves are explored; a leave counts as a restart.
+    pub releases: bool,
     /// Whether the owner claims again for itself with other voters.
     pub own_claims: bool,
     /// Whether the owner needs promises without a fresh view.
@@ -48,9 +50,11 @@
     pub age_from_sent: bool,
     /// Whether the first record at a term wins.
     pub first_wins: bool,
-    /// Whether the owner stops before it hands over.
+    /// Whether the owner stops before it hands over or releases.
     pub hand_over_stops: bool,
-    /// Whether an owner hands over only once its own term took effect.
+    /// Whether a member that has sent its leave dispatches no more.
+    pub leaver_stops: bool,
+    /// Whether an owner hands over or releases only once its own term took effect.
     pub hand_over_in_effect: bool,
     /// Whether a restarted process is a new incarnation.
     pub fresh_incarnation: bool,
@@ -87,6 +91,12 @@
     HandOverWithoutStop,
     /// An owner hands over before its own term has taken effect.
     HandOverWhileWaiting,
+    /// An owner releases before its own term has taken effect.
+    ReleaseWhileWaiting,
+    /// The owner goes on dispatching while it releases.
+    ReleaseWithoutStop,
+    /// A member that has sent its leave dispatches to what it is handed after that.
+    LeaverDispatches,
     /// A restarted process goes on as the incarnation that it was.
     SameIncarnation,
     /// The instance list drops an owner that still runs.
@@ -106,6 +116,7 @@
             restarts: 1,
             drifts: 0,
             hand_over: false,
+            releases: false,
             own_claims: true,
             excuse: true,
             joint: true,
@@ -117,6 +128,7 @@
             age_from_sent: true,
             first_wins: true,
             hand_over_stops: true,
+            leaver_stops: true,
             hand_over_in_effect: true,
             fresh_incarnation: true,
             evidence: Evidence::Trusted,
@@ -163,6 +175,13 @@
         self
     }
 
+    /// Sets whether releases and leaves are explored.
+    #[must_use]
+    pub fn with_releases(mut self, explored: bool) -> Self {
+        self.releases = explored;
+        self
+    }
+
     /// Sets how many records are kept.
     #[must_use]
     pub fn with_window(mut self, records: u8) -> Self {
@@ -197,8 +216,13 @@
             Mutation::OldMajorityAlone => self.joint = false,
             Mutation::AgeFromAnswer => self.age_from_sent = false,
             Mutation::LastClaimWins => self.first_wins = false,
-            Mutation::HandOverWithoutStop => self.hand_over_stops = false,
-            Mutation::HandOverWhileWaiting => self.hand_over_in_effect = false,
+            Mutation::HandOverWithoutStop | Mutation::ReleaseWithoutStop => {
+                self.hand_over_stops = false;
+            }
+            Mutation::HandOverWhileWaiting | Mutation::ReleaseWhileWaiting => {
+                self.hand_over_in_effect = false;
+            }
+            Mutation::LeaverDispatches => self.leaver_stops = false,
             Mutation::SameIncarnation => self.fresh_incarnation = false,
             Mutation::WrongList => self.evidence = Evidence::Wrong,
             Mutation::NoListEvidence => self.evidence = Evidence::Ignored,
--- a/crates/kingcupwinch-spec/src/ownership/state.rs
+++ b/crates/kingcupwinch-spec/src/ownership/state.rs
@@ -46,16 +46,20 @@
 pub enum Kind {
     /// A sibling takes over and waits.
     TakeOver,
+    /// A member claims what nobody owns.
+    Free,
     /// The owner claims again for itself.
     Own,
     /// The owner handed over to its heir.
     HandOver,
+    /// The owner gave the shard up; the term goes on without an owner.
+    Release,
 }
 
 /// A claim that won its term.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Record {
-    /// The new owner.
+    /// The new owner, or the one that gave the shard up.
     pub owner: Id,
     /// The set of voters.
     pub voters: u8,
@@ -63,6 +67,13 @@
     pub kind: Kind,
 }
 
+impl Record {
+    /// Returns the owner, none after a release.
+    pub fn holder(&self) -> Option<Id> {
+        (self.kind != Kind::Release).then_some(self.owner)
+    }
+}
+
 /// A promise as the owner counts it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Excuse {
@@ -93,8 +104,14 @@
     pub own: Option<u8>,
     /// The heir of a hand-over that it has sent and not read back.
     pub hand: Option<Id>,
-    /// Whether it stopped dispatching to hand over.
+    /// Whether it has sent a release and not read it back.
+    pub release: bool,
+    /// Whether it stopped dispatching to hand over or to release.
     pub stopped: bool,
+    /// Whether it has sent its leave of the group.
+    pub leaving: bool,
+    /// Whether its leave has landed.
+    pub gone: bool,
 }
 
 /// The whole system.
@@ -165,6 +182,13 @@
         self.instances[slot].view == self.len
     }
 
+    /// Returns whether no term has begun that an instance has not read.
+    pub(super) fn is_in_newest_term(&self, slot: usize) -> bool {
+        let view = self.instances[slot].view;
+        let unread = &self.log[view as usize..self.len as usize];
+        view > 0 && unread.iter().all(|r| r.kind == Kind::Release)
+    }
+
     /// Returns whether two instances hold the same term.
     pub(super) fn has_two_winners(&self) -> bool {
         let [a, b, c] = &self.instances;
@@ -172,6 +196,14 @@
         same(a, b) || same(a, c) || same(b, c)
     }
 
+    /// Returns how a claim comes about that lands now: nobody waits for a released shard.
+    pub(super) fn kind_over_newest(&self, kind: Kind) -> Kind {
+        match self.newest().holder() {
+            Some(_) => kind,
+            None => Kind::Free,
+        }
+    }
+
     /// Appends a record, if there is room for it.
     pub(super) fn append(&mut self, rules: &Rules, record: Record) -> bool {
         if self.len >= rules.window {
@@ -179,7 +211,9 @@
         }
         self.log[self.len as usize] = record;
         self.len += 1;
-        self.supported = 0;
+        if record.kind != Kind::Release {
+            self.supported = 0;
+        }
         true
     }
 
--- a/crates/kingcupwinch-spec/src/ownership/step.rs
+++ b/crates/kingcupwinch-spec/src/ownership/step.rs
@@ -1,10 +1,11 @@
 //! The transitions.
 
+use super::give;
 use super::state::{ALL_LIVE, Excuse, Instance, SLOTS};
 use super::view::advance;
 use super::{Event, Evidence, Id, Kind, Record, Rules, State};
 
-type Visit<'a> = &'a mut dyn FnMut(Event, State);
+pub(super) type Visit<'a> = &'a mut dyn FnMut(Event, State);
 
 /// Calls `visit` with every enabled event and the state that it leads to.
 pub(super) fn for_each_next(rules: &Rules, state: &State, visit: Visit<'_>) {
@@ -16,7 +17,7 @@
         support(rules, state, slot, visit);
         for_each_take_over(rules, state, slot, visit);
         for_each_own_claim(rules, state, slot, visit);
-        for_each_hand_over(rules, state, slot, visit);
+        give::for_each_next(rules, state, slot, visit);
         restart(rules, state, slot, visit);
     }
 }
@@ -95,8 +96,10 @@
         return;
     }
     for voter in (0..SLOTS).filter(|voter| *voter != owner) {
-        let trusts = state.seen_by(voter).map(|r| r.owner) == Some(Id::live(owner));
-        let refuses = state.instances[voter].support && rules.support_ends_promises;
+        let trusted = state.seen_by(voter).and_then(Record::holder);
+        let trusts = trusted == Some(Id::live(owner));
+        let me = &state.instances[voter];
+        let refuses = me.leaving || (me.support && rules.support_ends_promises);
         if !trusts || refuses {
             continue;
         }
@@ -113,10 +116,11 @@
 /// Returns the state after a voter's support, none if it may not support.
 pub(super) fn supported(rules: &Rules, state: &State, slot: usize) -> Option<State> {
     let me = &state.instances[slot];
-    let is_owner = state.newest().owner == Id::live(slot);
+    let holder = state.newest().holder();
+    let may_vote = holder.is_some_and(|id| id != Id::live(slot)) && !me.leaving;
     let fresh = me.fresh > 0 || !rules.fresh_support;
     let free = me.promise == 0 || !rules.promise_blocks;
-    if is_owner || !state.is_current(slot) || !fresh || !free {
+    if !may_vote || !state.is_current(slot) || !fresh || !free {
         return None;
     }
     let mut next = *state;
@@ -131,12 +135,21 @@
     }
 }
 
-/// Returns whether an instance that has read everything may take over.
+/// Returns whether an instance may claim the next term from another owner or from nobody.
 pub(super) fn may_take_over(rules: &Rules, state: &State, slot: usize) -> bool {
-    let Record { owner, voters, .. } = *state.newest();
-    if !state.is_current(slot) || owner == Id::live(slot) {
+    let Some(record) = state.seen_by(slot) else {
+        return false;
+    };
+    if !state.is_in_newest_term(slot) || state.instances[slot].leaving {
         return false;
     }
+    let Some(owner) = record.holder() else {
+        return true;
+    };
+    owner != Id::live(slot) && is_replaceable(rules, state, owner, record.voters)
+}
+
+fn is_replaceable(rules: &Rules, state: &State, owner: Id, voters: u8) -> bool {
     let dropped = match rules.evidence {
         Evidence::Ignored => false,
         Evidence::Trusted => owner.is_dead(),
@@ -152,7 +165,7 @@
 }
 
 /// Appends a record and calls `visit`, if there is room for it.
-fn land(rules: &Rules, state: &State, slot: usize, record: Record, visit: Visit<'_>) {
+pub(super) fn land(rules: &Rules, state: &State, slot: usize, record: Record, visit: Visit<'_>) {
     let mut next = *state;
     if next.append(rules, record) {
         let Record {
@@ -187,7 +200,7 @@
         let record = Record {
             owner: me,
             voters,
-            kind: Kind::TakeOver,
+            kind: state.kind_over_newest(Kind::TakeOver),
         };
         land(rules, state, slot, record, visit);
     }
@@ -195,23 +208,16 @@
 
 fn for_each_own_claim(rules: &Rules, state: &State, slot: usize, visit: Visit<'_>) {
     let me = &state.instances[slot];
-    if !me.owns || !rules.own_claims {
-        return;
-    }
     let Some(voters) = me.own else {
-        for voters in voter_choices(Id::live(slot).bit()) {
-            let mut next = *state;
-            next.instances[slot].own = Some(voters);
-            visit(Event::SendOwn { slot, voters }, next);
-        }
+        send_own_claim(rules, state, slot, visit);
         return;
     };
     let record = Record {
         owner: Id::live(slot),
         voters,
-        kind: Kind::Own,
+        kind: state.kind_over_newest(Kind::Own),
     };
-    if state.is_current(slot) {
+    if state.is_in_newest_term(slot) && !me.gone {
         land(rules, state, slot, record, visit);
     } else if !rules.first_wins && me.view + 1 == state.len {
         let mut next = *state;
@@ -226,30 +232,15 @@
     }
 }
 
-fn for_each_hand_over(rules: &Rules, state: &State, slot: usize, visit: Visit<'_>) {
+fn send_own_claim(rules: &Rules, state: &State, slot: usize, visit: Visit<'_>) {
     let me = &state.instances[slot];
-    if !me.owns || !rules.hand_over {
-        return;
-    }
-    if let Some(heir) = me.hand {
-        if state.is_current(slot) {
-            let record = Record {
-                owner: heir,
-                voters: ALL_LIVE,
-                kind: Kind::HandOver,
-            };
-            land(rules, state, slot, record, visit);
-        }
-        return;
-    }
-    if me.wait > 0 && rules.hand_over_in_effect {
+    if !me.owns || me.leaving || !rules.own_claims {
         return;
     }
-    for heir in (0..SLOTS).filter(|heir| *heir != slot) {
+    for voters in voter_choices(Id::live(slot).bit()) {
         let mut next = *state;
-        next.instances[slot].hand = Some(Id::live(heir));
-        next.instances[slot].stopped = rules.hand_over_stops;
-        visit(Event::SendHandOver { slot, heir }, next);
+        next.instances[slot].own = Some(voters);
+        visit(Event::SendOwn { slot, voters }, next);
     }
 }
 
--- a/crates/kingcupwinch-spec/tests/ownership.rs
+++ b/crates/kingcupwinch-spec/tests/ownership.rs
@@ -16,6 +16,11 @@
 #[case::plain("plain", base())]
 #[case::restart("restart", Rules::small().with_own_claims(false))]
 #[case::hand_over("hand-over", base().with_hand_over(true).with_own_claims(false))]
+#[case::releases(
+    "releases",
+    base().with_releases(true).with_own_claims(false).with_window(4)
+)]
+#[case::leaves("leaves", Rules::small().with_releases(true).with_own_claims(false))]
 #[case::drift("drift", base().with_drifts(2).with_own_claims(false))]
 #[case::long_lease("long lease", base().with_spans(2, 1))]
 #[case::long_promise("long promise", base().with_spans(1, 2))]
@@ -49,6 +54,21 @@
     Mutation::HandOverWhileWaiting,
     base().with_hand_over(true)
 )]
+#[case::release_without_stop(
+    "release_without_stop",
+    Mutation::ReleaseWithoutStop,
+    base().with_releases(true)
+)]
+#[case::release_while_waiting(
+    "release_while_waiting",
+    Mutation::ReleaseWhileWaiting,
+    base().with_releases(true).with_own_claims(false).with_window(4)
+)]
+#[case::leaver_dispatches(
+    "leaver_dispatches",
+    Mutation::LeaverDispatches,
+    Rules::small().with_releases(true).with_hand_over(true)
+)]
 #[case::same_incarnation("same_incarnation", Mutation::SameIncarnation, Rules::small())]
 #[case::wrong_list("wrong_list", Mutation::WrongList, base())]
 #[case::no_list_evidence(
