--- /dev/null
+++ b/crates/kingcupwinch-policy/examples/measure/driver.rs
@@ -0,0 +1,596 @@
+//! The event loop: arrivals, ends and faults from a heap, fed to a scheduler.
+
+mod figures;
+mod load;
+
+use std::cmp::{Ordering, Reverse};
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Instant;
+
+use kingcupwinch_policy::{
+    Cell, Decision, End, GangSpec, MachineKey, MachineSpec, Next, Outcome, Placement, Size,
+    TaskKey, TaskSpec,
+};
+use kingcupwinch_time::{Span, Time};
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use slotmap::SecondaryMap;
+
+pub(crate) use self::figures::Figures;
+use self::figures::Meter;
+use self::load::{Rates, spread};
+use crate::baseline::{Baseline, Choice};
+use crate::scenario::{Scenario, Trouble, Who};
+use crate::scheduler::{Policy, Scheduler};
+
+/// The time from a decision until the worker runs the task.
+pub(crate) const LINK: Span = Span::from_millis(1);
+/// How long a worker takes to throttle a task.
+const THROTTLE_TIME: Span = Span::from_millis(20);
+/// How long a worker takes to checkpoint a task.
+const CHECKPOINT_TIME: Span = Span::from_millis(500);
+/// How long a worker takes to stop a task.
+const STOP_TIME: Span = Span::from_millis(50);
+/// How long a run lasts on a machine that fails everything.
+const FAIL_TIME: Span = Span::from_millis(5);
+/// The time from a machine's loss until the leases on it have lapsed.
+const LEASE: Span = Span::from_secs(2);
+/// When a fault happens after the warm-up.
+const FAULT_AFTER: Span = Span::from_secs(60);
+/// How long a burst lasts.
+const BURST: Span = Span::from_secs(30);
+const BURST_FACTOR: f64 = 10.0;
+const WAVE: usize = 100_000;
+/// The time from a wave's arrival to its cancellation.
+const WAVE_LIFE: Span = Span::from_secs(10);
+const SAMPLE_EVERY: Span = Span::from_secs(1);
+/// How old a usage report is.
+const REPORT_LAG: Span = Span::from_secs(1);
+/// Declared over true values by stream.
+const DECLARED: [f64; 4] = [0.5, 0.2, 10.0, 4.0];
+const DECLARED_NOISE: f64 = 0.25;
+
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    Arrive(usize),
+    End {
+        job: usize,
+        version: u32,
+        outcome: Outcome,
+    },
+    Throttled {
+        job: usize,
+        version: u32,
+    },
+    Sample,
+    Lose,
+    Wave,
+    CancelWave,
+}
+
+/// An event in the heap, ordered by time and then by the order of planning.
+struct Planned {
+    time: Time,
+    sequence: u64,
+    event: Event,
+}
+
+impl PartialEq for Planned {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Planned {}
+
+impl PartialOrd for Planned {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Planned {
+    fn cmp(&self, other: &Self) -> Ordering {
+        (self.time, self.sequence).cmp(&(other.time, other.sequence))
+    }
+}
+
+/// A run as it truly is.
+struct Run {
+    place: Placement,
+    since: Time,
+    /// When its progress was last brought up to date.
+    marked: Time,
+    /// Work done each second, against a machine of speed 1.
+    pace: f64,
+    version: u32,
+}
+
+/// A task as it truly is.
+struct Job {
+    stream: usize,
+    arrived: Time,
+    size: Size,
+    left: Span,
+    started: bool,
+    run: Option<Run>,
+}
+
+struct Machine {
+    key: MachineKey,
+    speed: f64,
+    fails: bool,
+    gone: bool,
+    capacity: Size,
+    used: Size,
+}
+
+struct Driver<'a> {
+    scenario: &'a Scenario,
+    scheduler: Box<dyn Scheduler>,
+    rates: Rates,
+    machines: Vec<Machine>,
+    machine_of: SecondaryMap<MachineKey, usize>,
+    jobs: Vec<Job>,
+    job_of: SecondaryMap<TaskKey, usize>,
+    events: BinaryHeap<Reverse<Planned>>,
+    sequence: u64,
+    version: u32,
+    wave: Vec<TaskKey>,
+    meter: Meter,
+    rng: ChaCha8Rng,
+    now: Time,
+    /// Processor time of rounds in nanoseconds, and how many took it.
+    costs: BTreeMap<u64, u64>,
+}
+
+/// Runs one scenario.
+pub(crate) fn run(scenario: &Scenario) -> Figures {
+    let mut driver = Driver::new(scenario);
+    driver.prepare();
+    driver.go();
+    driver.finish()
+}
+
+impl<'a> Driver<'a> {
+    fn new(scenario: &'a Scenario) -> Self {
+        let mut site = scenario.site.clone();
+        if scenario.trouble == Trouble::CancelWave {
+            site.streams
+                .iter_mut()
+                .for_each(|s| s.class.bound = 2 * WAVE);
+        }
+        let names: Vec<&str> = site.streams.iter().map(|s| &*s.class.name).collect();
+        let baseline = |choice| -> Box<dyn Scheduler> {
+            Box::new(Baseline::new(choice, names.len(), scenario.seed))
+        };
+        let scheduler: Box<dyn Scheduler> = match scenario.who {
+            Who::Policy => {
+                let cell = Cell::new(site.plan(), scenario.seed).expect("the site's plan is valid");
+                Box::new(Policy::new(cell, &names))
+            }
+            Who::Fifo => baseline(Choice::Random),
+            Who::LeastLoaded => baseline(Choice::LeastLoaded),
+        };
+        let mut rng = ChaCha8Rng::seed_from_u64(scenario.seed);
+        let rates = Rates::new(scenario, &mut rng);
+        Driver {
+            scenario,
+            scheduler,
+            meter: Meter::new(scenario, &rates),
+            rates,
+            machines: Vec::new(),
+            machine_of: SecondaryMap::new(),
+            jobs: Vec::new(),
+            job_of: SecondaryMap::new(),
+            events: BinaryHeap::new(),
+            sequence: 0,
+            version: 0,
+            wave: Vec::new(),
+            rng,
+            now: Time::ZERO,
+            costs: BTreeMap::new(),
+        }
+    }
+
+    fn prepare(&mut self) {
+        let site = &self.scenario.site;
+        for index in 0..site.machines {
+            let rack = index / site.rack;
+            let zone = format!("zone{}", rack % site.zones);
+            let capacity = site.capacity_of(index);
+            let spec = MachineSpec::new(&format!("m{index}"), &zone, &format!("r{rack}"), capacity);
+            let key = self
+                .scheduler
+                .add_machine(spec, self.now)
+                .expect("the site's machines are valid");
+            self.machine_of.insert(key, index);
+            self.machines.push(Machine {
+                key,
+                speed: self.rates.speeds[index],
+                fails: false,
+                gone: false,
+                capacity,
+                used: Size::ZERO,
+            });
+        }
+        let warm = Time::ZERO + self.scenario.warm;
+        match self.scenario.trouble {
+            Trouble::Loss => self.push(warm + FAULT_AFTER.min(self.scenario.warm), Event::Lose),
+            Trouble::CancelWave => self.push(warm + FAULT_AFTER, Event::Wave),
+            Trouble::BlackHoles => self
+                .machines
+                .iter_mut()
+                .take(2)
+                .for_each(|m| m.fails = true),
+            _ => {}
+        }
+        self.push(Time::ZERO, Event::Sample);
+        for stream in 0..site.streams.len() {
+            if self.rates.each_second[stream] > 0.0 {
+                self.plan_arrival(stream);
+            }
+            if self.scenario.filled {
+                self.fill(stream);
+            }
+        }
+    }
+
+    /// Submits the work that runs in the steady state.
+    fn fill(&mut self, stream: usize) {
+        let run = self.scenario.site.streams[stream].run.as_secs_f64();
+        let count = (self.rates.each_second[stream] * run) as usize;
+        for _ in 0..count {
+            self.arrive(stream);
+        }
+    }
+
+    fn go(&mut self) {
+        let end = Time::ZERO + self.scenario.end;
+        let mut out = Vec::new();
+        while let Some(time) = self.events.peek().map(|e| e.0.time) {
+            if time > end {
+                return;
+            }
+            let wake = self.scheduler.next_deadline().filter(|w| *w < time);
+            self.now = wake.map_or(time, |w| w.max(self.now + Span::from_micros(1)).min(time));
+            while let Some(event) = self.due() {
+                self.handle(event);
+            }
+            let began = Instant::now();
+            self.scheduler.decide(self.now, &mut out);
+            if self.now > Time::ZERO {
+                let cost = u64::try_from(began.elapsed().as_nanos()).unwrap_or(u64::MAX);
+                *self.costs.entry(cost).or_insert(0) += 1;
+            }
+            for decision in out.drain(..) {
+                self.carry_out(decision);
+            }
+        }
+    }
+
+    fn due(&mut self) -> Option<Event> {
+        if self.events.peek()?.0.time > self.now {
+            return None;
+        }
+        self.events.pop().map(|e| e.0.event)
+    }
+
+    fn finish(mut self) -> Figures {
+        let end = Time::ZERO + self.scenario.end;
+        let runs = self.jobs.iter().filter(|j| j.run.is_some());
+        let running = runs.count();
+        if self.scenario.filled {
+            self.print_costs(running);
+        }
+        let steps = self.scheduler.steps();
+        let retries = self.scheduler.retries();
+        self.meter.advance(end);
+        self.meter.figures(self.scenario, steps, retries)
+    }
+
+    /// Prints the processor time of rounds, which isn't the same on every run.
+    fn print_costs(&self, running: usize) {
+        let total: u64 = self.costs.values().sum();
+        let quantile = |part: f64| {
+            let mut seen = 0;
+            let target = (total as f64 * part) as u64;
+            let found = self.costs.iter().find(|(_, count)| {
+                seen += **count;
+                seen >= target
+            });
+            found.map_or(0, |(cost, _)| *cost)
+        };
+        let name = self.scenario.name();
+        eprintln!(
+            "{name}: {running} running, {total} rounds, ns each: p50 {} p99 {} p99.9 {} max {}",
+            quantile(0.5),
+            quantile(0.99),
+            quantile(0.999),
+            quantile(1.0),
+        );
+    }
+
+    fn push(&mut self, time: Time, event: Event) {
+        self.sequence += 1;
+        let sequence = self.sequence;
+        self.events.push(Reverse(Planned {
+            time,
+            sequence,
+            event,
+        }));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(stream) => {
+                self.arrive(stream);
+                self.plan_arrival(stream);
+            }
+            Event::End {
+                job,
+                version,
+                outcome,
+            } => self.end(job, version, outcome),
+            Event::Throttled { job, version } => {
+                if let Some(place) = self.present(job, version) {
+                    self.scheduler.throttled(place, self.now);
+                }
+            }
+            Event::Sample => self.sample(),
+            Event::Lose => self.lose(),
+            Event::Wave => self.send_wave(),
+            Event::CancelWave => {
+                for key in std::mem::take(&mut self.wave) {
+                    self.scheduler.cancel(key, self.now);
+                }
+            }
+        }
+    }
+
+    fn plan_arrival(&mut self, stream: usize) {
+        let mut rate = self.rates.each_second[stream];
+        let burst = Time::ZERO + self.scenario.warm + FAULT_AFTER;
+        let urgent = self.scenario.site.streams[stream].is_urgent();
+        let during = self.now >= burst && self.now < burst + BURST;
+        if self.scenario.trouble == Trouble::Burst && urgent && during {
+            rate *= BURST_FACTOR;
+        }
+        let wait = -(1.0 - self.rng.random::<f64>()).ln() / rate;
+        let at = self.now + Span::from_micros((wait * 1e6) as u64);
+        self.push(at, Event::Arrive(stream));
+    }
+
+    fn arrive(&mut self, stream: usize) {
+        let spec = self.describe(stream);
+        let (spec, left) = spec;
+        let count = self.rates.gangs[stream];
+        self.meter.submitted(stream, self.now);
+        if count > 1 {
+            let gang = GangSpec::new(spec, count);
+            match self.scheduler.submit_gang(gang, self.now) {
+                Ok(ticket) => ticket
+                    .tasks
+                    .into_iter()
+                    .for_each(|t| self.know(t, stream, left)),
+                Err(_) => self.meter.refused(stream, self.now),
+            }
+            return;
+        }
+        match self.scheduler.submit(spec, self.now) {
+            Ok(key) => self.know(key, stream, left),
+            Err(_) => self.meter.refused(stream, self.now),
+        }
+    }
+
+    /// Draws a task: as declared, and its true run.
+    fn describe(&mut self, stream: usize) -> (TaskSpec, Span) {
+        let s = &self.scenario.site.streams[stream];
+        let left = spread(s.run, &mut self.rng);
+        let (mut size, mut run) = (s.size, s.run);
+        if self.scenario.trouble == Trouble::Declarations {
+            let noise = 1.0 + DECLARED_NOISE * (2.0 * self.rng.random::<f64>() - 1.0);
+            let factor = DECLARED[stream % DECLARED.len()] * noise;
+            run = Span::from_micros((run.as_micros() as f64 * factor) as u64);
+            size = load::declared(&size, factor, &self.scenario.site.capacity);
+        }
+        let customers = self.scenario.site.customers;
+        let customer = (self.rng.random::<f64>().powi(2) * customers as f64) as usize;
+        let (class, customer) = self.rates.keys(stream, customer);
+        let spec = TaskSpec::new(class, customer, size, run).with_idempotent(s.idempotent);
+        (spec, left)
+    }
+
+    fn know(&mut self, key: TaskKey, stream: usize, left: Span) {
+        self.job_of.insert(key, self.jobs.len());
+        self.jobs.push(Job {
+            stream,
+            arrived: self.now,
+            size: self.scenario.site.streams[stream].size,
+            left,
+            started: false,
+            run: None,
+        });
+    }
+
+    fn carry_out(&mut self, decision: Decision) {
+        match decision {
+            Decision::Start(place) => self.start(place),
+            Decision::StartGang { places, .. } => places.into_iter().for_each(|p| self.start(p)),
+            Decision::Throttle { target, percent } => self.throttle(target, percent),
+            Decision::Checkpoint(place) => {
+                self.interrupt(place, CHECKPOINT_TIME, Outcome::Checkpointed)
+            }
+            Decision::Stop(place) => self.interrupt(place, STOP_TIME, Outcome::Stopped),
+            Decision::GiveUp { task, .. } => {
+                let job = &self.jobs[self.job_of[task]];
+                self.meter.gave_up(job.stream, job.arrived);
+            }
+        }
+    }
+
+    fn start(&mut self, place: Placement) {
+        let job = self.job_of[place.task];
+        let machine = &mut self.machines[self.machine_of[place.machine]];
+        self.version += 1;
+        let (speed, fails) = (machine.speed, machine.fails);
+        let task = &mut self.jobs[job];
+        assert!(task.run.is_none(), "a task runs in two places");
+        machine.used = machine.used.plus(&task.size);
+        let over = machine.used.exceeds(&machine.capacity).is_some();
+        self.meter.ran(task.stream, &task.size, over, self.now);
+        if !std::mem::replace(&mut task.started, true) {
+            self.meter.started(task.stream, task.arrived, self.now);
+        }
+        task.run = Some(Run {
+            place,
+            since: self.now,
+            marked: self.now,
+            pace: speed,
+            version: self.version,
+        });
+        if fails {
+            self.plan_end(job, FAIL_TIME, Outcome::Failed);
+        } else {
+            let time = span_at(self.jobs[job].left, speed);
+            self.plan_end(job, time, Outcome::Done);
+        }
+    }
+
+    fn plan_end(&mut self, job: usize, after: Span, outcome: Outcome) {
+        if let Some(run) = &self.jobs[job].run {
+            let version = run.version;
+            self.push(
+                self.now + after,
+                Event::End {
+                    job,
+                    version,
+                    outcome,
+                },
+            );
+        }
+    }
+
+    fn interrupt(&mut self, place: Placement, after: Span, outcome: Outcome) {
+        let job = self.job_of[place.task];
+        self.plan_end(job, after, outcome);
+    }
+
+    /// Changes the pace of a run and plans its end anew.
+    fn throttle(&mut self, place: Placement, percent: u8) {
+        let job = self.job_of[place.task];
+        let machine = self.machine_of[place.machine];
+        self.mark(job);
+        self.version += 1;
+        let version = self.version;
+        let pace = self.machines[machine].speed * f64::from(100 - percent) / 100.0;
+        if let Some(run) = &mut self.jobs[job].run {
+            run.pace = pace;
+            run.version = version;
+        }
+        let time = span_at(self.jobs[job].left, pace);
+        self.plan_end(job, time, Outcome::Done);
+        if percent > 0 {
+            self.push(self.now + THROTTLE_TIME, Event::Throttled { job, version });
+        }
+    }
+
+    /// Takes the progress since the last mark off what is left.
+    fn mark(&mut self, job: usize) {
+        let now = self.now;
+        let job = &mut self.jobs[job];
+        if let Some(run) = &mut job.run {
+            let done = now.since(run.marked).as_micros() as f64 * run.pace;
+            job.left = job.left - Span::from_micros(done as u64);
+            run.marked = now;
+        }
+    }
+
+    fn present(&self, job: usize, version: u32) -> Option<Placement> {
+        let run = self.jobs[job].run.as_ref()?;
+        (run.version == version).then_some(run.place)
+    }
+
+    fn end(&mut self, job: usize, version: u32, outcome: Outcome) {
+        let Some(place) = self.present(job, version) else {
+            return;
+        };
+        let machine = &mut self.machines[self.machine_of[place.machine]];
+        if machine.gone && outcome != Outcome::Lost {
+            return;
+        }
+        machine.used = machine.used.minus(&self.jobs[job].size);
+        let over = machine.used.exceeds(&machine.capacity).is_some();
+        let whole = self.jobs[job].left;
+        if outcome == Outcome::Checkpointed {
+            self.mark(job);
+        }
+        let task = &mut self.jobs[job];
+        let Some(run) = task.run.take() else {
+            return;
+        };
+        if outcome != Outcome::Checkpointed {
+            task.left = whole;
+        }
+        let kept = outcome == Outcome::Done || outcome == Outcome::Checkpointed;
+        self.meter
+            .ran_until(task.stream, &task.size, (run.since, over), kept, self.now);
+        let end = End::new(outcome, self.now - run.since).with_peak(task.size);
+        let next = self.scheduler.ended(place, end, self.now);
+        if outcome == Outcome::Done {
+            self.meter.done(task.stream, task.arrived);
+        } else if matches!(next, Next::GaveUp(_) | Next::Left) {
+            self.meter.gave_up(task.stream, task.arrived);
+        }
+    }
+
+    fn lose(&mut self) {
+        let mut all: Vec<usize> = (0..self.machines.len()).collect();
+        all.shuffle(&mut self.rng);
+        all.truncate(self.machines.len() / 5);
+        for &index in &all {
+            let machine = &mut self.machines[index];
+            machine.gone = true;
+            self.meter.lose(&machine.capacity, self.now);
+            self.scheduler.remove_machine(machine.key, self.now);
+        }
+        for job in 0..self.jobs.len() {
+            let Some(run) = &self.jobs[job].run else {
+                continue;
+            };
+            if self.machines[self.machine_of[run.place.machine]].gone {
+                self.plan_end(job, LEASE, Outcome::Lost);
+            }
+        }
+    }
+
+    fn send_wave(&mut self) {
+        for _ in 0..WAVE {
+            let (spec, left) = self.describe(1);
+            if let Ok(key) = self.scheduler.submit(spec, self.now) {
+                self.know(key, 1, left);
+                self.wave.push(key);
+            }
+        }
+        self.push(self.now + WAVE_LIFE, Event::CancelWave);
+    }
+
+    fn sample(&mut self) {
+        let queued: Vec<usize> = (0..self.scenario.site.streams.len())
+            .map(|s| self.scheduler.queued(s))
+            .collect();
+        self.meter.sample(&queued, self.now);
+        if self.scenario.trouble == Trouble::Declarations {
+            for machine in &self.machines {
+                self.scheduler
+                    .observe(machine.key, machine.used, self.now - REPORT_LAG);
+            }
+        }
+        self.push(self.now + SAMPLE_EVERY, Event::Sample);
+    }
+}
+
+fn span_at(left: Span, pace: f64) -> Span {
+    Span::from_micros((left.as_micros() as f64 / pace).ceil() as u64)
+}
