Test the command line by whole sessions and report the burn

Cause: the operators' commands and the burn report were untested. Change: golden files of sessions against the stand-in of the log and of instances; tests of a lost answer, a race, a log that is out or silent, an expired history, foreign bytes, an instance that is behind; the burn report with its window pairs, counter resets, JSON and plot, tested on numbers worked out by hand.

--- a/crates/kingcupwinch-cli/src/burn/mod.rs
+++ b/crates/kingcupwinch-cli/src/burn/mod.rs
@@ -12,6 +12,9 @@
 mod series;
 mod window;
 
+#[cfg(test)]
+mod tests;
+
 pub(crate) use plot::{PlotError, draw_svg};
 pub(crate) use rate::{Report, Row, WindowRate, assess, rate_series};
 pub(crate) use scrape::{Scrape, ScrapeError, load_scrapes};
--- a/crates/kingcupwinch-cli/src/cmd/history.rs
+++ b/crates/kingcupwinch-cli/src/cmd/history.rs
@@ -2,9 +2,11 @@
 
 use std::sync::Arc;
 
+use chrono::{DateTime, SecondsFormat};
 use clap::{Arg, ArgMatches, Command, value_parser};
 use kingcupwinch_coord::history::{Entry, Verdict};
 use kingcupwinch_coord::id::RecordId;
+use kingcupwinch_time::WallTime;
 use serde::Serialize;
 use uuid::Uuid;
 
@@ -21,7 +23,7 @@
     version: u64,
     record: String,
     author: Arc<str>,
-    published_ms: u64,
+    published: String,
     in_force: bool,
 }
 
@@ -31,12 +33,21 @@
             version: entry.version.0,
             record: entry.id.to_string(),
             author: Arc::clone(&entry.author),
-            published_ms: entry.published.as_millis(),
+            published: rfc3339(entry.published),
             in_force: entry.version.0 == current,
         }
     }
 }
 
+/// Returns a time as text in UTC, empty where it is out of the calendar's range.
+fn rfc3339(time: WallTime) -> String {
+    let millis = i64::try_from(time.as_millis()).unwrap_or(i64::MAX);
+    let date = DateTime::from_timestamp_millis(millis);
+    date.map_or_else(String::new, |d| {
+        d.to_rfc3339_opts(SecondsFormat::Secs, true)
+    })
+}
+
 /// Makes the subcommand.
 pub(super) fn make_subcommand() -> Command {
     let command = Command::new("history")
@@ -74,14 +85,14 @@
         console.json(&views)?;
         return Ok(Exit::Success);
     }
-    let mut table = Table::new(["VERSION", "IN FORCE", "AUTHOR", "PUBLISHED (MS)", "RECORD"]);
+    let mut table = Table::new(["VERSION", "IN FORCE", "AUTHOR", "PUBLISHED", "RECORD"]);
     for view in views {
         let in_force = if view.in_force { "yes" } else { "" };
         table.push([
             view.version.to_string(),
             in_force.to_owned(),
             view.author.to_string(),
-            view.published_ms.to_string(),
+            view.published,
             view.record,
         ]);
     }
--- a/crates/kingcupwinch-cli/src/cmd/publish.rs
+++ b/crates/kingcupwinch-cli/src/cmd/publish.rs
@@ -32,7 +32,7 @@
 /// The outcome of a publication as a JSON document.
 #[derive(Debug, Serialize)]
 struct PublishView {
-    record: String,
+    record: Option<String>,
     outcome: &'static str,
     version: Option<u64>,
     detail: String,
@@ -81,12 +81,7 @@
     let based = Version(matches.get_one::<u64>("on").copied().unwrap_or_default());
     let mut published = Published::read(settings.log()?, settings.timeout()).await?;
     if published.version() != based.0 {
-        let current = published.version();
-        console.error(format_args!(
-            "version {current} is in force, not {}; look at it with `diff` and publish again with `--on {current}`; nothing was changed",
-            based.0
-        ))?;
-        return Ok(Exit::Lost);
+        return refuse_base(based, published.version(), console);
     }
     let record = make_record(matches, based, &loaded.tree);
     let wait_ms = matches.get_one::<u64>("wait-ms").copied().unwrap_or(1);
@@ -98,6 +93,23 @@
     }
 }
 
+/// Tells that the folder was based on another version; nothing was sent.
+fn refuse_base(based: Version, current: u64, console: &mut Console<'_>) -> Result<Exit, Error> {
+    let detail = format!(
+        "version {current} is in force, not {}; look at it with `diff` and publish again with `--on {current}`; nothing was changed",
+        based.0
+    );
+    let view = PublishView {
+        record: None,
+        outcome: "stale",
+        version: None,
+        detail,
+        behind: Vec::new(),
+    };
+    write_view(&view, console)?;
+    Ok(Exit::Lost)
+}
+
 fn make_record(matches: &ArgMatches, based: Version, tree: &Tree) -> Stamped<ConfigRecord> {
     let author = matches.get_one::<String>("author");
     Stamped {
@@ -155,7 +167,7 @@
         Exit::Pending
     };
     let view = PublishView {
-        record: id.to_string(),
+        record: Some(id.to_string()),
         outcome: "won",
         version: Some(version.0),
         detail: text,
@@ -176,7 +188,7 @@
         );
     }
     format!(
-        "version {version} is published, but {} of {} instances are behind; they take it when they reach the log or a sibling",
+        "version {version} is published, but not yet in force on {} of {} instances; each takes it once it reaches the log or a sibling",
         rollout.behind.len(),
         rollout.asked
     )
@@ -203,7 +215,7 @@
         }
     };
     let view = PublishView {
-        record: id.to_string(),
+        record: Some(id.to_string()),
         outcome,
         version: None,
         detail,
@@ -218,10 +230,10 @@
         console.json(view)?;
         return Ok(());
     }
-    if view.outcome == "won" {
-        console.line(&view.detail)?;
-    } else {
-        console.error(format_args!("record {}: {}", view.record, view.detail))?;
+    match &view.record {
+        _ if view.outcome == "won" => console.line(&view.detail)?,
+        Some(record) => console.error(format_args!("record {record}: {}", view.detail))?,
+        None => console.error(&view.detail)?,
     }
     for behind in &view.behind {
         console.line(format_args!("behind: {behind}"))?;
--- a/crates/kingcupwinch-cli/src/cmd/report.rs
+++ b/crates/kingcupwinch-cli/src/cmd/report.rs
@@ -149,7 +149,7 @@
 fn write_report(report: &Report, console: &mut Console<'_>) -> Result<(), Error> {
     let seconds = report.end_ms.saturating_sub(report.start_ms) / 1_000;
     console.line(format_args!(
-        "{} instances over {seconds} s; an alert needs both rates at its threshold",
+        "instances: {}; span: {seconds} s; each cell is the long window's burn rate / the short one's",
         report.instances
     ))?;
     let mut table = Table::new([
--- /dev/null
+++ b/crates/kingcupwinch-cli/tests/cli/common.rs
@@ -0,0 +1,230 @@
+//! Runs whole commands against stand-ins and records them as a session.
+
+use std::fmt::Write as _;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use kingcupwinch_cli::{Console, Exit, run};
+use kingcupwinch_wire::api::{
+    LogStatus, QueueStatus, ShardStatus, Status, WorkerState, WorkerStatus,
+};
+use tempfile::TempDir;
+use tokio::net::TcpListener;
+
+/// Returns the path of an example folder.
+pub(crate) fn example(name: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    path.join(name).display().to_string()
+}
+
+/// Copies an example folder, so that a test may change it.
+pub(crate) fn copy_of(name: &str) -> TempDir {
+    let dir = TempDir::new().expect("a temporary folder");
+    for entry in fs::read_dir(example(name)).expect("an example folder") {
+        let path = entry.expect("an entry").path();
+        let target = dir.path().join(path.file_name().expect("a name"));
+        fs::copy(&path, target).expect("a copied file");
+    }
+    dir
+}
+
+/// The outcome of one command.
+pub(crate) struct Ran {
+    pub(crate) exit: Exit,
+    pub(crate) out: String,
+    pub(crate) err: String,
+}
+
+/// Runs one command, its arguments separated by spaces.
+pub(crate) async fn command(line: &str) -> Ran {
+    let (mut out, mut err) = (Vec::new(), Vec::new());
+    let exit = {
+        let mut console = Console::new(&mut out, &mut err);
+        run(line.split_whitespace().map(str::to_owned), &mut console).await
+    };
+    Ran {
+        exit,
+        out: String::from_utf8(out).expect("UTF-8 output"),
+        err: String::from_utf8(err).expect("UTF-8 errors"),
+    }
+}
+
+/// Commands and what they wrote, with what differs from run to run replaced by names.
+#[derive(Default)]
+pub(crate) struct Session {
+    text: String,
+    names: Vec<(String, String)>,
+}
+
+impl Session {
+    pub(crate) fn new() -> Self {
+        Session::default()
+    }
+
+    /// Replaces a text that differs from run to run, such as an address.
+    pub(crate) fn name(mut self, text: impl ToString, name: &str) -> Self {
+        self.names.push((text.to_string(), name.to_owned()));
+        self
+    }
+
+    /// Runs a command and records it.
+    pub(crate) async fn run(&mut self, line: &str) -> Exit {
+        let ran = command(&format!("kingcupwinch {line}")).await;
+        let _ = write!(self.text, "$ kingcupwinch {line}\n{}", ran.out);
+        for line in ran.err.lines() {
+            let _ = writeln!(self.text, "! {line}");
+        }
+        let _ = writeln!(self.text, "exit {}\n", ran.exit.code());
+        ran.exit
+    }
+
+    /// Returns the session's text.
+    pub(crate) fn text(&self) -> String {
+        let mut text = self.text.clone();
+        for (found, name) in &self.names {
+            text = text.replace(found, name);
+        }
+        text
+    }
+}
+
+/// Compares a session with its golden file; ids and times are masked.
+macro_rules! assert_session {
+    ($name:literal, $session:expr) => {
+        insta::with_settings!({filters => vec![
+            (r"[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[0-9a-f]{4}-[0-9a-f]{12}", "<record>"),
+            (r"[0-9]{4}-[0-9]{2}-[0-9]{2}T[0-9:]{8}Z", "<time>"),
+        ]}, {
+            insta::assert_snapshot!($name, $session.text());
+        });
+    };
+}
+
+pub(crate) use assert_session;
+
+/// What a stand-in of an instance answers.
+#[derive(Default)]
+struct Answers {
+    version: u64,
+    metrics: String,
+    posts: Vec<String>,
+}
+
+/// A stand-in of an instance's operators' port.
+pub(crate) struct Instance {
+    pub(crate) address: SocketAddr,
+    answers: Arc<Mutex<Answers>>,
+}
+
+impl Instance {
+    /// Starts one that has a version in force.
+    pub(crate) async fn start(name: &'static str, version: u64) -> Self {
+        let answers = Arc::new(Mutex::new(Answers {
+            version,
+            ..Answers::default()
+        }));
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        tokio::spawn(serve(listener, name, Arc::clone(&answers)));
+        Instance { address, answers }
+    }
+
+    pub(crate) fn set_version(&self, version: u64) {
+        self.answers.lock().expect("a free lock").version = version;
+    }
+
+    pub(crate) fn set_metrics(&self, metrics: &str) {
+        self.answers.lock().expect("a free lock").metrics = metrics.to_owned();
+    }
+
+    /// Returns the paths that were posted to.
+    pub(crate) fn posts(&self) -> Vec<String> {
+        self.answers.lock().expect("a free lock").posts.clone()
+    }
+}
+
+async fn serve(listener: TcpListener, name: &'static str, answers: Arc<Mutex<Answers>>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let answers = Arc::clone(&answers);
+        let service = service_fn(move |request: Request<Incoming>| {
+            let answer = answer(name, &request, &mut answers.lock().expect("a free lock"));
+            async move { Ok::<_, hyper::Error>(answer) }
+        });
+        let connection = hyper::server::conn::http1::Builder::new();
+        tokio::spawn(connection.serve_connection(TokioIo::new(stream), service));
+    }
+}
+
+fn answer(name: &str, request: &Request<Incoming>, answers: &mut Answers) -> Response<Full<Bytes>> {
+    let path = request.uri().path();
+    let body = match path {
+        "/v1/status" => serde_json::to_string(&status(name, answers.version)).ok(),
+        "/metrics" => Some(answers.metrics.clone()),
+        "/v1/drain" | "/v1/workers/harju-a-w01/drain" => {
+            answers.posts.push(path.to_owned());
+            Some(String::new())
+        }
+        _ => None,
+    };
+    let status = if body.is_some() {
+        StatusCode::OK
+    } else {
+        StatusCode::NOT_FOUND
+    };
+    let mut response = Response::new(Full::from(body.unwrap_or_default()));
+    *response.status_mut() = status;
+    response
+}
+
+fn status(name: &str, version: u64) -> Status {
+    let shard = |shard: u16| ShardStatus {
+        shard,
+        term: 3,
+        owner: Some(Arc::from(name)),
+        dispatching: shard == 0,
+    };
+    let worker = |name: &str, state, busy| WorkerStatus {
+        name: Arc::from(name),
+        rack: Arc::from("harju-a-r1"),
+        shard: 0,
+        state,
+        slots: 8,
+        busy,
+    };
+    Status {
+        instance: Arc::from(name),
+        incarnation: Arc::from("7"),
+        domain: Arc::from("harju-a"),
+        phase: Arc::from("serving"),
+        version,
+        log: LogStatus {
+            next: 40,
+            tail: 42,
+            fresh: true,
+        },
+        members: Vec::new(),
+        shards: vec![shard(0), shard(1)],
+        workers: vec![
+            worker("harju-a-w01", WorkerState::Live, 5),
+            worker("harju-a-w02", WorkerState::Quarantined, 0),
+        ],
+        queues: vec![QueueStatus {
+            class: Arc::from("availability-check"),
+            waiting: 3,
+            running: 5,
+        }],
+    }
+}
+
+/// Returns a path as text.
+pub(crate) fn text(path: impl Into<PathBuf>) -> String {
+    path.into().display().to_string()
+}
--- /dev/null
+++ b/crates/kingcupwinch-cli/tests/cli/main.rs
@@ -0,0 +1,5 @@
+//! Whole commands against stand-ins of the platform and of instances.
+
+mod burn;
+mod common;
+mod sessions;
