Bound the time and size of hostile configurations

Cause: the place of each value was counted from the start of its file and each check searched all faults, both square in the file's size; a tree could grow past what a record of the log carries, so that a publication would never be decoded; a domain without its sizes was told only the first. Change: an index of line starts, a set of faulty paths, at most 1,000 entries a table, at most 1,000,000 bytes as a record, and one fault for each unset setting.

--- a/crates/kingcupwinch-cli/src/burn/plot.rs
+++ b/crates/kingcupwinch-cli/src/burn/plot.rs
@@ -69,7 +69,8 @@
             .label(format!("{} threshold", pair.name))
             .legend(|(x, y)| PathElement::new([(x, y), (x + 16, y)], BLACK.mix(0.4)));
     }
-    for (i, one) in series.iter().enumerate() {
+    let drawn = series.iter().filter(|one| !one.points.is_empty());
+    for (i, one) in drawn.enumerate() {
         let colour = Palette99::pick(i).to_rgba();
         chart
             .draw_series(LineSeries::new(
--- a/crates/kingcupwinch-config/src/check/mod.rs
+++ b/crates/kingcupwinch-config/src/check/mod.rs
@@ -16,8 +16,8 @@
 use crate::tree::Tree;
 use report::Report;
 
-/// The most bytes of a published tree.
-const MAX_RECORD_BYTES: usize = 4_194_304;
+/// The most bytes of a published tree; a record of the log has room for it and its envelope.
+pub const MAX_RECORD_BYTES: usize = 1_000_000;
 
 /// The name that stands for the file of a published tree.
 const RECORD_NAME: &str = "record";
@@ -33,6 +33,13 @@
     shares::check(&tree, &mut report);
     sizes::check(&tree, &mut report);
     timers::check(&tree, &mut report);
+    let json = tree.to_canonical_json();
+    if json.len() > MAX_RECORD_BYTES {
+        report.fault(
+            "",
+            FaultKind::TooLargeRecord(MAX_RECORD_BYTES, tree.classes.len()),
+        );
+    }
     (tree, origins)
 }
 
--- a/crates/kingcupwinch-config/src/check/report.rs
+++ b/crates/kingcupwinch-config/src/check/report.rs
@@ -1,5 +1,6 @@
 //! Gathers the faults of the checks.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use crate::fault::{Fault, FaultKind};
@@ -10,11 +11,17 @@
 pub(super) struct Report<'a> {
     origins: &'a Origins,
     faults: &'a mut Vec<Fault>,
+    faulty: HashSet<Arc<str>>,
 }
 
 impl<'a> Report<'a> {
     pub(super) fn new(origins: &'a Origins, faults: &'a mut Vec<Fault>) -> Self {
-        Report { origins, faults }
+        let faulty = faults.iter().map(|f| Arc::clone(&f.path)).collect();
+        Report {
+            origins,
+            faults,
+            faulty,
+        }
     }
 
     /// Returns whether a file set the setting.
@@ -28,9 +35,10 @@
     }
 
     /// Notes a setting without a default that isn't set.
-    pub(super) fn require(&mut self, table: &str, setting: &'static str) {
-        if !self.is_set(&format!("{table}.{setting}")) {
-            self.add(table, FaultKind::Missing(setting), None);
+    pub(super) fn require(&mut self, table: &str, setting: &str) {
+        let path = format!("{table}.{setting}");
+        if !self.is_set(&path) {
+            self.add(&path, FaultKind::Missing, None);
         }
     }
 
@@ -53,16 +61,18 @@
         if self.is_faulty(path) {
             return;
         }
-        let place = self.origins.nearest(path);
+        let path: Arc<str> = Arc::from(path);
+        self.faulty.insert(Arc::clone(&path));
+        let place = self.origins.nearest(&path);
         self.faults.push(Fault {
             place: place.cloned().unwrap_or_else(|| Place::new("")),
-            path: Arc::from(path),
+            path,
             kind,
             clash,
         });
     }
 
     fn is_faulty(&self, path: &str) -> bool {
-        self.faults.iter().any(|fault| *fault.path == *path)
+        self.faulty.contains(path)
     }
 }
--- a/crates/kingcupwinch-config/src/decode.rs
+++ b/crates/kingcupwinch-config/src/decode.rs
@@ -15,6 +15,9 @@
 /// The longest name of a domain, service, class or customer.
 const MAX_NAME_CHARS: usize = 64;
 
+/// The most entries of a table of domains, services, classes, customers or objectives.
+const MAX_ENTRIES: usize = 1_000;
+
 /// A type that a node decodes into.
 pub(crate) trait Decode: Sized {
     /// Returns none where the node has the wrong type or range, after noting the fault.
@@ -119,6 +122,10 @@
 impl<T: Decode> Decode for IndexMap<Arc<str>, T> {
     fn decode(node: &Node, cx: &mut Decoder) -> Option<Self> {
         let table = cx.entries(node)?;
+        if table.len() > MAX_ENTRIES {
+            cx.fault(node, FaultKind::TooManyEntries(MAX_ENTRIES));
+            return None;
+        }
         let mut entries = IndexMap::with_capacity(table.len());
         for (name, child) in table {
             cx.within(name, |cx| {
--- a/crates/kingcupwinch-config/src/fault.rs
+++ b/crates/kingcupwinch-config/src/fault.rs
@@ -27,6 +27,10 @@
         TooLarge(most: usize) {
             display("is larger than {most} bytes")
         }
+        /// The merged tree is over the limit of a record.
+        TooLargeRecord(most: usize, classes: usize) {
+            display("is larger than {most} bytes as a record, with {classes} classes")
+        }
         /// The file isn't UTF-8.
         NotUtf8 {
             display("isn't UTF-8 text")
@@ -68,8 +72,12 @@
             display("`remove = true` must stand alone in its table")
         }
         /// A setting without a default isn't set.
-        Missing(setting: &'static str) {
-            display("has no `{setting}`")
+        Missing {
+            display("must be set")
+        }
+        /// A table with more entries than the limit.
+        TooManyEntries(most: usize) {
+            display("has more than {most} entries")
         }
         /// A reference to an entry that isn't declared.
         Undeclared(what: &'static str, name: Arc<str>, nearest: Option<Arc<str>>) {
--- a/crates/kingcupwinch-config/src/lib.rs
+++ b/crates/kingcupwinch-config/src/lib.rs
@@ -31,6 +31,7 @@
 mod tree;
 mod units;
 
+pub use check::MAX_RECORD_BYTES;
 pub use fault::{Fault, FaultKind, Faults};
 pub use folder::{
     MAX_FILE_BYTES, MAX_FILES, MAX_FOLDER_BYTES, SkipReason, Skipped, load_folder, load_texts,
--- a/crates/kingcupwinch-config/src/node.rs
+++ b/crates/kingcupwinch-config/src/node.rs
@@ -25,19 +25,6 @@
             column: 0,
         }
     }
-
-    /// Returns the place of a byte offset in the file's text.
-    pub(crate) fn with_offset(&self, text: &str, offset: usize) -> Self {
-        let before = text.get(..offset).unwrap_or(text);
-        let line_start = before.rfind('\n').map_or(0, |i| i + 1);
-        let line = before.matches('\n').count() + 1;
-        let column = before[line_start..].chars().count() + 1;
-        Place {
-            file: Arc::clone(&self.file),
-            line: u32::try_from(line).unwrap_or(u32::MAX),
-            column: u32::try_from(column).unwrap_or(u32::MAX),
-        }
-    }
 }
 
 impl fmt::Display for Place {
--- a/crates/kingcupwinch-config/src/parse.rs
+++ b/crates/kingcupwinch-config/src/parse.rs
@@ -7,26 +7,24 @@
 use crate::fault::{Fault, FaultKind};
 use crate::node::{Node, Place, Table, Value};
 
+/// The part of a line in which columns are counted in characters.
+const MAX_COUNTED_BYTES: usize = 1_024;
+
 /// Parses one file into a table node.
 ///
 /// # Errors
 ///
 /// Returns the first syntax fault of the file.
 pub(crate) fn parse_toml(file: &str, text: &str) -> Result<Table, Fault> {
-    let whole = Place::new(file);
-    let document = Document::parse(text).map_err(|e| syntax_fault(&whole, text, &e))?;
-    let source = Source { whole, text };
+    let source = Source::new(file, text);
+    let document = Document::parse(text).map_err(|e| syntax_fault(&source, &e))?;
     Ok(source.table(document.as_table()))
 }
 
-fn syntax_fault(whole: &Place, text: &str, error: &TomlError) -> Fault {
-    let place = match error.span() {
-        Some(span) => whole.with_offset(text, span.start),
-        None => whole.clone(),
-    };
+fn syntax_fault(source: &Source<'_>, error: &TomlError) -> Fault {
     let first_line = error.message().lines().next().unwrap_or_default();
     Fault {
-        place,
+        place: source.place(error.span().map(|span| span.start)),
         path: Arc::from(""),
         kind: FaultKind::Syntax(Arc::from(first_line)),
         clash: None,
@@ -37,14 +35,42 @@
 struct Source<'a> {
     whole: Place,
     text: &'a str,
+    line_starts: Vec<usize>,
 }
 
-impl Source<'_> {
+impl<'a> Source<'a> {
+    fn new(file: &str, text: &'a str) -> Self {
+        let after_breaks = text.match_indices('\n').map(|(i, _)| i + 1);
+        Source {
+            whole: Place::new(file),
+            text,
+            line_starts: std::iter::once(0).chain(after_breaks).collect(),
+        }
+    }
+
+    /// Returns the place of a byte offset, the whole file where there is none.
     fn place(&self, offset: Option<usize>) -> Place {
-        match offset {
-            Some(offset) => self.whole.with_offset(self.text, offset),
-            None => self.whole.clone(),
+        let Some(offset) = offset else {
+            return self.whole.clone();
+        };
+        let line = self.line_starts.partition_point(|start| *start <= offset);
+        let start = self.line_starts[line.saturating_sub(1)];
+        let column = self.columns(start, offset) + 1;
+        Place {
+            file: Arc::clone(&self.whole.file),
+            line: u32::try_from(line).unwrap_or(u32::MAX),
+            column: u32::try_from(column).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Counts characters, or bytes far along a line, so that one long line costs no square time.
+    fn columns(&self, start: usize, offset: usize) -> usize {
+        let length = offset - start;
+        if length > MAX_COUNTED_BYTES {
+            return length;
         }
+        let before = self.text.get(start..offset);
+        before.map_or(length, |text| text.chars().count())
     }
 
     fn table(&self, table: &toml_edit::Table) -> Table {
--- a/crates/kingcupwinch-config/tests/faults.rs
+++ b/crates/kingcupwinch-config/tests/faults.rs
@@ -36,10 +36,10 @@
     "[classes.a]\nkind = 'lively'",
     "a.toml:2:1: classes.a.kind is \"lively\", but must be one of live, batch, gang"
 )]
-#[case("[classes.a]\nband = 1", "a.toml:1:10: classes.a has no `kind`")]
+#[case("[classes.a]\nband = 1", "a.toml:1:10: classes.a.kind must be set")]
 #[case(
     "[classes.a]\nkind = 'live'",
-    "a.toml:1:10: classes.a has no `deadline_ms`"
+    "a.toml:1:10: classes.a.deadline_ms must be set"
 )]
 #[case(
     "[classes.a]\nkind = 'live'\ndeadline_ms = 0",
@@ -69,10 +69,10 @@
     "[domains.n]\nregion = 'r'\nshards = 0",
     "a.toml:3:1: domains.n.shards is 0; a domain needs at least one shard"
 )]
-#[case("[domains.n]\nworkers = 2", "a.toml:1:10: domains.n has no `region`")]
+#[case("[domains.n]\nslots = 2", "a.toml:1:10: domains.n.region must be set")]
 #[case(
     "[domains.n]\nregion = 'r'\nworkers = 2\nslots = 1\nmillicores = 1",
-    "a.toml:1:10: domains.n has no `memory_mb`"
+    "a.toml:1:10: domains.n.memory_mb must be set"
 )]
 #[case(
     "[domains.n]\nregion = 'r'\nworkers = 2\nslots = 1\nmillicores = 9\nmemory_mb = 200\n[classes.a]\nkind = 'batch'",
@@ -169,7 +169,7 @@
 #[case("[]", "record: must be a table, not a list")]
 #[case(
     r#"{"classes":{"a":{"kind":"live"}}}"#,
-    "record: classes.a has no `deadline_ms`"
+    "record: classes.a.deadline_ms must be set"
 )]
 #[case(r#"{"newer":1}"#, "record: newer is not a setting")]
 fn a_record_gets_the_same_checks(#[case] json: &str, #[case] expected: &str) {
@@ -177,6 +177,45 @@
     assert_eq!(found.to_string(), expected);
 }
 
+#[test]
+fn every_unset_size_of_a_domain_is_named() {
+    let found = faults_of(&[("a.toml", "[domains.n]\nworkers = 2")]);
+    assert_eq!(found.matches("must be set").count(), 4, "{found}");
+}
+
+#[test]
+fn a_table_of_too_many_entries_is_refused() {
+    let text: String = (0..=1_000).map(|i| format!("[customers.c{i}]\n")).collect();
+    let expected = "a.toml:1:2: customers has more than 1000 entries";
+    assert_eq!(faults_of(&[("a.toml", &text)]), expected);
+}
+
+#[test]
+fn a_tree_too_large_for_a_record_is_refused() {
+    let entries = |table: &str, setting: &str| -> String {
+        let entry = |i: usize| format!("[{table}.{i}-{}]\n{setting}\n", "n".repeat(56));
+        (0..1_000).map(entry).collect()
+    };
+    let class = format!("0-{}", "n".repeat(56));
+    let service = format!("default_class = '{class}'\nclasses = ['{class}']");
+    let texts = [
+        (
+            "a.toml",
+            entries("classes", "kind = 'live'\ndeadline_ms = 1"),
+        ),
+        ("b.toml", entries("objectives", "")),
+        ("c.toml", entries("customers", "")),
+        ("d.toml", entries("domains", "region = 'r'")),
+        ("e.toml", entries("services", &service)),
+    ];
+    let found = load_texts(texts.iter().map(|(n, t)| (*n, t.as_str())));
+    let expected = "a.toml: is larger than 1000000 bytes as a record, with 1000 classes";
+    assert_eq!(
+        found.expect_err("the tree should be too large").to_string(),
+        expected
+    );
+}
+
 #[test]
 fn a_deep_record_is_a_fault_and_not_an_overflow() {
     let json = "[".repeat(200_000);
