Add sibling links over HTTP/2 and record why not zeromq

Cause: instances of a failure domain need bounded, checked messages between them. A trial showed that zeromq 0.7 aborts the whole process on a frame header that announces 2^40 bytes, from anyone who reaches the port, with no setting against it. Change: kingcupwinch-link over hyper's HTTP/2 with credit, probes, backoff, incarnation checks and typed errors; docs/SIBLING-LINKS.md weighs both.

--- /dev/null
+++ b/crates/kingcupwinch-link/src/peer.rs
@@ -0,0 +1,256 @@
+//! The connection to one peer.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming as HttpBody;
+use hyper::client::conn::http2::{self, Connection, SendRequest};
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use kingcupwinch_coord::id::Attempt;
+use kingcupwinch_wire::sibling::{Body, Envelope, Kind, MAX_ENVELOPE_BYTES, RequestId};
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, timeout_at};
+use uuid::Uuid;
+
+use crate::backoff::Backoff;
+use crate::links::{Peer, Shared};
+use crate::{LinkError, LinkNote};
+
+type Sender = SendRequest<Full<Bytes>>;
+type Driver = Connection<TokioIo<TcpStream>, Full<Bytes>, TokioExecutor>;
+
+/// A peer with its connection; dropping it closes the connection.
+#[derive(Debug)]
+pub(crate) struct PeerLink {
+    core: Arc<Core>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for PeerLink {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// What the connecting task and the senders of messages share.
+#[derive(Debug)]
+struct Core {
+    peer: Peer,
+    shared: Arc<Shared>,
+    /// The connection, none while it is down.
+    sender: watch::Sender<Option<Sender>>,
+    messages: Arc<Semaphore>,
+    bytes: Arc<Semaphore>,
+}
+
+/// Credit that an outstanding message takes.
+#[derive(Debug)]
+struct Credit {
+    _message: OwnedSemaphorePermit,
+    _bytes: OwnedSemaphorePermit,
+}
+
+impl PeerLink {
+    pub(crate) fn start(peer: Peer, shared: &Arc<Shared>) -> Arc<Self> {
+        let settings = shared.settings;
+        let permits = |n: u32| Arc::new(Semaphore::new(usize::try_from(n).unwrap_or(usize::MAX)));
+        let core = Arc::new(Core {
+            peer,
+            shared: Arc::clone(shared),
+            sender: watch::Sender::new(None),
+            messages: permits(settings.message_credit),
+            bytes: permits(settings.byte_credit),
+        });
+        let task = tokio::spawn(keep_connected(Arc::clone(&core)));
+        Arc::new(PeerLink { core, task })
+    }
+
+    pub(crate) fn peer(&self) -> Peer {
+        self.core.peer
+    }
+
+    pub(crate) fn is_up(&self) -> bool {
+        self.core.sender.borrow().is_some()
+    }
+
+    pub(crate) async fn wait_up(&self, deadline: Instant) -> Result<(), LinkError> {
+        let mut sender = self.core.sender.subscribe();
+        let up = timeout_at(deadline, sender.wait_for(Option::is_some)).await;
+        match up {
+            Ok(Ok(_)) => Ok(()),
+            _ => Err(LinkError::Timeout),
+        }
+    }
+
+    pub(crate) fn tell(&self, envelope: &Envelope) -> Result<(), LinkError> {
+        let (bytes, credit, sender) = self.core.admit(envelope)?;
+        let core = Arc::clone(&self.core);
+        tokio::spawn(async move {
+            let _credit = credit;
+            let deadline = Instant::now() + core.shared.settings.message_timeout;
+            let posted = post(sender, bytes, deadline).await;
+            if !posted.is_ok_and(|answer| answer.status().is_success()) {
+                core.shared.counters.lost.add(1);
+            }
+        });
+        Ok(())
+    }
+
+    pub(crate) async fn ask(
+        &self,
+        envelope: &Envelope,
+        deadline: Instant,
+    ) -> Result<Body, LinkError> {
+        let (bytes, _credit, sender) = self.core.admit(envelope)?;
+        let answer = post(sender, bytes, deadline).await;
+        let answer = answer.map_err(|fault| fault.into_error(self.core.peer))?;
+        check_status(answer.status())?;
+        let bytes = read(answer, deadline).await?;
+        let answer = Envelope::decode(bytes)?;
+        if !answers(&answer, envelope) {
+            self.core.shared.counters.mismatched.add(1);
+            let peer = self.core.peer.incarnation;
+            self.core.shared.note(LinkNote::Mismatched(peer));
+            return Err(LinkError::Mismatched);
+        }
+        Ok(answer.body)
+    }
+}
+
+impl Core {
+    /// Encodes a message and takes credit for it.
+    fn admit(&self, envelope: &Envelope) -> Result<(Bytes, Credit, Sender), LinkError> {
+        let to = self.peer.incarnation;
+        let bytes = Bytes::from(envelope.encode());
+        if bytes.len() > MAX_ENVELOPE_BYTES {
+            return Err(LinkError::TooLarge(bytes.len()));
+        }
+        let sender = self.sender.borrow().clone();
+        let sender = sender.ok_or(LinkError::Down(to))?;
+        let message = Arc::clone(&self.messages).try_acquire_owned();
+        let size = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
+        let sized = Arc::clone(&self.bytes).try_acquire_many_owned(size);
+        let credit = Credit {
+            _message: message.map_err(|_| LinkError::Full(to))?,
+            _bytes: sized.map_err(|_| LinkError::Full(to))?,
+        };
+        self.shared.counters.sent.add(1);
+        self.shared.counters.sent_bytes.add(size.into());
+        Ok((bytes, credit, sender))
+    }
+
+    /// Connects and waits until the peer says that it is the meant one and knows this instance.
+    async fn connect(&self) -> Option<(Sender, Driver)> {
+        let deadline = Instant::now() + self.shared.settings.connect_timeout;
+        let connecting = TcpStream::connect(self.peer.address);
+        let stream = timeout_at(deadline, connecting).await.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let mut builder = http2::Builder::new(TokioExecutor::new());
+        builder
+            .timer(TokioTimer::new())
+            .keep_alive_interval(self.shared.settings.probe_gap)
+            .keep_alive_timeout(self.shared.settings.probe_timeout)
+            .keep_alive_while_idle(true);
+        let shaking = builder.handshake(TokioIo::new(stream));
+        let (sender, mut driver) = timeout_at(deadline, shaking).await.ok()?.ok()?;
+        let greeting = post(sender.clone(), self.hello(), deadline);
+        let greeted = tokio::select! {
+            greeted = greeting => greeted,
+            _ = &mut driver => return None,
+        };
+        let known = greeted.is_ok_and(|answer| answer.status().is_success());
+        known.then_some((sender, driver))
+    }
+
+    fn hello(&self) -> Bytes {
+        let envelope = Envelope {
+            from: self.shared.me,
+            to: self.peer.incarnation,
+            request: RequestId(Uuid::now_v7()),
+            attempt: Attempt(1),
+            kind: Kind::Tell,
+            body: Body::Hello,
+        };
+        envelope.encode().into()
+    }
+}
+
+async fn keep_connected(core: Arc<Core>) {
+    let settings = core.shared.settings;
+    let mut backoff = Backoff::new(settings.least_backoff, settings.most_backoff);
+    loop {
+        if let Some((sender, driver)) = core.connect().await {
+            backoff.reset();
+            core.sender.send_replace(Some(sender));
+            core.shared.note(LinkNote::Up(core.peer.incarnation));
+            // It ends when the peer goes away or stays silent.
+            let _ended = driver.await;
+            core.sender.send_replace(None);
+            core.shared.note(LinkNote::Down(core.peer.incarnation));
+        }
+        tokio::time::sleep(backoff.next()).await;
+    }
+}
+
+/// Why a post has no answer.
+enum PostFault {
+    NotSent,
+    Timeout,
+    Broken(hyper::Error),
+}
+
+impl PostFault {
+    fn into_error(self, peer: Peer) -> LinkError {
+        match self {
+            PostFault::NotSent => LinkError::Down(peer.incarnation),
+            PostFault::Timeout => LinkError::Timeout,
+            PostFault::Broken(error) => LinkError::Broken(error),
+        }
+    }
+}
+
+async fn post(
+    mut sender: Sender,
+    bytes: Bytes,
+    deadline: Instant,
+) -> Result<Response<HttpBody>, PostFault> {
+    let mut request = Request::new(Full::new(bytes));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = hyper::Uri::from_static("http://sibling/");
+    let posting = sender.try_send_request(request);
+    let answer = timeout_at(deadline, posting).await;
+    let answer = answer.map_err(|_| PostFault::Timeout)?;
+    answer.map_err(|mut error| match error.take_message() {
+        // hyper hands the request back only if it had not begun to write it.
+        Some(_) => PostFault::NotSent,
+        None => PostFault::Broken(error.into_error()),
+    })
+}
+
+fn check_status(status: StatusCode) -> Result<(), LinkError> {
+    match status {
+        StatusCode::OK => Ok(()),
+        StatusCode::INTERNAL_SERVER_ERROR => Err(LinkError::NoAnswer),
+        status => Err(LinkError::Dropped(status.as_u16())),
+    }
+}
+
+async fn read(answer: Response<HttpBody>, deadline: Instant) -> Result<Bytes, LinkError> {
+    let body = Limited::new(answer.into_body(), MAX_ENVELOPE_BYTES);
+    let read = timeout_at(deadline, body.collect()).await;
+    let read = read.map_err(|_| LinkError::Timeout)?;
+    let read = read.map_err(|_| LinkError::Unread)?;
+    Ok(read.to_bytes())
+}
+
+fn answers(answer: &Envelope, asked: &Envelope) -> bool {
+    answer.kind == Kind::Answer
+        && answer.request == asked.request
+        && answer.attempt == asked.attempt
+        && answer.from == asked.to
+        && answer.to == asked.from
+}
--- a/crates/kingcupwinch-wire/src/sibling/body.rs
+++ b/crates/kingcupwinch-wire/src/sibling/body.rs
@@ -9,6 +9,8 @@
 /// What an envelope says.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Body {
+    /// Asks whether the receiver is the meant one and knows the sender.
+    Hello,
     /// The asked-for action was taken.
     Done,
     /// The asked-for action was certainly not taken, for this reason.
--- a/crates/kingcupwinch-wire/src/sibling/decode.rs
+++ b/crates/kingcupwinch-wire/src/sibling/decode.rs
@@ -15,6 +15,7 @@
 
 pub(super) fn body(body: Option<Wire>) -> Result<Body, DecodeError> {
     let body = match require(body, "body")? {
+        Wire::Hello(pb::Hello {}) => Body::Hello,
         Wire::Done(pb::Done {}) => Body::Done,
         Wire::Declined(d) => Body::Declined(d.reason.into()),
         Wire::Queued(q) => Body::Queued(Queued {
--- a/crates/kingcupwinch-wire/src/sibling/encode.rs
+++ b/crates/kingcupwinch-wire/src/sibling/encode.rs
@@ -5,6 +5,7 @@
 
 pub(super) fn body(body: &Body) -> Wire {
     match body {
+        Body::Hello => Wire::Hello(pb::Hello {}),
         Body::Done => Wire::Done(pb::Done {}),
         Body::Declined(reason) => Wire::Declined(declined(reason)),
         Body::Queued(q) => Wire::Queued(pb::Queued {
--- a/crates/kingcupwinch-wire/tests/round_trip.rs
+++ b/crates/kingcupwinch-wire/tests/round_trip.rs
@@ -138,6 +138,7 @@
 fn bodies() -> Vec<Body> {
     let request = RequestId(Uuid::from_u128(5));
     let mut bodies = vec![
+        Body::Hello,
         Body::Done,
         Body::Declined("full".into()),
         Body::Queued(Queued {
