Carry the ownership protocol in sibling envelopes

Change: Body::Ownership with every message of kingcupwinch_coord::ownership. Conclusion: round trips and corrupt input are covered by the same tests as the other bodies.

--- a/crates/kingcupwinch-wire/src/owner.rs
+++ b/crates/kingcupwinch-wire/src/owner.rs
@@ -21,7 +21,10 @@
 /// Fails on bytes that are too large, malformed, incomplete or out of range.
 pub fn decode_owner(bytes: &[u8]) -> Result<Stamped<OwnerRecord>, DecodeError> {
     check_size(bytes.len(), MAX_RECORD_BYTES)?;
-    let entry = pb::OwnerEntry::decode(bytes)?;
+    decode_entry(pb::OwnerEntry::decode(bytes)?)
+}
+
+pub(crate) fn decode_entry(entry: pb::OwnerEntry) -> Result<Stamped<OwnerRecord>, DecodeError> {
     let body = match require(entry.body, "body")? {
         Body::Join(m) => OwnerRecord::Join(decode_member(&m)?),
         Body::Leave(who) => OwnerRecord::Leave(incarnation(&who, "leave")?),
@@ -42,6 +45,10 @@
 
 /// Encodes a record of an ownership stream.
 pub fn encode_owner(record: &Stamped<OwnerRecord>) -> Vec<u8> {
+    encode_entry(record).encode_to_vec()
+}
+
+pub(crate) fn encode_entry(record: &Stamped<OwnerRecord>) -> pb::OwnerEntry {
     let body = match &record.body {
         OwnerRecord::Join(m) => Body::Join(encode_member(m)),
         OwnerRecord::Leave(who) => Body::Leave(incarnation_bytes(*who)),
@@ -54,11 +61,10 @@
         OwnerRecord::HandOver(h) => Body::HandOver(encode_hand_over(h)),
         OwnerRecord::Snapshot(s) => Body::Snapshot(encode_snapshot(s)),
     };
-    let entry = pb::OwnerEntry {
+    pb::OwnerEntry {
         id: record_id_bytes(record.id),
         body: Some(body),
-    };
-    entry.encode_to_vec()
+    }
 }
 
 fn decode_member(m: &pb::Member) -> Result<Member, DecodeError> {
@@ -115,7 +121,7 @@
     }
 }
 
-fn decode_snapshot(s: &pb::OwnerSnapshot) -> Result<OwnerSnapshot, DecodeError> {
+pub(crate) fn decode_snapshot(s: &pb::OwnerSnapshot) -> Result<OwnerSnapshot, DecodeError> {
     check_list(&s.members, "snapshot.members")?;
     check_list(&s.shards, "snapshot.shards")?;
     let members: Result<_, _> = s.members.iter().map(decode_member).collect();
@@ -127,7 +133,7 @@
     })
 }
 
-fn encode_snapshot(s: &OwnerSnapshot) -> pb::OwnerSnapshot {
+pub(crate) fn encode_snapshot(s: &OwnerSnapshot) -> pb::OwnerSnapshot {
     pb::OwnerSnapshot {
         covers: s.covers.0,
         members: s.members.iter().map(encode_member).collect(),
--- a/crates/kingcupwinch-wire/src/sibling.rs
+++ b/crates/kingcupwinch-wire/src/sibling.rs
@@ -4,6 +4,7 @@
 mod decode;
 mod encode;
 mod envelope;
+mod ownership;
 
 pub use body::{
     Body, Grant, KeyAnswer, KeyBegin, KeyEnd, KeyFinish, KeyOutcome, Queued, Stats, TaskPhase,
--- a/crates/kingcupwinch-wire/src/sibling/body.rs
+++ b/crates/kingcupwinch-wire/src/sibling/body.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use kingcupwinch_coord::id::{Attempt, JobId, TaskId, Version};
+use kingcupwinch_coord::ownership::Message;
 use kingcupwinch_time::{Span, WallTime};
 
 use super::RequestId;
@@ -45,6 +46,8 @@
     StatsAsk,
     /// The sender's counts.
     Stats(Stats),
+    /// A message of the ownership protocol.
+    Ownership(Message),
 }
 
 /// Requests of a class that wait at the sender.
--- a/crates/kingcupwinch-wire/src/sibling/decode.rs
+++ b/crates/kingcupwinch-wire/src/sibling/decode.rs
@@ -3,7 +3,7 @@
 
 use super::{
     Body, Grant, KeyAnswer, KeyBegin, KeyEnd, KeyFinish, KeyOutcome, Queued, RequestId, Stats,
-    TaskPhase, TaskState,
+    TaskPhase, TaskState, ownership,
 };
 use crate::DecodeError;
 use crate::field::{check_list, job_id, require, task_id, uuid};
@@ -43,6 +43,7 @@
         Wire::JobFound(j) => Body::JobFound(j.state),
         Wire::StatsAsk(pb::StatsAsk {}) => Body::StatsAsk,
         Wire::Stats(s) => Body::Stats(stats(s)),
+        Wire::Ownership(o) => Body::Ownership(ownership::decode(o)?),
     };
     Ok(body)
 }
--- a/crates/kingcupwinch-wire/src/sibling/encode.rs
+++ b/crates/kingcupwinch-wire/src/sibling/encode.rs
@@ -1,4 +1,6 @@
-use super::{Body, KeyAnswer, KeyEnd, KeyFinish, KeyOutcome, Stats, TaskPhase, TaskState};
+use super::{
+    Body, KeyAnswer, KeyEnd, KeyFinish, KeyOutcome, Stats, TaskPhase, TaskState, ownership,
+};
 use crate::field::{job_id_bytes, task_id_bytes, uuid_bytes};
 use crate::pb::sibling as pb;
 use crate::pb::sibling::envelope::Body as Wire;
@@ -44,6 +46,7 @@
         }),
         Body::StatsAsk => Wire::StatsAsk(pb::StatsAsk {}),
         Body::Stats(s) => Wire::Stats(stats(s)),
+        Body::Ownership(message) => Wire::Ownership(ownership::encode(message)),
     }
 }
 
--- a/crates/kingcupwinch-wire/tests/round_trip.rs
+++ b/crates/kingcupwinch-wire/tests/round_trip.rs
@@ -4,11 +4,15 @@
 use kingcupwinch_coord::id::{
     Attempt, Incarnation, JobId, Offset, RecordId, ShardId, TaskId, Term, Version,
 };
+use kingcupwinch_coord::ownership::message::{
+    Heartbeat, Message, Offer, OfferReply, PromiseAsk, PromiseOutcome, PromiseReply, Relay,
+    RelayAsk, Support, SupportAsk,
+};
 use kingcupwinch_coord::record::{
     AcceptedJob, Claim, ConfigRecord, HandOver, JobEnd, JobRecord, Member, Origin, OwnerRecord,
     OwnerSnapshot, ShardState, Stamped,
 };
-use kingcupwinch_time::{Span, WallTime};
+use kingcupwinch_time::{Span, Time, WallTime};
 use kingcupwinch_wire::sibling::{
     Body, Envelope, Grant, KeyAnswer, KeyBegin, KeyEnd, KeyFinish, KeyOutcome, Kind,
     MAX_ENVELOPE_BYTES, Queued, RequestId, Stats, TaskPhase, TaskState,
@@ -205,9 +209,76 @@
             phase,
         })
     }));
+    bodies.extend(ownership().into_iter().map(Body::Ownership));
     bodies
 }
 
+fn ownership() -> Vec<Message> {
+    let asked = Time::from_micros(1_234_567);
+    let age = Some(Span::from_micros(89));
+    let shards = vec![(ShardId(1), Term(2))];
+    let records = owner_records().into_iter().map(stamped);
+    let records: Vec<_> = (4..).map(Offset).zip(records.map(Some)).collect();
+    let relay = Relay {
+        asked,
+        age,
+        next: Offset(12),
+        snapshot: None,
+        records,
+    };
+    let bare = Relay {
+        age: None,
+        snapshot: Some(OwnerSnapshot {
+            covers: Offset(3),
+            members: vec![member(1)],
+            shards: Vec::new(),
+        }),
+        records: vec![(Offset(3), None)],
+        ..relay.clone()
+    };
+    let mut messages = vec![
+        Message::Heartbeat(Heartbeat {
+            applied: Offset(4),
+            age,
+        }),
+        Message::Heartbeat(Heartbeat {
+            applied: Offset(4),
+            age: None,
+        }),
+        Message::RelayAsk(RelayAsk { asked, from: None }),
+        Message::RelayAsk(RelayAsk {
+            asked,
+            from: Some(Offset(0)),
+        }),
+        Message::Relay(relay),
+        Message::Relay(bare),
+        Message::PromiseAsk(PromiseAsk {
+            asked,
+            applied: Offset(4),
+        }),
+        Message::SupportAsk(SupportAsk {
+            owner: who(1),
+            shards: shards.clone(),
+        }),
+        Message::Support(Support {
+            owner: who(1),
+            shards: shards.clone(),
+        }),
+        Message::Offer(Offer { asked, shards }),
+        Message::OfferReply(OfferReply {
+            asked,
+            accepted: true,
+        }),
+    ];
+    let outcomes = [
+        PromiseOutcome::Granted,
+        PromiseOutcome::Behind,
+        PromiseOutcome::Supporting,
+    ];
+    messages.extend(outcomes.map(|o| Message::PromiseReply(PromiseReply { asked, outcome: o })));
+    messages
+}
+
 fn envelope(body: Body) -> Envelope {
     Envelope {
         from: who(1),
