--- a/crates/kingcupwinch-wire/src/sibling/body.rs
+++ b/crates/kingcupwinch-wire/src/sibling/body.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use kingcupwinch_coord::id::{Attempt, JobId, TaskId, Version};
+use kingcupwinch_coord::ownership::Message;
 use kingcupwinch_time::{Span, WallTime};
 
 use super::RequestId;
@@ -9,6 +10,8 @@
 /// What an envelope says.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Body {
+    /// Asks whether the receiver is the meant one and knows the sender.
+    Hello,
     /// The asked-for action was taken.
     Done,
     /// The asked-for action was certainly not taken, for this reason.
@@ -43,6 +46,8 @@
     StatsAsk,
     /// The sender's counts.
     Stats(Stats),
+    /// A message of the ownership protocol.
+    Ownership(Message),
 }
 
 /// Requests of a class that wait at the sender.
--- a/crates/kingcupwinch-wire/src/sibling/encode.rs
+++ b/crates/kingcupwinch-wire/src/sibling/encode.rs
@@ -1,10 +1,13 @@
-use super::{Body, KeyAnswer, KeyEnd, KeyFinish, KeyOutcome, Stats, TaskPhase, TaskState};
+use super::{
+    Body, KeyAnswer, KeyEnd, KeyFinish, KeyOutcome, Stats, TaskPhase, TaskState, ownership,
+};
 use crate::field::{job_id_bytes, task_id_bytes, uuid_bytes};
 use crate::pb::sibling as pb;
 use crate::pb::sibling::envelope::Body as Wire;
 
 pub(super) fn body(body: &Body) -> Wire {
     match body {
+        Body::Hello => Wire::Hello(pb::Hello {}),
         Body::Done => Wire::Done(pb::Done {}),
         Body::Declined(reason) => Wire::Declined(declined(reason)),
         Body::Queued(q) => Wire::Queued(pb::Queued {
@@ -43,6 +46,7 @@
         }),
         Body::StatsAsk => Wire::StatsAsk(pb::StatsAsk {}),
         Body::Stats(s) => Wire::Stats(stats(s)),
+        Body::Ownership(message) => Wire::Ownership(ownership::encode(message)),
     }
 }
 
