Let a key's home name the permit that its request runs under

Cause: the sibling messages named keys as text and gave leave to run without the home, term and attempt that the runner's memory needs to refuse a permit of an older owner. Change: permits, lookups that fence older terms, remembered answers as opaque bytes, cancelling a job at its home.

--- a/crates/kingcupwinch-wire/src/sibling.rs
+++ b/crates/kingcupwinch-wire/src/sibling.rs
@@ -7,7 +7,7 @@
 mod ownership;
 
 pub use body::{
-    Body, Grant, KeyAnswer, KeyBegin, KeyEnd, KeyFinish, KeyOutcome, Queued, Stats, TaskPhase,
-    TaskState,
+    Body, Grant, KeyAnswer, KeyBegin, KeyEnd, KeyFinish, KeyFound, KeyLookup, KeyOutcome,
+    KeyPermit, Queued, Stats, TaskPhase, TaskState,
 };
 pub use envelope::{Envelope, Kind, MAX_ENVELOPE_BYTES, RequestId};
--- a/crates/kingcupwinch-wire/src/sibling/body.rs
+++ b/crates/kingcupwinch-wire/src/sibling/body.rs
@@ -1,12 +1,11 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use kingcupwinch_coord::id::{Attempt, JobId, TaskId, Version};
+use kingcupwinch_coord::dedupe::{Fingerprint, RequestKey};
+use kingcupwinch_coord::id::{Attempt, JobId, ShardId, TaskId, Term, Version};
 use kingcupwinch_coord::ownership::Message;
 use kingcupwinch_time::{Span, WallTime};
 
-use super::RequestId;
-
 /// What an envelope says.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Body {
@@ -26,10 +25,10 @@
     KeyAnswer(KeyAnswer),
     /// Tells a key's home how the request ended.
     KeyFinish(KeyFinish),
-    /// Asks whether the receiver ran the request of this key.
-    KeyLookup(Arc<str>),
-    /// The answer to [`Body::KeyLookup`], none if the sender did not run it.
-    KeyFound(Option<KeyOutcome>),
+    /// Asks whether the receiver ran the request of a key.
+    KeyLookup(KeyLookup),
+    /// The answer to [`Body::KeyLookup`].
+    KeyFound(KeyFound),
     /// Asks for the configuration records after a version.
     ConfigAsk(Version),
     /// Configuration records in order, each as in the log.
@@ -40,6 +39,8 @@
     TaskState(TaskState),
     /// Asks for a job's state.
     JobLookup(JobId),
+    /// Asks a job's home to cancel it.
+    JobCancel(JobId),
     /// A job's state as JSON, none if the sender does not know it.
     JobFound(Option<Bytes>),
     /// Asks for the receiver's counts.
@@ -72,28 +73,41 @@
 }
 
 /// A request that wants to run under an idempotency key.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct KeyBegin {
     /// The key.
-    pub key: Arc<str>,
+    pub key: RequestKey,
     /// When the key was issued.
     pub issued: WallTime,
-    /// The request.
-    pub request: RequestId,
+    /// The request's fingerprint.
+    pub print: Fingerprint,
+    /// The time left to the request's deadline at sending, at a resolution of milliseconds.
+    pub left: Span,
+}
+
+/// Leave to run a key's request once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KeyPermit {
+    /// The key's home.
+    pub home: ShardId,
+    /// The home's term.
+    pub term: Term,
+    /// The attempt.
+    pub attempt: Attempt,
 }
 
 /// A home's decision about a request under a key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum KeyAnswer {
     /// The asker may run it, once.
-    Run,
+    Run(KeyPermit),
     /// Another request with the key has begun and not ended.
     Running,
-    /// A request with the key has ended with this answer.
-    Ended(KeyOutcome),
+    /// A request with the key has ended with this answer, an encoded [`KeyOutcome`].
+    Ended(Bytes),
     /// A request with the key may have run.
     Unknown,
-    /// The home can't decide now, for this reason; nothing ran.
+    /// It certainly did not run and will not, for this reason.
     Refused(Arc<str>),
 }
 
@@ -112,9 +126,9 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KeyFinish {
     /// The key.
-    pub key: Arc<str>,
-    /// The request that had leave to run.
-    pub request: RequestId,
+    pub key: RequestKey,
+    /// The leave that it had.
+    pub permit: KeyPermit,
     /// Its end.
     pub end: KeyEnd,
 }
@@ -122,14 +136,36 @@
 /// The end of a request under a key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum KeyEnd {
-    /// It was answered.
-    Answered(KeyOutcome),
+    /// It ran; its answer is an encoded [`KeyOutcome`].
+    Ran(Bytes),
     /// It certainly did not run.
     NotRun,
     /// It may have run.
     Unknown,
 }
 
+/// A question whether the receiver ran a key's request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KeyLookup {
+    /// The key.
+    pub key: RequestKey,
+    /// The key's home.
+    pub home: ShardId,
+    /// The home's term; permits of older terms end with the question.
+    pub term: Term,
+}
+
+/// What a sibling knows of a key's request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum KeyFound {
+    /// It ran; its answer is an encoded [`KeyOutcome`].
+    Ran(Bytes),
+    /// It runs.
+    Running,
+    /// It can't tell.
+    Unproved,
+}
+
 /// Where a task stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TaskState {
--- a/crates/kingcupwinch-wire/src/sibling/decode.rs
+++ b/crates/kingcupwinch-wire/src/sibling/decode.rs
@@ -1,12 +1,15 @@
-use kingcupwinch_coord::id::{Attempt, Version};
+use bytes::Bytes;
+use kingcupwinch_coord::dedupe::{Fingerprint, RequestKey};
+use kingcupwinch_coord::id::{Attempt, Term, Version};
 use kingcupwinch_time::{Span, WallTime};
+use prost::Message;
 
 use super::{
-    Body, Grant, KeyAnswer, KeyBegin, KeyEnd, KeyFinish, KeyOutcome, Queued, RequestId, Stats,
-    TaskPhase, TaskState, ownership,
+    Body, Grant, KeyAnswer, KeyBegin, KeyEnd, KeyFinish, KeyFound, KeyLookup, KeyOutcome,
+    KeyPermit, Queued, Stats, TaskPhase, TaskState, ownership,
 };
 use crate::DecodeError;
-use crate::field::{check_list, job_id, require, task_id, uuid};
+use crate::field::{check_list, job_id, require, shard, task_id, uuid};
 use crate::pb::sibling as pb;
 use crate::pb::sibling::envelope::Body as Wire;
 
@@ -24,14 +27,19 @@
         }),
         Wire::Grant(g) => Body::Grant(grant(g)?),
         Wire::KeyBegin(k) => Body::KeyBegin(KeyBegin {
-            key: k.key.into(),
+            key: request_key(&k.key)?,
             issued: WallTime::from_millis(k.issued_ms),
-            request: request(&k.request)?,
+            print: Fingerprint(k.print),
+            left: left(k.left_ms, "key_begin.left_ms")?,
         }),
         Wire::KeyAnswer(k) => Body::KeyAnswer(key_answer(k)?),
         Wire::KeyFinish(k) => Body::KeyFinish(key_finish(k)?),
-        Wire::KeyLookup(k) => Body::KeyLookup(k.key.into()),
-        Wire::KeyFound(k) => Body::KeyFound(k.outcome.map(key_outcome).transpose()?),
+        Wire::KeyLookup(k) => Body::KeyLookup(KeyLookup {
+            key: request_key(&k.key)?,
+            home: shard(k.home, "key_lookup.home")?,
+            term: Term(k.term),
+        }),
+        Wire::KeyFound(k) => Body::KeyFound(key_found(k)?),
         Wire::ConfigAsk(c) => Body::ConfigAsk(Version(c.from)),
         Wire::ConfigRelay(c) => {
             check_list(&c.records, "config_relay.records")?;
@@ -40,6 +48,7 @@
         Wire::StartTask(s) => Body::StartTask(s.task),
         Wire::TaskState(t) => Body::TaskState(task_state(&t)?),
         Wire::JobLookup(j) => Body::JobLookup(job_id(&j.job, "job_lookup.job")?),
+        Wire::JobCancel(j) => Body::JobCancel(job_id(&j.job, "job_cancel.job")?),
         Wire::JobFound(j) => Body::JobFound(j.state),
         Wire::StatsAsk(pb::StatsAsk {}) => Body::StatsAsk,
         Wire::Stats(s) => Body::Stats(stats(s)),
@@ -48,27 +57,39 @@
     Ok(body)
 }
 
-fn request(bytes: &[u8]) -> Result<RequestId, DecodeError> {
-    uuid(bytes, "request").map(RequestId)
+fn request_key(bytes: &[u8]) -> Result<RequestKey, DecodeError> {
+    uuid(bytes, "key").map(RequestKey)
 }
 
-fn grant(g: pb::Grant) -> Result<Grant, DecodeError> {
-    if g.until_ms > MAX_LEFT_MS {
-        return Err(DecodeError::OutOfRange("grant.until_ms"));
+fn left(millis: u64, field: &'static str) -> Result<Span, DecodeError> {
+    if millis > MAX_LEFT_MS {
+        return Err(DecodeError::OutOfRange(field));
     }
+    Ok(Span::from_millis(millis))
+}
+
+fn key_permit(permit: pb::KeyPermit) -> Result<KeyPermit, DecodeError> {
+    Ok(KeyPermit {
+        home: shard(permit.home, "key_permit.home")?,
+        term: Term(permit.term),
+        attempt: Attempt(permit.attempt),
+    })
+}
+
+fn grant(g: pb::Grant) -> Result<Grant, DecodeError> {
     Ok(Grant {
         class: g.class.into(),
         count: g.count,
-        left: Span::from_millis(g.until_ms),
+        left: left(g.until_ms, "grant.until_ms")?,
     })
 }
 
 fn key_answer(k: pb::KeyAnswer) -> Result<KeyAnswer, DecodeError> {
     use pb::key_answer::Decision;
     let answer = match require(k.decision, "key_answer.decision")? {
-        Decision::Run(pb::Done {}) => KeyAnswer::Run,
+        Decision::Run(permit) => KeyAnswer::Run(key_permit(permit)?),
         Decision::Running(pb::Done {}) => KeyAnswer::Running,
-        Decision::Ended(o) => KeyAnswer::Ended(key_outcome(o)?),
+        Decision::Ended(o) => KeyAnswer::Ended(o),
         Decision::Unknown(pb::Done {}) => KeyAnswer::Unknown,
         Decision::Refused(d) => KeyAnswer::Refused(d.reason.into()),
     };
@@ -78,25 +99,43 @@
 fn key_finish(k: pb::KeyFinish) -> Result<KeyFinish, DecodeError> {
     use pb::key_finish::End;
     let end = match require(k.end, "key_finish.end")? {
-        End::Outcome(o) => KeyEnd::Answered(key_outcome(o)?),
+        End::Ran(o) => KeyEnd::Ran(o),
         End::NotRun(pb::Done {}) => KeyEnd::NotRun,
         End::Unknown(pb::Done {}) => KeyEnd::Unknown,
     };
     Ok(KeyFinish {
-        key: k.key.into(),
-        request: request(&k.request)?,
+        key: request_key(&k.key)?,
+        permit: key_permit(require(k.permit, "key_finish.permit")?)?,
         end,
     })
 }
 
-fn key_outcome(o: pb::KeyOutcome) -> Result<KeyOutcome, DecodeError> {
-    let status = u16::try_from(o.status).ok();
-    let status = status.filter(|s| (100..=999).contains(s));
-    Ok(KeyOutcome {
-        status: status.ok_or(DecodeError::OutOfRange("key_outcome.status"))?,
-        content_type: o.content_type.into(),
-        body: o.body,
-    })
+fn key_found(k: pb::KeyFound) -> Result<KeyFound, DecodeError> {
+    use pb::key_found::Finding;
+    let found = match require(k.finding, "key_found.finding")? {
+        Finding::Ran(answer) => KeyFound::Ran(answer),
+        Finding::Running(pb::Done {}) => KeyFound::Running,
+        Finding::Unproved(pb::Done {}) => KeyFound::Unproved,
+    };
+    Ok(found)
+}
+
+impl KeyOutcome {
+    /// Decodes an answer as a home remembers it.
+    ///
+    /// # Errors
+    ///
+    /// Fails on bytes that are malformed or hold no HTTP status.
+    pub fn decode(bytes: Bytes) -> Result<Self, DecodeError> {
+        let o = pb::KeyOutcome::decode(bytes)?;
+        let status = u16::try_from(o.status).ok();
+        let status = status.filter(|s| (100..=999).contains(s));
+        Ok(KeyOutcome {
+            status: status.ok_or(DecodeError::OutOfRange("key_outcome.status"))?,
+            content_type: o.content_type.into(),
+            body: o.body,
+        })
+    }
 }
 
 fn task_state(t: &pb::TaskState) -> Result<TaskState, DecodeError> {
--- a/crates/kingcupwinch-wire/src/sibling/encode.rs
+++ b/crates/kingcupwinch-wire/src/sibling/encode.rs
@@ -1,7 +1,11 @@
 use super::{
-    Body, KeyAnswer, KeyEnd, KeyFinish, KeyOutcome, Stats, TaskPhase, TaskState, ownership,
+    Body, KeyAnswer, KeyEnd, KeyFinish, KeyFound, KeyOutcome, KeyPermit, Stats, TaskPhase,
+    TaskState, ownership,
 };
 use crate::field::{job_id_bytes, task_id_bytes, uuid_bytes};
+use bytes::Bytes;
+use prost::Message;
+
 use crate::pb::sibling as pb;
 use crate::pb::sibling::envelope::Body as Wire;
 
@@ -20,18 +24,19 @@
             until_ms: g.left.as_millis(),
         }),
         Body::KeyBegin(k) => Wire::KeyBegin(pb::KeyBegin {
-            key: k.key.to_string(),
+            key: uuid_bytes(k.key.0),
             issued_ms: k.issued.as_millis(),
-            request: uuid_bytes(k.request.0),
+            print: k.print.0,
+            left_ms: k.left.as_millis(),
         }),
         Body::KeyAnswer(k) => Wire::KeyAnswer(key_answer(k)),
         Body::KeyFinish(k) => Wire::KeyFinish(key_finish(k)),
-        Body::KeyLookup(key) => Wire::KeyLookup(pb::KeyLookup {
-            key: key.to_string(),
-        }),
-        Body::KeyFound(outcome) => Wire::KeyFound(pb::KeyFound {
-            outcome: outcome.as_ref().map(key_outcome),
+        Body::KeyLookup(k) => Wire::KeyLookup(pb::KeyLookup {
+            key: uuid_bytes(k.key.0),
+            home: u32::from(k.home.0),
+            term: k.term.0,
         }),
+        Body::KeyFound(found) => Wire::KeyFound(key_found(found)),
         Body::ConfigAsk(from) => Wire::ConfigAsk(pb::ConfigAsk { from: from.0 }),
         Body::ConfigRelay(records) => Wire::ConfigRelay(pb::ConfigRelay {
             records: records.clone(),
@@ -41,6 +46,9 @@
         Body::JobLookup(job) => Wire::JobLookup(pb::JobLookup {
             job: job_id_bytes(*job),
         }),
+        Body::JobCancel(job) => Wire::JobCancel(pb::JobCancel {
+            job: job_id_bytes(*job),
+        }),
         Body::JobFound(state) => Wire::JobFound(pb::JobFound {
             state: state.clone(),
         }),
@@ -59,9 +67,9 @@
 fn key_answer(answer: &KeyAnswer) -> pb::KeyAnswer {
     use pb::key_answer::Decision;
     let decision = match answer {
-        KeyAnswer::Run => Decision::Run(pb::Done {}),
+        KeyAnswer::Run(permit) => Decision::Run(key_permit(*permit)),
         KeyAnswer::Running => Decision::Running(pb::Done {}),
-        KeyAnswer::Ended(o) => Decision::Ended(key_outcome(o)),
+        KeyAnswer::Ended(o) => Decision::Ended(o.clone()),
         KeyAnswer::Unknown => Decision::Unknown(pb::Done {}),
         KeyAnswer::Refused(reason) => Decision::Refused(declined(reason)),
     };
@@ -73,22 +81,46 @@
 fn key_finish(finish: &KeyFinish) -> pb::KeyFinish {
     use pb::key_finish::End;
     let end = match &finish.end {
-        KeyEnd::Answered(o) => End::Outcome(key_outcome(o)),
+        KeyEnd::Ran(o) => End::Ran(o.clone()),
         KeyEnd::NotRun => End::NotRun(pb::Done {}),
         KeyEnd::Unknown => End::Unknown(pb::Done {}),
     };
     pb::KeyFinish {
-        key: finish.key.to_string(),
-        request: uuid_bytes(finish.request.0),
+        key: uuid_bytes(finish.key.0),
+        permit: Some(key_permit(finish.permit)),
         end: Some(end),
     }
 }
 
-fn key_outcome(outcome: &KeyOutcome) -> pb::KeyOutcome {
-    pb::KeyOutcome {
-        status: u32::from(outcome.status),
-        content_type: outcome.content_type.to_string(),
-        body: outcome.body.clone(),
+fn key_permit(permit: KeyPermit) -> pb::KeyPermit {
+    pb::KeyPermit {
+        home: u32::from(permit.home.0),
+        term: permit.term.0,
+        attempt: permit.attempt.0,
+    }
+}
+
+fn key_found(found: &KeyFound) -> pb::KeyFound {
+    use pb::key_found::Finding;
+    let finding = match found {
+        KeyFound::Ran(answer) => Finding::Ran(answer.clone()),
+        KeyFound::Running => Finding::Running(pb::Done {}),
+        KeyFound::Unproved => Finding::Unproved(pb::Done {}),
+    };
+    pb::KeyFound {
+        finding: Some(finding),
+    }
+}
+
+impl KeyOutcome {
+    /// Encodes the answer as a home remembers it.
+    pub fn encode(&self) -> Bytes {
+        let outcome = pb::KeyOutcome {
+            status: u32::from(self.status),
+            content_type: self.content_type.to_string(),
+            body: self.body.clone(),
+        };
+        outcome.encode_to_vec().into()
     }
 }
 
--- a/crates/kingcupwinch-wire/tests/round_trip.rs
+++ b/crates/kingcupwinch-wire/tests/round_trip.rs
@@ -1,6 +1,7 @@
 //! Encoding and decoding give the same value, and corrupt input gives an error, never a panic.
 
 use bytes::Bytes;
+use kingcupwinch_coord::dedupe::{Fingerprint, RequestKey};
 use kingcupwinch_coord::id::{
     Attempt, Incarnation, JobId, Offset, RecordId, ShardId, TaskId, Term, Version,
 };
@@ -14,8 +15,8 @@
 };
 use kingcupwinch_time::{Span, Time, WallTime};
 use kingcupwinch_wire::sibling::{
-    Body, Envelope, Grant, KeyAnswer, KeyBegin, KeyEnd, KeyFinish, KeyOutcome, Kind,
-    MAX_ENVELOPE_BYTES, Queued, RequestId, Stats, TaskPhase, TaskState,
+    Body, Envelope, Grant, KeyAnswer, KeyBegin, KeyEnd, KeyFinish, KeyFound, KeyLookup, KeyOutcome,
+    KeyPermit, Kind, MAX_ENVELOPE_BYTES, Queued, RequestId, Stats, TaskPhase, TaskState,
 };
 use kingcupwinch_wire::{
     DecodeError, LogPage, LogRecord, MAX_RECORD_BYTES, decode_config, decode_job, decode_owner,
@@ -140,7 +141,12 @@
 }
 
 fn bodies() -> Vec<Body> {
-    let request = RequestId(Uuid::from_u128(5));
+    let key = RequestKey(Uuid::from_u128(5));
+    let permit = KeyPermit {
+        home: ShardId(3),
+        term: Term(8),
+        attempt: Attempt(1),
+    };
     let mut bodies = vec![
         Body::Hello,
         Body::Done,
@@ -155,17 +161,24 @@
             left: Span::from_millis(50),
         }),
         Body::KeyBegin(KeyBegin {
-            key: "k".into(),
+            key,
             issued: WallTime::from_millis(9),
-            request,
+            print: Fingerprint(77),
+            left: Span::from_millis(400),
+        }),
+        Body::KeyLookup(KeyLookup {
+            key,
+            home: ShardId(3),
+            term: Term(8),
         }),
-        Body::KeyLookup("k".into()),
-        Body::KeyFound(None),
-        Body::KeyFound(Some(outcome())),
+        Body::KeyFound(KeyFound::Ran(outcome().encode())),
+        Body::KeyFound(KeyFound::Running),
+        Body::KeyFound(KeyFound::Unproved),
         Body::ConfigAsk(Version(3)),
         Body::ConfigRelay(vec![Bytes::from_static(b"a"), Bytes::from_static(b"b")]),
         Body::StartTask(Bytes::from_static(b"{}")),
         Body::JobLookup(JobId(Uuid::from_u128(1))),
+        Body::JobCancel(JobId(Uuid::from_u128(1))),
         Body::JobFound(None),
         Body::JobFound(Some(Bytes::from_static(b"{}"))),
         Body::StatsAsk,
@@ -178,21 +191,19 @@
         }),
     ];
     let answers = [
-        KeyAnswer::Run,
+        KeyAnswer::Run(permit),
         KeyAnswer::Running,
-        KeyAnswer::Ended(outcome()),
+        KeyAnswer::Ended(outcome().encode()),
         KeyAnswer::Unknown,
         KeyAnswer::Refused("not fresh".into()),
     ];
     bodies.extend(answers.map(Body::KeyAnswer));
-    let ends = [KeyEnd::Answered(outcome()), KeyEnd::NotRun, KeyEnd::Unknown];
-    bodies.extend(ends.map(|end| {
-        Body::KeyFinish(KeyFinish {
-            key: "k".into(),
-            request,
-            end,
-        })
-    }));
+    let ends = [
+        KeyEnd::Ran(outcome().encode()),
+        KeyEnd::NotRun,
+        KeyEnd::Unknown,
+    ];
+    bodies.extend(ends.map(|end| Body::KeyFinish(KeyFinish { key, permit, end })));
     let phases = [
         TaskPhase::Waiting,
         TaskPhase::Running,
@@ -439,3 +450,10 @@
     });
     checked.unwrap();
 }
+
+#[test]
+fn a_remembered_answer_survives_its_encoding() {
+    let outcome = outcome();
+    assert_eq!(KeyOutcome::decode(outcome.encode()), Ok(outcome));
+    assert!(KeyOutcome::decode(Bytes::from_static(b"\x08\x05")).is_err());
+}
