Keep headroom in places and gather gangs by pledges

Sums of free capacity misled: cores free on one machine and slots on another serve nobody. The cell now counts places for an urgent task and for the gang that gathers, machine by machine, and batch work goes where it takes the fewest of them. The headroom follows the running urgent tasks up to a level found by the part of misses.

--- a/crates/kingcupwinch-policy/examples/measure/driver.rs
+++ b/crates/kingcupwinch-policy/examples/measure/driver.rs
@@ -8,8 +8,8 @@
 use std::time::Instant;
 
 use kingcupwinch_policy::{
-    Cell, Decision, End, GangSpec, MachineKey, MachineSpec, Next, Outcome, Placement, Size,
-    TaskKey, TaskSpec,
+    Cell, Decision, Dimension, End, GangSpec, MachineKey, MachineSpec, Next, Outcome, Placement,
+    Size, TaskKey, TaskSpec,
 };
 use kingcupwinch_time::{Span, Time};
 use rand::seq::SliceRandom;
@@ -104,6 +104,8 @@
     marked: Time,
     /// Work done each second, against a machine of speed 1.
     pace: f64,
+    /// The part of its processor share that it gives back, in percent.
+    throttle: u8,
     version: u32,
 }
 
@@ -117,6 +119,16 @@
     run: Option<Run>,
 }
 
+impl Job {
+    /// Returns what it truly uses now.
+    fn using(&self) -> Size {
+        let percent = self.run.as_ref().map_or(0, |r| u64::from(r.throttle));
+        let share = self.size.get(Dimension::Millicores);
+        self.size
+            .with(Dimension::Millicores, share - share * percent / 100)
+    }
+}
+
 struct Machine {
     key: MachineKey,
     speed: f64,
@@ -439,7 +451,8 @@
         assert!(task.run.is_none(), "a task runs in two places");
         machine.used = machine.used.plus(&task.size);
         let over = machine.used.exceeds(&machine.capacity).is_some();
-        self.meter.ran(task.stream, &task.size, over, self.now);
+        self.meter.ran(task.stream, &task.size, self.now);
+        self.meter.began(over);
         if !std::mem::replace(&mut task.started, true) {
             self.meter.started(task.stream, task.arrived, self.now);
         }
@@ -448,6 +461,7 @@
             since: self.now,
             marked: self.now,
             pace: speed,
+            throttle: 0,
             version: self.version,
         });
         if fails {
@@ -485,10 +499,18 @@
         self.version += 1;
         let version = self.version;
         let pace = self.machines[machine].speed * f64::from(100 - percent) / 100.0;
+        let before = self.jobs[job].using();
         if let Some(run) = &mut self.jobs[job].run {
             run.pace = pace;
+            run.throttle = percent;
             run.version = version;
         }
+        let after = self.jobs[job].using();
+        let used = &mut self.machines[machine].used;
+        *used = used.minus(&before).plus(&after);
+        let stream = self.jobs[job].stream;
+        self.meter.stopped_using(stream, &before, self.now);
+        self.meter.ran(stream, &after, self.now);
         let time = span_at(self.jobs[job].left, pace);
         self.plan_end(job, time, Outcome::Done);
         if percent > 0 {
@@ -520,8 +542,8 @@
         if machine.gone && outcome != Outcome::Lost {
             return;
         }
-        machine.used = machine.used.minus(&self.jobs[job].size);
-        let over = machine.used.exceeds(&machine.capacity).is_some();
+        let using = self.jobs[job].using();
+        machine.used = machine.used.minus(&using);
         let whole = self.jobs[job].left;
         if outcome == Outcome::Checkpointed {
             self.mark(job);
@@ -534,8 +556,10 @@
             task.left = whole;
         }
         let kept = outcome == Outcome::Done || outcome == Outcome::Checkpointed;
-        self.meter
-            .ran_until(task.stream, &task.size, (run.since, over), kept, self.now);
+        self.meter.stopped_using(task.stream, &using, self.now);
+        if !kept {
+            self.meter.lost(&using, run.since, self.now);
+        }
         let end = End::new(outcome, self.now - run.since).with_peak(task.size);
         let next = self.scheduler.ended(place, end, self.now);
         if outcome == Outcome::Done {
--- a/crates/kingcupwinch-policy/examples/measure/scheduler.rs
+++ b/crates/kingcupwinch-policy/examples/measure/scheduler.rs
@@ -89,6 +89,7 @@
     }
 
     fn retries(&self) -> u64 {
+        eprintln!("{:?}", self.cell.counters());
         let counters = self
             .classes
             .iter()
--- a/crates/kingcupwinch-policy/src/cell.rs
+++ b/crates/kingcupwinch-policy/src/cell.rs
@@ -6,6 +6,7 @@
 mod gangs;
 mod machines;
 mod reclaim;
+mod reserve;
 mod retries;
 mod runs;
 mod submit;
@@ -26,6 +27,7 @@
 use crate::gang::{Gang, Reservation};
 use crate::health::CellHealth;
 use crate::key::{ClassKey, CreditKey, CustomerKey, GangKey, HoldKey, MachineKey, TaskKey};
+use crate::machine::Watch;
 use crate::plan::{MAX_ENTRIES, Plan, Weights};
 use crate::refusal::Fault;
 use crate::size::Size;
@@ -38,13 +40,6 @@
     size: Size,
 }
 
-/// A credit and the room that each of its tasks was promised.
-#[derive(Debug, Clone, Copy)]
-struct Grant {
-    credit: Credit,
-    each: Size,
-}
-
 /// The machines of one owner and the work that waits and runs on them.
 ///
 /// Every event is a call with the time. [`Cell::decide`] then appends what to do; call it after each
@@ -58,9 +53,9 @@
     tasks: SlotMap<TaskKey, Task>,
     gangs: SlotMap<GangKey, Gang>,
     holds: SlotMap<HoldKey, Hold>,
-    credits: SlotMap<CreditKey, Grant>,
-    /// Capacity promised by credits.
-    promised: Size,
+    credits: SlotMap<CreditKey, Credit>,
+    /// Tasks that the credits stand for.
+    granted: u64,
     /// Deadlines of waiting tasks.
     deadlines: BTreeSet<(Time, TaskKey)>,
     /// Ends of backoffs.
@@ -77,9 +72,10 @@
     relief: Vec<MachineKey>,
     /// Decisions made by events.
     orders: Vec<Decision>,
-    reservation: Option<Reservation>,
+    reservations: Vec<Reservation>,
     health: CellHealth,
-    headroom: Size,
+    /// Places kept free for urgent tasks.
+    headroom: u64,
     rng: ChaCha8Rng,
     counters: Counters,
 }
@@ -100,7 +96,7 @@
             gangs: SlotMap::with_key(),
             holds: SlotMap::with_key(),
             credits: SlotMap::with_key(),
-            promised: Size::ZERO,
+            granted: 0,
             deadlines: BTreeSet::new(),
             delayed: BTreeSet::new(),
             claims: BTreeSet::new(),
@@ -109,9 +105,9 @@
             ready: Vec::new(),
             relief: Vec::new(),
             orders: Vec::new(),
-            reservation: None,
+            reservations: Vec::new(),
             health: CellHealth::default(),
-            headroom: Size::ZERO,
+            headroom: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             counters: Counters::default(),
         };
@@ -146,6 +142,9 @@
                 None => self.customers.push(Customer::new(spec, now)),
             }
         }
+        let urgent = self.classes.iter().filter(|c| c.open && c.is_urgent());
+        let unit = urgent.fold(Size::ZERO, |unit, c| unit.max(&c.spec.typical));
+        self.fleet.watch(Watch::Urgent, unit);
         Ok(())
     }
 
@@ -226,7 +225,8 @@
             self.claims.first().map(|d| d.0),
             self.expiries.first().map(|d| d.0),
             self.probes.first().map(|d| d.0),
-            self.reservation.as_ref().map(|r| r.check),
+            self.reservations.iter().map(|r| r.check).min(),
+            self.classes.iter().filter_map(|c| c.wake).min(),
         ];
         firsts.into_iter().flatten().min()
     }
--- a/crates/kingcupwinch-policy/src/cell/credits.rs
+++ b/crates/kingcupwinch-policy/src/cell/credits.rs
@@ -2,9 +2,10 @@
 
 use kingcupwinch_time::Time;
 
-use super::{Cell, Grant};
+use super::Cell;
 use crate::decision::{Credit, TaskSpec};
 use crate::key::{ClassKey, CreditKey, TaskKey};
+use crate::machine::Watch;
 use crate::refusal::{Fault, Refusal};
 
 impl Cell {
@@ -15,12 +16,13 @@
             return 0;
         };
         let need = class.spec.typical;
-        let places = self.fleet.places_floor(&need);
-        let granted = need.times_in(&self.promised);
-        let granted = if self.promised.is_zero() { 0 } else { granted };
-        let spare = places
-            .saturating_sub(class.queue.len() as u64)
-            .saturating_sub(granted);
+        let places = if need == *self.fleet.unit(Watch::Urgent) {
+            self.fleet.places(Watch::Urgent)
+        } else {
+            self.fleet.places_floor(&need)
+        };
+        let spoken_for = class.queue.len() as u64 + self.granted;
+        let spare = places.saturating_sub(spoken_for);
         let lid = self.fleet.capacity().part(class.spec.most.fraction());
         let under_lid = need.times_in(&lid.minus(&class.used));
         u32::try_from(spare.min(under_lid)).unwrap_or(u32::MAX)
@@ -47,19 +49,15 @@
         if count == 0 || deadline <= now {
             return Ok(None);
         }
-        let each = self.classes[class.index()].spec.typical;
-        let key = self.credits.insert_with_key(|key| {
-            let credit = Credit {
-                key,
-                class,
-                count,
-                deadline,
-            };
-            Grant { credit, each }
+        let key = self.credits.insert_with_key(|key| Credit {
+            key,
+            class,
+            count,
+            deadline,
         });
         self.expiries.insert((deadline, key));
-        self.promised = self.promised.plus(&each.times(u64::from(count)));
-        Ok(Some(self.credits[key].credit))
+        self.granted += u64::from(count);
+        Ok(Some(self.credits[key]))
     }
 
     /// Takes in a task under a credit, which is then worth one less. A task of another class than the
@@ -69,7 +67,7 @@
     ///
     /// A [`Refusal`]: the task did not run and never will. The credit is then unchanged.
     pub fn spend(&mut self, key: CreditKey, spec: TaskSpec, now: Time) -> Result<TaskKey, Refusal> {
-        let credit = self.credits.get(key).map(|g| g.credit);
+        let credit = self.credits.get(key).copied();
         let credit = credit.filter(|c| c.deadline > now);
         if credit.is_some_and(|c| c.class != spec.class) {
             return Err(Refusal::UnknownClass);
@@ -87,8 +85,8 @@
     ///
     /// [`Fault::UnknownCredit`] if it is spent or has expired.
     pub fn revoke(&mut self, key: CreditKey) -> Result<u32, Fault> {
-        let grant = self.credits.get(key).ok_or(Fault::UnknownCredit)?;
-        let count = grant.credit.count;
+        let credit = self.credits.get(key).ok_or(Fault::UnknownCredit)?;
+        let count = credit.count;
         self.lower_credit(key, count);
         Ok(count)
     }
@@ -98,17 +96,17 @@
             if deadline > now {
                 return;
             }
-            let count = self.credits[key].credit.count;
+            let count = self.credits[key].count;
             self.lower_credit(key, count);
         }
     }
 
     fn lower_credit(&mut self, key: CreditKey, by: u32) {
-        let grant = &mut self.credits[key];
-        self.promised = self.promised.minus(&grant.each.times(u64::from(by)));
-        grant.credit.count -= by;
-        if grant.credit.count == 0 {
-            self.expiries.remove(&(grant.credit.deadline, key));
+        let credit = &mut self.credits[key];
+        self.granted -= u64::from(by);
+        credit.count -= by;
+        if credit.count == 0 {
+            self.expiries.remove(&(credit.deadline, key));
             self.credits.remove(key);
         }
     }
--- a/crates/kingcupwinch-policy/src/cell/decide.rs
+++ b/crates/kingcupwinch-policy/src/cell/decide.rs
@@ -1,29 +1,40 @@
 //! The round of decisions.
 
-use kingcupwinch_time::Time;
+use std::cmp::Ordering;
+
+use kingcupwinch_time::{Span, Time};
 use smallvec::SmallVec;
 
 use super::Cell;
+use crate::class::Class;
 use crate::decision::{Decision, Placement};
-use crate::headroom::room_for;
 use crate::key::{MachineKey, TaskKey};
-use crate::place::{place_backfill, place_batch, place_live, run_at};
+use crate::machine::{Standing, WATCHES, Watch};
+use crate::place::{Request, place_backfill, place_batch, place_live, run_at};
 use crate::plan::Kind;
 use crate::refusal::Refusal;
 use crate::size::Size;
+use crate::task::Task;
 
 /// Lanes of a class that are tried before it counts as stuck.
 const LANE_TRIES: usize = 4;
 /// Tasks of a lane that are tried, so that one that fits nowhere blocks no other.
 const HEAD_TRIES: usize = 4;
 
+/// How long a task of a class under its least share leaves the headroom alone.
+const LEAST_PATIENCE: Span = Span::from_secs(5);
+/// The wait for a task to probe with.
+const PROBE_AGAIN: Span = Span::from_secs(1);
+
 /// What came of trying one task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Try {
     /// It left the queue.
     Moved,
-    /// It fits nowhere now; its need.
-    Blocked(Size),
+    /// It fits nowhere now, and so does nothing as large.
+    Blocked,
+    /// It may not start now; others of its class may.
+    Barred,
 }
 
 impl Cell {
@@ -36,11 +47,12 @@
         self.end_claims(now);
         self.end_credits(now);
         self.serve_claims(now, out);
-        self.serve_reservation(now, out);
+        self.serve_reservations(now, out);
         self.serve_probes(now, out);
         self.refresh_headroom(now);
+        self.wake_classes(now);
         self.serve_queues(now, out);
-        self.restore_shares(out);
+        self.restore_shares(now, out);
         out.append(&mut self.orders);
     }
 
@@ -56,14 +68,13 @@
     }
 
     fn refresh_headroom(&mut self, now: Time) {
-        let urgency = self.weights.urgency();
-        let mut room = self.promised;
-        for class in self.classes.iter_mut().filter(|c| c.is_urgent()) {
-            class.forecast.advance(now);
-            let expected = class.forecast.expected(urgency);
-            room = room.plus(&room_for(&class.spec.typical, expected));
-        }
-        self.headroom = room;
+        let urgent = self.classes.iter_mut().filter(|c| c.is_urgent());
+        let rooms = urgent.map(|c| {
+            let level = f64::from(c.running) + c.queue.len() as f64;
+            c.forecast.note_level(level, now);
+            c.forecast.headroom(c.running)
+        });
+        self.headroom = self.granted + rooms.sum::<u64>();
     }
 
     fn serve_queues(&mut self, now: Time, out: &mut Vec<Decision>) {
@@ -72,28 +83,41 @@
         }
     }
 
-    /// Returns the class to serve next: first those under their least share, then by band, then by
-    /// share.
+    /// Returns the class to serve next: first those under their least share, then by band, then the one
+    /// whose first task has waited longest.
     fn pick_class(&self) -> Option<usize> {
         let capacity = self.fleet.capacity();
         let releases = self.fleet.releases();
-        let waiting = self.classes.iter().enumerate();
-        let waiting = waiting.filter(|(_, c)| !c.queue.is_empty() && !c.is_stuck(releases));
-        let order = |c: &crate::class::Class| {
-            let under = c.is_under_least(capacity);
-            (!under, c.spec.band, c.share(capacity))
-        };
-        let best = waiting.min_by(|a, b| {
-            let (x, y) = (order(a.1), order(b.1));
-            (x.0, x.1).cmp(&(y.0, y.1)).then(x.2.total_cmp(&y.2))
-        });
-        best.map(|(index, _)| index)
+        let mut best: Option<(bool, u8, usize)> = None;
+        for (index, class) in self.classes.iter().enumerate() {
+            if class.queue.is_empty() || class.is_stuck(releases) {
+                continue;
+            }
+            let order = (!class.is_under_least(capacity), class.spec.band, index);
+            let sooner = best.is_none_or(|b| match (order.0, order.1).cmp(&(b.0, b.1)) {
+                Ordering::Equal => class.queue.oldest() < self.classes[b.2].queue.oldest(),
+                other => other == Ordering::Less,
+            });
+            if sooner {
+                best = Some(order);
+            }
+        }
+        best.map(|(_, _, index)| index)
+    }
+
+    /// Lets stuck classes be tried again whose time for it has come.
+    fn wake_classes(&mut self, now: Time) {
+        for class in &mut self.classes {
+            if class.wake.is_some_and(|w| w <= now) {
+                class.wake = None;
+                class.stuck = None;
+            }
+        }
     }
 
     /// Starts one task of a class, or marks the class as stuck.
     fn serve_class(&mut self, class: usize, now: Time, out: &mut Vec<Decision>) {
-        let mut least = Size::ZERO;
-        let mut first = true;
+        let mut tried: Option<Size> = None;
         for lane in self.lanes_by_share(class) {
             let heads: SmallVec<[TaskKey; HEAD_TRIES]> = self.classes[class]
                 .queue
@@ -102,16 +126,18 @@
                 .map(|(_, key)| key)
                 .collect();
             for key in heads {
-                match self.try_task(key, now, out) {
+                let need = self.charge_of(&self.tasks[key]);
+                if tried.is_some_and(|t| t.fits(&need)) {
+                    continue;
+                }
+                match self.try_task(key, &need, now, out) {
                     Try::Moved => return,
-                    Try::Blocked(need) => {
-                        least = if first { need } else { least.min(&need) };
-                        first = false;
-                    }
+                    Try::Blocked => tried = Some(tried.map_or(need, |t| t.min(&need))),
+                    Try::Barred => {}
                 }
             }
         }
-        self.set_stuck(class, least);
+        self.set_stuck(class, tried.unwrap_or(Size::ZERO));
     }
 
     /// Returns the lanes of a class with the least weighted share, in that order.
@@ -133,28 +159,27 @@
         best.into_iter().map(|(_, lane)| lane).collect()
     }
 
-    fn try_task(&mut self, key: TaskKey, now: Time, out: &mut Vec<Decision>) -> Try {
+    fn try_task(&mut self, key: TaskKey, need: &Size, now: Time, out: &mut Vec<Decision>) -> Try {
         self.counters.tries += 1;
         if self.tasks[key].gang.is_some() {
-            return self.try_gang(key, now, out);
+            return self.try_gang(key, need, now, out);
         }
         if let Some(refusal) = self.too_late(key, now) {
             self.abandon(key, refusal, out);
             return Try::Moved;
         }
-        let need = self.charge_of(&self.tasks[key]);
-        if !self.within_lids(key, &need, 1) {
-            return Try::Blocked(need);
+        if !self.within_lids(key, need, 1) {
+            return Try::Barred;
         }
-        if let Some(machine) = self.find_machine(key, &need, now) {
+        if let Some(machine) = self.find_machine(key, need, now) {
             let place = self.begin_run(key, machine, now);
             out.push(Decision::Start(place));
             return Try::Moved;
         }
-        if self.take_back(key, &need, now, out) {
+        if self.take_back(key, need, now, out) {
             return Try::Moved;
         }
-        Try::Blocked(need)
+        Try::Blocked
     }
 
     /// Returns the refusal of a task that can't end before its deadline on any machine.
@@ -178,22 +203,50 @@
         self.class_of(task).allows(need, capacity) && customer.allows(need, count, capacity)
     }
 
-    /// Whether a task may use capacity of this size without touching the urgent work's headroom.
-    pub(super) fn leaves_headroom(&self, key: TaskKey, need: &Size) -> bool {
-        let class = self.class_of(&self.tasks[key]);
-        if class.is_urgent() || class.is_under_least(self.fleet.capacity()) {
-            return true;
+    /// Whether a task may take what is kept free for others: an urgent one, or one whose class has been
+    /// under its least share for long.
+    fn is_exempt(&self, task: &Task, now: Time) -> bool {
+        let class = self.class_of(task);
+        let starved = class.is_under_least(self.fleet.capacity());
+        class.is_urgent() || (starved && task.submitted + LEAST_PATIENCE <= now)
+    }
+
+    /// Returns the most watched places that a task may take: what is there beyond the headroom, and
+    /// beyond a pledge unless it is expected to end before the gang's start.
+    pub(super) fn budget_of(&self, task: &Task, now: Time) -> [u64; WATCHES] {
+        if self.is_exempt(task, now) {
+            return [u64::MAX; WATCHES];
         }
-        let rest = self.fleet.free().minus(need);
-        self.headroom.fits(&rest)
+        let end = now + self.class_of(task).estimates.high_run(task.spec.run);
+        let pledged = self.pledged_against(task.gang, end);
+        let urgent = self.fleet.places(Watch::Urgent);
+        let beyond_headroom = urgent.saturating_sub(self.headroom + pledged.urgent);
+        if pledged.places == 0 {
+            return [beyond_headroom, u64::MAX];
+        }
+        let beyond_pledge = self
+            .fleet
+            .places(Watch::Pledge)
+            .saturating_sub(pledged.places);
+        [beyond_headroom, beyond_pledge]
+    }
+
+    /// Whether a task may take this much more on a machine.
+    pub(super) fn within_budget(
+        &self,
+        key: TaskKey,
+        machine: MachineKey,
+        need: &Size,
+        now: Time,
+    ) -> bool {
+        let budget = self.budget_of(&self.tasks[key], now);
+        let lost = Watch::ALL.map(|w| self.fleet.places_lost(machine, w, need));
+        (0..WATCHES).all(|w| lost[w] <= budget[w])
     }
 
     fn find_machine(&mut self, key: TaskKey, need: &Size, now: Time) -> Option<MachineKey> {
-        if !self.leaves_headroom(key, need) {
-            return None;
-        }
         let task = &self.tasks[key];
-        let request = self.request_of(task);
+        let request = self.request_of(task, need, now);
         if self.class_of(task).spec.kind == Kind::Live {
             let found = place_live(&self.fleet, &request, &mut self.rng);
             return found.or_else(|| self.backfill(&request, now));
@@ -202,9 +255,11 @@
         found.or_else(|| self.backfill(&request, now))
     }
 
-    fn backfill(&mut self, request: &crate::place::Request, now: Time) -> Option<MachineKey> {
-        let until = self.reservation.as_ref()?.start;
-        place_backfill(&self.fleet, request, now, until, &mut self.rng)
+    fn backfill(&mut self, request: &Request, now: Time) -> Option<MachineKey> {
+        if self.reservations.is_empty() {
+            return None;
+        }
+        place_backfill(&self.fleet, request, now, &mut self.rng)
     }
 
     /// Starts single idempotent tasks on machines in quarantine whose probe is due.
@@ -231,14 +286,13 @@
     }
 
     fn is_confined(&self, machine: MachineKey) -> bool {
-        use crate::machine::Standing;
         self.standing(machine) == Some(Standing::Quarantined)
     }
 
     /// Returns a waiting task that may be lost to a probe, of the least urgent class first.
     fn probe_task(&self, machine: MachineKey) -> Option<TaskKey> {
         let free = self.fleet.get(machine)?.free();
-        let mut classes: SmallVec<[&crate::class::Class; 16]> = self.classes.iter().collect();
+        let mut classes: SmallVec<[&Class; 16]> = self.classes.iter().collect();
         classes.sort_by_key(|c| std::cmp::Reverse(c.spec.band));
         for class in classes {
             for &lane in class.queue.busy() {
@@ -268,11 +322,8 @@
                 continue;
             };
             let need = self.charge_of(&self.tasks[key]);
-            let free = self
-                .fleet
-                .get(machine)
-                .map_or(Size::ZERO, super::super::machine::Machine::free);
-            if need.fits(&free) {
+            let idle = self.fleet.get(machine).map_or(Size::ZERO, |m| m.idle());
+            if need.fits(&idle) {
                 let place: Placement = self.begin_run(key, machine, now);
                 out.push(Decision::Start(place));
             }
@@ -288,6 +339,3 @@
         }
     }
 }
-
-/// The wait for a task to probe with.
-const PROBE_AGAIN: kingcupwinch_time::Span = kingcupwinch_time::Span::from_secs(1);
--- a/crates/kingcupwinch-policy/src/cell/events.rs
+++ b/crates/kingcupwinch-policy/src/cell/events.rs
@@ -133,9 +133,6 @@
     fn learn(&mut self, key: TaskKey, run: &Run, end: &End, now: Time) {
         let spec = self.tasks[key].spec;
         let class = &mut self.classes[spec.class.index()];
-        if class.is_urgent() {
-            class.forecast.note_end(now);
-        }
         if let Some(peak) = &end.peak {
             class.estimates.note_peak(&spec.size, peak);
         }
--- a/crates/kingcupwinch-policy/src/cell/machines.rs
+++ b/crates/kingcupwinch-policy/src/cell/machines.rs
@@ -127,9 +127,9 @@
     pub(super) fn drop_keep(&mut self, machine: MachineKey) {
         match self.fleet.get(machine).and_then(|m| m.keep) {
             Some(Keep::Task(task)) => self.drop_claim(task),
-            Some(Keep::Gang(_)) => {
-                if let Some(reservation) = &mut self.reservation {
-                    reservation.machines.retain(|&m| m != machine);
+            Some(Keep::Gang(..)) => {
+                for reservation in &mut self.reservations {
+                    reservation.release(machine);
                 }
                 self.fleet.keep(machine, None);
             }
--- a/crates/kingcupwinch-policy/src/cell/reclaim.rs
+++ b/crates/kingcupwinch-policy/src/cell/reclaim.rs
@@ -7,7 +7,6 @@
 use super::Cell;
 use crate::decision::Decision;
 use crate::key::{MachineKey, TaskKey};
-use crate::machine::Keep;
 use crate::size::{Dimension, Size};
 use crate::task::{Asked, Claim, Phase, Run, Task};
 
@@ -15,8 +14,16 @@
 const CANDIDATES: usize = 16;
 /// How long a claim waits for others to leave.
 const CLAIM_LIFE: Span = Span::from_secs(5);
-/// The wait between two claims of a class that isn't urgent.
-const CALM: Span = Span::from_millis(100);
+/// How long urgent work waits for others to end before it takes capacity back.
+const URGENT_PATIENCE: Span = Span::from_millis(100);
+/// How long other work does.
+const PATIENCE: Span = Span::from_secs(5);
+/// The wait between two searches for capacity to take back, by a class that isn't urgent.
+const CALM: Span = Span::from_secs(1);
+/// The same for an urgent class whose search was in vain.
+const URGENT_CALM: Span = Span::from_millis(50);
+/// One machine in this many may have a claim of work that isn't urgent.
+const CLAIMED_PART: usize = 32;
 /// The cost of a throttle.
 const THROTTLE_COST: f64 = 1.0;
 /// The cost of a checkpoint.
@@ -63,24 +70,46 @@
         now: Time,
         out: &mut Vec<Decision>,
     ) -> bool {
-        let class = self.tasks[key].spec.class.index();
-        if self.fleet.movable().is_empty() || now < self.classes[class].calm {
+        if self.fleet.movable().is_empty() || !self.may_take_back(key, now) {
             return false;
         }
-        if !self.classes[class].is_urgent() {
-            self.classes[class].calm = now + CALM;
-        }
         let claimant = self.claimant_of(key, need);
+        let class = &mut self.classes[self.tasks[key].spec.class.index()];
+        let urgent = class.is_urgent();
+        let rest = if urgent { URGENT_CALM } else { CALM };
+        class.calm = now + rest;
+        class.wake_at(now + rest);
         let Some((machine, victims)) = self.cheapest(&claimant, need, now) else {
             return false;
         };
-        self.claim(key, machine, now);
+        if urgent {
+            self.classes[claimant.class].calm = now;
+        }
+        self.claim(key, need, machine, now);
         for victim in victims {
             self.ask(victim.task, victim.means, out);
         }
         true
     }
 
+    /// Whether a task has waited long enough, or is bound to, and its class may search again. If not,
+    /// the class is tried again in time.
+    fn may_take_back(&mut self, key: TaskKey, now: Time) -> bool {
+        let task = &self.tasks[key];
+        let class = &mut self.classes[task.spec.class.index()];
+        let urgent = class.is_urgent();
+        let patience = if urgent { URGENT_PATIENCE } else { PATIENCE };
+        let due = (task.submitted + patience).max(class.calm);
+        let bound_to_wait = urgent && class.calm <= now && class.likely_wait() > patience;
+        let crowded = !urgent && self.claims.len() > self.fleet.len() / CLAIMED_PART;
+        if (due <= now || bound_to_wait) && !crowded {
+            return true;
+        }
+        let due = if crowded { now + CALM } else { due };
+        class.wake_at(due);
+        false
+    }
+
     fn claimant_of(&self, key: TaskKey, need: &Size) -> Claimant {
         let task = &self.tasks[key];
         let class = self.class_of(task);
@@ -219,7 +248,7 @@
         (means.stop && task.spec.idempotent).then_some((Means::Stop, run.charge, cost))
     }
 
-    fn claim(&mut self, key: TaskKey, machine: MachineKey, now: Time) {
+    fn claim(&mut self, key: TaskKey, need: &Size, machine: MachineKey, now: Time) {
         if let Phase::Queued(rank) = self.tasks[key].phase {
             let class = self.tasks[key].spec.class.index();
             self.classes[class].queue.remove(rank);
@@ -227,7 +256,7 @@
         let until = now + CLAIM_LIFE;
         self.tasks[key].phase = Phase::Claiming(Claim { machine, until });
         self.claims.insert((until, key));
-        self.fleet.keep(machine, Some(Keep::Task(key)));
+        self.fleet.claim(machine, key, *need);
     }
 
     fn ask(&mut self, key: TaskKey, means: Means, out: &mut Vec<Decision>) {
@@ -290,19 +319,19 @@
     }
 
     /// Gives throttled tasks their whole share back where it is free again.
-    pub(super) fn restore_shares(&mut self, out: &mut Vec<Decision>) {
+    pub(super) fn restore_shares(&mut self, now: Time, out: &mut Vec<Decision>) {
         while let Some(machine) = self.relief.pop() {
             let Some(m) = self.fleet.get(machine) else {
                 continue;
             };
             let running: SmallVec<[TaskKey; 16]> = m.running.iter().copied().collect();
             for key in running {
-                self.restore(key, out);
+                self.restore(key, now, out);
             }
         }
     }
 
-    fn restore(&mut self, key: TaskKey, out: &mut Vec<Decision>) {
+    fn restore(&mut self, key: TaskKey, now: Time, out: &mut Vec<Decision>) {
         let task = &self.tasks[key];
         let Some(run) = task.run().copied().filter(|r| r.asked == Asked::Throttled) else {
             return;
@@ -315,7 +344,7 @@
             .map_or(Size::ZERO, super::super::machine::Machine::free);
         let extra = Size::ZERO.with(Dimension::Millicores, missing);
         if !extra.fits(&free)
-            || !self.leaves_headroom(key, &extra)
+            || !self.within_budget(key, run.machine, &extra, now)
             || !self.within_lids(key, &extra, 0)
         {
             return;
--- a/crates/kingcupwinch-policy/src/cell/runs.rs
+++ b/crates/kingcupwinch-policy/src/cell/runs.rs
@@ -1,11 +1,11 @@
 //! The bookkeeping of waits and runs.
 
-use kingcupwinch_time::Time;
+use kingcupwinch_time::{Span, Time};
 
 use super::Cell;
 use crate::class::Stuck;
 use crate::decision::Placement;
-use crate::key::{MachineKey, TaskKey};
+use crate::key::{ClassKey, MachineKey, TaskKey};
 use crate::machine::Keep;
 use crate::place::{Request, run_at};
 use crate::plan::Kind;
@@ -13,6 +13,9 @@
 use crate::size::{Dimension, Size};
 use crate::task::{Asked, Phase, Run, Task};
 
+/// An urgent task that starts within this time of its submission found room at once.
+const PROMPT: Span = Span::from_millis(1);
+
 impl Cell {
     /// Returns what is counted for a task: its size as corrected, unless no machine holds that.
     pub(super) fn charge_of(&self, task: &Task) -> Size {
@@ -24,12 +27,13 @@
     }
 
     /// Returns what a placement of a task looks for.
-    pub(super) fn request_of(&self, task: &Task) -> Request {
+    pub(super) fn request_of(&self, task: &Task, need: &Size, now: Time) -> Request {
         Request {
             class: task.spec.class,
-            need: self.charge_of(task),
+            need: *need,
             run: self.class_of(task).estimates.high_run(task.spec.run),
             urgency: self.weights.urgency(),
+            budget: self.budget_of(task, now),
         }
     }
 
@@ -101,11 +105,11 @@
             .fleet
             .get(machine)
             .map_or(1.0, |m| m.speed(task.spec.class));
-        let high = self.class_of(task).estimates.high_run(task.spec.run);
+        let likely = self.class_of(task).estimates.likely_run(task.spec.run);
         let run = Run {
             machine,
             since: now,
-            expected: now + run_at(high, speed),
+            expected: now + run_at(likely, speed),
             charge,
             position: self.fleet.enlist(machine, key),
             asked: Asked::Nothing,
@@ -135,6 +139,10 @@
         class.running += 1;
         let waiting = !class.queue.is_empty();
         class.drain.note(now, waiting);
+        if class.is_urgent() {
+            let missed = now.since(task.submitted) > PROMPT;
+            class.forecast.note_start(missed, self.weights.urgency());
+        }
         if task.attempts == 0 {
             class.counters.started += 1;
             class.counters.note_wait(now - task.submitted);
@@ -230,6 +238,11 @@
         }
     }
 
+    /// Has a class's queue tried again by `time` even if nothing is released.
+    pub(super) fn wake_at(&mut self, class: ClassKey, time: Time) {
+        self.classes[class.index()].wake_at(time);
+    }
+
     /// Remembers that nothing of a class's queue could be placed.
     pub(super) fn set_stuck(&mut self, class: usize, least: Size) {
         let releases = self.fleet.releases();
--- a/crates/kingcupwinch-policy/src/cell/submit.rs
+++ b/crates/kingcupwinch-policy/src/cell/submit.rs
@@ -31,9 +31,6 @@
         self.customers[spec.customer.index()].waiting += 1;
         let class = &mut self.classes[spec.class.index()];
         class.counters.accepted += 1;
-        if class.is_urgent() {
-            class.forecast.note_arrival(now);
-        }
         self.enqueue(key);
         Ok(key)
     }
--- a/crates/kingcupwinch-policy/src/class.rs
+++ b/crates/kingcupwinch-policy/src/class.rs
@@ -40,6 +40,8 @@
     pub(crate) stuck: Option<Stuck>,
     /// Before this time it takes nothing back from others.
     pub(crate) calm: Time,
+    /// When its queue is tried again though nothing was released.
+    pub(crate) wake: Option<Time>,
 }
 
 impl Class {
@@ -58,6 +60,7 @@
             counters: ClassCounters::new(),
             stuck: None,
             calm: Time::ZERO,
+            wake: None,
         }
     }
 
@@ -77,6 +80,11 @@
         }
     }
 
+    /// Has the queue tried again by `time` even if nothing is released.
+    pub(crate) fn wake_at(&mut self, time: Time) {
+        self.wake = Some(self.wake.map_or(time, |w| w.min(time)));
+    }
+
     /// Whether nothing was released since its queue was tried in vain.
     pub(crate) fn is_stuck(&self, releases: u64) -> bool {
         self.stuck.is_some_and(|s| s.releases == releases)
--- a/crates/kingcupwinch-policy/src/fleet.rs
+++ b/crates/kingcupwinch-policy/src/fleet.rs
@@ -8,7 +8,7 @@
 
 use crate::index::{Buckets, FreeIndex};
 use crate::key::{ClassKey, MachineKey, RackKey, TaskKey};
-use crate::machine::{Keep, Machine, MachineSpec, Standing};
+use crate::machine::{Keep, Machine, MachineSpec, Standing, WATCHES, Watch};
 use crate::refusal::{Fault, Refusal};
 use crate::size::{Dimension, MAX_AMOUNT, Size};
 
@@ -42,6 +42,10 @@
     capacity: Size,
     used: Size,
     free: Size,
+    /// The watched sizes; nothing where none is watched.
+    units: [Size; WATCHES],
+    /// How many tasks of the watched sizes fit on open machines.
+    places: [u64; WATCHES],
     confined: usize,
     top_speed: f64,
     releases: u64,
@@ -59,6 +63,8 @@
             capacity: Size::ZERO,
             used: Size::ZERO,
             free: Size::ZERO,
+            units: [Size::ZERO; WATCHES],
+            places: [0; WATCHES],
             confined: 0,
             top_speed: 1.0,
             releases: 0,
@@ -80,6 +86,37 @@
         &self.free
     }
 
+    /// Returns how many tasks of a watched size fit on open machines.
+    pub(crate) fn places(&self, watch: Watch) -> u64 {
+        self.places[watch as usize]
+    }
+
+    /// Returns a watched size.
+    pub(crate) fn unit(&self, watch: Watch) -> &Size {
+        &self.units[watch as usize]
+    }
+
+    /// Changes a watched size and counts its places anew.
+    pub(crate) fn watch(&mut self, watch: Watch, unit: Size) {
+        let index = watch as usize;
+        if self.units[index] == unit {
+            return;
+        }
+        self.units[index] = unit;
+        self.places[index] = 0;
+        for machine in self.machines.values_mut() {
+            machine.places[index] = unit.times_in(&machine.shown);
+            self.places[index] += machine.places[index];
+        }
+    }
+
+    /// Returns how many places of a watched size a machine loses to work of this size.
+    pub(crate) fn places_lost(&self, key: MachineKey, watch: Watch, need: &Size) -> u64 {
+        let unit = self.unit(watch);
+        self.get(key)
+            .map_or(0, |m| m.places_lost(watch, unit, need))
+    }
+
     /// Returns a number that grows with every release of capacity.
     pub(crate) fn releases(&self) -> u64 {
         self.releases
@@ -269,18 +306,27 @@
         }
     }
 
-    /// Keeps a machine's free capacity for one task or gang, or opens it again.
+    /// Keeps a machine's free capacity for a gang, or opens it again.
     pub(crate) fn keep(&mut self, key: MachineKey, keep: Option<Keep>) {
         let Some(machine) = self.machines.get_mut(key) else {
             return;
         };
         machine.keep = keep;
+        machine.claimed = Size::ZERO;
         if keep.is_none() {
             self.releases += 1;
         }
         self.reindex(key);
     }
 
+    /// Claims capacity on a machine for one task, as it comes free.
+    pub(crate) fn claim(&mut self, key: MachineKey, task: TaskKey, need: Size) {
+        self.update(key, |machine| {
+            machine.keep = Some(Keep::Task(task));
+            machine.claimed = need;
+        });
+    }
+
     /// Changes a machine by `change` and brings the indexes up to date.
     pub(crate) fn update(&mut self, key: MachineKey, change: impl FnOnce(&mut Machine)) {
         if let Some(machine) = self.machines.get_mut(key) {
@@ -372,6 +418,12 @@
     fn count_free(&mut self, key: MachineKey, shown: Size) {
         let machine = &mut self.machines[key];
         let old = std::mem::replace(&mut machine.shown, shown);
+        for watch in Watch::ALL {
+            let index = watch as usize;
+            let places = self.units[index].times_in(&shown);
+            self.places[index] += places;
+            self.places[index] -= std::mem::replace(&mut machine.places[index], places);
+        }
         let rack = &mut self.racks[machine.rack.index()];
         rack.free = rack.free.plus(&shown).minus(&old);
         self.free = self.free.plus(&shown).minus(&old);
@@ -384,9 +436,8 @@
         return None;
     }
     match machine.keep {
-        Some(Keep::Task(_)) => None,
-        Some(Keep::Gang(_)) => Some(KEPT),
-        None => {
+        Some(Keep::Gang(..)) => Some(KEPT),
+        Some(Keep::Task(_)) | None => {
             let speed = machine.mean_speed();
             Some(TIER_SPEEDS.iter().filter(|s| speed >= **s).count() as u8)
         }
--- a/crates/kingcupwinch-policy/src/gang.rs
+++ b/crates/kingcupwinch-policy/src/gang.rs
@@ -1,6 +1,6 @@
 //! Gangs: tasks that start together or not at all.
 
-use kingcupwinch_time::{Span, Time};
+use kingcupwinch_time::Time;
 
 use crate::decision::TaskSpec;
 use crate::key::{GangKey, MachineKey, RackKey, TaskKey};
@@ -58,6 +58,8 @@
     pub(crate) broken: bool,
     /// Before this time it doesn't reserve again.
     pub(crate) calm: Time,
+    /// Urgent places that it would have taken where it last fitted.
+    pub(crate) cost: u64,
     /// How often a reservation lapsed.
     pub(crate) lapses: u32,
 }
@@ -70,6 +72,7 @@
             tasks,
             running: 0,
             broken: false,
+            cost: 0,
             calm: Time::ZERO,
             lapses: 0,
         }
@@ -81,30 +84,51 @@
     }
 }
 
-/// Machines that a gang gathers its places on. A cell has one at a time, so that two gangs never
-/// wait for each other.
+/// What is kept for a gang.
+#[derive(Debug)]
+pub(crate) enum Reserved {
+    /// Places for all its tasks, anywhere.
+    Places,
+    /// Machines of a rack.
+    Machines(Vec<MachineKey>),
+}
+
+/// A gang that gathers its places.
 #[derive(Debug)]
 pub(crate) struct Reservation {
     pub(crate) gang: GangKey,
-    pub(crate) machines: Vec<MachineKey>,
-    /// When enough places are expected to be free; shorter work fills the time until then.
+    pub(crate) reserved: Reserved,
+    /// When enough is expected to be free; shorter work fills the time until then.
     pub(crate) start: Time,
     /// When it lapses.
     pub(crate) until: Time,
     /// When the places are next counted.
     pub(crate) check: Time,
-    /// Whether movable work on the machines was asked to leave.
+    /// Whether movable work was asked to leave.
     pub(crate) asked: bool,
 }
 
-/// The shortest life of a reservation.
-pub(crate) const MIN_LIFE: Span = Span::from_secs(10);
-/// The first horizon that a plan looks ahead; it doubles up to the last.
-pub(crate) const FIRST_HORIZON: Span = Span::from_secs(1);
-/// The last horizon that a plan looks ahead.
-pub(crate) const LAST_HORIZON: Span = Span::from_secs(1024);
-/// The time between two counts of the places.
-pub(crate) const CHECK_EVERY: Span = Span::from_millis(50);
+impl Reservation {
+    /// Whether places are kept anywhere, not on certain machines.
+    pub(crate) fn is_pledge(&self) -> bool {
+        matches!(self.reserved, Reserved::Places)
+    }
+
+    /// Returns the machines that are kept.
+    pub(crate) fn machines(&self) -> &[MachineKey] {
+        match &self.reserved {
+            Reserved::Places => &[],
+            Reserved::Machines(machines) => machines,
+        }
+    }
+
+    /// Takes a machine out.
+    pub(crate) fn release(&mut self, machine: MachineKey) {
+        if let Reserved::Machines(machines) = &mut self.reserved {
+            machines.retain(|&m| m != machine);
+        }
+    }
+}
 
 /// Racks whose machines are counted one by one in a try.
 pub(crate) const RACK_CANDIDATES: usize = 8;
--- a/crates/kingcupwinch-policy/src/headroom.rs
+++ b/crates/kingcupwinch-policy/src/headroom.rs
@@ -1,67 +1,75 @@
 //! The capacity kept free for urgent work.
 //!
-//! Arrivals less ends of urgent work are counted in windows as long as it takes until other work
-//! gives capacity back. Mean and variance of the windows are smoothed, and the headroom is the mean
-//! growth plus a number of deviations.
+//! The number of urgent tasks that run or wait is sampled. Its smoothed mean and deviation give the
+//! level to be ready for, a number of deviations over the mean; what is missing between the tasks that
+//! run now and that level is kept free. So other work doesn't fill the gap when urgent work is at a
+//! low, and no more than needed is kept when it is at a high. The number of deviations follows the
+//! misses: it grows with each urgent task that found no room at once and shrinks with each that did,
+//! so that the part of misses settles at a target (a stochastic quantile tracker).
 
 use kingcupwinch_time::{Span, Time};
 
-use crate::size::Size;
-
-/// The length of one window.
-const WINDOW: Span = Span::from_millis(200);
-/// The weight of a new window.
-const WEIGHT: f64 = 0.05;
-/// Deviations over the mean when packing is all that counts.
-const MIN_DEVIATIONS: f64 = 1.0;
-/// Further deviations when waiting is all that counts.
-const MORE_DEVIATIONS: f64 = 4.0;
-/// Windows skipped at most after a silence.
+/// The time between two samples.
+const SAMPLE_EVERY: Span = Span::from_millis(100);
+/// The weight of a new sample.
+const WEIGHT: f64 = 0.02;
+/// Samples made up for at most after a silence.
 const MAX_SILENCE: u64 = 200;
+/// Deviations over the mean before any observation.
+const FIRST_DEVIATIONS: f64 = 2.5;
+const MAX_DEVIATIONS: f64 = 8.0;
+/// Deviations that a miss adds.
+const STEP: f64 = 0.05;
+/// The part of misses aimed at when waiting is all that counts.
+const LEAST_MISSES: f64 = 0.004;
+/// The part of misses added when packing is all that counts.
+const MORE_MISSES: f64 = 0.004;
 
-/// The forecast of how much one urgent class grows within a window.
-#[derive(Debug, Clone, Copy, Default)]
+/// The forecast of how many tasks of one urgent class run at a time.
+#[derive(Debug, Clone, Copy)]
 pub(crate) struct Forecast {
     mean: f64,
     variance: f64,
-    current: f64,
-    window: u64,
+    sample: u64,
+    deviations: f64,
 }
 
-impl Forecast {
-    /// Takes in one arrival.
-    pub(crate) fn note_arrival(&mut self, now: Time) {
-        self.advance(now);
-        self.current += 1.0;
-    }
-
-    /// Takes in one end.
-    pub(crate) fn note_end(&mut self, now: Time) {
-        self.advance(now);
-        self.current -= 1.0;
+impl Default for Forecast {
+    fn default() -> Self {
+        Forecast {
+            mean: 0.0,
+            variance: 0.0,
+            sample: 0,
+            deviations: FIRST_DEVIATIONS,
+        }
     }
+}
 
-    /// Closes the windows that have passed.
-    pub(crate) fn advance(&mut self, now: Time) {
-        let window = now.as_micros() / WINDOW.as_micros();
-        let passed = window.saturating_sub(self.window).min(MAX_SILENCE);
-        for _ in 0..passed {
-            let off = self.current - self.mean;
+impl Forecast {
+    /// Takes in the number of tasks that run or wait, if a sample is due.
+    pub(crate) fn note_level(&mut self, level: f64, now: Time) {
+        let sample = now.as_micros() / SAMPLE_EVERY.as_micros();
+        let due = sample.saturating_sub(self.sample).min(MAX_SILENCE);
+        for _ in 0..due {
+            let off = level - self.mean;
             self.mean += WEIGHT * off;
             self.variance = (1.0 - WEIGHT) * (self.variance + WEIGHT * off * off);
-            self.current = 0.0;
         }
-        self.window = window;
+        self.sample = sample;
     }
 
-    /// Returns the growth to be ready for, in tasks.
-    pub(crate) fn expected(&self, urgency: f64) -> f64 {
-        let deviations = MIN_DEVIATIONS + MORE_DEVIATIONS * urgency;
-        self.mean.max(0.0) + deviations * self.variance.sqrt()
+    /// Takes in the start of a task; `missed` if it found no room at once.
+    pub(crate) fn note_start(&mut self, missed: bool, urgency: f64) {
+        let target = LEAST_MISSES + MORE_MISSES * (1.0 - urgency);
+        let change = if missed { 1.0 - target } else { -target };
+        self.deviations = (self.deviations + STEP * change).clamp(0.0, MAX_DEVIATIONS);
     }
-}
 
-/// Returns the capacity that this many typical tasks need.
-pub(crate) fn room_for(typical: &Size, expected: f64) -> Size {
-    typical.times(expected.ceil() as u64)
+    /// Returns how many more tasks than the `running` ones to be ready for. The deviation is at least
+    /// that of independent arrivals.
+    pub(crate) fn headroom(&self, running: u32) -> u64 {
+        let deviation = self.variance.max(self.mean).sqrt();
+        let level = self.mean + self.deviations * deviation;
+        (level.ceil() as u64).saturating_sub(u64::from(running))
+    }
 }
--- a/crates/kingcupwinch-policy/src/machine.rs
+++ b/crates/kingcupwinch-policy/src/machine.rs
@@ -64,13 +64,30 @@
     Gone,
 }
 
+/// The sizes of which a fleet counts how many fit.
+pub(crate) const WATCHES: usize = 2;
+
+/// A size of which a fleet counts how many fit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Watch {
+    /// An urgent task.
+    Urgent,
+    /// A task of the gang that has a pledge.
+    Pledge,
+}
+
+impl Watch {
+    /// Every watch.
+    pub(crate) const ALL: [Watch; WATCHES] = [Watch::Urgent, Watch::Pledge];
+}
+
 /// Who a machine's free capacity is kept for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Keep {
     /// One task for which others are being moved.
     Task(TaskKey),
-    /// A gang that gathers places.
-    Gang(GangKey),
+    /// A gang that gathers places and expects to start at this time.
+    Gang(GangKey, Time),
 }
 
 /// A machine of the cell.
@@ -81,6 +98,8 @@
     pub(crate) standing: Standing,
     /// Counted for tasks and holds.
     pub(crate) used: Size,
+    /// Kept for the task that has a claim here.
+    pub(crate) claimed: Size,
     /// Observed beyond what is counted.
     pub(crate) excess: Size,
     /// When the last use was taken.
@@ -94,6 +113,8 @@
     pub(crate) probe: Option<TaskKey>,
     /// What the sums of free capacity hold for it.
     pub(crate) shown: Size,
+    /// What the sums of places hold for it.
+    pub(crate) places: [u64; WATCHES],
     /// Where it stands in an index of free capacity.
     pub(crate) spot: Option<Spot>,
     /// Where it stands in the list of machines with work that can be moved.
@@ -117,6 +138,7 @@
             rack,
             standing: Standing::Active,
             used: Size::ZERO,
+            claimed: Size::ZERO,
             excess: Size::ZERO,
             observed: Time::ZERO,
             running: Vec::new(),
@@ -125,6 +147,7 @@
             health: Health::default(),
             probe: None,
             shown: Size::ZERO,
+            places: [0; WATCHES],
             spot: None,
             movable: Movable::default(),
             speeds: Vec::new(),
@@ -132,10 +155,21 @@
     }
 
     /// Returns what is neither counted nor seen in use.
-    pub(crate) fn free(&self) -> Size {
+    pub(crate) fn idle(&self) -> Size {
         self.spec.capacity.minus(&self.used).minus(&self.excess)
     }
 
+    /// Returns how many places for tasks of size `unit` it loses to work of size `need`.
+    pub(crate) fn places_lost(&self, watch: Watch, unit: &Size, need: &Size) -> u64 {
+        let left = self.shown.minus(need);
+        self.places[watch as usize].saturating_sub(unit.times_in(&left))
+    }
+
+    /// Returns what is idle and not claimed.
+    pub(crate) fn free(&self) -> Size {
+        self.idle().minus(&self.claimed)
+    }
+
     /// Returns the speed seen for a class, the declared one before any observation.
     pub(crate) fn speed(&self, class: ClassKey) -> f64 {
         match self.speeds.get(class.index()) {
--- a/crates/kingcupwinch-policy/src/place.rs
+++ b/crates/kingcupwinch-policy/src/place.rs
@@ -5,12 +5,15 @@
 
 use crate::fleet::{Fleet, TIERS};
 use crate::key::{ClassKey, MachineKey};
+use crate::machine::{Keep, Machine, WATCHES, Watch};
 use crate::size::Size;
 
 /// Candidates compared for a live task in one tier.
 const LIVE_CANDIDATES: usize = 16;
 /// Candidates compared for a batch task in one tier.
 const BATCH_CANDIDATES: usize = 32;
+/// The weight of one lost urgent place against a whole machine left free.
+const LOST_WEIGHT: f64 = 0.2;
 /// Candidates compared on machines kept for a gang.
 const BACKFILL_CANDIDATES: usize = 16;
 
@@ -25,6 +28,8 @@
     pub(crate) run: Span,
     /// The part of the whole that waiting has against packing.
     pub(crate) urgency: f64,
+    /// The most watched places that it may take.
+    pub(crate) budget: [u64; WATCHES],
 }
 
 /// Returns the expected run at a speed.
@@ -63,7 +68,11 @@
     None
 }
 
-/// Chooses the machine with the tightest fit for a batch task, weighed against its speed.
+/// Chooses a machine for a batch task: the one that loses the fewest places for urgent work and for a
+/// gang that gathers its places, then the one with the tightest fit, weighed against its speed.
+///
+/// A machine of which urgent work can't use the rest anyway loses none. So batch work goes where one
+/// dimension is left over, and what stays free stays usable.
 pub(crate) fn place_batch(
     fleet: &Fleet,
     request: &Request,
@@ -71,33 +80,34 @@
 ) -> Option<MachineKey> {
     let mut best: Option<(f64, MachineKey)> = None;
     for tier in 0..TIERS {
-        fleet.visit(
-            tier,
-            &request.need,
-            BATCH_CANDIDATES,
-            rng,
-            |key, machine, free| {
-                let left = free
-                    .minus(&request.need)
-                    .total_share(&machine.spec.capacity);
-                let slowness = 1.0 / machine.speed(request.class);
-                let score = (1.0 - request.urgency) * left + request.urgency * slowness;
-                if best.is_none_or(|(s, _)| score < s) {
-                    best = Some((score, key));
-                }
-                true
-            },
-        );
+        let need = &request.need;
+        fleet.visit(tier, need, BATCH_CANDIDATES, rng, |key, machine, free| {
+            let lost = Watch::ALL.map(|w| machine.places_lost(w, fleet.unit(w), need));
+            let within = (0..WATCHES).all(|w| lost[w] <= request.budget[w]);
+            let score = batch_score(request, machine, free, lost.iter().sum());
+            if within && best.is_none_or(|(s, _)| score < s) {
+                best = Some((score, key));
+            }
+            true
+        });
     }
     best.map(|(_, key)| key)
 }
 
-/// Chooses a machine kept for a gang where the task is expected to end before `until`.
+/// Returns the score of a machine for a batch task; the least is the best.
+fn batch_score(request: &Request, machine: &Machine, free: &Size, lost: u64) -> f64 {
+    let rest = free.minus(&request.need);
+    let left = rest.total_share(&machine.spec.capacity);
+    let slowness = 1.0 / machine.speed(request.class);
+    let fit = (1.0 - request.urgency) * left + request.urgency * slowness;
+    fit + LOST_WEIGHT * lost as f64
+}
+
+/// Chooses a machine kept for a gang where the task is expected to end before the gang's start.
 pub(crate) fn place_backfill(
     fleet: &Fleet,
     request: &Request,
     now: Time,
-    until: Time,
     rng: &mut ChaCha8Rng,
 ) -> Option<MachineKey> {
     let mut found = None;
@@ -107,7 +117,7 @@
         rng,
         |key, machine, _| {
             let ends = now + run_at(request.run, machine.speed(request.class));
-            if ends <= until {
+            if matches!(machine.keep, Some(Keep::Gang(_, start)) if ends <= start) {
                 found = Some(key);
             }
             found.is_none()
--- a/crates/kingcupwinch-policy/src/queue.rs
+++ b/crates/kingcupwinch-policy/src/queue.rs
@@ -80,6 +80,14 @@
         &self.busy
     }
 
+    /// Returns the first rank of all lanes.
+    pub(crate) fn oldest(&self) -> Option<Rank> {
+        let lanes = self.busy.iter().map(|&l| &self.lanes[usize::from(l)]);
+        lanes
+            .filter_map(|l| l.first_key_value().map(|(r, _)| *r))
+            .min()
+    }
+
     /// Returns the first tasks of a lane.
     pub(crate) fn heads(&self, lane: u16) -> impl Iterator<Item = (Rank, TaskKey)> {
         self.lanes
--- a/crates/kingcupwinch-policy/src/task.rs
+++ b/crates/kingcupwinch-policy/src/task.rs
@@ -42,7 +42,7 @@
     pub(crate) machine: MachineKey,
     /// When it was decided.
     pub(crate) since: Time,
-    /// When it is expected to end, by the high quantile.
+    /// When it is likely to have ended.
     pub(crate) expected: Time,
     /// What is counted for it.
     pub(crate) charge: Size,
