--- a/crates/kingcupwinch-policy/examples/measure/driver/figures.rs
+++ b/crates/kingcupwinch-policy/examples/measure/driver/figures.rs
@@ -128,12 +128,12 @@
         }
     }
 
-    pub(crate) fn gave_up(&mut self, stream: usize, arrived: Time) {
-        self.refused(stream, arrived);
-    }
-
-    pub(crate) fn started(&mut self, stream: usize, arrived: Time, now: Time) {
+    /// A task started for the first time; `counted` if it stands for its arrival.
+    pub(crate) fn started(&mut self, stream: usize, arrived: Time, counted: bool, now: Time) {
         self.firsts += 1;
+        if !counted {
+            return;
+        }
         if let Some(s) = self.counts(stream, arrived) {
             s.started += 1;
             s.waits.push((now.since(arrived) + LINK).as_micros());
--- a/crates/kingcupwinch-policy/src/cell.rs
+++ b/crates/kingcupwinch-policy/src/cell.rs
@@ -69,7 +69,9 @@
     /// Machines kept for a task on which capacity came free.
     ready: Vec<MachineKey>,
     /// Machines with throttled tasks on which capacity came free.
-    relief: Vec<MachineKey>,
+    relief: BTreeSet<MachineKey>,
+    /// When their tasks are next considered for their whole share.
+    relief_due: Time,
     /// Decisions made by events.
     orders: Vec<Decision>,
     reservations: Vec<Reservation>,
@@ -103,7 +105,8 @@
             expiries: BTreeSet::new(),
             probes: BTreeSet::new(),
             ready: Vec::new(),
-            relief: Vec::new(),
+            relief: BTreeSet::new(),
+            relief_due: Time::ZERO,
             orders: Vec::new(),
             reservations: Vec::new(),
             health: CellHealth::default(),
@@ -225,6 +228,7 @@
             self.claims.first().map(|d| d.0),
             self.expiries.first().map(|d| d.0),
             self.probes.first().map(|d| d.0),
+            (!self.relief.is_empty()).then_some(self.relief_due),
             self.reservations.iter().map(|r| r.check).min(),
             self.classes.iter().filter_map(|c| c.wake).min(),
         ];
--- a/crates/kingcupwinch-policy/src/cell/credits.rs
+++ b/crates/kingcupwinch-policy/src/cell/credits.rs
@@ -104,6 +104,7 @@
     fn lower_credit(&mut self, key: CreditKey, by: u32) {
         let credit = &mut self.credits[key];
         self.granted -= u64::from(by);
+        self.fleet.note_release();
         credit.count -= by;
         if credit.count == 0 {
             self.expiries.remove(&(credit.deadline, key));
--- a/crates/kingcupwinch-policy/src/cell/decide.rs
+++ b/crates/kingcupwinch-policy/src/cell/decide.rs
@@ -9,7 +9,7 @@
 use crate::class::Class;
 use crate::decision::{Decision, Placement};
 use crate::key::{MachineKey, TaskKey};
-use crate::machine::{Standing, WATCHES, Watch};
+use crate::machine::{Machine, Standing, WATCHES, Watch};
 use crate::place::{Request, place_backfill, place_batch, place_live, run_at};
 use crate::plan::Kind;
 use crate::refusal::Refusal;
@@ -21,8 +21,8 @@
 /// Tasks of a lane that are tried, so that one that fits nowhere blocks no other.
 const HEAD_TRIES: usize = 4;
 
-/// How long a task of a class under its least share leaves the headroom alone.
-const LEAST_PATIENCE: Span = Span::from_secs(5);
+/// How long a class that may wait for headroom alone stays stuck.
+const HEADROOM_WAKE: Span = Span::from_millis(200);
 /// The wait for a task to probe with.
 const PROBE_AGAIN: Span = Span::from_secs(1);
 
@@ -68,6 +68,10 @@
     }
 
     fn refresh_headroom(&mut self, now: Time) {
+        let capacity = *self.fleet.capacity();
+        for class in &mut self.classes {
+            class.note_share(&capacity, now);
+        }
         let urgent = self.classes.iter_mut().filter(|c| c.is_urgent());
         let rooms = urgent.map(|c| {
             let level = f64::from(c.running) + c.queue.len() as f64;
@@ -138,6 +142,9 @@
             }
         }
         self.set_stuck(class, tried.unwrap_or(Size::ZERO));
+        if self.headroom > 0 {
+            self.classes[class].wake_at(now + HEADROOM_WAKE);
+        }
     }
 
     /// Returns the lanes of a class with the least weighted share, in that order.
@@ -203,18 +210,16 @@
         self.class_of(task).allows(need, capacity) && customer.allows(need, count, capacity)
     }
 
-    /// Whether a task may take what is kept free for others: an urgent one, or one whose class has been
-    /// under its least share for long.
-    fn is_exempt(&self, task: &Task, now: Time) -> bool {
+    /// Whether a task may take what is kept free for others.
+    fn is_exempt(&self, task: &Task) -> bool {
         let class = self.class_of(task);
-        let starved = class.is_under_least(self.fleet.capacity());
-        class.is_urgent() || (starved && task.submitted + LEAST_PATIENCE <= now)
+        class.is_urgent() || class.is_starved()
     }
 
     /// Returns the most watched places that a task may take: what is there beyond the headroom, and
     /// beyond a pledge unless it is expected to end before the gang's start.
     pub(super) fn budget_of(&self, task: &Task, now: Time) -> [u64; WATCHES] {
-        if self.is_exempt(task, now) {
+        if self.is_exempt(task) {
             return [u64::MAX; WATCHES];
         }
         let end = now + self.class_of(task).estimates.high_run(task.spec.run);
@@ -322,7 +327,7 @@
                 continue;
             };
             let need = self.charge_of(&self.tasks[key]);
-            let idle = self.fleet.get(machine).map_or(Size::ZERO, |m| m.idle());
+            let idle = self.fleet.get(machine).map_or(Size::ZERO, Machine::idle);
             if need.fits(&idle) {
                 let place: Placement = self.begin_run(key, machine, now);
                 out.push(Decision::Start(place));
--- a/crates/kingcupwinch-policy/src/cell/machines.rs
+++ b/crates/kingcupwinch-policy/src/cell/machines.rs
@@ -145,7 +145,7 @@
         if let Some(Keep::Task(_)) = m.keep {
             self.ready.push(machine);
         } else if m.throttled > 0 {
-            self.relief.push(machine);
+            self.relief.insert(machine);
         }
     }
 }
--- a/crates/kingcupwinch-policy/src/cell/reclaim.rs
+++ b/crates/kingcupwinch-policy/src/cell/reclaim.rs
@@ -24,6 +24,8 @@
 const URGENT_CALM: Span = Span::from_millis(50);
 /// One machine in this many may have a claim of work that isn't urgent.
 const CLAIMED_PART: usize = 32;
+/// The time between two tries to give throttled tasks their share back.
+const RELIEF_EVERY: Span = Span::from_millis(100);
 /// The cost of a throttle.
 const THROTTLE_COST: f64 = 1.0;
 /// The cost of a checkpoint.
@@ -320,7 +322,11 @@
 
     /// Gives throttled tasks their whole share back where it is free again.
     pub(super) fn restore_shares(&mut self, now: Time, out: &mut Vec<Decision>) {
-        while let Some(machine) = self.relief.pop() {
+        if self.relief.is_empty() || self.relief_due > now {
+            return;
+        }
+        self.relief_due = now + RELIEF_EVERY;
+        for machine in std::mem::take(&mut self.relief) {
             let Some(m) = self.fleet.get(machine) else {
                 continue;
             };
@@ -328,6 +334,9 @@
             for key in running {
                 self.restore(key, now, out);
             }
+            if self.fleet.get(machine).is_some_and(|m| m.throttled > 0) {
+                self.relief.insert(machine);
+            }
         }
     }
 
--- a/crates/kingcupwinch-policy/src/cell/reserve.rs
+++ b/crates/kingcupwinch-policy/src/cell/reserve.rs
@@ -18,6 +18,8 @@
 use crate::machine::{Keep, Machine, Watch};
 use crate::size::Size;
 
+/// How long a gang waits for room to come by itself.
+const PATIENCE: Span = Span::from_secs(1);
 /// The shortest life of a reservation.
 const MIN_LIFE: Span = Span::from_secs(10);
 /// The first horizon that a plan looks ahead; it doubles up to the last.
@@ -56,7 +58,9 @@
     pub(super) fn reserve(&mut self, key: GangKey, need: &Size, spread: Spread, now: Time) {
         let rack = spread == Spread::OneRack;
         let pledged = self.reservations.iter().any(Reservation::is_pledge);
-        if self.reservations.len() >= MAX_RESERVATIONS || (pledged && !rack) {
+        let due = self.tasks[self.gangs[key].leader()].submitted + PATIENCE;
+        let full = self.reservations.len() >= MAX_RESERVATIONS || (pledged && !rack);
+        if full || now < due {
             return;
         }
         let count = u64::from(self.gangs[key].alive);
--- a/crates/kingcupwinch-policy/src/cell/submit.rs
+++ b/crates/kingcupwinch-policy/src/cell/submit.rs
@@ -188,9 +188,8 @@
             .ok_or(Refusal::UnknownCustomer)?;
         let capacity = self.fleet.capacity();
         let need = spec.size.times(u64::from(count));
-        let share = need.dominant_share(capacity);
-        let over = count > customer.spec.running || share > customer.spec.quota.fraction();
-        if over && !capacity.is_zero() {
+        let over = !capacity.is_zero() && !customer.spec.quota.allows(&need, capacity);
+        if over || count > customer.spec.running {
             return Err(Refusal::OverQuota);
         }
         Ok(())
--- a/crates/kingcupwinch-policy/src/class.rs
+++ b/crates/kingcupwinch-policy/src/class.rs
@@ -12,6 +12,17 @@
 use crate::retry::Budget;
 use crate::size::Size;
 
+/// The multiple of its least share up to which a class is served first, so that its mean over a
+/// minute isn't below the share.
+const LEAST_MARGIN: f64 = 1.1;
+/// The multiple of its least share below which a class's mean share gives it what is kept free for
+/// others.
+const STARVED_MARGIN: f64 = 1.05;
+/// The mean share of a class that doesn't wait.
+const FULL_SHARE: f64 = 1.0;
+/// The time constant of the mean share.
+const MEAN_TIME: Span = Span::from_secs(10);
+
 /// What is known of a queue of which nothing could be placed.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Stuck {
@@ -40,6 +51,10 @@
     pub(crate) stuck: Option<Stuck>,
     /// Before this time it takes nothing back from others.
     pub(crate) calm: Time,
+    /// The smoothed share while work waited.
+    mean_share: f64,
+    /// When the mean share was last brought up to date.
+    noted: Time,
     /// When its queue is tried again though nothing was released.
     pub(crate) wake: Option<Time>,
 }
@@ -60,6 +75,8 @@
             counters: ClassCounters::new(),
             stuck: None,
             calm: Time::ZERO,
+            mean_share: FULL_SHARE,
+            noted: now,
             wake: None,
         }
     }
@@ -100,14 +117,32 @@
         self.used.dominant_share(capacity)
     }
 
-    /// Whether it has less than its least share.
+    /// Whether it has less than its least share, or hardly more.
     pub(crate) fn is_under_least(&self, capacity: &Size) -> bool {
-        self.spec.least.0 > 0 && self.share(capacity) < self.spec.least.fraction()
+        let aim = self.spec.least.fraction() * LEAST_MARGIN;
+        self.spec.least.0 > 0 && self.share(capacity) < aim
+    }
+
+    /// Brings its mean share up to date; without work waiting it counts as served.
+    pub(crate) fn note_share(&mut self, capacity: &Size, now: Time) {
+        let passed = now.since(self.noted).as_secs_f64();
+        self.noted = now;
+        if self.queue.is_empty() {
+            self.mean_share = FULL_SHARE;
+            return;
+        }
+        let weight = (passed / MEAN_TIME.as_secs_f64()).min(1.0);
+        self.mean_share += weight * (self.share(capacity) - self.mean_share);
+    }
+
+    /// Whether its mean share while work waited is below its least share.
+    pub(crate) fn is_starved(&self) -> bool {
+        self.spec.least.0 > 0 && self.mean_share < self.spec.least.fraction() * STARVED_MARGIN
     }
 
     /// Whether `need` more stays within its most share.
     pub(crate) fn allows(&self, need: &Size, capacity: &Size) -> bool {
-        self.used.plus(need).dominant_share(capacity) <= self.spec.most.fraction()
+        self.spec.most.allows(&self.used.plus(need), capacity)
     }
 
     /// Returns the deadline of a task.
@@ -161,7 +196,7 @@
     /// Whether `need` more in `count` tasks stays within its quota.
     pub(crate) fn allows(&self, need: &Size, count: u32, capacity: &Size) -> bool {
         self.running.saturating_add(count) <= self.spec.running
-            && self.used.plus(need).dominant_share(capacity) <= self.spec.quota.fraction()
+            && self.spec.quota.allows(&self.used.plus(need), capacity)
     }
 
     /// Whether it has work running or waiting.
--- a/crates/kingcupwinch-policy/src/fleet.rs
+++ b/crates/kingcupwinch-policy/src/fleet.rs
@@ -122,6 +122,11 @@
         self.releases
     }
 
+    /// Counts a change by which work that found no room may now find some.
+    pub(crate) fn note_release(&mut self) {
+        self.releases += 1;
+    }
+
     /// Returns the number of machines in quarantine.
     pub(crate) fn confined(&self) -> usize {
         self.confined
@@ -330,7 +335,11 @@
     /// Changes a machine by `change` and brings the indexes up to date.
     pub(crate) fn update(&mut self, key: MachineKey, change: impl FnOnce(&mut Machine)) {
         if let Some(machine) = self.machines.get_mut(key) {
+            let before = machine.excess;
             change(machine);
+            if !before.fits(&machine.excess) {
+                self.releases += 1;
+            }
             self.reindex(key);
         }
     }
--- a/crates/kingcupwinch-policy/src/headroom.rs
+++ b/crates/kingcupwinch-policy/src/headroom.rs
@@ -70,6 +70,6 @@
     pub(crate) fn headroom(&self, running: u32) -> u64 {
         let deviation = self.variance.max(self.mean).sqrt();
         let level = self.mean + self.deviations * deviation;
-        (level.ceil() as u64).saturating_sub(u64::from(running))
+        (level.round() as u64).saturating_sub(u64::from(running))
     }
 }
--- a/crates/kingcupwinch-policy/src/health.rs
+++ b/crates/kingcupwinch-policy/src/health.rs
@@ -8,8 +8,8 @@
 const MIN_OUTCOMES: u32 = 6;
 /// The part of recent runs that must have failed for a quarantine.
 const FAIL_PART: f64 = 0.7;
-/// How many times the cell's own failure rate a machine's must be.
-const OVER_CELL: f64 = 3.0;
+/// The cell's own failure rate at which no machine is blamed.
+const MAX_CELL_RATE: f64 = 0.6;
 /// Successful probes in a row that end a quarantine.
 const PROBES: u32 = 3;
 /// The wait before the first probe.
@@ -71,7 +71,8 @@
             return false;
         }
         let part = f64::from(self.bits.count_ones()) / f64::from(self.count);
-        part >= FAIL_PART && part >= OVER_CELL * cell.rate
+        let midway = (1.0 + cell.rate) / 2.0;
+        cell.rate < MAX_CELL_RATE && part >= FAIL_PART.max(midway)
     }
 
     /// Begins a quarantine.
--- a/crates/kingcupwinch-policy/src/plan.rs
+++ b/crates/kingcupwinch-policy/src/plan.rs
@@ -20,6 +20,11 @@
     /// Nothing.
     pub const NONE: Permille = Permille(0);
 
+    /// Whether `used` of `total` stays within this lid; the whole is no lid.
+    pub(crate) fn allows(self, used: &Size, total: &Size) -> bool {
+        self >= Permille::ALL || used.dominant_share(total) <= self.fraction()
+    }
+
     pub(crate) fn fraction(self) -> f64 {
         f64::from(self.0) / 1000.0
     }
