--- a/crates/kingcupwinch-policy/examples/measure/driver.rs
+++ b/crates/kingcupwinch-policy/examples/measure/driver.rs
@@ -8,8 +8,8 @@
 use std::time::Instant;
 
 use kingcupwinch_policy::{
-    Cell, Decision, End, GangSpec, MachineKey, MachineSpec, Next, Outcome, Placement, Size,
-    TaskKey, TaskSpec,
+    Cell, Decision, Dimension, End, GangSpec, MachineKey, MachineSpec, Next, Outcome, Placement,
+    Size, TaskKey, TaskSpec,
 };
 use kingcupwinch_time::{Span, Time};
 use rand::seq::SliceRandom;
@@ -104,6 +104,8 @@
     marked: Time,
     /// Work done each second, against a machine of speed 1.
     pace: f64,
+    /// The part of its processor share that it gives back, in percent.
+    throttle: u8,
     version: u32,
 }
 
@@ -113,10 +115,22 @@
     arrived: Time,
     size: Size,
     left: Span,
+    /// Whether it stands for its arrival in the counts; of a gang, one task does.
+    counted: bool,
     started: bool,
     run: Option<Run>,
 }
 
+impl Job {
+    /// Returns what it truly uses now.
+    fn using(&self) -> Size {
+        let percent = self.run.as_ref().map_or(0, |r| u64::from(r.throttle));
+        let share = self.size.get(Dimension::Millicores);
+        self.size
+            .with(Dimension::Millicores, share - share * percent / 100)
+    }
+}
+
 struct Machine {
     key: MachineKey,
     speed: f64,
@@ -373,13 +387,14 @@
                 Ok(ticket) => ticket
                     .tasks
                     .into_iter()
-                    .for_each(|t| self.know(t, stream, left)),
+                    .enumerate()
+                    .for_each(|(i, t)| self.know(t, stream, left, i == 0)),
                 Err(_) => self.meter.refused(stream, self.now),
             }
             return;
         }
         match self.scheduler.submit(spec, self.now) {
-            Ok(key) => self.know(key, stream, left),
+            Ok(key) => self.know(key, stream, left, true),
             Err(_) => self.meter.refused(stream, self.now),
         }
     }
@@ -402,13 +417,14 @@
         (spec, left)
     }
 
-    fn know(&mut self, key: TaskKey, stream: usize, left: Span) {
+    fn know(&mut self, key: TaskKey, stream: usize, left: Span, counted: bool) {
         self.job_of.insert(key, self.jobs.len());
         self.jobs.push(Job {
             stream,
             arrived: self.now,
             size: self.scenario.site.streams[stream].size,
             left,
+            counted,
             started: false,
             run: None,
         });
@@ -420,12 +436,14 @@
             Decision::StartGang { places, .. } => places.into_iter().for_each(|p| self.start(p)),
             Decision::Throttle { target, percent } => self.throttle(target, percent),
             Decision::Checkpoint(place) => {
-                self.interrupt(place, CHECKPOINT_TIME, Outcome::Checkpointed)
+                self.interrupt(place, CHECKPOINT_TIME, Outcome::Checkpointed);
             }
             Decision::Stop(place) => self.interrupt(place, STOP_TIME, Outcome::Stopped),
             Decision::GiveUp { task, .. } => {
                 let job = &self.jobs[self.job_of[task]];
-                self.meter.gave_up(job.stream, job.arrived);
+                if job.counted {
+                    self.meter.refused(job.stream, job.arrived);
+                }
             }
         }
     }
@@ -439,15 +457,18 @@
         assert!(task.run.is_none(), "a task runs in two places");
         machine.used = machine.used.plus(&task.size);
         let over = machine.used.exceeds(&machine.capacity).is_some();
-        self.meter.ran(task.stream, &task.size, over, self.now);
+        self.meter.ran(task.stream, &task.size, self.now);
+        self.meter.began(over);
         if !std::mem::replace(&mut task.started, true) {
-            self.meter.started(task.stream, task.arrived, self.now);
+            self.meter
+                .started(task.stream, task.arrived, task.counted, self.now);
         }
         task.run = Some(Run {
             place,
             since: self.now,
             marked: self.now,
             pace: speed,
+            throttle: 0,
             version: self.version,
         });
         if fails {
@@ -485,10 +506,18 @@
         self.version += 1;
         let version = self.version;
         let pace = self.machines[machine].speed * f64::from(100 - percent) / 100.0;
+        let before = self.jobs[job].using();
         if let Some(run) = &mut self.jobs[job].run {
             run.pace = pace;
+            run.throttle = percent;
             run.version = version;
         }
+        let after = self.jobs[job].using();
+        let used = &mut self.machines[machine].used;
+        *used = used.minus(&before).plus(&after);
+        let stream = self.jobs[job].stream;
+        self.meter.stopped_using(stream, &before, self.now);
+        self.meter.ran(stream, &after, self.now);
         let time = span_at(self.jobs[job].left, pace);
         self.plan_end(job, time, Outcome::Done);
         if percent > 0 {
@@ -520,8 +549,8 @@
         if machine.gone && outcome != Outcome::Lost {
             return;
         }
-        machine.used = machine.used.minus(&self.jobs[job].size);
-        let over = machine.used.exceeds(&machine.capacity).is_some();
+        let using = self.jobs[job].using();
+        machine.used = machine.used.minus(&using);
         let whole = self.jobs[job].left;
         if outcome == Outcome::Checkpointed {
             self.mark(job);
@@ -534,14 +563,18 @@
             task.left = whole;
         }
         let kept = outcome == Outcome::Done || outcome == Outcome::Checkpointed;
-        self.meter
-            .ran_until(task.stream, &task.size, (run.since, over), kept, self.now);
+        if outcome != Outcome::Lost {
+            self.meter.stopped_using(task.stream, &using, self.now);
+        }
+        if !kept && outcome != Outcome::Lost {
+            self.meter.lost(&using, run.since, self.now);
+        }
         let end = End::new(outcome, self.now - run.since).with_peak(task.size);
         let next = self.scheduler.ended(place, end, self.now);
         if outcome == Outcome::Done {
             self.meter.done(task.stream, task.arrived);
-        } else if matches!(next, Next::GaveUp(_) | Next::Left) {
-            self.meter.gave_up(task.stream, task.arrived);
+        } else if task.counted && next != Next::Requeued {
+            self.meter.refused(task.stream, task.arrived);
         }
     }
 
@@ -559,9 +592,14 @@
             let Some(run) = &self.jobs[job].run else {
                 continue;
             };
-            if self.machines[self.machine_of[run.place.machine]].gone {
-                self.plan_end(job, LEASE, Outcome::Lost);
+            if !self.machines[self.machine_of[run.place.machine]].gone {
+                continue;
             }
+            let (using, since) = (self.jobs[job].using(), run.since);
+            self.meter
+                .stopped_using(self.jobs[job].stream, &using, self.now);
+            self.meter.lost(&using, since, self.now);
+            self.plan_end(job, LEASE, Outcome::Lost);
         }
     }
 
@@ -569,7 +607,7 @@
         for _ in 0..WAVE {
             let (spec, left) = self.describe(1);
             if let Ok(key) = self.scheduler.submit(spec, self.now) {
-                self.know(key, 1, left);
+                self.know(key, 1, left, false);
                 self.wave.push(key);
             }
         }
