--- a/crates/kingcupwinch-daemon/src/actors/config.rs
+++ b/crates/kingcupwinch-daemon/src/actors/config.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::error::Infallible;
 use kameo::message::{Context, Message};
+use kameo::{Actor, Reply};
 use kingcupwinch_config::Tree;
 use kingcupwinch_coord::history::{Applied, Entry, History, Limits};
 use kingcupwinch_coord::id::{Offset, RecordId, Version};
@@ -39,6 +39,10 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Since(pub(crate) Version);
 
+/// Versions in order.
+#[derive(Debug, Reply)]
+pub(crate) struct Entries(pub(crate) Vec<Arc<Entry>>);
+
 /// Versions relayed by a sibling, in order.
 #[derive(Debug)]
 pub(crate) struct Relayed(pub(crate) Vec<Arc<Entry>>);
@@ -154,6 +158,7 @@
     type Reply = NextOffset;
 
     async fn handle(&mut self, read: PageRead, ctx: &mut Context<Self, NextOffset>) -> NextOffset {
+        self.args.shared.note_log(true);
         self.apply_page(&read);
         self.copy_if_due(ctx.actor_ref());
         NextOffset(self.history.next())
@@ -163,7 +168,9 @@
 impl Message<ReadFailed> for Config {
     type Reply = ();
 
-    async fn handle(&mut self, _failed: ReadFailed, _ctx: &mut Context<Self, ()>) {}
+    async fn handle(&mut self, _failed: ReadFailed, _ctx: &mut Context<Self, ()>) {
+        self.args.shared.note_log(false);
+    }
 }
 
 impl Message<Copied> for Config {
@@ -175,14 +182,10 @@
 }
 
 impl Message<Since> for Config {
-    type Reply = Vec<Arc<Entry>>;
-
-    async fn handle(
-        &mut self,
-        since: Since,
-        _ctx: &mut Context<Self, Vec<Arc<Entry>>>,
-    ) -> Vec<Arc<Entry>> {
-        self.history.since(since.0)
+    type Reply = Entries;
+
+    async fn handle(&mut self, since: Since, _ctx: &mut Context<Self, Entries>) -> Entries {
+        Entries(self.history.since(since.0))
     }
 }
 
--- a/crates/kingcupwinch-daemon/src/actors/ownership.rs
+++ b/crates/kingcupwinch-daemon/src/actors/ownership.rs
@@ -18,6 +18,7 @@
 use tokio::time::Instant;
 
 use super::alarm::{Alarm, Tick};
+use super::keys::{GainHome, KeyMemory, LoseHome};
 use super::reader::{NextOffset, PageRead, ReadFailed};
 use super::scheduler::{Gained, Lost, PermitsChanged, Renewed, Scheduler};
 use crate::logging::EventId;
@@ -37,6 +38,8 @@
     pub(crate) shards: u16,
     /// The actor that dispatches.
     pub(crate) scheduler: ActorRef<Scheduler>,
+    /// The memories of the at-most-once rule.
+    pub(crate) keys: ActorRef<KeyMemory>,
     /// Turns true when this incarnation has left the group.
     pub(crate) stopped: watch::Sender<bool>,
     /// Sends to siblings.
@@ -124,6 +127,8 @@
             Action::Gained(owned) => {
                 let fields = o!("shard" => owned.shard.0, "term" => owned.term.0);
                 self.args.shared.log.write(EventId::ShardGained, fields);
+                // A memory that is gone decides no keys.
+                let _ = self.args.keys.tell(GainHome(owned)).await;
                 self.tell_scheduler(Gained(owned)).await;
             }
             Action::Renewed { shard, term } => self.tell_scheduler(Renewed { shard, term }).await,
@@ -135,6 +140,7 @@
                 let why = format!("{reason:?}");
                 let fields = o!("shard" => shard.0, "term" => term.0, "why" => why);
                 self.args.shared.log.write(EventId::ShardLost, fields);
+                let _ = self.args.keys.tell(LoseHome(shard)).await;
                 self.tell_scheduler(Lost { shard }).await;
             }
             Action::Note(note) => {
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/live.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/live.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 
 use kameo::message::{Context, Message};
+use kingcupwinch_coord::id::Incarnation;
+use kingcupwinch_coord::record::Member;
 use kingcupwinch_policy::{End, Next, NotStarted, Outcome, Placement, Refusal, TaskKey, TaskSpec};
 use kingcupwinch_time::{Span, Time};
 use tokio::sync::mpsc;
@@ -13,11 +15,16 @@
 use crate::plan::typical_size;
 use crate::world::Worker;
 
+/// When a sibling may forward again after its grant has expired.
+const NO_CREDIT_RETRY: Span = Span::from_millis(50);
+
 /// What the scheduler says to a waiting live request; it may say several things in turn.
 #[derive(Debug)]
 pub(crate) enum Verdict {
     /// Run it now, and report the outcome.
     Start(LiveStart),
+    /// Forward it to this sibling, which has granted demand for it; it is no longer waiting here.
+    Forward(Arc<Member>),
     /// It did not run and never will.
     GiveUp(Refusal),
 }
@@ -31,6 +38,17 @@
     pub(crate) worker: Arc<Worker>,
 }
 
+/// Where a request may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Reach {
+    /// On this instance's workers or on those of any sibling that grants demand.
+    Domain,
+    /// On this instance's workers only.
+    Own,
+    /// On this instance's workers only, under the demand granted to this sibling.
+    Granted(Incarnation),
+}
+
 /// A live request that wants to run.
 #[derive(Debug)]
 pub(crate) struct Submit {
@@ -46,6 +64,8 @@
     pub(crate) deadline: Option<Time>,
     /// Whether it may run more than once.
     pub(crate) idempotent: bool,
+    /// Where it may run.
+    pub(crate) reach: Reach,
     /// Hears what becomes of it.
     pub(crate) verdicts: mpsc::UnboundedSender<Verdict>,
 }
@@ -90,9 +110,23 @@
 pub(super) struct LiveEntry {
     /// Its id.
     pub(super) id: Uuid,
-    class: Arc<str>,
-    arrived: Time,
-    verdicts: mpsc::UnboundedSender<Verdict>,
+    /// Its class.
+    pub(super) class: Arc<str>,
+    /// When it arrived.
+    pub(super) arrived: Time,
+    /// When its answer is of no more use.
+    pub(super) deadline: Option<Time>,
+    /// Hears what becomes of it.
+    pub(super) verdicts: mpsc::UnboundedSender<Verdict>,
+    reach: Reach,
+    started: bool,
+}
+
+impl LiveEntry {
+    /// Returns whether it waits and may run at a sibling.
+    pub(super) fn is_lendable(&self) -> bool {
+        !self.started && self.reach == Reach::Domain
+    }
 }
 
 impl Scheduler {
@@ -118,25 +152,49 @@
         if let Some(deadline) = submit.deadline {
             spec = spec.with_deadline(deadline);
         }
-        let task = self.cell.submit(spec, now)?;
+        let task = self.submit_spec(&submit, spec, now)?;
         let entry = LiveEntry {
             id: submit.id,
             class: submit.class,
             arrived: submit.arrived,
+            deadline: submit.deadline,
             verdicts: submit.verdicts,
+            reach: submit.reach,
+            started: false,
         };
         self.live.insert(task, entry);
         Ok(task)
     }
 
+    fn submit_spec(
+        &mut self,
+        submit: &Submit,
+        spec: TaskSpec,
+        now: Time,
+    ) -> Result<TaskKey, Refusal> {
+        let Reach::Granted(from) = submit.reach else {
+            return self.cell.submit(spec, now);
+        };
+        match self.demand.take_credit(from, &submit.class, now) {
+            Some(credit) => self.cell.spend(credit, spec, now),
+            None => Err(Refusal::QueueFull(NO_CREDIT_RETRY)),
+        }
+    }
+
+    /// Forgets a request that is no longer in the cell.
+    pub(super) fn remove_live(&mut self, task: TaskKey) -> Option<LiveEntry> {
+        self.live.remove(&task)
+    }
+
     /// Tells the request's handler to run it; one whose handler is gone is withdrawn.
     pub(super) fn start_live(&mut self, place: Placement, now: Time) {
         let name = self.machines.get(&place.machine);
         let seat = name.and_then(|name| self.seats.get(name));
-        let entry = self.live.get(&place.task);
+        let entry = self.live.get_mut(&place.task);
         let (Some(seat), Some(entry)) = (seat, entry) else {
             return self.withdraw(place, now);
         };
+        entry.started = true;
         let worker = Arc::clone(&seat.worker);
         let label = ClassLabel {
             class: Arc::clone(&entry.class),
@@ -196,6 +254,8 @@
         });
         if next != Next::Requeued {
             self.live.remove(&place.task);
+        } else if let Some(entry) = self.live.get_mut(&place.task) {
+            entry.started = false;
         }
         next
     }
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/mod.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/mod.rs
@@ -1,5 +1,6 @@
 //! Drives the policy: what waits, which workers there are, and what starts where.
 
+mod demand;
 mod fleet;
 mod inspect;
 mod live;
@@ -17,13 +18,15 @@
 use kingcupwinch_wire::roster::Instance;
 use rustc_hash::{FxHashMap, FxHashSet};
 
+pub(crate) use demand::{Connect, SiblingGrant, SiblingQueued};
 pub(crate) use fleet::{Gained, Listed, Lost, PermitsChanged, Renewed, Reported};
 pub(crate) use inspect::Inspect;
-pub(crate) use live::{Cancel, LiveStart, RunEnd, RunReport, Submit, Verdict};
+pub(crate) use live::{Cancel, LiveStart, Reach, RunEnd, RunReport, Submit, Verdict};
 
 use super::alarm::{Alarm, Tick};
 use crate::plan::make_plan;
 use crate::shared::Shared;
+use demand::Demand;
 use fleet::Holding;
 use live::LiveEntry;
 use seat::Seat;
@@ -53,6 +56,7 @@
     seats: FxHashMap<Arc<str>, Seat>,
     machines: FxHashMap<MachineKey, Arc<str>>,
     live: FxHashMap<TaskKey, LiveEntry>,
+    demand: Demand,
 }
 
 impl Actor for Scheduler {
@@ -72,6 +76,7 @@
             seats: FxHashMap::default(),
             machines: FxHashMap::default(),
             live: FxHashMap::default(),
+            demand: Demand::default(),
         };
         scheduler.cell.set_elsewhere(None);
         scheduler.replan();
@@ -110,7 +115,12 @@
         }
         self.decisions = decisions;
         self.publish_counts();
-        let next = self.cell.next_deadline();
+        self.offer(now);
+        let look = self.announce(now);
+        let next = [self.cell.next_deadline(), look]
+            .into_iter()
+            .flatten()
+            .min();
         self.alarm.set(next, now, &self.me);
     }
 
--- a/crates/kingcupwinch-daemon/src/daemon.rs
+++ b/crates/kingcupwinch-daemon/src/daemon.rs
@@ -6,10 +6,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 
 use arc_swap::ArcSwap;
 use kameo::actor::{ActorRef, Spawn};
 use kingcupwinch_coord::id::{Incarnation, Version};
+use kingcupwinch_link::{Inbox, LinkError, Links};
 use kingcupwinch_platform::LogClient;
 use kingcupwinch_time::{Clock, SuspendClock};
 use quick_error::quick_error;
@@ -20,16 +22,20 @@
 use uuid::Uuid;
 
 use crate::actors::config::{Config, ConfigArgs};
+use crate::actors::keys::{KeyMemory, KeysArgs};
 use crate::actors::scheduler::{Scheduler, SchedulerArgs};
+use crate::keys::KeyService;
 use crate::live::LiveService;
 use crate::logging::{EventId, EventLog};
 use crate::metrics::Metrics;
 use crate::server::callers::Callers;
+use crate::server::forward::Forwards;
 use crate::server::listener::Listener;
 use crate::server::operators::Operators;
 use crate::settings::Settings;
 use crate::shared::{InForce, Lifecycle, OwnershipView, Shared};
-use boot::Boot;
+use crate::siblings::Siblings;
+use boot::{Boot, Booted};
 
 pub use stop::StopEnd;
 
@@ -42,6 +48,11 @@
             display("can't listen for {port} at {address}: {err}; choose another address in [listen]")
             source(err)
         }
+        /// The port for sibling links could not be bound.
+        Link(address: SocketAddr, err: LinkError) {
+            display("can't take sibling links at {address}: {err}; choose another address in [listen]")
+            source(err)
+        }
     }
 }
 
@@ -50,6 +61,10 @@
 pub struct Addresses {
     /// Callers' requests.
     pub callers: SocketAddr,
+    /// Requests that siblings forward.
+    pub forward: SocketAddr,
+    /// Sibling links.
+    pub link: SocketAddr,
     /// Operators' requests and metrics.
     pub operators: SocketAddr,
 }
@@ -87,23 +102,26 @@
     /// Returns [`StartError`] if a port can't be bound.
     pub async fn start(self) -> Result<Running, StartError> {
         let listen = self.settings.listen;
-        let callers = self.bind("callers", listen.callers).await?;
-        let operators = self.bind("operators", listen.operators).await?;
-        let addresses = Addresses {
-            callers: callers.address(),
-            operators: operators.address(),
+        let ports = Ports {
+            callers: self.bind("callers", listen.callers).await?,
+            forward: self.bind("forwarded requests", listen.forward).await?,
+            operators: self.bind("operators", listen.operators).await?,
         };
+        let incarnation = Incarnation(Uuid::now_v7());
+        let links = Links::start(listen.link, incarnation).await;
+        let (links, inbox) = links.map_err(|err| StartError::Link(listen.link, err))?;
         let shared = Arc::new(Shared {
-            incarnation: Incarnation(Uuid::now_v7()),
+            incarnation,
             clock: self.clock,
             log: self.log,
             metrics: Metrics::new(),
             config: ArcSwap::from_pointee(InForce::default()),
             ownership: ArcSwap::from_pointee(OwnershipView::default()),
             lifecycle: Lifecycle::new(),
+            log_lost: AtomicBool::new(false),
             settings: self.settings,
         });
-        Ok(Running::launch(shared, addresses, callers, operators))
+        Ok(Running::launch(shared, ports, links, inbox))
     }
 
     async fn bind(&self, port: &'static str, address: SocketAddr) -> Result<Listener, StartError> {
@@ -112,62 +130,84 @@
     }
 }
 
+/// The bound ports.
+struct Ports {
+    callers: Listener,
+    forward: Listener,
+    operators: Listener,
+}
+
+impl Ports {
+    fn addresses(&self, links: &Links) -> Addresses {
+        Addresses {
+            callers: self.callers.address(),
+            forward: self.forward.address(),
+            link: links.address(),
+            operators: self.operators.address(),
+        }
+    }
+}
+
 /// A daemon that runs.
 pub struct Running {
     shared: Arc<Shared>,
     addresses: Addresses,
     scheduler: ActorRef<Scheduler>,
     close: watch::Sender<bool>,
-    boot: watch::Receiver<Option<boot::Booted>>,
+    boot: watch::Receiver<Option<Booted>>,
     servers: Vec<JoinHandle<()>>,
     helpers: Vec<JoinHandle<()>>,
 }
 
 impl Running {
-    fn launch(
-        shared: Arc<Shared>,
-        addresses: Addresses,
-        callers: Listener,
-        operators: Listener,
-    ) -> Self {
+    fn launch(shared: Arc<Shared>, ports: Ports, links: Links, inbox: Inbox) -> Self {
+        let addresses = ports.addresses(&links);
         let settings = &shared.settings;
         let seed = settings
             .instance
             .seed
             .unwrap_or_else(|| rand::rng().random());
         let log = LogClient::new(settings.platform.log);
+        let siblings = Arc::new(Siblings::new(links));
         let (versions, version) = watch::channel(Version(0));
         let args = SchedulerArgs {
             shared: Arc::clone(&shared),
             seed,
         };
         let scheduler = Scheduler::spawn(args);
+        let memory = KeyMemory::spawn(KeysArgs {
+            shared: Arc::clone(&shared),
+        });
+        let keys = KeyService::new(Arc::clone(&shared), memory.clone(), Arc::clone(&siblings));
         let args = ConfigArgs {
             shared: Arc::clone(&shared),
             log: log.clone(),
             versions,
         };
         let config = Config::spawn(args);
+        let live = LiveService::new(
+            Arc::clone(&shared),
+            scheduler.clone(),
+            Arc::clone(&siblings),
+            keys.clone(),
+        );
         let (booted, boot) = watch::channel(None);
         let starter = Boot {
             shared: Arc::clone(&shared),
+            addresses,
             log,
             config,
             scheduler: scheduler.clone(),
+            memory,
+            keys,
+            siblings,
             version,
             booted,
         };
-        let helpers = starter.spawn();
+        let helpers = starter.spawn(inbox);
         let (close, closed) = watch::channel(false);
-        let live = LiveService::new(Arc::clone(&shared), scheduler.clone());
-        let handler = Arc::new(Callers::new(Arc::clone(&shared), live));
-        let callers = tokio::spawn(callers.serve(handler, closed.clone()));
-        let handler = Arc::new(Operators::new(Arc::clone(&shared), scheduler.clone()));
-        let operators = tokio::spawn(operators.serve(handler, closed));
-        let fields = o!("callers" => addresses.callers.to_string(),
-            "operators" => addresses.operators.to_string());
-        shared.log.write(EventId::Started, fields);
-        let servers = vec![callers, operators];
+        let servers = serve(&shared, ports, &live, &scheduler, &closed);
+        note_start(&shared, addresses);
         Running {
             shared,
             addresses,
@@ -192,3 +232,28 @@
         }
     }
 }
+
+fn serve(
+    shared: &Arc<Shared>,
+    ports: Ports,
+    live: &LiveService,
+    scheduler: &ActorRef<Scheduler>,
+    closed: &watch::Receiver<bool>,
+) -> Vec<JoinHandle<()>> {
+    let callers = Arc::new(Callers::new(Arc::clone(shared), live.clone()));
+    let forwards = Arc::new(Forwards::new(Arc::clone(shared), live.clone()));
+    let operators = Arc::new(Operators::new(Arc::clone(shared), scheduler.clone()));
+    vec![
+        tokio::spawn(ports.callers.serve(callers, closed.clone())),
+        tokio::spawn(ports.forward.serve(forwards, closed.clone())),
+        tokio::spawn(ports.operators.serve(operators, closed.clone())),
+    ]
+}
+
+fn note_start(shared: &Shared, addresses: Addresses) {
+    let fields = o!(
+        "callers" => addresses.callers.to_string(),
+        "operators" => addresses.operators.to_string(),
+    );
+    shared.log.write(EventId::Started, fields);
+}
--- a/crates/kingcupwinch-daemon/src/daemon/boot.rs
+++ b/crates/kingcupwinch-daemon/src/daemon/boot.rs
@@ -3,21 +3,26 @@
 use std::sync::Arc;
 
 use kameo::actor::{ActorRef, Spawn};
-use kingcupwinch_coord::id::{Incarnation, Offset, Version};
-use kingcupwinch_coord::ownership::{Coordinator, Timers, message};
+use kingcupwinch_coord::id::{Offset, Version};
+use kingcupwinch_coord::ownership::{Coordinator, Timers};
 use kingcupwinch_coord::record::Member;
+use kingcupwinch_link::Inbox;
 use kingcupwinch_platform::{LogClient, RosterClient};
 use kingcupwinch_time::Span;
 use rand::Rng;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use super::Addresses;
 use crate::actors::config::{self, Config};
-use crate::actors::ownership::{Ownership, OwnershipArgs, SendToSibling};
+use crate::actors::keys::KeyMemory;
+use crate::actors::ownership::{Outbox, Ownership, OwnershipArgs};
 use crate::actors::reader::Reader;
 use crate::actors::roster::RosterPoll;
-use crate::actors::scheduler::{Replan, Scheduler};
+use crate::actors::scheduler::{Connect, Replan, Scheduler};
+use crate::keys::KeyService;
 use crate::shared::Shared;
+use crate::siblings::{Router, Siblings, follow_siblings};
 
 /// How long a read of the configuration stream waits.
 const CONFIG_WAIT: Span = Span::from_secs(2);
@@ -38,12 +43,20 @@
 pub(super) struct Boot {
     /// What every part shares.
     pub(super) shared: Arc<Shared>,
+    /// Where the daemon listens.
+    pub(super) addresses: Addresses,
     /// The log service.
     pub(super) log: LogClient,
     /// Follows the configuration.
     pub(super) config: ActorRef<Config>,
     /// Dispatches.
     pub(super) scheduler: ActorRef<Scheduler>,
+    /// The memories of the at-most-once rule.
+    pub(super) memory: ActorRef<KeyMemory>,
+    /// Decides keys.
+    pub(super) keys: KeyService,
+    /// The other instances of the failure domain.
+    pub(super) siblings: Arc<Siblings>,
     /// The version in force.
     pub(super) version: watch::Receiver<Version>,
     /// Hears of the ownership actor.
@@ -52,11 +65,11 @@
 
 impl Boot {
     /// Starts the tasks that run as long as the daemon.
-    pub(super) fn spawn(self) -> Vec<JoinHandle<()>> {
+    pub(super) fn spawn(self, inbox: Inbox) -> Vec<JoinHandle<()>> {
         let reader = self.reader(config::STREAM.into(), CONFIG_WAIT);
         let config = self.config.clone();
         let reader = tokio::spawn(reader.run(config, Offset(0)));
-        let boot = tokio::spawn(self.run());
+        let boot = tokio::spawn(self.run(inbox));
         vec![reader, boot]
     }
 
@@ -70,7 +83,7 @@
         }
     }
 
-    async fn run(mut self) {
+    async fn run(mut self, inbox: Inbox) {
         let shards = self.wait_for_domain().await;
         let Some(shards) = shards else { return };
         let (stopped, left) = watch::channel(false);
@@ -86,10 +99,26 @@
             ownership: ownership.clone(),
             left,
         }));
+        // A scheduler that is gone lends and borrows nothing.
+        let _ = self
+            .scheduler
+            .tell(Connect(Arc::clone(&self.siblings)))
+            .await;
+        let router = Router {
+            shared: Arc::clone(&self.shared),
+            ownership: ownership.clone(),
+            scheduler: self.scheduler.clone(),
+            config: self.config.clone(),
+            keys: self.keys.clone(),
+        };
+        let shared = Arc::clone(&self.shared);
+        let relay = follow_siblings(shared, Arc::clone(&self.siblings), self.config.clone());
         tokio::join!(
             reader.run(ownership, Offset(0)),
             poll.run(),
-            self.follow_versions()
+            router.run(inbox),
+            relay,
+            self.follow_versions(),
         );
     }
 
@@ -124,8 +153,8 @@
         let member = Member {
             incarnation: self.shared.incarnation,
             instance: Arc::clone(&settings.instance.name),
-            link: settings.listen.link.to_string().into(),
-            forward: settings.listen.forward.to_string().into(),
+            link: self.addresses.link.to_string().into(),
+            forward: self.addresses.forward.to_string().into(),
             weight: settings.instance.weight,
         };
         let seed = settings
@@ -141,16 +170,8 @@
             shards,
             scheduler: self.scheduler.clone(),
             stopped,
-            outbox: Arc::new(NoSiblings),
+            outbox: Arc::clone(&self.siblings) as Outbox,
+            keys: self.memory.clone(),
         }
     }
 }
-
-/// The way to siblings of an instance that has none.
-struct NoSiblings;
-
-impl SendToSibling for NoSiblings {
-    fn send(&self, _to: Incarnation, _body: message::Message) {}
-
-    fn set_members(&self, _members: &[Arc<Member>]) {}
-}
--- a/crates/kingcupwinch-daemon/src/lib.rs
+++ b/crates/kingcupwinch-daemon/src/lib.rs
@@ -22,10 +22,12 @@
 
 mod actors;
 mod daemon;
+mod keys;
 mod live;
 mod plan;
 mod server;
 mod shared;
+mod siblings;
 mod world;
 
 pub use daemon::{Addresses, Daemon, Running, StartError, StopEnd};
--- a/crates/kingcupwinch-daemon/src/live/admit.rs
+++ b/crates/kingcupwinch-daemon/src/live/admit.rs
@@ -10,7 +10,7 @@
 use uuid::Uuid;
 
 use crate::server::body::Held;
-use crate::server::headers::{Wanted, strip};
+use crate::server::headers::{Hop, Key, Wanted, strip};
 use crate::server::problem::{not_run, try_later};
 use crate::shared::InForce;
 
@@ -30,6 +30,10 @@
     pub(crate) customer: Arc<str>,
     /// Whether it may run more than once.
     pub(crate) idempotent: bool,
+    /// The caller's key; there is one where it may run only once.
+    pub(crate) key: Option<Key>,
+    /// Where it was forwarded from, none if a caller sent it here.
+    pub(crate) hop: Option<Hop>,
     /// When it arrived.
     pub(crate) arrived: Time,
     /// When its answer is of no more use.
@@ -49,6 +53,7 @@
     class: Arc<str>,
     customer: Arc<str>,
     idempotent: bool,
+    key: Option<Key>,
     deadline: Option<Time>,
     arrived: Time,
 }
@@ -85,6 +90,7 @@
             class,
             customer,
             idempotent,
+            key: wanted.key,
             deadline,
             arrived,
         })
@@ -100,6 +106,8 @@
             class: self.class,
             customer: self.customer,
             idempotent: self.idempotent,
+            key: self.key,
+            hop: None,
             arrived: self.arrived,
             deadline: self.deadline,
             method: parts.method,
@@ -108,6 +116,18 @@
         }
     }
 
+    /// Joins the checked head to the rest of a request that a sibling forwarded.
+    pub(crate) fn admit_forwarded(self, parts: Parts, body: Held, hop: Hop) -> LiveRequest {
+        let arrived = self.arrived - hop.waited;
+        let request = self.admit(parts, body);
+        LiveRequest {
+            id: hop.request,
+            arrived,
+            hop: Some(hop),
+            ..request
+        }
+    }
+
     /// Returns the class, for metrics.
     pub(crate) fn class(&self) -> &Arc<str> {
         &self.class
--- a/crates/kingcupwinch-daemon/src/live/dispatch.rs
+++ b/crates/kingcupwinch-daemon/src/live/dispatch.rs
@@ -7,7 +7,7 @@
 use kingcupwinch_coord::id::{Attempt, TaskId};
 use kingcupwinch_platform::{AnswerBody, Stamp, WorkerError};
 use kingcupwinch_policy::NotStarted;
-use kingcupwinch_time::{Span, Time};
+use kingcupwinch_time::Span;
 use kingcupwinch_wire::worker::Refusal;
 use tokio::time::Instant;
 
@@ -76,8 +76,3 @@
         WorkerError::Unknown(_) => None,
     }
 }
-
-/// Returns how long ago a run began.
-pub(super) fn ran_since(shared: &Shared, began: Time) -> Span {
-    shared.now().since(began)
-}
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/live/keyed.rs
@@ -0,0 +1,117 @@
+//! Requests that may run only once: leave from the key's home, and remembered answers.
+
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
+use hyper::{Response, StatusCode};
+use kingcupwinch_coord::dedupe::RequestKey;
+use kingcupwinch_time::Span;
+use kingcupwinch_wire::api::ProblemOutcome;
+use kingcupwinch_wire::sibling::{KeyAnswer, KeyOutcome};
+
+use super::LiveRequest;
+use super::flow::{Answer, LiveService};
+use super::refuse::DEFAULT_RETRY;
+use crate::keys::{KeyHome, KeyRun, fingerprint};
+use crate::server::body::{Held, full};
+use crate::server::headers::Key;
+use crate::server::problem::{not_run, try_later, unknown};
+
+/// Set on an answer that was remembered from an earlier request with the same key.
+const REPLAYED: HeaderName = HeaderName::from_static("idempotency-replayed");
+
+/// How long a key's request may take where it has no deadline.
+const MAX_RUN: Span = Span::from_secs(3_600);
+
+/// When a caller may ask again for a key whose request runs.
+const RUNNING_RETRY: Span = Span::from_millis(500);
+
+impl LiveService {
+    /// Gets leave to run a request that may run only once; none where it may run more often, or
+    /// where the forwarding sibling holds the leave.
+    pub(super) async fn take_leave(&self, request: &LiveRequest) -> Result<Option<KeyRun>, Answer> {
+        let Some(key) = request
+            .key
+            .filter(|_| !request.idempotent && request.hop.is_none())
+        else {
+            return Ok(None);
+        };
+        match self.keys.home_of(RequestKey(key.id)) {
+            Some(KeyHome::Here(home)) => {
+                let answer = self.begin_key(home, key, request).await;
+                self.take_answer(key, answer).await.map(Some)
+            }
+            Some(KeyHome::Elsewhere(domain)) => {
+                let detail = format!("the key is decided in failure domain {domain}");
+                Err(Answer::Problem(try_later(
+                    "key-elsewhere",
+                    detail,
+                    DEFAULT_RETRY,
+                )))
+            }
+            None => {
+                let detail = "this instance's failure domain is not configured";
+                Err(Answer::Problem(try_later(
+                    "no-configuration",
+                    detail,
+                    DEFAULT_RETRY,
+                )))
+            }
+        }
+    }
+
+    async fn begin_key(
+        &self,
+        home: kingcupwinch_coord::id::ShardId,
+        key: Key,
+        request: &LiveRequest,
+    ) -> KeyAnswer {
+        let body = match &request.body {
+            Held::Whole(body) => Some(body),
+            Held::Partial { .. } | Held::Spent => None,
+        };
+        let print = fingerprint(&request.service, &request.class, body);
+        let now = self.shared.now();
+        let left = request
+            .deadline
+            .map_or(MAX_RUN, |deadline| deadline.since(now));
+        self.keys.begin(home, key, print, left).await
+    }
+
+    async fn take_answer(&self, key: Key, answer: KeyAnswer) -> Result<KeyRun, Answer> {
+        let problem = match answer {
+            KeyAnswer::Run(permit) => match KeyRun::take(&self.keys, key, permit).await {
+                Some(run) => return Ok(run),
+                None => unknown("key-fenced", "a request with this key may have run"),
+            },
+            KeyAnswer::Ended(outcome) => return Err(replay(&outcome)),
+            KeyAnswer::Running => {
+                let detail = "a request with this key runs; ask again for its answer";
+                let mut problem = try_later("key-running", detail, RUNNING_RETRY);
+                problem.status = StatusCode::CONFLICT.as_u16();
+                problem.outcome = ProblemOutcome::Unknown;
+                problem
+            }
+            KeyAnswer::Unknown => unknown("key-unknown", "a request with this key may have run"),
+            KeyAnswer::Refused(why) => not_run(StatusCode::CONFLICT, "key-refused", why),
+        };
+        Err(Answer::Problem(problem))
+    }
+}
+
+/// Answers with what the key's request was answered before.
+fn replay(outcome: &bytes::Bytes) -> Answer {
+    let Ok(outcome) = KeyOutcome::decode(outcome.clone()) else {
+        return Answer::Problem(unknown(
+            "key-unknown",
+            "the remembered answer can't be read",
+        ));
+    };
+    let mut response = Response::new(full(outcome.body));
+    *response.status_mut() = StatusCode::from_u16(outcome.status).unwrap_or(StatusCode::OK);
+    let headers = response.headers_mut();
+    let media = HeaderValue::from_str(&outcome.content_type).ok();
+    if let Some(media) = media.filter(|media| !media.is_empty()) {
+        headers.insert(CONTENT_TYPE, media);
+    }
+    headers.insert(REPLAYED, HeaderValue::from_static("true"));
+    Answer::Worker(response)
+}
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/live/refuse.rs
@@ -0,0 +1,71 @@
+//! Refusals of live requests as problem documents.
+
+use hyper::StatusCode;
+use kingcupwinch_policy::Refusal;
+use kingcupwinch_time::Span;
+use kingcupwinch_wire::api::{Problem, ProblemOutcome};
+
+use crate::metrics::Outcome;
+use crate::server::problem::{not_run, try_later};
+
+/// When a caller may come back where the policy names no time.
+pub(crate) const DEFAULT_RETRY: Span = Span::from_secs(1);
+
+/// Says why the policy refused work.
+pub(crate) fn refuse(refusal: &Refusal) -> Problem {
+    let detail = refusal.to_string();
+    let status = match refusal {
+        Refusal::QueueFull(_) | Refusal::Deadline(_) | Refusal::NoRetry(_) => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+        Refusal::RateLimit(_) => StatusCode::TOO_MANY_REQUESTS,
+        Refusal::Faulty => StatusCode::BAD_GATEWAY,
+        _ => StatusCode::UNPROCESSABLE_ENTITY,
+    };
+    let mut problem = not_run(status, refusal_code(refusal), detail);
+    if matches!(refusal, Refusal::Faulty) {
+        problem.outcome = ProblemOutcome::Failed;
+    }
+    problem.retry_ms = refusal.retry_after().map(|span| span.as_millis().max(1));
+    problem
+}
+
+fn refusal_code(refusal: &Refusal) -> &'static str {
+    match refusal {
+        Refusal::QueueFull(_) => "queue-full",
+        Refusal::RateLimit(_) => "rate-limit",
+        Refusal::Deadline(_) => "deadline",
+        Refusal::TooLarge(_) | Refusal::NoShape => "fits-no-worker",
+        Refusal::TooWide => "gang-too-wide",
+        Refusal::OverQuota => "over-quota",
+        Refusal::BadSize(_) | Refusal::BadSpec => "bad-request",
+        Refusal::UnknownClass => "unknown-class",
+        Refusal::UnknownCustomer => "unknown-customer",
+        Refusal::Cancelled => "cancelled",
+        Refusal::NoRetry(_) => "retries-spent",
+        Refusal::Faulty => "failed-everywhere",
+    }
+}
+
+/// Says that nobody waits for the answer any more.
+pub(crate) fn hung_up_problem() -> Problem {
+    not_run(
+        StatusCode::REQUEST_TIMEOUT,
+        "cancelled",
+        "the caller hung up",
+    )
+}
+
+/// Says that the instance takes nothing more.
+pub(crate) fn stopping() -> Problem {
+    try_later("stopping", "this instance is stopping", DEFAULT_RETRY)
+}
+
+/// Returns how a refusal is counted.
+pub(crate) fn outcome_of(problem: &Problem) -> Outcome {
+    match problem.outcome {
+        ProblemOutcome::NotRun => Outcome::NotRun,
+        ProblemOutcome::Unknown => Outcome::Unknown,
+        ProblemOutcome::Failed => Outcome::Failed,
+    }
+}
--- a/crates/kingcupwinch-daemon/src/logging/catalogue.rs
+++ b/crates/kingcupwinch-daemon/src/logging/catalogue.rs
@@ -79,6 +79,8 @@
     ShardRenewed = "0208", Debug, false, "shard renewed";
     /// A sibling link dropped something.
     LinkDropped = "0301", Warning, true, "sibling message dropped";
+    /// A sibling link came up or went down.
+    LinkChanged = "0302", Info, false, "sibling link changed";
     /// A worker appeared.
     WorkerAdded = "0401", Info, false, "worker added";
     /// A worker is leaving and gets nothing new.
--- a/crates/kingcupwinch-daemon/src/server/body.rs
+++ b/crates/kingcupwinch-daemon/src/server/body.rs
@@ -21,6 +21,9 @@
 /// The body of every message that the daemon sends.
 pub(crate) type Body = RequestBody;
 
+/// The largest answer that is kept whole, in bytes.
+const MAX_COPY_BYTES: usize = 64 * 1024;
+
 quick_error! {
     /// Why a body could not be read.
     #[derive(Debug)]
@@ -173,11 +176,13 @@
 pub(crate) fn relay_answer<G: Relayed>(answer: AnswerBody, hold: &Hold, done: G) -> Body {
     let (sender, receiver) = mpsc::unbounded_channel();
     let room = Arc::new(Semaphore::new(hold.answer_bytes));
+    let copy = done.wants_copy().then(BytesMut::new);
     let pump = Pump {
         answer,
         room,
         sender: Some(sender),
         hold: *hold,
+        copy,
     };
     tokio::spawn(pump.run(done));
     let frames = unfold(receiver, |mut receiver| async move {
@@ -187,10 +192,22 @@
     StreamBody::new(frames).boxed_unsync()
 }
 
+/// How the worker's side of an answer ended.
+#[derive(Debug, Clone)]
+pub(crate) struct AnswerEnd {
+    /// Whether it ended whole.
+    pub(crate) whole: bool,
+    /// The whole body where a copy was wanted and it was small enough.
+    pub(crate) copy: Option<Bytes>,
+}
+
 /// Hears how a worker's answer ended.
 pub(crate) trait Relayed: Send + 'static {
+    /// Returns whether a copy of the body is wanted.
+    fn wants_copy(&self) -> bool;
+
     /// The worker's side ended, whole or broken off.
-    fn ended(self, whole: bool);
+    fn ended(self, end: AnswerEnd);
 }
 
 /// A part of an answer on its way to the caller.
@@ -216,6 +233,7 @@
     room: Arc<Semaphore>,
     sender: Option<mpsc::UnboundedSender<Piece>>,
     hold: Hold,
+    copy: Option<BytesMut>,
 }
 
 impl Pump {
@@ -225,9 +243,15 @@
                 Some(Ok(frame)) => self.pass(frame).await,
                 Some(Err(err)) => {
                     self.send(Piece::Broken(BodyError::Broken(err)));
-                    return done.ended(false);
+                    return done.ended(AnswerEnd {
+                        whole: false,
+                        copy: None,
+                    });
+                }
+                None => {
+                    let copy = self.copy.map(BytesMut::freeze);
+                    return done.ended(AnswerEnd { whole: true, copy });
                 }
-                None => return done.ended(true),
             }
         }
     }
@@ -243,8 +267,19 @@
         }
     }
 
+    /// Keeps a copy as long as it is small enough.
+    fn keep_copy(&mut self, data: &Bytes) {
+        let Some(copy) = &mut self.copy else { return };
+        if copy.len() + data.len() > MAX_COPY_BYTES {
+            self.copy = None;
+        } else {
+            copy.extend_from_slice(data);
+        }
+    }
+
     /// Waits for room; a reader that takes nothing for too long loses its connection.
     async fn pass_data(&mut self, data: Bytes) {
+        self.keep_copy(&data);
         let Some(sender) = &self.sender else { return };
         let size = data.len().min(self.hold.answer_bytes);
         let permits = u32::try_from(size).unwrap_or(u32::MAX);
--- a/crates/kingcupwinch-daemon/src/server/callers.rs
+++ b/crates/kingcupwinch-daemon/src/server/callers.rs
@@ -12,10 +12,9 @@
 use crate::metrics::Outcome;
 use crate::shared::Shared;
 
-const RUN_PATH: &str = "/v1/run/";
+pub(super) const RUN_PATH: &str = "/v1/run/";
 
 /// Answers callers.
-#[derive(Debug)]
 pub(crate) struct Callers {
     shared: Arc<Shared>,
     live: LiveService,
--- a/crates/kingcupwinch-daemon/src/server/headers.rs
+++ b/crates/kingcupwinch-daemon/src/server/headers.rs
@@ -4,9 +4,10 @@
 
 use hyper::HeaderMap;
 use hyper::header::{
-    CONNECTION, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    CONNECTION, HeaderName, HeaderValue, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
 };
+use kingcupwinch_coord::id::Incarnation;
 use kingcupwinch_time::{Span, Time, WallTime};
 use quick_error::quick_error;
 use uuid::Uuid;
@@ -20,6 +21,20 @@
 /// The caller's key of non-idempotent work.
 pub(crate) const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
+/// Between siblings: the request's id.
+pub(crate) const REQUEST: HeaderName = HeaderName::from_static("kcw-request");
+/// Between siblings: the number of the attempt.
+pub(crate) const ATTEMPT: HeaderName = HeaderName::from_static("kcw-attempt");
+/// Between siblings: the forwarding instance's incarnation.
+pub(crate) const FROM: HeaderName = HeaderName::from_static("kcw-from");
+/// Between siblings: how long the request has waited, in milliseconds.
+pub(crate) const WAITED: HeaderName = HeaderName::from_static("kcw-waited-ms");
+/// Between siblings: [`RAN`] on an answer that is the worker's own.
+pub(crate) const ANSWER: HeaderName = HeaderName::from_static("kcw-answer");
+
+/// The value of [`ANSWER`].
+pub(crate) const RAN: &str = "ran";
+
 const SYSTEM_PREFIXES: [&str; 2] = ["kcw-", "platform-"];
 const HOP_HEADERS: [HeaderName; 7] = [
     CONNECTION,
@@ -55,6 +70,10 @@
         NotKey {
             display("header idempotency-key is not a UUID of version 7")
         }
+        /// A sibling left it out or sent nonsense.
+        NotSibling(name: HeaderName) {
+            display("header {name} is missing or malformed on a forwarded request")
+        }
     }
 }
 
@@ -140,6 +159,61 @@
         .map_err(|_| HeaderError::NotText(name.clone()))
 }
 
+/// Where a forwarded request comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Hop {
+    /// The request's id.
+    pub(crate) request: Uuid,
+    /// The number of the attempt.
+    pub(crate) attempt: u32,
+    /// The forwarding instance's incarnation.
+    pub(crate) from: Uuid,
+    /// How long the request has waited.
+    pub(crate) waited: Span,
+}
+
+impl Hop {
+    /// Returns the forwarding instance.
+    pub(crate) fn sender(&self) -> Incarnation {
+        Incarnation(self.from)
+    }
+
+    /// Reads the headers that siblings set.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HeaderError::NotSibling`] if one is missing or malformed.
+    pub(crate) fn read(headers: &HeaderMap) -> Result<Self, HeaderError> {
+        Ok(Hop {
+            request: parse(headers, &REQUEST)?,
+            attempt: parse(headers, &ATTEMPT)?,
+            from: parse(headers, &FROM)?,
+            waited: Span::from_millis(parse(headers, &WAITED)?),
+        })
+    }
+
+    /// Sets the headers that siblings read.
+    pub(crate) fn write(&self, headers: &mut HeaderMap) {
+        set(headers, REQUEST, &self.request.to_string());
+        set(headers, ATTEMPT, &self.attempt.to_string());
+        set(headers, FROM, &self.from.to_string());
+        set(headers, WAITED, &self.waited.as_millis().to_string());
+    }
+}
+
+fn parse<T: std::str::FromStr>(headers: &HeaderMap, name: &HeaderName) -> Result<T, HeaderError> {
+    let text = text(headers, name).ok().flatten();
+    let value = text.and_then(|text| text.parse().ok());
+    value.ok_or_else(|| HeaderError::NotSibling(name.clone()))
+}
+
+/// Sets a header to text that is known to be visible ASCII.
+pub(crate) fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
 /// Removes the headers of one hop and those that only the system and the platform set.
 pub(crate) fn strip(headers: &mut HeaderMap) {
     let named = named_by_connection(headers);
--- a/crates/kingcupwinch-daemon/src/server/mod.rs
+++ b/crates/kingcupwinch-daemon/src/server/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod body;
 pub(crate) mod callers;
+pub(crate) mod forward;
 pub(crate) mod headers;
 pub(crate) mod listener;
 pub(crate) mod operators;
--- a/crates/kingcupwinch-daemon/src/shared.rs
+++ b/crates/kingcupwinch-daemon/src/shared.rs
@@ -1,6 +1,7 @@
 //! What every part of the daemon shares: settings, clock, logs, metrics and published views.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwap;
 use kingcupwinch_config::Tree;
@@ -55,6 +56,18 @@
         let view = self.shards.get(usize::from(shard.0))?;
         view.permit.filter(|permit| now < permit.until)
     }
+
+    /// Returns a shard's owner.
+    pub(crate) fn owner(&self, shard: ShardId) -> Option<&Arc<Member>> {
+        self.shards.get(usize::from(shard.0))?.owner.as_ref()
+    }
+
+    /// Returns a member of the group.
+    pub(crate) fn member(&self, incarnation: Incarnation) -> Option<&Arc<Member>> {
+        self.members
+            .iter()
+            .find(|member| member.incarnation == incarnation)
+    }
 }
 
 /// How far the daemon is from its end.
@@ -128,6 +141,8 @@
     pub(crate) ownership: ArcSwap<OwnershipView>,
     /// How far it is from its end.
     pub(crate) lifecycle: Lifecycle,
+    /// Whether the last read of the log failed.
+    pub(crate) log_lost: AtomicBool,
 }
 
 impl Shared {
@@ -136,6 +151,16 @@
         self.clock.now()
     }
 
+    /// Notes whether the log could be read.
+    pub(crate) fn note_log(&self, readable: bool) {
+        self.log_lost.store(!readable, Ordering::Relaxed);
+    }
+
+    /// Returns whether the last read of the log failed.
+    pub(crate) fn is_log_lost(&self) -> bool {
+        self.log_lost.load(Ordering::Relaxed)
+    }
+
     /// Returns whether the balancer should send callers here.
     pub(crate) fn is_ready(&self) -> bool {
         let configured = self.config.load().version > Version(0);
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/siblings/inbox.rs
@@ -0,0 +1,110 @@
+//! Hands siblings' messages to the actors that they are for.
+
+use std::sync::Arc;
+
+use kameo::actor::ActorRef;
+use kingcupwinch_coord::ownership::Event;
+use kingcupwinch_link::{Inbox, Incoming, LinkNote};
+use kingcupwinch_wire::sibling::Body;
+use slog::o;
+
+use super::relay::encode_entry;
+use crate::actors::config::{Config, Since};
+use crate::actors::ownership::{Observe, Ownership};
+use crate::actors::scheduler::{Scheduler, SiblingGrant, SiblingQueued};
+use crate::keys::KeyService;
+use crate::logging::EventId;
+use crate::shared::Shared;
+
+/// Hands siblings' messages to the actors that they are for.
+#[derive(Clone)]
+pub(crate) struct Router {
+    /// What every part shares.
+    pub(crate) shared: Arc<Shared>,
+    /// Hears ownership messages.
+    pub(crate) ownership: ActorRef<Ownership>,
+    /// Hears demand and grants.
+    pub(crate) scheduler: ActorRef<Scheduler>,
+    /// Answers for configurations.
+    pub(crate) config: ActorRef<Config>,
+    /// Decides keys.
+    pub(crate) keys: KeyService,
+}
+
+impl Router {
+    /// Takes messages until the links are closed.
+    pub(crate) async fn run(self, mut inbox: Inbox) {
+        loop {
+            tokio::select! {
+                message = inbox.messages.recv() => match message {
+                    Some(message) => self.route(message).await,
+                    None => return,
+                },
+                Some(note) = inbox.notes.recv() => self.note(&note),
+            }
+        }
+    }
+
+    async fn route(&self, mut message: Incoming) {
+        let from = message.from();
+        let body = std::mem::replace(&mut message.envelope.body, Body::Done);
+        match body {
+            Body::Ownership(body) => {
+                // A stopped actor has left the group; the sender finds out by itself.
+                let _ = self
+                    .ownership
+                    .tell(Observe(Event::Message { from, body }))
+                    .await;
+            }
+            Body::Queued(queued) => {
+                let _ = self.scheduler.tell(SiblingQueued { from, queued }).await;
+            }
+            Body::Grant(grant) => {
+                let until = self.shared.now() + grant.left;
+                let _ = self
+                    .scheduler
+                    .tell(SiblingGrant { from, grant, until })
+                    .await;
+            }
+            other => self.answer(other, message),
+        }
+    }
+
+    /// Answers a question in a task of its own, so that a slow one holds up no other message.
+    fn answer(&self, body: Body, message: Incoming) {
+        let router = self.clone();
+        tokio::spawn(async move {
+            let answer = router.make_answer(body).await;
+            message.reply(answer);
+        });
+    }
+
+    async fn make_answer(&self, body: Body) -> Body {
+        match body {
+            Body::KeyBegin(begin) => Body::KeyAnswer(self.keys.begin_for(begin).await),
+            Body::KeyFinish(finish) => {
+                self.keys.finish_for(finish).await;
+                Body::Done
+            }
+            Body::KeyLookup(lookup) => Body::KeyFound(self.keys.look_up(lookup).await),
+            Body::ConfigAsk(version) => match self.config.ask(Since(version)).await {
+                Ok(entries) => {
+                    let records = entries.0.iter().map(|entry| encode_entry(entry).into());
+                    Body::ConfigRelay(records.collect())
+                }
+                Err(_) => Body::Declined("stopping".into()),
+            },
+            _ => Body::Declined("not understood here".into()),
+        }
+    }
+
+    fn note(&self, note: &LinkNote) {
+        let event = match note {
+            LinkNote::Up(_) | LinkNote::Down(_) => EventId::LinkChanged,
+            _ => EventId::LinkDropped,
+        };
+        self.shared
+            .log
+            .write(event, o!("note" => format!("{note:?}")));
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/siblings/mod.rs
@@ -0,0 +1,86 @@
+//! The other instances of this failure domain: messages and forwarded requests.
+
+mod forward;
+mod inbox;
+mod relay;
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use kingcupwinch_coord::id::Incarnation;
+use kingcupwinch_coord::ownership::message::Message;
+use kingcupwinch_coord::record::Member;
+use kingcupwinch_link::{LinkError, Links, Peer};
+use kingcupwinch_platform::HttpClient;
+use kingcupwinch_wire::sibling::Body;
+use rustc_hash::FxHashMap;
+use tokio::time::Instant;
+
+pub(crate) use forward::{Forwarded, forward};
+pub(crate) use inbox::Router;
+pub(crate) use relay::follow_siblings;
+
+use crate::actors::ownership::SendToSibling;
+
+/// Connections to one sibling for forwarded requests.
+const FORWARD_CONNECTIONS: usize = 256;
+
+/// The other instances of this failure domain.
+#[derive(Debug)]
+pub(crate) struct Siblings {
+    links: Links,
+    clients: Mutex<FxHashMap<Incarnation, HttpClient>>,
+}
+
+impl Siblings {
+    /// Makes the way to siblings over links.
+    pub(crate) fn new(links: Links) -> Self {
+        Siblings {
+            links,
+            clients: Mutex::default(),
+        }
+    }
+
+    /// Sends a message that may be lost.
+    pub(crate) fn tell(&self, to: Incarnation, body: Body) {
+        // A message to a sibling that is down or full is one that was lost.
+        let _ = self.links.send(to, body);
+    }
+
+    /// Asks a sibling and waits for its answer.
+    pub(crate) async fn ask(
+        &self,
+        to: Incarnation,
+        body: Body,
+        deadline: Instant,
+    ) -> Result<Body, LinkError> {
+        self.links.ask(to, body, deadline).await
+    }
+
+    /// Returns the client for requests forwarded to a member; none if its address is malformed.
+    fn client(&self, member: &Member) -> Option<HttpClient> {
+        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(client) = clients.get(&member.incarnation) {
+            return Some(client.clone());
+        }
+        let address = member.forward.parse().ok()?;
+        let client = HttpClient::new(address, FORWARD_CONNECTIONS);
+        clients.insert(member.incarnation, client.clone());
+        Some(client)
+    }
+}
+
+impl SendToSibling for Siblings {
+    fn send(&self, to: Incarnation, body: Message) {
+        self.tell(to, Body::Ownership(body));
+    }
+
+    fn set_members(&self, members: &[Arc<Member>]) {
+        let peers = members.iter().filter_map(|member| {
+            let address = member.link.parse().ok()?;
+            Some(Peer::new(member.incarnation, address))
+        });
+        self.links.set_peers(peers);
+        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        clients.retain(|known, _| members.iter().any(|member| member.incarnation == *known));
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/siblings/relay.rs
@@ -0,0 +1,84 @@
+//! Takes newer configurations from siblings while the log can't be read.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::actor::ActorRef;
+use kingcupwinch_coord::history::Entry;
+use kingcupwinch_coord::record::{ConfigRecord, Origin, Stamped};
+use kingcupwinch_wire::sibling::Body;
+use kingcupwinch_wire::{decode_config, encode_config};
+use tokio::time::Instant;
+
+use super::Siblings;
+use crate::actors::config::{Config, Relayed};
+use crate::shared::Shared;
+
+/// How often siblings are asked while the log can't be read.
+const ASK_PAUSE: Duration = Duration::from_millis(500);
+
+/// How long a sibling may take to answer.
+const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Asks siblings for newer configurations whenever the log can't be read.
+pub(crate) async fn follow_siblings(
+    shared: Arc<Shared>,
+    siblings: Arc<Siblings>,
+    config: ActorRef<Config>,
+) {
+    while config.is_alive() {
+        tokio::time::sleep(ASK_PAUSE).await;
+        if shared.is_log_lost() {
+            ask_all(&shared, &siblings, &config).await;
+        }
+    }
+}
+
+async fn ask_all(shared: &Shared, siblings: &Siblings, config: &ActorRef<Config>) {
+    for member in &shared.ownership.load_full().members {
+        if member.incarnation == shared.incarnation {
+            continue;
+        }
+        let version = shared.config.load().version;
+        let deadline = Instant::now() + ASK_TIMEOUT;
+        let question = Body::ConfigAsk(version);
+        let answer = siblings.ask(member.incarnation, question, deadline).await;
+        if let Ok(Body::ConfigRelay(records)) = answer {
+            let entries: Vec<_> = records
+                .iter()
+                .filter_map(|bytes| decode_entry(bytes))
+                .collect();
+            // A stopped actor needs no configuration.
+            let _ = config.tell(Relayed(entries)).await;
+        }
+    }
+}
+
+fn decode_entry(bytes: &[u8]) -> Option<Arc<Entry>> {
+    let record = decode_config(bytes).ok()?;
+    let origin = record.body.origin?;
+    Some(Arc::new(Entry {
+        version: record.body.version,
+        id: origin.id,
+        covers: origin.covers,
+        author: record.body.author,
+        published: record.body.published,
+        tree: record.body.tree,
+    }))
+}
+
+/// Encodes a version for a sibling, as the log's snapshots do.
+pub(super) fn encode_entry(entry: &Entry) -> Vec<u8> {
+    let body = ConfigRecord {
+        based: entry.version,
+        version: entry.version,
+        origin: Some(Origin {
+            id: entry.id,
+            covers: entry.covers,
+        }),
+        author: Arc::clone(&entry.author),
+        published: entry.published,
+        tree: Arc::clone(&entry.tree),
+    };
+    encode_config(&Stamped { id: entry.id, body })
+}
--- /dev/null
+++ b/crates/kingcupwinch-daemon/tests/testsuite/keys.rs
@@ -0,0 +1,76 @@
+//! Non-idempotent requests run at most once.
+
+use kingcupwinch_wire::api::ProblemOutcome;
+use uuid::Uuid;
+
+use crate::site::Site;
+
+const DISPATCH: (&str, &str) = ("kcw-class", "dispatch");
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_repeated_key_gets_the_remembered_answer_from_any_instance() {
+    let site = Site::start(4).await;
+    let entries = site.start_entries(&["entry-1", "entry-2"]).await;
+    for index in 0..8 {
+        let key = Uuid::now_v7().to_string();
+        let id = format!("van-{index}");
+        let headers = [DISPATCH, ("idempotency-key", &key), ("x-request-id", &id)];
+        let first = entries[0]
+            .caller()
+            .run("booking", &headers, "to the square")
+            .await;
+        assert_eq!(first.status, 200, "{first:?}");
+        for entry in &entries {
+            let again = entry
+                .caller()
+                .run("booking", &headers, "to the square")
+                .await;
+            assert_eq!(again.status, 200, "{again:?}");
+            assert_eq!(again.body, first.body);
+            assert_eq!(again.headers["idempotency-replayed"], "true");
+        }
+        assert_eq!(site.ledger.key_starts(&key), 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_without_a_key_is_refused_where_one_is_required() {
+    let site = Site::start(1).await;
+    let entries = site.start_entries(&["entry-1"]).await;
+    let reply = entries[0]
+        .caller()
+        .run("booking", &[DISPATCH], "to the square")
+        .await;
+    assert_eq!(reply.status, 400);
+    let problem = reply.problem();
+    assert_eq!(
+        (&*problem.code, problem.outcome),
+        ("key-required", ProblemOutcome::NotRun)
+    );
+    assert!(site.ledger.starts().is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_lost_answer_is_unknown_and_stays_so() {
+    let site = Site::start(1).await;
+    let entries = site.start_entries(&["entry-1"]).await;
+    let worker = &site.workers[0];
+    worker.set_conduct(kingcupwinch_fakes::Conduct {
+        drops_answers: true,
+        ..worker.conduct()
+    });
+    let key = Uuid::now_v7().to_string();
+    let headers = [DISPATCH, ("idempotency-key", &key)];
+    for _ in 0..2 {
+        let reply = entries[0]
+            .caller()
+            .run("booking", &headers, "to the square")
+            .await;
+        assert_eq!(
+            reply.problem().outcome,
+            ProblemOutcome::Unknown,
+            "{reply:?}"
+        );
+    }
+    assert_eq!(site.ledger.key_starts(&key), 1);
+}
--- a/crates/kingcupwinch-daemon/tests/testsuite/main.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/main.rs
@@ -3,6 +3,8 @@
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
 mod caller;
+mod keys;
 mod live;
 mod process;
+mod siblings;
 mod site;
--- /dev/null
+++ b/crates/kingcupwinch-daemon/tests/testsuite/siblings.rs
@@ -0,0 +1,98 @@
+//! Several entry instances of one failure domain.
+
+use futures_util::future::join_all;
+use kingcupwinch_daemon::StopEnd;
+use kingcupwinch_fakes::live_answer;
+
+use crate::caller::wait_until;
+use crate::site::{Site, all_dispatched};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn shards_are_shared_and_any_instance_serves() {
+    let site = Site::start(6).await;
+    let entries = site.start_entries(&["entry-1", "entry-2", "entry-3"]).await;
+    wait_until("everyone owns some shard", || async {
+        let mut owns = true;
+        for entry in &entries {
+            owns &= entry
+                .status()
+                .await
+                .shards
+                .iter()
+                .any(|shard| shard.dispatching);
+        }
+        owns
+    })
+    .await;
+    for (index, entry) in entries.iter().enumerate() {
+        let id = format!("r{index}");
+        let reply = entry
+            .caller()
+            .run("booking", &[("x-request-id", &id)], "stage")
+            .await;
+        assert_eq!(reply.status, 200, "{reply:?}");
+        assert_eq!(reply.body, live_answer(&id, b"stage", 0));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn work_that_waits_moves_to_siblings_with_free_workers() {
+    let site = Site::start(6).await;
+    let entries = site.start_entries(&["entry-1", "entry-2", "entry-3"]).await;
+    let caller = entries[0].caller();
+    let ids: Vec<String> = (0..60).map(|index| format!("r{index}")).collect();
+    let runs = ids.iter().map(|id| {
+        let caller = caller.clone();
+        async move {
+            let headers = [("x-request-id", id.as_str()), ("x-run-ms", "100")];
+            caller.run("booking", &headers, "stage").await
+        }
+    });
+    let replies = join_all(runs).await;
+    for (id, reply) in ids.iter().zip(replies) {
+        assert_eq!(reply.status, 200, "{id}: {reply:?}");
+        assert_eq!(reply.body, live_answer(id, b"stage", 0));
+    }
+    let used = site
+        .workers
+        .iter()
+        .filter(|worker| worker.counts().highest_running > 0)
+        .count();
+    assert_eq!(used, 6, "all workers take part");
+    for worker in &site.workers {
+        assert!(worker.counts().highest_running <= 4);
+        assert_eq!(worker.counts().overflows, 0);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_killed_instances_shards_are_taken_over() {
+    let site = Site::start(6).await;
+    let mut entries = site.start_entries(&["entry-1", "entry-2", "entry-3"]).await;
+    entries.remove(0).kill();
+    wait_until("the heirs dispatch to all shards", || {
+        all_dispatched(&entries)
+    })
+    .await;
+    let reply = entries[1]
+        .caller()
+        .run("booking", &[("x-request-id", "r1")], "stage")
+        .await;
+    assert_eq!(reply.body, live_answer("r1", b"stage", 0));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stopping_instance_hands_its_shards_over() {
+    let site = Site::start(6).await;
+    let mut entries = site.start_entries(&["entry-1", "entry-2"]).await;
+    assert_eq!(entries.remove(0).stop().await, StopEnd::Clean);
+    wait_until("the heir dispatches to all shards", || {
+        all_dispatched(&entries)
+    })
+    .await;
+    let reply = entries[0]
+        .caller()
+        .run("booking", &[("x-request-id", "r1")], "stage")
+        .await;
+    assert_eq!(reply.body, live_answer("r1", b"stage", 0));
+}
--- a/crates/kingcupwinch-daemon/tests/testsuite/site.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/site.rs
@@ -1,5 +1,6 @@
 //! A failure domain with its stand-ins, in which daemons start.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -9,13 +10,15 @@
 use kingcupwinch_daemon::settings::{
     Hold, Instance, Listen, Log, LogFormat, Platform, Settings, Stop,
 };
-use kingcupwinch_daemon::{Daemon, Running};
+use kingcupwinch_daemon::{Daemon, Running, StopEnd};
 use kingcupwinch_fakes::{
     FakeLog, FakeRoster, FakeWorker, Ledger, LogFront, RosterFront, WorkerSpec,
 };
 use kingcupwinch_time::WallTime;
+use kingcupwinch_wire::api::Status;
 use kingcupwinch_wire::encode_config;
 use kingcupwinch_wire::roster::Capacity;
+use tokio::runtime::Runtime;
 use uuid::Uuid;
 
 use crate::caller::{Caller, wait_until};
@@ -157,6 +160,31 @@
         }
     }
 
+    /// Starts an entry instance in a runtime of its own, which can be ended like a process.
+    pub(crate) async fn start_entry(&self, name: &str) -> Entry {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .unwrap();
+        let daemon = Daemon::new(self.settings(name));
+        let running = runtime.spawn(daemon.start()).await.unwrap().unwrap();
+        Entry {
+            running: Some(running),
+            runtime: Some(runtime),
+        }
+    }
+
+    /// Starts entry instances and waits until every shard has an owner that dispatches.
+    pub(crate) async fn start_entries(&self, names: &[&str]) -> Vec<Entry> {
+        let mut entries = Vec::new();
+        for name in names {
+            entries.push(self.start_entry(name).await);
+        }
+        wait_until("all shards are dispatched to", || all_dispatched(&entries)).await;
+        entries
+    }
+
     /// Starts an entry instance and waits until it dispatches to some worker.
     pub(crate) async fn start_daemon(&self, name: &str) -> Running {
         let running = Daemon::new(self.settings(name)).start().await.unwrap();
@@ -174,3 +202,64 @@
         running
     }
 }
+
+/// An entry instance in a runtime of its own.
+pub(crate) struct Entry {
+    running: Option<Running>,
+    runtime: Option<Runtime>,
+}
+
+impl Entry {
+    fn running(&self) -> &Running {
+        self.running.as_ref().unwrap()
+    }
+
+    pub(crate) fn caller(&self) -> Caller {
+        Caller::new(self.running().addresses().callers)
+    }
+
+    pub(crate) fn operators(&self) -> Caller {
+        Caller::new(self.running().addresses().operators)
+    }
+
+    pub(crate) async fn status(&self) -> Status {
+        serde_json::from_slice(&self.operators().get("/v1/status").await.body).unwrap()
+    }
+
+    /// Stops gracefully.
+    pub(crate) async fn stop(mut self) -> StopEnd {
+        let running = self.running.take().unwrap();
+        let runtime = self.runtime.as_ref().unwrap();
+        runtime.spawn(running.stop()).await.unwrap()
+    }
+
+    /// Ends at once, as a killed process does.
+    pub(crate) fn kill(self) {}
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.running = None;
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+/// Returns whether every shard has an owner among these that dispatches.
+pub(crate) async fn all_dispatched(entries: &[Entry]) -> bool {
+    let mut owned = BTreeSet::new();
+    let mut count = 0;
+    for entry in entries {
+        let status = entry.status().await;
+        count = status.shards.len();
+        owned.extend(
+            status
+                .shards
+                .iter()
+                .filter(|s| s.dispatching)
+                .map(|s| s.shard),
+        );
+    }
+    count > 0 && owned.len() == count
+}
--- a/crates/kingcupwinch-fakes/src/worker/report.rs
+++ b/crates/kingcupwinch-fakes/src/worker/report.rs
@@ -88,7 +88,8 @@
         visible.is_some_and(|m| m.usage.seq > after || after > self.last_seq())
     }
 
-    /// Returns the visible report with the ends after `after`.
+    /// Returns the visible report with the ends after `after`. While nothing has changed since it
+    /// was made, it describes the worker as of the lag ago.
     pub(crate) fn read(&mut self, now: Time, after: u64) -> Usage {
         self.forget(now);
         let Some(visible) = self.made.front() else {
@@ -97,7 +98,13 @@
         let from_other_run = after > self.last_seq();
         let after = if from_other_run { 0 } else { after };
         let mut usage = visible.usage.clone();
-        usage.age_ms = (now - visible.at).as_millis();
+        let is_current = self.made.len() == 1 && !self.changed;
+        let age = if is_current {
+            self.lag.min(now - visible.at)
+        } else {
+            now - visible.at
+        };
+        usage.age_ms = age.as_millis();
         let news = |e: &&End| e.seq > after && e.seq <= usage.seq;
         usage.ended = self.ends.iter().filter(news).map(|e| e.work).collect();
         usage
--- a/crates/kingcupwinch-platform/src/lib.rs
+++ b/crates/kingcupwinch-platform/src/lib.rs
@@ -26,6 +26,7 @@
 
 mod body;
 mod error;
+mod http;
 mod log;
 mod pool;
 mod reply;
@@ -36,6 +37,7 @@
 pub use error::{
     AppendError, LostCause, NotSentCause, ReadError, RosterError, SendError, WorkerError,
 };
+pub use http::HttpClient;
 pub use log::LogClient;
 pub use roster::RosterClient;
 pub use worker::{CONTROL_CONNECTIONS, Stamp, WorkerClient};
