--- /dev/null
+++ b/crates/kingcupwinch-coord/benches/slopes/main.rs
@@ -0,0 +1,192 @@
+//! Slopes of the ownership part: what one instance costs against group size and shards, how long
+//! a take-over lasts, and how many records restarts make.
+//!
+//! Instances run in virtual time; processor time is this thread's own, so other load on the
+//! machine changes it little. Prints tables in Markdown.
+
+#[allow(dead_code)]
+#[path = "../../tests/ownership/net.rs"]
+mod net;
+mod size;
+
+use std::fs;
+
+use kingcupwinch_coord::ownership::{Event, Timers};
+use kingcupwinch_time::Span;
+use rustix::param::page_size;
+use rustix::time::{ClockId, clock_gettime};
+
+use net::Net;
+use size::encoded_size;
+
+const WARM_UP: Span = Span::from_secs(60);
+const MEASURED_SECS: u64 = 60;
+const CLONES: usize = 64;
+const SEEDS: u64 = 20;
+const NANOS_PER_SECOND: u64 = 1_000_000_000;
+
+/// The cost of one instance, by the second.
+struct Cost {
+    messages: f64,
+    bytes: f64,
+    core_percent: f64,
+    appends: f64,
+}
+
+fn main() {
+    println!("## Cost of one instance while nothing changes\n");
+    cost_header();
+    for members in [2, 4, 8, 16, 32, 64] {
+        cost_row(members, 256, false);
+    }
+    for shards in [16, 64, 256, 1_024, 4_096] {
+        cost_row(9, shards, false);
+    }
+    println!("\n## Cost of one instance in an outage of the log\n");
+    cost_header();
+    for members in [4, 9, 16, 64] {
+        cost_row(members, 256, true);
+    }
+    cost_row(9, 4_096, true);
+    take_overs();
+    restarts();
+}
+
+fn cost_header() {
+    println!("| members | shards | messages/s | bytes/s | core % | appends/s | memory KB |");
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+}
+
+fn cost_row(members: usize, shards: u16, outage: bool) {
+    let mut net = settled(members, shards, 1);
+    net.log_down = outage;
+    net.run(Span::from_secs(10));
+    let cost = measure(&mut net);
+    let memory = memory_kb(&net);
+    println!(
+        "| {members} | {shards} | {:.1} | {:.0} | {:.3} | {:.2} | {memory} |",
+        cost.messages, cost.bytes, cost.core_percent, cost.appends
+    );
+}
+
+fn settled(members: usize, shards: u16, seed: u64) -> Net {
+    let mut net = Net::new(members, shards, Timers::default(), seed);
+    net.checked = false;
+    net.run(WARM_UP);
+    assert!(net.all_dispatched(), "the domain did not settle");
+    net
+}
+
+/// Measures the busiest sender over a minute; what it receives is of the same order.
+fn measure(net: &mut Net) -> Cost {
+    let busy: Vec<u64> = net.nodes.iter().map(|node| node.busy_nanos).collect();
+    let appends: Vec<u64> = net.nodes.iter().map(|node| node.appends).collect();
+    net.sent.clear();
+    net.keep_sent = true;
+    net.meter = Some(thread_nanos);
+    net.run(Span::from_secs(MEASURED_SECS));
+    net.meter = None;
+    net.keep_sent = false;
+    let mut bytes = vec![0; net.nodes.len()];
+    let mut messages = vec![0_u64; net.nodes.len()];
+    for (sender, message) in &net.sent {
+        bytes[*sender] += encoded_size(message);
+        messages[*sender] += 1;
+    }
+    let busiest = (0..bytes.len())
+        .max_by_key(|node| bytes[*node])
+        .unwrap_or(0);
+    let used = net
+        .nodes
+        .iter()
+        .zip(&busy)
+        .map(|(node, before)| node.busy_nanos - before)
+        .max()
+        .unwrap_or(0);
+    Cost {
+        messages: per_second(messages[busiest]),
+        bytes: per_second(bytes[busiest]),
+        core_percent: per_second(used) * 100.0 / NANOS_PER_SECOND as f64,
+        appends: per_second(net.nodes[busiest].appends - appends[busiest]),
+    }
+}
+
+fn per_second(count: u64) -> f64 {
+    count as f64 / MEASURED_SECS as f64
+}
+
+fn thread_nanos() -> u64 {
+    let spec = clock_gettime(ClockId::ThreadCPUTime);
+    spec.tv_sec.unsigned_abs() * NANOS_PER_SECOND + spec.tv_nsec.unsigned_abs()
+}
+
+/// Returns the memory of one coordinator: resident memory of many clones, shared among them.
+fn memory_kb(net: &Net) -> u64 {
+    let before = resident_kb();
+    let clones = vec![net.nodes[0].coord.clone(); CLONES];
+    let after = resident_kb();
+    after.saturating_sub(before) / clones.len() as u64
+}
+
+fn resident_kb() -> u64 {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages: u64 = text
+        .split_whitespace()
+        .nth(1)
+        .and_then(|field| field.parse().ok())
+        .unwrap_or(0);
+    pages * page_size() as u64 / 1_024
+}
+
+/// Time from an owner's last moment to every one of its shards dispatched by an heir.
+fn take_overs() {
+    println!("\n## Take-over of a dead owner's shards, seconds, {SEEDS} seeds\n");
+    println!("| members | shards | shortest | median | longest |");
+    println!("| --- | --- | --- | --- | --- |");
+    for (members, shards) in [(3, 16), (3, 1_024), (9, 256), (64, 256)] {
+        let mut times: Vec<f64> = (0..SEEDS)
+            .map(|seed| take_over(members, shards, seed))
+            .collect();
+        times.sort_by(f64::total_cmp);
+        println!(
+            "| {members} | {shards} | {:.2} | {:.2} | {:.2} |",
+            times[0],
+            times[times.len() / 2],
+            times[times.len() - 1]
+        );
+    }
+}
+
+fn take_over(members: usize, shards: u16, seed: u64) -> f64 {
+    let mut net = settled(members, shards, seed);
+    net.run(Span::from_millis(37 * seed));
+    net.kill(net.busiest());
+    let took = net.run_until_served(Span::from_secs(60));
+    took.map_or(f64::INFINITY, Span::as_secs_f64)
+}
+
+/// Records that one planned replacement and one crash make.
+fn restarts() {
+    println!("\n## Records for one restart\n");
+    println!("| members | planned | crash |");
+    println!("| --- | --- | --- |");
+    for members in [3, 9, 20, 64] {
+        let planned = records_of(members, |net| {
+            net.tell(0, Event::Drain);
+            net.run(Span::from_secs(20));
+            net.start("entry-0", 1);
+        });
+        let crash = records_of(members, |net| {
+            net.restart(0);
+        });
+        println!("| {members} | {planned} | {crash} |");
+    }
+}
+
+fn records_of(members: usize, change: impl Fn(&mut Net)) -> usize {
+    let mut net = settled(members, 256, 1);
+    let before = net.log.len();
+    change(&mut net);
+    net.run(Span::from_secs(60));
+    net.log.len() - before
+}
--- a/crates/kingcupwinch-coord/tests/ownership/failures.rs
+++ b/crates/kingcupwinch-coord/tests/ownership/failures.rs
@@ -347,7 +347,7 @@
     let heartbeats = net
         .sent
         .iter()
-        .filter(|message| matches!(message, Message::Heartbeat(_)))
+        .filter(|(_, message)| matches!(message, Message::Heartbeat(_)))
         .count();
     let voters = Timers::default().max_voters - 1;
     assert!(heartbeats <= 20 * voters * 21, "{heartbeats}");
--- a/crates/kingcupwinch-coord/tests/ownership/net.rs
+++ b/crates/kingcupwinch-coord/tests/ownership/net.rs
@@ -49,6 +49,7 @@
     pub(crate) notes: Vec<Note>,
     pub(crate) appends: u64,
     pub(crate) messages: u64,
+    pub(crate) busy_nanos: u64,
     died: Option<Time>,
     read: u64,
     unacked: BTreeSet<Uuid>,
@@ -72,8 +73,11 @@
     pub(crate) flicker: bool,
     /// Whether the invariant is checked after every step.
     pub(crate) checked: bool,
-    pub(crate) sent: Vec<Message>,
+    /// Sender and message, where they are kept.
+    pub(crate) sent: Vec<(usize, Message)>,
     pub(crate) keep_sent: bool,
+    /// Reads a clock before and after each event, in nanoseconds.
+    pub(crate) meter: Option<fn() -> u64>,
     seed: u64,
     cuts: BTreeSet<(usize, usize)>,
     timers: Timers,
@@ -99,6 +103,7 @@
             checked: true,
             sent: Vec::new(),
             keep_sent: false,
+            meter: None,
             seed,
             cuts: BTreeSet::new(),
             timers,
@@ -135,6 +140,7 @@
             notes: Vec::new(),
             appends: 0,
             messages: 0,
+            busy_nanos: 0,
             died: None,
             read: 0,
             unacked: BTreeSet::new(),
@@ -332,7 +338,9 @@
     fn handle(&mut self, index: usize, event: Event) {
         let now = local(self.now, self.nodes[index].ppm);
         let mut out = Vec::new();
+        let before = self.meter.map_or(0, |meter| meter());
         self.nodes[index].coord.handle(event, now, &mut out);
+        self.nodes[index].busy_nanos += self.meter.map_or(0, |meter| meter()) - before;
         for action in out {
             self.carry_out(index, action);
         }
@@ -351,7 +359,7 @@
     fn send_message(&mut self, index: usize, to: Incarnation, body: Message) {
         self.nodes[index].messages += 1;
         if self.keep_sent {
-            self.sent.push(body.clone());
+            self.sent.push((index, body.clone()));
         }
         let found = self
             .nodes
