--- a/crates/kingcupwinch-coord/src/log/fresh.rs
+++ b/crates/kingcupwinch-coord/src/log/fresh.rs
@@ -29,12 +29,12 @@
 
     /// Records a read that was sent at `sent` and saw the stream end at `tail`.
     pub(crate) fn read(&mut self, sent: Time, tail: Offset, applied: Offset) {
+        self.applied(applied);
         if applied >= tail {
             self.at = self.at.max(Some(sent));
         } else if self.waiting.is_none() {
             self.waiting = Some(Waiting { sent, tail });
         }
-        self.applied(applied);
     }
 
     /// Forgets reads that were waiting for records that will not come.
--- a/crates/kingcupwinch-coord/src/ownership/mod.rs
+++ b/crates/kingcupwinch-coord/src/ownership/mod.rs
@@ -13,6 +13,53 @@
 //!   promises have certainly lapsed.
 //! - A planned hand-over is agreed between both sides; the owner stops before its record is
 //!   appended, so the heir need not wait.
+//!
+//! A lone instance that serves all shards, with a log that is a vector:
+//!
+//! ```
+//! use std::sync::Arc;
+//!
+//! use kingcupwinch_coord::id::{Incarnation, Offset, ShardId};
+//! use kingcupwinch_coord::ownership::{Action, Coordinator, Event, Timers};
+//! use kingcupwinch_coord::record::Member;
+//! use kingcupwinch_time::{Span, Time};
+//! use uuid::Uuid;
+//!
+//! let member = Member {
+//!     incarnation: Incarnation(Uuid::from_u128(1)),
+//!     instance: Arc::from("entry-1"),
+//!     link: Arc::from("127.0.0.1:7001"),
+//!     forward: Arc::from("127.0.0.1:7002"),
+//!     weight: 16,
+//! };
+//! let mut now = Time::from_millis(1);
+//! let mut coordinator = Coordinator::new(member, 4, Timers::default(), 42, now);
+//! let mut log = Vec::new();
+//! let mut actions = Vec::new();
+//! while coordinator.permit(ShardId(0), now).is_none() {
+//!     let next = coordinator.next_offset();
+//!     let event = Event::Read {
+//!         sent: now,
+//!         first: Offset(0),
+//!         tail: Offset(log.len() as u64),
+//!         records: (next.0..).map(Offset).zip(log[next.0 as usize..].to_vec()).collect(),
+//!     };
+//!     coordinator.handle(event, now, &mut actions);
+//!     for action in actions.drain(..) {
+//!         if let Action::Append(record) = action {
+//!             let id = record.id;
+//!             log.push(Some(record));
+//!             coordinator.handle(Event::AppendAcked { id }, now, &mut Vec::new());
+//!         }
+//!     }
+//!     now += Span::from_millis(100);
+//! }
+//! assert_eq!(coordinator.owned(now).count(), 4);
+//!
+//! // Nothing is dispatched on a view of the log that is older than the lease.
+//! let later = now + Timers::default().lease.times(2);
+//! assert!(coordinator.permit(ShardId(0), later).is_some(), "it is its own majority");
+//! ```
 
 mod coordinator;
 mod core;
