--- /dev/null
+++ b/crates/kingcupwinch-config/src/parse.rs
@@ -0,0 +1,160 @@
+//! Turns TOML text and JSON records into untyped nodes.
+
+use std::sync::Arc;
+
+use toml_edit::{Array, Document, InlineTable, Item, Key, TomlError};
+
+use crate::fault::{Fault, FaultKind};
+use crate::node::{Node, Place, Table, Value};
+
+/// The part of a line in which columns are counted in characters.
+const MAX_COUNTED_BYTES: usize = 1_024;
+
+/// Parses one file into a table node.
+///
+/// # Errors
+///
+/// Returns the first syntax fault of the file.
+pub(crate) fn parse_toml(file: &str, text: &str) -> Result<Table, Fault> {
+    let source = Source::new(file, text);
+    let document = Document::parse(text).map_err(|e| syntax_fault(&source, &e))?;
+    Ok(source.table(document.as_table()))
+}
+
+fn syntax_fault(source: &Source<'_>, error: &TomlError) -> Fault {
+    let first_line = error.message().lines().next().unwrap_or_default();
+    Fault {
+        place: source.place(error.span().map(|span| span.start)),
+        path: Arc::from(""),
+        kind: FaultKind::Syntax(Arc::from(first_line)),
+        clash: None,
+    }
+}
+
+/// The text under conversion.
+struct Source<'a> {
+    whole: Place,
+    text: &'a str,
+    line_starts: Vec<usize>,
+}
+
+impl<'a> Source<'a> {
+    fn new(file: &str, text: &'a str) -> Self {
+        let after_breaks = text.match_indices('\n').map(|(i, _)| i + 1);
+        Source {
+            whole: Place::new(file),
+            text,
+            line_starts: std::iter::once(0).chain(after_breaks).collect(),
+        }
+    }
+
+    /// Returns the place of a byte offset, the whole file where there is none.
+    fn place(&self, offset: Option<usize>) -> Place {
+        let Some(offset) = offset else {
+            return self.whole.clone();
+        };
+        let line = self.line_starts.partition_point(|start| *start <= offset);
+        let start = self.line_starts[line.saturating_sub(1)];
+        let column = self.columns(start, offset) + 1;
+        Place {
+            file: Arc::clone(&self.whole.file),
+            line: u32::try_from(line).unwrap_or(u32::MAX),
+            column: u32::try_from(column).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Counts characters, or bytes far along a line, so that one long line costs no square time.
+    fn columns(&self, start: usize, offset: usize) -> usize {
+        let length = offset - start;
+        if length > MAX_COUNTED_BYTES {
+            return length;
+        }
+        let before = self.text.get(start..offset);
+        before.map_or(length, |text| text.chars().count())
+    }
+
+    fn table(&self, table: &toml_edit::Table) -> Table {
+        let entries = table.iter().filter_map(|(name, item)| {
+            let key = table.key(name)?;
+            Some((Arc::from(name), self.entry(key, item)?))
+        });
+        entries.collect()
+    }
+
+    fn inline_table(&self, table: &InlineTable) -> Value {
+        let entries = table.iter().filter_map(|(name, value)| {
+            let key = table.key(name)?;
+            let place = self.place(key.span().map(|s| s.start));
+            Some((Arc::from(name), self.node(place, value)))
+        });
+        Value::Table(entries.collect())
+    }
+
+    fn entry(&self, key: &Key, item: &Item) -> Option<Node> {
+        let place = self.place(key.span().map(|s| s.start));
+        match item {
+            Item::None => None,
+            Item::Value(value) => Some(self.node(place, value)),
+            Item::Table(table) => Some(Node {
+                place,
+                value: Value::Table(self.table(table)),
+            }),
+            Item::ArrayOfTables(tables) => {
+                let nodes = tables.iter().map(|table| Node {
+                    place: self.place(table.span().map(|s| s.start)),
+                    value: Value::Table(self.table(table)),
+                });
+                Some(Node {
+                    place,
+                    value: Value::List(nodes.collect()),
+                })
+            }
+        }
+    }
+
+    fn node(&self, place: Place, value: &toml_edit::Value) -> Node {
+        let value = match value {
+            toml_edit::Value::String(text) => Value::Text(Arc::from(text.value().as_str())),
+            toml_edit::Value::Integer(n) => Value::Integer(*n.value()),
+            toml_edit::Value::Float(n) => Value::Float(*n.value()),
+            toml_edit::Value::Boolean(b) => Value::Bool(*b.value()),
+            toml_edit::Value::Datetime(_) => Value::Date,
+            toml_edit::Value::Array(list) => self.list(list),
+            toml_edit::Value::InlineTable(table) => self.inline_table(table),
+        };
+        Node { place, value }
+    }
+
+    fn list(&self, list: &Array) -> Value {
+        let nodes = list.iter().map(|value| {
+            let place = self.place(value.span().map(|s| s.start));
+            self.node(place, value)
+        });
+        Value::List(nodes.collect())
+    }
+}
+
+/// Turns a JSON value into a node; members that are null count as absent.
+pub(crate) fn node_from_json(record: &Place, json: &serde_json::Value) -> Node {
+    let value = match json {
+        serde_json::Value::Null => Value::Table(Table::new()),
+        serde_json::Value::Bool(b) => Value::Bool(*b),
+        serde_json::Value::Number(n) => match n.as_i64() {
+            Some(n) => Value::Integer(n),
+            None => Value::Float(n.as_f64().unwrap_or(f64::NAN)),
+        },
+        serde_json::Value::String(text) => Value::Text(Arc::from(text.as_str())),
+        serde_json::Value::Array(list) => {
+            Value::List(list.iter().map(|v| node_from_json(record, v)).collect())
+        }
+        serde_json::Value::Object(members) => {
+            let present = members.iter().filter(|(_, v)| !v.is_null());
+            let entries = present.map(|(k, v)| (Arc::from(k.as_str()), node_from_json(record, v)));
+            Value::Table(entries.collect())
+        }
+    };
+    Node {
+        place: record.clone(),
+        value,
+    }
+}
