--- a/crates/kingcupwinch-cli/tests/cli/main.rs
+++ b/crates/kingcupwinch-cli/tests/cli/main.rs
@@ -2,4 +2,5 @@
 
 mod burn;
 mod common;
+mod outage;
 mod sessions;
--- /dev/null
+++ b/crates/kingcupwinch-cli/tests/cli/outage.rs
@@ -0,0 +1,104 @@
+//! A log that goes out in the middle of a publication.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use kingcupwinch_cli::Exit;
+use kingcupwinch_coord::id::Offset;
+use kingcupwinch_wire::{LogPage, LogRecord, encode_page};
+use tokio::net::TcpListener;
+
+use crate::common::{command, example};
+
+/// A log that takes one record, loses its answer, and is then out until it is mended.
+#[derive(Debug, Default)]
+struct FragileLog {
+    records: Vec<Bytes>,
+    is_out: bool,
+}
+
+type Shared = Arc<Mutex<FragileLog>>;
+
+async fn start(log: &Shared) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let log = Arc::clone(log);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let log = Arc::clone(&log);
+            let service = service_fn(move |request| answer(Arc::clone(&log), request));
+            let connection = hyper::server::conn::http1::Builder::new();
+            tokio::spawn(connection.serve_connection(TokioIo::new(stream), service));
+        }
+    });
+    address
+}
+
+async fn answer(log: Shared, request: Request<Incoming>) -> io::Result<Response<Full<Bytes>>> {
+    let is_append = request.method() == Method::POST;
+    let body = request.into_body().collect().await;
+    let body = body.map_err(io::Error::other)?.to_bytes();
+    let mut log = log.lock().expect("a free lock");
+    if log.is_out {
+        let mut response = Response::new(Full::default());
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        return Ok(response);
+    }
+    if is_append {
+        log.records.push(body);
+        log.is_out = true;
+        return Err(io::ErrorKind::ConnectionAborted.into());
+    }
+    Ok(Response::new(Full::from(encode_page(&page(&log.records)))))
+}
+
+fn page(records: &[Bytes]) -> LogPage {
+    let tail = Offset(records.len() as u64);
+    let records = records.iter().zip(0..).map(|(bytes, offset)| LogRecord {
+        offset: Offset(offset),
+        bytes: bytes.clone(),
+    });
+    LogPage {
+        first: Offset(0),
+        next: tail,
+        tail,
+        records: records.collect(),
+    }
+}
+
+/// Returns the record id that a message names.
+fn record_id(text: &str) -> &str {
+    let after = text.split("--record ").nth(1).expect("a record id");
+    after.split('`').next().expect("an end")
+}
+
+#[tokio::test]
+async fn an_unknown_outcome_is_settled_later_and_never_sent_twice() {
+    let log = Shared::default();
+    let address = start(&log).await;
+    let folder = example("event-sound-hire");
+    let line = format!("kingcupwinch publish {folder} --on 0 --wait-ms 100 --log {address}");
+
+    let published = command(&line).await;
+    assert_eq!(published.exit, Exit::Pending, "{}", published.err);
+    let id = record_id(&published.err);
+
+    let settle = format!("kingcupwinch history --record {id} --log {address}");
+    assert_eq!(command(&settle).await.exit, Exit::Unreachable);
+    log.lock().expect("a free lock").is_out = false;
+    let settled = command(&settle).await;
+    assert_eq!(settled.exit, Exit::Success, "{}", settled.err);
+    assert!(
+        settled.out.ends_with("it made version 1\n"),
+        "{}",
+        settled.out
+    );
+    assert_eq!(log.lock().expect("a free lock").records.len(), 1);
+}
