Leave defaults out of a published tree

Cause: a tree named every setting, so records were large and an older daemon refused any tree of a newer command line. Change: the record form leaves out what equals its default, but for settings that must be set; Tree::settings lists all of them for show and diff; a golden file holds the defaults, which now never change; origins are collected for folders only.

--- a/crates/kingcupwinch-cli/src/change.rs
+++ b/crates/kingcupwinch-cli/src/change.rs
@@ -1,6 +1,5 @@
 //! Differences between two trees.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use kingcupwinch_config::Tree;
@@ -20,8 +19,8 @@
 
 /// Returns the settings that differ, in the order of their paths.
 pub(crate) fn changes(before: &Tree, after: &Tree) -> Vec<Change> {
-    let before = settings(before);
-    let mut after = settings(after);
+    let before = before.settings();
+    let mut after = after.settings();
     let mut changes: Vec<Change> = Vec::new();
     for (path, was) in before {
         let now = after.remove(&path);
@@ -42,30 +41,3 @@
     changes.sort_by(|a, b| a.path.cmp(&b.path));
     changes
 }
-
-/// Returns every setting of a tree by its dotted path; unset ones are left out.
-pub(crate) fn settings(tree: &Tree) -> BTreeMap<Arc<str>, Value> {
-    let value = serde_json::to_value(tree).unwrap_or_default();
-    let mut found = BTreeMap::new();
-    collect(&mut found, "", value);
-    found
-}
-
-fn collect(found: &mut BTreeMap<Arc<str>, Value>, path: &str, value: Value) {
-    match value {
-        Value::Null => {}
-        Value::Object(members) => {
-            for (key, member) in members {
-                let path = if path.is_empty() {
-                    key
-                } else {
-                    format!("{path}.{key}")
-                };
-                collect(found, &path, member);
-            }
-        }
-        value => {
-            found.insert(Arc::from(path), value);
-        }
-    }
-}
--- a/crates/kingcupwinch-cli/src/cmd/show.rs
+++ b/crates/kingcupwinch-cli/src/cmd/show.rs
@@ -1,14 +1,11 @@
 //! `show`: writes the configuration in force, an older version, or a folder as it would be.
 
-use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::sync::Arc;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use kingcupwinch_config::{Origins, Tree, load_folder};
-use serde_json::Value;
+use kingcupwinch_config::{Origins, Settings as TreeSettings, Tree, load_folder};
 
-use crate::change::settings as tree_settings;
 use crate::console::Console;
 use crate::error::Error;
 use crate::exit::Exit;
@@ -55,7 +52,7 @@
         None => (published_tree(matches).await?, Origins::default()),
     };
     let path = matches.get_one::<String>("path").map_or("", String::as_str);
-    let shown = under_path(tree_settings(&tree), path);
+    let shown = under_path(tree.settings(), path);
     if shown.is_empty() && !path.is_empty() {
         return Err(Error::NoPath(Arc::from(path)));
     }
@@ -80,7 +77,7 @@
     }
 }
 
-fn under_path(settings: BTreeMap<Arc<str>, Value>, path: &str) -> BTreeMap<Arc<str>, Value> {
+fn under_path(settings: TreeSettings, path: &str) -> TreeSettings {
     let is_under = |setting: &str| {
         path.is_empty()
             || setting
--- a/crates/kingcupwinch-config/src/check/mod.rs
+++ b/crates/kingcupwinch-config/src/check/mod.rs
@@ -23,12 +23,11 @@
 const RECORD_NAME: &str = "record";
 
 /// Decodes a merged node and runs every check on it.
-pub(crate) fn check_node(root: &Node, faults: &mut Vec<Fault>) -> (Tree, Origins) {
+pub(crate) fn check_node(root: &Node, origins: &Origins, faults: &mut Vec<Fault>) -> Tree {
     let mut decoder = Decoder::default();
     let tree = Tree::decode(root, &mut decoder).unwrap_or_default();
     faults.append(&mut decoder.faults);
-    let origins = Origins::new(root);
-    let mut report = Report::new(&origins, faults);
+    let mut report = Report::new(origins, faults);
     references::check(&tree, &mut report);
     shares::check(&tree, &mut report);
     sizes::check(&tree, &mut report);
@@ -40,7 +39,7 @@
             FaultKind::TooLargeRecord(MAX_RECORD_BYTES, tree.classes.len()),
         );
     }
-    (tree, origins)
+    tree
 }
 
 impl Tree {
@@ -57,7 +56,8 @@
             .map_err(|e| record_fault(FaultKind::Syntax(Arc::from(e.to_string()))))?;
         let root = node_from_json(&Place::new(RECORD_NAME), &value);
         let mut faults = Vec::new();
-        let (tree, _) = check_node(&root, &mut faults);
+        let origins = Origins::with_root(&root);
+        let tree = check_node(&root, &origins, &mut faults);
         if faults.is_empty() {
             Ok(tree)
         } else {
--- a/crates/kingcupwinch-config/src/check/references.rs
+++ b/crates/kingcupwinch-config/src/check/references.rs
@@ -10,9 +10,6 @@
 use crate::tree::{Class, Kind, Service, Tree};
 
 pub(super) fn check(tree: &Tree, report: &mut Report<'_>) {
-    for name in tree.domains.keys() {
-        report.require(&format!("domains.{name}"), "region");
-    }
     for (name, class) in &tree.classes {
         check_class(name, class, report);
     }
@@ -29,9 +26,8 @@
 
 fn check_class(name: &str, class: &Class, report: &mut Report<'_>) {
     let path = format!("classes.{name}");
-    report.require(&path, "kind");
     if class.kind == Kind::Live && class.deadline_ms.is_none() {
-        report.require(&path, "deadline_ms");
+        report.fault(&format!("{path}.deadline_ms"), FaultKind::Missing);
     }
     if class.stop && !class.idempotent {
         report.contradiction(
@@ -45,7 +41,6 @@
 
 fn check_service(name: &str, service: &Service, tree: &Tree, report: &mut Report<'_>) {
     let path = format!("services.{name}");
-    report.require(&path, "default_class");
     let default_path = format!("{path}.default_class");
     let classes_path = format!("{path}.classes");
     for class in &service.classes {
--- a/crates/kingcupwinch-config/src/check/report.rs
+++ b/crates/kingcupwinch-config/src/check/report.rs
@@ -24,24 +24,11 @@
         }
     }
 
-    /// Returns whether a file set the setting.
-    pub(super) fn is_set(&self, path: &str) -> bool {
-        self.origins.place(path).is_some()
-    }
-
     /// Notes a fault of one setting.
     pub(super) fn fault(&mut self, path: &str, kind: FaultKind) {
         self.add(path, kind, None);
     }
 
-    /// Notes a setting without a default that isn't set.
-    pub(super) fn require(&mut self, table: &str, setting: &str) {
-        let path = format!("{table}.{setting}");
-        if !self.is_set(&path) {
-            self.add(&path, FaultKind::Missing, None);
-        }
-    }
-
     /// Notes a value that can't work, whatever the other settings are.
     pub(super) fn refuse(&mut self, path: &str, cause: String) {
         self.add(path, FaultKind::Contradiction(Arc::from(cause)), None);
--- a/crates/kingcupwinch-config/src/check/sizes.rs
+++ b/crates/kingcupwinch-config/src/check/sizes.rs
@@ -1,6 +1,7 @@
 //! Checks that tasks and gangs fit the domains.
 
 use super::report::Report;
+use crate::fault::FaultKind;
 use crate::tree::{Class, Domain, Kind, Task, Tree};
 
 pub(super) fn check(tree: &Tree, report: &mut Report<'_>) {
@@ -19,8 +20,13 @@
         report.refuse(&format!("{path}.shards"), cause);
     }
     if domain.workers > 0 {
-        for setting in ["slots", "millicores", "memory_mb"] {
-            report.require(&path, setting);
+        let sizes = [
+            ("slots", domain.slots),
+            ("millicores", domain.millicores),
+            ("memory_mb", domain.memory_mb),
+        ];
+        for (setting, _) in sizes.iter().filter(|(_, size)| *size == 0) {
+            report.fault(&format!("{path}.{setting}"), FaultKind::Missing);
         }
     }
     if domain.rack_workers > domain.workers {
--- a/crates/kingcupwinch-config/src/decode.rs
+++ b/crates/kingcupwinch-config/src/decode.rs
@@ -54,6 +54,13 @@
         Some(table)
     }
 
+    /// Notes the settings without a default that a table leaves unset.
+    pub(crate) fn require(&mut self, node: &Node, table: &Table, keys: &[&str]) {
+        for key in keys.iter().filter(|key| !table.contains_key(**key)) {
+            self.within(key, |cx| cx.fault(node, FaultKind::Missing));
+        }
+    }
+
     /// Decodes one field of a table, none where it is absent or at fault.
     pub(crate) fn field<T: Decode>(&mut self, table: &Table, key: &str) -> Option<T> {
         let node = table.get(key)?;
@@ -224,18 +231,24 @@
     }
 }
 
-/// Declares a table of settings: the struct, its defaults and its decoding.
+/// Declares a table of settings: the struct, its defaults, its decoding and its record form.
+///
+/// The record form leaves out what equals its default, but for the settings named by `requires`.
 macro_rules! settings {
-    ($(#[$meta:meta])* struct $name:ident {
+    ($(#[$meta:meta])* struct $name:ident $(requires $required:literal)? {
         $($(#[$field_meta:meta])* $field:ident: $type:ty = $default:expr,)*
     }) => {
         $(#[$meta])*
         #[derive(Debug, Clone, PartialEq)]
-        #[derive(serde::Serialize)]
         pub struct $name {
             $($(#[$field_meta])* pub $field: $type,)*
         }
 
+        impl $name {
+            const KEYS: &[&str] = &[$(stringify!($field)),*];
+            const REQUIRED: &[&str] = &[$($required)?];
+        }
+
         impl Default for $name {
             fn default() -> Self {
                 $name { $($field: $default,)* }
@@ -247,12 +260,37 @@
                 node: &$crate::node::Node,
                 cx: &mut $crate::decode::Decoder,
             ) -> Option<Self> {
-                let table = cx.table(node, &[$(stringify!($field)),*])?;
+                let table = cx.table(node, $name::KEYS)?;
+                cx.require(node, table, $name::REQUIRED);
                 Some($name {
                     $($field: cx.field(table, stringify!($field)).unwrap_or_else(|| $default),)*
                 })
             }
         }
+
+        impl serde::Serialize for $name {
+            fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                use serde::ser::SerializeMap;
+
+                let mut map = serializer.serialize_map(None)?;
+                $(
+                    let key = stringify!($field);
+                    if self.$field != $default || $name::REQUIRED.contains(&key) {
+                        map.serialize_entry(key, &self.$field)?;
+                    }
+                )*
+                map.end()
+            }
+        }
+
+        impl $crate::list::List for $name {
+            fn list(&self, path: &str, found: &mut $crate::list::Settings) {
+                $(
+                    let path_of_field = $crate::origin::join_path(path, stringify!($field));
+                    self.$field.list(&path_of_field, found);
+                )*
+            }
+        }
     };
 }
 
@@ -268,6 +306,12 @@
             $($(#[$variant_meta])* #[serde(rename = $word)] $variant,)*
         }
 
+        impl $crate::list::List for $name {
+            fn list(&self, path: &str, found: &mut $crate::list::Settings) {
+                $crate::list::insert(path, self.as_str(), found);
+            }
+        }
+
         impl $name {
             /// Returns the word that stands for the choice in the settings.
             pub const fn as_str(self) -> &'static str {
--- a/crates/kingcupwinch-config/src/folder.rs
+++ b/crates/kingcupwinch-config/src/folder.rs
@@ -9,7 +9,7 @@
 use crate::fault::{Fault, FaultKind, Faults};
 use crate::merge::merge_table;
 use crate::node::{Node, Place, Table, Value};
-use crate::origin::Loaded;
+use crate::origin::{Loaded, Origins};
 use crate::parse::parse_toml;
 
 /// The most files of one folder.
@@ -121,7 +121,8 @@
         place: Place::new(first),
         value: Value::Table(root),
     };
-    let (tree, origins) = check_node(&root, &mut faults);
+    let origins = Origins::new(&root);
+    let tree = check_node(&root, &origins, &mut faults);
     if !faults.is_empty() {
         return Err(Faults::new(faults));
     }
--- a/crates/kingcupwinch-config/src/lib.rs
+++ b/crates/kingcupwinch-config/src/lib.rs
@@ -24,6 +24,7 @@
 mod decode;
 mod fault;
 mod folder;
+mod list;
 mod merge;
 mod node;
 mod origin;
@@ -36,6 +37,7 @@
 pub use folder::{
     MAX_FILE_BYTES, MAX_FILES, MAX_FOLDER_BYTES, SkipReason, Skipped, load_folder, load_texts,
 };
+pub use list::Settings;
 pub use node::Place;
 pub use origin::{Loaded, Origins};
 pub use tree::{
--- a/crates/kingcupwinch-config/src/origin.rs
+++ b/crates/kingcupwinch-config/src/origin.rs
@@ -34,6 +34,13 @@
         origins
     }
 
+    /// Knows only the place of the root, for a tree that comes from a record.
+    pub(crate) fn with_root(root: &Node) -> Self {
+        let mut origins = Origins::default();
+        origins.places.insert(Arc::from(""), root.place.clone());
+        origins
+    }
+
     fn collect(&mut self, path: &str, node: &Node) {
         self.places.insert(Arc::from(path), node.place.clone());
         if let Value::Table(table) = &node.value {
--- a/crates/kingcupwinch-config/src/tree.rs
+++ b/crates/kingcupwinch-config/src/tree.rs
@@ -1,4 +1,8 @@
 //! The typed tree of settings with its defaults.
+//!
+//! A published tree leaves out what equals its default, so that a record stays small and an older
+//! daemon takes a tree that doesn't use newer settings. So a default never changes: another
+//! default needs another setting. The golden file of the defaults holds this.
 
 use std::sync::Arc;
 
@@ -33,7 +37,7 @@
 
 settings! {
     /// A failure domain and the shape of its workers.
-    struct Domain {
+    struct Domain requires "region" {
         /// The region; it must be set.
         region: Arc<str> = Arc::from(""),
         /// Parts that the domain's workers are split into for ownership.
@@ -59,7 +63,7 @@
 
 settings! {
     /// A live service.
-    struct Service {
+    struct Service requires "default_class" {
         /// Classes that requests may name.
         classes: Vec<Arc<str>> = Vec::new(),
         /// The class of a request that names none; it must be set.
@@ -81,7 +85,7 @@
 
 settings! {
     /// A class of work.
-    struct Class {
+    struct Class requires "kind" {
         /// The kind of work; it must be set.
         kind: Kind = Kind::Batch,
         /// The priority band; work of band 0 goes first.
@@ -250,7 +254,7 @@
 }
 
 impl Tree {
-    /// Returns the tree as JSON: every setting explicit, entries sorted by name, no spaces.
+    /// Returns the tree as JSON without what equals its default, entries sorted by name.
     pub fn to_canonical_json(&self) -> String {
         serde_json::to_string(self).unwrap_or_default()
     }
--- a/crates/kingcupwinch-config/tests/faults.rs
+++ b/crates/kingcupwinch-config/tests/faults.rs
@@ -192,22 +192,20 @@
 
 #[test]
 fn a_tree_too_large_for_a_record_is_refused() {
-    let entries = |table: &str, setting: &str| -> String {
-        let entry = |i: usize| format!("[{table}.{i}-{}]\n{setting}\n", "n".repeat(56));
-        (0..1_000).map(entry).collect()
+    let names: Vec<String> = (0..1_000)
+        .map(|i| format!("{i}-{}", "n".repeat(56)))
+        .collect();
+    let class = |name: &String| format!("[classes.{name}]\nkind = 'live'\ndeadline_ms = 1\n");
+    let classes: String = names.iter().map(class).collect();
+    let list = names.join("', '");
+    let service = |i| {
+        format!(
+            "[services.s{i}]\nclasses = ['{list}']\ndefault_class = '{}'\n",
+            names[0]
+        )
     };
-    let class = format!("0-{}", "n".repeat(56));
-    let service = format!("default_class = '{class}'\nclasses = ['{class}']");
-    let texts = [
-        (
-            "a.toml",
-            entries("classes", "kind = 'live'\ndeadline_ms = 1"),
-        ),
-        ("b.toml", entries("objectives", "")),
-        ("c.toml", entries("customers", "")),
-        ("d.toml", entries("domains", "region = 'r'")),
-        ("e.toml", entries("services", &service)),
-    ];
+    let services: String = (0..20).map(service).collect();
+    let texts = [("a.toml", classes), ("b.toml", services)];
     let found = load_texts(texts.iter().map(|(n, t)| (*n, t.as_str())));
     let expected = "a.toml: is larger than 1000000 bytes as a record, with 1000 classes";
     assert_eq!(
--- a/crates/kingcupwinch-config/tests/merge.rs
+++ b/crates/kingcupwinch-config/tests/merge.rs
@@ -67,6 +67,27 @@
     assert_eq!(json(one), json(two));
 }
 
+/// A published tree leaves out its defaults, so a change here would change what it means.
+#[test]
+fn the_defaults_are_those_of_the_record_form() {
+    let text = "[domains.d]\nregion = 'r'\n[classes.c]\nkind = 'live'\ndeadline_ms = 1\n[services.s]\ndefault_class = 'c'\nclasses = ['c']\n[customers.k]\n[objectives.c]";
+    let tree = load_texts([("a.toml", text)]).unwrap().tree;
+    insta::assert_json_snapshot!(tree.settings());
+    let json = r#"{"domains":{"d":{"region":"r"}},"services":{"s":{"classes":["c"],"default_class":"c"}},"classes":{"c":{"kind":"live","deadline_ms":1}},"customers":{"k":{}},"objectives":{"c":{}}}"#;
+    assert_eq!(tree.to_canonical_json(), json);
+}
+
+#[test]
+fn a_required_setting_is_kept_where_it_equals_the_default() {
+    let tree = load_texts([("a.toml", "[classes.a]\nkind = 'batch'")])
+        .unwrap()
+        .tree;
+    assert_eq!(
+        tree.to_canonical_json(),
+        r#"{"classes":{"a":{"kind":"batch"}}}"#
+    );
+}
+
 #[test]
 fn a_long_fraction_is_read_back_exactly() {
     let text = "[classes.a]\nkind = 'batch'\nmost = 0.9656833089910416";
