--- a/crates/kingcupwinch-fakes/src/worker.rs
+++ b/crates/kingcupwinch-fakes/src/worker.rs
@@ -1,6 +1,7 @@
 //! Workers, and the ledger of all that was started on them.
 
 mod answer;
+mod counts;
 mod engine;
 mod ledger;
 mod live;
@@ -10,7 +11,8 @@
 mod spec;
 
 pub use answer::live_answer;
-pub use engine::{Counts, LiveStart, WorkerEngine};
+pub use counts::Counts;
+pub use engine::WorkerEngine;
 pub use ledger::{Ledger, Place, Start};
 pub use service::FakeWorker;
-pub use spec::{Conduct, WorkerSpec};
+pub use spec::{Conduct, LiveStart, WorkerSpec};
--- a/crates/kingcupwinch-fakes/src/worker/engine.rs
+++ b/crates/kingcupwinch-fakes/src/worker/engine.rs
@@ -8,53 +8,7 @@
 
 use super::report::Reports;
 use super::run::{Run, Size};
-use super::{Conduct, Ledger, Start, WorkerSpec};
-
-/// What a worker was given and how much of it at once.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Counts {
-    /// The most work that ran at one time.
-    pub highest_running: u32,
-    /// The most connections that were open at one time.
-    pub highest_connections: u32,
-    /// Work that arrived while all slots or the resources were taken.
-    pub overflows: u32,
-    /// Connections beyond the limit.
-    pub connection_overflows: u32,
-    /// Work that was started.
-    pub starts: u32,
-    /// Work that was refused, for any reason.
-    pub refusals: u32,
-    /// Checkpoints taken.
-    pub checkpoints: u32,
-    /// Tasks throttled.
-    pub throttles: u32,
-    /// Tasks stopped on request.
-    pub stops: u32,
-    /// Tasks whose lease lapsed.
-    pub lapses: u32,
-}
-
-/// A live request at its arrival.
-#[derive(Debug, Clone)]
-pub struct LiveStart {
-    /// Its id.
-    pub task: Uuid,
-    /// The attempt.
-    pub attempt: u32,
-    /// The owner's term.
-    pub term: u64,
-    /// Until when it may start.
-    pub not_after: Time,
-    /// The service.
-    pub service: Arc<str>,
-    /// Its idempotency key.
-    pub key: Option<Arc<str>>,
-    /// The caller's own id of it.
-    pub request: Option<Arc<str>>,
-    /// How long it runs on a usual worker, in milliseconds.
-    pub run_ms: Option<u64>,
-}
+use super::{Conduct, Counts, Ledger, LiveStart, Start, WorkerSpec};
 
 /// A worker's state.
 #[derive(Debug)]
@@ -303,6 +257,11 @@
         self.connections -= 1;
     }
 
+    /// Returns how many connections are open.
+    pub fn open_connections(&self) -> u32 {
+        self.connections
+    }
+
     fn check(&mut self, now: Time, term: u64, not_after: Time, size: Size) -> Result<(), Refusal> {
         if let Some(refusal) = self.conduct.refuses {
             return Err(refusal);
--- a/crates/kingcupwinch-fakes/src/worker/service.rs
+++ b/crates/kingcupwinch-fakes/src/worker/service.rs
@@ -104,6 +104,11 @@
         self.shared.read(WorkerEngine::counts)
     }
 
+    /// Returns how many connections are open.
+    pub fn open_connections(&self) -> u32 {
+        self.shared.read(WorkerEngine::open_connections)
+    }
+
     /// Cuts every connection and stops listening; tasks end only as their leases lapse.
     pub fn kill(&self) {
         self.server.kill();
--- a/crates/kingcupwinch-fakes/src/worker/spec.rs
+++ b/crates/kingcupwinch-fakes/src/worker/spec.rs
@@ -1,9 +1,10 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use kingcupwinch_time::Span;
+use kingcupwinch_time::{Span, Time};
 use kingcupwinch_wire::roster::Capacity;
 use kingcupwinch_wire::worker::Refusal;
+use uuid::Uuid;
 
 const FULL_SPEED_PERCENT: u64 = 100;
 
@@ -104,3 +105,24 @@
         }
     }
 }
+
+/// A live request at its arrival.
+#[derive(Debug, Clone)]
+pub struct LiveStart {
+    /// Its id.
+    pub task: Uuid,
+    /// The attempt.
+    pub attempt: u32,
+    /// The owner's term.
+    pub term: u64,
+    /// Until when it may start.
+    pub not_after: Time,
+    /// The service.
+    pub service: Arc<str>,
+    /// Its idempotency key.
+    pub key: Option<Arc<str>>,
+    /// The caller's own id of it.
+    pub request: Option<Arc<str>>,
+    /// How long it runs on a usual worker, in milliseconds.
+    pub run_ms: Option<u64>,
+}
--- /dev/null
+++ b/crates/kingcupwinch-platform/tests/platform/main.rs
@@ -0,0 +1,8 @@
+//! The clients against the stand-ins, and against peers that misbehave.
+
+mod certainty;
+mod log;
+mod pool;
+mod roster;
+mod support;
+mod worker;
--- /dev/null
+++ b/crates/kingcupwinch-platform/tests/platform/pool.rs
@@ -0,0 +1,97 @@
+//! The bound on connections.
+
+use http_body_util::BodyExt;
+use kingcupwinch_fakes::Conduct;
+use kingcupwinch_platform::{NotSentCause, WorkerClient, WorkerError};
+
+use crate::support::{SERVICE, patience, request, soon, stamp, until, worker};
+
+/// One connection for live requests beside the two for control.
+const CONNECTIONS: u32 = 3;
+
+#[tokio::test]
+async fn a_connection_is_used_again() {
+    let worker = worker().await;
+    for n in 0..20 {
+        let answer = worker
+            .client
+            .run(SERVICE, request("a", ""), patience(), || Some(stamp(n)))
+            .await;
+        answer.unwrap().into_body().collect().await.unwrap();
+    }
+    assert_eq!(worker.fake.counts().highest_connections, 1);
+}
+
+#[tokio::test]
+async fn many_requests_wait_for_few_connections() {
+    let worker = worker().await;
+    worker.fake.set_conduct(Conduct {
+        enforces: false,
+        ..Conduct::default()
+    });
+    let client = WorkerClient::new(worker.fake.address(), CONNECTIONS);
+    let calls = (0..20).map(|n| {
+        let client = client.clone();
+        tokio::spawn(async move {
+            let request = request("a", "");
+            let answer = client
+                .run(SERVICE, request, patience(), || Some(stamp(n)))
+                .await;
+            answer.unwrap().into_body().collect().await.unwrap();
+        })
+    });
+    for call in calls.collect::<Vec<_>>() {
+        call.await.unwrap();
+    }
+    let counts = worker.fake.counts();
+    assert_eq!((counts.starts, counts.highest_connections), (20, 1));
+}
+
+#[tokio::test]
+async fn a_request_that_gets_no_connection_in_time_is_not_sent() {
+    let worker = worker().await;
+    let client = WorkerClient::new(worker.fake.address(), CONNECTIONS);
+    let mut long = request("long", "");
+    long.headers_mut().insert("x-run-ms", 600_000.into());
+    let busy = client.clone();
+    let running = tokio::spawn(async move {
+        let answer = busy.run(SERVICE, long, patience(), || Some(stamp(1)));
+        answer.await.is_ok()
+    });
+    until(|| worker.ledger.starts().len() == 1).await;
+    let refused = client.run(SERVICE, request("b", ""), soon(), || Some(stamp(2)));
+    let error = refused.await.unwrap_err();
+    assert!(matches!(error, WorkerError::NotSent(NotSentCause::Timeout)));
+    assert_eq!(worker.ledger.starts().len(), 1);
+    running.abort();
+}
+
+#[tokio::test]
+async fn an_answer_that_is_not_read_to_its_end_closes_its_connection() {
+    let worker = worker().await;
+    let client = WorkerClient::new(worker.fake.address(), CONNECTIONS);
+    let mut large = request("a", "");
+    large
+        .headers_mut()
+        .insert("x-answer-bytes", 30_000_000.into());
+    let answer = client.run(SERVICE, large, patience(), || Some(stamp(1)));
+    drop(answer.await.unwrap());
+    let answer = client.run(SERVICE, request("b", ""), patience(), || Some(stamp(2)));
+    let answer = answer.await.unwrap();
+    assert_eq!(answer.headers()["x-request-id"], "b");
+}
+
+#[tokio::test]
+async fn idle_connections_can_be_closed_for_the_next_owner() {
+    let worker = worker().await;
+    let answer = worker
+        .client
+        .run(SERVICE, request("a", ""), patience(), || Some(stamp(1)))
+        .await;
+    answer.unwrap().into_body().collect().await.unwrap();
+    until(|| {
+        worker.client.close_idle();
+        worker.fake.open_connections() == 0
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/kingcupwinch-platform/tests/platform/support.rs
@@ -0,0 +1,85 @@
+//! Addresses, deadlines and workers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kingcupwinch_coord::id::{Attempt, TaskId, Term};
+use kingcupwinch_fakes::{FakeWorker, Ledger, WorkerSpec};
+use kingcupwinch_platform::{RequestBody, Stamp, WorkerClient, full_body};
+use kingcupwinch_time::Span;
+use kingcupwinch_wire::roster::Capacity;
+use tokio::time::Instant;
+use uuid::Uuid;
+
+pub(crate) const SERVICE: &str = "hire-booking";
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A deadline that no healthy call meets.
+pub(crate) fn patience() -> Instant {
+    Instant::now() + PATIENCE
+}
+
+/// A deadline that a call to a silent server meets.
+pub(crate) fn soon() -> Instant {
+    Instant::now() + Duration::from_millis(50)
+}
+
+pub(crate) fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+pub(crate) fn spec() -> WorkerSpec {
+    let capacity = Capacity {
+        slots: 4,
+        connections: 8,
+        millicores: 16_000,
+        memory_mb: 64_000,
+        accelerators: 0,
+        services: vec![SERVICE.into()],
+    };
+    let mut spec = WorkerSpec::new("worker-1", capacity);
+    spec.report_gap = Span::ZERO;
+    spec
+}
+
+pub(crate) struct Worker {
+    pub(crate) fake: FakeWorker,
+    pub(crate) ledger: Ledger,
+    pub(crate) client: Arc<WorkerClient>,
+}
+
+pub(crate) async fn worker() -> Worker {
+    let ledger = Ledger::new();
+    let started = FakeWorker::start(spec(), &ledger, any_port()).await;
+    let fake = started.expect("a free port");
+    let client = Arc::new(WorkerClient::new(fake.address(), 8));
+    Worker {
+        fake,
+        ledger,
+        client,
+    }
+}
+
+pub(crate) fn stamp(task: u128) -> Stamp {
+    Stamp {
+        task: TaskId(Uuid::from_u128(task)),
+        attempt: Attempt(1),
+        term: Term(5),
+        left: Span::from_secs(30),
+    }
+}
+
+pub(crate) fn request(id: &str, body: &'static str) -> hyper::Request<RequestBody> {
+    let request = hyper::Request::post("/").header("x-request-id", id);
+    request.body(full_body(body)).expect("a valid request")
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn until(holds: impl Fn() -> bool) {
+    let deadline = patience();
+    while !holds() {
+        assert!(Instant::now() < deadline, "the condition holds in the end");
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-platform/tests/platform/worker.rs
@@ -0,0 +1,222 @@
+//! The worker's client.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use kingcupwinch_coord::id::TaskId;
+use kingcupwinch_fakes::{Conduct, Reach, live_answer};
+use kingcupwinch_platform::{LostCause, NotSentCause, RequestBody, WorkerError};
+use kingcupwinch_time::Span;
+use kingcupwinch_wire::worker::{Refusal, Renewal, TaskStart, WorkOutcome};
+use rstest::rstest;
+use tokio::sync::mpsc;
+use uuid::Uuid;
+
+use crate::support::{SERVICE, Worker, patience, request, soon, stamp, until, worker};
+
+const TASK: Uuid = Uuid::from_u128(1);
+
+fn task(run_ms: u64) -> TaskStart {
+    TaskStart {
+        task: TASK,
+        attempt: 1,
+        term: 5,
+        lease_ms: 600_000,
+        class: "plans".into(),
+        millicores: 1_000,
+        memory_mb: 1_000,
+        accelerators: 0,
+        run_ms: Some(run_ms),
+        payload: serde_json::Value::Null,
+    }
+}
+
+#[tokio::test]
+async fn each_caller_gets_the_whole_answer_to_its_own_request() {
+    let worker = worker().await;
+    let calls = (0..4_u16).map(|n| {
+        let client = worker.client.clone();
+        tokio::spawn(async move {
+            let id = format!("caller-{n}");
+            let mut request = request(&id, "is the stage free?");
+            let headers = request.headers_mut();
+            headers.insert("x-answer-bytes", 100_000.into());
+            headers.insert("x-run-ms", (40 - 10 * n).into());
+            let stamps = || Some(stamp(n.into()));
+            let answer = client.run(SERVICE, request, patience(), stamps).await;
+            let answer = answer.unwrap();
+            assert_eq!(answer.headers()["x-request-id"], id.as_str());
+            let whole = answer.into_body().collect().await.unwrap().to_bytes();
+            assert_eq!(whole, live_answer(&id, b"is the stage free?", 100_000));
+        })
+    });
+    for call in calls.collect::<Vec<_>>() {
+        call.await.unwrap();
+    }
+    assert_eq!(worker.ledger.starts().len(), 4);
+}
+
+#[tokio::test]
+async fn bodies_stream_both_ways() {
+    let worker = worker().await;
+    let (frames, mut receiver) = mpsc::channel::<Bytes>(1);
+    let stream = futures_util::stream::poll_fn(move |cx| {
+        let polled = receiver.poll_recv(cx);
+        polled.map(|bytes| bytes.map(|b| Ok(Frame::data(b))))
+    });
+    let body: RequestBody = StreamBody::new(stream).boxed_unsync();
+    let request = hyper::Request::post("/").header("x-echo", "1");
+    let request = request.body(body).unwrap();
+    let stamps = || Some(stamp(1));
+    let answer = worker
+        .client
+        .run(SERVICE, request, patience(), stamps)
+        .await;
+    let mut echoed = answer.unwrap().into_body();
+    for n in 0..3_u8 {
+        frames.send(Bytes::from(vec![n])).await.unwrap();
+        let frame = echoed.frame().await.unwrap().unwrap();
+        assert_eq!(frame.into_data().unwrap(), Bytes::from(vec![n]));
+    }
+    drop(frames);
+    assert!(echoed.frame().await.is_none());
+    until(|| worker.ledger.starts()[0].ended.is_some()).await;
+}
+
+#[rstest]
+#[case::leaving(Refusal::Leaving)]
+#[case::full(Refusal::Full)]
+#[case::stale(Refusal::StaleTerm)]
+#[case::late(Refusal::Late)]
+#[case::service(Refusal::UnknownService)]
+#[tokio::test]
+async fn a_refusal_is_not_run(#[case] reason: Refusal) {
+    let worker = worker().await;
+    worker.fake.set_conduct(Conduct {
+        refuses: Some(reason),
+        ..Conduct::default()
+    });
+    let answer = worker
+        .client
+        .run(SERVICE, request("a", ""), patience(), || Some(stamp(1)))
+        .await;
+    let error = answer.unwrap_err();
+    assert!(error.is_not_run());
+    assert!(matches!(error, WorkerError::Refused(r) if r == reason));
+    let short = task(1);
+    let started = worker.client.start(&short, patience(), || Some(stamp(1)));
+    assert!(matches!(started.await, Err(WorkerError::Refused(r)) if r == reason));
+    assert!(worker.ledger.starts().is_empty());
+}
+
+#[tokio::test]
+async fn work_that_the_last_check_withholds_is_not_sent() {
+    let worker = worker().await;
+    let answer = worker
+        .client
+        .run(SERVICE, request("a", ""), patience(), || None)
+        .await;
+    let withheld = WorkerError::NotSent(NotSentCause::Withheld);
+    assert_eq!(answer.unwrap_err().to_string(), withheld.to_string());
+    assert!(worker.ledger.starts().is_empty());
+}
+
+#[tokio::test]
+async fn a_dropped_answer_may_have_run() {
+    let worker = worker().await;
+    worker.fake.set_conduct(Conduct {
+        drops_answers: true,
+        ..Conduct::default()
+    });
+    let answer = worker
+        .client
+        .run(SERVICE, request("a", ""), patience(), || Some(stamp(1)))
+        .await;
+    let error = answer.unwrap_err();
+    assert!(!error.is_not_run());
+    assert_eq!(worker.ledger.request_starts("a"), 1);
+}
+
+/// Calls with a short deadline until a call was sent: a busy machine may not get so far.
+async fn call_that_times_out(worker: &Worker) -> WorkerError {
+    loop {
+        let mut long = request("a", "");
+        long.headers_mut().insert("x-run-ms", 600_000.into());
+        let stamps = || Some(stamp(1));
+        let answer = worker.client.run(SERVICE, long, soon(), stamps).await;
+        match answer {
+            Err(WorkerError::NotSent(NotSentCause::Timeout)) => {}
+            Err(error) => return error,
+            Ok(answer) => panic!("{answer:?}"),
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_late_answer_may_have_run_and_the_work_goes_on() {
+    let worker = worker().await;
+    // A call may time out after it was sent and before it has arrived.
+    while worker.ledger.starts().is_empty() {
+        let error = call_that_times_out(&worker).await;
+        assert!(matches!(error, WorkerError::Unknown(LostCause::Timeout)));
+        until(|| worker.fake.open_connections() == 0).await;
+    }
+    let starts = worker.ledger.starts();
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].ended, None);
+}
+
+#[tokio::test]
+async fn a_silent_worker_is_unknown() {
+    let worker = worker().await;
+    worker.fake.set_reach(Reach::Silent);
+    let error = call_that_times_out(&worker).await;
+    assert!(matches!(error, WorkerError::Unknown(LostCause::Timeout)));
+    assert!(worker.ledger.starts().is_empty());
+}
+
+#[tokio::test]
+async fn a_task_runs_and_its_end_is_reported() {
+    let worker = worker().await;
+    let client = &worker.client;
+    let short = task(1);
+    let started = client.start(&short, patience(), || Some(stamp(1)));
+    started.await.unwrap();
+    let mut after = 0;
+    let ended = loop {
+        let usage = client.usage(after, Span::from_secs(30), patience()).await;
+        let usage = usage.unwrap();
+        after = usage.seq;
+        if let Some(ended) = usage.ended.first() {
+            break *ended;
+        }
+    };
+    assert_eq!((ended.task, ended.outcome), (TASK, WorkOutcome::Done));
+}
+
+#[tokio::test]
+async fn a_task_can_be_renewed_checkpointed_throttled_and_stopped() {
+    let worker = worker().await;
+    let client = &worker.client;
+    let long = task(600_000);
+    let started = client.start(&long, patience(), || Some(stamp(1)));
+    started.await.unwrap();
+    let unknown = Uuid::from_u128(99);
+    let renewal = Renewal {
+        term: 5,
+        lease_ms: 600_000,
+        tasks: vec![TASK, unknown],
+    };
+    let reply = client.renew(&renewal, patience()).await.unwrap();
+    assert_eq!(reply.unknown, [unknown]);
+    let task = TaskId(TASK);
+    assert!(client.checkpoint(task, patience()).await.unwrap());
+    assert!(client.throttle(task, 50, patience()).await.unwrap());
+    assert!(client.stop(task, patience()).await.unwrap());
+    assert!(!client.stop(task, patience()).await.unwrap());
+    let counts = worker.fake.counts();
+    assert_eq!(
+        (counts.checkpoints, counts.throttles, counts.stops),
+        (1, 1, 1)
+    );
+}
