Read and append through the platform's client

Cause: the command line had an HTTP client of the log of its own beside that of kingcupwinch-platform. Change: it uses the shared one; its own client now serves the operators' ports alone. Conclusion: one client tells what was not appended from what may have been.

--- a/crates/kingcupwinch-cli/src/cmd/publish.rs
+++ b/crates/kingcupwinch-cli/src/cmd/publish.rs
@@ -21,7 +21,6 @@
 use crate::console::Console;
 use crate::error::Error;
 use crate::exit::Exit;
-use crate::log::AppendError;
 use crate::published::{Published, winner_text};
 use crate::rollout::{Rollout, wait_in_force};
 use crate::settings::{Settings, with_addresses};
@@ -132,15 +131,8 @@
     wait: Duration,
     console: &mut Console<'_>,
 ) -> Result<(), Error> {
-    match published.log().append(encode_config(record)).await {
-        Ok(_) => {}
-        Err(AppendError::Refused(cause)) => return Err(cause.into()),
-        Err(AppendError::Lost(cause)) => {
-            console.note(format_args!(
-                "the answer was lost ({cause}); reading back record {}",
-                record.id
-            ))?;
-        }
+    if let Some(cause) = published.log().append(encode_config(record)).await? {
+        console.note(format_args!("{cause}; reading back record {}", record.id))?;
     }
     let deadline = Instant::now() + wait;
     while published.verdict(record.id).is_none() && Instant::now() < deadline {
--- a/crates/kingcupwinch-cli/src/http.rs
+++ b/crates/kingcupwinch-cli/src/http.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -22,11 +22,7 @@
             display("the request can't be made: {cause}")
             from()
         }
-        /// No connection was made, so nothing was sent.
-        Connect(cause: String) {
-            display("{cause}")
-        }
-        /// The connection failed after the request may have been sent.
+        /// The connection failed.
         Connection(cause: String) {
             display("{cause}")
         }
@@ -52,7 +48,7 @@
 /// A client whose requests are bounded in time and size.
 #[derive(Debug, Clone)]
 pub(crate) struct Http {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<HttpConnector, Empty<Bytes>>,
     timeout: Duration,
 }
 
@@ -65,44 +61,19 @@
         }
     }
 
-    /// Returns the longest wait for an answer.
-    pub(crate) fn timeout(&self) -> Duration {
-        self.timeout
-    }
-
-    /// Sends a request and returns the body of a successful answer.
-    pub(crate) async fn send(
-        &self,
-        method: Method,
-        uri: &str,
-        body: Bytes,
-    ) -> Result<Bytes, HttpError> {
-        self.send_within(self.timeout, method, uri, body).await
-    }
-
-    /// Does the same with a timeout of its own.
-    pub(crate) async fn send_within(
-        &self,
-        timeout: Duration,
-        method: Method,
-        uri: &str,
-        body: Bytes,
-    ) -> Result<Bytes, HttpError> {
+    /// Sends a request without a body and returns the body of a successful answer.
+    pub(crate) async fn send(&self, method: Method, uri: &str) -> Result<Bytes, HttpError> {
         let request = Request::builder()
             .method(method)
             .uri(uri)
-            .body(Full::new(body))?;
-        let answer = tokio::time::timeout(timeout, self.exchange(request)).await;
-        answer.unwrap_or(Err(HttpError::Timeout(timeout)))
+            .body(Empty::new())?;
+        let answer = tokio::time::timeout(self.timeout, self.exchange(request)).await;
+        answer.unwrap_or(Err(HttpError::Timeout(self.timeout)))
     }
 
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Bytes, HttpError> {
-        let answer = self.client.request(request).await.map_err(|e| {
-            if e.is_connect() {
-                return HttpError::Connect(root_cause(&e));
-            }
-            HttpError::Connection(root_cause(&e))
-        })?;
+    async fn exchange(&self, request: Request<Empty<Bytes>>) -> Result<Bytes, HttpError> {
+        let answer = self.client.request(request).await;
+        let answer = answer.map_err(|e| HttpError::Connection(root_cause(&e)))?;
         let status = answer.status();
         let body = Limited::new(answer.into_body(), MAX_BODY_BYTES);
         let body = body.collect().await.map_err(|e| {
--- a/crates/kingcupwinch-cli/src/log.rs
+++ b/crates/kingcupwinch-cli/src/log.rs
@@ -3,49 +3,30 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
-use hyper::{Method, StatusCode};
 use kingcupwinch_coord::id::Offset;
-use kingcupwinch_wire::{DecodeError, LogPage, decode_page};
+use kingcupwinch_platform::{AppendError, LogClient, ReadError};
+use kingcupwinch_wire::LogPage;
 use quick_error::quick_error;
-
-use crate::http::{Http, HttpError};
+use tokio::time::Instant;
 
 /// The stream that carries the published configuration.
 const STREAM: &str = "config";
 
 /// The most records of one page.
-const PAGE_RECORDS: usize = 256;
+const PAGE_RECORDS: u32 = 256;
 
 quick_error! {
     /// The log service failed.
     #[derive(Debug)]
     pub enum LogError {
-        /// No usable answer came.
-        Http(address: SocketAddr, cause: HttpError) {
-            display("the log service at {address} did not answer: {cause}; nothing was changed, try again when it is back")
-            source(cause)
-        }
-        /// The answer is not a page of records.
-        Page(address: SocketAddr, cause: DecodeError) {
-            display("the log service at {address} sent an answer that can't be understood: {cause}; check the address")
+        /// Nothing could be read.
+        Read(address: SocketAddr, cause: ReadError) {
+            display("{cause}; nothing was changed, check the address {address} or try again when it is back")
             source(cause)
         }
-    }
-}
-
-quick_error! {
-    /// An append without an answer of success.
-    #[derive(Debug)]
-    pub enum AppendError {
         /// The record was certainly not appended.
-        Refused(cause: LogError) {
-            display("{cause}")
-            source(cause)
-        }
-        /// The record may have been appended.
-        Lost(cause: HttpError) {
-            display("{cause}")
+        Append(address: SocketAddr, cause: AppendError) {
+            display("{cause}; check the log's address {address} or try again when it is back")
             source(cause)
         }
     }
@@ -53,60 +34,39 @@
 
 /// A client of the configuration stream.
 #[derive(Debug, Clone)]
-pub(crate) struct LogClient {
+pub(crate) struct ConfigLog {
     address: SocketAddr,
-    http: Http,
+    client: LogClient,
+    timeout: Duration,
 }
 
-impl LogClient {
+impl ConfigLog {
     /// Makes a client whose requests end within `timeout`, beyond the wait of a long poll.
     pub(crate) fn new(address: SocketAddr, timeout: Duration) -> Self {
-        LogClient {
+        ConfigLog {
             address,
-            http: Http::new(timeout),
+            client: LogClient::new(address),
+            timeout,
         }
     }
 
-    /// Appends one record.
-    pub(crate) async fn append(&self, record: Vec<u8>) -> Result<(), AppendError> {
-        let uri = format!("http://{}/v1/streams/{STREAM}/records", self.address);
-        let answer = self
-            .http
-            .send(Method::POST, &uri, Bytes::from(record))
-            .await;
-        match answer {
-            Ok(_) => Ok(()),
-            Err(cause) if is_refusal(&cause) => {
-                Err(AppendError::Refused(LogError::Http(self.address, cause)))
-            }
-            Err(cause) => Err(AppendError::Lost(cause)),
+    /// Appends one record; gives the cause where it may have been appended without an answer.
+    pub(crate) async fn append(&self, record: Vec<u8>) -> Result<Option<AppendError>, LogError> {
+        let deadline = Instant::now() + self.timeout;
+        match self.client.append(STREAM, record, deadline).await {
+            Ok(_) => Ok(None),
+            Err(cause) if cause.is_not_taken() => Err(LogError::Append(self.address, cause)),
+            Err(cause) => Ok(Some(cause)),
         }
     }
 
     /// Reads a page from an offset on, after waiting up to `wait` for a record.
     pub(crate) async fn read(&self, from: Offset, wait: Duration) -> Result<LogPage, LogError> {
-        let uri = format!(
-            "http://{}/v1/streams/{STREAM}/records?from={}&wait_ms={}&max={PAGE_RECORDS}",
-            self.address,
-            from.0,
-            wait.as_millis()
-        );
-        let timeout = self.http.timeout() + wait;
-        let answer = self
-            .http
-            .send_within(timeout, Method::GET, &uri, Bytes::new());
-        let body = answer.await.map_err(|e| LogError::Http(self.address, e))?;
-        decode_page(body).map_err(|e| LogError::Page(self.address, e))
-    }
-}
-
-/// Returns whether the log service has certainly not taken the record.
-fn is_refusal(error: &HttpError) -> bool {
-    match error {
-        HttpError::Request(_) | HttpError::Connect(_) => true,
-        HttpError::Status(status, _) => {
-            *status == StatusCode::SERVICE_UNAVAILABLE || status.is_client_error()
-        }
-        _ => false,
+        let deadline = Instant::now() + wait + self.timeout;
+        let page = self
+            .client
+            .read(STREAM, from, PAGE_RECORDS, wait.into(), deadline)
+            .await;
+        page.map_err(|cause| LogError::Read(self.address, cause))
     }
 }
--- a/crates/kingcupwinch-cli/src/operator.rs
+++ b/crates/kingcupwinch-cli/src/operator.rs
@@ -55,6 +55,6 @@
         path: &str,
     ) -> Result<Bytes, HttpError> {
         let uri = format!("http://{address}{path}");
-        self.http.send(method, &uri, Bytes::new()).await
+        self.http.send(method, &uri).await
     }
 }
--- a/crates/kingcupwinch-cli/src/published.rs
+++ b/crates/kingcupwinch-cli/src/published.rs
@@ -11,12 +11,12 @@
 use kingcupwinch_wire::{LogPage, decode_config};
 
 use crate::error::Error;
-use crate::log::{LogClient, LogError};
+use crate::log::{ConfigLog, LogError};
 
 /// The history of the configuration stream, read up to its newest record.
 #[derive(Debug)]
 pub(crate) struct Published {
-    log: LogClient,
+    log: ConfigLog,
     history: History,
 }
 
@@ -24,7 +24,7 @@
     /// Reads the stream from its oldest retained record to its newest.
     pub(crate) async fn read(address: SocketAddr, timeout: Duration) -> Result<Self, Error> {
         let mut published = Published {
-            log: LogClient::new(address, timeout),
+            log: ConfigLog::new(address, timeout),
             history: History::new(Offset(0), Limits::new()),
         };
         published.read_tail().await?;
@@ -35,7 +35,7 @@
     }
 
     /// Returns the client of the log.
-    pub(crate) fn log(&self) -> &LogClient {
+    pub(crate) fn log(&self) -> &ConfigLog {
         &self.log
     }
 
