Measure live requests through one daemon against direct calls

Change: examples/bench_live.rs, both sides in turns in one run; the stand-in no longer sleeps for work of no time, which cost a millisecond of the timer.

--- /dev/null
+++ b/crates/kingcupwinch-daemon/examples/bench_live.rs
@@ -0,0 +1,320 @@
+//! Measures live requests through one daemon against calling the workers directly.
+//!
+//! Everything runs in one process on loopback: log, list, workers, one daemon and the callers.
+//! The workers answer at once, so what is measured is the way there and back.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use clap::{Arg, Command, value_parser};
+use hdrhistogram::Histogram;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use kingcupwinch_config::load_texts;
+use kingcupwinch_coord::id::{RecordId, Version};
+use kingcupwinch_coord::record::{ConfigRecord, Stamped};
+use kingcupwinch_daemon::settings::{
+    Hold, Instance, Listen, Log, LogFormat, Platform, Settings, Stop,
+};
+use kingcupwinch_daemon::{Daemon, Running};
+use kingcupwinch_fakes::{
+    FakeLog, FakeRoster, FakeWorker, Ledger, LogFront, RosterFront, WorkerSpec,
+};
+use kingcupwinch_time::{Span, WallTime};
+use kingcupwinch_wire::encode_config;
+use kingcupwinch_wire::roster::Capacity;
+use kingcupwinch_wire::worker::{ATTEMPT_HEADER, NOT_AFTER_HEADER, TASK_HEADER, TERM_HEADER};
+use uuid::Uuid;
+
+type Failure = Box<dyn Error + Send + Sync>;
+type Http = Client<HttpConnector, Full<Bytes>>;
+
+const DOMAIN: &str = "harju-a";
+const WORKERS: usize = 8;
+const SLOTS: u32 = 32;
+const CONNECTIONS: u32 = 64;
+const SIGNIFICANT_DIGITS: u8 = 3;
+const BODY: &[u8] = b"is the open-air stage free on the 24th?";
+const ROUNDS: usize = 10;
+const READY_GUARD: Duration = Duration::from_secs(30);
+
+const TREE: &str = r#"
+[domains.harju-a]
+region = "harju"
+shards = 16
+workers = 8
+rack_workers = 4
+slots = 32
+connections = 64
+millicores = 32_000
+memory_mb = 131_072
+
+[classes.check]
+kind = "live"
+band = 0
+deadline_ms = 20_000
+idempotent = true
+task = { millicores = 100, memory_mb = 64, run_ms = 1 }
+
+[services.booking]
+classes = ["check"]
+default_class = "check"
+
+[customers.festival]
+weight = 1
+"#;
+
+fn command() -> Command {
+    Command::new("bench_live")
+        .about("Measures live requests through one daemon against calling workers directly")
+        .arg(number("requests", "20000", "Requests of each run"))
+        .arg(number(
+            "callers",
+            "8",
+            "Callers at one time for the latency",
+        ))
+        .arg(number(
+            "crowd",
+            "64",
+            "Callers at one time for the throughput",
+        ))
+}
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_parser(value_parser!(usize))
+        .default_value(default)
+        .help(help)
+}
+
+#[tokio::main]
+async fn main() -> Result<(), Failure> {
+    let matches = command().get_matches();
+    let get = |name| matches.get_one::<usize>(name).copied().unwrap_or(1).max(1);
+    let (requests, callers) = (get("requests"), get("callers"));
+    let site = Site::start().await?;
+    let daemon = site.start_daemon().await?;
+    let through = Target::Daemon(daemon.addresses().callers);
+    let direct = Target::Workers(site.workers.iter().map(FakeWorker::address).collect());
+
+    let warm = requests / 10 + 1;
+    load(&direct, callers, warm).await?;
+    load(&through, callers, warm).await?;
+    let mut direct_run = Measured::new()?;
+    let mut daemon_run = Measured::new()?;
+    // In turns, so that a busy spell of the machine touches both.
+    for _ in 0..ROUNDS {
+        let share = requests.div_ceil(ROUNDS);
+        direct_run.add(load(&direct, callers, share).await?)?;
+        daemon_run.add(load(&through, callers, share).await?)?;
+    }
+    let crowd_run = load(&through, get("crowd"), requests).await?;
+    direct_run.print("workers directly", callers);
+    daemon_run.print("through the daemon", callers);
+    crowd_run.print("through the daemon", get("crowd"));
+    for quantile in [0.5, 0.99] {
+        let added = daemon_run.micros_at(quantile) as i64 - direct_run.micros_at(quantile) as i64;
+        println!("added latency at p{}: {added} us", quantile * 100.0);
+    }
+    let overflows: u32 = site.workers.iter().map(|w| w.counts().overflows).sum();
+    println!("work beyond a worker's capacity: {overflows}");
+    daemon.stop().await;
+    Ok(())
+}
+
+/// Where requests go.
+#[derive(Debug, Clone)]
+enum Target {
+    Daemon(SocketAddr),
+    Workers(Arc<[SocketAddr]>),
+}
+
+/// What one run measured.
+struct Measured {
+    micros: Histogram<u64>,
+    elapsed: Duration,
+}
+
+impl Measured {
+    fn new() -> Result<Self, Failure> {
+        Ok(Measured {
+            micros: Histogram::new(SIGNIFICANT_DIGITS)?,
+            elapsed: Duration::ZERO,
+        })
+    }
+
+    fn add(&mut self, other: Measured) -> Result<(), Failure> {
+        self.elapsed += other.elapsed;
+        Ok(self.micros.add(other.micros)?)
+    }
+
+    fn micros_at(&self, quantile: f64) -> u64 {
+        self.micros.value_at_quantile(quantile)
+    }
+
+    fn print(&self, name: &str, callers: usize) {
+        let (p50, p99) = (self.micros_at(0.5), self.micros_at(0.99));
+        let rate = self.micros.len() as f64 / self.elapsed.as_secs_f64();
+        println!("{name}, {callers} callers: {rate:.0} requests/s, p50 {p50} us, p99 {p99} us");
+    }
+}
+
+async fn load(target: &Target, callers: usize, requests: usize) -> Result<Measured, Failure> {
+    let began = Instant::now();
+    let tasks: Vec<_> = (0..callers)
+        .map(|caller| tokio::spawn(call(target.clone(), caller, requests.div_ceil(callers))))
+        .collect();
+    let mut measured = Measured::new()?;
+    for task in tasks {
+        measured.micros.add(task.await??)?;
+    }
+    measured.elapsed = began.elapsed();
+    Ok(measured)
+}
+
+/// Sends one request after another, on connections of its own.
+async fn call(target: Target, caller: usize, requests: usize) -> Result<Histogram<u64>, Failure> {
+    let http: Http = Client::builder(TokioExecutor::new()).build_http();
+    let mut micros = Histogram::new(SIGNIFICANT_DIGITS)?;
+    for n in 0..requests {
+        let began = Instant::now();
+        let answer = http.request(make_request(&target, caller, n)?).await?;
+        if answer.status() != StatusCode::OK {
+            return Err(format!("status {}", answer.status()).into());
+        }
+        answer.into_body().collect().await?;
+        micros.record(u64::try_from(began.elapsed().as_micros())?)?;
+    }
+    Ok(micros)
+}
+
+fn make_request(target: &Target, caller: usize, n: usize) -> Result<Request<Full<Bytes>>, Failure> {
+    let body = Full::new(Bytes::from_static(BODY));
+    let request = match target {
+        Target::Daemon(address) => Request::post(format!("http://{address}/v1/run/booking")),
+        Target::Workers(addresses) => {
+            let address = addresses[(caller + n) % addresses.len()];
+            Request::post(format!("http://{address}/v1/run/booking"))
+                .header(TASK_HEADER, Uuid::now_v7().to_string())
+                .header(ATTEMPT_HEADER, 1)
+                .header(TERM_HEADER, u64::MAX)
+                .header(NOT_AFTER_HEADER, 60_000)
+        }
+    };
+    Ok(request.body(body)?)
+}
+
+/// The platform of one failure domain.
+struct Site {
+    log_front: LogFront,
+    roster_front: RosterFront,
+    workers: Vec<FakeWorker>,
+}
+
+impl Site {
+    async fn start() -> Result<Self, Failure> {
+        let log = FakeLog::new();
+        publish(&log)?;
+        let roster = FakeRoster::new();
+        let ledger = Ledger::new();
+        let mut workers = Vec::new();
+        for index in 0..WORKERS {
+            let spec = WorkerSpec::new(format!("worker-{index}"), capacity())
+                .with_usage_lag(Span::from_millis(100));
+            let worker = FakeWorker::start(spec, &ledger, any_port()).await?;
+            // Direct calls carry a term of their own.
+            let mut conduct = worker.conduct();
+            conduct.checks = false;
+            worker.set_conduct(conduct);
+            roster.put(worker.instance(DOMAIN, &format!("rack-{}", index % 2)));
+            workers.push(worker);
+        }
+        Ok(Site {
+            log_front: LogFront::start(&log, any_port()).await?,
+            roster_front: RosterFront::start(&roster, any_port()).await?,
+            workers,
+        })
+    }
+
+    async fn start_daemon(&self) -> Result<Running, Failure> {
+        let daemon = Daemon::new(self.settings()).start().await?;
+        let target = Target::Daemon(daemon.addresses().callers);
+        let guard = Instant::now() + READY_GUARD;
+        while let Err(error) = call(target.clone(), 0, 1).await {
+            if Instant::now() > guard {
+                return Err(error);
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        Ok(daemon)
+    }
+
+    fn settings(&self) -> Settings {
+        Settings {
+            instance: Instance {
+                name: "entry-1".into(),
+                domain: DOMAIN.into(),
+                weight: 1,
+                seed: None,
+            },
+            listen: Listen {
+                callers: any_port(),
+                forward: any_port(),
+                link: any_port(),
+                operators: any_port(),
+            },
+            platform: Platform {
+                log: self.log_front.address(),
+                list: self.roster_front.address(),
+                poll_ms: 500,
+                call_ms: 1_500,
+            },
+            log: Log {
+                format: LogFormat::Off,
+                ..Log::default()
+            },
+            stop: Stop {
+                balancer_ms: 0,
+                deadline_ms: 10_000,
+            },
+            hold: Hold::default(),
+        }
+    }
+}
+
+fn any_port() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+fn capacity() -> Capacity {
+    Capacity {
+        slots: SLOTS,
+        connections: CONNECTIONS,
+        millicores: 32_000,
+        memory_mb: 131_072,
+        accelerators: 0,
+        services: vec!["booking".into()],
+    }
+}
+
+fn publish(log: &FakeLog) -> Result<(), Failure> {
+    let loaded = load_texts([("10-bench.toml", TREE)]).map_err(|_| "the tree is not valid")?;
+    let body = ConfigRecord {
+        based: Version(0),
+        version: Version(1),
+        origin: None,
+        author: "bench".into(),
+        published: WallTime::from_millis(0),
+        tree: loaded.tree.to_canonical_json().into(),
+    };
+    let id = RecordId(Uuid::now_v7());
+    log.append("config", encode_config(&Stamped { id, body }));
+    Ok(())
+}
--- a/crates/kingcupwinch-fakes/src/worker/live.rs
+++ b/crates/kingcupwinch-fakes/src/worker/live.rs
@@ -71,7 +71,10 @@
     };
     // A task of its own: work goes on when its connection is cut.
     let work = tokio::spawn(async move {
-        tokio::time::sleep(span.into()).await;
+        // Even a sleep of no time lasts until the timer's next tick, a millisecond.
+        if span > Span::ZERO {
+            tokio::time::sleep(span.into()).await;
+        }
         drop(guard);
     });
     work.await.map_err(|_| Dropped)?;
