--- a/crates/kingcupwinch-daemon/src/live/attempt.rs
+++ b/crates/kingcupwinch-daemon/src/live/attempt.rs
@@ -96,6 +96,7 @@
                 after_not_run(job, next, &why)
             }
             None => {
+                job.unsure = true;
                 self.note(EventId::DispatchUnsure, start, &why);
                 let ran = self.shared.now().since(began);
                 let next = self.report(start.place, RunEnd::Unsure { ran }).await;
@@ -130,6 +131,7 @@
         let body = relay_answer(body, &self.shared.settings.hold, done);
         // The slot is free once the worker's side has ended.
         let _ = ended.await;
+        job.unsure = true;
         let next = self.report(place, RunEnd::Failed { ran }).await;
         if next == Next::Requeued && job.request.body.can_send() {
             return Attempted::Again;
--- a/crates/kingcupwinch-daemon/src/live/flow.rs
+++ b/crates/kingcupwinch-daemon/src/live/flow.rs
@@ -7,7 +7,7 @@
 use kameo::actor::ActorRef;
 use kameo::error::SendError;
 use kingcupwinch_policy::{Next, Placement, Refusal, TaskKey};
-use kingcupwinch_wire::api::Problem;
+use kingcupwinch_wire::api::{Problem, ProblemOutcome};
 use tokio::sync::{mpsc, oneshot};
 
 use super::LiveRequest;
@@ -47,6 +47,23 @@
     pub(super) request: LiveRequest,
     pub(super) key: Option<KeyRun>,
     pub(super) forwards: u32,
+    /// Whether an earlier attempt may have run.
+    pub(super) unsure: bool,
+}
+
+impl Job {
+    /// A request of which an attempt may have run is never refused as not run.
+    fn tell_truth(&self, answer: Answer) -> Answer {
+        match answer {
+            Answer::Problem(mut problem) if self.unsure => {
+                if problem.outcome == ProblemOutcome::NotRun {
+                    problem.outcome = ProblemOutcome::Unknown;
+                }
+                Answer::Problem(problem)
+            }
+            other => other,
+        }
+    }
 }
 
 /// What waiting ended with.
@@ -116,10 +133,11 @@
             request,
             key,
             forwards: 0,
+            unsure: false,
         };
         loop {
             match self.try_placed(&mut job, &mut hung_up).await {
-                Attempted::Answered(answer) => return answer,
+                Attempted::Answered(answer) => return job.tell_truth(answer),
                 Attempted::Again => {}
             }
         }
--- a/crates/kingcupwinch-daemon/tests/testsuite/main.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/main.rs
@@ -2,9 +2,11 @@
 
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
+mod bad_input;
 mod caller;
 mod keys;
 mod live;
 mod process;
+mod promises;
 mod siblings;
 mod site;
