Follow the misses of urgent work more slowly

Misses come in bursts, and a step of 0.05 deviations for each overshot: the headroom swung between 2 and 8 deviations.

--- a/crates/kingcupwinch-policy/src/headroom.rs
+++ b/crates/kingcupwinch-policy/src/headroom.rs
@@ -19,7 +19,7 @@
 const FIRST_DEVIATIONS: f64 = 2.5;
 const MAX_DEVIATIONS: f64 = 8.0;
 /// Deviations that a miss adds.
-const STEP: f64 = 0.05;
+const STEP: f64 = 0.01;
 /// The part of misses aimed at when waiting is all that counts.
 const LEAST_MISSES: f64 = 0.004;
 /// The part of misses added when packing is all that counts.
