Hold least shares through bursts of urgent work

Short urgent tasks took every piece before a large task of a starved class fitted anywhere. Such a class now claims a machine that comes free by itself, and the headroom stops at four deviations, so that misses caused by starved classes don't crowd batch out.

--- a/crates/kingcupwinch-policy/src/cell/reclaim.rs
+++ b/crates/kingcupwinch-policy/src/cell/reclaim.rs
@@ -7,6 +7,7 @@
 use super::Cell;
 use crate::decision::Decision;
 use crate::key::{MachineKey, TaskKey};
+use crate::machine::Machine;
 use crate::size::{Dimension, Size};
 use crate::task::{Asked, Claim, Phase, Run, Task};
 
@@ -20,10 +21,14 @@
 const PATIENCE: Span = Span::from_secs(5);
 /// The wait between two searches for capacity to take back, by a class that isn't urgent.
 const CALM: Span = Span::from_secs(1);
-/// The same for an urgent class whose search was in vain.
-const URGENT_CALM: Span = Span::from_millis(50);
+/// The same for a starved class, and for an urgent one whose search was in vain.
+const SHORT_CALM: Span = Span::from_millis(50);
 /// One machine in this many may have a claim of work that isn't urgent.
 const CLAIMED_PART: usize = 32;
+/// The same of a starved class.
+const STARVED_PART: usize = 8;
+/// Racks of which the machines are compared for one that comes free by itself.
+const DRAIN_RACKS: usize = 4;
 /// The time between two tries to give throttled tasks their share back.
 const RELIEF_EVERY: Span = Span::from_millis(100);
 /// The cost of a throttle.
@@ -72,16 +77,22 @@
         now: Time,
         out: &mut Vec<Decision>,
     ) -> bool {
-        if self.fleet.movable().is_empty() || !self.may_take_back(key, now) {
+        if !self.may_take_back(key, now) {
             return false;
         }
         let claimant = self.claimant_of(key, need);
         let class = &mut self.classes[self.tasks[key].spec.class.index()];
         let urgent = class.is_urgent();
-        let rest = if urgent { URGENT_CALM } else { CALM };
+        let rest = if urgent || class.is_starved() {
+            SHORT_CALM
+        } else {
+            CALM
+        };
         class.calm = now + rest;
         class.wake_at(now + rest);
-        let Some((machine, victims)) = self.cheapest(&claimant, need, now) else {
+        let found = self.cheapest(&claimant, need, now);
+        let found = found.or_else(|| self.soonest(&claimant, need, now));
+        let Some((machine, victims)) = found else {
             return false;
         };
         if urgent {
@@ -100,14 +111,20 @@
         let task = &self.tasks[key];
         let class = &mut self.classes[task.spec.class.index()];
         let urgent = class.is_urgent();
-        let patience = if urgent { URGENT_PATIENCE } else { PATIENCE };
+        let starved = class.is_starved();
+        let patience = if urgent || starved {
+            URGENT_PATIENCE
+        } else {
+            PATIENCE
+        };
+        let part = if starved { STARVED_PART } else { CLAIMED_PART };
         let due = (task.submitted + patience).max(class.calm);
         let bound_to_wait = urgent && class.calm <= now && class.likely_wait() > patience;
-        let crowded = !urgent && self.claims.len() > self.fleet.len() / CLAIMED_PART;
+        let crowded = !urgent && self.claims.len() > self.fleet.len() / part;
         if (due <= now || bound_to_wait) && !crowded {
             return true;
         }
-        let due = if crowded { now + CALM } else { due };
+        let due = if crowded { now + SHORT_CALM } else { due };
         class.wake_at(due);
         false
     }
@@ -123,7 +140,7 @@
         let after = customer.used.plus(need).dominant_share(capacity) / customer.spec.weight;
         Claimant {
             band: class.spec.band,
-            starved: class.is_under_least(capacity),
+            starved: class.is_starved(),
             fair: (after <= fair).then_some(fair),
             class: task.spec.class.index(),
         }
@@ -138,6 +155,9 @@
     ) -> Option<(MachineKey, Victims)> {
         let mut best: Option<(f64, MachineKey, Victims)> = None;
         let count = self.fleet.movable().len();
+        if count == 0 {
+            return None;
+        }
         let start = self.rng.random_range(0..count);
         for i in 0..count.min(CANDIDATES) {
             let machine = self.fleet.movable()[(start + i) % count];
@@ -152,6 +172,32 @@
         best.map(|(_, machine, victims)| (machine, victims))
     }
 
+    /// Returns the machine, of a bounded number, that is expected to come free soonest for a class that
+    /// is starved: short urgent work would otherwise take every piece before a large task fits.
+    fn soonest(
+        &mut self,
+        claimant: &Claimant,
+        need: &Size,
+        now: Time,
+    ) -> Option<(MachineKey, Victims)> {
+        if !claimant.starved || self.fleet.racks().is_empty() {
+            return None;
+        }
+        let racks = self.fleet.racks();
+        let start = self.rng.random_range(0..racks.len());
+        let machines = (0..racks.len().min(DRAIN_RACKS))
+            .flat_map(|i| &racks[(start + i) % racks.len()].machines)
+            .filter_map(|&key| Some((key, self.fleet.get(key)?)));
+        let until = now + CLAIM_LIFE;
+        let fitting = machines.filter(|(_, m)| {
+            let open = m.keep.is_none() && m.spot.is_some();
+            open && need.fits(&self.free_at(m, until))
+        });
+        let missing = |m: &Machine| need.minus(&m.free()).total_share(&m.spec.capacity);
+        let best = fitting.min_by(|a, b| missing(a.1).total_cmp(&missing(b.1)));
+        best.map(|(key, _)| (key, Victims::new()))
+    }
+
     /// Returns the cheapest victims on a machine that make room for `need`, if there are enough.
     fn victims_on(
         &self,
--- a/crates/kingcupwinch-policy/src/cell/reserve.rs
+++ b/crates/kingcupwinch-policy/src/cell/reserve.rs
@@ -181,7 +181,7 @@
     }
 
     /// Returns what is expected to be free on a machine at a time if nothing more starts there.
-    fn free_at(&self, machine: &Machine, at: Time) -> Size {
+    pub(super) fn free_at(&self, machine: &Machine, at: Time) -> Size {
         let runs = machine.running.iter().filter_map(|&t| self.tasks[t].run());
         let ending = runs.filter(|r| r.expected <= at);
         ending.fold(machine.free(), |free, run| free.plus(&run.charge))
--- a/crates/kingcupwinch-policy/src/headroom.rs
+++ b/crates/kingcupwinch-policy/src/headroom.rs
@@ -17,13 +17,13 @@
 const MAX_SILENCE: u64 = 200;
 /// Deviations over the mean before any observation.
 const FIRST_DEVIATIONS: f64 = 2.5;
-const MAX_DEVIATIONS: f64 = 8.0;
+const MAX_DEVIATIONS: f64 = 4.0;
 /// Deviations that a miss adds.
 const STEP: f64 = 0.01;
 /// The part of misses aimed at when waiting is all that counts.
 const LEAST_MISSES: f64 = 0.004;
 /// The part of misses added when packing is all that counts.
-const MORE_MISSES: f64 = 0.004;
+const MORE_MISSES: f64 = 0.002;
 
 /// The forecast of how many tasks of one urgent class run at a time.
 #[derive(Debug, Clone, Copy)]
