Run the command line against three daemons

Cause: publishing was tested against stand-ins of instances only. Conclusion: the version is in force on all three daemons, and the loser of a race is told.

--- a/crates/kingcupwinch-cli/src/cmd/publish.rs
+++ b/crates/kingcupwinch-cli/src/cmd/publish.rs
@@ -175,7 +175,7 @@
     }
     if rollout.behind.is_empty() {
         return format!(
-            "version {version} is in force on all {} instances",
+            "version {version} is in force on {0} of {0} instances",
             rollout.asked
         );
     }
--- a/crates/kingcupwinch-cli/src/cmd/status.rs
+++ b/crates/kingcupwinch-cli/src/cmd/status.rs
@@ -83,11 +83,16 @@
         let busy: u32 = status.workers.iter().map(|w| w.busy).sum();
         let slots: u32 = status.workers.iter().map(|w| w.slots).sum();
         let lag = status.log.tail.saturating_sub(status.log.next);
+        let phase = if status.phase.is_empty() {
+            "-"
+        } else {
+            &status.phase
+        };
         let view = if status.log.fresh { "fresh" } else { "stale" };
         table.push([
             status.instance.to_string(),
             status.domain.to_string(),
-            status.phase.to_string(),
+            phase.to_owned(),
             status.version.to_string(),
             lag.to_string(),
             view.to_owned(),
--- a/crates/kingcupwinch-daemon/tests/testsuite/main.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/main.rs
@@ -4,5 +4,6 @@
 
 mod caller;
 mod live;
+mod operators;
 mod process;
 mod site;
--- /dev/null
+++ b/crates/kingcupwinch-daemon/tests/testsuite/operators.rs
@@ -0,0 +1,130 @@
+//! The operators' command line against daemons.
+
+use std::fs;
+use std::net::SocketAddr;
+
+use kingcupwinch_cli::{Console, Exit, run};
+use kingcupwinch_daemon::{Daemon, Running};
+use kingcupwinch_fakes::LogFront;
+use tempfile::TempDir;
+
+use crate::site::{BASE, Site, any_port};
+
+/// The first file of the folder that the site's version 1 was made from.
+const FIRST_FILE: &str = "10-base.toml";
+
+/// A configuration folder and the daemons that it is published to.
+struct Desk {
+    site: Site,
+    /// The operators' own way to the log.
+    front: LogFront,
+    daemons: Vec<Running>,
+    folder: TempDir,
+}
+
+impl Desk {
+    async fn open(daemons: usize) -> Self {
+        let site = Site::start(2).await;
+        let folder = TempDir::new().unwrap();
+        fs::write(folder.path().join(FIRST_FILE), BASE).unwrap();
+        let mut running = Vec::new();
+        for index in 0..daemons {
+            let settings = site.settings(&format!("entry-{index}"));
+            running.push(Daemon::new(settings).start().await.unwrap());
+        }
+        Desk {
+            front: LogFront::start(&site.log, any_port()).await.unwrap(),
+            site,
+            daemons: running,
+            folder,
+        }
+    }
+
+    /// Writes a later file that raises one limit.
+    fn refine(&self, job_tasks: u32) {
+        let text = format!("[limits]\njob_tasks = {job_tasks}\n");
+        fs::write(self.folder.path().join("20-limits.toml"), text).unwrap();
+    }
+
+    fn operators(&self) -> Vec<SocketAddr> {
+        let addresses = self.daemons.iter().map(|d| d.addresses().operators);
+        addresses.collect()
+    }
+
+    /// Runs a command with the site's addresses, and returns its result with its exit.
+    async fn command(&self, words: &[&str]) -> (Exit, String) {
+        let log = self.front.address().to_string();
+        let mut args = vec!["kingcupwinch"];
+        args.extend(words);
+        args.extend(["--log", &log]);
+        let addresses: Vec<String> = self.operators().iter().map(ToString::to_string).collect();
+        for address in &addresses {
+            args.extend(["--instance", address]);
+        }
+        let (mut out, mut err) = (Vec::new(), Vec::new());
+        let exit = run(args, &mut Console::new(&mut out, &mut err)).await;
+        out.append(&mut err);
+        (exit, String::from_utf8(out).unwrap())
+    }
+
+    async fn publish(&self, on: &str) -> (Exit, String) {
+        let folder = self.folder.path().display().to_string();
+        let words = ["publish", &folder, "--on", on, "--wait-ms", "20000"];
+        self.command(&words).await
+    }
+
+    /// Returns the version that each daemon has in force.
+    async fn versions(&self) -> Vec<u64> {
+        let (exit, text) = self.command(&["status", "--output", "json"]).await;
+        assert_eq!(exit, Exit::Success, "{text}");
+        let views: serde_json::Value = serde_json::from_str(&text).unwrap();
+        let views = views.as_array().unwrap().iter();
+        views
+            .map(|view| view["status"]["version"].as_u64().unwrap())
+            .collect()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_publication_is_in_force_on_three_daemons() {
+    let desk = Desk::open(3).await;
+    desk.refine(77);
+    let (exit, text) = desk.publish("1").await;
+    assert_eq!(exit, Exit::Success, "{text}");
+    assert_eq!(text, "version 2 is in force on 3 of 3 instances\n");
+    assert_eq!(desk.versions().await, [2, 2, 2]);
+    let (_, shown) = desk.command(&["show", "limits.job_tasks"]).await;
+    assert_eq!(shown, "limits.job_tasks = 77\n");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn of_two_operators_one_wins_everywhere() {
+    let desk = Desk::open(3).await;
+    desk.refine(78);
+    let (one, two) = tokio::join!(desk.publish("1"), desk.publish("1"));
+    let mut exits = [one.0.code(), two.0.code()];
+    exits.sort_unstable();
+    assert_eq!(
+        exits,
+        [Exit::Success.code(), Exit::Lost.code()],
+        "{one:?} {two:?}"
+    );
+    assert_eq!(desk.versions().await, [2, 2, 2]);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_lost_answer_is_published_once() {
+    let desk = Desk::open(2).await;
+    desk.refine(79);
+    let appends = config_records(&desk.site);
+    desk.front.lose_answers(1);
+    let (exit, text) = desk.publish("1").await;
+    assert_eq!(exit, Exit::Success, "{text}");
+    assert!(text.contains("may have been appended"), "{text}");
+    assert_eq!(config_records(&desk.site), appends + 1);
+    assert_eq!(desk.versions().await, [2, 2]);
+}
+
+fn config_records(site: &Site) -> usize {
+    site.log.records("config").len()
+}
