--- a/crates/kingcupwinch-daemon/tests/testsuite/main.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod caller;
 mod keys;
 mod live;
+mod operators;
 mod process;
 mod promises;
 mod siblings;
