Keep, place, lend, follow and recover jobs

Cause: batch jobs and gangs had a policy and log records but no way in. Change: submit, status and cancel over HTTP; a job keeper over the log with group commit; the scheduler starts tasks under leases, renews them, follows workers' reports, lends waiting tasks to siblings that grant demand and gives borrowed ones back; an heir adopts what its workers run and a new home recovers open jobs. A caller that hangs up in the moment of its placement no longer leaves a slot counted as taken: the start on its way is taken back. Conclusion: jobs survive the death of their home with no task in two places.

--- a/crates/kingcupwinch-coord/src/jobs/recover.rs
+++ b/crates/kingcupwinch-coord/src/jobs/recover.rs
@@ -71,6 +71,18 @@
         }
     }
 
+    /// Sets a later time at which old leases have certainly lapsed.
+    #[must_use]
+    pub fn with_lapse(mut self, lapse: Time) -> Self {
+        self.lapse = self.lapse.max(lapse);
+        self
+    }
+
+    /// Returns whether every job that an earlier owner accepted is known.
+    pub fn is_certain(&self, now: Time) -> bool {
+        now >= self.effect && self.tail_read
+    }
+
     /// Returns when jobs that wait for leases alone go on.
     pub fn deadline(&self) -> Time {
         self.lapse
@@ -78,7 +90,7 @@
 
     /// Decides for one open job.
     pub fn step(&self, open: &OpenJob, now: Time) -> Step {
-        if now < self.effect || !self.tail_read {
+        if !self.is_certain(now) {
             return Step::Wait;
         }
         match self.evidence.get(&open.accepted.job) {
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/commit.rs
@@ -0,0 +1,76 @@
+//! Appends to the job stream: group commits, and copies before retention ends.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::message::{Context, Message};
+use kingcupwinch_coord::id::RecordId;
+use kingcupwinch_coord::record::{JobRecord, Stamped};
+use kingcupwinch_wire::encode_job;
+use slog::o;
+use tokio::time::Instant;
+use uuid::Uuid;
+
+use super::JobKeeper;
+use crate::logging::EventId;
+
+/// The append of a copy has ended.
+#[derive(Debug, Clone, Copy)]
+struct Copied;
+
+impl JobKeeper {
+    pub(super) fn append_due(&mut self) {
+        let now = self.now();
+        let records = self.commit.take(now, || RecordId(Uuid::now_v7()));
+        for record in records {
+            self.append(record, false);
+        }
+    }
+
+    /// Appends the open jobs again before retention drops their records.
+    pub(super) fn copy_if_due(&mut self) {
+        if self.copying || !self.jobs.is_copy_due(self.now()) {
+            return;
+        }
+        let Some(snapshot) = self.jobs.snapshot() else {
+            return;
+        };
+        self.copying = true;
+        let id = RecordId(Uuid::now_v7());
+        self.append(
+            Stamped {
+                id,
+                body: snapshot.into_record(),
+            },
+            true,
+        );
+    }
+
+    fn append(&self, record: Stamped<JobRecord>, is_copy: bool) {
+        let log = self.args.log.clone();
+        let stream = Arc::clone(&self.args.stream);
+        let shared = Arc::clone(&self.args.shared);
+        shared.metrics.appends.inc();
+        let me = self.me.downgrade();
+        tokio::spawn(async move {
+            let call = Duration::from_millis(shared.settings.platform.call_ms);
+            let bytes = encode_job(&record);
+            if let Err(err) = log.append(&stream, bytes, Instant::now() + call).await {
+                let fields = o!("stream" => stream.to_string(), "error" => err.to_string());
+                shared.log.write(EventId::AppendUnsure, fields);
+            }
+            if let Some(me) = me.upgrade().filter(|_| is_copy) {
+                // An actor that has stopped copies nothing more.
+                let _ = me.tell(Copied).await;
+            }
+        });
+    }
+}
+
+impl Message<Copied> for JobKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, _copied: Copied, _ctx: &mut Context<Self, ()>) {
+        self.copying = false;
+    }
+}
--- a/crates/kingcupwinch-daemon/src/actors/mod.rs
+++ b/crates/kingcupwinch-daemon/src/actors/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod alarm;
 pub(crate) mod config;
+pub(crate) mod jobs;
 pub(crate) mod keys;
 pub(crate) mod ownership;
 pub(crate) mod reader;
--- a/crates/kingcupwinch-daemon/src/actors/ownership.rs
+++ b/crates/kingcupwinch-daemon/src/actors/ownership.rs
@@ -18,6 +18,7 @@
 use tokio::time::Instant;
 
 use super::alarm::{Alarm, Tick};
+use super::jobs::{self, JobKeeper};
 use super::keys::{GainHome, KeyMemory, LoseHome};
 use super::reader::{NextOffset, PageRead, ReadFailed};
 use super::scheduler::{Gained, Lost, PermitsChanged, Renewed, Scheduler};
@@ -40,6 +41,8 @@
     pub(crate) scheduler: ActorRef<Scheduler>,
     /// The memories of the at-most-once rule.
     pub(crate) keys: ActorRef<KeyMemory>,
+    /// Keeps jobs.
+    pub(crate) jobs: ActorRef<JobKeeper>,
     /// Turns true when this incarnation has left the group.
     pub(crate) stopped: watch::Sender<bool>,
     /// Sends to siblings.
@@ -129,9 +132,13 @@
                 self.args.shared.log.write(EventId::ShardGained, fields);
                 // A memory that is gone decides no keys.
                 let _ = self.args.keys.tell(GainHome(owned)).await;
+                let _ = self.args.jobs.tell(jobs::GainHome(owned)).await;
                 self.tell_scheduler(Gained(owned)).await;
             }
-            Action::Renewed { shard, term } => self.tell_scheduler(Renewed { shard, term }).await,
+            Action::Renewed { shard, term } => {
+                let _ = self.args.jobs.tell(jobs::Renewed { shard, term }).await;
+                self.tell_scheduler(Renewed { shard, term }).await;
+            }
             Action::Lost {
                 shard,
                 term,
@@ -141,6 +148,7 @@
                 let fields = o!("shard" => shard.0, "term" => term.0, "why" => why);
                 self.args.shared.log.write(EventId::ShardLost, fields);
                 let _ = self.args.keys.tell(LoseHome(shard)).await;
+                let _ = self.args.jobs.tell(jobs::LoseHome(shard)).await;
                 self.tell_scheduler(Lost { shard }).await;
             }
             Action::Note(note) => {
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/demand.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/demand.rs
@@ -6,6 +6,7 @@
 
 use std::sync::Arc;
 
+use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
 use kingcupwinch_coord::id::Incarnation;
 use kingcupwinch_coord::record::Member;
@@ -16,6 +17,7 @@
 use smallvec::SmallVec;
 
 use super::{Scheduler, Verdict};
+use crate::actors::jobs::JobKeeper;
 use crate::siblings::Siblings;
 
 /// A sibling's work that waits.
@@ -37,6 +39,11 @@
 }
 
 impl Demand {
+    /// Returns the way to siblings, once there is one.
+    pub(super) fn siblings(&self) -> Option<Arc<Siblings>> {
+        self.siblings.clone()
+    }
+
     /// Takes one unit of the credit under which a sibling may forward work of a class.
     pub(super) fn take_credit(
         &mut self,
@@ -53,7 +60,12 @@
 }
 
 /// Siblings can be reached from now on.
-pub(crate) struct Connect(pub(crate) Arc<Siblings>);
+pub(crate) struct Connect {
+    /// The way to them.
+    pub(crate) siblings: Arc<Siblings>,
+    /// Keeps the jobs of this instance's homes.
+    pub(crate) jobs: ActorRef<JobKeeper>,
+}
 
 /// A sibling has work that waits.
 #[derive(Debug, Clone)]
@@ -106,10 +118,15 @@
     }
 
     fn announce_class(&self, class: &Arc<str>, siblings: &Siblings) {
-        let waiting = self.live.values();
-        let count = waiting
-            .filter(|entry| entry.is_lendable() && entry.class == *class)
-            .count();
+        let live = self
+            .live
+            .values()
+            .filter(|entry| entry.is_lendable() && entry.class == *class);
+        let tasks = self
+            .tasks
+            .values()
+            .filter(|entry| entry.is_lendable() && entry.spec.class == *class);
+        let count = live.count() + tasks.count();
         if count > 0 {
             let count = u32::try_from(count).unwrap_or(u32::MAX);
             self.tell_siblings(
@@ -202,6 +219,7 @@
         for task in self.most_urgent(&message.grant.class, count) {
             self.hand_over(task, member);
         }
+        self.lend_tasks(&message.grant.class, count, member);
     }
 
     fn most_urgent(&self, class: &Arc<str>, count: usize) -> Vec<TaskKey> {
@@ -234,7 +252,8 @@
     type Reply = ();
 
     async fn handle(&mut self, connect: Connect, _ctx: &mut Context<Self, ()>) {
-        self.demand.siblings = Some(connect.0);
+        self.demand.siblings = Some(connect.siblings);
+        self.jobs = Some(connect.jobs);
     }
 }
 
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/fleet.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/fleet.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 
 use kameo::message::{Context, Message};
-use kingcupwinch_coord::id::{ShardId, Term};
+use kingcupwinch_coord::id::{ShardId, TaskId, Term};
 use kingcupwinch_coord::ownership::OwnedShard;
 use kingcupwinch_policy::{Dimension, MachineKey, Size, Usage};
 use kingcupwinch_time::{Span, Time};
 use kingcupwinch_wire::roster::Instance;
-use kingcupwinch_wire::worker::{self as report, RunningWork};
+use kingcupwinch_wire::worker as report;
 use slog::o;
 use uuid::Uuid;
 
@@ -95,6 +95,9 @@
             .keys()
             .filter(|name| !listed.iter().any(|i| i.name == **name));
         for name in gone.cloned().collect::<Vec<_>>() {
+            if let Some(seat) = self.seats.get(&name) {
+                self.orphan_runs(seat.machine);
+            }
             self.drop_seat(&name);
         }
     }
@@ -193,6 +196,9 @@
             .filter(|seat| seat.worker.shard == shard);
         let names: Vec<_> = lost.map(|seat| Arc::clone(&seat.worker.name)).collect();
         for name in names {
+            if let Some(seat) = self.seats.get(&name) {
+                self.release_runs(seat.machine);
+            }
             self.drop_seat(&name);
         }
     }
@@ -237,6 +243,11 @@
         if let Err(fault) = self.cell.observe(machine, Usage { used, taken }) {
             self.note_fault("observe", fault);
         }
+        let now = self.now();
+        self.take_ends(&reported.usage.ended, now);
+        let running = reported.usage.running.iter().map(|work| TaskId(work.task));
+        let running: Vec<TaskId> = running.collect();
+        self.find_missing(&reported.name, &running, taken, now);
         self.settle_inheritance(reported, taken);
         self.settle_doubts(reported, taken);
         if let Some(seat) = self.seats.get(&reported.name) {
@@ -256,18 +267,8 @@
             return;
         }
         seat.inherited = None;
-        let machine = seat.machine;
-        self.release(hold);
-        for work in &reported.usage.running {
-            self.inherit(&reported.name, machine, work, taken);
-        }
-    }
-
-    fn inherit(&mut self, name: &Arc<str>, machine: MachineKey, work: &RunningWork, taken: Time) {
-        let known = self.live.values().any(|entry| entry.id == work.task);
-        if !known {
-            self.doubt(name, machine, work.task, self.inherited_size(), taken);
-        }
+        let works = reported.usage.running.clone();
+        self.resolve(&reported.name, hold, works, taken);
     }
 
     /// Counts capacity for work that may still run until a report shows that it doesn't.
@@ -291,7 +292,7 @@
     }
 
     /// Returns a size that no live request of the configuration exceeds.
-    fn inherited_size(&self) -> Size {
+    pub(super) fn inherited_size(&self) -> Size {
         let config = self.shared.config.load();
         let sizes = config.tree.classes.values().map(crate::plan::typical_size);
         sizes.fold(
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/live.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/live.rs
@@ -234,7 +234,8 @@
 
     fn cancel_live(&mut self, task: TaskKey) {
         let now = self.now();
-        if self.cell.cancel(task, now).is_ok() {
+        // One that has been placed stays until its run is reported.
+        if let Ok(kingcupwinch_policy::Cancel::Left) = self.cell.cancel(task, now) {
             self.live.remove(&task);
         }
     }
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/mod.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/mod.rs
@@ -1,10 +1,14 @@
 //! Drives the policy: what waits, which workers there are, and what starts where.
 
+mod control;
 mod demand;
 mod fleet;
+mod inherit;
 mod inspect;
+mod lend;
 mod live;
 mod seat;
+mod tasks;
 
 use std::sync::Arc;
 use std::time::Instant;
@@ -12,8 +16,8 @@
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
-use kingcupwinch_coord::id::ShardId;
-use kingcupwinch_policy::{Cell, Decision, Fault, MachineKey, Plan, TaskKey};
+use kingcupwinch_coord::id::{ShardId, TaskId};
+use kingcupwinch_policy::{Cell, Decision, Fault, MachineKey, Placement, Plan, TaskKey};
 use kingcupwinch_time::Time;
 use kingcupwinch_wire::roster::Instance;
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -21,15 +25,25 @@
 pub(crate) use demand::{Connect, SiblingGrant, SiblingQueued};
 pub(crate) use fleet::{Gained, Listed, Lost, PermitsChanged, Renewed, Reported};
 pub(crate) use inspect::Inspect;
+pub(crate) use lend::Borrow;
 pub(crate) use live::{Cancel, LiveStart, Reach, RunEnd, RunReport, Submit, Verdict};
 
+pub(crate) use tasks::{CancelTasks, RunTasks};
+
 use super::alarm::{Alarm, Tick};
+use super::jobs::JobKeeper;
 use crate::plan::make_plan;
 use crate::shared::Shared;
+use crate::siblings::Siblings;
+use control::Command;
 use demand::Demand;
 use fleet::Holding;
 use live::LiveEntry;
 use seat::Seat;
+use tasks::TaskEntry;
+
+/// Percent of full speed.
+const WHOLE_PERCENT: u8 = 100;
 
 /// What the scheduler starts from.
 pub(crate) struct SchedulerArgs {
@@ -56,6 +70,12 @@
     seats: FxHashMap<Arc<str>, Seat>,
     machines: FxHashMap<MachineKey, Arc<str>>,
     live: FxHashMap<TaskKey, LiveEntry>,
+    tasks: FxHashMap<TaskKey, TaskEntry>,
+    task_keys: FxHashMap<TaskId, TaskKey>,
+    orphans: Vec<(Time, Placement)>,
+    borrowed: Vec<(Time, TaskKey)>,
+    renew_at: Time,
+    jobs: Option<ActorRef<JobKeeper>>,
     demand: Demand,
 }
 
@@ -76,6 +96,12 @@
             seats: FxHashMap::default(),
             machines: FxHashMap::default(),
             live: FxHashMap::default(),
+            tasks: FxHashMap::default(),
+            task_keys: FxHashMap::default(),
+            orphans: Vec::new(),
+            borrowed: Vec::new(),
+            renew_at: Time::ZERO,
+            jobs: None,
             demand: Demand::default(),
         };
         scheduler.cell.set_elsewhere(None);
@@ -103,6 +129,8 @@
     /// Lets the policy decide and carries its decisions out.
     fn decide(&mut self) {
         let now = self.now();
+        let orphans = self.lose_orphans(now);
+        let borrowed = self.return_borrowed(now);
         let began = Instant::now();
         let mut decisions = std::mem::take(&mut self.decisions);
         self.cell.decide(now, &mut decisions);
@@ -117,22 +145,58 @@
         self.publish_counts();
         self.offer(now);
         let look = self.announce(now);
-        let next = [self.cell.next_deadline(), look]
-            .into_iter()
-            .flatten()
-            .min();
+        let renew = Some(self.renew_leases(now)).filter(|_| !self.tasks.is_empty());
+        let times = [self.cell.next_deadline(), look, orphans, borrowed, renew];
+        let next = times.into_iter().flatten().min();
         self.alarm.set(next, now, &self.me);
     }
 
     fn carry_out(&mut self, decision: Decision, now: Time) {
         match decision {
-            Decision::Start(place) => self.start_live(place, now),
-            Decision::StartGang { .. } => {}
-            Decision::Throttle { .. } | Decision::Checkpoint(_) | Decision::Stop(_) => {}
+            Decision::Start(place) => self.start(place, now),
+            Decision::StartGang { places, .. } => {
+                for place in places {
+                    self.start_task(place, now);
+                }
+            }
+            Decision::Throttle { target, percent } => {
+                self.command(
+                    target,
+                    Command::Throttle(WHOLE_PERCENT.saturating_sub(percent)),
+                );
+            }
+            Decision::Checkpoint(place) => self.command(place, Command::SaveAndStop),
+            Decision::Stop(place) => self.command(place, Command::Stop),
+            Decision::GiveUp { task, refusal } if self.tasks.contains_key(&task) => {
+                self.give_up_task(task, refusal);
+            }
             Decision::GiveUp { task, refusal } => self.give_up_live(task, refusal),
         }
     }
 
+    fn start(&mut self, place: Placement, now: Time) {
+        if self.tasks.contains_key(&place.task) {
+            self.start_task(place, now);
+        } else {
+            self.start_live(place, now);
+        }
+    }
+
+    /// Tells the job keeper something; before there is one, no task exists.
+    fn tell_jobs<M: Send + 'static>(&self, message: M)
+    where
+        JobKeeper: Message<M>,
+    {
+        if let Some(jobs) = &self.jobs {
+            // Its mailbox has no bound, so only a keeper that has stopped hears nothing.
+            let _ = jobs.tell(message).try_send();
+        }
+    }
+
+    fn siblings(&self) -> Option<Arc<Siblings>> {
+        self.demand.siblings()
+    }
+
     fn publish_counts(&self) {
         let (slots, busy) = self.slot_counts();
         self.shared.metrics.slots.set(slots);
--- a/crates/kingcupwinch-daemon/src/daemon.rs
+++ b/crates/kingcupwinch-daemon/src/daemon.rs
@@ -10,6 +10,7 @@
 
 use arc_swap::ArcSwap;
 use kameo::actor::{ActorRef, Spawn};
+use kameo::mailbox;
 use kingcupwinch_coord::id::{Incarnation, Version};
 use kingcupwinch_link::{Inbox, LinkError, Links};
 use kingcupwinch_platform::LogClient;
@@ -22,8 +23,10 @@
 use uuid::Uuid;
 
 use crate::actors::config::{Config, ConfigArgs};
+use crate::actors::jobs::{JobKeeper, JobsArgs};
 use crate::actors::keys::{KeyMemory, KeysArgs};
 use crate::actors::scheduler::{Scheduler, SchedulerArgs};
+use crate::jobs::JobService;
 use crate::keys::KeyService;
 use crate::live::LiveService;
 use crate::logging::{EventId, EventLog};
@@ -191,6 +194,14 @@
             Arc::clone(&siblings),
             keys.clone(),
         );
+        let args = JobsArgs {
+            shared: Arc::clone(&shared),
+            log: log.clone(),
+            stream: boot::jobs_stream(&settings.instance.domain),
+            scheduler: scheduler.clone(),
+        };
+        let keeper = JobKeeper::spawn_with_mailbox(args, mailbox::unbounded());
+        let jobs = JobService::new(Arc::clone(&shared), keeper.clone(), Arc::clone(&siblings));
         let (booted, boot) = watch::channel(None);
         let starter = Boot {
             shared: Arc::clone(&shared),
@@ -200,13 +211,15 @@
             scheduler: scheduler.clone(),
             memory,
             keys,
+            keeper,
+            jobs: jobs.clone(),
             siblings,
             version,
             booted,
         };
         let helpers = starter.spawn(inbox);
         let (close, closed) = watch::channel(false);
-        let servers = serve(&shared, ports, &live, &scheduler, &closed);
+        let servers = serve(&shared, ports, (&live, &jobs), &scheduler, &closed);
         note_start(&shared, addresses);
         Running {
             shared,
@@ -236,11 +249,11 @@
 fn serve(
     shared: &Arc<Shared>,
     ports: Ports,
-    live: &LiveService,
+    (live, jobs): (&LiveService, &JobService),
     scheduler: &ActorRef<Scheduler>,
     closed: &watch::Receiver<bool>,
 ) -> Vec<JoinHandle<()>> {
-    let callers = Arc::new(Callers::new(Arc::clone(shared), live.clone()));
+    let callers = Arc::new(Callers::new(Arc::clone(shared), live.clone(), jobs.clone()));
     let forwards = Arc::new(Forwards::new(Arc::clone(shared), live.clone()));
     let operators = Arc::new(Operators::new(Arc::clone(shared), scheduler.clone()));
     vec![
--- a/crates/kingcupwinch-daemon/src/daemon/boot.rs
+++ b/crates/kingcupwinch-daemon/src/daemon/boot.rs
@@ -15,11 +15,13 @@
 
 use super::Addresses;
 use crate::actors::config::{self, Config};
+use crate::actors::jobs::JobKeeper;
 use crate::actors::keys::KeyMemory;
 use crate::actors::ownership::{Outbox, Ownership, OwnershipArgs};
 use crate::actors::reader::Reader;
 use crate::actors::roster::RosterPoll;
 use crate::actors::scheduler::{Connect, Replan, Scheduler};
+use crate::jobs::JobService;
 use crate::keys::KeyService;
 use crate::shared::Shared;
 use crate::siblings::{Router, Siblings, follow_siblings};
@@ -30,6 +32,14 @@
 /// How long a read of the ownership stream waits; well below the lease that it keeps fresh.
 const OWNERS_WAIT: Span = Span::from_millis(400);
 
+/// How long a read of the job stream waits.
+const JOBS_WAIT: Span = Span::from_secs(2);
+
+/// Returns the name of a failure domain's job stream.
+pub(super) fn jobs_stream(domain: &str) -> Arc<str> {
+    format!("jobs-{domain}").into()
+}
+
 /// What exists once the configuration is known.
 #[derive(Clone)]
 pub(super) struct Booted {
@@ -55,6 +65,10 @@
     pub(super) memory: ActorRef<KeyMemory>,
     /// Decides keys.
     pub(super) keys: KeyService,
+    /// Keeps jobs.
+    pub(super) keeper: ActorRef<JobKeeper>,
+    /// Answers for jobs.
+    pub(super) jobs: JobService,
     /// The other instances of the failure domain.
     pub(super) siblings: Arc<Siblings>,
     /// The version in force.
@@ -89,6 +103,8 @@
         let (stopped, left) = watch::channel(false);
         let ownership = Ownership::spawn(self.ownership_args(shards, stopped));
         let reader = self.reader(self.owners_stream(), OWNERS_WAIT);
+        let domain = &self.shared.settings.instance.domain;
+        let jobs_reader = self.reader(jobs_stream(domain), JOBS_WAIT);
         let poll = RosterPoll {
             shared: Arc::clone(&self.shared),
             list: RosterClient::new(self.shared.settings.platform.list),
@@ -100,21 +116,25 @@
             left,
         }));
         // A scheduler that is gone lends and borrows nothing.
-        let _ = self
-            .scheduler
-            .tell(Connect(Arc::clone(&self.siblings)))
-            .await;
+        let connect = Connect {
+            siblings: Arc::clone(&self.siblings),
+            jobs: self.keeper.clone(),
+        };
+        let _ = self.scheduler.tell(connect).await;
         let router = Router {
             shared: Arc::clone(&self.shared),
             ownership: ownership.clone(),
             scheduler: self.scheduler.clone(),
             config: self.config.clone(),
             keys: self.keys.clone(),
+            keeper: self.keeper.clone(),
+            jobs: self.jobs.clone(),
         };
         let shared = Arc::clone(&self.shared);
         let relay = follow_siblings(shared, Arc::clone(&self.siblings), self.config.clone());
         tokio::join!(
             reader.run(ownership, Offset(0)),
+            jobs_reader.run(self.keeper.clone(), Offset(0)),
             poll.run(),
             router.run(inbox),
             relay,
@@ -172,6 +192,7 @@
             stopped,
             outbox: Arc::clone(&self.siblings) as Outbox,
             keys: self.memory.clone(),
+            jobs: self.keeper.clone(),
         }
     }
 }
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/jobs/mod.rs
@@ -0,0 +1,9 @@
+//! Jobs: their names, their tasks, and what becomes of them.
+
+mod name;
+mod service;
+mod work;
+
+pub(crate) use name::{JobName, TaskName};
+pub(crate) use service::{JobService, RUNS};
+pub(crate) use work::{TaskPlace, Work, ended_status};
--- a/crates/kingcupwinch-daemon/src/lib.rs
+++ b/crates/kingcupwinch-daemon/src/lib.rs
@@ -22,6 +22,7 @@
 
 mod actors;
 mod daemon;
+mod jobs;
 mod keys;
 mod live;
 mod plan;
--- a/crates/kingcupwinch-daemon/src/live/dispatch.rs
+++ b/crates/kingcupwinch-daemon/src/live/dispatch.rs
@@ -60,7 +60,7 @@
 }
 
 /// Returns why a run did not start, as the policy counts it; none if it may have started.
-pub(super) fn why_not_started(error: &WorkerError) -> Option<NotStarted> {
+pub(crate) fn why_not_started(error: &WorkerError) -> Option<NotStarted> {
     match error {
         WorkerError::Refused(Refusal::Leaving) => Some(NotStarted::Leaving),
         WorkerError::Refused(Refusal::Full | Refusal::Late | Refusal::StaleTerm) => {
--- a/crates/kingcupwinch-daemon/src/live/flow.rs
+++ b/crates/kingcupwinch-daemon/src/live/flow.rs
@@ -6,7 +6,7 @@
 use hyper::header::HeaderValue;
 use kameo::actor::ActorRef;
 use kameo::error::SendError;
-use kingcupwinch_policy::{Next, Placement, Refusal, TaskKey};
+use kingcupwinch_policy::{Next, NotStarted, Placement, Refusal, TaskKey};
 use kingcupwinch_wire::api::{Problem, ProblemOutcome};
 use tokio::sync::{mpsc, oneshot};
 
@@ -180,10 +180,25 @@
             _ = hung_up => hung_up_problem(),
             () = self.shared.lifecycle.halted() => stopping(),
         };
-        self.cancel(task).await;
+        self.withdraw(task, verdicts).await;
         Waited::Over(problem)
     }
 
+    /// Takes a request out of the scheduler, with a start that may be on its way.
+    async fn withdraw(&self, task: TaskKey, verdicts: &mut mpsc::UnboundedReceiver<Verdict>) {
+        // A stopped scheduler has nothing left to cancel.
+        let _ = self.scheduler.ask(Cancel(task)).await;
+        while let Ok(verdict) = verdicts.try_recv() {
+            let Verdict::Start(start) = verdict else {
+                continue;
+            };
+            let end = RunEnd::NotStarted(NotStarted::Full);
+            if self.report(start.place, end).await == Next::Requeued {
+                self.cancel(task).await;
+            }
+        }
+    }
+
     async fn submit(
         &self,
         job: &Job,
--- a/crates/kingcupwinch-daemon/src/live/mod.rs
+++ b/crates/kingcupwinch-daemon/src/live/mod.rs
@@ -7,5 +7,6 @@
 mod keyed;
 pub(crate) mod refuse;
 
-pub(crate) use admit::{Admission, LiveRequest};
+pub(crate) use admit::{Admission, LiveRequest, find_customer};
+pub(crate) use dispatch::why_not_started;
 pub(crate) use flow::LiveService;
--- a/crates/kingcupwinch-daemon/src/logging/catalogue.rs
+++ b/crates/kingcupwinch-daemon/src/logging/catalogue.rs
@@ -105,6 +105,10 @@
     JobAccepted = "0601", Debug, false, "job accepted";
     /// A job ended.
     JobEnded = "0602", Debug, false, "job ended";
-    /// Jobs were taken over from an earlier owner.
-    JobsRecovered = "0603", Info, false, "jobs recovered";
+    /// A job's work was taken over from an earlier owner.
+    JobsRecovered = "0603", Info, false, "job recovered";
+    /// A kept job can't run.
+    JobRefused = "0604", Warning, false, "job can't run";
+    /// A task was given up.
+    TaskGivenUp = "0605", Warning, true, "task given up";
 }
--- a/crates/kingcupwinch-daemon/src/server/callers.rs
+++ b/crates/kingcupwinch-daemon/src/server/callers.rs
@@ -8,22 +8,26 @@
 use super::body::{Body, BodyError, Held};
 use super::listener::Handler;
 use super::problem::{not_run, respond};
+use crate::jobs::JobService;
 use crate::live::{Admission, LiveService};
 use crate::metrics::Outcome;
 use crate::shared::Shared;
 
 pub(super) const RUN_PATH: &str = "/v1/run/";
+const JOBS_PATH: &str = "/v1/jobs";
+const JOB_PATH: &str = "/v1/jobs/";
 
 /// Answers callers.
 pub(crate) struct Callers {
     shared: Arc<Shared>,
     live: LiveService,
+    jobs: JobService,
 }
 
 impl Callers {
     /// Makes the handler.
-    pub(crate) fn new(shared: Arc<Shared>, live: LiveService) -> Self {
-        Callers { shared, live }
+    pub(crate) fn new(shared: Arc<Shared>, live: LiveService, jobs: JobService) -> Self {
+        Callers { shared, live, jobs }
     }
 
     async fn run_live(&self, service: &str, request: Request<Incoming>) -> Response<Body> {
@@ -46,6 +50,21 @@
     }
 }
 
+impl Callers {
+    async fn submit_job(&self, request: Request<Incoming>) -> Response<Body> {
+        match Held::read(request.into_body(), &self.shared.settings.hold).await {
+            Ok(Held::Whole(body)) => self.jobs.submit(&body).await,
+            Ok(_) => {
+                let limit = self.shared.settings.hold.request_bytes;
+                respond_bad_body(&BodyError::TooLarge(
+                    u64::try_from(limit).unwrap_or(u64::MAX),
+                ))
+            }
+            Err(err) => respond_bad_body(&err),
+        }
+    }
+}
+
 /// Refuses a request whose body could not be read.
 pub(crate) fn respond_bad_body(err: &BodyError) -> Response<Body> {
     let (status, code) = match err {
@@ -62,6 +81,16 @@
         if let Some(service) = path.strip_prefix(RUN_PATH) {
             return self.run_live(service, request).await;
         }
+        if path == JOBS_PATH && request.method() == Method::POST {
+            return self.submit_job(request).await;
+        }
+        if let Some(id) = path.strip_prefix(JOB_PATH) {
+            match *request.method() {
+                Method::GET => return self.jobs.status(id).await,
+                Method::DELETE => return self.jobs.cancel(id).await,
+                _ => {}
+            }
+        }
         match (request.method(), path.as_str()) {
             (&Method::GET, "/healthz") => super::operators::healthz(),
             (&Method::GET, "/readyz") => super::operators::readyz(&self.shared),
--- a/crates/kingcupwinch-daemon/src/siblings/inbox.rs
+++ b/crates/kingcupwinch-daemon/src/siblings/inbox.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use kameo::actor::ActorRef;
+use kingcupwinch_coord::id::Incarnation;
 use kingcupwinch_coord::ownership::Event;
 use kingcupwinch_link::{Inbox, Incoming, LinkNote};
 use kingcupwinch_wire::sibling::Body;
@@ -10,12 +11,17 @@
 
 use super::relay::encode_entry;
 use crate::actors::config::{Config, Since};
+use crate::actors::jobs::{CancelAnswer, JobKeeper, TaskEvent};
 use crate::actors::ownership::{Observe, Ownership};
-use crate::actors::scheduler::{Scheduler, SiblingGrant, SiblingQueued};
+use crate::actors::scheduler::{Borrow, Scheduler, SiblingGrant, SiblingQueued};
+use crate::jobs::{JobService, RUNS};
 use crate::keys::KeyService;
 use crate::logging::EventId;
 use crate::shared::Shared;
 
+/// Why a stopping instance does nothing.
+const STOPPING: &str = "stopping";
+
 /// Hands siblings' messages to the actors that they are for.
 #[derive(Clone)]
 pub(crate) struct Router {
@@ -29,6 +35,10 @@
     pub(crate) config: ActorRef<Config>,
     /// Decides keys.
     pub(crate) keys: KeyService,
+    /// Keeps jobs.
+    pub(crate) keeper: ActorRef<JobKeeper>,
+    /// Answers for jobs.
+    pub(crate) jobs: JobService,
 }
 
 impl Router {
@@ -66,20 +76,20 @@
                     .tell(SiblingGrant { from, grant, until })
                     .await;
             }
-            other => self.answer(other, message),
+            other => self.answer(from, other, message),
         }
     }
 
     /// Answers a question in a task of its own, so that a slow one holds up no other message.
-    fn answer(&self, body: Body, message: Incoming) {
+    fn answer(&self, from: Incarnation, body: Body, message: Incoming) {
         let router = self.clone();
         tokio::spawn(async move {
-            let answer = router.make_answer(body).await;
+            let answer = router.make_answer(from, body).await;
             message.reply(answer);
         });
     }
 
-    async fn make_answer(&self, body: Body) -> Body {
+    async fn make_answer(&self, from: Incarnation, body: Body) -> Body {
         match body {
             Body::KeyBegin(begin) => Body::KeyAnswer(self.keys.begin_for(begin).await),
             Body::KeyFinish(finish) => {
@@ -92,12 +102,43 @@
                     let records = entries.0.iter().map(|entry| encode_entry(entry).into());
                     Body::ConfigRelay(records.collect())
                 }
-                Err(_) => Body::Declined("stopping".into()),
+                Err(_) => Body::Declined(STOPPING.into()),
+            },
+            Body::StartTask(order) => self.borrow(from, &order).await,
+            Body::TaskState(state) => {
+                let event = TaskEvent {
+                    task: state.task,
+                    phase: state.phase,
+                    remote: true,
+                };
+                match self.keeper.tell(event).await {
+                    Ok(()) => Body::Done,
+                    Err(_) => Body::Declined(STOPPING.into()),
+                }
+            }
+            Body::JobLookup(job) => match self.jobs.look_up_here(job).await {
+                Ok(answer) => Body::JobFound(answer.encode()),
+                Err(_) => Body::Declined(STOPPING.into()),
+            },
+            Body::JobCancel(job) => match self.jobs.cancel_here(job).await {
+                CancelAnswer::Done => Body::Done,
+                CancelAnswer::Runs => Body::Declined(RUNS.into()),
+                CancelAnswer::NotKnown => Body::Declined("unknown job".into()),
             },
             _ => Body::Declined("not understood here".into()),
         }
     }
 
+    async fn borrow(&self, from: Incarnation, order: &[u8]) -> Body {
+        let Ok(order) = serde_json::from_slice(order) else {
+            return Body::Declined("the task is malformed".into());
+        };
+        match self.scheduler.ask(Borrow { from, order }).await {
+            Ok(()) => Body::Done,
+            Err(error) => Body::Declined(error.to_string().into()),
+        }
+    }
+
     fn note(&self, note: &LinkNote) {
         let event = match note {
             LinkNote::Up(_) | LinkNote::Down(_) => EventId::LinkChanged,
--- a/crates/kingcupwinch-daemon/tests/testsuite/caller.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/caller.rs
@@ -10,7 +10,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
-use kingcupwinch_wire::api::Problem;
+use kingcupwinch_wire::api::{JobAccepted, JobPhase, JobStatus, Problem};
 
 /// How long a condition may take to come true before the test fails.
 const GUARD: Duration = Duration::from_secs(60);
@@ -78,6 +78,32 @@
         self.send(Method::GET, path, &[], "").await.unwrap()
     }
 
+    /// Submits a job and returns its id.
+    pub(crate) async fn submit(&self, job: &serde_json::Value) -> String {
+        let reply = self
+            .send(Method::POST, "/v1/jobs", &[], job.to_string())
+            .await
+            .unwrap();
+        assert_eq!(reply.status, 202, "{reply:?}");
+        let accepted: JobAccepted = serde_json::from_slice(&reply.body).unwrap();
+        accepted.job.to_string()
+    }
+
+    /// Returns a job's state.
+    pub(crate) async fn job(&self, id: &str) -> JobStatus {
+        let reply = self.get(&format!("/v1/jobs/{id}")).await;
+        assert_eq!(reply.status, 200, "{reply:?}");
+        serde_json::from_slice(&reply.body).unwrap()
+    }
+
+    /// Waits until a job has ended well.
+    pub(crate) async fn wait_done(&self, id: &str) {
+        wait_until("the job is done", || async {
+            self.job(id).await.phase == JobPhase::Done
+        })
+        .await;
+    }
+
     /// Runs a live request.
     pub(crate) async fn run(
         &self,
--- /dev/null
+++ b/crates/kingcupwinch-daemon/tests/testsuite/jobs.rs
@@ -0,0 +1,160 @@
+//! Batch jobs and gangs from submission to their ends.
+
+use hyper::Method;
+use kingcupwinch_fakes::Conduct;
+use kingcupwinch_wire::api::{JobPhase, ProblemOutcome};
+use serde_json::{Value, json};
+
+use crate::caller::wait_until;
+use crate::site::{Site, all_dispatched};
+
+fn job(class: &str, tasks: u32, run_ms: u64) -> Value {
+    json!({
+        "class": class, "customer": "festival", "tasks": tasks, "gang": class == "coverage",
+        "size": { "millicores": 1_000, "memory_mb": 512 }, "run_ms": run_ms,
+    })
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_batch_job_runs_each_task_once_to_its_end() {
+    let site = Site::start(4).await;
+    let entries = site.start_entries(&["entry-1", "entry-2"]).await;
+    let id = entries[0].caller().submit(&job("manifest", 40, 30)).await;
+    entries[0].caller().wait_done(&id).await;
+    assert_eq!(
+        entries[1].caller().job(&id).await.phase,
+        JobPhase::Done,
+        "any instance answers"
+    );
+    assert_eq!(site.ledger.starts().len(), 40);
+    for worker in &site.workers {
+        assert!(worker.counts().highest_running <= 4);
+        assert_eq!(worker.counts().overflows, 0);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn batch_work_moves_to_siblings_with_free_workers() {
+    let site = Site::start(6).await;
+    let entries = site.start_entries(&["entry-1", "entry-2", "entry-3"]).await;
+    let id = entries[0].caller().submit(&job("manifest", 120, 150)).await;
+    entries[0].caller().wait_done(&id).await;
+    let used = site
+        .workers
+        .iter()
+        .filter(|worker| worker.counts().starts > 0)
+        .count();
+    assert_eq!(used, 6, "all workers take part");
+    assert_eq!(site.ledger.starts().len(), 120);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_gangs_tasks_start_together() {
+    let site = Site::start(4).await;
+    let entries = site.start_entries(&["entry-1"]).await;
+    let id = entries[0].caller().submit(&job("coverage", 8, 400)).await;
+    entries[0].caller().wait_done(&id).await;
+    let starts = site.ledger.starts();
+    assert_eq!(starts.len(), 8);
+    let last_start = starts.iter().map(|start| start.started).max();
+    let first_end = starts.iter().filter_map(|start| start.ended).min();
+    assert!(
+        last_start < first_end,
+        "every task runs before the first ends"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cancelled_job_starts_nothing_more_and_cancels_twice_alike() {
+    let site = Site::start(1).await;
+    let entries = site.start_entries(&["entry-1"]).await;
+    let caller = entries[0].caller();
+    let id = caller.submit(&job("manifest", 50, 5_000)).await;
+    wait_until("some task runs", || async {
+        site.workers[0].counts().starts >= 4
+    })
+    .await;
+    for _ in 0..2 {
+        let path = format!("/v1/jobs/{id}");
+        let reply = caller.send(Method::DELETE, &path, &[], "").await.unwrap();
+        assert_eq!(reply.status, 204, "{reply:?}");
+    }
+    assert_eq!(caller.job(&id).await.phase, JobPhase::Cancelled);
+    wait_until("running tasks are stopped", || async {
+        site.workers[0].counts().stops == 4
+    })
+    .await;
+    assert_eq!(site.workers[0].counts().starts, 4);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_that_fits_no_worker_fails_with_the_reason_in_the_log_and_blocks_nobody() {
+    let site = Site::start(2).await;
+    let entries = site.start_entries(&["entry-1"]).await;
+    let caller = entries[0].caller();
+    let mut huge = job("manifest", 1, 10);
+    huge["size"]["millicores"] = json!(1_000_000);
+    let huge = caller.submit(&huge).await;
+    let small = caller.submit(&job("manifest", 2, 10)).await;
+    caller.wait_done(&small).await;
+    wait_until("it has failed", || async {
+        caller.job(&huge).await.phase == JobPhase::Failed
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn jobs_survive_the_death_of_their_home() {
+    let site = Site::start(6).await;
+    let mut entries = site.start_entries(&["entry-1", "entry-2", "entry-3"]).await;
+    let id = entries[0].caller().submit(&job("manifest", 24, 800)).await;
+    wait_until("some task runs", || async {
+        !site.ledger.starts().is_empty()
+    })
+    .await;
+    entries.remove(0).kill();
+    wait_until("the heirs dispatch", || all_dispatched(&entries)).await;
+    let caller = entries[0].caller();
+    wait_until("the job is done", || async {
+        let reply = caller.get(&format!("/v1/jobs/{id}")).await;
+        reply.status == 200 && reply.text().contains("\"done\"")
+    })
+    .await;
+    assert!(
+        site.ledger.doubled_tasks().is_empty(),
+        "no task ran in two places at once"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_that_must_not_run_twice_starts_once_though_answers_are_lost() {
+    let site = Site::start(2).await;
+    let entries = site.start_entries(&["entry-1"]).await;
+    for worker in &site.workers {
+        worker.set_conduct(Conduct {
+            drops_answers: true,
+            ..worker.conduct()
+        });
+    }
+    let id = entries[0].caller().submit(&job("repair", 3, 50)).await;
+    entries[0].caller().wait_done(&id).await;
+    let starts = site.ledger.starts();
+    assert_eq!(starts.len(), 3, "{starts:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_is_refused_as_not_run_while_the_log_is_out() {
+    let site = Site::start(1).await;
+    let entries = site.start_entries(&["entry-1"]).await;
+    site.log_front.set_reach(kingcupwinch_fakes::Reach::Out);
+    let caller = entries[0].caller();
+    wait_until("the outage is noticed", || async {
+        let text = job("manifest", 1, 10).to_string();
+        let reply = caller
+            .send(Method::POST, "/v1/jobs", &[], text)
+            .await
+            .unwrap();
+        reply.status == 503 && reply.problem().outcome == ProblemOutcome::NotRun
+    })
+    .await;
+}
--- a/crates/kingcupwinch-daemon/tests/testsuite/main.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 
 mod bad_input;
 mod caller;
+mod jobs;
 mod keys;
 mod live;
 mod operators;
--- a/crates/kingcupwinch-policy/src/cell/events.rs
+++ b/crates/kingcupwinch-policy/src/cell/events.rs
@@ -64,6 +64,19 @@
         Ok(self.resume(place.task, &run, &end, now))
     }
 
+    /// Lets go of a run that another owner now counts: the task leaves the cell, and nothing is
+    /// learned from it.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault`] if this run is not the present one; the state is unchanged.
+    pub fn release_run(&mut self, place: Placement, now: Time) -> Result<(), Fault> {
+        let run = self.present_run(place)?;
+        self.end_run(place.task, &run);
+        self.drop_ended(place.task, now);
+        Ok(())
+    }
+
     /// A running task was throttled: the processor share that it gave back is free.
     ///
     /// # Errors
@@ -94,16 +107,21 @@
         Ok(run)
     }
 
-    fn finish(&mut self, key: TaskKey, now: Time) -> Next {
-        let class = self.tasks[key].spec.class.index();
-        let class = &mut self.classes[class];
-        class.counters.done += 1;
-        class.budget.earn(&class.spec.retry);
+    /// Removes a task whose run has ended, and sees to its gang.
+    fn drop_ended(&mut self, key: TaskKey, now: Time) {
         let gang = self.tasks[key].gang;
         self.leave(key);
         if let Some(gang) = gang {
             self.settle_gang(gang, now);
         }
+    }
+
+    fn finish(&mut self, key: TaskKey, now: Time) -> Next {
+        let class = self.tasks[key].spec.class.index();
+        let class = &mut self.classes[class];
+        class.counters.done += 1;
+        class.budget.earn(&class.spec.retry);
+        self.drop_ended(key, now);
         Next::Left
     }
 
--- a/crates/kingcupwinch-wire/src/api.rs
+++ b/crates/kingcupwinch-wire/src/api.rs
@@ -76,6 +76,19 @@
     pub payload: serde_json::Value,
 }
 
+/// A task that one instance hands to another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskOrder {
+    /// The task.
+    pub task: uuid::Uuid,
+    /// The number below its attempts.
+    pub base: u32,
+    /// In how many milliseconds it must have started, or be given back.
+    pub start_ms: u64,
+    /// The job's description.
+    pub spec: JobSpec,
+}
+
 /// The answer to an accepted job.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobAccepted {
--- a/crates/kingcupwinch-wire/src/sibling/body.rs
+++ b/crates/kingcupwinch-wire/src/sibling/body.rs
@@ -194,6 +194,8 @@
     NotRun,
     /// It may have run.
     Unknown,
+    /// It runs on a worker that another instance now owns.
+    Moved,
 }
 
 /// Counts at one instance.
--- a/crates/kingcupwinch-wire/src/sibling/decode.rs
+++ b/crates/kingcupwinch-wire/src/sibling/decode.rs
@@ -156,6 +156,7 @@
         pb::TaskPhase::Stopped => Ok(TaskPhase::Stopped),
         pb::TaskPhase::NotRun => Ok(TaskPhase::NotRun),
         pb::TaskPhase::Unknown => Ok(TaskPhase::Unknown),
+        pb::TaskPhase::Moved => Ok(TaskPhase::Moved),
     }
 }
 
--- a/crates/kingcupwinch-wire/src/sibling/encode.rs
+++ b/crates/kingcupwinch-wire/src/sibling/encode.rs
@@ -141,6 +141,7 @@
         TaskPhase::Stopped => pb::TaskPhase::Stopped,
         TaskPhase::NotRun => pb::TaskPhase::NotRun,
         TaskPhase::Unknown => pb::TaskPhase::Unknown,
+        TaskPhase::Moved => pb::TaskPhase::Moved,
     }
 }
 
--- a/crates/kingcupwinch-wire/tests/round_trip.rs
+++ b/crates/kingcupwinch-wire/tests/round_trip.rs
@@ -212,6 +212,7 @@
         TaskPhase::Stopped,
         TaskPhase::NotRun,
         TaskPhase::Unknown,
+        TaskPhase::Moved,
     ];
     bodies.extend(phases.map(|phase| {
         Body::TaskState(TaskState {
