Test each rule that keeps two owners apart, and write the design note

A drain no longer waits for the pause between two rounds of hand-overs, and a take-over is noted once.

--- a/crates/kingcupwinch-coord/src/ownership/handover.rs
+++ b/crates/kingcupwinch-coord/src/ownership/handover.rs
@@ -39,7 +39,7 @@
         out: &mut Vec<Action>,
     ) {
         self.expire(core, now);
-        if !core.is_fresh(now) || now < self.next || !self.open.is_empty() {
+        if !core.is_fresh(now) || !self.open.is_empty() {
             return;
         }
         match core.life {
@@ -52,7 +52,7 @@
     /// Offers surplus shards once the group and its owners are settled.
     fn even_out(&mut self, core: &mut Core, evidence: &Evidence, now: Time, out: &mut Vec<Action>) {
         let is_settled = core.changed + core.timers.settle <= now;
-        if !is_settled || !core.outbox.is_empty() {
+        if now < self.next || !is_settled || !core.outbox.is_empty() {
             return;
         }
         self.next = now + core.timers.settle;
--- a/crates/kingcupwinch-coord/src/ownership/takeover.rs
+++ b/crates/kingcupwinch-coord/src/ownership/takeover.rs
@@ -69,7 +69,8 @@
         }
     }
 
-    fn count(&mut self, shard: ShardId, term: Term, from: Incarnation) {
+    /// Counts one voter's support; returns whether it is new.
+    fn count(&mut self, shard: ShardId, term: Term, from: Incarnation) -> bool {
         let fresh = || Gathered {
             term,
             from: Members::new(),
@@ -78,9 +79,11 @@
         if gathered.term != term {
             *gathered = fresh();
         }
-        if !gathered.from.contains(&from) {
+        let is_new = !gathered.from.contains(&from);
+        if is_new {
             gathered.from.push(from);
         }
+        is_new
     }
 
     /// Begins to count the silence of owners, and the time since an owner was retired.
@@ -133,8 +136,12 @@
             owner,
             shards: due.clone(),
         };
+        let mut is_begun = false;
         for (shard, term) in votes.grant(core, &ask, now) {
-            self.count(shard, term, core.id());
+            is_begun |= self.count(shard, term, core.id());
+        }
+        if is_begun {
+            out.push(Action::Note(Note::TakingOver { owner }));
         }
         self.ask(core, ask, now, out);
         let supported = due
@@ -150,7 +157,6 @@
             return;
         }
         self.next = now + core.timers.heartbeat.divided_by(2);
-        out.push(Action::Note(Note::TakingOver { owner: ask.owner }));
         for voter in voters_asked(core, &ask) {
             send(voter, Message::SupportAsk(ask.clone()), out);
         }
--- a/crates/kingcupwinch-coord/src/ownership/timers.rs
+++ b/crates/kingcupwinch-coord/src/ownership/timers.rs
@@ -134,6 +134,12 @@
         self
     }
 
+    /// Sets how long an owner waits for the answer to an offer.
+    pub fn with_offer_wait(mut self, wait: Span) -> Self {
+        self.offer_wait = wait;
+        self
+    }
+
     /// Returns how long a lease lasts for its holder.
     pub(crate) fn own_lease(&self) -> Span {
         self.drift.shorten(self.lease)
--- a/crates/kingcupwinch-coord/tests/ownership/main.rs
+++ b/crates/kingcupwinch-coord/tests/ownership/main.rs
@@ -4,3 +4,4 @@
 mod input;
 mod net;
 mod random;
+mod rules;
--- a/crates/kingcupwinch-coord/tests/ownership/net.rs
+++ b/crates/kingcupwinch-coord/tests/ownership/net.rs
@@ -24,6 +24,7 @@
 const LIST_DELAY: Span = Span::from_millis(3_000);
 const START: Time = Time::from_millis(100_000);
 const APPEND_DELAY: (Span, Span) = (Span::from_millis(1), Span::from_millis(5));
+const SKEW: i64 = 1_000;
 const PPM: u64 = 1_000_000;
 
 #[derive(Debug, Clone)]
@@ -79,6 +80,7 @@
     /// Reads a clock before and after each event, in nanoseconds.
     pub(crate) meter: Option<fn() -> u64>,
     seed: u64,
+    skew: i64,
     cuts: BTreeSet<(usize, usize)>,
     timers: Timers,
     rng: ChaCha8Rng,
@@ -88,6 +90,17 @@
 
 impl Net {
     pub(crate) fn new(nodes: usize, shards: u16, timers: Timers, seed: u64) -> Self {
+        Net::with_skew(nodes, shards, timers, seed, SKEW)
+    }
+
+    /// Makes a domain in which every other clock runs fast by `skew` parts per million.
+    pub(crate) fn with_skew(
+        nodes: usize,
+        shards: u16,
+        timers: Timers,
+        seed: u64,
+        skew: i64,
+    ) -> Self {
         let mut net = Net {
             now: START,
             nodes: Vec::new(),
@@ -105,6 +118,7 @@
             keep_sent: false,
             meter: None,
             seed,
+            skew,
             cuts: BTreeSet::new(),
             timers,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -127,7 +141,11 @@
             forward: Arc::from("127.0.0.1:2"),
             weight,
         };
-        let ppm = if index.is_multiple_of(2) { 0 } else { 1_000 };
+        let ppm = if index.is_multiple_of(2) {
+            0
+        } else {
+            self.skew
+        };
         let (shards, timers) = (self.shards, self.timers.clone());
         let seed = index as u64;
         let coord = Coordinator::new(member, shards, timers, seed, local(self.now, ppm));
@@ -382,13 +400,16 @@
             record: record.clone(),
         };
         self.push(self.now + ANSWER_TIMEOUT, index, timeout);
+        if self.nodes[index].log_cut {
+            return;
+        }
         let (least, most) = self.append_delay;
         let at = self.now + self.some_delay(most).max(least);
         self.push(at, index, Step::AppendArrives { record });
     }
 
     fn append_arrives(&mut self, index: usize, record: Stamped<OwnerRecord>) {
-        if self.log_down || self.nodes[index].log_cut {
+        if self.log_down {
             return;
         }
         let id = record.id;
@@ -495,7 +516,25 @@
         self.queue.insert((at, self.pushed), (node, step));
     }
 
-    /// Returns the oldest node that serves.
+    /// Runs in short steps until a condition holds.
+    pub(crate) fn watch(&mut self, is_met: impl Fn(&Net) -> bool) {
+        let found = self.run_until(Span::from_secs(30), is_met);
+        assert!(found.is_some(), "the condition was not met");
+    }
+
+    /// Returns the offset of the first record from `start` on that a test accepts.
+    pub(crate) fn find(&self, start: usize, is_it: impl Fn(&OwnerRecord) -> bool) -> Option<usize> {
+        (start..self.log.len()).find(|offset| {
+            let record = self.log[*offset].as_ref();
+            record.is_some_and(|record| is_it(&record.body))
+        })
+    }
+
+    pub(crate) fn id(&self, node: usize) -> Incarnation {
+        self.nodes[node].coord.member().incarnation
+    }
+
+    /// Returns the nodes that serve, oldest first.
     pub(crate) fn serving(&self) -> Vec<usize> {
         (0..self.nodes.len())
             .filter(|index| self.nodes[*index].alive)
@@ -515,8 +554,12 @@
 /// Returns a node's own time at a true time.
 pub(crate) fn local(at: Time, ppm: i64) -> Time {
     let micros = at.as_micros();
-    let gained = micros * ppm.unsigned_abs() / PPM;
-    Time::from_micros(micros + gained)
+    let apart = micros * ppm.unsigned_abs() / PPM;
+    if ppm < 0 {
+        Time::from_micros(micros - apart)
+    } else {
+        Time::from_micros(micros + apart)
+    }
 }
 
 /// Makes a started, settled domain.
--- /dev/null
+++ b/crates/kingcupwinch-coord/tests/ownership/rules.rs
@@ -0,0 +1,229 @@
+//! One test for each rule that keeps two owners apart, in the run that needs it.
+
+use kingcupwinch_coord::id::Incarnation;
+use kingcupwinch_coord::ownership::message::PromiseOutcome;
+use kingcupwinch_coord::ownership::{Event, Message, Note, Timers};
+use kingcupwinch_coord::record::OwnerRecord;
+use kingcupwinch_time::{Drift, Span};
+use rstest::rstest;
+
+use crate::net::{Net, settled, settled_with};
+
+const TARGET: Span = Span::from_secs(8);
+const MINUTE: Span = Span::from_secs(60);
+
+fn is_claim_by(record: &OwnerRecord, owner: Incarnation) -> bool {
+    matches!(record, OwnerRecord::Claim(claim) if claim.owner == owner)
+}
+
+fn is_granted(message: &Message) -> bool {
+    matches!(message, Message::PromiseReply(reply) if reply.outcome == PromiseOutcome::Granted)
+}
+
+fn others(net: &Net, node: usize) -> Vec<usize> {
+    net.serving()
+        .into_iter()
+        .filter(|other| *other != node)
+        .collect()
+}
+
+/// A voter supports a claim; then it and the owner are cut off together before the claim lands.
+#[test]
+fn no_promise_after_support() {
+    let mut net = settled(3, 8, 40);
+    let owner = net.busiest();
+    let [voter, claimant] = others(&net, owner)[..] else {
+        panic!("three members");
+    };
+    net.isolate(owner);
+    net.append_delay = (Span::from_secs(10), Span::from_secs(10));
+    net.run(Span::from_secs(3));
+    net.heal();
+    net.cut(claimant, voter);
+    net.cut(claimant, owner);
+    net.nodes[owner].log_cut = true;
+    net.nodes[voter].log_cut = true;
+    net.run(MINUTE);
+    let counts = net.counts();
+    assert_eq!(counts[owner], 0, "{counts:?}");
+    assert!(counts[claimant] > 0, "{counts:?}");
+    let is_distrusted = |note: &Note| matches!(note, Note::Distrusted { .. });
+    assert!(net.nodes[owner].notes.iter().any(is_distrusted));
+}
+
+/// A voter that promised just before the owner died supports nobody until the promise is over.
+#[test]
+fn no_support_before_the_promise_is_over() {
+    let timers = Timers::default().with_promise(Span::from_secs(5));
+    let mut net = settled_with(3, 8, timers, 41);
+    let owner = net.busiest();
+    net.log_down = true;
+    net.run(Span::from_secs(10));
+    net.keep_sent = true;
+    net.watch(|net| net.sent.iter().any(|(_, message)| is_granted(message)));
+    net.keep_sent = false;
+    net.sent.clear();
+    net.log_down = false;
+    net.kill(owner);
+    let promised = net.now;
+    net.keep_sent = true;
+    net.watch(|net| {
+        net.sent
+            .iter()
+            .any(|(_, message)| matches!(message, Message::Support(_)))
+    });
+    let waited = net.now - promised;
+    assert!(waited >= Span::from_millis(4_500), "{waited:?}");
+}
+
+/// The owner's claim with a joined voter lands unread; then owner and one old voter are cut off.
+#[test]
+fn an_unread_claim_needs_both_majorities() {
+    let mut net = settled(3, 8, 42);
+    let joined = net.start("entry-3", 1);
+    let four_voters = |record: &OwnerRecord| matches!(record, OwnerRecord::Claim(claim) if claim.voters.len() == 4);
+    let start = net.log.len();
+    net.watch(|net| net.find(start, four_voters).is_some());
+    let offset = net.find(start, four_voters).unwrap_or_default();
+    let Some(OwnerRecord::Claim(claim)) = net.log[offset].clone().map(|record| record.body) else {
+        panic!("a claim");
+    };
+    let owner = (0..3)
+        .find(|node| net.id(*node) == claim.owner)
+        .unwrap_or(0);
+    let [friend, other] = others(&net, owner)[..2] else {
+        panic!("three old members");
+    };
+    for node in [owner, friend] {
+        assert!(net.nodes[node].coord.next_offset().0 <= offset as u64);
+        net.nodes[node].log_cut = true;
+        net.cut(node, other);
+        net.cut(node, joined);
+    }
+    let shard = claim.shards[0].0.0;
+    assert_eq!(net.dispatcher(shard), Some(owner));
+    net.run(Span::from_secs(20));
+    let heir = net.dispatcher(shard);
+    assert!(heir == Some(other) || heir == Some(joined), "{heir:?}");
+}
+
+/// With half of the voters on each side, nobody goes on without the log.
+#[test]
+fn half_of_the_voters_is_no_majority() {
+    let mut net = settled(4, 8, 43);
+    net.log_down = true;
+    for left in 0..2 {
+        net.cut(left, 2);
+        net.cut(left, 3);
+    }
+    net.run(Span::from_secs(5));
+    assert_eq!(net.counts(), [0, 0, 0, 0]);
+    net.heal();
+    assert!(net.run_until_served(TARGET).is_some());
+}
+
+/// An heir that is still waiting is told to stop; what it gives up must wait as well.
+#[rstest]
+#[case::handed_over(false)]
+#[case::released(true)]
+fn nothing_is_given_up_before_the_wait_is_over(#[case] alone: bool) {
+    let timers = Timers::default().with_offer_wait(Span::from_millis(100));
+    let mut net = settled_with(3, 8, timers, 44);
+    let owner = net.busiest();
+    net.isolate(owner);
+    let start = net.log.len();
+    let heirs = others(&net, owner);
+    let ids: Vec<Incarnation> = heirs.iter().map(|heir| net.id(*heir)).collect();
+    let taken = |net: &Net| {
+        ids.iter()
+            .position(|id| net.find(start, |record| is_claim_by(record, *id)).is_some())
+    };
+    net.watch(|net| taken(net).is_some());
+    let heir = heirs[taken(&net).unwrap_or_default()];
+    net.nodes[owner].log_cut = true;
+    if alone {
+        net.isolate(heir);
+    }
+    assert!(net.counts()[owner] > 0);
+    net.tell(heir, Event::Drain);
+    net.run(MINUTE);
+    assert!(net.all_dispatched());
+    assert!(!net.nodes[heir].alive);
+}
+
+/// Brings a newcomer to the point where an owner has appended a hand-over to it, then drains it.
+fn drain_before_hand_over(hand_over: Span, leave: Span) -> (Net, usize, usize) {
+    let mut net = settled(3, 8, 45);
+    net.keep_sent = true;
+    let newcomer = net.start("entry-3", 1);
+    let is_taken =
+        |message: &Message| matches!(message, Message::OfferReply(reply) if reply.accepted);
+    net.watch(|net| net.sent.iter().any(|(_, message)| is_taken(message)));
+    net.append_delay = (hand_over, hand_over);
+    net.run(Span::from_millis(4));
+    net.append_delay = (leave, leave);
+    net.tell(newcomer, Event::Drain);
+    let start = net.log.len();
+    (net, newcomer, start)
+}
+
+/// The hand-over lands first; the newcomer reads it, but not its own leave that follows.
+#[test]
+fn a_leaving_member_dispatches_nothing() {
+    let (hand_over, leave) = (Span::from_millis(200), Span::from_millis(500));
+    let (mut net, newcomer, start) = drain_before_hand_over(hand_over, leave);
+    let given = |record: &OwnerRecord| matches!(record, OwnerRecord::HandOver(_));
+    net.watch(|net| net.find(start, given).is_some());
+    net.run(Span::from_millis(60));
+    let offset = net.find(start, given).unwrap_or_default() as u64;
+    assert!(net.nodes[newcomer].coord.next_offset().0 > offset);
+    net.nodes[newcomer].log_cut = true;
+    net.isolate(newcomer);
+    net.run(Span::from_secs(20));
+    assert!(net.all_dispatched());
+    assert_eq!(net.counts()[newcomer], 0);
+}
+
+/// The leave lands first, so the hand-over is void and its shards stay with their owner.
+#[test]
+fn a_void_hand_over_leaves_no_shard_idle() {
+    let (hand_over, leave) = (Span::from_millis(700), Span::from_millis(100));
+    let (mut net, newcomer, start) = drain_before_hand_over(hand_over, leave);
+    net.append_delay = (Span::from_millis(1), Span::from_millis(5));
+    net.run(Span::from_secs(2));
+    let left = net.find(start, |record| matches!(record, OwnerRecord::Leave(_)));
+    let given = net.find(start, |record| matches!(record, OwnerRecord::HandOver(_)));
+    assert!(left.is_some() && left < given, "{left:?} {given:?}");
+    assert!(net.run_until_served(TARGET).is_some());
+    assert!(!net.nodes[newcomer].alive);
+}
+
+/// Clocks a tenth apart, with no grace: the drift bound alone keeps the owners apart.
+#[rstest]
+fn drift_alone_is_covered(
+    #[values(50, 51, 52, 53)] seed: u64,
+    #[values(100_000, -90_000)] skew: i64,
+) {
+    let timers = Timers::default()
+        .with_drift(Drift::from_ppm(100_000))
+        .with_grace(Span::ZERO);
+    let mut net = Net::with_skew(3, 8, timers, seed, skew);
+    net.run(Span::from_secs(20));
+    for owner in 0..3 {
+        net.isolate(owner);
+        let start = net.log.len();
+        let id = net.id(owner);
+        net.watch(|net| {
+            net.find(
+                start,
+                |record| matches!(record, OwnerRecord::Claim(claim) if claim.owner != id),
+            )
+            .is_some()
+        });
+        net.nodes[owner].log_cut = true;
+        net.run(Span::from_secs(10));
+        net.heal();
+        net.run(Span::from_secs(30));
+        assert!(net.all_dispatched());
+    }
+}
