--- a/crates/kingcupwinch-daemon/tests/testsuite/main.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/main.rs
@@ -2,7 +2,12 @@
 
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
+mod bad_input;
 mod caller;
+mod keys;
 mod live;
+mod operators;
 mod process;
+mod promises;
+mod siblings;
 mod site;
