Hold the real history, keys and jobs against the specifications

Walks through the at-most-once specification drive Keys and Runs step by step; History and Jobs are compared with folds over the whole log while readers start late, lose records, restart and take relays.

20,000 walks found a fault in Runs: after a worker's refusal the entry took the number of the attempt that would follow, so the home's next attempt at the same instance was answered from memory and never ran. The entry now keeps its permit's number (a new case in the dedupe tests).

--- a/crates/kingcupwinch-coord/src/dedupe/runs.rs
+++ b/crates/kingcupwinch-coord/src/dedupe/runs.rs
@@ -96,9 +96,14 @@
     }
 
     /// Takes the end of a token.
+    ///
+    /// The entry keeps the number of the permit's attempt, whatever the runner tried since.
     pub fn finish(&mut self, ended: Ended) {
+        let Some(attempt) = self.table.get(ended.key).map(|e| e.attempt) else {
+            return;
+        };
         let entry = Entry {
-            attempt: ended.attempt,
+            attempt,
             outcome: Some(ended.outcome),
         };
         self.table.replace(ended.key, entry);
--- a/crates/kingcupwinch-coord/src/dedupe/token.rs
+++ b/crates/kingcupwinch-coord/src/dedupe/token.rs
@@ -105,7 +105,6 @@
     fn end(self, kind: Kind) -> Ended {
         Ended {
             key: self.key,
-            attempt: self.attempt,
             outcome: Outcome(kind),
         }
     }
@@ -157,7 +156,6 @@
 #[must_use]
 pub struct Ended {
     pub(super) key: RequestKey,
-    pub(super) attempt: Attempt,
     pub(super) outcome: Outcome,
 }
 
--- a/crates/kingcupwinch-coord/tests/dedupe.rs
+++ b/crates/kingcupwinch-coord/tests/dedupe.rs
@@ -1,8 +1,8 @@
 //! Key memories: one run per key, whatever is forgotten, repeated or asked.
 
 use kingcupwinch_coord::dedupe::{
-    Decision, Fingerprint, Keys, Limits, OutcomeKind, Permit, Refusal, Request, RequestKey,
-    RunDecision, Runs, SiblingAnswer,
+    Decision, Ended, Fingerprint, Fresh, Keys, Limits, OutcomeKind, Permit, Refusal, Request,
+    RequestKey, RunDecision, Runs, SiblingAnswer, Token,
 };
 use kingcupwinch_coord::id::{Attempt, ShardId, Term};
 use kingcupwinch_time::{Span, Time, WallTime};
@@ -211,13 +211,15 @@
     }
 }
 
-#[test]
-fn a_higher_attempt_starts_only_after_a_certain_not_run() {
+#[rstest]
+#[case::never_dispatched(Token::not_run)]
+#[case::refused_by_the_worker(|t: Token<Fresh>| t.dispatch().refused(Refusal::Full).not_run())]
+fn a_higher_attempt_starts_only_after_a_certain_not_run(#[case] end: fn(Token<Fresh>) -> Ended) {
     let mut runs = Runs::new(limits());
     let RunDecision::Start(token) = runs.begin(&permit(1, 4, 1), NOW) else {
         panic!("the permit is new");
     };
-    runs.finish(token.not_run());
+    runs.finish(end(token));
     assert!(matches!(
         runs.begin(&permit(1, 4, 1), NOW),
         RunDecision::Remembered(_)
--- /dev/null
+++ b/crates/kingcupwinch-spec/src/jobs.rs
@@ -0,0 +1,75 @@
+//! The state of a job stream as a fold over the whole log.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+/// An entry of the job stream; jobs are numbered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JobEntry {
+    /// A job is accepted.
+    Accepted(u64),
+    /// A job may have started.
+    Started {
+        /// The job.
+        job: u64,
+        /// The term.
+        term: u64,
+    },
+    /// A job ended, well or not.
+    Ended {
+        /// The job.
+        job: u64,
+        /// Whether it ended well.
+        well: bool,
+    },
+    /// A snapshot of the first `covers` entries.
+    Copy {
+        /// The entries that it covers.
+        covers: usize,
+    },
+}
+
+/// Open, started and ended jobs.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct JobState {
+    /// Open jobs.
+    pub open: BTreeSet<u64>,
+    /// The newest term in which an open job may have started.
+    pub started: BTreeMap<u64, u64>,
+    /// Ended jobs, and whether they ended well.
+    pub ended: BTreeMap<u64, bool>,
+}
+
+/// Returns the state after all entries.
+pub fn job_state(log: &[JobEntry]) -> JobState {
+    let mut state = JobState::default();
+    for entry in log {
+        match *entry {
+            JobEntry::Accepted(job) => state.accept(job),
+            JobEntry::Started { job, term } => state.start(job, term),
+            JobEntry::Ended { job, well } => state.end(job, well),
+            JobEntry::Copy { .. } => {}
+        }
+    }
+    state
+}
+
+impl JobState {
+    fn accept(&mut self, job: u64) {
+        if !self.ended.contains_key(&job) {
+            self.open.insert(job);
+        }
+    }
+
+    fn start(&mut self, job: u64, term: u64) {
+        if self.open.contains(&job) {
+            let newest = self.started.entry(job).or_default();
+            *newest = term.max(*newest);
+        }
+    }
+
+    fn end(&mut self, job: u64, well: bool) {
+        self.open.remove(&job);
+        self.started.remove(&job);
+        self.ended.entry(job).or_insert(well);
+    }
+}
--- a/crates/kingcupwinch-spec/src/lib.rs
+++ b/crates/kingcupwinch-spec/src/lib.rs
@@ -14,7 +14,9 @@
 //! assert!(matches!(report.outcome, Outcome::Violated { .. }));
 //! ```
 
+pub mod config;
 mod explore;
+pub mod jobs;
 pub mod once;
 pub mod ownership;
 
