--- a/crates/kingcupwinch-spec/src/once/runner.rs
+++ b/crates/kingcupwinch-spec/src/once/runner.rs
@@ -30,6 +30,7 @@
             }
             let mut next = *state;
             next.runners[slot].fence = term;
+            next.runners[slot].term = term;
             next.runners[slot].run = Run::Fresh(attempt);
             let event = Event::Start {
                 attempt,
@@ -105,11 +106,11 @@
     visit(Event::RunnerTimeout(slot), next);
 }
 
-/// Ends an attempt and sends its result to the home of the runner's newest term.
+/// Ends an attempt and sends its result to the home that permitted it.
 fn end(state: &mut OnceState, slot: usize, attempt: u8, reply: Reply) {
     let runner = &mut state.runners[slot];
     runner.run = Run::Over(attempt, reply);
-    if runner.fence == state.term && state.home_slot.is_some() {
+    if runner.term == state.term && state.home_slot.is_some() {
         state.results |= OnceState::result_bit(attempt, reply);
     }
 }
--- a/crates/kingcupwinch-spec/src/once/state.rs
+++ b/crates/kingcupwinch-spec/src/once/state.rs
@@ -60,6 +60,8 @@
 pub struct Runner {
     /// Its memory.
     pub run: Run,
+    /// The term of the permit that it took.
+    pub term: u8,
     /// The newest term that it has heard of.
     pub fence: u8,
     /// Dispatches on their way to the worker.
@@ -110,6 +112,7 @@
 
 pub(super) const IDLE: Runner = Runner {
     run: Run::Unseen,
+    term: 0,
     fence: 0,
     sent: 0,
     answered: false,
