--- a/crates/kingcupwinch-config/src/check/mod.rs
+++ b/crates/kingcupwinch-config/src/check/mod.rs
@@ -16,24 +16,30 @@
 use crate::tree::Tree;
 use report::Report;
 
-/// The most bytes of a published tree.
-const MAX_RECORD_BYTES: usize = 4_194_304;
+/// The most bytes of a published tree; a record of the log has room for it and its envelope.
+pub const MAX_RECORD_BYTES: usize = 1_000_000;
 
 /// The name that stands for the file of a published tree.
 const RECORD_NAME: &str = "record";
 
 /// Decodes a merged node and runs every check on it.
-pub(crate) fn check_node(root: &Node, faults: &mut Vec<Fault>) -> (Tree, Origins) {
+pub(crate) fn check_node(root: &Node, origins: &Origins, faults: &mut Vec<Fault>) -> Tree {
     let mut decoder = Decoder::default();
     let tree = Tree::decode(root, &mut decoder).unwrap_or_default();
     faults.append(&mut decoder.faults);
-    let origins = Origins::new(root);
-    let mut report = Report::new(&origins, faults);
+    let mut report = Report::new(origins, faults);
     references::check(&tree, &mut report);
     shares::check(&tree, &mut report);
     sizes::check(&tree, &mut report);
     timers::check(&tree, &mut report);
-    (tree, origins)
+    let json = tree.to_canonical_json();
+    if json.len() > MAX_RECORD_BYTES {
+        report.fault(
+            "",
+            FaultKind::TooLargeRecord(MAX_RECORD_BYTES, tree.classes.len()),
+        );
+    }
+    tree
 }
 
 impl Tree {
@@ -50,7 +56,8 @@
             .map_err(|e| record_fault(FaultKind::Syntax(Arc::from(e.to_string()))))?;
         let root = node_from_json(&Place::new(RECORD_NAME), &value);
         let mut faults = Vec::new();
-        let (tree, _) = check_node(&root, &mut faults);
+        let origins = Origins::with_root(&root);
+        let tree = check_node(&root, &origins, &mut faults);
         if faults.is_empty() {
             Ok(tree)
         } else {
--- a/crates/kingcupwinch-config/src/check/report.rs
+++ b/crates/kingcupwinch-config/src/check/report.rs
@@ -1,5 +1,6 @@
 //! Gathers the faults of the checks.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use crate::fault::{Fault, FaultKind};
@@ -10,16 +11,17 @@
 pub(super) struct Report<'a> {
     origins: &'a Origins,
     faults: &'a mut Vec<Fault>,
+    faulty: HashSet<Arc<str>>,
 }
 
 impl<'a> Report<'a> {
     pub(super) fn new(origins: &'a Origins, faults: &'a mut Vec<Fault>) -> Self {
-        Report { origins, faults }
-    }
-
-    /// Returns whether a file set the setting.
-    pub(super) fn is_set(&self, path: &str) -> bool {
-        self.origins.place(path).is_some()
+        let faulty = faults.iter().map(|f| Arc::clone(&f.path)).collect();
+        Report {
+            origins,
+            faults,
+            faulty,
+        }
     }
 
     /// Notes a fault of one setting.
@@ -27,13 +29,6 @@
         self.add(path, kind, None);
     }
 
-    /// Notes a setting without a default that isn't set.
-    pub(super) fn require(&mut self, table: &str, setting: &'static str) {
-        if !self.is_set(&format!("{table}.{setting}")) {
-            self.add(table, FaultKind::Missing(setting), None);
-        }
-    }
-
     /// Notes a value that can't work, whatever the other settings are.
     pub(super) fn refuse(&mut self, path: &str, cause: String) {
         self.add(path, FaultKind::Contradiction(Arc::from(cause)), None);
@@ -53,16 +48,18 @@
         if self.is_faulty(path) {
             return;
         }
-        let place = self.origins.nearest(path);
+        let path: Arc<str> = Arc::from(path);
+        self.faulty.insert(Arc::clone(&path));
+        let place = self.origins.nearest(&path);
         self.faults.push(Fault {
             place: place.cloned().unwrap_or_else(|| Place::new("")),
-            path: Arc::from(path),
+            path,
             kind,
             clash,
         });
     }
 
     fn is_faulty(&self, path: &str) -> bool {
-        self.faults.iter().any(|fault| *fault.path == *path)
+        self.faulty.contains(path)
     }
 }
--- a/crates/kingcupwinch-coord/src/ownership/coordinator.rs
+++ b/crates/kingcupwinch-coord/src/ownership/coordinator.rs
@@ -5,7 +5,7 @@
 use kingcupwinch_time::{Span, Time};
 use twox_hash::XxHash64;
 
-use crate::id::{Incarnation, Offset, ShardId};
+use crate::id::{Incarnation, Offset, ShardId, Term};
 use crate::log::{Batch, Covers, Entry, LogFault, LogView};
 use crate::record::{Member, Members, OwnerRecord, OwnerSnapshot, Stamped};
 
@@ -121,19 +121,24 @@
         self.group().member(owner)
     }
 
+    /// Returns the newest term of a shard, zero before its first claim.
+    pub fn term_of(&self, shard: ShardId) -> Term {
+        let state = self.core.ledger.shard(shard);
+        state.map_or(Term(0), |state| state.term)
+    }
+
     /// Returns the shards whose ownership by this instance has taken effect.
     pub fn owned(&self, now: Time) -> impl Iterator<Item = OwnedShard> {
         self.core
             .holdings
-            .kept()
-            .filter(move |(_, holding)| holding.effective <= now)
+            .effective(now)
             .map(|(shard, holding)| holding.as_owned(shard))
     }
 
     /// Returns leave to dispatch to a shard's workers, none if it may not be dispatched now.
     pub fn permit(&self, shard: ShardId, now: Time) -> Option<Permit> {
         let holding = self.core.holdings.get(shard)?;
-        if holding.stopping || now < holding.effective || !self.core.life.is_member() {
+        if holding.stopping || now < holding.effective || !self.core.life.may_own() {
             return None;
         }
         let leased = self.core.fresh_until();
@@ -189,7 +194,7 @@
                 live,
                 leaving,
             } => self.take_list(sent, &live, &leaving),
-            Event::Drain => self.drain(now, out),
+            Event::Drain => self.drain(out),
         }
         self.step(now, out);
     }
@@ -206,8 +211,8 @@
         self.evidence.take_list(&self.core, sent, live, leaving);
     }
 
-    fn drain(&mut self, now: Time, out: &mut Vec<Action>) {
-        self.core.life = self.core.life.drain(now);
+    fn drain(&mut self, out: &mut Vec<Action>) {
+        self.core.life = self.core.life.drain();
         if self.phase() == Phase::Stopped {
             out.push(Action::Stopped);
         }
@@ -366,7 +371,9 @@
         now: Time,
         out: &mut Vec<Action>,
     ) {
-        self.core.peers.heard(from, now);
+        if !self.core.is_stuck(from, now) {
+            self.core.peers.heard(from, now);
+        }
         let outcome = self.votes.promise(&self.core, from, ask, now, out);
         if outcome == PromiseOutcome::Behind {
             let asked = ask.asked;
--- a/crates/kingcupwinch-coord/src/ownership/evidence.rs
+++ b/crates/kingcupwinch-coord/src/ownership/evidence.rs
@@ -14,6 +14,9 @@
 use super::core::Core;
 use super::event::Action;
 
+/// Fewest lists that must be read over the lag bound: after a longer gap the count begins anew.
+const LIST_READS: u64 = 4;
+
 /// What the instance list said of members.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Evidence {
@@ -21,6 +24,7 @@
     superseded: FxHashMap<Incarnation, Time>,
     leaving: FxHashSet<Arc<str>>,
     read: Time,
+    regrouped: Option<Time>,
 }
 
 impl Evidence {
@@ -36,6 +40,10 @@
         if sent < self.read || !listed.contains(&core.me.instance) {
             return;
         }
+        let longest = core.timers.list_lag.divided_by(LIST_READS);
+        if self.read + longest < sent {
+            self.absent.clear();
+        }
         self.read = sent;
         self.leaving = leaving.iter().cloned().collect();
         for member in core.ledger.group().members() {
@@ -49,6 +57,10 @@
 
     /// Notices newer incarnations, and forgets those who are no longer members.
     pub(crate) fn step(&mut self, core: &Core, now: Time) {
+        if self.regrouped == Some(core.regrouped) {
+            return;
+        }
+        self.regrouped = Some(core.regrouped);
         let group = core.ledger.group();
         self.absent.retain(|member, _| group.contains(*member));
         self.superseded.retain(|member, _| group.contains(*member));
@@ -85,7 +97,8 @@
 
     /// Retires members that have stopped and own nothing; the oldest live member goes first.
     pub(crate) fn retire_stopped(&self, core: &mut Core, now: Time, out: &mut Vec<Action>) {
-        if !core.may_claim(now) {
+        let is_any = !self.absent.is_empty() || !self.superseded.is_empty();
+        if !is_any || !core.may_claim(now) {
             return;
         }
         let live: Vec<Incarnation> = self.live_members(core, now);
--- a/crates/kingcupwinch-coord/src/ownership/handover.rs
+++ b/crates/kingcupwinch-coord/src/ownership/handover.rs
@@ -45,7 +45,7 @@
         match core.life {
             Life::Serving(_) => self.even_out(core, evidence, now, out),
             Life::Draining(_) => self.drain(core, evidence, now, out),
-            Life::Joining(_) | Life::Stopped(_) => {}
+            Life::Joining(_) | Life::Leaving(_) | Life::Stopped(_) => {}
         }
     }
 
@@ -68,6 +68,7 @@
             return;
         }
         if core.ledger.count(core.id()) == 0 {
+            core.life = core.life.leave();
             let record = OwnerRecord::Leave(core.id());
             core.append(record, now, out);
             return;
@@ -106,7 +107,7 @@
     ) {
         let mut left: Vec<(ShardId, Term)> = core
             .holdings
-            .kept()
+            .effective(now)
             .map(|(shard, holding)| (shard, holding.term))
             .collect();
         for step in planned.iter().filter(|step| step.from == core.id()) {
@@ -224,7 +225,7 @@
 fn release_all(core: &mut Core, now: Time, out: &mut Vec<Action>) {
     let shards: Vec<(ShardId, Term)> = core
         .holdings
-        .kept()
+        .effective(now)
         .map(|(shard, holding)| (shard, holding.term))
         .collect();
     if shards.is_empty() {
--- /dev/null
+++ b/crates/kingcupwinch-daemon/tests/testsuite/main.rs
@@ -0,0 +1,12 @@
+//! Whole-program tests: daemons, stand-ins for the platform, and callers on loopback.
+
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
+mod bad_input;
+mod caller;
+mod keys;
+mod live;
+mod process;
+mod promises;
+mod siblings;
+mod site;
--- a/crates/kingcupwinch-policy/src/cell/machines.rs
+++ b/crates/kingcupwinch-policy/src/cell/machines.rs
@@ -19,6 +19,13 @@
         self.fleet.add(spec)
     }
 
+    /// Sets the capacities of machines that other owners hold: a task that fits one of them waits
+    /// here instead of being refused. None means that they are not known, so nothing is refused
+    /// for its size; a new cell assumes that there are none.
+    pub fn set_elsewhere(&mut self, shapes: Option<Vec<Size>>) {
+        self.fleet.set_elsewhere(shapes);
+    }
+
     /// Returns whether a machine takes work.
     pub fn standing(&self, machine: MachineKey) -> Option<Standing> {
         self.fleet.get(machine).map(|m| m.standing)
@@ -127,9 +134,9 @@
     pub(super) fn drop_keep(&mut self, machine: MachineKey) {
         match self.fleet.get(machine).and_then(|m| m.keep) {
             Some(Keep::Task(task)) => self.drop_claim(task),
-            Some(Keep::Gang(_)) => {
-                if let Some(reservation) = &mut self.reservation {
-                    reservation.machines.retain(|&m| m != machine);
+            Some(Keep::Gang(..)) => {
+                for reservation in &mut self.reservations {
+                    reservation.release(machine);
                 }
                 self.fleet.keep(machine, None);
             }
@@ -145,7 +152,7 @@
         if let Some(Keep::Task(_)) = m.keep {
             self.ready.push(machine);
         } else if m.throttled > 0 {
-            self.relief.push(machine);
+            self.relief.insert(machine);
         }
     }
 }
