--- /dev/null
+++ b/crates/kingcupwinch-spec/tests/ownership_conformance.rs
@@ -0,0 +1,385 @@
+//! The real coordinators under schedules as hostile as the specification's: messages, appends and
+//! reads arrive late, twice or never, instances act or stand still, and clocks drift.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use kingcupwinch_coord::id::{Incarnation, Offset, ShardId, Term};
+use kingcupwinch_coord::ownership::{Action, Coordinator, Event, Message, Phase, Timers};
+use kingcupwinch_coord::record::{Member, OwnerRecord, Stamped};
+use kingcupwinch_time::{Drift, Span, Time};
+use proptest::prelude::*;
+use proptest::sample::Index;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use uuid::Uuid;
+
+const SLOTS: usize = 3;
+const SHARDS: u16 = 2;
+const ROUND: Span = Span::from_millis(100);
+const SETTLING_ROUNDS: usize = 60;
+const RECOVERY_ROUNDS: usize = 600;
+/// The second instance's clock runs fast by the whole bound.
+const DRIFT: Drift = Drift::from_ppm(1_000);
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// The chosen instances work without faults among themselves, with or without the log.
+    Rounds {
+        slots: [bool; SLOTS],
+        log: bool,
+        count: usize,
+    },
+    /// Time passes, and nobody acts.
+    Pause(u64),
+    Tick(usize),
+    /// A read sent `age` milliseconds ago is answered with the log as it was then, or is now.
+    Read {
+        slot: usize,
+        age: u64,
+        old: bool,
+    },
+    Deliver {
+        message: Index,
+        again: bool,
+    },
+    Land {
+        append: Index,
+        again: bool,
+        answered: bool,
+    },
+    Restart(usize),
+    Drain(usize),
+}
+
+#[derive(Debug)]
+struct Schedule;
+
+impl ReferenceStateMachine for Schedule {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        let slot = || 0..SLOTS;
+        prop_oneof![
+            6 => (any::<[bool; SLOTS]>(), any::<bool>(), 1usize..40)
+                .prop_map(|(slots, log, count)| Step::Rounds { slots, log, count }),
+            3 => (10u64..4_000).prop_map(Step::Pause),
+            4 => slot().prop_map(Step::Tick),
+            4 => (slot(), 0u64..2_500, any::<bool>())
+                .prop_map(|(slot, age, old)| Step::Read { slot, age, old }),
+            4 => (any::<Index>(), any::<bool>())
+                .prop_map(|(message, again)| Step::Deliver { message, again }),
+            4 => (any::<Index>(), any::<bool>(), any::<bool>())
+                .prop_map(|(append, again, answered)| Step::Land { append, again, answered }),
+            1 => slot().prop_map(Step::Restart),
+            1 => slot().prop_map(Step::Drain),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+#[derive(Debug)]
+struct Sent {
+    from: Incarnation,
+    to: Incarnation,
+    body: Message,
+}
+
+#[derive(Debug)]
+struct World {
+    now: Time,
+    started: u64,
+    slots: Vec<Coordinator>,
+    log: Vec<Stamped<OwnerRecord>>,
+    /// The log's length by the time at which it grew.
+    grown: BTreeMap<Time, usize>,
+    messages: Vec<Sent>,
+    appends: Vec<Stamped<OwnerRecord>>,
+    winners: BTreeMap<(ShardId, Term), Incarnation>,
+}
+
+impl World {
+    fn new() -> Self {
+        let mut world = World {
+            now: Time::from_millis(100_000),
+            started: 0,
+            slots: Vec::new(),
+            log: Vec::new(),
+            grown: BTreeMap::new(),
+            messages: Vec::new(),
+            appends: Vec::new(),
+            winners: BTreeMap::new(),
+        };
+        for slot in 0..SLOTS {
+            let coord = world.start(slot);
+            world.slots.push(coord);
+        }
+        world.rounds([true; SLOTS], true, SETTLING_ROUNDS);
+        assert!(world.is_served(), "the domain did not settle");
+        world
+    }
+
+    fn start(&mut self, slot: usize) -> Coordinator {
+        self.started += 1;
+        let member = Member {
+            incarnation: Incarnation(Uuid::from_u64_pair(slot as u64, self.started)),
+            instance: format!("entry-{slot}").into(),
+            link: Arc::from("127.0.0.1:1"),
+            forward: Arc::from("127.0.0.1:2"),
+            weight: 1,
+        };
+        let timers = Timers::default().with_drift(DRIFT);
+        Coordinator::new(
+            member,
+            SHARDS,
+            timers,
+            self.started,
+            self.local(slot, self.now),
+        )
+    }
+
+    fn local(&self, slot: usize, at: Time) -> Time {
+        let span = at - Time::ZERO;
+        let fast = if slot == 1 {
+            DRIFT.lengthen(span)
+        } else {
+            span
+        };
+        Time::ZERO + fast
+    }
+
+    fn handle(&mut self, slot: usize, event: Event) {
+        let now = self.local(slot, self.now);
+        let coord = &mut self.slots[slot];
+        let from = coord.member().incarnation;
+        let mut actions = Vec::new();
+        coord.handle(event, now, &mut actions);
+        for action in actions {
+            self.take(from, action);
+        }
+        self.check();
+    }
+
+    fn take(&mut self, from: Incarnation, action: Action) {
+        match action {
+            Action::Append(record) => self.appends.push(record),
+            Action::Send { to, body } => self.messages.push(Sent { from, to, body }),
+            Action::Gained(owned) => self.win(owned.shard, owned.term, from),
+            Action::Renewed { shard, term } => self.win(shard, term, from),
+            Action::Lost { .. } | Action::Note(_) | Action::Stopped => {}
+        }
+    }
+
+    fn win(&mut self, shard: ShardId, term: Term, owner: Incarnation) {
+        let winner = *self.winners.entry((shard, term)).or_insert(owner);
+        assert_eq!(winner, owner, "{shard:?} {term:?} has two winners");
+    }
+
+    fn dispatchers(&self, shard: u16) -> usize {
+        let may = |slot: &usize| {
+            let now = self.local(*slot, self.now);
+            self.slots[*slot].permit(ShardId(shard), now).is_some()
+        };
+        (0..SLOTS).filter(may).count()
+    }
+
+    fn check(&self) {
+        for shard in 0..SHARDS {
+            assert!(
+                self.dispatchers(shard) <= 1,
+                "shard {shard} has two dispatchers"
+            );
+        }
+    }
+
+    fn is_served(&self) -> bool {
+        (0..SHARDS).all(|shard| self.dispatchers(shard) == 1)
+    }
+
+    fn slot_of(&self, incarnation: Incarnation) -> Option<usize> {
+        let is_it = |c: &Coordinator| c.member().incarnation == incarnation;
+        self.slots.iter().position(is_it)
+    }
+
+    fn pause(&mut self, span: Span) {
+        self.now += span;
+        self.check();
+    }
+
+    fn read(&mut self, slot: usize, age: Span, old: bool) {
+        let sent = self.now - age;
+        let tail = if old {
+            let before = self.grown.range(..=sent).next_back();
+            before.map_or(0, |(_, len)| *len)
+        } else {
+            self.log.len()
+        };
+        let from = self.slots[slot].next_offset().0 as usize;
+        let unread = (from..tail.max(from)).filter(|at| *at < self.log.len());
+        let records = unread.map(|at| (Offset(at as u64), Some(self.log[at].clone())));
+        let event = Event::Read {
+            sent: self.local(slot, sent),
+            first: Offset(0),
+            tail: Offset(tail.max(from) as u64),
+            records: records.collect(),
+        };
+        self.handle(slot, event);
+    }
+
+    fn land(&mut self, record: Stamped<OwnerRecord>, answered: bool) {
+        let id = record.id;
+        self.log.push(record);
+        self.grown.insert(self.now, self.log.len());
+        if answered {
+            for slot in 0..SLOTS {
+                self.handle(slot, Event::AppendAcked { id });
+            }
+        }
+    }
+
+    fn deliver(&mut self, sent: Sent) {
+        if let Some(slot) = self.slot_of(sent.to) {
+            let Sent { from, body, .. } = sent;
+            self.handle(slot, Event::Message { from, body });
+        }
+    }
+
+    fn roster(&mut self, slot: usize) {
+        let live = self.slots.iter().map(|c| c.member().instance.clone());
+        let event = Event::Roster {
+            sent: self.local(slot, self.now),
+            live: live.collect(),
+            leaving: Vec::new(),
+        };
+        self.handle(slot, event);
+    }
+
+    fn rounds(&mut self, chosen: [bool; SLOTS], log: bool, count: usize) {
+        for _ in 0..count {
+            self.pause(ROUND);
+            self.exchange(chosen);
+            if log {
+                for record in std::mem::take(&mut self.appends) {
+                    self.land(record, true);
+                }
+            }
+            for slot in (0..SLOTS).filter(|slot| chosen[*slot]) {
+                if log {
+                    self.read(slot, Span::ZERO, false);
+                    self.roster(slot);
+                }
+                self.handle(slot, Event::Tick);
+            }
+        }
+    }
+
+    /// Delivers the messages between the chosen slots; others stay in flight.
+    fn exchange(&mut self, chosen: [bool; SLOTS]) {
+        let among = |world: &World, id| world.slot_of(id).is_some_and(|slot| chosen[slot]);
+        for sent in std::mem::take(&mut self.messages) {
+            if among(self, sent.from) && among(self, sent.to) {
+                self.deliver(sent);
+            } else {
+                self.messages.push(sent);
+            }
+        }
+    }
+
+    fn restart(&mut self, slot: usize) {
+        self.slots[slot] = self.start(slot);
+    }
+
+    fn recover(&mut self) {
+        for slot in 0..SLOTS {
+            if self.slots[slot].phase() != Phase::Serving {
+                self.restart(slot);
+            }
+        }
+        for _ in 0..RECOVERY_ROUNDS {
+            if self.is_served() {
+                return;
+            }
+            self.rounds([true; SLOTS], true, 1);
+        }
+        panic!("nobody dispatches after the faults have stopped");
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Rounds { slots, log, count } => self.rounds(slots, log, count),
+            Step::Pause(millis) => self.pause(Span::from_millis(millis)),
+            Step::Tick(slot) => self.handle(slot, Event::Tick),
+            Step::Read { slot, age, old } => self.read(slot, Span::from_millis(age), old),
+            Step::Deliver { message, again } => self.deliver_one(message, again),
+            Step::Land {
+                append,
+                again,
+                answered,
+            } => self.land_one(append, again, answered),
+            Step::Restart(slot) => self.restart(slot),
+            Step::Drain(slot) => self.handle(slot, Event::Drain),
+        }
+    }
+
+    fn deliver_one(&mut self, message: Index, again: bool) {
+        if self.messages.is_empty() {
+            return;
+        }
+        let at = message.index(self.messages.len());
+        let Sent { from, to, body } = &self.messages[at];
+        let sent = Sent {
+            from: *from,
+            to: *to,
+            body: body.clone(),
+        };
+        if !again {
+            self.messages.swap_remove(at);
+        }
+        self.deliver(sent);
+    }
+
+    fn land_one(&mut self, append: Index, again: bool, answered: bool) {
+        if self.appends.is_empty() {
+            return;
+        }
+        let at = append.index(self.appends.len());
+        let record = self.appends[at].clone();
+        if !again {
+            self.appends.swap_remove(at);
+        }
+        self.land(record, answered);
+    }
+}
+
+impl StateMachineTest for World {
+    type SystemUnderTest = World;
+    type Reference = Schedule;
+
+    fn init_test((): &()) -> World {
+        World::new()
+    }
+
+    fn apply(mut world: World, (): &(), step: Step) -> World {
+        world.step(step);
+        world
+    }
+
+    fn teardown(mut world: World, (): ()) {
+        world.recover();
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(support::config(150))]
+
+    #[test]
+    fn coordinators_keep_the_specification_s_properties(sequential 1..60 => World);
+}
