Walk the index past machines that nearly fit

At 12,000 machines, thousands in the bucket at the edge of a need had too little memory, and the bounded walk ended among them: 130,000 batch tasks waited 24 s beside 225,000 free places, and one round then took 254 ms. Misfits now have a bound of their own, and a stuck class is tried again each second.

--- a/crates/kingcupwinch-policy/benches/decisions.rs
+++ b/crates/kingcupwinch-policy/benches/decisions.rs
@@ -100,7 +100,7 @@
         for class in ["live", "batch"] {
             let mut busy = Busy::new(machines);
             group.bench_function(BenchmarkId::new(class, machines), |b| {
-                b.iter(|| busy.step(class))
+                b.iter(|| busy.step(class));
             });
             black_box(busy.cell.tasks());
         }
--- a/crates/kingcupwinch-policy/examples/measure/driver.rs
+++ b/crates/kingcupwinch-policy/examples/measure/driver.rs
@@ -256,7 +256,8 @@
         let run = self.scenario.site.streams[stream].run.as_secs_f64();
         let count = (self.rates.each_second[stream] * run) as usize;
         for _ in 0..count {
-            self.arrive(stream);
+            let done = self.rng.random::<f64>();
+            self.arrive(stream, 1.0 - done);
         }
     }
 
@@ -339,7 +340,7 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive(stream) => {
-                self.arrive(stream);
+                self.arrive(stream, 1.0);
                 self.plan_arrival(stream);
             }
             Event::End {
@@ -376,9 +377,10 @@
         self.push(at, Event::Arrive(stream));
     }
 
-    fn arrive(&mut self, stream: usize) {
-        let spec = self.describe(stream);
-        let (spec, left) = spec;
+    /// Submits work of a stream of which this part is left to run.
+    fn arrive(&mut self, stream: usize, part: f64) {
+        let (spec, whole) = self.describe(stream);
+        let left = Span::from_micros((whole.as_micros() as f64 * part) as u64 + 1);
         let count = self.rates.gangs[stream];
         self.meter.submitted(stream, self.now);
         if count > 1 {
--- a/crates/kingcupwinch-policy/examples/measure/scenario.rs
+++ b/crates/kingcupwinch-policy/examples/measure/scenario.rs
@@ -104,7 +104,7 @@
 const END: Span = Span::from_secs(480);
 const FULL_WARM: Span = Span::from_secs(5);
 const FULL_END: Span = Span::from_secs(35);
-const FULL_LOAD: u32 = 90;
+const FULL_LOAD: u32 = 110;
 
 /// Returns every run of the users' sizes.
 pub(crate) fn catalogue(seed: u64) -> Vec<Scenario> {
--- a/crates/kingcupwinch-policy/examples/measure/site.rs
+++ b/crates/kingcupwinch-policy/examples/measure/site.rs
@@ -179,10 +179,10 @@
                 Stream::new(
                     service,
                     0.20,
-                    Size::new(2_000, 4_096),
+                    Size::new(2_000, 5_632),
                     Span::from_secs(3_600),
                 ),
-                Stream::new(batch, 0.68, Size::new(2_000, 4_096), Span::from_secs(100)),
+                Stream::new(batch, 0.68, Size::new(2_000, 5_632), Span::from_secs(100)),
                 Stream::new(train, 0.02, accelerated, Span::from_secs(120)).with_gang(64),
             ],
         }
--- a/crates/kingcupwinch-policy/src/cell/decide.rs
+++ b/crates/kingcupwinch-policy/src/cell/decide.rs
@@ -21,6 +21,9 @@
 /// Tasks of a lane that are tried, so that one that fits nowhere blocks no other.
 const HEAD_TRIES: usize = 4;
 
+/// How long a class stays stuck though nothing was released: a bounded walk of the index may have
+/// missed the one machine that fits.
+const STUCK_WAKE: Span = Span::from_secs(1);
 /// How long a class that may wait for headroom alone stays stuck.
 const HEADROOM_WAKE: Span = Span::from_millis(200);
 /// The wait for a task to probe with.
@@ -142,9 +145,12 @@
             }
         }
         self.set_stuck(class, tried.unwrap_or(Size::ZERO));
-        if self.headroom > 0 {
-            self.classes[class].wake_at(now + HEADROOM_WAKE);
-        }
+        let wait = if self.headroom > 0 {
+            HEADROOM_WAKE
+        } else {
+            STUCK_WAKE
+        };
+        self.classes[class].wake_at(now + wait);
     }
 
     /// Returns the lanes of a class with the least weighted share, in that order.
--- a/crates/kingcupwinch-policy/src/fleet.rs
+++ b/crates/kingcupwinch-policy/src/fleet.rs
@@ -6,7 +6,7 @@
 use rustc_hash::FxHashMap;
 use slotmap::SlotMap;
 
-use crate::index::{Buckets, FreeIndex};
+use crate::index::{Buckets, FreeIndex, Visit};
 use crate::key::{ClassKey, MachineKey, RackKey, TaskKey};
 use crate::machine::{Keep, Machine, MachineSpec, Standing, WATCHES, Watch};
 use crate::refusal::{Fault, Refusal};
@@ -359,7 +359,14 @@
         self.indexes[tier].visit(&self.buckets, need, cap, rng, |key| {
             let machine = &self.machines[key];
             let free = machine.free();
-            !need.fits(&free) || visitor(key, machine, &free)
+            if !need.fits(&free) {
+                return Visit::Misfit;
+            }
+            if visitor(key, machine, &free) {
+                Visit::Fits
+            } else {
+                Visit::Stop
+            }
         });
     }
 
--- a/crates/kingcupwinch-policy/src/headroom.rs
+++ b/crates/kingcupwinch-policy/src/headroom.rs
@@ -18,6 +18,8 @@
 /// Deviations over the mean before any observation.
 const FIRST_DEVIATIONS: f64 = 2.5;
 const MAX_DEVIATIONS: f64 = 4.0;
+/// The most that the variance counts for, against that of independent arrivals.
+const MAX_DISPERSION: f64 = 9.0;
 /// Deviations that a miss adds.
 const STEP: f64 = 0.01;
 /// The part of misses aimed at when waiting is all that counts.
@@ -65,10 +67,12 @@
         self.deviations = (self.deviations + STEP * change).clamp(0.0, MAX_DEVIATIONS);
     }
 
-    /// Returns how many more tasks than the `running` ones to be ready for. The deviation is at least
-    /// that of independent arrivals.
+    /// Returns how many more tasks than the `running` ones to be ready for. The variance is at least
+    /// that of independent arrivals, and at most a multiple of it, so that a ramp such as that after a
+    /// start doesn't count as noise.
     pub(crate) fn headroom(&self, running: u32) -> u64 {
-        let deviation = self.variance.max(self.mean).sqrt();
+        let most = self.mean * MAX_DISPERSION;
+        let deviation = self.variance.min(most).max(self.mean).sqrt();
         let level = self.mean + self.deviations * deviation;
         (level.round() as u64).saturating_sub(u64::from(running))
     }
--- a/crates/kingcupwinch-policy/src/index.rs
+++ b/crates/kingcupwinch-policy/src/index.rs
@@ -20,6 +20,20 @@
 const BUCKETS: usize = CORE_LEVELS * MEMORY_LEVELS * ACCELERATOR_LEVELS * SLOT_LEVELS;
 const WORD: usize = 64;
 
+/// Misfits looked at for each machine that fits.
+const MISFITS: usize = 2;
+
+/// What a visitor makes of a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Visit {
+    /// It fits; go on.
+    Fits,
+    /// It doesn't fit; go on.
+    Misfit,
+    /// End the walk.
+    Stop,
+}
+
 /// Where a machine stands in the index.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Spot {
@@ -151,37 +165,47 @@
         Some(Moved { machine, spot })
     }
 
-    /// Visits machines that may fit `need`, from the tightest bucket to the emptiest, up to `cap`
-    /// of them, each bucket from a random position. The visitor ends the walk by returning false.
+    /// Visits machines that may fit `need`, from the tightest bucket to the emptiest, each bucket from a
+    /// random position, until the visitor has seen `cap` that fit or says stop.
+    ///
+    /// In a bucket at the edge of the need some machines may not fit. Misfits are bounded for all such
+    /// buckets together, so that they don't use up the walk before a bucket where all fit.
     pub(crate) fn visit(
         &self,
         buckets: &Buckets,
         need: &Size,
         cap: usize,
         rng: &mut ChaCha8Rng,
-        mut visitor: impl FnMut(MachineKey) -> bool,
+        mut visitor: impl FnMut(MachineKey) -> Visit,
     ) {
         let floor = levels(need);
         let first = usize::from(buckets.number_of(need));
-        let mut left = cap;
+        let mut fits = cap;
+        let mut misfits = cap.saturating_mul(MISFITS);
         for bucket in self.occupied_from(first) {
-            if !dominates(&buckets.levels[bucket], &floor) {
+            let level = &buckets.levels[bucket];
+            let edge = !all_fit(level, &floor, need);
+            if !dominates(level, &floor) || (edge && misfits == 0) {
                 continue;
             }
             let list = &self.buckets[bucket];
-            let start = if list.len() > left {
+            let start = if list.len() > cap {
                 rng.random_range(0..list.len())
             } else {
                 0
             };
-            for i in 0..list.len().min(left) {
-                if !visitor(list[(start + i) % list.len()]) {
+            for i in 0..list.len() {
+                match visitor(list[(start + i) % list.len()]) {
+                    Visit::Stop => return,
+                    Visit::Fits => fits -= 1,
+                    Visit::Misfit => misfits = misfits.saturating_sub(1),
+                }
+                if fits == 0 {
                     return;
                 }
-            }
-            left = left.saturating_sub(list.len());
-            if left == 0 {
-                return;
+                if misfits == 0 {
+                    break;
+                }
             }
         }
     }
@@ -211,6 +235,21 @@
     bucket.iter().zip(floor).all(|(b, f)| b >= f)
 }
 
+/// Whether every machine of a bucket fits a need with these levels.
+fn all_fit(bucket: &Levels, floor: &Levels, need: &Size) -> bool {
+    let least = floor_size(floor, need);
+    let indexed = [
+        Dimension::Millicores,
+        Dimension::Memory,
+        Dimension::Accelerators,
+        Dimension::Slots,
+    ];
+    indexed
+        .into_iter()
+        .enumerate()
+        .all(|(i, d)| bucket[i] > floor[i] || need.get(d) <= least.get(d))
+}
+
 /// Returns the least free size of a bucket; connections are taken as one for each slot.
 fn floor_size(l: &Levels, need: &Size) -> Size {
     let amount = |level: u8, base: u64| if level == 0 { 0 } else { base << (level - 1) };
--- a/crates/kingcupwinch-policy/tests/placement.rs
+++ b/crates/kingcupwinch-policy/tests/placement.rs
@@ -7,7 +7,7 @@
     ClassSpec, CustomerSpec, Decision, End, Kind, MachineSpec, Means, Outcome, Permille, Plan,
     Size, TaskKey, Usage,
 };
-use kingcupwinch_time::Span;
+use kingcupwinch_time::{Span, Time};
 
 #[test]
 fn urgent_work_starts_by_deadline_before_batch() {
@@ -190,3 +190,39 @@
     assert!(first.len() > 100);
     assert_eq!(first, session());
 }
+
+#[test]
+fn machines_that_nearly_fit_do_not_hide_those_that_do() {
+    let mut bench = Bench::with_kind(Kind::Batch);
+    let nearly = Size::new(4_000, 4_608).with_slots(4);
+    for _ in 0..400 {
+        let spec = MachineSpec::new("m", "z", "r", nearly);
+        bench.cell.add_machine(spec, bench.now).unwrap();
+    }
+    let roomy = Size::new(4_000, 12_288).with_slots(4);
+    let spec = MachineSpec::new("m", "z", "r", roomy);
+    let roomy = bench.cell.add_machine(spec, bench.now).unwrap();
+    let mut spec = bench.spec("work", 1);
+    spec.size = Size::new(1_000, 6_000);
+    assert_eq!(bench.run(spec).machine, roomy);
+    assert_eq!(bench.run(spec).machine, roomy);
+}
+
+#[test]
+fn the_one_machine_that_fits_among_many_that_nearly_do_is_found_in_time() {
+    let mut bench = Bench::with_kind(Kind::Batch);
+    for memory in std::iter::repeat_n(4_608, 400).chain([6_144]) {
+        let capacity = Size::new(4_000, memory).with_slots(4);
+        let spec = MachineSpec::new("m", "z", "r", capacity);
+        bench.cell.add_machine(spec, bench.now).unwrap();
+    }
+    let mut spec = bench.spec("work", 1);
+    spec.size = Size::new(1_000, 6_000);
+    bench.cell.submit(spec, bench.now).unwrap();
+    let mut started = bench.starts().len();
+    while started == 0 && bench.now < Time::ZERO + Span::from_secs(60) {
+        bench.now = bench.cell.next_deadline().unwrap();
+        started = bench.starts().len();
+    }
+    assert_eq!(started, 1);
+}
