Add golden files of whole sessions

Change: five sessions (a live run, refused and taken again, an outage of the log and back, crossed and late answers, a stop under load) as transcripts with ids, times and random choices redacted; the ledger also shows starts under an old term.

--- a/crates/kingcupwinch-daemon/tests/testsuite/bad_input.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/bad_input.rs
@@ -193,9 +193,7 @@
         move || {
             let operators = operators.clone();
             async move {
-                let status = operators.get("/v1/status").await;
-                let status: kingcupwinch_wire::api::Status =
-                    serde_json::from_slice(&status.body).unwrap();
+                let status = operators.status().await;
                 status.queues.iter().map(|q| q.waiting).sum::<u64>() == count
             }
         }
--- a/crates/kingcupwinch-daemon/tests/testsuite/caller.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/caller.rs
@@ -10,7 +10,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
-use kingcupwinch_wire::api::Problem;
+use kingcupwinch_wire::api::{Problem, Status};
 
 /// How long a condition may take to come true before the test fails.
 const GUARD: Duration = Duration::from_secs(60);
@@ -78,6 +78,11 @@
         self.send(Method::GET, path, &[], "").await.unwrap()
     }
 
+    /// Reads an operator's view of the instance.
+    pub(crate) async fn status(&self) -> Status {
+        serde_json::from_slice(&self.get("/v1/status").await.body).unwrap()
+    }
+
     /// Runs a live request.
     pub(crate) async fn run(
         &self,
--- a/crates/kingcupwinch-daemon/tests/testsuite/main.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/main.rs
@@ -7,4 +7,5 @@
 mod live;
 mod process;
 mod promises;
+mod sessions;
 mod site;
--- a/crates/kingcupwinch-daemon/tests/testsuite/process.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/process.rs
@@ -44,16 +44,22 @@
         BufReader::new(child.stdout.take().unwrap())
             .read_line(&mut line)
             .unwrap();
-        let callers = line
-            .split_whitespace()
-            .find_map(|part| part.strip_prefix("callers="));
-        let callers = callers.unwrap().parse().unwrap();
-        Process { child, callers }
+        let address = |name: &str| {
+            let mut parts = line.split_whitespace();
+            let address = parts.find_map(|part| part.strip_prefix(name));
+            address.unwrap().parse().unwrap()
+        };
+        Process {
+            callers: address("callers="),
+
+            child,
+        }
     }
 
-    fn terminate(&self) {
+    /// Sends the process a signal.
+    fn signal(&self, signal: Signal) {
         let id = i32::try_from(self.child.id()).unwrap();
-        kill_process(Pid::from_raw(id).unwrap(), Signal::TERM).unwrap();
+        kill_process(Pid::from_raw(id).unwrap(), signal).unwrap();
     }
 }
 
@@ -79,7 +85,7 @@
         .await;
     assert_eq!(reply.status, 200, "{reply:?}");
     assert_eq!(reply.body, live_answer("p1", b"stage", 0));
-    process.terminate();
+    process.signal(Signal::TERM);
     let status = tokio::task::spawn_blocking(move || process.child.wait().unwrap());
     assert_eq!(status.await.unwrap().code(), Some(0));
 }
--- a/crates/kingcupwinch-daemon/tests/testsuite/promises/configuration.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/promises/configuration.rs
@@ -1,13 +1,10 @@
 //! An accepted configuration is in force everywhere and never reverts.
 
-use kingcupwinch_wire::api::Status;
-
 use crate::caller::{Caller, wait_until};
 use crate::site::{BASE, Site};
 
 async fn version(operators: &Caller) -> u64 {
-    let status: Status = serde_json::from_slice(&operators.get("/v1/status").await.body).unwrap();
-    status.version
+    operators.status().await.version
 }
 
 /// A tree with another service, to tell versions apart.
--- a/crates/kingcupwinch-daemon/tests/testsuite/promises/leaving.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/promises/leaving.rs
@@ -1,6 +1,6 @@
 //! An upstream that is leaving receives no new work after a few seconds.
 
-use kingcupwinch_wire::api::{Status, WorkerState};
+use kingcupwinch_wire::api::WorkerState;
 use kingcupwinch_wire::roster::InstanceState;
 
 use crate::caller::{Caller, wait_until};
@@ -15,8 +15,7 @@
 
 async fn assert_no_new_work(site: &Site, operators: &Caller, caller: &Caller) {
     wait_until("the worker counts as leaving", || async {
-        let status: Status =
-            serde_json::from_slice(&operators.get("/v1/status").await.body).unwrap();
+        let status = operators.status().await;
         let worker = status.workers.iter().find(|w| &*w.name == LEAVING);
         worker.is_none_or(|w| w.state == WorkerState::Leaving)
     })
--- /dev/null
+++ b/crates/kingcupwinch-daemon/tests/testsuite/sessions.rs
@@ -0,0 +1,147 @@
+//! Whole sessions as golden files, with ids, times and choices at random redacted.
+
+mod transcript;
+
+use futures_util::future::join_all;
+use kingcupwinch_daemon::StopEnd;
+use kingcupwinch_fakes::{Conduct, Reach};
+use kingcupwinch_wire::worker::Refusal;
+
+use crate::caller::{Caller, wait_until};
+use crate::site::Site;
+use transcript::Transcript;
+
+fn set_all(site: &Site, conduct: Conduct) {
+    for worker in &site.workers {
+        worker.set_conduct(conduct);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_live_run() {
+    let site = Site::start(2).await;
+    let daemon = site.start_daemon("entry-1").await;
+    let mut session = Transcript::new(daemon.addresses().callers);
+    session.get("/healthz").await;
+    session.get("/readyz").await;
+    let headers = [("x-request-id", "check-1"), ("kcw-class", "check")];
+    session
+        .run("booking", &headers, "open-air stage, 24 June")
+        .await;
+    let headers = [("x-request-id", "check-2"), ("kcw-deadline-ms", "5000")];
+    session.run("booking", &headers, "").await;
+    session.run("catering", &[], "").await;
+    session
+        .run("booking", &[("kcw-class", "catering")], "")
+        .await;
+    session
+        .run("booking", &[("kcw-class", "dispatch")], "")
+        .await;
+    session.get("/v1/nothing").await;
+    insta::assert_snapshot!(session);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refused_by_all_workers_and_taken_again() {
+    let site = Site::start(2).await;
+    let daemon = site.start_daemon("entry-1").await;
+    let mut session = Transcript::new(daemon.addresses().callers);
+    let headers = [("x-request-id", "check-1"), ("kcw-deadline-ms", "400")];
+    set_all(
+        &site,
+        Conduct {
+            refuses: Some(Refusal::Full),
+            ..Conduct::default()
+        },
+    );
+    session.note("every worker is full");
+    session.run("booking", &headers, "").await;
+    set_all(&site, Conduct::default());
+    session.note("every worker has room");
+    let headers = [("x-request-id", "check-2")];
+    session.run("booking", &headers, "").await;
+    insta::assert_snapshot!(session);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_outage_of_the_log_and_back() {
+    let site = Site::start(2).await;
+    let daemon = site.start_daemon("entry-1").await;
+    let operators = Caller::new(daemon.addresses().operators);
+    let mut session = Transcript::new(daemon.addresses().callers);
+    session
+        .run("booking", &[("x-request-id", "before")], "")
+        .await;
+    site.log_front.set_reach(Reach::Out);
+    session.note("the log is out, and this instance is alone in its domain");
+    wait_until("it stops dispatching", || async {
+        !operators.status().await.log.fresh
+    })
+    .await;
+    let headers = [("x-request-id", "during"), ("kcw-deadline-ms", "300")];
+    session.run("booking", &headers, "").await;
+    site.log_front.set_reach(Reach::Up);
+    session.note("the log is back");
+    wait_until("it dispatches again", || async {
+        operators.status().await.log.fresh
+    })
+    .await;
+    session
+        .run("booking", &[("x-request-id", "after")], "")
+        .await;
+    insta::assert_snapshot!(session);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crossed_and_late_answers() {
+    let site = Site::start(2).await;
+    let daemon = site.start_daemon("entry-1").await;
+    let mut session = Transcript::new(daemon.addresses().callers);
+    session.note("three at once; the first runs longest");
+    let calls = [("a", "300"), ("b", "150"), ("c", "0")].map(|(id, run_ms)| {
+        let caller = session.caller();
+        async move {
+            let headers = [("x-request-id", id), ("x-run-ms", run_ms)];
+            (id, caller.run("booking", &headers, id).await)
+        }
+    });
+    for (id, reply) in join_all(calls).await {
+        session.asked("POST", "/v1/run/booking", &[("x-request-id", id)]);
+        session.answered(&reply);
+    }
+    insta::assert_snapshot!(session);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stop_under_load() {
+    let site = Site::start(1).await;
+    let daemon = site.start_daemon("entry-1").await;
+    let mut session = Transcript::new(daemon.addresses().callers);
+    session.note("six requests, four slots, and a stop while they run");
+    let calls = (0..6).map(|n| {
+        let caller = session.caller();
+        async move {
+            let id = format!("check-{n}");
+            let headers = [("x-request-id", id.as_str()), ("x-run-ms", "200")];
+            let reply = caller.run("booking", &headers, "").await;
+            (id, reply)
+        }
+    });
+    let stop = async {
+        wait_until("all slots are taken", || async {
+            site.ledger.starts().len() == 4
+        })
+        .await;
+        daemon.stop().await
+    };
+    let (replies, end) = tokio::join!(join_all(calls), stop);
+    for (id, reply) in replies {
+        session.asked("POST", "/v1/run/booking", &[("x-request-id", &id)]);
+        session.answered(&reply);
+    }
+    session.note(match end {
+        StopEnd::Clean => "it stopped and cut nothing",
+        StopEnd::Forced => "it was forced to stop",
+    });
+    insta::assert_snapshot!(session);
+}
--- /dev/null
+++ b/crates/kingcupwinch-daemon/tests/testsuite/sessions/transcript.rs
@@ -0,0 +1,115 @@
+//! What a caller sent and got, as text.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use serde_json::Value;
+
+use crate::caller::{Caller, Reply};
+
+/// Headers that depend on the moment or on the transport.
+const UNSHOWN: [&str; 3] = ["date", "content-length", "connection"];
+/// Headers whose value is a choice at random or a time.
+const REDACTED: [&str; 2] = ["x-worker", "retry-after"];
+
+/// A session so far.
+pub(crate) struct Transcript {
+    caller: Caller,
+    text: String,
+}
+
+impl Transcript {
+    pub(crate) fn new(callers: SocketAddr) -> Self {
+        Transcript {
+            caller: Caller::new(callers),
+            text: String::new(),
+        }
+    }
+
+    pub(crate) fn caller(&self) -> Caller {
+        self.caller.clone()
+    }
+
+    /// Notes what happens beside the requests.
+    pub(crate) fn note(&mut self, what: &str) {
+        self.line(&format!("# {what}"));
+    }
+
+    pub(crate) async fn get(&mut self, path: &str) -> Reply {
+        self.asked("GET", path, &[]);
+        let reply = self.caller.get(path).await;
+        self.answered(&reply);
+        reply
+    }
+
+    pub(crate) async fn run(
+        &mut self,
+        service: &str,
+        headers: &[(&str, &str)],
+        body: &'static str,
+    ) -> Reply {
+        self.asked("POST", &format!("/v1/run/{service}"), headers);
+        if !body.is_empty() {
+            self.line(&format!("> {body}"));
+        }
+        let reply = self.caller.run(service, headers, body).await;
+        self.answered(&reply);
+        reply
+    }
+
+    pub(crate) fn asked(&mut self, method: &str, path: &str, headers: &[(&str, &str)]) {
+        self.line(&format!("> {method} {path}"));
+        for (name, value) in headers {
+            self.line(&format!("> {name}: {value}"));
+        }
+    }
+
+    pub(crate) fn answered(&mut self, reply: &Reply) {
+        self.line(&format!("< {}", reply.status));
+        let mut shown: Vec<_> = reply
+            .headers
+            .iter()
+            .filter(|(name, _)| !UNSHOWN.contains(&name.as_str()))
+            .map(|(name, value)| {
+                let name = name.as_str();
+                let redacted = REDACTED.contains(&name);
+                let value = value.to_str().unwrap_or("[binary]");
+                let value = if redacted { "[redacted]" } else { value };
+                format!("< {name}: {value}")
+            })
+            .collect();
+        shown.sort();
+        for line in shown {
+            self.line(&line);
+        }
+        self.body(reply);
+    }
+
+    fn body(&mut self, reply: &Reply) {
+        let Ok(mut value) = serde_json::from_slice::<Value>(&reply.body) else {
+            let text = String::from_utf8_lossy(&reply.body).into_owned();
+            for line in text.lines() {
+                self.line(&format!("< {line}"));
+            }
+            return;
+        };
+        if let Some(retry) = value.get_mut("retry_ms") {
+            *retry = Value::from("[redacted]");
+        }
+        let pretty = serde_json::to_string_pretty(&value).unwrap_or_default();
+        for line in pretty.lines() {
+            self.line(&format!("< {line}"));
+        }
+    }
+
+    fn line(&mut self, line: &str) {
+        self.text.push_str(line);
+        self.text.push('\n');
+    }
+}
+
+impl fmt::Display for Transcript {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.text)
+    }
+}
--- a/crates/kingcupwinch-fakes/src/worker/ledger.rs
+++ b/crates/kingcupwinch-fakes/src/worker/ledger.rs
@@ -98,6 +98,21 @@
         doubled.map(|(key, _)| Arc::clone(key)).collect()
     }
 
+    /// Returns the starts under a term older than one that their worker had seen.
+    pub fn stale_starts(&self) -> Vec<Start> {
+        let starts = self.entries();
+        let mut newest: HashMap<&Arc<str>, u64> = HashMap::new();
+        let mut stale = Vec::new();
+        for start in starts.iter() {
+            let seen = newest.entry(&start.worker).or_default();
+            if start.term < *seen {
+                stale.push(start.clone());
+            }
+            *seen = start.term.max(*seen);
+        }
+        stale
+    }
+
     /// Returns the pairs of starts of one task that ran at one time.
     pub fn doubled_tasks(&self) -> Vec<(Start, Start)> {
         let starts = self.entries();
--- a/crates/kingcupwinch-fakes/tests/worker.rs
+++ b/crates/kingcupwinch-fakes/tests/worker.rs
@@ -296,3 +296,20 @@
     assert_eq!(ledger.key_starts("key-1"), 2);
     assert_eq!(ledger.request_starts("request-1"), 2);
 }
+
+#[test]
+fn the_ledger_shows_a_start_under_an_old_term() {
+    let ledger = Ledger::new();
+    let mut worker = worker(&ledger);
+    worker.set_conduct(Conduct {
+        checks: false,
+        ..Conduct::default()
+    });
+    worker.start_live(START, &live(1)).unwrap();
+    assert!(ledger.stale_starts().is_empty());
+    let old = LiveStart { term: 4, ..live(2) };
+    worker.start_live(START, &old).unwrap();
+    let stale = ledger.stale_starts();
+    assert_eq!(stale.len(), 1);
+    assert_eq!(stale[0].task, old.task);
+}
