--- a/crates/kingcupwinch-daemon/tests/testsuite/main.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/main.rs
@@ -4,8 +4,10 @@
 
 mod bad_input;
 mod caller;
+mod keys;
 mod live;
 mod process;
 mod promises;
 mod sessions;
+mod siblings;
 mod site;
