Test take-over after death and pause of a daemon's process

Change: two daemons as processes, workers that check nothing; one daemon is killed or paused and resumed under load; no start under an old term, no work beyond capacity.

--- a/crates/kingcupwinch-daemon/tests/testsuite/process.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/process.rs
@@ -11,13 +11,14 @@
 use crate::site::{DOMAIN, Site};
 
 /// A daemon process that ends with the test.
-struct Process {
+pub(crate) struct Process {
     child: Child,
-    callers: SocketAddr,
+    pub(crate) callers: SocketAddr,
+    pub(crate) operators: SocketAddr,
 }
 
 impl Process {
-    fn start(site: &Site, name: &str) -> Self {
+    pub(crate) fn start(site: &Site, name: &str) -> Self {
         let log = site.log_front.address().to_string();
         let list = site.roster_front.address().to_string();
         let any = "127.0.0.1:0";
@@ -51,13 +52,14 @@
         };
         Process {
             callers: address("callers="),
+            operators: address("operators="),
 
             child,
         }
     }
 
     /// Sends the process a signal.
-    fn signal(&self, signal: Signal) {
+    pub(crate) fn signal(&self, signal: Signal) {
         let id = i32::try_from(self.child.id()).unwrap();
         kill_process(Pid::from_raw(id).unwrap(), signal).unwrap();
     }
--- a/crates/kingcupwinch-daemon/tests/testsuite/promises.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/promises.rs
@@ -6,3 +6,4 @@
 mod leaving;
 mod not_run;
 mod stopping;
+mod take_over;
--- a/crates/kingcupwinch-daemon/tests/testsuite/site.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/site.rs
@@ -160,11 +160,6 @@
         }
     }
 
-    /// Starts an entry instance and does not wait for it.
-    pub(crate) async fn launch_daemon(&self, name: &str) -> Running {
-        Daemon::new(self.settings(name)).start().await.unwrap()
-    }
-
     /// Starts an entry instance in a runtime of its own, which can be ended like a process.
     pub(crate) async fn start_entry(&self, name: &str) -> Entry {
         let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -190,6 +185,11 @@
         entries
     }
 
+    /// Starts an entry instance and does not wait for it.
+    pub(crate) async fn launch_daemon(&self, name: &str) -> Running {
+        Daemon::new(self.settings(name)).start().await.unwrap()
+    }
+
     /// Starts an entry instance and waits until it dispatches to some worker.
     pub(crate) async fn start_daemon(&self, name: &str) -> Running {
         let running = self.launch_daemon(name).await;
