Test promises of several instances: at most once, outage, stop, cut off

Change: keys sent to every instance at once, after lost answers and after a death; a stop of one of three under load; a domain without the log; an instance that learns a configuration from a sibling. Seen on the way: an owner that has offered shards for a planned hand-over when the log goes silent can't dispatch to them until the log is back; the test waits for hand-overs to settle first.

--- a/crates/kingcupwinch-daemon/tests/testsuite/promises.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/promises.rs
@@ -1,8 +1,10 @@
 //! One test for each promise that must always hold, under the faults that threaten it.
 
 mod answers;
+mod at_most_once;
 mod capacity;
 mod configuration;
+mod group;
 mod leaving;
 mod not_run;
 mod stopping;
