--- a/crates/kingcupwinch-daemon/src/actors/scheduler/mod.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/mod.rs
@@ -75,6 +75,7 @@
     orphans: Vec<(Time, Placement)>,
     borrowed: Vec<(Time, TaskKey)>,
     renew_at: Time,
+    recheck: Option<Time>,
     jobs: Option<ActorRef<JobKeeper>>,
     demand: Demand,
 }
@@ -101,6 +102,7 @@
             orphans: Vec::new(),
             borrowed: Vec::new(),
             renew_at: Time::ZERO,
+            recheck: None,
             jobs: None,
             demand: Demand::default(),
         };
@@ -129,6 +131,9 @@
     /// Lets the policy decide and carries its decisions out.
     fn decide(&mut self) {
         let now = self.now();
+        if self.recheck.is_some_and(|at| at <= now) {
+            self.refresh_permits();
+        }
         let orphans = self.lose_orphans(now);
         let borrowed = self.return_borrowed(now);
         let began = Instant::now();
@@ -146,7 +151,14 @@
         self.offer(now);
         let look = self.announce(now);
         let renew = Some(self.renew_leases(now)).filter(|_| !self.tasks.is_empty());
-        let times = [self.cell.next_deadline(), look, orphans, borrowed, renew];
+        let times = [
+            self.cell.next_deadline(),
+            look,
+            orphans,
+            borrowed,
+            renew,
+            self.recheck,
+        ];
         let next = times.into_iter().flatten().min();
         self.alarm.set(next, now, &self.me);
     }
--- a/crates/kingcupwinch-daemon/src/live/dispatch.rs
+++ b/crates/kingcupwinch-daemon/src/live/dispatch.rs
@@ -5,7 +5,7 @@
 
 use hyper::{Request, Response};
 use kingcupwinch_coord::id::{Attempt, TaskId};
-use kingcupwinch_platform::{AnswerBody, Stamp, WorkerError};
+use kingcupwinch_platform::{AnswerBody, NotSentCause, Stamp, WorkerError};
 use kingcupwinch_policy::NotStarted;
 use kingcupwinch_time::Span;
 use kingcupwinch_wire::worker::Refusal;
@@ -69,9 +69,7 @@
         WorkerError::Refused(Refusal::UnknownService) | WorkerError::RefusedOtherwise => {
             Some(NotStarted::Refused)
         }
-        WorkerError::NotSent(kingcupwinch_platform::NotSentCause::Withheld) => {
-            Some(NotStarted::Full)
-        }
+        WorkerError::NotSent(NotSentCause::Withheld) => Some(NotStarted::Withheld),
         WorkerError::NotSent(_) => Some(NotStarted::Unreachable),
         WorkerError::Unknown(_) => None,
     }
--- a/crates/kingcupwinch-daemon/tests/testsuite/main.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/main.rs
@@ -10,5 +10,6 @@
 mod operators;
 mod process;
 mod promises;
+mod sessions;
 mod siblings;
 mod site;
