--- a/crates/kingcupwinch-coord/benches/slopes/main.rs
+++ b/crates/kingcupwinch-coord/benches/slopes/main.rs
@@ -5,7 +5,7 @@
 //! machine changes it little. Prints tables in Markdown.
 
 #[allow(dead_code)]
-#[path = "../../tests/ownership/net.rs"]
+#[path = "../../tests/ownership/net/mod.rs"]
 mod net;
 mod size;
 
@@ -24,6 +24,7 @@
 const MEASURED_SECS: u64 = 30;
 const CLONES: usize = 1_000;
 const SEEDS: u64 = 10;
+const BURST_SECS: u64 = 90;
 const PERMITS: usize = 1_000_000;
 const RESOLUTION: Span = Span::from_millis(10);
 const MOST_STEPS: u64 = 6_000;
@@ -56,6 +57,45 @@
     permits();
     take_overs();
     restarts();
+    bursts();
+}
+
+/// Records when all members crash at once, and when all are replaced one after another.
+fn bursts() {
+    println!("\n## Records when every member is replaced\n");
+    println!("| members | way | records | most in a second | seconds until served |");
+    println!("| --- | --- | --- | --- | --- |");
+    for members in [3, 9, 20, 64] {
+        let mut crash = settled(members, 256, 1);
+        for node in 0..members {
+            crash.restart(node);
+        }
+        burst_row(&mut crash, "all crash at once");
+        let mut rolling = settled(members, 256, 1);
+        for node in 0..members {
+            rolling.tell(node, Event::Drain);
+            rolling.start(&format!("next-{node}"), 1);
+        }
+        burst_row(&mut rolling, "all drain at once");
+    }
+}
+
+fn burst_row(net: &mut Net, way: &str) {
+    let members = net.nodes.len() / 2;
+    let begin = net.log.len();
+    let mut most = 0;
+    let mut served = None;
+    for second in 1..=BURST_SECS {
+        let before = net.log.len();
+        net.run(Span::from_secs(1));
+        most = most.max(net.log.len() - before);
+        if served.is_none() && net.all_dispatched() {
+            served = Some(second);
+        }
+    }
+    let records = net.log.len() - begin;
+    let served = served.map_or("not".to_owned(), |second| second.to_string());
+    println!("| {members} | {way} | {records} | {most} | {served} |");
 }
 
 /// Time of one permit, checked before each dispatch.
--- a/crates/kingcupwinch-coord/src/ownership/timers.rs
+++ b/crates/kingcupwinch-coord/src/ownership/timers.rs
@@ -40,7 +40,8 @@
     pub stagger: Span,
     /// How long the group and its owners must be unchanged before shards move.
     pub settle: Span,
-    /// How long the instance list must have dropped an instance before it counts as stopped.
+    /// How long the instance list must have dropped an instance before it counts as stopped. The
+    /// list must be read at least four times as often.
     pub list_lag: Span,
     /// Whether the instance list, or a newer incarnation of the same instance, is evidence that
     /// an instance has stopped.
