Count what keys and jobs really take against their byte bounds

The memory example measured 206 bytes a key and 202 bytes an open job besides their payloads (65,536 keys with 100 byte answers: 306 bytes each; 32,768 jobs with 300 byte descriptions: 502 bytes each), against the 160 bytes that the bounds counted. They count 224 now.

--- a/crates/kingcupwinch-coord/src/dedupe/table.rs
+++ b/crates/kingcupwinch-coord/src/dedupe/table.rs
@@ -8,7 +8,7 @@
 use super::RequestKey;
 
 /// Bytes that one entry takes in the table and its order, without its answer.
-const ENTRY_BYTES: usize = 160;
+const ENTRY_BYTES: usize = 224;
 
 /// A value whose size is bounded, and which may be forgotten once it is settled.
 pub(super) trait Remembered {
--- a/crates/kingcupwinch-coord/src/jobs/state.rs
+++ b/crates/kingcupwinch-coord/src/jobs/state.rs
@@ -12,7 +12,7 @@
 use crate::record::{AcceptedJob, JobEnd, JobRecord, Stamped};
 
 /// Bytes that one open job takes without its description.
-const JOB_BYTES: usize = 160;
+const JOB_BYTES: usize = 224;
 
 /// A job that is kept and has not ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
