--- a/crates/kingcupwinch-spec/src/ownership/rules.rs
+++ b/crates/kingcupwinch-spec/src/ownership/rules.rs
@@ -73,6 +73,8 @@
     NoWait,
     /// The wait has no margin for clock drift.
     NoDriftBound,
+    /// The wait has a margin for half of the deviation that clocks may have.
+    HalfDriftBound,
     /// The owner goes on without a fresh view and without promises.
     NoPromise,
     /// A single supporter suffices.
@@ -209,6 +211,9 @@
         match mutation {
             Mutation::NoWait => self.wait = 0,
             Mutation::NoDriftBound => self.wait = self.lease.max(self.promise),
+            Mutation::HalfDriftBound => {
+                self.wait = self.lease.max(self.promise) + self.drifts / 2;
+            }
             Mutation::NoPromise => self.excuse = false,
             Mutation::OneSupporter => self.half = false,
             Mutation::PromiseAfterSupport => self.support_ends_promises = false,
--- a/crates/kingcupwinch-spec/tests/ownership.rs
+++ b/crates/kingcupwinch-spec/tests/ownership.rs
@@ -49,6 +49,7 @@
 #[rstest]
 #[case::no_wait("no_wait", Mutation::NoWait, base())]
 #[case::no_drift_bound("no_drift_bound", Mutation::NoDriftBound, base().with_drifts(2))]
+#[case::half_drift_bound("half_drift_bound", Mutation::HalfDriftBound, base().with_drifts(2))]
 #[case::no_promise("no_promise", Mutation::NoPromise, base())]
 #[case::one_supporter("one_supporter", Mutation::OneSupporter, base())]
 #[case::promise_after_support("promise_after_support", Mutation::PromiseAfterSupport, base())]
