--- a/crates/kingcupwinch-coord/tests/ownership/main.rs
+++ b/crates/kingcupwinch-coord/tests/ownership/main.rs
@@ -4,3 +4,5 @@
 mod input;
 mod net;
 mod random;
+mod rules;
+mod session;
--- a/crates/kingcupwinch-coord/tests/ownership/net.rs
+++ b/crates/kingcupwinch-coord/tests/ownership/net.rs
@@ -24,6 +24,7 @@
 const LIST_DELAY: Span = Span::from_millis(3_000);
 const START: Time = Time::from_millis(100_000);
 const APPEND_DELAY: (Span, Span) = (Span::from_millis(1), Span::from_millis(5));
+const SKEW: i64 = 1_000;
 const PPM: u64 = 1_000_000;
 
 #[derive(Debug, Clone)]
@@ -69,6 +70,8 @@
     pub(crate) delay: Span,
     /// Shortest and longest delay of an append.
     pub(crate) append_delay: (Span, Span),
+    /// Longest wait of a read for records.
+    pub(crate) poll: Span,
     /// Whether lists leave out a random instance now and then.
     pub(crate) flicker: bool,
     /// Whether the invariant is checked after every step.
@@ -78,7 +81,11 @@
     pub(crate) keep_sent: bool,
     /// Reads a clock before and after each event, in nanoseconds.
     pub(crate) meter: Option<fn() -> u64>,
+    /// One line for each record, gain and loss, where they are kept.
+    pub(crate) story: Vec<String>,
+    pub(crate) keep_story: bool,
     seed: u64,
+    skew: i64,
     cuts: BTreeSet<(usize, usize)>,
     timers: Timers,
     rng: ChaCha8Rng,
@@ -88,6 +95,17 @@
 
 impl Net {
     pub(crate) fn new(nodes: usize, shards: u16, timers: Timers, seed: u64) -> Self {
+        Net::with_skew(nodes, shards, timers, seed, SKEW)
+    }
+
+    /// Makes a domain in which every other clock runs fast by `skew` parts per million.
+    pub(crate) fn with_skew(
+        nodes: usize,
+        shards: u16,
+        timers: Timers,
+        seed: u64,
+        skew: i64,
+    ) -> Self {
         let mut net = Net {
             now: START,
             nodes: Vec::new(),
@@ -99,12 +117,16 @@
             loss: 0,
             delay: Span::from_millis(3),
             append_delay: APPEND_DELAY,
+            poll: POLL,
             flicker: false,
             checked: true,
             sent: Vec::new(),
             keep_sent: false,
             meter: None,
+            story: Vec::new(),
+            keep_story: false,
             seed,
+            skew,
             cuts: BTreeSet::new(),
             timers,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -127,7 +149,11 @@
             forward: Arc::from("127.0.0.1:2"),
             weight,
         };
-        let ppm = if index.is_multiple_of(2) { 0 } else { 1_000 };
+        let ppm = if index.is_multiple_of(2) {
+            0
+        } else {
+            self.skew
+        };
         let (shards, timers) = (self.shards, self.timers.clone());
         let seed = index as u64;
         let coord = Coordinator::new(member, shards, timers, seed, local(self.now, ppm));
@@ -346,7 +372,16 @@
         }
     }
 
+    /// Adds a line to the story, at the seconds since the start.
+    pub(crate) fn tell_story(&mut self, text: &str) {
+        if self.keep_story {
+            let at = (self.now - START).as_secs_f64();
+            self.story.push(format!("{at:7.3} {text}"));
+        }
+    }
+
     fn carry_out(&mut self, index: usize, action: Action) {
+        self.tell_action(index, &action);
         match action {
             Action::Append(record) => self.send_append(index, record),
             Action::Send { to, body } => self.send_message(index, to, body),
@@ -356,6 +391,47 @@
         }
     }
 
+    fn tell_action(&mut self, index: usize, action: &Action) {
+        let name = self.nodes[index].coord.member().instance.clone();
+        match action {
+            Action::Gained(owned) => {
+                let wait = (owned.effective - local(self.now, self.nodes[index].ppm)).as_millis();
+                let (shard, term) = (owned.shard.0, owned.term.0);
+                self.tell_story(&format!("{name} gains {shard} at term {term} in {wait} ms"));
+            }
+            Action::Renewed { shard, term } => {
+                self.tell_story(&format!("{name} renews {} at term {}", shard.0, term.0));
+            }
+            Action::Lost { shard, reason, .. } => {
+                self.tell_story(&format!("{name} loses {}: {reason:?}", shard.0));
+            }
+            Action::Note(note) => self.tell_story(&format!("{name} notes {}", note.code())),
+            Action::Stopped => self.tell_story(&format!("{name} stops")),
+            Action::Append(_) | Action::Send { .. } => {}
+        }
+    }
+
+    fn tell_record(&mut self, index: usize, record: &OwnerRecord) {
+        let name = self.nodes[index].coord.member().instance.clone();
+        let offset = self.log.len();
+        let what = match record {
+            OwnerRecord::Join(_) => "join".to_owned(),
+            OwnerRecord::Leave(_) => "leave".to_owned(),
+            OwnerRecord::Retire(_) => "retirement".to_owned(),
+            OwnerRecord::Claim(claim) => {
+                format!(
+                    "claim of {} shards, {} voters",
+                    claim.shards.len(),
+                    claim.voters.len()
+                )
+            }
+            OwnerRecord::Release { shards, .. } => format!("release of {} shards", shards.len()),
+            OwnerRecord::HandOver(plan) => format!("hand-over of {} shards", plan.shards.len()),
+            OwnerRecord::Snapshot(snapshot) => format!("snapshot up to {}", snapshot.covers.0),
+        };
+        self.tell_story(&format!("{name} appends {offset}: {what}"));
+    }
+
     fn send_message(&mut self, index: usize, to: Incarnation, body: Message) {
         self.nodes[index].messages += 1;
         if self.keep_sent {
@@ -382,16 +458,20 @@
             record: record.clone(),
         };
         self.push(self.now + ANSWER_TIMEOUT, index, timeout);
+        if self.nodes[index].log_cut {
+            return;
+        }
         let (least, most) = self.append_delay;
         let at = self.now + self.some_delay(most).max(least);
         self.push(at, index, Step::AppendArrives { record });
     }
 
     fn append_arrives(&mut self, index: usize, record: Stamped<OwnerRecord>) {
-        if self.log_down || self.nodes[index].log_cut {
+        if self.log_down {
             return;
         }
         let id = record.id;
+        self.tell_record(index, &record.body);
         self.log.push(Some(record));
         if self.lose_answers || self.is_lost() || !self.nodes[index].alive {
             return;
@@ -405,7 +485,7 @@
         let read = self.nodes[index].read;
         let sent = local(self.now, self.nodes[index].ppm);
         let at = self.now + self.some_delay(self.delay);
-        let until = at + POLL;
+        let until = at + self.poll;
         let arrives = Step::ReadArrives { read, sent, until };
         self.push(at, index, arrives);
         let timeout = self.now + ANSWER_TIMEOUT;
@@ -495,7 +575,25 @@
         self.queue.insert((at, self.pushed), (node, step));
     }
 
-    /// Returns the oldest node that serves.
+    /// Runs in short steps until a condition holds.
+    pub(crate) fn watch(&mut self, is_met: impl Fn(&Net) -> bool) {
+        let found = self.run_until(Span::from_secs(30), is_met);
+        assert!(found.is_some(), "the condition was not met");
+    }
+
+    /// Returns the offset of the first record from `start` on that a test accepts.
+    pub(crate) fn find(&self, start: usize, is_it: impl Fn(&OwnerRecord) -> bool) -> Option<usize> {
+        (start..self.log.len()).find(|offset| {
+            let record = self.log[*offset].as_ref();
+            record.is_some_and(|record| is_it(&record.body))
+        })
+    }
+
+    pub(crate) fn id(&self, node: usize) -> Incarnation {
+        self.nodes[node].coord.member().incarnation
+    }
+
+    /// Returns the nodes that serve, oldest first.
     pub(crate) fn serving(&self) -> Vec<usize> {
         (0..self.nodes.len())
             .filter(|index| self.nodes[*index].alive)
@@ -515,8 +613,12 @@
 /// Returns a node's own time at a true time.
 pub(crate) fn local(at: Time, ppm: i64) -> Time {
     let micros = at.as_micros();
-    let gained = micros * ppm.unsigned_abs() / PPM;
-    Time::from_micros(micros + gained)
+    let apart = micros * ppm.unsigned_abs() / PPM;
+    if ppm < 0 {
+        Time::from_micros(micros - apart)
+    } else {
+        Time::from_micros(micros + apart)
+    }
 }
 
 /// Makes a started, settled domain.
