--- a/crates/kingcupwinch-spec/tests/ownership_conformance.rs
+++ b/crates/kingcupwinch-spec/tests/ownership_conformance.rs
@@ -20,6 +20,8 @@
 const ROUND: Span = Span::from_millis(100);
 const SETTLING_ROUNDS: usize = 60;
 const RECOVERY_ROUNDS: usize = 600;
+const SNAPSHOT_EVERY: Span = Span::from_secs(20);
+const SNAPSHOT_RECORDS: u64 = 8;
 /// The second instance's clock runs fast by the whole bound.
 const DRIFT: Drift = Drift::from_ppm(1_000);
 
@@ -51,6 +53,8 @@
     },
     Restart(usize),
     Drain(usize),
+    /// The records that the newest snapshot covers expire.
+    Expire,
 }
 
 #[derive(Debug)]
@@ -80,6 +84,7 @@
                 .prop_map(|(append, again, answered)| Step::Land { append, again, answered }),
             1 => slot().prop_map(Step::Restart),
             1 => slot().prop_map(Step::Drain),
+            1 => Just(Step::Expire),
         ]
         .boxed()
     }
@@ -102,6 +107,8 @@
     started: u64,
     slots: Vec<Coordinator>,
     log: Vec<Stamped<OwnerRecord>>,
+    /// The oldest retained offset.
+    first: usize,
     /// The log's length by the time at which it grew.
     grown: BTreeMap<Time, usize>,
     messages: Vec<Sent>,
@@ -116,6 +123,7 @@
             started: 0,
             slots: Vec::new(),
             log: Vec::new(),
+            first: 0,
             grown: BTreeMap::new(),
             messages: Vec::new(),
             appends: Vec::new(),
@@ -139,7 +147,9 @@
             forward: Arc::from("127.0.0.1:2"),
             weight: 1,
         };
-        let timers = Timers::default().with_drift(DRIFT);
+        let timers = Timers::default()
+            .with_drift(DRIFT)
+            .with_snapshots(SNAPSHOT_EVERY, SNAPSHOT_RECORDS);
         Coordinator::new(
             member,
             SHARDS,
@@ -225,12 +235,13 @@
         } else {
             self.log.len()
         };
-        let from = self.slots[slot].next_offset().0 as usize;
-        let unread = (from..tail.max(from)).filter(|at| *at < self.log.len());
+        let next = self.slots[slot].next_offset().0 as usize;
+        let from = next.max(self.first);
+        let unread = from..tail.max(from);
         let records = unread.map(|at| (Offset(at as u64), Some(self.log[at].clone())));
         let event = Event::Read {
             sent: self.local(slot, sent),
-            first: Offset(0),
+            first: Offset(self.first as u64),
             tail: Offset(tail.max(from) as u64),
             records: records.collect(),
         };
@@ -329,9 +340,18 @@
             } => self.land_one(append, again, answered),
             Step::Restart(slot) => self.restart(slot),
             Step::Drain(slot) => self.handle(slot, Event::Drain),
+            Step::Expire => self.expire(),
         }
     }
 
+    fn expire(&mut self) {
+        let covered = self.log.iter().filter_map(|record| match &record.body {
+            OwnerRecord::Snapshot(snapshot) => Some(snapshot.covers.0 as usize),
+            _ => None,
+        });
+        self.first = covered.max().unwrap_or(0).max(self.first);
+    }
+
     fn deliver_one(&mut self, message: Index, again: bool) {
         if self.messages.is_empty() {
             return;
