--- a/crates/kingcupwinch-policy/tests/session.rs
+++ b/crates/kingcupwinch-policy/tests/session.rs
@@ -1,5 +1,7 @@
 //! A whole session as a golden file: events and the decisions that follow.
 
+#![allow(clippy::unwrap_used)]
+
 mod common;
 
 use std::fmt::Write;
