--- a/crates/kingcupwinch-daemon/src/lib.rs
+++ b/crates/kingcupwinch-daemon/src/lib.rs
@@ -22,10 +22,13 @@
 
 mod actors;
 mod daemon;
+mod jobs;
+mod keys;
 mod live;
 mod plan;
 mod server;
 mod shared;
+mod siblings;
 mod world;
 
 pub use daemon::{Addresses, Daemon, Running, StartError, StopEnd};
--- a/crates/kingcupwinch-daemon/src/live/dispatch.rs
+++ b/crates/kingcupwinch-daemon/src/live/dispatch.rs
@@ -7,7 +7,7 @@
 use kingcupwinch_coord::id::{Attempt, TaskId};
 use kingcupwinch_platform::{AnswerBody, Stamp, WorkerError};
 use kingcupwinch_policy::NotStarted;
-use kingcupwinch_time::{Span, Time};
+use kingcupwinch_time::Span;
 use kingcupwinch_wire::worker::Refusal;
 use tokio::time::Instant;
 
@@ -60,7 +60,7 @@
 }
 
 /// Returns why a run did not start, as the policy counts it; none if it may have started.
-pub(super) fn why_not_started(error: &WorkerError) -> Option<NotStarted> {
+pub(crate) fn why_not_started(error: &WorkerError) -> Option<NotStarted> {
     match error {
         WorkerError::Refused(Refusal::Leaving) => Some(NotStarted::Leaving),
         WorkerError::Refused(Refusal::Full | Refusal::Late | Refusal::StaleTerm) => {
@@ -76,8 +76,3 @@
         WorkerError::Unknown(_) => None,
     }
 }
-
-/// Returns how long ago a run began.
-pub(super) fn ran_since(shared: &Shared, began: Time) -> Span {
-    shared.now().since(began)
-}
--- a/crates/kingcupwinch-daemon/src/live/mod.rs
+++ b/crates/kingcupwinch-daemon/src/live/mod.rs
@@ -1,8 +1,12 @@
 //! Live requests from their arrival to the end of their answer.
 
 mod admit;
+mod attempt;
 mod dispatch;
 mod flow;
+mod keyed;
+pub(crate) mod refuse;
 
-pub(crate) use admit::{Admission, LiveRequest};
+pub(crate) use admit::{Admission, LiveRequest, find_customer};
+pub(crate) use dispatch::why_not_started;
 pub(crate) use flow::LiveService;
--- a/crates/kingcupwinch-daemon/src/logging/catalogue.rs
+++ b/crates/kingcupwinch-daemon/src/logging/catalogue.rs
@@ -79,6 +79,8 @@
     ShardRenewed = "0208", Debug, false, "shard renewed";
     /// A sibling link dropped something.
     LinkDropped = "0301", Warning, true, "sibling message dropped";
+    /// A sibling link came up or went down.
+    LinkChanged = "0302", Info, false, "sibling link changed";
     /// A worker appeared.
     WorkerAdded = "0401", Info, false, "worker added";
     /// A worker is leaving and gets nothing new.
@@ -103,6 +105,10 @@
     JobAccepted = "0601", Debug, false, "job accepted";
     /// A job ended.
     JobEnded = "0602", Debug, false, "job ended";
-    /// Jobs were taken over from an earlier owner.
-    JobsRecovered = "0603", Info, false, "jobs recovered";
+    /// A job's work was taken over from an earlier owner.
+    JobsRecovered = "0603", Info, false, "job recovered";
+    /// A kept job can't run.
+    JobRefused = "0604", Warning, false, "job can't run";
+    /// A task was given up.
+    TaskGivenUp = "0605", Warning, true, "task given up";
 }
--- a/crates/kingcupwinch-daemon/tests/testsuite/main.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/main.rs
@@ -2,8 +2,13 @@
 
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
+mod bad_input;
 mod caller;
+mod jobs;
+mod keys;
 mod live;
 mod operators;
 mod process;
+mod promises;
+mod siblings;
 mod site;
