Add the demo, operators' drains, and stops that leave tasks to the heirs

Cause: nothing showed the whole system under a kill, an outage and a planned stop in one run; a stop waited for tasks of jobs to end, ran into its deadline, and its shards were then lost to the domain until a take-over. Change: an example that runs 3 daemons and 16 unlike workers under a mixed load and counts breaches of each promise; a stop waits for live requests only, and its tasks stay with their workers for the heir; drain of an instance and of a worker over the operators' port; a recovered home waits one task lease and a margin, not two.

--- /dev/null
+++ b/crates/kingcupwinch-daemon/examples/demo/site.rs
@@ -0,0 +1,330 @@
+//! The platform, the workers and the daemons.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use kingcupwinch_config::load_texts;
+use kingcupwinch_coord::id::{RecordId, Version};
+use kingcupwinch_coord::record::{ConfigRecord, Stamped};
+use kingcupwinch_daemon::settings::{
+    Hold, Instance, Listen, Log, LogFormat, Platform, Settings, Stop,
+};
+use kingcupwinch_daemon::{Daemon, Running, StopEnd};
+use kingcupwinch_fakes::{
+    FakeLog, FakeRoster, FakeWorker, Ledger, LogFront, RosterFront, WorkerSpec,
+};
+use kingcupwinch_time::{Span, Time, WallClock};
+use kingcupwinch_wire::api::Status;
+use kingcupwinch_wire::encode_config;
+use kingcupwinch_wire::roster::{Capacity, Instance as Listed, InstanceState, Role};
+use tokio::runtime::Runtime;
+use uuid::Uuid;
+
+use crate::Failure;
+use crate::load::Caller;
+
+/// The failure domain.
+const DOMAIN: &str = "harju-a";
+/// How many workers there are.
+const WORKERS: usize = 16;
+/// How long the daemons may take to own every shard.
+const READY_GUARD: Duration = Duration::from_secs(20);
+/// Speeds of the workers, in percent of a usual one.
+const SPEEDS: [u32; 4] = [50, 100, 150, 300];
+/// Slots of the workers.
+const SLOTS: [u32; 4] = [4, 8, 8, 12];
+
+const BASE: &str = include_str!("base.toml");
+const SECOND: &str = include_str!("second.toml");
+
+/// A daemon that may be killed like a process.
+struct Entry {
+    name: &'static str,
+    running: Option<Running>,
+    runtime: Option<Runtime>,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.running = None;
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+/// Where a daemon that is still up listens.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Target {
+    /// Callers' port.
+    pub(crate) callers: SocketAddr,
+    /// Operators' port.
+    pub(crate) operators: SocketAddr,
+}
+
+/// The daemons that the balancer knows to be up; clones share the list.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Targets {
+    list: Arc<Mutex<Vec<Target>>>,
+}
+
+impl Targets {
+    /// Returns the daemons that are up.
+    pub(crate) fn all(&self) -> Vec<Target> {
+        self.list
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Vec<Target>)) {
+        change(&mut self.list.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+}
+
+/// A failure domain in one process.
+pub(crate) struct Site {
+    /// The log service.
+    pub(crate) log: FakeLog,
+    /// Its front, to be cut.
+    pub(crate) log_front: LogFront,
+    /// The instance list.
+    pub(crate) roster: FakeRoster,
+    /// The workers.
+    pub(crate) workers: Vec<FakeWorker>,
+    /// Every start on every worker.
+    pub(crate) ledger: Ledger,
+    roster_front: RosterFront,
+    entries: Vec<Entry>,
+    targets: Targets,
+}
+
+impl Site {
+    /// Starts the platform and the workers, and publishes the first configuration.
+    pub(crate) async fn start() -> Result<Self, Failure> {
+        let log = FakeLog::new();
+        let roster = FakeRoster::new();
+        let ledger = Ledger::new();
+        let mut workers = Vec::new();
+        for index in 0..WORKERS {
+            let worker = FakeWorker::start(make_worker(index), &ledger, any_port()).await?;
+            roster.put(worker.instance(DOMAIN, &format!("rack-{}", index / 4)));
+            workers.push(worker);
+        }
+        let site = Site {
+            log_front: LogFront::start(&log, any_port()).await?,
+            roster_front: RosterFront::start(&roster, any_port()).await?,
+            log,
+            roster,
+            workers,
+            ledger,
+            entries: Vec::new(),
+            targets: Targets::default(),
+        };
+        site.publish(&[("10-base.toml", BASE)], 0)?;
+        Ok(site)
+    }
+
+    /// Publishes a second configuration over the first.
+    pub(crate) fn publish_second(&self) -> Result<(), Failure> {
+        self.publish(&[("10-base.toml", BASE), ("20-second.toml", SECOND)], 1)
+    }
+
+    fn publish(&self, files: &[(&str, &str)], based: u64) -> Result<(), Failure> {
+        let loaded = load_texts(files.iter().copied()).map_err(|faults| faults.to_string())?;
+        let body = ConfigRecord {
+            based: Version(based),
+            version: Version(based + 1),
+            origin: None,
+            author: "demo".into(),
+            published: WallClock.now(),
+            tree: loaded.tree.to_canonical_json().into(),
+        };
+        let id = RecordId(Uuid::now_v7());
+        self.log
+            .append("config", encode_config(&Stamped { id, body }));
+        Ok(())
+    }
+
+    /// Starts three daemons and waits until they dispatch to every shard.
+    pub(crate) async fn start_entries(&mut self) -> Result<(), Failure> {
+        for name in ["entry-1", "entry-2", "entry-3"] {
+            let runtime = tokio::runtime::Builder::new_multi_thread()
+                .worker_threads(2)
+                .enable_all()
+                .build()?;
+            let daemon = Daemon::new(self.settings(name));
+            let running = runtime.spawn(daemon.start()).await??;
+            let addresses = running.addresses();
+            let target = Target {
+                callers: addresses.callers,
+                operators: addresses.operators,
+            };
+            self.roster.put(make_entry(name, addresses.callers));
+            self.targets.change(|list| list.push(target));
+            self.entries.push(Entry {
+                name,
+                running: Some(running),
+                runtime: Some(runtime),
+            });
+        }
+        let guard = Instant::now() + READY_GUARD;
+        while !self.is_ready().await {
+            if Instant::now() > guard {
+                return Err("the daemons did not take up every shard".into());
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        Ok(())
+    }
+
+    async fn is_ready(&self) -> bool {
+        let mut shards = 0;
+        let mut dispatching = 0;
+        for target in self.targets.all() {
+            let Some(status) = read_status(&target).await else {
+                return false;
+            };
+            let mine = status
+                .shards
+                .iter()
+                .filter(|shard| shard.dispatching)
+                .count();
+            if mine == 0 {
+                return false;
+            }
+            shards = status.shards.len();
+            dispatching += mine;
+        }
+        dispatching == shards
+    }
+
+    fn settings(&self, name: &str) -> Settings {
+        let listen = Listen {
+            callers: any_port(),
+            forward: any_port(),
+            link: any_port(),
+            operators: any_port(),
+        };
+        let platform = Platform {
+            log: self.log_front.address(),
+            list: self.roster_front.address(),
+            poll_ms: 500,
+            call_ms: 1_500,
+        };
+        let instance = Instance {
+            name: name.into(),
+            domain: DOMAIN.into(),
+            weight: 1,
+            seed: None,
+        };
+        let log = Log {
+            format: LogFormat::Off,
+            ..Log::default()
+        };
+        let stop = Stop {
+            balancer_ms: 500,
+            deadline_ms: 10_000,
+        };
+        Settings {
+            instance,
+            listen,
+            platform,
+            log,
+            stop,
+            hold: Hold::default(),
+        }
+    }
+
+    /// Returns the daemons that are up.
+    pub(crate) fn targets(&self) -> Targets {
+        self.targets.clone()
+    }
+
+    /// Ends a daemon at once, as a killed process ends; the balancer notices at once.
+    pub(crate) fn kill(&mut self, name: &str) {
+        drop(self.take(name));
+    }
+
+    /// Stops a daemon gracefully; returns whether nothing was cut.
+    pub(crate) async fn stop(&mut self, name: &str) -> Result<bool, Failure> {
+        let Some(mut entry) = self.take(name) else {
+            return Err("no such daemon".into());
+        };
+        let (Some(running), Some(runtime)) = (entry.running.take(), &entry.runtime) else {
+            return Err("the daemon does not run".into());
+        };
+        let end = runtime.spawn(running.stop()).await?;
+        Ok(end == StopEnd::Clean)
+    }
+
+    /// Takes a daemon out of the balancer's list.
+    fn take(&mut self, name: &str) -> Option<Entry> {
+        let index = self.entries.iter().position(|entry| entry.name == name)?;
+        let entry = self.entries.remove(index);
+        self.roster.remove(name);
+        let callers = entry
+            .running
+            .as_ref()
+            .map(|running| running.addresses().callers);
+        self.targets
+            .change(|list| list.retain(|target| Some(target.callers) != callers));
+        Some(entry)
+    }
+
+    /// Returns the slots of all workers.
+    pub(crate) fn slots(&self) -> u32 {
+        (0..WORKERS).map(|index| SLOTS[index % SLOTS.len()]).sum()
+    }
+
+    /// Returns when the last start was, on the ledger's clock.
+    pub(crate) fn last_start(&self) -> Time {
+        let starts = self.ledger.starts();
+        starts
+            .iter()
+            .map(|start| start.started)
+            .max()
+            .unwrap_or(Time::ZERO)
+    }
+}
+
+/// Reads a daemon's status; none if it can't be reached.
+pub(crate) async fn read_status(target: &Target) -> Option<Status> {
+    let reply = Caller::new()
+        .get(target.operators, "/v1/status")
+        .await
+        .ok()?;
+    serde_json::from_slice(&reply.body).ok()
+}
+
+fn any_port() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+fn make_entry(name: &str, address: SocketAddr) -> Listed {
+    Listed {
+        name: name.into(),
+        domain: DOMAIN.into(),
+        rack: "rack-0".into(),
+        role: Role::Entry,
+        state: InstanceState::Live,
+        address,
+        capacity: Capacity::default(),
+    }
+}
+
+fn make_worker(index: usize) -> WorkerSpec {
+    let slots = SLOTS[index % SLOTS.len()];
+    let capacity = Capacity {
+        slots,
+        connections: 64,
+        millicores: slots * 2_000,
+        memory_mb: slots * 4_096,
+        accelerators: 0,
+        services: vec!["hire-booking".into()],
+    };
+    WorkerSpec::new(format!("worker-{index}"), capacity)
+        .with_speed(SPEEDS[(index / 2) % SPEEDS.len()])
+        .with_usage_lag(Span::from_millis(100))
+}
--- /dev/null
+++ b/crates/kingcupwinch-daemon/examples/demo/tally.rs
@@ -0,0 +1,202 @@
+//! What callers were told, and what the daemons say of themselves.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use kingcupwinch_wire::api::{JobPhase, JobStatus};
+
+use crate::load::Caller;
+use crate::site::{Targets, read_status};
+
+/// How long a configuration may take to be in force everywhere.
+pub(crate) const IN_FORCE_BOUND: Duration = Duration::from_secs(6);
+
+/// What a caller was told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Told {
+    /// It ran, and the answer was whole and its own; or the job was kept.
+    Ran,
+    /// An answer that was not its own, or not whole.
+    Wrong,
+    /// It certainly did not run.
+    NotRun,
+    /// The job was not taken.
+    JobRefused,
+    /// A request with the same key runs; its answer is to be asked for again.
+    Running,
+    /// It may have run.
+    Unknown,
+    /// It ran and failed.
+    Failed,
+    /// The connection broke although its daemon was up.
+    Cut,
+    /// The connection broke with the death of its daemon.
+    CutByDeath,
+}
+
+/// One class's callers.
+#[derive(Debug, Default)]
+pub(crate) struct ClassTally {
+    /// How often callers were told what.
+    pub(crate) told: BTreeMap<Told, u64>,
+    /// Times from request to answer, in milliseconds.
+    pub(crate) millis: Vec<u64>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    classes: BTreeMap<&'static str, ClassTally>,
+    not_run: Vec<String>,
+    jobs: Vec<Arc<str>>,
+    in_force: Option<Duration>,
+    reverts: u64,
+}
+
+/// What callers were told, and what the daemons say of themselves.
+#[derive(Debug, Default)]
+pub(crate) struct Tally {
+    inner: Mutex<Inner>,
+}
+
+impl Tally {
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes what a caller was told.
+    pub(crate) fn note(&self, class: &'static str, id: &str, told: Told, took: Duration) {
+        let mut inner = self.inner();
+        let tally = inner.classes.entry(class).or_default();
+        *tally.told.entry(told).or_default() += 1;
+        tally
+            .millis
+            .push(u64::try_from(took.as_millis()).unwrap_or(u64::MAX));
+        if told == Told::NotRun {
+            inner.not_run.push(id.to_owned());
+        }
+    }
+
+    /// Notes a job that was kept.
+    pub(crate) fn note_job(&self, job: Arc<str>) {
+        self.inner().jobs.push(job);
+    }
+
+    /// Notes how long the second configuration took to be in force.
+    pub(crate) fn note_in_force(&self, took: Option<Duration>) {
+        self.inner().in_force = took;
+    }
+
+    /// Returns the classes.
+    pub(crate) fn with_classes<T>(
+        &self,
+        read: impl FnOnce(&BTreeMap<&'static str, ClassTally>) -> T,
+    ) -> T {
+        read(&self.inner().classes)
+    }
+
+    /// Returns how often callers of any class were told this.
+    pub(crate) fn count(&self, told: Told) -> u64 {
+        self.inner()
+            .classes
+            .values()
+            .filter_map(|tally| tally.told.get(&told))
+            .sum()
+    }
+
+    /// Returns the requests that were refused as not run.
+    pub(crate) fn not_run(&self) -> Vec<String> {
+        self.inner().not_run.clone()
+    }
+
+    /// Returns how long the second configuration took to be in force; none if it was not in time.
+    pub(crate) fn in_force(&self) -> Option<Duration> {
+        self.inner().in_force
+    }
+
+    /// Returns how often a version went back.
+    pub(crate) fn reverts(&self) -> u64 {
+        self.inner().reverts
+    }
+
+    /// Waits until every kept job has ended; false if one has not in time.
+    pub(crate) async fn wait_jobs(&self, targets: &Targets, patience: Duration) -> bool {
+        let guard = Instant::now() + patience;
+        let mut open = self.inner().jobs.clone();
+        while !open.is_empty() && Instant::now() < guard {
+            let mut left = Vec::new();
+            for job in open {
+                if !is_over(targets, &job).await {
+                    left.push(job);
+                }
+            }
+            open = left;
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        for job in &open {
+            let state = read_job(targets, job).await;
+            eprintln!("job {job} has not ended: {state:?}");
+        }
+        open.is_empty()
+    }
+}
+
+async fn is_over(targets: &Targets, job: &str) -> bool {
+    let state = read_job(targets, job).await;
+    state.is_some_and(|state| !matches!(state.phase, JobPhase::Waiting | JobPhase::Running))
+}
+
+/// Asks a daemon that is up for a job's state.
+async fn read_job(targets: &Targets, job: &str) -> Option<JobStatus> {
+    let target = targets.all().first().copied()?;
+    let path = format!("/v1/jobs/{job}");
+    let reply = Caller::new().get(target.callers, &path).await.ok()?;
+    serde_json::from_slice(&reply.body).ok()
+}
+
+/// Waits until a version is in force on every daemon; false if it is not in time.
+pub(crate) async fn wait_version(targets: &Targets, version: u64) -> bool {
+    let guard = Instant::now() + IN_FORCE_BOUND;
+    while Instant::now() < guard {
+        let mut everywhere = true;
+        for target in targets.all() {
+            let status = read_status(&target).await;
+            everywhere &= status.is_some_and(|status| status.version >= version);
+        }
+        if everywhere {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    false
+}
+
+/// Prints progress each second, and watches that no version goes back.
+pub(crate) async fn follow(tally: Arc<Tally>, targets: Targets, began: Instant) {
+    let mut versions = BTreeMap::new();
+    loop {
+        let mut line = String::new();
+        for target in targets.all() {
+            let Some(status) = read_status(&target).await else {
+                continue;
+            };
+            let last = versions
+                .insert(target.operators, status.version)
+                .unwrap_or(0);
+            if status.version < last {
+                tally.inner().reverts += 1;
+            }
+            let waiting: u64 = status.queues.iter().map(|queue| queue.waiting).sum();
+            let running: u64 = status.queues.iter().map(|queue| queue.running).sum();
+            let shards = status
+                .shards
+                .iter()
+                .filter(|shard| shard.dispatching)
+                .count();
+            let name = status.instance;
+            line += &format!("  {name}: {shards} shards, {running} run, {waiting} wait");
+        }
+        println!("{:>3} s{line}", began.elapsed().as_secs());
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+}
--- a/crates/kingcupwinch-daemon/src/actors/jobs.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs.rs
@@ -36,6 +36,9 @@
 /// How often the state is looked over for what has become due.
 const LOOK_GAP: Span = Span::from_millis(100);
 
+/// How long the heirs of an owner's workers may take to say what runs there.
+const REPORT_SPAN: Span = Span::from_secs(3);
+
 /// What the actor starts from.
 pub(crate) struct JobsArgs {
     /// What every part shares.
@@ -144,7 +147,7 @@
             .task_lease_ms
             .get();
         let lapse = if owned.inherited {
-            owned.effective + Span::from_millis(lease).times(2)
+            owned.effective + Span::from_millis(lease) + REPORT_SPAN
         } else {
             owned.effective
         };
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/fleet.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use kameo::Reply;
 use kameo::message::{Context, Message};
 use kingcupwinch_coord::id::{ShardId, TaskId, Term};
 use kingcupwinch_coord::ownership::OwnedShard;
@@ -60,6 +61,14 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Listed(pub(crate) Vec<Instance>);
 
+/// An operator wants a worker to get nothing new.
+#[derive(Debug, Clone)]
+pub(crate) struct DrainWorker(pub(crate) Arc<str>);
+
+/// Whether the worker is in the list.
+#[derive(Debug, Clone, Copy, Reply)]
+pub(crate) struct Drained(pub(crate) bool);
+
 /// A worker's usage report.
 #[derive(Debug, Clone)]
 pub(crate) struct Reported {
@@ -93,6 +102,8 @@
     }
 
     fn drop_unlisted(&mut self, listed: &[Instance]) {
+        self.drained
+            .retain(|name| listed.iter().any(|i| i.name == *name));
         let gone = self
             .seats
             .keys()
@@ -118,7 +129,8 @@
         }
         let worker = Worker::new(instance, shards);
         if let Some(holding) = self.holdings.get(&worker.shard).copied() {
-            self.add_seat(Arc::new(worker), holding, is_leaving(instance));
+            let leaving = is_leaving(instance) || self.drained.contains(&instance.name);
+            self.add_seat(Arc::new(worker), holding, leaving);
         }
     }
 
@@ -400,6 +412,21 @@
     }
 }
 
+impl Message<DrainWorker> for Scheduler {
+    type Reply = Drained;
+
+    async fn handle(&mut self, drain: DrainWorker, _ctx: &mut Context<Self, Drained>) -> Drained {
+        let DrainWorker(name) = drain;
+        let listed = self.listed.iter().any(|instance| instance.name == name);
+        if listed {
+            self.mark_leaving(&name);
+            self.drained.insert(name);
+            self.decide();
+        }
+        Drained(listed)
+    }
+}
+
 impl Message<Listed> for Scheduler {
     type Reply = ();
 
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/inspect.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/inspect.rs
@@ -21,6 +21,8 @@
     pub(crate) workers: Vec<WorkerStatus>,
     /// Queues, in the configuration's order.
     pub(crate) queues: Vec<QueueStatus>,
+    /// Live requests that wait or run.
+    pub(crate) live: usize,
 }
 
 impl Scheduler {
@@ -40,6 +42,7 @@
         Inspected {
             workers,
             queues: queues.collect(),
+            live: self.live.len(),
         }
     }
 
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/mod.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/mod.rs
@@ -23,7 +23,9 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 pub(crate) use demand::{Connect, SiblingGrant, SiblingQueued};
-pub(crate) use fleet::{Gained, Listed, Lost, PermitsChanged, Renewed, Reported};
+pub(crate) use fleet::{
+    DrainWorker, Drained, Gained, Listed, Lost, PermitsChanged, Renewed, Reported,
+};
 pub(crate) use inspect::Inspect;
 pub(crate) use lend::Borrow;
 pub(crate) use live::{Cancel, LiveStart, Reach, RunEnd, RunReport, Submit, Verdict};
@@ -67,6 +69,7 @@
     holdings: FxHashMap<ShardId, Holding>,
     permitted: FxHashSet<ShardId>,
     listed: Vec<Instance>,
+    drained: FxHashSet<Arc<str>>,
     seats: FxHashMap<Arc<str>, Seat>,
     machines: FxHashMap<MachineKey, Arc<str>>,
     live: FxHashMap<TaskKey, LiveEntry>,
@@ -94,6 +97,7 @@
             holdings: FxHashMap::default(),
             permitted: FxHashSet::default(),
             listed: Vec::new(),
+            drained: FxHashSet::default(),
             seats: FxHashMap::default(),
             machines: FxHashMap::default(),
             live: FxHashMap::default(),
--- a/crates/kingcupwinch-daemon/src/daemon.rs
+++ b/crates/kingcupwinch-daemon/src/daemon.rs
@@ -232,6 +232,11 @@
         }
     }
 
+    /// Waits until an operator asks for a graceful stop; [`Running::stop`] carries it out.
+    pub async fn stop_asked(&self) {
+        self.shared.lifecycle.stop_asked().await;
+    }
+
     /// Returns where it listens.
     pub fn addresses(&self) -> Addresses {
         self.addresses
--- a/crates/kingcupwinch-daemon/src/daemon/stop.rs
+++ b/crates/kingcupwinch-daemon/src/daemon/stop.rs
@@ -70,7 +70,7 @@
 
     async fn finish(&mut self, balancer: Duration) {
         tokio::time::sleep(balancer).await;
-        self.wait_until_empty().await;
+        self.wait_until_answered().await;
         self.leave_group().await;
         self.close.send_replace(true);
         for server in &mut self.servers {
@@ -79,17 +79,14 @@
         }
     }
 
-    /// Waits until nothing waits or runs here.
-    async fn wait_until_empty(&self) {
+    /// Waits until no live request waits or runs here; tasks of jobs stay with their workers, whose
+    /// heirs go on with them.
+    async fn wait_until_answered(&self) {
         loop {
             let Ok(view) = self.scheduler.ask(Inspect).await else {
                 return;
             };
-            if view
-                .queues
-                .iter()
-                .all(|queue| queue.waiting == 0 && queue.running == 0)
-            {
+            if view.live == 0 {
                 return;
             }
             tokio::time::sleep(POLL).await;
--- a/crates/kingcupwinch-daemon/src/server/operators.rs
+++ b/crates/kingcupwinch-daemon/src/server/operators.rs
@@ -11,7 +11,7 @@
 use super::body::{Body, full};
 use super::listener::Handler;
 use super::problem::{not_run, respond};
-use crate::actors::scheduler::{Inspect, Scheduler};
+use crate::actors::scheduler::{DrainWorker, Drained, Inspect, Scheduler};
 use crate::shared::Shared;
 
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -71,6 +71,27 @@
         json(&status)
     }
 
+    /// Asks whoever runs the daemon for a graceful stop.
+    fn drain(&self) -> Response<Body> {
+        self.shared.lifecycle.ask_stop();
+        accepted()
+    }
+
+    /// Gives a worker nothing new, also if its shard comes to this instance later.
+    async fn drain_worker(&self, name: &str) -> Response<Body> {
+        match self.scheduler.ask(DrainWorker(name.into())).await {
+            Ok(Drained(true)) => accepted(),
+            Ok(Drained(false)) => {
+                let detail = format!("worker {name} is not in the failure domain's list");
+                respond(&not_run(StatusCode::NOT_FOUND, "unknown-worker", detail))
+            }
+            Err(_) => {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                respond(&not_run(status, "stopping", "this instance is stopping"))
+            }
+        }
+    }
+
     fn metrics(&self) -> Response<Body> {
         match self.shared.metrics.encode() {
             Ok(text) => with_type(full(text), METRICS_TYPE),
@@ -82,6 +103,17 @@
     }
 }
 
+fn accepted() -> Response<Body> {
+    let mut response = Response::new(full("accepted\n"));
+    *response.status_mut() = StatusCode::ACCEPTED;
+    response
+}
+
+/// Returns the worker that a path drains.
+fn worker_name(path: &str) -> Option<&str> {
+    path.strip_prefix("/v1/workers/")?.strip_suffix("/drain")
+}
+
 /// Says that the process runs.
 pub(crate) fn healthz() -> Response<Body> {
     Response::new(full("ok\n"))
@@ -121,6 +153,11 @@
             (&Method::GET, "/readyz") => readyz(&self.shared),
             (&Method::GET, "/metrics") => self.metrics(),
             (&Method::GET, "/v1/status") => self.status().await,
+            (&Method::POST, "/v1/drain") => self.drain(),
+            (&Method::POST, path) if worker_name(path).is_some() => {
+                self.drain_worker(worker_name(path).unwrap_or_default())
+                    .await
+            }
             (_, path) => {
                 let detail = format!("there is nothing at {path}");
                 respond(&not_run(StatusCode::NOT_FOUND, "not-found", detail))
--- a/crates/kingcupwinch-daemon/src/shared.rs
+++ b/crates/kingcupwinch-daemon/src/shared.rs
@@ -85,6 +85,7 @@
 #[derive(Debug)]
 pub(crate) struct Lifecycle {
     stage: watch::Sender<Stage>,
+    wanted: watch::Sender<bool>,
 }
 
 impl Lifecycle {
@@ -92,9 +93,22 @@
     pub(crate) fn new() -> Self {
         Lifecycle {
             stage: watch::Sender::new(Stage::Serving),
+            wanted: watch::Sender::new(false),
         }
     }
 
+    /// Asks whoever runs the daemon for a graceful stop.
+    pub(crate) fn ask_stop(&self) {
+        self.wanted.send_replace(true);
+    }
+
+    /// Waits until a graceful stop is asked for.
+    pub(crate) async fn stop_asked(&self) {
+        let mut wanted = self.wanted.subscribe();
+        // The sender lives as long as `self`.
+        let _ = wanted.wait_for(|wanted| *wanted).await;
+    }
+
     /// Begins a graceful stop.
     pub(crate) fn begin_stop(&self) {
         self.advance(Stage::Stopping);
