Show idle and contested shards of each domain

Cause: status told each instance's shards, but not whether a domain has shards that nobody or two instances dispatch to. Change: a table by domain. Conclusion: an operator sees at once that capacity is idle after a loss.

--- a/crates/kingcupwinch-cli/src/cmd/status.rs
+++ b/crates/kingcupwinch-cli/src/cmd/status.rs
@@ -1,6 +1,8 @@
 //! `status`: what each instance says of itself, its workers, its queues and the log.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use anstyle::AnsiColor;
 use clap::{Arg, ArgAction, ArgMatches, Command};
@@ -56,6 +58,7 @@
         console.json(&views)?;
     } else {
         write_instances(&views, console)?;
+        write_domains(&views, console)?;
         write_queues(&views, console)?;
         if matches.get_flag("workers") {
             write_workers(&views, console)?;
@@ -106,6 +109,57 @@
     Ok(())
 }
 
+/// How the shards of one failure domain are dispatched, as far as the instances answered.
+#[derive(Debug, Default)]
+struct DomainShards {
+    /// For each shard, the instances that dispatch to it.
+    dispatchers: Vec<u32>,
+}
+
+impl DomainShards {
+    fn add(&mut self, status: &Status) {
+        let length = self.dispatchers.len().max(status.shards.len());
+        self.dispatchers.resize(length, 0);
+        let owned = status.shards.iter().filter(|shard| shard.dispatching);
+        for shard in owned {
+            if let Some(count) = self.dispatchers.get_mut(usize::from(shard.shard)) {
+                *count += 1;
+            }
+        }
+    }
+
+    fn count(&self, is_counted: impl Fn(u32) -> bool) -> usize {
+        let dispatchers = self.dispatchers.iter();
+        dispatchers.filter(|count| is_counted(**count)).count()
+    }
+}
+
+fn write_domains(views: &[InstanceView], console: &mut Console<'_>) -> Result<(), Error> {
+    let mut domains: BTreeMap<Arc<str>, DomainShards> = BTreeMap::new();
+    for status in statuses(views) {
+        domains
+            .entry(Arc::clone(&status.domain))
+            .or_default()
+            .add(status);
+    }
+    if domains.is_empty() {
+        return Ok(());
+    }
+    let mut table = Table::new(["DOMAIN", "SHARDS", "DISPATCHED", "IDLE", "CONTESTED"]);
+    for (domain, shards) in &domains {
+        table.push([
+            domain.to_string(),
+            shards.dispatchers.len().to_string(),
+            shards.count(|n| n == 1).to_string(),
+            shards.count(|n| n == 0).to_string(),
+            shards.count(|n| n > 1).to_string(),
+        ]);
+    }
+    console.line("")?;
+    console.table(&table)?;
+    Ok(())
+}
+
 fn write_queues(views: &[InstanceView], console: &mut Console<'_>) -> Result<(), Error> {
     let mut table = Table::new(["INSTANCE", "CLASS", "WAITING", "RUNNING"]);
     let mut is_empty = true;
--- a/crates/kingcupwinch-cli/tests/cli/sessions.rs
+++ b/crates/kingcupwinch-cli/tests/cli/sessions.rs
@@ -291,3 +291,18 @@
     assert_eq!(ran.exit, Exit::Success);
     assert!(ran.out.contains("publish") && ran.out.contains("burn"));
 }
+
+#[tokio::test]
+async fn a_shard_with_two_dispatchers_is_shown() {
+    let one = Instance::start("harju-a-e1", 1).await;
+    let two = Instance::start("harju-a-e2", 1).await;
+    let mut session = Session::new()
+        .name(one.address, "ONE")
+        .name(two.address, "TWO");
+    let line = format!(
+        "status --instance {} --instance {}",
+        one.address, two.address
+    );
+    session.run(&line).await;
+    assert_session!("contested", session);
+}
