Test that a daemon without the log takes a version from a sibling

Cause: a configuration must be in force everywhere within seconds, also where an instance is cut off from the log. Change: a test that cuts one of three daemons off from the log and publishes. Conclusion: the relay between siblings carries the version.

--- a/crates/kingcupwinch-daemon/tests/testsuite/operators.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/operators.rs
@@ -5,9 +5,10 @@
 
 use kingcupwinch_cli::{Console, Exit, run};
 use kingcupwinch_daemon::{Daemon, Running};
-use kingcupwinch_fakes::LogFront;
+use kingcupwinch_fakes::{LogFront, Reach};
 use tempfile::TempDir;
 
+use crate::caller::wait_until;
 use crate::site::{BASE, Site, any_port};
 
 /// The first file of the folder that the site's version 1 was made from.
@@ -73,12 +74,27 @@
         self.command(&words).await
     }
 
-    /// Returns the version that each daemon has in force.
-    async fn versions(&self) -> Vec<u64> {
+    /// Waits until each daemon sees so many members of its group.
+    async fn wait_for_members(&self, count: usize) {
+        wait_until("the group is whole", || async {
+            let views = self.statuses().await;
+            let mut groups = views.iter().map(|view| &view["status"]["members"]);
+            groups.all(|members| members.as_array().is_some_and(|m| m.len() == count))
+        })
+        .await;
+    }
+
+    /// Returns what each daemon says of itself.
+    async fn statuses(&self) -> Vec<serde_json::Value> {
         let (exit, text) = self.command(&["status", "--output", "json"]).await;
         assert_eq!(exit, Exit::Success, "{text}");
-        let views: serde_json::Value = serde_json::from_str(&text).unwrap();
-        let views = views.as_array().unwrap().iter();
+        serde_json::from_str(&text).unwrap()
+    }
+
+    /// Returns the version that each daemon has in force.
+    async fn versions(&self) -> Vec<u64> {
+        let views = self.statuses().await;
+        let views = views.iter();
         views
             .map(|view| view["status"]["version"].as_u64().unwrap())
             .collect()
@@ -125,6 +141,26 @@
     assert_eq!(desk.versions().await, [2, 2]);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_daemon_cut_off_from_the_log_takes_the_version_from_a_sibling() {
+    let mut desk = Desk::open(2).await;
+    let cut = LogFront::start(&desk.site.log, any_port()).await.unwrap();
+    let mut settings = desk.site.settings("entry-cut");
+    settings.platform.log = cut.address();
+    desk.daemons
+        .push(Daemon::new(settings).start().await.unwrap());
+    wait_until("three daemons have the first version", || async {
+        desk.versions().await == [1, 1, 1]
+    })
+    .await;
+    desk.wait_for_members(3).await;
+    cut.set_reach(Reach::Out);
+    desk.refine(80);
+    let (exit, text) = desk.publish("1").await;
+    assert_eq!(exit, Exit::Success, "{text}");
+    assert_eq!(desk.versions().await, [2, 2, 2]);
+}
+
 fn config_records(site: &Site) -> usize {
     site.log.records("config").len()
 }
