--- a/crates/kingcupwinch-coord/benches/slopes/main.rs
+++ b/crates/kingcupwinch-coord/benches/slopes/main.rs
@@ -5,10 +5,11 @@
 //! machine changes it little. Prints tables in Markdown.
 
 #[allow(dead_code)]
-#[path = "../../tests/ownership/net.rs"]
+#[path = "../../tests/ownership/net/mod.rs"]
 mod net;
 mod size;
 
+use std::hint::black_box;
 use std::{fs, mem};
 
 use kingcupwinch_coord::ownership::{Event, Timers};
@@ -23,6 +24,8 @@
 const MEASURED_SECS: u64 = 30;
 const CLONES: usize = 1_000;
 const SEEDS: u64 = 10;
+const BURST_SECS: u64 = 90;
+const PERMITS: usize = 1_000_000;
 const RESOLUTION: Span = Span::from_millis(10);
 const MOST_STEPS: u64 = 6_000;
 const NANOS_PER_SECOND: u64 = 1_000_000_000;
@@ -51,8 +54,77 @@
         cost_row(members, 256, true);
     }
     cost_row(9, 4_096, true);
+    permits();
     take_overs();
     restarts();
+    bursts();
+}
+
+/// Records when all members crash at once, and when all are replaced one after another.
+fn bursts() {
+    println!("\n## Records when every member is replaced\n");
+    println!("| members | way | records | most in a second | seconds until served |");
+    println!("| --- | --- | --- | --- | --- |");
+    for members in [3, 9, 20, 64] {
+        let mut crash = settled(members, 256, 1);
+        for node in 0..members {
+            crash.restart(node);
+        }
+        burst_row(&mut crash, "all crash at once");
+        let mut rolling = settled(members, 256, 1);
+        for node in 0..members {
+            rolling.tell(node, Event::Drain);
+            rolling.start(&format!("next-{node}"), 1);
+        }
+        burst_row(&mut rolling, "all drain at once");
+    }
+}
+
+fn burst_row(net: &mut Net, way: &str) {
+    let members = net.nodes.len() / 2;
+    let begin = net.log.len();
+    let mut most = 0;
+    let mut served = None;
+    for second in 1..=BURST_SECS {
+        let before = net.log.len();
+        net.run(Span::from_secs(1));
+        most = most.max(net.log.len() - before);
+        if served.is_none() && net.all_dispatched() {
+            served = Some(second);
+        }
+    }
+    let records = net.log.len() - begin;
+    let served = served.map_or("not".to_owned(), |second| second.to_string());
+    println!("| {members} | {way} | {records} | {most} | {served} |");
+}
+
+/// Time of one permit, checked before each dispatch.
+fn permits() {
+    println!("\n## One permit, nanoseconds\n");
+    println!("| members | shards | fresh view | outage |");
+    println!("| --- | --- | --- | --- |");
+    for (members, shards) in [(3, 16), (9, 256), (9, 4_096)] {
+        let mut net = settled(members, shards, 1);
+        let fresh = permit_nanos(&net);
+        net.log_down = true;
+        net.run(Span::from_secs(10));
+        let outage = permit_nanos(&net);
+        println!("| {members} | {shards} | {fresh:.0} | {outage:.0} |");
+    }
+}
+
+fn permit_nanos(net: &Net) -> f64 {
+    let node = &net.nodes[0];
+    let now = net::local(net.now, node.ppm);
+    let owned: Vec<_> = node.coord.owned(now).collect();
+    let before = thread_nanos();
+    let granted = (0..PERMITS)
+        .map(|index| owned[index % owned.len()].shard)
+        .filter(|shard| black_box(node.coord.permit(*shard, now)).is_some())
+        .count();
+    let after = thread_nanos();
+    assert_eq!(granted, PERMITS);
+    (after - before) as f64 / PERMITS as f64
 }
 
 fn cost_header() {
--- a/crates/kingcupwinch-policy/src/cell/events.rs
+++ b/crates/kingcupwinch-policy/src/cell/events.rs
@@ -33,6 +33,10 @@
         if self.tasks[place.task].gang.is_some() {
             return Ok(self.break_gang(place.task, now));
         }
+        if why == NotStarted::Withheld {
+            self.enqueue(place.task);
+            return Ok(Next::Requeued);
+        }
         Ok(self.retry(place.task, now))
     }
 
