Leave out settings that have no effect

Cause: an operator could set leases, promises, drains, spills and others that no part of the daemon reads; the ownership part runs on its own defaults, and instances with mixed values would not be safe. Contracts count workers of all domains, but the plan divided them by those of one. The plan divides by all domains' workers.

--- a/crates/kingcupwinch-config/src/lib.rs
+++ b/crates/kingcupwinch-config/src/lib.rs
@@ -41,7 +41,7 @@
 pub use node::Place;
 pub use origin::{Loaded, Origins};
 pub use tree::{
-    Class, Contract, Customer, Domain, Kind, Limits, Objective, Ownership, Retry, Service, Task,
-    Timers, Tree, Weights,
+    Class, Contract, Customer, Domain, Kind, Limits, Objective, Retry, Service, Task, Timers, Tree,
+    Weights,
 };
 pub use units::{Millis, Share, Weight};
--- a/crates/kingcupwinch-config/src/tree.rs
+++ b/crates/kingcupwinch-config/src/tree.rs
@@ -28,8 +28,6 @@
         limits: Limits = Limits::default(),
         /// Lengths of time of the protocols.
         timers: Timers = Timers::default(),
-        /// The rules of taking over from silent instances.
-        ownership: Ownership = Ownership::default(),
         /// What a worker choice weighs.
         weights: Weights = Weights::default(),
     }
@@ -56,8 +54,6 @@
         memory_mb: u32 = 0,
         /// Accelerators of one worker.
         accelerators: u32 = 0,
-        /// Whether jobs are taken while the log is out of reach; they may then be lost.
-        outage_jobs: bool = false,
     }
 }
 
@@ -108,10 +104,6 @@
         queue_most: u32 = 10_000,
         /// Requests or tasks that may start in a second at one instance.
         rate_most: Option<u32> = None,
-        /// Requests or tasks that may run at once in a domain.
-        running_most: Option<u32> = None,
-        /// Whether work may go to another domain.
-        spill: bool = false,
         /// The most tasks of one gang.
         gang_most: u32 = 1,
         /// The declared size of one task.
@@ -192,8 +184,6 @@
         answer_bytes: u32 = 16_777_216,
         /// Bytes of a request's headers.
         header_bytes: u32 = 16_384,
-        /// Connections of callers at one instance.
-        connections: u32 = 4_096,
         /// Live requests that wait at one instance, all classes together.
         queue_most: u32 = 50_000,
         /// Tasks in one job.
@@ -204,16 +194,6 @@
 settings! {
     /// Lengths of time of the protocols.
     struct Timers {
-        /// How long a view of the log allows an owner to dispatch.
-        lease_ms: Millis = Millis::of(2_000),
-        /// How long a voter's promise binds it.
-        promise_ms: Millis = Millis::of(2_000),
-        /// The wait beyond lease and promise before a take-over has effect.
-        grace_ms: Millis = Millis::of(500),
-        /// How often siblings hear from each other.
-        heartbeat_ms: Millis = Millis::of(200),
-        /// How far the instance list may lag behind.
-        list_lag_ms: Millis = Millis::of(10_000),
         /// How long a worker runs a task without a renewal.
         task_lease_ms: Millis = Millis::of(10_000),
         /// How long a worker may be told late that a task has ended.
@@ -224,20 +204,6 @@
         window_ms: Millis = Millis::of(600_000),
         /// How far the civil clocks of callers and instances may differ.
         clock_ms: Millis = Millis::of(500),
-        /// How long a planned stop waits for requests in flight.
-        drain_ms: Millis = Millis::of(30_000),
-        /// How often a stream's state is appended again as a snapshot.
-        snapshot_ms: Millis = Millis::of(60_000),
-    }
-}
-
-settings! {
-    /// The rules of taking over from silent instances.
-    struct Ownership {
-        /// How far the rates of two instances' clocks may differ, in parts per million.
-        drift_ppm: u32 = 1_000,
-        /// Whether absence from the instance list beyond its lag counts as a stop.
-        list_evidence: bool = true,
     }
 }
 
@@ -248,8 +214,6 @@
         waiting: Weight = Weight::ONE,
         /// The weight of a full use of paid capacity.
         packing: Weight = Weight::ONE,
-        /// The weight of few control messages.
-        control: Weight = Weight::of(0.1),
     }
 }
 
--- a/crates/kingcupwinch-config/src/units.rs
+++ b/crates/kingcupwinch-config/src/units.rs
@@ -100,11 +100,6 @@
         in_range.then_some(Weight(weight + 0.0))
     }
 
-    /// Makes a default value.
-    pub(crate) const fn of(weight: f64) -> Self {
-        Weight(weight)
-    }
-
     /// Returns the weight.
     pub const fn get(self) -> f64 {
         self.0
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/mod.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/mod.rs
@@ -119,8 +119,7 @@
 
     fn replan(&mut self) {
         let config = self.shared.config.load_full();
-        let domain = &self.shared.settings.instance.domain;
-        let plan = make_plan(&config.tree, domain);
+        let plan = make_plan(&config.tree);
         let now = self.now();
         // Every tree in force has passed checks that are at least as strict as the plan's.
         if let Err(fault) = self.cell.replan(plan, now) {
--- a/crates/kingcupwinch-daemon/src/plan.rs
+++ b/crates/kingcupwinch-daemon/src/plan.rs
@@ -11,8 +11,8 @@
 /// How far a class or a task that may be throttled is slowed, in percent.
 const THROTTLE_PERCENT: u8 = 50;
 
-/// Makes the plan for one failure domain.
-pub(crate) fn make_plan(tree: &config::Tree, domain: &str) -> Plan {
+/// Makes the plan for one failure domain; each has its even part of what contracts pay for.
+pub(crate) fn make_plan(tree: &config::Tree) -> Plan {
     let mut plan = Plan::new().with_weights(Weights {
         waiting: tree.weights.waiting.get(),
         packing: tree.weights.packing.get(),
@@ -21,7 +21,7 @@
         plan = plan.with_class(make_class(name, class));
     }
     for (name, customer) in &tree.customers {
-        plan = plan.with_customer(make_customer(name, customer, tree, domain));
+        plan = plan.with_customer(make_customer(name, customer, tree));
     }
     plan
 }
@@ -72,13 +72,8 @@
         .with_connections(connections)
 }
 
-fn make_customer(
-    name: &str,
-    customer: &config::Customer,
-    tree: &config::Tree,
-    domain: &str,
-) -> CustomerSpec {
-    let workers = tree.domains.get(domain).map_or(0, |domain| domain.workers);
+fn make_customer(name: &str, customer: &config::Customer, tree: &config::Tree) -> CustomerSpec {
+    let workers: u32 = tree.domains.values().map(|domain| domain.workers).sum();
     let paid = f64::from(customer.contract.workers) / f64::from(workers.max(1));
     CustomerSpec::new(name, customer.weight.get())
         .with_quota(permille(customer.quota))
