Refuse gangs wider than their class; drop four more unread limits

Cause: gang_most was checked in the folder, but a wider gang was taken; limits of bodies, answers, headers and the common queue were read by nothing, since the daemon's local settings bound them. Change: the job service refuses a wider gang as not-run, with a test; the four limits are gone. In the config tests job_tasks stands where body_bytes stood.

--- a/crates/kingcupwinch-config/src/tree.rs
+++ b/crates/kingcupwinch-config/src/tree.rs
@@ -178,14 +178,6 @@
 settings! {
     /// Bounds on what callers send.
     struct Limits {
-        /// Bytes of a request's body.
-        body_bytes: u32 = 1_048_576,
-        /// Bytes of an answer's body.
-        answer_bytes: u32 = 16_777_216,
-        /// Bytes of a request's headers.
-        header_bytes: u32 = 16_384,
-        /// Live requests that wait at one instance, all classes together.
-        queue_most: u32 = 50_000,
         /// Tasks in one job.
         job_tasks: u32 = 10_000,
     }
--- a/crates/kingcupwinch-config/tests/faults.rs
+++ b/crates/kingcupwinch-config/tests/faults.rs
@@ -16,13 +16,13 @@
 )]
 #[case("[limits]\nxyzzy = 1", "a.toml:2:1: limits.xyzzy is not a setting")]
 #[case(
-    "[limits]\nbody_bytes = 'x'",
-    "a.toml:2:1: limits.body_bytes must be a whole number, not a string"
+    "[limits]\njob_tasks = 'x'",
+    "a.toml:2:1: limits.job_tasks must be a whole number, not a string"
 )]
 #[case("limits = 3", "a.toml:1:1: limits must be a table, not an integer")]
 #[case(
-    "[limits]\nbody_bytes = -1",
-    "a.toml:2:1: limits.body_bytes must be a whole number from 0 to 4294967295"
+    "[limits]\njob_tasks = -1",
+    "a.toml:2:1: limits.job_tasks must be a whole number from 0 to 4294967295"
 )]
 #[case(
     "[timers]\ngrant_ms = 0",
--- a/crates/kingcupwinch-config/tests/folders.rs
+++ b/crates/kingcupwinch-config/tests/folders.rs
@@ -98,7 +98,7 @@
 
 #[test]
 fn files_that_cannot_be_read_are_all_named() {
-    let dir = folder(&[("a.toml", b"\xff\xfe"), ("c.toml", b"[limits]\nbody = 1")]);
+    let dir = folder(&[("a.toml", b"\xff\xfe"), ("c.toml", b"[limits]\njob = 1")]);
     symlink("b.toml", dir.path().join("b.toml")).unwrap();
     symlink("/dev/zero", dir.path().join("d.toml")).unwrap();
     insta::assert_snapshot!(faults_of(&dir));
--- a/crates/kingcupwinch-daemon/src/jobs/service.rs
+++ b/crates/kingcupwinch-daemon/src/jobs/service.rs
@@ -249,6 +249,13 @@
             spec.tasks
         ));
     }
+    let class = tree.classes.get(&spec.class);
+    if let Some(class) = class.filter(|class| spec.gang && spec.tasks > class.gang_most) {
+        return Err(format!(
+            "a gang of class {} has at most {} tasks, not {}",
+            spec.class, class.gang_most, spec.tasks
+        ));
+    }
     if spec.size.millicores == 0 || spec.size.memory_mb == 0 {
         return Err("a task needs some millicores and some memory".to_owned());
     }
--- a/crates/kingcupwinch-daemon/tests/testsuite/jobs.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/jobs.rs
@@ -158,3 +158,23 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_gang_wider_than_its_class_allows_is_refused() {
+    let site = Site::start(4).await;
+    let entries = site.start_entries(&["entry-1"]).await;
+    let text = job("coverage", 9, 10).to_string();
+    let reply = entries[0]
+        .caller()
+        .send(Method::POST, "/v1/jobs", &[], text)
+        .await
+        .unwrap();
+    assert_eq!(reply.status, 400, "{reply:?}");
+    let problem = reply.problem();
+    assert_eq!(problem.outcome, ProblemOutcome::NotRun);
+    assert_eq!(
+        &*problem.detail,
+        "a gang of class coverage has at most 8 tasks, not 9"
+    );
+    assert!(site.ledger.starts().is_empty());
+}
