Drain an instance from the command line

Cause: the command posted to /v1/drain, which the daemon did not have; a worker's drain had no counterpart either. Change: the operators' port takes POST /v1/drain and the process then stops as on a signal; a test drains a separate process by the command line. The worker's drain is left out: the platform's list marks a worker as leaving. Conclusion: a roll-out needs no signal on the machine.

--- a/crates/kingcupwinch-cli/src/cmd/drain.rs
+++ b/crates/kingcupwinch-cli/src/cmd/drain.rs
@@ -1,6 +1,6 @@
-//! `drain`: starts the graceful stop of an instance or a worker.
+//! `drain`: starts the graceful stop of an instance.
 
-use clap::{Arg, ArgMatches, Command};
+use clap::{ArgMatches, Command};
 
 use crate::console::Console;
 use crate::error::Error;
@@ -9,21 +9,12 @@
 
 /// Makes the subcommand.
 pub(super) fn make_subcommand() -> Command {
-    let worker = Command::new("worker")
-        .about("Gives a worker no new work; asks every instance, since any may own it")
-        .arg(
-            Arg::new("name")
-                .value_name("WORKER")
-                .required(true)
-                .help("The worker's name in the platform's list"),
-        );
     let instance = Command::new("instance")
         .about("Hands over an instance's shards and finishes its requests in flight");
     Command::new("drain")
-        .about("Starts the graceful stop of an instance or a worker")
+        .about("Starts the graceful stop of an instance")
         .subcommand_required(true)
         .subcommand(with_addresses(instance))
-        .subcommand(with_addresses(worker))
 }
 
 /// Runs the subcommand.
@@ -31,14 +22,9 @@
     matches: &ArgMatches,
     console: &mut Console<'_>,
 ) -> Result<Exit, Error> {
-    match matches.subcommand() {
-        Some(("worker", sub)) => drain_worker(sub, console).await,
-        Some((_, sub)) => drain_instance(sub, console).await,
-        None => Ok(Exit::Usage),
-    }
-}
-
-async fn drain_instance(matches: &ArgMatches, console: &mut Console<'_>) -> Result<Exit, Error> {
+    let Some(("instance", matches)) = matches.subcommand() else {
+        return Ok(Exit::Usage);
+    };
     let settings = Settings::with_matches(matches)?;
     let [address] = settings.known_instances()? else {
         console.error("name exactly one instance to drain with --instance IP:PORT")?;
@@ -51,37 +37,3 @@
     ))?;
     Ok(Exit::Success)
 }
-
-async fn drain_worker(matches: &ArgMatches, console: &mut Console<'_>) -> Result<Exit, Error> {
-    let settings = Settings::with_matches(matches)?;
-    let operator = settings.operator();
-    let name = matches.get_one::<String>("name").map_or("", String::as_str);
-    if !is_worker_name(name) {
-        console.error(format_args!(
-            "{name:?} can't be a worker's name; use letters, digits, '-', '_' and '.'"
-        ))?;
-        return Ok(Exit::Usage);
-    }
-    let path = format!("/v1/workers/{name}/drain");
-    let mut exit = Exit::Unreachable;
-    for address in settings.known_instances()? {
-        match operator.post(*address, &path).await {
-            Ok(()) => {
-                exit = Exit::Success;
-                console.line(format_args!("{address}: {name} is draining"))?;
-            }
-            Err(cause) => console.note(format_args!("{address}: {cause}"))?,
-        }
-    }
-    if exit != Exit::Success {
-        console.error(format_args!(
-            "no instance drains {name}; `kingcupwinch status` lists the workers and their owners"
-        ))?;
-    }
-    Ok(exit)
-}
-
-fn is_worker_name(name: &str) -> bool {
-    let is_allowed = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
-    !name.is_empty() && name.bytes().all(is_allowed)
-}
--- a/crates/kingcupwinch-daemon/src/cmd/serve.rs
+++ b/crates/kingcupwinch-daemon/src/cmd/serve.rs
@@ -147,7 +147,10 @@
     let mut signals = Signals::new()?;
     let running = Daemon::new(settings).start().await?;
     print_addresses(&running);
-    signals.next().await;
+    tokio::select! {
+        () = signals.next() => {}
+        () = running.drain_asked() => {}
+    }
     Ok(running.stop_unless(signals.next()).await)
 }
 
--- a/crates/kingcupwinch-daemon/src/daemon.rs
+++ b/crates/kingcupwinch-daemon/src/daemon.rs
@@ -236,6 +236,11 @@
     pub fn addresses(&self) -> Addresses {
         self.addresses
     }
+
+    /// Waits until an operator asks for a graceful stop at the operators' port.
+    pub async fn drain_asked(&self) {
+        self.shared.lifecycle.drain_asked().await;
+    }
 }
 
 impl Drop for Running {
--- a/crates/kingcupwinch-daemon/src/server/operators.rs
+++ b/crates/kingcupwinch-daemon/src/server/operators.rs
@@ -71,6 +71,13 @@
         json(&status)
     }
 
+    fn drain(&self) -> Response<Body> {
+        self.shared.lifecycle.ask_drain();
+        let mut response = Response::new(full("draining\n"));
+        *response.status_mut() = StatusCode::ACCEPTED;
+        response
+    }
+
     fn metrics(&self) -> Response<Body> {
         match self.shared.metrics.encode() {
             Ok(text) => with_type(full(text), METRICS_TYPE),
@@ -121,6 +128,7 @@
             (&Method::GET, "/readyz") => readyz(&self.shared),
             (&Method::GET, "/metrics") => self.metrics(),
             (&Method::GET, "/v1/status") => self.status().await,
+            (&Method::POST, "/v1/drain") => self.drain(),
             (_, path) => {
                 let detail = format!("there is nothing at {path}");
                 respond(&not_run(StatusCode::NOT_FOUND, "not-found", detail))
--- a/crates/kingcupwinch-daemon/src/shared.rs
+++ b/crates/kingcupwinch-daemon/src/shared.rs
@@ -85,6 +85,7 @@
 #[derive(Debug)]
 pub(crate) struct Lifecycle {
     stage: watch::Sender<Stage>,
+    drain: watch::Sender<bool>,
 }
 
 impl Lifecycle {
@@ -92,9 +93,22 @@
     pub(crate) fn new() -> Self {
         Lifecycle {
             stage: watch::Sender::new(Stage::Serving),
+            drain: watch::Sender::new(false),
         }
     }
 
+    /// Asks whoever runs the daemon to stop it gracefully.
+    pub(crate) fn ask_drain(&self) {
+        self.drain.send_replace(true);
+    }
+
+    /// Waits until an operator asks for a graceful stop.
+    pub(crate) async fn drain_asked(&self) {
+        let mut drain = self.drain.subscribe();
+        // The sender lives as long as `self`.
+        let _ = drain.wait_for(|asked| *asked).await;
+    }
+
     /// Begins a graceful stop.
     pub(crate) fn begin_stop(&self) {
         self.advance(Stage::Stopping);
--- a/crates/kingcupwinch-daemon/tests/testsuite/process.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/process.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 
+use kingcupwinch_cli::{Console, Exit, run};
 use kingcupwinch_fakes::live_answer;
 use rustix::process::{Pid, Signal, kill_process};
 
@@ -91,3 +92,21 @@
     let status = tokio::task::spawn_blocking(move || process.child.wait().unwrap());
     assert_eq!(status.await.unwrap().code(), Some(0));
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_operators_drain_stops_the_process_with_exit_code_zero() {
+    let site = Site::start(2).await;
+    let mut process = Process::start(&site, "entry-1");
+    let caller = Caller::new(process.callers);
+    wait_until("the daemon is ready", || async {
+        caller.get("/readyz").await.status == 200
+    })
+    .await;
+    let address = process.operators.to_string();
+    let words = ["kingcupwinch", "drain", "instance", "--instance", &address];
+    let (mut out, mut err) = (Vec::new(), Vec::new());
+    let exit = run(words, &mut Console::new(&mut out, &mut err)).await;
+    assert_eq!(exit, Exit::Success, "{}", String::from_utf8_lossy(&err));
+    let status = tokio::task::spawn_blocking(move || process.child.wait().unwrap());
+    assert_eq!(status.await.unwrap().code(), Some(0));
+}
