--- a/crates/kingcupwinch-coord/src/log/fresh.rs
+++ b/crates/kingcupwinch-coord/src/log/fresh.rs
@@ -16,14 +16,14 @@
 /// A read sent at `sent` that saw the stream end at `tail` makes the view fresh as of `sent`, once
 /// everything before `tail` has been applied.
 #[derive(Debug, Clone, Default)]
-pub struct Freshness {
+pub(crate) struct Freshness {
     at: Option<Time>,
     waiting: Option<Waiting>,
 }
 
 impl Freshness {
     /// Returns the time as of which the view is complete, none before the first such read.
-    pub fn at(&self) -> Option<Time> {
+    pub(crate) fn at(&self) -> Option<Time> {
         self.at
     }
 
