--- a/crates/kingcupwinch-daemon/src/actors/ownership.rs
+++ b/crates/kingcupwinch-daemon/src/actors/ownership.rs
@@ -261,8 +261,8 @@
             .metrics
             .shards
             .set(i64::try_from(permitted.len()).unwrap_or(i64::MAX));
-        self.permitted.clone_from(&permitted);
-        self.tell_scheduler(PermitsChanged(permitted)).await;
+        self.permitted = permitted;
+        self.tell_scheduler(PermitsChanged).await;
     }
 }
 
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/fleet.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/fleet.rs
@@ -17,6 +17,9 @@
 use crate::logging::EventId;
 use crate::world::{Worker, capacity_of, is_leaving};
 
+/// How soon shards that may not be dispatched to are looked at again.
+const RECHECK_GAP: Span = Span::from_millis(50);
+
 /// Percent of a whole machine.
 const WHOLE_PERCENT: u64 = 100;
 
@@ -49,9 +52,9 @@
     pub(crate) shard: ShardId,
 }
 
-/// The shards that may be dispatched to now.
-#[derive(Debug, Clone)]
-pub(crate) struct PermitsChanged(pub(crate) Vec<ShardId>);
+/// The published view says anew which shards may be dispatched to.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PermitsChanged;
 
 /// The workers of the domain as the platform lists them.
 #[derive(Debug, Clone)]
@@ -203,6 +206,20 @@
         }
     }
 
+    /// Takes over from the published view which shards may be dispatched to, and does so again soon
+    /// while one of them may not.
+    pub(super) fn refresh_permits(&mut self) {
+        let now = self.now();
+        let ownership = self.shared.ownership.load_full();
+        let held = self.holdings.keys().copied();
+        self.permitted = held
+            .filter(|shard| ownership.permit(*shard, now).is_some())
+            .collect();
+        let lacking = self.permitted.len() < self.holdings.len();
+        self.recheck = lacking.then(|| now + RECHECK_GAP);
+        self.apply_permits();
+    }
+
     /// Bars machines of shards that may not be dispatched to, and opens the others.
     fn apply_permits(&mut self) {
         let seats = self.seats.values();
@@ -377,9 +394,8 @@
 impl Message<PermitsChanged> for Scheduler {
     type Reply = ();
 
-    async fn handle(&mut self, permits: PermitsChanged, _ctx: &mut Context<Self, ()>) {
-        self.permitted = permits.0.into_iter().collect();
-        self.apply_permits();
+    async fn handle(&mut self, _changed: PermitsChanged, _ctx: &mut Context<Self, ()>) {
+        self.refresh_permits();
         self.decide();
     }
 }
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/live.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/live.rs
@@ -267,13 +267,23 @@
         why: NotStarted,
         now: Time,
     ) -> Result<Next, kingcupwinch_policy::Fault> {
-        let name = self.machines.get(&place.machine).cloned();
-        if let Some(name) = name.filter(|_| why == NotStarted::Leaving) {
-            self.mark_leaving(&name);
-        }
+        self.heed_refusal(place, why);
         self.cell.not_started(place, why, now)
     }
 
+    /// Gives nothing more to a worker that is leaving, or that must not be dispatched to now.
+    pub(super) fn heed_refusal(&mut self, place: Placement, why: NotStarted) {
+        match why {
+            NotStarted::Leaving => {
+                if let Some(name) = self.machines.get(&place.machine).cloned() {
+                    self.mark_leaving(&name);
+                }
+            }
+            NotStarted::Withheld => self.refresh_permits(),
+            NotStarted::Full | NotStarted::Unreachable | NotStarted::Refused => {}
+        }
+    }
+
     /// Keeps the capacity of a run that may go on counted until a report shows that it ended.
     fn take_unsure(
         &mut self,
--- a/crates/kingcupwinch-daemon/tests/testsuite/process.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/process.rs
@@ -11,13 +11,14 @@
 use crate::site::{DOMAIN, Site};
 
 /// A daemon process that ends with the test.
-struct Process {
+pub(crate) struct Process {
     child: Child,
-    callers: SocketAddr,
+    pub(crate) callers: SocketAddr,
+    pub(crate) operators: SocketAddr,
 }
 
 impl Process {
-    fn start(site: &Site, name: &str) -> Self {
+    pub(crate) fn start(site: &Site, name: &str) -> Self {
         let log = site.log_front.address().to_string();
         let list = site.roster_front.address().to_string();
         let any = "127.0.0.1:0";
@@ -44,16 +45,23 @@
         BufReader::new(child.stdout.take().unwrap())
             .read_line(&mut line)
             .unwrap();
-        let callers = line
-            .split_whitespace()
-            .find_map(|part| part.strip_prefix("callers="));
-        let callers = callers.unwrap().parse().unwrap();
-        Process { child, callers }
+        let address = |name: &str| {
+            let mut parts = line.split_whitespace();
+            let address = parts.find_map(|part| part.strip_prefix(name));
+            address.unwrap().parse().unwrap()
+        };
+        Process {
+            callers: address("callers="),
+            operators: address("operators="),
+
+            child,
+        }
     }
 
-    fn terminate(&self) {
+    /// Sends the process a signal.
+    pub(crate) fn signal(&self, signal: Signal) {
         let id = i32::try_from(self.child.id()).unwrap();
-        kill_process(Pid::from_raw(id).unwrap(), Signal::TERM).unwrap();
+        kill_process(Pid::from_raw(id).unwrap(), signal).unwrap();
     }
 }
 
@@ -79,7 +87,7 @@
         .await;
     assert_eq!(reply.status, 200, "{reply:?}");
     assert_eq!(reply.body, live_answer("p1", b"stage", 0));
-    process.terminate();
+    process.signal(Signal::TERM);
     let status = tokio::task::spawn_blocking(move || process.child.wait().unwrap());
     assert_eq!(status.await.unwrap().code(), Some(0));
 }
