Test promises on an expired view and sparse lists

Leaving out one rule at a time left these two unnoticed; both tests fail without their rule. The second guard against promises on an expired view was without effect, since none are asked for, and is gone.

--- a/crates/kingcupwinch-coord/src/ownership/excuse.rs
+++ b/crates/kingcupwinch-coord/src/ownership/excuse.rs
@@ -24,7 +24,8 @@
 }
 
 impl Excuse {
-    /// Asks for promises while the view of the log may lapse soon.
+    /// Asks for promises while the view of the log may lapse soon, unless records that may have
+    /// taken a shard expired unread.
     pub(crate) fn step(&mut self, core: &Core, now: Time, out: &mut Vec<Action>) {
         let is_needed = !core.audience.is_empty() && core.is_ageing(now);
         if !is_needed || now < self.next {
@@ -74,9 +75,8 @@
     /// Returns until when a shard may be dispatched on promises alone.
     ///
     /// A claim by this instance that may have taken effect unread adds its voters: both majorities
-    /// are needed. None while records that may have taken the shard expired unread.
+    /// are needed.
     pub(crate) fn until(&self, core: &Core, shard: ShardId, now: Time) -> Option<Time> {
-        core.applied()?;
         let ownership = core.ledger.shard(shard)?;
         let current = self.majority_until(core, &ownership.voters, now)?;
         match core.outbox.claimed_voters(shard, ownership.term) {
--- a/crates/kingcupwinch-coord/tests/ownership/net/faults.rs
+++ b/crates/kingcupwinch-coord/tests/ownership/net/faults.rs
@@ -39,8 +39,13 @@
         }
     }
 
-    pub(crate) fn heal(&mut self) {
+    /// Ends every cut between nodes.
+    pub(crate) fn reconnect(&mut self) {
         self.cuts.clear();
+    }
+
+    pub(crate) fn heal(&mut self) {
+        self.reconnect();
         self.log_down = false;
         self.lose_answers = false;
         self.loss = 0;
--- a/crates/kingcupwinch-coord/tests/ownership/rules.rs
+++ b/crates/kingcupwinch-coord/tests/ownership/rules.rs
@@ -202,6 +202,48 @@
     assert!(!net.nodes[newcomer].alive);
 }
 
+/// An owner's records expired unread, so it can't know what it lost: it asks for no promises.
+#[rstest]
+fn no_promises_on_an_expired_view(#[values(70, 71, 72, 73, 74, 75)] seed: u64) {
+    let mut net = settled(3, 8, seed);
+    let owner = net.busiest();
+    net.isolate(owner);
+    net.nodes[owner].log_cut = true;
+    net.run(Span::from_secs(10));
+    assert!(net.all_dispatched());
+    net.first = net.log.len();
+    for node in others(&net, owner) {
+        net.nodes[node].log_cut = true;
+    }
+    net.nodes[owner].log_cut = false;
+    net.run(Span::from_secs(2));
+    let is_expired = |note: &Note| matches!(note, Note::Expired { .. });
+    assert!(net.nodes[owner].notes.iter().any(is_expired));
+    net.log_down = true;
+    net.reconnect();
+    net.run(Span::from_secs(10));
+    assert_eq!(net.counts()[owner], 0);
+}
+
+/// Two lists that leave out a live instance, with a long gap between them, are no evidence.
+#[test]
+fn sparse_lists_are_no_evidence() {
+    let mut net = settled(3, 8, 46);
+    let list = |net: &Net| Event::Roster {
+        sent: net.now,
+        live: vec!["entry-0".into(), "entry-2".into()],
+        leaving: Vec::new(),
+    };
+    let records = net.log.len();
+    net.nodes[0].log_cut = true;
+    net.tell(0, list(&net));
+    net.run(Span::from_secs(30));
+    net.nodes[0].log_cut = false;
+    net.tell(0, list(&net));
+    net.run(Span::from_secs(10));
+    assert_eq!(net.log.len(), records);
+}
+
 /// Clocks a tenth apart, with no grace: the drift bound alone keeps the owners apart. The owner's
 /// last read is sent just before the claim lands.
 #[rstest]
