--- a/crates/kingcupwinch-coord/src/ownership/event.rs
+++ b/crates/kingcupwinch-coord/src/ownership/event.rs
@@ -176,19 +176,3 @@
         voter: Incarnation,
     },
 }
-
-impl Note {
-    /// Returns the number of the event in the catalogue of log events.
-    pub const fn code(&self) -> u16 {
-        match self {
-            Note::Log { .. } => 201,
-            Note::Skipped { .. } => 202,
-            Note::Expired { .. } => 203,
-            Note::Stranger { .. } => 204,
-            Note::Lapsed => 205,
-            Note::Restored => 206,
-            Note::TakingOver { .. } => 207,
-            Note::Distrusted { .. } => 208,
-        }
-    }
-}
--- a/crates/kingcupwinch-coord/tests/ownership/net/story.rs
+++ b/crates/kingcupwinch-coord/tests/ownership/net/story.rs
@@ -28,7 +28,11 @@
             Action::Lost { shard, reason, .. } => {
                 self.tell_story(&format!("{name} loses {}: {reason:?}", shard.0));
             }
-            Action::Note(note) => self.tell_story(&format!("{name} notes {}", note.code())),
+            Action::Note(note) => {
+                let note = format!("{note:?}");
+                let kind = note.split(' ').next().unwrap_or_default();
+                self.tell_story(&format!("{name} notes {kind}"));
+            }
             Action::Stopped => self.tell_story(&format!("{name} stops")),
             Action::Append(_) | Action::Send { .. } => {}
         }
