--- a/crates/kingcupwinch-coord/src/ownership/coordinator.rs
+++ b/crates/kingcupwinch-coord/src/ownership/coordinator.rs
@@ -12,7 +12,6 @@
 use super::core::Core;
 use super::event::{Action, Event, Note, OwnedShard, Permit};
 use super::evidence::Evidence;
-use super::excuse::Excuse;
 use super::free::FreeShards;
 use super::group::Group;
 use super::handover::{HandOvers, answer_offer};
@@ -23,6 +22,7 @@
 use super::message::{Message, PromiseAsk, PromiseOutcome, RelayAsk};
 use super::outbox::Outbox;
 use super::peers::Peers;
+use super::promises::HeldPromises;
 use super::reclaim::Reclaim;
 use super::relay::{self, Relays};
 use super::snapshot::Snapshots;
@@ -42,7 +42,7 @@
     pub(super) core: Core,
     pub(super) relays: Relays,
     heartbeats: Heartbeats,
-    excuse: Excuse,
+    promises: HeldPromises,
     votes: Votes,
     evidence: Evidence,
     free: FreeShards,
@@ -69,7 +69,7 @@
             peers: Peers::default(),
             changed: now,
             regrouped: now,
-            audience: Members::new(),
+            heartbeat_targets: Members::new(),
             me: member,
             timers,
         };
@@ -77,7 +77,7 @@
             core,
             relays: Relays::default(),
             heartbeats: Heartbeats::default(),
-            excuse: Excuse::default(),
+            promises: HeldPromises::default(),
             votes: Votes::default(),
             evidence: Evidence::default(),
             free: FreeShards::default(),
@@ -144,7 +144,7 @@
         let leased = self.core.fresh_until();
         let until = match leased {
             Some(until) if now < until => until,
-            _ => self.excuse.until(&self.core, shard, now)?,
+            _ => self.promises.until(&self.core, shard, now)?,
         };
         let term = holding.term;
         (now < until).then_some(Permit { shard, term, until })
@@ -228,14 +228,14 @@
         core.outbox.step(&core.ledger, now, out);
         self.heartbeats.step(core, now, out);
         self.relays.step(core, now, out);
-        self.excuse.step(core, now, out);
+        self.promises.step(core, now, out);
         self.votes.step(core, now);
         self.evidence.step(core, now);
         self.free.step(core, &self.evidence, now, out);
         self.takeover
             .step(core, &mut self.votes, &self.evidence, now, out);
         self.evidence.retire_stopped(core, now, out);
-        self.reclaim.step(core, &mut self.excuse, now, out);
+        self.reclaim.step(core, &mut self.promises, now, out);
         self.handovers.step(core, &self.evidence, now, out);
         self.snapshots.step(core, now, out);
         self.note_lapse(now, out);
@@ -255,7 +255,7 @@
     fn take_message(&mut self, from: Incarnation, body: Message, now: Time, out: &mut Vec<Action>) {
         let is_open = matches!(body, Message::RelayAsk(_) | Message::Relay(_));
         if !is_open && !self.group().contains(from) {
-            out.push(Action::Note(Note::Stranger { from }));
+            out.push(Action::Note(Note::NotMember { from }));
             return;
         }
         let core = &mut self.core;
@@ -268,7 +268,7 @@
             Message::Relay(relay) => self.take_relay(relay, now, out),
             Message::PromiseAsk(ask) => self.take_promise_ask(from, ask, now, out),
             Message::PromiseReply(reply) => {
-                self.excuse.take_reply(core, from, reply, now, out);
+                self.promises.take_reply(core, from, reply, now, out);
             }
             Message::SupportAsk(ask) => self.votes.support(core, from, &ask, now, out),
             Message::Support(support) => self.takeover.take_support(core, from, &support),
--- a/crates/kingcupwinch-coord/src/ownership/core.rs
+++ b/crates/kingcupwinch-coord/src/ownership/core.rs
@@ -35,7 +35,7 @@
     /// When a member last joined or went.
     pub(crate) regrouped: Time,
     /// The voters of all owned shards, without this instance.
-    pub(crate) audience: Members,
+    pub(crate) heartbeat_targets: Members,
 }
 
 impl Core {
@@ -235,8 +235,8 @@
     }
 
     /// Collects the voters of all owned shards.
-    pub(crate) fn refresh_audience(&mut self) {
-        let mut audience = Members::new();
+    pub(crate) fn refresh_heartbeat_targets(&mut self) {
+        let mut heartbeat_targets = Members::new();
         let mut last: Option<&Members> = None;
         for (shard, _) in self.holdings.iter() {
             let Some(ownership) = self.ledger.shard(shard) else {
@@ -246,18 +246,18 @@
                 continue;
             }
             last = Some(&ownership.voters);
-            add_all(&mut audience, &ownership.voters);
+            add_all(&mut heartbeat_targets, &ownership.voters);
         }
         let me = self.me.incarnation;
-        audience.retain(|member| *member != me);
-        self.audience = audience;
+        heartbeat_targets.retain(|member| *member != me);
+        self.heartbeat_targets = heartbeat_targets;
     }
 }
 
-fn add_all(audience: &mut Members, voters: &SmallVec<[Incarnation; 8]>) {
+fn add_all(heartbeat_targets: &mut Members, voters: &SmallVec<[Incarnation; 8]>) {
     for voter in voters {
-        if !audience.contains(voter) {
-            audience.push(*voter);
+        if !heartbeat_targets.contains(voter) {
+            heartbeat_targets.push(*voter);
         }
     }
 }
--- a/crates/kingcupwinch-coord/src/ownership/event.rs
+++ b/crates/kingcupwinch-coord/src/ownership/event.rs
@@ -157,7 +157,7 @@
         to: Offset,
     },
     /// A message came from an incarnation outside the group.
-    Stranger {
+    NotMember {
         /// The sender.
         from: Incarnation,
     },
@@ -171,7 +171,7 @@
         owner: Incarnation,
     },
     /// A voter supports a claim against this instance, which claims again for itself.
-    Distrusted {
+    SupportedAgainst {
         /// The voter.
         voter: Incarnation,
     },
--- a/crates/kingcupwinch-coord/src/ownership/heartbeat.rs
+++ b/crates/kingcupwinch-coord/src/ownership/heartbeat.rs
@@ -16,7 +16,7 @@
 
 impl Heartbeats {
     pub(crate) fn step(&mut self, core: &Core, now: Time, out: &mut Vec<Action>) {
-        if now < self.next || core.audience.is_empty() {
+        if now < self.next || core.heartbeat_targets.is_empty() {
             return;
         }
         let Some(applied) = core.applied() else {
@@ -27,7 +27,7 @@
             applied,
             age: core.age(now),
         };
-        for voter in &core.audience {
+        for voter in &core.heartbeat_targets {
             send(*voter, Message::Heartbeat(heartbeat), out);
         }
     }
--- a/crates/kingcupwinch-coord/src/ownership/intake.rs
+++ b/crates/kingcupwinch-coord/src/ownership/intake.rs
@@ -27,7 +27,7 @@
         for entry in entries {
             self.take_entry(entry, now, out);
         }
-        self.core.refresh_audience();
+        self.core.refresh_heartbeat_targets();
     }
 
     fn take_entry(&mut self, entry: Entry<OwnerRecord>, now: Time, out: &mut Vec<Action>) {
@@ -137,6 +137,6 @@
         self.core.view.rebase(snapshot.covers);
         self.relays.clear();
         self.restore(snapshot.covers, snapshot, now, out);
-        self.core.refresh_audience();
+        self.core.refresh_heartbeat_targets();
     }
 }
--- a/crates/kingcupwinch-coord/src/ownership/excuse.rs
+++ b/crates/kingcupwinch-coord/src/ownership/promises.rs
@@ -16,18 +16,18 @@
 
 /// Promises that this instance holds.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct Excuse {
+pub(crate) struct HeldPromises {
     held: FxHashMap<Incarnation, Time>,
     next: Time,
     /// Whether a voter supports a claim against this instance.
-    pub(crate) distrusted: bool,
+    pub(crate) supported_against: bool,
 }
 
-impl Excuse {
+impl HeldPromises {
     /// Asks for promises while the view of the log may lapse soon, unless records that may have
     /// taken a shard expired unread.
     pub(crate) fn step(&mut self, core: &Core, now: Time, out: &mut Vec<Action>) {
-        let is_needed = !core.audience.is_empty() && core.is_ageing(now);
+        let is_needed = !core.heartbeat_targets.is_empty() && core.is_ageing(now);
         if !is_needed || now < self.next {
             return;
         }
@@ -40,7 +40,7 @@
             asked: now,
             applied,
         };
-        for voter in &core.audience {
+        for voter in &core.heartbeat_targets {
             send(*voter, Message::PromiseAsk(ask), out);
         }
     }
@@ -56,8 +56,8 @@
         match reply.outcome {
             PromiseOutcome::Granted => self.hold(core, from, reply.asked, now),
             PromiseOutcome::Supporting => {
-                self.distrusted = true;
-                out.push(Action::Note(Note::Distrusted { voter: from }));
+                self.supported_against = true;
+                out.push(Action::Note(Note::SupportedAgainst { voter: from }));
             }
             PromiseOutcome::Behind => {}
         }
--- a/crates/kingcupwinch-coord/src/ownership/reclaim.rs
+++ b/crates/kingcupwinch-coord/src/ownership/reclaim.rs
@@ -1,4 +1,4 @@
-//! An owner's claims for itself: after its voters went, after a voter distrusted it, and after a
+//! An owner's claims for itself: after its voters went, after a voter supported_against it, and after a
 //! hand-over or release that proved invalid.
 
 use kingcupwinch_time::{Span, Time};
@@ -7,7 +7,7 @@
 
 use super::core::Core;
 use super::event::Action;
-use super::excuse::Excuse;
+use super::promises::HeldPromises;
 
 /// Spread of the owners' claims after a change of the group, for each member.
 const SPREAD: Span = Span::from_millis(100);
@@ -23,7 +23,7 @@
     pub(crate) fn step(
         &mut self,
         core: &mut Core,
-        excuse: &mut Excuse,
+        promises: &mut HeldPromises,
         now: Time,
         out: &mut Vec<Action>,
     ) {
@@ -31,12 +31,12 @@
             return;
         }
         let mut shards = withheld(core);
-        if excuse.distrusted {
+        if promises.supported_against {
             shards.extend(kept(core, |_, _| true));
         } else if core.may_claim(now) {
             shards.extend(self.outvoted(core, now));
         }
-        excuse.distrusted = false;
+        promises.supported_against = false;
         if shards.is_empty() {
             return;
         }
--- a/crates/kingcupwinch-coord/tests/ownership/failures.rs
+++ b/crates/kingcupwinch-coord/tests/ownership/failures.rs
@@ -118,7 +118,7 @@
     assert!(net.log.len() > records, "no late claim came");
     assert!(net.all_dispatched());
     assert!(net.counts()[owner] > 0);
-    let is_distrusted = |note: &Note| matches!(note, Note::Distrusted { .. });
+    let is_distrusted = |note: &Note| matches!(note, Note::SupportedAgainst { .. });
     assert!(net.nodes[owner].notes.iter().any(is_distrusted));
 }
 
--- a/crates/kingcupwinch-coord/tests/ownership/rules.rs
+++ b/crates/kingcupwinch-coord/tests/ownership/rules.rs
@@ -46,7 +46,7 @@
     let counts = net.counts();
     assert_eq!(counts[owner], 0, "{counts:?}");
     assert!(counts[claimant] > 0, "{counts:?}");
-    let is_distrusted = |note: &Note| matches!(note, Note::Distrusted { .. });
+    let is_distrusted = |note: &Note| matches!(note, Note::SupportedAgainst { .. });
     assert!(net.nodes[owner].notes.iter().any(is_distrusted));
 }
 
