--- a/crates/kingcupwinch-coord/tests/ownership/random.rs
+++ b/crates/kingcupwinch-coord/tests/ownership/random.rs
@@ -14,6 +14,7 @@
 
 const SCHEDULES: u64 = 60;
 const FAULTS: u32 = 25;
+const DELAYS_MS: [u64; 4] = [50, 700, 3_000, 30_000];
 const SHARDS: u16 = 6;
 /// Difference of clock rates in tight settings, in parts per million.
 const TIGHT_SKEW: u32 = 50_000;
@@ -126,7 +127,7 @@
         6 => net.log_down = true,
         7 => net.lose_answers = true,
         8 => net.loss = rng.random_range(0..60),
-        9 => net.delay = Span::from_millis(rng.random_range(1..3_000)),
+        9 => net.delay = Span::from_millis(DELAYS_MS[rng.random_range(0..DELAYS_MS.len())]),
         10 => net.append_delay.1 = Span::from_millis(rng.random_range(5..20_000)),
         11 => {
             net.restart(node);
