--- a/crates/kingcupwinch-coord/src/ownership/ledger.rs
+++ b/crates/kingcupwinch-coord/src/ownership/ledger.rs
@@ -1,7 +1,8 @@
 //! The state that the records of the ownership stream make, alike for every reader.
 //!
-//! Whether a record is valid depends only on the records before it. Every rule is idempotent, so a
-//! repeat of a record changes nothing even where a reader has forgotten its id.
+//! Whether a record is valid depends only on the records before it. A repeat of a record changes
+//! nothing even where a reader has forgotten its id, but for a join repeated after its member left:
+//! it adds a dead member, which owns nothing until it is retired.
 
 use quick_error::quick_error;
 use rustc_hash::FxHashMap;
