--- a/crates/kingcupwinch-coord/src/ownership/event.rs
+++ b/crates/kingcupwinch-coord/src/ownership/event.rs
@@ -157,7 +157,7 @@
         to: Offset,
     },
     /// A message came from an incarnation outside the group.
-    Stranger {
+    NotMember {
         /// The sender.
         from: Incarnation,
     },
@@ -171,24 +171,8 @@
         owner: Incarnation,
     },
     /// A voter supports a claim against this instance, which claims again for itself.
-    Distrusted {
+    SupportedAgainst {
         /// The voter.
         voter: Incarnation,
     },
 }
-
-impl Note {
-    /// Returns the number of the event in the catalogue of log events.
-    pub const fn code(&self) -> u16 {
-        match self {
-            Note::Log { .. } => 201,
-            Note::Skipped { .. } => 202,
-            Note::Expired { .. } => 203,
-            Note::Stranger { .. } => 204,
-            Note::Lapsed => 205,
-            Note::Restored => 206,
-            Note::TakingOver { .. } => 207,
-            Note::Distrusted { .. } => 208,
-        }
-    }
-}
