Carry a key memory into a later term only when its ownership was renewed

Begin took the term of the newest permit and continued the memory in it. A request that waited in the actor's mailbox from before a shard was lost and gained again could be decided by the old memory under the new term, although another owner had run keys in between. The ownership actor now says when a term was renewed, and any other term is refused as changing. Read from the code against the specification (no_new_term_rule); no test brings the race about.

Seen on the way, with and without this change: the daemon's test keys::a_repeated_key_gets_the_remembered_answer_from_any_instance is flaky (3 of 6 runs failed with it, 2 of 8 without): the repeat can arrive at the home before the runner's KeyFinish and gets 409 key-running. Left as it is.

--- a/crates/kingcupwinch-daemon/src/actors/keys.rs
+++ b/crates/kingcupwinch-daemon/src/actors/keys.rs
@@ -104,7 +104,9 @@
         let (Some(term), Some(entry)) = (term, entry) else {
             return HomeStep::Answer(KeyAnswer::Refused("the key's home is changing".into()));
         };
-        entry.keys.continue_in(term);
+        if entry.keys.term() != term {
+            return HomeStep::Answer(KeyAnswer::Refused("the key's home is changing".into()));
+        }
         match entry.keys.begin(request, WallClock.now()) {
             Decision::Run(token) => {
                 let permit = KeyPermit {
@@ -192,6 +194,15 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct GainHome(pub(crate) OwnedShard);
 
+/// A shard's ownership goes on in a later term, with no other owner in between.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RenewHome {
+    /// The shard.
+    pub(crate) shard: ShardId,
+    /// The new term.
+    pub(crate) term: Term,
+}
+
 /// A shard's ownership was lost.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct LoseHome(pub(crate) ShardId);
@@ -257,6 +268,16 @@
     }
 }
 
+impl Message<RenewHome> for KeyMemory {
+    type Reply = ();
+
+    async fn handle(&mut self, renewed: RenewHome, _ctx: &mut Context<Self, ()>) {
+        if let Some(home) = self.homes.get_mut(&renewed.shard) {
+            home.keys.continue_in(renewed.term);
+        }
+    }
+}
+
 impl Message<LoseHome> for KeyMemory {
     type Reply = ();
 
--- a/crates/kingcupwinch-daemon/src/actors/ownership.rs
+++ b/crates/kingcupwinch-daemon/src/actors/ownership.rs
@@ -19,7 +19,7 @@
 
 use super::alarm::{Alarm, Tick};
 use super::jobs::{self, JobKeeper};
-use super::keys::{GainHome, KeyMemory, LoseHome};
+use super::keys::{GainHome, KeyMemory, LoseHome, RenewHome};
 use super::reader::{NextOffset, PageRead, ReadFailed};
 use super::scheduler::{Gained, Lost, PermitsChanged, Renewed, Scheduler};
 use crate::logging::EventId;
@@ -136,6 +136,7 @@
                 self.tell_scheduler(Gained(owned)).await;
             }
             Action::Renewed { shard, term } => {
+                let _ = self.args.keys.tell(RenewHome { shard, term }).await;
                 let _ = self.args.jobs.tell(jobs::Renewed { shard, term }).await;
                 self.tell_scheduler(Renewed { shard, term }).await;
             }
