--- a/crates/kingcupwinch-daemon/src/actors/scheduler/tasks.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/tasks.rs
@@ -268,10 +268,7 @@
     }
 
     fn take_no_start(&mut self, place: Placement, why: NotStarted, now: Time) {
-        let leaving = self.machines.get(&place.machine).cloned();
-        if let Some(name) = leaving.filter(|_| why == NotStarted::Leaving) {
-            self.mark_leaving(&name);
-        }
+        self.heed_refusal(place, why);
         let next = self.cell.not_started(place, why, now);
         self.after_run(place, next, None);
     }
--- a/crates/kingcupwinch-daemon/src/metrics/mod.rs
+++ b/crates/kingcupwinch-daemon/src/metrics/mod.rs
@@ -106,6 +106,8 @@
     pub appends: Counter,
     /// Records read from the log.
     pub records: Counter,
+    /// Whether the last read of the log succeeded.
+    pub readable: Gauge,
     /// Sibling messages sent.
     pub messages: Counter,
     /// The configuration version in force.
@@ -129,6 +131,7 @@
             shards: Gauge::default(),
             appends: Counter::default(),
             records: Counter::default(),
+            readable: Gauge::default(),
             messages: Counter::default(),
             version: Gauge::default(),
         };
@@ -184,6 +187,11 @@
             "Records read from the log",
             self.records.clone(),
         );
+        registry.register(
+            "log_readable",
+            "Whether the last read of the log succeeded",
+            self.readable.clone(),
+        );
         registry.register(
             "link_messages",
             "Sibling messages sent",
--- a/crates/kingcupwinch-daemon/src/shared.rs
+++ b/crates/kingcupwinch-daemon/src/shared.rs
@@ -154,6 +154,7 @@
     /// Notes whether the log could be read.
     pub(crate) fn note_log(&self, readable: bool) {
         self.log_lost.store(!readable, Ordering::Relaxed);
+        self.metrics.readable.set(i64::from(readable));
     }
 
     /// Returns whether the last read of the log failed.
--- a/crates/kingcupwinch-policy/src/decision.rs
+++ b/crates/kingcupwinch-policy/src/decision.rs
@@ -184,6 +184,9 @@
     Unreachable,
     /// The worker refused it for another reason.
     Refused,
+    /// This instance withheld it at the last check: it costs no retry, and its embedder gives the
+    /// machine nothing more until it may.
+    Withheld,
 }
 
 /// Use of a machine as its worker reports it.
