Show that the wait must cover a promise longer than the lease

A wait of the lease alone holds as long as nothing is handed over, since supporters wait for their promises to run out.

--- a/crates/kingcupwinch-spec/src/ownership/rules.rs
+++ b/crates/kingcupwinch-spec/src/ownership/rules.rs
@@ -75,6 +75,8 @@
     NoDriftBound,
     /// The wait has a margin for half of the deviation that clocks may have.
     HalfDriftBound,
+    /// The wait covers the lease, and not a longer promise.
+    WaitForLeaseAlone,
     /// The owner goes on without a fresh view and without promises.
     NoPromise,
     /// A single supporter suffices.
@@ -214,6 +216,7 @@
             Mutation::HalfDriftBound => {
                 self.wait = self.lease.max(self.promise) + self.drifts / 2;
             }
+            Mutation::WaitForLeaseAlone => self.wait = self.lease + self.drifts,
             Mutation::NoPromise => self.excuse = false,
             Mutation::OneSupporter => self.half = false,
             Mutation::PromiseAfterSupport => self.support_ends_promises = false,
--- a/crates/kingcupwinch-spec/tests/ownership.rs
+++ b/crates/kingcupwinch-spec/tests/ownership.rs
@@ -24,6 +24,10 @@
 #[case::drift("drift", base().with_drifts(2).with_own_claims(false))]
 #[case::long_lease("long lease", base().with_spans(2, 1))]
 #[case::long_promise("long promise", base().with_spans(1, 2))]
+#[case::long_promise_handed_over(
+    "long promise, hand-over",
+    base().with_hand_over(true).with_own_claims(false).with_spans(1, 2)
+)]
 fn the_rules_hold(#[case] name: &str, #[case] rules: Rules) {
     let model = Ownership::new(rules.with_symmetry().with_progress());
     let report = explore(&model, MOST_STATES);
@@ -50,6 +54,11 @@
 #[case::no_wait("no_wait", Mutation::NoWait, base())]
 #[case::no_drift_bound("no_drift_bound", Mutation::NoDriftBound, base().with_drifts(2))]
 #[case::half_drift_bound("half_drift_bound", Mutation::HalfDriftBound, base().with_drifts(2))]
+#[case::wait_for_lease_alone(
+    "wait_for_lease_alone",
+    Mutation::WaitForLeaseAlone,
+    base().with_hand_over(true).with_own_claims(false).with_spans(1, 2)
+)]
 #[case::no_promise("no_promise", Mutation::NoPromise, base())]
 #[case::one_supporter("one_supporter", Mutation::OneSupporter, base())]
 #[case::promise_after_support("promise_after_support", Mutation::PromiseAfterSupport, base())]
