--- a/crates/kingcupwinch-coord/src/history.rs
+++ b/crates/kingcupwinch-coord/src/history.rs
@@ -40,6 +40,7 @@
 
 use kingcupwinch_time::Time;
 
+use crate::copies::Copies;
 use crate::id::{Offset, RecordId, Version};
 use crate::record::{ConfigRecord, Origin, Stamped};
 
@@ -63,8 +64,7 @@
     current: Option<Arc<Entry>>,
     past: Past,
     verdicts: Verdicts,
-    copied: Offset,
-    copy_due: Option<Time>,
+    copies: Copies,
 }
 
 impl History {
@@ -78,8 +78,7 @@
             current: None,
             past: Past::new(limits.past_entries, limits.past_bytes),
             verdicts: Verdicts::new(limits.verdict_count),
-            copied: start,
-            copy_due: None,
+            copies: Copies::new(limits.pace),
             limits,
         }
     }
@@ -167,7 +166,8 @@
         if let Err(why) = check(&entry.tree) {
             return Applied::Invalid { why };
         }
-        self.put_in_force(entry.clone(), now);
+        self.put_in_force(entry.clone());
+        self.copies.note_record(now);
         self.next = self.next.max(entry.covers);
         self.replay_from(entry.covers, now, check);
         self.in_force()
@@ -175,9 +175,7 @@
 
     /// Returns whether the version in force should be appended again as a snapshot.
     pub fn is_copy_due(&self, now: Time) -> bool {
-        let aged = self.copy_due.is_some_and(|due| now >= due);
-        let buried = self.next.0.saturating_sub(self.copied.0) > self.limits.copy_records;
-        self.is_complete() && self.current.is_some() && (aged || buried)
+        self.is_complete() && self.current.is_some() && self.copies.is_due(now)
     }
 
     /// Returns a snapshot of the version in force, none while records are missing.
@@ -220,10 +218,11 @@
         now: Time,
         check: Check<'_>,
     ) -> Applied {
+        self.copies.note_record(now);
         let applied = self.outcome(record, check);
         if let Applied::InForce { .. } = applied {
             let entry = Entry::new(record.id, offset.next(), &record.body);
-            self.put_in_force(Arc::new(entry), now);
+            self.put_in_force(Arc::new(entry));
         }
         self.verdicts.note(record.id, &applied);
         applied
@@ -274,7 +273,7 @@
         }
         let repeats = self.is_in_force(origin.id, body.version);
         match &self.held {
-            None if repeats => self.note_copy(origin.covers, now),
+            None if repeats => self.note_copy(origin.covers, offset, now),
             None => Applied::StaleSnapshot,
             Some(held) if origin.covers < held.floor() => Applied::StaleSnapshot,
             Some(_) if body.version < self.version() => Applied::StaleSnapshot,
@@ -288,9 +287,8 @@
         current.is_some_and(|e| e.id == id && e.version == version)
     }
 
-    fn note_copy(&mut self, covers: Offset, now: Time) -> Applied {
-        self.copied = self.copied.max(covers);
-        self.copy_due = Some(now + self.limits.copy_age);
+    fn note_copy(&mut self, covers: Offset, offset: Offset, now: Time) -> Applied {
+        self.copies.note_copy(covers, offset, now);
         Applied::Copy
     }
 
@@ -306,8 +304,9 @@
         }
         if body.version > self.version() {
             let entry = Entry::new(origin.id, origin.covers, body);
-            self.put_in_force(Arc::new(entry), now);
+            self.put_in_force(Arc::new(entry));
         }
+        self.copies.note_copy(origin.covers, origin.covers, now);
         self.replay_from(origin.covers, now, check);
         self.in_force()
     }
@@ -332,15 +331,13 @@
         }
     }
 
-    fn put_in_force(&mut self, entry: Arc<Entry>, now: Time) {
+    fn put_in_force(&mut self, entry: Arc<Entry>) {
         self.verdicts.note(
             entry.id,
             &Applied::InForce {
                 version: entry.version,
             },
         );
-        self.copied = entry.covers;
-        self.copy_due = Some(now + self.limits.copy_age);
         if let Some(old) = self.current.replace(entry) {
             self.past.push(old);
         }
--- a/crates/kingcupwinch-coord/src/history/limits.rs
+++ b/crates/kingcupwinch-coord/src/history/limits.rs
@@ -2,6 +2,8 @@
 
 use kingcupwinch_time::Span;
 
+use crate::copies::Pace;
+
 /// Bounds of a history's memory and the pace of its snapshots.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Limits {
@@ -9,8 +11,7 @@
     pub(super) past_bytes: usize,
     pub(super) held_bytes: usize,
     pub(super) verdict_count: usize,
-    pub(super) copy_age: Span,
-    pub(super) copy_records: u64,
+    pub(super) pace: Pace,
 }
 
 impl Limits {
@@ -23,8 +24,10 @@
             past_bytes: 8 * MIB,
             held_bytes: 8 * MIB,
             verdict_count: 4_096,
-            copy_age: Span::from_secs(3_600),
-            copy_records: 128,
+            pace: Pace {
+                age: Span::from_secs(3_600),
+                records: 128,
+            },
         }
     }
 
@@ -47,8 +50,15 @@
     /// under half of the log's retention.
     #[must_use]
     pub fn with_copies(mut self, age: Span, records: u64) -> Self {
-        self.copy_age = age;
-        self.copy_records = records;
+        self.pace = Pace { age, records };
+        self
+    }
+
+    /// Stretches the pace by up to a half, by a seed of the instance, so that instances do not
+    /// append snapshots at once. Call it after [`Limits::with_copies`].
+    #[must_use]
+    pub fn with_spread(mut self, seed: u64) -> Self {
+        self.pace = self.pace.spread(seed);
         self
     }
 }
--- a/crates/kingcupwinch-coord/src/jobs.rs
+++ b/crates/kingcupwinch-coord/src/jobs.rs
@@ -33,6 +33,8 @@
 
 use kingcupwinch_time::Span;
 
+use crate::copies::Pace as CopyPace;
+
 pub use commit::{Commit, Pace};
 pub use recover::{Evidence, Recovery, Step};
 pub use state::{Change, Jobs, OpenJob, Snapshot};
@@ -44,8 +46,7 @@
     open_bytes: usize,
     ended_jobs: usize,
     held_records: usize,
-    copy_age: Span,
-    copy_records: u64,
+    pace: CopyPace,
 }
 
 impl Limits {
@@ -57,8 +58,10 @@
             open_bytes: 1 << 24,
             ended_jobs: 1 << 15,
             held_records: 1 << 12,
-            copy_age: Span::from_secs(3_600),
-            copy_records: 2_048,
+            pace: CopyPace {
+                age: Span::from_secs(3_600),
+                records: 2_048,
+            },
         }
     }
 
@@ -88,8 +91,15 @@
     /// under half of the log's retention.
     #[must_use]
     pub fn with_copies(mut self, age: Span, records: u64) -> Self {
-        self.copy_age = age;
-        self.copy_records = records;
+        self.pace = CopyPace { age, records };
+        self
+    }
+
+    /// Stretches the pace by up to a half, by a seed of the instance, so that instances do not
+    /// append snapshots at once. Call it after [`Limits::with_copies`].
+    #[must_use]
+    pub fn with_spread(mut self, seed: u64) -> Self {
+        self.pace = self.pace.spread(seed);
         self
     }
 }
--- a/crates/kingcupwinch-coord/src/jobs/state.rs
+++ b/crates/kingcupwinch-coord/src/jobs/state.rs
@@ -8,6 +8,7 @@
 
 use super::Limits;
 use super::tombs::Tombs;
+use crate::copies::Copies;
 use crate::id::{JobId, Offset, ShardId, Term};
 use crate::record::{AcceptedJob, JobEnd, JobRecord, Stamped};
 
@@ -92,8 +93,7 @@
     open: FxHashMap<JobId, OpenJob>,
     open_bytes: usize,
     tombs: Tombs,
-    covered: Offset,
-    copy_due: Option<Time>,
+    copies: Copies,
 }
 
 impl Jobs {
@@ -106,8 +106,7 @@
             open: FxHashMap::default(),
             open_bytes: 0,
             tombs: Tombs::new(limits.ended_jobs),
-            covered: start,
-            copy_due: None,
+            copies: Copies::new(limits.pace),
             limits,
         }
     }
@@ -163,7 +162,6 @@
         }
         self.lose_until(offset);
         self.next = offset.next();
-        self.copy_due.get_or_insert(now + self.limits.copy_age);
         match record {
             None => Change::default(),
             Some(record) => self.take(offset, record, now),
@@ -185,10 +183,7 @@
 
     /// Returns whether a snapshot should be appended.
     pub fn is_copy_due(&self, now: Time) -> bool {
-        let changed = self.next.0 > self.covered.0 + 1;
-        let aged = self.copy_due.is_some_and(|due| now >= due);
-        let many = self.next.0 - self.covered.0 > self.limits.copy_records;
-        self.is_complete() && ((aged && self.holds_anything()) || (changed && many))
+        self.is_complete() && self.holds_anything() && self.copies.is_due(now)
     }
 
     /// Returns the state as a snapshot, none while records are missing.
@@ -217,6 +212,7 @@
         if let JobRecord::Snapshot { .. } = record.body {
             return self.take_snapshot(offset, record, now);
         }
+        self.copies.note_record(now);
         if let Some(held) = &mut self.held {
             held.push(offset, record, self.limits.held_records);
             return Change::default();
@@ -249,10 +245,10 @@
             return Change::default();
         }
         let Some(held) = self.held.take_if(|h| h.floor <= covers) else {
-            self.note_copy(covers, now);
+            self.note_copy(covers, offset, now);
             return Change::default();
         };
-        self.note_copy(covers, now);
+        self.note_copy(covers, offset, now);
         let mut change = Change::default();
         for body in [
             JobRecord::Ended(ended),
@@ -266,10 +262,9 @@
         change
     }
 
-    fn note_copy(&mut self, covers: Offset, now: Time) {
-        if self.is_complete() && covers > self.covered {
-            self.covered = covers;
-            self.copy_due = Some(now + self.limits.copy_age);
+    fn note_copy(&mut self, covers: Offset, offset: Offset, now: Time) {
+        if self.is_complete() {
+            self.copies.note_copy(covers, offset, now);
         }
     }
 
--- a/crates/kingcupwinch-coord/src/lib.rs
+++ b/crates/kingcupwinch-coord/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each part takes an event and the current time and returns actions; none does I/O or reads a
 //! clock, so one sequence of events always gives the same result.
 
+mod copies;
 pub mod dedupe;
 pub mod hash;
 pub mod history;
--- a/crates/kingcupwinch-coord/tests/history.rs
+++ b/crates/kingcupwinch-coord/tests/history.rs
@@ -206,6 +206,37 @@
     assert!(!history.is_copy_due(Time::ZERO));
 }
 
+#[test]
+fn steady_publications_do_not_put_snapshots_off_and_copies_do_not_call_for_more() {
+    let limits = Limits::new().with_copies(Span::from_secs(10), 2);
+    let mut history = History::new(Offset(0), limits);
+    for n in 0..3 {
+        apply(&mut history, n, publish(n.into(), n));
+    }
+    assert!(
+        history.is_copy_due(Time::ZERO),
+        "three records, none covered"
+    );
+    for offset in 3..9 {
+        let applied = apply(&mut history, offset, copy(90, 3, 2, 3));
+        assert_eq!(applied, Applied::Copy);
+    }
+    assert!(!history.is_copy_due(Time::ZERO), "copies alone");
+}
+
+#[test]
+fn instances_do_not_append_snapshots_at_once() {
+    let due = |seed| {
+        let limits = Limits::new().with_copies(Span::from_secs(10), 1_000);
+        let mut history = History::new(Offset(0), limits.with_spread(seed));
+        apply(&mut history, 0, publish(1, 0));
+        let at = (10..16).find(|s| history.is_copy_due(Time::from_millis(s * 1_000)));
+        at.expect("within one and a half times the age")
+    };
+    assert_eq!(due(0), 10);
+    assert_eq!(due(512), 13);
+}
+
 #[test]
 fn past_versions_are_bounded() {
     let limits = Limits::new().with_past(2, 1_000);
--- a/crates/kingcupwinch-daemon/src/actors/config.rs
+++ b/crates/kingcupwinch-daemon/src/actors/config.rs
@@ -59,7 +59,8 @@
     type Error = Infallible;
 
     async fn on_start(args: ConfigArgs, _me: ActorRef<Self>) -> Result<Self, Infallible> {
-        let history = History::new(Offset(0), Limits::new());
+        let limits = Limits::new().with_spread(args.shared.seed());
+        let history = History::new(Offset(0), limits);
         Ok(Config {
             args,
             history,
--- a/crates/kingcupwinch-daemon/src/actors/jobs.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs.rs
@@ -75,10 +75,11 @@
     type Error = Infallible;
 
     async fn on_start(args: JobsArgs, me: ActorRef<Self>) -> Result<Self, Infallible> {
+        let limits = Limits::new().with_spread(args.shared.seed());
         let mut keeper = JobKeeper {
             args,
             me,
-            jobs: Jobs::new(Offset(0), Limits::new()),
+            jobs: Jobs::new(Offset(0), limits),
             commit: Commit::new(Pace::new()),
             homes: FxHashMap::default(),
             work: FxHashMap::default(),
--- a/crates/kingcupwinch-daemon/src/shared.rs
+++ b/crates/kingcupwinch-daemon/src/shared.rs
@@ -146,6 +146,11 @@
 }
 
 impl Shared {
+    /// Returns a number that differs between incarnations.
+    pub(crate) fn seed(&self) -> u64 {
+        self.incarnation.0.as_u64_pair().1
+    }
+
     /// Returns the current time.
     pub(crate) fn now(&self) -> Time {
         self.clock.now()
