--- a/crates/kingcupwinch-coord/src/lib.rs
+++ b/crates/kingcupwinch-coord/src/lib.rs
@@ -19,6 +19,7 @@
 //! assert!(shard_of(key, 16).0 < 16);
 //! ```
 
+mod copies;
 pub mod dedupe;
 pub mod hash;
 pub mod history;
