Split the large files of the policy and count contracts

Victims, the fleet's searches, the audit and the driver's runs, faults and arrivals have modules of their own; the table is the same. The part of its contract that a customer uses can be read.

--- a/crates/kingcupwinch-policy/examples/measure/driver.rs
+++ b/crates/kingcupwinch-policy/examples/measure/driver.rs
@@ -1,25 +1,26 @@
 //! The event loop: arrivals, ends and faults from a heap, fed to a scheduler.
 
+mod arrivals;
+mod faults;
 mod figures;
 mod load;
+mod runs;
 
 use std::cmp::{Ordering, Reverse};
 use std::collections::{BTreeMap, BinaryHeap};
 use std::time::Instant;
 
 use kingcupwinch_policy::{
-    Cell, Decision, Dimension, End, GangSpec, MachineKey, MachineSpec, Next, Outcome, Placement,
-    Size, TaskKey, TaskSpec,
+    Cell, Decision, Dimension, MachineKey, MachineSpec, Outcome, Placement, Size, TaskKey,
 };
 use kingcupwinch_time::{Span, Time};
-use rand::seq::SliceRandom;
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use slotmap::SecondaryMap;
 
 pub(crate) use self::figures::Figures;
 use self::figures::Meter;
-use self::load::{Rates, spread};
+use self::load::Rates;
 use crate::baseline::{Baseline, Choice};
 use crate::scenario::{Scenario, Trouble, Who};
 use crate::scheduler::{Policy, Scheduler};
@@ -256,16 +257,6 @@
         }
     }
 
-    /// Submits the work that runs in the steady state.
-    fn fill(&mut self, stream: usize) {
-        let run = self.scenario.site.streams[stream].run.as_secs_f64();
-        let count = (self.rates.each_second[stream] * run) as usize;
-        for _ in 0..count {
-            let done = self.rng.random::<f64>();
-            self.arrive(stream, 1.0 - done);
-        }
-    }
-
     fn go(&mut self) {
         let end = Time::ZERO + self.scenario.end;
         let mut out = Vec::new();
@@ -369,74 +360,6 @@
         }
     }
 
-    fn plan_arrival(&mut self, stream: usize) {
-        let mut rate = self.rates.each_second[stream];
-        let burst = Time::ZERO + self.scenario.warm + FAULT_AFTER;
-        let urgent = self.scenario.site.streams[stream].is_urgent();
-        let during = self.now >= burst && self.now < burst + BURST;
-        if self.scenario.trouble == Trouble::Burst && urgent && during {
-            rate *= BURST_FACTOR;
-        }
-        let wait = -(1.0 - self.rng.random::<f64>()).ln() / rate;
-        let at = self.now + Span::from_micros((wait * 1e6) as u64);
-        self.push(at, Event::Arrive(stream));
-    }
-
-    /// Submits work of a stream of which this part is left to run.
-    fn arrive(&mut self, stream: usize, part: f64) {
-        let (spec, whole) = self.describe(stream);
-        let left = Span::from_micros((whole.as_micros() as f64 * part) as u64 + 1);
-        let count = self.rates.gangs[stream];
-        self.meter.submitted(stream, self.now);
-        if count > 1 {
-            let gang = GangSpec::new(spec, count);
-            match self.scheduler.submit_gang(gang, self.now) {
-                Ok(ticket) => ticket
-                    .tasks
-                    .into_iter()
-                    .enumerate()
-                    .for_each(|(i, t)| self.know(t, stream, left, i == 0)),
-                Err(_) => self.meter.refused(stream, self.now),
-            }
-            return;
-        }
-        match self.scheduler.submit(spec, self.now) {
-            Ok(key) => self.know(key, stream, left, true),
-            Err(_) => self.meter.refused(stream, self.now),
-        }
-    }
-
-    /// Draws a task: as declared, and its true run.
-    fn describe(&mut self, stream: usize) -> (TaskSpec, Span) {
-        let s = &self.scenario.site.streams[stream];
-        let left = spread(s.run, &mut self.rng);
-        let (mut size, mut run) = (s.size, s.run);
-        if self.scenario.trouble == Trouble::Declarations {
-            let noise = 1.0 + DECLARED_NOISE * (2.0 * self.rng.random::<f64>() - 1.0);
-            let factor = DECLARED[stream % DECLARED.len()] * noise;
-            run = Span::from_micros((run.as_micros() as f64 * factor) as u64);
-            size = load::declared(&size, factor, &self.scenario.site.capacity);
-        }
-        let customers = self.scenario.site.customers;
-        let customer = (self.rng.random::<f64>().powi(2) * customers as f64) as usize;
-        let (class, customer) = self.rates.keys(stream, customer);
-        let spec = TaskSpec::new(class, customer, size, run).with_idempotent(s.idempotent);
-        (spec, left)
-    }
-
-    fn know(&mut self, key: TaskKey, stream: usize, left: Span, counted: bool) {
-        self.job_of.insert(key, self.jobs.len());
-        self.jobs.push(Job {
-            stream,
-            arrived: self.now,
-            size: self.scenario.site.streams[stream].size,
-            left,
-            counted,
-            started: false,
-            run: None,
-        });
-    }
-
     fn carry_out(&mut self, decision: Decision) {
         match decision {
             Decision::Start(place) => self.start(place),
@@ -454,186 +377,6 @@
             }
         }
     }
-
-    fn start(&mut self, place: Placement) {
-        let job = self.job_of[place.task];
-        let machine = &mut self.machines[self.machine_of[place.machine]];
-        self.version += 1;
-        let (speed, fails) = (machine.speed, machine.fails);
-        let task = &mut self.jobs[job];
-        assert!(task.run.is_none(), "a task runs in two places");
-        machine.used = machine.used.plus(&task.size);
-        let over = machine.used.exceeds(&machine.capacity).is_some();
-        self.meter.ran(task.stream, &task.size, self.now);
-        self.meter.began(over);
-        if !std::mem::replace(&mut task.started, true) {
-            self.meter
-                .started(task.stream, task.arrived, task.counted, self.now);
-        }
-        task.run = Some(Run {
-            place,
-            since: self.now,
-            marked: self.now,
-            pace: speed,
-            throttle: 0,
-            version: self.version,
-        });
-        if fails {
-            self.plan_end(job, FAIL_TIME, Outcome::Failed);
-        } else {
-            let time = span_at(self.jobs[job].left, speed);
-            self.plan_end(job, time, Outcome::Done);
-        }
-    }
-
-    fn plan_end(&mut self, job: usize, after: Span, outcome: Outcome) {
-        if let Some(run) = &self.jobs[job].run {
-            let version = run.version;
-            self.push(
-                self.now + after,
-                Event::End {
-                    job,
-                    version,
-                    outcome,
-                },
-            );
-        }
-    }
-
-    fn interrupt(&mut self, place: Placement, after: Span, outcome: Outcome) {
-        let job = self.job_of[place.task];
-        self.plan_end(job, after, outcome);
-    }
-
-    /// Changes the pace of a run and plans its end anew.
-    fn throttle(&mut self, place: Placement, percent: u8) {
-        let job = self.job_of[place.task];
-        let machine = self.machine_of[place.machine];
-        self.mark(job);
-        self.version += 1;
-        let version = self.version;
-        let pace = self.machines[machine].speed * f64::from(100 - percent) / 100.0;
-        let before = self.jobs[job].using();
-        if let Some(run) = &mut self.jobs[job].run {
-            run.pace = pace;
-            run.throttle = percent;
-            run.version = version;
-        }
-        let after = self.jobs[job].using();
-        let used = &mut self.machines[machine].used;
-        *used = used.minus(&before).plus(&after);
-        let stream = self.jobs[job].stream;
-        self.meter.stopped_using(stream, &before, self.now);
-        self.meter.ran(stream, &after, self.now);
-        let time = span_at(self.jobs[job].left, pace);
-        self.plan_end(job, time, Outcome::Done);
-        if percent > 0 {
-            self.push(self.now + THROTTLE_TIME, Event::Throttled { job, version });
-        }
-    }
-
-    /// Takes the progress since the last mark off what is left.
-    fn mark(&mut self, job: usize) {
-        let now = self.now;
-        let job = &mut self.jobs[job];
-        if let Some(run) = &mut job.run {
-            let done = now.since(run.marked).as_micros() as f64 * run.pace;
-            job.left = job.left - Span::from_micros(done as u64);
-            run.marked = now;
-        }
-    }
-
-    fn present(&self, job: usize, version: u32) -> Option<Placement> {
-        let run = self.jobs[job].run.as_ref()?;
-        (run.version == version).then_some(run.place)
-    }
-
-    fn end(&mut self, job: usize, version: u32, outcome: Outcome) {
-        let Some(place) = self.present(job, version) else {
-            return;
-        };
-        let machine = &mut self.machines[self.machine_of[place.machine]];
-        if machine.gone && outcome != Outcome::Lost {
-            return;
-        }
-        let using = self.jobs[job].using();
-        machine.used = machine.used.minus(&using);
-        let whole = self.jobs[job].left;
-        if outcome == Outcome::Checkpointed {
-            self.mark(job);
-        }
-        let task = &mut self.jobs[job];
-        let Some(run) = task.run.take() else {
-            return;
-        };
-        if outcome != Outcome::Checkpointed {
-            task.left = whole;
-        }
-        let kept = outcome == Outcome::Done || outcome == Outcome::Checkpointed;
-        if outcome != Outcome::Lost {
-            self.meter.stopped_using(task.stream, &using, self.now);
-        }
-        if !kept && outcome != Outcome::Lost {
-            self.meter.lost(&using, run.since, self.now);
-        }
-        let end = End::new(outcome, self.now - run.since).with_peak(task.size);
-        let next = self.scheduler.ended(place, end, self.now);
-        if outcome == Outcome::Done {
-            self.meter.done(task.stream, task.arrived);
-        } else if task.counted && next != Next::Requeued {
-            self.meter.refused(task.stream, task.arrived);
-        }
-    }
-
-    fn lose(&mut self) {
-        let mut all: Vec<usize> = (0..self.machines.len()).collect();
-        all.shuffle(&mut self.rng);
-        all.truncate(self.machines.len() / 5);
-        for &index in &all {
-            let machine = &mut self.machines[index];
-            machine.gone = true;
-            self.meter.lose(&machine.capacity, self.now);
-            self.scheduler.remove_machine(machine.key, self.now);
-        }
-        for job in 0..self.jobs.len() {
-            let Some(run) = &self.jobs[job].run else {
-                continue;
-            };
-            if !self.machines[self.machine_of[run.place.machine]].gone {
-                continue;
-            }
-            let (using, since) = (self.jobs[job].using(), run.since);
-            self.meter
-                .stopped_using(self.jobs[job].stream, &using, self.now);
-            self.meter.lost(&using, since, self.now);
-            self.plan_end(job, LEASE, Outcome::Lost);
-        }
-    }
-
-    fn send_wave(&mut self) {
-        for _ in 0..WAVE {
-            let (spec, left) = self.describe(1);
-            if let Ok(key) = self.scheduler.submit(spec, self.now) {
-                self.know(key, 1, left, false);
-                self.wave.push(key);
-            }
-        }
-        self.push(self.now + WAVE_LIFE, Event::CancelWave);
-    }
-
-    fn sample(&mut self) {
-        let queued: Vec<usize> = (0..self.scenario.site.streams.len())
-            .map(|s| self.scheduler.queued(s))
-            .collect();
-        self.meter.sample(&queued, self.now);
-        if self.scenario.trouble == Trouble::Declarations {
-            for machine in &self.machines {
-                self.scheduler
-                    .observe(machine.key, machine.used, self.now - REPORT_LAG);
-            }
-        }
-        self.push(self.now + SAMPLE_EVERY, Event::Sample);
-    }
 }
 
 fn span_at(left: Span, pace: f64) -> Span {
--- /dev/null
+++ b/crates/kingcupwinch-policy/examples/measure/driver/faults.rs
@@ -0,0 +1,59 @@
+//! Faults, waves and samples.
+
+use kingcupwinch_policy::Outcome;
+use rand::seq::SliceRandom;
+
+use super::{Driver, Event, LEASE, REPORT_LAG, SAMPLE_EVERY, WAVE, WAVE_LIFE};
+use crate::scenario::Trouble;
+
+impl Driver<'_> {
+    pub(super) fn lose(&mut self) {
+        let mut all: Vec<usize> = (0..self.machines.len()).collect();
+        all.shuffle(&mut self.rng);
+        all.truncate(self.machines.len() / 5);
+        for &index in &all {
+            let machine = &mut self.machines[index];
+            machine.gone = true;
+            self.meter.lose(&machine.capacity, self.now);
+            self.scheduler.remove_machine(machine.key, self.now);
+        }
+        for job in 0..self.jobs.len() {
+            let Some(run) = &self.jobs[job].run else {
+                continue;
+            };
+            if !self.machines[self.machine_of[run.place.machine]].gone {
+                continue;
+            }
+            let (using, since) = (self.jobs[job].using(), run.since);
+            self.meter
+                .stopped_using(self.jobs[job].stream, &using, self.now);
+            self.meter.lost(&using, since, self.now);
+            self.plan_end(job, LEASE, Outcome::Lost);
+        }
+    }
+
+    pub(super) fn send_wave(&mut self) {
+        for _ in 0..WAVE {
+            let (spec, left) = self.describe(1);
+            if let Ok(key) = self.scheduler.submit(spec, self.now) {
+                self.know(key, 1, left, false);
+                self.wave.push(key);
+            }
+        }
+        self.push(self.now + WAVE_LIFE, Event::CancelWave);
+    }
+
+    pub(super) fn sample(&mut self) {
+        let queued: Vec<usize> = (0..self.scenario.site.streams.len())
+            .map(|s| self.scheduler.queued(s))
+            .collect();
+        self.meter.sample(&queued, self.now);
+        if self.scenario.trouble == Trouble::Declarations {
+            for machine in &self.machines {
+                self.scheduler
+                    .observe(machine.key, machine.used, self.now - REPORT_LAG);
+            }
+        }
+        self.push(self.now + SAMPLE_EVERY, Event::Sample);
+    }
+}
--- a/crates/kingcupwinch-policy/src/cell.rs
+++ b/crates/kingcupwinch-policy/src/cell.rs
@@ -12,6 +12,7 @@
 mod submit;
 #[cfg(test)]
 mod tests;
+mod victims;
 
 use std::collections::BTreeSet;
 
@@ -195,6 +196,13 @@
             .map_or(0.0, |c| c.used.dominant_share(capacity))
     }
 
+    /// Returns the part of its paid share that a customer uses, over 1 where it is lent more; none if
+    /// it has paid for nothing.
+    pub fn paid_use(&self, customer: CustomerKey) -> Option<f64> {
+        let paid = self.customers.get(customer.index())?.spec.contract.paid;
+        (paid > 0.0).then(|| self.customer_share(customer) / paid)
+    }
+
     /// Returns what is counted on machines that are not gone.
     pub fn used(&self) -> Size {
         *self.fleet.used()
--- /dev/null
+++ b/crates/kingcupwinch-policy/src/cell/tests/audit.rs
@@ -0,0 +1,140 @@
+//! The invariants of a cell.
+
+use rustc_hash::FxHashMap;
+
+use super::World;
+use crate::key::TaskKey;
+use crate::machine::{Keep, Standing, Watch};
+use crate::size::Size;
+use crate::task::{Asked, Phase};
+
+impl World {
+    pub(super) fn audit(&self) {
+        self.audit_machines();
+        self.audit_tasks();
+        self.audit_sums();
+    }
+
+    fn audit_machines(&self) {
+        let cell = &self.cell;
+        let (mut used, mut free, mut confined) = (Size::ZERO, Size::ZERO, 0);
+        let mut places = [0; 2];
+        for (key, m) in cell.fleet.iter() {
+            assert!(
+                m.used.fits(&m.spec.capacity),
+                "a machine is over its capacity"
+            );
+            let mut sum = Size::ZERO;
+            let (mut movable, mut throttled) = (0, 0);
+            for (position, &task) in m.running.iter().enumerate() {
+                let run = *cell.tasks[task].run().unwrap();
+                assert_eq!((run.machine, run.position as usize), (key, position));
+                sum = sum.plus(&run.charge);
+                movable += u32::from(cell.is_movable(&cell.tasks[task]));
+                throttled += u32::from(run.asked == Asked::Throttled);
+            }
+            let holds = cell.holds.values().filter(|h| h.machine == key);
+            sum = holds.fold(sum, |s, h| s.plus(&h.size));
+            if m.standing != Standing::Gone {
+                assert_eq!(m.used, sum);
+                used = used.plus(&sum);
+            }
+            assert_eq!((m.movable.count, m.throttled), (movable, throttled));
+            confined += usize::from(m.standing == Standing::Quarantined);
+            if m.standing == Standing::Active && !matches!(m.keep, Some(Keep::Gang(..))) {
+                free = free.plus(&m.free());
+                for watch in Watch::ALL {
+                    places[watch as usize] += cell.fleet.unit(watch).times_in(&m.free());
+                }
+            }
+            assert_eq!(m.spot.is_some(), m.standing == Standing::Active);
+        }
+        assert_eq!((*cell.fleet.used(), *cell.fleet.free()), (used, free));
+        assert_eq!(Watch::ALL.map(|w| cell.fleet.places(w)), places);
+        assert_eq!(cell.fleet.confined(), confined);
+        assert!(confined * 5 <= cell.fleet.len() + 5 * self.machines.len());
+        let racks = cell.fleet.racks().iter();
+        assert_eq!(racks.fold(Size::ZERO, |s, r| s.plus(&r.free)), free);
+    }
+
+    fn audit_tasks(&self) {
+        let cell = &self.cell;
+        let queued: FxHashMap<TaskKey, _> = cell
+            .classes
+            .iter()
+            .flat_map(|c| c.queue.iter())
+            .map(|(rank, key)| (key, rank))
+            .collect();
+        let listed: usize = cell.classes.iter().map(|c| c.queue.iter().count()).sum();
+        assert_eq!(queued.len(), listed, "a task stands in two queues");
+        for (key, task) in &cell.tasks {
+            let places = [
+                queued.contains_key(&key),
+                cell.delayed.iter().any(|(_, k)| *k == key),
+                cell.claims.iter().any(|(_, k)| *k == key),
+                self.running.iter().any(|p| p.task == key),
+            ];
+            let count = places.into_iter().filter(|p| *p).count();
+            let expected = match task.phase {
+                Phase::Queued(rank) => queued.get(&key) == Some(&rank),
+                Phase::Delayed(until) => cell.delayed.contains(&(until, key)),
+                Phase::Claiming(claim) => cell.claimant(claim.machine) == Some(key),
+                Phase::Running(_) => places[3],
+                Phase::Ganged => task.gang.is_some(),
+            };
+            assert!(expected, "{task:?} is not where its phase says");
+            assert_eq!(count, usize::from(task.phase != Phase::Ganged));
+        }
+        for place in &self.running {
+            assert!(cell.tasks[place.task].run().is_some());
+        }
+    }
+
+    fn audit_sums(&self) {
+        let cell = &self.cell;
+        for (index, class) in cell.classes.iter().enumerate() {
+            let tasks = cell
+                .tasks
+                .values()
+                .filter(|t| t.spec.class.index() == index);
+            let runs: Vec<_> = tasks.filter_map(|t| t.run()).collect();
+            let sum = runs.iter().fold(Size::ZERO, |s, r| s.plus(&r.charge));
+            assert_eq!((class.used, class.running), (sum, runs.len() as u32));
+            assert_eq!(class.queue.len(), class.queue.iter().count());
+        }
+        for (index, customer) in cell.customers.iter().enumerate() {
+            let tasks = cell
+                .tasks
+                .values()
+                .filter(|t| t.spec.customer.index() == index);
+            let (runs, waits): (Vec<_>, Vec<_>) = tasks.partition(|t| t.run().is_some());
+            let sum = runs
+                .iter()
+                .filter_map(|t| t.run())
+                .fold(Size::ZERO, |s, r| s.plus(&r.charge));
+            let counts = (customer.running, customer.waiting);
+            assert_eq!(
+                (customer.used, counts),
+                (sum, (runs.len() as u32, waits.len() as u32))
+            );
+        }
+        let grants = cell.credits.values();
+        assert_eq!(
+            cell.granted,
+            grants.map(|c| u64::from(c.count)).sum::<u64>()
+        );
+        for gang in cell.gangs.values() {
+            let running = gang
+                .tasks
+                .iter()
+                .filter_map(|t| cell.tasks.get(*t)?.run())
+                .count();
+            let alive = gang
+                .tasks
+                .iter()
+                .filter(|t| cell.tasks.contains_key(**t))
+                .count();
+            assert_eq!((gang.running, gang.alive), (running as u32, alive as u32));
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-policy/src/fleet/search.rs
@@ -0,0 +1,108 @@
+//! Questions about room: what fits where, and how often.
+
+use rand_chacha::ChaCha8Rng;
+
+use super::{Fleet, KEPT, TIERS};
+use crate::index::Visit;
+use crate::key::MachineKey;
+use crate::machine::{Machine, Watch};
+use crate::refusal::Refusal;
+use crate::size::Size;
+
+impl Fleet {
+    /// Returns how many tasks of a watched size fit on open machines.
+    pub(crate) fn places(&self, watch: Watch) -> u64 {
+        self.places[watch as usize]
+    }
+
+    /// Returns a watched size.
+    pub(crate) fn unit(&self, watch: Watch) -> &Size {
+        &self.units[watch as usize]
+    }
+
+    /// Changes a watched size and counts its places anew.
+    pub(crate) fn watch(&mut self, watch: Watch, unit: Size) {
+        let index = watch as usize;
+        if self.units[index] == unit {
+            return;
+        }
+        self.units[index] = unit;
+        self.places[index] = 0;
+        for machine in self.machines.values_mut() {
+            machine.places[index] = unit.times_in(&machine.shown);
+            self.places[index] += machine.places[index];
+        }
+    }
+
+    /// Returns how many places of a watched size a machine loses to work of this size.
+    pub(crate) fn places_lost(&self, key: MachineKey, watch: Watch, need: &Size) -> u64 {
+        let unit = self.unit(watch);
+        self.get(key)
+            .map_or(0, |m| m.places_lost(watch, unit, need))
+    }
+
+    /// Visits open machines of a tier that may fit; see [`FreeIndex::visit`].
+    pub(crate) fn visit(
+        &self,
+        tier: usize,
+        need: &Size,
+        cap: usize,
+        rng: &mut ChaCha8Rng,
+        mut visitor: impl FnMut(MachineKey, &Machine, &Size) -> bool,
+    ) {
+        self.indexes[tier].visit(&self.buckets, need, cap, rng, |key| {
+            let machine = &self.machines[key];
+            let free = machine.free();
+            if !need.fits(&free) {
+                return Visit::Misfit;
+            }
+            if visitor(key, machine, &free) {
+                Visit::Fits
+            } else {
+                Visit::Stop
+            }
+        });
+    }
+
+    /// Visits machines kept for a gang that may fit.
+    pub(crate) fn visit_kept(
+        &self,
+        need: &Size,
+        cap: usize,
+        rng: &mut ChaCha8Rng,
+        visitor: impl FnMut(MachineKey, &Machine, &Size) -> bool,
+    ) {
+        self.visit(usize::from(KEPT), need, cap, rng, visitor);
+    }
+
+    /// Returns a lower bound of how many tasks of this size fit on open machines.
+    pub(crate) fn places_floor(&self, need: &Size) -> u64 {
+        self.indexes[..TIERS]
+            .iter()
+            .filter(|i| i.len() > 0)
+            .map(|i| i.places_floor(&self.buckets, need))
+            .sum()
+    }
+
+    /// Returns why no machine could ever hold this size.
+    pub(crate) fn misfit(&self, need: &Size) -> Option<Refusal> {
+        let elsewhere = self.elsewhere.as_ref()?;
+        let shapes = || self.shapes.keys().chain(elsewhere);
+        if shapes().any(|s| need.fits(s)) {
+            return None;
+        }
+        let largest = shapes().fold(Size::ZERO, |m, s| m.max(s));
+        Some(
+            need.exceeds(&largest)
+                .map_or(Refusal::NoShape, Refusal::TooLarge),
+        )
+    }
+
+    /// Returns how many tasks of this size the empty machines could hold.
+    pub(crate) fn places_ever(&self, need: &Size) -> u64 {
+        self.shapes
+            .iter()
+            .map(|(shape, count)| need.times_in(shape) * u64::from(*count))
+            .sum()
+    }
+}
--- a/crates/kingcupwinch-policy/src/plan.rs
+++ b/crates/kingcupwinch-policy/src/plan.rs
@@ -10,6 +10,9 @@
 /// The most classes, customers or racks that a cell tracks.
 pub const MAX_ENTRIES: usize = 4096;
 
+/// The most that the paid shares may sum to, with room for rounding.
+const PAID_LIMIT: f64 = 1.0 + 1e-6;
+
 /// A fraction in thousandths, from 0 to 1000.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Permille(pub u16);
@@ -355,6 +358,10 @@
         {
             return bad("a customer's weight must be above zero");
         }
+        let paid = self.customers.iter().map(|c| c.contract.paid);
+        if paid.clone().any(|p| !(0.0..=1.0).contains(&p)) || paid.sum::<f64>() > PAID_LIMIT {
+            return bad("the paid shares must not be negative nor exceed the whole cell");
+        }
         let class_rates = self.classes.iter().filter_map(|c| c.rate);
         let customer_rates = self.customers.iter().filter_map(|c| c.rate);
         if class_rates.chain(customer_rates).any(|r| !rate_is_valid(r)) {
--- a/crates/kingcupwinch-policy/tests/placement.rs
+++ b/crates/kingcupwinch-policy/tests/placement.rs
@@ -4,8 +4,8 @@
 
 use common::{ALL_MEANS, Bench, UNIT, urgent_and_batch};
 use kingcupwinch_policy::{
-    ClassSpec, CustomerSpec, Decision, End, Kind, MachineSpec, Means, Outcome, Permille, Plan,
-    Size, TaskKey, Usage,
+    ClassSpec, Contract, CustomerSpec, Decision, End, Kind, MachineSpec, Means, Outcome, Permille,
+    Plan, Size, TaskKey, Usage,
 };
 use kingcupwinch_time::{Span, Time};
 
@@ -85,6 +85,26 @@
     assert_eq!(shares, [0.25, 0.75]);
 }
 
+#[test]
+fn the_use_of_a_contract_is_counted_over_what_is_paid() {
+    let customer = CustomerSpec::new("b", 1.0).with_contract(Contract { paid: 0.5 });
+    let class = ClassSpec::new("work", Kind::Batch, 1);
+    let mut bench = Bench::new(Plan::new().with_class(class).with_customer(customer));
+    bench.machine("r", 8);
+    let mut spec = bench.spec("work", 2);
+    spec.customer = bench.customer("b");
+    bench.run(spec);
+    assert_eq!(bench.cell.paid_use(spec.customer), Some(0.5));
+    bench.run(spec);
+    bench.run(spec);
+    assert_eq!(
+        bench.cell.paid_use(spec.customer),
+        Some(1.5),
+        "lent beyond the contract"
+    );
+    assert_eq!(bench.cell.paid_use(bench.customer("a")), None);
+}
+
 #[test]
 fn a_least_share_comes_before_a_higher_band_and_a_most_share_is_a_lid() {
     let high = ClassSpec::new("high", Kind::Batch, 1).with_shares(Permille::NONE, Permille(500));
