Repeat orders to running tasks until they are answered

A stop, checkpoint or throttle that was lost on the way was never given again: a cancelled task ran to its end, and a victim kept what it was to give back. Whether a run is movable is kept with the run: a plan that changed a class's means made the count of movable tasks underflow, which the property test now covers.

--- a/crates/kingcupwinch-policy/src/cell.rs
+++ b/crates/kingcupwinch-policy/src/cell.rs
@@ -1,5 +1,6 @@
 //! The machines of one owner and the work that waits and runs on them.
 
+mod asks;
 mod credits;
 mod decide;
 mod events;
@@ -63,6 +64,8 @@
     delayed: BTreeSet<(Time, TaskKey)>,
     /// Ends of claims.
     claims: BTreeSet<(Time, TaskKey)>,
+    /// When orders without an answer are given again.
+    asks: BTreeSet<(Time, TaskKey)>,
     /// Ends of credits.
     expiries: BTreeSet<(Time, CreditKey)>,
     /// Times of probes.
@@ -103,6 +106,7 @@
             deadlines: BTreeSet::new(),
             delayed: BTreeSet::new(),
             claims: BTreeSet::new(),
+            asks: BTreeSet::new(),
             expiries: BTreeSet::new(),
             probes: BTreeSet::new(),
             ready: Vec::new(),
@@ -234,6 +238,7 @@
             self.deadlines.first().map(|d| d.0),
             self.delayed.first().map(|d| d.0),
             self.claims.first().map(|d| d.0),
+            self.asks.first().map(|d| d.0),
             self.expiries.first().map(|d| d.0),
             self.probes.first().map(|d| d.0),
             (!self.relief.is_empty()).then_some(self.relief_due),
--- a/crates/kingcupwinch-policy/src/cell/decide.rs
+++ b/crates/kingcupwinch-policy/src/cell/decide.rs
@@ -49,6 +49,7 @@
         self.end_waits(now, out);
         self.end_claims(now);
         self.end_credits(now);
+        self.repeat_asks(now, out);
         self.serve_claims(now, out);
         self.serve_reservations(now, out);
         self.serve_probes(now, out);
--- a/crates/kingcupwinch-policy/src/cell/events.rs
+++ b/crates/kingcupwinch-policy/src/cell/events.rs
@@ -8,7 +8,7 @@
 use crate::plan::Kind;
 use crate::refusal::{Fault, Refusal};
 use crate::size::Dimension;
-use crate::task::{Asked, Phase, Run};
+use crate::task::{Asked, Run};
 
 impl Cell {
     /// A worker refused a start, or nothing was written to it: the task certainly did not run.
@@ -86,7 +86,7 @@
     /// # Errors
     ///
     /// [`Fault`] if this run is not the present one, or nothing was asked of it.
-    pub fn throttled(&mut self, place: Placement, _now: Time) -> Result<(), Fault> {
+    pub fn throttled(&mut self, place: Placement, now: Time) -> Result<(), Fault> {
         let run = self.present_run(place)?;
         let Asked::Throttle(percent) = run.asked else {
             return Err(Fault::WrongState);
@@ -94,10 +94,7 @@
         let share = run.charge.get(Dimension::Millicores);
         let left = share - share * u64::from(percent) / 100;
         self.recharge(place.task, Dimension::Millicores, left);
-        if let Phase::Running(run) = &mut self.tasks[place.task].phase {
-            run.asked = Asked::Throttled;
-        }
-        self.fleet.update(run.machine, |m| m.throttled += 1);
+        self.set_asked(place.task, &run, Asked::Throttled, now);
         self.note_release(run.machine);
         Ok(())
     }
--- a/crates/kingcupwinch-policy/src/cell/gangs.rs
+++ b/crates/kingcupwinch-policy/src/cell/gangs.rs
@@ -8,7 +8,7 @@
 
 use super::Cell;
 use super::decide::Try;
-use crate::decision::{Decision, Next, Placement, Placements};
+use crate::decision::{Decision, Next, Placements};
 use crate::fleet::TIERS;
 use crate::gang::{RACK_CANDIDATES, RackChoice, Spread};
 use crate::key::{GangKey, MachineKey, RackKey, TaskKey};
@@ -191,7 +191,7 @@
         }
         if !self.gangs[key].broken {
             self.gangs[key].broken = true;
-            self.stop_members(key);
+            self.stop_members(key, now);
         }
         self.settle_gang(key, now);
         if self.tasks.contains_key(task) {
@@ -201,13 +201,12 @@
         }
     }
 
-    fn stop_members(&mut self, key: GangKey) {
+    fn stop_members(&mut self, key: GangKey, now: Time) {
         let members = self.gangs[key].tasks.clone();
         for task in members {
             let run = self.tasks.get(task).and_then(|t| t.run().copied());
             if let Some(run) = run {
-                let place: Placement = self.placement(task, &run);
-                self.order_stop(place, &run);
+                self.order_stop(task, &run, now);
             }
         }
     }
--- a/crates/kingcupwinch-policy/src/cell/reclaim.rs
+++ b/crates/kingcupwinch-policy/src/cell/reclaim.rs
@@ -4,11 +4,11 @@
 use smallvec::SmallVec;
 
 use super::Cell;
-use super::victims::{Claimant, Reclaim};
+use super::victims::Claimant;
 use crate::decision::Decision;
 use crate::key::{MachineKey, TaskKey};
 use crate::size::{Dimension, Size};
-use crate::task::{Asked, Claim, Phase, Run};
+use crate::task::{Asked, Claim, Phase};
 
 /// How long a claim waits for others to leave.
 pub(super) const CLAIM_LIFE: Span = Span::from_secs(5);
@@ -59,7 +59,7 @@
         }
         self.claim(key, need, machine, now);
         for victim in victims {
-            self.ask(victim.task, victim.means, out);
+            self.ask(victim.task, victim.means, now, out);
         }
         true
     }
@@ -116,42 +116,6 @@
         self.fleet.claim(machine, key, *need);
     }
 
-    fn ask(&mut self, key: TaskKey, means: Reclaim, out: &mut Vec<Decision>) {
-        let Some(run) = self.tasks[key].run().copied() else {
-            return;
-        };
-        let target = self.placement(key, &run);
-        let (asked, decision) = match means {
-            Reclaim::Throttle(percent) => {
-                self.counters.throttles += 1;
-                (
-                    Asked::Throttle(percent),
-                    Decision::Throttle { target, percent },
-                )
-            }
-            Reclaim::Checkpoint => {
-                self.counters.checkpoints += 1;
-                (Asked::Leave, Decision::Checkpoint(target))
-            }
-            Reclaim::Stop => {
-                self.counters.stops += 1;
-                (Asked::Leave, Decision::Stop(target))
-            }
-        };
-        self.set_asked(key, &run, asked);
-        out.push(decision);
-    }
-
-    /// Changes what was asked of a running task; a throttled one that leaves counts as such no more.
-    pub(super) fn set_asked(&mut self, key: TaskKey, run: &Run, asked: Asked) {
-        if run.asked == Asked::Throttled && asked != Asked::Throttled {
-            self.fleet.update(run.machine, |m| m.throttled -= 1);
-        }
-        if let Phase::Running(run) = &mut self.tasks[key].phase {
-            run.asked = asked;
-        }
-    }
-
     /// Asks the movable work of lower bands on a machine to leave.
     pub(super) fn clear(
         &mut self,
@@ -171,7 +135,7 @@
         };
         let victims = self.offers(running, &claimant, |t, r| self.leave_of(t, r, now));
         for victim in victims {
-            self.ask(victim.task, victim.means, out);
+            self.ask(victim.task, victim.means, now, out);
         }
     }
 
@@ -214,7 +178,7 @@
             return;
         }
         self.recharge(key, Dimension::Millicores, whole);
-        self.set_asked(key, &run, Asked::Nothing);
+        self.set_asked(key, &run, Asked::Nothing, now);
         self.counters.throttles += 1;
         let target = self.placement(key, &run);
         out.push(Decision::Throttle { target, percent: 0 });
--- a/crates/kingcupwinch-policy/src/cell/runs.rs
+++ b/crates/kingcupwinch-policy/src/cell/runs.rs
@@ -113,8 +113,10 @@
             charge,
             position: self.fleet.enlist(machine, key),
             asked: Asked::Nothing,
+            repeat: now,
+            movable: self.is_movable(task),
         };
-        if self.is_movable(task) {
+        if run.movable {
             self.fleet.count_movable(machine, true);
         }
         self.count_run(key, &charge, now);
@@ -157,7 +159,6 @@
     /// Counts a running task no longer; it is left in no list.
     pub(super) fn end_run(&mut self, key: TaskKey, run: &Run) {
         let task = &self.tasks[key];
-        let movable = self.is_movable(task);
         let class = &mut self.classes[task.spec.class.index()];
         class.used = class.used.minus(&run.charge);
         class.running -= 1;
@@ -165,13 +166,14 @@
         customer.used = customer.used.minus(&run.charge);
         customer.running -= 1;
         customer.waiting += 1;
-        if movable {
+        if run.movable {
             self.fleet.count_movable(run.machine, false);
         }
         let moved = self.fleet.delist(run.machine, run.position);
         if let Some(Phase::Running(other)) = moved.map(|m| &mut self.tasks[m].phase) {
             other.position = run.position;
         }
+        self.asks.remove(&(run.repeat, key));
         if run.asked == Asked::Throttled {
             self.fleet.update(run.machine, |m| m.throttled -= 1);
         }
--- a/crates/kingcupwinch-policy/src/cell/submit.rs
+++ b/crates/kingcupwinch-policy/src/cell/submit.rs
@@ -3,14 +3,14 @@
 use kingcupwinch_time::{Span, Time};
 
 use super::Cell;
-use crate::decision::{Cancel, Decision, GangTicket, Placement, TaskSpec};
+use crate::decision::{Cancel, GangTicket, Placement, TaskSpec};
 use crate::gang::{Gang, GangSpec};
 use crate::key::{GangKey, MachineKey, TaskKey};
 use crate::place::run_at;
 use crate::plan::Kind;
 use crate::refusal::{Fault, Refusal};
 use crate::size::{Dimension, MAX_AMOUNT, Size};
-use crate::task::{Asked, Phase, Run, Task};
+use crate::task::{Phase, Run, Task};
 
 /// The longest run that is accepted: one year.
 const MAX_RUN: Span = Span::from_secs(365 * 86_400);
@@ -104,11 +104,11 @@
     /// # Errors
     ///
     /// [`Fault::UnknownTask`], or [`Fault::NotIdempotent`] if it runs and must not be stopped.
-    pub fn cancel(&mut self, key: TaskKey, _now: Time) -> Result<Cancel, Fault> {
+    pub fn cancel(&mut self, key: TaskKey, now: Time) -> Result<Cancel, Fault> {
         let task = self.tasks.get(key).ok_or(Fault::UnknownTask)?;
         match task.gang {
-            Some(gang) => self.cancel_gang(gang),
-            None => self.cancel_one(key),
+            Some(gang) => self.cancel_gang(gang, now),
+            None => self.cancel_one(key, now),
         }
     }
 
@@ -119,7 +119,7 @@
             .count()
     }
 
-    fn cancel_gang(&mut self, gang: GangKey) -> Result<Cancel, Fault> {
+    fn cancel_gang(&mut self, gang: GangKey, now: Time) -> Result<Cancel, Fault> {
         self.drop_reservation(gang);
         let members = self.gangs[gang].tasks.clone();
         let runs = self.gangs[gang].running > 0;
@@ -131,12 +131,12 @@
             .filter(|k| self.tasks.contains_key(*k))
             .collect::<Vec<_>>()
         {
-            self.cancel_one(key)?;
+            self.cancel_one(key, now)?;
         }
         Ok(if runs { Cancel::Leaving } else { Cancel::Left })
     }
 
-    fn cancel_one(&mut self, key: TaskKey) -> Result<Cancel, Fault> {
+    fn cancel_one(&mut self, key: TaskKey, now: Time) -> Result<Cancel, Fault> {
         let task = &self.tasks[key];
         let live = self.class_of(task).spec.kind == Kind::Live;
         let class = task.spec.class.index();
@@ -150,11 +150,10 @@
             return Err(Fault::NotIdempotent);
         }
         if !task.cancelled {
-            let place = self.placement(key, &run);
             self.tasks[key].cancelled = true;
             self.classes[class].counters.cancelled += 1;
             if !live {
-                self.order_stop(place, &run);
+                self.order_stop(key, &run, now);
             }
         }
         Ok(Cancel::Leaving)
@@ -251,12 +250,6 @@
             attempt: self.tasks[key].attempts,
         }
     }
-
-    pub(super) fn order_stop(&mut self, place: Placement, run: &Run) {
-        self.set_asked(place.task, run, Asked::Leave);
-        self.counters.stops += 1;
-        self.orders.push(Decision::Stop(place));
-    }
 }
 
 fn check_spec(spec: &TaskSpec) -> Result<(), Refusal> {
--- a/crates/kingcupwinch-policy/src/cell/tests.rs
+++ b/crates/kingcupwinch-policy/src/cell/tests.rs
@@ -250,6 +250,9 @@
             Event::Replan { least } => {
                 let mut plan = plan();
                 plan.classes[1].least = Permille(least);
+                if least % 2 == 0 {
+                    plan.classes[2].means = Means::default();
+                }
                 self.cell.replan(plan, self.now).unwrap();
             }
             Event::Wait { millis } => self.now += Span::from_millis(millis),
--- a/crates/kingcupwinch-policy/src/cell/tests/audit.rs
+++ b/crates/kingcupwinch-policy/src/cell/tests/audit.rs
@@ -30,7 +30,11 @@
                 let run = *cell.tasks[task].run().unwrap();
                 assert_eq!((run.machine, run.position as usize), (key, position));
                 sum = sum.plus(&run.charge);
-                movable += u32::from(cell.is_movable(&cell.tasks[task]));
+                movable += u32::from(run.movable);
+                assert_eq!(
+                    run.asked.awaits_answer(),
+                    cell.asks.contains(&(run.repeat, task))
+                );
                 throttled += u32::from(run.asked == Asked::Throttled);
             }
             let holds = cell.holds.values().filter(|h| h.machine == key);
--- a/crates/kingcupwinch-policy/src/decision.rs
+++ b/crates/kingcupwinch-policy/src/decision.rs
@@ -42,7 +42,8 @@
         /// The part of its share that it gives back, in percent.
         percent: u8,
     },
-    /// Checkpoint a running task; answer with `ended` and `Outcome::Checkpointed`.
+    /// Checkpoint a running task; like every order without an answer, it is given again after a while.
+    /// Answer with `ended` and `Outcome::Checkpointed`.
     Checkpoint(Placement),
     /// Stop a running idempotent task; answer with `ended` and `Outcome::Stopped`.
     Stop(Placement),
--- a/crates/kingcupwinch-policy/src/task.rs
+++ b/crates/kingcupwinch-policy/src/task.rs
@@ -50,6 +50,10 @@
     pub(crate) position: u32,
     /// What was asked of it to give capacity back.
     pub(crate) asked: Asked,
+    /// When it is asked again if there is no answer.
+    pub(crate) repeat: Time,
+    /// Whether it counts among the movable work of its machine.
+    pub(crate) movable: bool,
 }
 
 /// What a running task was asked to give back.
@@ -61,8 +65,17 @@
     Throttle(u8),
     /// It is throttled.
     Throttled,
-    /// All of it, by checkpoint or stop.
-    Leave,
+    /// All of it, by a checkpoint.
+    Checkpoint,
+    /// All of it, by a stop.
+    Stop,
+}
+
+impl Asked {
+    /// Whether the worker has yet to answer.
+    pub(crate) fn awaits_answer(self) -> bool {
+        matches!(self, Asked::Throttle(_) | Asked::Checkpoint | Asked::Stop)
+    }
 }
 
 /// A task from its submission until its end.
--- a/crates/kingcupwinch-policy/tests/lending.rs
+++ b/crates/kingcupwinch-policy/tests/lending.rs
@@ -157,3 +157,19 @@
     bench.end(place, Outcome::Stopped);
     assert_eq!(bench.cell.tasks(), 0);
 }
+
+#[test]
+fn an_order_is_given_again_until_it_is_answered() {
+    let mut bench = Bench::with_kind(Kind::Batch);
+    bench.machine("r", 1);
+    let place = bench.run(bench.spec("work", 1));
+    bench.cell.cancel(place.task, bench.now).unwrap();
+    for _ in 0..3 {
+        assert_eq!(bench.decide(), [Decision::Stop(place)]);
+        assert!(bench.decide().is_empty());
+        bench.now = bench.cell.next_deadline().unwrap();
+    }
+    bench.end(place, Outcome::Stopped);
+    assert!(bench.decide().is_empty());
+    assert_eq!(bench.cell.next_deadline(), None);
+}
