--- a/crates/kingcupwinch-policy/src/cell/tests.rs
+++ b/crates/kingcupwinch-policy/src/cell/tests.rs
@@ -351,7 +351,7 @@
 }
 
 fn spec(class: u16, customer: u16, cores: u64, run: u64) -> TaskSpec {
-    let size = Size::new(cores * 500, cores * 256).with_connections(3 * u64::from(class == 0));
+    let size = Size::new(cores * 500, cores * 256).with_connections(9 * u64::from(class == 0));
     let (class, customer) = (
         crate::key::ClassKey(class),
         crate::key::CustomerKey(customer),
--- a/crates/kingcupwinch-policy/src/cell/tests/audit.rs
+++ b/crates/kingcupwinch-policy/src/cell/tests/audit.rs
@@ -5,7 +5,7 @@
 use super::World;
 use crate::key::TaskKey;
 use crate::machine::{Keep, Standing, Watch};
-use crate::size::Size;
+use crate::size::{Dimension, Size};
 use crate::task::{Asked, Phase};
 
 impl World {
@@ -20,10 +20,10 @@
         let (mut used, mut free, mut confined) = (Size::ZERO, Size::ZERO, 0);
         let mut places = [0; 2];
         for (key, m) in cell.fleet.iter() {
-            assert!(
-                m.used.fits(&m.spec.capacity),
-                "a machine is over its capacity"
-            );
+            for d in Dimension::ALL {
+                let (used, most) = (m.used.get(d), m.spec.capacity.get(d));
+                assert!(used <= most, "a machine is over its capacity in {d}");
+            }
             let mut sum = Size::ZERO;
             let (mut movable, mut throttled) = (0, 0);
             for (position, &task) in m.running.iter().enumerate() {
