--- a/crates/kingcupwinch-coord/src/ownership/coordinator.rs
+++ b/crates/kingcupwinch-coord/src/ownership/coordinator.rs
@@ -141,11 +141,9 @@
         if holding.stopping || now < holding.effective || !self.core.life.may_own() {
             return None;
         }
-        let leased = self.core.fresh_until();
-        let until = match leased {
-            Some(until) if now < until => until,
-            _ => self.excuse.until(&self.core, shard, now)?,
-        };
+        let leased = self.core.fresh_until().filter(|until| now < *until);
+        // The later of both, so that a permit read before the view lapses leaves no gap.
+        let until = leased.max(self.excuse.until(&self.core, shard, now))?;
         let term = holding.term;
         (now < until).then_some(Permit { shard, term, until })
     }
