--- a/crates/kingcupwinch-coord/src/ownership/timers.rs
+++ b/crates/kingcupwinch-coord/src/ownership/timers.rs
@@ -11,6 +11,7 @@
 const STAGGER: Span = Span::from_millis(300);
 const SETTLE: Span = Span::from_millis(1_000);
 const LIST_LAG: Span = Span::from_secs(10);
+const RESTART_LAG: Span = Span::from_secs(3);
 const SNAPSHOT_EVERY: Span = Span::from_secs(600);
 const SNAPSHOT_RECORDS: u64 = 1_000;
 const MAX_VOTERS: usize = 7;
@@ -40,8 +41,12 @@
     pub stagger: Span,
     /// How long the group and its owners must be unchanged before shards move.
     pub settle: Span,
-    /// How long the instance list must have dropped an instance before it counts as stopped.
+    /// How long the instance list must have dropped an instance before it counts as stopped. The
+    /// list must be read at least four times as often.
     pub list_lag: Span,
+    /// How long a newer incarnation of the same instance must have been a member before the older
+    /// one counts as stopped.
+    pub restart_lag: Span,
     /// Whether the instance list, or a newer incarnation of the same instance, is evidence that
     /// an instance has stopped.
     pub trust_list: bool,
@@ -71,6 +76,7 @@
             stagger: STAGGER,
             settle: SETTLE,
             list_lag: LIST_LAG,
+            restart_lag: RESTART_LAG,
             trust_list: true,
             snapshot_every: SNAPSHOT_EVERY,
             snapshot_records: SNAPSHOT_RECORDS,
@@ -134,6 +140,12 @@
         self
     }
 
+    /// Sets how long an owner waits for the answer to an offer.
+    pub fn with_offer_wait(mut self, wait: Span) -> Self {
+        self.offer_wait = wait;
+        self
+    }
+
     /// Returns how long a lease lasts for its holder.
     pub(crate) fn own_lease(&self) -> Span {
         self.drift.shorten(self.lease)
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/fleet.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/fleet.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 
 use kameo::message::{Context, Message};
-use kingcupwinch_coord::id::{ShardId, Term};
+use kingcupwinch_coord::id::{ShardId, TaskId, Term};
 use kingcupwinch_coord::ownership::OwnedShard;
 use kingcupwinch_policy::{Dimension, MachineKey, Size, Usage};
 use kingcupwinch_time::{Span, Time};
 use kingcupwinch_wire::roster::Instance;
-use kingcupwinch_wire::worker::{self as report, RunningWork};
+use kingcupwinch_wire::worker as report;
 use slog::o;
 use uuid::Uuid;
 
@@ -17,6 +17,9 @@
 use crate::logging::EventId;
 use crate::world::{Worker, capacity_of, is_leaving};
 
+/// How soon shards that may not be dispatched to are looked at again.
+const RECHECK_GAP: Span = Span::from_millis(50);
+
 /// Percent of a whole machine.
 const WHOLE_PERCENT: u64 = 100;
 
@@ -49,9 +52,9 @@
     pub(crate) shard: ShardId,
 }
 
-/// The shards that may be dispatched to now.
-#[derive(Debug, Clone)]
-pub(crate) struct PermitsChanged(pub(crate) Vec<ShardId>);
+/// The published view says anew which shards may be dispatched to.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PermitsChanged;
 
 /// The workers of the domain as the platform lists them.
 #[derive(Debug, Clone)]
@@ -95,6 +98,9 @@
             .keys()
             .filter(|name| !listed.iter().any(|i| i.name == **name));
         for name in gone.cloned().collect::<Vec<_>>() {
+            if let Some(seat) = self.seats.get(&name) {
+                self.orphan_runs(seat.machine);
+            }
             self.drop_seat(&name);
         }
     }
@@ -193,10 +199,27 @@
             .filter(|seat| seat.worker.shard == shard);
         let names: Vec<_> = lost.map(|seat| Arc::clone(&seat.worker.name)).collect();
         for name in names {
+            if let Some(seat) = self.seats.get(&name) {
+                self.release_runs(seat.machine);
+            }
             self.drop_seat(&name);
         }
     }
 
+    /// Takes over from the published view which shards may be dispatched to, and does so again soon
+    /// while one of them may not.
+    pub(super) fn refresh_permits(&mut self) {
+        let now = self.now();
+        let ownership = self.shared.ownership.load_full();
+        let held = self.holdings.keys().copied();
+        self.permitted = held
+            .filter(|shard| ownership.permit(*shard, now).is_some())
+            .collect();
+        let lacking = self.permitted.len() < self.holdings.len();
+        self.recheck = lacking.then(|| now + RECHECK_GAP);
+        self.apply_permits();
+    }
+
     /// Bars machines of shards that may not be dispatched to, and opens the others.
     fn apply_permits(&mut self) {
         let seats = self.seats.values();
@@ -237,6 +260,11 @@
         if let Err(fault) = self.cell.observe(machine, Usage { used, taken }) {
             self.note_fault("observe", fault);
         }
+        let now = self.now();
+        self.take_ends(&reported.usage.ended, now);
+        let running = reported.usage.running.iter().map(|work| TaskId(work.task));
+        let running: Vec<TaskId> = running.collect();
+        self.find_missing(&reported.name, &running, taken, now);
         self.settle_inheritance(reported, taken);
         self.settle_doubts(reported, taken);
         if let Some(seat) = self.seats.get(&reported.name) {
@@ -256,18 +284,8 @@
             return;
         }
         seat.inherited = None;
-        let machine = seat.machine;
-        self.release(hold);
-        for work in &reported.usage.running {
-            self.inherit(&reported.name, machine, work, taken);
-        }
-    }
-
-    fn inherit(&mut self, name: &Arc<str>, machine: MachineKey, work: &RunningWork, taken: Time) {
-        let known = self.live.values().any(|entry| entry.id == work.task);
-        if !known {
-            self.doubt(name, machine, work.task, self.inherited_size(), taken);
-        }
+        let works = reported.usage.running.clone();
+        self.resolve(&reported.name, hold, works, taken);
     }
 
     /// Counts capacity for work that may still run until a report shows that it doesn't.
@@ -291,7 +309,7 @@
     }
 
     /// Returns a size that no live request of the configuration exceeds.
-    fn inherited_size(&self) -> Size {
+    pub(super) fn inherited_size(&self) -> Size {
         let config = self.shared.config.load();
         let sizes = config.tree.classes.values().map(crate::plan::typical_size);
         sizes.fold(
@@ -376,9 +394,8 @@
 impl Message<PermitsChanged> for Scheduler {
     type Reply = ();
 
-    async fn handle(&mut self, permits: PermitsChanged, _ctx: &mut Context<Self, ()>) {
-        self.permitted = permits.0.into_iter().collect();
-        self.apply_permits();
+    async fn handle(&mut self, _changed: PermitsChanged, _ctx: &mut Context<Self, ()>) {
+        self.refresh_permits();
         self.decide();
     }
 }
--- a/crates/kingcupwinch-daemon/tests/testsuite/sessions.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/sessions.rs
@@ -78,7 +78,12 @@
         .run("booking", &[("x-request-id", "before")], "")
         .await;
     site.log_front.set_reach(Reach::Out);
-    session.note("the log is out, and this instance is the only voter of its shards");
+    session.note("the log is out; an instance that is its group's only voter goes on");
+    wait_until("the outage is noticed", || async {
+        let text = operators.get("/metrics").await;
+        text.text().contains("kingcupwinch_log_readable 0")
+    })
+    .await;
     let until = Instant::now() + TWO_LEASES;
     while Instant::now() < until {
         assert!(operators.status().await.log.fresh, "it stopped dispatching");
@@ -88,6 +93,11 @@
         .await;
     site.log_front.set_reach(Reach::Up);
     session.note("the log is back");
+    wait_until("it reads the log again", || async {
+        let text = operators.get("/metrics").await;
+        text.text().contains("kingcupwinch_log_readable 1")
+    })
+    .await;
     session
         .run("booking", &[("x-request-id", "after")], "")
         .await;
--- a/crates/kingcupwinch-policy/examples/measure/driver.rs
+++ b/crates/kingcupwinch-policy/examples/measure/driver.rs
@@ -175,6 +175,11 @@
                 .iter_mut()
                 .for_each(|s| s.class.bound = 2 * WAVE);
         }
+        match scenario.trouble {
+            Trouble::WaitingOnly => site.weights.packing = 0.0,
+            Trouble::PackingOnly => site.weights.waiting = 0.0,
+            _ => {}
+        }
         let names: Vec<&str> = site.streams.iter().map(|s| &*s.class.name).collect();
         let baseline = |choice| -> Box<dyn Scheduler> {
             Box::new(Baseline::new(choice, names.len(), scenario.seed))
@@ -256,7 +261,8 @@
         let run = self.scenario.site.streams[stream].run.as_secs_f64();
         let count = (self.rates.each_second[stream] * run) as usize;
         for _ in 0..count {
-            self.arrive(stream);
+            let done = self.rng.random::<f64>();
+            self.arrive(stream, 1.0 - done);
         }
     }
 
@@ -339,7 +345,7 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive(stream) => {
-                self.arrive(stream);
+                self.arrive(stream, 1.0);
                 self.plan_arrival(stream);
             }
             Event::End {
@@ -376,9 +382,10 @@
         self.push(at, Event::Arrive(stream));
     }
 
-    fn arrive(&mut self, stream: usize) {
-        let spec = self.describe(stream);
-        let (spec, left) = spec;
+    /// Submits work of a stream of which this part is left to run.
+    fn arrive(&mut self, stream: usize, part: f64) {
+        let (spec, whole) = self.describe(stream);
+        let left = Span::from_micros((whole.as_micros() as f64 * part) as u64 + 1);
         let count = self.rates.gangs[stream];
         self.meter.submitted(stream, self.now);
         if count > 1 {
