Test that no task runs in two places at once

Change: answers to starts lost, workers cut off past their leases, the job's home paused; the stand-in now also drops the answers to task starts, which it did not before.

--- a/crates/kingcupwinch-daemon/tests/testsuite/promises.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/promises.rs
@@ -7,5 +7,6 @@
 mod group;
 mod leaving;
 mod not_run;
+mod one_place;
 mod stopping;
 mod take_over;
--- a/crates/kingcupwinch-fakes/src/worker/service.rs
+++ b/crates/kingcupwinch-fakes/src/worker/service.rs
@@ -181,7 +181,7 @@
         let parts: Vec<_> = path.split('/').skip(1).collect();
         match (request.method(), parts.as_slice()) {
             (_, ["v1", "run", service]) => live::run(&self.0, service, request).await,
-            (&Method::POST, ["v1", "tasks"]) => Ok(self.start_task(request).await),
+            (&Method::POST, ["v1", "tasks"]) => self.start_task(request).await,
             (&Method::POST, ["v1", "leases"]) => Ok(self.renew(request).await),
             (&Method::POST, ["v1", "tasks", task, action]) => {
                 Ok(self.act(task, action, request).await)
@@ -201,20 +201,21 @@
 }
 
 impl WorkerService {
-    async fn start_task(&self, request: Request<Incoming>) -> Answer {
+    async fn start_task(&self, request: Request<Incoming>) -> Result<Answer, Dropped> {
         let arrived = self.0.now();
         let Some(not_after) = live::not_after(&request, arrived) else {
-            return empty(StatusCode::BAD_REQUEST);
+            return Ok(empty(StatusCode::BAD_REQUEST));
         };
         let task: TaskStart = match read_json(request.into_body()).await {
             Ok(task) => task,
-            Err(answer) => return answer,
+            Err(answer) => return Ok(answer),
         };
         let now = self.0.now();
         let started = self.0.change(|e| e.start_task(now, &task, not_after));
         match started {
-            Ok(()) => empty(StatusCode::ACCEPTED),
-            Err(refusal) => live::refused(refusal),
+            Ok(()) if self.0.read(WorkerEngine::conduct).drops_answers => Err(Dropped),
+            Ok(()) => Ok(empty(StatusCode::ACCEPTED)),
+            Err(refusal) => Ok(live::refused(refusal)),
         }
     }
 
--- a/crates/kingcupwinch-platform/tests/platform/worker.rs
+++ b/crates/kingcupwinch-platform/tests/platform/worker.rs
@@ -135,6 +135,13 @@
     let error = answer.unwrap_err();
     assert!(!error.is_not_run());
     assert_eq!(worker.ledger.request_starts("a"), 1);
+    let long = task(600_000);
+    let started = worker
+        .client
+        .start(&long, patience(), || Some(stamp(1)))
+        .await;
+    assert!(!started.unwrap_err().is_not_run());
+    assert_eq!(worker.ledger.starts_of(TASK).len(), 1);
 }
 
 /// Calls with a short deadline until a call was sent: a busy machine may not get so far.
