--- a/crates/kingcupwinch-daemon/src/server/callers.rs
+++ b/crates/kingcupwinch-daemon/src/server/callers.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 
 use super::body::{Body, BodyError, Held};
@@ -72,7 +73,11 @@
         BodyError::Idle => (StatusCode::REQUEST_TIMEOUT, "body-too-slow"),
         BodyError::Broken(_) => (StatusCode::BAD_REQUEST, "body-broken"),
     };
-    respond(&not_run(status, code, err.to_string()))
+    let mut response = respond(&not_run(status, code, err.to_string()));
+    // What is left of the body is not read, so the connection can't carry another request.
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
 }
 
 impl Handler for Callers {
--- /dev/null
+++ b/crates/kingcupwinch-daemon/tests/testsuite/bad_jobs.rs
@@ -0,0 +1,112 @@
+//! Malformed jobs get a clear error, and a refused job truly does not run.
+
+use hyper::Method;
+use kingcupwinch_fakes::Reach;
+use kingcupwinch_wire::api::ProblemOutcome;
+use rstest::rstest;
+use serde_json::{Value, json};
+
+use crate::caller::{Caller, Reply, wait_until};
+use crate::site::Site;
+
+fn job() -> Value {
+    json!({
+        "class": "manifest", "customer": "festival", "tasks": 2,
+        "size": { "millicores": 1_000, "memory_mb": 512 }, "run_ms": 10,
+    })
+}
+
+/// Returns a job with one field set to another value.
+fn with(field: &str, value: Value) -> String {
+    let mut job = job();
+    job[field] = value;
+    job.to_string()
+}
+
+async fn submit(caller: &Caller, body: String) -> Reply {
+    let sent = caller.send(Method::POST, "/v1/jobs", &[], body);
+    sent.await.unwrap()
+}
+
+#[rstest]
+#[case::no_json("two vans".to_owned(), 400, "bad-job")]
+#[case::nothing(String::new(), 400, "bad-job")]
+#[case::a_list("[]".to_owned(), 400, "bad-job")]
+#[case::unknown_class(with("class", json!("catering")), 400, "bad-job")]
+#[case::live_class(with("class", json!("check")), 400, "bad-job")]
+#[case::unknown_customer(with("customer", json!("nobody")), 400, "unknown-customer")]
+#[case::unknown_field(with("colour", json!("red")), 400, "bad-job")]
+#[case::no_tasks(with("tasks", json!(0)), 400, "bad-job")]
+#[case::negative_tasks(with("tasks", json!(-1)), 400, "bad-job")]
+#[case::too_many_tasks(with("tasks", json!(4_000_000_000_u32)), 400, "bad-job")]
+#[case::gang_of_a_batch_class(with("gang", json!(true)), 400, "bad-job")]
+#[case::huge(with("payload", json!("x".repeat(300_000))), 413, "body-too-large")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_bad_job_is_refused(#[case] body: String, #[case] status: u16, #[case] code: &str) {
+    let site = Site::start(1).await;
+    let entries = site.start_entries(&["entry-1"]).await;
+    let caller = entries[0].caller();
+    let reply = submit(&caller, body).await;
+    let problem = reply.problem();
+    assert_eq!((reply.status.as_u16(), &*problem.code), (status, code));
+    assert_eq!(problem.outcome, ProblemOutcome::NotRun);
+    let id = caller.submit(&job()).await;
+    caller.wait_done(&id).await;
+    assert_eq!(site.ledger.starts().len(), 2, "only the good job ran");
+}
+
+#[rstest]
+#[case::no_id("no-such-job")]
+#[case::empty("")]
+#[case::unknown("0197a1b2-0000-7000-8000-000000000000")]
+#[case::long(&"a".repeat(2_000))]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unknown_job_is_not_found(#[case] id: &str) {
+    let site = Site::start(1).await;
+    let entries = site.start_entries(&["entry-1"]).await;
+    let caller = entries[0].caller();
+    for method in [Method::GET, Method::DELETE] {
+        let path = format!("/v1/jobs/{id}");
+        let reply = caller.send(method, &path, &[], "").await.unwrap();
+        assert_eq!(reply.status, 404, "{reply:?}");
+    }
+}
+
+/// The log loses answers and goes out while jobs arrive: what is refused as "not run" never runs.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn jobs_refused_in_an_outage_do_not_run() {
+    const TASKS: usize = 2;
+    let site = Site::start(4).await;
+    let entries = site.start_entries(&["entry-1", "entry-2"]).await;
+    site.settle(&entries).await;
+    site.log_front.lose_answers(3);
+    let mut may_run = 0;
+    for round in 0..12 {
+        match round {
+            4 => site.log_front.set_reach(Reach::Out),
+            8 => site.log_front.set_reach(Reach::Up),
+            _ => {}
+        }
+        let caller = entries[round % entries.len()].caller();
+        let reply = submit(&caller, job().to_string()).await;
+        let refused = reply.status != 202;
+        if !refused || reply.problem().outcome != ProblemOutcome::NotRun {
+            may_run += 1;
+        }
+    }
+    assert!(may_run >= 4, "jobs before the outage are kept");
+    let caller = entries[0].caller();
+    wait_until("the log is read again", || async {
+        submit(&caller, job().to_string()).await.status == 202
+    })
+    .await;
+    may_run += 1;
+    let last = caller.submit(&job()).await;
+    may_run += 1;
+    caller.wait_done(&last).await;
+    let mut tasks: Vec<_> = site.ledger.starts().iter().map(|s| s.task).collect();
+    tasks.sort_unstable();
+    tasks.dedup();
+    assert!(tasks.len() <= may_run * TASKS, "{} tasks ran", tasks.len());
+    assert!(site.ledger.doubled_tasks().is_empty());
+}
--- a/crates/kingcupwinch-daemon/tests/testsuite/main.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
 mod bad_input;
+mod bad_jobs;
 mod caller;
 mod jobs;
 mod keys;
--- a/crates/kingcupwinch-daemon/tests/testsuite/sessions.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/sessions.rs
@@ -1,5 +1,6 @@
 //! Whole sessions as golden files, with ids, times and choices at random redacted.
 
+mod jobs;
 mod transcript;
 
 use std::time::{Duration, Instant};
--- a/crates/kingcupwinch-daemon/tests/testsuite/sessions/transcript.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/sessions/transcript.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::net::SocketAddr;
 
+use hyper::Method;
+use kingcupwinch_wire::api::JobAccepted;
 use serde_json::Value;
 
 use crate::caller::{Caller, Reply};
@@ -16,6 +18,10 @@
 pub(crate) struct Transcript {
     caller: Caller,
     text: String,
+    /// Ids of jobs; each is shown as its number.
+    jobs: Vec<String>,
+    /// Texts that are shown as others.
+    redacted: Vec<(String, &'static str)>,
 }
 
 impl Transcript {
@@ -23,6 +29,8 @@
         Transcript {
             caller: Caller::new(callers),
             text: String::new(),
+            jobs: Vec::new(),
+            redacted: Vec::new(),
         }
     }
 
@@ -42,6 +50,34 @@
         reply
     }
 
+    /// Shows `text` as `shown` from now on.
+    pub(crate) fn redact(&mut self, text: &str, shown: &'static str) {
+        self.redacted.push((text.to_owned(), shown));
+    }
+
+    /// Submits a job and returns its id.
+    pub(crate) async fn submit(&mut self, job: &Value) -> String {
+        self.asked("POST", "/v1/jobs", &[]);
+        self.line(&format!("> {job}"));
+        let sent = self
+            .caller
+            .send(Method::POST, "/v1/jobs", &[], job.to_string());
+        let reply = sent.await.unwrap();
+        let accepted = serde_json::from_slice::<JobAccepted>(&reply.body);
+        let id = accepted.map(|a| a.job.to_string()).unwrap_or_default();
+        self.jobs.push(id.clone());
+        self.answered(&reply);
+        id
+    }
+
+    /// Cancels a job.
+    pub(crate) async fn cancel(&mut self, id: &str) {
+        let path = format!("/v1/jobs/{id}");
+        self.asked("DELETE", &path, &[]);
+        let sent = self.caller.send(Method::DELETE, &path, &[], "");
+        self.answered(&sent.await.unwrap());
+    }
+
     pub(crate) async fn run(
         &mut self,
         service: &str,
@@ -103,7 +139,16 @@
     }
 
     fn line(&mut self, line: &str) {
-        self.text.push_str(line);
+        let mut line = line.to_owned();
+        for (number, id) in (1..).zip(&self.jobs) {
+            if !id.is_empty() {
+                line = line.replace(id, &format!("[job {number}]"));
+            }
+        }
+        for (text, shown) in &self.redacted {
+            line = line.replace(text, shown);
+        }
+        self.text.push_str(&line);
         self.text.push('\n');
     }
 }
--- a/crates/kingcupwinch-daemon/tests/testsuite/site.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/site.rs
@@ -278,6 +278,10 @@
         Caller::new(self.running().addresses().callers)
     }
 
+    pub(crate) fn callers(&self) -> SocketAddr {
+        self.running().addresses().callers
+    }
+
     pub(crate) fn operators(&self) -> Caller {
         Caller::new(self.running().addresses().operators)
     }
