--- a/crates/kingcupwinch-daemon/tests/testsuite/sessions.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/sessions.rs
@@ -1,7 +1,10 @@
 //! Whole sessions as golden files, with ids, times and choices at random redacted.
 
+mod jobs;
 mod transcript;
 
+use std::time::{Duration, Instant};
+
 use futures_util::future::join_all;
 use kingcupwinch_daemon::StopEnd;
 use kingcupwinch_fakes::{Conduct, Reach};
@@ -11,6 +14,9 @@
 use crate::site::Site;
 use transcript::Transcript;
 
+/// No view of the log that was fresh before is fresh after this.
+const TWO_LEASES: Duration = Duration::from_secs(4);
+
 fn set_all(site: &Site, conduct: Conduct) {
     for worker in &site.workers {
         worker.set_conduct(conduct);
@@ -79,6 +85,10 @@
         text.text().contains("kingcupwinch_log_readable 0")
     })
     .await;
+    let until = Instant::now() + TWO_LEASES;
+    while Instant::now() < until {
+        assert!(operators.status().await.log.fresh, "it stopped dispatching");
+    }
     session
         .run("booking", &[("x-request-id", "during")], "")
         .await;
