--- a/crates/kingcupwinch-policy/src/cell.rs
+++ b/crates/kingcupwinch-policy/src/cell.rs
@@ -1,5 +1,6 @@
 //! The machines of one owner and the work that waits and runs on them.
 
+mod asks;
 mod credits;
 mod decide;
 mod events;
@@ -12,6 +13,7 @@
 mod submit;
 #[cfg(test)]
 mod tests;
+mod victims;
 
 use std::collections::BTreeSet;
 
@@ -62,6 +64,8 @@
     delayed: BTreeSet<(Time, TaskKey)>,
     /// Ends of claims.
     claims: BTreeSet<(Time, TaskKey)>,
+    /// When orders without an answer are given again.
+    asks: BTreeSet<(Time, TaskKey)>,
     /// Ends of credits.
     expiries: BTreeSet<(Time, CreditKey)>,
     /// Times of probes.
@@ -102,6 +106,7 @@
             deadlines: BTreeSet::new(),
             delayed: BTreeSet::new(),
             claims: BTreeSet::new(),
+            asks: BTreeSet::new(),
             expiries: BTreeSet::new(),
             probes: BTreeSet::new(),
             ready: Vec::new(),
@@ -195,6 +200,13 @@
             .map_or(0.0, |c| c.used.dominant_share(capacity))
     }
 
+    /// Returns the part of its paid share that a customer uses, over 1 where it is lent more; none if
+    /// it has paid for nothing.
+    pub fn paid_use(&self, customer: CustomerKey) -> Option<f64> {
+        let paid = self.customers.get(customer.index())?.spec.contract.paid;
+        (paid > 0.0).then(|| self.customer_share(customer) / paid)
+    }
+
     /// Returns what is counted on machines that are not gone.
     pub fn used(&self) -> Size {
         *self.fleet.used()
@@ -226,6 +238,7 @@
             self.deadlines.first().map(|d| d.0),
             self.delayed.first().map(|d| d.0),
             self.claims.first().map(|d| d.0),
+            self.asks.first().map(|d| d.0),
             self.expiries.first().map(|d| d.0),
             self.probes.first().map(|d| d.0),
             (!self.relief.is_empty()).then_some(self.relief_due),
