--- a/crates/kingcupwinch-policy/src/cell/tests.rs
+++ b/crates/kingcupwinch-policy/src/cell/tests.rs
@@ -10,7 +10,7 @@
 use super::Cell;
 use crate::decision::{Decision, End, Next, NotStarted, Outcome, Placement, TaskSpec, Usage};
 use crate::gang::{GangSpec, Spread};
-use crate::key::{HoldKey, MachineKey, TaskKey};
+use crate::key::{CreditKey, HoldKey, MachineKey, TaskKey};
 use crate::machine::{MachineSpec, Standing};
 use crate::plan::{ClassSpec, CustomerSpec, Kind, Means, Permille, Plan, Weights};
 use crate::size::Size;
@@ -145,6 +145,7 @@
     machines: Vec<MachineKey>,
     holds: Vec<HoldKey>,
     running: Vec<Placement>,
+    credit: Option<CreditKey>,
     /// Non-idempotent tasks that may have run.
     spent: FxHashSet<TaskKey>,
     guarded: FxHashSet<TaskKey>,
@@ -158,6 +159,7 @@
             machines: Vec::new(),
             holds: Vec::new(),
             running: Vec::new(),
+            credit: None,
             spent: FxHashSet::default(),
             guarded: FxHashSet::default(),
         }
@@ -175,7 +177,12 @@
                 idempotent,
             } => {
                 let spec = spec(class, customer, cores, run).with_idempotent(idempotent);
-                if let Ok(key) = self.cell.submit(spec, self.now) {
+                let credit = self.credit.filter(|_| class == 0);
+                let task = match credit {
+                    Some(credit) => self.cell.spend(credit, spec, self.now),
+                    None => self.cell.submit(spec, self.now),
+                };
+                if let Ok(key) = task {
                     self.guard(&[key], idempotent);
                 }
             }
@@ -245,7 +252,8 @@
             Event::Grant { count, life } => {
                 let class = self.cell.class("live").unwrap();
                 let deadline = self.now + Span::from_millis(life);
-                self.cell.grant(class, count, deadline, self.now).unwrap();
+                let credit = self.cell.grant(class, count, deadline, self.now);
+                self.credit = credit.unwrap().map(|c| c.key);
             }
             Event::Replan { least } => {
                 let mut plan = plan();
