--- a/crates/kingcupwinch-daemon/src/actors/jobs.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs.rs
@@ -10,7 +10,7 @@
 use kameo::actor::ActorRef;
 use kameo::error::Infallible;
 use kameo::message::{Context, Message};
-use kingcupwinch_coord::id::{JobId, Offset, ShardId, Term};
+use kingcupwinch_coord::id::{Incarnation, JobId, Offset, ShardId, Term};
 use kingcupwinch_coord::jobs::{Commit, Jobs, Limits, Pace, Recovery};
 use kingcupwinch_coord::ownership::OwnedShard;
 use kingcupwinch_coord::record::JobEnd;
@@ -28,8 +28,8 @@
 
 use super::alarm::{Alarm, Tick};
 use super::reader::{NextOffset, PageRead, ReadFailed};
-use super::scheduler::Scheduler;
-use crate::jobs::Work;
+use super::scheduler::{DropWaiting, Scheduler};
+use crate::jobs::{Finals, Work};
 use crate::logging::EventId;
 use crate::shared::Shared;
 
@@ -69,6 +69,8 @@
     work: FxHashMap<JobId, Work>,
     accepting: FxHashMap<JobId, oneshot::Sender<()>>,
     ending: FxHashMap<JobId, JobEnd>,
+    finals: Finals,
+    members: Vec<Incarnation>,
     copying: bool,
     alarm: Alarm,
 }
@@ -88,6 +90,8 @@
             work: FxHashMap::default(),
             accepting: FxHashMap::default(),
             ending: FxHashMap::default(),
+            finals: Finals::default(),
+            members: Vec::new(),
             copying: false,
             alarm: Alarm::default(),
         };
@@ -112,7 +116,7 @@
     async fn look(&mut self) {
         self.append_due();
         self.copy_if_due();
-        self.find_lost_loans();
+        self.find_lost_runs();
         self.recover().await;
         self.set_alarm();
     }
@@ -168,6 +172,8 @@
         let gone = self.work.keys().filter(|job| home_of(**job) == Some(shard));
         for job in gone.copied().collect::<Vec<_>>() {
             self.work.remove(&job);
+            // The new owner of the home hands out what has not started.
+            let _ = self.args.scheduler.tell(DropWaiting(job)).try_send();
         }
     }
 }
--- a/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
@@ -11,9 +11,9 @@
 use slog::o;
 
 use super::messages::{KnownTask, TaskEvent, TasksLent, TasksRefused};
-use super::{JobKeeper, home_of};
+use super::{JobKeeper, REPORT_SPAN, home_of};
 use crate::actors::scheduler::{CancelTasks, RunTasks};
-use crate::jobs::{JobName, TaskName, TaskPlace, Work};
+use crate::jobs::{JobName, News, TaskName, TaskPlace, Work};
 use crate::logging::EventId;
 
 impl JobKeeper {
@@ -111,11 +111,25 @@
             return;
         };
         self.note_evidence(&name, event.phase);
+        let lapse = self.lapse();
         let Some(work) = self.work.get_mut(&name.job.id) else {
             return;
         };
         let index = usize::try_from(name.index).unwrap_or(usize::MAX);
-        work.take_phase(index, event.phase, event.remote);
+        let news = News {
+            phase: event.phase,
+            remote: event.remote,
+            lapse,
+        };
+        work.take_phase(index, news);
+        let waits =
+            matches!(work.tasks.get(index), Some(TaskPlace::Unseen(at)) if *at > Time::ZERO);
+        if waits && event.phase == TaskPhase::Moved {
+            self.wait_for_lapse(name.job.home, lapse);
+        }
+        let Some(work) = self.work.get_mut(&name.job.id) else {
+            return;
+        };
         let returned = work.tasks.get(index) == Some(&TaskPlace::Unseen(Time::ZERO));
         if returned {
             self.run_unseen(name.job.id).await;
@@ -163,6 +177,9 @@
         if self.ending.insert(job, end).is_some() {
             return;
         }
+        if let Some(work) = self.work.get(&job) {
+            self.finals.push(work.ended_status(end));
+        }
         let now = self.now();
         self.commit.end(job, end, now);
         if end != JobEnd::Done {
@@ -243,9 +260,8 @@
         }
     }
 
-    /// Counts tasks that a sibling took as unseen once the sibling is gone.
-    pub(super) fn find_lost_loans(&mut self) {
-        let ownership = self.args.shared.ownership.load_full();
+    /// Returns when a run of which nothing more is heard has certainly ended.
+    fn lapse(&self) -> Time {
         let lease = self
             .args
             .shared
@@ -255,21 +271,50 @@
             .timers
             .task_lease_ms
             .get();
-        let lapse = self.now() + Span::from_millis(lease).times(2);
-        let is_gone = |who: Incarnation| ownership.member(who).is_none();
+        self.now() + Span::from_millis(lease) + REPORT_SPAN
+    }
+
+    /// Looks over a home's jobs again until a time at which runs have certainly ended.
+    fn wait_for_lapse(&mut self, shard: ShardId, lapse: Time) {
+        if let Some(home) = self.homes.get_mut(&shard) {
+            home.recovery = home.recovery.clone().with_lapse(lapse);
+            home.settled = false;
+        }
+    }
+
+    /// Once a member is gone, counts tasks that it took as unseen, and those that ran elsewhere,
+    /// since its workers' heirs have to say anew what runs.
+    pub(super) fn find_lost_runs(&mut self) {
+        let ownership = self.args.shared.ownership.load_full();
+        let known = std::mem::take(&mut self.members);
+        self.members = ownership
+            .members
+            .iter()
+            .map(|member| member.incarnation)
+            .collect();
+        let gone: Vec<Incarnation> = known
+            .into_iter()
+            .filter(|member| !self.members.contains(member))
+            .collect();
+        if gone.is_empty() {
+            return;
+        }
+        // A task that was lent may start as late as its lender allowed.
+        let lapse = self.lapse() + Span::from_secs(1);
         let mut shards = Vec::new();
         for (job, work) in &mut self.work {
-            let lost = work.at(|place| matches!(place, TaskPlace::Lent(to) if is_gone(to)));
+            let lost = work.at(|place| match place {
+                TaskPlace::Lent(to) => gone.contains(&to),
+                TaskPlace::Elsewhere => true,
+                _ => false,
+            });
             if !lost.is_empty() {
                 work.put(&lost, TaskPlace::Unseen(lapse));
                 shards.extend(home_of(*job));
             }
         }
         for shard in shards {
-            if let Some(home) = self.homes.get_mut(&shard) {
-                home.recovery = home.recovery.clone().with_lapse(lapse);
-                home.settled = false;
-            }
+            self.wait_for_lapse(shard, lapse);
         }
     }
 
--- a/crates/kingcupwinch-daemon/src/actors/jobs/messages.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/messages.rs
@@ -250,7 +250,8 @@
             .copied()
             .or_else(|| self.jobs.end(job));
         if let Some(end) = ending {
-            return LookupAnswer(Some(ended_status(job, end)));
+            let known = self.finals.get(job);
+            return LookupAnswer(Some(known.unwrap_or_else(|| ended_status(job, end))));
         }
         let working = self.work.get(&job).map(crate::jobs::Work::status);
         LookupAnswer(working.or_else(|| self.waiting_status(job)))
--- a/crates/kingcupwinch-daemon/src/actors/ownership.rs
+++ b/crates/kingcupwinch-daemon/src/actors/ownership.rs
@@ -9,7 +9,7 @@
 use kameo::error::Infallible;
 use kameo::message::{Context, Message};
 use kingcupwinch_coord::id::{Incarnation, ShardId};
-use kingcupwinch_coord::ownership::{Action, Coordinator, Event, Phase, message};
+use kingcupwinch_coord::ownership::{Action, Coordinator, Event, Note, Phase, message};
 use kingcupwinch_coord::record::{Member, OwnerRecord, Stamped};
 use kingcupwinch_platform::LogClient;
 use kingcupwinch_wire::{decode_owner, encode_owner};
@@ -152,16 +152,26 @@
                 let _ = self.args.jobs.tell(jobs::LoseHome(shard)).await;
                 self.tell_scheduler(Lost { shard }).await;
             }
-            Action::Note(note) => {
-                let fields = o!("note" => format!("{note:?}"));
-                self.args.shared.log.write(EventId::OwnershipNote, fields);
-            }
+            Action::Note(note) => self.log_note(&note),
             Action::Stopped => {
                 self.args.stopped.send_replace(true);
             }
         }
     }
 
+    fn log_note(&self, note: &Note) {
+        let event = match note {
+            Note::Log { .. } | Note::Skipped { .. } | Note::Expired { .. } => {
+                EventId::RecordSkipped
+            }
+            _ => EventId::OwnershipNote,
+        };
+        self.args
+            .shared
+            .log
+            .write(event, o!("note" => format!("{note:?}")));
+    }
+
     async fn tell_scheduler<M: Send + 'static>(&self, message: M)
     where
         Scheduler: Message<M>,
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/mod.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/mod.rs
@@ -16,9 +16,9 @@
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
-use kingcupwinch_coord::id::{ShardId, TaskId};
+use kingcupwinch_coord::id::{Incarnation, ShardId, TaskId};
 use kingcupwinch_policy::{Cell, Decision, Fault, MachineKey, Placement, Plan, TaskKey};
-use kingcupwinch_time::Time;
+use kingcupwinch_time::{Span, Time};
 use kingcupwinch_wire::roster::Instance;
 use rustc_hash::{FxHashMap, FxHashSet};
 
@@ -30,10 +30,11 @@
 pub(crate) use lend::Borrow;
 pub(crate) use live::{Cancel, LiveStart, Reach, RunEnd, RunReport, Submit, Verdict};
 
-pub(crate) use tasks::{CancelTasks, RunTasks};
+pub(crate) use tasks::{CancelTasks, DropWaiting, RunTasks};
 
 use super::alarm::{Alarm, Tick};
 use super::jobs::JobKeeper;
+use crate::metrics::ClassLabel;
 use crate::plan::make_plan;
 use crate::shared::Shared;
 use crate::siblings::Siblings;
@@ -44,6 +45,9 @@
 use seat::Seat;
 use tasks::TaskEntry;
 
+/// The least time between two publications of counts.
+const COUNT_GAP: Span = Span::from_millis(100);
+
 /// Percent of full speed.
 const WHOLE_PERCENT: u8 = 100;
 
@@ -79,6 +83,8 @@
     borrowed: Vec<(Time, TaskKey)>,
     renew_at: Time,
     recheck: Option<Time>,
+    count_at: Time,
+    told_group: Vec<Incarnation>,
     jobs: Option<ActorRef<JobKeeper>>,
     demand: Demand,
 }
@@ -107,6 +113,8 @@
             borrowed: Vec::new(),
             renew_at: Time::ZERO,
             recheck: None,
+            count_at: Time::ZERO,
+            told_group: Vec::new(),
             jobs: None,
             demand: Demand::default(),
         };
@@ -150,7 +158,7 @@
             self.carry_out(decision, now);
         }
         self.decisions = decisions;
-        self.publish_counts();
+        self.publish_counts(now);
         self.offer(now);
         let look = self.announce(now);
         let renew = Some(self.renew_leases(now)).filter(|_| !self.tasks.is_empty());
@@ -212,10 +220,32 @@
         self.demand.siblings()
     }
 
-    fn publish_counts(&self) {
+    /// Publishes what waits and runs, a few times a second at the most.
+    fn publish_counts(&mut self, now: Time) {
+        if now < self.count_at {
+            return;
+        }
+        self.count_at = now + COUNT_GAP;
         let (slots, busy) = self.slot_counts();
         self.shared.metrics.slots.set(slots);
         self.shared.metrics.busy.set(busy);
+        let config = self.shared.config.load_full();
+        for class in config.tree.classes.keys() {
+            let Some(key) = self.cell.class(class) else {
+                continue;
+            };
+            let label = ClassLabel {
+                class: Arc::clone(class),
+            };
+            let queued = i64::try_from(self.cell.queued(key)).unwrap_or(i64::MAX);
+            self.shared.metrics.queued.get_or_create(&label).set(queued);
+            let running = i64::from(self.cell.running(key));
+            self.shared
+                .metrics
+                .running
+                .get_or_create(&label)
+                .set(running);
+        }
     }
 
     /// Logs a call that the policy refused; it means that two parts of the daemon disagree.
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/tasks.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/tasks.rs
@@ -46,6 +46,10 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct CancelTasks(pub(crate) JobId);
 
+/// The home of a job has another owner: what has not started here never will.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct DropWaiting(pub(crate) JobId);
+
 /// A task in the cell.
 #[derive(Debug, Clone)]
 pub(super) struct TaskEntry {
@@ -151,6 +155,10 @@
 
     fn submit_each(&mut self, run: &RunTasks, spec: TaskSpec, now: Time) -> Result<(), Refusal> {
         for index in &run.tasks {
+            // One that an earlier owner started here goes on.
+            if self.task_keys.contains_key(&run.name.task(*index)) {
+                continue;
+            }
             let key = self.cell.submit(spec, now)?;
             self.add_task(key, run, *index, now);
         }
@@ -392,13 +400,17 @@
     /// Tells the homes of running tasks that they run, where the home's owner has changed.
     pub(super) fn tell_new_homes(&mut self) {
         let ownership = self.shared.ownership.load_full();
+        let members = ownership.members.iter().map(|member| member.incarnation);
+        let members: Vec<Incarnation> = members.collect();
+        let same_group = self.told_group == members;
+        self.told_group = members;
         let mut news = Vec::new();
         for entry in self.tasks.values_mut().filter(|entry| entry.run.is_some()) {
             let home = TaskName::read(entry.id).map(|name| name.job.home);
             let owner = home
                 .and_then(|home| ownership.owner(home))
                 .map(|owner| owner.incarnation);
-            if owner.is_some() && owner != entry.told {
+            if owner.is_some() && (!same_group || owner != entry.told) {
                 entry.told = owner;
                 news.push(entry.id);
             }
@@ -454,6 +466,20 @@
         self.orphans.iter().map(|(at, _)| *at).min()
     }
 
+    /// Forgets tasks of a job that wait; what runs goes on.
+    fn drop_waiting(&mut self, job: JobId) {
+        let now = self.now();
+        let waiting = self
+            .tasks
+            .iter()
+            .filter(|(_, entry)| entry.job == job && entry.run.is_none());
+        for key in waiting.map(|(key, _)| *key).collect::<Vec<_>>() {
+            if self.cell.cancel(key, now).is_ok() {
+                self.remove_task(key);
+            }
+        }
+    }
+
     fn cancel_tasks(&mut self, job: JobId) {
         let now = self.now();
         let keys: Vec<TaskKey> = self
@@ -525,6 +551,15 @@
     }
 }
 
+impl Message<DropWaiting> for Scheduler {
+    type Reply = ();
+
+    async fn handle(&mut self, dropped: DropWaiting, _ctx: &mut Context<Self, ()>) {
+        self.drop_waiting(dropped.0);
+        self.decide();
+    }
+}
+
 impl Message<CancelTasks> for Scheduler {
     type Reply = ();
 
--- a/crates/kingcupwinch-daemon/src/cmd/serve.rs
+++ b/crates/kingcupwinch-daemon/src/cmd/serve.rs
@@ -80,8 +80,8 @@
 
 /// Runs the daemon until it is asked to stop.
 ///
-/// The exit code is 0 after a graceful stop, 1 if the daemon could not start or the stop was
-/// forced, 2 for settings that can't be used.
+/// The exit code is 0 after a graceful stop, 1 if the daemon could not start, was declared dead
+/// by its group or the stop was forced, 2 for settings that can't be used.
 pub fn execute(matches: &ArgMatches) -> ExitCode {
     let path = matches.get_one::<PathBuf>("settings");
     let settings = match load_from_disk(path.map(PathBuf::as_path), &overrides(matches)) {
@@ -147,11 +147,14 @@
     let mut signals = Signals::new()?;
     let running = Daemon::new(settings).start().await?;
     print_addresses(&running);
-    tokio::select! {
-        () = signals.next() => {}
-        () = running.stop_asked() => {}
-    }
-    Ok(running.stop_unless(signals.next()).await)
+    let retired = tokio::select! {
+        () = signals.next() => false,
+        () = running.stop_asked() => false,
+        () = running.retired() => true,
+    };
+    let end = running.stop_unless(signals.next()).await;
+    // Whoever runs the process has to start it anew.
+    Ok(if retired { StopEnd::Forced } else { end })
 }
 
 /// Prints where the daemon listens, for whoever gave port 0.
--- a/crates/kingcupwinch-daemon/src/daemon.rs
+++ b/crates/kingcupwinch-daemon/src/daemon.rs
@@ -177,7 +177,7 @@
             shared: Arc::clone(&shared),
             seed,
         };
-        let scheduler = Scheduler::spawn(args);
+        let scheduler = Scheduler::spawn_with_mailbox(args, mailbox::unbounded());
         let memory = KeyMemory::spawn(KeysArgs {
             shared: Arc::clone(&shared),
         });
@@ -237,6 +237,21 @@
         self.shared.lifecycle.stop_asked().await;
     }
 
+    /// Waits until this incarnation was declared dead although it lives; a new run is needed.
+    pub async fn retired(&self) {
+        let mut boot = self.boot.clone();
+        let booted = boot
+            .wait_for(Option::is_some)
+            .await
+            .ok()
+            .and_then(|booted| booted.clone());
+        let Some(mut booted) = booted else {
+            return std::future::pending().await;
+        };
+        // An ownership actor that is gone has left the group.
+        let _ = booted.left.wait_for(|left| *left).await;
+    }
+
     /// Returns where it listens.
     pub fn addresses(&self) -> Addresses {
         self.addresses
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/jobs/finals.rs
@@ -0,0 +1,37 @@
+//! The last states of jobs that ended here, for callers who ask afterwards.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use kingcupwinch_coord::id::JobId;
+use kingcupwinch_wire::api::JobStatus;
+use rustc_hash::FxHashMap;
+
+/// How many states are kept.
+const MAX_FINALS: usize = 4_096;
+
+/// A bounded memory of last states; the oldest go first.
+#[derive(Debug, Default)]
+pub(crate) struct Finals {
+    states: FxHashMap<Arc<str>, JobStatus>,
+    order: VecDeque<Arc<str>>,
+}
+
+impl Finals {
+    /// Keeps a job's last state.
+    pub(crate) fn push(&mut self, state: JobStatus) {
+        let job = Arc::clone(&state.job);
+        if self.states.insert(Arc::clone(&job), state).is_none() {
+            self.order.push_back(job);
+        }
+        while self.order.len() > MAX_FINALS {
+            let oldest = self.order.pop_front();
+            oldest.and_then(|oldest| self.states.remove(&oldest));
+        }
+    }
+
+    /// Returns a job's last state, none if it is not kept.
+    pub(crate) fn get(&self, job: JobId) -> Option<JobStatus> {
+        self.states.get(&*job.to_string()).cloned()
+    }
+}
--- a/crates/kingcupwinch-daemon/src/jobs/work.rs
+++ b/crates/kingcupwinch-daemon/src/jobs/work.rs
@@ -42,6 +42,17 @@
     }
 }
 
+/// What a scheduler says of a task.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct News {
+    /// The task's phase.
+    pub(crate) phase: TaskPhase,
+    /// Whether a sibling's scheduler says so.
+    pub(crate) remote: bool,
+    /// When a run of which nothing more is heard has certainly ended.
+    pub(crate) lapse: Time,
+}
+
 /// One job at its home.
 #[derive(Debug)]
 pub(crate) struct Work {
@@ -55,6 +66,8 @@
     pub(crate) tasks: Vec<TaskPlace>,
     /// Whether some task has started.
     pub(crate) started: bool,
+    /// Which tasks run, as far as schedulers have said so.
+    running: Vec<bool>,
     term: Term,
     handouts: u32,
 }
@@ -76,6 +89,7 @@
             idempotent,
             tasks,
             started: false,
+            running: vec![false; count],
             term,
             handouts: 0,
         }
@@ -99,7 +113,12 @@
     }
 
     /// Takes what a scheduler says of a task; returns whether that changed anything.
-    pub(crate) fn take_phase(&mut self, index: usize, phase: TaskPhase, remote: bool) -> bool {
+    pub(crate) fn take_phase(&mut self, index: usize, news: News) -> bool {
+        let News {
+            phase,
+            remote,
+            lapse,
+        } = news;
         let Some(place) = self.tasks.get_mut(index) else {
             return false;
         };
@@ -120,11 +139,15 @@
             }
             // It was given back, so it certainly does not run.
             TaskPhase::NotRun => TaskPlace::Unseen(Time::ZERO),
-            TaskPhase::Moved => TaskPlace::Elsewhere,
+            // Its worker's new owner says whether it runs; until then nobody else may run it.
+            TaskPhase::Moved => TaskPlace::Unseen(lapse),
             TaskPhase::Waiting | TaskPhase::Stopped => *place,
         };
         let changed = next != *place;
         *place = next;
+        if let Some(runs) = self.running.get_mut(index) {
+            *runs = phase == TaskPhase::Running;
+        }
         changed
     }
 
@@ -173,7 +196,8 @@
         let done = count(|place| *place == TaskPlace::Done);
         let failed = count(|place| matches!(place, TaskPlace::Failed | TaskPlace::Unknown));
         let open = self.spec.tasks.saturating_sub(done + failed);
-        let running = if self.started { open } else { 0 };
+        let runs = self.running.iter().filter(|runs| **runs).count();
+        let running = u32::try_from(runs).unwrap_or(u32::MAX).min(open);
         JobStatus {
             job: self.job.to_string().into(),
             phase: if self.started {
@@ -189,20 +213,36 @@
     }
 }
 
-/// Returns the state of a job that has ended.
+impl Work {
+    /// Returns the state that callers see once the job has ended.
+    pub(crate) fn ended_status(&self, end: JobEnd) -> JobStatus {
+        JobStatus {
+            phase: ended_phase(end),
+            waiting: 0,
+            running: 0,
+            ..self.status()
+        }
+    }
+}
+
+/// Returns the state of a job that ended under an owner whose counts are gone.
 pub(crate) fn ended_status(job: JobId, end: JobEnd) -> JobStatus {
-    let phase = match end {
-        JobEnd::Done => JobPhase::Done,
-        JobEnd::Failed => JobPhase::Failed,
-        JobEnd::Cancelled => JobPhase::Cancelled,
-        JobEnd::Unknown => JobPhase::Unknown,
-    };
+    let job = job.to_string().into();
     JobStatus {
-        job: job.to_string().into(),
-        phase,
+        job,
+        phase: ended_phase(end),
         waiting: 0,
         running: 0,
         done: 0,
         failed: 0,
     }
 }
+
+fn ended_phase(end: JobEnd) -> JobPhase {
+    match end {
+        JobEnd::Done => JobPhase::Done,
+        JobEnd::Failed => JobPhase::Failed,
+        JobEnd::Cancelled => JobPhase::Cancelled,
+        JobEnd::Unknown => JobPhase::Unknown,
+    }
+}
