Decide a key in its home domain wherever its request arrives

Cause: with several failure domains most non-idempotent requests were refused, since only the key's home domain decides and callers reach any domain through the balancer. Change: an instance passes such a request on to the home domain's entry instances, found in the platform's list; a header Via stops a second hop where two configurations differ. Constructors for the daemon's settings, used by the test harness, the demo and the bench in place of three copies. Conclusion: a key has one home in the whole region.

--- a/crates/kingcupwinch-daemon/examples/bench_live.rs
+++ b/crates/kingcupwinch-daemon/examples/bench_live.rs
@@ -19,9 +19,7 @@
 use kingcupwinch_config::load_texts;
 use kingcupwinch_coord::id::{RecordId, Version};
 use kingcupwinch_coord::record::{ConfigRecord, Stamped};
-use kingcupwinch_daemon::settings::{
-    Hold, Instance, Listen, Log, LogFormat, Platform, Settings, Stop,
-};
+use kingcupwinch_daemon::settings::{Instance, Listen, Platform, Settings, Stop};
 use kingcupwinch_daemon::{Daemon, Running};
 use kingcupwinch_fakes::{
     FakeLog, FakeRoster, FakeWorker, Ledger, LogFront, RosterFront, WorkerSpec,
@@ -257,35 +255,14 @@
     }
 
     fn settings(&self) -> Settings {
-        Settings {
-            instance: Instance {
-                name: "entry-1".into(),
-                domain: DOMAIN.into(),
-                weight: 1,
-                seed: None,
-            },
-            listen: Listen {
-                callers: any_port(),
-                forward: any_port(),
-                link: any_port(),
-                operators: any_port(),
-            },
-            platform: Platform {
-                log: self.log_front.address(),
-                list: self.roster_front.address(),
-                poll_ms: 500,
-                call_ms: 1_500,
-            },
-            log: Log {
-                format: LogFormat::Off,
-                ..Log::default()
-            },
-            stop: Stop {
+        let platform = Platform::new(self.log_front.address(), self.roster_front.address());
+        Settings::new(Instance::new("entry-1", DOMAIN), platform)
+            .with_listen(Listen::on_loopback())
+            .with_log_off()
+            .with_stop(Stop {
                 balancer_ms: 0,
                 deadline_ms: 10_000,
-            },
-            hold: Hold::default(),
-        }
+            })
     }
 }
 
--- a/crates/kingcupwinch-daemon/examples/demo/site.rs
+++ b/crates/kingcupwinch-daemon/examples/demo/site.rs
@@ -7,9 +7,7 @@
 use kingcupwinch_config::load_texts;
 use kingcupwinch_coord::id::{RecordId, Version};
 use kingcupwinch_coord::record::{ConfigRecord, Stamped};
-use kingcupwinch_daemon::settings::{
-    Hold, Instance, Listen, Log, LogFormat, Platform, Settings, Stop,
-};
+use kingcupwinch_daemon::settings::{Instance, Listen, Platform, Settings, Stop};
 use kingcupwinch_daemon::{Daemon, Running, StopEnd};
 use kingcupwinch_fakes::{
     FakeLog, FakeRoster, FakeWorker, Ledger, LogFront, RosterFront, WorkerSpec,
@@ -201,40 +199,15 @@
     }
 
     fn settings(&self, name: &str) -> Settings {
-        let listen = Listen {
-            callers: any_port(),
-            forward: any_port(),
-            link: any_port(),
-            operators: any_port(),
-        };
-        let platform = Platform {
-            log: self.log_front.address(),
-            list: self.roster_front.address(),
-            poll_ms: 500,
-            call_ms: 1_500,
-        };
-        let instance = Instance {
-            name: name.into(),
-            domain: DOMAIN.into(),
-            weight: 1,
-            seed: None,
-        };
-        let log = Log {
-            format: LogFormat::Off,
-            ..Log::default()
-        };
-        let stop = Stop {
-            balancer_ms: 500,
-            deadline_ms: 10_000,
-        };
-        Settings {
-            instance,
-            listen,
-            platform,
-            log,
-            stop,
-            hold: Hold::default(),
-        }
+        let mut platform = Platform::new(self.log_front.address(), self.roster_front.address());
+        platform.poll_ms = 500;
+        Settings::new(Instance::new(name, DOMAIN), platform)
+            .with_listen(Listen::on_loopback())
+            .with_log_off()
+            .with_stop(Stop {
+                balancer_ms: 500,
+                deadline_ms: 10_000,
+            })
     }
 
     /// Returns the daemons that are up.
--- a/crates/kingcupwinch-daemon/src/daemon.rs
+++ b/crates/kingcupwinch-daemon/src/daemon.rs
@@ -13,7 +13,7 @@
 use kameo::mailbox;
 use kingcupwinch_coord::id::{Incarnation, Version};
 use kingcupwinch_link::{Inbox, LinkError, Links};
-use kingcupwinch_platform::LogClient;
+use kingcupwinch_platform::{LogClient, RosterClient};
 use kingcupwinch_time::{Clock, SuspendClock};
 use quick_error::quick_error;
 use rand::Rng;
@@ -37,7 +37,7 @@
 use crate::server::operators::Operators;
 use crate::settings::Settings;
 use crate::shared::{InForce, Lifecycle, OwnershipView, Shared};
-use crate::siblings::Siblings;
+use crate::siblings::{Domains, Siblings};
 use boot::{Boot, Booted};
 
 pub use stop::StopEnd;
@@ -193,6 +193,7 @@
             scheduler.clone(),
             Arc::clone(&siblings),
             keys.clone(),
+            Arc::new(Domains::new(RosterClient::new(settings.platform.list))),
         );
         let args = JobsArgs {
             shared: Arc::clone(&shared),
--- a/crates/kingcupwinch-daemon/src/live/attempt.rs
+++ b/crates/kingcupwinch-daemon/src/live/attempt.rs
@@ -142,6 +142,14 @@
         Attempted::Answered(Answer::Worker(clean(Response::from_parts(parts, body))))
     }
 
+    /// Passes on the answer of another failure domain, a worker's own or a refusal.
+    pub(super) fn pass_answer(&self, response: Response<AnswerBody>) -> Answer {
+        let (parts, body) = response.into_parts();
+        let done = Finish::new(self, None, &parts.headers, parts.status);
+        let body = relay_answer(body, &self.shared.settings.hold, done);
+        Answer::Worker(clean(Response::from_parts(parts, body)))
+    }
+
     /// Passes an answer on while it arrives, and reports the run when it has ended.
     fn pass_on(
         &self,
--- a/crates/kingcupwinch-daemon/src/live/flow.rs
+++ b/crates/kingcupwinch-daemon/src/live/flow.rs
@@ -20,7 +20,7 @@
 use crate::server::headers::{ANSWER, RAN};
 use crate::server::problem::{respond, unknown};
 use crate::shared::Shared;
-use crate::siblings::Siblings;
+use crate::siblings::{Domains, Siblings};
 
 /// How often a request is forwarded before it stays with this instance's workers.
 const MAX_FORWARDS: u32 = 3;
@@ -32,6 +32,7 @@
     pub(super) scheduler: ActorRef<Scheduler>,
     pub(super) siblings: Arc<Siblings>,
     pub(super) keys: KeyService,
+    pub(super) domains: Arc<Domains>,
 }
 
 /// How a request was answered.
@@ -79,12 +80,14 @@
         scheduler: ActorRef<Scheduler>,
         siblings: Arc<Siblings>,
         keys: KeyService,
+        domains: Arc<Domains>,
     ) -> Self {
         LiveService {
             shared,
             scheduler,
             siblings,
             keys,
+            domains,
         }
     }
 
@@ -124,8 +127,8 @@
         answer.unwrap_or_else(failed)
     }
 
-    async fn answer(&self, request: LiveRequest, mut hung_up: oneshot::Receiver<()>) -> Answer {
-        let key = match self.take_leave(&request).await {
+    async fn answer(&self, mut request: LiveRequest, mut hung_up: oneshot::Receiver<()>) -> Answer {
+        let key = match self.take_leave(&mut request).await {
             Ok(key) => key,
             Err(answer) => return answer,
         };
--- a/crates/kingcupwinch-daemon/src/live/keyed.rs
+++ b/crates/kingcupwinch-daemon/src/live/keyed.rs
@@ -3,6 +3,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use hyper::{Response, StatusCode};
 use kingcupwinch_coord::dedupe::RequestKey;
+use kingcupwinch_coord::id::Domain;
 use kingcupwinch_time::Span;
 use kingcupwinch_wire::api::ProblemOutcome;
 use kingcupwinch_wire::sibling::{KeyAnswer, KeyOutcome};
@@ -14,6 +15,7 @@
 use crate::server::body::{Held, full};
 use crate::server::headers::Key;
 use crate::server::problem::{not_run, try_later, unknown};
+use crate::siblings::{PassedOn, was_passed_on};
 
 /// Set on an answer that was remembered from an earlier request with the same key.
 const REPLAYED: HeaderName = HeaderName::from_static("idempotency-replayed");
@@ -27,7 +29,10 @@
 impl LiveService {
     /// Gets leave to run a request that may run only once; none where it may run more often, or
     /// where the forwarding sibling holds the leave.
-    pub(super) async fn take_leave(&self, request: &LiveRequest) -> Result<Option<KeyRun>, Answer> {
+    pub(super) async fn take_leave(
+        &self,
+        request: &mut LiveRequest,
+    ) -> Result<Option<KeyRun>, Answer> {
         let Some(key) = request
             .key
             .filter(|_| !request.idempotent && request.hop.is_none())
@@ -39,14 +44,7 @@
                 let answer = self.begin_key(home, key, request).await;
                 self.take_answer(key, answer).await.map(Some)
             }
-            Some(KeyHome::Elsewhere(domain)) => {
-                let detail = format!("the key is decided in failure domain {domain}");
-                Err(Answer::Problem(try_later(
-                    "key-elsewhere",
-                    detail,
-                    DEFAULT_RETRY,
-                )))
-            }
+            Some(KeyHome::Elsewhere(domain)) => Err(self.ask_domain(&domain, request).await),
             None => {
                 let detail = "this instance's failure domain is not configured";
                 Err(Answer::Problem(try_later(
@@ -58,6 +56,31 @@
         }
     }
 
+    /// Passes a request on to the failure domain that decides its key.
+    async fn ask_domain(&self, domain: &Domain, request: &mut LiveRequest) -> Answer {
+        if was_passed_on(&request.headers) {
+            let detail = format!(
+                "the key is decided in failure domain {domain}, by this instance's configuration"
+            );
+            return Answer::Problem(try_later("key-elsewhere", detail, DEFAULT_RETRY));
+        }
+        let now = self.shared.now();
+        let left = request
+            .deadline
+            .map_or(MAX_RUN, |deadline| deadline.since(now));
+        match self
+            .domains
+            .pass_on(&self.shared, domain, request, left)
+            .await
+        {
+            PassedOn::Answered(response) => self.pass_answer(response),
+            PassedOn::NotSent(why) => {
+                Answer::Problem(try_later("key-domain-unreached", why, DEFAULT_RETRY))
+            }
+            PassedOn::Unknown(why) => Answer::Problem(unknown("no-answer", why)),
+        }
+    }
+
     async fn begin_key(
         &self,
         home: kingcupwinch_coord::id::ShardId,
--- a/crates/kingcupwinch-daemon/src/settings/mod.rs
+++ b/crates/kingcupwinch-daemon/src/settings/mod.rs
@@ -36,6 +36,41 @@
     pub hold: Hold,
 }
 
+impl Settings {
+    /// Makes settings that listen at the usual ports and log for people.
+    pub fn new(instance: Instance, platform: Platform) -> Self {
+        Settings {
+            instance,
+            listen: Listen::default(),
+            platform,
+            log: Log::default(),
+            stop: Stop::default(),
+            hold: Hold::default(),
+        }
+    }
+
+    /// Sets where it listens.
+    #[must_use]
+    pub fn with_listen(mut self, listen: Listen) -> Self {
+        self.listen = listen;
+        self
+    }
+
+    /// Turns logging off.
+    #[must_use]
+    pub fn with_log_off(mut self) -> Self {
+        self.log.format = LogFormat::Off;
+        self
+    }
+
+    /// Sets how it stops.
+    #[must_use]
+    pub fn with_stop(mut self, stop: Stop) -> Self {
+        self.stop = stop;
+        self
+    }
+}
+
 /// Who this instance is.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -53,6 +88,17 @@
 }
 
 impl Instance {
+    /// Makes an instance of a usual size.
+    pub fn new(name: &str, domain: &str) -> Self {
+        let weight = Instance::default_weight();
+        Instance {
+            name: name.into(),
+            domain: domain.into(),
+            weight,
+            seed: None,
+        }
+    }
+
     const fn default_weight() -> u32 {
         1
     }
@@ -72,6 +118,19 @@
     pub operators: SocketAddr,
 }
 
+impl Listen {
+    /// Listens on free ports of the loopback address.
+    pub fn on_loopback() -> Self {
+        let any = ([127, 0, 0, 1], 0).into();
+        Listen {
+            callers: any,
+            forward: any,
+            link: any,
+            operators: any,
+        }
+    }
+}
+
 impl Default for Listen {
     fn default() -> Self {
         let loopback = [127, 0, 0, 1];
@@ -101,6 +160,17 @@
 }
 
 impl Platform {
+    /// Makes the usual way to a log service and an instance list.
+    pub fn new(log: SocketAddr, list: SocketAddr) -> Self {
+        let poll_ms = Platform::default_poll_ms();
+        Platform {
+            log,
+            list,
+            poll_ms,
+            call_ms: Platform::default_call_ms(),
+        }
+    }
+
     const fn default_poll_ms() -> u64 {
         1_000
     }
--- a/crates/kingcupwinch-daemon/src/siblings/mod.rs
+++ b/crates/kingcupwinch-daemon/src/siblings/mod.rs
@@ -1,5 +1,6 @@
 //! The other instances of this failure domain: messages and forwarded requests.
 
+mod domains;
 mod forward;
 mod inbox;
 mod relay;
@@ -15,6 +16,7 @@
 use rustc_hash::FxHashMap;
 use tokio::time::Instant;
 
+pub(crate) use domains::{Domains, PassedOn, was_passed_on};
 pub(crate) use forward::{Forwarded, forward};
 pub(crate) use inbox::Router;
 pub(crate) use relay::follow_siblings;
--- a/crates/kingcupwinch-daemon/tests/testsuite/main.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod bad_input;
 mod bad_jobs;
 mod caller;
+mod domains;
 mod jobs;
 mod keys;
 mod live;
--- a/crates/kingcupwinch-daemon/tests/testsuite/site.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/site.rs
@@ -2,15 +2,12 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use kingcupwinch_config::load_texts;
 use kingcupwinch_coord::id::{RecordId, Version};
 use kingcupwinch_coord::record::{ConfigRecord, Stamped};
-use kingcupwinch_daemon::settings::{
-    Hold, Instance, Listen, Log, LogFormat, Platform, Settings, Stop,
-};
+use kingcupwinch_daemon::settings::{Instance, Listen, Platform, Settings, Stop};
 use kingcupwinch_daemon::{Daemon, Running, StopEnd};
 use kingcupwinch_fakes::{
     FakeLog, FakeRoster, FakeWorker, Ledger, LogFront, RosterFront, WorkerSpec,
@@ -85,6 +82,19 @@
     ([127, 0, 0, 1], 0).into()
 }
 
+/// Returns a worker as [`BASE`] declares it.
+pub(crate) fn make_spec(name: &str) -> WorkerSpec {
+    let capacity = Capacity {
+        slots: 4,
+        connections: 32,
+        millicores: 16_000,
+        memory_mb: 65_536,
+        accelerators: 0,
+        services: vec!["booking".into()],
+    };
+    WorkerSpec::new(name, capacity)
+}
+
 /// The platform of one failure domain.
 pub(crate) struct Site {
     pub(crate) log: FakeLog,
@@ -116,15 +126,7 @@
     }
 
     async fn add_worker(&mut self, index: usize) {
-        let capacity = Capacity {
-            slots: 4,
-            connections: 32,
-            millicores: 16_000,
-            memory_mb: 65_536,
-            accelerators: 0,
-            services: vec!["booking".into()],
-        };
-        let spec = WorkerSpec::new(format!("worker-{index}"), capacity);
+        let spec = make_spec(&format!("worker-{index}"));
         let worker = FakeWorker::start(spec, &self.ledger, any_port())
             .await
             .unwrap();
@@ -153,40 +155,20 @@
 
     /// Returns the settings of an entry instance.
     pub(crate) fn settings(&self, name: &str) -> Settings {
-        Settings {
-            instance: Instance {
-                name: name.into(),
-                domain: Arc::from(DOMAIN),
-                weight: 1,
-                seed: None,
-            },
-            listen: Listen {
-                callers: any_port(),
-                forward: any_port(),
-                link: any_port(),
-                operators: any_port(),
-            },
-            platform: Platform {
-                log: self.log_front.address(),
-                list: self.roster_front.address(),
-                poll_ms: 100,
-                call_ms: 1_500,
-            },
-            log: Log {
-                format: LogFormat::Off,
-                ..Log::default()
-            },
-            stop: Stop {
+        let mut platform = Platform::new(self.log_front.address(), self.roster_front.address());
+        platform.poll_ms = 100;
+        Settings::new(Instance::new(name, DOMAIN), platform)
+            .with_listen(Listen::on_loopback())
+            .with_log_off()
+            .with_stop(Stop {
                 balancer_ms: 50,
                 deadline_ms: 30_000,
-            },
-            hold: Hold::default(),
-        }
+            })
     }
 
     /// Starts an entry instance in a runtime of its own, which can be ended like a process.
     pub(crate) async fn start_entry(&self, name: &str) -> Entry {
-        start_entry_with(self.settings(name)).await
+        Entry::start(self.settings(name)).await
     }
 
     /// Starts an entry instance with a server of the log of its own, to cut off only this one.
@@ -194,7 +176,7 @@
         let front = LogFront::start(&self.log, any_port()).await.unwrap();
         let mut settings = self.settings(name);
         settings.platform.log = front.address();
-        (start_entry_with(settings).await, front)
+        (Entry::start(settings).await, front)
     }
 
     /// Starts entry instances and waits until every shard has an owner that dispatches, and every
@@ -249,20 +231,6 @@
     }
 }
 
-async fn start_entry_with(settings: Settings) -> Entry {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .unwrap();
-    let daemon = Daemon::new(settings);
-    let running = runtime.spawn(daemon.start()).await.unwrap().unwrap();
-    Entry {
-        running: Some(running),
-        runtime: Some(runtime),
-    }
-}
-
 /// An entry instance in a runtime of its own.
 pub(crate) struct Entry {
     running: Option<Running>,
@@ -270,6 +238,25 @@
 }
 
 impl Entry {
+    /// Starts a daemon with these settings.
+    pub(crate) async fn start(settings: Settings) -> Self {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .unwrap();
+        let daemon = Daemon::new(settings);
+        let running = runtime.spawn(daemon.start()).await.unwrap().unwrap();
+        Entry {
+            running: Some(running),
+            runtime: Some(runtime),
+        }
+    }
+
+    pub(crate) fn callers_address(&self) -> SocketAddr {
+        self.running().addresses().callers
+    }
+
     fn running(&self) -> &Running {
         self.running.as_ref().unwrap()
     }
