Answer for a job in every failure domain

Cause: a caller whose balancer led it to another failure domain was told that its job is unknown. Change: state and cancel of a job are asked of the domains that its id may be of. Conclusion: a job's id is enough, wherever it is asked for.

--- a/crates/kingcupwinch-daemon/src/daemon.rs
+++ b/crates/kingcupwinch-daemon/src/daemon.rs
@@ -188,12 +188,13 @@
             versions,
         };
         let config = Config::spawn(args);
+        let domains = Arc::new(Domains::new(RosterClient::new(settings.platform.list)));
         let live = LiveService::new(
             Arc::clone(&shared),
             scheduler.clone(),
             Arc::clone(&siblings),
             keys.clone(),
-            Arc::new(Domains::new(RosterClient::new(settings.platform.list))),
+            Arc::clone(&domains),
         );
         let args = JobsArgs {
             shared: Arc::clone(&shared),
@@ -202,7 +203,12 @@
             scheduler: scheduler.clone(),
         };
         let keeper = JobKeeper::spawn_with_mailbox(args, mailbox::unbounded());
-        let jobs = JobService::new(Arc::clone(&shared), keeper.clone(), Arc::clone(&siblings));
+        let jobs = JobService::new(
+            Arc::clone(&shared),
+            keeper.clone(),
+            Arc::clone(&siblings),
+            domains,
+        );
         let (booted, boot) = watch::channel(None);
         let starter = Boot {
             shared: Arc::clone(&shared),
--- a/crates/kingcupwinch-daemon/src/jobs/service.rs
+++ b/crates/kingcupwinch-daemon/src/jobs/service.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::{Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::{Method, Response, StatusCode};
 use kameo::actor::ActorRef;
 use kingcupwinch_config::{Kind, Tree};
 use kingcupwinch_coord::id::{Incarnation, JobId, ShardId};
+use kingcupwinch_platform::AnswerBody;
 use kingcupwinch_time::{Span, WallClock};
 use kingcupwinch_wire::api::{JobAccepted, JobSpec, JobStatus, Problem};
 use kingcupwinch_wire::sibling::Body as Message;
@@ -17,11 +19,12 @@
 use super::name::MAX_TASKS;
 use crate::actors::jobs::{Accept, Cancel, CancelAnswer, JobKeeper, Lookup, LookupAnswer};
 use crate::live::find_customer;
-use crate::server::body::Body;
+use crate::server::body::{Body, full};
+use crate::server::headers::strip;
 use crate::server::operators::json;
 use crate::server::problem::{not_run, respond, try_later, unknown};
 use crate::shared::{Shared, Stage};
-use crate::siblings::Siblings;
+use crate::siblings::{Domains, PassedOn, Siblings};
 
 /// How long a job may take to be kept on the log.
 const KEEP_TIMEOUT: Duration = Duration::from_secs(5);
@@ -29,6 +32,9 @@
 /// How long a sibling may take to answer for a job.
 const ASK_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The largest answer about a job that is passed on, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
+
 /// When a caller may come back where a job can't be taken now.
 const RETRY: Span = Span::from_secs(1);
 
@@ -38,6 +44,7 @@
     shared: Arc<Shared>,
     keeper: ActorRef<JobKeeper>,
     siblings: Arc<Siblings>,
+    domains: Arc<Domains>,
 }
 
 impl JobService {
@@ -46,11 +53,13 @@
         shared: Arc<Shared>,
         keeper: ActorRef<JobKeeper>,
         siblings: Arc<Siblings>,
+        domains: Arc<Domains>,
     ) -> Self {
         JobService {
             shared,
             keeper,
             siblings,
+            domains,
         }
     }
 
@@ -139,14 +148,50 @@
         })
     }
 
-    /// Answers with a job's state.
-    pub(crate) async fn status(&self, id: &str) -> Response<Body> {
-        let Some(name) = self.read_name(id) else {
+    /// Answers with a job's state, or cancels it, wherever its home is.
+    pub(crate) async fn serve(&self, id: &str, method: &Method, passed: bool) -> Response<Body> {
+        let parsed = uuid::Uuid::parse_str(id)
+            .ok()
+            .and_then(|id| JobName::read(JobId(id)));
+        let Some(name) = parsed else {
             return not_found(id);
         };
+        if !name.may_be_of(&self.shared.settings.instance.domain) {
+            return self.ask_domains(name, method, passed).await;
+        }
+        match *method {
+            Method::DELETE => self.cancel(name).await,
+            _ => self.status(name).await,
+        }
+    }
+
+    /// Asks the domains that the job may be of; the first that answers for it is right.
+    async fn ask_domains(&self, name: JobName, method: &Method, passed: bool) -> Response<Body> {
+        let config = self.shared.config.load_full();
+        let others = config
+            .tree
+            .domains
+            .keys()
+            .filter(|domain| name.may_be_of(domain));
+        let mut answer = not_found(&name.id.to_string());
+        for domain in others.filter(|_| !passed) {
+            match self
+                .domains
+                .ask_job(&self.shared, domain, method, name.id)
+                .await
+            {
+                PassedOn::Answered(response) if response.status() == StatusCode::NOT_FOUND => {}
+                PassedOn::Answered(response) => return relay_whole(response).await,
+                PassedOn::NotSent(_) | PassedOn::Unknown(_) => answer = respond(&home_unreached()),
+            }
+        }
+        answer
+    }
+
+    async fn status(&self, name: JobName) -> Response<Body> {
         match self.look_up(name).await {
             Ok(Some(status)) => json(&status),
-            Ok(None) => not_found(id),
+            Ok(None) => not_found(&name.id.to_string()),
             Err(problem) => respond(&problem),
         }
     }
@@ -178,13 +223,10 @@
     }
 
     /// Cancels a job, as often as the caller likes.
-    pub(crate) async fn cancel(&self, id: &str) -> Response<Body> {
-        let Some(name) = self.read_name(id) else {
-            return not_found(id);
-        };
+    async fn cancel(&self, name: JobName) -> Response<Body> {
         match self.cancel_at_home(name).await {
             Ok(CancelAnswer::Done) => {
-                let mut response = Response::new(crate::server::body::full(""));
+                let mut response = Response::new(full(""));
                 *response.status_mut() = StatusCode::NO_CONTENT;
                 response
             }
@@ -194,7 +236,7 @@
                 problem.status = StatusCode::CONFLICT.as_u16();
                 respond(&problem)
             }
-            Ok(CancelAnswer::NotKnown) => not_found(id),
+            Ok(CancelAnswer::NotKnown) => not_found(&name.id.to_string()),
             Err(problem) => respond(&problem),
         }
     }
@@ -230,12 +272,6 @@
         let owner = ownership.owner(name.home).map(|owner| owner.incarnation);
         owner.ok_or_else(home_unreached)
     }
-
-    fn read_name(&self, id: &str) -> Option<JobName> {
-        let id = JobId(uuid::Uuid::parse_str(id).ok()?);
-        let domain = &self.shared.settings.instance.domain;
-        JobName::read(id).filter(|name| name.may_be_of(domain))
-    }
 }
 
 /// A sibling's word for a job that runs and must not be stopped.
@@ -262,6 +298,16 @@
     Ok(())
 }
 
+/// Passes on a small answer of another domain.
+async fn relay_whole(response: Response<AnswerBody>) -> Response<Body> {
+    let (mut parts, body) = response.into_parts();
+    strip(&mut parts.headers);
+    match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
+        Ok(body) => Response::from_parts(parts, full(body.to_bytes())),
+        Err(_) => respond(&home_unreached()),
+    }
+}
+
 fn not_found(id: &str) -> Response<Body> {
     let detail = format!("job {id} is not known in this failure domain");
     respond(&not_run(StatusCode::NOT_FOUND, "unknown-job", detail))
--- a/crates/kingcupwinch-daemon/src/server/callers.rs
+++ b/crates/kingcupwinch-daemon/src/server/callers.rs
@@ -13,6 +13,7 @@
 use crate::live::{Admission, LiveService};
 use crate::metrics::Outcome;
 use crate::shared::Shared;
+use crate::siblings::was_passed_on;
 
 pub(super) const RUN_PATH: &str = "/v1/run/";
 const JOBS_PATH: &str = "/v1/jobs";
@@ -90,10 +91,10 @@
             return self.submit_job(request).await;
         }
         if let Some(id) = path.strip_prefix(JOB_PATH) {
-            match *request.method() {
-                Method::GET => return self.jobs.status(id).await,
-                Method::DELETE => return self.jobs.cancel(id).await,
-                _ => {}
+            let method = request.method();
+            if matches!(*method, Method::GET | Method::DELETE) {
+                let passed = was_passed_on(request.headers());
+                return self.jobs.serve(id, method, passed).await;
             }
         }
         match (request.method(), path.as_str()) {
--- a/crates/kingcupwinch-daemon/src/siblings/domains.rs
+++ b/crates/kingcupwinch-daemon/src/siblings/domains.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use hyper::header::{HeaderValue, VIA};
-use hyper::{HeaderMap, Request, Response};
-use kingcupwinch_coord::id::Domain;
+use hyper::{HeaderMap, Method, Request, Response};
+use kingcupwinch_coord::id::{Domain, JobId};
 use kingcupwinch_platform::{AnswerBody, HttpClient, RosterClient, SendError};
 use kingcupwinch_time::{Span, Time};
 use kingcupwinch_wire::roster::{InstanceState, Role};
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 use crate::live::LiveRequest;
-use crate::server::body::Body;
+use crate::server::body::{Body, full};
 use crate::server::headers::{CLASS, CUSTOMER, DEADLINE, set};
 use crate::shared::Shared;
 
@@ -67,7 +67,7 @@
         }
     }
 
-    /// Passes a request on to the first instance of a domain that is reached.
+    /// Passes a live request on to the first instance of a domain that is reached.
     pub(crate) async fn pass_on(
         &self,
         shared: &Shared,
@@ -76,12 +76,44 @@
         left: Span,
     ) -> PassedOn {
         let deadline = Instant::now() + Duration::from(left);
+        let make = || {
+            let body = request.body.take(&shared.settings.hold)?;
+            Some(make_message(request, body, left))
+        };
+        self.send(shared, domain, deadline, make).await
+    }
+
+    /// Asks a domain about one of its jobs.
+    pub(crate) async fn ask_job(
+        &self,
+        shared: &Shared,
+        domain: &Domain,
+        method: &Method,
+        job: JobId,
+    ) -> PassedOn {
+        let deadline = Instant::now() + Duration::from_millis(shared.settings.platform.call_ms);
+        let make = || {
+            let mut message = Request::new(full(""));
+            *message.method_mut() = method.clone();
+            *message.uri_mut() = format!("/v1/jobs/{job}").parse().ok()?;
+            message
+                .headers_mut()
+                .append(VIA, HeaderValue::from_static(PASSED_ON));
+            Some(message)
+        };
+        self.send(shared, domain, deadline, make).await
+    }
+
+    async fn send(
+        &self,
+        shared: &Shared,
+        domain: &Domain,
+        deadline: Instant,
+        mut make: impl FnMut() -> Option<Request<Body>>,
+    ) -> PassedOn {
         let mut why = format!("no instance of failure domain {domain} is listed");
         for remote in self.instances(shared, domain).await {
-            let Some(body) = request.body.take(&shared.settings.hold) else {
-                break;
-            };
-            let message = make_message(request, body, left);
+            let Some(message) = make() else { break };
             match remote.client.send(message, deadline).await {
                 Ok(response) => return PassedOn::Answered(response),
                 Err(SendError::NotSent(cause)) => why = cause.to_string(),
--- a/crates/kingcupwinch-daemon/tests/testsuite/domains.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/domains.rs
@@ -88,3 +88,29 @@
         "keys of the lost domain are refused: {refused}"
     );
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_is_known_in_every_domain() {
+    let site = Site::start(1).await;
+    let entries = site.start_entries(&["entry-1"]).await;
+    let (_worker, other) = add_domain(&site).await;
+    let others = [other];
+    wait_until("the other domain dispatches", || all_dispatched(&others)).await;
+    wait_until("the configuration is in force", || async {
+        entries[0].status().await.version == 2
+    })
+    .await;
+    let job = serde_json::json!({
+        "class": "manifest", "customer": "festival", "tasks": 2, "run_ms": 20,
+        "size": { "millicores": 1_000, "memory_mb": 512 },
+    });
+    let id = others[0].caller().submit(&job).await;
+    entries[0].caller().wait_done(&id).await;
+    let path = format!("/v1/jobs/{id}");
+    let caller = entries[0].caller();
+    let reply = caller
+        .send(hyper::Method::DELETE, &path, &[], "")
+        .await
+        .unwrap();
+    assert_eq!(reply.status, 204, "{reply:?}");
+}
