Answer every caller before leaving the group; part runs from tasks

Cause: a stopping instance waited until nothing ran, gave its shards away, and closed its callers' port last. Change: after the balancer's lag the callers' port closes first, every caller is answered while the shards are still owned, and only then the instance leaves.

--- a/crates/kingcupwinch-daemon/src/actors/scheduler/mod.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/mod.rs
@@ -7,6 +7,7 @@
 mod inspect;
 mod lend;
 mod live;
+mod runs;
 mod seat;
 mod tasks;
 
--- a/crates/kingcupwinch-daemon/src/daemon.rs
+++ b/crates/kingcupwinch-daemon/src/daemon.rs
@@ -156,8 +156,10 @@
     shared: Arc<Shared>,
     addresses: Addresses,
     scheduler: ActorRef<Scheduler>,
+    close_callers: watch::Sender<bool>,
     close: watch::Sender<bool>,
     boot: watch::Receiver<Option<Booted>>,
+    callers: JoinHandle<()>,
     servers: Vec<JoinHandle<()>>,
     helpers: Vec<JoinHandle<()>>,
 }
@@ -225,16 +227,24 @@
             booted,
         };
         let helpers = starter.spawn(inbox);
+        let (close_callers, callers_closed) = watch::channel(false);
         let (close, closed) = watch::channel(false);
-        let servers = serve(&shared, ports, (&live, &jobs), &scheduler, &closed);
+        let handler = Arc::new(Callers::new(Arc::clone(&shared), live.clone(), jobs));
+        let callers = tokio::spawn(ports.callers.serve(handler, callers_closed));
+        let handler = Arc::new(Forwards::new(Arc::clone(&shared), live));
+        let forward = tokio::spawn(ports.forward.serve(handler, closed.clone()));
+        let handler = Arc::new(Operators::new(Arc::clone(&shared), scheduler.clone()));
+        let operators = tokio::spawn(ports.operators.serve(handler, closed));
         note_start(&shared, addresses);
         Running {
             shared,
             addresses,
             scheduler,
+            close_callers,
             close,
             boot,
-            servers,
+            callers,
+            servers: vec![forward, operators],
             helpers,
         }
     }
@@ -267,29 +277,17 @@
 
 impl Drop for Running {
     fn drop(&mut self) {
-        for task in self.helpers.iter().chain(&self.servers) {
+        for task in self
+            .helpers
+            .iter()
+            .chain(&self.servers)
+            .chain([&self.callers])
+        {
             task.abort();
         }
     }
 }
 
-fn serve(
-    shared: &Arc<Shared>,
-    ports: Ports,
-    (live, jobs): (&LiveService, &JobService),
-    scheduler: &ActorRef<Scheduler>,
-    closed: &watch::Receiver<bool>,
-) -> Vec<JoinHandle<()>> {
-    let callers = Arc::new(Callers::new(Arc::clone(shared), live.clone(), jobs.clone()));
-    let forwards = Arc::new(Forwards::new(Arc::clone(shared), live.clone()));
-    let operators = Arc::new(Operators::new(Arc::clone(shared), scheduler.clone()));
-    vec![
-        tokio::spawn(ports.callers.serve(callers, closed.clone())),
-        tokio::spawn(ports.forward.serve(forwards, closed.clone())),
-        tokio::spawn(ports.operators.serve(operators, closed.clone())),
-    ]
-}
-
 fn note_start(shared: &Shared, addresses: Addresses) {
     let fields = o!(
         "callers" => addresses.callers.to_string(),
--- a/crates/kingcupwinch-daemon/src/daemon/stop.rs
+++ b/crates/kingcupwinch-daemon/src/daemon/stop.rs
@@ -60,21 +60,28 @@
     async fn force(&mut self) {
         self.shared.log.write(EventId::StopForced, o!());
         self.shared.lifecycle.halt();
+        self.close_callers.send_replace(true);
         self.close.send_replace(true);
         let until = Instant::now() + LAST_WORDS;
-        for server in &mut self.servers {
-            // Whoever has not ended by then is cut.
-            let _ = timeout_at(until, server).await;
+        for server in self.servers.iter_mut().chain([&mut self.callers]) {
+            if !server.is_finished() {
+                // Whoever has not ended by then is cut.
+                let _ = timeout_at(until, server).await;
+            }
         }
     }
 
+    /// Answers every caller while this instance still owns its shards, and only then leaves: a
+    /// request that came between the two would find neither workers nor siblings.
     async fn finish(&mut self, balancer: Duration) {
         tokio::time::sleep(balancer).await;
+        self.close_callers.send_replace(true);
+        // A server that failed has nothing in flight.
+        let _ = (&mut self.callers).await;
         self.wait_until_answered().await;
         self.leave_group().await;
         self.close.send_replace(true);
         for server in &mut self.servers {
-            // A server that failed has nothing in flight.
             let _ = server.await;
         }
     }
