--- a/crates/kingcupwinch-daemon/src/actors/jobs.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs.rs
@@ -141,18 +141,16 @@
         }
     }
 
+    /// Returns how long a run of which nothing more is heard may go on: one lease, and the time that
+    /// the heirs of its worker take to say that it runs.
+    fn run_span(&self) -> Span {
+        let config = self.args.shared.config.load();
+        Span::from_millis(config.tree.timers.task_lease_ms.get()) + REPORT_SPAN
+    }
+
     fn gain(&mut self, owned: OwnedShard) {
-        let lease = self
-            .args
-            .shared
-            .config
-            .load()
-            .tree
-            .timers
-            .task_lease_ms
-            .get();
         let lapse = if owned.inherited {
-            owned.effective + Span::from_millis(lease) + REPORT_SPAN
+            owned.effective + self.run_span()
         } else {
             owned.effective
         };
--- a/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
@@ -11,7 +11,7 @@
 use slog::o;
 
 use super::messages::{KnownTask, TaskEvent, TasksLent, TasksRefused};
-use super::{JobKeeper, REPORT_SPAN, home_of};
+use super::{JobKeeper, home_of};
 use crate::actors::scheduler::{CancelTasks, RunTasks};
 use crate::jobs::{JobName, News, TaskName, TaskPlace, Work};
 use crate::logging::EventId;
@@ -262,16 +262,7 @@
 
     /// Returns when a run of which nothing more is heard has certainly ended.
     fn lapse(&self) -> Time {
-        let lease = self
-            .args
-            .shared
-            .config
-            .load()
-            .tree
-            .timers
-            .task_lease_ms
-            .get();
-        self.now() + Span::from_millis(lease) + REPORT_SPAN
+        self.now() + self.run_span()
     }
 
     /// Looks over a home's jobs again until a time at which runs have certainly ended.
