Send a live request on by one piece of code

Cause: a read through the whole change found three functions that made a request's message and four places that worked out its time left, each with a bound of its own. Change: both are methods of the live request now; what a worker, a sibling and another domain get stays as it was. Conclusion: behaviour is the same, with one place to change.

--- a/crates/kingcupwinch-daemon/src/live/dispatch.rs
+++ b/crates/kingcupwinch-daemon/src/live/dispatch.rs
@@ -3,11 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::{Request, Response};
+use hyper::Response;
 use kingcupwinch_coord::id::{Attempt, TaskId};
 use kingcupwinch_platform::{AnswerBody, NotSentCause, Stamp, WorkerError};
 use kingcupwinch_policy::NotStarted;
-use kingcupwinch_time::Span;
 use kingcupwinch_wire::worker::Refusal;
 use tokio::time::Instant;
 
@@ -16,9 +15,6 @@
 use crate::server::body::Body;
 use crate::shared::Shared;
 
-/// The longest that a worker may take to begin its answer where the request has no deadline.
-const MAX_RUN: Span = Span::from_secs(3_600);
-
 /// Sends a request to the worker, with a last check of the permit before each write.
 pub(super) async fn run_on_worker(
     shared: &Arc<Shared>,
@@ -27,9 +23,7 @@
     start: &LiveStart,
 ) -> Result<Response<AnswerBody>, WorkerError> {
     let now = shared.now();
-    let left = request
-        .deadline
-        .map_or(MAX_RUN, |deadline| deadline.since(now));
+    let left = request.time_left(now);
     let deadline = Instant::now() + Duration::from(left);
     let worker = &start.worker;
     let stamp = || {
@@ -45,20 +39,13 @@
             left: until.since(now),
         })
     };
-    let message = make_message(request, body);
+    let message = request.worker_message(body);
     worker
         .client
         .run(&request.service, message, deadline, stamp)
         .await
 }
 
-fn make_message(request: &LiveRequest, body: Body) -> Request<Body> {
-    let mut message = Request::new(body);
-    *message.method_mut() = request.method.clone();
-    *message.headers_mut() = request.headers.clone();
-    message
-}
-
 /// Returns why a run did not start, as the policy counts it; none if it may have started.
 pub(crate) fn why_not_started(error: &WorkerError) -> Option<NotStarted> {
     match error {
--- a/crates/kingcupwinch-daemon/src/live/keyed.rs
+++ b/crates/kingcupwinch-daemon/src/live/keyed.rs
@@ -20,9 +20,6 @@
 /// Set on an answer that was remembered from an earlier request with the same key.
 const REPLAYED: HeaderName = HeaderName::from_static("idempotency-replayed");
 
-/// How long a key's request may take where it has no deadline.
-const MAX_RUN: Span = Span::from_secs(3_600);
-
 /// When a caller may ask again for a key whose request runs.
 const RUNNING_RETRY: Span = Span::from_millis(500);
 
@@ -65,9 +62,7 @@
             return Answer::Problem(try_later("key-elsewhere", detail, DEFAULT_RETRY));
         }
         let now = self.shared.now();
-        let left = request
-            .deadline
-            .map_or(MAX_RUN, |deadline| deadline.since(now));
+        let left = request.time_left(now);
         match self
             .domains
             .pass_on(&self.shared, domain, request, left)
@@ -93,9 +88,7 @@
         };
         let print = fingerprint(&request.service, &request.class, body);
         let now = self.shared.now();
-        let left = request
-            .deadline
-            .map_or(MAX_RUN, |deadline| deadline.since(now));
+        let left = request.time_left(now);
         self.keys.begin(home, key, print, left).await
     }
 
--- a/crates/kingcupwinch-daemon/src/live/mod.rs
+++ b/crates/kingcupwinch-daemon/src/live/mod.rs
@@ -5,6 +5,7 @@
 mod dispatch;
 mod flow;
 mod keyed;
+mod message;
 pub(crate) mod refuse;
 
 pub(crate) use admit::{Admission, LiveRequest, find_customer};
--- a/crates/kingcupwinch-daemon/src/siblings/domains.rs
+++ b/crates/kingcupwinch-daemon/src/siblings/domains.rs
@@ -15,7 +15,6 @@
 
 use crate::live::LiveRequest;
 use crate::server::body::{Body, full};
-use crate::server::headers::{CLASS, CUSTOMER, DEADLINE, set};
 use crate::shared::Shared;
 
 /// How long a list of another domain's instances is used before it is read again.
@@ -78,7 +77,11 @@
         let deadline = Instant::now() + Duration::from(left);
         let make = || {
             let body = request.body.take(&shared.settings.hold)?;
-            Some(make_message(request, body, left))
+            let mut message = request.instance_message(body, left);
+            message
+                .headers_mut()
+                .append(VIA, HeaderValue::from_static(PASSED_ON));
+            Some(message)
         };
         self.send(shared, domain, deadline, make).await
     }
@@ -178,18 +181,3 @@
         .iter()
         .any(|via| via.as_bytes().starts_with(PASSED_ON.as_bytes()))
 }
-
-fn make_message(request: &LiveRequest, body: Body, left: Span) -> Request<Body> {
-    let mut message = Request::new(body);
-    *message.method_mut() = request.method.clone();
-    if let Ok(uri) = format!("/v1/run/{}", request.service).parse() {
-        *message.uri_mut() = uri;
-    }
-    *message.headers_mut() = request.headers.clone();
-    let headers = message.headers_mut();
-    headers.append(VIA, HeaderValue::from_static(PASSED_ON));
-    set(headers, CLASS, &request.class);
-    set(headers, CUSTOMER, &request.customer);
-    set(headers, DEADLINE, &left.as_millis().max(1).to_string());
-    message
-}
--- a/crates/kingcupwinch-daemon/src/siblings/forward.rs
+++ b/crates/kingcupwinch-daemon/src/siblings/forward.rs
@@ -3,23 +3,19 @@
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Limited};
+use hyper::Response;
 use hyper::header::HeaderValue;
-use hyper::{Method, Request, Response};
 use kingcupwinch_coord::record::Member;
 use kingcupwinch_platform::{AnswerBody, NotSentCause, SendError};
-use kingcupwinch_time::Span;
 use kingcupwinch_wire::api::{Problem, ProblemOutcome};
 use tokio::time::Instant;
 
 use super::Siblings;
 use crate::live::LiveRequest;
 use crate::server::body::Body;
-use crate::server::headers::{ANSWER, CLASS, CUSTOMER, DEADLINE, Hop, RAN, set};
+use crate::server::headers::{ANSWER, Hop, RAN};
 use crate::shared::Shared;
 
-/// The longest that a sibling may take to begin its answer where the request has no deadline.
-const MAX_RUN: Span = Span::from_secs(3_600);
-
 /// The largest problem document that is read, in bytes.
 const MAX_PROBLEM_BYTES: usize = 64 * 1024;
 
@@ -49,11 +45,9 @@
         return Forwarded::NotRun("the sibling's address is malformed".into());
     };
     let now = shared.now();
-    let left = request
-        .deadline
-        .map_or(MAX_RUN, |deadline| deadline.since(now));
+    let left = request.time_left(now);
     let deadline = Instant::now() + Duration::from(left);
-    let mut message = make_message(request, body);
+    let mut message = request.instance_message(body, left);
     let headers = message.headers_mut();
     let waited = now.since(request.arrived);
     let hop = Hop {
@@ -63,7 +57,6 @@
         waited,
     };
     hop.write(headers);
-    set(headers, DEADLINE, &left.as_millis().max(1).to_string());
     match client.send(message, deadline).await {
         Ok(response) => judge(response).await,
         Err(SendError::NotSent(cause)) => Forwarded::NotRun(not_sent(&cause)),
@@ -75,19 +68,6 @@
     format!("the sibling was not reached: {cause}")
 }
 
-fn make_message(request: &LiveRequest, body: Body) -> Request<Body> {
-    let mut message = Request::new(body);
-    *message.method_mut() = Method::clone(&request.method);
-    if let Ok(uri) = format!("/v1/run/{}", request.service).parse() {
-        *message.uri_mut() = uri;
-    }
-    *message.headers_mut() = request.headers.clone();
-    let headers = message.headers_mut();
-    set(headers, CLASS, &request.class);
-    set(headers, CUSTOMER, &request.customer);
-    message
-}
-
 /// Only an answer that says so is the worker's own.
 async fn judge(response: Response<AnswerBody>) -> Forwarded {
     if response.headers().get(ANSWER) == Some(&HeaderValue::from_static(RAN)) {
