--- /dev/null
+++ b/crates/kingcupwinch-cell/src/advice.rs
@@ -0,0 +1,154 @@
+//! Tickets of the adviser, and the instances that ask it.
+
+use std::sync::Arc;
+
+use kingcupwinch_time::{Span, Time};
+use rustc_hash::FxHashMap;
+
+use crate::spec::AdviceTerms;
+use crate::worker::WorkerKey;
+
+/// Taken off a ticket's validity: it has to be valid on arrival at the worker.
+const TICKET_MARGIN: Span = Span::from_millis(150);
+/// How much longer than expected a call may take before it counts as lost.
+const CALL_SLACK: Span = Span::from_millis(1_500);
+/// How long after a lost call the step asks again.
+const RETRY_PAUSE: Span = Span::from_millis(150);
+/// Calls that take longer than this are long: they leave some desks to the short ones.
+const LONG_CALL: Span = Span::from_millis(150);
+/// The wait at a desk that a short call accepts.
+const SHORT_WAIT: Span = Span::from_millis(60);
+/// The wait at a desk that a long call accepts.
+const LONG_WAIT: Span = Span::from_millis(300);
+
+/// Permission of the adviser to start tasks of a step on a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ticket {
+    /// The worker's id.
+    pub worker: Arc<str>,
+    /// The text that the worker checks.
+    pub text: Arc<str>,
+}
+
+/// What the adviser said of a worker for one step; whether it may run the step never changes.
+#[derive(Debug, Clone)]
+pub(crate) enum Verdict {
+    Barred,
+    Allowed { text: Arc<str>, expires: Time },
+}
+
+/// What is known of the workers that may run one step.
+#[derive(Debug, Default)]
+pub(crate) struct Tickets {
+    verdicts: FxHashMap<WorkerKey, Verdict>,
+    /// Set while a call is on its way: after this time it counts as lost.
+    pub(crate) pending: Option<Time>,
+    /// No call before this time.
+    pub(crate) again: Time,
+}
+
+impl Tickets {
+    pub(crate) fn verdict(&self, worker: WorkerKey) -> Option<&Verdict> {
+        self.verdicts.get(&worker)
+    }
+
+    /// Returns the ticket for a worker if it is valid at `now`.
+    pub(crate) fn valid(&self, worker: WorkerKey, now: Time) -> Option<&Arc<str>> {
+        match self.verdicts.get(&worker)? {
+            Verdict::Allowed { text, expires } if *expires > now => Some(text),
+            Verdict::Allowed { .. } | Verdict::Barred => None,
+        }
+    }
+
+    pub(crate) fn bar(&mut self, worker: WorkerKey) {
+        self.verdicts.insert(worker, Verdict::Barred);
+    }
+
+    pub(crate) fn allow(&mut self, worker: WorkerKey, text: Arc<str>, valid: Span, now: Time) {
+        let expires = now + valid - TICKET_MARGIN;
+        self.verdicts
+            .insert(worker, Verdict::Allowed { text, expires });
+    }
+
+    /// Makes a ticket that a worker refused lapse, so that the next one is asked for.
+    pub(crate) fn expire(&mut self, worker: WorkerKey, now: Time) {
+        if let Some(Verdict::Allowed { expires, .. }) = self.verdicts.get_mut(&worker) {
+            *expires = now;
+        }
+    }
+
+    pub(crate) fn answered(&mut self) {
+        self.pending = None;
+    }
+
+    pub(crate) fn failed(&mut self, now: Time) {
+        self.pending = None;
+        self.again = now + RETRY_PAUSE;
+    }
+}
+
+/// Returns how long a call about `workers` workers takes.
+pub(crate) fn call_time(terms: &AdviceTerms, workers: usize) -> Span {
+    let ms = terms.call_ms + terms.worker_ms * workers as f64;
+    Span::from_micros((ms * 1_000.0) as u64)
+}
+
+/// An instance that can ask the adviser; the adviser takes its calls one at a time.
+#[derive(Debug)]
+struct Desk {
+    instance: Arc<str>,
+    free: Time,
+}
+
+/// The instances over which calls to the adviser are spread.
+#[derive(Debug, Default)]
+pub(crate) struct Desks {
+    desks: Vec<Desk>,
+}
+
+impl Desks {
+    /// Replaces the instances, keeping when each is free.
+    pub(crate) fn set(&mut self, instances: &[Arc<str>]) {
+        let mut desks = Vec::with_capacity(instances.len());
+        for instance in instances {
+            let known = self.desks.iter().find(|desk| desk.instance == *instance);
+            desks.push(Desk {
+                instance: Arc::clone(instance),
+                free: known.map_or(Time::ZERO, |desk| desk.free),
+            });
+        }
+        self.desks = desks;
+    }
+
+    /// Takes the desk that is free first, if that is soon enough for a call of this length.
+    /// Returns its instance and when the call counts as lost.
+    pub(crate) fn take(&mut self, length: Span, now: Time) -> Option<(Arc<str>, Time)> {
+        let is_long = length > LONG_CALL;
+        let wait = if is_long { LONG_WAIT } else { SHORT_WAIT };
+        let open = if is_long {
+            (self.desks.len() * 2).div_ceil(3)
+        } else {
+            self.desks.len()
+        };
+        // Short calls fill the desks from the end, which long calls may not use.
+        let desk = self.desks[..open]
+            .iter_mut()
+            .rev()
+            .min_by_key(|desk| desk.free.max(now))?;
+        let begins = desk.free.max(now);
+        if begins > now + wait {
+            return None;
+        }
+        desk.free = begins + length;
+        Some((Arc::clone(&desk.instance), desk.free + CALL_SLACK))
+    }
+
+    /// Notes that a call to an instance failed: nothing goes there for a while.
+    pub(crate) fn failed(&mut self, instance: &str, until: Time) {
+        for desk in &mut self.desks {
+            if &*desk.instance == instance {
+                desk.free = desk.free.max(until);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -0,0 +1,461 @@
+//! The state of a cell and the events that change it.
+
+mod asks;
+mod looks;
+mod runs;
+
+use std::sync::Arc;
+
+use kingcupwinch_time::{Span, Time};
+use rustc_hash::{FxHashMap, FxHashSet};
+use slotmap::SlotMap;
+
+use crate::advice::Desks;
+use crate::id::{JobId, TaskName};
+use crate::job::{Job, JobKey, Shown, TaskState};
+use crate::record::{JobRecord, Placement};
+use crate::run::{Placed, Run, RunKey, RunState};
+use crate::spec::JobSpec;
+use crate::speed::{Ratio, Share};
+use crate::worker::{Registration, Worker, WorkerKey};
+
+pub use asks::AskKey;
+pub use runs::{Action, StartOrder, StopOrder};
+
+/// The share of workers that an adviser allows, before any was seen.
+const ALLOWED_PRIOR: f64 = 0.4;
+
+/// The timers of a cell.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// The longest lease that workers grant.
+    pub lease: Span,
+    /// How long an earlier owner may have given orders after its successor's claim.
+    pub overlap: Span,
+    /// How long the end of a job can be asked for.
+    pub keep: Span,
+}
+
+/// What became of a job that was handed in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Submitted {
+    /// It is new.
+    New,
+    /// It was there before, live or ended.
+    Known,
+    /// Its cancellation came first.
+    Cancelled,
+}
+
+/// Counts since the cell was made.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Runs that were ordered.
+    pub starts: u64,
+    /// Runs that ended done.
+    pub done: u64,
+    /// Runs that ended in any other way.
+    pub lost: u64,
+    /// Runs that failed.
+    pub failed: u64,
+    /// Jobs completed.
+    pub completed: u64,
+    /// Jobs given up.
+    pub given_up: u64,
+    /// Calls to advisers.
+    pub asks: u64,
+}
+
+/// Records to append, as one batch.
+#[derive(Debug, Default, PartialEq)]
+pub struct Records {
+    /// Names the batch in [`Cell::recorded`].
+    pub batch: u64,
+    /// The jobs' progress.
+    pub progress: Vec<(JobId, JobRecord)>,
+    /// Ended jobs whose progress can be dropped.
+    pub expired: Vec<JobId>,
+}
+
+impl Records {
+    /// Returns whether there is nothing to append.
+    pub fn is_empty(&self) -> bool {
+        self.progress.is_empty() && self.expired.is_empty()
+    }
+}
+
+/// What is learned about a queue.
+#[derive(Debug)]
+pub(crate) struct QueueSense {
+    /// Observed over estimated run time.
+    pub(crate) pace: Ratio,
+    /// Workers allowed of those asked about.
+    pub(crate) allowed: Share,
+}
+
+impl Default for QueueSense {
+    fn default() -> Self {
+        QueueSense {
+            pace: Ratio::default(),
+            allowed: Share::new(ALLOWED_PRIOR),
+        }
+    }
+}
+
+/// An acknowledgement that waits until a batch of records is in the log.
+#[derive(Debug)]
+struct PendingAck {
+    batch: u64,
+    worker: WorkerKey,
+    born: u64,
+    number: u64,
+}
+
+/// The workers and jobs of one owner.
+#[derive(Debug)]
+pub struct Cell {
+    limits: Limits,
+    /// Numbers of runs begin above those of earlier owners.
+    first_number: u32,
+    pub(crate) jobs: SlotMap<JobKey, Job>,
+    by_id: FxHashMap<JobId, JobKey>,
+    ends: FxHashMap<JobId, Ended>,
+    /// Cancellations of jobs that were not handed in yet.
+    early_cancels: FxHashMap<JobId, Time>,
+    pub(crate) workers: SlotMap<WorkerKey, Worker>,
+    by_name: FxHashMap<Arc<str>, WorkerKey>,
+    runs: SlotMap<RunKey, Run>,
+    by_run: FxHashMap<(TaskName, u32), RunKey>,
+    pub(crate) queues: FxHashMap<Arc<str>, QueueSense>,
+    pub(crate) desks: Desks,
+    asks: FxHashMap<AskKey, asks::Ask>,
+    next_ask: u64,
+    pub(crate) actions: Vec<Action>,
+    dirty: FxHashSet<JobKey>,
+    batch: u64,
+    acks: Vec<PendingAck>,
+    kept: Vec<(u64, JobKey)>,
+    counters: Counters,
+}
+
+/// An end that can still be asked for.
+#[derive(Debug, Clone, Copy)]
+struct Ended {
+    shown: Shown,
+    until: Time,
+}
+
+/// Numbers of runs that each generation of owners may use per job.
+const NUMBERS_PER_GENERATION: u32 = 1_000;
+
+impl Cell {
+    /// Makes an empty cell for the owner of a generation, from 1.
+    pub fn new(limits: Limits, generation: u32) -> Self {
+        Cell {
+            limits,
+            first_number: generation.saturating_sub(1) * NUMBERS_PER_GENERATION,
+            jobs: SlotMap::with_key(),
+            by_id: FxHashMap::default(),
+            ends: FxHashMap::default(),
+            early_cancels: FxHashMap::default(),
+            workers: SlotMap::with_key(),
+            by_name: FxHashMap::default(),
+            runs: SlotMap::with_key(),
+            by_run: FxHashMap::default(),
+            queues: FxHashMap::default(),
+            desks: Desks::default(),
+            asks: FxHashMap::default(),
+            next_ask: 0,
+            actions: Vec::new(),
+            dirty: FxHashSet::default(),
+            batch: 1,
+            acks: Vec::new(),
+            kept: Vec::new(),
+            counters: Counters::default(),
+        }
+    }
+
+    /// Takes in a job that is in the log.
+    pub fn submit(&mut self, id: JobId, spec: JobSpec, now: Time) -> Submitted {
+        if self.by_id.contains_key(&id) || self.ends.contains_key(&id) {
+            return Submitted::Known;
+        }
+        let pace = self.pace(&spec.terms.queue);
+        let mut job = Job::new(id, spec, pace, now);
+        job.numbers = self.first_number;
+        let key = self.jobs.insert(job);
+        self.by_id.insert(id, key);
+        if self.early_cancels.remove(&id).is_some() {
+            self.end_job(key, Shown::Cancelled);
+            return Submitted::Cancelled;
+        }
+        Submitted::New
+    }
+
+    /// Takes over a job that an earlier owner had; `age` is the time since its acceptance.
+    pub fn restore(
+        &mut self,
+        id: JobId,
+        spec: Option<JobSpec>,
+        record: Option<&JobRecord>,
+        age: Span,
+        now: Time,
+    ) {
+        if let Some(shown) = record.and_then(|record| record.end) {
+            let until = now + self.limits.keep;
+            self.ends.insert(id, Ended { shown, until });
+            return;
+        }
+        let Some(spec) = spec else { return };
+        if self.submit(id, spec, now - age) != Submitted::New {
+            return;
+        }
+        let key = self.by_id[&id];
+        let job = &mut self.jobs[key];
+        job.inherited = true;
+        let Some(record) = record else { return };
+        job.restore(record);
+        job.numbers = job.numbers.max(self.first_number);
+        for placed in &record.placed {
+            self.adopt_placement(key, placed, now);
+        }
+        if self.jobs[key].is_done() {
+            self.end_job(key, Shown::Completed);
+        }
+    }
+
+    /// Takes over a recorded placement; a look at the worker has to settle it.
+    fn adopt_placement(&mut self, key: JobKey, placed: &Placement, now: Time) {
+        let Some(&worker) = self.by_name.get(&placed.worker) else {
+            return;
+        };
+        let name = TaskName {
+            job: self.jobs[key].id,
+            occurrence: 0,
+            step: placed.step,
+            index: placed.index,
+        };
+        let placed = Placed {
+            name,
+            number: placed.run,
+            worker,
+            state: RunState::Doubtful(now),
+        };
+        self.adopt_run(key, placed, now);
+    }
+
+    /// Cancels a job whose cancellation is in the log.
+    pub fn cancel(&mut self, id: JobId, now: Time) {
+        if let Some(&key) = self.by_id.get(&id) {
+            self.end_job(key, Shown::Cancelled);
+        } else if !self.ends.contains_key(&id) {
+            self.early_cancels.insert(id, now + self.limits.keep);
+        }
+    }
+
+    /// Takes in a worker of the directory, or what changed of it.
+    pub fn list_worker(&mut self, entry: Registration, inherited: bool, now: Time) -> WorkerKey {
+        if let Some(&key) = self.by_name.get(&entry.id) {
+            let worker = &mut self.workers[key];
+            worker.unlisted = None;
+            let is_reborn = worker.entry.born != entry.born;
+            worker.entry = entry;
+            if is_reborn {
+                self.reset_worker(key, now);
+            }
+            return key;
+        }
+        let id = Arc::clone(&entry.id);
+        // An earlier owner may have renewed its leases up to the end of the overlap.
+        let lapsed = if inherited {
+            now + self.limits.overlap + self.limits.lease + self.limits.lease.divided_by(20)
+        } else {
+            now
+        };
+        let key = self.workers.insert(Worker::new(entry, inherited, lapsed));
+        self.by_name.insert(id, key);
+        key
+    }
+
+    /// Notes that a worker left the directory.
+    pub fn unlist_worker(&mut self, id: &str, now: Time) {
+        if let Some(&key) = self.by_name.get(id) {
+            self.workers[key].unlisted.get_or_insert(now);
+        }
+    }
+
+    /// Replaces the instances that can ask advisers.
+    pub fn set_desks(&mut self, instances: &[Arc<str>]) {
+        self.desks.set(instances);
+    }
+
+    /// Returns a job's state; `None` if there is no such job.
+    pub fn shown(&self, id: JobId) -> Option<Shown> {
+        if let Some(ended) = self.ends.get(&id) {
+            return Some(ended.shown);
+        }
+        let key = self.by_id.get(&id)?;
+        Some(self.jobs[*key].shown())
+    }
+
+    /// Returns whether a run is not settled yet.
+    pub fn is_running(&self, task: TaskName, run: u32) -> bool {
+        self.by_run.contains_key(&(task, run))
+    }
+
+    /// Returns how many jobs of a queue have not begun.
+    pub fn waiting(&self, queue: &str) -> usize {
+        let waits = |job: &&Job| job.end.is_none() && !job.began && &*job.spec.terms.queue == queue;
+        self.jobs.values().filter(waits).count()
+    }
+
+    /// Returns the counts since the cell was made.
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// Returns how many jobs have not ended.
+    pub fn live_jobs(&self) -> usize {
+        self.jobs.values().filter(|job| job.end.is_none()).count()
+    }
+
+    /// Returns cores in use and cores there, in thousandths.
+    pub fn load(&self) -> (u64, u64) {
+        self.workers.values().fold((0, 0), |(used, all), worker| {
+            (used + worker.used.cpu, all + worker.entry.capacity.cpu)
+        })
+    }
+
+    /// Returns the workers' keys, ids and addresses.
+    pub fn workers(&self) -> Vec<(WorkerKey, Arc<str>, Arc<str>)> {
+        let row = |(key, worker): (WorkerKey, &Worker)| {
+            let entry = &worker.entry;
+            (key, Arc::clone(&entry.id), Arc::clone(&entry.address))
+        };
+        self.workers.iter().map(row).collect()
+    }
+
+    /// Takes what changed since the last batch.
+    pub fn take_records(&mut self, now: Time) -> Records {
+        let mut records = Records {
+            batch: self.batch,
+            ..Records::default()
+        };
+        for key in std::mem::take(&mut self.dirty) {
+            let Some(job) = self.jobs.get(key) else {
+                continue;
+            };
+            let record = match job.end {
+                Some(end) => {
+                    self.kept.push((self.batch, key));
+                    JobRecord::of_end(end)
+                }
+                None => JobRecord::of_progress(job, self.placements(job)),
+            };
+            records.progress.push((job.id, record));
+        }
+        let expired = self.ends.iter().filter(|(_, ended)| ended.until <= now);
+        records.expired = expired.map(|(id, _)| *id).collect();
+        for id in &records.expired {
+            self.ends.remove(id);
+        }
+        self.early_cancels.retain(|_, until| *until > now);
+        if !records.is_empty() || !self.acks.is_empty() {
+            self.batch += 1;
+        }
+        records
+    }
+
+    fn placements(&self, job: &Job) -> Vec<Placement> {
+        let runs = job.runs.iter().filter_map(|key| self.runs.get(*key));
+        let row = |run: &Run| Placement {
+            step: run.name.step,
+            index: run.name.index,
+            run: run.number,
+            worker: Arc::clone(&self.workers[run.worker].entry.id),
+        };
+        runs.map(row).collect()
+    }
+
+    /// Notes that a batch of records and all before it are in the log. Returns the jobs whose end
+    /// may be shown from now on.
+    pub fn recorded(&mut self, batch: u64, now: Time) -> Vec<(JobId, Shown)> {
+        let acks = std::mem::take(&mut self.acks);
+        for ack in acks {
+            if ack.batch > batch {
+                self.acks.push(ack);
+                continue;
+            }
+            if let Some(worker) = self.workers.get_mut(ack.worker)
+                && worker.entry.born == ack.born
+            {
+                worker.acked = worker.acked.max(ack.number);
+            }
+        }
+        let mut shown = Vec::new();
+        let kept = std::mem::take(&mut self.kept);
+        for (number, key) in kept {
+            if number > batch {
+                self.kept.push((number, key));
+                continue;
+            }
+            let Some(job) = self.jobs.get_mut(key) else {
+                continue;
+            };
+            job.is_end_kept = true;
+            shown.extend(job.end.map(|end| (job.id, end)));
+            self.drop_if_over(key, now);
+        }
+        shown
+    }
+
+    /// Ends a job: what runs is stopped, and the end is recorded.
+    fn end_job(&mut self, key: JobKey, end: Shown) {
+        let job = &mut self.jobs[key];
+        if job.end.is_some() {
+            return;
+        }
+        job.end = Some(end);
+        match end {
+            Shown::Completed => self.counters.completed += 1,
+            Shown::Failed => self.counters.given_up += 1,
+            _ => {}
+        }
+        self.dirty.insert(key);
+        let runs: Vec<RunKey> = job.runs.iter().copied().collect();
+        for run in runs {
+            self.stop_run(run);
+        }
+    }
+
+    /// Forgets a job whose end is kept and of which nothing runs; its end can still be asked for.
+    fn drop_if_over(&mut self, key: JobKey, now: Time) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        let (Some(shown), true, true) = (job.end, job.is_end_kept, job.runs.is_empty()) else {
+            return;
+        };
+        let id = job.id;
+        self.jobs.remove(key);
+        self.by_id.remove(&id);
+        let until = now + self.limits.keep;
+        self.ends.insert(id, Ended { shown, until });
+    }
+
+    pub(crate) fn pace(&self, queue: &str) -> f64 {
+        self.queues
+            .get(queue)
+            .map_or(1.0, |sense| sense.pace.mean())
+    }
+
+    fn sense(&mut self, queue: &Arc<str>) -> &mut QueueSense {
+        self.queues.entry(Arc::clone(queue)).or_default()
+    }
+
+    fn is_task_active(&self, key: JobKey, name: TaskName, run: RunKey) -> bool {
+        let job = &self.jobs[key];
+        let task = &job.steps[usize::from(name.step)].tasks[usize::from(name.index)];
+        task.state == TaskState::Active(run)
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -0,0 +1,430 @@
+//! The life of runs: ordered, doubted, stopped, ended.
+
+use std::sync::Arc;
+
+use kingcupwinch_time::{Span, Time};
+
+use super::{AskKey, Cell};
+use crate::id::TaskName;
+use crate::job::{JobKey, Shown, TaskState};
+use crate::run::{EndKind, Placed, Run, RunKey, RunState, StartAnswer};
+use crate::spec::Size;
+use crate::worker::WorkerKey;
+
+/// How long an order to stop may go without an answer before it is sent again.
+const STOP_RETRY: Span = Span::from_millis(600);
+/// Runs shorter than this, or estimated so, tell too little about a worker's speed.
+const LEAST_SAMPLE: Span = Span::from_millis(100);
+
+/// What the owner has to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Order a worker to start a run.
+    Start(StartOrder),
+    /// Order a worker to stop a run.
+    Stop(StopOrder),
+    /// Ask the adviser which of these workers may run a step.
+    Ask {
+        /// Names the call in [`Cell::advised`].
+        ask: AskKey,
+        /// The instance that makes the call.
+        instance: Arc<str>,
+        /// The step.
+        step: String,
+        /// The workers' ids.
+        workers: Vec<Arc<str>>,
+        /// When the call counts as lost.
+        until: Time,
+    },
+}
+
+/// An order to start a run.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StartOrder {
+    /// The worker.
+    pub worker: WorkerKey,
+    /// The task.
+    pub task: TaskName,
+    /// The run's number.
+    pub number: u32,
+    /// The caller's text.
+    pub text: Arc<str>,
+    /// The lease's end on the worker's clock, in milliseconds.
+    pub until: u64,
+    /// The adviser's ticket, where one is needed.
+    pub ticket: Option<Arc<str>>,
+    /// The checkpoint to resume from.
+    pub checkpoint: Option<Arc<str>>,
+}
+
+/// An order to stop a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopOrder {
+    /// The worker.
+    pub worker: WorkerKey,
+    /// The task.
+    pub task: TaskName,
+    /// The run's number.
+    pub number: u32,
+}
+
+impl Cell {
+    /// Orders a run of a task on a worker that has room for it.
+    pub(crate) fn start_run(
+        &mut self,
+        key: JobKey,
+        place: (usize, usize),
+        number: u32,
+        worker: WorkerKey,
+        now: Time,
+    ) -> Option<RunKey> {
+        let (step, index) = place;
+        let until = self.workers[worker].grant(now, self.limits.lease)?;
+        let job = &self.jobs[key];
+        let name = TaskName {
+            job: job.id,
+            occurrence: 0,
+            step: step as u16,
+            index: index as u16,
+        };
+        let spec = &job.spec.steps[step];
+        let order = StartOrder {
+            worker,
+            task: name,
+            number,
+            text: Arc::clone(&job.spec.text),
+            until,
+            ticket: job.steps[step].tickets.valid(worker, now).cloned(),
+            checkpoint: spec
+                .saves
+                .then(|| job.steps[step].tasks[index].saved.clone())
+                .flatten(),
+        };
+        let placed = Placed {
+            name,
+            number,
+            worker,
+            state: RunState::Starting,
+        };
+        let run = self.add_run(key, placed, now);
+        let job = &mut self.jobs[key];
+        job.numbers = job.numbers.max(number);
+        job.start_task(step, index, run);
+        self.dirty.insert(key);
+        self.counters.starts += 1;
+        self.actions.push(Action::Start(order));
+        Some(run)
+    }
+
+    fn add_run(&mut self, key: JobKey, placed: Placed, now: Time) -> RunKey {
+        let Placed {
+            name,
+            number,
+            worker,
+            state,
+        } = placed;
+        let run = self.runs.insert(Run {
+            job: key,
+            name,
+            number,
+            worker,
+            state,
+            began: now,
+            percent: 0,
+            moved: now,
+            missed: 0,
+        });
+        self.by_run.insert((name, number), run);
+        let job = &mut self.jobs[key];
+        job.runs.insert(run);
+        job.steps[usize::from(name.step)].tasks[usize::from(name.index)].unsettled += 1;
+        let size = self.run_size(key, name);
+        let worker = &mut self.workers[worker];
+        worker.runs.insert(run);
+        worker.used.add(size);
+        run
+    }
+
+    pub(crate) fn job_runs(&self, key: JobKey) -> impl Iterator<Item = &Run> {
+        self.jobs[key].runs.iter().map(|run| &self.runs[*run])
+    }
+
+    fn run_size(&self, key: JobKey, name: TaskName) -> Size {
+        self.jobs[key].spec.steps[usize::from(name.step)].charge()
+    }
+
+    /// Takes over a run that an earlier owner ordered. Returns it unless the task does not exist.
+    /// Of several runs of a task the latest is its own, and the others are stopped.
+    pub(crate) fn adopt_run(&mut self, key: JobKey, placed: Placed, now: Time) -> Option<RunKey> {
+        let Placed { name, number, .. } = placed;
+        let (step, index) = (usize::from(name.step), usize::from(name.index));
+        if !self.jobs[key].has_task(step, index) || name.occurrence != 0 {
+            return None;
+        }
+        if let Some(&known) = self.by_run.get(&(name, number)) {
+            return Some(known);
+        }
+        let run = self.add_run(key, placed, now);
+        let job = &mut self.jobs[key];
+        job.numbers = job.numbers.max(number);
+        job.began = true;
+        let other = match job.steps[step].tasks[index].state {
+            _ if job.end.is_some() => Some(run),
+            TaskState::Waiting => None,
+            TaskState::Active(other) if self.runs[other].number < number => Some(other),
+            TaskState::Active(_) | TaskState::Done => Some(run),
+        };
+        if other != Some(run) {
+            job.start_task(step, index, run);
+        }
+        if let Some(other) = other {
+            self.stop_run(other);
+        }
+        Some(run)
+    }
+
+    /// Takes a worker's answer to an order to start.
+    pub fn start_answered(&mut self, order: &StartOrder, answer: StartAnswer, now: Time) {
+        let Some(&key) = self.by_run.get(&(order.task, order.number)) else {
+            return;
+        };
+        let run = &mut self.runs[key];
+        if run.state != RunState::Starting {
+            return;
+        }
+        let job = run.job;
+        match answer {
+            StartAnswer::Started => {
+                run.state = RunState::Running;
+                run.began = now;
+                run.moved = now;
+                if let Some(job) = self.jobs.get_mut(job)
+                    && !job.began
+                {
+                    job.began = true;
+                    self.dirty.insert(run.job);
+                }
+            }
+            StartAnswer::Lost => run.state = RunState::Doubtful(now),
+            StartAnswer::NoTicket => {
+                let (worker, step) = (run.worker, usize::from(run.name.step));
+                self.jobs[job].steps[step].tickets.expire(worker, now);
+                self.refuse_run(key, now);
+            }
+            StartAnswer::NotSent => {
+                let worker = run.worker;
+                self.workers[worker].misses += 1;
+                self.refuse_run(key, now);
+            }
+            StartAnswer::Fenced
+            | StartAnswer::Stale
+            | StartAnswer::Late
+            | StartAnswer::Full
+            | StartAnswer::Refused => self.refuse_run(key, now),
+        }
+    }
+
+    /// Settles a run that certainly does not exist; the rest of a gang is called back.
+    fn refuse_run(&mut self, key: RunKey, now: Time) {
+        let run = &self.runs[key];
+        let (job, name, number) = (run.job, run.name, run.number);
+        self.settle(key, now);
+        self.recall_gang(job, name, number);
+    }
+
+    /// Stops what runs of a gang that can't become complete.
+    fn recall_gang(&mut self, key: JobKey, name: TaskName, number: u32) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        if !job.spec.steps[usize::from(name.step)].gang {
+            return;
+        }
+        let member = |run: &&RunKey| {
+            let run = &self.runs[**run];
+            run.name.step == name.step && run.number == number
+        };
+        let members: Vec<RunKey> = job.runs.iter().filter(member).copied().collect();
+        for member in members {
+            self.stop_run(member);
+        }
+    }
+
+    /// Orders a run to stop.
+    pub(crate) fn stop_run(&mut self, key: RunKey) {
+        let run = &mut self.runs[key];
+        if matches!(run.state, RunState::Stopping(_) | RunState::Stopped(_)) {
+            return;
+        }
+        run.state = RunState::Stopping(Time::ZERO);
+    }
+
+    /// Sends the orders to stop that are due.
+    pub(crate) fn send_stops(&mut self, now: Time) {
+        for run in self.runs.values_mut() {
+            if let RunState::Stopping(due) = run.state
+                && due <= now
+            {
+                run.state = RunState::Stopping(now + STOP_RETRY);
+                self.actions.push(Action::Stop(StopOrder {
+                    worker: run.worker,
+                    task: run.name,
+                    number: run.number,
+                }));
+            }
+        }
+    }
+
+    /// Notes that a worker took an order to stop.
+    pub fn stop_answered(&mut self, order: &StopOrder, now: Time) {
+        if let Some(&key) = self.by_run.get(&(order.task, order.number)) {
+            let run = &mut self.runs[key];
+            if matches!(run.state, RunState::Stopping(_)) {
+                run.state = RunState::Stopped(now);
+            }
+        }
+    }
+
+    /// Takes a run's end as its worker lists it.
+    pub(crate) fn end_run(
+        &mut self,
+        key: RunKey,
+        how: EndKind,
+        saved: Option<Arc<str>>,
+        now: Time,
+    ) {
+        let run = &self.runs[key];
+        let (job, name, number, worker) = (run.job, run.name, run.number, run.worker);
+        let own = self.is_task_active(job, name, key);
+        let elapsed = now.since(run.began);
+        let (step, index) = (usize::from(name.step), usize::from(name.index));
+        if let (true, Some(saved)) = (own, saved) {
+            self.save(job, step, index, saved);
+        }
+        match how {
+            EndKind::Done => {
+                self.counters.done += 1;
+                self.learn(job, step, worker, elapsed);
+                self.workers[worker].note_done();
+                if own {
+                    self.finish(job, step, index);
+                }
+            }
+            EndKind::Failed => {
+                self.counters.failed += 1;
+                if own {
+                    self.count_failure(job, (step, index), number, worker, now);
+                }
+            }
+            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {
+                self.counters.lost += 1;
+            }
+        }
+        self.settle(key, now);
+        if how != EndKind::Done {
+            self.recall_gang(job, name, number);
+        }
+    }
+
+    fn save(&mut self, key: JobKey, step: usize, index: usize, saved: Arc<str>) {
+        let job = &mut self.jobs[key];
+        if job.spec.steps[step].gang {
+            for task in &mut job.steps[step].tasks {
+                task.saved = Some(Arc::clone(&saved));
+            }
+        } else {
+            job.steps[step].tasks[index].saved = Some(saved);
+        }
+        self.dirty.insert(key);
+    }
+
+    /// Marks a task done; one member stands for its whole gang.
+    fn finish(&mut self, key: JobKey, step: usize, index: usize) {
+        let job = &mut self.jobs[key];
+        if job.end.is_some() {
+            return;
+        }
+        if job.spec.steps[step].gang {
+            for member in 0..job.steps[step].tasks.len() {
+                job.finish_task(step, member);
+            }
+        } else {
+            job.finish_task(step, index);
+        }
+        self.dirty.insert(key);
+        if self.jobs[key].is_done() {
+            self.end_job(key, Shown::Completed);
+        }
+    }
+
+    fn count_failure(
+        &mut self,
+        key: JobKey,
+        place: (usize, usize),
+        number: u32,
+        worker: WorkerKey,
+        now: Time,
+    ) {
+        self.workers[worker].note_failure(now);
+        let (step, index) = place;
+        let job = &mut self.jobs[key];
+        if job.end.is_some() {
+            return;
+        }
+        let limit = job.spec.terms.attempts;
+        let is_gang = job.spec.steps[step].gang;
+        let state = &mut job.steps[step];
+        if is_gang {
+            if state.failed_run == number {
+                return;
+            }
+            state.failed_run = number;
+        }
+        // The first task counts for its whole gang.
+        let task = &mut state.tasks[if is_gang { 0 } else { index }];
+        task.failures += 1;
+        task.avoid = Some(worker);
+        let is_over = task.failures >= limit;
+        self.dirty.insert(key);
+        if is_over {
+            self.end_job(key, Shown::Failed);
+        }
+    }
+
+    /// Learns from a run that was done.
+    fn learn(&mut self, key: JobKey, step: usize, worker: WorkerKey, elapsed: Span) {
+        let job = &self.jobs[key];
+        let spec = &job.spec.steps[step];
+        let estimate = Span::from_millis(spec.estimate_ms);
+        if spec.gang || estimate < LEAST_SAMPLE || elapsed < LEAST_SAMPLE {
+            return;
+        }
+        let ratio = elapsed.as_secs_f64() / estimate.as_secs_f64();
+        let queue = Arc::clone(&job.spec.terms.queue);
+        let speed = self.workers[worker].speed.mean();
+        let sense = self.sense(&queue);
+        let pace = sense.pace.mean();
+        sense.pace.observe(ratio / speed);
+        self.workers[worker].speed.observe(ratio / pace);
+    }
+
+    /// Frees what a run held, once it is certain that it does not run and never will.
+    pub(crate) fn settle(&mut self, key: RunKey, now: Time) {
+        let Some(run) = self.runs.remove(key) else {
+            return;
+        };
+        self.by_run.remove(&(run.name, run.number));
+        let size = self.run_size(run.job, run.name);
+        if let Some(worker) = self.workers.get_mut(run.worker) {
+            worker.runs.remove(&key);
+            worker.used.sub(size);
+        }
+        let job = &mut self.jobs[run.job];
+        job.runs.remove(&key);
+        let (step, index) = (usize::from(run.name.step), usize::from(run.name.index));
+        job.steps[step].tasks[index].unsettled -= 1;
+        job.release_task(step, index, key);
+        self.dirty.insert(run.job);
+        self.drop_if_over(run.job, now);
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-cell/src/record.rs
@@ -0,0 +1,131 @@
+//! What of a job is kept in the log beside its acceptance.
+
+use std::sync::Arc;
+
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+use crate::job::{Job, Shown, TaskState};
+
+quick_error! {
+    /// Why a record can't be used.
+    #[derive(Debug)]
+    pub enum RecordError {
+        /// It is not a record of this kind.
+        Malformed(source: serde_json::Error) {
+            from()
+            source(source)
+            display("malformed record: {source}")
+        }
+    }
+}
+
+/// A task's run on a worker, as recorded.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placement {
+    /// The step.
+    #[serde(rename = "s")]
+    pub step: u16,
+    /// The task in the step.
+    #[serde(rename = "i")]
+    pub index: u16,
+    /// The run.
+    #[serde(rename = "n")]
+    pub run: u32,
+    /// The worker's id.
+    #[serde(rename = "w")]
+    pub worker: Arc<str>,
+}
+
+/// A job's progress: what must not be lost when its owner is.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// The highest number of a run.
+    #[serde(rename = "n", default)]
+    pub numbers: u32,
+    /// Whether anything has begun.
+    #[serde(rename = "b", default)]
+    pub began: bool,
+    /// The end, once there is one.
+    #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
+    pub end: Option<Shown>,
+    /// Tasks done: step, and the indices of its tasks.
+    #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
+    pub done: Vec<(u16, Vec<u16>)>,
+    /// Failed runs: step, task, count.
+    #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
+    pub failures: Vec<(u16, u16, u32)>,
+    /// Checkpoints: step, task, value.
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    pub saved: Vec<(u16, u16, Arc<str>)>,
+    /// Where tasks run.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub placed: Vec<Placement>,
+}
+
+impl JobRecord {
+    /// Reads a record.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are not such a record.
+    pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
+        Ok(serde_json::from_slice(bytes)?)
+    }
+
+    /// Writes the record.
+    ///
+    /// # Errors
+    ///
+    /// Fails only if serialisation does.
+    pub fn encode(&self) -> Result<Vec<u8>, RecordError> {
+        Ok(serde_json::to_vec(self)?)
+    }
+
+    /// Makes the record of a job that has ended.
+    pub(crate) fn of_end(end: Shown) -> Self {
+        JobRecord {
+            began: true,
+            end: Some(end),
+            ..JobRecord::default()
+        }
+    }
+
+    pub(crate) fn done_tasks(&self) -> impl Iterator<Item = (usize, usize)> + '_ {
+        self.done.iter().flat_map(|(step, indices)| {
+            let step = usize::from(*step);
+            indices.iter().map(move |index| (step, usize::from(*index)))
+        })
+    }
+
+    /// Makes the record of a job that goes on; `placed` is filled in by the cell.
+    pub(crate) fn of_progress(job: &Job, placed: Vec<Placement>) -> Self {
+        let mut record = JobRecord {
+            numbers: job.numbers,
+            began: job.began,
+            placed,
+            ..JobRecord::default()
+        };
+        for (number, step) in job.steps.iter().enumerate() {
+            let number = number as u16;
+            let mut done = Vec::new();
+            for (index, task) in step.tasks.iter().enumerate() {
+                let index = index as u16;
+                if task.state == TaskState::Done {
+                    done.push(index);
+                    continue;
+                }
+                if task.failures > 0 {
+                    record.failures.push((number, index, task.failures));
+                }
+                if let Some(saved) = &task.saved {
+                    record.saved.push((number, index, Arc::clone(saved)));
+                }
+            }
+            if !done.is_empty() {
+                record.done.push((number, done));
+            }
+        }
+        record
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-cell/src/run.rs
@@ -0,0 +1,121 @@
+use std::sync::Arc;
+
+use kingcupwinch_time::Time;
+
+use crate::id::TaskName;
+use crate::job::JobKey;
+use crate::worker::WorkerKey;
+
+slotmap::new_key_type! {
+    /// Names one run of a task.
+    pub(crate) struct RunKey;
+}
+
+/// What is known of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RunState {
+    /// The order is on its way.
+    Starting,
+    /// The order's answer was lost; a look sent later than this tells.
+    Doubtful(Time),
+    /// It runs.
+    Running,
+    /// It was told to stop, and the worker has not answered yet; told again from this time on.
+    Stopping(Time),
+    /// The worker took the stop at this time; a look sent later settles the run.
+    Stopped(Time),
+}
+
+/// A run that was ordered: what, under which number, where, and what is known of it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Placed {
+    pub(crate) name: TaskName,
+    pub(crate) number: u32,
+    pub(crate) worker: WorkerKey,
+    pub(crate) state: RunState,
+}
+
+/// One run of a task on a worker. It takes the worker's capacity until its end is certain.
+#[derive(Debug)]
+pub(crate) struct Run {
+    pub(crate) job: JobKey,
+    pub(crate) name: TaskName,
+    pub(crate) number: u32,
+    pub(crate) worker: WorkerKey,
+    pub(crate) state: RunState,
+    pub(crate) began: Time,
+    /// Per cent of the work done as last seen, and since when.
+    pub(crate) percent: u8,
+    pub(crate) moved: Time,
+    /// Looks that did not list it though it should run.
+    pub(crate) missed: u8,
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndKind {
+    /// Its work is done.
+    Done,
+    /// It failed.
+    Failed,
+    /// It was stopped.
+    Stopped,
+    /// Its lease lapsed.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// The other members of its gang did not come in time.
+    Alone,
+}
+
+impl EndKind {
+    /// Returns the word for log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            EndKind::Done => "done",
+            EndKind::Failed => "failed",
+            EndKind::Stopped => "stopped",
+            EndKind::Lapsed => "lapsed",
+            EndKind::Broken => "broken",
+            EndKind::Alone => "alone",
+        }
+    }
+}
+
+/// An end that a worker lists until it is acknowledged.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ended {
+    /// Its place in the worker's list.
+    pub number: u64,
+    /// The task.
+    pub task: TaskName,
+    /// The run.
+    pub run: u32,
+    /// How it ended.
+    pub how: EndKind,
+    /// The last checkpoint, if there is one.
+    pub saved: Option<Arc<str>>,
+}
+
+/// A worker's answer to an order to start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StartAnswer {
+    /// The run is there.
+    Started,
+    /// A later owner has been seen.
+    Fenced,
+    /// The run's number is not above one that ended there.
+    Stale,
+    /// The lease had lapsed on arrival.
+    Late,
+    /// No room.
+    Full,
+    /// The ticket is not valid.
+    NoTicket,
+    /// Refused for another reason; nothing was done.
+    Refused,
+    /// No byte of the order was sent.
+    NotSent,
+    /// It may have been carried out.
+    Lost,
+}
--- /dev/null
+++ b/crates/kingcupwinch-cell/src/spec.rs
@@ -0,0 +1,160 @@
+use std::sync::Arc;
+
+use kingcupwinch_time::Span;
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+/// What a task takes of a worker.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Size {
+    /// Thousandths of a core.
+    pub cpu: u64,
+    /// Megabytes of memory.
+    pub memory: u64,
+    /// Accelerators.
+    pub gpu: u64,
+}
+
+impl Size {
+    /// Adds another size.
+    pub fn add(&mut self, other: Size) {
+        self.cpu += other.cpu;
+        self.memory += other.memory;
+        self.gpu += other.gpu;
+    }
+
+    /// Takes a size away that was added before.
+    pub fn sub(&mut self, other: Size) {
+        self.cpu = self.cpu.saturating_sub(other.cpu);
+        self.memory = self.memory.saturating_sub(other.memory);
+        self.gpu = self.gpu.saturating_sub(other.gpu);
+    }
+
+    /// Returns how many tasks of a size fit into this room.
+    pub fn fits(&self, task: Size) -> u64 {
+        let part = |room: u64, need: u64| room.checked_div(need).unwrap_or(u64::MAX);
+        part(self.cpu, task.cpu)
+            .min(part(self.memory, task.memory))
+            .min(part(self.gpu, task.gpu))
+    }
+
+    /// Returns what is left of this capacity beside what is used.
+    pub fn room(&self, used: Size) -> Size {
+        let mut room = *self;
+        room.sub(used);
+        room
+    }
+}
+
+/// What asking the adviser of a queue costs.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct AdviceTerms {
+    /// Milliseconds that each call takes.
+    pub call_ms: f64,
+    /// Milliseconds more for each worker named.
+    pub worker_ms: f64,
+    /// Milliseconds that a ticket is valid for.
+    pub valid_ms: f64,
+}
+
+/// How the queue of a job wants it run.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Terms {
+    /// The queue.
+    pub queue: Arc<str>,
+    /// The service whose workers run it.
+    pub service: Arc<str>,
+    /// Failed runs after which a task is given up.
+    pub attempts: u32,
+    /// The objective, in lengths of the job's longest chain of work.
+    pub stretch: f64,
+    /// Milliseconds that the objective adds to that.
+    pub target_ms: u64,
+    /// 0 comes first.
+    pub priority: u32,
+    /// Set where an adviser decides which workers may run a step.
+    pub advice: Option<AdviceTerms>,
+}
+
+/// One step of a job: tasks of one size that may run at the same time.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct StepSpec {
+    /// Tasks in the step.
+    pub count: u16,
+    /// What each of them takes.
+    pub size: Size,
+    /// A task's run time as the caller estimates it, in milliseconds.
+    pub estimate_ms: u64,
+    /// Earlier steps that must be done first.
+    #[serde(default, skip_serializing_if = "SmallVec::is_empty")]
+    pub after: SmallVec<[u16; 4]>,
+    /// The tasks work only when all are present.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub gang: bool,
+    /// A gang that is slower on more than one rack.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub one_rack: bool,
+    /// The tasks save checkpoints.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub saves: bool,
+    /// The step runs in what others leave unused.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub fills: bool,
+    /// A label that the worker must have.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub label: Option<Arc<str>>,
+    /// The rack where the data lies.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rack: Option<Arc<str>>,
+    /// The most tasks of the step on one worker.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub spread: Option<u16>,
+}
+
+fn is_false(value: &bool) -> bool {
+    !*value
+}
+
+impl StepSpec {
+    /// Returns the size that counts against a worker's capacity.
+    pub fn charge(&self) -> Size {
+        let mut size = self.size;
+        if self.fills {
+            size.cpu = 0;
+        }
+        size
+    }
+}
+
+/// A job as it was accepted.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    /// How its queue wants it run.
+    pub terms: Terms,
+    /// The caller's text for the workers.
+    pub text: Arc<str>,
+    /// The steps, each after those that it names.
+    pub steps: Vec<StepSpec>,
+    /// Unix milliseconds of its acceptance, by the clock of the instance that took it.
+    pub accepted_ms: u64,
+}
+
+impl JobSpec {
+    /// Returns the longest chain of estimates from each step to the job's end.
+    pub(crate) fn tails(&self) -> Vec<Span> {
+        let mut tails: Vec<Span> = Vec::with_capacity(self.steps.len());
+        tails.resize(self.steps.len(), Span::ZERO);
+        for (number, step) in self.steps.iter().enumerate().rev() {
+            let own = Span::from_millis(step.estimate_ms);
+            tails[number] = Span::from_micros(tails[number].as_micros() + own.as_micros());
+            let tail = tails[number];
+            for before in &step.after {
+                let before = usize::from(*before);
+                if before < number {
+                    tails[before] = tails[before].max(tail);
+                }
+            }
+        }
+        tails
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-cell/src/tenure.rs
@@ -0,0 +1,205 @@
+//! Who owns the cell: claims in the order of the log.
+//!
+//! A claim is appended on condition that the log ends where its writer had read to, so the claims
+//! have one order and the last one holds. Its offset is the term: workers refuse orders of an
+//! earlier term, and the log refuses the records of an earlier one. An owner that was silent for
+//! [`TenureTimers::silence`] may be replaced.
+
+use std::sync::Arc;
+
+use kingcupwinch_time::{Span, Time};
+use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
+
+/// A record of the group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum GroupRecord {
+    /// An instance takes the cell over.
+    Claim {
+        /// The instance.
+        instance: Arc<str>,
+        /// Where its siblings reach it.
+        address: Arc<str>,
+        /// How many claims there were, with this one.
+        generation: u32,
+    },
+    /// The owner lives.
+    Beat {
+        /// The term of its claim.
+        term: u64,
+    },
+    /// The owner has stopped giving orders, and its records are complete.
+    Release {
+        /// The term of its claim.
+        term: u64,
+    },
+    /// An instance is there.
+    Member {
+        /// The instance.
+        instance: Arc<str>,
+        /// Where its siblings reach it.
+        address: Arc<str>,
+    },
+}
+
+/// The claim that holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Claim {
+    /// The offset of its record.
+    pub term: u64,
+    /// The owner.
+    pub instance: Arc<str>,
+    /// Where its siblings reach it.
+    pub address: Arc<str>,
+    /// How many claims there were, with this one.
+    pub generation: u32,
+}
+
+/// The timers of ownership.
+#[derive(Debug, Clone, Copy)]
+pub struct TenureTimers {
+    /// An owner that was silent for so long may be replaced.
+    pub silence: Span,
+    /// A gap between two successful reads after which silence is counted anew.
+    pub gap: Span,
+    /// Added by this instance before it claims, so that not all claim at once.
+    pub stagger: Span,
+}
+
+/// What an instance has to do about ownership.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Duty {
+    /// Nothing before this time.
+    Wait(Time),
+    /// Append a claim of this generation if the log still ends where it was read to.
+    Claim {
+        /// The generation of the new claim.
+        generation: u32,
+    },
+}
+
+/// One instance's view of who owns the cell.
+#[derive(Debug)]
+pub struct Tenure {
+    me: Arc<str>,
+    timers: TenureTimers,
+    claim: Option<Claim>,
+    is_released: bool,
+    /// The last sign of life, or the start of continuous reading.
+    heard: Time,
+    last_read: Option<Time>,
+    members: FxHashMap<Arc<str>, Arc<str>>,
+}
+
+impl Tenure {
+    /// Makes a view that knows nothing yet.
+    pub fn new(me: Arc<str>, timers: TenureTimers, now: Time) -> Self {
+        Tenure {
+            me,
+            timers,
+            claim: None,
+            is_released: false,
+            heard: now,
+            last_read: None,
+            members: FxHashMap::default(),
+        }
+    }
+
+    /// Notes that the log was read to its end by a read that was answered at `now`.
+    pub fn note_read(&mut self, now: Time) {
+        let continuous = self
+            .last_read
+            .is_some_and(|read| now.since(read) <= self.timers.gap);
+        if !continuous {
+            self.heard = now;
+        }
+        self.last_read = Some(now);
+    }
+
+    /// Takes a record in, in the order of the log.
+    pub fn apply(&mut self, offset: u64, record: GroupRecord, now: Time) {
+        match record {
+            GroupRecord::Claim {
+                instance,
+                address,
+                generation,
+            } => {
+                if self.claim.as_ref().is_some_and(|held| held.term >= offset) {
+                    return;
+                }
+                self.members
+                    .insert(Arc::clone(&instance), Arc::clone(&address));
+                self.claim = Some(Claim {
+                    term: offset,
+                    instance,
+                    address,
+                    generation,
+                });
+                self.is_released = false;
+                self.heard = now;
+            }
+            GroupRecord::Beat { term } => {
+                if self.is_current(term) {
+                    self.heard = now;
+                }
+            }
+            GroupRecord::Release { term } => {
+                if self.is_current(term) {
+                    self.is_released = true;
+                    self.heard = now;
+                }
+            }
+            GroupRecord::Member { instance, address } => {
+                self.members.insert(instance, address);
+            }
+        }
+    }
+
+    fn is_current(&self, term: u64) -> bool {
+        self.claim.as_ref().is_some_and(|held| held.term == term)
+    }
+
+    /// Returns the claim that holds.
+    pub fn claim(&self) -> Option<&Claim> {
+        self.claim.as_ref()
+    }
+
+    /// Returns whether the owner certainly gives no more orders: it has released the cell, or it
+    /// was an earlier life of this instance.
+    pub fn is_stopped(&self) -> bool {
+        self.is_released
+            || self
+                .claim
+                .as_ref()
+                .is_none_or(|held| held.instance == self.me)
+    }
+
+    /// Returns the instances and where they are reached, by name.
+    pub fn members(&self) -> Vec<(Arc<str>, Arc<str>)> {
+        let mut members: Vec<_> = self.members.clone().into_iter().collect();
+        members.sort();
+        members
+    }
+
+    /// Returns what an instance that is not the owner has to do.
+    pub fn duty(&self, now: Time) -> Duty {
+        let Some(read) = self.last_read else {
+            return Duty::Wait(now + self.timers.gap);
+        };
+        if now.since(read) > self.timers.gap {
+            return Duty::Wait(now + self.timers.gap);
+        }
+        let patience = if self.is_stopped() {
+            Span::ZERO
+        } else {
+            self.timers.silence
+        };
+        let due = self.heard + patience + self.timers.stagger;
+        if now < due {
+            return Duty::Wait(due);
+        }
+        let generation = self.claim.as_ref().map_or(0, |held| held.generation) + 1;
+        Duty::Claim { generation }
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -0,0 +1,188 @@
+use std::sync::Arc;
+
+use kingcupwinch_time::{Drift, Span, Time};
+use rustc_hash::FxHashSet;
+
+use crate::id::TaskName;
+use crate::run::{Ended, RunKey};
+use crate::spec::Size;
+use crate::speed::Ratio;
+
+slotmap::new_key_type! {
+    /// Names a worker of the cell.
+    pub struct WorkerKey;
+}
+
+/// How far a worker's clock may run slow.
+const WORKER_DRIFT: Drift = Drift::from_ppm(20_000);
+/// Added to the time after which a lease has certainly lapsed: timers fire late.
+const LAPSE_SLACK: Span = Span::from_millis(100);
+/// How long a worker that left the list may still be used if it answers: a list that comes back
+/// after an outage lacks live workers for about two seconds.
+const UNLISTED_GRACE: Span = Span::from_millis(2_500);
+/// Failures in a row, of different jobs, after which a worker is set aside.
+const FAILURES_TO_SET_ASIDE: u32 = 2;
+/// How long a worker is set aside for the first time; doubles with each further time.
+const SET_ASIDE: Span = Span::from_millis(2_500);
+/// The most doublings.
+const SET_ASIDE_DOUBLINGS: u32 = 3;
+
+/// A worker as the directory lists it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Registration {
+    /// Its id, which never names another life at another address.
+    pub id: Arc<str>,
+    /// Where it takes orders, `IP:PORT`.
+    pub address: Arc<str>,
+    /// The service that it runs.
+    pub service: Arc<str>,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// Whether it is about to leave.
+    pub draining: bool,
+    /// What it has in all.
+    pub capacity: Size,
+    /// Its kind and its rack.
+    pub labels: Vec<Arc<str>>,
+    /// Unix milliseconds of its start.
+    pub born: u64,
+}
+
+/// A run as a worker lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunningTask {
+    /// The task.
+    pub task: TaskName,
+    /// The run.
+    pub run: u32,
+    /// The last checkpoint, if there is one.
+    pub saved: Option<Arc<str>>,
+    /// Per cent of the work done.
+    pub percent: u8,
+}
+
+/// What a worker answered to a look.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Look {
+    /// Its own clock, in milliseconds.
+    pub clock: u64,
+    /// Unix milliseconds of its start; tells its lives apart.
+    pub born: Option<u64>,
+    /// What runs.
+    pub running: Vec<RunningTask>,
+    /// What ended and was not acknowledged; the oldest 500.
+    pub ended: Vec<Ended>,
+}
+
+/// What to ask of a worker with the next look.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LookOrder {
+    /// Renews the leases until this time of the worker's clock, if set.
+    pub until: Option<u64>,
+    /// Ends up to this number are recorded and may be forgotten.
+    pub acked: u64,
+    /// Whether the answer should wait for an end.
+    pub wait: bool,
+}
+
+/// A reading of a worker's clock.
+#[derive(Debug, Clone, Copy)]
+struct ClockSample {
+    clock: u64,
+    read: Time,
+}
+
+#[derive(Debug)]
+pub(crate) struct Worker {
+    pub(crate) entry: Registration,
+    /// When it left the directory, if it did.
+    pub(crate) unlisted: Option<Time>,
+    pub(crate) used: Size,
+    pub(crate) runs: FxHashSet<RunKey>,
+    clock: Option<ClockSample>,
+    /// When everything that runs there has certainly lost its lease.
+    pub(crate) lapsed: Time,
+    /// Ends processed, and ends recorded.
+    pub(crate) seen: u64,
+    pub(crate) acked: u64,
+    pub(crate) misses: u32,
+    /// Not yet looked at under this owner's term.
+    pub(crate) inherited: bool,
+    pub(crate) speed: Ratio,
+    failures: u32,
+    set_aside: u32,
+    pub(crate) back: Time,
+}
+
+impl Worker {
+    pub(crate) fn new(entry: Registration, inherited: bool, lapsed: Time) -> Self {
+        Worker {
+            entry,
+            unlisted: None,
+            used: Size::default(),
+            runs: FxHashSet::default(),
+            clock: None,
+            lapsed,
+            seen: 0,
+            acked: 0,
+            misses: 0,
+            inherited,
+            speed: Ratio::default(),
+            failures: 0,
+            set_aside: 0,
+            back: Time::ZERO,
+        }
+    }
+
+    /// Returns whether new work may be sent there.
+    pub(crate) fn is_usable(&self, now: Time) -> bool {
+        !self.entry.draining
+            && !self.inherited
+            && self.clock.is_some()
+            && self.misses == 0
+            && self.back <= now
+            && self.unlisted.is_none_or(|at| now < at + UNLISTED_GRACE)
+    }
+
+    pub(crate) fn room(&self) -> Size {
+        self.entry.capacity.room(self.used)
+    }
+
+    pub(crate) fn rack(&self) -> Option<&Arc<str>> {
+        self.entry.labels.get(1)
+    }
+
+    pub(crate) fn read_clock(&mut self, clock: u64, read: Time) {
+        self.clock = Some(ClockSample { clock, read });
+    }
+
+    /// Returns a lease's end on the worker's clock, and remembers when it has lapsed for certain.
+    pub(crate) fn grant(&mut self, now: Time, lease: Span) -> Option<u64> {
+        let sample = self.clock?;
+        let worker_now = sample.clock + now.since(sample.read).as_millis();
+        let until = worker_now + lease.as_millis();
+        let length = Span::from_millis(until - sample.clock);
+        let lapsed = sample.read + WORKER_DRIFT.lengthen(length) + LAPSE_SLACK;
+        self.lapsed = self.lapsed.max(lapsed);
+        Some(until)
+    }
+
+    pub(crate) fn note_done(&mut self) {
+        self.failures = 0;
+        self.set_aside = 0;
+    }
+
+    /// Counts a failed run; returns whether the worker is set aside for it.
+    pub(crate) fn note_failure(&mut self, now: Time) -> bool {
+        self.failures += 1;
+        if self.failures < FAILURES_TO_SET_ASIDE {
+            return false;
+        }
+        let doublings = self.set_aside.min(SET_ASIDE_DOUBLINGS);
+        self.back = now + SET_ASIDE.times(1 << doublings);
+        self.set_aside += 1;
+        // One more failure after its return sets it aside again.
+        self.failures = FAILURES_TO_SET_ASIDE - 1;
+        true
+    }
+}
--- a/crates/kingcupwinch-daemon/src/cmd/serve.rs
+++ b/crates/kingcupwinch-daemon/src/cmd/serve.rs
@@ -54,6 +54,7 @@
                 .value_parser(["error", "warning", "info", "debug"])
                 .help("The least level that is written"),
         )
+        .subcommand(kingcupwinch_node::cmd::make_subcommand())
 }
 
 const ADDRESSES: [(&str, &str); 6] = [
@@ -83,6 +84,9 @@
 /// The exit code is 0 after a graceful stop, 1 if the daemon could not start, was declared dead
 /// by its group or the stop was forced, 2 for settings that can't be used.
 pub fn execute(matches: &ArgMatches) -> ExitCode {
+    if let Some(("node", matches)) = matches.subcommand() {
+        return kingcupwinch_node::cmd::execute(matches);
+    }
     let path = matches.get_one::<PathBuf>("settings");
     let settings = match load_from_disk(path.map(PathBuf::as_path), &overrides(matches)) {
         Ok(settings) => settings,
--- /dev/null
+++ b/crates/kingcupwinch-node/src/accept.rs
@@ -0,0 +1,152 @@
+//! Appends what callers hand in, several requests at a time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kingcupwinch_adapter::{KeyedRecord, WriteError};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+use crate::layout::INTAKE;
+use crate::metrics::Metrics;
+use crate::shared::Shared;
+
+/// Requests that may wait for an append.
+const QUEUE_LENGTH: usize = 1_024;
+/// The most bytes of one append.
+const MOST_BYTES: usize = 512 << 10;
+/// How long one try of an append may take.
+const TRY_TIMEOUT: Duration = Duration::from_millis(900);
+/// The pause before another try.
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
+
+/// What became of a record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Kept {
+    /// It is in the log.
+    Yes,
+    /// It certainly is not, and never will be.
+    No(Arc<str>),
+    /// It may be.
+    Unknown(Arc<str>),
+}
+
+struct Request {
+    record: KeyedRecord,
+    deadline: Instant,
+    /// An earlier try may have been carried out.
+    is_doubtful: bool,
+    reply: oneshot::Sender<Kept>,
+}
+
+/// Takes records to append; clones share one queue.
+#[derive(Clone)]
+pub(crate) struct Intake {
+    queue: mpsc::Sender<Request>,
+}
+
+impl Intake {
+    /// Starts appending.
+    pub(crate) fn start(shared: Arc<Shared>) -> Self {
+        let (queue, requests) = mpsc::channel(QUEUE_LENGTH);
+        tokio::spawn(run(shared, requests));
+        Intake { queue }
+    }
+
+    /// Appends a record and returns when it is in the log, or at the deadline.
+    pub(crate) async fn keep(&self, record: KeyedRecord, deadline: Instant) -> Kept {
+        let (reply, answer) = oneshot::channel();
+        let request = Request {
+            record,
+            deadline,
+            is_doubtful: false,
+            reply,
+        };
+        if self.queue.try_send(request).is_err() {
+            return Kept::No("too many requests wait for the log".into());
+        }
+        answer
+            .await
+            .unwrap_or_else(|_| Kept::Unknown("the instance stops".into()))
+    }
+}
+
+async fn run(shared: Arc<Shared>, mut queue: mpsc::Receiver<Request>) {
+    let mut waiting: Vec<Request> = Vec::new();
+    loop {
+        if waiting.is_empty() {
+            match queue.recv().await {
+                Some(request) => waiting.push(request),
+                None => return,
+            }
+        }
+        while let Ok(request) = queue.try_recv() {
+            waiting.push(request);
+        }
+        let batch = cut_batch(&mut waiting);
+        let left = append(&shared, batch).await;
+        if !left.is_empty() {
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        waiting.splice(0..0, left);
+    }
+}
+
+/// Takes as many requests as one append carries.
+fn cut_batch(waiting: &mut Vec<Request>) -> Vec<Request> {
+    let mut bytes = 0;
+    let fits = |request: &Request| {
+        bytes += request.record.wire_len();
+        bytes <= MOST_BYTES
+    };
+    let count = waiting.iter().map(fits).take_while(|fits| *fits).count();
+    waiting.drain(..count.max(1)).collect()
+}
+
+/// Tries once to append a batch. Returns the requests to be tried again.
+async fn append(shared: &Shared, batch: Vec<Request>) -> Vec<Request> {
+    let records: Vec<KeyedRecord> = batch.iter().map(|r| r.record.clone()).collect();
+    let begun = Instant::now();
+    let deadline = begun + TRY_TIMEOUT;
+    let result = shared
+        .store
+        .append(INTAKE, &records, None, None, deadline)
+        .await;
+    let metrics = &shared.metrics;
+    metrics.append_time.observe(begun.elapsed().as_secs_f64());
+    match result {
+        Ok(_) => {
+            shared.note_store(None);
+            Metrics::count(&metrics.store_calls, "intake", "ok");
+            for request in batch {
+                // The caller may have left.
+                let _ = request.reply.send(Kept::Yes);
+            }
+            Vec::new()
+        }
+        Err(error) => {
+            let text: Arc<str> = error.to_string().into();
+            shared.note_store(Some(&text));
+            Metrics::count(&metrics.store_calls, "intake", "failed");
+            let is_doubtful = matches!(error, WriteError::Unknown(_));
+            settle_failed(batch, is_doubtful, &text)
+        }
+    }
+}
+
+/// Refuses at once what certainly was not appended; what may have been is tried again until its
+/// deadline, since a repeat changes nothing.
+fn settle_failed(batch: Vec<Request>, is_doubtful: bool, why: &Arc<str>) -> Vec<Request> {
+    let mut left = Vec::new();
+    for mut request in batch {
+        request.is_doubtful |= is_doubtful;
+        if !request.is_doubtful {
+            let _ = request.reply.send(Kept::No(Arc::clone(why)));
+        } else if Instant::now() + RETRY_PAUSE < request.deadline {
+            left.push(request);
+        } else {
+            let _ = request.reply.send(Kept::Unknown(Arc::clone(why)));
+        }
+    }
+    left
+}
--- /dev/null
+++ b/crates/kingcupwinch-node/src/callers.rs
@@ -0,0 +1,217 @@
+//! Callers' requests: jobs handed in, asked for and cancelled.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::HOST;
+use hyper::{Method, Request, StatusCode};
+use kingcupwinch_adapter::{
+    JobError, KeyedRecord, READY_PATH, REMAINING_HEADER, Route, accepted_body, decode_job,
+    state_body, waiting_body,
+};
+use kingcupwinch_cell::JobId;
+use kingcupwinch_time::WallClock;
+use rand::Rng;
+use slog::o;
+use tokio::time::Instant;
+
+use crate::accept::{Intake, Kept};
+use crate::events::Event;
+use crate::http::{Answer, Handler, come_back, empty, json, read_body};
+use crate::layout::IntakeKey;
+use crate::metrics::Metrics;
+use crate::shared::Shared;
+use crate::siblings::{Asked, Siblings};
+
+/// How long a caller waits that does not say so.
+const DEFAULT_PATIENCE: Duration = Duration::from_millis(3_000);
+/// Answers are sent this much before the caller stops waiting.
+const ANSWER_MARGIN: Duration = Duration::from_millis(150);
+/// Refused callers come back after 1 to this many seconds, spread evenly.
+const LONGEST_RETURN_S: u32 = 3;
+
+/// Serves callers.
+pub(crate) struct Callers {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) intake: Intake,
+    pub(crate) siblings: Siblings,
+}
+
+/// Answers the balancer.
+pub(crate) struct Readiness {
+    pub(crate) shared: Arc<Shared>,
+}
+
+impl Handler for Readiness {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Answer {
+        if request.uri().path() != READY_PATH {
+            return empty(StatusCode::NOT_FOUND);
+        }
+        if self.shared.is_ready() {
+            empty(StatusCode::OK)
+        } else {
+            empty(StatusCode::SERVICE_UNAVAILABLE)
+        }
+    }
+}
+
+impl Handler for Callers {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Answer {
+        let begun = Instant::now();
+        let method = method_label(request.method());
+        let answer = self.answer(request, begun).await;
+        let metrics = &self.shared.metrics;
+        metrics.answer_time.observe(begun.elapsed().as_secs_f64());
+        Metrics::count(&metrics.requests, method, answer.status().as_str());
+        answer
+    }
+}
+
+fn method_label(method: &Method) -> &'static str {
+    match *method {
+        Method::POST => "submit",
+        Method::GET => "state",
+        Method::DELETE => "cancel",
+        _ => "other",
+    }
+}
+
+/// A request for a job of a queue.
+struct JobRequest {
+    id: JobId,
+    route: Route,
+    deadline: Instant,
+}
+
+impl Callers {
+    async fn answer(&self, request: Request<Incoming>, begun: Instant) -> Answer {
+        let Some(table) = self.shared.queues.borrow().clone() else {
+            return self.refuse("no configuration yet", None);
+        };
+        let path = request.uri().path();
+        let host = request_host(&request);
+        let Some(route) = host.and_then(|host| table.find(host, path)) else {
+            return empty(StatusCode::NOT_FOUND);
+        };
+        let rest = &path[route.prefix.len()..];
+        let deadline = begun + patience(&request).saturating_sub(ANSWER_MARGIN);
+        if rest.is_empty() {
+            return match *request.method() {
+                Method::GET => self.count_waiting(&route.terms.queue, deadline).await,
+                _ => empty(StatusCode::METHOD_NOT_ALLOWED),
+            };
+        }
+        let Some(id) = JobId::parse(rest) else {
+            return empty(StatusCode::NOT_FOUND);
+        };
+        let job = JobRequest {
+            id,
+            route: route.clone(),
+            deadline,
+        };
+        match *request.method() {
+            Method::POST => self.submit(job, request, table.body_limit).await,
+            Method::GET => self.show(&job).await,
+            Method::DELETE => self.cancel(&job).await,
+            _ => empty(StatusCode::METHOD_NOT_ALLOWED),
+        }
+    }
+
+    async fn submit(&self, job: JobRequest, request: Request<Incoming>, limit: usize) -> Answer {
+        let Some(body) = read_body(request.into_body(), limit).await else {
+            return empty(StatusCode::PAYLOAD_TOO_LARGE);
+        };
+        let accepted_ms = WallClock.now().as_millis();
+        let spec = match decode_job(&body, &job.route.terms, accepted_ms) {
+            Ok(spec) => spec,
+            Err(error) => return self.reject(job.id, &error),
+        };
+        let value = match serde_json::to_vec(&spec) {
+            Ok(value) => value,
+            Err(error) => return self.refuse(&error.to_string(), Some(job.id)),
+        };
+        let key = IntakeKey::Accepted(job.id);
+        let record = KeyedRecord::with_value(key.to_key(), value);
+        let kept = self.intake.keep(record, job.deadline).await;
+        self.settle("submit", &job, &kept)
+    }
+
+    async fn cancel(&self, job: &JobRequest) -> Answer {
+        let key = IntakeKey::Cancelled(job.id);
+        let record = KeyedRecord::with_value(key.to_key(), &b"1"[..]);
+        let kept = self.intake.keep(record, job.deadline).await;
+        self.settle("cancel", job, &kept)
+    }
+
+    fn settle(&self, request: &'static str, job: &JobRequest, kept: &Kept) -> Answer {
+        let id = job.id.to_string();
+        match kept {
+            Kept::Yes => {
+                let queue = job.route.terms.queue.to_string();
+                self.shared.log.write(
+                    Event::Kept,
+                    o!("request" => request, "job" => id, "queue" => queue),
+                );
+                json(StatusCode::OK, accepted_body())
+            }
+            Kept::No(why) => self.refuse(why, Some(job.id)),
+            Kept::Unknown(why) => {
+                self.shared.log.write(
+                    Event::Unsure,
+                    o!("request" => request, "job" => id, "error" => why.to_string()),
+                );
+                empty(StatusCode::GATEWAY_TIMEOUT)
+            }
+        }
+    }
+
+    async fn show(&self, job: &JobRequest) -> Answer {
+        match self.siblings.state(job.id, job.deadline).await {
+            Asked::Answer(Some(shown)) => json(StatusCode::OK, state_body(shown)),
+            Asked::Answer(None) => empty(StatusCode::GONE),
+            Asked::NoOwner => come_back(StatusCode::SERVICE_UNAVAILABLE, 1),
+        }
+    }
+
+    async fn count_waiting(&self, queue: &str, deadline: Instant) -> Answer {
+        match self.siblings.waiting(queue, deadline).await {
+            Asked::Answer(count) => json(StatusCode::OK, waiting_body(count)),
+            Asked::NoOwner => come_back(StatusCode::SERVICE_UNAVAILABLE, 1),
+        }
+    }
+
+    fn reject(&self, id: JobId, error: &JobError) -> Answer {
+        self.shared.log.write(
+            Event::Refused,
+            o!("job" => id.to_string(), "error" => error.to_string()),
+        );
+        match error {
+            JobError::Unsupported(_) => empty(StatusCode::NOT_IMPLEMENTED),
+            JobError::Malformed(_) | JobError::Invalid(_) => empty(StatusCode::BAD_REQUEST),
+        }
+    }
+
+    /// Refuses a request that has not run.
+    fn refuse(&self, why: &str, id: Option<JobId>) -> Answer {
+        let id = id.map(|id| id.to_string());
+        self.shared
+            .log
+            .write(Event::Refused, o!("job" => id, "error" => why.to_owned()));
+        let seconds = rand::rng().random_range(1..=LONGEST_RETURN_S);
+        come_back(StatusCode::SERVICE_UNAVAILABLE, seconds)
+    }
+}
+
+fn request_host(request: &Request<Incoming>) -> Option<&str> {
+    let host = request.headers().get(HOST)?.to_str().ok()?;
+    Some(host.split_once(':').map_or(host, |(name, _)| name))
+}
+
+fn patience(request: &Request<Incoming>) -> Duration {
+    let stated = request.headers().get(REMAINING_HEADER);
+    let stated = stated.and_then(|value| value.to_str().ok()?.parse::<f64>().ok());
+    stated.map_or(DEFAULT_PATIENCE, |ms| {
+        Duration::from_millis(ms.max(0.0) as u64)
+    })
+}
--- /dev/null
+++ b/crates/kingcupwinch-node/src/cmd.rs
@@ -0,0 +1,69 @@
+//! The subcommand that runs an instance on the users' platform.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+use crate::Node;
+
+/// The exit code for settings that can't be used.
+const EXIT_SETTINGS: u8 = 2;
+/// Where the platform puts the settings unless it says otherwise.
+const DEFAULT_SETTINGS: &str = "/etc/kingcupwinch/boot.toml";
+
+/// Makes the subcommand.
+pub fn make_subcommand() -> Command {
+    Command::new("node")
+        .about("Runs an instance on the users' platform")
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .env("KINGCUPWINCH_CONFIG")
+                .default_value(DEFAULT_SETTINGS)
+                .value_parser(value_parser!(PathBuf))
+                .help("The settings file that the platform wrote"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Check the settings and end"),
+        )
+}
+
+/// Runs an instance until it is asked to stop.
+///
+/// The exit code is 0 after a graceful stop, 1 if the instance could not start, 2 for settings
+/// that can't be used.
+pub fn execute(matches: &ArgMatches) -> ExitCode {
+    let Some(path) = matches.get_one::<PathBuf>("settings") else {
+        return ExitCode::from(EXIT_SETTINGS);
+    };
+    let node = match Node::new(path) {
+        Ok(node) => node,
+        Err(error) => {
+            eprintln!("kingcupwinchd: {error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if matches.get_flag("check") {
+        println!("settings are valid");
+        return ExitCode::SUCCESS;
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let result = match runtime {
+        Ok(runtime) => runtime.block_on(node.run()),
+        Err(error) => Err(error.into()),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("kingcupwinchd: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-node/src/configuration.rs
@@ -0,0 +1,102 @@
+//! Follows the configuration that operators publish.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kingcupwinch_adapter::{CONFIGURATION, KeyedRecord, StoreError, decode_queues};
+use slog::o;
+use tokio::time::Instant;
+
+use crate::events::Event;
+use crate::shared::Shared;
+
+/// How long a read waits for news.
+const READ_WAIT_MS: u64 = 1_000;
+/// How much longer than its wait a read may take.
+const READ_MARGIN: Duration = Duration::from_millis(900);
+/// The pause after a failed read.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Follows the configuration until the instance ends.
+pub(crate) async fn follow(shared: Arc<Shared>) {
+    let mut from = None;
+    loop {
+        let result = match from {
+            None => read_newest(&shared).await,
+            Some(offset) => read_on(&shared, offset).await,
+        };
+        match result {
+            Ok(next) => {
+                shared.note_store(None);
+                from = Some(next);
+            }
+            Err(StoreError::Expired(_)) => from = None,
+            Err(error) => {
+                shared.note_store(Some(&error.to_string()));
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn read_newest(shared: &Shared) -> Result<u64, StoreError> {
+    let deadline = Instant::now() + READ_MARGIN;
+    let page = shared.store.newest_all(CONFIGURATION, deadline).await?;
+    for item in &page.items {
+        apply(shared, &item.key, &item.value);
+    }
+    Ok(page.end)
+}
+
+async fn read_on(shared: &Shared, from: u64) -> Result<u64, StoreError> {
+    let deadline = Instant::now() + Duration::from_millis(READ_WAIT_MS) + READ_MARGIN;
+    let batch = shared
+        .store
+        .read(CONFIGURATION, from, READ_WAIT_MS, deadline)
+        .await?;
+    for (offset, bytes) in batch.records {
+        match KeyedRecord::decode(bytes) {
+            Some(KeyedRecord {
+                key,
+                value: Some(value),
+            }) => apply(shared, &key, &value),
+            Some(_) => {}
+            None => skipped(shared, offset, "no key"),
+        }
+    }
+    Ok(batch.next)
+}
+
+/// Puts a configuration in force unless a newer one is.
+fn apply(shared: &Shared, key: &str, value: &[u8]) {
+    let table = match decode_queues(key, value) {
+        Ok(Some(table)) => table,
+        Ok(None) => return,
+        Err(error) => {
+            skipped(shared, 0, &error.to_string());
+            return;
+        }
+    };
+    let (version, routes) = (table.version, table.routes.len());
+    let is_newer = shared.queues.send_if_modified(|held| {
+        let newer = held.as_ref().is_none_or(|held| held.version < version);
+        if newer {
+            *held = Some(Arc::new(table));
+        }
+        newer
+    });
+    if is_newer {
+        shared.metrics.version.set(version as i64);
+        shared.log.write(
+            Event::ConfigInForce,
+            o!("version" => version, "routes" => routes),
+        );
+    }
+}
+
+fn skipped(shared: &Shared, offset: u64, why: &str) {
+    shared.log.write(
+        Event::RecordSkipped,
+        o!("partition" => "configuration", "offset" => offset, "error" => why.to_owned()),
+    );
+}
--- /dev/null
+++ b/crates/kingcupwinch-node/src/http.rs
@@ -0,0 +1,139 @@
+//! Serving HTTP/1.1 until a graceful stop.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::o;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+
+use crate::events::Event;
+use crate::shared::Shared;
+
+/// Connections that one listener holds open.
+const MOST_CONNECTIONS: usize = 600;
+/// The longest head of a request, in bytes.
+const HEAD_BYTES: usize = 32 << 10;
+/// How long the head of a request may take; idle connections are closed after it too.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// How long a failing accept waits before the next try.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// An answer.
+pub(crate) type Answer = Response<Full<Bytes>>;
+
+/// Answers requests of one listener.
+pub(crate) trait Handler: Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(self: Arc<Self>, request: Request<Incoming>) -> impl Future<Output = Answer> + Send;
+}
+
+/// Serves until `drain` turns true, then lets open requests end. Returns when all have.
+pub(crate) async fn serve<H: Handler>(
+    address: SocketAddr,
+    handler: Arc<H>,
+    shared: Arc<Shared>,
+    drain: watch::Receiver<bool>,
+) -> std::io::Result<()> {
+    let listener = TcpListener::bind(address).await?;
+    tokio::spawn(accept(listener, handler, shared, drain));
+    Ok(())
+}
+
+async fn accept<H: Handler>(
+    listener: TcpListener,
+    handler: Arc<H>,
+    shared: Arc<Shared>,
+    drain: watch::Receiver<bool>,
+) {
+    let limit = Arc::new(Semaphore::new(MOST_CONNECTIONS));
+    loop {
+        // Beyond the limit connections wait in the listener's queue.
+        let Ok(permit) = Arc::clone(&limit).acquire_owned().await else {
+            return;
+        };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let handler = Arc::clone(&handler);
+                let drain = drain.clone();
+                tokio::spawn(async move {
+                    connection(stream, handler, drain).await;
+                    drop(permit);
+                });
+            }
+            Err(error) => {
+                let fields = o!("error" => error.to_string());
+                shared.log.write(Event::AcceptFailed, fields);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection<H: Handler>(
+    stream: TcpStream,
+    handler: Arc<H>,
+    mut drain: watch::Receiver<bool>,
+) {
+    // A failure to turn off batching costs only latency.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let handler = Arc::clone(&handler);
+        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(HEAD_BYTES);
+    let mut served = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    // The peer's errors end only its own connection.
+    tokio::select! {
+        _ = served.as_mut() => return,
+        _ = drain.wait_for(|drain| *drain) => served.as_mut().graceful_shutdown(),
+    }
+    let _ = served.await;
+}
+
+/// Reads a request's body; `None` if it is too large or broke off.
+pub(crate) async fn read_body(body: Incoming, limit: usize) -> Option<Bytes> {
+    let collected = Limited::new(body, limit).collect().await.ok()?;
+    Some(collected.to_bytes())
+}
+
+/// Makes an answer with a JSON body.
+pub(crate) fn json(status: StatusCode, body: Bytes) -> Answer {
+    let mut answer = Response::new(Full::new(body));
+    *answer.status_mut() = status;
+    let kind = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(CONTENT_TYPE, kind);
+    answer
+}
+
+/// Makes an answer without a body.
+pub(crate) fn empty(status: StatusCode) -> Answer {
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() = status;
+    answer
+}
+
+/// Makes a refusal that says after how many seconds to come back.
+pub(crate) fn come_back(status: StatusCode, seconds: u32) -> Answer {
+    let mut answer = empty(status);
+    answer
+        .headers_mut()
+        .insert(RETRY_AFTER, HeaderValue::from(seconds));
+    answer
+}
--- /dev/null
+++ b/crates/kingcupwinch-node/src/layout.rs
@@ -0,0 +1,52 @@
+//! Where the instances keep what in the log.
+
+use std::sync::Arc;
+
+use kingcupwinch_adapter::Partition;
+use kingcupwinch_cell::JobId;
+
+/// Jobs accepted and cancelled; every instance appends.
+pub(crate) const INTAKE: Partition = Partition::new("keyed.jobs", 0);
+/// The jobs' progress; only the owner appends.
+pub(crate) const PROGRESS: Partition = Partition::new("keyed.jobs", 1);
+/// Claims, signs of life and members.
+pub(crate) const GROUP: Partition = Partition::new("keyed.group", 0);
+
+/// The key of the newest claim.
+pub(crate) const CLAIM_KEY: &str = "claim";
+/// The key of the newest sign of life.
+pub(crate) const BEAT_KEY: &str = "beat";
+/// Keys of members begin so.
+pub(crate) const MEMBER_PREFIX: &str = "member.";
+/// The key of the workers that an owner has used.
+pub(crate) const WORKERS_KEY: &str = "@workers";
+
+const ACCEPTED_PREFIX: char = 'a';
+const CANCELLED_PREFIX: char = 'c';
+
+/// What a record of [`INTAKE`] is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum IntakeKey {
+    Accepted(JobId),
+    Cancelled(JobId),
+}
+
+impl IntakeKey {
+    pub(crate) fn parse(key: &str) -> Option<Self> {
+        let mut chars = key.chars();
+        let prefix = chars.next()?;
+        let id = JobId::parse(chars.as_str())?;
+        match prefix {
+            ACCEPTED_PREFIX => Some(IntakeKey::Accepted(id)),
+            CANCELLED_PREFIX => Some(IntakeKey::Cancelled(id)),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn to_key(self) -> Arc<str> {
+        match self {
+            IntakeKey::Accepted(id) => format!("{ACCEPTED_PREFIX}{id}").into(),
+            IntakeKey::Cancelled(id) => format!("{CANCELLED_PREFIX}{id}").into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-node/src/lib.rs
@@ -0,0 +1,24 @@
+//! One instance on the users' platform: it takes callers' jobs, and one instance at a time owns
+//! the cell and gives its workers orders.
+//!
+//! Every instance runs the same program. What must last is in the platform's log: jobs and
+//! cancellations in one partition, appended by whichever instance took them; progress in another,
+//! appended by the owner only; claims of ownership in a third.
+
+pub mod cmd;
+pub mod events;
+
+mod accept;
+mod callers;
+mod configuration;
+mod group;
+mod http;
+mod layout;
+mod metrics;
+mod node;
+mod owner;
+mod shared;
+mod siblings;
+
+pub use metrics::Metrics;
+pub use node::{Node, NodeError};
--- /dev/null
+++ b/crates/kingcupwinch-node/src/node.rs
@@ -0,0 +1,183 @@
+//! The life of an instance.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use kingcupwinch_adapter::{SettingsError, load_settings};
+use kingcupwinch_time::Span;
+use quick_error::quick_error;
+use slog::o;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::accept::Intake;
+use crate::callers::{Callers, Readiness};
+use crate::events::{Event, EventLog};
+use crate::group::{Group, announce};
+use crate::http::{Answer, Handler, empty, json, serve};
+use crate::shared::Shared;
+use crate::siblings::{SiblingServer, Siblings};
+
+/// How long callers may still come after readiness was withdrawn: two missed questions of the
+/// balancer, which come once a second, and their way.
+const UNREADY_WAIT: Duration = Duration::from_millis(2_400);
+/// Left of the grace when the instance ends by itself.
+const GRACE_MARGIN: Span = Span::from_millis(700);
+
+quick_error! {
+    /// Why an instance could not start.
+    #[derive(Debug)]
+    pub enum NodeError {
+        /// The settings can't be used.
+        Settings(source: SettingsError) {
+            from()
+            source(source)
+            display("{source}")
+        }
+        /// An address can't be bound, or signals can't be taken.
+        Io(source: std::io::Error) {
+            from()
+            source(source)
+            display("{source}")
+        }
+    }
+}
+
+/// One instance.
+pub struct Node {
+    path: PathBuf,
+    shared: Arc<Shared>,
+}
+
+struct MetricsServer {
+    shared: Arc<Shared>,
+}
+
+impl Handler for MetricsServer {
+    async fn handle(self: Arc<Self>, _: hyper::Request<hyper::body::Incoming>) -> Answer {
+        match self.shared.metrics.render() {
+            Ok(text) => json(hyper::StatusCode::OK, text.into()),
+            Err(_) => empty(hyper::StatusCode::INTERNAL_SERVER_ERROR),
+        }
+    }
+}
+
+impl Node {
+    /// Makes an instance with the settings of a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the settings can't be used.
+    pub fn new(path: &Path) -> Result<Self, NodeError> {
+        let settings = load_settings(path)?;
+        let log = EventLog::new(&settings.instance);
+        Ok(Node {
+            path: path.to_owned(),
+            shared: Shared::new(settings, log),
+        })
+    }
+
+    /// Serves until a signal asks for a stop, and then stops gracefully.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address can't be bound.
+    pub async fn run(self) -> Result<(), NodeError> {
+        let shared = &self.shared;
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let mut hangup = signal(SignalKind::hangup())?;
+        let (drain, drained) = watch::channel(false);
+        let siblings = Siblings::new(Arc::clone(shared));
+        self.listen(&siblings, &drained).await?;
+        tokio::spawn(crate::configuration::follow(Arc::clone(shared)));
+        tokio::spawn(announce(Arc::clone(shared)));
+        let group = tokio::spawn(Group::new(Arc::clone(shared), siblings).run());
+        let settings = &shared.settings;
+        shared.log.write(
+            Event::Started,
+            o!("callers" => settings.callers.to_string(), "domain" => settings.domain.to_string(),
+                "store" => settings.store.to_string(), "cpu_share" => settings.cpu_share),
+        );
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = hangup.recv() => self.reload(),
+            }
+        }
+        self.stop(group, &drain, drained).await;
+        Ok(())
+    }
+
+    async fn listen(
+        &self,
+        siblings: &Siblings,
+        drained: &watch::Receiver<bool>,
+    ) -> Result<(), NodeError> {
+        let shared = &self.shared;
+        let settings = &shared.settings;
+        let callers = Arc::new(Callers {
+            shared: Arc::clone(shared),
+            intake: Intake::start(Arc::clone(shared)),
+            siblings: siblings.clone(),
+        });
+        let readiness = Arc::new(Readiness {
+            shared: Arc::clone(shared),
+        });
+        let server = Arc::new(SiblingServer {
+            shared: Arc::clone(shared),
+        });
+        let metrics = Arc::new(MetricsServer {
+            shared: Arc::clone(shared),
+        });
+        let open = || (Arc::clone(shared), drained.clone());
+        let (part, drain) = open();
+        serve(settings.callers, callers, part, drain).await?;
+        let (part, drain) = open();
+        serve(settings.readiness, readiness, part, drain).await?;
+        let (part, drain) = open();
+        serve(settings.siblings, server, part, drain).await?;
+        let (part, drain) = open();
+        serve(settings.metrics, metrics, part, drain).await?;
+        Ok(())
+    }
+
+    /// Checks the settings anew. Addresses and the platform's bounds hold for a process's life.
+    fn reload(&self) {
+        let log = &self.shared.log;
+        match load_settings(&self.path) {
+            Ok(settings) => {
+                let changed = settings != self.shared.settings;
+                log.write(Event::Reloaded, o!("changed" => changed));
+            }
+            Err(error) => log.write(Event::ReloadFailed, o!("error" => error.to_string())),
+        }
+    }
+
+    async fn stop(
+        &self,
+        group: tokio::task::JoinHandle<()>,
+        drain: &watch::Sender<bool>,
+        drained: watch::Receiver<bool>,
+    ) {
+        drop(drained);
+        let shared = &self.shared;
+        let begun = Instant::now();
+        let end = begun + Duration::from(shared.settings.grace - GRACE_MARGIN);
+        shared.log.write(Event::StopBegan, o!());
+        shared.stopping.send_replace(true);
+        // The siblings take the cell over while this instance still answers callers.
+        let is_released = tokio::time::timeout_at(end, group).await.is_ok();
+        tokio::time::sleep_until((begun + UNREADY_WAIT).min(end)).await;
+        drain.send_replace(true);
+        // Every connection holds a receiver until it has ended.
+        let closed = tokio::time::timeout_at(end, drain.closed()).await.is_ok();
+        shared.log.write(
+            Event::Stopped,
+            o!("released" => is_released, "connections_closed" => closed),
+        );
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-node/src/owner/messages.rs
@@ -0,0 +1,331 @@
+//! What the owner is told and asked.
+
+use std::sync::Arc;
+
+use kameo::message::{Context, Message};
+use kingcupwinch_adapter::{OrderError, decode_registration};
+use kingcupwinch_cell::{
+    AskKey, EndKind, JobId, JobSpec, Look, LookOrder, Shown, StartAnswer, StartOrder, StopOrder,
+    Submitted, Ticket, WorkerKey,
+};
+use kingcupwinch_time::{Span, Time, WallClock};
+use slog::o;
+use tokio::sync::oneshot;
+
+use super::Owner;
+use crate::events::Event;
+use crate::layout::IntakeKey;
+use crate::metrics::Metrics;
+
+/// Time to decide.
+pub(crate) struct Decide;
+
+/// An append under this term that was sent at this time succeeded.
+pub(crate) struct Confirmed(pub(crate) Time);
+
+/// The instances, and where siblings reach them.
+pub(crate) struct Members(pub(crate) Vec<(Arc<str>, Arc<str>)>);
+
+/// Gives no more orders from now on; answered through the channel when all is recorded.
+pub(crate) struct Release(pub(crate) oneshot::Sender<()>);
+
+/// Another owner holds the cell.
+pub(crate) struct Superseded(pub(crate) &'static str);
+
+/// Asks for a job's state; `None` if this owner can't tell.
+pub(crate) struct StateOf(pub(crate) JobId);
+
+/// Asks how many jobs of a queue wait; `None` if this owner can't tell.
+pub(crate) struct WaitingOf(pub(crate) Arc<str>);
+
+/// Records of the intake.
+pub(crate) struct IntakeRead(pub(crate) Vec<(IntakeKey, Option<bytes::Bytes>)>);
+
+/// Records of the directory; `is_whole` if workers that are missing are not listed.
+pub(crate) struct DirectoryRead {
+    pub(crate) entries: Vec<(Arc<str>, Option<bytes::Bytes>)>,
+    pub(crate) is_whole: bool,
+}
+
+/// Asks what to ask of a worker.
+pub(crate) struct LookDue(pub(crate) WorkerKey);
+
+/// What a loop of looks is to do.
+#[derive(Debug)]
+pub(crate) enum LookPlan {
+    Look(LookOrder),
+    /// No orders may be given now.
+    Pause,
+    /// The worker is forgotten, or this owner is over.
+    End,
+}
+
+/// A worker's answer to a look, or why there is none.
+pub(crate) struct Looked {
+    pub(crate) worker: WorkerKey,
+    pub(crate) sent: Time,
+    pub(crate) result: Result<Look, OrderError>,
+}
+
+/// A worker's answer to an order to start.
+pub(crate) struct Started {
+    pub(crate) order: StartOrder,
+    pub(crate) answer: StartAnswer,
+}
+
+/// A worker took an order to stop.
+pub(crate) struct Stopped {
+    pub(crate) order: StopOrder,
+}
+
+/// The adviser's answer, if there was one.
+pub(crate) struct Advised {
+    pub(crate) ask: AskKey,
+    pub(crate) answer: Option<(Vec<Ticket>, Span)>,
+}
+
+impl Message<Decide> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Decide, _: &mut Context<Self, ()>) {
+        self.decide();
+    }
+}
+
+impl Message<Confirmed> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, sent: Confirmed, _: &mut Context<Self, ()>) {
+        self.confirmed = self.confirmed.max(sent.0);
+    }
+}
+
+impl Message<Members> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, members: Members, _: &mut Context<Self, ()>) {
+        let names: Vec<Arc<str>> = members.0.iter().map(|(name, _)| Arc::clone(name)).collect();
+        self.cell.set_desks(&names);
+        self.addresses = members.0.into_iter().collect();
+    }
+}
+
+impl Message<Release> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, release: Release, _: &mut Context<Self, ()>) {
+        self.is_over = true;
+        self.released = Some(release.0);
+    }
+}
+
+impl Message<Superseded> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, by: Superseded, _: &mut Context<Self, ()>) {
+        self.fence(by.0);
+    }
+}
+
+impl Message<StateOf> for Owner {
+    type Reply = Option<Option<Shown>>;
+
+    async fn handle(&mut self, id: StateOf, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        (!self.is_over).then(|| self.cell.shown(id.0))
+    }
+}
+
+impl Message<WaitingOf> for Owner {
+    type Reply = Option<usize>;
+
+    async fn handle(
+        &mut self,
+        queue: WaitingOf,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        (!self.is_over).then(|| self.cell.waiting(&queue.0))
+    }
+}
+
+impl Message<IntakeRead> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, read: IntakeRead, _: &mut Context<Self, ()>) {
+        let now = self.shared.now();
+        for (key, value) in read.0 {
+            // A record without a value was dropped after its job's end.
+            let Some(value) = value else { continue };
+            match key {
+                IntakeKey::Accepted(id) => self.take_job(id, &value, now),
+                IntakeKey::Cancelled(id) => {
+                    self.cell.cancel(id, now);
+                    self.shared
+                        .log
+                        .write(Event::JobCancelled, o!("job" => id.to_string()));
+                }
+            }
+        }
+        self.decide_soon();
+    }
+}
+
+impl Owner {
+    fn take_job(&mut self, id: JobId, value: &[u8], now: Time) {
+        let spec: JobSpec = match serde_json::from_slice(value) {
+            Ok(spec) => spec,
+            Err(error) => {
+                let fields = o!("job" => id.to_string(), "error" => error.to_string());
+                self.shared.log.write(Event::RecordSkipped, fields);
+                return;
+            }
+        };
+        let age = WallClock.now().as_millis().saturating_sub(spec.accepted_ms);
+        let queue = spec.terms.queue.to_string();
+        let result = self.cell.submit(id, spec, now);
+        let label = match result {
+            Submitted::New => "new",
+            Submitted::Known => "known",
+            Submitted::Cancelled => "cancelled before",
+        };
+        if result == Submitted::Known && self.cell.shown(id).is_some_and(Shown::is_final) {
+            self.note_ended(id);
+        }
+        self.shared.log.write(
+            Event::JobTaken,
+            o!("job" => id.to_string(), "queue" => queue, "result" => label, "age_ms" => age),
+        );
+    }
+
+    pub(super) fn note_recorded(&mut self, batch: u64, now: Time) {
+        for (id, shown) in self.cell.recorded(batch, now) {
+            Metrics::count_end(&self.shared.metrics.jobs, shown.as_str());
+            self.shared.log.write(
+                Event::JobEnded,
+                o!("job" => id.to_string(), "state" => shown.as_str()),
+            );
+            self.note_ended(id);
+        }
+    }
+}
+
+impl Message<DirectoryRead> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, read: DirectoryRead, _: &mut Context<Self, ()>) {
+        let now = self.shared.now();
+        if read.is_whole {
+            for (_, id, _) in self.cell.workers() {
+                if !read.entries.iter().any(|(listed, _)| *listed == id) {
+                    self.cell.unlist_worker(&id, now);
+                }
+            }
+        }
+        for (id, value) in read.entries {
+            match value {
+                Some(value) => match decode_registration(&id, &value) {
+                    Some(entry) => self.list(entry, now),
+                    None => self.shared.log.write(
+                        Event::RecordSkipped,
+                        o!("partition" => "directory", "worker" => id.to_string()),
+                    ),
+                },
+                None => {
+                    self.cell.unlist_worker(&id, now);
+                    self.shared
+                        .log
+                        .write(Event::WorkerUnlisted, o!("worker" => id.to_string()));
+                }
+            }
+        }
+    }
+}
+
+impl Message<LookDue> for Owner {
+    type Reply = Option<LookPlan>;
+
+    async fn handle(&mut self, key: LookDue, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let now = self.shared.now();
+        if self.is_over {
+            return Some(LookPlan::End);
+        }
+        if !self.may_order(now) {
+            return Some(LookPlan::Pause);
+        }
+        let Some(order) = self.cell.look_order(key.0, now) else {
+            self.ports.remove(&key.0);
+            self.is_worker_list_new = true;
+            return Some(LookPlan::End);
+        };
+        Some(LookPlan::Look(order))
+    }
+}
+
+impl Message<Looked> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, looked: Looked, _: &mut Context<Self, ()>) {
+        let now = self.shared.now();
+        match looked.result {
+            Ok(look) => {
+                self.log_ends(&look);
+                self.cell.looked(looked.worker, looked.sent, look, now);
+                self.decide_soon();
+            }
+            Err(OrderError::Fenced) => self.fence("worker"),
+            Err(_) => self.cell.look_failed(looked.worker),
+        }
+    }
+}
+
+impl Owner {
+    fn log_ends(&self, look: &Look) {
+        for end in &look.ended {
+            if !self.cell.is_running(end.task, end.run) {
+                continue;
+            }
+            Metrics::count_end(&self.shared.metrics.runs, end.how.as_str());
+            if end.how != EndKind::Done {
+                self.shared.log.write(
+                    Event::RunEnded,
+                    o!("task" => end.task.to_string(), "run" => end.run, "how" => end.how.as_str()),
+                );
+            }
+        }
+    }
+}
+
+impl Message<Started> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, started: Started, _: &mut Context<Self, ()>) {
+        if started.answer == StartAnswer::Fenced {
+            self.fence("worker");
+            return;
+        }
+        let now = self.shared.now();
+        self.cell
+            .start_answered(&started.order, started.answer, now);
+        if started.answer != StartAnswer::Started {
+            self.decide_soon();
+        }
+    }
+}
+
+impl Message<Stopped> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, stopped: Stopped, _: &mut Context<Self, ()>) {
+        let now = self.shared.now();
+        self.cell.stop_answered(&stopped.order, now);
+    }
+}
+
+impl Message<Advised> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, advised: Advised, _: &mut Context<Self, ()>) {
+        let now = self.shared.now();
+        self.cell.advised(advised.ask, advised.answer, now);
+        self.decide();
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -0,0 +1,314 @@
+//! The owner of the cell: an actor around the pure state machine, and the loops that feed it.
+
+mod loops;
+mod messages;
+mod takeover;
+mod writer;
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use kameo::Actor;
+use kameo::actor::{ActorRef, WeakActorRef};
+use kingcupwinch_adapter::WorkerPort;
+use kingcupwinch_cell::{Action, Cell, JobId, Registration, StartAnswer, WorkerKey};
+use kingcupwinch_time::{Span, Time};
+use rustc_hash::FxHashMap;
+use slog::o;
+use tokio::sync::oneshot;
+
+use crate::events::Event;
+use crate::layout::IntakeKey;
+use crate::metrics::Metrics;
+use crate::shared::Shared;
+use crate::siblings::Siblings;
+
+pub(crate) use messages::{Confirmed, Members, Release, StateOf, Superseded, WaitingOf};
+pub(crate) use takeover::take_over;
+
+/// Events of so many microseconds are decided on together.
+const DECIDE_PAUSE: std::time::Duration = std::time::Duration::from_millis(5);
+/// The longest time between two decisions.
+const TICK: std::time::Duration = std::time::Duration::from_millis(100);
+/// An owner that could not write for so long gives no more orders.
+pub(crate) const STOP_AFTER: Span = Span::from_millis(4_000);
+
+/// What an owner needs from the start.
+pub(crate) struct OwnerArgs {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) siblings: Siblings,
+    pub(crate) term: u64,
+    pub(crate) cell: Cell,
+    pub(crate) confirmed: Time,
+}
+
+/// The owner of the cell under one term.
+pub(crate) struct Owner {
+    shared: Arc<Shared>,
+    siblings: Siblings,
+    me: WeakActorRef<Owner>,
+    term: u64,
+    cell: Cell,
+    ports: FxHashMap<WorkerKey, WorkerPort>,
+    addresses: FxHashMap<Arc<str>, Arc<str>>,
+    /// When the last append under this term was sent that succeeded.
+    confirmed: Time,
+    is_suspended: bool,
+    /// Set once this owner gives no more orders for good.
+    is_over: bool,
+    released: Option<oneshot::Sender<()>>,
+    is_decision_due: bool,
+    /// Records of ended jobs to drop.
+    ended: Vec<IntakeKey>,
+    is_worker_list_new: bool,
+}
+
+impl Actor for Owner {
+    type Args = OwnerArgs;
+    type Error = Infallible;
+
+    async fn on_start(args: OwnerArgs, me: ActorRef<Self>) -> Result<Self, Infallible> {
+        let mut owner = Owner {
+            shared: args.shared,
+            siblings: args.siblings,
+            me: me.downgrade(),
+            term: args.term,
+            cell: args.cell,
+            ports: FxHashMap::default(),
+            addresses: FxHashMap::default(),
+            confirmed: args.confirmed,
+            is_suspended: false,
+            is_over: false,
+            released: None,
+            is_decision_due: false,
+            ended: Vec::new(),
+            is_worker_list_new: true,
+        };
+        owner.open_ports();
+        owner.start_loops();
+        Ok(owner)
+    }
+}
+
+impl Owner {
+    fn start_loops(&self) {
+        let Some(me) = self.me.upgrade() else { return };
+        tokio::spawn(tick(me.downgrade()));
+        tokio::spawn(writer::run(
+            Arc::clone(&self.shared),
+            me.downgrade(),
+            self.term,
+        ));
+    }
+
+    /// Returns whether orders may be given now.
+    fn may_order(&mut self, now: Time) -> bool {
+        if self.is_over {
+            return false;
+        }
+        let is_silent = now.since(self.confirmed) > STOP_AFTER;
+        if is_silent != self.is_suspended {
+            self.is_suspended = is_silent;
+            let event = if is_silent {
+                Event::Suspended
+            } else {
+                Event::Resumed
+            };
+            let age = now.since(self.confirmed).as_millis();
+            self.shared
+                .log
+                .write(event, o!("term" => self.term, "confirmed_ms_ago" => age));
+        }
+        !is_silent
+    }
+
+    /// A later owner was seen: this one gives no more orders.
+    fn fence(&mut self, by: &'static str) {
+        if !self.is_over {
+            self.is_over = true;
+            self.shared
+                .log
+                .write(Event::Fenced, o!("term" => self.term, "seen_by" => by));
+        }
+    }
+
+    fn list(&mut self, entry: Registration, now: Time) {
+        let (id, draining) = (Arc::clone(&entry.id), entry.draining);
+        let before = self.cell.workers().len();
+        self.cell.list_worker(entry, false, now);
+        if self.cell.workers().len() != before {
+            self.is_worker_list_new = true;
+            self.shared.log.write(
+                Event::WorkerListed,
+                o!("worker" => id.to_string(), "draining" => draining),
+            );
+            self.open_ports();
+        }
+    }
+
+    /// Opens a port and a loop of looks for each worker that has none.
+    fn open_ports(&mut self) {
+        for (key, id, address) in self.cell.workers() {
+            if self.ports.contains_key(&key) {
+                continue;
+            }
+            let Ok(parsed) = address.parse() else {
+                self.shared.log.write(
+                    Event::RecordSkipped,
+                    o!("worker" => id.to_string(), "error" => "address"),
+                );
+                continue;
+            };
+            let port = WorkerPort::new(parsed, Arc::clone(&id), self.term);
+            self.ports.insert(key, port.clone());
+            if let Some(me) = self.me.upgrade() {
+                let shared = Arc::clone(&self.shared);
+                tokio::spawn(loops::look(shared, me.downgrade(), key, id, port));
+            }
+        }
+    }
+
+    /// Has a decision made soon, together with the events that come until then.
+    fn decide_soon(&mut self) {
+        if std::mem::replace(&mut self.is_decision_due, true) {
+            return;
+        }
+        let me = self.me.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(DECIDE_PAUSE).await;
+            if let Some(me) = me.upgrade() {
+                // The owner may have stopped meanwhile.
+                let _ = me.tell(messages::Decide).await;
+            }
+        });
+    }
+
+    fn decide(&mut self) {
+        self.is_decision_due = false;
+        let now = self.shared.now();
+        if !self.may_order(now) {
+            return;
+        }
+        let actions = self.cell.decide(now);
+        for action in actions {
+            self.carry_out(action);
+        }
+        let metrics = &self.shared.metrics;
+        metrics.live.set(self.cell.live_jobs() as i64);
+        metrics.used.set(self.cell.load().0 as i64);
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Start(order) => self.send_start(order),
+            Action::Stop(order) => self.send_stop(order),
+            Action::Ask {
+                ask,
+                instance,
+                step,
+                workers,
+                until,
+            } => {
+                let question = loops::Question {
+                    ask,
+                    instance,
+                    step,
+                    workers,
+                    until,
+                };
+                self.send_question(question);
+            }
+        }
+    }
+
+    fn send_start(&self, order: kingcupwinch_cell::StartOrder) {
+        let Some(port) = self.ports.get(&order.worker).cloned() else {
+            return;
+        };
+        self.shared.log.write(
+            Event::RunOrdered,
+            o!("task" => order.task.to_string(), "run" => order.number,
+                "worker" => port.id().to_string(), "until" => order.until, "term" => self.term),
+        );
+        let (me, shared) = (self.me.clone(), Arc::clone(&self.shared));
+        tokio::spawn(async move {
+            let answer = port.start(&order).await;
+            Metrics::count(&shared.metrics.orders, "start", start_label(answer));
+            if answer != StartAnswer::Started {
+                shared.log.write(
+                    Event::RunRefused,
+                    o!("task" => order.task.to_string(), "run" => order.number,
+                        "worker" => port.id().to_string(), "answer" => start_label(answer)),
+                );
+            }
+            if let Some(me) = me.upgrade() {
+                let _ = me.tell(messages::Started { order, answer }).await;
+            }
+        });
+    }
+
+    fn send_stop(&self, order: kingcupwinch_cell::StopOrder) {
+        let Some(port) = self.ports.get(&order.worker).cloned() else {
+            return;
+        };
+        let (me, shared) = (self.me.clone(), Arc::clone(&self.shared));
+        tokio::spawn(async move {
+            let result = port.stop(&order).await;
+            let label = if result.is_ok() { "ok" } else { "failed" };
+            Metrics::count(&shared.metrics.orders, "stop", label);
+            let error = result.err().map(|error| error.to_string());
+            shared.log.write(
+                Event::RunStopped,
+                o!("task" => order.task.to_string(), "run" => order.number,
+                    "worker" => port.id().to_string(), "error" => error.clone()),
+            );
+            if error.is_none()
+                && let Some(me) = me.upgrade()
+            {
+                let _ = me.tell(messages::Stopped { order }).await;
+            }
+        });
+    }
+
+    fn send_question(&self, question: loops::Question) {
+        let address = self.addresses.get(&question.instance).cloned();
+        let (me, shared) = (self.me.clone(), Arc::clone(&self.shared));
+        let siblings = self.siblings.clone();
+        tokio::spawn(async move {
+            let ask = question.ask;
+            let answer = loops::ask(&shared, &siblings, address, question).await;
+            if let Some(me) = me.upgrade() {
+                let _ = me.tell(messages::Advised { ask, answer }).await;
+            }
+        });
+    }
+
+    fn note_ended(&mut self, id: JobId) {
+        self.ended.push(IntakeKey::Accepted(id));
+        self.ended.push(IntakeKey::Cancelled(id));
+    }
+}
+
+fn start_label(answer: StartAnswer) -> &'static str {
+    match answer {
+        StartAnswer::Started => "started",
+        StartAnswer::Fenced => "fenced",
+        StartAnswer::Stale => "stale",
+        StartAnswer::Late => "late",
+        StartAnswer::Full => "full",
+        StartAnswer::NoTicket => "no_ticket",
+        StartAnswer::Refused => "refused",
+        StartAnswer::NotSent => "not_sent",
+        StartAnswer::Lost => "lost",
+    }
+}
+
+async fn tick(me: WeakActorRef<Owner>) {
+    loop {
+        tokio::time::sleep(TICK).await;
+        let Some(me) = me.upgrade() else { return };
+        if me.tell(messages::Decide).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -0,0 +1,190 @@
+//! Becoming the owner: the log is fenced, the cell's state is read, and the workers are looked at.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::actor::{ActorRef, Spawn};
+use kameo::mailbox;
+use kingcupwinch_adapter::{DIRECTORY, Fence, Page, StoreError, WriteError, decode_registration};
+use kingcupwinch_cell::{
+    Cell, Claim, JobId, JobRecord, JobSpec, Limits, Registration, Shown, Size,
+};
+use kingcupwinch_time::{Span, Time, WallClock};
+use quick_error::quick_error;
+use rustc_hash::FxHashMap;
+use slog::o;
+use tokio::time::Instant;
+
+use super::loops;
+use super::{Owner, OwnerArgs, STOP_AFTER};
+use crate::events::Event;
+use crate::layout::{INTAKE, IntakeKey, PROGRESS, WORKERS_KEY};
+use crate::shared::Shared;
+use crate::siblings::Siblings;
+
+/// How long the reads of a take-over may take.
+const READ_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Taken off the longest lease: clocks are read with a delay.
+const LEASE_MARGIN: Span = Span::from_millis(150);
+/// How long orders of an owner that stopped may still be on their way.
+const STOPPED_OVERLAP: Span = Span::from_millis(300);
+/// The greatest age of a job that counts against its objective; clocks may jump.
+const MOST_AGE_MS: u64 = 60_000;
+
+quick_error! {
+    /// Why a take-over failed.
+    #[derive(Debug)]
+    pub enum TakeOverError {
+        /// The log could not be fenced.
+        Fence(source: WriteError) {
+            from()
+            source(source)
+            display("fencing the log: {source}")
+        }
+        /// The state could not be read.
+        Read(source: StoreError) {
+            from()
+            source(source)
+            display("reading the state: {source}")
+        }
+    }
+}
+
+/// Takes the cell over under a claim. `is_stopped` tells that the owner before gives no orders.
+pub(crate) async fn take_over(
+    shared: &Arc<Shared>,
+    siblings: &Siblings,
+    claim: &Claim,
+    is_stopped: bool,
+    claimed: Time,
+) -> Result<ActorRef<Owner>, TakeOverError> {
+    let deadline = Instant::now() + READ_TIMEOUT;
+    let fence = Fence {
+        term: claim.term,
+        sequence: 0,
+    };
+    shared
+        .store
+        .append(PROGRESS, &[], None, Some(fence), deadline)
+        .await?;
+    let (progress, intake, directory) = tokio::try_join!(
+        shared.store.newest_all(PROGRESS, deadline),
+        shared.store.newest_all(INTAKE, deadline),
+        shared.store.newest_all(DIRECTORY, deadline),
+    )?;
+    shared.note_store(None);
+    let overlap = if is_stopped {
+        STOPPED_OVERLAP
+    } else {
+        STOP_AFTER
+    };
+    let limits = Limits {
+        lease: shared.settings.lease - LEASE_MARGIN,
+        overlap,
+        keep: shared.settings.status_keep,
+    };
+    let mut cell = Cell::new(limits, claim.generation);
+    let now = shared.now();
+    let workers = list_workers(&mut cell, &directory, &progress, now);
+    let jobs = restore_jobs(shared, &mut cell, &intake, &progress, now);
+    shared.log.write(
+        Event::TookOver,
+        o!("term" => claim.term, "generation" => claim.generation, "jobs" => jobs,
+            "workers" => workers, "owner_before_stopped" => is_stopped,
+            "since_claim_ms" => now.since(claimed).as_millis()),
+    );
+    let args = OwnerArgs {
+        shared: Arc::clone(shared),
+        siblings: siblings.clone(),
+        term: claim.term,
+        cell,
+        confirmed: claimed,
+    };
+    let owner = Owner::spawn_with_mailbox(args, mailbox::unbounded());
+    let me = owner.downgrade();
+    tokio::spawn(loops::intake(Arc::clone(shared), me.clone(), intake.end));
+    tokio::spawn(loops::directory(Arc::clone(shared), me, directory.end));
+    Ok(owner)
+}
+
+/// Lists the workers of the directory, and those that an earlier owner used and that left it.
+fn list_workers(cell: &mut Cell, directory: &Page, progress: &Page, now: Time) -> usize {
+    for item in &directory.items {
+        if let Some(entry) = decode_registration(&item.key, &item.value) {
+            cell.list_worker(entry, true, now);
+        }
+    }
+    let used = progress.items.iter().find(|item| &*item.key == WORKERS_KEY);
+    let used: Vec<(Arc<str>, Arc<str>)> = used
+        .and_then(|item| serde_json::from_slice(&item.value).ok())
+        .unwrap_or_default();
+    for (id, address) in used {
+        if cell.workers().iter().any(|(_, known, _)| *known == id) {
+            continue;
+        }
+        let entry = Registration {
+            id: Arc::clone(&id),
+            address,
+            service: "".into(),
+            domain: "".into(),
+            draining: true,
+            capacity: Size::default(),
+            labels: Vec::new(),
+            born: 0,
+        };
+        cell.list_worker(entry, true, now);
+        cell.unlist_worker(&id, now);
+    }
+    cell.workers().len()
+}
+
+fn restore_jobs(
+    shared: &Shared,
+    cell: &mut Cell,
+    intake: &Page,
+    progress: &Page,
+    now: Time,
+) -> usize {
+    let mut records: FxHashMap<JobId, JobRecord> = FxHashMap::default();
+    for item in &progress.items {
+        let Some(id) = JobId::parse(&item.key) else {
+            continue;
+        };
+        match JobRecord::decode(&item.value) {
+            Ok(record) => {
+                if record.end.is_some_and(Shown::is_final) {
+                    cell.restore(id, None, Some(&record), Span::ZERO, now);
+                }
+                records.insert(id, record);
+            }
+            Err(error) => skipped(shared, id, &error.to_string()),
+        }
+    }
+    let wall = WallClock.now().as_millis();
+    for (key, value) in loops::intake_items(intake) {
+        let (id, value) = match (key, value) {
+            (IntakeKey::Accepted(id), Some(value)) => (id, value),
+            (IntakeKey::Cancelled(id), Some(_)) => {
+                cell.cancel(id, now);
+                continue;
+            }
+            _ => continue,
+        };
+        match serde_json::from_slice::<JobSpec>(&value) {
+            Ok(spec) => {
+                let age = wall.saturating_sub(spec.accepted_ms).min(MOST_AGE_MS);
+                let age = Span::from_millis(age);
+                cell.restore(id, Some(spec), records.get(&id), age, now);
+            }
+            Err(error) => skipped(shared, id, &error.to_string()),
+        }
+    }
+    cell.live_jobs()
+}
+
+fn skipped(shared: &Shared, id: JobId, error: &str) {
+    shared.log.write(
+        Event::RecordSkipped,
+        o!("job" => id.to_string(), "error" => error.to_owned()),
+    );
+}
--- /dev/null
+++ b/crates/kingcupwinch-node/src/shared.rs
@@ -0,0 +1,112 @@
+//! What every part of an instance shares.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use kameo::actor::ActorRef;
+use kingcupwinch_adapter::{Adviser, QueueTable, Settings, Store};
+use kingcupwinch_cell::Claim;
+use kingcupwinch_time::{Clock, Span, SuspendClock, Time};
+use slog::o;
+use tokio::sync::watch;
+
+use crate::events::{Event, EventLog};
+use crate::metrics::Metrics;
+use crate::owner::Owner;
+
+/// How long the store may be silent before the instance sends callers elsewhere.
+const STORE_PATIENCE: Span = Span::from_millis(1_500);
+
+/// What every part of an instance shares.
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) store: Store,
+    pub(crate) adviser: Option<Adviser>,
+    pub(crate) log: EventLog,
+    pub(crate) metrics: Metrics,
+    pub(crate) queues: watch::Sender<Option<Arc<QueueTable>>>,
+    pub(crate) claim: watch::Sender<Option<Claim>>,
+    pub(crate) stopping: watch::Sender<bool>,
+    owner: Mutex<Option<ActorRef<Owner>>>,
+    store_heard: AtomicU64,
+    store_lost: AtomicBool,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: Settings, log: EventLog) -> Arc<Self> {
+        Arc::new(Shared {
+            store: Store::new(settings.store),
+            adviser: settings.adviser.map(Adviser::new),
+            settings,
+            log,
+            metrics: Metrics::new(),
+            queues: watch::Sender::new(None),
+            claim: watch::Sender::new(None),
+            stopping: watch::Sender::new(false),
+            owner: Mutex::new(None),
+            store_heard: AtomicU64::new(0),
+            store_lost: AtomicBool::new(false),
+        })
+    }
+
+    pub(crate) fn now(&self) -> Time {
+        SuspendClock.now()
+    }
+
+    /// Returns the owner if it is this instance.
+    pub(crate) fn owner(&self) -> Option<ActorRef<Owner>> {
+        self.owner
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    pub(crate) fn set_owner(&self, owner: Option<ActorRef<Owner>>) {
+        *self.owner.lock().unwrap_or_else(PoisonError::into_inner) = owner;
+    }
+
+    /// Notes whether the store answered.
+    pub(crate) fn note_store(&self, error: Option<&str>) {
+        match error {
+            None => {
+                let now = self.now().as_micros();
+                self.store_heard.store(now, Ordering::Relaxed);
+                if self.store_lost.swap(false, Ordering::Relaxed) {
+                    self.log.write(Event::StoreRegained, o!());
+                }
+            }
+            Some(error) => {
+                if !self.store_lost.swap(true, Ordering::Relaxed) {
+                    let heard = self.store_heard.load(Ordering::Relaxed);
+                    let age = self.now().since(Time::from_micros(heard)).as_millis();
+                    self.log.write(
+                        Event::StoreLost,
+                        o!("error" => error.to_owned(), "heard_ms_ago" => age),
+                    );
+                }
+            }
+        }
+    }
+
+    /// Returns whether callers are best served here.
+    pub(crate) fn is_ready(&self) -> bool {
+        let heard = Time::from_micros(self.store_heard.load(Ordering::Relaxed));
+        !*self.stopping.borrow()
+            && self.queues.borrow().is_some()
+            && self.now().since(heard) < STORE_PATIENCE
+    }
+
+    /// Returns when the instance is asked to stop.
+    pub(crate) async fn stop_asked(&self) {
+        // The sender lives as long as this value, so the wait ends only by the value.
+        let _ = self
+            .stopping
+            .subscribe()
+            .wait_for(|stopping| *stopping)
+            .await;
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+}
