--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -306,15 +306,11 @@
                 self.counters.done += 1;
                 self.learn(job, step, worker, elapsed);
                 self.workers[worker].note_done();
-                if own {
-                    self.finish(job, step, index);
-                }
+                self.finish(job, key);
             }
             EndKind::Failed => {
                 self.counters.failed += 1;
-                if own {
-                    self.count_failure(job, (step, index), number, worker, now);
-                }
+                self.count_failure(job, (step, index), number, worker, now);
             }
             EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {
                 self.counters.lost += 1;
@@ -338,8 +334,11 @@
         self.dirty.insert(key);
     }
 
-    /// Marks a task done; one member stands for its whole gang.
-    fn finish(&mut self, key: JobKey, step: usize, index: usize) {
+    /// Marks the task of a run done; one member stands for its whole gang. Other runs of the task
+    /// are stopped.
+    fn finish(&mut self, key: JobKey, done: RunKey) {
+        let name = self.runs[done].name;
+        let (step, index) = (usize::from(name.step), usize::from(name.index));
         let job = &mut self.jobs[key];
         if job.end.is_some() {
             return;
@@ -352,11 +351,28 @@
             job.finish_task(step, index);
         }
         self.dirty.insert(key);
+        for other in self.rivals(key, done) {
+            self.stop_run(other);
+        }
         if self.jobs[key].is_done() {
             self.end_job(key, Shown::Completed);
         }
     }
 
+    /// Returns the unsettled runs that do the same work as a run; the other members of a gang's run
+    /// end with it.
+    fn rivals(&self, key: JobKey, run: RunKey) -> Vec<RunKey> {
+        let (name, number) = (self.runs[run].name, self.runs[run].number);
+        let is_gang = self.jobs[key].spec.steps[usize::from(name.step)].gang;
+        let is_rival = |other: &&RunKey| {
+            let other = &self.runs[**other];
+            let same = other.name == name || (is_gang && other.name.step == name.step);
+            same && other.number != number
+        };
+        let runs = &self.jobs[key].runs;
+        runs.iter().filter(is_rival).copied().collect()
+    }
+
     fn count_failure(
         &mut self,
         key: JobKey,
@@ -371,20 +387,16 @@
         if job.end.is_some() {
             return;
         }
-        let limit = job.spec.terms.attempts;
+        let limit = job.spec.terms.attempts as usize;
         let is_gang = job.spec.steps[step].gang;
-        let state = &mut job.steps[step];
-        if is_gang {
-            if state.failed_run == number {
-                return;
-            }
-            state.failed_run = number;
-        }
         // The first task counts for its whole gang.
-        let task = &mut state.tasks[if is_gang { 0 } else { index }];
-        task.failures += 1;
+        let task = &mut job.steps[step].tasks[if is_gang { 0 } else { index }];
+        if task.failed.contains(&number) {
+            return;
+        }
+        task.failed.push(number);
         task.avoid = Some(worker);
-        let is_over = task.failures >= limit;
+        let is_over = task.failed.len() >= limit;
         self.dirty.insert(key);
         if is_over {
             self.end_job(key, Shown::Failed);
--- a/crates/kingcupwinch-cell/src/job.rs
+++ b/crates/kingcupwinch-cell/src/job.rs
@@ -2,6 +2,7 @@
 
 use kingcupwinch_time::{Span, Time};
 use rustc_hash::FxHashSet;
+use smallvec::SmallVec;
 
 use crate::advice::Tickets;
 use crate::id::JobId;
@@ -63,7 +64,8 @@
     pub(crate) state: TaskState,
     /// Runs that are not certainly over; the task starts anew only when there are none.
     pub(crate) unsettled: u32,
-    pub(crate) failures: u32,
+    /// The numbers of its runs that failed; for a gang, those of its first member.
+    pub(crate) failed: SmallVec<[u32; 4]>,
     pub(crate) saved: Option<Arc<str>>,
     /// The worker where it failed last, which it avoids.
     pub(crate) avoid: Option<WorkerKey>,
@@ -77,8 +79,6 @@
     /// Tasks that wait.
     pub(crate) waiting: usize,
     pub(crate) tickets: Tickets,
-    /// The last run of the gang that counted as failed.
-    pub(crate) failed_run: u32,
     /// Expected time from the step's start to the job's end.
     pub(crate) tail: Span,
 }
@@ -121,7 +121,7 @@
                 .map(|_| Task {
                     state: TaskState::Waiting,
                     unsettled: 0,
-                    failures: 0,
+                    failed: SmallVec::new(),
                     saved: None,
                     avoid: None,
                 })
@@ -129,7 +129,6 @@
             left: usize::from(step.count),
             waiting: usize::from(step.count),
             tickets: Tickets::default(),
-            failed_run: 0,
             tail: scale(tail),
         });
         Job {
@@ -208,9 +207,9 @@
                 self.finish_task(step, index);
             }
         }
-        for &(step, index, count) in &record.failures {
-            if let Some(task) = self.task_mut(step.into(), index.into()) {
-                task.failures = count;
+        for (step, index, numbers) in &record.failed {
+            if let Some(task) = self.task_mut((*step).into(), (*index).into()) {
+                task.failed.clone_from(numbers);
             }
         }
         for (step, index, saved) in &record.saved {
--- a/crates/kingcupwinch-cell/src/record.rs
+++ b/crates/kingcupwinch-cell/src/record.rs
@@ -4,6 +4,7 @@
 
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 
 use crate::job::{Job, Shown, TaskState};
 
@@ -52,9 +53,10 @@
     /// Tasks done: step, and the indices of its tasks.
     #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
     pub done: Vec<(u16, Vec<u16>)>,
-    /// Failed runs: step, task, count.
+    /// Failed runs: step, task, numbers of the runs, so that an end that is listed again to a later
+    /// owner does not count twice.
     #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
-    pub failures: Vec<(u16, u16, u32)>,
+    pub failed: Vec<(u16, u16, SmallVec<[u32; 4]>)>,
     /// Checkpoints: step, task, value.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub saved: Vec<(u16, u16, Arc<str>)>,
@@ -115,8 +117,8 @@
                     done.push(index);
                     continue;
                 }
-                if task.failures > 0 {
-                    record.failures.push((number, index, task.failures));
+                if !task.failed.is_empty() {
+                    record.failed.push((number, index, task.failed.clone()));
                 }
                 if let Some(saved) = &task.saved {
                     record.saved.push((number, index, Arc::clone(saved)));
