Bound a round of decisions by the room that is free; six partitions for the intake

Change: a round builds one list of usable workers and passes over steps for which none has room; the pause between rounds grows with their length; the intake has six partitions; the release of the cell is tried again; partial gangs of an earlier owner are recalled; listeners end on a stop.

--- a/crates/kingcupwinch-cell/src/advice.rs
+++ b/crates/kingcupwinch-cell/src/advice.rs
@@ -120,27 +120,31 @@
         self.desks = desks;
     }
 
+    /// Returns whether a call of at least this length could be made now.
+    pub(crate) fn is_open(&self, length: Span, now: Time) -> bool {
+        self.choose(length, now).is_some()
+    }
+
     /// Takes the desk that is free first, if that is soon enough for a call of this length.
     /// Returns its instance and when the call counts as lost.
     pub(crate) fn take(&mut self, length: Span, now: Time) -> Option<(Arc<str>, Time)> {
-        let is_long = length > LONG_CALL;
-        let wait = if is_long { LONG_WAIT } else { SHORT_WAIT };
-        let open = if is_long {
-            (self.desks.len() * 2).div_ceil(3)
+        let desk = self.choose(length, now)?;
+        let desk = &mut self.desks[desk];
+        desk.free = desk.free.max(now) + length;
+        Some((Arc::clone(&desk.instance), desk.free + CALL_SLACK))
+    }
+
+    fn choose(&self, length: Span, now: Time) -> Option<usize> {
+        let (wait, open) = if length > LONG_CALL {
+            (LONG_WAIT, (self.desks.len() * 2).div_ceil(3))
         } else {
-            self.desks.len()
+            (SHORT_WAIT, self.desks.len())
         };
         // Short calls fill the desks from the end, which long calls may not use.
-        let desk = self.desks[..open]
-            .iter_mut()
+        let first = (0..open)
             .rev()
-            .min_by_key(|desk| desk.free.max(now))?;
-        let begins = desk.free.max(now);
-        if begins > now + wait {
-            return None;
-        }
-        desk.free = begins + length;
-        Some((Arc::clone(&desk.instance), desk.free + CALL_SLACK))
+            .min_by_key(|desk| self.desks[*desk].free.max(now))?;
+        (self.desks[first].free <= now + wait).then_some(first)
     }
 
     /// Notes that a call to an instance failed: nothing goes there for a while.
--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -449,6 +449,12 @@
             .map_or(1.0, |sense| sense.pace.mean())
     }
 
+    /// Returns the share of workers that the adviser of a queue is expected to allow.
+    pub(crate) fn allowed_share(&self, queue: &str) -> f64 {
+        let sense = self.queues.get(queue);
+        sense.map_or(ALLOWED_PRIOR, |sense| sense.allowed.mean())
+    }
+
     fn sense(&mut self, queue: &Arc<str>) -> &mut QueueSense {
         self.queues.entry(Arc::clone(queue)).or_default()
     }
--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -250,6 +250,31 @@
         }
     }
 
+    /// Stops the members of gangs that lost others with an earlier owner: all members of a run are
+    /// ordered together, so one that waits to be started can't join the rest.
+    pub(crate) fn recall_partial_gangs(&mut self) {
+        let mut partial = Vec::new();
+        for (key, job) in &self.jobs {
+            if !job.inherited || job.end.is_some() {
+                continue;
+            }
+            for (number, step) in job.steps.iter().enumerate() {
+                let is_gang = job.spec.steps[number].gang;
+                if is_gang && step.waiting > 0 && step.waiting < step.left {
+                    partial.push((key, number));
+                }
+            }
+        }
+        for (key, number) in partial {
+            let in_step = |run: &&RunKey| usize::from(self.runs[**run].name.step) == number;
+            let runs = self.jobs[key].runs.iter().filter(in_step);
+            let members: Vec<RunKey> = runs.copied().collect();
+            for member in members {
+                self.stop_run(member);
+            }
+        }
+    }
+
     /// Orders a run to stop.
     pub(crate) fn stop_run(&mut self, key: RunKey) {
         let run = &mut self.runs[key];
--- a/crates/kingcupwinch-cell/src/plan.rs
+++ b/crates/kingcupwinch-cell/src/plan.rs
@@ -14,8 +14,8 @@
 use crate::cell::{Action, Cell};
 use crate::id::TaskName;
 use crate::job::{JobKey, Task};
-use crate::spec::{Size, StepSpec};
-use crate::worker::{Worker, WorkerKey};
+use crate::spec::{JobSpec, Size, StepSpec};
+use crate::worker::{RACK_LABEL, WorkerKey};
 
 /// The most workers that one call to the adviser names.
 const MOST_ASKED: usize = 100;
@@ -53,24 +53,37 @@
     }
 }
 
-/// Room on workers that steps ahead in the order wait for.
-#[derive(Debug, Default)]
-struct Reserved {
-    rooms: FxHashMap<WorkerKey, Size>,
-}
-
 impl Cell {
     /// Decides what can be decided, and returns everything to be done.
     pub fn decide(&mut self, now: Time) -> Vec<Action> {
         self.expire_workers(now);
+        if !self.is_inheriting() {
+            self.recall_partial_gangs();
+        }
         self.send_stops(now);
-        let mut reserved = Reserved::default();
+        let mut floor = self.open_floor(now);
         for due in self.due_steps(now) {
-            self.place_step(&due, &mut reserved, now);
+            self.place_step(&due, &mut floor, now);
         }
         std::mem::take(&mut self.actions)
     }
 
+    /// Returns the workers that may be given work now.
+    fn open_floor(&self, now: Time) -> Floor {
+        let usable = self.workers.iter().filter(|(_, w)| w.is_usable(now));
+        let seats = usable.map(|(key, worker)| Seat {
+            key,
+            service: Arc::clone(&worker.entry.service),
+            labels: worker.entry.labels.clone(),
+            room: worker.room(),
+            speed: worker.speed.mean(),
+        });
+        Floor {
+            seats: seats.collect(),
+        }
+    }
+
+    /// Returns the steps with tasks to start, the most urgent first.
     fn due_steps(&self, now: Time) -> Vec<Due> {
         let is_inheriting = self.is_inheriting();
         let mut due = Vec::new();
@@ -111,67 +124,45 @@
         due
     }
 
-    fn place_step(&mut self, due: &Due, reserved: &mut Reserved, now: Time) {
+    fn place_step(&mut self, due: &Due, floor: &mut Floor, now: Time) {
         self.expire_ask(due.job, due.step, now);
-        let open = self.open_workers(due, reserved, now);
-        let spec = &self.jobs[due.job].spec.steps[due.step];
-        let started = if spec.gang {
-            self.place_gang(due, &open, reserved, now)
+        let job = &self.jobs[due.job];
+        if !floor.fits_any(&job.spec, due.step) {
+            return;
+        }
+        let open = self.open_seats(due, floor, now);
+        let is_placed = if open.is_empty() {
+            false
+        } else if job.spec.steps[due.step].gang {
+            self.place_gang(due, &open, floor, now)
         } else {
-            self.place_tasks(due, &open, reserved, now)
+            self.place_tasks(due, &open, floor, now)
         };
-        if !started {
-            self.ask(due, reserved, now);
+        if !is_placed {
+            self.ask(due, floor, now);
         }
     }
 
-    /// Returns the workers that may run the step now and have room, best first.
-    fn open_workers(&self, due: &Due, reserved: &Reserved, now: Time) -> Vec<WorkerKey> {
+    /// Returns the seats that may run the step now and have room, best first.
+    fn open_seats(&self, due: &Due, floor: &Floor, now: Time) -> Vec<usize> {
         let job = &self.jobs[due.job];
         let spec = &job.spec.steps[due.step];
         let needs_ticket = job.spec.terms.advice.is_some();
         let tickets = &job.steps[due.step].tickets;
-        let may_run = |key: WorkerKey, worker: &Worker| {
-            worker.is_usable(now)
-                && worker.entry.service == job.spec.terms.service
-                && has_label(worker, spec)
-                && (!needs_ticket || tickets.valid(key, now).is_some())
-                && reserved.room(key, worker).fits(spec.charge()) > 0
+        let may_run = |seat: &Seat| {
+            seat.serves(&job.spec, due.step)
+                && seat.room.fits(spec.charge()) > 0
+                && (!needs_ticket || tickets.valid(seat.key, now).is_some())
         };
-        let mut open: Vec<WorkerKey> = self
-            .workers
-            .iter()
-            .filter(|(key, worker)| may_run(*key, worker))
-            .map(|(key, _)| key)
+        let mut open: Vec<usize> = (0..floor.seats.len())
+            .filter(|seat| may_run(&floor.seats[*seat]))
             .collect();
-        open.sort_by(|a, b| self.prefer(*a, *b, due, spec));
+        open.sort_by(|a, b| prefer(&floor.seats[*a], &floor.seats[*b], due, spec));
         open
     }
 
-    /// Orders workers for a step: those near its data first; then the fast ones where time is
-    /// short, and the slow ones where it is not; then the ones that it fills best.
-    fn prefer(&self, a: WorkerKey, b: WorkerKey, due: &Due, spec: &StepSpec) -> Ordering {
-        let (a, b) = (&self.workers[a], &self.workers[b]);
-        let is_near = |worker: &Worker| {
-            spec.rack
-                .as_ref()
-                .is_none_or(|rack| worker.rack() == Some(rack))
-        };
-        let speed = a.speed.mean().total_cmp(&b.speed.mean());
-        is_near(b)
-            .cmp(&is_near(a))
-            .then(if due.is_tight { speed } else { speed.reverse() })
-            .then(a.room().cpu.cmp(&b.room().cpu))
-    }
-
     /// Starts as many tasks as fit; returns whether none is left waiting.
-    fn place_tasks(
-        &mut self,
-        due: &Due,
-        open: &[WorkerKey],
-        reserved: &Reserved,
-        now: Time,
-    ) -> bool {
+    fn place_tasks(&mut self, due: &Due, open: &[usize], floor: &mut Floor, now: Time) -> bool {
         let job = &self.jobs[due.job];
         let spec = &job.spec.steps[due.step];
         let size = spec.charge();
@@ -181,25 +172,28 @@
         let mut left = waiting.len();
         for index in waiting {
             let avoid = self.jobs[due.job].steps[due.step].tasks[index].avoid;
-            let fits = |key: &&WorkerKey| {
-                let count = counts.get(*key).copied().unwrap_or(0);
-                let room = reserved.room(**key, &self.workers[**key]);
-                count < most && room.fits(size) > 0
+            let fits = |seat: &&usize| {
+                let seat = &floor.seats[**seat];
+                let count = counts.get(&seat.key).copied().unwrap_or(0);
+                count < most && seat.room.fits(size) > 0
             };
-            let mut choices: Vec<&WorkerKey> = open.iter().filter(fits).take(2).collect();
-            if choices.len() > 1 && avoid == Some(*choices[0]) {
-                choices.swap(0, 1);
-            }
-            let Some(&&worker) = choices.first() else {
+            let mut choices = open.iter().filter(fits);
+            let Some(mut seat) = choices.next() else {
                 break;
             };
+            if avoid == Some(floor.seats[*seat].key) {
+                seat = choices.next().unwrap_or(seat);
+            }
+            let worker = floor.seats[*seat].key;
             let number = self.jobs[due.job].numbers + 1;
+            let place = (due.step, index);
             if self
-                .start_run(due.job, (due.step, index), number, worker, now)
+                .start_run(due.job, place, number, worker, now)
                 .is_none()
             {
                 break;
             }
+            floor.take(*seat, size, 1);
             *counts.entry(worker).or_default() += 1;
             left -= 1;
         }
@@ -207,75 +201,29 @@
     }
 
     /// Starts a whole gang if it fits; otherwise keeps the room that there is for it.
-    fn place_gang(
-        &mut self,
-        due: &Due,
-        open: &[WorkerKey],
-        reserved: &mut Reserved,
-        now: Time,
-    ) -> bool {
+    fn place_gang(&mut self, due: &Due, open: &[usize], floor: &mut Floor, now: Time) -> bool {
         let job = &self.jobs[due.job];
         let spec = &job.spec.steps[due.step];
+        let size = spec.charge();
         let tasks = job.steps[due.step].tasks.len();
-        let Some(seats) = self.seat_gang(spec, open, reserved, tasks) else {
-            let size = spec.charge();
+        let Some(seats) = seat_gang(spec, open, floor, tasks) else {
             let mut left = tasks as u64;
-            for &key in open {
-                let fits = reserved.room(key, &self.workers[key]).fits(size).min(left);
-                reserved.keep(key, size, fits);
+            for &seat in open {
+                let fits = floor.seats[seat].room.fits(size).min(left);
+                floor.take(seat, size, fits);
                 left -= fits;
             }
             return false;
         };
         let number = job.numbers + 1;
-        for (index, worker) in seats.into_iter().enumerate() {
+        for (index, seat) in seats.into_iter().enumerate() {
+            let worker = floor.seats[seat].key;
             self.start_run(due.job, (due.step, index), number, worker, now);
+            floor.take(seat, size, 1);
         }
         true
     }
 
-    /// Returns a worker for each member of a gang, on one rack where that matters and fits.
-    fn seat_gang(
-        &self,
-        spec: &StepSpec,
-        open: &[WorkerKey],
-        reserved: &Reserved,
-        tasks: usize,
-    ) -> Option<Vec<WorkerKey>> {
-        if spec.one_rack {
-            let mut racks: Vec<Option<&Arc<str>>> =
-                open.iter().map(|key| self.workers[*key].rack()).collect();
-            racks.sort();
-            racks.dedup();
-            for rack in racks {
-                let on_rack = |key: &WorkerKey| self.workers[*key].rack() == rack;
-                let seats: Vec<WorkerKey> = open.iter().copied().filter(on_rack).collect();
-                if let Some(seats) = self.fill_seats(spec, &seats, reserved, tasks) {
-                    return Some(seats);
-                }
-            }
-        }
-        self.fill_seats(spec, open, reserved, tasks)
-    }
-
-    fn fill_seats(
-        &self,
-        spec: &StepSpec,
-        open: &[WorkerKey],
-        reserved: &Reserved,
-        tasks: usize,
-    ) -> Option<Vec<WorkerKey>> {
-        let most = spec.spread.map_or(usize::MAX, usize::from);
-        let mut seats = Vec::with_capacity(tasks);
-        for &key in open {
-            let room = reserved.room(key, &self.workers[key]);
-            let fits = usize::try_from(room.fits(spec.charge())).unwrap_or(usize::MAX);
-            let take = fits.min(most).min(tasks - seats.len());
-            seats.extend(std::iter::repeat_n(key, take));
-        }
-        (seats.len() == tasks).then_some(seats)
-    }
-
     /// Returns how many tasks of a step are on each worker.
     fn step_counts(&self, job: JobKey, step: usize) -> FxHashMap<WorkerKey, usize> {
         let mut counts = FxHashMap::default();
@@ -289,16 +237,17 @@
 
     /// Asks the adviser about the workers that have room, if the step could start on those of
     /// them that it is likely to allow.
-    fn ask(&mut self, due: &Due, reserved: &mut Reserved, now: Time) {
+    fn ask(&mut self, due: &Due, floor: &Floor, now: Time) {
         let job = &self.jobs[due.job];
         let Some(terms) = job.spec.terms.advice else {
             return;
         };
         let step = &job.steps[due.step];
-        if step.tickets.pending.is_some() || step.tickets.again > now {
+        let is_open = step.tickets.pending.is_none() && step.tickets.again <= now;
+        if !is_open || !self.desks.is_open(call_time(&terms, 1), now) {
             return;
         }
-        let (workers, room) = self.candidates(due, reserved, now);
+        let (workers, room) = self.candidates(due, floor, now);
         let spec = &self.jobs[due.job].spec.steps[due.step];
         let need = if spec.gang {
             step.tasks.len() as f64
@@ -335,77 +284,131 @@
 
     /// Returns the workers to ask about and the tasks that are expected to fit on those of them
     /// that the adviser allows.
-    fn candidates(&self, due: &Due, reserved: &Reserved, now: Time) -> (Vec<WorkerKey>, f64) {
+    fn candidates(&self, due: &Due, floor: &Floor, now: Time) -> (Vec<WorkerKey>, f64) {
         let job = &self.jobs[due.job];
         let spec = &job.spec.steps[due.step];
         let step = &job.steps[due.step];
-        let share = self
-            .queues
-            .get(&job.spec.terms.queue)
-            .map_or(0.4, |sense| sense.allowed.mean());
+        let share = self.allowed_share(&job.spec.terms.queue);
         let most = spec.spread.map_or(u64::MAX, u64::from);
         let mut rows = Vec::new();
-        let mut ready = 0.0;
-        for (key, worker) in &self.workers {
-            let is_open = worker.is_usable(now)
-                && worker.entry.service == job.spec.terms.service
-                && has_label(worker, spec);
-            if !is_open {
+        let mut room = 0.0;
+        for seat in &floor.seats {
+            let fits = seat.room.fits(spec.charge()).min(most) as f64;
+            if fits == 0.0 || !seat.serves(&job.spec, due.step) {
                 continue;
             }
-            let room = reserved.room(key, worker);
-            let fits = room.fits(spec.charge()).min(most) as f64;
-            match step.tickets.verdict(key) {
+            match step.tickets.verdict(seat.key) {
                 Some(Verdict::Barred) => {}
-                Some(Verdict::Allowed { expires, .. }) if *expires > now => ready += fits,
-                Some(Verdict::Allowed { .. }) if fits > 0.0 => rows.push((key, fits, 1.0)),
-                None if fits > 0.0 => rows.push((key, fits, share)),
-                Some(Verdict::Allowed { .. }) | None => {}
+                Some(Verdict::Allowed { expires, .. }) if *expires > now => room += fits,
+                Some(Verdict::Allowed { .. }) => rows.push((seat, fits, 1.0)),
+                None => rows.push((seat, fits, share)),
             }
         }
         rows.sort_by(|a, b| {
-            b.2.total_cmp(&a.2)
-                .then_with(|| self.prefer(a.0, b.0, due, spec))
+            let known = b.2.total_cmp(&a.2);
+            known.then_with(|| prefer(a.0, b.0, due, spec))
         });
         let wanted = step.waiting as f64 * ROOM_MARGIN;
-        let mut room = ready;
         let mut workers = Vec::new();
-        for (key, fits, chance) in rows {
+        for (seat, fits, chance) in rows {
             if workers.len() >= MOST_ASKED || (room >= wanted && workers.len() >= LEAST_ASKED) {
                 break;
             }
             room += fits * chance;
-            workers.push(key);
+            workers.push(seat.key);
         }
         (workers, room)
     }
 }
 
-fn has_label(worker: &Worker, spec: &StepSpec) -> bool {
-    spec.label
-        .as_ref()
-        .is_none_or(|label| worker.entry.labels.contains(label))
+/// A worker that may be given work, with the room that is left for the steps not yet decided on.
+#[derive(Debug)]
+struct Seat {
+    key: WorkerKey,
+    service: Arc<str>,
+    labels: Vec<Arc<str>>,
+    room: Size,
+    /// Observed over expected run time: less is faster.
+    speed: f64,
 }
 
-fn free_tasks(tasks: &[Task]) -> Vec<usize> {
-    tasks
-        .iter()
-        .enumerate()
-        .filter(|(_, task)| task.is_free())
-        .map(|(index, _)| index)
-        .collect()
+impl Seat {
+    fn serves(&self, job: &JobSpec, step: usize) -> bool {
+        let label = job.steps[step].label.as_ref();
+        self.service == job.terms.service && label.is_none_or(|label| self.labels.contains(label))
+    }
+
+    fn rack(&self) -> Option<&Arc<str>> {
+        self.labels.get(RACK_LABEL)
+    }
+}
+
+/// The workers of one round of decisions.
+#[derive(Debug)]
+struct Floor {
+    seats: Vec<Seat>,
+}
+
+impl Floor {
+    /// Returns whether any worker has room for a task of the step.
+    fn fits_any(&self, job: &JobSpec, step: usize) -> bool {
+        let size = job.steps[step].charge();
+        self.seats.iter().any(|seat| seat.room.fits(size) > 0)
+    }
+
+    /// Takes room for tasks that start, or that a step ahead waits for.
+    fn take(&mut self, seat: usize, size: Size, tasks: u64) {
+        let room = &mut self.seats[seat].room;
+        for _ in 0..tasks {
+            room.sub(size);
+        }
+    }
+}
+
+/// Orders workers for a step: those near its data first; then the fast ones where time is short,
+/// and the slow ones where it is not; then the ones that it fills best.
+fn prefer(a: &Seat, b: &Seat, due: &Due, spec: &StepSpec) -> Ordering {
+    let is_near = |seat: &Seat| {
+        let rack = spec.rack.as_ref();
+        rack.is_none_or(|rack| seat.rack() == Some(rack))
+    };
+    let speed = a.speed.total_cmp(&b.speed);
+    is_near(b)
+        .cmp(&is_near(a))
+        .then(if due.is_tight { speed } else { speed.reverse() })
+        .then(a.room.cpu.cmp(&b.room.cpu))
 }
 
-impl Reserved {
-    fn room(&self, key: WorkerKey, worker: &Worker) -> Size {
-        let kept = self.rooms.get(&key).copied().unwrap_or_default();
-        worker.room().room(kept)
+/// Returns a seat for each member of a gang, on one rack where that matters and fits.
+fn seat_gang(spec: &StepSpec, open: &[usize], floor: &Floor, tasks: usize) -> Option<Vec<usize>> {
+    if spec.one_rack {
+        let mut racks: Vec<_> = open.iter().map(|seat| floor.seats[*seat].rack()).collect();
+        racks.sort();
+        racks.dedup();
+        for rack in racks {
+            let on_rack = |seat: &usize| floor.seats[*seat].rack() == rack;
+            let seats: Vec<usize> = open.iter().copied().filter(on_rack).collect();
+            if let Some(seats) = fill_seats(spec, &seats, floor, tasks) {
+                return Some(seats);
+            }
+        }
     }
+    fill_seats(spec, open, floor, tasks)
+}
 
-    fn keep(&mut self, key: WorkerKey, size: Size, tasks: u64) {
-        let kept = self.rooms.entry(key).or_default();
-        kept.cpu += size.cpu * tasks;
-        kept.memory += size.memory * tasks;
-        kept.gpu += size.gpu * tasks;
+fn fill_seats(spec: &StepSpec, open: &[usize], floor: &Floor, tasks: usize) -> Option<Vec<usize>> {
+    let most = spec.spread.map_or(usize::MAX, usize::from);
+    let mut seats = Vec::with_capacity(tasks);
+    for &seat in open {
+        let fits = floor.seats[seat].room.fits(spec.charge());
+        let fits = usize::try_from(fits).unwrap_or(usize::MAX);
+        let take = fits.min(most).min(tasks - seats.len());
+        seats.extend(std::iter::repeat_n(seat, take));
     }
+    (seats.len() == tasks).then_some(seats)
+}
+
+fn free_tasks(tasks: &[Task]) -> Vec<usize> {
+    let free = tasks.iter().enumerate().filter(|(_, task)| task.is_free());
+    free.map(|(index, _)| index).collect()
 }
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -13,6 +13,8 @@
     pub struct WorkerKey;
 }
 
+/// Which of a worker's labels names its rack; the one before names its kind.
+pub(crate) const RACK_LABEL: usize = 1;
 /// How far a worker's clock may run slow.
 const WORKER_DRIFT: Drift = Drift::from_ppm(20_000);
 /// Added to the time after which a lease has certainly lapsed: timers fire late.
@@ -148,10 +150,6 @@
         self.entry.capacity.room(self.used)
     }
 
-    pub(crate) fn rack(&self) -> Option<&Arc<str>> {
-        self.entry.labels.get(1)
-    }
-
     pub(crate) fn read_clock(&mut self, clock: u64, read: Time) {
         self.clock = Some(ClockSample { clock, read });
     }
--- a/crates/kingcupwinch-node/src/accept.rs
+++ b/crates/kingcupwinch-node/src/accept.rs
@@ -7,7 +7,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-use crate::layout::INTAKE;
+use crate::layout::intake_of;
 use crate::metrics::Metrics;
 use crate::shared::Shared;
 
@@ -15,8 +15,8 @@
 const QUEUE_LENGTH: usize = 1_024;
 /// The most bytes of one append.
 const MOST_BYTES: usize = 512 << 10;
-/// How long one try of an append may take.
-const TRY_TIMEOUT: Duration = Duration::from_millis(900);
+/// How long one try of an append may take; a slow store takes over a second for a queue of them.
+const TRY_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// The pause before another try.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 
@@ -108,9 +108,10 @@
     let records: Vec<KeyedRecord> = batch.iter().map(|r| r.record.clone()).collect();
     let begun = Instant::now();
     let deadline = begun + TRY_TIMEOUT;
+    let partition = intake_of(&shared.settings.instance);
     let result = shared
         .store
-        .append(INTAKE, &records, None, None, deadline)
+        .append(partition, &records, None, None, deadline)
         .await;
     let metrics = &shared.metrics;
     metrics.append_time.observe(begun.elapsed().as_secs_f64());
--- a/crates/kingcupwinch-node/src/http.rs
+++ b/crates/kingcupwinch-node/src/http.rs
@@ -59,12 +59,17 @@
     drain: watch::Receiver<bool>,
 ) {
     let limit = Arc::new(Semaphore::new(MOST_CONNECTIONS));
+    let mut drained = drain.clone();
     loop {
         // Beyond the limit connections wait in the listener's queue.
         let Ok(permit) = Arc::clone(&limit).acquire_owned().await else {
             return;
         };
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = drained.wait_for(|drain| *drain) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let handler = Arc::clone(&handler);
                 let drain = drain.clone();
--- a/crates/kingcupwinch-node/src/layout.rs
+++ b/crates/kingcupwinch-node/src/layout.rs
@@ -1,14 +1,17 @@
 //! Where the instances keep what in the log.
 
+use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
 use kingcupwinch_adapter::Partition;
 use kingcupwinch_cell::JobId;
+use rustc_hash::FxHasher;
 
-/// Jobs accepted and cancelled; every instance appends.
-pub(crate) const INTAKE: Partition = Partition::new("keyed.jobs", 0);
 /// The jobs' progress; only the owner appends.
-pub(crate) const PROGRESS: Partition = Partition::new("keyed.jobs", 1);
+pub(crate) const PROGRESS: Partition = Partition::new("keyed.jobs", 0);
+/// Partitions of the intake. A partition takes one append at a time: with one for all instances,
+/// a slow store makes each wait for all the others.
+const INTAKE_PARTITIONS: u32 = 6;
 /// Claims, signs of life and members.
 pub(crate) const GROUP: Partition = Partition::new("keyed.group", 0);
 
@@ -24,7 +27,20 @@
 const ACCEPTED_PREFIX: char = 'a';
 const CANCELLED_PREFIX: char = 'c';
 
-/// What a record of [`INTAKE`] is about.
+/// Jobs accepted and cancelled; every instance appends to one of these partitions.
+pub(crate) fn intake_partitions() -> impl Iterator<Item = Partition> {
+    (0..INTAKE_PARTITIONS).map(|number| Partition::new("keyed.intake", number))
+}
+
+/// Returns the partition of the intake to which an instance appends.
+pub(crate) fn intake_of(instance: &str) -> Partition {
+    let mut hasher = FxHasher::default();
+    instance.hash(&mut hasher);
+    let number = hasher.finish() % u64::from(INTAKE_PARTITIONS);
+    Partition::new("keyed.intake", number as u32)
+}
+
+/// What a record of the intake is about.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum IntakeKey {
     Accepted(JobId),
--- a/crates/kingcupwinch-node/src/owner/loops.rs
+++ b/crates/kingcupwinch-node/src/owner/loops.rs
@@ -5,7 +5,9 @@
 
 use bytes::Bytes;
 use kameo::actor::WeakActorRef;
-use kingcupwinch_adapter::{Advice, DIRECTORY, KeyedRecord, Page, StoreError, WorkerPort};
+use kingcupwinch_adapter::{
+    Advice, DIRECTORY, KeyedRecord, Page, Partition, StoreError, WorkerPort,
+};
 use kingcupwinch_cell::{AskKey, Ticket, WorkerKey};
 use kingcupwinch_time::{Span, Time};
 use slog::o;
@@ -14,7 +16,7 @@
 use super::Owner;
 use super::messages::{DirectoryRead, IntakeRead, LookDue, LookPlan, Looked};
 use crate::events::Event;
-use crate::layout::{INTAKE, IntakeKey};
+use crate::layout::IntakeKey;
 use crate::shared::Shared;
 use crate::siblings::{AdviceQuestion, Siblings};
 
@@ -105,19 +107,25 @@
     }
 }
 
-/// Follows the intake from an offset.
-pub(crate) async fn intake(shared: Arc<Shared>, owner: WeakActorRef<Owner>, from: u64) {
+/// Follows a partition of the intake from an offset.
+pub(crate) async fn intake(
+    shared: Arc<Shared>,
+    owner: WeakActorRef<Owner>,
+    partition: Partition,
+    from: u64,
+) {
     let mut from = Some(from);
     loop {
         let result = match from {
-            Some(offset) => read_intake(&shared, offset).await,
-            None => reread_intake(&shared).await,
+            Some(offset) => read_intake(&shared, partition, offset).await,
+            None => reread_intake(&shared, partition).await,
         };
         match result {
             Ok((next, records)) => {
                 shared.note_store(None);
                 from = Some(next);
-                if !records.is_empty() && !tell(&owner, IntakeRead(records)).await {
+                let read = IntakeRead { partition, records };
+                if !read.records.is_empty() && !tell(&owner, read).await {
                     return;
                 }
                 tokio::time::sleep(INTAKE_GAP).await;
@@ -136,11 +144,15 @@
 
 type IntakeRecords = Vec<(IntakeKey, Option<Bytes>)>;
 
-async fn read_intake(shared: &Shared, from: u64) -> Result<(u64, IntakeRecords), StoreError> {
+async fn read_intake(
+    shared: &Shared,
+    partition: Partition,
+    from: u64,
+) -> Result<(u64, IntakeRecords), StoreError> {
     let deadline = Instant::now() + Duration::from_millis(INTAKE_WAIT_MS) + READ_MARGIN;
     let batch = shared
         .store
-        .read(INTAKE, from, INTAKE_WAIT_MS, deadline)
+        .read(partition, from, INTAKE_WAIT_MS, deadline)
         .await?;
     let records = batch.records.into_iter().filter_map(|(offset, bytes)| {
         let decoded = KeyedRecord::decode(bytes)
@@ -154,9 +166,12 @@
     Ok((batch.next, records.collect()))
 }
 
-async fn reread_intake(shared: &Shared) -> Result<(u64, IntakeRecords), StoreError> {
+async fn reread_intake(
+    shared: &Shared,
+    partition: Partition,
+) -> Result<(u64, IntakeRecords), StoreError> {
     let deadline = Instant::now() + Duration::from_millis(INTAKE_WAIT_MS) + READ_MARGIN;
-    let page = shared.store.newest_all(INTAKE, deadline).await?;
+    let page = shared.store.newest_all(partition, deadline).await?;
     Ok((page.end, intake_items(&page)))
 }
 
--- a/crates/kingcupwinch-node/src/owner/messages.rs
+++ b/crates/kingcupwinch-node/src/owner/messages.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use kameo::message::{Context, Message};
-use kingcupwinch_adapter::{OrderError, decode_registration};
+use kingcupwinch_adapter::{OrderError, Partition, decode_registration};
 use kingcupwinch_cell::{
     AskKey, EndKind, JobId, JobSpec, Look, LookOrder, Shown, StartAnswer, StartOrder, StopOrder,
     Submitted, Ticket, WorkerKey,
@@ -38,8 +38,11 @@
 /// Asks how many jobs of a queue wait; `None` if this owner can't tell.
 pub(crate) struct WaitingOf(pub(crate) Arc<str>);
 
-/// Records of the intake.
-pub(crate) struct IntakeRead(pub(crate) Vec<(IntakeKey, Option<bytes::Bytes>)>);
+/// Records of a partition of the intake.
+pub(crate) struct IntakeRead {
+    pub(crate) partition: Partition,
+    pub(crate) records: Vec<(IntakeKey, Option<bytes::Bytes>)>,
+}
 
 /// Records of the directory; `is_whole` if workers that are missing are not listed.
 pub(crate) struct DirectoryRead {
@@ -152,12 +155,16 @@
 
     async fn handle(&mut self, read: IntakeRead, _: &mut Context<Self, ()>) {
         let now = self.shared.now();
-        for (key, value) in read.0 {
+        for (key, value) in read.records {
             // A record without a value was dropped after its job's end.
             let Some(value) = value else { continue };
             match key {
-                IntakeKey::Accepted(id) => self.take_job(id, &value, now),
+                IntakeKey::Accepted(id) => {
+                    self.note_origin(id, read.partition);
+                    self.take_job(id, &value, now);
+                }
                 IntakeKey::Cancelled(id) => {
+                    self.note_origin(id, read.partition);
                     self.cell.cancel(id, now);
                     self.shared
                         .log
@@ -326,6 +333,6 @@
     async fn handle(&mut self, advised: Advised, _: &mut Context<Self, ()>) {
         let now = self.shared.now();
         self.cell.advised(advised.ask, advised.answer, now);
-        self.decide();
+        self.decide_soon();
     }
 }
--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -7,14 +7,16 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 
 use kameo::Actor;
 use kameo::actor::{ActorRef, WeakActorRef};
-use kingcupwinch_adapter::WorkerPort;
+use kingcupwinch_adapter::{Partition, WorkerPort};
 use kingcupwinch_cell::{Action, Cell, JobId, Registration, StartAnswer, WorkerKey};
 use kingcupwinch_time::{Span, Time};
 use rustc_hash::FxHashMap;
 use slog::o;
+use smallvec::SmallVec;
 use tokio::sync::oneshot;
 
 use crate::events::Event;
@@ -26,10 +28,13 @@
 pub(crate) use messages::{Confirmed, Members, Release, StateOf, Superseded, WaitingOf};
 pub(crate) use takeover::take_over;
 
-/// Events of so many microseconds are decided on together.
-const DECIDE_PAUSE: std::time::Duration = std::time::Duration::from_millis(5);
+/// Events of so long are decided on together.
+const DECIDE_PAUSE: Duration = Duration::from_millis(5);
+/// A pause between decisions is at least so many times as long as the last one took, so that a
+/// long queue leaves time for everything else.
+const DECIDE_SHARE: u32 = 4;
 /// The longest time between two decisions.
-const TICK: std::time::Duration = std::time::Duration::from_millis(100);
+const TICK: Duration = Duration::from_millis(100);
 /// An owner that could not write for so long gives no more orders.
 pub(crate) const STOP_AFTER: Span = Span::from_millis(4_000);
 
@@ -40,8 +45,12 @@
     pub(crate) term: u64,
     pub(crate) cell: Cell,
     pub(crate) confirmed: Time,
+    pub(crate) origins: Origins,
 }
 
+/// In which partitions of the intake the records of each job are.
+pub(crate) type Origins = FxHashMap<JobId, SmallVec<[Partition; 2]>>;
+
 /// The owner of the cell under one term.
 pub(crate) struct Owner {
     shared: Arc<Shared>,
@@ -58,8 +67,11 @@
     is_over: bool,
     released: Option<oneshot::Sender<()>>,
     is_decision_due: bool,
+    decide_pause: Duration,
     /// Records of ended jobs to drop.
-    ended: Vec<IntakeKey>,
+    ended: Vec<(Partition, IntakeKey)>,
+    /// In which partitions of the intake a job's records are.
+    origins: Origins,
     is_worker_list_new: bool,
 }
 
@@ -81,7 +93,9 @@
             is_over: false,
             released: None,
             is_decision_due: false,
+            decide_pause: DECIDE_PAUSE,
             ended: Vec::new(),
+            origins: args.origins,
             is_worker_list_new: true,
         };
         owner.open_ports();
@@ -174,8 +188,9 @@
             return;
         }
         let me = self.me.clone();
+        let pause = self.decide_pause;
         tokio::spawn(async move {
-            tokio::time::sleep(DECIDE_PAUSE).await;
+            tokio::time::sleep(pause).await;
             if let Some(me) = me.upgrade() {
                 // The owner may have stopped meanwhile.
                 let _ = me.tell(messages::Decide).await;
@@ -190,6 +205,8 @@
             return;
         }
         let actions = self.cell.decide(now);
+        let took = Duration::from(self.shared.now().since(now));
+        self.decide_pause = DECIDE_PAUSE.max(took * DECIDE_SHARE);
         for action in actions {
             self.carry_out(action);
         }
@@ -283,9 +300,20 @@
         });
     }
 
+    /// Remembers where a record of a job is, so that it can be dropped after the job's end.
+    fn note_origin(&mut self, id: JobId, partition: Partition) {
+        let origins = self.origins.entry(id).or_default();
+        if !origins.contains(&partition) {
+            origins.push(partition);
+        }
+    }
+
+    /// Has the intake's records of a job dropped.
     fn note_ended(&mut self, id: JobId) {
-        self.ended.push(IntakeKey::Accepted(id));
-        self.ended.push(IntakeKey::Cancelled(id));
+        for partition in self.origins.remove(&id).unwrap_or_default() {
+            self.ended.push((partition, IntakeKey::Accepted(id)));
+            self.ended.push((partition, IntakeKey::Cancelled(id)));
+        }
     }
 }
 
--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -5,7 +5,9 @@
 
 use kameo::actor::{ActorRef, Spawn};
 use kameo::mailbox;
-use kingcupwinch_adapter::{DIRECTORY, Fence, Page, StoreError, WriteError, decode_registration};
+use kingcupwinch_adapter::{
+    DIRECTORY, Fence, Page, Partition, Store, StoreError, WriteError, decode_registration,
+};
 use kingcupwinch_cell::{
     Cell, Claim, JobId, JobRecord, JobSpec, Limits, Registration, Shown, Size,
 };
@@ -13,12 +15,13 @@
 use quick_error::quick_error;
 use rustc_hash::FxHashMap;
 use slog::o;
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 
 use super::loops;
-use super::{Owner, OwnerArgs, STOP_AFTER};
+use super::{Origins, Owner, OwnerArgs, STOP_AFTER};
 use crate::events::Event;
-use crate::layout::{INTAKE, IntakeKey, PROGRESS, WORKERS_KEY};
+use crate::layout::{IntakeKey, PROGRESS, WORKERS_KEY, intake_partitions};
 use crate::shared::Shared;
 use crate::siblings::Siblings;
 
@@ -69,7 +72,7 @@
         .await?;
     let (progress, intake, directory) = tokio::try_join!(
         shared.store.newest_all(PROGRESS, deadline),
-        shared.store.newest_all(INTAKE, deadline),
+        read_intake(&shared.store, deadline),
         shared.store.newest_all(DIRECTORY, deadline),
     )?;
     shared.note_store(None);
@@ -86,7 +89,16 @@
     let mut cell = Cell::new(limits, claim.generation);
     let now = shared.now();
     let workers = list_workers(&mut cell, &directory, &progress, now);
-    let jobs = restore_jobs(shared, &mut cell, &intake, &progress, now);
+    let mut origins = Origins::default();
+    let records = restore_ends(shared, &mut cell, &progress, now);
+    for (partition, page) in &intake {
+        restore_jobs(shared, &mut cell, page, &records, now);
+        for (key, _) in loops::intake_items(page) {
+            let (IntakeKey::Accepted(id) | IntakeKey::Cancelled(id)) = key;
+            origins.entry(id).or_default().push(*partition);
+        }
+    }
+    let jobs = cell.live_jobs();
     shared.log.write(
         Event::TookOver,
         o!("term" => claim.term, "generation" => claim.generation, "jobs" => jobs,
@@ -99,10 +111,14 @@
         term: claim.term,
         cell,
         confirmed: claimed,
+        origins,
     };
     let owner = Owner::spawn_with_mailbox(args, mailbox::unbounded());
     let me = owner.downgrade();
-    tokio::spawn(loops::intake(Arc::clone(shared), me.clone(), intake.end));
+    for (partition, page) in intake {
+        let (shared, me) = (Arc::clone(shared), me.clone());
+        tokio::spawn(loops::intake(shared, me, partition, page.end));
+    }
     tokio::spawn(loops::directory(Arc::clone(shared), me, directory.end));
     Ok(owner)
 }
@@ -138,14 +154,30 @@
     cell.workers().len()
 }
 
-fn restore_jobs(
+/// Reads the partitions of the intake, all at once.
+async fn read_intake(
+    store: &Store,
+    deadline: Instant,
+) -> Result<Vec<(Partition, Page)>, StoreError> {
+    let mut reads = JoinSet::new();
+    for partition in intake_partitions() {
+        let store = store.clone();
+        reads.spawn(async move {
+            let page = store.newest_all(partition, deadline).await?;
+            Ok((partition, page))
+        });
+    }
+    reads.join_all().await.into_iter().collect()
+}
+
+/// Reads the jobs' progress, and takes over the ends that can still be asked for.
+fn restore_ends(
     shared: &Shared,
     cell: &mut Cell,
-    intake: &Page,
     progress: &Page,
     now: Time,
-) -> usize {
-    let mut records: FxHashMap<JobId, JobRecord> = FxHashMap::default();
+) -> FxHashMap<JobId, JobRecord> {
+    let mut records = FxHashMap::default();
     for item in &progress.items {
         let Some(id) = JobId::parse(&item.key) else {
             continue;
@@ -160,6 +192,17 @@
             Err(error) => skipped(shared, id, &error.to_string()),
         }
     }
+    records
+}
+
+/// Takes over the jobs of a partition of the intake that have not ended.
+fn restore_jobs(
+    shared: &Shared,
+    cell: &mut Cell,
+    intake: &Page,
+    records: &FxHashMap<JobId, JobRecord>,
+    now: Time,
+) {
     let wall = WallClock.now().as_millis();
     for (key, value) in loops::intake_items(intake) {
         let (id, value) = match (key, value) {
@@ -179,7 +222,6 @@
             Err(error) => skipped(shared, id, &error.to_string()),
         }
     }
-    cell.live_jobs()
 }
 
 fn skipped(shared: &Shared, id: JobId, error: &str) {
--- a/crates/kingcupwinch-node/src/owner/writer.rs
+++ b/crates/kingcupwinch-node/src/owner/writer.rs
@@ -5,7 +5,7 @@
 
 use kameo::actor::{ActorRef, WeakActorRef};
 use kameo::message::{Context, Message};
-use kingcupwinch_adapter::{Fence, KeyedRecord, WriteError};
+use kingcupwinch_adapter::{Fence, KeyedRecord, Partition, WriteError};
 use kingcupwinch_cell::{JobId, Records};
 use kingcupwinch_time::Time;
 use slog::o;
@@ -15,7 +15,7 @@
 use super::Owner;
 use super::messages::{Confirmed, Superseded};
 use crate::events::Event;
-use crate::layout::{BEAT_KEY, GROUP, INTAKE, IntakeKey, PROGRESS, WORKERS_KEY};
+use crate::layout::{BEAT_KEY, GROUP, IntakeKey, PROGRESS, WORKERS_KEY, intake_partitions};
 use crate::metrics::Metrics;
 use crate::shared::Shared;
 
@@ -25,6 +25,8 @@
 const TRY_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// The pause before another try.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Tries to write that the cell is released.
+const RELEASE_TRIES: u32 = 8;
 /// The time between two appends that drop records of ended jobs.
 const DROP_GAP: Duration = Duration::from_millis(2_000);
 
@@ -40,7 +42,7 @@
     records: Records,
     /// The workers in use, if they changed.
     workers: Option<Vec<(Arc<str>, Arc<str>)>>,
-    ended: Vec<IntakeKey>,
+    ended: Vec<(Partition, IntakeKey)>,
     /// Set with the last batch of an owner that gives the cell up.
     released: Option<oneshot::Sender<()>>,
     is_over: bool,
@@ -106,7 +108,10 @@
             let _ = actor.tell(Confirmed(sent)).await;
         }
         let _ = actor.tell(Recorded(batch.records.batch)).await;
-        drop_ended(&shared, &batch.ended).await;
+        if !batch.ended.is_empty() {
+            let (shared, ended) = (Arc::clone(&shared), batch.ended);
+            tokio::spawn(async move { drop_ended(&shared, &ended).await });
+        }
         if let Some(released) = batch.released {
             release(&shared, term).await;
             // The instance may have stopped waiting.
@@ -187,34 +192,47 @@
 }
 
 /// Drops the intake's records of ended jobs.
-async fn drop_ended(shared: &Shared, ended: &[IntakeKey]) {
-    if ended.is_empty() {
-        return;
+async fn drop_ended(shared: &Shared, ended: &[(Partition, IntakeKey)]) {
+    for partition in intake_partitions() {
+        let here = ended.iter().filter(|(place, _)| *place == partition);
+        let records: Vec<KeyedRecord> = here
+            .map(|(_, key)| KeyedRecord::without_value(key.to_key()))
+            .collect();
+        if records.is_empty() {
+            continue;
+        }
+        let deadline = Instant::now() + TRY_TIMEOUT;
+        let result = shared
+            .store
+            .append(partition, &records, None, None, deadline)
+            .await;
+        let label = if result.is_ok() { "ok" } else { "failed" };
+        // A record that stays is dropped by the next owner that meets it.
+        Metrics::count(&shared.metrics.store_calls, "drop", label);
     }
-    let dropped = |key: &IntakeKey| KeyedRecord::without_value(key.to_key());
-    let records: Vec<KeyedRecord> = ended.iter().map(dropped).collect();
-    let deadline = Instant::now() + TRY_TIMEOUT;
-    let result = shared
-        .store
-        .append(INTAKE, &records, None, None, deadline)
-        .await;
-    let label = if result.is_ok() { "ok" } else { "failed" };
-    // A record that stays is dropped by the next owner that meets it.
-    Metrics::count(&shared.metrics.store_calls, "drop", label);
 }
 
+/// Tells the siblings that this owner gives no more orders. Without the record they wait for its
+/// silence, so it is tried again while the store refuses.
 async fn release(shared: &Shared, term: u64) {
     let record = kingcupwinch_cell::GroupRecord::Release { term };
     let Ok(value) = serde_json::to_vec(&record) else {
         return;
     };
-    let record = KeyedRecord::with_value(BEAT_KEY, value);
-    let deadline = Instant::now() + TRY_TIMEOUT;
-    let result = shared
-        .store
-        .append(GROUP, &[record], None, None, deadline)
-        .await;
-    let error = result.err().map(|error| error.to_string());
+    let record = [KeyedRecord::with_value(BEAT_KEY, value)];
+    let mut error = None;
+    for _ in 0..RELEASE_TRIES {
+        let deadline = Instant::now() + TRY_TIMEOUT;
+        let result = shared
+            .store
+            .append(GROUP, &record, None, None, deadline)
+            .await;
+        error = result.err().map(|error| error.to_string());
+        if error.is_none() {
+            break;
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
     shared
         .log
         .write(Event::Released, o!("term" => term, "error" => error));
