Spare gang members at the end of their work; ask for a gang about every worker once

Cause: a member of a gang on a fast worker stands at 100 % until the slow ones are done; the check for stalled runs stopped it, and the platform broke the rest: up to half of the heavy class ran two or three times. Calls for a gang named a dozen workers of which a third were allowed, so most gangs asked three to six times before they fitted. Change: members at 100 % are not stalled; the first call for a gang names all workers; a stalled task avoids its worker; failures of runs from before a worker was set aside don't lengthen that; ends are logged with their age.

--- a/crates/kingcupwinch-cell/src/advice.rs
+++ b/crates/kingcupwinch-cell/src/advice.rs
@@ -52,6 +52,11 @@
         self.verdicts.get(&worker)
     }
 
+    /// Returns whether the adviser has said anything yet.
+    pub(crate) fn is_known(&self) -> bool {
+        !self.verdicts.is_empty()
+    }
+
     /// Returns the ticket for a worker if it is valid at `now`.
     pub(crate) fn valid(&self, worker: WorkerKey, now: Time) -> Option<&Arc<str>> {
         match self.verdicts.get(&worker)? {
--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -298,9 +298,10 @@
         Some(self.jobs[*key].shown())
     }
 
-    /// Returns whether a run is not settled yet.
-    pub fn is_running(&self, task: TaskName, run: u32) -> bool {
-        self.by_run.contains_key(&(task, run))
+    /// Returns how long ago a run began that is not settled yet.
+    pub fn run_age(&self, task: TaskName, run: u32, now: Time) -> Option<Span> {
+        let run = self.by_run.get(&(task, run))?;
+        Some(now.since(self.runs[*run].began))
     }
 
     /// Returns how many jobs of a queue have not begun.
--- a/crates/kingcupwinch-cell/src/cell/looks.rs
+++ b/crates/kingcupwinch-cell/src/cell/looks.rs
@@ -114,9 +114,12 @@
         let spec = &job.spec.steps[step];
         let expected = Span::from_millis(spec.estimate_ms).divided_by(STALL_SHARE);
         let limit = STALL_LIMIT.max(expected);
-        let is_waiting_for_gang = spec.gang && job.steps[step].waiting > 0;
-        if run.state == RunState::Running && !is_waiting_for_gang && now.since(run.moved) > limit {
-            let worker = run.worker;
+        // A member of a gang stands at the start until all are there, and at the end until all are
+        // done.
+        let is_waiting = spec.gang && (job.steps[step].waiting > 0 || run.percent >= 100);
+        if run.state == RunState::Running && !is_waiting && now.since(run.moved) > limit {
+            let (job, worker, index) = (run.job, run.worker, usize::from(run.name.index));
+            self.jobs[job].steps[step].tasks[index].avoid = Some(worker);
             self.stop_run(key);
             self.workers[worker].note_failure(now);
         }
--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -341,10 +341,8 @@
                 self.counters.lost += 1;
             }
         }
+        // The platform ends the other members of a gang with this one.
         self.settle(key, now);
-        if how != EndKind::Done {
-            self.recall_gang(job, name, number);
-        }
     }
 
     fn save(&mut self, key: JobKey, step: usize, index: usize, saved: Arc<str>) {
--- a/crates/kingcupwinch-cell/src/plan.rs
+++ b/crates/kingcupwinch-cell/src/plan.rs
@@ -290,11 +290,15 @@
         let step = &job.steps[due.step];
         let share = self.allowed_share(&job.spec.terms.queue);
         let most = spec.spread.map_or(u64::MAX, u64::from);
+        // The first call for a gang names every worker: which may run it never changes, so that
+        // later calls name only these.
+        let is_first_of_gang = spec.gang && !step.tickets.is_known();
         let mut rows = Vec::new();
         let mut room = 0.0;
         for seat in &floor.seats {
             let fits = seat.room.fits(spec.charge()).min(most) as f64;
-            if fits == 0.0 || !seat.serves(&job.spec, due.step) {
+            let is_of_use = fits > 0.0 || is_first_of_gang;
+            if !is_of_use || !seat.serves(&job.spec, due.step) {
                 continue;
             }
             match step.tickets.verdict(seat.key) {
@@ -311,7 +315,8 @@
         let wanted = step.waiting as f64 * ROOM_MARGIN;
         let mut workers = Vec::new();
         for (seat, fits, chance) in rows {
-            if workers.len() >= MOST_ASKED || (room >= wanted && workers.len() >= LEAST_ASKED) {
+            let is_enough = room >= wanted && workers.len() >= LEAST_ASKED && !is_first_of_gang;
+            if is_enough || workers.len() >= MOST_ASKED {
                 break;
             }
             room += fits * chance;
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -170,17 +170,20 @@
         self.set_aside = 0;
     }
 
-    /// Counts a failed run; returns whether the worker is set aside for it.
-    pub(crate) fn note_failure(&mut self, now: Time) -> bool {
+    /// Counts a failed run; several in a row set the worker aside.
+    pub(crate) fn note_failure(&mut self, now: Time) {
+        // Runs from before it was set aside say nothing new.
+        if self.back > now {
+            return;
+        }
         self.failures += 1;
         if self.failures < FAILURES_TO_SET_ASIDE {
-            return false;
+            return;
         }
         let doublings = self.set_aside.min(SET_ASIDE_DOUBLINGS);
         self.back = now + SET_ASIDE.times(1 << doublings);
         self.set_aside += 1;
         // One more failure after its return sets it aside again.
         self.failures = FAILURES_TO_SET_ASIDE - 1;
-        true
     }
 }
--- /dev/null
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -0,0 +1,12 @@
+//! The cell under the loads and faults of a day, without a network.
+
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
+mod advice;
+mod capacity;
+mod gangs;
+mod leases;
+mod orders;
+mod site;
+mod takeover;
+mod tenure;
--- /dev/null
+++ b/crates/kingcupwinch-cell/tests/cell/orders.rs
@@ -0,0 +1,169 @@
+//! The life of a job: placed, run, failed, cancelled.
+
+use kingcupwinch_cell::{EndKind, Shown, StartAnswer, Submitted};
+
+use crate::site::{Site, id, job, step, task};
+
+#[test]
+fn a_job_is_shown_as_completed_once_its_end_is_in_the_log() {
+    let mut site = Site::new(2, 4);
+    site.submit(1, job(vec![step(2, 1, 500)]));
+    assert_eq!(site.shown(1), Some(Shown::Queued));
+    site.run_orders();
+    assert_eq!(site.shown(1), Some(Shown::Running));
+    site.end_all(EndKind::Done);
+    site.look_all();
+    assert_eq!(site.shown(1), Some(Shown::Running));
+    site.keep_records();
+    assert_eq!(site.shown(1), Some(Shown::Completed));
+}
+
+#[test]
+fn ends_are_acknowledged_only_once_they_are_in_the_log() {
+    let mut site = Site::new(1, 4);
+    let worker = site.keys()[0];
+    site.submit(1, job(vec![step(1, 1, 500)]));
+    site.run_orders();
+    site.end_all(EndKind::Done);
+    site.look(worker);
+    assert_eq!(site.cell.look_order(worker, site.now).unwrap().acked, 0);
+    site.keep_records();
+    assert_eq!(site.cell.look_order(worker, site.now).unwrap().acked, 1);
+}
+
+#[test]
+fn a_step_waits_for_the_steps_before_it() {
+    let mut site = Site::new(2, 8);
+    let mut last = step(1, 1, 500);
+    last.after.push(0);
+    site.submit(1, job(vec![step(2, 1, 500), last]));
+    site.run_orders();
+    assert_eq!(site.running().len(), 2);
+    let (worker, first) = site.running()[0];
+    site.end(worker, first, EndKind::Done);
+    site.look_all();
+    site.run_orders();
+    assert_eq!(
+        site.running().len(),
+        1,
+        "one task of the first step still runs"
+    );
+    site.end_all(EndKind::Done);
+    site.look_all();
+    site.run_orders();
+    assert_eq!(site.running()[0].1, task(1, 1, 0));
+}
+
+#[test]
+fn a_task_that_failed_as_often_as_allowed_ends_its_job() {
+    let mut site = Site::new(3, 4);
+    site.submit(1, job(vec![step(1, 1, 500)]));
+    for _ in 0..2 {
+        site.run_orders();
+        site.end_all(EndKind::Failed);
+        site.look_all();
+    }
+    site.run_orders();
+    assert!(site.running().is_empty());
+    site.keep_records();
+    assert_eq!(site.shown(1), Some(Shown::Failed));
+}
+
+#[test]
+fn a_lost_answer_costs_nothing_if_the_run_is_there() {
+    let mut site = Site::new(1, 4);
+    site.submit(1, job(vec![step(1, 1, 500)]));
+    site.decide();
+    let order = site.starts.remove(0);
+    site.start_unheard(&order);
+    site.cell
+        .start_answered(&order, StartAnswer::Lost, site.now);
+    site.pass(10);
+    site.look_all();
+    site.decide();
+    assert!(site.starts.is_empty() && site.stops.is_empty());
+}
+
+#[test]
+fn an_order_that_may_come_late_is_stopped_before_the_task_starts_elsewhere() {
+    let mut site = Site::new(2, 4);
+    site.submit(1, job(vec![step(1, 1, 500)]));
+    site.decide();
+    let order = site.starts.remove(0);
+    site.cell
+        .start_answered(&order, StartAnswer::Lost, site.now);
+    site.pass(10);
+    site.look_all();
+    site.decide();
+    assert!(site.starts.is_empty(), "the order may still be carried out");
+    let stop = site.stops.remove(0);
+    assert_eq!((stop.task, stop.number), (order.task, order.number));
+    site.stop(&stop);
+    site.decide();
+    assert!(site.starts.is_empty(), "no look after the stop yet");
+    site.pass(10);
+    site.look_all();
+    site.decide();
+    assert_eq!(site.starts.len(), 1);
+    assert!(site.starts[0].number > order.number);
+}
+
+#[test]
+fn a_cancellation_stops_what_runs_and_starts_nothing() {
+    let mut site = Site::new(1, 2);
+    site.submit(1, job(vec![step(4, 1, 500)]));
+    site.run_orders();
+    assert_eq!(site.running().len(), 2);
+    site.cell.cancel(id(1), site.now);
+    assert_eq!(site.shown(1), Some(Shown::Cancelled));
+    site.run_orders();
+    assert!(site.running().is_empty());
+    site.look_all();
+    site.run_orders();
+    assert!(site.running().is_empty());
+}
+
+#[test]
+fn a_cancellation_that_overtakes_its_job_holds() {
+    let mut site = Site::new(1, 4);
+    site.cell.cancel(id(1), site.now);
+    assert_eq!(site.shown(1), None, "nobody handed it in");
+    let result = site
+        .cell
+        .submit(id(1), job(vec![step(1, 1, 500)]), site.now);
+    assert_eq!(result, Submitted::Cancelled);
+    site.run_orders();
+    assert!(site.running().is_empty());
+}
+
+#[test]
+fn a_job_that_is_handed_in_again_stays_one_job() {
+    let mut site = Site::new(1, 4);
+    site.submit(1, job(vec![step(1, 1, 500)]));
+    site.run_orders();
+    let again = || job(vec![step(1, 1, 500)]);
+    assert_eq!(site.cell.submit(id(1), again(), site.now), Submitted::Known);
+    site.end_all(EndKind::Done);
+    site.look_all();
+    site.keep_records();
+    assert_eq!(site.cell.submit(id(1), again(), site.now), Submitted::Known);
+    site.run_orders();
+    assert!(site.running().is_empty());
+}
+
+#[test]
+fn a_run_that_stands_still_is_tried_elsewhere() {
+    let mut site = Site::new(2, 4);
+    site.submit(1, job(vec![step(1, 1, 500)]));
+    site.run_orders();
+    let (first, _) = site.running()[0];
+    for _ in 0..4 {
+        site.pass(700);
+        site.look_all();
+        site.run_orders();
+    }
+    site.look_all();
+    site.run_orders();
+    let (second, _) = site.running()[0];
+    assert_ne!(first, second);
+}
--- /dev/null
+++ b/crates/kingcupwinch-cell/tests/cell/takeover.rs
@@ -0,0 +1,192 @@
+//! What a later owner makes of what an earlier one left.
+
+use kingcupwinch_cell::{EndKind, JobRecord, Placement, RunningTask, Shown};
+use kingcupwinch_time::Span;
+
+use crate::site::{LEASE, OVERLAP, Played, Site, entry, id, job, step, task};
+
+/// Makes the site of a later owner with workers that were not looked at yet.
+fn heir(workers: usize) -> Site {
+    let mut site = Site::of_generation(2);
+    for number in 0..workers {
+        let key = site.cell.list_worker(entry(number, 4), true, site.now);
+        site.workers.insert(key, Played::default());
+    }
+    site
+}
+
+fn run_of(job: u64, run: u32) -> RunningTask {
+    RunningTask {
+        task: task(job, 0, 0),
+        run,
+        saved: None,
+        percent: 0,
+    }
+}
+
+fn restore(site: &mut Site, number: u64, record: Option<&JobRecord>) {
+    let spec = job(vec![step(1, 1, 500)]);
+    site.cell
+        .restore(id(number), Some(spec), record, Span::ZERO, site.now);
+}
+
+#[test]
+fn nothing_that_may_run_starts_again_before_every_worker_was_looked_at() {
+    let mut site = heir(2);
+    restore(&mut site, 1, None);
+    let keys = site.keys();
+    site.look(keys[0]);
+    site.decide();
+    assert!(site.starts.is_empty());
+    site.look(keys[1]);
+    site.decide();
+    assert_eq!(site.starts.len(), 1);
+}
+
+#[test]
+fn a_worker_out_of_reach_holds_tasks_back_until_its_leases_have_lapsed() {
+    let mut site = heir(2);
+    restore(&mut site, 1, None);
+    let keys = site.keys();
+    site.cell.look_failed(keys[1]);
+    site.pass((OVERLAP.as_millis()) + LEASE.as_millis());
+    site.look(keys[0]);
+    site.decide();
+    assert!(site.starts.is_empty());
+    site.pass(LEASE.as_millis() / 20 + 10);
+    site.look(keys[0]);
+    site.decide();
+    assert_eq!(site.starts.len(), 1);
+}
+
+#[test]
+fn a_run_that_a_worker_lists_goes_on() {
+    let mut site = heir(1);
+    restore(&mut site, 1, None);
+    let key = site.keys()[0];
+    site.workers
+        .get_mut(&key)
+        .unwrap()
+        .running
+        .push(run_of(1, 1));
+    site.look(key);
+    site.run_orders();
+    assert_eq!(site.running().len(), 1);
+    site.end_all(EndKind::Done);
+    site.look(key);
+    site.keep_records();
+    assert_eq!(site.shown(1), Some(Shown::Completed));
+}
+
+/// The log may hold an older placement than the one that a worker lists.
+#[test]
+fn of_a_recorded_and_a_listed_run_the_later_one_holds() {
+    let mut site = heir(2);
+    let record = JobRecord {
+        numbers: 1,
+        began: true,
+        placed: vec![Placement {
+            step: 0,
+            index: 0,
+            run: 1,
+            worker: "i-0".into(),
+        }],
+        ..JobRecord::default()
+    };
+    restore(&mut site, 1, Some(&record));
+    let keys = site.keys();
+    site.workers
+        .get_mut(&keys[1])
+        .unwrap()
+        .running
+        .push(run_of(1, 2));
+    for _ in 0..6 {
+        site.pass(100);
+        site.look_all();
+        site.decide();
+        for order in std::mem::take(&mut site.stops) {
+            assert_eq!(order.number, 1, "the later run goes on");
+            site.stop(&order);
+        }
+        assert!(site.starts.is_empty());
+    }
+    assert_eq!(site.running().len(), 1);
+}
+
+#[test]
+fn a_failure_that_is_listed_again_counts_once() {
+    let mut site = Site::new(1, 4);
+    let key = site.keys()[0];
+    site.submit(1, job(vec![step(1, 1, 500)]));
+    site.run_orders();
+    site.end_all(EndKind::Failed);
+    site.look(key);
+    site.keep_records();
+    let record = site.records[&id(1)].clone();
+    let listed = std::mem::take(&mut site.workers.get_mut(&key).unwrap().ended);
+
+    let mut later = heir(1);
+    restore(&mut later, 1, Some(&record));
+    let key = later.keys()[0];
+    later.workers.get_mut(&key).unwrap().ended = listed;
+    later.look(key);
+    later.keep_records();
+    assert_ne!(later.shown(1), Some(Shown::Failed));
+    later.decide();
+    assert_eq!(later.starts.len(), 1);
+}
+
+#[test]
+fn a_run_of_an_unknown_job_is_stopped() {
+    let mut site = heir(1);
+    let key = site.keys()[0];
+    site.workers
+        .get_mut(&key)
+        .unwrap()
+        .running
+        .push(run_of(9, 1));
+    site.look(key);
+    site.decide();
+    assert_eq!(site.stops.len(), 1);
+    assert_eq!(site.stops[0].task, task(9, 0, 0));
+}
+
+#[test]
+fn numbers_of_runs_rise_from_owner_to_owner() {
+    let mut site = heir(1);
+    restore(&mut site, 1, None);
+    site.look_all();
+    site.decide();
+    assert!(site.starts[0].number > 1_000);
+}
+
+#[test]
+fn records_survive_the_log() {
+    let mut site = Site::new(2, 4);
+    site.submit(1, job(vec![step(3, 4, 500)]));
+    site.run_orders();
+    let (worker, done) = site.running()[0];
+    site.end(worker, done, EndKind::Done);
+    site.look_all();
+    site.run_orders();
+    site.keep_records();
+    let record = &site.records[&id(1)];
+    let read = JobRecord::decode(&record.encode().unwrap()).unwrap();
+    assert_eq!(*record, read);
+    assert_eq!(read.placed.len(), 2);
+    assert_eq!(read.done.len(), 1);
+}
+
+#[test]
+fn a_kept_end_stays_after_a_take_over() {
+    let mut site = heir(1);
+    let record = JobRecord {
+        end: Some(Shown::Completed),
+        ..JobRecord::default()
+    };
+    restore(&mut site, 1, Some(&record));
+    site.look_all();
+    site.decide();
+    assert!(site.starts.is_empty());
+    assert_eq!(site.shown(1), Some(Shown::Completed));
+}
--- /dev/null
+++ b/crates/kingcupwinch-cell/tests/cell/tenure.rs
@@ -0,0 +1,100 @@
+//! Who owns the cell, and when another may.
+
+use kingcupwinch_cell::{Duty, GroupRecord, Tenure, TenureTimers};
+use kingcupwinch_time::{Span, Time};
+
+const SILENCE: u64 = 2_000;
+const GAP: u64 = 1_500;
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(1_000_000 + ms)
+}
+
+fn tenure(me: &str) -> Tenure {
+    let timers = TenureTimers {
+        silence: Span::from_millis(SILENCE),
+        gap: Span::from_millis(GAP),
+        stagger: Span::from_millis(50),
+    };
+    Tenure::new(me.into(), timers, at(0))
+}
+
+fn claim_by(instance: &str, generation: u32) -> GroupRecord {
+    GroupRecord::Claim {
+        instance: instance.into(),
+        address: "127.0.0.1:1".into(),
+        generation,
+    }
+}
+
+/// Reads every 500 ms between two times.
+fn read_through(tenure: &mut Tenure, from: u64, to: u64) {
+    for ms in (from..=to).step_by(500) {
+        tenure.note_read(at(ms));
+    }
+}
+
+#[test]
+fn an_ownerless_cell_is_claimed_after_a_first_read() {
+    let mut tenure = tenure("a");
+    assert!(matches!(tenure.duty(at(100)), Duty::Wait(_)));
+    tenure.note_read(at(100));
+    assert_eq!(tenure.duty(at(150)), Duty::Claim { generation: 1 });
+}
+
+#[test]
+fn a_silent_owner_is_replaced() {
+    let mut tenure = tenure("a");
+    tenure.apply(5, claim_by("b", 3), at(0));
+    read_through(&mut tenure, 0, 2_000);
+    assert_eq!(tenure.duty(at(2_000)), Duty::Wait(at(2_050)));
+    assert_eq!(tenure.duty(at(2_050)), Duty::Claim { generation: 4 });
+}
+
+#[test]
+fn a_sign_of_life_of_another_term_does_not_count() {
+    let mut tenure = tenure("a");
+    tenure.apply(5, claim_by("b", 3), at(0));
+    read_through(&mut tenure, 0, 2_500);
+    tenure.apply(6, GroupRecord::Beat { term: 4 }, at(2_000));
+    assert_eq!(tenure.duty(at(2_500)), Duty::Claim { generation: 4 });
+    tenure.apply(7, GroupRecord::Beat { term: 5 }, at(2_500));
+    assert!(matches!(tenure.duty(at(2_500)), Duty::Wait(_)));
+}
+
+/// Pattern: the store is away. Nobody could write, so silence says nothing of the owner.
+#[test]
+fn silence_counts_anew_after_a_gap_in_reading() {
+    let mut tenure = tenure("a");
+    tenure.apply(5, claim_by("b", 3), at(0));
+    tenure.note_read(at(0));
+    tenure.note_read(at(6_000));
+    assert_eq!(tenure.duty(at(6_000)), Duty::Wait(at(8_050)));
+}
+
+#[test]
+fn a_released_cell_is_claimed_at_once() {
+    let mut tenure = tenure("a");
+    tenure.apply(5, claim_by("b", 3), at(0));
+    tenure.note_read(at(100));
+    tenure.apply(6, GroupRecord::Release { term: 5 }, at(100));
+    assert!(tenure.is_stopped());
+    assert_eq!(tenure.duty(at(150)), Duty::Claim { generation: 4 });
+}
+
+#[test]
+fn an_instance_that_was_restarted_follows_itself_at_once() {
+    let mut tenure = tenure("a");
+    tenure.apply(5, claim_by("a", 3), at(0));
+    tenure.note_read(at(0));
+    assert_eq!(tenure.duty(at(50)), Duty::Claim { generation: 4 });
+}
+
+#[test]
+fn the_latest_claim_holds_in_whatever_order_records_are_read() {
+    let mut tenure = tenure("a");
+    tenure.apply(8, claim_by("c", 4), at(0));
+    tenure.apply(5, claim_by("b", 3), at(0));
+    assert_eq!(&*tenure.claim().unwrap().instance, "c");
+    assert_eq!(tenure.claim().unwrap().term, 8);
+}
--- a/crates/kingcupwinch-node/src/owner/messages.rs
+++ b/crates/kingcupwinch-node/src/owner/messages.rs
@@ -5,8 +5,8 @@
 use kameo::message::{Context, Message};
 use kingcupwinch_adapter::{OrderError, Partition, decode_registration};
 use kingcupwinch_cell::{
-    AskKey, EndKind, JobId, JobSpec, Look, LookOrder, Shown, StartAnswer, StartOrder, StopOrder,
-    Submitted, Ticket, WorkerKey,
+    AskKey, JobId, JobSpec, Look, LookOrder, Shown, StartAnswer, StartOrder, StopOrder, Submitted,
+    Ticket, WorkerKey,
 };
 use kingcupwinch_time::{Span, Time, WallClock};
 use slog::o;
@@ -274,7 +274,7 @@
         let now = self.shared.now();
         match looked.result {
             Ok(look) => {
-                self.log_ends(&look);
+                self.log_ends(&look, now);
                 self.cell.looked(looked.worker, looked.sent, look, now);
                 self.decide_soon();
             }
@@ -285,18 +285,17 @@
 }
 
 impl Owner {
-    fn log_ends(&self, look: &Look) {
+    fn log_ends(&self, look: &Look, now: Time) {
         for end in &look.ended {
-            if !self.cell.is_running(end.task, end.run) {
+            let Some(age) = self.cell.run_age(end.task, end.run, now) else {
                 continue;
-            }
+            };
             Metrics::count_end(&self.shared.metrics.runs, end.how.as_str());
-            if end.how != EndKind::Done {
-                self.shared.log.write(
-                    Event::RunEnded,
-                    o!("task" => end.task.to_string(), "run" => end.run, "how" => end.how.as_str()),
-                );
-            }
+            self.shared.log.write(
+                Event::RunEnded,
+                o!("task" => end.task.to_string(), "run" => end.run, "how" => end.how.as_str(),
+                    "saved" => end.saved.is_some(), "age_ms" => age.as_millis()),
+            );
         }
     }
 }
