--- a/crates/kingcupwinch-node/src/accept.rs
+++ b/crates/kingcupwinch-node/src/accept.rs
@@ -15,8 +15,6 @@
 const QUEUE_LENGTH: usize = 1_024;
 /// The most bytes of one append.
 const MOST_BYTES: usize = 512 << 10;
-/// How long one try of an append may take; a slow store takes over a second for a queue of them.
-const TRY_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// The pause before another try.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 
@@ -34,6 +32,7 @@
 struct Request {
     record: KeyedRecord,
     deadline: Instant,
+    tries: u32,
     /// An earlier try may have been carried out.
     is_doubtful: bool,
     reply: oneshot::Sender<Kept>,
@@ -59,6 +58,7 @@
         let request = Request {
             record,
             deadline,
+            tries: 0,
             is_doubtful: false,
             reply,
         };
@@ -107,7 +107,9 @@
 async fn append(shared: &Shared, batch: Vec<Request>) -> Vec<Request> {
     let records: Vec<KeyedRecord> = batch.iter().map(|r| r.record.clone()).collect();
     let begun = Instant::now();
-    let deadline = begun + TRY_TIMEOUT;
+    let tries = batch.iter().map(|request| request.tries).max();
+    let wait = shared.patience.wait(tries.unwrap_or(0));
+    let deadline = begun + wait;
     let partition = intake_of(&shared.settings.instance);
     let result = shared
         .store
@@ -118,6 +120,7 @@
     match result {
         Ok(_) => {
             shared.note_store(None);
+            shared.patience.answered(begun.elapsed());
             Metrics::count(&metrics.store_calls, "intake", "ok");
             for request in batch {
                 // The caller may have left.
@@ -130,6 +133,9 @@
             shared.note_store(Some(&text));
             Metrics::count(&metrics.store_calls, "intake", "failed");
             let is_doubtful = matches!(error, WriteError::Unknown(_));
+            if is_doubtful {
+                shared.patience.waited_in_vain(begun.elapsed());
+            }
             settle_failed(batch, is_doubtful, &text)
         }
     }
@@ -140,6 +146,7 @@
 fn settle_failed(batch: Vec<Request>, is_doubtful: bool, why: &Arc<str>) -> Vec<Request> {
     let mut left = Vec::new();
     for mut request in batch {
+        request.tries += 1;
         request.is_doubtful |= is_doubtful;
         if !request.is_doubtful {
             let _ = request.reply.send(Kept::No(Arc::clone(why)));
--- a/crates/kingcupwinch-node/src/owner/writer.rs
+++ b/crates/kingcupwinch-node/src/owner/writer.rs
@@ -24,7 +24,7 @@
 /// How long one try of an append may take.
 const TRY_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// The pause before another try.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Tries to write that the cell is released.
 const RELEASE_TRIES: u32 = 8;
 /// The time between two appends that drop records of ended jobs.
@@ -160,10 +160,12 @@
     fence: Fence,
 ) -> Option<Time> {
     let metrics = &shared.metrics;
+    let mut tries = 0;
     loop {
         let sent = shared.now();
         let begun = Instant::now();
-        let deadline = begun + TRY_TIMEOUT;
+        let deadline = begun + shared.patience.wait(tries);
+        tries += 1;
         let result = shared
             .store
             .append(PROGRESS, records, None, Some(fence), deadline)
@@ -172,6 +174,7 @@
         match result {
             Ok(_) => {
                 shared.note_store(None);
+                shared.patience.answered(begun.elapsed());
                 Metrics::count(&metrics.store_calls, "progress", "ok");
                 return Some(sent);
             }
@@ -180,6 +183,9 @@
                 return None;
             }
             Err(error) => {
+                if matches!(error, WriteError::Unknown(_)) {
+                    shared.patience.waited_in_vain(begun.elapsed());
+                }
                 Metrics::count(&metrics.store_calls, "progress", "failed");
                 shared.note_store(Some(&error.to_string()));
             }
--- a/crates/kingcupwinch-node/src/shared.rs
+++ b/crates/kingcupwinch-node/src/shared.rs
@@ -6,6 +6,7 @@
 use kameo::actor::ActorRef;
 use kingcupwinch_adapter::{Adviser, QueueTable, Settings, Store};
 use kingcupwinch_cell::Claim;
+use kingcupwinch_platform::Patience;
 use kingcupwinch_time::{Clock, Span, SuspendClock, Time};
 use slog::o;
 use tokio::sync::watch;
@@ -17,10 +18,15 @@
 /// How long the store may be silent before the instance sends callers elsewhere.
 const STORE_PATIENCE: Span = Span::from_millis(1_500);
 
+/// A call that fails after so long without any answer of the store is told as a loss of it.
+const LOST_AFTER: Span = Span::from_millis(500);
+
 /// What every part of an instance shares.
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
     pub(crate) store: Store,
+    /// How long appends take.
+    pub(crate) patience: Patience,
     pub(crate) adviser: Option<Adviser>,
     pub(crate) log: EventLog,
     pub(crate) metrics: Metrics,
@@ -36,6 +42,7 @@
     pub(crate) fn new(settings: Settings, log: EventLog) -> Arc<Self> {
         Arc::new(Shared {
             store: Store::new(settings.store),
+            patience: Patience::new(),
             adviser: settings.adviser.map(Adviser::new),
             settings,
             log,
@@ -76,12 +83,13 @@
                 }
             }
             Some(error) => {
-                if !self.store_lost.swap(true, Ordering::Relaxed) {
-                    let heard = self.store_heard.load(Ordering::Relaxed);
-                    let age = self.now().since(Time::from_micros(heard)).as_millis();
+                let heard = Time::from_micros(self.store_heard.load(Ordering::Relaxed));
+                let age = self.now().since(heard);
+                // A single lost answer between others is no outage.
+                if age > LOST_AFTER && !self.store_lost.swap(true, Ordering::Relaxed) {
                     self.log.write(
                         Event::StoreLost,
-                        o!("error" => error.to_owned(), "heard_ms_ago" => age),
+                        o!("error" => error.to_owned(), "heard_ms_ago" => age.as_millis()),
                     );
                 }
             }
--- a/crates/kingcupwinch-platform/src/lib.rs
+++ b/crates/kingcupwinch-platform/src/lib.rs
@@ -28,6 +28,7 @@
 mod error;
 mod http;
 mod log;
+mod patience;
 mod pool;
 mod reply;
 mod roster;
@@ -39,5 +40,6 @@
 };
 pub use http::HttpClient;
 pub use log::LogClient;
+pub use patience::Patience;
 pub use roster::RosterClient;
 pub use worker::{CONTROL_CONNECTIONS, Stamp, WorkerClient};
--- a/crates/kingcupwinch-platform/tests/platform/main.rs
+++ b/crates/kingcupwinch-platform/tests/platform/main.rs
@@ -2,6 +2,7 @@
 
 mod certainty;
 mod log;
+mod patience;
 mod pool;
 mod roster;
 mod support;
