Replace a silent owner after 0.9 s while the store is fast

Change: a sign of life every 0.3 s, silence of 0.9 s, longer where signs of life come late (three times their longest gap, 2.5 s at most), a shorter stagger of claims. The test of the slow store failed before.

--- a/crates/kingcupwinch-cell/src/tenure.rs
+++ b/crates/kingcupwinch-cell/src/tenure.rs
@@ -11,6 +11,11 @@
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
+/// Silence that may be replaced, in multiples of the longest time between signs of life.
+const RHYTHM_MARGIN: u64 = 3;
+/// The part of that time that fades with each sign of life.
+const RHYTHM_FADE: u64 = 8;
+
 /// A record of the group.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
@@ -59,8 +64,10 @@
 /// The timers of ownership.
 #[derive(Debug, Clone, Copy)]
 pub struct TenureTimers {
-    /// An owner that was silent for so long may be replaced.
+    /// An owner that was silent for so long may be replaced while the store is fast.
     pub silence: Span,
+    /// An owner that was silent for so long may be replaced however slow the store is.
+    pub longest: Span,
     /// A gap between two successful reads after which silence is counted anew.
     pub gap: Span,
     /// Added by this instance before it claims, so that not all claim at once.
@@ -88,6 +95,8 @@
     is_released: bool,
     /// The last sign of life, or the start of continuous reading.
     heard: Time,
+    /// The longest of the last times between two signs of life, fading with each.
+    rhythm: Span,
     last_read: Option<Time>,
     members: FxHashMap<Arc<str>, Arc<str>>,
 }
@@ -101,6 +110,7 @@
             claim: None,
             is_released: false,
             heard: now,
+            rhythm: Span::ZERO,
             last_read: None,
             members: FxHashMap::default(),
         }
@@ -137,10 +147,13 @@
                     generation,
                 });
                 self.is_released = false;
+                self.rhythm = Span::ZERO;
                 self.heard = now;
             }
             GroupRecord::Beat { term } => {
                 if self.is_current(term) {
+                    let faded = self.rhythm - self.rhythm.divided_by(RHYTHM_FADE);
+                    self.rhythm = faded.max(now.since(self.heard));
                     self.heard = now;
                 }
             }
@@ -193,7 +206,9 @@
         let patience = if self.is_stopped() {
             Span::ZERO
         } else {
-            self.timers.silence
+            // While the store is slow, signs of life come late.
+            let slow = self.rhythm.times(RHYTHM_MARGIN);
+            slow.max(self.timers.silence).min(self.timers.longest)
         };
         let due = self.heard + patience + self.timers.stagger;
         if now < due {
--- a/crates/kingcupwinch-cell/tests/cell/tenure.rs
+++ b/crates/kingcupwinch-cell/tests/cell/tenure.rs
@@ -4,6 +4,7 @@
 use kingcupwinch_time::{Span, Time};
 
 const SILENCE: u64 = 2_000;
+const LONGEST: u64 = 5_000;
 const GAP: u64 = 1_500;
 
 fn at(ms: u64) -> Time {
@@ -13,6 +14,7 @@
 fn tenure(me: &str) -> Tenure {
     let timers = TenureTimers {
         silence: Span::from_millis(SILENCE),
+        longest: Span::from_millis(LONGEST),
         gap: Span::from_millis(GAP),
         stagger: Span::from_millis(50),
     };
@@ -98,3 +100,18 @@
     assert_eq!(&*tenure.claim().unwrap().instance, "c");
     assert_eq!(tenure.claim().unwrap().term, 8);
 }
+
+/// Pattern: the store turns slow. Signs of life come late, and the owner is not replaced for it.
+#[test]
+fn an_owner_on_a_slow_store_is_given_more_time() {
+    let mut tenure = tenure("a");
+    tenure.apply(5, claim_by("b", 3), at(0));
+    for beat in 1..=4 {
+        tenure.note_read(at(beat * 1_200));
+        tenure.apply(5 + beat, GroupRecord::Beat { term: 5 }, at(beat * 1_200));
+    }
+    read_through(&mut tenure, 4_800, 8_300);
+    assert!(matches!(tenure.duty(at(8_300)), Duty::Wait(_)));
+    read_through(&mut tenure, 8_300, 9_300);
+    assert_eq!(tenure.duty(at(9_300)), Duty::Claim { generation: 4 });
+}
--- a/crates/kingcupwinch-node/src/group.rs
+++ b/crates/kingcupwinch-node/src/group.rs
@@ -19,15 +19,17 @@
 use crate::siblings::Siblings;
 
 /// Between two signs of life of an owner.
-const BEAT: Span = Span::from_millis(700);
+const BEAT: Span = Span::from_millis(300);
 /// An owner that was silent for so long may be replaced: three lost beats.
-const SILENCE: Span = Span::from_millis(2_200);
+const SILENCE: Span = Span::from_millis(900);
+/// An owner that was silent for so long may be replaced though the store is slow.
+const LONGEST_SILENCE: Span = Span::from_millis(2_500);
 /// A gap between reads after which silence is counted anew.
 const READ_GAP: Span = Span::from_millis(1_600);
 /// How much longer a slow instance waits than a whole core, so that large ones own the cell.
-const SLOW_STAGGER_MS: f64 = 300.0;
+const SLOW_STAGGER_MS: f64 = 80.0;
 /// Random time added to that, so that equals do not claim at once.
-const RANDOM_STAGGER_MS: u64 = 60;
+const RANDOM_STAGGER_MS: u64 = 20;
 /// The longest wait of a read.
 const READ_WAIT_MS: u64 = 700;
 /// How much longer than its wait a call may take.
@@ -61,6 +63,7 @@
         let random = rand::rng().random_range(0..RANDOM_STAGGER_MS);
         let timers = TenureTimers {
             silence: SILENCE,
+            longest: LONGEST_SILENCE,
             gap: READ_GAP,
             stagger: Span::from_millis(slow as u64 + random),
         };
@@ -212,7 +215,7 @@
         };
         self.tried = Some(generation);
         let sent = shared.now();
-        match append(&shared, CLAIM_KEY, &record, Some(at)).await {
+        match append(&shared, CLAIM_KEY, &record, Some(at), CALL_MARGIN).await {
             Ok(term) => {
                 let claim = Claim {
                     term,
@@ -287,11 +290,12 @@
     key: &str,
     record: &GroupRecord,
     at: Option<u64>,
+    wait: Duration,
 ) -> Result<u64, WriteError> {
     let value = serde_json::to_vec(record)
         .map_err(|error| WriteError::NotDone(error.to_string().into()))?;
     let record = KeyedRecord::with_value(key, value);
-    let deadline = Instant::now() + CALL_MARGIN;
+    let deadline = Instant::now() + wait;
     let appended = shared
         .store
         .append(GROUP, &[record], at, None, deadline)
@@ -305,7 +309,8 @@
     let record = GroupRecord::Beat { term };
     loop {
         let sent = shared.now();
-        let result = append(&shared, BEAT_KEY, &record, None).await;
+        let wait = shared.patience.wait(0);
+        let result = append(&shared, BEAT_KEY, &record, None, wait).await;
         let Some(owner) = owner.upgrade() else { return };
         match result {
             Ok(_) => {
@@ -332,7 +337,7 @@
         address: shared.settings.siblings.to_string().into(),
     };
     loop {
-        let pause = match append(&shared, &key, &record, None).await {
+        let pause = match append(&shared, &key, &record, None, CALL_MARGIN).await {
             Ok(_) => MEMBER_GAP,
             Err(error) => {
                 shared.note_store(Some(&error.to_string()));
