Let the largest instance own the cell; cheaper rounds of decisions

Change: members tell their size, claims are staggered by rank, a small owner yields to a larger instance that comes; a round groups workers by service and walks over tickets; ends expire from a queue; a worker with foreign runs gets nothing. Instances that are no deputies read the group now and then.

--- a/crates/kingcupwinch-cell/src/advice.rs
+++ b/crates/kingcupwinch-cell/src/advice.rs
@@ -57,6 +57,15 @@
         !self.verdicts.is_empty()
     }
 
+    /// Returns the workers whose tickets are valid at `now`.
+    pub(crate) fn allowed(&self, now: Time) -> impl Iterator<Item = WorkerKey> {
+        let valid = move |(key, verdict): (&WorkerKey, &Verdict)| match verdict {
+            Verdict::Allowed { expires, .. } => (*expires > now).then_some(*key),
+            Verdict::Barred => None,
+        };
+        self.verdicts.iter().filter_map(valid)
+    }
+
     /// Returns the ticket for a worker if it is valid at `now`.
     pub(crate) fn valid(&self, worker: WorkerKey, now: Time) -> Option<&Arc<str>> {
         match self.verdicts.get(&worker)? {
--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -4,6 +4,7 @@
 mod looks;
 mod runs;
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use kingcupwinch_time::{Span, Time};
@@ -119,7 +120,9 @@
     first_number: u32,
     pub(crate) jobs: SlotMap<JobKey, Job>,
     by_id: FxHashMap<JobId, JobKey>,
-    ends: FxHashMap<JobId, Ended>,
+    ends: FxHashMap<JobId, Shown>,
+    /// When ends can be forgotten, in the order of their time.
+    end_times: VecDeque<(Time, JobId)>,
     /// Cancellations of jobs that were not handed in yet.
     early_cancels: FxHashMap<JobId, Time>,
     pub(crate) workers: SlotMap<WorkerKey, Worker>,
@@ -138,13 +141,6 @@
     counters: Counters,
 }
 
-/// An end that can still be asked for.
-#[derive(Debug, Clone, Copy)]
-struct Ended {
-    shown: Shown,
-    until: Time,
-}
-
 /// Numbers of runs that each generation of owners may use per job.
 const NUMBERS_PER_GENERATION: u32 = 1_000;
 
@@ -157,6 +153,7 @@
             jobs: SlotMap::with_key(),
             by_id: FxHashMap::default(),
             ends: FxHashMap::default(),
+            end_times: VecDeque::new(),
             early_cancels: FxHashMap::default(),
             workers: SlotMap::with_key(),
             by_name: FxHashMap::default(),
@@ -202,8 +199,7 @@
         now: Time,
     ) {
         if let Some(shown) = record.and_then(|record| record.end) {
-            let until = now + self.limits.keep;
-            self.ends.insert(id, Ended { shown, until });
+            self.keep_end(id, shown, now);
             return;
         }
         let Some(spec) = spec else { return };
@@ -291,8 +287,8 @@
 
     /// Returns a job's state; `None` if there is no such job.
     pub fn shown(&self, id: JobId) -> Option<Shown> {
-        if let Some(ended) = self.ends.get(&id) {
-            return Some(ended.shown);
+        if let Some(shown) = self.ends.get(&id) {
+            return Some(*shown);
         }
         let key = self.by_id.get(&id)?;
         Some(self.jobs[*key].shown())
@@ -355,10 +351,12 @@
             };
             records.progress.push((job.id, record));
         }
-        let expired = self.ends.iter().filter(|(_, ended)| ended.until <= now);
-        records.expired = expired.map(|(id, _)| *id).collect();
-        for id in &records.expired {
-            self.ends.remove(id);
+        while let Some((until, id)) = self.end_times.front().copied()
+            && until <= now
+        {
+            self.end_times.pop_front();
+            self.ends.remove(&id);
+            records.expired.push(id);
         }
         self.early_cancels.retain(|_, until| *until > now);
         if !records.is_empty() || !self.acks.is_empty() {
@@ -440,8 +438,13 @@
         let id = job.id;
         self.jobs.remove(key);
         self.by_id.remove(&id);
-        let until = now + self.limits.keep;
-        self.ends.insert(id, Ended { shown, until });
+        self.keep_end(id, shown, now);
+    }
+
+    /// Keeps an end for as long as it can be asked for.
+    fn keep_end(&mut self, id: JobId, shown: Shown, now: Time) {
+        self.ends.insert(id, shown);
+        self.end_times.push_back((now + self.limits.keep, id));
     }
 
     pub(crate) fn pace(&self, queue: &str) -> f64 {
--- a/crates/kingcupwinch-cell/src/cell/looks.rs
+++ b/crates/kingcupwinch-cell/src/cell/looks.rs
@@ -59,6 +59,7 @@
     }
 
     fn take_running(&mut self, key: WorkerKey, running: &[RunningTask], now: Time) {
+        self.workers[key].has_foreign = false;
         for entry in running {
             let Some(run) = self.find_run(key, entry.task, entry.run, now) else {
                 self.actions.push(Action::Stop(StopOrder {
@@ -66,6 +67,7 @@
                     task: entry.task,
                     number: entry.run,
                 }));
+                self.workers[key].has_foreign = true;
                 continue;
             };
             let state = &mut self.runs[run];
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -22,5 +22,5 @@
 pub use record::{JobRecord, Placement, RecordError};
 pub use run::{EndKind, Ended, StartAnswer};
 pub use spec::{AdviceTerms, JobSpec, Size, StepSpec, Terms};
-pub use tenure::{Claim, Duty, GroupRecord, Tenure, TenureTimers};
+pub use tenure::{Claim, Duty, GroupRecord, Member, Tenure, TenureTimers};
 pub use worker::{Look, LookOrder, Registration, RunningTask, WorkerKey};
--- a/crates/kingcupwinch-cell/src/plan.rs
+++ b/crates/kingcupwinch-cell/src/plan.rs
@@ -7,14 +7,15 @@
 use std::cmp::Ordering;
 use std::sync::Arc;
 
-use kingcupwinch_time::Time;
+use kingcupwinch_time::{Span, Time};
 use rustc_hash::FxHashMap;
+use slotmap::SecondaryMap;
 
 use crate::advice::{Verdict, call_time};
 use crate::cell::{Action, Cell};
 use crate::id::TaskName;
 use crate::job::{JobKey, Task};
-use crate::spec::{JobSpec, Size, StepSpec};
+use crate::spec::{Size, StepSpec};
 use crate::worker::{RACK_LABEL, WorkerKey};
 
 /// The most workers that one call to the adviser names.
@@ -24,6 +25,9 @@
 /// The least workers that a call names, where there are so many.
 const LEAST_ASKED: usize = 6;
 
+/// How long a step for which there is too little room is not considered for a call again.
+const FULL_PAUSE: Span = Span::from_millis(30);
+
 /// How much a job still has to gain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Hope {
@@ -63,24 +67,36 @@
         self.send_stops(now);
         let mut floor = self.open_floor(now);
         for due in self.due_steps(now) {
-            self.place_step(&due, &mut floor, now);
+            let service = &self.jobs[due.job].spec.terms.service;
+            if let Some(hall) = floor.services.get_mut(service) {
+                self.place_step(&due, hall, now);
+            }
         }
         std::mem::take(&mut self.actions)
     }
 
     /// Returns the workers that may be given work now.
     fn open_floor(&self, now: Time) -> Floor {
-        let usable = self.workers.iter().filter(|(_, w)| w.is_usable(now));
-        let seats = usable.map(|(key, worker)| Seat {
-            key,
-            service: Arc::clone(&worker.entry.service),
-            labels: worker.entry.labels.clone(),
-            room: worker.room(),
-            speed: worker.speed.mean(),
-        });
-        Floor {
-            seats: seats.collect(),
+        let mut floor = Floor::default();
+        for (key, worker) in &self.workers {
+            if !worker.is_usable(now) {
+                continue;
+            }
+            let service = &worker.entry.service;
+            if !floor.services.contains_key(service) {
+                floor.services.insert(Arc::clone(service), Hall::default());
+            }
+            let Some(hall) = floor.services.get_mut(service) else {
+                continue;
+            };
+            hall.places.insert(key, hall.seats.len());
+            hall.seats.push(Seat {
+                key,
+                room: worker.room(),
+                speed: worker.speed.mean(),
+            });
         }
+        floor
     }
 
     /// Returns the steps with tasks to start, the most urgent first.
@@ -124,45 +140,97 @@
         due
     }
 
-    fn place_step(&mut self, due: &Due, floor: &mut Floor, now: Time) {
+    fn place_step(&mut self, due: &Due, hall: &mut Hall, now: Time) {
         self.expire_ask(due.job, due.step, now);
         let job = &self.jobs[due.job];
-        if !floor.fits_any(&job.spec, due.step) {
+        let spec = &job.spec.steps[due.step];
+        if !hall.fits_any(spec.charge()) {
             return;
         }
-        let open = self.open_seats(due, floor, now);
+        let open = self.open_seats(due, hall, now);
         let is_placed = if open.is_empty() {
             false
-        } else if job.spec.steps[due.step].gang {
-            self.place_gang(due, &open, floor, now)
+        } else if spec.gang {
+            self.place_gang(due, &open, hall, now)
         } else {
-            self.place_tasks(due, &open, floor, now)
+            self.place_tasks(due, &open, hall, now)
         };
         if !is_placed {
-            self.ask(due, floor, now);
+            self.ask(due, hall, now);
         }
     }
 
     /// Returns the seats that may run the step now and have room, best first.
-    fn open_seats(&self, due: &Due, floor: &Floor, now: Time) -> Vec<usize> {
+    fn open_seats(&self, due: &Due, hall: &Hall, now: Time) -> Vec<usize> {
         let job = &self.jobs[due.job];
         let spec = &job.spec.steps[due.step];
-        let needs_ticket = job.spec.terms.advice.is_some();
-        let tickets = &job.steps[due.step].tickets;
-        let may_run = |seat: &Seat| {
-            seat.serves(&job.spec, due.step)
-                && seat.room.fits(spec.charge()) > 0
-                && (!needs_ticket || tickets.valid(seat.key, now).is_some())
+        let size = spec.charge();
+        let has_room = |seat: &usize| hall.seats[*seat].room.fits(size) > 0;
+        let mut open: Vec<usize> = if job.spec.terms.advice.is_some() {
+            let allowed = job.steps[due.step].tickets.allowed(now);
+            let seats = allowed.filter_map(|key| hall.places.get(key).copied());
+            seats.filter(has_room).collect()
+        } else {
+            (0..hall.seats.len()).filter(has_room).collect()
         };
-        let mut open: Vec<usize> = (0..floor.seats.len())
-            .filter(|seat| may_run(&floor.seats[*seat]))
-            .collect();
-        open.sort_by(|a, b| prefer(&floor.seats[*a], &floor.seats[*b], due, spec));
+        open.retain(|seat| self.has_label(hall.seats[*seat].key, spec));
+        open.sort_by(|a, b| self.prefer(&hall.seats[*a], &hall.seats[*b], due, spec));
         open
     }
 
+    fn has_label(&self, worker: WorkerKey, spec: &StepSpec) -> bool {
+        let Some(label) = &spec.label else {
+            return true;
+        };
+        self.workers[worker].entry.labels.contains(label)
+    }
+
+    fn rack(&self, worker: WorkerKey) -> Option<&Arc<str>> {
+        self.workers[worker].entry.labels.get(RACK_LABEL)
+    }
+
+    /// Orders workers for a step: those near its data first; then the fast ones where time is
+    /// short, and the slow ones where it is not; then the ones that it fills best.
+    fn prefer(&self, a: &Seat, b: &Seat, due: &Due, spec: &StepSpec) -> Ordering {
+        let near = match &spec.rack {
+            None => Ordering::Equal,
+            Some(rack) => {
+                let is_near = |seat: &Seat| self.rack(seat.key) == Some(rack);
+                is_near(b).cmp(&is_near(a))
+            }
+        };
+        let speed = a.speed.total_cmp(&b.speed);
+        near.then(if due.is_tight { speed } else { speed.reverse() })
+            .then(a.room.cpu.cmp(&b.room.cpu))
+            .then(a.key.cmp(&b.key))
+    }
+
+    /// Returns a seat for each member of a gang, on one rack where that matters and fits.
+    fn seat_gang(
+        &self,
+        spec: &StepSpec,
+        open: &[usize],
+        hall: &Hall,
+        tasks: usize,
+    ) -> Option<Vec<usize>> {
+        if spec.one_rack {
+            let rack_of = |seat: &usize| self.rack(hall.seats[*seat].key);
+            let mut racks: Vec<_> = open.iter().map(rack_of).collect();
+            racks.sort();
+            racks.dedup();
+            for rack in racks {
+                let on_rack = open.iter().copied().filter(|seat| rack_of(seat) == rack);
+                let seats: Vec<usize> = on_rack.collect();
+                if let Some(seats) = fill_seats(spec, &seats, hall, tasks) {
+                    return Some(seats);
+                }
+            }
+        }
+        fill_seats(spec, open, hall, tasks)
+    }
+
     /// Starts as many tasks as fit; returns whether none is left waiting.
-    fn place_tasks(&mut self, due: &Due, open: &[usize], floor: &mut Floor, now: Time) -> bool {
+    fn place_tasks(&mut self, due: &Due, open: &[usize], hall: &mut Hall, now: Time) -> bool {
         let job = &self.jobs[due.job];
         let spec = &job.spec.steps[due.step];
         let size = spec.charge();
@@ -173,7 +241,7 @@
         for index in waiting {
             let avoid = self.jobs[due.job].steps[due.step].tasks[index].avoid;
             let fits = |seat: &&usize| {
-                let seat = &floor.seats[**seat];
+                let seat = &hall.seats[**seat];
                 let count = counts.get(&seat.key).copied().unwrap_or(0);
                 count < most && seat.room.fits(size) > 0
             };
@@ -181,10 +249,10 @@
             let Some(mut seat) = choices.next() else {
                 break;
             };
-            if avoid == Some(floor.seats[*seat].key) {
+            if avoid == Some(hall.seats[*seat].key) {
                 seat = choices.next().unwrap_or(seat);
             }
-            let worker = floor.seats[*seat].key;
+            let worker = hall.seats[*seat].key;
             let number = self.jobs[due.job].numbers + 1;
             let place = (due.step, index);
             if self
@@ -193,7 +261,7 @@
             {
                 break;
             }
-            floor.take(*seat, size, 1);
+            hall.take(*seat, size, 1);
             *counts.entry(worker).or_default() += 1;
             left -= 1;
         }
@@ -201,25 +269,25 @@
     }
 
     /// Starts a whole gang if it fits; otherwise keeps the room that there is for it.
-    fn place_gang(&mut self, due: &Due, open: &[usize], floor: &mut Floor, now: Time) -> bool {
+    fn place_gang(&mut self, due: &Due, open: &[usize], hall: &mut Hall, now: Time) -> bool {
         let job = &self.jobs[due.job];
         let spec = &job.spec.steps[due.step];
         let size = spec.charge();
         let tasks = job.steps[due.step].tasks.len();
-        let Some(seats) = seat_gang(spec, open, floor, tasks) else {
+        let Some(seats) = self.seat_gang(spec, open, hall, tasks) else {
             let mut left = tasks as u64;
             for &seat in open {
-                let fits = floor.seats[seat].room.fits(size).min(left);
-                floor.take(seat, size, fits);
+                let fits = hall.seats[seat].room.fits(size).min(left);
+                hall.take(seat, size, fits);
                 left -= fits;
             }
             return false;
         };
         let number = job.numbers + 1;
         for (index, seat) in seats.into_iter().enumerate() {
-            let worker = floor.seats[seat].key;
+            let worker = hall.seats[seat].key;
             self.start_run(due.job, (due.step, index), number, worker, now);
-            floor.take(seat, size, 1);
+            hall.take(seat, size, 1);
         }
         true
     }
@@ -237,7 +305,7 @@
 
     /// Asks the adviser about the workers that have room, if the step could start on those of
     /// them that it is likely to allow.
-    fn ask(&mut self, due: &Due, floor: &Floor, now: Time) {
+    fn ask(&mut self, due: &Due, hall: &Hall, now: Time) {
         let job = &self.jobs[due.job];
         let Some(terms) = job.spec.terms.advice else {
             return;
@@ -247,7 +315,7 @@
         if !is_open || !self.desks.is_open(call_time(&terms, 1), now) {
             return;
         }
-        let (workers, room) = self.candidates(due, floor, now);
+        let (workers, room) = self.candidates(due, hall, now);
         let spec = &self.jobs[due.job].spec.steps[due.step];
         let need = if spec.gang {
             step.tasks.len() as f64
@@ -255,6 +323,7 @@
             1.0
         };
         if workers.is_empty() || room < need {
+            self.jobs[due.job].steps[due.step].tickets.again = now + FULL_PAUSE;
             return;
         }
         let length = call_time(&terms, workers.len());
@@ -284,7 +353,7 @@
 
     /// Returns the workers to ask about and the tasks that are expected to fit on those of them
     /// that the adviser allows.
-    fn candidates(&self, due: &Due, floor: &Floor, now: Time) -> (Vec<WorkerKey>, f64) {
+    fn candidates(&self, due: &Due, hall: &Hall, now: Time) -> (Vec<WorkerKey>, f64) {
         let job = &self.jobs[due.job];
         let spec = &job.spec.steps[due.step];
         let step = &job.steps[due.step];
@@ -295,10 +364,10 @@
         let is_first_of_gang = spec.gang && !step.tickets.is_known();
         let mut rows = Vec::new();
         let mut room = 0.0;
-        for seat in &floor.seats {
+        for seat in &hall.seats {
             let fits = seat.room.fits(spec.charge()).min(most) as f64;
             let is_of_use = fits > 0.0 || is_first_of_gang;
-            if !is_of_use || !seat.serves(&job.spec, due.step) {
+            if !is_of_use || !self.has_label(seat.key, spec) {
                 continue;
             }
             match step.tickets.verdict(seat.key) {
@@ -310,7 +379,7 @@
         }
         rows.sort_by(|a, b| {
             let known = b.2.total_cmp(&a.2);
-            known.then_with(|| prefer(a.0, b.0, due, spec))
+            known.then_with(|| self.prefer(a.0, b.0, due, spec))
         });
         let wanted = step.waiting as f64 * ROOM_MARGIN;
         let mut workers = Vec::new();
@@ -330,34 +399,27 @@
 #[derive(Debug)]
 struct Seat {
     key: WorkerKey,
-    service: Arc<str>,
-    labels: Vec<Arc<str>>,
     room: Size,
     /// Observed over expected run time: less is faster.
     speed: f64,
 }
 
-impl Seat {
-    fn serves(&self, job: &JobSpec, step: usize) -> bool {
-        let label = job.steps[step].label.as_ref();
-        self.service == job.terms.service && label.is_none_or(|label| self.labels.contains(label))
-    }
-
-    fn rack(&self) -> Option<&Arc<str>> {
-        self.labels.get(RACK_LABEL)
-    }
+/// The workers of one service in one round of decisions.
+#[derive(Debug, Default)]
+struct Hall {
+    seats: Vec<Seat>,
+    places: SecondaryMap<WorkerKey, usize>,
 }
 
 /// The workers of one round of decisions.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Floor {
-    seats: Vec<Seat>,
+    services: FxHashMap<Arc<str>, Hall>,
 }
 
-impl Floor {
-    /// Returns whether any worker has room for a task of the step.
-    fn fits_any(&self, job: &JobSpec, step: usize) -> bool {
-        let size = job.steps[step].charge();
+impl Hall {
+    /// Returns whether any worker has room for a task of a size.
+    fn fits_any(&self, size: Size) -> bool {
         self.seats.iter().any(|seat| seat.room.fits(size) > 0)
     }
 
@@ -370,42 +432,11 @@
     }
 }
 
-/// Orders workers for a step: those near its data first; then the fast ones where time is short,
-/// and the slow ones where it is not; then the ones that it fills best.
-fn prefer(a: &Seat, b: &Seat, due: &Due, spec: &StepSpec) -> Ordering {
-    let is_near = |seat: &Seat| {
-        let rack = spec.rack.as_ref();
-        rack.is_none_or(|rack| seat.rack() == Some(rack))
-    };
-    let speed = a.speed.total_cmp(&b.speed);
-    is_near(b)
-        .cmp(&is_near(a))
-        .then(if due.is_tight { speed } else { speed.reverse() })
-        .then(a.room.cpu.cmp(&b.room.cpu))
-}
-
-/// Returns a seat for each member of a gang, on one rack where that matters and fits.
-fn seat_gang(spec: &StepSpec, open: &[usize], floor: &Floor, tasks: usize) -> Option<Vec<usize>> {
-    if spec.one_rack {
-        let mut racks: Vec<_> = open.iter().map(|seat| floor.seats[*seat].rack()).collect();
-        racks.sort();
-        racks.dedup();
-        for rack in racks {
-            let on_rack = |seat: &usize| floor.seats[*seat].rack() == rack;
-            let seats: Vec<usize> = open.iter().copied().filter(on_rack).collect();
-            if let Some(seats) = fill_seats(spec, &seats, floor, tasks) {
-                return Some(seats);
-            }
-        }
-    }
-    fill_seats(spec, open, floor, tasks)
-}
-
-fn fill_seats(spec: &StepSpec, open: &[usize], floor: &Floor, tasks: usize) -> Option<Vec<usize>> {
+fn fill_seats(spec: &StepSpec, open: &[usize], hall: &Hall, tasks: usize) -> Option<Vec<usize>> {
     let most = spec.spread.map_or(usize::MAX, usize::from);
     let mut seats = Vec::with_capacity(tasks);
     for &seat in open {
-        let fits = floor.seats[seat].room.fits(spec.charge());
+        let fits = hall.seats[seat].room.fits(spec.charge());
         let fits = usize::try_from(fits).unwrap_or(usize::MAX);
         let take = fits.min(most).min(tasks - seats.len());
         seats.extend(std::iter::repeat_n(seat, take));
--- a/crates/kingcupwinch-cell/src/spec.rs
+++ b/crates/kingcupwinch-cell/src/spec.rs
@@ -32,6 +32,9 @@
 
     /// Returns how many tasks of a size fit into this room.
     pub fn fits(&self, task: Size) -> u64 {
+        if self.cpu < task.cpu || self.memory < task.memory || self.gpu < task.gpu {
+            return 0;
+        }
         let part = |room: u64, need: u64| room.checked_div(need).unwrap_or(u64::MAX);
         part(self.cpu, task.cpu)
             .min(part(self.memory, task.memory))
--- a/crates/kingcupwinch-cell/src/tenure.rs
+++ b/crates/kingcupwinch-cell/src/tenure.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 
 use kingcupwinch_time::{Span, Time};
-use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
 /// Silence that may be replaced, in multiples of the longest time between signs of life.
@@ -45,9 +44,24 @@
         instance: Arc<str>,
         /// Where its siblings reach it.
         address: Arc<str>,
+        /// Thousandths of a core that it has.
+        size: u32,
     },
 }
 
+/// An instance of the group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Member {
+    /// Its name.
+    pub instance: Arc<str>,
+    /// Where its siblings reach it.
+    pub address: Arc<str>,
+    /// Thousandths of a core that it has.
+    pub size: u32,
+    /// When it was last heard of.
+    heard: Time,
+}
+
 /// The claim that holds.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Claim {
@@ -70,8 +84,12 @@
     pub longest: Span,
     /// A gap between two successful reads after which silence is counted anew.
     pub gap: Span,
-    /// Added by this instance before it claims, so that not all claim at once.
+    /// Added before a first claim, so that the members are known by then.
+    pub gather: Span,
+    /// Added for each larger member before a claim, so that large instances own the cell.
     pub stagger: Span,
+    /// A larger member that was heard of for so long is given the cell.
+    pub yield_after: Span,
 }
 
 /// What an instance has to do about ownership.
@@ -98,7 +116,8 @@
     /// The longest of the last times between two signs of life, fading with each.
     rhythm: Span,
     last_read: Option<Time>,
-    members: FxHashMap<Arc<str>, Arc<str>>,
+    claimed: Time,
+    members: Vec<Member>,
 }
 
 impl Tenure {
@@ -112,7 +131,8 @@
             heard: now,
             rhythm: Span::ZERO,
             last_read: None,
-            members: FxHashMap::default(),
+            claimed: now,
+            members: Vec::new(),
         }
     }
 
@@ -138,8 +158,6 @@
                 if self.claim.as_ref().is_some_and(|held| held.term >= offset) {
                     return;
                 }
-                self.members
-                    .insert(Arc::clone(&instance), Arc::clone(&address));
                 self.claim = Some(Claim {
                     term: offset,
                     instance,
@@ -149,6 +167,7 @@
                 self.is_released = false;
                 self.rhythm = Span::ZERO;
                 self.heard = now;
+                self.claimed = now;
             }
             GroupRecord::Beat { term } => {
                 if self.is_current(term) {
@@ -163,8 +182,24 @@
                     self.heard = now;
                 }
             }
-            GroupRecord::Member { instance, address } => {
-                self.members.insert(instance, address);
+            GroupRecord::Member {
+                instance,
+                address,
+                size,
+            } => {
+                self.members.retain(|member| member.instance != instance);
+                self.members.push(Member {
+                    instance,
+                    address,
+                    size,
+                    heard: now,
+                });
+                // Equal instances are ordered by name.
+                self.members.sort_by(|a, b| {
+                    b.size
+                        .cmp(&a.size)
+                        .then_with(|| a.instance.cmp(&b.instance))
+                });
             }
         }
     }
@@ -188,11 +223,35 @@
                 .is_none_or(|held| held.instance == self.me)
     }
 
-    /// Returns the instances and where they are reached, by name.
-    pub fn members(&self) -> Vec<(Arc<str>, Arc<str>)> {
-        let mut members: Vec<_> = self.members.clone().into_iter().collect();
-        members.sort();
-        members
+    /// Returns the instances, the largest first.
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// Returns how many members come before this instance in the order of claims.
+    pub fn rank(&self) -> usize {
+        let me = self
+            .members
+            .iter()
+            .position(|member| member.instance == self.me);
+        me.unwrap_or(self.members.len())
+    }
+
+    /// Returns whether this instance, as the owner, gives the cell to one that is half as large
+    /// again and was heard of since the claim.
+    pub fn is_yielding(&self, now: Time) -> bool {
+        let Some(me) = self
+            .members
+            .iter()
+            .find(|member| member.instance == self.me)
+        else {
+            return false;
+        };
+        self.members.iter().any(|other| {
+            let is_larger = other.size * 2 >= me.size * 3;
+            let since = other.heard + self.timers.yield_after;
+            is_larger && other.heard > self.claimed && since <= now
+        })
     }
 
     /// Returns what an instance that is not the owner has to do.
@@ -210,7 +269,12 @@
             let slow = self.rhythm.times(RHYTHM_MARGIN);
             slow.max(self.timers.silence).min(self.timers.longest)
         };
-        let due = self.heard + patience + self.timers.stagger;
+        let patience = if self.claim.is_none() {
+            self.timers.gather
+        } else {
+            patience
+        };
+        let due = self.heard + patience + self.timers.stagger.times(self.rank() as u64);
         if now < due {
             return Duty::Wait(due);
         }
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -110,6 +110,8 @@
     pub(crate) misses: u32,
     /// Not yet looked at under this owner's term.
     pub(crate) inherited: bool,
+    /// Runs something of which this owner knows neither job nor size.
+    pub(crate) has_foreign: bool,
     pub(crate) speed: Ratio,
     failures: u32,
     set_aside: u32,
@@ -129,6 +131,7 @@
             acked: 0,
             misses: 0,
             inherited,
+            has_foreign: false,
             speed: Ratio::default(),
             failures: 0,
             set_aside: 0,
@@ -140,6 +143,7 @@
     pub(crate) fn is_usable(&self, now: Time) -> bool {
         !self.entry.draining
             && !self.inherited
+            && !self.has_foreign
             && self.clock.is_some()
             && self.misses == 0
             && self.back <= now
--- a/crates/kingcupwinch-cell/tests/cell/takeover.rs
+++ b/crates/kingcupwinch-cell/tests/cell/takeover.rs
@@ -190,3 +190,25 @@
     assert!(site.starts.is_empty());
     assert_eq!(site.shown(1), Some(Shown::Completed));
 }
+
+/// What runs of a job that has ended takes room that the new owner can't know: the size is gone
+/// with the job.
+#[test]
+fn a_worker_gets_nothing_while_it_runs_what_the_owner_does_not_know() {
+    let mut site = heir(1);
+    let key = site.keys()[0];
+    restore(&mut site, 1, None);
+    site.workers
+        .get_mut(&key)
+        .unwrap()
+        .running
+        .push(run_of(9, 1));
+    site.look(key);
+    site.decide();
+    assert!(site.starts.is_empty());
+    let stop = site.stops.remove(0);
+    site.stop(&stop);
+    site.look(key);
+    site.decide();
+    assert_eq!(site.starts.len(), 1);
+}
--- a/crates/kingcupwinch-node/src/group.rs
+++ b/crates/kingcupwinch-node/src/group.rs
@@ -7,7 +7,6 @@
 use kingcupwinch_adapter::{KeyedRecord, StoreError, WriteError};
 use kingcupwinch_cell::{Claim, Duty, GroupRecord, Tenure, TenureTimers};
 use kingcupwinch_time::{Span, Time};
-use rand::Rng;
 use slog::o;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -26,10 +25,16 @@
 const LONGEST_SILENCE: Span = Span::from_millis(2_500);
 /// A gap between reads after which silence is counted anew.
 const READ_GAP: Span = Span::from_millis(1_600);
-/// How much longer a slow instance waits than a whole core, so that large ones own the cell.
-const SLOW_STAGGER_MS: f64 = 80.0;
-/// Random time added to that, so that equals do not claim at once.
-const RANDOM_STAGGER_MS: u64 = 20;
+/// Before a first claim, so that the members are known by then.
+const GATHER: Span = Span::from_millis(800);
+/// Between the claims of two members that are next to each other by size.
+const STAGGER: Span = Span::from_millis(20);
+/// A larger member that was there for so long is given the cell.
+const YIELD_AFTER: Span = Span::from_millis(1_500);
+/// So many of the largest members hear of a change at once; the others read now and then.
+const DEPUTIES: usize = 4;
+/// Between two reads of the others.
+const IDLE_READ_GAP: Duration = Duration::from_millis(800);
 /// The longest wait of a read.
 const READ_WAIT_MS: u64 = 700;
 /// How much longer than its wait a call may take.
@@ -58,14 +63,13 @@
 
 impl Group {
     pub(crate) fn new(shared: Arc<Shared>, siblings: Siblings) -> Self {
-        let share = shared.settings.cpu_share.clamp(0.0, 1.0);
-        let slow = (1.0 - share) * SLOW_STAGGER_MS;
-        let random = rand::rng().random_range(0..RANDOM_STAGGER_MS);
         let timers = TenureTimers {
             silence: SILENCE,
             longest: LONGEST_SILENCE,
             gap: READ_GAP,
-            stagger: Span::from_millis(slow as u64 + random),
+            gather: GATHER,
+            stagger: STAGGER,
+            yield_after: YIELD_AFTER,
         };
         let me = Arc::clone(&shared.settings.instance);
         let tenure = Tenure::new(me, timers, shared.now());
@@ -88,10 +92,32 @@
                 () = shared.stop_asked() => break,
             };
             self.note_read(result).await;
+            self.yield_cell().await;
+            self.rest().await;
         }
         self.release().await;
     }
 
+    /// Pauses between two reads, unless the owner is missed.
+    async fn rest(&self) {
+        let is_close = self.held.is_some() || self.tenure.rank() < DEPUTIES;
+        if is_close || self.tenure.claim().is_none() || self.next.is_none() {
+            return;
+        }
+        tokio::select! {
+            () = tokio::time::sleep(IDLE_READ_GAP) => {}
+            () = self.shared.owner_missed.notified() => {}
+            () = self.shared.stop_asked() => {}
+        }
+    }
+
+    /// Gives the cell to a larger instance.
+    async fn yield_cell(&mut self) {
+        if self.held.is_some() && self.tenure.is_yielding(self.shared.now()) {
+            self.release().await;
+        }
+    }
+
     async fn read(&self) -> Result<(u64, Vec<(u64, KeyedRecord)>), StoreError> {
         let store = &self.shared.store;
         let Some(from) = self.next else {
@@ -170,7 +196,10 @@
         });
         if let Some(held) = &self.held {
             // The owner may have ended by itself; then nobody needs the members.
-            let _ = held.owner.tell(Members(self.tenure.members())).await;
+            let _ = held
+                .owner
+                .tell(Members(self.tenure.members().to_vec()))
+                .await;
         }
         let Some(claim) = claim.filter(|_| is_new) else {
             return;
@@ -250,7 +279,7 @@
         loop {
             match take_over(&shared, &self.siblings, &claim, is_stopped, sent).await {
                 Ok(owner) => {
-                    let _ = owner.tell(Members(self.tenure.members())).await;
+                    let _ = owner.tell(Members(self.tenure.members().to_vec())).await;
                     shared.set_owner(Some(owner.clone()));
                     shared.metrics.term.set(term as i64);
                     tokio::spawn(beat(Arc::clone(&shared), owner.clone(), term));
@@ -335,6 +364,7 @@
     let record = GroupRecord::Member {
         instance: Arc::clone(&shared.settings.instance),
         address: shared.settings.siblings.to_string().into(),
+        size: (shared.settings.cpu_share * 1_000.0) as u32,
     };
     loop {
         let pause = match append(&shared, &key, &record, None, CALL_MARGIN).await {
--- a/crates/kingcupwinch-node/src/owner/messages.rs
+++ b/crates/kingcupwinch-node/src/owner/messages.rs
@@ -5,8 +5,8 @@
 use kameo::message::{Context, Message};
 use kingcupwinch_adapter::{OrderError, Partition, decode_registration};
 use kingcupwinch_cell::{
-    AskKey, JobId, JobSpec, Look, LookOrder, Shown, StartAnswer, StartOrder, StopOrder, Submitted,
-    Ticket, WorkerKey,
+    AskKey, JobId, JobSpec, Look, LookOrder, Member, Shown, StartAnswer, StartOrder, StopOrder,
+    Submitted, Ticket, WorkerKey,
 };
 use kingcupwinch_time::{Span, Time, WallClock};
 use slog::o;
@@ -24,7 +24,7 @@
 pub(crate) struct Confirmed(pub(crate) Time);
 
 /// The instances, and where siblings reach them.
-pub(crate) struct Members(pub(crate) Vec<(Arc<str>, Arc<str>)>);
+pub(crate) struct Members(pub(crate) Vec<Member>);
 
 /// Gives no more orders from now on; answered through the channel when all is recorded.
 pub(crate) struct Release(pub(crate) oneshot::Sender<()>);
@@ -107,9 +107,11 @@
     type Reply = ();
 
     async fn handle(&mut self, members: Members, _: &mut Context<Self, ()>) {
-        let names: Vec<Arc<str>> = members.0.iter().map(|(name, _)| Arc::clone(name)).collect();
+        let name = |member: &Member| Arc::clone(&member.instance);
+        let names: Vec<Arc<str>> = members.0.iter().map(name).collect();
         self.cell.set_desks(&names);
-        self.addresses = members.0.into_iter().collect();
+        let row = |member: Member| (member.instance, member.address);
+        self.addresses = members.0.into_iter().map(row).collect();
     }
 }
 
--- a/crates/kingcupwinch-node/src/shared.rs
+++ b/crates/kingcupwinch-node/src/shared.rs
@@ -9,7 +9,7 @@
 use kingcupwinch_platform::Patience;
 use kingcupwinch_time::{Clock, Span, SuspendClock, Time};
 use slog::o;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::events::{Event, EventLog};
 use crate::metrics::Metrics;
@@ -33,6 +33,8 @@
     pub(crate) queues: watch::Sender<Option<Arc<QueueTable>>>,
     pub(crate) claim: watch::Sender<Option<Claim>>,
     pub(crate) stopping: watch::Sender<bool>,
+    /// Told when a request did not reach the owner.
+    pub(crate) owner_missed: Notify,
     owner: Mutex<Option<ActorRef<Owner>>>,
     store_heard: AtomicU64,
     store_lost: AtomicBool,
@@ -50,6 +52,7 @@
             queues: watch::Sender::new(None),
             claim: watch::Sender::new(None),
             stopping: watch::Sender::new(false),
+            owner_missed: Notify::new(),
             owner: Mutex::new(None),
             store_heard: AtomicU64::new(0),
             store_lost: AtomicBool::new(false),
--- a/crates/kingcupwinch-node/src/siblings.rs
+++ b/crates/kingcupwinch-node/src/siblings.rs
@@ -89,6 +89,7 @@
             if Instant::now() + RETRY_PAUSE > deadline {
                 return Asked::NoOwner;
             }
+            self.shared.owner_missed.notify_one();
             tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
@@ -110,6 +111,7 @@
             if Instant::now() + RETRY_PAUSE > deadline {
                 return Asked::NoOwner;
             }
+            self.shared.owner_missed.notify_one();
             tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
