Ask for wide gangs in several calls, about the emptiest workers first

Change: whether a step can start is judged over all workers; a call names the next hundred, for a gang those with the most room.

--- a/crates/kingcupwinch-cell/src/plan.rs
+++ b/crates/kingcupwinch-cell/src/plan.rs
@@ -351,7 +351,7 @@
         });
     }
 
-    /// Returns the workers to ask about and the tasks that are expected to fit on those of them
+    /// Returns the workers to ask about next, and the tasks that are expected to fit on all workers
     /// that the adviser allows.
     fn candidates(&self, due: &Due, hall: &Hall, now: Time) -> (Vec<WorkerKey>, f64) {
         let job = &self.jobs[due.job];
@@ -379,17 +379,25 @@
         }
         rows.sort_by(|a, b| {
             let known = b.2.total_cmp(&a.2);
-            known.then_with(|| self.prefer(a.0, b.0, due, spec))
+            let wide = if spec.gang {
+                b.1.total_cmp(&a.1)
+            } else {
+                Ordering::Equal
+            };
+            known
+                .then(wide)
+                .then_with(|| self.prefer(a.0, b.0, due, spec))
         });
         let wanted = step.waiting as f64 * ROOM_MARGIN;
+        let mut asked = room;
         let mut workers = Vec::new();
         for (seat, fits, chance) in rows {
-            let is_enough = room >= wanted && workers.len() >= LEAST_ASKED && !is_first_of_gang;
-            if is_enough || workers.len() >= MOST_ASKED {
-                break;
-            }
             room += fits * chance;
-            workers.push(seat.key);
+            let is_enough = asked >= wanted && workers.len() >= LEAST_ASKED && !is_first_of_gang;
+            if !is_enough && workers.len() < MOST_ASKED {
+                asked += fits * chance;
+                workers.push(seat.key);
+            }
         }
         (workers, room)
     }
--- a/crates/kingcupwinch-cell/tests/cell/advice.rs
+++ b/crates/kingcupwinch-cell/tests/cell/advice.rs
@@ -127,3 +127,49 @@
     site.decide();
     assert_eq!(site.asks[0].1.len(), 20);
 }
+
+/// Pattern: wide gangs on many workers. One call names 100 at most; a gang that needs more of them
+/// is asked about in several calls.
+#[test]
+fn a_gang_wider_than_one_call_is_asked_about_in_several() {
+    let mut site = Site::new(150, 4);
+    let gang = StepSpec {
+        gang: true,
+        ..step(45, 3, 2_000)
+    };
+    site.submit(1, with_advice(job(vec![gang]), 400.0));
+    for _ in 0..8 {
+        site.decide();
+        while !site.asks.is_empty() {
+            answer(&mut site, |worker| worker.ends_with(['1', '4', '7']));
+        }
+        site.pass(300);
+        site.look_all();
+    }
+    assert_eq!(site.starts.len(), 45);
+}
+
+/// The workers with the most room come first: those that are nearly full seat no gang.
+#[test]
+fn a_gang_is_asked_about_on_empty_workers_first() {
+    let mut site = Site::new(120, 4);
+    site.submit(1, job(vec![step(90, 3, 500)]));
+    site.run_orders();
+    let gang = StepSpec {
+        gang: true,
+        ..step(4, 1, 2_000)
+    };
+    site.submit(2, with_advice(job(vec![gang]), 400.0));
+    site.decide();
+    let named = &site.asks[0].1;
+    let empty = |id: &Arc<str>| {
+        let (key, ..) = site
+            .cell
+            .workers()
+            .into_iter()
+            .find(|(_, other, _)| other == id)
+            .unwrap();
+        site.workers[&key].running.is_empty()
+    };
+    assert_eq!(named.iter().filter(|id| empty(id)).count(), 30);
+}
