--- a/crates/kingcupwinch-node/src/group.rs
+++ b/crates/kingcupwinch-node/src/group.rs
@@ -198,6 +198,13 @@
             held.clone_from(&claim);
             is_new
         });
+        self.shared.members.send_if_modified(|held| {
+            let is_new = *held != self.tenure.members();
+            if is_new {
+                *held = self.tenure.members().to_vec();
+            }
+            is_new
+        });
         if let Some(held) = &self.held {
             // The owner may have ended by itself; then nobody needs the members.
             let _ = held
--- a/crates/kingcupwinch-node/src/shared.rs
+++ b/crates/kingcupwinch-node/src/shared.rs
@@ -5,7 +5,7 @@
 
 use kameo::actor::ActorRef;
 use kingcupwinch_adapter::{Adviser, QueueTable, Settings, Store};
-use kingcupwinch_cell::Claim;
+use kingcupwinch_cell::{Claim, Member};
 use kingcupwinch_platform::Patience;
 use kingcupwinch_time::{Clock, Span, SuspendClock, Time};
 use slog::o;
@@ -33,6 +33,7 @@
     pub(crate) queues: watch::Sender<Option<Arc<QueueTable>>>,
     pub(crate) claim: watch::Sender<Option<Claim>>,
     pub(crate) stopping: watch::Sender<bool>,
+    pub(crate) members: watch::Sender<Vec<Member>>,
     /// Told when a request did not reach the owner.
     pub(crate) owner_missed: Notify,
     owner: Mutex<Option<ActorRef<Owner>>>,
@@ -52,6 +53,7 @@
             queues: watch::Sender::new(None),
             claim: watch::Sender::new(None),
             stopping: watch::Sender::new(false),
+            members: watch::Sender::new(Vec::new()),
             owner_missed: Notify::new(),
             owner: Mutex::new(None),
             store_heard: AtomicU64::new(0),
--- a/crates/kingcupwinch-node/src/siblings.rs
+++ b/crates/kingcupwinch-node/src/siblings.rs
@@ -9,8 +9,9 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
 use kingcupwinch_adapter::KeyedRecord;
-use kingcupwinch_cell::{JobId, Shown};
+use kingcupwinch_cell::{JobId, Member, Shown};
 use kingcupwinch_platform::{HttpClient, SendError, full_body};
+use rand::seq::IndexedRandom;
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, timeout_at};
@@ -28,6 +29,8 @@
 const MOST_BYTES: usize = 256 << 10;
 /// How long one try of a question may take.
 const TRY_TIMEOUT: Duration = Duration::from_millis(700);
+/// Siblings beside the owner that are asked for help with one request.
+const MOST_HELPERS: usize = 2;
 /// The pause before another try.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 
@@ -142,22 +145,51 @@
         }
     }
 
-    /// Has the owner append a record of the intake that this instance can't append.
+    /// Has a sibling append a record of the intake that this instance can't append: the owner
+    /// first, then others, until one took it or may have.
     pub(crate) async fn keep(&self, record: &KeyedRecord, deadline: Instant) -> KeepAnswer {
-        let Some(claim) = self.shared.claim.borrow().clone() else {
-            return KeepAnswer::NotKept;
-        };
-        let Some((question, patience)) = keep_question(record, deadline) else {
+        for address in self.helpers() {
+            if Instant::now() >= deadline {
+                break;
+            }
+            match self.keep_at(&address, record, deadline).await {
+                KeepAnswer::NotKept => {}
+                answer => return answer,
+            }
+        }
+        KeepAnswer::NotKept
+    }
+
+    /// Returns the addresses of siblings to ask for help, the owner's first.
+    fn helpers(&self) -> Vec<Arc<str>> {
+        let me = &self.shared.settings.instance;
+        let owner = self.shared.claim.borrow().clone();
+        let owner = owner.filter(|claim| claim.instance != *me);
+        let mut helpers: Vec<Arc<str>> = owner.map(|claim| claim.address).into_iter().collect();
+        let members = self.shared.members.borrow();
+        let others = members.iter().filter(|member| member.instance != *me);
+        let others: Vec<&Member> = others.collect();
+        let chosen = others.choose_multiple(&mut rand::rng(), MOST_HELPERS);
+        for member in chosen {
+            if !helpers.contains(&member.address) {
+                helpers.push(Arc::clone(&member.address));
+            }
+        }
+        helpers
+    }
+
+    async fn keep_at(
+        &self,
+        address: &Arc<str>,
+        record: &KeyedRecord,
+        deadline: Instant,
+    ) -> KeepAnswer {
+        let until = deadline.min(Instant::now() + TRY_TIMEOUT);
+        let Some(question) = keep_question(record, until) else {
             return KeepAnswer::NotKept;
         };
-        if claim.instance == self.shared.settings.instance {
-            return KeepAnswer::NotKept;
-        }
-        let until = Instant::now() + patience;
-        match self
-            .call(&claim.address, Method::POST, KEEP_PATH, question, until)
-            .await
-        {
+        let call = self.call(address, Method::POST, KEEP_PATH, question, until);
+        match call.await {
             Ok(bytes) => serde_json::from_slice(&bytes).unwrap_or(KeepAnswer::Unknown),
             Err(CallFailure::NotSent) => KeepAnswer::NotKept,
             Err(CallFailure::Lost) => KeepAnswer::Unknown,
@@ -240,17 +272,15 @@
     }
 }
 
-/// Makes the question to keep a record, and says how long to wait for its answer; `None` for what
-/// is no record of the intake.
-fn keep_question(record: &KeyedRecord, deadline: Instant) -> Option<(Bytes, Duration)> {
+/// Makes the question to keep a record; `None` for what is no record of the intake.
+fn keep_question(record: &KeyedRecord, deadline: Instant) -> Option<Bytes> {
     let patience = deadline.saturating_duration_since(Instant::now());
     let question = KeepQuestion {
         key: Arc::clone(&record.key),
         value: String::from_utf8(record.value.as_ref()?.to_vec()).ok()?,
         patience_ms: u64::try_from(patience.as_millis()).ok()?,
     };
-    let body = serde_json::to_vec(&question).ok()?;
-    Some((body.into(), patience))
+    Some(serde_json::to_vec(&question).ok()?.into())
 }
 
 /// Answers siblings.
--- a/crates/kingcupwinch-spec/src/lib.rs
+++ b/crates/kingcupwinch-spec/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod jobs;
 pub mod once;
 pub mod ownership;
+pub mod placement;
 
 pub use explore::{Model, Outcome, Report, explore};
