Let urgent tasks wait for workers that meet their objective

Change: a step's slack is judged by the fastest workers, and a task that can be on time passes over workers on which it would not be.

--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -55,6 +55,8 @@
     pub ticket: Option<Arc<str>>,
     /// The checkpoint to resume from.
     pub checkpoint: Option<Arc<str>>,
+    /// Observed over expected run time on the worker, in per cent.
+    pub pace: u32,
 }
 
 /// An order to stop a run.
@@ -89,8 +91,10 @@
             index: index as u16,
         };
         let spec = &job.spec.steps[step];
+        let pace = (self.workers[worker].speed.mean() * 100.0) as u32;
         let order = StartOrder {
             worker,
+            pace,
             task: name,
             number,
             text: Arc::clone(&job.spec.text),
--- a/crates/kingcupwinch-cell/src/plan.rs
+++ b/crates/kingcupwinch-cell/src/plan.rs
@@ -14,7 +14,7 @@
 use crate::advice::{Verdict, call_time};
 use crate::cell::{Action, Cell};
 use crate::id::TaskName;
-use crate::job::{JobKey, Task};
+use crate::job::{Job, JobKey, Task};
 use crate::spec::{Size, StepSpec};
 use crate::worker::{RACK_LABEL, WorkerKey};
 
@@ -49,9 +49,43 @@
     slack: i64,
     /// No slack to spare for a slow worker.
     is_tight: bool,
+    /// The slowest worker that still meets the objective, as observed over expected run time.
+    slowest: f64,
 }
 
 impl Due {
+    /// Judges a step by the time that it takes on the fastest workers.
+    fn new(key: JobKey, number: usize, job: &Job, fastest: f64, now: Time) -> Self {
+        let tail = job.steps[number].tail.as_micros() as f64;
+        let left = |end: Time| {
+            let left = end.as_micros() as i64 - now.as_micros() as i64;
+            left - (tail * fastest) as i64
+        };
+        let slack = left(job.objective);
+        let hope = if slack >= 0 {
+            Hope::OnTime
+        } else if left(job.late) >= 0 {
+            Hope::Late
+        } else {
+            Hope::None
+        };
+        // A gang needs too many workers at once to be choosy.
+        let is_choosy = hope == Hope::OnTime && !job.spec.steps[number].gang;
+        let slowest = if is_choosy {
+            fastest + slack as f64 / tail.max(1.0)
+        } else {
+            f64::INFINITY
+        };
+        Due {
+            job: key,
+            step: number,
+            hope,
+            slack,
+            is_tight: (slack as f64) < tail * (2.0 - fastest),
+            slowest,
+        }
+    }
+
     fn order(&self, other: &Due) -> Ordering {
         (self.hope, self.slack, self.step).cmp(&(other.hope, other.slack, other.step))
     }
@@ -65,7 +99,7 @@
         self.settle_withdrawn(now);
         self.send_stops(now);
         let mut floor = self.open_floor(now);
-        for due in self.due_steps(now) {
+        for due in self.due_steps(&floor, now) {
             let service = &self.jobs[due.job].spec.terms.service;
             if let Some(hall) = floor.services.get_mut(service) {
                 self.place_step(&due, hall, now);
@@ -99,12 +133,14 @@
     }
 
     /// Returns the steps with tasks to start, the most urgent first.
-    fn due_steps(&self, now: Time) -> Vec<Due> {
+    fn due_steps(&self, floor: &Floor, now: Time) -> Vec<Due> {
         let mut due = Vec::new();
         for (key, job) in &self.jobs {
             if job.end.is_some() {
                 continue;
             }
+            let hall = floor.services.get(&job.spec.terms.service);
+            let fastest = hall.map_or(1.0, Hall::fastest);
             for (number, step) in job.steps.iter().enumerate() {
                 if step.waiting == 0 || !job.is_due(number) {
                     continue;
@@ -114,24 +150,7 @@
                 if is_gang && !step.tasks.iter().all(Task::is_free) {
                     continue;
                 }
-                let left = |end: Time| {
-                    end.as_micros() as i64 - now.as_micros() as i64 - step.tail.as_micros() as i64
-                };
-                let slack = left(job.objective);
-                let hope = if slack >= 0 {
-                    Hope::OnTime
-                } else if left(job.late) >= 0 {
-                    Hope::Late
-                } else {
-                    Hope::None
-                };
-                due.push(Due {
-                    job: key,
-                    step: number,
-                    hope,
-                    slack,
-                    is_tight: slack < step.tail.as_micros() as i64,
-                });
+                due.push(Due::new(key, number, job, fastest, now));
             }
         }
         due.sort_by(Due::order);
@@ -163,7 +182,10 @@
         let job = &self.jobs[due.job];
         let spec = &job.spec.steps[due.step];
         let size = spec.charge();
-        let has_room = |seat: &usize| hall.seats[*seat].room.fits(size) > 0;
+        let has_room = |seat: &usize| {
+            let seat = &hall.seats[*seat];
+            seat.room.fits(size) > 0 && seat.speed <= due.slowest
+        };
         let mut open: Vec<usize> = if job.spec.terms.advice.is_some() {
             let allowed = job.steps[due.step].tickets.allowed(now);
             let seats = allowed.filter_map(|key| hall.places.get(key).copied());
@@ -365,7 +387,8 @@
         for seat in &hall.seats {
             let fits = seat.room.fits(spec.charge()).min(most) as f64;
             let is_of_use = fits > 0.0 || is_first_of_gang;
-            if !is_of_use || !self.has_label(seat.key, spec) {
+            let is_fast_enough = seat.speed <= due.slowest;
+            if !is_of_use || !is_fast_enough || !self.has_label(seat.key, spec) {
                 continue;
             }
             match step.tickets.verdict(seat.key) {
@@ -424,6 +447,12 @@
 }
 
 impl Hall {
+    /// Returns the speed of the fastest worker; 1 if there are none.
+    fn fastest(&self) -> f64 {
+        let speeds = self.seats.iter().map(|seat| seat.speed);
+        speeds.reduce(f64::min).unwrap_or(1.0)
+    }
+
     /// Returns whether any worker has room for a task of a size.
     fn fits_any(&self, size: Size) -> bool {
         self.seats.iter().any(|seat| seat.room.fits(size) > 0)
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -8,5 +8,6 @@
 mod leases;
 mod orders;
 mod site;
+mod speeds;
 mod takeover;
 mod tenure;
--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -264,7 +264,8 @@
         self.shared.log.write(
             Event::RunOrdered,
             o!("task" => order.task.to_string(), "run" => order.number,
-                "worker" => port.id().to_string(), "until" => order.until, "term" => self.term),
+                "worker" => port.id().to_string(), "worker_pace" => order.pace,
+                "until" => order.until, "term" => self.term),
         );
         let (me, shared) = (self.me.clone(), Arc::clone(&self.shared));
         tokio::spawn(async move {
