Don't take a worker's return to the directory for a new life

The store was away, entries of live workers ran out, and a later owner knew these workers from the earlier one's list, without their start. When the directory listed them again with it, the owner took that for a new life and freed what was placed there, which had ended done behind a cut. Change: a start that is not known is no other life. The writer ends with its owner instead of with a flag of the instance. Ends of runs have a module of their own; nothing else in them changed.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -1,6 +1,7 @@
 //! The state of a cell and the events that change it.
 
 mod asks;
+mod ends;
 mod looks;
 mod runs;
 
@@ -108,7 +109,7 @@
 struct PendingAck {
     batch: u64,
     worker: WorkerKey,
-    born: u64,
+    born: Option<u64>,
     number: u64,
 }
 
@@ -258,8 +259,9 @@
         if let Some(&key) = self.by_name.get(&entry.id) {
             let worker = &mut self.workers[key];
             worker.unlisted = None;
-            let is_reborn = worker.entry.born != entry.born;
-            worker.entry = entry;
+            let is_reborn = worker.entry.is_other_life(entry.born);
+            let born = entry.born.or(worker.entry.born);
+            worker.entry = Registration { born, ..entry };
             if is_reborn {
                 self.reset_worker(key, now);
             }
@@ -390,7 +392,7 @@
                 continue;
             }
             if let Some(worker) = self.workers.get_mut(ack.worker)
-                && worker.entry.born == ack.born
+                && !worker.entry.is_other_life(ack.born)
             {
                 worker.acked = worker.acked.max(ack.number);
             }
--- a/crates/kingcupwinch-cell/src/cell/looks.rs
+++ b/crates/kingcupwinch-cell/src/cell/looks.rs
@@ -46,9 +46,9 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        let born = look.born.unwrap_or(worker.entry.born);
-        if born != worker.entry.born {
-            worker.entry.born = born;
+        let is_reborn = worker.entry.is_other_life(look.born);
+        worker.entry.born = look.born.or(worker.entry.born);
+        if is_reborn {
             self.reset_worker(key, now);
         }
         let worker = &mut self.workers[key];
--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -6,15 +6,13 @@
 
 use super::{AskKey, Cell};
 use crate::id::TaskName;
-use crate::job::{JobKey, Shown, TaskState};
-use crate::run::{EndKind, Placed, Run, RunKey, RunState, StartAnswer};
+use crate::job::{JobKey, TaskState};
+use crate::run::{Placed, Run, RunKey, RunState, StartAnswer};
 use crate::spec::Size;
 use crate::worker::WorkerKey;
 
 /// How long an order to stop may go without an answer before it is sent again.
 const STOP_RETRY: Span = Span::from_millis(600);
-/// Runs shorter than this, or estimated so, tell too little about a worker's speed.
-const LEAST_SAMPLE: Span = Span::from_millis(100);
 
 /// What the owner has to do.
 #[derive(Debug, Clone, PartialEq)]
@@ -359,139 +357,6 @@
         }
     }
 
-    /// Takes a run's end as its worker lists it.
-    pub(crate) fn end_run(
-        &mut self,
-        key: RunKey,
-        how: EndKind,
-        saved: Option<Arc<str>>,
-        now: Time,
-    ) {
-        let run = &self.runs[key];
-        let (job, name, number, worker) = (run.job, run.name, run.number, run.worker);
-        let own = self.is_task_active(job, name, key);
-        let elapsed = now.since(run.began);
-        let (step, index) = (usize::from(name.step), usize::from(name.index));
-        if let (true, Some(saved)) = (own, saved) {
-            self.save(job, step, index, saved);
-        }
-        match how {
-            EndKind::Done => {
-                self.counters.done += 1;
-                self.learn(job, step, worker, elapsed);
-                self.workers[worker].note_done();
-                self.finish(job, key);
-            }
-            EndKind::Failed => {
-                self.counters.failed += 1;
-                self.count_failure(job, (step, index), number, worker, now);
-            }
-            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {
-                self.counters.lost += 1;
-            }
-        }
-        // The platform ends the other members of a gang with this one.
-        self.settle(key, now);
-    }
-
-    fn save(&mut self, key: JobKey, step: usize, index: usize, saved: Arc<str>) {
-        let job = &mut self.jobs[key];
-        if job.spec.steps[step].gang {
-            for task in &mut job.steps[step].tasks {
-                task.saved = Some(Arc::clone(&saved));
-            }
-        } else {
-            job.steps[step].tasks[index].saved = Some(saved);
-        }
-        self.dirty.insert(key);
-    }
-
-    /// Marks the task of a run done; one member stands for its whole gang. Other runs of the task
-    /// are stopped.
-    fn finish(&mut self, key: JobKey, done: RunKey) {
-        let name = self.runs[done].name;
-        let (step, index) = (usize::from(name.step), usize::from(name.index));
-        let job = &mut self.jobs[key];
-        if job.end.is_some() {
-            return;
-        }
-        if job.spec.steps[step].gang {
-            for member in 0..job.steps[step].tasks.len() {
-                job.finish_task(step, member);
-            }
-        } else {
-            job.finish_task(step, index);
-        }
-        self.dirty.insert(key);
-        for other in self.rivals(key, done) {
-            self.stop_run(other);
-        }
-        if self.jobs[key].is_done() {
-            self.end_job(key, Shown::Completed);
-        }
-    }
-
-    /// Returns the unsettled runs that do the same work as a run; the other members of a gang's run
-    /// end with it.
-    fn rivals(&self, key: JobKey, run: RunKey) -> Vec<RunKey> {
-        let (name, number) = (self.runs[run].name, self.runs[run].number);
-        let is_gang = self.jobs[key].spec.steps[usize::from(name.step)].gang;
-        let is_rival = |other: &&RunKey| {
-            let other = &self.runs[**other];
-            let same = other.name == name || (is_gang && other.name.step == name.step);
-            same && other.number != number
-        };
-        let runs = &self.jobs[key].runs;
-        runs.iter().filter(is_rival).copied().collect()
-    }
-
-    fn count_failure(
-        &mut self,
-        key: JobKey,
-        place: (usize, usize),
-        number: u32,
-        worker: WorkerKey,
-        now: Time,
-    ) {
-        self.workers[worker].note_failure(now);
-        let (step, index) = place;
-        let job = &mut self.jobs[key];
-        if job.end.is_some() {
-            return;
-        }
-        let limit = job.spec.terms.attempts as usize;
-        let is_gang = job.spec.steps[step].gang;
-        // The first task counts for its whole gang.
-        let task = &mut job.steps[step].tasks[if is_gang { 0 } else { index }];
-        if task.failed.contains(&number) {
-            return;
-        }
-        task.failed.push(number);
-        task.avoid = Some(worker);
-        let is_over = task.failed.len() >= limit;
-        self.dirty.insert(key);
-        if is_over {
-            self.end_job(key, Shown::Failed);
-        }
-    }
-
-    /// Learns from a run that was done.
-    fn learn(&mut self, key: JobKey, step: usize, worker: WorkerKey, elapsed: Span) {
-        let job = &self.jobs[key];
-        let spec = &job.spec.steps[step];
-        let estimate = Span::from_millis(spec.estimate_ms);
-        if spec.gang || estimate < LEAST_SAMPLE || elapsed < LEAST_SAMPLE {
-            return;
-        }
-        let ratio = elapsed.as_secs_f64() / estimate.as_secs_f64();
-        let queue = Arc::clone(&job.spec.terms.queue);
-        let speed = self.workers[worker].speed.mean();
-        let sense = self.sense(&queue);
-        let pace = sense.pace.mean();
-        sense.pace.observe(ratio / speed);
-        self.workers[worker].speed.observe(ratio / pace);
-    }
-
     /// Frees what a run held, once it is certain that it does not run and never will.
     pub(crate) fn settle(&mut self, key: RunKey, now: Time) {
         let Some(run) = self.runs.remove(key) else {
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -46,8 +46,17 @@
     pub capacity: Size,
     /// Its kind and its rack.
     pub labels: Vec<Arc<str>>,
-    /// Unix milliseconds of its start.
-    pub born: u64,
+    /// Unix milliseconds of its start; `None` if it is known from an earlier owner's list only.
+    pub born: Option<u64>,
+}
+
+impl Registration {
+    /// Returns whether a start is that of another life of the worker; one that is not known is not.
+    pub(crate) fn is_other_life(&self, born: Option<u64>) -> bool {
+        self.born
+            .zip(born)
+            .is_some_and(|(known, other)| known != other)
+    }
 }
 
 /// A run as a worker lists it.
--- a/crates/kingcupwinch-cell/tests/cell/site.rs
+++ b/crates/kingcupwinch-cell/tests/cell/site.rs
@@ -69,7 +69,7 @@
             gpu: 0,
         },
         labels: vec!["kind".into(), format!("rack-{}", number / 4).into()],
-        born: 1,
+        born: Some(1),
     }
 }
 
--- a/crates/kingcupwinch-cell/tests/cell/takeover.rs
+++ b/crates/kingcupwinch-cell/tests/cell/takeover.rs
@@ -1,6 +1,6 @@
 //! What a later owner makes of what an earlier one left.
 
-use kingcupwinch_cell::{EndKind, JobRecord, Placement, RunningTask, Shown};
+use kingcupwinch_cell::{EndKind, Ended, JobRecord, Placement, RunningTask, Shown};
 use kingcupwinch_time::Span;
 
 use crate::site::{LEASE, OVERLAP, Played, Site, entry, id, job, step, task};
@@ -220,3 +220,36 @@
     site.decide();
     assert_eq!(site.starts.len(), 1);
 }
+
+/// Pattern: the store is away and entries of workers run out. A worker that is known only from the
+/// earlier owner's list, and is listed again when the store is back, is not a new life.
+#[test]
+fn a_worker_that_is_listed_again_still_holds_what_was_placed_there() {
+    let mut site = Site::of_generation(2);
+    let mut from_list = entry(0, 4);
+    from_list.born = None;
+    from_list.draining = true;
+    let away = site.cell.list_worker(from_list, true, site.now);
+    site.cell.unlist_worker("i-0", site.now);
+    let near = site.cell.list_worker(entry(1, 4), true, site.now);
+    for key in [away, near] {
+        site.workers.insert(key, Played::default());
+    }
+    restore(&mut site, 1, Some(&placed_on("i-0", 1)));
+    site.look(near);
+    site.cell.list_worker(entry(0, 4), false, site.now);
+    site.decide();
+    assert!(site.starts.is_empty(), "it may still run there");
+    let ended = Ended {
+        number: 1,
+        task: task(1, 0, 0),
+        run: 1,
+        how: EndKind::Done,
+        saved: None,
+    };
+    site.workers.get_mut(&away).unwrap().ended.push(ended);
+    site.look(away);
+    site.keep_records();
+    assert_eq!(site.shown(1), Some(Shown::Completed));
+    assert!(site.starts.is_empty());
+}
--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -146,7 +146,7 @@
             draining: true,
             capacity: Size::default(),
             labels: Vec::new(),
-            born: 0,
+            born: None,
         };
         cell.list_worker(entry, true, now);
         cell.unlist_worker(&id, now);
--- a/crates/kingcupwinch-node/src/owner/writer.rs
+++ b/crates/kingcupwinch-node/src/owner/writer.rs
@@ -200,7 +200,7 @@
                 shared.note_store(Some(&error.to_string()));
             }
         }
-        if shared.owner().is_none() && !shared.is_stopping() {
+        if !owner.is_alive() {
             return None;
         }
         tokio::time::sleep(RETRY_PAUSE).await;
