Start elsewhere at once what ran on a worker that left

Change: looks that fail tell whether the connection was closed in good order or refused. With an entry that goes within one heartbeat of the last answer the process has ended: for silence it would have gone later, after three. A first failed look is repeated soon.

The case is a test now.

Also: a recorded placement on a worker that nobody lists was dropped, so its task could start while it may run there; it counts until its lease has lapsed. Records that can't be read are skipped with a log line in the directory, the list of workers in use, the group and the log's states. A worker that starts anew at another address gets a new port. Members are told to the owner when they change only. The answer to a due look is no longer an Option.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -19,7 +19,7 @@
 use crate::run::{Placed, Run, RunKey, RunState};
 use crate::spec::JobSpec;
 use crate::speed::{Ratio, Share};
-use crate::worker::{Registration, Worker, WorkerKey};
+use crate::worker::{Missed, Registration, Worker, WorkerKey};
 
 pub use asks::AskKey;
 pub use runs::{Action, StartOrder, StopOrder};
@@ -36,6 +36,9 @@
     pub overlap: Span,
     /// How long the end of a job can be asked for.
     pub keep: Span,
+    /// A worker that leaves the directory so soon after its last answer was removed by itself: for
+    /// silence it would have been removed later.
+    pub left_within: Span,
 }
 
 /// What became of a job that was handed in.
@@ -227,8 +230,9 @@
 
     /// Takes over a recorded placement; a look at the worker has to settle it.
     fn adopt_placement(&mut self, key: JobKey, placed: &Placement, now: Time) {
-        let Some(&worker) = self.by_name.get(&placed.worker) else {
-            return;
+        let worker = match self.by_name.get(&placed.worker) {
+            Some(&worker) => worker,
+            None => self.list_lost_worker(&placed.worker, "".into(), now),
         };
         let name = TaskName {
             job: self.jobs[key].id,
@@ -279,6 +283,23 @@
         key
     }
 
+    /// Takes in a worker that an earlier owner used and that left the directory since. What was
+    /// placed there counts as running until a look or the end of the leases settles it; without an
+    /// address only the latter can.
+    pub fn list_lost_worker(&mut self, id: &Arc<str>, address: Arc<str>, now: Time) -> WorkerKey {
+        if let Some(&known) = self.by_name.get(id) {
+            return known;
+        }
+        let is_reachable = !address.is_empty();
+        let key = self.list_worker(Registration::of_lost(id, address), true, now);
+        let worker = &mut self.workers[key];
+        worker.unlisted = Some(now);
+        if !is_reachable {
+            worker.note_missed(Missed::Silent);
+        }
+        key
+    }
+
     /// Notes that a worker left the directory.
     pub fn unlist_worker(&mut self, id: &str, now: Time) {
         if let Some(&key) = self.by_name.get(id) {
--- a/crates/kingcupwinch-cell/src/cell/looks.rs
+++ b/crates/kingcupwinch-cell/src/cell/looks.rs
@@ -8,7 +8,7 @@
 use super::{Action, Cell, PendingAck};
 use crate::id::TaskName;
 use crate::run::{EndKind, Ended, Placed, RunKey, RunState};
-use crate::worker::{Look, LookOrder, RunningTask, WorkerKey};
+use crate::worker::{Look, LookOrder, Missed, RunningTask, WorkerKey};
 
 /// Ends that a worker lists at a time.
 const ENDED_ROWS: usize = 500;
@@ -52,9 +52,7 @@
             self.reset_worker(key, now);
         }
         let worker = &mut self.workers[key];
-        worker.read_clock(look.clock, now);
-        worker.misses = 0;
-        worker.inherited = false;
+        worker.note_answer(look.clock, now);
         self.take_running(key, &look.running, now);
         self.take_ended(key, &look.ended, now);
         // A list that is cut off says nothing of the runs that it lacks.
@@ -204,9 +202,9 @@
     }
 
     /// Notes that a worker did not answer a look.
-    pub fn look_failed(&mut self, key: WorkerKey) {
+    pub fn look_failed(&mut self, key: WorkerKey, missed: Missed) {
         if let Some(worker) = self.workers.get_mut(key) {
-            worker.misses += 1;
+            worker.note_missed(missed);
         }
     }
 
@@ -226,12 +224,12 @@
         }
     }
 
-    /// Frees what ran on workers whose leases have certainly lapsed, and forgets workers that left.
+    /// Frees what ran on workers where nothing runs any more, and forgets workers that left.
     pub(crate) fn expire_workers(&mut self, now: Time) {
         let keys: Vec<WorkerKey> = self.workers.keys().collect();
         for key in keys {
             let worker = &self.workers[key];
-            if worker.misses > 0 && worker.lapsed < now {
+            if worker.is_over(self.limits.left_within, now) {
                 self.workers[key].inherited = false;
                 self.release_runs(key, now);
             }
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -23,4 +23,4 @@
 pub use run::{EndKind, Ended, StartAnswer};
 pub use spec::{AdviceTerms, JobSpec, Size, StepSpec, Terms};
 pub use tenure::{Claim, Duty, GroupRecord, Member, Tenure, TenureTimers};
-pub use worker::{Look, LookOrder, Registration, RunningTask, WorkerKey};
+pub use worker::{Look, LookOrder, Missed, Registration, RunningTask, WorkerKey};
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -51,6 +51,20 @@
 }
 
 impl Registration {
+    /// Makes the entry of a worker of which only this much is known; it gets nothing new.
+    pub(crate) fn of_lost(id: &Arc<str>, address: Arc<str>) -> Self {
+        Registration {
+            id: Arc::clone(id),
+            address,
+            service: "".into(),
+            domain: "".into(),
+            draining: true,
+            capacity: Size::default(),
+            labels: Vec::new(),
+            born: None,
+        }
+    }
+
     /// Returns whether a start is that of another life of the worker; one that is not known is not.
     pub(crate) fn is_other_life(&self, born: Option<u64>) -> bool {
         self.born
@@ -85,6 +99,16 @@
     pub ended: Vec<Ended>,
 }
 
+/// What is known of a worker that did not answer a look.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Missed {
+    /// Nothing.
+    Silent,
+    /// It closed the connection in good order, or refused one. Its process may have ended, or a cut
+    /// in the network refuses in its name.
+    Closed,
+}
+
 /// What to ask of a worker with the next look.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LookOrder {
@@ -117,6 +141,10 @@
     pub(crate) seen: u64,
     pub(crate) acked: u64,
     pub(crate) misses: u32,
+    /// When it last answered a look.
+    heard: Time,
+    /// Whether a look that it missed since then found the connection closed.
+    is_closed: bool,
     /// Not yet looked at under this owner's term.
     pub(crate) inherited: bool,
     /// Runs something of which this owner knows neither job nor size.
@@ -139,6 +167,8 @@
             seen: 0,
             acked: 0,
             misses: 0,
+            heard: Time::ZERO,
+            is_closed: false,
             inherited,
             has_foreign: false,
             speed: Ratio::default(),
@@ -163,8 +193,34 @@
         self.entry.capacity.room(self.used)
     }
 
-    pub(crate) fn read_clock(&mut self, clock: u64, read: Time) {
+    /// Notes an answer to a look, with the worker's clock.
+    pub(crate) fn note_answer(&mut self, clock: u64, read: Time) {
         self.clock = Some(ClockSample { clock, read });
+        self.heard = read;
+        self.misses = 0;
+        self.is_closed = false;
+        self.inherited = false;
+    }
+
+    /// Notes that a look was not answered.
+    pub(crate) fn note_missed(&mut self, missed: Missed) {
+        self.misses += 1;
+        self.is_closed |= missed == Missed::Closed;
+    }
+
+    /// Returns whether nothing runs there for certain: every lease has lapsed, or the process has
+    /// ended.
+    pub(crate) fn is_over(&self, left_within: Span, now: Time) -> bool {
+        self.misses > 0 && (self.lapsed < now || self.has_ended(left_within))
+    }
+
+    /// Returns whether the process has ended: it closed its connections and took its entry away.
+    /// The entry of one that is out of reach would outlive the last answer by longer.
+    fn has_ended(&self, left_within: Span) -> bool {
+        let has_left = self
+            .unlisted
+            .is_some_and(|at| at < self.heard + left_within);
+        self.is_closed && has_left
     }
 
     /// Returns a lease's end on the worker's clock, and remembers when it has lapsed for certain.
--- a/crates/kingcupwinch-cell/tests/cell/capacity.rs
+++ b/crates/kingcupwinch-cell/tests/cell/capacity.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use kingcupwinch_cell::{EndKind, StartAnswer, StepSpec, TaskName, WorkerKey};
+use kingcupwinch_cell::{EndKind, Missed, StartAnswer, StepSpec, TaskName, WorkerKey};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -118,7 +118,7 @@
 fn play_looks(site: &mut Site, random: &mut ChaCha8Rng) {
     for key in site.keys() {
         match random.random_range(0..10) {
-            0 => site.cell.look_failed(key),
+            0 => site.cell.look_failed(key, Missed::Silent),
             1..6 => {
                 // Standing still is another test's subject.
                 for run in &mut site.workers.get_mut(&key).unwrap().running {
--- a/crates/kingcupwinch-cell/tests/cell/leases.rs
+++ b/crates/kingcupwinch-cell/tests/cell/leases.rs
@@ -1,9 +1,9 @@
 //! Workers that fall silent, come back or start anew.
 
-use kingcupwinch_cell::{EndKind, Look};
+use kingcupwinch_cell::{EndKind, Look, Missed};
 use kingcupwinch_time::Span;
 
-use crate::site::{LEASE, Site, entry, job, step};
+use crate::site::{LEASE, LEFT_WITHIN, Site, entry, job, step};
 
 #[test]
 fn what_ran_on_a_silent_worker_starts_elsewhere_only_after_its_lease() {
@@ -12,7 +12,7 @@
     site.run_orders();
     let (silent, _) = site.running()[0];
     let other = site.keys().into_iter().find(|key| *key != silent).unwrap();
-    site.cell.look_failed(silent);
+    site.cell.look_failed(silent, Missed::Silent);
     site.pass(LEASE.as_millis());
     site.look(other);
     site.decide();
@@ -35,8 +35,8 @@
             .until
             .is_some()
     );
-    site.cell.look_failed(worker);
-    site.cell.look_failed(worker);
+    site.cell.look_failed(worker, Missed::Silent);
+    site.cell.look_failed(worker, Missed::Silent);
     assert!(
         site.cell
             .look_order(worker, site.now)
@@ -129,3 +129,63 @@
         "it is tried again"
     );
 }
+
+/// Starts a task, and has its worker miss a look.
+fn site_with_a_missed_look(missed: Missed) -> (Site, kingcupwinch_cell::WorkerKey) {
+    let mut site = Site::new(2, 4);
+    site.submit(1, job(vec![step(1, 1, 500)]));
+    site.run_orders();
+    site.look_all();
+    let (worker, _) = site.running()[0];
+    site.cell.look_failed(worker, missed);
+    (site, worker)
+}
+
+fn id_of(site: &Site, worker: kingcupwinch_cell::WorkerKey) -> std::sync::Arc<str> {
+    let rows = site.cell.workers();
+    let row = rows.into_iter().find(|(key, _, _)| *key == worker);
+    row.unwrap().1
+}
+
+/// Pattern: workers are taken away at short notice; their tasks wait for no lease.
+#[test]
+fn a_worker_that_closed_and_left_the_directory_at_once_runs_nothing() {
+    let (mut site, worker) = site_with_a_missed_look(Missed::Closed);
+    let id = id_of(&site, worker);
+    site.pass(300);
+    site.cell.unlist_worker(&id, site.now);
+    site.decide();
+    assert_eq!(site.starts.len(), 1);
+    assert_ne!(site.starts[0].worker, worker);
+}
+
+/// Its entry may have gone for silence while its process goes on behind a cut.
+#[test]
+fn a_worker_that_left_the_directory_long_after_its_last_answer_may_run_on() {
+    let (mut site, worker) = site_with_a_missed_look(Missed::Closed);
+    let id = id_of(&site, worker);
+    site.pass(LEFT_WITHIN.as_millis() + 1);
+    site.cell.unlist_worker(&id, site.now);
+    site.decide();
+    assert!(site.starts.is_empty());
+}
+
+/// Pattern: a zone is cut off, and the cut refuses connections in the name of workers that go on.
+#[test]
+fn a_closed_or_refused_connection_alone_says_nothing() {
+    let (mut site, _) = site_with_a_missed_look(Missed::Closed);
+    site.pass(3_000);
+    site.decide();
+    assert!(site.starts.is_empty());
+}
+
+#[test]
+fn an_answer_takes_back_what_missed_looks_told() {
+    let (mut site, worker) = site_with_a_missed_look(Missed::Closed);
+    site.look(worker);
+    site.cell.look_failed(worker, Missed::Silent);
+    let id = id_of(&site, worker);
+    site.cell.unlist_worker(&id, site.now);
+    site.decide();
+    assert!(site.starts.is_empty());
+}
--- a/crates/kingcupwinch-cell/tests/cell/orders.rs
+++ b/crates/kingcupwinch-cell/tests/cell/orders.rs
@@ -1,6 +1,6 @@
 //! The life of a job: placed, run, failed, cancelled.
 
-use kingcupwinch_cell::{EndKind, Shown, StartAnswer, Submitted};
+use kingcupwinch_cell::{EndKind, Missed, Shown, StartAnswer, Submitted};
 
 use crate::site::{Site, id, job, step, task};
 
@@ -200,7 +200,7 @@
     site.submit(1, job(vec![step(1, 1, 500)]));
     site.decide_unrecorded();
     for key in site.keys() {
-        site.cell.look_failed(key);
+        site.cell.look_failed(key, Missed::Silent);
     }
     site.keep_records();
     assert!(site.starts.is_empty());
--- a/crates/kingcupwinch-cell/tests/cell/site.rs
+++ b/crates/kingcupwinch-cell/tests/cell/site.rs
@@ -15,6 +15,9 @@
 /// How long an earlier owner may have renewed leases after a claim.
 pub(crate) const OVERLAP: Span = Span::from_millis(4_000);
 
+/// How soon after its last answer an entry goes only if its worker left.
+pub(crate) const LEFT_WITHIN: Span = Span::from_millis(1_500);
+
 /// What a played worker has.
 #[derive(Debug, Default)]
 pub(crate) struct Played {
@@ -53,6 +56,7 @@
         lease: LEASE,
         overlap: OVERLAP,
         keep: Span::from_secs(120),
+        left_within: LEFT_WITHIN,
     }
 }
 
--- a/crates/kingcupwinch-cell/tests/cell/takeover.rs
+++ b/crates/kingcupwinch-cell/tests/cell/takeover.rs
@@ -1,6 +1,6 @@
 //! What a later owner makes of what an earlier one left.
 
-use kingcupwinch_cell::{EndKind, Ended, JobRecord, Placement, RunningTask, Shown};
+use kingcupwinch_cell::{EndKind, Ended, JobRecord, Missed, Placement, RunningTask, Shown};
 use kingcupwinch_time::Span;
 
 use crate::site::{LEASE, OVERLAP, Played, Site, entry, id, job, step, task};
@@ -66,7 +66,7 @@
     let mut site = heir(2);
     restore(&mut site, 1, Some(&placed_on("i-1", 1)));
     let keys = site.keys();
-    site.cell.look_failed(keys[1]);
+    site.cell.look_failed(keys[1], Missed::Silent);
     site.pass((OVERLAP.as_millis()) + LEASE.as_millis());
     site.look(keys[0]);
     site.decide();
@@ -253,3 +253,17 @@
     assert_eq!(site.shown(1), Some(Shown::Completed));
     assert!(site.starts.is_empty());
 }
+
+/// Its worker left the directory, and the list of workers that were in use can't be read.
+#[test]
+fn what_was_placed_on_an_unknown_worker_waits_until_its_lease_has_lapsed() {
+    let mut site = heir(1);
+    restore(&mut site, 1, Some(&placed_on("i-unknown", 1)));
+    site.look_all();
+    site.decide();
+    assert!(site.starts.is_empty(), "it may run there");
+    site.pass(OVERLAP.as_millis() + LEASE.as_millis() * 21 / 20 + 10);
+    site.look_all();
+    site.decide();
+    assert_eq!(site.starts.len(), 1);
+}
--- a/crates/kingcupwinch-node/src/group.rs
+++ b/crates/kingcupwinch-node/src/group.rs
@@ -138,11 +138,17 @@
         let wait = self.read_wait();
         let deadline = Instant::now() + Duration::from_millis(wait) + CALL_MARGIN;
         let batch = store.read(GROUP, from, wait, deadline).await?;
-        let decode = |(offset, bytes)| Some((offset, KeyedRecord::decode(bytes)?));
-        Ok((
-            batch.next,
-            batch.records.into_iter().filter_map(decode).collect(),
-        ))
+        let mut records = Vec::with_capacity(batch.records.len());
+        for (offset, bytes) in batch.records {
+            match KeyedRecord::decode(bytes) {
+                Some(record) => records.push((offset, record)),
+                None => self.shared.log.write(
+                    Event::RecordSkipped,
+                    o!("partition" => "group", "offset" => offset, "error" => "no key"),
+                ),
+            }
+        }
+        Ok((batch.next, records))
     }
 
     /// Returns how long the next read may wait, in milliseconds: not past a claim that is due.
@@ -198,14 +204,14 @@
             held.clone_from(&claim);
             is_new
         });
-        self.shared.members.send_if_modified(|held| {
+        let are_new = self.shared.members.send_if_modified(|held| {
             let is_new = *held != self.tenure.members();
             if is_new {
                 *held = self.tenure.members().to_vec();
             }
             is_new
         });
-        if let Some(held) = &self.held {
+        if let (true, Some(held)) = (are_new, &self.held) {
             // The owner may have ended by itself; then nobody needs the members.
             let _ = held
                 .owner
--- a/crates/kingcupwinch-node/src/log_states.rs
+++ b/crates/kingcupwinch-node/src/log_states.rs
@@ -7,9 +7,11 @@
 use kingcupwinch_adapter::{KeyedRecord, StoreError};
 use kingcupwinch_cell::{JobId, JobRecord, Shown};
 use rustc_hash::FxHashMap;
+use slog::o;
 use tokio::sync::Mutex;
 use tokio::time::Instant;
 
+use crate::events::Event;
 use crate::layout::PROGRESS;
 use crate::shared::Shared;
 
@@ -62,15 +64,18 @@
             None => {
                 let page = shared.store.newest_all(PROGRESS, deadline).await?;
                 for item in &page.items {
-                    self.apply(&item.key, Some(&item.value));
+                    self.apply(shared, &item.key, Some(&item.value));
                 }
                 self.next = Some(page.end);
             }
             Some(from) => match shared.store.read(PROGRESS, from, 0, deadline).await {
                 Ok(batch) => {
-                    for (_, bytes) in batch.records {
-                        if let Some(record) = KeyedRecord::decode(bytes) {
-                            self.apply(&record.key, record.value.as_ref());
+                    for (offset, bytes) in batch.records {
+                        match KeyedRecord::decode(bytes) {
+                            Some(record) => {
+                                self.apply(shared, &record.key, record.value.as_ref());
+                            }
+                            None => skipped(shared, &format!("offset {offset}"), "no key"),
                         }
                     }
                     self.next = Some(batch.next);
@@ -85,15 +90,29 @@
         Ok(())
     }
 
-    fn apply(&mut self, key: &str, value: Option<&Bytes>) {
+    fn apply(&mut self, shared: &Shared, key: &str, value: Option<&Bytes>) {
+        // Other keys of the partition are no jobs.
         let Some(id) = JobId::parse(key) else { return };
-        match value.and_then(|value| JobRecord::decode(value).ok()) {
-            Some(record) => {
+        let Some(value) = value else {
+            self.states.remove(&id);
+            return;
+        };
+        match JobRecord::decode(value) {
+            Ok(record) => {
                 self.states.insert(id, record.shown());
             }
-            None => {
+            // A state from before would be a guess.
+            Err(error) => {
                 self.states.remove(&id);
+                skipped(shared, key, &error.to_string());
             }
         }
     }
 }
+
+fn skipped(shared: &Shared, record: &str, error: &str) {
+    shared.log.write(
+        Event::RecordSkipped,
+        o!("partition" => "progress", "record" => record.to_owned(), "error" => error.to_owned()),
+    );
+}
--- a/crates/kingcupwinch-node/src/owner/loops.rs
+++ b/crates/kingcupwinch-node/src/owner/loops.rs
@@ -5,9 +5,7 @@
 
 use bytes::Bytes;
 use kameo::actor::WeakActorRef;
-use kingcupwinch_adapter::{
-    Advice, DIRECTORY, KeyedRecord, Page, Partition, StoreError, WorkerPort,
-};
+use kingcupwinch_adapter::{Advice, DIRECTORY, KeyedRecord, Page, Partition, StoreError};
 use kingcupwinch_cell::{AskKey, Ticket, WorkerKey};
 use kingcupwinch_time::{Span, Time};
 use slog::o;
@@ -53,22 +51,22 @@
     owner: WeakActorRef<Owner>,
     worker: WorkerKey,
     id: Arc<str>,
-    port: WorkerPort,
 ) {
     let mut is_lost = false;
     loop {
         let Some(actor) = owner.upgrade() else { return };
-        let order = match actor.ask(LookDue(worker)).await {
-            Ok(Some(LookPlan::Look(order))) => order,
-            Ok(Some(LookPlan::Pause)) => {
+        let (order, port) = match actor.ask(LookDue(worker)).await {
+            Ok(LookPlan::Look(order, port)) => (order, port),
+            Ok(LookPlan::Pause) => {
                 drop(actor);
                 tokio::time::sleep(LOOK_PAUSE).await;
                 continue;
             }
-            Ok(Some(LookPlan::End) | None) | Err(_) => return,
+            Ok(LookPlan::End) | Err(_) => return,
         };
         drop(actor);
         let sent = shared.now();
+        let was_lost = is_lost;
         let result = port.look(order).await;
         let failure = result.as_ref().err().map(ToString::to_string);
         note_change(&shared, &id, &mut is_lost, failure.as_deref());
@@ -82,7 +80,8 @@
             return;
         }
         drop(actor);
-        let pause = if failure.is_some() {
+        // A first failure may be that of a connection only.
+        let pause = if failure.is_some() && was_lost {
             LOOK_PAUSE
         } else {
             LOOK_GAP
--- a/crates/kingcupwinch-node/src/owner/messages.rs
+++ b/crates/kingcupwinch-node/src/owner/messages.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use kameo::message::{Context, Message};
-use kingcupwinch_adapter::{OrderError, Partition, decode_registration};
+use kingcupwinch_adapter::{OrderError, Partition, WorkerPort, decode_registration};
 use kingcupwinch_cell::{
     AskKey, JobId, JobSpec, Look, LookOrder, Member, Shown, StartAnswer, StartOrder, StopOrder,
     Submitted, Ticket, WorkerKey,
@@ -54,9 +54,9 @@
 pub(crate) struct LookDue(pub(crate) WorkerKey);
 
 /// What a loop of looks is to do.
-#[derive(Debug)]
+#[derive(Debug, kameo::Reply)]
 pub(crate) enum LookPlan {
-    Look(LookOrder),
+    Look(LookOrder, WorkerPort),
     /// No orders may be given now.
     Pause,
     /// The worker is forgotten, or this owner is over.
@@ -250,22 +250,25 @@
 }
 
 impl Message<LookDue> for Owner {
-    type Reply = Option<LookPlan>;
+    type Reply = LookPlan;
 
-    async fn handle(&mut self, key: LookDue, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+    async fn handle(&mut self, key: LookDue, _: &mut Context<Self, LookPlan>) -> LookPlan {
         let now = self.shared.now();
         if self.is_over {
-            return Some(LookPlan::End);
+            return LookPlan::End;
         }
         if !self.may_order(now) {
-            return Some(LookPlan::Pause);
+            return LookPlan::Pause;
+        }
+        let order = self.cell.look_order(key.0, now);
+        match order.zip(self.ports.get(&key.0).cloned()) {
+            Some((order, port)) => LookPlan::Look(order, port),
+            None => {
+                self.ports.remove(&key.0);
+                self.is_worker_list_new = true;
+                LookPlan::End
+            }
         }
-        let Some(order) = self.cell.look_order(key.0, now) else {
-            self.ports.remove(&key.0);
-            self.is_worker_list_new = true;
-            return Some(LookPlan::End);
-        };
-        Some(LookPlan::Look(order))
     }
 }
 
@@ -281,7 +284,7 @@
                 self.decide_soon();
             }
             Err(OrderError::Fenced) => self.fence("worker"),
-            Err(_) => self.cell.look_failed(looked.worker),
+            Err(error) => self.cell.look_failed(looked.worker, error.missed()),
         }
     }
 }
--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -154,36 +154,47 @@
 
     fn list(&mut self, entry: Registration, now: Time) {
         let (id, draining) = (Arc::clone(&entry.id), entry.draining);
-        let before = self.cell.workers().len();
-        self.cell.list_worker(entry, false, now);
-        if self.cell.workers().len() != before {
-            self.is_worker_list_new = true;
-            self.shared.log.write(
-                Event::WorkerListed,
-                o!("worker" => id.to_string(), "draining" => draining),
-            );
-            self.open_ports();
+        let address = Arc::clone(&entry.address);
+        let key = self.cell.list_worker(entry, false, now);
+        let known = self.ports.get(&key).map(WorkerPort::address);
+        if known.is_some_and(|known| address.parse() == Ok(known)) {
+            return;
         }
+        self.is_worker_list_new = true;
+        self.shared.log.write(
+            Event::WorkerListed,
+            o!("worker" => id.to_string(), "draining" => draining),
+        );
+        self.open_ports();
     }
 
-    /// Opens a port and a loop of looks for each worker that has none.
+    /// Opens a port and a loop of looks for each worker that has none, and another port for a worker
+    /// that started anew elsewhere.
     fn open_ports(&mut self) {
         for (key, id, address) in self.cell.workers() {
-            if self.ports.contains_key(&key) {
+            // Of a worker without an address only its id is known.
+            if address.is_empty() {
                 continue;
             }
-            let Ok(parsed) = address.parse() else {
+            let Ok(address) = address.parse() else {
                 self.shared.log.write(
                     Event::RecordSkipped,
                     o!("worker" => id.to_string(), "error" => "address"),
                 );
                 continue;
             };
-            let port = WorkerPort::new(parsed, Arc::clone(&id), self.term);
-            self.ports.insert(key, port.clone());
-            if let Some(me) = self.me.upgrade() {
+            if self
+                .ports
+                .get(&key)
+                .is_some_and(|port| port.address() == address)
+            {
+                continue;
+            }
+            let port = WorkerPort::new(address, Arc::clone(&id), self.term);
+            let is_new = self.ports.insert(key, port).is_none();
+            if is_new && let Some(me) = self.me.upgrade() {
                 let shared = Arc::clone(&self.shared);
-                tokio::spawn(loops::look(shared, me.downgrade(), key, id, port));
+                tokio::spawn(loops::look(shared, me.downgrade(), key, id));
             }
         }
     }
--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -8,9 +8,7 @@
 use kingcupwinch_adapter::{
     DIRECTORY, Fence, Page, Partition, Store, StoreError, WriteError, decode_registration,
 };
-use kingcupwinch_cell::{
-    Cell, Claim, JobId, JobRecord, JobSpec, Limits, Registration, Shown, Size,
-};
+use kingcupwinch_cell::{Cell, Claim, JobId, JobRecord, JobSpec, Limits, Shown};
 use kingcupwinch_time::{Span, Time, WallClock};
 use quick_error::quick_error;
 use rustc_hash::FxHashMap;
@@ -85,10 +83,11 @@
         lease: shared.settings.lease - LEASE_MARGIN,
         overlap,
         keep: shared.settings.status_keep,
+        left_within: shared.settings.heartbeat,
     };
     let mut cell = Cell::new(limits, claim.generation);
     let now = shared.now();
-    let workers = list_workers(&mut cell, &directory, &progress, now);
+    let workers = list_workers(shared, &mut cell, &directory, &progress, now);
     let mut origins = Origins::default();
     let records = restore_ends(shared, &mut cell, &progress, now);
     for (partition, page) in &intake {
@@ -124,32 +123,38 @@
 }
 
 /// Lists the workers of the directory, and those that an earlier owner used and that left it.
-fn list_workers(cell: &mut Cell, directory: &Page, progress: &Page, now: Time) -> usize {
+fn list_workers(
+    shared: &Shared,
+    cell: &mut Cell,
+    directory: &Page,
+    progress: &Page,
+    now: Time,
+) -> usize {
     for item in &directory.items {
-        if let Some(entry) = decode_registration(&item.key, &item.value) {
-            cell.list_worker(entry, true, now);
+        match decode_registration(&item.key, &item.value) {
+            Some(entry) => {
+                cell.list_worker(entry, true, now);
+            }
+            None => shared.log.write(
+                Event::RecordSkipped,
+                o!("partition" => "directory", "worker" => item.key.to_string()),
+            ),
         }
     }
     let used = progress.items.iter().find(|item| &*item.key == WORKERS_KEY);
-    let used: Vec<(Arc<str>, Arc<str>)> = used
-        .and_then(|item| serde_json::from_slice(&item.value).ok())
-        .unwrap_or_default();
-    for (id, address) in used {
-        if cell.workers().iter().any(|(_, known, _)| *known == id) {
-            continue;
+    let used = used.map(|item| serde_json::from_slice::<Vec<(Arc<str>, Arc<str>)>>(&item.value));
+    match used {
+        None => {}
+        Some(Ok(used)) => {
+            for (id, address) in used {
+                cell.list_lost_worker(&id, address, now);
+            }
         }
-        let entry = Registration {
-            id: Arc::clone(&id),
-            address,
-            service: "".into(),
-            domain: "".into(),
-            draining: true,
-            capacity: Size::default(),
-            labels: Vec::new(),
-            born: None,
-        };
-        cell.list_worker(entry, true, now);
-        cell.unlist_worker(&id, now);
+        // What is placed on workers that left still counts, until their leases have lapsed.
+        Some(Err(error)) => shared.log.write(
+            Event::RecordSkipped,
+            o!("key" => WORKERS_KEY, "error" => error.to_string()),
+        ),
     }
     cell.workers().len()
 }
--- a/crates/kingcupwinch-platform/src/error.rs
+++ b/crates/kingcupwinch-platform/src/error.rs
@@ -78,6 +78,22 @@
     }
 }
 
+impl SendError {
+    /// Returns whether the peer closed the connection in good order instead of answering, or refused
+    /// one, as happens when its process ends. A cut in the network may refuse connections in its
+    /// name, so this alone is no proof.
+    pub fn is_closed(&self) -> bool {
+        match self {
+            SendError::NotSent(NotSentCause::Closed(_)) => true,
+            SendError::NotSent(NotSentCause::Connect(cause)) => {
+                cause.kind() == io::ErrorKind::ConnectionRefused
+            }
+            SendError::Lost(LostCause::Broken(cause)) => cause.is_incomplete_message(),
+            _ => false,
+        }
+    }
+}
+
 quick_error! {
     /// Why an append has no offset.
     #[derive(Debug)]
