--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -1,9 +1,11 @@
 //! The state of a cell and the events that change it.
 
 mod asks;
+mod copies;
 mod ends;
 mod looks;
 mod runs;
+mod services;
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -138,6 +140,12 @@
     asks: FxHashMap<AskKey, asks::Ask>,
     next_ask: u64,
     pub(crate) actions: Vec<Action>,
+    /// Jobs with steps of which copies may run, with steps that last, and with times of day.
+    copied: FxHashSet<JobKey>,
+    lasting: FxHashSet<JobKey>,
+    timed: FxHashSet<JobKey>,
+    /// The time of day in Unix milliseconds, and when it was.
+    day: Option<(u64, Time)>,
     dirty: FxHashSet<JobKey>,
     batch: u64,
     acks: Vec<PendingAck>,
@@ -170,6 +178,10 @@
             asks: FxHashMap::default(),
             next_ask: 0,
             actions: Vec::new(),
+            copied: FxHashSet::default(),
+            lasting: FxHashSet::default(),
+            timed: FxHashSet::default(),
+            day: None,
             dirty: FxHashSet::default(),
             batch: 1,
             acks: Vec::new(),
@@ -187,7 +199,19 @@
         let pace = self.pace(&spec.terms.queue);
         let mut job = Job::new(id, spec, pace, now);
         job.numbers = self.first_number;
+        let is_copied = job.spec.steps.iter().any(|step| step.copies);
+        let is_lasting = job.spec.steps.iter().any(|step| step.lasting);
+        let is_timed = job.spec.times.is_some();
         let key = self.jobs.insert(job);
+        if is_copied {
+            self.copied.insert(key);
+        }
+        if is_lasting {
+            self.lasting.insert(key);
+        }
+        if is_timed {
+            self.timed.insert(key);
+        }
         self.by_id.insert(id, key);
         if self.early_cancels.remove(&id).is_some() {
             self.end_job(key, Shown::Cancelled);
@@ -218,7 +242,7 @@
         job.inherited = true;
         // What is not placed by the records was never ordered, and may start at once.
         let Some(record) = record else { return };
-        job.restore(record);
+        job.restore(record, now);
         job.numbers = job.numbers.max(self.first_number);
         for placed in &record.placed {
             self.adopt_placement(key, placed, now);
@@ -234,12 +258,7 @@
             Some(&worker) => worker,
             None => self.list_lost_worker(&placed.worker, "".into(), now),
         };
-        let name = TaskName {
-            job: self.jobs[key].id,
-            occurrence: 0,
-            step: placed.step,
-            index: placed.index,
-        };
+        let name = self.jobs[key].task_name(placed.step as usize, placed.index.into());
         let placed = Placed {
             name,
             number: placed.run,
@@ -249,6 +268,25 @@
         self.adopt_run(key, placed, now);
     }
 
+    /// Notes the time of day, by which occurrences come due.
+    pub fn observe_day(&mut self, unix_ms: u64, now: Time) {
+        self.day = Some((unix_ms, now));
+    }
+
+    /// Opens the occurrences that have come due.
+    pub(crate) fn open_occurrences(&mut self, now: Time) {
+        let Some((noted, at)) = self.day else { return };
+        let day_ms = noted + now.since(at).as_millis();
+        let Cell { timed, jobs, .. } = self;
+        timed.retain(|key| {
+            let Some(job) = jobs.get_mut(*key) else {
+                return false;
+            };
+            job.open_due(day_ms, now);
+            job.has_more()
+        });
+    }
+
     /// Cancels a job whose cancellation is in the log.
     pub fn cancel(&mut self, id: JobId, now: Time) {
         if let Some(&key) = self.by_id.get(&id) {
@@ -395,7 +433,7 @@
     fn placements(&self, job: &Job) -> Vec<Placement> {
         let runs = job.runs.iter().filter_map(|key| self.runs.get(*key));
         let row = |run: &Run| Placement {
-            step: run.name.step,
+            step: job.slot(run.name) as u32,
             index: run.name.index,
             run: run.number,
             worker: Arc::clone(&self.workers[run.worker].entry.id),
@@ -475,6 +513,8 @@
         };
         let id = job.id;
         self.jobs.remove(key);
+        self.copied.remove(&key);
+        self.lasting.remove(&key);
         self.by_id.remove(&id);
         self.keep_end(id, shown, now);
     }
@@ -503,7 +543,7 @@
 
     fn is_task_active(&self, key: JobKey, name: TaskName, run: RunKey) -> bool {
         let job = &self.jobs[key];
-        let task = &job.steps[usize::from(name.step)].tasks[usize::from(name.index)];
+        let task = &job.steps[job.slot(name)].tasks[usize::from(name.index)];
         task.state == TaskState::Active(run)
     }
 }
--- a/crates/kingcupwinch-cell/src/cell/ends.rs
+++ b/crates/kingcupwinch-cell/src/cell/ends.rs
@@ -25,11 +25,17 @@
         let (job, name, number, worker) = (run.job, run.name, run.number, run.worker);
         let own = self.is_task_active(job, name, key);
         let elapsed = now.since(run.began);
-        let (step, index) = (usize::from(name.step), usize::from(name.index));
+        let (step, index) = (self.jobs[job].slot(name), usize::from(name.index));
+        let is_lasting = self.jobs[job].step_spec(step).lasting;
         if let (true, Some(saved)) = (own, saved) {
             self.save(job, step, index, saved);
         }
         match how {
+            // It is started anew, however it ended.
+            _ if is_lasting => {
+                self.counters.lost += 1;
+                self.note_lasting_end(key, how, now);
+            }
             EndKind::Done => {
                 self.counters.done += 1;
                 self.learn(job, step, worker, elapsed);
@@ -50,7 +56,7 @@
 
     fn save(&mut self, key: JobKey, step: usize, index: usize, saved: Arc<str>) {
         let job = &mut self.jobs[key];
-        if job.spec.steps[step].gang {
+        if job.step_spec(step).gang {
             for task in &mut job.steps[step].tasks {
                 task.saved = Some(Arc::clone(&saved));
             }
@@ -64,12 +70,12 @@
     /// are stopped.
     fn finish(&mut self, key: JobKey, done: RunKey) {
         let name = self.runs[done].name;
-        let (step, index) = (usize::from(name.step), usize::from(name.index));
         let job = &mut self.jobs[key];
+        let (step, index) = (job.slot(name), usize::from(name.index));
         if job.end.is_some() {
             return;
         }
-        if job.spec.steps[step].gang {
+        if job.step_spec(step).gang {
             for member in 0..job.steps[step].tasks.len() {
                 job.finish_task(step, member);
             }
@@ -89,10 +95,11 @@
     /// end with it.
     fn rivals(&self, key: JobKey, run: RunKey) -> Vec<RunKey> {
         let (name, number) = (self.runs[run].name, self.runs[run].number);
-        let is_gang = self.jobs[key].spec.steps[usize::from(name.step)].gang;
+        let job = &self.jobs[key];
+        let is_gang = job.step_spec(job.slot(name)).gang;
         let is_rival = |other: &&RunKey| {
             let other = &self.runs[**other];
-            let same = other.name == name || (is_gang && other.name.step == name.step);
+            let same = other.name == name || (is_gang && other.name.is_of_step(name));
             same && other.number != number
         };
         let runs = &self.jobs[key].runs;
@@ -114,7 +121,7 @@
             return;
         }
         let limit = job.spec.terms.attempts as usize;
-        let is_gang = job.spec.steps[step].gang;
+        let is_gang = job.step_spec(step).gang;
         // The first task counts for its whole gang.
         let task = &mut job.steps[step].tasks[if is_gang { 0 } else { index }];
         if task.failed.contains(&number) {
@@ -132,7 +139,7 @@
     /// Learns from a run that was done.
     fn learn(&mut self, key: JobKey, step: usize, worker: WorkerKey, elapsed: Span) {
         let job = &self.jobs[key];
-        let spec = &job.spec.steps[step];
+        let spec = job.step_spec(step);
         let estimate = Span::from_millis(spec.estimate_ms);
         if spec.gang || estimate < LEAST_SAMPLE || elapsed < LEAST_SAMPLE {
             return;
--- a/crates/kingcupwinch-cell/src/cell/looks.rs
+++ b/crates/kingcupwinch-cell/src/cell/looks.rs
@@ -118,13 +118,16 @@
     fn stop_if_stalled(&mut self, key: RunKey, now: Time) {
         let run = &self.runs[key];
         let job = &self.jobs[run.job];
-        let step = usize::from(run.name.step);
-        let spec = &job.spec.steps[step];
+        let step = job.slot(run.name);
+        let spec = job.step_spec(step);
         let expected = Span::from_millis(spec.estimate_ms).divided_by(STALL_SHARE);
         let limit = STALL_LIMIT.max(expected);
         // A member of a gang stands at the start until all are there, and at the end until all are
         // done.
-        let is_waiting = spec.gang && (job.steps[step].waiting > 0 || run.percent >= 100);
+        // What lasts stays at the end for good.
+        let is_whole = run.percent >= 100;
+        let is_waiting =
+            spec.gang && (job.steps[step].waiting > 0 || is_whole) || spec.lasting && is_whole;
         if run.state == RunState::Running && !is_waiting && now.since(run.moved) > limit {
             let (job, worker, index) = (run.job, run.worker, usize::from(run.name.index));
             self.jobs[job].steps[step].tasks[index].avoid = Some(worker);
--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -8,7 +8,6 @@
 use crate::id::TaskName;
 use crate::job::{JobKey, TaskState};
 use crate::run::{Placed, Run, RunKey, RunState, StartAnswer};
-use crate::spec::Size;
 use crate::worker::WorkerKey;
 
 /// How long an order to stop may go without an answer before it is sent again.
@@ -82,13 +81,8 @@
         let (step, index) = place;
         let until = self.workers[worker].grant(now, self.limits.lease)?;
         let job = &self.jobs[key];
-        let name = TaskName {
-            job: job.id,
-            occurrence: 0,
-            step: step as u16,
-            index: index as u16,
-        };
-        let spec = &job.spec.steps[step];
+        let name = job.task_name(step, index);
+        let spec = job.step_spec(step);
         let pace = (self.workers[worker].speed.mean() * 100.0) as u32;
         let order = StartOrder {
             worker,
@@ -173,11 +167,12 @@
         self.by_run.insert((name, number), run);
         let job = &mut self.jobs[key];
         job.runs.insert(run);
-        job.steps[usize::from(name.step)].tasks[usize::from(name.index)].unsettled += 1;
-        let size = self.run_size(key, name);
+        let slot = job.slot(name);
+        job.steps[slot].tasks[usize::from(name.index)].unsettled += 1;
+        let spec = self.jobs[key].step_spec(slot);
         let worker = &mut self.workers[worker];
         worker.runs.insert(run);
-        worker.used.add(size);
+        worker.take(spec);
         run
     }
 
@@ -185,16 +180,13 @@
         self.jobs[key].runs.iter().map(|run| &self.runs[*run])
     }
 
-    fn run_size(&self, key: JobKey, name: TaskName) -> Size {
-        self.jobs[key].spec.steps[usize::from(name.step)].charge()
-    }
-
     /// Takes over a run that an earlier owner ordered. Returns it unless the task does not exist.
     /// Of several runs of a task the latest is its own, and the others are stopped.
     pub(crate) fn adopt_run(&mut self, key: JobKey, placed: Placed, now: Time) -> Option<RunKey> {
         let Placed { name, number, .. } = placed;
-        let (step, index) = (usize::from(name.step), usize::from(name.index));
-        if !self.jobs[key].has_task(step, index) || name.occurrence != 0 {
+        let (step, index) = (self.jobs[key].slot(name), usize::from(name.index));
+        self.jobs[key].open_through(step, now);
+        if !self.jobs[key].has_task(step, index) {
             return None;
         }
         if let Some(&known) = self.by_run.get(&(name, number)) {
@@ -243,8 +235,10 @@
             }
             StartAnswer::Lost => run.state = RunState::Doubtful(now),
             StartAnswer::NoTicket => {
-                let (worker, step) = (run.worker, usize::from(run.name.step));
-                self.jobs[job].steps[step].tickets.expire(worker, now);
+                let (worker, name) = (run.worker, run.name);
+                let job = &mut self.jobs[job];
+                let step = job.slot(name);
+                job.steps[step].tickets.expire(worker, now);
                 self.refuse_run(key, now);
             }
             StartAnswer::NotSent => {
@@ -273,12 +267,12 @@
         let Some(job) = self.jobs.get(key) else {
             return;
         };
-        if !job.spec.steps[usize::from(name.step)].gang {
+        if !job.step_spec(job.slot(name)).gang {
             return;
         }
         let member = |run: &&RunKey| {
             let run = &self.runs[**run];
-            run.name.step == name.step && run.number == number
+            run.name.is_of_step(name) && run.number == number
         };
         let members: Vec<RunKey> = job.runs.iter().filter(member).copied().collect();
         for member in members {
@@ -295,15 +289,16 @@
                 continue;
             }
             for (number, step) in job.steps.iter().enumerate() {
-                let is_gang = job.spec.steps[number].gang;
+                let is_gang = job.step_spec(number).gang;
                 if is_gang && step.waiting > 0 && step.waiting < step.left {
                     partial.push((key, number));
                 }
             }
         }
         for (key, number) in partial {
-            let in_step = |run: &&RunKey| usize::from(self.runs[**run].name.step) == number;
-            let runs = self.jobs[key].runs.iter().filter(in_step);
+            let job = &self.jobs[key];
+            let in_step = |run: &&RunKey| job.slot(self.runs[**run].name) == number;
+            let runs = job.runs.iter().filter(in_step);
             let members: Vec<RunKey> = runs.copied().collect();
             for member in members {
                 self.stop_run(member);
@@ -363,14 +358,13 @@
             return;
         };
         self.by_run.remove(&(run.name, run.number));
-        let size = self.run_size(run.job, run.name);
+        let job = &mut self.jobs[run.job];
+        let (step, index) = (job.slot(run.name), usize::from(run.name.index));
         if let Some(worker) = self.workers.get_mut(run.worker) {
             worker.runs.remove(&key);
-            worker.used.sub(size);
+            worker.give_back(job.step_spec(step));
         }
-        let job = &mut self.jobs[run.job];
         job.runs.remove(&key);
-        let (step, index) = (usize::from(run.name.step), usize::from(run.name.index));
         job.steps[step].tasks[index].unsettled -= 1;
         job.release_task(step, index, key);
         self.dirty.insert(run.job);
--- a/crates/kingcupwinch-cell/src/id.rs
+++ b/crates/kingcupwinch-cell/src/id.rs
@@ -50,6 +50,11 @@
         parts.next().is_none().then_some(name)
     }
 
+    /// Returns whether it is a task of the same step as another.
+    pub(crate) fn is_of_step(self, other: TaskName) -> bool {
+        TaskName { index: 0, ..self } == TaskName { index: 0, ..other }
+    }
+
     /// Returns the name of the task's step, `JOB.OCCURRENCE.STEP`.
     pub fn step_name(self) -> String {
         format!("{}.{}.{}", self.job, self.occurrence, self.step)
--- a/crates/kingcupwinch-cell/src/job.rs
+++ b/crates/kingcupwinch-cell/src/job.rs
@@ -5,10 +5,10 @@
 use smallvec::SmallVec;
 
 use crate::advice::Tickets;
-use crate::id::JobId;
+use crate::id::{JobId, TaskName};
 use crate::record::JobRecord;
 use crate::run::RunKey;
-use crate::spec::JobSpec;
+use crate::spec::{JobSpec, StepSpec};
 use crate::worker::WorkerKey;
 
 slotmap::new_key_type! {
@@ -69,6 +69,10 @@
     pub(crate) saved: Option<Arc<str>>,
     /// The worker where it failed last, which it avoids.
     pub(crate) avoid: Option<WorkerKey>,
+    /// Not to be started before this time.
+    pub(crate) again: Time,
+    /// Runs in a row of a lasting task that ended soon after their start.
+    pub(crate) short_runs: u32,
 }
 
 #[derive(Debug)]
@@ -79,15 +83,23 @@
     /// Tasks that wait.
     pub(crate) waiting: usize,
     pub(crate) tickets: Tickets,
-    /// Expected time from the step's start to the job's end.
+    /// Expected time from the step's start to the occurrence's end.
     pub(crate) tail: Span,
+    /// When the occurrence should have ended, and when its end is worth nothing any more.
+    pub(crate) objective: Time,
+    pub(crate) late: Time,
 }
 
 #[derive(Debug)]
 pub(crate) struct Job {
     pub(crate) id: JobId,
     pub(crate) spec: JobSpec,
+    /// The steps of the occurrences that have come due, one occurrence after the other.
     pub(crate) steps: Vec<Step>,
+    /// Expected time from each step's start to its occurrence's end.
+    tails: SmallVec<[Span; 4]>,
+    /// From an occurrence's due time to its objective.
+    length: Span,
     /// Runs of any state that are not certainly over.
     pub(crate) runs: FxHashSet<RunKey>,
     /// The highest number of a run so far.
@@ -95,55 +107,122 @@
     pub(crate) began: bool,
     /// Taken over: unseen tasks may run until every inherited worker is settled.
     pub(crate) inherited: bool,
-    pub(crate) objective: Time,
-    pub(crate) late: Time,
     pub(crate) end: Option<Shown>,
     /// Whether the end is in the log, and so may be shown.
     pub(crate) is_end_kept: bool,
 }
 
 impl Task {
-    /// Returns whether the task may be started.
-    pub(crate) fn is_free(&self) -> bool {
-        self.state == TaskState::Waiting && self.unsettled == 0
+    fn new() -> Self {
+        Task {
+            state: TaskState::Waiting,
+            unsettled: 0,
+            failed: SmallVec::new(),
+            saved: None,
+            avoid: None,
+            again: Time::ZERO,
+            short_runs: 0,
+        }
+    }
+
+    /// Returns whether the task may be started now.
+    pub(crate) fn is_free(&self, now: Time) -> bool {
+        self.state == TaskState::Waiting && self.unsettled == 0 && self.again <= now
     }
 }
 
 impl Job {
     pub(crate) fn new(id: JobId, spec: JobSpec, pace: f64, now: Time) -> Self {
         let tails = spec.tails();
-        let scale = |span: Span| Span::from_micros((span.as_micros() as f64 * pace) as u64);
+        let scale = |span: &Span| Span::from_micros((span.as_micros() as f64 * pace) as u64);
         let chain = tails.iter().copied().max().unwrap_or_default();
         let stretched = (chain.as_micros() as f64 * pace * spec.terms.stretch) as u64;
-        let length = Span::from_micros(stretched + spec.terms.target_ms * 1_000);
-        let steps = spec.steps.iter().zip(tails).map(|(step, tail)| Step {
-            tasks: (0..step.count)
-                .map(|_| Task {
-                    state: TaskState::Waiting,
-                    unsettled: 0,
-                    failed: SmallVec::new(),
-                    saved: None,
-                    avoid: None,
-                })
-                .collect(),
-            left: usize::from(step.count),
-            waiting: usize::from(step.count),
-            tickets: Tickets::default(),
-            tail: scale(tail),
-        });
-        Job {
+        let mut job = Job {
             id,
-            steps: steps.collect(),
+            steps: Vec::with_capacity(spec.steps.len()),
+            tails: tails.iter().map(scale).collect(),
+            length: Span::from_micros(stretched + spec.terms.target_ms * 1_000),
             spec,
             runs: FxHashSet::default(),
             numbers: 0,
             began: false,
             inherited: false,
-            objective: now + length,
-            late: now + length.times(LATE_OBJECTIVES),
             end: None,
             is_end_kept: false,
+        };
+        if job.spec.times.is_none() {
+            job.open_occurrence(now);
         }
+        job
+    }
+
+    /// Adds the steps of the next occurrence, which is due at `due`.
+    fn open_occurrence(&mut self, due: Time) {
+        for (spec, tail) in self.spec.steps.iter().zip(&self.tails) {
+            self.steps.push(Step {
+                tasks: (0..spec.count).map(|_| Task::new()).collect(),
+                left: usize::from(spec.count),
+                waiting: usize::from(spec.count),
+                tickets: Tickets::default(),
+                tail: *tail,
+                objective: due + self.length,
+                late: due + self.length.times(LATE_OBJECTIVES),
+            });
+        }
+    }
+
+    /// Returns how many occurrences have come due so far.
+    fn opened(&self) -> u32 {
+        (self.steps.len() / self.spec.steps.len().max(1)) as u32
+    }
+
+    /// Returns whether occurrences are still to come.
+    pub(crate) fn has_more(&self) -> bool {
+        self.end.is_none() && self.opened() < self.occurrences()
+    }
+
+    fn occurrences(&self) -> u32 {
+        self.spec.times.map_or(1, |times| times.count)
+    }
+
+    /// Adds the occurrences that have come due by the time of day.
+    pub(crate) fn open_due(&mut self, day_ms: u64, now: Time) {
+        let Some(times) = self.spec.times else { return };
+        while self.has_more() {
+            let due_ms = times.due_ms(self.opened());
+            if due_ms > day_ms {
+                return;
+            }
+            self.open_occurrence(now - Span::from_millis(day_ms - due_ms));
+        }
+    }
+
+    /// Adds occurrences up to the one of a step, of which an earlier owner knew that it was due.
+    pub(crate) fn open_through(&mut self, slot: usize, now: Time) {
+        while self.steps.len() <= slot && self.opened() < self.occurrences() {
+            self.open_occurrence(now);
+        }
+    }
+
+    /// Returns the number of a task's step, counted over all occurrences.
+    pub(crate) fn slot(&self, name: TaskName) -> usize {
+        name.occurrence as usize * self.spec.steps.len() + usize::from(name.step)
+    }
+
+    /// Returns the name of a task by its step's number over all occurrences.
+    pub(crate) fn task_name(&self, slot: usize, index: usize) -> TaskName {
+        let width = self.spec.steps.len();
+        TaskName {
+            job: self.id,
+            occurrence: (slot / width) as u32,
+            step: (slot % width) as u16,
+            index: index as u16,
+        }
+    }
+
+    /// Returns what a step asks for, by its number over all occurrences.
+    pub(crate) fn step_spec(&self, slot: usize) -> &StepSpec {
+        &self.spec.steps[slot % self.spec.steps.len()]
     }
 
     pub(crate) fn shown(&self) -> Shown {
@@ -157,15 +236,16 @@
     }
 
     /// Returns whether a step's predecessors are all done.
-    pub(crate) fn is_due(&self, number: usize) -> bool {
-        let after = &self.spec.steps[number].after;
+    pub(crate) fn is_due(&self, slot: usize) -> bool {
+        let first = slot - slot % self.spec.steps.len();
+        let after = &self.step_spec(slot).after;
         after
             .iter()
-            .all(|before| self.steps[usize::from(*before)].left == 0)
+            .all(|before| self.steps[first + usize::from(*before)].left == 0)
     }
 
     pub(crate) fn is_done(&self) -> bool {
-        self.steps.iter().all(|step| step.left == 0)
+        !self.has_more() && self.steps.iter().all(|step| step.left == 0)
     }
 
     /// Marks a task done; returns whether it was not done before.
@@ -199,21 +279,29 @@
     }
 
     /// Takes over what an earlier owner recorded.
-    pub(crate) fn restore(&mut self, record: &JobRecord) {
+    pub(crate) fn restore(&mut self, record: &JobRecord, now: Time) {
         self.numbers = self.numbers.max(record.numbers);
         self.began |= record.began;
+        if let Some(last) = record.last_slot() {
+            self.open_through(last, now);
+        }
+        for slot in record.over_slots() {
+            for index in 0..self.steps.get(slot).map_or(0, |step| step.tasks.len()) {
+                self.finish_task(slot, index);
+            }
+        }
         for (step, index) in record.done_tasks() {
             if self.has_task(step, index) {
                 self.finish_task(step, index);
             }
         }
         for (step, index, numbers) in &record.failed {
-            if let Some(task) = self.task_mut((*step).into(), (*index).into()) {
+            if let Some(task) = self.task_mut(*step as usize, (*index).into()) {
                 task.failed.clone_from(numbers);
             }
         }
         for (step, index, saved) in &record.saved {
-            if let Some(task) = self.task_mut((*step).into(), (*index).into()) {
+            if let Some(task) = self.task_mut(*step as usize, (*index).into()) {
                 task.saved = Some(Arc::clone(saved));
             }
         }
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -21,6 +21,6 @@
 pub use job::Shown;
 pub use record::{JobRecord, Placement, RecordError};
 pub use run::{EndKind, Ended, StartAnswer};
-pub use spec::{AdviceTerms, JobSpec, Size, StepSpec, Terms};
+pub use spec::{AdviceTerms, JobSpec, Size, StepSpec, Terms, Timetable};
 pub use tenure::{Claim, Duty, GroupRecord, Member, Tenure, TenureTimers};
 pub use worker::{Look, LookOrder, Missed, Registration, RunningTask, WorkerKey};
--- a/crates/kingcupwinch-cell/src/plan.rs
+++ b/crates/kingcupwinch-cell/src/plan.rs
@@ -13,7 +13,6 @@
 
 use crate::advice::{Verdict, call_time};
 use crate::cell::{Action, Cell};
-use crate::id::TaskName;
 use crate::job::{Job, JobKey, Task};
 use crate::spec::{Size, StepSpec};
 use crate::worker::{RACK_LABEL, WorkerKey};
@@ -56,21 +55,26 @@
 impl Due {
     /// Judges a step by the time that it takes on the fastest workers.
     fn new(key: JobKey, number: usize, job: &Job, fastest: f64, now: Time) -> Self {
-        let tail = job.steps[number].tail.as_micros() as f64;
+        let step = &job.steps[number];
+        let spec = job.step_spec(number);
+        if spec.lasting {
+            return Due::of_lasting(key, number);
+        }
+        let tail = step.tail.as_micros() as f64;
         let left = |end: Time| {
             let left = end.as_micros() as i64 - now.as_micros() as i64;
             left - (tail * fastest) as i64
         };
-        let slack = left(job.objective);
+        let slack = left(step.objective);
         let hope = if slack >= 0 {
             Hope::OnTime
-        } else if left(job.late) >= 0 {
+        } else if left(step.late) >= 0 {
             Hope::Late
         } else {
             Hope::None
         };
         // A gang needs too many workers at once to be choosy.
-        let is_choosy = hope == Hope::OnTime && !job.spec.steps[number].gang;
+        let is_choosy = hope == Hope::OnTime && !spec.gang;
         let slowest = if is_choosy {
             fastest + slack as f64 / tail.max(1.0)
         } else {
@@ -86,6 +90,18 @@
         }
     }
 
+    /// A lasting task has no end to meet, and is missed from its start on.
+    fn of_lasting(key: JobKey, number: usize) -> Self {
+        Due {
+            job: key,
+            step: number,
+            hope: Hope::OnTime,
+            slack: 0,
+            is_tight: false,
+            slowest: f64::INFINITY,
+        }
+    }
+
     fn order(&self, other: &Due) -> Ordering {
         (self.hope, self.slack, self.step).cmp(&(other.hope, other.slack, other.step))
     }
@@ -97,6 +113,8 @@
         self.expire_workers(now);
         self.recall_partial_gangs();
         self.settle_withdrawn(now);
+        self.open_occurrences(now);
+        self.evacuate_lasting(now);
         self.send_stops(now);
         let mut floor = self.open_floor(now);
         for due in self.due_steps(&floor, now) {
@@ -105,6 +123,7 @@
                 self.place_step(&due, hall, now);
             }
         }
+        self.copy_slow_runs(&mut floor, now);
         self.take_actions()
     }
 
@@ -126,6 +145,8 @@
             hall.seats.push(Seat {
                 key,
                 room: worker.room(),
+                is_filled: worker.filling > 0,
+                is_serving: worker.serving > 0,
                 speed: worker.speed.mean(),
             });
         }
@@ -146,8 +167,9 @@
                     continue;
                 }
                 // A gang starts anew only when nothing of its last run is left.
-                let is_gang = job.spec.steps[number].gang;
-                if is_gang && !step.tasks.iter().all(Task::is_free) {
+                let is_gang = job.step_spec(number).gang;
+                let mut tasks = step.tasks.iter();
+                if is_gang && !tasks.all(|task| task.is_free(now)) {
                     continue;
                 }
                 due.push(Due::new(key, number, job, fastest, now));
@@ -160,7 +182,7 @@
     fn place_step(&mut self, due: &Due, hall: &mut Hall, now: Time) {
         self.expire_ask(due.job, due.step, now);
         let job = &self.jobs[due.job];
-        let spec = &job.spec.steps[due.step];
+        let spec = job.step_spec(due.step);
         if !hall.fits_any(spec.charge()) {
             return;
         }
@@ -180,11 +202,12 @@
     /// Returns the seats that may run the step now and have room, best first.
     fn open_seats(&self, due: &Due, hall: &Hall, now: Time) -> Vec<usize> {
         let job = &self.jobs[due.job];
-        let spec = &job.spec.steps[due.step];
+        let spec = job.step_spec(due.step);
         let size = spec.charge();
         let has_room = |seat: &usize| {
             let seat = &hall.seats[*seat];
-            seat.room.fits(size) > 0 && seat.speed <= due.slowest
+            let is_barred = spec.fills && seat.is_serving;
+            seat.room.fits(size) > 0 && seat.speed <= due.slowest && !is_barred
         };
         let mut open: Vec<usize> = if job.spec.terms.advice.is_some() {
             let allowed = job.steps[due.step].tickets.allowed(now);
@@ -198,7 +221,7 @@
         open
     }
 
-    fn has_label(&self, worker: WorkerKey, spec: &StepSpec) -> bool {
+    pub(crate) fn has_label(&self, worker: WorkerKey, spec: &StepSpec) -> bool {
         let Some(label) = &spec.label else {
             return true;
         };
@@ -219,8 +242,15 @@
                 is_near(b).cmp(&is_near(a))
             }
         };
+        // What serves is kept apart from what fills; where it can't be, the filling tasks go.
+        let apart = if spec.serving {
+            a.is_filled.cmp(&b.is_filled)
+        } else {
+            Ordering::Equal
+        };
         let speed = a.speed.total_cmp(&b.speed);
-        near.then(if due.is_tight { speed } else { speed.reverse() })
+        near.then(apart)
+            .then(if due.is_tight { speed } else { speed.reverse() })
             .then(a.room.cpu.cmp(&b.room.cpu))
             .then(a.key.cmp(&b.key))
     }
@@ -252,10 +282,11 @@
     /// Starts as many tasks as fit; returns whether none is left waiting.
     fn place_tasks(&mut self, due: &Due, open: &[usize], hall: &mut Hall, now: Time) -> bool {
         let job = &self.jobs[due.job];
-        let spec = &job.spec.steps[due.step];
+        let spec = job.step_spec(due.step);
         let size = spec.charge();
         let most = spec.spread.map_or(usize::MAX, usize::from);
-        let waiting: Vec<usize> = free_tasks(&job.steps[due.step].tasks);
+        let (fills, serving) = (spec.fills, spec.serving);
+        let waiting: Vec<usize> = free_tasks(&job.steps[due.step].tasks, now);
         let mut counts = self.step_counts(due.job, due.step);
         let mut left = waiting.len();
         for index in waiting {
@@ -282,6 +313,11 @@
                 break;
             }
             hall.take(*seat, size, 1);
+            hall.seats[*seat].is_filled |= fills;
+            hall.seats[*seat].is_serving |= serving;
+            if serving {
+                self.stop_filling(worker);
+            }
             *counts.entry(worker).or_default() += 1;
             left -= 1;
         }
@@ -291,7 +327,7 @@
     /// Starts a whole gang if it fits; otherwise keeps the room that there is for it.
     fn place_gang(&mut self, due: &Due, open: &[usize], hall: &mut Hall, now: Time) -> bool {
         let job = &self.jobs[due.job];
-        let spec = &job.spec.steps[due.step];
+        let spec = job.step_spec(due.step);
         let size = spec.charge();
         let tasks = job.steps[due.step].tasks.len();
         let Some(seats) = self.seat_gang(spec, open, hall, tasks) else {
@@ -316,7 +352,7 @@
     fn step_counts(&self, job: JobKey, step: usize) -> FxHashMap<WorkerKey, usize> {
         let mut counts = FxHashMap::default();
         for run in self.job_runs(job) {
-            if usize::from(run.name.step) == step {
+            if self.jobs[job].slot(run.name) == step {
                 *counts.entry(run.worker).or_default() += 1;
             }
         }
@@ -336,7 +372,7 @@
             return;
         }
         let (workers, room) = self.candidates(due, hall, now);
-        let spec = &self.jobs[due.job].spec.steps[due.step];
+        let spec = self.jobs[due.job].step_spec(due.step);
         let need = if spec.gang {
             step.tasks.len() as f64
         } else {
@@ -350,12 +386,7 @@
         let Some((instance, until)) = self.desks.take(length, now) else {
             return;
         };
-        let name = TaskName {
-            job: job.id,
-            occurrence: 0,
-            step: due.step as u16,
-            index: 0,
-        };
+        let name = job.task_name(due.step, 0);
         let ids = workers
             .iter()
             .map(|key| Arc::clone(&self.workers[*key].entry.id))
@@ -375,7 +406,7 @@
     /// that the adviser allows.
     fn candidates(&self, due: &Due, hall: &Hall, now: Time) -> (Vec<WorkerKey>, f64) {
         let job = &self.jobs[due.job];
-        let spec = &job.spec.steps[due.step];
+        let spec = job.step_spec(due.step);
         let step = &job.steps[due.step];
         let share = self.allowed_share(&job.spec.terms.queue);
         let most = spec.spread.map_or(u64::MAX, u64::from);
@@ -426,24 +457,27 @@
 
 /// A worker that may be given work, with the room that is left for the steps not yet decided on.
 #[derive(Debug)]
-struct Seat {
-    key: WorkerKey,
-    room: Size,
+pub(crate) struct Seat {
+    pub(crate) key: WorkerKey,
+    pub(crate) room: Size,
+    /// Whether tasks fill there, or serve users of their own.
+    is_filled: bool,
+    is_serving: bool,
     /// Observed over expected run time: less is faster.
-    speed: f64,
+    pub(crate) speed: f64,
 }
 
 /// The workers of one service in one round of decisions.
 #[derive(Debug, Default)]
-struct Hall {
-    seats: Vec<Seat>,
+pub(crate) struct Hall {
+    pub(crate) seats: Vec<Seat>,
     places: SecondaryMap<WorkerKey, usize>,
 }
 
 /// The workers of one round of decisions.
 #[derive(Debug, Default)]
-struct Floor {
-    services: FxHashMap<Arc<str>, Hall>,
+pub(crate) struct Floor {
+    pub(crate) services: FxHashMap<Arc<str>, Hall>,
 }
 
 impl Hall {
@@ -459,7 +493,7 @@
     }
 
     /// Takes room for tasks that start, or that a step ahead waits for.
-    fn take(&mut self, seat: usize, size: Size, tasks: u64) {
+    pub(crate) fn take(&mut self, seat: usize, size: Size, tasks: u64) {
         let room = &mut self.seats[seat].room;
         for _ in 0..tasks {
             room.sub(size);
@@ -479,7 +513,10 @@
     (seats.len() == tasks).then_some(seats)
 }
 
-fn free_tasks(tasks: &[Task]) -> Vec<usize> {
-    let free = tasks.iter().enumerate().filter(|(_, task)| task.is_free());
+fn free_tasks(tasks: &[Task], now: Time) -> Vec<usize> {
+    let free = tasks
+        .iter()
+        .enumerate()
+        .filter(|(_, task)| task.is_free(now));
     free.map(|(index, _)| index).collect()
 }
--- a/crates/kingcupwinch-cell/src/record.rs
+++ b/crates/kingcupwinch-cell/src/record.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use crate::job::{Job, Shown, TaskState};
+use crate::job::{Job, Shown, Step, TaskState};
 
 quick_error! {
     /// Why a record can't be used.
@@ -24,9 +24,9 @@
 /// A task's run on a worker, as recorded.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Placement {
-    /// The step.
+    /// The step, counted over all occurrences.
     #[serde(rename = "s")]
-    pub step: u16,
+    pub step: u32,
     /// The task in the step.
     #[serde(rename = "i")]
     pub index: u16,
@@ -50,16 +50,19 @@
     /// The end, once there is one.
     #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
     pub end: Option<Shown>,
-    /// Tasks done: step, and the indices of its tasks.
+    /// Steps all of whose tasks are done, as ranges of their numbers: first, and after the last.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    pub over: Vec<(u32, u32)>,
+    /// Tasks done of other steps: step, and the indices of its tasks.
     #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
-    pub done: Vec<(u16, Vec<u16>)>,
+    pub done: Vec<(u32, Vec<u16>)>,
     /// Failed runs: step, task, numbers of the runs, so that an end that is listed again to a later
     /// owner does not count twice.
     #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
-    pub failed: Vec<(u16, u16, SmallVec<[u32; 4]>)>,
+    pub failed: Vec<(u32, u16, SmallVec<[u32; 4]>)>,
     /// Checkpoints: step, task, value.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
-    pub saved: Vec<(u16, u16, Arc<str>)>,
+    pub saved: Vec<(u32, u16, Arc<str>)>,
     /// Where tasks run.
     #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
     pub placed: Vec<Placement>,
@@ -104,11 +107,30 @@
 
     pub(crate) fn done_tasks(&self) -> impl Iterator<Item = (usize, usize)> + '_ {
         self.done.iter().flat_map(|(step, indices)| {
-            let step = usize::from(*step);
+            let step = *step as usize;
             indices.iter().map(move |index| (step, usize::from(*index)))
         })
     }
 
+    /// Returns the numbers of the steps all of whose tasks are done.
+    pub(crate) fn over_slots(&self) -> impl Iterator<Item = usize> + '_ {
+        self.over
+            .iter()
+            .flat_map(|(first, after)| *first as usize..*after as usize)
+    }
+
+    /// Returns the highest number of a step that the record names.
+    pub(crate) fn last_slot(&self) -> Option<usize> {
+        let over = self
+            .over
+            .iter()
+            .filter_map(|(_, after)| after.checked_sub(1));
+        let done = self.done.iter().map(|(step, _)| *step);
+        let placed = self.placed.iter().map(|placed| placed.step);
+        let last = over.chain(done).chain(placed).max()?;
+        Some(last as usize)
+    }
+
     /// Makes the record of a job that goes on; `placed` is filled in by the cell.
     pub(crate) fn of_progress(job: &Job, placed: Vec<Placement>) -> Self {
         let mut record = JobRecord {
@@ -118,25 +140,40 @@
             ..JobRecord::default()
         };
         for (number, step) in job.steps.iter().enumerate() {
-            let number = number as u16;
-            let mut done = Vec::new();
-            for (index, task) in step.tasks.iter().enumerate() {
-                let index = index as u16;
-                if task.state == TaskState::Done {
-                    done.push(index);
-                    continue;
-                }
-                if !task.failed.is_empty() {
-                    record.failed.push((number, index, task.failed.clone()));
-                }
-                if let Some(saved) = &task.saved {
-                    record.saved.push((number, index, Arc::clone(saved)));
-                }
-            }
-            if !done.is_empty() {
-                record.done.push((number, done));
+            let number = number as u32;
+            if step.left == 0 {
+                record.add_over(number);
+            } else {
+                record.add_step(number, step);
             }
         }
         record
     }
+
+    fn add_over(&mut self, number: u32) {
+        match self.over.last_mut() {
+            Some((_, after)) if *after == number => *after += 1,
+            _ => self.over.push((number, number + 1)),
+        }
+    }
+
+    fn add_step(&mut self, number: u32, step: &Step) {
+        let mut done = Vec::new();
+        for (index, task) in step.tasks.iter().enumerate() {
+            let index = index as u16;
+            if task.state == TaskState::Done {
+                done.push(index);
+                continue;
+            }
+            if !task.failed.is_empty() {
+                self.failed.push((number, index, task.failed.clone()));
+            }
+            if let Some(saved) = &task.saved {
+                self.saved.push((number, index, Arc::clone(saved)));
+            }
+        }
+        if !done.is_empty() {
+            self.done.push((number, done));
+        }
+    }
 }
--- a/crates/kingcupwinch-cell/src/spec.rs
+++ b/crates/kingcupwinch-cell/src/spec.rs
@@ -112,6 +112,22 @@
     /// The most tasks of the step on one worker.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub spread: Option<u16>,
+    /// A task that is slow may be run twice at a time; the first end counts.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub copies: bool,
+    /// The tasks run until the job is cancelled, and are started anew however they end.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub lasting: bool,
+    /// How many lasting tasks may be away at one time by the owner's doing.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub may_miss: u16,
+    /// The tasks serve users of their own, who notice what fills beside them.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub serving: bool,
+}
+
+fn is_zero(value: &u16) -> bool {
+    *value == 0
 }
 
 fn is_false(value: &bool) -> bool {
@@ -129,6 +145,25 @@
     }
 }
 
+/// When the occurrences of a job are due.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Timetable {
+    /// How many there are.
+    pub count: u32,
+    /// Unix milliseconds of the first.
+    pub first_ms: u64,
+    /// Milliseconds from each to the next.
+    pub every_ms: u64,
+}
+
+impl Timetable {
+    /// Returns the Unix milliseconds at which an occurrence is due.
+    pub(crate) fn due_ms(&self, occurrence: u32) -> u64 {
+        let after = self.every_ms.saturating_mul(occurrence.into());
+        self.first_ms.saturating_add(after)
+    }
+}
+
 /// A job as it was accepted.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
@@ -138,6 +173,9 @@
     pub text: Arc<str>,
     /// The steps, each after those that it names.
     pub steps: Vec<StepSpec>,
+    /// Set where the steps run at set times of day, once or more often.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub times: Option<Timetable>,
     /// Unix milliseconds of its acceptance, by the clock of the instance that took it.
     pub accepted_ms: u64,
 }
@@ -148,7 +186,9 @@
         let mut tails: Vec<Span> = Vec::with_capacity(self.steps.len());
         tails.resize(self.steps.len(), Span::ZERO);
         for (number, step) in self.steps.iter().enumerate().rev() {
-            let own = Span::from_millis(step.estimate_ms);
+            // What lasts has no end to wait for.
+            let own_ms = if step.lasting { 0 } else { step.estimate_ms };
+            let own = Span::from_millis(own_ms);
             tails[number] = Span::from_micros(tails[number].as_micros() + own.as_micros());
             let tail = tails[number];
             for before in &step.after {
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -5,7 +5,7 @@
 
 use crate::id::TaskName;
 use crate::run::{Ended, RunKey};
-use crate::spec::Size;
+use crate::spec::{Size, StepSpec};
 use crate::speed::Ratio;
 
 slotmap::new_key_type! {
@@ -133,6 +133,9 @@
     /// When it left the directory, if it did.
     pub(crate) unlisted: Option<Time>,
     pub(crate) used: Size,
+    /// Runs there that fill what others leave unused, and that serve users of their own.
+    pub(crate) filling: u32,
+    pub(crate) serving: u32,
     pub(crate) runs: FxHashSet<RunKey>,
     clock: Option<ClockSample>,
     /// When everything that runs there has certainly lost its lease.
@@ -161,6 +164,8 @@
             entry,
             unlisted: None,
             used: Size::default(),
+            filling: 0,
+            serving: 0,
             runs: FxHashSet::default(),
             clock: None,
             lapsed,
@@ -189,6 +194,20 @@
             && self.unlisted.is_none_or(|at| now < at + UNLISTED_GRACE)
     }
 
+    /// Counts a run of a step.
+    pub(crate) fn take(&mut self, step: &StepSpec) {
+        self.used.add(step.charge());
+        self.filling += u32::from(step.fills);
+        self.serving += u32::from(step.serving);
+    }
+
+    /// Counts a run of a step no longer.
+    pub(crate) fn give_back(&mut self, step: &StepSpec) {
+        self.used.sub(step.charge());
+        self.filling -= u32::from(step.fills);
+        self.serving -= u32::from(step.serving);
+    }
+
     pub(crate) fn room(&self) -> Size {
         self.entry.capacity.room(self.used)
     }
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -4,9 +4,12 @@
 
 mod advice;
 mod capacity;
+mod copies;
 mod gangs;
+mod lasting;
 mod leases;
 mod orders;
+mod repeats;
 mod site;
 mod speeds;
 mod takeover;
--- a/crates/kingcupwinch-cell/tests/cell/site.rs
+++ b/crates/kingcupwinch-cell/tests/cell/site.rs
@@ -103,6 +103,7 @@
         },
         text: "text".into(),
         steps,
+        times: None,
         accepted_ms: 0,
     }
 }
--- a/crates/kingcupwinch-node/src/callers.rs
+++ b/crates/kingcupwinch-node/src/callers.rs
@@ -11,7 +11,6 @@
     state_body, waiting_body,
 };
 use kingcupwinch_cell::JobId;
-use kingcupwinch_time::WallClock;
 use rand::Rng;
 use slog::o;
 use tokio::time::Instant;
@@ -123,7 +122,7 @@
         let Some(body) = read_body(request.into_body(), limit).await else {
             return empty(StatusCode::PAYLOAD_TOO_LARGE);
         };
-        let accepted_ms = WallClock.now().as_millis();
+        let accepted_ms = self.shared.day().as_millis();
         let spec = match decode_job(&body, &job.route.terms, accepted_ms) {
             Ok(spec) => spec,
             Err(error) => return self.reject(job.id, &error),
@@ -187,10 +186,7 @@
             Event::Refused,
             o!("job" => id.to_string(), "error" => error.to_string()),
         );
-        match error {
-            JobError::Unsupported(_) => empty(StatusCode::NOT_IMPLEMENTED),
-            JobError::Malformed(_) | JobError::Invalid(_) => empty(StatusCode::BAD_REQUEST),
-        }
+        empty(StatusCode::BAD_REQUEST)
     }
 
     /// Refuses a request that has not run.
--- a/crates/kingcupwinch-node/src/group.rs
+++ b/crates/kingcupwinch-node/src/group.rs
@@ -91,6 +91,8 @@
     pub(crate) async fn run(mut self) {
         let shared = Arc::clone(&self.shared);
         while !shared.is_stopping() {
+            // Noted before this instance may own the cell, so that a jump is told from the truth.
+            let _ = shared.day();
             let result = tokio::select! {
                 result = self.read() => result,
                 () = shared.stop_asked() => break,
--- a/crates/kingcupwinch-node/src/owner/messages.rs
+++ b/crates/kingcupwinch-node/src/owner/messages.rs
@@ -8,13 +8,13 @@
     AskKey, JobId, JobSpec, Look, LookOrder, Member, Shown, StartAnswer, StartOrder, StopOrder,
     Submitted, Ticket, WorkerKey,
 };
-use kingcupwinch_time::{Span, Time, WallClock};
+use kingcupwinch_time::{Span, Time};
 use slog::o;
 use tokio::sync::oneshot;
 
 use super::Owner;
 use crate::events::Event;
-use crate::layout::IntakeKey;
+use crate::layout::{DIRECT, IntakeKey};
 use crate::metrics::Metrics;
 
 /// Time to decide.
@@ -163,10 +163,18 @@
             match key {
                 IntakeKey::Accepted(id) => {
                     self.note_origin(id, read.partition);
-                    self.take_job(id, &value, now);
+                    if self.cell.shown(id).is_some() {
+                        self.note_repeat(id, read.partition);
+                    } else {
+                        self.take_job(id, &value, now);
+                    }
                 }
                 IntakeKey::Cancelled(id) => {
                     self.note_origin(id, read.partition);
+                    if self.cell.shown(id) == Some(Shown::Cancelled) {
+                        self.note_repeat(id, read.partition);
+                        continue;
+                    }
                     self.cell.cancel(id, now);
                     self.shared
                         .log
@@ -179,6 +187,20 @@
 }
 
 impl Owner {
+    /// Notes a record of a job that is known. The owner's own appends come back to it with each read
+    /// of their partition; only repeats by callers are told.
+    fn note_repeat(&mut self, id: JobId, partition: Partition) {
+        if self.cell.shown(id).is_some_and(Shown::is_final) {
+            self.note_ended(id);
+        }
+        if partition != DIRECT {
+            self.shared.log.write(
+                Event::JobTaken,
+                o!("job" => id.to_string(), "result" => "known"),
+            );
+        }
+    }
+
     fn take_job(&mut self, id: JobId, value: &[u8], now: Time) {
         let spec: JobSpec = match serde_json::from_slice(value) {
             Ok(spec) => spec,
@@ -188,20 +210,23 @@
                 return;
             }
         };
-        let age = WallClock.now().as_millis().saturating_sub(spec.accepted_ms);
+        let age = self
+            .shared
+            .day()
+            .as_millis()
+            .saturating_sub(spec.accepted_ms);
         let queue = spec.terms.queue.to_string();
+        let due = spec.times.map(|times| times.first_ms);
         let result = self.cell.submit(id, spec, now);
         let label = match result {
             Submitted::New => "new",
             Submitted::Known => "known",
             Submitted::Cancelled => "cancelled before",
         };
-        if result == Submitted::Known && self.cell.shown(id).is_some_and(Shown::is_final) {
-            self.note_ended(id);
-        }
         self.shared.log.write(
             Event::JobTaken,
-            o!("job" => id.to_string(), "queue" => queue, "result" => label, "age_ms" => age),
+            o!("job" => id.to_string(), "queue" => queue, "result" => label, "age_ms" => age,
+                "due_ms" => due),
         );
     }
 
--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -221,6 +221,7 @@
         if !self.may_order(now) {
             return;
         }
+        self.cell.observe_day(self.shared.day().as_millis(), now);
         let actions = self.cell.decide(now);
         let took = Duration::from(self.shared.now().since(now));
         self.decide_pause = DECIDE_PAUSE.max(took * DECIDE_SHARE);
--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -9,7 +9,7 @@
     DIRECTORY, Fence, Page, Partition, Store, StoreError, WriteError, decode_registration,
 };
 use kingcupwinch_cell::{Cell, Claim, JobId, JobRecord, JobSpec, Limits, Shown};
-use kingcupwinch_time::{Span, Time, WallClock};
+use kingcupwinch_time::{Span, Time};
 use quick_error::quick_error;
 use rustc_hash::FxHashMap;
 use slog::o;
@@ -208,7 +208,7 @@
     records: &FxHashMap<JobId, JobRecord>,
     now: Time,
 ) {
-    let wall = WallClock.now().as_millis();
+    let wall = shared.day().as_millis();
     for (key, value) in loops::intake_items(intake) {
         let (id, value) = match (key, value) {
             (IntakeKey::Accepted(id), Some(value)) => (id, value),
--- a/crates/kingcupwinch-node/src/shared.rs
+++ b/crates/kingcupwinch-node/src/shared.rs
@@ -7,7 +7,7 @@
 use kingcupwinch_adapter::{Adviser, QueueTable, Settings, Store};
 use kingcupwinch_cell::{Claim, Member};
 use kingcupwinch_platform::Patience;
-use kingcupwinch_time::{Clock, Span, SuspendClock, Time};
+use kingcupwinch_time::{Clock, DayClock, Span, SuspendClock, Time, WallClock, WallTime};
 use slog::o;
 use tokio::sync::{Notify, watch};
 
@@ -37,6 +37,7 @@
     /// Told when a request did not reach the owner.
     pub(crate) owner_missed: Notify,
     owner: Mutex<Option<ActorRef<Owner>>>,
+    day: Mutex<DayClock>,
     store_heard: AtomicU64,
     store_lost: AtomicBool,
 }
@@ -56,6 +57,7 @@
             members: watch::Sender::new(Vec::new()),
             owner_missed: Notify::new(),
             owner: Mutex::new(None),
+            day: Mutex::default(),
             store_heard: AtomicU64::new(0),
             store_lost: AtomicBool::new(false),
         })
@@ -65,6 +67,12 @@
         SuspendClock.now()
     }
 
+    /// Returns the time of day.
+    pub(crate) fn day(&self) -> WallTime {
+        let mut day = self.day.lock().unwrap_or_else(PoisonError::into_inner);
+        day.observe(self.now(), WallClock.now())
+    }
+
     /// Returns the owner if it is this instance.
     pub(crate) fn owner(&self) -> Option<ActorRef<Owner>> {
         self.owner
--- a/crates/kingcupwinch-time/src/lib.rs
+++ b/crates/kingcupwinch-time/src/lib.rs
@@ -13,7 +13,9 @@
 //! ```
 
 mod clock;
+mod day;
 mod point;
 
 pub use clock::{Clock, ManualClock, SuspendClock, WallClock};
+pub use day::DayClock;
 pub use point::{Drift, Span, Time, WallTime};
