Add a fault soak and stand-ins of the platform

A seed gives one plan of faults, in series and overlapping: processes killed, paused, asked to stop and started again, links to the store and to workers cut, half cut, slowed down or reset by loopback proxies, a store that refuses, is silent, slow, loses answers or forgets, workers that crash, drain, hang or fail. Real kingcupwinchd processes run against stand-ins; callers press on. Promises are held against what callers were told and what workers saw, each check with a test that it finds its breach.

Corrected in the soak while it was written: leases lapsed only when a worker was called; an end that was acknowledged after the worker's lease had lapsed was held against the owner, which the platform's rules exempt; ports of the range that connections are given were taken for listeners.

--- a/crates/kingcupwinch-node/src/owner/loops.rs
+++ b/crates/kingcupwinch-node/src/owner/loops.rs
@@ -11,8 +11,8 @@
 use slog::o;
 use tokio::time::Instant;
 
-use super::Owner;
 use super::messages::{DirectoryRead, IntakeRead, LookDue, LookPlan, Looked};
+use super::{Freshness, Owner};
 use crate::events::Event;
 use crate::layout::{DIRECT, IntakeKey};
 use crate::shared::Shared;
@@ -115,6 +115,7 @@
     owner: WeakActorRef<Owner>,
     partition: Partition,
     from: u64,
+    freshness: Freshness,
 ) {
     let gap = if partition == DIRECT {
         DIRECT_GAP
@@ -128,13 +129,16 @@
             None => reread_intake(&shared, partition).await,
         };
         match result {
-            Ok((next, records)) => {
+            Ok((next, end, records)) => {
                 shared.note_store(None);
                 from = Some(next);
                 let read = IntakeRead { partition, records };
                 if !read.records.is_empty() && !tell(&owner, read).await {
                     return;
                 }
+                if next >= end {
+                    freshness.note(partition, shared.now());
+                }
                 tokio::time::sleep(gap).await;
             }
             Err(StoreError::Expired(_)) => from = None,
@@ -151,11 +155,12 @@
 
 type IntakeRecords = Vec<(IntakeKey, Option<Bytes>)>;
 
+/// Reads records; returns where to read on, where the partition ends, and the records.
 async fn read_intake(
     shared: &Shared,
     partition: Partition,
     from: u64,
-) -> Result<(u64, IntakeRecords), StoreError> {
+) -> Result<(u64, u64, IntakeRecords), StoreError> {
     let deadline = Instant::now() + Duration::from_millis(INTAKE_WAIT_MS) + READ_MARGIN;
     let batch = shared
         .store
@@ -170,16 +175,16 @@
         }
         decoded
     });
-    Ok((batch.next, records.collect()))
+    Ok((batch.next, batch.end, records.collect()))
 }
 
 async fn reread_intake(
     shared: &Shared,
     partition: Partition,
-) -> Result<(u64, IntakeRecords), StoreError> {
+) -> Result<(u64, u64, IntakeRecords), StoreError> {
     let deadline = Instant::now() + Duration::from_millis(INTAKE_WAIT_MS) + READ_MARGIN;
     let page = shared.store.newest_all(partition, deadline).await?;
-    Ok((page.end, intake_items(&page)))
+    Ok((page.end, page.end, intake_items(&page)))
 }
 
 /// Reads the items of a page of the intake; cancellations come last.
--- a/crates/kingcupwinch-node/src/owner/messages.rs
+++ b/crates/kingcupwinch-node/src/owner/messages.rs
@@ -136,7 +136,9 @@
     type Reply = Option<Option<Shown>>;
 
     async fn handle(&mut self, id: StateOf, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
-        (!self.is_over).then(|| self.cell.shown(id.0))
+        let shown = self.cell.shown(id.0);
+        let is_certain = shown.is_some() || self.freshness.is_fresh(self.shared.now());
+        (!self.is_over && is_certain).then_some(shown)
     }
 }
 
--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -1,5 +1,6 @@
 //! The owner of the cell: an actor around the pure state machine, and the loops that feed it.
 
+mod freshness;
 mod loops;
 mod messages;
 mod takeover;
@@ -25,6 +26,7 @@
 use crate::shared::Shared;
 use crate::siblings::Siblings;
 
+pub(crate) use freshness::Freshness;
 pub(crate) use messages::{
     Confirmed, IntakeRead, Members, Release, StateOf, Superseded, WaitingOf,
 };
@@ -48,6 +50,7 @@
     pub(crate) cell: Cell,
     pub(crate) confirmed: Time,
     pub(crate) origins: Origins,
+    pub(crate) freshness: Freshness,
 }
 
 /// In which partitions of the intake the records of each job are.
@@ -74,6 +77,7 @@
     ended: Vec<(Partition, IntakeKey)>,
     /// In which partitions of the intake a job's records are.
     origins: Origins,
+    freshness: Freshness,
     is_worker_list_new: bool,
     /// Told when orders wait for the log.
     write_due: Arc<Notify>,
@@ -100,6 +104,7 @@
             decide_pause: DECIDE_PAUSE,
             ended: Vec::new(),
             origins: args.origins,
+            freshness: args.freshness,
             is_worker_list_new: true,
             write_due: Arc::default(),
         };
--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -17,7 +17,7 @@
 use tokio::time::Instant;
 
 use super::loops;
-use super::{Origins, Owner, OwnerArgs, STOP_AFTER};
+use super::{Freshness, Origins, Owner, OwnerArgs, STOP_AFTER};
 use crate::events::Event;
 use crate::layout::{IntakeKey, PROGRESS, WORKERS_KEY, intake_partitions};
 use crate::shared::Shared;
@@ -104,6 +104,7 @@
             "workers" => workers, "owner_before_stopped" => is_stopped,
             "since_claim_ms" => now.since(claimed).as_millis()),
     );
+    let freshness = Freshness::new(intake_partitions(), now);
     let args = OwnerArgs {
         shared: Arc::clone(shared),
         siblings: siblings.clone(),
@@ -111,12 +112,14 @@
         cell,
         confirmed: claimed,
         origins,
+        freshness: freshness.clone(),
     };
     let owner = Owner::spawn_with_mailbox(args, mailbox::unbounded());
     let me = owner.downgrade();
     for (partition, page) in intake {
         let (shared, me) = (Arc::clone(shared), me.clone());
-        tokio::spawn(loops::intake(shared, me, partition, page.end));
+        let freshness = freshness.clone();
+        tokio::spawn(loops::intake(shared, me, partition, page.end, freshness));
     }
     tokio::spawn(loops::directory(Arc::clone(shared), me, directory.end));
     Ok(owner)
--- /dev/null
+++ b/crates/kingcupwinch-soak/examples/soak.rs
@@ -0,0 +1,97 @@
+//! Runs the fault soak over seeds. Exits with 1 if a promise was broken.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use kingcupwinch_soak::{Outcome, RunOptions, run};
+
+fn make_command() -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .default_value(default)
+            .value_parser(value_parser!(u64))
+            .help(help)
+    };
+    Command::new("soak")
+        .about("Runs instances under faults from outside and checks their promises")
+        .arg(number("seed", "1", "The first seed"))
+        .arg(number("count", "1", "How many seeds, from the first on"))
+        .arg(number("seconds", "12", "How long callers and faults come"))
+        .arg(number("at-once", "1", "Runs at a time"))
+        .arg(
+            Arg::new("dir")
+                .long("dir")
+                .default_value("target/soak")
+                .value_parser(value_parser!(PathBuf))
+                .help("Where settings and logs go"),
+        )
+}
+
+fn print(seed: u64, outcome: &Outcome) {
+    let Outcome {
+        jobs,
+        accepted,
+        refused,
+        starts,
+        breaches,
+        plan,
+    } = outcome;
+    println!(
+        "seed {seed}: {} faults, {jobs} jobs, {accepted} accepted, {refused} refused, \
+         {starts} starts, {} breaches",
+        plan.faults.len(),
+        breaches.len()
+    );
+    if !breaches.is_empty() {
+        print!("{}", plan.describe());
+        for breach in breaches {
+            println!("  {breach}");
+        }
+    }
+}
+
+async fn run_seed(seed: u64, seconds: u64, dir: PathBuf) -> bool {
+    let options = RunOptions::new(seed, &dir.join(seed.to_string()));
+    let outcome = match options {
+        Ok(options) => run(&options.with_seconds(seconds)).await,
+        Err(error) => Err(error),
+    };
+    match outcome {
+        Ok(outcome) => {
+            print(seed, &outcome);
+            outcome.breaches.is_empty()
+        }
+        Err(error) => {
+            println!("seed {seed}: not run: {error}");
+            false
+        }
+    }
+}
+
+async fn run_all(matches: &ArgMatches) -> bool {
+    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or(1);
+    let dir = matches.get_one::<PathBuf>("dir").cloned();
+    let dir = dir.unwrap_or_default();
+    let seeds: Vec<u64> = (number("seed")..number("seed") + number("count")).collect();
+    let at_once = usize::try_from(number("at-once")).unwrap_or(1).max(1);
+    let mut is_clean = true;
+    for group in seeds.chunks(at_once) {
+        let mut runs = tokio::task::JoinSet::new();
+        for seed in group {
+            runs.spawn(run_seed(*seed, number("seconds"), dir.clone()));
+        }
+        is_clean &= runs.join_all().await.into_iter().all(|clean| clean);
+    }
+    is_clean
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    if run_all(&make_command().get_matches()).await {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-soak/src/instance.rs
@@ -0,0 +1,115 @@
+//! One instance as a process of its own.
+
+use std::fs::{File, OpenOptions};
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
+
+use kingcupwinch_standin::InstanceSettings;
+use rustix::process::{Pid, Signal, kill_process};
+use tokio::time::Instant;
+
+/// How often an ending process is looked at.
+const END_STEP: Duration = Duration::from_millis(20);
+
+/// A process that this run started, and how to start it again.
+pub(crate) struct Instance {
+    program: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Instance {
+    /// Writes the settings and starts the process.
+    pub(crate) fn start(
+        program: &Path,
+        dir: &Path,
+        settings: &InstanceSettings,
+    ) -> io::Result<Self> {
+        let file = dir.join(format!("{}.toml", settings.name));
+        std::fs::write(&file, settings.render())?;
+        let mut instance = Instance {
+            program: program.to_owned(),
+            settings: file,
+            log: dir.join(format!("{}.log", settings.name)),
+            child: None,
+        };
+        instance.ensure_started()?;
+        Ok(instance)
+    }
+
+    /// Starts the process if it has ended or never ran.
+    pub(crate) fn ensure_started(&mut self) -> io::Result<()> {
+        if self.is_running() {
+            return Ok(());
+        }
+        let log: File = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)?;
+        let child = Command::new(&self.program)
+            .arg("node")
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    fn is_running(&mut self) -> bool {
+        let Some(child) = &mut self.child else {
+            return false;
+        };
+        matches!(child.try_wait(), Ok(None))
+    }
+
+    /// Sends a signal to the process, if it still runs.
+    pub(crate) fn signal(&mut self, signal: Signal) -> io::Result<()> {
+        if !self.is_running() {
+            return Ok(());
+        }
+        let id = self.child.as_ref().map(Child::id);
+        let pid = id.and_then(|id| Pid::from_raw(id.cast_signed()));
+        if let Some(pid) = pid {
+            kill_process(pid, signal)?;
+        }
+        Ok(())
+    }
+
+    /// Kills the process and waits for its end.
+    pub(crate) fn kill(&mut self) -> io::Result<()> {
+        if let Some(mut child) = self.child.take() {
+            child.kill()?;
+            child.wait()?;
+        }
+        Ok(())
+    }
+
+    /// Waits for the process to end by itself; `None` if it does not in time.
+    pub(crate) async fn wait_end(&mut self, patience: Duration) -> Option<ExitStatus> {
+        let deadline = Instant::now() + patience;
+        loop {
+            let child = self.child.as_mut()?;
+            if let Ok(Some(status)) = child.try_wait() {
+                self.child = None;
+                return Some(status);
+            }
+            if Instant::now() > deadline {
+                return None;
+            }
+            tokio::time::sleep(END_STEP).await;
+        }
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        // A process that can't be killed has ended.
+        let _ = self.kill();
+    }
+}
