--- a/crates/kingcupwinch-cell/src/cell/copies.rs
+++ b/crates/kingcupwinch-cell/src/cell/copies.rs
@@ -73,11 +73,17 @@
         let job = &self.jobs[key];
         let spec = job.step_spec(slot);
         let hall = floor.services.get_mut(&job.spec.terms.service)?;
+        let counts = self.step_counts(key, slot);
+        let most = spec.spread.map_or(usize::MAX, usize::from);
         let is_open = |worker: WorkerKey| {
+            let is_spread = counts.get(&worker).is_none_or(|count| *count < most);
             let tickets = &job.steps[slot].tickets;
             let is_allowed =
                 job.spec.terms.advice.is_none() || tickets.valid(worker, now).is_some();
-            is_allowed && worker != self.runs[first].worker && self.has_label(worker, spec)
+            is_allowed
+                && is_spread
+                && worker != self.runs[first].worker
+                && self.has_label(worker, spec)
         };
         let seats = hall.seats.iter().enumerate();
         let open = seats.filter(|(_, seat)| seat.room.fits(spec.charge()) > 0 && is_open(seat.key));
--- a/crates/kingcupwinch-cell/src/plan.rs
+++ b/crates/kingcupwinch-cell/src/plan.rs
@@ -349,7 +349,7 @@
     }
 
     /// Returns how many tasks of a step are on each worker.
-    fn step_counts(&self, job: JobKey, step: usize) -> FxHashMap<WorkerKey, usize> {
+    pub(crate) fn step_counts(&self, job: JobKey, step: usize) -> FxHashMap<WorkerKey, usize> {
         let mut counts = FxHashMap::default();
         for run in self.job_runs(job) {
             if self.jobs[job].slot(run.name) == step {
--- a/crates/kingcupwinch-cell/tests/cell/copies.rs
+++ b/crates/kingcupwinch-cell/tests/cell/copies.rs
@@ -83,3 +83,22 @@
     work_on(&mut site, 8_000);
     assert_eq!(site.running().len(), 1);
 }
+
+/// Pattern: a step whose tasks are kept apart, one to a worker.
+#[test]
+fn a_copy_goes_nowhere_that_its_step_may_not() {
+    let mut site = Site::new(3, 4);
+    let apart = StepSpec {
+        copies: true,
+        spread: Some(1),
+        ..step(2, 1, 1_000)
+    };
+    site.submit(1, job(vec![apart]));
+    site.run_orders();
+    work_on(&mut site, 6_000);
+    let mut places: Vec<_> = site.running().iter().map(|(on, _)| *on).collect();
+    assert_eq!(places.len(), 3, "one copy has a worker of its own");
+    places.sort();
+    places.dedup();
+    assert_eq!(places.len(), 3);
+}
