--- a/crates/kingcupwinch-node/src/accept.rs
+++ b/crates/kingcupwinch-node/src/accept.rs
@@ -147,7 +147,8 @@
         .append(partition, &records, None, None, deadline)
         .await;
     let metrics = &shared.metrics;
-    metrics.append_time.observe(begun.elapsed().as_secs_f64());
+    let error = result.as_ref().err().map(ToString::to_string);
+    shared.note_append(partition, records.len(), begun.elapsed(), error.as_deref());
     match result {
         Ok(_) => {
             shared.note_store(None);
--- a/crates/kingcupwinch-node/src/events.rs
+++ b/crates/kingcupwinch-node/src/events.rs
@@ -55,6 +55,8 @@
     RecordSkipped = "1203", "record skipped";
     /// A sibling's answer can't be read.
     AnswerSkipped = "1204", "answer skipped";
+    /// An append took much longer than usual, or got no answer for so long.
+    AppendSlow = "1205", "append slow";
     /// A configuration is in force.
     ConfigInForce = "1301", "configuration in force";
     /// Another instance owns the cell.
--- a/crates/kingcupwinch-node/src/group.rs
+++ b/crates/kingcupwinch-node/src/group.rs
@@ -45,7 +45,7 @@
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Between two records of a member.
-const MEMBER_GAP: Duration = Duration::from_secs(15);
+const MEMBER_GAP: Duration = Duration::from_secs(30);
 
 /// Follows the group, and owns the cell when it falls to this instance.
 pub(crate) struct Group {
@@ -343,12 +343,14 @@
     let value = serde_json::to_vec(record)
         .map_err(|error| WriteError::NotDone(error.to_string().into()))?;
     let record = KeyedRecord::with_value(key, value);
-    let deadline = Instant::now() + wait;
-    let appended = shared
+    let begun = Instant::now();
+    let result = shared
         .store
-        .append(GROUP, &[record], at, None, deadline)
-        .await?;
-    Ok(appended.offset)
+        .append(GROUP, &[record], at, None, begun + wait)
+        .await;
+    let error = result.as_ref().err().map(ToString::to_string);
+    shared.note_append(GROUP, 1, begun.elapsed(), error.as_deref());
+    Ok(result?.offset)
 }
 
 /// Shows that the owner lives, and lets it know that it can write.
--- a/crates/kingcupwinch-node/src/keeper.rs
+++ b/crates/kingcupwinch-node/src/keeper.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use kingcupwinch_adapter::KeyedRecord;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::accept::{Intake, Kept};
 use crate::shared::Shared;
@@ -22,6 +22,9 @@
 /// No other way is begun when less than this is left to the caller's deadline.
 const LEAST_LEFT: Duration = Duration::from_millis(150);
 
+/// The pause before a record whose fate is in doubt is tried anew.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
 /// Puts callers' records into the log.
 pub(crate) struct Keeper {
     pub(crate) shared: Arc<Shared>,
@@ -35,6 +38,13 @@
 impl Keeper {
     /// Keeps a record, and returns when the outcome is known or at the deadline.
     pub(crate) async fn keep(&self, record: &KeyedRecord, deadline: Instant) -> Kept {
+        let try_once = || self.try_once(record, deadline);
+        // Without the store doubt can't be lifted, and the caller hears so at once.
+        let may_go_on = || self.shared.has_store() && Instant::now() + LEAST_LEFT < deadline;
+        try_until_certain(try_once, may_go_on).await
+    }
+
+    async fn try_once(&self, record: &KeyedRecord, deadline: Instant) -> Kept {
         let hedge = self.shared.patience.wait(0);
         let first = self.keep_at_owner(record, deadline);
         try_in_turn(first, hedge, || self.keep_without_owner(record, deadline)).await
@@ -65,6 +75,20 @@
     }
 }
 
+/// Tries until the record is kept or certainly is not, as long as it may go on. After one try in
+/// doubt only a success is certain.
+async fn try_until_certain<F: Future<Output = Kept>>(
+    mut try_once: impl FnMut() -> F,
+    may_go_on: impl Fn() -> bool,
+) -> Kept {
+    let mut kept = try_once().await;
+    while matches!(kept, Kept::Unknown(_)) && may_go_on() {
+        sleep(RETRY_PAUSE).await;
+        kept = kept.or(try_once().await);
+    }
+    kept
+}
+
 /// Tries one way, and another as well if the first fails or has no outcome within `hedge`. Returns
 /// with the first success, or when both have failed.
 async fn try_in_turn<A, B>(first: A, hedge: Duration, second: impl FnOnce() -> B) -> Kept
--- a/crates/kingcupwinch-node/src/keeper/tests.rs
+++ b/crates/kingcupwinch-node/src/keeper/tests.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::{Instant, sleep};
 
-use super::try_in_turn;
+use super::{try_in_turn, try_until_certain};
 use crate::accept::Kept;
 
 const HEDGE: Duration = Duration::from_millis(150);
@@ -69,3 +69,25 @@
     let kept = try_in_turn(after(5, unknown()), HEDGE, || ready(Kept::Yes)).await;
     assert_eq!(kept, Kept::Yes);
 }
+
+/// Pattern: the owner stops in the middle of a slow append, and its successor takes the record.
+#[tokio::test(start_paused = true)]
+async fn doubt_is_lifted_by_another_try() {
+    let mut outcomes = vec![Kept::Yes, no(), unknown()];
+    let kept = try_until_certain(|| ready(outcomes.pop().unwrap()), || true).await;
+    assert_eq!(kept, Kept::Yes);
+}
+
+#[tokio::test(start_paused = true)]
+async fn doubt_stays_when_there_is_no_other_try() {
+    let mut outcomes = vec![Kept::Yes, unknown()];
+    let kept = try_until_certain(|| ready(outcomes.pop().unwrap()), || false).await;
+    assert_eq!(kept, unknown());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_refusal_is_not_tried_again() {
+    let mut outcomes = vec![Kept::Yes, no()];
+    let kept = try_until_certain(|| ready(outcomes.pop().unwrap()), || true).await;
+    assert_eq!(kept, no());
+}
--- a/crates/kingcupwinch-node/src/owner/writer.rs
+++ b/crates/kingcupwinch-node/src/owner/writer.rs
@@ -180,7 +180,8 @@
             .store
             .append(PROGRESS, records, None, Some(fence), deadline)
             .await;
-        metrics.append_time.observe(begun.elapsed().as_secs_f64());
+        let error = result.as_ref().err().map(ToString::to_string);
+        shared.note_append(PROGRESS, records.len(), begun.elapsed(), error.as_deref());
         match result {
             Ok(_) => {
                 shared.note_store(None);
--- a/crates/kingcupwinch-node/src/shared.rs
+++ b/crates/kingcupwinch-node/src/shared.rs
@@ -2,9 +2,10 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use kameo::actor::ActorRef;
-use kingcupwinch_adapter::{Adviser, QueueTable, Settings, Store};
+use kingcupwinch_adapter::{Adviser, Partition, QueueTable, Settings, Store};
 use kingcupwinch_cell::{Claim, Member};
 use kingcupwinch_platform::Patience;
 use kingcupwinch_time::{Clock, DayClock, Span, SuspendClock, Time, WallClock, WallTime};
@@ -18,6 +19,9 @@
 /// How long the store may be silent before the instance sends callers elsewhere.
 const STORE_PATIENCE: Span = Span::from_millis(1_500);
 
+/// An append that takes so long is told: twenty times what it takes in a store in good order.
+const SLOW_APPEND: Duration = Duration::from_millis(200);
+
 /// A call that fails after so long without any answer of the store is told as a loss of it.
 const LOST_AFTER: Span = Span::from_millis(500);
 
@@ -109,6 +113,25 @@
         }
     }
 
+    /// Notes how long an append of so many records took, and how it ended.
+    pub(crate) fn note_append(
+        &self,
+        partition: Partition,
+        records: usize,
+        took: Duration,
+        error: Option<&str>,
+    ) {
+        self.metrics.append_time.observe(took.as_secs_f64());
+        if took >= SLOW_APPEND {
+            self.log.write(
+                Event::AppendSlow,
+                o!("topic" => partition.topic, "partition" => partition.number,
+                    "records" => records, "took_ms" => took.as_millis() as u64,
+                    "error" => error.map(ToOwned::to_owned)),
+            );
+        }
+    }
+
     /// Returns whether the store answers this instance, as far as it knows.
     pub(crate) fn has_store(&self) -> bool {
         !self.store_lost.load(Ordering::Relaxed)
