Place jobs while their acceptance is appended

Change: the owner places what it is about to append and holds the orders back until both the job and its placement are in the log. A job that certainly is not in the log is dropped without a trace, one that nobody confirms within six seconds gives its room back, and a cancellation holds in any case.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -6,6 +6,7 @@
 mod looks;
 mod runs;
 mod services;
+mod tentative;
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -150,8 +151,13 @@
     batch: u64,
     acks: Vec<PendingAck>,
     kept: Vec<(u64, JobKey)>,
-    /// Orders to start that wait until their placements are in the log.
+    /// Orders to start that wait until their placements and their jobs are in the log.
     planned: Vec<(u64, StartOrder)>,
+    /// The last batch that is in the log.
+    recorded: u64,
+    /// Jobs whose acceptance is not in the log yet, and those that were dropped with records to drop.
+    tentative: FxHashSet<JobKey>,
+    dropped: Vec<JobId>,
     counters: Counters,
 }
 
@@ -187,6 +193,9 @@
             acks: Vec::new(),
             kept: Vec::new(),
             planned: Vec::new(),
+            recorded: 0,
+            tentative: FxHashSet::default(),
+            dropped: Vec::new(),
             counters: Counters::default(),
         }
     }
@@ -416,6 +425,11 @@
             };
             records.progress.push((job.id, record));
         }
+        for id in std::mem::take(&mut self.dropped) {
+            if !self.by_id.contains_key(&id) {
+                records.expired.push(id);
+            }
+        }
         while let Some((until, id)) = self.end_times.front().copied()
             && until <= now
         {
@@ -470,7 +484,8 @@
             shown.extend(job.end.map(|end| (job.id, end)));
             self.drop_if_over(key, now);
         }
-        self.send_planned(batch, now);
+        self.recorded = self.recorded.max(batch);
+        self.send_planned(now);
         shown
     }
 
@@ -513,12 +528,18 @@
         };
         let id = job.id;
         self.jobs.remove(key);
-        self.copied.remove(&key);
-        self.lasting.remove(&key);
+        self.forget_kinds(key);
         self.by_id.remove(&id);
         self.keep_end(id, shown, now);
     }
 
+    fn forget_kinds(&mut self, key: JobKey) {
+        self.copied.remove(&key);
+        self.lasting.remove(&key);
+        self.timed.remove(&key);
+        self.tentative.remove(&key);
+    }
+
     /// Keeps an end for as long as it can be asked for.
     fn keep_end(&mut self, id: JobId, shown: Shown, now: Time) {
         self.ends.insert(id, shown);
--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -112,10 +112,12 @@
         Some(run)
     }
 
-    /// Sends the orders whose placements are in the log.
-    pub(crate) fn send_planned(&mut self, batch: u64, now: Time) {
+    /// Sends the orders whose placements and jobs are in the log.
+    pub(crate) fn send_planned(&mut self, now: Time) {
         for (number, order) in std::mem::take(&mut self.planned) {
-            if number > batch {
+            let job = self.by_id.get(&order.task.job);
+            let is_kept = job.is_none_or(|key| self.jobs[*key].is_kept);
+            if number > self.recorded || !is_kept {
                 self.planned.push((number, order));
             } else {
                 self.send_start(order, now);
--- /dev/null
+++ b/crates/kingcupwinch-cell/src/cell/tentative.rs
@@ -0,0 +1,85 @@
+//! Jobs that are placed while their acceptance is still on its way into the log.
+//!
+//! Nothing of such a job is ordered. It is confirmed once the log has it, or dropped without a
+//! trace if the log certainly has not.
+
+use kingcupwinch_time::{Span, Time};
+
+use super::Cell;
+use crate::id::JobId;
+use crate::job::{JobKey, Shown};
+use crate::run::RunKey;
+use crate::spec::JobSpec;
+
+/// A job that was not confirmed for so long gives its room back. If the log turns out to have it, it
+/// is read from there.
+const TENTATIVE_TIME: Span = Span::from_millis(6_000);
+
+impl Cell {
+    /// Takes in a job whose acceptance is on its way into the log; nothing if it is known.
+    pub fn submit_tentatively(&mut self, id: JobId, spec: JobSpec, now: Time) {
+        if self.shown(id).is_some() || self.early_cancels.contains_key(&id) {
+            return;
+        }
+        self.submit(id, spec, now);
+        if let Some(&key) = self.by_id.get(&id) {
+            self.jobs[key].is_kept = false;
+            self.tentative.insert(key);
+        }
+    }
+
+    /// Returns whether a job is known whose acceptance is not in the log yet.
+    pub fn is_tentative(&self, id: JobId) -> bool {
+        let key = self.by_id.get(&id);
+        key.is_some_and(|key| self.tentative.contains(key))
+    }
+
+    /// Notes that a job's acceptance is in the log: its orders may go out.
+    pub fn confirm(&mut self, id: JobId, now: Time) {
+        let Some(&key) = self.by_id.get(&id) else {
+            return;
+        };
+        if self.tentative.remove(&key) {
+            self.jobs[key].is_kept = true;
+            self.send_planned(now);
+        }
+    }
+
+    /// Drops a job whose acceptance certainly is not in the log. One that was confirmed stays.
+    pub fn drop_tentative(&mut self, id: JobId, now: Time) {
+        if let Some(&key) = self.by_id.get(&id)
+            && self.tentative.contains(&key)
+        {
+            self.forget_tentative(key, now);
+        }
+    }
+
+    /// Drops the jobs that were not confirmed in time.
+    pub(crate) fn expire_tentative(&mut self, now: Time) {
+        let is_old = |key: &&JobKey| self.jobs[**key].came + TENTATIVE_TIME < now;
+        let old: Vec<JobKey> = self.tentative.iter().filter(is_old).copied().collect();
+        for key in old {
+            self.forget_tentative(key, now);
+        }
+    }
+
+    fn forget_tentative(&mut self, key: JobKey, now: Time) {
+        // Nothing was sent of its runs.
+        let runs: Vec<RunKey> = self.jobs[key].runs.iter().copied().collect();
+        for run in runs {
+            self.settle(run, now);
+        }
+        let job = &self.jobs[key];
+        let id = job.id;
+        if job.end == Some(Shown::Cancelled) {
+            // A cancellation is in the log and holds for the id.
+            self.tentative.remove(&key);
+            return;
+        }
+        self.jobs.remove(key);
+        self.by_id.remove(&id);
+        self.dirty.remove(&key);
+        self.forget_kinds(key);
+        self.dropped.push(id);
+    }
+}
--- a/crates/kingcupwinch-cell/src/plan.rs
+++ b/crates/kingcupwinch-cell/src/plan.rs
@@ -111,6 +111,7 @@
     /// Decides what can be decided, and returns everything to be done.
     pub fn decide(&mut self, now: Time) -> Vec<Action> {
         self.expire_workers(now);
+        self.expire_tentative(now);
         self.recall_partial_gangs();
         self.settle_withdrawn(now);
         self.open_occurrences(now);
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -13,4 +13,5 @@
 mod site;
 mod speeds;
 mod takeover;
+mod tentative;
 mod tenure;
--- a/crates/kingcupwinch-node/src/accept.rs
+++ b/crates/kingcupwinch-node/src/accept.rs
@@ -9,7 +9,7 @@
 
 use crate::layout::{DIRECT, IntakeKey, intake_of};
 use crate::metrics::Metrics;
-use crate::owner::IntakeRead;
+use crate::owner::{Announced, IntakeRead, NotKept};
 use crate::shared::Shared;
 
 #[cfg(test)]
@@ -142,6 +142,9 @@
     let tries = batch.iter().map(|request| request.tries).max();
     let wait = shared.patience.wait(tries.unwrap_or(0));
     let deadline = begun + wait;
+    if partition == DIRECT {
+        announce(shared, &records).await;
+    }
     let result = shared
         .store
         .append(partition, &records, None, None, deadline)
@@ -171,7 +174,11 @@
             if is_doubtful {
                 shared.patience.waited_in_vain(begun.elapsed());
             }
-            settle_failed(batch, is_doubtful, &text)
+            let (left, refused) = settle_failed(batch, is_doubtful, &text);
+            if partition == DIRECT {
+                take_back(shared, refused).await;
+            }
+            left
         }
     }
 }
@@ -189,18 +196,53 @@
     let _ = owner.tell(read).await;
 }
 
-/// Refuses at once what certainly was not appended; what may have been is tried again until its
-/// deadline, since a repeat changes nothing.
-fn settle_failed(batch: Vec<Request>, is_doubtful: bool, why: &Arc<str>) -> Vec<Request> {
+/// Lets the owner place jobs while they are appended: it orders nothing of them before.
+async fn announce(shared: &Shared, records: &[KeyedRecord]) {
+    let Some(owner) = shared.owner() else { return };
+    let row = |record: &KeyedRecord| match IntakeKey::parse(&record.key)? {
+        IntakeKey::Accepted(id) => Some((id, record.value.clone()?)),
+        IntakeKey::Cancelled(_) => None,
+    };
+    // The owner may have ended: the next one reads the partition.
+    let _ = owner
+        .tell(Announced(records.iter().filter_map(row).collect()))
+        .await;
+}
+
+/// Tells the owner which announced jobs certainly are not in the log.
+async fn take_back(shared: &Shared, refused: Vec<KeyedRecord>) {
+    let Some(owner) = shared.owner() else { return };
+    let row = |record: KeyedRecord| match IntakeKey::parse(&record.key)? {
+        IntakeKey::Accepted(id) => Some(id),
+        IntakeKey::Cancelled(_) => None,
+    };
+    // The owner may have ended, and with it what was announced.
+    let _ = owner
+        .tell(NotKept(refused.into_iter().filter_map(row).collect()))
+        .await;
+}
+
+/// Settles the requests of an append that failed. Returns those to be tried again, since they may
+/// have been appended and a repeat changes nothing, and the records that certainly were not.
+fn settle_failed(
+    batch: Vec<Request>,
+    is_doubtful: bool,
+    why: &Arc<str>,
+) -> (Vec<Request>, Vec<KeyedRecord>) {
     let mut left = Vec::new();
+    let mut refused = Vec::new();
     for mut request in batch {
         request.tries += 1;
         request.is_doubtful |= is_doubtful;
         // Nobody waits for the outcome any more.
         if request.reply.is_closed() {
+            if !request.is_doubtful {
+                refused.push(request.record);
+            }
             continue;
         }
         if !request.is_doubtful {
+            refused.push(request.record);
             let _ = request.reply.send(Kept::No(Arc::clone(why)));
         } else if Instant::now() + RETRY_PAUSE < request.deadline {
             left.push(request);
@@ -208,5 +250,5 @@
             let _ = request.reply.send(Kept::Unknown(Arc::clone(why)));
         }
     }
-    left
+    (left, refused)
 }
--- a/crates/kingcupwinch-node/src/owner/messages.rs
+++ b/crates/kingcupwinch-node/src/owner/messages.rs
@@ -38,6 +38,12 @@
 /// Asks how many jobs of a queue wait; `None` if this owner can't tell.
 pub(crate) struct WaitingOf(pub(crate) Arc<str>);
 
+/// Jobs that this instance is about to append to the intake.
+pub(crate) struct Announced(pub(crate) Vec<(JobId, bytes::Bytes)>);
+
+/// Announced jobs that certainly are not in the log.
+pub(crate) struct NotKept(pub(crate) Vec<JobId>);
+
 /// Records of a partition of the intake.
 pub(crate) struct IntakeRead {
     pub(crate) partition: Partition,
@@ -154,6 +160,35 @@
     }
 }
 
+impl Message<Announced> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, jobs: Announced, _: &mut Context<Self, ()>) {
+        let now = self.shared.now();
+        for (id, value) in jobs.0 {
+            match serde_json::from_slice(&value) {
+                Ok(spec) => self.cell.submit_tentatively(id, spec, now),
+                Err(error) => {
+                    let fields = o!("job" => id.to_string(), "error" => error.to_string());
+                    self.shared.log.write(Event::RecordSkipped, fields);
+                }
+            }
+        }
+        self.decide_soon();
+    }
+}
+
+impl Message<NotKept> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, jobs: NotKept, _: &mut Context<Self, ()>) {
+        let now = self.shared.now();
+        for id in jobs.0 {
+            self.cell.drop_tentative(id, now);
+        }
+    }
+}
+
 impl Message<IntakeRead> for Owner {
     type Reply = ();
 
@@ -165,7 +200,9 @@
             match key {
                 IntakeKey::Accepted(id) => {
                     self.note_origin(id, read.partition);
-                    if self.cell.shown(id).is_some() {
+                    if self.cell.is_tentative(id) {
+                        self.confirm(id, now);
+                    } else if self.cell.shown(id).is_some() {
                         self.note_repeat(id, read.partition);
                     } else {
                         self.take_job(id, &value, now);
@@ -184,11 +221,21 @@
                 }
             }
         }
+        self.send_recorded();
         self.decide_soon();
     }
 }
 
 impl Owner {
+    /// Notes that an announced job is in the log.
+    fn confirm(&mut self, id: JobId, now: Time) {
+        self.cell.confirm(id, now);
+        self.shared.log.write(
+            Event::JobTaken,
+            o!("job" => id.to_string(), "result" => "announced before"),
+        );
+    }
+
     /// Notes a record of a job that is known. The owner's own appends come back to it with each read
     /// of their partition; only repeats by callers are told.
     fn note_repeat(&mut self, id: JobId, partition: Partition) {
--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -28,7 +28,7 @@
 
 pub(crate) use freshness::Freshness;
 pub(crate) use messages::{
-    Confirmed, IntakeRead, Members, Release, StateOf, Superseded, WaitingOf,
+    Announced, Confirmed, IntakeRead, Members, NotKept, Release, StateOf, Superseded, WaitingOf,
 };
 pub(crate) use takeover::take_over;
 
