--- a/crates/kingcupwinch-platform/src/reply.rs
+++ b/crates/kingcupwinch-platform/src/reply.rs
@@ -14,17 +14,20 @@
 
 /// An answer with its whole body.
 #[derive(Debug)]
-pub(crate) struct Reply {
-    pub(crate) status: StatusCode,
-    pub(crate) bytes: Bytes,
+pub struct Reply {
+    /// The status.
+    pub status: StatusCode,
+    /// The body.
+    pub bytes: Bytes,
 }
 
 impl Reply {
     /// Reads an answer's body to its end.
-    pub(crate) async fn read(
-        answer: Response<AnswerBody>,
-        deadline: Instant,
-    ) -> Result<Self, LostCause> {
+    ///
+    /// # Errors
+    ///
+    /// Fails at the deadline, or if the body is too large or broken off.
+    pub async fn read(answer: Response<AnswerBody>, deadline: Instant) -> Result<Self, LostCause> {
         let status = answer.status();
         let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
         let collected = timeout_at(deadline, body.collect()).await;
