Judge work by the configuration that is in force

The daemon is ready once a configuration is published, but the scheduler plans by it only when its message arrives; a request in between was judged by the plan before and refused for good.

Ruled out: the test (it asks after /readyz says 200) and the stand-ins.

Change: the scheduler remembers the version that it plans by and catches up before it judges a request or a job's tasks. The test stays as it is; no test makes the message late by itself.

--- a/crates/kingcupwinch-daemon/src/actors/scheduler/live.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/live.rs
@@ -131,6 +131,7 @@
 
 impl Scheduler {
     fn submit_live(&mut self, submit: Submit) -> Result<TaskKey, Refusal> {
+        self.catch_up();
         let now = self.now();
         let config = self.shared.config.load_full();
         let class = config
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/mod.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/mod.rs
@@ -17,7 +17,7 @@
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
-use kingcupwinch_coord::id::{Incarnation, ShardId, TaskId};
+use kingcupwinch_coord::id::{Incarnation, ShardId, TaskId, Version};
 use kingcupwinch_policy::{Cell, Decision, Fault, MachineKey, Placement, Plan, TaskKey};
 use kingcupwinch_time::{Span, Time};
 use kingcupwinch_wire::roster::Instance;
@@ -88,6 +88,8 @@
     told_group: Vec<Incarnation>,
     jobs: Option<ActorRef<JobKeeper>>,
     demand: Demand,
+    /// The version of the configuration that the cell plans by.
+    planned: Version,
 }
 
 impl Actor for Scheduler {
@@ -118,6 +120,7 @@
             told_group: Vec::new(),
             jobs: None,
             demand: Demand::default(),
+            planned: Version(0),
         };
         scheduler.cell.set_elsewhere(None);
         scheduler.replan();
@@ -138,6 +141,16 @@
         if let Err(fault) = self.cell.replan(plan, now) {
             self.note_fault("replan", fault);
         }
+        self.planned = config.version;
+    }
+
+    /// Plans by the configuration in force before work is judged by it: a caller may have seen it in
+    /// force before the message to plan anew has arrived here.
+    fn catch_up(&mut self) {
+        if self.shared.config.load().version > self.planned {
+            self.replan();
+            self.refresh_seats();
+        }
     }
 
     /// Lets the policy decide and carries its decisions out.
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/tasks.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/tasks.rs
@@ -128,6 +128,7 @@
     }
 
     fn run_tasks(&mut self, run: &RunTasks) {
+        self.catch_up();
         let now = self.now();
         let submitted = self.task_spec(&run.spec, run.idempotent).and_then(|spec| {
             if run.spec.gang {
