Send no hangup to a process that has just been started

A stop that took long held the plan up, so that a start and a hangup came within microseconds, before the process could handle any signal. Any program ends then; the platform starts it again.

--- a/crates/kingcupwinch-soak/src/instance.rs
+++ b/crates/kingcupwinch-soak/src/instance.rs
@@ -10,6 +10,8 @@
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::time::Instant;
 
+/// How long after its start a process handles signals, on a busy machine.
+const START_TIME: Duration = Duration::from_millis(1_000);
 /// How often an ending process is looked at.
 const END_STEP: Duration = Duration::from_millis(20);
 
@@ -19,6 +21,8 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    /// When the process was started last.
+    started: Instant,
 }
 
 impl Instance {
@@ -35,6 +39,7 @@
             settings: file,
             log: dir.join(format!("{}.log", settings.name)),
             child: None,
+            started: Instant::now(),
         };
         instance.ensure_started()?;
         Ok(instance)
@@ -58,9 +63,16 @@
             .stderr(log)
             .spawn()?;
         self.child = Some(child);
+        self.started = Instant::now();
         Ok(())
     }
 
+    /// Returns whether the process runs long enough to handle signals: one that comes before ends
+    /// any program.
+    pub(crate) fn handles_signals(&mut self) -> bool {
+        self.is_running() && self.started.elapsed() > START_TIME
+    }
+
     fn is_running(&mut self) -> bool {
         let Some(child) = &mut self.child else {
             return false;
--- a/crates/kingcupwinch-soak/src/run.rs
+++ b/crates/kingcupwinch-soak/src/run.rs
@@ -1,5 +1,6 @@
 //! One run: start, press, break, heal, settle, stop, judge.
 
+use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -16,6 +17,8 @@
 const WORKERS: usize = 6;
 /// How long all that was accepted may take to end once every fault is healed.
 const SETTLE_TIME: Duration = Duration::from_secs(60);
+/// Tries to start with other ports.
+const START_TRIES: u32 = 5;
 /// Callers come so long after the instances are started.
 const START_TIME: Duration = Duration::from_millis(1_500);
 
@@ -78,7 +81,7 @@
 pub async fn run(options: &RunOptions) -> Result<Outcome, RunError> {
     std::fs::create_dir_all(&options.dir)?;
     let plan = Plan::new(options.seed, options.seconds, INSTANCES, WORKERS);
-    let mut site = Site::start(&options.program, &options.dir, INSTANCES, WORKERS).await?;
+    let mut site = start_site(options).await?;
     tokio::time::sleep(START_TIME).await;
     let load = Load::new(site.callers());
     let length = Duration::from_secs(options.seconds);
@@ -109,6 +112,17 @@
     })
 }
 
+/// Starts the site, with other ports if another program took one meanwhile.
+async fn start_site(options: &RunOptions) -> Result<Site, RunError> {
+    let mut tries = 0;
+    loop {
+        match Site::start(&options.program, &options.dir, INSTANCES, WORKERS).await {
+            Err(error) if error.kind() == ErrorKind::AddrInUse && tries < START_TRIES => tries += 1,
+            started => return Ok(started?),
+        }
+    }
+}
+
 /// Carries out the plan.
 async fn break_things(site: &mut Site, plan: &Plan) -> Result<(), RunError> {
     let begun = Instant::now();
--- a/crates/kingcupwinch-soak/src/site.rs
+++ b/crates/kingcupwinch-soak/src/site.rs
@@ -100,7 +100,12 @@
             }
             Fault::Pause(number) => self.places[number].instance.signal(Signal::STOP)?,
             Fault::Terminate(number) => self.places[number].instance.signal(Signal::TERM)?,
-            Fault::Hangup(number) => self.places[number].instance.signal(Signal::HUP)?,
+            Fault::Hangup(number) => {
+                let instance = &mut self.places[number].instance;
+                if instance.handles_signals() {
+                    instance.signal(Signal::HUP)?;
+                }
+            }
             Fault::StoreBusy => self.store.set_mode(StoreMode::Busy),
             Fault::StoreSilent => self.store.set_mode(StoreMode::Silent),
             Fault::StoreSlow(ms) => {
