Place, append and read records in one way each

Copies of slow runs had a finder of seats of their own, which lacked rules that the first had (that is how the spread of a step was missed before); a copy of a filling task could still go to a worker that serves, and a gang that serves did not send filling tasks away. Three appends kept the same books, five reads skipped and told records in the same loop, three callers of the intake checked the store first.

Whether a job is tentative is told by one map, not by a flag, a time and a set. Tests share their set-up; assertions are as they were.

Left: node's and daemon's metrics and event catalogues, the stand-ins' two HTTP servers (fakes::http and standin::http), the readers' loops around an expired history.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -155,8 +155,9 @@
     planned: Vec<(u64, StartOrder)>,
     /// The last batch that is in the log.
     recorded: u64,
-    /// Jobs whose acceptance is not in the log yet, and those that were dropped with records to drop.
-    tentative: FxHashSet<JobKey>,
+    /// Jobs whose acceptance is not in the log yet, and when each came in. Nothing of them is ordered.
+    tentative: FxHashMap<JobKey, Time>,
+    /// Jobs that were dropped and may have records.
     dropped: Vec<JobId>,
     counters: Counters,
 }
@@ -194,7 +195,7 @@
             kept: Vec::new(),
             planned: Vec::new(),
             recorded: 0,
-            tentative: FxHashSet::default(),
+            tentative: FxHashMap::default(),
             dropped: Vec::new(),
             counters: Counters::default(),
         }
--- a/crates/kingcupwinch-cell/src/cell/copies.rs
+++ b/crates/kingcupwinch-cell/src/cell/copies.rs
@@ -4,9 +4,8 @@
 
 use super::Cell;
 use crate::job::{JobKey, TaskState};
-use crate::plan::Floor;
+use crate::plan::{Floor, Hall};
 use crate::run::{RunKey, RunState};
-use crate::worker::WorkerKey;
 
 /// A run gets a copy after so many times its expected run time, ...
 const SLOW_RUN: f64 = 1.5;
@@ -19,11 +18,14 @@
         let jobs: Vec<JobKey> = self.copied.iter().copied().collect();
         for key in jobs {
             for (slot, index, run) in self.slow_tasks(key, now) {
-                let Some(worker) = self.copy_place(key, slot, run, floor, now) else {
+                let service = &self.jobs[key].spec.terms.service;
+                let Some(hall) = floor.services.get_mut(service) else {
                     continue;
                 };
-                let number = self.jobs[key].numbers + 1;
-                self.start_run(key, (slot, index), number, worker, now);
+                if let Some(seat) = self.copy_seat(key, slot, run, hall, now) {
+                    let number = self.jobs[key].numbers + 1;
+                    self.seat_run(key, (slot, index), number, (seat, hall), now);
+                }
             }
         }
     }
@@ -61,35 +63,27 @@
         age >= LEAST_AGE && age.as_secs_f64() > estimate * pace * SLOW_RUN
     }
 
-    /// Takes room for a copy on the fastest worker that may run it and does not run the first.
-    fn copy_place(
+    /// Returns the seat of the fastest worker that may run a copy and does not run the first.
+    fn copy_seat(
         &self,
         key: JobKey,
         slot: usize,
         first: RunKey,
-        floor: &mut Floor,
+        hall: &Hall,
         now: Time,
-    ) -> Option<WorkerKey> {
-        let job = &self.jobs[key];
-        let spec = job.step_spec(slot);
-        let hall = floor.services.get_mut(&job.spec.terms.service)?;
+    ) -> Option<usize> {
         let counts = self.step_counts(key, slot);
-        let most = spec.spread.map_or(usize::MAX, usize::from);
-        let is_open = |worker: WorkerKey| {
-            let is_spread = counts.get(&worker).is_none_or(|count| *count < most);
-            let tickets = &job.steps[slot].tickets;
-            let is_allowed =
-                job.spec.terms.advice.is_none() || tickets.valid(worker, now).is_some();
-            is_allowed
-                && is_spread
-                && worker != self.runs[first].worker
-                && self.has_label(worker, spec)
+        let most = self.jobs[key].step_spec(slot).spread;
+        let is_open = |seat: &usize| {
+            let worker = hall.seats[*seat].key;
+            let count = counts.get(&worker).copied().unwrap_or(0);
+            let is_spread = most.is_none_or(|most| count < usize::from(most));
+            is_spread && worker != self.runs[first].worker
         };
-        let seats = hall.seats.iter().enumerate();
-        let open = seats.filter(|(_, seat)| seat.room.fits(spec.charge()) > 0 && is_open(seat.key));
-        let (place, seat) = open.min_by(|a, b| a.1.speed.total_cmp(&b.1.speed))?;
-        let worker = seat.key;
-        hall.take(place, spec.charge(), 1);
-        Some(worker)
+        let open = self.allowed_seats(key, slot, hall, now);
+        let speed = |seat: &usize| hall.seats[*seat].speed;
+        open.into_iter()
+            .filter(is_open)
+            .min_by(|a, b| speed(a).total_cmp(&speed(b)).then(a.cmp(b)))
     }
 }
--- a/crates/kingcupwinch-cell/src/cell/looks.rs
+++ b/crates/kingcupwinch-cell/src/cell/looks.rs
@@ -123,8 +123,7 @@
         let expected = Span::from_millis(spec.estimate_ms).divided_by(STALL_SHARE);
         let limit = STALL_LIMIT.max(expected);
         // A member of a gang stands at the start until all are there, and at the end until all are
-        // done.
-        // What lasts stays at the end for good.
+        // done; what lasts stays at the end for good.
         let is_whole = run.percent >= 100;
         let is_waiting =
             spec.gang && (job.steps[step].waiting > 0 || is_whole) || spec.lasting && is_whole;
--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -116,8 +116,8 @@
     pub(crate) fn send_planned(&mut self, now: Time) {
         for (number, order) in std::mem::take(&mut self.planned) {
             let job = self.by_id.get(&order.task.job);
-            let is_kept = job.is_none_or(|key| self.jobs[*key].is_kept);
-            if number > self.recorded || !is_kept {
+            let is_tentative = job.is_some_and(|key| self.tentative.contains_key(key));
+            if number > self.recorded || is_tentative {
                 self.planned.push((number, order));
             } else {
                 self.send_start(order, now);
--- a/crates/kingcupwinch-cell/src/cell/tentative.rs
+++ b/crates/kingcupwinch-cell/src/cell/tentative.rs
@@ -23,15 +23,14 @@
         }
         self.submit(id, spec, now);
         if let Some(&key) = self.by_id.get(&id) {
-            self.jobs[key].is_kept = false;
-            self.tentative.insert(key);
+            self.tentative.insert(key, now);
         }
     }
 
     /// Returns whether a job is known whose acceptance is not in the log yet.
     pub fn is_tentative(&self, id: JobId) -> bool {
         let key = self.by_id.get(&id);
-        key.is_some_and(|key| self.tentative.contains(key))
+        key.is_some_and(|key| self.tentative.contains_key(key))
     }
 
     /// Notes that a job's acceptance is in the log: its orders may go out.
@@ -39,8 +38,7 @@
         let Some(&key) = self.by_id.get(&id) else {
             return;
         };
-        if self.tentative.remove(&key) {
-            self.jobs[key].is_kept = true;
+        if self.tentative.remove(&key).is_some() {
             self.send_planned(now);
         }
     }
@@ -48,7 +46,7 @@
     /// Drops a job whose acceptance certainly is not in the log. One that was confirmed stays.
     pub fn drop_tentative(&mut self, id: JobId, now: Time) {
         if let Some(&key) = self.by_id.get(&id)
-            && self.tentative.contains(&key)
+            && self.tentative.contains_key(&key)
         {
             self.forget_tentative(key, now);
         }
@@ -56,8 +54,8 @@
 
     /// Drops the jobs that were not confirmed in time.
     pub(crate) fn expire_tentative(&mut self, now: Time) {
-        let is_old = |key: &&JobKey| self.jobs[**key].came + TENTATIVE_TIME < now;
-        let old: Vec<JobKey> = self.tentative.iter().filter(is_old).copied().collect();
+        let is_old = |(key, came): (&JobKey, &Time)| (*came + TENTATIVE_TIME < now).then_some(*key);
+        let old: Vec<JobKey> = self.tentative.iter().filter_map(is_old).collect();
         for key in old {
             self.forget_tentative(key, now);
         }
--- a/crates/kingcupwinch-cell/src/job.rs
+++ b/crates/kingcupwinch-cell/src/job.rs
@@ -105,10 +105,6 @@
     /// The highest number of a run so far.
     pub(crate) numbers: u32,
     pub(crate) began: bool,
-    /// Whether its acceptance is in the log. Until then nothing of it is ordered.
-    pub(crate) is_kept: bool,
-    /// When it came in.
-    pub(crate) came: Time,
     /// Taken over: unseen tasks may run until every inherited worker is settled.
     pub(crate) inherited: bool,
     pub(crate) end: Option<Shown>,
@@ -150,8 +146,6 @@
             runs: FxHashSet::default(),
             numbers: 0,
             began: false,
-            is_kept: true,
-            came: now,
             inherited: false,
             end: None,
             is_end_kept: false,
--- a/crates/kingcupwinch-cell/src/plan.rs
+++ b/crates/kingcupwinch-cell/src/plan.rs
@@ -202,24 +202,59 @@
 
     /// Returns the seats that may run the step now and have room, best first.
     fn open_seats(&self, due: &Due, hall: &Hall, now: Time) -> Vec<usize> {
-        let job = &self.jobs[due.job];
-        let spec = job.step_spec(due.step);
-        let size = spec.charge();
-        let has_room = |seat: &usize| {
+        let spec = self.jobs[due.job].step_spec(due.step);
+        let mut open = self.allowed_seats(due.job, due.step, hall, now);
+        open.retain(|seat| hall.seats[*seat].speed <= due.slowest);
+        open.sort_by(|a, b| self.prefer(&hall.seats[*a], &hall.seats[*b], due, spec));
+        open
+    }
+
+    /// Returns the seats that may run a step now and have room, in no order.
+    pub(crate) fn allowed_seats(
+        &self,
+        key: JobKey,
+        step: usize,
+        hall: &Hall,
+        now: Time,
+    ) -> Vec<usize> {
+        let job = &self.jobs[key];
+        let spec = job.step_spec(step);
+        let is_open = |seat: &usize| {
             let seat = &hall.seats[*seat];
             let is_barred = spec.fills && seat.is_serving;
-            seat.room.fits(size) > 0 && seat.speed <= due.slowest && !is_barred
+            seat.room.fits(spec.charge()) > 0 && !is_barred && self.has_label(seat.key, spec)
         };
-        let mut open: Vec<usize> = if job.spec.terms.advice.is_some() {
-            let allowed = job.steps[due.step].tickets.allowed(now);
+        if job.spec.terms.advice.is_some() {
+            let allowed = job.steps[step].tickets.allowed(now);
             let seats = allowed.filter_map(|key| hall.places.get(key).copied());
-            seats.filter(has_room).collect()
+            seats.filter(is_open).collect()
         } else {
-            (0..hall.seats.len()).filter(has_room).collect()
-        };
-        open.retain(|seat| self.has_label(hall.seats[*seat].key, spec));
-        open.sort_by(|a, b| self.prefer(&hall.seats[*a], &hall.seats[*b], due, spec));
-        open
+            (0..hall.seats.len()).filter(is_open).collect()
+        }
+    }
+
+    /// Starts a run on a seat, and takes its room for this round; false if nothing was started.
+    pub(crate) fn seat_run(
+        &mut self,
+        key: JobKey,
+        place: (usize, usize),
+        number: u32,
+        (seat, hall): (usize, &mut Hall),
+        now: Time,
+    ) -> bool {
+        let worker = hall.seats[seat].key;
+        if self.start_run(key, place, number, worker, now).is_none() {
+            return false;
+        }
+        let spec = self.jobs[key].step_spec(place.0);
+        let is_serving = spec.serving;
+        hall.take(seat, spec.charge(), 1);
+        hall.seats[seat].is_filled |= spec.fills;
+        hall.seats[seat].is_serving |= is_serving;
+        if is_serving {
+            self.stop_filling(worker);
+        }
+        true
     }
 
     pub(crate) fn has_label(&self, worker: WorkerKey, spec: &StepSpec) -> bool {
@@ -286,7 +321,6 @@
         let spec = job.step_spec(due.step);
         let size = spec.charge();
         let most = spec.spread.map_or(usize::MAX, usize::from);
-        let (fills, serving) = (spec.fills, spec.serving);
         let waiting: Vec<usize> = free_tasks(&job.steps[due.step].tasks, now);
         let mut counts = self.step_counts(due.job, due.step);
         let mut left = waiting.len();
@@ -307,18 +341,9 @@
             let worker = hall.seats[*seat].key;
             let number = self.jobs[due.job].numbers + 1;
             let place = (due.step, index);
-            if self
-                .start_run(due.job, place, number, worker, now)
-                .is_none()
-            {
+            if !self.seat_run(due.job, place, number, (*seat, hall), now) {
                 break;
             }
-            hall.take(*seat, size, 1);
-            hall.seats[*seat].is_filled |= fills;
-            hall.seats[*seat].is_serving |= serving;
-            if serving {
-                self.stop_filling(worker);
-            }
             *counts.entry(worker).or_default() += 1;
             left -= 1;
         }
@@ -342,9 +367,7 @@
         };
         let number = job.numbers + 1;
         for (index, seat) in seats.into_iter().enumerate() {
-            let worker = hall.seats[seat].key;
-            self.start_run(due.job, (due.step, index), number, worker, now);
-            hall.take(seat, size, 1);
+            self.seat_run(due.job, (due.step, index), number, (seat, hall), now);
         }
         true
     }
@@ -494,7 +517,7 @@
     }
 
     /// Takes room for tasks that start, or that a step ahead waits for.
-    pub(crate) fn take(&mut self, seat: usize, size: Size, tasks: u64) {
+    fn take(&mut self, seat: usize, size: Size, tasks: u64) {
         let room = &mut self.seats[seat].room;
         for _ in 0..tasks {
             room.sub(size);
--- a/crates/kingcupwinch-cell/tests/cell/copies.rs
+++ b/crates/kingcupwinch-cell/tests/cell/copies.rs
@@ -102,3 +102,25 @@
     places.dedup();
     assert_eq!(places.len(), 3);
 }
+
+/// Pattern: a copy is placed by the same rules as a first run.
+#[test]
+fn a_copy_of_a_filling_task_stays_off_workers_that_serve() {
+    let mut site = Site::new(2, 4);
+    let serving = StepSpec {
+        serving: true,
+        lasting: true,
+        ..step(1, 1, 500)
+    };
+    site.submit(1, job(vec![serving]));
+    site.run_orders();
+    let filling = StepSpec {
+        copies: true,
+        fills: true,
+        ..step(1, 1, 1_000)
+    };
+    site.submit(2, job(vec![filling]));
+    site.run_orders();
+    work_on(&mut site, 6_000);
+    assert_eq!(site.running().len(), 2, "no worker is free for a copy");
+}
--- a/crates/kingcupwinch-cell/tests/cell/repeats.rs
+++ b/crates/kingcupwinch-cell/tests/cell/repeats.rs
@@ -33,6 +33,14 @@
     site.run_orders();
 }
 
+/// Returns the occurrence and the step of each running task.
+fn running_steps(site: &Site) -> Vec<(u32, u16)> {
+    let mut names: Vec<_> = site.running().iter().map(|(_, task)| *task).collect();
+    names.sort();
+    let steps = names.iter().map(|name| (name.occurrence, name.step));
+    steps.collect()
+}
+
 #[test]
 fn an_occurrence_starts_when_it_is_due_and_not_before() {
     let mut site = site();
@@ -73,13 +81,7 @@
     site.pass(1_200);
     site.look_all();
     site.run_orders();
-    let mut names: Vec<_> = site.running().iter().map(|(_, task)| *task).collect();
-    names.sort();
-    let steps: Vec<_> = names
-        .iter()
-        .map(|name| (name.occurrence, name.step))
-        .collect();
-    assert_eq!(steps, [(0, 0), (1, 0)]);
+    assert_eq!(running_steps(&site), [(0, 0), (1, 0)]);
     let (worker, first) = *site
         .running()
         .iter()
@@ -88,13 +90,7 @@
     site.end(worker, first, EndKind::Done);
     site.look_all();
     site.run_orders();
-    let mut names: Vec<_> = site.running().iter().map(|(_, task)| *task).collect();
-    names.sort();
-    let steps: Vec<_> = names
-        .iter()
-        .map(|name| (name.occurrence, name.step))
-        .collect();
-    assert_eq!(steps, [(0, 1), (1, 0)]);
+    assert_eq!(running_steps(&site), [(0, 1), (1, 0)]);
 }
 
 /// What was done of earlier occurrences is kept as ranges, and not task by task.
--- a/crates/kingcupwinch-cell/tests/cell/takeover.rs
+++ b/crates/kingcupwinch-cell/tests/cell/takeover.rs
@@ -1,6 +1,8 @@
 //! What a later owner makes of what an earlier one left.
 
-use kingcupwinch_cell::{EndKind, Ended, JobRecord, Missed, Placement, RunningTask, Shown};
+use kingcupwinch_cell::{
+    EndKind, Ended, JobRecord, Missed, Placement, RunningTask, Shown, WorkerKey,
+};
 use kingcupwinch_time::Span;
 
 use crate::site::{LEASE, OVERLAP, Played, Site, entry, id, job, step, task};
@@ -24,6 +26,12 @@
     }
 }
 
+/// Has a worker list a run that an earlier owner ordered.
+fn list_running(site: &mut Site, worker: WorkerKey, run: RunningTask) {
+    let played = site.workers.get_mut(&worker).unwrap();
+    played.running.push(run);
+}
+
 fn restore(site: &mut Site, number: u64, record: Option<&JobRecord>) {
     let spec = job(vec![step(1, 1, 500)]);
     site.cell
@@ -82,11 +90,7 @@
     let mut site = heir(1);
     restore(&mut site, 1, None);
     let key = site.keys()[0];
-    site.workers
-        .get_mut(&key)
-        .unwrap()
-        .running
-        .push(run_of(1, 1));
+    list_running(&mut site, key, run_of(1, 1));
     site.look(key);
     site.run_orders();
     assert_eq!(site.running().len(), 1);
@@ -103,11 +107,7 @@
     let record = placed_on("i-0", 1);
     restore(&mut site, 1, Some(&record));
     let keys = site.keys();
-    site.workers
-        .get_mut(&keys[1])
-        .unwrap()
-        .running
-        .push(run_of(1, 2));
+    list_running(&mut site, keys[1], run_of(1, 2));
     for _ in 0..6 {
         site.pass(100);
         site.look_all();
@@ -148,11 +148,7 @@
 fn a_run_of_an_unknown_job_is_stopped() {
     let mut site = heir(1);
     let key = site.keys()[0];
-    site.workers
-        .get_mut(&key)
-        .unwrap()
-        .running
-        .push(run_of(9, 1));
+    list_running(&mut site, key, run_of(9, 1));
     site.look(key);
     site.decide();
     assert_eq!(site.stops.len(), 1);
@@ -206,11 +202,7 @@
     let mut site = heir(1);
     let key = site.keys()[0];
     restore(&mut site, 1, None);
-    site.workers
-        .get_mut(&key)
-        .unwrap()
-        .running
-        .push(run_of(9, 1));
+    list_running(&mut site, key, run_of(9, 1));
     site.look(key);
     site.decide();
     assert!(site.starts.is_empty());
--- a/crates/kingcupwinch-daemon/tests/testsuite/process.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/process.rs
@@ -74,15 +74,21 @@
     }
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_separate_process_serves_and_stops_with_exit_code_zero() {
-    let site = Site::start(2).await;
-    let mut process = Process::start(&site, "entry-1");
+/// Waits until a process is ready, and returns a caller of it.
+async fn ready_caller(process: &Process) -> Caller {
     let caller = Caller::new(process.callers);
     wait_until("the daemon is ready", || async {
         caller.get("/readyz").await.status == 200
     })
     .await;
+    caller
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_separate_process_serves_and_stops_with_exit_code_zero() {
+    let site = Site::start(2).await;
+    let mut process = Process::start(&site, "entry-1");
+    let caller = ready_caller(&process).await;
     let reply = caller
         .run("booking", &[("x-request-id", "p1")], "stage")
         .await;
@@ -97,11 +103,7 @@
 async fn an_operators_drain_stops_the_process_with_exit_code_zero() {
     let site = Site::start(2).await;
     let mut process = Process::start(&site, "entry-1");
-    let caller = Caller::new(process.callers);
-    wait_until("the daemon is ready", || async {
-        caller.get("/readyz").await.status == 200
-    })
-    .await;
+    ready_caller(&process).await;
     let address = process.operators.to_string();
     let words = ["kingcupwinch", "drain", "instance", "--instance", &address];
     let (mut out, mut err) = (Vec::new(), Vec::new());
--- a/crates/kingcupwinch-node/src/accept.rs
+++ b/crates/kingcupwinch-node/src/accept.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use kingcupwinch_adapter::{KeyedRecord, Partition, WriteError};
+use kingcupwinch_cell::JobId;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, timeout_at};
 
 use crate::layout::{DIRECT, IntakeKey, intake_of};
-use crate::metrics::Metrics;
 use crate::owner::{Announced, IntakeRead, NotKept};
 use crate::shared::Shared;
 
@@ -56,6 +56,7 @@
 /// Takes records to append; clones share one queue.
 #[derive(Clone)]
 pub(crate) struct Intake {
+    shared: Arc<Shared>,
     queue: mpsc::Sender<Request>,
 }
 
@@ -73,12 +74,16 @@
 
     fn with_partition(shared: Arc<Shared>, partition: Partition) -> Self {
         let (queue, requests) = mpsc::channel(QUEUE_LENGTH);
-        tokio::spawn(run(shared, partition, requests));
-        Intake { queue }
+        tokio::spawn(run(Arc::clone(&shared), partition, requests));
+        Intake { shared, queue }
     }
 
-    /// Appends a record and returns when it is in the log, or at the deadline.
+    /// Appends a record and returns when it is in the log, or at the deadline; at once while the
+    /// store does not answer this instance.
     pub(crate) async fn keep(&self, record: KeyedRecord, deadline: Instant) -> Kept {
+        if !self.shared.has_store() {
+            return Kept::No("the store does not answer this instance".into());
+        }
         let (reply, answer) = oneshot::channel();
         let request = Request {
             record,
@@ -138,25 +143,16 @@
 /// Tries once to append a batch. Returns the requests to be tried again.
 async fn append(shared: &Shared, partition: Partition, batch: Vec<Request>) -> Vec<Request> {
     let records: Vec<KeyedRecord> = batch.iter().map(|r| r.record.clone()).collect();
-    let begun = Instant::now();
     let tries = batch.iter().map(|request| request.tries).max();
     let wait = shared.patience.wait(tries.unwrap_or(0));
-    let deadline = begun + wait;
     if partition == DIRECT {
         announce(shared, &records).await;
     }
     let result = shared
-        .store
-        .append(partition, &records, None, None, deadline)
+        .append("intake", partition, &records, None, wait)
         .await;
-    let metrics = &shared.metrics;
-    let error = result.as_ref().err().map(ToString::to_string);
-    shared.note_append(partition, records.len(), begun.elapsed(), error.as_deref());
     match result {
         Ok(_) => {
-            shared.note_store(None);
-            shared.patience.answered(begun.elapsed());
-            Metrics::count(&metrics.store_calls, "intake", "ok");
             if partition == DIRECT {
                 hand_over(shared, records).await;
             }
@@ -167,14 +163,8 @@
             Vec::new()
         }
         Err(error) => {
-            let text: Arc<str> = error.to_string().into();
-            shared.note_store(Some(&text));
-            Metrics::count(&metrics.store_calls, "intake", "failed");
             let is_doubtful = matches!(error, WriteError::Unknown(_));
-            if is_doubtful {
-                shared.patience.waited_in_vain(begun.elapsed());
-            }
-            let (left, refused) = settle_failed(batch, is_doubtful, &text);
+            let (left, refused) = settle_failed(batch, is_doubtful, &error.to_string().into());
             if partition == DIRECT {
                 take_back(shared, refused).await;
             }
@@ -199,26 +189,27 @@
 /// Lets the owner place jobs while they are appended: it orders nothing of them before.
 async fn announce(shared: &Shared, records: &[KeyedRecord]) {
     let Some(owner) = shared.owner() else { return };
-    let row = |record: &KeyedRecord| match IntakeKey::parse(&record.key)? {
-        IntakeKey::Accepted(id) => Some((id, record.value.clone()?)),
-        IntakeKey::Cancelled(_) => None,
-    };
+    let row = |record: &KeyedRecord| Some((accepted_id(record)?, record.value.clone()?));
     // The owner may have ended: the next one reads the partition.
     let _ = owner
         .tell(Announced(records.iter().filter_map(row).collect()))
         .await;
 }
 
+/// Returns the job that a record accepts; `None` for a cancellation.
+fn accepted_id(record: &KeyedRecord) -> Option<JobId> {
+    match IntakeKey::parse(&record.key)? {
+        IntakeKey::Accepted(id) => Some(id),
+        IntakeKey::Cancelled(_) => None,
+    }
+}
+
 /// Tells the owner which announced jobs certainly are not in the log.
 async fn take_back(shared: &Shared, refused: Vec<KeyedRecord>) {
     let Some(owner) = shared.owner() else { return };
-    let row = |record: KeyedRecord| match IntakeKey::parse(&record.key)? {
-        IntakeKey::Accepted(id) => Some(id),
-        IntakeKey::Cancelled(_) => None,
-    };
     // The owner may have ended, and with it what was announced.
     let _ = owner
-        .tell(NotKept(refused.into_iter().filter_map(row).collect()))
+        .tell(NotKept(refused.iter().filter_map(accepted_id).collect()))
         .await;
 }
 
--- a/crates/kingcupwinch-node/src/configuration.rs
+++ b/crates/kingcupwinch-node/src/configuration.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kingcupwinch_adapter::{CONFIGURATION, KeyedRecord, StoreError, decode_queues};
+use kingcupwinch_adapter::{CONFIGURATION, StoreError, decode_queues};
 use slog::o;
 use tokio::time::Instant;
 
@@ -54,14 +54,9 @@
         .store
         .read(CONFIGURATION, from, READ_WAIT_MS, deadline)
         .await?;
-    for (offset, bytes) in batch.records {
-        match KeyedRecord::decode(bytes) {
-            Some(KeyedRecord {
-                key,
-                value: Some(value),
-            }) => apply(shared, &key, &value),
-            Some(_) => {}
-            None => skipped(shared, offset, "no key"),
+    for (_, record) in shared.decode_records("configuration", batch.records) {
+        if let Some(value) = &record.value {
+            apply(shared, &record.key, value);
         }
     }
     Ok(batch.next)
@@ -73,7 +68,11 @@
         Ok(Some(table)) => table,
         Ok(None) => return,
         Err(error) => {
-            skipped(shared, 0, &error.to_string());
+            shared.log.write(
+                Event::RecordSkipped,
+                o!("partition" => "configuration", "key" => key.to_owned(),
+                    "error" => error.to_string()),
+            );
             return;
         }
     };
@@ -93,10 +92,3 @@
         );
     }
 }
-
-fn skipped(shared: &Shared, offset: u64, why: &str) {
-    shared.log.write(
-        Event::RecordSkipped,
-        o!("partition" => "configuration", "offset" => offset, "error" => why.to_owned()),
-    );
-}
--- a/crates/kingcupwinch-node/src/group.rs
+++ b/crates/kingcupwinch-node/src/group.rs
@@ -140,16 +140,7 @@
         let wait = self.read_wait();
         let deadline = Instant::now() + Duration::from_millis(wait) + CALL_MARGIN;
         let batch = store.read(GROUP, from, wait, deadline).await?;
-        let mut records = Vec::with_capacity(batch.records.len());
-        for (offset, bytes) in batch.records {
-            match KeyedRecord::decode(bytes) {
-                Some(record) => records.push((offset, record)),
-                None => self.shared.log.write(
-                    Event::RecordSkipped,
-                    o!("partition" => "group", "offset" => offset, "error" => "no key"),
-                ),
-            }
-        }
+        let records = self.shared.decode_records("group", batch.records);
         Ok((batch.next, records))
     }
 
--- a/crates/kingcupwinch-node/src/keeper.rs
+++ b/crates/kingcupwinch-node/src/keeper.rs
@@ -53,7 +53,6 @@
     async fn keep_at_owner(&self, record: &KeyedRecord, deadline: Instant) -> Kept {
         let begun = Instant::now();
         let kept = match self.shared.owner() {
-            Some(_) if !self.shared.has_store() => Kept::No("the store is lost".into()),
             Some(_) => self.direct.keep(record.clone(), deadline).await,
             None => self.siblings.keep_at_owner(record, deadline).await,
         };
@@ -64,10 +63,7 @@
     }
 
     async fn keep_without_owner(&self, record: &KeyedRecord, deadline: Instant) -> Kept {
-        let mut kept = Kept::No("the store does not answer this instance".into());
-        if self.shared.has_store() {
-            kept = self.own.keep(record.clone(), deadline).await;
-        }
+        let kept = self.own.keep(record.clone(), deadline).await;
         if kept == Kept::Yes || Instant::now() + LEAST_LEFT > deadline {
             return kept;
         }
--- a/crates/kingcupwinch-node/src/lib.rs
+++ b/crates/kingcupwinch-node/src/lib.rs
@@ -2,8 +2,8 @@
 //! the cell and gives its workers orders.
 //!
 //! Every instance runs the same program. What must last is in the platform's log: jobs and
-//! cancellations in one partition, appended by whichever instance took them; progress in another,
-//! appended by the owner only; claims of ownership in a third.
+//! cancellations in the intake, appended by the owner for its siblings or by whichever instance took
+//! them; progress, appended by the owner only; claims of ownership.
 
 pub mod cmd;
 pub mod events;
--- a/crates/kingcupwinch-node/src/log_states.rs
+++ b/crates/kingcupwinch-node/src/log_states.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use kingcupwinch_adapter::{KeyedRecord, StoreError};
+use kingcupwinch_adapter::StoreError;
 use kingcupwinch_cell::{JobId, JobRecord, Shown};
 use rustc_hash::FxHashMap;
 use slog::o;
@@ -70,13 +70,8 @@
             }
             Some(from) => match shared.store.read(PROGRESS, from, 0, deadline).await {
                 Ok(batch) => {
-                    for (offset, bytes) in batch.records {
-                        match KeyedRecord::decode(bytes) {
-                            Some(record) => {
-                                self.apply(shared, &record.key, record.value.as_ref());
-                            }
-                            None => skipped(shared, &format!("offset {offset}"), "no key"),
-                        }
+                    for (_, record) in shared.decode_records("progress", batch.records) {
+                        self.apply(shared, &record.key, record.value.as_ref());
                     }
                     self.next = Some(batch.next);
                 }
@@ -104,15 +99,12 @@
             // A state from before would be a guess.
             Err(error) => {
                 self.states.remove(&id);
-                skipped(shared, key, &error.to_string());
+                shared.log.write(
+                    Event::RecordSkipped,
+                    o!("partition" => "progress", "record" => key.to_owned(),
+                        "error" => error.to_string()),
+                );
             }
         }
     }
 }
-
-fn skipped(shared: &Shared, record: &str, error: &str) {
-    shared.log.write(
-        Event::RecordSkipped,
-        o!("partition" => "progress", "record" => record.to_owned(), "error" => error.to_owned()),
-    );
-}
--- a/crates/kingcupwinch-node/src/owner/loops.rs
+++ b/crates/kingcupwinch-node/src/owner/loops.rs
@@ -166,14 +166,14 @@
         .store
         .read(partition, from, INTAKE_WAIT_MS, deadline)
         .await?;
-    let records = batch.records.into_iter().filter_map(|(offset, bytes)| {
-        let decoded = KeyedRecord::decode(bytes)
-            .and_then(|record| Some((IntakeKey::parse(&record.key)?, record.value)));
-        if decoded.is_none() {
-            let fields = o!("partition" => "intake", "offset" => offset);
+    let records = shared.decode_records("intake", batch.records);
+    let records = records.into_iter().filter_map(|(offset, record)| {
+        let key = IntakeKey::parse(&record.key);
+        if key.is_none() {
+            let fields = o!("partition" => "intake", "offset" => offset, "error" => "unknown key");
             shared.log.write(Event::RecordSkipped, fields);
         }
-        decoded
+        Some((key?, record.value))
     });
     Ok((batch.next, batch.end, records.collect()))
 }
@@ -232,18 +232,10 @@
     deadline: Instant,
 ) -> Result<(u64, DirectoryRead), StoreError> {
     let batch = shared.store.read(DIRECTORY, from, 0, deadline).await?;
-    let mut entries = Vec::with_capacity(batch.records.len());
-    for (offset, bytes) in batch.records {
-        match KeyedRecord::decode(bytes) {
-            Some(record) => entries.push((record.key, record.value)),
-            None => {
-                let fields = o!("partition" => "directory", "offset" => offset);
-                shared.log.write(Event::RecordSkipped, fields);
-            }
-        }
-    }
+    let records = shared.decode_records("directory", batch.records);
+    let row = |(_, record): (u64, KeyedRecord)| (record.key, record.value);
     let read = DirectoryRead {
-        entries,
+        entries: records.into_iter().map(row).collect(),
         is_whole: false,
     };
     Ok((batch.next, read))
--- a/crates/kingcupwinch-node/src/owner/writer.rs
+++ b/crates/kingcupwinch-node/src/owner/writer.rs
@@ -169,37 +169,22 @@
     records: &[KeyedRecord],
     fence: Fence,
 ) -> Option<Time> {
-    let metrics = &shared.metrics;
     let mut tries = 0;
     loop {
         let sent = shared.now();
-        let begun = Instant::now();
-        let deadline = begun + shared.patience.wait(tries);
+        let wait = shared.patience.wait(tries);
         tries += 1;
         let result = shared
-            .store
-            .append(PROGRESS, records, None, Some(fence), deadline)
+            .append("progress", PROGRESS, records, Some(fence), wait)
             .await;
-        let error = result.as_ref().err().map(ToString::to_string);
-        shared.note_append(PROGRESS, records.len(), begun.elapsed(), error.as_deref());
         match result {
-            Ok(_) => {
-                shared.note_store(None);
-                shared.patience.answered(begun.elapsed());
-                Metrics::count(&metrics.store_calls, "progress", "ok");
-                return Some(sent);
-            }
+            Ok(_) => return Some(sent),
             Err(WriteError::Fenced) => {
                 let _ = owner.tell(Superseded("store")).await;
                 return None;
             }
-            Err(error) => {
-                if matches!(error, WriteError::Unknown(_)) {
-                    shared.patience.waited_in_vain(begun.elapsed());
-                }
-                Metrics::count(&metrics.store_calls, "progress", "failed");
-                shared.note_store(Some(&error.to_string()));
-            }
+            // Noted already; it is tried again.
+            Err(_) => {}
         }
         if !owner.is_alive() {
             return None;
--- a/crates/kingcupwinch-node/src/shared.rs
+++ b/crates/kingcupwinch-node/src/shared.rs
@@ -4,13 +4,17 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
 use kameo::actor::ActorRef;
-use kingcupwinch_adapter::{Adviser, Partition, QueueTable, Settings, Store};
+use kingcupwinch_adapter::{
+    Adviser, Appended, Fence, KeyedRecord, Partition, QueueTable, Settings, Store, WriteError,
+};
 use kingcupwinch_cell::{Claim, Member};
 use kingcupwinch_platform::Patience;
 use kingcupwinch_time::{Clock, DayClock, Span, SuspendClock, Time, WallClock, WallTime};
 use slog::o;
 use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
 
 use crate::events::{Event, EventLog};
 use crate::metrics::Metrics;
@@ -113,6 +117,43 @@
         }
     }
 
+    /// Appends, and notes what the append tells of the store; `kind` names it in the metrics.
+    pub(crate) async fn append(
+        &self,
+        kind: &'static str,
+        partition: Partition,
+        records: &[KeyedRecord],
+        fence: Option<Fence>,
+        wait: Duration,
+    ) -> Result<Appended, WriteError> {
+        let begun = Instant::now();
+        let result = self
+            .store
+            .append(partition, records, None, fence, begun + wait)
+            .await;
+        let took = begun.elapsed();
+        let error = result.as_ref().err().map(ToString::to_string);
+        self.note_append(partition, records.len(), took, error.as_deref());
+        let status = match &result {
+            Ok(_) => {
+                self.note_store(None);
+                self.patience.answered(took);
+                "ok"
+            }
+            // The store answered; a later owner holds the cell.
+            Err(WriteError::Fenced) => return result,
+            Err(cause) => {
+                if matches!(cause, WriteError::Unknown(_)) {
+                    self.patience.waited_in_vain(took);
+                }
+                self.note_store(error.as_deref());
+                "failed"
+            }
+        };
+        Metrics::count(&self.metrics.store_calls, kind, status);
+        result
+    }
+
     /// Notes how long an append of so many records took, and how it ended.
     pub(crate) fn note_append(
         &self,
@@ -132,6 +173,26 @@
         }
     }
 
+    /// Reads the records of a partition that this instance calls `partition` in its log; those that
+    /// can't be read are skipped and told.
+    pub(crate) fn decode_records(
+        &self,
+        partition: &'static str,
+        records: Vec<(u64, Bytes)>,
+    ) -> Vec<(u64, KeyedRecord)> {
+        let mut decoded = Vec::with_capacity(records.len());
+        for (offset, bytes) in records {
+            match KeyedRecord::decode(bytes) {
+                Some(record) => decoded.push((offset, record)),
+                None => self.log.write(
+                    Event::RecordSkipped,
+                    o!("partition" => partition, "offset" => offset, "error" => "no key"),
+                ),
+            }
+        }
+        decoded
+    }
+
     /// Returns whether the store answers this instance, as far as it knows.
     pub(crate) fn has_store(&self) -> bool {
         !self.store_lost.load(Ordering::Relaxed)
--- a/crates/kingcupwinch-node/src/siblings.rs
+++ b/crates/kingcupwinch-node/src/siblings.rs
@@ -389,7 +389,6 @@
         let deadline = Instant::now() + Duration::from_millis(question.patience_ms);
         let record = KeyedRecord::with_value(question.key, question.value);
         let kept = match self.shared.owner() {
-            _ if !self.shared.has_store() => Kept::No("the store is lost".into()),
             Some(_) => self.direct.keep(record, deadline).await,
             None => self.intake.keep(record, deadline).await,
         };
--- a/crates/kingcupwinch-platform/src/lib.rs
+++ b/crates/kingcupwinch-platform/src/lib.rs
@@ -41,6 +41,6 @@
 pub use http::HttpClient;
 pub use log::LogClient;
 pub use patience::Patience;
-pub use reply::Reply;
+pub use reply::{Reply, request};
 pub use roster::RosterClient;
 pub use worker::{CONTROL_CONNECTIONS, Stamp, WorkerClient};
--- a/crates/kingcupwinch-platform/src/reply.rs
+++ b/crates/kingcupwinch-platform/src/reply.rs
@@ -53,7 +53,7 @@
 }
 
 /// Makes a request to a path whose parts need no escapes.
-pub(crate) fn request(method: Method, path: &str, body: RequestBody) -> Request<RequestBody> {
+pub fn request(method: Method, path: &str, body: RequestBody) -> Request<RequestBody> {
     let mut request = Request::new(body);
     *request.method_mut() = method;
     if let Ok(uri) = path.parse() {
--- a/crates/kingcupwinch-soak/src/run.rs
+++ b/crates/kingcupwinch-soak/src/run.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use kingcupwinch_standin::{Seen, SeenKind};
 use quick_error::quick_error;
 use tokio::time::{Instant, sleep_until};
 
@@ -100,8 +101,7 @@
         promise: Promise::CleanStop,
         what: what.clone(),
     }));
-    let is_start =
-        |seen: &&kingcupwinch_standin::Seen| seen.kind == kingcupwinch_standin::SeenKind::Started;
+    let is_start = |seen: &&Seen| seen.kind == SeenKind::Started;
     Ok(Outcome {
         plan,
         jobs: jobs.len(),
