--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -75,6 +75,21 @@
     pub advice_calls: u64,
 }
 
+/// What the log says about a run that ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunSummary {
+    /// The time since the run began.
+    pub age: Span,
+    /// The run time that the caller estimated.
+    pub estimate: Span,
+    /// The image that the task runs.
+    pub image: Option<Arc<str>>,
+    /// The id of the worker.
+    pub worker: Arc<str>,
+    /// The kind of the worker.
+    pub worker_kind: Option<Arc<str>>,
+}
+
 /// A batch of records to append to the log.
 #[derive(Debug, Default, PartialEq)]
 pub struct RecordBatch {
@@ -399,10 +414,19 @@
         Some(self.jobs[*key].state())
     }
 
-    /// Returns the time since an unsettled run began, or `None` if there is no such run.
-    pub fn run_age(&self, task: TaskName, run: u32, now: Time) -> Option<Span> {
-        let run = self.runs_by_name.get(&(task, run))?;
-        Some(now.since(self.runs[*run].started_at))
+    /// Describes an unsettled run for the log, or returns `None` if there is no such run.
+    pub fn describe_run(&self, task: TaskName, run: u32, now: Time) -> Option<RunSummary> {
+        let run = &self.runs[*self.runs_by_name.get(&(task, run))?];
+        let job = &self.jobs[run.job];
+        let step = job.step_spec(job.slot(run.name));
+        let worker = &self.workers[run.worker].registration;
+        Some(RunSummary {
+            age: now.since(run.started_at),
+            estimate: Span::from_millis(step.estimate_ms),
+            image: step.image.clone(),
+            worker: Arc::clone(&worker.id),
+            worker_kind: worker.labels.first().cloned(),
+        })
     }
 
     /// Returns the number of jobs of a queue that have not begun.
--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -187,7 +187,12 @@
     /// Adds a run that an earlier owner ordered, and returns it, or `None` if its task does not
     /// exist. If the task has several runs, the latest one stays active and the others are stopped.
     pub(crate) fn adopt_run(&mut self, key: JobKey, new_run: NewRun, now: Time) -> Option<RunKey> {
-        let NewRun { name, number, .. } = new_run;
+        let NewRun {
+            name,
+            number,
+            state,
+            ..
+        } = new_run;
         let (step, index) = (self.jobs[key].slot(name), usize::from(name.index));
         self.jobs[key].open_through(step, now);
         if !self.jobs[key].has_task(step, index) {
@@ -199,7 +204,8 @@
         let run = self.add_run(key, new_run, now);
         let job = &mut self.jobs[key];
         job.last_run = job.last_run.max(number);
-        job.started = true;
+        // A recorded placement does not show that its order was ever sent.
+        job.started |= state == RunState::Running;
         let other = match job.steps[step].tasks[index].state {
             _ if job.end.is_some() => Some(run),
             TaskState::Waiting => None,
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -18,8 +18,8 @@
 
 pub use advice::Ticket;
 pub use cell::{
-    Action, AdviceCallId, Cell, CellTimers, Counters, RecordBatch, StartOrder, StopOrder,
-    SubmitOutcome,
+    Action, AdviceCallId, Cell, CellTimers, Counters, RecordBatch, RunSummary, StartOrder,
+    StopOrder, SubmitOutcome,
 };
 pub use election::{Claim, ElectionStep, ElectionTimers, GroupRecord, Member, OwnerElection};
 pub use id::{JobId, TaskName};
--- a/crates/kingcupwinch-cell/src/spec.rs
+++ b/crates/kingcupwinch-cell/src/spec.rs
@@ -125,6 +125,10 @@
     /// How many long-running tasks the owner may make unavailable at a time.
     #[serde(rename = "may_miss", default, skip_serializing_if = "is_zero")]
     pub max_unavailable: u16,
+    /// The image that the tasks run. Tasks of one image take about the same multiple of their
+    /// estimates and fail about equally often.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub image: Option<Arc<str>>,
     /// Whether the tasks are latency-sensitive: they serve users who notice best-effort tasks on
     /// the same worker.
     #[serde(rename = "serving", default, skip_serializing_if = "is_false")]
--- a/crates/kingcupwinch-cell/tests/cell/takeover.rs
+++ b/crates/kingcupwinch-cell/tests/cell/takeover.rs
@@ -78,6 +78,30 @@
     assert_eq!(harness.starts[1].task, task(1, 0, 0));
 }
 
+/// An owner may be lost after it recorded a placement and before it sent the order. The job then has
+/// not begun, and callers who ask how many jobs wait have to see it.
+#[rstest::rstest]
+#[case::never_ordered(false, 1)]
+#[case::running(true, 0)]
+fn a_recorded_placement_counts_as_waiting_unless_its_worker_lists_it(
+    #[case] is_running: bool,
+    #[case] waiting: usize,
+) {
+    let mut harness = successor(1);
+    let record = JobRecord {
+        started: false,
+        ..placed_on("i-0", 1)
+    };
+    restore(&mut harness, 1, Some(&record));
+    assert_eq!(harness.cell.queued_jobs("queue"), 1);
+    let key = harness.keys()[0];
+    if is_running {
+        list_running(&mut harness, key, run_of(1, 1));
+    }
+    harness.poll(key);
+    assert_eq!(harness.cell.queued_jobs("queue"), waiting);
+}
+
 #[test]
 fn a_placement_on_an_unreachable_worker_waits_for_lease_expiry() {
     let mut harness = successor(2);
--- a/crates/kingcupwinch-node/src/owner/messages.rs
+++ b/crates/kingcupwinch-node/src/owner/messages.rs
@@ -366,15 +366,18 @@
 
 impl Owner {
     fn log_run_ends(&self, status: &WorkerStatus, now: Time) {
+        let text = |value: Option<Arc<str>>| value.map(|value| value.to_string());
         for end in &status.ended {
-            let Some(age) = self.cell.run_age(end.task, end.run, now) else {
+            let Some(run) = self.cell.describe_run(end.task, end.run, now) else {
                 continue;
             };
             Metrics::count_end(&self.shared.metrics.runs, end.reason.as_str());
             self.shared.log.write(
                 Event::RunEnded,
                 o!("task" => end.task.to_string(), "run" => end.run, "how" => end.reason.as_str(),
-                    "saved" => end.checkpoint.is_some(), "age_ms" => age.as_millis()),
+                    "saved" => end.checkpoint.is_some(), "age_ms" => run.age.as_millis(),
+                    "estimate_ms" => run.estimate.as_millis(), "image" => text(run.image),
+                    "worker" => run.worker.to_string(), "kind" => text(run.worker_kind)),
             );
         }
     }
