--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -16,11 +16,12 @@
 use slotmap::SlotMap;
 
 use crate::advice::AdviceCallers;
-use crate::estimate::{PaceEstimate, ShareEstimate};
+use crate::estimate::ShareEstimate;
 use crate::id::{JobId, TaskName};
 use crate::job::{Job, JobKey, JobState, TaskState};
 use crate::record::{JobRecord, Placement};
 use crate::run::{NewRun, Run, RunKey, RunState};
+use crate::run_time::RunTimes;
 use crate::spec::JobSpec;
 use crate::worker::{PollFailure, Registration, Worker, WorkerKey};
 
@@ -112,8 +113,6 @@
 /// Statistics learned about a queue.
 #[derive(Debug)]
 pub(crate) struct QueueStats {
-    /// The ratio of observed to estimated run time.
-    pub(crate) pace: PaceEstimate,
     /// The share of workers that the adviser allowed of those it was asked about.
     pub(crate) allowed_share: ShareEstimate,
 }
@@ -121,7 +120,6 @@
 impl Default for QueueStats {
     fn default() -> Self {
         QueueStats {
-            pace: PaceEstimate::default(),
             allowed_share: ShareEstimate::new(INITIAL_ALLOWED_SHARE),
         }
     }
@@ -154,6 +152,7 @@
     runs: SlotMap<RunKey, Run>,
     runs_by_name: FxHashMap<(TaskName, u32), RunKey>,
     pub(crate) queues: FxHashMap<Arc<str>, QueueStats>,
+    pub(crate) run_times: RunTimes,
     pub(crate) advice_callers: AdviceCallers,
     advice_calls: FxHashMap<AdviceCallId, advice_calls::AdviceCall>,
     next_call: u64,
@@ -200,6 +199,7 @@
             runs: SlotMap::with_key(),
             runs_by_name: FxHashMap::default(),
             queues: FxHashMap::default(),
+            run_times: RunTimes::default(),
             advice_callers: AdviceCallers::default(),
             advice_calls: FxHashMap::default(),
             next_call: 0,
@@ -225,8 +225,8 @@
         if self.jobs_by_id.contains_key(&id) || self.ended_jobs.contains_key(&id) {
             return SubmitOutcome::Known;
         }
-        let pace = self.queue_pace(&spec.policy.queue);
-        let mut job = Job::new(id, spec, pace, now);
+        let mut job = Job::new(id, spec, now);
+        job.update_paths(&self.run_times);
         job.last_run = self.run_base;
         let is_speculative = job.spec.steps.iter().any(|step| step.speculative);
         let is_long_running = job.spec.steps.iter().any(|step| step.long_running);
@@ -272,6 +272,7 @@
         // Tasks without a recorded placement were never ordered and can start at once.
         let Some(record) = record else { return };
         job.restore(record, now);
+        job.update_paths(&self.run_times);
         job.last_run = job.last_run.max(self.run_base);
         for placement in &record.placements {
             self.adopt_placement(key, placement, now);
@@ -312,13 +313,16 @@
         let Cell {
             scheduled_jobs,
             jobs,
+            run_times,
             ..
         } = self;
         scheduled_jobs.retain(|key| {
             let Some(job) = jobs.get_mut(*key) else {
                 return false;
             };
-            job.open_due_occurrences(unix_ms, now);
+            if job.open_due_occurrences(unix_ms, now) {
+                job.update_paths(run_times);
+            }
             job.has_more_occurrences()
         });
     }
@@ -607,10 +611,10 @@
             .push_back((now + self.timers.end_retention, id));
     }
 
-    pub(crate) fn queue_pace(&self, queue: &str) -> f64 {
-        self.queues
-            .get(queue)
-            .map_or(1.0, |stats| stats.pace.mean())
+    /// Returns the run time on a worker as a multiple of that on a worker of mean pace.
+    pub(crate) fn worker_pace(&self, key: WorkerKey, now: Time) -> f64 {
+        let worker = &self.workers[key];
+        self.run_times.pace(worker.kind(), &worker.pace, now)
     }
 
     /// Returns the share of workers that the adviser of a queue is expected to allow.
--- a/crates/kingcupwinch-cell/src/cell/run_ends.rs
+++ b/crates/kingcupwinch-cell/src/cell/run_ends.rs
@@ -2,16 +2,12 @@
 
 use std::sync::Arc;
 
-use kingcupwinch_time::{Span, Time};
+use kingcupwinch_time::Time;
 
 use super::Cell;
 use crate::job::{JobKey, JobState};
 use crate::run::{EndReason, RunKey};
-use crate::worker::WorkerKey;
-
-/// The shortest run time, estimated or observed, from which the pace of a queue and a worker is
-/// learned.
-const MIN_SAMPLE: Span = Span::from_millis(100);
+use crate::worker::{RACK_LABEL, WorkerKey};
 
 impl Cell {
     /// Handles the end of a run as its worker lists it.
@@ -25,7 +21,6 @@
         let run = &self.runs[key];
         let (job, name, number, worker) = (run.job, run.name, run.number, run.worker);
         let is_active = self.is_task_active(job, name, key);
-        let elapsed = now.since(run.started_at);
         let (step, index) = (self.jobs[job].slot(name), usize::from(name.index));
         let is_long_running = self.jobs[job].step_spec(step).long_running;
         if let (true, Some(checkpoint)) = (is_active, checkpoint) {
@@ -39,9 +34,10 @@
             }
             EndReason::Done => {
                 self.counters.done += 1;
-                self.observe_run_time(job, step, worker, elapsed);
+                self.observe_run_time(key, now);
                 self.workers[worker].note_done();
                 self.complete_task(job, key);
+                self.learn_run_times(job, step, now);
             }
             EndReason::Failed => {
                 self.counters.failed += 1;
@@ -140,20 +136,43 @@
         }
     }
 
-    /// Updates the pace of the queue and the worker from a completed run.
-    fn observe_run_time(&mut self, key: JobKey, step: usize, worker: WorkerKey, elapsed: Span) {
-        let job = &self.jobs[key];
-        let spec = job.step_spec(step);
-        let estimate = Span::from_millis(spec.estimate_ms);
-        if spec.gang || estimate < MIN_SAMPLE || elapsed < MIN_SAMPLE {
+    /// Learns from the run time of a completed run.
+    fn observe_run_time(&mut self, key: RunKey, now: Time) {
+        let run = &self.runs[key];
+        let Cell {
+            jobs,
+            workers,
+            run_times,
+            ..
+        } = self;
+        let job = &mut jobs[run.job];
+        let slot = job.slot(run.name);
+        let step = &job.spec.steps[usize::from(run.name.step)];
+        let worker = &workers[run.worker];
+        let rack = worker.registration.labels.get(RACK_LABEL);
+        let is_near_data = step.data_rack.is_none() || step.data_rack.as_ref() == rack;
+        if !run.is_whole || !is_near_data {
             return;
         }
-        let ratio = elapsed.as_secs_f64() / estimate.as_secs_f64();
-        let queue = Arc::clone(&job.spec.policy.queue);
-        let worker_pace = self.workers[worker].pace.mean();
-        let stats = self.queue_stats_mut(&queue);
-        let pace = stats.pace.mean();
-        stats.pace.observe(ratio / worker_pace);
-        self.workers[worker].pace.observe(ratio / pace);
+        let work = &mut job.steps[slot].work;
+        run_times.add_run(work, run.worker, worker, now.since(run.started_at), now);
+        let first = slot - slot % job.spec.steps.len();
+        job.update_occurrence(first, run_times);
+    }
+
+    /// Learns from the run times of a step whose tasks are all done.
+    fn learn_run_times(&mut self, key: JobKey, slot: usize, now: Time) {
+        let Cell {
+            jobs,
+            workers,
+            run_times,
+            ..
+        } = self;
+        let job = &jobs[key];
+        let step = &job.steps[slot];
+        if step.remaining == 0 {
+            let spec = job.step_spec(slot);
+            run_times.learn(&job.spec.policy, spec, &step.work, workers, now);
+        }
     }
 }
--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -84,7 +84,7 @@
         let job = &self.jobs[key];
         let name = job.task_name(step, index);
         let spec = job.step_spec(step);
-        let pace_percent = (self.workers[worker].pace.mean() * 100.0) as u32;
+        let pace_percent = (self.worker_pace(worker, now) * 100.0) as u32;
         let order = StartOrder {
             worker,
             pace_percent,
@@ -98,6 +98,7 @@
                 .then(|| job.steps[step].tasks[index].checkpoint.clone())
                 .flatten(),
         };
+        let is_whole = order.checkpoint.is_none();
         let new_run = NewRun {
             name,
             number,
@@ -105,6 +106,7 @@
             state: RunState::Planned,
         };
         let run = self.add_run(key, new_run, now);
+        self.runs[run].is_whole = is_whole;
         let job = &mut self.jobs[key];
         job.last_run = job.last_run.max(number);
         job.start_task(step, index, run);
@@ -167,6 +169,7 @@
             percent: 0,
             progressed_at: now,
             missed_listings: 0,
+            is_whole: false,
         });
         self.runs_by_name.insert((name, number), run);
         let job = &mut self.jobs[key];
--- a/crates/kingcupwinch-cell/src/cell/speculation.rs
+++ b/crates/kingcupwinch-cell/src/cell/speculation.rs
@@ -58,10 +58,14 @@
         if !matches!(run.state, RunState::Running | RunState::Unconfirmed(_)) {
             return false;
         }
-        let estimate = job.step_spec(job.slot(run.name)).estimate_ms as f64 / 1_000.0;
-        let pace = self.queue_pace(&job.spec.policy.queue) * self.workers[run.worker].pace.mean();
+        let slot = job.slot(run.name);
+        let work = &job.steps[slot].work;
+        let work = self
+            .run_times
+            .task(&job.spec.policy, job.step_spec(slot), work);
+        let expected = work.as_secs_f64() * self.worker_pace(run.worker, now);
         let age = now.since(run.started_at);
-        age >= MIN_RUN_AGE && age.as_secs_f64() > estimate * pace * SLOW_RUN_FACTOR
+        age >= MIN_RUN_AGE && age.as_secs_f64() > expected * SLOW_RUN_FACTOR
     }
 
     /// Returns the fastest worker that may take a speculative run and does not run the original.
--- a/crates/kingcupwinch-cell/src/estimate.rs
+++ b/crates/kingcupwinch-cell/src/estimate.rs
@@ -1,36 +1,7 @@
-//! Moving averages learned from runs that ended and from the responses of advisers.
+//! A moving average learned from the responses of advisers.
 
 /// The weight of a new sample in a moving average.
 const SMOOTHING_FACTOR: f64 = 0.15;
-/// The bounds to which a sample is clamped, against outliers.
-const SAMPLE_RANGE: (f64, f64) = (0.1, 10.0);
-
-/// A moving average of the ratio of observed to expected run time. It is 1.0 before the first
-/// sample.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct PaceEstimate {
-    mean: f64,
-}
-
-impl Default for PaceEstimate {
-    fn default() -> Self {
-        PaceEstimate { mean: 1.0 }
-    }
-}
-
-impl PaceEstimate {
-    pub(crate) fn observe(&mut self, sample: f64) {
-        if sample.is_finite() {
-            let sample = sample.clamp(SAMPLE_RANGE.0, SAMPLE_RANGE.1);
-            self.mean += SMOOTHING_FACTOR * (sample - self.mean);
-        }
-    }
-
-    pub(crate) fn mean(self) -> f64 {
-        self.mean
-    }
-}
-
 /// A moving average of a share of successes, starting from a prior.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ShareEstimate {
--- a/crates/kingcupwinch-cell/src/job.rs
+++ b/crates/kingcupwinch-cell/src/job.rs
@@ -8,6 +8,7 @@
 use crate::id::{JobId, TaskName};
 use crate::record::JobRecord;
 use crate::run::RunKey;
+use crate::run_time::{RunTimes, StepWork};
 use crate::spec::{JobSpec, StepSpec};
 use crate::worker::WorkerKey;
 
@@ -84,7 +85,12 @@
     /// The number of tasks that wait to be started.
     pub(crate) waiting: usize,
     pub(crate) tickets: TicketCache,
-    /// The expected time from the start of the step to the end of its occurrence.
+    /// The work of the tasks that are done.
+    pub(crate) work: StepWork,
+    /// When the occurrence came due.
+    due: Time,
+    /// The expected time from the start of the step to the end of its occurrence, on workers of
+    /// mean pace.
     pub(crate) critical_path: Span,
     /// When the occurrence should have ended, and when its end is no longer worth anything.
     pub(crate) objective: Time,
@@ -98,10 +104,6 @@
     /// The steps of all occurrences that have come due, one occurrence after the other. A step's
     /// index in this list is its slot.
     pub(crate) steps: Vec<Step>,
-    /// The expected time from the start of each step to the end of its occurrence.
-    critical_paths: SmallVec<[Span; 4]>,
-    /// The time from an occurrence's due time to its objective.
-    objective_span: Span,
     /// Runs that have not certainly ended, in any state.
     pub(crate) runs: FxHashSet<RunKey>,
     /// The highest run number used so far.
@@ -135,16 +137,10 @@
 }
 
 impl Job {
-    pub(crate) fn new(id: JobId, spec: JobSpec, pace: f64, now: Time) -> Self {
-        let critical_paths = spec.critical_paths();
-        let scale = |span: &Span| Span::from_micros((span.as_micros() as f64 * pace) as u64);
-        let longest_path = critical_paths.iter().copied().max().unwrap_or_default();
-        let stretched_us = (longest_path.as_micros() as f64 * pace * spec.policy.stretch) as u64;
+    pub(crate) fn new(id: JobId, spec: JobSpec, now: Time) -> Self {
         let mut job = Job {
             id,
             steps: Vec::with_capacity(spec.steps.len()),
-            critical_paths: critical_paths.iter().map(scale).collect(),
-            objective_span: Span::from_micros(stretched_us + spec.policy.target_ms * 1_000),
             spec,
             runs: FxHashSet::default(),
             last_run: 0,
@@ -159,17 +155,53 @@
         job
     }
 
+    /// Updates the critical paths and the objectives of all occurrences that have not ended.
+    pub(crate) fn update_paths(&mut self, run_times: &RunTimes) {
+        let width = self.spec.steps.len().max(1);
+        for first in (0..self.steps.len()).step_by(width) {
+            let steps = &self.steps[first..first + width];
+            if steps.iter().any(|step| step.remaining > 0) {
+                self.update_occurrence(first, run_times);
+            }
+        }
+    }
+
+    /// Updates the critical paths and the objective of the occurrence whose steps begin at a slot.
+    pub(crate) fn update_occurrence(&mut self, first: usize, run_times: &RunTimes) {
+        let policy = &self.spec.policy;
+        let durations = self.spec.steps.iter().zip(&self.steps[first..]);
+        let durations = durations.map(|(spec, step)| {
+            // Long-running tasks have no end to wait for.
+            if spec.long_running {
+                return Span::ZERO;
+            }
+            run_times.longest_task(policy, spec, &step.work)
+        });
+        let durations: SmallVec<[Span; 4]> = durations.collect();
+        let critical_paths = self.spec.critical_paths(&durations);
+        let longest_path = critical_paths.iter().copied().max().unwrap_or_default();
+        let stretched_us = (longest_path.as_micros() as f64 * policy.stretch) as u64;
+        let objective_span = Span::from_micros(stretched_us + policy.target_ms * 1_000);
+        for (step, critical_path) in self.steps[first..].iter_mut().zip(critical_paths) {
+            step.critical_path = critical_path;
+            step.objective = step.due + objective_span;
+            step.late_limit = step.due + objective_span.times(LATE_LIMIT_OBJECTIVES);
+        }
+    }
+
     /// Adds the steps of the next occurrence, which comes due at `due`.
     fn open_occurrence(&mut self, due: Time) {
-        for (spec, critical_path) in self.spec.steps.iter().zip(&self.critical_paths) {
+        for spec in &self.spec.steps {
             self.steps.push(Step {
                 tasks: (0..spec.count).map(|_| Task::new()).collect(),
                 remaining: usize::from(spec.count),
                 waiting: usize::from(spec.count),
                 tickets: TicketCache::default(),
-                critical_path: *critical_path,
-                objective: due + self.objective_span,
-                late_limit: due + self.objective_span.times(LATE_LIMIT_OBJECTIVES),
+                work: StepWork::default(),
+                due,
+                critical_path: Span::ZERO,
+                objective: due,
+                late_limit: due,
             });
         }
     }
@@ -188,18 +220,21 @@
         self.spec.schedule.map_or(1, |schedule| schedule.count)
     }
 
-    /// Adds the occurrences that have come due by a wall-clock time in Unix milliseconds.
-    pub(crate) fn open_due_occurrences(&mut self, unix_ms: u64, now: Time) {
+    /// Adds the occurrences that have come due by a wall-clock time in Unix milliseconds. Returns
+    /// whether there are any.
+    pub(crate) fn open_due_occurrences(&mut self, unix_ms: u64, now: Time) -> bool {
         let Some(schedule) = self.spec.schedule else {
-            return;
+            return false;
         };
+        let known = self.steps.len();
         while self.has_more_occurrences() {
             let due_ms = schedule.due_ms(self.opened_occurrences());
             if due_ms > unix_ms {
-                return;
+                break;
             }
             self.open_occurrence(now - Span::from_millis(unix_ms - due_ms));
         }
+        self.steps.len() > known
     }
 
     /// Adds occurrences up to that of a slot, which an earlier owner knew to be due.
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -13,6 +13,7 @@
 mod placement;
 mod record;
 mod run;
+mod run_time;
 mod spec;
 mod worker;
 
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -25,6 +25,11 @@
 /// The smallest number of workers that a call names, if that many are available.
 const MIN_CALL_WORKERS: usize = 6;
 
+/// The margin of the pace that a step can afford, since run times are uncertain.
+const PACE_MARGIN: f64 = 1.3;
+/// The width of a band of the pace, as a difference of logarithms.
+const PACE_BAND: f64 = 0.25;
+
 /// How long to wait before considering a call for a step again after too little capacity was found.
 const NO_CAPACITY_BACKOFF: Span = Span::from_millis(30);
 
@@ -58,7 +63,7 @@
 
 impl ReadyStep {
     /// Computes the status and the slack of a step, assuming that it runs on the fastest worker.
-    fn new(key: JobKey, slot: usize, job: &Job, fastest_pace: f64, now: Time) -> Self {
+    fn new(key: JobKey, slot: usize, job: &Job, paces: PaceRange, now: Time) -> Self {
         let step = &job.steps[slot];
         let spec = job.step_spec(slot);
         if spec.long_running {
@@ -67,7 +72,7 @@
         let critical_path = step.critical_path.as_micros() as f64;
         let left = |end: Time| {
             let left = end.as_micros() as i64 - now.as_micros() as i64;
-            left - (critical_path * fastest_pace) as i64
+            left - (critical_path * paces.fastest) as i64
         };
         let slack = left(step.objective);
         let status = if slack >= 0 {
@@ -80,7 +85,7 @@
         // A gang needs many workers at once, so its choice isn't limited by pace.
         let limits_pace = status == ObjectiveStatus::OnTime && !spec.gang;
         let slowest_pace = if limits_pace {
-            fastest_pace + slack as f64 / critical_path.max(1.0)
+            paces.fastest + slack as f64 / critical_path.max(1.0)
         } else {
             f64::INFINITY
         };
@@ -89,7 +94,8 @@
             step: slot,
             status,
             slack,
-            is_tight: (slack as f64) < critical_path * (2.0 - fastest_pace),
+            is_tight: status != ObjectiveStatus::Missed
+                && (slack as f64) < critical_path * (paces.slowest * PACE_MARGIN - paces.fastest),
             slowest_pace,
         }
     }
@@ -122,6 +128,7 @@
         self.open_occurrences(now);
         self.evacuate_long_running(now);
         self.send_stops(now);
+        self.set_mean_pace(now);
         let mut pools = self.usable_workers(now);
         for ready in self.ready_steps(&pools, now) {
             let service = &self.jobs[ready.job].spec.policy.service;
@@ -133,6 +140,13 @@
         self.take_actions()
     }
 
+    fn set_mean_pace(&mut self, now: Time) {
+        let workers = self.workers.values();
+        let workers = workers.filter(|worker| worker.is_usable(now));
+        let paces = workers.map(|worker| (worker.kind(), &worker.pace));
+        self.run_times.set_level(paces, now);
+    }
+
     /// Returns the workers that can take new work, grouped by service.
     fn usable_workers(&self, now: Time) -> WorkerPools {
         let mut pools = WorkerPools::default();
@@ -155,7 +169,7 @@
                 available: worker.available(),
                 has_best_effort: worker.best_effort_runs > 0,
                 has_latency_sensitive: worker.latency_sensitive_runs > 0,
-                pace: worker.pace.mean(),
+                pace: self.worker_pace(key, now),
             });
         }
         pools
@@ -169,7 +183,7 @@
                 continue;
             }
             let pool = pools.by_service.get(&job.spec.policy.service);
-            let fastest_pace = pool.map_or(1.0, WorkerPool::fastest_pace);
+            let paces = pool.map_or_else(PaceRange::default, WorkerPool::paces);
             for (slot, step) in job.steps.iter().enumerate() {
                 if step.waiting == 0 || !job.is_ready(slot) {
                     continue;
@@ -180,7 +194,7 @@
                 if is_gang && !tasks.all(|task| task.is_free(now)) {
                     continue;
                 }
-                ready.push(ReadyStep::new(key, slot, job, fastest_pace, now));
+                ready.push(ReadyStep::new(key, slot, job, paces, now));
             }
         }
         ready.sort_by(ReadyStep::compare);
@@ -304,7 +318,7 @@
         } else {
             Ordering::Equal
         };
-        let pace_order = a.pace.total_cmp(&b.pace);
+        let pace_order = a.pace_band().cmp(&b.pace_band());
         rack_order
             .then(isolation_order)
             .then(if ready.is_tight {
@@ -552,6 +566,43 @@
     pub(crate) pace: f64,
 }
 
+impl Candidate {
+    /// Returns the band of the pace. Differences within a band say little, so that the packing
+    /// decides there.
+    fn pace_band(&self) -> i64 {
+        (self.pace.ln() / PACE_BAND).round() as i64
+    }
+}
+
+/// The pace of the fastest and of the slowest worker of a pool.
+#[derive(Debug, Clone, Copy)]
+struct PaceRange {
+    fastest: f64,
+    slowest: f64,
+}
+
+impl Default for PaceRange {
+    fn default() -> Self {
+        PaceRange {
+            fastest: 1.0,
+            slowest: 1.0,
+        }
+    }
+}
+
+impl PaceRange {
+    fn extend(range: Option<PaceRange>, pace: f64) -> Option<PaceRange> {
+        let range = range.unwrap_or(PaceRange {
+            fastest: pace,
+            slowest: pace,
+        });
+        Some(PaceRange {
+            fastest: range.fastest.min(pace),
+            slowest: range.slowest.max(pace),
+        })
+    }
+}
+
 /// The usable workers of one service in one round of scheduling.
 #[derive(Debug, Default)]
 pub(crate) struct WorkerPool {
@@ -566,10 +617,10 @@
 }
 
 impl WorkerPool {
-    /// Returns the pace of the fastest worker, or 1.0 if there is none.
-    fn fastest_pace(&self) -> f64 {
+    /// Returns the pace of the fastest and of the slowest worker.
+    fn paces(&self) -> PaceRange {
         let paces = self.candidates.iter().map(|candidate| candidate.pace);
-        paces.reduce(f64::min).unwrap_or(1.0)
+        paces.fold(None, PaceRange::extend).unwrap_or_default()
     }
 
     /// Returns whether any worker has capacity for a task that takes `charge`.
--- a/crates/kingcupwinch-cell/src/run.rs
+++ b/crates/kingcupwinch-cell/src/run.rs
@@ -59,6 +59,9 @@
     pub(crate) progressed_at: Time,
     /// Polls in a row that did not list the run although it should be active.
     pub(crate) missed_listings: u8,
+    /// Whether this owner saw the run begin without a checkpoint, so that it does the whole work of
+    /// its task in the time since.
+    pub(crate) is_whole: bool,
 }
 
 /// The reason why a run ended.
--- /dev/null
+++ b/crates/kingcupwinch-cell/src/run_time.rs
@@ -0,0 +1,265 @@
+//! Run times, learned from the runs that end.
+//!
+//! A run takes the work of its task times the pace of its worker. Both are learned as logarithms.
+//! The work of a task follows from the caller's estimate by a linear regression for its queue and
+//! image, and from the other tasks of its step that are done. The pace of a worker is that of its
+//! kind, corrected by its own runs. The mean pace of all workers is 1.
+
+use std::sync::Arc;
+
+use kingcupwinch_time::{Span, Time};
+use rustc_hash::FxHashMap;
+use slotmap::SlotMap;
+use smallvec::SmallVec;
+
+use crate::spec::{QueuePolicy, StepSpec};
+use crate::worker::{Worker, WorkerKey};
+
+/// The shortest run time, estimated or observed, that is learned from.
+const MIN_SAMPLE: Span = Span::from_millis(50);
+/// The slope of the regression before the first sample. Estimates are rough, so a task is expected
+/// to deviate less from the others of its queue than its estimate does.
+const PRIOR_SLOPE: f64 = 0.5;
+/// The number of steps whose samples weigh as much as the priors.
+const PRIOR_STEPS: f64 = 5.0;
+/// The variance of the logarithm of the estimates that the prior slope assumes.
+const PRIOR_VARIANCE: f64 = 0.25;
+/// The number of recent steps that the regression remembers.
+const REGRESSION_STEPS: f64 = 200.0;
+/// The number of tasks of a step whose work weighs as much as the regression.
+const REGRESSION_TASKS: f64 = 0.5;
+/// The number of recent runs that the pace of a kind remembers, and the number of runs that weigh
+/// as much as the prior.
+const KIND_RUNS: f64 = 100.0;
+const KIND_PRIOR_RUNS: f64 = 3.0;
+/// The same for the deviation of a worker from its kind.
+const WORKER_RUNS: f64 = 7.0;
+const WORKER_PRIOR_RUNS: f64 = 3.0;
+/// How long the deviation of a worker without new runs is kept, and the time in which it then fades
+/// to half. A worker that was slow for a while is thus tried again.
+const FADE_DELAY: Span = Span::from_secs(5);
+const FADE_TIME: Span = Span::from_secs(15);
+/// The largest difference of a sample from the expected logarithm of the pace, against outliers.
+const MAX_SURPRISE: f64 = 1.5;
+/// The spread of the work of a step's tasks, as the standard deviation of its logarithm.
+const TASK_SPREAD: f64 = 0.25;
+
+/// A moving average of logarithms. The prior of zero weighs as much as some samples, and is forgotten
+/// like them.
+#[derive(Debug, Clone, Copy, Default)]
+struct LogAverage {
+    mean: f64,
+    samples: f64,
+}
+
+impl LogAverage {
+    fn observe(&mut self, sample: f64, prior: f64, memory: f64) {
+        self.samples = (self.samples + 1.0).min(memory - prior);
+        self.mean += (sample - self.mean) / (self.samples + prior);
+    }
+}
+
+/// The deviation of a worker's pace from that of its kind.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct WorkerPace {
+    deviation: LogAverage,
+    observed_at: Time,
+}
+
+impl WorkerPace {
+    /// Returns the part of the deviation that has not faded.
+    fn faded(&self, now: Time) -> LogAverage {
+        let fading = now.since(self.observed_at + FADE_DELAY).as_secs_f64();
+        let rest = (-fading / FADE_TIME.as_secs_f64()).exp2();
+        LogAverage {
+            mean: self.deviation.mean * rest,
+            samples: self.deviation.samples * rest,
+        }
+    }
+}
+
+/// A regression of the logarithm of the work on the logarithm of the estimate, by least squares
+/// over the recent steps.
+#[derive(Debug, Clone, Copy, Default)]
+struct WorkModel {
+    /// The weight of the samples, in steps.
+    steps: f64,
+    mean_estimate: f64,
+    mean_work: f64,
+    variance: f64,
+    covariance: f64,
+}
+
+impl WorkModel {
+    fn observe(&mut self, estimate: f64, work: f64) {
+        self.steps = (self.steps + 1.0).min(REGRESSION_STEPS);
+        let gain = 1.0 / self.steps;
+        let (dx, dy) = (estimate - self.mean_estimate, work - self.mean_work);
+        self.mean_estimate += gain * dx;
+        self.mean_work += gain * dy;
+        self.variance = (1.0 - gain) * (self.variance + gain * dx * dx);
+        self.covariance = (1.0 - gain) * (self.covariance + gain * dx * dy);
+    }
+
+    fn predict(&self, estimate: f64) -> f64 {
+        if self.steps == 0.0 {
+            return estimate;
+        }
+        let prior = PRIOR_STEPS * PRIOR_VARIANCE;
+        let slope = (prior * PRIOR_SLOPE + self.steps * self.covariance)
+            / (prior + self.steps * self.variance);
+        let offset =
+            (self.mean_work - self.mean_estimate) * self.steps / (self.steps + PRIOR_STEPS);
+        self.mean_estimate + offset + slope * (estimate - self.mean_estimate)
+    }
+}
+
+/// A run that did the whole work of its task.
+#[derive(Debug, Clone, Copy)]
+struct WholeRun {
+    worker: WorkerKey,
+    log_elapsed: f64,
+}
+
+/// The runs that completed the tasks of one step.
+#[derive(Debug, Default)]
+pub(crate) struct StepWork {
+    runs: SmallVec<[WholeRun; 4]>,
+    /// The sum of the logarithms of the work of these tasks.
+    sum: f64,
+}
+
+type WorkKey = (Arc<str>, Option<Arc<str>>);
+
+/// What was learned about the run times of one cell.
+#[derive(Debug, Default)]
+pub(crate) struct RunTimes {
+    work: FxHashMap<WorkKey, WorkModel>,
+    kinds: FxHashMap<Arc<str>, LogAverage>,
+    /// The mean of the logarithms of the pace of all workers, which is subtracted from each.
+    level: f64,
+    /// The mean difference of runs from what was expected of them. It is due to the expected work
+    /// and shows nothing about any worker.
+    bias: LogAverage,
+}
+
+impl RunTimes {
+    /// Sets the mean pace of the given workers to 1.
+    pub(crate) fn set_level<'a>(
+        &mut self,
+        workers: impl Iterator<Item = (&'a Arc<str>, &'a WorkerPace)>,
+        now: Time,
+    ) {
+        let (mut sum, mut count) = (0.0, 0.0);
+        for (kind, pace) in workers {
+            sum += self.log_pace(kind, pace, now);
+            count += 1.0;
+        }
+        if count > 0.0 {
+            self.level += sum / count;
+        }
+    }
+
+    /// Returns the run time on a worker as a multiple of that on a worker of mean pace.
+    pub(crate) fn pace(&self, kind: &Arc<str>, worker: &WorkerPace, now: Time) -> f64 {
+        self.log_pace(kind, worker, now).exp()
+    }
+
+    fn log_pace(&self, kind: &Arc<str>, worker: &WorkerPace, now: Time) -> f64 {
+        self.kind_pace(kind) + worker.faded(now).mean - self.level
+    }
+
+    fn kind_pace(&self, kind: &Arc<str>) -> f64 {
+        let known = self.kinds.get(kind);
+        known.map_or(0.0, |pace| pace.mean)
+    }
+
+    /// Returns the expected work of the longest task of a step, as its run time on a worker of mean
+    /// pace.
+    pub(crate) fn longest_task(
+        &self,
+        policy: &QueuePolicy,
+        step: &StepSpec,
+        work: &StepWork,
+    ) -> Span {
+        // The expected maximum of a few draws from a normal distribution is close to this.
+        let spread = TASK_SPREAD * f64::from(step.count.max(1)).ln().sqrt();
+        let log_work = self.log_work(policy, step, work) + spread;
+        Span::from_micros((log_work.exp() * 1_000_000.0) as u64)
+    }
+
+    /// Returns the expected work of a task of a step.
+    pub(crate) fn task(&self, policy: &QueuePolicy, step: &StepSpec, work: &StepWork) -> Span {
+        Span::from_micros((self.log_work(policy, step, work).exp() * 1_000_000.0) as u64)
+    }
+
+    fn log_work(&self, policy: &QueuePolicy, step: &StepSpec, work: &StepWork) -> f64 {
+        let estimate = log_estimate(step);
+        let key = (Arc::clone(&policy.queue), step.image.clone());
+        let model = self.work.get(&key);
+        let predicted = model.map_or(estimate, |model| model.predict(estimate));
+        let tasks = work.runs.len() as f64;
+        (predicted * REGRESSION_TASKS + work.sum) / (REGRESSION_TASKS + tasks)
+    }
+
+    /// Adds a run that did the whole work of a task to those of its step.
+    pub(crate) fn add_run(
+        &self,
+        work: &mut StepWork,
+        key: WorkerKey,
+        worker: &Worker,
+        elapsed: Span,
+        now: Time,
+    ) {
+        let log_elapsed = elapsed.max(MIN_SAMPLE).as_secs_f64().ln();
+        work.sum += log_elapsed - self.log_pace(worker.kind(), &worker.pace, now);
+        work.runs.push(WholeRun {
+            worker: key,
+            log_elapsed,
+        });
+    }
+
+    /// Learns from the runs of a step whose tasks are all done. Short runs end first, so a part of a
+    /// step's runs would make its work look smaller than it is.
+    pub(crate) fn learn(
+        &mut self,
+        policy: &QueuePolicy,
+        step: &StepSpec,
+        work: &StepWork,
+        workers: &mut SlotMap<WorkerKey, Worker>,
+        now: Time,
+    ) {
+        if step.gang || step.long_running || work.runs.is_empty() {
+            return;
+        }
+        let expected = self.log_work(policy, step, work);
+        let mut sum = 0.0;
+        for run in &work.runs {
+            let Some(worker) = workers.get_mut(run.worker) else {
+                continue;
+            };
+            let kind = Arc::clone(worker.kind());
+            let task_work = run.log_elapsed - self.log_pace(&kind, &worker.pace, now);
+            sum += task_work;
+            let surprise = (task_work - expected).clamp(-MAX_SURPRISE, MAX_SURPRISE);
+            self.bias.observe(surprise, KIND_PRIOR_RUNS, KIND_RUNS);
+            let surprise = surprise - self.bias.mean;
+            let kind = self.kinds.entry(kind).or_default();
+            kind.observe(kind.mean + surprise, KIND_PRIOR_RUNS, KIND_RUNS);
+            let mut deviation = worker.pace.faded(now);
+            deviation.observe(deviation.mean + surprise, WORKER_PRIOR_RUNS, WORKER_RUNS);
+            worker.pace = WorkerPace {
+                deviation,
+                observed_at: now,
+            };
+        }
+        let key = (Arc::clone(&policy.queue), step.image.clone());
+        let model = self.work.entry(key).or_default();
+        model.observe(log_estimate(step), sum / work.runs.len() as f64);
+    }
+}
+
+fn log_estimate(step: &StepSpec) -> f64 {
+    let estimate = Span::from_millis(step.estimate_ms).max(MIN_SAMPLE);
+    estimate.as_secs_f64().ln()
+}
--- a/crates/kingcupwinch-cell/src/spec.rs
+++ b/crates/kingcupwinch-cell/src/spec.rs
@@ -2,7 +2,7 @@
 
 use kingcupwinch_time::Span;
 use serde::{Deserialize, Serialize};
-use smallvec::SmallVec;
+use smallvec::{SmallVec, smallvec};
 
 /// Resources of a worker, as used by a task or in total.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -195,21 +195,12 @@
 }
 
 impl JobSpec {
-    /// Returns the critical path of each step: the longest chain of estimates from its start to the
-    /// end of the job.
-    pub(crate) fn critical_paths(&self) -> Vec<Span> {
-        let mut critical_paths: Vec<Span> = Vec::with_capacity(self.steps.len());
-        critical_paths.resize(self.steps.len(), Span::ZERO);
+    /// Returns the critical path of each step: the longest chain of the given durations of the steps
+    /// from its start to the end of the job.
+    pub(crate) fn critical_paths(&self, durations: &[Span]) -> SmallVec<[Span; 4]> {
+        let mut critical_paths: SmallVec<[Span; 4]> = smallvec![Span::ZERO; self.steps.len()];
         for (number, step) in self.steps.iter().enumerate().rev() {
-            // Long-running tasks have no end to wait for.
-            let estimate_ms = if step.long_running {
-                0
-            } else {
-                step.estimate_ms
-            };
-            let estimate = Span::from_millis(estimate_ms);
-            critical_paths[number] =
-                Span::from_micros(critical_paths[number].as_micros() + estimate.as_micros());
+            critical_paths[number] = critical_paths[number] + durations[number];
             let path = critical_paths[number];
             for before in &step.after {
                 let before = usize::from(*before);
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -1,11 +1,11 @@
-use std::sync::Arc;
+use std::sync::{Arc, LazyLock};
 
 use kingcupwinch_time::{Drift, Span, Time};
 use rustc_hash::FxHashSet;
 
-use crate::estimate::PaceEstimate;
 use crate::id::TaskName;
 use crate::run::{RunEnd, RunKey};
+use crate::run_time::WorkerPace;
 use crate::spec::{Resources, StepSpec};
 
 slotmap::new_key_type! {
@@ -13,7 +13,9 @@
     pub struct WorkerKey;
 }
 
-/// The index of the rack in a worker's labels. The label at index 0 is its kind.
+/// The index of the kind in a worker's labels.
+const KIND_LABEL: usize = 0;
+/// The index of the rack in a worker's labels.
 pub(crate) const RACK_LABEL: usize = 1;
 /// The largest rate by which a worker's clock is assumed to run slow.
 const WORKER_DRIFT: Drift = Drift::from_ppm(20_000);
@@ -158,7 +160,7 @@
     pub(crate) inherited: bool,
     /// Whether the worker lists a run whose job, and thus its size, this owner doesn't know.
     pub(crate) has_unknown_runs: bool,
-    pub(crate) pace: PaceEstimate,
+    pub(crate) pace: WorkerPace,
     failure_streak: u32,
     quarantines: u32,
     pub(crate) quarantined_until: Time,
@@ -182,7 +184,7 @@
             is_connection_closed: false,
             inherited,
             has_unknown_runs: false,
-            pace: PaceEstimate::default(),
+            pace: WorkerPace::default(),
             failure_streak: 0,
             quarantines: 0,
             quarantined_until: Time::ZERO,
@@ -214,6 +216,12 @@
         self.latency_sensitive_runs -= u32::from(step.latency_sensitive);
     }
 
+    /// Returns the kind, which is empty if the worker has no labels.
+    pub(crate) fn kind(&self) -> &Arc<str> {
+        static UNKNOWN: LazyLock<Arc<str>> = LazyLock::new(|| Arc::from(""));
+        self.registration.labels.get(KIND_LABEL).unwrap_or(&UNKNOWN)
+    }
+
     pub(crate) fn available(&self) -> Resources {
         self.registration.capacity.remaining(self.used)
     }
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -10,6 +10,7 @@
 mod jobs;
 mod long_running;
 mod occurrences;
+mod run_times;
 mod speculation;
 mod takeover;
 mod tentative;
--- /dev/null
+++ b/crates/kingcupwinch-cell/tests/cell/run_times.rs
@@ -0,0 +1,141 @@
+//! Learned run times: rough estimates, kinds of workers, and what a new owner knows.
+
+use kingcupwinch_cell::{EndReason, Registration, WorkerKey};
+
+use crate::harness::{FakeWorker, Harness, job, registration, step};
+
+/// The work of every task, in milliseconds, whatever its estimate.
+const WORK_MS: u64 = 1_000;
+/// The run time of that work on a fast and on a slow worker, in milliseconds.
+const FAST_MS: u64 = 700;
+const SLOW_MS: u64 = 1_700;
+/// Estimates far below and far above the work, in milliseconds.
+const ESTIMATES: [u64; 4] = [120, 400, 1_900, 5_000];
+
+fn of_kind(number: usize, kind: &str) -> Registration {
+    let mut entry = registration(number, 4);
+    entry.labels[0] = kind.into();
+    entry
+}
+
+/// Builds a harness of a generation with four fast workers and two slow ones, which differ in kind.
+fn two_kinds(generation: u32) -> (Harness, Vec<WorkerKey>) {
+    let mut harness = Harness::of_generation(generation);
+    let mut slow = Vec::new();
+    for number in 0..6 {
+        let kind = if number < 4 { "fast" } else { "slow" };
+        let key = harness
+            .cell
+            .register_worker(of_kind(number, kind), false, harness.now);
+        harness.workers.insert(key, FakeWorker::default());
+        if number >= 4 {
+            slow.push(key);
+        }
+    }
+    harness.poll_all();
+    (harness, slow)
+}
+
+/// Runs jobs with rough estimates on all workers, so that the cell can learn from them.
+fn teach(harness: &mut Harness, slow: &[WorkerKey], rounds: u64) {
+    for round in 0..rounds {
+        for (number, estimate) in ESTIMATES.into_iter().enumerate() {
+            let id = 1_000 + round * 10 + number as u64;
+            harness.submit(id, job(vec![step(6, 1, estimate)]));
+        }
+        harness.run_round();
+        harness.advance(FAST_MS);
+        end_where(harness, |key| !slow.contains(&key));
+        harness.advance(SLOW_MS - FAST_MS);
+        end_where(harness, |_| true);
+        harness.append_records();
+    }
+}
+
+fn end_where(harness: &mut Harness, ends: impl Fn(WorkerKey) -> bool) {
+    for (key, task) in harness.running() {
+        if ends(key) {
+            harness.end(key, task, EndReason::Done);
+        }
+    }
+    harness.poll_all();
+}
+
+/// Submits an urgent task of one core and returns the worker that it starts on.
+fn start_urgent(harness: &mut Harness, estimate_ms: u64) -> WorkerKey {
+    let mut urgent = job(vec![step(1, 1, estimate_ms)]);
+    urgent.policy.stretch = 1.5;
+    urgent.policy.target_ms = 100;
+    harness.submit(1, urgent);
+    harness.run_round();
+    let running = harness.running();
+    assert_eq!(running.len(), 1);
+    running[0].0
+}
+
+/// A queue whose estimates say little: what was seen of its tasks decides, and an urgent task gets a
+/// fast worker whether its estimate is far too low or far too high.
+#[rstest::rstest]
+#[case::far_too_low(120)]
+#[case::far_too_high(5_000)]
+fn an_urgent_task_with_a_wrong_estimate_gets_a_fast_worker(#[case] estimate_ms: u64) {
+    let (mut harness, slow) = two_kinds(1);
+    teach(&mut harness, &slow, 12);
+    let worker = start_urgent(&mut harness, estimate_ms);
+    assert!(!slow.contains(&worker));
+}
+
+/// A worker that joins is taken to be as fast as the others of its kind before it ran anything.
+#[test]
+fn a_new_worker_of_a_slow_kind_is_taken_to_be_slow() {
+    let (mut harness, slow) = two_kinds(1);
+    teach(&mut harness, &slow, 12);
+    let key = harness
+        .cell
+        .register_worker(of_kind(6, "slow"), false, harness.now);
+    harness.workers.insert(key, FakeWorker::default());
+    harness.poll(key);
+    let worker = start_urgent(&mut harness, WORK_MS);
+    assert!(!slow.contains(&worker) && worker != key);
+}
+
+/// Most work runs on the fast kind. The rare runs on the slow kind must not make it look like the
+/// others in time.
+#[test]
+fn the_pace_of_a_rarely_used_kind_is_remembered() {
+    let (mut harness, slow) = two_kinds(1);
+    teach(&mut harness, &slow, 12);
+    for round in 0..200 {
+        let mut urgent = job(vec![step(3, 1, ESTIMATES[round % 4])]);
+        urgent.policy.stretch = 1.5;
+        urgent.policy.target_ms = 100;
+        harness.submit(5_000 + round as u64, urgent);
+        harness.run_round();
+        let on_slow = harness.running().iter().any(|(key, _)| slow.contains(key));
+        assert!(!on_slow, "in round {round}");
+        harness.advance(FAST_MS);
+        end_where(&mut harness, |_| true);
+        harness.append_records();
+    }
+}
+
+/// What was learned is not in the log: a new owner takes all workers for equal and relies on the
+/// estimates until runs end.
+#[test]
+fn a_new_owner_starts_from_the_priors() {
+    let (mut harness, slow) = two_kinds(1);
+    teach(&mut harness, &slow, 12);
+    let (mut successor, slow_later) = two_kinds(2);
+    for harness in [&mut harness, &mut successor] {
+        let mut urgent = job(vec![step(6, 4, WORK_MS)]);
+        urgent.policy.stretch = 1.5;
+        harness.submit(1, urgent);
+        harness.decide();
+    }
+    let paces = |harness: &Harness, of: &[WorkerKey]| -> Vec<u32> {
+        let starts = harness.starts.iter().filter(|s| of.contains(&s.worker));
+        starts.map(|start| start.pace_percent).collect()
+    };
+    assert!(paces(&harness, &slow).iter().all(|pace| *pace > 130));
+    assert_eq!(paces(&successor, &slow_later), [100, 100]);
+}
