--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -21,7 +21,7 @@
 use crate::job::{Job, JobKey, JobState, TaskState};
 use crate::record::{JobRecord, Placement};
 use crate::run::{NewRun, Run, RunKey, RunState};
-use crate::run_time::RunTimes;
+use crate::run_time::{RunTimeRecord, RunTimes};
 use crate::spec::JobSpec;
 use crate::worker::{PollFailure, Registration, Worker, WorkerKey};
 
@@ -409,6 +409,40 @@
         self.advice_callers.set_instances(instances);
     }
 
+    /// Returns how many steps the run times were learned from, which shows whether the record of
+    /// them is outdated.
+    pub fn learned_steps(&self) -> u64 {
+        self.run_times.learned_steps()
+    }
+
+    /// Builds the record of the learned run times for a later owner.
+    pub fn run_time_record(&self) -> RunTimeRecord {
+        let workers = self.workers.values();
+        let known = workers.filter(|worker| worker.pace.is_known());
+        let to_row = |worker: &Worker| {
+            let entry = &worker.registration;
+            (Arc::clone(&entry.id), entry.started_ms, worker.pace)
+        };
+        let mut record = self.run_times.to_record();
+        record.workers = known.map(to_row).collect();
+        record
+    }
+
+    /// Restores the run times that an earlier owner learned. Workers have to be registered before;
+    /// those that are not, or were restarted since, start from the pace of their kind.
+    pub fn restore_run_times(&mut self, record: &RunTimeRecord, now: Time) {
+        self.run_times.restore(record);
+        for (id, started_ms, pace) in &record.workers {
+            let Some(&key) = self.workers_by_id.get(id) else {
+                continue;
+            };
+            let worker = &mut self.workers[key];
+            if !worker.registration.is_restart(*started_ms) {
+                worker.pace = pace.observed_now(now);
+            }
+        }
+    }
+
     /// Returns the state of a job, or `None` if the job is unknown.
     pub fn job_state(&self, id: JobId) -> Option<JobState> {
         if let Some(state) = self.ended_jobs.get(&id) {
--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -8,6 +8,7 @@
 use super::{Action, Cell, PendingAck};
 use crate::id::TaskName;
 use crate::run::{EndReason, NewRun, RunEnd, RunKey, RunState};
+use crate::run_time::WorkerPace;
 use crate::worker::{PollFailure, RunningTask, WorkerKey, WorkerPoll, WorkerStatus};
 
 /// The number of run ends that a worker lists at most.
@@ -223,6 +224,7 @@
         worker.last_end_seen = 0;
         worker.last_end_acked = 0;
         worker.inherited = false;
+        worker.pace = WorkerPace::default();
         self.expire_runs(key, now);
     }
 
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -27,5 +27,6 @@
 pub use job::JobState;
 pub use record::{JobRecord, Placement, RecordError};
 pub use run::{EndReason, RunEnd, StartOutcome};
+pub use run_time::RunTimeRecord;
 pub use spec::{AdviceCost, JobSpec, QueuePolicy, Resources, Schedule, StepSpec};
 pub use worker::{PollFailure, Registration, RunningTask, WorkerKey, WorkerPoll, WorkerStatus};
--- a/crates/kingcupwinch-cell/src/run_time.rs
+++ b/crates/kingcupwinch-cell/src/run_time.rs
@@ -9,6 +9,7 @@
 
 use kingcupwinch_time::{Span, Time};
 use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 use smallvec::SmallVec;
 
@@ -46,9 +47,11 @@
 
 /// A moving average of logarithms. The prior of zero weighs as much as some samples, and is forgotten
 /// like them.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 struct LogAverage {
+    #[serde(rename = "m")]
     mean: f64,
+    #[serde(rename = "n")]
     samples: f64,
 }
 
@@ -60,13 +63,29 @@
 }
 
 /// The deviation of a worker's pace from that of its kind.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct WorkerPace {
+    #[serde(flatten)]
     deviation: LogAverage,
+    /// When the last run was learned from, by the clock of this process.
+    #[serde(skip)]
     observed_at: Time,
 }
 
 impl WorkerPace {
+    /// Returns what was recorded as if it had been observed now.
+    pub(crate) fn observed_now(self, now: Time) -> Self {
+        WorkerPace {
+            observed_at: now,
+            ..self
+        }
+    }
+
+    /// Returns whether any run was learned from.
+    pub(crate) fn is_known(&self) -> bool {
+        self.deviation.samples > 0.0
+    }
+
     /// Returns the part of the deviation that has not faded.
     fn faded(&self, now: Time) -> LogAverage {
         let fading = now.since(self.observed_at + FADE_DELAY).as_secs_f64();
@@ -80,13 +99,18 @@
 
 /// A regression of the logarithm of the work on the logarithm of the estimate, by least squares
 /// over the recent steps.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 struct WorkModel {
     /// The weight of the samples, in steps.
+    #[serde(rename = "n")]
     steps: f64,
+    #[serde(rename = "e")]
     mean_estimate: f64,
+    #[serde(rename = "w")]
     mean_work: f64,
+    #[serde(rename = "v")]
     variance: f64,
+    #[serde(rename = "c")]
     covariance: f64,
 }
 
@@ -131,6 +155,18 @@
 
 type WorkKey = (Arc<str>, Option<Arc<str>>);
 
+/// What an owner learned about run times, as recorded in the log for its successor.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct RunTimeRecord {
+    #[serde(rename = "q", default)]
+    work: Vec<(Arc<str>, Option<Arc<str>>, WorkModel)>,
+    #[serde(rename = "k", default)]
+    kinds: Vec<(Arc<str>, LogAverage)>,
+    /// The workers' ids, start times and deviations.
+    #[serde(rename = "w", default)]
+    pub(crate) workers: Vec<(Arc<str>, Option<u64>, WorkerPace)>,
+}
+
 /// What was learned about the run times of one cell.
 #[derive(Debug, Default)]
 pub(crate) struct RunTimes {
@@ -141,9 +177,42 @@
     /// The mean difference of runs from what was expected of them. It is due to the expected work
     /// and shows nothing about any worker.
     bias: LogAverage,
+    /// The number of steps learned from.
+    learned_steps: u64,
 }
 
 impl RunTimes {
+    /// Returns the number of steps learned from.
+    pub(crate) fn learned_steps(&self) -> u64 {
+        self.learned_steps
+    }
+
+    /// Builds the record of what was learned, without the workers.
+    pub(crate) fn to_record(&self) -> RunTimeRecord {
+        let to_row = |((queue, image), model): (&WorkKey, &WorkModel)| {
+            (Arc::clone(queue), image.clone(), *model)
+        };
+        let kinds = self.kinds.iter();
+        RunTimeRecord {
+            work: self.work.iter().map(to_row).collect(),
+            kinds: kinds
+                .map(|(kind, pace)| (Arc::clone(kind), *pace))
+                .collect(),
+            workers: Vec::new(),
+        }
+    }
+
+    /// Restores what an earlier owner learned.
+    pub(crate) fn restore(&mut self, record: &RunTimeRecord) {
+        for (queue, image, model) in &record.work {
+            let key = (Arc::clone(queue), image.clone());
+            self.work.insert(key, *model);
+        }
+        for (kind, pace) in &record.kinds {
+            self.kinds.insert(Arc::clone(kind), *pace);
+        }
+    }
+
     /// Sets the mean pace of the given workers to 1.
     pub(crate) fn set_level<'a>(
         &mut self,
@@ -253,6 +322,7 @@
                 observed_at: now,
             };
         }
+        self.learned_steps += 1;
         let key = (Arc::clone(&policy.queue), step.image.clone());
         let model = self.work.entry(key).or_default();
         model.observe(log_estimate(step), sum / work.runs.len() as f64);
--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -80,6 +80,8 @@
     origins: Origins,
     freshness: Freshness,
     is_worker_list_dirty: bool,
+    /// The number of steps that the recorded run times were learned from.
+    recorded_steps: u64,
     /// Wakes the writer when starts wait for their records to be appended.
     write_due: Arc<Notify>,
 }
@@ -107,6 +109,7 @@
             origins: args.origins,
             freshness: args.freshness,
             is_worker_list_dirty: true,
+            recorded_steps: 0,
             write_due: Arc::default(),
         };
         owner.connect_workers();
--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -12,6 +12,7 @@
 use kingcupwinch_time::{Span, Time};
 use quick_error::quick_error;
 use rustc_hash::FxHashMap;
+use serde::de::DeserializeOwned;
 use slog::o;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -19,7 +20,7 @@
 use super::loops;
 use super::{Freshness, Origins, Owner, OwnerArgs, WRITE_TIMEOUT};
 use crate::events::Event;
-use crate::layout::{IntakeKey, PROGRESS, WORKERS_KEY, intake_partitions};
+use crate::layout::{IntakeKey, PROGRESS, RUN_TIMES_KEY, WORKERS_KEY, intake_partitions};
 use crate::shared::Shared;
 use crate::siblings::Siblings;
 
@@ -157,24 +158,35 @@
             ),
         }
     }
-    let used = progress.items.iter().find(|item| &*item.key == WORKERS_KEY);
-    let used = used.map(|item| serde_json::from_slice::<Vec<(Arc<str>, Arc<str>)>>(&item.value));
-    match used {
-        None => {}
-        Some(Ok(used)) => {
-            for (id, address) in used {
-                cell.register_lost_worker(&id, address, now);
-            }
-        }
-        // Runs on workers that left the directory still count until their leases expire.
-        Some(Err(error)) => shared.log.write(
-            Event::RecordSkipped,
-            o!("key" => WORKERS_KEY, "error" => error.to_string()),
-        ),
+    // If this can't be read, runs on workers that left the directory still count until their leases
+    // expire.
+    let used: Option<Vec<(Arc<str>, Arc<str>)>> = decode_value(shared, progress, WORKERS_KEY);
+    for (id, address) in used.unwrap_or_default() {
+        cell.register_lost_worker(&id, address, now);
+    }
+    if let Some(learned) = decode_value(shared, progress, RUN_TIMES_KEY) {
+        cell.restore_run_times(&learned, now);
     }
     cell.workers().len()
 }
 
+/// Decodes the value of a key of the progress partition; `None` if it is missing or malformed.
+fn decode_value<T: DeserializeOwned>(
+    shared: &Shared,
+    progress: &Page,
+    key: &'static str,
+) -> Option<T> {
+    let item = progress.items.iter().find(|item| &*item.key == key)?;
+    match serde_json::from_slice(&item.value) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            let fields = o!("key" => key, "error" => error.to_string());
+            shared.log.write(Event::RecordSkipped, fields);
+            None
+        }
+    }
+}
+
 /// Reads all partitions of the intake concurrently.
 async fn read_intake(
     store: &Store,
--- a/crates/kingcupwinch-node/src/owner/writer.rs
+++ b/crates/kingcupwinch-node/src/owner/writer.rs
@@ -6,8 +6,9 @@
 use kameo::actor::{ActorRef, WeakActorRef};
 use kameo::message::{Context, Message};
 use kingcupwinch_adapter::{Fence, KeyedRecord, Partition, WriteError};
-use kingcupwinch_cell::{JobId, RecordBatch};
+use kingcupwinch_cell::{JobId, RecordBatch, RunTimeRecord};
 use kingcupwinch_time::Time;
+use serde::Serialize;
 use slog::o;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::Instant;
@@ -15,7 +16,9 @@
 use super::Owner;
 use super::messages::{Superseded, WriteConfirmed};
 use crate::events::Event;
-use crate::layout::{GROUP, HEARTBEAT_KEY, IntakeKey, PROGRESS, WORKERS_KEY, intake_partitions};
+use crate::layout::{
+    GROUP, HEARTBEAT_KEY, IntakeKey, PROGRESS, RUN_TIMES_KEY, WORKERS_KEY, intake_partitions,
+};
 use crate::metrics::Metrics;
 use crate::shared::Shared;
 
@@ -34,7 +37,7 @@
 
 /// Requests the next batch to append.
 struct TakeBatch {
-    /// Whether to include the intake records that are to be deleted.
+    /// Whether to include the intake records that are to be deleted, and the learned run times.
     with_cleanup: bool,
 }
 
@@ -44,6 +47,8 @@
     records: RecordBatch,
     /// Ids and addresses of the known workers, if the list changed.
     workers: Option<Vec<(Arc<str>, Arc<str>)>>,
+    /// What was learned about run times, if it changed.
+    run_times: Option<RunTimeRecord>,
     cleanup: Vec<(Partition, IntakeKey)>,
     /// Signals the end of a release; set on the last batch of an owner that releases the cell.
     release_done: Option<oneshot::Sender<()>>,
@@ -67,9 +72,16 @@
         } else {
             Vec::new()
         };
+        let learned_steps = self.cell.learned_steps();
+        let is_outdated = learned_steps != self.recorded_steps;
+        let run_times = (take.with_cleanup && is_outdated).then(|| {
+            self.recorded_steps = learned_steps;
+            self.cell.run_time_record()
+        });
         WriteBatch {
             records: self.cell.take_records(now),
             workers,
+            run_times,
             cleanup,
             release_done: self.release_done.take(),
             is_retired: self.is_retired,
@@ -149,16 +161,26 @@
     }
     let tombstone = |id: &JobId| KeyedRecord::tombstone(id.to_string());
     records.extend(batch.records.expired.iter().map(tombstone));
-    if let Some(workers) = &batch.workers {
-        match serde_json::to_vec(workers) {
-            Ok(value) => records.push(KeyedRecord::with_value(WORKERS_KEY, value)),
-            Err(error) => {
-                let fields = o!("key" => WORKERS_KEY, "error" => error.to_string());
-                shared.log.write(Event::RecordSkipped, fields);
-            }
+    let workers = batch.workers.as_ref();
+    records.extend(workers.and_then(|workers| encode_value(shared, WORKERS_KEY, workers)));
+    let run_times = batch.run_times.as_ref();
+    records.extend(run_times.and_then(|learned| encode_value(shared, RUN_TIMES_KEY, learned)));
+    records
+}
+
+fn encode_value<T: Serialize>(
+    shared: &Shared,
+    key: &'static str,
+    value: &T,
+) -> Option<KeyedRecord> {
+    match serde_json::to_vec(value) {
+        Ok(value) => Some(KeyedRecord::with_value(key, value)),
+        Err(error) => {
+            let fields = o!("key" => key, "error" => error.to_string());
+            shared.log.write(Event::RecordSkipped, fields);
+            None
         }
     }
-    records
 }
 
 /// Retries an append until it succeeds. Returns the send time of the successful attempt, or `None`
