--- a/crates/kingcupwinch-cell/src/advice.rs
+++ b/crates/kingcupwinch-cell/src/advice.rs
@@ -12,7 +12,14 @@
 /// worker.
 const TICKET_MARGIN: Span = Span::from_millis(150);
 /// How much longer than expected a call may take before it counts as lost.
-const CALL_TIMEOUT_MARGIN: Span = Span::from_millis(1_500);
+const CALL_TIMEOUT_MARGIN: Span = Span::from_millis(500);
+/// How much longer than expected a call may take before its caller gets no further ones.
+const OVERDUE_MARGIN: Span = Span::from_millis(100);
+/// How long an instance whose call failed is not used for further calls. Each further failure in a
+/// row doubles the time.
+const CALLER_BACKOFF: Span = Span::from_millis(1_500);
+/// The largest number of doublings of the backoff.
+const MAX_BACKOFF_DOUBLINGS: u32 = 1;
 /// How long after a lost call the step may call again.
 const RETRY_BACKOFF: Span = Span::from_millis(150);
 /// Calls longer than this are long calls. They leave some of the callers free for short calls.
@@ -110,10 +117,41 @@
 
 /// An instance that can call the adviser. The adviser handles the calls of one instance one at a
 /// time.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct AdviceCaller {
     instance: Arc<str>,
     free_at: Time,
+    /// The number of calls without a response yet.
+    pending: u32,
+    /// When the oldest of these is overdue.
+    overdue_at: Option<Time>,
+    /// Failed calls since the last response.
+    failures: u32,
+}
+
+impl AdviceCaller {
+    fn new(instance: &Arc<str>) -> Self {
+        AdviceCaller {
+            instance: Arc::clone(instance),
+            free_at: Time::ZERO,
+            pending: 0,
+            overdue_at: None,
+            failures: 0,
+        }
+    }
+
+    /// Returns whether the caller may get another call. A caller that is overdue may be cut off,
+    /// and one that failed is tried with a single call.
+    fn is_available(&self, now: Time) -> bool {
+        let is_overdue = self.overdue_at.is_some_and(|at| at <= now);
+        let is_probed = self.failures > 0 && self.pending > 0;
+        !is_overdue && !is_probed
+    }
+
+    fn end_call(&mut self) {
+        self.pending = self.pending.saturating_sub(1);
+        self.overdue_at = (self.pending > 0).then_some(self.free_at + OVERDUE_MARGIN);
+    }
 }
 
 /// The instances over which calls to the adviser are spread.
@@ -123,18 +161,13 @@
 }
 
 impl AdviceCallers {
-    /// Replaces the instances, and keeps when each known one is free.
+    /// Replaces the instances, and keeps the state of each known one.
     pub(crate) fn set_instances(&mut self, instances: &[Arc<str>]) {
         let mut callers = Vec::with_capacity(instances.len());
         for instance in instances {
-            let known = self
-                .callers
-                .iter()
-                .find(|caller| caller.instance == *instance);
-            callers.push(AdviceCaller {
-                instance: Arc::clone(instance),
-                free_at: known.map_or(Time::ZERO, |caller| caller.free_at),
-            });
+            let mut known = self.callers.iter();
+            let known = known.find(|caller| caller.instance == *instance);
+            callers.push(known.map_or_else(|| AdviceCaller::new(instance), Clone::clone));
         }
         self.callers = callers;
     }
@@ -150,6 +183,10 @@
         let caller = self.choose(duration, now)?;
         let caller = &mut self.callers[caller];
         caller.free_at = caller.free_at.max(now) + duration;
+        caller.pending += 1;
+        caller
+            .overdue_at
+            .get_or_insert(caller.free_at + OVERDUE_MARGIN);
         Some((
             Arc::clone(&caller.instance),
             caller.free_at + CALL_TIMEOUT_MARGIN,
@@ -165,16 +202,38 @@
         // Short calls use the callers from the end of the list, which long calls may not use.
         let earliest = (0..usable)
             .rev()
+            .filter(|caller| self.callers[*caller].is_available(now))
             .min_by_key(|caller| self.callers[*caller].free_at.max(now))?;
         (self.callers[earliest].free_at <= now + max_wait).then_some(earliest)
     }
 
-    /// Makes no calls from an instance before `until`, after a call from it failed.
-    pub(crate) fn note_failure(&mut self, instance: &str, until: Time) {
-        for caller in &mut self.callers {
-            if &*caller.instance == instance {
-                caller.free_at = caller.free_at.max(until);
-            }
+    /// Records that a call of an instance was answered.
+    pub(crate) fn note_response(&mut self, instance: &str) {
+        if let Some(caller) = self.find(instance) {
+            caller.failures = 0;
+            caller.end_call();
         }
     }
+
+    /// Records that a call of an instance failed or was lost, and makes no calls from it for a while.
+    pub(crate) fn note_failure(&mut self, instance: &str, now: Time) {
+        let Some(caller) = self.find(instance) else {
+            return;
+        };
+        caller.end_call();
+        // Calls that were made before the first failure show nothing new.
+        if caller.failures > 0 && caller.free_at > now {
+            return;
+        }
+        let doublings = caller.failures.min(MAX_BACKOFF_DOUBLINGS);
+        caller.failures += 1;
+        caller.free_at = caller
+            .free_at
+            .max(now + CALLER_BACKOFF.times(1 << doublings));
+    }
+
+    fn find(&mut self, instance: &str) -> Option<&mut AdviceCaller> {
+        let mut callers = self.callers.iter_mut();
+        callers.find(|caller| &*caller.instance == instance)
+    }
 }
--- a/crates/kingcupwinch-cell/src/cell/advice_calls.rs
+++ b/crates/kingcupwinch-cell/src/cell/advice_calls.rs
@@ -9,9 +9,6 @@
 use crate::job::JobKey;
 use crate::worker::WorkerKey;
 
-/// How long an instance whose call failed is not used for further calls.
-const CALLER_BACKOFF: Span = Span::from_millis(1_500);
-
 /// The id of a call to the adviser.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct AdviceCallId(u64);
@@ -58,13 +55,13 @@
             return;
         };
         let Some((tickets, validity)) = response else {
-            self.advice_callers
-                .note_failure(&call.instance, now + CALLER_BACKOFF);
+            self.advice_callers.note_failure(&call.instance, now);
             if let Some(job) = self.jobs.get_mut(call.job) {
                 job.steps[call.step].tickets.note_failure(now);
             }
             return;
         };
+        self.advice_callers.note_response(&call.instance);
         let mut allowed = Vec::with_capacity(tickets.len());
         for ticket in tickets {
             if let Some(&worker) = self.workers_by_id.get(&ticket.worker) {
@@ -99,8 +96,18 @@
         let tickets = &mut self.jobs[job].steps[step].tickets;
         if tickets.pending_until.is_some_and(|until| until < now) {
             tickets.note_failure(now);
-            self.advice_calls
-                .retain(|_, call| call.job != job || call.step != step);
+            let Cell {
+                advice_calls,
+                advice_callers,
+                ..
+            } = self;
+            advice_calls.retain(|_, call| {
+                let is_lost = call.job == job && call.step == step;
+                if is_lost {
+                    advice_callers.note_failure(&call.instance, now);
+                }
+                !is_lost
+            });
         }
     }
 }
--- a/crates/kingcupwinch-cell/tests/cell/advice.rs
+++ b/crates/kingcupwinch-cell/tests/cell/advice.rs
@@ -180,3 +180,38 @@
     };
     assert_eq!(named.iter().filter(|id| empty(id)).count(), 30);
 }
+
+/// Submits a job in each round of 50 ms, and answers the calls of `caller-0` only. Returns the
+/// callers in the order of their calls.
+fn with_an_unreachable_caller(rounds: u64) -> Vec<Arc<str>> {
+    let mut harness = Harness::new(8, 4);
+    for round in 0..rounds {
+        harness.submit(round, with_advice(job(vec![step(1, 1, 500)]), 10.0));
+        harness.decide();
+        harness.advance(50);
+        let calls = std::mem::take(&mut harness.calls);
+        let first = harness.callers.len() - calls.len();
+        for (number, call) in calls.into_iter().enumerate() {
+            if &*harness.callers[first + number] == "caller-0" {
+                harness.calls = vec![call];
+                respond(&mut harness, |_| true);
+            }
+        }
+        harness.calls.clear();
+        harness.run_round();
+        harness.end_all(EndReason::Done);
+        harness.poll_all();
+    }
+    harness.callers
+}
+
+/// One of two callers is cut off and its calls are lost. Once the first of them is overdue, the
+/// other caller gets all calls but single ones that probe whether the first is back.
+#[test]
+fn a_caller_in_a_cut_domain_gets_no_further_calls() {
+    let callers = with_an_unreachable_caller(100);
+    let lost = callers.iter().filter(|caller| &***caller == "caller-1");
+    let lost = lost.count();
+    assert!(callers.len() > 90, "{} calls", callers.len());
+    assert!((1..=8).contains(&lost), "{lost} calls were lost");
+}
--- a/crates/kingcupwinch-cell/tests/cell/harness.rs
+++ b/crates/kingcupwinch-cell/tests/cell/harness.rs
@@ -35,6 +35,8 @@
     pub(crate) starts: Vec<StartOrder>,
     pub(crate) stops: Vec<StopOrder>,
     pub(crate) calls: Vec<(AdviceCallId, Vec<Arc<str>>)>,
+    /// The instances that were asked to make the calls so far.
+    pub(crate) callers: Vec<Arc<str>>,
     /// The progress records in the log.
     pub(crate) records: HashMap<JobId, JobRecord>,
 }
@@ -144,6 +146,7 @@
             starts: Vec::new(),
             stops: Vec::new(),
             calls: Vec::new(),
+            callers: Vec::new(),
             records: HashMap::new(),
         }
     }
@@ -173,7 +176,15 @@
             match action {
                 Action::Start(order) => self.starts.push(order),
                 Action::Stop(order) => self.stops.push(order),
-                Action::RequestAdvice { call, workers, .. } => self.calls.push((call, workers)),
+                Action::RequestAdvice {
+                    call,
+                    instance,
+                    workers,
+                    ..
+                } => {
+                    self.calls.push((call, workers));
+                    self.callers.push(instance);
+                }
             }
         }
     }
--- a/crates/kingcupwinch-node/src/callers.rs
+++ b/crates/kingcupwinch-node/src/callers.rs
@@ -204,11 +204,11 @@
     /// Refuses a request without side effects; the caller may retry it.
     fn refuse(&self, reason: &str, id: Option<JobId>) -> HttpResponse {
         let id = id.map(|id| id.to_string());
+        let seconds = rand::rng().random_range(1..=MAX_RETRY_AFTER_S);
         self.shared.log.write(
             Event::RequestRefused,
-            o!("job" => id, "error" => reason.to_owned()),
+            o!("job" => id, "error" => reason.to_owned(), "retry_after_s" => seconds),
         );
-        let seconds = rand::rng().random_range(1..=MAX_RETRY_AFTER_S);
         retry_after(StatusCode::SERVICE_UNAVAILABLE, seconds)
     }
 }
