--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -535,9 +535,9 @@
             records.expired.push(id);
         }
         self.early_cancels.retain(|_, until| *until > now);
-        if !records.is_empty() || !self.pending_acks.is_empty() {
-            self.batch += 1;
-        }
+        // An empty batch gets a number of its own as well: what happens before it is reported as
+        // appended belongs to the next batch, which is not in the log yet.
+        self.batch += 1;
         records
     }
 
--- a/crates/kingcupwinch-cell/tests/cell/jobs.rs
+++ b/crates/kingcupwinch-cell/tests/cell/jobs.rs
@@ -236,3 +236,32 @@
     harness.decide();
     assert_eq!(harness.starts.len(), 1);
 }
+
+/// The writer takes a batch while nothing has changed. A run ends, or a job is placed, before the
+/// writer reports that batch: their records are not in the log yet.
+#[test]
+fn an_empty_batch_confirms_nothing_that_came_after_it() {
+    let mut harness = Harness::new(1, 4);
+    let worker = harness.keys()[0];
+    harness.submit(1, job(vec![step(1, 1, 500)]));
+    harness.run_round();
+    harness.append_records();
+    let empty = harness.cell.take_records(harness.now);
+    assert!(empty.is_empty());
+
+    harness.end_all(EndReason::Done);
+    harness.poll(worker);
+    harness.submit(2, job(vec![step(1, 1, 500)]));
+    harness.decide_without_log();
+    let ended = harness.cell.records_appended(empty.batch, harness.now);
+
+    assert_eq!(ended, []);
+    assert_eq!(harness.job_state(1), Some(JobState::Running));
+    assert_eq!(harness.cell.take_actions(), []);
+    let poll = harness.cell.next_poll(worker, harness.now).unwrap();
+    assert_eq!(poll.acked_through, 0, "the end is not in the log yet");
+    harness.append_records();
+    let poll = harness.cell.next_poll(worker, harness.now).unwrap();
+    assert_eq!(poll.acked_through, 1);
+    assert_eq!(harness.starts.len(), 1);
+}
--- a/crates/kingcupwinch-node/src/owner/writer.rs
+++ b/crates/kingcupwinch-node/src/owner/writer.rs
@@ -22,6 +22,9 @@
 use crate::metrics::Metrics;
 use crate::shared::Shared;
 
+#[cfg(test)]
+mod tests;
+
 /// Minimum time between two appends of progress.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(8);
 /// Maximum time that progress is batched while no start waits for it.
@@ -183,35 +186,59 @@
     }
 }
 
-/// Retries an append until it succeeds. Returns the send time of the successful attempt, or `None`
-/// if a later owner has written or this one has ended. Every attempt has the same sequence number,
-/// so the records are appended once.
+/// Retries an append until it succeeds. Returns the time at which this owner certainly still held
+/// the cell, or `None` if a later owner has written or this one has ended. Every attempt has the
+/// same sequence number, so the records are appended once.
 async fn append(
     shared: &Shared,
     owner: &ActorRef<Owner>,
     records: &[KeyedRecord],
     fence: Fence,
 ) -> Option<Time> {
+    let attempt = |attempts| {
+        let wait = shared.append_timeout.timeout(attempts);
+        shared.append("progress", PROGRESS, records, Some(fence), wait)
+    };
+    let result = retry_append(|| shared.now(), || owner.is_alive(), attempt).await;
+    if result == Err(AppendStopped::Fenced) {
+        let _ = owner.tell(Superseded("store")).await;
+    }
+    result.ok()
+}
+
+/// The reason why an append was given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AppendStopped {
+    /// A later owner has written.
+    Fenced,
+    /// The owner has ended.
+    Ended,
+}
+
+/// Retries an append until it succeeds, and returns the send time of the first attempt. The store
+/// answers a repeat as it answered the original, even if a later owner has written since, so a
+/// retry that succeeds shows nothing about the time after the first attempt.
+async fn retry_append<T, F>(
+    now: impl Fn() -> Time,
+    is_alive: impl Fn() -> bool,
+    mut attempt: impl FnMut(u32) -> F,
+) -> Result<Time, AppendStopped>
+where
+    F: Future<Output = Result<T, WriteError>>,
+{
+    let first_sent = now();
     let mut attempts = 0;
     loop {
-        let sent = shared.now();
-        let wait = shared.append_timeout.timeout(attempts);
-        attempts += 1;
-        let result = shared
-            .append("progress", PROGRESS, records, Some(fence), wait)
-            .await;
-        match result {
-            Ok(_) => return Some(sent),
-            Err(WriteError::Fenced) => {
-                let _ = owner.tell(Superseded("store")).await;
-                return None;
-            }
+        match attempt(attempts).await {
+            Ok(_) => return Ok(first_sent),
+            Err(WriteError::Fenced) => return Err(AppendStopped::Fenced),
             // Logged by `Shared::append`; retried below.
             Err(_) => {}
         }
-        if !owner.is_alive() {
-            return None;
+        if !is_alive() {
+            return Err(AppendStopped::Ended);
         }
+        attempts += 1;
         tokio::time::sleep(RETRY_DELAY).await;
     }
 }
