--- a/crates/kingcupwinch-cell/src/advice.rs
+++ b/crates/kingcupwinch-cell/src/advice.rs
@@ -5,6 +5,7 @@
 use kingcupwinch_time::{Span, Time};
 use rustc_hash::FxHashMap;
 
+use crate::mechanism::{Disabled, Mechanism};
 use crate::spec::AdviceCost;
 use crate::worker::WorkerKey;
 
@@ -158,9 +159,15 @@
 #[derive(Debug, Default)]
 pub(crate) struct AdviceCallers {
     callers: Vec<AdviceCaller>,
+    disabled: Disabled,
 }
 
 impl AdviceCallers {
+    /// Switches mechanisms off.
+    pub(crate) fn with_disabled(self, disabled: Disabled) -> Self {
+        AdviceCallers { disabled, ..self }
+    }
+
     /// Replaces the instances, and keeps the state of each known one.
     pub(crate) fn set_instances(&mut self, instances: &[Arc<str>]) {
         let mut callers = Vec::with_capacity(instances.len());
@@ -195,18 +202,25 @@
 
     fn choose(&self, duration: Span, now: Time) -> Option<usize> {
         let (max_wait, usable) = if duration > LONG_CALL_THRESHOLD {
-            (LONG_CALL_MAX_WAIT, (self.callers.len() * 2).div_ceil(3))
+            let all = self.callers.len();
+            let is_split = self.disabled.uses(Mechanism::CallerSplit);
+            let usable = if is_split { (all * 2).div_ceil(3) } else { all };
+            (LONG_CALL_MAX_WAIT, usable)
         } else {
             (SHORT_CALL_MAX_WAIT, self.callers.len())
         };
         // Short calls use the callers from the end of the list, which long calls may not use.
         let earliest = (0..usable)
             .rev()
-            .filter(|caller| self.callers[*caller].is_available(now))
+            .filter(|caller| self.is_available(&self.callers[*caller], now))
             .min_by_key(|caller| self.callers[*caller].free_at.max(now))?;
         (self.callers[earliest].free_at <= now + max_wait).then_some(earliest)
     }
 
+    fn is_available(&self, caller: &AdviceCaller, now: Time) -> bool {
+        caller.is_available(now) || !self.disabled.uses(Mechanism::CallerHealth)
+    }
+
     /// Records that a call of an instance was answered.
     pub(crate) fn note_response(&mut self, instance: &str) {
         if let Some(caller) = self.find(instance) {
--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -19,6 +19,7 @@
 use crate::estimate::ShareEstimate;
 use crate::id::{JobId, TaskName};
 use crate::job::{Job, JobKey, JobState, TaskState};
+use crate::mechanism::{Disabled, Mechanism};
 use crate::record::{JobRecord, Placement};
 use crate::run::{NewRun, Run, RunKey, RunState};
 use crate::run_time::{RunTimeRecord, RunTimes};
@@ -138,6 +139,7 @@
 #[derive(Debug)]
 pub struct Cell {
     timers: CellTimers,
+    disabled: Disabled,
     /// Run numbers start above this value, which keeps them above those of earlier owners.
     run_base: u32,
     pub(crate) jobs: SlotMap<JobKey, Job>,
@@ -188,6 +190,7 @@
     pub fn new(timers: CellTimers, generation: u32) -> Self {
         Cell {
             timers,
+            disabled: Disabled::default(),
             run_base: generation.saturating_sub(1) * RUNS_PER_GENERATION,
             jobs: SlotMap::with_key(),
             jobs_by_id: FxHashMap::default(),
@@ -220,6 +223,18 @@
         }
     }
 
+    /// Switches mechanisms off.
+    pub fn with_disabled(mut self, disabled: Disabled) -> Self {
+        self.disabled = disabled;
+        self.run_times = RunTimes::default().with_disabled(disabled);
+        self.advice_callers = AdviceCallers::default().with_disabled(disabled);
+        self
+    }
+
+    pub(crate) fn uses(&self, mechanism: Mechanism) -> bool {
+        self.disabled.uses(mechanism)
+    }
+
     /// Adds a job whose acceptance is in the log.
     pub fn submit(&mut self, id: JobId, spec: JobSpec, now: Time) -> SubmitOutcome {
         if self.jobs_by_id.contains_key(&id) || self.ended_jobs.contains_key(&id) {
@@ -431,6 +446,9 @@
     /// Restores the run times that an earlier owner learned. Workers have to be registered before;
     /// those that are not, or were restarted since, start from the pace of their kind.
     pub fn restore_run_times(&mut self, record: &RunTimeRecord, now: Time) {
+        if !self.uses(Mechanism::RunTimeRecord) {
+            return;
+        }
         self.run_times.restore(record);
         for (id, started_ms, pace) in &record.workers {
             let Some(&key) = self.workers_by_id.get(id) else {
--- a/crates/kingcupwinch-cell/src/cell/long_running.rs
+++ b/crates/kingcupwinch-cell/src/cell/long_running.rs
@@ -27,7 +27,7 @@
         let is_short = now.since(run.started_at) < SHORT_RUN_LIMIT;
         let is_failure = reason == EndReason::Failed;
         if is_failure && run.percent < READY_PERCENT {
-            self.workers[worker].note_failure(now);
+            self.note_worker_failure(worker, now);
         }
         let job = &mut self.jobs[job];
         let slot = job.slot(name);
--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -133,7 +133,7 @@
             let (job, worker, index) = (run.job, run.worker, usize::from(run.name.index));
             self.jobs[job].steps[step].tasks[index].avoid_worker = Some(worker);
             self.stop_run(key);
-            self.workers[worker].note_failure(now);
+            self.note_worker_failure(worker, now);
         }
     }
 
--- a/crates/kingcupwinch-cell/src/cell/run_ends.rs
+++ b/crates/kingcupwinch-cell/src/cell/run_ends.rs
@@ -6,6 +6,7 @@
 
 use super::Cell;
 use crate::job::{JobKey, JobState};
+use crate::mechanism::Mechanism;
 use crate::run::{EndReason, RunKey};
 use crate::worker::{RACK_LABEL, WorkerKey};
 
@@ -106,6 +107,13 @@
         runs.iter().filter(is_duplicate).copied().collect()
     }
 
+    /// Counts a failed run against its worker, which may be quarantined for it.
+    pub(super) fn note_worker_failure(&mut self, worker: WorkerKey, now: Time) {
+        if self.uses(Mechanism::Quarantine) {
+            self.workers[worker].note_failure(now);
+        }
+    }
+
     fn count_failure(
         &mut self,
         key: JobKey,
@@ -114,7 +122,7 @@
         worker: WorkerKey,
         now: Time,
     ) {
-        self.workers[worker].note_failure(now);
+        self.note_worker_failure(worker, now);
         let (step, index) = place;
         let job = &mut self.jobs[key];
         if job.end.is_some() {
--- a/crates/kingcupwinch-cell/src/cell/speculation.rs
+++ b/crates/kingcupwinch-cell/src/cell/speculation.rs
@@ -4,6 +4,7 @@
 
 use super::Cell;
 use crate::job::{JobKey, TaskState};
+use crate::mechanism::Mechanism;
 use crate::placement::{WorkerPool, WorkerPools};
 use crate::run::{RunKey, RunState};
 
@@ -16,6 +17,9 @@
     /// Starts speculative runs of tasks whose only run is slow, on the capacity that is left after
     /// the ready steps were placed.
     pub(crate) fn start_speculative_runs(&mut self, pools: &mut WorkerPools, now: Time) {
+        if !self.uses(Mechanism::Speculation) {
+            return;
+        }
         let jobs: Vec<JobKey> = self.speculative_jobs.iter().copied().collect();
         for key in jobs {
             for (slot, index, run) in self.slow_tasks(key, now) {
--- a/crates/kingcupwinch-cell/src/cell/tentative.rs
+++ b/crates/kingcupwinch-cell/src/cell/tentative.rs
@@ -8,6 +8,7 @@
 use super::Cell;
 use crate::id::JobId;
 use crate::job::{JobKey, JobState};
+use crate::mechanism::Mechanism;
 use crate::run::RunKey;
 use crate::spec::JobSpec;
 
@@ -18,6 +19,9 @@
 impl Cell {
     /// Adds a job whose acceptance is being appended to the log. Does nothing if the job is known.
     pub fn submit_tentatively(&mut self, id: JobId, spec: JobSpec, now: Time) {
+        if !self.uses(Mechanism::Tentative) {
+            return;
+        }
         if self.job_state(id).is_some() || self.early_cancels.contains_key(&id) {
             return;
         }
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -10,6 +10,7 @@
 mod estimate;
 mod id;
 mod job;
+mod mechanism;
 mod placement;
 mod record;
 mod run;
@@ -25,6 +26,7 @@
 pub use election::{Claim, ElectionStep, ElectionTimers, GroupRecord, Member, OwnerElection};
 pub use id::{JobId, TaskName};
 pub use job::JobState;
+pub use mechanism::{Disabled, Mechanism};
 pub use record::{JobRecord, Placement, RecordError};
 pub use run::{EndReason, RunEnd, StartOutcome};
 pub use run_time::RunTimeRecord;
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -14,6 +14,7 @@
 use crate::advice::{Verdict, call_time};
 use crate::cell::{Action, Cell};
 use crate::job::{Job, JobKey, Task};
+use crate::mechanism::Mechanism;
 use crate::spec::{Resources, StepSpec};
 use crate::worker::{RACK_LABEL, WorkerKey};
 
@@ -197,6 +198,12 @@
                 ready.push(ReadyStep::new(key, slot, job, paces, now));
             }
         }
+        for step in &mut ready {
+            step.is_tight &= self.uses(Mechanism::FastFirst);
+            if !self.uses(Mechanism::PaceLimit) {
+                step.slowest_pace = f64::INFINITY;
+            }
+        }
         ready.sort_by(ReadyStep::compare);
         ready
     }
@@ -244,7 +251,9 @@
         let spec = job.step_spec(step);
         let is_eligible = |candidate: &usize| {
             let candidate = &pool.candidates[*candidate];
-            let is_excluded = spec.best_effort && candidate.has_latency_sensitive;
+            let is_excluded = spec.best_effort
+                && candidate.has_latency_sensitive
+                && self.uses(Mechanism::Isolation);
             candidate.available.task_capacity(spec.charged_resources()) > 0
                 && !is_excluded
                 && self.has_label(candidate.key, spec)
@@ -277,7 +286,7 @@
         pool.reserve(candidate, spec.charged_resources(), 1);
         pool.candidates[candidate].has_best_effort |= spec.best_effort;
         pool.candidates[candidate].has_latency_sensitive |= is_latency_sensitive;
-        if is_latency_sensitive {
+        if is_latency_sensitive && self.uses(Mechanism::Isolation) {
             self.stop_best_effort(worker);
         }
         true
@@ -313,7 +322,7 @@
         };
         // Latency-sensitive tasks avoid workers with best-effort tasks. Where that isn't possible,
         // the best-effort tasks are stopped.
-        let isolation_order = if spec.latency_sensitive {
+        let isolation_order = if spec.latency_sensitive && self.uses(Mechanism::Isolation) {
             a.has_best_effort.cmp(&b.has_best_effort)
         } else {
             Ordering::Equal
@@ -413,6 +422,9 @@
         let charge = spec.charged_resources();
         let tasks = job.steps[ready.step].tasks.len();
         let Some(chosen) = self.choose_gang(spec, eligible, pool, tasks) else {
+            if !self.uses(Mechanism::GangReservation) {
+                return false;
+            }
             let mut left = tasks as u64;
             for &candidate in eligible {
                 let fits = pool.candidates[candidate]
--- a/crates/kingcupwinch-cell/src/run_time.rs
+++ b/crates/kingcupwinch-cell/src/run_time.rs
@@ -13,6 +13,7 @@
 use slotmap::SlotMap;
 use smallvec::SmallVec;
 
+use crate::mechanism::{Disabled, Mechanism};
 use crate::spec::{QueuePolicy, StepSpec};
 use crate::worker::{Worker, WorkerKey};
 
@@ -179,9 +180,15 @@
     bias: LogAverage,
     /// The number of steps learned from.
     learned_steps: u64,
+    disabled: Disabled,
 }
 
 impl RunTimes {
+    /// Switches mechanisms off.
+    pub(crate) fn with_disabled(self, disabled: Disabled) -> Self {
+        RunTimes { disabled, ..self }
+    }
+
     /// Returns the number of steps learned from.
     pub(crate) fn learned_steps(&self) -> u64 {
         self.learned_steps
@@ -235,11 +242,17 @@
     }
 
     fn log_pace(&self, kind: &Arc<str>, worker: &WorkerPace, now: Time) -> f64 {
-        self.kind_pace(kind) + worker.faded(now).mean - self.level
+        let deviation = if self.disabled.uses(Mechanism::WorkerPace) {
+            worker.faded(now).mean
+        } else {
+            0.0
+        };
+        self.kind_pace(kind) + deviation - self.level
     }
 
     fn kind_pace(&self, kind: &Arc<str>) -> f64 {
         let known = self.kinds.get(kind);
+        let known = known.filter(|_| self.disabled.uses(Mechanism::KindPace));
         known.map_or(0.0, |pace| pace.mean)
     }
 
@@ -266,7 +279,11 @@
         let estimate = log_estimate(step);
         let key = (Arc::clone(&policy.queue), step.image.clone());
         let model = self.work.get(&key);
+        let model = model.filter(|_| self.disabled.uses(Mechanism::Regression));
         let predicted = model.map_or(estimate, |model| model.predict(estimate));
+        if !self.disabled.uses(Mechanism::StepWork) {
+            return predicted;
+        }
         let tasks = work.runs.len() as f64;
         (predicted * REGRESSION_TASKS + work.sum) / (REGRESSION_TASKS + tasks)
     }
--- a/crates/kingcupwinch-node/src/cmd.rs
+++ b/crates/kingcupwinch-node/src/cmd.rs
@@ -3,8 +3,11 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use clap::builder::PossibleValuesParser;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
+use kingcupwinch_cell::{Disabled, Mechanism};
+
 use crate::Node;
 
 /// Exit code for invalid settings.
@@ -25,6 +28,17 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("The settings file that the platform wrote"),
         )
+        .arg(
+            Arg::new("without")
+                .long("without")
+                .value_name("MECHANISM")
+                .action(ArgAction::Append)
+                .value_delimiter(',')
+                .value_parser(PossibleValuesParser::new(
+                    Mechanism::ALL.iter().map(|mechanism| mechanism.as_str()),
+                ))
+                .help("Switch a mechanism off, to measure what it is worth"),
+        )
         .arg(
             Arg::new("check")
                 .long("check")
@@ -41,7 +55,7 @@
     let Some(path) = matches.get_one::<PathBuf>("settings") else {
         return ExitCode::from(EXIT_SETTINGS);
     };
-    let node = match Node::new(path) {
+    let node = match Node::new(path, disabled_mechanisms(matches)) {
         Ok(node) => node,
         Err(error) => {
             eprintln!("kingcupwinchd: {error}");
@@ -67,3 +81,9 @@
         }
     }
 }
+
+fn disabled_mechanisms(matches: &ArgMatches) -> Disabled {
+    let names = matches.get_many::<String>("without").unwrap_or_default();
+    let is_named = |mechanism: &Mechanism| names.clone().any(|name| name == mechanism.as_str());
+    Mechanism::ALL.iter().copied().filter(is_named).collect()
+}
--- a/crates/kingcupwinch-node/src/node.rs
+++ b/crates/kingcupwinch-node/src/node.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use kingcupwinch_adapter::{SettingsError, load_settings};
+use kingcupwinch_cell::{Disabled, Mechanism};
 use kingcupwinch_time::Span;
 use quick_error::quick_error;
 use slog::o;
@@ -66,17 +67,18 @@
 }
 
 impl Node {
-    /// Creates an instance with the settings of a file.
+    /// Creates an instance with the settings of a file. As the owner it does not use the mechanisms
+    /// that are `disabled`.
     ///
     /// # Errors
     ///
     /// Fails if the settings can't be loaded.
-    pub fn new(path: &Path) -> Result<Self, NodeError> {
+    pub fn new(path: &Path, disabled: Disabled) -> Result<Self, NodeError> {
         let settings = load_settings(path)?;
         let log = EventLog::new(&settings.instance);
         Ok(Node {
             path: path.to_owned(),
-            shared: Shared::new(settings, log),
+            shared: Shared::new(settings, disabled, log),
         })
     }
 
@@ -97,10 +99,12 @@
         tokio::spawn(announce_member(Arc::clone(shared)));
         let group = tokio::spawn(OwnershipTask::new(Arc::clone(shared), siblings).run());
         let settings = &shared.settings;
+        let disabled: Vec<&str> = shared.disabled.iter().map(Mechanism::as_str).collect();
         shared.log.write(
             Event::Started,
             o!("callers" => settings.callers.to_string(), "domain" => settings.domain.to_string(),
-                "store" => settings.store.to_string(), "cpu_share" => settings.cpu_share),
+                "store" => settings.store.to_string(), "cpu_share" => settings.cpu_share,
+                "without" => disabled.join(",")),
         );
         loop {
             tokio::select! {
--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -92,7 +92,7 @@
         end_retention: shared.settings.status_retention,
         exit_window: shared.settings.heartbeat,
     };
-    let mut cell = Cell::new(timers, claim.generation);
+    let mut cell = Cell::new(timers, claim.generation).with_disabled(shared.disabled);
     let now = shared.now();
     let workers = restore_workers(shared, &mut cell, &directory, &progress, now);
     let mut origins = Origins::default();
--- a/crates/kingcupwinch-node/src/shared.rs
+++ b/crates/kingcupwinch-node/src/shared.rs
@@ -9,7 +9,7 @@
 use kingcupwinch_adapter::{
     Adviser, Appended, Fence, KeyedRecord, Partition, QueueTable, Settings, Store, WriteError,
 };
-use kingcupwinch_cell::{Claim, Member};
+use kingcupwinch_cell::{Claim, Disabled, Member};
 use kingcupwinch_platform::AdaptiveTimeout;
 use kingcupwinch_time::{BoottimeClock, Clock, Span, StableWallClock, Time, WallClock, WallTime};
 use slog::o;
@@ -32,6 +32,8 @@
 /// State shared by all parts of an instance.
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
+    /// The mechanisms that the owner does not use.
+    pub(crate) disabled: Disabled,
     pub(crate) store: Store,
     /// Timeouts and hedging delays derived from recent append latencies.
     pub(crate) append_timeout: AdaptiveTimeout,
@@ -51,12 +53,13 @@
 }
 
 impl Shared {
-    pub(crate) fn new(settings: Settings, log: EventLog) -> Arc<Self> {
+    pub(crate) fn new(settings: Settings, disabled: Disabled, log: EventLog) -> Arc<Self> {
         Arc::new(Shared {
             store: Store::new(settings.store),
             append_timeout: AdaptiveTimeout::new(),
             adviser: settings.adviser.map(Adviser::new),
             settings,
+            disabled,
             log,
             metrics: Metrics::new(),
             queues: watch::Sender::new(None),
