--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -22,6 +22,8 @@
 /// The divisor of a run's expected run time that gives its longest time without progress, if that
 /// is more than the minimum.
 const STALL_DIVISOR: u64 = 10;
+/// The progress from which the time of a run is projected, in percent.
+const MIN_PROJECTED_PERCENT: u8 = 20;
 /// How long a worker that left the directory and has no runs is still polled.
 const UNLISTED_RETENTION: Span = Span::from_secs(8);
 
@@ -87,7 +89,8 @@
                 state.percent = entry.percent;
                 state.progressed_at = now;
             }
-            let job = state.job;
+            self.project_run_time(run, now);
+            let job = self.runs[run].job;
             if !self.jobs[job].started {
                 self.jobs[job].started = true;
                 self.dirty.insert(job);
@@ -96,6 +99,24 @@
         }
     }
 
+    /// Projects the time that a run will take for its whole work, once its progress shows it. A slow
+    /// worker is thus known before its first run ends.
+    fn project_run_time(&mut self, key: RunKey, now: Time) {
+        let run = &self.runs[key];
+        let (percent, index) = (run.percent, usize::from(run.name.index));
+        if !(MIN_PROJECTED_PERCENT..100).contains(&percent) || run.state != RunState::Running {
+            return;
+        }
+        let (job, elapsed) = (run.job, now.since(run.started_at));
+        let slot = self.jobs[job].slot(run.name);
+        if self.jobs[job].steps[slot].work.has(index) {
+            return;
+        }
+        let projected = elapsed.as_micros() * 100 / u64::from(percent);
+        self.set_task_time(key, Span::from_micros(projected), now);
+        self.learn_run_times(job, slot, now);
+    }
+
     /// Returns the run that a worker lists, adopting it if its job is live.
     fn find_run(
         &mut self,
--- a/crates/kingcupwinch-cell/src/cell/run_ends.rs
+++ b/crates/kingcupwinch-cell/src/cell/run_ends.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
-use kingcupwinch_time::Time;
+use kingcupwinch_time::{Span, Time};
 
 use super::Cell;
-use crate::job::{JobKey, JobState};
+use crate::job::{JobKey, JobState, Task, TaskState};
 use crate::mechanism::Mechanism;
 use crate::run::{EndReason, RunKey};
 use crate::worker::{RACK_LABEL, WorkerKey};
@@ -35,7 +35,8 @@
             }
             EndReason::Done => {
                 self.counters.done += 1;
-                self.observe_run_time(key, now);
+                let elapsed = now.since(self.runs[key].started_at);
+                self.set_task_time(key, elapsed, now);
                 self.workers[worker].note_done();
                 self.complete_task(job, key);
                 self.learn_run_times(job, step, now);
@@ -144,8 +145,9 @@
         }
     }
 
-    /// Learns from the run time of a completed run.
-    fn observe_run_time(&mut self, key: RunKey, now: Time) {
+    /// Sets the time of a task from a run that took `elapsed` for its whole work, as observed or as
+    /// projected from its progress.
+    pub(super) fn set_task_time(&mut self, key: RunKey, elapsed: Span, now: Time) {
         let run = &self.runs[key];
         let Cell {
             jobs,
@@ -163,24 +165,28 @@
             return;
         }
         let work = &mut job.steps[slot].work;
-        run_times.add_run(work, run.worker, worker, now.since(run.started_at), now);
+        let index = usize::from(run.name.index);
+        run_times.set_task_time(work, index, (run.worker, worker), elapsed, now);
         let first = slot - slot % job.spec.steps.len();
         job.update_occurrence(first, run_times);
     }
 
-    /// Learns from the run times of a step whose tasks are all done.
-    fn learn_run_times(&mut self, key: JobKey, slot: usize, now: Time) {
+    /// Learns from the run times of a step, once all of its tasks are done or have a known time.
+    pub(super) fn learn_run_times(&mut self, key: JobKey, slot: usize, now: Time) {
         let Cell {
             jobs,
             workers,
             run_times,
             ..
         } = self;
-        let job = &jobs[key];
-        let step = &job.steps[slot];
-        if step.remaining == 0 {
-            let spec = job.step_spec(slot);
-            run_times.learn(&job.spec.policy, spec, &step.work, workers, now);
+        let job = &mut jobs[key];
+        let step = &mut job.steps[slot];
+        let mut tasks = step.tasks.iter().enumerate();
+        let is_known =
+            |(index, task): (usize, &Task)| task.state == TaskState::Done || step.work.has(index);
+        if tasks.all(is_known) {
+            let spec = &job.spec.steps[slot % job.spec.steps.len()];
+            run_times.learn(&job.spec.policy, spec, &mut step.work, workers, now);
         }
     }
 }
--- a/crates/kingcupwinch-cell/src/run_time.rs
+++ b/crates/kingcupwinch-cell/src/run_time.rs
@@ -139,19 +139,35 @@
     }
 }
 
-/// A run that did the whole work of its task.
+/// The run time of a task, observed or projected from the progress of its run.
 #[derive(Debug, Clone, Copy)]
-struct WholeRun {
+struct TaskTime {
+    index: usize,
     worker: WorkerKey,
     log_elapsed: f64,
+    log_work: f64,
 }
 
-/// The runs that completed the tasks of one step.
+/// The run times of the tasks of one step.
 #[derive(Debug, Default)]
 pub(crate) struct StepWork {
-    runs: SmallVec<[WholeRun; 4]>,
-    /// The sum of the logarithms of the work of these tasks.
-    sum: f64,
+    tasks: SmallVec<[TaskTime; 4]>,
+    /// Whether the step was learned from.
+    is_learned: bool,
+}
+
+impl StepWork {
+    /// Returns whether the time of a task is known.
+    pub(crate) fn has(&self, index: usize) -> bool {
+        self.tasks.iter().any(|task| task.index == index)
+    }
+
+    fn set(&mut self, time: TaskTime) {
+        match self.tasks.iter_mut().find(|task| task.index == time.index) {
+            Some(known) => *known = time,
+            None => self.tasks.push(time),
+        }
+    }
 }
 
 type WorkKey = (Arc<str>, Option<Arc<str>>);
@@ -284,50 +300,54 @@
         if !self.disabled.uses(Mechanism::StepWork) {
             return predicted;
         }
-        let tasks = work.runs.len() as f64;
-        (predicted * REGRESSION_TASKS + work.sum) / (REGRESSION_TASKS + tasks)
+        let tasks = work.tasks.len() as f64;
+        let sum: f64 = work.tasks.iter().map(|task| task.log_work).sum();
+        (predicted * REGRESSION_TASKS + sum) / (REGRESSION_TASKS + tasks)
     }
 
-    /// Adds a run that did the whole work of a task to those of its step.
-    pub(crate) fn add_run(
+    /// Sets the time that the whole work of a task takes on a worker.
+    pub(crate) fn set_task_time(
         &self,
         work: &mut StepWork,
-        key: WorkerKey,
-        worker: &Worker,
+        index: usize,
+        (key, worker): (WorkerKey, &Worker),
         elapsed: Span,
         now: Time,
     ) {
         let log_elapsed = elapsed.max(MIN_SAMPLE).as_secs_f64().ln();
-        work.sum += log_elapsed - self.log_pace(worker.kind(), &worker.pace, now);
-        work.runs.push(WholeRun {
+        work.set(TaskTime {
+            index,
             worker: key,
             log_elapsed,
+            log_work: log_elapsed - self.log_pace(worker.kind(), &worker.pace, now),
         });
     }
 
-    /// Learns from the runs of a step whose tasks are all done. Short runs end first, so a part of a
-    /// step's runs would make its work look smaller than it is.
+    /// Learns once from a step whose tasks are all done or have a known time. Short tasks are known
+    /// first, so a part of them would make the work of the step look smaller than it is.
     pub(crate) fn learn(
         &mut self,
         policy: &QueuePolicy,
         step: &StepSpec,
-        work: &StepWork,
+        work: &mut StepWork,
         workers: &mut SlotMap<WorkerKey, Worker>,
         now: Time,
     ) {
-        if step.gang || step.long_running || work.runs.is_empty() {
+        let is_excluded = step.gang || step.long_running;
+        if work.is_learned || is_excluded || work.tasks.is_empty() {
             return;
         }
+        work.is_learned = true;
         let expected = self.log_work(policy, step, work);
         let mut sum = 0.0;
-        for run in &work.runs {
-            let Some(worker) = workers.get_mut(run.worker) else {
+        for task in &work.tasks {
+            let Some(worker) = workers.get_mut(task.worker) else {
                 continue;
             };
             let kind = Arc::clone(worker.kind());
-            let task_work = run.log_elapsed - self.log_pace(&kind, &worker.pace, now);
-            sum += task_work;
-            let surprise = (task_work - expected).clamp(-MAX_SURPRISE, MAX_SURPRISE);
+            let log_work = task.log_elapsed - self.log_pace(&kind, &worker.pace, now);
+            sum += log_work;
+            let surprise = (log_work - expected).clamp(-MAX_SURPRISE, MAX_SURPRISE);
             self.bias.observe(surprise, KIND_PRIOR_RUNS, KIND_RUNS);
             let surprise = surprise - self.bias.mean;
             let kind = self.kinds.entry(kind).or_default();
@@ -342,7 +362,7 @@
         self.learned_steps += 1;
         let key = (Arc::clone(&policy.queue), step.image.clone());
         let model = self.work.entry(key).or_default();
-        model.observe(log_estimate(step), sum / work.runs.len() as f64);
+        model.observe(log_estimate(step), sum / work.tasks.len() as f64);
     }
 }
 
--- a/crates/kingcupwinch-cell/tests/cell/run_times.rs
+++ b/crates/kingcupwinch-cell/tests/cell/run_times.rs
@@ -187,3 +187,25 @@
     };
     assert!(pace(keys[3]) < pace(keys[0]) * 3 / 2);
 }
+
+/// In the first seconds no run has ended yet. The progress of the first runs shows which kind of
+/// worker is slow.
+#[test]
+fn progress_shows_a_slow_kind_before_any_run_ends() {
+    let (mut harness, slow) = two_kinds(1);
+    for number in 0..4 {
+        harness.submit(1_000 + number, job(vec![step(6, 1, 4_000)]));
+    }
+    harness.run_round();
+    harness.advance(1_000);
+    for (key, fake) in &mut harness.workers {
+        let percent = if slow.contains(key) { 24 } else { 58 };
+        for run in &mut fake.running {
+            run.percent = percent;
+        }
+    }
+    harness.poll_all();
+    assert!(harness.cell.learned_steps() > 0);
+    let paces = believed_paces(&mut harness, &slow);
+    assert!(paces.iter().all(|pace| *pace > 115), "{paces:?}");
+}
