--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -32,6 +32,10 @@
 /// The assumed share of workers that an adviser allows until responses have been observed.
 const INITIAL_ALLOWED_SHARE: f64 = 0.4;
 
+/// The largest number of workers in a record of run times, which has to fit into one record of the
+/// log. Those that deviate most from their kind are kept.
+const MAX_RECORDED_WORKERS: usize = 1_000;
+
 /// The timers of a cell.
 #[derive(Debug, Clone, Copy)]
 pub struct CellTimers {
@@ -434,12 +438,15 @@
     pub fn run_time_record(&self) -> RunTimeRecord {
         let workers = self.workers.values();
         let known = workers.filter(|worker| worker.pace.is_known());
-        let to_row = |worker: &Worker| {
+        let mut known: Vec<&Worker> = known.collect();
+        known.sort_by(|a, b| b.pace.distance().total_cmp(&a.pace.distance()));
+        known.truncate(MAX_RECORDED_WORKERS);
+        let to_row = |worker: &&Worker| {
             let entry = &worker.registration;
             (Arc::clone(&entry.id), entry.started_ms, worker.pace)
         };
         let mut record = self.run_times.to_record();
-        record.workers = known.map(to_row).collect();
+        record.workers = known.iter().map(to_row).collect();
         record
     }
 
--- a/crates/kingcupwinch-cell/src/run_time.rs
+++ b/crates/kingcupwinch-cell/src/run_time.rs
@@ -1,9 +1,9 @@
 //! Run times, learned from the runs that end.
 //!
 //! A run takes the work of its task times the pace of its worker. Both are learned as logarithms.
-//! The work of a task follows from the caller's estimate by a linear regression for its queue and
-//! image, and from the other tasks of its step that are done. The pace of a worker is that of its
-//! kind, corrected by its own runs. The mean pace of all workers is 1.
+//! The work of a task follows from the caller's estimate by a linear regression for its queue,
+//! corrected for its image, and from the other tasks of its step whose time is known. The pace of a
+//! worker is that of its kind, corrected by its own runs. The mean pace of all workers is 1.
 
 use std::sync::Arc;
 
@@ -34,6 +34,11 @@
 /// as much as the prior.
 const KIND_RUNS: f64 = 100.0;
 const KIND_PRIOR_RUNS: f64 = 3.0;
+/// The same, in steps, for the deviation of an image from its queue.
+const IMAGE_STEPS: f64 = 50.0;
+const IMAGE_PRIOR_STEPS: f64 = 3.0;
+/// The largest number of images that are told apart.
+const MAX_IMAGES: usize = 256;
 /// The same for the deviation of a worker from its kind.
 const WORKER_RUNS: f64 = 7.0;
 const WORKER_PRIOR_RUNS: f64 = 3.0;
@@ -87,6 +92,11 @@
         self.deviation.samples > 0.0
     }
 
+    /// Returns the distance from the pace of the kind, as a logarithm.
+    pub(crate) fn distance(&self) -> f64 {
+        self.deviation.mean.abs()
+    }
+
     /// Returns the part of the deviation that has not faded.
     fn faded(&self, now: Time) -> LogAverage {
         let fading = now.since(self.observed_at + FADE_DELAY).as_secs_f64();
@@ -170,13 +180,13 @@
     }
 }
 
-type WorkKey = (Arc<str>, Option<Arc<str>>);
-
 /// What an owner learned about run times, as recorded in the log for its successor.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct RunTimeRecord {
     #[serde(rename = "q", default)]
-    work: Vec<(Arc<str>, Option<Arc<str>>, WorkModel)>,
+    queues: Vec<(Arc<str>, WorkModel)>,
+    #[serde(rename = "i", default)]
+    images: Vec<(Arc<str>, LogAverage)>,
     #[serde(rename = "k", default)]
     kinds: Vec<(Arc<str>, LogAverage)>,
     /// The workers' ids, start times and deviations.
@@ -187,7 +197,9 @@
 /// What was learned about the run times of one cell.
 #[derive(Debug, Default)]
 pub(crate) struct RunTimes {
-    work: FxHashMap<WorkKey, WorkModel>,
+    queues: FxHashMap<Arc<str>, WorkModel>,
+    /// The deviations of images from the work that the regression of their queue expects.
+    images: FxHashMap<Arc<str>, LogAverage>,
     kinds: FxHashMap<Arc<str>, LogAverage>,
     /// The mean of the logarithms of the pace of all workers, which is subtracted from each.
     level: f64,
@@ -212,28 +224,19 @@
 
     /// Builds the record of what was learned, without the workers.
     pub(crate) fn to_record(&self) -> RunTimeRecord {
-        let to_row = |((queue, image), model): (&WorkKey, &WorkModel)| {
-            (Arc::clone(queue), image.clone(), *model)
-        };
-        let kinds = self.kinds.iter();
         RunTimeRecord {
-            work: self.work.iter().map(to_row).collect(),
-            kinds: kinds
-                .map(|(kind, pace)| (Arc::clone(kind), *pace))
-                .collect(),
+            queues: to_rows(&self.queues),
+            images: to_rows(&self.images),
+            kinds: to_rows(&self.kinds),
             workers: Vec::new(),
         }
     }
 
     /// Restores what an earlier owner learned.
     pub(crate) fn restore(&mut self, record: &RunTimeRecord) {
-        for (queue, image, model) in &record.work {
-            let key = (Arc::clone(queue), image.clone());
-            self.work.insert(key, *model);
-        }
-        for (kind, pace) in &record.kinds {
-            self.kinds.insert(Arc::clone(kind), *pace);
-        }
+        self.queues.extend(record.queues.iter().cloned());
+        self.images.extend(record.images.iter().cloned());
+        self.kinds.extend(record.kinds.iter().cloned());
     }
 
     /// Sets the mean pace of the given workers to 1.
@@ -293,10 +296,10 @@
 
     fn log_work(&self, policy: &QueuePolicy, step: &StepSpec, work: &StepWork) -> f64 {
         let estimate = log_estimate(step);
-        let key = (Arc::clone(&policy.queue), step.image.clone());
-        let model = self.work.get(&key);
+        let model = self.queues.get(&policy.queue);
         let model = model.filter(|_| self.disabled.uses(Mechanism::Regression));
         let predicted = model.map_or(estimate, |model| model.predict(estimate));
+        let predicted = predicted + self.image_work(step);
         if !self.disabled.uses(Mechanism::StepWork) {
             return predicted;
         }
@@ -338,32 +341,65 @@
             return;
         }
         work.is_learned = true;
+        self.learned_steps += 1;
         let expected = self.log_work(policy, step, work);
-        let mut sum = 0.0;
         for task in &work.tasks {
-            let Some(worker) = workers.get_mut(task.worker) else {
-                continue;
-            };
-            let kind = Arc::clone(worker.kind());
-            let log_work = task.log_elapsed - self.log_pace(&kind, &worker.pace, now);
-            sum += log_work;
-            let surprise = (log_work - expected).clamp(-MAX_SURPRISE, MAX_SURPRISE);
-            self.bias.observe(surprise, KIND_PRIOR_RUNS, KIND_RUNS);
-            let surprise = surprise - self.bias.mean;
-            let kind = self.kinds.entry(kind).or_default();
-            kind.observe(kind.mean + surprise, KIND_PRIOR_RUNS, KIND_RUNS);
-            let mut deviation = worker.pace.faded(now);
-            deviation.observe(deviation.mean + surprise, WORKER_PRIOR_RUNS, WORKER_RUNS);
-            worker.pace = WorkerPace {
-                deviation,
-                observed_at: now,
-            };
+            if let Some(worker) = workers.get_mut(task.worker) {
+                self.learn_pace(worker, task.log_elapsed, expected, now);
+            }
         }
-        self.learned_steps += 1;
-        let key = (Arc::clone(&policy.queue), step.image.clone());
-        let model = self.work.entry(key).or_default();
-        model.observe(log_estimate(step), sum / work.tasks.len() as f64);
+        let sum: f64 = work.tasks.iter().map(|task| task.log_work).sum();
+        self.learn_work(policy, step, sum / work.tasks.len() as f64);
     }
+
+    /// Learns the pace of a worker and of its kind from a run and the work expected of it.
+    fn learn_pace(&mut self, worker: &mut Worker, log_elapsed: f64, expected: f64, now: Time) {
+        let kind = Arc::clone(worker.kind());
+        let log_work = log_elapsed - self.log_pace(&kind, &worker.pace, now);
+        let surprise = (log_work - expected).clamp(-MAX_SURPRISE, MAX_SURPRISE);
+        self.bias.observe(surprise, KIND_PRIOR_RUNS, KIND_RUNS);
+        let surprise = surprise - self.bias.mean;
+        let kind = self.kinds.entry(kind).or_default();
+        kind.observe(kind.mean + surprise, KIND_PRIOR_RUNS, KIND_RUNS);
+        let mut deviation = worker.pace.faded(now);
+        deviation.observe(deviation.mean + surprise, WORKER_PRIOR_RUNS, WORKER_RUNS);
+        worker.pace = WorkerPace {
+            deviation,
+            observed_at: now,
+        };
+    }
+
+    /// Learns from the mean work of a step's tasks, first for its image and then for its queue.
+    fn learn_work(&mut self, policy: &QueuePolicy, step: &StepSpec, log_work: f64) {
+        let estimate = log_estimate(step);
+        let queue = self.queues.entry(Arc::clone(&policy.queue)).or_default();
+        let mut image_work = 0.0;
+        if let Some(image) = &step.image
+            && (self.images.len() < MAX_IMAGES || self.images.contains_key(image))
+        {
+            let image = self.images.entry(Arc::clone(image)).or_default();
+            image.observe(
+                log_work - queue.predict(estimate),
+                IMAGE_PRIOR_STEPS,
+                IMAGE_STEPS,
+            );
+            image_work = image.mean;
+        }
+        queue.observe(estimate, log_work - image_work);
+    }
+
+    fn image_work(&self, step: &StepSpec) -> f64 {
+        let image = step.image.as_ref();
+        let known = image.and_then(|image| self.images.get(image));
+        known.map_or(0.0, |work| work.mean)
+    }
+}
+
+/// Returns the entries of a map as rows of a record.
+fn to_rows<T: Copy>(map: &FxHashMap<Arc<str>, T>) -> Vec<(Arc<str>, T)> {
+    map.iter()
+        .map(|(key, value)| (Arc::clone(key), *value))
+        .collect()
 }
 
 fn log_estimate(step: &StepSpec) -> f64 {
--- a/crates/kingcupwinch-cell/tests/cell/run_times.rs
+++ b/crates/kingcupwinch-cell/tests/cell/run_times.rs
@@ -209,3 +209,56 @@
     let paces = believed_paces(&mut harness, &slow);
     assert!(paces.iter().all(|pace| *pace > 115), "{paces:?}");
 }
+
+/// Tasks of one image take three times as long as others of their queue with the same estimate. A
+/// task of that image gets a fast worker, while one of the other needs none for the same objective.
+#[test]
+fn the_work_of_an_image_is_told_apart() {
+    let (mut harness, slow) = two_kinds(1);
+    teach(&mut harness, &slow, 12);
+    let of_image = |image: &str| {
+        let mut step = step(6, 1, WORK_MS);
+        step.image = Some(image.into());
+        step
+    };
+    for round in 0..20 {
+        let (short, long) = (1_000 + round, 2_000 + round);
+        harness.submit(short, job(vec![of_image("short")]));
+        harness.submit(long, job(vec![of_image("long")]));
+        harness.run_round();
+        harness.advance(FAST_MS / 3);
+        end_tasks(&mut harness, short, |key| !slow.contains(&key));
+        harness.advance((SLOW_MS - FAST_MS) / 3);
+        end_tasks(&mut harness, short, |_| true);
+        harness.advance(FAST_MS - SLOW_MS / 3);
+        end_tasks(&mut harness, long, |key| !slow.contains(&key));
+        harness.advance(SLOW_MS - FAST_MS);
+        end_tasks(&mut harness, long, |_| true);
+        harness.append_records();
+    }
+    let start = |harness: &mut Harness, number: u64, image: &str| {
+        let mut late = job(vec![of_image(image)]);
+        late.steps[0].count = 1;
+        late.policy.stretch = 0.0;
+        late.policy.target_ms = 1_600;
+        harness.submit(number, late);
+
+        harness.run_round();
+        let mut running = harness.running().into_iter();
+        let (key, _) = running
+            .find(|(_, task)| task.job == crate::harness::id(number))
+            .unwrap();
+        key
+    };
+    assert!(!slow.contains(&start(&mut harness, 1, "long")));
+    assert!(slow.contains(&start(&mut harness, 2, "short")));
+}
+
+fn end_tasks(harness: &mut Harness, job: u64, ends: impl Fn(WorkerKey) -> bool) {
+    for (key, task) in harness.running() {
+        if ends(key) && task.job == crate::harness::id(job) {
+            harness.end(key, task, EndReason::Done);
+        }
+    }
+    harness.poll_all();
+}
