--- a/crates/kingcupwinch-cli/src/cmd/mod.rs
+++ b/crates/kingcupwinch-cli/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod completions;
 mod diff;
 mod drain;
+mod explain;
 mod history;
 mod publish;
 mod report;
@@ -47,6 +48,7 @@
         .subcommand(status::make_subcommand())
         .subcommand(drain::make_subcommand())
         .subcommand(report::make_subcommand())
+        .subcommand(explain::make_subcommand())
         .subcommand(completions::make_subcommand())
 }
 
@@ -81,6 +83,7 @@
         Some(("status", sub)) => status::execute(sub, console).await,
         Some(("drain", sub)) => drain::execute(sub, console).await,
         Some(("report", sub)) => report::execute(sub, console).await,
+        Some(("explain", sub)) => explain::execute(sub, console),
         Some(("completions", sub)) => completions::execute(sub, console),
         _ => Ok(Exit::Usage),
     }
--- a/crates/kingcupwinch-cli/src/error.rs
+++ b/crates/kingcupwinch-cli/src/error.rs
@@ -82,6 +82,10 @@
         NoScrapes {
             display("there are no two scrapes of one instance; collect for longer, or give a folder with more of them")
         }
+        /// The logs have no line about the job.
+        UnknownJob(job: Arc<str>) {
+            display("no line is about the job {job}; give the logs of all instances, and of the time when it was sent")
+        }
         /// The configuration has no objectives.
         NoObjectives {
             display("the configuration sets no objectives; add a table [objectives.CLASS]")
@@ -114,6 +118,7 @@
             | Error::NoInstanceAddress
             | Error::UnknownVersion(..)
             | Error::UnknownPath(_)
+            | Error::UnknownJob(_)
             | Error::Unpublished => Exit::Usage,
             Error::Write(_) | Error::File(..) | Error::Plot(_) => Exit::Failure,
             Error::Instance(..) | Error::Log(_) | Error::Truncated => Exit::Unreachable,
--- a/crates/kingcupwinch-cli/src/lib.rs
+++ b/crates/kingcupwinch-cli/src/lib.rs
@@ -21,6 +21,7 @@
 mod console;
 mod error;
 mod exit;
+mod explain;
 mod http;
 mod log;
 mod operator;
--- a/crates/kingcupwinch-cli/tests/cli/main.rs
+++ b/crates/kingcupwinch-cli/tests/cli/main.rs
@@ -2,5 +2,6 @@
 
 mod burn;
 mod common;
+mod explain;
 mod outage;
 mod sessions;
