--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -26,7 +26,8 @@
 /// The smallest number of workers that a call names, if that many are available.
 const MIN_CALL_WORKERS: usize = 6;
 
-/// The margin of the pace that a step can afford, since run times are uncertain.
+/// How much faster than needed the slowest worker has to be before slow workers come first for a
+/// step, since run times are uncertain.
 const PACE_MARGIN: f64 = 1.3;
 /// The width of a band of the pace, as a difference of logarithms.
 const PACE_BAND: f64 = 0.25;
--- a/crates/kingcupwinch-cell/src/run_time.rs
+++ b/crates/kingcupwinch-cell/src/run_time.rs
@@ -1,4 +1,4 @@
-//! Run times, learned from the runs that end.
+//! Run times, learned from the progress and the ends of runs.
 //!
 //! A run takes the work of its task times the pace of its worker. Both are learned as logarithms.
 //! The work of a task follows from the caller's estimate by a linear regression for its queue,
@@ -34,14 +34,15 @@
 /// as much as the prior.
 const KIND_RUNS: f64 = 100.0;
 const KIND_PRIOR_RUNS: f64 = 3.0;
+/// The same for the deviation of a worker from its kind. Its memory is short, since a worker may turn
+/// slow and recover within seconds.
+const WORKER_RUNS: f64 = 7.0;
+const WORKER_PRIOR_RUNS: f64 = 3.0;
 /// The same, in steps, for the deviation of an image from its queue.
 const IMAGE_STEPS: f64 = 50.0;
 const IMAGE_PRIOR_STEPS: f64 = 3.0;
-/// The largest number of images that are told apart.
+/// The largest number of images that are told apart. Further ones count as their queue does.
 const MAX_IMAGES: usize = 256;
-/// The same for the deviation of a worker from its kind.
-const WORKER_RUNS: f64 = 7.0;
-const WORKER_PRIOR_RUNS: f64 = 3.0;
 /// How long the deviation of a worker without new runs is kept, and the time in which it then fades
 /// to half. A worker that was slow for a while is thus tried again.
 const FADE_DELAY: Span = Span::from_secs(5);
