--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -607,12 +607,14 @@
             self.remove_if_settled(key, now);
         }
         self.appended_batch = self.appended_batch.max(batch);
-        self.send_recorded_starts(now);
         ended
     }
 
-    /// Takes the actions that accumulated since the last call.
-    pub fn take_actions(&mut self) -> Vec<Action> {
+    /// Takes the actions that accumulated since the last call, with the start orders whose placements
+    /// and jobs are in the log by now. To be called only while the owner may give orders, since the
+    /// actions count as carried out.
+    pub fn take_actions(&mut self, now: Time) -> Vec<Action> {
+        self.send_recorded_starts(now);
         std::mem::take(&mut self.actions)
     }
 
--- a/crates/kingcupwinch-cell/src/cell/tentative.rs
+++ b/crates/kingcupwinch-cell/src/cell/tentative.rs
@@ -38,12 +38,9 @@
     }
 
     /// Records that a job's acceptance is in the log, so that its orders may be sent.
-    pub fn confirm(&mut self, id: JobId, now: Time) {
-        let Some(&key) = self.jobs_by_id.get(&id) else {
-            return;
-        };
-        if self.tentative.remove(&key).is_some() {
-            self.send_recorded_starts(now);
+    pub fn confirm(&mut self, id: JobId) {
+        if let Some(key) = self.jobs_by_id.get(&id) {
+            self.tentative.remove(key);
         }
     }
 
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -139,7 +139,7 @@
             }
         }
         self.start_speculative_runs(&mut pools, now);
-        self.take_actions()
+        self.take_actions(now)
     }
 
     fn set_mean_pace(&mut self, now: Time) {
--- a/crates/kingcupwinch-cell/tests/cell/harness.rs
+++ b/crates/kingcupwinch-cell/tests/cell/harness.rs
@@ -289,7 +289,7 @@
         let records = self.cell.take_records(self.now);
         self.records.extend(records.progress);
         self.cell.records_appended(records.batch, self.now);
-        let actions = self.cell.take_actions();
+        let actions = self.cell.take_actions(self.now);
         self.sort(actions);
     }
 
--- a/crates/kingcupwinch-cell/tests/cell/jobs.rs
+++ b/crates/kingcupwinch-cell/tests/cell/jobs.rs
@@ -2,7 +2,7 @@
 
 use kingcupwinch_cell::{EndReason, JobState, PollFailure, StartOutcome, SubmitOutcome};
 
-use crate::harness::{Harness, id, job, step, task};
+use crate::harness::{Harness, MAX_LEASE, id, job, step, task};
 
 #[test]
 fn a_job_is_reported_as_completed_once_its_end_is_in_the_log() {
@@ -257,7 +257,7 @@
 
     assert_eq!(ended, []);
     assert_eq!(harness.job_state(1), Some(JobState::Running));
-    assert_eq!(harness.cell.take_actions(), []);
+    assert_eq!(harness.cell.take_actions(harness.now), []);
     let poll = harness.cell.next_poll(worker, harness.now).unwrap();
     assert_eq!(poll.acked_through, 0, "the end is not in the log yet");
     harness.append_records();
@@ -265,3 +265,23 @@
     assert_eq!(poll.acked_through, 1);
     assert_eq!(harness.starts.len(), 1);
 }
+
+/// After an outage of the log the first append is confirmed while the owner may give no orders yet.
+/// The start waits until it may, and its lease begins then.
+#[test]
+fn a_recorded_start_waits_while_no_orders_may_be_given() {
+    let mut harness = Harness::new(1, 4);
+    harness.submit(1, job(vec![step(1, 1, 500)]));
+    harness.decide_without_log();
+    let records = harness.cell.take_records(harness.now);
+    harness.advance(4_500);
+    harness.cell.records_appended(records.batch, harness.now);
+    assert_eq!(harness.job_state(1), Some(JobState::Queued));
+
+    harness.advance(500);
+    let now_ms = harness.now.as_micros() / 1_000;
+    harness.decide_without_log();
+    assert_eq!(harness.starts.len(), 1);
+    let lease_ms = harness.starts[0].lease_until - now_ms;
+    assert!(lease_ms + 2 >= MAX_LEASE.as_millis(), "{lease_ms} ms");
+}
--- a/crates/kingcupwinch-cell/tests/cell/tentative.rs
+++ b/crates/kingcupwinch-cell/tests/cell/tentative.rs
@@ -17,8 +17,8 @@
 fn an_order_is_sent_once_the_job_and_its_placement_are_in_the_log() {
     let mut harness = harness_with_tentative(1);
     assert!(harness.starts.is_empty(), "the job may still be refused");
-    harness.cell.confirm(id(1), harness.now);
-    let actions = harness.cell.take_actions();
+    harness.cell.confirm(id(1));
+    let actions = harness.cell.take_actions(harness.now);
     assert_eq!(actions.len(), 1);
 }
 
@@ -28,8 +28,8 @@
     let spec = job(vec![step(1, 1, 500)]);
     harness.cell.submit_tentatively(id(1), spec, harness.now);
     harness.decide_without_log();
-    harness.cell.confirm(id(1), harness.now);
-    assert!(harness.cell.take_actions().is_empty());
+    harness.cell.confirm(id(1));
+    assert!(harness.cell.take_actions(harness.now).is_empty());
     harness.append_records();
     assert_eq!(harness.starts.len(), 1);
 }
@@ -47,7 +47,7 @@
         "its placement is deleted from the log"
     );
     harness.cell.records_appended(records.batch, harness.now);
-    assert!(harness.cell.take_actions().is_empty());
+    assert!(harness.cell.take_actions(harness.now).is_empty());
     harness.submit(2, job(vec![step(1, 4, 500)]));
     harness.decide();
     assert_eq!(harness.starts.len(), 1, "its capacity is free");
@@ -72,7 +72,7 @@
 #[test]
 fn a_confirmed_job_is_not_dropped_when_a_repeat_fails() {
     let mut harness = harness_with_tentative(1);
-    harness.cell.confirm(id(1), harness.now);
+    harness.cell.confirm(id(1));
     harness.cell.drop_tentative(id(1), harness.now);
     assert!(harness.job_state(1).is_some());
 }
@@ -95,7 +95,7 @@
     let mut harness = harness_with_tentative(1);
     harness.cell.cancel(id(1), harness.now);
     harness.decide();
-    harness.cell.confirm(id(1), harness.now);
+    harness.cell.confirm(id(1));
     harness.decide();
     assert!(harness.starts.is_empty());
     assert_eq!(harness.job_state(1), Some(JobState::Cancelled));
--- a/crates/kingcupwinch-node/src/owner/messages.rs
+++ b/crates/kingcupwinch-node/src/owner/messages.rs
@@ -202,7 +202,7 @@
                 IntakeKey::Accepted(id) => {
                     self.add_origin(id, read.partition);
                     if self.cell.is_tentative(id) {
-                        self.confirm(id, now);
+                        self.confirm(id);
                     } else if self.cell.job_state(id).is_some() {
                         self.handle_duplicate(id, read.partition);
                     } else {
@@ -229,8 +229,8 @@
 
 impl Owner {
     /// Marks an announced job as appended to the log.
-    fn confirm(&mut self, id: JobId, now: Time) {
-        self.cell.confirm(id, now);
+    fn confirm(&mut self, id: JobId) {
+        self.cell.confirm(id);
         self.shared.log.write(
             Event::JobAccepted,
             o!("job" => id.to_string(), "result" => "announced before"),
--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -249,11 +249,10 @@
     /// Executes the actions whose records have been appended.
     fn execute_recorded(&mut self) {
         let now = self.shared.now();
-        let actions = self.cell.take_actions();
         if !self.may_dispatch(now) {
             return;
         }
-        for action in actions {
+        for action in self.cell.take_actions(now) {
             self.execute(action);
         }
     }
