--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -115,21 +115,6 @@
     }
 }
 
-/// Statistics learned about a queue.
-#[derive(Debug)]
-pub(crate) struct QueueStats {
-    /// The share of workers that the adviser allowed of those it was asked about.
-    pub(crate) allowed_share: ShareEstimate,
-}
-
-impl Default for QueueStats {
-    fn default() -> Self {
-        QueueStats {
-            allowed_share: ShareEstimate::new(INITIAL_ALLOWED_SHARE),
-        }
-    }
-}
-
 /// An acknowledgement of run ends that is sent once a batch of records is in the log.
 #[derive(Debug)]
 struct PendingAck {
@@ -157,7 +142,8 @@
     workers_by_id: FxHashMap<Arc<str>, WorkerKey>,
     runs: SlotMap<RunKey, Run>,
     runs_by_name: FxHashMap<(TaskName, u32), RunKey>,
-    pub(crate) queues: FxHashMap<Arc<str>, QueueStats>,
+    /// The share of workers that the adviser of each queue allowed of those it was asked about.
+    allowed_shares: FxHashMap<Arc<str>, ShareEstimate>,
     pub(crate) run_times: RunTimes,
     pub(crate) advice_callers: AdviceCallers,
     advice_calls: FxHashMap<AdviceCallId, advice_calls::AdviceCall>,
@@ -205,7 +191,7 @@
             workers_by_id: FxHashMap::default(),
             runs: SlotMap::with_key(),
             runs_by_name: FxHashMap::default(),
-            queues: FxHashMap::default(),
+            allowed_shares: FxHashMap::default(),
             run_times: RunTimes::default(),
             advice_callers: AdviceCallers::default(),
             advice_calls: FxHashMap::default(),
@@ -577,8 +563,9 @@
         runs.map(to_row).collect()
     }
 
-    /// Records that a batch and all batches before it are in the log, and releases the start orders
-    /// that waited for them. Returns the jobs whose final state may be reported from now on.
+    /// Records that a batch and all batches before it are in the log, so that the start
+    /// orders that waited for them can be taken. Returns the jobs whose final state may be reported
+    /// from now on.
     pub fn records_appended(&mut self, batch: u64, now: Time) -> Vec<(JobId, JobState)> {
         let acks = std::mem::take(&mut self.pending_acks);
         for ack in acks {
@@ -680,12 +667,8 @@
 
     /// Returns the share of workers that the adviser of a queue is expected to allow.
     pub(crate) fn allowed_share(&self, queue: &str) -> f64 {
-        let stats = self.queues.get(queue);
-        stats.map_or(INITIAL_ALLOWED_SHARE, |stats| stats.allowed_share.mean())
-    }
-
-    fn queue_stats_mut(&mut self, queue: &Arc<str>) -> &mut QueueStats {
-        self.queues.entry(Arc::clone(queue)).or_default()
+        let share = self.allowed_shares.get(queue);
+        share.map_or(INITIAL_ALLOWED_SHARE, |share| share.mean())
     }
 
     fn is_task_active(&self, key: JobKey, name: TaskName, run: RunKey) -> bool {
--- a/crates/kingcupwinch-cell/src/cell/advice_calls.rs
+++ b/crates/kingcupwinch-cell/src/cell/advice_calls.rs
@@ -4,8 +4,9 @@
 
 use kingcupwinch_time::{Span, Time};
 
-use super::Cell;
+use super::{Cell, INITIAL_ALLOWED_SHARE};
 use crate::advice::Ticket;
+use crate::estimate::ShareEstimate;
 use crate::job::JobKey;
 use crate::worker::WorkerKey;
 
@@ -86,8 +87,9 @@
                 None => cache.deny(*worker),
             }
         }
-        self.queue_stats_mut(&queue)
-            .allowed_share
+        self.allowed_shares
+            .entry(queue)
+            .or_insert(ShareEstimate::new(INITIAL_ALLOWED_SHARE))
             .observe(new_allowed, new_verdicts);
     }
 
--- a/crates/kingcupwinch-cell/src/job.rs
+++ b/crates/kingcupwinch-cell/src/job.rs
@@ -85,7 +85,7 @@
     /// The number of tasks that wait to be started.
     pub(crate) waiting: usize,
     pub(crate) tickets: TicketCache,
-    /// The work of the tasks that are done.
+    /// The run times of the tasks that are known.
     pub(crate) work: StepWork,
     /// When the occurrence came due.
     due: Time,
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -165,13 +165,16 @@
             let Some(pool) = pools.by_service.get_mut(service) else {
                 continue;
             };
+            let pace = self.worker_pace(key, now);
             pool.indexes.insert(key, pool.candidates.len());
+            pool.paces = Some(PaceRange::extend(pool.paces, pace));
             pool.candidates.push(Candidate {
                 key,
                 available: worker.available(),
                 has_best_effort: worker.best_effort_runs > 0,
                 has_latency_sensitive: worker.latency_sensitive_runs > 0,
-                pace: self.worker_pace(key, now),
+                pace,
+                pace_band: pace_band(pace),
             });
         }
         pools
@@ -185,7 +188,7 @@
                 continue;
             }
             let pool = pools.by_service.get(&job.spec.policy.service);
-            let paces = pool.map_or_else(PaceRange::default, WorkerPool::paces);
+            let paces = pool.and_then(|pool| pool.paces).unwrap_or_default();
             for (slot, step) in job.steps.iter().enumerate() {
                 if step.waiting == 0 || !job.is_ready(slot) {
                     continue;
@@ -328,7 +331,7 @@
         } else {
             Ordering::Equal
         };
-        let pace_order = a.pace_band().cmp(&b.pace_band());
+        let pace_order = a.pace_band.cmp(&b.pace_band);
         rack_order
             .then(isolation_order)
             .then(if ready.is_tight {
@@ -577,14 +580,13 @@
     has_latency_sensitive: bool,
     /// Observed over expected run time; lower is faster.
     pub(crate) pace: f64,
+    pace_band: i64,
 }
 
-impl Candidate {
-    /// Returns the band of the pace. Differences within a band say little, so that the packing
-    /// decides there.
-    fn pace_band(&self) -> i64 {
-        (self.pace.ln() / PACE_BAND).round() as i64
-    }
+/// Returns the band of a pace. Differences within a band say little, so that the packing decides
+/// there.
+fn pace_band(pace: f64) -> i64 {
+    (pace.ln() / PACE_BAND).round() as i64
 }
 
 /// The pace of the fastest and of the slowest worker of a pool.
@@ -604,15 +606,15 @@
 }
 
 impl PaceRange {
-    fn extend(range: Option<PaceRange>, pace: f64) -> Option<PaceRange> {
+    fn extend(range: Option<PaceRange>, pace: f64) -> PaceRange {
         let range = range.unwrap_or(PaceRange {
             fastest: pace,
             slowest: pace,
         });
-        Some(PaceRange {
+        PaceRange {
             fastest: range.fastest.min(pace),
             slowest: range.slowest.max(pace),
-        })
+        }
     }
 }
 
@@ -621,6 +623,8 @@
 pub(crate) struct WorkerPool {
     pub(crate) candidates: Vec<Candidate>,
     indexes: SecondaryMap<WorkerKey, usize>,
+    /// The pace of the fastest and of the slowest candidate, if there is any.
+    paces: Option<PaceRange>,
 }
 
 /// The usable workers of one round of scheduling.
@@ -630,12 +634,6 @@
 }
 
 impl WorkerPool {
-    /// Returns the pace of the fastest and of the slowest worker.
-    fn paces(&self) -> PaceRange {
-        let paces = self.candidates.iter().map(|candidate| candidate.pace);
-        paces.fold(None, PaceRange::extend).unwrap_or_default()
-    }
-
     /// Returns whether any worker has capacity for a task that takes `charge`.
     fn has_capacity(&self, charge: Resources) -> bool {
         self.candidates
--- a/crates/kingcupwinch-cell/src/run_time.rs
+++ b/crates/kingcupwinch-cell/src/run_time.rs
@@ -286,13 +286,12 @@
     ) -> Span {
         // The expected maximum of a few draws from a normal distribution is close to this.
         let spread = TASK_SPREAD * f64::from(step.count.max(1)).ln().sqrt();
-        let log_work = self.log_work(policy, step, work) + spread;
-        Span::from_micros((log_work.exp() * 1_000_000.0) as u64)
+        from_log(self.log_work(policy, step, work) + spread)
     }
 
     /// Returns the expected work of a task of a step.
     pub(crate) fn task(&self, policy: &QueuePolicy, step: &StepSpec, work: &StepWork) -> Span {
-        Span::from_micros((self.log_work(policy, step, work).exp() * 1_000_000.0) as u64)
+        from_log(self.log_work(policy, step, work))
     }
 
     fn log_work(&self, policy: &QueuePolicy, step: &StepSpec, work: &StepWork) -> f64 {
@@ -403,6 +402,11 @@
         .collect()
 }
 
+/// Returns the time of a logarithm of seconds.
+fn from_log(seconds: f64) -> Span {
+    Span::from_micros((seconds.exp() * 1_000_000.0) as u64)
+}
+
 fn log_estimate(step: &StepSpec) -> f64 {
     let estimate = Span::from_millis(step.estimate_ms).max(MIN_SAMPLE);
     estimate.as_secs_f64().ln()
