Log late ends, restarts of workers and settled runs

Cause: the logs could not tell the hypotheses of the incident apart. The end of a run that the owner no longer knows left no line, although it was acknowledged, and neither did the owner's conclusion that a worker was restarted, has exited or that its leases have expired.

No decision changes.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -17,6 +17,7 @@
 
 use crate::advice::AdviceCallers;
 use crate::estimate::ShareEstimate;
+use crate::event::CellEvent;
 use crate::id::{JobId, TaskName};
 use crate::job::{Job, JobKey, JobState, TaskState};
 use crate::mechanism::{Disabled, Mechanism};
@@ -149,6 +150,8 @@
     advice_calls: FxHashMap<AdviceCallId, advice_calls::AdviceCall>,
     next_call: u64,
     pub(crate) actions: Vec<Action>,
+    /// Conclusions that were not taken for the log yet.
+    events: Vec<CellEvent>,
     /// Jobs that have speculative steps, long-running steps, or a schedule.
     speculative_jobs: FxHashSet<JobKey>,
     long_running_jobs: FxHashSet<JobKey>,
@@ -197,6 +200,7 @@
             advice_calls: FxHashMap::default(),
             next_call: 0,
             actions: Vec::new(),
+            events: Vec::new(),
             speculative_jobs: FxHashSet::default(),
             long_running_jobs: FxHashSet::default(),
             scheduled_jobs: FxHashSet::default(),
@@ -354,13 +358,14 @@
             let worker = &mut self.workers[key];
             worker.unlisted_at = None;
             let is_restarted = worker.registration.is_restart(entry.started_ms);
+            let known_ms = worker.registration.started_ms;
             let started_ms = entry.started_ms.or(worker.registration.started_ms);
             worker.registration = Registration {
                 started_ms,
                 ..entry
             };
             if is_restarted {
-                self.reset_worker(key, now);
+                self.reset_worker(key, known_ms, now);
             }
             return key;
         }
@@ -605,6 +610,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Takes the conclusions since the last call.
+    pub fn take_events(&mut self) -> Vec<CellEvent> {
+        std::mem::take(&mut self.events)
+    }
+
     /// Returns whether start orders wait for the log.
     pub fn has_unsent_starts(&self) -> bool {
         !self.unsent_starts.is_empty()
--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -6,6 +6,7 @@
 
 use super::runs::StopOrder;
 use super::{Action, Cell, PendingAck};
+use crate::event::{CellEvent, SettleCause};
 use crate::id::TaskName;
 use crate::run::{EndReason, NewRun, RunEnd, RunKey, RunState};
 use crate::run_time::WorkerPace;
@@ -51,9 +52,10 @@
             return;
         };
         let is_restarted = worker.registration.is_restart(status.started_ms);
-        worker.registration.started_ms = status.started_ms.or(worker.registration.started_ms);
+        let known_ms = worker.registration.started_ms;
+        worker.registration.started_ms = status.started_ms.or(known_ms);
         if is_restarted {
-            self.reset_worker(key, now);
+            self.reset_worker(key, known_ms, now);
         }
         let worker = &mut self.workers[key];
         worker.note_response(status.clock_ms, now);
@@ -176,18 +178,32 @@
     }
 
     fn apply_end(&mut self, key: WorkerKey, end: &RunEnd, now: Time) {
-        if let Some(&run) = self.runs_by_name.get(&(end.task, end.run)) {
-            if self.runs[run].worker == key {
-                self.end_run(run, end.reason, end.checkpoint.clone(), now);
-            }
+        if let Some(&run) = self.runs_by_name.get(&(end.task, end.run))
+            && self.runs[run].worker == key
+        {
+            self.end_run(run, end.reason, end.checkpoint.clone(), now);
             return;
         }
+        let is_counted = self.apply_late_end(key, end, now);
+        self.events.push(CellEvent::LateEnd {
+            worker: Arc::clone(&self.workers[key].registration.id),
+            end: end.clone(),
+            is_counted,
+        });
+    }
+
+    /// Handles the end of a run that this owner did not order or has settled before. Returns whether
+    /// it counts.
+    fn apply_late_end(&mut self, key: WorkerKey, end: &RunEnd, now: Time) -> bool {
+        if self.runs_by_name.contains_key(&(end.task, end.run)) {
+            return false;
+        }
         // This owner did not order the run. Its end counts if its task is still waiting.
         let Some(&job) = self.jobs_by_id.get(&end.task.job) else {
-            return;
+            return false;
         };
         if !self.jobs[job].inherited {
-            return;
+            return false;
         }
         let new_run = NewRun {
             name: end.task,
@@ -195,9 +211,11 @@
             worker: key,
             state: RunState::Running,
         };
-        if let Some(run) = self.adopt_run(job, new_run, now) {
-            self.end_run(run, end.reason, end.checkpoint.clone(), now);
-        }
+        let Some(run) = self.adopt_run(job, new_run, now) else {
+            return false;
+        };
+        self.end_run(run, end.reason, end.checkpoint.clone(), now);
+        true
     }
 
     /// Settles or stops the runs that should be on a worker and were not listed.
@@ -240,8 +258,14 @@
     }
 
     /// Resets a restarted worker, which knows nothing of its earlier runs.
-    pub(crate) fn reset_worker(&mut self, key: WorkerKey, now: Time) {
+    pub(crate) fn reset_worker(&mut self, key: WorkerKey, known_ms: Option<u64>, now: Time) {
         let worker = &mut self.workers[key];
+        self.events.push(CellEvent::WorkerRestarted {
+            worker: Arc::clone(&worker.registration.id),
+            known_ms,
+            reported_ms: worker.registration.started_ms,
+            runs: worker.runs.len(),
+        });
         worker.last_end_seen = 0;
         worker.last_end_acked = 0;
         worker.inherited = false;
@@ -249,6 +273,23 @@
         self.expire_runs(key, now);
     }
 
+    /// Ends the runs of a worker on which certainly nothing runs any more.
+    fn settle_runs(&mut self, key: WorkerKey, cause: SettleCause, now: Time) {
+        let worker = &self.workers[key];
+        if worker.runs.is_empty() {
+            return;
+        }
+        self.events.push(CellEvent::RunsSettled {
+            worker: Arc::clone(&worker.registration.id),
+            cause,
+            runs: worker.runs.len(),
+            response_age: now.since(worker.last_response),
+            unlisted_age: worker.unlisted_at.map(|at| now.since(at)),
+            failed_polls: worker.failed_polls,
+        });
+        self.expire_runs(key, now);
+    }
+
     fn expire_runs(&mut self, key: WorkerKey, now: Time) {
         let runs: Vec<RunKey> = self.workers[key].runs.iter().copied().collect();
         for run in runs {
@@ -261,10 +302,9 @@
     pub(crate) fn expire_workers(&mut self, now: Time) {
         let keys: Vec<WorkerKey> = self.workers.keys().collect();
         for key in keys {
-            let worker = &self.workers[key];
-            if worker.has_no_runs(self.timers.exit_window, now) {
+            if let Some(cause) = self.workers[key].idle_cause(self.timers.exit_window, now) {
                 self.workers[key].inherited = false;
-                self.expire_runs(key, now);
+                self.settle_runs(key, cause, now);
             }
             let worker = &self.workers[key];
             let has_left = worker
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -8,6 +8,7 @@
 mod cell;
 mod election;
 mod estimate;
+mod event;
 mod id;
 mod job;
 mod mechanism;
@@ -24,6 +25,7 @@
     StopOrder, SubmitOutcome,
 };
 pub use election::{Claim, ElectionStep, ElectionTimers, GroupRecord, Member, OwnerElection};
+pub use event::{CellEvent, SettleCause};
 pub use id::{JobId, TaskName};
 pub use job::JobState;
 pub use mechanism::{Disabled, Mechanism};
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -3,6 +3,7 @@
 use kingcupwinch_time::{Drift, Span, Time};
 use rustc_hash::FxHashSet;
 
+use crate::event::SettleCause;
 use crate::id::TaskName;
 use crate::run::{RunEnd, RunKey};
 use crate::run_time::WorkerPace;
@@ -153,7 +154,7 @@
     /// Polls in a row that failed. A start order that could not be sent counts as one.
     pub(crate) failed_polls: u32,
     /// When the worker last responded to a poll.
-    last_response: Time,
+    pub(crate) last_response: Time,
     /// Whether a poll that failed since the last response found the connection closed.
     is_connection_closed: bool,
     /// Whether an earlier owner may have used the worker and this owner has not polled it yet.
@@ -241,10 +242,15 @@
         self.is_connection_closed |= failure == PollFailure::Closed;
     }
 
-    /// Returns whether certainly nothing runs on the worker: every lease has expired, or the
-    /// process has ended.
-    pub(crate) fn has_no_runs(&self, exit_window: Span, now: Time) -> bool {
-        self.failed_polls > 0 && (self.leases_expire < now || self.has_exited(exit_window))
+    /// Returns why certainly nothing runs on the worker, or `None` if something may.
+    pub(crate) fn idle_cause(&self, exit_window: Span, now: Time) -> Option<SettleCause> {
+        if self.failed_polls == 0 {
+            return None;
+        }
+        if self.leases_expire < now {
+            return Some(SettleCause::LeaseExpired);
+        }
+        self.has_exited(exit_window).then_some(SettleCause::Exited)
     }
 
     /// Returns whether the process has ended: it closed its connections and removed its directory
--- a/crates/kingcupwinch-node/src/events.rs
+++ b/crates/kingcupwinch-node/src/events.rs
@@ -99,6 +99,10 @@
     AdviceReceived = "1705", "advice received";
     /// The adviser did not respond.
     AdviceFailed = "1706", "adviser did not respond";
+    /// A worker listed the end of a run that the owner did not order or had settled before.
+    LateEnd = "1707", "late end of a run";
+    /// Runs count as ended although their worker did not list their ends.
+    RunsSettled = "1708", "runs settled without a list of their worker";
     /// A worker registered in the directory.
     WorkerListed = "1801", "worker listed";
     /// A worker left the directory.
@@ -107,6 +111,8 @@
     WorkerLost = "1803", "worker unreachable";
     /// A worker responds again.
     WorkerRecovered = "1804", "worker reachable again";
+    /// The process of a worker was replaced by a later one.
+    WorkerRestarted = "1805", "worker restarted";
 }
 
 /// Writes numbered events; clones share one queue.
--- a/crates/kingcupwinch-node/src/owner/messages.rs
+++ b/crates/kingcupwinch-node/src/owner/messages.rs
@@ -5,7 +5,7 @@
 use kameo::message::{Context, Message};
 use kingcupwinch_adapter::{OrderError, Partition, WorkerClient, decode_registration};
 use kingcupwinch_cell::{
-    AdviceCallId, JobId, JobSpec, JobState, Member, StartOrder, StartOutcome, StopOrder,
+    AdviceCallId, CellEvent, JobId, JobSpec, JobState, Member, StartOrder, StartOutcome, StopOrder,
     SubmitOutcome, Ticket, WorkerKey, WorkerPoll, WorkerStatus,
 };
 use kingcupwinch_time::{Span, Time};
@@ -356,6 +356,7 @@
             Ok(status) => {
                 self.log_run_ends(&status, now);
                 self.cell.poll_answered(poll.worker, poll.sent, status, now);
+                self.log_cell_events();
                 self.schedule_decision();
             }
             Err(OrderError::Fenced) => self.fence("worker"),
@@ -375,7 +376,7 @@
             self.shared.log.write(
                 Event::RunEnded,
                 o!("task" => end.task.to_string(), "run" => end.run, "how" => end.reason.as_str(),
-                    "saved" => end.checkpoint.is_some(), "age_ms" => run.age.as_millis(),
+                    "sequence" => end.sequence, "saved" => end.checkpoint.is_some(), "age_ms" => run.age.as_millis(),
                     "estimate_ms" => run.estimate.as_millis(), "image" => text(run.image),
                     "worker" => run.worker.to_string(), "kind" => text(run.worker_kind)),
             );
@@ -383,6 +384,55 @@
     }
 }
 
+impl Owner {
+    /// Logs what the cell has concluded.
+    pub(super) fn log_cell_events(&mut self) {
+        for event in self.cell.take_events() {
+            self.log_cell_event(event);
+        }
+    }
+
+    fn log_cell_event(&self, event: CellEvent) {
+        let log = &self.shared.log;
+        match event {
+            CellEvent::WorkerRestarted {
+                worker,
+                known_ms,
+                reported_ms,
+                runs,
+            } => log.write(
+                Event::WorkerRestarted,
+                o!("worker" => worker.to_string(), "known_ms" => known_ms,
+                    "reported_ms" => reported_ms, "runs" => runs),
+            ),
+            CellEvent::RunsSettled {
+                worker,
+                cause,
+                runs,
+                response_age,
+                unlisted_age,
+                failed_polls,
+            } => log.write(
+                Event::RunsSettled,
+                o!("worker" => worker.to_string(), "cause" => cause.as_str(), "runs" => runs,
+                    "response_ms_ago" => response_age.as_millis(),
+                    "unlisted_ms_ago" => unlisted_age.map(Span::as_millis),
+                    "failed_polls" => failed_polls),
+            ),
+            CellEvent::LateEnd {
+                worker,
+                end,
+                is_counted,
+            } => log.write(
+                Event::LateEnd,
+                o!("task" => end.task.to_string(), "run" => end.run, "how" => end.reason.as_str(),
+                    "sequence" => end.sequence, "worker" => worker.to_string(),
+                    "counted" => is_counted),
+            ),
+        }
+    }
+}
+
 impl Message<Started> for Owner {
     type Reply = ();
 
--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -165,6 +165,7 @@
         let (id, draining) = (Arc::clone(&entry.id), entry.draining);
         let address = Arc::clone(&entry.address);
         let key = self.cell.register_worker(entry, false, now);
+        self.log_cell_events();
         let known = self.clients.get(&key).map(WorkerClient::address);
         if known.is_some_and(|known| address.parse() == Ok(known)) {
             return;
@@ -233,6 +234,7 @@
         self.cell
             .set_wall_clock(self.shared.wall_time().as_millis(), now);
         let actions = self.cell.decide(now);
+        self.log_cell_events();
         let took = Duration::from(self.shared.now().since(now));
         self.decision_delay = DECISION_DELAY.max(took * DECISION_PAUSE_FACTOR);
         for action in actions {
