--- /dev/null
+++ b/crates/kingcupwinch-cell/tests/cell/late_ends.rs
@@ -0,0 +1,138 @@
+//! Ends that a worker lists after the owner has concluded that its runs are over.
+
+use kingcupwinch_cell::{EndReason, JobState, PollFailure, WorkerKey};
+use kingcupwinch_time::Span;
+
+use crate::harness::{Harness, job, registration, step};
+
+/// Starts a task on one of two workers, and returns the worker and its number.
+fn harness_with_run() -> (Harness, WorkerKey, usize) {
+    let mut harness = Harness::new(2, 4);
+    harness.submit(1, job(vec![step(1, 1, 500)]));
+    harness.run_round();
+    harness.poll_all();
+    let (worker, _) = harness.running()[0];
+    let number = harness.keys().iter().position(|key| *key == worker);
+    (harness, worker, number.unwrap())
+}
+
+fn assert_completed_once(harness: &mut Harness) {
+    harness.append_records();
+    harness.decide();
+    assert!(harness.starts.is_empty(), "the completed task starts again");
+    assert_eq!(harness.job_state(1), Some(JobState::Completed));
+}
+
+/// The directory entries of live workers expire in an outage of the store. A connection that is
+/// closed afterwards doesn't show that the process has exited.
+#[test]
+fn a_worker_that_answers_after_its_entry_expired_has_not_exited() {
+    let (mut harness, worker, number) = harness_with_run();
+    let id = format!("i-{number}");
+    harness.cell.mark_unlisted(&id, harness.now);
+    harness.advance(1_000);
+    harness.poll(worker);
+    harness.end_all(EndReason::Done);
+    harness.cell.poll_failed(worker, PollFailure::Closed);
+    harness.decide();
+    harness.poll(worker);
+    assert_completed_once(&mut harness);
+}
+
+/// The directory is read late, and an entry of the worker's earlier process arrives after the later
+/// process has responded.
+#[test]
+fn a_late_directory_entry_is_not_taken_for_a_restart() {
+    let (mut harness, worker, number) = harness_with_run();
+    let mut earlier = registration(number, 4);
+    earlier.started_ms = Some(0);
+    harness.cell.register_worker(earlier, false, harness.now);
+    harness.end_all(EndReason::Done);
+    harness.poll(worker);
+    assert_completed_once(&mut harness);
+}
+
+/// A worker forgets an end once it is acknowledged, so the end has to count even if the owner
+/// settled the run before.
+#[test]
+fn the_end_of_a_settled_run_counts() {
+    let (mut harness, worker, number) = harness_with_run();
+    harness.end_all(EndReason::Done);
+    harness.cell.poll_failed(worker, PollFailure::Closed);
+    harness
+        .cell
+        .mark_unlisted(&format!("i-{number}"), harness.now);
+    harness.decide_without_log();
+    harness.poll(worker);
+    assert_completed_once(&mut harness);
+}
+
+/// The later run of a task is stopped when an earlier one turns out to be complete.
+#[test]
+fn the_end_of_a_settled_run_stops_the_run_that_replaced_it() {
+    let (mut harness, worker, number) = harness_with_run();
+    harness.end_all(EndReason::Done);
+    harness.cell.poll_failed(worker, PollFailure::Closed);
+    harness
+        .cell
+        .mark_unlisted(&format!("i-{number}"), harness.now);
+    harness.run_round();
+    assert_eq!(harness.running().len(), 1, "the task was started elsewhere");
+    harness.poll(worker);
+    harness.run_round();
+    assert!(harness.running().is_empty());
+    harness.poll_all();
+    harness.append_records();
+    assert_eq!(harness.job_state(1), Some(JobState::Completed));
+}
+
+/// A task whose runs were lost and failed runs out of attempts all the same.
+#[test]
+fn the_failure_of_a_settled_run_counts() {
+    let (mut harness, worker, number) = harness_with_run();
+    harness.end_all(EndReason::Failed);
+    harness.cell.poll_failed(worker, PollFailure::Closed);
+    harness
+        .cell
+        .mark_unlisted(&format!("i-{number}"), harness.now);
+    harness.run_round();
+    harness.poll(worker);
+    harness.end_all(EndReason::Failed);
+    harness.poll_all();
+    harness.append_records();
+    assert_eq!(harness.job_state(1), Some(JobState::Failed));
+}
+
+/// A start order that is in flight while the worker restarts may reach the later process.
+#[test]
+fn a_start_order_in_flight_outlives_a_restart() {
+    let mut harness = Harness::new(1, 4);
+    let worker = harness.keys()[0];
+    harness.submit(1, job(vec![step(1, 1, 500)]));
+    harness.decide();
+    let order = harness.starts.remove(0);
+    harness.poll_started(worker, 2);
+    harness.start(&order);
+    harness.decide();
+    assert!(harness.starts.is_empty(), "the run is active");
+    harness.advance(Span::from_millis(100).as_millis());
+    harness.end_all(EndReason::Done);
+    harness.poll_started(worker, 2);
+    assert_completed_once(&mut harness);
+}
+
+/// A later process numbers its ends anew. An acknowledgement that is meant for its predecessor must
+/// not reach it.
+#[test]
+fn nothing_is_acknowledged_while_polls_fail() {
+    let (mut harness, worker, _) = harness_with_run();
+    harness.end_all(EndReason::Done);
+    harness.poll(worker);
+    harness.append_records();
+    harness.cell.poll_failed(worker, PollFailure::Closed);
+    let poll = harness.cell.next_poll(worker, harness.now).unwrap();
+    assert_eq!(poll.acked_through, 0, "the process may be a later one");
+    harness.poll(worker);
+    let poll = harness.cell.next_poll(worker, harness.now).unwrap();
+    assert_eq!(poll.acked_through, 1);
+}
