Count the ends of runs that the owner has settled

Cause: every end that a worker lists is acknowledged, but an end whose run the owner had settled by inference (its worker taken for gone or for restarted) was ignored, unless an earlier owner had had the job. The worker then forgets it, and nobody can count it any more. The inference may be wrong, and even if it is right the end is older than it.

Change: such an end counts: a done task is done, and later runs of it are withdrawn or stopped; a failure counts as an attempt; a checkpoint is kept while the task waits. No run has to be adopted for it, so the end of an earlier owner's run no longer displaces a run of its own.

Conclusion: this closes the loss of the end, whatever led to the inference.

--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -184,7 +184,8 @@
             self.end_run(run, end.reason, end.checkpoint.clone(), now);
             return;
         }
-        let is_counted = self.apply_late_end(key, end, now);
+        // The worker forgets the end once it is acknowledged, so no one could count it later.
+        let is_counted = self.count_late_end(key, end, now);
         self.events.push(CellEvent::LateEnd {
             worker: Arc::clone(&self.workers[key].registration.id),
             end: end.clone(),
@@ -192,32 +193,6 @@
         });
     }
 
-    /// Handles the end of a run that this owner did not order or has settled before. Returns whether
-    /// it counts.
-    fn apply_late_end(&mut self, key: WorkerKey, end: &RunEnd, now: Time) -> bool {
-        if self.runs_by_name.contains_key(&(end.task, end.run)) {
-            return false;
-        }
-        // This owner did not order the run. Its end counts if its task is still waiting.
-        let Some(&job) = self.jobs_by_id.get(&end.task.job) else {
-            return false;
-        };
-        if !self.jobs[job].inherited {
-            return false;
-        }
-        let new_run = NewRun {
-            name: end.task,
-            number: end.run,
-            worker: key,
-            state: RunState::Running,
-        };
-        let Some(run) = self.adopt_run(job, new_run, now) else {
-            return false;
-        };
-        self.end_run(run, end.reason, end.checkpoint.clone(), now);
-        true
-    }
-
     /// Settles or stops the runs that should be on a worker and were not listed.
     fn settle_unlisted_runs(
         &mut self,
--- a/crates/kingcupwinch-cell/src/cell/run_ends.rs
+++ b/crates/kingcupwinch-cell/src/cell/run_ends.rs
@@ -5,9 +5,10 @@
 use kingcupwinch_time::{Span, Time};
 
 use super::Cell;
+use crate::id::TaskName;
 use crate::job::{JobKey, JobState, Task, TaskState};
 use crate::mechanism::Mechanism;
-use crate::run::{EndReason, RunKey};
+use crate::run::{EndReason, RunEnd, RunKey};
 use crate::worker::{RACK_LABEL, WorkerKey};
 
 impl Cell {
@@ -38,7 +39,7 @@
                 let elapsed = now.since(self.runs[key].started_at);
                 self.set_task_time(key, elapsed, now);
                 self.workers[worker].note_done();
-                self.complete_task(job, key);
+                self.complete_task(job, name, number);
                 self.learn_run_times(job, step, now);
             }
             EndReason::Failed => {
@@ -56,6 +57,35 @@
         self.settle(key, now);
     }
 
+    /// Counts the end of a run that this owner did not order or has settled before. Returns whether
+    /// the end counts.
+    pub(super) fn count_late_end(&mut self, worker: WorkerKey, end: &RunEnd, now: Time) -> bool {
+        let Some(&key) = self.jobs_by_id.get(&end.task.job) else {
+            return false;
+        };
+        let job = &mut self.jobs[key];
+        let (step, index) = (job.slot(end.task), usize::from(end.task.index));
+        job.open_through(step, now);
+        if !job.has_task(step, index) || job.step_spec(step).long_running || job.end.is_some() {
+            return false;
+        }
+        let state = job.steps[step].tasks[index].state;
+        if state == TaskState::Done {
+            return false;
+        }
+        if let Some(checkpoint) = &end.checkpoint
+            && state == TaskState::Waiting
+        {
+            self.store_checkpoint(key, step, index, Arc::clone(checkpoint));
+        }
+        match end.reason {
+            EndReason::Done => self.complete_task(key, end.task, end.run),
+            EndReason::Failed => self.count_failure(key, (step, index), end.run, worker, now),
+            _ => {}
+        }
+        true
+    }
+
     fn store_checkpoint(&mut self, key: JobKey, step: usize, index: usize, checkpoint: Arc<str>) {
         let job = &mut self.jobs[key];
         if job.step_spec(step).gang {
@@ -68,10 +98,9 @@
         self.dirty.insert(key);
     }
 
-    /// Marks the task of a run as done, and stops its other runs. One member of a gang stands for
-    /// all.
-    fn complete_task(&mut self, key: JobKey, done: RunKey) {
-        let name = self.runs[done].name;
+    /// Marks a task as done by the run of a number, and stops its other runs. One member of a gang
+    /// stands for all.
+    fn complete_task(&mut self, key: JobKey, name: TaskName, number: u32) {
         let job = &mut self.jobs[key];
         let (step, index) = (job.slot(name), usize::from(name.index));
         if job.end.is_some() {
@@ -85,7 +114,7 @@
             job.finish_task(step, index);
         }
         self.dirty.insert(key);
-        for other in self.duplicate_runs(key, done) {
+        for other in self.duplicate_runs(key, name, number) {
             self.stop_run(other);
         }
         if self.jobs[key].is_done() {
@@ -95,8 +124,7 @@
 
     /// Returns the other unsettled runs that do the same work. The other members of the same run of
     /// a gang end with it.
-    fn duplicate_runs(&self, key: JobKey, run: RunKey) -> Vec<RunKey> {
-        let (name, number) = (self.runs[run].name, self.runs[run].number);
+    fn duplicate_runs(&self, key: JobKey, name: TaskName, number: u32) -> Vec<RunKey> {
         let job = &self.jobs[key];
         let is_gang = job.step_spec(job.slot(name)).gang;
         let is_duplicate = |other: &&RunKey| {
