Let only a worker's own list show that it was restarted

Cause: an entry of the directory with another start time counted as a restart, also an entry of the earlier process that was read late. The next poll then showed one more restart. Each settled every run of the worker, also a start order in flight, which the later process may carry out.

Change: an entry never resets a worker, and one of an earlier process is ignored while the worker responds. When a poll shows a restart, the runs that were confirmed before that poll was sent and are not listed have ended with the earlier process; the others are settled like any run that a worker doesn't list.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -355,18 +355,7 @@
         now: Time,
     ) -> WorkerKey {
         if let Some(&key) = self.workers_by_id.get(&entry.id) {
-            let worker = &mut self.workers[key];
-            worker.unlisted_at = None;
-            let is_restarted = worker.registration.is_restart(entry.started_ms);
-            let known_ms = worker.registration.started_ms;
-            let started_ms = entry.started_ms.or(worker.registration.started_ms);
-            worker.registration = Registration {
-                started_ms,
-                ..entry
-            };
-            if is_restarted {
-                self.reset_worker(key, known_ms, now);
-            }
+            self.workers[key].update_registration(entry);
             return key;
         }
         let id = Arc::clone(&entry.id);
--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -55,7 +55,7 @@
         let known_ms = worker.registration.started_ms;
         worker.registration.started_ms = status.started_ms.or(known_ms);
         if is_restarted {
-            self.reset_worker(key, known_ms, now);
+            self.reset_worker(key, known_ms);
         }
         let worker = &mut self.workers[key];
         worker.note_response(status.clock_ms, now);
@@ -63,7 +63,7 @@
         self.apply_ends(key, &status.ended, now);
         // A truncated list says nothing about the runs that it lacks.
         if status.ended.len() < MAX_LISTED_ENDS {
-            self.settle_unlisted_runs(key, &status.running, sent, now);
+            self.settle_unlisted_runs(key, &status.running, is_restarted, sent, now);
         }
     }
 
@@ -198,6 +198,7 @@
         &mut self,
         key: WorkerKey,
         running: &[RunningTask],
+        is_restarted: bool,
         sent: Time,
         now: Time,
     ) {
@@ -214,6 +215,10 @@
                 RunState::Unconfirmed(since) if sent > since => self.stop_run(run),
                 RunState::Stopped(since) if sent > since => self.settle(run, now),
                 RunState::Inherited => self.settle(run, now),
+                // The run was confirmed before the poll was sent, so by the earlier process.
+                RunState::Running if is_restarted && sent >= state.started_at => {
+                    self.end_run(run, EndReason::LeaseExpired, None, now);
+                }
                 RunState::Running if sent > state.started_at => {
                     self.runs[run].missed_listings += 1;
                     if self.runs[run].missed_listings >= MAX_MISSED_LISTINGS {
@@ -232,8 +237,9 @@
         }
     }
 
-    /// Resets a restarted worker, which knows nothing of its earlier runs.
-    pub(crate) fn reset_worker(&mut self, key: WorkerKey, known_ms: Option<u64>, now: Time) {
+    /// Resets a restarted worker, which knows nothing of its earlier runs. Orders in flight may still
+    /// reach the later process, so only its list of runs settles a run.
+    fn reset_worker(&mut self, key: WorkerKey, known_ms: Option<u64>) {
         let worker = &mut self.workers[key];
         self.events.push(CellEvent::WorkerRestarted {
             worker: Arc::clone(&worker.registration.id),
@@ -245,7 +251,6 @@
         worker.last_end_acked = 0;
         worker.inherited = false;
         worker.pace = WorkerPace::default();
-        self.expire_runs(key, now);
     }
 
     /// Ends the runs of a worker on which certainly nothing runs any more.
@@ -262,11 +267,7 @@
             unlisted_age: worker.unlisted_at.map(|at| now.since(at)),
             failed_polls: worker.failed_polls,
         });
-        self.expire_runs(key, now);
-    }
-
-    fn expire_runs(&mut self, key: WorkerKey, now: Time) {
-        let runs: Vec<RunKey> = self.workers[key].runs.iter().copied().collect();
+        let runs: Vec<RunKey> = worker.runs.iter().copied().collect();
         for run in runs {
             self.end_run(run, EndReason::LeaseExpired, None, now);
         }
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -192,6 +192,21 @@
         }
     }
 
+    /// Updates the entry from the directory. Only a response of the worker shows that it was
+    /// restarted: entries may be read late, also those of an earlier process.
+    pub(crate) fn update_registration(&mut self, entry: Registration) {
+        let known_ms = self.registration.started_ms;
+        let is_earlier = entry.started_ms.is_some() && entry.started_ms < known_ms;
+        if is_earlier && self.failed_polls == 0 {
+            return;
+        }
+        self.unlisted_at = None;
+        self.registration = Registration {
+            started_ms: known_ms.or(entry.started_ms),
+            ..entry
+        };
+    }
+
     /// Returns whether the worker can take new work.
     pub(crate) fn is_usable(&self, now: Time) -> bool {
         !self.registration.draining
--- a/crates/kingcupwinch-cell/tests/cell/late_ends.rs
+++ b/crates/kingcupwinch-cell/tests/cell/late_ends.rs
@@ -136,3 +136,34 @@
     let poll = harness.cell.next_poll(worker, harness.now).unwrap();
     assert_eq!(poll.acked_through, 1);
 }
+
+/// A worker may come back at another address. A late entry of its earlier process must not replace
+/// the address at which it responds.
+#[test]
+fn a_late_directory_entry_does_not_replace_the_address() {
+    let (mut harness, worker, number) = harness_with_run();
+    let mut earlier = registration(number, 4);
+    earlier.started_ms = Some(0);
+    earlier.address = "127.0.0.1:1".into();
+    harness.cell.register_worker(earlier, false, harness.now);
+    let rows = harness.cell.workers();
+    let row = rows.into_iter().find(|(key, _, _)| *key == worker);
+    assert_eq!(row.unwrap().2, registration(number, 4).address);
+}
+
+/// The runs that the later process lists are those that it runs; the others ended with the earlier
+/// process.
+#[test]
+fn a_restart_settles_the_runs_that_the_worker_does_not_list() {
+    let mut harness = Harness::new(1, 4);
+    let worker = harness.keys()[0];
+    harness.submit(1, job(vec![step(2, 1, 500)]));
+    harness.run_round();
+    harness.poll(worker);
+    let fake = harness.workers.get_mut(&worker).unwrap();
+    let listed = fake.running.remove(0).task;
+    harness.poll_started(worker, 2);
+    harness.decide();
+    assert_eq!(harness.starts.len(), 1);
+    assert_eq!(harness.starts[0].task, listed);
+}
