Acknowledge no ends to a worker whose last poll failed

Cause: a worker that was restarted under its id numbers its ends from 1. The poll that discovers the restart carried the number that its predecessor had reached, and a long poll may be open while the first runs of the later process end: it could forget ends that it never listed.

Change: after a failed poll nothing is acknowledged until the worker has responded, and thereby said which process it is.

--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -39,9 +39,16 @@
             worker.grant_lease(now, self.timers.max_lease)
         };
         let long_poll = !worker.inherited && worker.failed_polls == 0 && lease_until.is_some();
+        // After a failed poll, the response may come from a later process, which numbers its ends
+        // anew.
+        let acked_through = if worker.failed_polls > 0 {
+            0
+        } else {
+            worker.last_end_acked
+        };
         Some(WorkerPoll {
             lease_until,
-            acked_through: worker.last_end_acked,
+            acked_through,
             long_poll,
         })
     }
