Take no worker for gone whose entry expired before it responded

Cause: a worker counts as gone if it closed a connection and its entry left the directory within a heartbeat of its last response. An entry that had left long before the last response passed as well. Entries of live workers expire in an outage of the store or a cut and are back after two seconds; a connection closed in that time settled all runs of a live worker.

Change: the entry has to leave after the last response.

--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -269,12 +269,11 @@
     }
 
     /// Returns whether the process has ended: it closed its connections and removed its directory
-    /// entry. The entry of an unreachable worker would expire more than `exit_window` after the
-    /// last response.
+    /// entry after its last response. The entry of an unreachable worker would expire more than
+    /// `exit_window` after that.
     fn has_exited(&self, exit_window: Span) -> bool {
-        let left_promptly = self
-            .unlisted_at
-            .is_some_and(|at| at < self.last_response + exit_window);
+        let prompt = self.last_response..self.last_response + exit_window;
+        let left_promptly = self.unlisted_at.is_some_and(|at| prompt.contains(&at));
         self.is_connection_closed && left_promptly
     }
 
