Confirm an owner by what it reads of the group, not by its heartbeats

A heartbeat is appended to the group without condition and without a fence, and its success told the owner that it still held the cell. A heartbeat that comes to lie behind a later claim told it the same. An owner whose reads of the group stall while its appends succeed (the store turns its reads away, a paused process whose heartbeat task wakes before its read is repeated) so went on polling, and renewed the leases of workers that its successor can't reach, past the time from which the successor counts them as expired: one task on two workers.

A fenced append of progress still confirms the owner, since a successor fences before it reads. Besides, a read of the whole group confirms it, at the time at which the read was sent, if there is no later claim: any later claim is then later than that time, and so is the moment from which the successor measures the overlap. This takes no further call: the owner reads the group all the time, and its own heartbeats wake the read. Heartbeats that aren't read back for 4 s stop, so that an owner that can append but not read leaves the cell to an instance that can.

An owner that can read but not append is no longer suspended after 4 s; nobody has claimed then, as it has read.

Test: with the heartbeat confirming as before, `heartbeats_behind_a_later_claim_confirm_nothing` fails (the owner is not suspended); it passes now. The other new tests cover the reads that confirm and those that don't.

--- a/crates/kingcupwinch-node/src/events.rs
+++ b/crates/kingcupwinch-node/src/events.rs
@@ -69,9 +69,9 @@
     TookOver = "1404", "cell taken over";
     /// This instance released the cell.
     Released = "1405", "cell released";
-    /// The owner could not write for too long and dispatches nothing.
+    /// The owner was not confirmed to hold the cell for too long and dispatches nothing.
     Suspended = "1406", "orders suspended";
-    /// The owner can write again.
+    /// The owner is confirmed to hold the cell again.
     Resumed = "1407", "orders resumed";
     /// A worker, the store or the log reported a later owner.
     Fenced = "1408", "fenced by a later owner";
--- a/crates/kingcupwinch-node/src/lib.rs
+++ b/crates/kingcupwinch-node/src/lib.rs
@@ -24,6 +24,8 @@
 mod ownership;
 mod shared;
 mod siblings;
+#[cfg(test)]
+mod test_support;
 
 pub use metrics::Metrics;
 pub use node::{Node, NodeError};
--- a/crates/kingcupwinch-node/src/owner/messages.rs
+++ b/crates/kingcupwinch-node/src/owner/messages.rs
@@ -20,8 +20,8 @@
 /// Triggers a scheduling decision.
 pub(crate) struct Decide;
 
-/// Reports that an append under this term succeeded, with its send time.
-pub(crate) struct WriteConfirmed(pub(crate) Time);
+/// Reports a time at which this owner certainly still held the cell.
+pub(crate) struct TermConfirmed(pub(crate) Time);
 
 /// Updates the list of instances and their addresses for siblings.
 pub(crate) struct Members(pub(crate) Vec<Member>);
@@ -102,11 +102,11 @@
     }
 }
 
-impl Message<WriteConfirmed> for Owner {
+impl Message<TermConfirmed> for Owner {
     type Reply = ();
 
-    async fn handle(&mut self, sent: WriteConfirmed, _: &mut Context<Self, ()>) {
-        self.last_write = self.last_write.max(sent.0);
+    async fn handle(&mut self, confirmed: TermConfirmed, _: &mut Context<Self, ()>) {
+        self.confirmed_at = self.confirmed_at.max(confirmed.0);
     }
 }
 
--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -30,8 +30,10 @@
 pub(crate) use freshness::Freshness;
 pub(crate) use messages::{
     CountWaiting, GetJobState, IntakeRead, JobsAnnounced, JobsNotAppended, Members, Release,
-    Superseded, WriteConfirmed,
+    Superseded, TermConfirmed,
 };
+#[cfg(test)]
+pub(crate) use messages::{NextPoll, PollPlan};
 pub(crate) use takeover::take_over;
 
 /// Delay before a scheduling decision, so that events arriving close together share one.
@@ -41,8 +43,8 @@
 const DECISION_PAUSE_FACTOR: u32 = 4;
 /// Maximum time between two decisions.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
-/// An owner without a successful append for this long dispatches nothing until it can write again.
-pub(crate) const WRITE_TIMEOUT: Span = Span::from_millis(4_000);
+/// An owner that was not confirmed to hold the cell for this long dispatches nothing until it is.
+pub(crate) const TERM_TIMEOUT: Span = Span::from_millis(4_000);
 
 /// Arguments for starting an [`Owner`].
 pub(crate) struct OwnerArgs {
@@ -50,7 +52,7 @@
     pub(crate) siblings: Siblings,
     pub(crate) term: u64,
     pub(crate) cell: Cell,
-    pub(crate) last_write: Time,
+    pub(crate) confirmed_at: Time,
     pub(crate) origins: Origins,
     pub(crate) freshness: Freshness,
 }
@@ -67,8 +69,8 @@
     cell: Cell,
     clients: FxHashMap<WorkerKey, WorkerClient>,
     addresses: FxHashMap<Arc<str>, Arc<str>>,
-    /// Send time of the last successful append under this term.
-    last_write: Time,
+    /// Last time at which this owner certainly still held the cell.
+    confirmed_at: Time,
     is_suspended: bool,
     /// Whether this owner has stopped dispatching for good.
     is_retired: bool,
@@ -99,7 +101,7 @@
             cell: args.cell,
             clients: FxHashMap::default(),
             addresses: FxHashMap::default(),
-            last_write: args.last_write,
+            confirmed_at: args.confirmed_at,
             is_suspended: false,
             is_retired: false,
             release_done: None,
@@ -135,20 +137,20 @@
         if self.is_retired {
             return false;
         }
-        let is_write_overdue = now.since(self.last_write) > WRITE_TIMEOUT;
-        if is_write_overdue != self.is_suspended {
-            self.is_suspended = is_write_overdue;
-            let event = if is_write_overdue {
+        let is_overdue = now.since(self.confirmed_at) > TERM_TIMEOUT;
+        if is_overdue != self.is_suspended {
+            self.is_suspended = is_overdue;
+            let event = if is_overdue {
                 Event::Suspended
             } else {
                 Event::Resumed
             };
-            let age = now.since(self.last_write).as_millis();
+            let age = now.since(self.confirmed_at).as_millis();
             self.shared
                 .log
                 .write(event, o!("term" => self.term, "confirmed_ms_ago" => age));
         }
-        !is_write_overdue
+        !is_overdue
     }
 
     /// Stops dispatching for good, because a later owner exists.
--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -18,7 +18,7 @@
 use tokio::time::Instant;
 
 use super::loops;
-use super::{Freshness, Origins, Owner, OwnerArgs, WRITE_TIMEOUT};
+use super::{Freshness, Origins, Owner, OwnerArgs, TERM_TIMEOUT};
 use crate::events::Event;
 use crate::layout::{IntakeKey, PROGRESS, RUN_TIMES_KEY, WORKERS_KEY, intake_partitions};
 use crate::shared::Shared;
@@ -84,7 +84,7 @@
     let handover_overlap = if is_stopped {
         IN_FLIGHT_MARGIN
     } else {
-        WRITE_TIMEOUT
+        TERM_TIMEOUT
     };
     let timers = CellTimers {
         max_lease: shared.settings.max_lease - LEASE_MARGIN,
@@ -117,7 +117,7 @@
         siblings: siblings.clone(),
         term: claim.term,
         cell,
-        last_write: claimed_at,
+        confirmed_at: claimed_at,
         origins,
         freshness: freshness.clone(),
     };
--- a/crates/kingcupwinch-node/src/owner/writer.rs
+++ b/crates/kingcupwinch-node/src/owner/writer.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 use super::Owner;
-use super::messages::{Superseded, WriteConfirmed};
+use super::messages::{Superseded, TermConfirmed};
 use crate::events::Event;
 use crate::layout::{
     GROUP, HEARTBEAT_KEY, IntakeKey, PROGRESS, RUN_TIMES_KEY, WORKERS_KEY, intake_partitions,
@@ -128,7 +128,7 @@
             };
             sequence += 1;
             // The owner may have ended; its state no longer matters then.
-            let _ = actor.tell(WriteConfirmed(sent)).await;
+            let _ = actor.tell(TermConfirmed(sent)).await;
         }
         let _ = actor.tell(BatchAppended(batch.records.batch)).await;
         if !batch.cleanup.is_empty() {
--- a/crates/kingcupwinch-node/src/ownership.rs
+++ b/crates/kingcupwinch-node/src/ownership.rs
@@ -2,9 +2,10 @@
 //! instance.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use kameo::actor::ActorRef;
+use kameo::actor::{ActorRef, WeakActorRef};
 use kingcupwinch_adapter::{KeyedRecord, StoreError, WriteError};
 use kingcupwinch_cell::{Claim, ElectionStep, ElectionTimers, GroupRecord, OwnerElection};
 use kingcupwinch_time::{Span, Time};
@@ -14,10 +15,13 @@
 
 use crate::events::Event;
 use crate::layout::{CLAIM_KEY, GROUP, HEARTBEAT_KEY, MEMBER_PREFIX};
-use crate::owner::{Members, Owner, Release, Superseded, WRITE_TIMEOUT, WriteConfirmed, take_over};
+use crate::owner::{Members, Owner, Release, Superseded, TERM_TIMEOUT, TermConfirmed, take_over};
 use crate::shared::Shared;
 use crate::siblings::Siblings;
 
+#[cfg(test)]
+mod tests;
+
 /// Time between two heartbeats of an owner.
 const HEARTBEAT_INTERVAL: Span = Span::from_millis(300);
 /// An owner without heartbeats for this long may be replaced: three lost heartbeats.
@@ -55,11 +59,24 @@
     siblings: Siblings,
     election: OwnerElection,
     next: Option<u64>,
+    /// Offset up to which the group was read, for the owner's heartbeats.
+    read_to: Arc<AtomicU64>,
     /// Generation of the last claim of this instance that may have been appended.
     claimed_generation: Option<u32>,
     cell: Option<OwnedCell>,
 }
 
+/// Result of a read of the group partition.
+struct GroupRead {
+    /// Send time of the read.
+    sent: Time,
+    /// Offset from which to continue reading.
+    next: u64,
+    /// Whether the read reached the end of the partition.
+    is_complete: bool,
+    records: Vec<(u64, KeyedRecord)>,
+}
+
 /// The cell, owned by this instance under a term.
 struct OwnedCell {
     term: u64,
@@ -84,6 +101,7 @@
             siblings,
             election,
             next: None,
+            read_to: Arc::default(),
             claimed_generation: None,
             cell: None,
         }
@@ -127,8 +145,9 @@
         }
     }
 
-    async fn read(&self) -> Result<(u64, Vec<(u64, KeyedRecord)>), StoreError> {
+    async fn read(&self) -> Result<GroupRead, StoreError> {
         let store = &self.shared.store;
+        let sent = self.shared.now();
         let Some(from) = self.next else {
             let deadline = Instant::now() + CALL_MARGIN;
             let page = store.read_latest(GROUP, deadline).await?;
@@ -138,13 +157,22 @@
                 .map(|item| (item.offset, KeyedRecord::with_value(item.key, item.value)))
                 .collect();
             records.sort_by_key(|(offset, _)| *offset);
-            return Ok((page.end, records));
+            return Ok(GroupRead {
+                sent,
+                next: page.end,
+                is_complete: true,
+                records,
+            });
         };
         let wait = self.read_wait_ms();
         let deadline = Instant::now() + Duration::from_millis(wait) + CALL_MARGIN;
         let batch = store.read(GROUP, from, wait, deadline).await?;
-        let records = self.shared.decode_records("group", batch.records);
-        Ok((batch.next, records))
+        Ok(GroupRead {
+            sent,
+            next: batch.next,
+            is_complete: batch.next >= batch.end,
+            records: self.shared.decode_records("group", batch.records),
+        })
     }
 
     /// Returns the long-poll wait of the next read, in milliseconds; it ends when a claim is due.
@@ -158,17 +186,22 @@
         }
     }
 
-    async fn handle_read(&mut self, result: Result<(u64, Vec<(u64, KeyedRecord)>), StoreError>) {
+    async fn handle_read(&mut self, result: Result<GroupRead, StoreError>) {
         match result {
-            Ok((next, records)) => {
+            Ok(read) => {
+                let GroupRead { sent, next, .. } = read;
                 self.shared.record_store_result(None);
                 self.next = Some(next);
                 let now = self.shared.now();
                 self.election.note_read(now);
-                for (offset, record) in records {
+                for (offset, record) in read.records {
                     self.apply(offset, &record, now);
                 }
                 self.publish_claim().await;
+                self.read_to.store(next, Ordering::Relaxed);
+                if read.is_complete {
+                    self.confirm_term(sent).await;
+                }
                 if let (None, ElectionStep::Claim { generation }) =
                     (&self.cell, self.election.next_step(now))
                 {
@@ -239,6 +272,17 @@
         }
     }
 
+    /// Confirms to the owner that there was no later claim when a read of the whole group was sent.
+    async fn confirm_term(&self, sent: Time) {
+        let claim = self.election.claim();
+        if let Some(cell) = &self.cell
+            && claim.is_some_and(|claim| claim.term == cell.term)
+        {
+            // The owner may have ended by itself.
+            let _ = cell.owner.tell(TermConfirmed(sent)).await;
+        }
+    }
+
     async fn drop_cell(&mut self) {
         if let Some(cell) = self.cell.take() {
             self.shared.set_owner(None);
@@ -297,7 +341,10 @@
                     let _ = owner.tell(Members(self.election.members().to_vec())).await;
                     shared.set_owner(Some(owner.clone()));
                     shared.metrics.owned_term.set(term as i64);
-                    tokio::spawn(send_heartbeats(Arc::clone(&shared), owner.clone(), term));
+                    let read_to = Arc::clone(&self.read_to);
+                    let heartbeats =
+                        send_heartbeats(Arc::clone(&shared), owner.downgrade(), term, read_to);
+                    tokio::spawn(heartbeats);
                     self.cell = Some(OwnedCell { term, owner });
                     return;
                 }
@@ -309,7 +356,7 @@
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
             }
-            let is_late = shared.now().since(sent) > WRITE_TIMEOUT;
+            let is_late = shared.now().since(sent) > TERM_TIMEOUT;
             if is_late || shared.is_stopping() {
                 return;
             }
@@ -349,25 +396,32 @@
     Ok(result?.offset)
 }
 
-/// Appends the owner's heartbeats, and confirms to the owner that it can write.
-async fn send_heartbeats(shared: Arc<Shared>, owner: ActorRef<Owner>, term: u64) {
-    let owner = owner.downgrade();
+/// Appends the owner's heartbeats. An appended heartbeat does not show that the owner still holds
+/// the cell, since a later claim may lie before it. An owner that can append but not read the group
+/// can't learn of one, so it stops its heartbeats and leaves the cell to an instance that can.
+async fn send_heartbeats(
+    shared: Arc<Shared>,
+    owner: WeakActorRef<Owner>,
+    term: u64,
+    read_to: Arc<AtomicU64>,
+) {
     let record = GroupRecord::Heartbeat { term };
+    let mut unread = UnreadHeartbeats::default();
     loop {
         let sent = shared.now();
-        let wait = shared.append_timeout.timeout(0);
-        let result = append(&shared, HEARTBEAT_KEY, &record, None, wait).await;
-        let Some(owner) = owner.upgrade() else { return };
-        match result {
-            Ok(_) => {
-                shared.record_store_result(None);
-                if owner.tell(WriteConfirmed(sent)).await.is_err() {
-                    return;
+        if unread.may_send(read_to.load(Ordering::Relaxed), sent) {
+            let wait = shared.append_timeout.timeout(0);
+            match append(&shared, HEARTBEAT_KEY, &record, None, wait).await {
+                Ok(offset) => {
+                    shared.record_store_result(None);
+                    unread.note_appended(offset, sent);
                 }
+                Err(error) => shared.record_store_result(Some(&error.to_string())),
             }
-            Err(error) => shared.record_store_result(Some(&error.to_string())),
         }
-        drop(owner);
+        if !owner.upgrade().is_some_and(|owner| owner.is_alive()) {
+            return;
+        }
         tokio::time::sleep(Duration::from(HEARTBEAT_INTERVAL)).await;
         if shared.is_stopping() {
             return;
@@ -375,6 +429,26 @@
     }
 }
 
+/// The first heartbeat that was appended and not read back: its offset and its send time.
+#[derive(Debug, Default)]
+struct UnreadHeartbeats {
+    first: Option<(u64, Time)>,
+}
+
+impl UnreadHeartbeats {
+    fn note_appended(&mut self, offset: u64, sent: Time) {
+        self.first.get_or_insert((offset, sent));
+    }
+
+    /// Returns whether another heartbeat may be sent, given the offset up to which the group was
+    /// read.
+    fn may_send(&mut self, read_to: u64, now: Time) -> bool {
+        self.first = self.first.filter(|(offset, _)| *offset >= read_to);
+        self.first
+            .is_none_or(|(_, sent)| now.since(sent) <= TERM_TIMEOUT)
+    }
+}
+
 /// Periodically announces this instance's address and size to its siblings.
 pub(crate) async fn announce_member(shared: Arc<Shared>) {
     let key = format!("{MEMBER_PREFIX}{}", shared.settings.instance);
--- /dev/null
+++ b/crates/kingcupwinch-node/src/test_support.rs
@@ -0,0 +1,74 @@
+//! Parts of an instance for unit tests.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use kameo::actor::{ActorRef, Spawn};
+use kameo::mailbox;
+use kingcupwinch_adapter::Settings;
+use kingcupwinch_cell::{Cell, CellTimers, Disabled};
+use kingcupwinch_time::{Span, Time};
+
+use crate::events::EventLog;
+use crate::layout::intake_partitions;
+use crate::owner::{Freshness, Origins, Owner, OwnerArgs};
+use crate::shared::Shared;
+use crate::siblings::Siblings;
+
+/// Address at which nothing listens.
+pub(crate) fn unreachable_store() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+/// Returns the state of an instance `me` that uses the store at an address.
+pub(crate) fn shared(store: SocketAddr) -> Arc<Shared> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let settings = Settings {
+        instance: "me".into(),
+        domain: "a".into(),
+        callers: any,
+        readiness: any,
+        siblings: any,
+        metrics: any,
+        store,
+        adviser: None,
+        cpu_share: 1.0,
+        max_lease: Span::from_secs(6),
+        heartbeat: Span::from_millis(1_500),
+        grace_period: Span::from_secs(6),
+        status_retention: Span::from_secs(120),
+    };
+    Shared::new(settings, Disabled::default(), EventLog::new("me"))
+}
+
+/// Returns a cell of the first generation without jobs or workers.
+pub(crate) fn cell() -> Cell {
+    let timers = CellTimers {
+        max_lease: Span::from_secs(6),
+        handover_overlap: Span::from_secs(4),
+        end_retention: Span::from_secs(120),
+        exit_window: Span::from_millis(1_500),
+    };
+    Cell::new(timers, 1)
+}
+
+/// Starts an owner of `cell` whose store is unreachable. It was confirmed to hold the cell, and all
+/// partitions of the intake were read, at `confirmed_at`.
+pub(crate) fn start_owner(
+    term: u64,
+    cell: Cell,
+    origins: Origins,
+    confirmed_at: Time,
+) -> ActorRef<Owner> {
+    let shared = shared(unreachable_store());
+    let args = OwnerArgs {
+        siblings: Siblings::new(Arc::clone(&shared)),
+        shared,
+        term,
+        cell,
+        confirmed_at,
+        origins,
+        freshness: Freshness::new(intake_partitions(), confirmed_at),
+    };
+    Owner::spawn_with_mailbox(args, mailbox::unbounded())
+}
