Delete the acceptances of ended jobs although an owner was lost

The record of a job's end expires after the retention time (120 s). The job's acceptance was deleted from the intake by one attempt, up to 2 s after the end; if the store refused that, or the owner was lost before it, nobody repeated it, although a comment said that the next owner would. After the retention time the end was deleted and the acceptance stayed, so the next owner (or the same one, when it reloaded the partition after its history had expired) took the job for a new one and ran all of it again.

The owner now repeats deletions that may have failed, with the next cleanup, and schedules the deletion of what an earlier owner left of jobs that have ended. A deletion is still made only after the end is in the log: a cleanup follows the append of its batch.

--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -14,7 +14,7 @@
 use kameo::Actor;
 use kameo::actor::{ActorRef, WeakActorRef};
 use kingcupwinch_adapter::{Partition, WorkerClient};
-use kingcupwinch_cell::{Action, Cell, JobId, Registration, StartOutcome, WorkerKey};
+use kingcupwinch_cell::{Action, Cell, JobId, JobState, Registration, StartOutcome, WorkerKey};
 use kingcupwinch_time::{Span, Time};
 use rustc_hash::FxHashMap;
 use slog::o;
@@ -114,6 +114,7 @@
             recorded_steps: 0,
             write_due: Arc::default(),
         };
+        owner.schedule_restored_cleanup();
         owner.connect_workers();
         owner.start_loops();
         Ok(owner)
@@ -353,6 +354,18 @@
         }
     }
 
+    /// Schedules the deletion of the intake records that an earlier owner left of ended jobs.
+    fn schedule_restored_cleanup(&mut self) {
+        let state = |id: &JobId| self.cell.job_state(*id);
+        let ids = self.origins.keys().copied();
+        let ended: Vec<JobId> = ids
+            .filter(|id| state(id).is_some_and(JobState::is_final))
+            .collect();
+        for id in ended {
+            self.schedule_cleanup(id);
+        }
+    }
+
     /// Schedules the deletion of a job's intake records.
     fn schedule_cleanup(&mut self, id: JobId) {
         for partition in self.origins.remove(&id).unwrap_or_default() {
--- a/crates/kingcupwinch-node/src/owner/writer.rs
+++ b/crates/kingcupwinch-node/src/owner/writer.rs
@@ -61,6 +61,9 @@
 /// Reports that a batch and all earlier ones are in the log.
 struct BatchAppended(u64);
 
+/// Returns intake records of ended jobs that may not have been deleted.
+struct CleanupFailed(Vec<(Partition, IntakeKey)>);
+
 impl Message<TakeBatch> for Owner {
     type Reply = WriteBatch;
 
@@ -102,6 +105,14 @@
     }
 }
 
+impl Message<CleanupFailed> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, failed: CleanupFailed, _: &mut Context<Self, ()>) {
+        self.cleanup.extend(failed.0);
+    }
+}
+
 /// Appends batches until the owner ends, releases the cell or is superseded.
 pub(crate) async fn run(
     shared: Arc<Shared>,
@@ -132,8 +143,14 @@
         }
         let _ = actor.tell(BatchAppended(batch.records.batch)).await;
         if !batch.cleanup.is_empty() {
-            let (shared, ended) = (Arc::clone(&shared), batch.cleanup);
-            tokio::spawn(async move { delete_ended(&shared, &ended).await });
+            let (shared, owner, ended) = (Arc::clone(&shared), owner.clone(), batch.cleanup);
+            tokio::spawn(async move {
+                let remaining = delete_ended(&shared, &ended).await;
+                if let (false, Some(owner)) = (remaining.is_empty(), owner.upgrade()) {
+                    // The owner may have ended; the next one deletes the records.
+                    let _ = owner.tell(CleanupFailed(remaining)).await;
+                }
+            });
         }
         if let Some(release_done) = batch.release_done {
             release(&shared, term).await;
@@ -243,8 +260,13 @@
     }
 }
 
-/// Deletes the intake records of ended jobs.
-async fn delete_ended(shared: &Shared, ended: &[(Partition, IntakeKey)]) {
+/// Deletes the intake records of ended jobs. Returns those that may remain: a job whose acceptance
+/// outlives the record of its end would count as new to a later owner.
+async fn delete_ended(
+    shared: &Shared,
+    ended: &[(Partition, IntakeKey)],
+) -> Vec<(Partition, IntakeKey)> {
+    let mut remaining = Vec::new();
     for partition in intake_partitions() {
         let in_partition = ended.iter().filter(|(known, _)| *known == partition);
         let records: Vec<KeyedRecord> = in_partition
@@ -259,9 +281,13 @@
             .append(partition, &records, None, None, deadline)
             .await;
         let label = if result.is_ok() { "ok" } else { "failed" };
-        // A record that remains is deleted by the next owner that reads it.
         Metrics::count(&shared.metrics.store_calls, "drop", label);
+        if result.is_err() {
+            let in_partition = ended.iter().filter(|(known, _)| *known == partition);
+            remaining.extend(in_partition.copied());
+        }
     }
+    remaining
 }
 
 /// Appends the release record, which informs the siblings that this owner has stopped dispatching.
