Answer for unknown and waiting jobs only from a recent view of the log

An owner counted the waiting jobs of a queue however old its view of the intake was: an owner whose reads the store turns away, but which its siblings still reach, gives a count without the jobs that they have accepted since. It said that a job does not exist (410) if each partition was read within 2 s, counted from when the response arrived, although a response may be up to 1.9 s under way, and at the start of a term from when all reads had ended; and without regard to whether it still held the cell, although a successor deletes the acceptances of the jobs that it has ended, so that an owner that was cut off and then reloads a partition finds neither.

The owner now states either only if it was confirmed to hold the cell, and knew all records of each partition, recently: counted from the time at which the read was sent, or from the end of its wait if it returned without records. The mark is set when the owner has applied the records, no longer by the loop that has queued them. The bound for a job that does not exist becomes 2.3 s, as two long polls and a pause now count in full (visible_ms is 3 s); counted as before that were up to 2.9 s. For counts it is 4 s: a count may lack only what was accepted in the last visible_ms + 2 s = 5 s. An owner that can't tell is retried until the caller's deadline, as before for 410.

--- a/crates/kingcupwinch-node/src/intake.rs
+++ b/crates/kingcupwinch-node/src/intake.rs
@@ -188,6 +188,7 @@
     let read = IntakeRead {
         partition: OWNER_PARTITION,
         records: records.into_iter().filter_map(row).collect(),
+        complete_at: None,
     };
     // The owner may have ended; the next one reads the partition.
     let _ = owner.tell(read).await;
--- a/crates/kingcupwinch-node/src/owner/freshness.rs
+++ b/crates/kingcupwinch-node/src/owner/freshness.rs
@@ -1,7 +1,4 @@
-//! Tracks how recently the owner has read each intake partition to its end.
-
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+//! Tracks how recent the owner's view of the intake is.
 
 use kingcupwinch_adapter::Partition;
 use kingcupwinch_time::{Span, Time};
@@ -9,39 +6,53 @@
 #[cfg(test)]
 mod tests;
 
-/// Maximum age of a read to the end of each partition for the owner to report that a job does not
-/// exist. A read waits up to a second for records, and its response takes time as well.
-const MAX_READ_AGE: Span = Span::from_millis(2_000);
+/// Maximum age of the view for the owner to report that a job does not exist. A job is visible three
+/// seconds after its acceptance, and the reply to a sibling takes time as well. The view of a
+/// partition into which few jobs arrive is up to two long polls and a pause old.
+pub(crate) const MAX_LOOKUP_AGE: Span = Span::from_millis(2_300);
+/// Maximum age of the view for the owner to count the waiting jobs of a queue.
+pub(crate) const MAX_COUNT_AGE: Span = Span::from_millis(4_000);
 
-/// Time of the last read to the end of each partition; clones share it.
+/// The time as of which all records of each partition are known.
 #[derive(Debug, Clone)]
 pub(crate) struct Freshness {
-    reads: Arc<[(Partition, AtomicU64)]>,
+    reads: Vec<(Partition, Time)>,
 }
 
 impl Freshness {
-    /// Creates the state in which all partitions were read at `now`.
-    pub(crate) fn new(partitions: impl Iterator<Item = Partition>, now: Time) -> Self {
-        let row = |partition| (partition, AtomicU64::new(now.as_micros()));
+    /// Creates the state in which the records of all partitions are known as of `at`.
+    pub(crate) fn new(partitions: impl Iterator<Item = Partition>, at: Time) -> Self {
         Freshness {
-            reads: partitions.map(row).collect(),
+            reads: partitions.map(|partition| (partition, at)).collect(),
         }
     }
 
-    /// Records that a partition was read to its end.
-    pub(crate) fn mark_read(&self, partition: Partition, now: Time) {
-        let rows = self.reads.iter().filter(|(known, _)| *known == partition);
+    /// Records that all records of a partition are known as of `at`.
+    pub(crate) fn mark_read(&mut self, partition: Partition, at: Time) {
+        let rows = self
+            .reads
+            .iter_mut()
+            .filter(|(known, _)| *known == partition);
         for (_, read) in rows {
-            read.store(now.as_micros(), Ordering::Relaxed);
+            *read = at.max(*read);
         }
     }
 
-    /// Returns whether every partition was read recently enough to report an unknown job as
-    /// nonexistent.
-    pub(crate) fn is_fresh(&self, now: Time) -> bool {
-        self.reads.iter().all(|(_, read)| {
-            let read = Time::from_micros(read.load(Ordering::Relaxed));
-            now.since(read) <= MAX_READ_AGE
-        })
+    /// Returns whether the view of every partition is at most `max_age` old.
+    pub(crate) fn is_fresh(&self, now: Time, max_age: Span) -> bool {
+        self.reads
+            .iter()
+            .all(|(_, read)| now.since(*read) <= max_age)
+    }
+}
+
+/// Returns the time as of which a read to the end of a partition certainly shows all records. The
+/// response may have been on its way for long. Only a read without records is known to have waited
+/// at the store, for the whole `wait`.
+pub(crate) fn view_time(sent: Time, received: Time, wait: Span, is_empty: bool) -> Time {
+    if is_empty && received.since(sent) >= wait {
+        sent + wait
+    } else {
+        sent
     }
 }
--- a/crates/kingcupwinch-node/src/owner/loops.rs
+++ b/crates/kingcupwinch-node/src/owner/loops.rs
@@ -12,8 +12,9 @@
 use slog::o;
 use tokio::time::Instant;
 
+use super::Owner;
+use super::freshness::view_time;
 use super::messages::{DirectoryRead, IntakeRead, NextPoll, PollPlan, PollResult};
-use super::{Freshness, Owner};
 use crate::events::Event;
 use crate::layout::{IntakeKey, OWNER_PARTITION};
 use crate::shared::Shared;
@@ -116,7 +117,6 @@
     owner: WeakActorRef<Owner>,
     partition: Partition,
     from: u64,
-    freshness: Freshness,
 ) {
     let interval = if partition == OWNER_PARTITION {
         OWNER_PARTITION_INTERVAL
@@ -130,16 +130,12 @@
             None => reload_intake(&shared, partition).await,
         };
         match result {
-            Ok((next, end, records)) => {
+            Ok((next, read)) => {
                 shared.record_store_result(None);
                 from = Some(next);
-                let read = IntakeRead { partition, records };
-                if !read.records.is_empty() && !tell(&owner, read).await {
+                if !tell(&owner, read).await {
                     return;
                 }
-                if next >= end {
-                    freshness.mark_read(partition, shared.now());
-                }
                 tokio::time::sleep(interval).await;
             }
             Err(StoreError::Expired(_)) => from = None,
@@ -156,17 +152,20 @@
 
 type IntakeRecords = Vec<(IntakeKey, Option<Bytes>)>;
 
-/// Reads records; returns the next offset, the end offset of the partition, and the records.
+/// Reads records; returns the next offset and the records.
 async fn read_intake(
     shared: &Shared,
     partition: Partition,
     from: u64,
-) -> Result<(u64, u64, IntakeRecords), StoreError> {
+) -> Result<(u64, IntakeRead), StoreError> {
+    let sent = shared.now();
     let deadline = Instant::now() + Duration::from_millis(INTAKE_WAIT_MS) + READ_MARGIN;
     let batch = shared
         .store
         .read(partition, from, INTAKE_WAIT_MS, deadline)
         .await?;
+    let wait = Span::from_millis(INTAKE_WAIT_MS);
+    let view_time = view_time(sent, shared.now(), wait, batch.records.is_empty());
     let records = shared.decode_records("intake", batch.records);
     let records = records.into_iter().filter_map(|(offset, record)| {
         let key = IntakeKey::parse(&record.key);
@@ -176,16 +175,27 @@
         }
         Some((key?, record.value))
     });
-    Ok((batch.next, batch.end, records.collect()))
+    let read = IntakeRead {
+        partition,
+        records: records.collect(),
+        complete_at: (batch.next >= batch.end).then_some(view_time),
+    };
+    Ok((batch.next, read))
 }
 
 async fn reload_intake(
     shared: &Shared,
     partition: Partition,
-) -> Result<(u64, u64, IntakeRecords), StoreError> {
+) -> Result<(u64, IntakeRead), StoreError> {
+    let sent = shared.now();
     let deadline = Instant::now() + Duration::from_millis(INTAKE_WAIT_MS) + READ_MARGIN;
     let page = shared.store.read_latest(partition, deadline).await?;
-    Ok((page.end, page.end, intake_items(&page)))
+    let read = IntakeRead {
+        partition,
+        records: intake_items(&page),
+        complete_at: Some(sent),
+    };
+    Ok((page.end, read))
 }
 
 /// Decodes a page of intake records, with cancellations after acceptances.
--- a/crates/kingcupwinch-node/src/owner/messages.rs
+++ b/crates/kingcupwinch-node/src/owner/messages.rs
@@ -13,10 +13,14 @@
 use tokio::sync::oneshot;
 
 use super::Owner;
+use super::freshness::{MAX_COUNT_AGE, MAX_LOOKUP_AGE};
 use crate::events::Event;
 use crate::layout::{IntakeKey, OWNER_PARTITION};
 use crate::metrics::Metrics;
 
+#[cfg(test)]
+mod tests;
+
 /// Triggers a scheduling decision.
 pub(crate) struct Decide;
 
@@ -35,7 +39,8 @@
 /// Requests a job's state; the reply is `None` if this owner can't state it with certainty.
 pub(crate) struct GetJobState(pub(crate) JobId);
 
-/// Requests the number of waiting jobs of a queue; the reply is `None` if this owner is retired.
+/// Requests the number of waiting jobs of a queue; the reply is `None` if this owner can't count them
+/// with certainty.
 pub(crate) struct CountWaiting(pub(crate) Arc<str>);
 
 /// Announces jobs that this instance is about to append to the intake.
@@ -48,6 +53,8 @@
 pub(crate) struct IntakeRead {
     pub(crate) partition: Partition,
     pub(crate) records: Vec<(IntakeKey, Option<bytes::Bytes>)>,
+    /// Time as of which all records of the partition are known; `None` if more may follow.
+    pub(crate) complete_at: Option<Time>,
 }
 
 /// Delivers entries read from the directory.
@@ -144,7 +151,7 @@
 
     async fn handle(&mut self, id: GetJobState, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
         let state = self.cell.job_state(id.0);
-        let is_certain = state.is_some() || self.freshness.is_fresh(self.shared.now());
+        let is_certain = state.is_some() || self.is_view_fresh(MAX_LOOKUP_AGE);
         (!self.is_retired && is_certain).then_some(state)
     }
 }
@@ -157,7 +164,8 @@
         queue: CountWaiting,
         _: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
-        (!self.is_retired).then(|| self.cell.queued_jobs(&queue.0))
+        let is_certain = !self.is_retired && self.is_view_fresh(MAX_COUNT_AGE);
+        is_certain.then(|| self.cell.queued_jobs(&queue.0))
     }
 }
 
@@ -195,6 +203,12 @@
 
     async fn handle(&mut self, read: IntakeRead, _: &mut Context<Self, ()>) {
         let now = self.shared.now();
+        if let Some(at) = read.complete_at {
+            self.freshness.mark_read(read.partition, at);
+        }
+        if read.records.is_empty() {
+            return;
+        }
         for (key, value) in read.records {
             // A tombstone: the record was deleted after its job ended.
             let Some(value) = value else { continue };
@@ -228,6 +242,13 @@
 }
 
 impl Owner {
+    /// Returns whether this owner knew all records of the intake, and certainly held the cell, within
+    /// `max_age`. A later owner may have deleted the records of jobs that it ended.
+    fn is_view_fresh(&self, max_age: Span) -> bool {
+        let now = self.shared.now();
+        self.freshness.is_fresh(now, max_age) && now.since(self.confirmed_at) <= max_age
+    }
+
     /// Marks an announced job as appended to the log.
     fn confirm(&mut self, id: JobId) {
         self.cell.confirm(id);
--- /dev/null
+++ b/crates/kingcupwinch-node/src/owner/messages/tests.rs
@@ -0,0 +1,95 @@
+//! Tests what an owner answers while its view of the log is old.
+
+use kameo::actor::ActorRef;
+use kingcupwinch_cell::JobId;
+use kingcupwinch_time::{Span, Time};
+
+use super::{CountWaiting, GetJobState, IntakeRead, TermConfirmed};
+use crate::layout::{OWNER_PARTITION, intake_partitions};
+use crate::owner::freshness::MAX_COUNT_AGE;
+use crate::owner::{Origins, Owner};
+use crate::test_support::{cell, shared, start_owner, unreachable_store};
+
+fn now() -> Time {
+    shared(unreachable_store()).now()
+}
+
+/// Returns a time that is not too old at any later moment of a test.
+fn fresh(now: Time) -> Time {
+    now + Span::from_secs(3_600)
+}
+
+/// Starts an owner that read the intake, and was confirmed to hold the cell, at a time.
+fn owner_at(at: Time) -> ActorRef<Owner> {
+    start_owner(7, cell(), Origins::default(), at)
+}
+
+/// Tells an owner that it has read all partitions of the intake to their ends.
+async fn read_intake(owner: &ActorRef<Owner>, at: Time) {
+    for partition in intake_partitions() {
+        let read = IntakeRead {
+            partition,
+            records: Vec::new(),
+            complete_at: Some(at),
+        };
+        owner.tell(read).await.unwrap();
+    }
+}
+
+async fn count(owner: &ActorRef<Owner>) -> Option<usize> {
+    owner.ask(CountWaiting("queue".into())).await.unwrap()
+}
+
+/// Returns whether an owner says that there is no such job.
+async fn is_said_to_be_gone(owner: &ActorRef<Owner>) -> bool {
+    let id = JobId::parse("45c1eb641e14275e").unwrap();
+    owner.ask(GetJobState(id)).await.unwrap() == Some(None)
+}
+
+/// The store turns the owner's reads away while siblings append jobs to their own partitions.
+#[tokio::test]
+async fn an_owner_that_reads_no_jobs_does_not_count_them() {
+    let now = now();
+    let owner = owner_at(now - MAX_COUNT_AGE - Span::from_secs(1));
+    owner.tell(TermConfirmed(fresh(now))).await.unwrap();
+    assert_eq!(count(&owner).await, None);
+    assert!(!is_said_to_be_gone(&owner).await);
+    read_intake(&owner, fresh(now)).await;
+    assert_eq!(count(&owner).await, Some(0));
+    assert!(is_said_to_be_gone(&owner).await);
+}
+
+/// A later owner accepted a job, ran it and deleted its acceptance, and an owner that was cut off
+/// meanwhile reads the intake again before it reads of the later claim.
+#[tokio::test]
+async fn an_owner_that_is_not_confirmed_does_not_report_jobs_as_gone() {
+    let now = now();
+    let owner = owner_at(now - MAX_COUNT_AGE - Span::from_secs(1));
+    read_intake(&owner, fresh(now)).await;
+    assert!(!is_said_to_be_gone(&owner).await);
+    assert_eq!(count(&owner).await, None);
+}
+
+/// A partition was read only in part, so more records may follow.
+#[tokio::test]
+async fn a_read_in_part_does_not_refresh_the_view() {
+    let now = now();
+    let owner = owner_at(now - MAX_COUNT_AGE - Span::from_secs(1));
+    owner.tell(TermConfirmed(fresh(now))).await.unwrap();
+    let others = intake_partitions().filter(|partition| *partition != OWNER_PARTITION);
+    for partition in others {
+        let read = IntakeRead {
+            partition,
+            records: Vec::new(),
+            complete_at: Some(fresh(now)),
+        };
+        owner.tell(read).await.unwrap();
+    }
+    let read = IntakeRead {
+        partition: OWNER_PARTITION,
+        records: Vec::new(),
+        complete_at: None,
+    };
+    owner.tell(read).await.unwrap();
+    assert!(!is_said_to_be_gone(&owner).await);
+}
--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -75,6 +75,7 @@
         .store
         .append(PROGRESS, &[], None, Some(fence), deadline)
         .await?;
+    let read_at = shared.now();
     let (progress, intake, directory) = tokio::try_join!(
         shared.store.read_latest(PROGRESS, deadline),
         read_intake(&shared.store, deadline),
@@ -111,7 +112,6 @@
             "workers" => workers, "owner_before_stopped" => is_stopped,
             "since_claim_ms" => now.since(claimed_at).as_millis()),
     );
-    let freshness = Freshness::new(intake_partitions(), now);
     let args = OwnerArgs {
         shared: Arc::clone(shared),
         siblings: siblings.clone(),
@@ -119,16 +119,13 @@
         cell,
         confirmed_at: claimed_at,
         origins,
-        freshness: freshness.clone(),
+        freshness: Freshness::new(intake_partitions(), read_at),
     };
     let owner = Owner::spawn_with_mailbox(args, mailbox::unbounded());
     let me = owner.downgrade();
     for (partition, page) in intake {
         let (shared, me) = (Arc::clone(shared), me.clone());
-        let freshness = freshness.clone();
-        tokio::spawn(loops::follow_intake(
-            shared, me, partition, page.end, freshness,
-        ));
+        tokio::spawn(loops::follow_intake(shared, me, partition, page.end));
     }
     tokio::spawn(loops::follow_directory(
         Arc::clone(shared),
--- a/crates/kingcupwinch-node/src/ownership/tests.rs
+++ b/crates/kingcupwinch-node/src/ownership/tests.rs
@@ -88,7 +88,8 @@
     let owner = suspended_owner();
     let mut task = task_with(owner.clone());
     let read = GroupRead {
-        sent: task.shared.now(),
+        // Not too old at any later moment of the test.
+        sent: task.shared.now() + Span::from_secs(3_600),
         next: TERM + 1,
         is_complete: true,
         records: Vec::new(),
