--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -18,7 +18,7 @@
 use tokio::time::Instant;
 
 use super::loops;
-use super::{Freshness, Origins, Owner, OwnerArgs, WRITE_TIMEOUT};
+use super::{Freshness, Origins, Owner, OwnerArgs, TERM_TIMEOUT};
 use crate::events::Event;
 use crate::layout::{IntakeKey, PROGRESS, RUN_TIMES_KEY, WORKERS_KEY, intake_partitions};
 use crate::shared::Shared;
@@ -75,6 +75,7 @@
         .store
         .append(PROGRESS, &[], None, Some(fence), deadline)
         .await?;
+    let read_at = shared.now();
     let (progress, intake, directory) = tokio::try_join!(
         shared.store.read_latest(PROGRESS, deadline),
         read_intake(&shared.store, deadline),
@@ -84,7 +85,7 @@
     let handover_overlap = if is_stopped {
         IN_FLIGHT_MARGIN
     } else {
-        WRITE_TIMEOUT
+        TERM_TIMEOUT
     };
     let timers = CellTimers {
         max_lease: shared.settings.max_lease - LEASE_MARGIN,
@@ -111,24 +112,20 @@
             "workers" => workers, "owner_before_stopped" => is_stopped,
             "since_claim_ms" => now.since(claimed_at).as_millis()),
     );
-    let freshness = Freshness::new(intake_partitions(), now);
     let args = OwnerArgs {
         shared: Arc::clone(shared),
         siblings: siblings.clone(),
         term: claim.term,
         cell,
-        last_write: claimed_at,
+        confirmed_at: claimed_at,
         origins,
-        freshness: freshness.clone(),
+        freshness: Freshness::new(intake_partitions(), read_at),
     };
     let owner = Owner::spawn_with_mailbox(args, mailbox::unbounded());
     let me = owner.downgrade();
     for (partition, page) in intake {
         let (shared, me) = (Arc::clone(shared), me.clone());
-        let freshness = freshness.clone();
-        tokio::spawn(loops::follow_intake(
-            shared, me, partition, page.end, freshness,
-        ));
+        tokio::spawn(loops::follow_intake(shared, me, partition, page.end));
     }
     tokio::spawn(loops::follow_directory(
         Arc::clone(shared),
