Take a worker for gone only if its entry can't have expired

Cause: a worker that closes a connection and whose entry leaves the directory within a heartbeat of its last response counted as gone. But an entry expires three heartbeats after the last heartbeat, however recently the worker has answered a poll: an outage of the store, then a cut that refuses connections, and runs of live workers were settled.

Change: the entry has to disappear within two heartbeats of the worker's last heartbeat in the directory, measured from the read before the one that brought it.

Measured: an_entry_that_expires_for_lack_of_heartbeats_shows_no_exit fails with the bound of before.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -46,8 +46,8 @@
     pub handover_overlap: Span,
     /// How long the final state of a job stays available to queries.
     pub end_retention: Span,
-    /// A worker whose directory entry disappears within this time of its last response removed the
-    /// entry itself. The entry of an unreachable worker would expire later.
+    /// A worker whose directory entry disappears within this time of its last heartbeat removed the
+    /// entry itself. The entry of a silent worker would expire later.
     pub exit_window: Span,
 }
 
@@ -396,6 +396,14 @@
         key
     }
 
+    /// Records that the directory has a heartbeat of a worker that was written after a time.
+    pub fn note_heartbeat(&mut self, id: &str, written_after: Time) {
+        if let Some(&key) = self.workers_by_id.get(id) {
+            let worker = &mut self.workers[key];
+            worker.heartbeat_after = worker.heartbeat_after.max(written_after);
+        }
+    }
+
     /// Records that a worker left the directory.
     pub fn mark_unlisted(&mut self, id: &str, now: Time) {
         if let Some(&key) = self.workers_by_id.get(id) {
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -138,6 +138,8 @@
 #[derive(Debug)]
 pub(crate) struct Worker {
     pub(crate) registration: Registration,
+    /// The last heartbeat in the directory was written after this time.
+    pub(crate) heartbeat_after: Time,
     /// When the worker left the directory, if it did.
     pub(crate) unlisted_at: Option<Time>,
     pub(crate) used: Resources,
@@ -171,6 +173,7 @@
     pub(crate) fn new(registration: Registration, inherited: bool, leases_expire: Time) -> Self {
         Worker {
             registration,
+            heartbeat_after: Time::ZERO,
             unlisted_at: None,
             used: Resources::default(),
             best_effort_runs: 0,
@@ -269,11 +272,12 @@
     }
 
     /// Returns whether the process has ended: it closed its connections and removed its directory
-    /// entry after its last response. The entry of an unreachable worker would expire more than
-    /// `exit_window` after that.
+    /// entry after its last response. The entry of a silent worker would expire more than
+    /// `exit_window` after its last heartbeat.
     fn has_exited(&self, exit_window: Span) -> bool {
-        let prompt = self.last_response..self.last_response + exit_window;
-        let left_promptly = self.unlisted_at.is_some_and(|at| prompt.contains(&at));
+        let left_promptly = self
+            .unlisted_at
+            .is_some_and(|at| self.last_response <= at && at < self.heartbeat_after + exit_window);
         self.is_connection_closed && left_promptly
     }
 
--- a/crates/kingcupwinch-cell/tests/cell/harness.rs
+++ b/crates/kingcupwinch-cell/tests/cell/harness.rs
@@ -15,7 +15,7 @@
 /// How long an earlier owner may have renewed leases after a claim.
 pub(crate) const HANDOVER_OVERLAP: Span = Span::from_millis(4_000);
 
-/// A directory entry that disappears within this time of the last response was removed by its
+/// A directory entry that disappears within this time of the last heartbeat was removed by its
 /// worker.
 pub(crate) const EXIT_WINDOW: Span = Span::from_millis(1_500);
 
--- a/crates/kingcupwinch-cell/tests/cell/late_ends.rs
+++ b/crates/kingcupwinch-cell/tests/cell/late_ends.rs
@@ -13,7 +13,11 @@
     harness.poll_all();
     let (worker, _) = harness.running()[0];
     let number = harness.keys().iter().position(|key| *key == worker);
-    (harness, worker, number.unwrap())
+    let number = number.unwrap();
+    harness
+        .cell
+        .note_heartbeat(&format!("i-{number}"), harness.now);
+    (harness, worker, number)
 }
 
 fn assert_completed_once(harness: &mut Harness) {
@@ -39,6 +43,24 @@
     assert_completed_once(&mut harness);
 }
 
+/// A worker answers polls while the store takes no heartbeats. Its entry expires just after it was
+/// cut off from the owner as well, and connections are refused on its behalf.
+#[test]
+fn an_entry_that_expires_for_lack_of_heartbeats_shows_no_exit() {
+    let (mut harness, worker, number) = harness_with_run();
+    harness.advance(4_400);
+    harness.poll(worker);
+    harness.cell.poll_failed(worker, PollFailure::Closed);
+    harness.advance(100);
+    harness
+        .cell
+        .mark_unlisted(&format!("i-{number}"), harness.now);
+    harness.end_all(EndReason::Done);
+    harness.decide();
+    harness.poll(worker);
+    assert_completed_once(&mut harness);
+}
+
 /// The directory is read late, and an entry of the worker's earlier process arrives after the later
 /// process has responded.
 #[test]
--- a/crates/kingcupwinch-cell/tests/cell/workers.rs
+++ b/crates/kingcupwinch-cell/tests/cell/workers.rs
@@ -145,6 +145,8 @@
     harness.run_round();
     harness.poll_all();
     let (worker, _) = harness.running()[0];
+    let id = id_of(&harness, worker);
+    harness.cell.note_heartbeat(&id, harness.now);
     harness.cell.poll_failed(worker, failure);
     (harness, worker)
 }
@@ -169,7 +171,7 @@
 
 /// The entry may have expired while the process still runs behind a network partition.
 #[test]
-fn a_worker_unlisted_long_after_its_last_answer_may_have_runs() {
+fn a_worker_unlisted_long_after_its_last_heartbeat_may_have_runs() {
     let (mut harness, worker) = harness_with_failed_poll(PollFailure::Closed);
     let id = id_of(&harness, worker);
     harness.advance(EXIT_WINDOW.as_millis() + 1);
--- a/crates/kingcupwinch-node/src/owner/loops.rs
+++ b/crates/kingcupwinch-node/src/owner/loops.rs
@@ -212,17 +212,23 @@
 /// Follows the directory from an offset until the owner ends.
 pub(crate) async fn follow_directory(shared: Arc<Shared>, owner: WeakActorRef<Owner>, from: u64) {
     let mut from = Some(from);
+    // Send time of the last read that reached the end, so that later entries were written after it.
+    let mut complete_at = None;
     loop {
         tokio::time::sleep(DIRECTORY_INTERVAL).await;
+        let sent = shared.now();
         let deadline = Instant::now() + READ_MARGIN;
         let result = match from {
-            Some(offset) => read_directory(&shared, offset, deadline).await,
+            Some(offset) => read_directory(&shared, offset, complete_at, deadline).await,
             None => reload_directory(&shared, deadline).await,
         };
         match result {
-            Ok((next, read)) => {
+            Ok((next, is_complete, read)) => {
                 shared.record_store_result(None);
                 from = Some(next);
+                if is_complete {
+                    complete_at = Some(sent);
+                }
                 let has_changes = read.is_whole || !read.entries.is_empty();
                 if has_changes && !tell(&owner, read).await {
                     return;
@@ -237,32 +243,37 @@
     }
 }
 
+/// Reads entries; returns the next offset, whether the read reached the end, and the entries.
 async fn read_directory(
     shared: &Shared,
     from: u64,
+    written_after: Option<Time>,
     deadline: Instant,
-) -> Result<(u64, DirectoryRead), StoreError> {
+) -> Result<(u64, bool, DirectoryRead), StoreError> {
     let batch = shared.store.read(DIRECTORY, from, 0, deadline).await?;
     let records = shared.decode_records("directory", batch.records);
     let row = |(_, record): (u64, KeyedRecord)| (record.key, record.value);
     let read = DirectoryRead {
         entries: records.into_iter().map(row).collect(),
         is_whole: false,
+        written_after,
     };
-    Ok((batch.next, read))
+    Ok((batch.next, batch.next >= batch.end, read))
 }
 
 async fn reload_directory(
     shared: &Shared,
     deadline: Instant,
-) -> Result<(u64, DirectoryRead), StoreError> {
+) -> Result<(u64, bool, DirectoryRead), StoreError> {
     let page = shared.store.read_latest(DIRECTORY, deadline).await?;
     let row = |item: kingcupwinch_adapter::LatestRecord| (item.key, Some(item.value));
     let read = DirectoryRead {
         entries: page.items.into_iter().map(row).collect(),
         is_whole: true,
+        written_after: None,
     };
-    Ok((page.end, read))
+    // Pages are not a snapshot, so entries of before this read may follow.
+    Ok((page.end, false, read))
 }
 
 async fn tell<M>(owner: &WeakActorRef<Owner>, message: M) -> bool
--- a/crates/kingcupwinch-node/src/owner/messages.rs
+++ b/crates/kingcupwinch-node/src/owner/messages.rs
@@ -62,6 +62,8 @@
     pub(crate) entries: Vec<(Arc<str>, Option<bytes::Bytes>)>,
     /// Whether the entries are the whole directory, so that workers missing from them have left it.
     pub(crate) is_whole: bool,
+    /// A time after which all entries were written, if one is known.
+    pub(crate) written_after: Option<Time>,
 }
 
 /// Requests the next poll of a worker.
@@ -328,7 +330,12 @@
         for (id, value) in read.entries {
             match value {
                 Some(value) => match decode_registration(&id, &value) {
-                    Some(entry) => self.register_worker(entry, now),
+                    Some(entry) => {
+                        self.register_worker(entry, now);
+                        if let Some(time) = read.written_after {
+                            self.cell.note_heartbeat(&id, time);
+                        }
+                    }
                     None => self.shared.log.write(
                         Event::RecordSkipped,
                         o!("partition" => "directory", "worker" => id.to_string()),
--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -30,6 +30,9 @@
 const LEASE_MARGIN: Span = Span::from_millis(150);
 /// Time after which no order of an owner that has stopped is still in flight.
 const IN_FLIGHT_MARGIN: Span = Span::from_millis(300);
+/// Heartbeats after the last one within which a directory entry disappears only if its worker removes
+/// it. The entry of a silent worker expires one heartbeat later.
+const EXIT_HEARTBEATS: u64 = 2;
 /// Maximum age of a job that counts towards its latency objective, in milliseconds; bounds the
 /// effect of clock jumps.
 const MAX_AGE_MS: u64 = 60_000;
@@ -91,7 +94,7 @@
         max_lease: shared.settings.max_lease - LEASE_MARGIN,
         handover_overlap,
         end_retention: shared.settings.status_retention,
-        exit_window: shared.settings.heartbeat,
+        exit_window: shared.settings.heartbeat.times(EXIT_HEARTBEATS),
     };
     let mut cell = Cell::new(timers, claim.generation).with_disabled(shared.disabled);
     let now = shared.now();
