Send a start order only for the placement that it was made for

Cause: the orders of a dropped job stayed in the queue until the next batch was appended. If the caller repeated the job before, its run numbers began anew, and the old order passed for that of the new placement: it went to the old worker, and before the record of the new placement was in the log. An owner lost at that moment would leave a run that no record names.

Change: an order is tied to its run, not to the name and number of the run.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -162,9 +162,9 @@
     batch: u64,
     pending_acks: Vec<PendingAck>,
     pending_ends: Vec<(u64, JobKey)>,
-    /// Start orders that wait until their placements and their jobs are in the log, each with the
-    /// batch that holds its placement.
-    unsent_starts: Vec<(u64, StartOrder)>,
+    /// Start orders that wait until their placements and their jobs are in the log, each with its run
+    /// and the batch that holds its placement.
+    unsent_starts: Vec<(u64, RunKey, StartOrder)>,
     /// The last batch that is in the log.
     appended_batch: u64,
     /// Jobs whose acceptance is not in the log yet, with the time of their submission. No orders
--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -111,30 +111,28 @@
         job.last_run = job.last_run.max(number);
         job.start_task(step, index, run);
         self.dirty.insert(key);
-        self.unsent_starts.push((self.batch, order));
+        self.unsent_starts.push((self.batch, run, order));
         Some(run)
     }
 
     /// Sends the start orders whose placements and jobs are in the log.
     pub(crate) fn send_recorded_starts(&mut self, now: Time) {
-        for (batch, order) in std::mem::take(&mut self.unsent_starts) {
+        for (batch, run, order) in std::mem::take(&mut self.unsent_starts) {
             let job = self.jobs_by_id.get(&order.task.job);
             let is_tentative = job.is_some_and(|key| self.tentative.contains_key(key));
             if batch > self.appended_batch || is_tentative {
-                self.unsent_starts.push((batch, order));
+                self.unsent_starts.push((batch, run, order));
             } else {
-                self.send_start(order, now);
+                self.send_start(run, order, now);
             }
         }
     }
 
     /// Sends a start order, unless its run was withdrawn or its worker became unusable since the
     /// placement.
-    fn send_start(&mut self, mut order: StartOrder, now: Time) {
-        let Some(&run) = self.runs_by_name.get(&(order.task, order.run)) else {
-            return;
-        };
-        if self.runs[run].state != RunState::Planned {
+    fn send_start(&mut self, run: RunKey, mut order: StartOrder, now: Time) {
+        let state = self.runs.get(run).map(|run| run.state);
+        if state != Some(RunState::Planned) {
             return;
         }
         let worker = &mut self.workers[order.worker];
--- a/crates/kingcupwinch-cell/tests/cell/tentative.rs
+++ b/crates/kingcupwinch-cell/tests/cell/tentative.rs
@@ -100,3 +100,29 @@
     assert!(harness.starts.is_empty());
     assert_eq!(harness.job_state(1), Some(JobState::Cancelled));
 }
+
+/// A job is refused while the record of its placement is being appended, and accepted on a repeat.
+/// The first order must not be sent for the second placement: it names another worker and waits for
+/// an earlier record.
+#[test]
+fn the_order_of_a_dropped_placement_is_not_sent_for_a_later_one() {
+    let mut harness = Harness::new(2, 4);
+    let spec = job(vec![step(1, 4, 500)]);
+    harness
+        .cell
+        .submit_tentatively(id(1), spec.clone(), harness.now);
+    harness.decide_without_log();
+    let records = harness.cell.take_records(harness.now);
+    harness.cell.drop_tentative(id(1), harness.now);
+    harness.submit(2, job(vec![step(1, 4, 500)]));
+    harness.decide_without_log();
+    harness.submit(1, spec);
+    harness.decide_without_log();
+
+    harness.cell.records_appended(records.batch, harness.now);
+    let orders = harness.cell.take_actions(harness.now);
+    assert_eq!(orders, [], "the second placement is not in the log");
+    harness.append_records();
+    assert_eq!(harness.starts.len(), 2);
+    assert_ne!(harness.starts[0].worker, harness.starts[1].worker);
+}
