Drop a cancelled job whose end is recorded without a panic

Cause: dropping a job whose acceptance failed settles its runs, and the last of them removes a job whose cancellation is in the log; the job was looked up again after that. The owner's process would have ended.

Change: the job is read before its runs are settled.

Measured: a_cancelled_job_can_be_dropped panicked before. Found by review.

--- a/crates/kingcupwinch-cell/src/cell/tentative.rs
+++ b/crates/kingcupwinch-cell/src/cell/tentative.rs
@@ -64,15 +64,16 @@
     }
 
     fn remove_tentative(&mut self, key: JobKey, now: Time) {
+        let job = &self.jobs[key];
+        let (id, end) = (job.id, job.end);
         // No orders were sent for these runs.
-        let runs: Vec<RunKey> = self.jobs[key].runs.iter().copied().collect();
+        let runs: Vec<RunKey> = job.runs.iter().copied().collect();
         for run in runs {
             self.settle(run, now);
         }
-        let job = &self.jobs[key];
-        let id = job.id;
-        if job.end == Some(JobState::Cancelled) {
-            // A cancellation is in the log and holds for this id.
+        if end == Some(JobState::Cancelled) {
+            // A cancellation is in the log and holds for this id. Settling the runs may have removed
+            // the job.
             self.tentative.remove(&key);
             return;
         }
--- a/crates/kingcupwinch-cell/tests/cell/tentative.rs
+++ b/crates/kingcupwinch-cell/tests/cell/tentative.rs
@@ -126,3 +126,15 @@
     assert_eq!(harness.starts.len(), 2);
     assert_ne!(harness.starts[0].worker, harness.starts[1].worker);
 }
+
+/// The cancellation of an announced job reaches the log before its acceptance fails.
+#[test]
+fn a_cancelled_job_can_be_dropped() {
+    let mut harness = harness_with_tentative(1);
+    harness.decide_without_log();
+    harness.cell.cancel(id(1), harness.now);
+    let records = harness.cell.take_records(harness.now);
+    harness.cell.records_appended(records.batch, harness.now);
+    harness.cell.drop_tentative(id(1), harness.now);
+    assert_eq!(harness.job_state(1), Some(JobState::Cancelled));
+}
