Give a restarted worker no work before its new entry is read

Cause: a poll shows a restart before the directory does, and the worker was used with the capacity and the labels of its earlier process, though it may have come back as another kind. An entry of an earlier process was told by its start time, which a clock that was set back reverses.

Change: a worker is used only if its entry is that of the process that responds, and entries of any other process are ignored while it responds.

--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -138,6 +138,9 @@
 #[derive(Debug)]
 pub(crate) struct Worker {
     pub(crate) registration: Registration,
+    /// The start time in the directory entry, which may be that of another process than the one that
+    /// responds.
+    listed_ms: Option<u64>,
     /// The last heartbeat in the directory was written after this time.
     pub(crate) heartbeat_after: Time,
     /// When the worker left the directory, if it did.
@@ -172,6 +175,7 @@
 impl Worker {
     pub(crate) fn new(registration: Registration, inherited: bool, leases_expire: Time) -> Self {
         Worker {
+            listed_ms: registration.started_ms,
             registration,
             heartbeat_after: Time::ZERO,
             unlisted_at: None,
@@ -196,14 +200,15 @@
     }
 
     /// Updates the entry from the directory. Only a response of the worker shows that it was
-    /// restarted: entries may be read late, also those of an earlier process.
+    /// restarted: entries may be read late, also those of an earlier process. While the worker
+    /// responds, entries of other processes are ignored.
     pub(crate) fn update_registration(&mut self, entry: Registration) {
         let known_ms = self.registration.started_ms;
-        let is_earlier = entry.started_ms.is_some() && entry.started_ms < known_ms;
-        if is_earlier && self.failed_polls == 0 {
+        if self.registration.is_restart(entry.started_ms) && self.failed_polls == 0 {
             return;
         }
         self.unlisted_at = None;
+        self.listed_ms = entry.started_ms;
         self.registration = Registration {
             started_ms: known_ms.or(entry.started_ms),
             ..entry
@@ -215,6 +220,7 @@
         !self.registration.draining
             && !self.inherited
             && !self.has_unknown_runs
+            && !self.registration.is_restart(self.listed_ms)
             && self.clock_sample.is_some()
             && self.failed_polls == 0
             && self.quarantined_until <= now
--- a/crates/kingcupwinch-cell/tests/cell/workers.rs
+++ b/crates/kingcupwinch-cell/tests/cell/workers.rs
@@ -69,11 +69,36 @@
     harness
         .cell
         .poll_answered(worker, sent, status, harness.now);
+    register_started(&mut harness, 0, 4, 2);
     harness.decide();
     assert_eq!(harness.starts.len(), 1);
     assert_eq!(harness.starts[0].run, 2);
 }
 
+/// A worker may come back with another capacity and other labels.
+#[test]
+fn a_restarted_worker_gets_no_work_until_its_new_entry_is_read() {
+    let mut harness = Harness::new(1, 4);
+    let worker = harness.keys()[0];
+    harness.poll_started(worker, 2);
+    harness.submit(1, job(vec![step(1, 4, 500)]));
+    harness.decide();
+    assert!(harness.starts.is_empty());
+    register_started(&mut harness, 0, 2, 2);
+    harness.decide();
+    assert!(harness.starts.is_empty(), "it has 2 cores now");
+    harness.submit(2, job(vec![step(1, 2, 500)]));
+    harness.decide();
+    assert_eq!(harness.starts.len(), 1);
+}
+
+/// Delivers a worker's directory entry with a start time.
+fn register_started(harness: &mut Harness, number: usize, cores: u64, started_ms: u64) {
+    let mut entry = registration(number, cores);
+    entry.started_ms = Some(started_ms);
+    harness.cell.register_worker(entry, false, harness.now);
+}
+
 #[test]
 fn a_draining_worker_gets_no_new_work() {
     let mut harness = Harness::new(1, 4);
