Acknowledge no ends after a pause of the polls

Cause: an owner that was suspended or paused polls again after a while without a failed poll. The worker may have been replaced by a later process, which would get the acknowledgements of its predecessor.

Change: ends are acknowledged only within a second of the worker's last response.

--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -25,6 +25,9 @@
 const STALL_DIVISOR: u64 = 10;
 /// The progress from which the time of a run is projected, in percent.
 const MIN_PROJECTED_PERCENT: u8 = 20;
+/// The longest time since a worker's last response in which its process is assumed not to have been
+/// replaced: a worker takes longer to start.
+const MAX_ACK_DELAY: Span = Span::from_millis(1_000);
 /// How long a worker that left the directory and has no runs is still polled.
 const UNLISTED_RETENTION: Span = Span::from_secs(8);
 
@@ -39,12 +42,14 @@
             worker.grant_lease(now, self.timers.max_lease)
         };
         let long_poll = !worker.inherited && worker.failed_polls == 0 && lease_until.is_some();
-        // After a failed poll, the response may come from a later process, which numbers its ends
-        // anew.
-        let acked_through = if worker.failed_polls > 0 {
-            0
-        } else {
+        // After a failed poll or a pause, the response may come from a later process, which numbers
+        // its ends anew.
+        let is_same_process =
+            worker.failed_polls == 0 && now.since(worker.last_response) <= MAX_ACK_DELAY;
+        let acked_through = if is_same_process {
             worker.last_end_acked
+        } else {
+            0
         };
         Some(WorkerPoll {
             lease_until,
--- a/crates/kingcupwinch-cell/tests/cell/late_ends.rs
+++ b/crates/kingcupwinch-cell/tests/cell/late_ends.rs
@@ -194,3 +194,17 @@
     assert_eq!(harness.starts.len(), 1);
     assert_eq!(harness.starts[0].task, listed);
 }
+
+/// The process may have been replaced while the owner was paused, without a poll that failed.
+#[test]
+fn nothing_is_acknowledged_after_a_pause_of_the_polls() {
+    let (mut harness, worker, _) = harness_with_run();
+    harness.end_all(EndReason::Done);
+    harness.poll(worker);
+    harness.append_records();
+    let poll = harness.cell.next_poll(worker, harness.now).unwrap();
+    assert_eq!(poll.acked_through, 1);
+    harness.advance(5_000);
+    let poll = harness.cell.next_poll(worker, harness.now).unwrap();
+    assert_eq!(poll.acked_through, 0, "the process may be a later one");
+}
