Let no late checkpoint replace that of a later run

Cause: the late end of a settled run brought its checkpoint, which replaced the one that a later run had saved while the task waited again.

Change: a task knows which run saved its checkpoint, and only a later run replaces it.

--- a/crates/kingcupwinch-cell/src/cell/run_ends.rs
+++ b/crates/kingcupwinch-cell/src/cell/run_ends.rs
@@ -26,7 +26,7 @@
         let (step, index) = (self.jobs[job].slot(name), usize::from(name.index));
         let is_long_running = self.jobs[job].step_spec(step).long_running;
         if let (true, Some(checkpoint)) = (is_active, checkpoint) {
-            self.store_checkpoint(job, step, index, checkpoint);
+            self.store_checkpoint(job, (step, index), number, &checkpoint);
         }
         match reason {
             // Long-running tasks are restarted whatever the reason.
@@ -69,14 +69,13 @@
         if !job.has_task(step, index) || job.step_spec(step).long_running || job.end.is_some() {
             return false;
         }
-        let state = job.steps[step].tasks[index].state;
-        if state == TaskState::Done {
+        let task = &job.steps[step].tasks[index];
+        if task.state == TaskState::Done {
             return false;
         }
-        if let Some(checkpoint) = &end.checkpoint
-            && state == TaskState::Waiting
-        {
-            self.store_checkpoint(key, step, index, Arc::clone(checkpoint));
+        let is_newer = task.state == TaskState::Waiting && end.run > task.checkpoint_run;
+        if let (true, Some(checkpoint)) = (is_newer, &end.checkpoint) {
+            self.store_checkpoint(key, (step, index), end.run, checkpoint);
         }
         match end.reason {
             EndReason::Done => self.complete_task(key, end.task, end.run),
@@ -86,14 +85,25 @@
         true
     }
 
-    fn store_checkpoint(&mut self, key: JobKey, step: usize, index: usize, checkpoint: Arc<str>) {
+    /// Stores the checkpoint that a run saved. That of one member of a gang is that of all.
+    fn store_checkpoint(
+        &mut self,
+        key: JobKey,
+        (step, index): (usize, usize),
+        number: u32,
+        checkpoint: &Arc<str>,
+    ) {
         let job = &mut self.jobs[key];
-        if job.step_spec(step).gang {
-            for task in &mut job.steps[step].tasks {
-                task.checkpoint = Some(Arc::clone(&checkpoint));
-            }
+        let is_gang = job.step_spec(step).gang;
+        let tasks = &mut job.steps[step].tasks;
+        let saved = if is_gang {
+            &mut tasks[..]
         } else {
-            job.steps[step].tasks[index].checkpoint = Some(checkpoint);
+            &mut tasks[index..=index]
+        };
+        for task in saved {
+            task.checkpoint_run = number;
+            task.checkpoint = Some(Arc::clone(checkpoint));
         }
         self.dirty.insert(key);
     }
--- a/crates/kingcupwinch-cell/src/job.rs
+++ b/crates/kingcupwinch-cell/src/job.rs
@@ -69,6 +69,9 @@
     /// The numbers of the runs that failed. For a gang, the first task holds those of all members.
     pub(crate) failed_runs: SmallVec<[u32; 4]>,
     pub(crate) checkpoint: Option<Arc<str>>,
+    /// The number of the run that saved the checkpoint, or the highest number so far if an earlier
+    /// owner recorded it.
+    pub(crate) checkpoint_run: u32,
     /// The worker of the last failed run, which the next run avoids.
     pub(crate) avoid_worker: Option<WorkerKey>,
     /// The earliest time of the next start.
@@ -124,6 +127,7 @@
             unsettled_runs: 0,
             failed_runs: SmallVec::new(),
             checkpoint: None,
+            checkpoint_run: 0,
             avoid_worker: None,
             not_before: Time::ZERO,
             short_runs: 0,
@@ -343,6 +347,7 @@
         }
         for (step, index, checkpoint) in &record.checkpoints {
             if let Some(task) = self.task_mut(*step as usize, (*index).into()) {
+                task.checkpoint_run = record.last_run;
                 task.checkpoint = Some(Arc::clone(checkpoint));
             }
         }
--- a/crates/kingcupwinch-cell/tests/cell/late_ends.rs
+++ b/crates/kingcupwinch-cell/tests/cell/late_ends.rs
@@ -1,6 +1,8 @@
 //! Ends that a worker lists after the owner has concluded that its runs are over.
 
-use kingcupwinch_cell::{EndReason, JobState, PollFailure, WorkerKey};
+use std::sync::Arc;
+
+use kingcupwinch_cell::{EndReason, JobState, PollFailure, RunEnd, WorkerKey};
 use kingcupwinch_time::Span;
 
 use crate::harness::{Harness, job, registration, step};
@@ -208,3 +210,36 @@
     let poll = harness.cell.next_poll(worker, harness.now).unwrap();
     assert_eq!(poll.acked_through, 0, "the process may be a later one");
 }
+
+/// A settled run saved a checkpoint, and the run that replaced it saved a later one before the end of
+/// the first is listed.
+#[test]
+fn a_late_checkpoint_does_not_replace_that_of_a_later_run() {
+    let (mut harness, first, number) = harness_with_run();
+    harness.cell.poll_failed(first, PollFailure::Closed);
+    harness
+        .cell
+        .mark_unlisted(&format!("i-{number}"), harness.now);
+    harness.run_round();
+    harness.workers.get_mut(&first).unwrap().running.clear();
+    let (second, task) = harness.running()[0];
+    harness.workers.get_mut(&second).unwrap().running.clear();
+    for (worker, run, checkpoint) in [(second, 2, "later"), (first, 1, "earlier")] {
+        harness
+            .workers
+            .get_mut(&worker)
+            .unwrap()
+            .ended
+            .push(RunEnd {
+                sequence: 1,
+                task,
+                run,
+                reason: EndReason::Stopped,
+                checkpoint: Some(Arc::from(checkpoint)),
+            });
+        harness.poll(worker);
+    }
+    harness.append_records();
+    let record = &harness.records[&task.job];
+    assert_eq!(&*record.checkpoints[0].2, "later");
+}
