Let a late end show that its job has begun

Cause: the end of an earlier owner's run used to adopt the run, which marked the job as begun. Counting late ends without a run left that out, so that a job with a recorded placement only could be shown as queued after it ran.

Change: a late end marks its job as begun.

--- a/crates/kingcupwinch-cell/src/cell/run_ends.rs
+++ b/crates/kingcupwinch-cell/src/cell/run_ends.rs
@@ -66,7 +66,14 @@
         let job = &mut self.jobs[key];
         let (step, index) = (job.slot(end.task), usize::from(end.task.index));
         job.open_through(step, now);
-        if !job.has_task(step, index) || job.step_spec(step).long_running || job.end.is_some() {
+        if !job.has_task(step, index) || job.end.is_some() {
+            return false;
+        }
+        if !job.started {
+            job.started = true;
+            self.dirty.insert(key);
+        }
+        if job.step_spec(step).long_running {
             return false;
         }
         let task = &job.steps[step].tasks[index];
--- a/crates/kingcupwinch-cell/tests/cell/takeover.rs
+++ b/crates/kingcupwinch-cell/tests/cell/takeover.rs
@@ -133,6 +133,25 @@
     assert_eq!(harness.job_state(1), Some(JobState::Completed));
 }
 
+/// The earlier owner was lost before it recorded that the run had begun.
+#[test]
+fn the_end_of_an_earlier_owners_run_shows_that_the_job_has_begun() {
+    let mut harness = successor(1);
+    restore(&mut harness, 1, None);
+    let key = harness.keys()[0];
+    let ended = RunEnd {
+        sequence: 1,
+        task: task(1, 0, 0),
+        run: 1,
+        reason: EndReason::LeaseExpired,
+        checkpoint: None,
+    };
+    harness.workers.get_mut(&key).unwrap().ended.push(ended);
+    harness.poll(key);
+    assert_eq!(harness.job_state(1), Some(JobState::Running));
+    assert_eq!(harness.cell.queued_jobs("queue"), 0);
+}
+
 /// The log may hold an older placement than the one that a worker lists.
 #[test]
 fn the_later_of_a_recorded_and_a_listed_run_stays_active() {
