Keep the recorded progress of jobs whose acceptance is read later

Cause: an owner places a job while its acceptance is being appended. If a successor reads the intake just before the acceptance lands, it dropped the record of the placement, and took the acceptance that it read later for a new job: the task was started beside the run that the earlier owner had ordered in the meantime, and an end of that run was acknowledged and lost.

Change: a takeover keeps such records until the acceptance is read. Until then, ends of these jobs are not acknowledged and listed runs not stopped.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -135,6 +135,8 @@
     pub(crate) jobs: SlotMap<JobKey, Job>,
     jobs_by_id: FxHashMap<JobId, JobKey>,
     ended_jobs: FxHashMap<JobId, JobState>,
+    /// The progress that an earlier owner recorded of jobs whose acceptance was not read yet.
+    unaccepted: FxHashMap<JobId, JobRecord>,
     /// When the final states of jobs expire, in order of time.
     end_expiry: VecDeque<(Time, JobId)>,
     /// Cancellations that arrived before their jobs, with the time at which each expires.
@@ -188,6 +190,7 @@
             jobs: SlotMap::with_key(),
             jobs_by_id: FxHashMap::default(),
             ended_jobs: FxHashMap::default(),
+            unaccepted: FxHashMap::default(),
             end_expiry: VecDeque::new(),
             early_cancels: FxHashMap::default(),
             workers: SlotMap::with_key(),
@@ -251,6 +254,9 @@
             self.scheduled_jobs.insert(key);
         }
         self.jobs_by_id.insert(id, key);
+        if let Some(record) = self.unaccepted.remove(&id) {
+            self.restore_progress(key, &record, now);
+        }
         if self.early_cancels.remove(&id).is_some() {
             self.end_job(key, JobState::Cancelled);
             return SubmitOutcome::Cancelled;
@@ -258,7 +264,9 @@
         SubmitOutcome::New
     }
 
-    /// Restores a job of an earlier owner. `age` is the time since its acceptance.
+    /// Restores a job of an earlier owner. `age` is the time since its acceptance. Without `spec`, the
+    /// progress is kept until the acceptance is read: the earlier owner may have placed the job while
+    /// its acceptance was being appended.
     pub fn restore(
         &mut self,
         id: JobId,
@@ -271,15 +279,25 @@
             self.retain_end(id, state, now);
             return;
         }
-        let Some(spec) = spec else { return };
+        let Some(spec) = spec else {
+            self.unaccepted
+                .extend(record.map(|record| (id, record.clone())));
+            return;
+        };
         if self.submit(id, spec, now - age) != SubmitOutcome::New {
             return;
         }
         let key = self.jobs_by_id[&id];
+        self.jobs[key].inherited = true;
+        // Tasks without a recorded placement were never ordered and can start at once.
+        if let Some(record) = record {
+            self.restore_progress(key, record, now);
+        }
+    }
+
+    fn restore_progress(&mut self, key: JobKey, record: &JobRecord, now: Time) {
         let job = &mut self.jobs[key];
         job.inherited = true;
-        // Tasks without a recorded placement were never ordered and can start at once.
-        let Some(record) = record else { return };
         job.restore(record, now);
         job.update_paths(&self.run_times);
         job.last_run = job.last_run.max(self.run_base);
--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -72,9 +72,9 @@
         let worker = &mut self.workers[key];
         worker.note_response(status.clock_ms, now);
         self.apply_running(key, &status.running, now);
-        self.apply_ends(key, &status.ended, now);
+        let are_all_applied = self.apply_ends(key, &status.ended, now);
         // A truncated list says nothing about the runs that it lacks.
-        if status.ended.len() < MAX_LISTED_ENDS {
+        if are_all_applied && status.ended.len() < MAX_LISTED_ENDS {
             self.settle_unlisted_runs(key, &status.running, is_restarted, sent, now);
         }
     }
@@ -83,12 +83,14 @@
         self.workers[key].has_unknown_runs = false;
         for entry in running {
             let Some(run) = self.find_run(key, entry.task, entry.run, now) else {
-                self.actions.push(Action::Stop(StopOrder {
-                    worker: key,
-                    task: entry.task,
-                    run: entry.run,
-                }));
                 self.workers[key].has_unknown_runs = true;
+                if !self.unaccepted.contains_key(&entry.task.job) {
+                    self.actions.push(Action::Stop(StopOrder {
+                        worker: key,
+                        task: entry.task,
+                        run: entry.run,
+                    }));
+                }
                 continue;
             };
             let state = &mut self.runs[run];
@@ -172,12 +174,17 @@
         }
     }
 
-    fn apply_ends(&mut self, key: WorkerKey, ended: &[RunEnd], now: Time) {
+    /// Applies the ends that a worker lists. Returns false if some have to wait until the acceptance
+    /// of their job is read; the worker lists them until then.
+    fn apply_ends(&mut self, key: WorkerKey, ended: &[RunEnd], now: Time) -> bool {
         for end in ended {
             let worker = &mut self.workers[key];
             if end.sequence <= worker.last_end_seen {
                 continue;
             }
+            if self.unaccepted.contains_key(&end.task.job) {
+                return false;
+            }
             worker.last_end_seen = end.sequence;
             self.pending_acks.push(PendingAck {
                 batch: self.batch,
@@ -187,6 +194,7 @@
             });
             self.apply_end(key, end, now);
         }
+        true
     }
 
     fn apply_end(&mut self, key: WorkerKey, end: &RunEnd, now: Time) {
--- a/crates/kingcupwinch-cell/src/cell/tentative.rs
+++ b/crates/kingcupwinch-cell/src/cell/tentative.rs
@@ -9,6 +9,7 @@
 use crate::id::JobId;
 use crate::job::{JobKey, JobState};
 use crate::mechanism::Mechanism;
+use crate::record::JobRecord;
 use crate::run::RunKey;
 use crate::spec::JobSpec;
 
@@ -66,7 +67,11 @@
     fn remove_tentative(&mut self, key: JobKey, now: Time) {
         let job = &self.jobs[key];
         let (id, end) = (job.id, job.end);
-        // No orders were sent for these runs.
+        // An earlier owner may have ordered runs, if the acceptance is in the log all the same.
+        let earlier = job
+            .inherited
+            .then(|| JobRecord::of_progress(job, self.placements(job)));
+        // This owner sent no orders for these runs.
         let runs: Vec<RunKey> = job.runs.iter().copied().collect();
         for run in runs {
             self.settle(run, now);
@@ -81,6 +86,11 @@
         self.jobs_by_id.remove(&id);
         self.dirty.remove(&key);
         self.unindex_job(key);
-        self.dropped_jobs.push(id);
+        match earlier {
+            Some(record) => {
+                self.unaccepted.insert(id, record);
+            }
+            None => self.dropped_jobs.push(id),
+        }
     }
 }
--- a/crates/kingcupwinch-cell/tests/cell/takeover.rs
+++ b/crates/kingcupwinch-cell/tests/cell/takeover.rs
@@ -320,3 +320,65 @@
     harness.decide();
     assert_eq!(harness.starts.len(), 1);
 }
+
+/// Restores the placement of a job whose acceptance is read later: the earlier owner placed it while
+/// it was being appended, and sent the order when it was in the log.
+fn successor_of_unaccepted() -> Harness {
+    let mut harness = successor(2);
+    let record = placed_on("i-0", 1);
+    harness
+        .cell
+        .restore(id(1), None, Some(&record), Span::ZERO, harness.now);
+    harness
+}
+
+#[test]
+fn a_placement_counts_if_the_acceptance_is_read_later() {
+    let mut harness = successor_of_unaccepted();
+    let keys = harness.keys();
+    list_running(&mut harness, keys[0], run_of(1, 1));
+    harness.poll(keys[1]);
+    harness.submit(1, job(vec![step(1, 1, 500)]));
+    harness.run_round();
+    assert_eq!(harness.running().len(), 1, "two runs of one task");
+    harness.poll(keys[0]);
+    harness.end_all(EndReason::Done);
+    harness.poll_all();
+    harness.append_records();
+    assert_eq!(harness.job_state(1), Some(JobState::Completed));
+}
+
+#[test]
+fn an_end_is_not_acknowledged_before_the_acceptance_is_read() {
+    let mut harness = successor_of_unaccepted();
+    let key = harness.keys()[0];
+    list_running(&mut harness, key, run_of(1, 1));
+    harness.end_all(EndReason::Done);
+    harness.poll_all();
+    harness.append_records();
+    let poll = harness.cell.next_poll(key, harness.now).unwrap();
+    assert_eq!(poll.acked_through, 0);
+    harness.submit(1, job(vec![step(1, 1, 500)]));
+    harness.poll_all();
+    harness.append_records();
+    harness.decide();
+    assert!(harness.starts.is_empty());
+    assert_eq!(harness.job_state(1), Some(JobState::Completed));
+}
+
+/// A job that is announced again is dropped again, and accepted by its first append after all.
+#[test]
+fn a_dropped_job_of_an_earlier_owner_keeps_its_placement() {
+    let mut harness = successor_of_unaccepted();
+    let keys = harness.keys();
+    list_running(&mut harness, keys[0], run_of(1, 1));
+    harness.poll(keys[1]);
+    let spec = job(vec![step(1, 1, 500)]);
+    harness
+        .cell
+        .submit_tentatively(id(1), spec.clone(), harness.now);
+    harness.cell.drop_tentative(id(1), harness.now);
+    harness.submit(1, spec);
+    harness.run_round();
+    assert_eq!(harness.running().len(), 1, "two runs of one task");
+}
--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -108,6 +108,11 @@
             origins.entry(id).or_default().push(*partition);
         }
     }
+    for (id, record) in &records {
+        if cell.job_state(*id).is_none() {
+            cell.restore(*id, None, Some(record), Span::ZERO, now);
+        }
+    }
     let jobs = cell.live_jobs();
     shared.log.write(
         Event::TookOver,
