Submit no task that may still run when another is returned

A home submitted all unconfirmed tasks of a job as soon as one of them was returned, although the others may run on workers that had just changed hands: such a task ran in two places at once, and one that must not run twice ran again. A start record that takes effect twice did the same.

Submit only the tasks whose leases have certainly expired, and of a job that must not run twice only those that certainly never ran. A recovery that has proved that no earlier run exists records that first.

The tests hold a scheduler and a job manager against a simulated log; both failed before (two tasks waiting instead of one; the task never counted as unknown) and pass now.

--- a/crates/kingcupwinch-daemon/src/actors/jobs.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs.rs
@@ -209,3 +209,6 @@
         self.run_due().await;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
@@ -63,7 +63,7 @@
     async fn start_job(&mut self, open: &OpenJob) {
         let job = open.accepted.job;
         if open.accepted.idempotent {
-            return self.submit_unconfirmed(job).await;
+            return self.submit(job).await;
         }
         let term = home_of(job)
             .and_then(|home| self.homes.get(&home))
@@ -79,16 +79,17 @@
         let home = home_of(job).and_then(|home| self.homes.get(&home));
         let started = self.jobs.open(job).and_then(|open| open.started);
         if home.is_some_and(|home| Some(home.term) == started) {
-            self.submit_unconfirmed(job).await;
+            self.submit(job).await;
         }
     }
 
-    /// Submits the unconfirmed tasks of a job to the scheduler.
-    async fn submit_unconfirmed(&mut self, job: JobId) {
+    /// Submits to the scheduler the tasks of a job that certainly do not run.
+    async fn submit(&mut self, job: JobId) {
+        let now = self.now();
         let Some(progress) = self.progress.get_mut(&job) else {
             return;
         };
-        let tasks = progress.tasks_where(|status| matches!(status, TaskStatus::Unconfirmed(_)));
+        let tasks = progress.submittable(now);
         if tasks.is_empty() {
             return;
         }
@@ -132,7 +133,7 @@
         };
         let returned = progress.tasks.get(index) == Some(&TaskStatus::Unconfirmed(Time::ZERO));
         if returned {
-            self.submit_unconfirmed(parts.job.id).await;
+            self.submit(parts.job.id).await;
         }
         let Some(progress) = self.progress.get(&parts.job.id) else {
             return;
@@ -247,7 +248,12 @@
         match step {
             RecoveryStep::Wait => return false,
             RecoveryStep::Adopt if now < expiry => return false,
-            RecoveryStep::Run => self.start_job(open).await,
+            RecoveryStep::Run => {
+                if let Some(progress) = self.progress.get_mut(&job) {
+                    progress.record_not_running();
+                }
+                self.start_job(open).await;
+            }
             RecoveryStep::Adopt if open.accepted.idempotent => self.start_job(open).await,
             RecoveryStep::Adopt | RecoveryStep::End(_) => self.mark_unconfirmed_unknown(job).await,
         }
--- /dev/null
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/tests.rs
@@ -0,0 +1,53 @@
+use kingcupwinch_coord::id::TaskId;
+use kingcupwinch_wire::sibling::TaskPhase;
+
+use super::TaskEvent;
+use crate::actors::scheduler::DropWaiting;
+use crate::actors::tests::{Node, holds_soon};
+use crate::jobs::JobIdParts;
+
+async fn report(node: &Node, task: TaskId, phase: TaskPhase, remote: bool) {
+    let event = TaskEvent {
+        task,
+        phase,
+        remote,
+    };
+    node.jobs.ask(event).await.unwrap();
+}
+
+/// Submits a job of two tasks. The worker of the first changes hands, and the second is returned.
+async fn return_one_of_two(node: &Node, idempotent: bool) -> JobIdParts {
+    let job = node.accept(2, idempotent).await;
+    assert!(holds_soon(async || node.queue().await == (2, 0)).await);
+    node.scheduler.ask(DropWaiting(job.id)).await.unwrap();
+    report(node, job.task(0), TaskPhase::Moved, false).await;
+    report(node, job.task(1), TaskPhase::NotRun, true).await;
+    job
+}
+
+/// A task whose worker has changed hands may still run there while another task of its job is
+/// returned and submitted again.
+#[tokio::test]
+async fn a_returned_task_is_submitted_without_those_that_may_still_run() {
+    let node = Node::start(false).await;
+    let job = return_one_of_two(&node, true).await;
+    assert_eq!(node.queue().await, (1, 0), "only the returned task waits");
+    assert!(
+        holds_soon(async || node.queue().await == (2, 0)).await,
+        "the other task follows once its lease has certainly expired"
+    );
+    let status = node.status(job).await.unwrap();
+    assert_eq!((status.waiting, status.failed), (2, 0));
+}
+
+/// The same where a task must not run twice: the other one is never submitted again.
+#[tokio::test]
+async fn a_returned_task_brings_back_none_that_may_have_run() {
+    let node = Node::start(false).await;
+    let job = return_one_of_two(&node, false).await;
+    assert!(
+        holds_soon(async || node.status(job).await.unwrap().failed == 1).await,
+        "an operator has to decide about the other task"
+    );
+    assert_eq!(node.queue().await, (1, 0), "only the returned task waits");
+}
--- a/crates/kingcupwinch-daemon/src/actors/mod.rs
+++ b/crates/kingcupwinch-daemon/src/actors/mod.rs
@@ -9,3 +9,6 @@
 pub(crate) mod ownership;
 pub(crate) mod reader;
 pub(crate) mod scheduler;
+
+#[cfg(test)]
+mod tests;
--- a/crates/kingcupwinch-daemon/src/jobs/progress.rs
+++ b/crates/kingcupwinch-daemon/src/jobs/progress.rs
@@ -152,6 +152,19 @@
         changed
     }
 
+    /// Returns the indices of the tasks that certainly do not run and may be submitted. A task that
+    /// may have run is submitted again only if that is allowed.
+    pub(crate) fn submittable(&self, now: Time) -> Vec<u32> {
+        let latest = if self.idempotent { now } else { Time::ZERO };
+        self.tasks_where(|status| matches!(status, TaskStatus::Unconfirmed(at) if at <= latest))
+    }
+
+    /// Records that no unconfirmed task runs.
+    pub(crate) fn record_not_running(&mut self) {
+        let unconfirmed = self.tasks_where(|status| matches!(status, TaskStatus::Unconfirmed(_)));
+        self.set_status(&unconfirmed, TaskStatus::Unconfirmed(Time::ZERO));
+    }
+
     /// Returns the indices of the tasks whose status satisfies a predicate.
     pub(crate) fn tasks_where(&self, wanted: impl Fn(TaskStatus) -> bool) -> Vec<u32> {
         let tasks = (0..).zip(&self.tasks);
