Let an old failure that a worker still lists end no job

Workers list ends for minutes, and a new owner of a worker reads them all. It passed the ends of tasks that it does not have to their home without the attempt, and the home took a failure as final. So a job whose task had failed once, was counted and already ran elsewhere ended as failed once the first worker changed hands.

Pass on which attempt ended. The home then leaves a failure of a task that may be repeated to the scheduler that has the task, or to the expiry of its lease; a failure of one that must not run twice is still its end, since there is no other attempt.

--- a/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
@@ -119,6 +119,7 @@
         };
         let index = usize::try_from(parts.index).unwrap_or(usize::MAX);
         let report = TaskReport {
+            attempt: event.attempt,
             phase: event.phase,
             remote: event.remote,
             expiry,
--- a/crates/kingcupwinch-daemon/src/actors/jobs/messages.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/messages.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use kameo::Reply;
 use kameo::message::{Context, Message};
-use kingcupwinch_coord::id::{Incarnation, JobId, ShardId, TaskId, Term};
+use kingcupwinch_coord::id::{Attempt, Incarnation, JobId, ShardId, TaskId, Term};
 use kingcupwinch_coord::ownership::OwnedShard;
 use kingcupwinch_coord::record::{AcceptedJob, JobEnd};
 use kingcupwinch_policy::Refusal;
@@ -67,6 +67,9 @@
 pub(crate) struct TaskEvent {
     /// The task.
     pub(crate) task: TaskId,
+    /// The attempt that ended, if the scheduler does not have the task and passes on what a worker
+    /// lists; zero in a scheduler's own report.
+    pub(crate) attempt: Attempt,
     /// The task's new phase.
     pub(crate) phase: TaskPhase,
     /// Whether the report comes from a sibling's scheduler.
--- a/crates/kingcupwinch-daemon/src/actors/jobs/tests.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/tests.rs
@@ -1,4 +1,4 @@
-use kingcupwinch_coord::id::TaskId;
+use kingcupwinch_coord::id::{Attempt, TaskId};
 use kingcupwinch_wire::sibling::TaskPhase;
 
 use super::TaskEvent;
@@ -9,6 +9,7 @@
 async fn report(node: &Node, task: TaskId, phase: TaskPhase, remote: bool) {
     let event = TaskEvent {
         task,
+        attempt: Attempt(0),
         phase,
         remote,
     };
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/control.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/control.rs
@@ -8,7 +8,7 @@
 use kingcupwinch_platform::{FencingToken, WorkerError};
 use kingcupwinch_policy::{NotStarted, Placement};
 use kingcupwinch_time::{Span, Time};
-use kingcupwinch_wire::sibling::{Body, TaskPhase, TaskState};
+use kingcupwinch_wire::sibling::{Body, TaskState};
 use kingcupwinch_wire::worker::{Renewal, TaskStart};
 use rustc_hash::FxHashMap;
 use slog::o;
@@ -258,19 +258,9 @@
     }
 }
 
-/// Reports a task's phase to the sibling that owns its home shard, until the sibling acknowledges
+/// Reports a task's state to the sibling that owns its home shard, until the sibling acknowledges
 /// it or the attempts are used up.
-pub(super) async fn report_phase(
-    siblings: Arc<Siblings>,
-    to: Incarnation,
-    task: TaskId,
-    phase: TaskPhase,
-) {
-    let state = TaskState {
-        task,
-        attempt: Attempt(0),
-        phase,
-    };
+pub(super) async fn report_state(siblings: Arc<Siblings>, to: Incarnation, state: TaskState) {
     for _ in 0..MAX_REPORT_ATTEMPTS {
         let deadline = Instant::now() + REPORT_TIMEOUT;
         if siblings
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/mod.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/mod.rs
@@ -298,3 +298,6 @@
         self.decide();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/runs.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/runs.rs
@@ -3,17 +3,17 @@
 
 use std::sync::Arc;
 
-use kingcupwinch_coord::id::{Incarnation, TaskId};
+use kingcupwinch_coord::id::{Attempt, Incarnation, TaskId};
 use kingcupwinch_policy::{
     CellError, Disposition, Exit, MachineKey, NotStarted, Outcome, Placement, Refusal, TaskKey,
 };
 use kingcupwinch_time::{Span, Time};
-use kingcupwinch_wire::sibling::TaskPhase;
+use kingcupwinch_wire::sibling::{TaskPhase, TaskState};
 use kingcupwinch_wire::worker::{EndedWork, WorkOutcome};
 use slog::o;
 
 use super::Scheduler;
-use super::control::{StartEnd, report_phase};
+use super::control::{StartEnd, report_state};
 use super::tasks::TaskRun;
 use crate::actors::jobs::TaskEvent;
 use crate::jobs::TaskIdParts;
@@ -68,7 +68,10 @@
                 });
             match (run, known) {
                 (Some(run), _) => self.end_run(run, work, now),
-                (None, None) => self.notify_home(id, outcome_phase(work.outcome)),
+                (None, None) => {
+                    let phase = outcome_phase(work.outcome);
+                    self.notify_home_of(id, Attempt(work.attempt), phase);
+                }
                 // The end belongs to an earlier attempt.
                 (None, Some(_)) => {
                     self.shared.metrics.late_answers.inc();
@@ -251,6 +254,11 @@
 
     /// Reports a task's phase to the owner of its home shard.
     pub(super) fn notify_home(&self, task: TaskId, phase: TaskPhase) {
+        self.notify_home_of(task, Attempt(0), phase);
+    }
+
+    /// Reports the end of an attempt that this scheduler does not know.
+    fn notify_home_of(&self, task: TaskId, attempt: Attempt, phase: TaskPhase) {
         let Some(parts) = TaskIdParts::parse(task) else {
             return;
         };
@@ -261,20 +269,26 @@
         if owner.incarnation == self.shared.incarnation {
             self.notify_jobs(TaskEvent {
                 task,
+                attempt,
                 phase,
                 remote: false,
             });
         } else {
-            self.notify_sibling_home(owner.incarnation, task, phase);
+            let state = TaskState {
+                task,
+                attempt,
+                phase,
+            };
+            self.notify_sibling_home(owner.incarnation, state);
         }
     }
 
-    fn notify_sibling_home(&self, to: Incarnation, task: TaskId, phase: TaskPhase) {
+    fn notify_sibling_home(&self, to: Incarnation, state: TaskState) {
         let Some(siblings) = self.siblings() else {
             return;
         };
         self.shared.metrics.link_messages.inc();
-        tokio::spawn(report_phase(siblings, to, task, phase));
+        tokio::spawn(report_state(siblings, to, state));
     }
 }
 
--- a/crates/kingcupwinch-daemon/src/actors/tests.rs
+++ b/crates/kingcupwinch-daemon/src/actors/tests.rs
@@ -16,13 +16,16 @@
 use kingcupwinch_platform::LogClient;
 use kingcupwinch_time::{BoottimeClock, Span, WallTime};
 use kingcupwinch_wire::api::{JobSpec, JobStatus};
+use kingcupwinch_wire::instance_list::{Capacity, Instance as Listed, InstanceState, Role};
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 use uuid::Uuid;
 
 use super::jobs::{AcceptJob, HomeGained, JobManager, JobsArgs, LookupJob};
 use super::reader::StreamReader;
-use super::scheduler::{ConnectSiblings, GetStatus, Scheduler, SchedulerArgs, ShardGained};
+use super::scheduler::{
+    ConnectSiblings, GetStatus, Scheduler, SchedulerArgs, ShardGained, WorkersListed,
+};
 use crate::jobs::JobIdParts;
 use crate::logging::EventLog;
 use crate::metrics::Metrics;
@@ -65,6 +68,7 @@
 
 /// The actors of one instance that owns [`OWN_SHARD`].
 pub(super) struct Node {
+    pub(super) shared: Arc<Shared>,
     _log_server: LogServer,
     pub(super) scheduler: ActorRef<Scheduler>,
     pub(super) jobs: ActorRef<JobManager>,
@@ -122,6 +126,7 @@
         };
         let reader = tokio::spawn(reader.run(jobs.clone(), Offset(0)));
         Node {
+            shared,
             _log_server: log_server,
             scheduler,
             jobs,
@@ -129,6 +134,36 @@
         }
     }
 
+    /// Lists a worker of [`OWN_SHARD`] that can't be reached, and returns its name.
+    pub(super) async fn list_worker(&self) -> Arc<str> {
+        let name = (0..)
+            .map(|n| format!("worker-{n}"))
+            .find(|name| kingcupwinch_coord::hash::shard_of_name(name, 2) == OWN_SHARD)
+            .unwrap();
+        let listed = Listed {
+            name: name.into(),
+            domain: DOMAIN.into(),
+            rack: "rack-0".into(),
+            role: Role::Worker,
+            state: InstanceState::Live,
+            address: ([127, 0, 0, 1], 1).into(),
+            capacity: Capacity {
+                slots: 4,
+                connections: 32,
+                millicores: 16_000,
+                memory_mb: 65_536,
+                accelerators: 0,
+                services: Vec::new(),
+            },
+        };
+        let name = Arc::clone(&listed.name);
+        self.scheduler
+            .ask(WorkersListed(vec![listed]))
+            .await
+            .unwrap();
+        name
+    }
+
     /// Accepts a job of [`OWN_SHARD`] and waits until it is on the log.
     pub(super) async fn accept(&self, tasks: u32, idempotent: bool) -> JobIdParts {
         let parts = make_id(OWN_SHARD);
--- a/crates/kingcupwinch-daemon/src/jobs/progress.rs
+++ b/crates/kingcupwinch-daemon/src/jobs/progress.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use kingcupwinch_coord::id::{Incarnation, JobId, Term};
+use kingcupwinch_coord::id::{Attempt, Incarnation, JobId, Term};
 use kingcupwinch_coord::record::JobEnd;
 use kingcupwinch_time::Time;
 use kingcupwinch_wire::api::{JobPhase, JobSpec, JobStatus};
@@ -45,6 +45,9 @@
 /// A scheduler's report about a task.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct TaskReport {
+    /// The attempt that ended, if the scheduler does not have the task and passes on what a worker
+    /// lists; zero in a scheduler's own report.
+    pub(crate) attempt: Attempt,
     /// The task's new phase.
     pub(crate) phase: TaskPhase,
     /// Whether the report comes from a sibling's scheduler.
@@ -115,6 +118,7 @@
     /// Applies a scheduler's report; returns whether the status changed.
     pub(crate) fn apply_report(&mut self, index: usize, report: TaskReport) -> bool {
         let TaskReport {
+            attempt,
             phase,
             remote,
             expiry,
@@ -125,6 +129,10 @@
         if status.has_ended() {
             return false;
         }
+        // Workers list ends for minutes, so another attempt may have been started since.
+        if phase == TaskPhase::Failed && self.idempotent && attempt > Attempt(0) {
+            return false;
+        }
         let next = match phase {
             TaskPhase::Done => TaskStatus::Done,
             TaskPhase::Failed => TaskStatus::Failed,
--- a/crates/kingcupwinch-daemon/src/siblings/inbox.rs
+++ b/crates/kingcupwinch-daemon/src/siblings/inbox.rs
@@ -108,6 +108,7 @@
             Body::TaskState(state) => {
                 let event = TaskEvent {
                     task: state.task,
+                    attempt: state.attempt,
                     phase: state.phase,
                     remote: true,
                 };
