Adopt no work that has ended during the lookup of its description

A new owner of a worker looks up the descriptions of the work that a report shows running. If a later report listed the end of such work before the result arrived, the end was passed on to the job's home, and then the task was adopted from the older report. It counted as running until it was taken for lost, and was then started again although its end had been counted.

Keep the ends that arrive during the lookup and adopt none of these tasks. The result of a lookup is also no longer applied to a later machine under the same name.

The test failed before (one slot in use without any work) and passes now.

--- a/crates/kingcupwinch-daemon/src/actors/scheduler/fleet.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/fleet.rs
@@ -280,7 +280,7 @@
             self.log_policy_error("observe", error);
         }
         let now = self.now();
-        self.apply_ended(&reported.usage.ended, now);
+        self.apply_ended(&reported.name, &reported.usage.ended, now);
         let running = reported.usage.running.iter().map(|work| TaskId(work.task));
         let running: Vec<TaskId> = running.collect();
         self.mark_missing_lost(&reported.name, &running, taken, now);
@@ -304,8 +304,10 @@
             return;
         }
         owned.inherited = None;
+        owned.ended_in_lookup = Some(Vec::new());
+        let machine = owned.machine;
         let work_items = reported.usage.running.clone();
-        self.look_up_inherited(&reported.name, hold, work_items, taken);
+        self.look_up_inherited(&reported.name, (machine, hold), work_items, taken);
     }
 
     /// Reserves the capacity of work that may still run, until a report shows that it does not.
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/inherit.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/inherit.rs
@@ -17,6 +17,7 @@
 /// The work that runs on an inherited worker, with the descriptions found in open jobs.
 struct InheritedWork {
     name: Arc<str>,
+    machine: MachineKey,
     hold: HoldKey,
     taken: Time,
     work_items: Vec<(RunningWork, Option<KnownTask>)>,
@@ -28,7 +29,7 @@
     pub(super) fn look_up_inherited(
         &mut self,
         name: &Arc<str>,
-        hold: HoldKey,
+        (machine, hold): (MachineKey, HoldKey),
         work_items: Vec<RunningWork>,
         taken: Time,
     ) {
@@ -50,6 +51,7 @@
             let _ = me
                 .tell(InheritedWork {
                     name,
+                    machine,
                     hold,
                     taken,
                     work_items,
@@ -59,11 +61,17 @@
     }
 
     fn apply_inherited(&mut self, inherit: InheritedWork) {
-        self.release_hold(inherit.hold);
-        let Some(machine) = self.workers.get(&inherit.name).map(|owned| owned.machine) else {
+        let machine = inherit.machine;
+        let owned = self.workers.get_mut(&inherit.name);
+        // A machine that is gone has no holds.
+        let Some(owned) = owned.filter(|owned| owned.machine == machine) else {
             return;
         };
-        for (work, known) in inherit.work_items {
+        let ended = owned.ended_in_lookup.take().unwrap_or_default();
+        self.release_hold(inherit.hold);
+        let work_items = inherit.work_items.into_iter();
+        let running = work_items.filter(|(work, _)| !ended.contains(&(work.task, work.attempt)));
+        for (work, known) in running {
             match known.filter(|_| work.kind == WorkKind::Task) {
                 Some(known) => self.adopt(machine, &work, known),
                 None => self.hold_unknown_work(&inherit.name, machine, &work, inherit.taken),
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/owned_worker.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/owned_worker.rs
@@ -45,6 +45,9 @@
     /// Reservation of all free capacity until a report taken after the given time shows what a
     /// previous owner left running.
     pub(super) inherited: Option<(HoldKey, Time)>,
+    /// Ends reported while the descriptions of inherited work are looked up, by task and attempt;
+    /// `None` while no lookup is in progress.
+    pub(super) ended_in_lookup: Option<Vec<(Uuid, u32)>>,
     /// Reservation of all free capacity while the shard has no permit to dispatch.
     pub(super) blocked: Option<HoldKey>,
     /// Work that may still run.
@@ -76,6 +79,7 @@
             worker,
             machine,
             inherited: None,
+            ended_in_lookup: None,
             blocked: None,
             unconfirmed: SmallVec::new(),
             leaving: false,
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/runs.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/runs.rs
@@ -56,7 +56,7 @@
 
     /// Applies the ends listed in a usage report. Ends of tasks that are not known here are passed
     /// on to their home shards.
-    pub(super) fn apply_ended(&mut self, ended: &[EndedWork], now: Time) {
+    pub(super) fn apply_ended(&mut self, name: &Arc<str>, ended: &[EndedWork], now: Time) {
         for work in ended {
             let id = TaskId(work.task);
             let known = self.task_keys.get(&id).copied();
@@ -69,6 +69,10 @@
             match (run, known) {
                 (Some(run), _) => self.end_run(run, work, now),
                 (None, None) => {
+                    let owned = self.workers.get_mut(name);
+                    if let Some(ends) = owned.and_then(|owned| owned.ended_in_lookup.as_mut()) {
+                        ends.push((work.task, work.attempt));
+                    }
                     let phase = outcome_phase(work.outcome);
                     self.notify_home_of(id, Attempt(work.attempt), phase);
                 }
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/tests.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/tests.rs
@@ -1,32 +1,40 @@
 use std::sync::Arc;
 
 use kingcupwinch_coord::id::TaskId;
-use kingcupwinch_wire::api::JobPhase;
-use kingcupwinch_wire::worker::{EndedWork, Usage, WorkOutcome};
+use kingcupwinch_wire::api::{JobPhase, WorkerState};
+use kingcupwinch_wire::worker::{EndedWork, RunningWork, Usage, WorkKind, WorkOutcome};
 
-use super::{DropWaiting, UsageReported};
-use crate::actors::tests::{Node, holds_soon};
+use super::{DropWaiting, GetStatus, UsageReported};
+use crate::actors::tests::{FREE_SHARD, Node, holds_soon};
 
 /// Number of the first attempt of a job's second submission.
 const SECOND_SUBMISSION: u32 = 513;
 
 /// Reports that a task has ended on a worker.
 async fn report_end(node: &Node, name: &Arc<str>, task: TaskId, outcome: WorkOutcome) {
-    let ended = EndedWork {
+    let usage = Usage {
+        ended: vec![make_end(task, outcome)],
+        ..Usage::default()
+    };
+    let reported = make_report(node, name, usage);
+    node.scheduler.ask(reported).await.unwrap();
+}
+
+fn make_end(task: TaskId, outcome: WorkOutcome) -> EndedWork {
+    EndedWork {
         task: task.0,
         attempt: SECOND_SUBMISSION,
         outcome,
         run_ms: 50,
-    };
-    let reported = UsageReported {
+    }
+}
+
+fn make_report(node: &Node, name: &Arc<str>, usage: Usage) -> UsageReported {
+    UsageReported {
         name: Arc::clone(name),
         sent: node.shared.now(),
-        usage: Usage {
-            ended: vec![ended],
-            ..Usage::default()
-        },
-    };
-    node.scheduler.ask(reported).await.unwrap();
+        usage,
+    }
 }
 
 /// A new owner of a worker reads the ends of the last minutes, among them failures that the owner
@@ -56,3 +64,37 @@
     let ended = async || node.status(job).await.unwrap().phase == JobPhase::Failed;
     assert!(holds_soon(ended).await);
 }
+
+/// A new owner looks up the work that a report lists as running. Its end arrives before the result.
+#[tokio::test]
+async fn work_that_ends_during_its_lookup_is_not_adopted() {
+    let node = Node::start(true).await;
+    let worker = node.list_worker().await;
+    let job = node.append_job(FREE_SHARD, 1, true);
+    assert!(holds_soon(async || node.status(job).await.is_some()).await);
+    let running = RunningWork {
+        task: job.task(0).0,
+        attempt: SECOND_SUBMISSION,
+        term: 1,
+        kind: WorkKind::Task,
+    };
+    let running = Usage {
+        running: vec![running],
+        ..Usage::default()
+    };
+    let ended = Usage {
+        ended: vec![make_end(job.task(0), WorkOutcome::Done)],
+        ..Usage::default()
+    };
+    for usage in [running, ended] {
+        let reported = make_report(&node, &worker, usage);
+        node.scheduler.tell(reported).try_send().unwrap();
+    }
+    let free = async || {
+        let status = node.scheduler.ask(GetStatus).await.unwrap();
+        status.workers[0].state == WorkerState::Live
+    };
+    assert!(holds_soon(free).await);
+    assert!(holds_soon(async || node.busy().await == 0).await);
+    assert_eq!(node.queue().await, (0, 0), "the ended work was adopted");
+}
--- a/crates/kingcupwinch-daemon/src/actors/tests.rs
+++ b/crates/kingcupwinch-daemon/src/actors/tests.rs
@@ -8,14 +8,15 @@
 use kameo::actor::{ActorRef, Spawn};
 use kameo::mailbox;
 use kingcupwinch_config::load_texts;
-use kingcupwinch_coord::id::{Incarnation, Offset, ShardId, Term, Version};
+use kingcupwinch_coord::id::{Incarnation, Offset, RecordId, ShardId, Term, Version};
 use kingcupwinch_coord::ownership::{OwnedShard, Permit};
-use kingcupwinch_coord::record::Member;
+use kingcupwinch_coord::record::{AcceptedJob, JobRecord, Member, Stamped};
 use kingcupwinch_fakes::{FakeLog, LogServer};
 use kingcupwinch_link::Links;
 use kingcupwinch_platform::LogClient;
 use kingcupwinch_time::{BoottimeClock, Span, WallTime};
 use kingcupwinch_wire::api::{JobSpec, JobStatus};
+use kingcupwinch_wire::encode_job;
 use kingcupwinch_wire::instance_list::{Capacity, Instance as Listed, InstanceState, Role};
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
@@ -39,6 +40,9 @@
 /// The shard that the instance owns.
 pub(super) const OWN_SHARD: ShardId = ShardId(0);
 
+/// A shard without an owner.
+pub(super) const FREE_SHARD: ShardId = ShardId(1);
+
 /// Lifetime of the permit of [`OWN_SHARD`].
 const PERMIT_LIFETIME: Span = Span::from_secs(3_600);
 
@@ -69,6 +73,7 @@
 /// The actors of one instance that owns [`OWN_SHARD`].
 pub(super) struct Node {
     pub(super) shared: Arc<Shared>,
+    log: FakeLog,
     _log_server: LogServer,
     pub(super) scheduler: ActorRef<Scheduler>,
     pub(super) jobs: ActorRef<JobManager>,
@@ -127,6 +132,7 @@
         let reader = tokio::spawn(reader.run(jobs.clone(), Offset(0)));
         Node {
             shared,
+            log,
             _log_server: log_server,
             scheduler,
             jobs,
@@ -179,6 +185,29 @@
         parts
     }
 
+    /// Appends a job as another instance would that has accepted it.
+    pub(super) fn append_job(&self, home: ShardId, tasks: u32, idempotent: bool) -> JobIdParts {
+        let parts = make_id(home);
+        let accepted = AcceptedJob {
+            job: parts.id,
+            home,
+            accepted: WallTime::from_millis(0),
+            idempotent,
+            spec: serde_json::to_vec(&make_spec(tasks)).unwrap().into(),
+        };
+        self.append(JobRecord::Accepted(vec![accepted]));
+        parts
+    }
+
+    /// Appends a record as another instance would.
+    pub(super) fn append(&self, body: JobRecord) {
+        let record = Stamped {
+            id: RecordId(Uuid::now_v7()),
+            body,
+        };
+        self.log.append(STREAM, encode_job(&record));
+    }
+
     /// Returns the numbers of waiting and running tasks in the scheduler.
     pub(super) async fn queue(&self) -> (u64, u64) {
         let status = self.scheduler.ask(GetStatus).await.unwrap();
@@ -186,6 +215,12 @@
         (queue.waiting, queue.running)
     }
 
+    /// Returns the number of slots in use on the listed worker.
+    pub(super) async fn busy(&self) -> u32 {
+        let status = self.scheduler.ask(GetStatus).await.unwrap();
+        status.workers[0].busy
+    }
+
     /// Returns a job's state.
     pub(super) async fn status(&self, job: JobIdParts) -> Option<JobStatus> {
         self.jobs.ask(LookupJob(job.id)).await.unwrap().0
