Start a job though its home's term was renewed meanwhile

An owner renews its term when its voters change, with no other owner in between. A start record that was on its way to the log carried the old term and was ignored when it was read back, so a job that must not run twice waited for ever, or ended as unknown though it never ran.

Accept a start record of any term of the current ownership.

The test failed before (the job never reached the scheduler) and passes now.

--- a/crates/kingcupwinch-daemon/src/actors/jobs.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs.rs
@@ -54,6 +54,8 @@
 /// A home shard that this instance owns.
 struct Home {
     term: Term,
+    /// The term in which this instance became the owner. Since then there was no other one.
+    first_term: Term,
     recovery: Recovery,
     /// Whether the jobs of the previous owner have been recovered.
     recovered: bool,
@@ -160,6 +162,7 @@
             owned.shard,
             Home {
                 term: owned.term,
+                first_term: owned.term,
                 recovery,
                 recovered: false,
             },
--- a/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
@@ -74,11 +74,12 @@
         }
     }
 
-    /// Submits a job whose start record carries this instance's current term.
+    /// Submits a job whose start record carries a term of this instance's current ownership. The
+    /// term may have been renewed since the record was appended.
     async fn run_started(&mut self, job: JobId) {
         let home = home_of(job).and_then(|home| self.homes.get(&home));
         let started = self.jobs.open(job).and_then(|open| open.started);
-        if home.is_some_and(|home| Some(home.term) == started) {
+        if home.is_some_and(|home| started >= Some(home.first_term)) {
             self.submit(job).await;
         }
     }
--- a/crates/kingcupwinch-daemon/src/actors/jobs/tests.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/tests.rs
@@ -1,9 +1,9 @@
-use kingcupwinch_coord::id::{Attempt, TaskId};
+use kingcupwinch_coord::id::{Attempt, TaskId, Term};
 use kingcupwinch_wire::sibling::TaskPhase;
 
-use super::TaskEvent;
+use super::{HomeRenewed, TaskEvent};
 use crate::actors::scheduler::DropWaiting;
-use crate::actors::tests::{Node, holds_soon};
+use crate::actors::tests::{Node, OWN_SHARD, holds_soon};
 use crate::jobs::JobIdParts;
 
 async fn report(node: &Node, task: TaskId, phase: TaskPhase, remote: bool) {
@@ -52,3 +52,16 @@
     );
     assert_eq!(node.queue().await, (1, 0), "only the returned task waits");
 }
+
+/// The term of the home shard is renewed while the start record is on its way to the log.
+#[tokio::test]
+async fn a_job_starts_though_its_home_was_renewed_meanwhile() {
+    let node = Node::start(false).await;
+    node.accept(1, false).await;
+    let renewed = HomeRenewed {
+        shard: OWN_SHARD,
+        term: Term(2),
+    };
+    node.jobs.ask(renewed).await.unwrap();
+    assert!(holds_soon(async || node.queue().await == (1, 0)).await);
+}
