Recover a job whose record takes effect after the recovery

The record of a job that an earlier owner of the home shard accepted may take effect late: it was on its way, or was repeated. That owner then told its caller that the job was accepted, but the owner of the time had recovered the shard before and never looked at the job. An owner that had lost and regained the shard meanwhile began such a job at once, although the owner in between may run it.

Begin only jobs that were accepted under the current ownership, and recover all others whenever their records are read.

Both cases of the test failed before (the job never reached the scheduler) and pass now.

--- a/crates/kingcupwinch-daemon/src/actors/jobs.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs.rs
@@ -51,6 +51,14 @@
     pub(crate) scheduler: ActorRef<Scheduler>,
 }
 
+/// A job that was accepted here and is on its way to the log.
+struct Accepting {
+    /// The first term of the ownership under which it was accepted.
+    term: Term,
+    /// Signalled once the job's record was read back from the log.
+    persisted: oneshot::Sender<()>,
+}
+
 /// A home shard that this instance owns.
 struct Home {
     term: Term,
@@ -70,7 +78,7 @@
     commit: GroupCommit,
     homes: FxHashMap<ShardId, Home>,
     progress: FxHashMap<JobId, JobProgress>,
-    accepting: FxHashMap<JobId, oneshot::Sender<()>>,
+    accepting: FxHashMap<JobId, Accepting>,
     ending: FxHashMap<JobId, JobEnd>,
     final_states: FinalStates,
     members: Vec<Incarnation>,
--- a/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
@@ -19,15 +19,7 @@
 impl JobManager {
     pub(super) async fn apply_change(&mut self, change: Change) {
         for job in change.opened {
-            if let Some(persisted) = self.accepting.remove(&job) {
-                self.args
-                    .shared
-                    .log
-                    .write(EventId::JobAccepted, o!("job" => job.to_string()));
-                // A caller that has disconnected can still query the job's state.
-                let _ = persisted.send(());
-                self.begin(job).await;
-            }
+            self.open_job(job).await;
         }
         for job in change.started {
             self.run_started(job).await;
@@ -40,6 +32,27 @@
         }
     }
 
+    /// Begins a job that was accepted here under the current ownership of its home shard. Any other
+    /// job was accepted by an earlier owner and is recovered, however late its record is read.
+    async fn open_job(&mut self, job: JobId) {
+        let accepted = self.accepting.remove(&job).map(|accepting| {
+            let fields = o!("job" => job.to_string());
+            self.args.shared.log.write(EventId::JobAccepted, fields);
+            // A caller that has disconnected can still query the job's state.
+            let _ = accepting.persisted.send(());
+            accepting.term
+        });
+        let Some(shard) = home_of(job) else { return };
+        let Some(home) = self.homes.get(&shard) else {
+            return;
+        };
+        if accepted == Some(home.first_term) {
+            self.begin(job).await;
+        } else if home.recovered {
+            self.wait_for_expiry(shard, self.run_expiry());
+        }
+    }
+
     /// Starts tracking a job that this instance accepted and has read back from the log.
     async fn begin(&mut self, job: JobId) {
         let Some(term) = home_of(job)
--- a/crates/kingcupwinch-daemon/src/actors/jobs/messages.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/messages.rs
@@ -14,7 +14,7 @@
 use quick_error::quick_error;
 use tokio::sync::oneshot;
 
-use super::{JobManager, home_of};
+use super::{Accepting, JobManager, home_of};
 use crate::jobs::{JobIdParts, ended_status};
 
 /// Reports that this instance now owns a shard.
@@ -183,9 +183,9 @@
     ) -> Result<(), AcceptError> {
         let parts = accept.parts;
         let spec: Arc<[u8]> = serde_json::to_vec(&*accept.spec).unwrap_or_default().into();
-        if !self.homes.contains_key(&parts.home) {
+        let Some(term) = self.homes.get(&parts.home).map(|home| home.first_term) else {
             return Err(AcceptError::NotHome);
-        }
+        };
         if !self.jobs.has_capacity(spec.len()) {
             return Err(AcceptError::Full);
         }
@@ -198,7 +198,9 @@
         };
         let now = self.now();
         self.commit.accept(accepted, now);
-        self.accepting.insert(parts.id, accept.persisted);
+        let persisted = accept.persisted;
+        self.accepting
+            .insert(parts.id, Accepting { term, persisted });
         self.set_alarm();
         Ok(())
     }
--- a/crates/kingcupwinch-daemon/src/actors/jobs/tests.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/tests.rs
@@ -1,5 +1,6 @@
 use kingcupwinch_coord::id::{Attempt, TaskId, Term};
 use kingcupwinch_wire::sibling::TaskPhase;
+use rstest::rstest;
 
 use super::{HomeRenewed, TaskEvent};
 use crate::actors::scheduler::DropWaiting;
@@ -65,3 +66,16 @@
     node.jobs.ask(renewed).await.unwrap();
     assert!(holds_soon(async || node.queue().await == (1, 0)).await);
 }
+
+/// The record of a job that an earlier owner has accepted takes effect after the recovery.
+#[rstest]
+#[case::repeatable(true)]
+#[case::at_most_once(false)]
+#[tokio::test]
+async fn a_job_that_an_earlier_owner_accepted_late_is_started(#[case] idempotent: bool) {
+    let node = Node::start(false).await;
+    node.accept(1, idempotent).await;
+    assert!(holds_soon(async || node.queue().await == (1, 0)).await);
+    node.append_job(OWN_SHARD, 1, idempotent);
+    assert!(holds_soon(async || node.queue().await == (2, 0)).await);
+}
