Read the work of a worker anew when it is listed anew

When a worker's entry in the list changed, its runs stayed with the old entry: no report, renewal or expiry reached them. After a restart of the worker at another address their job never ended. If only the rack had changed, or the worker was missing from the list for a moment, its tasks were killed after one lease and started again, and its capacity seemed free. If its shard moved while it was missing, its runs were taken for lost although the new owner may have adopted them.

Release the runs on the earlier entry as at a change of the owner, count the worker as inherited, and let its next report show what continues. Withhold starts under way on an entry that is gone. Work that is not adopted always keeps its capacity until a report shows its end.

--- a/crates/kingcupwinch-daemon/src/actors/scheduler/control.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/control.rs
@@ -79,6 +79,9 @@
     }
 
     fn fencing_token(&self) -> Option<FencingToken> {
+        if self.worker.is_retired() {
+            return None;
+        }
         let now = self.shared.now();
         let permit = self
             .shared
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/fleet.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/fleet.rs
@@ -14,7 +14,7 @@
 use uuid::Uuid;
 
 use super::Scheduler;
-use super::owned_worker::{OwnedWorker, UnconfirmedRun};
+use super::owned_worker::{OwnedWorker, UnconfirmedRun, UnlistedWorker};
 use crate::logging::EventId;
 use crate::worker::{Worker, capacity_of, is_leaving};
 
@@ -109,31 +109,57 @@
             .keys()
             .filter(|name| !listed.iter().any(|i| i.name == **name));
         for name in unlisted.cloned().collect::<Vec<_>>() {
-            if let Some(owned) = self.workers.get(&name) {
-                self.orphan_runs(owned.machine);
+            if let Some((machine, shard)) = self.place_of(&name) {
+                let expiry = self.orphan_runs(machine);
+                let unlisted = UnlistedWorker {
+                    machine,
+                    shard,
+                    expiry,
+                };
+                self.unlisted.insert(Arc::clone(&name), unlisted);
             }
             self.remove_worker(&name);
         }
     }
 
+    fn place_of(&self, name: &Arc<str>) -> Option<(MachineKey, ShardId)> {
+        let owned = self.workers.get(name)?;
+        Some((owned.machine, owned.worker.shard))
+    }
+
     fn refresh_worker(&mut self, instance: &Instance, shards: u16) {
-        if let Some(owned) = self.workers.get(&instance.name) {
-            if owned.worker.matches(instance) {
-                let name = Arc::clone(&instance.name);
-                if is_leaving(instance) {
-                    self.mark_leaving(&name);
-                }
-                return;
+        let owned = self.workers.get(&instance.name);
+        if owned.is_some_and(|owned| owned.worker.matches(instance)) {
+            if is_leaving(instance) {
+                self.mark_leaving(&instance.name);
             }
-            self.remove_worker(&Arc::clone(&instance.name));
+            return;
         }
+        let returns = self.release_earlier(&instance.name);
         let worker = Worker::new(instance, shards);
-        if let Some(state) = self.owned_shards.get(&worker.shard).copied() {
+        if let Some(mut state) = self.owned_shards.get(&worker.shard).copied() {
+            if returns {
+                state.inherited = true;
+                state.effective = state.effective.max(self.now());
+            }
             let leaving = is_leaving(instance) || self.drained.contains(&instance.name);
             self.add_worker(Arc::new(worker), state, leaving);
         }
     }
 
+    /// Releases the runs on an earlier entry of a worker's name, and returns whether there was one.
+    /// The worker's reports show which of them continue, as after a change of its owner.
+    fn release_earlier(&mut self, name: &Arc<str>) -> bool {
+        let listed = self.workers.get(name).map(|owned| owned.machine);
+        let unlisted = self.unlisted.remove(name).map(|worker| worker.machine);
+        let Some(machine) = listed.or(unlisted) else {
+            return false;
+        };
+        self.release_runs(machine);
+        self.remove_worker(name);
+        true
+    }
+
     fn add_worker(&mut self, worker: Arc<Worker>, state: OwnedShardState, leaving: bool) {
         let now = self.now();
         let machine = match self.cell.add_machine(worker.machine_spec(), now) {
@@ -197,6 +223,7 @@
         let Some(owned) = self.workers.remove(name) else {
             return;
         };
+        owned.worker.retire();
         self.machines.remove(&owned.machine);
         self.shared
             .log
@@ -220,6 +247,11 @@
             }
             self.remove_worker(&name);
         }
+        let unlisted = self.unlisted.values().filter(|gone| gone.shard == shard);
+        for machine in unlisted.map(|gone| gone.machine).collect::<Vec<_>>() {
+            self.release_runs(machine);
+        }
+        self.unlisted.retain(|_, gone| gone.shard != shard);
     }
 
     /// Reloads from the published view which shards may be dispatched to. Schedules another check
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/inherit.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/inherit.rs
@@ -86,10 +86,7 @@
         work: &RunningWork,
         taken: Time,
     ) {
-        let known = self.live.values().any(|entry| entry.id == work.task);
-        if !known && !self.task_keys.contains_key(&TaskId(work.task)) {
-            self.hold_unconfirmed(name, machine, work.task, self.inherited_size(), taken);
-        }
+        self.hold_unconfirmed(name, machine, work.task, self.inherited_size(), taken);
     }
 
     /// Adopts a task that a previous owner has started.
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/mod.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/mod.rs
@@ -47,7 +47,7 @@
 use demand::Demand;
 use fleet::OwnedShardState;
 use live::LiveEntry;
-use owned_worker::OwnedWorker;
+use owned_worker::{OwnedWorker, UnlistedWorker};
 use tasks::TaskEntry;
 
 /// Minimum time between two updates of the queue and slot gauges.
@@ -80,6 +80,7 @@
     listed: Vec<Instance>,
     drained: FxHashSet<Arc<str>>,
     workers: FxHashMap<Arc<str>, OwnedWorker>,
+    unlisted: FxHashMap<Arc<str>, UnlistedWorker>,
     machines: FxHashMap<MachineKey, Arc<str>>,
     live: FxHashMap<TaskKey, LiveEntry>,
     tasks: FxHashMap<TaskKey, TaskEntry>,
@@ -112,6 +113,7 @@
             listed: Vec::new(),
             drained: FxHashSet::default(),
             workers: FxHashMap::default(),
+            unlisted: FxHashMap::default(),
             machines: FxHashMap::default(),
             live: FxHashMap::default(),
             tasks: FxHashMap::default(),
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/owned_worker.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/owned_worker.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use kameo::actor::{ActorRef, WeakActorRef};
+use kingcupwinch_coord::id::ShardId;
 use kingcupwinch_policy::{HoldKey, MachineKey};
 use kingcupwinch_time::{Span, Time};
 use slog::o;
@@ -35,6 +36,17 @@
     pub(super) since: Time,
 }
 
+/// A worker that is no longer listed, although its runs may continue.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct UnlistedWorker {
+    /// The key that the worker had in the policy.
+    pub(super) machine: MachineKey,
+    /// The worker's shard.
+    pub(super) shard: ShardId,
+    /// Time at which the leases of its runs have certainly expired.
+    pub(super) expiry: Time,
+}
+
 /// A worker of a shard that this instance owns.
 #[derive(Debug)]
 pub(super) struct OwnedWorker {
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/runs.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/runs.rs
@@ -203,7 +203,8 @@
         }
     }
 
-    /// Releases the runs on a worker that another instance now owns.
+    /// Releases the runs on a worker that another instance now owns, or whose running work has to
+    /// be read anew.
     pub(super) fn release_runs(&mut self, machine: MachineKey) {
         let now = self.now();
         let runs = self.tasks.values().filter_map(|entry| entry.run);
@@ -222,14 +223,15 @@
     }
 
     /// Schedules the runs on a worker that is no longer listed to be marked as lost once their
-    /// leases have expired.
-    pub(super) fn orphan_runs(&mut self, machine: MachineKey) {
+    /// leases have expired, and returns that time.
+    pub(super) fn orphan_runs(&mut self, machine: MachineKey) -> Time {
         let expiry = self.now() + self.task_lease().times(2);
         let runs = self.tasks.values().filter_map(|entry| entry.run);
         let places = runs
             .filter(|run| run.place.machine == machine)
             .map(|run| (expiry, run.place));
         self.orphans.extend(places.collect::<Vec<_>>());
+        expiry
     }
 
     /// Marks orphaned runs as lost whose leases have expired; returns the time of the next check.
@@ -241,6 +243,7 @@
             .map(|(_, place)| *place)
             .collect();
         self.orphans.retain(|(at, _)| *at > now);
+        self.unlisted.retain(|_, worker| worker.expiry > now);
         for place in due {
             let runs = self.tasks.get(&place.task).and_then(|entry| entry.run);
             if runs.is_some_and(|run| run.place == place) {
--- a/crates/kingcupwinch-daemon/src/worker.rs
+++ b/crates/kingcupwinch-daemon/src/worker.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use kingcupwinch_coord::hash::shard_of_name;
 use kingcupwinch_coord::id::ShardId;
@@ -26,6 +27,7 @@
     pub(crate) capacity: Resources,
     /// Client for the worker.
     pub(crate) client: WorkerClient,
+    retired: AtomicBool,
 }
 
 impl Worker {
@@ -39,9 +41,20 @@
             shard: shard_of_name(&listed.name, shards),
             capacity: capacity_of(listed),
             client: WorkerClient::new(listed.address, listed.capacity.connections),
+            retired: AtomicBool::new(false),
         }
     }
 
+    /// Ends the use of this entry: nothing more is started on the worker through it.
+    pub(crate) fn retire(&self) {
+        self.retired.store(true, Ordering::Release);
+    }
+
+    /// Returns whether the use of this entry has ended.
+    pub(crate) fn is_retired(&self) -> bool {
+        self.retired.load(Ordering::Acquire)
+    }
+
     /// Returns the policy's specification of the worker.
     pub(crate) fn machine_spec(&self) -> MachineSpec {
         MachineSpec::new(&self.name, &self.domain, &self.rack, self.capacity)
--- a/crates/kingcupwinch-daemon/tests/testsuite/jobs.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/jobs.rs
@@ -1,12 +1,13 @@
 //! Batch jobs and gangs from submission to the end.
 
 use hyper::Method;
-use kingcupwinch_fakes::WorkerFaults;
+use kingcupwinch_fakes::{FakeWorker, WorkerFaults};
 use kingcupwinch_wire::api::{JobPhase, ProblemOutcome};
+use rstest::rstest;
 use serde_json::{Value, json};
 
 use crate::caller::wait_until;
-use crate::cluster::{Cluster, all_dispatched};
+use crate::cluster::{BASE, Cluster, DOMAIN, Entry, all_dispatched, any_port, make_spec};
 
 fn job(class: &str, tasks: u32, run_ms: u64) -> Value {
     json!({
@@ -184,3 +185,74 @@
     );
     assert!(cluster.history.starts().is_empty());
 }
+
+/// Starts a cluster of one worker and one instance with short leases of tasks.
+async fn start_with_short_leases() -> (Cluster, Entry) {
+    let cluster = Cluster::start(1).await;
+    cluster.publish(&format!("{BASE}\n[timers]\ntask_lease_ms = 1_000\n"), 1);
+    let entry = cluster.start_entries(&["entry-1"]).await.remove(0);
+    wait_until("the short leases are in force", || async {
+        entry.status().await.version == 2
+    })
+    .await;
+    (cluster, entry)
+}
+
+async fn wait_for_rack(entry: &Entry, rack: &str) {
+    wait_until("the worker is listed anew", || async {
+        let workers = entry.status().await.workers;
+        workers.iter().any(|worker| &*worker.rack == rack)
+    })
+    .await;
+}
+
+/// A worker with running tasks is listed anew, with another rack or after it was missing for a
+/// while. Its tasks continue, their leases are renewed and they keep their places.
+#[rstest]
+#[case::changed(false)]
+#[case::missing(true)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_worker_that_is_listed_anew_keeps_its_tasks(#[case] missing: bool) {
+    let (cluster, entry) = start_with_short_leases().await;
+    let caller = entry.caller();
+    let first = caller.submit(&job("manifest", 4, 4_000)).await;
+    wait_until("all tasks are running", || async {
+        cluster.history.starts().len() == 4
+    })
+    .await;
+    if missing {
+        cluster.instance_list.remove("worker-0");
+        wait_until("the worker is missing", || async {
+            entry.status().await.workers.is_empty()
+        })
+        .await;
+    }
+    let listed = cluster.workers[0].instance(DOMAIN, "rack-9");
+    cluster.instance_list.put(listed);
+    wait_for_rack(&entry, "rack-9").await;
+    let second = caller.submit(&job("manifest", 4, 30)).await;
+    caller.wait_done(&first).await;
+    caller.wait_done(&second).await;
+    assert_eq!(cluster.history.starts().len(), 8, "each task starts once");
+    assert_eq!(cluster.workers[0].counts().overflows, 0);
+}
+
+/// A worker is restarted under its name and listens elsewhere. What ran on it is started again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn tasks_on_a_worker_that_was_restarted_start_again() {
+    let (mut cluster, entry) = start_with_short_leases().await;
+    let caller = entry.caller();
+    let id = caller.submit(&job("manifest", 4, 2_000)).await;
+    wait_until("all tasks are running", || async {
+        cluster.history.starts().len() == 4
+    })
+    .await;
+    cluster.workers[0].kill();
+    let spec = make_spec("worker-0");
+    let restarted = FakeWorker::start(spec, &cluster.history, any_port()).await;
+    cluster.workers[0] = restarted.unwrap();
+    let listed = cluster.workers[0].instance(DOMAIN, "rack-9");
+    cluster.instance_list.put(listed);
+    caller.wait_done(&id).await;
+    assert_eq!(cluster.workers[0].counts().starts, 4);
+}
