--- a/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
@@ -19,15 +19,7 @@
 impl JobManager {
     pub(super) async fn apply_change(&mut self, change: Change) {
         for job in change.opened {
-            if let Some(persisted) = self.accepting.remove(&job) {
-                self.args
-                    .shared
-                    .log
-                    .write(EventId::JobAccepted, o!("job" => job.to_string()));
-                // A caller that has disconnected can still query the job's state.
-                let _ = persisted.send(());
-                self.begin(job).await;
-            }
+            self.open_job(job).await;
         }
         for job in change.started {
             self.run_started(job).await;
@@ -40,6 +32,27 @@
         }
     }
 
+    /// Begins a job that was accepted here under the current ownership of its home shard. Any other
+    /// job was accepted by an earlier owner and is recovered, however late its record is read.
+    async fn open_job(&mut self, job: JobId) {
+        let accepted = self.accepting.remove(&job).map(|accepting| {
+            let fields = o!("job" => job.to_string());
+            self.args.shared.log.write(EventId::JobAccepted, fields);
+            // A caller that has disconnected can still query the job's state.
+            let _ = accepting.persisted.send(());
+            accepting.term
+        });
+        let Some(shard) = home_of(job) else { return };
+        let Some(home) = self.homes.get(&shard) else {
+            return;
+        };
+        if accepted == Some(home.first_term) {
+            self.begin(job).await;
+        } else if home.recovered {
+            self.wait_for_expiry(shard, self.run_expiry());
+        }
+    }
+
     /// Starts tracking a job that this instance accepted and has read back from the log.
     async fn begin(&mut self, job: JobId) {
         let Some(term) = home_of(job)
@@ -63,7 +76,7 @@
     async fn start_job(&mut self, open: &OpenJob) {
         let job = open.accepted.job;
         if open.accepted.idempotent {
-            return self.submit_unconfirmed(job).await;
+            return self.submit(job).await;
         }
         let term = home_of(job)
             .and_then(|home| self.homes.get(&home))
@@ -74,21 +87,23 @@
         }
     }
 
-    /// Submits a job whose start record carries this instance's current term.
+    /// Submits a job whose start record carries a term of this instance's current ownership. The
+    /// term may have been renewed since the record was appended.
     async fn run_started(&mut self, job: JobId) {
         let home = home_of(job).and_then(|home| self.homes.get(&home));
         let started = self.jobs.open(job).and_then(|open| open.started);
-        if home.is_some_and(|home| Some(home.term) == started) {
-            self.submit_unconfirmed(job).await;
+        if home.is_some_and(|home| started >= Some(home.first_term)) {
+            self.submit(job).await;
         }
     }
 
-    /// Submits the unconfirmed tasks of a job to the scheduler.
-    async fn submit_unconfirmed(&mut self, job: JobId) {
+    /// Submits to the scheduler the tasks of a job that certainly do not run.
+    async fn submit(&mut self, job: JobId) {
+        let now = self.now();
         let Some(progress) = self.progress.get_mut(&job) else {
             return;
         };
-        let tasks = progress.tasks_where(|status| matches!(status, TaskStatus::Unconfirmed(_)));
+        let tasks = progress.submittable(now);
         if tasks.is_empty() {
             return;
         }
@@ -118,6 +133,7 @@
         };
         let index = usize::try_from(parts.index).unwrap_or(usize::MAX);
         let report = TaskReport {
+            attempt: event.attempt,
             phase: event.phase,
             remote: event.remote,
             expiry,
@@ -132,7 +148,7 @@
         };
         let returned = progress.tasks.get(index) == Some(&TaskStatus::Unconfirmed(Time::ZERO));
         if returned {
-            self.submit_unconfirmed(parts.job.id).await;
+            self.submit(parts.job.id).await;
         }
         let Some(progress) = self.progress.get(&parts.job.id) else {
             return;
@@ -247,7 +263,12 @@
         match step {
             RecoveryStep::Wait => return false,
             RecoveryStep::Adopt if now < expiry => return false,
-            RecoveryStep::Run => self.start_job(open).await,
+            RecoveryStep::Run => {
+                if let Some(progress) = self.progress.get_mut(&job) {
+                    progress.record_not_running();
+                }
+                self.start_job(open).await;
+            }
             RecoveryStep::Adopt if open.accepted.idempotent => self.start_job(open).await,
             RecoveryStep::Adopt | RecoveryStep::End(_) => self.mark_unconfirmed_unknown(job).await,
         }
--- a/crates/kingcupwinch-daemon/src/actors/jobs/messages.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/messages.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use kameo::Reply;
 use kameo::message::{Context, Message};
-use kingcupwinch_coord::id::{Incarnation, JobId, ShardId, TaskId, Term};
+use kingcupwinch_coord::id::{Attempt, Incarnation, JobId, ShardId, TaskId, Term};
 use kingcupwinch_coord::ownership::OwnedShard;
 use kingcupwinch_coord::record::{AcceptedJob, JobEnd};
 use kingcupwinch_policy::Refusal;
@@ -14,7 +14,7 @@
 use quick_error::quick_error;
 use tokio::sync::oneshot;
 
-use super::{JobManager, home_of};
+use super::{Accepting, JobManager, home_of};
 use crate::jobs::{JobIdParts, ended_status};
 
 /// Reports that this instance now owns a shard.
@@ -67,6 +67,9 @@
 pub(crate) struct TaskEvent {
     /// The task.
     pub(crate) task: TaskId,
+    /// The attempt that ended, if the scheduler does not have the task and passes on what a worker
+    /// lists; zero in a scheduler's own report.
+    pub(crate) attempt: Attempt,
     /// The task's new phase.
     pub(crate) phase: TaskPhase,
     /// Whether the report comes from a sibling's scheduler.
@@ -180,9 +183,9 @@
     ) -> Result<(), AcceptError> {
         let parts = accept.parts;
         let spec: Arc<[u8]> = serde_json::to_vec(&*accept.spec).unwrap_or_default().into();
-        if !self.homes.contains_key(&parts.home) {
+        let Some(term) = self.homes.get(&parts.home).map(|home| home.first_term) else {
             return Err(AcceptError::NotHome);
-        }
+        };
         if !self.jobs.has_capacity(spec.len()) {
             return Err(AcceptError::Full);
         }
@@ -195,7 +198,9 @@
         };
         let now = self.now();
         self.commit.accept(accepted, now);
-        self.accepting.insert(parts.id, accept.persisted);
+        let persisted = accept.persisted;
+        self.accepting
+            .insert(parts.id, Accepting { term, persisted });
         self.set_alarm();
         Ok(())
     }
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/owned_worker.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/owned_worker.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use kameo::actor::{ActorRef, WeakActorRef};
+use kingcupwinch_coord::id::ShardId;
 use kingcupwinch_policy::{HoldKey, MachineKey};
 use kingcupwinch_time::{Span, Time};
 use slog::o;
@@ -35,6 +36,17 @@
     pub(super) since: Time,
 }
 
+/// A worker that is no longer listed, although its runs may continue.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct UnlistedWorker {
+    /// The key that the worker had in the policy.
+    pub(super) machine: MachineKey,
+    /// The worker's shard.
+    pub(super) shard: ShardId,
+    /// Time at which the leases of its runs have certainly expired.
+    pub(super) expiry: Time,
+}
+
 /// A worker of a shard that this instance owns.
 #[derive(Debug)]
 pub(super) struct OwnedWorker {
@@ -45,6 +57,9 @@
     /// Reservation of all free capacity until a report taken after the given time shows what a
     /// previous owner left running.
     pub(super) inherited: Option<(HoldKey, Time)>,
+    /// Ends reported while the descriptions of inherited work are looked up, by task and attempt;
+    /// `None` while no lookup is in progress.
+    pub(super) ended_in_lookup: Option<Vec<(Uuid, u32)>>,
     /// Reservation of all free capacity while the shard has no permit to dispatch.
     pub(super) blocked: Option<HoldKey>,
     /// Work that may still run.
@@ -76,6 +91,7 @@
             worker,
             machine,
             inherited: None,
+            ended_in_lookup: None,
             blocked: None,
             unconfirmed: SmallVec::new(),
             leaving: false,
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/runs.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/runs.rs
@@ -3,17 +3,17 @@
 
 use std::sync::Arc;
 
-use kingcupwinch_coord::id::{Incarnation, TaskId};
+use kingcupwinch_coord::id::{Attempt, Incarnation, TaskId};
 use kingcupwinch_policy::{
     CellError, Disposition, Exit, MachineKey, NotStarted, Outcome, Placement, Refusal, TaskKey,
 };
 use kingcupwinch_time::{Span, Time};
-use kingcupwinch_wire::sibling::TaskPhase;
+use kingcupwinch_wire::sibling::{TaskPhase, TaskState};
 use kingcupwinch_wire::worker::{EndedWork, WorkOutcome};
 use slog::o;
 
 use super::Scheduler;
-use super::control::{StartEnd, report_phase};
+use super::control::{StartEnd, report_state};
 use super::tasks::TaskRun;
 use crate::actors::jobs::TaskEvent;
 use crate::jobs::TaskIdParts;
@@ -56,7 +56,7 @@
 
     /// Applies the ends listed in a usage report. Ends of tasks that are not known here are passed
     /// on to their home shards.
-    pub(super) fn apply_ended(&mut self, ended: &[EndedWork], now: Time) {
+    pub(super) fn apply_ended(&mut self, name: &Arc<str>, ended: &[EndedWork], now: Time) {
         for work in ended {
             let id = TaskId(work.task);
             let known = self.task_keys.get(&id).copied();
@@ -68,7 +68,14 @@
                 });
             match (run, known) {
                 (Some(run), _) => self.end_run(run, work, now),
-                (None, None) => self.notify_home(id, outcome_phase(work.outcome)),
+                (None, None) => {
+                    let owned = self.workers.get_mut(name);
+                    if let Some(ends) = owned.and_then(|owned| owned.ended_in_lookup.as_mut()) {
+                        ends.push((work.task, work.attempt));
+                    }
+                    let phase = outcome_phase(work.outcome);
+                    self.notify_home_of(id, Attempt(work.attempt), phase);
+                }
                 // The end belongs to an earlier attempt.
                 (None, Some(_)) => {
                     self.shared.metrics.late_answers.inc();
@@ -196,7 +203,8 @@
         }
     }
 
-    /// Releases the runs on a worker that another instance now owns.
+    /// Releases the runs on a worker that another instance now owns, or whose running work has to
+    /// be read anew.
     pub(super) fn release_runs(&mut self, machine: MachineKey) {
         let now = self.now();
         let runs = self.tasks.values().filter_map(|entry| entry.run);
@@ -215,14 +223,15 @@
     }
 
     /// Schedules the runs on a worker that is no longer listed to be marked as lost once their
-    /// leases have expired.
-    pub(super) fn orphan_runs(&mut self, machine: MachineKey) {
+    /// leases have expired, and returns that time.
+    pub(super) fn orphan_runs(&mut self, machine: MachineKey) -> Time {
         let expiry = self.now() + self.task_lease().times(2);
         let runs = self.tasks.values().filter_map(|entry| entry.run);
         let places = runs
             .filter(|run| run.place.machine == machine)
             .map(|run| (expiry, run.place));
         self.orphans.extend(places.collect::<Vec<_>>());
+        expiry
     }
 
     /// Marks orphaned runs as lost whose leases have expired; returns the time of the next check.
@@ -234,6 +243,7 @@
             .map(|(_, place)| *place)
             .collect();
         self.orphans.retain(|(at, _)| *at > now);
+        self.unlisted.retain(|_, worker| worker.expiry > now);
         for place in due {
             let runs = self.tasks.get(&place.task).and_then(|entry| entry.run);
             if runs.is_some_and(|run| run.place == place) {
@@ -251,6 +261,11 @@
 
     /// Reports a task's phase to the owner of its home shard.
     pub(super) fn notify_home(&self, task: TaskId, phase: TaskPhase) {
+        self.notify_home_of(task, Attempt(0), phase);
+    }
+
+    /// Reports the end of an attempt that this scheduler does not know.
+    fn notify_home_of(&self, task: TaskId, attempt: Attempt, phase: TaskPhase) {
         let Some(parts) = TaskIdParts::parse(task) else {
             return;
         };
@@ -261,20 +276,26 @@
         if owner.incarnation == self.shared.incarnation {
             self.notify_jobs(TaskEvent {
                 task,
+                attempt,
                 phase,
                 remote: false,
             });
         } else {
-            self.notify_sibling_home(owner.incarnation, task, phase);
+            let state = TaskState {
+                task,
+                attempt,
+                phase,
+            };
+            self.notify_sibling_home(owner.incarnation, state);
         }
     }
 
-    fn notify_sibling_home(&self, to: Incarnation, task: TaskId, phase: TaskPhase) {
+    fn notify_sibling_home(&self, to: Incarnation, state: TaskState) {
         let Some(siblings) = self.siblings() else {
             return;
         };
         self.shared.metrics.link_messages.inc();
-        tokio::spawn(report_phase(siblings, to, task, phase));
+        tokio::spawn(report_state(siblings, to, state));
     }
 }
 
--- a/crates/kingcupwinch-daemon/src/jobs/progress.rs
+++ b/crates/kingcupwinch-daemon/src/jobs/progress.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use kingcupwinch_coord::id::{Incarnation, JobId, Term};
+use kingcupwinch_coord::id::{Attempt, Incarnation, JobId, Term};
 use kingcupwinch_coord::record::JobEnd;
 use kingcupwinch_time::Time;
 use kingcupwinch_wire::api::{JobPhase, JobSpec, JobStatus};
@@ -45,6 +45,9 @@
 /// A scheduler's report about a task.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct TaskReport {
+    /// The attempt that ended, if the scheduler does not have the task and passes on what a worker
+    /// lists; zero in a scheduler's own report.
+    pub(crate) attempt: Attempt,
     /// The task's new phase.
     pub(crate) phase: TaskPhase,
     /// Whether the report comes from a sibling's scheduler.
@@ -115,6 +118,7 @@
     /// Applies a scheduler's report; returns whether the status changed.
     pub(crate) fn apply_report(&mut self, index: usize, report: TaskReport) -> bool {
         let TaskReport {
+            attempt,
             phase,
             remote,
             expiry,
@@ -125,6 +129,10 @@
         if status.has_ended() {
             return false;
         }
+        // Workers list ends for minutes, so another attempt may have been started since.
+        if phase == TaskPhase::Failed && self.idempotent && attempt > Attempt(0) {
+            return false;
+        }
         let next = match phase {
             TaskPhase::Done => TaskStatus::Done,
             TaskPhase::Failed => TaskStatus::Failed,
@@ -152,6 +160,19 @@
         changed
     }
 
+    /// Returns the indices of the tasks that certainly do not run and may be submitted. A task that
+    /// may have run is submitted again only if that is allowed.
+    pub(crate) fn submittable(&self, now: Time) -> Vec<u32> {
+        let latest = if self.idempotent { now } else { Time::ZERO };
+        self.tasks_where(|status| matches!(status, TaskStatus::Unconfirmed(at) if at <= latest))
+    }
+
+    /// Records that no unconfirmed task runs.
+    pub(crate) fn record_not_running(&mut self) {
+        let unconfirmed = self.tasks_where(|status| matches!(status, TaskStatus::Unconfirmed(_)));
+        self.set_status(&unconfirmed, TaskStatus::Unconfirmed(Time::ZERO));
+    }
+
     /// Returns the indices of the tasks whose status satisfies a predicate.
     pub(crate) fn tasks_where(&self, wanted: impl Fn(TaskStatus) -> bool) -> Vec<u32> {
         let tasks = (0..).zip(&self.tasks);
