--- a/crates/kingcupwinch-soak/examples/soak.rs
+++ b/crates/kingcupwinch-soak/examples/soak.rs
@@ -4,8 +4,8 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use clap::{Arg, ArgMatches, Command, value_parser};
-use kingcupwinch_soak::{Outcome, RunOptions, run};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use kingcupwinch_soak::{Outcome, PlanKind, RunOptions, run};
 
 fn make_command() -> Command {
     let number = |name: &'static str, default: &'static str, help: &'static str| {
@@ -24,6 +24,14 @@
             "12",
             "Duration of the load and the faults of a run, in seconds",
         ))
+        .arg(number("instances", "3", "Number of instances of a run"))
+        .arg(number("workers", "6", "Number of workers of a run"))
+        .arg(
+            Arg::new("basic")
+                .long("basic")
+                .action(ArgAction::SetTrue)
+                .help("Injects single faults only, without series, under a steady load"),
+        )
         .arg(number("at-once", "1", "Number of concurrent runs"))
         .arg(
             Arg::new("dir")
@@ -57,10 +65,20 @@
     }
 }
 
-async fn run_seed(seed: u64, seconds: u64, dir: PathBuf) -> bool {
-    let options = RunOptions::new(seed, &dir.join(seed.to_string()));
-    let outcome = match options {
-        Ok(options) => run(&options.with_seconds(seconds)).await,
+async fn run_seed(seed: u64, matches: ArgMatches) -> bool {
+    let dir = matches.get_one::<PathBuf>("dir").cloned();
+    let dir = dir.unwrap_or_default().join(seed.to_string());
+    let count = |name| usize::try_from(number(&matches, name)).unwrap_or(1).max(1);
+    let outcome = match RunOptions::new(seed, &dir) {
+        Ok(mut options) => {
+            options.seconds = number(&matches, "seconds");
+            options.instances = count("instances");
+            options.workers = count("workers");
+            if matches.get_flag("basic") {
+                options.plan = PlanKind::Basic;
+            }
+            run(&options).await
+        }
         Err(error) => Err(error),
     };
     match outcome {
@@ -75,17 +93,19 @@
     }
 }
 
+fn number(matches: &ArgMatches, name: &str) -> u64 {
+    matches.get_one::<u64>(name).copied().unwrap_or(1)
+}
+
 async fn run_all(matches: &ArgMatches) -> bool {
-    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or(1);
-    let dir = matches.get_one::<PathBuf>("dir").cloned();
-    let dir = dir.unwrap_or_default();
+    let number = |name| number(matches, name);
     let seeds: Vec<u64> = (number("seed")..number("seed") + number("count")).collect();
     let at_once = usize::try_from(number("at-once")).unwrap_or(1).max(1);
     let mut is_clean = true;
     for group in seeds.chunks(at_once) {
         let mut runs = tokio::task::JoinSet::new();
         for seed in group {
-            runs.spawn(run_seed(*seed, number("seconds"), dir.clone()));
+            runs.spawn(run_seed(*seed, matches.clone()));
         }
         is_clean &= runs.join_all().await.into_iter().all(|clean| clean);
     }
--- a/crates/kingcupwinch-soak/src/checks.rs
+++ b/crates/kingcupwinch-soak/src/checks.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use kingcupwinch_standin::{WorkerEvent, WorkerEventKind};
+use kingcupwinch_standin::{FencedAppend, WorkerEvent, WorkerEventKind};
 use rustc_hash::FxHashMap;
 
 /// Time after an acknowledged cancellation within which a task of the job may still start.
@@ -13,6 +13,9 @@
 /// Time after its acceptance from which every instance must know a job.
 const VISIBILITY_DELAY: Duration = Duration::from_secs(3);
 
+/// Time after a job was reported as completed from which none of its tasks may start.
+const COMPLETION_GRACE: Duration = Duration::from_secs(1);
+
 /// An invariant of the scheduler.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Invariant {
@@ -34,6 +37,10 @@
     NoRefusedRun,
     /// No task of a cancelled job starts after a short grace period.
     Cancelled,
+    /// What is acknowledged, reported or ordered is in the log before.
+    LogFirst,
+    /// Only ends that the worker has listed are acknowledged.
+    ListedFirst,
     /// An instance that is asked to stop exits in time and with success.
     CleanShutdown,
 }
@@ -69,6 +76,8 @@
     pub id: String,
     /// Steps of the job.
     pub steps: Vec<ObservedStep>,
+    /// Time at which the job was first sent.
+    pub sent: Option<Instant>,
     /// Time at which the job was accepted.
     pub accepted: Option<Instant>,
     /// Whether every attempt to submit the job was refused.
@@ -81,6 +90,17 @@
     pub states: Vec<(Instant, String)>,
 }
 
+/// What callers, workers and the store observed.
+#[derive(Debug, Clone, Copy)]
+pub struct Observations<'a> {
+    /// The submitted jobs.
+    pub jobs: &'a [ObservedJob],
+    /// Events of the workers, in order.
+    pub events: &'a [WorkerEvent],
+    /// Appends of the owners, in the order of their execution.
+    pub appends: &'a [FencedAppend],
+}
+
 /// A run of a task, as recorded by its worker.
 #[derive(Debug, Clone)]
 struct Run {
@@ -89,6 +109,7 @@
     started: Instant,
     ended: Option<Instant>,
     is_done: bool,
+    listed: Option<Instant>,
     acked: Option<Instant>,
 }
 
@@ -96,7 +117,12 @@
 
 /// Returns every violation that the observations show. [`Invariant::CleanShutdown`] is not among
 /// them: it depends on the processes, and is checked when a run stops them.
-pub fn check_invariants(jobs: &[ObservedJob], events: &[WorkerEvent]) -> Vec<Violation> {
+pub fn check_invariants(observations: &Observations<'_>) -> Vec<Violation> {
+    let Observations {
+        jobs,
+        events,
+        appends,
+    } = *observations;
     let mut violations = Vec::new();
     let runs = collect_runs(events, &mut violations);
     let expirations: Vec<&WorkerEvent> = events
@@ -112,6 +138,7 @@
         check_cancel(job, &runs, &mut violations);
         check_order(job, &runs, &mut violations);
         check_states(job, &runs, &mut violations);
+        check_log_first(job, &runs, &expirations, appends, &mut violations);
     }
     violations
 }
@@ -133,18 +160,29 @@
                 started: event.at,
                 ended: None,
                 is_done: false,
+                listed: None,
                 acked: None,
             }),
             (WorkerEventKind::Ended(reason), Some(run)) => {
                 run.ended = Some(event.at);
                 run.is_done = *reason == "done";
             }
-            (WorkerEventKind::Acknowledged, Some(run)) => run.acked = Some(event.at),
+            (WorkerEventKind::Listed, Some(run)) => run.listed = Some(event.at),
+            (WorkerEventKind::Acknowledged, Some(run)) => {
+                run.acked = Some(event.at);
+                if run.listed.is_none() {
+                    let detail = format!("{} run {} on {}", event.task, event.run, event.worker);
+                    add_violation(violations, Invariant::ListedFirst, detail);
+                }
+            }
             (WorkerEventKind::Overcommitted, _) => {
                 let detail = format!("{} exceeded its capacity with {}", event.worker, event.task);
                 add_violation(violations, Invariant::Capacity, detail);
             }
-            (WorkerEventKind::Ended(_) | WorkerEventKind::Acknowledged, None)
+            (
+                WorkerEventKind::Ended(_) | WorkerEventKind::Listed | WorkerEventKind::Acknowledged,
+                None,
+            )
             | (WorkerEventKind::LeaseExpired, _) => {}
         }
     }
@@ -240,6 +278,65 @@
     end
 }
 
+/// Returns whether the store received and executed an append between two times. Only then can an
+/// owner have recorded at the second what it learned at the first.
+fn is_appended_between(appends: &[FencedAppend], from: Instant, until: Instant) -> bool {
+    let end = appends.partition_point(|append| append.applied <= until);
+    let mut recent = appends[..end].iter().rev();
+    let is_recent = |append: &&FencedAppend| append.applied >= from;
+    recent
+        .by_ref()
+        .take_while(is_recent)
+        .any(|append| append.arrived >= from)
+}
+
+/// Checks that an append precedes each acknowledged end, each start and the report of completion,
+/// and follows what they depend on.
+fn check_log_first(
+    job: &ObservedJob,
+    runs: &Runs,
+    expirations: &[&WorkerEvent],
+    appends: &[FencedAppend],
+    violations: &mut Vec<Violation>,
+) {
+    let mut check = |what: &str, name: &str, from: Option<Instant>, until: Option<Instant>| {
+        if let (Some(from), Some(until)) = (from, until)
+            && from <= until
+            && !is_appended_between(appends, from, until)
+        {
+            let detail = format!(
+                "{what} of {name} {:?} after its cause, without an append",
+                until.saturating_duration_since(from)
+            );
+            add_violation(violations, Invariant::LogFirst, detail);
+        }
+    };
+    for (task, run) in runs_of(job, runs) {
+        let others = || runs[task].iter().filter(|other| other.number != run.number);
+        // Further ends of a completed task or of a cancelled job need no record.
+        let is_needed = job.cancel_sent.is_none() && others().all(|other| !other.is_done);
+        if is_needed && is_end_final(run, expirations) {
+            check("acknowledgement", task, run.listed, run.acked);
+        }
+        let earlier = others().filter(|other| other.started < run.started);
+        let cause = earlier.filter_map(|other| other.ended).max();
+        let cause = cause.max(dependencies_end(job, task, runs)).max(job.sent);
+        check("start", task, cause, Some(run.started));
+    }
+    let ends = (0..job.steps.len()).filter_map(|step| step_end(job, step, runs));
+    let mut reports = job.states.iter().filter(|(_, state)| state == "completed");
+    let completed = reports.next().map(|(at, _)| *at);
+    check("report of completion", &job.id, ends.max(), completed);
+}
+
+/// Returns the time at which the steps that a task depends on were completed.
+fn dependencies_end(job: &ObservedJob, task: &str, runs: &Runs) -> Option<Instant> {
+    let step: usize = task.split('.').nth(2)?.parse().ok()?;
+    let dependencies = job.steps.get(step)?.after.iter();
+    let ends = dependencies.filter_map(|step| step_end(job, usize::from(*step), runs));
+    ends.max()
+}
+
 fn check_order(job: &ObservedJob, runs: &Runs, violations: &mut Vec<Violation>) {
     for (task, run) in runs_of(job, runs) {
         let step = task.split('.').nth(2).and_then(|step| step.parse().ok());
@@ -275,6 +372,13 @@
         let is_done = ends
             .into_iter()
             .all(|end| end.is_some_and(|end| end <= *at));
+        let is_rerun = |run: &Run| run.started > *at + COMPLETION_GRACE;
+        if state == "completed"
+            && let Some((task, _)) = runs_of(job, runs).find(|(_, run)| is_rerun(run))
+        {
+            let detail = format!("{task} started after its job was reported as completed");
+            add_violation(violations, Invariant::NoRerun, detail);
+        }
         if state == "completed" && !is_done {
             let detail = format!(
                 "{} was reported as completed before all its tasks were",
--- a/crates/kingcupwinch-soak/src/cluster.rs
+++ b/crates/kingcupwinch-soak/src/cluster.rs
@@ -7,15 +7,16 @@
 use std::time::Duration;
 
 use kingcupwinch_standin::{
-    Caller, Fleet, History, InstanceSettings, StandinStore, StoreMode, WorkerFaults, WorkerHandle,
-    WorkerSpec, publish_queue,
+    Caller, Fleet, History, InstanceSettings, StandinStore, StoreMode, WorkerEventKind,
+    WorkerFaults, WorkerHandle, WorkerSpec, publish_queue,
 };
 use rustix::process::Signal;
+use tokio::time::Instant;
 
 use crate::instance::Instance;
-use crate::plan::Fault;
+use crate::plan::{Fault, Trigger};
 use crate::ports::{free_address, free_pair};
-use crate::proxy::{Mode, Proxy};
+use crate::proxy::{Closing, Mode, Proxy};
 
 /// Maximum lease of the workers, in milliseconds.
 const MAX_LEASE_MS: u64 = 6_000;
@@ -23,6 +24,10 @@
 const WORKER_MILLICORES: u64 = 4_000;
 /// Delay that a slow link adds to every chunk.
 const LINK_DELAY: Duration = Duration::from_millis(120);
+/// Interval at which the events are checked for a trigger.
+const TRIGGER_POLL_INTERVAL: Duration = Duration::from_millis(1);
+/// Time after which a fault begins without its trigger.
+const MAX_TRIGGER_WAIT: Duration = Duration::from_millis(400);
 /// Time that a worker drains before it is unregistered in the middle of its fault.
 const DRAIN_TIME: Duration = Duration::from_millis(800);
 /// Time within which an instance must stop: the grace period of its settings plus a margin.
@@ -43,7 +48,7 @@
 
 /// The instances, workers and store of one run.
 pub(crate) struct Cluster {
-    store: Arc<StandinStore>,
+    pub(crate) store: Arc<StandinStore>,
     pub(crate) history: History,
     instances: Vec<InstanceNode>,
     workers: Vec<WorkerNode>,
@@ -61,7 +66,6 @@
         worker_count: usize,
     ) -> io::Result<Self> {
         let store = StandinStore::new();
-        let (store_address, _) = store.start().await?;
         publish_queue(&store, 1);
         let history = History::default();
         let fleet = Fleet::new(Arc::clone(&store), history.clone());
@@ -71,7 +75,8 @@
         }
         let mut instances = Vec::new();
         for index in 0..instance_count {
-            instances.push(start_instance(program, dir, index, store_address).await?);
+            let (address, _) = store.start(index).await?;
+            instances.push(start_instance(program, dir, index, address).await?);
         }
         Ok(Cluster {
             store,
@@ -89,9 +94,46 @@
         self.instances.iter().map(caller).collect()
     }
 
+    /// Waits for the next event of a kind, but not for long.
+    pub(crate) async fn wait_for(&self, trigger: Trigger) {
+        let deadline = Instant::now() + MAX_TRIGGER_WAIT;
+        let (seen, appends) = (self.history.count(), self.store.fenced_appends().len());
+        let kind = match trigger {
+            Trigger::Append => None,
+            Trigger::Listing => Some(WorkerEventKind::Listed),
+            Trigger::Ack => Some(WorkerEventKind::Acknowledged),
+            Trigger::Start => Some(WorkerEventKind::Started),
+        };
+        while Instant::now() < deadline {
+            let has_happened = match &kind {
+                None => self.store.fenced_appends().len() > appends,
+                Some(kind) => self
+                    .history
+                    .since(seen)
+                    .iter()
+                    .any(|event| event.kind == *kind),
+            };
+            if has_happened {
+                return;
+            }
+            tokio::time::sleep(TRIGGER_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Returns the fault with the current owner as its instance, if it is to hit the owner. The
+    /// owner is the instance that writes with a fencing token.
+    pub(crate) fn resolve(&self, fault: Fault) -> Fault {
+        match fault {
+            Fault::OnOwner(kind) => kind.on(self.store.last_fenced_client().unwrap_or(0)),
+            other => other,
+        }
+    }
+
     /// Begins a fault.
     pub(crate) fn begin(&mut self, fault: Fault) -> io::Result<()> {
-        match fault {
+        match self.resolve(fault) {
+            // Resolved above.
+            Fault::OnOwner(_) => {}
             Fault::Kill(index) => self.instances[index].instance.kill()?,
             Fault::KillAll => {
                 for node in &mut self.instances {
@@ -113,6 +155,7 @@
                     .set_mode(StoreMode::Slow(Duration::from_millis(ms)));
             }
             Fault::StoreDropsResponses => self.store.set_mode(StoreMode::DropsResponses(0.3)),
+            Fault::StoreDelaysAppends => self.store.set_mode(StoreMode::DelaysAppends(0.3)),
             Fault::StoreTruncates => self.store.with_log(kingcupwinch_standin::Log::truncate),
             Fault::PartitionStore(index) => self.instances[index].store_link.set(Mode::Blocked),
             Fault::BlockStoreResponses(index) => self.instances[index].store_link.set(Mode::OneWay),
@@ -127,8 +170,18 @@
             Fault::ResetWorker(index) => self.workers[index].link.set(Mode::Reset),
             Fault::CrashWorker(index) => self.workers[index].worker.crash(),
             Fault::DrainWorker(index) => self.workers[index].worker.register("draining"),
-            Fault::HangWorker(index) => self.set_worker_faults(index, true, false),
-            Fault::FailWorker(index) => self.set_worker_faults(index, false, true),
+            Fault::UnlistWorker(index) => self.workers[index].worker.unregister(),
+            Fault::ListPreviousWorker(index) => self.workers[index].worker.register_previous(),
+            Fault::CloseWorker(index) => self.workers[index].link.close(Closing::Finish),
+            Fault::AbortWorker(index) => self.workers[index].link.close(Closing::Abort),
+            Fault::HangWorker(index) => self.change_faults(index, |faults| faults.hangs = true),
+            Fault::FailWorker(index) => self.change_faults(index, |faults| faults.fails = true),
+            Fault::LoseWorkerResponses(index) => {
+                self.change_faults(index, |faults| faults.loses_responses = true);
+            }
+            Fault::DelayStarts(index) => {
+                self.change_faults(index, |faults| faults.starts_late = true);
+            }
             Fault::Publish => {
                 self.version += 1;
                 publish_queue(&self.store, self.version);
@@ -162,11 +215,17 @@
             }
             Fault::Pause(index) => self.instances[index].instance.signal(Signal::CONT)?,
             Fault::Terminate(index) => self.restart(index).await?,
-            Fault::Hangup(_) | Fault::StoreTruncates | Fault::Publish => {}
+            Fault::Hangup(_)
+            | Fault::StoreTruncates
+            | Fault::Publish
+            | Fault::CloseWorker(_)
+            | Fault::AbortWorker(_)
+            | Fault::OnOwner(_) => {}
             Fault::StoreBusy
             | Fault::StoreUnresponsive
             | Fault::StoreSlow(_)
-            | Fault::StoreDropsResponses => {
+            | Fault::StoreDropsResponses
+            | Fault::StoreDelaysAppends => {
                 self.store.set_mode(StoreMode::Up);
             }
             Fault::PartitionStore(index)
@@ -179,16 +238,23 @@
             Fault::CrashWorker(index) | Fault::DrainWorker(index) => {
                 self.workers[index].worker.restart().await?;
             }
-            Fault::HangWorker(index) | Fault::FailWorker(index) => {
-                self.set_worker_faults(index, false, false);
+            Fault::UnlistWorker(index) | Fault::ListPreviousWorker(index) => {
+                self.workers[index].worker.register("ready");
+            }
+            Fault::HangWorker(index) => self.change_faults(index, |faults| faults.hangs = false),
+            Fault::FailWorker(index) => self.change_faults(index, |faults| faults.fails = false),
+            Fault::LoseWorkerResponses(index) => {
+                self.change_faults(index, |faults| faults.loses_responses = false);
+            }
+            Fault::DelayStarts(index) => {
+                self.change_faults(index, |faults| faults.starts_late = false);
             }
         }
         Ok(())
     }
 
-    fn set_worker_faults(&mut self, index: usize, hangs: bool, fails: bool) {
-        let faults = WorkerFaults { fails, hangs };
-        self.workers[index].worker.set_faults(faults);
+    fn change_faults(&self, index: usize, change: impl FnOnce(&mut WorkerFaults)) {
+        self.workers[index].worker.change_faults(change);
     }
 
     /// Waits for an instance that was asked to stop, kills it if it has not, and starts it again.
@@ -211,7 +277,8 @@
         }
         for node in &mut self.workers {
             node.link.set(Mode::Open);
-            node.worker.set_faults(WorkerFaults::default());
+            node.worker
+                .change_faults(|faults| *faults = WorkerFaults::default());
             node.worker.restart().await?;
             node.worker.register("ready");
         }
--- a/crates/kingcupwinch-soak/src/lib.rs
+++ b/crates/kingcupwinch-soak/src/lib.rs
@@ -12,8 +12,9 @@
 mod ports;
 mod proxy;
 mod run;
+mod series;
 mod workload;
 
-pub use checks::{Invariant, ObservedJob, ObservedStep, Violation, check_invariants};
-pub use plan::{Fault, Plan, PlannedFault};
+pub use checks::{Invariant, Observations, ObservedJob, ObservedStep, Violation, check_invariants};
+pub use plan::{Fault, InstanceFault, Plan, PlanKind, PlannedFault, Trigger};
 pub use run::{Outcome, RunError, RunOptions, run};
--- a/crates/kingcupwinch-soak/src/plan.rs
+++ b/crates/kingcupwinch-soak/src/plan.rs
@@ -4,6 +4,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::series::random_series;
+
 /// Range of the interval between the starts of two faults, in milliseconds. Most faults last longer
 /// than that, so they overlap.
 const INTERVAL_MS: std::ops::Range<u64> = 300..1_600;
@@ -13,6 +15,52 @@
 /// owner.
 const FIRST_FAULT_MS: u64 = 2_500;
 
+/// Range of the interval between the starts of two series of faults, in milliseconds.
+const SERIES_INTERVAL_MS: std::ops::Range<u64> = 1_000..3_500;
+/// Distinguishes the random numbers of the series from those of the single faults.
+const SERIES_SEED: u64 = 0x5e41_e500_0000_0000;
+
+/// A fault of an instance.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum InstanceFault {
+    /// As [`Fault::Kill`].
+    Kill,
+    /// As [`Fault::Pause`].
+    Pause,
+    /// As [`Fault::PartitionStore`].
+    PartitionStore,
+    /// As [`Fault::BlockStoreResponses`].
+    BlockStoreResponses,
+    /// As [`Fault::DelayStore`].
+    DelayStore,
+}
+
+impl InstanceFault {
+    /// Returns the fault of an instance.
+    pub(crate) fn on(self, instance: usize) -> Fault {
+        match self {
+            InstanceFault::Kill => Fault::Kill(instance),
+            InstanceFault::Pause => Fault::Pause(instance),
+            InstanceFault::PartitionStore => Fault::PartitionStore(instance),
+            InstanceFault::BlockStoreResponses => Fault::BlockStoreResponses(instance),
+            InstanceFault::DelayStore => Fault::DelayStore(instance),
+        }
+    }
+}
+
+/// An event right after which a fault begins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trigger {
+    /// The store has executed an append of the owner.
+    Append,
+    /// A worker has listed the end of a run for the first time.
+    Listing,
+    /// A worker has received the acknowledgement of an end.
+    Ack,
+    /// A worker has started a run.
+    Start,
+}
+
 /// A fault to inject.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Fault {
@@ -60,6 +108,22 @@
     FailWorker(usize),
     /// A new version of the configuration is published.
     Publish,
+    /// A fault of the instance that is the owner when the fault begins.
+    OnOwner(InstanceFault),
+    /// The store closes the connections of three writes in ten, and applies them seconds later.
+    StoreDelaysAppends,
+    /// The directory lacks a worker that is alive.
+    UnlistWorker(usize),
+    /// The directory shows a worker as it was before it was started again.
+    ListPreviousWorker(usize),
+    /// A worker's connections are closed once.
+    CloseWorker(usize),
+    /// A worker's connections are reset once.
+    AbortWorker(usize),
+    /// A worker handles requests, but drops three responses in ten.
+    LoseWorkerResponses(usize),
+    /// A worker closes the connections of three start orders in ten, and carries them out later.
+    DelayStarts(usize),
 }
 
 /// A fault and its time.
@@ -71,6 +135,17 @@
     pub duration_ms: u64,
     /// Fault to inject.
     pub fault: Fault,
+    /// Event for which the fault waits from its start on.
+    pub trigger: Option<Trigger>,
+}
+
+/// The faults of a plan.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlanKind {
+    /// Single faults.
+    Basic,
+    /// The single faults of the basic plan, and series of faults among them.
+    Full,
 }
 
 /// The faults of one run, in the order of their start.
@@ -82,7 +157,15 @@
 
 impl Plan {
     /// Builds the plan of a seed for a run of `seconds` with this many instances and workers.
-    pub fn new(seed: u64, seconds: u64, instances: usize, workers: usize) -> Self {
+    pub fn new(kind: PlanKind, seed: u64, seconds: u64, instances: usize, workers: usize) -> Self {
+        let mut plan = Plan::basic(seed, seconds, instances, workers);
+        if kind == PlanKind::Full {
+            plan.add_series(seed, seconds, workers);
+        }
+        plan
+    }
+
+    fn basic(seed: u64, seconds: u64, instances: usize, workers: usize) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut faults = Vec::new();
         let mut at_ms = FIRST_FAULT_MS;
@@ -91,12 +174,27 @@
                 at_ms,
                 duration_ms: rng.random_range(DURATION_MS),
                 fault: random_fault(&mut rng, instances, workers),
+                trigger: None,
             });
             at_ms += rng.random_range(INTERVAL_MS);
         }
         Plan { faults }
     }
 
+    fn add_series(&mut self, seed: u64, seconds: u64, workers: usize) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ SERIES_SEED);
+        let mut at_ms = FIRST_FAULT_MS;
+        while at_ms < seconds * 1_000 {
+            let series = random_series(&mut rng, workers);
+            self.faults.extend(series.into_iter().map(|mut planned| {
+                planned.at_ms += at_ms;
+                planned
+            }));
+            at_ms += rng.random_range(SERIES_INTERVAL_MS);
+        }
+        self.faults.sort_by_key(|planned| planned.at_ms);
+    }
+
     /// Returns one line of text per fault, with its time and duration.
     pub fn describe(&self) -> String {
         let row = |planned: &PlannedFault| {
@@ -104,8 +202,10 @@
                 at_ms,
                 duration_ms,
                 fault,
+                trigger,
             } = planned;
-            format!("  {at_ms:>6} ms for {duration_ms:>4} ms  {fault:?}\n")
+            let trigger = trigger.map_or_else(String::new, |trigger| format!(" at {trigger:?}"));
+            format!("  {at_ms:>6} ms for {duration_ms:>4} ms  {fault:?}{trigger}\n")
         };
         self.faults.iter().map(row).collect()
     }
--- a/crates/kingcupwinch-soak/src/proxy.rs
+++ b/crates/kingcupwinch-soak/src/proxy.rs
@@ -31,6 +31,16 @@
 pub(crate) struct Proxy {
     address: SocketAddr,
     mode: Arc<watch::Sender<Mode>>,
+    closings: Arc<watch::Sender<Option<Closing>>>,
+}
+
+/// How all current connections of a proxy are closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Closing {
+    /// The client sees the end of the stream.
+    Finish,
+    /// The client sees a reset.
+    Abort,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -45,8 +55,14 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let mode = Arc::new(watch::Sender::new(Mode::Open));
-        tokio::spawn(accept(listener, target, Arc::clone(&mode)));
-        Ok(Proxy { address, mode })
+        let closings = Arc::new(watch::Sender::new(None));
+        let links = (Arc::clone(&mode), Arc::clone(&closings));
+        tokio::spawn(accept(listener, target, links.0, links.1));
+        Ok(Proxy {
+            address,
+            mode,
+            closings,
+        })
     }
 
     /// Returns the address on which the proxy listens.
@@ -58,11 +74,22 @@
     pub(crate) fn set(&self, mode: Mode) {
         self.mode.send_replace(mode);
     }
+
+    /// Closes all current connections. New ones are forwarded.
+    pub(crate) fn close(&self, closing: Closing) {
+        self.closings.send_replace(Some(closing));
+    }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, mode: Arc<watch::Sender<Mode>>) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    mode: Arc<watch::Sender<Mode>>,
+    closings: Arc<watch::Sender<Option<Closing>>>,
+) {
     while let Ok((client, _)) = listener.accept().await {
         let mode = mode.subscribe();
+        let mut closing = closings.subscribe();
         tokio::spawn(async move {
             if *mode.borrow() == Mode::Reset {
                 return;
@@ -71,13 +98,19 @@
             let Ok(server) = TcpStream::connect(target).await else {
                 return;
             };
-            let (client_in, client_out) = client.into_split();
-            let (server_in, server_out) = server.into_split();
+            let (mut client_in, mut client_out) = client.into_split();
+            let (mut server_in, mut server_out) = server.into_split();
             let mut reset = mode.clone();
             tokio::select! {
-                () = forward(client_in, server_out, mode.clone(), Direction::ToServer) => {}
-                () = forward(server_in, client_out, mode, Direction::ToClient) => {}
+                () = forward(&mut client_in, &mut server_out, mode.clone(), Direction::ToServer) => {}
+                () = forward(&mut server_in, &mut client_out, mode, Direction::ToClient) => {}
                 _ = reset.wait_for(|mode| *mode == Mode::Reset) => {}
+                _ = closing.changed() => {
+                    if *closing.borrow() == Some(Closing::Abort) {
+                        // Fails only for a connection that is closed already.
+                        let _ = client_out.as_ref().set_zero_linger();
+                    }
+                }
             }
         });
     }
@@ -85,8 +118,8 @@
 
 /// Forwards data in one direction until either end closes its connection.
 async fn forward(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    from: &mut OwnedReadHalf,
+    to: &mut OwnedWriteHalf,
     mut mode: watch::Receiver<Mode>,
     direction: Direction,
 ) {
--- a/crates/kingcupwinch-soak/src/run.rs
+++ b/crates/kingcupwinch-soak/src/run.rs
@@ -9,12 +9,12 @@
 use quick_error::quick_error;
 use tokio::time::{Instant, sleep_until};
 
-use crate::checks::{Invariant, Violation, check_invariants};
+use crate::checks::{Invariant, Observations, Violation, check_invariants};
 use crate::cluster::Cluster;
-use crate::plan::{Fault, Plan};
-use crate::workload::Workload;
+use crate::plan::{Plan, PlanKind, PlannedFault};
+use crate::workload::{Pace, Workload};
 
-/// Numbers of instances and workers of a run.
+/// Default numbers of instances and workers of a run.
 const INSTANCES: usize = 3;
 const WORKERS: usize = 6;
 /// Time within which all accepted jobs must end once every fault is healed.
@@ -44,6 +44,12 @@
     pub seed: u64,
     /// Duration of the load and the faults, in seconds.
     pub seconds: u64,
+    /// Faults of the plan.
+    pub plan: PlanKind,
+    /// Number of instances.
+    pub instances: usize,
+    /// Number of workers.
+    pub workers: usize,
     /// Path of the program that the instances run.
     pub program: PathBuf,
     /// Directory of the settings and logs.
@@ -70,9 +76,9 @@
 /// A phase of a fault.
 #[derive(Debug, Clone, Copy)]
 enum Phase {
-    Begin(Fault),
-    Advance(Fault),
-    End(Fault),
+    Begin,
+    Advance,
+    End,
 }
 
 /// Carries out one run.
@@ -83,13 +89,23 @@
 /// ports are free.
 pub async fn run(options: &RunOptions) -> Result<Outcome, RunError> {
     std::fs::create_dir_all(&options.dir)?;
-    let plan = Plan::new(options.seed, options.seconds, INSTANCES, WORKERS);
+    let plan = Plan::new(
+        options.plan,
+        options.seed,
+        options.seconds,
+        options.instances,
+        options.workers,
+    );
     let mut cluster = start_cluster(options).await?;
     tokio::time::sleep(STARTUP_DELAY).await;
     let workload = Workload::new(cluster.callers());
+    let pace = match options.plan {
+        PlanKind::Basic => Pace::steady(),
+        PlanKind::Full => Pace::varied(options.seed, options.workers),
+    };
     let length = Duration::from_secs(options.seconds);
     let (seed, submitter) = (options.seed, workload.clone());
-    let submissions = tokio::spawn(async move { submitter.submit_jobs(seed, length).await });
+    let submissions = tokio::spawn(async move { submitter.submit_jobs(seed, length, pace).await });
     inject_faults(&mut cluster, &plan).await?;
     cluster.heal().await?;
     // The callers end by themselves. A panic in one shows up as a job that does not end.
@@ -98,7 +114,12 @@
     cluster.stop().await?;
     let jobs = workload.jobs();
     let events = cluster.history.all();
-    let mut violations = check_invariants(&jobs, &events);
+    let appends = cluster.store.fenced_appends();
+    let mut violations = check_invariants(&Observations {
+        jobs: &jobs,
+        events: &events,
+        appends: &appends,
+    });
     violations.extend(cluster.unclean_stops.iter().map(|detail| Violation {
         invariant: Invariant::CleanShutdown,
         detail: detail.clone(),
@@ -118,7 +139,13 @@
 async fn start_cluster(options: &RunOptions) -> Result<Cluster, RunError> {
     let mut retries = 0;
     loop {
-        match Cluster::start(&options.program, &options.dir, INSTANCES, WORKERS).await {
+        let started = Cluster::start(
+            &options.program,
+            &options.dir,
+            options.instances,
+            options.workers,
+        );
+        match started.await {
             Err(error) if error.kind() == ErrorKind::AddrInUse && retries < RETRIES => retries += 1,
             started => return Ok(started?),
         }
@@ -128,31 +155,39 @@
 /// Injects and ends the faults of the plan at their times.
 async fn inject_faults(cluster: &mut Cluster, plan: &Plan) -> Result<(), RunError> {
     let start = Instant::now();
-    for (at, phase) in phases_of(plan) {
+    let mut faults: Vec<PlannedFault> = plan.faults.clone();
+    for (at, index, phase) in phases_of(plan) {
         sleep_until(start + at).await;
+        let planned = &mut faults[index];
         match phase {
-            Phase::Begin(fault) => cluster.begin(fault)?,
-            Phase::Advance(fault) => cluster.advance(fault),
-            Phase::End(fault) => cluster.end(fault).await?,
+            Phase::Begin => {
+                if let Some(trigger) = planned.trigger {
+                    cluster.wait_for(trigger).await;
+                }
+                planned.fault = cluster.resolve(planned.fault);
+                cluster.begin(planned.fault)?;
+            }
+            Phase::Advance => cluster.advance(planned.fault),
+            Phase::End => cluster.end(planned.fault).await?,
         }
     }
     Ok(())
 }
 
-/// Returns the phases of all faults, ordered by time.
-fn phases_of(plan: &Plan) -> Vec<(Duration, Phase)> {
+/// Returns the phases of all faults with the index of the fault, ordered by time.
+fn phases_of(plan: &Plan) -> Vec<(Duration, usize, Phase)> {
     let mut phases = Vec::new();
-    for planned in &plan.faults {
+    for (index, planned) in plan.faults.iter().enumerate() {
         let at = Duration::from_millis(planned.at_ms);
         let advance = Cluster::advance_after(planned.fault);
         let length = Duration::from_millis(planned.duration_ms).max(advance.unwrap_or_default());
-        phases.push((at, Phase::Begin(planned.fault)));
+        phases.push((at, index, Phase::Begin));
         if let Some(advance) = advance {
-            phases.push((at + advance, Phase::Advance(planned.fault)));
+            phases.push((at + advance, index, Phase::Advance));
         }
-        phases.push((at + length, Phase::End(planned.fault)));
+        phases.push((at + length, index, Phase::End));
     }
-    phases.sort_by_key(|(at, _)| *at);
+    phases.sort_by_key(|(at, ..)| *at);
     phases
 }
 
@@ -170,15 +205,11 @@
         Ok(RunOptions {
             seed,
             seconds: 12,
+            plan: PlanKind::Full,
+            instances: INSTANCES,
+            workers: WORKERS,
             program: profile.join("kingcupwinchd"),
             dir: dir.to_owned(),
         })
     }
-
-    /// Sets the duration of the load and the faults, in seconds.
-    #[must_use]
-    pub fn with_seconds(mut self, seconds: u64) -> Self {
-        self.seconds = seconds;
-        self
-    }
 }
--- /dev/null
+++ b/crates/kingcupwinch-soak/src/series.rs
@@ -0,0 +1,239 @@
+//! Series of faults that act together. Times are relative to the start of the series.
+
+use rand::Rng;
+use rand::seq::{IndexedRandom, SliceRandom};
+use rand_chacha::ChaCha8Rng;
+
+use crate::plan::{Fault, InstanceFault, PlannedFault, Trigger};
+
+/// Range of the length of an outage after which directory entries have expired, in milliseconds:
+/// more than three of the workers' heartbeats.
+const EXPIRING_OUTAGE_MS: std::ops::Range<u64> = 4_600..5_500;
+/// Range of the time after an outage within which directory entries come back, in milliseconds.
+const RELISTING_MS: std::ops::Range<u64> = 100..2_000;
+/// Range of the time for which a worker is down between two processes, in milliseconds.
+const RESTART_MS: std::ops::Range<u64> = 1..400;
+
+const TRIGGERS: [Trigger; 4] = [
+    Trigger::Append,
+    Trigger::Listing,
+    Trigger::Ack,
+    Trigger::Start,
+];
+
+/// Returns a series of faults.
+pub(crate) fn random_series(rng: &mut ChaCha8Rng, workers: usize) -> Vec<PlannedFault> {
+    let kinds: [fn(&mut ChaCha8Rng, usize) -> Vec<PlannedFault>; 8] = [
+        owner_ends_in_its_partition,
+        owner_ends_on_slow_store,
+        owner_ends_in_outage,
+        owner_changes,
+        directory_entries_expire,
+        workers_restart,
+        connections_close,
+        worker_responses_are_lost,
+    ];
+    // The array is not empty.
+    kinds
+        .choose(rng)
+        .map_or_else(Vec::new, |series| series(rng, workers))
+}
+
+fn planned(at_ms: u64, duration_ms: u64, fault: Fault) -> PlannedFault {
+    PlannedFault {
+        at_ms,
+        duration_ms,
+        fault,
+        trigger: None,
+    }
+}
+
+impl PlannedFault {
+    fn after(mut self, trigger: Trigger) -> Self {
+        self.trigger = Some(trigger);
+        self
+    }
+}
+
+fn random_trigger(rng: &mut ChaCha8Rng) -> Trigger {
+    TRIGGERS.choose(rng).copied().unwrap_or(Trigger::Listing)
+}
+
+/// Returns some of the workers in random order, at least one.
+fn some_workers(rng: &mut ChaCha8Rng, workers: usize) -> Vec<usize> {
+    let mut chosen: Vec<usize> = (0..workers).collect();
+    chosen.shuffle(rng);
+    chosen.truncate(rng.random_range(1..=workers));
+    chosen
+}
+
+fn kill_or_pause(rng: &mut ChaCha8Rng) -> Fault {
+    let kinds = [
+        InstanceFault::Kill,
+        InstanceFault::Kill,
+        InstanceFault::Pause,
+    ];
+    Fault::OnOwner(kinds.choose(rng).copied().unwrap_or(InstanceFault::Kill))
+}
+
+/// The owner loses the store right after an event, goes on with the workers for a while, and ends.
+fn owner_ends_in_its_partition(rng: &mut ChaCha8Rng, _: usize) -> Vec<PlannedFault> {
+    let cut = [
+        InstanceFault::PartitionStore,
+        InstanceFault::BlockStoreResponses,
+    ];
+    let cut = cut.choose(rng).copied();
+    let cut = Fault::OnOwner(cut.unwrap_or(InstanceFault::PartitionStore));
+    let end = rng.random_range(5..1_500);
+    vec![
+        planned(0, rng.random_range(2_000..6_000), cut).after(random_trigger(rng)),
+        planned(end, rng.random_range(500..5_000), kill_or_pause(rng)),
+    ]
+}
+
+/// On a slow store, the owner ends right after it has acknowledged an end or ordered a start.
+fn owner_ends_on_slow_store(rng: &mut ChaCha8Rng, _: usize) -> Vec<PlannedFault> {
+    let slow = Fault::StoreSlow(rng.random_range(100..400));
+    let mut faults = vec![planned(0, rng.random_range(3_000..5_000), slow)];
+    for at in [600, 2_200] {
+        let trigger = [Trigger::Ack, Trigger::Ack, Trigger::Start];
+        let trigger = trigger.choose(rng).copied().unwrap_or(Trigger::Ack);
+        let at = at + rng.random_range(0..800);
+        let length = rng.random_range(300..2_000);
+        faults.push(planned(at, length, kill_or_pause(rng)).after(trigger));
+    }
+    faults
+}
+
+/// The store fails right after an event, and the owner ends before the store is back.
+fn owner_ends_in_outage(rng: &mut ChaCha8Rng, _: usize) -> Vec<PlannedFault> {
+    let outage = [
+        Fault::StoreBusy,
+        Fault::StoreUnresponsive,
+        Fault::StoreDropsResponses,
+        Fault::StoreDelaysAppends,
+    ];
+    let outage = outage.choose(rng).copied();
+    let outage = outage.unwrap_or(Fault::StoreUnresponsive);
+    let length = rng.random_range(400..3_000);
+    let end = rng.random_range(5..length);
+    vec![
+        planned(0, length, outage).after(random_trigger(rng)),
+        planned(end, rng.random_range(300..4_000), kill_or_pause(rng)),
+    ]
+}
+
+/// One owner after the other is killed, paused or loses the store.
+fn owner_changes(rng: &mut ChaCha8Rng, _: usize) -> Vec<PlannedFault> {
+    let kinds = [
+        InstanceFault::Kill,
+        InstanceFault::Pause,
+        InstanceFault::Pause,
+        InstanceFault::PartitionStore,
+        InstanceFault::BlockStoreResponses,
+        InstanceFault::DelayStore,
+    ];
+    let mut at = 0;
+    let mut faults = Vec::new();
+    for _ in 0..rng.random_range(2..=4) {
+        let kind = kinds.choose(rng).copied().unwrap_or(InstanceFault::Pause);
+        let length = rng.random_range(100..4_000);
+        let fault = planned(at, length, Fault::OnOwner(kind));
+        faults.push(fault.after(random_trigger(rng)));
+        at += rng.random_range(100..1_500);
+    }
+    faults
+}
+
+/// In an outage of the store, directory entries of live workers expire. They come back after it,
+/// while connections to the workers are closed.
+fn directory_entries_expire(rng: &mut ChaCha8Rng, workers: usize) -> Vec<PlannedFault> {
+    let outage = [Fault::StoreBusy, Fault::StoreUnresponsive];
+    let outage = outage.choose(rng).copied().unwrap_or(Fault::StoreBusy);
+    let length = rng.random_range(EXPIRING_OUTAGE_MS);
+    let mut faults = vec![planned(0, length, outage)];
+    for worker in some_workers(rng, workers) {
+        let relisted = rng.random_range(RELISTING_MS);
+        let unlisted = planned(length - 1, relisted + 1, Fault::UnlistWorker(worker));
+        faults.push(unlisted);
+        if rng.random_bool(0.7) {
+            let at = length + rng.random_range(0..3_000);
+            faults.extend(close_repeatedly(rng, at, worker));
+        }
+    }
+    faults
+}
+
+/// Workers are started again under their ids, some of them twice. The directory shows some as they
+/// were before.
+fn workers_restart(rng: &mut ChaCha8Rng, workers: usize) -> Vec<PlannedFault> {
+    let mut faults = Vec::new();
+    for worker in some_workers(rng, workers) {
+        let mut at = rng.random_range(0..1_500);
+        for _ in 0..rng.random_range(1..=2) {
+            let down = rng.random_range(RESTART_MS);
+            faults.push(planned(at, down, Fault::CrashWorker(worker)).after(Trigger::Start));
+            if rng.random_bool(0.5) {
+                let late = at + down + rng.random_range(20..1_500);
+                let length = rng.random_range(100..1_500);
+                faults.push(planned(late, length, Fault::ListPreviousWorker(worker)));
+            }
+            at += down + rng.random_range(100..1_500);
+        }
+    }
+    faults
+}
+
+/// Connections to workers that are alive are closed or reset.
+fn connections_close(rng: &mut ChaCha8Rng, workers: usize) -> Vec<PlannedFault> {
+    let mut faults = Vec::new();
+    for worker in some_workers(rng, workers) {
+        let at = rng.random_range(0..2_000);
+        faults.extend(close_repeatedly(rng, at, worker));
+        if rng.random_bool(0.3) {
+            let length = rng.random_range(100..3_000);
+            let at = at + rng.random_range(0..500);
+            faults.push(planned(at, length, Fault::UnlistWorker(worker)));
+        }
+    }
+    faults
+}
+
+fn close_repeatedly(rng: &mut ChaCha8Rng, at_ms: u64, worker: usize) -> Vec<PlannedFault> {
+    let kinds = [Fault::CloseWorker(worker), Fault::AbortWorker(worker)];
+    let fault = kinds.choose(rng).copied();
+    let fault = fault.unwrap_or(Fault::CloseWorker(worker));
+    let mut at = at_ms;
+    let mut faults = Vec::new();
+    for _ in 0..rng.random_range(1..=4) {
+        faults.push(planned(at, 0, fault));
+        at += rng.random_range(20..300);
+    }
+    faults
+}
+
+/// Workers lose responses or carry start orders out late, and the owner or a worker ends meanwhile.
+fn worker_responses_are_lost(rng: &mut ChaCha8Rng, workers: usize) -> Vec<PlannedFault> {
+    let mut faults = Vec::new();
+    for worker in some_workers(rng, workers) {
+        let kinds = [
+            Fault::LoseWorkerResponses(worker),
+            Fault::DelayStarts(worker),
+        ];
+        let fault = kinds.choose(rng).copied();
+        let fault = fault.unwrap_or(Fault::DelayStarts(worker));
+        faults.push(planned(0, rng.random_range(1_000..5_000), fault));
+        if rng.random_bool(0.2) {
+            let at = rng.random_range(300..3_000);
+            let down = rng.random_range(RESTART_MS);
+            faults.push(planned(at, down, Fault::CrashWorker(worker)));
+        }
+    }
+    if rng.random_bool(0.5) {
+        let at = rng.random_range(300..3_000);
+        let length = rng.random_range(300..3_000);
+        let end = planned(at, length, kill_or_pause(rng));
+        faults.push(end.after(random_trigger(rng)));
+    }
+    faults
+}
--- a/crates/kingcupwinch-soak/src/workload.rs
+++ b/crates/kingcupwinch-soak/src/workload.rs
@@ -12,6 +12,14 @@
 
 /// Interval between two submissions.
 const JOB_INTERVAL: Duration = Duration::from_millis(60);
+/// Intervals between two submissions of a varied pace, in milliseconds.
+const INTERVALS_MS: [u64; 4] = [25, 60, 150, 400];
+/// Time for which a varied pace stays the same.
+const PACE_DURATION: Duration = Duration::from_millis(1_500);
+/// Distinguishes the random numbers of a pace from those of the jobs.
+const PACE_SEED: u64 = 0x9ace_0000_0000_0000;
+/// Number of workers for which the intervals are made.
+const WORKERS_PER_SCALE: usize = 6;
 /// Timeout of one call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Maximum number of attempts to submit or cancel a job.
@@ -32,6 +40,49 @@
     jobs: Arc<Mutex<Vec<ObservedJob>>>,
 }
 
+/// Intervals between submissions.
+pub(crate) struct Pace {
+    /// Random numbers of the intervals; `None` if they are all the same.
+    rng: Option<ChaCha8Rng>,
+    /// Factor of the number of jobs.
+    scale: u32,
+    current: Duration,
+    until: Instant,
+}
+
+impl Pace {
+    /// Returns equal intervals.
+    pub(crate) fn steady() -> Self {
+        Pace {
+            rng: None,
+            scale: 1,
+            current: JOB_INTERVAL,
+            until: Instant::now(),
+        }
+    }
+
+    /// Returns intervals that change from time to time, for a number of workers. With few jobs,
+    /// the owner often has nothing to write.
+    pub(crate) fn varied(seed: u64, workers: usize) -> Self {
+        Pace {
+            rng: Some(ChaCha8Rng::seed_from_u64(seed ^ PACE_SEED)),
+            scale: u32::try_from(workers / WORKERS_PER_SCALE).map_or(1, |scale| scale.max(1)),
+            ..Pace::steady()
+        }
+    }
+
+    fn next(&mut self) -> Duration {
+        if let Some(rng) = &mut self.rng
+            && self.until <= Instant::now()
+        {
+            self.until = Instant::now() + PACE_DURATION;
+            let interval_ms = INTERVALS_MS.choose(rng).copied();
+            self.current = interval_ms.map_or(JOB_INTERVAL, Duration::from_millis) / self.scale;
+        }
+        self.current
+    }
+}
+
 impl Workload {
     pub(crate) fn new(callers: Vec<Caller>) -> Self {
         Workload {
@@ -41,7 +92,7 @@
     }
 
     /// Submits random jobs for `length` and waits until every caller is done with its job.
-    pub(crate) async fn submit_jobs(&self, seed: u64, length: Duration) {
+    pub(crate) async fn submit_jobs(&self, seed: u64, length: Duration, mut pace: Pace) {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let end = Instant::now() + length;
         let mut callers = tokio::task::JoinSet::new();
@@ -62,7 +113,7 @@
             let workload = self.clone();
             callers
                 .spawn(async move { workload.run_caller(index, job, is_cancelled, delay).await });
-            tokio::time::sleep(JOB_INTERVAL).await;
+            tokio::time::sleep(pace.next()).await;
         }
         callers.join_all().await;
     }
@@ -82,6 +133,7 @@
 
     async fn submit(&self, index: usize, job: &JobBody) {
         let id = self.lock()[index].id.clone();
+        self.lock()[index].sent = Some(Instant::now());
         let mut is_refused = true;
         for _ in 0..MAX_ATTEMPTS {
             match self.any_caller().submit(&id, job, CALL_TIMEOUT).await {
--- a/crates/kingcupwinch-soak/tests/checks.rs
+++ b/crates/kingcupwinch-soak/tests/checks.rs
@@ -2,8 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use kingcupwinch_soak::{Invariant, ObservedJob, ObservedStep, Plan, check_invariants};
-use kingcupwinch_standin::{WorkerEvent, WorkerEventKind};
+use kingcupwinch_soak::{
+    Fault, Invariant, Observations, ObservedJob, ObservedStep, Plan, PlanKind, check_invariants,
+};
+use kingcupwinch_standin::{FencedAppend, WorkerEvent, WorkerEventKind};
 use rstest::rstest;
 
 const JOB: &str = "00000000000000aa";
@@ -13,6 +15,7 @@
     start: Instant,
     job: ObservedJob,
     events: Vec<WorkerEvent>,
+    appends: Vec<FencedAppend>,
 }
 
 impl Scenario {
@@ -24,10 +27,12 @@
             job: ObservedJob {
                 id: JOB.into(),
                 steps: vec![step(vec![]), step(vec![0])],
+                sent: Some(start),
                 accepted: Some(start),
                 ..ObservedJob::default()
             },
             events: Vec::new(),
+            appends: Vec::new(),
         }
     }
 
@@ -45,11 +50,31 @@
         });
     }
 
-    /// Records an acknowledged run of the task of a step between two times, in milliseconds.
+    /// Records an append of the owner that arrived and was executed at these times.
+    fn append(&mut self, arrived: u64, applied: u64) {
+        self.appends.push(FencedAppend {
+            client: 0,
+            token: (1, self.appends.len() as u64),
+            arrived: self.at(arrived),
+            applied: self.at(applied),
+        });
+    }
+
+    /// Records a run of the task of a step between two times, in milliseconds. Its placement is
+    /// appended before it, and its end before the acknowledgement, 2 ms after it.
     fn run_task(&mut self, worker: &str, step: u16, run: u32, from: u64, until: u64) {
+        self.append(from - 1, from);
         self.record(from, worker, step, run, WorkerEventKind::Started);
         self.record(until, worker, step, run, WorkerEventKind::Ended("done"));
-        self.record(until, worker, step, run, WorkerEventKind::Acknowledged);
+        self.record(until, worker, step, run, WorkerEventKind::Listed);
+        self.append(until + 1, until + 2);
+        self.record(until + 2, worker, step, run, WorkerEventKind::Acknowledged);
+    }
+
+    /// Removes the appends that were executed at or after a time, in milliseconds.
+    fn drop_appends_from(&mut self, ms: u64) {
+        let from = self.at(ms);
+        self.appends.retain(|append| append.applied < from);
     }
 
     fn report_state(&mut self, ms: u64, state: &str) {
@@ -60,7 +85,13 @@
     fn violations(&self) -> Vec<Invariant> {
         let mut events = self.events.clone();
         events.sort_by_key(|event| event.at);
-        let found = check_invariants(std::slice::from_ref(&self.job), &events);
+        let mut appends = self.appends.clone();
+        appends.sort_by_key(|append| append.applied);
+        let found = check_invariants(&Observations {
+            jobs: std::slice::from_ref(&self.job),
+            events: &events,
+            appends: &appends,
+        });
         let mut invariants: Vec<Invariant> =
             found.iter().map(|violation| violation.invariant).collect();
         invariants.dedup();
@@ -103,8 +134,11 @@
 #[test]
 fn allows_rerun_if_lease_expired_before_acknowledgement() {
     let mut scenario = valid_scenario();
+    scenario.job.states.clear();
+    scenario.report_state(6_100, "completed");
     scenario.record(5_000, "w-3", 1, 3, WorkerEventKind::Started);
     scenario.record(5_200, "w-3", 1, 3, WorkerEventKind::Ended("done"));
+    scenario.record(5_250, "w-3", 1, 3, WorkerEventKind::Listed);
     scenario.record(5_300, "w-3", 1, 3, WorkerEventKind::Acknowledged);
     for event in &mut scenario.events {
         if &*event.worker == "w-2" && event.kind == WorkerEventKind::Acknowledged {
@@ -169,9 +203,10 @@
 
 #[test]
 fn plan_is_determined_by_seed() {
-    let plan = Plan::new(7, 30, 3, 6);
-    assert_eq!(plan, Plan::new(7, 30, 3, 6));
-    assert_ne!(plan, Plan::new(8, 30, 3, 6));
+    let make_plan = |seed| Plan::new(PlanKind::Basic, seed, 30, 3, 6);
+    let plan = make_plan(7);
+    assert_eq!(plan, make_plan(7));
+    assert_ne!(plan, make_plan(8));
     let overlaps = plan.faults.windows(2).filter(|pair| {
         let end = pair[0].at_ms + pair[0].duration_ms;
         end > pair[1].at_ms
@@ -179,3 +214,92 @@
     assert!(overlaps.count() > 3, "too few faults overlap");
     assert!(plan.faults.last().unwrap().at_ms < 30_000);
 }
+
+/// The owner acknowledged an end whose record was not in the log yet.
+#[test]
+fn detects_acknowledgement_before_append() {
+    let mut scenario = valid_scenario();
+    scenario.drop_appends_from(301);
+    scenario.append(303, 304);
+    assert_eq!(scenario.violations(), [Invariant::LogFirst]);
+}
+
+/// An append that was on its way when a run ended can't hold its end.
+#[test]
+fn detects_acknowledgement_after_append_that_arrived_before_listing() {
+    let mut scenario = valid_scenario();
+    scenario.drop_appends_from(301);
+    scenario.append(299, 301);
+    assert_eq!(scenario.violations(), [Invariant::LogFirst]);
+}
+
+#[test]
+fn detects_start_before_append() {
+    let mut scenario = valid_scenario();
+    let is_acked = |event: &WorkerEvent| event.kind == WorkerEventKind::Acknowledged;
+    scenario.events.retain(|event| !is_acked(event));
+    assert_eq!(scenario.violations(), []);
+    let (from, until) = (scenario.at(100), scenario.at(150));
+    let is_between = |append: &FencedAppend| (from..=until).contains(&append.applied);
+    scenario.appends.retain(|append| !is_between(append));
+    assert_eq!(scenario.violations(), [Invariant::LogFirst]);
+}
+
+#[test]
+fn detects_report_of_completion_before_append() {
+    let mut scenario = valid_scenario();
+    let is_acked = |event: &WorkerEvent| event.kind == WorkerEventKind::Acknowledged;
+    scenario.events.retain(|event| !is_acked(event));
+    scenario.drop_appends_from(301);
+    assert_eq!(scenario.violations(), [Invariant::LogFirst]);
+}
+
+/// A cancelled job needs no record of the ends of its runs.
+#[test]
+fn allows_acknowledgement_without_append_for_cancelled_job() {
+    let mut scenario = valid_scenario();
+    scenario.job.states.clear();
+    scenario.job.cancel_sent = Some(scenario.at(200));
+    scenario.drop_appends_from(301);
+    assert_eq!(scenario.violations(), []);
+}
+
+/// The acknowledgement of an end of a worker's earlier process reached a later process.
+#[test]
+fn detects_acknowledgement_of_unlisted_end() {
+    let mut scenario = valid_scenario();
+    let is_listing = |event: &WorkerEvent| event.kind == WorkerEventKind::Listed;
+    scenario
+        .events
+        .retain(|event| !(is_listing(event) && &*event.worker == "w-2"));
+    assert_eq!(scenario.violations(), [Invariant::ListedFirst]);
+}
+
+#[test]
+fn detects_start_after_reported_completion() {
+    let mut scenario = valid_scenario();
+    let is_acked = |event: &WorkerEvent| event.kind == WorkerEventKind::Acknowledged;
+    scenario.events.retain(|event| !is_acked(event));
+    scenario.record(1_350, "w-3", 1, 3, WorkerEventKind::Started);
+    scenario.record(1_400, "w-3", 1, 3, WorkerEventKind::Ended("stopped"));
+    assert_eq!(scenario.violations(), []);
+    scenario.append(1_410, 1_420);
+    scenario.record(1_450, "w-3", 1, 4, WorkerEventKind::Started);
+    scenario.record(1_500, "w-3", 1, 4, WorkerEventKind::Ended("stopped"));
+    assert_eq!(scenario.violations(), [Invariant::NoRerun]);
+}
+
+/// The full plan of a seed holds the basic one, so that a seed that failed keeps its faults.
+#[test]
+fn full_plan_adds_series_to_basic_plan() {
+    let basic = Plan::new(PlanKind::Basic, 7, 30, 3, 6);
+    let full = Plan::new(PlanKind::Full, 7, 30, 3, 6);
+    assert!(basic.faults.iter().all(|fault| full.faults.contains(fault)));
+    let is_aimed = |fault: &Fault| matches!(fault, Fault::OnOwner(_));
+    let aimed = full
+        .faults
+        .iter()
+        .filter(|planned| is_aimed(&planned.fault));
+    assert!(aimed.count() > 3, "too few faults of the owner");
+    assert!(full.faults.iter().any(|planned| planned.trigger.is_some()));
+}
