--- a/crates/kingcupwinch-soak/src/run.rs
+++ b/crates/kingcupwinch-soak/src/run.rs
@@ -1,9 +1,10 @@
 //! One soak run: starts a cluster, submits jobs, injects and heals faults, waits for the jobs to
 //! end, stops the instances and checks the invariants.
 
+use std::fmt::Write;
 use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use kingcupwinch_standin::{WorkerEvent, WorkerEventKind};
 use quick_error::quick_error;
@@ -21,6 +22,8 @@
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Maximum number of further attempts to start the cluster, with other ports.
 const RETRIES: u32 = 5;
+/// File of the workers' events in the directory of a run.
+const EVENTS_FILE: &str = "events.txt";
 /// Delay between the start of the instances and the first job.
 const STARTUP_DELAY: Duration = Duration::from_millis(1_500);
 
@@ -106,6 +109,7 @@
     let length = Duration::from_secs(options.seconds);
     let (seed, submitter) = (options.seed, workload.clone());
     let submissions = tokio::spawn(async move { submitter.submit_jobs(seed, length, pace).await });
+    let start = (std::time::Instant::now(), SystemTime::now());
     inject_faults(&mut cluster, &plan).await?;
     cluster.heal().await?;
     // The callers end by themselves. A panic in one shows up as a job that does not end.
@@ -114,6 +118,7 @@
     cluster.stop().await?;
     let jobs = workload.jobs();
     let events = cluster.history.all();
+    std::fs::write(options.dir.join(EVENTS_FILE), render_events(start, &events))?;
     let appends = cluster.store.fenced_appends();
     let mut violations = check_invariants(&Observations {
         jobs: &jobs,
@@ -135,6 +140,29 @@
     })
 }
 
+/// Renders the workers' events, one a line, with their times in milliseconds after the start of the
+/// plan.
+fn render_events(
+    (start, start_time): (std::time::Instant, SystemTime),
+    events: &[WorkerEvent],
+) -> String {
+    let unix_time = start_time.duration_since(UNIX_EPOCH).unwrap_or_default();
+    let mut text = format!("The plan started at {} ms (Unix).\n", unix_time.as_millis());
+    for event in events {
+        let at_ms = event.at.saturating_duration_since(start).as_millis();
+        let WorkerEvent {
+            worker,
+            task,
+            run,
+            kind,
+            ..
+        } = event;
+        // Writing to a string does not fail.
+        let _ = writeln!(text, "{at_ms:>6} {worker} {kind:?} {task} run {run}");
+    }
+    text
+}
+
 /// Starts the cluster; retries with other ports if another program has taken one meanwhile.
 async fn start_cluster(options: &RunOptions) -> Result<Cluster, RunError> {
     let mut retries = 0;
