--- a/crates/kingcupwinch-daemon/src/actors/jobs.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs.rs
@@ -51,9 +51,19 @@
     pub(crate) scheduler: ActorRef<Scheduler>,
 }
 
+/// A job that was accepted here and is on its way to the log.
+struct Accepting {
+    /// The first term of the ownership under which it was accepted.
+    term: Term,
+    /// Signalled once the job's record was read back from the log.
+    persisted: oneshot::Sender<()>,
+}
+
 /// A home shard that this instance owns.
 struct Home {
     term: Term,
+    /// The term in which this instance became the owner. Since then there was no other one.
+    first_term: Term,
     recovery: Recovery,
     /// Whether the jobs of the previous owner have been recovered.
     recovered: bool,
@@ -68,7 +78,7 @@
     commit: GroupCommit,
     homes: FxHashMap<ShardId, Home>,
     progress: FxHashMap<JobId, JobProgress>,
-    accepting: FxHashMap<JobId, oneshot::Sender<()>>,
+    accepting: FxHashMap<JobId, Accepting>,
     ending: FxHashMap<JobId, JobEnd>,
     final_states: FinalStates,
     members: Vec<Incarnation>,
@@ -160,6 +170,7 @@
             owned.shard,
             Home {
                 term: owned.term,
+                first_term: owned.term,
                 recovery,
                 recovered: false,
             },
@@ -209,3 +220,6 @@
         self.run_due().await;
     }
 }
+
+#[cfg(test)]
+mod tests;
