Bound how long the ends of unaccepted jobs wait

Cause: an end whose job's acceptance is never read, as one that can't be decoded, would keep all later ends of its worker from being acknowledged.

Change: such ends wait for ten seconds after the takeover at most.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -37,6 +37,9 @@
 /// log. Those that deviate most from their kind are kept.
 const MAX_RECORDED_WORKERS: usize = 1_000;
 
+/// How long after a takeover an acceptance that an earlier owner was appending may still be read.
+const ACCEPTANCE_TIMEOUT: Span = Span::from_millis(10_000);
+
 /// The timers of a cell.
 #[derive(Debug, Clone, Copy)]
 pub struct CellTimers {
@@ -137,6 +140,8 @@
     ended_jobs: FxHashMap<JobId, JobState>,
     /// The progress that an earlier owner recorded of jobs whose acceptance was not read yet.
     unaccepted: FxHashMap<JobId, JobRecord>,
+    /// When the acceptances of these jobs have certainly been read, if they are in the log.
+    accepted_by: Time,
     /// When the final states of jobs expire, in order of time.
     end_expiry: VecDeque<(Time, JobId)>,
     /// Cancellations that arrived before their jobs, with the time at which each expires.
@@ -191,6 +196,7 @@
             jobs_by_id: FxHashMap::default(),
             ended_jobs: FxHashMap::default(),
             unaccepted: FxHashMap::default(),
+            accepted_by: Time::ZERO,
             end_expiry: VecDeque::new(),
             early_cancels: FxHashMap::default(),
             workers: SlotMap::with_key(),
@@ -280,6 +286,7 @@
             return;
         }
         let Some(spec) = spec else {
+            self.accepted_by = now + ACCEPTANCE_TIMEOUT;
             self.unaccepted
                 .extend(record.map(|record| (id, record.clone())));
             return;
--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -182,7 +182,7 @@
             if end.sequence <= worker.last_end_seen {
                 continue;
             }
-            if self.unaccepted.contains_key(&end.task.job) {
+            if now < self.accepted_by && self.unaccepted.contains_key(&end.task.job) {
                 return false;
             }
             worker.last_end_seen = end.sequence;
--- a/crates/kingcupwinch-cell/tests/cell/takeover.rs
+++ b/crates/kingcupwinch-cell/tests/cell/takeover.rs
@@ -366,6 +366,22 @@
     assert_eq!(harness.job_state(1), Some(JobState::Completed));
 }
 
+/// An acceptance that never arrives must not keep a worker's other ends from being acknowledged.
+#[test]
+fn ends_are_acknowledged_if_the_acceptance_never_arrives() {
+    let mut harness = successor_of_unaccepted();
+    let key = harness.keys()[0];
+    list_running(&mut harness, key, run_of(1, 1));
+    harness.end_all(EndReason::Done);
+    for _ in 0..12 {
+        harness.advance(1_000);
+        harness.poll_all();
+        harness.append_records();
+    }
+    let poll = harness.cell.next_poll(key, harness.now).unwrap();
+    assert_eq!(poll.acked_through, 1);
+}
+
 /// A job that is announced again is dropped again, and accepted by its first append after all.
 #[test]
 fn a_dropped_job_of_an_earlier_owner_keeps_its_placement() {
