Use no worker after a pause before it has responded

Cause: an owner that resumes gave orders and acknowledgements by what it knew of the workers before the pause.

Change: after a pause a worker gets neither before it has responded, and an acknowledgement only within half a second of its last response.

A worker that is back within half a second is not covered.

--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -27,7 +27,7 @@
 const MIN_PROJECTED_PERCENT: u8 = 20;
 /// The longest time since a worker's last response in which its process is assumed not to have been
 /// replaced: a worker takes longer to start.
-const MAX_ACK_DELAY: Span = Span::from_millis(1_000);
+const MAX_ACK_DELAY: Span = Span::from_millis(500);
 /// How long a worker that left the directory and has no runs is still polled.
 const UNLISTED_RETENTION: Span = Span::from_secs(8);
 
@@ -44,8 +44,8 @@
         let long_poll = !worker.inherited && worker.failed_polls == 0 && lease_until.is_some();
         // After a failed poll or a pause, the response may come from a later process, which numbers
         // its ends anew.
-        let is_same_process =
-            worker.failed_polls == 0 && now.since(worker.last_response) <= MAX_ACK_DELAY;
+        let is_recent = now.since(worker.last_response) <= MAX_ACK_DELAY;
+        let is_same_process = worker.failed_polls == 0 && !worker.is_overdue && is_recent;
         let acked_through = if is_same_process {
             worker.last_end_acked
         } else {
@@ -250,6 +250,14 @@
         }
     }
 
+    /// Records that polls were paused, so that any worker may have been restarted unnoticed. No worker
+    /// gets new work or acknowledgements before it has responded again.
+    pub fn note_pause(&mut self) {
+        for worker in self.workers.values_mut() {
+            worker.is_overdue = true;
+        }
+    }
+
     /// Records that a poll of a worker failed.
     pub fn poll_failed(&mut self, key: WorkerKey, failure: PollFailure) {
         if let Some(worker) = self.workers.get_mut(key) {
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -160,6 +160,8 @@
     pub(crate) failed_polls: u32,
     /// When the worker last responded to a poll.
     pub(crate) last_response: Time,
+    /// Whether the worker has not responded since polls were paused.
+    pub(crate) is_overdue: bool,
     /// Whether a poll that failed since the last response found the connection closed.
     is_connection_closed: bool,
     /// Whether an earlier owner may have used the worker and this owner has not polled it yet.
@@ -189,6 +191,7 @@
             last_end_acked: 0,
             failed_polls: 0,
             last_response: Time::ZERO,
+            is_overdue: false,
             is_connection_closed: false,
             inherited,
             has_unknown_runs: false,
@@ -219,6 +222,7 @@
     pub(crate) fn is_usable(&self, now: Time) -> bool {
         !self.registration.draining
             && !self.inherited
+            && !self.is_overdue
             && !self.has_unknown_runs
             && !self.registration.is_restart(self.listed_ms)
             && self.clock_sample.is_some()
@@ -256,6 +260,7 @@
         self.clock_sample = Some(ClockSample { clock_ms, read_at });
         self.last_response = read_at;
         self.failed_polls = 0;
+        self.is_overdue = false;
         self.is_connection_closed = false;
         self.inherited = false;
     }
--- a/crates/kingcupwinch-cell/tests/cell/workers.rs
+++ b/crates/kingcupwinch-cell/tests/cell/workers.rs
@@ -225,3 +225,16 @@
     harness.decide();
     assert!(harness.starts.is_empty());
 }
+
+/// While the owner is suspended no worker is polled, so that none of their restarts is seen.
+#[test]
+fn no_worker_gets_work_after_a_pause_before_it_responds() {
+    let mut harness = Harness::new(1, 4);
+    harness.submit(1, job(vec![step(1, 1, 500)]));
+    harness.cell.note_pause();
+    harness.decide();
+    assert!(harness.starts.is_empty());
+    harness.poll_all();
+    harness.decide();
+    assert_eq!(harness.starts.len(), 1);
+}
--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -144,6 +144,7 @@
             let event = if is_overdue {
                 Event::Suspended
             } else {
+                self.cell.note_pause();
                 Event::Resumed
             };
             let age = now.since(self.confirmed_at).as_millis();
--- a/crates/kingcupwinch-node/src/ownership/tests.rs
+++ b/crates/kingcupwinch-node/src/ownership/tests.rs
@@ -59,7 +59,7 @@
 #[tokio::test]
 async fn heartbeats_behind_a_later_claim_confirm_nothing() {
     let store = StandinStore::new();
-    let (address, _server) = store.start().await.unwrap();
+    let (address, _server) = store.start(0).await.unwrap();
     let value = serde_json::to_vec(&claim("other")).unwrap();
     store.with_log(|log| {
         let record = frame(&keyed_record(CLAIM_KEY, &value));
