--- a/crates/kingcupwinch-soak/src/plan.rs
+++ b/crates/kingcupwinch-soak/src/plan.rs
@@ -4,7 +4,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::series::random_series;
+use crate::series::{random_series, rolling_restart};
 
 /// Range of the interval between the starts of two faults, in milliseconds. Most faults last longer
 /// than that, so they overlap.
@@ -17,8 +17,11 @@
 
 /// Range of the interval between the starts of two series of faults, in milliseconds.
 const SERIES_INTERVAL_MS: std::ops::Range<u64> = 1_000..3_500;
-/// Distinguishes the random numbers of the series from those of the single faults.
+/// Range of the interval between the starts of two restarts of all instances, in milliseconds.
+const RESTART_INTERVAL_MS: std::ops::Range<u64> = 4_000..9_000;
+/// Distinguish the random numbers of the series and of the restarts from those of the single faults.
 const SERIES_SEED: u64 = 0x5e41_e500_0000_0000;
+const RESTART_SEED: u64 = 0x4e57_a470_0000_0000;
 
 /// A fault of an instance.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -160,7 +163,15 @@
     pub fn new(kind: PlanKind, seed: u64, seconds: u64, instances: usize, workers: usize) -> Self {
         let mut plan = Plan::basic(seed, seconds, instances, workers);
         if kind == PlanKind::Full {
-            plan.add_series(seed, seconds, workers);
+            let mut rng = ChaCha8Rng::seed_from_u64(seed ^ SERIES_SEED);
+            plan.add_series(&mut rng, seconds, SERIES_INTERVAL_MS, |rng| {
+                random_series(rng, workers)
+            });
+            let mut rng = ChaCha8Rng::seed_from_u64(seed ^ RESTART_SEED);
+            plan.add_series(&mut rng, seconds, RESTART_INTERVAL_MS, |rng| {
+                rolling_restart(rng, instances)
+            });
+            plan.faults.sort_by_key(|planned| planned.at_ms);
         }
         plan
     }
@@ -181,18 +192,22 @@
         Plan { faults }
     }
 
-    fn add_series(&mut self, seed: u64, seconds: u64, workers: usize) {
-        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ SERIES_SEED);
+    fn add_series(
+        &mut self,
+        rng: &mut ChaCha8Rng,
+        seconds: u64,
+        interval_ms: std::ops::Range<u64>,
+        series: impl Fn(&mut ChaCha8Rng) -> Vec<PlannedFault>,
+    ) {
         let mut at_ms = FIRST_FAULT_MS;
         while at_ms < seconds * 1_000 {
-            let series = random_series(&mut rng, workers);
-            self.faults.extend(series.into_iter().map(|mut planned| {
-                planned.at_ms += at_ms;
-                planned
-            }));
-            at_ms += rng.random_range(SERIES_INTERVAL_MS);
+            self.faults
+                .extend(series(rng).into_iter().map(|mut planned| {
+                    planned.at_ms += at_ms;
+                    planned
+                }));
+            at_ms += rng.random_range(interval_ms.clone());
         }
-        self.faults.sort_by_key(|planned| planned.at_ms);
     }
 
     /// Returns one line of text per fault, with its time and duration.
--- a/crates/kingcupwinch-soak/src/series.rs
+++ b/crates/kingcupwinch-soak/src/series.rs
@@ -237,3 +237,30 @@
     }
     faults
 }
+
+/// All instances are started again one after the other, with signals in series, while the
+/// configuration changes. Callers use their open connections until a process is gone.
+pub(crate) fn rolling_restart(rng: &mut ChaCha8Rng, instances: usize) -> Vec<PlannedFault> {
+    let mut order: Vec<usize> = (0..instances).collect();
+    order.shuffle(rng);
+    let mut at = rng.random_range(0..2_000);
+    let mut faults = Vec::new();
+    for instance in order {
+        if rng.random_bool(0.5) {
+            faults.push(planned(at, 0, Fault::Publish));
+        }
+        for _ in 0..rng.random_range(0..3) {
+            let hangup = at + rng.random_range(0..300);
+            faults.push(planned(hangup, 0, Fault::Hangup(instance)));
+        }
+        let stop = at + rng.random_range(0..300);
+        let length = rng.random_range(300..2_500);
+        faults.push(planned(stop, length, Fault::Terminate(instance)));
+        if rng.random_bool(0.2) {
+            let kill = stop + rng.random_range(20..1_000);
+            faults.push(planned(kill, length, Fault::Kill(instance)));
+        }
+        at += rng.random_range(200..1_500);
+    }
+    faults
+}
