Soak: keep to the plan while instances stop

The end of that fault is now put off until the process has exited, or is killed 7.5 s after the signal as before.

--- a/crates/kingcupwinch-soak/src/cluster.rs
+++ b/crates/kingcupwinch-soak/src/cluster.rs
@@ -214,7 +214,7 @@
                 }
             }
             Fault::Pause(index) => self.instances[index].instance.signal(Signal::CONT)?,
-            Fault::Terminate(index) => self.restart(index).await?,
+            Fault::Terminate(index) => self.restart(index)?,
             Fault::Hangup(_)
             | Fault::StoreTruncates
             | Fault::Publish
@@ -257,12 +257,21 @@
         self.workers[index].worker.change_faults(change);
     }
 
-    /// Waits for an instance that was asked to stop, kills it if it has not, and starts it again.
-    async fn restart(&mut self, index: usize) -> io::Result<()> {
+    /// Returns whether a fault is over only once an instance has stopped, which it still may do in
+    /// time.
+    pub(crate) fn is_stopping(&mut self, fault: Fault) -> io::Result<bool> {
+        let Fault::Terminate(index) = fault else {
+            return Ok(false);
+        };
         let instance = &mut self.instances[index].instance;
         // Another fault may have paused the instance meanwhile.
         instance.signal(Signal::CONT)?;
-        instance.wait_exit(STOP_TIMEOUT).await;
+        Ok(instance.is_stopping(STOP_TIMEOUT))
+    }
+
+    /// Kills an instance that was asked to stop, unless it has, and starts it again.
+    fn restart(&mut self, index: usize) -> io::Result<()> {
+        let instance = &mut self.instances[index].instance;
         instance.kill()?;
         instance.ensure_started()
     }
--- a/crates/kingcupwinch-soak/src/instance.rs
+++ b/crates/kingcupwinch-soak/src/instance.rs
@@ -23,6 +23,8 @@
     child: Option<Child>,
     /// Time of the last start.
     started: Instant,
+    /// Time at which the process was last asked to stop.
+    stop_requested: Option<Instant>,
 }
 
 impl Instance {
@@ -40,6 +42,7 @@
             log: dir.join(format!("{}.log", settings.name)),
             child: None,
             started: Instant::now(),
+            stop_requested: None,
         };
         instance.ensure_started()?;
         Ok(instance)
@@ -64,6 +67,7 @@
             .spawn()?;
         self.child = Some(child);
         self.started = Instant::now();
+        self.stop_requested = None;
         Ok(())
     }
 
@@ -90,9 +94,18 @@
         if let Some(pid) = pid {
             kill_process(pid, signal)?;
         }
+        if signal == Signal::TERM {
+            self.stop_requested.get_or_insert_with(Instant::now);
+        }
         Ok(())
     }
 
+    /// Returns whether the process runs and was asked to stop less than `timeout` ago.
+    pub(crate) fn is_stopping(&mut self, timeout: Duration) -> bool {
+        let is_recent = |at: Instant| at.elapsed() < timeout;
+        self.is_running() && self.stop_requested.is_some_and(is_recent)
+    }
+
     /// Kills the process and waits for its exit.
     pub(crate) fn kill(&mut self) -> io::Result<()> {
         if let Some(mut child) = self.child.take() {
--- a/crates/kingcupwinch-soak/src/run.rs
+++ b/crates/kingcupwinch-soak/src/run.rs
@@ -1,6 +1,7 @@
 //! One soak run: starts a cluster, submits jobs, injects and heals faults, waits for the jobs to
 //! end, stops the instances and checks the invariants.
 
+use std::collections::VecDeque;
 use std::fmt::Write;
 use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
@@ -22,6 +23,8 @@
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Maximum number of further attempts to start the cluster, with other ports.
 const RETRIES: u32 = 5;
+/// Interval at which an instance that was asked to stop is checked for its exit.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// File of the workers' events in the directory of a run.
 const EVENTS_FILE: &str = "events.txt";
 /// Delay between the start of the instances and the first job.
@@ -184,10 +187,16 @@
 async fn inject_faults(cluster: &mut Cluster, plan: &Plan) -> Result<(), RunError> {
     let start = Instant::now();
     let mut faults: Vec<PlannedFault> = plan.faults.clone();
-    for (at, index, phase) in phases_of(plan) {
+    let mut phases = phases_of(plan);
+    while let Some((at, index, phase)) = phases.pop_front() {
         sleep_until(start + at).await;
         let planned = &mut faults[index];
         match phase {
+            Phase::End if cluster.is_stopping(planned.fault)? => {
+                let later = at + STOP_POLL_INTERVAL;
+                let next = phases.partition_point(|(at, ..)| *at <= later);
+                phases.insert(next, (later, index, phase));
+            }
             Phase::Begin => {
                 if let Some(trigger) = planned.trigger {
                     cluster.wait_for(trigger).await;
@@ -203,7 +212,7 @@
 }
 
 /// Returns the phases of all faults with the index of the fault, ordered by time.
-fn phases_of(plan: &Plan) -> Vec<(Duration, usize, Phase)> {
+fn phases_of(plan: &Plan) -> VecDeque<(Duration, usize, Phase)> {
     let mut phases = Vec::new();
     for (index, planned) in plan.faults.iter().enumerate() {
         let at = Duration::from_millis(planned.at_ms);
@@ -216,7 +225,7 @@
         phases.push((at + length, index, Phase::End));
     }
     phases.sort_by_key(|(at, ..)| *at);
-    phases
+    phases.into()
 }
 
 impl RunOptions {
