Take no start back because its repeat did not start anything

A start without an answer is repeated. If the repeat was refused, could not be sent or was withheld, the start as a whole counted as not started, although the first request may have started the task. The task was queued again and could run in two places, or a second time where it must not.

Once a request may have arrived, the start is unconfirmed; the worker's reports show whether the task runs.

The test failed before (the task counted as not started) and passes now.

--- a/crates/kingcupwinch-daemon/src/actors/scheduler/control.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/control.rs
@@ -61,6 +61,7 @@
 
 impl Starter {
     async fn run(self) -> StartEnd {
+        let mut may_have_started = false;
         for _ in 0..MAX_START_ATTEMPTS {
             let call = Duration::from_millis(self.shared.settings.platform.call_ms);
             let started = self
@@ -71,8 +72,11 @@
                 return StartEnd::Started;
             };
             self.log_error(&error);
-            if let Some(reason) = not_started_reason(&error) {
-                return StartEnd::NotStarted(reason);
+            match not_started_reason(&error) {
+                // That a repeat did not start says nothing about a request before.
+                Some(_) if may_have_started => return StartEnd::Unconfirmed,
+                Some(reason) => return StartEnd::NotStarted(reason),
+                None => may_have_started = true,
             }
         }
         StartEnd::Unconfirmed
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/tests.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/tests.rs
@@ -1,10 +1,14 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use kingcupwinch_coord::id::TaskId;
 use kingcupwinch_wire::api::{JobPhase, WorkerState};
 use kingcupwinch_wire::worker::{EndedWork, RunningWork, Usage, WorkKind, WorkOutcome};
 
-use super::{DropWaiting, GetStatus, UsageReported};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+
+use super::{DropWaiting, GetStatus, PermitsChanged, UsageReported};
 use crate::actors::tests::{FREE_SHARD, Node, holds_soon};
 
 /// Number of the first attempt of a job's second submission.
@@ -98,3 +102,36 @@
     assert!(holds_soon(async || node.busy().await == 0).await);
     assert_eq!(node.queue().await, (0, 0), "the ended work was adopted");
 }
+
+/// A worker takes a start and breaks down before its answer. The repeat is refused a connection.
+#[tokio::test]
+async fn a_start_that_may_have_happened_is_not_taken_back_by_its_repeat() {
+    let node = Node::start(false).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    node.list_worker_at(listener.local_addr().unwrap()).await;
+    let breakdown = tokio::spawn(break_down_at_start(listener));
+    node.scheduler.ask(PermitsChanged).await.unwrap();
+    node.accept(1, true).await;
+    breakdown.await.unwrap();
+    let moved = async || node.queue().await != (0, 1);
+    let moved = tokio::time::timeout(Duration::from_secs(1), async {
+        while !moved().await {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    });
+    assert!(moved.await.is_err(), "the task counts as not started");
+}
+
+/// Accepts connections until one carries a start request, and then closes the port and them all.
+async fn break_down_at_start(listener: TcpListener) {
+    let mut open = Vec::new();
+    loop {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut head = [0; 4];
+        stream.read_exact(&mut head).await.unwrap();
+        if head == *b"POST" {
+            return;
+        }
+        open.push(stream);
+    }
+}
--- a/crates/kingcupwinch-daemon/src/actors/tests.rs
+++ b/crates/kingcupwinch-daemon/src/actors/tests.rs
@@ -1,5 +1,6 @@
 //! The scheduler and the job manager of one instance on a simulated log, without ownership actor.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
@@ -87,7 +88,8 @@
 }
 
 impl Node {
-    /// Starts the actors; `inherited` tells whether an earlier owner may have left work running.
+    /// Starts the actors. The scheduler dispatches nothing before it is told of its permit.
+    /// `inherited` tells whether an earlier owner may have left work running.
     pub(super) async fn start(inherited: bool) -> Self {
         let log = FakeLog::new();
         let log_server = LogServer::start(&log, ([127, 0, 0, 1], 0).into())
@@ -142,6 +144,11 @@
 
     /// Lists a worker of [`OWN_SHARD`] that can't be reached, and returns its name.
     pub(super) async fn list_worker(&self) -> Arc<str> {
+        self.list_worker_at(([127, 0, 0, 1], 1).into()).await
+    }
+
+    /// Lists a worker of [`OWN_SHARD`], and returns its name.
+    pub(super) async fn list_worker_at(&self, address: SocketAddr) -> Arc<str> {
         let name = (0..)
             .map(|n| format!("worker-{n}"))
             .find(|name| kingcupwinch_coord::hash::shard_of_name(name, 2) == OWN_SHARD)
@@ -152,7 +159,7 @@
             rack: "rack-0".into(),
             role: Role::Worker,
             state: InstanceState::Live,
-            address: ([127, 0, 0, 1], 1).into(),
+            address,
             capacity: Capacity {
                 slots: 4,
                 connections: 32,
