Count the submissions of each task in its attempt numbers

One counter of 8 bits for a job and term made the attempt numbers repeat after 256 submissions, and each return of any task is one. A worker takes a repeated number for a repeated start and starts nothing, and an end that it still lists for the earlier attempt matches the later one.

Count each task's own submissions, in 12 bits; the term keeps 12.

--- a/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
@@ -115,7 +115,7 @@
             parts,
             spec: Arc::clone(&progress.spec),
             idempotent: progress.idempotent,
-            base: progress.next_attempt_base(),
+            base: progress.next_attempt_base(&tasks),
             tasks,
         };
         // A stopped scheduler runs nothing; the next owner of the home shard recovers the job.
--- a/crates/kingcupwinch-daemon/src/jobs/progress.rs
+++ b/crates/kingcupwinch-daemon/src/jobs/progress.rs
@@ -10,8 +10,10 @@
 
 /// Bits of an attempt number that count the dispatches by one scheduler.
 const DISPATCH_BITS: u32 = 8;
-/// Bits of an attempt number that count the submissions in one term.
-const SUBMISSION_BITS: u32 = 8;
+/// Bits of an attempt number that count the submissions of a task in one term.
+const SUBMISSION_BITS: u32 = 12;
+/// Bits of an attempt number that hold the end of the term.
+const TERM_BITS: u32 = 32 - SUBMISSION_BITS - DISPATCH_BITS;
 
 /// The status of a task as known to the job's home shard.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -72,7 +74,8 @@
     /// Whether each task runs, according to the last report.
     running: Vec<bool>,
     term: Term,
-    submissions: u32,
+    /// Number of each task's latest submission in the term.
+    submissions: Vec<u16>,
 }
 
 impl JobProgress {
@@ -94,7 +97,7 @@
             started: false,
             running: vec![false; count],
             term,
-            submissions: 0,
+            submissions: vec![0; count],
         }
     }
 
@@ -102,17 +105,26 @@
     pub(crate) fn continue_in(&mut self, term: Term) {
         if term > self.term {
             self.term = term;
-            self.submissions = 0;
+            self.submissions.fill(0);
         }
     }
 
-    /// Returns the base of the attempt numbers of a new submission. The numbers repeat only after
-    /// 256 submissions in one term, or when the truncated term repeats.
-    pub(crate) fn next_attempt_base(&mut self) -> u32 {
-        self.submissions = (self.submissions + 1) % (1 << SUBMISSION_BITS);
-        // The term is truncated to 16 bits, so it repeats only after 65,536 changes of term.
-        let term = u32::try_from(self.term.0 & 0xffff).unwrap_or(0);
-        (term << (SUBMISSION_BITS + DISPATCH_BITS)) | (self.submissions << DISPATCH_BITS)
+    /// Returns the base of the attempt numbers of a new submission of tasks. The numbers of a task
+    /// repeat only after 4,096 of its submissions in one term, or when the truncated term repeats.
+    pub(crate) fn next_attempt_base(&mut self, tasks: &[u32]) -> u32 {
+        let indices = tasks.iter().filter_map(|task| usize::try_from(*task).ok());
+        let latest = indices
+            .clone()
+            .filter_map(|index| self.submissions.get(index));
+        let number = latest.max().map_or(1, |latest| latest.wrapping_add(1));
+        for index in indices {
+            if let Some(latest) = self.submissions.get_mut(index) {
+                *latest = number;
+            }
+        }
+        let number = u32::from(number) % (1 << SUBMISSION_BITS);
+        let term = u32::try_from(self.term.0 % (1 << TERM_BITS)).unwrap_or(0);
+        (term << (SUBMISSION_BITS + DISPATCH_BITS)) | (number << DISPATCH_BITS)
     }
 
     /// Applies a scheduler's report; returns whether the status changed.
@@ -268,3 +280,6 @@
         JobEnd::Unknown => JobPhase::Unknown,
     }
 }
+
+#[cfg(test)]
+mod tests;
