Show and confirm the end of a job only once it is on the log

A cancellation was confirmed, and an end shown, as soon as the home had decided it, although its record was still to be appended, or could not be while the log was out. If the home died or stopped before that, the next owner recovered the job as open: one that was confirmed as cancelled ran, and one that was shown as done waited again. If the end of another owner came first in the log, the own one went on to be shown.

Confirm a cancellation once its end was read back, or answer that the outcome is unknown, and show only the end that the log holds.

The test failed before (the job was shown as cancelled while the log was out; the confirmation came at once by the signature of the message) and passes now.

--- a/crates/kingcupwinch-daemon/src/actors/jobs.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs.rs
@@ -80,6 +80,8 @@
     progress: FxHashMap<JobId, JobProgress>,
     accepting: FxHashMap<JobId, Accepting>,
     ending: FxHashMap<JobId, JobEnd>,
+    /// Callers that wait for the end of a job on the log.
+    cancelling: FxHashMap<JobId, Vec<oneshot::Sender<()>>>,
     final_states: FinalStates,
     members: Vec<Incarnation>,
     snapshot_pending: bool,
@@ -101,6 +103,7 @@
             progress: FxHashMap::default(),
             accepting: FxHashMap::default(),
             ending: FxHashMap::default(),
+            cancelling: FxHashMap::default(),
             final_states: FinalStates::default(),
             members: Vec::new(),
             snapshot_pending: false,
--- a/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
@@ -26,7 +26,13 @@
         }
         for (job, end) in change.ended {
             self.ending.remove(&job);
-            self.progress.remove(&job);
+            if let Some(progress) = self.progress.remove(&job) {
+                self.final_states.push(progress.ended_status(end));
+            }
+            for recorded in self.cancelling.remove(&job).unwrap_or_default() {
+                // A caller that has disconnected needs no signal.
+                let _ = recorded.send(());
+            }
             let fields = o!("job" => job.to_string(), "end" => format!("{end:?}"));
             self.args.shared.log.write(EventId::JobEnded, fields);
         }
@@ -194,9 +200,6 @@
         if self.ending.insert(job, end).is_some() {
             return;
         }
-        if let Some(progress) = self.progress.get(&job) {
-            self.final_states.push(progress.ended_status(end));
-        }
         let now = self.now();
         self.commit.end(job, end, now);
         if end != JobEnd::Done {
--- a/crates/kingcupwinch-daemon/src/actors/jobs/messages.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/messages.rs
@@ -127,14 +127,19 @@
     }
 }
 
-/// Cancels a job.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct CancelJob(pub(crate) JobId);
+/// Cancels a job; `recorded` is signalled once the job's end is on the log.
+#[derive(Debug)]
+pub(crate) struct CancelJob {
+    /// The job.
+    pub(crate) job: JobId,
+    /// Signalled once the job's end was read back from the log; dropped if it is not cancelled.
+    pub(crate) recorded: oneshot::Sender<()>,
+}
 
 /// The outcome of a cancellation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Reply)]
 pub(crate) enum CancelOutcome {
-    /// The job is cancelled, or had already ended.
+    /// The job is cancelled or had already ended, as soon as that is on the log.
     Cancelled,
     /// The job has started and is not idempotent, so it is not stopped.
     Running,
@@ -249,12 +254,8 @@
         _ctx: &mut Context<Self, LookupAnswer>,
     ) -> LookupAnswer {
         let job = lookup.0;
-        let ending = self
-            .ending
-            .get(&job)
-            .copied()
-            .or_else(|| self.jobs.end(job));
-        if let Some(end) = ending {
+        // An end counts once it is on the log: before that, another owner may still run the job.
+        if let Some(end) = self.jobs.end(job) {
             let known = self.final_states.get(job);
             return LookupAnswer(Some(known.unwrap_or_else(|| ended_status(job, end))));
         }
@@ -274,9 +275,17 @@
         cancel: CancelJob,
         _ctx: &mut Context<Self, CancelOutcome>,
     ) -> CancelOutcome {
-        let job = cancel.0;
-        let ended = self.ending.contains_key(&job) || self.jobs.end(job).is_some();
-        if ended {
+        let job = cancel.job;
+        if self.jobs.end(job).is_some() {
+            // A caller that has disconnected needs no signal.
+            let _ = cancel.recorded.send(());
+            return CancelOutcome::Cancelled;
+        }
+        if self.ending.contains_key(&job) {
+            self.cancelling
+                .entry(job)
+                .or_default()
+                .push(cancel.recorded);
             return CancelOutcome::Cancelled;
         }
         let Some(progress) = self.progress.get(&job) else {
@@ -285,6 +294,10 @@
         if !progress.idempotent && progress.started {
             return CancelOutcome::Running;
         }
+        self.cancelling
+            .entry(job)
+            .or_default()
+            .push(cancel.recorded);
         self.end_job(job, JobEnd::Cancelled).await;
         self.set_alarm();
         CancelOutcome::Cancelled
--- a/crates/kingcupwinch-daemon/src/actors/jobs/tests.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/tests.rs
@@ -1,8 +1,13 @@
+use std::time::Duration;
+
 use kingcupwinch_coord::id::{Attempt, TaskId, Term};
+use kingcupwinch_fakes::Availability;
+use kingcupwinch_wire::api::JobPhase;
 use kingcupwinch_wire::sibling::TaskPhase;
 use rstest::rstest;
+use tokio::sync::oneshot;
 
-use super::{HomeRenewed, TaskEvent};
+use super::{CancelJob, CancelOutcome, HomeRenewed, TaskEvent};
 use crate::actors::scheduler::DropWaiting;
 use crate::actors::tests::{Node, OWN_SHARD, holds_soon};
 use crate::jobs::JobIdParts;
@@ -79,3 +84,25 @@
     node.append_job(OWN_SHARD, 1, idempotent);
     assert!(holds_soon(async || node.queue().await == (2, 0)).await);
 }
+
+/// While the log is out, another owner may take over and run a job whose end is not on the log.
+#[tokio::test]
+async fn an_end_is_shown_and_confirmed_only_once_it_is_on_the_log() {
+    let node = Node::start(false).await;
+    let job = node.accept(1, true).await;
+    node.log_server.set_availability(Availability::Unavailable);
+    let (recorded, mut confirmed) = oneshot::channel();
+    let cancel = CancelJob {
+        job: job.id,
+        recorded,
+    };
+    let outcome = node.jobs.ask(cancel).await.unwrap();
+    assert_eq!(outcome, CancelOutcome::Cancelled);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert!(confirmed.try_recv().is_err(), "confirmed without the log");
+    let status = node.status(job).await.unwrap();
+    assert_eq!(status.phase, JobPhase::Waiting, "shown without the log");
+    node.log_server.set_availability(Availability::Up);
+    confirmed.await.unwrap();
+    assert_eq!(node.status(job).await.unwrap().phase, JobPhase::Cancelled);
+}
--- a/crates/kingcupwinch-daemon/src/actors/tests.rs
+++ b/crates/kingcupwinch-daemon/src/actors/tests.rs
@@ -75,7 +75,7 @@
 pub(super) struct Node {
     pub(super) shared: Arc<Shared>,
     log: FakeLog,
-    _log_server: LogServer,
+    pub(super) log_server: LogServer,
     pub(super) scheduler: ActorRef<Scheduler>,
     pub(super) jobs: ActorRef<JobManager>,
     reader: JoinHandle<()>,
@@ -135,7 +135,7 @@
         Node {
             shared,
             log,
-            _log_server: log_server,
+            log_server,
             scheduler,
             jobs,
             reader,
--- a/crates/kingcupwinch-daemon/src/jobs/service.rs
+++ b/crates/kingcupwinch-daemon/src/jobs/service.rs
@@ -252,7 +252,7 @@
     async fn cancel_at_home(&self, parts: JobIdParts) -> Result<CancelOutcome, Problem> {
         let owner = self.owner_of(parts)?;
         if owner == self.shared.incarnation {
-            return Ok(self.cancel_here(parts.id).await);
+            return self.cancel_here(parts.id).await;
         }
         let deadline = Instant::now() + ASK_TIMEOUT;
         match self
@@ -264,17 +264,32 @@
             Ok(Message::Declined(reason)) if *reason == *RUNNING_REASON => {
                 Ok(CancelOutcome::Running)
             }
+            Ok(Message::Declined(reason)) if *reason == *UNCONFIRMED_REASON => Err(unreached()),
             Ok(Message::Declined(_)) => Ok(CancelOutcome::NotFound),
             Ok(_) | Err(_) => Err(unreached()),
         }
     }
 
-    /// Cancels a job whose home shard this instance owns.
-    pub(crate) async fn cancel_here(&self, job: JobId) -> CancelOutcome {
-        self.manager
-            .ask(CancelJob(job))
+    /// Cancels a job whose home shard this instance owns. The outcome is returned only once the
+    /// job's end is on the log.
+    pub(crate) async fn cancel_here(&self, job: JobId) -> Result<CancelOutcome, Problem> {
+        let (recorded, confirmed) = oneshot::channel();
+        let cancel = CancelJob { job, recorded };
+        let outcome = self
+            .manager
+            .ask(cancel)
             .await
-            .unwrap_or(CancelOutcome::NotFound)
+            .unwrap_or(CancelOutcome::NotFound);
+        if outcome != CancelOutcome::Cancelled {
+            return Ok(outcome);
+        }
+        match timeout(PERSIST_TIMEOUT, confirmed).await {
+            Ok(Ok(())) => Ok(outcome),
+            _ => Err(unknown(
+                "not-confirmed",
+                format!("job {job} may have been cancelled"),
+            )),
+        }
     }
 
     fn owner_of(&self, parts: JobIdParts) -> Result<Incarnation, Problem> {
@@ -287,6 +302,9 @@
 /// The sibling's reason for declining to cancel a job that runs and must not be stopped.
 pub(crate) const RUNNING_REASON: &str = "runs";
 
+/// The sibling's reason for declining to say whether a job was cancelled.
+pub(crate) const UNCONFIRMED_REASON: &str = "not confirmed";
+
 fn check_size(spec: &JobSpec, tree: &Tree) -> Result<(), String> {
     let most = tree.limits.job_tasks.min(MAX_TASKS);
     if spec.tasks == 0 || spec.tasks > most {
--- a/crates/kingcupwinch-daemon/src/siblings/inbox.rs
+++ b/crates/kingcupwinch-daemon/src/siblings/inbox.rs
@@ -14,7 +14,7 @@
 use crate::actors::jobs::{CancelOutcome, JobManager, TaskEvent};
 use crate::actors::ownership::{Ownership, OwnershipEvent};
 use crate::actors::scheduler::{ReceiveTask, Scheduler, SiblingGrant, SiblingQueued};
-use crate::jobs::{JobService, RUNNING_REASON};
+use crate::jobs::{JobService, RUNNING_REASON, UNCONFIRMED_REASON};
 use crate::keys::KeyService;
 use crate::logging::EventId;
 use crate::shared::Shared;
@@ -122,9 +122,10 @@
                 Err(_) => Body::Declined(STOPPING.into()),
             },
             Body::JobCancel(job) => match self.jobs.cancel_here(job).await {
-                CancelOutcome::Cancelled => Body::Done,
-                CancelOutcome::Running => Body::Declined(RUNNING_REASON.into()),
-                CancelOutcome::NotFound => Body::Declined("unknown job".into()),
+                Ok(CancelOutcome::Cancelled) => Body::Done,
+                Ok(CancelOutcome::Running) => Body::Declined(RUNNING_REASON.into()),
+                Ok(CancelOutcome::NotFound) => Body::Declined("unknown job".into()),
+                Err(_) => Body::Declined(UNCONFIRMED_REASON.into()),
             },
             _ => Body::Declined("not understood here".into()),
         }
