Submit no returned task of a job that is ending

While the record of a job's end was on its way to the log, or the log was out, a task that a sibling returned was submitted again, so that a job that was being cancelled went on to start work.

The test failed before (one task waiting) and passes now.

--- a/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
@@ -103,8 +103,12 @@
         }
     }
 
-    /// Submits to the scheduler the tasks of a job that certainly do not run.
+    /// Submits to the scheduler the tasks of a job that certainly do not run, unless the job's end
+    /// is on its way to the log.
     async fn submit(&mut self, job: JobId) {
+        if self.ending.contains_key(&job) {
+            return;
+        }
         let now = self.now();
         let Some(progress) = self.progress.get_mut(&job) else {
             return;
--- a/crates/kingcupwinch-daemon/src/actors/jobs/tests.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/tests.rs
@@ -106,3 +106,20 @@
     confirmed.await.unwrap();
     assert_eq!(node.status(job).await.unwrap().phase, JobPhase::Cancelled);
 }
+
+/// A task that a sibling returns does not start again while its job's end is on its way to the log.
+#[tokio::test]
+async fn a_returned_task_of_a_cancelled_job_is_not_submitted() {
+    let node = Node::start(false).await;
+    let job = node.accept(1, true).await;
+    assert!(holds_soon(async || node.queue().await == (1, 0)).await);
+    node.log_server.set_availability(Availability::Unavailable);
+    let (recorded, _confirmed) = oneshot::channel();
+    let cancel = CancelJob {
+        job: job.id,
+        recorded,
+    };
+    node.jobs.ask(cancel).await.unwrap();
+    report(&node, job.task(0), TaskPhase::NotRun, true).await;
+    assert_eq!(node.queue().await, (0, 0));
+}
