Let only the scheduler that has a task give it up

Reports to a home at a sibling are repeated until they are acknowledged, so they arrive in any order. When a worker's shard moved, the new owner's report that a task runs could arrive before the earlier owner's that the task has moved: the home then started the task again after its lease, although the new owner went on to renew it. A late copy of a return did so at once.

The home notes which instance runs a task, and takes a return or a move only from that one.

--- a/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
@@ -145,7 +145,7 @@
         let report = TaskReport {
             attempt: event.attempt,
             phase: event.phase,
-            remote: event.remote,
+            from: event.from,
             expiry,
         };
         progress.apply_report(index, report);
@@ -338,7 +338,7 @@
         for (job, progress) in &mut self.progress {
             let lost = progress.tasks_where(|status| match status {
                 TaskStatus::Delegated(to) => departed.contains(&to),
-                TaskStatus::Remote => true,
+                TaskStatus::Remote(_) => true,
                 _ => false,
             });
             if !lost.is_empty() {
--- a/crates/kingcupwinch-daemon/src/actors/jobs/messages.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/messages.rs
@@ -72,8 +72,8 @@
     pub(crate) attempt: Attempt,
     /// The task's new phase.
     pub(crate) phase: TaskPhase,
-    /// Whether the report comes from a sibling's scheduler.
-    pub(crate) remote: bool,
+    /// The sibling whose scheduler reports, `None` for this instance's scheduler.
+    pub(crate) from: Option<Incarnation>,
 }
 
 /// Reports that a task was delegated to a sibling.
--- a/crates/kingcupwinch-daemon/src/actors/jobs/tests.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/tests.rs
@@ -12,12 +12,12 @@
 use crate::actors::tests::{Node, OWN_SHARD, holds_soon};
 use crate::jobs::JobIdParts;
 
-async fn report(node: &Node, task: TaskId, phase: TaskPhase, remote: bool) {
+async fn report(node: &Node, task: TaskId, phase: TaskPhase) {
     let event = TaskEvent {
         task,
         attempt: Attempt(0),
         phase,
-        remote,
+        from: None,
     };
     node.jobs.ask(event).await.unwrap();
 }
@@ -27,8 +27,8 @@
     let job = node.accept(2, idempotent).await;
     assert!(holds_soon(async || node.queue().await == (2, 0)).await);
     node.scheduler.ask(DropWaiting(job.id)).await.unwrap();
-    report(node, job.task(0), TaskPhase::Moved, false).await;
-    report(node, job.task(1), TaskPhase::NotRun, true).await;
+    report(node, job.task(0), TaskPhase::Moved).await;
+    report(node, job.task(1), TaskPhase::NotRun).await;
     job
 }
 
@@ -107,7 +107,7 @@
     assert_eq!(node.status(job).await.unwrap().phase, JobPhase::Cancelled);
 }
 
-/// A task that a sibling returns does not start again while its job's end is on its way to the log.
+/// A returned task does not start again while its job's end is on its way to the log.
 #[tokio::test]
 async fn a_returned_task_of_a_cancelled_job_is_not_submitted() {
     let node = Node::start(false).await;
@@ -120,6 +120,6 @@
         recorded,
     };
     node.jobs.ask(cancel).await.unwrap();
-    report(&node, job.task(0), TaskPhase::NotRun, true).await;
+    report(&node, job.task(0), TaskPhase::NotRun).await;
     assert_eq!(node.queue().await, (0, 0));
 }
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/runs.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/runs.rs
@@ -278,7 +278,7 @@
                 task,
                 attempt,
                 phase,
-                remote: false,
+                from: None,
             });
         } else {
             let state = TaskState {
--- a/crates/kingcupwinch-daemon/src/jobs/progress.rs
+++ b/crates/kingcupwinch-daemon/src/jobs/progress.rs
@@ -24,8 +24,8 @@
     Local,
     /// A sibling accepted the task and has it queued or running.
     Delegated(Incarnation),
-    /// The task runs on a worker of another instance's shard.
-    Remote,
+    /// The task runs on a worker of this other instance's shard.
+    Remote(Incarnation),
     /// The task succeeded.
     Done,
     /// The task failed permanently.
@@ -42,6 +42,27 @@
             TaskStatus::Done | TaskStatus::Failed | TaskStatus::Unknown
         )
     }
+
+    /// Returns whether a scheduler other than the reporting one is known to have the task.
+    fn is_held_by_other(self, from: Option<Incarnation>) -> bool {
+        match self {
+            TaskStatus::Remote(holder) => from != Some(holder),
+            TaskStatus::Local => from.is_some(),
+            _ => false,
+        }
+    }
+
+    /// Returns the status after a scheduler has reported that the task runs there.
+    fn running_at(self, from: Option<Incarnation>) -> Self {
+        match (self, from) {
+            (TaskStatus::Unconfirmed(_) | TaskStatus::Remote(_), None) => TaskStatus::Local,
+            (TaskStatus::Unconfirmed(_) | TaskStatus::Remote(_), Some(from)) => {
+                TaskStatus::Remote(from)
+            }
+            (TaskStatus::Delegated(to), Some(from)) if to != from => TaskStatus::Remote(from),
+            (other, _) => other,
+        }
+    }
 }
 
 /// A scheduler's report about a task.
@@ -52,8 +73,8 @@
     pub(crate) attempt: Attempt,
     /// The task's new phase.
     pub(crate) phase: TaskPhase,
-    /// Whether the report comes from a sibling's scheduler.
-    pub(crate) remote: bool,
+    /// The sibling whose scheduler reports, `None` for this instance's scheduler.
+    pub(crate) from: Option<Incarnation>,
     /// Time by which a run with no further reports has certainly ended.
     pub(crate) expiry: Time,
 }
@@ -132,7 +153,7 @@
         let TaskReport {
             attempt,
             phase,
-            remote,
+            from,
             expiry,
         } = report;
         let Some(status) = self.tasks.get_mut(index) else {
@@ -145,17 +166,18 @@
         if phase == TaskPhase::Failed && self.idempotent && attempt > Attempt(0) {
             return false;
         }
+        // The report was late: the task has a new holder since.
+        let gives_up = matches!(phase, TaskPhase::Moved | TaskPhase::NotRun);
+        if gives_up && status.is_held_by_other(from) {
+            return false;
+        }
         let next = match phase {
             TaskPhase::Done => TaskStatus::Done,
             TaskPhase::Failed => TaskStatus::Failed,
             TaskPhase::Unknown => TaskStatus::Unknown,
             TaskPhase::Running => {
                 self.started = true;
-                match *status {
-                    TaskStatus::Unconfirmed(_) if remote => TaskStatus::Remote,
-                    TaskStatus::Unconfirmed(_) => TaskStatus::Local,
-                    other => other,
-                }
+                status.running_at(from)
             }
             // The task was returned, so it certainly does not run.
             TaskPhase::NotRun => TaskStatus::Unconfirmed(Time::ZERO),
--- a/crates/kingcupwinch-daemon/src/jobs/progress/tests.rs
+++ b/crates/kingcupwinch-daemon/src/jobs/progress/tests.rs
@@ -1,12 +1,13 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 
-use kingcupwinch_coord::id::{JobId, Term};
+use kingcupwinch_coord::id::{Attempt, Incarnation, JobId, Term};
 use kingcupwinch_time::Time;
 use kingcupwinch_wire::api::JobSpec;
+use kingcupwinch_wire::sibling::TaskPhase;
 use uuid::Uuid;
 
-use super::{JobProgress, TaskStatus};
+use super::{JobProgress, TaskReport, TaskStatus};
 
 fn make_progress(tasks: u32) -> JobProgress {
     let spec: JobSpec = serde_json::from_value(serde_json::json!({
@@ -40,3 +41,30 @@
     progress.continue_in(Term(4));
     assert_ne!(progress.next_attempt_base(&[0]), first);
 }
+
+/// The earlier owner's report of a moved task arrives after the new owner's report that it runs.
+#[test]
+fn a_task_stays_with_the_new_owner_of_its_worker_though_the_earlier_reports_late() {
+    let [earlier, new] = [1, 2].map(|n| Incarnation(Uuid::from_u128(n)));
+    let expiry = Time::from_millis(9_000);
+    for before in [TaskStatus::Delegated(earlier), TaskStatus::Remote(earlier)] {
+        let mut progress = make_progress(1);
+        progress.set_status(&[0], before);
+        let mut report = |phase, from| {
+            let report = TaskReport {
+                attempt: Attempt(0),
+                phase,
+                from: Some(from),
+                expiry,
+            };
+            progress.apply_report(0, report);
+            progress.tasks[0]
+        };
+        let running = TaskStatus::Remote(new);
+        assert_eq!(report(TaskPhase::Running, new), running);
+        assert_eq!(report(TaskPhase::Moved, earlier), running);
+        assert_eq!(report(TaskPhase::NotRun, earlier), running);
+        let moved = TaskStatus::Unconfirmed(expiry);
+        assert_eq!(report(TaskPhase::Moved, new), moved);
+    }
+}
--- a/crates/kingcupwinch-daemon/src/siblings/inbox.rs
+++ b/crates/kingcupwinch-daemon/src/siblings/inbox.rs
@@ -110,7 +110,7 @@
                     task: state.task,
                     attempt: state.attempt,
                     phase: state.phase,
-                    remote: true,
+                    from: Some(from),
                 };
                 match self.manager.tell(event).await {
                     Ok(()) => Body::Done,
