--- a/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
@@ -26,7 +26,13 @@
         }
         for (job, end) in change.ended {
             self.ending.remove(&job);
-            self.progress.remove(&job);
+            if let Some(progress) = self.progress.remove(&job) {
+                self.final_states.push(progress.ended_status(end));
+            }
+            for recorded in self.cancelling.remove(&job).unwrap_or_default() {
+                // A caller that has disconnected needs no signal.
+                let _ = recorded.send(());
+            }
             let fields = o!("job" => job.to_string(), "end" => format!("{end:?}"));
             self.args.shared.log.write(EventId::JobEnded, fields);
         }
@@ -97,8 +103,12 @@
         }
     }
 
-    /// Submits to the scheduler the tasks of a job that certainly do not run.
+    /// Submits to the scheduler the tasks of a job that certainly do not run, unless the job's end
+    /// is on its way to the log.
     async fn submit(&mut self, job: JobId) {
+        if self.ending.contains_key(&job) {
+            return;
+        }
         let now = self.now();
         let Some(progress) = self.progress.get_mut(&job) else {
             return;
@@ -115,7 +125,7 @@
             parts,
             spec: Arc::clone(&progress.spec),
             idempotent: progress.idempotent,
-            base: progress.next_attempt_base(),
+            base: progress.next_attempt_base(&tasks),
             tasks,
         };
         // A stopped scheduler runs nothing; the next owner of the home shard recovers the job.
@@ -135,7 +145,7 @@
         let report = TaskReport {
             attempt: event.attempt,
             phase: event.phase,
-            remote: event.remote,
+            from: event.from,
             expiry,
         };
         progress.apply_report(index, report);
@@ -194,9 +204,6 @@
         if self.ending.insert(job, end).is_some() {
             return;
         }
-        if let Some(progress) = self.progress.get(&job) {
-            self.final_states.push(progress.ended_status(end));
-        }
         let now = self.now();
         self.commit.end(job, end, now);
         if end != JobEnd::Done {
@@ -331,7 +338,7 @@
         for (job, progress) in &mut self.progress {
             let lost = progress.tasks_where(|status| match status {
                 TaskStatus::Delegated(to) => departed.contains(&to),
-                TaskStatus::Remote => true,
+                TaskStatus::Remote(_) => true,
                 _ => false,
             });
             if !lost.is_empty() {
--- a/crates/kingcupwinch-daemon/src/actors/jobs/tests.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/tests.rs
@@ -1,18 +1,23 @@
+use std::time::Duration;
+
 use kingcupwinch_coord::id::{Attempt, TaskId, Term};
+use kingcupwinch_fakes::Availability;
+use kingcupwinch_wire::api::JobPhase;
 use kingcupwinch_wire::sibling::TaskPhase;
 use rstest::rstest;
+use tokio::sync::oneshot;
 
-use super::{HomeRenewed, TaskEvent};
+use super::{CancelJob, CancelOutcome, HomeRenewed, TaskEvent};
 use crate::actors::scheduler::DropWaiting;
 use crate::actors::tests::{Node, OWN_SHARD, holds_soon};
 use crate::jobs::JobIdParts;
 
-async fn report(node: &Node, task: TaskId, phase: TaskPhase, remote: bool) {
+async fn report(node: &Node, task: TaskId, phase: TaskPhase) {
     let event = TaskEvent {
         task,
         attempt: Attempt(0),
         phase,
-        remote,
+        from: None,
     };
     node.jobs.ask(event).await.unwrap();
 }
@@ -22,8 +27,8 @@
     let job = node.accept(2, idempotent).await;
     assert!(holds_soon(async || node.queue().await == (2, 0)).await);
     node.scheduler.ask(DropWaiting(job.id)).await.unwrap();
-    report(node, job.task(0), TaskPhase::Moved, false).await;
-    report(node, job.task(1), TaskPhase::NotRun, true).await;
+    report(node, job.task(0), TaskPhase::Moved).await;
+    report(node, job.task(1), TaskPhase::NotRun).await;
     job
 }
 
@@ -79,3 +84,42 @@
     node.append_job(OWN_SHARD, 1, idempotent);
     assert!(holds_soon(async || node.queue().await == (2, 0)).await);
 }
+
+/// While the log is out, another owner may take over and run a job whose end is not on the log.
+#[tokio::test]
+async fn an_end_is_shown_and_confirmed_only_once_it_is_on_the_log() {
+    let node = Node::start(false).await;
+    let job = node.accept(1, true).await;
+    node.log_server.set_availability(Availability::Unavailable);
+    let (recorded, mut confirmed) = oneshot::channel();
+    let cancel = CancelJob {
+        job: job.id,
+        recorded,
+    };
+    let outcome = node.jobs.ask(cancel).await.unwrap();
+    assert_eq!(outcome, CancelOutcome::Cancelled);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert!(confirmed.try_recv().is_err(), "confirmed without the log");
+    let status = node.status(job).await.unwrap();
+    assert_eq!(status.phase, JobPhase::Waiting, "shown without the log");
+    node.log_server.set_availability(Availability::Up);
+    confirmed.await.unwrap();
+    assert_eq!(node.status(job).await.unwrap().phase, JobPhase::Cancelled);
+}
+
+/// A returned task does not start again while its job's end is on its way to the log.
+#[tokio::test]
+async fn a_returned_task_of_a_cancelled_job_is_not_submitted() {
+    let node = Node::start(false).await;
+    let job = node.accept(1, true).await;
+    assert!(holds_soon(async || node.queue().await == (1, 0)).await);
+    node.log_server.set_availability(Availability::Unavailable);
+    let (recorded, _confirmed) = oneshot::channel();
+    let cancel = CancelJob {
+        job: job.id,
+        recorded,
+    };
+    node.jobs.ask(cancel).await.unwrap();
+    report(&node, job.task(0), TaskPhase::NotRun).await;
+    assert_eq!(node.queue().await, (0, 0));
+}
--- a/crates/kingcupwinch-daemon/src/jobs/progress.rs
+++ b/crates/kingcupwinch-daemon/src/jobs/progress.rs
@@ -10,8 +10,10 @@
 
 /// Bits of an attempt number that count the dispatches by one scheduler.
 const DISPATCH_BITS: u32 = 8;
-/// Bits of an attempt number that count the submissions in one term.
-const SUBMISSION_BITS: u32 = 8;
+/// Bits of an attempt number that count the submissions of a task in one term.
+const SUBMISSION_BITS: u32 = 12;
+/// Bits of an attempt number that hold the end of the term.
+const TERM_BITS: u32 = 32 - SUBMISSION_BITS - DISPATCH_BITS;
 
 /// The status of a task as known to the job's home shard.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,8 +24,8 @@
     Local,
     /// A sibling accepted the task and has it queued or running.
     Delegated(Incarnation),
-    /// The task runs on a worker of another instance's shard.
-    Remote,
+    /// The task runs on a worker of this other instance's shard.
+    Remote(Incarnation),
     /// The task succeeded.
     Done,
     /// The task failed permanently.
@@ -40,6 +42,27 @@
             TaskStatus::Done | TaskStatus::Failed | TaskStatus::Unknown
         )
     }
+
+    /// Returns whether a scheduler other than the reporting one is known to have the task.
+    fn is_held_by_other(self, from: Option<Incarnation>) -> bool {
+        match self {
+            TaskStatus::Remote(holder) => from != Some(holder),
+            TaskStatus::Local => from.is_some(),
+            _ => false,
+        }
+    }
+
+    /// Returns the status after a scheduler has reported that the task runs there.
+    fn running_at(self, from: Option<Incarnation>) -> Self {
+        match (self, from) {
+            (TaskStatus::Unconfirmed(_) | TaskStatus::Remote(_), None) => TaskStatus::Local,
+            (TaskStatus::Unconfirmed(_) | TaskStatus::Remote(_), Some(from)) => {
+                TaskStatus::Remote(from)
+            }
+            (TaskStatus::Delegated(to), Some(from)) if to != from => TaskStatus::Remote(from),
+            (other, _) => other,
+        }
+    }
 }
 
 /// A scheduler's report about a task.
@@ -50,8 +73,8 @@
     pub(crate) attempt: Attempt,
     /// The task's new phase.
     pub(crate) phase: TaskPhase,
-    /// Whether the report comes from a sibling's scheduler.
-    pub(crate) remote: bool,
+    /// The sibling whose scheduler reports, `None` for this instance's scheduler.
+    pub(crate) from: Option<Incarnation>,
     /// Time by which a run with no further reports has certainly ended.
     pub(crate) expiry: Time,
 }
@@ -72,7 +95,8 @@
     /// Whether each task runs, according to the last report.
     running: Vec<bool>,
     term: Term,
-    submissions: u32,
+    /// Number of each task's latest submission in the term.
+    submissions: Vec<u16>,
 }
 
 impl JobProgress {
@@ -94,7 +118,7 @@
             started: false,
             running: vec![false; count],
             term,
-            submissions: 0,
+            submissions: vec![0; count],
         }
     }
 
@@ -102,17 +126,26 @@
     pub(crate) fn continue_in(&mut self, term: Term) {
         if term > self.term {
             self.term = term;
-            self.submissions = 0;
+            self.submissions.fill(0);
         }
     }
 
-    /// Returns the base of the attempt numbers of a new submission. The numbers repeat only after
-    /// 256 submissions in one term, or when the truncated term repeats.
-    pub(crate) fn next_attempt_base(&mut self) -> u32 {
-        self.submissions = (self.submissions + 1) % (1 << SUBMISSION_BITS);
-        // The term is truncated to 16 bits, so it repeats only after 65,536 changes of term.
-        let term = u32::try_from(self.term.0 & 0xffff).unwrap_or(0);
-        (term << (SUBMISSION_BITS + DISPATCH_BITS)) | (self.submissions << DISPATCH_BITS)
+    /// Returns the base of the attempt numbers of a new submission of tasks. The numbers of a task
+    /// repeat only after 4,096 of its submissions in one term, or when the truncated term repeats.
+    pub(crate) fn next_attempt_base(&mut self, tasks: &[u32]) -> u32 {
+        let indices = tasks.iter().filter_map(|task| usize::try_from(*task).ok());
+        let latest = indices
+            .clone()
+            .filter_map(|index| self.submissions.get(index));
+        let number = latest.max().map_or(1, |latest| latest.wrapping_add(1));
+        for index in indices {
+            if let Some(latest) = self.submissions.get_mut(index) {
+                *latest = number;
+            }
+        }
+        let number = u32::from(number) % (1 << SUBMISSION_BITS);
+        let term = u32::try_from(self.term.0 % (1 << TERM_BITS)).unwrap_or(0);
+        (term << (SUBMISSION_BITS + DISPATCH_BITS)) | (number << DISPATCH_BITS)
     }
 
     /// Applies a scheduler's report; returns whether the status changed.
@@ -120,7 +153,7 @@
         let TaskReport {
             attempt,
             phase,
-            remote,
+            from,
             expiry,
         } = report;
         let Some(status) = self.tasks.get_mut(index) else {
@@ -133,17 +166,18 @@
         if phase == TaskPhase::Failed && self.idempotent && attempt > Attempt(0) {
             return false;
         }
+        // The report was late: the task has a new holder since.
+        let gives_up = matches!(phase, TaskPhase::Moved | TaskPhase::NotRun);
+        if gives_up && status.is_held_by_other(from) {
+            return false;
+        }
         let next = match phase {
             TaskPhase::Done => TaskStatus::Done,
             TaskPhase::Failed => TaskStatus::Failed,
             TaskPhase::Unknown => TaskStatus::Unknown,
             TaskPhase::Running => {
                 self.started = true;
-                match *status {
-                    TaskStatus::Unconfirmed(_) if remote => TaskStatus::Remote,
-                    TaskStatus::Unconfirmed(_) => TaskStatus::Local,
-                    other => other,
-                }
+                status.running_at(from)
             }
             // The task was returned, so it certainly does not run.
             TaskPhase::NotRun => TaskStatus::Unconfirmed(Time::ZERO),
@@ -268,3 +302,6 @@
         JobEnd::Unknown => JobPhase::Unknown,
     }
 }
+
+#[cfg(test)]
+mod tests;
