Cancel the tasks of a job that another instance has ended

The end that an earlier owner of a home shard decided may take effect after the next owner's recovery. That owner then forgot the job but left its tasks in the scheduler, and siblings kept those that were delegated to them, so a cancelled job went on to start tasks.

Cancel what the scheduler has of a job whose end, read from the log, was not decided here.

The test failed before (two tasks went on waiting) and passes now.

--- a/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
@@ -25,8 +25,14 @@
             self.run_started(job).await;
         }
         for (job, end) in change.ended {
-            self.ending.remove(&job);
-            if let Some(progress) = self.progress.remove(&job) {
+            let decided_here = self.ending.remove(&job).is_some();
+            let progress = self.progress.remove(&job);
+            // The scheduler may have tasks of a job that another instance has ended.
+            if !decided_here && (progress.is_some() || end != JobEnd::Done) {
+                // A stopped scheduler runs nothing.
+                let _ = self.args.scheduler.tell(CancelTasks(job)).await;
+            }
+            if let Some(progress) = progress {
                 self.final_states.push(progress.ended_status(end));
             }
             for recorded in self.cancelling.remove(&job).unwrap_or_default() {
--- a/crates/kingcupwinch-daemon/src/actors/jobs/tests.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/tests.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use kingcupwinch_coord::id::{Attempt, TaskId, Term};
+use kingcupwinch_coord::record::{JobEnd, JobRecord};
 use kingcupwinch_fakes::Availability;
 use kingcupwinch_wire::api::JobPhase;
 use kingcupwinch_wire::sibling::TaskPhase;
@@ -123,3 +124,14 @@
     report(&node, job.task(0), TaskPhase::NotRun).await;
     assert_eq!(node.queue().await, (0, 0));
 }
+
+/// The end that an earlier owner of the home shard has decided takes effect after its recovery.
+#[tokio::test]
+async fn a_job_that_another_instance_has_ended_starts_nothing_more() {
+    let node = Node::start(false).await;
+    let job = node.accept(2, true).await;
+    assert!(holds_soon(async || node.queue().await == (2, 0)).await);
+    node.append(JobRecord::Ended(vec![(job.id, JobEnd::Cancelled)]));
+    assert!(holds_soon(async || node.queue().await == (0, 0)).await);
+    assert_eq!(node.status(job).await.unwrap().phase, JobPhase::Cancelled);
+}
