Simulate owners, the log and workers around the cell

Cause: the random tests of the cell append to a log that is always up, and no owner is ever replaced.

Change: a simulation with a log that delays or loses batches, owners that crash, are cut off, release the cell or are superseded, and workers with their own clocks, leases, lists of ends and directory entries. Every check uses only what workers and callers see; the one excuse is a lease that lapsed between an end and its acknowledgement.

--- /dev/null
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/faults.rs
@@ -0,0 +1,335 @@
+//! The callers, and the faults of owners, workers, the log and the network.
+
+use kingcupwinch_cell::{JobId, JobSpec, JobState};
+use kingcupwinch_time::{Span, Time};
+
+use super::log::{DirectoryRecord, IntakeRecord};
+use super::owner::{OwnerEvent, Writer};
+use super::simulation::{Event, Simulation, TICK};
+use super::worker::{Cut, Life, MAX_SLOW_PPM, Worker};
+use crate::harness::{EXIT_WINDOW, id, job, step};
+
+const CORES: u64 = 8;
+/// The time between two writes of a worker to the directory.
+const HEARTBEAT: Span = EXIT_WINDOW;
+/// The entry of a worker that is silent for this long expires.
+const ENTRY_EXPIRY: Span = Span::from_millis(3 * EXIT_WINDOW.as_millis());
+
+/// The mean numbers of events per second.
+const JOBS: f64 = 4.0;
+const QUERIES: f64 = 40.0;
+const OWNER_LOSSES: f64 = 0.25;
+const LOG_OUTAGES: f64 = 0.06;
+const WORKER_ENDS: f64 = 0.04;
+const WORKER_CUTS: f64 = 0.06;
+const DIRECTORY_CUTS: f64 = 0.04;
+const ENTRY_CHANGES: f64 = 0.1;
+
+/// The jobs of all callers.
+#[derive(Debug, Default)]
+pub(super) struct Callers {
+    jobs: Vec<(JobId, JobSpec)>,
+}
+
+impl Simulation {
+    /// Returns whether an event with a mean number per second happens in this tick.
+    fn occurs(&mut self, per_second: f64) -> bool {
+        self.chance(per_second * TICK.as_secs_f64())
+    }
+
+    pub(super) fn tick_callers(&mut self) {
+        if !self.is_quiet() && self.occurs(JOBS) {
+            let number = self.callers.jobs.len() as u64 + 1;
+            let spec = self.draw_job();
+            self.callers.jobs.push((id(number), spec));
+            self.submit(number as usize - 1);
+            if self.chance(0.1) {
+                let delay = self.span(0, 4_000);
+                let record = IntakeRecord::Cancelled(id(number));
+                self.schedule(delay, Event::Intake(record));
+            }
+        }
+        if self.occurs(QUERIES) && !self.callers.jobs.is_empty() {
+            let last = self.callers.jobs.len() as u64 - 1;
+            let number = self.between(0, last) as usize;
+            let job = self.callers.jobs[number].0;
+            let owner = if self.chance(0.8) {
+                self.current()
+            } else {
+                self.between(0, self.current() as u64) as usize
+            };
+            self.query(owner, job);
+        }
+    }
+
+    fn draw_job(&mut self) -> JobSpec {
+        let mut steps = Vec::new();
+        for number in 0..self.between(1, 3) as u16 {
+            let (count, cores) = (self.between(1, 3) as u16, self.between(1, 4));
+            let mut step = step(count, cores, 500);
+            if number > 0 && self.chance(0.7) {
+                step.after.push(number - 1);
+            }
+            steps.push(step);
+        }
+        let mut spec = job(steps);
+        spec.policy.max_attempts = self.between(1, 3) as u32;
+        spec
+    }
+
+    /// Hands in a job for the first time or again. Half of the jobs are announced to the owner while
+    /// their acceptance is being appended.
+    fn submit(&mut self, number: usize) {
+        let now = self.now;
+        let (id, spec) = self.callers.jobs[number].clone();
+        let owner = self.current();
+        let is_announced = self.chance(0.5) && self.owners[owner].answers();
+        if is_announced {
+            let owner = &mut self.owners[owner];
+            owner.cell.submit_tentatively(id, spec, now);
+            owner.decide_soon(now);
+        }
+        match self.between(0, 99) {
+            0..8 if is_announced => {
+                let delay = self.span(5, 60);
+                let event = OwnerEvent::NotAppended(id);
+                self.schedule(delay, Event::Owner(owner, event));
+            }
+            0..12 => {}
+            12..20 => {
+                let delay = self.span(500, 9_000);
+                self.schedule(delay, Event::Intake(IntakeRecord::Accepted(id)));
+            }
+            _ => {
+                let delay = self.span(2, 60);
+                self.schedule(delay, Event::Intake(IntakeRecord::Accepted(id)));
+            }
+        }
+        if self.chance(0.15) {
+            let delay = self.span(100, 5_000);
+            self.schedule(delay, Event::Intake(IntakeRecord::Accepted(id)));
+        }
+    }
+
+    /// A record of a caller reaches the log.
+    pub(super) fn append_intake(&mut self, record: IntakeRecord) {
+        if self.log.is_down(self.now) {
+            self.schedule(Span::from_millis(100), Event::Intake(record));
+            return;
+        }
+        let (IntakeRecord::Accepted(id) | IntakeRecord::Cancelled(id)) = record;
+        self.trace(Some(id), None, || format!("in the log: {record:?}"));
+        match record {
+            IntakeRecord::Accepted(id) => {
+                let mut jobs = self.callers.jobs.iter();
+                let (_, spec) = jobs.find(|(known, _)| *known == id).unwrap();
+                self.log.accept(id, spec);
+            }
+            IntakeRecord::Cancelled(id) => self.log.cancel(id),
+        }
+    }
+
+    pub(super) fn tick_faults(&mut self) {
+        if self.is_quiet() {
+            self.repair();
+        } else {
+            if self.occurs(LOG_OUTAGES) {
+                self.log.down_until = self.now + self.span(200, 6_000);
+                self.trace(None, None, || "the log is down".to_owned());
+            }
+            if self.occurs(OWNER_LOSSES) {
+                self.lose_owner();
+            }
+        }
+        for worker in 0..self.workers.len() {
+            if !self.is_quiet() {
+                self.harm_worker(worker);
+            }
+            self.write_entry(worker);
+        }
+    }
+
+    /// Ends all faults.
+    fn repair(&mut self) {
+        let now = self.now;
+        self.log.down_until = self.log.down_until.min(now);
+        for owner in &mut self.owners {
+            owner.cut_until = owner.cut_until.min(now);
+        }
+        for worker in &mut self.workers {
+            worker.cut = None;
+            worker.unregistered_until = worker.unregistered_until.min(now);
+        }
+        if self.owners[self.current()].is_lost() && self.occurs(1.0) {
+            self.schedule(Span::ZERO, Event::TakeOver(self.log.term, false));
+        }
+    }
+
+    /// Takes the cell away from its owner, in one of several ways.
+    fn lose_owner(&mut self) {
+        let now = self.now;
+        let index = self.current();
+        if self.owners[index].is_lost() {
+            return;
+        }
+        let fate = self.between(0, 9);
+        let is_batch_lost = self.chance(0.5);
+        let cut = self.span(500, 8_000);
+        let owner = &mut self.owners[index];
+        let term = owner.term;
+        let (text, delay, is_stopped) = match fate {
+            // The process is lost. Whether a batch on its way still arrives is open.
+            0..4 => {
+                owner.has_crashed = true;
+                if is_batch_lost {
+                    owner.writer = Writer::Stopped;
+                }
+                ("crashes", self.span(50, 4_000), fate == 0)
+            }
+            4..7 => {
+                owner.cut_until = now + cut;
+                ("is cut off from the log", self.span(100, 6_000), false)
+            }
+            7 => ("will be superseded", self.span(0, 50), false),
+            _ => {
+                owner.is_retired = true;
+                owner.is_releasing = true;
+                ("releases the cell", self.span(3_000, 6_000), false)
+            }
+        };
+        self.trace(None, None, || format!("owner {term} {text}"));
+        self.schedule(delay, Event::TakeOver(term, is_stopped));
+    }
+
+    pub(super) fn add_worker(&mut self, number: usize) {
+        self.workers.push(Worker {
+            id: format!("i-{number}").into(),
+            capacity_cpu: CORES * 1_000,
+            life: None,
+            lives: 0,
+            cut: None,
+            unregistered_until: Time::ZERO,
+            entry: None,
+            last_heartbeat: Time::ZERO,
+            next_heartbeat: Time::ZERO,
+        });
+        self.start_worker(number);
+    }
+
+    /// Starts a worker process, which knows nothing of earlier ones under its id.
+    pub(super) fn start_worker(&mut self, number: usize) {
+        let clock_start_ms = self.between(0, 100_000);
+        let slow_ppm = self.between(0, MAX_SLOW_PPM);
+        let entry_delay = self.span(0, 300);
+        let worker = &mut self.workers[number];
+        worker.lives += 1;
+        let life = Life::new(worker.lives, self.now, clock_start_ms, slow_ppm);
+        let started_ms = life.started_ms;
+        worker.life = Some(life);
+        worker.next_heartbeat = self.now + entry_delay;
+        self.trace(None, Some(number), || {
+            format!("it starts, started_ms={started_ms}")
+        });
+    }
+
+    fn harm_worker(&mut self, number: usize) {
+        let now = self.now;
+        if self.occurs(WORKER_CUTS) {
+            let until = now + self.span(100, 9_000);
+            let is_refusing = self.chance(0.5);
+            self.workers[number].cut = Some(Cut { until, is_refusing });
+            self.trace(None, Some(number), || {
+                format!("it is cut off from owners, is_refusing={is_refusing}")
+            });
+            // A whole failure domain may be cut off.
+            if self.chance(0.5) {
+                self.workers[number].unregistered_until = until;
+            }
+        }
+        if self.occurs(DIRECTORY_CUTS) {
+            let until = now + self.span(1_000, 10_000);
+            self.workers[number].unregistered_until = until;
+        }
+        if self.occurs(ENTRY_CHANGES) && !self.log.is_down(now) {
+            let started_ms = self.workers[number].entry;
+            if started_ms.is_some() {
+                self.write_record(number, started_ms);
+            }
+        }
+        if self.occurs(WORKER_ENDS) {
+            self.end_worker(number);
+        }
+    }
+
+    /// Ends a worker process: a crash, or an exit that removes the entry. It starts again later.
+    fn end_worker(&mut self, number: usize) {
+        let Some(life) = self.workers[number].life.take() else {
+            return;
+        };
+        self.checks.lost((number, life.number));
+        let is_exit = self.chance(0.5);
+        self.trace(None, Some(number), || format!("it ends, is_exit={is_exit}"));
+        let can_write =
+            !self.log.is_down(self.now) && self.workers[number].unregistered_until <= self.now;
+        if is_exit && can_write && self.workers[number].entry.is_some() {
+            self.write_record(number, None);
+        }
+        let delay = self.span(300, 4_000);
+        self.schedule(delay, Event::WorkerStart(number));
+    }
+
+    fn write_record(&mut self, worker: usize, started_ms: Option<u64>) {
+        self.workers[worker].entry = started_ms;
+        let record = DirectoryRecord { worker, started_ms };
+        self.log.directory.push(record);
+        self.trace(None, Some(worker), || {
+            format!("its entry becomes {started_ms:?}")
+        });
+    }
+
+    /// Writes the entry of a worker, or lets it expire.
+    fn write_entry(&mut self, number: usize) {
+        let now = self.now;
+        let is_down = self.log.is_down(now);
+        let worker = &mut self.workers[number];
+        let has_expired = now >= worker.last_heartbeat + ENTRY_EXPIRY;
+        if has_expired && worker.entry.is_some() {
+            self.write_record(number, None);
+            return;
+        }
+        let can_write = !is_down && worker.unregistered_until <= now;
+        let Some(life) = &worker.life else { return };
+        if can_write && now >= worker.next_heartbeat {
+            let started_ms = life.started_ms;
+            worker.last_heartbeat = now;
+            worker.next_heartbeat = now + HEARTBEAT;
+            if worker.entry != Some(started_ms) {
+                self.write_record(number, Some(started_ms));
+            }
+        }
+    }
+
+    /// Returns a job that has not ended, a run that is still active or an end that is still listed.
+    pub(super) fn unfinished(&self) -> Option<(Option<JobId>, String)> {
+        let owner = &self.owners[self.current()];
+        let state = |id: &&JobId| owner.cell.job_state(**id);
+        let is_open = |id: &&JobId| !state(id).is_some_and(JobState::is_final);
+        if let Some(id) = self.log.accepted.keys().find(is_open) {
+            return Some((Some(*id), format!("job {id} is {:?}", state(&id))));
+        }
+        for worker in &self.workers {
+            let Some(life) = &worker.life else {
+                return Some((None, format!("{} is down", worker.id)));
+            };
+            if let Some(run) = life.running.first() {
+                let text = format!("{} run {} still runs", run.task, run.run);
+                return Some((Some(run.task.job), text));
+            }
+            if let Some(end) = life.ended.first() {
+                let text = format!("the end of {} is still listed", end.task);
+                return Some((Some(end.task.job), text));
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/log.rs
@@ -0,0 +1,81 @@
+//! The log that all owners share: accepted jobs, progress and the directory of workers.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use kingcupwinch_cell::{JobId, JobRecord, JobSpec, RecordBatch};
+use kingcupwinch_time::Time;
+
+/// A record of the intake.
+#[derive(Debug, Clone)]
+pub(super) enum IntakeRecord {
+    Accepted(JobId),
+    Cancelled(JobId),
+}
+
+/// A change of a worker's directory entry, with the start of its process. `None` if the entry was
+/// removed.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct DirectoryRecord {
+    pub(super) worker: usize,
+    pub(super) started_ms: Option<u64>,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Log {
+    /// The latest term that has fenced the progress records.
+    pub(super) term: u64,
+    pub(super) intake: Vec<IntakeRecord>,
+    pub(super) accepted: BTreeMap<JobId, JobSpec>,
+    pub(super) cancelled: BTreeSet<JobId>,
+    pub(super) progress: BTreeMap<JobId, JobRecord>,
+    /// Ids and addresses of the workers that the last owner used.
+    pub(super) workers: Vec<(Arc<str>, Arc<str>)>,
+    pub(super) directory: Vec<DirectoryRecord>,
+    /// The end of the current outage.
+    pub(super) down_until: Time,
+}
+
+impl Log {
+    pub(super) fn is_down(&self, now: Time) -> bool {
+        now < self.down_until
+    }
+
+    pub(super) fn accept(&mut self, id: JobId, spec: &JobSpec) {
+        self.accepted.entry(id).or_insert_with(|| spec.clone());
+        self.intake.push(IntakeRecord::Accepted(id));
+    }
+
+    pub(super) fn cancel(&mut self, id: JobId) {
+        self.cancelled.insert(id);
+        self.intake.push(IntakeRecord::Cancelled(id));
+    }
+
+    /// Appends a batch, whose owner has to hold the latest term.
+    pub(super) fn append(&mut self, batch: &RecordBatch, workers: Option<&[(Arc<str>, Arc<str>)]>) {
+        for (id, record) in &batch.progress {
+            // Owners restore what survives encoding.
+            let bytes = record.encode().unwrap();
+            self.progress
+                .insert(*id, JobRecord::decode(&bytes).unwrap());
+        }
+        for id in &batch.expired {
+            self.progress.remove(id);
+        }
+        if let Some(workers) = workers {
+            self.workers = workers.to_vec();
+        }
+    }
+
+    /// Returns the workers in the directory with their start times.
+    pub(super) fn listed_workers(&self) -> BTreeMap<usize, u64> {
+        let mut listed = BTreeMap::new();
+        for record in &self.directory {
+            match record.started_ms {
+                Some(started_ms) => listed.insert(record.worker, started_ms),
+                None => listed.remove(&record.worker),
+            };
+        }
+        listed
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/simulation.rs
@@ -0,0 +1,550 @@
+//! The events of a simulation in order of time, and the network between owners and workers.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use kingcupwinch_cell::{
+    EndReason, JobId, PollFailure, StartOrder, StartOutcome, StopOrder, TaskName, WorkerKey,
+    WorkerPoll,
+};
+use kingcupwinch_time::{Span, Time};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::checks::{Breach, Checks};
+use super::faults::Callers;
+use super::log::{IntakeRecord, Log};
+use super::owner::{Owner, OwnerEvent, PollError};
+use super::worker::{Change, Work, Worker};
+
+pub(super) const WORKERS: usize = 6;
+/// The time between two runs of the loops.
+pub(super) const TICK: Span = Span::from_millis(5);
+/// The time with faults, and the longest time after it until every job has ended.
+const FAULTS: Span = Span::from_secs(30);
+const RECOVERY: Span = Span::from_secs(60);
+/// When a call without a response counts as lost.
+const CALL_TIMEOUT: Span = Span::from_millis(1_000);
+/// How long a worker delays the response to a poll until a run ends.
+const POLL_WAIT: Span = Span::from_millis(800);
+/// How much of the trace is shown.
+const SHOWN_LINES: usize = 45;
+
+#[derive(Debug)]
+pub(super) enum Event {
+    Tick,
+    /// An order reaches its worker.
+    Arrival(Call),
+    Owner(usize, OwnerEvent),
+    /// An append of an owner reaches the log.
+    Append(usize),
+    /// A record of a caller reaches the log.
+    Intake(IntakeRecord),
+    /// A successor takes over unless the term has changed, from an owner that is known to have
+    /// stopped or not.
+    TakeOver(u64, bool),
+    /// A worker process starts.
+    WorkerStart(usize),
+}
+
+/// An order of an owner to a worker.
+#[derive(Debug, Clone)]
+pub(super) enum Order {
+    Start(StartOrder),
+    Stop(StopOrder),
+    Poll(WorkerKey, WorkerPoll),
+}
+
+/// An order on its way.
+#[derive(Debug)]
+pub(super) struct Call {
+    owner: usize,
+    worker: usize,
+    /// The life of the worker that the connection leads to.
+    life: u64,
+    sent: Time,
+    order: Order,
+    /// Whether the owner still waits for the response.
+    is_awaited: bool,
+}
+
+/// A poll whose response waits for the end of a run.
+#[derive(Debug)]
+struct ParkedPoll {
+    call: Call,
+    until: Time,
+}
+
+/// What happened, for the account of a failure.
+#[derive(Debug, Default)]
+pub(super) struct Trace {
+    lines: Vec<(Time, Option<JobId>, Option<usize>, String)>,
+}
+
+impl Trace {
+    pub(super) fn add(
+        &mut self,
+        now: Time,
+        job: Option<JobId>,
+        worker: Option<usize>,
+        text: String,
+    ) {
+        self.lines.push((now, job, worker, text));
+    }
+
+    /// Returns the last lines about a job, its workers and the owners.
+    fn about(&self, breach: &Breach, begin: Time) -> Vec<String> {
+        let Breach { job, worker, .. } = *breach;
+        let of_job = self.lines.iter().filter(|line| line.1 == job);
+        let workers: Vec<usize> = of_job.clone().filter_map(|line| line.2).collect();
+        let first = of_job.map(|line| line.0).min().unwrap_or(Time::ZERO);
+        let is_relevant = |line: &&(Time, Option<JobId>, Option<usize>, String)| {
+            let concerns_worker = line.2.is_none_or(|worker| workers.contains(&worker));
+            let is_of_worker = worker.is_some() && line.2 == worker;
+            let is_of_job =
+                line.0 >= first && (line.1 == job || line.1.is_none() && concerns_worker);
+            if worker.is_some() {
+                is_of_worker
+            } else {
+                is_of_job
+            }
+        };
+        let lines = self.lines.iter().filter(is_relevant);
+        let lines = lines.map(|(at, _, worker, text)| {
+            let at = at.since(begin).as_micros() as f64 / 1e6;
+            let on = worker.map_or(String::new(), |worker| format!(" [worker {worker}]"));
+            format!("{at:9.3} s{on} {text}")
+        });
+        let mut lines: Vec<String> = lines.collect();
+        lines.drain(..lines.len().saturating_sub(SHOWN_LINES));
+        lines
+    }
+}
+
+/// A broken promise with the events before it.
+#[derive(Debug)]
+pub(super) struct Failure {
+    seed: u64,
+    breach: Breach,
+    at: f64,
+    trace: Vec<String>,
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Breach { promise, text, .. } = &self.breach;
+        writeln!(
+            f,
+            "seed {}: {promise}: {text} (at {:.3} s)",
+            self.seed, self.at
+        )?;
+        for line in &self.trace {
+            writeln!(f, "  {line}")?;
+        }
+        Ok(())
+    }
+}
+
+pub(super) struct Simulation {
+    seed: u64,
+    pub(super) now: Time,
+    begin: Time,
+    random: ChaCha8Rng,
+    events: BTreeMap<(Time, u64), Event>,
+    last_event: u64,
+    pub(super) log: Log,
+    pub(super) workers: Vec<Worker>,
+    pub(super) owners: Vec<Owner>,
+    parked: Vec<ParkedPoll>,
+    pub(super) callers: Callers,
+    pub(super) checks: Checks,
+    pub(super) trace: Trace,
+    /// The ends that each owner has read, which the trace shows once.
+    pub(super) traced_ends: BTreeSet<(u64, TaskName, u32)>,
+}
+
+impl Simulation {
+    pub(super) fn new(seed: u64) -> Self {
+        let begin = Time::from_micros(1_000_000_000);
+        let mut simulation = Simulation {
+            seed,
+            now: begin,
+            begin,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            events: BTreeMap::new(),
+            last_event: 0,
+            log: Log::default(),
+            workers: Vec::new(),
+            owners: Vec::new(),
+            parked: Vec::new(),
+            callers: Callers::default(),
+            checks: Checks::default(),
+            trace: Trace::default(),
+            traced_ends: BTreeSet::new(),
+        };
+        for number in 0..WORKERS {
+            simulation.add_worker(number);
+        }
+        simulation.take_over(true);
+        simulation.schedule(TICK, Event::Tick);
+        simulation
+    }
+
+    /// Runs the simulation until every job has ended after the faults, or a promise is broken.
+    pub(super) fn run(mut self) -> Result<(), Failure> {
+        while let Some(((at, _), event)) = self.events.pop_first() {
+            self.now = at;
+            self.advance_workers();
+            let is_tick = matches!(event, Event::Tick);
+            self.handle(event);
+            if is_tick && self.is_quiet() {
+                let unfinished = self.unfinished();
+                if unfinished.is_none() && self.checks.breach.is_none() {
+                    return Ok(());
+                }
+                if self.now >= self.begin + FAULTS + RECOVERY
+                    && let Some((job, text)) = unfinished
+                {
+                    self.checks.unfinished(job, text);
+                }
+            }
+            if let Some(breach) = self.checks.breach.take() {
+                return Err(Failure {
+                    seed: self.seed,
+                    at: self.now.since(self.begin).as_micros() as f64 / 1e6,
+                    trace: self.trace.about(&breach, self.begin),
+                    breach,
+                });
+            }
+        }
+        unreachable!("ticks go on");
+    }
+
+    /// Returns whether the time of faults is over.
+    pub(super) fn is_quiet(&self) -> bool {
+        self.now >= self.begin + FAULTS
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Tick => {
+                self.schedule(TICK, Event::Tick);
+                self.tick_callers();
+                self.tick_faults();
+                for owner in 0..self.owners.len() {
+                    self.tick_owner(owner);
+                }
+            }
+            Event::Arrival(call) => self.arrive(call),
+            Event::Owner(owner, event) => self.handle_owner_event(owner, event),
+            Event::Append(owner) => self.append(owner),
+            Event::Intake(record) => self.append_intake(record),
+            Event::TakeOver(term, is_stopped) => {
+                if self.log.is_down(self.now) {
+                    self.schedule(TICK, Event::TakeOver(term, is_stopped));
+                } else if term == self.log.term {
+                    self.take_over(is_stopped);
+                }
+            }
+            Event::WorkerStart(worker) => self.start_worker(worker),
+        }
+    }
+
+    pub(super) fn schedule(&mut self, delay: Span, event: Event) {
+        self.last_event += 1;
+        self.events
+            .insert((self.now + delay, self.last_event), event);
+    }
+
+    pub(super) fn chance(&mut self, probability: f64) -> bool {
+        self.random.random_bool(probability)
+    }
+
+    /// Draws a number from a range that includes both ends.
+    pub(super) fn between(&mut self, first: u64, last: u64) -> u64 {
+        self.random.random_range(first..=last)
+    }
+
+    pub(super) fn span(&mut self, first_ms: u64, last_ms: u64) -> Span {
+        Span::from_micros(self.between(first_ms * 1_000, last_ms * 1_000))
+    }
+
+    /// Draws the time that a message takes. Some take up to `max_ms` while there are faults.
+    pub(super) fn delay(&mut self, slow: f64, max_ms: u64) -> Span {
+        if !self.is_quiet() && self.chance(slow) {
+            self.span(15, max_ms)
+        } else {
+            self.span(1, 15)
+        }
+    }
+
+    pub(super) fn trace(
+        &mut self,
+        job: Option<JobId>,
+        worker: Option<usize>,
+        text: impl FnOnce() -> String,
+    ) {
+        self.trace.add(self.now, job, worker, text());
+    }
+
+    /// Sends an order to a worker. Either its response or its failure reaches the owner.
+    pub(super) fn send(&mut self, owner: usize, worker: usize, order: Order) {
+        let now = self.now;
+        let Some(life) = self.workers[worker].life.as_ref().map(|life| life.number) else {
+            let is_refused = self.chance(0.8);
+            self.fail(owner, now, &order, is_refused);
+            return;
+        };
+        let call = Call {
+            owner,
+            worker,
+            life,
+            sent: now,
+            order,
+            is_awaited: true,
+        };
+        if let Some(cut) = self.workers[worker].cut_at(now) {
+            self.fail(owner, now, &call.order, cut.is_refusing);
+            if !cut.is_refusing && self.chance(0.3) {
+                let delay = cut.until.since(now) + self.span(1, 500);
+                self.arrive_late(delay, call);
+            }
+            return;
+        }
+        let fate = if self.is_quiet() {
+            100
+        } else {
+            self.between(0, 99)
+        };
+        match fate {
+            0..2 => self.fail(owner, now, &call.order, false),
+            2..5 => {
+                self.fail(owner, now, &call.order, false);
+                let delay = self.span(1, 15);
+                self.arrive_late(delay, call);
+            }
+            5..7 => {
+                self.fail(owner, now, &call.order, false);
+                let delay = CALL_TIMEOUT + self.span(0, 5_000);
+                self.arrive_late(delay, call);
+            }
+            7 if matches!(call.order, Order::Poll(..)) => {
+                self.fail(owner, now, &call.order, true);
+            }
+            _ => {
+                let delay = self.delay(0.05, 300);
+                self.schedule(delay, Event::Arrival(call));
+            }
+        }
+    }
+
+    /// Has an order arrive whose owner waits no longer.
+    fn arrive_late(&mut self, delay: Span, call: Call) {
+        let call = Call {
+            is_awaited: false,
+            ..call
+        };
+        self.schedule(delay, Event::Arrival(call));
+    }
+
+    /// Reports to an owner that an order failed: at once if the connection was refused or closed,
+    /// else after a timeout.
+    fn fail(&mut self, owner: usize, sent: Time, order: &Order, is_closed: bool) {
+        let delay = if is_closed {
+            self.span(1, 5)
+        } else {
+            CALL_TIMEOUT
+        };
+        let event = match order {
+            Order::Start(order) => {
+                let outcome = if is_closed {
+                    StartOutcome::NotSent
+                } else {
+                    StartOutcome::Lost
+                };
+                OwnerEvent::Started(order.clone(), outcome)
+            }
+            Order::Stop(_) => return,
+            Order::Poll(key, _) => {
+                let failure = if is_closed {
+                    PollFailure::Closed
+                } else {
+                    PollFailure::Unresponsive
+                };
+                OwnerEvent::Polled(*key, sent, Err(PollError::Failed(failure)))
+            }
+        };
+        self.schedule(delay, Event::Owner(owner, event));
+    }
+
+    /// Reports that the worker process ended after an order was sent to it.
+    fn fail_broken(&mut self, call: &Call) {
+        let is_poll = matches!(call.order, Order::Poll(..));
+        let is_closed = is_poll && self.chance(0.8);
+        if call.is_awaited {
+            self.fail(call.owner, call.sent, &call.order, is_closed);
+        }
+    }
+
+    /// An order reaches its worker.
+    fn arrive(&mut self, mut call: Call) {
+        let is_there = |life: &super::worker::Life| life.number == call.life;
+        if !self.workers[call.worker]
+            .life
+            .as_ref()
+            .is_some_and(is_there)
+        {
+            self.fail_broken(&call);
+            return;
+        }
+        if call.is_awaited && self.workers[call.worker].cut_at(self.now).is_some() {
+            self.fail(call.owner, call.sent, &call.order, false);
+            if self.chance(0.5) {
+                return;
+            }
+            call.is_awaited = false;
+        }
+        match call.order.clone() {
+            Order::Start(order) => self.carry_out_start(&call, order),
+            Order::Stop(order) => self.carry_out_stop(&call, order),
+            Order::Poll(key, poll) => self.carry_out_poll(call, key, poll),
+        }
+    }
+
+    fn respond(&mut self, call: &Call, event: OwnerEvent) {
+        if call.is_awaited {
+            let delay = self.delay(0.05, 400);
+            self.schedule(delay, Event::Owner(call.owner, event));
+        }
+    }
+
+    fn carry_out_start(&mut self, call: &Call, order: StartOrder) {
+        if !self.is_quiet() && self.chance(0.01) {
+            self.respond(call, OwnerEvent::Started(order, StartOutcome::Refused));
+            return;
+        }
+        let work = self.draw_work(&order);
+        let (now, term) = (self.now, self.owners[call.owner].term);
+        let worker = &mut self.workers[call.worker];
+        let life = worker.life.as_mut().unwrap();
+        let (outcome, is_new) = life.start(&order, term, work, now);
+        let (number, used) = (life.number, life.used_cpu());
+        let is_over = is_new && used > worker.capacity_cpu;
+        self.trace(Some(order.task.job), Some(call.worker), || {
+            let (task, run, owner) = (order.task, order.run, term);
+            format!("start of {task} run {run} by owner {owner}: {outcome:?}, is_new={is_new}")
+        });
+        if is_new {
+            let life = (call.worker, number);
+            self.checks.started(order.task, order.run, life, &self.log);
+        }
+        if is_over {
+            self.checks.overloaded(order.task, call.worker, used);
+        }
+        self.respond(call, OwnerEvent::Started(order, outcome));
+    }
+
+    /// Decides how long a run takes and how it ends. Without faults every run succeeds.
+    fn draw_work(&mut self, order: &StartOrder) -> Work {
+        let spec = &self.log.accepted.get(&order.task.job);
+        let step = spec.and_then(|spec| spec.steps.get(usize::from(order.task.step)));
+        let cpu = step.map_or(0, |step| step.resources.cpu);
+        let has_failed = !self.is_quiet() && self.chance(0.12);
+        let longest = if self.chance(0.3) { 3_000 } else { 600 };
+        Work {
+            cpu,
+            duration: self.span(20, longest),
+            reason: if has_failed {
+                EndReason::Failed
+            } else {
+                EndReason::Done
+            },
+        }
+    }
+
+    fn carry_out_stop(&mut self, call: &Call, order: StopOrder) {
+        let takes = self.span(1, 200);
+        let (now, term) = (self.now, self.owners[call.owner].term);
+        let life = self.workers[call.worker].life.as_mut().unwrap();
+        if life.stop(&order, term, takes, now) {
+            self.respond(call, OwnerEvent::Stopped(order));
+        }
+    }
+
+    fn carry_out_poll(&mut self, call: Call, key: WorkerKey, poll: WorkerPoll) {
+        let (now, term) = (self.now, self.owners[call.owner].term);
+        let life = self.workers[call.worker].life.as_mut().unwrap();
+        let ends = life.ended.len();
+        if !life.take_poll(poll, term, now) {
+            let result = Err(PollError::Fenced);
+            self.respond(&call, OwnerEvent::Polled(key, call.sent, result));
+            return;
+        }
+        let has_ends = !life.ended.is_empty();
+        let id = (call.worker, life.number);
+        if life.ended.len() < ends {
+            let through = poll.acked_through;
+            self.trace(None, Some(call.worker), || {
+                format!("owner {term} acknowledges its ends through {through}")
+            });
+            self.checks.acknowledged(id, through, &self.log);
+        }
+        if poll.long_poll && !has_ends && call.is_awaited {
+            let until = now + POLL_WAIT;
+            self.parked.push(ParkedPoll { call, until });
+        } else {
+            self.respond_status(&call, key);
+        }
+    }
+
+    fn respond_status(&mut self, call: &Call, key: WorkerKey) {
+        let life = self.workers[call.worker].life.as_ref().unwrap();
+        let status = life.status(self.now);
+        self.respond(call, OwnerEvent::Polled(key, call.sent, Ok(status)));
+    }
+
+    /// Lets time pass on the workers, and responds to the polls that waited for it.
+    fn advance_workers(&mut self) {
+        let now = self.now;
+        for number in 0..self.workers.len() {
+            let Some(life) = &mut self.workers[number].life else {
+                continue;
+            };
+            let id = (number, life.number);
+            for change in life.advance(now) {
+                match change {
+                    Change::Ended(end) => {
+                        let (task, run, reason) = (end.task, end.run, end.reason);
+                        let text = format!("{task} run {run} ends: {reason:?}");
+                        self.trace.add(now, Some(task.job), Some(number), text);
+                        self.checks.ended(&end, id);
+                    }
+                    Change::Lapsed => {
+                        self.checks.lapsed(id);
+                        let text = "its lease lapses".to_owned();
+                        self.trace.add(now, None, Some(number), text);
+                    }
+                }
+            }
+        }
+        for ParkedPoll { call, until } in std::mem::take(&mut self.parked) {
+            let Order::Poll(key, _) = call.order else {
+                continue;
+            };
+            let worker = &self.workers[call.worker];
+            let life = worker.life.as_ref();
+            let Some(life) = life.filter(|life| life.number == call.life) else {
+                self.fail_broken(&call);
+                continue;
+            };
+            let has_ends = !life.ended.is_empty();
+            if let Some(cut) = worker.cut_at(now) {
+                self.fail(call.owner, call.sent, &call.order, cut.is_refusing);
+            } else if has_ends || until <= now {
+                self.respond_status(&call, key);
+            } else {
+                self.parked.push(ParkedPoll { call, until });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/worker.rs
@@ -0,0 +1,274 @@
+//! A simulated worker: its runs, the lease on its own clock, its list of ends and its directory
+//! entry.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use kingcupwinch_cell::{
+    EndReason, RunEnd, RunningTask, StartOrder, StartOutcome, StopOrder, TaskName, WorkerPoll,
+    WorkerStatus,
+};
+use kingcupwinch_time::{Span, Time};
+
+use crate::harness::MAX_LEASE;
+
+/// The longest lease that a worker grants, which is a little above what an owner asks for.
+const MAX_HOLD: Span = Span::from_millis(MAX_LEASE.as_millis() + 150);
+/// The rate by which a worker's clock is slow at most.
+pub(super) const MAX_SLOW_PPM: u64 = 20_000;
+
+/// A run that is active on a worker.
+#[derive(Debug)]
+pub(super) struct ActiveRun {
+    pub(super) task: TaskName,
+    pub(super) run: u32,
+    cpu: u64,
+    started_at: Time,
+    ends_at: Time,
+    reason: EndReason,
+}
+
+/// What a run will do once it is started.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Work {
+    pub(super) cpu: u64,
+    pub(super) duration: Span,
+    pub(super) reason: EndReason,
+}
+
+/// Something that happened on a worker by itself.
+#[derive(Debug)]
+pub(super) enum Change {
+    Ended(RunEnd),
+    /// The lease expired, whether or not there were any runs.
+    Lapsed,
+}
+
+/// One life of a worker process, which knows nothing of earlier ones.
+#[derive(Debug)]
+pub(super) struct Life {
+    pub(super) number: u64,
+    pub(super) started_ms: u64,
+    started_at: Time,
+    clock_start_ms: u64,
+    slow_ppm: u64,
+    term: u64,
+    lease_until: u64,
+    has_lapsed: bool,
+    pub(super) running: Vec<ActiveRun>,
+    pub(super) ended: Vec<RunEnd>,
+    ends: u64,
+    /// The highest run of each task that ended or was stopped here.
+    closed_runs: BTreeMap<TaskName, u32>,
+}
+
+impl Life {
+    pub(super) fn new(number: u64, now: Time, clock_start_ms: u64, slow_ppm: u64) -> Self {
+        Life {
+            number,
+            started_ms: now.as_micros() / 1_000,
+            started_at: now,
+            clock_start_ms,
+            slow_ppm,
+            term: 0,
+            lease_until: 0,
+            has_lapsed: true,
+            running: Vec::new(),
+            ended: Vec::new(),
+            ends: 0,
+            closed_runs: BTreeMap::new(),
+        }
+    }
+
+    fn clock_ms(&self, now: Time) -> u64 {
+        let elapsed = now.since(self.started_at).as_micros();
+        self.clock_start_ms + elapsed * (1_000_000 - self.slow_ppm) / 1_000_000_000
+    }
+
+    fn lease_end(&self) -> Time {
+        let left_us = self.lease_until.saturating_sub(self.clock_start_ms) * 1_000;
+        self.started_at + Span::from_micros(left_us * 1_000_000 / (1_000_000 - self.slow_ppm))
+    }
+
+    fn renew(&mut self, lease_until: u64, now: Time) {
+        let clock_ms = self.clock_ms(now);
+        let lease_until = lease_until.min(clock_ms + MAX_HOLD.as_millis());
+        if lease_until > clock_ms && lease_until > self.lease_until {
+            self.lease_until = lease_until;
+            self.has_lapsed = false;
+        }
+    }
+
+    /// Returns false if a later owner was seen.
+    fn admit(&mut self, term: u64) -> bool {
+        self.term = self.term.max(term);
+        term == self.term
+    }
+
+    /// Lets time pass. Returns what happened, in order.
+    pub(super) fn advance(&mut self, now: Time) -> Vec<Change> {
+        let mut changes = Vec::new();
+        loop {
+            let next = self.running.iter().map(|run| run.ends_at).min();
+            let lapse = (!self.has_lapsed).then(|| self.lease_end());
+            if let Some(at) = lapse
+                && at <= now
+                && next.is_none_or(|next| at <= next)
+            {
+                self.has_lapsed = true;
+                while !self.running.is_empty() {
+                    changes.push(self.end(0, EndReason::LeaseExpired));
+                }
+                changes.push(Change::Lapsed);
+            } else if let Some(at) = next
+                && at <= now
+            {
+                let due = |run: &ActiveRun| run.ends_at == at;
+                let index = self.running.iter().position(due).unwrap();
+                let reason = self.running[index].reason;
+                changes.push(self.end(index, reason));
+            } else {
+                return changes;
+            }
+        }
+    }
+
+    fn end(&mut self, index: usize, reason: EndReason) -> Change {
+        let run = self.running.remove(index);
+        self.ends += 1;
+        self.close(run.task, run.run);
+        let end = RunEnd {
+            sequence: self.ends,
+            task: run.task,
+            run: run.run,
+            reason,
+            checkpoint: None,
+        };
+        self.ended.push(end.clone());
+        Change::Ended(end)
+    }
+
+    fn close(&mut self, task: TaskName, run: u32) {
+        let closed = self.closed_runs.entry(task).or_default();
+        *closed = run.max(*closed);
+    }
+
+    /// Carries out a start order. Returns the outcome, and whether a run began.
+    pub(super) fn start(
+        &mut self,
+        order: &StartOrder,
+        term: u64,
+        work: Work,
+        now: Time,
+    ) -> (StartOutcome, bool) {
+        if !self.admit(term) {
+            return (StartOutcome::Fenced, false);
+        }
+        if order.lease_until <= self.clock_ms(now) {
+            return (StartOutcome::Late, false);
+        }
+        self.renew(order.lease_until, now);
+        let is_same = |run: &ActiveRun| run.task == order.task && run.run == order.run;
+        if self.running.iter().any(is_same) {
+            return (StartOutcome::Started, false);
+        }
+        if self.closed_runs.get(&order.task) >= Some(&order.run) {
+            return (StartOutcome::Stale, false);
+        }
+        self.running.push(ActiveRun {
+            task: order.task,
+            run: order.run,
+            cpu: work.cpu,
+            started_at: now,
+            ends_at: now + work.duration,
+            reason: work.reason,
+        });
+        (StartOutcome::Started, true)
+    }
+
+    /// Carries out a stop order, which takes some time. Returns false if a later owner was seen.
+    pub(super) fn stop(&mut self, order: &StopOrder, term: u64, takes: Span, now: Time) -> bool {
+        if !self.admit(term) {
+            return false;
+        }
+        self.close(order.task, order.run);
+        let is_same = |run: &&mut ActiveRun| run.task == order.task && run.run == order.run;
+        if let Some(run) = self.running.iter_mut().find(is_same)
+            && now + takes < run.ends_at
+        {
+            run.ends_at = now + takes;
+            run.reason = EndReason::Stopped;
+        }
+        true
+    }
+
+    /// Takes a poll: renews the lease and forgets acknowledged ends. Returns false if a later owner
+    /// was seen.
+    pub(super) fn take_poll(&mut self, poll: WorkerPoll, term: u64, now: Time) -> bool {
+        if !self.admit(term) {
+            return false;
+        }
+        if let Some(lease_until) = poll.lease_until {
+            self.renew(lease_until, now);
+        }
+        self.ended.retain(|end| end.sequence > poll.acked_through);
+        true
+    }
+
+    pub(super) fn status(&self, now: Time) -> WorkerStatus {
+        let row = |run: &ActiveRun| RunningTask {
+            task: run.task,
+            run: run.run,
+            checkpoint: None,
+            percent: run.percent(now),
+        };
+        WorkerStatus {
+            clock_ms: self.clock_ms(now),
+            started_ms: Some(self.started_ms),
+            running: self.running.iter().map(row).collect(),
+            ended: self.ended.clone(),
+        }
+    }
+
+    pub(super) fn used_cpu(&self) -> u64 {
+        self.running.iter().map(|run| run.cpu).sum()
+    }
+}
+
+impl ActiveRun {
+    fn percent(&self, now: Time) -> u8 {
+        let total = self.ends_at.since(self.started_at).as_micros().max(1);
+        let elapsed = now.since(self.started_at).as_micros();
+        (elapsed * 100 / total).min(99) as u8
+    }
+}
+
+/// The link between a worker and the owners while it is cut.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Cut {
+    pub(super) until: Time,
+    /// Whether the network refuses connections on the worker's behalf instead of dropping them.
+    pub(super) is_refusing: bool,
+}
+
+#[derive(Debug)]
+pub(super) struct Worker {
+    pub(super) id: Arc<str>,
+    pub(super) capacity_cpu: u64,
+    /// The running process. `None` while it is down.
+    pub(super) life: Option<Life>,
+    pub(super) lives: u64,
+    pub(super) cut: Option<Cut>,
+    /// Until when the worker can't write to the directory.
+    pub(super) unregistered_until: Time,
+    /// The entry in the directory, by the start of the process that wrote it.
+    pub(super) entry: Option<u64>,
+    pub(super) last_heartbeat: Time,
+    pub(super) next_heartbeat: Time,
+}
+
+impl Worker {
+    pub(super) fn cut_at(&self, now: Time) -> Option<Cut> {
+        self.cut.filter(|cut| now < cut.until)
+    }
+}
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -8,6 +8,7 @@
 mod gangs;
 mod harness;
 mod jobs;
+mod lifecycle;
 mod long_running;
 mod occurrences;
 mod run_times;
