Trace the acknowledgements of a job's ends in the simulation

Cause: the trace of a failure held every acknowledgement of a worker, so that the run in question was not among its last lines.

Change: an acknowledgement is traced for each end that it covers, and of the time before a job only what happened to its workers is shown. No event changes.

--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/simulation.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/simulation.rs
@@ -27,8 +27,9 @@
 const CALL_TIMEOUT: Span = Span::from_millis(1_000);
 /// How long a worker delays the response to a poll until a run ends.
 const POLL_WAIT: Span = Span::from_millis(800);
-/// How much of the trace is shown.
-const SHOWN_LINES: usize = 45;
+/// How much of the trace is shown: lines, and the time before the first line about the job.
+const SHOWN_LINES: usize = 60;
+const HISTORY: Span = Span::from_secs(10);
 
 #[derive(Debug)]
 pub(super) enum Event {
@@ -99,15 +100,14 @@
         let workers: Vec<usize> = of_job.clone().filter_map(|line| line.2).collect();
         let first = of_job.map(|line| line.0).min().unwrap_or(Time::ZERO);
         let is_relevant = |line: &&(Time, Option<JobId>, Option<usize>, String)| {
-            let concerns_worker = line.2.is_none_or(|worker| workers.contains(&worker));
-            let is_of_worker = worker.is_some() && line.2 == worker;
-            let is_of_job =
-                line.0 >= first && (line.1 == job || line.1.is_none() && concerns_worker);
             if worker.is_some() {
-                is_of_worker
-            } else {
-                is_of_job
+                return line.2 == worker;
             }
+            let is_of_worker = line.2.is_none_or(|worker| workers.contains(&worker));
+            // Of the time before the job, only what happened to its workers matters.
+            let is_history = line.0 + HISTORY >= first && !line.3.contains("owner");
+            let is_general = line.1.is_none() && is_of_worker && (is_history || line.0 >= first);
+            line.1 == job || is_general
         };
         let lines = self.lines.iter().filter(is_relevant);
         let lines = lines.map(|(at, _, worker, text)| {
@@ -474,7 +474,7 @@
     fn carry_out_poll(&mut self, call: Call, key: WorkerKey, poll: WorkerPoll) {
         let (now, term) = (self.now, self.owners[call.owner].term);
         let life = self.workers[call.worker].life.as_mut().unwrap();
-        let ends = life.ended.len();
+        let listed = life.ended.clone();
         if !life.take_poll(poll, term, now) {
             let result = Err(PollError::Fenced);
             self.respond(&call, OwnerEvent::Polled(key, call.sent, result));
@@ -482,12 +482,19 @@
         }
         let has_ends = !life.ended.is_empty();
         let id = (call.worker, life.number);
-        if life.ended.len() < ends {
-            let through = poll.acked_through;
-            self.trace(None, Some(call.worker), || {
-                format!("owner {term} acknowledges its ends through {through}")
-            });
-            self.checks.acknowledged(id, through, &self.log);
+        let acked = listed
+            .iter()
+            .filter(|end| end.sequence <= poll.acked_through);
+        for end in acked.clone() {
+            let text = format!(
+                "owner {term} acknowledges the end of {} run {}",
+                end.task, end.run
+            );
+            self.trace
+                .add(now, Some(end.task.job), Some(call.worker), text);
+        }
+        if acked.count() > 0 {
+            self.checks.acknowledged(id, poll.acked_through, &self.log);
         }
         if poll.long_poll && !has_ends && call.is_awaited {
             let until = now + POLL_WAIT;
