Let a simulated owner notice late that the log is back

Cause: the simulated owner was confirmed at the moment at which an outage of the log ended, so that no append was reported while it could give no orders.

Change: its heartbeats are tried at intervals, as in the node.

--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/owner.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/owner.rs
@@ -266,9 +266,11 @@
             self.retire(index, "the log");
         }
         let owner = &mut self.owners[index];
-        if !is_cut_off && !is_superseded && now >= owner.next_heartbeat {
-            owner.last_write = now;
+        if now >= owner.next_heartbeat {
             owner.next_heartbeat = now + HEARTBEAT_INTERVAL;
+            if !is_cut_off && !is_superseded {
+                owner.last_write = now;
+            }
         }
         self.send_polls(index);
         if !is_cut_off && !self.owners[index].is_retired {
