--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -17,6 +17,7 @@
 
 use crate::advice::AdviceCallers;
 use crate::estimate::ShareEstimate;
+use crate::event::CellEvent;
 use crate::id::{JobId, TaskName};
 use crate::job::{Job, JobKey, JobState, TaskState};
 use crate::mechanism::{Disabled, Mechanism};
@@ -45,8 +46,8 @@
     pub handover_overlap: Span,
     /// How long the final state of a job stays available to queries.
     pub end_retention: Span,
-    /// A worker whose directory entry disappears within this time of its last response removed the
-    /// entry itself. The entry of an unreachable worker would expire later.
+    /// A worker whose directory entry disappears within this time of its last heartbeat removed the
+    /// entry itself. The entry of a silent worker would expire later.
     pub exit_window: Span,
 }
 
@@ -134,6 +135,8 @@
     pub(crate) jobs: SlotMap<JobKey, Job>,
     jobs_by_id: FxHashMap<JobId, JobKey>,
     ended_jobs: FxHashMap<JobId, JobState>,
+    /// The progress that an earlier owner recorded of jobs whose acceptance was not read yet.
+    unaccepted: FxHashMap<JobId, JobRecord>,
     /// When the final states of jobs expire, in order of time.
     end_expiry: VecDeque<(Time, JobId)>,
     /// Cancellations that arrived before their jobs, with the time at which each expires.
@@ -149,6 +152,8 @@
     advice_calls: FxHashMap<AdviceCallId, advice_calls::AdviceCall>,
     next_call: u64,
     pub(crate) actions: Vec<Action>,
+    /// Conclusions that were not taken for the log yet.
+    events: Vec<CellEvent>,
     /// Jobs that have speculative steps, long-running steps, or a schedule.
     speculative_jobs: FxHashSet<JobKey>,
     long_running_jobs: FxHashSet<JobKey>,
@@ -159,9 +164,9 @@
     batch: u64,
     pending_acks: Vec<PendingAck>,
     pending_ends: Vec<(u64, JobKey)>,
-    /// Start orders that wait until their placements and their jobs are in the log, each with the
-    /// batch that holds its placement.
-    unsent_starts: Vec<(u64, StartOrder)>,
+    /// Start orders that wait until their placements and their jobs are in the log, each with its run
+    /// and the batch that holds its placement.
+    unsent_starts: Vec<(u64, RunKey, StartOrder)>,
     /// The last batch that is in the log.
     appended_batch: u64,
     /// Jobs whose acceptance is not in the log yet, with the time of their submission. No orders
@@ -185,6 +190,7 @@
             jobs: SlotMap::with_key(),
             jobs_by_id: FxHashMap::default(),
             ended_jobs: FxHashMap::default(),
+            unaccepted: FxHashMap::default(),
             end_expiry: VecDeque::new(),
             early_cancels: FxHashMap::default(),
             workers: SlotMap::with_key(),
@@ -197,6 +203,7 @@
             advice_calls: FxHashMap::default(),
             next_call: 0,
             actions: Vec::new(),
+            events: Vec::new(),
             speculative_jobs: FxHashSet::default(),
             long_running_jobs: FxHashSet::default(),
             scheduled_jobs: FxHashSet::default(),
@@ -247,6 +254,9 @@
             self.scheduled_jobs.insert(key);
         }
         self.jobs_by_id.insert(id, key);
+        if let Some(record) = self.unaccepted.remove(&id) {
+            self.restore_progress(key, &record, now);
+        }
         if self.early_cancels.remove(&id).is_some() {
             self.end_job(key, JobState::Cancelled);
             return SubmitOutcome::Cancelled;
@@ -254,7 +264,9 @@
         SubmitOutcome::New
     }
 
-    /// Restores a job of an earlier owner. `age` is the time since its acceptance.
+    /// Restores a job of an earlier owner. `age` is the time since its acceptance. Without `spec`, the
+    /// progress is kept until the acceptance is read: the earlier owner may have placed the job while
+    /// its acceptance was being appended.
     pub fn restore(
         &mut self,
         id: JobId,
@@ -267,15 +279,25 @@
             self.retain_end(id, state, now);
             return;
         }
-        let Some(spec) = spec else { return };
+        let Some(spec) = spec else {
+            self.unaccepted
+                .extend(record.map(|record| (id, record.clone())));
+            return;
+        };
         if self.submit(id, spec, now - age) != SubmitOutcome::New {
             return;
         }
         let key = self.jobs_by_id[&id];
+        self.jobs[key].inherited = true;
+        // Tasks without a recorded placement were never ordered and can start at once.
+        if let Some(record) = record {
+            self.restore_progress(key, record, now);
+        }
+    }
+
+    fn restore_progress(&mut self, key: JobKey, record: &JobRecord, now: Time) {
         let job = &mut self.jobs[key];
         job.inherited = true;
-        // Tasks without a recorded placement were never ordered and can start at once.
-        let Some(record) = record else { return };
         job.restore(record, now);
         job.update_paths(&self.run_times);
         job.last_run = job.last_run.max(self.run_base);
@@ -351,17 +373,7 @@
         now: Time,
     ) -> WorkerKey {
         if let Some(&key) = self.workers_by_id.get(&entry.id) {
-            let worker = &mut self.workers[key];
-            worker.unlisted_at = None;
-            let is_restarted = worker.registration.is_restart(entry.started_ms);
-            let started_ms = entry.started_ms.or(worker.registration.started_ms);
-            worker.registration = Registration {
-                started_ms,
-                ..entry
-            };
-            if is_restarted {
-                self.reset_worker(key, now);
-            }
+            self.workers[key].update_registration(entry);
             return key;
         }
         let id = Arc::clone(&entry.id);
@@ -402,6 +414,14 @@
         key
     }
 
+    /// Records that the directory has a heartbeat of a worker that was written after a time.
+    pub fn note_heartbeat(&mut self, id: &str, written_after: Time) {
+        if let Some(&key) = self.workers_by_id.get(id) {
+            let worker = &mut self.workers[key];
+            worker.heartbeat_after = worker.heartbeat_after.max(written_after);
+        }
+    }
+
     /// Records that a worker left the directory.
     pub fn mark_unlisted(&mut self, id: &str, now: Time) {
         if let Some(&key) = self.workers_by_id.get(id) {
@@ -605,6 +625,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Takes the conclusions since the last call.
+    pub fn take_events(&mut self) -> Vec<CellEvent> {
+        std::mem::take(&mut self.events)
+    }
+
     /// Returns whether start orders wait for the log.
     pub fn has_unsent_starts(&self) -> bool {
         !self.unsent_starts.is_empty()
--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -6,6 +6,7 @@
 
 use super::runs::StopOrder;
 use super::{Action, Cell, PendingAck};
+use crate::event::{CellEvent, SettleCause};
 use crate::id::TaskName;
 use crate::run::{EndReason, NewRun, RunEnd, RunKey, RunState};
 use crate::run_time::WorkerPace;
@@ -24,6 +25,9 @@
 const STALL_DIVISOR: u64 = 10;
 /// The progress from which the time of a run is projected, in percent.
 const MIN_PROJECTED_PERCENT: u8 = 20;
+/// The longest time since a worker's last response in which its process is assumed not to have been
+/// replaced: a worker takes longer to start.
+const MAX_ACK_DELAY: Span = Span::from_millis(1_000);
 /// How long a worker that left the directory and has no runs is still polled.
 const UNLISTED_RETENTION: Span = Span::from_secs(8);
 
@@ -38,9 +42,18 @@
             worker.grant_lease(now, self.timers.max_lease)
         };
         let long_poll = !worker.inherited && worker.failed_polls == 0 && lease_until.is_some();
+        // After a failed poll or a pause, the response may come from a later process, which numbers
+        // its ends anew.
+        let is_same_process =
+            worker.failed_polls == 0 && now.since(worker.last_response) <= MAX_ACK_DELAY;
+        let acked_through = if is_same_process {
+            worker.last_end_acked
+        } else {
+            0
+        };
         Some(WorkerPoll {
             lease_until,
-            acked_through: worker.last_end_acked,
+            acked_through,
             long_poll,
         })
     }
@@ -51,17 +64,18 @@
             return;
         };
         let is_restarted = worker.registration.is_restart(status.started_ms);
-        worker.registration.started_ms = status.started_ms.or(worker.registration.started_ms);
+        let known_ms = worker.registration.started_ms;
+        worker.registration.started_ms = status.started_ms.or(known_ms);
         if is_restarted {
-            self.reset_worker(key, now);
+            self.reset_worker(key, known_ms);
         }
         let worker = &mut self.workers[key];
         worker.note_response(status.clock_ms, now);
         self.apply_running(key, &status.running, now);
-        self.apply_ends(key, &status.ended, now);
+        let are_all_applied = self.apply_ends(key, &status.ended, now);
         // A truncated list says nothing about the runs that it lacks.
-        if status.ended.len() < MAX_LISTED_ENDS {
-            self.settle_unlisted_runs(key, &status.running, sent, now);
+        if are_all_applied && status.ended.len() < MAX_LISTED_ENDS {
+            self.settle_unlisted_runs(key, &status.running, is_restarted, sent, now);
         }
     }
 
@@ -69,12 +83,14 @@
         self.workers[key].has_unknown_runs = false;
         for entry in running {
             let Some(run) = self.find_run(key, entry.task, entry.run, now) else {
-                self.actions.push(Action::Stop(StopOrder {
-                    worker: key,
-                    task: entry.task,
-                    run: entry.run,
-                }));
                 self.workers[key].has_unknown_runs = true;
+                if !self.unaccepted.contains_key(&entry.task.job) {
+                    self.actions.push(Action::Stop(StopOrder {
+                        worker: key,
+                        task: entry.task,
+                        run: entry.run,
+                    }));
+                }
                 continue;
             };
             let state = &mut self.runs[run];
@@ -158,12 +174,17 @@
         }
     }
 
-    fn apply_ends(&mut self, key: WorkerKey, ended: &[RunEnd], now: Time) {
+    /// Applies the ends that a worker lists. Returns false if some have to wait until the acceptance
+    /// of their job is read; the worker lists them until then.
+    fn apply_ends(&mut self, key: WorkerKey, ended: &[RunEnd], now: Time) -> bool {
         for end in ended {
             let worker = &mut self.workers[key];
             if end.sequence <= worker.last_end_seen {
                 continue;
             }
+            if self.unaccepted.contains_key(&end.task.job) {
+                return false;
+            }
             worker.last_end_seen = end.sequence;
             self.pending_acks.push(PendingAck {
                 batch: self.batch,
@@ -173,31 +194,23 @@
             });
             self.apply_end(key, end, now);
         }
+        true
     }
 
     fn apply_end(&mut self, key: WorkerKey, end: &RunEnd, now: Time) {
-        if let Some(&run) = self.runs_by_name.get(&(end.task, end.run)) {
-            if self.runs[run].worker == key {
-                self.end_run(run, end.reason, end.checkpoint.clone(), now);
-            }
-            return;
-        }
-        // This owner did not order the run. Its end counts if its task is still waiting.
-        let Some(&job) = self.jobs_by_id.get(&end.task.job) else {
-            return;
-        };
-        if !self.jobs[job].inherited {
-            return;
-        }
-        let new_run = NewRun {
-            name: end.task,
-            number: end.run,
-            worker: key,
-            state: RunState::Running,
-        };
-        if let Some(run) = self.adopt_run(job, new_run, now) {
+        if let Some(&run) = self.runs_by_name.get(&(end.task, end.run))
+            && self.runs[run].worker == key
+        {
             self.end_run(run, end.reason, end.checkpoint.clone(), now);
+            return;
         }
+        // The worker forgets the end once it is acknowledged, so no one could count it later.
+        let is_counted = self.count_late_end(key, end, now);
+        self.events.push(CellEvent::LateEnd {
+            worker: Arc::clone(&self.workers[key].registration.id),
+            end: end.clone(),
+            is_counted,
+        });
     }
 
     /// Settles or stops the runs that should be on a worker and were not listed.
@@ -205,6 +218,7 @@
         &mut self,
         key: WorkerKey,
         running: &[RunningTask],
+        is_restarted: bool,
         sent: Time,
         now: Time,
     ) {
@@ -221,6 +235,10 @@
                 RunState::Unconfirmed(since) if sent > since => self.stop_run(run),
                 RunState::Stopped(since) if sent > since => self.settle(run, now),
                 RunState::Inherited => self.settle(run, now),
+                // The run was confirmed before the poll was sent, so by the earlier process.
+                RunState::Running if is_restarted && sent >= state.started_at => {
+                    self.end_run(run, EndReason::LeaseExpired, None, now);
+                }
                 RunState::Running if sent > state.started_at => {
                     self.runs[run].missed_listings += 1;
                     if self.runs[run].missed_listings >= MAX_MISSED_LISTINGS {
@@ -239,18 +257,37 @@
         }
     }
 
-    /// Resets a restarted worker, which knows nothing of its earlier runs.
-    pub(crate) fn reset_worker(&mut self, key: WorkerKey, now: Time) {
+    /// Resets a restarted worker, which knows nothing of its earlier runs. Orders in flight may still
+    /// reach the later process, so only its list of runs settles a run.
+    fn reset_worker(&mut self, key: WorkerKey, known_ms: Option<u64>) {
         let worker = &mut self.workers[key];
+        self.events.push(CellEvent::WorkerRestarted {
+            worker: Arc::clone(&worker.registration.id),
+            known_ms,
+            reported_ms: worker.registration.started_ms,
+            runs: worker.runs.len(),
+        });
         worker.last_end_seen = 0;
         worker.last_end_acked = 0;
         worker.inherited = false;
         worker.pace = WorkerPace::default();
-        self.expire_runs(key, now);
     }
 
-    fn expire_runs(&mut self, key: WorkerKey, now: Time) {
-        let runs: Vec<RunKey> = self.workers[key].runs.iter().copied().collect();
+    /// Ends the runs of a worker on which certainly nothing runs any more.
+    fn settle_runs(&mut self, key: WorkerKey, cause: SettleCause, now: Time) {
+        let worker = &self.workers[key];
+        if worker.runs.is_empty() {
+            return;
+        }
+        self.events.push(CellEvent::RunsSettled {
+            worker: Arc::clone(&worker.registration.id),
+            cause,
+            runs: worker.runs.len(),
+            response_age: now.since(worker.last_response),
+            unlisted_age: worker.unlisted_at.map(|at| now.since(at)),
+            failed_polls: worker.failed_polls,
+        });
+        let runs: Vec<RunKey> = worker.runs.iter().copied().collect();
         for run in runs {
             self.end_run(run, EndReason::LeaseExpired, None, now);
         }
@@ -261,10 +298,9 @@
     pub(crate) fn expire_workers(&mut self, now: Time) {
         let keys: Vec<WorkerKey> = self.workers.keys().collect();
         for key in keys {
-            let worker = &self.workers[key];
-            if worker.has_no_runs(self.timers.exit_window, now) {
+            if let Some(cause) = self.workers[key].idle_cause(self.timers.exit_window, now) {
                 self.workers[key].inherited = false;
-                self.expire_runs(key, now);
+                self.settle_runs(key, cause, now);
             }
             let worker = &self.workers[key];
             let has_left = worker
--- a/crates/kingcupwinch-cell/src/cell/run_ends.rs
+++ b/crates/kingcupwinch-cell/src/cell/run_ends.rs
@@ -5,9 +5,10 @@
 use kingcupwinch_time::{Span, Time};
 
 use super::Cell;
+use crate::id::TaskName;
 use crate::job::{JobKey, JobState, Task, TaskState};
 use crate::mechanism::Mechanism;
-use crate::run::{EndReason, RunKey};
+use crate::run::{EndReason, RunEnd, RunKey};
 use crate::worker::{RACK_LABEL, WorkerKey};
 
 impl Cell {
@@ -25,7 +26,7 @@
         let (step, index) = (self.jobs[job].slot(name), usize::from(name.index));
         let is_long_running = self.jobs[job].step_spec(step).long_running;
         if let (true, Some(checkpoint)) = (is_active, checkpoint) {
-            self.store_checkpoint(job, step, index, checkpoint);
+            self.store_checkpoint(job, (step, index), number, &checkpoint);
         }
         match reason {
             // Long-running tasks are restarted whatever the reason.
@@ -38,7 +39,7 @@
                 let elapsed = now.since(self.runs[key].started_at);
                 self.set_task_time(key, elapsed, now);
                 self.workers[worker].note_done();
-                self.complete_task(job, key);
+                self.complete_task(job, name, number);
                 self.learn_run_times(job, step, now);
             }
             EndReason::Failed => {
@@ -56,22 +57,67 @@
         self.settle(key, now);
     }
 
-    fn store_checkpoint(&mut self, key: JobKey, step: usize, index: usize, checkpoint: Arc<str>) {
+    /// Counts the end of a run that this owner did not order or has settled before. Returns whether
+    /// the end counts.
+    pub(super) fn count_late_end(&mut self, worker: WorkerKey, end: &RunEnd, now: Time) -> bool {
+        let Some(&key) = self.jobs_by_id.get(&end.task.job) else {
+            return false;
+        };
         let job = &mut self.jobs[key];
-        if job.step_spec(step).gang {
-            for task in &mut job.steps[step].tasks {
-                task.checkpoint = Some(Arc::clone(&checkpoint));
-            }
+        let (step, index) = (job.slot(end.task), usize::from(end.task.index));
+        job.open_through(step, now);
+        if !job.has_task(step, index) || job.end.is_some() {
+            return false;
+        }
+        if !job.started {
+            job.started = true;
+            self.dirty.insert(key);
+        }
+        if job.step_spec(step).long_running {
+            return false;
+        }
+        let task = &job.steps[step].tasks[index];
+        if task.state == TaskState::Done {
+            return false;
+        }
+        let is_newer = task.state == TaskState::Waiting && end.run > task.checkpoint_run;
+        if let (true, Some(checkpoint)) = (is_newer, &end.checkpoint) {
+            self.store_checkpoint(key, (step, index), end.run, checkpoint);
+        }
+        match end.reason {
+            EndReason::Done => self.complete_task(key, end.task, end.run),
+            EndReason::Failed => self.count_failure(key, (step, index), end.run, worker, now),
+            _ => {}
+        }
+        true
+    }
+
+    /// Stores the checkpoint that a run saved. That of one member of a gang is that of all.
+    fn store_checkpoint(
+        &mut self,
+        key: JobKey,
+        (step, index): (usize, usize),
+        number: u32,
+        checkpoint: &Arc<str>,
+    ) {
+        let job = &mut self.jobs[key];
+        let is_gang = job.step_spec(step).gang;
+        let tasks = &mut job.steps[step].tasks;
+        let saved = if is_gang {
+            &mut tasks[..]
         } else {
-            job.steps[step].tasks[index].checkpoint = Some(checkpoint);
+            &mut tasks[index..=index]
+        };
+        for task in saved {
+            task.checkpoint_run = number;
+            task.checkpoint = Some(Arc::clone(checkpoint));
         }
         self.dirty.insert(key);
     }
 
-    /// Marks the task of a run as done, and stops its other runs. One member of a gang stands for
-    /// all.
-    fn complete_task(&mut self, key: JobKey, done: RunKey) {
-        let name = self.runs[done].name;
+    /// Marks a task as done by the run of a number, and stops its other runs. One member of a gang
+    /// stands for all.
+    fn complete_task(&mut self, key: JobKey, name: TaskName, number: u32) {
         let job = &mut self.jobs[key];
         let (step, index) = (job.slot(name), usize::from(name.index));
         if job.end.is_some() {
@@ -85,7 +131,7 @@
             job.finish_task(step, index);
         }
         self.dirty.insert(key);
-        for other in self.duplicate_runs(key, done) {
+        for other in self.duplicate_runs(key, name, number) {
             self.stop_run(other);
         }
         if self.jobs[key].is_done() {
@@ -95,8 +141,7 @@
 
     /// Returns the other unsettled runs that do the same work. The other members of the same run of
     /// a gang end with it.
-    fn duplicate_runs(&self, key: JobKey, run: RunKey) -> Vec<RunKey> {
-        let (name, number) = (self.runs[run].name, self.runs[run].number);
+    fn duplicate_runs(&self, key: JobKey, name: TaskName, number: u32) -> Vec<RunKey> {
         let job = &self.jobs[key];
         let is_gang = job.step_spec(job.slot(name)).gang;
         let is_duplicate = |other: &&RunKey| {
--- a/crates/kingcupwinch-cell/src/cell/tentative.rs
+++ b/crates/kingcupwinch-cell/src/cell/tentative.rs
@@ -9,6 +9,7 @@
 use crate::id::JobId;
 use crate::job::{JobKey, JobState};
 use crate::mechanism::Mechanism;
+use crate::record::JobRecord;
 use crate::run::RunKey;
 use crate::spec::JobSpec;
 
@@ -64,15 +65,20 @@
     }
 
     fn remove_tentative(&mut self, key: JobKey, now: Time) {
-        // No orders were sent for these runs.
-        let runs: Vec<RunKey> = self.jobs[key].runs.iter().copied().collect();
+        let job = &self.jobs[key];
+        let (id, end) = (job.id, job.end);
+        // An earlier owner may have ordered runs, if the acceptance is in the log all the same.
+        let earlier = job
+            .inherited
+            .then(|| JobRecord::of_progress(job, self.placements(job)));
+        // This owner sent no orders for these runs.
+        let runs: Vec<RunKey> = job.runs.iter().copied().collect();
         for run in runs {
             self.settle(run, now);
         }
-        let job = &self.jobs[key];
-        let id = job.id;
-        if job.end == Some(JobState::Cancelled) {
-            // A cancellation is in the log and holds for this id.
+        if end == Some(JobState::Cancelled) {
+            // A cancellation is in the log and holds for this id. Settling the runs may have removed
+            // the job.
             self.tentative.remove(&key);
             return;
         }
@@ -80,6 +86,11 @@
         self.jobs_by_id.remove(&id);
         self.dirty.remove(&key);
         self.unindex_job(key);
-        self.dropped_jobs.push(id);
+        match earlier {
+            Some(record) => {
+                self.unaccepted.insert(id, record);
+            }
+            None => self.dropped_jobs.push(id),
+        }
     }
 }
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -3,6 +3,7 @@
 use kingcupwinch_time::{Drift, Span, Time};
 use rustc_hash::FxHashSet;
 
+use crate::event::SettleCause;
 use crate::id::TaskName;
 use crate::run::{RunEnd, RunKey};
 use crate::run_time::WorkerPace;
@@ -137,6 +138,11 @@
 #[derive(Debug)]
 pub(crate) struct Worker {
     pub(crate) registration: Registration,
+    /// The start time in the directory entry, which may be that of another process than the one that
+    /// responds.
+    listed_ms: Option<u64>,
+    /// The last heartbeat in the directory was written after this time.
+    pub(crate) heartbeat_after: Time,
     /// When the worker left the directory, if it did.
     pub(crate) unlisted_at: Option<Time>,
     pub(crate) used: Resources,
@@ -153,7 +159,7 @@
     /// Polls in a row that failed. A start order that could not be sent counts as one.
     pub(crate) failed_polls: u32,
     /// When the worker last responded to a poll.
-    last_response: Time,
+    pub(crate) last_response: Time,
     /// Whether a poll that failed since the last response found the connection closed.
     is_connection_closed: bool,
     /// Whether an earlier owner may have used the worker and this owner has not polled it yet.
@@ -169,7 +175,9 @@
 impl Worker {
     pub(crate) fn new(registration: Registration, inherited: bool, leases_expire: Time) -> Self {
         Worker {
+            listed_ms: registration.started_ms,
             registration,
+            heartbeat_after: Time::ZERO,
             unlisted_at: None,
             used: Resources::default(),
             best_effort_runs: 0,
@@ -191,11 +199,28 @@
         }
     }
 
+    /// Updates the entry from the directory. Only a response of the worker shows that it was
+    /// restarted: entries may be read late, also those of an earlier process. While the worker
+    /// responds, entries of other processes are ignored.
+    pub(crate) fn update_registration(&mut self, entry: Registration) {
+        let known_ms = self.registration.started_ms;
+        if self.registration.is_restart(entry.started_ms) && self.failed_polls == 0 {
+            return;
+        }
+        self.unlisted_at = None;
+        self.listed_ms = entry.started_ms;
+        self.registration = Registration {
+            started_ms: known_ms.or(entry.started_ms),
+            ..entry
+        };
+    }
+
     /// Returns whether the worker can take new work.
     pub(crate) fn is_usable(&self, now: Time) -> bool {
         !self.registration.draining
             && !self.inherited
             && !self.has_unknown_runs
+            && !self.registration.is_restart(self.listed_ms)
             && self.clock_sample.is_some()
             && self.failed_polls == 0
             && self.quarantined_until <= now
@@ -241,19 +266,24 @@
         self.is_connection_closed |= failure == PollFailure::Closed;
     }
 
-    /// Returns whether certainly nothing runs on the worker: every lease has expired, or the
-    /// process has ended.
-    pub(crate) fn has_no_runs(&self, exit_window: Span, now: Time) -> bool {
-        self.failed_polls > 0 && (self.leases_expire < now || self.has_exited(exit_window))
+    /// Returns why certainly nothing runs on the worker, or `None` if something may.
+    pub(crate) fn idle_cause(&self, exit_window: Span, now: Time) -> Option<SettleCause> {
+        if self.failed_polls == 0 {
+            return None;
+        }
+        if self.leases_expire < now {
+            return Some(SettleCause::LeaseExpired);
+        }
+        self.has_exited(exit_window).then_some(SettleCause::Exited)
     }
 
     /// Returns whether the process has ended: it closed its connections and removed its directory
-    /// entry. The entry of an unreachable worker would expire more than `exit_window` after the
-    /// last response.
+    /// entry after its last response. The entry of a silent worker would expire more than
+    /// `exit_window` after its last heartbeat.
     fn has_exited(&self, exit_window: Span) -> bool {
         let left_promptly = self
             .unlisted_at
-            .is_some_and(|at| at < self.last_response + exit_window);
+            .is_some_and(|at| self.last_response <= at && at < self.heartbeat_after + exit_window);
         self.is_connection_closed && left_promptly
     }
 
--- a/crates/kingcupwinch-node/src/owner/loops.rs
+++ b/crates/kingcupwinch-node/src/owner/loops.rs
@@ -12,8 +12,9 @@
 use slog::o;
 use tokio::time::Instant;
 
+use super::Owner;
+use super::freshness::view_time;
 use super::messages::{DirectoryRead, IntakeRead, NextPoll, PollPlan, PollResult};
-use super::{Freshness, Owner};
 use crate::events::Event;
 use crate::layout::{IntakeKey, OWNER_PARTITION};
 use crate::shared::Shared;
@@ -116,7 +117,6 @@
     owner: WeakActorRef<Owner>,
     partition: Partition,
     from: u64,
-    freshness: Freshness,
 ) {
     let interval = if partition == OWNER_PARTITION {
         OWNER_PARTITION_INTERVAL
@@ -130,16 +130,12 @@
             None => reload_intake(&shared, partition).await,
         };
         match result {
-            Ok((next, end, records)) => {
+            Ok((next, read)) => {
                 shared.record_store_result(None);
                 from = Some(next);
-                let read = IntakeRead { partition, records };
-                if !read.records.is_empty() && !tell(&owner, read).await {
+                if !tell(&owner, read).await {
                     return;
                 }
-                if next >= end {
-                    freshness.mark_read(partition, shared.now());
-                }
                 tokio::time::sleep(interval).await;
             }
             Err(StoreError::Expired(_)) => from = None,
@@ -156,17 +152,20 @@
 
 type IntakeRecords = Vec<(IntakeKey, Option<Bytes>)>;
 
-/// Reads records; returns the next offset, the end offset of the partition, and the records.
+/// Reads records; returns the next offset and the records.
 async fn read_intake(
     shared: &Shared,
     partition: Partition,
     from: u64,
-) -> Result<(u64, u64, IntakeRecords), StoreError> {
+) -> Result<(u64, IntakeRead), StoreError> {
+    let sent = shared.now();
     let deadline = Instant::now() + Duration::from_millis(INTAKE_WAIT_MS) + READ_MARGIN;
     let batch = shared
         .store
         .read(partition, from, INTAKE_WAIT_MS, deadline)
         .await?;
+    let wait = Span::from_millis(INTAKE_WAIT_MS);
+    let view_time = view_time(sent, shared.now(), wait, batch.records.is_empty());
     let records = shared.decode_records("intake", batch.records);
     let records = records.into_iter().filter_map(|(offset, record)| {
         let key = IntakeKey::parse(&record.key);
@@ -176,16 +175,27 @@
         }
         Some((key?, record.value))
     });
-    Ok((batch.next, batch.end, records.collect()))
+    let read = IntakeRead {
+        partition,
+        records: records.collect(),
+        complete_at: (batch.next >= batch.end).then_some(view_time),
+    };
+    Ok((batch.next, read))
 }
 
 async fn reload_intake(
     shared: &Shared,
     partition: Partition,
-) -> Result<(u64, u64, IntakeRecords), StoreError> {
+) -> Result<(u64, IntakeRead), StoreError> {
+    let sent = shared.now();
     let deadline = Instant::now() + Duration::from_millis(INTAKE_WAIT_MS) + READ_MARGIN;
     let page = shared.store.read_latest(partition, deadline).await?;
-    Ok((page.end, page.end, intake_items(&page)))
+    let read = IntakeRead {
+        partition,
+        records: intake_items(&page),
+        complete_at: Some(sent),
+    };
+    Ok((page.end, read))
 }
 
 /// Decodes a page of intake records, with cancellations after acceptances.
@@ -202,17 +212,23 @@
 /// Follows the directory from an offset until the owner ends.
 pub(crate) async fn follow_directory(shared: Arc<Shared>, owner: WeakActorRef<Owner>, from: u64) {
     let mut from = Some(from);
+    // Send time of the last read that reached the end, so that later entries were written after it.
+    let mut complete_at = None;
     loop {
         tokio::time::sleep(DIRECTORY_INTERVAL).await;
+        let sent = shared.now();
         let deadline = Instant::now() + READ_MARGIN;
         let result = match from {
-            Some(offset) => read_directory(&shared, offset, deadline).await,
+            Some(offset) => read_directory(&shared, offset, complete_at, deadline).await,
             None => reload_directory(&shared, deadline).await,
         };
         match result {
-            Ok((next, read)) => {
+            Ok((next, is_complete, read)) => {
                 shared.record_store_result(None);
                 from = Some(next);
+                if is_complete {
+                    complete_at = Some(sent);
+                }
                 let has_changes = read.is_whole || !read.entries.is_empty();
                 if has_changes && !tell(&owner, read).await {
                     return;
@@ -227,32 +243,37 @@
     }
 }
 
+/// Reads entries; returns the next offset, whether the read reached the end, and the entries.
 async fn read_directory(
     shared: &Shared,
     from: u64,
+    written_after: Option<Time>,
     deadline: Instant,
-) -> Result<(u64, DirectoryRead), StoreError> {
+) -> Result<(u64, bool, DirectoryRead), StoreError> {
     let batch = shared.store.read(DIRECTORY, from, 0, deadline).await?;
     let records = shared.decode_records("directory", batch.records);
     let row = |(_, record): (u64, KeyedRecord)| (record.key, record.value);
     let read = DirectoryRead {
         entries: records.into_iter().map(row).collect(),
         is_whole: false,
+        written_after,
     };
-    Ok((batch.next, read))
+    Ok((batch.next, batch.next >= batch.end, read))
 }
 
 async fn reload_directory(
     shared: &Shared,
     deadline: Instant,
-) -> Result<(u64, DirectoryRead), StoreError> {
+) -> Result<(u64, bool, DirectoryRead), StoreError> {
     let page = shared.store.read_latest(DIRECTORY, deadline).await?;
     let row = |item: kingcupwinch_adapter::LatestRecord| (item.key, Some(item.value));
     let read = DirectoryRead {
         entries: page.items.into_iter().map(row).collect(),
         is_whole: true,
+        written_after: None,
     };
-    Ok((page.end, read))
+    // Pages are not a snapshot, so entries of before this read may follow.
+    Ok((page.end, false, read))
 }
 
 async fn tell<M>(owner: &WeakActorRef<Owner>, message: M) -> bool
--- a/crates/kingcupwinch-node/src/owner/messages.rs
+++ b/crates/kingcupwinch-node/src/owner/messages.rs
@@ -5,7 +5,7 @@
 use kameo::message::{Context, Message};
 use kingcupwinch_adapter::{OrderError, Partition, WorkerClient, decode_registration};
 use kingcupwinch_cell::{
-    AdviceCallId, JobId, JobSpec, JobState, Member, StartOrder, StartOutcome, StopOrder,
+    AdviceCallId, CellEvent, JobId, JobSpec, JobState, Member, StartOrder, StartOutcome, StopOrder,
     SubmitOutcome, Ticket, WorkerKey, WorkerPoll, WorkerStatus,
 };
 use kingcupwinch_time::{Span, Time};
@@ -13,15 +13,19 @@
 use tokio::sync::oneshot;
 
 use super::Owner;
+use super::freshness::{MAX_COUNT_AGE, MAX_LOOKUP_AGE};
 use crate::events::Event;
 use crate::layout::{IntakeKey, OWNER_PARTITION};
 use crate::metrics::Metrics;
 
+#[cfg(test)]
+mod tests;
+
 /// Triggers a scheduling decision.
 pub(crate) struct Decide;
 
-/// Reports that an append under this term succeeded, with its send time.
-pub(crate) struct WriteConfirmed(pub(crate) Time);
+/// Reports a time at which this owner certainly still held the cell.
+pub(crate) struct TermConfirmed(pub(crate) Time);
 
 /// Updates the list of instances and their addresses for siblings.
 pub(crate) struct Members(pub(crate) Vec<Member>);
@@ -35,7 +39,8 @@
 /// Requests a job's state; the reply is `None` if this owner can't state it with certainty.
 pub(crate) struct GetJobState(pub(crate) JobId);
 
-/// Requests the number of waiting jobs of a queue; the reply is `None` if this owner is retired.
+/// Requests the number of waiting jobs of a queue; the reply is `None` if this owner can't count them
+/// with certainty.
 pub(crate) struct CountWaiting(pub(crate) Arc<str>);
 
 /// Announces jobs that this instance is about to append to the intake.
@@ -48,6 +53,8 @@
 pub(crate) struct IntakeRead {
     pub(crate) partition: Partition,
     pub(crate) records: Vec<(IntakeKey, Option<bytes::Bytes>)>,
+    /// Time as of which all records of the partition are known; `None` if more may follow.
+    pub(crate) complete_at: Option<Time>,
 }
 
 /// Delivers entries read from the directory.
@@ -55,6 +62,8 @@
     pub(crate) entries: Vec<(Arc<str>, Option<bytes::Bytes>)>,
     /// Whether the entries are the whole directory, so that workers missing from them have left it.
     pub(crate) is_whole: bool,
+    /// A time after which all entries were written, if one is known.
+    pub(crate) written_after: Option<Time>,
 }
 
 /// Requests the next poll of a worker.
@@ -102,11 +111,11 @@
     }
 }
 
-impl Message<WriteConfirmed> for Owner {
+impl Message<TermConfirmed> for Owner {
     type Reply = ();
 
-    async fn handle(&mut self, sent: WriteConfirmed, _: &mut Context<Self, ()>) {
-        self.last_write = self.last_write.max(sent.0);
+    async fn handle(&mut self, confirmed: TermConfirmed, _: &mut Context<Self, ()>) {
+        self.confirmed_at = self.confirmed_at.max(confirmed.0);
     }
 }
 
@@ -144,7 +153,7 @@
 
     async fn handle(&mut self, id: GetJobState, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
         let state = self.cell.job_state(id.0);
-        let is_certain = state.is_some() || self.freshness.is_fresh(self.shared.now());
+        let is_certain = state.is_some() || self.is_view_fresh(MAX_LOOKUP_AGE);
         (!self.is_retired && is_certain).then_some(state)
     }
 }
@@ -157,7 +166,8 @@
         queue: CountWaiting,
         _: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
-        (!self.is_retired).then(|| self.cell.queued_jobs(&queue.0))
+        let is_certain = !self.is_retired && self.is_view_fresh(MAX_COUNT_AGE);
+        is_certain.then(|| self.cell.queued_jobs(&queue.0))
     }
 }
 
@@ -195,6 +205,12 @@
 
     async fn handle(&mut self, read: IntakeRead, _: &mut Context<Self, ()>) {
         let now = self.shared.now();
+        if let Some(at) = read.complete_at {
+            self.freshness.mark_read(read.partition, at);
+        }
+        if read.records.is_empty() {
+            return;
+        }
         for (key, value) in read.records {
             // A tombstone: the record was deleted after its job ended.
             let Some(value) = value else { continue };
@@ -228,6 +244,13 @@
 }
 
 impl Owner {
+    /// Returns whether this owner knew all records of the intake, and certainly held the cell, within
+    /// `max_age`. A later owner may have deleted the records of jobs that it ended.
+    fn is_view_fresh(&self, max_age: Span) -> bool {
+        let now = self.shared.now();
+        self.freshness.is_fresh(now, max_age) && now.since(self.confirmed_at) <= max_age
+    }
+
     /// Marks an announced job as appended to the log.
     fn confirm(&mut self, id: JobId) {
         self.cell.confirm(id);
@@ -307,7 +330,12 @@
         for (id, value) in read.entries {
             match value {
                 Some(value) => match decode_registration(&id, &value) {
-                    Some(entry) => self.register_worker(entry, now),
+                    Some(entry) => {
+                        self.register_worker(entry, now);
+                        if let Some(time) = read.written_after {
+                            self.cell.note_heartbeat(&id, time);
+                        }
+                    }
                     None => self.shared.log.write(
                         Event::RecordSkipped,
                         o!("partition" => "directory", "worker" => id.to_string()),
@@ -356,6 +384,7 @@
             Ok(status) => {
                 self.log_run_ends(&status, now);
                 self.cell.poll_answered(poll.worker, poll.sent, status, now);
+                self.log_cell_events();
                 self.schedule_decision();
             }
             Err(OrderError::Fenced) => self.fence("worker"),
@@ -375,7 +404,7 @@
             self.shared.log.write(
                 Event::RunEnded,
                 o!("task" => end.task.to_string(), "run" => end.run, "how" => end.reason.as_str(),
-                    "saved" => end.checkpoint.is_some(), "age_ms" => run.age.as_millis(),
+                    "sequence" => end.sequence, "saved" => end.checkpoint.is_some(), "age_ms" => run.age.as_millis(),
                     "estimate_ms" => run.estimate.as_millis(), "image" => text(run.image),
                     "worker" => run.worker.to_string(), "kind" => text(run.worker_kind)),
             );
@@ -383,6 +412,55 @@
     }
 }
 
+impl Owner {
+    /// Logs what the cell has concluded.
+    pub(super) fn log_cell_events(&mut self) {
+        for event in self.cell.take_events() {
+            self.log_cell_event(event);
+        }
+    }
+
+    fn log_cell_event(&self, event: CellEvent) {
+        let log = &self.shared.log;
+        match event {
+            CellEvent::WorkerRestarted {
+                worker,
+                known_ms,
+                reported_ms,
+                runs,
+            } => log.write(
+                Event::WorkerRestarted,
+                o!("worker" => worker.to_string(), "known_ms" => known_ms,
+                    "reported_ms" => reported_ms, "runs" => runs),
+            ),
+            CellEvent::RunsSettled {
+                worker,
+                cause,
+                runs,
+                response_age,
+                unlisted_age,
+                failed_polls,
+            } => log.write(
+                Event::RunsSettled,
+                o!("worker" => worker.to_string(), "cause" => cause.as_str(), "runs" => runs,
+                    "response_ms_ago" => response_age.as_millis(),
+                    "unlisted_ms_ago" => unlisted_age.map(Span::as_millis),
+                    "failed_polls" => failed_polls),
+            ),
+            CellEvent::LateEnd {
+                worker,
+                end,
+                is_counted,
+            } => log.write(
+                Event::LateEnd,
+                o!("task" => end.task.to_string(), "run" => end.run, "how" => end.reason.as_str(),
+                    "sequence" => end.sequence, "worker" => worker.to_string(),
+                    "counted" => is_counted),
+            ),
+        }
+    }
+}
+
 impl Message<Started> for Owner {
     type Reply = ();
 
--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -18,18 +18,24 @@
 use tokio::time::Instant;
 
 use super::loops;
-use super::{Freshness, Origins, Owner, OwnerArgs, WRITE_TIMEOUT};
+use super::{Freshness, Origins, Owner, OwnerArgs, TERM_TIMEOUT};
 use crate::events::Event;
 use crate::layout::{IntakeKey, PROGRESS, RUN_TIMES_KEY, WORKERS_KEY, intake_partitions};
 use crate::shared::Shared;
 use crate::siblings::Siblings;
 
+#[cfg(test)]
+mod tests;
+
 /// Timeout for fencing the log and reading the state.
 const READ_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Subtracted from the longest lease, because clocks are read with a delay.
 const LEASE_MARGIN: Span = Span::from_millis(150);
 /// Time after which no order of an owner that has stopped is still in flight.
 const IN_FLIGHT_MARGIN: Span = Span::from_millis(300);
+/// Heartbeats after the last one within which a directory entry disappears only if its worker removes
+/// it. The entry of a silent worker expires one heartbeat later.
+const EXIT_HEARTBEATS: u64 = 2;
 /// Maximum age of a job that counts towards its latency objective, in milliseconds; bounds the
 /// effect of clock jumps.
 const MAX_AGE_MS: u64 = 60_000;
@@ -53,8 +59,8 @@
     }
 }
 
-/// Takes the cell over under a claim sent at `claimed_at`. `is_stopped` is set if the previous
-/// owner is known to have stopped dispatching.
+/// Takes the cell over under a claim sent at `claimed_at`. All owners that may still give orders were
+/// fenced at `fenced_at`, if that is known.
 ///
 /// # Errors
 ///
@@ -63,7 +69,7 @@
     shared: &Arc<Shared>,
     siblings: &Siblings,
     claim: &Claim,
-    is_stopped: bool,
+    fenced_at: Option<Time>,
     claimed_at: Time,
 ) -> Result<ActorRef<Owner>, TakeoverError> {
     let deadline = Instant::now() + READ_TIMEOUT;
@@ -75,25 +81,22 @@
         .store
         .append(PROGRESS, &[], None, Some(fence), deadline)
         .await?;
+    let read_at = shared.now();
     let (progress, intake, directory) = tokio::try_join!(
         shared.store.read_latest(PROGRESS, deadline),
         read_intake(&shared.store, deadline),
         shared.store.read_latest(DIRECTORY, deadline),
     )?;
     shared.record_store_result(None);
-    let handover_overlap = if is_stopped {
-        IN_FLIGHT_MARGIN
-    } else {
-        WRITE_TIMEOUT
-    };
+    let now = shared.now();
+    let handover_overlap = overlap_after(fenced_at, now);
     let timers = CellTimers {
         max_lease: shared.settings.max_lease - LEASE_MARGIN,
         handover_overlap,
         end_retention: shared.settings.status_retention,
-        exit_window: shared.settings.heartbeat,
+        exit_window: shared.settings.heartbeat.times(EXIT_HEARTBEATS),
     };
     let mut cell = Cell::new(timers, claim.generation).with_disabled(shared.disabled);
-    let now = shared.now();
     let workers = restore_workers(shared, &mut cell, &directory, &progress, now);
     let mut origins = Origins::default();
     let records = restore_ends(shared, &mut cell, &progress, now);
@@ -104,31 +107,32 @@
             origins.entry(id).or_default().push(*partition);
         }
     }
+    for (id, record) in &records {
+        if cell.job_state(*id).is_none() {
+            cell.restore(*id, None, Some(record), Span::ZERO, now);
+        }
+    }
     let jobs = cell.live_jobs();
     shared.log.write(
         Event::TookOver,
         o!("term" => claim.term, "generation" => claim.generation, "jobs" => jobs,
-            "workers" => workers, "owner_before_stopped" => is_stopped,
+            "workers" => workers, "handover_overlap_ms" => handover_overlap.as_millis(),
             "since_claim_ms" => now.since(claimed_at).as_millis()),
     );
-    let freshness = Freshness::new(intake_partitions(), now);
     let args = OwnerArgs {
         shared: Arc::clone(shared),
         siblings: siblings.clone(),
         term: claim.term,
         cell,
-        last_write: claimed_at,
+        confirmed_at: claimed_at,
         origins,
-        freshness: freshness.clone(),
+        freshness: Freshness::new(intake_partitions(), read_at),
     };
     let owner = Owner::spawn_with_mailbox(args, mailbox::unbounded());
     let me = owner.downgrade();
     for (partition, page) in intake {
         let (shared, me) = (Arc::clone(shared), me.clone());
-        let freshness = freshness.clone();
-        tokio::spawn(loops::follow_intake(
-            shared, me, partition, page.end, freshness,
-        ));
+        tokio::spawn(loops::follow_intake(shared, me, partition, page.end));
     }
     tokio::spawn(loops::follow_directory(
         Arc::clone(shared),
@@ -138,6 +142,13 @@
     Ok(owner)
 }
 
+/// Returns how long from `now`, after the log was fenced, earlier owners may still give orders: an
+/// owner can't be confirmed to hold the cell after it was fenced.
+fn overlap_after(fenced_at: Option<Time>, now: Time) -> Span {
+    let stopped_at = fenced_at.unwrap_or(now) + TERM_TIMEOUT;
+    stopped_at.since(now).max(IN_FLIGHT_MARGIN)
+}
+
 /// Registers the workers in the directory, and those that an earlier owner used and that have left
 /// the directory since. Returns the number of workers.
 fn restore_workers(
