Have simulated workers write a heartbeat to the directory

Change: the directory gets a record for each heartbeat, and the simulated owner notes heartbeats, overlaps and such progress as the node does. A run in which few jobs complete or no owner is replaced fails.

--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/checks.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/checks.rs
@@ -289,6 +289,14 @@
         }
     }
 
+    /// Returns the number of jobs that callers saw completed.
+    pub(super) fn completed(&self) -> usize {
+        let states = self.reported.values();
+        states
+            .filter(|state| **state == JobState::Completed)
+            .count()
+    }
+
     pub(super) fn unfinished(&mut self, job: Option<JobId>, text: String) {
         self.fail("every job and run ends", job, text);
     }
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/faults.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/faults.rs
@@ -6,15 +6,10 @@
 use super::log::{DirectoryRecord, IntakeRecord};
 use super::owner::{OwnerEvent, Writer};
 use super::simulation::{Event, Simulation, TICK};
-use super::worker::{Cut, Life, MAX_SLOW_PPM, Worker};
-use crate::harness::{EXIT_WINDOW, id, job, step};
+use super::worker::{Cut, ENTRY_EXPIRY, HEARTBEAT, Life, MAX_SLOW_PPM, Worker};
+use crate::harness::{id, job, step};
 
 const CORES: u64 = 8;
-/// The time between two writes of a worker to the directory.
-const HEARTBEAT: Span = EXIT_WINDOW;
-/// The entry of a worker that is silent for this long expires.
-const ENTRY_EXPIRY: Span = Span::from_millis(3 * EXIT_WINDOW.as_millis());
-
 /// The mean numbers of events per second.
 const JOBS: f64 = 4.0;
 const QUERIES: f64 = 40.0;
@@ -23,7 +18,6 @@
 const WORKER_ENDS: f64 = 0.04;
 const WORKER_CUTS: f64 = 0.06;
 const DIRECTORY_CUTS: f64 = 0.04;
-const ENTRY_CHANGES: f64 = 0.1;
 
 /// The jobs of all callers.
 #[derive(Debug, Default)]
@@ -177,28 +171,28 @@
         let cut = self.span(500, 8_000);
         let owner = &mut self.owners[index];
         let term = owner.term;
-        let (text, delay, is_stopped) = match fate {
+        let (text, delay) = match fate {
             // The process is lost. Whether a batch on its way still arrives is open.
             0..4 => {
                 owner.has_crashed = true;
                 if is_batch_lost {
                     owner.writer = Writer::Stopped;
                 }
-                ("crashes", self.span(50, 4_000), fate == 0)
+                ("crashes", self.span(50, 4_000))
             }
             4..7 => {
                 owner.cut_until = now + cut;
-                ("is cut off from the log", self.span(100, 6_000), false)
+                ("is cut off from the log", self.span(100, 6_000))
             }
-            7 => ("will be superseded", self.span(0, 50), false),
+            7 => ("will be superseded", self.span(0, 50)),
             _ => {
                 owner.is_retired = true;
                 owner.is_releasing = true;
-                ("releases the cell", self.span(3_000, 6_000), false)
+                ("releases the cell", self.span(3_000, 6_000))
             }
         };
         self.trace(None, None, || format!("owner {term} {text}"));
-        self.schedule(delay, Event::TakeOver(term, is_stopped));
+        self.schedule(delay, Event::TakeOver(term, false));
     }
 
     pub(super) fn add_worker(&mut self, number: usize) {
@@ -250,12 +244,6 @@
             let until = now + self.span(1_000, 10_000);
             self.workers[number].unregistered_until = until;
         }
-        if self.occurs(ENTRY_CHANGES) && !self.log.is_down(now) {
-            let started_ms = self.workers[number].entry;
-            if started_ms.is_some() {
-                self.write_record(number, started_ms);
-            }
-        }
         if self.occurs(WORKER_ENDS) {
             self.end_worker(number);
         }
@@ -279,12 +267,14 @@
     }
 
     fn write_record(&mut self, worker: usize, started_ms: Option<u64>) {
-        self.workers[worker].entry = started_ms;
+        let before = std::mem::replace(&mut self.workers[worker].entry, started_ms);
         let record = DirectoryRecord { worker, started_ms };
         self.log.directory.push(record);
-        self.trace(None, Some(worker), || {
-            format!("its entry becomes {started_ms:?}")
-        });
+        if before != started_ms {
+            self.trace(None, Some(worker), || {
+                format!("its entry becomes {started_ms:?}")
+            });
+        }
     }
 
     /// Writes the entry of a worker, or lets it expire.
@@ -303,9 +293,7 @@
             let started_ms = life.started_ms;
             worker.last_heartbeat = now;
             worker.next_heartbeat = now + HEARTBEAT;
-            if worker.entry != Some(started_ms) {
-                self.write_record(number, Some(started_ms));
-            }
+            self.write_record(number, Some(started_ms));
         }
     }
 
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/log.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/log.rs
@@ -13,7 +13,7 @@
     Cancelled(JobId),
 }
 
-/// A change of a worker's directory entry, with the start of its process. `None` if the entry was
+/// A heartbeat of a worker in the directory, with the start of its process. `None` if the entry was
 /// removed.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct DirectoryRecord {
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/owner.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/owner.rs
@@ -11,12 +11,13 @@
 
 use super::log::{DirectoryRecord, IntakeRecord};
 use super::simulation::{Event, Order, Simulation};
+use super::worker::HEARTBEAT;
 use crate::harness::{HANDOVER_OVERLAP, registration, timers};
 
 /// An owner without a successful append for this long gives no orders.
 const WRITE_TIMEOUT: Span = HANDOVER_OVERLAP;
-/// The overlap after an owner that is known to have stopped.
-const RELEASE_OVERLAP: Span = Span::from_millis(300);
+/// The shortest overlap, after owners that are known to have stopped.
+const MIN_OVERLAP: Span = Span::from_millis(300);
 /// No final state expires during a simulation.
 const END_RETENTION: Span = Span::from_secs(3_600);
 const HEARTBEAT_INTERVAL: Span = Span::from_millis(200);
@@ -40,8 +41,8 @@
     Polled(WorkerKey, Time, Result<WorkerStatus, PollError>),
     /// The intake was read up to this offset.
     IntakeRead(usize),
-    /// The directory was read up to this offset.
-    DirectoryRead(usize),
+    /// The directory was read up to this offset. The read was sent at this time.
+    DirectoryRead(usize, Time),
     /// A batch is in the log. An append also tells when it was first sent.
     Appended(u64, Option<Time>),
     /// An announced job certainly is not in the log.
@@ -107,6 +108,8 @@
     polls: BTreeMap<WorkerKey, PollLoop>,
     intake: Reader,
     directory: Reader,
+    /// The send time of the last read of the directory, which all later entries follow.
+    directory_complete_at: Option<Time>,
     decide_at: Time,
     accepted: BTreeSet<JobId>,
     cancelled: BTreeSet<JobId>,
@@ -178,14 +181,17 @@
     pub(super) fn take_over(&mut self, is_stopped: bool) {
         let now = self.now;
         self.log.term += 1;
-        let overlap = if is_stopped {
-            RELEASE_OVERLAP
-        } else {
-            HANDOVER_OVERLAP
-        };
+        // A stopped owner may itself have replaced one that is not aware of it yet.
+        if !is_stopped {
+            self.fenced_at = now;
+        }
+        let overlap = (self.fenced_at + HANDOVER_OVERLAP)
+            .since(now)
+            .max(MIN_OVERLAP);
         let timers = CellTimers {
             handover_overlap: overlap,
             end_retention: END_RETENTION,
+            exit_window: HEARTBEAT.times(2),
             ..timers()
         };
         let mut cell = Cell::new(timers, self.log.term as u32);
@@ -212,6 +218,11 @@
         for id in &self.log.cancelled {
             cell.cancel(*id, now);
         }
+        for (id, record) in &self.log.progress {
+            if cell.job_state(*id).is_none() {
+                cell.restore(*id, None, Some(record), Span::ZERO, now);
+            }
+        }
         let mut owner = Owner {
             cell,
             term: self.log.term,
@@ -233,6 +244,7 @@
                 offset: self.log.directory.len(),
                 next: Some(now),
             },
+            directory_complete_at: None,
             decide_at: now,
             accepted: self.log.accepted.keys().copied().collect(),
             cancelled: self.log.cancelled.clone(),
@@ -338,7 +350,10 @@
             owner.directory.next = None;
             let end = self.log.directory.len();
             let delay = self.delay(0.15, 3_000);
-            self.schedule(delay, Event::Owner(index, OwnerEvent::DirectoryRead(end)));
+            self.schedule(
+                delay,
+                Event::Owner(index, OwnerEvent::DirectoryRead(end, now)),
+            );
         }
     }
 
@@ -470,7 +485,7 @@
             OwnerEvent::Stopped(order) => self.owners[index].cell.stop_answered(&order, now),
             OwnerEvent::Polled(key, sent, result) => self.handle_poll(index, key, sent, result),
             OwnerEvent::IntakeRead(end) => self.handle_intake(index, end),
-            OwnerEvent::DirectoryRead(end) => self.handle_directory(index, end),
+            OwnerEvent::DirectoryRead(end, sent) => self.handle_directory(index, end, sent),
             OwnerEvent::Appended(batch, sent) => self.handle_appended(index, batch, sent),
             OwnerEvent::NotAppended(id) => self.owners[index].cell.drop_tentative(id, now),
         }
@@ -555,11 +570,12 @@
         }
     }
 
-    fn handle_directory(&mut self, index: usize, end: usize) {
+    fn handle_directory(&mut self, index: usize, end: usize, sent: Time) {
         let now = self.now;
         let owner = &mut self.owners[index];
         let first = std::mem::replace(&mut owner.directory.offset, end);
         owner.directory.next = Some(now + DIRECTORY_INTERVAL);
+        let written_after = owner.directory_complete_at.replace(sent);
         let term = owner.term;
         let records: Vec<DirectoryRecord> = self.log.directory[first..end].to_vec();
         for DirectoryRecord { worker, started_ms } in records {
@@ -569,13 +585,19 @@
                 Some(started_ms) => {
                     let entry = entry(worker, started_ms, target.capacity_cpu / 1_000);
                     owner.cell.register_worker(entry, false, now);
+                    if let Some(time) = written_after {
+                        owner.cell.note_heartbeat(&target.id, time);
+                    }
                     owner.connect_workers(now);
                 }
                 None => owner.cell.mark_unlisted(&target.id, now),
             }
-            self.trace(None, Some(worker), || {
-                format!("owner {term} reads its entry: {started_ms:?}")
-            });
+            let name = (term, worker);
+            if self.traced_entries.insert(name, started_ms) != Some(started_ms) {
+                self.trace(None, Some(worker), || {
+                    format!("owner {term} reads its entry: {started_ms:?}")
+                });
+            }
         }
     }
 
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/simulation.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/simulation.rs
@@ -27,6 +27,8 @@
 const CALL_TIMEOUT: Span = Span::from_millis(1_000);
 /// How long a worker delays the response to a poll until a run ends.
 const POLL_WAIT: Span = Span::from_millis(800);
+/// The number of completed jobs above which a simulation counts as busy.
+const MIN_COMPLETED: usize = 20;
 /// How much of the trace is shown: lines, and the time before the first line about the job.
 const SHOWN_LINES: usize = 60;
 const HISTORY: Span = Span::from_secs(10);
@@ -161,6 +163,10 @@
     pub(super) trace: Trace,
     /// The ends that each owner has read, which the trace shows once.
     pub(super) traced_ends: BTreeSet<(u64, TaskName, u32)>,
+    /// The entry of each worker that each owner has read last.
+    pub(super) traced_entries: BTreeMap<(u64, usize), Option<u64>>,
+    /// When all owners before the last one that stopped by itself were fenced.
+    pub(super) fenced_at: Time,
 }
 
 impl Simulation {
@@ -181,6 +187,8 @@
             checks: Checks::default(),
             trace: Trace::default(),
             traced_ends: BTreeSet::new(),
+            traced_entries: BTreeMap::new(),
+            fenced_at: Time::ZERO,
         };
         for number in 0..WORKERS {
             simulation.add_worker(number);
@@ -200,6 +208,8 @@
             if is_tick && self.is_quiet() {
                 let unfinished = self.unfinished();
                 if unfinished.is_none() && self.checks.breach.is_none() {
+                    // A simulation in which little happens shows nothing.
+                    assert!(self.owners.len() > 2 && self.checks.completed() > MIN_COMPLETED);
                     return Ok(());
                 }
                 if self.now >= self.begin + FAULTS + RECOVERY
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/worker.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/worker.rs
@@ -17,6 +17,11 @@
 /// The rate by which a worker's clock is slow at most.
 pub(super) const MAX_SLOW_PPM: u64 = 20_000;
 
+/// The time between two writes of a worker to the directory.
+pub(super) const HEARTBEAT: Span = Span::from_millis(1_500);
+/// The entry of a worker that is silent for this long expires.
+pub(super) const ENTRY_EXPIRY: Span = Span::from_millis(3 * HEARTBEAT.as_millis());
+
 /// A run that is active on a worker.
 #[derive(Debug)]
 pub(super) struct ActiveRun {
