--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -9,6 +9,7 @@
 mod harness;
 mod jobs;
 mod late_ends;
+mod lifecycle;
 mod long_running;
 mod occurrences;
 mod run_times;
