Expect orders of all earlier owners after a takeover, not only of the last

A successor counts leases on workers that it can't reach as ended 10.3 s after its takeover: 4 s in which the owner before may still renew them, and the longest lease. If that owner had released the cell, or was an earlier process of the same instance, it took 0.3 s instead of the 4 s. But that owner may itself have replaced one that was cut off a moment before, and that one still renews leases: for 4 s after it was fenced, and without an end if the owner between was killed, or failed, before it fenced the log. Example: a is cut off with its workers at 0 s, b claims at 1 s, releases the cell at 2 s to a larger instance (or is killed and restarts at 2 s); the third term counts a's leases as ended from 8.6 s on, and they last until 10 s and more: one task on two workers.

The election now keeps the time at which all owners before the current claim were certainly fenced: the first heartbeat of a term shows it, since heartbeats begin after the takeover, and a claim that directly follows one whose owner has stopped keeps it. The overlap lasts until 4 s after that time, 4 s from the takeover if it isn't known (a new process that finds a claim of its own knows nothing of those before), and at least 0.3 s as before. Handovers between owners that have held the cell for 4 s cost nothing more.

--- a/crates/kingcupwinch-cell/src/election.rs
+++ b/crates/kingcupwinch-cell/src/election.rs
@@ -117,6 +117,8 @@
     timers: ElectionTimers,
     claim: Option<Claim>,
     is_released: bool,
+    /// A time at which all owners before the current claim were certainly fenced, if there is one.
+    earlier_fenced_at: Option<Time>,
     /// The last heartbeat, or the start of continuous reading if that is later.
     last_heartbeat: Time,
     /// The longest recent interval between two heartbeats, which decays with each heartbeat.
@@ -134,6 +136,7 @@
             timers,
             claim: None,
             is_released: false,
+            earlier_fenced_at: Some(Time::ZERO),
             last_heartbeat: now,
             heartbeat_interval: Span::ZERO,
             last_read: None,
@@ -168,6 +171,9 @@
                 {
                     return;
                 }
+                if !self.succeeds_stopped_owner(&instance, generation) {
+                    self.earlier_fenced_at = None;
+                }
                 self.claim = Some(Claim {
                     term: offset,
                     instance,
@@ -181,6 +187,8 @@
             }
             GroupRecord::Heartbeat { term } => {
                 if self.is_current(term) {
+                    // An owner fences the earlier ones before its first heartbeat.
+                    self.earlier_fenced_at.get_or_insert(now);
                     let decayed = self.heartbeat_interval
                         - self.heartbeat_interval.divided_by(INTERVAL_DECAY);
                     self.heartbeat_interval = decayed.max(now.since(self.last_heartbeat));
@@ -189,6 +197,7 @@
             }
             GroupRecord::Release { term } => {
                 if self.is_current(term) {
+                    self.earlier_fenced_at.get_or_insert(now);
                     self.is_released = true;
                     self.last_heartbeat = now;
                 }
@@ -215,6 +224,16 @@
         }
     }
 
+    /// Returns whether a new claim directly follows the current one, whose owner has stopped: it
+    /// has released the cell, or was an earlier process of the claimant.
+    fn succeeds_stopped_owner(&self, instance: &str, generation: u32) -> bool {
+        let Some(claim) = &self.claim else {
+            return generation == 1;
+        };
+        let is_stopped = self.is_released || &*claim.instance == instance;
+        is_stopped && claim.generation + 1 == generation
+    }
+
     fn is_current(&self, term: u64) -> bool {
         self.claim.as_ref().is_some_and(|claim| claim.term == term)
     }
@@ -224,6 +243,13 @@
         self.claim.as_ref()
     }
 
+    /// Returns a time at which all owners that may still give orders were certainly fenced, or `None`
+    /// if one of them may not have been fenced yet. That the current owner has stopped says nothing
+    /// about those before it, which may not have learned of its claim.
+    pub fn earlier_owners_fenced_at(&self) -> Option<Time> {
+        self.earlier_fenced_at.filter(|_| self.is_owner_stopped())
+    }
+
     /// Returns whether the owner certainly gives no more orders: there is none, it has released the
     /// cell, or it was an earlier process of this instance.
     pub fn is_owner_stopped(&self) -> bool {
--- a/crates/kingcupwinch-cell/tests/cell/election.rs
+++ b/crates/kingcupwinch-cell/tests/cell/election.rs
@@ -126,6 +126,60 @@
     );
 }
 
+/// `b` was cut off and keeps renewing leases for some seconds after `c` has replaced it. That `c`
+/// releases the cell meanwhile does not stop `b`.
+#[test]
+fn a_release_does_not_stop_the_owner_before() {
+    let mut election = election("a");
+    election.apply(5, claim_by("b", 1), at(0));
+    election.apply(6, GroupRecord::Heartbeat { term: 5 }, at(100));
+    election.apply(7, claim_by("c", 2), at(3_000));
+    assert_eq!(election.earlier_owners_fenced_at(), None);
+    election.apply(8, GroupRecord::Heartbeat { term: 7 }, at(3_200));
+    election.apply(9, GroupRecord::Heartbeat { term: 7 }, at(3_500));
+    assert_eq!(election.earlier_owners_fenced_at(), None);
+    election.apply(10, GroupRecord::Release { term: 7 }, at(3_800));
+    assert_eq!(election.earlier_owners_fenced_at(), Some(at(3_200)));
+    // A handover from a stopped owner fences nobody anew.
+    election.apply(11, claim_by("d", 3), at(4_000));
+    election.apply(12, GroupRecord::Heartbeat { term: 11 }, at(4_100));
+    election.apply(13, GroupRecord::Release { term: 11 }, at(4_200));
+    assert_eq!(election.earlier_owners_fenced_at(), Some(at(3_200)));
+}
+
+/// An instance claims the cell of `b`, and is killed or fails before it has fenced `b`. Its next
+/// claim follows one of its own.
+#[test]
+fn a_claim_alone_does_not_fence_the_owner_before() {
+    let mut election = election("a");
+    election.apply(5, claim_by("b", 1), at(0));
+    election.apply(7, claim_by("a", 2), at(3_000));
+    assert!(election.is_owner_stopped());
+    assert_eq!(election.earlier_owners_fenced_at(), None);
+    election.apply(8, claim_by("a", 3), at(3_500));
+    assert_eq!(election.earlier_owners_fenced_at(), None);
+    election.apply(9, GroupRecord::Heartbeat { term: 8 }, at(3_700));
+    assert_eq!(election.earlier_owners_fenced_at(), Some(at(3_700)));
+}
+
+/// A new process reads only the last claim, its own, and can't know what preceded it.
+#[test]
+fn a_new_process_knows_nothing_of_earlier_owners() {
+    let mut election = election("a");
+    assert!(election.earlier_owners_fenced_at().is_some());
+    election.apply(7, claim_by("a", 2), at(0));
+    assert_eq!(election.earlier_owners_fenced_at(), None);
+}
+
+#[test]
+fn the_first_owner_has_none_before_it() {
+    let mut election = election("a");
+    election.apply(5, claim_by("b", 1), at(0));
+    assert_eq!(election.earlier_owners_fenced_at(), None);
+    election.apply(6, GroupRecord::Release { term: 5 }, at(900));
+    assert_eq!(election.earlier_owners_fenced_at(), Some(Time::ZERO));
+}
+
 #[test]
 fn the_latest_claim_holds_in_any_order_of_reading() {
     let mut election = election("a");
--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -24,6 +24,9 @@
 use crate::shared::Shared;
 use crate::siblings::Siblings;
 
+#[cfg(test)]
+mod tests;
+
 /// Timeout for fencing the log and reading the state.
 const READ_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Subtracted from the longest lease, because clocks are read with a delay.
@@ -53,8 +56,8 @@
     }
 }
 
-/// Takes the cell over under a claim sent at `claimed_at`. `is_stopped` is set if the previous
-/// owner is known to have stopped dispatching.
+/// Takes the cell over under a claim sent at `claimed_at`. All owners that may still give orders were
+/// fenced at `fenced_at`, if that is known.
 ///
 /// # Errors
 ///
@@ -63,7 +66,7 @@
     shared: &Arc<Shared>,
     siblings: &Siblings,
     claim: &Claim,
-    is_stopped: bool,
+    fenced_at: Option<Time>,
     claimed_at: Time,
 ) -> Result<ActorRef<Owner>, TakeoverError> {
     let deadline = Instant::now() + READ_TIMEOUT;
@@ -82,11 +85,8 @@
         shared.store.read_latest(DIRECTORY, deadline),
     )?;
     shared.record_store_result(None);
-    let handover_overlap = if is_stopped {
-        IN_FLIGHT_MARGIN
-    } else {
-        TERM_TIMEOUT
-    };
+    let now = shared.now();
+    let handover_overlap = overlap_after(fenced_at, now);
     let timers = CellTimers {
         max_lease: shared.settings.max_lease - LEASE_MARGIN,
         handover_overlap,
@@ -94,7 +94,6 @@
         exit_window: shared.settings.heartbeat,
     };
     let mut cell = Cell::new(timers, claim.generation).with_disabled(shared.disabled);
-    let now = shared.now();
     let workers = restore_workers(shared, &mut cell, &directory, &progress, now);
     let mut origins = Origins::default();
     let records = restore_ends(shared, &mut cell, &progress, now);
@@ -109,7 +108,7 @@
     shared.log.write(
         Event::TookOver,
         o!("term" => claim.term, "generation" => claim.generation, "jobs" => jobs,
-            "workers" => workers, "owner_before_stopped" => is_stopped,
+            "workers" => workers, "handover_overlap_ms" => handover_overlap.as_millis(),
             "since_claim_ms" => now.since(claimed_at).as_millis()),
     );
     let args = OwnerArgs {
@@ -135,6 +134,13 @@
     Ok(owner)
 }
 
+/// Returns how long from `now`, after the log was fenced, earlier owners may still give orders: an
+/// owner can't be confirmed to hold the cell after it was fenced.
+fn overlap_after(fenced_at: Option<Time>, now: Time) -> Span {
+    let stopped_at = fenced_at.unwrap_or(now) + TERM_TIMEOUT;
+    stopped_at.since(now).max(IN_FLIGHT_MARGIN)
+}
+
 /// Registers the workers in the directory, and those that an earlier owner used and that have left
 /// the directory since. Returns the number of workers.
 fn restore_workers(
--- a/crates/kingcupwinch-node/src/ownership.rs
+++ b/crates/kingcupwinch-node/src/ownership.rs
@@ -268,7 +268,7 @@
         let is_mine = claim.instance == self.shared.settings.instance;
         if is_mine && self.claimed_generation == Some(claim.generation) && self.cell.is_none() {
             let now = self.shared.now();
-            self.take_ownership(claim, false, now).await;
+            self.take_ownership(claim, None, now).await;
         }
     }
 
@@ -295,7 +295,7 @@
 
     async fn claim(&mut self, generation: u32, at: u64) {
         let shared = Arc::clone(&self.shared);
-        let is_stopped = self.election.is_owner_stopped();
+        let fenced_at = self.election.earlier_owners_fenced_at();
         let record = GroupRecord::Claim {
             instance: Arc::clone(&shared.settings.instance),
             address: shared.settings.siblings.to_string().into(),
@@ -314,7 +314,7 @@
                 self.next = Some(term + 1);
                 self.election.apply(term, record, shared.now());
                 shared.claim.send_replace(Some(claim.clone()));
-                self.take_ownership(claim, is_stopped, sent).await;
+                self.take_ownership(claim, fenced_at, sent).await;
             }
             Err(WriteError::EndMismatch(_)) => {}
             Err(error) => {
@@ -327,16 +327,17 @@
         }
     }
 
-    /// Takes the cell over under a claim of this instance.
-    async fn take_ownership(&mut self, claim: Claim, is_stopped: bool, sent: Time) {
+    /// Takes the cell over under a claim of this instance. All owners that may still give orders were
+    /// fenced at `fenced_at`, if that is known.
+    async fn take_ownership(&mut self, claim: Claim, fenced_at: Option<Time>, sent: Time) {
         self.shared.log.write(
             Event::Claimed,
             o!("term" => claim.term, "generation" => claim.generation,
-                "owner_before_stopped" => is_stopped),
+                "earlier_owners_fenced" => fenced_at.is_some()),
         );
         let (term, shared) = (claim.term, Arc::clone(&self.shared));
         loop {
-            match take_over(&shared, &self.siblings, &claim, is_stopped, sent).await {
+            match take_over(&shared, &self.siblings, &claim, fenced_at, sent).await {
                 Ok(owner) => {
                     let _ = owner.tell(Members(self.election.members().to_vec())).await;
                     shared.set_owner(Some(owner.clone()));
