Soak: count only listed ends as causes of a retry

LogFirst now counts the listing of the earlier run, which is what an owner learns from; an end that was inferred wrongly is found by the other checks.

--- a/crates/kingcupwinch-soak/src/checks.rs
+++ b/crates/kingcupwinch-soak/src/checks.rs
@@ -318,8 +318,9 @@
         if is_needed && is_end_final(run, expirations) {
             check("acknowledgement", task, run.listed, run.acked);
         }
-        let earlier = others().filter(|other| other.started < run.started);
-        let cause = earlier.filter_map(|other| other.ended).max();
+        // The owner may infer an end that was not listed; then it did not learn of it here.
+        let listed = others().filter_map(|other| other.listed);
+        let cause = listed.filter(|listed| *listed <= run.started).max();
         let cause = cause.max(dependencies_end(job, task, runs)).max(job.sent);
         check("start", task, cause, Some(run.started));
     }
