Move batches of records and the restoring of jobs out of cell.rs

Batches of records and their confirmation are in cell/records.rs, restoring the jobs of an earlier owner in cell/restore.rs. Moved only; the tests of the cell pass unchanged.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -3,6 +3,8 @@
 mod advice_calls;
 mod long_running;
 mod polls;
+mod records;
+mod restore;
 mod run_ends;
 mod runs;
 mod speculation;
@@ -21,13 +23,16 @@
 use crate::id::{JobId, TaskName};
 use crate::job::{Job, JobKey, JobState, TaskState};
 use crate::mechanism::{Disabled, Mechanism};
-use crate::record::{JobRecord, Placement};
-use crate::run::{NewRun, Run, RunKey, RunState};
+use crate::record::JobRecord;
+use crate::run::{Run, RunKey};
 use crate::run_time::{RunTimeRecord, RunTimes};
 use crate::spec::JobSpec;
 use crate::worker::{PollFailure, Registration, Worker, WorkerKey};
 
+use records::PendingAck;
+
 pub use advice_calls::AdviceCallId;
+pub use records::RecordBatch;
 pub use runs::{Action, StartOrder, StopOrder};
 
 /// The assumed share of workers that an adviser allows until responses have been observed.
@@ -100,34 +105,6 @@
     pub worker_kind: Option<Arc<str>>,
 }
 
-/// A batch of records to append to the log.
-#[derive(Debug, Default, PartialEq)]
-pub struct RecordBatch {
-    /// The number of the batch, to be passed to [`Cell::records_appended`] once its records are in
-    /// the log.
-    pub batch: u64,
-    /// The progress of the jobs that changed.
-    pub progress: Vec<(JobId, JobRecord)>,
-    /// Jobs whose progress record can be deleted.
-    pub expired: Vec<JobId>,
-}
-
-impl RecordBatch {
-    /// Returns whether the batch has no records.
-    pub fn is_empty(&self) -> bool {
-        self.progress.is_empty() && self.expired.is_empty()
-    }
-}
-
-/// An acknowledgement of run ends that is sent once a batch of records is in the log.
-#[derive(Debug)]
-struct PendingAck {
-    batch: u64,
-    worker: WorkerKey,
-    started_ms: Option<u64>,
-    sequence: u64,
-}
-
 /// The workers and jobs of one owner.
 #[derive(Debug)]
 pub struct Cell {
@@ -270,69 +247,6 @@
         SubmitOutcome::New
     }
 
-    /// Restores a job of an earlier owner. `age` is the time since its acceptance. Without `spec`, the
-    /// progress is kept until the acceptance is read: the earlier owner may have placed the job while
-    /// its acceptance was being appended.
-    pub fn restore(
-        &mut self,
-        id: JobId,
-        spec: Option<JobSpec>,
-        record: Option<&JobRecord>,
-        age: Span,
-        now: Time,
-    ) {
-        if let Some(state) = record.and_then(|record| record.end) {
-            self.retain_end(id, state, now);
-            return;
-        }
-        let Some(spec) = spec else {
-            self.accepted_by = now + ACCEPTANCE_TIMEOUT;
-            self.unaccepted
-                .extend(record.map(|record| (id, record.clone())));
-            return;
-        };
-        if self.submit(id, spec, now - age) != SubmitOutcome::New {
-            return;
-        }
-        let key = self.jobs_by_id[&id];
-        self.jobs[key].inherited = true;
-        // Tasks without a recorded placement were never ordered and can start at once.
-        if let Some(record) = record {
-            self.restore_progress(key, record, now);
-        }
-    }
-
-    fn restore_progress(&mut self, key: JobKey, record: &JobRecord, now: Time) {
-        let job = &mut self.jobs[key];
-        job.inherited = true;
-        job.restore(record, now);
-        job.update_paths(&self.run_times);
-        job.last_run = job.last_run.max(self.run_base);
-        for placement in &record.placements {
-            self.adopt_placement(key, placement, now);
-        }
-        if self.jobs[key].is_done() {
-            self.end_job(key, JobState::Completed);
-        }
-    }
-
-    /// Restores a recorded placement. The run counts as active until a poll of its worker settles
-    /// it.
-    fn adopt_placement(&mut self, key: JobKey, placement: &Placement, now: Time) {
-        let worker = match self.workers_by_id.get(&placement.worker) {
-            Some(&worker) => worker,
-            None => self.register_lost_worker(&placement.worker, "".into(), now),
-        };
-        let name = self.jobs[key].task_name(placement.step as usize, placement.index.into());
-        let new_run = NewRun {
-            name,
-            number: placement.run,
-            worker,
-            state: RunState::Inherited,
-        };
-        self.adopt_run(key, new_run, now);
-    }
-
     /// Sets the wall-clock time, which decides when scheduled occurrences come due.
     pub fn set_wall_clock(&mut self, unix_ms: u64, now: Time) {
         self.wall_clock = Some((unix_ms, now));
@@ -541,89 +455,6 @@
         self.workers.iter().map(to_row).collect()
     }
 
-    /// Takes the records of everything that changed since the last batch.
-    pub fn take_records(&mut self, now: Time) -> RecordBatch {
-        let mut records = RecordBatch {
-            batch: self.batch,
-            ..RecordBatch::default()
-        };
-        for key in std::mem::take(&mut self.dirty) {
-            let Some(job) = self.jobs.get(key) else {
-                continue;
-            };
-            let record = match job.end {
-                Some(end) => {
-                    self.pending_ends.push((self.batch, key));
-                    JobRecord::of_end(end)
-                }
-                None => JobRecord::of_progress(job, self.placements(job)),
-            };
-            records.progress.push((job.id, record));
-        }
-        for id in std::mem::take(&mut self.dropped_jobs) {
-            if !self.jobs_by_id.contains_key(&id) {
-                records.expired.push(id);
-            }
-        }
-        while let Some((until, id)) = self.end_expiry.front().copied()
-            && until <= now
-        {
-            self.end_expiry.pop_front();
-            self.ended_jobs.remove(&id);
-            records.expired.push(id);
-        }
-        self.early_cancels.retain(|_, until| *until > now);
-        // An empty batch gets a number of its own as well: what happens before it is reported as
-        // appended belongs to the next batch, which is not in the log yet.
-        self.batch += 1;
-        records
-    }
-
-    fn placements(&self, job: &Job) -> Vec<Placement> {
-        let runs = job.runs.iter().filter_map(|key| self.runs.get(*key));
-        let to_row = |run: &Run| Placement {
-            step: job.slot(run.name) as u32,
-            index: run.name.index,
-            run: run.number,
-            worker: Arc::clone(&self.workers[run.worker].registration.id),
-        };
-        runs.map(to_row).collect()
-    }
-
-    /// Records that a batch and all batches before it are in the log, so that the start
-    /// orders that waited for them can be taken. Returns the jobs whose final state may be reported
-    /// from now on.
-    pub fn records_appended(&mut self, batch: u64, now: Time) -> Vec<(JobId, JobState)> {
-        let acks = std::mem::take(&mut self.pending_acks);
-        for ack in acks {
-            if ack.batch > batch {
-                self.pending_acks.push(ack);
-                continue;
-            }
-            if let Some(worker) = self.workers.get_mut(ack.worker)
-                && !worker.registration.is_restart(ack.started_ms)
-            {
-                worker.last_end_acked = worker.last_end_acked.max(ack.sequence);
-            }
-        }
-        let mut ended = Vec::new();
-        let pending = std::mem::take(&mut self.pending_ends);
-        for (end_batch, key) in pending {
-            if end_batch > batch {
-                self.pending_ends.push((end_batch, key));
-                continue;
-            }
-            let Some(job) = self.jobs.get_mut(key) else {
-                continue;
-            };
-            job.is_end_recorded = true;
-            ended.extend(job.end.map(|end| (job.id, end)));
-            self.remove_if_settled(key, now);
-        }
-        self.appended_batch = self.appended_batch.max(batch);
-        ended
-    }
-
     /// Takes the actions that accumulated since the last call, with the start orders whose placements
     /// and jobs are in the log by now. To be called only while the owner may give orders, since the
     /// actions count as carried out.
--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -4,8 +4,9 @@
 
 use kingcupwinch_time::{Span, Time};
 
+use super::records::PendingAck;
 use super::runs::StopOrder;
-use super::{Action, Cell, PendingAck};
+use super::{Action, Cell};
 use crate::event::{CellEvent, SettleCause};
 use crate::id::TaskName;
 use crate::run::{EndReason, NewRun, RunEnd, RunKey, RunState};
