--- a/crates/kingcupwinch-cell/tests/cell/late_ends.rs
+++ b/crates/kingcupwinch-cell/tests/cell/late_ends.rs
@@ -22,6 +22,14 @@
     (harness, worker, number)
 }
 
+/// Lets a worker look as if it had exited: it closes a connection and leaves the directory.
+fn note_exit(harness: &mut Harness, worker: WorkerKey, number: usize) {
+    harness.cell.poll_failed(worker, PollFailure::Closed);
+    harness
+        .cell
+        .mark_unlisted(&format!("i-{number}"), harness.now);
+}
+
 fn assert_completed_once(harness: &mut Harness) {
     harness.append_records();
     harness.decide();
@@ -82,10 +90,7 @@
 fn the_end_of_a_settled_run_counts() {
     let (mut harness, worker, number) = harness_with_run();
     harness.end_all(EndReason::Done);
-    harness.cell.poll_failed(worker, PollFailure::Closed);
-    harness
-        .cell
-        .mark_unlisted(&format!("i-{number}"), harness.now);
+    note_exit(&mut harness, worker, number);
     harness.decide_without_log();
     harness.poll(worker);
     assert_completed_once(&mut harness);
@@ -96,10 +101,7 @@
 fn the_end_of_a_settled_run_stops_the_run_that_replaced_it() {
     let (mut harness, worker, number) = harness_with_run();
     harness.end_all(EndReason::Done);
-    harness.cell.poll_failed(worker, PollFailure::Closed);
-    harness
-        .cell
-        .mark_unlisted(&format!("i-{number}"), harness.now);
+    note_exit(&mut harness, worker, number);
     harness.run_round();
     assert_eq!(harness.running().len(), 1, "the task was started elsewhere");
     harness.poll(worker);
@@ -115,10 +117,7 @@
 fn the_failure_of_a_settled_run_counts() {
     let (mut harness, worker, number) = harness_with_run();
     harness.end_all(EndReason::Failed);
-    harness.cell.poll_failed(worker, PollFailure::Closed);
-    harness
-        .cell
-        .mark_unlisted(&format!("i-{number}"), harness.now);
+    note_exit(&mut harness, worker, number);
     harness.run_round();
     harness.poll(worker);
     harness.end_all(EndReason::Failed);
@@ -216,10 +215,7 @@
 #[test]
 fn a_late_checkpoint_does_not_replace_that_of_a_later_run() {
     let (mut harness, first, number) = harness_with_run();
-    harness.cell.poll_failed(first, PollFailure::Closed);
-    harness
-        .cell
-        .mark_unlisted(&format!("i-{number}"), harness.now);
+    note_exit(&mut harness, first, number);
     harness.run_round();
     harness.workers.get_mut(&first).unwrap().running.clear();
     let (second, task) = harness.running()[0];
