--- a/crates/kingcupwinch-platform/src/http.rs
+++ b/crates/kingcupwinch-platform/src/http.rs
@@ -6,7 +6,7 @@
 
 use crate::body::{RequestBody, ResponseBody};
 use crate::error::SendError;
-use crate::pool::Pool;
+use crate::pool::{ConnectionHistory, Pool};
 
 /// An HTTP client that reports whether a failed request was certainly not sent; clones share its
 /// connections.
@@ -35,6 +35,25 @@
         request: Request<RequestBody>,
         deadline: Instant,
     ) -> Result<Response<ResponseBody>, SendError> {
-        self.pool.send(request, deadline, |_| true).await
+        self.pool.send(request, deadline, |_, _| true).await
+    }
+
+    /// Sends a request as [`HttpClient::send`] does. `prepare` may modify it immediately before each
+    /// write, depending on what the connection that was chosen has carried before.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpClient::send`].
+    pub async fn send_prepared(
+        &self,
+        request: Request<RequestBody>,
+        deadline: Instant,
+        mut prepare: impl FnMut(&mut Request<RequestBody>, ConnectionHistory),
+    ) -> Result<Response<ResponseBody>, SendError> {
+        let check = |request: &mut Request<RequestBody>, history| {
+            prepare(request, history);
+            true
+        };
+        self.pool.send(request, deadline, check).await
     }
 }
--- a/crates/kingcupwinch-platform/src/instance_list.rs
+++ b/crates/kingcupwinch-platform/src/instance_list.rs
@@ -40,7 +40,7 @@
     ) -> Result<Vec<Instance>, InstanceListError> {
         let path = format!("/v1/instances?domain={domain}");
         let request = request(Method::GET, &path, full_body(Bytes::new()));
-        let answer = self.pool.send(request, deadline, |_| true).await?;
+        let answer = self.pool.send(request, deadline, |_, _| true).await?;
         let reply = Reply::read(answer, deadline).await?;
         let instances: Instances = reply.expect(StatusCode::OK)?.json()?;
         Ok(instances.instances)
--- a/crates/kingcupwinch-platform/src/lib.rs
+++ b/crates/kingcupwinch-platform/src/lib.rs
@@ -42,5 +42,6 @@
 pub use http::HttpClient;
 pub use instance_list::InstanceListClient;
 pub use log::LogClient;
+pub use pool::ConnectionHistory;
 pub use reply::{Reply, request};
 pub use worker::{CONTROL_CONNECTIONS, FencingToken, WorkerClient};
--- a/crates/kingcupwinch-platform/src/log.rs
+++ b/crates/kingcupwinch-platform/src/log.rs
@@ -43,7 +43,7 @@
     ) -> Result<Offset, AppendError> {
         let path = format!("/v1/streams/{stream}/records");
         let request = request(Method::POST, &path, full_body(record));
-        let answer = self.pool.send(request, deadline, |_| true).await?;
+        let answer = self.pool.send(request, deadline, |_, _| true).await?;
         let status = answer.status();
         if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE {
             return Err(AppendError::Refused(status.as_u16()));
@@ -71,7 +71,7 @@
         let wait = wait.as_millis();
         let path = format!("/v1/streams/{stream}/records?from={from}&wait_ms={wait}&max={max}");
         let request = request(Method::GET, &path, full_body(Bytes::new()));
-        let answer = self.pool.send(request, deadline, |_| true).await?;
+        let answer = self.pool.send(request, deadline, |_, _| true).await?;
         let reply = Reply::read(answer, deadline).await?;
         let reply = reply.expect(StatusCode::OK)?;
         Ok(decode_page(reply.bytes)?)
--- a/crates/kingcupwinch-platform/src/pool.rs
+++ b/crates/kingcupwinch-platform/src/pool.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HOST, HeaderMap, HeaderValue};
+use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -31,12 +31,23 @@
     released: Notify,
 }
 
+/// What a connection has carried before. A connection ends with the process that it leads to, so
+/// one that has carried a response still leads to the process that responded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionHistory {
+    /// No response yet.
+    Unanswered,
+    /// At least one complete response.
+    Answered,
+}
+
 /// An open connection, closed on drop.
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<RequestBody>,
     task: AbortHandle,
     is_new: bool,
+    history: ConnectionHistory,
 }
 
 impl Drop for Connection {
@@ -65,18 +76,18 @@
     }
 
     /// Sends a request and waits until `deadline` for the head of its response. `check` may modify
-    /// the headers immediately before each write and withholds the request by returning false.
+    /// the request immediately before each write and withholds it by returning false.
     pub(crate) async fn send(
         self: &Arc<Self>,
         mut request: Request<RequestBody>,
         deadline: Instant,
-        mut check: impl FnMut(&mut HeaderMap) -> bool,
+        mut check: impl FnMut(&mut Request<RequestBody>, ConnectionHistory) -> bool,
     ) -> Result<Response<ResponseBody>, SendError> {
         let host = self.host.clone();
         request.headers_mut().insert(HOST, host);
         loop {
             let mut connection = self.acquire(deadline).await?;
-            if !check(request.headers_mut()) {
+            if !check(&mut request, connection.history) {
                 self.put_back(connection);
                 return Err(NotSentCause::Withheld.into());
             }
@@ -157,6 +168,7 @@
             sender,
             task: task.abort_handle(),
             is_new: true,
+            history: ConnectionHistory::Unanswered,
         })
     }
 
@@ -178,6 +190,7 @@
             mut connection,
             pool,
         } = self;
+        connection.history = ConnectionHistory::Answered;
         if connection.sender.is_ready() {
             pool.put_back(connection);
             return;
--- a/crates/kingcupwinch-platform/src/worker.rs
+++ b/crates/kingcupwinch-platform/src/worker.rs
@@ -15,7 +15,7 @@
 
 use crate::body::{RequestBody, ResponseBody, full_body};
 use crate::error::{LostCause, WorkerError};
-use crate::pool::Pool;
+use crate::pool::{ConnectionHistory, Pool};
 use crate::reply::{Reply, request};
 
 /// Number of connections reserved for control: the long poll for usage reports, and commands.
@@ -189,19 +189,19 @@
         request: Request<RequestBody>,
         deadline: Instant,
     ) -> Result<Reply, WorkerError> {
-        let answer = self.control.send(request, deadline, |_| true).await?;
+        let answer = self.control.send(request, deadline, |_, _| true).await?;
         Ok(Reply::read(answer, deadline).await?)
     }
 }
 
 fn token_writer(
     mut token: impl FnMut() -> Option<FencingToken>,
-) -> impl FnMut(&mut HeaderMap) -> bool {
-    move |headers| {
+) -> impl FnMut(&mut Request<RequestBody>, ConnectionHistory) -> bool {
+    move |request, _| {
         let Some(token) = token() else {
             return false;
         };
-        token.write(headers);
+        token.write(request.headers_mut());
         true
     }
 }
