Bound leases by the time in which a lost task has to run again

A long-running task stood still for up to 14 s after its worker was lost, since leases lasted as long as the platform allows (10 s on some deployments), and a takeover counted them anew: a worker that had drained and left, or crashed, just before a change of owner held its tasks for 10.4 s more.

Leases last 7 s at most. A later owner may rely on that only if all earlier ones did: owners of an earlier version grant 10 s. So each owner records the longest lease that may be held, at once if its direct predecessor did and otherwise after the longest allowed lease has expired, and takeovers read the record; without one of the direct predecessor they expect the longest allowed lease as before.

Seen to fail: the cell's test waits for the full MAX_LEASE without the new timer.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -27,7 +27,7 @@
 use crate::run::{Run, RunKey};
 use crate::run_time::{RunTimeRecord, RunTimes};
 use crate::spec::JobSpec;
-use crate::worker::{PollFailure, Registration, Worker, WorkerKey};
+use crate::worker::{PollFailure, Registration, Worker, WorkerKey, inherited_lease_end};
 
 use records::PendingAck;
 
@@ -50,6 +50,8 @@
 pub struct CellTimers {
     /// The longest lease that a worker is granted.
     pub max_lease: Span,
+    /// The longest lease that an earlier owner may have granted.
+    pub inherited_lease: Span,
     /// How long after the claim of a successor the previous owner may still have given orders.
     pub handover_overlap: Span,
     /// How long the final state of a job stays available to queries.
@@ -300,9 +302,8 @@
         let id = Arc::clone(&entry.id);
         // An earlier owner may have renewed leases until the end of the overlap.
         let leases_expire = if inherited {
-            now + self.timers.handover_overlap
-                + self.timers.max_lease
-                + self.timers.max_lease.divided_by(20)
+            let lease_end = inherited_lease_end(self.timers.inherited_lease);
+            now + self.timers.handover_overlap + lease_end
         } else {
             now
         };
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -33,4 +33,7 @@
 pub use run::{EndReason, RunEnd, StartOutcome};
 pub use run_time::RunTimeRecord;
 pub use spec::{AdviceCost, JobSpec, QueuePolicy, Resources, Schedule, StepSpec};
-pub use worker::{PollFailure, Registration, RunningTask, WorkerKey, WorkerPoll, WorkerStatus};
+pub use worker::{
+    PollFailure, Registration, RunningTask, WorkerKey, WorkerPoll, WorkerStatus,
+    inherited_lease_end,
+};
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -22,6 +22,9 @@
 const WORKER_DRIFT: Drift = Drift::from_ppm(20_000);
 /// Added to the time after which a lease has certainly expired, since timers fire late.
 const EXPIRY_MARGIN: Span = Span::from_millis(100);
+/// How much longer than granted a lease may last if the clock reading that it is based on is not
+/// known, as a divisor of the lease.
+const INHERITED_MARGIN_DIVISOR: u64 = 20;
 /// How long a worker that left the directory may still be used if it responds to polls. After an
 /// outage, the directory lacks live workers for about two seconds.
 const UNLISTED_GRACE: Span = Span::from_millis(2_500);
@@ -33,6 +36,11 @@
 /// The largest number of doublings of the quarantine.
 const MAX_QUARANTINE_DOUBLINGS: u32 = 3;
 
+/// Returns how long after it was granted by an earlier owner a lease has certainly expired.
+pub fn inherited_lease_end(lease: Span) -> Span {
+    lease + lease.divided_by(INHERITED_MARGIN_DIVISOR)
+}
+
 /// A worker as the directory lists it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Registration {
--- a/crates/kingcupwinch-cell/tests/cell/harness.rs
+++ b/crates/kingcupwinch-cell/tests/cell/harness.rs
@@ -57,6 +57,7 @@
 pub(crate) fn timers() -> CellTimers {
     CellTimers {
         max_lease: MAX_LEASE,
+        inherited_lease: MAX_LEASE,
         handover_overlap: HANDOVER_OVERLAP,
         end_retention: Span::from_secs(120),
         exit_window: EXIT_WINDOW,
@@ -139,8 +140,13 @@
 
     /// Builds a harness without workers for the owner of a generation.
     pub(crate) fn of_generation(generation: u32) -> Self {
+        Harness::with_timers(generation, timers())
+    }
+
+    /// Builds a harness without workers for the owner of a generation, with timers of its own.
+    pub(crate) fn with_timers(generation: u32, timers: CellTimers) -> Self {
         Harness {
-            cell: Cell::new(timers(), generation),
+            cell: Cell::new(timers, generation),
             now: Time::from_micros(1_000_000_000),
             workers: BTreeMap::new(),
             starts: Vec::new(),
--- a/crates/kingcupwinch-cell/tests/cell/takeover.rs
+++ b/crates/kingcupwinch-cell/tests/cell/takeover.rs
@@ -1,24 +1,29 @@
 //! Takeovers: what a later owner does with the jobs and runs of an earlier one.
 
 use kingcupwinch_cell::{
-    EndReason, JobRecord, JobState, Placement, PollFailure, RunEnd, RunningTask, WorkerKey,
+    CellTimers, EndReason, JobRecord, JobState, Placement, PollFailure, RunEnd, RunningTask,
+    WorkerKey,
 };
 use kingcupwinch_time::Span;
 
 use crate::harness::{
-    FakeWorker, HANDOVER_OVERLAP, Harness, MAX_LEASE, id, job, registration, step, task,
+    FakeWorker, HANDOVER_OVERLAP, Harness, MAX_LEASE, id, job, registration, step, task, timers,
 };
 
 /// Builds the harness of a later owner, with workers that were not polled yet.
 fn successor(workers: usize) -> Harness {
     let mut harness = Harness::of_generation(2);
+    register_inherited(&mut harness, workers);
+    harness
+}
+
+fn register_inherited(harness: &mut Harness, workers: usize) {
     for number in 0..workers {
         let key = harness
             .cell
             .register_worker(registration(number, 4), true, harness.now);
         harness.workers.insert(key, FakeWorker::default());
     }
-    harness
 }
 
 fn run_of(job: u64, run: u32) -> RunningTask {
@@ -118,6 +123,32 @@
     assert_eq!(harness.starts.len(), 1);
 }
 
+/// Guards against a task that stands still for the longest lease that the platform allows after its
+/// worker and its owner are lost, although owners grant shorter ones.
+#[test]
+fn a_placement_on_an_unreachable_worker_waits_for_the_leases_that_earlier_owners_granted() {
+    let granted = MAX_LEASE.divided_by(2);
+    let mut harness = Harness::with_timers(
+        2,
+        CellTimers {
+            inherited_lease: granted,
+            ..timers()
+        },
+    );
+    register_inherited(&mut harness, 2);
+    restore(&mut harness, 1, Some(&placed_on("i-1", 1)));
+    let keys = harness.keys();
+    harness.cell.poll_failed(keys[1], PollFailure::Unresponsive);
+    harness.advance(HANDOVER_OVERLAP.as_millis() + granted.as_millis());
+    harness.poll(keys[0]);
+    harness.decide();
+    assert!(harness.starts.is_empty(), "the worker's clock may run slow");
+    harness.advance(granted.as_millis() / 20 + 10);
+    harness.poll(keys[0]);
+    harness.decide();
+    assert_eq!(harness.starts.len(), 1);
+}
+
 #[test]
 fn a_run_that_a_worker_lists_is_adopted() {
     let mut harness = successor(1);
--- a/crates/kingcupwinch-node/src/layout.rs
+++ b/crates/kingcupwinch-node/src/layout.rs
@@ -27,6 +27,8 @@
 pub(crate) const MEMBER_PREFIX: &str = "member.";
 /// Key of the list of workers that an owner has used.
 pub(crate) const WORKERS_KEY: &str = "@workers";
+/// Key of the longest lease that may be held.
+pub(crate) const LEASES_KEY: &str = "@leases";
 /// Key of the run times that an owner has learned.
 pub(crate) const RUN_TIMES_KEY: &str = "@run-times";
 
--- /dev/null
+++ b/crates/kingcupwinch-node/src/owner/leases/tests.rs
@@ -0,0 +1,43 @@
+//! Tests which leases an owner grants, and which ones it expects of earlier owners.
+
+use kingcupwinch_time::{Span, Time};
+
+use super::{LeaseLimits, LeaseRecord, MAX_LEASE};
+
+const ALLOWED: Span = Span::from_secs(10);
+
+fn limits_after(record: Option<LeaseRecord>) -> LeaseLimits {
+    LeaseLimits::new(5, ALLOWED, record)
+}
+
+#[test]
+fn a_record_of_the_direct_predecessor_bounds_the_inherited_leases() {
+    let before = LeaseLimits::new(4, ALLOWED, None);
+    let limits = limits_after(Some(before.to_record()));
+    assert_eq!(limits.inherited, MAX_LEASE);
+    let now = Time::from_millis(60_000);
+    assert_eq!(limits.record_due(now + Span::from_secs(4), now), now);
+}
+
+/// An owner in between, perhaps of an earlier version, may have granted the longest lease that the
+/// platform allows, and its successor must not start a task anew before it has expired.
+#[test]
+fn without_a_record_of_the_direct_predecessor_the_longest_allowed_lease_is_expected() {
+    let record = LeaseLimits::new(3, ALLOWED, None).to_record();
+    for record in [None, Some(record)] {
+        let limits = limits_after(record);
+        assert_eq!(limits.inherited, ALLOWED);
+        let now = Time::from_millis(60_000);
+        let due = limits.record_due(now, now);
+        assert!(due >= now + ALLOWED, "longer leases may be held until then");
+    }
+}
+
+/// A long-running task on a lost worker has to run again 9 s after its last run, also where the
+/// platform allows longer leases.
+#[test]
+fn granted_leases_leave_time_to_start_a_lost_task_again() {
+    assert!(limits_after(None).granted <= Span::from_secs(9) - Span::from_secs(2));
+    let allowed = Span::from_secs(6);
+    assert!(LeaseLimits::new(1, allowed, None).granted < allowed);
+}
--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -2,6 +2,7 @@
 //! that send it events.
 
 mod freshness;
+mod leases;
 mod loops;
 mod messages;
 mod takeover;
@@ -28,6 +29,7 @@
 use crate::siblings::Siblings;
 
 pub(crate) use freshness::Freshness;
+pub(crate) use leases::LeaseLimits;
 pub(crate) use messages::{
     CountWaiting, GetJobState, IntakeRead, JobsAnnounced, JobsNotAppended, Members, Release,
     Superseded, TermConfirmed,
@@ -53,6 +55,9 @@
     pub(crate) term: u64,
     pub(crate) cell: Cell,
     pub(crate) confirmed_at: Time,
+    pub(crate) leases: LeaseLimits,
+    /// From when on no lease is held that is longer than this owner grants.
+    pub(crate) lease_record_due: Time,
     pub(crate) origins: Origins,
     pub(crate) freshness: Freshness,
 }
@@ -84,6 +89,9 @@
     is_worker_list_dirty: bool,
     /// The number of steps that the recorded run times were learned from.
     recorded_steps: u64,
+    leases: LeaseLimits,
+    /// When to record the longest lease, unless that was done.
+    lease_record_due: Option<Time>,
     /// Wakes the writer when starts wait for their records to be appended.
     write_due: Arc<Notify>,
 }
@@ -112,6 +120,8 @@
             freshness: args.freshness,
             is_worker_list_dirty: true,
             recorded_steps: 0,
+            leases: args.leases,
+            lease_record_due: Some(args.lease_record_due),
             write_due: Arc::default(),
         };
         owner.schedule_restored_cleanup();
--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -17,10 +17,13 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+use super::leases::LeaseLimits;
 use super::loops;
 use super::{Freshness, Origins, Owner, OwnerArgs, TERM_TIMEOUT};
 use crate::events::Event;
-use crate::layout::{IntakeKey, PROGRESS, RUN_TIMES_KEY, WORKERS_KEY, intake_partitions};
+use crate::layout::{
+    IntakeKey, LEASES_KEY, PROGRESS, RUN_TIMES_KEY, WORKERS_KEY, intake_partitions,
+};
 use crate::shared::Shared;
 use crate::siblings::Siblings;
 
@@ -29,8 +32,6 @@
 
 /// Timeout for fencing the log and reading the state.
 const READ_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Subtracted from the longest lease, because clocks are read with a delay.
-const LEASE_MARGIN: Span = Span::from_millis(150);
 /// Time after which no order of an owner that has stopped is still in flight.
 const IN_FLIGHT_MARGIN: Span = Span::from_millis(300);
 /// Heartbeats after the last one within which a directory entry disappears only if its worker removes
@@ -90,8 +91,11 @@
     shared.record_store_result(None);
     let now = shared.now();
     let handover_overlap = overlap_after(fenced_at, now);
+    let record = decode_value(shared, &progress, LEASES_KEY);
+    let leases = LeaseLimits::new(claim.generation, shared.settings.max_lease, record);
     let timers = CellTimers {
-        max_lease: shared.settings.max_lease - LEASE_MARGIN,
+        max_lease: leases.granted,
+        inherited_lease: leases.inherited,
         handover_overlap,
         end_retention: shared.settings.status_retention,
         exit_window: shared.settings.heartbeat.times(EXIT_HEARTBEATS),
@@ -117,6 +121,7 @@
         Event::TookOver,
         o!("term" => claim.term, "generation" => claim.generation, "jobs" => jobs,
             "workers" => workers, "handover_overlap_ms" => handover_overlap.as_millis(),
+            "inherited_lease_ms" => leases.inherited.as_millis(),
             "since_claim_ms" => now.since(claimed_at).as_millis()),
     );
     let args = OwnerArgs {
@@ -125,6 +130,8 @@
         term: claim.term,
         cell,
         confirmed_at: claimed_at,
+        leases,
+        lease_record_due: leases.record_due(now + handover_overlap, now),
         origins,
         freshness: Freshness::new(intake_partitions(), read_at),
     };
--- a/crates/kingcupwinch-node/src/owner/writer.rs
+++ b/crates/kingcupwinch-node/src/owner/writer.rs
@@ -14,10 +14,12 @@
 use tokio::time::Instant;
 
 use super::Owner;
+use super::leases::LeaseRecord;
 use super::messages::{Superseded, TermConfirmed};
 use crate::events::Event;
 use crate::layout::{
-    GROUP, HEARTBEAT_KEY, IntakeKey, PROGRESS, RUN_TIMES_KEY, WORKERS_KEY, intake_partitions,
+    GROUP, HEARTBEAT_KEY, IntakeKey, LEASES_KEY, PROGRESS, RUN_TIMES_KEY, WORKERS_KEY,
+    intake_partitions,
 };
 use crate::metrics::Metrics;
 use crate::shared::Shared;
@@ -52,6 +54,8 @@
     workers: Option<Vec<(Arc<str>, Arc<str>)>>,
     /// What was learned about run times, if it changed.
     run_times: Option<RunTimeRecord>,
+    /// The longest lease that may be held, once.
+    leases: Option<LeaseRecord>,
     cleanup: Vec<(Partition, IntakeKey)>,
     /// Signals the end of a release; set on the last batch of an owner that releases the cell.
     release_done: Option<oneshot::Sender<()>>,
@@ -84,10 +88,12 @@
             self.recorded_steps = learned_steps;
             self.cell.run_time_record()
         });
+        let leases = self.lease_record_due.take_if(|due| *due <= now);
         WriteBatch {
             records: self.cell.take_records(now),
             workers,
             run_times,
+            leases: leases.map(|_| self.leases.to_record()),
             cleanup,
             release_done: self.release_done.take(),
             is_retired: self.is_retired,
@@ -185,6 +191,8 @@
     records.extend(workers.and_then(|workers| encode_value(shared, WORKERS_KEY, workers)));
     let run_times = batch.run_times.as_ref();
     records.extend(run_times.and_then(|learned| encode_value(shared, RUN_TIMES_KEY, learned)));
+    let leases = batch.leases.as_ref();
+    records.extend(leases.and_then(|leases| encode_value(shared, LEASES_KEY, leases)));
     records
 }
 
--- a/crates/kingcupwinch-node/src/test_support.rs
+++ b/crates/kingcupwinch-node/src/test_support.rs
@@ -11,7 +11,7 @@
 
 use crate::events::EventLog;
 use crate::layout::intake_partitions;
-use crate::owner::{Freshness, Origins, Owner, OwnerArgs};
+use crate::owner::{Freshness, LeaseLimits, Origins, Owner, OwnerArgs};
 use crate::shared::Shared;
 use crate::siblings::Siblings;
 
@@ -45,6 +45,7 @@
 pub(crate) fn cell() -> Cell {
     let timers = CellTimers {
         max_lease: Span::from_secs(6),
+        inherited_lease: Span::from_secs(6),
         handover_overlap: Span::from_secs(4),
         end_retention: Span::from_secs(120),
         exit_window: Span::from_millis(1_500),
@@ -67,6 +68,8 @@
         term,
         cell,
         confirmed_at,
+        leases: LeaseLimits::new(1, Span::from_secs(6), None),
+        lease_record_due: confirmed_at,
         origins,
         freshness: Freshness::new(intake_partitions(), confirmed_at),
     };
