Take an answer of another worker at a worker's address for the end of its process

Workers crash and others start at their addresses a second later. The owner treated their status 421 like silence, so the tasks of the crashed workers were not started again until their leases had expired: 10.3 s after the last response on a deployment with leases of 10 s. Long-running tasks stood still for 12 s while there was room for them.

Cause: a call names the worker that it is meant for, and any other process refuses it with 421. Such an answer shows that the process that was known at the address has ended, but the adapter mapped it to a poll without a response.

Change: a poll that another worker answers fails with `Replaced`, with the address and the time of the poll. It is evidence if the poll was sent after the worker's last response, and if the process that responded last is the one that the directory lists at this address. It is dropped when the worker responds or its address changes. So it doesn't count - for a worker that is cut off while a late entry of its earlier process names an address that another worker has by now, or that is back elsewhere; - for an entry with a malformed address, or with one that was read meanwhile; - for a worker that this owner has had no response from, whose recorded address may be old; - if it arrives after a newer response. The process that had the address before can't be the one that answers, since the worker itself has responded there.

It settles confirmed runs, lost start orders and accepted stops, each if it lies before the poll. A lost start order went to a connection of the process that has ended; other processes refuse it with 421. A start order in flight may still meet a later process under the same id, and a placement of an earlier owner may still be ordered, so these wait for the leases as before.

Conclusion: the evidence covers workers that are replaced at their addresses. One that goes for good or goes dark still costs its leases.

--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use kingcupwinch_time::{Span, Time};
+use smallvec::SmallVec;
 
 use super::records::PendingAck;
 use super::runs::StopOrder;
@@ -11,7 +12,7 @@
 use crate::id::TaskName;
 use crate::run::{EndReason, NewRun, RunEnd, RunKey, RunState};
 use crate::run_time::WorkerPace;
-use crate::worker::{PollFailure, RunningTask, WorkerKey, WorkerPoll, WorkerStatus};
+use crate::worker::{PollFailure, RunningTask, Worker, WorkerKey, WorkerPoll, WorkerStatus};
 
 /// The number of run ends that a worker lists at most.
 const MAX_LISTED_ENDS: usize = 500;
@@ -282,26 +283,54 @@
         worker.pace = WorkerPace::default();
     }
 
-    /// Ends the runs of a worker on which certainly nothing runs any more.
-    fn settle_runs(&mut self, key: WorkerKey, cause: SettleCause, now: Time) {
-        let worker = &self.workers[key];
-        if worker.runs.is_empty() {
+    /// Ends runs of a worker that certainly are not active any more.
+    fn settle_runs(&mut self, key: WorkerKey, runs: &[RunKey], cause: SettleCause, now: Time) {
+        if runs.is_empty() {
             return;
         }
+        let worker = &self.workers[key];
         self.events.push(CellEvent::RunsSettled {
             worker: Arc::clone(&worker.registration.id),
             cause,
-            runs: worker.runs.len(),
+            runs: runs.len(),
             response_age: now.since(worker.last_response),
             unlisted_age: worker.unlisted_at.map(|at| now.since(at)),
             failed_polls: worker.failed_polls,
+            successor: self.successor(key),
         });
-        let runs: Vec<RunKey> = worker.runs.iter().copied().collect();
         for run in runs {
-            self.end_run(run, EndReason::LeaseExpired, None, now);
+            self.end_run(*run, EndReason::LeaseExpired, None, now);
         }
     }
 
+    /// Returns the id of the listed worker that has the address of another one now.
+    fn successor(&self, key: WorkerKey) -> Option<Arc<str>> {
+        let address = &self.workers[key].registration.address;
+        let is_successor = |(other, worker): &(WorkerKey, &Worker)| {
+            *other != key && worker.registration.address == *address && worker.unlisted_at.is_none()
+        };
+        let (_, successor) = self.workers.iter().find(is_successor)?;
+        Some(Arc::clone(&successor.registration.id))
+    }
+
+    /// Returns the runs of a worker that ended with its process, which another worker had replaced
+    /// when a poll was sent at `sent`. A start order that is in flight may still be refused or reach a
+    /// later process under the same id, and one of an earlier owner may not have been sent yet, so
+    /// such runs are left to the expiry of the leases.
+    fn replaced_runs(&self, key: WorkerKey, sent: Time) -> SmallVec<[RunKey; 8]> {
+        let has_ended = |run: &RunKey| match self.runs[*run].state {
+            RunState::Running => self.runs[*run].started_at <= sent,
+            RunState::Unconfirmed(since) | RunState::Stopped(since) => since < sent,
+            RunState::Planned
+            | RunState::Inherited
+            | RunState::Withdrawn
+            | RunState::Starting
+            | RunState::Stopping(_) => false,
+        };
+        let runs = self.workers[key].runs.iter().copied();
+        runs.filter(has_ended).collect()
+    }
+
     /// Ends the runs on workers where certainly nothing runs any more, and removes workers that
     /// left the directory.
     pub(crate) fn expire_workers(&mut self, now: Time) {
@@ -309,7 +338,11 @@
         for key in keys {
             if let Some(cause) = self.workers[key].idle_cause(self.timers.exit_window, now) {
                 self.workers[key].inherited = false;
-                self.settle_runs(key, cause, now);
+                let runs: SmallVec<[RunKey; 8]> = self.workers[key].runs.iter().copied().collect();
+                self.settle_runs(key, &runs, cause, now);
+            } else if let Some(sent) = self.workers[key].replaced_at() {
+                let runs = self.replaced_runs(key, sent);
+                self.settle_runs(key, &runs, SettleCause::Replaced, now);
             }
             let worker = &self.workers[key];
             let has_left = worker
--- a/crates/kingcupwinch-cell/src/event.rs
+++ b/crates/kingcupwinch-cell/src/event.rs
@@ -13,6 +13,8 @@
     LeaseExpired,
     /// The process has exited.
     Exited,
+    /// Another worker has taken the address of the process.
+    Replaced,
 }
 
 impl SettleCause {
@@ -21,6 +23,7 @@
         match self {
             SettleCause::LeaseExpired => "lease expired",
             SettleCause::Exited => "exited",
+            SettleCause::Replaced => "replaced",
         }
     }
 }
@@ -53,6 +56,8 @@
         unlisted_age: Option<Span>,
         /// The failed polls in a row.
         failed_polls: u32,
+        /// The id of the worker that is listed at the address now, if another one is.
+        successor: Option<Arc<str>>,
     },
     /// A worker lists the end of a run that this owner did not order or has settled before.
     LateEnd {
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::sync::{Arc, LazyLock};
 
 use kingcupwinch_time::{Drift, Span, Time};
@@ -114,6 +115,13 @@
     /// The worker closed the connection cleanly or refused one. Its process may have ended, or a
     /// network partition may refuse connections on its behalf.
     Closed,
+    /// A worker with another id responded at the worker's address.
+    Replaced {
+        /// The address that the poll was sent to.
+        address: SocketAddr,
+        /// When the poll was sent.
+        sent: Time,
+    },
 }
 
 /// The next poll of a worker.
@@ -164,6 +172,9 @@
     pub(crate) is_overdue: bool,
     /// Whether a poll that failed since the last response found the connection closed.
     is_connection_closed: bool,
+    /// When the last poll was sent that another worker answered at this worker's address, if no
+    /// response has come since. What ran here before has ended.
+    replaced_at: Option<Time>,
     /// Whether an earlier owner may have used the worker and this owner has not polled it yet.
     pub(crate) inherited: bool,
     /// Whether the worker lists a run whose job, and thus its size, this owner doesn't know.
@@ -193,6 +204,7 @@
             last_response: Time::ZERO,
             is_overdue: false,
             is_connection_closed: false,
+            replaced_at: None,
             inherited,
             has_unknown_runs: false,
             pace: WorkerPace::default(),
@@ -210,6 +222,9 @@
         if self.registration.is_restart(entry.started_ms) && self.failed_polls == 0 {
             return;
         }
+        if entry.address != self.registration.address {
+            self.replaced_at = None;
+        }
         self.unlisted_at = None;
         self.listed_ms = entry.started_ms;
         self.registration = Registration {
@@ -262,13 +277,36 @@
         self.failed_polls = 0;
         self.is_overdue = false;
         self.is_connection_closed = false;
+        self.replaced_at = None;
         self.inherited = false;
     }
 
     /// Records a failed poll.
     pub(crate) fn note_poll_failure(&mut self, failure: PollFailure) {
         self.failed_polls += 1;
-        self.is_connection_closed |= failure == PollFailure::Closed;
+        match failure {
+            PollFailure::Unresponsive => {}
+            PollFailure::Closed => self.is_connection_closed = true,
+            PollFailure::Replaced { address, sent } => {
+                if self.has_responded_at(address) && self.last_response <= sent {
+                    self.replaced_at = self.replaced_at.max(Some(sent));
+                }
+            }
+        }
+    }
+
+    /// Returns whether the process that responded last is known to be at an address. Its own entry in
+    /// the directory shows that; an entry of another process under the same id may name another
+    /// address.
+    fn has_responded_at(&self, address: SocketAddr) -> bool {
+        self.clock_sample.is_some()
+            && self.listed_ms == self.registration.started_ms
+            && self.registration.address.parse() == Ok(address)
+    }
+
+    /// Returns when the poll was sent that shows that the process had ended, if one does.
+    pub(crate) fn replaced_at(&self) -> Option<Time> {
+        self.replaced_at
     }
 
     /// Returns why certainly nothing runs on the worker, or `None` if something may.
--- a/crates/kingcupwinch-node/src/owner/loops.rs
+++ b/crates/kingcupwinch-node/src/owner/loops.rs
@@ -75,6 +75,7 @@
         let Some(actor) = owner.upgrade() else { return };
         let poll = PollResult {
             worker,
+            address: client.address(),
             sent,
             result,
         };
--- a/crates/kingcupwinch-node/src/owner/messages.rs
+++ b/crates/kingcupwinch-node/src/owner/messages.rs
@@ -1,12 +1,13 @@
 //! Messages that the [`Owner`] actor handles.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use kameo::message::{Context, Message};
 use kingcupwinch_adapter::{OrderError, Partition, WorkerClient, decode_registration};
 use kingcupwinch_cell::{
-    AdviceCallId, CellEvent, JobId, JobSpec, JobState, Member, StartOrder, StartOutcome, StopOrder,
-    SubmitOutcome, Ticket, WorkerKey, WorkerPoll, WorkerStatus,
+    AdviceCallId, CellEvent, JobId, JobSpec, JobState, Member, PollFailure, StartOrder,
+    StartOutcome, StopOrder, SubmitOutcome, Ticket, WorkerKey, WorkerPoll, WorkerStatus,
 };
 use kingcupwinch_time::{Span, Time};
 use slog::o;
@@ -82,6 +83,8 @@
 /// Delivers the result of polling a worker.
 pub(crate) struct PollResult {
     pub(crate) worker: WorkerKey,
+    /// Address that the poll was sent to.
+    pub(crate) address: SocketAddr,
     pub(crate) sent: Time,
     pub(crate) result: Result<WorkerStatus, OrderError>,
 }
@@ -388,7 +391,13 @@
                 self.schedule_decision();
             }
             Err(OrderError::Fenced) => self.fence("worker"),
-            Err(error) => self.cell.poll_failed(poll.worker, error.poll_failure()),
+            Err(error) => {
+                let failure = error.poll_failure(poll.address, poll.sent);
+                self.cell.poll_failed(poll.worker, failure);
+                if matches!(failure, PollFailure::Replaced { .. }) {
+                    self.schedule_decision();
+                }
+            }
         }
     }
 }
@@ -440,12 +449,14 @@
                 response_age,
                 unlisted_age,
                 failed_polls,
+                successor,
             } => log.write(
                 Event::RunsSettled,
                 o!("worker" => worker.to_string(), "cause" => cause.as_str(), "runs" => runs,
                     "response_ms_ago" => response_age.as_millis(),
                     "unlisted_ms_ago" => unlisted_age.map(Span::as_millis),
-                    "failed_polls" => failed_polls),
+                    "failed_polls" => failed_polls,
+                    "successor" => successor.map(|id| id.to_string())),
             ),
             CellEvent::LateEnd {
                 worker,
--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -177,7 +177,8 @@
         self.is_worker_list_dirty = true;
         self.shared.log.write(
             Event::WorkerListed,
-            o!("worker" => id.to_string(), "draining" => draining),
+            o!("worker" => id.to_string(), "address" => address.to_string(),
+                "draining" => draining),
         );
         self.connect_workers();
     }
