Grant no lease to a worker that did not respond, nor count replaced owners' for ever

Tasks of a worker that goes dark start elsewhere once its leases have certainly expired. Two things put that time off without need:

- the first poll after one that failed still granted a lease.
A failed long poll lasts up to 1.8 s, so the expiry moved by as much, though the worker most likely never saw the poll.
A live worker gets its lease with the poll after its next response, some 60 ms later, and holds leases of seconds meanwhile;
- a worker that an earlier owner may have used was given that owner's overlap and the longest lease from the takeover on, and kept this after it had responded.
From its first response on it refuses earlier owners, so no lease lasts longer than one that was granted just before.

What a takeover adds for a worker that was dark before it remains.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -27,7 +27,7 @@
 use crate::run::{Run, RunKey};
 use crate::run_time::{RunTimeRecord, RunTimes};
 use crate::spec::JobSpec;
-use crate::worker::{PollFailure, Registration, Worker, WorkerKey};
+use crate::worker::{PollFailure, Registration, Worker, WorkerKey, longest_expiry};
 
 use records::PendingAck;
 
@@ -300,9 +300,7 @@
         let id = Arc::clone(&entry.id);
         // An earlier owner may have renewed leases until the end of the overlap.
         let leases_expire = if inherited {
-            now + self.timers.handover_overlap
-                + self.timers.max_lease
-                + self.timers.max_lease.divided_by(20)
+            now + self.timers.handover_overlap + longest_expiry(self.timers.max_lease)
         } else {
             now
         };
--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -12,14 +12,14 @@
 use crate::id::TaskName;
 use crate::run::{EndReason, NewRun, RunEnd, RunKey, RunState};
 use crate::run_time::WorkerPace;
-use crate::worker::{PollFailure, RunningTask, Worker, WorkerKey, WorkerPoll, WorkerStatus};
+use crate::worker::{
+    PollFailure, RunningTask, Worker, WorkerKey, WorkerPoll, WorkerStatus, longest_expiry,
+};
 
 /// The number of run ends that a worker lists at most.
 const MAX_LISTED_ENDS: usize = 500;
 /// Polls in a row that don't list an active run, after which it is stopped.
 const MAX_MISSED_LISTINGS: u8 = 2;
-/// Failed polls in a row after which leases are no longer renewed, so that they certainly expire.
-const MAX_FAILED_POLLS: u32 = 2;
 /// The shortest time without progress after which a run is stopped and retried elsewhere.
 const MIN_STALL_TIMEOUT: Span = Span::from_millis(2_000);
 /// The divisor of a run's expected run time that gives its longest time without progress, if that
@@ -37,8 +37,8 @@
     /// Returns the next poll of a worker, or `None` if the worker was removed.
     pub fn next_poll(&mut self, key: WorkerKey, now: Time) -> Option<WorkerPoll> {
         let worker = self.workers.get_mut(key)?;
-        let is_unreachable = worker.failed_polls >= MAX_FAILED_POLLS;
-        let lease_until = if is_unreachable {
+        // A lease that a silent worker may get would only put off the time at which all have expired.
+        let lease_until = if worker.failed_polls > 0 {
             None
         } else {
             worker.grant_lease(now, self.timers.max_lease)
@@ -72,6 +72,11 @@
             self.reset_worker(key, known_ms);
         }
         let worker = &mut self.workers[key];
+        if worker.inherited {
+            // The worker refuses earlier owners from now on.
+            let leases_expire = now + longest_expiry(self.timers.max_lease);
+            worker.leases_expire = worker.leases_expire.min(leases_expire);
+        }
         worker.note_response(status.clock_ms, now);
         self.apply_running(key, &status.running, now);
         let are_all_applied = self.apply_ends(key, &status.ended, now);
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -23,6 +23,9 @@
 const WORKER_DRIFT: Drift = Drift::from_ppm(20_000);
 /// Added to the time after which a lease has certainly expired, since timers fire late.
 const EXPIRY_MARGIN: Span = Span::from_millis(100);
+/// The share of a lease by which another owner may have extended it, since it read the worker's clock
+/// some time before: one in this many parts.
+const EXPIRY_DIVISOR: u64 = 20;
 /// How long a worker that left the directory may still be used if it responds to polls. After an
 /// outage, the directory lacks live workers for about two seconds.
 const UNLISTED_GRACE: Span = Span::from_millis(2_500);
@@ -34,6 +37,11 @@
 /// The largest number of doublings of the quarantine.
 const MAX_QUARANTINE_DOUBLINGS: u32 = 3;
 
+/// Returns the time after which a lease has certainly expired that another owner granted.
+pub(crate) fn longest_expiry(lease: Span) -> Span {
+    lease + lease.divided_by(EXPIRY_DIVISOR)
+}
+
 /// A worker as the directory lists it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Registration {
--- a/crates/kingcupwinch-cell/tests/cell/takeover.rs
+++ b/crates/kingcupwinch-cell/tests/cell/takeover.rs
@@ -118,6 +118,26 @@
     assert_eq!(harness.starts.len(), 1);
 }
 
+/// The leases of a worker that has responded to the later owner counted as if the earlier one could
+/// still renew them.
+#[test]
+fn a_response_ends_the_earlier_owners_leases() {
+    let mut harness = successor(2);
+    restore(&mut harness, 1, None);
+    let keys = harness.keys();
+    list_running(&mut harness, keys[1], run_of(1, 1));
+    harness.poll_all();
+    harness.cell.poll_failed(keys[1], PollFailure::Unresponsive);
+    harness.advance(MAX_LEASE.as_millis());
+    harness.poll(keys[0]);
+    harness.decide();
+    assert!(harness.starts.is_empty());
+    harness.advance(MAX_LEASE.as_millis() / 20 + 10);
+    harness.poll(keys[0]);
+    harness.decide();
+    assert_eq!(harness.starts.len(), 1);
+}
+
 #[test]
 fn a_run_that_a_worker_lists_is_adopted() {
     let mut harness = successor(1);
--- a/crates/kingcupwinch-cell/tests/cell/workers.rs
+++ b/crates/kingcupwinch-cell/tests/cell/workers.rs
@@ -52,6 +52,29 @@
     );
 }
 
+/// A lease that was granted after a poll had failed put off the restart of the runs by as long as the
+/// poll had waited.
+#[test]
+fn a_worker_that_did_not_respond_gets_no_later_lease() {
+    let mut harness = Harness::new(2, 4);
+    harness.submit(1, job(vec![step(1, 1, 500)]));
+    harness.run_round();
+    let (silent, _) = harness.running()[0];
+    harness.cell.next_poll(silent, harness.now);
+    harness.advance(1_800);
+    harness.cell.poll_failed(silent, PollFailure::Unresponsive);
+    let poll = harness.cell.next_poll(silent, harness.now).unwrap();
+    assert_eq!(poll.lease_until, None);
+    harness.advance(MAX_LEASE.as_millis() + MAX_LEASE.as_millis() / 50 + 200 - 1_800);
+    for key in harness.keys() {
+        if key != silent {
+            harness.poll(key);
+        }
+    }
+    harness.decide();
+    assert_eq!(harness.starts.len(), 1);
+}
+
 #[test]
 fn a_restarted_worker_loses_its_earlier_runs() {
     let mut harness = Harness::new(1, 4);
