--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -27,7 +27,7 @@
 use crate::run::{Run, RunKey};
 use crate::run_time::{RunTimeRecord, RunTimes};
 use crate::spec::JobSpec;
-use crate::worker::{PollFailure, Registration, Worker, WorkerKey, inherited_lease_end};
+use crate::worker::{PollFailure, Registration, Worker, WorkerKey, longest_expiry};
 
 use records::PendingAck;
 
@@ -302,8 +302,7 @@
         let id = Arc::clone(&entry.id);
         // An earlier owner may have renewed leases until the end of the overlap.
         let leases_expire = if inherited {
-            let lease_end = inherited_lease_end(self.timers.inherited_lease);
-            now + self.timers.handover_overlap + lease_end
+            now + self.timers.handover_overlap + longest_expiry(self.timers.inherited_lease)
         } else {
             now
         };
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -34,6 +34,5 @@
 pub use run_time::RunTimeRecord;
 pub use spec::{AdviceCost, JobSpec, QueuePolicy, Resources, Schedule, StepSpec};
 pub use worker::{
-    PollFailure, Registration, RunningTask, WorkerKey, WorkerPoll, WorkerStatus,
-    inherited_lease_end,
+    PollFailure, Registration, RunningTask, WorkerKey, WorkerPoll, WorkerStatus, longest_expiry,
 };
--- a/crates/kingcupwinch-node/src/owner/leases.rs
+++ b/crates/kingcupwinch-node/src/owner/leases.rs
@@ -5,7 +5,7 @@
 //! each owner records the longest one that may still be held, and relies only on the record of its
 //! direct predecessor.
 
-use kingcupwinch_cell::inherited_lease_end;
+use kingcupwinch_cell::longest_expiry;
 use kingcupwinch_time::{Span, Time};
 use serde::{Deserialize, Serialize};
 
@@ -56,7 +56,7 @@
         if self.inherited <= self.granted {
             now
         } else {
-            stopped_at + inherited_lease_end(self.inherited)
+            stopped_at + longest_expiry(self.inherited)
         }
     }
 
