Judge in one place whether a step can run on a worker

One cause: `advice_candidates` counted a worker that already had the step's limit of runs as capacity and, as the fullest, asked about it first, so that calls named workers on which no answer could lead to a start. Requests for advice, placements, gangs and speculative runs each judged for themselves what a worker can take.

They now ask one module, `fit`: label, pace, isolation, the step's limit less its own runs, capacity and the adviser's position give the number of tasks that could start, or the obstacle.

Tests: the table of restarts (350 workers, 120 allowed, 5 to 100 tasks of limit 1) and the workers that a call names.

--- a/crates/kingcupwinch-cell/src/cell/speculation.rs
+++ b/crates/kingcupwinch-cell/src/cell/speculation.rs
@@ -81,15 +81,10 @@
         pool: &WorkerPool,
         now: Time,
     ) -> Option<usize> {
-        let counts = self.runs_per_worker(key, slot);
-        let limit = self.jobs[key].step_spec(slot).worker_limit;
-        let is_eligible = |candidate: &usize| {
-            let worker = pool.candidates[*candidate].key;
-            let count = counts.get(&worker).copied().unwrap_or(0);
-            let is_below_limit = limit.is_none_or(|limit| count < usize::from(limit));
-            is_below_limit && worker != self.runs[original].worker
-        };
-        let eligible = self.allowed_candidates(key, slot, pool, now);
+        let demand = self.step_demand(key, slot);
+        let is_eligible =
+            |candidate: &usize| pool.candidates[*candidate].key != self.runs[original].worker;
+        let eligible = self.startable_candidates(&demand, pool, now);
         let pace_of = |candidate: &usize| pool.candidates[*candidate].pace;
         eligible
             .into_iter()
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -9,6 +9,7 @@
 mod election;
 mod estimate;
 mod event;
+mod fit;
 mod id;
 mod job;
 mod mechanism;
--- /dev/null
+++ b/crates/kingcupwinch-cell/src/placement/advice.rs
@@ -0,0 +1,131 @@
+//! Requests for advice: which workers to ask about, and when.
+
+use std::cmp::Ordering;
+use std::sync::Arc;
+
+use kingcupwinch_time::{Span, Time};
+
+use super::{ReadyStep, WorkerPool};
+use crate::advice::call_time;
+use crate::cell::{Action, Cell};
+use crate::fit::{Access, StepDemand};
+use crate::worker::WorkerKey;
+
+/// The largest number of workers that one call to the adviser names.
+const MAX_CALL_WORKERS: usize = 100;
+/// The capacity to ask about, as a multiple of the capacity needed, since other steps take some of
+/// it before the response arrives.
+const CAPACITY_MARGIN: f64 = 2.0;
+/// The smallest number of workers that a call names, if that many are available.
+const MIN_CALL_WORKERS: usize = 6;
+
+/// How long to wait before considering a call for a step again after too little capacity was found.
+const NO_CAPACITY_BACKOFF: Span = Span::from_millis(30);
+
+impl Cell {
+    /// Requests advice about the workers that have capacity, provided the step could start on those
+    /// of them that the adviser is likely to allow.
+    pub(super) fn request_advice(
+        &mut self,
+        ready: &ReadyStep,
+        demand: &StepDemand,
+        pool: &WorkerPool,
+        now: Time,
+    ) {
+        let job = &self.jobs[ready.job];
+        let Some(cost) = job.spec.policy.advice else {
+            return;
+        };
+        let step = &job.steps[ready.step];
+        let may_call = step.tickets.pending_until.is_none() && step.tickets.next_call <= now;
+        if !may_call || !self.advice_callers.has_free(call_time(&cost, 1), now) {
+            return;
+        }
+        let (workers, capacity) = self.advice_candidates(ready, demand, pool, now);
+        let spec = self.jobs[ready.job].step_spec(ready.step);
+        let need = if spec.gang {
+            step.tasks.len() as f64
+        } else {
+            1.0
+        };
+        if workers.is_empty() || capacity < need {
+            self.jobs[ready.job].steps[ready.step].tickets.next_call = now + NO_CAPACITY_BACKOFF;
+            return;
+        }
+        let duration = call_time(&cost, workers.len());
+        let Some((instance, deadline)) = self.advice_callers.reserve(duration, now) else {
+            return;
+        };
+        let name = job.task_name(ready.step, 0);
+        let ids = workers
+            .iter()
+            .map(|key| Arc::clone(&self.workers[*key].registration.id))
+            .collect();
+        self.jobs[ready.job].steps[ready.step].tickets.pending_until = Some(deadline);
+        let call = self.add_advice_call(ready.job, ready.step, workers, Arc::clone(&instance));
+        self.actions.push(Action::RequestAdvice {
+            call,
+            instance,
+            step: name.step_name(),
+            workers: ids,
+            deadline,
+        });
+    }
+
+    /// Returns the workers to ask about next, and the number of tasks expected to fit on all
+    /// workers that the adviser allows.
+    fn advice_candidates(
+        &self,
+        ready: &ReadyStep,
+        demand: &StepDemand,
+        pool: &WorkerPool,
+        now: Time,
+    ) -> (Vec<WorkerKey>, f64) {
+        let job = &self.jobs[ready.job];
+        let spec = job.step_spec(ready.step);
+        let step = &job.steps[ready.step];
+        let share = self.allowed_share(&job.spec.policy.queue);
+        // The first call for a gang names every worker. Which workers may run a step never changes,
+        // so later calls name only the allowed ones.
+        let is_first_of_gang = spec.gang && !step.tickets.has_verdicts();
+        let mut rows = Vec::new();
+        let mut capacity = 0.0;
+        for candidate in &pool.candidates {
+            let fits = match self.room_on(demand, candidate) {
+                Ok(fits) => fits as f64,
+                Err(obstacle) if is_first_of_gang && !obstacle.is_permanent() => 0.0,
+                Err(_) => continue,
+            };
+            match self.access(demand, candidate.key, now) {
+                Access::Denied => {}
+                Access::Open | Access::Ticket => capacity += fits,
+                Access::Expired => rows.push((candidate, fits, 1.0)),
+                Access::Unknown => rows.push((candidate, fits, share)),
+            }
+        }
+        rows.sort_by(|a, b| {
+            let verdict_order = b.2.total_cmp(&a.2);
+            let capacity_order = if spec.gang {
+                b.1.total_cmp(&a.1)
+            } else {
+                Ordering::Equal
+            };
+            verdict_order
+                .then(capacity_order)
+                .then_with(|| self.compare_candidates(a.0, b.0, ready, spec))
+        });
+        let wanted = step.waiting as f64 * CAPACITY_MARGIN;
+        let mut requested = capacity;
+        let mut workers = Vec::new();
+        for (candidate, fits, chance) in rows {
+            capacity += fits * chance;
+            let is_enough =
+                requested >= wanted && workers.len() >= MIN_CALL_WORKERS && !is_first_of_gang;
+            if !is_enough && workers.len() < MAX_CALL_WORKERS {
+                requested += fits * chance;
+                workers.push(candidate.key);
+            }
+        }
+        (workers, capacity)
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-cell/src/placement/pool.rs
@@ -0,0 +1,98 @@
+//! The usable workers of one round of scheduling.
+
+use std::sync::Arc;
+
+use rustc_hash::FxHashMap;
+use slotmap::SecondaryMap;
+
+use crate::spec::Resources;
+use crate::worker::WorkerKey;
+
+/// The width of a band of the pace, as a difference of logarithms.
+const PACE_BAND: f64 = 0.25;
+
+/// A worker that can take new work, with the capacity that is left for steps not yet placed in this
+/// round.
+#[derive(Debug)]
+pub(crate) struct Candidate {
+    pub(crate) key: WorkerKey,
+    pub(crate) available: Resources,
+    /// Whether best-effort or latency-sensitive tasks run on the worker.
+    pub(crate) has_best_effort: bool,
+    pub(crate) has_latency_sensitive: bool,
+    /// Observed over expected run time; lower is faster.
+    pub(crate) pace: f64,
+    pub(super) pace_band: i64,
+}
+
+/// Returns the band of a pace. Differences within a band say little, so that the packing decides
+/// there.
+pub(super) fn pace_band(pace: f64) -> i64 {
+    (pace.ln() / PACE_BAND).round() as i64
+}
+
+/// The pace of the fastest and of the slowest worker of a pool.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PaceRange {
+    pub(super) fastest: f64,
+    pub(super) slowest: f64,
+}
+
+impl Default for PaceRange {
+    fn default() -> Self {
+        PaceRange {
+            fastest: 1.0,
+            slowest: 1.0,
+        }
+    }
+}
+
+impl PaceRange {
+    pub(super) fn extend(range: Option<PaceRange>, pace: f64) -> PaceRange {
+        let range = range.unwrap_or(PaceRange {
+            fastest: pace,
+            slowest: pace,
+        });
+        PaceRange {
+            fastest: range.fastest.min(pace),
+            slowest: range.slowest.max(pace),
+        }
+    }
+}
+
+/// The usable workers of one service in one round of scheduling.
+#[derive(Debug, Default)]
+pub(crate) struct WorkerPool {
+    pub(crate) candidates: Vec<Candidate>,
+    pub(super) indexes: SecondaryMap<WorkerKey, usize>,
+    /// The pace of the fastest and of the slowest candidate, if there is any.
+    pub(super) paces: Option<PaceRange>,
+}
+
+/// The usable workers of one round of scheduling.
+#[derive(Debug, Default)]
+pub(crate) struct WorkerPools {
+    pub(crate) by_service: FxHashMap<Arc<str>, WorkerPool>,
+}
+
+impl WorkerPool {
+    /// Returns the index of a worker, if it is usable.
+    pub(crate) fn index(&self, worker: WorkerKey) -> Option<usize> {
+        self.indexes.get(worker).copied()
+    }
+
+    /// Returns whether any worker has capacity for a task that takes `charge`.
+    pub(super) fn has_capacity(&self, charge: Resources) -> bool {
+        self.candidates
+            .iter()
+            .any(|candidate| candidate.available.task_capacity(charge) > 0)
+    }
+
+    /// Reserves capacity for tasks that start or for a gang that waits for it.
+    pub(super) fn reserve(&mut self, candidate: usize, charge: Resources, tasks: u64) {
+        let capacity = &mut self.candidates[candidate].available;
+        for _ in 0..tasks {
+            capacity.sub(charge);
+        }
+    }
+}
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -12,6 +12,7 @@
 mod lifecycle;
 mod long_running;
 mod occurrences;
+mod restarts;
 mod run_times;
 mod speculation;
 mod takeover;
--- /dev/null
+++ b/crates/kingcupwinch-cell/tests/cell/restarts.rs
@@ -0,0 +1,124 @@
+//! Long-running tasks of wide steps that need advice, and how soon they run again.
+
+use std::sync::Arc;
+
+use kingcupwinch_cell::{EndReason, JobSpec, StepSpec, TaskName, Ticket, WorkerKey};
+use kingcupwinch_time::{Span, Time};
+use rstest::rstest;
+
+use crate::harness::{Harness, job, step, with_advice};
+
+const TICKET_VALIDITY: Span = Span::from_millis(2_500);
+/// The time of a round, in which a call to the adviser is answered.
+const ROUND_MS: u64 = 500;
+/// How soon a task has to run again while there is capacity for it.
+const RESTART_TARGET: Span = Span::from_millis(3_000);
+
+/// A long-running job of one step, of which a worker may run one task.
+fn spread_job(tasks: u16) -> JobSpec {
+    let step = StepSpec {
+        long_running: true,
+        worker_limit: Some(1),
+        max_unavailable: 1,
+        ..step(tasks, 1, 1_000)
+    };
+    with_advice(job(vec![step]), 400.0)
+}
+
+/// Answers all calls, allowing about a third of the workers.
+fn answer_calls(harness: &mut Harness) {
+    for (call, workers) in std::mem::take(&mut harness.calls) {
+        let is_allowed = |id: &&Arc<str>| {
+            let number: usize = id.trim_start_matches("i-").parse().unwrap();
+            number * 8 % 35 < 12
+        };
+        let tickets = workers.iter().filter(is_allowed).map(|worker| Ticket {
+            worker: Arc::clone(worker),
+            text: format!("ticket-{worker}").into(),
+        });
+        let response = Some((tickets.collect(), TICKET_VALIDITY));
+        harness.cell.advice_received(call, response, harness.now);
+    }
+}
+
+/// Has all running tasks get ready.
+fn set_ready(harness: &mut Harness) {
+    let workers = harness.workers.values_mut();
+    for run in workers.flat_map(|worker| &mut worker.running) {
+        run.percent = 100;
+    }
+}
+
+/// Runs a round, in which the calls of the round before are answered.
+fn play_round(harness: &mut Harness) {
+    harness.advance(ROUND_MS);
+    answer_calls(harness);
+    set_ready(harness);
+    harness.poll_all();
+    harness.run_round();
+}
+
+/// Runs rounds until a number of tasks run, and returns when that was, or `None` if `until` came
+/// before.
+fn wait_for_running(harness: &mut Harness, tasks: usize, until: Time) -> Option<Time> {
+    while harness.running().len() < tasks {
+        if harness.now >= until {
+            return None;
+        }
+        play_round(harness);
+    }
+    Some(harness.now)
+}
+
+fn fail_first(harness: &mut Harness) -> (WorkerKey, TaskName) {
+    set_ready(harness);
+    harness.poll_all();
+    let (worker, task) = harness.running()[0];
+    harness.end(worker, task, EndReason::Failed);
+    harness.poll_all();
+    (worker, task)
+}
+
+/// The step's own workers, which may have no second task of it, counted as capacity and came first
+/// in each call: a task that ended waited for several calls, or for ever.
+#[rstest]
+fn a_task_of_a_wide_step_restarts_although_its_own_workers_are_at_the_limit(
+    #[values(5, 20, 30, 60, 100)] tasks: u16,
+) {
+    let mut harness = Harness::new(350, 4);
+    harness.submit(1, spread_job(tasks));
+    let tasks = usize::from(tasks);
+    let until = harness.now + Span::from_secs(30);
+    let started = wait_for_running(&mut harness, tasks, until);
+    assert!(started.is_some(), "{} tasks run", harness.running().len());
+    // The tickets expire while all tasks run.
+    for _ in 0..12 {
+        play_round(&mut harness);
+    }
+    fail_first(&mut harness);
+    let until = harness.now + RESTART_TARGET;
+    let restarted = wait_for_running(&mut harness, tasks, until);
+    assert!(restarted.is_some(), "{} tasks run", harness.running().len());
+}
+
+/// A call names no worker on which an answer couldn't lead to a start.
+#[test]
+fn no_call_names_a_worker_at_the_limit_of_the_step() {
+    let mut harness = Harness::new(20, 4);
+    harness.submit(1, spread_job(4));
+    let until = harness.now + Span::from_secs(30);
+    assert!(wait_for_running(&mut harness, 4, until).is_some());
+    for _ in 0..12 {
+        play_round(&mut harness);
+    }
+    let (free, _) = fail_first(&mut harness);
+    harness.decide();
+    let occupied: Vec<WorkerKey> = harness.running().iter().map(|(key, _)| *key).collect();
+    let named = &harness.calls[0].1;
+    for (key, id, _) in harness.cell.workers() {
+        if occupied.contains(&key) {
+            assert!(!named.contains(&id), "{id} is asked about");
+        }
+    }
+    assert!(!occupied.contains(&free));
+}
