Report steps whose tasks wait although they could start

A task that waited left no line that said why: calls to the adviser and starts are logged, but not what kept the tasks of a step off the workers in between.

Tests of the cell cover the rate, the counts and that an earlier wait isn't counted; they use the new event, so that they don't compile on the code before.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -23,6 +23,7 @@
 use crate::id::{JobId, TaskName};
 use crate::job::{Job, JobKey, JobState, TaskState};
 use crate::mechanism::{Disabled, Mechanism};
+use crate::placement::WaitBudget;
 use crate::record::JobRecord;
 use crate::run::{Run, RunKey};
 use crate::run_time::{RunTimeRecord, RunTimes};
@@ -136,6 +137,7 @@
     pub(crate) actions: Vec<Action>,
     /// Conclusions that were not taken for the log yet.
     events: Vec<CellEvent>,
+    pub(crate) wait_budget: WaitBudget,
     /// Jobs that have speculative steps, long-running steps, or a schedule.
     speculative_jobs: FxHashSet<JobKey>,
     long_running_jobs: FxHashSet<JobKey>,
@@ -187,6 +189,7 @@
             next_call: 0,
             actions: Vec::new(),
             events: Vec::new(),
+            wait_budget: WaitBudget::default(),
             speculative_jobs: FxHashSet::default(),
             long_running_jobs: FxHashSet::default(),
             scheduled_jobs: FxHashSet::default(),
@@ -468,6 +471,10 @@
         std::mem::take(&mut self.events)
     }
 
+    pub(crate) fn push_event(&mut self, event: CellEvent) {
+        self.events.push(event);
+    }
+
     /// Returns whether start orders wait for the log.
     pub fn has_unsent_starts(&self) -> bool {
         !self.unsent_starts.is_empty()
--- a/crates/kingcupwinch-cell/src/event.rs
+++ b/crates/kingcupwinch-cell/src/event.rs
@@ -25,6 +25,42 @@
     }
 }
 
+/// A step whose tasks wait although they could start, and the usable workers of its service by what
+/// keeps the tasks off them.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StepWait {
+    /// The name of the step.
+    pub step: String,
+    /// The queue.
+    pub queue: Arc<str>,
+    /// The number of tasks that could start.
+    pub tasks: usize,
+    /// How long the step has had such tasks.
+    pub age: Span,
+    /// Whether a call to the adviser is in flight.
+    pub is_call_pending: bool,
+    /// The workers with a valid ticket.
+    pub tickets: usize,
+    /// The listed workers that can take no new work of any step.
+    pub unusable: usize,
+    /// The workers on which a task could start after the round.
+    pub startable: usize,
+    /// The workers without the required label.
+    pub unlabelled: usize,
+    /// The workers that the adviser denied.
+    pub denied: usize,
+    /// The workers that are too slow for the objective.
+    pub slow: usize,
+    /// The workers with latency-sensitive tasks, for a best-effort step.
+    pub isolated: usize,
+    /// The workers with as many runs of the step as they may have.
+    pub at_limit: usize,
+    /// The workers with too little capacity.
+    pub full: usize,
+    /// The workers about which the adviser has to be asked.
+    pub no_ticket: usize,
+}
+
 /// A conclusion that no single order or response shows.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CellEvent {
@@ -63,4 +99,6 @@
         /// Whether the end was counted for its task.
         is_counted: bool,
     },
+    /// Tasks of a step have waited for long although they could start.
+    StepWaits(StepWait),
 }
--- a/crates/kingcupwinch-cell/src/job.rs
+++ b/crates/kingcupwinch-cell/src/job.rs
@@ -6,6 +6,7 @@
 
 use crate::advice::TicketCache;
 use crate::id::{JobId, TaskName};
+use crate::placement::WaitState;
 use crate::record::JobRecord;
 use crate::run::RunKey;
 use crate::run_time::{RunTimes, StepWork};
@@ -88,6 +89,7 @@
     /// The number of tasks that wait to be started.
     pub(crate) waiting: usize,
     pub(crate) tickets: TicketCache,
+    pub(crate) wait: WaitState,
     /// The run times of the tasks that are known.
     pub(crate) work: StepWork,
     /// When the occurrence came due.
@@ -201,6 +203,7 @@
                 remaining: usize::from(spec.count),
                 waiting: usize::from(spec.count),
                 tickets: TicketCache::default(),
+                wait: WaitState::default(),
                 work: StepWork::default(),
                 due,
                 critical_path: Span::ZERO,
@@ -320,6 +323,9 @@
         if step.tasks[index].state == TaskState::Waiting {
             step.waiting -= 1;
         }
+        if step.waiting == 0 {
+            step.wait.clear();
+        }
         step.tasks[index].state = TaskState::Active(run);
     }
 
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -26,7 +26,7 @@
     StopOrder, SubmitOutcome,
 };
 pub use election::{Claim, ElectionStep, ElectionTimers, GroupRecord, Member, OwnerElection};
-pub use event::{CellEvent, SettleCause};
+pub use event::{CellEvent, SettleCause, StepWait};
 pub use id::{JobId, TaskName};
 pub use job::JobState;
 pub use mechanism::{Disabled, Mechanism};
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -6,6 +6,7 @@
 
 mod advice;
 mod pool;
+mod waits;
 
 use std::cmp::Ordering;
 use std::sync::Arc;
@@ -22,6 +23,7 @@
 use pool::{PaceRange, pace_band};
 
 pub(crate) use pool::{Candidate, WorkerPool, WorkerPools};
+pub(crate) use waits::{WaitBudget, WaitState};
 
 /// How much faster than needed the slowest worker has to be before slow workers come first for a
 /// step, since run times are uncertain.
@@ -129,6 +131,8 @@
             if let Some(pool) = pools.by_service.get_mut(service) {
                 self.place_step(&ready, pool, now);
             }
+            let service = &self.jobs[ready.job].spec.policy.service;
+            self.note_wait(&ready, pools.by_service.get(service), now);
         }
         self.start_speculative_runs(&mut pools, now);
         self.take_actions(now)
--- a/crates/kingcupwinch-cell/tests/cell/restarts.rs
+++ b/crates/kingcupwinch-cell/tests/cell/restarts.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use kingcupwinch_cell::{EndReason, JobSpec, StepSpec, TaskName, Ticket, WorkerKey};
+use kingcupwinch_cell::{CellEvent, EndReason, JobSpec, StepSpec, TaskName, Ticket, WorkerKey};
 use kingcupwinch_time::{Span, Time};
 use rstest::rstest;
 
@@ -122,3 +122,51 @@
     }
     assert!(!occupied.contains(&free));
 }
+
+/// A task that waited left no line that said why. The report counts every worker once.
+#[test]
+fn a_step_that_waits_is_reported_once_a_second_with_its_obstacles() {
+    let mut harness = Harness::new(6, 4);
+    harness.submit(1, job(vec![step(2, 4, 60_000)]));
+    harness.run_round();
+    harness.submit(2, spread_job(6));
+    let mut reports = Vec::new();
+    for _ in 0..30 {
+        answer_calls(&mut harness);
+        set_ready(&mut harness);
+        harness.poll_all();
+        harness.run_round();
+        harness.advance(94);
+        for event in harness.cell.take_events() {
+            if let CellEvent::StepWaits(wait) = event {
+                reports.push(wait);
+            }
+        }
+    }
+    assert_eq!(reports.len(), 2, "{reports:?}");
+    assert!(reports[0].age >= Span::from_millis(1_000));
+    assert!(reports[1].age >= reports[0].age + Span::from_millis(1_000));
+    for report in reports {
+        assert_eq!(report.step, "0000000000000002.0.0");
+        assert_eq!(report.tasks, 6 - harness.running().len() + 2);
+        assert_eq!(report.at_limit, harness.running().len() - 2);
+        let named = report.startable + report.denied + report.at_limit + report.full;
+        assert_eq!(named, 6, "{report:?}");
+    }
+}
+
+/// A step whose tasks all run isn't reported, nor is the time of an earlier wait counted.
+#[test]
+fn a_step_is_reported_only_for_the_current_wait() {
+    let mut harness = Harness::new(4, 4);
+    harness.submit(1, spread_job(2));
+    let until = harness.now + Span::from_secs(30);
+    assert!(wait_for_running(&mut harness, 2, until).is_some());
+    harness.cell.take_events();
+    for _ in 0..6 {
+        play_round(&mut harness);
+    }
+    fail_first(&mut harness);
+    harness.run_round();
+    assert_eq!(harness.cell.take_events(), vec![]);
+}
--- a/crates/kingcupwinch-node/src/events.rs
+++ b/crates/kingcupwinch-node/src/events.rs
@@ -103,6 +103,8 @@
     LateEnd = "1707", "late end of a run";
     /// Runs count as ended although their worker did not list their ends.
     RunsSettled = "1708", "runs settled without a list of their worker";
+    /// Tasks of a step have waited for over a second although they could start.
+    StepWaits = "1709", "step waits";
     /// A worker registered in the directory.
     WorkerListed = "1801", "worker listed";
     /// A worker left the directory.
--- a/crates/kingcupwinch-node/src/owner/messages.rs
+++ b/crates/kingcupwinch-node/src/owner/messages.rs
@@ -457,6 +457,16 @@
                     "sequence" => end.sequence, "worker" => worker.to_string(),
                     "counted" => is_counted),
             ),
+            CellEvent::StepWaits(wait) => log.write(
+                Event::StepWaits,
+                o!("step" => wait.step, "queue" => wait.queue.to_string(), "tasks" => wait.tasks,
+                    "age_ms" => wait.age.as_millis(), "call_pending" => wait.is_call_pending,
+                    "tickets" => wait.tickets, "startable" => wait.startable,
+                    "no_ticket" => wait.no_ticket, "denied" => wait.denied,
+                    "at_limit" => wait.at_limit, "full" => wait.full, "slow" => wait.slow,
+                    "isolated" => wait.isolated, "unlabelled" => wait.unlabelled,
+                    "unusable" => wait.unusable),
+            ),
         }
     }
 }
