--- a/crates/kingcupwinch-cell/src/advice.rs
+++ b/crates/kingcupwinch-cell/src/advice.rs
@@ -54,6 +54,8 @@
     pub(crate) pending_until: Option<Time>,
     /// The earliest time of the next call.
     pub(crate) next_call: Time,
+    /// The calls that were answered since the last start of a task.
+    pub(crate) calls_without_start: u32,
 }
 
 impl TicketCache {
--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -33,6 +33,7 @@
 use records::PendingAck;
 
 pub use advice_calls::AdviceCallId;
+pub(crate) use advice_calls::NamedWorker;
 pub use records::RecordBatch;
 pub use runs::{Action, StartOrder, StopOrder};
 
--- a/crates/kingcupwinch-cell/src/cell/advice_calls.rs
+++ b/crates/kingcupwinch-cell/src/cell/advice_calls.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 
 use kingcupwinch_time::{Span, Time};
+use rustc_hash::FxHashMap;
 
 use super::{Cell, INITIAL_ALLOWED_SHARE};
 use crate::advice::Ticket;
 use crate::estimate::ShareEstimate;
 use crate::job::JobKey;
+use crate::spec::Resources;
 use crate::worker::WorkerKey;
 
 /// The id of a call to the adviser.
@@ -18,8 +20,17 @@
 pub(super) struct AdviceCall {
     job: JobKey,
     step: usize,
-    workers: Vec<WorkerKey>,
+    workers: Vec<NamedWorker>,
     instance: Arc<str>,
+    /// When the call counts as lost, and its step no longer claims anything.
+    deadline: Time,
+}
+
+/// A worker that a call names, and what the step is expected to place there.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct NamedWorker {
+    pub(crate) key: WorkerKey,
+    pub(crate) claim: Resources,
 }
 
 impl Cell {
@@ -28,8 +39,9 @@
         &mut self,
         job: JobKey,
         step: usize,
-        workers: Vec<WorkerKey>,
+        workers: Vec<NamedWorker>,
         instance: Arc<str>,
+        deadline: Time,
     ) -> AdviceCallId {
         let id = AdviceCallId(self.next_call);
         self.next_call += 1;
@@ -39,11 +51,27 @@
             step,
             workers,
             instance,
+            deadline,
         };
         self.advice_calls.insert(id, call);
         id
     }
 
+    /// Returns what the steps with calls in flight are expected to place on each worker.
+    pub(crate) fn claims(&self, now: Time) -> FxHashMap<WorkerKey, Resources> {
+        let mut claims: FxHashMap<WorkerKey, Resources> = FxHashMap::default();
+        let calls = self.advice_calls.values();
+        for call in calls.filter(|call| now <= call.deadline) {
+            if self.jobs.get(call.job).is_none_or(|job| job.end.is_some()) {
+                continue;
+            }
+            for worker in &call.workers {
+                claims.entry(worker.key).or_default().add(worker.claim);
+            }
+        }
+        claims
+    }
+
     /// Handles the response to a call, or `None` if the call failed. The response holds the tickets
     /// of the workers that may run the step and how long they are valid.
     pub fn advice_received(
@@ -75,9 +103,10 @@
         let queue = Arc::clone(&job.spec.policy.queue);
         let cache = &mut job.steps[call.step].tickets;
         cache.note_response();
+        cache.calls_without_start += 1;
         let mut new_verdicts = 0;
         let mut new_allowed = 0;
-        for worker in &call.workers {
+        for NamedWorker { key: worker, .. } in &call.workers {
             let is_new = cache.verdict(*worker).is_none();
             let ticket = allowed.iter().find(|(allowed, _)| allowed == worker);
             new_verdicts += usize::from(is_new);
--- a/crates/kingcupwinch-cell/src/job.rs
+++ b/crates/kingcupwinch-cell/src/job.rs
@@ -326,6 +326,7 @@
         if step.waiting == 0 {
             step.wait.clear();
         }
+        step.tickets.calls_without_start = 0;
         step.tasks[index].state = TaskState::Active(run);
     }
 
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -147,6 +147,7 @@
 
     /// Returns the workers that can take new work, grouped by service.
     fn usable_workers(&self, now: Time) -> WorkerPools {
+        let claims = self.claims(now);
         let mut pools = WorkerPools::default();
         for (key, worker) in &self.workers {
             if !worker.is_usable(now) {
@@ -167,6 +168,7 @@
             pool.candidates.push(Candidate {
                 key,
                 available: worker.available(),
+                claimed: claims.get(&key).copied().unwrap_or_default(),
                 has_best_effort: worker.best_effort_runs > 0,
                 has_latency_sensitive: worker.latency_sensitive_runs > 0,
                 pace,
@@ -277,8 +279,8 @@
     }
 
     /// Compares two workers for a step. Workers on the rack of its data come first. Among these,
-    /// fast workers come first if slack is short and slow workers otherwise, then the workers with
-    /// the least CPU left.
+    /// fast workers come first if slack is short. Otherwise workers come first whose capacity no other
+    /// step is about to use, and slow ones of these. Then come the workers with the least CPU left.
     fn compare_candidates(
         &self,
         a: &Candidate,
@@ -303,10 +305,14 @@
         let pace_order = a.pace_band.cmp(&b.pace_band);
         rack_order
             .then(isolation_order)
-            .then(if ready.is_tight {
-                pace_order
-            } else {
-                pace_order.reverse()
+            .then_with(|| {
+                let charge = spec.charged_resources();
+                let contention_order = a.contention(charge).cmp(&b.contention(charge));
+                if ready.is_tight {
+                    pace_order.then(contention_order)
+                } else {
+                    contention_order.then(pace_order.reverse())
+                }
             })
             .then(a.available.cpu.cmp(&b.available.cpu))
             .then(a.key.cmp(&b.key))
--- a/crates/kingcupwinch-cell/src/placement/advice.rs
+++ b/crates/kingcupwinch-cell/src/placement/advice.rs
@@ -7,9 +7,9 @@
 
 use super::{ReadyStep, WorkerPool};
 use crate::advice::call_time;
-use crate::cell::{Action, Cell};
+use crate::cell::{Action, Cell, NamedWorker};
 use crate::fit::{Access, StepDemand};
-use crate::worker::WorkerKey;
+use crate::spec::Resources;
 
 /// The largest number of workers that one call to the adviser names.
 const MAX_CALL_WORKERS: usize = 100;
@@ -18,10 +18,23 @@
 const CAPACITY_MARGIN: f64 = 2.0;
 /// The smallest number of workers that a call names, if that many are available.
 const MIN_CALL_WORKERS: usize = 6;
+/// Each call that led to no start doubles the workers that the next one names, this often at most.
+const MAX_CALL_DOUBLINGS: u32 = 4;
 
 /// How long to wait before considering a call for a step again after too little capacity was found.
 const NO_CAPACITY_BACKOFF: Span = Span::from_millis(30);
 
+/// A worker to ask about.
+#[derive(Debug, Clone, Copy)]
+struct Choice {
+    /// The index in the pool.
+    index: usize,
+    /// The tasks for which it has room.
+    fits: f64,
+    /// The chance that the adviser allows it.
+    chance: f64,
+}
+
 impl Cell {
     /// Requests advice about the workers that have capacity, provided the step could start on those
     /// of them that the adviser is likely to allow.
@@ -29,7 +42,7 @@
         &mut self,
         ready: &ReadyStep,
         demand: &StepDemand,
-        pool: &WorkerPool,
+        pool: &mut WorkerPool,
         now: Time,
     ) {
         let job = &self.jobs[ready.job];
@@ -52,6 +65,7 @@
             self.jobs[ready.job].steps[ready.step].tickets.next_call = now + NO_CAPACITY_BACKOFF;
             return;
         }
+        let workers = name_workers(&workers, step.waiting, demand.charge, pool);
         let duration = call_time(&cost, workers.len());
         let Some((instance, deadline)) = self.advice_callers.reserve(duration, now) else {
             return;
@@ -59,10 +73,12 @@
         let name = job.task_name(ready.step, 0);
         let ids = workers
             .iter()
-            .map(|key| Arc::clone(&self.workers[*key].registration.id))
+            .map(|worker| Arc::clone(&self.workers[worker.key].registration.id))
             .collect();
         self.jobs[ready.job].steps[ready.step].tickets.pending_until = Some(deadline);
-        let call = self.add_advice_call(ready.job, ready.step, workers, Arc::clone(&instance));
+        pool.claim(&workers);
+        let caller = Arc::clone(&instance);
+        let call = self.add_advice_call(ready.job, ready.step, workers, caller, deadline);
         self.actions.push(Action::RequestAdvice {
             call,
             instance,
@@ -72,7 +88,7 @@
         });
     }
 
-    /// Returns the workers to ask about next, and the number of tasks expected to fit on all
+    /// Returns the workers to ask about next, with the number of tasks expected to fit on each, and the number of tasks expected to fit on all
     /// workers that the adviser allows.
     fn advice_candidates(
         &self,
@@ -80,7 +96,7 @@
         demand: &StepDemand,
         pool: &WorkerPool,
         now: Time,
-    ) -> (Vec<WorkerKey>, f64) {
+    ) -> (Vec<Choice>, f64) {
         let job = &self.jobs[ready.job];
         let spec = job.step_spec(ready.step);
         let step = &job.steps[ready.step];
@@ -90,7 +106,7 @@
         let is_first_of_gang = spec.gang && !step.tickets.has_verdicts();
         let mut rows = Vec::new();
         let mut capacity = 0.0;
-        for candidate in &pool.candidates {
+        for (index, candidate) in pool.candidates.iter().enumerate() {
             let fits = match self.room_on(demand, candidate) {
                 Ok(fits) => fits as f64,
                 Err(obstacle) if is_first_of_gang && !obstacle.is_permanent() => 0.0,
@@ -99,8 +115,8 @@
             match self.access(demand, candidate.key, now) {
                 Access::Denied => {}
                 Access::Open | Access::Ticket => capacity += fits,
-                Access::Expired => rows.push((candidate, fits, 1.0)),
-                Access::Unknown => rows.push((candidate, fits, share)),
+                Access::Expired => rows.push((index, fits, 1.0)),
+                Access::Unknown => rows.push((index, fits, share)),
             }
         }
         rows.sort_by(|a, b| {
@@ -110,22 +126,47 @@
             } else {
                 Ordering::Equal
             };
-            verdict_order
-                .then(capacity_order)
-                .then_with(|| self.compare_candidates(a.0, b.0, ready, spec))
+            verdict_order.then(capacity_order).then_with(|| {
+                let (a, b) = (&pool.candidates[a.0], &pool.candidates[b.0]);
+                self.compare_candidates(a, b, ready, spec)
+            })
         });
-        let wanted = step.waiting as f64 * CAPACITY_MARGIN;
+        let factor = 1_u32 << step.tickets.calls_without_start.min(MAX_CALL_DOUBLINGS);
+        let wanted = step.waiting as f64 * CAPACITY_MARGIN * f64::from(factor);
+        let min_workers = MIN_CALL_WORKERS * factor as usize;
         let mut requested = capacity;
         let mut workers = Vec::new();
-        for (candidate, fits, chance) in rows {
+        for (index, fits, chance) in rows {
             capacity += fits * chance;
             let is_enough =
-                requested >= wanted && workers.len() >= MIN_CALL_WORKERS && !is_first_of_gang;
+                requested >= wanted && workers.len() >= min_workers && !is_first_of_gang;
             if !is_enough && workers.len() < MAX_CALL_WORKERS {
                 requested += fits * chance;
-                workers.push(candidate.key);
+                workers.push(Choice {
+                    index,
+                    fits,
+                    chance,
+                });
             }
         }
         (workers, capacity)
     }
 }
+
+/// Spreads the tasks that a step is expected to place over the workers that its call names.
+fn name_workers(
+    choices: &[Choice],
+    tasks: usize,
+    charge: Resources,
+    pool: &WorkerPool,
+) -> Vec<NamedWorker> {
+    let tasks = tasks as f64;
+    let expected = |choice: &Choice| choice.fits.min(tasks) * choice.chance;
+    let total: f64 = choices.iter().map(expected).sum();
+    let share = (tasks * CAPACITY_MARGIN / total.max(f64::MIN_POSITIVE)).min(1.0);
+    let to_named = |choice: &Choice| NamedWorker {
+        key: pool.candidates[choice.index].key,
+        claim: charge.scaled(expected(choice) * share),
+    };
+    choices.iter().map(to_named).collect()
+}
--- a/crates/kingcupwinch-cell/src/placement/pool.rs
+++ b/crates/kingcupwinch-cell/src/placement/pool.rs
@@ -5,6 +5,7 @@
 use rustc_hash::FxHashMap;
 use slotmap::SecondaryMap;
 
+use crate::cell::NamedWorker;
 use crate::spec::Resources;
 use crate::worker::WorkerKey;
 
@@ -17,6 +18,8 @@
 pub(crate) struct Candidate {
     pub(crate) key: WorkerKey,
     pub(crate) available: Resources,
+    /// What steps with calls to the adviser in flight are expected to place on the worker.
+    pub(super) claimed: Resources,
     /// Whether best-effort or latency-sensitive tasks run on the worker.
     pub(crate) has_best_effort: bool,
     pub(crate) has_latency_sensitive: bool,
@@ -25,6 +28,19 @@
     pub(super) pace_band: i64,
 }
 
+impl Candidate {
+    /// Returns how contested the worker's capacity is for a task that takes `charge`. Zero if there
+    /// is room beside all that is claimed.
+    pub(super) fn contention(&self, charge: Resources) -> u64 {
+        let mut demand = self.claimed;
+        demand.add(charge);
+        let excess = |demand: u64, available: u64| demand.saturating_sub(1) / available.max(1);
+        excess(demand.cpu, self.available.cpu)
+            .max(excess(demand.memory, self.available.memory))
+            .max(excess(demand.gpu, self.available.gpu))
+    }
+}
+
 /// Returns the band of a pace. Differences within a band say little, so that the packing decides
 /// there.
 pub(super) fn pace_band(pace: f64) -> i64 {
@@ -88,6 +104,15 @@
             .any(|candidate| candidate.available.task_capacity(charge) > 0)
     }
 
+    /// Adds what a step that asks about workers is expected to place there.
+    pub(super) fn claim(&mut self, workers: &[NamedWorker]) {
+        for worker in workers {
+            if let Some(index) = self.index(worker.key) {
+                self.candidates[index].claimed.add(worker.claim);
+            }
+        }
+    }
+
     /// Reserves capacity for tasks that start or for a gang that waits for it.
     pub(super) fn reserve(&mut self, candidate: usize, charge: Resources, tasks: u64) {
         let capacity = &mut self.candidates[candidate].available;
--- a/crates/kingcupwinch-cell/src/spec.rs
+++ b/crates/kingcupwinch-cell/src/spec.rs
@@ -42,6 +42,16 @@
             .min(part(self.gpu, task.gpu))
     }
 
+    /// Returns a multiple of these resources, rounded down.
+    pub(crate) fn scaled(&self, factor: f64) -> Resources {
+        let scaled = |amount: u64| (amount as f64 * factor) as u64;
+        Resources {
+            cpu: scaled(self.cpu),
+            memory: scaled(self.memory),
+            gpu: scaled(self.gpu),
+        }
+    }
+
     /// Returns what is left of this capacity after subtracting what is used.
     pub fn remaining(&self, used: Resources) -> Resources {
         let mut available = *self;
--- a/crates/kingcupwinch-cell/tests/cell/harness.rs
+++ b/crates/kingcupwinch-cell/tests/cell/harness.rs
@@ -35,6 +35,8 @@
     pub(crate) starts: Vec<StartOrder>,
     pub(crate) stops: Vec<StopOrder>,
     pub(crate) calls: Vec<(AdviceCallId, Vec<Arc<str>>)>,
+    /// The names of the steps of these calls and of the earlier ones that were not taken.
+    pub(crate) call_steps: Vec<String>,
     /// The instances that were asked to make the calls so far.
     pub(crate) callers: Vec<Arc<str>>,
     /// The progress records in the log.
@@ -146,6 +148,7 @@
             starts: Vec::new(),
             stops: Vec::new(),
             calls: Vec::new(),
+            call_steps: Vec::new(),
             callers: Vec::new(),
             records: HashMap::new(),
         }
@@ -179,10 +182,12 @@
                 Action::RequestAdvice {
                     call,
                     instance,
+                    step,
                     workers,
                     ..
                 } => {
                     self.calls.push((call, workers));
+                    self.call_steps.push(step);
                     self.callers.push(instance);
                 }
             }
@@ -253,6 +258,14 @@
         }
     }
 
+    /// Has all running tasks get ready.
+    pub(crate) fn set_ready(&mut self) {
+        let workers = self.workers.values_mut();
+        for run in workers.flat_map(|worker| &mut worker.running) {
+            run.percent = 100;
+        }
+    }
+
     pub(crate) fn keys(&self) -> Vec<WorkerKey> {
         self.workers.keys().copied().collect()
     }
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -4,6 +4,7 @@
 
 mod advice;
 mod capacity;
+mod contention;
 mod election;
 mod gangs;
 mod harness;
--- a/crates/kingcupwinch-cell/tests/cell/restarts.rs
+++ b/crates/kingcupwinch-cell/tests/cell/restarts.rs
@@ -41,19 +41,11 @@
     }
 }
 
-/// Has all running tasks get ready.
-fn set_ready(harness: &mut Harness) {
-    let workers = harness.workers.values_mut();
-    for run in workers.flat_map(|worker| &mut worker.running) {
-        run.percent = 100;
-    }
-}
-
 /// Runs a round, in which the calls of the round before are answered.
 fn play_round(harness: &mut Harness) {
     harness.advance(ROUND_MS);
     answer_calls(harness);
-    set_ready(harness);
+    harness.set_ready();
     harness.poll_all();
     harness.run_round();
 }
@@ -71,7 +63,7 @@
 }
 
 fn fail_first(harness: &mut Harness) -> (WorkerKey, TaskName) {
-    set_ready(harness);
+    harness.set_ready();
     harness.poll_all();
     let (worker, task) = harness.running()[0];
     harness.end(worker, task, EndReason::Failed);
@@ -133,7 +125,7 @@
     let mut reports = Vec::new();
     for _ in 0..30 {
         answer_calls(&mut harness);
-        set_ready(&mut harness);
+        harness.set_ready();
         harness.poll_all();
         harness.run_round();
         harness.advance(94);
