--- a/crates/kingcupwinch-cell/tests/cell/contention.rs
+++ b/crates/kingcupwinch-cell/tests/cell/contention.rs
@@ -1,4 +1,4 @@
-//! Steps that ask the adviser at the same time, about workers of which only some have room.
+//! Steps that compete for capacity, and what they ask the adviser about meanwhile.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -12,7 +12,7 @@
 /// How soon a long-running task has to run while there is capacity for it.
 const START_TARGET: Span = Span::from_millis(3_000);
 /// The number of jobs that ask at the same time.
-const JOBS: u64 = 24;
+const JOBS: u64 = 60;
 
 fn single_task_job() -> JobSpec {
     let step = StepSpec {
@@ -35,7 +35,8 @@
 /// Whether the adviser allows a job on a worker: a third of the workers, others for each job.
 fn allows(job: u64, worker: &str) -> bool {
     let number: u64 = worker.trim_start_matches("i-").parse().unwrap();
-    (((number + 1) * 2_654_435_761 ^ (job + 1) * 40_503_113) >> 9) % 3 == 0
+    let hash = ((number + 1) * 2_654_435_761) ^ ((job + 1) * 40_503_113);
+    (hash >> 9).is_multiple_of(3)
 }
 
 /// Answers all calls. The steps of the calls are told by the order of the jobs.
