Start the longest-waiting of equally urgent steps first

Long-running steps are all equally urgent, and ties were broken by the order of the jobs: whenever room came free, a later job was passed over again. Steps of equal slack now come in the order in which they began to wait. The test was seen to fail before: job 1, whose task had just ended, took the only worker from job 2, which had never run.

--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -55,6 +55,8 @@
     /// The pace (observed over expected run time) of the slowest worker that still meets the
     /// objective.
     slowest_pace: f64,
+    /// Since when the step has had tasks that could start.
+    waiting_since: Time,
 }
 
 impl ReadyStep {
@@ -63,7 +65,7 @@
         let step = &job.steps[slot];
         let spec = job.step_spec(slot);
         if spec.long_running {
-            return ReadyStep::of_long_running(key, slot);
+            return ReadyStep::of_long_running(key, slot, step.wait.since(now));
         }
         let critical_path = step.critical_path.as_micros() as f64;
         let left = |end: Time| {
@@ -93,12 +95,13 @@
             is_tight: status != ObjectiveStatus::Missed
                 && (slack as f64) < critical_path * (paces.slowest * PACE_MARGIN - paces.fastest),
             slowest_pace,
+            waiting_since: step.wait.since(now),
         }
     }
 
     /// Creates a ready step of long-running tasks. They have no end that could be late and are
     /// needed at once, so their slack is zero.
-    fn of_long_running(key: JobKey, slot: usize) -> Self {
+    fn of_long_running(key: JobKey, slot: usize, waiting_since: Time) -> Self {
         ReadyStep {
             job: key,
             step: slot,
@@ -106,11 +109,17 @@
             slack: 0,
             is_tight: false,
             slowest_pace: f64::INFINITY,
+            waiting_since,
         }
     }
 
+    /// Compares by urgency. Steps that are equally urgent come in the order in which they began to
+    /// wait, so that none is passed over again and again.
     fn compare(&self, other: &ReadyStep) -> Ordering {
-        (self.status, self.slack, self.step).cmp(&(other.status, other.slack, other.step))
+        (self.status, self.slack)
+            .cmp(&(other.status, other.slack))
+            .then(self.waiting_since.cmp(&other.waiting_since))
+            .then(self.step.cmp(&other.step))
     }
 }
 
--- a/crates/kingcupwinch-cell/src/placement/waits.rs
+++ b/crates/kingcupwinch-cell/src/placement/waits.rs
@@ -25,6 +25,11 @@
 }
 
 impl WaitState {
+    /// Returns since when the step has had startable tasks, which is now if it had none before.
+    pub(crate) fn since(&self, now: Time) -> Time {
+        self.since.unwrap_or(now)
+    }
+
     /// Notes that the step has no startable task.
     pub(crate) fn clear(&mut self) {
         self.since = None;
--- a/crates/kingcupwinch-cell/tests/cell/contention.rs
+++ b/crates/kingcupwinch-cell/tests/cell/contention.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use kingcupwinch_cell::{JobSpec, StepSpec, Ticket};
+use kingcupwinch_cell::{EndReason, JobSpec, StepSpec, Ticket};
 use kingcupwinch_time::Span;
 
-use crate::harness::{Harness, job, step, with_advice};
+use crate::harness::{Harness, id, job, step, with_advice};
 
 const TICKET_VALIDITY: Span = Span::from_millis(2_500);
 /// How soon a long-running task has to run while there is capacity for it.
@@ -127,3 +127,24 @@
         "{sizes:?}"
     );
 }
+
+/// Of steps that are equally urgent, the first in the order of jobs always came first: a job whose
+/// task kept ending took the room from one that had never run.
+#[test]
+fn of_equally_urgent_steps_the_longest_waiting_one_starts_first() {
+    let mut harness = Harness::new(1, 4);
+    let whole_worker = StepSpec {
+        long_running: true,
+        ..step(1, 4, 1_000)
+    };
+    harness.submit(1, job(vec![whole_worker.clone()]));
+    harness.run_round();
+    harness.submit(2, job(vec![whole_worker]));
+    harness.run_round();
+    harness.advance(100);
+    harness.end_all(EndReason::Stopped);
+    harness.poll_all();
+    harness.run_round();
+    let running: Vec<_> = harness.running().iter().map(|(_, task)| task.job).collect();
+    assert_eq!(running, vec![id(2)]);
+}
