Ask about the last workers with room after a while

A call is made if at least one task is expected to fit on the workers that the adviser allows. With few workers left that have room, less than one is expected for good, and the adviser was never asked, though it may allow them. After a second any worker with room is worth a call, except for gangs. The test, two workers and a task that fills one, was seen to fail before: no call in 3 s.

--- a/crates/kingcupwinch-cell/src/placement/advice.rs
+++ b/crates/kingcupwinch-cell/src/placement/advice.rs
@@ -21,6 +21,9 @@
 /// Each call that led to no start doubles the workers that the next one names, this often at most.
 const MAX_CALL_DOUBLINGS: u32 = 4;
 
+/// How long a step waits for workers of which the adviser is likely to allow one. Then any worker
+/// with room is worth a call, since the few that are left may be allowed.
+const LIKELY_WORKER_WAIT: Span = Span::from_millis(1_000);
 /// How long to wait before considering a call for a step again after too little capacity was found.
 const NO_CAPACITY_BACKOFF: Span = Span::from_millis(30);
 
@@ -58,6 +61,8 @@
         let spec = self.jobs[ready.job].step_spec(ready.step);
         let need = if spec.gang {
             step.tasks.len() as f64
+        } else if ready.waiting_since + LIKELY_WORKER_WAIT <= now {
+            0.0
         } else {
             1.0
         };
--- a/crates/kingcupwinch-cell/tests/cell/contention.rs
+++ b/crates/kingcupwinch-cell/tests/cell/contention.rs
@@ -148,3 +148,22 @@
     let running: Vec<_> = harness.running().iter().map(|(_, task)| task.job).collect();
     assert_eq!(running, vec![id(2)]);
 }
+
+/// With room on so few workers that less than one of them was expected to be allowed, the adviser was
+/// never asked, and the task never started.
+#[test]
+fn a_step_asks_about_the_last_workers_with_room_after_a_while() {
+    let mut harness = Harness::new(2, 4);
+    let whole_worker = StepSpec {
+        long_running: true,
+        ..step(1, 4, 1_000)
+    };
+    harness.submit(1, with_advice(job(vec![whole_worker]), 400.0));
+    let until = harness.now + START_TARGET;
+    while harness.calls.is_empty() && harness.now < until {
+        harness.run_round();
+        harness.advance(100);
+        harness.poll_all();
+    }
+    assert_eq!(harness.calls[0].1.len(), 2);
+}
