--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -4,6 +4,7 @@
 
 mod advice;
 mod capacity;
+mod contention;
 mod election;
 mod gangs;
 mod harness;
@@ -13,6 +14,7 @@
 mod long_running;
 mod occurrences;
 mod replaced;
+mod restarts;
 mod run_times;
 mod speculation;
 mod takeover;
