Stop a long-running task only once a place for it is kept

Callers saw a long-running task of a draining worker stopped and not started again: the move checked only that some usable worker had room and the label. It knew neither the limit per worker nor the adviser, counted one room for several tasks and jobs, and left the room to other steps while the stop was under way.

A move now asks the shared predicate for one place for each task, with a ticket that is still valid when the task starts, and asks the adviser while the task still runs. The place is kept until the task has started there or 2 s have passed, and counts as a run of the step for its limit. Waiting long-running tasks come before moving ones. Stop orders go out in the round that decides on them, not in the next one.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -23,6 +23,7 @@
 use crate::id::{JobId, TaskName};
 use crate::job::{Job, JobKey, JobState, TaskState};
 use crate::mechanism::{Disabled, Mechanism};
+use crate::placement::KeptPlace;
 use crate::record::JobRecord;
 use crate::run::{Run, RunKey};
 use crate::run_time::{RunTimeRecord, RunTimes};
@@ -31,6 +32,8 @@
 
 use records::PendingAck;
 
+pub(crate) use long_running::READY_PERCENT;
+
 pub use advice_calls::AdviceCallId;
 pub use records::RecordBatch;
 pub use runs::{Action, StartOrder, StopOrder};
@@ -125,7 +128,7 @@
     early_cancels: FxHashMap<JobId, Time>,
     pub(crate) workers: SlotMap<WorkerKey, Worker>,
     workers_by_id: FxHashMap<Arc<str>, WorkerKey>,
-    runs: SlotMap<RunKey, Run>,
+    pub(crate) runs: SlotMap<RunKey, Run>,
     runs_by_name: FxHashMap<(TaskName, u32), RunKey>,
     /// The share of workers that the adviser of each queue allowed of those it was asked about.
     allowed_shares: FxHashMap<Arc<str>, ShareEstimate>,
@@ -138,7 +141,7 @@
     events: Vec<CellEvent>,
     /// Jobs that have speculative steps, long-running steps, or a schedule.
     speculative_jobs: FxHashSet<JobKey>,
-    long_running_jobs: FxHashSet<JobKey>,
+    pub(crate) long_running_jobs: FxHashSet<JobKey>,
     scheduled_jobs: FxHashSet<JobKey>,
     /// The last known wall-clock time in Unix milliseconds, and the time at which it was read.
     wall_clock: Option<(u64, Time)>,
@@ -154,6 +157,8 @@
     /// Jobs whose acceptance is not in the log yet, with the time of their submission. No orders
     /// are sent for them.
     tentative: FxHashMap<JobKey, Time>,
+    /// Places that are kept for tasks that move.
+    pub(crate) kept_places: Vec<KeptPlace>,
     /// Dropped jobs that may have progress records in the log.
     dropped_jobs: Vec<JobId>,
     counters: Counters,
@@ -198,6 +203,7 @@
             unsent_starts: Vec::new(),
             appended_batch: 0,
             tentative: FxHashMap::default(),
+            kept_places: Vec::new(),
             dropped_jobs: Vec::new(),
             counters: Counters::default(),
         }
--- a/crates/kingcupwinch-cell/src/fit.rs
+++ b/crates/kingcupwinch-cell/src/fit.rs
@@ -77,9 +77,19 @@
     is_isolated: bool,
     /// The pace (observed over expected run time) of the slowest worker to use.
     slowest_pace: f64,
+    /// Tickets have to be valid at least until then.
+    tickets_until: Time,
 }
 
 impl StepDemand {
+    /// Demands tickets that are valid until a time.
+    pub(crate) fn with_tickets_until(self, tickets_until: Time) -> Self {
+        StepDemand {
+            tickets_until,
+            ..self
+        }
+    }
+
     /// Excludes workers that are slower than a pace.
     pub(crate) fn with_slowest_pace(self, slowest_pace: f64) -> Self {
         StepDemand {
@@ -121,6 +131,7 @@
             own_runs,
             is_isolated: spec.best_effort && self.uses(Mechanism::Isolation),
             slowest_pace: f64::INFINITY,
+            tickets_until: Time::ZERO,
         }
     }
 
@@ -137,7 +148,8 @@
         };
         let job = &self.jobs[demand.job];
         if job.spec.policy.advice.is_some() {
-            let allowed = job.steps[demand.step].tickets.allowed_workers(now);
+            let valid_at = now.max(demand.tickets_until);
+            let allowed = job.steps[demand.step].tickets.allowed_workers(valid_at);
             let indexes = allowed.filter_map(|worker| pool.index(worker));
             indexes.filter(is_startable).collect()
         } else {
@@ -198,10 +210,11 @@
         if job.spec.policy.advice.is_none() {
             return Access::Open;
         }
+        let valid_at = now.max(demand.tickets_until);
         match job.steps[demand.step].tickets.verdict(worker) {
             None => Access::Unknown,
             Some(Verdict::Denied) => Access::Denied,
-            Some(Verdict::Allowed { expires, .. }) if *expires > now => Access::Ticket,
+            Some(Verdict::Allowed { expires, .. }) if *expires > valid_at => Access::Ticket,
             Some(Verdict::Allowed { .. }) => Access::Expired,
         }
     }
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -5,6 +5,7 @@
 //! workers first, the adviser is asked about as many workers as the step is likely to need.
 
 mod advice;
+mod moves;
 mod pool;
 
 use std::cmp::Ordering;
@@ -21,6 +22,7 @@
 
 use pool::{PaceRange, pace_band};
 
+pub(crate) use moves::KeptPlace;
 pub(crate) use pool::{Candidate, WorkerPool, WorkerPools};
 
 /// How much faster than needed the slowest worker has to be before slow workers come first for a
@@ -53,6 +55,8 @@
     /// The pace (observed over expected run time) of the slowest worker that still meets the
     /// objective.
     slowest_pace: f64,
+    /// Whether tasks are to be moved, not started.
+    is_move: bool,
 }
 
 impl ReadyStep {
@@ -91,6 +95,7 @@
             is_tight: status != ObjectiveStatus::Missed
                 && (slack as f64) < critical_path * (paces.slowest * PACE_MARGIN - paces.fastest),
             slowest_pace,
+            is_move: false,
         }
     }
 
@@ -104,11 +109,21 @@
             slack: 0,
             is_tight: false,
             slowest_pace: f64::INFINITY,
+            is_move: false,
+        }
+    }
+
+    /// Creates a ready step of long-running tasks that are to be moved.
+    fn of_move(key: JobKey, slot: usize) -> Self {
+        ReadyStep {
+            is_move: true,
+            ..ReadyStep::of_long_running(key, slot)
         }
     }
 
     fn compare(&self, other: &ReadyStep) -> Ordering {
-        (self.status, self.slack, self.step).cmp(&(other.status, other.slack, other.step))
+        let rank = |step: &Self| (step.status, step.slack, step.is_move, step.step);
+        rank(self).cmp(&rank(other))
     }
 }
 
@@ -120,17 +135,22 @@
         self.stop_partial_gangs();
         self.settle_withdrawn_runs(now);
         self.open_occurrences(now);
-        self.evacuate_long_running(now);
-        self.send_stops(now);
         self.set_mean_pace(now);
         let mut pools = self.usable_workers(now);
+        self.reserve_kept_places(&mut pools, now);
         for ready in self.ready_steps(&pools, now) {
             let service = &self.jobs[ready.job].spec.policy.service;
-            if let Some(pool) = pools.by_service.get_mut(service) {
+            let Some(pool) = pools.by_service.get_mut(service) else {
+                continue;
+            };
+            if ready.is_move {
+                self.move_tasks(&ready, pool, now);
+            } else {
                 self.place_step(&ready, pool, now);
             }
         }
         self.start_speculative_runs(&mut pools, now);
+        self.send_stops(now);
         self.take_actions(now)
     }
 
@@ -200,12 +220,14 @@
                 step.slowest_pace = f64::INFINITY;
             }
         }
+        ready.extend(self.steps_to_move());
         ready.sort_by(ReadyStep::compare);
         ready
     }
 
     fn place_step(&mut self, ready: &ReadyStep, pool: &mut WorkerPool, now: Time) {
         self.expire_advice_call(ready.job, ready.step, now);
+        self.release_kept_places(ready.job, ready.step, pool);
         let job = &self.jobs[ready.job];
         let spec = job.step_spec(ready.step);
         if !pool.has_capacity(spec.charged_resources()) {
@@ -214,6 +236,7 @@
         let mut demand = self
             .step_demand(ready.job, ready.step)
             .with_slowest_pace(ready.slowest_pace);
+        self.count_kept_places(&mut demand);
         let eligible = self.eligible_candidates(ready, &demand, pool, now);
         let is_placed = if eligible.is_empty() {
             false
--- a/crates/kingcupwinch-cell/src/placement/pool.rs
+++ b/crates/kingcupwinch-cell/src/placement/pool.rs
@@ -95,4 +95,23 @@
             capacity.sub(charge);
         }
     }
+
+    /// Reserves capacity for a task on a worker. Returns false if the worker has too little left.
+    pub(super) fn try_reserve(&mut self, worker: WorkerKey, charge: Resources) -> bool {
+        let Some(candidate) = self.index(worker) else {
+            return false;
+        };
+        let has_room = self.candidates[candidate].available.task_capacity(charge) > 0;
+        if has_room {
+            self.reserve(candidate, charge, 1);
+        }
+        has_room
+    }
+
+    /// Releases the capacity that was reserved for a task on a worker.
+    pub(super) fn release(&mut self, worker: WorkerKey, charge: Resources) {
+        if let Some(candidate) = self.index(worker) {
+            self.candidates[candidate].available.add(charge);
+        }
+    }
 }
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -11,6 +11,7 @@
 mod late_ends;
 mod lifecycle;
 mod long_running;
+mod moves;
 mod occurrences;
 mod restarts;
 mod run_times;
