Bound what the quarantine of workers can hold back

A worker that fails two runs in a row takes no work for 2.5 s, and up to 20 s if it fails again. Runs that fail everywhere thus took all workers of a service away from every other job, and tasks whose only workers were quarantined waited with room there, long-running ones among them, which a failure costs nothing.

At most a fifth of the responding workers of a service is in quarantine at once, and always one; the quarantine with the least time left ends first. A long-running task uses a quarantined worker while no other has room for it, and another task does if no other worker may run it and a failure would not be the last one allowed. What remains: the last attempt of a task whose only workers are quarantined waits for the end of the quarantine, 20 s at most. Runs that are placed and not ordered when their worker is quarantined are withdrawn, as before.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -3,6 +3,7 @@
 mod advice_calls;
 mod long_running;
 mod polls;
+mod quarantine;
 mod records;
 mod restore;
 mod run_ends;
--- a/crates/kingcupwinch-cell/src/cell/run_ends.rs
+++ b/crates/kingcupwinch-cell/src/cell/run_ends.rs
@@ -7,7 +7,6 @@
 use super::Cell;
 use crate::id::TaskName;
 use crate::job::{JobKey, JobState, Task, TaskState};
-use crate::mechanism::Mechanism;
 use crate::run::{EndReason, RunEnd, RunKey};
 use crate::worker::{RACK_LABEL, WorkerKey};
 
@@ -153,13 +152,6 @@
         runs.iter().filter(is_duplicate).copied().collect()
     }
 
-    /// Counts a failed run against its worker, which may be quarantined for it.
-    pub(super) fn note_worker_failure(&mut self, worker: WorkerKey, now: Time) {
-        if self.uses(Mechanism::Quarantine) {
-            self.workers[worker].note_failure(now);
-        }
-    }
-
     fn count_failure(
         &mut self,
         key: JobKey,
--- a/crates/kingcupwinch-cell/src/fit.rs
+++ b/crates/kingcupwinch-cell/src/fit.rs
@@ -21,6 +21,8 @@
     Label,
     /// The adviser does not allow the worker.
     Denied,
+    /// The worker is quarantined, and the step can use others.
+    Quarantine,
     /// The worker is too slow for the objective of the job.
     Pace,
     /// A best-effort step would disturb latency-sensitive tasks.
@@ -79,9 +81,19 @@
     slowest_pace: f64,
     /// Tickets have to be valid at least until then.
     tickets_until: Time,
+    /// Whether the step may use quarantined workers.
+    pub(crate) accepts_quarantined: bool,
 }
 
 impl StepDemand {
+    /// Accepts quarantined workers.
+    pub(crate) fn with_quarantined(self) -> Self {
+        StepDemand {
+            accepts_quarantined: true,
+            ..self
+        }
+    }
+
     /// Demands tickets that are valid until a time.
     pub(crate) fn with_tickets_until(self, tickets_until: Time) -> Self {
         StepDemand {
@@ -132,6 +144,7 @@
             is_isolated: spec.best_effort && self.uses(Mechanism::Isolation),
             slowest_pace: f64::INFINITY,
             tickets_until: Time::ZERO,
+            accepts_quarantined: false,
         }
     }
 
@@ -188,6 +201,9 @@
         if !self.has_label(candidate.key, spec) {
             return Err(Obstacle::Label);
         }
+        if candidate.is_quarantined && !demand.accepts_quarantined {
+            return Err(Obstacle::Quarantine);
+        }
         if candidate.pace > demand.slowest_pace {
             return Err(Obstacle::Pace);
         }
@@ -204,6 +220,30 @@
         }
     }
 
+    /// Returns whether only quarantined workers are left for a step. Long-running tasks may fail any
+    /// number of times, so for them that is so while no other worker has room. For other steps, it is
+    /// so if no other worker may ever run them.
+    pub(crate) fn has_only_quarantined(
+        &self,
+        demand: &StepDemand,
+        pool: &WorkerPool,
+        now: Time,
+    ) -> bool {
+        let spec = self.jobs[demand.job].step_spec(demand.step);
+        if !pool.has_quarantined || spec.gang {
+            return false;
+        }
+        let is_alternative = |candidate: &Candidate| {
+            let suits = if spec.long_running {
+                self.room_on(demand, candidate).is_ok()
+            } else {
+                !candidate.is_quarantined && self.has_label(candidate.key, spec)
+            };
+            suits && self.access(demand, candidate.key, now) != Access::Denied
+        };
+        !pool.candidates.iter().any(is_alternative)
+    }
+
     /// Returns the adviser's position on a step and a worker.
     pub(crate) fn access(&self, demand: &StepDemand, worker: WorkerKey, now: Time) -> Access {
         let job = &self.jobs[demand.job];
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -156,7 +156,7 @@
 
     fn set_mean_pace(&mut self, now: Time) {
         let workers = self.workers.values();
-        let workers = workers.filter(|worker| worker.is_usable(now));
+        let workers = workers.filter(|worker| worker.is_usable(now) && !worker.is_quarantined(now));
         let paces = workers.map(|worker| (worker.kind(), &worker.pace));
         self.run_times.set_level(paces, now);
     }
@@ -178,13 +178,18 @@
                 continue;
             };
             let pace = self.worker_pace(key, now);
+            let is_quarantined = worker.is_quarantined(now);
             pool.indexes.insert(key, pool.candidates.len());
-            pool.paces = Some(PaceRange::extend(pool.paces, pace));
+            pool.has_quarantined |= is_quarantined;
+            if !is_quarantined {
+                pool.paces = Some(PaceRange::extend(pool.paces, pace));
+            }
             pool.candidates.push(Candidate {
                 key,
                 available: worker.available(),
                 has_best_effort: worker.best_effort_runs > 0,
                 has_latency_sensitive: worker.latency_sensitive_runs > 0,
+                is_quarantined,
                 pace,
                 pace_band: pace_band(pace),
             });
@@ -237,19 +242,35 @@
             .step_demand(ready.job, ready.step)
             .with_slowest_pace(ready.slowest_pace);
         self.count_kept_places(&mut demand);
-        let eligible = self.eligible_candidates(ready, &demand, pool, now);
-        let is_placed = if eligible.is_empty() {
-            false
-        } else if spec.gang {
-            self.place_gang(ready, &demand, &eligible, pool, now)
-        } else {
-            self.place_tasks(ready, &mut demand, &eligible, pool, now)
-        };
+        let mut is_placed = self.place_demand(ready, &mut demand, pool, now);
+        if !is_placed && self.has_only_quarantined(&demand, pool, now) {
+            demand = demand.with_quarantined();
+            is_placed = self.place_demand(ready, &mut demand, pool, now);
+        }
         if !is_placed {
             self.request_advice(ready, &demand, pool, now);
         }
     }
 
+    /// Starts what fits of a step on the workers that suit its demand. Returns whether no startable
+    /// task is left.
+    fn place_demand(
+        &mut self,
+        ready: &ReadyStep,
+        demand: &mut StepDemand,
+        pool: &mut WorkerPool,
+        now: Time,
+    ) -> bool {
+        let eligible = self.eligible_candidates(ready, demand, pool, now);
+        if eligible.is_empty() {
+            false
+        } else if self.jobs[ready.job].step_spec(ready.step).gang {
+            self.place_gang(ready, demand, &eligible, pool, now)
+        } else {
+            self.place_tasks(ready, demand, &eligible, pool, now)
+        }
+    }
+
     /// Returns the indexes of the workers on which tasks of the step can start now, best first.
     fn eligible_candidates(
         &self,
@@ -386,8 +407,14 @@
         pool: &mut WorkerPool,
         now: Time,
     ) -> bool {
-        let startable = startable_tasks(&self.jobs[ready.job].steps[ready.step].tasks, now);
+        let job = &self.jobs[ready.job];
+        let tasks = &job.steps[ready.step].tasks;
+        let mut startable = startable_tasks(tasks, now);
         let mut left = startable.len();
+        if demand.accepts_quarantined && !job.step_spec(ready.step).long_running {
+            let limit = job.spec.policy.max_attempts as usize;
+            startable.retain(|index| tasks[*index].failed_runs.len() + 1 < limit);
+        }
         for index in startable {
             let avoid = self.jobs[ready.job].steps[ready.step].tasks[index].avoid_worker;
             let fits = |candidate: &&usize| {
--- a/crates/kingcupwinch-cell/src/placement/pool.rs
+++ b/crates/kingcupwinch-cell/src/placement/pool.rs
@@ -20,6 +20,7 @@
     /// Whether best-effort or latency-sensitive tasks run on the worker.
     pub(crate) has_best_effort: bool,
     pub(crate) has_latency_sensitive: bool,
+    pub(crate) is_quarantined: bool,
     /// Observed over expected run time; lower is faster.
     pub(crate) pace: f64,
     pub(super) pace_band: i64,
@@ -65,7 +66,8 @@
 pub(crate) struct WorkerPool {
     pub(crate) candidates: Vec<Candidate>,
     pub(super) indexes: SecondaryMap<WorkerKey, usize>,
-    /// The pace of the fastest and of the slowest candidate, if there is any.
+    pub(crate) has_quarantined: bool,
+    /// The pace of the fastest and of the slowest candidate that is not quarantined, if there is any.
     pub(super) paces: Option<PaceRange>,
 }
 
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -218,7 +218,7 @@
         };
     }
 
-    /// Returns whether the worker can take new work.
+    /// Returns whether the worker can take new work, in quarantine or not.
     pub(crate) fn is_usable(&self, now: Time) -> bool {
         !self.registration.draining
             && !self.inherited
@@ -227,10 +227,14 @@
             && !self.registration.is_restart(self.listed_ms)
             && self.clock_sample.is_some()
             && self.failed_polls == 0
-            && self.quarantined_until <= now
             && self.unlisted_at.is_none_or(|at| now < at + UNLISTED_GRACE)
     }
 
+    /// Returns whether only steps that have no other worker may use this one.
+    pub(crate) fn is_quarantined(&self, now: Time) -> bool {
+        self.quarantined_until > now
+    }
+
     /// Charges a run of a step to the worker.
     pub(crate) fn add_run(&mut self, step: &StepSpec) {
         self.used.add(step.charged_resources());
@@ -309,20 +313,22 @@
         self.quarantines = 0;
     }
 
-    /// Counts a failed run. Several in a row quarantine the worker.
-    pub(crate) fn note_failure(&mut self, now: Time) {
+    /// Counts a failed run. Several in a row quarantine the worker. Returns whether a quarantine
+    /// begins.
+    pub(crate) fn note_failure(&mut self, now: Time) -> bool {
         // These runs began before the quarantine, which already accounts for their failures.
-        if self.quarantined_until > now {
-            return;
+        if self.is_quarantined(now) {
+            return false;
         }
         self.failure_streak += 1;
         if self.failure_streak < QUARANTINE_FAILURES {
-            return;
+            return false;
         }
         let doublings = self.quarantines.min(MAX_QUARANTINE_DOUBLINGS);
         self.quarantined_until = now + QUARANTINE_TIME.times(1 << doublings);
         self.quarantines += 1;
         // One more failure after the quarantine starts the next one.
         self.failure_streak = QUARANTINE_FAILURES - 1;
+        true
     }
 }
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -18,5 +18,6 @@
 mod speculation;
 mod takeover;
 mod tentative;
+mod waiting;
 mod worker_pace;
 mod workers;
--- /dev/null
+++ b/crates/kingcupwinch-cell/tests/cell/waiting.rs
@@ -0,0 +1,188 @@
+//! What holds a task back although there is room for it, and what ends the wait.
+
+use kingcupwinch_cell::{EndReason, JobSpec, StepSpec, WorkerKey};
+
+use crate::harness::{FakeWorker, Harness, id, job, registration, step};
+
+/// The number of the job that fails runs to have workers quarantined.
+const FAILING_JOB: u64 = 99;
+/// The longest quarantine, in milliseconds.
+const MAX_QUARANTINE_MS: u64 = 20_000;
+
+fn long_running(count: u16, cores: u64) -> JobSpec {
+    job(vec![StepSpec {
+        long_running: true,
+        ..step(count, cores, 500)
+    }])
+}
+
+/// Fills all workers, which are idle and have 4 cores, and has every run on some of them fail, so
+/// that these are quarantined.
+fn quarantine(harness: &mut Harness, bad: &[WorkerKey]) {
+    let tasks = 4 * harness.workers.len() as u16;
+    let mut spec = job(vec![step(tasks, 1, 500)]);
+    spec.policy.max_attempts = 1_000;
+    harness.submit(FAILING_JOB, spec);
+    harness.run_round();
+    let running = harness.running();
+    assert_eq!(running.len(), usize::from(tasks));
+    for (key, task) in running {
+        let is_bad = bad.contains(&key);
+        let reason = if is_bad {
+            EndReason::Failed
+        } else {
+            EndReason::Done
+        };
+        harness.end(key, task, reason);
+    }
+    harness.poll_all();
+    harness.cell.cancel(id(FAILING_JOB), harness.now);
+    harness.append_records();
+}
+
+fn places(harness: &Harness) -> Vec<WorkerKey> {
+    harness.running().iter().map(|(key, _)| *key).collect()
+}
+
+/// A long-running task waited for up to 20 s, though a failure on a bad worker costs it nothing.
+#[test]
+fn a_long_running_task_starts_in_quarantine_if_no_other_worker_has_room() {
+    let mut harness = Harness::new(1, 4);
+    let keys = harness.keys();
+    quarantine(&mut harness, &keys);
+    harness.submit(1, long_running(2, 1));
+    harness.run_round();
+    assert_eq!(places(&harness), [keys[0], keys[0]]);
+}
+
+#[test]
+fn a_long_running_task_avoids_quarantined_workers() {
+    let mut harness = Harness::new(6, 4);
+    let keys = harness.keys();
+    quarantine(&mut harness, &keys[..1]);
+    harness.submit(1, long_running(20, 1));
+    harness.run_round();
+    assert_eq!(harness.running().len(), 20);
+    assert!(!places(&harness).contains(&keys[0]));
+}
+
+/// Runs that fail on every worker are their own fault. They took all workers of a service away from
+/// all other jobs.
+#[test]
+fn at_most_a_fifth_of_a_service_is_quarantined() {
+    let mut harness = Harness::new(10, 4);
+    let keys = harness.keys();
+    quarantine(&mut harness, &keys);
+    harness.submit(1, job(vec![step(40, 1, 500)]));
+    harness.run_round();
+    assert_eq!(harness.running().len(), 32);
+}
+
+/// The worker that failed most often stays in quarantine, and the one whose quarantine ends first
+/// returns.
+#[test]
+fn the_quarantine_that_ends_first_is_cut_short() {
+    let mut harness = Harness::new(10, 4);
+    let keys = harness.keys();
+    quarantine(&mut harness, &keys[..2]);
+    harness.advance(100);
+    harness.poll_all();
+    harness.submit(1, job(vec![step(16, 2, 500)]));
+    harness.run_round();
+    let running = harness.running();
+    assert_eq!(running.len(), 16);
+    for (key, task) in running {
+        let is_bad = key == keys[5];
+        let reason = if is_bad {
+            EndReason::Failed
+        } else {
+            EndReason::Done
+        };
+        harness.end(key, task, reason);
+    }
+    harness.poll_all();
+    harness.cell.cancel(id(1), harness.now);
+    harness.submit(2, job(vec![step(40, 1, 500)]));
+    harness.run_round();
+    let places = places(&harness);
+    assert_eq!(places.len(), 32);
+    assert!(!places.contains(&keys[5]));
+}
+
+fn with_label(harness: &mut Harness, number: usize, label: &str) -> WorkerKey {
+    let mut entry = registration(number, 4);
+    entry.labels[0] = label.into();
+    let key = harness.cell.register_worker(entry, false, harness.now);
+    harness.workers.insert(key, FakeWorker::default());
+    harness.poll_all();
+    key
+}
+
+fn labelled_job(label: &str, attempts: u32) -> JobSpec {
+    let mut spec = job(vec![StepSpec {
+        required_label: Some(label.into()),
+        ..step(1, 1, 500)
+    }]);
+    spec.policy.max_attempts = attempts;
+    spec
+}
+
+/// A task whose only workers are quarantined waited for up to 20 s with room on them.
+#[test]
+fn a_task_with_attempts_left_starts_in_quarantine_if_it_has_no_other_worker() {
+    let mut harness = Harness::new(9, 4);
+    let special = with_label(&mut harness, 9, "special");
+    quarantine(&mut harness, &[special]);
+    harness.submit(1, labelled_job("special", 2));
+    harness.run_round();
+    assert_eq!(places(&harness), [special]);
+}
+
+/// Another failure would fail the job, so the last attempt waits, but not for good.
+#[test]
+fn the_last_attempt_waits_for_the_end_of_the_quarantine() {
+    let mut harness = Harness::new(9, 4);
+    let special = with_label(&mut harness, 9, "special");
+    quarantine(&mut harness, &[special]);
+    harness.submit(1, labelled_job("special", 1));
+    harness.run_round();
+    assert!(harness.running().is_empty());
+    let mut waited = 0;
+    while harness.running().is_empty() {
+        harness.advance(100);
+        waited += 100;
+        harness.poll_all();
+        harness.run_round();
+        assert!(waited <= MAX_QUARANTINE_MS);
+    }
+}
+
+/// Failures cost attempts, so a task waits for busy workers that are not quarantined.
+#[test]
+fn a_task_waits_for_a_busy_worker_before_it_uses_a_quarantined_one() {
+    let mut harness = Harness::new(2, 4);
+    let keys = harness.keys();
+    quarantine(&mut harness, &keys[..1]);
+    harness.submit(1, job(vec![step(5, 1, 500)]));
+    harness.run_round();
+    assert_eq!(places(&harness), [keys[1]; 4]);
+}
+
+/// Runs that were placed before their worker was quarantined would fail there.
+#[test]
+fn a_quarantine_withdraws_the_runs_that_were_not_ordered_yet() {
+    let mut harness = Harness::new(2, 4);
+    harness.submit(1, job(vec![step(2, 1, 500)]));
+    harness.run_round();
+    let bad = harness.running()[0].0;
+    assert_eq!(places(&harness), [bad, bad]);
+    harness.submit(2, job(vec![step(2, 1, 500)]));
+    harness.decide_without_log();
+    harness.end_all(EndReason::Failed);
+    harness.poll_all();
+    harness.append_records();
+    harness.run_round();
+    harness.run_round();
+    assert_eq!(harness.running().len(), 4);
+    assert!(!places(&harness).contains(&bad));
+}
