Expire lost calls to the adviser whatever became of their jobs

A call that was never answered was dropped only while its step still waited for workers. If the job had ended, the call stayed in flight for good, its instance counted as overdue, and no step got a call through that instance again.

The node answers each call by its deadline, so this was not reached there; the cell relied on it without saying so.

The new test was seen to fail without the change, and passes with it; the other tests of the cell pass unchanged.

--- a/crates/kingcupwinch-cell/src/cell/advice_calls.rs
+++ b/crates/kingcupwinch-cell/src/cell/advice_calls.rs
@@ -20,6 +20,8 @@
     step: usize,
     workers: Vec<WorkerKey>,
     instance: Arc<str>,
+    /// When the call counts as lost.
+    deadline: Time,
 }
 
 impl Cell {
@@ -29,7 +31,7 @@
         job: JobKey,
         step: usize,
         workers: Vec<WorkerKey>,
-        instance: Arc<str>,
+        (instance, deadline): (Arc<str>, Time),
     ) -> AdviceCallId {
         let id = AdviceCallId(self.next_call);
         self.next_call += 1;
@@ -39,6 +41,7 @@
             step,
             workers,
             instance,
+            deadline,
         };
         self.advice_calls.insert(id, call);
         id
@@ -93,23 +96,24 @@
             .observe(new_allowed, new_verdicts);
     }
 
-    /// Drops the call of a step if it has timed out, and delays the next one.
-    pub(crate) fn expire_advice_call(&mut self, job: JobKey, step: usize, now: Time) {
-        let tickets = &mut self.jobs[job].steps[step].tickets;
-        if tickets.pending_until.is_some_and(|until| until < now) {
-            tickets.note_failure(now);
-            let Cell {
-                advice_calls,
-                advice_callers,
-                ..
-            } = self;
-            advice_calls.retain(|_, call| {
-                let is_lost = call.job == job && call.step == step;
-                if is_lost {
-                    advice_callers.note_failure(&call.instance, now);
-                }
-                !is_lost
-            });
-        }
+    /// Drops the calls that have timed out, also those of jobs that have ended, and delays the next
+    /// ones of their steps and callers.
+    pub(crate) fn expire_advice_calls(&mut self, now: Time) {
+        let Cell {
+            advice_calls,
+            advice_callers,
+            jobs,
+            ..
+        } = self;
+        advice_calls.retain(|_, call| {
+            if call.deadline >= now {
+                return true;
+            }
+            advice_callers.note_failure(&call.instance, now);
+            if let Some(job) = jobs.get_mut(call.job) {
+                job.steps[call.step].tickets.note_failure(now);
+            }
+            false
+        });
     }
 }
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -132,6 +132,7 @@
     pub fn decide(&mut self, now: Time) -> Vec<Action> {
         self.expire_workers(now);
         self.expire_tentative(now);
+        self.expire_advice_calls(now);
         self.stop_partial_gangs();
         self.settle_withdrawn_runs(now);
         self.open_occurrences(now);
@@ -231,7 +232,6 @@
     }
 
     fn place_step(&mut self, ready: &ReadyStep, pool: &mut WorkerPool, now: Time) {
-        self.expire_advice_call(ready.job, ready.step, now);
         self.release_kept_places(ready.job, ready.step, pool);
         let job = &self.jobs[ready.job];
         let spec = job.step_spec(ready.step);
--- a/crates/kingcupwinch-cell/src/placement/advice.rs
+++ b/crates/kingcupwinch-cell/src/placement/advice.rs
@@ -62,7 +62,8 @@
             .map(|key| Arc::clone(&self.workers[*key].registration.id))
             .collect();
         self.jobs[ready.job].steps[ready.step].tickets.pending_until = Some(deadline);
-        let call = self.add_advice_call(ready.job, ready.step, workers, Arc::clone(&instance));
+        let reserved = (Arc::clone(&instance), deadline);
+        let call = self.add_advice_call(ready.job, ready.step, workers, reserved);
         self.actions.push(Action::RequestAdvice {
             call,
             instance,
--- a/crates/kingcupwinch-cell/src/placement/moves.rs
+++ b/crates/kingcupwinch-cell/src/placement/moves.rs
@@ -129,7 +129,6 @@
     /// Stops the runs of a step that are to be moved and for which there are places. Asks the adviser
     /// for further places while the other runs stay active.
     pub(super) fn move_tasks(&mut self, ready: &ReadyStep, pool: &mut WorkerPool, now: Time) {
-        self.expire_advice_call(ready.job, ready.step, now);
         let runs = self.runs_to_move(ready.job, ready.step);
         // The tickets have to be valid when the tasks start.
         let advice = self.jobs[ready.job].spec.policy.advice;
--- a/crates/kingcupwinch-cell/tests/cell/waiting.rs
+++ b/crates/kingcupwinch-cell/tests/cell/waiting.rs
@@ -2,7 +2,7 @@
 
 use kingcupwinch_cell::{EndReason, JobSpec, StepSpec, WorkerKey};
 
-use crate::harness::{FakeWorker, Harness, id, job, registration, step};
+use crate::harness::{FakeWorker, Harness, id, job, registration, step, with_advice};
 
 /// The number of the job that fails runs to have workers quarantined.
 const FAILING_JOB: u64 = 99;
@@ -186,3 +186,26 @@
     assert_eq!(harness.running().len(), 4);
     assert!(!places(&harness).contains(&bad));
 }
+
+/// The response to a call was lost and its job had ended, so that the call stayed in flight for good
+/// and no step could use the instance that made it.
+#[test]
+fn a_lost_call_of_an_ended_job_does_not_block_its_caller() {
+    let mut harness = Harness::new(2, 4);
+    harness.cell.set_advice_callers(&["caller-0".into()]);
+    harness.submit(1, with_advice(job(vec![step(1, 1, 500)]), 10.0));
+    harness.decide();
+    assert_eq!(harness.calls.len(), 1);
+    harness.cell.cancel(id(1), harness.now);
+    harness.append_records();
+    harness.advance(200);
+    harness.submit(2, with_advice(job(vec![step(1, 1, 500)]), 10.0));
+    let mut waited = 0;
+    while harness.calls.len() < 2 {
+        harness.advance(100);
+        waited += 100;
+        harness.poll_all();
+        harness.decide();
+        assert!(waited < 3_000, "the step waits for a caller");
+    }
+}
