Hold the ends of a job that was dropped late after a takeover

A task that had ended could run again: ends of a job whose acceptance a new owner has not read wait for 10 s after the takeover. A job of the earlier owner that was announced again and dropped after that time had its ends acknowledged uncounted, and its acceptance, read later, started the task anew.

Dropping such a job now starts the same wait once more.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -46,7 +46,8 @@
 /// log. Those that deviate most from their kind are kept.
 const MAX_RECORDED_WORKERS: usize = 1_000;
 
-/// How long after a takeover an acceptance that an earlier owner was appending may still be read.
+/// How long after a takeover an acceptance that an earlier owner was appending may still be read, and
+/// after a job was dropped whose acceptance was not confirmed in time.
 const ACCEPTANCE_TIMEOUT: Span = Span::from_millis(10_000);
 
 /// The timers of a cell.
--- a/crates/kingcupwinch-cell/src/cell/tentative.rs
+++ b/crates/kingcupwinch-cell/src/cell/tentative.rs
@@ -5,7 +5,7 @@
 
 use kingcupwinch_time::{Span, Time};
 
-use super::Cell;
+use super::{ACCEPTANCE_TIMEOUT, Cell};
 use crate::id::JobId;
 use crate::job::{JobKey, JobState};
 use crate::mechanism::Mechanism;
@@ -89,6 +89,7 @@
         match earlier {
             Some(record) => {
                 self.unaccepted.insert(id, record);
+                self.accepted_by = now + ACCEPTANCE_TIMEOUT;
             }
             None => self.dropped_jobs.push(id),
         }
--- a/crates/kingcupwinch-cell/tests/cell/takeover.rs
+++ b/crates/kingcupwinch-cell/tests/cell/takeover.rs
@@ -398,3 +398,29 @@
     harness.run_round();
     assert_eq!(harness.running().len(), 1, "two runs of one task");
 }
+
+/// The job is announced and dropped when no acceptance of before the takeover can be read any more.
+/// Its end was acknowledged uncounted, and the task ran again once the acceptance was read.
+#[test]
+fn an_end_waits_for_the_acceptance_of_a_job_that_was_dropped_late() {
+    let mut harness = successor_of_unaccepted();
+    let key = harness.keys()[0];
+    list_running(&mut harness, key, run_of(1, 1));
+    harness.advance(9_000);
+    let spec = job(vec![step(1, 1, 500)]);
+    harness
+        .cell
+        .submit_tentatively(id(1), spec.clone(), harness.now);
+    harness.poll_all();
+    harness.advance(4_000);
+    harness.cell.drop_tentative(id(1), harness.now);
+    harness.end_all(EndReason::Done);
+    harness.poll_all();
+    harness.append_records();
+    harness.submit(1, spec);
+    harness.poll_all();
+    harness.append_records();
+    harness.decide();
+    assert!(harness.starts.is_empty());
+    assert_eq!(harness.job_state(1), Some(JobState::Completed));
+}
