Stop runs of jobs that were never accepted once no acceptance can be read

After a takeover, a worker that lists a run of a job whose acceptance was not read gets no new work, since the size of the run is not known. No stop order was sent for such a run, whatever became of the acceptance, so that a worker with room was lost to all jobs for as long as the run lasted: for good if it is long-running.

Once acceptances of before the takeover have certainly been read (10 s), the run is stopped as any other that is not known. The new test was seen to fail without the change, and passes with it; the other tests of the cell pass unchanged.

--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -8,7 +8,7 @@
 use super::runs::StopOrder;
 use super::{Action, Cell};
 use crate::event::{CellEvent, SettleCause};
-use crate::id::TaskName;
+use crate::id::{JobId, TaskName};
 use crate::run::{EndReason, NewRun, RunEnd, RunKey, RunState};
 use crate::run_time::WorkerPace;
 use crate::worker::{PollFailure, RunningTask, WorkerKey, WorkerPoll, WorkerStatus};
@@ -85,7 +85,7 @@
         for entry in running {
             let Some(run) = self.find_run(key, entry.task, entry.run, now) else {
                 self.workers[key].has_unknown_runs = true;
-                if !self.unaccepted.contains_key(&entry.task.job) {
+                if !self.awaits_acceptance(entry.task.job, now) {
                     self.actions.push(Action::Stop(StopOrder {
                         worker: key,
                         task: entry.task,
@@ -116,6 +116,11 @@
         }
     }
 
+    /// Returns whether the acceptance of a job that an earlier owner placed may still be read.
+    fn awaits_acceptance(&self, job: JobId, now: Time) -> bool {
+        now < self.accepted_by && self.unaccepted.contains_key(&job)
+    }
+
     /// Projects the time that a run will take for its whole work, once its progress shows it. A slow
     /// worker is thus known before its first run ends.
     fn project_run_time(&mut self, key: RunKey, now: Time) {
@@ -179,13 +184,13 @@
     /// of their job is read; the worker lists them until then.
     fn apply_ends(&mut self, key: WorkerKey, ended: &[RunEnd], now: Time) -> bool {
         for end in ended {
-            let worker = &mut self.workers[key];
-            if end.sequence <= worker.last_end_seen {
+            if end.sequence <= self.workers[key].last_end_seen {
                 continue;
             }
-            if now < self.accepted_by && self.unaccepted.contains_key(&end.task.job) {
+            if self.awaits_acceptance(end.task.job, now) {
                 return false;
             }
+            let worker = &mut self.workers[key];
             worker.last_end_seen = end.sequence;
             self.pending_acks.push(PendingAck {
                 batch: self.batch,
--- a/crates/kingcupwinch-cell/tests/cell/waiting.rs
+++ b/crates/kingcupwinch-cell/tests/cell/waiting.rs
@@ -1,13 +1,16 @@
 //! What holds a task back although there is room for it, and what ends the wait.
 
-use kingcupwinch_cell::{EndReason, JobSpec, StepSpec, WorkerKey};
+use kingcupwinch_cell::{EndReason, JobRecord, JobSpec, RunningTask, StepSpec, WorkerKey};
+use kingcupwinch_time::Span;
 
-use crate::harness::{FakeWorker, Harness, id, job, registration, step, with_advice};
+use crate::harness::{FakeWorker, Harness, id, job, registration, step, task, with_advice};
 
 /// The number of the job that fails runs to have workers quarantined.
 const FAILING_JOB: u64 = 99;
 /// The longest quarantine, in milliseconds.
 const MAX_QUARANTINE_MS: u64 = 20_000;
+/// How long after a takeover the acceptance of a job may still be read, in milliseconds.
+const ACCEPTANCE_TIMEOUT_MS: u64 = 10_000;
 
 fn long_running(count: u16, cores: u64) -> JobSpec {
     job(vec![StepSpec {
@@ -209,3 +212,39 @@
         assert!(waited < 3_000, "the step waits for a caller");
     }
 }
+
+/// An earlier owner placed a job whose acceptance never reached the log. Its run was neither known
+/// nor stopped, and its worker, with room left, got no work for as long as the run lasted.
+#[test]
+fn a_run_of_a_job_that_was_never_accepted_does_not_block_its_worker() {
+    let mut harness = Harness::of_generation(2);
+    let key = harness
+        .cell
+        .register_worker(registration(0, 4), true, harness.now);
+    harness.workers.insert(key, FakeWorker::default());
+    let record = JobRecord {
+        last_run: 1,
+        started: true,
+        ..JobRecord::default()
+    };
+    let now = harness.now;
+    harness
+        .cell
+        .restore(id(1), None, Some(&record), Span::ZERO, now);
+    let fake = harness.workers.get_mut(&key).unwrap();
+    fake.running.push(RunningTask {
+        task: task(1, 0, 0),
+        run: 1,
+        checkpoint: None,
+        percent: 0,
+    });
+    harness.submit(2, job(vec![step(1, 1, 500)]));
+    let mut waited = 0;
+    while !harness.running().iter().any(|(_, task)| task.job == id(2)) {
+        harness.advance(500);
+        waited += 500;
+        harness.poll_all();
+        harness.run_round();
+        assert!(waited <= ACCEPTANCE_TIMEOUT_MS + 1_000);
+    }
+}
