--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -7,6 +7,7 @@
 mod advice;
 mod moves;
 mod pool;
+mod waits;
 
 use std::cmp::Ordering;
 use std::sync::Arc;
@@ -24,6 +25,7 @@
 
 pub(crate) use moves::KeptPlace;
 pub(crate) use pool::{Candidate, WorkerPool, WorkerPools};
+pub(crate) use waits::{WaitBudget, WaitState};
 
 /// How much faster than needed the slowest worker has to be before slow workers come first for a
 /// step, since run times are uncertain.
@@ -141,13 +143,14 @@
         self.reserve_kept_places(&mut pools, now);
         for ready in self.ready_steps(&pools, now) {
             let service = &self.jobs[ready.job].spec.policy.service;
-            let Some(pool) = pools.by_service.get_mut(service) else {
-                continue;
-            };
-            if ready.is_move {
-                self.move_tasks(&ready, pool, now);
-            } else {
-                self.place_step(&ready, pool, now);
+            match pools.by_service.get_mut(service) {
+                Some(pool) if ready.is_move => self.move_tasks(&ready, pool, now),
+                Some(pool) => self.place_step(&ready, pool, now),
+                None => {}
+            }
+            if !ready.is_move {
+                let service = &self.jobs[ready.job].spec.policy.service;
+                self.note_wait(&ready, pools.by_service.get(service), now);
             }
         }
         self.start_speculative_runs(&mut pools, now);
