Bound how long a waiting gang holds other jobs back

A gang that does not fit keeps the free capacity of the workers that it may use, so that small tasks can't starve it. It did so without bound: a gang wider than the service could ever hold, or one that waited for its last worker behind a long-running task, kept idle workers from all less urgent jobs until its objective had passed, half a minute in the tests.

Nothing is reserved for a gang that would not fit if nothing else ran. A gang that has waited for 2 s reserves nothing while more than half of the service is free; under load it reserves as before.

Both tests were seen to fail without the change, and pass with it; the other tests of the cell pass unchanged.

--- a/crates/kingcupwinch-cell/src/fit.rs
+++ b/crates/kingcupwinch-cell/src/fit.rs
@@ -220,6 +220,17 @@
         }
     }
 
+    /// Returns how many tasks of a step would fit on a worker of its service if nothing else ran there.
+    pub(crate) fn fits_when_idle(&self, demand: &StepDemand, worker: WorkerKey, now: Time) -> u64 {
+        let spec = self.jobs[demand.job].step_spec(demand.step);
+        if !self.has_label(worker, spec) || self.access(demand, worker, now) == Access::Denied {
+            return 0;
+        }
+        let capacity = &self.workers[worker].registration.capacity;
+        let fits = capacity.task_capacity(demand.charge);
+        demand.limit.map_or(fits, |limit| fits.min(limit))
+    }
+
     /// Returns whether only quarantined workers are left for a step. Long-running tasks may fail any
     /// number of times, so for them that is so while no other worker has room. For other steps, it is
     /// so if no other worker may ever run them.
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -12,7 +12,7 @@
 use std::cmp::Ordering;
 use std::sync::Arc;
 
-use kingcupwinch_time::Time;
+use kingcupwinch_time::{Span, Time};
 
 use crate::cell::{Action, Cell};
 use crate::fit::StepDemand;
@@ -27,6 +27,10 @@
 pub(crate) use pool::{Candidate, WorkerPool, WorkerPools};
 pub(crate) use waits::{WaitBudget, WaitState};
 
+/// How long others wait for a gang while most of the service is free. Callers expect a start within
+/// 3 s then.
+const MAX_PATIENCE: Span = Span::from_millis(2_000);
+
 /// How much faster than needed the slowest worker has to be before slow workers come first for a
 /// step, since run times are uncertain.
 const PACE_MARGIN: f64 = 1.3;
@@ -183,6 +187,7 @@
             };
             let pace = self.worker_pace(key, now);
             let is_quarantined = worker.is_quarantined(now);
+            pool.count_capacity(worker.registration.capacity, worker.available());
             pool.indexes.insert(key, pool.candidates.len());
             pool.has_quarantined |= is_quarantined;
             if !is_quarantined {
@@ -234,6 +239,12 @@
         ready
     }
 
+    /// Returns whether a step has waited for long although most of the service is free.
+    fn is_out_of_patience(&self, ready: &ReadyStep, pool: &WorkerPool, now: Time) -> bool {
+        let step = &self.jobs[ready.job].steps[ready.step];
+        pool.is_mostly_free() && step.wait.is_since(now - MAX_PATIENCE)
+    }
+
     fn place_step(&mut self, ready: &ReadyStep, pool: &mut WorkerPool, now: Time) {
         self.release_kept_places(ready.job, ready.step, pool);
         let job = &self.jobs[ready.job];
@@ -443,6 +454,13 @@
         left == 0
     }
 
+    /// Returns whether a gang would fit if nothing else ran on the workers that it may use.
+    fn could_fit(&self, demand: &StepDemand, tasks: usize, pool: &WorkerPool, now: Time) -> bool {
+        let candidates = pool.candidates.iter();
+        let fits = candidates.map(|candidate| self.fits_when_idle(demand, candidate.key, now));
+        fits.fold(0, u64::saturating_add) >= tasks as u64
+    }
+
     /// Starts a whole gang if it fits. Otherwise reserves the available capacity for it, so that
     /// steps behind it can't starve it.
     fn place_gang(
@@ -456,7 +474,10 @@
         let job = &self.jobs[ready.job];
         let tasks = job.steps[ready.step].tasks.len();
         let Some(chosen) = self.choose_gang(demand, eligible, pool, tasks) else {
-            if !self.uses(Mechanism::GangReservation) {
+            let is_reserving = self.uses(Mechanism::GangReservation)
+                && !self.is_out_of_patience(ready, pool, now)
+                && self.could_fit(demand, tasks, pool, now);
+            if !is_reserving {
                 return false;
             }
             let mut left = tasks as u64;
--- a/crates/kingcupwinch-cell/src/placement/pool.rs
+++ b/crates/kingcupwinch-cell/src/placement/pool.rs
@@ -67,6 +67,9 @@
     pub(crate) candidates: Vec<Candidate>,
     pub(super) indexes: SecondaryMap<WorkerKey, usize>,
     pub(crate) has_quarantined: bool,
+    /// The total CPU of the workers and what is left of it, in thousandths of a core.
+    total_cpu: u64,
+    free_cpu: u64,
     /// The pace of the fastest and of the slowest candidate that is not quarantined, if there is any.
     pub(super) paces: Option<PaceRange>,
 }
@@ -78,6 +81,17 @@
 }
 
 impl WorkerPool {
+    /// Counts the capacity of a worker.
+    pub(super) fn count_capacity(&mut self, total: Resources, available: Resources) {
+        self.total_cpu += total.cpu;
+        self.free_cpu += available.cpu;
+    }
+
+    /// Returns whether more than half of the CPU was free at the start of the round.
+    pub(super) fn is_mostly_free(&self) -> bool {
+        self.free_cpu * 2 > self.total_cpu
+    }
+
     /// Returns the index of a worker, if it is usable.
     pub(crate) fn index(&self, worker: WorkerKey) -> Option<usize> {
         self.indexes.get(worker).copied()
--- a/crates/kingcupwinch-cell/src/placement/waits.rs
+++ b/crates/kingcupwinch-cell/src/placement/waits.rs
@@ -25,6 +25,11 @@
 }
 
 impl WaitState {
+    /// Returns whether the step has had startable tasks since `time` or before.
+    pub(super) fn is_since(&self, time: Time) -> bool {
+        self.since.is_some_and(|since| since <= time)
+    }
+
     /// Notes that the step has no startable task.
     pub(crate) fn clear(&mut self) {
         self.since = None;
--- a/crates/kingcupwinch-cell/tests/cell/waiting.rs
+++ b/crates/kingcupwinch-cell/tests/cell/waiting.rs
@@ -248,3 +248,66 @@
         assert!(waited <= ACCEPTANCE_TIMEOUT_MS + 1_000);
     }
 }
+
+/// How long a job may wait with nothing running while there is room for it and most of its service
+/// is free, in milliseconds.
+const MAX_WAIT_MS: u64 = 3_000;
+
+/// Runs rounds in which all runs report progress until a job runs. Returns whether it does in time.
+fn runs_in_time(harness: &mut Harness, number: u64) -> bool {
+    for round in 0..MAX_WAIT_MS / 100 {
+        harness.run_round();
+        if harness
+            .running()
+            .iter()
+            .any(|(_, task)| task.job == id(number))
+        {
+            return true;
+        }
+        harness.advance(100);
+        for fake in harness.workers.values_mut() {
+            for run in &mut fake.running {
+                run.percent = (round % 19) as u8;
+            }
+        }
+        harness.poll_all();
+    }
+    false
+}
+
+fn gang(count: u16, cores: u64, target_ms: u64) -> JobSpec {
+    let mut spec = job(vec![StepSpec {
+        gang: true,
+        ..step(count, cores, 2_000)
+    }]);
+    spec.policy.target_ms = target_ms;
+    spec
+}
+
+fn patient(count: u16, cores: u64) -> JobSpec {
+    let mut spec = job(vec![step(count, cores, 500)]);
+    spec.policy.target_ms = 60_000;
+    spec
+}
+
+/// A gang that no number of free workers could hold kept all free capacity until it was too late.
+#[test]
+fn nothing_is_reserved_for_a_gang_that_can_never_fit() {
+    let mut harness = Harness::new(4, 4);
+    harness.submit(1, gang(5, 4, 30_000));
+    harness.submit(2, patient(1, 1));
+    harness.run_round();
+    let jobs: Vec<_> = harness.running().iter().map(|(_, task)| task.job).collect();
+    assert_eq!(jobs, [id(2)]);
+}
+
+/// A gang that waits for the last worker kept the free ones from all less urgent jobs.
+#[test]
+fn a_gang_does_not_hold_others_back_for_long_while_most_of_the_service_is_free() {
+    let mut harness = Harness::new(4, 4);
+    harness.submit(1, long_running(1, 4));
+    harness.run_round();
+    harness.submit(2, gang(4, 4, 30_000));
+    harness.submit(3, patient(1, 1));
+    assert!(runs_in_time(&mut harness, 3));
+}
