Bound how long a job waits for a faster worker on a free service

Workers on which a job would miss its objective are left out for it as long as a faster one could still meet it. With the fast workers full, a job with nothing running waited beside idle slow ones until its objective was missed, which for long tasks takes many seconds.

The limit is lifted for a job that has nothing running and has waited for 2 s while more than half of the service is free. Under load it holds as before.

The test was seen to fail without the change, and passes with it; the other tests of the cell pass unchanged.

--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -27,8 +27,8 @@
 pub(crate) use pool::{Candidate, WorkerPool, WorkerPools};
 pub(crate) use waits::{WaitBudget, WaitState};
 
-/// How long others wait for a gang while most of the service is free. Callers expect a start within
-/// 3 s then.
+/// How long a job waits for a faster worker, and others wait for a gang, while most of the service is
+/// free. Nothing but the choice of workers is in the way then, and callers expect a start within 3 s.
 const MAX_PATIENCE: Span = Span::from_millis(2_000);
 
 /// How much faster than needed the slowest worker has to be before slow workers come first for a
@@ -230,7 +230,11 @@
         }
         for step in &mut ready {
             step.is_tight &= self.uses(Mechanism::FastFirst);
-            if !self.uses(Mechanism::PaceLimit) {
+            let job = &self.jobs[step.job];
+            let pool = pools.by_service.get(&job.spec.policy.service);
+            let is_stuck = job.runs.is_empty()
+                && pool.is_some_and(|pool| self.is_out_of_patience(step, pool, now));
+            if is_stuck || !self.uses(Mechanism::PaceLimit) {
                 step.slowest_pace = f64::INFINITY;
             }
         }
--- a/crates/kingcupwinch-cell/tests/cell/waiting.rs
+++ b/crates/kingcupwinch-cell/tests/cell/waiting.rs
@@ -4,6 +4,7 @@
 use kingcupwinch_time::Span;
 
 use crate::harness::{FakeWorker, Harness, id, job, registration, step, task, with_advice};
+use crate::worker_pace::fast_and_slow;
 
 /// The number of the job that fails runs to have workers quarantined.
 const FAILING_JOB: u64 = 99;
@@ -311,3 +312,24 @@
     harness.submit(3, patient(1, 1));
     assert!(runs_in_time(&mut harness, 3));
 }
+
+/// While the fast workers were full, a job waited for one until its objective was missed, with idle
+/// slow workers.
+#[test]
+fn a_job_does_not_wait_long_for_a_fast_worker_while_most_of_the_service_is_free() {
+    let (mut harness, fast, slow) = fast_and_slow(4);
+    let mut heavy = job(vec![step(2, 3, 1_000)]);
+    heavy.policy.stretch = 1.2;
+    heavy.policy.target_ms = 0;
+    harness.submit(1, heavy);
+    harness.run_round();
+    assert!(places(&harness).iter().all(|key| fast.contains(key)));
+    let mut long = job(vec![step(1, 2, 200_000)]);
+    long.policy.stretch = 1.0;
+    long.policy.target_ms = 0;
+    harness.submit(2, long);
+    harness.run_round();
+    assert_eq!(harness.running().len(), 2, "it waits for a fast worker");
+    assert!(runs_in_time(&mut harness, 2));
+    assert!(places(&harness).iter().any(|key| slow.contains(key)));
+}
--- a/crates/kingcupwinch-cell/tests/cell/worker_pace.rs
+++ b/crates/kingcupwinch-cell/tests/cell/worker_pace.rs
@@ -9,7 +9,7 @@
 const SLOW_MS: u64 = 1_700;
 
 /// Builds a harness whose first half of workers is fast, and has it learn their pace.
-fn fast_and_slow(workers: usize) -> (Harness, Vec<WorkerKey>, Vec<WorkerKey>) {
+pub(crate) fn fast_and_slow(workers: usize) -> (Harness, Vec<WorkerKey>, Vec<WorkerKey>) {
     let mut harness = Harness::new(workers, 4);
     let keys = harness.keys();
     let (fast, slow) = keys.split_at(workers / 2);
