Move no tasks of silent workers, and count them as unavailable

A run on a worker that did not respond to the last poll is not moved, and counts as unavailable. Both tests were seen to fail without the change, and pass with it; the other tests of the cell pass unchanged.

--- a/crates/kingcupwinch-cell/src/placement/moves.rs
+++ b/crates/kingcupwinch-cell/src/placement/moves.rs
@@ -115,9 +115,13 @@
                 continue;
             };
             let state = &self.runs[run];
-            let is_ready = state.state == RunState::Running && state.percent >= READY_PERCENT;
+            let worker = &self.workers[state.worker];
+            // What a silent worker runs may be gone.
+            let is_ready = state.state == RunState::Running
+                && state.percent >= READY_PERCENT
+                && worker.failed_polls == 0;
             unavailable += usize::from(!is_ready);
-            if is_ready && self.workers[state.worker].registration.draining {
+            if is_ready && worker.registration.draining {
                 moving.push(run);
             }
         }
--- a/crates/kingcupwinch-cell/tests/cell/moves.rs
+++ b/crates/kingcupwinch-cell/tests/cell/moves.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use kingcupwinch_cell::{EndReason, JobSpec, StepSpec, Ticket, WorkerKey};
+use kingcupwinch_cell::{EndReason, JobSpec, PollFailure, StepSpec, Ticket, WorkerKey};
 use kingcupwinch_time::Span;
 
 use crate::harness::{FakeWorker, Harness, id, job, registration, step, with_advice};
@@ -249,3 +249,40 @@
     let jobs: Vec<_> = harness.running().iter().map(|(_, task)| task.job).collect();
     assert_eq!(jobs, [id(1)]);
 }
+
+/// Stops were ordered, the adviser was asked and room was kept for tasks of draining workers that
+/// had gone silent.
+#[test]
+fn a_task_of_a_silent_worker_is_not_moved() {
+    let mut harness = harness_with_draining(job(vec![long_running(1, 1)]), 1);
+    let silent = harness.keys()[0];
+    harness.cell.poll_failed(silent, PollFailure::Unresponsive);
+    harness.decide();
+    assert!(harness.stops.is_empty());
+    harness.poll(silent);
+    harness.decide();
+    assert_eq!(harness.stops.len(), 1);
+}
+
+/// A task was moved while another one of its step was away with a silent worker.
+#[test]
+fn a_task_of_a_silent_worker_counts_as_unavailable() {
+    let spread = StepSpec {
+        worker_limit: Some(1),
+        max_unavailable: 1,
+        ..long_running(2, 1)
+    };
+    let mut harness = Harness::new(2, 4);
+    harness.submit(1, job(vec![spread]));
+    harness.run_round();
+    make_ready(&mut harness);
+    add_worker(&mut harness, 2, 4);
+    drain(&mut harness, 0, 4);
+    let silent = harness.keys()[1];
+    harness.cell.poll_failed(silent, PollFailure::Unresponsive);
+    harness.decide();
+    assert!(harness.stops.is_empty());
+    harness.poll(silent);
+    harness.decide();
+    assert_eq!(harness.stops.len(), 1);
+}
