--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -36,6 +36,7 @@
 pub(crate) use long_running::READY_PERCENT;
 
 pub use advice_calls::AdviceCallId;
+pub(crate) use advice_calls::NamedWorker;
 pub use records::RecordBatch;
 pub use runs::{Action, StartOrder, StopOrder};
 
--- a/crates/kingcupwinch-cell/src/placement/moves.rs
+++ b/crates/kingcupwinch-cell/src/placement/moves.rs
@@ -93,10 +93,10 @@
     pub(super) fn steps_to_move(&self) -> impl Iterator<Item = ReadyStep> {
         self.long_running_jobs.iter().flat_map(|key| {
             let slots = 0..self.jobs[*key].steps.len();
-            let is_moving = |slot: &usize| !self.runs_to_move(*key, *slot).is_empty();
-            slots
-                .filter(is_moving)
-                .map(|slot| ReadyStep::of_move(*key, slot))
+            slots.filter_map(|slot| {
+                let tasks = self.runs_to_move(*key, slot).len();
+                (tasks > 0).then(|| ReadyStep::of_move(*key, slot, tasks))
+            })
         })
     }
 
--- a/crates/kingcupwinch-cell/src/placement/waits.rs
+++ b/crates/kingcupwinch-cell/src/placement/waits.rs
@@ -25,9 +25,9 @@
 }
 
 impl WaitState {
-    /// Returns whether the step has had startable tasks since `time` or before.
-    pub(super) fn is_since(&self, time: Time) -> bool {
-        self.since.is_some_and(|since| since <= time)
+    /// Returns since when the step has had startable tasks, which is now if it had none before.
+    pub(crate) fn since(&self, now: Time) -> Time {
+        self.since.unwrap_or(now)
     }
 
     /// Notes that the step has no startable task.
