--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use kingcupwinch_time::{Span, Time};
+use smallvec::SmallVec;
 
 use super::records::PendingAck;
 use super::runs::StopOrder;
@@ -11,14 +12,14 @@
 use crate::id::{JobId, TaskName};
 use crate::run::{EndReason, NewRun, RunEnd, RunKey, RunState};
 use crate::run_time::WorkerPace;
-use crate::worker::{PollFailure, RunningTask, WorkerKey, WorkerPoll, WorkerStatus};
+use crate::worker::{
+    PollFailure, RunningTask, Worker, WorkerKey, WorkerPoll, WorkerStatus, longest_expiry,
+};
 
 /// The number of run ends that a worker lists at most.
 const MAX_LISTED_ENDS: usize = 500;
 /// Polls in a row that don't list an active run, after which it is stopped.
 const MAX_MISSED_LISTINGS: u8 = 2;
-/// Failed polls in a row after which leases are no longer renewed, so that they certainly expire.
-const MAX_FAILED_POLLS: u32 = 2;
 /// The shortest time without progress after which a run is stopped and retried elsewhere.
 const MIN_STALL_TIMEOUT: Span = Span::from_millis(2_000);
 /// The divisor of a run's expected run time that gives its longest time without progress, if that
@@ -36,8 +37,8 @@
     /// Returns the next poll of a worker, or `None` if the worker was removed.
     pub fn next_poll(&mut self, key: WorkerKey, now: Time) -> Option<WorkerPoll> {
         let worker = self.workers.get_mut(key)?;
-        let is_unreachable = worker.failed_polls >= MAX_FAILED_POLLS;
-        let lease_until = if is_unreachable {
+        // A lease that a silent worker may get would only put off the time at which all have expired.
+        let lease_until = if worker.failed_polls > 0 {
             None
         } else {
             worker.grant_lease(now, self.timers.max_lease)
@@ -71,6 +72,11 @@
             self.reset_worker(key, known_ms);
         }
         let worker = &mut self.workers[key];
+        if worker.inherited {
+            // The worker refuses earlier owners from now on.
+            let leases_expire = now + longest_expiry(self.timers.max_lease);
+            worker.leases_expire = worker.leases_expire.min(leases_expire);
+        }
         worker.note_response(status.clock_ms, now);
         self.apply_running(key, &status.running, now);
         let are_all_applied = self.apply_ends(key, &status.ended, now);
@@ -287,26 +293,54 @@
         worker.pace = WorkerPace::default();
     }
 
-    /// Ends the runs of a worker on which certainly nothing runs any more.
-    fn settle_runs(&mut self, key: WorkerKey, cause: SettleCause, now: Time) {
-        let worker = &self.workers[key];
-        if worker.runs.is_empty() {
+    /// Ends runs of a worker that certainly are not active any more.
+    fn settle_runs(&mut self, key: WorkerKey, runs: &[RunKey], cause: SettleCause, now: Time) {
+        if runs.is_empty() {
             return;
         }
+        let worker = &self.workers[key];
         self.events.push(CellEvent::RunsSettled {
             worker: Arc::clone(&worker.registration.id),
             cause,
-            runs: worker.runs.len(),
+            runs: runs.len(),
             response_age: now.since(worker.last_response),
             unlisted_age: worker.unlisted_at.map(|at| now.since(at)),
             failed_polls: worker.failed_polls,
+            successor: self.successor(key),
         });
-        let runs: Vec<RunKey> = worker.runs.iter().copied().collect();
         for run in runs {
-            self.end_run(run, EndReason::LeaseExpired, None, now);
+            self.end_run(*run, EndReason::LeaseExpired, None, now);
         }
     }
 
+    /// Returns the id of the listed worker that has the address of another one now.
+    fn successor(&self, key: WorkerKey) -> Option<Arc<str>> {
+        let address = &self.workers[key].registration.address;
+        let is_successor = |(other, worker): &(WorkerKey, &Worker)| {
+            *other != key && worker.registration.address == *address && worker.unlisted_at.is_none()
+        };
+        let (_, successor) = self.workers.iter().find(is_successor)?;
+        Some(Arc::clone(&successor.registration.id))
+    }
+
+    /// Returns the runs of a worker that ended with its process, which another worker had replaced
+    /// when a poll was sent at `sent`. A start order that is in flight may still be refused or reach a
+    /// later process under the same id, and one of an earlier owner may not have been sent yet, so
+    /// such runs are left to the expiry of the leases.
+    fn replaced_runs(&self, key: WorkerKey, sent: Time) -> SmallVec<[RunKey; 8]> {
+        let has_ended = |run: &RunKey| match self.runs[*run].state {
+            RunState::Running => self.runs[*run].started_at <= sent,
+            RunState::Unconfirmed(since) | RunState::Stopped(since) => since < sent,
+            RunState::Planned
+            | RunState::Inherited
+            | RunState::Withdrawn
+            | RunState::Starting
+            | RunState::Stopping(_) => false,
+        };
+        let runs = self.workers[key].runs.iter().copied();
+        runs.filter(has_ended).collect()
+    }
+
     /// Ends the runs on workers where certainly nothing runs any more, and removes workers that
     /// left the directory.
     pub(crate) fn expire_workers(&mut self, now: Time) {
@@ -314,7 +348,11 @@
         for key in keys {
             if let Some(cause) = self.workers[key].idle_cause(self.timers.exit_window, now) {
                 self.workers[key].inherited = false;
-                self.settle_runs(key, cause, now);
+                let runs: SmallVec<[RunKey; 8]> = self.workers[key].runs.iter().copied().collect();
+                self.settle_runs(key, &runs, cause, now);
+            } else if let Some(sent) = self.workers[key].replaced_at() {
+                let runs = self.replaced_runs(key, sent);
+                self.settle_runs(key, &runs, SettleCause::Replaced, now);
             }
             let worker = &self.workers[key];
             let has_left = worker
