--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -3,6 +3,7 @@
 mod advice_calls;
 mod long_running;
 mod polls;
+mod quarantine;
 mod records;
 mod restore;
 mod run_ends;
@@ -23,7 +24,7 @@
 use crate::id::{JobId, TaskName};
 use crate::job::{Job, JobKey, JobState, TaskState};
 use crate::mechanism::{Disabled, Mechanism};
-use crate::placement::WaitBudget;
+use crate::placement::{KeptPlace, WaitBudget};
 use crate::record::JobRecord;
 use crate::run::{Run, RunKey};
 use crate::run_time::{RunTimeRecord, RunTimes};
@@ -32,6 +33,8 @@
 
 use records::PendingAck;
 
+pub(crate) use long_running::READY_PERCENT;
+
 pub use advice_calls::AdviceCallId;
 pub(crate) use advice_calls::NamedWorker;
 pub use records::RecordBatch;
@@ -44,7 +47,8 @@
 /// log. Those that deviate most from their kind are kept.
 const MAX_RECORDED_WORKERS: usize = 1_000;
 
-/// How long after a takeover an acceptance that an earlier owner was appending may still be read.
+/// How long after a takeover an acceptance that an earlier owner was appending may still be read, and
+/// after a job was dropped whose acceptance was not confirmed in time.
 const ACCEPTANCE_TIMEOUT: Span = Span::from_millis(10_000);
 
 /// The timers of a cell.
@@ -129,7 +133,7 @@
     early_cancels: FxHashMap<JobId, Time>,
     pub(crate) workers: SlotMap<WorkerKey, Worker>,
     workers_by_id: FxHashMap<Arc<str>, WorkerKey>,
-    runs: SlotMap<RunKey, Run>,
+    pub(crate) runs: SlotMap<RunKey, Run>,
     runs_by_name: FxHashMap<(TaskName, u32), RunKey>,
     /// The share of workers that the adviser of each queue allowed of those it was asked about.
     allowed_shares: FxHashMap<Arc<str>, ShareEstimate>,
@@ -143,7 +147,7 @@
     pub(crate) wait_budget: WaitBudget,
     /// Jobs that have speculative steps, long-running steps, or a schedule.
     speculative_jobs: FxHashSet<JobKey>,
-    long_running_jobs: FxHashSet<JobKey>,
+    pub(crate) long_running_jobs: FxHashSet<JobKey>,
     scheduled_jobs: FxHashSet<JobKey>,
     /// The last known wall-clock time in Unix milliseconds, and the time at which it was read.
     wall_clock: Option<(u64, Time)>,
@@ -159,6 +163,8 @@
     /// Jobs whose acceptance is not in the log yet, with the time of their submission. No orders
     /// are sent for them.
     tentative: FxHashMap<JobKey, Time>,
+    /// Places that are kept for tasks that move.
+    pub(crate) kept_places: Vec<KeptPlace>,
     /// Dropped jobs that may have progress records in the log.
     dropped_jobs: Vec<JobId>,
     counters: Counters,
@@ -204,6 +210,7 @@
             unsent_starts: Vec::new(),
             appended_batch: 0,
             tentative: FxHashMap::default(),
+            kept_places: Vec::new(),
             dropped_jobs: Vec::new(),
             counters: Counters::default(),
         }
--- a/crates/kingcupwinch-cell/src/event.rs
+++ b/crates/kingcupwinch-cell/src/event.rs
@@ -44,7 +44,7 @@
     pub is_call_pending: bool,
     /// The workers with a valid ticket.
     pub tickets: usize,
-    /// The listed workers that can take no new work of any step.
+    /// The listed workers that can take no new work of any step, or that are quarantined.
     pub unusable: usize,
     /// The workers on which a task could start after the round.
     pub startable: usize,
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -5,13 +5,14 @@
 //! workers first, the adviser is asked about as many workers as the step is likely to need.
 
 mod advice;
+mod moves;
 mod pool;
 mod waits;
 
 use std::cmp::Ordering;
 use std::sync::Arc;
 
-use kingcupwinch_time::Time;
+use kingcupwinch_time::{Span, Time};
 
 use crate::cell::{Action, Cell};
 use crate::fit::StepDemand;
@@ -22,9 +23,14 @@
 
 use pool::{PaceRange, pace_band};
 
+pub(crate) use moves::KeptPlace;
 pub(crate) use pool::{Candidate, WorkerPool, WorkerPools};
 pub(crate) use waits::{WaitBudget, WaitState};
 
+/// How long a job waits for a faster worker, and others wait for a gang, while most of the service is
+/// free. Nothing but the choice of workers is in the way then, and callers expect a start within 3 s.
+const MAX_PATIENCE: Span = Span::from_millis(2_000);
+
 /// How much faster than needed the slowest worker has to be before slow workers come first for a
 /// step, since run times are uncertain.
 const PACE_MARGIN: f64 = 1.3;
@@ -46,6 +52,8 @@
     job: JobKey,
     /// The slot of the step.
     step: usize,
+    /// The number of tasks that wait to be started or moved.
+    tasks: usize,
     status: ObjectiveStatus,
     /// The time that is left beyond the expected work, in microseconds. Negative if the objective
     /// will be missed.
@@ -55,6 +63,8 @@
     /// The pace (observed over expected run time) of the slowest worker that still meets the
     /// objective.
     slowest_pace: f64,
+    /// Whether tasks are to be moved, not started.
+    is_move: bool,
     /// Since when the step has had tasks that could start.
     waiting_since: Time,
 }
@@ -65,7 +75,7 @@
         let step = &job.steps[slot];
         let spec = job.step_spec(slot);
         if spec.long_running {
-            return ReadyStep::of_long_running(key, slot, step.wait.since(now));
+            return ReadyStep::of_long_running(key, slot, step.waiting, step.wait.since(now));
         }
         let critical_path = step.critical_path.as_micros() as f64;
         let left = |end: Time| {
@@ -90,36 +100,56 @@
         ReadyStep {
             job: key,
             step: slot,
+            tasks: step.waiting,
             status,
             slack,
             is_tight: status != ObjectiveStatus::Missed
                 && (slack as f64) < critical_path * (paces.slowest * PACE_MARGIN - paces.fastest),
             slowest_pace,
+            is_move: false,
             waiting_since: step.wait.since(now),
         }
     }
 
     /// Creates a ready step of long-running tasks. They have no end that could be late and are
     /// needed at once, so their slack is zero.
-    fn of_long_running(key: JobKey, slot: usize, waiting_since: Time) -> Self {
+    fn of_long_running(key: JobKey, slot: usize, tasks: usize, waiting_since: Time) -> Self {
         ReadyStep {
             job: key,
             step: slot,
+            tasks,
             status: ObjectiveStatus::OnTime,
             slack: 0,
             is_tight: false,
             slowest_pace: f64::INFINITY,
+            is_move: false,
             waiting_since,
         }
     }
 
+    /// Creates a ready step of long-running tasks that are to be moved. Little time may be left, so
+    /// that the step counts as one that has waited for long.
+    fn of_move(key: JobKey, slot: usize, tasks: usize) -> Self {
+        ReadyStep {
+            tasks,
+            is_move: true,
+            ..ReadyStep::of_long_running(key, slot, 0, Time::ZERO)
+        }
+    }
+
     /// Compares by urgency. Steps that are equally urgent come in the order in which they began to
     /// wait, so that none is passed over again and again.
     fn compare(&self, other: &ReadyStep) -> Ordering {
-        (self.status, self.slack)
-            .cmp(&(other.status, other.slack))
-            .then(self.waiting_since.cmp(&other.waiting_since))
-            .then(self.step.cmp(&other.step))
+        let rank = |step: &Self| {
+            (
+                step.status,
+                step.slack,
+                step.is_move,
+                step.waiting_since,
+                step.step,
+            )
+        };
+        rank(self).cmp(&rank(other))
     }
 }
 
@@ -128,28 +158,33 @@
     pub fn decide(&mut self, now: Time) -> Vec<Action> {
         self.expire_workers(now);
         self.expire_tentative(now);
+        self.expire_advice_calls(now);
         self.stop_partial_gangs();
         self.settle_withdrawn_runs(now);
         self.open_occurrences(now);
-        self.evacuate_long_running(now);
-        self.send_stops(now);
         self.set_mean_pace(now);
         let mut pools = self.usable_workers(now);
+        self.reserve_kept_places(&mut pools, now);
         for ready in self.ready_steps(&pools, now) {
             let service = &self.jobs[ready.job].spec.policy.service;
-            if let Some(pool) = pools.by_service.get_mut(service) {
-                self.place_step(&ready, pool, now);
+            match pools.by_service.get_mut(service) {
+                Some(pool) if ready.is_move => self.move_tasks(&ready, pool, now),
+                Some(pool) => self.place_step(&ready, pool, now),
+                None => {}
+            }
+            if !ready.is_move {
+                let service = &self.jobs[ready.job].spec.policy.service;
+                self.note_wait(&ready, pools.by_service.get(service), now);
             }
-            let service = &self.jobs[ready.job].spec.policy.service;
-            self.note_wait(&ready, pools.by_service.get(service), now);
         }
         self.start_speculative_runs(&mut pools, now);
+        self.send_stops(now);
         self.take_actions(now)
     }
 
     fn set_mean_pace(&mut self, now: Time) {
         let workers = self.workers.values();
-        let workers = workers.filter(|worker| worker.is_usable(now));
+        let workers = workers.filter(|worker| worker.is_usable(now) && !worker.is_quarantined(now));
         let paces = workers.map(|worker| (worker.kind(), &worker.pace));
         self.run_times.set_level(paces, now);
     }
@@ -172,14 +207,20 @@
                 continue;
             };
             let pace = self.worker_pace(key, now);
+            let is_quarantined = worker.is_quarantined(now);
+            pool.count_capacity(worker.registration.capacity, worker.available());
             pool.indexes.insert(key, pool.candidates.len());
-            pool.paces = Some(PaceRange::extend(pool.paces, pace));
+            pool.has_quarantined |= is_quarantined;
+            if !is_quarantined {
+                pool.paces = Some(PaceRange::extend(pool.paces, pace));
+            }
             pool.candidates.push(Candidate {
                 key,
                 available: worker.available(),
                 claimed: claims.get(&key).copied().unwrap_or_default(),
                 has_best_effort: worker.best_effort_runs > 0,
                 has_latency_sensitive: worker.latency_sensitive_runs > 0,
+                is_quarantined,
                 pace,
                 pace_band: pace_band(pace),
             });
@@ -211,16 +252,26 @@
         }
         for step in &mut ready {
             step.is_tight &= self.uses(Mechanism::FastFirst);
-            if !self.uses(Mechanism::PaceLimit) {
+            let job = &self.jobs[step.job];
+            let pool = pools.by_service.get(&job.spec.policy.service);
+            let is_stuck = job.runs.is_empty()
+                && pool.is_some_and(|pool| Cell::is_out_of_patience(step, pool, now));
+            if is_stuck || !self.uses(Mechanism::PaceLimit) {
                 step.slowest_pace = f64::INFINITY;
             }
         }
+        ready.extend(self.steps_to_move());
         ready.sort_by(ReadyStep::compare);
         ready
     }
 
+    /// Returns whether a step has waited for long although most of the service is free.
+    fn is_out_of_patience(ready: &ReadyStep, pool: &WorkerPool, now: Time) -> bool {
+        pool.is_mostly_free() && ready.waiting_since + MAX_PATIENCE <= now
+    }
+
     fn place_step(&mut self, ready: &ReadyStep, pool: &mut WorkerPool, now: Time) {
-        self.expire_advice_call(ready.job, ready.step, now);
+        self.release_kept_places(ready.job, ready.step, pool);
         let job = &self.jobs[ready.job];
         let spec = job.step_spec(ready.step);
         if !pool.has_capacity(spec.charged_resources()) {
@@ -229,19 +280,36 @@
         let mut demand = self
             .step_demand(ready.job, ready.step)
             .with_slowest_pace(ready.slowest_pace);
-        let eligible = self.eligible_candidates(ready, &demand, pool, now);
-        let is_placed = if eligible.is_empty() {
-            false
-        } else if spec.gang {
-            self.place_gang(ready, &demand, &eligible, pool, now)
-        } else {
-            self.place_tasks(ready, &mut demand, &eligible, pool, now)
-        };
+        self.count_kept_places(&mut demand);
+        let mut is_placed = self.place_demand(ready, &mut demand, pool, now);
+        if !is_placed && self.has_only_quarantined(&demand, pool, now) {
+            demand = demand.with_quarantined();
+            is_placed = self.place_demand(ready, &mut demand, pool, now);
+        }
         if !is_placed {
             self.request_advice(ready, &demand, pool, now);
         }
     }
 
+    /// Starts what fits of a step on the workers that suit its demand. Returns whether no startable
+    /// task is left.
+    fn place_demand(
+        &mut self,
+        ready: &ReadyStep,
+        demand: &mut StepDemand,
+        pool: &mut WorkerPool,
+        now: Time,
+    ) -> bool {
+        let eligible = self.eligible_candidates(ready, demand, pool, now);
+        if eligible.is_empty() {
+            false
+        } else if self.jobs[ready.job].step_spec(ready.step).gang {
+            self.place_gang(ready, demand, &eligible, pool, now)
+        } else {
+            self.place_tasks(ready, demand, &eligible, pool, now)
+        }
+    }
+
     /// Returns the indexes of the workers on which tasks of the step can start now, best first.
     fn eligible_candidates(
         &self,
@@ -382,8 +450,14 @@
         pool: &mut WorkerPool,
         now: Time,
     ) -> bool {
-        let startable = startable_tasks(&self.jobs[ready.job].steps[ready.step].tasks, now);
+        let job = &self.jobs[ready.job];
+        let tasks = &job.steps[ready.step].tasks;
+        let mut startable = startable_tasks(tasks, now);
         let mut left = startable.len();
+        if demand.accepts_quarantined && !job.step_spec(ready.step).long_running {
+            let limit = job.spec.policy.max_attempts as usize;
+            startable.retain(|index| tasks[*index].failed_runs.len() + 1 < limit);
+        }
         for index in startable {
             let avoid = self.jobs[ready.job].steps[ready.step].tasks[index].avoid_worker;
             let fits = |candidate: &&usize| {
@@ -409,6 +483,13 @@
         left == 0
     }
 
+    /// Returns whether a gang would fit if nothing else ran on the workers that it may use.
+    fn could_fit(&self, demand: &StepDemand, tasks: usize, pool: &WorkerPool, now: Time) -> bool {
+        let candidates = pool.candidates.iter();
+        let fits = candidates.map(|candidate| self.fits_when_idle(demand, candidate.key, now));
+        fits.fold(0, u64::saturating_add) >= tasks as u64
+    }
+
     /// Starts a whole gang if it fits. Otherwise reserves the available capacity for it, so that
     /// steps behind it can't starve it.
     fn place_gang(
@@ -422,7 +503,10 @@
         let job = &self.jobs[ready.job];
         let tasks = job.steps[ready.step].tasks.len();
         let Some(chosen) = self.choose_gang(demand, eligible, pool, tasks) else {
-            if !self.uses(Mechanism::GangReservation) {
+            let is_reserving = self.uses(Mechanism::GangReservation)
+                && !Cell::is_out_of_patience(ready, pool, now)
+                && self.could_fit(demand, tasks, pool, now);
+            if !is_reserving {
                 return false;
             }
             let mut left = tasks as u64;
--- a/crates/kingcupwinch-cell/src/placement/advice.rs
+++ b/crates/kingcupwinch-cell/src/placement/advice.rs
@@ -70,7 +70,7 @@
             self.jobs[ready.job].steps[ready.step].tickets.next_call = now + NO_CAPACITY_BACKOFF;
             return;
         }
-        let workers = name_workers(&workers, step.waiting, demand.charge, pool);
+        let workers = name_workers(&workers, ready.tasks, demand.charge, pool);
         let duration = call_time(&cost, workers.len());
         let Some((instance, deadline)) = self.advice_callers.reserve(duration, now) else {
             return;
@@ -137,7 +137,7 @@
             })
         });
         let factor = 1_u32 << step.tickets.calls_without_start.min(MAX_CALL_DOUBLINGS);
-        let wanted = step.waiting as f64 * CAPACITY_MARGIN * f64::from(factor);
+        let wanted = ready.tasks as f64 * CAPACITY_MARGIN * f64::from(factor);
         let min_workers = MIN_CALL_WORKERS * factor as usize;
         let mut requested = capacity;
         let mut workers = Vec::new();
--- a/crates/kingcupwinch-cell/src/placement/pool.rs
+++ b/crates/kingcupwinch-cell/src/placement/pool.rs
@@ -23,6 +23,7 @@
     /// Whether best-effort or latency-sensitive tasks run on the worker.
     pub(crate) has_best_effort: bool,
     pub(crate) has_latency_sensitive: bool,
+    pub(crate) is_quarantined: bool,
     /// Observed over expected run time; lower is faster.
     pub(crate) pace: f64,
     pub(super) pace_band: i64,
@@ -81,7 +82,11 @@
 pub(crate) struct WorkerPool {
     pub(crate) candidates: Vec<Candidate>,
     pub(super) indexes: SecondaryMap<WorkerKey, usize>,
-    /// The pace of the fastest and of the slowest candidate, if there is any.
+    pub(crate) has_quarantined: bool,
+    /// The total CPU of the workers and what is left of it, in thousandths of a core.
+    total_cpu: u64,
+    free_cpu: u64,
+    /// The pace of the fastest and of the slowest candidate that is not quarantined, if there is any.
     pub(super) paces: Option<PaceRange>,
 }
 
@@ -92,6 +97,17 @@
 }
 
 impl WorkerPool {
+    /// Counts the capacity of a worker.
+    pub(super) fn count_capacity(&mut self, total: Resources, available: Resources) {
+        self.total_cpu += total.cpu;
+        self.free_cpu += available.cpu;
+    }
+
+    /// Returns whether more than half of the CPU was free at the start of the round.
+    pub(super) fn is_mostly_free(&self) -> bool {
+        self.free_cpu * 2 > self.total_cpu
+    }
+
     /// Returns the index of a worker, if it is usable.
     pub(crate) fn index(&self, worker: WorkerKey) -> Option<usize> {
         self.indexes.get(worker).copied()
@@ -120,4 +136,23 @@
             capacity.sub(charge);
         }
     }
+
+    /// Reserves capacity for a task on a worker. Returns false if the worker has too little left.
+    pub(super) fn try_reserve(&mut self, worker: WorkerKey, charge: Resources) -> bool {
+        let Some(candidate) = self.index(worker) else {
+            return false;
+        };
+        let has_room = self.candidates[candidate].available.task_capacity(charge) > 0;
+        if has_room {
+            self.reserve(candidate, charge, 1);
+        }
+        has_room
+    }
+
+    /// Releases the capacity that was reserved for a task on a worker.
+    pub(super) fn release(&mut self, worker: WorkerKey, charge: Resources) {
+        if let Some(candidate) = self.index(worker) {
+            self.candidates[candidate].available.add(charge);
+        }
+    }
 }
