Settle runs of earlier owners on workers that were replaced at their addresses

Workers crash, others start at their addresses, and the owner is lost or restarted. Each later owner waited for the overlap and the longest lease anew before it started their tasks, 10.1 s with leases of 6 s, although each poll told it that another worker had the address.

Cause: the answer of another worker counted only for a worker that had responded to this owner, since a recorded address may be old.

Change: before any response it counts if the directory and the last owner's record name the address that was polled. The record is appended with or before the placements on the worker, so it is not older than they are. If the two differ, the address is recorded as unknown until the worker responds, so that a third owner doesn't trust the directory's. Placements are settled only by a poll that was sent after the overlap, in which earlier owners may still order them; an order that was sent before went to a process at this address, which has ended, or is refused. What remains is an entry of an earlier process that is written late, twice over and with an address that another worker got since, while the later process is cut off from the store and from the owner.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -27,7 +27,7 @@
 use crate::run::{Run, RunKey};
 use crate::run_time::{RunTimeRecord, RunTimes};
 use crate::spec::JobSpec;
-use crate::worker::{PollFailure, Registration, Worker, WorkerKey, longest_expiry};
+use crate::worker::{PollFailure, Registration, Worker, WorkerKey};
 
 use records::PendingAck;
 
@@ -298,22 +298,19 @@
             return key;
         }
         let id = Arc::clone(&entry.id);
-        // An earlier owner may have renewed leases until the end of the overlap.
-        let leases_expire = if inherited {
-            now + self.timers.handover_overlap + longest_expiry(self.timers.max_lease)
-        } else {
-            now
-        };
-        let key = self
-            .workers
-            .insert(Worker::new(entry, inherited, leases_expire));
+        let mut worker = Worker::new(entry);
+        if inherited {
+            let handover_until = now + self.timers.handover_overlap;
+            worker = worker.with_earlier_owner(handover_until, self.timers.max_lease);
+        }
+        let key = self.workers.insert(worker);
         self.workers_by_id.insert(id, key);
         key
     }
 
-    /// Adds a worker that an earlier owner used and that has left the directory since. Its recorded
-    /// placements count as running until a poll or the expiry of the leases settles them. A worker
-    /// with an empty `address` cannot be polled.
+    /// Adds a worker that an earlier owner used, unless the directory still lists it, with the address
+    /// that this owner recorded. Its recorded placements count as running until a poll or the expiry of
+    /// the leases settles them. A worker with an empty `address` cannot be polled.
     pub fn register_lost_worker(
         &mut self,
         id: &Arc<str>,
@@ -321,11 +318,14 @@
         now: Time,
     ) -> WorkerKey {
         if let Some(&known) = self.workers_by_id.get(id) {
+            self.workers[known].set_recorded_address(address);
             return known;
         }
         let is_reachable = !address.is_empty();
-        let key = self.register_worker(Registration::of_lost(id, address), true, now);
+        let entry = Registration::of_lost(id, Arc::clone(&address));
+        let key = self.register_worker(entry, true, now);
         let worker = &mut self.workers[key];
+        worker.set_recorded_address(address);
         worker.unlisted_at = Some(now);
         if !is_reachable {
             worker.note_poll_failure(PollFailure::Unresponsive);
@@ -453,6 +453,15 @@
         self.workers.iter().map(to_row).collect()
     }
 
+    /// Returns the id and the address of each worker, as they are recorded for a later owner.
+    pub fn worker_addresses(&self) -> Vec<(Arc<str>, Arc<str>)> {
+        let to_row = |worker: &Worker| {
+            let id = Arc::clone(&worker.registration.id);
+            (id, worker.address_to_record())
+        };
+        self.workers.values().map(to_row).collect()
+    }
+
     /// Takes the actions that accumulated since the last call, with the start orders whose placements
     /// and jobs are in the log by now. To be called only while the owner may give orders, since the
     /// actions count as carried out.
--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -320,14 +320,14 @@
 
     /// Returns the runs of a worker that ended with its process, which another worker had replaced
     /// when a poll was sent at `sent`. A start order that is in flight may still be refused or reach a
-    /// later process under the same id, and one of an earlier owner may not have been sent yet, so
-    /// such runs are left to the expiry of the leases.
+    /// later process under the same id, and one of an earlier owner may not have been sent yet before
+    /// the end of the overlap, so such runs are left to the expiry of the leases.
     fn replaced_runs(&self, key: WorkerKey, sent: Time) -> SmallVec<[RunKey; 8]> {
         let has_ended = |run: &RunKey| match self.runs[*run].state {
             RunState::Running => self.runs[*run].started_at <= sent,
             RunState::Unconfirmed(since) | RunState::Stopped(since) => since < sent,
+            RunState::Inherited => self.workers[key].is_handed_over(sent),
             RunState::Planned
-            | RunState::Inherited
             | RunState::Withdrawn
             | RunState::Starting
             | RunState::Stopping(_) => false,
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -185,6 +185,10 @@
     replaced_at: Option<Time>,
     /// Whether an earlier owner may have used the worker and this owner has not polled it yet.
     pub(crate) inherited: bool,
+    /// Until when an earlier owner may give orders.
+    handover_until: Time,
+    /// The address that the last owner recorded, until the worker responds.
+    recorded_address: Option<Arc<str>>,
     /// Whether the worker lists a run whose job, and thus its size, this owner doesn't know.
     pub(crate) has_unknown_runs: bool,
     pub(crate) pace: WorkerPace,
@@ -194,7 +198,7 @@
 }
 
 impl Worker {
-    pub(crate) fn new(registration: Registration, inherited: bool, leases_expire: Time) -> Self {
+    pub(crate) fn new(registration: Registration) -> Self {
         Worker {
             listed_ms: registration.started_ms,
             registration,
@@ -205,7 +209,7 @@
             latency_sensitive_runs: 0,
             runs: FxHashSet::default(),
             clock_sample: None,
-            leases_expire,
+            leases_expire: Time::ZERO,
             last_end_seen: 0,
             last_end_acked: 0,
             failed_polls: 0,
@@ -213,7 +217,9 @@
             is_overdue: false,
             is_connection_closed: false,
             replaced_at: None,
-            inherited,
+            inherited: false,
+            handover_until: Time::ZERO,
+            recorded_address: None,
             has_unknown_runs: false,
             pace: WorkerPace::default(),
             failure_streak: 0,
@@ -222,6 +228,30 @@
         }
     }
 
+    /// Marks the worker as one that an earlier owner may have used, and may use until the end of the
+    /// overlap.
+    pub(crate) fn with_earlier_owner(mut self, handover_until: Time, max_lease: Span) -> Self {
+        self.inherited = true;
+        self.handover_until = handover_until;
+        self.leases_expire = handover_until + longest_expiry(max_lease);
+        self
+    }
+
+    /// Sets the address that the last owner recorded.
+    pub(crate) fn set_recorded_address(&mut self, address: Arc<str>) {
+        self.recorded_address = Some(address);
+    }
+
+    /// Returns the address to record for a later owner. It is empty if the directory names another one
+    /// than the last owner recorded and the worker has not responded, so that its address is unknown.
+    pub(crate) fn address_to_record(&self) -> Arc<str> {
+        let address = &self.registration.address;
+        match &self.recorded_address {
+            Some(recorded) if recorded != address => "".into(),
+            _ => Arc::clone(address),
+        }
+    }
+
     /// Updates the entry from the directory. Only a response of the worker shows that it was
     /// restarted: entries may be read late, also those of an earlier process. While the worker
     /// responds, entries of other processes are ignored.
@@ -287,6 +317,7 @@
         self.is_connection_closed = false;
         self.replaced_at = None;
         self.inherited = false;
+        self.recorded_address = None;
     }
 
     /// Records a failed poll.
@@ -296,20 +327,28 @@
             PollFailure::Unresponsive => {}
             PollFailure::Closed => self.is_connection_closed = true,
             PollFailure::Replaced { address, sent } => {
-                if self.has_responded_at(address) && self.last_response <= sent {
+                if self.is_known_at(address) && self.last_response <= sent {
                     self.replaced_at = self.replaced_at.max(Some(sent));
                 }
             }
         }
     }
 
-    /// Returns whether the process that responded last is known to be at an address. Its own entry in
-    /// the directory shows that; an entry of another process under the same id may name another
-    /// address.
-    fn has_responded_at(&self, address: SocketAddr) -> bool {
-        self.clock_sample.is_some()
-            && self.listed_ms == self.registration.started_ms
-            && self.registration.address.parse() == Ok(address)
+    /// Returns whether the process that may run tasks is known to be at an address. An entry of another
+    /// process under the same id may name another address, so the entry has to be that of the process
+    /// that responded last, or, before any response, to name the address that the last owner recorded.
+    fn is_known_at(&self, address: SocketAddr) -> bool {
+        let is_own_entry = if self.clock_sample.is_some() {
+            self.listed_ms == self.registration.started_ms
+        } else {
+            self.recorded_address.as_ref() == Some(&self.registration.address)
+        };
+        is_own_entry && self.registration.address.parse() == Ok(address)
+    }
+
+    /// Returns whether earlier owners had certainly stopped giving orders at a time.
+    pub(crate) fn is_handed_over(&self, at: Time) -> bool {
+        self.handover_until <= at
     }
 
     /// Returns when the poll was sent that shows that the process had ended, if one does.
--- a/crates/kingcupwinch-cell/tests/cell/replaced.rs
+++ b/crates/kingcupwinch-cell/tests/cell/replaced.rs
@@ -5,7 +5,7 @@
 use kingcupwinch_cell::{
     CellEvent, EndReason, JobState, PollFailure, SettleCause, StartOutcome, WorkerKey,
 };
-use kingcupwinch_time::Time;
+use kingcupwinch_time::{Span, Time};
 
 use crate::harness::{
     FakeWorker, HANDOVER_OVERLAP, Harness, MAX_LEASE, job, registration, step, task,
@@ -217,9 +217,9 @@
     assert_eq!(harness.cell.take_events().len(), 1);
 }
 
-/// An earlier owner placed the run, maybe on a process at another address, and may still order it.
-#[test]
-fn an_answer_settles_no_run_of_an_earlier_owner() {
+/// Builds the harness of a later owner, which restores a job of which the task was placed on one of
+/// two workers. Returns the worker and its number.
+fn harness_with_placement() -> (Harness, WorkerKey, usize) {
     let mut earlier = Harness::new(2, 4);
     earlier.submit(1, job(vec![step(1, 1, 60_000)]));
     earlier.run_round();
@@ -233,18 +233,117 @@
         let key = harness.cell.register_worker(entry, true, harness.now);
         harness.workers.insert(key, FakeWorker::default());
     }
-    let record = &earlier.records[&task(1, 0, 0).job];
+    let id = task(1, 0, 0).job;
     let spec = job(vec![step(1, 1, 60_000)]);
-    let age = kingcupwinch_time::Span::ZERO;
+    harness.cell.restore(
+        id,
+        Some(spec),
+        Some(&earlier.records[&id]),
+        Span::ZERO,
+        harness.now,
+    );
+    let keys = harness.keys();
+    harness.poll(keys[1 - number]);
+    (harness, keys[number], number)
+}
+
+/// Delivers the address of a worker that the last owner recorded.
+fn record_address(harness: &mut Harness, number: usize, address: &str) {
+    let id = registration(number, 4).id;
+    harness
+        .cell
+        .register_lost_worker(&id, address.into(), harness.now);
+}
+
+/// The earlier owner may have known the worker at another address, where it is cut off.
+#[rstest::rstest]
+#[case::not_recorded(None)]
+#[case::recorded_elsewhere(Some("127.0.0.1:1"))]
+#[case::recorded_without_address(Some(""))]
+fn an_answer_at_an_address_that_was_not_recorded_settles_no_run_of_an_earlier_owner(
+    #[case] recorded: Option<&str>,
+) {
+    let (mut harness, worker, number) = harness_with_placement();
+    if let Some(address) = recorded {
+        record_address(&mut harness, number, address);
+    }
+    harness.advance(HANDOVER_OVERLAP.as_millis());
+    replace(&mut harness, worker, number);
+    assert_starts_only_after_expiry(&mut harness, worker);
+}
+
+/// Workers were replaced before their owner was. Each later owner waited for the leases once more.
+#[test]
+fn an_answer_settles_the_runs_of_earlier_owners_once_they_have_stopped() {
+    let (mut harness, worker, number) = harness_with_placement();
+    record_address(&mut harness, number, &registration(number, 4).address);
+    replace(&mut harness, worker, number);
+    harness.advance(HANDOVER_OVERLAP.as_millis() - 10);
+    harness.decide();
+    assert!(
+        harness.starts.is_empty(),
+        "an earlier owner may order the run"
+    );
+    harness.advance(10);
+    replace(&mut harness, worker, number);
+    harness.poll(harness.keys()[1 - number]);
+    harness.decide();
+    assert_eq!(harness.starts.len(), 1);
+    assert_ne!(harness.starts[0].worker, worker);
+}
+
+/// The entry has expired since.
+#[test]
+fn an_answer_settles_the_runs_on_a_worker_that_only_the_last_owner_knew() {
+    let mut harness = Harness::of_generation(2);
+    let key = harness
+        .cell
+        .register_worker(registration(0, 4), true, harness.now);
+    harness.workers.insert(key, FakeWorker::default());
+    record_address(&mut harness, 1, &registration(1, 4).address);
+    let rows = harness.cell.workers();
+    let lost = rows
+        .into_iter()
+        .find(|(other, ..)| *other != key)
+        .unwrap()
+        .0;
     let id = task(1, 0, 0).job;
+    let placement = kingcupwinch_cell::Placement {
+        step: 0,
+        index: 0,
+        run: 1,
+        worker: registration(1, 4).id,
+    };
+    let record = kingcupwinch_cell::JobRecord {
+        last_run: 1,
+        placements: vec![placement],
+        ..kingcupwinch_cell::JobRecord::default()
+    };
+    let spec = job(vec![step(1, 1, 60_000)]);
     harness
         .cell
-        .restore(id, Some(spec), Some(record), age, harness.now);
-    let keys = harness.keys();
-    harness.poll(keys[1 - number]);
-    replace(&mut harness, keys[number], number);
+        .restore(id, Some(spec), Some(&record), Span::ZERO, harness.now);
     harness.advance(HANDOVER_OVERLAP.as_millis());
-    assert_starts_only_after_expiry(&mut harness, keys[number]);
+    replace(&mut harness, lost, 1);
+    harness.poll(key);
+    harness.decide();
+    assert_eq!(harness.starts.len(), 1);
+}
+
+/// The directory shows an earlier process of the worker. A later owner must not take its address for
+/// one that was used.
+#[test]
+fn a_disputed_address_is_recorded_only_once_the_worker_has_responded() {
+    let (mut harness, worker, number) = harness_with_placement();
+    record_address(&mut harness, number, "127.0.0.1:1");
+    let listed = registration(number, 4);
+    let recorded = |harness: &Harness| {
+        let rows = harness.cell.worker_addresses();
+        rows.into_iter().find(|(id, _)| *id == listed.id).unwrap().1
+    };
+    assert_eq!(&*recorded(&harness), "");
+    harness.poll(worker);
+    assert_eq!(recorded(&harness), listed.address);
 }
 
 /// The end of a run that was settled by mistake would count all the same.
--- a/crates/kingcupwinch-node/src/owner/writer.rs
+++ b/crates/kingcupwinch-node/src/owner/writer.rs
@@ -69,10 +69,8 @@
 
     async fn handle(&mut self, take: TakeBatch, _: &mut Context<Self, WriteBatch>) -> WriteBatch {
         let now = self.shared.now();
-        let workers = std::mem::take(&mut self.is_worker_list_dirty).then(|| {
-            let row = |(_, id, address)| (id, address);
-            self.cell.workers().into_iter().map(row).collect()
-        });
+        let is_dirty = std::mem::take(&mut self.is_worker_list_dirty);
+        let workers = is_dirty.then(|| self.cell.worker_addresses());
         let cleanup = if take.with_cleanup {
             std::mem::take(&mut self.cleanup)
         } else {
