Soak long-running tasks, an adviser, limits per worker and replaced workers

The soak had none of these, so that it could not find a long-running task that stays stopped while workers have room for it.

The stand-ins get an adviser (tickets that workers check, with a validity of 1 s; the workers that may run a step are fixed by a hash), long-running tasks, which fail after 3 to 15 s, and workers that crash and make room for another one at their address, which refuses orders for the first. The full plan of a seed adds replaced workers with random numbers of their own, so the other faults of a seed stay the same, and long-running jobs of their own queue. After the faults have ended the run goes on for 14 s and then cancels these jobs.

New checks: a task is started while there is room for two on allowed workers below the limit of its step, within 3 s, from 4 s after the end of the faults and 6 s after its last run (`progress.rs`); a step stays within its limit for each worker and runs only on allowed ones. `tests/checks.rs` shows that each finds its breach, and leaves alone what lacks room, calm or time.

Not covered: the stand-in of the adviser handles the calls of one instance concurrently; calm moments between faults are not used, only the time after them.

--- a/crates/kingcupwinch-soak/src/checks.rs
+++ b/crates/kingcupwinch-soak/src/checks.rs
@@ -7,6 +7,8 @@
 use kingcupwinch_standin::{FencedAppend, WorkerEvent, WorkerEventKind};
 use rustc_hash::FxHashMap;
 
+use crate::progress::{check_progress, check_workers};
+
 /// Time after an acknowledged cancellation within which a task of the job may still start.
 const CANCEL_GRACE: Duration = Duration::from_secs(10);
 
@@ -39,6 +41,12 @@
     Cancelled,
     /// What is acknowledged, reported or ordered is in the log before.
     LogFirst,
+    /// A long-running task is started in time while workers have room for it.
+    Progress,
+    /// No worker runs more tasks of a step than its limit.
+    WorkerLimit,
+    /// A step runs only on the workers that the adviser allows.
+    Advised,
     /// Only ends that the worker has listed are acknowledged.
     ListedFirst,
     /// An instance that is asked to stop exits in time and with success.
@@ -67,6 +75,12 @@
     pub count: u16,
     /// Indexes of the steps that must be completed first.
     pub after: Vec<u16>,
+    /// CPU of each task, in thousandths of a core.
+    pub cpu: u64,
+    /// Largest number of its tasks on one worker, if there is a limit.
+    pub worker_limit: Option<u16>,
+    /// Whether its tasks run until the job is cancelled.
+    pub is_long_running: bool,
 }
 
 /// A job as its callers observed it.
@@ -90,6 +104,13 @@
     pub states: Vec<(Instant, String)>,
 }
 
+impl ObservedJob {
+    /// Returns whether the job has long-running tasks.
+    pub fn is_long_running(&self) -> bool {
+        self.steps.iter().any(|step| step.is_long_running)
+    }
+}
+
 /// What callers, workers and the store observed.
 #[derive(Debug, Clone, Copy)]
 pub struct Observations<'a> {
@@ -99,21 +120,32 @@
     pub events: &'a [WorkerEvent],
     /// Appends of the owners, in the order of their execution.
     pub appends: &'a [FencedAppend],
+    /// Times without faults, from their starts to their ends.
+    pub calm: &'a [(Instant, Instant)],
+    /// CPU capacity of each worker, in thousandths of a core.
+    pub worker_cpu: u64,
 }
 
 /// A run of a task, as recorded by its worker.
 #[derive(Debug, Clone)]
-struct Run {
-    worker: Arc<str>,
+pub(crate) struct Run {
+    pub(crate) worker: Arc<str>,
     number: u32,
-    started: Instant,
-    ended: Option<Instant>,
+    pub(crate) started: Instant,
+    pub(crate) ended: Option<Instant>,
     is_done: bool,
     listed: Option<Instant>,
     acked: Option<Instant>,
 }
 
-type Runs = FxHashMap<Arc<str>, Vec<Run>>;
+impl Run {
+    /// Returns whether the run is active at a time.
+    pub(crate) fn is_active(&self, at: Instant) -> bool {
+        self.started <= at && self.ended.is_none_or(|ended| at < ended)
+    }
+}
+
+pub(crate) type Runs = FxHashMap<Arc<str>, Vec<Run>>;
 
 /// Returns every violation that the observations show. [`Invariant::CleanShutdown`] is not among
 /// them: it depends on the processes, and is checked when a run stops them.
@@ -122,6 +154,7 @@
         jobs,
         events,
         appends,
+        ..
     } = *observations;
     let mut violations = Vec::new();
     let runs = collect_runs(events, &mut violations);
@@ -139,11 +172,13 @@
         check_order(job, &runs, &mut violations);
         check_states(job, &runs, &mut violations);
         check_log_first(job, &runs, &expirations, appends, &mut violations);
+        check_workers(job, &runs, &mut violations);
     }
+    check_progress(observations, &runs, &mut violations);
     violations
 }
 
-fn add_violation(violations: &mut Vec<Violation>, invariant: Invariant, detail: String) {
+pub(crate) fn add_violation(violations: &mut Vec<Violation>, invariant: Invariant, detail: String) {
     violations.push(Violation { invariant, detail });
 }
 
@@ -183,7 +218,10 @@
                 WorkerEventKind::Ended(_) | WorkerEventKind::Listed | WorkerEventKind::Acknowledged,
                 None,
             )
-            | (WorkerEventKind::LeaseExpired, _) => {}
+            | (
+                WorkerEventKind::LeaseExpired | WorkerEventKind::Joined | WorkerEventKind::Left,
+                _,
+            ) => {}
         }
     }
     runs
@@ -237,7 +275,10 @@
     }
 }
 
-fn runs_of<'a>(job: &'a ObservedJob, runs: &'a Runs) -> impl Iterator<Item = (&'a str, &'a Run)> {
+pub(crate) fn runs_of<'a>(
+    job: &'a ObservedJob,
+    runs: &'a Runs,
+) -> impl Iterator<Item = (&'a str, &'a Run)> {
     let of_job = runs
         .iter()
         .filter(|(task, _)| task.starts_with(job.id.as_str()));
--- a/crates/kingcupwinch-soak/src/cluster.rs
+++ b/crates/kingcupwinch-soak/src/cluster.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use kingcupwinch_standin::{
-    Caller, Fleet, History, InstanceSettings, StandinStore, StoreMode, WorkerEventKind,
-    WorkerFaults, WorkerHandle, WorkerSpec, publish_queue,
+    Caller, Fleet, History, InstanceSettings, StandinAdviser, StandinStore, StoreMode,
+    WorkerEventKind, WorkerFaults, WorkerHandle, WorkerSpec, publish_queue,
 };
 use rustix::process::Signal;
 use tokio::time::Instant;
@@ -21,7 +21,7 @@
 /// Maximum lease of the workers, in milliseconds.
 const MAX_LEASE_MS: u64 = 6_000;
 /// CPU capacity of each worker, in millicores.
-const WORKER_MILLICORES: u64 = 4_000;
+pub(crate) const WORKER_MILLICORES: u64 = 4_000;
 /// Delay that a slow link adds to every chunk.
 const LINK_DELAY: Duration = Duration::from_millis(120);
 /// Interval at which the events are checked for a trigger.
@@ -68,7 +68,10 @@
         let store = StandinStore::new();
         publish_queue(&store, 1);
         let history = History::default();
-        let fleet = Fleet::new(Arc::clone(&store), history.clone());
+        let adviser = Arc::<StandinAdviser>::default();
+        let adviser_address = free_address()?;
+        adviser.start(adviser_address).await?;
+        let fleet = Fleet::new(Arc::clone(&store), adviser, history.clone());
         let mut workers = Vec::new();
         for index in 0..worker_count {
             workers.push(start_worker(&fleet, index).await?);
@@ -76,7 +79,8 @@
         let mut instances = Vec::new();
         for index in 0..instance_count {
             let (address, _) = store.start(index).await?;
-            instances.push(start_instance(program, dir, index, address).await?);
+            let services = (address, adviser_address);
+            instances.push(start_instance(program, dir, index, services).await?);
         }
         Ok(Cluster {
             store,
@@ -168,7 +172,9 @@
             Fault::PartitionWorker(index) => self.workers[index].link.set(Mode::Blocked),
             Fault::BlockWorkerResponses(index) => self.workers[index].link.set(Mode::OneWay),
             Fault::ResetWorker(index) => self.workers[index].link.set(Mode::Reset),
-            Fault::CrashWorker(index) => self.workers[index].worker.crash(),
+            Fault::CrashWorker(index) | Fault::ReplaceWorker(index) => {
+                self.workers[index].worker.crash();
+            }
             Fault::DrainWorker(index) => self.workers[index].worker.register("draining"),
             Fault::UnlistWorker(index) => self.workers[index].worker.unregister(),
             Fault::ListPreviousWorker(index) => self.workers[index].worker.register_previous(),
@@ -238,6 +244,7 @@
             Fault::CrashWorker(index) | Fault::DrainWorker(index) => {
                 self.workers[index].worker.restart().await?;
             }
+            Fault::ReplaceWorker(index) => self.workers[index].worker.replace().await?,
             Fault::UnlistWorker(index) | Fault::ListPreviousWorker(index) => {
                 self.workers[index].worker.register("ready");
             }
@@ -334,7 +341,7 @@
     program: &Path,
     dir: &Path,
     index: usize,
-    store: SocketAddr,
+    (store, adviser): (SocketAddr, SocketAddr),
 ) -> io::Result<InstanceNode> {
     let store_link = Proxy::start(store).await?;
     let (callers, ready) = (free_address()?, free_address()?);
@@ -345,6 +352,7 @@
         ready,
         first_port: free_pair()?,
         store: store_link.address(),
+        adviser,
         max_lease_ms: MAX_LEASE_MS,
     };
     Ok(InstanceNode {
--- a/crates/kingcupwinch-soak/src/lib.rs
+++ b/crates/kingcupwinch-soak/src/lib.rs
@@ -10,6 +10,7 @@
 mod instance;
 mod plan;
 mod ports;
+mod progress;
 mod proxy;
 mod run;
 mod series;
--- a/crates/kingcupwinch-soak/src/plan.rs
+++ b/crates/kingcupwinch-soak/src/plan.rs
@@ -4,7 +4,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::series::{random_series, rolling_restart};
+use crate::series::{random_series, rolling_restart, workers_replaced};
 
 /// Range of the interval between the starts of two faults, in milliseconds. Most faults last longer
 /// than that, so they overlap.
@@ -19,9 +19,12 @@
 const SERIES_INTERVAL_MS: std::ops::Range<u64> = 1_000..3_500;
 /// Range of the interval between the starts of two restarts of all instances, in milliseconds.
 const RESTART_INTERVAL_MS: std::ops::Range<u64> = 4_000..9_000;
-/// Distinguish the random numbers of the series and of the restarts from those of the single faults.
+/// Range of the interval between the starts of two series of replaced workers, in milliseconds.
+const REPLACEMENT_INTERVAL_MS: std::ops::Range<u64> = 3_000..6_000;
+/// Distinguish the random numbers of the kinds of series from those of the single faults.
 const SERIES_SEED: u64 = 0x5e41_e500_0000_0000;
 const RESTART_SEED: u64 = 0x4e57_a470_0000_0000;
+const REPLACEMENT_SEED: u64 = 0x4e91_ace0_0000_0000;
 
 /// A fault of an instance.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -103,6 +106,8 @@
     ResetWorker(usize),
     /// A worker crashes, and starts again at the end.
     CrashWorker(usize),
+    /// A worker crashes, and another one starts at its address at the end.
+    ReplaceWorker(usize),
     /// A worker drains and is unregistered, and starts again at the end.
     DrainWorker(usize),
     /// The tasks on a worker hang.
@@ -171,6 +176,10 @@
             plan.add_series(&mut rng, seconds, RESTART_INTERVAL_MS, |rng| {
                 rolling_restart(rng, instances)
             });
+            let mut rng = ChaCha8Rng::seed_from_u64(seed ^ REPLACEMENT_SEED);
+            plan.add_series(&mut rng, seconds, REPLACEMENT_INTERVAL_MS, |rng| {
+                workers_replaced(rng, workers)
+            });
             plan.faults.sort_by_key(|planned| planned.at_ms);
         }
         plan
--- a/crates/kingcupwinch-soak/src/run.rs
+++ b/crates/kingcupwinch-soak/src/run.rs
@@ -12,13 +12,16 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::checks::{Invariant, Observations, Violation, check_invariants};
-use crate::cluster::Cluster;
+use crate::cluster::{Cluster, WORKER_MILLICORES};
 use crate::plan::{Plan, PlanKind, PlannedFault};
 use crate::workload::{Pace, Workload};
 
 /// Default numbers of instances and workers of a run.
 const INSTANCES: usize = 3;
 const WORKERS: usize = 6;
+/// Time for which long-running tasks are observed once every fault is healed: a task that fails in its
+/// first seconds has to run again by its end.
+const OBSERVATION_TIME: Duration = Duration::from_secs(14);
 /// Time within which all accepted jobs must end once every fault is healed.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Maximum number of further attempts to start the cluster, with other ports.
@@ -113,10 +116,20 @@
     let (seed, submitter) = (options.seed, workload.clone());
     let submissions = tokio::spawn(async move { submitter.submit_jobs(seed, length, pace).await });
     let start = (std::time::Instant::now(), SystemTime::now());
+    let (workers, submitter) = (options.workers, workload.clone());
+    if options.plan == PlanKind::Full {
+        tokio::spawn(async move { submitter.submit_long_running_jobs(seed, workers).await });
+    }
     inject_faults(&mut cluster, &plan).await?;
     cluster.heal().await?;
+    let healed = std::time::Instant::now();
     // The callers end by themselves. A panic in one shows up as a job that does not end.
     let _ = submissions.await;
+    if options.plan == PlanKind::Full {
+        tokio::time::sleep(OBSERVATION_TIME.saturating_sub(healed.elapsed())).await;
+    }
+    let calm = [(healed, std::time::Instant::now())];
+    workload.cancel_long_running_jobs().await;
     workload.wait_for_ends(SETTLE_TIMEOUT).await;
     cluster.stop().await?;
     let jobs = workload.jobs();
@@ -127,6 +140,8 @@
         jobs: &jobs,
         events: &events,
         appends: &appends,
+        calm: &calm,
+        worker_cpu: WORKER_MILLICORES,
     });
     violations.extend(cluster.unclean_stops.iter().map(|detail| Violation {
         invariant: Invariant::CleanShutdown,
--- a/crates/kingcupwinch-soak/src/series.rs
+++ b/crates/kingcupwinch-soak/src/series.rs
@@ -13,6 +13,8 @@
 const RELISTING_MS: std::ops::Range<u64> = 100..2_000;
 /// Range of the time for which a worker is down between two processes, in milliseconds.
 const RESTART_MS: std::ops::Range<u64> = 1..400;
+/// Range of the time after which another worker has the address of a crashed one, in milliseconds.
+const REPLACEMENT_MS: std::ops::Range<u64> = 500..2_000;
 
 const TRIGGERS: [Trigger; 4] = [
     Trigger::Append,
@@ -184,6 +186,17 @@
     faults
 }
 
+/// Workers crash, and other workers start at their addresses a little later.
+pub(crate) fn workers_replaced(rng: &mut ChaCha8Rng, workers: usize) -> Vec<PlannedFault> {
+    let mut faults = Vec::new();
+    for worker in some_workers(rng, workers) {
+        let at = rng.random_range(0..500);
+        let down = rng.random_range(REPLACEMENT_MS);
+        faults.push(planned(at, down, Fault::ReplaceWorker(worker)));
+    }
+    faults
+}
+
 /// Connections to workers that are alive are closed or reset.
 fn connections_close(rng: &mut ChaCha8Rng, workers: usize) -> Vec<PlannedFault> {
     let mut faults = Vec::new();
--- a/crates/kingcupwinch-soak/src/workload.rs
+++ b/crates/kingcupwinch-soak/src/workload.rs
@@ -18,6 +18,15 @@
 const PACE_DURATION: Duration = Duration::from_millis(1_500);
 /// Distinguishes the random numbers of a pace from those of the jobs.
 const PACE_SEED: u64 = 0x9ace_0000_0000_0000;
+/// Distinguishes the random numbers of the long-running jobs.
+const LONG_RUNNING_SEED: u64 = 0x1a57_0000_0000_0000;
+/// Interval between two submissions of long-running jobs.
+const LONG_RUNNING_INTERVAL: Duration = Duration::from_millis(500);
+/// Number of workers per long-running job.
+const WORKERS_PER_JOB: usize = 2;
+/// Number of workers per task of a long-running step, so that half of the workers that the adviser
+/// allows have room for another task.
+const WORKERS_PER_TASK: usize = 4;
 /// Number of workers for which the intervals are made.
 const WORKERS_PER_SCALE: usize = 6;
 /// Timeout of one call.
@@ -37,6 +46,8 @@
 #[derive(Clone)]
 pub(crate) struct Workload {
     callers: Arc<Vec<Caller>>,
+    /// Clients of the queue of the long-running jobs.
+    advised_callers: Arc<Vec<Caller>>,
     jobs: Arc<Mutex<Vec<ObservedJob>>>,
 }
 
@@ -85,7 +96,9 @@
 
 impl Workload {
     pub(crate) fn new(callers: Vec<Caller>) -> Self {
+        let advised = callers.iter().cloned().map(Caller::with_advised_queue);
         Workload {
+            advised_callers: Arc::new(advised.collect()),
             callers: Arc::new(callers),
             jobs: Arc::default(),
         }
@@ -98,16 +111,7 @@
         let mut callers = tokio::task::JoinSet::new();
         while Instant::now() < end {
             let job = random_job(&mut rng);
-            let observed = ObservedJob {
-                id: format!("{:016x}", rng.random::<u64>()),
-                steps: job.steps.iter().map(observed_step).collect(),
-                ..ObservedJob::default()
-            };
-            let index = {
-                let mut jobs = self.lock();
-                jobs.push(observed);
-                jobs.len() - 1
-            };
+            let index = self.add_job(&mut rng, &job);
             let is_cancelled = rng.random_ratio(1, JOBS_PER_CANCEL);
             let delay = Duration::from_millis(rng.random_range(FIRST_POLL_MS));
             let workload = self.clone();
@@ -118,6 +122,36 @@
         callers.join_all().await;
     }
 
+    /// Submits random long-running jobs for a number of workers.
+    pub(crate) async fn submit_long_running_jobs(&self, seed: u64, workers: usize) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ LONG_RUNNING_SEED);
+        for _ in 0..workers.div_ceil(WORKERS_PER_JOB) {
+            let job = random_long_running_job(&mut rng, workers);
+            let index = self.add_job(&mut rng, &job);
+            self.submit(index, &job).await;
+            tokio::time::sleep(LONG_RUNNING_INTERVAL).await;
+        }
+    }
+
+    /// Cancels the accepted long-running jobs.
+    pub(crate) async fn cancel_long_running_jobs(&self) {
+        let is_active = |job: &ObservedJob| job.is_long_running() && job.accepted.is_some();
+        let jobs = self.jobs();
+        for (index, _) in jobs.iter().enumerate().filter(|(_, job)| is_active(job)) {
+            self.cancel(index).await;
+        }
+    }
+
+    fn add_job(&self, rng: &mut ChaCha8Rng, job: &JobBody) -> usize {
+        let mut jobs = self.lock();
+        jobs.push(ObservedJob {
+            id: format!("{:016x}", rng.random::<u64>()),
+            steps: job.steps.iter().map(observed_step).collect(),
+            ..ObservedJob::default()
+        });
+        jobs.len() - 1
+    }
+
     /// Submits one job, cancels it if `is_cancelled` is set, and polls its state once.
     async fn run_caller(self, index: usize, job: JobBody, is_cancelled: bool, delay: Duration) {
         self.submit(index, &job).await;
@@ -136,7 +170,7 @@
         self.lock()[index].sent = Some(Instant::now());
         let mut is_refused = true;
         for _ in 0..MAX_ATTEMPTS {
-            match self.any_caller().submit(&id, job, CALL_TIMEOUT).await {
+            match self.any_caller(index).submit(&id, job, CALL_TIMEOUT).await {
                 CallOutcome::Succeeded(_) => {
                     self.lock()[index].accepted = Some(Instant::now());
                     return;
@@ -153,7 +187,9 @@
         let id = self.lock()[index].id.clone();
         self.lock()[index].cancel_sent = Some(Instant::now());
         for _ in 0..MAX_ATTEMPTS {
-            if let CallOutcome::Succeeded(_) = self.any_caller().cancel(&id, CALL_TIMEOUT).await {
+            if let CallOutcome::Succeeded(_) =
+                self.any_caller(index).cancel(&id, CALL_TIMEOUT).await
+            {
                 self.lock()[index].cancelled = Some(Instant::now());
                 return;
             }
@@ -164,7 +200,7 @@
     /// Requests the state of a job and records it.
     async fn poll_state(&self, index: usize) {
         let id = self.lock()[index].id.clone();
-        let state = match self.any_caller().state(&id, CALL_TIMEOUT).await {
+        let state = match self.any_caller(index).state(&id, CALL_TIMEOUT).await {
             CallOutcome::Succeeded(state) => state,
             CallOutcome::Gone => Some("gone".to_owned()),
             CallOutcome::Refused | CallOutcome::Unknown => None,
@@ -198,9 +234,15 @@
         self.lock().clone()
     }
 
-    fn any_caller(&self) -> Caller {
-        let chosen = self.callers.choose(&mut rand::rng());
-        chosen.unwrap_or(&self.callers[0]).clone()
+    /// Returns a client of the queue of a job.
+    fn any_caller(&self, index: usize) -> Caller {
+        let callers = if self.lock()[index].is_long_running() {
+            &self.advised_callers
+        } else {
+            &self.callers
+        };
+        let chosen = callers.choose(&mut rand::rng());
+        chosen.unwrap_or(&callers[0]).clone()
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<ObservedJob>> {
@@ -217,6 +259,25 @@
     ObservedStep {
         count: step.count,
         after: step.after.clone(),
+        cpu: step.cpu,
+        worker_limit: (step.anti_affinity > 0).then_some(step.anti_affinity),
+        is_long_running: step.long_running,
+    }
+}
+
+fn random_long_running_job(rng: &mut ChaCha8Rng, workers: usize) -> JobBody {
+    let most = u16::try_from(workers / WORKERS_PER_TASK).map_or(1, |most| most.max(1));
+    let cpu = rng.random_range(200..600);
+    JobBody {
+        specification: format!("{cpu}:-"),
+        steps: vec![StepBody {
+            count: rng.random_range(most.div_ceil(2)..=most),
+            cpu,
+            estimated_duration_ms: 5_000,
+            after: vec![],
+            anti_affinity: rng.random_range(1..=2),
+            long_running: true,
+        }],
     }
 }
 
@@ -233,6 +294,8 @@
             cpu,
             estimated_duration_ms: work_ms,
             after: if index > 0 { vec![index - 1] } else { vec![] },
+            anti_affinity: 0,
+            long_running: false,
         });
     }
     JobBody {
--- a/crates/kingcupwinch-soak/tests/checks.rs
+++ b/crates/kingcupwinch-soak/tests/checks.rs
@@ -1,11 +1,13 @@
 //! Tests that the checks detect each kind of violation and that plans are reproducible.
 
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
 use std::time::{Duration, Instant};
 
 use kingcupwinch_soak::{
     Fault, Invariant, Observations, ObservedJob, ObservedStep, Plan, PlanKind, check_invariants,
 };
-use kingcupwinch_standin::{FencedAppend, WorkerEvent, WorkerEventKind};
+use kingcupwinch_standin::{FencedAppend, WorkerEvent, WorkerEventKind, is_allowed};
 use rstest::rstest;
 
 const JOB: &str = "00000000000000aa";
@@ -16,12 +18,17 @@
     job: ObservedJob,
     events: Vec<WorkerEvent>,
     appends: Vec<FencedAppend>,
+    calm: Vec<(Instant, Instant)>,
 }
 
 impl Scenario {
     fn new() -> Self {
         let start = Instant::now();
-        let step = |after: Vec<u16>| ObservedStep { count: 1, after };
+        let step = |after: Vec<u16>| ObservedStep {
+            count: 1,
+            after,
+            ..ObservedStep::default()
+        };
         Scenario {
             start,
             job: ObservedJob {
@@ -33,6 +40,7 @@
             },
             events: Vec::new(),
             appends: Vec::new(),
+            calm: Vec::new(),
         }
     }
 
@@ -91,6 +99,8 @@
             jobs: std::slice::from_ref(&self.job),
             events: &events,
             appends: &appends,
+            calm: &self.calm,
+            worker_cpu: 4_000,
         });
         let mut invariants: Vec<Invariant> =
             found.iter().map(|violation| violation.invariant).collect();
@@ -327,3 +337,160 @@
     assert!(aimed.count() > 3, "too few faults of the owner");
     assert!(full.faults.iter().any(|planned| planned.trigger.is_some()));
 }
+
+/// Returns the ids of workers that may run the step of the job, or that may not.
+fn workers(are_allowed: bool) -> impl Iterator<Item = String> {
+    let step = format!("{JOB}.0.0");
+    let ids = (0..100).map(|number| format!("w-{number}"));
+    ids.filter(move |id| is_allowed(&step, id) == are_allowed)
+}
+
+/// A long-running task whose run fails after 8 s of calm. As many other workers as `free` have room for
+/// it, and the job is cancelled after 30 s.
+fn long_running_scenario(free: usize) -> Scenario {
+    let mut scenario = Scenario::new();
+    scenario.job.steps.pop();
+    let step = &mut scenario.job.steps[0];
+    (step.is_long_running, step.cpu, step.worker_limit) = (true, 1_000, Some(1));
+    scenario.calm = vec![(scenario.start, scenario.at(30_000))];
+    scenario.job.cancel_sent = Some(scenario.at(30_000));
+    for id in workers(true).take(free + 1) {
+        scenario.record_worker(0, &id, WorkerEventKind::Joined);
+    }
+    let first = workers(true).next().unwrap();
+    scenario.append(9, 10);
+    scenario.record(10, &first, 0, 1, WorkerEventKind::Started);
+    scenario.record(8_000, &first, 0, 1, WorkerEventKind::Ended("failed"));
+    scenario
+}
+
+impl Scenario {
+    fn record_worker(&mut self, ms: u64, worker: &str, kind: WorkerEventKind) {
+        self.events.push(WorkerEvent {
+            at: self.at(ms),
+            worker: worker.into(),
+            task: "".into(),
+            run: 0,
+            kind,
+        });
+    }
+
+    /// Starts the long-running task again on an allowed worker.
+    fn restart_task(&mut self, ms: u64) {
+        let worker = workers(true).nth(1).unwrap();
+        self.append(ms - 1, ms);
+        self.record(ms, &worker, 0, 2, WorkerEventKind::Started);
+        self.record(30_100, &worker, 0, 2, WorkerEventKind::Ended("stopped"));
+    }
+}
+
+/// A failed task of a long-running job was not started again although allowed workers had room.
+#[rstest]
+#[case::never(None, true)]
+#[case::late(Some(18_000), true)]
+#[case::in_time(Some(16_500), false)]
+fn detects_long_running_task_that_is_not_restarted(
+    #[case] restart: Option<u64>,
+    #[case] is_found: bool,
+) {
+    let mut scenario = long_running_scenario(2);
+    if let Some(ms) = restart {
+        scenario.restart_task(ms);
+    }
+    let expected: &[Invariant] = if is_found {
+        &[Invariant::Progress]
+    } else {
+        &[]
+    };
+    assert_eq!(scenario.violations(), expected);
+}
+
+#[test]
+fn detects_long_running_task_that_never_starts() {
+    let mut scenario = long_running_scenario(2);
+    let is_of_task = |event: &WorkerEvent| !event.task.is_empty();
+    scenario.events.retain(|event| !is_of_task(event));
+    assert_eq!(scenario.violations(), [Invariant::Progress]);
+}
+
+/// Each leaves room for one task only, or no time without faults.
+#[rstest]
+#[case::full(|scenario: &mut Scenario| scenario.job.steps[0].cpu = 4_001)]
+#[case::lost(|scenario: &mut Scenario| {
+    for id in workers(true).take(3).skip(1) {
+        scenario.record_worker(9_000, &id, WorkerEventKind::Left);
+    }
+})]
+#[case::not_calm(|scenario: &mut Scenario| scenario.calm = vec![
+    (scenario.at(0), scenario.at(16_900)),
+    (scenario.at(20_000), scenario.at(26_900)),
+])]
+#[case::cancelled(|scenario: &mut Scenario| {
+    scenario.job.cancel_sent = Some(scenario.at(16_900));
+})]
+#[case::disallowed(|scenario: &mut Scenario| {
+    let others: Vec<String> = workers(true).take(3).skip(1).collect();
+    scenario.events.retain(|event| !others.iter().any(|id| **id == *event.worker));
+    for id in workers(false).take(5) {
+        scenario.record_worker(0, &id, WorkerEventKind::Joined);
+    }
+})]
+fn allows_wait_without_room_or_calm(#[case] change: fn(&mut Scenario)) {
+    let mut scenario = long_running_scenario(2);
+    change(&mut scenario);
+    assert_eq!(scenario.violations(), []);
+}
+
+/// The other tasks of a step count against its limit, and those of others against the capacity.
+#[test]
+fn allows_wait_while_allowed_workers_are_at_their_limit() {
+    let mut scenario = long_running_scenario(2);
+    scenario.job.steps[0].count = 3;
+    for (index, id) in workers(true).take(3).skip(1).enumerate() {
+        let task = format!("{JOB}.0.0.{}", index + 1);
+        let (start, end) = (scenario.at(20), scenario.at(30_100));
+        for (at, kind) in [
+            (start, WorkerEventKind::Started),
+            (end, WorkerEventKind::Ended("stopped")),
+        ] {
+            scenario.events.push(WorkerEvent {
+                at,
+                worker: id.as_str().into(),
+                task: task.as_str().into(),
+                run: 1,
+                kind,
+            });
+        }
+    }
+    assert_eq!(scenario.violations(), []);
+}
+
+#[test]
+fn detects_task_on_worker_that_is_not_allowed() {
+    let mut scenario = long_running_scenario(0);
+    let worker = workers(false).next().unwrap();
+    scenario.append(8_100, 8_101);
+    scenario.record(8_200, &worker, 0, 2, WorkerEventKind::Started);
+    scenario.record(30_100, &worker, 0, 2, WorkerEventKind::Ended("stopped"));
+    assert_eq!(scenario.violations(), [Invariant::Advised]);
+}
+
+#[test]
+fn detects_tasks_beyond_limit_of_worker() {
+    let mut scenario = long_running_scenario(0);
+    scenario.job.steps[0].count = 2;
+    let worker = workers(true).next().unwrap();
+    for (at, kind) in [
+        (scenario.at(20), WorkerEventKind::Started),
+        (scenario.at(30_100), WorkerEventKind::Ended("stopped")),
+    ] {
+        scenario.events.push(WorkerEvent {
+            at,
+            worker: worker.as_str().into(),
+            task: format!("{JOB}.0.0.1").into(),
+            run: 1,
+            kind,
+        });
+    }
+    assert_eq!(scenario.violations(), [Invariant::WorkerLimit]);
+}
