Probe a quarantined machine again if its probe ended without a result

A quarantined machine returns by probes, one task at a time. A probe that was stopped, checkpointed, lost or handed to another owner gave no verdict, and no further probe was ever scheduled: the machine took no work for good, with up to a fifth of the machines that way.

Such an end now schedules the next probe a second later. The test was seen to fail without the change, and passes with it; the tests of faults and the crate's own tests pass (the rest of the workspace was not run).

--- a/crates/kingcupwinch-policy/src/cell/decide.rs
+++ b/crates/kingcupwinch-policy/src/cell/decide.rs
@@ -28,7 +28,7 @@
 /// How long a class stays blocked while there is headroom, which may be all that blocks it.
 const HEADROOM_RETRY: Span = Span::from_millis(200);
 /// Delay before the next search for a probe task.
-const PROBE_RETRY: Span = Span::from_secs(1);
+pub(super) const PROBE_RETRY: Span = Span::from_secs(1);
 
 /// Result of trying to start one task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/kingcupwinch-policy/src/cell/events.rs
+++ b/crates/kingcupwinch-policy/src/cell/events.rs
@@ -82,6 +82,7 @@
     pub fn release_run(&mut self, place: Placement, now: Time) -> Result<(), CellError> {
         let run = self.current_run(place)?;
         self.end_run(place.task, &run);
+        self.abandon_probe(place.task, run.machine, now);
         self.remove_ended(place.task, now);
         Ok(())
     }
@@ -177,6 +178,8 @@
         if matches!(exit.outcome, Outcome::Done | Outcome::Failed) {
             let failed = exit.outcome == Outcome::Failed;
             self.record_outcome(key, run.machine, failed, now);
+        } else {
+            self.abandon_probe(key, run.machine, now);
         }
     }
 }
--- a/crates/kingcupwinch-policy/src/cell/retries.rs
+++ b/crates/kingcupwinch-policy/src/cell/retries.rs
@@ -3,6 +3,7 @@
 use kingcupwinch_time::Time;
 
 use super::Cell;
+use super::decide::PROBE_RETRY;
 use crate::decision::{Decision, Disposition};
 use crate::health::ProbeVerdict;
 use crate::key::{MachineKey, TaskKey};
@@ -174,6 +175,19 @@
         }
     }
 
+    /// Lets a quarantined machine get another probe if a task that ended without a result was its
+    /// probe.
+    pub(super) fn abandon_probe(&mut self, key: TaskKey, machine: MachineKey, now: Time) {
+        let is_probe = self
+            .fleet
+            .get(machine)
+            .is_some_and(|m| m.state == MachineState::Quarantined && m.probe == Some(key));
+        if is_probe {
+            self.fleet.update(machine, |m| m.probe = None);
+            self.probes.insert((now + PROBE_RETRY, machine));
+        }
+    }
+
     fn schedule_probe(&mut self, machine: MachineKey) {
         if let Some(m) = self.fleet.get(machine) {
             self.probes.insert((m.health.next_probe, machine));
--- a/crates/kingcupwinch-policy/tests/faults.rs
+++ b/crates/kingcupwinch-policy/tests/faults.rs
@@ -52,6 +52,37 @@
     assert_eq!(quarantined(&harness), 0, "recovered machines return");
 }
 
+/// The probe of a quarantined machine was stopped, so that it had no result, and the machine never
+/// got another one.
+#[test]
+fn a_quarantined_machine_returns_though_a_probe_was_stopped() {
+    let mut harness = Harness::with_kind(ClassKind::Batch);
+    let machines: Vec<MachineKey> = (0..10).map(|_| harness.machine("r", 1)).collect();
+    let spec = harness.spec("work", 1);
+    run_rounds(&mut harness, spec, &machines[..1], 400);
+    let state = |harness: &Harness| harness.cell.machine_state(machines[0]);
+    assert_eq!(state(&harness), Some(MachineState::Quarantined));
+    let mut is_stopped = false;
+    while !is_stopped {
+        harness.advance(20);
+        for _ in 0..20 {
+            let _ = harness.cell.submit(spec, harness.now);
+        }
+        for place in harness.starts() {
+            let is_probe = place.machine == machines[0];
+            is_stopped |= is_probe;
+            let outcome = if is_probe {
+                Outcome::Stopped
+            } else {
+                Outcome::Done
+            };
+            harness.end(place, outcome);
+        }
+    }
+    run_rounds(&mut harness, spec, &[], 8_000);
+    assert_eq!(state(&harness), Some(MachineState::Active));
+}
+
 #[test]
 fn task_that_fails_on_three_healthy_machines_is_given_up() {
     let mut harness = Harness::with_kind(ClassKind::Batch);
