Bound the wait of tasks in the simulation of the cell

Callers saw long-running tasks that did not run although there was capacity for them. The simulation could not see that: it had no long-running tasks, no adviser and no limits per worker, and asked only that every job ends within 60 s of the faults.

A second world of 16 to 64 workers has long-running steps (with limits per worker and labels, wider than the workers that they may use at times), an adviser whose calls take time and whose tickets lapse, workers that drain and leave, and machines whose next worker has a new id. Its faults come in two bursts. A check of its own follows what workers, the adviser and the log show: a long-running task that nothing runs, with room for two of it, starts within 3 s, counted from 4 s after the last fault and 6 s after its last run. So does some task of a job of which nothing runs, while under half of the capacity is in use. These are the figures of the promise to callers. One excuse: a worker that the log names for the task is lost and may still hold a lease, until a call has failed and the lease has lapsed, or after a takeover those of the owners before. A worker that removed its entry, or whose address answers for another one, is none.

--- a/crates/kingcupwinch-cell/tests/cell/lifecycle.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle.rs
@@ -7,13 +7,20 @@
 //! arrive late or not at all, and responses are lost. After a time without faults every job has to
 //! have ended.
 //!
+//! A second world has long-running jobs, an adviser, limits and labels, draining workers, and machines
+//! whose next worker has a new id. Its faults come in bursts, and between them no task may wait for
+//! long while there is capacity for it: see [`waiting`].
+//!
 //! No check looks into a cell. See [`checks`] for the promises.
 
+mod adviser;
 mod checks;
 mod faults;
 mod log;
 mod owner;
+mod services;
 mod simulation;
+mod waiting;
 mod worker;
 
 use rstest::rstest;
@@ -36,17 +43,71 @@
     }
 }
 
+/// A task that waits although there is capacity for it, as its workers and the adviser show, breaks
+/// the bound on the wait for a long-running task, or for a job of which nothing runs.
+#[rstest]
+fn tasks_with_capacity_run_soon(
+    #[values(1, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 17, 19)] seed: u64,
+) {
+    run_services(seed);
+}
+
+/// Advice that counts the workers with no room below the step's limit as capacity, and names them
+/// first, reaches the workers with room too late or never.
+#[rstest]
+fn advice_names_workers_with_room_for_the_step(#[values(134, 1186, 1376, 1537)] seed: u64) {
+    run_services(seed);
+}
+
+/// Advice that is asked for only where a whole task is expected to fit is never asked for about the
+/// last few workers, of which each is allowed with a probability below one.
+#[rstest]
+fn advice_is_asked_for_about_the_last_workers(#[values(152, 192, 1216, 1426)] seed: u64) {
+    run_services(seed);
+}
+
+/// A worker whose address serves another one has ended. Waiting for its leases, after a takeover
+/// those of earlier owners too, keeps its tasks from running.
+#[rstest]
+fn a_replaced_worker_holds_no_lease(#[values(2, 18, 100, 105)] seed: u64) {
+    run_services(seed);
+}
+
+/// A start order that is not sent renews no lease, so it must not extend the time until the leases
+/// of a lost worker have expired.
+#[rstest]
+fn an_unsent_start_extends_no_lease(#[values(1030)] seed: u64) {
+    run_services(seed);
+}
+
+fn run_services(seed: u64) {
+    match Simulation::of_services(seed).run() {
+        Ok(summary) => assert!(summary.is_eventful(), "{summary:?}"),
+        Err(breach) => panic!("{breach}"),
+    }
+}
+
 /// Runs the seeds of `LIFECYCLE_SEEDS=FIRST..AFTER`, for longer searches by hand, and prints each
 /// breach.
 #[test]
 fn search_many_seeds() {
+    search(Simulation::new);
+}
+
+/// The same with long-running jobs, an adviser and draining workers.
+#[test]
+fn search_many_seeds_of_services() {
+    search(Simulation::of_services);
+}
+
+fn search(simulation: fn(u64) -> Simulation) {
     let Ok(range) = std::env::var("LIFECYCLE_SEEDS") else {
         return;
     };
     let (first, after) = range.split_once("..").unwrap();
     let mut broken = 0;
     for seed in first.parse::<u64>().unwrap()..after.parse().unwrap() {
-        if let Err(breach) = Simulation::new(seed).run() {
+        if let Err(breach) = simulation(seed).run() {
             broken += 1;
             println!("{breach}");
         }
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/checks.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/checks.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 
 use kingcupwinch_cell::{EndReason, JobId, JobSpec, JobState, TaskName};
+use kingcupwinch_time::Time;
 
 use super::log::Log;
 
@@ -46,6 +47,8 @@
     run: u32,
     life: LifeId,
     order: u64,
+    /// When the run ended or was lost.
+    over_at: Option<Time>,
     end: Option<End>,
     /// Whether the run was lost with its worker process.
     is_lost: bool,
@@ -124,6 +127,7 @@
             run,
             life,
             order,
+            over_at: None,
             end: None,
             is_lost: false,
         });
@@ -151,7 +155,10 @@
         };
         let done = counted(EndReason::Done).first().copied();
         let failed = counted(EndReason::Failed);
+        let step = &spec.steps[usize::from(task.step)];
         let spent = failed.get(spec.policy.max_attempts as usize - 1).copied();
+        // Long-running tasks are restarted however often they fail.
+        let spent = spent.filter(|_| !step.long_running);
         if done.is_some_and(|done| done < last_start) {
             let text =
                 format!("{task} started after a run was done, and that end was acknowledged");
@@ -184,11 +191,12 @@
     }
 
     /// A run ends on its worker.
-    pub(super) fn ended(&mut self, end: &kingcupwinch_cell::RunEnd, life: LifeId) {
+    pub(super) fn ended(&mut self, end: &kingcupwinch_cell::RunEnd, life: LifeId, now: Time) {
         let order = self.next_order();
         let runs = self.runs.get_mut(&end.task).unwrap();
         let is_same = |run: &&mut SeenRun| run.run == end.run && run.life == life;
         let run = runs.iter_mut().rev().find(is_same).unwrap();
+        run.over_at = Some(now);
         run.end = Some(End {
             order,
             sequence: end.sequence,
@@ -212,10 +220,13 @@
     }
 
     /// A worker process is lost with its runs and its list of ends.
-    pub(super) fn lost(&mut self, life: LifeId) {
+    pub(super) fn lost(&mut self, life: LifeId, now: Time) {
         for (task, number) in self.open.remove(&life).unwrap_or_default() {
             for run in self.runs.get_mut(&task).unwrap() {
-                run.is_lost |= (run.run, run.life) == (number, life);
+                if (run.run, run.life) == (number, life) {
+                    run.is_lost = true;
+                    run.over_at.get_or_insert(now);
+                }
             }
         }
     }
@@ -264,9 +275,8 @@
             (JobState::Cancelled, _) => log.cancelled.contains(&id),
             (JobState::Completed, Some(_)) => tasks.all(|task| self.is_done(task)),
             (JobState::Failed, Some(spec)) => tasks.any(|task| {
-                let runs = self.runs.get(&task).into_iter().flatten();
-                let failed = runs.filter(|run| run.ended_as(EndReason::Failed).is_some());
-                failed.count() >= spec.policy.max_attempts as usize
+                let is_limited = !spec.steps[usize::from(task.step)].long_running;
+                is_limited && self.failures(task) >= spec.policy.max_attempts as usize
             }),
             _ => false,
         };
@@ -289,6 +299,54 @@
         }
     }
 
+    /// A task waits for too long while there is capacity for it.
+    pub(super) fn waited(&mut self, task: TaskName, is_long_running: bool, text: String) {
+        let promise = if is_long_running {
+            "a long-running task runs where there is capacity"
+        } else {
+            "something of a job runs where there is capacity"
+        };
+        self.fail(promise, Some(task.job), text);
+    }
+
+    /// Returns the number of failed runs of a task.
+    pub(super) fn failures(&self, task: TaskName) -> usize {
+        let runs = self.runs.get(&task).into_iter().flatten();
+        let failed = runs.filter(|run| run.ended_as(EndReason::Failed).is_some());
+        failed.count()
+    }
+
+    /// Returns whether a live worker runs a task.
+    pub(super) fn is_active(&self, task: TaskName) -> bool {
+        let mut runs = self.runs.get(&task).into_iter().flatten();
+        runs.any(SeenRun::is_active)
+    }
+
+    /// Returns when the last run of a task was over.
+    pub(super) fn last_run_over(&self, task: TaskName) -> Option<Time> {
+        let runs = self.runs.get(&task).into_iter().flatten();
+        runs.filter_map(|run| run.over_at).max()
+    }
+
+    /// Returns whether a run of a task was done and that end was not lost with its worker.
+    pub(super) fn has_done(&self, task: TaskName) -> bool {
+        let mut runs = self.runs.get(&task).into_iter().flatten();
+        runs.any(|run| {
+            let done = run.ended_as(EndReason::Done);
+            done.is_some_and(|end| end.is_acked || !run.is_lost)
+        })
+    }
+
+    /// Returns whether an end `done` of a task counts for good.
+    pub(super) fn is_known_done(&self, task: TaskName) -> bool {
+        let mut runs = self.runs.get(&task).into_iter().flatten();
+        runs.any(|run| run.ended_as(EndReason::Done).is_some_and(End::counts))
+    }
+
+    pub(super) fn has_final_state(&self, job: JobId) -> bool {
+        self.reported.contains_key(&job)
+    }
+
     /// Returns the number of jobs that callers saw completed.
     pub(super) fn completed(&self) -> usize {
         let states = self.reported.values();
@@ -303,7 +361,7 @@
 }
 
 /// Returns the tasks of a job.
-fn tasks(job: JobId, spec: &JobSpec) -> impl Iterator<Item = TaskName> {
+pub(super) fn tasks(job: JobId, spec: &JobSpec) -> impl Iterator<Item = TaskName> {
     let steps = spec.steps.iter().zip(0..);
     steps.flat_map(move |(spec, step)| {
         (0..spec.count).map(move |index| TaskName {
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/faults.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/faults.rs
@@ -5,9 +5,10 @@
 
 use super::log::{DirectoryRecord, IntakeRecord};
 use super::owner::{OwnerEvent, Writer};
-use super::simulation::{Event, Simulation, TICK};
-use super::worker::{Cut, ENTRY_EXPIRY, HEARTBEAT, Life, MAX_SLOW_PPM, Worker};
-use crate::harness::{id, job, step};
+use super::services;
+use super::simulation::{Event, Simulation, TICK, Variant};
+use super::worker::{Cut, ENTRY_EXPIRY, HEARTBEAT, Life, Loss, MAX_SLOW_PPM, Worker};
+use crate::harness::{id, job, registration, step};
 
 const CORES: u64 = 8;
 /// The mean numbers of events per second.
@@ -22,19 +23,22 @@
 /// The jobs of all callers.
 #[derive(Debug, Default)]
 pub(super) struct Callers {
-    jobs: Vec<(JobId, JobSpec)>,
+    pub(super) jobs: Vec<(JobId, JobSpec)>,
 }
 
 impl Simulation {
     /// Returns whether an event with a mean number per second happens in this tick.
-    fn occurs(&mut self, per_second: f64) -> bool {
+    pub(super) fn occurs(&mut self, per_second: f64) -> bool {
         self.chance(per_second * TICK.as_secs_f64())
     }
 
     pub(super) fn tick_callers(&mut self) {
         if !self.is_quiet() && self.occurs(JOBS) {
             let number = self.callers.jobs.len() as u64 + 1;
-            let spec = self.draw_job();
+            let mut spec = self.draw_job();
+            if self.variant == Variant::Services {
+                self.vary_job(&mut spec);
+            }
             self.callers.jobs.push((id(number), spec));
             self.submit(number as usize - 1);
             if self.chance(0.1) {
@@ -73,7 +77,7 @@
 
     /// Hands in a job for the first time or again. Half of the jobs are announced to the owner while
     /// their acceptance is being appended.
-    fn submit(&mut self, number: usize) {
+    pub(super) fn submit(&mut self, number: usize) {
         let now = self.now;
         let (id, spec) = self.callers.jobs[number].clone();
         let owner = self.current();
@@ -126,7 +130,7 @@
     pub(super) fn tick_faults(&mut self) {
         if self.is_quiet() {
             self.repair();
-        } else {
+        } else if self.is_disturbed() {
             if self.occurs(LOG_OUTAGES) {
                 self.log.down_until = self.now + self.span(200, 6_000);
                 self.trace(None, None, || "the log is down".to_owned());
@@ -136,7 +140,7 @@
             }
         }
         for worker in 0..self.workers.len() {
-            if !self.is_quiet() {
+            if self.is_disturbed() {
                 self.harm_worker(worker);
             }
             self.write_entry(worker);
@@ -168,7 +172,7 @@
         }
         let fate = self.between(0, 9);
         let is_batch_lost = self.chance(0.5);
-        let cut = self.span(500, 8_000);
+        let cut = self.span(500, 8_000).min(self.longest_cut);
         let owner = &mut self.owners[index];
         let term = owner.term;
         let (text, delay) = match fate {
@@ -195,10 +199,21 @@
         self.schedule(delay, Event::TakeOver(term, false));
     }
 
-    pub(super) fn add_worker(&mut self, number: usize) {
+    /// Adds a worker on a machine.
+    pub(super) fn add_worker(&mut self, machine: usize) {
+        let number = self.workers.len();
+        let labels = match self.variant {
+            Variant::Basic => registration(number, CORES).labels,
+            Variant::Services => services::labels(machine),
+        };
         self.workers.push(Worker {
             id: format!("i-{number}").into(),
+            machine,
             capacity_cpu: CORES * 1_000,
+            labels,
+            is_draining: false,
+            loss: None,
+            is_gone: false,
             life: None,
             lives: 0,
             cut: None,
@@ -217,6 +232,8 @@
         let entry_delay = self.span(0, 300);
         let worker = &mut self.workers[number];
         worker.lives += 1;
+        worker.loss = None;
+        worker.is_draining = false;
         let life = Life::new(worker.lives, self.now, clock_start_ms, slow_ppm);
         let started_ms = life.started_ms;
         worker.life = Some(life);
@@ -229,7 +246,7 @@
     fn harm_worker(&mut self, number: usize) {
         let now = self.now;
         if self.occurs(WORKER_CUTS) {
-            let until = now + self.span(100, 9_000);
+            let until = now + self.span(100, 9_000).min(self.longest_cut);
             let is_refusing = self.chance(0.5);
             self.workers[number].cut = Some(Cut { until, is_refusing });
             self.trace(None, Some(number), || {
@@ -241,7 +258,7 @@
             }
         }
         if self.occurs(DIRECTORY_CUTS) {
-            let until = now + self.span(1_000, 10_000);
+            let until = now + self.span(1_000, 10_000).min(self.longest_cut);
             self.workers[number].unregistered_until = until;
         }
         if self.occurs(WORKER_ENDS) {
@@ -251,24 +268,48 @@
 
     /// Ends a worker process: a crash, or an exit that removes the entry. It starts again later.
     fn end_worker(&mut self, number: usize) {
+        if self.workers[number].life.is_none() {
+            return;
+        }
+        let is_exit = self.chance(0.5);
+        self.end_process(number, is_exit);
+        match self.variant {
+            Variant::Basic => {
+                let delay = self.span(300, 4_000);
+                self.schedule(delay, Event::WorkerStart(number));
+            }
+            Variant::Services => self.return_worker(number),
+        }
+    }
+
+    /// Ends a worker process, and removes its entry if it exits by itself.
+    pub(super) fn end_process(&mut self, number: usize, is_exit: bool) {
         let Some(life) = self.workers[number].life.take() else {
             return;
         };
-        self.checks.lost((number, life.number));
-        let is_exit = self.chance(0.5);
+        self.checks.lost((number, life.number), self.now);
         self.trace(None, Some(number), || format!("it ends, is_exit={is_exit}"));
         let can_write =
             !self.log.is_down(self.now) && self.workers[number].unregistered_until <= self.now;
-        if is_exit && can_write && self.workers[number].entry.is_some() {
+        let removes_entry = is_exit && can_write && self.workers[number].entry.is_some();
+        if removes_entry {
             self.write_record(number, None);
         }
-        let delay = self.span(300, 4_000);
-        self.schedule(delay, Event::WorkerStart(number));
+        self.workers[number].loss = Some(Loss {
+            at: self.now,
+            is_exit: removes_entry,
+            replaced_at: None,
+        });
     }
 
     fn write_record(&mut self, worker: usize, started_ms: Option<u64>) {
         let before = std::mem::replace(&mut self.workers[worker].entry, started_ms);
-        let record = DirectoryRecord { worker, started_ms };
+        let is_draining = self.workers[worker].is_draining;
+        let record = DirectoryRecord {
+            worker,
+            is_draining,
+            started_ms,
+        };
         self.log.directory.push(record);
         if before != started_ms {
             self.trace(None, Some(worker), || {
@@ -301,12 +342,16 @@
     pub(super) fn unfinished(&self) -> Option<(Option<JobId>, String)> {
         let owner = &self.owners[self.current()];
         let state = |id: &&JobId| owner.cell.job_state(**id);
-        let is_open = |id: &&JobId| !state(id).is_some_and(JobState::is_final);
+        let is_open =
+            |id: &&JobId| !state(id).is_some_and(JobState::is_final) && !self.has_no_worker(**id);
         if let Some(id) = self.log.accepted.keys().find(is_open) {
             return Some((Some(*id), format!("job {id} is {:?}", state(&id))));
         }
         for worker in &self.workers {
             let Some(life) = &worker.life else {
+                if worker.is_gone {
+                    continue;
+                }
                 return Some((None, format!("{} is down", worker.id)));
             };
             if let Some(run) = life.running.first() {
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/log.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/log.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use kingcupwinch_cell::{JobId, JobRecord, JobSpec, RecordBatch};
+use kingcupwinch_cell::{JobId, JobRecord, JobSpec, RecordBatch, TaskName};
 use kingcupwinch_time::Time;
 
 /// A record of the intake.
@@ -18,6 +18,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct DirectoryRecord {
     pub(super) worker: usize,
+    pub(super) is_draining: bool,
     pub(super) started_ms: Option<u64>,
 }
 
@@ -67,12 +68,23 @@
         }
     }
 
-    /// Returns the workers in the directory with their start times.
-    pub(super) fn listed_workers(&self) -> BTreeMap<usize, u64> {
+    /// Returns whether the progress says that a task is done.
+    pub(super) fn has_done(&self, task: TaskName) -> bool {
+        let step = u32::from(task.step);
+        self.progress.get(&task.job).is_some_and(|record| {
+            let mut steps = record.done_steps.iter();
+            let mut tasks = record.done_tasks.iter();
+            steps.any(|(first, after)| (*first..*after).contains(&step))
+                || tasks.any(|(slot, indexes)| *slot == step && indexes.contains(&task.index))
+        })
+    }
+
+    /// Returns the workers in the directory with their start times, and whether they drain.
+    pub(super) fn listed_workers(&self) -> BTreeMap<usize, (u64, bool)> {
         let mut listed = BTreeMap::new();
         for record in &self.directory {
             match record.started_ms {
-                Some(started_ms) => listed.insert(record.worker, started_ms),
+                Some(started_ms) => listed.insert(record.worker, (started_ms, record.is_draining)),
                 None => listed.remove(&record.worker),
             };
         }
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/owner.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/owner.rs
@@ -4,14 +4,15 @@
 use std::sync::Arc;
 
 use kingcupwinch_cell::{
-    Action, Cell, CellTimers, JobId, JobRecord, JobState, Placement, PollFailure, RecordBatch,
-    Registration, StartOrder, StartOutcome, StopOrder, WorkerKey, WorkerStatus,
+    Action, AdviceCallId, Cell, CellTimers, JobId, JobRecord, JobState, Placement, PollFailure,
+    RecordBatch, Registration, StartOrder, StartOutcome, StopOrder, Ticket, WorkerKey,
+    WorkerStatus,
 };
 use kingcupwinch_time::{Span, Time};
 
 use super::log::{DirectoryRecord, IntakeRecord};
 use super::simulation::{Event, Order, Simulation};
-use super::worker::HEARTBEAT;
+use super::worker::{HEARTBEAT, Worker};
 use crate::harness::{HANDOVER_OVERLAP, registration, timers};
 
 /// An owner without a successful append for this long gives no orders.
@@ -45,6 +46,8 @@
     DirectoryRead(usize, Time),
     /// A batch is in the log. An append also tells when it was first sent.
     Appended(u64, Option<Time>),
+    /// The result of a call to the adviser: its tickets and how long they are valid.
+    Advised(AdviceCallId, Option<(Vec<Ticket>, Span)>),
     /// An announced job certainly is not in the log.
     NotAppended(JobId),
 }
@@ -168,10 +171,14 @@
     }
 }
 
-fn entry(worker: usize, started_ms: u64, cores: u64) -> Registration {
+/// Returns the directory entry of a worker.
+fn entry(worker: &Worker, started_ms: u64, is_draining: bool) -> Registration {
     Registration {
+        id: Arc::clone(&worker.id),
+        labels: worker.labels.clone(),
+        draining: is_draining,
         started_ms: Some(started_ms),
-        ..registration(worker, cores)
+        ..registration(worker.machine, worker.capacity_cpu / 1_000)
     }
 }
 
@@ -195,12 +202,10 @@
             ..timers()
         };
         let mut cell = Cell::new(timers, self.log.term as u32);
-        for (worker, started_ms) in self.log.listed_workers() {
-            let entry = entry(
-                worker,
-                started_ms,
-                self.workers[worker].capacity_cpu / 1_000,
-            );
+        self.note_takeover(now + overlap);
+        cell.set_advice_callers(&self.advice_callers);
+        for (worker, (started_ms, is_draining)) in self.log.listed_workers() {
+            let entry = entry(&self.workers[worker], started_ms, is_draining);
             cell.register_worker(entry, true, now);
         }
         for (id, address) in &self.log.workers {
@@ -406,7 +411,16 @@
                     });
                     self.send(index, worker, Order::Stop(order));
                 }
-                Action::RequestAdvice { .. } => unreachable!("no queue has an adviser"),
+                Action::RequestAdvice {
+                    call,
+                    instance,
+                    step,
+                    workers,
+                    deadline,
+                } => {
+                    let event = |advice| Event::Owner(index, OwnerEvent::Advised(call, advice));
+                    self.ask_adviser(&instance, &step, &workers, deadline, event);
+                }
             }
         }
     }
@@ -487,6 +501,11 @@
             OwnerEvent::IntakeRead(end) => self.handle_intake(index, end),
             OwnerEvent::DirectoryRead(end, sent) => self.handle_directory(index, end, sent),
             OwnerEvent::Appended(batch, sent) => self.handle_appended(index, batch, sent),
+            OwnerEvent::Advised(call, advice) => {
+                let owner = &mut self.owners[index];
+                owner.cell.advice_received(call, advice, now);
+                owner.decide_soon(now);
+            }
             OwnerEvent::NotAppended(id) => self.owners[index].cell.drop_tentative(id, now),
         }
     }
@@ -501,9 +520,9 @@
         let now = self.now;
         let owner = &mut self.owners[index];
         let has_failed = result.is_err();
-        let mut worker = None;
+        let (mut worker, mut was_failed) = (None, false);
         if let Some(poll) = owner.polls.get_mut(&key) {
-            let was_failed = std::mem::replace(&mut poll.has_failed, has_failed);
+            was_failed = std::mem::replace(&mut poll.has_failed, has_failed);
             let is_slow = has_failed && was_failed;
             let pause = if is_slow {
                 POLL_RETRY_DELAY
@@ -533,9 +552,11 @@
             Err(PollError::Fenced) => self.retire(index, "a worker"),
             Err(PollError::Failed(failure)) => {
                 owner.cell.poll_failed(key, failure);
-                self.trace(None, worker, || {
-                    format!("poll of owner {term}: {failure:?}")
-                });
+                if !was_failed {
+                    self.trace(None, worker, || {
+                        format!("poll of owner {term}: {failure:?}")
+                    });
+                }
             }
         }
     }
@@ -578,12 +599,17 @@
         let written_after = owner.directory_complete_at.replace(sent);
         let term = owner.term;
         let records: Vec<DirectoryRecord> = self.log.directory[first..end].to_vec();
-        for DirectoryRecord { worker, started_ms } in records {
+        for record in records {
+            let DirectoryRecord {
+                worker,
+                is_draining,
+                started_ms,
+            } = record;
             let target = &self.workers[worker];
             let owner = &mut self.owners[index];
             match started_ms {
                 Some(started_ms) => {
-                    let entry = entry(worker, started_ms, target.capacity_cpu / 1_000);
+                    let entry = entry(target, started_ms, is_draining);
                     owner.cell.register_worker(entry, false, now);
                     if let Some(time) = written_after {
                         owner.cell.note_heartbeat(&target.id, time);
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/simulation.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/simulation.rs
@@ -2,19 +2,23 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::sync::Arc;
 
 use kingcupwinch_cell::{
-    EndReason, JobId, PollFailure, StartOrder, StartOutcome, StopOrder, TaskName, WorkerKey,
-    WorkerPoll,
+    EndReason, JobId, JobSpec, PollFailure, StartOrder, StartOutcome, StopOrder, TaskName,
+    WorkerKey, WorkerPoll,
 };
 use kingcupwinch_time::{Span, Time};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::adviser::Adviser;
 use super::checks::{Breach, Checks};
 use super::faults::Callers;
 use super::log::{IntakeRecord, Log};
 use super::owner::{Owner, OwnerEvent, PollError};
+use super::services;
+use super::waiting::Waits;
 use super::worker::{Change, Work, Worker};
 
 pub(super) const WORKERS: usize = 6;
@@ -22,15 +26,28 @@
 pub(super) const TICK: Span = Span::from_millis(5);
 /// The time with faults, and the longest time after it until every job has ended.
 const FAULTS: Span = Span::from_secs(30);
+const FAULTS_OF_SERVICES: Span = Span::from_secs(45);
 const RECOVERY: Span = Span::from_secs(60);
 /// When a call without a response counts as lost.
-const CALL_TIMEOUT: Span = Span::from_millis(1_000);
+pub(super) const CALL_TIMEOUT: Span = Span::from_millis(1_000);
 /// How long a worker delays the response to a poll until a run ends.
 const POLL_WAIT: Span = Span::from_millis(800);
 /// How much of the trace is shown: lines, and the time before the first line about the job.
 const SHOWN_LINES: usize = 60;
 const HISTORY: Span = Span::from_secs(10);
 
+/// The longest cut in the world of services, so that calm times are long enough.
+const LONGEST_CUT: Span = Span::from_millis(4_000);
+
+/// What a simulation consists of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Variant {
+    /// A few workers, jobs that end, and faults all the time.
+    Basic,
+    /// More workers, long-running jobs, an adviser, and bursts of faults.
+    Services,
+}
+
 #[derive(Debug)]
 pub(super) enum Event {
     Tick,
@@ -46,6 +63,15 @@
     TakeOver(u64, bool),
     /// A worker process starts.
     WorkerStart(usize),
+    /// A worker with a new id starts on a machine.
+    MachineStart(usize),
+    /// A life of a worker that has drained ends.
+    WorkerLeave(usize, u64),
+    CrashWave,
+    DrainWave,
+    /// A caller hands in a job.
+    Submit(Box<JobSpec>),
+    CancelLongRunning,
 }
 
 /// An order of an owner to a worker.
@@ -151,6 +177,15 @@
     pub(super) owners: usize,
     /// The number of jobs that callers saw completed.
     pub(super) completed: usize,
+    /// The number of runs of long-running tasks.
+    pub(super) long_runs: usize,
+}
+
+impl Summary {
+    /// Returns whether enough happened in a simulation of services to show something.
+    pub(super) fn is_eventful(&self) -> bool {
+        self.completed > 40 && self.long_runs > 10
+    }
 }
 
 pub(super) struct Simulation {
@@ -173,12 +208,51 @@
     pub(super) traced_entries: BTreeMap<(u64, usize), Option<u64>>,
     /// When all owners before the last one that stopped by itself were fenced.
     pub(super) fenced_at: Time,
+    pub(super) variant: Variant,
+    pub(super) faults_end: Time,
+    /// The times with faults, if these come in bursts.
+    pub(super) bursts: Vec<(Time, Time)>,
+    pub(super) longest_cut: Span,
+    /// The last time at which a fault went on.
+    pub(super) disturbed_until: Time,
+    pub(super) taken_over_at: Time,
+    /// Until when the owners before the last one may have renewed leases.
+    pub(super) overlap_until: Time,
+    pub(super) adviser: Adviser,
+    pub(super) advice_callers: Vec<Arc<str>>,
+    /// Whether the long-running jobs are being cancelled.
+    pub(super) is_cancelling: bool,
+    pub(super) waits: Waits,
+    pub(super) long_runs: usize,
 }
 
 impl Simulation {
     pub(super) fn new(seed: u64) -> Self {
+        let mut simulation = Simulation::empty(seed, Variant::Basic);
+        for number in 0..WORKERS {
+            simulation.add_worker(number);
+        }
+        simulation.begin()
+    }
+
+    /// Creates a simulation with long-running jobs, an adviser and draining workers.
+    pub(super) fn of_services(seed: u64) -> Self {
+        let mut simulation = Simulation::empty(seed, Variant::Services);
+        simulation.longest_cut = LONGEST_CUT;
+        simulation.faults_end = simulation.begin + FAULTS_OF_SERVICES;
+        simulation.set_up_services();
+        simulation.begin()
+    }
+
+    fn begin(mut self) -> Self {
+        self.take_over(true);
+        self.schedule(TICK, Event::Tick);
+        self
+    }
+
+    fn empty(seed: u64, variant: Variant) -> Self {
         let begin = Time::from_micros(1_000_000_000);
-        let mut simulation = Simulation {
+        Simulation {
             seed,
             now: begin,
             begin,
@@ -195,13 +269,19 @@
             traced_ends: BTreeSet::new(),
             traced_entries: BTreeMap::new(),
             fenced_at: Time::ZERO,
-        };
-        for number in 0..WORKERS {
-            simulation.add_worker(number);
+            variant,
+            faults_end: begin + FAULTS,
+            bursts: Vec::new(),
+            longest_cut: FAULTS,
+            disturbed_until: begin,
+            taken_over_at: begin,
+            overlap_until: begin,
+            adviser: services::no_adviser(),
+            advice_callers: Vec::new(),
+            is_cancelling: variant == Variant::Basic,
+            waits: Waits::default(),
+            long_runs: 0,
         }
-        simulation.take_over(true);
-        simulation.schedule(TICK, Event::Tick);
-        simulation
     }
 
     /// Runs the simulation until every job has ended after the faults, or a promise is broken.
@@ -211,15 +291,19 @@
             self.advance_workers();
             let is_tick = matches!(event, Event::Tick);
             self.handle(event);
-            if is_tick && self.is_quiet() {
+            if is_tick {
+                self.check_waits();
+            }
+            if is_tick && self.is_quiet() && self.is_cancelling {
                 let unfinished = self.unfinished();
                 if unfinished.is_none() && self.checks.breach.is_none() {
                     return Ok(Summary {
                         owners: self.owners.len(),
                         completed: self.checks.completed(),
+                        long_runs: self.long_runs,
                     });
                 }
-                if self.now >= self.begin + FAULTS + RECOVERY
+                if self.now >= self.faults_end + RECOVERY
                     && let Some((job, text)) = unfinished
                 {
                     self.checks.unfinished(job, text);
@@ -239,7 +323,13 @@
 
     /// Returns whether the time of faults is over.
     pub(super) fn is_quiet(&self) -> bool {
-        self.now >= self.begin + FAULTS
+        self.now >= self.faults_end
+    }
+
+    /// Returns whether faults may begin and messages may be lost now.
+    pub(super) fn is_disturbed(&self) -> bool {
+        let is_within = |(begin, end): &(Time, Time)| (*begin..*end).contains(&self.now);
+        !self.is_quiet() && (self.variant == Variant::Basic || self.bursts.iter().any(is_within))
     }
 
     fn handle(&mut self, event: Event) {
@@ -248,6 +338,10 @@
                 self.schedule(TICK, Event::Tick);
                 self.tick_callers();
                 self.tick_faults();
+                if self.variant == Variant::Services {
+                    self.tick_drains();
+                }
+                self.note_disturbances();
                 for owner in 0..self.owners.len() {
                     self.tick_owner(owner);
                 }
@@ -264,6 +358,12 @@
                 }
             }
             Event::WorkerStart(worker) => self.start_worker(worker),
+            Event::MachineStart(machine) => self.start_machine(machine),
+            Event::WorkerLeave(worker, life) => self.leave(worker, life),
+            Event::CrashWave => self.crash_wave(),
+            Event::DrainWave => self.drain_wave(),
+            Event::Submit(spec) => self.submit_spec(*spec),
+            Event::CancelLongRunning => self.cancel_long_running(),
         }
     }
 
@@ -288,7 +388,7 @@
 
     /// Draws the time that a message takes. Some take up to `max_ms` while there are faults.
     pub(super) fn delay(&mut self, slow: f64, max_ms: u64) -> Span {
-        if !self.is_quiet() && self.chance(slow) {
+        if self.is_disturbed() && self.chance(slow) {
             self.span(15, max_ms)
         } else {
             self.span(1, 15)
@@ -308,6 +408,10 @@
     pub(super) fn send(&mut self, owner: usize, worker: usize, order: Order) {
         let now = self.now;
         let Some(life) = self.workers[worker].life.as_ref().map(|life| life.number) else {
+            if self.is_replaced(worker) {
+                self.refuse(owner, now, &order);
+                return;
+            }
             let is_refused = self.chance(0.8);
             self.fail(owner, now, &order, is_refused);
             return;
@@ -328,10 +432,10 @@
             }
             return;
         }
-        let fate = if self.is_quiet() {
-            100
-        } else {
+        let fate = if self.is_disturbed() {
             self.between(0, 99)
+        } else {
+            100
         };
         match fate {
             0..2 => self.fail(owner, now, &call.order, false),
@@ -355,6 +459,25 @@
         }
     }
 
+    fn is_replaced(&self, worker: usize) -> bool {
+        let loss = self.workers[worker].loss;
+        loss.is_some_and(|loss| loss.replaced_at.is_some())
+    }
+
+    /// Reports that another worker serves at the address of the one that an order was meant for.
+    fn refuse(&mut self, owner: usize, sent: Time, order: &Order) {
+        let event = match order {
+            Order::Start(order) => OwnerEvent::Started(order.clone(), StartOutcome::Refused),
+            Order::Stop(_) => return,
+            Order::Poll(key, _) => {
+                let error = PollError::Failed(PollFailure::Unresponsive);
+                OwnerEvent::Polled(*key, sent, Err(error))
+            }
+        };
+        let delay = self.span(1, 5);
+        self.schedule(delay, Event::Owner(owner, event));
+    }
+
     /// Has an order arrive whose owner waits no longer.
     fn arrive_late(&mut self, delay: Span, call: Call) {
         let call = Call {
@@ -421,6 +544,9 @@
             }
             call.is_awaited = false;
         }
+        if !call.is_awaited {
+            self.note_fault();
+        }
         match call.order.clone() {
             Order::Start(order) => self.carry_out_start(&call, order),
             Order::Stop(order) => self.carry_out_stop(&call, order),
@@ -436,15 +562,16 @@
     }
 
     fn carry_out_start(&mut self, call: &Call, order: StartOrder) {
-        if !self.is_quiet() && self.chance(0.01) {
+        if self.is_disturbed() && self.chance(0.01) {
             self.respond(call, OwnerEvent::Started(order, StartOutcome::Refused));
             return;
         }
         let work = self.draw_work(&order);
+        let has_ticket = self.has_ticket(&order, (call.worker, call.life));
         let (now, term) = (self.now, self.owners[call.owner].term);
         let worker = &mut self.workers[call.worker];
         let life = worker.life.as_mut().unwrap();
-        let (outcome, is_new) = life.start(&order, term, work, now);
+        let (outcome, is_new) = life.start(&order, term, work, has_ticket, now);
         let (number, used) = (life.number, life.used_cpu());
         let is_over = is_new && used > worker.capacity_cpu;
         self.trace(Some(order.task.job), Some(call.worker), || {
@@ -452,6 +579,7 @@
             format!("start of {task} run {run} by owner {owner}: {outcome:?}, is_new={is_new}")
         });
         if is_new {
+            self.long_runs += usize::from(work.startup.is_some());
             let life = (call.worker, number);
             self.checks.started(order.task, order.run, life, &self.log);
         }
@@ -466,11 +594,15 @@
         let spec = &self.log.accepted.get(&order.task.job);
         let step = spec.and_then(|spec| spec.steps.get(usize::from(order.task.step)));
         let cpu = step.map_or(0, |step| step.resources.cpu);
+        if step.is_some_and(|step| step.long_running) {
+            return self.draw_long_run(cpu);
+        }
         let has_failed = !self.is_quiet() && self.chance(0.12);
         let longest = if self.chance(0.3) { 3_000 } else { 600 };
         Work {
             cpu,
             duration: self.span(20, longest),
+            startup: None,
             reason: if has_failed {
                 EndReason::Failed
             } else {
@@ -541,7 +673,7 @@
                         let (task, run, reason) = (end.task, end.run, end.reason);
                         let text = format!("{task} run {run} ends: {reason:?}");
                         self.trace.add(now, Some(task.job), Some(number), text);
-                        self.checks.ended(&end, id);
+                        self.checks.ended(&end, id, now);
                     }
                     Change::Lapsed => {
                         self.checks.lapsed(id);
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/worker.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/worker.rs
@@ -30,6 +30,8 @@
     cpu: u64,
     started_at: Time,
     ends_at: Time,
+    /// When a long-running task is ready.
+    ready_at: Option<Time>,
     reason: EndReason,
 }
 
@@ -38,6 +40,8 @@
 pub(super) struct Work {
     pub(super) cpu: u64,
     pub(super) duration: Span,
+    /// How long a long-running task takes to become ready. `None` for tasks that end.
+    pub(super) startup: Option<Span>,
     pub(super) reason: EndReason,
 }
 
@@ -164,6 +168,7 @@
         order: &StartOrder,
         term: u64,
         work: Work,
+        has_ticket: bool,
         now: Time,
     ) -> (StartOutcome, bool) {
         if !self.admit(term) {
@@ -180,12 +185,16 @@
         if self.closed_runs.get(&order.task) >= Some(&order.run) {
             return (StartOutcome::Stale, false);
         }
+        if !has_ticket {
+            return (StartOutcome::NoTicket, false);
+        }
         self.running.push(ActiveRun {
             task: order.task,
             run: order.run,
             cpu: work.cpu,
             started_at: now,
             ends_at: now + work.duration,
+            ready_at: work.startup.map(|startup| now + startup),
             reason: work.reason,
         });
         (StartOutcome::Started, true)
@@ -235,6 +244,17 @@
         }
     }
 
+    /// Returns the number of active runs of the step of a task.
+    pub(super) fn runs_of_step(&self, task: TaskName) -> u64 {
+        let is_same_step = |run: &&ActiveRun| {
+            TaskName {
+                index: 0,
+                ..run.task
+            } == TaskName { index: 0, ..task }
+        };
+        self.running.iter().filter(is_same_step).count() as u64
+    }
+
     pub(super) fn used_cpu(&self) -> u64 {
         self.running.iter().map(|run| run.cpu).sum()
     }
@@ -242,9 +262,11 @@
 
 impl ActiveRun {
     fn percent(&self, now: Time) -> u8 {
-        let total = self.ends_at.since(self.started_at).as_micros().max(1);
+        let full_at = self.ready_at.unwrap_or(self.ends_at);
+        let total = full_at.since(self.started_at).as_micros().max(1);
         let elapsed = now.since(self.started_at).as_micros();
-        (elapsed * 100 / total).min(99) as u8
+        let most = if self.ready_at.is_some() { 100 } else { 99 };
+        (elapsed * 100 / total).min(most) as u8
     }
 }
 
@@ -256,10 +278,29 @@
     pub(super) is_refusing: bool,
 }
 
+/// A worker process that has ended.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Loss {
+    pub(super) at: Time,
+    /// Whether the process closed its connections and removed its entry.
+    pub(super) is_exit: bool,
+    /// Since when the address refuses orders on behalf of another worker, which shows that this one
+    /// has ended.
+    pub(super) replaced_at: Option<Time>,
+}
+
 #[derive(Debug)]
 pub(super) struct Worker {
     pub(super) id: Arc<str>,
+    /// The number of the machine, which gives the address.
+    pub(super) machine: usize,
     pub(super) capacity_cpu: u64,
+    pub(super) labels: Vec<Arc<str>>,
+    pub(super) is_draining: bool,
+    /// The end of the process, if no later one runs under the same id.
+    pub(super) loss: Option<Loss>,
+    /// Whether no later process will run under this id.
+    pub(super) is_gone: bool,
     /// The running process. `None` while it is down.
     pub(super) life: Option<Life>,
     pub(super) lives: u64,
@@ -273,6 +314,13 @@
 }
 
 impl Worker {
+    /// Returns whether owners can use the worker for new work, as far as the network and the
+    /// directory show.
+    pub(super) fn is_in_service(&self, now: Time) -> bool {
+        let is_listed = |life: &Life| self.entry == Some(life.started_ms);
+        !self.is_draining && self.life.as_ref().is_some_and(is_listed) && self.cut_at(now).is_none()
+    }
+
     pub(super) fn cut_at(&self, now: Time) -> Option<Cut> {
         self.cut.filter(|cut| now < cut.until)
     }
