--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -5,6 +5,7 @@
 //! workers first, the adviser is asked about as many workers as the step is likely to need.
 
 mod advice;
+mod moves;
 mod pool;
 mod waits;
 
@@ -22,6 +23,7 @@
 
 use pool::{PaceRange, pace_band};
 
+pub(crate) use moves::KeptPlace;
 pub(crate) use pool::{Candidate, WorkerPool, WorkerPools};
 pub(crate) use waits::{WaitBudget, WaitState};
 
@@ -55,6 +57,8 @@
     /// The pace (observed over expected run time) of the slowest worker that still meets the
     /// objective.
     slowest_pace: f64,
+    /// Whether tasks are to be moved, not started.
+    is_move: bool,
 }
 
 impl ReadyStep {
@@ -93,6 +97,7 @@
             is_tight: status != ObjectiveStatus::Missed
                 && (slack as f64) < critical_path * (paces.slowest * PACE_MARGIN - paces.fastest),
             slowest_pace,
+            is_move: false,
         }
     }
 
@@ -106,11 +111,21 @@
             slack: 0,
             is_tight: false,
             slowest_pace: f64::INFINITY,
+            is_move: false,
+        }
+    }
+
+    /// Creates a ready step of long-running tasks that are to be moved.
+    fn of_move(key: JobKey, slot: usize) -> Self {
+        ReadyStep {
+            is_move: true,
+            ..ReadyStep::of_long_running(key, slot)
         }
     }
 
     fn compare(&self, other: &ReadyStep) -> Ordering {
-        (self.status, self.slack, self.step).cmp(&(other.status, other.slack, other.step))
+        let rank = |step: &Self| (step.status, step.slack, step.is_move, step.step);
+        rank(self).cmp(&rank(other))
     }
 }
 
@@ -119,28 +134,33 @@
     pub fn decide(&mut self, now: Time) -> Vec<Action> {
         self.expire_workers(now);
         self.expire_tentative(now);
+        self.expire_advice_calls(now);
         self.stop_partial_gangs();
         self.settle_withdrawn_runs(now);
         self.open_occurrences(now);
-        self.evacuate_long_running(now);
-        self.send_stops(now);
         self.set_mean_pace(now);
         let mut pools = self.usable_workers(now);
+        self.reserve_kept_places(&mut pools, now);
         for ready in self.ready_steps(&pools, now) {
             let service = &self.jobs[ready.job].spec.policy.service;
-            if let Some(pool) = pools.by_service.get_mut(service) {
-                self.place_step(&ready, pool, now);
+            match pools.by_service.get_mut(service) {
+                Some(pool) if ready.is_move => self.move_tasks(&ready, pool, now),
+                Some(pool) => self.place_step(&ready, pool, now),
+                None => {}
+            }
+            if !ready.is_move {
+                let service = &self.jobs[ready.job].spec.policy.service;
+                self.note_wait(&ready, pools.by_service.get(service), now);
             }
-            let service = &self.jobs[ready.job].spec.policy.service;
-            self.note_wait(&ready, pools.by_service.get(service), now);
         }
         self.start_speculative_runs(&mut pools, now);
+        self.send_stops(now);
         self.take_actions(now)
     }
 
     fn set_mean_pace(&mut self, now: Time) {
         let workers = self.workers.values();
-        let workers = workers.filter(|worker| worker.is_usable(now));
+        let workers = workers.filter(|worker| worker.is_usable(now) && !worker.is_quarantined(now));
         let paces = workers.map(|worker| (worker.kind(), &worker.pace));
         self.run_times.set_level(paces, now);
     }
@@ -162,13 +182,18 @@
                 continue;
             };
             let pace = self.worker_pace(key, now);
+            let is_quarantined = worker.is_quarantined(now);
             pool.indexes.insert(key, pool.candidates.len());
-            pool.paces = Some(PaceRange::extend(pool.paces, pace));
+            pool.has_quarantined |= is_quarantined;
+            if !is_quarantined {
+                pool.paces = Some(PaceRange::extend(pool.paces, pace));
+            }
             pool.candidates.push(Candidate {
                 key,
                 available: worker.available(),
                 has_best_effort: worker.best_effort_runs > 0,
                 has_latency_sensitive: worker.latency_sensitive_runs > 0,
+                is_quarantined,
                 pace,
                 pace_band: pace_band(pace),
             });
@@ -204,12 +229,13 @@
                 step.slowest_pace = f64::INFINITY;
             }
         }
+        ready.extend(self.steps_to_move());
         ready.sort_by(ReadyStep::compare);
         ready
     }
 
     fn place_step(&mut self, ready: &ReadyStep, pool: &mut WorkerPool, now: Time) {
-        self.expire_advice_call(ready.job, ready.step, now);
+        self.release_kept_places(ready.job, ready.step, pool);
         let job = &self.jobs[ready.job];
         let spec = job.step_spec(ready.step);
         if !pool.has_capacity(spec.charged_resources()) {
@@ -218,19 +244,36 @@
         let mut demand = self
             .step_demand(ready.job, ready.step)
             .with_slowest_pace(ready.slowest_pace);
-        let eligible = self.eligible_candidates(ready, &demand, pool, now);
-        let is_placed = if eligible.is_empty() {
-            false
-        } else if spec.gang {
-            self.place_gang(ready, &demand, &eligible, pool, now)
-        } else {
-            self.place_tasks(ready, &mut demand, &eligible, pool, now)
-        };
+        self.count_kept_places(&mut demand);
+        let mut is_placed = self.place_demand(ready, &mut demand, pool, now);
+        if !is_placed && self.has_only_quarantined(&demand, pool, now) {
+            demand = demand.with_quarantined();
+            is_placed = self.place_demand(ready, &mut demand, pool, now);
+        }
         if !is_placed {
             self.request_advice(ready, &demand, pool, now);
         }
     }
 
+    /// Starts what fits of a step on the workers that suit its demand. Returns whether no startable
+    /// task is left.
+    fn place_demand(
+        &mut self,
+        ready: &ReadyStep,
+        demand: &mut StepDemand,
+        pool: &mut WorkerPool,
+        now: Time,
+    ) -> bool {
+        let eligible = self.eligible_candidates(ready, demand, pool, now);
+        if eligible.is_empty() {
+            false
+        } else if self.jobs[ready.job].step_spec(ready.step).gang {
+            self.place_gang(ready, demand, &eligible, pool, now)
+        } else {
+            self.place_tasks(ready, demand, &eligible, pool, now)
+        }
+    }
+
     /// Returns the indexes of the workers on which tasks of the step can start now, best first.
     fn eligible_candidates(
         &self,
@@ -367,8 +410,14 @@
         pool: &mut WorkerPool,
         now: Time,
     ) -> bool {
-        let startable = startable_tasks(&self.jobs[ready.job].steps[ready.step].tasks, now);
+        let job = &self.jobs[ready.job];
+        let tasks = &job.steps[ready.step].tasks;
+        let mut startable = startable_tasks(tasks, now);
         let mut left = startable.len();
+        if demand.accepts_quarantined && !job.step_spec(ready.step).long_running {
+            let limit = job.spec.policy.max_attempts as usize;
+            startable.retain(|index| tasks[*index].failed_runs.len() + 1 < limit);
+        }
         for index in startable {
             let avoid = self.jobs[ready.job].steps[ready.step].tasks[index].avoid_worker;
             let fits = |candidate: &&usize| {
