--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/simulation.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/simulation.rs
@@ -20,6 +20,7 @@
 use super::services;
 use super::waiting::Waits;
 use super::worker::{Change, Work, Worker};
+use crate::harness::registration;
 
 pub(super) const WORKERS: usize = 6;
 /// The time between two runs of the loops.
@@ -409,7 +410,7 @@
         let now = self.now;
         let Some(life) = self.workers[worker].life.as_ref().map(|life| life.number) else {
             if self.is_replaced(worker) {
-                self.refuse(owner, now, &order);
+                self.refuse(owner, self.workers[worker].machine, now, &order);
                 return;
             }
             let is_refused = self.chance(0.8);
@@ -465,13 +466,14 @@
     }
 
     /// Reports that another worker serves at the address of the one that an order was meant for.
-    fn refuse(&mut self, owner: usize, sent: Time, order: &Order) {
+    fn refuse(&mut self, owner: usize, machine: usize, sent: Time, order: &Order) {
         let event = match order {
             Order::Start(order) => OwnerEvent::Started(order.clone(), StartOutcome::Refused),
             Order::Stop(_) => return,
             Order::Poll(key, _) => {
-                let error = PollError::Failed(PollFailure::Unresponsive);
-                OwnerEvent::Polled(*key, sent, Err(error))
+                let address = registration(machine, 0).address.parse().unwrap();
+                let failure = PollFailure::Replaced { address, sent };
+                OwnerEvent::Polled(*key, sent, Err(PollError::Failed(failure)))
             }
         };
         let delay = self.span(1, 5);
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -13,6 +13,7 @@
 mod long_running;
 mod moves;
 mod occurrences;
+mod replaced;
 mod restarts;
 mod run_times;
 mod speculation;
