--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -12,7 +12,7 @@
 use std::cmp::Ordering;
 use std::sync::Arc;
 
-use kingcupwinch_time::Time;
+use kingcupwinch_time::{Span, Time};
 
 use crate::cell::{Action, Cell};
 use crate::fit::StepDemand;
@@ -27,6 +27,10 @@
 pub(crate) use pool::{Candidate, WorkerPool, WorkerPools};
 pub(crate) use waits::{WaitBudget, WaitState};
 
+/// How long a job waits for a faster worker, and others wait for a gang, while most of the service is
+/// free. Nothing but the choice of workers is in the way then, and callers expect a start within 3 s.
+const MAX_PATIENCE: Span = Span::from_millis(2_000);
+
 /// How much faster than needed the slowest worker has to be before slow workers come first for a
 /// step, since run times are uncertain.
 const PACE_MARGIN: f64 = 1.3;
@@ -48,6 +52,8 @@
     job: JobKey,
     /// The slot of the step.
     step: usize,
+    /// The number of tasks that wait to be started or moved.
+    tasks: usize,
     status: ObjectiveStatus,
     /// The time that is left beyond the expected work, in microseconds. Negative if the objective
     /// will be missed.
@@ -59,6 +65,8 @@
     slowest_pace: f64,
     /// Whether tasks are to be moved, not started.
     is_move: bool,
+    /// Since when the step has had tasks that could start.
+    waiting_since: Time,
 }
 
 impl ReadyStep {
@@ -67,7 +75,7 @@
         let step = &job.steps[slot];
         let spec = job.step_spec(slot);
         if spec.long_running {
-            return ReadyStep::of_long_running(key, slot);
+            return ReadyStep::of_long_running(key, slot, step.waiting, step.wait.since(now));
         }
         let critical_path = step.critical_path.as_micros() as f64;
         let left = |end: Time| {
@@ -92,39 +100,55 @@
         ReadyStep {
             job: key,
             step: slot,
+            tasks: step.waiting,
             status,
             slack,
             is_tight: status != ObjectiveStatus::Missed
                 && (slack as f64) < critical_path * (paces.slowest * PACE_MARGIN - paces.fastest),
             slowest_pace,
             is_move: false,
+            waiting_since: step.wait.since(now),
         }
     }
 
     /// Creates a ready step of long-running tasks. They have no end that could be late and are
     /// needed at once, so their slack is zero.
-    fn of_long_running(key: JobKey, slot: usize) -> Self {
+    fn of_long_running(key: JobKey, slot: usize, tasks: usize, waiting_since: Time) -> Self {
         ReadyStep {
             job: key,
             step: slot,
+            tasks,
             status: ObjectiveStatus::OnTime,
             slack: 0,
             is_tight: false,
             slowest_pace: f64::INFINITY,
             is_move: false,
+            waiting_since,
         }
     }
 
-    /// Creates a ready step of long-running tasks that are to be moved.
-    fn of_move(key: JobKey, slot: usize) -> Self {
+    /// Creates a ready step of long-running tasks that are to be moved. Little time may be left, so
+    /// that the step counts as one that has waited for long.
+    fn of_move(key: JobKey, slot: usize, tasks: usize) -> Self {
         ReadyStep {
+            tasks,
             is_move: true,
-            ..ReadyStep::of_long_running(key, slot)
+            ..ReadyStep::of_long_running(key, slot, 0, Time::ZERO)
         }
     }
 
+    /// Compares by urgency. Steps that are equally urgent come in the order in which they began to
+    /// wait, so that none is passed over again and again.
     fn compare(&self, other: &ReadyStep) -> Ordering {
-        let rank = |step: &Self| (step.status, step.slack, step.is_move, step.step);
+        let rank = |step: &Self| {
+            (
+                step.status,
+                step.slack,
+                step.is_move,
+                step.waiting_since,
+                step.step,
+            )
+        };
         rank(self).cmp(&rank(other))
     }
 }
@@ -167,6 +191,7 @@
 
     /// Returns the workers that can take new work, grouped by service.
     fn usable_workers(&self, now: Time) -> WorkerPools {
+        let claims = self.claims(now);
         let mut pools = WorkerPools::default();
         for (key, worker) in &self.workers {
             if !worker.is_usable(now) {
@@ -183,6 +208,7 @@
             };
             let pace = self.worker_pace(key, now);
             let is_quarantined = worker.is_quarantined(now);
+            pool.count_capacity(worker.registration.capacity, worker.available());
             pool.indexes.insert(key, pool.candidates.len());
             pool.has_quarantined |= is_quarantined;
             if !is_quarantined {
@@ -191,6 +217,7 @@
             pool.candidates.push(Candidate {
                 key,
                 available: worker.available(),
+                claimed: claims.get(&key).copied().unwrap_or_default(),
                 has_best_effort: worker.best_effort_runs > 0,
                 has_latency_sensitive: worker.latency_sensitive_runs > 0,
                 is_quarantined,
@@ -225,7 +252,11 @@
         }
         for step in &mut ready {
             step.is_tight &= self.uses(Mechanism::FastFirst);
-            if !self.uses(Mechanism::PaceLimit) {
+            let job = &self.jobs[step.job];
+            let pool = pools.by_service.get(&job.spec.policy.service);
+            let is_stuck = job.runs.is_empty()
+                && pool.is_some_and(|pool| Cell::is_out_of_patience(step, pool, now));
+            if is_stuck || !self.uses(Mechanism::PaceLimit) {
                 step.slowest_pace = f64::INFINITY;
             }
         }
@@ -234,6 +265,11 @@
         ready
     }
 
+    /// Returns whether a step has waited for long although most of the service is free.
+    fn is_out_of_patience(ready: &ReadyStep, pool: &WorkerPool, now: Time) -> bool {
+        pool.is_mostly_free() && ready.waiting_since + MAX_PATIENCE <= now
+    }
+
     fn place_step(&mut self, ready: &ReadyStep, pool: &mut WorkerPool, now: Time) {
         self.release_kept_places(ready.job, ready.step, pool);
         let job = &self.jobs[ready.job];
@@ -320,8 +356,8 @@
     }
 
     /// Compares two workers for a step. Workers on the rack of its data come first. Among these,
-    /// fast workers come first if slack is short and slow workers otherwise, then the workers with
-    /// the least CPU left.
+    /// fast workers come first if slack is short. Otherwise workers come first whose capacity no other
+    /// step is about to use, and slow ones of these. Then come the workers with the least CPU left.
     fn compare_candidates(
         &self,
         a: &Candidate,
@@ -346,10 +382,14 @@
         let pace_order = a.pace_band.cmp(&b.pace_band);
         rack_order
             .then(isolation_order)
-            .then(if ready.is_tight {
-                pace_order
-            } else {
-                pace_order.reverse()
+            .then_with(|| {
+                let charge = spec.charged_resources();
+                let contention_order = a.contention(charge).cmp(&b.contention(charge));
+                if ready.is_tight {
+                    pace_order.then(contention_order)
+                } else {
+                    contention_order.then(pace_order.reverse())
+                }
             })
             .then(a.available.cpu.cmp(&b.available.cpu))
             .then(a.key.cmp(&b.key))
@@ -443,6 +483,13 @@
         left == 0
     }
 
+    /// Returns whether a gang would fit if nothing else ran on the workers that it may use.
+    fn could_fit(&self, demand: &StepDemand, tasks: usize, pool: &WorkerPool, now: Time) -> bool {
+        let candidates = pool.candidates.iter();
+        let fits = candidates.map(|candidate| self.fits_when_idle(demand, candidate.key, now));
+        fits.fold(0, u64::saturating_add) >= tasks as u64
+    }
+
     /// Starts a whole gang if it fits. Otherwise reserves the available capacity for it, so that
     /// steps behind it can't starve it.
     fn place_gang(
@@ -456,7 +503,10 @@
         let job = &self.jobs[ready.job];
         let tasks = job.steps[ready.step].tasks.len();
         let Some(chosen) = self.choose_gang(demand, eligible, pool, tasks) else {
-            if !self.uses(Mechanism::GangReservation) {
+            let is_reserving = self.uses(Mechanism::GangReservation)
+                && !Cell::is_out_of_patience(ready, pool, now)
+                && self.could_fit(demand, tasks, pool, now);
+            if !is_reserving {
                 return false;
             }
             let mut left = tasks as u64;
--- a/crates/kingcupwinch-cell/src/placement/moves.rs
+++ b/crates/kingcupwinch-cell/src/placement/moves.rs
@@ -93,10 +93,10 @@
     pub(super) fn steps_to_move(&self) -> impl Iterator<Item = ReadyStep> {
         self.long_running_jobs.iter().flat_map(|key| {
             let slots = 0..self.jobs[*key].steps.len();
-            let is_moving = |slot: &usize| !self.runs_to_move(*key, *slot).is_empty();
-            slots
-                .filter(is_moving)
-                .map(|slot| ReadyStep::of_move(*key, slot))
+            slots.filter_map(|slot| {
+                let tasks = self.runs_to_move(*key, slot).len();
+                (tasks > 0).then(|| ReadyStep::of_move(*key, slot, tasks))
+            })
         })
     }
 
@@ -115,9 +115,13 @@
                 continue;
             };
             let state = &self.runs[run];
-            let is_ready = state.state == RunState::Running && state.percent >= READY_PERCENT;
+            let worker = &self.workers[state.worker];
+            // What a silent worker runs may be gone.
+            let is_ready = state.state == RunState::Running
+                && state.percent >= READY_PERCENT
+                && worker.failed_polls == 0;
             unavailable += usize::from(!is_ready);
-            if is_ready && self.workers[state.worker].registration.draining {
+            if is_ready && worker.registration.draining {
                 moving.push(run);
             }
         }
