--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/log.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/log.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use kingcupwinch_cell::{JobId, JobRecord, JobSpec, RecordBatch};
+use kingcupwinch_cell::{JobId, JobRecord, JobSpec, RecordBatch, TaskName};
 use kingcupwinch_time::Time;
 
 /// A record of the intake.
@@ -18,6 +18,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct DirectoryRecord {
     pub(super) worker: usize,
+    pub(super) is_draining: bool,
     pub(super) started_ms: Option<u64>,
 }
 
@@ -27,6 +28,8 @@
     pub(super) term: u64,
     pub(super) intake: Vec<IntakeRecord>,
     pub(super) accepted: BTreeMap<JobId, JobSpec>,
+    /// When each job was accepted first.
+    pub(super) accepted_at: BTreeMap<JobId, Time>,
     pub(super) cancelled: BTreeSet<JobId>,
     pub(super) progress: BTreeMap<JobId, JobRecord>,
     /// Ids and addresses of the workers that the last owner used.
@@ -41,7 +44,8 @@
         now < self.down_until
     }
 
-    pub(super) fn accept(&mut self, id: JobId, spec: &JobSpec) {
+    pub(super) fn accept(&mut self, id: JobId, spec: &JobSpec, now: Time) {
+        self.accepted_at.entry(id).or_insert(now);
         self.accepted.entry(id).or_insert_with(|| spec.clone());
         self.intake.push(IntakeRecord::Accepted(id));
     }
@@ -67,12 +71,23 @@
         }
     }
 
-    /// Returns the workers in the directory with their start times.
-    pub(super) fn listed_workers(&self) -> BTreeMap<usize, u64> {
+    /// Returns whether the progress says that a task is done.
+    pub(super) fn has_done(&self, task: TaskName) -> bool {
+        let step = u32::from(task.step);
+        self.progress.get(&task.job).is_some_and(|record| {
+            let mut steps = record.done_steps.iter();
+            let mut tasks = record.done_tasks.iter();
+            steps.any(|(first, after)| (*first..*after).contains(&step))
+                || tasks.any(|(slot, indexes)| *slot == step && indexes.contains(&task.index))
+        })
+    }
+
+    /// Returns the workers in the directory with their start times, and whether they drain.
+    pub(super) fn listed_workers(&self) -> BTreeMap<usize, (u64, bool)> {
         let mut listed = BTreeMap::new();
         for record in &self.directory {
             match record.started_ms {
-                Some(started_ms) => listed.insert(record.worker, started_ms),
+                Some(started_ms) => listed.insert(record.worker, (started_ms, record.is_draining)),
                 None => listed.remove(&record.worker),
             };
         }
