Grant no lease for a start order that is not sent

The order is checked before the lease is granted. The test fails without the change and passes with it; 18 tests of workers pass.

--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -136,8 +136,11 @@
             return;
         }
         let worker = &mut self.workers[order.worker];
-        let lease_until = worker.grant_lease(now, self.timers.max_lease);
-        let (true, Some(lease_until)) = (worker.is_usable(now), lease_until) else {
+        // No lease is granted for an order that isn't sent: it would put off the expiry of all.
+        let lease_until = worker
+            .is_usable(now)
+            .then(|| worker.grant_lease(now, self.timers.max_lease));
+        let Some(lease_until) = lease_until.flatten() else {
             self.discard_run(run, now);
             return;
         };
--- a/crates/kingcupwinch-cell/tests/cell/workers.rs
+++ b/crates/kingcupwinch-cell/tests/cell/workers.rs
@@ -1,6 +1,6 @@
 //! Workers that become unreachable, return or restart.
 
-use kingcupwinch_cell::{EndReason, PollFailure, WorkerStatus};
+use kingcupwinch_cell::{CellEvent, EndReason, PollFailure, WorkerStatus};
 use kingcupwinch_time::Span;
 
 use crate::harness::{EXIT_WINDOW, Harness, MAX_LEASE, job, registration, step};
@@ -75,6 +75,29 @@
     assert_eq!(harness.starts.len(), 1);
 }
 
+/// Guards against runs that are held back by a lease which was granted for a start order that was
+/// never sent, since its worker had become silent before its record was in the log.
+#[test]
+fn a_start_that_is_not_sent_puts_off_no_expiry() {
+    let mut harness = Harness::new(1, 4);
+    let silent = harness.keys()[0];
+    harness.submit(1, job(vec![step(1, 1, 60_000)]));
+    harness.run_round();
+    harness.poll(silent);
+    harness.cell.take_events();
+    harness.submit(2, job(vec![step(1, 1, 500)]));
+    harness.decide_without_log();
+    harness.cell.poll_failed(silent, PollFailure::Unresponsive);
+    harness.advance(MAX_LEASE.as_millis() / 2);
+    harness.append_records();
+    assert!(harness.starts.is_empty(), "the worker is silent");
+    harness.advance(MAX_LEASE.as_millis() / 2 + MAX_LEASE.as_millis() / 50 + 200);
+    harness.decide();
+    let events = harness.cell.take_events();
+    let is_settled = |event: &CellEvent| matches!(event, CellEvent::RunsSettled { .. });
+    assert!(events.iter().any(is_settled), "{events:?}");
+}
+
 #[test]
 fn a_restarted_worker_loses_its_earlier_runs() {
     let mut harness = Harness::new(1, 4);
