Name what a call in flight is expected to place, and test its bounds

"Claim" is the term for the record by which an instance becomes the owner, so the load that steps expect on the workers their calls name has a name of its own; nothing changes in what is done.

Tests: a call in flight keeps no other step from the only room, a placement with a choice leaves the room that a call asks about, and nothing is expected of a call for a job that has ended.

--- a/crates/kingcupwinch-cell/src/cell/advice_calls.rs
+++ b/crates/kingcupwinch-cell/src/cell/advice_calls.rs
@@ -22,7 +22,7 @@
     step: usize,
     workers: Vec<NamedWorker>,
     instance: Arc<str>,
-    /// When the call counts as lost, and its step no longer claims anything.
+    /// When the call counts as lost, and nothing is expected of it any more.
     deadline: Time,
 }
 
@@ -30,7 +30,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct NamedWorker {
     pub(crate) key: WorkerKey,
-    pub(crate) claim: Resources,
+    pub(crate) load: Resources,
 }
 
 impl Cell {
@@ -58,18 +58,18 @@
     }
 
     /// Returns what the steps with calls in flight are expected to place on each worker.
-    pub(crate) fn claims(&self, now: Time) -> FxHashMap<WorkerKey, Resources> {
-        let mut claims: FxHashMap<WorkerKey, Resources> = FxHashMap::default();
+    pub(crate) fn expected_loads(&self, now: Time) -> FxHashMap<WorkerKey, Resources> {
+        let mut loads: FxHashMap<WorkerKey, Resources> = FxHashMap::default();
         let calls = self.advice_calls.values();
         for call in calls.filter(|call| now <= call.deadline) {
             if self.jobs.get(call.job).is_none_or(|job| job.end.is_some()) {
                 continue;
             }
             for worker in &call.workers {
-                claims.entry(worker.key).or_default().add(worker.claim);
+                loads.entry(worker.key).or_default().add(worker.load);
             }
         }
-        claims
+        loads
     }
 
     /// Handles the response to a call, or `None` if the call failed. The response holds the tickets
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -156,7 +156,7 @@
 
     /// Returns the workers that can take new work, grouped by service.
     fn usable_workers(&self, now: Time) -> WorkerPools {
-        let claims = self.claims(now);
+        let loads = self.expected_loads(now);
         let mut pools = WorkerPools::default();
         for (key, worker) in &self.workers {
             if !worker.is_usable(now) {
@@ -177,7 +177,7 @@
             pool.candidates.push(Candidate {
                 key,
                 available: worker.available(),
-                claimed: claims.get(&key).copied().unwrap_or_default(),
+                expected: loads.get(&key).copied().unwrap_or_default(),
                 has_best_effort: worker.best_effort_runs > 0,
                 has_latency_sensitive: worker.latency_sensitive_runs > 0,
                 pace,
--- a/crates/kingcupwinch-cell/src/placement/advice.rs
+++ b/crates/kingcupwinch-cell/src/placement/advice.rs
@@ -81,7 +81,7 @@
             .map(|worker| Arc::clone(&self.workers[worker.key].registration.id))
             .collect();
         self.jobs[ready.job].steps[ready.step].tickets.pending_until = Some(deadline);
-        pool.claim(&workers);
+        pool.expect(&workers);
         let caller = Arc::clone(&instance);
         let call = self.add_advice_call(ready.job, ready.step, workers, caller, deadline);
         self.actions.push(Action::RequestAdvice {
@@ -93,8 +93,8 @@
         });
     }
 
-    /// Returns the workers to ask about next, with the number of tasks expected to fit on each, and the number of tasks expected to fit on all
-    /// workers that the adviser allows.
+    /// Returns the workers to ask about next, and the number of tasks expected to fit on all workers
+    /// that the adviser allows.
     fn advice_candidates(
         &self,
         ready: &ReadyStep,
@@ -171,7 +171,7 @@
     let share = (tasks * CAPACITY_MARGIN / total.max(f64::MIN_POSITIVE)).min(1.0);
     let to_named = |choice: &Choice| NamedWorker {
         key: pool.candidates[choice.index].key,
-        claim: charge.scaled(expected(choice) * share),
+        load: charge.scaled(expected(choice) * share),
     };
     choices.iter().map(to_named).collect()
 }
--- a/crates/kingcupwinch-cell/src/placement/pool.rs
+++ b/crates/kingcupwinch-cell/src/placement/pool.rs
@@ -19,7 +19,7 @@
     pub(crate) key: WorkerKey,
     pub(crate) available: Resources,
     /// What steps with calls to the adviser in flight are expected to place on the worker.
-    pub(super) claimed: Resources,
+    pub(super) expected: Resources,
     /// Whether best-effort or latency-sensitive tasks run on the worker.
     pub(crate) has_best_effort: bool,
     pub(crate) has_latency_sensitive: bool,
@@ -30,9 +30,9 @@
 
 impl Candidate {
     /// Returns how contested the worker's capacity is for a task that takes `charge`. Zero if there
-    /// is room beside all that is claimed.
+    /// is room beside all that is expected.
     pub(super) fn contention(&self, charge: Resources) -> u64 {
-        let mut demand = self.claimed;
+        let mut demand = self.expected;
         demand.add(charge);
         let excess = |demand: u64, available: u64| demand.saturating_sub(1) / available.max(1);
         excess(demand.cpu, self.available.cpu)
@@ -105,10 +105,10 @@
     }
 
     /// Adds what a step that asks about workers is expected to place there.
-    pub(super) fn claim(&mut self, workers: &[NamedWorker]) {
+    pub(super) fn expect(&mut self, workers: &[NamedWorker]) {
         for worker in workers {
             if let Some(index) = self.index(worker.key) {
-                self.candidates[index].claimed.add(worker.claim);
+                self.candidates[index].expected.add(worker.load);
             }
         }
     }
--- a/crates/kingcupwinch-cell/tests/cell/contention.rs
+++ b/crates/kingcupwinch-cell/tests/cell/contention.rs
@@ -6,7 +6,7 @@
 use kingcupwinch_cell::{EndReason, JobSpec, StepSpec, Ticket};
 use kingcupwinch_time::Span;
 
-use crate::harness::{Harness, id, job, step, with_advice};
+use crate::harness::{Harness, id, job, registration, step, with_advice};
 
 const TICKET_VALIDITY: Span = Span::from_millis(2_500);
 /// How soon a long-running task has to run while there is capacity for it.
@@ -167,3 +167,66 @@
     }
     assert_eq!(harness.calls[0].1.len(), 2);
 }
+
+/// What is expected of a call in flight only orders the choice: work that could start isn't held up.
+#[test]
+fn a_call_in_flight_keeps_no_other_step_from_the_only_room() {
+    let mut harness = Harness::new(1, 4);
+    harness.submit(1, single_task_job());
+    harness.decide();
+    assert_eq!(harness.calls.len(), 1);
+    harness.submit(2, job(vec![step(4, 1, 500)]));
+    harness.run_round();
+    assert_eq!(harness.running().len(), 4);
+}
+
+/// Steps with a choice filled the workers about which others were asking.
+#[test]
+fn a_placement_leaves_the_room_that_a_call_in_flight_asks_about() {
+    let mut harness = Harness::new(2, 4);
+    harness.submit(1, job(vec![step(1, 3, 3_600_000)]));
+    harness.run_round();
+    let (fuller, _) = harness.running()[0];
+    let mut only_there = single_task_job();
+    only_there.steps[0].required_label = Some("fuller".into());
+    let mut entry = registration(0, 4);
+    assert_eq!(harness.keys()[0], fuller);
+    entry.labels.push("fuller".into());
+    harness.cell.register_worker(entry, false, harness.now);
+    harness.submit(2, only_there);
+    harness.run_round();
+    // One worker is not likely to be allowed, so that the step asks only after a while.
+    harness.advance(1_000);
+    harness.poll_all();
+    harness.run_round();
+    assert_eq!(harness.calls[0].1.len(), 1);
+    harness.submit(3, job(vec![step(1, 1, 500)]));
+    harness.run_round();
+    let on_fuller = harness
+        .running()
+        .iter()
+        .filter(|run| run.0 == fuller)
+        .count();
+    assert_eq!(on_fuller, 1, "the room for the step that asks is taken");
+}
+
+/// A call for a job that has ended leaves no trace on the workers that it named.
+#[test]
+fn nothing_is_expected_of_a_call_for_an_ended_job() {
+    let mut harness = Harness::new(2, 4);
+    harness.submit(1, job(vec![step(1, 3, 3_600_000)]));
+    harness.run_round();
+    let (fuller, _) = harness.running()[0];
+    harness.submit(2, single_task_job());
+    harness.decide();
+    assert_eq!(harness.calls.len(), 1);
+    harness.cell.cancel(id(2), harness.now);
+    harness.submit(3, job(vec![step(1, 1, 500)]));
+    harness.run_round();
+    let on_fuller = harness
+        .running()
+        .iter()
+        .filter(|run| run.0 == fuller)
+        .count();
+    assert_eq!(on_fuller, 2, "the fullest worker comes first again");
+}
