Keep the room that a long-waiting step asks about until the response

A long-running step that has waited for a second keeps room on the workers that its call names, for as many tasks as it is likely to start, until the call is answered or lost. Less urgent steps use other room meanwhile. A worker that is denied isn't asked about again, so no room is kept for long.

The test, one worker that is always busy, was seen to fail without the change.

--- a/crates/kingcupwinch-cell/src/cell/advice_calls.rs
+++ b/crates/kingcupwinch-cell/src/cell/advice_calls.rs
@@ -57,6 +57,18 @@
         id
     }
 
+    /// Returns the workers that the call of a step in flight names, none without a call.
+    pub(crate) fn asked_workers(
+        &self,
+        job: JobKey,
+        step: usize,
+    ) -> impl Iterator<Item = WorkerKey> {
+        let mut calls = self.advice_calls.values();
+        let call = calls.find(|call| call.job == job && call.step == step);
+        let workers = call.map_or(&[][..], |call| &call.workers);
+        workers.iter().map(|worker| worker.key)
+    }
+
     /// Returns what the steps with calls in flight are expected to place on each worker.
     pub(crate) fn expected_loads(&self, now: Time) -> FxHashMap<WorkerKey, Resources> {
         let mut loads: FxHashMap<WorkerKey, Resources> = FxHashMap::default();
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -288,6 +288,7 @@
         }
         if !is_placed {
             self.request_advice(ready, &demand, pool, now);
+            self.keep_asked_room(ready, &demand, pool, now);
         }
     }
 
--- a/crates/kingcupwinch-cell/src/placement/advice.rs
+++ b/crates/kingcupwinch-cell/src/placement/advice.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use kingcupwinch_time::{Span, Time};
+use smallvec::SmallVec;
 
 use super::{ReadyStep, WorkerPool};
 use crate::advice::call_time;
@@ -24,6 +25,10 @@
 /// How long a step waits for workers of which the adviser is likely to allow one. Then any worker
 /// with room is worth a call, since the few that are left may be allowed.
 const LIKELY_WORKER_WAIT: Span = Span::from_millis(1_000);
+/// How long a long-running step waits before the room that its call asks about is kept for it. What
+/// is left of the 3 s in which it has to start is enough for two calls.
+const KEPT_ROOM_WAIT: Span = Span::from_millis(1_000);
+
 /// How long to wait before considering a call for a step again after too little capacity was found.
 const NO_CAPACITY_BACKOFF: Span = Span::from_millis(30);
 
@@ -93,6 +98,32 @@
         });
     }
 
+    /// Keeps room on the workers that the call of a step names from less urgent steps until it is
+    /// answered, if the step has long-running tasks that have waited for long. On busy workers, steps
+    /// that need no call take whatever becomes free. Denied workers aren't asked about again, so no
+    /// room is kept for long.
+    pub(super) fn keep_asked_room(
+        &self,
+        ready: &ReadyStep,
+        demand: &StepDemand,
+        pool: &mut WorkerPool,
+        now: Time,
+    ) {
+        let spec = self.jobs[ready.job].step_spec(ready.step);
+        if !spec.long_running || now < ready.waiting_since + KEPT_ROOM_WAIT {
+            return;
+        }
+        let share = self.allowed_share(&self.jobs[ready.job].spec.policy.queue);
+        let wanted = (ready.tasks as f64 / share.max(f64::MIN_POSITIVE)).ceil() as usize;
+        let asked = self.asked_workers(ready.job, ready.step);
+        let asked = asked.filter_map(|worker| pool.index(worker));
+        let has_room = |index: &usize| self.room_on(demand, &pool.candidates[*index]).is_ok();
+        let kept: SmallVec<[usize; 8]> = asked.filter(has_room).take(wanted).collect();
+        for index in kept {
+            pool.reserve(index, demand.charge, 1);
+        }
+    }
+
     /// Returns the workers to ask about next, and the number of tasks expected to fit on all workers
     /// that the adviser allows.
     fn advice_candidates(
--- a/crates/kingcupwinch-cell/tests/cell/contention.rs
+++ b/crates/kingcupwinch-cell/tests/cell/contention.rs
@@ -230,3 +230,48 @@
         .count();
     assert_eq!(on_fuller, 2, "the fullest worker comes first again");
 }
+
+/// Guards against a long-running task that never starts on a busy worker: each time room became free
+/// there, a step without adviser took it while the call was in flight.
+#[test]
+fn room_that_a_long_waiting_step_asks_about_is_kept_until_the_response() {
+    /// Longer than tickets are valid, so that each ticket expires before room is free again.
+    const RUN_MS: u64 = 3_000;
+    const CALL_MS: u64 = 500;
+    let mut harness = Harness::new(1, 4);
+    for number in 100..110 {
+        harness.submit(number, job(vec![step(1, 4, RUN_MS)]));
+    }
+    harness.run_round();
+    let long_running = StepSpec {
+        long_running: true,
+        ..step(1, 4, 1_000)
+    };
+    harness.submit(1, with_advice(job(vec![long_running]), 400.0));
+    let is_started = |harness: &Harness| {
+        let running = harness.running();
+        running.iter().any(|(_, task)| task.job == id(1))
+    };
+    for _ in 0..3 {
+        harness.advance(RUN_MS - CALL_MS);
+        harness.end_all(EndReason::Done);
+        harness.poll_all();
+        harness.run_round();
+        harness.advance(CALL_MS);
+        harness.poll_all();
+        for (call, workers) in std::mem::take(&mut harness.calls) {
+            let to_ticket = |worker: &Arc<str>| Ticket {
+                worker: Arc::clone(worker),
+                text: "ticket".into(),
+            };
+            let tickets = workers.iter().map(to_ticket).collect();
+            let response = Some((tickets, TICKET_VALIDITY));
+            harness.cell.advice_received(call, response, harness.now);
+        }
+        harness.run_round();
+        if is_started(&harness) {
+            return;
+        }
+    }
+    panic!("the long-running task did not start");
+}
