Keep seeds that show the waits on the earlier code, and a start not sent

Seed 1030 held a start order that is not sent and extends the lease of a lost worker. No seed of 1000 to 1349 shows it now, so a test of its own takes its place. It fails: send_start still grants the lease before it looks whether the worker is usable.

--- a/crates/kingcupwinch-cell/tests/cell/lifecycle.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle.rs
@@ -55,28 +55,21 @@
 /// Advice that counts the workers with no room below the step's limit as capacity, and names them
 /// first, reaches the workers with room too late or never.
 #[rstest]
-fn advice_names_workers_with_room_for_the_step(#[values(134, 1186, 1376, 1537)] seed: u64) {
+fn advice_names_workers_with_room_for_the_step(#[values(1037, 1376)] seed: u64) {
     run_services(seed);
 }
 
 /// Advice that is asked for only where a whole task is expected to fit is never asked for about the
 /// last few workers, of which each is allowed with a probability below one.
 #[rstest]
-fn advice_is_asked_for_about_the_last_workers(#[values(152, 192, 1216, 1426)] seed: u64) {
+fn advice_is_asked_for_about_the_last_workers(#[values(192, 1049, 1106, 1271)] seed: u64) {
     run_services(seed);
 }
 
 /// A worker whose address serves another one has ended. Waiting for its leases, after a takeover
 /// those of earlier owners too, keeps its tasks from running.
 #[rstest]
-fn a_replaced_worker_holds_no_lease(#[values(2, 18, 100, 105)] seed: u64) {
-    run_services(seed);
-}
-
-/// A start order that is not sent renews no lease, so it must not extend the time until the leases
-/// of a lost worker have expired.
-#[rstest]
-fn an_unsent_start_extends_no_lease(#[values(1030)] seed: u64) {
+fn a_replaced_worker_holds_no_lease(#[values(2, 100, 1019, 1099)] seed: u64) {
     run_services(seed);
 }
 
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -20,6 +20,7 @@
 mod speculation;
 mod takeover;
 mod tentative;
+mod unsent_starts;
 mod waiting;
 mod worker_pace;
 mod workers;
