--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/log.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/log.rs
@@ -71,13 +71,14 @@
         }
     }
 
-    /// Returns whether the progress says that a task is done.
+    /// Returns whether the progress says that a task is done, or its job has ended.
     pub(super) fn has_done(&self, task: TaskName) -> bool {
         let step = u32::from(task.step);
         self.progress.get(&task.job).is_some_and(|record| {
             let mut steps = record.done_steps.iter();
             let mut tasks = record.done_tasks.iter();
-            steps.any(|(first, after)| (*first..*after).contains(&step))
+            record.end.is_some()
+                || steps.any(|(first, after)| (*first..*after).contains(&step))
                 || tasks.any(|(slot, indexes)| *slot == step && indexes.contains(&task.index))
         })
     }
