--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -3,6 +3,7 @@
 mod advice_calls;
 mod long_running;
 mod polls;
+mod quarantine;
 mod records;
 mod restore;
 mod run_ends;
@@ -23,15 +24,19 @@
 use crate::id::{JobId, TaskName};
 use crate::job::{Job, JobKey, JobState, TaskState};
 use crate::mechanism::{Disabled, Mechanism};
+use crate::placement::{KeptPlace, WaitBudget};
 use crate::record::JobRecord;
 use crate::run::{Run, RunKey};
 use crate::run_time::{RunTimeRecord, RunTimes};
 use crate::spec::JobSpec;
-use crate::worker::{PollFailure, Registration, Worker, WorkerKey};
+use crate::worker::{PollFailure, Registration, Worker, WorkerKey, longest_expiry};
 
 use records::PendingAck;
 
+pub(crate) use long_running::READY_PERCENT;
+
 pub use advice_calls::AdviceCallId;
+pub(crate) use advice_calls::NamedWorker;
 pub use records::RecordBatch;
 pub use runs::{Action, StartOrder, StopOrder};
 
@@ -42,7 +47,8 @@
 /// log. Those that deviate most from their kind are kept.
 const MAX_RECORDED_WORKERS: usize = 1_000;
 
-/// How long after a takeover an acceptance that an earlier owner was appending may still be read.
+/// How long after a takeover an acceptance that an earlier owner was appending may still be read, and
+/// after a job was dropped whose acceptance was not confirmed in time.
 const ACCEPTANCE_TIMEOUT: Span = Span::from_millis(10_000);
 
 /// The timers of a cell.
@@ -50,6 +56,8 @@
 pub struct CellTimers {
     /// The longest lease that a worker is granted.
     pub max_lease: Span,
+    /// The longest lease that an earlier owner may have granted.
+    pub inherited_lease: Span,
     /// How long after the claim of a successor the previous owner may still have given orders.
     pub handover_overlap: Span,
     /// How long the final state of a job stays available to queries.
@@ -125,7 +133,7 @@
     early_cancels: FxHashMap<JobId, Time>,
     pub(crate) workers: SlotMap<WorkerKey, Worker>,
     workers_by_id: FxHashMap<Arc<str>, WorkerKey>,
-    runs: SlotMap<RunKey, Run>,
+    pub(crate) runs: SlotMap<RunKey, Run>,
     runs_by_name: FxHashMap<(TaskName, u32), RunKey>,
     /// The share of workers that the adviser of each queue allowed of those it was asked about.
     allowed_shares: FxHashMap<Arc<str>, ShareEstimate>,
@@ -136,9 +144,10 @@
     pub(crate) actions: Vec<Action>,
     /// Conclusions that were not taken for the log yet.
     events: Vec<CellEvent>,
+    pub(crate) wait_budget: WaitBudget,
     /// Jobs that have speculative steps, long-running steps, or a schedule.
     speculative_jobs: FxHashSet<JobKey>,
-    long_running_jobs: FxHashSet<JobKey>,
+    pub(crate) long_running_jobs: FxHashSet<JobKey>,
     scheduled_jobs: FxHashSet<JobKey>,
     /// The last known wall-clock time in Unix milliseconds, and the time at which it was read.
     wall_clock: Option<(u64, Time)>,
@@ -154,6 +163,8 @@
     /// Jobs whose acceptance is not in the log yet, with the time of their submission. No orders
     /// are sent for them.
     tentative: FxHashMap<JobKey, Time>,
+    /// Places that are kept for tasks that move.
+    pub(crate) kept_places: Vec<KeptPlace>,
     /// Dropped jobs that may have progress records in the log.
     dropped_jobs: Vec<JobId>,
     counters: Counters,
@@ -187,6 +198,7 @@
             next_call: 0,
             actions: Vec::new(),
             events: Vec::new(),
+            wait_budget: WaitBudget::default(),
             speculative_jobs: FxHashSet::default(),
             long_running_jobs: FxHashSet::default(),
             scheduled_jobs: FxHashSet::default(),
@@ -198,6 +210,7 @@
             unsent_starts: Vec::new(),
             appended_batch: 0,
             tentative: FxHashMap::default(),
+            kept_places: Vec::new(),
             dropped_jobs: Vec::new(),
             counters: Counters::default(),
         }
@@ -300,9 +313,7 @@
         let id = Arc::clone(&entry.id);
         // An earlier owner may have renewed leases until the end of the overlap.
         let leases_expire = if inherited {
-            now + self.timers.handover_overlap
-                + self.timers.max_lease
-                + self.timers.max_lease.divided_by(20)
+            now + self.timers.handover_overlap + longest_expiry(self.timers.inherited_lease)
         } else {
             now
         };
@@ -468,6 +479,10 @@
         std::mem::take(&mut self.events)
     }
 
+    pub(crate) fn push_event(&mut self, event: CellEvent) {
+        self.events.push(event);
+    }
+
     /// Returns whether start orders wait for the log.
     pub fn has_unsent_starts(&self) -> bool {
         !self.unsent_starts.is_empty()
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -9,6 +9,7 @@
 mod election;
 mod estimate;
 mod event;
+mod fit;
 mod id;
 mod job;
 mod mechanism;
@@ -25,7 +26,7 @@
     StopOrder, SubmitOutcome,
 };
 pub use election::{Claim, ElectionStep, ElectionTimers, GroupRecord, Member, OwnerElection};
-pub use event::{CellEvent, SettleCause};
+pub use event::{CellEvent, SettleCause, StepWait};
 pub use id::{JobId, TaskName};
 pub use job::JobState;
 pub use mechanism::{Disabled, Mechanism};
@@ -33,4 +34,6 @@
 pub use run::{EndReason, RunEnd, StartOutcome};
 pub use run_time::RunTimeRecord;
 pub use spec::{AdviceCost, JobSpec, QueuePolicy, Resources, Schedule, StepSpec};
-pub use worker::{PollFailure, Registration, RunningTask, WorkerKey, WorkerPoll, WorkerStatus};
+pub use worker::{
+    PollFailure, Registration, RunningTask, WorkerKey, WorkerPoll, WorkerStatus, longest_expiry,
+};
--- /dev/null
+++ b/crates/kingcupwinch-cell/src/placement/advice.rs
@@ -0,0 +1,177 @@
+//! Requests for advice: which workers to ask about, and when.
+
+use std::cmp::Ordering;
+use std::sync::Arc;
+
+use kingcupwinch_time::{Span, Time};
+
+use super::{ReadyStep, WorkerPool};
+use crate::advice::call_time;
+use crate::cell::{Action, Cell, NamedWorker};
+use crate::fit::{Access, StepDemand};
+use crate::spec::Resources;
+
+/// The largest number of workers that one call to the adviser names.
+const MAX_CALL_WORKERS: usize = 100;
+/// The capacity to ask about, as a multiple of the capacity needed, since other steps take some of
+/// it before the response arrives.
+const CAPACITY_MARGIN: f64 = 2.0;
+/// The smallest number of workers that a call names, if that many are available.
+const MIN_CALL_WORKERS: usize = 6;
+/// Each call that led to no start doubles the workers that the next one names, this often at most.
+const MAX_CALL_DOUBLINGS: u32 = 4;
+
+/// How long a step waits for workers of which the adviser is likely to allow one. Then any worker
+/// with room is worth a call, since the few that are left may be allowed.
+const LIKELY_WORKER_WAIT: Span = Span::from_millis(1_000);
+/// How long to wait before considering a call for a step again after too little capacity was found.
+const NO_CAPACITY_BACKOFF: Span = Span::from_millis(30);
+
+/// A worker to ask about.
+#[derive(Debug, Clone, Copy)]
+struct Choice {
+    /// The index in the pool.
+    index: usize,
+    /// The tasks for which it has room.
+    fits: f64,
+    /// The chance that the adviser allows it.
+    chance: f64,
+}
+
+impl Cell {
+    /// Requests advice about the workers that have capacity, provided the step could start on those
+    /// of them that the adviser is likely to allow.
+    pub(super) fn request_advice(
+        &mut self,
+        ready: &ReadyStep,
+        demand: &StepDemand,
+        pool: &mut WorkerPool,
+        now: Time,
+    ) {
+        let job = &self.jobs[ready.job];
+        let Some(cost) = job.spec.policy.advice else {
+            return;
+        };
+        let step = &job.steps[ready.step];
+        let may_call = step.tickets.pending_until.is_none() && step.tickets.next_call <= now;
+        if !may_call || !self.advice_callers.has_free(call_time(&cost, 1), now) {
+            return;
+        }
+        let (workers, capacity) = self.advice_candidates(ready, demand, pool, now);
+        let spec = self.jobs[ready.job].step_spec(ready.step);
+        let need = if spec.gang {
+            step.tasks.len() as f64
+        } else if ready.waiting_since + LIKELY_WORKER_WAIT <= now {
+            0.0
+        } else {
+            1.0
+        };
+        if workers.is_empty() || capacity < need {
+            self.jobs[ready.job].steps[ready.step].tickets.next_call = now + NO_CAPACITY_BACKOFF;
+            return;
+        }
+        let workers = name_workers(&workers, ready.tasks, demand.charge, pool);
+        let duration = call_time(&cost, workers.len());
+        let Some((instance, deadline)) = self.advice_callers.reserve(duration, now) else {
+            return;
+        };
+        let name = job.task_name(ready.step, 0);
+        let ids = workers
+            .iter()
+            .map(|worker| Arc::clone(&self.workers[worker.key].registration.id))
+            .collect();
+        self.jobs[ready.job].steps[ready.step].tickets.pending_until = Some(deadline);
+        pool.claim(&workers);
+        let caller = Arc::clone(&instance);
+        let call = self.add_advice_call(ready.job, ready.step, workers, caller, deadline);
+        self.actions.push(Action::RequestAdvice {
+            call,
+            instance,
+            step: name.step_name(),
+            workers: ids,
+            deadline,
+        });
+    }
+
+    /// Returns the workers to ask about next, with the number of tasks expected to fit on each, and the number of tasks expected to fit on all
+    /// workers that the adviser allows.
+    fn advice_candidates(
+        &self,
+        ready: &ReadyStep,
+        demand: &StepDemand,
+        pool: &WorkerPool,
+        now: Time,
+    ) -> (Vec<Choice>, f64) {
+        let job = &self.jobs[ready.job];
+        let spec = job.step_spec(ready.step);
+        let step = &job.steps[ready.step];
+        let share = self.allowed_share(&job.spec.policy.queue);
+        // The first call for a gang names every worker. Which workers may run a step never changes,
+        // so later calls name only the allowed ones.
+        let is_first_of_gang = spec.gang && !step.tickets.has_verdicts();
+        let mut rows = Vec::new();
+        let mut capacity = 0.0;
+        for (index, candidate) in pool.candidates.iter().enumerate() {
+            let fits = match self.room_on(demand, candidate) {
+                Ok(fits) => fits as f64,
+                Err(obstacle) if is_first_of_gang && !obstacle.is_permanent() => 0.0,
+                Err(_) => continue,
+            };
+            match self.access(demand, candidate.key, now) {
+                Access::Denied => {}
+                Access::Open | Access::Ticket => capacity += fits,
+                Access::Expired => rows.push((index, fits, 1.0)),
+                Access::Unknown => rows.push((index, fits, share)),
+            }
+        }
+        rows.sort_by(|a, b| {
+            let verdict_order = b.2.total_cmp(&a.2);
+            let capacity_order = if spec.gang {
+                b.1.total_cmp(&a.1)
+            } else {
+                Ordering::Equal
+            };
+            verdict_order.then(capacity_order).then_with(|| {
+                let (a, b) = (&pool.candidates[a.0], &pool.candidates[b.0]);
+                self.compare_candidates(a, b, ready, spec)
+            })
+        });
+        let factor = 1_u32 << step.tickets.calls_without_start.min(MAX_CALL_DOUBLINGS);
+        let wanted = ready.tasks as f64 * CAPACITY_MARGIN * f64::from(factor);
+        let min_workers = MIN_CALL_WORKERS * factor as usize;
+        let mut requested = capacity;
+        let mut workers = Vec::new();
+        for (index, fits, chance) in rows {
+            capacity += fits * chance;
+            let is_enough =
+                requested >= wanted && workers.len() >= min_workers && !is_first_of_gang;
+            if !is_enough && workers.len() < MAX_CALL_WORKERS {
+                requested += fits * chance;
+                workers.push(Choice {
+                    index,
+                    fits,
+                    chance,
+                });
+            }
+        }
+        (workers, capacity)
+    }
+}
+
+/// Spreads the tasks that a step is expected to place over the workers that its call names.
+fn name_workers(
+    choices: &[Choice],
+    tasks: usize,
+    charge: Resources,
+    pool: &WorkerPool,
+) -> Vec<NamedWorker> {
+    let tasks = tasks as f64;
+    let expected = |choice: &Choice| choice.fits.min(tasks) * choice.chance;
+    let total: f64 = choices.iter().map(expected).sum();
+    let share = (tasks * CAPACITY_MARGIN / total.max(f64::MIN_POSITIVE)).min(1.0);
+    let to_named = |choice: &Choice| NamedWorker {
+        key: pool.candidates[choice.index].key,
+        claim: charge.scaled(expected(choice) * share),
+    };
+    choices.iter().map(to_named).collect()
+}
--- a/crates/kingcupwinch-cell/tests/cell/harness.rs
+++ b/crates/kingcupwinch-cell/tests/cell/harness.rs
@@ -35,6 +35,8 @@
     pub(crate) starts: Vec<StartOrder>,
     pub(crate) stops: Vec<StopOrder>,
     pub(crate) calls: Vec<(AdviceCallId, Vec<Arc<str>>)>,
+    /// The names of the steps of these calls and of the earlier ones that were not taken.
+    pub(crate) call_steps: Vec<String>,
     /// The instances that were asked to make the calls so far.
     pub(crate) callers: Vec<Arc<str>>,
     /// The progress records in the log.
@@ -57,6 +59,7 @@
 pub(crate) fn timers() -> CellTimers {
     CellTimers {
         max_lease: MAX_LEASE,
+        inherited_lease: MAX_LEASE,
         handover_overlap: HANDOVER_OVERLAP,
         end_retention: Span::from_secs(120),
         exit_window: EXIT_WINDOW,
@@ -139,13 +142,19 @@
 
     /// Builds a harness without workers for the owner of a generation.
     pub(crate) fn of_generation(generation: u32) -> Self {
+        Harness::with_timers(generation, timers())
+    }
+
+    /// Builds a harness without workers for the owner of a generation, with timers of its own.
+    pub(crate) fn with_timers(generation: u32, timers: CellTimers) -> Self {
         Harness {
-            cell: Cell::new(timers(), generation),
+            cell: Cell::new(timers, generation),
             now: Time::from_micros(1_000_000_000),
             workers: BTreeMap::new(),
             starts: Vec::new(),
             stops: Vec::new(),
             calls: Vec::new(),
+            call_steps: Vec::new(),
             callers: Vec::new(),
             records: HashMap::new(),
         }
@@ -179,10 +188,12 @@
                 Action::RequestAdvice {
                     call,
                     instance,
+                    step,
                     workers,
                     ..
                 } => {
                     self.calls.push((call, workers));
+                    self.call_steps.push(step);
                     self.callers.push(instance);
                 }
             }
@@ -253,6 +264,14 @@
         }
     }
 
+    /// Has all running tasks get ready.
+    pub(crate) fn set_ready(&mut self) {
+        let workers = self.workers.values_mut();
+        for run in workers.flat_map(|worker| &mut worker.running) {
+            run.percent = 100;
+        }
+    }
+
     pub(crate) fn keys(&self) -> Vec<WorkerKey> {
         self.workers.keys().copied().collect()
     }
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -4,6 +4,7 @@
 
 mod advice;
 mod capacity;
+mod contention;
 mod election;
 mod gangs;
 mod harness;
@@ -11,10 +12,14 @@
 mod late_ends;
 mod lifecycle;
 mod long_running;
+mod moves;
 mod occurrences;
+mod replaced;
+mod restarts;
 mod run_times;
 mod speculation;
 mod takeover;
 mod tentative;
+mod waiting;
 mod worker_pace;
 mod workers;
--- a/crates/kingcupwinch-cell/tests/cell/takeover.rs
+++ b/crates/kingcupwinch-cell/tests/cell/takeover.rs
@@ -1,24 +1,29 @@
 //! Takeovers: what a later owner does with the jobs and runs of an earlier one.
 
 use kingcupwinch_cell::{
-    EndReason, JobRecord, JobState, Placement, PollFailure, RunEnd, RunningTask, WorkerKey,
+    CellTimers, EndReason, JobRecord, JobState, Placement, PollFailure, RunEnd, RunningTask,
+    WorkerKey,
 };
 use kingcupwinch_time::Span;
 
 use crate::harness::{
-    FakeWorker, HANDOVER_OVERLAP, Harness, MAX_LEASE, id, job, registration, step, task,
+    FakeWorker, HANDOVER_OVERLAP, Harness, MAX_LEASE, id, job, registration, step, task, timers,
 };
 
 /// Builds the harness of a later owner, with workers that were not polled yet.
 fn successor(workers: usize) -> Harness {
     let mut harness = Harness::of_generation(2);
+    register_inherited(&mut harness, workers);
+    harness
+}
+
+fn register_inherited(harness: &mut Harness, workers: usize) {
     for number in 0..workers {
         let key = harness
             .cell
             .register_worker(registration(number, 4), true, harness.now);
         harness.workers.insert(key, FakeWorker::default());
     }
-    harness
 }
 
 fn run_of(job: u64, run: u32) -> RunningTask {
@@ -118,6 +123,52 @@
     assert_eq!(harness.starts.len(), 1);
 }
 
+/// Guards against a task that stands still for the longest lease that the platform allows after its
+/// worker and its owner are lost, although owners grant shorter ones.
+#[test]
+fn a_placement_on_an_unreachable_worker_waits_for_the_leases_that_earlier_owners_granted() {
+    let granted = MAX_LEASE.divided_by(2);
+    let mut harness = Harness::with_timers(
+        2,
+        CellTimers {
+            inherited_lease: granted,
+            ..timers()
+        },
+    );
+    register_inherited(&mut harness, 2);
+    restore(&mut harness, 1, Some(&placed_on("i-1", 1)));
+    let keys = harness.keys();
+    harness.cell.poll_failed(keys[1], PollFailure::Unresponsive);
+    harness.advance(HANDOVER_OVERLAP.as_millis() + granted.as_millis());
+    harness.poll(keys[0]);
+    harness.decide();
+    assert!(harness.starts.is_empty(), "the worker's clock may run slow");
+    harness.advance(granted.as_millis() / 20 + 10);
+    harness.poll(keys[0]);
+    harness.decide();
+    assert_eq!(harness.starts.len(), 1);
+}
+
+/// The leases of a worker that has responded to the later owner counted as if the earlier one could
+/// still renew them.
+#[test]
+fn a_response_ends_the_earlier_owners_leases() {
+    let mut harness = successor(2);
+    restore(&mut harness, 1, None);
+    let keys = harness.keys();
+    list_running(&mut harness, keys[1], run_of(1, 1));
+    harness.poll_all();
+    harness.cell.poll_failed(keys[1], PollFailure::Unresponsive);
+    harness.advance(MAX_LEASE.as_millis());
+    harness.poll(keys[0]);
+    harness.decide();
+    assert!(harness.starts.is_empty());
+    harness.advance(MAX_LEASE.as_millis() / 20 + 10);
+    harness.poll(keys[0]);
+    harness.decide();
+    assert_eq!(harness.starts.len(), 1);
+}
+
 #[test]
 fn a_run_that_a_worker_lists_is_adopted() {
     let mut harness = successor(1);
@@ -398,3 +449,29 @@
     harness.run_round();
     assert_eq!(harness.running().len(), 1, "two runs of one task");
 }
+
+/// The job is announced and dropped when no acceptance of before the takeover can be read any more.
+/// Its end was acknowledged uncounted, and the task ran again once the acceptance was read.
+#[test]
+fn an_end_waits_for_the_acceptance_of_a_job_that_was_dropped_late() {
+    let mut harness = successor_of_unaccepted();
+    let key = harness.keys()[0];
+    list_running(&mut harness, key, run_of(1, 1));
+    harness.advance(9_000);
+    let spec = job(vec![step(1, 1, 500)]);
+    harness
+        .cell
+        .submit_tentatively(id(1), spec.clone(), harness.now);
+    harness.poll_all();
+    harness.advance(4_000);
+    harness.cell.drop_tentative(id(1), harness.now);
+    harness.end_all(EndReason::Done);
+    harness.poll_all();
+    harness.append_records();
+    harness.submit(1, spec);
+    harness.poll_all();
+    harness.append_records();
+    harness.decide();
+    assert!(harness.starts.is_empty());
+    assert_eq!(harness.job_state(1), Some(JobState::Completed));
+}
