Withdraw a gang whole when the worker of one member is quarantined

Cause: withdraws what was placed on a worker when it is quarantined, and took back that one member only.

The other members are withdrawn with it. The test fails on the code before (two of three members ordered) and passes with it.

--- a/crates/kingcupwinch-cell/src/cell/quarantine.rs
+++ b/crates/kingcupwinch-cell/src/cell/quarantine.rs
@@ -20,13 +20,20 @@
         }
     }
 
-    /// Withdraws the runs that were placed on a worker before it was quarantined.
+    /// Withdraws the runs that were placed on a worker before it was quarantined, each with the other
+    /// members of its gang.
     fn withdraw_planned_runs(&mut self, worker: WorkerKey) {
         let runs = self.workers[worker].runs.iter();
         let planned = runs.filter(|run| self.runs[**run].state == RunState::Planned);
         let planned: Vec<RunKey> = planned.copied().collect();
         for run in planned {
+            let (job, name, number) = (
+                self.runs[run].job,
+                self.runs[run].name,
+                self.runs[run].number,
+            );
             self.stop_run(run);
+            self.stop_gang(job, name, number);
         }
     }
 
--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -277,7 +277,7 @@
     }
 
     /// Stops the runs of a gang that can't become complete.
-    fn stop_gang(&mut self, key: JobKey, name: TaskName, number: u32) {
+    pub(super) fn stop_gang(&mut self, key: JobKey, name: TaskName, number: u32) {
         let Some(job) = self.jobs.get(key) else {
             return;
         };
--- a/crates/kingcupwinch-cell/tests/cell/gangs.rs
+++ b/crates/kingcupwinch-cell/tests/cell/gangs.rs
@@ -2,7 +2,7 @@
 
 use kingcupwinch_cell::{EndReason, JobState, StartOutcome, StepSpec};
 
-use crate::harness::{Harness, job, step};
+use crate::harness::{Harness, id, job, step};
 
 fn gang(count: u16, cores: u64) -> StepSpec {
     StepSpec {
@@ -51,6 +51,28 @@
     assert_eq!(harness.running().len(), 2);
 }
 
+/// Guards against a gang that is ordered without one of its members: its worker was quarantined while
+/// the placement of the gang was being appended, and only that member was withdrawn.
+#[test]
+fn a_gang_with_a_member_on_a_quarantined_worker_is_not_ordered() {
+    let mut harness = Harness::new(2, 4);
+    let mut failing = job(vec![step(2, 1, 500)]);
+    failing.policy.max_attempts = 10;
+    harness.submit(1, failing);
+    harness.run_round();
+    let (bad, _) = harness.running()[0];
+    harness.submit(2, job(vec![gang(3, 2)]));
+    harness.decide_without_log();
+    harness.end_all(EndReason::Failed);
+    harness.poll(bad);
+    harness.append_records();
+    let gang = harness
+        .starts
+        .iter()
+        .filter(|order| order.task.job == id(2));
+    assert_eq!(gang.count(), 0);
+}
+
 #[test]
 fn gang_members_share_a_run_number() {
     let mut harness = Harness::new(2, 4);
