Record no address of an earlier process of a worker

A task could start twice: an entry of an earlier process of a worker is read while the worker is cut off, its address is recorded for later owners, another worker that has this address by then answers the next owner, and that settles runs which are still active (found by review, not seen in a run).

An address is recorded as unknown unless the entry is that of the process that responded. The test fails on the code before.

--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -242,13 +242,19 @@
         self.recorded_address = Some(address);
     }
 
-    /// Returns the address to record for a later owner. It is empty if the directory names another one
-    /// than the last owner recorded and the worker has not responded, so that its address is unknown.
+    /// Returns the address to record for a later owner. It is empty if the address is unknown: the
+    /// directory names another one than the last owner recorded and the worker has not responded, or
+    /// the entry is not that of the process that responded.
     pub(crate) fn address_to_record(&self) -> Arc<str> {
         let address = &self.registration.address;
-        match &self.recorded_address {
-            Some(recorded) if recorded != address => "".into(),
-            _ => Arc::clone(address),
+        let is_disputed = match &self.recorded_address {
+            Some(recorded) => recorded != address,
+            None => self.clock_sample.is_some() && self.listed_ms != self.registration.started_ms,
+        };
+        if is_disputed {
+            "".into()
+        } else {
+            Arc::clone(address)
         }
     }
 
--- a/crates/kingcupwinch-cell/tests/cell/replaced.rs
+++ b/crates/kingcupwinch-cell/tests/cell/replaced.rs
@@ -346,6 +346,25 @@
     assert_eq!(recorded(&harness), listed.address);
 }
 
+/// Guards against a run that starts twice: an entry of an earlier process is read while the worker is
+/// cut off, its address is recorded, and another worker that has it answers a later owner.
+#[test]
+fn the_address_of_an_earlier_process_is_not_recorded() {
+    let (mut harness, worker, number) = harness_with_run();
+    let recorded = |harness: &Harness| {
+        let id = registration(number, 4).id;
+        let rows = harness.cell.worker_addresses();
+        rows.into_iter().find(|(known, _)| *known == id).unwrap().1
+    };
+    assert_eq!(recorded(&harness), registration(number, 4).address);
+    harness.cell.poll_failed(worker, PollFailure::Unresponsive);
+    let mut earlier = registration(number, 4);
+    earlier.address = registration(9, 4).address;
+    earlier.started_ms = Some(0);
+    harness.cell.register_worker(earlier, false, harness.now);
+    assert_eq!(&*recorded(&harness), "");
+}
+
 /// The end of a run that was settled by mistake would count all the same.
 #[test]
 fn the_end_of_a_run_that_was_settled_for_a_replacement_counts() {
