Have equally urgent steps take turns with the callers of the adviser

Steps of equal urgency now come in the order in which they were last asked about, then in that in which they began to wait.

Room that a call asks about is kept only from steps that are not long-running, so that a step with a ticket isn't held back by one that only asks, and not after a lost call.

Seen to fail before: steps_take_turns_with_the_callers (12 steps, 3 callers).

--- a/crates/kingcupwinch-cell/src/advice.rs
+++ b/crates/kingcupwinch-cell/src/advice.rs
@@ -54,6 +54,10 @@
     pub(crate) pending_until: Option<Time>,
     /// The earliest time of the next call.
     pub(crate) next_call: Time,
+    /// When the last call was made.
+    pub(crate) asked_at: Time,
+    /// Whether the last call that ended was lost.
+    pub(crate) is_call_lost: bool,
     /// The calls that were answered since the last start of a task.
     pub(crate) calls_without_start: u32,
 }
@@ -104,10 +108,12 @@
 
     pub(crate) fn note_response(&mut self) {
         self.pending_until = None;
+        self.is_call_lost = false;
     }
 
     pub(crate) fn note_failure(&mut self, now: Time) {
         self.pending_until = None;
+        self.is_call_lost = true;
         self.next_call = now + RETRY_BACKOFF;
     }
 }
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -65,8 +65,12 @@
     slowest_pace: f64,
     /// Whether tasks are to be moved, not started.
     is_move: bool,
+    /// Whether the tasks are long-running.
+    is_long_running: bool,
     /// Since when the step has had tasks that could start.
     waiting_since: Time,
+    /// When the adviser was last asked about the step.
+    asked_at: Time,
 }
 
 impl ReadyStep {
@@ -75,7 +79,11 @@
         let step = &job.steps[slot];
         let spec = job.step_spec(slot);
         if spec.long_running {
-            return ReadyStep::of_long_running(key, slot, step.waiting, step.wait.since(now));
+            return ReadyStep {
+                waiting_since: step.wait.since(now),
+                asked_at: step.tickets.asked_at,
+                ..ReadyStep::of_long_running(key, slot, step.waiting)
+            };
         }
         let critical_path = step.critical_path.as_micros() as f64;
         let left = |end: Time| {
@@ -107,13 +115,15 @@
                 && (slack as f64) < critical_path * (paces.slowest * PACE_MARGIN - paces.fastest),
             slowest_pace,
             is_move: false,
+            is_long_running: false,
             waiting_since: step.wait.since(now),
+            asked_at: step.tickets.asked_at,
         }
     }
 
     /// Creates a ready step of long-running tasks. They have no end that could be late and are
     /// needed at once, so their slack is zero.
-    fn of_long_running(key: JobKey, slot: usize, tasks: usize, waiting_since: Time) -> Self {
+    fn of_long_running(key: JobKey, slot: usize, tasks: usize) -> Self {
         ReadyStep {
             job: key,
             step: slot,
@@ -123,7 +133,9 @@
             is_tight: false,
             slowest_pace: f64::INFINITY,
             is_move: false,
-            waiting_since,
+            is_long_running: true,
+            waiting_since: Time::ZERO,
+            asked_at: Time::ZERO,
         }
     }
 
@@ -133,18 +145,20 @@
         ReadyStep {
             tasks,
             is_move: true,
-            ..ReadyStep::of_long_running(key, slot, 0, Time::ZERO)
+            ..ReadyStep::of_long_running(key, slot, 0)
         }
     }
 
-    /// Compares by urgency. Steps that are equally urgent come in the order in which they began to
-    /// wait, so that none is passed over again and again.
+    /// Compares by urgency. Steps that are equally urgent take turns with the callers of the adviser,
+    /// and else come in the order in which they began to wait, so that none is passed over again and
+    /// again.
     fn compare(&self, other: &ReadyStep) -> Ordering {
         let rank = |step: &Self| {
             (
                 step.status,
                 step.slack,
                 step.is_move,
+                step.asked_at,
                 step.waiting_since,
                 step.step,
             )
@@ -165,16 +179,21 @@
         self.set_mean_pace(now);
         let mut pools = self.usable_workers(now);
         self.reserve_kept_places(&mut pools, now);
-        for ready in self.ready_steps(&pools, now) {
+        let steps = self.ready_steps(&pools, now);
+        let urgent = steps.iter().position(|step| !step.is_long_running);
+        for (number, ready) in steps.iter().enumerate() {
+            if urgent == Some(number) {
+                self.keep_asked_room(&steps, &mut pools, now);
+            }
             let service = &self.jobs[ready.job].spec.policy.service;
             match pools.by_service.get_mut(service) {
-                Some(pool) if ready.is_move => self.move_tasks(&ready, pool, now),
-                Some(pool) => self.place_step(&ready, pool, now),
+                Some(pool) if ready.is_move => self.move_tasks(ready, pool, now),
+                Some(pool) => self.place_step(ready, pool, now),
                 None => {}
             }
             if !ready.is_move {
                 let service = &self.jobs[ready.job].spec.policy.service;
-                self.note_wait(&ready, pools.by_service.get(service), now);
+                self.note_wait(ready, pools.by_service.get(service), now);
             }
         }
         self.start_speculative_runs(&mut pools, now);
@@ -288,7 +307,6 @@
         }
         if !is_placed {
             self.request_advice(ready, &demand, pool, now);
-            self.keep_asked_room(ready, &demand, pool, now);
         }
     }
 
--- a/crates/kingcupwinch-cell/tests/cell/contention.rs
+++ b/crates/kingcupwinch-cell/tests/cell/contention.rs
@@ -275,3 +275,80 @@
     }
     panic!("the long-running task did not start");
 }
+
+/// Guards against steps that are never asked about: the same steps, which are ahead in the order, took
+/// each caller of the adviser that became free.
+#[test]
+fn steps_take_turns_with_the_callers() {
+    const STEPS: u64 = 12;
+    const CALL_MS: u64 = 400;
+    let mut harness = Harness::new(100, 4);
+    let callers: Vec<Arc<str>> = (0..3).map(|n| format!("caller-{n}").into()).collect();
+    harness.cell.set_advice_callers(&callers);
+    for number in 0..STEPS {
+        harness.submit(number, single_task_job());
+    }
+    let mut asked = std::collections::BTreeSet::new();
+    // Two callers make all long calls, so two rounds more than the steps need.
+    for _ in 0..STEPS / 2 + 2 {
+        harness.run_round();
+        asked.extend(std::mem::take(&mut harness.call_steps));
+        harness.advance(CALL_MS + 120);
+        for (call, _) in std::mem::take(&mut harness.calls) {
+            let response = Some((Vec::new(), TICKET_VALIDITY));
+            harness.cell.advice_received(call, response, harness.now);
+        }
+        harness.poll_all();
+    }
+    assert_eq!(asked.len() as u64, STEPS);
+}
+
+/// Guards against room that is kept for long on behalf of a step whose calls to the adviser are lost.
+#[test]
+fn no_room_is_kept_for_calls_that_are_lost() {
+    let mut harness = Harness::new(1, 4);
+    let long_running = StepSpec {
+        long_running: true,
+        ..step(1, 4, 1_000)
+    };
+    harness.submit(1, with_advice(job(vec![long_running]), 400.0));
+    harness.run_round();
+    for _ in 0..30 {
+        harness.advance(100);
+        harness.poll_all();
+        harness.run_round();
+    }
+    harness.submit(2, job(vec![step(1, 4, 500)]));
+    harness.run_round();
+    let running = harness.running();
+    assert!(running.iter().any(|(_, task)| task.job == id(2)));
+}
+
+/// Guards against a step with a ticket that is held back by one which only asks about the worker.
+#[test]
+fn room_is_not_kept_from_an_equally_urgent_step_with_a_ticket() {
+    let mut harness = Harness::new(1, 4);
+    let whole_worker = || {
+        let step = StepSpec {
+            long_running: true,
+            ..step(1, 4, 1_000)
+        };
+        with_advice(job(vec![step]), 400.0)
+    };
+    harness.submit(1, whole_worker());
+    harness.submit(2, whole_worker());
+    harness.run_round();
+    harness.advance(1_100);
+    harness.poll_all();
+    harness.run_round();
+    let calls = std::mem::take(&mut harness.calls);
+    let (call, workers) = calls.into_iter().next_back().unwrap();
+    let ticket = Ticket {
+        worker: Arc::clone(&workers[0]),
+        text: "ticket".into(),
+    };
+    let response = Some((vec![ticket], TICKET_VALIDITY));
+    harness.cell.advice_received(call, response, harness.now);
+    harness.run_round();
+    assert_eq!(harness.running().len(), 1);
+}
