--- a/crates/kingcupwinch-policy/tests/placement.rs
+++ b/crates/kingcupwinch-policy/tests/placement.rs
@@ -49,6 +49,30 @@
     assert_eq!(chosen, [machines[1], machines[2], machines[0]]);
 }
 
+/// Tasks that fit no machine any more, at the head of their lane, kept the ones behind them waiting
+/// beside free machines.
+#[test]
+fn tasks_that_fit_no_machine_any_more_do_not_block_those_behind_them() {
+    let mut harness = Harness::with_kind(ClassKind::Batch);
+    let large = harness.machine("r", 8);
+    harness.machine("r", 2);
+    let hold = harness.cell.occupy(large, UNIT).unwrap();
+    for _ in 0..10 {
+        let spec = harness.spec("work", 8);
+        harness.cell.submit(spec, harness.now).unwrap();
+    }
+    let small = harness.spec("work", 1);
+    let small = harness.cell.submit(small, harness.now).unwrap();
+    harness.cell.remove_machine(large, harness.now).unwrap();
+    drop(hold);
+    let mut started = Vec::new();
+    for _ in 0..30 {
+        harness.advance(100);
+        started.extend(harness.starts().iter().map(|place| place.task));
+    }
+    assert_eq!(started, [small]);
+}
+
 #[test]
 fn observed_speed_replaces_the_declared_one() {
     let mut harness = Harness::with_kind(ClassKind::Live);
