Log no age of a response that never came

The field is left out now. The test fails to compile against the field of before, which could not say so.

--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -296,7 +296,7 @@
             worker: Arc::clone(&worker.registration.id),
             cause,
             runs: runs.len(),
-            response_age: now.since(worker.last_response),
+            response_age: worker.response_age(now),
             unlisted_age: worker.unlisted_at.map(|at| now.since(at)),
             failed_polls: worker.failed_polls,
             successor: self.successor(key),
--- a/crates/kingcupwinch-cell/src/event.rs
+++ b/crates/kingcupwinch-cell/src/event.rs
@@ -87,7 +87,7 @@
         /// The number of runs.
         runs: usize,
         /// The time since the worker's last response to a poll.
-        response_age: Span,
+        response_age: Option<Span>,
         /// The time since the worker left the directory, if it did.
         unlisted_age: Option<Span>,
         /// The failed polls in a row.
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -330,6 +330,11 @@
         self.recorded_address = None;
     }
 
+    /// Returns how long ago the worker responded to this owner, if it ever did.
+    pub(crate) fn response_age(&self, now: Time) -> Option<Span> {
+        self.clock_sample.map(|_| now.since(self.last_response))
+    }
+
     /// Records a failed poll.
     pub(crate) fn note_poll_failure(&mut self, failure: PollFailure) {
         self.failed_polls += 1;
--- a/crates/kingcupwinch-cell/tests/cell/takeover.rs
+++ b/crates/kingcupwinch-cell/tests/cell/takeover.rs
@@ -1,8 +1,8 @@
 //! Takeovers: what a later owner does with the jobs and runs of an earlier one.
 
 use kingcupwinch_cell::{
-    CellTimers, EndReason, JobRecord, JobState, Placement, PollFailure, RunEnd, RunningTask,
-    WorkerKey,
+    CellEvent, CellTimers, EndReason, JobRecord, JobState, Placement, PollFailure, RunEnd,
+    RunningTask, WorkerKey,
 };
 use kingcupwinch_time::Span;
 
@@ -123,6 +123,24 @@
     assert_eq!(harness.starts.len(), 1);
 }
 
+/// A worker that never responded to this owner has no age of a response. The log gave the owner's
+/// uptime for it.
+#[test]
+fn runs_on_a_worker_that_never_responded_are_settled_without_a_response_age() {
+    let mut harness = successor(1);
+    restore(&mut harness, 1, Some(&placed_on("i-0", 1)));
+    let worker = harness.keys()[0];
+    harness.cell.poll_failed(worker, PollFailure::Unresponsive);
+    harness.advance(HANDOVER_OVERLAP.as_millis() + MAX_LEASE.as_millis() * 21 / 20 + 10);
+    harness.decide();
+    let events = harness.cell.take_events();
+    let age = events.iter().find_map(|event| match event {
+        CellEvent::RunsSettled { response_age, .. } => Some(*response_age),
+        _ => None,
+    });
+    assert_eq!(age, Some(None));
+}
+
 /// Guards against a task that stands still for the longest lease that the platform allows after its
 /// worker and its owner are lost, although owners grant shorter ones.
 #[test]
--- a/crates/kingcupwinch-node/src/owner/messages.rs
+++ b/crates/kingcupwinch-node/src/owner/messages.rs
@@ -453,7 +453,7 @@
             } => log.write(
                 Event::RunsSettled,
                 o!("worker" => worker.to_string(), "cause" => cause.as_str(), "runs" => runs,
-                    "response_ms_ago" => response_age.as_millis(),
+                    "response_ms_ago" => response_age.map(Span::as_millis),
                     "unlisted_ms_ago" => unlisted_age.map(Span::as_millis),
                     "failed_polls" => failed_polls,
                     "successor" => successor.map(|id| id.to_string())),
