--- a/crates/kingcupwinch-policy/tests/placement.rs
+++ b/crates/kingcupwinch-policy/tests/placement.rs
@@ -56,7 +56,7 @@
     let mut harness = Harness::with_kind(ClassKind::Batch);
     let large = harness.machine("r", 8);
     harness.machine("r", 2);
-    let hold = harness.cell.occupy(large, UNIT).unwrap();
+    harness.cell.occupy(large, UNIT).unwrap();
     for _ in 0..10 {
         let spec = harness.spec("work", 8);
         harness.cell.submit(spec, harness.now).unwrap();
@@ -64,7 +64,6 @@
     let small = harness.spec("work", 1);
     let small = harness.cell.submit(small, harness.now).unwrap();
     harness.cell.remove_machine(large, harness.now).unwrap();
-    drop(hold);
     let mut started = Vec::new();
     for _ in 0..30 {
         harness.advance(100);
