Place long-running steps apart from the steps behind them

The room that calls ask about was kept when the first other step came up in a loop, and not at all from speculative runs if there was none.

--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -180,11 +180,20 @@
         let mut pools = self.usable_workers(now);
         self.reserve_kept_places(&mut pools, now);
         let steps = self.ready_steps(&pools, now);
-        let urgent = steps.iter().position(|step| !step.is_long_running);
-        for (number, ready) in steps.iter().enumerate() {
-            if urgent == Some(number) {
-                self.keep_asked_room(&steps, &mut pools, now);
-            }
+        let is_other = |step: &ReadyStep| !step.is_long_running;
+        let first_other = steps.iter().position(is_other).unwrap_or(steps.len());
+        let (long_running, others) = steps.split_at(first_other);
+        self.place_steps(long_running, &mut pools, now);
+        self.keep_asked_room(long_running, &mut pools, now);
+        self.place_steps(others, &mut pools, now);
+        self.start_speculative_runs(&mut pools, now);
+        self.send_stops(now);
+        self.take_actions(now)
+    }
+
+    /// Starts or moves what fits of each step, in this order.
+    fn place_steps(&mut self, steps: &[ReadyStep], pools: &mut WorkerPools, now: Time) {
+        for ready in steps {
             let service = &self.jobs[ready.job].spec.policy.service;
             match pools.by_service.get_mut(service) {
                 Some(pool) if ready.is_move => self.move_tasks(ready, pool, now),
@@ -196,9 +205,6 @@
                 self.note_wait(ready, pools.by_service.get(service), now);
             }
         }
-        self.start_speculative_runs(&mut pools, now);
-        self.send_stops(now);
-        self.take_actions(now)
     }
 
     fn set_mean_pace(&mut self, now: Time) {
