--- a/crates/kingcupwinch-cell/tests/cell/lifecycle.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle.rs
@@ -55,7 +55,7 @@
 /// Advice that counts the workers with no room below the step's limit as capacity, and names them
 /// first, reaches the workers with room too late or never.
 #[rstest]
-fn advice_names_workers_with_room_for_the_step(#[values(1037, 1376)] seed: u64) {
+fn advice_names_workers_with_room_for_the_step(#[values(1002, 1037, 1376)] seed: u64) {
     run_services(seed);
 }
 
