Deny a route only if the configuration is known to be recent

An instance denied unknown routes whatever the age of its copy, and nothing showed that age. Its follower had one read in flight: a response that was lost cost 2.1 s, against a bound of 2 s, and the next read could take another dead connection from the pool that it shared with the appends. A version that could not be decoded was skipped, and the copy still counted as the latest.

The copy now carries the time as of which it was the latest: that of the last read to the end of the partition. A route is denied only by a copy younger than the bound of the settings; otherwise the request is refused with 503 and a delay, and the log is read at once. Known routes are served as before. A version that is not decoded leaves the copy unconfirmed until a later one is read.

Metrics: config_confirmed_timestamp_seconds and no_route.

--- a/crates/kingcupwinch-node/src/callers.rs
+++ b/crates/kingcupwinch-node/src/callers.rs
@@ -11,10 +11,12 @@
     state_body, waiting_body,
 };
 use kingcupwinch_cell::JobId;
+use kingcupwinch_time::Span;
 use rand::Rng;
 use slog::o;
 use tokio::time::Instant;
 
+use crate::configuration::Snapshot;
 use crate::events::Event;
 use crate::hedged_append::HedgedAppender;
 use crate::http::{Handler, HttpResponse, empty, json, read_body, retry_after};
@@ -30,6 +32,8 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(150);
 /// Refused callers are asked to retry after 1 to this many seconds, evenly distributed.
 const MAX_RETRY_AFTER_S: u32 = 3;
+/// Maximum length of a host or path in a log line, in characters.
+const MAX_LOGGED_CHARS: usize = 100;
 
 /// Handles requests of callers.
 pub(crate) struct CallerHandler {
@@ -88,13 +92,14 @@
 
 impl CallerHandler {
     async fn dispatch(&self, request: Request<Incoming>, started: Instant) -> HttpResponse {
-        let Some(table) = self.shared.queues.borrow().clone() else {
+        let copy = self.shared.configuration.snapshot();
+        let Some(table) = copy.version.as_ref().map(|version| &version.table) else {
             return self.refuse("no configuration yet", None);
         };
         let path = request.uri().path();
         let host = request_host(&request);
         let Some(route) = host.and_then(|host| table.find(host, path)) else {
-            return empty(StatusCode::NOT_FOUND);
+            return self.not_found(&copy, host, path);
         };
         let rest = &path[route.prefix.len()..];
         let deadline = started + request_timeout(&request).saturating_sub(RESPONSE_MARGIN);
@@ -105,7 +110,8 @@
             };
         }
         let Some(id) = JobId::parse(rest) else {
-            return empty(StatusCode::NOT_FOUND);
+            // A later version may have a route with a longer prefix for it.
+            return self.not_found(&copy, host, path);
         };
         let job = JobRequest {
             id,
@@ -201,10 +207,36 @@
         empty(StatusCode::BAD_REQUEST)
     }
 
+    /// Responds to a request for which a copy of the configuration has no route. A copy that may lack
+    /// a version which has to be in force does not show that there is none.
+    fn not_found(&self, copy: &Snapshot, host: Option<&str>, path: &str) -> HttpResponse {
+        let shared = &*self.shared;
+        let now = shared.now();
+        let is_confirmed = shared.configuration.is_confirmed(copy, now);
+        let how = if is_confirmed {
+            "absent"
+        } else {
+            "unconfirmed"
+        };
+        Metrics::count_end(&shared.metrics.no_route, how);
+        let abbreviated = |text: &str| text.chars().take(MAX_LOGGED_CHARS).collect::<String>();
+        shared.log.write(
+            Event::NoRoute,
+            o!("host" => host.map(abbreviated), "path" => abbreviated(path),
+                "version" => copy.number(), "offset" => copy.offset(),
+                "confirmed_ms_ago" => copy.age(now).map(Span::as_millis), "outcome" => how),
+        );
+        if is_confirmed {
+            return empty(StatusCode::NOT_FOUND);
+        }
+        shared.configuration.request_read();
+        retry_after(StatusCode::SERVICE_UNAVAILABLE, random_delay_s())
+    }
+
     /// Refuses a request without side effects; the caller may retry it.
     fn refuse(&self, reason: &str, id: Option<JobId>) -> HttpResponse {
         let id = id.map(|id| id.to_string());
-        let seconds = rand::rng().random_range(1..=MAX_RETRY_AFTER_S);
+        let seconds = random_delay_s();
         self.shared.log.write(
             Event::RequestRefused,
             o!("job" => id, "error" => reason.to_owned(), "retry_after_s" => seconds),
@@ -213,6 +245,10 @@
     }
 }
 
+fn random_delay_s() -> u32 {
+    rand::rng().random_range(1..=MAX_RETRY_AFTER_S)
+}
+
 fn request_host(request: &Request<Incoming>) -> Option<&str> {
     let host = request.headers().get(HOST)?.to_str().ok()?;
     Some(host.split_once(':').map_or(host, |(name, _)| name))
--- a/crates/kingcupwinch-node/src/configuration.rs
+++ b/crates/kingcupwinch-node/src/configuration.rs
@@ -1,96 +1,133 @@
-//! Follows the configuration that operators publish to the log.
-
-use std::sync::Arc;
-use std::time::Duration;
-
-use kingcupwinch_adapter::{CONFIGURATION, StoreError, decode_queues};
-use slog::o;
-use tokio::time::Instant;
-
-use crate::events::Event;
-use crate::shared::Shared;
-
-/// Long-poll wait of a read, in milliseconds.
-const READ_WAIT_MS: u64 = 1_000;
-/// Time that a read may take beyond its long-poll wait.
-const READ_MARGIN: Duration = Duration::from_millis(900);
-/// Delay after a failed read.
-const RETRY_DELAY: Duration = Duration::from_millis(200);
-
-/// Follows the configuration for the life of the process.
-pub(crate) async fn follow(shared: Arc<Shared>) {
-    let mut from = None;
-    loop {
-        let result = match from {
-            None => read_latest(&shared).await,
-            Some(offset) => read_from(&shared, offset).await,
-        };
-        match result {
-            Ok(next) => {
-                shared.record_store_result(None);
-                from = Some(next);
-            }
-            Err(StoreError::Expired(_)) => from = None,
-            Err(error) => {
-                shared.record_store_result(Some(&error.to_string()));
-                tokio::time::sleep(RETRY_DELAY).await;
-            }
-        }
-    }
+//! The instance's copy of the configuration that operators publish, and how recent the copy is.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use kingcupwinch_adapter::QueueTable;
+use kingcupwinch_time::{Span, Time};
+use tokio::sync::Notify;
+
+mod follower;
+#[cfg(test)]
+mod tests;
+
+pub(crate) use follower::follow;
+
+/// A version of the configuration and where it was read.
+#[derive(Debug, Clone)]
+pub(crate) struct Version {
+    pub(crate) table: Arc<QueueTable>,
+    /// Offset of its record in the log.
+    pub(crate) offset: u64,
+}
+
+/// The copy at one moment.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Snapshot {
+    /// Version in force; `None` until the first was read.
+    pub(crate) version: Option<Version>,
+    /// Time as of which this was the latest version in the log.
+    pub(crate) confirmed_at: Option<Time>,
+    /// Offset of a later version that could not be decoded.
+    skipped: Option<u64>,
 }
 
-async fn read_latest(shared: &Shared) -> Result<u64, StoreError> {
-    let deadline = Instant::now() + READ_MARGIN;
-    let page = shared.store.read_latest(CONFIGURATION, deadline).await?;
-    for item in &page.items {
-        apply(shared, &item.key, &item.value);
+/// The copy of the configuration that is in force on this instance.
+#[derive(Debug)]
+pub(crate) struct Configuration {
+    copy: Mutex<Snapshot>,
+    /// Maximum age of the copy for the instance to report that a route does not exist.
+    max_age: Span,
+    /// Notified when a caller needs a more recent copy.
+    outdated: Notify,
+}
+
+impl Snapshot {
+    /// Returns the number of the version in force.
+    pub(crate) fn number(&self) -> Option<u64> {
+        self.version.as_ref().map(|version| version.table.version)
+    }
+
+    /// Returns the offset at which the version in force was read.
+    pub(crate) fn offset(&self) -> Option<u64> {
+        self.version.as_ref().map(|version| version.offset)
+    }
+
+    /// Returns the age of the copy; `None` if it was never confirmed.
+    pub(crate) fn age(&self, now: Time) -> Option<Span> {
+        self.confirmed_at.map(|at| now.since(at))
     }
-    Ok(page.end)
 }
 
-async fn read_from(shared: &Shared, from: u64) -> Result<u64, StoreError> {
-    let deadline = Instant::now() + Duration::from_millis(READ_WAIT_MS) + READ_MARGIN;
-    let batch = shared
-        .store
-        .read(CONFIGURATION, from, READ_WAIT_MS, deadline)
-        .await?;
-    for (_, record) in shared.decode_records("configuration", batch.records) {
-        if let Some(value) = &record.value {
-            apply(shared, &record.key, value);
+impl Configuration {
+    /// Creates a copy without a version. Every version applies within `bound` after its
+    /// acknowledgement.
+    pub(crate) fn new(bound: Span) -> Self {
+        Configuration {
+            copy: Mutex::default(),
+            max_age: bound,
+            outdated: Notify::new(),
         }
     }
-    Ok(batch.next)
-}
 
-/// Applies a configuration unless one of the same or a later version is in force.
-fn apply(shared: &Shared, key: &str, value: &[u8]) {
-    let table = match decode_queues(key, value) {
-        Ok(Some(table)) => table,
-        Ok(None) => return,
-        Err(error) => {
-            shared.log.write(
-                Event::RecordSkipped,
-                o!("partition" => "configuration", "key" => key.to_owned(),
-                    "error" => error.to_string()),
-            );
-            return;
+    /// Returns the copy as it is now.
+    pub(crate) fn snapshot(&self) -> Snapshot {
+        self.lock().clone()
+    }
+
+    /// Returns whether a version is in force.
+    pub(crate) fn is_loaded(&self) -> bool {
+        self.lock().version.is_some()
+    }
+
+    /// Puts a version into force unless it is not newer; returns whether it was put into force.
+    pub(crate) fn apply(&self, version: Version) -> bool {
+        let mut copy = self.lock();
+        if copy.skipped.is_some_and(|offset| offset < version.offset) {
+            copy.skipped = None;
         }
-    };
-    let (version, routes) = (table.version, table.routes.len());
-    let is_newer = shared.queues.send_if_modified(|current| {
-        let newer = current
+        let is_newer = copy
+            .version
             .as_ref()
-            .is_none_or(|current| current.version < version);
-        if newer {
-            *current = Some(Arc::new(table));
+            .is_none_or(|current| current.table.version < version.table.version);
+        if is_newer {
+            copy.version = Some(version);
+        }
+        is_newer
+    }
+
+    /// Records that the version at an offset can't be decoded. Until a later one is read, it is not
+    /// known what is in force.
+    pub(crate) fn skip(&self, offset: u64) {
+        self.lock().skipped = Some(offset);
+    }
+
+    /// Records that the log has no later record as of `at`; returns whether the copy is then known to
+    /// be the latest version.
+    pub(crate) fn confirm(&self, at: Time) -> bool {
+        let mut copy = self.lock();
+        if copy.skipped.is_some() {
+            return false;
         }
-        newer
-    });
-    if is_newer {
-        shared.metrics.config_version.set(version as i64);
-        shared.log.write(
-            Event::ConfigInForce,
-            o!("version" => version, "routes" => routes),
-        );
+        copy.confirmed_at = copy.confirmed_at.max(Some(at));
+        true
+    }
+
+    /// Returns whether a copy certainly lacks no version that has to be in force.
+    pub(crate) fn is_confirmed(&self, copy: &Snapshot, now: Time) -> bool {
+        copy.age(now).is_some_and(|age| age <= self.max_age)
+    }
+
+    /// Asks for the log to be read at once.
+    pub(crate) fn request_read(&self) {
+        self.outdated.notify_one();
+    }
+
+    /// Waits until the log has to be read at once.
+    pub(crate) async fn read_requested(&self) {
+        self.outdated.notified().await;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Snapshot> {
+        self.copy.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/kingcupwinch-node/src/events.rs
+++ b/crates/kingcupwinch-node/src/events.rs
@@ -59,6 +59,10 @@
     SlowAppend = "1205", "slow append";
     /// A configuration came into force.
     ConfigInForce = "1301", "configuration in force";
+    /// The configuration in force was not confirmed to be the latest for too long.
+    ConfigUnconfirmed = "1302", "configuration not confirmed";
+    /// The configuration in force is confirmed to be the latest again.
+    ConfigConfirmed = "1303", "configuration confirmed again";
     /// The log has a new claim of the cell.
     OwnerChanged = "1401", "owner changed";
     /// This instance claimed the cell.
@@ -81,6 +85,8 @@
     RequestRefused = "1502", "request refused, not run";
     /// It is not known whether a request was appended to the log.
     RequestOutcomeUnknown = "1503", "request outcome unknown";
+    /// The configuration in force has no route or job path for a request.
+    NoRoute = "1504", "no route for a request";
     /// The owner received a job.
     JobAccepted = "1601", "job received by the owner";
     /// The owner received a cancellation.
--- a/crates/kingcupwinch-node/src/metrics.rs
+++ b/crates/kingcupwinch-node/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of an instance in the OpenMetrics text format.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -23,10 +24,10 @@
     pub status: Arc<str>,
 }
 
-/// Label of how a job or run ended.
+/// Label of how a job, a run or the search for a route ended.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct EndLabel {
-    /// How the job or run ended.
+    /// How it ended.
     pub how: &'static str,
 }
 
@@ -56,6 +57,10 @@
     pub owned_term: Gauge,
     /// Version of the configuration in force.
     pub config_version: Gauge,
+    /// Unix time as of which the configuration in force was the latest, in seconds.
+    pub config_confirmed: Gauge<f64, AtomicU64>,
+    /// Requests without a route, by whether the configuration was confirmed.
+    pub no_route: Family<EndLabel, Counter>,
 }
 
 impl Metrics {
@@ -75,6 +80,8 @@
             used_millicores: Gauge::default(),
             owned_term: Gauge::default(),
             config_version: Gauge::default(),
+            config_confirmed: Gauge::default(),
+            no_route: Family::default(),
         };
         let m = &metrics;
         registry.register("requests", "Requests of callers", m.requests.clone());
@@ -112,6 +119,16 @@
             "Version of the configuration in force",
             m.config_version.clone(),
         );
+        registry.register(
+            "config_confirmed_timestamp_seconds",
+            "Unix time as of which the configuration in force was the latest",
+            m.config_confirmed.clone(),
+        );
+        registry.register(
+            "no_route",
+            "Requests without a route, by whether the configuration was confirmed",
+            m.no_route.clone(),
+        );
         Metrics {
             registry,
             ..metrics
@@ -124,7 +141,7 @@
         family.get_or_create(&CallLabel { call, status }).inc();
     }
 
-    /// Counts the end of a job or run.
+    /// Counts the end of a job, a run or the search for a route.
     pub fn count_end(family: &Family<EndLabel, Counter>, how: &'static str) {
         family.get_or_create(&EndLabel { how }).inc();
     }
--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -28,7 +28,7 @@
 use crate::shared::Shared;
 use crate::siblings::Siblings;
 
-pub(crate) use freshness::Freshness;
+pub(crate) use freshness::{Freshness, view_time};
 pub(crate) use leases::LeaseLimits;
 pub(crate) use messages::{
     CountWaiting, GetJobState, IntakeRead, JobsAnnounced, JobsNotAppended, Members, Release,
--- a/crates/kingcupwinch-node/src/shared.rs
+++ b/crates/kingcupwinch-node/src/shared.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use kameo::actor::ActorRef;
 use kingcupwinch_adapter::{
-    Adviser, Appended, Fence, KeyedRecord, Partition, QueueTable, Settings, Store, WriteError,
+    Adviser, Appended, Fence, KeyedRecord, Partition, Settings, Store, WriteError,
 };
 use kingcupwinch_cell::{Claim, Disabled, Member};
 use kingcupwinch_platform::AdaptiveTimeout;
@@ -16,6 +16,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
+use crate::configuration::Configuration;
 use crate::events::{Event, EventLog};
 use crate::metrics::Metrics;
 use crate::owner::Owner;
@@ -40,7 +41,7 @@
     pub(crate) adviser: Option<Adviser>,
     pub(crate) log: EventLog,
     pub(crate) metrics: Metrics,
-    pub(crate) queues: watch::Sender<Option<Arc<QueueTable>>>,
+    pub(crate) configuration: Configuration,
     pub(crate) claim: watch::Sender<Option<Claim>>,
     pub(crate) stopping: watch::Sender<bool>,
     pub(crate) members: watch::Sender<Vec<Member>>,
@@ -58,11 +59,10 @@
             store: Store::new(settings.store),
             append_timeout: AdaptiveTimeout::new(),
             adviser: settings.adviser.map(Adviser::new),
-            settings,
             disabled,
             log,
             metrics: Metrics::new(),
-            queues: watch::Sender::new(None),
+            configuration: Configuration::new(settings.config_bound),
             claim: watch::Sender::new(None),
             stopping: watch::Sender::new(false),
             members: watch::Sender::new(Vec::new()),
@@ -71,6 +71,7 @@
             wall_time: Mutex::default(),
             store_responded_at: AtomicU64::new(0),
             store_lost: AtomicBool::new(false),
+            settings,
         })
     }
 
@@ -215,7 +216,7 @@
         let last_response = Time::from_micros(self.store_responded_at.load(Ordering::Relaxed));
         !*self.stopping.borrow()
             && self.is_store_available()
-            && self.queues.borrow().is_some()
+            && self.configuration.is_loaded()
             && self.now().since(last_response) < STORE_READY_TIMEOUT
     }
 
--- a/crates/kingcupwinch-node/src/test_support.rs
+++ b/crates/kingcupwinch-node/src/test_support.rs
@@ -37,6 +37,7 @@
         heartbeat: Span::from_millis(1_500),
         grace_period: Span::from_secs(6),
         status_retention: Span::from_secs(120),
+        config_bound: Span::from_millis(2_000),
     };
     Shared::new(settings, Disabled::default(), EventLog::new("me"))
 }
