Soak what callers see of the configuration after its acknowledgement

The operator of the soak adds a route and removes one every 0.2 to 1.2 s, and a caller looks up recent routes on every instance. Two checks: no instance denies a route from 2 s after the acknowledgement of the version that added it, in touch or not; and none that was undisturbed for 3 s serves a route from 2 s after its removal. The full plan gets connections to the store that die without being closed; single faults and series of a seed stay as they were.

--- a/crates/kingcupwinch-soak/examples/soak.rs
+++ b/crates/kingcupwinch-soak/examples/soak.rs
@@ -48,12 +48,13 @@
         accepted,
         refused,
         starts,
+        lookups,
         violations,
         plan,
     } = outcome;
     println!(
         "seed {seed}: {} faults, {jobs} jobs, {accepted} accepted, {refused} refused, \
-         {starts} starts, {} violations",
+         {starts} starts, {lookups} lookups, {} violations",
         plan.faults.len(),
         violations.len()
     );
--- a/crates/kingcupwinch-soak/src/checks.rs
+++ b/crates/kingcupwinch-soak/src/checks.rs
@@ -7,7 +7,10 @@
 use kingcupwinch_standin::{FencedAppend, WorkerEvent, WorkerEventKind};
 use rustc_hash::FxHashMap;
 
+use crate::disturbances::Disturbance;
+use crate::operator::{Lookup, ObservedRoute};
 use crate::progress::{check_progress, check_workers};
+use crate::routes::check_routes;
 
 /// Time after an acknowledged cancellation within which a task of the job may still start.
 const CANCEL_GRACE: Duration = Duration::from_secs(10);
@@ -49,6 +52,10 @@
     Advised,
     /// Only ends that the worker has listed are acknowledged.
     ListedFirst,
+    /// A route is not denied once the version that added it has to be in force.
+    RouteFound,
+    /// A route is not served once the version that removed it has to be in force.
+    RouteRemoved,
     /// An instance that is asked to stop exits in time and with success.
     CleanShutdown,
 }
@@ -124,6 +131,12 @@
     pub calm: &'a [(Instant, Instant)],
     /// CPU capacity of each worker, in thousandths of a core.
     pub worker_cpu: u64,
+    /// The additional routes, in the order of their versions.
+    pub routes: &'a [ObservedRoute],
+    /// Responses to requests for these routes.
+    pub lookups: &'a [Lookup],
+    /// Faults that may keep an instance from applying a version.
+    pub disturbances: &'a [Disturbance],
 }
 
 /// A run of a task, as recorded by its worker.
@@ -175,6 +188,7 @@
         check_workers(job, &runs, &mut violations);
     }
     check_progress(observations, &runs, &mut violations);
+    check_routes(observations, &mut violations);
     violations
 }
 
--- a/crates/kingcupwinch-soak/src/cluster.rs
+++ b/crates/kingcupwinch-soak/src/cluster.rs
@@ -8,15 +8,18 @@
 
 use kingcupwinch_standin::{
     Caller, Fleet, History, InstanceSettings, StandinAdviser, StandinStore, StoreMode,
-    WorkerEventKind, WorkerFaults, WorkerHandle, WorkerSpec, publish_queue,
+    WorkerEventKind, WorkerFaults, WorkerHandle, WorkerSpec,
 };
 use rustix::process::Signal;
 use tokio::time::Instant;
 
+use crate::disturbances::Disturbances;
 use crate::instance::Instance;
+use crate::operator::Operator;
 use crate::plan::{Fault, Trigger};
 use crate::ports::{free_address, free_pair};
 use crate::proxy::{Closing, Mode, Proxy};
+use crate::routes::CONFIG_BOUND;
 
 /// Maximum lease of the workers, in milliseconds.
 const MAX_LEASE_MS: u64 = 6_000;
@@ -52,7 +55,8 @@
     pub(crate) history: History,
     instances: Vec<InstanceNode>,
     workers: Vec<WorkerNode>,
-    version: u64,
+    pub(crate) operator: Operator,
+    pub(crate) disturbances: Disturbances,
     /// Descriptions of the instances that did not stop in time and with success.
     pub(crate) unclean_stops: Vec<String>,
 }
@@ -66,7 +70,7 @@
         worker_count: usize,
     ) -> io::Result<Self> {
         let store = StandinStore::new();
-        publish_queue(&store, 1);
+        let operator = Operator::new(Arc::clone(&store));
         let history = History::default();
         let adviser = Arc::<StandinAdviser>::default();
         let adviser_address = free_address()?;
@@ -87,7 +91,8 @@
             history,
             instances,
             workers,
-            version: 1,
+            operator,
+            disturbances: Disturbances::default(),
             unclean_stops: Vec::new(),
         })
     }
@@ -135,7 +140,9 @@
 
     /// Begins a fault.
     pub(crate) fn begin(&mut self, fault: Fault) -> io::Result<()> {
-        match self.resolve(fault) {
+        let fault = self.resolve(fault);
+        self.disturbances.begin(fault);
+        match fault {
             // Resolved above.
             Fault::OnOwner(_) => {}
             Fault::Kill(index) => self.instances[index].instance.kill()?,
@@ -169,6 +176,9 @@
                     .store_link
                     .set(Mode::Delayed(LINK_DELAY));
             }
+            Fault::SilenceStore(index) => {
+                self.instances[index].store_link.close(Closing::Silence);
+            }
             Fault::PartitionWorker(index) => self.workers[index].link.set(Mode::Blocked),
             Fault::BlockWorkerResponses(index) => self.workers[index].link.set(Mode::OneWay),
             Fault::ResetWorker(index) => self.workers[index].link.set(Mode::Reset),
@@ -188,10 +198,7 @@
             Fault::DelayStarts(index) => {
                 self.change_faults(index, |faults| faults.starts_late = true);
             }
-            Fault::Publish => {
-                self.version += 1;
-                publish_queue(&self.store, self.version);
-            }
+            Fault::Publish => self.operator.publish(),
         }
         Ok(())
     }
@@ -224,6 +231,7 @@
             Fault::Hangup(_)
             | Fault::StoreTruncates
             | Fault::Publish
+            | Fault::SilenceStore(_)
             | Fault::CloseWorker(_)
             | Fault::AbortWorker(_)
             | Fault::OnOwner(_) => {}
@@ -257,6 +265,7 @@
                 self.change_faults(index, |faults| faults.starts_late = false);
             }
         }
+        self.disturbances.end(fault);
         Ok(())
     }
 
@@ -298,6 +307,7 @@
             node.worker.restart().await?;
             node.worker.register("ready");
         }
+        self.disturbances.end_all();
         Ok(())
     }
 
@@ -354,6 +364,7 @@
         store: store_link.address(),
         adviser,
         max_lease_ms: MAX_LEASE_MS,
+        config_bound_ms: CONFIG_BOUND.as_millis() as u64,
     };
     Ok(InstanceNode {
         instance: Instance::start(program, dir, &settings)?,
--- a/crates/kingcupwinch-soak/src/plan.rs
+++ b/crates/kingcupwinch-soak/src/plan.rs
@@ -4,7 +4,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::series::{random_series, rolling_restart, workers_replaced};
+use crate::series::{connections_die, random_series, rolling_restart, workers_replaced};
 
 /// Range of the interval between the starts of two faults, in milliseconds. Most faults last longer
 /// than that, so they overlap.
@@ -21,10 +21,13 @@
 const RESTART_INTERVAL_MS: std::ops::Range<u64> = 4_000..9_000;
 /// Range of the interval between the starts of two series of replaced workers, in milliseconds.
 const REPLACEMENT_INTERVAL_MS: std::ops::Range<u64> = 3_000..6_000;
+/// Range of the interval between the starts of two series of dead connections, in milliseconds.
+const DEATH_INTERVAL_MS: std::ops::Range<u64> = 5_000..8_000;
 /// Distinguish the random numbers of the kinds of series from those of the single faults.
 const SERIES_SEED: u64 = 0x5e41_e500_0000_0000;
 const RESTART_SEED: u64 = 0x4e57_a470_0000_0000;
 const REPLACEMENT_SEED: u64 = 0x4e91_ace0_0000_0000;
+const DEATH_SEED: u64 = 0xdead_0000_0000_0000;
 
 /// A fault of an instance.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -98,6 +101,8 @@
     ResetStore(usize),
     /// An instance's link to the store delays all traffic.
     DelayStore(usize),
+    /// An instance's connections to the store carry nothing any more, but are not closed.
+    SilenceStore(usize),
     /// A worker's link is blocked in both directions.
     PartitionWorker(usize),
     /// A worker's link forwards requests but no responses.
@@ -180,6 +185,10 @@
             plan.add_series(&mut rng, seconds, REPLACEMENT_INTERVAL_MS, |rng| {
                 workers_replaced(rng, workers)
             });
+            let mut rng = ChaCha8Rng::seed_from_u64(seed ^ DEATH_SEED);
+            plan.add_series(&mut rng, seconds, DEATH_INTERVAL_MS, |rng| {
+                connections_die(rng, instances)
+            });
             plan.faults.sort_by_key(|planned| planned.at_ms);
         }
         plan
--- a/crates/kingcupwinch-soak/src/proxy.rs
+++ b/crates/kingcupwinch-soak/src/proxy.rs
@@ -41,6 +41,8 @@
     Finish,
     /// The client sees a reset.
     Abort,
+    /// The client sees nothing: the connection stays open and carries nothing any more.
+    Silence,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -104,11 +106,16 @@
             tokio::select! {
                 () = forward(&mut client_in, &mut server_out, mode.clone(), Direction::ToServer) => {}
                 () = forward(&mut server_in, &mut client_out, mode, Direction::ToClient) => {}
-                _ = reset.wait_for(|mode| *mode == Mode::Reset) => {}
+                () = until_reset(&mut reset) => {}
                 _ = closing.changed() => {
-                    if *closing.borrow() == Some(Closing::Abort) {
-                        // Fails only for a connection that is closed already.
-                        let _ = client_out.as_ref().set_zero_linger();
+                    let kind = *closing.borrow();
+                    match kind {
+                        Some(Closing::Abort) => {
+                            // Fails only for a connection that is closed already.
+                            let _ = client_out.as_ref().set_zero_linger();
+                        }
+                        Some(Closing::Silence) => discard(&mut client_in).await,
+                        Some(Closing::Finish) | None => {}
                     }
                 }
             }
@@ -116,6 +123,17 @@
     }
 }
 
+async fn until_reset(mode: &mut watch::Receiver<Mode>) {
+    // Without a sender there is no proxy any more.
+    let _ = mode.wait_for(|mode| *mode == Mode::Reset).await;
+}
+
+/// Reads and drops what the client sends until it closes its connection.
+async fn discard(client: &mut OwnedReadHalf) {
+    let mut chunk = vec![0; CHUNK_BYTES];
+    while client.read(&mut chunk).await.is_ok_and(|length| length > 0) {}
+}
+
 /// Forwards data in one direction until either end closes its connection.
 async fn forward(
     from: &mut OwnedReadHalf,
--- a/crates/kingcupwinch-soak/src/run.rs
+++ b/crates/kingcupwinch-soak/src/run.rs
@@ -9,6 +9,7 @@
 
 use kingcupwinch_standin::{WorkerEvent, WorkerEventKind};
 use quick_error::quick_error;
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep_until};
 
 use crate::checks::{Invariant, Observations, Violation, check_invariants};
@@ -78,6 +79,8 @@
     pub refused: usize,
     /// Number of runs that workers started.
     pub starts: usize,
+    /// Number of responses to requests for additional routes.
+    pub lookups: usize,
     /// Violations of invariants.
     pub violations: Vec<Violation>,
 }
@@ -115,6 +118,7 @@
     let length = Duration::from_secs(options.seconds);
     let (seed, submitter) = (options.seed, workload.clone());
     let submissions = tokio::spawn(async move { submitter.submit_jobs(seed, length, pace).await });
+    let mut operations = start_operations(&cluster, options.seed);
     let start = (std::time::Instant::now(), SystemTime::now());
     let (workers, submitter) = (options.workers, workload.clone());
     if options.plan == PlanKind::Full {
@@ -129,6 +133,7 @@
         tokio::time::sleep(OBSERVATION_TIME.saturating_sub(healed.elapsed())).await;
     }
     let calm = [(healed, std::time::Instant::now())];
+    operations.shutdown().await;
     workload.cancel_long_running_jobs().await;
     workload.wait_for_ends(SETTLE_TIMEOUT).await;
     cluster.stop().await?;
@@ -136,12 +141,17 @@
     let events = cluster.history.all();
     std::fs::write(options.dir.join(EVENTS_FILE), render_events(start, &events))?;
     let appends = cluster.store.fenced_appends();
+    let (routes, lookups) = cluster.operator.observations();
+    let disturbances = cluster.disturbances.all();
     let mut violations = check_invariants(&Observations {
         jobs: &jobs,
         events: &events,
         appends: &appends,
         calm: &calm,
         worker_cpu: WORKER_MILLICORES,
+        routes: &routes,
+        lookups: &lookups,
+        disturbances: &disturbances,
     });
     violations.extend(cluster.unclean_stops.iter().map(|detail| Violation {
         invariant: Invariant::CleanShutdown,
@@ -154,10 +164,21 @@
         accepted: jobs.iter().filter(|job| job.accepted.is_some()).count(),
         refused: jobs.iter().filter(|job| job.is_refused).count(),
         starts: events.iter().filter(is_start).count(),
+        lookups: lookups.len(),
         violations,
     })
 }
 
+/// Starts to publish versions, and to look up their routes on every instance.
+fn start_operations(cluster: &Cluster, seed: u64) -> JoinSet<()> {
+    let mut operations = JoinSet::new();
+    operations.spawn(cluster.operator.clone().publish_versions(seed));
+    for (index, caller) in cluster.callers().into_iter().enumerate() {
+        operations.spawn(cluster.operator.clone().look_up(index, caller));
+    }
+    operations
+}
+
 /// Renders the workers' events, one a line, with their times in milliseconds after the start of the
 /// plan.
 fn render_events(
--- a/crates/kingcupwinch-soak/src/series.rs
+++ b/crates/kingcupwinch-soak/src/series.rs
@@ -277,3 +277,14 @@
     }
     faults
 }
+
+/// Connections of some instances to the store die without a word, once or twice.
+pub(crate) fn connections_die(rng: &mut ChaCha8Rng, instances: usize) -> Vec<PlannedFault> {
+    let mut series = Vec::new();
+    for _ in 0..rng.random_range(1..=2) {
+        let instance = rng.random_range(0..instances);
+        let at_ms = rng.random_range(0..1_500);
+        series.push(planned(at_ms, 1, Fault::SilenceStore(instance)));
+    }
+    series
+}
--- a/crates/kingcupwinch-soak/tests/checks.rs
+++ b/crates/kingcupwinch-soak/tests/checks.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use kingcupwinch_soak::{
-    Fault, Invariant, Observations, ObservedJob, ObservedStep, Plan, PlanKind, check_invariants,
+    Disturbance, Fault, Invariant, Lookup, Observations, ObservedJob, ObservedRoute, ObservedStep,
+    Plan, PlanKind, check_invariants,
 };
 use kingcupwinch_standin::{FencedAppend, WorkerEvent, WorkerEventKind, is_allowed};
 use rstest::rstest;
@@ -19,6 +20,9 @@
     events: Vec<WorkerEvent>,
     appends: Vec<FencedAppend>,
     calm: Vec<(Instant, Instant)>,
+    routes: Vec<ObservedRoute>,
+    lookups: Vec<Lookup>,
+    disturbances: Vec<Disturbance>,
 }
 
 impl Scenario {
@@ -41,6 +45,9 @@
             events: Vec::new(),
             appends: Vec::new(),
             calm: Vec::new(),
+            routes: Vec::new(),
+            lookups: Vec::new(),
+            disturbances: Vec::new(),
         }
     }
 
@@ -101,6 +108,9 @@
             appends: &appends,
             calm: &self.calm,
             worker_cpu: 4_000,
+            routes: &self.routes,
+            lookups: &self.lookups,
+            disturbances: &self.disturbances,
         });
         let mut invariants: Vec<Invariant> =
             found.iter().map(|violation| violation.invariant).collect();
@@ -494,3 +504,80 @@
     }
     assert_eq!(scenario.violations(), [Invariant::WorkerLimit]);
 }
+
+/// Returns a scenario of a route that was added at 10 s and removed at 20 s, and of a request for it
+/// that instance 1 responded to 10 ms later.
+fn route_scenario(sent_ms: u64, status: u16) -> Scenario {
+    let mut scenario = Scenario::new();
+    scenario.run_task("w-1", 0, 1, 100, 200);
+    scenario.run_task("w-1", 1, 1, 300, 400);
+    scenario.report_state(500, "completed");
+    scenario.routes.push(ObservedRoute {
+        version: 2,
+        added: scenario.at(10_000),
+        removal_sent: Some(scenario.at(20_000)),
+        removed: Some(scenario.at(20_000)),
+    });
+    scenario.lookups.push(Lookup {
+        instance: 1,
+        route: 0,
+        sent: scenario.at(sent_ms),
+        received: scenario.at(sent_ms + 10),
+        status,
+    });
+    scenario
+}
+
+fn disturb(scenario: &mut Scenario, instance: Option<usize>, from_ms: u64, until_ms: u64) {
+    scenario.disturbances.push(Disturbance {
+        instance,
+        from: scenario.at(from_ms),
+        until: Some(scenario.at(until_ms)),
+    });
+}
+
+#[rstest]
+#[case::within_the_bound(12_000, 404)]
+#[case::refused(13_000, 503)]
+#[case::found(13_000, 200)]
+#[case::removed_meanwhile(19_995, 404)]
+#[case::removed(25_000, 404)]
+#[case::removed_within_the_bound(22_000, 200)]
+#[case::removed_and_refused(25_000, 503)]
+fn allows_responses_of_a_version_that_may_be_in_force(#[case] sent_ms: u64, #[case] status: u16) {
+    assert_eq!(route_scenario(sent_ms, status).violations(), []);
+}
+
+/// An instance that had lost the store denied routes of versions that it could not know.
+#[rstest]
+#[case::in_touch(false)]
+#[case::disturbed(true)]
+fn detects_route_that_is_denied_after_the_bound(#[case] is_disturbed: bool) {
+    let mut scenario = route_scenario(12_001, 404);
+    if is_disturbed {
+        disturb(&mut scenario, Some(1), 9_000, 13_000);
+    }
+    assert_eq!(scenario.violations(), [Invariant::RouteFound]);
+}
+
+#[rstest]
+#[case::undisturbed(None, true)]
+#[case::another_instance(Some((Some(0), 21_000)), true)]
+#[case::long_before(Some((Some(1), 18_999)), true)]
+#[case::shortly_before(Some((Some(1), 19_002)), false)]
+#[case::the_store(Some((None, 19_002)), false)]
+fn detects_route_that_is_served_after_its_removal_by_an_instance_in_touch(
+    #[case] disturbance: Option<(Option<usize>, u64)>,
+    #[case] is_detected: bool,
+) {
+    let mut scenario = route_scenario(22_001, 200);
+    if let Some((instance, until_ms)) = disturbance {
+        disturb(&mut scenario, instance, 18_000, until_ms);
+    }
+    let expected: &[Invariant] = if is_detected {
+        &[Invariant::RouteRemoved]
+    } else {
+        &[]
+    };
+    assert_eq!(scenario.violations(), expected);
+}
