Run interrupted long-running tasks again before starting new ones

Equally urgent steps took turns by their last call, so a step that had asked before came behind each new one, and behind all that waited: order by turn bounds nothing while more steps wait than calls can be made. The same order placed a step that had just asked behind all others, which took the room of its call while that was in flight.

Tasks that ran before and need the adviser now have a turn of their own, before tasks that never ran: for calls, for room, and for the room that their calls ask about. Among themselves they take turns for calls, but the longest-waiting comes first for room. Job records keep which tasks wait to run again.

--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -381,7 +381,15 @@
             worker.remove_run(job.step_spec(step));
         }
         job.runs.remove(&key);
-        job.steps[step].tasks[index].unsettled_runs -= 1;
+        let task = &mut job.steps[step].tasks[index];
+        task.unsettled_runs -= 1;
+        let was_active = !matches!(
+            run.state,
+            RunState::Planned | RunState::Withdrawn | RunState::Starting
+        );
+        if was_active {
+            task.interrupted_at = Some(now);
+        }
         job.release_task(step, index, key);
         self.dirty.insert(run.job);
         self.remove_if_settled(run.job, now);
--- a/crates/kingcupwinch-cell/src/job.rs
+++ b/crates/kingcupwinch-cell/src/job.rs
@@ -79,6 +79,8 @@
     pub(crate) not_before: Time,
     /// Runs of a long-running task in a row that failed soon after their start.
     pub(crate) short_runs: u32,
+    /// When the last run of the task ended, if one was active before.
+    pub(crate) interrupted_at: Option<Time>,
 }
 
 #[derive(Debug)]
@@ -133,9 +135,16 @@
             avoid_worker: None,
             not_before: Time::ZERO,
             short_runs: 0,
+            interrupted_at: None,
         }
     }
 
+    /// Returns since when the task waits to run again.
+    pub(crate) fn waits_to_restart_since(&self) -> Option<Time> {
+        let is_waiting = self.state == TaskState::Waiting;
+        self.interrupted_at.filter(|_| is_waiting)
+    }
+
     /// Returns whether the task may be started now.
     pub(crate) fn is_free(&self, now: Time) -> bool {
         self.state == TaskState::Waiting && self.unsettled_runs == 0 && self.not_before <= now
@@ -352,6 +361,11 @@
                 task.failed_runs.clone_from(runs);
             }
         }
+        for (step, index) in record.interrupted_slots() {
+            if let Some(task) = self.task_mut(step, index) {
+                task.interrupted_at = Some(now);
+            }
+        }
         for (step, index, checkpoint) in &record.checkpoints {
             if let Some(task) = self.task_mut(*step as usize, (*index).into()) {
                 task.checkpoint_run = record.last_run;
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -46,6 +46,18 @@
     Missed,
 }
 
+/// What a round does for a step, in the order in which equally urgent steps take their turns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Turn {
+    /// Runs tasks again that the adviser has to allow. They had their capacity and are missed by
+    /// their users, while calls to the adviser are scarce if more tasks wait than fit.
+    Restart,
+    /// Starts tasks, other than by a restart turn.
+    Start,
+    /// Moves tasks that run.
+    Move,
+}
+
 /// A step with tasks to start.
 #[derive(Debug)]
 struct ReadyStep {
@@ -63,8 +75,7 @@
     /// The pace (observed over expected run time) of the slowest worker that still meets the
     /// objective.
     slowest_pace: f64,
-    /// Whether tasks are to be moved, not started.
-    is_move: bool,
+    turn: Turn,
     /// Whether the tasks are long-running.
     is_long_running: bool,
     /// Since when the step has had tasks that could start.
@@ -114,7 +125,7 @@
             is_tight: status != ObjectiveStatus::Missed
                 && (slack as f64) < critical_path * (paces.slowest * PACE_MARGIN - paces.fastest),
             slowest_pace,
-            is_move: false,
+            turn: Turn::Start,
             is_long_running: false,
             waiting_since: step.wait.since(now),
             asked_at: step.tickets.asked_at,
@@ -132,7 +143,7 @@
             slack: 0,
             is_tight: false,
             slowest_pace: f64::INFINITY,
-            is_move: false,
+            turn: Turn::Start,
             is_long_running: true,
             waiting_since: Time::ZERO,
             asked_at: Time::ZERO,
@@ -144,11 +155,41 @@
     fn of_move(key: JobKey, slot: usize, tasks: usize) -> Self {
         ReadyStep {
             tasks,
-            is_move: true,
+            turn: Turn::Move,
             ..ReadyStep::of_long_running(key, slot, 0)
         }
     }
 
+    /// Splits off the tasks that run again, so that tasks of the same step that never ran take no
+    /// precedence from them.
+    fn with_restarts(self, job: &Job) -> impl Iterator<Item = ReadyStep> {
+        let has_turn = self.is_long_running && job.spec.policy.advice.is_some();
+        let tasks = job.steps[self.step].tasks.iter().filter(|_| has_turn);
+        let waits = tasks.filter_map(Task::waits_to_restart_since);
+        let (count, first) = waits.fold((0, self.waiting_since), |(count, first), since| {
+            let first = if count == 0 { since } else { since.min(first) };
+            (count + 1, first)
+        });
+        let starts = ReadyStep {
+            tasks: self.tasks - count,
+            ..self
+        };
+        let restarts = ReadyStep {
+            tasks: count,
+            turn: Turn::Restart,
+            waiting_since: first,
+            ..self
+        };
+        let parts = [restarts, starts].into_iter();
+        parts.filter(|part| part.tasks > 0)
+    }
+
+    /// Returns whether a task of the step has its turn with these.
+    fn includes(&self, task: &Task, has_advice: bool) -> bool {
+        let is_restart = task.interrupted_at.is_some();
+        !self.is_long_running || !has_advice || is_restart == (self.turn == Turn::Restart)
+    }
+
     /// Compares by urgency. Steps that are equally urgent take turns with the callers of the adviser,
     /// and else come in the order in which they began to wait, so that none is passed over again and
     /// again.
@@ -157,7 +198,7 @@
             (
                 step.status,
                 step.slack,
-                step.is_move,
+                step.turn,
                 step.asked_at,
                 step.waiting_since,
                 step.step,
@@ -183,8 +224,11 @@
         let is_other = |step: &ReadyStep| !step.is_long_running;
         let first_other = steps.iter().position(is_other).unwrap_or(steps.len());
         let (long_running, others) = steps.split_at(first_other);
-        self.place_steps(long_running, &mut pools, now);
-        self.keep_asked_room(long_running, &mut pools, now);
+        let first_start = long_running.partition_point(|step| step.turn == Turn::Restart);
+        let (restarts, starts) = long_running.split_at(first_start);
+        self.place_restarts(restarts, &mut pools, now);
+        self.place_steps(starts, &mut pools, now);
+        self.keep_asked_room(starts, &mut pools, now);
         self.place_steps(others, &mut pools, now);
         self.start_speculative_runs(&mut pools, now);
         self.send_stops(now);
@@ -196,17 +240,52 @@
         for ready in steps {
             let service = &self.jobs[ready.job].spec.policy.service;
             match pools.by_service.get_mut(service) {
-                Some(pool) if ready.is_move => self.move_tasks(ready, pool, now),
+                Some(pool) if ready.turn == Turn::Move => self.move_tasks(ready, pool, now),
                 Some(pool) => self.place_step(ready, pool, now),
                 None => {}
             }
-            if !ready.is_move {
+            if ready.turn != Turn::Move {
                 let service = &self.jobs[ready.job].spec.policy.service;
                 self.note_wait(ready, pools.by_service.get(service), now);
             }
         }
     }
 
+    /// Starts what fits of steps that run again, the longest-waiting first, and keeps the room that
+    /// their calls to the adviser ask about. A step that has just asked comes last for the next call,
+    /// but not for the room.
+    fn place_restarts(&mut self, steps: &[ReadyStep], pools: &mut WorkerPools, now: Time) {
+        let mut by_wait: Vec<&ReadyStep> = steps.iter().collect();
+        by_wait.sort_by_key(|ready| ready.waiting_since);
+        let mut left = Vec::new();
+        for ready in by_wait {
+            let service = &self.jobs[ready.job].spec.policy.service;
+            let Some(pool) = pools.by_service.get_mut(service) else {
+                continue;
+            };
+            if let Some(demand) = self.place_granted(ready, pool, now) {
+                left.push((ready, demand));
+            }
+        }
+        left.sort_by(|(a, _), (b, _)| a.compare(b));
+        for (ready, demand) in &left {
+            let service = &self.jobs[ready.job].spec.policy.service;
+            if let Some(pool) = pools.by_service.get_mut(service) {
+                self.request_advice(ready, demand, pool, now);
+            }
+        }
+        for ready in steps {
+            let service = &self.jobs[ready.job].spec.policy.service;
+            self.note_wait(ready, pools.by_service.get(service), now);
+        }
+        for (ready, _) in left {
+            let service = &self.jobs[ready.job].spec.policy.service;
+            if let Some(pool) = pools.by_service.get_mut(service) {
+                self.keep_room(ready, pool);
+            }
+        }
+    }
+
     fn set_mean_pace(&mut self, now: Time) {
         let workers = self.workers.values();
         let workers = workers.filter(|worker| worker.is_usable(now) && !worker.is_quarantined(now));
@@ -272,7 +351,7 @@
                 if is_gang && !tasks.all(|task| task.is_free(now)) {
                     continue;
                 }
-                ready.push(ReadyStep::new(key, slot, job, paces, now));
+                ready.extend(ReadyStep::new(key, slot, job, paces, now).with_restarts(job));
             }
         }
         for step in &mut ready {
@@ -296,11 +375,24 @@
     }
 
     fn place_step(&mut self, ready: &ReadyStep, pool: &mut WorkerPool, now: Time) {
+        if let Some(demand) = self.place_granted(ready, pool, now) {
+            self.request_advice(ready, &demand, pool, now);
+        }
+    }
+
+    /// Starts what fits of a step without a further call to the adviser. Returns the demand of the
+    /// tasks that are left, unless no worker has capacity for one.
+    fn place_granted(
+        &mut self,
+        ready: &ReadyStep,
+        pool: &mut WorkerPool,
+        now: Time,
+    ) -> Option<StepDemand> {
         self.release_kept_places(ready.job, ready.step, pool);
         let job = &self.jobs[ready.job];
         let spec = job.step_spec(ready.step);
         if !pool.has_capacity(spec.charged_resources()) {
-            return;
+            return None;
         }
         let mut demand = self
             .step_demand(ready.job, ready.step)
@@ -311,9 +403,7 @@
             demand = demand.with_quarantined();
             is_placed = self.place_demand(ready, &mut demand, pool, now);
         }
-        if !is_placed {
-            self.request_advice(ready, &demand, pool, now);
-        }
+        (!is_placed).then_some(demand)
     }
 
     /// Starts what fits of a step on the workers that suit its demand. Returns whether no startable
@@ -477,7 +567,9 @@
     ) -> bool {
         let job = &self.jobs[ready.job];
         let tasks = &job.steps[ready.step].tasks;
+        let has_advice = job.spec.policy.advice.is_some();
         let mut startable = startable_tasks(tasks, now);
+        startable.retain(|index| ready.includes(&tasks[*index], has_advice));
         let mut left = startable.len();
         if demand.accepts_quarantined && !job.step_spec(ready.step).long_running {
             let limit = job.spec.policy.max_attempts as usize;
--- a/crates/kingcupwinch-cell/src/placement/advice.rs
+++ b/crates/kingcupwinch-cell/src/placement/advice.rs
@@ -6,7 +6,7 @@
 use kingcupwinch_time::{Span, Time};
 use smallvec::SmallVec;
 
-use super::{ReadyStep, WorkerPool, WorkerPools};
+use super::{ReadyStep, Turn, WorkerPool, WorkerPools};
 use crate::advice::call_time;
 use crate::cell::{Action, Cell, NamedWorker};
 use crate::fit::{Access, StepDemand};
@@ -100,36 +100,42 @@
         });
     }
 
-    /// Keeps room on the workers that the calls of long-running steps name from the steps behind them
-    /// until the calls are answered, if the steps have waited for long. On busy workers, steps that
-    /// need no call take whatever becomes free. Each response excludes or starts something, and none
-    /// is expected after a lost call, so no room is kept for long.
+    /// Keeps the room that the calls of long-running steps ask about from the steps behind them, if
+    /// the steps have waited for long. On busy workers, steps that need no call take whatever becomes
+    /// free.
     pub(super) fn keep_asked_room(&self, steps: &[ReadyStep], pools: &mut WorkerPools, now: Time) {
         let keeps = |step: &&ReadyStep| {
             let is_long_wait = step.waiting_since + KEPT_ROOM_WAIT <= now;
-            step.is_long_running && !step.is_move && is_long_wait
+            step.is_long_running && step.turn != Turn::Move && is_long_wait
         };
         for ready in steps.iter().filter(keeps) {
-            let job = &self.jobs[ready.job];
-            let Some(pool) = pools.by_service.get_mut(&job.spec.policy.service) else {
-                continue;
-            };
-            if job.steps[ready.step].tickets.is_call_lost {
-                continue;
-            }
-            let demand = self.step_demand(ready.job, ready.step);
-            let share = self.allowed_share(&job.spec.policy.queue);
-            let wanted = (ready.tasks as f64 / share.max(f64::MIN_POSITIVE)).ceil() as usize;
-            let asked = self.asked_workers(ready.job, ready.step);
-            let asked = asked.filter_map(|worker| pool.index(worker));
-            let has_room = |index: &usize| self.room_on(&demand, &pool.candidates[*index]).is_ok();
-            let kept: SmallVec<[usize; 8]> = asked.filter(has_room).take(wanted).collect();
-            for index in kept {
-                pool.reserve(index, demand.charge, 1);
+            let service = &self.jobs[ready.job].spec.policy.service;
+            if let Some(pool) = pools.by_service.get_mut(service) {
+                self.keep_room(ready, pool);
             }
         }
     }
 
+    /// Keeps room on the workers that the call of a step names until the call is answered. Each
+    /// response excludes or starts something, and none is expected after a lost call, so no room is
+    /// kept for long.
+    pub(super) fn keep_room(&self, ready: &ReadyStep, pool: &mut WorkerPool) {
+        let job = &self.jobs[ready.job];
+        if job.steps[ready.step].tickets.is_call_lost {
+            return;
+        }
+        let demand = self.step_demand(ready.job, ready.step);
+        let share = self.allowed_share(&job.spec.policy.queue);
+        let wanted = (ready.tasks as f64 / share.max(f64::MIN_POSITIVE)).ceil() as usize;
+        let asked = self.asked_workers(ready.job, ready.step);
+        let asked = asked.filter_map(|worker| pool.index(worker));
+        let has_room = |index: &usize| self.room_on(&demand, &pool.candidates[*index]).is_ok();
+        let kept: SmallVec<[usize; 8]> = asked.filter(has_room).take(wanted).collect();
+        for index in kept {
+            pool.reserve(index, demand.charge, 1);
+        }
+    }
+
     /// Returns the workers to ask about next, and the number of tasks expected to fit on all workers
     /// that the adviser allows.
     fn advice_candidates(
--- a/crates/kingcupwinch-cell/src/record.rs
+++ b/crates/kingcupwinch-cell/src/record.rs
@@ -63,6 +63,9 @@
     /// The checkpoints: slot, task index and value.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub checkpoints: Vec<(u32, u16, Arc<str>)>,
+    /// The long-running tasks that wait to run again: slot, and indexes of the tasks.
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    pub interrupted: Vec<(u32, Vec<u16>)>,
     /// The placements of active runs.
     #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
     pub placements: Vec<Placement>,
@@ -106,10 +109,11 @@
     }
 
     pub(crate) fn done_task_slots(&self) -> impl Iterator<Item = (usize, usize)> + '_ {
-        self.done_tasks.iter().flat_map(|(step, indexes)| {
-            let step = *step as usize;
-            indexes.iter().map(move |index| (step, usize::from(*index)))
-        })
+        task_slots(&self.done_tasks)
+    }
+
+    pub(crate) fn interrupted_slots(&self) -> impl Iterator<Item = (usize, usize)> + '_ {
+        task_slots(&self.interrupted)
     }
 
     /// Returns the slots of the steps whose tasks are all done.
@@ -144,7 +148,7 @@
             if step.remaining == 0 {
                 record.add_done_step(slot);
             } else {
-                record.add_partial_step(slot, step);
+                record.add_partial_step(slot, step, job.step_spec(slot as usize).long_running);
             }
         }
         record
@@ -157,14 +161,18 @@
         }
     }
 
-    fn add_partial_step(&mut self, slot: u32, step: &Step) {
+    fn add_partial_step(&mut self, slot: u32, step: &Step, is_long_running: bool) {
         let mut done = Vec::new();
+        let mut interrupted = Vec::new();
         for (index, task) in step.tasks.iter().enumerate() {
             let index = index as u16;
             if task.state == TaskState::Done {
                 done.push(index);
                 continue;
             }
+            if is_long_running && task.waits_to_restart_since().is_some() {
+                interrupted.push(index);
+            }
             if !task.failed_runs.is_empty() {
                 self.failed_runs
                     .push((slot, index, task.failed_runs.clone()));
@@ -176,5 +184,15 @@
         if !done.is_empty() {
             self.done_tasks.push((slot, done));
         }
+        if !interrupted.is_empty() {
+            self.interrupted.push((slot, interrupted));
+        }
     }
 }
+
+fn task_slots(rows: &[(u32, Vec<u16>)]) -> impl Iterator<Item = (usize, usize)> + '_ {
+    rows.iter().flat_map(|(step, indexes)| {
+        let step = *step as usize;
+        indexes.iter().map(move |index| (step, usize::from(*index)))
+    })
+}
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/services.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/services.rs
@@ -16,8 +16,12 @@
 const KINDS: [&str; 2] = ["kind-a", "kind-b"];
 /// The instances that call the adviser.
 const ADVICE_CALLERS: usize = 3;
+/// The same with more tasks than fit: the number of workers per instance, as on the platform.
+const WORKERS_PER_CALLER: usize = 5;
 /// The share of the CPU of all workers that long-running tasks take at most, in percent.
 const LONG_RUNNING_PERCENT: u64 = 45;
+/// The same for jobs that are more than fit: the least and the most.
+const OVERLOAD_PERCENT: (u64, u64) = (200, 400);
 /// The mean numbers of events per second: workers that begin to drain, and jobs with advice among all
 /// jobs that end.
 const DRAINS: f64 = 0.15;
@@ -88,6 +92,42 @@
         }
     }
 
+    /// Draws the workers, an adviser whose callers are always busy, and long-running jobs that are
+    /// handed in one after the other.
+    pub(super) fn set_up_overload(&mut self) {
+        let workers = [16, 24, 40, 64][self.between(0, 3) as usize];
+        let cost = AdviceCost {
+            call_ms: self.between(300, 500) as f64,
+            worker_ms: self.between(4, 8) as f64,
+            valid_ms: self.between(1_500, 4_000) as f64,
+        };
+        let (seed, percent) = (self.between(0, u64::MAX), self.between(25, 45));
+        self.adviser = Adviser::new(cost, seed, percent);
+        self.advice_callers = (0..workers / WORKERS_PER_CALLER)
+            .map(|number| format!("caller-{number}").into())
+            .collect();
+        for machine in 0..workers {
+            self.add_worker(machine);
+        }
+        let (least, most) = OVERLOAD_PERCENT;
+        let mut cores = workers as u64 * 8 * self.between(least, most) / 100;
+        let last_ms = self.faults_end.since(self.now).as_millis();
+        while cores > 0 {
+            let (size, count) = (self.between(1, 3), self.between(1, 4));
+            let count = count.min(cores.div_ceil(size));
+            cores = cores.saturating_sub(count * size);
+            let mut step = step(count as u16, size, 1_000);
+            step.long_running = true;
+            step.worker_limit = Some(self.between(1, 2) as u16);
+            let mut spec = job(vec![step]);
+            spec.policy.advice = Some(self.adviser.cost);
+            let delay = self.span(0, last_ms);
+            self.schedule(delay, Event::Submit(Box::new(spec)));
+        }
+        let cancel_at = self.faults_end + CALM_END;
+        self.schedule(cancel_at.since(self.now), Event::CancelLongRunning);
+    }
+
     /// Draws a job of one or two long-running steps, within the cores that are left.
     fn draw_long_running(&mut self, cores: &mut u64) -> JobSpec {
         let workers = self.workers.len() as u64;
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/simulation.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/simulation.rs
@@ -28,6 +28,8 @@
 /// The time with faults, and the longest time after it until every job has ended.
 const FAULTS: Span = Span::from_secs(30);
 const FAULTS_OF_SERVICES: Span = Span::from_secs(45);
+/// The time in which jobs are handed in without faults.
+const LOAD_OF_OVERLOAD: Span = Span::from_secs(40);
 const RECOVERY: Span = Span::from_secs(60);
 /// When a call without a response counts as lost.
 pub(super) const CALL_TIMEOUT: Span = Span::from_millis(1_000);
@@ -47,6 +49,8 @@
     Basic,
     /// More workers, long-running jobs, an adviser, and bursts of faults.
     Services,
+    /// The same with more long-running tasks than fit, and without faults.
+    Overload,
 }
 
 #[derive(Debug)]
@@ -245,6 +249,14 @@
         simulation.begin()
     }
 
+    /// Creates a simulation with more long-running tasks than fit, and without faults.
+    pub(super) fn of_overload(seed: u64) -> Self {
+        let mut simulation = Simulation::empty(seed, Variant::Overload);
+        simulation.faults_end = simulation.begin + LOAD_OF_OVERLOAD;
+        simulation.set_up_overload();
+        simulation.begin()
+    }
+
     fn begin(mut self) -> Self {
         self.take_over(true);
         self.schedule(TICK, Event::Tick);
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -14,6 +14,7 @@
 mod long_running;
 mod moves;
 mod occurrences;
+mod overload;
 mod replaced;
 mod restarts;
 mod run_times;
--- /dev/null
+++ b/crates/kingcupwinch-cell/tests/cell/overload.rs
@@ -0,0 +1,150 @@
+//! More long-running tasks than fit: which of them the adviser is asked about first.
+
+use std::sync::Arc;
+
+use kingcupwinch_cell::{EndReason, JobSpec, StepSpec, Ticket};
+use kingcupwinch_time::Span;
+
+use crate::harness::{FakeWorker, Harness, id, job, registration, step, task, with_advice};
+
+const TICKET_VALIDITY: Span = Span::from_millis(2_500);
+const CALL_MS: u64 = 450;
+/// Longer than a ticket is valid and than a run that counts as short.
+const RUN_MS: u64 = 3_000;
+/// The jobs that have never run.
+const NEW_JOBS: std::ops::Range<u64> = 10..30;
+
+fn long_running_job(cores: u64) -> JobSpec {
+    let step = StepSpec {
+        long_running: true,
+        ..step(1, cores, 1_000)
+    };
+    with_advice(job(vec![step]), CALL_MS as f64)
+}
+
+fn answer_calls(harness: &mut Harness, allows: impl Fn(&str, &str) -> bool) {
+    let calls = std::mem::take(&mut harness.calls);
+    let steps = std::mem::take(&mut harness.call_steps);
+    for ((call, workers), step) in calls.into_iter().zip(steps) {
+        let allowed = workers.iter().filter(|worker| allows(&step, worker));
+        let tickets = allowed.map(|worker| Ticket {
+            worker: Arc::clone(worker),
+            text: format!("ticket-{worker}").into(),
+        });
+        let response = Some((tickets.collect(), TICKET_VALIDITY));
+        harness.cell.advice_received(call, response, harness.now);
+    }
+}
+
+/// Starts the task of each of these jobs, which the adviser allows everywhere, one after the other.
+fn start_jobs(harness: &mut Harness, jobs: std::ops::Range<u64>, cores: u64) {
+    for number in jobs {
+        harness.submit(number, long_running_job(cores));
+        let is_running = |harness: &Harness| {
+            let mut running = harness.running().into_iter();
+            running.any(|(_, name)| name == task(number, 0, 0))
+        };
+        while !is_running(harness) {
+            harness.decide();
+            harness.advance(CALL_MS);
+            answer_calls(harness, |_, _| true);
+            harness.run_round();
+            harness.set_ready();
+            harness.poll_all();
+        }
+    }
+}
+
+fn submit_new_jobs(harness: &mut Harness) {
+    for number in NEW_JOBS {
+        harness.submit(number, long_running_job(1));
+    }
+}
+
+/// Ends the run of a job's task on its worker.
+fn fail(harness: &mut Harness, number: u64) {
+    let name = task(number, 0, 0);
+    let running = harness.running();
+    let (worker, _) = running.iter().find(|(_, task)| *task == name).unwrap();
+    harness.end(*worker, name, EndReason::Failed);
+    harness.poll_all();
+}
+
+/// Returns the steps of the calls that follow when the adviser denies all workers of those in
+/// flight.
+fn calls_after_denials(harness: &mut Harness) -> Vec<String> {
+    harness.advance(CALL_MS);
+    answer_calls(harness, |_, _| false);
+    harness.poll_all();
+    harness.decide();
+    harness.call_steps.clone()
+}
+
+/// A task that failed joined the calls to the adviser behind all steps that had never asked, and
+/// stayed away for as long as new jobs kept coming.
+#[test]
+fn a_task_that_ran_asks_before_tasks_that_never_ran() {
+    let mut harness = Harness::new(8, 4);
+    start_jobs(&mut harness, 1..2, 1);
+    harness.advance(RUN_MS);
+    harness.poll_all();
+    submit_new_jobs(&mut harness);
+    harness.decide();
+    assert_eq!(harness.calls.len(), 2, "both callers are busy");
+    fail(&mut harness, 1);
+    harness.decide();
+    assert_eq!(harness.calls.len(), 2, "no caller is free");
+    let steps = calls_after_denials(&mut harness);
+    assert_eq!(steps[0], format!("{}.0.0", id(1)));
+}
+
+/// The record of a job did not show which of its tasks had run, so that a later owner let them wait
+/// like tasks that had never run.
+#[test]
+fn a_task_that_ran_under_an_earlier_owner_asks_first() {
+    let mut earlier = Harness::new(8, 4);
+    start_jobs(&mut earlier, 1..2, 1);
+    earlier.advance(RUN_MS);
+    earlier.poll_all();
+    fail(&mut earlier, 1);
+    earlier.decide();
+    let record = &earlier.records[&id(1)];
+    assert_eq!(record.interrupted, vec![(0, vec![0])]);
+
+    let mut harness = Harness::of_generation(2);
+    for number in 0..8 {
+        let entry = registration(number, 4);
+        let key = harness.cell.register_worker(entry, true, harness.now);
+        harness.workers.insert(key, FakeWorker::default());
+    }
+    let callers = ["caller-0".into(), "caller-1".into()];
+    harness.cell.set_advice_callers(&callers);
+    harness.poll_all();
+    submit_new_jobs(&mut harness);
+    let spec = Some(long_running_job(1));
+    let now = harness.now;
+    harness
+        .cell
+        .restore(id(1), spec, Some(record), Span::ZERO, now);
+    harness.decide();
+    assert_eq!(harness.call_steps[0], format!("{}.0.0", id(1)));
+}
+
+/// A step that had just asked came last for the room as well: others took it while its call was in
+/// flight, again and again.
+#[test]
+fn of_tasks_that_ran_the_longest_waiting_one_gets_the_room() {
+    let mut harness = Harness::new(1, 4);
+    start_jobs(&mut harness, 2..3, 2);
+    start_jobs(&mut harness, 1..2, 2);
+    fail(&mut harness, 1);
+    harness.advance(10);
+    fail(&mut harness, 2);
+    let with_room_for_one = registration(0, 2);
+    harness
+        .cell
+        .register_worker(with_room_for_one, false, harness.now);
+    harness.run_round();
+    let running: Vec<_> = harness.running().iter().map(|(_, task)| task.job).collect();
+    assert_eq!(running, vec![id(1)]);
+}
