--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 
 use kingcupwinch_time::{Span, Time};
+use smallvec::SmallVec;
 
 use crate::cell::{Action, Cell};
 use crate::fit::StepDemand;
@@ -163,25 +164,24 @@
     /// Splits off the tasks that run again, so that tasks of the same step that never ran take no
     /// precedence from them.
     fn with_restarts(self, job: &Job) -> impl Iterator<Item = ReadyStep> {
-        let has_turn = self.is_long_running && job.spec.policy.advice.is_some();
-        let tasks = job.steps[self.step].tasks.iter().filter(|_| has_turn);
-        let waits = tasks.filter_map(Task::waits_to_restart_since);
-        let (count, first) = waits.fold((0, self.waiting_since), |(count, first), since| {
-            let first = if count == 0 { since } else { since.min(first) };
-            (count + 1, first)
-        });
+        let mut waits: SmallVec<[Time; 8]> = SmallVec::new();
+        if self.is_long_running && job.spec.policy.advice.is_some() {
+            let tasks = job.steps[self.step].tasks.iter();
+            waits.extend(tasks.filter_map(Task::waits_to_restart_since));
+        }
         let starts = ReadyStep {
-            tasks: self.tasks - count,
+            tasks: self.tasks - waits.len(),
             ..self
         };
-        let restarts = ReadyStep {
-            tasks: count,
+        let longest_wait = waits.iter().min().copied();
+        let restarts = longest_wait.map(|since| ReadyStep {
+            tasks: waits.len(),
             turn: Turn::Restart,
-            waiting_since: first,
+            waiting_since: since,
             ..self
-        };
-        let parts = [restarts, starts].into_iter();
-        parts.filter(|part| part.tasks > 0)
+        });
+        let starts = Some(starts).filter(|starts| starts.tasks > 0);
+        restarts.into_iter().chain(starts)
     }
 
     /// Returns whether a task of the step has its turn with these.
