Soak more long-running tasks than fit, without faults

The soak had more faults than load: its long-running tasks always fitted, so the order in which they are started again never mattered. First starts are not: the promise counts from the last run.

--- a/crates/kingcupwinch-soak/examples/soak.rs
+++ b/crates/kingcupwinch-soak/examples/soak.rs
@@ -32,6 +32,13 @@
                 .action(ArgAction::SetTrue)
                 .help("Injects single faults only, without series, under a steady load"),
         )
+        .arg(
+            Arg::new("overload")
+                .long("overload")
+                .action(ArgAction::SetTrue)
+                .conflicts_with("basic")
+                .help("Injects no faults, and submits more long-running tasks than fit"),
+        )
         .arg(number("at-once", "1", "Number of concurrent runs"))
         .arg(
             Arg::new("dir")
@@ -77,6 +84,8 @@
             options.workers = count("workers");
             if matches.get_flag("basic") {
                 options.plan = PlanKind::Basic;
+            } else if matches.get_flag("overload") {
+                options.plan = PlanKind::Overload;
             }
             run(&options).await
         }
--- a/crates/kingcupwinch-soak/src/checks.rs
+++ b/crates/kingcupwinch-soak/src/checks.rs
@@ -129,6 +129,8 @@
     pub appends: &'a [FencedAppend],
     /// Times without faults, from their starts to their ends.
     pub calm: &'a [(Instant, Instant)],
+    /// Whether there were more long-running tasks than fit, so that those that never ran may wait.
+    pub is_overloaded: bool,
     /// CPU capacity of each worker, in thousandths of a core.
     pub worker_cpu: u64,
     /// The additional routes, in the order of their versions.
--- a/crates/kingcupwinch-soak/src/plan.rs
+++ b/crates/kingcupwinch-soak/src/plan.rs
@@ -159,6 +159,8 @@
     Basic,
     /// The single faults of the basic plan, and series of faults among them.
     Full,
+    /// No faults, but more long-running tasks than the workers have room for.
+    Overload,
 }
 
 /// The faults of one run, in the order of their start.
@@ -171,6 +173,9 @@
 impl Plan {
     /// Builds the plan of a seed for a run of `seconds` with this many instances and workers.
     pub fn new(kind: PlanKind, seed: u64, seconds: u64, instances: usize, workers: usize) -> Self {
+        if kind == PlanKind::Overload {
+            return Plan { faults: Vec::new() };
+        }
         let mut plan = Plan::basic(seed, seconds, instances, workers);
         if kind == PlanKind::Full {
             let mut rng = ChaCha8Rng::seed_from_u64(seed ^ SERIES_SEED);
--- a/crates/kingcupwinch-soak/src/progress.rs
+++ b/crates/kingcupwinch-soak/src/progress.rs
@@ -114,7 +114,8 @@
             for index in 0..step.count {
                 let task = format!("{name}.{index}");
                 let of_task = runs.get(task.as_str()).map_or(&[][..], Vec::as_slice);
-                for (from, until) in gaps(accepted, job.cancel_sent, of_task) {
+                let first = (!observations.is_overloaded).then_some(accepted);
+                for (from, until) in gaps(accepted, first, job.cancel_sent, of_task) {
                     let room = |at| fleet.room(&name, step.cpu, step.worker_limit, at);
                     for calm in observations.calm {
                         let from = from.max(calm.0 + CALM_TIME);
@@ -130,17 +131,18 @@
     }
 }
 
-/// Returns the times in which a task of an accepted job has to be started: from some time after its
-/// acceptance or its last run until its next run or the cancellation of its job.
+/// Returns the times in which a task of an accepted job has to be started: from `first` or some time
+/// after its last run until its next run or the cancellation of its job.
 fn gaps(
     accepted: Instant,
+    first: Option<Instant>,
     cancelled: Option<Instant>,
     runs: &[Run],
 ) -> Vec<(Instant, Option<Instant>)> {
     let mut runs: Vec<&Run> = runs.iter().collect();
     runs.sort_by_key(|run| run.started);
     let mut gaps = Vec::new();
-    let mut from = Some(accepted);
+    let mut from = first;
     for run in runs {
         if let Some(from) = from {
             gaps.push((from, Some(run.started)));
--- a/crates/kingcupwinch-soak/src/run.rs
+++ b/crates/kingcupwinch-soak/src/run.rs
@@ -113,7 +113,7 @@
     let workload = Workload::new(cluster.callers());
     let pace = match options.plan {
         PlanKind::Basic => Pace::steady(),
-        PlanKind::Full => Pace::varied(options.seed, options.workers),
+        PlanKind::Full | PlanKind::Overload => Pace::varied(options.seed, options.workers),
     };
     let length = Duration::from_secs(options.seconds);
     let (seed, submitter) = (options.seed, workload.clone());
@@ -121,17 +121,29 @@
     let mut operations = start_operations(&cluster, options.seed);
     let start = (std::time::Instant::now(), SystemTime::now());
     let (workers, submitter) = (options.workers, workload.clone());
-    if options.plan == PlanKind::Full {
-        tokio::spawn(async move { submitter.submit_long_running_jobs(seed, workers).await });
+    match options.plan {
+        PlanKind::Basic => {}
+        PlanKind::Full => {
+            tokio::spawn(async move { submitter.submit_long_running_jobs(seed, workers).await });
+        }
+        PlanKind::Overload => {
+            tokio::spawn(async move { submitter.submit_overload(seed, workers, length).await });
+        }
+    }
+    let mut healed = std::time::Instant::now();
+    if !plan.faults.is_empty() {
+        inject_faults(&mut cluster, &plan).await?;
+        cluster.heal().await?;
+        healed = std::time::Instant::now();
     }
-    inject_faults(&mut cluster, &plan).await?;
-    cluster.heal().await?;
-    let healed = std::time::Instant::now();
     // The callers end by themselves. A panic in one shows up as a job that does not end.
     let _ = submissions.await;
-    if options.plan == PlanKind::Full {
-        tokio::time::sleep(OBSERVATION_TIME.saturating_sub(healed.elapsed())).await;
-    }
+    let observed = match options.plan {
+        PlanKind::Basic => Duration::ZERO,
+        PlanKind::Full => OBSERVATION_TIME,
+        PlanKind::Overload => length + OBSERVATION_TIME,
+    };
+    tokio::time::sleep(observed.saturating_sub(healed.elapsed())).await;
     let calm = [(healed, std::time::Instant::now())];
     operations.shutdown().await;
     workload.cancel_long_running_jobs().await;
@@ -148,6 +160,7 @@
         events: &events,
         appends: &appends,
         calm: &calm,
+        is_overloaded: options.plan == PlanKind::Overload,
         worker_cpu: WORKER_MILLICORES,
         routes: &routes,
         lookups: &lookups,
--- a/crates/kingcupwinch-soak/src/workload.rs
+++ b/crates/kingcupwinch-soak/src/workload.rs
@@ -24,6 +24,9 @@
 const LONG_RUNNING_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of workers per long-running job.
 const WORKERS_PER_JOB: usize = 2;
+/// Number of long-running jobs per worker with more tasks than fit: their tasks need more than twice
+/// the CPU of the worker.
+const OVERLOAD_JOBS_PER_WORKER: usize = 15;
 /// Number of workers per task of a long-running step, so that half of the workers that the adviser
 /// allows have room for another task.
 const WORKERS_PER_TASK: usize = 4;
@@ -124,12 +127,25 @@
 
     /// Submits random long-running jobs for a number of workers.
     pub(crate) async fn submit_long_running_jobs(&self, seed: u64, workers: usize) {
+        let count = workers.div_ceil(WORKERS_PER_JOB);
+        let interval = LONG_RUNNING_INTERVAL;
+        self.submit_each(seed, workers, count, interval).await;
+    }
+
+    /// Submits more random long-running jobs than fit on a number of workers, within `length`.
+    pub(crate) async fn submit_overload(&self, seed: u64, workers: usize, length: Duration) {
+        let count = workers * OVERLOAD_JOBS_PER_WORKER;
+        let interval = length / u32::try_from(count).unwrap_or(u32::MAX);
+        self.submit_each(seed, workers, count, interval).await;
+    }
+
+    async fn submit_each(&self, seed: u64, workers: usize, count: usize, interval: Duration) {
         let mut rng = ChaCha8Rng::seed_from_u64(seed ^ LONG_RUNNING_SEED);
-        for _ in 0..workers.div_ceil(WORKERS_PER_JOB) {
+        for _ in 0..count {
             let job = random_long_running_job(&mut rng, workers);
             let index = self.add_job(&mut rng, &job);
             self.submit(index, &job).await;
-            tokio::time::sleep(LONG_RUNNING_INTERVAL).await;
+            tokio::time::sleep(interval).await;
         }
     }
 
--- a/crates/kingcupwinch-soak/tests/checks.rs
+++ b/crates/kingcupwinch-soak/tests/checks.rs
@@ -20,6 +20,7 @@
     events: Vec<WorkerEvent>,
     appends: Vec<FencedAppend>,
     calm: Vec<(Instant, Instant)>,
+    is_overloaded: bool,
     routes: Vec<ObservedRoute>,
     lookups: Vec<Lookup>,
     disturbances: Vec<Disturbance>,
@@ -45,6 +46,7 @@
             events: Vec::new(),
             appends: Vec::new(),
             calm: Vec::new(),
+            is_overloaded: false,
             routes: Vec::new(),
             lookups: Vec::new(),
             disturbances: Vec::new(),
@@ -107,6 +109,7 @@
             events: &events,
             appends: &appends,
             calm: &self.calm,
+            is_overloaded: self.is_overloaded,
             worker_cpu: 4_000,
             routes: &self.routes,
             lookups: &self.lookups,
@@ -451,6 +454,33 @@
     assert_eq!(scenario.violations(), []);
 }
 
+/// With more tasks than fit, a failed task stayed away beside workers with room, while tasks that had
+/// never run were started.
+#[test]
+fn detects_missing_restart_under_overload() {
+    let mut scenario = long_running_scenario(2);
+    scenario.is_overloaded = true;
+    assert_eq!(scenario.violations(), [Invariant::Progress]);
+}
+
+#[rstest]
+#[case::of_too_many(true)]
+#[case::of_those_that_fit(false)]
+fn allows_task_to_wait_for_its_first_start_under_overload(#[case] is_overloaded: bool) {
+    let mut scenario = long_running_scenario(2);
+    scenario.is_overloaded = is_overloaded;
+    scenario
+        .events
+        .retain(|event| event.kind == WorkerEventKind::Joined);
+    scenario.appends.clear();
+    let expected: &[Invariant] = if is_overloaded {
+        &[]
+    } else {
+        &[Invariant::Progress]
+    };
+    assert_eq!(scenario.violations(), expected);
+}
+
 /// The other tasks of a step count against its limit, and those of others against the capacity.
 #[test]
 fn allows_wait_while_allowed_workers_are_at_their_limit() {
