--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/services.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/services.rs
@@ -54,20 +54,7 @@
 impl Simulation {
     /// Draws the workers, the adviser, the bursts of faults and the long-running jobs.
     pub(super) fn set_up_services(&mut self) {
-        let workers = [16, 24, 40, 64][self.between(0, 3) as usize];
-        let cost = AdviceCost {
-            call_ms: self.between(60, 400) as f64,
-            worker_ms: self.between(1, 8) as f64,
-            valid_ms: self.between(1_500, 4_000) as f64,
-        };
-        let (seed, percent) = (self.between(0, u64::MAX), self.between(25, 45));
-        self.adviser = Adviser::new(cost, seed, percent);
-        self.advice_callers = (0..ADVICE_CALLERS)
-            .map(|number| format!("caller-{number}").into())
-            .collect();
-        for machine in 0..workers {
-            self.add_worker(machine);
-        }
+        let workers = self.set_up_workers((60, 400), (1, 8), |_| ADVICE_CALLERS);
         for begin in [6_000, 25_000] {
             let begin = self.now + self.span(begin, begin + 2_000);
             let length = self.span(500, 2_500);
@@ -92,23 +79,36 @@
         }
     }
 
-    /// Draws the workers, an adviser whose callers are always busy, and long-running jobs that are
-    /// handed in one after the other.
-    pub(super) fn set_up_overload(&mut self) {
+    /// Draws the workers and an adviser whose calls take times in these ranges, in milliseconds: in
+    /// all, and for each worker named. Returns the number of workers.
+    fn set_up_workers(
+        &mut self,
+        call_ms: (u64, u64),
+        worker_ms: (u64, u64),
+        callers: fn(usize) -> usize,
+    ) -> usize {
         let workers = [16, 24, 40, 64][self.between(0, 3) as usize];
         let cost = AdviceCost {
-            call_ms: self.between(300, 500) as f64,
-            worker_ms: self.between(4, 8) as f64,
+            call_ms: self.between(call_ms.0, call_ms.1) as f64,
+            worker_ms: self.between(worker_ms.0, worker_ms.1) as f64,
             valid_ms: self.between(1_500, 4_000) as f64,
         };
         let (seed, percent) = (self.between(0, u64::MAX), self.between(25, 45));
         self.adviser = Adviser::new(cost, seed, percent);
-        self.advice_callers = (0..workers / WORKERS_PER_CALLER)
+        self.advice_callers = (0..callers(workers))
             .map(|number| format!("caller-{number}").into())
             .collect();
         for machine in 0..workers {
             self.add_worker(machine);
         }
+        workers
+    }
+
+    /// Draws the workers, an adviser whose callers are always busy, and long-running jobs that are
+    /// handed in one after the other.
+    pub(super) fn set_up_overload(&mut self) {
+        let workers =
+            self.set_up_workers((300, 500), (4, 8), |workers| workers / WORKERS_PER_CALLER);
         let (least, most) = OVERLOAD_PERCENT;
         let mut cores = workers as u64 * 8 * self.between(least, most) / 100;
         let last_ms = self.faults_end.since(self.now).as_millis();
