Start a long-running gang once if only some of its members ran

The split of restarts from first starts put a step with both kinds into a round twice. For a gang, each turn starts all members, so that every task was ordered twice. A gang is not split now: it has the turn of a restart if any member ran.

The new test failed before with two runs of each of both tasks.

--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -162,20 +162,26 @@
     }
 
     /// Splits off the tasks that run again, so that tasks of the same step that never ran take no
-    /// precedence from them.
+    /// precedence from them. The members of a gang start together, so they are not split.
     fn with_restarts(self, job: &Job) -> impl Iterator<Item = ReadyStep> {
+        let is_gang = job.step_spec(self.step).gang;
         let mut waits: SmallVec<[Time; 8]> = SmallVec::new();
         if self.is_long_running && job.spec.policy.advice.is_some() {
             let tasks = job.steps[self.step].tasks.iter();
             waits.extend(tasks.filter_map(Task::waits_to_restart_since));
         }
+        let longest_wait = waits.iter().min().copied();
+        let count = if is_gang && longest_wait.is_some() {
+            self.tasks
+        } else {
+            waits.len()
+        };
         let starts = ReadyStep {
-            tasks: self.tasks - waits.len(),
+            tasks: self.tasks - count,
             ..self
         };
-        let longest_wait = waits.iter().min().copied();
         let restarts = longest_wait.map(|since| ReadyStep {
-            tasks: waits.len(),
+            tasks: count,
             turn: Turn::Restart,
             waiting_since: since,
             ..self
--- a/crates/kingcupwinch-cell/tests/cell/overload.rs
+++ b/crates/kingcupwinch-cell/tests/cell/overload.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use kingcupwinch_cell::{EndReason, JobSpec, StepSpec, Ticket};
+use kingcupwinch_cell::{EndReason, JobSpec, StartOutcome, StepSpec, Ticket};
 use kingcupwinch_time::Span;
 
 use crate::harness::{FakeWorker, Harness, id, job, registration, step, task, with_advice};
@@ -148,3 +148,37 @@
     let running: Vec<_> = harness.running().iter().map(|(_, task)| task.job).collect();
     assert_eq!(running, vec![id(1)]);
 }
+
+/// A gang of which one member had run was started by the turn of its restarts, and again by that of its
+/// first starts.
+#[test]
+fn a_gang_of_which_some_members_ran_starts_once() {
+    let mut harness = Harness::new(8, 4);
+    let mut gang = long_running_job(1);
+    gang.steps[0].count = 2;
+    gang.steps[0].gang = true;
+    harness.submit(1, gang);
+    harness.decide();
+    harness.advance(CALL_MS);
+    answer_calls(&mut harness, |_, _| true);
+    harness.decide();
+    let orders = std::mem::take(&mut harness.starts);
+    assert_eq!(orders.len(), 2);
+    harness.start(&orders[0]);
+    let now = harness.now;
+    harness
+        .cell
+        .start_answered(&orders[1], StartOutcome::Refused, now);
+    for _ in 0..4 {
+        harness.advance(100);
+        harness.run_round();
+        harness.poll_all();
+    }
+    let mut running: Vec<_> = harness
+        .running()
+        .into_iter()
+        .map(|(_, name)| name)
+        .collect();
+    running.sort();
+    assert_eq!(running, vec![task(1, 0, 0), task(1, 0, 1)]);
+}
