Decide in one place which tasks have a restart turn, and find a job's pool there

Whether a task runs again by a turn of its own was decided twice, when a step is split and when its tasks are placed, each with its own test of the step and the adviser; a change to one could have left tasks that neither turn starts. Both ask `restart_wait` now.

--- a/crates/kingcupwinch-cell/src/cell/speculation.rs
+++ b/crates/kingcupwinch-cell/src/cell/speculation.rs
@@ -23,8 +23,7 @@
         let jobs: Vec<JobKey> = self.speculative_jobs.iter().copied().collect();
         for key in jobs {
             for (slot, index, run) in self.slow_tasks(key, now) {
-                let service = &self.jobs[key].spec.policy.service;
-                let Some(pool) = pools.by_service.get_mut(service) else {
+                let Some(pool) = self.pool_of(key, pools) else {
                     continue;
                 };
                 if let Some(candidate) = self.speculative_candidate(key, slot, run, pool, now) {
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -166,10 +166,8 @@
     fn with_restarts(self, job: &Job) -> impl Iterator<Item = ReadyStep> {
         let is_gang = job.step_spec(self.step).gang;
         let mut waits: SmallVec<[Time; 8]> = SmallVec::new();
-        if self.is_long_running && job.spec.policy.advice.is_some() {
-            let tasks = job.steps[self.step].tasks.iter();
-            waits.extend(tasks.filter_map(Task::waits_to_restart_since));
-        }
+        let tasks = job.steps[self.step].tasks.iter();
+        waits.extend(tasks.filter_map(|task| restart_wait(job, self.step, task)));
         let longest_wait = waits.iter().min().copied();
         let count = if is_gang && longest_wait.is_some() {
             self.tasks
@@ -191,9 +189,8 @@
     }
 
     /// Returns whether a task of the step has its turn with these.
-    fn includes(&self, task: &Task, has_advice: bool) -> bool {
-        let is_restart = task.interrupted_at.is_some();
-        !self.is_long_running || !has_advice || is_restart == (self.turn == Turn::Restart)
+    fn includes(&self, job: &Job, task: &Task) -> bool {
+        restart_wait(job, self.step, task).is_some() == (self.turn == Turn::Restart)
     }
 
     /// Compares by urgency. Steps that are equally urgent take turns with the callers of the adviser,
@@ -241,18 +238,27 @@
         self.take_actions(now)
     }
 
+    /// Returns the usable workers of a job's service, if there are any.
+    pub(crate) fn pool_of<'a>(
+        &self,
+        job: JobKey,
+        pools: &'a mut WorkerPools,
+    ) -> Option<&'a mut WorkerPool> {
+        let service = &self.jobs[job].spec.policy.service;
+        pools.by_service.get_mut(service)
+    }
+
     /// Starts or moves what fits of each step, in this order.
     fn place_steps(&mut self, steps: &[ReadyStep], pools: &mut WorkerPools, now: Time) {
         for ready in steps {
-            let service = &self.jobs[ready.job].spec.policy.service;
-            match pools.by_service.get_mut(service) {
+            match self.pool_of(ready.job, pools) {
                 Some(pool) if ready.turn == Turn::Move => self.move_tasks(ready, pool, now),
                 Some(pool) => self.place_step(ready, pool, now),
                 None => {}
             }
             if ready.turn != Turn::Move {
-                let service = &self.jobs[ready.job].spec.policy.service;
-                self.note_wait(ready, pools.by_service.get(service), now);
+                let pool = self.pool_of(ready.job, pools);
+                self.note_wait(ready, pool.as_deref(), now);
             }
         }
     }
@@ -265,8 +271,7 @@
         by_wait.sort_by_key(|ready| ready.waiting_since);
         let mut left = Vec::new();
         for ready in by_wait {
-            let service = &self.jobs[ready.job].spec.policy.service;
-            let Some(pool) = pools.by_service.get_mut(service) else {
+            let Some(pool) = self.pool_of(ready.job, pools) else {
                 continue;
             };
             if let Some(demand) = self.place_granted(ready, pool, now) {
@@ -275,18 +280,16 @@
         }
         left.sort_by(|(a, _), (b, _)| a.compare(b));
         for (ready, demand) in &left {
-            let service = &self.jobs[ready.job].spec.policy.service;
-            if let Some(pool) = pools.by_service.get_mut(service) {
+            if let Some(pool) = self.pool_of(ready.job, pools) {
                 self.request_advice(ready, demand, pool, now);
             }
         }
         for ready in steps {
-            let service = &self.jobs[ready.job].spec.policy.service;
-            self.note_wait(ready, pools.by_service.get(service), now);
+            let pool = self.pool_of(ready.job, pools);
+            self.note_wait(ready, pool.as_deref(), now);
         }
         for (ready, _) in left {
-            let service = &self.jobs[ready.job].spec.policy.service;
-            if let Some(pool) = pools.by_service.get_mut(service) {
+            if let Some(pool) = self.pool_of(ready.job, pools) {
                 self.keep_room(ready, pool);
             }
         }
@@ -573,9 +576,8 @@
     ) -> bool {
         let job = &self.jobs[ready.job];
         let tasks = &job.steps[ready.step].tasks;
-        let has_advice = job.spec.policy.advice.is_some();
         let mut startable = startable_tasks(tasks, now);
-        startable.retain(|index| ready.includes(&tasks[*index], has_advice));
+        startable.retain(|index| ready.includes(job, &tasks[*index]));
         let mut left = startable.len();
         if demand.accepts_quarantined && !job.step_spec(ready.step).long_running {
             let limit = job.spec.policy.max_attempts as usize;
@@ -655,6 +657,12 @@
     }
 }
 
+/// Returns since when a task waits to run again by a restart turn.
+fn restart_wait(job: &Job, slot: usize, task: &Task) -> Option<Time> {
+    let has_turn = job.step_spec(slot).long_running && job.spec.policy.advice.is_some();
+    task.waits_to_restart_since().filter(|_| has_turn)
+}
+
 fn startable_tasks(tasks: &[Task], now: Time) -> Vec<usize> {
     let free = tasks
         .iter()
--- a/crates/kingcupwinch-cell/src/placement/advice.rs
+++ b/crates/kingcupwinch-cell/src/placement/advice.rs
@@ -109,8 +109,7 @@
             step.is_long_running && step.turn != Turn::Move && is_long_wait
         };
         for ready in steps.iter().filter(keeps) {
-            let service = &self.jobs[ready.job].spec.policy.service;
-            if let Some(pool) = pools.by_service.get_mut(service) {
+            if let Some(pool) = self.pool_of(ready.job, pools) {
                 self.keep_room(ready, pool);
             }
         }
--- a/crates/kingcupwinch-cell/src/placement/moves.rs
+++ b/crates/kingcupwinch-cell/src/placement/moves.rs
@@ -45,9 +45,9 @@
             if place.expires <= now || !self.needs_place(place) {
                 return false;
             }
-            let job = &self.jobs[place.job];
-            let charge = job.step_spec(place.step).charged_resources();
-            let pool = pools.by_service.get_mut(&job.spec.policy.service);
+            let spec = self.jobs[place.job].step_spec(place.step);
+            let charge = spec.charged_resources();
+            let pool = self.pool_of(place.job, pools);
             place.is_reserved = pool.is_some_and(|pool| pool.try_reserve(place.worker, charge));
             true
         });
