Leave the zero wait of an empty read to the rule on view times

The follower of the configuration tested whether an empty read had waited at all. `view_time` gives the send time for a wait of zero anyway, so the field says only that nothing was returned.

--- a/crates/kingcupwinch-node/src/configuration/follower.rs
+++ b/crates/kingcupwinch-node/src/configuration/follower.rs
@@ -64,8 +64,8 @@
     next: u64,
     /// Whether the read reached the end of the partition.
     is_complete: bool,
-    /// Whether the store had no record to return, and so held the read for its whole wait.
-    has_waited: bool,
+    /// Whether the store returned no record, after the whole long-poll wait.
+    is_empty: bool,
 }
 
 /// A read with or without a response.
@@ -163,7 +163,7 @@
                 }
                 if records.is_complete {
                     let now = shared.now();
-                    let at = view_time(read.sent, now, read.wait, records.has_waited);
+                    let at = view_time(read.sent, now, read.wait, records.is_empty);
                     confirm(&shared, at);
                 }
                 self.forget_reads();
@@ -226,7 +226,7 @@
         rows: page.items.into_iter().map(row).collect(),
         next: page.end,
         is_complete: true,
-        has_waited: false,
+        is_empty: false,
     })
 }
 
@@ -240,14 +240,14 @@
     let batch = store
         .read(CONFIGURATION, from, wait.as_millis(), deadline)
         .await?;
-    let has_waited = batch.records.is_empty() && wait > Span::default();
+    let is_empty = batch.records.is_empty();
     let records = shared.decode_records("configuration", batch.records);
     let row = |(offset, record): (u64, KeyedRecord)| Some((offset, record.key, record.value?));
     Ok(Records {
         rows: records.into_iter().filter_map(row).collect(),
         next: batch.next,
         is_complete: batch.next >= batch.end,
-        has_waited,
+        is_empty,
     })
 }
 
