Answer calls to the adviser in the harness of the cell's tests

Two other loops that stood twice have a function: ending runs with failures on some workers, and polling all workers but a silent one. All assertions stay.

--- a/crates/kingcupwinch-cell/tests/cell/advice.rs
+++ b/crates/kingcupwinch-cell/tests/cell/advice.rs
@@ -2,27 +2,15 @@
 
 use std::sync::Arc;
 
-use kingcupwinch_cell::{EndReason, StartOutcome, StepSpec, Ticket};
-use kingcupwinch_time::Span;
+use kingcupwinch_cell::{EndReason, StartOutcome, StepSpec};
 
 use crate::harness::{Harness, job, step, with_advice};
 
-const TICKET_VALIDITY: Span = Span::from_millis(2_500);
-
 /// Responds to the oldest call with tickets for those of its workers that `allows` accepts. Returns
 /// the workers that the call named.
 fn respond(harness: &mut Harness, allows: impl Fn(&str) -> bool) -> Vec<Arc<str>> {
     let (call, workers) = harness.calls.remove(0);
-    let tickets = workers.iter().filter(|worker| allows(worker));
-    let tickets = tickets
-        .map(|worker| Ticket {
-            worker: Arc::clone(worker),
-            text: format!("ticket-{worker}").into(),
-        })
-        .collect();
-    harness
-        .cell
-        .advice_received(call, Some((tickets, TICKET_VALIDITY)), harness.now);
+    harness.answer_call(call, &workers, allows);
     workers
 }
 
--- a/crates/kingcupwinch-cell/tests/cell/contention.rs
+++ b/crates/kingcupwinch-cell/tests/cell/contention.rs
@@ -3,12 +3,11 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use kingcupwinch_cell::{EndReason, JobSpec, StepSpec, Ticket};
+use kingcupwinch_cell::{EndReason, JobSpec, StepSpec, WorkerKey};
 use kingcupwinch_time::Span;
 
 use crate::harness::{Harness, id, job, registration, step, with_advice};
 
-const TICKET_VALIDITY: Span = Span::from_millis(2_500);
 /// How soon a long-running task has to run while there is capacity for it.
 const START_TARGET: Span = Span::from_millis(3_000);
 /// The number of jobs that ask at the same time.
@@ -41,18 +40,10 @@
 
 /// Answers all calls. The steps of the calls are told by the order of the jobs.
 fn answer_calls(harness: &mut Harness) {
-    let calls = std::mem::take(&mut harness.calls);
-    let steps = std::mem::take(&mut harness.call_steps);
-    for ((call, workers), step) in calls.into_iter().zip(steps) {
+    harness.answer_calls(|step, worker| {
         let job = u64::from_str_radix(&step[..16], 16).unwrap();
-        let allowed = workers.iter().filter(|worker| allows(job, worker));
-        let tickets = allowed.map(|worker| Ticket {
-            worker: Arc::clone(worker),
-            text: format!("ticket-{worker}").into(),
-        });
-        let response = Some((tickets.collect(), TICKET_VALIDITY));
-        harness.cell.advice_received(call, response, harness.now);
-    }
+        allows(job, worker)
+    });
 }
 
 fn running_jobs(harness: &Harness) -> usize {
@@ -62,6 +53,12 @@
     jobs.len() - 1
 }
 
+/// Returns the number of runs on a worker.
+fn runs_on(harness: &Harness, worker: WorkerKey) -> usize {
+    let running = harness.running();
+    running.iter().filter(|(on, _)| *on == worker).count()
+}
+
 /// Steps that ran out of luck asked for a few workers at a time, the fullest ones, which other steps
 /// took while the call was in flight.
 #[test]
@@ -117,8 +114,7 @@
         harness.decide();
         let (call, workers) = harness.calls.remove(0);
         sizes.push(workers.len());
-        let denial = Some((Vec::new(), TICKET_VALIDITY));
-        harness.cell.advice_received(call, denial, harness.now);
+        harness.answer_call(call, &workers, |_| false);
         harness.advance(1_000);
         harness.poll_all();
     }
@@ -202,12 +198,11 @@
     assert_eq!(harness.calls[0].1.len(), 1);
     harness.submit(3, job(vec![step(1, 1, 500)]));
     harness.run_round();
-    let on_fuller = harness
-        .running()
-        .iter()
-        .filter(|run| run.0 == fuller)
-        .count();
-    assert_eq!(on_fuller, 1, "the room for the step that asks is taken");
+    assert_eq!(
+        runs_on(&harness, fuller),
+        1,
+        "the room for the step that asks is taken"
+    );
 }
 
 /// A call for a job that has ended leaves no trace on the workers that it named.
@@ -223,12 +218,11 @@
     harness.cell.cancel(id(2), harness.now);
     harness.submit(3, job(vec![step(1, 1, 500)]));
     harness.run_round();
-    let on_fuller = harness
-        .running()
-        .iter()
-        .filter(|run| run.0 == fuller)
-        .count();
-    assert_eq!(on_fuller, 2, "the fullest worker comes first again");
+    assert_eq!(
+        runs_on(&harness, fuller),
+        2,
+        "the fullest worker comes first again"
+    );
 }
 
 /// Guards against a long-running task that never starts on a busy worker: each time room became free
@@ -259,15 +253,7 @@
         harness.run_round();
         harness.advance(CALL_MS);
         harness.poll_all();
-        for (call, workers) in std::mem::take(&mut harness.calls) {
-            let to_ticket = |worker: &Arc<str>| Ticket {
-                worker: Arc::clone(worker),
-                text: "ticket".into(),
-            };
-            let tickets = workers.iter().map(to_ticket).collect();
-            let response = Some((tickets, TICKET_VALIDITY));
-            harness.cell.advice_received(call, response, harness.now);
-        }
+        harness.answer_calls(|_, _| true);
         harness.run_round();
         if is_started(&harness) {
             return;
@@ -295,8 +281,7 @@
         asked.extend(std::mem::take(&mut harness.call_steps));
         harness.advance(CALL_MS + 120);
         for (call, _) in std::mem::take(&mut harness.calls) {
-            let response = Some((Vec::new(), TICKET_VALIDITY));
-            harness.cell.advice_received(call, response, harness.now);
+            harness.answer_call(call, &[], |_| false);
         }
         harness.poll_all();
     }
@@ -343,12 +328,7 @@
     harness.run_round();
     let calls = std::mem::take(&mut harness.calls);
     let (call, workers) = calls.into_iter().next_back().unwrap();
-    let ticket = Ticket {
-        worker: Arc::clone(&workers[0]),
-        text: "ticket".into(),
-    };
-    let response = Some((vec![ticket], TICKET_VALIDITY));
-    harness.cell.advice_received(call, response, harness.now);
+    harness.answer_call(call, &workers, |worker| *worker == *workers[0]);
     harness.run_round();
     assert_eq!(harness.running().len(), 1);
 }
--- a/crates/kingcupwinch-cell/tests/cell/harness.rs
+++ b/crates/kingcupwinch-cell/tests/cell/harness.rs
@@ -6,7 +6,7 @@
 use kingcupwinch_cell::{
     Action, AdviceCallId, AdviceCost, Cell, CellTimers, EndReason, JobId, JobRecord, JobSpec,
     JobState, QueuePolicy, Registration, Resources, RunEnd, RunningTask, StartOrder, StartOutcome,
-    StepSpec, StopOrder, TaskName, WorkerKey, WorkerStatus,
+    StepSpec, StopOrder, TaskName, Ticket, WorkerKey, WorkerStatus,
 };
 use kingcupwinch_time::{Span, Time};
 
@@ -15,6 +15,9 @@
 /// How long an earlier owner may have renewed leases after a claim.
 pub(crate) const HANDOVER_OVERLAP: Span = Span::from_millis(4_000);
 
+/// How long the tickets of an adviser are valid.
+pub(crate) const TICKET_VALIDITY: Span = Span::from_millis(2_500);
+
 /// A directory entry that disappears within this time of the last heartbeat was removed by its
 /// worker.
 pub(crate) const EXIT_WINDOW: Span = Span::from_millis(1_500);
@@ -239,6 +242,31 @@
         self.cell.stop_answered(order, self.now);
     }
 
+    /// Answers a call to the adviser with tickets for those of its workers that `allows` accepts.
+    pub(crate) fn answer_call(
+        &mut self,
+        call: AdviceCallId,
+        workers: &[Arc<str>],
+        allows: impl Fn(&str) -> bool,
+    ) {
+        let allowed = workers.iter().filter(|worker| allows(worker));
+        let tickets = allowed.map(|worker| Ticket {
+            worker: Arc::clone(worker),
+            text: format!("ticket-{worker}").into(),
+        });
+        let response = Some((tickets.collect(), TICKET_VALIDITY));
+        self.cell.advice_received(call, response, self.now);
+    }
+
+    /// Answers all calls to the adviser; `allows` gets the name of the step and the worker.
+    pub(crate) fn answer_calls(&mut self, allows: impl Fn(&str, &str) -> bool) {
+        let calls = std::mem::take(&mut self.calls);
+        let steps = std::mem::take(&mut self.call_steps);
+        for ((call, workers), step) in calls.into_iter().zip(steps) {
+            self.answer_call(call, &workers, |worker| allows(&step, worker));
+        }
+    }
+
     /// Ends a worker's run of a task.
     pub(crate) fn end(&mut self, worker: WorkerKey, task: TaskName, reason: EndReason) {
         let fake = self.workers.get_mut(&worker).unwrap();
@@ -282,6 +310,13 @@
         }
     }
 
+    /// Polls all workers but one that stays silent.
+    pub(crate) fn poll_all_except(&mut self, silent: WorkerKey) {
+        for key in self.keys().into_iter().filter(|key| *key != silent) {
+            self.poll(key);
+        }
+    }
+
     /// Polls a worker, which responds at once.
     pub(crate) fn poll(&mut self, key: WorkerKey) {
         self.poll_started(key, 1);
--- a/crates/kingcupwinch-cell/tests/cell/moves.rs
+++ b/crates/kingcupwinch-cell/tests/cell/moves.rs
@@ -1,14 +1,9 @@
 //! Moving long-running tasks away from draining workers.
 
-use std::sync::Arc;
-
-use kingcupwinch_cell::{EndReason, JobSpec, PollFailure, StepSpec, Ticket, WorkerKey};
-use kingcupwinch_time::Span;
+use kingcupwinch_cell::{EndReason, JobSpec, PollFailure, StepSpec, WorkerKey};
 
 use crate::harness::{FakeWorker, Harness, id, job, registration, step, with_advice};
 
-const TICKET_VALIDITY: Span = Span::from_millis(2_500);
-
 fn long_running(count: u16, cores: u64) -> StepSpec {
     StepSpec {
         long_running: true,
@@ -39,27 +34,13 @@
 }
 
 fn make_ready(harness: &mut Harness) {
-    for fake in harness.workers.values_mut() {
-        for run in &mut fake.running {
-            run.percent = 100;
-        }
-    }
+    harness.set_ready();
     harness.poll_all();
 }
 
 /// Responds to all calls with tickets for the workers of these numbers.
 fn respond(harness: &mut Harness, allowed: &[usize]) {
-    for (call, workers) in std::mem::take(&mut harness.calls) {
-        let is_allowed =
-            |worker: &&Arc<str>| allowed.iter().any(|n| ***worker == *format!("i-{n}"));
-        let tickets = workers.iter().filter(is_allowed).map(|worker| Ticket {
-            worker: Arc::clone(worker),
-            text: "ticket".into(),
-        });
-        let tickets = tickets.collect();
-        let response = Some((tickets, TICKET_VALIDITY));
-        harness.cell.advice_received(call, response, harness.now);
-    }
+    harness.answer_calls(|_, worker| allowed.iter().any(|n| *worker == *format!("i-{n}")));
 }
 
 /// Builds a harness whose first worker runs a ready long-running step and then drains.
--- a/crates/kingcupwinch-cell/tests/cell/overload.rs
+++ b/crates/kingcupwinch-cell/tests/cell/overload.rs
@@ -1,13 +1,10 @@
 //! More long-running tasks than fit: which of them the adviser is asked about first.
 
-use std::sync::Arc;
-
-use kingcupwinch_cell::{EndReason, JobSpec, StartOutcome, StepSpec, Ticket};
+use kingcupwinch_cell::{EndReason, JobSpec, StartOutcome, StepSpec};
 use kingcupwinch_time::Span;
 
 use crate::harness::{FakeWorker, Harness, id, job, registration, step, task, with_advice};
 
-const TICKET_VALIDITY: Span = Span::from_millis(2_500);
 const CALL_MS: u64 = 450;
 /// Longer than a ticket is valid and than a run that counts as short.
 const RUN_MS: u64 = 3_000;
@@ -22,20 +19,6 @@
     with_advice(job(vec![step]), CALL_MS as f64)
 }
 
-fn answer_calls(harness: &mut Harness, allows: impl Fn(&str, &str) -> bool) {
-    let calls = std::mem::take(&mut harness.calls);
-    let steps = std::mem::take(&mut harness.call_steps);
-    for ((call, workers), step) in calls.into_iter().zip(steps) {
-        let allowed = workers.iter().filter(|worker| allows(&step, worker));
-        let tickets = allowed.map(|worker| Ticket {
-            worker: Arc::clone(worker),
-            text: format!("ticket-{worker}").into(),
-        });
-        let response = Some((tickets.collect(), TICKET_VALIDITY));
-        harness.cell.advice_received(call, response, harness.now);
-    }
-}
-
 /// Starts the task of each of these jobs, which the adviser allows everywhere, one after the other.
 fn start_jobs(harness: &mut Harness, jobs: std::ops::Range<u64>, cores: u64) {
     for number in jobs {
@@ -47,7 +30,7 @@
         while !is_running(harness) {
             harness.decide();
             harness.advance(CALL_MS);
-            answer_calls(harness, |_, _| true);
+            harness.answer_calls(|_, _| true);
             harness.run_round();
             harness.set_ready();
             harness.poll_all();
@@ -74,7 +57,7 @@
 /// flight.
 fn calls_after_denials(harness: &mut Harness) -> Vec<String> {
     harness.advance(CALL_MS);
-    answer_calls(harness, |_, _| false);
+    harness.answer_calls(|_, _| false);
     harness.poll_all();
     harness.decide();
     harness.call_steps.clone()
@@ -160,7 +143,7 @@
     harness.submit(1, gang);
     harness.decide();
     harness.advance(CALL_MS);
-    answer_calls(&mut harness, |_, _| true);
+    harness.answer_calls(|_, _| true);
     harness.decide();
     let orders = std::mem::take(&mut harness.starts);
     assert_eq!(orders.len(), 2);
--- a/crates/kingcupwinch-cell/tests/cell/replaced.rs
+++ b/crates/kingcupwinch-cell/tests/cell/replaced.rs
@@ -46,11 +46,7 @@
     harness.decide();
     assert!(harness.starts.is_empty(), "the run may be active");
     harness.advance(MAX_LEASE.as_millis() + MAX_LEASE.as_millis() / 50 + 200);
-    for key in harness.keys() {
-        if key != silent {
-            harness.poll(key);
-        }
-    }
+    harness.poll_all_except(silent);
     harness.decide();
     assert_eq!(harness.starts.len(), 1);
 }
--- a/crates/kingcupwinch-cell/tests/cell/restarts.rs
+++ b/crates/kingcupwinch-cell/tests/cell/restarts.rs
@@ -1,14 +1,11 @@
 //! Long-running tasks of wide steps that need advice, and how soon they run again.
 
-use std::sync::Arc;
-
-use kingcupwinch_cell::{CellEvent, EndReason, JobSpec, StepSpec, TaskName, Ticket, WorkerKey};
+use kingcupwinch_cell::{CellEvent, EndReason, JobSpec, StepSpec, TaskName, WorkerKey};
 use kingcupwinch_time::{Span, Time};
 use rstest::rstest;
 
 use crate::harness::{Harness, job, step, with_advice};
 
-const TICKET_VALIDITY: Span = Span::from_millis(2_500);
 /// The time of a round, in which a call to the adviser is answered.
 const ROUND_MS: u64 = 500;
 /// How soon a task has to run again while there is capacity for it.
@@ -27,18 +24,10 @@
 
 /// Answers all calls, allowing about a third of the workers.
 fn answer_calls(harness: &mut Harness) {
-    for (call, workers) in std::mem::take(&mut harness.calls) {
-        let is_allowed = |id: &&Arc<str>| {
-            let number: usize = id.trim_start_matches("i-").parse().unwrap();
-            number * 8 % 35 < 12
-        };
-        let tickets = workers.iter().filter(is_allowed).map(|worker| Ticket {
-            worker: Arc::clone(worker),
-            text: format!("ticket-{worker}").into(),
-        });
-        let response = Some((tickets.collect(), TICKET_VALIDITY));
-        harness.cell.advice_received(call, response, harness.now);
-    }
+    harness.answer_calls(|_, worker| {
+        let number: usize = worker.trim_start_matches("i-").parse().unwrap();
+        number * 8 % 35 < 12
+    });
 }
 
 /// Runs a round, in which the calls of the round before are answered.
--- a/crates/kingcupwinch-cell/tests/cell/waiting.rs
+++ b/crates/kingcupwinch-cell/tests/cell/waiting.rs
@@ -20,17 +20,9 @@
     }])
 }
 
-/// Fills all workers, which are idle and have 4 cores, and has every run on some of them fail, so
-/// that these are quarantined.
-fn quarantine(harness: &mut Harness, bad: &[WorkerKey]) {
-    let tasks = 4 * harness.workers.len() as u16;
-    let mut spec = job(vec![step(tasks, 1, 500)]);
-    spec.policy.max_attempts = 1_000;
-    harness.submit(FAILING_JOB, spec);
-    harness.run_round();
-    let running = harness.running();
-    assert_eq!(running.len(), usize::from(tasks));
-    for (key, task) in running {
+/// Ends all runs: those on some workers fail, and the others are done.
+fn end_with_failures(harness: &mut Harness, bad: &[WorkerKey]) {
+    for (key, task) in harness.running() {
         let is_bad = bad.contains(&key);
         let reason = if is_bad {
             EndReason::Failed
@@ -40,6 +32,18 @@
         harness.end(key, task, reason);
     }
     harness.poll_all();
+}
+
+/// Fills all workers, which are idle and have 4 cores, and has every run on some of them fail, so
+/// that these are quarantined.
+fn quarantine(harness: &mut Harness, bad: &[WorkerKey]) {
+    let tasks = 4 * harness.workers.len() as u16;
+    let mut spec = job(vec![step(tasks, 1, 500)]);
+    spec.policy.max_attempts = 1_000;
+    harness.submit(FAILING_JOB, spec);
+    harness.run_round();
+    assert_eq!(harness.running().len(), usize::from(tasks));
+    end_with_failures(harness, bad);
     harness.cell.cancel(id(FAILING_JOB), harness.now);
     harness.append_records();
 }
@@ -93,18 +97,8 @@
     harness.poll_all();
     harness.submit(1, job(vec![step(16, 2, 500)]));
     harness.run_round();
-    let running = harness.running();
-    assert_eq!(running.len(), 16);
-    for (key, task) in running {
-        let is_bad = key == keys[5];
-        let reason = if is_bad {
-            EndReason::Failed
-        } else {
-            EndReason::Done
-        };
-        harness.end(key, task, reason);
-    }
-    harness.poll_all();
+    assert_eq!(harness.running().len(), 16);
+    end_with_failures(&mut harness, &keys[5..6]);
     harness.cell.cancel(id(1), harness.now);
     harness.submit(2, job(vec![step(40, 1, 500)]));
     harness.run_round();
--- a/crates/kingcupwinch-cell/tests/cell/workers.rs
+++ b/crates/kingcupwinch-cell/tests/cell/workers.rs
@@ -66,11 +66,7 @@
     let poll = harness.cell.next_poll(silent, harness.now).unwrap();
     assert_eq!(poll.lease_until, None);
     harness.advance(MAX_LEASE.as_millis() + MAX_LEASE.as_millis() / 50 + 200 - 1_800);
-    for key in harness.keys() {
-        if key != silent {
-            harness.poll(key);
-        }
-    }
+    harness.poll_all_except(silent);
     harness.decide();
     assert_eq!(harness.starts.len(), 1);
 }
