--- a/crates/kingcupwinch-cell/src/event.rs
+++ b/crates/kingcupwinch-cell/src/event.rs
@@ -58,8 +58,11 @@
     pub isolated: usize,
     /// The workers with as many runs of the step as they may have.
     pub at_limit: usize,
-    /// The workers with too little capacity.
+    /// The workers with too little capacity beside their runs.
     pub full: usize,
+    /// The workers whose capacity is kept for other tasks: for steps that wait for the adviser, for
+    /// gangs and for moves.
+    pub kept: usize,
     /// The workers about which the adviser has to be asked.
     pub no_ticket: usize,
 }
--- a/crates/kingcupwinch-cell/src/placement/waits.rs
+++ b/crates/kingcupwinch-cell/src/placement/waits.rs
@@ -4,7 +4,7 @@
 
 use kingcupwinch_time::{Span, Time};
 
-use super::{ReadyStep, WorkerPool};
+use super::{Candidate, ReadyStep, WorkerPool};
 use crate::cell::Cell;
 use crate::event::{CellEvent, StepWait};
 use crate::fit::{Access, Obstacle, StepDemand};
@@ -110,6 +110,7 @@
                 Err(Obstacle::Pace) => &mut wait.slow,
                 Err(Obstacle::Isolation) => &mut wait.isolated,
                 Err(Obstacle::Limit) => &mut wait.at_limit,
+                Err(Obstacle::Capacity) if self.is_kept(demand, candidate) => &mut wait.kept,
                 Err(Obstacle::Capacity) => &mut wait.full,
                 Err(Obstacle::Ticket) => &mut wait.no_ticket,
             };
@@ -117,4 +118,11 @@
         }
         wait
     }
+
+    /// Returns whether a worker has capacity for a task beside its runs, though not beside what is
+    /// kept there in this round.
+    fn is_kept(&self, demand: &StepDemand, candidate: &Candidate) -> bool {
+        let available = self.workers[candidate.key].available();
+        available.task_capacity(demand.charge) > 0
+    }
 }
--- a/crates/kingcupwinch-cell/tests/cell/overload.rs
+++ b/crates/kingcupwinch-cell/tests/cell/overload.rs
@@ -1,6 +1,6 @@
 //! More long-running tasks than fit: which of them the adviser is asked about first.
 
-use kingcupwinch_cell::{EndReason, JobSpec, StartOutcome, StepSpec};
+use kingcupwinch_cell::{CellEvent, EndReason, JobSpec, StartOutcome, StepSpec, StepWait};
 use kingcupwinch_time::Span;
 
 use crate::harness::{FakeWorker, Harness, id, job, registration, step, task, with_advice};
@@ -165,3 +165,43 @@
     running.sort();
     assert_eq!(running, vec![task(1, 0, 0), task(1, 0, 1)]);
 }
+
+/// Returns the last report of a waiting step of a job.
+fn last_wait(harness: &mut Harness, number: u64) -> Option<StepWait> {
+    let step_name = task(number, 0, 0).step_name();
+    let events = harness.cell.take_events().into_iter();
+    let waits = events.filter_map(|event| match event {
+        CellEvent::StepWaits(wait) if wait.step == step_name => Some(wait),
+        _ => None,
+    });
+    waits.last()
+}
+
+/// A report counted the workers that others keep as full, like those that are full of runs.
+#[test]
+fn a_report_tells_kept_workers_from_full_ones() {
+    let mut harness = Harness::new(2, 4);
+    let mut slow_advice = long_running_job(4);
+    slow_advice.policy.advice.as_mut().unwrap().call_ms = 2_000.0;
+    harness.submit(1, slow_advice);
+    while harness.calls.is_empty() {
+        harness.decide();
+        harness.advance(100);
+        harness.poll_all();
+    }
+    harness.answer_calls(|_, _| true);
+    harness.run_round();
+    harness.set_ready();
+    harness.submit(2, job(vec![step(1, 1, 60_000)]));
+    harness.run_round();
+    harness.advance(RUN_MS);
+    fail(&mut harness, 1);
+    harness.submit(10, long_running_job(4));
+    for _ in 0..12 {
+        harness.decide();
+        harness.advance(100);
+        harness.poll_all();
+    }
+    let wait = last_wait(&mut harness, 10).unwrap();
+    assert_eq!((wait.full, wait.kept), (1, 1));
+}
