Ask the adviser ahead about full workers for tasks that ran before

Cause: a call to the adviser named only workers with capacity at that moment. On a full service a worker has some for less than the half to whole second that a call takes, and another step has taken it when the response comes. So a step learned its allowed workers a few at a time, and its tickets were for workers that were full by then. The task that was reported made nine calls in 8 s, of 1 to 7 workers each, without a start. The class is again a wait without a bound: progress needed capacity that stays free for longer than a call.

A step with tasks that ran before now also names workers without capacity, after those that have some, until the call takes twice as long as it has to. Verdicts never change, and a ticket is valid for several calls, so that its tasks start in the round in which capacity becomes free on an allowed worker.

The two new tests failed before.

--- a/crates/kingcupwinch-cell/src/advice.rs
+++ b/crates/kingcupwinch-cell/src/advice.rs
@@ -124,6 +124,11 @@
     Span::from_micros((ms * 1_000.0) as u64)
 }
 
+/// Returns how many workers a call may name without more than doubling its base duration.
+pub(crate) fn affordable_workers(cost: AdviceCost) -> usize {
+    (cost.call_ms / cost.worker_ms.max(f64::MIN_POSITIVE)) as usize
+}
+
 /// An instance that can call the adviser. The adviser handles the calls of one instance one at a
 /// time.
 #[derive(Debug, Clone)]
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -188,6 +188,13 @@
         restarts.into_iter().chain(starts)
     }
 
+    /// Returns whether the step asks the adviser also about workers that have no capacity now. On a
+    /// full service a worker has some only for a moment, less than a call takes. A verdict stays, and
+    /// a ticket that is valid when capacity becomes free lets a task start at once.
+    fn asks_ahead(&self, spec: &StepSpec) -> bool {
+        self.turn == Turn::Restart && !spec.gang
+    }
+
     /// Returns whether a task of the step has its turn with these.
     fn includes(&self, job: &Job, task: &Task) -> bool {
         restart_wait(job, self.step, task).is_some() == (self.turn == Turn::Restart)
@@ -390,7 +397,7 @@
     }
 
     /// Starts what fits of a step without a further call to the adviser. Returns the demand of the
-    /// tasks that are left, unless no worker has capacity for one.
+    /// tasks that are left, unless no worker has capacity for one and the step does not ask ahead.
     fn place_granted(
         &mut self,
         ready: &ReadyStep,
@@ -400,7 +407,7 @@
         self.release_kept_places(ready.job, ready.step, pool);
         let job = &self.jobs[ready.job];
         let spec = job.step_spec(ready.step);
-        if !pool.has_capacity(spec.charged_resources()) {
+        if !pool.has_capacity(spec.charged_resources()) && !ready.asks_ahead(spec) {
             return None;
         }
         let mut demand = self
--- a/crates/kingcupwinch-cell/src/placement/advice.rs
+++ b/crates/kingcupwinch-cell/src/placement/advice.rs
@@ -7,9 +7,9 @@
 use smallvec::SmallVec;
 
 use super::{ReadyStep, Turn, WorkerPool, WorkerPools};
-use crate::advice::call_time;
+use crate::advice::{affordable_workers, call_time};
 use crate::cell::{Action, Cell, NamedWorker};
-use crate::fit::{Access, StepDemand};
+use crate::fit::{Access, Obstacle, StepDemand};
 use crate::spec::Resources;
 
 /// The largest number of workers that one call to the adviser names.
@@ -66,7 +66,7 @@
         let spec = self.jobs[ready.job].step_spec(ready.step);
         let need = if spec.gang {
             step.tasks.len() as f64
-        } else if ready.waiting_since + LIKELY_WORKER_WAIT <= now {
+        } else if ready.asks_ahead(spec) || ready.waiting_since + LIKELY_WORKER_WAIT <= now {
             0.0
         } else {
             1.0
@@ -151,12 +151,14 @@
         // The first call for a gang names every worker. Which workers may run a step never changes,
         // so later calls name only the allowed ones.
         let is_first_of_gang = spec.gang && !step.tickets.has_verdicts();
+        let asks_ahead = ready.asks_ahead(spec);
         let mut rows = Vec::new();
         let mut capacity = 0.0;
         for (index, candidate) in pool.candidates.iter().enumerate() {
             let fits = match self.room_on(demand, candidate) {
                 Ok(fits) => fits as f64,
                 Err(obstacle) if is_first_of_gang && !obstacle.is_permanent() => 0.0,
+                Err(Obstacle::Capacity) if asks_ahead => 0.0,
                 Err(_) => continue,
             };
             match self.access(demand, candidate.key, now) {
@@ -167,26 +169,36 @@
             }
         }
         rows.sort_by(|a, b| {
+            let room_order = (b.1 > 0.0).cmp(&(a.1 > 0.0));
             let verdict_order = b.2.total_cmp(&a.2);
             let capacity_order = if spec.gang {
                 b.1.total_cmp(&a.1)
             } else {
                 Ordering::Equal
             };
-            verdict_order.then(capacity_order).then_with(|| {
-                let (a, b) = (&pool.candidates[a.0], &pool.candidates[b.0]);
-                self.compare_candidates(a, b, ready, spec)
-            })
+            room_order
+                .then(verdict_order)
+                .then(capacity_order)
+                .then_with(|| {
+                    let (a, b) = (&pool.candidates[a.0], &pool.candidates[b.0]);
+                    self.compare_candidates(a, b, ready, spec)
+                })
         });
         let factor = 1_u32 << step.tickets.calls_without_start.min(MAX_CALL_DOUBLINGS);
         let wanted = ready.tasks as f64 * CAPACITY_MARGIN * f64::from(factor);
         let min_workers = MIN_CALL_WORKERS * factor as usize;
+        let max_ahead = job.spec.policy.advice.map_or(0, affordable_workers);
         let mut requested = capacity;
         let mut workers = Vec::new();
         for (index, fits, chance) in rows {
             capacity += fits * chance;
-            let is_enough =
-                requested >= wanted && workers.len() >= min_workers && !is_first_of_gang;
+            let is_enough = if is_first_of_gang {
+                false
+            } else if fits > 0.0 {
+                requested >= wanted && workers.len() >= min_workers
+            } else {
+                requested >= wanted || workers.len() >= max_ahead
+            };
             if !is_enough && workers.len() < MAX_CALL_WORKERS {
                 requested += fits * chance;
                 workers.push(Choice {
--- a/crates/kingcupwinch-cell/tests/cell/overload.rs
+++ b/crates/kingcupwinch-cell/tests/cell/overload.rs
@@ -1,6 +1,8 @@
 //! More long-running tasks than fit: which of them the adviser is asked about first.
 
-use kingcupwinch_cell::{CellEvent, EndReason, JobSpec, StartOutcome, StepSpec, StepWait};
+use kingcupwinch_cell::{
+    AdviceCost, CellEvent, EndReason, JobSpec, StartOutcome, StepSpec, StepWait,
+};
 use kingcupwinch_time::Span;
 
 use crate::harness::{FakeWorker, Harness, id, job, registration, step, task, with_advice};
@@ -205,3 +207,83 @@
     let wait = last_wait(&mut harness, 10).unwrap();
     assert_eq!((wait.full, wait.kept), (1, 1));
 }
+
+/// Fills workers with tasks of a job that need no advice, beside a long-running task on a worker that
+/// then drains, where the task fails.
+fn lose_a_worker_of_a_full_service(harness: &mut Harness, advice: AdviceCost) {
+    let mut spec = long_running_job(4);
+    spec.policy.advice = Some(advice);
+    harness.submit(1, spec);
+    while harness.running().is_empty() {
+        harness.decide();
+        harness.advance(100);
+        harness.answer_calls(|_, _| true);
+        harness.run_round();
+        harness.poll_all();
+    }
+    harness.set_ready();
+    let tasks = 4 * (harness.workers.len() as u16 - 1);
+    harness.submit(2, job(vec![step(tasks, 1, 60_000)]));
+    harness.run_round();
+    assert_eq!(harness.running().len(), usize::from(tasks) + 1);
+    harness.advance(RUN_MS);
+    harness.poll_all();
+    let running = harness.running().into_iter();
+    let (worker, _) = running
+        .filter(|(_, name)| *name == task(1, 0, 0))
+        .last()
+        .unwrap();
+    let number = harness
+        .keys()
+        .iter()
+        .position(|key| *key == worker)
+        .unwrap();
+    let mut entry = registration(number, 4);
+    entry.draining = true;
+    harness.cell.register_worker(entry, false, harness.now);
+    fail(harness, 1);
+}
+
+/// A step whose tasks had lost their workers asked the adviser only about workers that had capacity. On
+/// a full service, others had taken it when the response came, again and again.
+#[test]
+fn a_task_that_ran_starts_at_once_where_capacity_becomes_free() {
+    let mut harness = Harness::new(4, 4);
+    let advice = AdviceCost {
+        call_ms: CALL_MS as f64,
+        worker_ms: 1.0,
+        valid_ms: 2_500.0,
+    };
+    lose_a_worker_of_a_full_service(&mut harness, advice);
+    harness.decide();
+    harness.advance(CALL_MS);
+    let full = harness.running();
+    let (allowed, _) = full[0];
+    let number = harness.keys().iter().position(|key| *key == allowed);
+    let allowed_id = format!("i-{}", number.unwrap());
+    harness.answer_calls(|_, worker| worker == allowed_id);
+    harness.run_round();
+    for (worker, name) in full {
+        if worker == allowed {
+            harness.end(worker, name, EndReason::Done);
+        }
+    }
+    harness.poll_all();
+    harness.run_round();
+    assert!(harness.running().contains(&(allowed, task(1, 0, 0))));
+}
+
+/// Calls about workers without capacity may take twice as long as a call has to.
+#[test]
+fn a_call_ahead_names_few_workers_if_naming_takes_long() {
+    let mut harness = Harness::new(20, 4);
+    let advice = AdviceCost {
+        call_ms: 400.0,
+        worker_ms: 50.0,
+        valid_ms: 2_500.0,
+    };
+    lose_a_worker_of_a_full_service(&mut harness, advice);
+    harness.decide();
+    let (_, workers) = &harness.calls[0];
+    assert_eq!(workers.len(), 8);
+}
