Count the overlap of owners from the time at which they were fenced

Cause: a successor waits for the leases that owners before it may still renew, which is until 4 s after they were fenced, and it often knew no earlier time than now. And a takeover whose reads failed on a slow store counted from its last attempt, 4.9 s after the claim that had fenced the others.

The release record now tells how long ago all earlier owners that had not stopped were fenced; a reader subtracts that from the time of its read, which is never too early. A takeover counts from its first successful append with the new term, also over several attempts. Records of earlier versions are read as before.

The new tests of the election fail before (the record had no such field).

--- a/crates/kingcupwinch-cell/src/election.rs
+++ b/crates/kingcupwinch-cell/src/election.rs
@@ -39,6 +39,10 @@
     Release {
         /// The term of the owner's claim.
         term: u64,
+        /// How long ago all owners before it that had not stopped were certainly fenced, in
+        /// milliseconds. Owners of earlier versions don't tell.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        fenced_ms_ago: Option<u64>,
     },
     /// An instance is a member of the group.
     Member {
@@ -195,9 +199,15 @@
                     self.last_heartbeat = now;
                 }
             }
-            GroupRecord::Release { term } => {
+            GroupRecord::Release {
+                term,
+                fenced_ms_ago,
+            } => {
                 if self.is_current(term) {
-                    self.earlier_fenced_at.get_or_insert(now);
+                    // The record was written before it was read, so that this is no time too early.
+                    let fenced_at = now - Span::from_millis(fenced_ms_ago.unwrap_or(0));
+                    let known = self.earlier_fenced_at.unwrap_or(fenced_at);
+                    self.earlier_fenced_at = Some(known.min(fenced_at));
                     self.is_released = true;
                     self.last_heartbeat = now;
                 }
--- a/crates/kingcupwinch-cell/tests/cell/election.rs
+++ b/crates/kingcupwinch-cell/tests/cell/election.rs
@@ -44,6 +44,14 @@
     }
 }
 
+/// The release of an owner of an earlier version.
+fn release(term: u64) -> GroupRecord {
+    GroupRecord::Release {
+        term,
+        fenced_ms_ago: None,
+    }
+}
+
 /// Records a read every 500 ms between two times.
 fn read_every_500_ms(election: &mut OwnerElection, from: u64, to: u64) {
     for ms in (from..=to).step_by(500) {
@@ -107,7 +115,7 @@
     let mut election = election("a");
     election.apply(5, claim_by("b", 3), at(0));
     election.note_read(at(100));
-    election.apply(6, GroupRecord::Release { term: 5 }, at(100));
+    election.apply(6, release(5), at(100));
     assert!(election.is_owner_stopped());
     assert_eq!(
         election.next_step(at(150)),
@@ -138,12 +146,12 @@
     election.apply(8, GroupRecord::Heartbeat { term: 7 }, at(3_200));
     election.apply(9, GroupRecord::Heartbeat { term: 7 }, at(3_500));
     assert_eq!(election.earlier_owners_fenced_at(), None);
-    election.apply(10, GroupRecord::Release { term: 7 }, at(3_800));
+    election.apply(10, release(7), at(3_800));
     assert_eq!(election.earlier_owners_fenced_at(), Some(at(3_200)));
     // A handover from a stopped owner fences nobody anew.
     election.apply(11, claim_by("d", 3), at(4_000));
     election.apply(12, GroupRecord::Heartbeat { term: 11 }, at(4_100));
-    election.apply(13, GroupRecord::Release { term: 11 }, at(4_200));
+    election.apply(13, release(11), at(4_200));
     assert_eq!(election.earlier_owners_fenced_at(), Some(at(3_200)));
 }
 
@@ -171,12 +179,51 @@
     assert_eq!(election.earlier_owners_fenced_at(), None);
 }
 
+/// An instance that started after the release counted the owners before the released one as fenced
+/// only then, so that tasks on lost workers waited again for the end of their leases after each of
+/// several restarts.
+#[test]
+fn a_new_process_learns_from_the_release_when_earlier_owners_were_fenced() {
+    let mut election = election("a");
+    election.apply(7, claim_by("c", 5), at(0));
+    let record = GroupRecord::Release {
+        term: 7,
+        fenced_ms_ago: Some(6_000),
+    };
+    election.apply(9, record, at(100));
+    let fenced_at = at(100) - Span::from_secs(6);
+    assert_eq!(election.earlier_owners_fenced_at(), Some(fenced_at));
+}
+
+#[test]
+fn a_release_read_late_does_not_replace_what_was_seen() {
+    let mut election = election("a");
+    election.apply(5, claim_by("b", 1), at(0));
+    election.apply(7, claim_by("c", 2), at(3_000));
+    election.apply(8, GroupRecord::Heartbeat { term: 7 }, at(3_200));
+    let record = GroupRecord::Release {
+        term: 7,
+        fenced_ms_ago: Some(400),
+    };
+    election.apply(10, record, at(3_800));
+    assert_eq!(election.earlier_owners_fenced_at(), Some(at(3_200)));
+}
+
+#[test]
+fn the_release_of_an_earlier_version_is_read() {
+    let text = r#"{"kind":"release","term":7}"#;
+    assert_eq!(
+        serde_json::from_str::<GroupRecord>(text).unwrap(),
+        release(7)
+    );
+}
+
 #[test]
 fn the_first_owner_has_none_before_it() {
     let mut election = election("a");
     election.apply(5, claim_by("b", 1), at(0));
     assert_eq!(election.earlier_owners_fenced_at(), None);
-    election.apply(6, GroupRecord::Release { term: 5 }, at(900));
+    election.apply(6, release(5), at(900));
     assert_eq!(election.earlier_owners_fenced_at(), Some(Time::ZERO));
 }
 
--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -55,6 +55,8 @@
     pub(crate) term: u64,
     pub(crate) cell: Cell,
     pub(crate) confirmed_at: Time,
+    /// When all earlier owners that had not stopped were certainly fenced.
+    pub(crate) fenced_at: Time,
     pub(crate) leases: LeaseLimits,
     /// From when on no lease is held that is longer than this owner grants.
     pub(crate) lease_record_due: Time,
@@ -76,6 +78,8 @@
     addresses: FxHashMap<Arc<str>, Arc<str>>,
     /// Last time at which this owner certainly still held the cell.
     confirmed_at: Time,
+    /// When all earlier owners that had not stopped were certainly fenced.
+    fenced_at: Time,
     is_suspended: bool,
     /// Whether this owner has stopped dispatching for good.
     is_retired: bool,
@@ -110,6 +114,7 @@
             clients: FxHashMap::default(),
             addresses: FxHashMap::default(),
             confirmed_at: args.confirmed_at,
+            fenced_at: args.fenced_at,
             is_suspended: false,
             is_retired: false,
             release_done: None,
--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -61,7 +61,7 @@
 }
 
 /// Takes the cell over under a claim sent at `claimed_at`. All owners that may still give orders were
-/// fenced at `fenced_at`, if that is known.
+/// fenced at `fenced_at`, which is set once they are.
 ///
 /// # Errors
 ///
@@ -70,7 +70,7 @@
     shared: &Arc<Shared>,
     siblings: &Siblings,
     claim: &Claim,
-    fenced_at: Option<Time>,
+    fenced_at: &mut Option<Time>,
     claimed_at: Time,
 ) -> Result<ActorRef<Owner>, TakeoverError> {
     let deadline = Instant::now() + READ_TIMEOUT;
@@ -83,6 +83,7 @@
         .append(PROGRESS, &[], None, Some(fence), deadline)
         .await?;
     let read_at = shared.now();
+    let fenced_at = *fenced_at.get_or_insert(read_at);
     let (progress, intake, directory) = tokio::try_join!(
         shared.store.read_latest(PROGRESS, deadline),
         read_intake(&shared.store, deadline),
@@ -130,6 +131,7 @@
         term: claim.term,
         cell,
         confirmed_at: claimed_at,
+        fenced_at,
         leases,
         lease_record_due: leases.record_due(now + handover_overlap, now),
         origins,
@@ -149,10 +151,10 @@
     Ok(owner)
 }
 
-/// Returns how long from `now`, after the log was fenced, earlier owners may still give orders: an
-/// owner can't be confirmed to hold the cell after it was fenced.
-fn overlap_after(fenced_at: Option<Time>, now: Time) -> Span {
-    let stopped_at = fenced_at.unwrap_or(now) + TERM_TIMEOUT;
+/// Returns how long from `now` earlier owners may still give orders: an owner can't be confirmed to
+/// hold the cell after it was fenced.
+fn overlap_after(fenced_at: Time, now: Time) -> Span {
+    let stopped_at = fenced_at + TERM_TIMEOUT;
     stopped_at.since(now).max(IN_FLIGHT_MARGIN)
 }
 
--- a/crates/kingcupwinch-node/src/owner/takeover/tests.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover/tests.rs
@@ -9,13 +9,7 @@
 fn the_overlap_lasts_until_every_fenced_owner_has_stopped() {
     let now = Time::from_millis(60_000);
     let second = Span::from_secs(1);
-    assert_eq!(
-        overlap_after(Some(now - second), now),
-        TERM_TIMEOUT - second
-    );
-    assert_eq!(
-        overlap_after(Some(now - TERM_TIMEOUT), now),
-        IN_FLIGHT_MARGIN
-    );
-    assert_eq!(overlap_after(None, now), TERM_TIMEOUT);
+    assert_eq!(overlap_after(now - second, now), TERM_TIMEOUT - second);
+    assert_eq!(overlap_after(now - TERM_TIMEOUT, now), IN_FLIGHT_MARGIN);
+    assert_eq!(overlap_after(now, now), TERM_TIMEOUT);
 }
--- a/crates/kingcupwinch-node/src/owner/writer.rs
+++ b/crates/kingcupwinch-node/src/owner/writer.rs
@@ -57,6 +57,8 @@
     /// The longest lease that may be held, once.
     leases: Option<LeaseRecord>,
     cleanup: Vec<(Partition, IntakeKey)>,
+    /// When all earlier owners that had not stopped were certainly fenced.
+    fenced_at: Time,
     /// Signals the end of a release; set on the last batch of an owner that releases the cell.
     release_done: Option<oneshot::Sender<()>>,
     is_retired: bool,
@@ -93,6 +95,7 @@
             run_times,
             leases: leases.map(|_| self.leases.to_record()),
             cleanup,
+            fenced_at: self.fenced_at,
             release_done: self.release_done.take(),
             is_retired: self.is_retired,
         }
@@ -157,7 +160,7 @@
             });
         }
         if let Some(release_done) = batch.release_done {
-            release(&shared, term).await;
+            release(&shared, term, batch.fenced_at).await;
             // The receiver may have stopped waiting.
             let _ = release_done.send(());
             return;
@@ -298,8 +301,11 @@
 
 /// Appends the release record, which informs the siblings that this owner has stopped dispatching.
 /// Without it they wait for the owner's heartbeats to time out, so a failed append is retried.
-async fn release(shared: &Shared, term: u64) {
-    let record = kingcupwinch_cell::GroupRecord::Release { term };
+async fn release(shared: &Shared, term: u64, fenced_at: Time) {
+    let record = kingcupwinch_cell::GroupRecord::Release {
+        term,
+        fenced_ms_ago: Some(shared.now().since(fenced_at).as_millis()),
+    };
     let Ok(value) = serde_json::to_vec(&record) else {
         return;
     };
--- a/crates/kingcupwinch-node/src/ownership.rs
+++ b/crates/kingcupwinch-node/src/ownership.rs
@@ -329,7 +329,7 @@
 
     /// Takes the cell over under a claim of this instance. All owners that may still give orders were
     /// fenced at `fenced_at`, if that is known.
-    async fn take_ownership(&mut self, claim: Claim, fenced_at: Option<Time>, sent: Time) {
+    async fn take_ownership(&mut self, claim: Claim, mut fenced_at: Option<Time>, sent: Time) {
         self.shared.log.write(
             Event::Claimed,
             o!("term" => claim.term, "generation" => claim.generation,
@@ -337,7 +337,7 @@
         );
         let (term, shared) = (claim.term, Arc::clone(&self.shared));
         loop {
-            match take_over(&shared, &self.siblings, &claim, fenced_at, sent).await {
+            match take_over(&shared, &self.siblings, &claim, &mut fenced_at, sent).await {
                 Ok(owner) => {
                     let _ = owner.tell(Members(self.election.members().to_vec())).await;
                     shared.set_owner(Some(owner.clone()));
--- a/crates/kingcupwinch-node/src/test_support.rs
+++ b/crates/kingcupwinch-node/src/test_support.rs
@@ -69,6 +69,7 @@
         term,
         cell,
         confirmed_at,
+        fenced_at: confirmed_at,
         leases: LeaseLimits::new(1, Span::from_secs(6), None),
         lease_record_due: confirmed_at,
         origins,
