Keep calls ahead from taking callers, time and capacity from others

A review of the calls about full workers, before they landed, measured on the cell: with 97 tasks that restart nowhere, a quarter of the capacity in use and 40 callers, new steps with capacity got no call in 10 s (0.55 s before the calls ahead); and when 300 workers join after 10 s, 27 of 97 restarts take longer than 3 s (none before), since each call in vain doubles the workers that the next one names, and calls about full workers counted as such.

A call that names only workers without capacity is made only while over half of the callers of long calls are idle, and does not count as a call in vain. Workers on which the task would not fit if they were idle are not named. A step without any worker with capacity is not placed first. A step keeps as much of the room that its call asks about as it is expected to need: the allowed workers among them count as whole, where three were kept for a task whether known or not.

The two new tests fail before.

--- a/crates/kingcupwinch-cell/src/advice.rs
+++ b/crates/kingcupwinch-cell/src/advice.rs
@@ -197,6 +197,25 @@
         self.choose(duration, now).is_some()
     }
 
+    /// Returns whether over half of the callers that make long calls are idle, so that a call that can
+    /// wait takes none from the others.
+    pub(crate) fn has_spare(&self, now: Time) -> bool {
+        let callers = &self.callers[..self.long_callers()];
+        let is_idle =
+            |caller: &&AdviceCaller| caller.free_at <= now && self.is_available(caller, now);
+        callers.iter().filter(is_idle).count() * 2 > callers.len()
+    }
+
+    /// Returns how many callers make long calls, counted from the start of the list.
+    fn long_callers(&self) -> usize {
+        let all = self.callers.len();
+        if self.disabled.uses(Mechanism::CallerSplit) {
+            (all * 2).div_ceil(3)
+        } else {
+            all
+        }
+    }
+
     /// Reserves the caller that is free first, if that is soon enough for a call of this length.
     /// Returns its instance and the time after which the call counts as lost.
     pub(crate) fn reserve(&mut self, duration: Span, now: Time) -> Option<(Arc<str>, Time)> {
@@ -215,10 +234,7 @@
 
     fn choose(&self, duration: Span, now: Time) -> Option<usize> {
         let (max_wait, usable) = if duration > LONG_CALL_THRESHOLD {
-            let all = self.callers.len();
-            let is_split = self.disabled.uses(Mechanism::CallerSplit);
-            let usable = if is_split { (all * 2).div_ceil(3) } else { all };
-            (LONG_CALL_MAX_WAIT, usable)
+            (LONG_CALL_MAX_WAIT, self.long_callers())
         } else {
             (SHORT_CALL_MAX_WAIT, self.callers.len())
         };
--- a/crates/kingcupwinch-cell/src/cell/advice_calls.rs
+++ b/crates/kingcupwinch-cell/src/cell/advice_calls.rs
@@ -31,6 +31,8 @@
 pub(crate) struct NamedWorker {
     pub(crate) key: WorkerKey,
     pub(crate) load: Resources,
+    /// Whether the worker had capacity for a task.
+    pub(crate) has_capacity: bool,
 }
 
 impl Cell {
@@ -115,7 +117,9 @@
         let queue = Arc::clone(&job.spec.policy.queue);
         let cache = &mut job.steps[call.step].tickets;
         cache.note_response();
-        cache.calls_without_start += 1;
+        if call.workers.iter().any(|worker| worker.has_capacity) {
+            cache.calls_without_start += 1;
+        }
         let mut new_verdicts = 0;
         let mut new_allowed = 0;
         for NamedWorker { key: worker, .. } in &call.workers {
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -297,7 +297,7 @@
         }
         for (ready, _) in left {
             if let Some(pool) = self.pool_of(ready.job, pools) {
-                self.keep_room(ready, pool);
+                self.keep_room(ready, pool, now);
             }
         }
     }
@@ -407,13 +407,17 @@
         self.release_kept_places(ready.job, ready.step, pool);
         let job = &self.jobs[ready.job];
         let spec = job.step_spec(ready.step);
-        if !pool.has_capacity(spec.charged_resources()) && !ready.asks_ahead(spec) {
+        let has_capacity = pool.has_capacity(spec.charged_resources());
+        if !has_capacity && !ready.asks_ahead(spec) {
             return None;
         }
         let mut demand = self
             .step_demand(ready.job, ready.step)
             .with_slowest_pace(ready.slowest_pace);
         self.count_kept_places(&mut demand);
+        if !has_capacity {
+            return Some(demand);
+        }
         let mut is_placed = self.place_demand(ready, &mut demand, pool, now);
         if !is_placed && self.has_only_quarantined(&demand, pool, now) {
             demand = demand.with_quarantined();
--- a/crates/kingcupwinch-cell/src/placement/advice.rs
+++ b/crates/kingcupwinch-cell/src/placement/advice.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use kingcupwinch_time::{Span, Time};
-use smallvec::SmallVec;
 
 use super::{ReadyStep, Turn, WorkerPool, WorkerPools};
 use crate::advice::{affordable_workers, call_time};
@@ -71,7 +70,9 @@
         } else {
             1.0
         };
-        if workers.is_empty() || capacity < need {
+        let is_ahead = workers.iter().all(|choice| choice.fits == 0.0);
+        let must_wait = is_ahead && !self.advice_callers.has_spare(now);
+        if workers.is_empty() || capacity < need || must_wait {
             self.jobs[ready.job].steps[ready.step].tickets.next_call = now + NO_CAPACITY_BACKOFF;
             return;
         }
@@ -110,28 +111,37 @@
         };
         for ready in steps.iter().filter(keeps) {
             if let Some(pool) = self.pool_of(ready.job, pools) {
-                self.keep_room(ready, pool);
+                self.keep_room(ready, pool, now);
             }
         }
     }
 
-    /// Keeps room on the workers that the call of a step names until the call is answered. Each
-    /// response excludes or starts something, and none is expected after a lost call, so no room is
-    /// kept for long.
-    pub(super) fn keep_room(&self, ready: &ReadyStep, pool: &mut WorkerPool) {
+    /// Keeps room on the workers that the call of a step names until the call is answered: as much as
+    /// its tasks are expected to need, since the adviser denies some of the workers. Each response
+    /// excludes or starts something, and none is expected after a lost call.
+    pub(super) fn keep_room(&self, ready: &ReadyStep, pool: &mut WorkerPool, now: Time) {
         let job = &self.jobs[ready.job];
         if job.steps[ready.step].tickets.is_call_lost {
             return;
         }
         let demand = self.step_demand(ready.job, ready.step);
         let share = self.allowed_share(&job.spec.policy.queue);
-        let wanted = (ready.tasks as f64 / share.max(f64::MIN_POSITIVE)).ceil() as usize;
-        let asked = self.asked_workers(ready.job, ready.step);
-        let asked = asked.filter_map(|worker| pool.index(worker));
-        let has_room = |index: &usize| self.room_on(&demand, &pool.candidates[*index]).is_ok();
-        let kept: SmallVec<[usize; 8]> = asked.filter(has_room).take(wanted).collect();
-        for index in kept {
+        let mut wanted = ready.tasks as f64;
+        for worker in self.asked_workers(ready.job, ready.step) {
+            let Some(index) = pool.index(worker) else {
+                continue;
+            };
+            if wanted <= 0.0 {
+                break;
+            }
+            if self.room_on(&demand, &pool.candidates[index]).is_err() {
+                continue;
+            }
             pool.reserve(index, demand.charge, 1);
+            wanted -= match self.access(&demand, worker, now) {
+                Access::Unknown => share,
+                _ => 1.0,
+            };
         }
     }
 
@@ -158,7 +168,11 @@
             let fits = match self.room_on(demand, candidate) {
                 Ok(fits) => fits as f64,
                 Err(obstacle) if is_first_of_gang && !obstacle.is_permanent() => 0.0,
-                Err(Obstacle::Capacity) if asks_ahead => 0.0,
+                Err(Obstacle::Capacity)
+                    if asks_ahead && self.fits_when_idle(demand, candidate.key, now) > 0 =>
+                {
+                    0.0
+                }
                 Err(_) => continue,
             };
             match self.access(demand, candidate.key, now) {
@@ -187,7 +201,8 @@
         let factor = 1_u32 << step.tickets.calls_without_start.min(MAX_CALL_DOUBLINGS);
         let wanted = ready.tasks as f64 * CAPACITY_MARGIN * f64::from(factor);
         let min_workers = MIN_CALL_WORKERS * factor as usize;
-        let max_ahead = job.spec.policy.advice.map_or(0, affordable_workers);
+        let affordable = job.spec.policy.advice.map_or(0, affordable_workers);
+        let max_ahead = affordable.max(MIN_CALL_WORKERS);
         let mut requested = capacity;
         let mut workers = Vec::new();
         for (index, fits, chance) in rows {
@@ -226,6 +241,7 @@
     let to_named = |choice: &Choice| NamedWorker {
         key: pool.candidates[choice.index].key,
         load: charge.scaled(expected(choice) * share),
+        has_capacity: choice.fits > 0.0,
     };
     choices.iter().map(to_named).collect()
 }
--- a/crates/kingcupwinch-cell/tests/cell/overload.rs
+++ b/crates/kingcupwinch-cell/tests/cell/overload.rs
@@ -287,3 +287,64 @@
     let (_, workers) = &harness.calls[0];
     assert_eq!(workers.len(), 8);
 }
+
+/// The steps whose tasks fitted nowhere took all instances that call the adviser, and steps that had
+/// capacity for their tasks made no call.
+#[test]
+fn calls_ahead_leave_callers_to_steps_with_capacity() {
+    let mut harness = Harness::new(12, 4);
+    let callers: Vec<_> = (0..12).map(|n| format!("caller-{n}").into()).collect();
+    harness.cell.set_advice_callers(&callers);
+    start_jobs(&mut harness, 1..13, 4);
+    harness.advance(RUN_MS);
+    harness.poll_all();
+    for number in 1..13 {
+        fail(&mut harness, number);
+    }
+    harness.submit(100, job(vec![step(12, 2, 60_000)]));
+    for number in 0..12 {
+        harness
+            .cell
+            .register_worker(registration(number, 2), false, harness.now);
+    }
+    harness.run_round();
+    harness.calls.clear();
+    harness.call_steps.clear();
+    harness.submit(20, long_running_job(2));
+    for number in 0..12 {
+        harness
+            .cell
+            .register_worker(registration(number, 4), false, harness.now);
+    }
+    harness.decide();
+    assert!(harness.call_steps.contains(&format!("{}.0.0", id(20))));
+}
+
+/// Calls about full workers counted as calls in vain, so that the first ones after a long wait named
+/// all workers that had become free, and took as long.
+#[test]
+fn a_call_after_calls_ahead_names_as_few_workers_as_any() {
+    let mut harness = Harness::new(4, 4);
+    let advice = AdviceCost {
+        call_ms: CALL_MS as f64,
+        worker_ms: 1.0,
+        valid_ms: 2_500.0,
+    };
+    lose_a_worker_of_a_full_service(&mut harness, advice);
+    for _ in 0..40 {
+        harness.decide();
+        harness.advance(CALL_MS);
+        harness.answer_calls(|_, worker| worker != "i-0");
+        harness.poll_all();
+    }
+    for number in 4..44 {
+        let key = harness
+            .cell
+            .register_worker(registration(number, 4), false, harness.now);
+        harness.workers.insert(key, FakeWorker::default());
+    }
+    harness.poll_all();
+    harness.decide();
+    let (_, workers) = harness.calls.last().unwrap();
+    assert!(workers.len() <= 6, "{workers:?}");
+}
