Give no best-effort tasks to a worker that exceeds its capacity

A worker whose capacity shrank below what it runs got best-effort tasks, though it had no CPU left. They are charged none, and what is left of a capacity stops at zero, so the excess didn't show. Worse, the packing prefers the workers with the least CPU left, so such a worker came first.

`room_on` refuses a worker whose charged runs exceed its capacity in any resource.

Measured: of 11 new cases in `shrinking`, one failed before (two of two tasks on the worker over its capacity, the other one was free) and passes now. The others pass before and after: capacity that grows is used in the next round, with and without an adviser; a place that is gone before a move ends; the entry of an earlier process; starts beside a worker that shrank below its runs. All tests of the cell pass.

--- a/crates/kingcupwinch-cell/src/fit.rs
+++ b/crates/kingcupwinch-cell/src/fit.rs
@@ -214,6 +214,10 @@
         if below_limit == 0 {
             return Err(Obstacle::Limit);
         }
+        // What is left doesn't show the excess to tasks that are charged none of the exceeded resource.
+        if self.workers[candidate.key].is_over_capacity() {
+            return Err(Obstacle::Capacity);
+        }
         match candidate.available.task_capacity(demand.charge) {
             0 => Err(Obstacle::Capacity),
             fits => Ok(fits.min(below_limit)),
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -318,6 +318,11 @@
         self.registration.capacity.remaining(self.used)
     }
 
+    /// Returns whether the runs that are charged to the worker exceed its capacity, which may have shrunk.
+    pub(crate) fn is_over_capacity(&self) -> bool {
+        self.registration.capacity.task_capacity(self.used) == 0
+    }
+
     /// Records a response to a poll, with the worker's clock in milliseconds.
     pub(crate) fn note_response(&mut self, clock_ms: u64, read_at: Time) {
         self.clock_sample = Some(ClockSample { clock_ms, read_at });
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -18,6 +18,7 @@
 mod replaced;
 mod restarts;
 mod run_times;
+mod shrinking;
 mod speculation;
 mod takeover;
 mod tentative;
--- /dev/null
+++ b/crates/kingcupwinch-cell/tests/cell/shrinking.rs
@@ -0,0 +1,170 @@
+//! Workers whose capacity shrinks and grows while they run.
+
+use kingcupwinch_cell::{JobSpec, Registration, StepSpec, TaskName, WorkerKey};
+use rstest::rstest;
+
+use crate::harness::{Harness, id, job, registration, step, task, with_advice};
+
+fn long_running(count: u16, cores: u64) -> StepSpec {
+    StepSpec {
+        long_running: true,
+        max_unavailable: count,
+        ..step(count, cores, 500)
+    }
+}
+
+/// Has the owner read an entry of a worker with another capacity.
+fn resize(harness: &mut Harness, number: usize, cores: u64) {
+    let entry = registration(number, cores);
+    harness.cell.register_worker(entry, false, harness.now);
+}
+
+/// Lets rounds pass in which nothing happens but polls.
+fn pass_rounds(harness: &mut Harness, rounds: usize) {
+    for _ in 0..rounds {
+        harness.advance(100);
+        harness.poll_all();
+        harness.run_round();
+    }
+}
+
+/// Of the runs that wait for the log, those are sent that fit. The ones that were placed first are the
+/// A worker that runs more than its capacity has none left for tasks that are charged no CPU either.
+#[test]
+fn a_worker_over_its_capacity_gets_no_best_effort_task() {
+    let mut harness = Harness::new(2, 4);
+    harness.submit(1, job(vec![long_running(2, 4)]));
+    harness.run_round();
+    resize(&mut harness, 0, 2);
+    let best_effort = StepSpec {
+        best_effort: true,
+        ..step(2, 1, 1_000)
+    };
+    harness.submit(2, job(vec![best_effort]));
+    pass_rounds(&mut harness, 2);
+    let over = harness.keys()[0];
+    let of_job: Vec<WorkerKey> = harness
+        .running()
+        .into_iter()
+        .filter(|(_, task)| task.job == id(2))
+        .map(|(worker, _)| worker)
+        .collect();
+    assert_eq!(of_job.len(), 2);
+    assert!(!of_job.contains(&over), "{:?}", harness.running());
+}
+
+/// The worker that a task was to move to shrinks while its run is being stopped.
+#[test]
+fn a_task_moves_elsewhere_if_its_place_is_gone() {
+    let mut harness = Harness::new(3, 2);
+    let (first, others) = (harness.keys()[0], 1..3);
+    for number in others.clone() {
+        resize(&mut harness, number, 0);
+    }
+    harness.submit(1, job(vec![long_running(1, 2)]));
+    harness.run_round();
+    harness.set_ready();
+    harness.poll_all();
+    for number in others {
+        resize(&mut harness, number, 2);
+    }
+    let mut entry = registration(0, 2);
+    entry.draining = true;
+    harness.cell.register_worker(entry, false, harness.now);
+    harness.decide();
+    assert_eq!(harness.stops.len(), 1, "it moves");
+    resize(&mut harness, 1, 1);
+    pass_rounds(&mut harness, 2);
+    let third = harness.keys()[2];
+    assert_eq!(harness.running(), [(third, task(1, 0, 0))]);
+    assert_ne!(first, third);
+}
+
+/// An entry of an earlier process of a worker says nothing about the one that responds.
+#[test]
+fn the_capacity_of_an_earlier_process_is_ignored() {
+    let mut harness = Harness::new(1, 2);
+    let entry = Registration {
+        started_ms: Some(7),
+        ..registration(0, 8)
+    };
+    harness.cell.register_worker(entry, false, harness.now);
+    harness.submit(1, job(vec![step(4, 1, 60_000)]));
+    pass_rounds(&mut harness, 2);
+    assert_eq!(harness.running().len(), 2);
+}
+
+/// Steps that found no room before take it in the next round.
+#[rstest]
+fn capacity_that_grows_is_used_at_once(#[values(false, true)] is_long_running: bool) {
+    let mut harness = Harness::new(1, 1);
+    let spec = if is_long_running {
+        long_running(4, 1)
+    } else {
+        step(4, 1, 60_000)
+    };
+    harness.submit(1, job(vec![spec]));
+    pass_rounds(&mut harness, 30);
+    assert_eq!(harness.running().len(), 1);
+    resize(&mut harness, 0, 4);
+    harness.run_round();
+    assert_eq!(harness.running().len(), 4);
+}
+
+/// The same for steps that have asked the adviser in vain, or not at all, for lack of room.
+#[rstest]
+fn capacity_that_grows_is_asked_about_at_once(
+    #[values(0, 1)] cores: u64,
+    #[values(false, true)] is_long_running: bool,
+) {
+    let mut harness = Harness::new(1, cores);
+    let spec: JobSpec = if is_long_running {
+        job(vec![long_running(4, 1)])
+    } else {
+        job(vec![step(4, 1, 60_000)])
+    };
+    harness.submit(1, with_advice(spec, 20.0));
+    for _ in 0..30 {
+        pass_rounds(&mut harness, 1);
+        harness.answer_calls(|_, _| true);
+    }
+    assert_eq!(harness.running().len(), cores as usize);
+    resize(&mut harness, 0, 4);
+    harness.run_round();
+    harness.answer_calls(|_, _| true);
+    harness.run_round();
+    assert_eq!(harness.running().len(), 4);
+}
+
+/// What runs on a worker that has shrunk stays, and others start elsewhere as soon as before.
+#[rstest]
+fn a_worker_that_shrank_below_its_runs_holds_up_no_starts(#[values(false, true)] is_advised: bool) {
+    let mut harness = Harness::new(2, 4);
+    resize(&mut harness, 1, 0);
+    harness.submit(1, job(vec![long_running(4, 1)]));
+    harness.run_round();
+    assert_eq!(harness.running().len(), 4);
+    harness.set_ready();
+    harness.poll_all();
+    resize(&mut harness, 0, 1);
+    resize(&mut harness, 1, 4);
+    let mut spec = job(vec![long_running(4, 1)]);
+    if is_advised {
+        spec = with_advice(spec, 20.0);
+    }
+    harness.submit(2, spec);
+    harness.run_round();
+    harness.answer_calls(|_, _| true);
+    pass_rounds(&mut harness, 1);
+    let on_second =
+        |(worker, task): &(WorkerKey, TaskName)| *worker == harness.keys()[1] && task.job == id(2);
+    assert_eq!(
+        harness
+            .running()
+            .iter()
+            .filter(|run| on_second(run))
+            .count(),
+        4
+    );
+    assert_eq!(harness.running().len(), 8, "nothing is stopped");
+}
