Send no start order to a worker that it no longer fits

A worker whose capacity shrank between a placement and the append of its record got all orders that had been placed: four of one core each where two fit. The same after a takeover, if the worker then listed a run of the earlier owner that was not known at the placement. `send_start` asked only whether the worker could be used.

Before orders are sent, what is charged to each of their workers is compared with its present capacity. Runs that exceed it are discarded, those placed last first, since rounds place the most urgent ones first, each with its gang. Runs that are being stopped count until they are settled.

--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use kingcupwinch_time::{Span, Time};
+use smallvec::SmallVec;
 
 use super::{AdviceCallId, Cell};
 use crate::id::TaskName;
@@ -117,6 +118,7 @@
 
     /// Sends the start orders whose placements and jobs are in the log.
     pub(crate) fn send_recorded_starts(&mut self, now: Time) {
+        self.discard_unfit_runs(now);
         for (batch, run, order) in std::mem::take(&mut self.unsent_starts) {
             let job = self.jobs_by_id.get(&order.task.job);
             let is_tentative = job.is_some_and(|key| self.tentative.contains_key(key));
@@ -128,6 +130,22 @@
         }
     }
 
+    /// Discards runs that wait for the log on workers where they no longer fit, those that were placed
+    /// last first: capacity may have shrunk since, or a run of an earlier owner may have been found.
+    fn discard_unfit_runs(&mut self, now: Time) {
+        let unsent = self.unsent_starts.iter().rev();
+        let runs: SmallVec<[RunKey; 16]> = unsent.map(|(_, run, _)| *run).collect();
+        for key in runs {
+            let Some(run) = self.runs.get(key) else {
+                continue;
+            };
+            let is_unsent = matches!(run.state, RunState::Planned | RunState::Withdrawn);
+            if is_unsent && self.workers[run.worker].is_over_capacity() {
+                self.discard_run(key, now);
+            }
+        }
+    }
+
     /// Sends a start order, unless its run was withdrawn or its worker became unusable since the
     /// placement.
     fn send_start(&mut self, run: RunKey, mut order: StartOrder, now: Time) {
--- a/crates/kingcupwinch-cell/tests/cell/shrinking.rs
+++ b/crates/kingcupwinch-cell/tests/cell/shrinking.rs
@@ -1,9 +1,12 @@
 //! Workers whose capacity shrinks and grows while they run.
 
-use kingcupwinch_cell::{JobSpec, Registration, StepSpec, TaskName, WorkerKey};
+use kingcupwinch_cell::{
+    EndReason, JobSpec, JobState, Registration, Resources, RunningTask, StepSpec, TaskName,
+    WorkerKey,
+};
 use rstest::rstest;
 
-use crate::harness::{Harness, id, job, registration, step, task, with_advice};
+use crate::harness::{FakeWorker, Harness, id, job, registration, step, task, with_advice};
 
 fn long_running(count: u16, cores: u64) -> StepSpec {
     StepSpec {
@@ -13,12 +16,23 @@
     }
 }
 
+fn gang(count: u16, cores: u64) -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..step(count, cores, 2_000)
+    }
+}
+
 /// Has the owner read an entry of a worker with another capacity.
 fn resize(harness: &mut Harness, number: usize, cores: u64) {
     let entry = registration(number, cores);
     harness.cell.register_worker(entry, false, harness.now);
 }
 
+fn started_tasks(harness: &Harness) -> Vec<TaskName> {
+    harness.starts.iter().map(|order| order.task).collect()
+}
+
 /// Lets rounds pass in which nothing happens but polls.
 fn pass_rounds(harness: &mut Harness, rounds: usize) {
     for _ in 0..rounds {
@@ -29,6 +43,149 @@
 }
 
 /// Of the runs that wait for the log, those are sent that fit. The ones that were placed first are the
+/// most urgent.
+#[test]
+fn a_run_that_no_longer_fits_is_not_sent() {
+    let mut harness = Harness::new(1, 4);
+    harness.submit(1, job(vec![step(4, 1, 1_000)]));
+    harness.decide_without_log();
+    resize(&mut harness, 0, 2);
+    harness.append_records();
+    assert_eq!(
+        started_tasks(&harness),
+        [task(1, 0, 0), task(1, 0, 1)],
+        "{:?}",
+        harness.starts
+    );
+}
+
+/// The runs that were not sent start as soon as others end.
+#[test]
+fn a_run_that_was_not_sent_starts_later() {
+    let mut harness = Harness::new(1, 4);
+    harness.submit(1, job(vec![step(4, 1, 1_000)]));
+    harness.decide_without_log();
+    resize(&mut harness, 0, 2);
+    harness.append_records();
+    harness.run_round();
+    assert_eq!(harness.running().len(), 2);
+    harness.end_all(EndReason::Done);
+    pass_rounds(&mut harness, 3);
+    assert_eq!(harness.running().len(), 2);
+    harness.end_all(EndReason::Done);
+    pass_rounds(&mut harness, 1);
+    assert_eq!(harness.job_state(1), Some(JobState::Completed));
+}
+
+/// An entry may lack the capacity.
+#[test]
+fn nothing_is_sent_to_a_worker_without_capacity() {
+    let mut harness = Harness::new(1, 4);
+    harness.submit(1, job(vec![step(2, 1, 1_000)]));
+    harness.decide_without_log();
+    let entry = Registration {
+        capacity: Resources::default(),
+        ..registration(0, 4)
+    };
+    harness.cell.register_worker(entry, false, harness.now);
+    harness.append_records();
+    assert!(harness.starts.is_empty(), "{:?}", harness.starts);
+    assert_eq!(harness.cell.cpu_load(), (0, 0));
+    resize(&mut harness, 0, 4);
+    harness.run_round();
+    assert_eq!(harness.running().len(), 2);
+}
+
+/// Without one member, the gang of a run is incomplete. What else was placed on its workers starts.
+#[test]
+fn a_gang_that_no_longer_fits_is_not_sent() {
+    let mut harness = Harness::new(2, 2);
+    harness.submit(1, job(vec![gang(3, 1)]));
+    harness.submit(2, job(vec![step(1, 1, 9_000)]));
+    harness.decide_without_log();
+    resize(&mut harness, 0, 0);
+    resize(&mut harness, 1, 1);
+    harness.append_records();
+    let of_gang = |task: &TaskName| task.job == id(1);
+    assert!(
+        !started_tasks(&harness).iter().any(of_gang),
+        "{:?}",
+        harness.starts
+    );
+    pass_rounds(&mut harness, 2);
+    assert_eq!(harness.running().len(), 1, "{:?}", harness.running());
+    resize(&mut harness, 0, 2);
+    resize(&mut harness, 1, 2);
+    harness.run_round();
+    assert_eq!(harness.running().len(), 4);
+}
+
+/// A run that is being stopped takes capacity until its worker lists its end.
+#[test]
+fn a_run_that_is_being_stopped_counts() {
+    let mut harness = Harness::new(1, 4);
+    harness.submit(1, job(vec![step(1, 2, 60_000)]));
+    harness.run_round();
+    harness.poll_all();
+    harness.submit(2, job(vec![step(1, 2, 1_000)]));
+    harness.decide_without_log();
+    harness.cell.cancel(id(1), harness.now);
+    resize(&mut harness, 0, 2);
+    harness.append_records();
+    assert!(harness.starts.is_empty(), "{:?}", harness.starts);
+    pass_rounds(&mut harness, 2);
+    assert_eq!(
+        harness.running(),
+        [(harness.keys()[0], task(2, 0, 0))],
+        "it starts once the other has ended"
+    );
+}
+
+/// A worker may list a run of an earlier owner that was not known when another run was placed there.
+#[test]
+fn an_adopted_run_counts() {
+    let mut harness = Harness::new(1, 4);
+    let worker = harness.keys()[0];
+    harness.submit(1, job(vec![step(1, 2, 60_000)]));
+    harness.decide_without_log();
+    harness.submit(2, job(vec![step(1, 3, 60_000)]));
+    let adopted = RunningTask {
+        task: task(2, 0, 0),
+        run: 900,
+        checkpoint: None,
+        percent: 0,
+    };
+    let fake: &mut FakeWorker = harness.workers.get_mut(&worker).unwrap();
+    fake.running.push(adopted);
+    harness.poll_all();
+    harness.append_records();
+    assert!(harness.starts.is_empty(), "{:?}", harness.starts);
+}
+
+/// The copy is not sent, and the run that it should overtake goes on.
+#[rstest]
+fn a_speculative_run_that_no_longer_fits_is_not_sent(#[values(false, true)] shrinks: bool) {
+    let mut harness = Harness::new(2, 1);
+    let speculative = StepSpec {
+        speculative: true,
+        ..step(1, 1, 1_000)
+    };
+    harness.submit(1, job(vec![speculative]));
+    harness.run_round();
+    let (original, name) = harness.running()[0];
+    harness.advance(1_900);
+    harness.poll_all();
+    harness.decide_without_log();
+    let other = usize::from(harness.keys()[0] == original);
+    resize(&mut harness, other, u64::from(!shrinks));
+    harness.append_records();
+    let sent = started_tasks(&harness);
+    assert_eq!(sent.len(), usize::from(!shrinks), "{sent:?}");
+    harness.end(original, name, EndReason::Done);
+    pass_rounds(&mut harness, 1);
+    assert_eq!(harness.job_state(1), Some(JobState::Completed));
+}
+
 /// A worker that runs more than its capacity has none left for tasks that are charged no CPU either.
 #[test]
 fn a_worker_over_its_capacity_gets_no_best_effort_task() {
