Simulate workers that shrink, leave for good, or are crashed by tasks

The simulation of the cell had no capacity that changes, and every worker that drained had a successor, so neither a start beyond a capacity that shrank nor the queue behind capacity that is lost could break a check.

Three variants, each with draws of its own, so that earlier seeds stay as they are:

- workers whose capacity changes, one by one and in waves, in the world of services.
A start may exceed a capacity that shrank for 4 s and one heartbeat, or longer while the worker can't write to the directory.
What is being stopped counts.
- overload with jobs of up to 10 long-running tasks, in which once or twice 10 to 40 % of the workers drain for 2 to 6 s and leave for good, with 16 to 64 or with 100 to 200 workers.
The bounds on waits are those of the other worlds.
- tasks that crash each worker that starts them, at once with the response lost, or up to 0.5 s later; the worker comes back under its id or another one, and the owner is lost with some.
Such a task may start twice more after it crashed three workers, and only its job may fail for it.

--- a/crates/kingcupwinch-cell/tests/cell/lifecycle.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle.rs
@@ -12,7 +12,10 @@
 //! long while there is capacity for it: see [`waiting`].
 //!
 //! A third world has more long-running tasks than fit and no faults. There, those that ran before may not
-//! wait for long.
+//! wait for long. In a variant of it, workers leave for good.
+//!
+//! Two variants of the second world have workers whose capacity shrinks and grows, and tasks that crash
+//! each worker that starts them.
 //!
 //! No check looks into a cell. See [`checks`] for the promises.
 
@@ -85,6 +88,21 @@
     run_eventful(Simulation::of_overload(seed));
 }
 
+/// Capacity that leaves for good sends the tasks of its workers into the queue of those that wait.
+#[rstest]
+fn promises_hold_while_workers_leave_for_good(#[values(1, 3, 4, 5, 6, 7, 8, 9)] seed: u64) {
+    run_eventful(Simulation::of_departures(seed));
+}
+
+/// A start that is placed under a former capacity, or sent under one, brings a worker that doesn't guard
+/// its capacity over it.
+#[rstest]
+fn workers_that_shrink_stay_within_their_capacity(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)] seed: u64,
+) {
+    run_eventful(Simulation::of_resizes(seed));
+}
+
 fn run_services(seed: u64) {
     run_eventful(Simulation::of_services(seed));
 }
@@ -115,6 +133,30 @@
     search(Simulation::of_overload);
 }
 
+/// The same with workers that leave for good.
+#[test]
+fn search_many_seeds_of_departures() {
+    search(Simulation::of_departures);
+}
+
+/// The same with many workers.
+#[test]
+fn search_many_seeds_of_many_departures() {
+    search(Simulation::of_many_departures);
+}
+
+/// The world of services with workers whose capacity shrinks and grows.
+#[test]
+fn search_many_seeds_of_resizes() {
+    search(Simulation::of_resizes);
+}
+
+/// The same with tasks that crash each worker that starts them.
+#[test]
+fn search_many_seeds_of_crashes() {
+    search(Simulation::of_crashes);
+}
+
 fn search(simulation: fn(u64) -> Simulation) {
     let Ok(range) = std::env::var("LIFECYCLE_SEEDS") else {
         return;
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/worker.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/worker.rs
@@ -22,6 +22,10 @@
 /// The entry of a worker that is silent for this long expires.
 pub(super) const ENTRY_EXPIRY: Span = Span::from_millis(3 * HEARTBEAT.as_millis());
 
+/// How long owners may use a capacity that has shrunk: the promise gives 4 s and the time between two
+/// writes.
+const SHRINK_GRACE: Span = Span::from_millis(4_000 + HEARTBEAT.as_millis());
+
 /// A run that is active on a worker.
 #[derive(Debug)]
 pub(super) struct ActiveRun {
@@ -255,6 +259,10 @@
         self.running.iter().filter(is_same_step).count() as u64
     }
 
+    pub(super) fn runs(&self, task: TaskName) -> bool {
+        self.running.iter().any(|run| run.task == task)
+    }
+
     pub(super) fn used_cpu(&self) -> u64 {
         self.running.iter().map(|run| run.cpu).sum()
     }
@@ -295,6 +303,10 @@
     /// The number of the machine, which gives the address.
     pub(super) machine: usize,
     pub(super) capacity_cpu: u64,
+    /// The capacity in the last entry that was written.
+    pub(super) listed_cpu: u64,
+    /// The capacities before it changed, and until when owners may use each.
+    pub(super) former_cpu: Vec<(Time, u64)>,
     pub(super) labels: Vec<Arc<str>>,
     pub(super) is_draining: bool,
     /// The end of the process, if no later one runs under the same id.
@@ -321,6 +333,30 @@
         !self.is_draining && self.life.as_ref().is_some_and(is_listed) && self.cut_at(now).is_none()
     }
 
+    /// Returns the capacity that owners may use: a former one counts until they have to know that it has
+    /// shrunk.
+    pub(super) fn usable_cpu(&self, now: Time) -> u64 {
+        let former = self.former_cpu.iter().filter(|(until, _)| now < *until);
+        let former = former.map(|(_, cpu)| *cpu).max();
+        self.capacity_cpu.max(former.unwrap_or(0))
+    }
+
+    pub(super) fn resize(&mut self, capacity_cpu: u64, now: Time) {
+        self.former_cpu.retain(|(until, _)| now < *until);
+        self.former_cpu
+            .push((now + SHRINK_GRACE, self.capacity_cpu));
+        self.capacity_cpu = capacity_cpu;
+    }
+
+    /// Lets the former capacity count from now on, since the worker can't tell owners about its own.
+    pub(super) fn extend_former_capacity(&mut self, now: Time) {
+        for (until, _) in &mut self.former_cpu {
+            if now < *until {
+                *until = now + SHRINK_GRACE;
+            }
+        }
+    }
+
     pub(super) fn cut_at(&self, now: Time) -> Option<Cut> {
         self.cut.filter(|cut| now < cut.until)
     }
