--- a/crates/kingcupwinch-cell/tests/cell/lifecycle.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle.rs
@@ -103,6 +103,21 @@
     run_eventful(Simulation::of_resizes(seed));
 }
 
+/// A task that crashes each worker that starts it takes one worker after the other, unless crashes are
+/// counted, also by the next owner.
+#[rstest]
+fn a_task_that_crashes_its_workers_is_given_up(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 15)] seed: u64,
+) {
+    match Simulation::of_crashes(seed).run() {
+        Ok(summary) => assert!(
+            summary.is_eventful() && summary.harmful_tasks > 0,
+            "{summary:?}"
+        ),
+        Err(breach) => panic!("{breach}"),
+    }
+}
+
 fn run_services(seed: u64) {
     run_eventful(Simulation::of_services(seed));
 }
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/checks.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/checks.rs
@@ -375,6 +375,14 @@
         self.reported.contains_key(&job)
     }
 
+    /// Returns the number of tasks that crashed as many workers as one may.
+    pub(super) fn harmful_tasks(&self) -> usize {
+        let crashes = self.crashes.values();
+        crashes
+            .filter(|(crashes, _)| *crashes >= MIN_CRASHES)
+            .count()
+    }
+
     /// Returns the number of jobs that callers saw completed.
     pub(super) fn completed(&self) -> usize {
         let states = self.reported.values();
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/simulation.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/simulation.rs
@@ -209,6 +209,8 @@
     pub(super) completed: usize,
     /// The number of runs of long-running tasks.
     pub(super) long_runs: usize,
+    /// The number of tasks that crashed as many workers as one may.
+    pub(super) harmful_tasks: usize,
 }
 
 impl Summary {
@@ -373,6 +375,7 @@
                         owners: self.owners.len(),
                         completed: self.checks.completed(),
                         long_runs: self.long_runs,
+                        harmful_tasks: self.checks.harmful_tasks(),
                     });
                 }
                 if self.now >= self.faults_end + RECOVERY
