Keep the original active when its speculative run is discarded

A speculative run that was not sent, or that its worker refused, left its task waiting, though the original was still running: no further copy was started however slow the original was, and the checkpoint that it listed at its end was not stored, since a run that isn't active counts as superseded. A start that no longer fits its shrunk worker is one more way to get there.

Before such a run is settled, the original becomes the active run of the task again. Copies that ran and ended leave the task waiting as before, so that a copy that fails isn't repeated until the attempts are used up.

Measured: `a_speculative_run_that_was_not_sent_is_placed_again` failed before and passes now. The lost checkpoint is read from the code and has no test.

--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -290,10 +290,28 @@
     fn discard_run(&mut self, key: RunKey, now: Time) {
         let run = &self.runs[key];
         let (job, name, number) = (run.job, run.name, run.number);
+        self.restore_original(key);
         self.settle(key, now);
         self.stop_gang(job, name, number);
     }
 
+    /// Makes the original of a speculative run that does not exist the active run of its task again.
+    fn restore_original(&mut self, key: RunKey) {
+        let (job_key, name) = (self.runs[key].job, self.runs[key].name);
+        if !self.is_task_active(job_key, name, key) {
+            return;
+        }
+        let is_original = |other: &&RunKey| {
+            let run = &self.runs[**other];
+            **other != key && run.name == name && run.state.is_wanted()
+        };
+        let job = &mut self.jobs[job_key];
+        if let Some(&original) = job.runs.iter().find(is_original) {
+            let (step, index) = (job.slot(name), usize::from(name.index));
+            job.steps[step].tasks[index].state = TaskState::Active(original);
+        }
+    }
+
     /// Stops the runs of a gang that can't become complete.
     pub(super) fn stop_gang(&mut self, key: JobKey, name: TaskName, number: u32) {
         let Some(job) = self.jobs.get(key) else {
--- a/crates/kingcupwinch-cell/src/run.rs
+++ b/crates/kingcupwinch-cell/src/run.rs
@@ -35,6 +35,16 @@
     Stopped(Time),
 }
 
+impl RunState {
+    /// Returns whether the run is or may become active, and is not to be stopped.
+    pub(crate) fn is_wanted(self) -> bool {
+        !matches!(
+            self,
+            RunState::Withdrawn | RunState::Stopping(_) | RunState::Stopped(_)
+        )
+    }
+}
+
 /// The identity, worker and initial state of a run to add.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct NewRun {
--- a/crates/kingcupwinch-cell/tests/cell/shrinking.rs
+++ b/crates/kingcupwinch-cell/tests/cell/shrinking.rs
@@ -186,6 +186,29 @@
     assert_eq!(harness.job_state(1), Some(JobState::Completed));
 }
 
+/// A copy that was never sent is no reason not to start another one.
+#[test]
+fn a_speculative_run_that_was_not_sent_is_placed_again() {
+    let mut harness = Harness::new(2, 1);
+    let speculative = StepSpec {
+        speculative: true,
+        ..step(1, 1, 1_000)
+    };
+    harness.submit(1, job(vec![speculative]));
+    harness.run_round();
+    let (original, name) = harness.running()[0];
+    let other = usize::from(harness.keys()[0] == original);
+    harness.advance(1_900);
+    harness.poll_all();
+    harness.decide_without_log();
+    resize(&mut harness, other, 0);
+    harness.append_records();
+    assert!(harness.starts.is_empty(), "{:?}", harness.starts);
+    resize(&mut harness, other, 1);
+    harness.decide();
+    assert_eq!(started_tasks(&harness), [name]);
+}
+
 /// A worker that runs more than its capacity has none left for tasks that are charged no CPU either.
 #[test]
 fn a_worker_over_its_capacity_gets_no_best_effort_task() {
