Test that tasks of workers that left for good run again soon

Tasks whose workers left for good stay away for many seconds beside free capacity, if more long-running tasks wait than fit. Their traces look like the users': calls to the adviser allow workers whose room is gone once they are answered.

Jobs that end have no adviser in this world any more.

--- a/crates/kingcupwinch-cell/tests/cell/lifecycle.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle.rs
@@ -94,6 +94,18 @@
     run_eventful(Simulation::of_departures(seed));
 }
 
+/// The tasks of workers that left join many that wait, and stay away for many seconds beside free capacity.
+#[rstest]
+fn tasks_of_workers_that_left_run_again_soon(#[values(2, 17, 20, 24, 28, 31)] seed: u64) {
+    run_eventful(Simulation::of_departures(seed));
+}
+
+/// Among many steps that wait, tasks that ran stay away for many seconds beside free capacity.
+#[rstest]
+fn tasks_run_again_soon_among_many_that_wait(#[values(1, 2, 3, 4)] seed: u64) {
+    run_eventful(Simulation::of_many_departures(seed));
+}
+
 /// A start that is placed under a former capacity, or sent under one, brings a worker that doesn't guard
 /// its capacity over it.
 #[rstest]
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/services.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/services.rs
@@ -198,6 +198,10 @@
         if self.chance(ADVISED_JOBS) {
             spec.policy.advice = Some(self.adviser.cost);
         }
+        // With few callers and long calls, what is left of these jobs at the end would wait for a caller.
+        if self.variant == Variant::Departures {
+            spec.policy.advice = None;
+        }
         for step in &mut spec.steps {
             if self.chance(0.1) {
                 step.worker_limit = Some(1);
