Test random changes of capacity against each start order

This test has no grace: each order has to fit the last entry that the owner was given, beside what is being stopped, with gangs, speculative runs, cancellations, lost orders and a slow log.

--- a/crates/kingcupwinch-cell/tests/cell/shrinking.rs
+++ b/crates/kingcupwinch-cell/tests/cell/shrinking.rs
@@ -1,9 +1,14 @@
 //! Workers whose capacity shrinks and grows while they run.
 
+use std::collections::{BTreeMap, HashMap};
+
 use kingcupwinch_cell::{
-    EndReason, JobSpec, JobState, Registration, Resources, RunningTask, StepSpec, TaskName,
-    WorkerKey,
+    EndReason, JobId, JobSpec, JobState, Registration, Resources, RunningTask, StartOutcome,
+    StepSpec, TaskName, WorkerKey,
 };
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
 use crate::harness::{FakeWorker, Harness, id, job, registration, step, task, with_advice};
@@ -348,3 +353,87 @@
     );
     assert_eq!(harness.running().len(), 8, "nothing is stopped");
 }
+
+/// Returns the cores that the runs of a worker take, also those that are being stopped.
+fn used_cores(harness: &Harness, worker: WorkerKey, cores: &HashMap<JobId, u64>) -> u64 {
+    let running = &harness.workers[&worker].running;
+    running.iter().map(|run| cores[&run.task.job]).sum()
+}
+
+/// Carries out the orders. Each start has to fit what the worker's last entry says.
+fn carry_out(
+    harness: &mut Harness,
+    random: &mut ChaCha8Rng,
+    capacity: &BTreeMap<WorkerKey, u64>,
+    cores: &HashMap<JobId, u64>,
+) {
+    for order in std::mem::take(&mut harness.starts) {
+        if random.random_bool(0.1) {
+            harness
+                .cell
+                .start_answered(&order, StartOutcome::Lost, harness.now);
+            continue;
+        }
+        harness.start(&order);
+        let used = used_cores(harness, order.worker, cores);
+        let all = capacity[&order.worker];
+        assert!(
+            used <= all,
+            "{} brings a worker to {used} of {all}",
+            order.task
+        );
+    }
+    for order in std::mem::take(&mut harness.stops) {
+        if random.random_bool(0.7) {
+            harness.stop(&order);
+        }
+    }
+}
+
+/// Capacities change at any moment, while placements wait for the log and runs are being stopped.
+#[rstest]
+fn random_changes_of_capacity_are_respected(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut harness = Harness::new(6, 8);
+    let mut capacity: BTreeMap<WorkerKey, u64> =
+        harness.keys().into_iter().map(|key| (key, 8)).collect();
+    let mut cores = HashMap::new();
+    for _ in 0..1_500 {
+        if random.random_bool(0.2) {
+            let number = cores.len() as u64 + 1;
+            let size = random.random_range(1..5);
+            cores.insert(id(number), size);
+            let spec = StepSpec {
+                gang: random.random_bool(0.2),
+                speculative: random.random_bool(0.3),
+                ..step(random.random_range(1..6), size, 500)
+            };
+            harness.submit(number, job(vec![spec]));
+        }
+        if random.random_bool(0.02) {
+            let number = random.random_range(1..=cores.len() as u64 + 1);
+            harness.cell.cancel(id(number), harness.now);
+        }
+        harness.decide_without_log();
+        for (number, (_, all)) in capacity.iter_mut().enumerate() {
+            if random.random_bool(0.05) {
+                *all = random.random_range(0..9);
+                resize(&mut harness, number, *all);
+            }
+        }
+        if random.random_bool(0.5) {
+            harness.append_records();
+        }
+        carry_out(&mut harness, &mut random, &capacity, &cores);
+        if let Some((worker, task)) = harness.running().choose(&mut random).copied() {
+            harness.end(worker, task, EndReason::Done);
+        }
+        for key in harness.keys() {
+            if random.random_bool(0.5) {
+                harness.poll(key);
+            }
+        }
+        harness.advance(random.random_range(1..60));
+    }
+    assert!(harness.cell.counters().jobs_completed > 20);
+}
