Record the start of each worker's process for the next owner

A later owner could not tell whether a worker was restarted before its first response: the directory may still list the earlier process, or already the later one. What crashed between two owners left no trace.

The record of the workers now holds the start of the process that responded last, and is appended again once another one responds. Rows of earlier owners, of two elements, are still read; an earlier program can't read the new rows and falls back to the expiry of the leases.

The simulation of the cell's tests records what the owner does (`worker_records`) in place of the addresses that the directory lists. Nothing uses the start yet.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -25,7 +25,7 @@
 use crate::job::{Job, JobKey, JobState, TaskState};
 use crate::mechanism::{Disabled, Mechanism};
 use crate::placement::{KeptPlace, WaitBudget};
-use crate::record::JobRecord;
+use crate::record::{JobRecord, WorkerRecord};
 use crate::run::{Run, RunKey};
 use crate::run_time::{RunTimeRecord, RunTimes};
 use crate::spec::JobSpec;
@@ -145,6 +145,8 @@
     /// Conclusions that were not taken for the log yet.
     events: Vec<CellEvent>,
     pub(crate) wait_budget: WaitBudget,
+    /// Whether the start of a worker's process is to be recorded for a later owner.
+    is_start_unrecorded: bool,
     /// Jobs that have speculative steps, long-running steps, or a schedule.
     speculative_jobs: FxHashSet<JobKey>,
     pub(crate) long_running_jobs: FxHashSet<JobKey>,
@@ -199,6 +201,7 @@
             actions: Vec::new(),
             events: Vec::new(),
             wait_budget: WaitBudget::default(),
+            is_start_unrecorded: false,
             speculative_jobs: FxHashSet::default(),
             long_running_jobs: FxHashSet::default(),
             scheduled_jobs: FxHashSet::default(),
@@ -321,26 +324,25 @@
         key
     }
 
-    /// Adds a worker that an earlier owner used, unless the directory still lists it, with the address
-    /// that this owner recorded. Its recorded placements count as running until a poll or the expiry of
-    /// the leases settles them. A worker with an empty `address` cannot be polled.
-    pub fn register_lost_worker(
-        &mut self,
-        id: &Arc<str>,
-        address: Arc<str>,
-        now: Time,
-    ) -> WorkerKey {
+    /// Adds a worker that an earlier owner used, unless the directory still lists it, as this owner
+    /// recorded it. Its recorded placements count as running until a poll or the expiry of the leases
+    /// settles them. A worker with an empty address cannot be polled.
+    pub fn register_lost_worker(&mut self, record: &WorkerRecord, now: Time) -> WorkerKey {
+        let WorkerRecord {
+            id,
+            address,
+            started_ms,
+        } = record;
         if let Some(&known) = self.workers_by_id.get(id) {
-            self.workers[known].set_recorded_address(address);
+            self.workers[known].set_recorded(Arc::clone(address), *started_ms);
             return known;
         }
-        let is_reachable = !address.is_empty();
-        let entry = Registration::of_lost(id, Arc::clone(&address));
+        let entry = Registration::of_lost(id, Arc::clone(address));
         let key = self.register_worker(entry, true, now);
         let worker = &mut self.workers[key];
-        worker.set_recorded_address(address);
+        worker.set_recorded(Arc::clone(address), *started_ms);
         worker.unlisted_at = Some(now);
-        if !is_reachable {
+        if address.is_empty() {
             worker.note_poll_failure(PollFailure::Unresponsive);
         }
         key
@@ -466,15 +468,6 @@
         self.workers.iter().map(to_row).collect()
     }
 
-    /// Returns the id and the address of each worker, as they are recorded for a later owner.
-    pub fn worker_addresses(&self) -> Vec<(Arc<str>, Arc<str>)> {
-        let to_row = |worker: &Worker| {
-            let id = Arc::clone(&worker.registration.id);
-            (id, worker.address_to_record())
-        };
-        self.workers.values().map(to_row).collect()
-    }
-
     /// Takes the actions that accumulated since the last call, with the start orders whose placements
     /// and jobs are in the log by now. To be called only while the owner may give orders, since the
     /// actions count as carried out.
--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -64,6 +64,7 @@
             return;
         };
         let is_restarted = worker.registration.is_restart(status.started_ms);
+        let responded_ms = worker.responded_start();
         let known_ms = worker.registration.started_ms;
         worker.registration.started_ms = status.started_ms.or(known_ms);
         if is_restarted {
@@ -71,6 +72,7 @@
         }
         let worker = &mut self.workers[key];
         worker.note_response(status.clock_ms, now);
+        self.is_start_unrecorded |= worker.responded_start() != responded_ms;
         self.apply_running(key, &status.running, now);
         let are_all_applied = self.apply_ends(key, &status.ended, now);
         // A truncated list says nothing about the runs that it lacks.
--- a/crates/kingcupwinch-cell/src/cell/records.rs
+++ b/crates/kingcupwinch-cell/src/cell/records.rs
@@ -7,9 +7,9 @@
 use super::Cell;
 use crate::id::JobId;
 use crate::job::{Job, JobState};
-use crate::record::{JobRecord, Placement};
+use crate::record::{JobRecord, Placement, WorkerRecord};
 use crate::run::Run;
-use crate::worker::WorkerKey;
+use crate::worker::{Worker, WorkerKey};
 
 /// A batch of records to append to the log.
 #[derive(Debug, Default, PartialEq)]
@@ -122,4 +122,20 @@
         self.appended_batch = self.appended_batch.max(batch);
         ended
     }
+
+    /// Returns the workers as they are recorded for a later owner.
+    pub fn worker_records(&self) -> Vec<WorkerRecord> {
+        let to_record = |worker: &Worker| WorkerRecord {
+            id: Arc::clone(&worker.registration.id),
+            address: worker.address_to_record(),
+            started_ms: worker.responded_start(),
+        };
+        self.workers.values().map(to_record).collect()
+    }
+
+    /// Returns whether a worker's process has responded for the first time since the last call, so
+    /// that the records of the workers are outdated.
+    pub fn take_worker_changes(&mut self) -> bool {
+        std::mem::take(&mut self.is_start_unrecorded)
+    }
 }
--- a/crates/kingcupwinch-cell/src/cell/restore.rs
+++ b/crates/kingcupwinch-cell/src/cell/restore.rs
@@ -1,11 +1,13 @@
 //! Restoring jobs from the records of an earlier owner.
 
+use std::sync::Arc;
+
 use kingcupwinch_time::{Span, Time};
 
 use super::{ACCEPTANCE_TIMEOUT, Cell, SubmitOutcome};
 use crate::id::JobId;
 use crate::job::{JobKey, JobState};
-use crate::record::{JobRecord, Placement};
+use crate::record::{JobRecord, Placement, WorkerRecord};
 use crate::run::{NewRun, RunState};
 use crate::spec::JobSpec;
 
@@ -61,7 +63,14 @@
     fn adopt_placement(&mut self, key: JobKey, placement: &Placement, now: Time) {
         let worker = match self.workers_by_id.get(&placement.worker) {
             Some(&worker) => worker,
-            None => self.register_lost_worker(&placement.worker, "".into(), now),
+            None => {
+                let record = WorkerRecord {
+                    id: Arc::clone(&placement.worker),
+                    address: "".into(),
+                    started_ms: None,
+                };
+                self.register_lost_worker(&record, now)
+            }
         };
         let name = self.jobs[key].task_name(placement.step as usize, placement.index.into());
         let new_run = NewRun {
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -30,7 +30,7 @@
 pub use id::{JobId, TaskName};
 pub use job::JobState;
 pub use mechanism::{Disabled, Mechanism};
-pub use record::{JobRecord, Placement, RecordError};
+pub use record::{JobRecord, Placement, RecordError, WorkerRecord};
 pub use run::{EndReason, RunEnd, StartOutcome};
 pub use run_time::RunTimeRecord;
 pub use spec::{AdviceCost, JobSpec, QueuePolicy, Resources, Schedule, StepSpec};
--- a/crates/kingcupwinch-cell/src/record.rs
+++ b/crates/kingcupwinch-cell/src/record.rs
@@ -38,6 +38,38 @@
     pub worker: Arc<str>,
 }
 
+/// A worker as recorded for a later owner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "WorkerRow", into = "WorkerRow")]
+pub struct WorkerRecord {
+    /// The id.
+    pub id: Arc<str>,
+    /// The address; empty if it is unknown.
+    pub address: Arc<str>,
+    /// The start of the process that responded last, in Unix milliseconds.
+    pub started_ms: Option<u64>,
+}
+
+/// The stored form of a [`WorkerRecord`]. Earlier owners stored no start.
+#[derive(Serialize, Deserialize)]
+struct WorkerRow(Arc<str>, Arc<str>, #[serde(default)] Option<u64>);
+
+impl From<WorkerRow> for WorkerRecord {
+    fn from(WorkerRow(id, address, started_ms): WorkerRow) -> Self {
+        WorkerRecord {
+            id,
+            address,
+            started_ms,
+        }
+    }
+}
+
+impl From<WorkerRecord> for WorkerRow {
+    fn from(record: WorkerRecord) -> Self {
+        WorkerRow(record.id, record.address, record.started_ms)
+    }
+}
+
 /// The progress of a job that must survive the loss of its owner.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct JobRecord {
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -189,6 +189,8 @@
     handover_until: Time,
     /// The address that the last owner recorded, until the worker responds.
     recorded_address: Option<Arc<str>>,
+    /// The start of the process that responded last to an earlier owner, until the worker responds.
+    recorded_start: Option<u64>,
     /// Whether the worker lists a run whose job, and thus its size, this owner doesn't know.
     pub(crate) has_unknown_runs: bool,
     pub(crate) pace: WorkerPace,
@@ -220,6 +222,7 @@
             inherited: false,
             handover_until: Time::ZERO,
             recorded_address: None,
+            recorded_start: None,
             has_unknown_runs: false,
             pace: WorkerPace::default(),
             failure_streak: 0,
@@ -237,9 +240,20 @@
         self
     }
 
-    /// Sets the address that the last owner recorded.
-    pub(crate) fn set_recorded_address(&mut self, address: Arc<str>) {
+    /// Sets the address and the start of the process that the last owner recorded.
+    pub(crate) fn set_recorded(&mut self, address: Arc<str>, started_ms: Option<u64>) {
         self.recorded_address = Some(address);
+        self.recorded_start = started_ms;
+    }
+
+    /// Returns the start of the process that responded last, to this owner or an earlier one, if it is
+    /// known.
+    pub(crate) fn responded_start(&self) -> Option<u64> {
+        if self.clock_sample.is_some() {
+            self.registration.started_ms
+        } else {
+            self.recorded_start
+        }
     }
 
     /// Returns the address to record for a later owner. It is empty if the address is unknown: the
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/log.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/log.rs
@@ -1,9 +1,8 @@
 //! The log that all owners share: accepted jobs, progress and the directory of workers.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 
-use kingcupwinch_cell::{JobId, JobRecord, JobSpec, RecordBatch, TaskName};
+use kingcupwinch_cell::{JobId, JobRecord, JobSpec, RecordBatch, TaskName, WorkerRecord};
 use kingcupwinch_time::Time;
 
 /// A record of the intake.
@@ -32,8 +31,8 @@
     pub(super) accepted_at: BTreeMap<JobId, Time>,
     pub(super) cancelled: BTreeSet<JobId>,
     pub(super) progress: BTreeMap<JobId, JobRecord>,
-    /// Ids and addresses of the workers that the last owner used.
-    pub(super) workers: Vec<(Arc<str>, Arc<str>)>,
+    /// The workers that the last owner used.
+    pub(super) workers: Vec<WorkerRecord>,
     pub(super) directory: Vec<DirectoryRecord>,
     /// The end of the current outage.
     pub(super) down_until: Time,
@@ -56,7 +55,7 @@
     }
 
     /// Appends a batch, whose owner has to hold the latest term.
-    pub(super) fn append(&mut self, batch: &RecordBatch, workers: Option<&[(Arc<str>, Arc<str>)]>) {
+    pub(super) fn append(&mut self, batch: &RecordBatch, workers: Option<&[WorkerRecord]>) {
         for (id, record) in &batch.progress {
             // Owners restore what survives encoding.
             let bytes = record.encode().unwrap();
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/owner.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/owner.rs
@@ -6,7 +6,7 @@
 use kingcupwinch_cell::{
     Action, AdviceCallId, Cell, CellEvent, CellTimers, JobId, JobRecord, JobState, Placement,
     PollFailure, RecordBatch, Registration, StartOrder, StartOutcome, StopOrder, Ticket, WorkerKey,
-    WorkerStatus,
+    WorkerRecord, WorkerStatus,
 };
 use kingcupwinch_time::{Span, Time};
 
@@ -63,7 +63,7 @@
 #[derive(Debug)]
 pub(super) struct Append {
     pub(super) records: RecordBatch,
-    pub(super) workers: Option<Vec<(Arc<str>, Arc<str>)>>,
+    pub(super) workers: Option<Vec<WorkerRecord>>,
     sent: Time,
 }
 
@@ -208,8 +208,8 @@
             let entry = entry(&self.workers[worker], started_ms, is_draining);
             cell.register_worker(entry, true, now);
         }
-        for (id, address) in &self.log.workers {
-            cell.register_lost_worker(id, Arc::clone(address), now);
+        for record in &self.log.workers {
+            cell.register_lost_worker(record, now);
         }
         for (id, record) in &self.log.progress {
             if record.end.is_some_and(JobState::is_final) {
@@ -442,10 +442,9 @@
         let now = self.now;
         let owner = &mut self.owners[index];
         let records = owner.cell.take_records(now);
-        let workers = std::mem::take(&mut owner.is_worker_list_dirty).then(|| {
-            let row = |(_, id, address)| (id, address);
-            owner.cell.workers().into_iter().map(row).collect()
-        });
+        let is_dirty = std::mem::take(&mut owner.is_worker_list_dirty);
+        let has_changes = owner.cell.take_worker_changes();
+        let workers = (is_dirty || has_changes).then(|| owner.cell.worker_records());
         owner.is_last_batch = owner.is_retired;
         if records.is_empty() && workers.is_none() {
             owner.writer = Writer::Reporting;
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -24,4 +24,5 @@
 mod unsent_starts;
 mod waiting;
 mod worker_pace;
+mod worker_records;
 mod workers;
--- a/crates/kingcupwinch-cell/tests/cell/replaced.rs
+++ b/crates/kingcupwinch-cell/tests/cell/replaced.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use kingcupwinch_cell::{
-    CellEvent, EndReason, JobState, PollFailure, SettleCause, StartOutcome, WorkerKey,
+    CellEvent, EndReason, JobState, PollFailure, SettleCause, StartOutcome, WorkerKey, WorkerRecord,
 };
 use kingcupwinch_time::{Span, Time};
 
@@ -245,10 +245,12 @@
 
 /// Delivers the address of a worker that the last owner recorded.
 fn record_address(harness: &mut Harness, number: usize, address: &str) {
-    let id = registration(number, 4).id;
-    harness
-        .cell
-        .register_lost_worker(&id, address.into(), harness.now);
+    let record = WorkerRecord {
+        id: registration(number, 4).id,
+        address: address.into(),
+        started_ms: None,
+    };
+    harness.cell.register_lost_worker(&record, harness.now);
 }
 
 /// The earlier owner may have known the worker at another address, where it is cut off.
@@ -334,8 +336,9 @@
     record_address(&mut harness, number, "127.0.0.1:1");
     let listed = registration(number, 4);
     let recorded = |harness: &Harness| {
-        let rows = harness.cell.worker_addresses();
-        rows.into_iter().find(|(id, _)| *id == listed.id).unwrap().1
+        let rows = harness.cell.worker_records();
+        let row = rows.into_iter().find(|row| row.id == listed.id);
+        row.unwrap().address
     };
     assert_eq!(&*recorded(&harness), "");
     harness.poll(worker);
@@ -349,8 +352,8 @@
     let (mut harness, worker, number) = harness_with_run();
     let recorded = |harness: &Harness| {
         let id = registration(number, 4).id;
-        let rows = harness.cell.worker_addresses();
-        rows.into_iter().find(|(known, _)| *known == id).unwrap().1
+        let rows = harness.cell.worker_records();
+        rows.into_iter().find(|row| row.id == id).unwrap().address
     };
     assert_eq!(recorded(&harness), registration(number, 4).address);
     harness.cell.poll_failed(worker, PollFailure::Unresponsive);
--- /dev/null
+++ b/crates/kingcupwinch-cell/tests/cell/worker_records.rs
@@ -0,0 +1,59 @@
+//! The records of workers for a later owner.
+
+use kingcupwinch_cell::{Registration, WorkerRecord};
+
+use crate::harness::{Harness, registration};
+
+fn record(started_ms: Option<u64>) -> WorkerRecord {
+    let Registration { id, address, .. } = registration(0, 4);
+    WorkerRecord {
+        id,
+        address,
+        started_ms,
+    }
+}
+
+#[rstest::rstest]
+#[case::started(Some(7))]
+#[case::without_start(None)]
+fn a_record_survives_encoding(#[case] started_ms: Option<u64>) {
+    let record = record(started_ms);
+    let text = serde_json::to_string(&record).unwrap();
+    assert_eq!(serde_json::from_str::<WorkerRecord>(&text).unwrap(), record);
+}
+
+/// Earlier owners recorded the id and the address.
+#[test]
+fn a_row_of_an_earlier_owner_has_no_start() {
+    let row = r#"["i-0","127.0.0.1:1000"]"#;
+    let decoded: WorkerRecord = serde_json::from_str(row).unwrap();
+    assert_eq!(decoded, record(None));
+}
+
+/// Guards against a restart between owners that no owner notices: the record says which process
+/// responded, not which one the directory lists.
+#[test]
+fn the_start_of_the_process_that_responded_is_recorded() {
+    let mut harness = Harness::new(1, 4);
+    assert!(harness.cell.take_worker_changes());
+    assert_eq!(harness.cell.worker_records(), vec![record(Some(1))]);
+    assert!(!harness.cell.take_worker_changes());
+    let key = harness.keys()[0];
+    harness.poll_started(key, 2);
+    assert!(harness.cell.take_worker_changes());
+    assert_eq!(harness.cell.worker_records()[0].started_ms, Some(2));
+}
+
+/// The worker is silent for as long as the owner in between lasts.
+#[test]
+fn the_start_of_a_silent_worker_is_recorded_again() {
+    let mut harness = Harness::of_generation(2);
+    let listed = Registration {
+        started_ms: Some(2),
+        ..registration(0, 4)
+    };
+    harness.cell.register_worker(listed, true, harness.now);
+    let record = record(Some(1));
+    harness.cell.register_lost_worker(&record, harness.now);
+    assert_eq!(harness.cell.worker_records(), vec![record]);
+}
--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -8,7 +8,9 @@
 use kingcupwinch_adapter::{
     DIRECTORY, Fence, Page, Partition, Store, StoreError, WriteError, decode_registration,
 };
-use kingcupwinch_cell::{Cell, CellTimers, Claim, JobId, JobRecord, JobSpec, JobState};
+use kingcupwinch_cell::{
+    Cell, CellTimers, Claim, JobId, JobRecord, JobSpec, JobState, WorkerRecord,
+};
 use kingcupwinch_time::{Span, Time};
 use quick_error::quick_error;
 use rustc_hash::FxHashMap;
@@ -178,9 +180,9 @@
     }
     // If this can't be read, runs on workers that left the directory still count until their leases
     // expire.
-    let used: Option<Vec<(Arc<str>, Arc<str>)>> = decode_value(shared, progress, WORKERS_KEY);
-    for (id, address) in used.unwrap_or_default() {
-        cell.register_lost_worker(&id, address, now);
+    let used: Option<Vec<WorkerRecord>> = decode_value(shared, progress, WORKERS_KEY);
+    for record in used.unwrap_or_default() {
+        cell.register_lost_worker(&record, now);
     }
     if let Some(learned) = decode_value(shared, progress, RUN_TIMES_KEY) {
         cell.restore_run_times(&learned, now);
--- a/crates/kingcupwinch-node/src/owner/writer.rs
+++ b/crates/kingcupwinch-node/src/owner/writer.rs
@@ -6,7 +6,7 @@
 use kameo::actor::{ActorRef, WeakActorRef};
 use kameo::message::{Context, Message};
 use kingcupwinch_adapter::{Fence, KeyedRecord, Partition, WriteError};
-use kingcupwinch_cell::{JobId, RecordBatch, RunTimeRecord};
+use kingcupwinch_cell::{JobId, RecordBatch, RunTimeRecord, WorkerRecord};
 use kingcupwinch_time::Time;
 use serde::Serialize;
 use slog::o;
@@ -50,8 +50,8 @@
 #[derive(kameo::Reply)]
 struct WriteBatch {
     records: RecordBatch,
-    /// Ids and addresses of the known workers, if the list changed.
-    workers: Option<Vec<(Arc<str>, Arc<str>)>>,
+    /// The known workers, if the list changed.
+    workers: Option<Vec<WorkerRecord>>,
     /// What was learned about run times, if it changed.
     run_times: Option<RunTimeRecord>,
     /// The longest lease that may be held, once.
@@ -74,7 +74,8 @@
     async fn handle(&mut self, take: TakeBatch, _: &mut Context<Self, WriteBatch>) -> WriteBatch {
         let now = self.shared.now();
         let is_dirty = std::mem::take(&mut self.is_worker_list_dirty);
-        let workers = is_dirty.then(|| self.cell.worker_addresses());
+        let has_changes = self.cell.take_worker_changes();
+        let workers = (is_dirty || has_changes).then(|| self.cell.worker_records());
         let cleanup = if take.with_cleanup {
             std::mem::take(&mut self.cleanup)
         } else {
