Give up tasks that crash the workers that start them

A task that crashes each worker that starts it was started again without a bound: 28 to 30 times in a minute with workers that are back after 2 s, 10 times with workers that never are, 54 to 57 times with speculative runs, and its job was shown as running or queued. Harmless tasks beside it lost their workers each time.

A run that ended with its worker counted nothing (`LeaseExpired`), one whose start was not confirmed passed by `end_run`, and a later owner settled those of an earlier one without a trace.

When a process was restarted or replaced, or all its leases expired, each run that began less than 10 s before its last response is now a suspect. Its task keeps the crash by the number of the run, also in the job's record, so that a later owner goes on counting; a start that differs from the recorded one shows a crash between owners. A planned exit, a drain and a stop count nothing. The job fails after three crashes if two point to the task alone, and after five in any case, a second later, since crashes of one outage are not detected at once. A run that lasts for 10 s clears its task, and one that its worker lists as ended withdraws its crash. Suspects prefer workers without others, later insist for 2 s (10 s after three crashes), and get no speculative runs. Crashes of at least three workers and of more than a tenth of a service at once point to no task.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -1,6 +1,7 @@
 //! The state of a cell and the events that change it.
 
 mod advice_calls;
+mod crashes;
 mod long_running;
 mod polls;
 mod quarantine;
@@ -31,6 +32,7 @@
 use crate::spec::JobSpec;
 use crate::worker::{PollFailure, Registration, Worker, WorkerKey};
 
+use crashes::CrashLog;
 use records::PendingAck;
 
 pub(crate) use long_running::READY_PERCENT;
@@ -92,10 +94,14 @@
     pub failed: u64,
     /// Jobs completed.
     pub jobs_completed: u64,
-    /// Jobs that failed because a task ran out of attempts.
+    /// Jobs that failed.
     pub jobs_failed: u64,
     /// Calls to advisers.
     pub advice_calls: u64,
+    /// Crashes of workers that counted against tasks.
+    pub crashes: u64,
+    /// Tasks that were given up because of such crashes.
+    pub tasks_given_up: u64,
 }
 
 /// What the log says about a run that ended.
@@ -145,6 +151,7 @@
     /// Conclusions that were not taken for the log yet.
     events: Vec<CellEvent>,
     pub(crate) wait_budget: WaitBudget,
+    crash_log: CrashLog,
     /// Whether the start of a worker's process is to be recorded for a later owner.
     is_start_unrecorded: bool,
     /// Jobs that have speculative steps, long-running steps, or a schedule.
@@ -201,6 +208,7 @@
             actions: Vec::new(),
             events: Vec::new(),
             wait_budget: WaitBudget::default(),
+            crash_log: CrashLog::default(),
             is_start_unrecorded: false,
             speculative_jobs: FxHashSet::default(),
             long_running_jobs: FxHashSet::default(),
--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -8,7 +8,7 @@
 use super::records::PendingAck;
 use super::runs::StopOrder;
 use super::{Action, Cell};
-use crate::event::{CellEvent, SettleCause};
+use crate::event::{CellEvent, CrashCause, SettleCause};
 use crate::id::{JobId, TaskName};
 use crate::run::{EndReason, NewRun, RunEnd, RunKey, RunState};
 use crate::run_time::WorkerPace;
@@ -70,6 +70,13 @@
         if is_restarted {
             self.reset_worker(key, known_ms);
         }
+        let is_crash = responded_ms
+            .zip(status.started_ms)
+            .is_some_and(|(known, other)| known != other);
+        if is_crash {
+            let runs: SmallVec<[RunKey; 8]> = self.workers[key].runs.iter().copied().collect();
+            self.note_crash(key, &runs, CrashCause::Restarted, now);
+        }
         let worker = &mut self.workers[key];
         worker.note_response(status.clock_ms, now);
         self.is_start_unrecorded |= worker.responded_start() != responded_ms;
@@ -205,6 +212,7 @@
     }
 
     fn apply_end(&mut self, key: WorkerKey, end: &RunEnd, now: Time) {
+        self.withdraw_crash(end.task, end.run);
         if let Some(&run) = self.runs_by_name.get(&(end.task, end.run))
             && self.runs[run].worker == key
         {
@@ -303,6 +311,13 @@
             failed_polls: worker.failed_polls,
             successor: self.successor(key),
         });
+        match cause {
+            SettleCause::LeaseExpired => {
+                self.note_crash(key, runs, CrashCause::LeaseExpired, now);
+            }
+            SettleCause::Replaced => self.note_crash(key, runs, CrashCause::Replaced, now),
+            SettleCause::Exited => {}
+        }
         for run in runs {
             self.end_run(*run, EndReason::LeaseExpired, None, now);
         }
@@ -348,6 +363,12 @@
             } else if let Some(sent) = self.workers[key].replaced_at() {
                 let runs = self.replaced_runs(key, sent);
                 self.settle_runs(key, &runs, SettleCause::Replaced, now);
+                // An idle worker counts as well where many crash at once.
+                if self.workers[key].runs.is_empty()
+                    && self.workers[key].response_age(now).is_some()
+                {
+                    self.note_crash(key, &[], CrashCause::Replaced, now);
+                }
             }
             let worker = &self.workers[key];
             let has_left = worker
--- a/crates/kingcupwinch-cell/src/cell/restore.rs
+++ b/crates/kingcupwinch-cell/src/cell/restore.rs
@@ -53,6 +53,7 @@
         for placement in &record.placements {
             self.adopt_placement(key, placement, now);
         }
+        self.restore_suspects(key);
         if self.jobs[key].is_done() {
             self.end_job(key, JobState::Completed);
         }
--- a/crates/kingcupwinch-cell/src/cell/speculation.rs
+++ b/crates/kingcupwinch-cell/src/cell/speculation.rs
@@ -46,6 +46,7 @@
             for (index, task) in step.tasks.iter().enumerate() {
                 if let TaskState::Active(run) = task.state
                     && task.unsettled_runs == 1
+                    && task.crashes.is_empty()
                     && self.is_slow(key, run, now)
                 {
                     slow.push((slot, index, run));
--- a/crates/kingcupwinch-cell/src/event.rs
+++ b/crates/kingcupwinch-cell/src/event.rs
@@ -4,6 +4,8 @@
 
 use kingcupwinch_time::Span;
 
+use crate::crash::Crash;
+use crate::id::TaskName;
 use crate::run::RunEnd;
 
 /// The evidence that nothing runs on a worker that does not respond.
@@ -28,6 +30,28 @@
     }
 }
 
+/// The evidence that a worker has crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CrashCause {
+    /// A later process of the worker responds.
+    Restarted,
+    /// Another worker has taken the address of the process.
+    Replaced,
+    /// All leases have expired while the worker was silent.
+    LeaseExpired,
+}
+
+impl CrashCause {
+    /// Returns the label for log events and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            CrashCause::Restarted => "restarted",
+            CrashCause::Replaced => "replaced",
+            CrashCause::LeaseExpired => "lease expired",
+        }
+    }
+}
+
 /// A step whose tasks wait although they could start, and the usable workers of its service by what
 /// keeps the tasks off them.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -104,6 +128,28 @@
         /// Whether the end was counted for its task.
         is_counted: bool,
     },
+    /// A worker crashed under tasks that had just started, which counts against them.
+    WorkerCrashed {
+        /// The id of the worker.
+        worker: Arc<str>,
+        /// The evidence.
+        cause: CrashCause,
+        /// The number of tasks that it counts against.
+        suspects: usize,
+        /// The first of these tasks.
+        tasks: Vec<TaskName>,
+        /// Whether the crash points to a single task.
+        is_clear: bool,
+        /// The number of workers that crashed at once, if these are too many to point to a task.
+        outage: usize,
+    },
+    /// A task is given up, and its job fails, because of the crashes under it.
+    TaskGivenUp {
+        /// The task. A gang is named by its first task.
+        task: TaskName,
+        /// The crashes.
+        crashes: Vec<Crash>,
+    },
     /// Tasks of a step have waited for long although they could start.
     StepWaits(StepWait),
 }
--- a/crates/kingcupwinch-cell/src/job.rs
+++ b/crates/kingcupwinch-cell/src/job.rs
@@ -5,6 +5,7 @@
 use smallvec::SmallVec;
 
 use crate::advice::TicketCache;
+use crate::crash::TaskCrashes;
 use crate::id::{JobId, TaskName};
 use crate::placement::WaitState;
 use crate::record::JobRecord;
@@ -30,7 +31,7 @@
     Running,
     /// Every task is done.
     Completed,
-    /// A task ran out of attempts.
+    /// A task ran out of attempts, or crashed too many workers.
     Failed,
     /// The job was cancelled.
     Cancelled,
@@ -69,6 +70,8 @@
     pub(crate) unsettled_runs: u32,
     /// The numbers of the runs that failed. For a gang, the first task holds those of all members.
     pub(crate) failed_runs: SmallVec<[u32; 4]>,
+    /// The crashes of workers that count against the task.
+    pub(crate) crashes: TaskCrashes,
     pub(crate) checkpoint: Option<Arc<str>>,
     /// The number of the run that saved the checkpoint, or the highest number so far if an earlier
     /// owner recorded it.
@@ -130,6 +133,7 @@
             state: TaskState::Waiting,
             unsettled_runs: 0,
             failed_runs: SmallVec::new(),
+            crashes: TaskCrashes::default(),
             checkpoint: None,
             checkpoint_run: 0,
             avoid_worker: None,
@@ -361,6 +365,11 @@
                 task.failed_runs.clone_from(runs);
             }
         }
+        for (step, index, crashes) in &record.crashes {
+            if let Some(task) = self.task_mut(*step as usize, (*index).into()) {
+                task.crashes = TaskCrashes::of_record(crashes.clone(), now);
+            }
+        }
         for (step, index) in record.interrupted_slots() {
             if let Some(task) = self.task_mut(step, index) {
                 task.interrupted_at = Some(now);
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod advice;
 mod cell;
+mod crash;
 mod election;
 mod estimate;
 mod event;
@@ -25,8 +26,9 @@
     Action, AdviceCallId, Cell, CellTimers, Counters, RecordBatch, RunSummary, StartOrder,
     StopOrder, SubmitOutcome,
 };
+pub use crash::{Crash, Evidence};
 pub use election::{Claim, ElectionStep, ElectionTimers, GroupRecord, Member, OwnerElection};
-pub use event::{CellEvent, SettleCause, StepWait};
+pub use event::{CellEvent, CrashCause, SettleCause, StepWait};
 pub use id::{JobId, TaskName};
 pub use job::JobState;
 pub use mechanism::{Disabled, Mechanism};
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -7,6 +7,7 @@
 mod advice;
 mod moves;
 mod pool;
+mod suspects;
 mod waits;
 
 use std::cmp::Ordering;
@@ -16,6 +17,7 @@
 use smallvec::SmallVec;
 
 use crate::cell::{Action, Cell};
+use crate::crash::Suspicion;
 use crate::fit::StepDemand;
 use crate::job::{Job, JobKey, Task};
 use crate::mechanism::Mechanism;
@@ -217,11 +219,13 @@
         self.expire_workers(now);
         self.expire_tentative(now);
         self.expire_advice_calls(now);
+        self.judge_suspects(now);
         self.stop_partial_gangs();
         self.settle_withdrawn_runs(now);
         self.open_occurrences(now);
         self.set_mean_pace(now);
         let mut pools = self.usable_workers(now);
+        self.mark_suspect_workers(&mut pools);
         self.reserve_kept_places(&mut pools, now);
         let steps = self.ready_steps(&pools, now);
         let is_other = |step: &ReadyStep| !step.is_long_running;
@@ -334,6 +338,7 @@
                 has_best_effort: worker.best_effort_runs > 0,
                 has_latency_sensitive: worker.latency_sensitive_runs > 0,
                 is_quarantined,
+                suspicion: Suspicion::None,
                 pace,
                 pace_band: pace_band(pace),
             });
@@ -469,6 +474,9 @@
         pool.reserve(candidate, spec.charged_resources(), 1);
         pool.candidates[candidate].has_best_effort |= spec.best_effort;
         pool.candidates[candidate].has_latency_sensitive |= is_latency_sensitive;
+        let suspicion = self.suspicion(key, place);
+        let known = &mut pool.candidates[candidate].suspicion;
+        *known = suspicion.max(*known);
         if is_latency_sensitive && self.uses(Mechanism::Isolation) {
             self.stop_best_effort(worker);
         }
@@ -479,7 +487,8 @@
         self.workers[worker].registration.labels.get(RACK_LABEL)
     }
 
-    /// Compares two workers for a step. Workers on the rack of its data come first. Among these,
+    /// Compares two workers for a step. Workers that are likely to crash come last. Otherwise,
+    /// workers on the rack of the step's data come first. Among these,
     /// fast workers come first if slack is short. Otherwise workers come first whose capacity no other
     /// step is about to use, and slow ones of these. Then come the workers with the least CPU left.
     fn compare_candidates(
@@ -489,6 +498,8 @@
         ready: &ReadyStep,
         spec: &StepSpec,
     ) -> Ordering {
+        let is_risky = |candidate: &Candidate| candidate.suspicion >= Suspicion::Repeated;
+        let risk_order = is_risky(a).cmp(&is_risky(b));
         let rack_order = match &spec.data_rack {
             None => Ordering::Equal,
             Some(rack) => {
@@ -504,7 +515,8 @@
             Ordering::Equal
         };
         let pace_order = a.pace_band.cmp(&b.pace_band);
-        rack_order
+        risk_order
+            .then(rack_order)
             .then(isolation_order)
             .then_with(|| {
                 let charge = spec.charged_resources();
@@ -589,8 +601,16 @@
                 let candidate = &pool.candidates[**candidate];
                 self.room_on(demand, candidate).is_ok()
             };
-            let mut choices = eligible.iter().filter(fits);
+            let is_suspect = self.suspicion(ready.job, (ready.step, index)) > Suspicion::None;
+            let separate = is_suspect.then(|| {
+                let place = (ready.step, index);
+                self.separate_candidates(ready.job, place, eligible, pool, now)
+            });
+            let mut choices = separate.as_deref().unwrap_or(eligible).iter().filter(fits);
             let Some(mut candidate) = choices.next() else {
+                if is_suspect {
+                    continue;
+                }
                 break;
             };
             if avoid == Some(pool.candidates[*candidate].key) {
@@ -627,6 +647,9 @@
     ) -> bool {
         let job = &self.jobs[ready.job];
         let tasks = job.steps[ready.step].tasks.len();
+        let separate = (self.suspicion(ready.job, (ready.step, 0)) > Suspicion::None)
+            .then(|| self.separate_candidates(ready.job, (ready.step, 0), eligible, pool, now));
+        let eligible = separate.as_deref().unwrap_or(eligible);
         let Some(chosen) = self.choose_gang(demand, eligible, pool, tasks) else {
             let is_reserving = self.uses(Mechanism::GangReservation)
                 && !Cell::is_out_of_patience(ready, pool, now)
--- a/crates/kingcupwinch-cell/src/placement/pool.rs
+++ b/crates/kingcupwinch-cell/src/placement/pool.rs
@@ -6,6 +6,7 @@
 use slotmap::SecondaryMap;
 
 use crate::cell::NamedWorker;
+use crate::crash::Suspicion;
 use crate::spec::Resources;
 use crate::worker::WorkerKey;
 
@@ -24,6 +25,8 @@
     pub(crate) has_best_effort: bool,
     pub(crate) has_latency_sensitive: bool,
     pub(crate) is_quarantined: bool,
+    /// How likely a task on the worker is to crash it.
+    pub(super) suspicion: Suspicion,
     /// Observed over expected run time; lower is faster.
     pub(crate) pace: f64,
     pub(super) pace_band: i64,
--- a/crates/kingcupwinch-cell/src/record.rs
+++ b/crates/kingcupwinch-cell/src/record.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
+use crate::crash::Crash;
 use crate::job::{Job, JobState, Step, TaskState};
 
 quick_error! {
@@ -92,6 +93,10 @@
     /// lists again to a later owner from counting twice.
     #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
     pub failed_runs: Vec<(u32, u16, SmallVec<[u32; 4]>)>,
+    /// The crashes of workers: slot, task index and crashes. The run numbers keep a crash that a later
+    /// owner sees again from counting twice.
+    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<(u32, u16, SmallVec<[Crash; 2]>)>,
     /// The checkpoints: slot, task index and value.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub checkpoints: Vec<(u32, u16, Arc<str>)>,
@@ -163,7 +168,8 @@
             .filter_map(|(_, after)| after.checked_sub(1));
         let done = self.done_tasks.iter().map(|(step, _)| *step);
         let placed = self.placements.iter().map(|placement| placement.step);
-        let last = done_steps.chain(done).chain(placed).max()?;
+        let crashed = self.crashes.iter().map(|(step, ..)| *step);
+        let last = done_steps.chain(done).chain(placed).chain(crashed).max()?;
         Some(last as usize)
     }
 
@@ -209,6 +215,10 @@
                 self.failed_runs
                     .push((slot, index, task.failed_runs.clone()));
             }
+            if !task.crashes.is_empty() {
+                let crashes = task.crashes.as_slice().iter().cloned().collect();
+                self.crashes.push((slot, index, crashes));
+            }
             if let Some(checkpoint) = &task.checkpoint {
                 self.checkpoints.push((slot, index, Arc::clone(checkpoint)));
             }
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -256,6 +256,12 @@
         }
     }
 
+    /// Returns whether the directory says that the worker is about to leave. Of a worker that only an
+    /// earlier owner knew, it says nothing.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.registration.draining && !self.registration.service.is_empty()
+    }
+
     /// Returns the address to record for a later owner. It is empty if the address is unknown: the
     /// directory names another one than the last owner recorded and the worker has not responded, or
     /// the entry is not that of the process that responded.
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -5,6 +5,7 @@
 mod advice;
 mod capacity;
 mod contention;
+mod crashes;
 mod election;
 mod gangs;
 mod harness;
--- a/crates/kingcupwinch-cell/tests/cell/replaced.rs
+++ b/crates/kingcupwinch-cell/tests/cell/replaced.rs
@@ -72,6 +72,7 @@
         CellEvent::RunsSettled {
             cause, successor, ..
         },
+        CellEvent::WorkerCrashed { .. },
     ] = &events[..]
     else {
         panic!("{events:?}");
--- a/crates/kingcupwinch-node/src/events.rs
+++ b/crates/kingcupwinch-node/src/events.rs
@@ -111,6 +111,10 @@
     RunsSettled = "1708", "runs settled without a list of their worker";
     /// Tasks of a step have waited for over a second although they could start.
     StepWaits = "1709", "step waits";
+    /// A worker crashed under tasks that had just started, which counts against them.
+    CrashCounted = "1710", "worker crashed under tasks that had just started";
+    /// A task is given up because of the crashes under it.
+    TaskGivenUp = "1711", "task given up, since workers crashed under it";
     /// A worker registered in the directory.
     WorkerListed = "1801", "worker listed";
     /// A worker left the directory.
--- a/crates/kingcupwinch-node/src/metrics.rs
+++ b/crates/kingcupwinch-node/src/metrics.rs
@@ -24,7 +24,7 @@
     pub status: Arc<str>,
 }
 
-/// Label of how a job, a run or the search for a route ended.
+/// Label of how a job, a run, a worker or the search for a route ended.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct EndLabel {
     /// How it ended.
@@ -49,6 +49,8 @@
     pub runs: Family<EndLabel, Counter>,
     /// Ended jobs, by how they ended.
     pub jobs: Family<EndLabel, Counter>,
+    /// Crashes of workers that counted against tasks, by their evidence.
+    pub crashes: Family<EndLabel, Counter>,
     /// Jobs that have not ended; set at the owner.
     pub live_jobs: Gauge,
     /// CPU in use, in thousandths of a core; set at the owner.
@@ -76,6 +78,7 @@
             orders: Family::default(),
             runs: Family::default(),
             jobs: Family::default(),
+            crashes: Family::default(),
             live_jobs: Gauge::default(),
             used_millicores: Gauge::default(),
             owned_term: Gauge::default(),
@@ -103,6 +106,11 @@
         );
         registry.register("runs", "Ended runs", m.runs.clone());
         registry.register("jobs", "Ended jobs", m.jobs.clone());
+        registry.register(
+            "crashes",
+            "Crashes of workers that counted against tasks",
+            m.crashes.clone(),
+        );
         registry.register("live_jobs", "Jobs that have not ended", m.live_jobs.clone());
         registry.register(
             "used_millicores",
@@ -141,7 +149,7 @@
         family.get_or_create(&CallLabel { call, status }).inc();
     }
 
-    /// Counts the end of a job, a run or the search for a route.
+    /// Counts the end of a job, a run, a worker or the search for a route.
     pub fn count_end(family: &Family<EndLabel, Counter>, how: &'static str) {
         family.get_or_create(&EndLabel { how }).inc();
     }
--- /dev/null
+++ b/crates/kingcupwinch-node/src/owner/cell_events.rs
@@ -0,0 +1,99 @@
+//! Log events and counts of what the cell concludes.
+
+use kingcupwinch_cell::{CellEvent, Evidence};
+use kingcupwinch_time::Span;
+use slog::o;
+
+use super::Owner;
+use crate::events::Event;
+use crate::metrics::Metrics;
+
+impl Owner {
+    /// Logs what the cell has concluded.
+    pub(super) fn log_cell_events(&mut self) {
+        for event in self.cell.take_events() {
+            self.log_cell_event(event);
+        }
+    }
+
+    fn log_cell_event(&self, event: CellEvent) {
+        let log = &self.shared.log;
+        match event {
+            CellEvent::WorkerRestarted {
+                worker,
+                known_ms,
+                reported_ms,
+                runs,
+            } => log.write(
+                Event::WorkerRestarted,
+                o!("worker" => worker.to_string(), "known_ms" => known_ms,
+                    "reported_ms" => reported_ms, "runs" => runs),
+            ),
+            CellEvent::RunsSettled {
+                worker,
+                cause,
+                runs,
+                response_age,
+                unlisted_age,
+                failed_polls,
+                successor,
+            } => log.write(
+                Event::RunsSettled,
+                o!("worker" => worker.to_string(), "cause" => cause.as_str(), "runs" => runs,
+                    "response_ms_ago" => response_age.map(Span::as_millis),
+                    "unlisted_ms_ago" => unlisted_age.map(Span::as_millis),
+                    "failed_polls" => failed_polls,
+                    "successor" => successor.map(|id| id.to_string())),
+            ),
+            CellEvent::LateEnd {
+                worker,
+                end,
+                is_counted,
+            } => log.write(
+                Event::LateEnd,
+                o!("task" => end.task.to_string(), "run" => end.run, "how" => end.reason.as_str(),
+                    "sequence" => end.sequence, "worker" => worker.to_string(),
+                    "counted" => is_counted),
+            ),
+            CellEvent::WorkerCrashed {
+                worker,
+                cause,
+                suspects,
+                tasks,
+                is_clear,
+                outage,
+            } => {
+                Metrics::count_end(&self.shared.metrics.crashes, cause.as_str());
+                let tasks: Vec<String> = tasks.iter().map(ToString::to_string).collect();
+                log.write(
+                    Event::CrashCounted,
+                    o!("worker" => worker.to_string(), "cause" => cause.as_str(),
+                        "suspects" => suspects, "tasks" => tasks.join(" "), "clear" => is_clear,
+                        "outage" => outage),
+                );
+            }
+            CellEvent::TaskGivenUp { task, crashes } => {
+                let clear = crashes
+                    .iter()
+                    .filter(|crash| crash.evidence == Evidence::Clear);
+                let clear = clear.count();
+                let workers: Vec<&str> = crashes.iter().map(|crash| &*crash.worker).collect();
+                log.write(
+                    Event::TaskGivenUp,
+                    o!("task" => task.to_string(), "crashes" => crashes.len(), "clear" => clear,
+                        "workers" => workers.join(" ")),
+                );
+            }
+            CellEvent::StepWaits(wait) => log.write(
+                Event::StepWaits,
+                o!("step" => wait.step, "queue" => wait.queue.to_string(), "tasks" => wait.tasks,
+                    "age_ms" => wait.age.as_millis(), "call_pending" => wait.is_call_pending,
+                    "tickets" => wait.tickets, "startable" => wait.startable,
+                    "no_ticket" => wait.no_ticket, "denied" => wait.denied,
+                    "at_limit" => wait.at_limit, "full" => wait.full, "slow" => wait.slow,
+                    "isolated" => wait.isolated, "unlabelled" => wait.unlabelled,
+                    "unusable" => wait.unusable),
+            ),
+        }
+    }
+}
