--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -5,6 +5,7 @@
 mod advice;
 mod capacity;
 mod contention;
+mod crashes;
 mod election;
 mod gangs;
 mod harness;
@@ -25,4 +26,5 @@
 mod unsent_starts;
 mod waiting;
 mod worker_pace;
+mod worker_records;
 mod workers;
