Keep tasks with three crashes apart for five seconds at most

A long-running task that is given a worker of its own after three crashes waited for up to 10 s for one without other suspects. Five seconds leave time for the detection of the crash and for a call to the adviser. All 424 tests of the cell pass.

--- a/crates/kingcupwinch-cell/src/crash.rs
+++ b/crates/kingcupwinch-cell/src/crash.rs
@@ -17,7 +17,7 @@
 const SEPARATION_WAIT: Span = Span::from_millis(2_000);
 /// How long a task waits that could be given up for doubtful crashes. Other suspects have been
 /// cleared or given up by then.
-const LONG_SEPARATION_WAIT: Span = Span::from_millis(10_000);
+const LONG_SEPARATION_WAIT: Span = Span::from_millis(5_000);
 /// How long the verdict on a task is put off, since the crashes of many workers at once are not
 /// detected at the same time.
 const VERDICT_DELAY: Span = Span::from_millis(1_000);
