--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/log.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/log.rs
@@ -1,9 +1,8 @@
 //! The log that all owners share: accepted jobs, progress and the directory of workers.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 
-use kingcupwinch_cell::{JobId, JobRecord, JobSpec, RecordBatch, TaskName};
+use kingcupwinch_cell::{JobId, JobRecord, JobSpec, RecordBatch, TaskName, WorkerRecord};
 use kingcupwinch_time::Time;
 
 /// A record of the intake.
@@ -19,6 +18,7 @@
 pub(super) struct DirectoryRecord {
     pub(super) worker: usize,
     pub(super) is_draining: bool,
+    pub(super) capacity_cpu: u64,
     pub(super) started_ms: Option<u64>,
 }
 
@@ -32,8 +32,8 @@
     pub(super) accepted_at: BTreeMap<JobId, Time>,
     pub(super) cancelled: BTreeSet<JobId>,
     pub(super) progress: BTreeMap<JobId, JobRecord>,
-    /// Ids and addresses of the workers that the last owner used.
-    pub(super) workers: Vec<(Arc<str>, Arc<str>)>,
+    /// The workers that the last owner used.
+    pub(super) workers: Vec<WorkerRecord>,
     pub(super) directory: Vec<DirectoryRecord>,
     /// The end of the current outage.
     pub(super) down_until: Time,
@@ -56,7 +56,7 @@
     }
 
     /// Appends a batch, whose owner has to hold the latest term.
-    pub(super) fn append(&mut self, batch: &RecordBatch, workers: Option<&[(Arc<str>, Arc<str>)]>) {
+    pub(super) fn append(&mut self, batch: &RecordBatch, workers: Option<&[WorkerRecord]>) {
         for (id, record) in &batch.progress {
             // Owners restore what survives encoding.
             let bytes = record.encode().unwrap();
@@ -83,12 +83,12 @@
         })
     }
 
-    /// Returns the workers in the directory with their start times, and whether they drain.
-    pub(super) fn listed_workers(&self) -> BTreeMap<usize, (u64, bool)> {
+    /// Returns the last record of each worker in the directory.
+    pub(super) fn listed_workers(&self) -> BTreeMap<usize, DirectoryRecord> {
         let mut listed = BTreeMap::new();
         for record in &self.directory {
             match record.started_ms {
-                Some(started_ms) => listed.insert(record.worker, (started_ms, record.is_draining)),
+                Some(_) => listed.insert(record.worker, *record),
                 None => listed.remove(&record.worker),
             };
         }
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/owner.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/owner.rs
@@ -6,7 +6,7 @@
 use kingcupwinch_cell::{
     Action, AdviceCallId, Cell, CellEvent, CellTimers, JobId, JobRecord, JobState, Placement,
     PollFailure, RecordBatch, Registration, StartOrder, StartOutcome, StopOrder, Ticket, WorkerKey,
-    WorkerStatus,
+    WorkerRecord, WorkerStatus,
 };
 use kingcupwinch_time::{Span, Time};
 
@@ -63,7 +63,7 @@
 #[derive(Debug)]
 pub(super) struct Append {
     pub(super) records: RecordBatch,
-    pub(super) workers: Option<Vec<(Arc<str>, Arc<str>)>>,
+    pub(super) workers: Option<Vec<WorkerRecord>>,
     sent: Time,
 }
 
@@ -171,14 +171,14 @@
     }
 }
 
-/// Returns the directory entry of a worker.
-fn entry(worker: &Worker, started_ms: u64, is_draining: bool) -> Registration {
+/// Returns the directory entry of a worker as a record has it.
+fn entry(worker: &Worker, record: &DirectoryRecord) -> Registration {
     Registration {
         id: Arc::clone(&worker.id),
         labels: worker.labels.clone(),
-        draining: is_draining,
-        started_ms: Some(started_ms),
-        ..registration(worker.machine, worker.capacity_cpu / 1_000)
+        draining: record.is_draining,
+        started_ms: record.started_ms,
+        ..registration(worker.machine, record.capacity_cpu / 1_000)
     }
 }
 
@@ -204,12 +204,12 @@
         let mut cell = Cell::new(timers, self.log.term as u32);
         self.note_takeover(now + overlap);
         cell.set_advice_callers(&self.advice_callers);
-        for (worker, (started_ms, is_draining)) in self.log.listed_workers() {
-            let entry = entry(&self.workers[worker], started_ms, is_draining);
+        for (worker, record) in self.log.listed_workers() {
+            let entry = entry(&self.workers[worker], &record);
             cell.register_worker(entry, true, now);
         }
-        for (id, address) in &self.log.workers {
-            cell.register_lost_worker(id, Arc::clone(address), now);
+        for record in &self.log.workers {
+            cell.register_lost_worker(record, now);
         }
         for (id, record) in &self.log.progress {
             if record.end.is_some_and(JobState::is_final) {
@@ -442,10 +442,9 @@
         let now = self.now;
         let owner = &mut self.owners[index];
         let records = owner.cell.take_records(now);
-        let workers = std::mem::take(&mut owner.is_worker_list_dirty).then(|| {
-            let row = |(_, id, address)| (id, address);
-            owner.cell.workers().into_iter().map(row).collect()
-        });
+        let is_dirty = std::mem::take(&mut owner.is_worker_list_dirty);
+        let has_changes = owner.cell.take_worker_changes();
+        let workers = (is_dirty || has_changes).then(|| owner.cell.worker_records());
         owner.is_last_batch = owner.is_retired;
         if records.is_empty() && workers.is_none() {
             owner.writer = Writer::Reporting;
@@ -614,15 +613,13 @@
         let records: Vec<DirectoryRecord> = self.log.directory[first..end].to_vec();
         for record in records {
             let DirectoryRecord {
-                worker,
-                is_draining,
-                started_ms,
+                worker, started_ms, ..
             } = record;
             let target = &self.workers[worker];
             let owner = &mut self.owners[index];
             match started_ms {
-                Some(started_ms) => {
-                    let entry = entry(target, started_ms, is_draining);
+                Some(_) => {
+                    let entry = entry(target, &record);
                     owner.cell.register_worker(entry, false, now);
                     if let Some(time) = written_after {
                         owner.cell.note_heartbeat(&target.id, time);
--- a/crates/kingcupwinch-cell/tests/cell/overload.rs
+++ b/crates/kingcupwinch-cell/tests/cell/overload.rs
@@ -1,6 +1,8 @@
 //! More long-running tasks than fit: which of them the adviser is asked about first.
 
-use kingcupwinch_cell::{EndReason, JobSpec, StartOutcome, StepSpec};
+use kingcupwinch_cell::{
+    AdviceCost, CellEvent, EndReason, JobSpec, StartOutcome, StepSpec, StepWait,
+};
 use kingcupwinch_time::Span;
 
 use crate::harness::{FakeWorker, Harness, id, job, registration, step, task, with_advice};
@@ -165,3 +167,184 @@
     running.sort();
     assert_eq!(running, vec![task(1, 0, 0), task(1, 0, 1)]);
 }
+
+/// Returns the last report of a waiting step of a job.
+fn last_wait(harness: &mut Harness, number: u64) -> Option<StepWait> {
+    let step_name = task(number, 0, 0).step_name();
+    let events = harness.cell.take_events().into_iter();
+    let waits = events.filter_map(|event| match event {
+        CellEvent::StepWaits(wait) if wait.step == step_name => Some(wait),
+        _ => None,
+    });
+    waits.last()
+}
+
+/// A report counted the workers that others keep as full, like those that are full of runs.
+#[test]
+fn a_report_tells_kept_workers_from_full_ones() {
+    let mut harness = Harness::new(2, 4);
+    let mut slow_advice = long_running_job(4);
+    slow_advice.policy.advice.as_mut().unwrap().call_ms = 2_000.0;
+    harness.submit(1, slow_advice);
+    while harness.calls.is_empty() {
+        harness.decide();
+        harness.advance(100);
+        harness.poll_all();
+    }
+    harness.answer_calls(|_, _| true);
+    harness.run_round();
+    harness.set_ready();
+    harness.submit(2, job(vec![step(1, 1, 60_000)]));
+    harness.run_round();
+    harness.advance(RUN_MS);
+    fail(&mut harness, 1);
+    harness.submit(10, long_running_job(4));
+    for _ in 0..12 {
+        harness.decide();
+        harness.advance(100);
+        harness.poll_all();
+    }
+    let wait = last_wait(&mut harness, 10).unwrap();
+    assert_eq!((wait.full, wait.kept), (1, 1));
+}
+
+/// Fills workers with tasks of a job that need no advice, beside a long-running task on a worker that
+/// then drains, where the task fails.
+fn lose_a_worker_of_a_full_service(harness: &mut Harness, advice: AdviceCost) {
+    let mut spec = long_running_job(4);
+    spec.policy.advice = Some(advice);
+    harness.submit(1, spec);
+    while harness.running().is_empty() {
+        harness.decide();
+        harness.advance(100);
+        harness.answer_calls(|_, _| true);
+        harness.run_round();
+        harness.poll_all();
+    }
+    harness.set_ready();
+    let tasks = 4 * (harness.workers.len() as u16 - 1);
+    harness.submit(2, job(vec![step(tasks, 1, 60_000)]));
+    harness.run_round();
+    assert_eq!(harness.running().len(), usize::from(tasks) + 1);
+    harness.advance(RUN_MS);
+    harness.poll_all();
+    let running = harness.running().into_iter();
+    let (worker, _) = running
+        .filter(|(_, name)| *name == task(1, 0, 0))
+        .last()
+        .unwrap();
+    let number = harness
+        .keys()
+        .iter()
+        .position(|key| *key == worker)
+        .unwrap();
+    let mut entry = registration(number, 4);
+    entry.draining = true;
+    harness.cell.register_worker(entry, false, harness.now);
+    fail(harness, 1);
+}
+
+/// A step whose tasks had lost their workers asked the adviser only about workers that had capacity. On
+/// a full service, others had taken it when the response came, again and again.
+#[test]
+fn a_task_that_ran_starts_at_once_where_capacity_becomes_free() {
+    let mut harness = Harness::new(4, 4);
+    let advice = AdviceCost {
+        call_ms: CALL_MS as f64,
+        worker_ms: 1.0,
+        valid_ms: 2_500.0,
+    };
+    lose_a_worker_of_a_full_service(&mut harness, advice);
+    harness.decide();
+    harness.advance(CALL_MS);
+    let full = harness.running();
+    let (allowed, _) = full[0];
+    let number = harness.keys().iter().position(|key| *key == allowed);
+    let allowed_id = format!("i-{}", number.unwrap());
+    harness.answer_calls(|_, worker| worker == allowed_id);
+    harness.run_round();
+    for (worker, name) in full {
+        if worker == allowed {
+            harness.end(worker, name, EndReason::Done);
+        }
+    }
+    harness.poll_all();
+    harness.run_round();
+    assert!(harness.running().contains(&(allowed, task(1, 0, 0))));
+}
+
+/// Calls about workers without capacity may take twice as long as a call has to.
+#[test]
+fn a_call_ahead_names_few_workers_if_naming_takes_long() {
+    let mut harness = Harness::new(20, 4);
+    let advice = AdviceCost {
+        call_ms: 400.0,
+        worker_ms: 50.0,
+        valid_ms: 2_500.0,
+    };
+    lose_a_worker_of_a_full_service(&mut harness, advice);
+    harness.decide();
+    let (_, workers) = &harness.calls[0];
+    assert_eq!(workers.len(), 8);
+}
+
+/// The steps whose tasks fitted nowhere took all instances that call the adviser, and steps that had
+/// capacity for their tasks made no call.
+#[test]
+fn calls_ahead_leave_callers_to_steps_with_capacity() {
+    let mut harness = Harness::new(12, 4);
+    let callers: Vec<_> = (0..12).map(|n| format!("caller-{n}").into()).collect();
+    harness.cell.set_advice_callers(&callers);
+    start_jobs(&mut harness, 1..13, 4);
+    harness.advance(RUN_MS);
+    harness.poll_all();
+    for number in 1..13 {
+        fail(&mut harness, number);
+    }
+    harness.submit(100, job(vec![step(12, 2, 60_000)]));
+    for number in 0..12 {
+        harness
+            .cell
+            .register_worker(registration(number, 2), false, harness.now);
+    }
+    harness.run_round();
+    harness.calls.clear();
+    harness.call_steps.clear();
+    harness.submit(20, long_running_job(2));
+    for number in 0..12 {
+        harness
+            .cell
+            .register_worker(registration(number, 4), false, harness.now);
+    }
+    harness.decide();
+    assert!(harness.call_steps.contains(&format!("{}.0.0", id(20))));
+}
+
+/// Calls about full workers counted as calls in vain, so that the first ones after a long wait named
+/// all workers that had become free, and took as long.
+#[test]
+fn a_call_after_calls_ahead_names_as_few_workers_as_any() {
+    let mut harness = Harness::new(4, 4);
+    let advice = AdviceCost {
+        call_ms: CALL_MS as f64,
+        worker_ms: 1.0,
+        valid_ms: 2_500.0,
+    };
+    lose_a_worker_of_a_full_service(&mut harness, advice);
+    for _ in 0..40 {
+        harness.decide();
+        harness.advance(CALL_MS);
+        harness.answer_calls(|_, worker| worker != "i-0");
+        harness.poll_all();
+    }
+    for number in 4..44 {
+        let key = harness
+            .cell
+            .register_worker(registration(number, 4), false, harness.now);
+        harness.workers.insert(key, FakeWorker::default());
+    }
+    harness.poll_all();
+    harness.decide();
+    let (_, workers) = harness.calls.last().unwrap();
+    assert!(workers.len() <= 6, "{workers:?}");
+}
--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -8,7 +8,9 @@
 use kingcupwinch_adapter::{
     DIRECTORY, Fence, Page, Partition, Store, StoreError, WriteError, decode_registration,
 };
-use kingcupwinch_cell::{Cell, CellTimers, Claim, JobId, JobRecord, JobSpec, JobState};
+use kingcupwinch_cell::{
+    Cell, CellTimers, Claim, JobId, JobRecord, JobSpec, JobState, WorkerRecord,
+};
 use kingcupwinch_time::{Span, Time};
 use quick_error::quick_error;
 use rustc_hash::FxHashMap;
@@ -61,7 +63,7 @@
 }
 
 /// Takes the cell over under a claim sent at `claimed_at`. All owners that may still give orders were
-/// fenced at `fenced_at`, if that is known.
+/// fenced at `fenced_at`, which is set once they are.
 ///
 /// # Errors
 ///
@@ -70,7 +72,7 @@
     shared: &Arc<Shared>,
     siblings: &Siblings,
     claim: &Claim,
-    fenced_at: Option<Time>,
+    fenced_at: &mut Option<Time>,
     claimed_at: Time,
 ) -> Result<ActorRef<Owner>, TakeoverError> {
     let deadline = Instant::now() + READ_TIMEOUT;
@@ -83,6 +85,7 @@
         .append(PROGRESS, &[], None, Some(fence), deadline)
         .await?;
     let read_at = shared.now();
+    let fenced_at = *fenced_at.get_or_insert(read_at);
     let (progress, intake, directory) = tokio::try_join!(
         shared.store.read_latest(PROGRESS, deadline),
         read_intake(&shared.store, deadline),
@@ -130,6 +133,7 @@
         term: claim.term,
         cell,
         confirmed_at: claimed_at,
+        fenced_at,
         leases,
         lease_record_due: leases.record_due(now + handover_overlap, now),
         origins,
@@ -149,10 +153,10 @@
     Ok(owner)
 }
 
-/// Returns how long from `now`, after the log was fenced, earlier owners may still give orders: an
-/// owner can't be confirmed to hold the cell after it was fenced.
-fn overlap_after(fenced_at: Option<Time>, now: Time) -> Span {
-    let stopped_at = fenced_at.unwrap_or(now) + TERM_TIMEOUT;
+/// Returns how long from `now` earlier owners may still give orders: an owner can't be confirmed to
+/// hold the cell after it was fenced.
+fn overlap_after(fenced_at: Time, now: Time) -> Span {
+    let stopped_at = fenced_at + TERM_TIMEOUT;
     stopped_at.since(now).max(IN_FLIGHT_MARGIN)
 }
 
@@ -178,9 +182,9 @@
     }
     // If this can't be read, runs on workers that left the directory still count until their leases
     // expire.
-    let used: Option<Vec<(Arc<str>, Arc<str>)>> = decode_value(shared, progress, WORKERS_KEY);
-    for (id, address) in used.unwrap_or_default() {
-        cell.register_lost_worker(&id, address, now);
+    let used: Option<Vec<WorkerRecord>> = decode_value(shared, progress, WORKERS_KEY);
+    for record in used.unwrap_or_default() {
+        cell.register_lost_worker(&record, now);
     }
     if let Some(learned) = decode_value(shared, progress, RUN_TIMES_KEY) {
         cell.restore_run_times(&learned, now);
--- a/crates/kingcupwinch-node/src/owner/writer.rs
+++ b/crates/kingcupwinch-node/src/owner/writer.rs
@@ -6,7 +6,7 @@
 use kameo::actor::{ActorRef, WeakActorRef};
 use kameo::message::{Context, Message};
 use kingcupwinch_adapter::{Fence, KeyedRecord, Partition, WriteError};
-use kingcupwinch_cell::{JobId, RecordBatch, RunTimeRecord};
+use kingcupwinch_cell::{JobId, RecordBatch, RunTimeRecord, WorkerRecord};
 use kingcupwinch_time::Time;
 use serde::Serialize;
 use slog::o;
@@ -50,13 +50,15 @@
 #[derive(kameo::Reply)]
 struct WriteBatch {
     records: RecordBatch,
-    /// Ids and addresses of the known workers, if the list changed.
-    workers: Option<Vec<(Arc<str>, Arc<str>)>>,
+    /// The known workers, if the list changed.
+    workers: Option<Vec<WorkerRecord>>,
     /// What was learned about run times, if it changed.
     run_times: Option<RunTimeRecord>,
     /// The longest lease that may be held, once.
     leases: Option<LeaseRecord>,
     cleanup: Vec<(Partition, IntakeKey)>,
+    /// When all earlier owners that had not stopped were certainly fenced.
+    fenced_at: Time,
     /// Signals the end of a release; set on the last batch of an owner that releases the cell.
     release_done: Option<oneshot::Sender<()>>,
     is_retired: bool,
@@ -74,7 +76,8 @@
     async fn handle(&mut self, take: TakeBatch, _: &mut Context<Self, WriteBatch>) -> WriteBatch {
         let now = self.shared.now();
         let is_dirty = std::mem::take(&mut self.is_worker_list_dirty);
-        let workers = is_dirty.then(|| self.cell.worker_addresses());
+        let has_changes = self.cell.take_worker_changes();
+        let workers = (is_dirty || has_changes).then(|| self.cell.worker_records());
         let cleanup = if take.with_cleanup {
             std::mem::take(&mut self.cleanup)
         } else {
@@ -93,6 +96,7 @@
             run_times,
             leases: leases.map(|_| self.leases.to_record()),
             cleanup,
+            fenced_at: self.fenced_at,
             release_done: self.release_done.take(),
             is_retired: self.is_retired,
         }
@@ -157,7 +161,7 @@
             });
         }
         if let Some(release_done) = batch.release_done {
-            release(&shared, term).await;
+            release(&shared, term, batch.fenced_at).await;
             // The receiver may have stopped waiting.
             let _ = release_done.send(());
             return;
@@ -298,8 +302,11 @@
 
 /// Appends the release record, which informs the siblings that this owner has stopped dispatching.
 /// Without it they wait for the owner's heartbeats to time out, so a failed append is retried.
-async fn release(shared: &Shared, term: u64) {
-    let record = kingcupwinch_cell::GroupRecord::Release { term };
+async fn release(shared: &Shared, term: u64, fenced_at: Time) {
+    let record = kingcupwinch_cell::GroupRecord::Release {
+        term,
+        fenced_ms_ago: Some(shared.now().since(fenced_at).as_millis()),
+    };
     let Ok(value) = serde_json::to_vec(&record) else {
         return;
     };
