Give up a task whose machines keep crashing, and no other task

A task under which each machine crashed was started for as long as its class had retry budget, which the ends of other tasks refill: alone 11 times, and up to 37 times in 400 s beside harmless tasks, which it hit up to 5 times. A live task was lost with up to four machines. The end of such a run was `Lost`, like an expired lease, and counted nothing.

Runs that end with their machine are reported as `Crashed`. Everything on the machine is a suspect from then on. A suspect starts next on an idle machine, or else beside no other suspect; other tasks prefer machines without one. A crash is clear for a task that was alone, or the only suspect. A task is given up after three crashes of which two are clear, or after five. Any other end of a run acquits it. Machines that were to leave are no evidence; those that are gone, or crash with more than a quarter of the cell (at least three) within 2 s, are weak evidence, and so is a run that was lost without a known crash. Restarts after a crash cost no retry budget, which could keep harmless tasks waiting for good, and say nothing about the machine's health. A live task is lost with two machines at most. `TaskSpec::crashes` takes a count that is on record.

The random events of the cell end runs with crashes, too, and the audit counts the suspects of each machine.

--- a/crates/kingcupwinch-daemon/src/live/refuse.rs
+++ b/crates/kingcupwinch-daemon/src/live/refuse.rs
@@ -19,12 +19,14 @@
             StatusCode::SERVICE_UNAVAILABLE
         }
         Refusal::RateLimit(_) => StatusCode::TOO_MANY_REQUESTS,
-        Refusal::FailedEverywhere => StatusCode::BAD_GATEWAY,
+        Refusal::FailedEverywhere | Refusal::MachineCrashes => StatusCode::BAD_GATEWAY,
         _ => StatusCode::UNPROCESSABLE_ENTITY,
     };
     let mut problem = not_run(status, refusal_code(refusal), detail);
-    if matches!(refusal, Refusal::FailedEverywhere) {
-        problem.outcome = ProblemOutcome::Failed;
+    match refusal {
+        Refusal::FailedEverywhere => problem.outcome = ProblemOutcome::Failed,
+        Refusal::MachineCrashes => problem.outcome = ProblemOutcome::Unknown,
+        _ => {}
     }
     problem.retry_ms = refusal.retry_after().map(|span| span.as_millis().max(1));
     problem
@@ -44,6 +46,7 @@
         Refusal::Cancelled => "cancelled",
         Refusal::RetryBudgetSpent(_) => "retries-spent",
         Refusal::FailedEverywhere => "failed-everywhere",
+        Refusal::MachineCrashes => "worker-crashes",
     }
 }
 
--- a/crates/kingcupwinch-policy/src/cell.rs
+++ b/crates/kingcupwinch-policy/src/cell.rs
@@ -1,5 +1,6 @@
 //! The scheduler state of one owner.
 
+mod crashes;
 mod credits;
 mod decide;
 mod events;
@@ -24,6 +25,7 @@
 
 use crate::class::{Class, Customer};
 use crate::counters::{ClassCounters, Counters};
+use crate::crash::CrashLog;
 use crate::decision::{Credit, Decision};
 use crate::fleet::Fleet;
 use crate::gang::{Gang, Reservation};
@@ -80,6 +82,7 @@
     pending: Vec<Decision>,
     reservations: Vec<Reservation>,
     health: CellHealth,
+    crashes: CrashLog,
     /// Number of urgent task places to keep free.
     headroom: u64,
     rng: ChaCha8Rng,
@@ -115,6 +118,7 @@
             pending: Vec::new(),
             reservations: Vec::new(),
             health: CellHealth::default(),
+            crashes: CrashLog::default(),
             headroom: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             counters: Counters::default(),
--- a/crates/kingcupwinch-policy/src/cell/decide.rs
+++ b/crates/kingcupwinch-policy/src/cell/decide.rs
@@ -10,7 +10,7 @@
 use crate::decision::{Decision, Placement};
 use crate::key::{MachineKey, TaskKey};
 use crate::machine::{Machine, MachineState, PLACE_UNITS, PlaceUnit};
-use crate::place::{PlacementRequest, place_backfill, place_batch, place_live, run_at};
+use crate::place::{PlacementRequest, Separation, place_backfill, place_batch, place_live, run_at};
 use crate::plan::ClassKind;
 use crate::refusal::Refusal;
 use crate::resources::Resources;
@@ -193,11 +193,16 @@
         if !self.within_limits(key, need, 1) {
             return TryOutcome::NotAllowed;
         }
+        let separation = self.separation_of(&self.tasks[key], now);
         if let Some(machine) = self.find_machine(key, need, now) {
             let place = self.begin_run(key, machine, now);
             out.push(Decision::Start(place));
             return TryOutcome::Dequeued;
         }
+        if separation != Separation::None {
+            self.postpone_suspect(key, now);
+            return TryOutcome::Dequeued;
+        }
         if self.reclaim(key, need, now, out) {
             return TryOutcome::Dequeued;
         }
@@ -268,7 +273,14 @@
 
     fn find_machine(&mut self, key: TaskKey, need: &Resources, now: Time) -> Option<MachineKey> {
         let task = &self.tasks[key];
-        let request = self.request_of(task, need, now);
+        let mut request = self.request_of(task, need, now);
+        if request.separation == Separation::Alone {
+            let alone = place_batch(&self.fleet, &request, &mut self.rng);
+            if alone.is_some() {
+                return alone;
+            }
+            request.separation = Separation::FromSuspects;
+        }
         if self.class_of(task).spec.kind == ClassKind::Live {
             let found = place_live(&self.fleet, &request, &mut self.rng);
             return found.or_else(|| self.backfill(&request, now));
@@ -334,6 +346,7 @@
         let need = self.corrected_size(task);
         task.spec.idempotent
             && task.gang.is_none()
+            && !task.spec.crashes.is_suspect()
             && need.fits(free)
             && self.within_limits(key, &need, 1)
     }
--- a/crates/kingcupwinch-policy/src/cell/events.rs
+++ b/crates/kingcupwinch-policy/src/cell/events.rs
@@ -52,7 +52,12 @@
         now: Time,
     ) -> Result<Disposition, CellError> {
         let run = self.current_run(place)?;
+        let evidence = match exit.outcome {
+            Outcome::Crashed => self.mark_crash(place.task, &run, now),
+            _ => self.weak_evidence(&run),
+        };
         self.end_run(place.task, &run);
+        self.count_crash(place.task, exit.outcome, evidence);
         self.record_exit(place.task, &run, &exit, now);
         let task = &self.tasks[place.task];
         if exit.outcome == Outcome::Done {
@@ -146,6 +151,9 @@
             Outcome::Failed => self.tasks[key].failures += 1,
             _ => {}
         }
+        if exit.outcome == Outcome::Crashed || self.has_crashed_out(&self.tasks[key]) {
+            return self.restart_crashed(key, now);
+        }
         if run.reclaim != ReclaimState::None || exit.outcome == Outcome::Checkpointed {
             self.enqueue(key);
             return Disposition::Requeued;
--- a/crates/kingcupwinch-policy/src/cell/gangs.rs
+++ b/crates/kingcupwinch-policy/src/cell/gangs.rs
@@ -203,11 +203,9 @@
             self.gangs[key].broken = true;
             self.stop_members(key, now);
         }
-        self.requeue_gang(key, now);
-        if self.tasks.contains_key(task) {
-            Disposition::Requeued
-        } else {
-            Disposition::GaveUp(Refusal::RetryBudgetSpent(Span::ZERO))
+        match self.requeue_gang(key, now) {
+            Some(refusal) => Disposition::GaveUp(refusal),
+            None => Disposition::Requeued,
         }
     }
 
@@ -221,25 +219,34 @@
         }
     }
 
-    /// Requeues a broken gang once none of its tasks runs.
-    pub(super) fn requeue_gang(&mut self, key: GangKey, now: Time) {
-        let Some(gang) = self.gangs.get_mut(key) else {
-            return;
-        };
+    /// Requeues a broken gang once none of its tasks runs, or gives it up and returns the reason.
+    pub(super) fn requeue_gang(&mut self, key: GangKey, now: Time) -> Option<Refusal> {
+        let gang = self.gangs.get_mut(key)?;
         if !gang.broken || gang.running > 0 {
-            return;
+            return None;
         }
         gang.broken = false;
         gang.tasks.retain(|t| self.tasks.contains_key(*t));
         let leader = gang.leader();
         let others: Vec<TaskKey> = gang.tasks[1..].to_vec();
         self.tasks[leader].failures += 1;
-        if let Disposition::GaveUp(refusal) = self.retry(leader, now) {
-            for task in others {
-                self.remove_task(task);
-                self.counters.given_up += 1;
-                self.pending.push(Decision::GiveUp { task, refusal });
-            }
+        let members = others.iter().chain([&leader]);
+        let crashed = members
+            .into_iter()
+            .any(|t| self.has_crashed_out(&self.tasks[*t]));
+        let next = if crashed {
+            self.give_up(leader, Refusal::MachineCrashes)
+        } else {
+            self.retry(leader, now)
+        };
+        let Disposition::GaveUp(refusal) = next else {
+            return None;
+        };
+        for task in others {
+            self.remove_task(task);
+            self.counters.given_up += 1;
+            self.pending.push(Decision::GiveUp { task, refusal });
         }
+        Some(refusal)
     }
 }
--- a/crates/kingcupwinch-policy/src/cell/machines.rs
+++ b/crates/kingcupwinch-policy/src/cell/machines.rs
@@ -51,6 +51,7 @@
         self.check_known(machine)?;
         self.unreserve(machine);
         self.fleet.set_state(machine, MachineState::Leaving);
+        self.fleet.update(machine, |m| m.drained = true);
         Ok(())
     }
 
--- a/crates/kingcupwinch-policy/src/cell/retries.rs
+++ b/crates/kingcupwinch-policy/src/cell/retries.rs
@@ -43,7 +43,7 @@
         Disposition::Requeued
     }
 
-    fn delay(&mut self, key: TaskKey, until: Time) {
+    pub(super) fn delay(&mut self, key: TaskKey, until: Time) {
         self.tasks[key].phase = Phase::Delayed(until);
         self.backoffs.insert((until, key));
         self.watch_deadline(key);
--- a/crates/kingcupwinch-policy/src/cell/runs.rs
+++ b/crates/kingcupwinch-policy/src/cell/runs.rs
@@ -38,6 +38,7 @@
             waiting_fraction: self.weights.waiting_fraction(),
             avoid: self.avoided(task),
             budget: self.place_budget(task, now),
+            separation: self.separation_of(task, now),
         }
     }
 
@@ -129,10 +130,12 @@
             reclaim: ReclaimState::None,
             resend_at: now,
             movable: self.is_movable(task),
+            evidence: None,
         };
         if run.movable {
             self.fleet.adjust_movable(machine, true);
         }
+        self.count_suspect(key, machine, true);
         self.count_run(key, &allocated, now);
         self.fleet.allocate(machine, &allocated);
         if let Some(gang) = self.tasks[key].gang {
@@ -189,6 +192,7 @@
         if let Some(Phase::Running(other)) = moved.map(|m| &mut self.tasks[m].phase) {
             other.position = run.position;
         }
+        self.count_suspect(key, run.machine, false);
         self.resends.remove(&(run.resend_at, key));
         if run.reclaim == ReclaimState::Throttled {
             self.fleet.update(run.machine, |m| m.throttled -= 1);
--- a/crates/kingcupwinch-policy/src/cell/submit.rs
+++ b/crates/kingcupwinch-policy/src/cell/submit.rs
@@ -169,6 +169,9 @@
         check_spec(&spec)?;
         self.check_keys(&spec, count)?;
         self.check_fit(&spec)?;
+        if spec.crashes.is_conclusive() {
+            return Err(Refusal::MachineCrashes);
+        }
         let class = &self.classes[spec.class.index()];
         if class.queue.len() >= class.spec.max_queued {
             let retry_after = class.expected_wait();
--- a/crates/kingcupwinch-policy/src/cell/tests.rs
+++ b/crates/kingcupwinch-policy/src/cell/tests.rs
@@ -125,7 +125,7 @@
         ),
         2 => (0u16..2, 0u32..12, 0u8..3, any::<bool>())
             .prop_map(|(customer, count, spread, idempotent)| Event::Gang { customer, count, spread, idempotent }),
-        10 => (pick, 0u8..12).prop_map(|(pick, outcome)| Event::End { pick, outcome }),
+        10 => (pick, 0u8..14).prop_map(|(pick, outcome)| Event::End { pick, outcome }),
         2 => (pick, 0u8..4).prop_map(|(pick, why)| Event::Refuse { pick, why }),
         2 => pick.prop_map(|pick| Event::Throttled { pick }),
         2 => pick.prop_map(|pick| Event::Cancel { pick }),
@@ -297,7 +297,8 @@
             7 | 8 => Outcome::Failed,
             9 => Outcome::Stopped,
             10 => Outcome::Checkpointed,
-            _ => Outcome::Lost,
+            11 => Outcome::Lost,
+            _ => Outcome::Crashed,
         };
         let end = Exit::new(outcome, Span::from_millis(300)).with_peak(Resources::new(900, 700));
         self.running.retain(|p| *p != place);
--- a/crates/kingcupwinch-policy/src/cell/tests/audit.rs
+++ b/crates/kingcupwinch-policy/src/cell/tests/audit.rs
@@ -25,7 +25,7 @@
                 assert!(used <= most, "a machine is over its capacity in {d}");
             }
             let mut sum = Resources::ZERO;
-            let (mut movable, mut throttled) = (0, 0);
+            let (mut movable, mut throttled, mut suspects) = (0, 0, 0);
             for (position, &task) in m.running.iter().enumerate() {
                 let run = *cell.tasks[task].run().unwrap();
                 assert_eq!((run.machine, run.position as usize), (key, position));
@@ -36,6 +36,7 @@
                     cell.resends.contains(&(run.resend_at, task))
                 );
                 throttled += u32::from(run.reclaim == ReclaimState::Throttled);
+                suspects += u32::from(cell.tasks[task].spec.crashes.is_suspect());
             }
             let holds = cell.holds.values().filter(|h| h.machine == key);
             sum = holds.fold(sum, |s, h| s.plus(&h.size));
@@ -44,6 +45,7 @@
                 used = used.plus(&sum);
             }
             assert_eq!((m.movable.count, m.throttled), (movable, throttled));
+            assert_eq!(m.suspects, suspects);
             quarantined += usize::from(m.state == MachineState::Quarantined);
             if m.state == MachineState::Active
                 && !matches!(m.reserved_for, Some(ReservedFor::Gang(..)))
--- a/crates/kingcupwinch-policy/src/counters.rs
+++ b/crates/kingcupwinch-policy/src/counters.rs
@@ -78,6 +78,8 @@
     pub placement_attempts: u64,
     /// Number of times a machine was quarantined.
     pub quarantines: u64,
+    /// Runs that ended with the crash of their machine.
+    pub crashes: u64,
     /// Gang reservations that expired.
     pub expirations: u64,
 }
--- a/crates/kingcupwinch-policy/src/decision.rs
+++ b/crates/kingcupwinch-policy/src/decision.rs
@@ -3,6 +3,7 @@
 use kingcupwinch_time::{Span, Time};
 use smallvec::SmallVec;
 
+use crate::crash::Crashes;
 use crate::key::{ClassKey, CreditKey, CustomerKey, GangKey, MachineKey, TaskKey};
 use crate::refusal::Refusal;
 use crate::resources::Resources;
@@ -73,6 +74,8 @@
     pub deadline: Option<Time>,
     /// Whether the task may run more than once.
     pub idempotent: bool,
+    /// The machines that crashed under earlier runs.
+    pub crashes: Crashes,
 }
 
 impl TaskSpec {
@@ -85,6 +88,7 @@
             run,
             deadline: None,
             idempotent: true,
+            crashes: Crashes::NONE,
         }
     }
 
@@ -101,6 +105,13 @@
         self.idempotent = idempotent;
         self
     }
+
+    /// Sets the machines that crashed under earlier runs.
+    #[must_use]
+    pub const fn with_crashes(mut self, crashes: Crashes) -> Self {
+        self.crashes = crashes;
+        self
+    }
 }
 
 /// The keys of an accepted gang.
@@ -123,8 +134,12 @@
     Stopped,
     /// The run was checkpointed; the task can resume from the checkpoint.
     Checkpointed,
-    /// The machine is gone and its lease on the task has expired, so the task no longer runs.
+    /// The run ended without a report of its end, because the machine is gone or no longer knows the
+    /// task. For a live task: the outcome is unknown.
     Lost,
+    /// The machine crashed or restarted, and the run ended with it. Report every run of the machine
+    /// in one go: what the crash says about them depends on which tasks the machine ran.
+    Crashed,
 }
 
 /// Describes how a run ended.
--- a/crates/kingcupwinch-policy/src/lib.rs
+++ b/crates/kingcupwinch-policy/src/lib.rs
@@ -36,6 +36,7 @@
 mod cell;
 mod class;
 mod counters;
+mod crash;
 mod decision;
 mod estimate;
 mod fleet;
@@ -56,6 +57,7 @@
 
 pub use cell::Cell;
 pub use counters::{ClassCounters, Counters};
+pub use crash::Crashes;
 pub use decision::{
     CancelOutcome, Credit, Decision, Disposition, Exit, GangTicket, NotStarted, Outcome, Placement,
     Placements, TaskSpec, Usage,
--- a/crates/kingcupwinch-policy/src/machine.rs
+++ b/crates/kingcupwinch-policy/src/machine.rs
@@ -107,6 +107,10 @@
     pub(crate) observed_at: Time,
     pub(crate) running: Vec<TaskKey>,
     pub(crate) reserved_for: Option<ReservedFor>,
+    /// Number of running tasks under which a machine has crashed.
+    pub(crate) suspects: u32,
+    /// Whether the machine was announced to leave.
+    pub(crate) drained: bool,
     /// Number of throttled tasks.
     pub(crate) throttled: u32,
     pub(crate) health: Health,
@@ -144,6 +148,8 @@
             observed_at: Time::ZERO,
             running: Vec::new(),
             reserved_for: None,
+            suspects: 0,
+            drained: false,
             throttled: 0,
             health: Health::default(),
             probe: None,
@@ -155,6 +161,11 @@
         }
     }
 
+    /// Returns whether the machine is out of service.
+    pub(crate) fn is_gone(&self) -> bool {
+        self.state == MachineState::Gone
+    }
+
     /// Returns the capacity that is neither allocated nor observed to be in use.
     pub(crate) fn idle(&self) -> Resources {
         self.spec.capacity.minus(&self.used).minus(&self.excess)
--- a/crates/kingcupwinch-policy/src/place.rs
+++ b/crates/kingcupwinch-policy/src/place.rs
@@ -15,6 +15,8 @@
 const BATCH_CANDIDATES: usize = 32;
 /// Weight of one lost place, relative to one dimension of a machine left completely free.
 const LOST_PLACE_WEIGHT: f64 = 0.2;
+/// Weight of a suspect on the machine, above that of every fit.
+const SUSPECT_WEIGHT: f64 = 8.0;
 /// Maximum number of candidates compared among machines reserved for a gang.
 const BACKFILL_CANDIDATES: usize = 16;
 
@@ -33,6 +35,36 @@
     pub(crate) avoid: SmallVec<[MachineKey; 4]>,
     /// Maximum number of places of each unit that the task may use up.
     pub(crate) budget: [u64; PLACE_UNITS],
+    /// The machines that it may share.
+    pub(crate) separation: Separation,
+}
+
+/// The machines that a task may share with others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Separation {
+    /// Any machine.
+    None,
+    /// Machines without suspects.
+    FromSuspects,
+    /// Machines without other tasks.
+    Alone,
+}
+
+impl Separation {
+    /// Returns whether a task may run on a machine beside what runs there.
+    fn allows(self, machine: &Machine) -> bool {
+        match self {
+            Separation::None => true,
+            Separation::FromSuspects => machine.suspects == 0,
+            Separation::Alone => machine.running.is_empty(),
+        }
+    }
+}
+
+impl PlacementRequest {
+    fn allows(&self, key: MachineKey, machine: &Machine) -> bool {
+        !self.avoid.contains(&key) && self.separation.allows(machine)
+    }
 }
 
 /// Returns the expected run time on a machine of the given speed.
@@ -51,16 +83,16 @@
     rng: &mut ChaCha8Rng,
 ) -> Option<MachineKey> {
     for tier in (0..TIERS).rev() {
-        let mut best: Option<(f64, MachineKey)> = None;
+        let mut best: Option<((bool, f64), MachineKey)> = None;
         fleet.visit(
             tier,
             &request.need,
             LIVE_CANDIDATES,
             rng,
             |key, machine, _| {
-                let speed = machine.speed(request.class);
-                if !request.avoid.contains(&key) && best.is_none_or(|(s, _)| speed > s) {
-                    best = Some((speed, key));
+                let order = (machine.suspects == 0, machine.speed(request.class));
+                if request.allows(key, machine) && best.is_none_or(|(o, _)| order > o) {
+                    best = Some((order, key));
                 }
                 true
             },
@@ -89,7 +121,7 @@
         fleet.visit(tier, need, BATCH_CANDIDATES, rng, |key, machine, free| {
             let lost = PlaceUnit::ALL.map(|u| machine.places_lost(u, fleet.unit(u), need));
             let within = (0..PLACE_UNITS).all(|u| lost[u] <= request.budget[u]);
-            let within = within && !request.avoid.contains(&key);
+            let within = within && request.allows(key, machine);
             let score = batch_score(request, machine, free, lost.iter().sum());
             if within && best.is_none_or(|(s, _)| score < s) {
                 best = Some((score, key));
@@ -106,7 +138,12 @@
     let left = rest.total_share(&machine.spec.capacity);
     let slowness = 1.0 / machine.speed(request.class);
     let fit = (1.0 - request.waiting_fraction) * left + request.waiting_fraction * slowness;
-    fit + LOST_PLACE_WEIGHT * lost as f64
+    let risk = if machine.suspects > 0 {
+        SUSPECT_WEIGHT
+    } else {
+        0.0
+    };
+    fit + LOST_PLACE_WEIGHT * lost as f64 + risk
 }
 
 /// Chooses a machine reserved for a gang on which the task is expected to end before the gang
@@ -125,7 +162,7 @@
         |key, machine, _| {
             let ends = now + run_at(request.run, machine.speed(request.class));
             if matches!(machine.reserved_for, Some(ReservedFor::Gang(_, start)) if ends <= start)
-                && !request.avoid.contains(&key)
+                && request.allows(key, machine)
             {
                 found = Some(key);
             }
--- a/crates/kingcupwinch-policy/src/refusal.rs
+++ b/crates/kingcupwinch-policy/src/refusal.rs
@@ -8,9 +8,9 @@
 quick_error! {
     /// The reason why a task was not run.
     ///
-    /// The task did not run, except for [`Refusal::FailedEverywhere`] and
-    /// [`Refusal::RetryBudgetSpent`], which can follow a failed run. Some reasons carry the time
-    /// after which a retry makes sense.
+    /// The task did not run, except for [`Refusal::FailedEverywhere`],
+    /// [`Refusal::MachineCrashes`] and [`Refusal::RetryBudgetSpent`], which can follow a failed run.
+    /// Some reasons carry the time after which a retry makes sense.
     #[derive(Debug, Clone, Copy, PartialEq, Eq)]
     pub enum Refusal {
         /// The queue of the class is full.
@@ -70,6 +70,10 @@
         FailedEverywhere {
             display("the task failed on several healthy machines")
         }
+        /// Several machines crashed while they ran the task.
+        MachineCrashes {
+            display("several machines crashed while they ran the task")
+        }
     }
 }
 
--- a/crates/kingcupwinch-policy/src/task.rs
+++ b/crates/kingcupwinch-policy/src/task.rs
@@ -3,6 +3,7 @@
 use kingcupwinch_time::{Span, Time};
 use smallvec::SmallVec;
 
+use crate::crash::{Evidence, SEPARATION_WAIT};
 use crate::decision::TaskSpec;
 use crate::key::{GangKey, MachineKey};
 use crate::queue::Rank;
@@ -55,6 +56,8 @@
     pub(crate) resend_at: Time,
     /// Whether the run is counted as movable on its machine.
     pub(crate) movable: bool,
+    /// What the crash of the machine says about the task, once the machine has crashed.
+    pub(crate) evidence: Option<Evidence>,
 }
 
 /// State of a request to a running task to give capacity back.
@@ -103,6 +106,8 @@
     pub(crate) owes_retry: bool,
     /// Whether the task was cancelled and leaves the cell at the end of its run.
     pub(crate) cancelled: bool,
+    /// Until when a suspect waits for a machine without other suspects.
+    pub(crate) apart_until: Time,
 }
 
 impl Task {
@@ -117,6 +122,7 @@
             failed_on: SmallVec::new(),
             owes_retry: false,
             cancelled: false,
+            apart_until: now + SEPARATION_WAIT,
         }
     }
 
