--- a/crates/kingcupwinch-coord/src/jobs/commit.rs
+++ b/crates/kingcupwinch-coord/src/jobs/commit.rs
@@ -4,7 +4,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::id::{JobId, RecordId, Term};
-use crate::record::{AcceptedJob, JobEnd, JobRecord, Stamped};
+use crate::record::{AcceptedJob, JobEnd, JobRecord, Stamped, TaskCrashes};
 
 /// Limits of a batch, and the retry interval of appends.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -60,6 +60,7 @@
     accepted: Vec<AcceptedJob>,
     started: Vec<(JobId, Term)>,
     ended: Vec<(JobId, JobEnd)>,
+    crashed: Vec<(JobId, TaskCrashes)>,
     due: Option<Time>,
     in_flight: FxHashMap<RecordId, InFlight>,
 }
@@ -72,6 +73,7 @@
             accepted: Vec::new(),
             started: Vec::new(),
             ended: Vec::new(),
+            crashed: Vec::new(),
             due: None,
             in_flight: FxHashMap::default(),
         }
@@ -96,6 +98,12 @@
         self.schedule(now);
     }
 
+    /// Adds the crashes counted for a task.
+    pub fn crash(&mut self, job: JobId, crashes: TaskCrashes, now: Time) {
+        self.crashed.push((job, crashes));
+        self.schedule(now);
+    }
+
     /// Returns the next time at which [`GroupCommit::take`] has records to append, or `None` if
     /// nothing waits.
     pub fn deadline(&self) -> Option<Time> {
@@ -140,7 +148,7 @@
     }
 
     fn batch_len(&self) -> usize {
-        self.accepted.len() + self.started.len() + self.ended.len()
+        self.accepted.len() + self.started.len() + self.ended.len() + self.crashed.len()
     }
 
     fn schedule(&mut self, now: Time) {
@@ -166,6 +174,9 @@
         if !self.started.is_empty() {
             records.push(JobRecord::Started(std::mem::take(&mut self.started)));
         }
+        if !self.crashed.is_empty() {
+            records.push(JobRecord::Crashed(std::mem::take(&mut self.crashed)));
+        }
         if !self.ended.is_empty() {
             records.push(JobRecord::Ended(std::mem::take(&mut self.ended)));
         }
--- a/crates/kingcupwinch-coord/src/jobs/state.rs
+++ b/crates/kingcupwinch-coord/src/jobs/state.rs
@@ -9,7 +9,7 @@
 use super::Limits;
 use super::tombstones::Tombstones;
 use crate::id::{JobId, Offset, ShardId, Term};
-use crate::record::{AcceptedJob, JobEnd, JobRecord, Stamped};
+use crate::record::{AcceptedJob, JobEnd, JobRecord, Stamped, TaskCrashes};
 use crate::snapshot_schedule::SnapshotSchedule;
 
 /// Memory of an open job in bytes, without its description.
@@ -22,6 +22,8 @@
     pub accepted: Arc<AcceptedJob>,
     /// The latest term in which the job may have started; set for non-idempotent jobs only.
     pub started: Option<Term>,
+    /// Crashes counted for tasks, one entry a task.
+    pub crashes: Vec<TaskCrashes>,
 }
 
 /// The changes made by one record.
@@ -46,6 +48,8 @@
     pub started: Vec<(JobId, Term)>,
     /// The remembered ended jobs, oldest first.
     pub ended: Vec<(JobId, JobEnd)>,
+    /// The crashes counted for tasks of the open jobs.
+    pub crashed: Vec<(JobId, TaskCrashes)>,
 }
 
 impl Snapshot {
@@ -56,6 +60,7 @@
             open: self.open,
             started: self.started,
             ended: self.ended,
+            crashed: self.crashed,
         }
     }
 }
@@ -197,8 +202,13 @@
         let started = open
             .iter()
             .filter_map(|j| Some((j.accepted.job, j.started?)));
+        let crashes = |j: &&OpenJob| {
+            let job = j.accepted.job;
+            j.crashes.clone().into_iter().map(move |c| (job, c))
+        };
         Some(Snapshot {
             covers: self.next,
+            crashed: open.iter().flat_map(crashes).collect(),
             started: started.collect(),
             open: open.iter().map(|j| (*j.accepted).clone()).collect(),
             ended: self.tombstones.iter().collect(),
@@ -228,6 +238,7 @@
             JobRecord::Accepted(jobs) => jobs.into_iter().for_each(|j| self.accept(j, change)),
             JobRecord::Started(jobs) => jobs.iter().for_each(|j| self.start(*j, change)),
             JobRecord::Ended(jobs) => jobs.iter().for_each(|j| self.finish(*j, change)),
+            JobRecord::Crashed(tasks) => tasks.iter().for_each(|t| self.crash(*t)),
             JobRecord::Snapshot { .. } => {}
         }
     }
@@ -238,6 +249,7 @@
             open,
             started,
             ended,
+            crashed,
         } = record.body
         else {
             return Change::default();
@@ -255,6 +267,7 @@
             JobRecord::Ended(ended),
             JobRecord::Accepted(open),
             JobRecord::Started(started),
+            JobRecord::Crashed(crashed),
         ] {
             self.apply_body(body, &mut change);
         }
@@ -279,6 +292,7 @@
         let open = OpenJob {
             accepted: Arc::new(job),
             started: None,
+            crashes: Vec::new(),
         };
         self.open.insert(open.accepted.job, open);
     }
@@ -290,6 +304,18 @@
         }
     }
 
+    /// Replaces the count of an earlier attempt.
+    fn crash(&mut self, (job, crashes): (JobId, TaskCrashes)) {
+        let Some(open) = self.open.get_mut(&job) else {
+            return;
+        };
+        match open.crashes.iter_mut().find(|c| c.index == crashes.index) {
+            Some(known) if known.count.attempt < crashes.count.attempt => *known = crashes,
+            Some(_) => {}
+            None => open.crashes.push(crashes),
+        }
+    }
+
     fn finish(&mut self, (job, end): (JobId, JobEnd), change: &mut Change) {
         if let Some(open) = self.open.remove(&job) {
             self.open_bytes -= JOB_OVERHEAD_BYTES + open.accepted.spec.len();
--- a/crates/kingcupwinch-coord/src/record.rs
+++ b/crates/kingcupwinch-coord/src/record.rs
@@ -5,7 +5,7 @@
 use kingcupwinch_time::WallTime;
 use smallvec::SmallVec;
 
-use crate::id::{Incarnation, JobId, Offset, RecordId, ShardId, Term, Version};
+use crate::id::{Attempt, Incarnation, JobId, Offset, RecordId, ShardId, Term, Version};
 
 /// A list of incarnations, stored inline up to eight.
 pub type Members = SmallVec<[Incarnation; 8]>;
@@ -121,6 +121,26 @@
     pub spec: Arc<[u8]>,
 }
 
+/// The workers that crashed while they ran a task, as of one attempt.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CrashCount {
+    /// The attempt that ended last; a count of an earlier attempt is out of date.
+    pub attempt: Attempt,
+    /// Number of crashes; zero after another end of a run.
+    pub total: u8,
+    /// Number of crashes for which no other task is suspected.
+    pub clear: u8,
+}
+
+/// The crashes counted for one task of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TaskCrashes {
+    /// Index of the task in its job.
+    pub index: u32,
+    /// The count.
+    pub count: CrashCount,
+}
+
 /// How a job ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum JobEnd {
@@ -144,6 +164,8 @@
     /// Non-idempotent jobs that are about to start. The record is appended before the first
     /// dispatch, so that a new owner never runs them a second time.
     Started(Vec<(JobId, Term)>),
+    /// Crashes counted for tasks since the last group commit, so that the count outlives the owner.
+    Crashed(Vec<(JobId, TaskCrashes)>),
     /// A snapshot of the jobs as of an offset.
     Snapshot {
         /// The first offset that the snapshot does not cover.
@@ -154,6 +176,8 @@
         started: Vec<(JobId, Term)>,
         /// Recently ended jobs, kept so that a duplicate `Accepted` record can't reopen them.
         ended: Vec<(JobId, JobEnd)>,
+        /// The crashes counted for tasks of the open jobs.
+        crashed: Vec<(JobId, TaskCrashes)>,
     },
 }
 
--- a/crates/kingcupwinch-coord/tests/jobs.rs
+++ b/crates/kingcupwinch-coord/tests/jobs.rs
@@ -1,10 +1,12 @@
 //! Jobs: group commit, duplicate records, snapshots and recovery by a new owner.
 
-use kingcupwinch_coord::id::{JobId, Offset, RecordId, ShardId, Term};
+use kingcupwinch_coord::id::{Attempt, JobId, Offset, RecordId, ShardId, Term};
 use kingcupwinch_coord::jobs::{
     BatchPolicy, Evidence, GroupCommit, Jobs, Limits, Recovery, RecoveryStep,
 };
-use kingcupwinch_coord::record::{AcceptedJob, JobEnd, JobRecord, Stamped};
+use kingcupwinch_coord::record::{
+    AcceptedJob, CrashCount, JobEnd, JobRecord, Stamped, TaskCrashes,
+};
 use kingcupwinch_time::{Span, Time, WallTime};
 use rstest::rstest;
 use uuid::Uuid;
@@ -39,6 +41,15 @@
     JobRecord::Started(vec![(job(n), Term(3))])
 }
 
+fn crashes(index: u32, attempt: u32, total: u8) -> (JobId, TaskCrashes) {
+    let count = CrashCount {
+        attempt: Attempt(attempt),
+        total,
+        clear: 0,
+    };
+    (job(1), TaskCrashes { index, count })
+}
+
 fn read(start: usize, log: &[JobRecord]) -> Jobs {
     let mut jobs = Jobs::new(Offset(start as u64), Limits::new());
     for (offset, body) in log.iter().enumerate().skip(start) {
@@ -51,6 +62,25 @@
     jobs
 }
 
+/// The count of each task is that of its latest attempt, in whichever order the records arrive.
+#[test]
+fn crashes_of_tasks_are_kept_until_the_job_ends() {
+    let mut log = vec![
+        JobRecord::Crashed(vec![crashes(0, 1, 1)]),
+        accept(1),
+        JobRecord::Crashed(vec![crashes(0, 3, 2), crashes(7, 2, 1)]),
+        JobRecord::Crashed(vec![crashes(0, 2, 9), crashes(7, 5, 0)]),
+    ];
+    let expected = [crashes(0, 3, 2).1, crashes(7, 5, 0).1];
+    let jobs = read(0, &log);
+    assert_eq!(jobs.open(job(1)).unwrap().crashes, expected);
+    log.push(jobs.snapshot().unwrap().into_record());
+    let jobs = read(4, &log);
+    assert_eq!(jobs.open(job(1)).unwrap().crashes, expected);
+    log.push(end(1));
+    assert_eq!(read(0, &log).open(job(1)), None);
+}
+
 #[test]
 fn a_job_is_open_until_its_first_end() {
     let log = [accept(1), accept(2), start(2), end(1)];
@@ -161,6 +191,7 @@
     let mut commit = GroupCommit::new(policy());
     commit.accept(accepted(1, false), Time::ZERO);
     commit.start(job(2), Term(1), Time::ZERO);
+    commit.crash(job(2), crashes(0, 1, 1).1, Time::ZERO);
     commit.end(job(3), JobEnd::Done, Time::ZERO);
     let kinds: Vec<&str> = take(&mut commit, 0, 0)
         .iter()
@@ -168,10 +199,11 @@
             JobRecord::Accepted(_) => "accepted",
             JobRecord::Started(_) => "started",
             JobRecord::Ended(_) => "ended",
+            JobRecord::Crashed(_) => "crashed",
             JobRecord::Snapshot { .. } => "snapshot",
         })
         .collect();
-    assert_eq!(kinds, ["accepted", "started", "ended"]);
+    assert_eq!(kinds, ["accepted", "started", "crashed", "ended"]);
 }
 
 #[test]
--- a/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/home.rs
@@ -4,7 +4,8 @@
 
 use kingcupwinch_coord::id::{Incarnation, JobId, ShardId, TaskId};
 use kingcupwinch_coord::jobs::{Change, Evidence, OpenJob, RecoveryStep};
-use kingcupwinch_coord::record::JobEnd;
+use kingcupwinch_coord::record::{JobEnd, TaskCrashes};
+use kingcupwinch_policy::Crashes;
 use kingcupwinch_time::{Span, Time};
 use kingcupwinch_wire::api::JobStatus;
 use kingcupwinch_wire::sibling::TaskPhase;
@@ -127,13 +128,19 @@
         let Some(parts) = JobIdParts::parse(job) else {
             return;
         };
+        let base = progress.next_attempt_base(&tasks);
+        let crashed = progress.count_vanished(&tasks, base);
         let run = RunTasks {
             parts,
             spec: Arc::clone(&progress.spec),
             idempotent: progress.idempotent,
-            base: progress.next_attempt_base(&tasks),
+            base,
+            crashes: tasks.iter().map(|i| progress.crashes_of(*i)).collect(),
             tasks,
         };
+        for task in crashed {
+            self.commit.crash(job, task, now);
+        }
         // A stopped scheduler runs nothing; the next owner of the home shard recovers the job.
         let _ = self.args.scheduler.tell(run).await;
     }
@@ -143,6 +150,7 @@
             return;
         };
         self.record_evidence(&parts, event.phase);
+        let now = self.now();
         let expiry = self.run_expiry();
         let Some(progress) = self.progress.get_mut(&parts.job.id) else {
             return;
@@ -154,6 +162,13 @@
             from: event.from,
             expiry,
         };
+        if let Some(count) = event.crashes.filter(|c| progress.record_crashes(index, *c)) {
+            let crashes = TaskCrashes {
+                index: parts.index,
+                count,
+            };
+            self.commit.crash(parts.job.id, crashes, now);
+        }
         progress.apply_report(index, report);
         let waiting = matches!(progress.tasks.get(index), Some(TaskStatus::Unconfirmed(at)) if *at > Time::ZERO);
         if waiting && event.phase == TaskPhase::Moved {
@@ -348,6 +363,7 @@
                 _ => false,
             });
             if !lost.is_empty() {
+                progress.mark_vanished(&lost);
                 progress.set_status(&lost, TaskStatus::Unconfirmed(expiry));
                 shards.extend(home_of(*job));
             }
@@ -359,11 +375,16 @@
 
     /// Returns what an open job says about one of its tasks, or `None` if the job is not open.
     pub(super) fn known_task(&self, task: TaskId) -> Option<KnownTask> {
-        let open = self.jobs.open(TaskIdParts::parse(task)?.job.id)?;
+        let parts = TaskIdParts::parse(task)?;
+        let open = self.jobs.open(parts.job.id)?;
+        let recorded = open.crashes.iter().find(|c| c.index == parts.index);
         let spec = serde_json::from_slice(&open.accepted.spec).ok()?;
         Some(KnownTask {
             spec: Arc::new(spec),
             idempotent: open.accepted.idempotent,
+            crashes: recorded.map_or(Crashes::NONE, |c| {
+                Crashes::new(c.count.total, c.count.clear)
+            }),
         })
     }
 
@@ -383,11 +404,12 @@
 ) -> Option<JobProgress> {
     let accepted = &open.accepted;
     let spec = serde_json::from_slice(&accepted.spec).ok()?;
-    Some(JobProgress::new(
+    let progress = JobProgress::new(
         accepted.job,
         Arc::new(spec),
         accepted.idempotent,
         term,
         status,
-    ))
+    );
+    Some(progress.with_crashes(&open.crashes))
 }
--- a/crates/kingcupwinch-daemon/src/actors/jobs/messages.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/messages.rs
@@ -7,8 +7,8 @@
 use kameo::message::{Context, Message};
 use kingcupwinch_coord::id::{Attempt, Incarnation, JobId, ShardId, TaskId, Term};
 use kingcupwinch_coord::ownership::OwnedShard;
-use kingcupwinch_coord::record::{AcceptedJob, JobEnd};
-use kingcupwinch_policy::Refusal;
+use kingcupwinch_coord::record::{AcceptedJob, CrashCount, JobEnd};
+use kingcupwinch_policy::{Crashes, Refusal};
 use kingcupwinch_wire::api::{JobSpec, JobStatus};
 use kingcupwinch_wire::sibling::TaskPhase;
 use quick_error::quick_error;
@@ -74,6 +74,8 @@
     pub(crate) phase: TaskPhase,
     /// The sibling whose scheduler reports, `None` for this instance's scheduler.
     pub(crate) from: Option<Incarnation>,
+    /// The crashes counted for the task, if they have changed.
+    pub(crate) crashes: Option<CrashCount>,
 }
 
 /// Reports that a task was delegated to a sibling.
@@ -105,6 +107,8 @@
     pub(crate) spec: Arc<JobSpec>,
     /// Whether the task may run more than once.
     pub(crate) idempotent: bool,
+    /// The crashes counted for the task.
+    pub(crate) crashes: Crashes,
 }
 
 /// The descriptions of the requested tasks, `None` for each task without an open job.
--- a/crates/kingcupwinch-daemon/src/actors/jobs/tests.rs
+++ b/crates/kingcupwinch-daemon/src/actors/jobs/tests.rs
@@ -19,6 +19,7 @@
         attempt: Attempt(0),
         phase,
         from: None,
+        crashes: None,
     };
     node.jobs.ask(event).await.unwrap();
 }
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/fleet.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/fleet.rs
@@ -14,16 +14,13 @@
 use uuid::Uuid;
 
 use super::Scheduler;
-use super::owned_worker::{OwnedWorker, UnconfirmedRun, UnlistedWorker};
+use super::owned_worker::{OwnedWorker, UnconfirmedRun, UnlistedWorker, used_by};
 use crate::logging::EventId;
 use crate::worker::{Worker, capacity_of, is_leaving};
 
 /// Interval between checks while a shard has no permit to dispatch.
 const RECHECK_INTERVAL: Span = Span::from_millis(50);
 
-/// A whole machine, in percent.
-const WHOLE_PERCENT: u64 = 100;
-
 /// Ownership of a shard by this instance.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct OwnedShardState {
@@ -300,6 +297,7 @@
             return;
         };
         let machine = owned.machine;
+        self.note_restart(reported);
         let taken = reported.sent - Span::from_millis(reported.usage.age_ms);
         if reported.usage.leaving {
             self.mark_leaving(&reported.name);
@@ -412,14 +410,6 @@
         .map_or(Resources::ZERO, |owned| owned.worker.capacity)
 }
 
-/// Returns the capacity in use according to a report.
-fn used_by(usage: &report::Usage, capacity: &Resources) -> Resources {
-    let millicores = capacity.get(Dimension::Millicores) * u64::from(usage.cpu_percent);
-    Resources::new(millicores / WHOLE_PERCENT, 0)
-        .with_slots(u64::from(usage.busy_slots))
-        .with_connections(u64::from(usage.busy_connections))
-}
-
 impl Message<ShardGained> for Scheduler {
     type Reply = ();
 
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/inherit.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/inherit.rs
@@ -102,6 +102,7 @@
         let adopted = self
             .task_spec(&known.spec, known.idempotent)
             .ok()
+            .map(|spec| spec.with_crashes(known.crashes))
             .and_then(|spec| self.cell.adopt(spec, machine, now).ok());
         let Some(place) = adopted else {
             // The task belongs to a gang, or its class no longer exists, so only its capacity is
@@ -123,6 +124,7 @@
             entry.run = Some(TaskRun {
                 place,
                 confirmed: Some(now),
+                acknowledged: true,
                 checkpointed: false,
             });
         }
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/owned_worker.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/owned_worker.rs
@@ -6,8 +6,9 @@
 
 use kameo::actor::{ActorRef, WeakActorRef};
 use kingcupwinch_coord::id::ShardId;
-use kingcupwinch_policy::{HoldKey, MachineKey};
+use kingcupwinch_policy::{Dimension, HoldKey, MachineKey, Resources};
 use kingcupwinch_time::{Span, Time};
+use kingcupwinch_wire::worker as report;
 use slog::o;
 use smallvec::SmallVec;
 use tokio::task::AbortHandle;
@@ -19,6 +20,9 @@
 use crate::shared::Shared;
 use crate::worker::Worker;
 
+/// A whole machine, in percent.
+const WHOLE_PERCENT: u64 = 100;
+
 /// Pause between reports while the scheduler waits for their content.
 const URGENT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -64,6 +68,10 @@
     pub(super) blocked: Option<HoldKey>,
     /// Work that may still run.
     pub(super) unconfirmed: SmallVec<[UnconfirmedRun; 4]>,
+    /// Number of the last report; the first report after a restart has a lower one.
+    pub(super) last_seq: u64,
+    /// Time at which a report showed that the worker has restarted.
+    pub(super) restarted: Option<Time>,
     /// Whether the worker is leaving and gets no new work.
     pub(super) leaving: bool,
     /// Whether reports are read without waiting for a change.
@@ -94,6 +102,8 @@
             ended_in_lookup: None,
             blocked: None,
             unconfirmed: SmallVec::new(),
+            last_seq: 0,
+            restarted: None,
             leaving: false,
             urgent,
             reader,
@@ -167,3 +177,11 @@
         Span::from_millis(self.shared.config.load().tree.timers.usage_ms.get())
     }
 }
+
+/// Returns the capacity in use according to a report.
+pub(super) fn used_by(usage: &report::Usage, capacity: &Resources) -> Resources {
+    let millicores = capacity.get(Dimension::Millicores) * u64::from(usage.cpu_percent);
+    Resources::new(millicores / WHOLE_PERCENT, 0)
+        .with_slots(u64::from(usage.busy_slots))
+        .with_connections(u64::from(usage.busy_connections))
+}
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/runs.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/runs.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use kingcupwinch_coord::id::{Attempt, Incarnation, TaskId};
+use kingcupwinch_coord::record::CrashCount;
 use kingcupwinch_policy::{
     CellError, Disposition, Exit, MachineKey, NotStarted, Outcome, Placement, Refusal, TaskKey,
 };
@@ -12,9 +13,9 @@
 use kingcupwinch_wire::worker::{EndedWork, WorkOutcome};
 use slog::o;
 
-use super::Scheduler;
 use super::control::{StartEnd, report_state};
 use super::tasks::TaskRun;
+use super::{Scheduler, UsageReported};
 use crate::actors::jobs::TaskEvent;
 use crate::jobs::TaskIdParts;
 use crate::logging::EventId;
@@ -30,6 +31,7 @@
             StartEnd::Started => {
                 if let Some(run) = self.run_of(place) {
                     run.confirmed = Some(now);
+                    run.acknowledged = true;
                     self.notify_phase(place.task, TaskPhase::Running);
                 }
             }
@@ -74,7 +76,12 @@
                         ends.push((work.task, work.attempt));
                     }
                     let phase = outcome_phase(work.outcome);
-                    self.notify_home_of(id, Attempt(work.attempt), phase);
+                    self.notify_home_of(TaskState {
+                        task: id,
+                        attempt: Attempt(work.attempt),
+                        phase,
+                        crashes: None,
+                    });
                 }
                 // The end belongs to an earlier attempt.
                 (None, Some(_)) => {
@@ -90,7 +97,8 @@
             WorkOutcome::Failed => Outcome::Failed,
             WorkOutcome::Stopped if run.checkpointed => Outcome::Checkpointed,
             WorkOutcome::Stopped => Outcome::Stopped,
-            WorkOutcome::Expired => Outcome::Lost,
+            // The worker ended the run itself, so it has not crashed.
+            WorkOutcome::Expired => Outcome::Stopped,
         };
         let next = self.cell.ended(
             run.place,
@@ -100,13 +108,10 @@
         self.after_run(run.place, next, Some(outcome));
     }
 
-    /// Marks a run as lost, because its lease has certainly expired or its worker no longer knows
-    /// it.
-    pub(super) fn mark_run_lost(&mut self, place: Placement, now: Time) {
-        let next = self
-            .cell
-            .ended(place, Exit::new(Outcome::Lost, Span::ZERO), now);
-        self.after_run(place, next, Some(Outcome::Lost));
+    /// Ends a run whose end no worker reports: it was lost, or crashed with its worker.
+    fn end_unreported(&mut self, place: Placement, outcome: Outcome, now: Time) {
+        let next = self.cell.ended(place, Exit::new(outcome, Span::ZERO), now);
+        self.after_run(place, next, Some(outcome));
     }
 
     fn after_run(
@@ -116,7 +121,7 @@
         outcome: Option<Outcome>,
     ) {
         match next {
-            Ok(Disposition::Requeued) => self.clear_run(place.task),
+            Ok(Disposition::Requeued) => self.clear_run(place),
             Ok(Disposition::Left) => {
                 let phase = match outcome {
                     Some(Outcome::Done) => TaskPhase::Done,
@@ -131,12 +136,30 @@
         }
     }
 
-    /// Clears the run of a task that was queued again.
-    fn clear_run(&mut self, key: TaskKey) {
-        let Some(entry) = self.tasks.get_mut(&key) else {
+    /// Clears the run of a task that was queued again, and reports to its home if the crashes
+    /// counted for it have changed.
+    fn clear_run(&mut self, place: Placement) {
+        let crashes = self.cell.crashes(place.task).unwrap_or_default();
+        let Some(entry) = self.tasks.get_mut(&place.task) else {
             return;
         };
         entry.run = None;
+        if entry.crashes == crashes {
+            return;
+        }
+        entry.crashes = crashes;
+        let count = CrashCount {
+            attempt: Attempt(entry.attempt(place)),
+            total: crashes.total,
+            clear: crashes.clear,
+        };
+        let state = TaskState {
+            task: entry.id,
+            attempt: Attempt(0),
+            phase: TaskPhase::Waiting,
+            crashes: Some(count),
+        };
+        self.notify_home_of(state);
     }
 
     fn finish_task(&mut self, key: TaskKey, phase: TaskPhase) {
@@ -155,7 +178,29 @@
         self.notify_home(entry.id, TaskPhase::Failed);
     }
 
-    /// Marks tasks that a worker no longer reports as lost.
+    /// Notes a restart of the worker, which numbers its reports anew, and the runs that it confirms.
+    pub(super) fn note_restart(&mut self, reported: &UsageReported) {
+        let now = self.now();
+        if let Some(owned) = self.workers.get_mut(&reported.name) {
+            if reported.usage.seq < owned.last_seq {
+                owned.restarted = Some(now);
+            }
+            owned.last_seq = reported.usage.seq;
+        }
+        for work in &reported.usage.running {
+            let key = self.task_keys.get(&TaskId(work.task));
+            let Some(entry) = key.and_then(|key| self.tasks.get_mut(key)) else {
+                continue;
+            };
+            if let Some(mut run) = entry.run.filter(|r| entry.attempt(r.place) == work.attempt) {
+                run.acknowledged = true;
+                entry.run = Some(run);
+            }
+        }
+    }
+
+    /// Ends the runs that a worker no longer reports. A worker that had confirmed a run, and lists
+    /// neither the run nor its end, has restarted.
     pub(super) fn mark_missing_lost(
         &mut self,
         name: &Arc<str>,
@@ -174,8 +219,21 @@
             let overdue = run.confirmed.is_some_and(|at| taken >= at + MISSING_GRACE);
             run.place.machine == machine && overdue && !running.contains(&entry.id)
         });
-        for place in missing.map(|(_, run)| run.place).collect::<Vec<_>>() {
-            self.mark_run_lost(place, now);
+        let missing: Vec<TaskRun> = missing.map(|(_, run)| run).collect();
+        let restarted = self.workers.get(name).and_then(|owned| owned.restarted);
+        let has_crashed = |run: &TaskRun| run.acknowledged || run.confirmed <= restarted;
+        let (crashed, lost): (Vec<_>, Vec<_>) = missing.into_iter().partition(has_crashed);
+        if !crashed.is_empty() {
+            let count = crashed.len();
+            self.shared.metrics.crashed_runs.inc_by(count as u64);
+            let fields = o!("worker" => name.to_string(), "tasks" => count);
+            self.shared.log.write(EventId::WorkerCrashed, fields);
+        }
+        for run in crashed {
+            self.end_unreported(run.place, Outcome::Crashed, now);
+        }
+        for run in lost {
+            self.end_unreported(run.place, Outcome::Lost, now);
         }
     }
 
@@ -247,7 +305,7 @@
         for place in due {
             let runs = self.tasks.get(&place.task).and_then(|entry| entry.run);
             if runs.is_some_and(|run| run.place == place) {
-                self.mark_run_lost(place, now);
+                self.end_unreported(place, Outcome::Lost, now);
             }
         }
         self.orphans.iter().map(|(at, _)| *at).min()
@@ -261,11 +319,21 @@
 
     /// Reports a task's phase to the owner of its home shard.
     pub(super) fn notify_home(&self, task: TaskId, phase: TaskPhase) {
-        self.notify_home_of(task, Attempt(0), phase);
+        self.notify_home_of(TaskState {
+            task,
+            attempt: Attempt(0),
+            phase,
+            crashes: None,
+        });
     }
 
-    /// Reports the end of an attempt that this scheduler does not know.
-    fn notify_home_of(&self, task: TaskId, attempt: Attempt, phase: TaskPhase) {
+    fn notify_home_of(&self, state: TaskState) {
+        let TaskState {
+            task,
+            attempt,
+            phase,
+            crashes,
+        } = state;
         let Some(parts) = TaskIdParts::parse(task) else {
             return;
         };
@@ -279,13 +347,9 @@
                 attempt,
                 phase,
                 from: None,
+                crashes,
             });
         } else {
-            let state = TaskState {
-                task,
-                attempt,
-                phase,
-            };
             self.notify_sibling_home(owner.incarnation, state);
         }
     }
--- a/crates/kingcupwinch-daemon/src/actors/scheduler/tasks.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/tasks.rs
@@ -6,7 +6,7 @@
 use kameo::message::{Context, Message};
 use kingcupwinch_coord::id::{Incarnation, JobId, TaskId};
 use kingcupwinch_policy::{
-    ClassKey, CustomerKey, GangSpec, Placement, Refusal, Resources, TaskKey, TaskSpec,
+    ClassKey, Crashes, CustomerKey, GangSpec, Placement, Refusal, Resources, TaskKey, TaskSpec,
 };
 use kingcupwinch_time::{Span, Time};
 use kingcupwinch_wire::api::JobSpec;
@@ -32,6 +32,8 @@
     pub(crate) base: u32,
     /// Indices of the tasks.
     pub(crate) tasks: Vec<u32>,
+    /// The crashes counted for each of these tasks.
+    pub(crate) crashes: Vec<Crashes>,
 }
 
 /// Cancels a job: no further task starts, and running tasks are stopped where that is allowed.
@@ -55,6 +57,8 @@
     pub(super) idempotent: bool,
     /// Base of its attempt numbers.
     pub(super) base: u32,
+    /// The crashes counted for it, as known to its home.
+    pub(super) crashes: Crashes,
     /// The current run, from the policy's decision to the end.
     pub(super) run: Option<TaskRun>,
     /// The owner of the home shard to which the running task was last reported.
@@ -69,6 +73,8 @@
     pub(super) place: Placement,
     /// Time at which the start was confirmed or its response was given up, `None` before that.
     pub(super) confirmed: Option<Time>,
+    /// Whether the worker has confirmed that it has the task.
+    pub(super) acknowledged: bool,
     /// Whether a checkpoint was requested before the stop.
     pub(super) checkpointed: bool,
 }
@@ -82,13 +88,18 @@
         base: u32,
         submitted: Time,
     ) -> Self {
-        let KnownTask { spec, idempotent } = known;
+        let KnownTask {
+            spec,
+            idempotent,
+            crashes,
+        } = known;
         TaskEntry {
             id,
             job,
             spec,
             idempotent,
             base,
+            crashes,
             run: None,
             notified_owner: None,
             submitted,
@@ -102,7 +113,7 @@
 
     /// Returns whether the task is queued and may run on a sibling's workers.
     pub(super) fn can_delegate(&self) -> bool {
-        self.run.is_none() && self.idempotent && !self.spec.gang
+        self.run.is_none() && self.idempotent && !self.spec.gang && !self.crashes.is_suspect()
     }
 }
 
@@ -147,33 +158,46 @@
     }
 
     fn submit_each(&mut self, run: &RunTasks, spec: TaskSpec, now: Time) -> Result<(), Refusal> {
-        for index in &run.tasks {
+        for (index, crashes) in run.tasks.iter().zip(&run.crashes) {
             // A task that a previous owner started on these workers continues.
             if self.task_keys.contains_key(&run.parts.task(*index)) {
                 continue;
             }
-            let key = self.cell.submit(spec, now)?;
-            self.add_task(key, run, *index, now);
+            let key = self.cell.submit(spec.with_crashes(*crashes), now)?;
+            self.add_task(key, run, (*index, *crashes), now);
         }
         Ok(())
     }
 
     fn submit_gang(&mut self, run: &RunTasks, spec: TaskSpec, now: Time) -> Result<(), Refusal> {
         let count = u32::try_from(run.tasks.len()).unwrap_or(u32::MAX);
-        let ticket = self.cell.submit_gang(GangSpec::new(spec, count), now)?;
+        // A gang has one specification, so that its members share the highest count.
+        let counts = run.crashes.iter().copied();
+        let crashes = counts
+            .max_by_key(|count| (count.total, count.clear))
+            .unwrap_or_default();
+        let gang = GangSpec::new(spec.with_crashes(crashes), count);
+        let ticket = self.cell.submit_gang(gang, now)?;
         for (key, index) in ticket.tasks.into_iter().zip(&run.tasks) {
-            self.add_task(key, run, *index, now);
+            self.add_task(key, run, (*index, crashes), now);
         }
         Ok(())
     }
 
-    fn add_task(&mut self, key: TaskKey, run: &RunTasks, index: u32, now: Time) {
+    fn add_task(
+        &mut self,
+        key: TaskKey,
+        run: &RunTasks,
+        (index, crashes): (u32, Crashes),
+        now: Time,
+    ) {
         let entry = TaskEntry {
             id: run.parts.task(index),
             job: run.parts.id,
             spec: Arc::clone(&run.spec),
             idempotent: run.idempotent,
             base: run.base,
+            crashes,
             run: None,
             notified_owner: None,
             submitted: now,
@@ -197,6 +221,7 @@
             spec,
             idempotent: true,
             base,
+            crashes: Crashes::NONE,
             run: None,
             notified_owner: None,
             submitted,
@@ -225,6 +250,7 @@
         entry.run = Some(TaskRun {
             place,
             confirmed: None,
+            acknowledged: false,
             checkpointed: false,
         });
         let label = ClassLabel {
--- a/crates/kingcupwinch-daemon/src/jobs/progress.rs
+++ b/crates/kingcupwinch-daemon/src/jobs/progress.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use kingcupwinch_coord::id::{Attempt, Incarnation, JobId, Term};
-use kingcupwinch_coord::record::JobEnd;
+use kingcupwinch_coord::record::{CrashCount, JobEnd, TaskCrashes};
+use kingcupwinch_policy::Crashes;
 use kingcupwinch_time::Time;
 use kingcupwinch_wire::api::{JobPhase, JobSpec, JobStatus};
 use kingcupwinch_wire::sibling::TaskPhase;
@@ -94,6 +95,9 @@
     pub(crate) started: bool,
     /// Whether each task runs, according to the last report.
     running: Vec<bool>,
+    /// Whether each task ran when its scheduler lost it and has not been reported since.
+    vanished: Vec<bool>,
+    crashes: Vec<CrashCount>,
     term: Term,
     /// Number of each task's latest submission in the term.
     submissions: Vec<u16>,
@@ -117,11 +121,72 @@
             tasks,
             started: false,
             running: vec![false; count],
+            vanished: vec![false; count],
+            crashes: vec![CrashCount::default(); count],
             term,
             submissions: vec![0; count],
         }
     }
 
+    /// Sets the crashes that are on record.
+    #[must_use]
+    pub(crate) fn with_crashes(mut self, recorded: &[TaskCrashes]) -> Self {
+        for task in recorded {
+            let index = usize::try_from(task.index).unwrap_or(usize::MAX);
+            if let Some(known) = self.crashes.get_mut(index) {
+                *known = task.count;
+            }
+        }
+        self
+    }
+
+    /// Replaces the crashes counted for a task if the new count is of a later attempt; returns
+    /// whether it is.
+    pub(crate) fn record_crashes(&mut self, index: usize, count: CrashCount) -> bool {
+        match self.crashes.get_mut(index) {
+            Some(known) if known.attempt < count.attempt => {
+                *known = count;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Marks tasks whose run may have ended unnoticed.
+    pub(crate) fn mark_vanished(&mut self, indices: &[u32]) {
+        for index in indices.iter().filter_map(|i| usize::try_from(*i).ok()) {
+            if let Some(vanished) = self.vanished.get_mut(index) {
+                *vanished |= self.running.get(index).is_some_and(|runs| *runs);
+            }
+        }
+    }
+
+    /// Counts a crash for each of these tasks that has vanished, since its worker may have crashed,
+    /// and returns the new counts. They belong to the submission of this base.
+    pub(crate) fn count_vanished(&mut self, indices: &[u32], base: u32) -> Vec<TaskCrashes> {
+        let mut counted = Vec::new();
+        for &index in indices {
+            let at = usize::try_from(index).unwrap_or(usize::MAX);
+            let vanished = self.vanished.get_mut(at).is_some_and(std::mem::take);
+            let Some(known) = self.crashes.get_mut(at).filter(|_| vanished) else {
+                continue;
+            };
+            known.attempt = Attempt(base);
+            known.total = known.total.saturating_add(1);
+            let count = *known;
+            counted.push(TaskCrashes { index, count });
+        }
+        counted
+    }
+
+    /// Returns the crashes counted for a task.
+    pub(crate) fn crashes_of(&self, index: u32) -> Crashes {
+        let index = usize::try_from(index).unwrap_or(usize::MAX);
+        self.crashes.get(index).map_or(Crashes::NONE, |count| {
+            Crashes::new(count.total, count.clear)
+        })
+    }
+
     /// Continues in a newer term of the same owner.
     pub(crate) fn continue_in(&mut self, term: Term) {
         if term > self.term {
@@ -188,6 +253,13 @@
         };
         let changed = next != *status;
         *status = next;
+        if let Some(vanished) = self.vanished.get_mut(index) {
+            *vanished = match phase {
+                TaskPhase::Running => false,
+                TaskPhase::Moved => true,
+                _ => *vanished,
+            };
+        }
         if let Some(is_running) = self.running.get_mut(index) {
             *is_running = phase == TaskPhase::Running;
         }
--- a/crates/kingcupwinch-daemon/src/logging/catalogue.rs
+++ b/crates/kingcupwinch-daemon/src/logging/catalogue.rs
@@ -98,6 +98,8 @@
     ControlFailed = "0407", Warning, true, "failed to control a task";
     /// The policy refused a call of the scheduler.
     PolicyFault = "0408", Error, true, "policy rejected a call";
+    /// A worker crashed or restarted while it ran tasks.
+    WorkerCrashed = "0409", Warning, true, "worker crashed with tasks";
     /// A configuration version became active.
     ConfigActivated = "0501", Info, false, "configuration activated";
     /// A configuration record was rejected.
--- a/crates/kingcupwinch-daemon/src/metrics/mod.rs
+++ b/crates/kingcupwinch-daemon/src/metrics/mod.rs
@@ -90,6 +90,8 @@
     pub retries: Family<ClassLabel, Counter>,
     /// Answers of attempts that had already ended.
     pub late_answers: Counter,
+    /// Runs of tasks that ended with the crash of their worker.
+    pub crashed_runs: Counter,
     /// Queued tasks and live requests.
     pub queued_tasks: Family<ClassLabel, Gauge>,
     /// Tasks and live requests running on this instance's workers.
@@ -123,6 +125,7 @@
             requests: Family::default(),
             retries: Family::default(),
             late_answers: Counter::default(),
+            crashed_runs: Counter::default(),
             queued_tasks: Family::default(),
             running_tasks: Family::default(),
             worker_slots: Gauge::default(),
@@ -159,6 +162,11 @@
             "Answers of attempts that had already ended",
             self.late_answers.clone(),
         );
+        registry.register(
+            "crashed_runs",
+            "Runs of tasks that ended with the crash of their worker",
+            self.crashed_runs.clone(),
+        );
         registry.register(
             "queued_tasks",
             "Queued tasks and live requests",
--- a/crates/kingcupwinch-daemon/src/siblings/inbox.rs
+++ b/crates/kingcupwinch-daemon/src/siblings/inbox.rs
@@ -111,6 +111,7 @@
                     attempt: state.attempt,
                     phase: state.phase,
                     from: Some(from),
+                    crashes: state.crashes,
                 };
                 match self.manager.tell(event).await {
                     Ok(()) => Body::Done,
--- a/crates/kingcupwinch-daemon/tests/testsuite/main.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod bad_jobs;
 mod caller;
 mod cluster;
+mod crashes;
 mod domains;
 mod jobs;
 mod keys;
--- a/crates/kingcupwinch-fakes/src/worker/counts.rs
+++ b/crates/kingcupwinch-fakes/src/worker/counts.rs
@@ -21,4 +21,6 @@
     pub stops: u32,
     /// Tasks whose lease expired.
     pub expirations: u32,
+    /// Crashes of the worker.
+    pub crashes: u32,
 }
--- a/crates/kingcupwinch-fakes/src/worker/engine.rs
+++ b/crates/kingcupwinch-fakes/src/worker/engine.rs
@@ -68,6 +68,16 @@
         self.counts
     }
 
+    /// Loses all running work and starts anew, as after the crash of the process.
+    pub fn crash(&mut self, now: Time) {
+        for run in std::mem::take(&mut self.running) {
+            self.history.end(run.index, now);
+        }
+        let spec = &self.spec;
+        self.reports = Reports::new(now, spec.usage_lag, spec.report_interval);
+        self.counts.crashes += 1;
+    }
+
     /// Starts a live request and returns its run time.
     ///
     /// # Errors
--- a/crates/kingcupwinch-fakes/src/worker/live.rs
+++ b/crates/kingcupwinch-fakes/src/worker/live.rs
@@ -2,6 +2,7 @@
 
 use std::str::FromStr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -21,6 +22,8 @@
 const REQUEST_HEADER: &str = "x-request-id";
 /// Header with the run time on a standard worker, in milliseconds.
 const RUN_HEADER: &str = "x-run-ms";
+/// Header with the time after which the request crashes the worker, in milliseconds.
+const CRASH_HEADER: &str = "x-crash-ms";
 /// Header with the minimum size of the response body, in bytes.
 const SIZE_HEADER: &str = "x-answer-bytes";
 /// Header that makes the worker stream the request body back as it arrives.
@@ -56,6 +59,9 @@
         Ok(span) => span,
         Err(refusal) => return Ok(refused(refusal)),
     };
+    if let Some(crash_ms) = header(&request, CRASH_HEADER) {
+        tokio::spawn(Arc::clone(shared).crash_after(Duration::from_millis(crash_ms)));
+    }
     let guard = RunGuard {
         shared: Arc::clone(shared),
         task: live.task,
--- a/crates/kingcupwinch-fakes/src/worker/service.rs
+++ b/crates/kingcupwinch-fakes/src/worker/service.rs
@@ -19,14 +19,20 @@
 use crate::fault::{Availability, ServerFaults};
 use crate::http::{Answer, Dropped, Handler, Server, empty, json, query_number, read_json};
 
+/// Field of a task's payload with the time after which the task crashes the worker, in milliseconds.
+const CRASH_FIELD: &str = "crash_ms";
 /// The maximum wait of a long poll for a usage report, in milliseconds.
 const MAX_WAIT_MS: u64 = 60_000;
+/// Time that a crashed worker takes to come back.
+const DOWNTIME: Duration = Duration::from_secs(1);
+/// Time between two tries to listen again.
+const REBIND_INTERVAL: Duration = Duration::from_millis(50);
 const IDLE_INTERVAL: Duration = Duration::from_secs(3_600);
 
 /// A running worker, shut down gracefully on drop.
 #[derive(Debug)]
 pub struct FakeWorker {
-    server: Server,
+    address: SocketAddr,
     shared: Arc<Shared>,
     driver: JoinHandle<()>,
 }
@@ -49,12 +55,15 @@
             engine: Mutex::new(WorkerEngine::new(clock.now(), spec, history.clone())),
             changes: watch::Sender::new(()),
             server_faults: ServerFaults::new(),
+            server: Mutex::new(None),
         });
         let service = WorkerService(Arc::clone(&shared));
         let server = Server::start(address, Arc::new(service)).await?;
+        let address = server.address();
+        *shared.server() = Some(server);
         let driver = tokio::spawn(drive(Arc::clone(&shared)));
         Ok(FakeWorker {
-            server,
+            address,
             shared,
             driver,
         })
@@ -62,7 +71,7 @@
 
     /// Returns the address that the worker listens on.
     pub fn address(&self) -> SocketAddr {
-        self.server.address()
+        self.address
     }
 
     /// Returns the worker's entry for the instance list.
@@ -116,13 +125,14 @@
     /// Closes all connections and stops listening; tasks run on until they end or their leases
     /// expire.
     pub fn kill(&self) {
-        self.server.kill();
+        self.shared.take_server();
     }
 }
 
 impl Drop for FakeWorker {
     fn drop(&mut self) {
         self.driver.abort();
+        drop(self.shared.server().take());
     }
 }
 
@@ -133,6 +143,8 @@
     engine: Mutex<WorkerEngine>,
     changes: watch::Sender<()>,
     server_faults: ServerFaults,
+    /// The server, which holds this state; `None` while the worker is down.
+    server: Mutex<Option<Server>>,
 }
 
 impl Shared {
@@ -151,6 +163,39 @@
         result
     }
 
+    /// Crashes the worker after a delay. It accepts no connections until it is back.
+    pub(super) async fn crash_after(self: Arc<Self>, delay: Duration) {
+        tokio::time::sleep(delay).await;
+        let Some(address) = self.take_server() else {
+            return;
+        };
+        let now = self.now();
+        self.change(|engine| engine.crash(now));
+        tokio::time::sleep(DOWNTIME).await;
+        let service = Arc::new(WorkerService(Arc::clone(&self)));
+        loop {
+            match Server::start(address, Arc::clone(&service)).await {
+                Ok(server) => {
+                    *self.server() = Some(server);
+                    return;
+                }
+                // The address is in use until the connections are closed.
+                Err(_) => tokio::time::sleep(REBIND_INTERVAL).await,
+            }
+        }
+    }
+
+    /// Closes all connections and stops listening; returns the address if the worker was up.
+    fn take_server(&self) -> Option<SocketAddr> {
+        let server = self.server().take()?;
+        server.kill();
+        Some(server.address())
+    }
+
+    fn server(&self) -> MutexGuard<'_, Option<Server>> {
+        self.server.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn engine(&self) -> MutexGuard<'_, WorkerEngine> {
         self.engine.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -217,6 +262,10 @@
         };
         let now = self.0.now();
         let started = self.0.change(|e| e.start_task(now, &task, not_after));
+        let crash_ms = task.payload[CRASH_FIELD].as_u64();
+        if let Some(crash_ms) = crash_ms.filter(|_| started.is_ok()) {
+            tokio::spawn(Arc::clone(&self.0).crash_after(Duration::from_millis(crash_ms)));
+        }
         match started {
             Ok(()) if self.0.read(WorkerEngine::faults).drops_responses => Err(Dropped),
             Ok(()) => Ok(empty(StatusCode::ACCEPTED)),
--- a/crates/kingcupwinch-spec/tests/jobs_conformance.rs
+++ b/crates/kingcupwinch-spec/tests/jobs_conformance.rs
@@ -106,6 +106,7 @@
             .iter()
             .map(|(j, succeeded)| (id(*j), end(*succeeded)))
             .collect(),
+        crashed: Vec::new(),
     }
 }
 
--- a/crates/kingcupwinch-wire/src/field.rs
+++ b/crates/kingcupwinch-wire/src/field.rs
@@ -1,8 +1,8 @@
 //! Validation and conversion of single fields.
 
 use bytes::Bytes;
-use kingcupwinch_coord::id::{Incarnation, JobId, RecordId, ShardId, TaskId, Term};
-use kingcupwinch_coord::record::Members;
+use kingcupwinch_coord::id::{Attempt, Incarnation, JobId, RecordId, ShardId, TaskId, Term};
+use kingcupwinch_coord::record::{CrashCount, Members};
 use uuid::Uuid;
 
 use crate::DecodeError;
@@ -74,6 +74,15 @@
         .map_err(|_| DecodeError::OutOfRange(field))
 }
 
+pub(crate) fn crash_count(attempt: u32, total: u32, clear: u32) -> Result<CrashCount, DecodeError> {
+    let count = |value: u32| u8::try_from(value).map_err(|_| DecodeError::OutOfRange("crashes"));
+    Ok(CrashCount {
+        attempt: Attempt(attempt),
+        total: count(total)?,
+        clear: count(clear)?,
+    })
+}
+
 pub(crate) fn shard_terms(
     list: &[pb::ShardTerm],
     field: &'static str,
--- a/crates/kingcupwinch-wire/src/job.rs
+++ b/crates/kingcupwinch-wire/src/job.rs
@@ -2,14 +2,14 @@
 
 use bytes::Bytes;
 use kingcupwinch_coord::id::{JobId, Offset, Term};
-use kingcupwinch_coord::record::{AcceptedJob, JobEnd, JobRecord, Stamped};
+use kingcupwinch_coord::record::{AcceptedJob, JobEnd, JobRecord, Stamped, TaskCrashes};
 use kingcupwinch_time::WallTime;
 use prost::Message;
 
 use crate::DecodeError;
 use crate::field::{
-    MAX_RECORD_BYTES, check_list, check_size, job_id, job_id_bytes, record_id, record_id_bytes,
-    require, shard,
+    MAX_RECORD_BYTES, check_list, check_size, crash_count, job_id, job_id_bytes, record_id,
+    record_id_bytes, require, shard,
 };
 use crate::pb::records as pb;
 use crate::pb::records::job_entry::Body;
@@ -27,11 +27,13 @@
         Body::Accepted(a) => JobRecord::Accepted(decode_accepted(&a.jobs)?),
         Body::Ended(e) => JobRecord::Ended(decode_ended(&e.jobs)?),
         Body::Started(s) => JobRecord::Started(decode_started(&s.jobs)?),
+        Body::Crashed(c) => JobRecord::Crashed(decode_crashed(&c.tasks)?),
         Body::Snapshot(s) => JobRecord::Snapshot {
             covers: Offset(s.covers),
             open: decode_accepted(&s.open)?,
             started: decode_started(&s.started)?,
             ended: decode_ended(&s.ended)?,
+            crashed: decode_crashed(&s.crashed)?,
         },
     };
     Ok(Stamped {
@@ -52,16 +54,21 @@
         JobRecord::Started(jobs) => Body::Started(pb::StartedJobs {
             jobs: encode_started(jobs),
         }),
+        JobRecord::Crashed(tasks) => Body::Crashed(pb::CrashedTasks {
+            tasks: encode_crashed(tasks),
+        }),
         JobRecord::Snapshot {
             covers,
             open,
             started,
             ended,
+            crashed,
         } => Body::Snapshot(pb::JobSnapshot {
             covers: covers.0,
             open: encode_accepted(open),
             started: encode_started(started),
             ended: encode_ended(ended),
+            crashed: encode_crashed(crashed),
         }),
     };
     let entry = pb::JobEntry {
@@ -148,3 +155,28 @@
         })
         .collect()
 }
+
+fn decode_crashed(tasks: &[pb::CrashedTask]) -> Result<Vec<(JobId, TaskCrashes)>, DecodeError> {
+    check_list(tasks, "tasks")?;
+    tasks
+        .iter()
+        .map(|t| {
+            let count = crash_count(t.attempt, t.total, t.clear)?;
+            let index = t.index;
+            Ok((job_id(&t.job, "job")?, TaskCrashes { index, count }))
+        })
+        .collect()
+}
+
+fn encode_crashed(tasks: &[(JobId, TaskCrashes)]) -> Vec<pb::CrashedTask> {
+    tasks
+        .iter()
+        .map(|(job, crashes)| pb::CrashedTask {
+            job: job_id_bytes(*job),
+            index: crashes.index,
+            attempt: crashes.count.attempt.0,
+            total: crashes.count.total.into(),
+            clear: crashes.count.clear.into(),
+        })
+        .collect()
+}
--- a/crates/kingcupwinch-wire/src/sibling/body.rs
+++ b/crates/kingcupwinch-wire/src/sibling/body.rs
@@ -4,6 +4,7 @@
 use kingcupwinch_coord::dedupe::{Fingerprint, RequestKey};
 use kingcupwinch_coord::id::{Attempt, JobId, ShardId, TaskId, Term, Version};
 use kingcupwinch_coord::ownership::Message;
+use kingcupwinch_coord::record::CrashCount;
 use kingcupwinch_time::{Span, WallTime};
 
 /// The payload of an envelope.
@@ -175,6 +176,8 @@
     pub attempt: Attempt,
     /// The attempt's phase.
     pub phase: TaskPhase,
+    /// The crashes counted for the task, if they have changed.
+    pub crashes: Option<CrashCount>,
 }
 
 /// The phase of a task's attempt.
--- a/crates/kingcupwinch-wire/src/sibling/decode.rs
+++ b/crates/kingcupwinch-wire/src/sibling/decode.rs
@@ -9,7 +9,7 @@
     Queued, Stats, StoredResponse, TaskPhase, TaskState, ownership,
 };
 use crate::DecodeError;
-use crate::field::{check_list, job_id, require, shard, task_id, uuid};
+use crate::field::{check_list, crash_count, job_id, require, shard, task_id, uuid};
 use crate::pb::sibling as pb;
 use crate::pb::sibling::envelope::Body as Wire;
 
@@ -143,6 +143,10 @@
         task: task_id(&t.task, "task_state.task")?,
         attempt: Attempt(t.attempt),
         phase: task_phase(t.phase())?,
+        crashes: t
+            .crashes
+            .map(|c| crash_count(c.attempt, c.total, c.clear))
+            .transpose()?,
     })
 }
 
--- a/crates/kingcupwinch-wire/src/sibling/encode.rs
+++ b/crates/kingcupwinch-wire/src/sibling/encode.rs
@@ -129,6 +129,11 @@
         task: task_id_bytes(state.task),
         attempt: state.attempt.0,
         phase: task_phase(state.phase).into(),
+        crashes: state.crashes.map(|count| pb::TaskCrashes {
+            attempt: count.attempt.0,
+            total: count.total.into(),
+            clear: count.clear.into(),
+        }),
     }
 }
 
--- a/crates/kingcupwinch-wire/tests/round_trip.rs
+++ b/crates/kingcupwinch-wire/tests/round_trip.rs
@@ -10,8 +10,8 @@
     RelayRequest, Vote, VoteRequest,
 };
 use kingcupwinch_coord::record::{
-    AcceptedJob, Claim, ConfigRecord, HandOver, JobEnd, JobRecord, Member, Origin, OwnerRecord,
-    OwnerSnapshot, ShardState, Stamped,
+    AcceptedJob, Claim, ConfigRecord, CrashCount, HandOver, JobEnd, JobRecord, Member, Origin,
+    OwnerRecord, OwnerSnapshot, ShardState, Stamped, TaskCrashes,
 };
 use kingcupwinch_time::{Span, Time, WallTime};
 use kingcupwinch_wire::sibling::{
@@ -86,6 +86,12 @@
     ]
 }
 
+const CRASHES: CrashCount = CrashCount {
+    attempt: Attempt(9),
+    total: 3,
+    clear: 1,
+};
+
 fn job_records() -> Vec<JobRecord> {
     let job = JobId(Uuid::from_u128(7));
     let accepted = AcceptedJob {
@@ -101,8 +107,13 @@
         JobEnd::Cancelled,
         JobEnd::Unknown,
     ];
+    let crashes = TaskCrashes {
+        index: 4,
+        count: CRASHES,
+    };
     vec![
         JobRecord::Accepted(vec![accepted.clone()]),
+        JobRecord::Crashed(vec![(job, crashes)]),
         JobRecord::Ended(ends.map(|end| (job, end)).to_vec()),
         JobRecord::Started(vec![(job, Term(8))]),
         JobRecord::Snapshot {
@@ -110,10 +121,22 @@
             open: vec![accepted],
             started: vec![(job, Term(8))],
             ended: vec![(job, JobEnd::Done)],
+            crashed: vec![(job, crashes)],
         },
     ]
 }
 
+/// A snapshot that was written before crashes were counted.
+#[test]
+fn a_job_snapshot_without_crashes_is_read() {
+    let mut bytes = vec![0x0a, 16];
+    bytes.extend([7; 16]);
+    bytes.extend([0x2a, 2, 0x08, 2]);
+    let record = decode_job(&bytes).unwrap();
+    assert!(matches!(&record.body, JobRecord::Snapshot { crashed, .. } if crashed.is_empty()));
+    assert_eq!(encode_job(&record), bytes);
+}
+
 fn config_records() -> Vec<ConfigRecord> {
     let published = ConfigRecord {
         based: Version(1),
@@ -220,6 +243,7 @@
             task: TaskId(Uuid::from_u128(2)),
             attempt: Attempt(1),
             phase,
+            crashes: (phase == TaskPhase::Waiting).then_some(CRASHES),
         })
     }));
     bodies.extend(ownership().into_iter().map(Body::Ownership));
