Retry a live request only here after its worker was lost

A live request whose worker was lost could be forwarded to a sibling, which counted losses anew, and after a forward without an answer the count began anew at home: up to four workers at each instance, within the retry budget. Besides, a refusal after such a forward said "not-run", although the sibling may have run the request.

The request stays on this instance's workers after a loss, and a forward without an answer counts as one, so that two attempts end this way at most; then the answer is "unknown". That such a forward may have run is remembered, as for a worker.

The policy's test of live tasks showed four losses before and two now. The tests of the daemon that crash workers under live requests (`crashes`) pass, but did not fail before: there the repeats met the worker that was still down. No test covers the forwards.

--- a/crates/kingcupwinch-daemon/src/actors/scheduler/live.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/live.rs
@@ -7,7 +7,7 @@
 use kingcupwinch_coord::id::Incarnation;
 use kingcupwinch_coord::record::Member;
 use kingcupwinch_policy::{
-    Disposition, Exit, NotStarted, Outcome, Placement, Refusal, TaskKey, TaskSpec,
+    Crashes, Disposition, Exit, NotStarted, Outcome, Placement, Refusal, TaskKey, TaskSpec,
 };
 use kingcupwinch_time::{Span, Time};
 use tokio::sync::mpsc;
@@ -68,6 +68,8 @@
     pub(crate) deadline: Option<Time>,
     /// Whether the request may run more than once.
     pub(crate) idempotent: bool,
+    /// Number of earlier runs whose outcome is unknown.
+    pub(crate) losses: u8,
     /// The workers on which it may run.
     pub(crate) scope: PlacementScope,
     /// Receives the scheduler's decisions.
@@ -153,7 +155,8 @@
             .ok_or(Refusal::UnknownCustomer)?;
         let run = Span::from_millis(class.task.run_ms.get());
         let mut spec = TaskSpec::new(class_key, customer, typical_size(class), run)
-            .with_idempotent(submit.idempotent);
+            .with_idempotent(submit.idempotent)
+            .with_crashes(Crashes::new(submit.losses, 0));
         if let Some(deadline) = submit.deadline {
             spec = spec.with_deadline(deadline);
         }
@@ -262,6 +265,11 @@
             self.live.remove(&place.task);
         } else if let Some(entry) = self.live.get_mut(&place.task) {
             entry.started = false;
+            // A sibling would not count the run that was lost here.
+            let lost = matches!(report.end, RunEnd::Unknown { .. });
+            if lost && entry.scope == PlacementScope::Domain {
+                entry.scope = PlacementScope::Local;
+            }
         }
         next
     }
--- a/crates/kingcupwinch-daemon/src/live/attempt.rs
+++ b/crates/kingcupwinch-daemon/src/live/attempt.rs
@@ -219,6 +219,8 @@
                 self.shared
                     .log
                     .write(EventId::DispatchUncertain, o!("why" => reason));
+                active.losses += 1;
+                active.may_have_run = true;
                 AttemptEnd::Retry
             }
             ForwardReply::Unknown(reason) => AttemptEnd::refused(unknown("no-answer", reason)),
--- a/crates/kingcupwinch-daemon/src/live/flow.rs
+++ b/crates/kingcupwinch-daemon/src/live/flow.rs
@@ -52,6 +52,8 @@
     pub(super) request: LiveRequest,
     pub(super) key: Option<KeyRun>,
     pub(super) forwards: u32,
+    /// Number of forwarded attempts whose outcome is unknown.
+    pub(super) losses: u8,
     /// Whether an earlier attempt may have run.
     pub(super) may_have_run: bool,
 }
@@ -146,6 +148,7 @@
             request,
             key,
             forwards: 0,
+            losses: 0,
             may_have_run: false,
         };
         loop {
@@ -224,7 +227,7 @@
         let request = &active.request;
         let scope = match &request.hop {
             Some(hop) => PlacementScope::Granted(hop.sender()),
-            None if active.forwards >= MAX_FORWARDS => PlacementScope::Local,
+            None if active.forwards >= MAX_FORWARDS || active.losses > 0 => PlacementScope::Local,
             None => PlacementScope::Domain,
         };
         let submit = SubmitLive {
@@ -234,6 +237,7 @@
             arrived: request.arrived,
             deadline: request.deadline,
             idempotent: request.idempotent,
+            losses: active.losses,
             scope,
             decisions,
         };
