Let runs that a machine has no room for keep it from more

A worker that is listed with a new capacity gets a new entry, on which its runs are adopted. An adopted run was allocated what was free at most: of four runs on a worker that came back with room for two, two were allocated nothing. When one of the others ended, the next task started although three still ran. A run that was cut to nothing kept that size: stopped, it started again anywhere, on a full machine, too. The holds of live requests that run there had the same fault.

Adopted runs are allocated whole, and holds of runs in slots and connections; the machine's use may exceed its capacity until they end, and nothing starts there before it fits.

--- a/crates/kingcupwinch-daemon/src/actors/scheduler/fleet.rs
+++ b/crates/kingcupwinch-daemon/src/actors/scheduler/fleet.rs
@@ -349,7 +349,7 @@
         size: Resources,
         since: Time,
     ) {
-        match self.cell.occupy(machine, size) {
+        match self.cell.hold_run(machine, size) {
             Ok(hold) => {
                 if let Some(owned) = self.workers.get_mut(name) {
                     owned.unconfirmed.push(UnconfirmedRun { hold, work, since });
--- a/crates/kingcupwinch-policy/src/cell/machines.rs
+++ b/crates/kingcupwinch-policy/src/cell/machines.rs
@@ -5,7 +5,7 @@
 use super::{Cell, Hold};
 use crate::decision::Usage;
 use crate::key::{HoldKey, MachineKey, TaskKey};
-use crate::machine::{MachineSpec, MachineState, ReservedFor};
+use crate::machine::{Machine, MachineSpec, MachineState, ReservedFor};
 use crate::refusal::CellError;
 use crate::resources::{Dimension, Resources};
 
@@ -107,12 +107,35 @@
         let free = self
             .fleet
             .get(machine)
-            .map_or(Resources::ZERO, |m| m.spec.capacity.minus(&m.used));
+            .map_or(Resources::ZERO, Machine::unallocated);
         let size = size.min(&free);
         self.fleet.allocate(machine, &size);
         Ok(self.holds.insert(Hold { machine, size }))
     }
 
+    /// Holds capacity for one inherited run of known slots and connections, which it uses even if they
+    /// are not free. The rest of its size is held up to what is free.
+    ///
+    /// # Errors
+    ///
+    /// [`CellError::UnknownMachine`] if it is unknown or gone.
+    pub fn hold_run(&mut self, machine: MachineKey, size: Resources) -> Result<HoldKey, CellError> {
+        self.check_known(machine)?;
+        let free = self
+            .fleet
+            .get(machine)
+            .map_or(Resources::ZERO, Machine::unallocated);
+        let held = size.min(&free);
+        let held = [Dimension::Slots, Dimension::Connections]
+            .into_iter()
+            .fold(held, |held, d| held.with(d, size.get(d)));
+        self.fleet.allocate(machine, &held);
+        Ok(self.holds.insert(Hold {
+            machine,
+            size: held,
+        }))
+    }
+
     /// Releases a hold.
     ///
     /// # Errors
--- a/crates/kingcupwinch-policy/src/cell/submit.rs
+++ b/crates/kingcupwinch-policy/src/cell/submit.rs
@@ -9,7 +9,7 @@
 use crate::place::run_at;
 use crate::plan::ClassKind;
 use crate::refusal::{CellError, Refusal};
-use crate::resources::{Dimension, MAX_AMOUNT, Resources};
+use crate::resources::{Dimension, MAX_AMOUNT};
 use crate::task::{Phase, Run, Task};
 
 /// Maximum accepted run time: one year.
@@ -67,7 +67,8 @@
         Ok(GangTicket { gang: key, tasks })
     }
 
-    /// Adds a task that already runs on a machine. Its allocation is limited to what is free there.
+    /// Adds a task that already runs on a machine, even if the machine has no room for it. Until the
+    /// runs there fit again, nothing else starts on it.
     ///
     /// # Errors
     ///
@@ -86,14 +87,6 @@
         if class.spec.kind == ClassKind::Gang || self.customers.len() <= spec.customer.index() {
             return Err(CellError::UnknownClass);
         }
-        let free = self
-            .fleet
-            .get(machine)
-            .map_or(Resources::ZERO, |m| m.spec.capacity.minus(&m.used));
-        let spec = TaskSpec {
-            size: spec.size.min(&free),
-            ..spec
-        };
         let key = self.tasks.insert(Task::new(spec, now, Phase::Detached));
         self.customers[spec.customer.index()].waiting += 1;
         Ok(self.begin_run(key, machine, now))
--- a/crates/kingcupwinch-policy/src/machine.rs
+++ b/crates/kingcupwinch-policy/src/machine.rs
@@ -166,9 +166,14 @@
         self.state == MachineState::Gone
     }
 
+    /// Returns the capacity that is not allocated.
+    pub(crate) fn unallocated(&self) -> Resources {
+        self.spec.capacity.minus(&self.used)
+    }
+
     /// Returns the capacity that is neither allocated nor observed to be in use.
     pub(crate) fn idle(&self) -> Resources {
-        self.spec.capacity.minus(&self.used).minus(&self.excess)
+        self.unallocated().minus(&self.excess)
     }
 
     /// Returns how many places of size `unit` the machine loses to a task of size `need`.
