Park tasks that fit no machine of the cell

Four tasks at the head of a lane whose only machine had left kept everything behind them waiting for good beside free machines: a lane is tried with its first four tasks only.

A task that fits no machine of the cell even when idle leaves its lane, though not the queue: it counts as waiting, can be cancelled, delegated to a sibling with such a machine, and given up at its deadline. When a machine of a new capacity is added, it returns to its place.

--- a/crates/kingcupwinch-policy/src/cell/decide.rs
+++ b/crates/kingcupwinch-policy/src/cell/decide.rs
@@ -12,6 +12,7 @@
 use crate::machine::{Machine, MachineState, PLACE_UNITS, PlaceUnit};
 use crate::place::{PlacementRequest, Separation, place_backfill, place_batch, place_live, run_at};
 use crate::plan::ClassKind;
+use crate::queue::Rank;
 use crate::refusal::Refusal;
 use crate::resources::Resources;
 use crate::task::Task;
@@ -41,6 +42,9 @@
     NotAllowed,
 }
 
+/// The first tasks of a lane.
+type Heads = SmallVec<[(Rank, TaskKey); HEAD_TRIES]>;
+
 impl Cell {
     /// Runs a decision round at time `now` and appends its decisions to `out`.
     pub fn decide(&mut self, now: Time, out: &mut Vec<Decision>) {
@@ -116,6 +120,9 @@
 
     /// Unblocks the classes whose retry time has come.
     fn wake_classes(&mut self, now: Time) {
+        for index in 0..self.classes.len() {
+            self.unpark(index);
+        }
         for class in &mut self.classes {
             if class.wakeup.is_some_and(|w| w <= now) {
                 class.wakeup = None;
@@ -128,13 +135,7 @@
     fn serve_class(&mut self, class: usize, now: Time, out: &mut Vec<Decision>) {
         let mut tried: Option<Resources> = None;
         for lane in self.lanes_by_share(class) {
-            let heads: SmallVec<[TaskKey; HEAD_TRIES]> = self.classes[class]
-                .queue
-                .heads(lane)
-                .take(HEAD_TRIES)
-                .map(|(_, key)| key)
-                .collect();
-            for key in heads {
+            for (_, key) in self.heads_that_fit(class, lane) {
                 let need = self.corrected_size(&self.tasks[key]);
                 if tried.is_some_and(|t| t.fits(&need)) {
                     continue;
@@ -155,6 +156,35 @@
         self.classes[class].wake_at(now + wait);
     }
 
+    /// Returns the first tasks of a lane, and parks those that fit no machine of the cell.
+    fn heads_that_fit(&mut self, class: usize, lane: u16) -> Heads {
+        loop {
+            let heads = self.classes[class].queue.heads(lane);
+            let heads: Heads = heads.take(HEAD_TRIES).collect();
+            let fits = |key: TaskKey| {
+                let need = self.corrected_size(&self.tasks[key]);
+                self.fleet.fits_when_empty(&need)
+            };
+            let (heads, parked): (Heads, Heads) = heads.into_iter().partition(|(_, k)| fits(*k));
+            if parked.is_empty() {
+                return heads;
+            }
+            for (rank, _) in parked {
+                self.classes[class].queue.park(rank);
+            }
+        }
+    }
+
+    /// Returns parked tasks to their lanes if a machine of another capacity was added since.
+    fn unpark(&mut self, class: usize) {
+        let shapes = self.fleet.shapes();
+        let class = &mut self.classes[class];
+        if class.shapes != shapes {
+            class.shapes = shapes;
+            class.queue.unpark();
+        }
+    }
+
     /// Returns the lanes of a class with the lowest weighted share, in ascending order of the
     /// share.
     fn lanes_by_share(&self, class: usize) -> SmallVec<[u16; LANE_TRIES]> {
--- a/crates/kingcupwinch-policy/src/class.rs
+++ b/crates/kingcupwinch-policy/src/class.rs
@@ -49,6 +49,8 @@
     pub(crate) counters: ClassCounters,
     /// Set while no task of the queue can be placed.
     pub(crate) blocked: Option<BlockedQueue>,
+    /// Count of the shapes of machines for which tasks were parked.
+    pub(crate) shapes: u64,
     /// Until this time the class does not reclaim capacity from others.
     pub(crate) cooldown: Time,
     /// Moving average of the dominant share while tasks wait.
@@ -74,6 +76,7 @@
             forecast: Forecast::default(),
             counters: ClassCounters::new(),
             blocked: None,
+            shapes: 0,
             cooldown: Time::ZERO,
             mean_share: FULL_SHARE,
             updated: now,
--- a/crates/kingcupwinch-policy/src/fleet.rs
+++ b/crates/kingcupwinch-policy/src/fleet.rs
@@ -37,6 +37,8 @@
     racks: Vec<Rack>,
     /// Number of machines with each distinct capacity.
     capacities: FxHashMap<Resources, u32>,
+    /// Number of times that a machine of a new capacity was added.
+    shapes: u64,
     /// Capacities of the machines of other owners; `None` if they are unknown.
     remote_capacities: Option<Vec<Resources>>,
     buckets: Buckets,
@@ -63,6 +65,7 @@
             machines: SlotMap::with_key(),
             racks: Vec::new(),
             capacities: FxHashMap::default(),
+            shapes: 0,
             remote_capacities: Some(Vec::new()),
             buckets: Buckets::new(),
             indexes: (0..=RESERVED).map(FreeIndex::new).collect(),
@@ -103,6 +106,11 @@
         self.releases += 1;
     }
 
+    /// Returns a counter that increases when a machine of a new capacity is added.
+    pub(crate) fn shapes(&self) -> u64 {
+        self.shapes
+    }
+
     /// Returns the number of machines in quarantine.
     pub(crate) fn quarantined(&self) -> usize {
         self.quarantined
@@ -162,7 +170,9 @@
         self.max_speed = self.max_speed.max(spec.speed);
         let key = self.machines.insert(Machine::new(spec, rack));
         self.racks[rack.index()].machines.push(key);
-        *self.capacities.entry(capacity).or_insert(0) += 1;
+        let machines = self.capacities.entry(capacity).or_insert(0);
+        *machines += 1;
+        self.shapes += u64::from(*machines == 1);
         self.capacity = self.capacity.plus(&capacity);
         self.releases += 1;
         self.reindex(key);
--- a/crates/kingcupwinch-policy/src/fleet/search.rs
+++ b/crates/kingcupwinch-policy/src/fleet/search.rs
@@ -98,6 +98,11 @@
         )
     }
 
+    /// Returns whether a machine of the cell can hold `need` when it is empty.
+    pub(crate) fn fits_when_empty(&self, need: &Resources) -> bool {
+        self.capacities.keys().any(|shape| need.fits(shape))
+    }
+
     /// Returns how many tasks of size `need` the machines could hold if they were empty.
     pub(crate) fn max_places(&self, need: &Resources) -> u64 {
         self.capacities
--- a/crates/kingcupwinch-policy/src/queue.rs
+++ b/crates/kingcupwinch-policy/src/queue.rs
@@ -23,6 +23,8 @@
 pub(crate) struct Queue {
     lanes: Vec<BTreeMap<Rank, TaskKey>>,
     nonempty: Vec<u16>,
+    /// Tasks that fit no machine of the cell, in no lane until the machines change.
+    parked: BTreeMap<Rank, TaskKey>,
     len: usize,
     arrivals: u64,
 }
@@ -33,9 +35,9 @@
         self.len
     }
 
-    /// Returns whether no task waits.
+    /// Returns whether no task waits, apart from parked ones.
     pub(crate) fn is_empty(&self) -> bool {
-        self.len == 0
+        self.nonempty.is_empty()
     }
 
     /// Creates the next rank in a lane.
@@ -50,6 +52,11 @@
 
     /// Adds a task.
     pub(crate) fn insert(&mut self, rank: Rank, task: TaskKey) {
+        self.insert_in_lane(rank, task);
+        self.len += 1;
+    }
+
+    fn insert_in_lane(&mut self, rank: Rank, task: TaskKey) {
         let lane = usize::from(rank.lane);
         if lane >= self.lanes.len() {
             self.lanes.resize_with(lane + 1, BTreeMap::new);
@@ -58,22 +65,39 @@
             self.nonempty.push(rank.lane);
         }
         self.lanes[lane].insert(rank, task);
-        self.len += 1;
     }
 
     /// Removes a task and returns whether it was in the queue.
     pub(crate) fn remove(&mut self, rank: Rank) -> bool {
-        let Some(lane) = self.lanes.get_mut(usize::from(rank.lane)) else {
-            return false;
-        };
-        if lane.remove(&rank).is_none() {
-            return false;
-        }
+        let found = self
+            .parked
+            .remove(&rank)
+            .or_else(|| self.remove_from_lane(rank));
+        self.len -= usize::from(found.is_some());
+        found.is_some()
+    }
+
+    fn remove_from_lane(&mut self, rank: Rank) -> Option<TaskKey> {
+        let lane = self.lanes.get_mut(usize::from(rank.lane))?;
+        let task = lane.remove(&rank)?;
         if lane.is_empty() {
             self.nonempty.retain(|&l| l != rank.lane);
         }
-        self.len -= 1;
-        true
+        Some(task)
+    }
+
+    /// Takes a task out of its lane, so that it blocks none behind it. It still waits.
+    pub(crate) fn park(&mut self, rank: Rank) {
+        if let Some(task) = self.remove_from_lane(rank) {
+            self.parked.insert(rank, task);
+        }
+    }
+
+    /// Returns the parked tasks to their places in their lanes.
+    pub(crate) fn unpark(&mut self) {
+        for (rank, task) in std::mem::take(&mut self.parked) {
+            self.insert_in_lane(rank, task);
+        }
     }
 
     /// Returns the lanes that contain tasks, in no particular order.
@@ -100,9 +124,8 @@
     /// Returns every task.
     #[cfg(test)]
     pub(crate) fn iter(&self) -> impl Iterator<Item = (Rank, TaskKey)> {
-        self.lanes
-            .iter()
-            .flat_map(|l| l.iter().map(|(r, t)| (*r, *t)))
+        let lanes = self.lanes.iter().chain([&self.parked]);
+        lanes.flat_map(|l| l.iter().map(|(r, t)| (*r, *t)))
     }
 }
 
--- a/crates/kingcupwinch-policy/tests/placement.rs
+++ b/crates/kingcupwinch-policy/tests/placement.rs
@@ -72,6 +72,32 @@
     assert_eq!(started, [small]);
 }
 
+/// Such tasks still wait, and start in their order once a machine is added that holds them.
+#[test]
+fn tasks_that_fit_no_machine_start_when_one_is_added() {
+    let mut harness = Harness::with_kind(ClassKind::Batch);
+    harness.machine("r", 2);
+    let remote = UNIT.times(8).with_connections(8);
+    harness.cell.set_remote_capacities(Some(vec![remote]));
+    let large = harness.spec("work", 8);
+    let mut submit = |spec| harness.cell.submit(spec, harness.now).unwrap();
+    let tasks: Vec<TaskKey> = (0..10).map(|_| submit(large)).collect();
+    assert!(harness.starts().is_empty());
+    assert_eq!(harness.cell.queued(large.class), 10);
+    harness.cell.cancel(tasks[0], harness.now).unwrap();
+    assert_eq!(harness.cell.queued(large.class), 9);
+    harness.machine("r", 8);
+    let mut started = Vec::new();
+    for _ in 0..9 {
+        harness.advance(100);
+        let place = harness.starts()[0];
+        started.push(place.task);
+        harness.end(place, Outcome::Done);
+    }
+    assert_eq!(started, tasks[1..]);
+    assert_eq!(harness.cell.queued(large.class), 0);
+}
+
 #[test]
 fn observed_speed_replaces_the_declared_one() {
     let mut harness = Harness::with_kind(ClassKind::Live);
