Report the leader of a gang that is given up

When the last event of a broken gang that was given up was another member's, the leader left the cell without a decision, and the member was reported twice. The daemon kept the leader's entry for good.

All members but the one whose end is reported get a decision, and that one gets the result. The new test failed before (the members reported were 2, 3 and 3 of 1, 2 and 3), and the tests of the policy pass.

--- a/crates/kingcupwinch-policy/src/cell/events.rs
+++ b/crates/kingcupwinch-policy/src/cell/events.rs
@@ -124,7 +124,7 @@
         let gang = self.tasks[key].gang;
         self.remove_task(key);
         if let Some(gang) = gang {
-            self.requeue_gang(gang, now);
+            self.requeue_gang(gang, key, now);
         }
     }
 
--- a/crates/kingcupwinch-policy/src/cell/gangs.rs
+++ b/crates/kingcupwinch-policy/src/cell/gangs.rs
@@ -203,7 +203,7 @@
             self.gangs[key].broken = true;
             self.stop_members(key, now);
         }
-        match self.requeue_gang(key, now) {
+        match self.requeue_gang(key, task, now) {
             Some(refusal) => Disposition::GaveUp(refusal),
             None => Disposition::Requeued,
         }
@@ -220,7 +220,13 @@
     }
 
     /// Requeues a broken gang once none of its tasks runs, or gives it up and returns the reason.
-    pub(super) fn requeue_gang(&mut self, key: GangKey, now: Time) -> Option<Refusal> {
+    /// The result of the event reports the end of `ended`, and decisions that of the others.
+    pub(super) fn requeue_gang(
+        &mut self,
+        key: GangKey,
+        ended: TaskKey,
+        now: Time,
+    ) -> Option<Refusal> {
         let gang = self.gangs.get_mut(key)?;
         if !gang.broken || gang.running > 0 {
             return None;
@@ -228,11 +234,10 @@
         gang.broken = false;
         gang.tasks.retain(|t| self.tasks.contains_key(*t));
         let leader = gang.leader();
-        let others: Vec<TaskKey> = gang.tasks[1..].to_vec();
+        let members = gang.tasks.clone();
         self.tasks[leader].failures += 1;
-        let members = others.iter().chain([&leader]);
         let crashed = members
-            .into_iter()
+            .iter()
             .any(|t| self.has_crashed_out(&self.tasks[*t]));
         let next = if crashed {
             self.give_up(leader, Refusal::MachineCrashes)
@@ -242,11 +247,12 @@
         let Disposition::GaveUp(refusal) = next else {
             return None;
         };
-        for task in others {
+        for task in members.into_iter().filter(|task| *task != ended) {
             self.remove_task(task);
             self.counters.given_up += 1;
             self.pending.push(Decision::GiveUp { task, refusal });
         }
+        self.remove_task(ended);
         Some(refusal)
     }
 }
--- a/crates/kingcupwinch-policy/tests/gangs.rs
+++ b/crates/kingcupwinch-policy/tests/gangs.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use common::Harness;
-use kingcupwinch_policy::{ClassKind, ClassSpec, Decision, GangSpec, Outcome, Plan, Spread};
+use kingcupwinch_policy::{
+    ClassKind, ClassSpec, Decision, Disposition, GangSpec, Outcome, Plan, Spread,
+};
 use kingcupwinch_time::Span;
 use rstest::rstest;
 
@@ -129,3 +131,39 @@
     let again = harness.decide();
     assert!(matches!(&again[..], [Decision::StartGang { places, .. }] if places.len() == 3));
 }
+
+/// The gang is given up in the event of a member that does not lead it.
+#[test]
+fn every_member_of_a_gang_that_is_given_up_is_reported() {
+    let mut harness = Harness::with_kind(ClassKind::Gang);
+    harness.machine("r", 4);
+    let spec = GangSpec::new(harness.spec("work", 1), 3);
+    let gang = harness.cell.submit_gang(spec, harness.now).unwrap();
+    let failing = gang.tasks[2];
+    let mut gave_up = Vec::new();
+    for _ in 0..1_000 {
+        harness.advance(1_000);
+        for decision in harness.decide() {
+            match decision {
+                Decision::GiveUp { task, .. } => gave_up.push(task),
+                Decision::StartGang { places, .. } => {
+                    for place in places {
+                        let outcome = if place.task == failing {
+                            Outcome::Failed
+                        } else {
+                            Outcome::Stopped
+                        };
+                        let next = harness.end(place, outcome);
+                        if matches!(next, Disposition::GaveUp(_)) {
+                            gave_up.push(place.task);
+                        }
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+    assert_eq!(harness.cell.tasks(), 0);
+    gave_up.sort();
+    assert_eq!(gave_up, gang.tasks);
+}
