--- a/crates/kingcupwinch-soak/src/checks.rs
+++ b/crates/kingcupwinch-soak/src/checks.rs
@@ -235,7 +235,10 @@
                 None,
             )
             | (
-                WorkerEventKind::LeaseExpired | WorkerEventKind::Joined | WorkerEventKind::Left,
+                WorkerEventKind::Capacity(_)
+                | WorkerEventKind::LeaseExpired
+                | WorkerEventKind::Joined
+                | WorkerEventKind::Left,
                 _,
             ) => {}
         }
