Soak with tasks that crash workers, capacities that change and workers that leave

The fault soak knew no task that crashes the workers that start it, and no worker whose capacity changes or that leaves for good.

`--crashing` hands in jobs of whose tasks one crashes its workers, beside harmless batch and long-running ones, while owners end right after starts and crashes, answers are lost, and capacities shrink and grow. Four checks: such a task is started twice at most after three crashes; its job ends as failed, not before two crashes; no other job does; no start exceeds a capacity 3 s after the directory showed that it had shrunk. Room for long-running tasks follows the capacities, and a worker that a task crashed has none until it is back; the bound itself is unchanged.

On a busy machine with 60 workers, long-running jobs were still submitted after the others had been cancelled, and kept batch jobs waiting: a fault of the soak. It waits for the submissions before it cancels now.

The tests of the checks move to a directory; those that were there are unchanged.

--- a/crates/kingcupwinch-soak/examples/soak.rs
+++ b/crates/kingcupwinch-soak/examples/soak.rs
@@ -39,6 +39,20 @@
                 .conflicts_with("basic")
                 .help("Injects no faults, and submits more long-running tasks than fit"),
         )
+        .arg(
+            Arg::new("drains")
+                .long("drains")
+                .action(ArgAction::SetTrue)
+                .requires("overload")
+                .help("Lets a fifth to two fifths of the workers drain and leave for good"),
+        )
+        .arg(
+            Arg::new("crashing")
+                .long("crashing")
+                .action(ArgAction::SetTrue)
+                .conflicts_with_all(["basic", "overload"])
+                .help("Submits tasks that crash their workers, and changes capacities"),
+        )
         .arg(number("at-once", "1", "Number of concurrent runs"))
         .arg(
             Arg::new("dir")
@@ -84,6 +98,10 @@
             options.workers = count("workers");
             if matches.get_flag("basic") {
                 options.plan = PlanKind::Basic;
+            } else if matches.get_flag("crashing") {
+                options.plan = PlanKind::Crashing;
+            } else if matches.get_flag("drains") {
+                options.plan = PlanKind::Drains;
             } else if matches.get_flag("overload") {
                 options.plan = PlanKind::Overload;
             }
--- a/crates/kingcupwinch-soak/src/checks.rs
+++ b/crates/kingcupwinch-soak/src/checks.rs
@@ -7,6 +7,8 @@
 use kingcupwinch_standin::{FencedAppend, WorkerEvent, WorkerEventKind};
 use rustc_hash::FxHashMap;
 
+use crate::capacity::check_capacity;
+use crate::crashes::{check_crashes, may_fail_from};
 use crate::disturbances::Disturbance;
 use crate::operator::{Lookup, ObservedRoute};
 use crate::progress::{check_progress, check_workers};
@@ -38,6 +40,8 @@
     Visibility,
     /// The reported state of a job agrees with its runs.
     AccurateState,
+    /// A task that crashes its workers is started only a few times.
+    CrashLimit,
     /// A refused job never runs.
     NoRefusedRun,
     /// No task of a cancelled job starts after a short grace period.
@@ -88,6 +92,8 @@
     pub worker_limit: Option<u16>,
     /// Whether its tasks run until the job is cancelled.
     pub is_long_running: bool,
+    /// Index of its task that crashes each worker that starts it, if there is one.
+    pub crashing: Option<u16>,
 }
 
 /// A job as its callers observed it.
@@ -116,6 +122,11 @@
     pub fn is_long_running(&self) -> bool {
         self.steps.iter().any(|step| step.is_long_running)
     }
+
+    /// Returns whether one of its tasks crashes each worker that starts it.
+    pub fn is_crashing(&self) -> bool {
+        self.steps.iter().any(|step| step.crashing.is_some())
+    }
 }
 
 /// What callers, workers and the store observed.
@@ -149,6 +160,7 @@
     pub(crate) started: Instant,
     pub(crate) ended: Option<Instant>,
     is_done: bool,
+    pub(crate) is_crashed: bool,
     listed: Option<Instant>,
     acked: Option<Instant>,
 }
@@ -188,7 +200,9 @@
         check_states(job, &runs, &mut violations);
         check_log_first(job, &runs, &expirations, appends, &mut violations);
         check_workers(job, &runs, &mut violations);
+        check_crashes(job, &runs, &mut violations);
     }
+    check_capacity(observations, &runs, &mut violations);
     check_progress(observations, &runs, &mut violations);
     check_routes(observations, &mut violations);
     violations
@@ -211,12 +225,14 @@
                 started: event.at,
                 ended: None,
                 is_done: false,
+                is_crashed: false,
                 listed: None,
                 acked: None,
             }),
             (WorkerEventKind::Ended(reason), Some(run)) => {
                 run.ended = Some(event.at);
                 run.is_done = *reason == "done";
+                run.is_crashed = *reason == "crashed";
             }
             (WorkerEventKind::Listed, Some(run)) => run.listed = Some(event.at),
             (WorkerEventKind::Acknowledged, Some(run)) => {
@@ -416,12 +432,14 @@
 fn check_states(job: &ObservedJob, runs: &Runs, violations: &mut Vec<Violation>) {
     let Some(accepted) = job.accepted else { return };
     let is_cancelled = job.cancel_sent.is_some();
+    let may_fail_from = may_fail_from(job, runs);
     let mut last = None;
     for (at, state) in &job.states {
         if state == "gone" && *at > accepted + VISIBILITY_DELAY {
             add_violation(violations, Invariant::Visibility, job.id.clone());
         }
-        if state == "cancelled" && !is_cancelled || state == "failed" {
+        let may_fail = may_fail_from.is_some_and(|from| from <= *at);
+        if state == "cancelled" && !is_cancelled || state == "failed" && !may_fail {
             let detail = format!("{} was reported as {state}", job.id);
             add_violation(violations, Invariant::AccurateState, detail);
         }
@@ -449,7 +467,12 @@
         }
         last = Some(state.as_str());
     }
-    if !is_cancelled && last != Some("completed") {
+    let expected = if job.is_crashing() {
+        "failed"
+    } else {
+        "completed"
+    };
+    if !is_cancelled && last != Some(expected) {
         let detail = format!(
             "{} was accepted, but its last reported state is {last:?}",
             job.id
--- a/crates/kingcupwinch-soak/src/cluster.rs
+++ b/crates/kingcupwinch-soak/src/cluster.rs
@@ -8,9 +8,11 @@
 
 use kingcupwinch_standin::{
     Caller, Fleet, History, InstanceSettings, StandinAdviser, StandinStore, StoreMode,
-    WorkerEventKind, WorkerFaults, WorkerHandle, WorkerSpec,
+    WorkerEventKind, WorkerFaults, WorkerHandle,
 };
 use rustix::process::Signal;
+use tokio::sync::MutexGuard;
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 
 use crate::disturbances::Disturbances;
@@ -20,11 +22,8 @@
 use crate::ports::{free_address, free_pair};
 use crate::proxy::{Closing, Mode, Proxy};
 use crate::routes::CONFIG_BOUND;
+use crate::workers::{MAX_LEASE_MS, WORKER_MILLICORES, WorkerNode};
 
-/// Maximum lease of the workers, in milliseconds.
-const MAX_LEASE_MS: u64 = 6_000;
-/// CPU capacity of each worker, in millicores.
-pub(crate) const WORKER_MILLICORES: u64 = 4_000;
 /// Delay that a slow link adds to every chunk.
 const LINK_DELAY: Duration = Duration::from_millis(120);
 /// Interval at which the events are checked for a trigger.
@@ -43,18 +42,14 @@
     callers: SocketAddr,
 }
 
-/// A worker and the link to it.
-struct WorkerNode {
-    worker: WorkerHandle,
-    link: Proxy,
-}
-
 /// The instances, workers and store of one run.
 pub(crate) struct Cluster {
     pub(crate) store: Arc<StandinStore>,
     pub(crate) history: History,
     instances: Vec<InstanceNode>,
     workers: Vec<WorkerNode>,
+    /// Keeps the workers up.
+    _upkeep: JoinSet<()>,
     pub(crate) operator: Operator,
     pub(crate) disturbances: Disturbances,
     /// Descriptions of the instances that did not stop in time and with success.
@@ -76,9 +71,9 @@
         let adviser_address = free_address()?;
         adviser.start(adviser_address).await?;
         let fleet = Fleet::new(Arc::clone(&store), adviser, history.clone());
-        let mut workers = Vec::new();
+        let (mut workers, mut upkeep) = (Vec::new(), JoinSet::new());
         for index in 0..worker_count {
-            workers.push(start_worker(&fleet, index).await?);
+            workers.push(WorkerNode::start(&fleet, index, &mut upkeep).await?);
         }
         let mut instances = Vec::new();
         for index in 0..instance_count {
@@ -91,6 +86,7 @@
             history,
             instances,
             workers,
+            _upkeep: upkeep,
             operator,
             disturbances: Disturbances::default(),
             unclean_stops: Vec::new(),
@@ -112,6 +108,7 @@
             Trigger::Listing => Some(WorkerEventKind::Listed),
             Trigger::Ack => Some(WorkerEventKind::Acknowledged),
             Trigger::Start => Some(WorkerEventKind::Started),
+            Trigger::Crash => Some(WorkerEventKind::Ended("crashed")),
         };
         while Instant::now() < deadline {
             let has_happened = match &kind {
@@ -139,7 +136,7 @@
     }
 
     /// Begins a fault.
-    pub(crate) fn begin(&mut self, fault: Fault) -> io::Result<()> {
+    pub(crate) async fn begin(&mut self, fault: Fault) -> io::Result<()> {
         let fault = self.resolve(fault);
         self.disturbances.begin(fault);
         match fault {
@@ -183,21 +180,25 @@
             Fault::BlockWorkerResponses(index) => self.workers[index].link.set(Mode::OneWay),
             Fault::ResetWorker(index) => self.workers[index].link.set(Mode::Reset),
             Fault::CrashWorker(index) | Fault::ReplaceWorker(index) => {
-                self.workers[index].worker.crash();
+                self.worker(index).await.crash();
             }
-            Fault::DrainWorker(index) => self.workers[index].worker.register("draining"),
-            Fault::UnlistWorker(index) => self.workers[index].worker.unregister(),
-            Fault::ListPreviousWorker(index) => self.workers[index].worker.register_previous(),
-            Fault::CloseWorker(index) => self.workers[index].link.close(Closing::Finish),
-            Fault::AbortWorker(index) => self.workers[index].link.close(Closing::Abort),
-            Fault::HangWorker(index) => self.change_faults(index, |faults| faults.hangs = true),
-            Fault::FailWorker(index) => self.change_faults(index, |faults| faults.fails = true),
-            Fault::LoseWorkerResponses(index) => {
-                self.change_faults(index, |faults| faults.loses_responses = true);
+            Fault::DrainWorker(index) | Fault::LeaveWorker(index) => {
+                self.worker(index).await.register("draining");
+            }
+            Fault::ShrinkWorker(index, percent) => {
+                self.resize(index, WORKER_MILLICORES * percent / 100).await;
             }
-            Fault::DelayStarts(index) => {
-                self.change_faults(index, |faults| faults.starts_late = true);
+            Fault::UnlistWorker(index) => self.worker(index).await.unregister(),
+            Fault::ListPreviousWorker(index) => {
+                self.worker(index).await.register_previous();
             }
+            Fault::CloseWorker(index) => self.workers[index].link.close(Closing::Finish),
+            Fault::AbortWorker(index) => self.workers[index].link.close(Closing::Abort),
+            Fault::HangWorker(index)
+            | Fault::FailWorker(index)
+            | Fault::LoseWorkerResponses(index)
+            | Fault::DelayStarts(index)
+            | Fault::DelayStops(index) => self.change_faults(index, fault, true).await,
             Fault::Publish => self.operator.publish(),
         }
         Ok(())
@@ -209,9 +210,9 @@
     }
 
     /// Carries out the second phase of a fault.
-    pub(crate) fn advance(&mut self, fault: Fault) {
+    pub(crate) async fn advance(&mut self, fault: Fault) {
         if let Fault::DrainWorker(index) = fault {
-            let worker = &mut self.workers[index].worker;
+            let mut worker = self.worker(index).await;
             worker.crash();
             worker.unregister();
         }
@@ -250,27 +251,45 @@
             | Fault::BlockWorkerResponses(index)
             | Fault::ResetWorker(index) => self.workers[index].link.set(Mode::Open),
             Fault::CrashWorker(index) | Fault::DrainWorker(index) => {
-                self.workers[index].worker.restart().await?;
+                self.worker(index).await.restart().await?;
             }
-            Fault::ReplaceWorker(index) => self.workers[index].worker.replace().await?,
-            Fault::UnlistWorker(index) | Fault::ListPreviousWorker(index) => {
-                self.workers[index].worker.register("ready");
+            Fault::ReplaceWorker(index) => {
+                self.worker(index).await.replace().await?;
             }
-            Fault::HangWorker(index) => self.change_faults(index, |faults| faults.hangs = false),
-            Fault::FailWorker(index) => self.change_faults(index, |faults| faults.fails = false),
-            Fault::LoseWorkerResponses(index) => {
-                self.change_faults(index, |faults| faults.loses_responses = false);
-            }
-            Fault::DelayStarts(index) => {
-                self.change_faults(index, |faults| faults.starts_late = false);
+            Fault::LeaveWorker(index) => self.worker(index).await.leave(),
+            Fault::ShrinkWorker(index, _) => self.resize(index, WORKER_MILLICORES).await,
+            Fault::UnlistWorker(index) | Fault::ListPreviousWorker(index) => {
+                self.worker(index).await.register("ready");
             }
+            Fault::HangWorker(index)
+            | Fault::FailWorker(index)
+            | Fault::LoseWorkerResponses(index)
+            | Fault::DelayStarts(index)
+            | Fault::DelayStops(index) => self.change_faults(index, fault, false).await,
         }
         self.disturbances.end(fault);
         Ok(())
     }
 
-    fn change_faults(&self, index: usize, change: impl FnOnce(&mut WorkerFaults)) {
-        self.workers[index].worker.change_faults(change);
+    async fn worker(&self, index: usize) -> MutexGuard<'_, WorkerHandle> {
+        self.workers[index].worker.lock().await
+    }
+
+    async fn resize(&self, index: usize, cpu: u64) {
+        self.worker(index).await.resize(cpu);
+    }
+
+    async fn change_faults(&self, index: usize, fault: Fault, is_active: bool) {
+        self.worker(index)
+            .await
+            .change_faults(|faults| match fault {
+                Fault::HangWorker(_) => faults.hangs = is_active,
+                Fault::FailWorker(_) => faults.fails = is_active,
+                Fault::LoseWorkerResponses(_) => faults.loses_responses = is_active,
+                Fault::DelayStarts(_) => faults.starts_late = is_active,
+                Fault::DelayStops(_) => faults.stops_late = is_active,
+                _ => {}
+            });
     }
 
     /// Returns whether a fault is over only once an instance has stopped, which it still may do in
@@ -302,10 +321,11 @@
         }
         for node in &mut self.workers {
             node.link.set(Mode::Open);
-            node.worker
-                .change_faults(|faults| *faults = WorkerFaults::default());
-            node.worker.restart().await?;
-            node.worker.register("ready");
+            let mut worker = node.worker.lock().await;
+            worker.change_faults(|faults| *faults = WorkerFaults::default());
+            worker.resize(WORKER_MILLICORES);
+            worker.restart().await?;
+            worker.register("ready");
         }
         self.disturbances.end_all();
         Ok(())
@@ -327,26 +347,6 @@
     }
 }
 
-async fn start_worker(fleet: &Fleet, index: usize) -> io::Result<WorkerNode> {
-    let spec = WorkerSpec {
-        id: format!("w-{index}").into(),
-        domain: "domain-a".into(),
-        cpu: WORKER_MILLICORES,
-        max_lease_ms: MAX_LEASE_MS,
-    };
-    let mut link = None;
-    let worker = fleet
-        .start(spec, free_address()?, async |address| {
-            let proxy = Proxy::start(address).await?;
-            let address = proxy.address();
-            link = Some(proxy);
-            Ok(address)
-        })
-        .await?;
-    let link = link.ok_or_else(|| io::Error::other("the worker was started without a proxy"))?;
-    Ok(WorkerNode { worker, link })
-}
-
 async fn start_instance(
     program: &Path,
     dir: &Path,
--- a/crates/kingcupwinch-soak/src/disturbances.rs
+++ b/crates/kingcupwinch-soak/src/disturbances.rs
@@ -92,6 +92,8 @@
         | Fault::CrashWorker(_)
         | Fault::ReplaceWorker(_)
         | Fault::DrainWorker(_)
+        | Fault::LeaveWorker(_)
+        | Fault::ShrinkWorker(..)
         | Fault::HangWorker(_)
         | Fault::FailWorker(_)
         | Fault::Publish
@@ -100,7 +102,8 @@
         | Fault::CloseWorker(_)
         | Fault::AbortWorker(_)
         | Fault::LoseWorkerResponses(_)
-        | Fault::DelayStarts(_) => None,
+        | Fault::DelayStarts(_)
+        | Fault::DelayStops(_) => None,
     }
 }
 
--- a/crates/kingcupwinch-soak/src/lib.rs
+++ b/crates/kingcupwinch-soak/src/lib.rs
@@ -6,8 +6,10 @@
 //! removes routes. The responses to callers
 //! and the events on workers are then checked against the invariants of the scheduler.
 
+mod capacity;
 mod checks;
 mod cluster;
+mod crashes;
 mod disturbances;
 mod instance;
 mod operator;
@@ -18,6 +20,7 @@
 mod routes;
 mod run;
 mod series;
+mod workers;
 mod workload;
 
 pub use checks::{Invariant, Observations, ObservedJob, ObservedStep, Violation, check_invariants};
--- a/crates/kingcupwinch-soak/src/plan.rs
+++ b/crates/kingcupwinch-soak/src/plan.rs
@@ -4,7 +4,10 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::series::{connections_die, random_series, rolling_restart, workers_replaced};
+use crate::series::{
+    capacities_change, connections_die, crash_series, random_series, rolling_restart,
+    workers_leave, workers_replaced,
+};
 
 /// Range of the interval between the starts of two faults, in milliseconds. Most faults last longer
 /// than that, so they overlap.
@@ -23,11 +26,19 @@
 const REPLACEMENT_INTERVAL_MS: std::ops::Range<u64> = 3_000..6_000;
 /// Range of the interval between the starts of two series of dead connections, in milliseconds.
 const DEATH_INTERVAL_MS: std::ops::Range<u64> = 5_000..8_000;
+/// Range of the interval between the starts of two series of changed capacities, in milliseconds.
+const RESIZE_INTERVAL_MS: std::ops::Range<u64> = 4_000..7_000;
+/// Range of the interval between the starts of two series around tasks that crash workers, in
+/// milliseconds.
+const CRASH_INTERVAL_MS: std::ops::Range<u64> = 2_500..5_000;
 /// Distinguish the random numbers of the kinds of series from those of the single faults.
 const SERIES_SEED: u64 = 0x5e41_e500_0000_0000;
 const RESTART_SEED: u64 = 0x4e57_a470_0000_0000;
 const REPLACEMENT_SEED: u64 = 0x4e91_ace0_0000_0000;
 const DEATH_SEED: u64 = 0xdead_0000_0000_0000;
+const RESIZE_SEED: u64 = 0x4e51_2e00_0000_0000;
+const CRASH_SEED: u64 = 0xc4a5_4000_0000_0000;
+const LEAVE_SEED: u64 = 0x1ea7_e000_0000_0000;
 
 /// A fault of an instance.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -68,6 +79,8 @@
     Ack,
     /// A worker has started a run.
     Start,
+    /// A worker has crashed under a run.
+    Crash,
 }
 
 /// A fault to inject.
@@ -115,6 +128,10 @@
     ReplaceWorker(usize),
     /// A worker drains and is unregistered, and starts again at the end.
     DrainWorker(usize),
+    /// A worker drains, and leaves for good at the end.
+    LeaveWorker(usize),
+    /// A worker's capacity shrinks to this many percent, and grows again at the end.
+    ShrinkWorker(usize, u64),
     /// The tasks on a worker hang.
     HangWorker(usize),
     /// The tasks on a worker fail.
@@ -137,6 +154,8 @@
     LoseWorkerResponses(usize),
     /// A worker closes the connections of three start orders in ten, and carries them out later.
     DelayStarts(usize),
+    /// The tasks on a worker go on for a while after the orders to stop them.
+    DelayStops(usize),
 }
 
 /// A fault and its time.
@@ -161,6 +180,10 @@
     Full,
     /// No faults, but more long-running tasks than the workers have room for.
     Overload,
+    /// As [`PlanKind::Overload`], and some of the workers leave for good.
+    Drains,
+    /// Tasks that crash the workers that start them, and capacities that change.
+    Crashing,
 }
 
 /// The faults of one run, in the order of their start.
@@ -173,10 +196,24 @@
 impl Plan {
     /// Builds the plan of a seed for a run of `seconds` with this many instances and workers.
     pub fn new(kind: PlanKind, seed: u64, seconds: u64, instances: usize, workers: usize) -> Self {
-        if kind == PlanKind::Overload {
-            return Plan { faults: Vec::new() };
+        let mut plan = Plan { faults: Vec::new() };
+        match kind {
+            PlanKind::Overload => return plan,
+            PlanKind::Drains => {
+                let mut rng = ChaCha8Rng::seed_from_u64(seed ^ LEAVE_SEED);
+                plan.faults = workers_leave(&mut rng, workers);
+            }
+            PlanKind::Crashing => {
+                let mut rng = ChaCha8Rng::seed_from_u64(seed ^ CRASH_SEED);
+                plan.add_series(&mut rng, seconds, CRASH_INTERVAL_MS, |rng| {
+                    crash_series(rng, workers)
+                });
+                plan.add_resizes(seed, seconds, workers);
+            }
+            PlanKind::Basic | PlanKind::Full => {
+                plan = Plan::basic(seed, seconds, instances, workers);
+            }
         }
-        let mut plan = Plan::basic(seed, seconds, instances, workers);
         if kind == PlanKind::Full {
             let mut rng = ChaCha8Rng::seed_from_u64(seed ^ SERIES_SEED);
             plan.add_series(&mut rng, seconds, SERIES_INTERVAL_MS, |rng| {
@@ -194,11 +231,18 @@
             plan.add_series(&mut rng, seconds, DEATH_INTERVAL_MS, |rng| {
                 connections_die(rng, instances)
             });
-            plan.faults.sort_by_key(|planned| planned.at_ms);
         }
+        plan.faults.sort_by_key(|planned| planned.at_ms);
         plan
     }
 
+    fn add_resizes(&mut self, seed: u64, seconds: u64, workers: usize) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ RESIZE_SEED);
+        self.add_series(&mut rng, seconds, RESIZE_INTERVAL_MS, |rng| {
+            capacities_change(rng, workers)
+        });
+    }
+
     fn basic(seed: u64, seconds: u64, instances: usize, workers: usize) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut faults = Vec::new();
--- a/crates/kingcupwinch-soak/src/progress.rs
+++ b/crates/kingcupwinch-soak/src/progress.rs
@@ -6,9 +6,11 @@
 use kingcupwinch_standin::{WorkerEvent, WorkerEventKind, is_allowed};
 use rustc_hash::FxHashMap;
 
+use crate::capacity::{Capacities, WorkerRuns, runs_by_worker};
 use crate::checks::{
     Invariant, Observations, ObservedJob, Run, Runs, Violation, add_violation, runs_of,
 };
+use crate::crashes::may_fail_from;
 
 /// Time after the end of the faults from which tasks have to be started in time.
 const CALM_TIME: Duration = Duration::from_secs(4);
@@ -28,11 +30,10 @@
 
 /// The workers over time.
 struct Fleet<'a> {
-    cpu: u64,
+    capacities: Capacities<'a>,
     /// Times at which each worker became available or unavailable.
     changes: FxHashMap<&'a str, Vec<(Instant, bool)>>,
-    /// The runs on each worker, with their tasks and their CPU.
-    runs: FxHashMap<&'a str, Vec<(&'a str, u64, &'a Run)>>,
+    runs: WorkerRuns<'a>,
 }
 
 impl<'a> Fleet<'a> {
@@ -49,23 +50,10 @@
             };
             changes.entry(worker).or_default().push((*at, is_available));
         }
-        let mut by_worker: FxHashMap<&str, Vec<(&str, u64, &Run)>> = FxHashMap::default();
-        for job in observations.jobs {
-            for (task, run) in runs_of(job, runs) {
-                let number = step_name(task).rsplit('.').next();
-                let number = number.and_then(|number| number.parse::<usize>().ok());
-                let step = number.and_then(|number| job.steps.get(number));
-                let cpu = step.map_or(0, |step| step.cpu);
-                by_worker
-                    .entry(&run.worker)
-                    .or_default()
-                    .push((task, cpu, run));
-            }
-        }
         Fleet {
-            cpu: observations.worker_cpu,
+            capacities: Capacities::new(observations),
             changes,
-            runs: by_worker,
+            runs: runs_by_worker(observations.jobs, runs),
         }
     }
 
@@ -87,7 +75,8 @@
                 used += cpu;
                 own += u64::from(step_name(task) == step);
             }
-            let by_cpu = self.cpu.saturating_sub(used) / cpu.max(1);
+            let capacity = self.capacities.at(worker, at);
+            let by_cpu = capacity.saturating_sub(used) / cpu.max(1);
             let by_limit = limit.map_or(u64::MAX, |limit| u64::from(limit).saturating_sub(own));
             room += by_cpu.min(by_limit);
         }
@@ -106,6 +95,7 @@
         let Some(accepted) = job.accepted else {
             continue;
         };
+        let may_fail_from = may_fail_from(job, runs);
         for (number, step) in job.steps.iter().enumerate() {
             if !step.is_long_running {
                 continue;
@@ -116,6 +106,7 @@
                 let of_task = runs.get(task.as_str()).map_or(&[][..], Vec::as_slice);
                 let first = (!observations.is_overloaded).then_some(accepted);
                 for (from, until) in gaps(accepted, first, job.cancel_sent, of_task) {
+                    let until = [until, may_fail_from].into_iter().flatten().min();
                     let room = |at| fleet.room(&name, step.cpu, step.worker_limit, at);
                     for calm in observations.calm {
                         let from = from.max(calm.0 + CALM_TIME);
--- a/crates/kingcupwinch-soak/src/run.rs
+++ b/crates/kingcupwinch-soak/src/run.rs
@@ -13,8 +13,9 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::checks::{Invariant, Observations, Violation, check_invariants};
-use crate::cluster::{Cluster, WORKER_MILLICORES};
+use crate::cluster::Cluster;
 use crate::plan::{Plan, PlanKind, PlannedFault};
+use crate::workers::WORKER_MILLICORES;
 use crate::workload::{Pace, Workload};
 
 /// Default numbers of instances and workers of a run.
@@ -23,6 +24,10 @@
 /// Time for which long-running tasks are observed once every fault is healed: a task that fails in its
 /// first seconds has to run again by its end.
 const OBSERVATION_TIME: Duration = Duration::from_secs(14);
+/// Time for which these tasks are observed beyond the load if workers leave meanwhile.
+const DRAIN_OBSERVATION_TIME: Duration = Duration::from_secs(20);
+/// Number of workers for each job with a task that crashes its workers.
+const WORKERS_PER_CRASHING_JOB: usize = 2;
 /// Time within which all accepted jobs must end once every fault is healed.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Maximum number of further attempts to start the cluster, with other ports.
@@ -113,7 +118,9 @@
     let workload = Workload::new(cluster.callers());
     let pace = match options.plan {
         PlanKind::Basic => Pace::steady(),
-        PlanKind::Full | PlanKind::Overload => Pace::varied(options.seed, options.workers),
+        PlanKind::Full | PlanKind::Overload | PlanKind::Drains | PlanKind::Crashing => {
+            Pace::varied(options.seed, options.workers)
+        }
     };
     let length = Duration::from_secs(options.seconds);
     let (seed, submitter) = (options.seed, workload.clone());
@@ -121,31 +128,44 @@
     let mut operations = start_operations(&cluster, options.seed);
     let start = (std::time::Instant::now(), SystemTime::now());
     let (workers, submitter) = (options.workers, workload.clone());
+    let mut submitters = JoinSet::new();
     match options.plan {
         PlanKind::Basic => {}
-        PlanKind::Full => {
-            tokio::spawn(async move { submitter.submit_long_running_jobs(seed, workers).await });
+        PlanKind::Full | PlanKind::Crashing => {
+            submitters
+                .spawn(async move { submitter.submit_long_running_jobs(seed, workers).await });
         }
-        PlanKind::Overload => {
-            tokio::spawn(async move { submitter.submit_overload(seed, workers, length).await });
+        PlanKind::Overload | PlanKind::Drains => {
+            submitters.spawn(async move { submitter.submit_overload(seed, workers, length).await });
         }
     }
+    if options.plan == PlanKind::Crashing {
+        let submitter = workload.clone();
+        let count = options.workers.div_ceil(WORKERS_PER_CRASHING_JOB);
+        submitters.spawn(async move { submitter.submit_crashing_jobs(seed, count, length).await });
+    }
     let mut healed = std::time::Instant::now();
     if !plan.faults.is_empty() {
         inject_faults(&mut cluster, &plan).await?;
         cluster.heal().await?;
-        healed = std::time::Instant::now();
+        // Workers that leave under overload end no check.
+        if options.plan != PlanKind::Drains {
+            healed = std::time::Instant::now();
+        }
     }
     // The callers end by themselves. A panic in one shows up as a job that does not end.
     let _ = submissions.await;
     let observed = match options.plan {
         PlanKind::Basic => Duration::ZERO,
-        PlanKind::Full => OBSERVATION_TIME,
+        PlanKind::Full | PlanKind::Crashing => OBSERVATION_TIME,
         PlanKind::Overload => length + OBSERVATION_TIME,
+        PlanKind::Drains => length + DRAIN_OBSERVATION_TIME,
     };
     tokio::time::sleep(observed.saturating_sub(healed.elapsed())).await;
     let calm = [(healed, std::time::Instant::now())];
     operations.shutdown().await;
+    // On a busy machine, jobs may still be submitted. Those must be cancelled too.
+    while submitters.join_next().await.is_some() {}
     workload.cancel_long_running_jobs().await;
     workload.wait_for_ends(SETTLE_TIMEOUT).await;
     cluster.stop().await?;
@@ -160,7 +180,7 @@
         events: &events,
         appends: &appends,
         calm: &calm,
-        is_overloaded: options.plan == PlanKind::Overload,
+        is_overloaded: matches!(options.plan, PlanKind::Overload | PlanKind::Drains),
         worker_cpu: WORKER_MILLICORES,
         routes: &routes,
         lookups: &lookups,
@@ -251,9 +271,9 @@
                     cluster.wait_for(trigger).await;
                 }
                 planned.fault = cluster.resolve(planned.fault);
-                cluster.begin(planned.fault)?;
+                cluster.begin(planned.fault).await?;
             }
-            Phase::Advance => cluster.advance(planned.fault),
+            Phase::Advance => cluster.advance(planned.fault).await,
             Phase::End => cluster.end(planned.fault).await?,
         }
     }
--- a/crates/kingcupwinch-soak/src/series.rs
+++ b/crates/kingcupwinch-soak/src/series.rs
@@ -16,6 +16,13 @@
 /// Range of the time after which another worker has the address of a crashed one, in milliseconds.
 const REPLACEMENT_MS: std::ops::Range<u64> = 500..2_000;
 
+/// Range of the time for which a capacity is smaller, in milliseconds.
+const SHRINK_MS: std::ops::Range<u64> = 3_000..10_000;
+/// Range of the capacity that is left, in percent.
+const SHRINK_PERCENT: std::ops::RangeInclusive<u64> = 25..=75;
+/// Range of the time before a worker leaves in which it drains, in milliseconds.
+const NOTICE_MS: std::ops::Range<u64> = 1_000..4_000;
+
 const TRIGGERS: [Trigger; 4] = [
     Trigger::Append,
     Trigger::Listing,
@@ -288,3 +295,74 @@
     }
     series
 }
+
+/// Capacities of some workers shrink and grow again. Some of them take a while to stop tasks.
+pub(crate) fn capacities_change(rng: &mut ChaCha8Rng, workers: usize) -> Vec<PlannedFault> {
+    let mut faults = Vec::new();
+    for worker in some_workers(rng, workers) {
+        let at = rng.random_range(0..2_000);
+        let length = rng.random_range(SHRINK_MS);
+        let percent = rng.random_range(SHRINK_PERCENT);
+        faults.push(planned(at, length, Fault::ShrinkWorker(worker, percent)));
+        if rng.random_bool(0.5) {
+            let at = at + rng.random_range(0..3_000);
+            let length = rng.random_range(1_000..5_000);
+            faults.push(planned(at, length, Fault::DelayStops(worker)));
+        }
+    }
+    faults
+}
+
+/// Returns a series of faults around tasks that crash workers.
+pub(crate) fn crash_series(rng: &mut ChaCha8Rng, workers: usize) -> Vec<PlannedFault> {
+    let kinds: [fn(&mut ChaCha8Rng, usize) -> Vec<PlannedFault>; 6] = [
+        owner_ends_at_crashes,
+        owner_ends_at_crashes,
+        owner_ends_on_slow_store,
+        owner_changes,
+        workers_restart,
+        worker_responses_are_lost,
+    ];
+    // The array is not empty.
+    kinds
+        .choose(rng)
+        .map_or_else(Vec::new, |series| series(rng, workers))
+}
+
+/// Several owners in a row end right after they have ordered a start or a worker has crashed.
+pub(crate) fn owner_ends_at_crashes(rng: &mut ChaCha8Rng, _: usize) -> Vec<PlannedFault> {
+    let mut at = rng.random_range(0..1_000);
+    let mut faults = Vec::new();
+    for _ in 0..rng.random_range(1..=3) {
+        let trigger = [Trigger::Start, Trigger::Crash, Trigger::Crash];
+        let trigger = trigger.choose(rng).copied().unwrap_or(Trigger::Crash);
+        let length = rng.random_range(300..2_500);
+        faults.push(planned(at, length, kill_or_pause(rng)).after(trigger));
+        at += rng.random_range(500..2_000);
+    }
+    faults
+}
+
+/// A fifth to two fifths of the workers drain and leave for good, all at once or in two steps.
+pub(crate) fn workers_leave(rng: &mut ChaCha8Rng, workers: usize) -> Vec<PlannedFault> {
+    let mut chosen: Vec<usize> = (0..workers).collect();
+    chosen.shuffle(rng);
+    chosen.truncate(rng.random_range(workers.div_ceil(5)..=(workers * 2 / 5).max(1)));
+    let first_at = rng.random_range(4_000..6_500);
+    let second_at = first_at + rng.random_range(1_000..3_000);
+    let first = if rng.random_bool(0.5) {
+        chosen.len()
+    } else {
+        chosen.len() / 2
+    };
+    let notice = [rng.random_range(NOTICE_MS), rng.random_range(NOTICE_MS)];
+    let leave = |(index, worker)| {
+        let (at, notice) = if index < first {
+            (first_at, notice[0])
+        } else {
+            (second_at, notice[1])
+        };
+        planned(at, notice, Fault::LeaveWorker(worker))
+    };
+    chosen.into_iter().enumerate().map(leave).collect()
+}
--- a/crates/kingcupwinch-soak/src/workload.rs
+++ b/crates/kingcupwinch-soak/src/workload.rs
@@ -30,6 +30,8 @@
 /// Number of workers per task of a long-running step, so that half of the workers that the adviser
 /// allows have room for another task.
 const WORKERS_PER_TASK: usize = 4;
+/// Distinguishes the random numbers of the jobs with a task that crashes its workers.
+const CRASHING_SEED: u64 = 0xc4a5_4b0d_0000_0000;
 /// Number of workers for which the intervals are made.
 const WORKERS_PER_SCALE: usize = 6;
 /// Timeout of one call.
@@ -139,6 +141,24 @@
         self.submit_each(seed, workers, count, interval).await;
     }
 
+    /// Submits random jobs with a task that crashes its workers, until every caller is done.
+    pub(crate) async fn submit_crashing_jobs(&self, seed: u64, count: usize, length: Duration) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ CRASHING_SEED);
+        let interval = length / u32::try_from(count).unwrap_or(u32::MAX);
+        let mut callers = tokio::task::JoinSet::new();
+        for _ in 0..count {
+            let (job, crashing) = random_crashing_job(&mut rng);
+            let index = self.add_job(&mut rng, &job);
+            let (step, task) = crashing;
+            self.lock()[index].steps[step].crashing = Some(task);
+            let delay = Duration::from_millis(rng.random_range(FIRST_POLL_MS));
+            let workload = self.clone();
+            callers.spawn(async move { workload.run_caller(index, job, false, delay).await });
+            tokio::time::sleep(interval).await;
+        }
+        callers.join_all().await;
+    }
+
     async fn submit_each(&self, seed: u64, workers: usize, count: usize, interval: Duration) {
         let mut rng = ChaCha8Rng::seed_from_u64(seed ^ LONG_RUNNING_SEED);
         for _ in 0..count {
@@ -149,9 +169,11 @@
         }
     }
 
-    /// Cancels the accepted long-running jobs.
+    /// Cancels the accepted long-running jobs, except those that have to fail.
     pub(crate) async fn cancel_long_running_jobs(&self) {
-        let is_active = |job: &ObservedJob| job.is_long_running() && job.accepted.is_some();
+        let is_active = |job: &ObservedJob| {
+            job.is_long_running() && job.accepted.is_some() && !job.is_crashing()
+        };
         let jobs = self.jobs();
         for (index, _) in jobs.iter().enumerate().filter(|(_, job)| is_active(job)) {
             self.cancel(index).await;
@@ -278,6 +300,7 @@
         cpu: step.cpu,
         worker_limit: (step.anti_affinity > 0).then_some(step.anti_affinity),
         is_long_running: step.long_running,
+        crashing: None,
     }
 }
 
@@ -297,6 +320,30 @@
     }
 }
 
+/// Returns a job of one to three tasks a step, and the step and the index of the task that crashes its
+/// workers. One in three is long-running.
+fn random_crashing_job(rng: &mut ChaCha8Rng) -> (JobBody, (usize, u16)) {
+    let mut job = if rng.random_ratio(1, 3) {
+        let mut job = random_long_running_job(rng, WORKERS_PER_TASK);
+        job.steps[0].count = rng.random_range(1..=3);
+        job
+    } else {
+        random_job(rng)
+    };
+    let step = rng.random_range(0..job.steps.len());
+    let index = rng.random_range(0..job.steps[step].count);
+    let sizes = job.specification.split(',').enumerate();
+    let sizes = sizes.map(|(number, size)| {
+        if number == step {
+            format!("{size}:{index}")
+        } else {
+            size.to_owned()
+        }
+    });
+    job.specification = sizes.collect::<Vec<_>>().join(",");
+    (job, (step, index))
+}
+
 fn random_job(rng: &mut ChaCha8Rng) -> JobBody {
     let count = rng.random_range(1..=3_u16);
     let mut steps = Vec::new();
--- a/crates/kingcupwinch-soak/tests/checks.rs
+++ b/crates/kingcupwinch-soak/tests/checks/main.rs
@@ -2,6 +2,8 @@
 
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
+mod crashes;
+
 use std::time::{Duration, Instant};
 
 use kingcupwinch_soak::{
