--- a/crates/kingcupwinch-soak/src/plan.rs
+++ b/crates/kingcupwinch-soak/src/plan.rs
@@ -5,8 +5,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::series::{
-    capacities_change, connections_die, crash_series, random_series, rolling_restart,
-    workers_leave, workers_replaced,
+    capacities_change, connections_die, crash_series, owner_ends_at_crashes, random_series,
+    rolling_restart, workers_leave, workers_replaced,
 };
 
 /// Range of the interval between the starts of two faults, in milliseconds. Most faults last longer
@@ -31,11 +31,15 @@
 /// Range of the interval between the starts of two series around tasks that crash workers, in
 /// milliseconds.
 const CRASH_INTERVAL_MS: std::ops::Range<u64> = 2_500..5_000;
+/// Range of the interval between the starts of two series of owners that end at crashes in the full
+/// plan, in milliseconds.
+const OWNER_END_INTERVAL_MS: std::ops::Range<u64> = 4_000..8_000;
 /// Distinguish the random numbers of the kinds of series from those of the single faults.
 const SERIES_SEED: u64 = 0x5e41_e500_0000_0000;
 const RESTART_SEED: u64 = 0x4e57_a470_0000_0000;
 const REPLACEMENT_SEED: u64 = 0x4e91_ace0_0000_0000;
 const DEATH_SEED: u64 = 0xdead_0000_0000_0000;
+const OWNER_END_SEED: u64 = 0x0e4d_c4a5_0000_0000;
 const RESIZE_SEED: u64 = 0x4e51_2e00_0000_0000;
 const CRASH_SEED: u64 = 0xc4a5_4000_0000_0000;
 const LEAVE_SEED: u64 = 0x1ea7_e000_0000_0000;
@@ -231,6 +235,11 @@
             plan.add_series(&mut rng, seconds, DEATH_INTERVAL_MS, |rng| {
                 connections_die(rng, instances)
             });
+            let mut rng = ChaCha8Rng::seed_from_u64(seed ^ OWNER_END_SEED);
+            plan.add_series(&mut rng, seconds, OWNER_END_INTERVAL_MS, |rng| {
+                owner_ends_at_crashes(rng, workers)
+            });
+            plan.add_resizes(seed, seconds, workers);
         }
         plan.faults.sort_by_key(|planned| planned.at_ms);
         plan
--- a/crates/kingcupwinch-soak/src/run.rs
+++ b/crates/kingcupwinch-soak/src/run.rs
@@ -26,8 +26,9 @@
 const OBSERVATION_TIME: Duration = Duration::from_secs(14);
 /// Time for which these tasks are observed beyond the load if workers leave meanwhile.
 const DRAIN_OBSERVATION_TIME: Duration = Duration::from_secs(20);
-/// Number of workers for each job with a task that crashes its workers.
-const WORKERS_PER_CRASHING_JOB: usize = 2;
+/// Numbers of workers for each job with a task that crashes its workers, in the full plan and in the one
+/// for such tasks.
+const WORKERS_PER_CRASHING_JOB: [usize; 2] = [6, 2];
 /// Time within which all accepted jobs must end once every fault is healed.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Maximum number of further attempts to start the cluster, with other ports.
@@ -139,9 +140,14 @@
             submitters.spawn(async move { submitter.submit_overload(seed, workers, length).await });
         }
     }
-    if options.plan == PlanKind::Crashing {
+    let workers_per_job = match options.plan {
+        PlanKind::Full => Some(WORKERS_PER_CRASHING_JOB[0]),
+        PlanKind::Crashing => Some(WORKERS_PER_CRASHING_JOB[1]),
+        PlanKind::Basic | PlanKind::Overload | PlanKind::Drains => None,
+    };
+    if let Some(workers_per_job) = workers_per_job {
         let submitter = workload.clone();
-        let count = options.workers.div_ceil(WORKERS_PER_CRASHING_JOB);
+        let count = options.workers.div_ceil(workers_per_job);
         submitters.spawn(async move { submitter.submit_crashing_jobs(seed, count, length).await });
     }
     let mut healed = std::time::Instant::now();
--- a/crates/kingcupwinch-soak/tests/checks/crashes.rs
+++ b/crates/kingcupwinch-soak/tests/checks/crashes.rs
@@ -223,3 +223,12 @@
         assert!((5..=9).contains(&leaving.len()));
     }
 }
+
+#[test]
+fn full_plan_changes_capacities_and_ends_owners_at_crashes() {
+    let plan = Plan::new(PlanKind::Full, 7, 30, 3, 6);
+    let is_resize = |planned: &PlannedFault| matches!(planned.fault, Fault::ShrinkWorker(..));
+    assert!(plan.faults.iter().any(is_resize));
+    let is_crash = |planned: &PlannedFault| planned.trigger == Some(Trigger::Crash);
+    assert!(plan.faults.iter().any(is_crash));
+}
