--- a/crates/kingcupwinch-cell/tests/cell/overload.rs
+++ b/crates/kingcupwinch-cell/tests/cell/overload.rs
@@ -228,16 +228,10 @@
     assert_eq!(harness.running().len(), usize::from(tasks) + 1);
     harness.advance(RUN_MS);
     harness.poll_all();
-    let running = harness.running().into_iter();
-    let (worker, _) = running
-        .filter(|(_, name)| *name == task(1, 0, 0))
-        .last()
-        .unwrap();
-    let number = harness
-        .keys()
-        .iter()
-        .position(|key| *key == worker)
-        .unwrap();
+    let running = harness.running();
+    let mut running = running.iter();
+    let (worker, _) = running.find(|(_, name)| *name == task(1, 0, 0)).unwrap();
+    let number = harness.keys().iter().position(|key| key == worker).unwrap();
     let mut entry = registration(number, 4);
     entry.draining = true;
     harness.cell.register_worker(entry, false, harness.now);
