--- a/crates/kingcupwinch-soak/examples/soak.rs
+++ b/crates/kingcupwinch-soak/examples/soak.rs
@@ -53,6 +53,12 @@
                 .conflicts_with_all(["basic", "overload"])
                 .help("Submits tasks that crash their workers, and changes capacities"),
         )
+        .arg(
+            Arg::new("link-kbps")
+                .long("link-kbps")
+                .value_parser(value_parser!(u64).range(1..))
+                .help("Bandwidth of the link of each instance to the store, in kbit/s"),
+        )
         .arg(number("at-once", "1", "Number of concurrent runs"))
         .arg(
             Arg::new("dir")
@@ -96,6 +102,7 @@
             options.seconds = number(&matches, "seconds");
             options.instances = count("instances");
             options.workers = count("workers");
+            options.link_kbps = matches.get_one::<u64>("link-kbps").copied();
             if matches.get_flag("basic") {
                 options.plan = PlanKind::Basic;
             } else if matches.get_flag("crashing") {
--- a/crates/kingcupwinch-soak/src/cluster.rs
+++ b/crates/kingcupwinch-soak/src/cluster.rs
@@ -63,6 +63,7 @@
         dir: &Path,
         instance_count: usize,
         worker_count: usize,
+        link_kbps: Option<u64>,
     ) -> io::Result<Self> {
         let store = StandinStore::new();
         let operator = Operator::new(Arc::clone(&store));
@@ -79,7 +80,7 @@
         for index in 0..instance_count {
             let (address, _) = store.start(index).await?;
             let services = (address, adviser_address);
-            instances.push(start_instance(program, dir, index, services).await?);
+            instances.push(start_instance(program, dir, index, services, link_kbps).await?);
         }
         Ok(Cluster {
             store,
@@ -188,7 +189,7 @@
             Fault::ShrinkWorker(index, percent) => {
                 self.resize(index, WORKER_MILLICORES * percent / 100).await;
             }
-            Fault::UnlistWorker(index) => self.worker(index).await.unregister(),
+            Fault::UnlistWorker(index) => self.worker(index).await.expire_entry(),
             Fault::ListPreviousWorker(index) => {
                 self.worker(index).await.register_previous();
             }
@@ -352,8 +353,9 @@
     dir: &Path,
     index: usize,
     (store, adviser): (SocketAddr, SocketAddr),
+    link_kbps: Option<u64>,
 ) -> io::Result<InstanceNode> {
-    let store_link = Proxy::start(store).await?;
+    let store_link = Proxy::with_bandwidth(store, link_kbps).await?;
     let (callers, ready) = (free_address()?, free_address()?);
     let settings = InstanceSettings {
         name: format!("instance-{index}"),
@@ -365,6 +367,7 @@
         adviser,
         max_lease_ms: MAX_LEASE_MS,
         config_bound_ms: CONFIG_BOUND.as_millis() as u64,
+        link_kbps,
     };
     Ok(InstanceNode {
         instance: Instance::start(program, dir, &settings)?,
--- a/crates/kingcupwinch-soak/src/run.rs
+++ b/crates/kingcupwinch-soak/src/run.rs
@@ -66,6 +66,8 @@
     pub instances: usize,
     /// Number of workers.
     pub workers: usize,
+    /// Bandwidth of the link of each instance to the store, in kbit/s; `None` for no limit.
+    pub link_kbps: Option<u64>,
     /// Path of the program that the instances run.
     pub program: PathBuf,
     /// Directory of the settings and logs.
@@ -250,6 +252,7 @@
             &options.dir,
             options.instances,
             options.workers,
+            options.link_kbps,
         );
         match started.await {
             Err(error) if error.kind() == ErrorKind::AddrInUse && retries < RETRIES => retries += 1,
@@ -320,6 +323,7 @@
             plan: PlanKind::Full,
             instances: INSTANCES,
             workers: WORKERS,
+            link_kbps: None,
             program: profile.join("kingcupwinchd"),
             dir: dir.to_owned(),
         })
