Ask about the workers of a large gang through several instances at once

Cause: the members of a gang start at one moment, so their tickets have to be valid together. Tickets last 2.5 s, a call about 100 workers takes 0.95 s, and a third of them is allowed: one call after the other yields valid tickets on some 85 workers at most, too few for 60 tasks.

Change: a step counts its pending calls, and the calls of a gang that needs more than 100 workers go to several instances at once, 400 workers at most.

--- a/crates/kingcupwinch-cell/src/advice.rs
+++ b/crates/kingcupwinch-cell/src/advice.rs
@@ -50,8 +50,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct TicketCache {
     verdicts: FxHashMap<WorkerKey, Verdict>,
-    /// Set while a call is in flight: the time after which the call counts as lost.
-    pub(crate) pending_until: Option<Time>,
+    /// The number of calls in flight.
+    pending_calls: u32,
     /// The earliest time of the next call.
     pub(crate) next_call: Time,
     /// When the last call was made.
@@ -106,13 +106,24 @@
         }
     }
 
+    /// Returns whether a call is in flight.
+    pub(crate) fn is_call_pending(&self) -> bool {
+        self.pending_calls > 0
+    }
+
+    /// Records that a call was made.
+    pub(crate) fn note_call(&mut self, now: Time) {
+        self.pending_calls += 1;
+        self.asked_at = now;
+    }
+
     pub(crate) fn note_response(&mut self) {
-        self.pending_until = None;
+        self.pending_calls = self.pending_calls.saturating_sub(1);
         self.is_call_lost = false;
     }
 
     pub(crate) fn note_failure(&mut self, now: Time) {
-        self.pending_until = None;
+        self.pending_calls = self.pending_calls.saturating_sub(1);
         self.is_call_lost = true;
         self.next_call = now + RETRY_BACKOFF;
     }
--- a/crates/kingcupwinch-cell/src/placement/advice.rs
+++ b/crates/kingcupwinch-cell/src/placement/advice.rs
@@ -13,6 +13,9 @@
 
 /// The largest number of workers that one call to the adviser names.
 const MAX_CALL_WORKERS: usize = 100;
+/// The largest number of workers that the calls for one gang name together. The members of a gang start
+/// at one moment, so their tickets have to be valid together.
+const MAX_GANG_WORKERS: usize = 400;
 /// The capacity to ask about, as a multiple of the capacity needed, since other steps take some of
 /// it before the response arrives.
 const CAPACITY_MARGIN: f64 = 2.0;
@@ -57,7 +60,7 @@
             return;
         };
         let step = &job.steps[ready.step];
-        let may_call = step.tickets.pending_until.is_none() && step.tickets.next_call <= now;
+        let may_call = !step.tickets.is_call_pending() && step.tickets.next_call <= now;
         if !may_call || !self.advice_callers.has_free(call_time(&cost, 1), now) {
             return;
         }
@@ -77,21 +80,40 @@
             return;
         }
         let workers = name_workers(&workers, ready.tasks, demand.charge, pool);
-        let duration = call_time(&cost, workers.len());
-        let Some((instance, deadline)) = self.advice_callers.reserve(duration, now) else {
-            return;
+        // Several instances ask about the workers of a large gang at once: the tickets of one call after
+        // the other lapse before the last ones come.
+        let per_call = if workers.len() > MAX_CALL_WORKERS {
+            affordable_workers(cost).clamp(MIN_CALL_WORKERS, MAX_CALL_WORKERS)
+        } else {
+            MAX_CALL_WORKERS
         };
-        let name = job.task_name(ready.step, 0);
+        for named in workers.chunks(per_call) {
+            let duration = call_time(&cost, named.len());
+            let Some(caller) = self.advice_callers.reserve(duration, now) else {
+                return;
+            };
+            pool.expect(named);
+            self.call_adviser(ready, named, caller, now);
+        }
+    }
+
+    /// Has an instance ask the adviser about workers for a step, until the call counts as lost.
+    fn call_adviser(
+        &mut self,
+        ready: &ReadyStep,
+        workers: &[NamedWorker],
+        (instance, deadline): (Arc<str>, Time),
+        now: Time,
+    ) {
+        let name = self.jobs[ready.job].task_name(ready.step, 0);
         let ids = workers
             .iter()
             .map(|worker| Arc::clone(&self.workers[worker.key].registration.id))
             .collect();
         let tickets = &mut self.jobs[ready.job].steps[ready.step].tickets;
-        tickets.pending_until = Some(deadline);
-        tickets.asked_at = now;
-        pool.expect(&workers);
+        tickets.note_call(now);
         let caller = Arc::clone(&instance);
-        let call = self.add_advice_call(ready.job, ready.step, workers, caller, deadline);
+        let call = self.add_advice_call(ready.job, ready.step, workers.to_vec(), caller, deadline);
         self.actions.push(Action::RequestAdvice {
             call,
             instance,
@@ -158,8 +180,8 @@
         let spec = job.step_spec(ready.step);
         let step = &job.steps[ready.step];
         let share = self.allowed_share(&job.spec.policy.queue);
-        // The first call for a gang names every worker. Which workers may run a step never changes,
-        // so later calls name only the allowed ones.
+        // The first calls for a gang name all workers or enough of them. Which workers may run a step
+        // never changes, so later calls name only the allowed ones.
         let is_first_of_gang = spec.gang && !step.tickets.has_verdicts();
         let asks_ahead = ready.asks_ahead(spec);
         let mut rows = Vec::new();
@@ -203,18 +225,23 @@
         let min_workers = MIN_CALL_WORKERS * factor as usize;
         let affordable = job.spec.policy.advice.map_or(0, affordable_workers);
         let max_ahead = affordable.max(MIN_CALL_WORKERS);
+        let most = if spec.gang {
+            MAX_GANG_WORKERS
+        } else {
+            MAX_CALL_WORKERS
+        };
         let mut requested = capacity;
         let mut workers = Vec::new();
         for (index, fits, chance) in rows {
             capacity += fits * chance;
             let is_enough = if is_first_of_gang {
-                false
+                requested >= wanted && workers.len() >= MAX_CALL_WORKERS
             } else if fits > 0.0 {
                 requested >= wanted && workers.len() >= min_workers
             } else {
                 requested >= wanted || workers.len() >= max_ahead
             };
-            if !is_enough && workers.len() < MAX_CALL_WORKERS {
+            if !is_enough && workers.len() < most {
                 requested += fits * chance;
                 workers.push(Choice {
                     index,
--- a/crates/kingcupwinch-cell/src/placement/waits.rs
+++ b/crates/kingcupwinch-cell/src/placement/waits.rs
@@ -95,7 +95,7 @@
             queue: Arc::clone(&job.spec.policy.queue),
             tasks: step.tasks.iter().filter(|task| task.is_free(now)).count(),
             age: now.since(since),
-            is_call_pending: step.tickets.pending_until.is_some(),
+            is_call_pending: step.tickets.is_call_pending(),
             unusable: listed.count() - candidates.len(),
             ..StepWait::default()
         };
--- a/crates/kingcupwinch-cell/tests/cell/gangs.rs
+++ b/crates/kingcupwinch-cell/tests/cell/gangs.rs
@@ -1,6 +1,8 @@
 //! Gangs: steps whose tasks work only together.
 
-use kingcupwinch_cell::{EndReason, JobState, StartOutcome, StepSpec};
+use std::sync::Arc;
+
+use kingcupwinch_cell::{AdviceCost, EndReason, JobState, StartOutcome, StepSpec};
 
 use crate::harness::{Harness, id, job, step};
 
@@ -126,3 +128,65 @@
     harness.run_round();
     assert_eq!(harness.running().len(), 2);
 }
+
+/// Plays a gang of tasks that each take a worker, a third of which the adviser allows. Its calls take
+/// 390 ms and 5.6 ms a worker, and its tickets last 2.5 s. Returns after how many milliseconds the gang
+/// is placed.
+fn placed_after_ms(tasks: u16, workers: usize, callers: usize, most_ms: u64) -> Option<u64> {
+    let mut harness = Harness::new(workers, 4);
+    let callers = (0..callers).map(|number| format!("caller-{number}").into());
+    let callers: Vec<Arc<str>> = callers.collect();
+    harness.cell.set_advice_callers(&callers);
+    let mut spec = job(vec![gang(tasks, 4)]);
+    spec.policy.advice = Some(AdviceCost {
+        call_ms: 390.0,
+        worker_ms: 5.6,
+        valid_ms: 2_500.0,
+    });
+    harness.submit(1, spec);
+    let start = harness.now;
+    let keys = harness.keys();
+    let mut next_polls = keys.iter().cycle();
+    let mut calls = Vec::new();
+    loop {
+        let now_ms = (harness.now - start).as_millis();
+        if now_ms > most_ms {
+            return None;
+        }
+        harness.decide();
+        if harness.starts.len() == usize::from(tasks) {
+            return Some(now_ms);
+        }
+        for (call, named) in std::mem::take(&mut harness.calls) {
+            let duration = 390.0 + 5.6 * named.len() as f64;
+            calls.push((now_ms + duration as u64, call, named));
+        }
+        // Each poll takes a millisecond.
+        for key in next_polls.by_ref().take(30) {
+            harness.poll(*key);
+        }
+        let now_ms = (harness.now - start).as_millis();
+        for (_, call, named) in calls.extract_if(.., |(due, ..)| *due <= now_ms) {
+            let number = |id: &str| id.trim_start_matches("i-").parse::<u32>().unwrap();
+            harness.answer_call(call, &named, |id| number(id) % 3 == 0);
+        }
+    }
+}
+
+/// The largest gangs waited for half a minute with room on enough workers: one call after the other named
+/// 100 workers, and the tickets of the first had lapsed when the last ones came.
+#[test]
+fn a_gang_gets_all_its_tickets_at_one_moment() {
+    for (tasks, workers) in [(16, 100), (40, 300), (60, 400), (80, 400), (110, 400)] {
+        let placed = placed_after_ms(tasks, workers, 30, 10_000);
+        let is_soon = placed.is_some_and(|ms| ms <= 2_500);
+        assert!(is_soon, "{tasks} tasks on {workers} workers: {placed:?}");
+    }
+}
+
+/// With few callers, calls follow one another, and a gang gets what their tickets allow.
+#[test]
+fn a_gang_is_placed_with_few_callers_too() {
+    let placed = placed_after_ms(40, 300, 3, 10_000);
+    assert!(placed.is_some_and(|ms| ms <= 4_000), "{placed:?}");
+}
