Blame no harmless task for crashes that another task explains

One weak crash makes no task suspicious, so the harmless one was the only known suspect and the crash was clear.

Change: a crash is clear against a known suspect only if no other task on the worker has any crash. When a task with enough clear crashes is given up, its crashes are weak evidence against the tasks beside it.

--- a/crates/kingcupwinch-cell/src/cell/crashes.rs
+++ b/crates/kingcupwinch-cell/src/cell/crashes.rs
@@ -168,11 +168,15 @@
 
     /// Returns how strongly the crash of a worker points to one of the suspects on it.
     fn evidence(&self, suspect: Suspect, suspects: &[(Suspect, u32)]) -> Evidence {
-        let others = suspects.iter().filter(|(other, _)| *other != suspect);
-        let is_known = |suspect: Suspect| self.suspicion_of(suspect) > Suspicion::None;
+        let mut others = suspects.iter().filter(|(other, _)| *other != suspect);
         let is_only = others.clone().count() == 0;
-        let is_only_known =
-            is_known(suspect) && !others.into_iter().any(|(other, _)| is_known(*other));
+        // One weak crash makes no task suspicious by itself, but it may be its second.
+        let has_crashes = |(other, _): &(Suspect, u32)| {
+            let task = &self.jobs[other.job].steps[other.step].tasks[other.index];
+            !task.crashes.is_empty()
+        };
+        let is_known = self.suspicion_of(suspect) > Suspicion::None;
+        let is_only_known = is_known && !others.any(has_crashes);
         if is_only || is_only_known {
             Evidence::Clear
         } else {
@@ -230,15 +234,22 @@
         if crashed < OUTAGE_WORKERS || crashed * OUTAGE_DIVISOR <= peers {
             return 0;
         }
-        for (suspect, run) in together().flat_map(|crash| &crash.counted) {
+        let counted = together().flat_map(|crash| &crash.counted);
+        let counted = counted.copied().collect();
+        self.weaken_crashes(counted);
+        crashed
+    }
+
+    /// Lowers the evidence of crashes under these runs.
+    fn weaken_crashes(&mut self, counted: Vec<(Suspect, u32)>) {
+        for (suspect, run) in counted {
             if let Some(job) = self.jobs.get_mut(suspect.job) {
                 let task = &mut job.steps[suspect.step].tasks[suspect.index];
-                if task.crashes.weaken(*run) {
+                if task.crashes.weaken(run) {
                     self.dirty.insert(suspect.job);
                 }
             }
         }
-        crashed
     }
 
     /// Notes the crashes that an earlier owner counted against the tasks of a job.
@@ -329,12 +340,29 @@
     fn give_up(&mut self, suspect: Suspect) {
         let task = &self.jobs[suspect.job].steps[suspect.step].tasks[suspect.index];
         let crashes = task.crashes.as_slice().to_vec();
+        if task.crashes.is_clear() {
+            self.explain_crashes(suspect);
+        }
         let task = self.suspect_name(suspect);
         self.events.push(CellEvent::TaskGivenUp { task, crashes });
         self.counters.tasks_given_up += 1;
         self.end_job(suspect.job, JobState::Failed);
     }
 
+    /// Lowers the evidence against the tasks that ran on the workers that a task has certainly crashed.
+    /// These crashes still count, so that the starts of a task that crashes workers too stay limited.
+    fn explain_crashes(&mut self, cause: Suspect) {
+        let is_counted = |crash: &&WorkerCrash| {
+            let mut suspects = crash.counted.iter();
+            suspects.any(|(suspect, _)| *suspect == cause)
+        };
+        let explained = self.crash_log.recent.iter().filter(is_counted);
+        let explained = explained.flat_map(|crash| &crash.counted);
+        let others = explained.filter(|(suspect, _)| *suspect != cause);
+        let others = others.copied().collect();
+        self.weaken_crashes(others);
+    }
+
     /// Returns the workers of the unsettled runs of suspects, and how likely these are to crash them.
     pub(crate) fn suspect_workers(&self) -> SmallVec<[(WorkerKey, Suspicion); 8]> {
         let mut workers = SmallVec::new();
--- a/crates/kingcupwinch-cell/src/crash.rs
+++ b/crates/kingcupwinch-cell/src/crash.rs
@@ -133,10 +133,15 @@
 
     /// Returns whether the task is given up once the verdict is due.
     pub(crate) fn is_exhausted(&self) -> bool {
+        self.crashes.len() >= MAX_DOUBTFUL_CRASHES
+            || self.crashes.len() >= MAX_CRASHES && self.is_clear()
+    }
+
+    /// Returns whether enough crashes are clear.
+    pub(crate) fn is_clear(&self) -> bool {
         let crashes = self.crashes.iter();
         let clear = crashes.filter(|crash| crash.evidence == Evidence::Clear);
-        let is_clear = clear.count() >= MIN_CLEAR_CRASHES;
-        self.crashes.len() >= MAX_DOUBTFUL_CRASHES || self.crashes.len() >= MAX_CRASHES && is_clear
+        clear.count() >= MIN_CLEAR_CRASHES
     }
 
     pub(crate) fn verdict_at(&self) -> Time {
--- a/crates/kingcupwinch-cell/tests/cell/crashes.rs
+++ b/crates/kingcupwinch-cell/tests/cell/crashes.rs
@@ -10,7 +10,7 @@
 use kingcupwinch_time::Span;
 
 use crate::harness::{MAX_LEASE, id, job, step, task};
-use play::{DOWN_MS, MAX_STARTS, PROBATION_MS, Play, Return};
+use play::{DOWN_MS, MAX_STARTS, PROBATION_MS, Play, ROUND_MS, Return};
 
 fn long_running(count: u16) -> JobSpec {
     job(vec![StepSpec {
@@ -228,6 +228,73 @@
     assert_eq!(play.starts(1), 3);
 }
 
+fn crash_of(run: u32, evidence: Evidence) -> Crash {
+    Crash {
+        run,
+        worker: "i-1".into(),
+        evidence,
+    }
+}
+
+/// Returns how strongly the crashes that count against a job's first task point to it.
+fn evidence(play: &Play, number: u64) -> Vec<Evidence> {
+    let crashes = &play.harness.records[&id(number)].crashes;
+    let crashes = crashes.iter().flat_map(|(.., crashes)| crashes);
+    crashes.map(|crash| crash.evidence).collect()
+}
+
+/// Guards against a harmless task that is blamed for a crash because it has more crashes from outages
+/// than the task that caused it.
+#[test]
+fn a_task_with_one_weak_crash_may_be_the_cause_of_another() {
+    let mut play = Play::new(1, Return::SameId);
+    for number in 1..=2 {
+        play.submit(number, long_running(1));
+    }
+    play.run(500);
+    let weak = |runs: &[u32]| {
+        runs.iter()
+            .map(|run| crash_of(*run, Evidence::Weak))
+            .collect()
+    };
+    for (number, crashes) in [(1, weak(&[7, 8])), (2, weak(&[8]))] {
+        let record = play.harness.records.get_mut(&id(number)).unwrap();
+        record.crashes = vec![(0, 0, crashes)];
+    }
+    play.hand_over();
+    play.run(500);
+    play.crash(0);
+    play.run(DOWN_MS + 500);
+    assert_eq!(
+        evidence(&play, 1),
+        [Evidence::Weak, Evidence::Weak, Evidence::Shared]
+    );
+    assert_eq!(evidence(&play, 2), [Evidence::Weak, Evidence::Shared]);
+}
+
+/// Guards against a harmless task that is given up for a crash under which a task ran for the first
+/// time that turns out to crash every worker.
+#[test]
+fn a_task_that_is_given_up_explains_crashes_beside_it() {
+    let mut play = Play::new(4, Return::SameId);
+    play.crash_ms = 500;
+    play.submit(2, long_running(1));
+    play.run(500);
+    let record = play.harness.records.get_mut(&id(2)).unwrap();
+    record.crashes = vec![(0, 0, [crash_of(7, Evidence::Shared)].into_iter().collect())];
+    play.hand_over();
+    play.submit_crashing(1, job(vec![step(1, 1, 1_000)]));
+    play.run(1_000 + DOWN_MS);
+    assert_eq!(evidence(&play, 2), [Evidence::Shared, Evidence::Clear]);
+    // Sooner than a run of the other task clears it.
+    while play.state(1) != Some(JobState::Failed) {
+        play.round();
+    }
+    play.assert_given_up(1);
+    play.run(ROUND_MS);
+    assert_eq!(evidence(&play, 2), [Evidence::Shared, Evidence::Weak]);
+}
+
 /// A worker that a task crashes is not at fault.
 #[test]
 fn a_crashed_worker_gets_new_work_at_once() {
