--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -55,6 +55,8 @@
     pub checkpoint: Option<Arc<str>>,
     /// Observed over expected run time on the worker, in percent.
     pub pace_percent: u32,
+    /// The instance that accepted the job, if it is known; it may still have the payload.
+    pub accepted_by: Option<Arc<str>>,
 }
 
 /// An order to stop a run.
@@ -92,6 +94,7 @@
             task: name,
             run: number,
             payload: Arc::clone(&job.spec.payload),
+            accepted_by: job.spec.accepted_by.clone(),
             lease_until,
             ticket: job.steps[step].tickets.valid_ticket(worker, now).cloned(),
             checkpoint: spec
--- a/crates/kingcupwinch-cell/src/election.rs
+++ b/crates/kingcupwinch-cell/src/election.rs
@@ -5,6 +5,10 @@
 //! fencing token: workers refuse orders of an earlier term, and the log refuses records of an
 //! earlier one. An owner whose heartbeats stop for [`ElectionTimers::owner_timeout`] may be
 //! replaced.
+//!
+//! A claimant sends heartbeats while it restores the cell's state, which takes long on a narrow link.
+//! If it is replaced before it serves, its successor gets twice the time, and so on, so that claims
+//! don't follow one another faster than any claimant can restore the state.
 
 use std::sync::Arc;
 
@@ -15,6 +19,8 @@
 const HEARTBEAT_MARGIN: u64 = 3;
 /// The divisor of the heartbeat interval that gives its decay with each heartbeat.
 const INTERVAL_DECAY: u64 = 8;
+/// The highest number of unsuccessful claims in a row that lengthen timeouts, each by a factor of two.
+const MAX_DOUBLINGS: u32 = 3;
 
 /// A record of the group's log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,6 +40,9 @@
     Heartbeat {
         /// The term of the owner's claim.
         term: u64,
+        /// Whether the owner is still restoring the state of the cell.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        restoring: bool,
     },
     /// The owner has stopped giving orders, and its records are complete.
     Release {
@@ -89,6 +98,8 @@
     pub owner_timeout: Span,
     /// The time without heartbeats after which an owner may be replaced however slow the store is.
     pub max_timeout: Span,
+    /// The time from its claim within which an owner has to restore the cell's state.
+    pub restore_timeout: Span,
     /// The gap between two successful reads after which the time without heartbeats is measured
     /// from the later read.
     pub read_gap: Span,
@@ -121,6 +132,12 @@
     timers: ElectionTimers,
     claim: Option<Claim>,
     is_released: bool,
+    /// Whether the owner has restored the cell's state.
+    is_serving: bool,
+    /// Whether the current claim is one that this process has given up.
+    is_abandoned: bool,
+    /// The number of claims in a row before the current one whose owners never served.
+    failed_claims: u32,
     /// A time at which all owners before the current claim were certainly fenced, if there is one.
     earlier_fenced_at: Option<Time>,
     /// The last heartbeat, or the start of continuous reading if that is later.
@@ -140,6 +157,9 @@
             timers,
             claim: None,
             is_released: false,
+            is_serving: false,
+            is_abandoned: false,
+            failed_claims: 0,
             earlier_fenced_at: Some(Time::ZERO),
             last_heartbeat: now,
             heartbeat_interval: Span::ZERO,
@@ -178,6 +198,14 @@
                 if !self.succeeds_stopped_owner(&instance, generation) {
                     self.earlier_fenced_at = None;
                 }
+                let has_failed = self.claim.is_some() && !self.is_serving && !self.is_released;
+                self.failed_claims = if has_failed {
+                    (self.failed_claims + 1).min(MAX_DOUBLINGS)
+                } else {
+                    0
+                };
+                self.is_serving = false;
+                self.is_abandoned = false;
                 self.claim = Some(Claim {
                     term: offset,
                     instance,
@@ -189,8 +217,9 @@
                 self.last_heartbeat = now;
                 self.claimed_at = now;
             }
-            GroupRecord::Heartbeat { term } => {
+            GroupRecord::Heartbeat { term, restoring } => {
                 if self.is_current(term) {
+                    self.is_serving |= !restoring;
                     // An owner fences the earlier ones before its first heartbeat.
                     self.earlier_fenced_at.get_or_insert(now);
                     let decayed = self.heartbeat_interval
@@ -270,6 +299,22 @@
                 .is_none_or(|claim| claim.instance == self.instance)
     }
 
+    /// Records that this instance gives up its claim, since it could not restore the cell's state in
+    /// time. The other members claim before it does so again.
+    pub fn abandon_claim(&mut self) {
+        self.is_abandoned = true;
+    }
+
+    /// Returns how long after its claim the owner may still be restoring the cell's state.
+    pub fn restore_timeout(&self) -> Span {
+        self.backed_off(self.timers.restore_timeout)
+    }
+
+    /// Doubles a timeout for each claim in a row whose owner never served.
+    fn backed_off(&self, timeout: Span) -> Span {
+        timeout.times(1 << self.failed_claims)
+    }
+
     /// Returns the members, the largest first.
     pub fn members(&self) -> &[Member] {
         &self.members
@@ -310,21 +355,28 @@
         if now.since(last_read) > self.timers.read_gap {
             return ElectionStep::Wait(now + self.timers.read_gap);
         }
-        let timeout = if self.is_owner_stopped() {
+        let timeout = if self.is_owner_stopped() && !self.is_abandoned {
             Span::ZERO
         } else {
             // On a slow store, heartbeats arrive late.
             let heartbeat_timeout = self.heartbeat_interval.times(HEARTBEAT_MARGIN);
-            heartbeat_timeout
+            let timeout = heartbeat_timeout
                 .max(self.timers.owner_timeout)
-                .min(self.timers.max_timeout)
+                .min(self.timers.max_timeout);
+            self.backed_off(timeout)
         };
         let timeout = if self.claim.is_none() {
             self.timers.initial_delay
         } else {
             timeout
         };
-        let due = self.last_heartbeat + timeout + self.timers.rank_delay.times(self.rank() as u64);
+        let turn = if self.is_abandoned {
+            self.members.len() + 1
+        } else {
+            self.rank()
+        };
+        let rank_delay = self.timers.rank_delay.times(turn as u64);
+        let due = self.last_heartbeat + timeout + self.backed_off(rank_delay);
         if now < due {
             return ElectionStep::Wait(due);
         }
--- a/crates/kingcupwinch-cell/src/run.rs
+++ b/crates/kingcupwinch-cell/src/run.rs
@@ -121,7 +121,8 @@
 }
 
 /// The outcome of a start order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum StartOutcome {
     /// The worker runs the task.
     Started,
@@ -142,3 +143,20 @@
     /// The response was lost; the order may have been carried out.
     Lost,
 }
+
+impl StartOutcome {
+    /// Returns the outcome as it is written to logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            StartOutcome::Started => "started",
+            StartOutcome::Fenced => "fenced",
+            StartOutcome::Stale => "stale",
+            StartOutcome::Late => "late",
+            StartOutcome::Full => "full",
+            StartOutcome::NoTicket => "no_ticket",
+            StartOutcome::Refused => "refused",
+            StartOutcome::NotSent => "not_sent",
+            StartOutcome::Lost => "lost",
+        }
+    }
+}
--- a/crates/kingcupwinch-cell/src/spec.rs
+++ b/crates/kingcupwinch-cell/src/spec.rs
@@ -202,6 +202,9 @@
     /// The time of acceptance in Unix milliseconds, by the clock of the instance that accepted the
     /// job.
     pub accepted_ms: u64,
+    /// The instance that accepted the job. Earlier versions don't record it.
+    #[serde(rename = "by", default, skip_serializing_if = "Option::is_none")]
+    pub accepted_by: Option<Arc<str>>,
 }
 
 impl JobSpec {
--- a/crates/kingcupwinch-cell/tests/cell/election.rs
+++ b/crates/kingcupwinch-cell/tests/cell/election.rs
@@ -5,6 +5,7 @@
 
 const OWNER_TIMEOUT_MS: u64 = 2_000;
 const MAX_TIMEOUT_MS: u64 = 5_000;
+const RESTORE_TIMEOUT_MS: u64 = 4_000;
 const READ_GAP_MS: u64 = 1_500;
 
 fn at(ms: u64) -> Time {
@@ -15,6 +16,7 @@
     let timers = ElectionTimers {
         owner_timeout: Span::from_millis(OWNER_TIMEOUT_MS),
         max_timeout: Span::from_millis(MAX_TIMEOUT_MS),
+        restore_timeout: Span::from_millis(RESTORE_TIMEOUT_MS),
         read_gap: Span::from_millis(READ_GAP_MS),
         initial_delay: Span::from_millis(600),
         rank_delay: Span::from_millis(50),
@@ -44,6 +46,13 @@
     }
 }
 
+fn heartbeat(term: u64) -> GroupRecord {
+    GroupRecord::Heartbeat {
+        term,
+        restoring: false,
+    }
+}
+
 /// The release of an owner of an earlier version.
 fn release(term: u64) -> GroupRecord {
     GroupRecord::Release {
@@ -88,12 +97,12 @@
     let mut election = election("a");
     election.apply(5, claim_by("b", 3), at(0));
     read_every_500_ms(&mut election, 0, 2_500);
-    election.apply(6, GroupRecord::Heartbeat { term: 4 }, at(2_000));
+    election.apply(6, heartbeat(4), at(2_000));
     assert_eq!(
         election.next_step(at(2_500)),
         ElectionStep::Claim { generation: 4 }
     );
-    election.apply(7, GroupRecord::Heartbeat { term: 5 }, at(2_500));
+    election.apply(7, heartbeat(5), at(2_500));
     assert!(matches!(
         election.next_step(at(2_500)),
         ElectionStep::Wait(_)
@@ -140,17 +149,17 @@
 fn a_release_does_not_stop_the_owner_before() {
     let mut election = election("a");
     election.apply(5, claim_by("b", 1), at(0));
-    election.apply(6, GroupRecord::Heartbeat { term: 5 }, at(100));
+    election.apply(6, heartbeat(5), at(100));
     election.apply(7, claim_by("c", 2), at(3_000));
     assert_eq!(election.earlier_owners_fenced_at(), None);
-    election.apply(8, GroupRecord::Heartbeat { term: 7 }, at(3_200));
-    election.apply(9, GroupRecord::Heartbeat { term: 7 }, at(3_500));
+    election.apply(8, heartbeat(7), at(3_200));
+    election.apply(9, heartbeat(7), at(3_500));
     assert_eq!(election.earlier_owners_fenced_at(), None);
     election.apply(10, release(7), at(3_800));
     assert_eq!(election.earlier_owners_fenced_at(), Some(at(3_200)));
     // A handover from a stopped owner fences nobody anew.
     election.apply(11, claim_by("d", 3), at(4_000));
-    election.apply(12, GroupRecord::Heartbeat { term: 11 }, at(4_100));
+    election.apply(12, heartbeat(11), at(4_100));
     election.apply(13, release(11), at(4_200));
     assert_eq!(election.earlier_owners_fenced_at(), Some(at(3_200)));
 }
@@ -166,7 +175,7 @@
     assert_eq!(election.earlier_owners_fenced_at(), None);
     election.apply(8, claim_by("a", 3), at(3_500));
     assert_eq!(election.earlier_owners_fenced_at(), None);
-    election.apply(9, GroupRecord::Heartbeat { term: 8 }, at(3_700));
+    election.apply(9, heartbeat(8), at(3_700));
     assert_eq!(election.earlier_owners_fenced_at(), Some(at(3_700)));
 }
 
@@ -200,7 +209,7 @@
     let mut election = election("a");
     election.apply(5, claim_by("b", 1), at(0));
     election.apply(7, claim_by("c", 2), at(3_000));
-    election.apply(8, GroupRecord::Heartbeat { term: 7 }, at(3_200));
+    election.apply(8, heartbeat(7), at(3_200));
     let record = GroupRecord::Release {
         term: 7,
         fenced_ms_ago: Some(400),
@@ -241,13 +250,9 @@
 fn an_owner_on_a_slow_store_gets_a_longer_timeout() {
     let mut election = election("a");
     election.apply(5, claim_by("b", 3), at(0));
-    for heartbeat in 1..=4 {
-        election.note_read(at(heartbeat * 1_200));
-        election.apply(
-            5 + heartbeat,
-            GroupRecord::Heartbeat { term: 5 },
-            at(heartbeat * 1_200),
-        );
+    for number in 1..=4 {
+        election.note_read(at(number * 1_200));
+        election.apply(5 + number, heartbeat(5), at(number * 1_200));
     }
     read_every_500_ms(&mut election, 4_800, 8_300);
     assert!(matches!(
@@ -261,6 +266,65 @@
     );
 }
 
+fn restoring(term: u64) -> GroupRecord {
+    GroupRecord::Heartbeat {
+        term,
+        restoring: true,
+    }
+}
+
+/// Claimants that need more time than silence leaves them replaced one another without end.
+#[test]
+fn a_claim_that_follows_an_unsuccessful_one_gets_twice_the_time() {
+    let mut election = election("a");
+    election.apply(5, claim_by("b", 1), at(0));
+    election.apply(6, heartbeat(5), at(100));
+    assert_eq!(election.restore_timeout(), Span::from_secs(4));
+    election.apply(7, claim_by("c", 2), at(3_000));
+    election.apply(8, restoring(7), at(3_100));
+    assert_eq!(election.restore_timeout(), Span::from_secs(4));
+    election.apply(9, claim_by("d", 3), at(6_000));
+    assert_eq!(election.restore_timeout(), Span::from_secs(8));
+    read_every_500_ms(&mut election, 6_000, 10_000);
+    let due = at(6_000 + 2 * (OWNER_TIMEOUT_MS + 50));
+    assert_eq!(election.next_step(at(10_000)), ElectionStep::Wait(due));
+    for claim in 0..6 {
+        election.apply(10 + claim, claim_by("e", 4 + claim as u32), at(11_000));
+    }
+    assert_eq!(election.restore_timeout(), Span::from_secs(32), "the most");
+    election.apply(20, restoring(15), at(11_500));
+    election.apply(21, heartbeat(15), at(12_000));
+    election.apply(22, claim_by("f", 10), at(16_000));
+    assert_eq!(election.restore_timeout(), Span::from_secs(4));
+}
+
+/// An instance that restarts claims its own cell at once. One that could not restore the state in
+/// time would only do so again.
+#[test]
+fn an_instance_that_gave_up_lets_the_others_claim_first() {
+    let mut election = election("a");
+    election.apply(5, claim_by("a", 1), at(0));
+    election.abandon_claim();
+    read_every_500_ms(&mut election, 0, 2_000);
+    let due = at(OWNER_TIMEOUT_MS + 3 * 50);
+    assert_eq!(election.next_step(at(2_000)), ElectionStep::Wait(due));
+    election.apply(6, claim_by("z", 2), at(2_050));
+    election.apply(7, release(6), at(2_060));
+    election.note_read(at(2_200));
+    let step = election.next_step(at(2_200));
+    assert_eq!(step, ElectionStep::Claim { generation: 3 });
+}
+
+#[test]
+fn the_heartbeat_of_an_earlier_version_is_one_of_a_serving_owner() {
+    let text = r#"{"kind":"beat","term":7}"#;
+    assert_eq!(
+        serde_json::from_str::<GroupRecord>(text).unwrap(),
+        heartbeat(7)
+    );
+    assert_eq!(serde_json::to_string(&heartbeat(7)).unwrap(), text);
+}
+
 /// With instances of different sizes, the largest claims first and the others only if it does not.
 #[test]
 fn large_instances_claim_before_small_ones() {
--- a/crates/kingcupwinch-cell/tests/cell/harness.rs
+++ b/crates/kingcupwinch-cell/tests/cell/harness.rs
@@ -114,6 +114,7 @@
         steps,
         schedule: None,
         accepted_ms: 0,
+        accepted_by: None,
     }
 }
 
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -14,6 +14,7 @@
 mod lifecycle;
 mod long_running;
 mod moves;
+mod narrow_links;
 mod occurrences;
 mod overload;
 mod replaced;
--- a/crates/kingcupwinch-node/src/callers.rs
+++ b/crates/kingcupwinch-node/src/callers.rs
@@ -136,10 +136,13 @@
             return empty(StatusCode::PAYLOAD_TOO_LARGE);
         };
         let accepted_ms = self.shared.wall_time().as_millis();
-        let spec = match decode_job(&body, &job.route.policy, accepted_ms) {
+        let mut spec = match decode_job(&body, &job.route.policy, accepted_ms) {
             Ok(spec) => spec,
             Err(error) => return self.reject(job.id, &error),
         };
+        spec.accepted_by = Some(Arc::clone(&self.shared.settings.instance));
+        let (payload, now) = (Arc::clone(&spec.payload), self.shared.now());
+        self.shared.payloads().insert(job.id, payload, now);
         let value = match serde_json::to_vec(&spec) {
             Ok(value) => value,
             Err(error) => return self.refuse(&error.to_string(), Some(job.id)),
--- a/crates/kingcupwinch-node/src/configuration/follower.rs
+++ b/crates/kingcupwinch-node/src/configuration/follower.rs
@@ -29,6 +29,11 @@
 /// Delay after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Creates a client that shares no connections with others.
+fn new_store(shared: &Shared) -> Store {
+    Store::new(shared.settings.store).with_traffic(Arc::clone(&shared.traffic))
+}
+
 /// Follows the configuration for the life of the process.
 pub(crate) async fn follow(shared: Arc<Shared>) {
     let mut follower = Follower::new(shared);
@@ -79,7 +84,7 @@
 impl Follower {
     pub(crate) fn new(shared: Arc<Shared>) -> Self {
         Follower {
-            store: Store::new(shared.settings.store),
+            store: new_store(&shared),
             shared,
             next: None,
             reads: JoinSet::new(),
@@ -118,7 +123,7 @@
     fn start_late_read(&mut self) {
         self.late_reads += 1;
         Metrics::count(&self.shared.metrics.store_calls, "configuration", "late");
-        let store = Store::new(self.shared.settings.store);
+        let store = new_store(&self.shared);
         self.start_read(store, Span::default());
     }
 
@@ -177,7 +182,7 @@
                 shared.record_store_result(Some(&error.to_string()));
                 self.late_reads = self.late_reads.max(1);
                 if self.reads.is_empty() {
-                    self.store = Store::new(shared.settings.store);
+                    self.store = new_store(&shared);
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
             }
--- a/crates/kingcupwinch-node/src/events.rs
+++ b/crates/kingcupwinch-node/src/events.rs
@@ -57,6 +57,8 @@
     ResponseSkipped = "1204", "response of a sibling skipped";
     /// An append took much longer than usual, with or without a response.
     SlowAppend = "1205", "slow append";
+    /// The instance's link carried nearly as much as it can in the last second.
+    LinkBusy = "1206", "link nearly full";
     /// A configuration came into force.
     ConfigInForce = "1301", "configuration in force";
     /// The configuration in force was not confirmed to be the latest for too long.
--- a/crates/kingcupwinch-node/src/http.rs
+++ b/crates/kingcupwinch-node/src/http.rs
@@ -15,6 +15,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use kingcupwinch_platform::{ByteCounter, Counted};
 use slog::o;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
@@ -43,25 +44,28 @@
     ) -> impl Future<Output = HttpResponse> + Send;
 }
 
-/// Binds an address and serves it in the background. When `drain` turns true, it accepts no more
-/// connections and lets open requests complete.
+/// Binds an address and serves it in the background; `purpose` labels its bytes. When `drain` turns
+/// true, it accepts no more connections and lets open requests complete.
 ///
 /// # Errors
 ///
 /// Fails if the address can't be bound.
 pub(crate) async fn serve<H: Handler>(
     address: SocketAddr,
+    purpose: &'static str,
     handler: Arc<H>,
     shared: Arc<Shared>,
     drain: watch::Receiver<bool>,
 ) -> std::io::Result<()> {
     let listener = TcpListener::bind(address).await?;
-    tokio::spawn(accept(listener, handler, shared, drain));
+    let counter = shared.traffic.counter(purpose);
+    tokio::spawn(accept(listener, counter, handler, shared, drain));
     Ok(())
 }
 
 async fn accept<H: Handler>(
     listener: TcpListener,
+    counter: Arc<ByteCounter>,
     handler: Arc<H>,
     shared: Arc<Shared>,
     drain: watch::Receiver<bool>,
@@ -81,6 +85,9 @@
             Ok((stream, _)) => {
                 let handler = Arc::clone(&handler);
                 let drain = drain.clone();
+                // Without TCP_NODELAY only latency suffers.
+                let _ = stream.set_nodelay(true);
+                let stream = Counted::new(stream, Arc::clone(&counter));
                 tokio::spawn(async move {
                     connection(stream, handler, drain).await;
                     drop(permit);
@@ -96,12 +103,10 @@
 }
 
 async fn connection<H: Handler>(
-    stream: TcpStream,
+    stream: Counted<TcpStream>,
     handler: Arc<H>,
     mut drain: watch::Receiver<bool>,
 ) {
-    // Without TCP_NODELAY only latency suffers.
-    let _ = stream.set_nodelay(true);
     let service = service_fn(move |request| {
         let handler = Arc::clone(&handler);
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
--- a/crates/kingcupwinch-node/src/job_states.rs
+++ b/crates/kingcupwinch-node/src/job_states.rs
@@ -21,6 +21,11 @@
 const IDLE_EXPIRY: Duration = Duration::from_secs(10);
 /// Timeout of a refresh.
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
+/// Delay before the refresh after a failed one; doubles with each failure in a row. On a narrow link,
+/// repeated reads of the whole partition would take it from the requests that need it.
+const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Maximum number of doublings of the delay and of the timeout.
+const MAX_DOUBLINGS: u32 = 4;
 
 /// Cache of job states, refreshed on demand.
 #[derive(Default)]
@@ -33,6 +38,10 @@
     next: Option<u64>,
     states: FxHashMap<JobId, JobState>,
     read_at: Option<Instant>,
+    /// Number of failed refreshes since the last successful one.
+    failures: u32,
+    /// No refresh starts before this time.
+    retry_at: Option<Instant>,
 }
 
 impl JobStateCache {
@@ -49,7 +58,12 @@
             .read_at
             .is_some_and(|read| read.elapsed() < MAX_STALENESS);
         if !is_fresh {
-            match cache.refresh(shared).await {
+            if cache.retry_at.is_some_and(|at| Instant::now() < at) {
+                return None;
+            }
+            let result = cache.refresh(shared).await;
+            cache.note_refresh(result.is_ok());
+            match result {
                 Ok(()) => shared.record_store_result(None),
                 Err(error) => {
                     shared.record_store_result(Some(&error.to_string()));
@@ -62,9 +76,23 @@
 }
 
 impl CachedStates {
+    /// Sets the time of the next refresh after this one, which may have failed.
+    fn note_refresh(&mut self, is_successful: bool) {
+        if is_successful {
+            (self.failures, self.retry_at) = (0, None);
+        } else {
+            self.retry_at = Some(Instant::now() + RETRY_DELAY * self.backoff());
+            self.failures = (self.failures + 1).min(MAX_DOUBLINGS);
+        }
+    }
+
+    fn backoff(&self) -> u32 {
+        1 << self.failures
+    }
+
     async fn refresh(&mut self, shared: &Shared) -> Result<(), StoreError> {
         let started = Instant::now();
-        let deadline = started + READ_TIMEOUT;
+        let deadline = started + READ_TIMEOUT * self.backoff();
         match self.next {
             None => {
                 let page = shared.store.read_latest(PROGRESS, deadline).await?;
--- a/crates/kingcupwinch-node/src/lib.rs
+++ b/crates/kingcupwinch-node/src/lib.rs
@@ -18,10 +18,12 @@
 mod intake;
 mod job_states;
 mod layout;
+mod link;
 mod metrics;
 mod node;
 mod owner;
 mod ownership;
+mod relay;
 mod shared;
 mod siblings;
 #[cfg(test)]
--- a/crates/kingcupwinch-node/src/metrics.rs
+++ b/crates/kingcupwinch-node/src/metrics.rs
@@ -31,6 +31,15 @@
     pub how: &'static str,
 }
 
+/// Labels of the bytes that connections carried.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TrafficLabel {
+    /// What the connections are for.
+    pub purpose: &'static str,
+    /// `sent` or `received`.
+    pub direction: &'static str,
+}
+
 /// Registry and handles of all metrics.
 #[derive(Debug)]
 pub struct Metrics {
@@ -45,6 +54,10 @@
     pub append_time: Histogram,
     /// Start and stop orders sent to workers, by kind and outcome.
     pub orders: Family<CallLabel, Counter>,
+    /// Bytes sent and received, by purpose.
+    pub traffic: Family<TrafficLabel, Counter>,
+    /// Share of the link's bandwidth in use in the last second, in the busier direction.
+    pub link_load: Gauge<f64, AtomicU64>,
     /// Ended runs, by how they ended.
     pub runs: Family<EndLabel, Counter>,
     /// Ended jobs, by how they ended.
@@ -76,6 +89,8 @@
             store_calls: Family::default(),
             append_time: Histogram::new(LATENCY_BUCKETS),
             orders: Family::default(),
+            traffic: Family::default(),
+            link_load: Gauge::default(),
             runs: Family::default(),
             jobs: Family::default(),
             crashes: Family::default(),
@@ -104,6 +119,16 @@
             "Start and stop orders sent to workers",
             m.orders.clone(),
         );
+        registry.register(
+            "traffic_bytes",
+            "Bytes sent and received on all connections",
+            m.traffic.clone(),
+        );
+        registry.register(
+            "link_load_ratio",
+            "Share of the link's bandwidth in use, in the busier direction",
+            m.link_load.clone(),
+        );
         registry.register("runs", "Ended runs", m.runs.clone());
         registry.register("jobs", "Ended jobs", m.jobs.clone());
         registry.register(
@@ -154,6 +179,19 @@
         family.get_or_create(&EndLabel { how }).inc();
     }
 
+    /// Counts bytes that were sent and received for a purpose.
+    pub fn count_bytes(
+        family: &Family<TrafficLabel, Counter>,
+        purpose: &'static str,
+        sent: u64,
+        received: u64,
+    ) {
+        for (direction, bytes) in [("sent", sent), ("received", received)] {
+            let label = TrafficLabel { purpose, direction };
+            family.get_or_create(&label).inc_by(bytes);
+        }
+    }
+
     /// Renders all metrics as text.
     ///
     /// # Errors
--- a/crates/kingcupwinch-node/src/node.rs
+++ b/crates/kingcupwinch-node/src/node.rs
@@ -18,7 +18,9 @@
 use crate::hedged_append::HedgedAppender;
 use crate::http::{Handler, HttpResponse, empty, json, serve};
 use crate::intake::Intake;
+use crate::link::watch_link;
 use crate::ownership::{OwnershipTask, announce_member};
+use crate::relay::StartRelay;
 use crate::shared::Shared;
 use crate::siblings::{SiblingServer, Siblings};
 
@@ -97,6 +99,7 @@
         self.listen(&siblings, &drained).await?;
         tokio::spawn(crate::configuration::follow(Arc::clone(shared)));
         tokio::spawn(announce_member(Arc::clone(shared)));
+        tokio::spawn(watch_link(Arc::clone(shared)));
         let group = tokio::spawn(OwnershipTask::new(Arc::clone(shared), siblings).run());
         let settings = &shared.settings;
         let disabled: Vec<&str> = shared.disabled.iter().map(Mechanism::as_str).collect();
@@ -144,19 +147,20 @@
             shared: Arc::clone(shared),
             owner_intake,
             own_intake: own,
+            relay: StartRelay::new(Arc::clone(shared)),
         });
         let metrics = Arc::new(MetricsServer {
             shared: Arc::clone(shared),
         });
         let clones = || (Arc::clone(shared), drained.clone());
         let (state, drain) = clones();
-        serve(settings.callers, callers, state, drain).await?;
+        serve(settings.callers, "callers", callers, state, drain).await?;
         let (state, drain) = clones();
-        serve(settings.readiness, readiness, state, drain).await?;
+        serve(settings.readiness, "readiness", readiness, state, drain).await?;
         let (state, drain) = clones();
-        serve(settings.siblings, server, state, drain).await?;
+        serve(settings.siblings, "siblings", server, state, drain).await?;
         let (state, drain) = clones();
-        serve(settings.metrics, metrics, state, drain).await?;
+        serve(settings.metrics, "metrics", metrics, state, drain).await?;
         Ok(())
     }
 
--- a/crates/kingcupwinch-node/src/owner/loops.rs
+++ b/crates/kingcupwinch-node/src/owner/loops.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use kameo::actor::WeakActorRef;
 use kingcupwinch_adapter::{Advice, DIRECTORY, KeyedRecord, Page, Partition, StoreError};
-use kingcupwinch_cell::{AdviceCallId, Ticket, WorkerKey};
+use kingcupwinch_cell::{AdviceCallId, RunEnd, Ticket, WorkerKey};
 use kingcupwinch_time::{Span, Time};
 use slog::o;
 use tokio::time::Instant;
@@ -20,8 +20,14 @@
 use crate::shared::Shared;
 use crate::siblings::{AdviceRequest, Siblings};
 
+#[cfg(test)]
+mod tests;
+
 /// Minimum time between two polls of a worker; the cost of a poll limits the rate.
 const POLL_INTERVAL: Duration = Duration::from_millis(60);
+/// Maximum number of doublings of the time between two polls while they only repeat known ends, which
+/// can't be acknowledged before they are in the log.
+const MAX_POLL_DOUBLINGS: u32 = 3;
 /// Delay after consecutive failed polls, or while dispatching is suspended.
 const POLL_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Long-poll wait of an intake read, in milliseconds.
@@ -55,6 +61,7 @@
     id: Arc<str>,
 ) {
     let mut is_lost = false;
+    let mut repeats = RepeatedEnds::default();
     loop {
         let Some(actor) = owner.upgrade() else { return };
         let (order, client) = match actor.ask(NextPoll(worker)).await {
@@ -71,6 +78,7 @@
         let was_lost = is_lost;
         let result = client.poll(order).await;
         let failure = result.as_ref().err().map(ToString::to_string);
+        repeats.note(result.as_ref().map_or(&[], |status| &status.ended));
         log_reachability(&shared, &id, &mut is_lost, failure.as_deref());
         let Some(actor) = owner.upgrade() else { return };
         let poll = PollResult {
@@ -87,12 +95,35 @@
         let pause = if failure.is_some() && was_lost {
             POLL_RETRY_DELAY
         } else {
-            POLL_INTERVAL
+            POLL_INTERVAL * repeats.backoff()
         };
         tokio::time::sleep(pause).await;
     }
 }
 
+/// How often in a row the polls of a worker have listed ends of which none was new.
+#[derive(Debug, Default)]
+struct RepeatedEnds {
+    /// The highest number of the ends that were listed last.
+    last: Option<u64>,
+    count: u32,
+}
+
+impl RepeatedEnds {
+    /// Records the ends that a poll has listed.
+    fn note(&mut self, ended: &[RunEnd]) {
+        let last = ended.iter().map(|end| end.sequence).max();
+        let is_repeat = last.is_some() && last == self.last;
+        self.count = if is_repeat { self.count + 1 } else { 0 };
+        self.last = last;
+    }
+
+    /// Returns the factor for the time until the next poll.
+    fn backoff(&self) -> u32 {
+        1 << self.count.min(MAX_POLL_DOUBLINGS)
+    }
+}
+
 fn log_reachability(shared: &Shared, id: &Arc<str>, is_lost: &mut bool, failure: Option<&str>) {
     match failure {
         Some(error) if !*is_lost => {
@@ -215,8 +246,10 @@
     let mut from = Some(from);
     // Send time of the last read that reached the end, so that later entries were written after it.
     let mut complete_at = None;
+    let mut pause = DIRECTORY_INTERVAL;
     loop {
-        tokio::time::sleep(DIRECTORY_INTERVAL).await;
+        tokio::time::sleep(pause).await;
+        pause = DIRECTORY_INTERVAL;
         let sent = shared.now();
         let deadline = Instant::now() + READ_MARGIN;
         let result = match from {
@@ -229,6 +262,8 @@
                 from = Some(next);
                 if is_complete {
                     complete_at = Some(sent);
+                } else if !read.is_whole {
+                    pause = Duration::ZERO;
                 }
                 let has_changes = read.is_whole || !read.entries.is_empty();
                 if has_changes && !tell(&owner, read).await {
--- a/crates/kingcupwinch-node/src/owner/messages.rs
+++ b/crates/kingcupwinch-node/src/owner/messages.rs
@@ -219,7 +219,7 @@
             let Some(value) = value else { continue };
             match key {
                 IntakeKey::Accepted(id) => {
-                    self.add_origin(id, read.partition);
+                    self.add_origin(key, read.partition);
                     if self.cell.is_tentative(id) {
                         self.confirm(id);
                     } else if self.cell.job_state(id).is_some() {
@@ -229,7 +229,7 @@
                     }
                 }
                 IntakeKey::Cancelled(id) => {
-                    self.add_origin(id, read.partition);
+                    self.add_origin(key, read.partition);
                     if self.cell.job_state(id) == Some(JobState::Cancelled) {
                         self.handle_duplicate(id, read.partition);
                         continue;
--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -6,6 +6,8 @@
 mod leases;
 mod loops;
 mod messages;
+mod origins;
+mod starts;
 mod takeover;
 mod writer;
 
@@ -16,19 +18,21 @@
 use kameo::Actor;
 use kameo::actor::{ActorRef, WeakActorRef};
 use kingcupwinch_adapter::{Partition, WorkerClient};
-use kingcupwinch_cell::{Action, Cell, JobId, JobState, Registration, StartOutcome, WorkerKey};
+use kingcupwinch_cell::{Action, Cell, JobId, JobState, Registration, WorkerKey};
 use kingcupwinch_time::{Span, Time};
 use rustc_hash::FxHashMap;
 use slog::o;
-use smallvec::SmallVec;
 use tokio::sync::{Notify, oneshot};
 
 use crate::events::Event;
 use crate::layout::IntakeKey;
+use crate::link::OrderBudget;
 use crate::metrics::Metrics;
 use crate::shared::Shared;
 use crate::siblings::Siblings;
 
+use starts::Relayed;
+
 pub(crate) use freshness::{Freshness, view_time};
 pub(crate) use leases::LeaseLimits;
 pub(crate) use messages::{
@@ -37,7 +41,8 @@
 };
 #[cfg(test)]
 pub(crate) use messages::{NextPoll, PollPlan};
-pub(crate) use takeover::take_over;
+pub(crate) use origins::Origins;
+pub(crate) use takeover::{Takeover, TakeoverError, take_over};
 
 /// Delay before a scheduling decision, so that events arriving close together share one.
 const DECISION_DELAY: Duration = Duration::from_millis(5);
@@ -62,12 +67,11 @@
     /// From when on no lease is held that is longer than this owner grants.
     pub(crate) lease_record_due: Time,
     pub(crate) origins: Origins,
+    /// Duplicates of acceptances that are to be deleted.
+    pub(crate) duplicates: Vec<(Partition, IntakeKey)>,
     pub(crate) freshness: Freshness,
 }
 
-/// Intake partitions that hold records of each job.
-pub(crate) type Origins = FxHashMap<JobId, SmallVec<[Partition; 2]>>;
-
 /// Actor that schedules the cell's jobs during one term of ownership.
 pub(crate) struct Owner {
     shared: Arc<Shared>,
@@ -99,6 +103,8 @@
     lease_record_due: Option<Time>,
     /// Wakes the writer when starts wait for their records to be appended.
     write_due: Arc<Notify>,
+    /// Bytes of orders that this instance may send itself; `None` if the link's bandwidth is unknown.
+    budget: Option<OrderBudget>,
 }
 
 impl Actor for Owner {
@@ -106,6 +112,9 @@
     type Error = Infallible;
 
     async fn on_start(args: OwnerArgs, me: ActorRef<Self>) -> Result<Self, Infallible> {
+        let now = args.shared.now();
+        let budget = |link_mbps| OrderBudget::new(link_mbps, now);
+        let budget = args.shared.settings.link_mbps.map(budget);
         let mut owner = Owner {
             shared: args.shared,
             siblings: args.siblings,
@@ -121,7 +130,7 @@
             release_done: None,
             is_decision_scheduled: false,
             decision_delay: DECISION_DELAY,
-            cleanup: Vec::new(),
+            cleanup: args.duplicates,
             origins: args.origins,
             freshness: args.freshness,
             is_worker_list_dirty: true,
@@ -129,6 +138,7 @@
             leases: args.leases,
             lease_record_due: Some(args.lease_record_due),
             write_due: Arc::default(),
+            budget,
         };
         owner.schedule_restored_cleanup();
         owner.connect_workers();
@@ -221,7 +231,8 @@
             {
                 continue;
             }
-            let client = WorkerClient::new(address, Arc::clone(&id), self.term);
+            let client = WorkerClient::new(address, Arc::clone(&id), self.term)
+                .with_traffic(&self.shared.traffic);
             let is_new = self.clients.insert(key, client).is_none();
             if is_new && let Some(me) = self.me.upgrade() {
                 let shared = Arc::clone(&self.shared);
@@ -258,9 +269,7 @@
         self.log_cell_events();
         let took = Duration::from(self.shared.now().since(now));
         self.decision_delay = DECISION_DELAY.max(took * DECISION_PAUSE_FACTOR);
-        for action in actions {
-            self.execute(action);
-        }
+        self.execute(actions);
         if self.cell.has_unsent_starts() {
             self.write_due.notify_one();
         }
@@ -275,59 +284,38 @@
         if !self.may_dispatch(now) {
             return;
         }
-        for action in self.cell.take_actions(now) {
-            self.execute(action);
-        }
+        let actions = self.cell.take_actions(now);
+        self.execute(actions);
     }
 
-    fn execute(&mut self, action: Action) {
-        match action {
-            Action::Start(order) => self.send_start(order),
-            Action::Stop(order) => self.send_stop(order),
-            Action::RequestAdvice {
-                call,
-                instance,
-                step,
-                workers,
-                deadline,
-            } => {
-                let request = loops::AdviceCall {
+    fn execute(&mut self, actions: Vec<Action>) {
+        let mut relayed = Relayed::default();
+        self.refill_budget();
+        for action in actions {
+            match action {
+                Action::Start(order) => self.start(order, &mut relayed),
+                Action::Stop(order) => self.send_stop(order),
+                Action::RequestAdvice {
                     call,
                     instance,
                     step,
                     workers,
                     deadline,
-                };
-                self.send_advice_call(request);
+                } => {
+                    let request = loops::AdviceCall {
+                        call,
+                        instance,
+                        step,
+                        workers,
+                        deadline,
+                    };
+                    self.send_advice_call(request);
+                }
             }
         }
-    }
-
-    fn send_start(&self, order: kingcupwinch_cell::StartOrder) {
-        let Some(client) = self.clients.get(&order.worker).cloned() else {
-            return;
-        };
-        self.shared.log.write(
-            Event::RunDispatched,
-            o!("task" => order.task.to_string(), "run" => order.run,
-                "worker" => client.id().to_string(), "worker_pace" => order.pace_percent,
-                "until" => order.lease_until, "term" => self.term),
-        );
-        let (me, shared) = (self.me.clone(), Arc::clone(&self.shared));
-        tokio::spawn(async move {
-            let outcome = client.start(&order).await;
-            Metrics::count(&shared.metrics.orders, "start", start_label(outcome));
-            if outcome != StartOutcome::Started {
-                shared.log.write(
-                    Event::RunNotStarted,
-                    o!("task" => order.task.to_string(), "run" => order.run,
-                        "worker" => client.id().to_string(), "answer" => start_label(outcome)),
-                );
-            }
-            if let Some(me) = me.upgrade() {
-                let _ = me.tell(messages::Started { order, outcome }).await;
-            }
-        });
+        for ((address, _), orders) in relayed {
+            self.relay_starts(address, orders);
+        }
     }
 
     fn send_stop(&self, order: kingcupwinch_cell::StopOrder) {
@@ -366,18 +354,18 @@
         });
     }
 
-    /// Records that a partition holds a record of a job, for deletion after the job ends.
-    fn add_origin(&mut self, id: JobId, partition: Partition) {
-        let origins = self.origins.entry(id).or_default();
-        if !origins.contains(&partition) {
-            origins.push(partition);
+    /// Records that a partition holds a record of a job, for deletion after the job ends. A duplicate of
+    /// its acceptance is deleted soon.
+    fn add_origin(&mut self, key: IntakeKey, partition: Partition) {
+        if let Some(duplicate) = self.origins.add(key, partition) {
+            self.cleanup.push((duplicate, key));
         }
     }
 
     /// Schedules the deletion of the intake records that an earlier owner left of ended jobs.
     fn schedule_restored_cleanup(&mut self) {
         let state = |id: &JobId| self.cell.job_state(*id);
-        let ids = self.origins.keys().copied();
+        let ids = self.origins.jobs();
         let ended: Vec<JobId> = ids
             .filter(|id| state(id).is_some_and(JobState::is_final))
             .collect();
@@ -388,27 +376,13 @@
 
     /// Schedules the deletion of a job's intake records.
     fn schedule_cleanup(&mut self, id: JobId) {
-        for partition in self.origins.remove(&id).unwrap_or_default() {
+        for partition in self.origins.remove(id) {
             self.cleanup.push((partition, IntakeKey::Accepted(id)));
             self.cleanup.push((partition, IntakeKey::Cancelled(id)));
         }
     }
 }
 
-fn start_label(outcome: StartOutcome) -> &'static str {
-    match outcome {
-        StartOutcome::Started => "started",
-        StartOutcome::Fenced => "fenced",
-        StartOutcome::Stale => "stale",
-        StartOutcome::Late => "late",
-        StartOutcome::Full => "full",
-        StartOutcome::NoTicket => "no_ticket",
-        StartOutcome::Refused => "refused",
-        StartOutcome::NotSent => "not_sent",
-        StartOutcome::Lost => "lost",
-    }
-}
-
 async fn tick(me: WeakActorRef<Owner>) {
     loop {
         tokio::time::sleep(TICK_INTERVAL).await;
--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -6,7 +6,7 @@
 use kameo::actor::{ActorRef, Spawn};
 use kameo::mailbox;
 use kingcupwinch_adapter::{
-    DIRECTORY, Fence, Page, Partition, Store, StoreError, WriteError, decode_registration,
+    DIRECTORY, Fence, LatestReader, Page, Partition, StoreError, WriteError, decode_registration,
 };
 use kingcupwinch_cell::{
     Cell, CellTimers, Claim, JobId, JobRecord, JobSpec, JobState, WorkerRecord,
@@ -16,6 +16,7 @@
 use rustc_hash::FxHashMap;
 use serde::de::DeserializeOwned;
 use slog::o;
+use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -26,16 +27,26 @@
 use crate::layout::{
     IntakeKey, LEASES_KEY, PROGRESS, RUN_TIMES_KEY, WORKERS_KEY, intake_partitions,
 };
+use crate::link::BYTES_PER_MBIT;
 use crate::shared::Shared;
 use crate::siblings::Siblings;
 
 #[cfg(test)]
 mod tests;
 
-/// Timeout for fencing the log and reading the state.
-const READ_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Time after which no order of an owner that has stopped is still in flight.
-const IN_FLIGHT_MARGIN: Span = Span::from_millis(300);
+/// Timeout of one attempt to fence the log.
+const FENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Maximum number of partitions that are read at a time.
+const MAX_READS: usize = 9;
+/// Bytes of a read that may wait at the link: a common receive window.
+const WINDOW_BYTES: f64 = 65_536.0;
+/// Time for which the bytes of all reads may wait at the link, in seconds: less than the interval
+/// between two heartbeats.
+const MAX_QUEUE_S: f64 = 0.25;
+/// Delay before a retry.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Time after which no order of an owner that has stopped is still in flight, also through a relay.
+const IN_FLIGHT_MARGIN: Span = Span::from_millis(600);
 /// Heartbeats after the last one within which a directory entry disappears only if its worker removes
 /// it. The entry of a silent worker expires one heartbeat later.
 const EXIT_HEARTBEATS: u64 = 2;
@@ -53,44 +64,72 @@
             source(source)
             display("fencing the log: {source}")
         }
+        /// There is a later claim.
+        Superseded {
+            display("a later owner has written")
+        }
         /// The state could not be read.
         Read(source: StoreError) {
             from()
             source(source)
             display("reading the state: {source}")
         }
+        /// The instance is stopping.
+        Stopped {
+            display("the instance is stopping")
+        }
     }
 }
 
-/// Takes the cell over under a claim sent at `claimed_at`. All owners that may still give orders were
-/// fenced at `fenced_at`, which is set once they are.
+/// A claim under which an instance takes the cell over.
+#[derive(Debug)]
+pub(crate) struct Takeover {
+    pub(crate) claim: Claim,
+    /// When all owners that may still give orders were certainly fenced, if that is known.
+    pub(crate) fenced_at: Option<Time>,
+    /// When the claim was sent.
+    pub(crate) claimed_at: Time,
+    /// When the takeover fails unless it is complete.
+    pub(crate) give_up: Instant,
+}
+
+/// The state of a cell as it is in the log.
+struct LoggedState {
+    progress: Page,
+    intake: Vec<(Partition, Page)>,
+    directory: Page,
+}
+
+/// Takes the cell over. `heartbeats` sends heartbeats while it is polled, which begins once the earlier
+/// owners are fenced.
 ///
 /// # Errors
 ///
-/// Fails if the log can't be fenced or the state can't be read.
+/// Fails if there is a later claim, or if the log can't be fenced or the state can't be read in time.
 pub(crate) async fn take_over(
     shared: &Arc<Shared>,
     siblings: &Siblings,
-    claim: &Claim,
-    fenced_at: &mut Option<Time>,
-    claimed_at: Time,
+    takeover: Takeover,
+    heartbeats: impl Future<Output = ()>,
 ) -> Result<ActorRef<Owner>, TakeoverError> {
-    let deadline = Instant::now() + READ_TIMEOUT;
-    let fence = Fence {
-        term: claim.term,
-        sequence: 0,
-    };
-    shared
-        .store
-        .append(PROGRESS, &[], None, Some(fence), deadline)
-        .await?;
+    let Takeover {
+        claim,
+        fenced_at,
+        claimed_at,
+        give_up,
+    } = takeover;
+    fence(shared, claim.term, give_up).await?;
     let read_at = shared.now();
-    let fenced_at = *fenced_at.get_or_insert(read_at);
-    let (progress, intake, directory) = tokio::try_join!(
-        shared.store.read_latest(PROGRESS, deadline),
-        read_intake(&shared.store, deadline),
-        shared.store.read_latest(DIRECTORY, deadline),
-    )?;
+    let fenced_at = fenced_at.unwrap_or(read_at);
+    let state = tokio::select! {
+        state = read_state(shared, give_up) => state?,
+        () = heartbeats => return Err(TakeoverError::Stopped),
+    };
+    let LoggedState {
+        progress,
+        intake,
+        directory,
+    } = state;
     shared.record_store_result(None);
     let now = shared.now();
     let handover_overlap = overlap_after(fenced_at, now);
@@ -106,12 +145,16 @@
     let mut cell = Cell::new(timers, claim.generation).with_disabled(shared.disabled);
     let workers = restore_workers(shared, &mut cell, &directory, &progress, now);
     let mut origins = Origins::default();
+    let mut duplicates = Vec::new();
     let records = restore_ends(shared, &mut cell, &progress, now);
     for (partition, page) in &intake {
         restore_jobs(shared, &mut cell, page, &records, now);
         for (key, _) in loops::intake_items(page) {
-            let (IntakeKey::Accepted(id) | IntakeKey::Cancelled(id)) = key;
-            origins.entry(id).or_default().push(*partition);
+            duplicates.extend(
+                origins
+                    .add(key, *partition)
+                    .map(|duplicate| (duplicate, key)),
+            );
         }
     }
     for (id, record) in &records {
@@ -137,6 +180,7 @@
         leases,
         lease_record_due: leases.record_due(now + handover_overlap, now),
         origins,
+        duplicates,
         freshness: Freshness::new(intake_partitions(), read_at),
     };
     let owner = Owner::spawn_with_mailbox(args, mailbox::unbounded());
@@ -209,20 +253,76 @@
     }
 }
 
-/// Reads all partitions of the intake concurrently.
-async fn read_intake(
-    store: &Store,
-    deadline: Instant,
-) -> Result<Vec<(Partition, Page)>, StoreError> {
+/// Fences the earlier owners from the progress partition.
+async fn fence(shared: &Shared, term: u64, give_up: Instant) -> Result<(), TakeoverError> {
+    let fence = Fence { term, sequence: 0 };
+    loop {
+        let deadline = give_up.min(Instant::now() + FENCE_TIMEOUT);
+        let sent = shared
+            .store
+            .append(PROGRESS, &[], None, Some(fence), deadline);
+        match sent.await {
+            Ok(_) => return Ok(()),
+            Err(WriteError::Fenced) => return Err(TakeoverError::Superseded),
+            Err(error) if Instant::now() + RETRY_DELAY >= give_up => return Err(error.into()),
+            Err(error) => shared.record_store_result(Some(&error.to_string())),
+        }
+        tokio::time::sleep(RETRY_DELAY).await;
+    }
+}
+
+/// Reads the progress, the intake and the directory, as many partitions at a time as the link bears.
+async fn read_state(shared: &Arc<Shared>, give_up: Instant) -> Result<LoggedState, StoreError> {
+    let permits = Arc::new(Semaphore::new(max_reads(shared.settings.link_mbps)));
     let mut reads = JoinSet::new();
     for partition in intake_partitions() {
-        let store = store.clone();
-        reads.spawn(async move {
-            let page = store.read_latest(partition, deadline).await?;
-            Ok((partition, page))
-        });
+        let (shared, permits) = (Arc::clone(shared), Arc::clone(&permits));
+        reads.spawn(async move { read_partition(&shared, partition, &permits, give_up).await });
+    }
+    let (progress, directory) = tokio::try_join!(
+        read_partition(shared, PROGRESS, &permits, give_up),
+        read_partition(shared, DIRECTORY, &permits, give_up),
+    )?;
+    let intake: Result<_, StoreError> = reads.join_all().await.into_iter().collect();
+    Ok(LoggedState {
+        progress: progress.1,
+        intake: intake?,
+        directory: directory.1,
+    })
+}
+
+/// Returns how many partitions may be read at a time. Each read keeps up to a window of bytes waiting
+/// at the link, and heartbeats and reads of the group wait behind them.
+fn max_reads(link_mbps: Option<f64>) -> usize {
+    let Some(link_mbps) = link_mbps else {
+        return MAX_READS;
+    };
+    let most = link_mbps * BYTES_PER_MBIT * MAX_QUEUE_S / WINDOW_BYTES;
+    (most as usize).clamp(1, MAX_READS)
+}
+
+/// Reads the latest records of a partition. A failed call is repeated for the same page, so that what
+/// a narrow link has carried is not read again.
+async fn read_partition(
+    shared: &Shared,
+    partition: Partition,
+    permits: &Semaphore,
+    give_up: Instant,
+) -> Result<(Partition, Page), StoreError> {
+    let mut reader = LatestReader::new(partition);
+    while !reader.is_complete() {
+        // The semaphore is never closed.
+        let _permit = permits.acquire().await;
+        match reader.advance(&shared.store, give_up).await {
+            Ok(()) => {}
+            Err(error) if Instant::now() + RETRY_DELAY >= give_up => return Err(error),
+            Err(error) => {
+                shared.record_store_result(Some(&error.to_string()));
+                tokio::time::sleep(RETRY_DELAY).await;
+            }
+        }
     }
-    reads.join_all().await.into_iter().collect()
+    Ok((partition, reader.into_page()))
 }
 
 /// Decodes the jobs' progress records and restores the ended jobs whose state can still be queried.
--- a/crates/kingcupwinch-node/src/owner/writer/tests.rs
+++ b/crates/kingcupwinch-node/src/owner/writer/tests.rs
@@ -54,7 +54,7 @@
     };
     cell.restore(job(), None, Some(&record), Span::ZERO, Time::ZERO);
     let mut origins = Origins::default();
-    origins.entry(job()).or_default().push(OWNER_PARTITION);
+    origins.add(IntakeKey::Accepted(job()), OWNER_PARTITION);
     let owner = start_owner(7, cell, origins, Time::ZERO);
     let batch = owner.ask(TakeBatch { with_cleanup: true }).await.unwrap();
     let acceptance = (OWNER_PARTITION, IntakeKey::Accepted(job()));
--- a/crates/kingcupwinch-node/src/ownership.rs
+++ b/crates/kingcupwinch-node/src/ownership.rs
@@ -11,11 +11,15 @@
 use kingcupwinch_time::{Span, Time};
 use slog::o;
 use tokio::sync::oneshot;
-use tokio::time::Instant;
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::{Instant, timeout_at};
 
 use crate::events::Event;
 use crate::layout::{CLAIM_KEY, GROUP, HEARTBEAT_KEY, MEMBER_PREFIX};
-use crate::owner::{Members, Owner, Release, Superseded, TERM_TIMEOUT, TermConfirmed, take_over};
+use crate::owner::{
+    Members, Owner, Release, Superseded, TERM_TIMEOUT, Takeover, TakeoverError, TermConfirmed,
+    take_over,
+};
 use crate::shared::Shared;
 use crate::siblings::Siblings;
 
@@ -48,6 +52,13 @@
 const READ_WAIT_MS: u64 = 700;
 /// Time that a call may take beyond its long-poll wait.
 const CALL_MARGIN: Duration = Duration::from_millis(900);
+/// Time from its claim within which an owner has to restore the cell's state.
+const RESTORE_TIMEOUT: Span = Span::from_millis(4_000);
+/// Time after which a heartbeat without a response is given up. It does not depend on how fast the
+/// store was before: on a full link each heartbeat that is given up too soon adds to the queue.
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(900);
+/// Maximum number of heartbeats in flight.
+const MAX_HEARTBEATS: usize = 3;
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Time between two announcements of a member.
@@ -64,6 +75,21 @@
     /// Generation of the last claim of this instance that may have been appended.
     claimed_generation: Option<u32>,
     cell: Option<OwnedCell>,
+    takeover: Option<PendingTakeover>,
+    /// The send time of the last read that showed that this instance's claim was the latest.
+    confirmed_at: Time,
+}
+
+/// A takeover in progress; it ends when this is dropped.
+struct PendingTakeover {
+    term: u64,
+    task: JoinHandle<Result<ActorRef<Owner>, TakeoverError>>,
+}
+
+impl Drop for PendingTakeover {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
 }
 
 /// Result of a read of the group partition.
@@ -88,6 +114,7 @@
         let timers = ElectionTimers {
             owner_timeout: OWNER_TIMEOUT,
             max_timeout: MAX_OWNER_TIMEOUT,
+            restore_timeout: RESTORE_TIMEOUT,
             read_gap: MAX_READ_GAP,
             initial_delay: DISCOVERY_DELAY,
             rank_delay: CLAIM_STAGGER,
@@ -104,6 +131,8 @@
             read_to: Arc::default(),
             claimed_generation: None,
             cell: None,
+            takeover: None,
+            confirmed_at: Time::ZERO,
         }
     }
 
@@ -113,21 +142,44 @@
         while !shared.is_stopping() {
             // The clock is read before this instance may own the cell, so that jumps are detected.
             let _ = shared.wall_time();
-            let result = tokio::select! {
-                result = self.read() => result,
-                () = shared.stop_requested() => break,
+            let mut takeover = self.takeover.take();
+            let next = tokio::select! {
+                biased;
+                outcome = takeover_outcome(&mut takeover) => Next::TakenOver(outcome),
+                result = self.read() => Next::Read(result),
+                () = shared.stop_requested() => Next::Stop,
             };
-            self.handle_read(result).await;
+            match next {
+                Next::Read(result) => {
+                    self.takeover = takeover;
+                    self.handle_read(result).await;
+                }
+                Next::TakenOver((term, outcome)) => {
+                    // Its task has ended.
+                    drop(takeover);
+                    self.finish_takeover(term, outcome).await;
+                }
+                Next::Stop => {
+                    self.takeover = takeover;
+                    break;
+                }
+            }
             self.yield_cell().await;
             self.pause_between_reads().await;
         }
+        self.drop_takeover().await;
         self.release().await;
     }
 
+    /// Returns whether this instance neither owns the cell nor takes it over.
+    fn is_idle(&self) -> bool {
+        self.cell.is_none() && self.takeover.is_none()
+    }
+
     /// Waits between two reads, unless this member is a standby, no owner is known or a request
     /// could not reach the owner.
     async fn pause_between_reads(&self) {
-        let is_standby = self.cell.is_some() || self.election.rank() < STANDBY_COUNT;
+        let is_standby = !self.is_idle() || self.election.rank() < STANDBY_COUNT;
         if is_standby || self.election.claim().is_none() || self.next.is_none() {
             return;
         }
@@ -179,7 +231,7 @@
     fn read_wait_ms(&self) -> u64 {
         let now = self.shared.now();
         match self.election.next_step(now) {
-            ElectionStep::Wait(until) if self.cell.is_none() => {
+            ElectionStep::Wait(until) if self.is_idle() => {
                 until.since(now).as_millis().min(READ_WAIT_MS)
             }
             _ => READ_WAIT_MS,
@@ -202,8 +254,8 @@
                 if read.is_complete {
                     self.confirm_term(sent).await;
                 }
-                if let (None, ElectionStep::Claim { generation }) =
-                    (&self.cell, self.election.next_step(now))
+                if self.is_idle()
+                    && let ElectionStep::Claim { generation } = self.election.next_step(now)
                 {
                     self.claim(generation, next).await;
                 }
@@ -264,17 +316,23 @@
         {
             self.drop_cell().await;
         }
+        if self.takeover.as_ref().is_some_and(|t| t.term < claim.term) {
+            self.drop_takeover().await;
+        }
         // A claim of this instance whose append response was lost.
         let is_mine = claim.instance == self.shared.settings.instance;
-        if is_mine && self.claimed_generation == Some(claim.generation) && self.cell.is_none() {
+        if is_mine && self.claimed_generation == Some(claim.generation) && self.is_idle() {
             let now = self.shared.now();
-            self.take_ownership(claim, None, now).await;
+            self.start_takeover(claim, None, now);
         }
     }
 
     /// Confirms to the owner that there was no later claim when a read of the whole group was sent.
-    async fn confirm_term(&self, sent: Time) {
+    async fn confirm_term(&mut self, sent: Time) {
         let claim = self.election.claim();
+        if claim.is_some_and(|claim| claim.instance == self.shared.settings.instance) {
+            self.confirmed_at = sent;
+        }
         if let Some(cell) = &self.cell
             && claim.is_some_and(|claim| claim.term == cell.term)
         {
@@ -283,6 +341,18 @@
         }
     }
 
+    /// Ends a takeover, whose reads take the link from other calls.
+    async fn drop_takeover(&mut self) {
+        let Some(mut takeover) = self.takeover.take() else {
+            return;
+        };
+        takeover.task.abort();
+        // It may have started the owner just before.
+        if let Ok(Ok(owner)) = (&mut takeover.task).await {
+            owner.kill();
+        }
+    }
+
     async fn drop_cell(&mut self) {
         if let Some(cell) = self.cell.take() {
             self.shared.set_owner(None);
@@ -314,7 +384,7 @@
                 self.next = Some(term + 1);
                 self.election.apply(term, record, shared.now());
                 shared.claim.send_replace(Some(claim.clone()));
-                self.take_ownership(claim, fenced_at, sent).await;
+                self.start_takeover(claim, fenced_at, sent);
             }
             Err(WriteError::EndMismatch(_)) => {}
             Err(error) => {
@@ -327,41 +397,64 @@
         }
     }
 
-    /// Takes the cell over under a claim of this instance. All owners that may still give orders were
-    /// fenced at `fenced_at`, if that is known.
-    async fn take_ownership(&mut self, claim: Claim, mut fenced_at: Option<Time>, sent: Time) {
+    /// Starts to take the cell over under a claim of this instance. All owners that may still give
+    /// orders were fenced at `fenced_at`, if that is known.
+    fn start_takeover(&mut self, claim: Claim, fenced_at: Option<Time>, claimed_at: Time) {
+        let give_up = Instant::now() + Duration::from(self.election.restore_timeout());
         self.shared.log.write(
             Event::Claimed,
             o!("term" => claim.term, "generation" => claim.generation,
-                "earlier_owners_fenced" => fenced_at.is_some()),
+                "earlier_owners_fenced" => fenced_at.is_some(),
+                "restore_timeout_ms" => self.election.restore_timeout().as_millis()),
         );
-        let (term, shared) = (claim.term, Arc::clone(&self.shared));
-        loop {
-            match take_over(&shared, &self.siblings, &claim, &mut fenced_at, sent).await {
-                Ok(owner) => {
-                    let _ = owner.tell(Members(self.election.members().to_vec())).await;
-                    shared.set_owner(Some(owner.clone()));
-                    shared.metrics.owned_term.set(term as i64);
-                    let read_to = Arc::clone(&self.read_to);
-                    let heartbeats =
-                        send_heartbeats(Arc::clone(&shared), owner.downgrade(), term, read_to);
-                    tokio::spawn(heartbeats);
-                    self.cell = Some(OwnedCell { term, owner });
-                    return;
-                }
-                Err(error) => {
-                    shared.log.write(
-                        Event::ClaimFailed,
-                        o!("term" => term, "error" => error.to_string()),
-                    );
-                    tokio::time::sleep(RETRY_DELAY).await;
-                }
-            }
-            let is_late = shared.now().since(sent) > TERM_TIMEOUT;
-            if is_late || shared.is_stopping() {
+        self.confirmed_at = claimed_at;
+        let term = claim.term;
+        let takeover = Takeover {
+            claim,
+            fenced_at,
+            claimed_at,
+            give_up,
+        };
+        let (shared, siblings) = (Arc::clone(&self.shared), self.siblings.clone());
+        let read_to = Arc::clone(&self.read_to);
+        let task = tokio::spawn(async move {
+            let heartbeat = GroupRecord::Heartbeat {
+                term,
+                restoring: true,
+            };
+            let heartbeats = send_heartbeats(Arc::clone(&shared), || true, heartbeat, read_to);
+            take_over(&shared, &siblings, takeover, heartbeats).await
+        });
+        self.takeover = Some(PendingTakeover { term, task });
+    }
+
+    /// Begins to own the cell, unless the takeover has failed.
+    async fn finish_takeover(
+        &mut self,
+        term: u64,
+        outcome: Result<ActorRef<Owner>, TakeoverError>,
+    ) {
+        let shared = Arc::clone(&self.shared);
+        let owner = match outcome {
+            Ok(owner) => owner,
+            Err(error) => {
+                shared.log.write(
+                    Event::ClaimFailed,
+                    o!("term" => term, "error" => error.to_string()),
+                );
+                self.election.abandon_claim();
                 return;
             }
-        }
+        };
+        // The owner can't have ended yet.
+        let _ = owner.tell(TermConfirmed(self.confirmed_at)).await;
+        let _ = owner.tell(Members(self.election.members().to_vec())).await;
+        shared.set_owner(Some(owner.clone()));
+        shared.metrics.owned_term.set(term as i64);
+        let read_to = Arc::clone(&self.read_to);
+        let heartbeats = send_owner_heartbeats(shared, owner.downgrade(), term, read_to);
+        tokio::spawn(heartbeats);
+        self.cell = Some(OwnedCell { term, owner });
     }
 
     async fn release(&mut self) {
@@ -376,6 +469,25 @@
     }
 }
 
+/// What ended a wait for the next read or the end of the takeover.
+enum Next {
+    Read(Result<GroupRead, StoreError>),
+    TakenOver((u64, Result<ActorRef<Owner>, TakeoverError>)),
+    Stop,
+}
+
+/// Waits for the end of a takeover, for ever if there is none; returns its term and outcome.
+async fn takeover_outcome(
+    takeover: &mut Option<PendingTakeover>,
+) -> (u64, Result<ActorRef<Owner>, TakeoverError>) {
+    let Some(pending) = takeover else {
+        return std::future::pending().await;
+    };
+    // A task that panicked has reported it.
+    let outcome = (&mut pending.task).await;
+    (pending.term, outcome.unwrap_or(Err(TakeoverError::Stopped)))
+}
+
 /// Appends a record to the group partition; returns its offset.
 async fn append(
     shared: &Shared,
@@ -397,22 +509,48 @@
     Ok(result?.offset)
 }
 
-/// Appends the owner's heartbeats. An appended heartbeat does not show that the owner still holds
+/// Appends the heartbeats of an owner that serves, until it ends.
+async fn send_owner_heartbeats(
+    shared: Arc<Shared>,
+    owner: WeakActorRef<Owner>,
+    term: u64,
+    read_to: Arc<AtomicU64>,
+) {
+    let heartbeat = GroupRecord::Heartbeat {
+        term,
+        restoring: false,
+    };
+    let is_alive = || owner.upgrade().is_some_and(|owner| owner.is_alive());
+    send_heartbeats(shared, is_alive, heartbeat, read_to).await;
+}
+
+/// Appends heartbeats while `is_alive`. An appended heartbeat does not show that the owner still holds
 /// the cell, since a later claim may lie before it. An owner that can append but not read the group
 /// can't learn of one, so it stops its heartbeats and leaves the cell to an instance that can.
 async fn send_heartbeats(
     shared: Arc<Shared>,
-    owner: WeakActorRef<Owner>,
-    term: u64,
+    is_alive: impl Fn() -> bool,
+    heartbeat: GroupRecord,
     read_to: Arc<AtomicU64>,
 ) {
-    let record = GroupRecord::Heartbeat { term };
     let mut unread = UnreadHeartbeats::default();
+    let mut in_flight = JoinSet::new();
     loop {
         let sent = shared.now();
-        if unread.may_send(read_to.load(Ordering::Relaxed), sent) {
-            let wait = shared.append_timeout.timeout(0);
-            match append(&shared, HEARTBEAT_KEY, &record, None, wait).await {
+        let may_send = unread.may_send(read_to.load(Ordering::Relaxed), sent);
+        if may_send && in_flight.len() < MAX_HEARTBEATS {
+            let (shared, heartbeat) = (Arc::clone(&shared), heartbeat.clone());
+            in_flight.spawn(async move {
+                let result =
+                    append(&shared, HEARTBEAT_KEY, &heartbeat, None, HEARTBEAT_TIMEOUT).await;
+                (sent, result)
+            });
+        }
+        let next = Instant::now() + Duration::from(HEARTBEAT_INTERVAL);
+        while let Ok(Some(ended)) = timeout_at(next, in_flight.join_next()).await {
+            // A task that panicked has reported it.
+            let Ok((sent, result)) = ended else { continue };
+            match result {
                 Ok(offset) => {
                     shared.record_store_result(None);
                     unread.note_appended(offset, sent);
@@ -420,11 +558,8 @@
                 Err(error) => shared.record_store_result(Some(&error.to_string())),
             }
         }
-        if !owner.upgrade().is_some_and(|owner| owner.is_alive()) {
-            return;
-        }
-        tokio::time::sleep(Duration::from(HEARTBEAT_INTERVAL)).await;
-        if shared.is_stopping() {
+        tokio::time::sleep_until(next).await;
+        if !is_alive() || shared.is_stopping() {
             return;
         }
     }
--- a/crates/kingcupwinch-node/src/ownership/tests.rs
+++ b/crates/kingcupwinch-node/src/ownership/tests.rs
@@ -9,7 +9,9 @@
 use kingcupwinch_standin::{StandinStore, frame, keyed_record};
 use kingcupwinch_time::{Span, Time};
 
-use super::{GroupRead, OwnedCell, OwnershipTask, TERM_TIMEOUT, UnreadHeartbeats, send_heartbeats};
+use super::{
+    GroupRead, OwnedCell, OwnershipTask, TERM_TIMEOUT, UnreadHeartbeats, send_owner_heartbeats,
+};
 use crate::layout::{CLAIM_KEY, GROUP, HEARTBEAT_KEY};
 use crate::owner::{NextPoll, Origins, Owner, PollPlan};
 use crate::siblings::Siblings;
@@ -69,7 +71,7 @@
     let owner = suspended_owner();
     let read_to = Arc::new(AtomicU64::new(0));
     let shared = shared(address);
-    let heartbeats = send_heartbeats(Arc::clone(&shared), owner.downgrade(), TERM, read_to);
+    let heartbeats = send_owner_heartbeats(Arc::clone(&shared), owner.downgrade(), TERM, read_to);
     let heartbeats = tokio::spawn(heartbeats);
     // The claim and two heartbeats: what the first one has confirmed precedes the second one.
     let is_heartbeat = |(key, _, offset): &(String, _, u64)| key == HEARTBEAT_KEY && *offset >= 2;
@@ -135,7 +137,7 @@
     let shared = shared(unreachable_store());
     owner.kill();
     owner.wait_for_shutdown().await;
-    send_heartbeats(shared, owner.downgrade(), TERM, Arc::default()).await;
+    send_owner_heartbeats(shared, owner.downgrade(), TERM, Arc::default()).await;
 }
 
 #[tokio::test]
--- /dev/null
+++ b/crates/kingcupwinch-node/src/relay.rs
@@ -0,0 +1,214 @@
+//! Start orders that another instance sends to workers for the owner.
+//!
+//! A start order carries the caller's payload, so the orders of one owner can fill its link. The
+//! instance that accepted a job keeps its payload for a while; the owner sends it the orders
+//! without payload, and it sends them on under the owner's term. An instance that does not have the
+//! payload gets it once for all tasks of a request.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use kingcupwinch_adapter::WorkerClient;
+use kingcupwinch_cell::{JobId, StartOrder, StartOutcome, TaskName, WorkerKey};
+use kingcupwinch_time::{Span, Time};
+use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
+use tokio::task::JoinSet;
+
+use crate::metrics::Metrics;
+use crate::shared::Shared;
+
+#[cfg(test)]
+mod tests;
+
+/// Time for which the payload of an accepted job is kept.
+const PAYLOAD_RETENTION: Span = Span::from_secs(60);
+/// Maximum size of all payloads that are kept, in bytes.
+const MAX_PAYLOAD_BYTES: usize = 4 << 20;
+/// Time after which an unused connection to a worker is closed: a worker has fewer connections than
+/// there may be instances.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A request to send start orders of one job.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RelayRequest {
+    /// Term of the owner.
+    pub(crate) term: u64,
+    /// Time after which no order is sent any more, in milliseconds.
+    pub(crate) timeout_ms: u64,
+    /// The payload of the job, if the instance may not have it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) payload: Option<Arc<str>>,
+    pub(crate) starts: Vec<RelayedStart>,
+}
+
+/// A start order without the payload.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RelayedStart {
+    /// Id of the worker.
+    pub(crate) worker: Arc<str>,
+    pub(crate) address: SocketAddr,
+    /// Name of the task.
+    pub(crate) task: Arc<str>,
+    pub(crate) run: u32,
+    #[serde(rename = "until")]
+    pub(crate) lease_until: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) ticket: Option<Arc<str>>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) checkpoint: Option<Arc<str>>,
+}
+
+/// The outcomes of the orders of a request, in their order.
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RelayResponse {
+    pub(crate) outcomes: Vec<StartOutcome>,
+}
+
+impl RelayedStart {
+    /// Creates the order to a worker that is reached by `client`.
+    pub(crate) fn new(order: &StartOrder, client: &WorkerClient) -> Self {
+        RelayedStart {
+            worker: Arc::clone(client.id()),
+            address: client.address(),
+            task: order.task.to_string().into(),
+            run: order.run,
+            lease_until: order.lease_until,
+            ticket: order.ticket.clone(),
+            checkpoint: order.checkpoint.clone(),
+        }
+    }
+
+    /// Returns the order with its payload.
+    fn into_order(self, task: TaskName, payload: Arc<str>) -> StartOrder {
+        StartOrder {
+            // The client knows its worker; the key has a meaning only at the owner.
+            worker: WorkerKey::default(),
+            task,
+            run: self.run,
+            payload,
+            lease_until: self.lease_until,
+            ticket: self.ticket,
+            checkpoint: self.checkpoint,
+            pace_percent: 100,
+            accepted_by: None,
+        }
+    }
+}
+
+/// The payloads of the jobs that this instance accepted last.
+#[derive(Debug, Default)]
+pub(crate) struct Payloads {
+    entries: FxHashMap<JobId, (Arc<str>, Time)>,
+    bytes: usize,
+}
+
+impl Payloads {
+    /// Keeps the payload of a job, and drops those that are too old. Keeps none if there is no space.
+    pub(crate) fn insert(&mut self, id: JobId, payload: Arc<str>, now: Time) {
+        self.remove_expired(now);
+        if self.bytes + payload.len() > MAX_PAYLOAD_BYTES {
+            return;
+        }
+        self.bytes += payload.len();
+        let expires = now + PAYLOAD_RETENTION;
+        if let Some((replaced, _)) = self.entries.insert(id, (payload, expires)) {
+            self.bytes -= replaced.len();
+        }
+    }
+
+    /// Returns the payload of a job, if it is kept.
+    pub(crate) fn get(&self, id: JobId) -> Option<Arc<str>> {
+        self.entries
+            .get(&id)
+            .map(|(payload, _)| Arc::clone(payload))
+    }
+
+    fn remove_expired(&mut self, now: Time) {
+        self.entries.retain(|_, (_, expires)| *expires > now);
+        let lengths = self.entries.values().map(|(payload, _)| payload.len());
+        self.bytes = lengths.sum();
+    }
+}
+
+/// Address and id of a worker, and the term of the owner.
+type ClientKey = (SocketAddr, Arc<str>, u64);
+
+/// Sends start orders to workers for the owner; clones share the connections.
+#[derive(Clone)]
+pub(crate) struct StartRelay {
+    shared: Arc<Shared>,
+    clients: Arc<Mutex<FxHashMap<ClientKey, WorkerClient>>>,
+}
+
+impl StartRelay {
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+        StartRelay {
+            shared,
+            clients: Arc::default(),
+        }
+    }
+
+    /// Sends the orders of a request; `None`, without having sent any, if it names a malformed task or
+    /// this instance does not have the payload.
+    pub(crate) async fn send(&self, request: RelayRequest) -> Option<RelayResponse> {
+        let give_up = self.shared.now() + Span::from_millis(request.timeout_ms);
+        let mut orders = Vec::with_capacity(request.starts.len());
+        for start in request.starts {
+            let task = TaskName::parse(&start.task)?;
+            let payload = self.payload(task.job, request.payload.as_ref())?;
+            let client = self.client(start.address, &start.worker, request.term);
+            orders.push((client, start.into_order(task, payload)));
+        }
+        let mut sends = JoinSet::new();
+        for (number, (client, order)) in orders.into_iter().enumerate() {
+            let shared = Arc::clone(&self.shared);
+            sends.spawn(async move {
+                // A process that was paused since then must not start what the owner gave up.
+                if shared.now() >= give_up {
+                    return (number, StartOutcome::NotSent);
+                }
+                let outcome = client.start(&order).await;
+                Metrics::count(&shared.metrics.orders, "relayed start", outcome.as_str());
+                (number, outcome)
+            });
+        }
+        let mut outcomes = sends.join_all().await;
+        outcomes.sort_by_key(|(number, _)| *number);
+        let outcomes = outcomes.into_iter().map(|(_, outcome)| outcome).collect();
+        Some(RelayResponse { outcomes })
+    }
+
+    /// Returns the payload of a job; keeps the one that came with the request.
+    fn payload(&self, job: JobId, sent: Option<&Arc<str>>) -> Option<Arc<str>> {
+        let mut payloads = self.shared.payloads();
+        let known = payloads.get(job);
+        if let (None, Some(payload)) = (&known, sent) {
+            payloads.insert(job, Arc::clone(payload), self.shared.now());
+        }
+        known.or_else(|| sent.cloned())
+    }
+
+    /// Returns the client of a worker, which is dropped some time later.
+    fn client(&self, address: SocketAddr, id: &Arc<str>, term: u64) -> WorkerClient {
+        let key = (address, Arc::clone(id), term);
+        let mut clients = self.clients();
+        if let Some(client) = clients.get(&key) {
+            return client.clone();
+        }
+        let client =
+            WorkerClient::new(address, Arc::clone(id), term).with_traffic(&self.shared.traffic);
+        clients.insert(key.clone(), client.clone());
+        let me = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(IDLE_TIMEOUT).await;
+            me.clients().remove(&key);
+        });
+        client
+    }
+
+    fn clients(&self) -> MutexGuard<'_, FxHashMap<ClientKey, WorkerClient>> {
+        self.clients.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/kingcupwinch-node/src/shared.rs
+++ b/crates/kingcupwinch-node/src/shared.rs
@@ -1,7 +1,7 @@
 //! State shared by all parts of an instance.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,7 +10,7 @@
     Adviser, Appended, Fence, KeyedRecord, Partition, Settings, Store, WriteError,
 };
 use kingcupwinch_cell::{Claim, Disabled, Member};
-use kingcupwinch_platform::AdaptiveTimeout;
+use kingcupwinch_platform::{AdaptiveTimeout, Traffic};
 use kingcupwinch_time::{BoottimeClock, Clock, Span, StableWallClock, Time, WallClock, WallTime};
 use slog::o;
 use tokio::sync::{Notify, watch};
@@ -20,6 +20,7 @@
 use crate::events::{Event, EventLog};
 use crate::metrics::Metrics;
 use crate::owner::Owner;
+use crate::relay::Payloads;
 
 /// Time without a response of the store after which the instance reports itself not ready.
 const STORE_READY_TIMEOUT: Span = Span::from_millis(1_500);
@@ -35,6 +36,8 @@
     pub(crate) settings: Settings,
     /// The mechanisms that the owner does not use.
     pub(crate) disabled: Disabled,
+    /// Bytes on all connections, by purpose.
+    pub(crate) traffic: Arc<Traffic>,
     pub(crate) store: Store,
     /// Timeouts and hedging delays derived from recent append latencies.
     pub(crate) append_timeout: AdaptiveTimeout,
@@ -48,6 +51,7 @@
     /// Notified when a request could not reach the owner.
     pub(crate) owner_unreachable: Notify,
     owner: Mutex<Option<ActorRef<Owner>>>,
+    payloads: Mutex<Payloads>,
     wall_time: Mutex<StableWallClock>,
     store_responded_at: AtomicU64,
     store_lost: AtomicBool,
@@ -55,10 +59,13 @@
 
 impl Shared {
     pub(crate) fn new(settings: Settings, disabled: Disabled, log: EventLog) -> Arc<Self> {
+        let traffic = Arc::<Traffic>::default();
+        let adviser = |address| Adviser::new(address, &traffic);
         Arc::new(Shared {
-            store: Store::new(settings.store),
+            store: Store::new(settings.store).with_traffic(Arc::clone(&traffic)),
             append_timeout: AdaptiveTimeout::new(),
-            adviser: settings.adviser.map(Adviser::new),
+            adviser: settings.adviser.map(adviser),
+            traffic,
             disabled,
             log,
             metrics: Metrics::new(),
@@ -68,6 +75,7 @@
             members: watch::Sender::new(Vec::new()),
             owner_unreachable: Notify::new(),
             owner: Mutex::new(None),
+            payloads: Mutex::default(),
             wall_time: Mutex::default(),
             store_responded_at: AtomicU64::new(0),
             store_lost: AtomicBool::new(false),
@@ -96,6 +104,11 @@
             .clone()
     }
 
+    /// Returns the payloads of the jobs that this instance accepted last.
+    pub(crate) fn payloads(&self) -> MutexGuard<'_, Payloads> {
+        self.payloads.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn set_owner(&self, owner: Option<ActorRef<Owner>>) {
         *self.owner.lock().unwrap_or_else(PoisonError::into_inner) = owner;
     }
--- a/crates/kingcupwinch-node/src/siblings.rs
+++ b/crates/kingcupwinch-node/src/siblings.rs
@@ -2,7 +2,7 @@
 //! the adviser.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -26,6 +26,7 @@
 use crate::job_states::JobStateCache;
 use crate::layout::IntakeKey;
 use crate::owner::{CountWaiting, GetJobState, Owner};
+use crate::relay::{RelayRequest, RelayResponse, StartRelay};
 use crate::shared::Shared;
 
 /// Maximum connections to one sibling.
@@ -36,6 +37,8 @@
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Maximum number of siblings other than the owner that are asked to append one record.
 const MAX_HELPERS: usize = 2;
+/// Delay before an owner that did not serve yet is asked again to append a record.
+const OWNER_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Delay before a retry.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
 
@@ -43,6 +46,7 @@
 const WAITING_PATH: &str = "/waiting/";
 const ADVICE_PATH: &str = "/advice";
 const APPEND_PATH: &str = "/keep";
+const START_PATH: &str = "/start";
 
 /// Reply of the owner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -68,6 +72,10 @@
     value: String,
     #[serde(rename = "patience_ms")]
     timeout_ms: u64,
+    /// Whether only the owner is to append it: any other instance would need its own link for what the
+    /// sender can append itself.
+    #[serde(default)]
+    by_owner: bool,
 }
 
 /// Response of a sibling that was asked to append an intake record.
@@ -97,6 +105,8 @@
     shared: Arc<Shared>,
     clients: Arc<Mutex<FxHashMap<Arc<str>, HttpClient>>>,
     states: Arc<JobStateCache>,
+    /// Time until which an owner that does not serve yet is not asked to append records.
+    owner_ready: Arc<Mutex<Option<Instant>>>,
 }
 
 impl Siblings {
@@ -105,6 +115,7 @@
             shared,
             clients: Arc::default(),
             states: Arc::default(),
+            owner_ready: Arc::default(),
         }
     }
 
@@ -183,7 +194,7 @@
                 break;
             }
             let until = deadline.min(Instant::now() + ATTEMPT_TIMEOUT);
-            match self.append_at(&address, record, until).await {
+            match self.append_at(&address, record, false, until).await {
                 Outcome::Rejected(_) => {}
                 outcome => return outcome,
             }
@@ -198,7 +209,19 @@
         else {
             return Outcome::Rejected("no owner is known".into());
         };
-        self.append_at(&claim.address, record, deadline).await
+        if self
+            .lock_owner_ready()
+            .is_some_and(|at| Instant::now() < at)
+        {
+            return Outcome::Rejected("the owner does not serve yet".into());
+        }
+        self.append_at(&claim.address, record, true, deadline).await
+    }
+
+    fn lock_owner_ready(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.owner_ready
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns the addresses of randomly chosen siblings other than the owner.
@@ -223,9 +246,10 @@
         &self,
         address: &Arc<str>,
         record: &KeyedRecord,
+        by_owner: bool,
         deadline: Instant,
     ) -> Outcome {
-        let Some(params) = encode_append_request(record, deadline) else {
+        let Some(params) = encode_append_request(record, by_owner, deadline) else {
             return Outcome::Rejected("the record can't be encoded for a sibling".into());
         };
         let call = self.call(address, Method::POST, APPEND_PATH, params, deadline);
@@ -238,7 +262,12 @@
                 }
             },
             Err(CallError::NotSent) => Outcome::Rejected("the sibling is unreachable".into()),
-            Err(CallError::Refused) => Outcome::Rejected("the sibling refused it".into()),
+            Err(CallError::Refused) => {
+                if by_owner {
+                    *self.lock_owner_ready() = Some(Instant::now() + OWNER_RETRY_DELAY);
+                }
+                Outcome::Rejected("the sibling refused it".into())
+            }
             Err(CallError::Lost) => Outcome::Unknown("the sibling's reply was lost".into()),
         }
     }
@@ -282,6 +311,18 @@
             .ok()
     }
 
+    /// Asks a sibling to send start orders to workers; `Err` tells whether it may have sent any.
+    pub(crate) async fn start(
+        &self,
+        address: &Arc<str>,
+        request: &RelayRequest,
+        deadline: Instant,
+    ) -> Result<RelayResponse, CallError> {
+        let body = serde_json::to_vec(request).map_err(|_| CallError::NotSent)?;
+        let call = self.call(address, Method::POST, START_PATH, body.into(), deadline);
+        serde_json::from_slice(&call.await?).map_err(|_| CallError::Lost)
+    }
+
     async fn call(
         &self,
         address: &Arc<str>,
@@ -313,7 +354,8 @@
             return Some(client.clone());
         }
         let parsed: SocketAddr = address.parse().ok()?;
-        let client = HttpClient::new(parsed, CONNECTIONS);
+        let counter = self.shared.traffic.counter("sibling calls");
+        let client = HttpClient::with_counter(parsed, CONNECTIONS, counter);
         clients.insert(Arc::clone(address), client.clone());
         Some(client)
     }
@@ -321,7 +363,7 @@
 
 /// Error of a call to a sibling.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum CallError {
+pub(crate) enum CallError {
     /// No byte of the request was sent.
     NotSent,
     /// The sibling refused the request without acting on it.
@@ -340,12 +382,13 @@
 }
 
 /// Builds the body of an append request; `None` if the record has no value or isn't UTF-8.
-fn encode_append_request(record: &KeyedRecord, deadline: Instant) -> Option<Bytes> {
+fn encode_append_request(record: &KeyedRecord, by_owner: bool, deadline: Instant) -> Option<Bytes> {
     let timeout = deadline.saturating_duration_since(Instant::now());
     let params = AppendRequest {
         key: Arc::clone(&record.key),
         value: String::from_utf8(record.value.as_ref()?.to_vec()).ok()?,
         timeout_ms: u64::try_from(timeout.as_millis()).ok()?,
+        by_owner,
     };
     Some(serde_json::to_vec(&params).ok()?.into())
 }
@@ -357,6 +400,7 @@
     pub(crate) owner_intake: Intake,
     /// Queue for records of a sibling that can't reach the store.
     pub(crate) own_intake: Intake,
+    pub(crate) relay: StartRelay,
 }
 
 impl Handler for SiblingServer {
@@ -374,6 +418,9 @@
         if path == APPEND_PATH {
             return self.append(request).await;
         }
+        if path == START_PATH {
+            return self.start(request).await;
+        }
         empty(StatusCode::NOT_FOUND)
     }
 }
@@ -416,6 +463,7 @@
         let record = KeyedRecord::with_value(params.key, params.value);
         let outcome = match self.shared.owner() {
             Some(_) => self.owner_intake.append(record, deadline).await,
+            None if params.by_owner => return empty(StatusCode::MISDIRECTED_REQUEST),
             None => self.own_intake.append(record, deadline).await,
         };
         encode(&match outcome {
@@ -425,6 +473,19 @@
         })
     }
 
+    async fn start(&self, request: Request<Incoming>) -> HttpResponse {
+        let Some(body) = read_body(request.into_body(), MAX_BODY_BYTES).await else {
+            return empty(StatusCode::PAYLOAD_TOO_LARGE);
+        };
+        let Ok(params) = serde_json::from_slice::<RelayRequest>(&body) else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        match self.relay.send(params).await {
+            Some(response) => encode(&response),
+            None => empty(StatusCode::NOT_FOUND),
+        }
+    }
+
     async fn advise(&self, request: Request<Incoming>) -> HttpResponse {
         let Some(adviser) = &self.shared.adviser else {
             return empty(StatusCode::NOT_FOUND);
--- a/crates/kingcupwinch-node/src/test_support.rs
+++ b/crates/kingcupwinch-node/src/test_support.rs
@@ -33,6 +33,7 @@
         store,
         adviser: None,
         cpu_share: 1.0,
+        link_mbps: None,
         max_lease: Span::from_secs(6),
         heartbeat: Span::from_millis(1_500),
         grace_period: Span::from_secs(6),
@@ -73,6 +74,7 @@
         leases: LeaseLimits::new(1, Span::from_secs(6), None),
         lease_record_due: confirmed_at,
         origins,
+        duplicates: Vec::new(),
         freshness: Freshness::new(intake_partitions(), confirmed_at),
     };
     Owner::spawn_with_mailbox(args, mailbox::unbounded())
--- a/crates/kingcupwinch-platform/src/http.rs
+++ b/crates/kingcupwinch-platform/src/http.rs
@@ -7,6 +7,7 @@
 use crate::body::{RequestBody, ResponseBody};
 use crate::error::SendError;
 use crate::pool::{ConnectionHistory, Pool};
+use crate::traffic::ByteCounter;
 
 /// An HTTP client that reports whether a failed request was certainly not sent; clones share its
 /// connections.
@@ -23,6 +24,17 @@
         }
     }
 
+    /// Creates a client as [`HttpClient::new`] does, whose bytes are added to a counter.
+    pub fn with_counter(
+        address: SocketAddr,
+        connections: usize,
+        counter: Arc<ByteCounter>,
+    ) -> Self {
+        HttpClient {
+            pool: Pool::with_counter(address, connections, counter),
+        }
+    }
+
     /// Sends a request and returns the response with a streamed body. The deadline applies to the
     /// response head.
     ///
--- a/crates/kingcupwinch-platform/src/lib.rs
+++ b/crates/kingcupwinch-platform/src/lib.rs
@@ -32,6 +32,7 @@
 mod log;
 mod pool;
 mod reply;
+mod traffic;
 mod worker;
 
 pub use adaptive_timeout::AdaptiveTimeout;
@@ -44,4 +45,5 @@
 pub use log::LogClient;
 pub use pool::ConnectionHistory;
 pub use reply::{Reply, request};
+pub use traffic::{ByteCounter, Counted, Traffic};
 pub use worker::{CONTROL_CONNECTIONS, FencingToken, WorkerClient};
--- a/crates/kingcupwinch-platform/src/pool.rs
+++ b/crates/kingcupwinch-platform/src/pool.rs
@@ -15,6 +15,7 @@
 
 use crate::body::{RequestBody, ResponseBody};
 use crate::error::{LostCause, NotSentCause, SendError};
+use crate::traffic::{ByteCounter, Counted};
 
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -26,6 +27,7 @@
 pub(crate) struct Pool {
     address: SocketAddr,
     host: HeaderValue,
+    counter: Arc<ByteCounter>,
     permits: Arc<Semaphore>,
     idle: Mutex<Vec<Connection>>,
     released: Notify,
@@ -48,6 +50,8 @@
     task: AbortHandle,
     is_new: bool,
     history: ConnectionHistory,
+    /// When it was opened or last carried a response.
+    responded_at: Instant,
 }
 
 impl Drop for Connection {
@@ -65,10 +69,19 @@
 
 impl Pool {
     pub(crate) fn new(address: SocketAddr, limit: usize) -> Arc<Self> {
+        Pool::with_counter(address, limit, Arc::default())
+    }
+
+    pub(crate) fn with_counter(
+        address: SocketAddr,
+        limit: usize,
+        counter: Arc<ByteCounter>,
+    ) -> Arc<Self> {
         let host = HeaderValue::from_str(&address.to_string());
         Arc::new(Pool {
             address,
             host: host.unwrap_or_else(|_| HeaderValue::from_static("")),
+            counter,
             permits: Arc::new(Semaphore::new(limit)),
             idle: Mutex::default(),
             released: Notify::new(),
@@ -91,8 +104,10 @@
                 self.put_back(connection);
                 return Err(NotSentCause::Withheld.into());
             }
+            let sent = Instant::now();
             let response = connection.sender.try_send_request(request);
             let Ok(response) = timeout_at(deadline, response).await else {
+                self.close_idle_since(sent);
                 return Err(LostCause::Timeout.into());
             };
             let mut error = match response {
@@ -119,6 +134,13 @@
         self.idle().clear();
     }
 
+    /// Closes the idle connections that have carried no response since a time. What silenced one
+    /// connection may have silenced them as well, and each would cost another call.
+    fn close_idle_since(&self, time: Instant) {
+        self.idle()
+            .retain(|connection| connection.responded_at >= time);
+    }
+
     async fn acquire(&self, deadline: Instant) -> Result<Connection, NotSentCause> {
         loop {
             if let Some(connection) = self.pop_idle() {
@@ -157,6 +179,7 @@
         let connected = timeout_at(connect_deadline, TcpStream::connect(self.address)).await;
         let stream = connected.map_err(|_| NotSentCause::Timeout)??;
         stream.set_nodelay(true)?;
+        let stream = Counted::new(stream, Arc::clone(&self.counter));
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(NotSentCause::Closed)?;
         let task = tokio::spawn(async move {
@@ -169,6 +192,7 @@
             task: task.abort_handle(),
             is_new: true,
             history: ConnectionHistory::Unanswered,
+            responded_at: Instant::now(),
         })
     }
 
@@ -191,6 +215,7 @@
             pool,
         } = self;
         connection.history = ConnectionHistory::Answered;
+        connection.responded_at = Instant::now();
         if connection.sender.is_ready() {
             pool.put_back(connection);
             return;
--- a/crates/kingcupwinch-platform/src/reply.rs
+++ b/crates/kingcupwinch-platform/src/reply.rs
@@ -1,6 +1,8 @@
 //! Complete responses of bounded size.
 
-use bytes::Bytes;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Request, Response, StatusCode};
 use serde::de::DeserializeOwned;
@@ -31,15 +33,37 @@
     pub async fn read(
         response: Response<ResponseBody>,
         deadline: Instant,
+    ) -> Result<Self, LostCause> {
+        Reply::read_steadily(response, Duration::MAX, deadline).await
+    }
+
+    /// Reads a response body to its end, as long as a part of it arrives every `stall`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`LostCause::Timeout`] at the deadline or if nothing arrives for `stall`, and
+    /// [`LostCause::Body`] if the body is too large or incomplete.
+    pub async fn read_steadily(
+        response: Response<ResponseBody>,
+        stall: Duration,
+        deadline: Instant,
     ) -> Result<Self, LostCause> {
         let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
-        let collected = timeout_at(deadline, body.collect()).await;
-        let collected = collected.map_err(|_| LostCause::Timeout)?;
-        let collected = collected.map_err(|_| LostCause::Body)?;
+        let mut body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
+        let mut bytes = BytesMut::new();
+        loop {
+            let stalled_at = Instant::now().checked_add(stall).unwrap_or(deadline);
+            let frame = timeout_at(deadline.min(stalled_at), body.frame()).await;
+            let Some(frame) = frame.map_err(|_| LostCause::Timeout)? else {
+                break;
+            };
+            if let Ok(data) = frame.map_err(|_| LostCause::Body)?.into_data() {
+                bytes.extend_from_slice(&data);
+            }
+        }
         Ok(Reply {
             status,
-            bytes: collected.to_bytes(),
+            bytes: bytes.freeze(),
         })
     }
 
