Rank the workers for a step once, and only if the step can ask

A decision is followed by a pause of four times its length, so that tasks waited for 0.4 s after their advice with 1,100 jobs in the backlog.

Change: the place of a worker in the order is one comparable value, computed once a worker, and nothing is sorted for a step without enough room. The order and what is asked stay as they were.

--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -220,6 +220,23 @@
     }
 }
 
+/// The order of workers for a step. Workers that are likely to crash come last. Otherwise, workers on
+/// the rack of the step's data come first. Among these, fast workers come first if slack is short.
+/// Otherwise workers come first whose capacity no other step is about to use, and slow ones of these.
+/// Then come the workers with the least CPU left.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct CandidateRank {
+    is_risky: bool,
+    is_far: bool,
+    /// Latency-sensitive tasks avoid workers with best-effort tasks. Where that isn't possible, the
+    /// best-effort tasks are stopped.
+    has_best_effort: bool,
+    /// The pace and the contention, the more important one first.
+    pressure: (i64, i64),
+    free_cpu: u64,
+    key: WorkerKey,
+}
+
 impl Cell {
     /// Runs one round of scheduling and returns the resulting actions.
     pub fn decide(&mut self, now: Time) -> Vec<Action> {
@@ -460,9 +477,7 @@
     ) -> Vec<usize> {
         let spec = self.jobs[ready.job].step_spec(ready.step);
         let mut eligible = self.startable_candidates(demand, pool, now);
-        eligible.sort_by(|a, b| {
-            self.compare_candidates(&pool.candidates[*a], &pool.candidates[*b], ready, spec)
-        });
+        eligible.sort_by_cached_key(|index| self.rank(&pool.candidates[*index], ready, spec));
         eligible
     }
 
@@ -498,48 +513,25 @@
         self.workers[worker].registration.labels.get(RACK_LABEL)
     }
 
-    /// Compares two workers for a step. Workers that are likely to crash come last. Otherwise,
-    /// workers on the rack of the step's data come first. Among these,
-    /// fast workers come first if slack is short. Otherwise workers come first whose capacity no other
-    /// step is about to use, and slow ones of these. Then come the workers with the least CPU left.
-    fn compare_candidates(
-        &self,
-        a: &Candidate,
-        b: &Candidate,
-        ready: &ReadyStep,
-        spec: &StepSpec,
-    ) -> Ordering {
-        let is_risky = |candidate: &Candidate| candidate.suspicion >= Suspicion::Repeated;
-        let risk_order = is_risky(a).cmp(&is_risky(b));
-        let rack_order = match &spec.data_rack {
-            None => Ordering::Equal,
-            Some(rack) => {
-                let is_near = |candidate: &Candidate| self.rack(candidate.key) == Some(rack);
-                is_near(b).cmp(&is_near(a))
-            }
-        };
-        // Latency-sensitive tasks avoid workers with best-effort tasks. Where that isn't possible,
-        // the best-effort tasks are stopped.
-        let isolation_order = if spec.latency_sensitive && self.uses(Mechanism::Isolation) {
-            a.has_best_effort.cmp(&b.has_best_effort)
-        } else {
-            Ordering::Equal
-        };
-        let pace_order = a.pace_band.cmp(&b.pace_band);
-        risk_order
-            .then(rack_order)
-            .then(isolation_order)
-            .then_with(|| {
-                let charge = spec.charged_resources();
-                let contention_order = a.contention(charge).cmp(&b.contention(charge));
-                if ready.is_tight {
-                    pace_order.then(contention_order)
-                } else {
-                    contention_order.then(pace_order.reverse())
-                }
-            })
-            .then(a.available.cpu.cmp(&b.available.cpu))
-            .then(a.key.cmp(&b.key))
+    /// Returns the place of a worker in the order of workers for a step.
+    fn rank(&self, candidate: &Candidate, ready: &ReadyStep, spec: &StepSpec) -> CandidateRank {
+        let data_rack = spec.data_rack.as_ref();
+        let is_far = |rack| self.rack(candidate.key) != Some(rack);
+        let avoids_best_effort = spec.latency_sensitive && self.uses(Mechanism::Isolation);
+        let contention = candidate.contention(spec.charged_resources());
+        let contention = i64::try_from(contention).unwrap_or(i64::MAX);
+        CandidateRank {
+            is_risky: candidate.suspicion >= Suspicion::Repeated,
+            is_far: data_rack.is_some_and(is_far),
+            has_best_effort: avoids_best_effort && candidate.has_best_effort,
+            pressure: if ready.is_tight {
+                (candidate.pace_band, contention)
+            } else {
+                (contention, -candidate.pace_band)
+            },
+            free_cpu: candidate.available.cpu,
+            key: candidate.key,
+        }
     }
 
     /// Chooses a worker for each member of a gang, all on one rack if the step asks for it and they
--- a/crates/kingcupwinch-cell/src/placement/advice.rs
+++ b/crates/kingcupwinch-cell/src/placement/advice.rs
@@ -5,10 +5,11 @@
 
 use kingcupwinch_time::{Span, Time};
 
-use super::{ReadyStep, Turn, WorkerPool, WorkerPools};
+use super::{CandidateRank, ReadyStep, Turn, WorkerPool, WorkerPools};
 use crate::advice::{affordable_workers, call_time};
 use crate::cell::{Action, Cell, NamedWorker};
 use crate::fit::{Access, Obstacle, StepDemand};
+use crate::job::Job;
 use crate::spec::Resources;
 
 /// The largest number of workers that one call to the adviser names.
@@ -45,6 +46,22 @@
     chance: f64,
 }
 
+/// The number of tasks of a step for which there is room.
+#[derive(Debug, Clone, Copy)]
+struct StepCapacity {
+    /// On the workers on which they can start without a further call.
+    granted: f64,
+    /// On all workers that the adviser is expected to allow.
+    expected: f64,
+}
+
+/// Returns whether the adviser has not been asked about a gang yet. Its first calls name all workers or
+/// enough of them. Which workers may run a step never changes, so later calls name only the allowed
+/// ones.
+fn is_first_call_of_gang(job: &Job, ready: &ReadyStep) -> bool {
+    job.step_spec(ready.step).gang && !job.steps[ready.step].tickets.has_verdicts()
+}
+
 impl Cell {
     /// Requests advice about the workers that have capacity, provided the step could start on those
     /// of them that the adviser is likely to allow.
@@ -64,8 +81,7 @@
         if !may_call || !self.advice_callers.has_free(call_time(&cost, 1), now) {
             return;
         }
-        let (workers, capacity) = self.advice_candidates(ready, demand, pool, now);
-        let spec = self.jobs[ready.job].step_spec(ready.step);
+        let spec = job.step_spec(ready.step);
         let need = if spec.gang {
             step.tasks.len() as f64
         } else if ready.asks_ahead(spec) || ready.waiting_since + LIKELY_WORKER_WAIT <= now {
@@ -73,9 +89,16 @@
         } else {
             1.0
         };
+        let (options, capacity) = self.advice_options(ready, demand, pool, now);
+        // On a full service most steps end here, so nothing is sorted before.
+        let workers = if capacity.expected < need {
+            Vec::new()
+        } else {
+            self.choose_options(ready, options, capacity.granted, pool)
+        };
         let is_ahead = workers.iter().all(|choice| choice.fits == 0.0);
         let must_wait = is_ahead && !self.advice_callers.has_spare(now);
-        if workers.is_empty() || capacity < need || must_wait {
+        if workers.is_empty() || must_wait {
             self.jobs[ready.job].steps[ready.step].tickets.next_call = now + NO_CAPACITY_BACKOFF;
             return;
         }
@@ -167,25 +190,22 @@
         }
     }
 
-    /// Returns the workers to ask about next, and the number of tasks expected to fit on all workers
-    /// that the adviser allows.
-    fn advice_candidates(
+    /// Returns the workers that the adviser can be asked about, unordered, and the capacity that counts
+    /// for the step.
+    fn advice_options(
         &self,
         ready: &ReadyStep,
         demand: &StepDemand,
         pool: &WorkerPool,
         now: Time,
-    ) -> (Vec<Choice>, f64) {
+    ) -> (Vec<Choice>, StepCapacity) {
         let job = &self.jobs[ready.job];
         let spec = job.step_spec(ready.step);
-        let step = &job.steps[ready.step];
         let share = self.allowed_share(&job.spec.policy.queue);
-        // The first calls for a gang name all workers or enough of them. Which workers may run a step
-        // never changes, so later calls name only the allowed ones.
-        let is_first_of_gang = spec.gang && !step.tickets.has_verdicts();
+        let is_first_of_gang = is_first_call_of_gang(job, ready);
         let asks_ahead = ready.asks_ahead(spec);
-        let mut rows = Vec::new();
-        let mut capacity = 0.0;
+        let mut options = Vec::new();
+        let mut granted = 0.0;
         for (index, candidate) in pool.candidates.iter().enumerate() {
             let fits = match self.room_on(demand, candidate) {
                 Ok(fits) => fits as f64,
@@ -197,60 +217,85 @@
                 }
                 Err(_) => continue,
             };
-            match self.access(demand, candidate.key, now) {
-                Access::Denied => {}
-                Access::Open | Access::Ticket => capacity += fits,
-                Access::Expired => rows.push((index, fits, 1.0)),
-                Access::Unknown => rows.push((index, fits, share)),
-            }
+            let chance = match self.access(demand, candidate.key, now) {
+                Access::Denied => continue,
+                Access::Open | Access::Ticket => {
+                    granted += fits;
+                    continue;
+                }
+                Access::Expired => 1.0,
+                Access::Unknown => share,
+            };
+            options.push(Choice {
+                index,
+                fits,
+                chance,
+            });
         }
-        rows.sort_by(|a, b| {
-            let room_order = (b.1 > 0.0).cmp(&(a.1 > 0.0));
-            let verdict_order = b.2.total_cmp(&a.2);
+        let likely: f64 = options
+            .iter()
+            .map(|choice| choice.fits * choice.chance)
+            .sum();
+        let expected = granted + likely;
+        (options, StepCapacity { granted, expected })
+    }
+
+    /// Chooses those of the workers that the next calls name, best first.
+    fn choose_options(
+        &self,
+        ready: &ReadyStep,
+        options: Vec<Choice>,
+        granted: f64,
+        pool: &WorkerPool,
+    ) -> Vec<Choice> {
+        let job = &self.jobs[ready.job];
+        let spec = job.step_spec(ready.step);
+        let options = options.into_iter();
+        let ranked = options.map(|choice| {
+            let rank = self.rank(&pool.candidates[choice.index], ready, spec);
+            (choice, rank)
+        });
+        let mut ranked: Vec<(Choice, CandidateRank)> = ranked.collect();
+        ranked.sort_unstable_by(|(a, a_rank), (b, b_rank)| {
             let capacity_order = if spec.gang {
-                b.1.total_cmp(&a.1)
+                b.fits.total_cmp(&a.fits)
             } else {
                 Ordering::Equal
             };
-            room_order
-                .then(verdict_order)
+            (b.fits > 0.0)
+                .cmp(&(a.fits > 0.0))
+                .then(b.chance.total_cmp(&a.chance))
                 .then(capacity_order)
-                .then_with(|| {
-                    let (a, b) = (&pool.candidates[a.0], &pool.candidates[b.0]);
-                    self.compare_candidates(a, b, ready, spec)
-                })
+                .then_with(|| a_rank.cmp(b_rank))
         });
+        let step = &job.steps[ready.step];
         let factor = 1_u32 << step.tickets.calls_without_start.min(MAX_CALL_DOUBLINGS);
         let wanted = ready.tasks as f64 * CAPACITY_MARGIN * f64::from(factor);
         let min_workers = MIN_CALL_WORKERS * factor as usize;
         let affordable = job.spec.policy.advice.map_or(0, affordable_workers);
         let max_ahead = affordable.max(MIN_CALL_WORKERS);
+        let is_first_of_gang = is_first_call_of_gang(job, ready);
         let most = if spec.gang {
             MAX_GANG_WORKERS
         } else {
             MAX_CALL_WORKERS
         };
-        let mut requested = capacity;
-        let mut workers = Vec::new();
-        for (index, fits, chance) in rows {
-            capacity += fits * chance;
+        let mut requested = granted;
+        let mut count = 0;
+        let is_needed = |choice: &Choice| {
             let is_enough = if is_first_of_gang {
-                requested >= wanted && workers.len() >= MAX_CALL_WORKERS
-            } else if fits > 0.0 {
-                requested >= wanted && workers.len() >= min_workers
+                requested >= wanted && count >= MAX_CALL_WORKERS
+            } else if choice.fits > 0.0 {
+                requested >= wanted && count >= min_workers
             } else {
-                requested >= wanted || workers.len() >= max_ahead
+                requested >= wanted || count >= max_ahead
             };
-            if !is_enough && workers.len() < most {
-                requested += fits * chance;
-                workers.push(Choice {
-                    index,
-                    fits,
-                    chance,
-                });
-            }
-        }
-        (workers, capacity)
+            requested += choice.fits * choice.chance;
+            count += 1;
+            !is_enough
+        };
+        let chosen = ranked.into_iter().map(|(choice, _)| choice);
+        chosen.take(most).take_while(is_needed).collect()
     }
 }
 
