--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -634,8 +634,11 @@
     /// Returns whether a gang would fit if nothing else ran on the workers that it may use.
     fn could_fit(&self, demand: &StepDemand, tasks: usize, pool: &WorkerPool, now: Time) -> bool {
         let candidates = pool.candidates.iter();
-        let fits = candidates.map(|candidate| self.fits_when_idle(demand, candidate.key, now));
-        fits.fold(0, u64::saturating_add) >= tasks as u64
+        let mut fits = candidates.map(|candidate| self.fits_when_idle(demand, candidate.key, now));
+        let left = fits.try_fold(tasks as u64, |left, fits| {
+            left.checked_sub(fits).filter(|left| *left > 0)
+        });
+        left.is_none()
     }
 
     /// Starts a whole gang if it fits. Otherwise reserves the available capacity for it, so that
