Have instances with wide links in several failure domains claim first

And instances of equal size were ordered by name, so that the four that follow the group closely were all in the owner's domain.

Change: an instance announces the CPU that it could use as the owner, which its link bounds. Equal ones are ordered by a hash of the name.

--- a/crates/kingcupwinch-cell/src/election.rs
+++ b/crates/kingcupwinch-cell/src/election.rs
@@ -10,9 +10,12 @@
 //! If it is replaced before it serves, its successor gets twice the time, and so on, so that claims
 //! don't follow one another faster than any claimant can restore the state.
 
+use std::cmp::Reverse;
+use std::hash::BuildHasher;
 use std::sync::Arc;
 
 use kingcupwinch_time::{Span, Time};
+use rustc_hash::FxBuildHasher;
 use serde::{Deserialize, Serialize};
 
 /// The owner timeout on a slow store, as a multiple of the longest interval between heartbeats.
@@ -59,7 +62,7 @@
         instance: Arc<str>,
         /// The address at which its siblings reach it.
         address: Arc<str>,
-        /// CPU of the instance, in thousandths of a core.
+        /// CPU that the instance could use as the owner, in thousandths of a core.
         #[serde(rename = "size")]
         millicores: u32,
     },
@@ -72,7 +75,7 @@
     pub instance: Arc<str>,
     /// The address at which its siblings reach it.
     pub address: Arc<str>,
-    /// CPU of the instance, in thousandths of a core.
+    /// CPU that the instance could use as the owner, in thousandths of a core.
     pub millicores: u32,
     /// When the last record of the member was read.
     last_seen: Time,
@@ -253,11 +256,15 @@
                     millicores,
                     last_seen: now,
                 });
-                // Instances of equal size are ordered by name.
-                self.members.sort_by(|a, b| {
-                    b.millicores
-                        .cmp(&a.millicores)
-                        .then_with(|| a.instance.cmp(&b.instance))
+                // Instances of equal size are ordered by a hash of their names: names that are alike often
+                // share a failure domain, and those that claim next should not.
+                self.members.sort_by_cached_key(|member| {
+                    let name = &*member.instance;
+                    (
+                        Reverse(member.millicores),
+                        hash_of(name),
+                        Arc::clone(&member.instance),
+                    )
                 });
             }
         }
@@ -384,3 +391,8 @@
         ElectionStep::Claim { generation }
     }
 }
+
+/// Returns a hash that is the same on all instances.
+fn hash_of(name: &str) -> u64 {
+    FxBuildHasher.hash_one(name)
+}
--- a/crates/kingcupwinch-cell/tests/cell/election.rs
+++ b/crates/kingcupwinch-cell/tests/cell/election.rs
@@ -337,6 +337,27 @@
     assert_eq!(election.next_step(at(0)), ElectionStep::Wait(at(700)));
 }
 
+/// Ordered by name, the owner and all that follow the group closely were in one failure domain of a large
+/// deployment, so that its loss left the cell to an instance that reads rarely.
+#[test]
+fn instances_that_claim_next_are_in_several_failure_domains() {
+    for pattern in ["front-{}-1{}", "{}-{}", "node-{}{}", "{}.{}.example"] {
+        let mut election = election("a");
+        for domain in ["a", "b", "c", "d", "e"] {
+            for number in 0..20 {
+                let name = pattern.replacen("{}", domain, 1);
+                let name = name.replacen("{}", &number.to_string(), 1);
+                election.apply(0, member(&format!("x-{name}"), 600), at(0));
+            }
+        }
+        let first = election.members()[..4].iter();
+        let domains = first.map(|member| member.instance.replace("node-", ""));
+        let domains = domains.map(|name| name.replace("front-", "")[2..3].to_owned());
+        let domains: std::collections::HashSet<String> = domains.collect();
+        assert!(domains.len() >= 2, "{pattern}: {domains:?}");
+    }
+}
+
 #[test]
 fn a_small_owner_yields_to_a_large_instance_that_joins() {
     let mut election = election("a");
--- a/crates/kingcupwinch-node/src/ownership.rs
+++ b/crates/kingcupwinch-node/src/ownership.rs
@@ -41,6 +41,9 @@
 /// An owner with less CPU than this, in thousandths of a core, yields the cell to a member that is
 /// twice as large. The orders of 350 workers take about 140 thousandths of a core.
 const SMALL_OWNER_MILLICORES: u32 = 180;
+/// CPU that an owner can use for each Mbit/s of its link, in thousandths of a core. In the mean the orders
+/// of 540 workers take four times as much; a takeover and peaks need the rest of the link.
+const MILLICORES_PER_MBIT: f64 = 5.0;
 /// How long the larger member must have been present before the owner yields.
 const YIELD_DELAY: Span = Span::from_millis(1_500);
 /// Number of the largest members that follow the partition without a pause; the others read it
@@ -585,13 +588,20 @@
     }
 }
 
+/// Returns how much CPU an instance could use as the owner, in thousandths of a core. On a narrow link a
+/// takeover takes as long as its bytes.
+fn owner_millicores(cpu_share: f64, link_mbps: Option<f64>) -> u32 {
+    let by_link = link_mbps.map_or(f64::INFINITY, |link| link * MILLICORES_PER_MBIT);
+    (cpu_share * 1_000.0).min(by_link) as u32
+}
+
 /// Periodically announces this instance's address and size to its siblings.
 pub(crate) async fn announce_member(shared: Arc<Shared>) {
     let key = format!("{MEMBER_PREFIX}{}", shared.settings.instance);
     let record = GroupRecord::Member {
         instance: Arc::clone(&shared.settings.instance),
         address: shared.settings.siblings.to_string().into(),
-        millicores: (shared.settings.cpu_share * 1_000.0) as u32,
+        millicores: owner_millicores(shared.settings.cpu_share, shared.settings.link_mbps),
     };
     loop {
         let pause = match append(&shared, &key, &record, None, CALL_MARGIN).await {
--- a/crates/kingcupwinch-node/src/ownership/tests.rs
+++ b/crates/kingcupwinch-node/src/ownership/tests.rs
@@ -10,7 +10,8 @@
 use kingcupwinch_time::{Span, Time};
 
 use super::{
-    GroupRead, OwnedCell, OwnershipTask, TERM_TIMEOUT, UnreadHeartbeats, send_owner_heartbeats,
+    GroupRead, OwnedCell, OwnershipTask, SMALL_OWNER_MILLICORES, TERM_TIMEOUT, UnreadHeartbeats,
+    owner_millicores, send_owner_heartbeats,
 };
 use crate::layout::{CLAIM_KEY, GROUP, HEARTBEAT_KEY};
 use crate::owner::{NextPoll, Origins, Owner, PollPlan};
@@ -169,3 +170,14 @@
     assert!(!unread.may_send(10, late));
     assert!(unread.may_send(11, late));
 }
+
+/// A takeover by an instance whose link bears 20 Mbit/s took ten times as long as one by an instance with
+/// 200 Mbit/s.
+#[test]
+fn an_instance_with_a_narrow_link_is_a_small_owner() {
+    let narrow = owner_millicores(0.5, Some(20.0));
+    assert!(narrow < owner_millicores(0.2, Some(200.0)));
+    assert!(narrow < SMALL_OWNER_MILLICORES, "it yields to a larger one");
+    assert_eq!(owner_millicores(0.5, Some(200.0)), 500);
+    assert_eq!(owner_millicores(0.5, None), 500);
+}
