Test that a backlog costs little to decide on

Change: the cell counts the workers that it puts in order for steps. backlog.rs has a service of 60 workers with room on 6 and 200 waiting gangs: no worker is put in order for them, and a small job beside them starts in the round after its advice.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -98,6 +98,8 @@
     pub jobs_failed: u64,
     /// Calls to advisers.
     pub advice_calls: u64,
+    /// Workers that were put in order for a step, which is much of the cost of decisions.
+    pub ranked_workers: u64,
     /// Crashes of workers that counted against tasks.
     pub crashes: u64,
     /// Tasks that were given up because of such crashes.
@@ -176,7 +178,7 @@
     pub(crate) kept_places: Vec<KeptPlace>,
     /// Dropped jobs that may have progress records in the log.
     dropped_jobs: Vec<JobId>,
-    counters: Counters,
+    pub(crate) counters: Counters,
 }
 
 /// The run numbers that each generation of owners may use per job.
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -458,6 +458,7 @@
         now: Time,
     ) -> bool {
         let eligible = self.eligible_candidates(ready, demand, pool, now);
+        self.counters.ranked_workers += eligible.len() as u64;
         if eligible.is_empty() {
             false
         } else if self.jobs[ready.job].step_spec(ready.step).gang {
--- a/crates/kingcupwinch-cell/src/placement/advice.rs
+++ b/crates/kingcupwinch-cell/src/placement/advice.rs
@@ -94,6 +94,7 @@
         let workers = if capacity.expected < need {
             Vec::new()
         } else {
+            self.counters.ranked_workers += options.len() as u64;
             self.choose_options(ready, options, capacity.granted, pool)
         };
         let is_ahead = workers.iter().all(|choice| choice.fits == 0.0);
--- /dev/null
+++ b/crates/kingcupwinch-cell/tests/cell/backlog.rs
@@ -0,0 +1,51 @@
+//! Decisions while far more jobs wait than fit.
+
+use kingcupwinch_cell::StepSpec;
+
+use crate::harness::{Harness, job, step, with_advice};
+
+/// A service of 60 workers of which 6 have room, and 200 gangs that need more than that and were never
+/// asked about.
+fn backlog() -> Harness {
+    let mut harness = Harness::new(60, 4);
+    harness.submit(1, job(vec![step(54, 4, 60_000)]));
+    harness.run_round();
+    assert_eq!(harness.running().len(), 54);
+    for number in 100..300 {
+        let gang = StepSpec {
+            gang: true,
+            ..step(30, 4, 5_000)
+        };
+        harness.submit(number, with_advice(job(vec![gang]), 300.0));
+    }
+    harness
+}
+
+/// An owner with a thousand waiting jobs was busy with putting workers in order for steps that could not
+/// start on them, and what could start waited for its next decision.
+#[test]
+fn steps_without_room_put_no_workers_in_order() {
+    let mut harness = backlog();
+    let before = harness.cell.counters().ranked_workers;
+    for _ in 0..20 {
+        harness.advance(40);
+        harness.poll_all();
+        harness.decide();
+    }
+    assert_eq!(harness.calls.len(), 0, "no gang fits");
+    assert_eq!(harness.cell.counters().ranked_workers, before);
+}
+
+#[test]
+fn a_small_job_starts_with_its_advice_beside_a_backlog() {
+    let mut harness = backlog();
+    harness.advance(40);
+    harness.poll_all();
+    harness.decide();
+    harness.submit(2, with_advice(job(vec![step(3, 2, 500)]), 10.0));
+    harness.decide();
+    assert_eq!(harness.calls.len(), 1);
+    harness.answer_calls(|_, _| true);
+    harness.run_round();
+    assert_eq!(harness.running().len(), 54 + 3);
+}
