--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -5,8 +5,10 @@
 //! workers first, the adviser is asked about as many workers as the step is likely to need.
 
 mod advice;
+mod gangs;
 mod moves;
 mod pool;
+mod rank;
 mod suspects;
 mod waits;
 
@@ -22,9 +24,9 @@
 use crate::job::{Job, JobKey, Task};
 use crate::mechanism::Mechanism;
 use crate::spec::StepSpec;
-use crate::worker::{RACK_LABEL, WorkerKey};
 
 use pool::{PaceRange, pace_band};
+use rank::CandidateRank;
 
 pub(crate) use moves::KeptPlace;
 pub(crate) use pool::{Candidate, WorkerPool, WorkerPools};
@@ -220,23 +222,6 @@
     }
 }
 
-/// The order of workers for a step. Workers that are likely to crash come last. Otherwise, workers on
-/// the rack of the step's data come first. Among these, fast workers come first if slack is short.
-/// Otherwise workers come first whose capacity no other step is about to use, and slow ones of these.
-/// Then come the workers with the least CPU left.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct CandidateRank {
-    is_risky: bool,
-    is_far: bool,
-    /// Latency-sensitive tasks avoid workers with best-effort tasks. Where that isn't possible, the
-    /// best-effort tasks are stopped.
-    has_best_effort: bool,
-    /// The pace and the contention, the more important one first.
-    pressure: (i64, i64),
-    free_cpu: u64,
-    key: WorkerKey,
-}
-
 impl Cell {
     /// Runs one round of scheduling and returns the resulting actions.
     pub fn decide(&mut self, now: Time) -> Vec<Action> {
@@ -510,77 +495,6 @@
         true
     }
 
-    fn rack(&self, worker: WorkerKey) -> Option<&Arc<str>> {
-        self.workers[worker].registration.labels.get(RACK_LABEL)
-    }
-
-    /// Returns the place of a worker in the order of workers for a step.
-    fn rank(&self, candidate: &Candidate, ready: &ReadyStep, spec: &StepSpec) -> CandidateRank {
-        let data_rack = spec.data_rack.as_ref();
-        let is_far = |rack| self.rack(candidate.key) != Some(rack);
-        let avoids_best_effort = spec.latency_sensitive && self.uses(Mechanism::Isolation);
-        let contention = candidate.contention(spec.charged_resources());
-        let contention = i64::try_from(contention).unwrap_or(i64::MAX);
-        CandidateRank {
-            is_risky: candidate.suspicion >= Suspicion::Repeated,
-            is_far: data_rack.is_some_and(is_far),
-            has_best_effort: avoids_best_effort && candidate.has_best_effort,
-            pressure: if ready.is_tight {
-                (candidate.pace_band, contention)
-            } else {
-                (contention, -candidate.pace_band)
-            },
-            free_cpu: candidate.available.cpu,
-            key: candidate.key,
-        }
-    }
-
-    /// Chooses a worker for each member of a gang, all on one rack if the step asks for it and they
-    /// fit.
-    fn choose_gang(
-        &self,
-        demand: &StepDemand,
-        eligible: &[usize],
-        pool: &WorkerPool,
-        tasks: usize,
-    ) -> Option<Vec<usize>> {
-        let spec = self.jobs[demand.job].step_spec(demand.step);
-        if spec.same_rack {
-            let rack_of = |candidate: &usize| self.rack(pool.candidates[*candidate].key);
-            let mut racks: Vec<_> = eligible.iter().map(rack_of).collect();
-            racks.sort();
-            racks.dedup();
-            for rack in racks {
-                let on_rack = eligible
-                    .iter()
-                    .copied()
-                    .filter(|candidate| rack_of(candidate) == rack);
-                let candidates: Vec<usize> = on_rack.collect();
-                if let Some(chosen) = self.assign_gang(demand, &candidates, pool, tasks) {
-                    return Some(chosen);
-                }
-            }
-        }
-        self.assign_gang(demand, eligible, pool, tasks)
-    }
-
-    fn assign_gang(
-        &self,
-        demand: &StepDemand,
-        eligible: &[usize],
-        pool: &WorkerPool,
-        tasks: usize,
-    ) -> Option<Vec<usize>> {
-        let mut chosen = Vec::with_capacity(tasks);
-        for &candidate in eligible {
-            let fits = self.room_on(demand, &pool.candidates[candidate]);
-            let fits = usize::try_from(fits.unwrap_or(0)).unwrap_or(usize::MAX);
-            let take = fits.min(tasks - chosen.len());
-            chosen.extend(std::iter::repeat_n(candidate, take));
-        }
-        (chosen.len() == tasks).then_some(chosen)
-    }
-
     /// Starts as many tasks as fit. Returns whether no startable task is left.
     fn place_tasks(
         &mut self,
@@ -631,60 +545,6 @@
         }
         left == 0
     }
-
-    /// Returns whether a gang would fit if nothing else ran on the workers that it may use.
-    fn could_fit(&self, demand: &StepDemand, tasks: usize, pool: &WorkerPool, now: Time) -> bool {
-        let candidates = pool.candidates.iter();
-        let mut fits = candidates.map(|candidate| self.fits_when_idle(demand, candidate.key, now));
-        let left = fits.try_fold(tasks as u64, |left, fits| {
-            left.checked_sub(fits).filter(|left| *left > 0)
-        });
-        left.is_none()
-    }
-
-    /// Starts a whole gang if it fits. Otherwise reserves the available capacity for it, so that
-    /// steps behind it can't starve it.
-    fn place_gang(
-        &mut self,
-        ready: &ReadyStep,
-        demand: &StepDemand,
-        eligible: &[usize],
-        pool: &mut WorkerPool,
-        now: Time,
-    ) -> bool {
-        let job = &self.jobs[ready.job];
-        let tasks = job.steps[ready.step].tasks.len();
-        let separate = (self.suspicion(ready.job, (ready.step, 0)) > Suspicion::None)
-            .then(|| self.separate_candidates(ready.job, (ready.step, 0), eligible, pool, now));
-        let eligible = separate.as_deref().unwrap_or(eligible);
-        let Some(chosen) = self.choose_gang(demand, eligible, pool, tasks) else {
-            let is_reserving = self.uses(Mechanism::GangReservation)
-                && !Cell::is_out_of_patience(ready, pool, now)
-                && self.could_fit(demand, tasks, pool, now);
-            if !is_reserving {
-                return false;
-            }
-            let mut left = tasks as u64;
-            for &candidate in eligible {
-                let fits = self.room_on(demand, &pool.candidates[candidate]);
-                let fits = fits.unwrap_or(0).min(left);
-                pool.reserve(candidate, demand.charge, fits);
-                left -= fits;
-            }
-            return false;
-        };
-        let number = job.last_run + 1;
-        for (index, candidate) in chosen.into_iter().enumerate() {
-            self.start_on(
-                ready.job,
-                (ready.step, index),
-                number,
-                (candidate, pool),
-                now,
-            );
-        }
-        true
-    }
 }
 
 /// Returns since when a task waits to run again by a restart turn.
