End an instance by the end of its grace period, whatever hangs

Cause: the log is written by a thread that the end of the process waits for. With standard output full and unread, an instance that was asked to stop did not end: 60 s in the test, grace period 6 s. Likewise nothing bounded a decision or a task that hangs.

Change: a watchdog thread ends the process 0.3 s before the end of the grace period, by a clock that counts suspends, with exit code 3.

Conclusion: an instance ends by its deadline.

--- a/crates/kingcupwinch-daemon/tests/testsuite/main.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod jobs;
 mod keys;
 mod live;
+mod node;
 mod operators;
 mod process;
 mod promises;
--- a/crates/kingcupwinch-node/src/cmd.rs
+++ b/crates/kingcupwinch-node/src/cmd.rs
@@ -50,7 +50,7 @@
 /// Runs an instance until it is asked to stop.
 ///
 /// The exit code is 0 after a graceful stop, 1 if the instance could not start and 2 for invalid
-/// settings.
+/// settings. A process that has not stopped by the end of its grace period ends itself with 3.
 pub fn execute(matches: &ArgMatches) -> ExitCode {
     let Some(path) = matches.get_one::<PathBuf>("settings") else {
         return ExitCode::from(EXIT_SETTINGS);
--- a/crates/kingcupwinch-node/src/events.rs
+++ b/crates/kingcupwinch-node/src/events.rs
@@ -47,6 +47,8 @@
     ReloadFailed = "1105", "settings are not valid";
     /// A listener failed to accept a connection.
     AcceptFailed = "1106", "connection could not be accepted";
+    /// Nothing ends the process if its graceful stop hangs.
+    WatchdogFailed = "1107", "watchdog of the stop could not be started";
     /// The store does not respond.
     StoreLost = "1201", "store unreachable";
     /// The store responds again.
--- a/crates/kingcupwinch-node/src/node.rs
+++ b/crates/kingcupwinch-node/src/node.rs
@@ -6,7 +6,7 @@
 
 use kingcupwinch_adapter::{SettingsError, load_settings};
 use kingcupwinch_cell::{Disabled, Mechanism};
-use kingcupwinch_time::Span;
+use kingcupwinch_time::{BoottimeClock, Clock, Span, Time};
 use quick_error::quick_error;
 use slog::o;
 use tokio::signal::unix::{SignalKind, signal};
@@ -29,6 +29,12 @@
 const UNREADY_WAIT: Duration = Duration::from_millis(2_400);
 /// Part of the grace period that is left when the instance exits.
 const GRACE_MARGIN: Span = Span::from_millis(700);
+/// Part of the grace period that is left when the process ends even if something in it hangs.
+const EXIT_MARGIN: Span = Span::from_millis(300);
+/// Time between two looks of the watchdog at the clock.
+const WATCHDOG_INTERVAL: Duration = Duration::from_millis(100);
+/// Exit code of a process that the watchdog ends.
+const EXIT_OVERDUE: i32 = 3;
 
 quick_error! {
     /// Error of starting an instance.
@@ -186,6 +192,11 @@
         drop(drained);
         let shared = &self.shared;
         let started = Instant::now();
+        let watchdog = exit_at(shared.now() + (shared.settings.grace_period - EXIT_MARGIN));
+        if let Err(error) = watchdog {
+            let text = error.to_string();
+            shared.log.write(Event::WatchdogFailed, o!("error" => text));
+        }
         let end = started + Duration::from(shared.settings.grace_period - GRACE_MARGIN);
         shared.log.write(Event::StopRequested, o!());
         shared.stopping.send_replace(true);
@@ -201,3 +212,17 @@
         );
     }
 }
+
+/// Ends the process at a time, unless it ends before. A hanging task or decision does not delay that, nor
+/// does the log, whose last lines wait until standard output takes them.
+fn exit_at(deadline: Time) -> std::io::Result<()> {
+    let wait = move || {
+        // Threads sleep by a clock that stands still while the machine is suspended.
+        while BoottimeClock.now() < deadline {
+            std::thread::sleep(WATCHDOG_INTERVAL);
+        }
+        std::process::exit(EXIT_OVERDUE);
+    };
+    let thread = std::thread::Builder::new().name("watchdog".to_owned());
+    thread.spawn(wait).map(drop)
+}
