End the stop of an owner that is superseded while it releases the cell

By the log, front-khomas-a-4 owned the cell beyond a cut (33.5 to 38.8 s), another claimed at 34.2 s, it was asked to stop at 36.62 s, and neither released nor fenced was logged until the power failed at 41.2 s, 1.4 s before the end of its grace period.

Cause: when the store refuses a fenced owner's records its writer ends, and with it the only reader of the request to release. The stop waited for it until the end of the grace period; the event was not logged, since a retired owner logs no fencing.

Change: fencing ends a pending release, and a fenced owner has none.

Measured: two tests of the owner hang without the change (stopped after 20 s) and pass with it.

--- a/crates/kingcupwinch-node/src/owner/messages.rs
+++ b/crates/kingcupwinch-node/src/owner/messages.rs
@@ -138,8 +138,11 @@
     type Reply = ();
 
     async fn handle(&mut self, release: Release, _: &mut Context<Self, ()>) {
-        self.is_retired = true;
-        self.release_done = Some(release.0);
+        // A fenced owner has nothing to release, and its writer has ended.
+        if !self.is_retired {
+            self.is_retired = true;
+            self.release_done = Some(release.0);
+        }
     }
 }
 
--- a/crates/kingcupwinch-node/src/owner/messages/tests.rs
+++ b/crates/kingcupwinch-node/src/owner/messages/tests.rs
@@ -1,10 +1,13 @@
 //! Tests what an owner answers while its view of the log is old.
 
+use std::time::Duration;
+
 use kameo::actor::ActorRef;
 use kingcupwinch_cell::JobId;
 use kingcupwinch_time::{Span, Time};
+use tokio::sync::oneshot;
 
-use super::{CountWaiting, GetJobState, IntakeRead, TermConfirmed};
+use super::{CountWaiting, GetJobState, IntakeRead, Release, Superseded, TermConfirmed};
 use crate::layout::{OWNER_PARTITION, intake_partitions};
 use crate::owner::freshness::MAX_COUNT_AGE;
 use crate::owner::{Origins, Owner};
@@ -93,3 +96,34 @@
     owner.tell(read).await.unwrap();
     assert!(!is_said_to_be_gone(&owner).await);
 }
+
+/// Asserts that the wait for a release ends although nothing was released.
+async fn assert_release_ends(released: oneshot::Receiver<()>) {
+    let ended = tokio::time::timeout(Duration::from_secs(60), released).await;
+    let outcome = ended.expect("the release ends");
+    assert!(outcome.is_err(), "nothing was released");
+}
+
+/// An owner was asked to stop behind a cut, beyond which another took the cell over. Its writer ended when
+/// the store refused its records, and the stop waited for the release until the end of its grace period.
+#[tokio::test]
+async fn a_release_ends_when_the_owner_is_superseded() {
+    let owner = owner_at(fresh(now()));
+    // The writer has taken its first batch and retries the append of it.
+    count(&owner).await;
+    let (done, released) = oneshot::channel();
+    owner.tell(Release(done)).await.unwrap();
+    owner.tell(Superseded("store")).await.unwrap();
+    assert_release_ends(released).await;
+}
+
+/// The owner had been fenced before it was asked to stop.
+#[tokio::test]
+async fn a_release_of_a_superseded_owner_ends_at_once() {
+    let owner = owner_at(fresh(now()));
+    count(&owner).await;
+    owner.tell(Superseded("store")).await.unwrap();
+    let (done, released) = oneshot::channel();
+    owner.tell(Release(done)).await.unwrap();
+    assert_release_ends(released).await;
+}
--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -181,13 +181,16 @@
         !is_overdue
     }
 
-    /// Stops dispatching for good, because a later owner exists.
+    /// Stops dispatching for good, because a later owner exists. Ends a release, which no longer matters
+    /// to anyone and which the writer, fenced as well, does not append.
     fn fence(&mut self, by: &'static str) {
-        if !self.is_retired {
+        let is_releasing = self.release_done.take().is_some();
+        if !self.is_retired || is_releasing {
             self.is_retired = true;
-            self.shared
-                .log
-                .write(Event::Fenced, o!("term" => self.term, "seen_by" => by));
+            self.shared.log.write(
+                Event::Fenced,
+                o!("term" => self.term, "seen_by" => by, "releasing" => is_releasing),
+            );
         }
     }
 
