--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -400,7 +400,6 @@
     fn place_step(&mut self, ready: &ReadyStep, pool: &mut WorkerPool, now: Time) {
         if let Some(demand) = self.place_granted(ready, pool, now) {
             self.request_advice(ready, &demand, pool, now);
-            self.keep_gang_room(ready, &demand, pool, now);
         }
     }
 
--- a/crates/kingcupwinch-cell/src/placement/gangs.rs
+++ b/crates/kingcupwinch-cell/src/placement/gangs.rs
@@ -65,7 +65,8 @@
         left.is_none()
     }
 
-    /// Starts a whole gang if it fits.
+    /// Starts a whole gang if it fits. Otherwise reserves the available capacity for it, so that
+    /// steps behind it can't starve it.
     pub(super) fn place_gang(
         &mut self,
         ready: &ReadyStep,
@@ -76,9 +77,23 @@
     ) -> bool {
         let job = &self.jobs[ready.job];
         let tasks = job.steps[ready.step].tasks.len();
-        let separate = self.separate_gang(ready, eligible, pool, now);
+        let separate = (self.suspicion(ready.job, (ready.step, 0)) > Suspicion::None)
+            .then(|| self.separate_candidates(ready.job, (ready.step, 0), eligible, pool, now));
         let eligible = separate.as_deref().unwrap_or(eligible);
         let Some(chosen) = self.choose_gang(demand, eligible, pool, tasks) else {
+            let is_reserving = self.uses(Mechanism::GangReservation)
+                && !Cell::is_out_of_patience(ready, pool, now)
+                && self.could_fit(demand, tasks, pool, now);
+            if !is_reserving {
+                return false;
+            }
+            let mut left = tasks as u64;
+            for &candidate in eligible {
+                let fits = self.room_on(demand, &pool.candidates[candidate]);
+                let fits = fits.unwrap_or(0).min(left);
+                pool.reserve(candidate, demand.charge, fits);
+                left -= fits;
+            }
             return false;
         };
         let number = job.last_run + 1;
@@ -93,49 +108,4 @@
         }
         true
     }
-
-    /// Returns those of the workers on which a gang can run apart from other tasks, if it is suspected
-    /// of crashing workers.
-    fn separate_gang(
-        &self,
-        ready: &ReadyStep,
-        eligible: &[usize],
-        pool: &WorkerPool,
-        now: Time,
-    ) -> Option<Vec<usize>> {
-        let place = (ready.step, 0);
-        let is_suspect = self.suspicion(ready.job, place) > Suspicion::None;
-        is_suspect.then(|| self.separate_candidates(ready.job, place, eligible, pool, now))
-    }
-
-    /// Keeps the capacity on the workers whose tickets a gang holds, so that steps behind it can't
-    /// starve it.
-    pub(super) fn keep_gang_room(
-        &self,
-        ready: &ReadyStep,
-        demand: &StepDemand,
-        pool: &mut WorkerPool,
-        now: Time,
-    ) {
-        let step = &self.jobs[ready.job].steps[ready.step];
-        let tasks = step.tasks.len();
-        let is_reserving = self.jobs[ready.job].step_spec(ready.step).gang
-            && self.uses(Mechanism::GangReservation)
-            && !Cell::is_out_of_patience(ready, pool, now);
-        if !is_reserving {
-            return;
-        }
-        let eligible = self.eligible_candidates(ready, demand, pool, now);
-        if eligible.is_empty() || !self.could_fit(demand, tasks, pool, now) {
-            return;
-        }
-        let separate = self.separate_gang(ready, &eligible, pool, now);
-        let mut left = tasks as u64;
-        for &candidate in separate.as_deref().unwrap_or(&eligible) {
-            let fits = self.room_on(demand, &pool.candidates[candidate]);
-            let fits = fits.unwrap_or(0).min(left);
-            pool.reserve(candidate, demand.charge, fits);
-            left -= fits;
-        }
-    }
 }
