--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -8,6 +8,7 @@
 mod contention;
 mod crashes;
 mod election;
+mod gang_load;
 mod gangs;
 mod harness;
 mod jobs;
