--- a/crates/kingcupwinch-cell/tests/cell/gang_load.rs
+++ b/crates/kingcupwinch-cell/tests/cell/gang_load.rs
@@ -141,7 +141,7 @@
             self.call_count += 1;
             let is_lost = self
                 .lost_every
-                .is_some_and(|every| self.call_count % every == 0);
+                .is_some_and(|every| self.call_count.is_multiple_of(every));
             if !is_lost {
                 self.calls.push((due, call, named));
             }
@@ -168,7 +168,7 @@
         for (_, call, named) in self.calls.extract_if(.., |(due, ..)| *due <= now) {
             let is_allowed = |id: &str| {
                 let number: u32 = id.trim_start_matches("i-").parse().unwrap();
-                number % 3 == 0
+                number.is_multiple_of(3)
             };
             harness.answer_call(call, &named, is_allowed);
         }
