--- a/crates/kingcupwinch-node/src/owner/messages/tests.rs
+++ b/crates/kingcupwinch-node/src/owner/messages/tests.rs
@@ -1,4 +1,4 @@
-//! Tests what an owner answers while its view of the log is old.
+//! Tests what an owner answers while its view of the log is old, and how its release ends.
 
 use std::time::Duration;
 
