--- a/review/standin.rs
+++ b/review/standin.rs
@@ -1497,8 +1497,13 @@
     }
 }
 
-/// Two of 24 workers crash every 2 s and are back after 2 s, while gangs of harmless tasks are handed in.
-fn crashes(case: &mut Case, is_disturbed: bool) -> io::Result<Option<Vec<String>>> {
+/// Two of 24 workers crash every 2 s and are back after 2 s, while gangs of harmless tasks are handed in,
+/// or harmless tasks that last run.
+fn crashes(
+    case: &mut Case,
+    is_disturbed: bool,
+    is_lasting: bool,
+) -> io::Result<Option<Vec<String>>> {
     case.add_workers(24, 16_000, 65_536)?;
     for (zone, name) in ["front-a-1", "front-b-1", "front-c-1"]
         .into_iter()
@@ -1518,7 +1523,11 @@
         if at > 60.0 {
             break;
         }
-        if at >= submitted as f64 * 2.5 {
+        if is_lasting && submitted < 1 {
+            submitted += 1;
+            let step = "\"estimatedDurationMs\":1000,\"longRunning\":true,\"antiAffinity\":1";
+            case.submit_step(20, 2_000, 4_000, "0:-", step);
+        } else if !is_lasting && at >= submitted as f64 * 2.5 {
             submitted += 1;
             case.submit(12, 4_500, 17_000, 6_200, true);
         }
@@ -1709,7 +1718,8 @@
         }
     };
     let result = match name.as_str() {
-        "crashes" => crashes(&mut case, is_disturbed),
+        "crashes" => crashes(&mut case, is_disturbed, false),
+        "lasting" => crashes(&mut case, is_disturbed, true),
         "replacements" => replacements(&mut case, is_disturbed),
         "large" => large(&mut case, is_disturbed),
         "fills" => fills(&mut case, is_disturbed),
