--- a/crates/kingcupwinch-cell/src/advice.rs
+++ b/crates/kingcupwinch-cell/src/advice.rs
@@ -22,6 +22,10 @@
 const CALLER_BACKOFF: Span = Span::from_millis(1_500);
 /// The largest number of doublings of the backoff.
 const MAX_BACKOFF_DOUBLINGS: u32 = 1;
+/// The time between two probes of an instance that does not respond. Each further one that fails doubles
+/// it, up to a limit.
+const PROBE_INTERVAL: Span = Span::from_millis(500);
+const MAX_PROBE_DOUBLINGS: u32 = 4;
 /// How long after a lost call the step may call again.
 const RETRY_BACKOFF: Span = Span::from_millis(150);
 /// Calls longer than this are long calls. They leave some of the callers free for short calls.
@@ -141,11 +145,6 @@
     (cost.call_ms / cost.worker_ms.max(f64::MIN_POSITIVE)) as usize
 }
 
-/// The time between two probes of an instance that does not respond. Each further one that fails doubles
-/// it, up to a limit.
-const PROBE_INTERVAL: Span = Span::from_millis(500);
-const MAX_PROBE_DOUBLINGS: u32 = 4;
-
 /// What is known of an instance that can call the adviser.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum CallerLife {
@@ -207,19 +206,18 @@
 
     fn note_probe(&mut self, has_responded: bool, now: Time) {
         self.is_probed = false;
-        self.life = match self.life {
-            _ if has_responded => CallerLife::Heard,
-            CallerLife::Silent { failed_probes, .. } => {
-                let doublings = failed_probes.min(MAX_PROBE_DOUBLINGS);
-                CallerLife::Silent {
-                    probe_at: now + PROBE_INTERVAL.times(1 << doublings),
-                    failed_probes: failed_probes + 1,
-                }
-            }
-            CallerLife::Announced | CallerLife::Heard => CallerLife::Silent {
-                probe_at: now + PROBE_INTERVAL,
-                failed_probes: 1,
-            },
+        if has_responded {
+            self.life = CallerLife::Heard;
+            return;
+        }
+        let failed_probes = match self.life {
+            CallerLife::Silent { failed_probes, .. } => failed_probes,
+            CallerLife::Announced | CallerLife::Heard => 0,
+        };
+        let doublings = failed_probes.min(MAX_PROBE_DOUBLINGS);
+        self.life = CallerLife::Silent {
+            probe_at: now + PROBE_INTERVAL.times(1 << doublings),
+            failed_probes: failed_probes + 1,
         };
     }
 
--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -1,6 +1,7 @@
 //! The state of a cell and the events that change it.
 
 mod advice_calls;
+mod crash_weights;
 mod crashes;
 mod long_running;
 mod paces;
--- /dev/null
+++ b/crates/kingcupwinch-cell/src/cell/crash_weights.rs
@@ -0,0 +1,224 @@
+//! What the crashes of workers say about a suspect, in view of those that it has no part in.
+
+use std::ops::Range;
+
+use kingcupwinch_time::{Span, Time};
+use rustc_hash::FxHashSet;
+use smallvec::SmallVec;
+
+use super::Cell;
+use super::crashes::{PROBATION_TIME, Suspect, WorkerCrash};
+use crate::crash::{TaskCrashes, UnweighedCrash};
+use crate::job::JobKey;
+use crate::worker::{Worker, WorkerKey};
+
+/// How long before a crash those of other workers count towards their rate, and how long after it:
+/// workers that crash at once respond last at different times.
+const BEFORE_CRASH: Span = Span::from_millis(2_500);
+const AFTER_CRASH: Span = Span::from_millis(2_500);
+/// The crashes a second that are expected in a service in which no others are known.
+const PRIOR_RATE: f64 = 0.005;
+/// Added to the age of a run at its worker's last response: the worker may have crashed later.
+const DETECTION_TIME: Span = Span::from_secs(2);
+/// The known suspects have to leave one in this many workers for the others to show a rate.
+const MIN_OTHERS_DIVISOR: usize = 4;
+/// The crashes of other workers that may have gone unseen while workers with known suspects crashed.
+const UNSEEN_CRASHES: f64 = 0.5;
+/// A time is calm if no other worker has crashed for this long, or so few of many that a task would
+/// hardly be hit.
+const CALM_TIME: Span = Span::from_millis(5_000);
+/// The largest chance that a run is hit by a crash in its probation, in a calm time.
+const MAX_CALM_CHANCE: f64 = 0.05;
+/// The age of a worker's last response from which, with a failed poll, it may have crashed, and up to
+/// which it counts as one that just has.
+const SILENCE: Range<Span> = Span::from_millis(300)..Span::from_secs(8);
+/// Crashes whose workers responded last no further apart than this are not told apart.
+const AT_ONCE: Span = Span::from_millis(500);
+
+/// The crashes of a service that a suspect has no part in, and the workers that they could have hit.
+#[derive(Debug, Clone, Copy)]
+struct OtherCrashes {
+    crashes: f64,
+    workers: usize,
+}
+
+impl OtherCrashes {
+    /// Returns the share of these workers on which so many tasks run.
+    fn share(self, tasks: usize) -> f64 {
+        (tasks as f64 / self.workers.max(1) as f64).min(1.0)
+    }
+}
+
+impl Cell {
+    /// Weighs the crashes of a suspect, and ends its job if they can't be chance.
+    pub(super) fn judge(&mut self, suspect: Suspect, now: Time) {
+        let task = &self.jobs[suspect.job].steps[suspect.step].tasks[suspect.index];
+        let unweighed: SmallVec<[UnweighedCrash; 2]> = task.crashes.unweighed().into();
+        for crash in unweighed {
+            let window = crash.at - BEFORE_CRASH..crash.at + AFTER_CRASH;
+            let others = self.other_crashes(suspect, &window, now);
+            let exposure = (crash.age + DETECTION_TIME).as_secs_f64();
+            let spread = (exposure / (BEFORE_CRASH + AFTER_CRASH).as_secs_f64()).max(1.0);
+            let hits = others.share(self.members(suspect))
+                * (others.crashes * spread + PRIOR_RATE * exposure);
+            let task = &mut self.jobs[suspect.job].steps[suspect.step].tasks[suspect.index];
+            task.crashes.weigh(crash.run, crash.weight(hits));
+            self.dirty.insert(suspect.job);
+        }
+        let task = &self.jobs[suspect.job].steps[suspect.step].tasks[suspect.index];
+        if task.crashes.is_guilty() {
+            self.give_up(suspect);
+        }
+    }
+
+    /// Counts the workers of a suspect's service that responded last within a window and crashed, or may
+    /// have, without those on which another suspect ran that had lost a worker before.
+    fn other_crashes(&self, suspect: Suspect, window: &Range<Time>, now: Time) -> OtherCrashes {
+        let service = &self.jobs[suspect.job].spec.policy.service;
+        let is_known = |other: &Suspect| {
+            let crashes = self.crashes_of(*other);
+            *other == suspect || crashes.is_some_and(|crashes| crashes.as_slice().len() > 1)
+        };
+        let mut suspected: FxHashSet<WorkerKey> = FxHashSet::default();
+        for other in self
+            .crash_log
+            .suspects
+            .iter()
+            .filter(|other| is_known(other))
+        {
+            suspected.extend(self.suspect_runs(*other).map(|run| run.worker));
+        }
+        let mut crashed: FxHashSet<WorkerKey> = FxHashSet::default();
+        let mut explained: FxHashSet<WorkerKey> = FxHashSet::default();
+        for crash in &self.crash_log.recent {
+            if crash.service != *service || !window.contains(&crash.last_response) {
+                continue;
+            }
+            let mut counted = crash.counted.iter();
+            if crash.is_explained || counted.any(|(other, _)| is_known(other)) {
+                explained.insert(crash.worker);
+            } else {
+                crashed.insert(crash.worker);
+            }
+        }
+        let peers = self.workers.iter();
+        let peers = peers.filter(|(_, peer)| peer.registration.service == *service);
+        let mut all = 0;
+        for (key, peer) in peers {
+            if !is_there(peer, now) && !crashed.contains(&key) && !explained.contains(&key) {
+                continue;
+            }
+            all += 1;
+            let is_silent = is_silent(peer, now) && window.contains(&peer.last_response);
+            if is_silent && !suspected.contains(&key) && !explained.contains(&key) {
+                crashed.insert(key);
+            }
+        }
+        suspected.extend(&explained);
+        let others = all - suspected.len().min(all);
+        if others * MIN_OTHERS_DIVISOR >= all {
+            // What may have hit the suspected workers could have passed these by.
+            let others_suspected = explained
+                .iter()
+                .any(|worker| !self.is_own_crash(suspect, *worker));
+            let unseen = if others_suspected {
+                UNSEEN_CRASHES
+            } else {
+                0.0
+            };
+            OtherCrashes {
+                crashes: crashed.len() as f64 + unseen,
+                workers: others,
+            }
+        } else {
+            // Nearly all workers are suspected, so that leaving those out would hide an outage.
+            explained.retain(|worker| !self.is_own_crash(suspect, *worker));
+            OtherCrashes {
+                crashes: (crashed.len() + explained.len()) as f64,
+                workers: all,
+            }
+        }
+    }
+
+    /// Returns whether a recent crash of a worker counts against a suspect.
+    fn is_own_crash(&self, suspect: Suspect, worker: WorkerKey) -> bool {
+        let recent = self.crash_log.recent.iter();
+        let mut of_worker = recent.filter(|crash| crash.worker == worker);
+        of_worker.any(|crash| crash.counts_against(suspect))
+    }
+
+    /// Returns whether a task that lost several workers waits, since others crash as well.
+    pub(crate) fn is_held_back(&self, job: JobKey, place: (usize, usize), now: Time) -> bool {
+        let suspect = self.suspect_of(job, place.0, place.1);
+        let task = &self.jobs[job].steps[suspect.step].tasks[suspect.index];
+        if task.crashes.is_on_trial() {
+            return true;
+        }
+        if !task.crashes.is_held(now) {
+            return false;
+        }
+        let crashed = self.crashed_since(suspect, now - CALM_TIME, now);
+        let service = &self.jobs[job].spec.policy.service;
+        let peers = self.workers.values();
+        let peers = peers.filter(|peer| peer.registration.service == *service);
+        let peers = peers.filter(|peer| is_there(peer, now));
+        let others = OtherCrashes {
+            crashes: crashed as f64,
+            workers: peers.count(),
+        };
+        let spread = PROBATION_TIME.as_secs_f64() / CALM_TIME.as_secs_f64();
+        others.share(self.members(suspect)) * others.crashes * spread > MAX_CALM_CHANCE
+    }
+
+    /// Returns whether a crash counts against another suspect that was given up for it, or may soon be
+    /// and was hit alone: in an outage several workers crash at once.
+    fn is_caused_by_other(&self, suspect: Suspect, crash: &WorkerCrash) -> bool {
+        let is_critical = |other: &Suspect| {
+            let crashes = self.crashes_of(*other);
+            *other != suspect && crashes.is_some_and(TaskCrashes::is_critical)
+        };
+        let is_at_once = |other: &WorkerCrash| {
+            other.worker != crash.worker
+                && other.service == crash.service
+                && other.is_within(AT_ONCE, crash.last_response)
+        };
+        let is_alone = || !self.crash_log.recent.iter().any(is_at_once);
+        let is_suspected = || crash.counted.iter().any(|(other, _)| is_critical(other));
+        crash.is_explained || is_suspected() && is_alone()
+    }
+
+    /// Returns how many workers of a suspect's service last responded after a time and crashed, or may
+    /// have, but for those that the suspect lost.
+    fn crashed_since(&self, suspect: Suspect, since: Time, now: Time) -> usize {
+        let service = &self.jobs[suspect.job].spec.policy.service;
+        let recent = self.crash_log.recent.iter();
+        let recent = recent.filter(|crash| crash.service == *service);
+        let recent = recent.filter(|crash| crash.last_response >= since);
+        // What a task does that is about to be given up says nothing about the others.
+        let recent = recent.filter(|crash| !self.is_caused_by_other(suspect, crash));
+        let (own, others): (Vec<_>, Vec<_>) =
+            recent.partition(|crash| crash.counts_against(suspect));
+        let mut crashed: FxHashSet<WorkerKey> = others.iter().map(|crash| crash.worker).collect();
+        let silent = self.workers.iter().filter(|(_, peer)| {
+            peer.registration.service == *service && peer.last_response >= since
+        });
+        let silent = silent.filter(|(_, peer)| is_silent(peer, now));
+        crashed.extend(silent.map(|(key, _)| key));
+        for crash in own {
+            crashed.remove(&crash.worker);
+        }
+        crashed.len()
+    }
+}
+
+/// Returns whether a worker responded lately, so that it was there to be hit.
+fn is_there(worker: &Worker, now: Time) -> bool {
+    let age = worker.response_age(now);
+    age.is_some_and(|age| age < SILENCE.end)
+}
+
+/// Returns whether a worker may just have crashed.
+fn is_silent(worker: &Worker, now: Time) -> bool {
+    let age = worker.response_age(now);
+    worker.failed_polls > 0 && !worker.is_leaving() && age.is_some_and(|age| SILENCE.contains(&age))
+}
--- a/crates/kingcupwinch-cell/src/cell/crashes.rs
+++ b/crates/kingcupwinch-cell/src/cell/crashes.rs
@@ -6,7 +6,6 @@
 //! so that a task with several waits for a calm time, in which the next run tells.
 
 use std::collections::VecDeque;
-use std::ops::Range;
 use std::sync::Arc;
 
 use kingcupwinch_time::{Span, Time};
@@ -14,15 +13,15 @@
 use smallvec::SmallVec;
 
 use super::Cell;
-use crate::crash::{Crash, Evidence, Suspicion, UnweighedCrash};
+use crate::crash::{Crash, Evidence, Suspicion, TaskCrashes, UnweighedCrash};
 use crate::event::{CellEvent, CrashCause};
 use crate::id::TaskName;
 use crate::job::{JobKey, JobState, TaskState};
 use crate::run::{Run, RunKey, RunState};
-use crate::worker::{Worker, WorkerKey};
+use crate::worker::WorkerKey;
 
 /// The age from which a run is not suspected of crashing its worker.
-const PROBATION_TIME: Span = Span::from_secs(10);
+pub(super) const PROBATION_TIME: Span = Span::from_secs(10);
 /// Workers whose last responses are no further apart than this may have crashed at once: a poll takes
 /// up to a second.
 const OUTAGE_SPREAD: Span = Span::from_millis(1_500);
@@ -34,74 +33,51 @@
 /// The age from which a run of a suspect shares its worker with others. Few tasks crash their workers
 /// later, and after an outage there may be more suspects than workers.
 const SETTLING_TIME: Span = Span::from_secs(3);
-/// How long before a crash those of other workers count towards their rate, and how long after it:
-/// workers that crash at once respond last at different times.
-const BEFORE_CRASH: Span = Span::from_millis(2_500);
-const AFTER_CRASH: Span = Span::from_millis(2_500);
-/// The crashes a second that are expected in a service in which no others are known.
-const PRIOR_RATE: f64 = 0.005;
-/// Added to the age of a run at its worker's last response: the worker may have crashed later.
-const DETECTION_TIME: Span = Span::from_secs(2);
-/// The known suspects have to leave one in this many workers for the others to show a rate.
-const MIN_OTHERS_DIVISOR: usize = 4;
-/// The crashes of other workers that may have gone unseen while workers with known suspects crashed.
-const UNSEEN_CRASHES: f64 = 0.5;
 /// The weight of a crash against the tasks that ran beside one which was given up for it: it may not have
 /// been alone.
 const EXPLAINED_WEIGHT: u16 = 100;
-/// A time is calm if no other worker has crashed for this long, or so few of many that a task would
-/// hardly be hit.
-const CALM_TIME: Span = Span::from_millis(5_000);
-/// The largest chance that a run is hit by a crash in its probation, in a calm time.
-const MAX_CALM_CHANCE: f64 = 0.05;
-/// The age of a worker's last response from which, with a failed poll, it may have crashed, and up to
-/// which it counts as one that just has.
-const SILENCE: Range<Span> = Span::from_millis(300)..Span::from_secs(8);
-/// Crashes whose workers responded last no further apart than this are not told apart.
-const AT_ONCE: Span = Span::from_millis(500);
 /// The largest number of tasks that the event of a crash names.
 const MAX_NAMED_TASKS: usize = 8;
 
 /// A task that may have crashed a worker. A gang is named by its first task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(super) struct Suspect {
-    job: JobKey,
+    pub(super) job: JobKey,
     /// The slot of the step, and the index of the task.
-    step: usize,
-    index: usize,
+    pub(super) step: usize,
+    pub(super) index: usize,
 }
 
 /// The crash of a worker, and the runs of suspects that it counted against.
 #[derive(Debug)]
-struct WorkerCrash {
-    worker: WorkerKey,
-    service: Arc<str>,
-    last_response: Time,
+pub(super) struct WorkerCrash {
+    pub(super) worker: WorkerKey,
+    pub(super) service: Arc<str>,
+    pub(super) last_response: Time,
     noted_at: Time,
-    counted: SmallVec<[(Suspect, u32); 4]>,
+    pub(super) counted: SmallVec<[(Suspect, u32); 4]>,
     /// Whether one of these was given up.
-    is_explained: bool,
+    pub(super) is_explained: bool,
 }
 
-/// The crashes of a service that a suspect has no part in, and the workers that they could have hit.
-#[derive(Debug, Clone, Copy)]
-struct OtherCrashes {
-    crashes: f64,
-    workers: usize,
-}
+impl WorkerCrash {
+    /// Returns whether the crash counts against a suspect.
+    pub(super) fn counts_against(&self, suspect: Suspect) -> bool {
+        self.counted.iter().any(|(counted, _)| *counted == suspect)
+    }
 
-impl OtherCrashes {
-    /// Returns the share of these workers on which so many tasks run.
-    fn share(self, tasks: usize) -> f64 {
-        (tasks as f64 / self.workers.max(1) as f64).min(1.0)
+    /// Returns whether the worker responded last within a span of a time, before or after it.
+    pub(super) fn is_within(&self, span: Span, time: Time) -> bool {
+        let apart = self.last_response.since(time);
+        apart.max(time.since(self.last_response)) <= span
     }
 }
 
 /// The tasks that crashes count against, and the last crashes.
 #[derive(Debug, Default)]
 pub(super) struct CrashLog {
-    suspects: FxHashSet<Suspect>,
-    recent: VecDeque<WorkerCrash>,
+    pub(super) suspects: FxHashSet<Suspect>,
+    pub(super) recent: VecDeque<WorkerCrash>,
 }
 
 impl Cell {
@@ -205,7 +181,7 @@
         self.suspect_of(run.job, step, usize::from(run.name.index))
     }
 
-    fn suspect_of(&self, job: JobKey, step: usize, index: usize) -> Suspect {
+    pub(super) fn suspect_of(&self, job: JobKey, step: usize, index: usize) -> Suspect {
         let is_gang = self.jobs[job].step_spec(step).gang;
         Suspect {
             job,
@@ -295,9 +271,7 @@
             }),
         }
         let is_together = |crash: &&WorkerCrash| {
-            let apart = crash.last_response.since(last_response);
-            let apart = apart.max(last_response.since(crash.last_response));
-            crash.service == service && apart <= OUTAGE_SPREAD
+            crash.service == service && crash.is_within(OUTAGE_SPREAD, last_response)
         };
         let together = || recent.iter().filter(is_together);
         let workers: FxHashSet<WorkerKey> = together().map(|crash| crash.worker).collect();
@@ -383,29 +357,14 @@
         }
     }
 
-    /// Weighs the crashes of a suspect, and ends its job if they can't be chance.
-    fn judge(&mut self, suspect: Suspect, now: Time) {
-        let task = &self.jobs[suspect.job].steps[suspect.step].tasks[suspect.index];
-        let unweighed: SmallVec<[UnweighedCrash; 2]> = task.crashes.unweighed().into();
-        for crash in unweighed {
-            let window = crash.at - BEFORE_CRASH..crash.at + AFTER_CRASH;
-            let others = self.other_crashes(suspect, &window, now);
-            let exposure = (crash.age + DETECTION_TIME).as_secs_f64();
-            let spread = (exposure / (BEFORE_CRASH + AFTER_CRASH).as_secs_f64()).max(1.0);
-            let hits = others.share(self.members(suspect))
-                * (others.crashes * spread + PRIOR_RATE * exposure);
-            let task = &mut self.jobs[suspect.job].steps[suspect.step].tasks[suspect.index];
-            task.crashes.weigh(crash.run, crash.weight(hits));
-            self.dirty.insert(suspect.job);
-        }
-        let task = &self.jobs[suspect.job].steps[suspect.step].tasks[suspect.index];
-        if task.crashes.is_guilty() {
-            self.give_up(suspect);
-        }
+    /// Returns the crashes that count against a suspect, unless its job was removed.
+    pub(super) fn crashes_of(&self, suspect: Suspect) -> Option<&TaskCrashes> {
+        let job = self.jobs.get(suspect.job)?;
+        Some(&job.steps[suspect.step].tasks[suspect.index].crashes)
     }
 
     /// Returns how many tasks a suspect stands for.
-    fn members(&self, suspect: Suspect) -> usize {
+    pub(super) fn members(&self, suspect: Suspect) -> usize {
         let job = &self.jobs[suspect.job];
         if job.step_spec(suspect.step).gang {
             job.steps[suspect.step].tasks.len()
@@ -414,155 +373,8 @@
         }
     }
 
-    /// Counts the workers of a suspect's service that responded last within a window and crashed, or may
-    /// have, without those on which another suspect ran that had lost a worker before.
-    fn other_crashes(&self, suspect: Suspect, window: &Range<Time>, now: Time) -> OtherCrashes {
-        let service = &self.jobs[suspect.job].spec.policy.service;
-        let is_known = |other: &Suspect| {
-            let job = self.jobs.get(other.job);
-            let task = job.map(|job| &job.steps[other.step].tasks[other.index]);
-            *other == suspect || task.is_some_and(|task| task.crashes.as_slice().len() > 1)
-        };
-        let mut suspected: FxHashSet<WorkerKey> = FxHashSet::default();
-        for other in self
-            .crash_log
-            .suspects
-            .iter()
-            .filter(|other| is_known(other))
-        {
-            suspected.extend(self.suspect_runs(*other).map(|run| run.worker));
-        }
-        let mut crashed: FxHashSet<WorkerKey> = FxHashSet::default();
-        let mut explained: FxHashSet<WorkerKey> = FxHashSet::default();
-        for crash in &self.crash_log.recent {
-            if crash.service != *service || !window.contains(&crash.last_response) {
-                continue;
-            }
-            let mut counted = crash.counted.iter();
-            if crash.is_explained || counted.any(|(other, _)| is_known(other)) {
-                explained.insert(crash.worker);
-            } else {
-                crashed.insert(crash.worker);
-            }
-        }
-        let peers = self.workers.iter();
-        let peers = peers.filter(|(_, peer)| peer.registration.service == *service);
-        let mut all = 0;
-        for (key, peer) in peers {
-            let age = peer.response_age(now);
-            let is_there = age.is_some_and(|age| age < SILENCE.end);
-            if !is_there && !crashed.contains(&key) && !explained.contains(&key) {
-                continue;
-            }
-            all += 1;
-            let is_silent = is_silent(peer, now) && window.contains(&peer.last_response);
-            if is_silent && !suspected.contains(&key) && !explained.contains(&key) {
-                crashed.insert(key);
-            }
-        }
-        suspected.extend(&explained);
-        let others = all - suspected.len().min(all);
-        if others * MIN_OTHERS_DIVISOR >= all {
-            // What may have hit the suspected workers could have passed these by.
-            let others_suspected = explained
-                .iter()
-                .any(|worker| !self.is_own_crash(suspect, *worker));
-            let unseen = if others_suspected {
-                UNSEEN_CRASHES
-            } else {
-                0.0
-            };
-            OtherCrashes {
-                crashes: crashed.len() as f64 + unseen,
-                workers: others,
-            }
-        } else {
-            // Nearly all workers are suspected, so that leaving those out would hide an outage.
-            explained.retain(|worker| !self.is_own_crash(suspect, *worker));
-            OtherCrashes {
-                crashes: (crashed.len() + explained.len()) as f64,
-                workers: all,
-            }
-        }
-    }
-
-    /// Returns whether a recent crash of a worker counts against a suspect.
-    fn is_own_crash(&self, suspect: Suspect, worker: WorkerKey) -> bool {
-        let recent = self.crash_log.recent.iter();
-        let mut of_worker = recent.filter(|crash| crash.worker == worker);
-        of_worker.any(|crash| crash.counted.iter().any(|(other, _)| *other == suspect))
-    }
-
-    /// Returns whether a task that lost several workers waits, since others crash as well.
-    pub(crate) fn is_held_back(&self, job: JobKey, place: (usize, usize), now: Time) -> bool {
-        let suspect = self.suspect_of(job, place.0, place.1);
-        let task = &self.jobs[job].steps[suspect.step].tasks[suspect.index];
-        if task.crashes.is_on_trial() {
-            return true;
-        }
-        if !task.crashes.is_held(now) {
-            return false;
-        }
-        let crashed = self.crashed_since(suspect, now - CALM_TIME, now);
-        let service = &self.jobs[job].spec.policy.service;
-        let is_there = |peer: &&Worker| {
-            let age = peer.response_age(now);
-            peer.registration.service == *service && age.is_some_and(|age| age < SILENCE.end)
-        };
-        let peers = self.workers.values().filter(is_there);
-        let others = OtherCrashes {
-            crashes: crashed as f64,
-            workers: peers.count(),
-        };
-        let spread = PROBATION_TIME.as_secs_f64() / CALM_TIME.as_secs_f64();
-        others.share(self.members(suspect)) * others.crashes * spread > MAX_CALM_CHANCE
-    }
-
-    /// Returns whether a crash counts against another suspect that was given up for it, or may soon be
-    /// and was hit alone: in an outage several workers crash at once.
-    fn is_caused_by_other(&self, suspect: Suspect, crash: &WorkerCrash) -> bool {
-        let is_critical = |other: &Suspect| {
-            let job = self.jobs.get(other.job);
-            let task = job.map(|job| &job.steps[other.step].tasks[other.index]);
-            *other != suspect && task.is_some_and(|task| task.crashes.is_critical())
-        };
-        let is_at_once = |other: &WorkerCrash| {
-            let apart = other.last_response.since(crash.last_response);
-            let apart = apart.max(crash.last_response.since(other.last_response));
-            other.worker != crash.worker && other.service == crash.service && apart <= AT_ONCE
-        };
-        let is_alone = !self.crash_log.recent.iter().any(is_at_once);
-        crash.is_explained || is_alone && crash.counted.iter().any(|(other, _)| is_critical(other))
-    }
-
-    /// Returns how many workers of a suspect's service last responded after a time and crashed, or may
-    /// have, but for those that the suspect lost.
-    fn crashed_since(&self, suspect: Suspect, since: Time, now: Time) -> usize {
-        let service = &self.jobs[suspect.job].spec.policy.service;
-        let recent = self.crash_log.recent.iter();
-        let recent = recent.filter(|crash| crash.service == *service);
-        let recent = recent.filter(|crash| crash.last_response >= since);
-        // What a task does that is about to be given up says nothing about the others.
-        let recent = recent.filter(|crash| !self.is_caused_by_other(suspect, crash));
-        let is_own = |crash: &&WorkerCrash| {
-            let mut counted = crash.counted.iter();
-            counted.any(|(other, _)| *other == suspect)
-        };
-        let (own, others): (Vec<_>, Vec<_>) = recent.partition(is_own);
-        let mut crashed: FxHashSet<WorkerKey> = others.iter().map(|crash| crash.worker).collect();
-        let silent = self.workers.iter().filter(|(_, peer)| {
-            peer.registration.service == *service && peer.last_response >= since
-        });
-        let silent = silent.filter(|(_, peer)| is_silent(peer, now));
-        crashed.extend(silent.map(|(key, _)| key));
-        for crash in own {
-            crashed.remove(&crash.worker);
-        }
-        crashed.len()
-    }
-
     /// Returns the unsettled runs of a suspect.
-    fn suspect_runs(&self, suspect: Suspect) -> impl Iterator<Item = &Run> {
+    pub(super) fn suspect_runs(&self, suspect: Suspect) -> impl Iterator<Item = &Run> {
         let runs = self.job_runs(suspect.job);
         runs.filter(move |run| self.suspect(run) == suspect)
     }
@@ -574,12 +386,7 @@
             let last_response = self.workers[run.worker].last_response;
             run.state == RunState::Running && last_response.since(run.started_at) >= PROBATION_TIME
         };
-        let job = &self.jobs[suspect.job];
-        let members = if job.step_spec(suspect.step).gang {
-            job.steps[suspect.step].tasks.len()
-        } else {
-            1
-        };
+        let members = self.members(suspect);
         self.suspect_runs(suspect)
             .filter(|run| has_survived(run))
             .count()
@@ -593,7 +400,7 @@
         self.dirty.insert(suspect.job);
     }
 
-    fn give_up(&mut self, suspect: Suspect) {
+    pub(super) fn give_up(&mut self, suspect: Suspect) {
         let task = &self.jobs[suspect.job].steps[suspect.step].tasks[suspect.index];
         let crashes = task.crashes.as_slice().to_vec();
         self.explain_crashes(suspect);
@@ -607,8 +414,7 @@
     /// These crashes still count, so that the starts of a task that crashes workers too stay limited.
     fn explain_crashes(&mut self, cause: Suspect) {
         for crash in &mut self.crash_log.recent {
-            let mut suspects = crash.counted.iter();
-            crash.is_explained |= suspects.any(|(suspect, _)| *suspect == cause);
+            crash.is_explained |= crash.counts_against(cause);
         }
         let explained = self.crash_log.recent.iter();
         let explained = explained.filter(|crash| crash.is_explained);
@@ -635,21 +441,15 @@
                     let last_response = self.workers[run.worker].last_response;
                     let is_settled = run.state == RunState::Running
                         && last_response.since(run.started_at) >= SETTLING_TIME;
-                    let most = if is_settled {
-                        Suspicion::Single
+                    let suspicion = if is_settled {
+                        suspicion.min(Suspicion::Single)
                     } else {
                         suspicion
                     };
-                    (run.worker, suspicion.min(most))
+                    (run.worker, suspicion)
                 }));
             }
         }
         workers
     }
 }
-
-/// Returns whether a worker may just have crashed.
-fn is_silent(worker: &Worker, now: Time) -> bool {
-    let age = worker.response_age(now);
-    worker.failed_polls > 0 && !worker.is_leaving() && age.is_some_and(|age| SILENCE.contains(&age))
-}
--- a/crates/kingcupwinch-cell/src/cell/paces.rs
+++ b/crates/kingcupwinch-cell/src/cell/paces.rs
@@ -6,7 +6,7 @@
 use super::{Action, Cell};
 use crate::id::TaskName;
 use crate::pace::{FULL_PACE, PaceVerdict};
-use crate::run::{Run, RunKey, RunState};
+use crate::run::{RunKey, RunState};
 use crate::worker::{RunningTask, WorkerKey};
 
 /// How long an order to change a pace may remain unanswered before it is sent again.
@@ -106,8 +106,11 @@
         }
     }
 
-    /// Returns whether a run may be slower than its worker for its pace.
-    pub(crate) fn is_paced(&self, run: &Run) -> bool {
-        run.pace != Some(FULL_PACE)
+    /// Begins with a low limit if the best-effort run that was placed on a worker is its only one.
+    pub(crate) fn begin_sharing(&mut self, worker: WorkerKey, now: Time) {
+        let worker = &mut self.workers[worker];
+        if worker.best_effort_runs <= 1 {
+            worker.pace_control.restart(now);
+        }
     }
 }
--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -181,7 +181,7 @@
         let is_complete = run.percent >= 100;
         let is_waiting = spec.gang && (job.steps[step].waiting > 0 || is_complete)
             || spec.long_running && is_complete
-            || spec.best_effort && self.is_paced(run);
+            || spec.best_effort && run.is_paced();
         if run.state == RunState::Running && !is_waiting && now.since(run.progressed_at) > limit {
             let (job, worker, index) = (run.job, run.worker, usize::from(run.name.index));
             self.jobs[job].steps[step].tasks[index].avoid_worker = Some(worker);
--- a/crates/kingcupwinch-cell/src/cell/speculation.rs
+++ b/crates/kingcupwinch-cell/src/cell/speculation.rs
@@ -63,7 +63,7 @@
             return false;
         }
         let slot = job.slot(run.name);
-        if job.step_spec(slot).best_effort && self.is_paced(run) {
+        if job.step_spec(slot).best_effort && run.is_paced() {
             return false;
         }
         let work = &job.steps[slot].work;
--- a/crates/kingcupwinch-cell/src/cell/tentative.rs
+++ b/crates/kingcupwinch-cell/src/cell/tentative.rs
@@ -83,6 +83,7 @@
             return;
         }
         let parts = self.jobs.remove(key).map(|job| job.parts);
+        let parts = parts.unwrap_or_default().into_keys();
         self.jobs_by_id.remove(&id);
         self.dirty.remove(&key);
         self.unindex_job(key);
@@ -92,8 +93,7 @@
                 self.accepted_by = now + ACCEPTANCE_TIMEOUT;
             }
             None => {
-                let parts = parts.into_iter().flatten();
-                self.dropped_parts.extend(parts.map(|(part, _)| (id, part)));
+                self.dropped_parts.extend(parts.map(|part| (id, part)));
                 self.dropped_jobs.push(id);
             }
         }
--- a/crates/kingcupwinch-cell/src/crash.rs
+++ b/crates/kingcupwinch-cell/src/crash.rs
@@ -208,7 +208,7 @@
     /// Returns whether the task may be given up once its crashes are weighed, so that it is not started
     /// before.
     pub(crate) fn is_on_trial(&self) -> bool {
-        self.crashes.len() >= MIN_CRASHES && !self.unweighed.is_empty()
+        self.is_critical() && !self.unweighed.is_empty()
     }
 
     /// Returns whether one more crash may show that the task causes them.
@@ -228,7 +228,7 @@
 
     /// Returns whether the task waits for a time in which no other workers crash.
     pub(crate) fn is_held(&self, now: Time) -> bool {
-        self.crashes.len() >= MIN_CRASHES && now < self.hold_until
+        self.is_critical() && now < self.hold_until
     }
 
     pub(crate) fn verdict_at(&self) -> Time {
@@ -242,7 +242,7 @@
         let weak = crashes.filter(|crash| crash.evidence == Evidence::Weak);
         let weak = weak.count();
         match self.crashes.len() - weak + weak / 2 {
-            _ if self.crashes.len() >= MIN_CRASHES => Suspicion::Critical,
+            _ if self.is_critical() => Suspicion::Critical,
             0 => Suspicion::None,
             1 => Suspicion::Single,
             _ => Suspicion::Repeated,
--- a/crates/kingcupwinch-cell/src/pace.rs
+++ b/crates/kingcupwinch-cell/src/pace.rs
@@ -36,8 +36,8 @@
 /// What becomes of the best-effort tasks of a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum PaceVerdict {
-    /// They go on at most at this pace, in percent.
-    Limit(u8),
+    /// They go on, at most at the limit.
+    GoOn,
     /// They are stopped, since a tail stays over its target whatever their pace.
     Stop,
 }
@@ -103,6 +103,6 @@
                 self.changed_at = now;
             }
         }
-        PaceVerdict::Limit(self.limit)
+        PaceVerdict::GoOn
     }
 }
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -495,19 +495,16 @@
         }
         let spec = self.jobs[key].step_spec(place.0);
         let is_latency_sensitive = spec.latency_sensitive;
-        if spec.best_effort && pool.candidates[candidate].has_latency_sensitive {
-            let worker = &mut self.workers[worker];
-            if worker.best_effort_runs <= 1 {
-                worker.pace_control.restart(now);
-            }
-        }
-        let spec = self.jobs[key].step_spec(place.0);
+        let is_sharing = spec.best_effort && pool.candidates[candidate].has_latency_sensitive;
         pool.reserve(candidate, spec.charged_resources(), 1);
         pool.candidates[candidate].has_best_effort |= spec.best_effort;
         pool.candidates[candidate].has_latency_sensitive |= is_latency_sensitive;
         let suspicion = self.suspicion(key, place);
         let known = &mut pool.candidates[candidate].suspicion;
         *known = suspicion.max(*known);
+        if is_sharing {
+            self.begin_sharing(worker, now);
+        }
         if is_latency_sensitive && self.uses(Mechanism::Isolation) {
             self.stop_best_effort(worker);
         }
--- a/crates/kingcupwinch-cell/src/record/parts.rs
+++ b/crates/kingcupwinch-cell/src/record/parts.rs
@@ -5,9 +5,9 @@
 //! be written together, and only those that changed are written.
 
 use std::fmt;
-use std::hash::{Hash, Hasher};
+use std::hash::BuildHasher;
 
-use rustc_hash::{FxHashMap, FxHasher};
+use rustc_hash::{FxBuildHasher, FxHashMap};
 
 use super::{JobRecord, Placement};
 use crate::crash::Crash;
@@ -129,7 +129,6 @@
     /// Adds the rows of a part that the log holds beside this record.
     pub fn add_part(&mut self, key: PartKey, part: JobRecord) {
         self.parts.push(key);
-        self.last_run = self.last_run.max(part.last_run);
         self.done_tasks.extend(part.done_tasks);
         self.interrupted.extend(part.interrupted);
         self.failed_runs.extend(part.failed_runs);
@@ -140,9 +139,7 @@
 
     /// Returns a hash of the content, which shows whether a part has changed.
     pub(crate) fn content_hash(&self) -> u64 {
-        let mut hasher = FxHasher::default();
-        self.hash(&mut hasher);
-        hasher.finish()
+        FxBuildHasher.hash_one(self)
     }
 }
 
--- a/crates/kingcupwinch-cell/src/run.rs
+++ b/crates/kingcupwinch-cell/src/run.rs
@@ -4,6 +4,7 @@
 
 use crate::id::TaskName;
 use crate::job::JobKey;
+use crate::pace::FULL_PACE;
 use crate::worker::WorkerKey;
 
 slotmap::new_key_type! {
@@ -77,6 +78,13 @@
     pub(crate) pace_retry_at: Time,
 }
 
+impl Run {
+    /// Returns whether a best-effort run may be slower than its worker for its pace.
+    pub(crate) fn is_paced(&self) -> bool {
+        self.pace != Some(FULL_PACE)
+    }
+}
+
 /// The reason why a run ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndReason {
--- a/crates/kingcupwinch-node/src/callers.rs
+++ b/crates/kingcupwinch-node/src/callers.rs
@@ -17,7 +17,7 @@
 use tokio::time::Instant;
 
 use crate::configuration::Snapshot;
-use crate::events::Event;
+use crate::events::{Event, abbreviated};
 use crate::hedged_append::HedgedAppender;
 use crate::http::{Handler, HttpResponse, empty, json, read_body, retry_after};
 use crate::intake::Outcome;
@@ -32,8 +32,6 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(150);
 /// Refused callers are asked to retry after 1 to this many seconds, evenly distributed.
 const MAX_RETRY_AFTER_S: u32 = 3;
-/// Maximum length of a host or path in a log line, in characters.
-const MAX_LOGGED_CHARS: usize = 100;
 
 /// Handles requests of callers.
 pub(crate) struct CallerHandler {
@@ -226,7 +224,6 @@
             "unconfirmed"
         };
         Metrics::count_end(&shared.metrics.no_route, how);
-        let abbreviated = |text: &str| text.chars().take(MAX_LOGGED_CHARS).collect::<String>();
         shared.log.write(
             Event::NoRoute,
             o!("host" => host.map(abbreviated), "path" => abbreviated(path),
--- a/crates/kingcupwinch-node/src/events.rs
+++ b/crates/kingcupwinch-node/src/events.rs
@@ -143,6 +143,14 @@
     EntryIgnored = "1806", "directory entry ignored";
 }
 
+/// Maximum length of a text from outside in a log line, in characters.
+const MAX_TEXT_CHARS: usize = 100;
+
+/// Returns a text from outside as it is logged.
+pub(crate) fn abbreviated(text: &str) -> String {
+    text.chars().take(MAX_TEXT_CHARS).collect()
+}
+
 /// Writes numbered events; clones share one queue.
 #[derive(Debug, Clone)]
 pub struct EventLog {
--- a/crates/kingcupwinch-node/src/intake.rs
+++ b/crates/kingcupwinch-node/src/intake.rs
@@ -134,13 +134,22 @@
 
 /// Removes as many requests from the front as fit into one append, and at least one.
 fn take_batch(pending: &mut Vec<PendingAppend>) -> Vec<PendingAppend> {
+    let records = pending.iter().map(|request| &request.record);
+    let count = records_that_fit(records, MAX_BATCH_BYTES);
+    pending.drain(..count).collect()
+}
+
+/// Returns how many records from the first fit into one append of this size in bytes, at least one.
+pub(crate) fn records_that_fit<'a>(
+    records: impl Iterator<Item = &'a KeyedRecord>,
+    limit: usize,
+) -> usize {
     let mut bytes = 0;
-    let fits = |request: &PendingAppend| {
-        bytes += request.record.wire_len();
-        bytes <= MAX_BATCH_BYTES
+    let fits = |record: &&KeyedRecord| {
+        bytes += record.wire_len();
+        bytes <= limit
     };
-    let count = pending.iter().map(fits).take_while(|fits| *fits).count();
-    pending.drain(..count.max(1)).collect()
+    records.take_while(fits).count().max(1)
 }
 
 /// Makes one attempt to append a batch, in halves as long as the store rejects more than one record for
--- a/crates/kingcupwinch-node/src/owner/messages.rs
+++ b/crates/kingcupwinch-node/src/owner/messages.rs
@@ -111,30 +111,12 @@
     pub(crate) order: PaceOrder,
 }
 
-impl Message<PaceSet> for Owner {
-    type Reply = ();
-
-    async fn handle(&mut self, set: PaceSet, _: &mut Context<Self, ()>) {
-        self.cell.pace_answered(&set.order);
-    }
-}
-
 /// Delivers whether an instance that may call the adviser responds.
 pub(crate) struct CallerProbed {
     pub(crate) instance: Arc<str>,
     pub(crate) has_responded: bool,
 }
 
-impl Message<CallerProbed> for Owner {
-    type Reply = ();
-
-    async fn handle(&mut self, probed: CallerProbed, _: &mut Context<Self, ()>) {
-        let now = self.shared.now();
-        self.cell
-            .caller_probed(&probed.instance, probed.has_responded, now);
-    }
-}
-
 impl Message<Decide> for Owner {
     type Reply = ();
 
@@ -476,6 +458,24 @@
     }
 }
 
+impl Message<PaceSet> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, set: PaceSet, _: &mut Context<Self, ()>) {
+        self.cell.pace_answered(&set.order);
+    }
+}
+
+impl Message<CallerProbed> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, probed: CallerProbed, _: &mut Context<Self, ()>) {
+        let now = self.shared.now();
+        self.cell
+            .caller_probed(&probed.instance, probed.has_responded, now);
+    }
+}
+
 impl Message<AdviceArrived> for Owner {
     type Reply = ();
 
--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -18,7 +18,7 @@
 
 use kameo::Actor;
 use kameo::actor::{ActorRef, WeakActorRef};
-use kingcupwinch_adapter::{Partition, WorkerClient};
+use kingcupwinch_adapter::{OrderError, Partition, WorkerClient};
 use kingcupwinch_cell::{Action, Cell, JobId, JobState, PaceOrder, Registration, WorkerKey};
 use kingcupwinch_time::{Span, Time};
 use rustc_hash::FxHashMap;
@@ -334,10 +334,7 @@
         };
         let (me, shared) = (self.me.clone(), Arc::clone(&self.shared));
         tokio::spawn(async move {
-            let result = client.stop(&order).await;
-            let label = if result.is_ok() { "ok" } else { "failed" };
-            Metrics::count(&shared.metrics.orders, "stop", label);
-            let error = result.err().map(|error| error.to_string());
+            let error = count_order(&shared, "stop", client.stop(&order).await);
             shared.log.write(
                 Event::RunStopSent,
                 o!("task" => order.task.to_string(), "run" => order.run,
@@ -357,17 +354,15 @@
         };
         let (me, shared) = (self.me.clone(), Arc::clone(&self.shared));
         tokio::spawn(async move {
-            let error = client.set_pace(&order).await.err();
-            let label = if error.is_none() { "ok" } else { "failed" };
-            Metrics::count(&shared.metrics.orders, "pace", label);
-            let is_set = error.is_none();
-            let error = error.map(|error| error.to_string());
+            let error = count_order(&shared, "pace", client.set_pace(&order).await);
             shared.log.write(
                 Event::PaceSent,
                 o!("task" => order.task.to_string(), "run" => order.run, "percent" => order.percent,
-                    "worker" => client.id().to_string(), "error" => error),
+                    "worker" => client.id().to_string(), "error" => error.clone()),
             );
-            if let (true, Some(me)) = (is_set, me.upgrade()) {
+            if error.is_none()
+                && let Some(me) = me.upgrade()
+            {
                 // The owner may have stopped in the meantime.
                 let _ = me.tell(messages::PaceSet { order }).await;
             }
@@ -438,6 +433,17 @@
     }
 }
 
+/// Counts the outcome of an order to a worker. Returns its error as it is logged.
+fn count_order(
+    shared: &Shared,
+    order: &'static str,
+    result: Result<(), OrderError>,
+) -> Option<String> {
+    let label = if result.is_ok() { "ok" } else { "failed" };
+    Metrics::count(&shared.metrics.orders, order, label);
+    result.err().map(|error| error.to_string())
+}
+
 async fn tick(me: WeakActorRef<Owner>) {
     loop {
         tokio::time::sleep(TICK_INTERVAL).await;
--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -146,15 +146,7 @@
     };
     let mut cell = Cell::new(timers, claim.generation).with_disabled(shared.disabled);
     let workers = restore_workers(shared, &mut cell, &directory, &progress, now);
-    let is_split = progress
-        .items
-        .iter()
-        .any(|item| WorkerShards::is_shard(&item.key));
-    let shards = if is_split {
-        WorkerShards::new_split()
-    } else {
-        WorkerShards::default()
-    };
+    let shards = WorkerShards::new(progress.items.iter().map(|item| &*item.key));
     let mut origins = Origins::default();
     let mut duplicates = Vec::new();
     let records = restore_ends(shared, &mut cell, &progress, now);
@@ -173,7 +165,6 @@
             cell.restore(*id, None, Some(record), Span::ZERO, now);
         }
     }
-    drop_orphaned_parts(&mut cell, &progress, &records);
     let jobs = cell.live_jobs();
     shared.log.write(
         Event::TookOver,
@@ -343,20 +334,6 @@
     Ok((partition, reader.into_page()))
 }
 
-/// Schedules the deletion of the parts of records whose job is no longer known or has ended.
-fn drop_orphaned_parts(cell: &mut Cell, progress: &Page, records: &FxHashMap<JobId, JobRecord>) {
-    for (id, part) in progress
-        .items
-        .iter()
-        .filter_map(|item| PartKey::parse(&item.key))
-    {
-        let is_live = records.get(&id).is_some_and(|record| record.end.is_none());
-        if !is_live {
-            cell.drop_part(id, part);
-        }
-    }
-}
-
 /// Decodes the jobs' progress records and restores the ended jobs whose state can still be queried.
 fn restore_ends(
     shared: &Shared,
@@ -379,18 +356,25 @@
             Err(error) => log_skipped(shared, id, &error.to_string()),
         }
     }
-    add_parts(shared, progress, &mut records);
+    add_parts(shared, cell, progress, &mut records);
     records
 }
 
-/// Adds the parts of large records to the records of their jobs. Without such a record the job has
-/// expired.
-fn add_parts(shared: &Shared, progress: &Page, records: &mut FxHashMap<JobId, JobRecord>) {
+/// Adds the parts of large records to the records of their jobs, and schedules the deletion of those
+/// whose job has ended or, without a record, has expired.
+fn add_parts(
+    shared: &Shared,
+    cell: &mut Cell,
+    progress: &Page,
+    records: &mut FxHashMap<JobId, JobRecord>,
+) {
     for item in &progress.items {
         let Some((id, key)) = PartKey::parse(&item.key) else {
             continue;
         };
-        let Some(record) = records.get_mut(&id) else {
+        let record = records.get_mut(&id);
+        let Some(record) = record.filter(|record| record.end.is_none()) else {
+            cell.drop_part(id, key);
             continue;
         };
         match JobRecord::decode(&item.value) {
--- a/crates/kingcupwinch-node/src/owner/worker_shards.rs
+++ b/crates/kingcupwinch-node/src/owner/worker_shards.rs
@@ -1,10 +1,10 @@
 //! The list of workers as the log holds it, in as many records as it needs.
 
-use std::hash::{BuildHasher, Hash, Hasher};
+use std::hash::BuildHasher;
 use std::sync::Arc;
 
 use kingcupwinch_cell::WorkerRecord;
-use rustc_hash::{FxBuildHasher, FxHashMap, FxHasher};
+use rustc_hash::{FxBuildHasher, FxHashMap};
 
 use crate::layout::{WORKER_SHARD_PREFIX, WORKERS_KEY};
 
@@ -27,11 +27,11 @@
 }
 
 impl WorkerShards {
-    /// Creates the state of a log whose list is stored in shards already.
-    pub(crate) fn new_split() -> Self {
+    /// Creates the state of a log that holds these keys.
+    pub(crate) fn new<'a>(mut keys: impl Iterator<Item = &'a str>) -> Self {
         WorkerShards {
-            is_split: true,
-            ..WorkerShards::default()
+            is_split: keys.any(WorkerShards::is_shard),
+            written: FxHashMap::default(),
         }
     }
 
@@ -48,37 +48,24 @@
     ) -> Vec<(Arc<str>, Vec<WorkerRecord>)> {
         let row_bytes = |row: &WorkerRecord| ROW_BYTES + row.id.len() + row.address.len();
         self.is_split |= workers.iter().map(row_bytes).sum::<usize>() > MAX_LIST_BYTES;
-        let mut lists: FxHashMap<Arc<str>, Vec<WorkerRecord>> = FxHashMap::default();
+        // Earlier versions read this key only.
+        let mut lists: Vec<(Arc<str>, Vec<WorkerRecord>)> = vec![(WORKERS_KEY.into(), Vec::new())];
         if self.is_split {
-            // Earlier versions read this key only.
-            lists.insert(WORKERS_KEY.into(), Vec::new());
-            let shard_key = |shard: u64| Arc::from(format!("{WORKER_SHARD_PREFIX}{shard}"));
-            let keys: Vec<Arc<str>> = (0..SHARDS).map(shard_key).collect();
-            for key in &keys {
-                lists.insert(Arc::clone(key), Vec::new());
-            }
-            for row in workers {
-                let shard = FxBuildHasher.hash_one(&*row.id) % SHARDS;
-                let rows = lists.entry(Arc::clone(&keys[shard as usize]));
-                rows.or_default().push(row.clone());
-            }
-        } else {
-            lists.insert(WORKERS_KEY.into(), workers.to_vec());
+            let shard_key = |shard| format!("{WORKER_SHARD_PREFIX}{shard}").into();
+            lists.extend((0..SHARDS).map(|shard| (shard_key(shard), Vec::new())));
         }
-        let mut changed = Vec::new();
-        for (key, rows) in lists {
-            let hash = hash_of(&rows);
-            if self.written.insert(Arc::clone(&key), hash) != Some(hash) {
-                changed.push((key, rows));
-            }
+        for row in workers {
+            let list = if self.is_split {
+                1 + FxBuildHasher.hash_one(&*row.id) % SHARDS
+            } else {
+                0
+            };
+            lists[list as usize].1.push(row.clone());
         }
-        changed.sort_unstable_by(|(a, _), (b, _)| a.cmp(b));
-        changed
+        lists.retain(|(key, rows)| {
+            let hash = FxBuildHasher.hash_one(rows);
+            self.written.insert(Arc::clone(key), hash) != Some(hash)
+        });
+        lists
     }
 }
-
-fn hash_of(rows: &[WorkerRecord]) -> u64 {
-    let mut hasher = FxHasher::default();
-    rows.hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/kingcupwinch-node/src/owner/worker_shards/tests.rs
+++ b/crates/kingcupwinch-node/src/owner/worker_shards/tests.rs
@@ -57,7 +57,7 @@
 /// An owner that finds shards has to overwrite all of them, also with a short list.
 #[test]
 fn a_list_in_shards_stays_in_shards() {
-    let lists = WorkerShards::new_split().changed(&workers(3));
+    let lists = WorkerShards::new(["@workers.63"].into_iter()).changed(&workers(3));
     assert_eq!(lists.len(), 65);
     let rows: usize = lists.iter().map(|(_, rows)| rows.len()).sum();
     assert_eq!(rows, 3);
--- a/crates/kingcupwinch-node/src/owner/writer.rs
+++ b/crates/kingcupwinch-node/src/owner/writer.rs
@@ -20,6 +20,7 @@
 use super::messages::{Superseded, TermConfirmed};
 use super::worker_shards::WorkerShards;
 use crate::events::Event;
+use crate::intake::records_that_fit;
 use crate::layout::{
     GROUP, HEARTBEAT_KEY, IntakeKey, LEASES_KEY, PROGRESS, RUN_TIMES_KEY, intake_partitions,
 };
@@ -240,12 +241,13 @@
     fence: &mut Fence,
 ) -> bool {
     let limits = shared.settings.append_limits;
-    let (records, too_large) = without_oversized(records, limits.record);
+    let fits = |record: &KeyedRecord| record.size() <= limits.record;
+    let (records, too_large): (Vec<_>, Vec<_>) = records.into_iter().partition(fits);
+    let too_large = too_large.into_iter();
     let mut rejected: Vec<(KeyedRecord, Arc<str>)> = too_large
-        .into_iter()
         .map(|record| (record, "larger than the store takes".into()))
         .collect();
-    let mut pending = VecDeque::from(into_appends(records, limits.request));
+    let mut pending = into_appends(records, limits.request);
     while let Some(mut records) = pending.pop_front() {
         match append(shared, owner, &records, *fence).await {
             Ok(sent) => {
@@ -259,7 +261,7 @@
             }
             Err(AppendStopped::Ended) => return false,
             Err(AppendStopped::OutOfSequence) => {
-                give_up(shared, owner, "the store expects another sequence number").await;
+                give_up(shared, owner, "the store expects another sequence number");
                 return false;
             }
             Err(AppendStopped::Rejected(_)) if records.len() > 1 => {
@@ -281,28 +283,12 @@
     true
 }
 
-/// Splits off the records that are larger than the store takes.
-fn without_oversized(
-    records: Vec<KeyedRecord>,
-    limit: usize,
-) -> (Vec<KeyedRecord>, Vec<KeyedRecord>) {
-    let fits = |record: &KeyedRecord| record.size() <= limit;
-    records.into_iter().partition(fits)
-}
-
 /// Divides records into appends that the store takes, in order.
-fn into_appends(records: Vec<KeyedRecord>, limit: usize) -> Vec<Vec<KeyedRecord>> {
-    let mut appends: Vec<Vec<KeyedRecord>> = Vec::new();
-    let mut bytes = 0;
-    for record in records {
-        bytes += record.wire_len();
-        match appends.last_mut() {
-            Some(append) if bytes <= limit => append.push(record),
-            _ => {
-                bytes = record.wire_len();
-                appends.push(vec![record]);
-            }
-        }
+fn into_appends(mut records: Vec<KeyedRecord>, limit: usize) -> VecDeque<Vec<KeyedRecord>> {
+    let mut appends = VecDeque::new();
+    while !records.is_empty() {
+        let rest = records.split_off(records_that_fit(records.iter(), limit));
+        appends.push_back(std::mem::replace(&mut records, rest));
     }
     appends
 }
@@ -330,7 +316,7 @@
 }
 
 /// Ends an owner that can't write any more, so that another instance takes the cell over.
-async fn give_up(shared: &Shared, owner: &ActorRef<Owner>, reason: &'static str) {
+fn give_up(shared: &Shared, owner: &ActorRef<Owner>, reason: &'static str) {
     shared
         .log
         .write(Event::WriterFailed, o!("reason" => reason));
--- a/crates/kingcupwinch-node/src/ownership.rs
+++ b/crates/kingcupwinch-node/src/ownership.rs
@@ -203,8 +203,7 @@
         let Some(cell) = self.cell.take_if(|cell| !cell.owner.is_alive()) else {
             return;
         };
-        self.shared.set_owner(None);
-        self.shared.metrics.owned_term.set(0);
+        self.withdraw_owner();
         self.shared
             .log
             .write(Event::OwnerEnded, o!("term" => cell.term));
@@ -404,10 +403,15 @@
         }
     }
 
+    /// Shows the rest of the instance that it owns no cell.
+    fn withdraw_owner(&self) {
+        self.shared.set_owner(None);
+        self.shared.metrics.owned_term.set(0);
+    }
+
     async fn drop_cell(&mut self) {
         if let Some(cell) = self.cell.take() {
-            self.shared.set_owner(None);
-            self.shared.metrics.owned_term.set(0);
+            self.withdraw_owner();
             let _ = cell.owner.tell(Superseded("claim in the log")).await;
             // The owner's loops end with the actor; workers refuse its orders that are in flight.
             cell.owner.kill();
@@ -515,8 +519,7 @@
             // If the owner ends without a reply, the other members notice its missing heartbeats.
             let _ = released.await;
         }
-        self.shared.set_owner(None);
-        self.shared.metrics.owned_term.set(0);
+        self.withdraw_owner();
     }
 }
 
--- a/crates/kingcupwinch-node/src/shared.rs
+++ b/crates/kingcupwinch-node/src/shared.rs
@@ -20,7 +20,7 @@
 use tokio::time::Instant;
 
 use crate::configuration::Configuration;
-use crate::events::{Event, EventLog};
+use crate::events::{Event, EventLog, abbreviated};
 use crate::metrics::Metrics;
 use crate::owner::Owner;
 use crate::relay::Payloads;
@@ -36,8 +36,6 @@
 
 /// Maximum number of odd entries that are remembered, so that each is logged once.
 const MAX_ODD_ENTRIES: usize = 4_096;
-/// Maximum length of an odd entry's id in the log, in characters.
-const MAX_LOGGED_ID: usize = 100;
 
 /// State shared by all parts of an instance.
 pub(crate) struct Shared {
@@ -229,10 +227,9 @@
         }
         known.insert(hash);
         Metrics::count_end(&self.metrics.odd_inputs, "directory_entry");
-        let id: String = id.chars().take(MAX_LOGGED_ID).collect();
         self.log.write(
             Event::EntryIgnored,
-            o!("worker" => id, "error" => error.to_string()),
+            o!("worker" => abbreviated(id), "error" => error.to_string()),
         );
     }
 
