Acknowledge no end of a job that is set aside

Callers of a job whose record the store had rejected could see its tasks run twice. set_aside withdrew what was placed and kept the job's end back, but the ends that the batch held were acknowledged with it, and so were all later ends of the job while nothing of it was written. The worker forgets such an end, and an owner that takes over knows neither the end nor the worker's word for it. If the record was to replace the parts of a large job, their deletion was appended after it all the same, and the tasks that they held as done were lost as well.

Now an acknowledgement waits until the record of its job is in the log, and with it the later ones of its worker. Deletions of parts are withheld if a record of their job was rejected, and are scheduled again with the next one. A job is set aside for 1 s, twice as long after each further rejection, up to 64 s, in place of 10 s each time: a rejection that ends by itself costs a second. After two minutes of rejections ends are acknowledged all the same, since a worker lists 500 at most and those of other jobs would no longer be seen.

--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -204,6 +204,7 @@
             worker.last_end_seen = end.sequence;
             self.pending_acks.push(PendingAck {
                 batch: self.batch,
+                job: end.task.job,
                 worker: key,
                 started_ms: worker.registration.started_ms,
                 sequence: end.sequence,
@@ -296,6 +297,8 @@
         worker.last_end_acked = 0;
         worker.inherited = false;
         worker.pace = WorkerPace::default();
+        // The later process numbers its ends anew.
+        self.pending_acks.retain(|ack| ack.worker != key);
     }
 
     /// Ends runs of a worker that certainly are not active any more.
--- a/crates/kingcupwinch-cell/src/cell/records.rs
+++ b/crates/kingcupwinch-cell/src/cell/records.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use kingcupwinch_time::{Span, Time};
+use rustc_hash::FxHashSet;
 
 use super::Cell;
 use crate::id::JobId;
@@ -11,8 +12,11 @@
 use crate::run::{Run, RunKey, RunState};
 use crate::worker::{Worker, WorkerKey};
 
-/// How long nothing of a job is started after the log rejected a record of it.
-const SET_ASIDE_TIME: Span = Span::from_secs(10);
+/// How long nothing of a job is started after the log rejected a record of it. Each further rejection in
+/// a row doubles the time.
+const SET_ASIDE_TIME: Span = Span::from_secs(1);
+/// The largest number of doublings.
+const MAX_SET_ASIDE_DOUBLINGS: u32 = 6;
 
 /// A batch of records to append to the log.
 #[derive(Debug, Default, PartialEq)]
@@ -41,6 +45,17 @@
 }
 
 impl Job {
+    /// Starts nothing of the job and writes no record of it until some time after `now`.
+    fn set_aside(&mut self, now: Time) {
+        let longest = SET_ASIDE_TIME.times(1 << MAX_SET_ASIDE_DOUBLINGS);
+        if now.since(self.held_until) > longest {
+            self.rejections = 0;
+        }
+        let doublings = self.rejections.min(MAX_SET_ASIDE_DOUBLINGS);
+        self.held_until = now + SET_ASIDE_TIME.times(1 << doublings);
+        self.rejections += 1;
+    }
+
     /// Moves the rows of the job's record into parts, and adds those that changed to a batch.
     fn split_record(&mut self, record: &mut JobRecord, batch: &mut RecordBatch) {
         let parts = record.split();
@@ -61,6 +76,8 @@
 #[derive(Debug)]
 pub(super) struct PendingAck {
     pub(super) batch: u64,
+    /// The job whose run ended.
+    pub(super) job: JobId,
     pub(super) worker: WorkerKey,
     pub(super) started_ms: Option<u64>,
     pub(super) sequence: u64,
@@ -79,7 +96,7 @@
                 continue;
             };
             if job.held_until > now {
-                held.push(key);
+                held.push((key, job.id));
                 continue;
             }
             let mut record = match job.end {
@@ -94,7 +111,10 @@
             }
             records.progress.push((self.jobs[key].id, record));
         }
-        self.dirty.extend(held);
+        for (key, id) in held {
+            self.dirty.insert(key);
+            self.defer_acks(id, self.batch + 1);
+        }
         records.dropped_parts.append(&mut self.dropped_parts);
         for id in std::mem::take(&mut self.dropped_jobs) {
             if !self.jobs_by_id.contains_key(&id) {
@@ -121,16 +141,18 @@
     }
 
     /// Starts nothing of a job for a while, since the log rejected a record of it. What was placed and
-    /// not ordered is withdrawn, as a later owner would not know of it. The record is then written
-    /// again.
-    pub fn set_aside(&mut self, id: JobId, now: Time) {
+    /// not ordered is withdrawn, as a later owner would not know of it, and what its runs have done is
+    /// not acknowledged. The record is then written again. `kept_parts` are the parts that were to be
+    /// deleted after the rejected record and are still in the log.
+    pub fn set_aside(&mut self, id: JobId, kept_parts: &[PartKey], now: Time) {
         let Some(&key) = self.jobs_by_id.get(&id) else {
             return;
         };
         let job = &mut self.jobs[key];
-        job.held_until = now + SET_ASIDE_TIME;
+        job.set_aside(now);
         // A part that was rejected is not in the log as it is now.
         job.parts.values_mut().for_each(|hash| *hash = 0);
+        job.parts.extend(kept_parts.iter().map(|part| (*part, 0)));
         let runs: Vec<RunKey> = job.runs.iter().copied().collect();
         for run in runs {
             if self.runs[run].state == RunState::Planned {
@@ -139,6 +161,19 @@
         }
         self.pending_ends.retain(|(_, ended)| *ended != key);
         self.dirty.insert(key);
+        self.defer_acks(id, self.batch);
+    }
+
+    /// Has the acknowledgements of the ends of a job's runs wait for a later batch, unless its records
+    /// are rejected for so long that the lists of its workers could fill up with them.
+    fn defer_acks(&mut self, id: JobId, batch: u64) {
+        let key = self.jobs_by_id.get(&id);
+        if key.is_some_and(|key| self.jobs[*key].rejections > MAX_SET_ASIDE_DOUBLINGS) {
+            return;
+        }
+        for ack in self.pending_acks.iter_mut().filter(|ack| ack.job == id) {
+            ack.batch = ack.batch.max(batch);
+        }
     }
 
     pub(super) fn placements(&self, job: &Job) -> Vec<Placement> {
@@ -157,8 +192,11 @@
     /// from now on.
     pub fn records_appended(&mut self, batch: u64, now: Time) -> Vec<(JobId, JobState)> {
         let acks = std::mem::take(&mut self.pending_acks);
+        // An acknowledgement covers all lower numbers of its worker.
+        let mut waiting: FxHashSet<WorkerKey> = FxHashSet::default();
         for ack in acks {
-            if ack.batch > batch {
+            if ack.batch > batch || waiting.contains(&ack.worker) {
+                waiting.insert(ack.worker);
                 self.pending_acks.push(ack);
                 continue;
             }
--- a/crates/kingcupwinch-cell/src/job.rs
+++ b/crates/kingcupwinch-cell/src/job.rs
@@ -130,6 +130,8 @@
     pub(crate) parts: FxHashMap<PartKey, u64>,
     /// Until when nothing is started, since the log rejected a record of the job.
     pub(crate) held_until: Time,
+    /// Rejections of records of the job in a row.
+    pub(crate) rejections: u32,
 }
 
 impl Task {
@@ -174,6 +176,7 @@
             is_end_recorded: false,
             parts: FxHashMap::default(),
             held_until: Time::ZERO,
+            rejections: 0,
         };
         if job.spec.schedule.is_none() {
             job.open_occurrence(now);
--- a/crates/kingcupwinch-cell/tests/cell/large_jobs.rs
+++ b/crates/kingcupwinch-cell/tests/cell/large_jobs.rs
@@ -244,7 +244,7 @@
     harness.submit(2, job(vec![step(1, 1, 1_000)]));
     harness.decide_without_log();
     let records = harness.cell.take_records(harness.now);
-    harness.cell.set_aside(id(1), harness.now);
+    harness.cell.set_aside(id(1), &[], harness.now);
     harness.cell.records_appended(records.batch, harness.now);
     harness.run_round();
     let jobs = |harness: &Harness| -> Vec<_> {
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -26,6 +26,7 @@
 mod replaced;
 mod restarts;
 mod run_times;
+mod set_aside;
 mod shrinking;
 mod speculation;
 mod takeover;
--- a/crates/kingcupwinch-node/src/owner/writer.rs
+++ b/crates/kingcupwinch-node/src/owner/writer.rs
@@ -9,9 +9,9 @@
 use kingcupwinch_adapter::{Fence, KeyedRecord, Partition, WriteError};
 use kingcupwinch_cell::{JobId, PartKey, RecordBatch, RunTimeRecord, WorkerRecord};
 use kingcupwinch_time::Time;
+use rustc_hash::FxHashMap;
 use serde::Serialize;
 use slog::o;
-use smallvec::SmallVec;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::Instant;
 
@@ -70,8 +70,9 @@
 /// Reports that a batch and all earlier ones are in the log.
 struct BatchAppended(u64);
 
-/// Reports jobs whose records the store rejects.
-struct JobsSetAside(SmallVec<[JobId; 4]>);
+/// Reports jobs whose records the store rejects, each with the parts that were to be deleted after such a
+/// record and were not.
+struct JobsSetAside(FxHashMap<JobId, Vec<PartKey>>);
 
 /// Returns intake records of ended jobs that may not have been deleted.
 struct CleanupFailed(Vec<(Partition, IntakeKey)>);
@@ -124,8 +125,8 @@
 
     async fn handle(&mut self, jobs: JobsSetAside, _: &mut Context<Self, ()>) {
         let now = self.shared.now();
-        for id in jobs.0 {
-            self.cell.set_aside(id, now);
+        for (id, kept_parts) in jobs.0 {
+            self.cell.set_aside(id, &kept_parts, now);
         }
     }
 }
@@ -243,12 +244,16 @@
     let limits = shared.settings.append_limits;
     let fits = |record: &KeyedRecord| record.size() <= limits.record;
     let (records, too_large): (Vec<_>, Vec<_>) = records.into_iter().partition(fits);
-    let too_large = too_large.into_iter();
-    let mut rejected: Vec<(KeyedRecord, Arc<str>)> = too_large
-        .map(|record| (record, "larger than the store takes".into()))
-        .collect();
+    let mut rejected = Rejected::default();
+    for record in too_large {
+        rejected.add(shared, &record, "larger than the store takes");
+    }
     let mut pending = into_appends(records, limits.request);
     while let Some(mut records) = pending.pop_front() {
+        rejected.withhold(&mut records);
+        if records.is_empty() {
+            continue;
+        }
         match append(shared, owner, &records, *fence).await {
             Ok(sent) => {
                 fence.sequence += 1;
@@ -270,49 +275,68 @@
                 pending.push_front(records);
             }
             Err(AppendStopped::Rejected(status)) => {
-                let reason: Arc<str> = format!("status {status}").into();
-                rejected.extend(
-                    records
-                        .into_iter()
-                        .map(|record| (record, Arc::clone(&reason))),
-                );
+                for record in records {
+                    rejected.add(shared, &record, &format!("status {status}"));
+                }
             }
         }
     }
-    set_aside(shared, owner, &rejected).await;
+    if !rejected.jobs.is_empty() {
+        // The owner may have ended; the next one reads what is in the log.
+        let _ = owner.tell(JobsSetAside(rejected.jobs)).await;
+    }
     true
 }
 
-/// Divides records into appends that the store takes, in order.
-fn into_appends(mut records: Vec<KeyedRecord>, limit: usize) -> VecDeque<Vec<KeyedRecord>> {
-    let mut appends = VecDeque::new();
-    while !records.is_empty() {
-        let rest = records.split_off(records_that_fit(records.iter(), limit));
-        appends.push_back(std::mem::replace(&mut records, rest));
-    }
-    appends
+/// The records of a batch that the store rejects.
+#[derive(Debug, Default)]
+struct Rejected {
+    /// The jobs that such records are about, with the parts whose deletion was withheld.
+    jobs: FxHashMap<JobId, Vec<PartKey>>,
 }
 
-/// Logs records that are not in the log, and has the owner start nothing of the jobs that they are
-/// about.
-async fn set_aside(shared: &Shared, owner: &ActorRef<Owner>, rejected: &[(KeyedRecord, Arc<str>)]) {
-    let mut jobs: SmallVec<[JobId; 4]> = SmallVec::new();
-    for (record, reason) in rejected {
+impl Rejected {
+    fn add(&mut self, shared: &Shared, record: &KeyedRecord, reason: &str) {
         Metrics::count_end(&shared.metrics.odd_inputs, "record_rejected");
         shared.log.write(
             Event::RecordRejected,
             o!("key" => record.key.to_string(), "bytes" => record.size(),
-                "error" => reason.to_string()),
+                "error" => reason.to_owned()),
         );
         let part = PartKey::parse(&record.key).map(|(job, _)| job);
-        jobs.extend(part.or_else(|| JobId::parse(&record.key)));
+        if let Some(job) = part.or_else(|| JobId::parse(&record.key)) {
+            self.jobs.entry(job).or_default();
+        }
     }
-    jobs.sort_unstable();
-    jobs.dedup();
-    if !jobs.is_empty() {
-        // The owner may have ended; the next one reads what is in the log.
-        let _ = owner.tell(JobsSetAside(jobs)).await;
+
+    /// Removes the deletions of parts of jobs of which a record was rejected: what the parts hold may be
+    /// nowhere else in the log.
+    fn withhold(&mut self, records: &mut Vec<KeyedRecord>) {
+        if self.jobs.is_empty() {
+            return;
+        }
+        records.retain(|record| {
+            let part = PartKey::parse(&record.key).filter(|_| record.value.is_none());
+            let kept = part.and_then(|(job, part)| Some((self.jobs.get_mut(&job)?, part)));
+            match kept {
+                Some((kept, part)) => {
+                    kept.push(part);
+                    false
+                }
+                None => true,
+            }
+        });
+    }
+}
+
+/// Divides records into appends that the store takes, in order.
+fn into_appends(mut records: Vec<KeyedRecord>, limit: usize) -> VecDeque<Vec<KeyedRecord>> {
+    let mut appends = VecDeque::new();
+    while !records.is_empty() {
+        let rest = records.split_off(records_that_fit(records.iter(), limit));
+        appends.push_back(std::mem::replace(&mut records, rest));
     }
+    appends
 }
 
 /// Ends an owner that can't write any more, so that another instance takes the cell over.
--- a/crates/kingcupwinch-node/src/owner/writer/tests.rs
+++ b/crates/kingcupwinch-node/src/owner/writer/tests.rs
@@ -174,3 +174,28 @@
     );
     assert_eq!(Vec::from(appends).concat(), records);
 }
+
+/// Guards against the loss of what a job's parts hold: the record that replaces them was rejected, and
+/// their deletion was appended.
+#[tokio::test]
+async fn the_parts_of_a_job_outlive_a_rejected_record() {
+    let (store, shared) = with_store().await;
+    let owner = start_owner(7, cell(), Origins::default(), Time::ZERO);
+    let (id, other) = (job().to_string(), "55c1eb641e14275e");
+    let (part, other_part) = (format!("{id}.0.3"), format!("{other}.0.3"));
+    let mut fence = Fence {
+        term: 7,
+        sequence: 1,
+    };
+    let records = vec![record(&part, 10), record(&other_part, 10)];
+    assert!(append_all(&shared, &owner, records, &mut fence).await);
+    store.with_log(|log| log.reject_key(&id));
+    let replaced = vec![
+        record(&id, 10),
+        record(other, 10),
+        KeyedRecord::tombstone(&*part),
+        KeyedRecord::tombstone(&*other_part),
+    ];
+    assert!(append_all(&shared, &owner, replaced, &mut fence).await);
+    assert_eq!(keys_in_log(&shared).await, [&*part, other]);
+}
