Repeat rejected records that are about no job

A record of leases, of the list of workers or of run times that the store rejected was written again only when its content changed, the record of leases never: the next owner then waits for longer leases than were granted, or misses workers. Such records are repeated after 1 s, then at intervals that double up to 64 s, unless there is a newer one. The test fails with the repeats taken out.

--- a/crates/kingcupwinch-node/src/owner/writer.rs
+++ b/crates/kingcupwinch-node/src/owner/writer.rs
@@ -8,7 +8,7 @@
 use kameo::message::{Context, Message};
 use kingcupwinch_adapter::{Fence, KeyedRecord, Partition, WriteError};
 use kingcupwinch_cell::{JobId, PartKey, RecordBatch, RunTimeRecord, WorkerRecord};
-use kingcupwinch_time::Time;
+use kingcupwinch_time::{Span, Time};
 use rustc_hash::FxHashMap;
 use serde::Serialize;
 use slog::o;
@@ -40,6 +40,11 @@
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Maximum attempts to append the release record.
 const RELEASE_ATTEMPTS: u32 = 8;
+/// Time after which a rejected record that is about no job is appended again. Each further rejection in
+/// a row doubles the time.
+const REPEAT_DELAY: Span = Span::from_secs(1);
+/// Maximum number of doublings.
+const MAX_REPEAT_DOUBLINGS: u32 = 6;
 /// Time between two deletions of the intake records of ended jobs.
 const CLEANUP_INTERVAL: Duration = Duration::from_millis(2_000);
 
@@ -149,6 +154,7 @@
 ) {
     let mut fence = Fence { term, sequence: 1 };
     let mut cleanup_due = Instant::now() + CLEANUP_INTERVAL;
+    let mut repeats = Repeats::default();
     loop {
         let Some(actor) = owner.upgrade() else { return };
         let with_cleanup = cleanup_due <= Instant::now();
@@ -158,10 +164,12 @@
         let Ok(batch) = actor.ask(TakeBatch { with_cleanup }).await else {
             return;
         };
-        let records = encode(&shared, &batch, &mut shards);
-        if !append_all(&shared, &actor, records, &mut fence).await {
+        let mut records = encode(&shared, &batch, &mut shards);
+        repeats.move_due(&mut records, shared.now());
+        let Some(rejected) = append_all(&shared, &actor, records, &mut fence).await else {
             return;
-        }
+        };
+        repeats.add(rejected, shared.now());
         let _ = actor.tell(BatchAppended(batch.records.batch)).await;
         if !batch.cleanup.is_empty() {
             let (shared, owner, ended) = (Arc::clone(&shared), owner.clone(), batch.cleanup);
@@ -234,19 +242,19 @@
 
 /// Appends records in order, as many at a time as the store takes, and advances the sequence number
 /// of the fence. A record that the store rejects for good is set aside, and the others are appended.
-/// Returns whether the owner can go on.
+/// Returns the rejected records that are about no job, or `None` if the owner can't go on.
 async fn append_all(
     shared: &Shared,
     owner: &ActorRef<Owner>,
     records: Vec<KeyedRecord>,
     fence: &mut Fence,
-) -> bool {
+) -> Option<Vec<KeyedRecord>> {
     let limits = shared.settings.append_limits;
     let fits = |record: &KeyedRecord| record.size() <= limits.record;
     let (records, too_large): (Vec<_>, Vec<_>) = records.into_iter().partition(fits);
     let mut rejected = Rejected::default();
     for record in too_large {
-        rejected.add(shared, &record, "larger than the store takes");
+        rejected.add(shared, record, "larger than the store takes");
     }
     let mut pending = into_appends(records, limits.request);
     while let Some(mut records) = pending.pop_front() {
@@ -262,12 +270,12 @@
             }
             Err(AppendStopped::Fenced) => {
                 let _ = owner.tell(Superseded("store")).await;
-                return false;
+                return None;
             }
-            Err(AppendStopped::Ended) => return false,
+            Err(AppendStopped::Ended) => return None,
             Err(AppendStopped::OutOfSequence) => {
                 give_up(shared, owner, "the store expects another sequence number");
-                return false;
+                return None;
             }
             Err(AppendStopped::Rejected(_)) if records.len() > 1 => {
                 let rest = records.split_off(records.len() / 2);
@@ -276,7 +284,7 @@
             }
             Err(AppendStopped::Rejected(status)) => {
                 for record in records {
-                    rejected.add(shared, &record, &format!("status {status}"));
+                    rejected.add(shared, record, &format!("status {status}"));
                 }
             }
         }
@@ -285,7 +293,7 @@
         // The owner may have ended; the next one reads what is in the log.
         let _ = owner.tell(JobsSetAside(rejected.jobs)).await;
     }
-    true
+    Some(rejected.others)
 }
 
 /// The records of a batch that the store rejects.
@@ -293,10 +301,12 @@
 struct Rejected {
     /// The jobs that such records are about, with the parts whose deletion was withheld.
     jobs: FxHashMap<JobId, Vec<PartKey>>,
+    /// The records about no job.
+    others: Vec<KeyedRecord>,
 }
 
 impl Rejected {
-    fn add(&mut self, shared: &Shared, record: &KeyedRecord, reason: &str) {
+    fn add(&mut self, shared: &Shared, record: KeyedRecord, reason: &str) {
         Metrics::count_end(&shared.metrics.odd_inputs, "record_rejected");
         shared.log.write(
             Event::RecordRejected,
@@ -304,8 +314,11 @@
                 "error" => reason.to_owned()),
         );
         let part = PartKey::parse(&record.key).map(|(job, _)| job);
-        if let Some(job) = part.or_else(|| JobId::parse(&record.key)) {
-            self.jobs.entry(job).or_default();
+        match part.or_else(|| JobId::parse(&record.key)) {
+            Some(job) => {
+                self.jobs.entry(job).or_default();
+            }
+            None => self.others.push(record),
         }
     }
 
@@ -329,6 +342,40 @@
     }
 }
 
+/// Records about no job that the store rejected. Each is appended again later, unless there is a newer
+/// one of its key.
+#[derive(Debug, Default)]
+struct Repeats {
+    records: Vec<KeyedRecord>,
+    due: Time,
+    /// Rejections in a row.
+    rejections: u32,
+}
+
+impl Repeats {
+    /// Replaces the records with those that were rejected at `now`.
+    fn add(&mut self, rejected: Vec<KeyedRecord>, now: Time) {
+        if rejected.is_empty() {
+            return;
+        }
+        let doublings = self.rejections.min(MAX_REPEAT_DOUBLINGS);
+        self.due = now + REPEAT_DELAY.times(1 << doublings);
+        self.rejections += 1;
+        self.records.extend(rejected);
+    }
+
+    /// Moves the records to a batch once they are due, but for those of which the batch has a newer one.
+    fn move_due(&mut self, batch: &mut Vec<KeyedRecord>, now: Time) {
+        self.records
+            .retain(|record| !batch.iter().any(|newer| newer.key == record.key));
+        if self.records.is_empty() {
+            self.rejections = 0;
+        } else if self.due <= now {
+            batch.append(&mut self.records);
+        }
+    }
+}
+
 /// Divides records into appends that the store takes, in order.
 fn into_appends(mut records: Vec<KeyedRecord>, limit: usize) -> VecDeque<Vec<KeyedRecord>> {
     let mut appends = VecDeque::new();
--- a/crates/kingcupwinch-node/src/owner/writer/tests.rs
+++ b/crates/kingcupwinch-node/src/owner/writer/tests.rs
@@ -9,7 +9,8 @@
 use tokio::time::{Duration, Instant};
 
 use super::{
-    AppendStopped, CleanupFailed, TakeBatch, append_all, delete_ended, into_appends, retry_append,
+    AppendStopped, CleanupFailed, Repeats, TakeBatch, append_all, delete_ended, into_appends,
+    retry_append,
 };
 use crate::layout::{IntakeKey, OWNER_PARTITION, PROGRESS};
 use crate::owner::Origins;
@@ -106,9 +107,17 @@
         term: 7,
         sequence: 1,
     };
-    assert!(append_all(&shared, &owner, records, &mut fence).await);
+    assert!(
+        append_all(&shared, &owner, records, &mut fence)
+            .await
+            .is_some()
+    );
     assert_eq!(keys_in_log(&shared).await, ["a", "c"]);
-    assert!(append_all(&shared, &owner, vec![record("d", 10)], &mut fence).await);
+    assert!(
+        append_all(&shared, &owner, vec![record("d", 10)], &mut fence)
+            .await
+            .is_some()
+    );
     assert_eq!(keys_in_log(&shared).await, ["a", "c", "d"]);
 }
 
@@ -123,7 +132,11 @@
         term: 7,
         sequence: 1,
     };
-    assert!(append_all(&shared, &owner, records, &mut fence).await);
+    assert!(
+        append_all(&shared, &owner, records, &mut fence)
+            .await
+            .is_some()
+    );
     let keys = keys_in_log(&shared).await;
     assert_eq!(keys, ["k0", "k1", "k2", "k3", "k4", "k6", "k7"]);
     let metrics = shared.metrics.render().unwrap();
@@ -142,7 +155,11 @@
         term: 7,
         sequence: 1,
     };
-    assert!(append_all(&shared, &owner, records, &mut fence).await);
+    assert!(
+        append_all(&shared, &owner, records, &mut fence)
+            .await
+            .is_some()
+    );
     assert_eq!(keys_in_log(&shared).await.len(), 30);
     assert!(fence.sequence > 3, "one append can't hold 6 MB");
 }
@@ -155,10 +172,8 @@
     for (sequence, goes_on) in [(1, true), (9, false)] {
         let mut fence = Fence { term: 7, sequence };
         let records = vec![record("a", 10)];
-        assert_eq!(
-            append_all(&shared, &owner, records, &mut fence).await,
-            goes_on
-        );
+        let appended = append_all(&shared, &owner, records, &mut fence).await;
+        assert_eq!(appended.is_some(), goes_on);
     }
     owner.wait_for_shutdown().await;
 }
@@ -188,7 +203,11 @@
         sequence: 1,
     };
     let records = vec![record(&part, 10), record(&other_part, 10)];
-    assert!(append_all(&shared, &owner, records, &mut fence).await);
+    assert!(
+        append_all(&shared, &owner, records, &mut fence)
+            .await
+            .is_some()
+    );
     store.with_log(|log| log.reject_key(&id));
     let replaced = vec![
         record(&id, 10),
@@ -196,6 +215,55 @@
         KeyedRecord::tombstone(&*part),
         KeyedRecord::tombstone(&*other_part),
     ];
-    assert!(append_all(&shared, &owner, replaced, &mut fence).await);
+    assert!(
+        append_all(&shared, &owner, replaced, &mut fence)
+            .await
+            .is_some()
+    );
     assert_eq!(keys_in_log(&shared).await, [&*part, other]);
 }
+
+/// Guards against a list of workers or a record of leases that is missing in the log for the whole term,
+/// since it is written only when it changes.
+#[tokio::test]
+async fn a_rejected_record_about_no_job_is_repeated() {
+    let (store, shared) = with_store().await;
+    store.with_log(|log| log.reject_key("@leases"));
+    let owner = start_owner(7, cell(), Origins::default(), Time::ZERO);
+    let mut fence = Fence {
+        term: 7,
+        sequence: 1,
+    };
+    let mut repeats = Repeats::default();
+    let mut attempts = 0;
+    let mut batch = vec![record("@leases", 10), record("@workers", 10)];
+    for second in 0..40 {
+        let now = Time::ZERO + Span::from_secs(second);
+        repeats.move_due(&mut batch, now);
+        attempts += usize::from(!batch.is_empty());
+        let rejected = append_all(&shared, &owner, batch, &mut fence).await;
+        repeats.add(rejected.unwrap(), now);
+        batch = Vec::new();
+    }
+    assert_eq!(attempts, 6, "at 0, 1, 3, 7, 15 and 31 s");
+    assert_eq!(keys_in_log(&shared).await, ["@workers"]);
+    store.with_log(|log| log.reject_key(""));
+    let mut batch = Vec::new();
+    repeats.move_due(&mut batch, Time::ZERO + Span::from_secs(63));
+    let rejected = append_all(&shared, &owner, batch, &mut fence).await;
+    assert!(rejected.unwrap().is_empty());
+    assert_eq!(keys_in_log(&shared).await, ["@leases", "@workers"]);
+}
+
+/// A newer record replaces one that waits to be repeated.
+#[test]
+fn only_the_latest_record_of_a_key_is_repeated() {
+    let mut repeats = Repeats::default();
+    repeats.add(vec![record("@workers", 10)], Time::ZERO);
+    let mut batch = vec![record("@workers", 20)];
+    repeats.move_due(&mut batch, Time::ZERO + Span::from_secs(9));
+    assert_eq!(batch, [record("@workers", 20)]);
+    let mut later = Vec::new();
+    repeats.move_due(&mut later, Time::ZERO + Span::from_secs(99));
+    assert!(later.is_empty());
+}
