Delete the acceptances of ended jobs in appends that the store takes

All deletions of a partition were one append. Past requestBytes, some 100,000 jobs that an owner finds ended, the store rejects it, and it was repeated as it was every two seconds, without a line in the log. Acceptances that outlive the ends of their jobs, which are kept for two minutes, run again under the next owner.

Two tests of the writer, failing before: 120,000 deletions, and one deletion that is rejected among nine.

--- a/crates/kingcupwinch-node/src/events.rs
+++ b/crates/kingcupwinch-node/src/events.rs
@@ -65,6 +65,8 @@
     RecordRejected = "1207", "record rejected by the store, set aside";
     /// An owner that can't write any more gives the cell up.
     WriterFailed = "1208", "records can't be written, giving the cell up";
+    /// Acceptances of ended jobs could not be deleted; the deletion is repeated.
+    DeletionFailed = "1209", "acceptances of ended jobs not deleted";
     /// A configuration came into force.
     ConfigInForce = "1301", "configuration in force";
     /// The configuration in force was not confirmed to be the latest for too long.
--- a/crates/kingcupwinch-node/src/owner/writer.rs
+++ b/crates/kingcupwinch-node/src/owner/writer.rs
@@ -468,9 +468,24 @@
         let records: Vec<KeyedRecord> = in_partition
             .map(|(_, key)| KeyedRecord::tombstone(key.to_key()))
             .collect();
-        if records.is_empty() {
-            continue;
-        }
+        let failed = delete_records(shared, partition, records).await;
+        let keys = failed
+            .iter()
+            .filter_map(|record| IntakeKey::parse(&record.key));
+        remaining.extend(keys.map(|key| (partition, key)));
+    }
+    remaining
+}
+
+/// Appends deletions, as many at a time as the store takes. Returns those that failed.
+async fn delete_records(
+    shared: &Shared,
+    partition: Partition,
+    records: Vec<KeyedRecord>,
+) -> Vec<KeyedRecord> {
+    let mut failed = Vec::new();
+    let mut pending = into_appends(records, shared.settings.append_limits.request);
+    while let Some(mut records) = pending.pop_front() {
         let deadline = Instant::now() + ATTEMPT_TIMEOUT;
         let result = shared
             .store
@@ -478,12 +493,21 @@
             .await;
         let label = if result.is_ok() { "ok" } else { "failed" };
         Metrics::count(&shared.metrics.store_calls, "drop", label);
-        if result.is_err() {
-            let in_partition = ended.iter().filter(|(known, _)| *known == partition);
-            remaining.extend(in_partition.copied());
+        match result {
+            Ok(_) => {}
+            Err(WriteError::Rejected(_)) if records.len() > 1 => {
+                let rest = records.split_off(records.len() / 2);
+                pending.push_front(rest);
+                pending.push_front(records);
+            }
+            Err(error) => {
+                let fields = o!("records" => records.len(), "error" => error.to_string());
+                shared.log.write(Event::DeletionFailed, fields);
+                failed.extend(records);
+            }
         }
     }
-    remaining
+    failed
 }
 
 /// Appends the release record, which informs the siblings that this owner has stopped dispatching.
--- a/crates/kingcupwinch-node/src/owner/writer/tests.rs
+++ b/crates/kingcupwinch-node/src/owner/writer/tests.rs
@@ -267,3 +267,27 @@
     repeats.move_due(&mut later, Time::ZERO + Span::from_secs(99));
     assert!(later.is_empty());
 }
+
+/// Guards against deletions that all fail since they are larger than one append: acceptances that
+/// outlive the ends of their jobs run again.
+#[tokio::test]
+async fn more_deletions_than_one_append_takes_are_appended() {
+    let (_store, shared) = with_store().await;
+    let ended: Vec<_> = (0..120_000_u64)
+        .map(|n| JobId::parse(&format!("{n:016x}")).unwrap())
+        .map(|id| (OWNER_PARTITION, IntakeKey::Accepted(id)))
+        .collect();
+    assert_eq!(delete_ended(&shared, &ended).await, []);
+}
+
+/// One deletion that the store rejects keeps none of the others out, and is repeated.
+#[tokio::test]
+async fn a_rejected_deletion_keeps_none_of_the_others_out() {
+    let (store, shared) = with_store().await;
+    let id = |n: u64| JobId::parse(&format!("{n:016x}")).unwrap();
+    let ended: Vec<_> = (0..9)
+        .map(|n| (OWNER_PARTITION, IntakeKey::Accepted(id(n))))
+        .collect();
+    store.with_log(|log| log.reject_key(&ended[5].1.to_key()));
+    assert_eq!(delete_ended(&shared, &ended).await, [ended[5]]);
+}
