Divide records by the size of the largest one that the store states

The size from which the record of a job or the list of workers is divided, and the size of a part, were constants that fit a store of 256 KB records. With a smaller recordBytes a job between the two sizes was set aside for good, and with it its callers waited for ever. Both follow the setting now; a part's key states its number of tasks where that is not 32, so that owners of different settings never overwrite each other's parts. Appends to the intake keep to requestBytes, and a job whose ranges of done steps could pass the limit is refused with 400.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -28,7 +28,7 @@
 use crate::job::{Job, JobKey, JobState, TaskState};
 use crate::mechanism::{Disabled, Mechanism};
 use crate::placement::{KeptPlace, WaitBudget};
-use crate::record::{JobRecord, PartKey, WorkerRecord};
+use crate::record::{JobRecord, PartKey, RecordLayout, WorkerRecord};
 use crate::run::{Run, RunKey};
 use crate::run_time::{RunTimeRecord, RunTimes};
 use crate::spec::JobSpec;
@@ -129,6 +129,7 @@
 pub struct Cell {
     timers: CellTimers,
     disabled: Disabled,
+    layout: RecordLayout,
     /// Run numbers start above this value, which keeps them above those of earlier owners.
     run_base: u32,
     pub(crate) jobs: SlotMap<JobKey, Job>,
@@ -185,6 +186,8 @@
     pub(crate) counters: Counters,
 }
 
+/// The size of the largest record of the log unless it is stated, in bytes.
+const DEFAULT_RECORD_BYTES: usize = 256 << 10;
 /// The run numbers that each generation of owners may use per job.
 const RUNS_PER_GENERATION: u32 = 1_000;
 
@@ -194,6 +197,7 @@
         Cell {
             timers,
             disabled: Disabled::default(),
+            layout: RecordLayout::new(DEFAULT_RECORD_BYTES),
             run_base: generation.saturating_sub(1) * RUNS_PER_GENERATION,
             jobs: SlotMap::with_key(),
             jobs_by_id: FxHashMap::default(),
@@ -234,6 +238,14 @@
         }
     }
 
+    /// Divides records for a log that takes records of at most `bytes` bytes, with their keys.
+    pub fn with_record_limit(self, bytes: usize) -> Self {
+        Cell {
+            layout: RecordLayout::new(bytes),
+            ..self
+        }
+    }
+
     /// Switches mechanisms off.
     pub fn with_disabled(mut self, disabled: Disabled) -> Self {
         self.disabled = disabled;
--- a/crates/kingcupwinch-cell/src/cell/records.rs
+++ b/crates/kingcupwinch-cell/src/cell/records.rs
@@ -8,7 +8,7 @@
 use super::Cell;
 use crate::id::JobId;
 use crate::job::{Job, JobState};
-use crate::record::{JobRecord, PartKey, Placement, WorkerRecord};
+use crate::record::{JobRecord, PartKey, Placement, RecordLayout, WorkerRecord};
 use crate::run::{Run, RunKey, RunState};
 use crate::worker::{Worker, WorkerKey};
 
@@ -57,8 +57,13 @@
     }
 
     /// Moves the rows of the job's record into parts, and adds those that changed to a batch.
-    fn split_record(&mut self, record: &mut JobRecord, batch: &mut RecordBatch) {
-        let parts = record.split();
+    fn split_record(
+        &mut self,
+        record: &mut JobRecord,
+        layout: RecordLayout,
+        batch: &mut RecordBatch,
+    ) {
+        let parts = record.split(layout);
         let mut known = std::mem::take(&mut self.parts);
         for (key, part) in parts {
             let hash = part.content_hash();
@@ -106,8 +111,8 @@
                 }
                 None => JobRecord::of_progress(job, self.placements(job)),
             };
-            if !job.parts.is_empty() || record.is_large() {
-                self.jobs[key].split_record(&mut record, &mut records);
+            if !job.parts.is_empty() || record.is_large(self.layout) {
+                self.jobs[key].split_record(&mut record, self.layout, &mut records);
             }
             records.progress.push((self.jobs[key].id, record));
         }
--- a/crates/kingcupwinch-cell/src/record.rs
+++ b/crates/kingcupwinch-cell/src/record.rs
@@ -12,6 +12,7 @@
 mod parts;
 
 pub use parts::PartKey;
+pub(crate) use parts::RecordLayout;
 
 quick_error! {
     /// The reasons why a record can't be read or written.
--- a/crates/kingcupwinch-cell/src/record/parts.rs
+++ b/crates/kingcupwinch-cell/src/record/parts.rs
@@ -13,11 +13,13 @@
 use crate::crash::Crash;
 use crate::id::JobId;
 
-/// The number of tasks in a part. A row takes up to about 4 KB: a checkpoint of 1 KB, some crashes and
-/// placements with worker ids of up to 255 bytes.
+/// The largest number of tasks in a part, which its key does not state.
 const PART_TASKS: u16 = 32;
-/// The size of a record from which it is split, in bytes.
-const SPLIT_BYTES: usize = 64 << 10;
+/// The space for the rows of a task in a part, in bytes. They take up to about 4 KB: a checkpoint of
+/// 1 KB, some crashes and placements with worker ids of up to 255 bytes.
+const TASK_BYTES: usize = 8 << 10;
+/// The largest size of a record that is not split, in bytes.
+const MAX_WHOLE_BYTES: usize = 64 << 10;
 /// The size of the figures and the punctuation of a row, in bytes.
 const ROW_BYTES: usize = 64;
 /// The size of the index of a task or of a run number in a list, in bytes.
@@ -30,23 +32,23 @@
     step: u32,
     /// The range of tasks, counted from the first of the step.
     range: u16,
+    /// The number of tasks in a range.
+    tasks: u16,
 }
 
 impl PartKey {
-    fn of_task(step: u32, index: u16) -> Self {
-        PartKey {
-            step,
-            range: index / PART_TASKS,
-        }
-    }
-
     /// Parses the key of a part in the log, as [`PartKey::in_log`] returns it.
     pub fn parse(text: &str) -> Option<(JobId, PartKey)> {
         let (job, part) = text.split_once('.')?;
         let (step, range) = part.split_once('.')?;
+        let (range, tasks) = match range.split_once('.') {
+            Some((range, tasks)) => (range, tasks.parse().ok()?),
+            None => (range, PART_TASKS),
+        };
         let part = PartKey {
             step: step.parse().ok()?,
             range: range.parse().ok()?,
+            tasks,
         };
         Some((JobId::parse(job)?, part))
     }
@@ -59,14 +61,47 @@
 
 impl fmt::Display for PartKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}.{}", self.step, self.range)
+        write!(f, "{}.{}", self.step, self.range)?;
+        if self.tasks != PART_TASKS {
+            write!(f, ".{}", self.tasks)?;
+        }
+        Ok(())
+    }
+}
+
+/// How records are divided for a log that takes records up to some size. Parts of different layouts have
+/// different keys, so that an owner with another layout never overwrites a part with fewer tasks.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RecordLayout {
+    /// The size from which a record is split, in bytes.
+    split_bytes: usize,
+    /// The number of tasks in a part.
+    part_tasks: u16,
+}
+
+impl RecordLayout {
+    /// Creates the layout for records of at most `limit` bytes.
+    pub(crate) fn new(limit: usize) -> Self {
+        let tasks = (limit / TASK_BYTES).clamp(1, PART_TASKS.into());
+        RecordLayout {
+            split_bytes: MAX_WHOLE_BYTES.min(limit / 4),
+            part_tasks: tasks as u16,
+        }
+    }
+
+    fn part_of(self, step: u32, index: u16) -> PartKey {
+        PartKey {
+            step,
+            range: index / self.part_tasks,
+            tasks: self.part_tasks,
+        }
     }
 }
 
 impl JobRecord {
     /// Returns whether the record has to be stored in parts.
-    pub(crate) fn is_large(&self) -> bool {
-        self.weight() > SPLIT_BYTES
+    pub(crate) fn is_large(&self, layout: RecordLayout) -> bool {
+        self.weight() > layout.split_bytes
     }
 
     /// Returns about how many bytes the encoded rows take, at least as many as they do.
@@ -93,8 +128,8 @@
     }
 
     /// Moves the rows about tasks into parts, in order of their keys.
-    pub(crate) fn split(&mut self) -> Vec<(PartKey, JobRecord)> {
-        let mut parts = Parts::default();
+    pub(crate) fn split(&mut self, layout: RecordLayout) -> Vec<(PartKey, JobRecord)> {
+        let mut parts = Parts::new(layout);
         for (step, indexes) in std::mem::take(&mut self.done_tasks) {
             for index in indexes {
                 push_index(&mut parts.of_task(step, index).done_tasks, step, index);
@@ -117,7 +152,7 @@
         for row in std::mem::take(&mut self.placements) {
             parts.of_task(row.step, row.index).placements.push(row);
         }
-        let mut parts: Vec<(PartKey, JobRecord)> = parts.0.into_iter().collect();
+        let mut parts: Vec<(PartKey, JobRecord)> = parts.records.into_iter().collect();
         parts.sort_unstable_by_key(|(key, _)| *key);
         for (_, part) in &mut parts {
             let order = |row: &Placement| (row.step, row.index, row.run);
@@ -144,12 +179,22 @@
 }
 
 /// The parts of a record that is being split.
-#[derive(Default)]
-struct Parts(FxHashMap<PartKey, JobRecord>);
+struct Parts {
+    layout: RecordLayout,
+    records: FxHashMap<PartKey, JobRecord>,
+}
 
 impl Parts {
+    fn new(layout: RecordLayout) -> Self {
+        Parts {
+            layout,
+            records: FxHashMap::default(),
+        }
+    }
+
     fn of_task(&mut self, step: u32, index: u16) -> &mut JobRecord {
-        self.0.entry(PartKey::of_task(step, index)).or_default()
+        let key = self.layout.part_of(step, index);
+        self.records.entry(key).or_default()
     }
 }
 
--- a/crates/kingcupwinch-cell/src/spec.rs
+++ b/crates/kingcupwinch-cell/src/spec.rs
@@ -220,7 +220,20 @@
     pub accepted_by: Option<Arc<str>>,
 }
 
+/// The size of the fields of a progress record that are not lists, with its key, in bytes.
+const HEAD_BYTES: usize = 256;
+/// The size of a range of done steps, in bytes.
+const DONE_RANGE_BYTES: usize = 16;
+
 impl JobSpec {
+    /// Returns how large the record of the job's progress may get, in bytes, without what is stored in
+    /// parts: every other step of all occurrences is done.
+    pub fn max_progress_bytes(&self) -> usize {
+        let occurrences = self.schedule.map_or(1, |schedule| schedule.count.max(1));
+        let steps = self.steps.len().saturating_mul(occurrences as usize);
+        HEAD_BYTES + steps.div_ceil(2).saturating_mul(DONE_RANGE_BYTES)
+    }
+
     /// Returns the critical path of each step: the longest chain of the given durations of the steps
     /// from its start to the end of the job.
     pub(crate) fn critical_paths(&self, durations: &[Span]) -> SmallVec<[Span; 4]> {
--- a/crates/kingcupwinch-cell/tests/cell/harness.rs
+++ b/crates/kingcupwinch-cell/tests/cell/harness.rs
@@ -174,6 +174,13 @@
         }
     }
 
+    /// Uses a log that takes records of at most `bytes` bytes.
+    pub(crate) fn with_record_limit(mut self, bytes: usize) -> Self {
+        self.cell = self.cell.with_record_limit(bytes);
+        self.log.limit = bytes;
+        self
+    }
+
     pub(crate) fn advance(&mut self, ms: u64) {
         self.now += Span::from_millis(ms);
     }
--- a/crates/kingcupwinch-cell/tests/cell/large_jobs.rs
+++ b/crates/kingcupwinch-cell/tests/cell/large_jobs.rs
@@ -10,6 +10,10 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::harness::{FakeWorker, Harness, id, job, registration, step, task};
+use crate::progress_log::RECORD_BYTES;
+
+/// The largest record of a store that takes small ones, in bytes.
+const SMALL_RECORD_BYTES: usize = 16 << 10;
 
 /// A step of tasks that need a tenth of a core each.
 fn small_tasks(count: u16) -> StepSpec {
@@ -56,6 +60,22 @@
     );
 }
 
+/// Guards against a job that is set aside for good, since its record is larger than the store takes and
+/// smaller than any that is divided.
+#[test]
+fn a_store_of_small_records_takes_every_job() {
+    for tasks in [100, 400, 1_500, 6_000] {
+        let mut harness = Harness::new(48, 32).with_record_limit(SMALL_RECORD_BYTES);
+        harness.submit(1, job(vec![small_tasks(tasks)]));
+        for _ in 0..8 {
+            harness.run_round();
+            harness.poll_all();
+        }
+        assert_eq!(harness.running().len(), usize::from(tasks));
+        run_to_end(&mut harness, 1, 8);
+    }
+}
+
 /// A change of one task writes one part, not the whole record.
 #[test]
 fn only_parts_that_changed_are_written() {
@@ -75,10 +95,13 @@
     assert!((1..8_192).contains(&written), "{written} bytes");
 }
 
-/// A later owner knows all placements and ends from the parts.
-#[test]
-fn a_large_job_survives_a_takeover() {
-    let mut earlier = Harness::new(48, 16);
+/// A later owner knows all placements and ends from the parts, also if it divides records in another way.
+#[rstest::rstest]
+#[case::same(RECORD_BYTES, RECORD_BYTES)]
+#[case::smaller(RECORD_BYTES, SMALL_RECORD_BYTES)]
+#[case::larger(SMALL_RECORD_BYTES, RECORD_BYTES)]
+fn a_large_job_survives_a_takeover(#[case] before: usize, #[case] after: usize) {
+    let mut earlier = Harness::new(48, 16).with_record_limit(before);
     let spec = job(vec![small_tasks(6_000)]);
     earlier.submit(1, spec.clone());
     for _ in 0..8 {
@@ -93,7 +116,7 @@
     earlier.append_records();
     assert!(!earlier.log.parts_of(id(1)).is_empty());
 
-    let mut later = Harness::of_generation(2);
+    let mut later = Harness::of_generation(2).with_record_limit(after);
     later.now = earlier.now;
     for (number, (_, fake)) in earlier.workers.into_iter().enumerate() {
         let entry = registration(number, 16);
@@ -105,6 +128,7 @@
         .cell
         .restore(id(1), Some(spec), Some(record), Span::ZERO, later.now);
     later.log = earlier.log;
+    later.log.limit = after;
     later.advance(5_000);
     later.poll_all();
     later.decide();
@@ -221,6 +245,26 @@
     assert_eq!(harness.running().len(), 2_048);
 }
 
+/// The ranges of done steps are in one record, whatever its layout.
+#[test]
+fn the_size_of_the_progress_of_many_steps_is_known() {
+    let mut spec = job(vec![small_tasks(1), small_tasks(1)]);
+    spec.schedule = Some(Schedule {
+        count: 10_000,
+        first_ms: 1,
+        interval_ms: 0,
+    });
+    let record = JobRecord {
+        last_run: u32::MAX,
+        started: true,
+        done_steps: (0..10_000).map(|n| (2 * n, 2 * n + 1)).collect(),
+        ..JobRecord::default()
+    };
+    let bytes = record.encode().unwrap().len();
+    assert!(bytes <= spec.max_progress_bytes(), "{bytes} bytes");
+    assert!(spec.max_progress_bytes() < RECORD_BYTES);
+}
+
 /// Occurrences that are all due at once, each with steps of its own.
 #[test]
 fn occurrences_that_overlap_are_done() {
--- a/crates/kingcupwinch-cell/tests/cell/progress_log.rs
+++ b/crates/kingcupwinch-cell/tests/cell/progress_log.rs
@@ -8,14 +8,27 @@
 pub(crate) const RECORD_BYTES: usize = 256 << 10;
 
 /// The latest record of each key.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct ProgressLog {
+    /// The largest record that the store takes, in bytes.
+    pub(crate) limit: usize,
     records: BTreeMap<JobId, JobRecord>,
     parts: BTreeMap<(JobId, PartKey), JobRecord>,
     /// The bytes of all records so far.
     pub(crate) bytes: usize,
 }
 
+impl Default for ProgressLog {
+    fn default() -> Self {
+        ProgressLog {
+            limit: RECORD_BYTES,
+            records: BTreeMap::new(),
+            parts: BTreeMap::new(),
+            bytes: 0,
+        }
+    }
+}
+
 impl ProgressLog {
     /// Appends a batch. Returns the progress of the jobs that it is about, with their parts.
     ///
@@ -55,7 +68,7 @@
     fn store(&mut self, key: &str, record: &JobRecord) -> JobRecord {
         let bytes = record.encode().unwrap();
         let size = 1 + key.len() + bytes.len();
-        assert!(size <= RECORD_BYTES, "the record {key} has {size} bytes");
+        assert!(size <= self.limit, "the record {key} has {size} bytes");
         self.bytes += size;
         JobRecord::decode(&bytes).unwrap()
     }
--- a/crates/kingcupwinch-node/src/callers.rs
+++ b/crates/kingcupwinch-node/src/callers.rs
@@ -147,7 +147,8 @@
         };
         let key = IntakeKey::Accepted(job.id);
         let record = KeyedRecord::with_value(key.to_key(), value);
-        if record.size() > self.shared.settings.append_limits.record {
+        let progress = spec.max_progress_bytes();
+        if record.size().max(progress) > self.shared.settings.append_limits.record {
             let error = JobError::Invalid("the job is larger than a record of the log");
             return self.reject(job.id, &error);
         }
--- a/crates/kingcupwinch-node/src/intake.rs
+++ b/crates/kingcupwinch-node/src/intake.rs
@@ -123,7 +123,8 @@
         while let Ok(request) = queue.try_recv() {
             pending.push(request);
         }
-        let batch = take_batch(&mut pending);
+        let limit = MAX_BATCH_BYTES.min(shared.settings.append_limits.request);
+        let batch = take_batch(&mut pending, limit);
         let retries = append_batch(&shared, partition, batch).await;
         if !retries.is_empty() {
             tokio::time::sleep(RETRY_DELAY).await;
@@ -132,10 +133,10 @@
     }
 }
 
-/// Removes as many requests from the front as fit into one append, and at least one.
-fn take_batch(pending: &mut Vec<PendingAppend>) -> Vec<PendingAppend> {
+/// Removes as many requests from the front as fit into one append of `limit` bytes, and at least one.
+fn take_batch(pending: &mut Vec<PendingAppend>, limit: usize) -> Vec<PendingAppend> {
     let records = pending.iter().map(|request| &request.record);
-    let count = records_that_fit(records, MAX_BATCH_BYTES);
+    let count = records_that_fit(records, limit);
     pending.drain(..count).collect()
 }
 
--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -144,9 +144,12 @@
         end_retention: shared.settings.status_retention,
         exit_window: shared.settings.heartbeat.times(EXIT_HEARTBEATS),
     };
-    let mut cell = Cell::new(timers, claim.generation).with_disabled(shared.disabled);
+    let limit = shared.settings.append_limits.record;
+    let mut cell = Cell::new(timers, claim.generation)
+        .with_disabled(shared.disabled)
+        .with_record_limit(limit);
     let workers = restore_workers(shared, &mut cell, &directory, &progress, now);
-    let shards = WorkerShards::new(progress.items.iter().map(|item| &*item.key));
+    let shards = WorkerShards::new(limit, progress.items.iter().map(|item| &*item.key));
     let mut origins = Origins::default();
     let mut duplicates = Vec::new();
     let records = restore_ends(shared, &mut cell, &progress, now);
--- a/crates/kingcupwinch-node/src/owner/worker_shards.rs
+++ b/crates/kingcupwinch-node/src/owner/worker_shards.rs
@@ -11,7 +11,7 @@
 #[cfg(test)]
 mod tests;
 
-/// Size of the rows from which they are stored in shards, in bytes.
+/// Largest size of the rows that are stored in one record, in bytes.
 const MAX_LIST_BYTES: usize = 96 << 10;
 /// Number of shards. With 12,000 workers each holds about 190 rows.
 const SHARDS: u64 = 64;
@@ -19,17 +19,20 @@
 const ROW_BYTES: usize = 32;
 
 /// What the log holds of the list of workers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct WorkerShards {
+    /// Size of the rows from which they are stored in shards, in bytes.
+    split_bytes: usize,
     is_split: bool,
     /// A hash of the rows under each key, to write only what has changed.
     written: FxHashMap<Arc<str>, u64>,
 }
 
 impl WorkerShards {
-    /// Creates the state of a log that holds these keys.
-    pub(crate) fn new<'a>(mut keys: impl Iterator<Item = &'a str>) -> Self {
+    /// Creates the state of a log that takes records of at most `limit` bytes and holds these keys.
+    pub(crate) fn new<'a>(limit: usize, mut keys: impl Iterator<Item = &'a str>) -> Self {
         WorkerShards {
+            split_bytes: MAX_LIST_BYTES.min(limit / 2),
             is_split: keys.any(WorkerShards::is_shard),
             written: FxHashMap::default(),
         }
@@ -47,7 +50,7 @@
         workers: &[WorkerRecord],
     ) -> Vec<(Arc<str>, Vec<WorkerRecord>)> {
         let row_bytes = |row: &WorkerRecord| ROW_BYTES + row.id.len() + row.address.len();
-        self.is_split |= workers.iter().map(row_bytes).sum::<usize>() > MAX_LIST_BYTES;
+        self.is_split |= workers.iter().map(row_bytes).sum::<usize>() > self.split_bytes;
         // Earlier versions read this key only.
         let mut lists: Vec<(Arc<str>, Vec<WorkerRecord>)> = vec![(WORKERS_KEY.into(), Vec::new())];
         if self.is_split {
--- a/crates/kingcupwinch-node/src/test_support.rs
+++ b/crates/kingcupwinch-node/src/test_support.rs
@@ -80,7 +80,7 @@
         origins,
         duplicates: Vec::new(),
         freshness: Freshness::new(intake_partitions(), confirmed_at),
-        shards: WorkerShards::default(),
+        shards: WorkerShards::new(256 << 10, std::iter::empty()),
     };
     Owner::spawn_with_mailbox(args, mailbox::unbounded())
 }
