Have the test of small records cover the sizes that failed

With 800 tasks it fails (27,024 bytes). The two cases of a_large_job_survives_a_takeover pass either way; they guard the change of layout, not the limit.

--- a/crates/kingcupwinch-cell/tests/cell/large_jobs.rs
+++ b/crates/kingcupwinch-cell/tests/cell/large_jobs.rs
@@ -64,7 +64,7 @@
 /// smaller than any that is divided.
 #[test]
 fn a_store_of_small_records_takes_every_job() {
-    for tasks in [100, 400, 1_500, 6_000] {
+    for tasks in [100, 400, 800, 1_500, 6_000] {
         let mut harness = Harness::new(48, 32).with_record_limit(SMALL_RECORD_BYTES);
         harness.submit(1, job(vec![small_tasks(tasks)]));
         for _ in 0..8 {
