Ask siblings that respond for help and for relaying orders

A sibling that can't be connected to, loses relayed orders or does not respond to a probe is silent for 10 s now, unless it responds; orders then go through another instance, or from the owner itself.

--- a/crates/kingcupwinch-node/src/owner/starts.rs
+++ b/crates/kingcupwinch-node/src/owner/starts.rs
@@ -19,6 +19,9 @@
 use crate::shared::Shared;
 use crate::siblings::CallError;
 
+#[cfg(test)]
+mod tests;
+
 /// Bytes of a start order besides the payload: the other fields and the headers.
 const ORDER_BYTES: usize = 400;
 /// Time after which a relay sends no more orders.
@@ -67,20 +70,12 @@
         }
     }
 
-    /// Returns the address of the instance that is to send an order: the one that accepted the job, or
-    /// another one if that is this one or has left.
+    /// Returns the address of the instance that is to send an order, if there is one that responds.
     fn relay_of(&self, order: &StartOrder) -> Option<Arc<str>> {
         let me = &self.shared.settings.instance;
-        let acceptor = order.accepted_by.as_ref().filter(|name| *name != me);
-        let known = acceptor.and_then(|name| self.addresses.get(name));
-        let others = || {
-            let others = self.addresses.iter().filter(|(name, _)| *name != me);
-            let addresses: Vec<_> = others.map(|(_, address)| address).collect();
-            // All orders of a job go to the same instance.
-            let hash = FxBuildHasher.hash_one(order.task.job) as usize;
-            addresses.get(hash % addresses.len().max(1)).copied()
-        };
-        known.or_else(others).cloned()
+        let acceptor = order.accepted_by.as_ref();
+        let is_silent = |address: &Arc<str>| self.siblings.is_silent(address);
+        choose_relay(&self.addresses, me, acceptor, order.task.job, is_silent).cloned()
     }
 
     fn send_start(&self, order: StartOrder, client: WorkerClient) {
@@ -139,6 +134,28 @@
     }
 }
 
+/// Chooses the instance that sends the orders of a job for `me`: the one that accepted the job, or another
+/// one if that is `me`, has left or is silent. All orders of a job go to the same instance.
+fn choose_relay<'a>(
+    addresses: &'a FxHashMap<Arc<str>, Arc<str>>,
+    me: &Arc<str>,
+    acceptor: Option<&Arc<str>>,
+    job: JobId,
+    is_silent: impl Fn(&Arc<str>) -> bool,
+) -> Option<&'a Arc<str>> {
+    let acceptor = acceptor.filter(|name| *name != me);
+    let known = acceptor.and_then(|name| addresses.get(name));
+    let known = known.filter(|address| !is_silent(address));
+    let others = || {
+        let others = addresses.iter().filter(|(name, _)| *name != me);
+        let others = others.map(|(_, address)| address);
+        let others: Vec<_> = others.filter(|address| !is_silent(address)).collect();
+        let hash = FxBuildHasher.hash_one(job) as usize;
+        others.get(hash % others.len().max(1)).copied()
+    };
+    known.or_else(others)
+}
+
 /// Sends start orders and reports their outcomes to the owner.
 #[derive(Clone)]
 struct StartSender {
--- a/crates/kingcupwinch-node/src/siblings.rs
+++ b/crates/kingcupwinch-node/src/siblings.rs
@@ -13,8 +13,8 @@
 use kingcupwinch_adapter::KeyedRecord;
 use kingcupwinch_cell::{JobId, JobState, Member};
 use kingcupwinch_platform::{HttpClient, SendError, full_body};
-use rand::seq::IndexedRandom;
-use rustc_hash::FxHashMap;
+use rand::seq::SliceRandom;
+use rustc_hash::{FxHashMap, FxHashSet};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use slog::o;
@@ -29,6 +29,9 @@
 use crate::relay::{RelayRequest, RelayResponse, StartRelay};
 use crate::shared::Shared;
 
+#[cfg(test)]
+mod tests;
+
 /// Maximum connections to one sibling.
 const CONNECTIONS: usize = 6;
 /// Maximum size of a request or response body, in bytes.
@@ -41,6 +44,8 @@
 const OWNER_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Delay before a retry.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
+/// Time for which a sibling that did not respond is asked for nothing that another one can do.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(10);
 
 const STATE_PATH: &str = "/state/";
 const WAITING_PATH: &str = "/waiting/";
@@ -100,11 +105,18 @@
     waiting: usize,
 }
 
+/// A sibling at an address.
+struct Peer {
+    client: HttpClient,
+    /// Until when the sibling counts as silent, unless it responds.
+    silent_until: Option<Instant>,
+}
+
 /// HTTP clients of the siblings; clones share their connections.
 #[derive(Clone)]
 pub(crate) struct Siblings {
     shared: Arc<Shared>,
-    clients: Arc<Mutex<FxHashMap<Arc<str>, HttpClient>>>,
+    peers: Arc<Mutex<FxHashMap<Arc<str>, Peer>>>,
     states: Arc<JobStateCache>,
     /// Time until which an owner that does not serve yet is not asked to append records.
     owner_ready: Arc<Mutex<Option<Instant>>>,
@@ -114,7 +126,7 @@
     pub(crate) fn new(shared: Arc<Shared>) -> Self {
         Siblings {
             shared,
-            clients: Arc::default(),
+            peers: Arc::default(),
             states: Arc::default(),
             owner_ready: Arc::default(),
         }
@@ -225,7 +237,8 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the addresses of randomly chosen siblings other than the owner.
+    /// Returns the addresses of randomly chosen siblings other than the owner, silent ones only if there
+    /// are too few others.
     fn helpers(&self) -> Vec<Arc<str>> {
         let me = &self.shared.settings.instance;
         let owner = self.shared.claim.borrow().clone();
@@ -234,13 +247,16 @@
                 .as_ref()
                 .is_some_and(|o| o.instance == member.instance)
         };
-        let members = self.shared.members.borrow();
-        let others = members
-            .iter()
-            .filter(|member| member.instance != *me && !is_owner(member));
-        let others: Vec<&Member> = others.collect();
-        let chosen = others.choose_multiple(&mut rand::rng(), MAX_HELPERS);
-        chosen.map(|member| Arc::clone(&member.address)).collect()
+        let is_other = |member: &&Member| member.instance != *me && !is_owner(member);
+        let mut addresses: Vec<Arc<str>> = {
+            let members = self.shared.members.borrow();
+            let others = members.iter().filter(is_other);
+            others.map(|member| Arc::clone(&member.address)).collect()
+        };
+        addresses.shuffle(&mut rand::rng());
+        addresses.sort_by_key(|address| self.is_silent(address));
+        addresses.truncate(MAX_HELPERS);
+        addresses
     }
 
     async fn append_at(
@@ -317,7 +333,11 @@
     pub(crate) async fn responds(&self, address: &Arc<str>) -> bool {
         let deadline = Instant::now() + ATTEMPT_TIMEOUT;
         let call = self.call(address, Method::GET, ALIVE_PATH, Bytes::new(), deadline);
-        matches!(call.await, Ok(_) | Err(CallError::Refused))
+        let has_responded = matches!(call.await, Ok(_) | Err(CallError::Refused));
+        if !has_responded {
+            self.note_silent(address);
+        }
+        has_responded
     }
 
     /// Asks a sibling to send start orders to workers; `Err` tells whether it may have sent any.
@@ -329,7 +349,11 @@
     ) -> Result<RelayResponse, CallError> {
         let body = serde_json::to_vec(request).map_err(|_| CallError::NotSent)?;
         let call = self.call(address, Method::POST, START_PATH, body.into(), deadline);
-        serde_json::from_slice(&call.await?).map_err(|_| CallError::Lost)
+        let response = call.await;
+        if response == Err(CallError::Lost) {
+            self.note_silent(address);
+        }
+        serde_json::from_slice(&response?).map_err(|_| CallError::Lost)
     }
 
     async fn call(
@@ -344,7 +368,17 @@
         let mut request = Request::new(full_body(body));
         *request.method_mut() = method;
         *request.uri_mut() = path.parse().map_err(|_| CallError::NotSent)?;
-        let response = client.send(request, deadline).await?;
+        let response = match client.send(request, deadline).await {
+            Ok(response) => response,
+            Err(error) => {
+                // A lost response may be that of a slow store or adviser.
+                if matches!(error, SendError::NotSent(_)) {
+                    self.note_silent(address);
+                }
+                return Err(error.into());
+            }
+        };
+        self.note_response(address);
         if response.status().is_client_error() {
             return Err(CallError::Refused);
         }
@@ -357,17 +391,56 @@
         Ok(collected.map_err(|_| CallError::Lost)?.to_bytes())
     }
 
+    /// Returns the client of the sibling at an address. A new one replaces those of siblings that are
+    /// gone.
     fn client(&self, address: &Arc<str>) -> Option<HttpClient> {
-        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(client) = clients.get(address) {
-            return Some(client.clone());
+        if let Some(peer) = self.lock_peers().get(address) {
+            return Some(peer.client.clone());
         }
         let parsed: SocketAddr = address.parse().ok()?;
+        let known = self.known_addresses();
         let counter = self.shared.traffic.counter("sibling calls");
         let client = HttpClient::with_counter(parsed, CONNECTIONS, counter);
-        clients.insert(Arc::clone(address), client.clone());
+        let peer = Peer {
+            client: client.clone(),
+            silent_until: None,
+        };
+        let mut peers = self.lock_peers();
+        peers.retain(|address, _| known.contains(address));
+        peers.insert(Arc::clone(address), peer);
         Some(client)
     }
+
+    /// Returns the addresses of the members and of the owner.
+    fn known_addresses(&self) -> FxHashSet<Arc<str>> {
+        let owner = self.shared.claim.borrow().clone();
+        let members = self.shared.members.borrow();
+        let members = members.iter().map(|member| Arc::clone(&member.address));
+        members.chain(owner.map(|claim| claim.address)).collect()
+    }
+
+    /// Returns whether a sibling did not respond lately.
+    pub(crate) fn is_silent(&self, address: &Arc<str>) -> bool {
+        let peers = self.lock_peers();
+        let silent_until = peers.get(address).and_then(|peer| peer.silent_until);
+        silent_until.is_some_and(|until| Instant::now() < until)
+    }
+
+    fn note_silent(&self, address: &Arc<str>) {
+        if let Some(peer) = self.lock_peers().get_mut(address) {
+            peer.silent_until = Some(Instant::now() + SILENCE_TIMEOUT);
+        }
+    }
+
+    fn note_response(&self, address: &Arc<str>) {
+        if let Some(peer) = self.lock_peers().get_mut(address) {
+            peer.silent_until = None;
+        }
+    }
+
+    fn lock_peers(&self) -> MutexGuard<'_, FxHashMap<Arc<str>, Peer>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// Error of a call to a sibling.
