Simulate one owner without takeovers, and a log that rejects records

Two worlds of the cell for the class of fault that the users see as TWICE. In one no owner is lost, and workers are cut off three times as often: no task may start after an acknowledged end, whatever was lost, late or evicted.

--- a/crates/kingcupwinch-cell/tests/cell/lifecycle.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle.rs
@@ -49,6 +49,30 @@
     }
 }
 
+/// An end that is acknowledged and not counted runs its task again under the same owner: it has concluded
+/// that the run was over, from a view that is older than the worker's list.
+#[rstest]
+fn no_task_runs_again_under_one_owner(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16)] seed: u64,
+) {
+    match Simulation::of_one_owner(seed).run() {
+        Ok(summary) => assert!(summary.owners == 1 && summary.completed > 40, "{summary:?}"),
+        Err(breach) => panic!("{breach}"),
+    }
+}
+
+/// An end that is acknowledged while the log rejects the record of its job runs its task again under the
+/// next owner, and so does one whose part of the record is deleted too soon.
+#[rstest]
+fn promises_hold_while_records_are_rejected(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16)] seed: u64,
+) {
+    match Simulation::of_rejections(seed).run() {
+        Ok(summary) => assert!(summary.owners > 2 && summary.completed > 40, "{summary:?}"),
+        Err(breach) => panic!("{breach}"),
+    }
+}
+
 /// A task that waits although there is capacity for it, as its workers and the adviser show, breaks
 /// the bound on the wait for a long-running task, or for a job of which nothing runs.
 #[rstest]
@@ -148,6 +172,18 @@
     search(Simulation::new);
 }
 
+/// The same with one owner.
+#[test]
+fn search_many_seeds_of_one_owner() {
+    search(Simulation::of_one_owner);
+}
+
+/// The same with a log that rejects records.
+#[test]
+fn search_many_seeds_of_rejections() {
+    search(Simulation::of_rejections);
+}
+
 /// The same with long-running jobs, an adviser and draining workers.
 #[test]
 fn search_many_seeds_of_services() {
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/faults.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/faults.rs
@@ -4,7 +4,7 @@
 use kingcupwinch_time::{Span, Time};
 
 use super::checks;
-use super::log::{DirectoryRecord, IntakeRecord};
+use super::log::{DirectoryRecord, IntakeRecord, Rejection};
 use super::owner::{OwnerEvent, Writer};
 use super::services;
 use super::simulation::{Event, Simulation, TICK, Variant};
@@ -20,6 +20,9 @@
 const WORKER_ENDS: f64 = 0.04;
 const WORKER_CUTS: f64 = 0.06;
 const DIRECTORY_CUTS: f64 = 0.04;
+const REJECTIONS: f64 = 1.0;
+/// The number of jobs of which one is rejected next.
+const RECENT_JOBS: u64 = 8;
 /// The share of the jobs with a task that crashes its workers, and the probability that the owner is lost
 /// with such a worker.
 const CRASHING_JOBS: f64 = 0.03;
@@ -41,7 +44,7 @@
         if !self.is_quiet() && self.occurs(JOBS) {
             let number = self.callers.jobs.len() as u64 + 1;
             let mut spec = self.draw_job();
-            if self.variant != Variant::Basic {
+            if !self.variant.is_basic() {
                 self.vary_job(&mut spec);
             }
             if self.variant == Variant::Crashes && self.chance(CRASHING_JOBS) {
@@ -97,7 +100,7 @@
         }
         let fate = self.between(0, 99);
         // An append whose result stays open is a fault of the log or of the caller's instance.
-        let is_certain = self.variant != Variant::Basic && !self.is_disturbed();
+        let is_certain = !self.variant.is_basic() && !self.is_disturbed();
         match if is_certain { 100 } else { fate } {
             0..8 if is_announced => {
                 let delay = self.span(5, 60);
@@ -146,9 +149,12 @@
                 self.log.down_until = self.now + self.span(200, 6_000);
                 self.trace(None, None, || "the log is down".to_owned());
             }
-            if self.occurs(OWNER_LOSSES) {
+            if self.variant != Variant::OneOwner && self.occurs(OWNER_LOSSES) {
                 self.lose_owner();
             }
+            if self.variant == Variant::Rejections && self.occurs(REJECTIONS) {
+                self.reject_records();
+            }
         }
         for worker in 0..self.workers.len() {
             if self.is_disturbed() {
@@ -158,9 +164,27 @@
         }
     }
 
+    /// Has the log reject records of one of the last jobs for a while.
+    fn reject_records(&mut self) {
+        let jobs = self.callers.jobs.len() as u64;
+        if jobs == 0 {
+            return;
+        }
+        let number = self.between(jobs.saturating_sub(RECENT_JOBS), jobs - 1) as usize;
+        let job = self.callers.jobs[number].0;
+        let rejection = Rejection {
+            until: self.now + self.span(10, 3_000),
+            of_parts: self.chance(0.6),
+            of_progress: self.chance(0.6),
+        };
+        self.trace(Some(job), None, || format!("the log has a {rejection:?}"));
+        self.log.rejections.insert(job, rejection);
+    }
+
     /// Ends all faults.
     fn repair(&mut self) {
         let now = self.now;
+        self.log.rejections.clear();
         self.log.down_until = self.log.down_until.min(now);
         for owner in &mut self.owners {
             owner.cut_until = owner.cut_until.min(now);
@@ -244,7 +268,7 @@
     pub(super) fn add_worker(&mut self, machine: usize) {
         let number = self.workers.len();
         let labels = match self.variant {
-            Variant::Basic => registration(number, CORES).labels,
+            variant if variant.is_basic() => registration(number, CORES).labels,
             _ => services::labels(machine),
         };
         self.workers.push(Worker {
@@ -288,7 +312,12 @@
 
     fn harm_worker(&mut self, number: usize) {
         let now = self.now;
-        if self.occurs(WORKER_CUTS) {
+        let cuts = if self.variant == Variant::OneOwner {
+            WORKER_CUTS * 3.0
+        } else {
+            WORKER_CUTS
+        };
+        if self.occurs(cuts) {
             let until = now + self.span(100, 9_000).min(self.longest_cut);
             let is_refusing = self.chance(0.5);
             self.workers[number].cut = Some(Cut { until, is_refusing });
@@ -317,7 +346,7 @@
         let is_exit = self.chance(0.5);
         self.end_process(number, is_exit);
         match self.variant {
-            Variant::Basic => {
+            variant if variant.is_basic() => {
                 let delay = self.span(300, 4_000);
                 self.schedule(delay, Event::WorkerStart(number));
             }
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/log.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/log.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use kingcupwinch_cell::{JobId, JobRecord, JobSpec, RecordBatch, TaskName, WorkerRecord};
+use kingcupwinch_cell::{JobId, JobRecord, JobSpec, PartKey, RecordBatch, TaskName, WorkerRecord};
 use kingcupwinch_time::Time;
 
 use crate::progress_log::ProgressLog;
@@ -24,6 +24,16 @@
     pub(super) started_ms: Option<u64>,
 }
 
+/// A time in which records of a job are rejected.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Rejection {
+    pub(super) until: Time,
+    /// Whether the parts of the job's record are rejected.
+    pub(super) of_parts: bool,
+    /// Whether its progress is rejected.
+    pub(super) of_progress: bool,
+}
+
 #[derive(Debug, Default)]
 pub(super) struct Log {
     /// The latest term that has fenced the progress records.
@@ -41,6 +51,7 @@
     pub(super) directory: Vec<DirectoryRecord>,
     /// The end of the current outage.
     pub(super) down_until: Time,
+    pub(super) rejections: BTreeMap<JobId, Rejection>,
 }
 
 impl Log {
@@ -59,6 +70,41 @@
         self.intake.push(IntakeRecord::Cancelled(id));
     }
 
+    /// Removes what the log rejects from a batch, and the deletions of parts that would follow it. Returns
+    /// the jobs that it is about, with these parts.
+    pub(super) fn reject(
+        &self,
+        batch: &mut RecordBatch,
+        now: Time,
+    ) -> BTreeMap<JobId, Vec<PartKey>> {
+        let mut rejected: BTreeMap<JobId, Vec<PartKey>> = BTreeMap::new();
+        let mut is_rejected = |id: JobId, is_part: bool| {
+            let rejection = self.rejections.get(&id);
+            let rejection = rejection.filter(|rejection| now < rejection.until);
+            let of_record = |rejection: &Rejection| match is_part {
+                true => rejection.of_parts,
+                false => rejection.of_progress,
+            };
+            let holds = rejection.is_some_and(of_record);
+            if holds {
+                rejected.entry(id).or_default();
+            }
+            holds
+        };
+        batch.parts.retain(|(id, ..)| !is_rejected(*id, true));
+        batch.progress.retain(|(id, _)| !is_rejected(*id, false));
+        batch
+            .dropped_parts
+            .retain(|(id, part)| match rejected.get_mut(id) {
+                Some(kept) => {
+                    kept.push(*part);
+                    false
+                }
+                None => true,
+            });
+        rejected
+    }
+
     /// Appends a batch, whose owner has to hold the latest term.
     pub(super) fn append(&mut self, batch: &RecordBatch, workers: Option<&[WorkerRecord]>) {
         self.progress.extend(self.records.append(batch));
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/owner.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/owner.rs
@@ -4,14 +4,14 @@
 use std::sync::Arc;
 
 use kingcupwinch_cell::{
-    Action, AdviceCallId, Cell, CellEvent, CellTimers, JobId, JobRecord, JobState, Placement,
-    PollFailure, RecordBatch, Registration, StartOrder, StartOutcome, StopOrder, Ticket, WorkerKey,
-    WorkerRecord, WorkerStatus,
+    Action, AdviceCallId, Cell, CellEvent, CellTimers, JobId, JobRecord, JobState, PartKey,
+    Placement, PollFailure, RecordBatch, Registration, StartOrder, StartOutcome, StopOrder, Ticket,
+    WorkerKey, WorkerRecord, WorkerStatus,
 };
 use kingcupwinch_time::{Span, Time};
 
 use super::log::{DirectoryRecord, IntakeRecord};
-use super::simulation::{Event, Order, Simulation};
+use super::simulation::{Event, Order, Simulation, Variant};
 use super::worker::{HEARTBEAT, Worker};
 use crate::harness::{HANDOVER_OVERLAP, registration, timers};
 
@@ -21,6 +21,8 @@
 const MIN_OVERLAP: Span = Span::from_millis(300);
 /// No final state expires during a simulation.
 const END_RETENTION: Span = Span::from_secs(3_600);
+/// A limit with which every record is stored in parts of one task.
+const SMALL_RECORD_BYTES: usize = 256;
 const HEARTBEAT_INTERVAL: Span = Span::from_millis(200);
 const DECISION_DELAY: Span = Span::from_millis(5);
 const DECISION_INTERVAL: Span = Span::from_millis(100);
@@ -46,6 +48,8 @@
     DirectoryRead(usize, Time),
     /// A batch is in the log. An append also tells when it was first sent.
     Appended(u64, Option<Time>),
+    /// Records of these jobs were rejected, and the deletions of these parts withheld.
+    SetAside(BTreeMap<JobId, Vec<PartKey>>),
     /// The result of a call to the adviser: its tickets and how long they are valid.
     Advised(AdviceCallId, Option<(Vec<Ticket>, Span)>),
     /// An announced job certainly is not in the log.
@@ -202,6 +206,9 @@
             ..timers()
         };
         let mut cell = Cell::new(timers, self.log.term as u32);
+        if self.variant == Variant::Rejections {
+            cell = cell.with_record_limit(SMALL_RECORD_BYTES);
+        }
         self.note_takeover(now + overlap);
         cell.set_advice_callers(&self.advice_callers);
         for (worker, record) in self.log.listed_workers() {
@@ -476,7 +483,7 @@
             return;
         }
         let owner = &mut self.owners[index];
-        let Writer::Appending(append) = std::mem::replace(&mut owner.writer, Writer::Stopped)
+        let Writer::Appending(mut append) = std::mem::replace(&mut owner.writer, Writer::Stopped)
         else {
             return;
         };
@@ -484,6 +491,7 @@
             self.retire(index, "its append");
             return;
         }
+        let rejected = self.log.reject(&mut append.records, self.now);
         for (id, record) in &append.records.progress {
             let (term, batch) = (owner.term, append.records.batch);
             let text = format!(
@@ -495,6 +503,9 @@
         self.log.append(&append.records, append.workers.as_deref());
         owner.writer = Writer::Reporting;
         let delay = self.delay(0.05, 1_500);
+        if !rejected.is_empty() {
+            self.schedule(delay, Event::Owner(index, OwnerEvent::SetAside(rejected)));
+        }
         let event = OwnerEvent::Appended(append.records.batch, Some(append.sent));
         self.schedule(delay, Event::Owner(index, event));
     }
@@ -519,6 +530,12 @@
             OwnerEvent::IntakeRead(end) => self.handle_intake(index, end),
             OwnerEvent::DirectoryRead(end, sent) => self.handle_directory(index, end, sent),
             OwnerEvent::Appended(batch, sent) => self.handle_appended(index, batch, sent),
+            OwnerEvent::SetAside(jobs) => {
+                for (id, kept) in jobs {
+                    self.owners[index].cell.set_aside(id, &kept, now);
+                    self.trace(Some(id), None, || "its owner sets it aside".to_owned());
+                }
+            }
             OwnerEvent::Advised(call, advice) => {
                 let owner = &mut self.owners[index];
                 owner.cell.advice_received(call, advice, now);
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/simulation.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/simulation.rs
@@ -47,6 +47,11 @@
 pub(super) enum Variant {
     /// A few workers, jobs that end, and faults all the time.
     Basic,
+    /// The same with one owner from the start to the end, and workers that are cut off more often.
+    OneOwner,
+    /// The same as the first with a log that rejects records of some jobs for a while, and records that
+    /// are all stored in parts.
+    Rejections,
     /// More workers, long-running jobs, an adviser, and bursts of faults.
     Services,
     /// The same, with workers whose capacity shrinks and grows.
@@ -60,6 +65,14 @@
 }
 
 impl Variant {
+    /// Returns whether only jobs that end are handed in, and faults go on all the time.
+    pub(super) fn is_basic(self) -> bool {
+        matches!(
+            self,
+            Variant::Basic | Variant::OneOwner | Variant::Rejections
+        )
+    }
+
     /// Returns whether workers drain and faults come in bursts.
     pub(super) fn has_services(self) -> bool {
         matches!(
@@ -262,7 +275,21 @@
 
 impl Simulation {
     pub(super) fn new(seed: u64) -> Self {
-        let mut simulation = Simulation::empty(seed, Variant::Basic);
+        Simulation::of_basic(seed, Variant::Basic)
+    }
+
+    /// Creates a simulation in which no owner is lost.
+    pub(super) fn of_one_owner(seed: u64) -> Self {
+        Simulation::of_basic(seed, Variant::OneOwner)
+    }
+
+    /// Creates a simulation whose log rejects records of some jobs for a while.
+    pub(super) fn of_rejections(seed: u64) -> Self {
+        Simulation::of_basic(seed, Variant::Rejections)
+    }
+
+    fn of_basic(seed: u64, variant: Variant) -> Self {
+        let mut simulation = Simulation::empty(seed, variant);
         for number in 0..WORKERS {
             simulation.add_worker(number);
         }
@@ -351,7 +378,7 @@
             overlap_until: begin,
             adviser: services::no_adviser(),
             advice_callers: Vec::new(),
-            is_cancelling: variant == Variant::Basic,
+            is_cancelling: variant.is_basic(),
             crashing: BTreeSet::new(),
             waits: Waits::default(),
             long_runs: 0,
@@ -404,7 +431,7 @@
     /// Returns whether faults may begin and messages may be lost now.
     pub(super) fn is_disturbed(&self) -> bool {
         let is_within = |(begin, end): &(Time, Time)| (*begin..*end).contains(&self.now);
-        !self.is_quiet() && (self.variant == Variant::Basic || self.bursts.iter().any(is_within))
+        !self.is_quiet() && (self.variant.is_basic() || self.bursts.iter().any(is_within))
     }
 
     fn handle(&mut self, event: Event) {
