Make calls for advice from instances whose calls succeed

Callers saw jobs that never ran on an idle service: of three instances two responded to their siblings and could not reach the adviser. An instance that answered a probe counted as usable whatever became of its calls, and long calls go to the larger two thirds of the usable ones. So calls went to the two in turn, for good. With nine or more instances a step after a takeover asked one after the other: 4.8 s with eight of nine that don't reach the adviser, 11.9 s with 20 of 21.

Calls go to instances whose last call did not fail now, as far as there are any; others are tried if these are busy. After a lost call of a step four idle instances ask at once, then 16; the first response counts for the step. With calls of 0.2 s, a step has its advice within 2.1 s in the worst order of events, with up to 21 instances of which one reaches the adviser: at most two lost calls of the call's time and 0.75 s each, and the call that is answered.

--- a/crates/kingcupwinch-cell/src/advice.rs
+++ b/crates/kingcupwinch-cell/src/advice.rs
@@ -28,6 +28,10 @@
 const MAX_PROBE_DOUBLINGS: u32 = 4;
 /// How long after a lost call the step may call again.
 const RETRY_BACKOFF: Span = Span::from_millis(150);
+/// The factor by which each lost call raises the number of instances that make the next one, and the
+/// largest number.
+const LOST_CALL_FACTOR: u32 = 4;
+const MAX_CALL_COPIES: u32 = 16;
 /// Calls longer than this are long calls. They leave some of the callers free for short calls.
 const LONG_CALL_THRESHOLD: Span = Span::from_millis(150);
 /// The longest wait for a free caller that a short call accepts.
@@ -61,8 +65,8 @@
     pub(crate) next_call: Time,
     /// When the last call was made.
     pub(crate) asked_at: Time,
-    /// Whether the last call that ended was lost.
-    pub(crate) is_call_lost: bool,
+    /// The calls in a row that were lost. Those that are made at once count as one.
+    lost_calls: u32,
     /// The calls that were answered since the last start of a task.
     pub(crate) calls_without_start: u32,
 }
@@ -122,14 +126,30 @@
         self.asked_at = now;
     }
 
-    pub(crate) fn note_response(&mut self) {
-        self.pending_calls = self.pending_calls.saturating_sub(1);
-        self.is_call_lost = false;
+    /// Returns whether the last call that ended was lost.
+    pub(crate) fn is_call_lost(&self) -> bool {
+        self.lost_calls > 0
+    }
+
+    /// Returns how many instances make the next call at once: after a lost one each may be one that does
+    /// not reach the adviser.
+    pub(crate) fn call_copies(&self) -> u32 {
+        LOST_CALL_FACTOR
+            .saturating_pow(self.lost_calls)
+            .min(MAX_CALL_COPIES)
+    }
+
+    /// Records that a call was answered, and that nothing is expected any more of its copies.
+    pub(crate) fn note_response(&mut self, copies: u32) {
+        self.pending_calls = self.pending_calls.saturating_sub(1 + copies);
+        self.lost_calls = 0;
     }
 
     pub(crate) fn note_failure(&mut self, now: Time) {
         self.pending_calls = self.pending_calls.saturating_sub(1);
-        self.is_call_lost = true;
+        if self.pending_calls == 0 {
+            self.lost_calls = self.lost_calls.saturating_add(1);
+        }
         self.next_call = now + RETRY_BACKOFF;
     }
 }
@@ -276,20 +296,36 @@
         callers.iter().filter(is_idle).count() * 2 > callers.len()
     }
 
-    /// Returns the indexes of the callers that calls may go to: those that are not silent, or all if
-    /// there are no others.
+    /// Returns the indexes of the callers that calls may go to, by what is known of them: those whose last
+    /// call did not fail, if there are any, then the other ones that are not silent, then all.
     fn usable_callers(&self) -> SmallVec<[usize; 16]> {
         let all = 0..self.callers.len();
         if !self.disabled.uses(Mechanism::CallerHealth) {
             return all.collect();
         }
-        let live = all
-            .clone()
-            .filter(|caller| !self.callers[*caller].is_silent());
-        let live: SmallVec<[usize; 16]> = live.collect();
+        let select = |is_usable: fn(&AdviceCaller) -> bool| -> SmallVec<[usize; 16]> {
+            let callers = all.clone();
+            callers
+                .filter(|caller| is_usable(&self.callers[*caller]))
+                .collect()
+        };
+        let sound = select(|caller| !caller.is_silent() && caller.failures == 0);
+        if !sound.is_empty() {
+            return sound;
+        }
+        let live = select(|caller| !caller.is_silent());
         if live.is_empty() { all.collect() } else { live }
     }
 
+    /// Returns the indexes of the callers whose last call failed, and that have responded to a probe since.
+    fn failed_callers(&self) -> SmallVec<[usize; 16]> {
+        let is_failed = |caller: &usize| {
+            let caller = &self.callers[*caller];
+            !caller.is_silent() && caller.failures > 0
+        };
+        (0..self.callers.len()).filter(is_failed).collect()
+    }
+
     /// Returns the instances that are to be probed now, of which nothing is known or that were silent.
     pub(crate) fn start_probes(&mut self, now: Time) -> SmallVec<[Arc<str>; 4]> {
         let callers = self.callers.iter_mut();
@@ -321,16 +357,27 @@
     /// Returns its instance and the time after which the call counts as lost.
     pub(crate) fn reserve(&mut self, duration: Span, now: Time) -> Option<(Arc<str>, Time)> {
         let caller = self.choose(duration, now)?;
+        Some(self.reserve_caller(caller, duration, now))
+    }
+
+    /// Reserves a caller that is idle and whose last call did not fail.
+    pub(crate) fn reserve_idle(&mut self, duration: Span, now: Time) -> Option<(Arc<str>, Time)> {
+        let caller = self.first_free(&self.usable_callers(), now, now)?;
+        let is_sound = self.callers[caller].failures == 0;
+        is_sound.then(|| self.reserve_caller(caller, duration, now))
+    }
+
+    fn reserve_caller(&mut self, caller: usize, duration: Span, now: Time) -> (Arc<str>, Time) {
         let caller = &mut self.callers[caller];
         caller.free_at = caller.free_at.max(now) + duration;
         caller.pending += 1;
         caller
             .overdue_at
             .get_or_insert(caller.free_at + OVERDUE_MARGIN);
-        Some((
+        (
             Arc::clone(&caller.instance),
             caller.free_at + CALL_TIMEOUT_MARGIN,
-        ))
+        )
     }
 
     fn choose(&self, duration: Span, now: Time) -> Option<usize> {
@@ -340,17 +387,21 @@
         } else {
             (SHORT_CALL_MAX_WAIT, callers.len())
         };
-        // Short calls use the callers from the end of the list, which long calls may not use.
-        let callers = callers[..count].iter().rev().copied();
-        callers
-            .filter(|caller| {
-                let caller = &self.callers[*caller];
-                self.is_available(caller, now) && caller.free_at <= now + max_wait
-            })
-            .min_by_key(|caller| {
-                let caller = &self.callers[*caller];
-                (caller.failures > 0, caller.free_at.max(now))
-            })
+        let free_by = now + max_wait;
+        // Short calls use the callers from the end of the list, which long calls may not use. One whose
+        // last call failed is tried again if the others are busy.
+        self.first_free(&callers[..count], free_by, now)
+            .or_else(|| self.first_free(&self.failed_callers(), free_by, now))
+    }
+
+    /// Returns the caller that is free first, the last one of several, if one is free soon enough.
+    fn first_free(&self, callers: &[usize], free_by: Time, now: Time) -> Option<usize> {
+        let is_free = |caller: &usize| {
+            let caller = &self.callers[*caller];
+            self.is_available(caller, now) && caller.free_at <= free_by
+        };
+        let callers = callers.iter().rev().copied().filter(is_free);
+        callers.min_by_key(|caller| self.callers[*caller].free_at.max(now))
     }
 
     fn is_available(&self, caller: &AdviceCaller, now: Time) -> bool {
--- a/crates/kingcupwinch-cell/src/cell/advice_calls.rs
+++ b/crates/kingcupwinch-cell/src/cell/advice_calls.rs
@@ -24,6 +24,10 @@
     instance: Arc<str>,
     /// When the call counts as lost, and nothing is expected of it any more.
     deadline: Time,
+    /// The first of the calls that several instances make at once.
+    original: AdviceCallId,
+    /// Whether another one of these was answered.
+    is_superseded: bool,
 }
 
 /// A worker that a call names, and what the step is expected to place there.
@@ -36,14 +40,15 @@
 }
 
 impl Cell {
-    /// Adds a call about a step and returns its id.
+    /// Adds a call about a step and returns its id. `original` is the first of the calls that several
+    /// instances make at once.
     pub(crate) fn add_advice_call(
         &mut self,
         job: JobKey,
         step: usize,
         workers: Vec<NamedWorker>,
-        instance: Arc<str>,
-        deadline: Time,
+        (instance, deadline): (Arc<str>, Time),
+        original: Option<AdviceCallId>,
     ) -> AdviceCallId {
         let id = AdviceCallId(self.next_call);
         self.next_call += 1;
@@ -54,6 +59,8 @@
             workers,
             instance,
             deadline,
+            original: original.unwrap_or(id),
+            is_superseded: false,
         };
         self.advice_calls.insert(id, call);
         id
@@ -74,8 +81,11 @@
     /// Returns what the steps with calls in flight are expected to place on each worker.
     pub(crate) fn expected_loads(&self, now: Time) -> FxHashMap<WorkerKey, Resources> {
         let mut loads: FxHashMap<WorkerKey, Resources> = FxHashMap::default();
-        let calls = self.advice_calls.values();
-        for call in calls.filter(|call| now <= call.deadline) {
+        let calls = self.advice_calls.iter();
+        let is_open = |call: &&AdviceCall| now <= call.deadline && !call.is_superseded;
+        // Each of several calls that are made at once names the same workers.
+        let is_first = |(id, call): &(&AdviceCallId, &AdviceCall)| **id == call.original;
+        for (_, call) in calls.filter(is_first).filter(|(_, call)| is_open(call)) {
             if self.jobs.get(call.job).is_none_or(|job| job.end.is_some()) {
                 continue;
             }
@@ -98,13 +108,14 @@
             return;
         };
         let Some((tickets, validity)) = response else {
-            self.advice_callers.note_failure(&call.instance, now);
-            if let Some(job) = self.jobs.get_mut(call.job) {
-                job.steps[call.step].tickets.note_failure(now);
-            }
+            self.note_lost_call(&call, now);
             return;
         };
         self.advice_callers.note_response(&call.instance);
+        if call.is_superseded {
+            return;
+        }
+        let copies = self.supersede_copies(call.original);
         let mut allowed = Vec::with_capacity(tickets.len());
         for ticket in tickets {
             if let Some(&worker) = self.workers_by_id.get(&ticket.worker) {
@@ -116,7 +127,7 @@
         };
         let queue = Arc::clone(&job.spec.policy.queue);
         let cache = &mut job.steps[call.step].tickets;
-        cache.note_response();
+        cache.note_response(copies);
         if call.workers.iter().any(|worker| worker.has_capacity) {
             cache.calls_without_start += 1;
         }
@@ -138,6 +149,27 @@
             .observe(new_allowed, new_verdicts);
     }
 
+    /// Marks the calls that were made at once with one that was answered, and returns their number.
+    fn supersede_copies(&mut self, original: AdviceCallId) -> u32 {
+        let copies = self.advice_calls.values_mut();
+        let mut count = 0;
+        for copy in copies.filter(|copy| copy.original == original) {
+            copy.is_superseded = true;
+            count += 1;
+        }
+        count
+    }
+
+    /// Delays the next calls of the caller and the step of a call that failed or was lost.
+    fn note_lost_call(&mut self, call: &AdviceCall, now: Time) {
+        self.advice_callers.note_failure(&call.instance, now);
+        if !call.is_superseded
+            && let Some(job) = self.jobs.get_mut(call.job)
+        {
+            job.steps[call.step].tickets.note_failure(now);
+        }
+    }
+
     /// Probes the instances that may call the adviser and of which nothing is known, or that were
     /// silent.
     pub(crate) fn probe_callers(&mut self, now: Time) {
@@ -154,21 +186,10 @@
     /// Drops the calls that have timed out, also those of jobs that have ended, and delays the next
     /// ones of their steps and callers.
     pub(crate) fn expire_advice_calls(&mut self, now: Time) {
-        let Cell {
-            advice_calls,
-            advice_callers,
-            jobs,
-            ..
-        } = self;
-        advice_calls.retain(|_, call| {
-            if call.deadline >= now {
-                return true;
-            }
-            advice_callers.note_failure(&call.instance, now);
-            if let Some(job) = jobs.get_mut(call.job) {
-                job.steps[call.step].tickets.note_failure(now);
-            }
-            false
-        });
+        let overdue = |_: &AdviceCallId, call: &mut AdviceCall| call.deadline < now;
+        let expired: Vec<_> = self.advice_calls.extract_if(overdue).collect();
+        for (_, call) in expired {
+            self.note_lost_call(&call, now);
+        }
     }
 }
--- a/crates/kingcupwinch-cell/src/placement/advice.rs
+++ b/crates/kingcupwinch-cell/src/placement/advice.rs
@@ -7,7 +7,7 @@
 
 use super::{CandidateRank, ReadyStep, Turn, WorkerPool, WorkerPools};
 use crate::advice::{affordable_workers, call_time};
-use crate::cell::{Action, Cell, NamedWorker};
+use crate::cell::{Action, AdviceCallId, Cell, NamedWorker};
 use crate::fit::{Access, Obstacle, StepDemand};
 use crate::job::Job;
 use crate::spec::Resources;
@@ -111,13 +111,24 @@
         } else {
             MAX_CALL_WORKERS
         };
+        let copies = if workers.len() > per_call {
+            1
+        } else {
+            self.jobs[ready.job].steps[ready.step].tickets.call_copies()
+        };
         for named in workers.chunks(per_call) {
             let duration = call_time(&cost, named.len());
             let Some(caller) = self.advice_callers.reserve(duration, now) else {
                 return;
             };
             pool.expect(named);
-            self.call_adviser(ready, named, caller, now);
+            let original = self.call_adviser(ready, named, caller, None, now);
+            for _ in 1..copies {
+                let Some(caller) = self.advice_callers.reserve_idle(duration, now) else {
+                    break;
+                };
+                self.call_adviser(ready, named, caller, Some(original), now);
+            }
         }
     }
 
@@ -127,8 +138,9 @@
         ready: &ReadyStep,
         workers: &[NamedWorker],
         (instance, deadline): (Arc<str>, Time),
+        original: Option<AdviceCallId>,
         now: Time,
-    ) {
+    ) -> AdviceCallId {
         let name = self.jobs[ready.job].task_name(ready.step, 0);
         let ids = workers
             .iter()
@@ -136,8 +148,9 @@
             .collect();
         let tickets = &mut self.jobs[ready.job].steps[ready.step].tickets;
         tickets.note_call(now);
-        let caller = Arc::clone(&instance);
-        let call = self.add_advice_call(ready.job, ready.step, workers.to_vec(), caller, deadline);
+        let caller = (Arc::clone(&instance), deadline);
+        let workers = workers.to_vec();
+        let call = self.add_advice_call(ready.job, ready.step, workers, caller, original);
         self.actions.push(Action::RequestAdvice {
             call,
             instance,
@@ -145,6 +158,7 @@
             workers: ids,
             deadline,
         });
+        call
     }
 
     /// Keeps the room that the calls of long-running steps ask about from the steps behind them, if
@@ -167,7 +181,7 @@
     /// excludes or starts something, and none is expected after a lost call.
     pub(super) fn keep_room(&self, ready: &ReadyStep, pool: &mut WorkerPool, now: Time) {
         let job = &self.jobs[ready.job];
-        if job.steps[ready.step].tickets.is_call_lost {
+        if job.steps[ready.step].tickets.is_call_lost() {
             return;
         }
         let demand = self.step_demand(ready.job, ready.step);
