Reject records of a quarter of the jobs in the full plan of the soak

The stand-in of the store rejects the owner's records of every fourth key for 0.2 to 2.5 s, and in three of five cases the owner ends within that time.

--- a/crates/kingcupwinch-soak/src/cluster.rs
+++ b/crates/kingcupwinch-soak/src/cluster.rs
@@ -170,6 +170,9 @@
             Fault::StoreDropsResponses => self.store.set_mode(StoreMode::DropsResponses(0.3)),
             Fault::StoreDelaysAppends => self.store.set_mode(StoreMode::DelaysAppends(0.3)),
             Fault::StoreTruncates => self.store.with_log(kingcupwinch_standin::Log::truncate),
+            Fault::StoreRejects(quarter) => {
+                self.store.with_log(|log| log.reject_quarter(Some(quarter)));
+            }
             Fault::PartitionStore(index) => self.instances[index].store_link.set(Mode::Blocked),
             Fault::BlockStoreResponses(index) => self.instances[index].store_link.set(Mode::OneWay),
             Fault::ResetStore(index) => self.instances[index].store_link.set(Mode::Reset),
@@ -248,6 +251,7 @@
             | Fault::StoreDelaysAppends => {
                 self.store.set_mode(StoreMode::Up);
             }
+            Fault::StoreRejects(_) => self.store.with_log(|log| log.reject_quarter(None)),
             Fault::PartitionStore(index)
             | Fault::BlockStoreResponses(index)
             | Fault::ResetStore(index)
--- a/crates/kingcupwinch-soak/src/disturbances.rs
+++ b/crates/kingcupwinch-soak/src/disturbances.rs
@@ -97,6 +97,7 @@
         | Fault::HangWorker(_)
         | Fault::FailWorker(_)
         | Fault::Publish
+        | Fault::StoreRejects(_)
         | Fault::UnlistWorker(_)
         | Fault::ListPreviousWorker(_)
         | Fault::CloseWorker(_)
--- a/crates/kingcupwinch-soak/src/plan.rs
+++ b/crates/kingcupwinch-soak/src/plan.rs
@@ -6,7 +6,7 @@
 
 use crate::series::{
     capacities_change, connections_die, crash_series, owner_ends_at_crashes, random_series,
-    rolling_restart, workers_leave, workers_replaced,
+    records_are_rejected, rolling_restart, workers_leave, workers_replaced,
 };
 
 /// Range of the interval between the starts of two faults, in milliseconds. Most faults last longer
@@ -26,6 +26,8 @@
 const REPLACEMENT_INTERVAL_MS: std::ops::Range<u64> = 3_000..6_000;
 /// Range of the interval between the starts of two series of dead connections, in milliseconds.
 const DEATH_INTERVAL_MS: std::ops::Range<u64> = 5_000..8_000;
+/// Range of the interval between the starts of two series of rejected records, in milliseconds.
+const REJECTION_INTERVAL_MS: std::ops::Range<u64> = 3_000..6_000;
 /// Range of the interval between the starts of two series of changed capacities, in milliseconds.
 const RESIZE_INTERVAL_MS: std::ops::Range<u64> = 4_000..7_000;
 /// Range of the interval between the starts of two series around tasks that crash workers, in
@@ -42,6 +44,7 @@
 const OWNER_END_SEED: u64 = 0x0e4d_c4a5_0000_0000;
 const RESIZE_SEED: u64 = 0x4e51_2e00_0000_0000;
 const CRASH_SEED: u64 = 0xc4a5_4000_0000_0000;
+const REJECTION_SEED: u64 = 0x4e1e_c700_0000_0000;
 const LEAVE_SEED: u64 = 0x1ea7_e000_0000_0000;
 
 /// A fault of an instance.
@@ -146,6 +149,8 @@
     OnOwner(InstanceFault),
     /// The store closes the connections of three writes in ten, and applies them seconds later.
     StoreDelaysAppends,
+    /// The store rejects the owner's records of a quarter of the keys, numbered from 0.
+    StoreRejects(u8),
     /// The directory lacks a worker that is alive.
     UnlistWorker(usize),
     /// The directory shows a worker as it was before it was started again.
@@ -239,6 +244,13 @@
             plan.add_series(&mut rng, seconds, OWNER_END_INTERVAL_MS, |rng| {
                 owner_ends_at_crashes(rng, workers)
             });
+            let mut rng = ChaCha8Rng::seed_from_u64(seed ^ REJECTION_SEED);
+            plan.add_series(
+                &mut rng,
+                seconds,
+                REJECTION_INTERVAL_MS,
+                records_are_rejected,
+            );
             plan.add_resizes(seed, seconds, workers);
         }
         plan.faults.sort_by_key(|planned| planned.at_ms);
--- a/crates/kingcupwinch-soak/src/series.rs
+++ b/crates/kingcupwinch-soak/src/series.rs
@@ -23,6 +23,9 @@
 /// Range of the time before a worker leaves in which it drains, in milliseconds.
 const NOTICE_MS: std::ops::Range<u64> = 1_000..4_000;
 
+/// Range of the time for which records are rejected, in milliseconds.
+const REJECTION_MS: std::ops::Range<u64> = 200..2_500;
+
 const TRIGGERS: [Trigger; 4] = [
     Trigger::Append,
     Trigger::Listing,
@@ -329,6 +332,20 @@
         .map_or_else(Vec::new, |series| series(rng, workers))
 }
 
+/// The store rejects records of some jobs, and the owner may end before it takes them again.
+pub(crate) fn records_are_rejected(rng: &mut ChaCha8Rng) -> Vec<PlannedFault> {
+    let at = rng.random_range(0..1_000);
+    let length = rng.random_range(REJECTION_MS);
+    let rejection = Fault::StoreRejects(rng.random_range(0..4));
+    let mut faults = vec![planned(at, length, rejection).after(random_trigger(rng))];
+    if rng.random_bool(0.6) {
+        let end = at + rng.random_range(5..length);
+        let length = rng.random_range(300..2_500);
+        faults.push(planned(end, length, kill_or_pause(rng)).after(random_trigger(rng)));
+    }
+    faults
+}
+
 /// Several owners in a row end right after they have ordered a start or a worker has crashed.
 pub(crate) fn owner_ends_at_crashes(rng: &mut ChaCha8Rng, _: usize) -> Vec<PlannedFault> {
     let mut at = rng.random_range(0..1_000);
