--- a/crates/kingcupwinch-cell/src/advice.rs
+++ b/crates/kingcupwinch-cell/src/advice.rs
@@ -65,7 +65,7 @@
     pub(crate) next_call: Time,
     /// When the last call was made.
     pub(crate) asked_at: Time,
-    /// The calls in a row that were lost. Those that are made at once count as one.
+    /// The calls in a row that were lost. Those that were in flight together count as one.
     lost_calls: u32,
     /// The calls that were answered since the last start of a task.
     pub(crate) calls_without_start: u32,
@@ -126,7 +126,7 @@
         self.asked_at = now;
     }
 
-    /// Returns whether the last call that ended was lost.
+    /// Returns whether all calls that were made last were lost.
     pub(crate) fn is_call_lost(&self) -> bool {
         self.lost_calls > 0
     }
