Schedule the deletion of a part again if it was rejected itself

A part whose own deletion the store rejected was no longer known to its owner and stayed in the log, and a later owner would read it as current. It counts as kept now, like one whose deletion was withheld. The test fails before (no part is kept).

--- a/crates/kingcupwinch-node/src/owner/writer.rs
+++ b/crates/kingcupwinch-node/src/owner/writer.rs
@@ -75,8 +75,7 @@
 /// Reports that a batch and all earlier ones are in the log.
 struct BatchAppended(u64);
 
-/// Reports jobs whose records the store rejects, each with the parts that were to be deleted after such a
-/// record and were not.
+/// Reports jobs whose records the store rejects, each with the parts that were to be deleted and were not.
 struct JobsSetAside(FxHashMap<JobId, Vec<PartKey>>);
 
 /// Returns intake records of ended jobs that may not have been deleted.
@@ -299,7 +298,7 @@
 /// The records of a batch that the store rejects.
 #[derive(Debug, Default)]
 struct Rejected {
-    /// The jobs that such records are about, with the parts whose deletion was withheld.
+    /// The jobs that such records are about, with the parts whose deletion was rejected or withheld.
     jobs: FxHashMap<JobId, Vec<PartKey>>,
     /// The records about no job.
     others: Vec<KeyedRecord>,
@@ -313,12 +312,13 @@
             o!("key" => record.key.to_string(), "bytes" => record.size(),
                 "error" => reason.to_owned()),
         );
-        let part = PartKey::parse(&record.key).map(|(job, _)| job);
-        match part.or_else(|| JobId::parse(&record.key)) {
-            Some(job) => {
-                self.jobs.entry(job).or_default();
-            }
-            None => self.others.push(record),
+        if let Some((job, part)) = PartKey::parse(&record.key) {
+            let kept = self.jobs.entry(job).or_default();
+            kept.extend(record.value.is_none().then_some(part));
+        } else if let Some(job) = JobId::parse(&record.key) {
+            self.jobs.entry(job).or_default();
+        } else {
+            self.others.push(record);
         }
     }
 
@@ -353,7 +353,7 @@
 }
 
 impl Repeats {
-    /// Replaces the records with those that were rejected at `now`.
+    /// Adds records that were rejected at `now`.
     fn add(&mut self, rejected: Vec<KeyedRecord>, now: Time) {
         if rejected.is_empty() {
             return;
--- a/crates/kingcupwinch-node/src/owner/writer/tests.rs
+++ b/crates/kingcupwinch-node/src/owner/writer/tests.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 
 use kingcupwinch_adapter::{Fence, KeyedRecord, WriteError};
-use kingcupwinch_cell::{JobId, JobRecord, JobState};
+use kingcupwinch_cell::{JobId, JobRecord, JobState, PartKey};
 use kingcupwinch_standin::StandinStore;
 use kingcupwinch_time::{Span, Time};
 use tokio::time::{Duration, Instant};
 
 use super::{
-    AppendStopped, CleanupFailed, Repeats, TakeBatch, append_all, delete_ended, into_appends,
-    retry_append,
+    AppendStopped, CleanupFailed, Rejected, Repeats, TakeBatch, append_all, delete_ended,
+    into_appends, retry_append,
 };
 use crate::layout::{IntakeKey, OWNER_PARTITION, PROGRESS};
 use crate::owner::Origins;
@@ -223,6 +223,18 @@
     assert_eq!(keys_in_log(&shared).await, [&*part, other]);
 }
 
+/// Guards against a part that a later owner takes for current, since its deletion was rejected and never
+/// repeated.
+#[test]
+fn a_part_whose_deletion_was_rejected_is_kept() {
+    let shared = shared(unreachable_store());
+    let (job, part) = PartKey::parse(&format!("{}.0.3", job())).unwrap();
+    let mut rejected = Rejected::default();
+    let deletion = KeyedRecord::tombstone(part.in_log(job));
+    rejected.add(&shared, deletion, "status 400");
+    assert_eq!(rejected.jobs[&job], [part]);
+}
+
 /// Guards against a list of workers or a record of leases that is missing in the log for the whole term,
 /// since it is written only when it changes.
 #[tokio::test]
