Halve rejected appends in one place, and keep rejected records in a module

No change of behaviour.

The intake still halves by itself, since it appends the halves behind the others.

--- a/crates/kingcupwinch-cell/src/advice.rs
+++ b/crates/kingcupwinch-cell/src/advice.rs
@@ -303,27 +303,23 @@
         if !self.disabled.uses(Mechanism::CallerHealth) {
             return all.collect();
         }
-        let select = |is_usable: fn(&AdviceCaller) -> bool| -> SmallVec<[usize; 16]> {
-            let callers = all.clone();
-            callers
-                .filter(|caller| is_usable(&self.callers[*caller]))
-                .collect()
-        };
-        let sound = select(|caller| !caller.is_silent() && caller.failures == 0);
+        let sound = self.callers_with(|caller| !caller.is_silent() && caller.failures == 0);
         if !sound.is_empty() {
             return sound;
         }
-        let live = select(|caller| !caller.is_silent());
+        let live = self.callers_with(|caller| !caller.is_silent());
         if live.is_empty() { all.collect() } else { live }
     }
 
     /// Returns the indexes of the callers whose last call failed, and that have responded to a probe since.
     fn failed_callers(&self) -> SmallVec<[usize; 16]> {
-        let is_failed = |caller: &usize| {
-            let caller = &self.callers[*caller];
-            !caller.is_silent() && caller.failures > 0
-        };
-        (0..self.callers.len()).filter(is_failed).collect()
+        self.callers_with(|caller| !caller.is_silent() && caller.failures > 0)
+    }
+
+    fn callers_with(&self, is_chosen: impl Fn(&AdviceCaller) -> bool) -> SmallVec<[usize; 16]> {
+        let callers = self.callers.iter().enumerate();
+        let chosen = callers.filter(|(_, caller)| is_chosen(caller));
+        chosen.map(|(index, _)| index).collect()
     }
 
     /// Returns the instances that are to be probed now, of which nothing is known or that were silent.
--- a/crates/kingcupwinch-node/src/owner/writer.rs
+++ b/crates/kingcupwinch-node/src/owner/writer.rs
@@ -8,7 +8,7 @@
 use kameo::message::{Context, Message};
 use kingcupwinch_adapter::{Fence, KeyedRecord, Partition, WriteError};
 use kingcupwinch_cell::{JobId, PartKey, RecordBatch, RunTimeRecord, WorkerRecord};
-use kingcupwinch_time::{Span, Time};
+use kingcupwinch_time::Time;
 use rustc_hash::FxHashMap;
 use serde::Serialize;
 use slog::o;
@@ -27,6 +27,9 @@
 use crate::metrics::Metrics;
 use crate::shared::Shared;
 
+use rejected::{Rejected, Repeats};
+
+mod rejected;
 #[cfg(test)]
 mod tests;
 
@@ -40,11 +43,6 @@
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Maximum attempts to append the release record.
 const RELEASE_ATTEMPTS: u32 = 8;
-/// Time after which a rejected record that is about no job is appended again. Each further rejection in
-/// a row doubles the time.
-const REPEAT_DELAY: Span = Span::from_secs(1);
-/// Maximum number of doublings.
-const MAX_REPEAT_DOUBLINGS: u32 = 6;
 /// Time between two deletions of the intake records of ended jobs.
 const CLEANUP_INTERVAL: Duration = Duration::from_millis(2_000);
 
@@ -277,9 +275,7 @@
                 return None;
             }
             Err(AppendStopped::Rejected(_)) if records.len() > 1 => {
-                let rest = records.split_off(records.len() / 2);
-                pending.push_front(rest);
-                pending.push_front(records);
+                push_halves(&mut pending, records);
             }
             Err(AppendStopped::Rejected(status)) => {
                 for record in records {
@@ -295,87 +291,6 @@
     Some(rejected.others)
 }
 
-/// The records of a batch that the store rejects.
-#[derive(Debug, Default)]
-struct Rejected {
-    /// The jobs that such records are about, with the parts whose deletion was rejected or withheld.
-    jobs: FxHashMap<JobId, Vec<PartKey>>,
-    /// The records about no job.
-    others: Vec<KeyedRecord>,
-}
-
-impl Rejected {
-    fn add(&mut self, shared: &Shared, record: KeyedRecord, reason: &str) {
-        Metrics::count_end(&shared.metrics.odd_inputs, "record_rejected");
-        shared.log.write(
-            Event::RecordRejected,
-            o!("key" => record.key.to_string(), "bytes" => record.size(),
-                "error" => reason.to_owned()),
-        );
-        if let Some((job, part)) = PartKey::parse(&record.key) {
-            let kept = self.jobs.entry(job).or_default();
-            kept.extend(record.value.is_none().then_some(part));
-        } else if let Some(job) = JobId::parse(&record.key) {
-            self.jobs.entry(job).or_default();
-        } else {
-            self.others.push(record);
-        }
-    }
-
-    /// Removes the deletions of parts of jobs of which a record was rejected: what the parts hold may be
-    /// nowhere else in the log.
-    fn withhold(&mut self, records: &mut Vec<KeyedRecord>) {
-        if self.jobs.is_empty() {
-            return;
-        }
-        records.retain(|record| {
-            let part = PartKey::parse(&record.key).filter(|_| record.value.is_none());
-            let kept = part.and_then(|(job, part)| Some((self.jobs.get_mut(&job)?, part)));
-            match kept {
-                Some((kept, part)) => {
-                    kept.push(part);
-                    false
-                }
-                None => true,
-            }
-        });
-    }
-}
-
-/// Records about no job that the store rejected. Each is appended again later, unless there is a newer
-/// one of its key.
-#[derive(Debug, Default)]
-struct Repeats {
-    records: Vec<KeyedRecord>,
-    due: Time,
-    /// Rejections in a row.
-    rejections: u32,
-}
-
-impl Repeats {
-    /// Adds records that were rejected at `now`.
-    fn add(&mut self, rejected: Vec<KeyedRecord>, now: Time) {
-        if rejected.is_empty() {
-            return;
-        }
-        let doublings = self.rejections.min(MAX_REPEAT_DOUBLINGS);
-        self.due = now + REPEAT_DELAY.times(1 << doublings);
-        self.rejections += 1;
-        self.records.extend(rejected);
-    }
-
-    /// Moves the records to a batch once they are due, but for those of which the batch has a newer one.
-    fn move_due(&mut self, batch: &mut Vec<KeyedRecord>, now: Time) {
-        self.records
-            .retain(|record| !batch.iter().any(|newer| newer.key == record.key));
-        if self.records.is_empty() {
-            self.rejections = 0;
-        } else if self.due <= now {
-            batch.append(&mut self.records);
-        }
-    }
-}
-
 /// Divides records into appends that the store takes, in order.
 fn into_appends(mut records: Vec<KeyedRecord>, limit: usize) -> VecDeque<Vec<KeyedRecord>> {
     let mut appends = VecDeque::new();
@@ -386,6 +301,13 @@
     appends
 }
 
+/// Puts the halves of a rejected append before the other ones, to find the record at fault.
+fn push_halves(pending: &mut VecDeque<Vec<KeyedRecord>>, mut records: Vec<KeyedRecord>) {
+    let rest = records.split_off(records.len() / 2);
+    pending.push_front(rest);
+    pending.push_front(records);
+}
+
 /// Ends an owner that can't write any more, so that another instance takes the cell over.
 fn give_up(shared: &Shared, owner: &ActorRef<Owner>, reason: &'static str) {
     shared
@@ -485,7 +407,7 @@
 ) -> Vec<KeyedRecord> {
     let mut failed = Vec::new();
     let mut pending = into_appends(records, shared.settings.append_limits.request);
-    while let Some(mut records) = pending.pop_front() {
+    while let Some(records) = pending.pop_front() {
         let deadline = Instant::now() + ATTEMPT_TIMEOUT;
         let result = shared
             .store
@@ -496,9 +418,7 @@
         match result {
             Ok(_) => {}
             Err(WriteError::Rejected(_)) if records.len() > 1 => {
-                let rest = records.split_off(records.len() / 2);
-                pending.push_front(rest);
-                pending.push_front(records);
+                push_halves(&mut pending, records);
             }
             Err(error) => {
                 let fields = o!("records" => records.len(), "error" => error.to_string());
