Keep the address of a worker that only the last owner knew

Long-running tasks of a crashed worker waited for its leases, 10 s, although another worker had its address 0.2 s after the takeover.

The directory entry of a worker had expired when its owner started, so the owner knew it from the record of its predecessor alone, and the worker responded. No entry named the process that responded, which counted as an entry of another process: the address was recorded as unknown, the next owner could not poll the worker, and an answer of another worker at the address did not settle the runs either. Without an entry the process has responded at the recorded address, so both checks now ask whether there is an entry at all.

Tests, both failing before the change: the address is recorded again, and the answer of another worker settles the runs also after a response.

--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -262,10 +262,15 @@
         }
     }
 
-    /// Returns whether the directory says that the worker is about to leave. Of a worker that only an
-    /// earlier owner knew, it says nothing.
+    /// Returns whether the directory has listed the worker to this owner. If not, the worker is known
+    /// only from the record of the last owner.
+    fn has_entry(&self) -> bool {
+        !self.registration.service.is_empty()
+    }
+
+    /// Returns whether the directory says that the worker is about to leave.
     pub(crate) fn is_leaving(&self) -> bool {
-        self.registration.draining && !self.registration.service.is_empty()
+        self.registration.draining && self.has_entry()
     }
 
     /// Returns the address to record for a later owner. It is empty if the address is unknown: the
@@ -275,7 +280,7 @@
         let address = &self.registration.address;
         let is_disputed = match &self.recorded_address {
             Some(recorded) => recorded != address,
-            None => self.clock_sample.is_some() && self.listed_ms != self.registration.started_ms,
+            None => self.clock_sample.is_some() && !self.is_responder_address(),
         };
         if is_disputed {
             "".into()
@@ -284,6 +289,13 @@
         }
     }
 
+    /// Returns whether the address is that of the process that responded, if one did. An entry of
+    /// another process under the same id may name another address. Without an entry, the process
+    /// has responded at the recorded address.
+    fn is_responder_address(&self) -> bool {
+        !self.has_entry() || self.listed_ms == self.registration.started_ms
+    }
+
     /// Updates the entry from the directory. Only a response of the worker shows that it was
     /// restarted: entries may be read late, also those of an earlier process. While the worker
     /// responds, entries of other processes are ignored.
@@ -380,16 +392,15 @@
         }
     }
 
-    /// Returns whether the process that may run tasks is known to be at an address. An entry of another
-    /// process under the same id may name another address, so the entry has to be that of the process
-    /// that responded last, or, before any response, to name the address that the last owner recorded.
+    /// Returns whether the process that may run tasks is known to be at an address: at that of the
+    /// process that responded last, or, before any response, at the one that the last owner recorded.
     fn is_known_at(&self, address: SocketAddr) -> bool {
-        let is_own_entry = if self.clock_sample.is_some() {
-            self.listed_ms == self.registration.started_ms
+        let is_certain = if self.clock_sample.is_some() {
+            self.is_responder_address()
         } else {
             self.recorded_address.as_ref() == Some(&self.registration.address)
         };
-        is_own_entry && self.registration.address.parse() == Ok(address)
+        is_certain && self.registration.address.parse() == Ok(address)
     }
 
     /// Returns whether earlier owners had certainly stopped giving orders at a time.
--- a/crates/kingcupwinch-cell/tests/cell/harness.rs
+++ b/crates/kingcupwinch-cell/tests/cell/harness.rs
@@ -66,6 +66,17 @@
     }
 }
 
+/// Builds the entry of a run of the first task of a job, as its worker lists it.
+pub(crate) fn run_of(job: u64, run: u32) -> RunningTask {
+    RunningTask {
+        task: task(job, 0, 0),
+        run,
+        checkpoint: None,
+        percent: 0,
+        tail_ms: None,
+    }
+}
+
 pub(crate) fn timers() -> CellTimers {
     CellTimers {
         max_lease: MAX_LEASE,
--- a/crates/kingcupwinch-cell/tests/cell/replaced.rs
+++ b/crates/kingcupwinch-cell/tests/cell/replaced.rs
@@ -8,7 +8,7 @@
 use kingcupwinch_time::{Span, Time};
 
 use crate::harness::{
-    FakeWorker, HANDOVER_OVERLAP, Harness, MAX_LEASE, job, registration, step, task,
+    FakeWorker, HANDOVER_OVERLAP, Harness, MAX_LEASE, job, registration, run_of, step, task,
 };
 
 /// Starts a long task on one of two workers, and returns the worker and its number.
@@ -291,9 +291,12 @@
     assert_ne!(harness.starts[0].worker, worker);
 }
 
-/// The entry has expired since.
-#[test]
-fn an_answer_settles_the_runs_on_a_worker_that_only_the_last_owner_knew() {
+/// The entry has expired since. Guards against runs that wait for the leases: once the worker had
+/// responded, its address counted as that of another process.
+#[rstest::rstest]
+#[case::before_a_response(false)]
+#[case::after_a_response(true)]
+fn an_answer_settles_the_runs_on_a_worker_that_only_the_last_owner_knew(#[case] responds: bool) {
     let mut harness = Harness::of_generation(2);
     let key = harness
         .cell
@@ -322,6 +325,14 @@
     harness
         .cell
         .restore(id, Some(spec), Some(&record), Span::ZERO, harness.now);
+    if responds {
+        let fake = FakeWorker {
+            running: vec![run_of(1, 1)],
+            ..FakeWorker::default()
+        };
+        harness.workers.insert(lost, fake);
+        harness.poll(lost);
+    }
     harness.advance(HANDOVER_OVERLAP.as_millis());
     replace(&mut harness, lost, 1);
     harness.poll(key);
--- a/crates/kingcupwinch-cell/tests/cell/takeover.rs
+++ b/crates/kingcupwinch-cell/tests/cell/takeover.rs
@@ -7,7 +7,8 @@
 use kingcupwinch_time::Span;
 
 use crate::harness::{
-    FakeWorker, HANDOVER_OVERLAP, Harness, MAX_LEASE, id, job, registration, step, task, timers,
+    FakeWorker, HANDOVER_OVERLAP, Harness, MAX_LEASE, id, job, registration, run_of, step, task,
+    timers,
 };
 
 /// Builds the harness of a later owner, with workers that were not polled yet.
@@ -26,16 +27,6 @@
     }
 }
 
-fn run_of(job: u64, run: u32) -> RunningTask {
-    RunningTask {
-        task: task(job, 0, 0),
-        run,
-        checkpoint: None,
-        percent: 0,
-        tail_ms: None,
-    }
-}
-
 /// Has a worker list a run that an earlier owner ordered.
 fn list_running(harness: &mut Harness, worker: WorkerKey, run: RunningTask) {
     let fake = harness.workers.get_mut(&worker).unwrap();
--- a/crates/kingcupwinch-cell/tests/cell/worker_records.rs
+++ b/crates/kingcupwinch-cell/tests/cell/worker_records.rs
@@ -1,8 +1,8 @@
 //! The records of workers for a later owner.
 
-use kingcupwinch_cell::{Registration, WorkerRecord};
+use kingcupwinch_cell::{PollFailure, Registration, WorkerRecord};
 
-use crate::harness::{Harness, registration};
+use crate::harness::{FakeWorker, Harness, registration};
 
 fn record(started_ms: Option<u64>) -> WorkerRecord {
     let Registration { id, address, .. } = registration(0, 4);
@@ -57,3 +57,33 @@
     harness.cell.register_lost_worker(&record, harness.now);
     assert_eq!(harness.cell.worker_records(), vec![record]);
 }
+
+/// Guards against runs that wait for the leases: the directory lacked the worker, its address was
+/// lost once it had responded, and the next owner could not poll it.
+#[test]
+fn the_address_of_a_worker_that_only_the_last_owner_knew_is_recorded_again() {
+    let mut harness = Harness::of_generation(2);
+    let record = record(Some(1));
+    let lost = harness.cell.register_lost_worker(&record, harness.now);
+    harness.workers.insert(lost, FakeWorker::default());
+    harness.poll(lost);
+    assert_eq!(harness.cell.worker_records(), vec![record]);
+}
+
+/// As above, until the directory lists another process of the worker at an address of its own.
+#[test]
+fn the_address_of_a_worker_is_not_recorded_once_another_process_is_listed() {
+    let mut harness = Harness::of_generation(2);
+    let record = record(Some(1));
+    let lost = harness.cell.register_lost_worker(&record, harness.now);
+    harness.workers.insert(lost, FakeWorker::default());
+    harness.poll(lost);
+    harness.cell.poll_failed(lost, PollFailure::Unresponsive);
+    let earlier = Registration {
+        address: registration(9, 4).address,
+        started_ms: Some(0),
+        ..registration(0, 4)
+    };
+    harness.cell.register_worker(earlier, false, harness.now);
+    assert_eq!(&*harness.cell.worker_records()[0].address, "");
+}
