Tell two trials that coincide from an outage

A task with three crashes waits until no other worker has crashed for 5 s. A crash under another task with three crashes doesn't count if no other worker crashed within 0.5 s. A worker that had been replaced counted once more, as one that may just have crashed, for 8 s after its last response, although its crash was noted and explained.

Two crashes at once are now told from an outage if both tasks had three crashes when they started there. Three at once still count. A silent worker whose crash is noted is not counted again.

The new test fails in both cases before, and in the second one without the part on replaced workers.

--- a/crates/kingcupwinch-cell/src/cell/crash_weights.rs
+++ b/crates/kingcupwinch-cell/src/cell/crash_weights.rs
@@ -7,8 +7,8 @@
 use smallvec::SmallVec;
 
 use super::Cell;
-use super::crashes::{PROBATION_TIME, Suspect, WorkerCrash};
-use crate::crash::{TaskCrashes, UnweighedCrash};
+use super::crashes::{PROBATION_TIME, Suspect};
+use crate::crash::UnweighedCrash;
 use crate::job::JobKey;
 use crate::worker::{Worker, WorkerKey};
 
@@ -42,6 +42,28 @@
     workers: usize,
 }
 
+/// What is known about the cause of a loss.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum LossCause {
+    Unknown,
+    /// It counts against the suspect in question.
+    Own,
+    /// It counts against another suspect that may soon be given up.
+    Suspected,
+    /// Such a suspect was being tried on the worker.
+    OnTrial,
+    /// Another suspect was given up for it.
+    Explained,
+}
+
+/// A worker that crashed, or may have.
+#[derive(Debug, Clone, Copy)]
+struct Loss {
+    worker: WorkerKey,
+    last_response: Time,
+    cause: LossCause,
+}
+
 impl OtherCrashes {
     /// Returns the share of these workers on which so many tasks run.
     fn share(self, tasks: usize) -> f64 {
@@ -170,47 +192,72 @@
         others.share(self.members(suspect)) * others.crashes * spread > MAX_CALM_CHANCE
     }
 
-    /// Returns whether a crash counts against another suspect that was given up for it, or may soon be
-    /// and was hit alone: in an outage several workers crash at once.
-    fn is_caused_by_other(&self, suspect: Suspect, crash: &WorkerCrash) -> bool {
-        let is_critical = |other: &Suspect| {
-            let crashes = self.crashes_of(*other);
-            *other != suspect && crashes.is_some_and(TaskCrashes::is_critical)
-        };
-        let is_at_once = |other: &WorkerCrash| {
-            other.worker != crash.worker
-                && other.service == crash.service
-                && other.is_within(AT_ONCE, crash.last_response)
+    /// Returns how many workers of a suspect's service last responded after a time and crashed, or may
+    /// have, but for those that the suspect lost, and those that others were tried on: what a task does
+    /// that is about to be given up says nothing about the rest.
+    fn crashed_since(&self, suspect: Suspect, since: Time, now: Time) -> usize {
+        let losses = self.recent_losses(suspect, now);
+        let counts = |loss: &&Loss| match loss.cause {
+            LossCause::Unknown => true,
+            LossCause::Suspected | LossCause::OnTrial => is_in_outage(loss, &losses),
+            LossCause::Own | LossCause::Explained => false,
         };
-        let is_alone = || !self.crash_log.recent.iter().any(is_at_once);
-        let is_suspected = || crash.counted.iter().any(|(other, _)| is_critical(other));
-        crash.is_explained || is_suspected() && is_alone()
+        let recent = losses.iter().filter(|loss| loss.last_response >= since);
+        let crashed = recent.filter(counts).map(|loss| loss.worker);
+        crashed.collect::<FxHashSet<WorkerKey>>().len()
     }
 
-    /// Returns how many workers of a suspect's service last responded after a time and crashed, or may
-    /// have, but for those that the suspect lost.
-    fn crashed_since(&self, suspect: Suspect, since: Time, now: Time) -> usize {
+    /// Returns the workers of a suspect's service that crashed lately, or may just have.
+    fn recent_losses(&self, suspect: Suspect, now: Time) -> Vec<Loss> {
         let service = &self.jobs[suspect.job].spec.policy.service;
-        let recent = self.crash_log.recent.iter();
-        let recent = recent.filter(|crash| crash.service == *service);
-        let recent = recent.filter(|crash| crash.last_response >= since);
-        // What a task does that is about to be given up says nothing about the others.
-        let recent = recent.filter(|crash| !self.is_caused_by_other(suspect, crash));
-        let (own, others): (Vec<_>, Vec<_>) =
-            recent.partition(|crash| crash.counts_against(suspect));
-        let mut crashed: FxHashSet<WorkerKey> = others.iter().map(|crash| crash.worker).collect();
-        let silent = self.workers.iter().filter(|(_, peer)| {
-            peer.registration.service == *service && peer.last_response >= since
+        let cause_by = |&(other, run): &(Suspect, u32)| match self.crashes_of(other) {
+            Some(crashes) if crashes.was_critical_before(run) => LossCause::OnTrial,
+            Some(crashes) if crashes.is_critical() => LossCause::Suspected,
+            _ => LossCause::Unknown,
+        };
+        let crashes = self.crash_log.recent.iter();
+        let crashes = crashes.filter(|crash| crash.service == *service);
+        let crashes = crashes.map(|crash| Loss {
+            worker: crash.worker,
+            last_response: crash.last_response,
+            cause: if crash.is_explained {
+                LossCause::Explained
+            } else if crash.counts_against(suspect) {
+                LossCause::Own
+            } else {
+                let causes = crash.counted.iter().map(cause_by);
+                causes.max().unwrap_or(LossCause::Unknown)
+            },
         });
-        let silent = silent.filter(|(_, peer)| is_silent(peer, now));
-        crashed.extend(silent.map(|(key, _)| key));
-        for crash in own {
-            crashed.remove(&crash.worker);
-        }
-        crashed.len()
+        let is_noted = |key: WorkerKey, peer: &Worker| {
+            let mut recent = self.crash_log.recent.iter();
+            recent.any(|crash| crash.worker == key && crash.last_response == peer.last_response)
+        };
+        let silent = self.workers.iter().filter(|(key, peer)| {
+            peer.registration.service == *service && is_silent(peer, now) && !is_noted(*key, peer)
+        });
+        let silent = silent.map(|(key, peer)| Loss {
+            worker: key,
+            last_response: peer.last_response,
+            cause: LossCause::Unknown,
+        });
+        crashes.chain(silent).collect()
     }
 }
 
+/// Returns whether others were lost at the same time as one, so that it may be due to an outage. Two
+/// suspects that are tried may crash their workers at the same time by chance.
+fn is_in_outage(loss: &Loss, losses: &[Loss]) -> bool {
+    let is_at_once = |other: &&Loss| {
+        other.worker != loss.worker && other.last_response.distance(loss.last_response) <= AT_ONCE
+    };
+    let at_once = || losses.iter().filter(is_at_once);
+    let others: FxHashSet<WorkerKey> = at_once().map(|other| other.worker).collect();
+    let are_tried = loss.cause == LossCause::OnTrial
+        && at_once().all(|other| other.cause >= LossCause::OnTrial);
+    others.len() > usize::from(are_tried)
+}
+
 /// Returns whether a worker responded lately, so that it was there to be hit.
 fn is_there(worker: &Worker, now: Time) -> bool {
     let age = worker.response_age(now);
--- a/crates/kingcupwinch-cell/src/cell/crashes.rs
+++ b/crates/kingcupwinch-cell/src/cell/crashes.rs
@@ -65,12 +65,6 @@
     pub(super) fn counts_against(&self, suspect: Suspect) -> bool {
         self.counted.iter().any(|(counted, _)| *counted == suspect)
     }
-
-    /// Returns whether the worker responded last within a span of a time, before or after it.
-    pub(super) fn is_within(&self, span: Span, time: Time) -> bool {
-        let apart = self.last_response.since(time);
-        apart.max(time.since(self.last_response)) <= span
-    }
 }
 
 /// The tasks that crashes count against, and the last crashes.
@@ -271,7 +265,7 @@
             }),
         }
         let is_together = |crash: &&WorkerCrash| {
-            crash.service == service && crash.is_within(OUTAGE_SPREAD, last_response)
+            crash.service == service && crash.last_response.distance(last_response) <= OUTAGE_SPREAD
         };
         let together = || recent.iter().filter(is_together);
         let workers: FxHashSet<WorkerKey> = together().map(|crash| crash.worker).collect();
--- a/crates/kingcupwinch-cell/src/crash.rs
+++ b/crates/kingcupwinch-cell/src/crash.rs
@@ -216,6 +216,12 @@
         self.crashes.len() >= MIN_CRASHES
     }
 
+    /// Returns whether one more crash could show that already when a run started.
+    pub(crate) fn was_critical_before(&self, run: u32) -> bool {
+        let earlier = self.crashes.iter().filter(|crash| crash.run < run);
+        earlier.count() >= MIN_CRASHES
+    }
+
     /// Returns whether the crashes show that the task causes them.
     pub(crate) fn is_guilty(&self) -> bool {
         let weight: u32 = self.crashes.iter().map(Crash::counted_weight).sum();
--- a/crates/kingcupwinch-cell/tests/cell/crashes.rs
+++ b/crates/kingcupwinch-cell/tests/cell/crashes.rs
@@ -472,22 +472,24 @@
     }
 }
 
+/// Has the workers of some jobs crash, and others at the same time, until a further crash may show
+/// that their tasks cause them.
+fn make_critical(play: &mut Play, numbers: &[u64]) {
+    for _ in 0..3 {
+        play.run(500);
+        play.crash_workers_of(numbers);
+        play.crash_many(3);
+        play.run(3_000);
+    }
+}
+
 /// Guards against a harmless task that waits for as long as another is tried, which crashes its worker
 /// again and again, while nothing else is wrong.
 #[test]
 fn a_harmless_suspect_does_not_wait_for_the_trials_of_others() {
     let mut play = Play::new(12, Return::SameId);
     play.submit(50, long_running(1));
-    for _ in 0..3 {
-        play.run(500);
-        let (worker, _) = play.harness.running()[0];
-        let index = play.hosts.iter().position(|host| host.key == worker);
-        let index = index.unwrap();
-        for index in [index, (index + 1) % 12, (index + 2) % 12, (index + 3) % 12] {
-            play.crash(index);
-        }
-        play.run(3_000);
-    }
+    make_critical(&mut play, &[50]);
     play.submit_crashing(1, job(vec![step(1, 1, 1_000)]));
     for _ in 0..80 {
         play.run(100);
@@ -498,12 +500,27 @@
     // The first two crashes of the other task may be anything, and the wait counts from the second. The
     // third says nothing about this task: counted from there, the wait would last for a second more.
     play.run(4_000);
-    let runs = |play: &Play| {
-        play.harness
-            .running()
-            .iter()
-            .any(|(_, task)| task.job == id(50))
-    };
-    assert!(runs(&play), "{:?}", play.harness.records[&id(50)]);
+    assert!(play.is_running(50), "{:?}", play.harness.records[&id(50)]);
     assert_eq!(play.state(50), Some(JobState::Running));
 }
+
+/// Guards against a harmless task that waits while others are tried at the same time. Two that crash
+/// their workers within half a second looked like an outage, and a worker that another one replaced
+/// counted as one that may just have crashed.
+#[rstest::rstest]
+fn a_harmless_suspect_does_not_wait_for_trials_that_coincide(
+    #[values(Return::SameId, Return::OtherId)] returns: Return,
+) {
+    let mut play = Play::new(16, returns);
+    for number in 50..53 {
+        play.submit(number, long_running(1));
+    }
+    make_critical(&mut play, &[50, 51, 52]);
+    play.run(4_000);
+    assert!((50..53).all(|number| play.is_running(number)));
+    play.crash_workers_of(&[50]);
+    play.run(600);
+    play.crash_workers_of(&[51, 52]);
+    play.run(3_000);
+    assert!(play.is_running(50), "{:?}", play.harness.records[&id(50)]);
+}
--- a/crates/kingcupwinch-cell/tests/cell/crashes/play.rs
+++ b/crates/kingcupwinch-cell/tests/cell/crashes/play.rs
@@ -157,6 +157,25 @@
         self.crash(index.unwrap());
     }
 
+    /// Crashes the workers on which jobs run.
+    pub(super) fn crash_workers_of(&mut self, numbers: &[u64]) {
+        let ids: Vec<_> = numbers.iter().map(|number| id(*number)).collect();
+        let running = self.harness.running().into_iter();
+        let running = running.filter(|(_, task)| ids.contains(&task.job));
+        let workers: HashSet<WorkerKey> = running.map(|(worker, _)| worker).collect();
+        for index in 0..self.hosts.len() {
+            if workers.contains(&self.hosts[index].key) {
+                self.crash(index);
+            }
+        }
+    }
+
+    /// Returns whether a task of a job runs.
+    pub(super) fn is_running(&self, number: u64) -> bool {
+        let running = self.harness.running();
+        running.iter().any(|(_, task)| task.job == id(number))
+    }
+
     pub(super) fn entry(host: &Host) -> Registration {
         let mut entry = registration(host.number, 4);
         entry.address = registration(host.port, 4).address;
--- a/crates/kingcupwinch-time/src/point.rs
+++ b/crates/kingcupwinch-time/src/point.rs
@@ -34,6 +34,11 @@
     pub const fn since(self, earlier: Time) -> Span {
         Span(self.0.saturating_sub(earlier.0))
     }
+
+    /// Returns the span between two times, whichever is the earlier.
+    pub fn distance(self, other: Time) -> Span {
+        self.since(other).max(other.since(self))
+    }
 }
 
 impl Add<Span> for Time {
