--- a/crates/kingcupwinch-cell/tests/cell/worker_records.rs
+++ b/crates/kingcupwinch-cell/tests/cell/worker_records.rs
@@ -87,3 +87,41 @@
     harness.cell.register_worker(earlier, false, harness.now);
     assert_eq!(&*harness.cell.worker_records()[0].address, "");
 }
+
+/// Guards against runs that wait for the leases: a restarted worker responds before its entry is read.
+/// Its address was recorded as unknown, and stayed so.
+#[test]
+fn the_address_of_a_restarted_worker_is_recorded_once_its_entry_is_read() {
+    let mut harness = Harness::new(1, 4);
+    let key = harness.keys()[0];
+    harness.poll_started(key, 2);
+    assert!(harness.cell.take_worker_changes());
+    let entry = Registration {
+        started_ms: Some(2),
+        ..registration(0, 4)
+    };
+    harness.cell.register_worker(entry, false, harness.now);
+    assert!(harness.cell.take_worker_changes());
+    assert_eq!(harness.cell.worker_records(), vec![record(Some(2))]);
+}
+
+/// The last owner recorded the address as unknown, or another one.
+#[rstest::rstest]
+#[case::unknown("")]
+#[case::another("127.0.0.1:1")]
+fn the_address_of_a_worker_is_recorded_once_it_has_responded(#[case] address: &str) {
+    let mut harness = Harness::of_generation(2);
+    let key = harness
+        .cell
+        .register_worker(registration(0, 4), true, harness.now);
+    harness.workers.insert(key, FakeWorker::default());
+    let earlier = WorkerRecord {
+        address: address.into(),
+        ..record(Some(1))
+    };
+    harness.cell.register_lost_worker(&earlier, harness.now);
+    harness.cell.take_worker_changes();
+    harness.poll(key);
+    assert!(harness.cell.take_worker_changes());
+    assert_eq!(harness.cell.worker_records(), vec![record(Some(1))]);
+}
