Build the worker that only the last owner knew in one place

Two tests of the worker records built the same owner: it knows a worker from the record of the last owner alone and has got a response. Found in the last reading of the change.

--- a/crates/kingcupwinch-cell/tests/cell/worker_records.rs
+++ b/crates/kingcupwinch-cell/tests/cell/worker_records.rs
@@ -1,6 +1,6 @@
 //! The records of workers for a later owner.
 
-use kingcupwinch_cell::{PollFailure, Registration, WorkerRecord};
+use kingcupwinch_cell::{PollFailure, Registration, WorkerKey, WorkerRecord};
 
 use crate::harness::{FakeWorker, Harness, registration};
 
@@ -13,6 +13,18 @@
     }
 }
 
+/// Builds the harness of an owner that knows a worker from the record of the last owner alone, and has
+/// got a response of it.
+fn with_lost_worker() -> (Harness, WorkerKey) {
+    let mut harness = Harness::of_generation(2);
+    let lost = harness
+        .cell
+        .register_lost_worker(&record(Some(1)), harness.now);
+    harness.workers.insert(lost, FakeWorker::default());
+    harness.poll(lost);
+    (harness, lost)
+}
+
 #[rstest::rstest]
 #[case::started(Some(7))]
 #[case::without_start(None)]
@@ -62,22 +74,14 @@
 /// lost once it had responded, and the next owner could not poll it.
 #[test]
 fn the_address_of_a_worker_that_only_the_last_owner_knew_is_recorded_again() {
-    let mut harness = Harness::of_generation(2);
-    let record = record(Some(1));
-    let lost = harness.cell.register_lost_worker(&record, harness.now);
-    harness.workers.insert(lost, FakeWorker::default());
-    harness.poll(lost);
-    assert_eq!(harness.cell.worker_records(), vec![record]);
+    let (harness, _) = with_lost_worker();
+    assert_eq!(harness.cell.worker_records(), vec![record(Some(1))]);
 }
 
 /// As above, until the directory lists another process of the worker at an address of its own.
 #[test]
 fn the_address_of_a_worker_is_not_recorded_once_another_process_is_listed() {
-    let mut harness = Harness::of_generation(2);
-    let record = record(Some(1));
-    let lost = harness.cell.register_lost_worker(&record, harness.now);
-    harness.workers.insert(lost, FakeWorker::default());
-    harness.poll(lost);
+    let (mut harness, lost) = with_lost_worker();
     harness.cell.poll_failed(lost, PollFailure::Unresponsive);
     let earlier = Registration {
         address: registration(9, 4).address,
