Add review case 7: tasks that last wait too long after the loss of owner and worker

Cause: the next owner settles runs on a silent worker after its overlap of 4 s and the longest lease of 7.35 s, and the rule gives less time.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 mod base;
 mod give_up;
 mod other_kind;
+mod owner_and_worker;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -63,6 +64,7 @@
 fn run(case: &str, dir: &Path, temporary: &Path) -> std::io::Result<Verdict> {
     let (verdict, record) = match case {
         "give-up" => give_up::run(temporary)?,
+        "owner-and-worker" => owner_and_worker::run(temporary)?,
         "other-kind" => other_kind::run(temporary)?,
         _ => return Ok(Verdict::NotRun(format!("no case {case}"))),
     };
--- /dev/null
+++ b/review/standins-2/owner_and_worker.rs
@@ -0,0 +1,76 @@
+//! A worker is lost for good, and the owner is killed and started again shortly after. A task that lasts
+//! and ran on that worker is not started again in time, though other workers have room.
+
+use std::path::Path;
+use std::sync::Arc;
+
+use crate::base::{Bounds, Deployment, Kind, Record, sleep_ms, worker_spec};
+use crate::{Verdict, has_trouble};
+
+const ID: &str = "00000000000000a3";
+const TASKS: usize = 10;
+/// How long the owner is down.
+const DOWN_MS: u64 = 1_500;
+/// A machine is in touch `contactMs` after the end of a disruption. The rule then asks for 4 s and 3 s that
+/// are calm.
+const ALLOWED_MS: u64 = 3_000 + 4_000 + 3_000;
+
+pub fn run(dir: &Path) -> std::io::Result<(Verdict, Arc<Record>)> {
+    let bounds = Bounds {
+        link_mbps: 1_000.0,
+        max_hold_ms: 10_000,
+        beat_ms: 1_500,
+    };
+    let specs = (0..10).map(|i| worker_spec(i, "general", 16_000, &bounds)).collect();
+    let mut deployment = Deployment::start(3, specs, &bounds, 3, dir)?;
+    let record = Arc::clone(&deployment.record);
+    // The first owner records after its first leases that it grants 7 s at most.
+    sleep_ms(16_000);
+    let body = format!(
+        "{{\"specification\":\"-\",\"steps\":[{{\"count\":{TASKS},\"cpu\":2000,\"memMb\":1024,\
+         \"estimatedDurationMs\":4000,\"antiAffinity\":2,\"longRunning\":true}}]}}"
+    );
+    if !deployment.submit(ID, &body) {
+        return Ok((Verdict::NotRun("the submission was not accepted".into()), record));
+    }
+    let missing = |d: &Deployment| {
+        let tasks = (0..TASKS).map(|index| format!("{ID}.0.0.{index}"));
+        tasks.filter(|task| d.worker_of(task).is_none()).count()
+    };
+    if !deployment.wait(10_000, |d| missing(d) == 0) {
+        return Ok((Verdict::NotRun("not all tasks were started".into()), record));
+    }
+    sleep_ms(3_000);
+    let Some(owner) = deployment.owner() else {
+        return Ok((Verdict::NotRun("no process owns the workers".into()), record));
+    };
+    if has_trouble() {
+        let lost = deployment.worker_of(&format!("{ID}.0.0.0")).unwrap_or(0);
+        deployment.workers[lost].crash();
+        sleep_ms(200);
+        record.add(format!("{} is killed", deployment.nodes[owner].name));
+        deployment.nodes[owner].kill();
+        sleep_ms(DOWN_MS);
+        deployment.nodes[owner].run()?;
+        record.add(format!("{} is started again", deployment.nodes[owner].name));
+    }
+    let calm_from = record.now();
+    let in_time = deployment.wait(ALLOWED_MS, |d| missing(d) == 0);
+    let at_limit = missing(&deployment);
+    let all_run = in_time || deployment.wait(20_000, |d| missing(d) == 0);
+    let took = record.now() - calm_from;
+    let crashes = deployment.events();
+    let lost = crashes.iter().filter(|e| e.kind == Kind::Ended("crashed")).count();
+    deployment.request((owner + 1) % 3, "DELETE", ID, "");
+    let text = format!(
+        "{lost} tasks that last lost their worker; {at_limit} did not run {ALLOWED_MS} ms after the \
+         last disruption; all ran after {took} ms"
+    );
+    record.add(text.clone());
+    let verdict = match (at_limit, all_run) {
+        (0, _) => Verdict::Held(text),
+        (_, true) => Verdict::Broken(text),
+        (_, false) => Verdict::Broken(format!("{text}, and some not at all")),
+    };
+    Ok((verdict, record))
+}
