--- a/review/standins-2/owner_and_worker.rs
+++ b/review/standins-2/owner_and_worker.rs
@@ -24,8 +24,7 @@
     let specs = (0..10).map(|i| worker_spec(i, "general", 16_000, &bounds)).collect();
     let mut deployment = Deployment::start(3, specs, &bounds, 3, dir)?;
     let record = Arc::clone(&deployment.record);
-    // The first owner records after its first leases that it grants 7 s at most.
-    sleep_ms(16_000);
+    sleep_ms(4_000);
     let body = format!(
         "{{\"specification\":\"-\",\"steps\":[{{\"count\":{TASKS},\"cpu\":2000,\"memMb\":1024,\
          \"estimatedDurationMs\":4000,\"antiAffinity\":2,\"longRunning\":true}}]}}"
