Add review case 8: a worker that was back once is waited for after a takeover

Cause: the address of a worker that starts again under its id stays recorded as unknown, so that the next owner does not accept that another worker has its address.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # disruption out. Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/kingcupwinchd ] && [ -x target/review-2/review-2 ] || exit 2
-exec target/review-2/review-2 other-kind review/8
+exec target/review-2/review-2 address review/8
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,6 +1,7 @@
 //! Runs one case of the review: `review-2 CASE DIRECTORY`. Exits with 1 if the rule was broken, 0 if
 //! it held, and 2 if the case couldn't run. With `TROUBLE=0` the disruption is left out.
 
+mod address;
 #[allow(dead_code)]
 mod base;
 mod give_up;
@@ -63,6 +64,7 @@
 
 fn run(case: &str, dir: &Path, temporary: &Path) -> std::io::Result<Verdict> {
     let (verdict, record) = match case {
+        "address" => address::run(temporary)?,
         "give-up" => give_up::run(temporary)?,
         "owner-and-worker" => owner_and_worker::run(temporary)?,
         "other-kind" => other_kind::run(temporary)?,
