Add review case 10: mayMiss is not kept when tasks that serve come

Cause: the tasks that fill on a worker are stopped for a task that serves without regard to mayMiss. Change: the case as a script, found by reading; the stand-ins in the project's format.

--- a/review/standins-2/address.rs
+++ b/review/standins-2/address.rs
@@ -23,7 +23,9 @@
         max_hold_ms: 10_000,
         beat_ms: 1_500,
     };
-    let specs = (0..TASKS).map(|i| worker_spec(i, "general", 16_000, &bounds)).collect();
+    let specs = (0..TASKS)
+        .map(|i| worker_spec(i, "general", 16_000, &bounds))
+        .collect();
     let mut deployment = Deployment::start(3, specs, &bounds, 3, dir)?;
     let record = Arc::clone(&deployment.record);
     sleep_ms(3_000);
@@ -41,7 +43,10 @@
          \"estimatedDurationMs\":4000,\"antiAffinity\":1,\"longRunning\":true}}]}}"
     );
     if !deployment.submit(ID, &body) {
-        return Ok((Verdict::NotRun("the submission was not accepted".into()), record));
+        return Ok((
+            Verdict::NotRun("the submission was not accepted".into()),
+            record,
+        ));
     }
     let missing = |d: &Deployment| {
         let tasks = (0..TASKS).map(|index| format!("{ID}.0.0.{index}"));
@@ -52,7 +57,10 @@
     }
     sleep_ms(2_000);
     let Some(owner) = deployment.owner() else {
-        return Ok((Verdict::NotRun("no process owns the workers".into()), record));
+        return Ok((
+            Verdict::NotRun("no process owns the workers".into()),
+            record,
+        ));
     };
     if has_trouble() {
         deployment.workers[LAST].crash();
--- a/review/standins-2/base.rs
+++ b/review/standins-2/base.rs
@@ -183,7 +183,11 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let b = [chunk[0], *chunk.get(1).unwrap_or(&0), *chunk.get(2).unwrap_or(&0)];
+        let b = [
+            chunk[0],
+            *chunk.get(1).unwrap_or(&0),
+            *chunk.get(2).unwrap_or(&0),
+        ];
         let n = u32::from(b[0]) << 16 | u32::from(b[1]) << 8 | u32::from(b[2]);
         for i in 0..4 {
             if i <= chunk.len() {
@@ -505,7 +509,9 @@
     /// Serves the store to one process.
     pub fn serve(self: &Arc<Self>, process: usize) -> std::io::Result<Server> {
         let store = Arc::clone(self);
-        Server::start("127.0.0.1:0", move |request| store.handle(process, &request))
+        Server::start("127.0.0.1:0", move |request| {
+            store.handle(process, &request)
+        })
     }
 
     /// Writes a record of the operator or of a worker.
@@ -589,7 +595,10 @@
                 }
             }
         }
-        let at = request.query.get("at").and_then(|at| at.parse::<u64>().ok());
+        let at = request
+            .query
+            .get("at")
+            .and_then(|at| at.parse::<u64>().ok());
         if at.is_some_and(|at| at != end) {
             return answer(412, format!("{{\"end\":{end}}}"));
         }
@@ -674,7 +683,10 @@
             ));
         }
         let (items, end) = (items.join(","), partition.records.len());
-        answer(200, format!("{{\"items\":[{items}],\"more\":{more},\"end\":{end}}}"))
+        answer(
+            200,
+            format!("{{\"items\":[{items}],\"more\":{more},\"end\":{end}}}"),
+        )
     }
 }
 
@@ -737,6 +749,8 @@
     work_ms: Option<u64>,
     since: u64,
     checkpoint: String,
+    /// Whether it serves users, with a tail of 10 ms.
+    serves: bool,
 }
 
 #[derive(Default)]
@@ -811,7 +825,8 @@
             run,
         };
         let Event { worker, kind, .. } = &event;
-        self.record.add(format!("worker {worker}: {kind:?} {task} run {run}"));
+        self.record
+            .add(format!("worker {worker}: {kind:?} {task} run {run}"));
         lock(&self.events).push(event);
     }
 
@@ -847,7 +862,10 @@
     }
 
     fn refuse(&self, reason: &str) -> Response {
-        answer(409, format!("{{\"clockMs\":{},\"reason\":\"{reason}\"}}", self.clock()))
+        answer(
+            409,
+            format!("{{\"clockMs\":{},\"reason\":\"{reason}\"}}", self.clock()),
+        )
     }
 
     fn handle(&self, request: &Request) -> Response {
@@ -917,20 +935,35 @@
         if until <= now {
             return self.refuse("late");
         }
-        engine.lease_until = engine.lease_until.max(until.min(now + self.spec.max_hold_ms));
+        engine.lease_until = engine
+            .lease_until
+            .max(until.min(now + self.spec.max_hold_ms));
         engine.has_lease = true;
-        if engine.runs.iter().any(|known| known.task == task && known.run == run) {
+        if engine
+            .runs
+            .iter()
+            .any(|known| known.task == task && known.run == run)
+        {
             return answer(200, format!("{{\"clockMs\":{now}}}"));
         }
-        if engine.last_ended.get(&task).is_some_and(|last| run <= *last) {
+        if engine
+            .last_ended
+            .get(&task)
+            .is_some_and(|last| run <= *last)
+        {
             return self.refuse("old");
         }
         if self.stopped.load(Ordering::SeqCst) {
             return None;
         }
-        // The specification gives the work of each step in milliseconds, `-` for tasks that last.
+        // The specification gives the work of each step in milliseconds, `-` for tasks that last and
+        // `-s` for those that serve.
         let specification = body.text("specification");
-        let step: usize = task.split('.').nth(2).and_then(|s| s.parse().ok()).unwrap_or(0);
+        let step: usize = task
+            .split('.')
+            .nth(2)
+            .and_then(|s| s.parse().ok())
+            .unwrap_or(0);
         let work = specification.split(',').nth(step).unwrap_or("1000").trim();
         engine.runs.push(Run {
             task: task.clone(),
@@ -938,6 +971,7 @@
             work_ms: work.parse().ok(),
             since: now,
             checkpoint: body.text("checkpoint"),
+            serves: work.ends_with('s'),
         });
         self.note(Kind::Started, &task, run);
         answer(200, format!("{{\"clockMs\":{now}}}"))
@@ -984,7 +1018,13 @@
                             Some(work) => (passed * 100 / work.max(1)).min(99),
                             None => (passed / 2).min(100),
                         };
-                        format!("[{:?},{},{:?},{percent}]", run.task, run.run, run.checkpoint)
+                        format!(
+                            "[{:?},{},{:?},{percent},{}]",
+                            run.task,
+                            run.run,
+                            run.checkpoint,
+                            if run.serves { 10 } else { 500 }
+                        )
                     })
                     .collect();
                 let ended = engine.ended.iter().take(500);
@@ -1223,7 +1263,9 @@
         dir: &Path,
     ) -> std::io::Result<Node> {
         let (front, ready, internal) = (free_address()?, free_address()?, free_ports()?);
-        let advice = adviser.map(|a| format!("advice = \"{a}\"\n")).unwrap_or_default();
+        let advice = adviser
+            .map(|a| format!("advice = \"{a}\"\n"))
+            .unwrap_or_default();
         let Bounds {
             link_mbps,
             max_hold_ms,
@@ -1264,7 +1306,10 @@
 
     /// Starts the process, with the command of the deploy file.
     pub fn run(&mut self) -> std::io::Result<()> {
-        let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)?;
         let child = Command::new(&self.program)
             .arg("node")
             .env("KINGCUPWINCH_CONFIG", &self.settings)
@@ -1357,7 +1402,11 @@
         let record = Record::new();
         let events = Events::default();
         let store = Store::new(&record);
-        store.put("keyed.op", "config", configuration(1, max_attempts).as_bytes());
+        store.put(
+            "keyed.op",
+            "config",
+            configuration(1, max_attempts).as_bytes(),
+        );
         let mut deployment = Deployment {
             workers: Vec::new(),
             nodes: Vec::new(),
@@ -1384,10 +1433,18 @@
 
     pub fn owner(&self) -> Option<usize> {
         let owner = self.store.last_fenced.load(Ordering::SeqCst);
-        usize::try_from(owner).ok().filter(|owner| *owner < self.nodes.len())
-    }
-
-    pub fn request(&self, node: usize, method: &str, rest: &str, body: &str) -> Option<(u16, String)> {
+        usize::try_from(owner)
+            .ok()
+            .filter(|owner| *owner < self.nodes.len())
+    }
+
+    pub fn request(
+        &self,
+        node: usize,
+        method: &str,
+        rest: &str,
+        body: &str,
+    ) -> Option<(u16, String)> {
         let path = format!("{PREFIX}{rest}");
         let result = call(self.nodes[node].front, method, &path, HOST, body, 3_000);
         let shown = match &result {
@@ -1396,7 +1453,9 @@
         };
         let body: String = body.chars().take(300).collect();
         let name = &self.nodes[node].name;
-        self.record.add(format!("client to {name}: {method} {path} {body} -> {shown}"));
+        self.record.add(format!(
+            "client to {name}: {method} {path} {body} -> {shown}"
+        ));
         result
     }
 
@@ -1440,7 +1499,9 @@
 
     /// Returns the index of the worker on which a task runs.
     pub fn worker_of(&self, task: &str) -> Option<usize> {
-        self.workers.iter().position(|w| w.running().iter().any(|t| t == task))
+        self.workers
+            .iter()
+            .position(|w| w.running().iter().any(|t| t == task))
     }
 
     pub fn events(&self) -> Vec<Event> {
--- a/review/standins-2/give_up.rs
+++ b/review/standins-2/give_up.rs
@@ -21,7 +21,9 @@
         max_hold_ms: 6_000,
         beat_ms: 1_500,
     };
-    let mut specs: Vec<_> = (0..9).map(|i| worker_spec(i, "general", 16_000, &bounds)).collect();
+    let mut specs: Vec<_> = (0..9)
+        .map(|i| worker_spec(i, "general", 16_000, &bounds))
+        .collect();
     specs.push(worker_spec(9, "large", 16_000, &bounds));
     let mut deployment = Deployment::start(3, specs, &bounds, 3, dir)?;
     let record = Arc::clone(&deployment.record);
@@ -29,7 +31,10 @@
     let body = "{\"specification\":\"-\",\"steps\":[{\"count\":1,\"cpu\":4000,\"memMb\":1024,\
                 \"estimatedDurationMs\":4000,\"longRunning\":true,\"requirements\":\"large\"}]}";
     if !deployment.submit(ID, body) {
-        return Ok((Verdict::NotRun("the submission was not accepted".into()), record));
+        return Ok((
+            Verdict::NotRun("the submission was not accepted".into()),
+            record,
+        ));
     }
     let others = "{\"specification\":\"4000\",\"steps\":[{\"count\":9,\"cpu\":4000,\"memMb\":1024,\
                   \"estimatedDurationMs\":4000,\"requirements\":\"general\"}]}";
@@ -61,8 +66,12 @@
     let other = deployment.state(OTHER).unwrap_or_default();
     let events = deployment.events();
     let of_task = || events.iter().filter(|event| event.task == task);
-    let starts = of_task().filter(|event| event.kind == Kind::Started).count();
-    let failed = of_task().filter(|event| event.kind == Kind::Ended("failed")).count();
+    let starts = of_task()
+        .filter(|event| event.kind == Kind::Started)
+        .count();
+    let failed = of_task()
+        .filter(|event| event.kind == Kind::Ended("failed"))
+        .count();
     let text = format!(
         "the submission is shown as `{state}` after {starts} starts, of which {failed} ended \
          `failed`; its task {} at the end; the other submission is shown as `{other}`",
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 #[allow(dead_code)]
 mod base;
 mod give_up;
+mod may_miss;
 mod other_kind;
 mod owner_and_worker;
 
@@ -67,6 +68,7 @@
         "address" => address::run(temporary)?,
         "give-up" => give_up::run(temporary)?,
         "owner-and-worker" => owner_and_worker::run(temporary)?,
+        "may-miss" => may_miss::run(temporary)?,
         "other-kind" => other_kind::run(temporary)?,
         _ => return Ok(Verdict::NotRun(format!("no case {case}"))),
     };
--- a/review/standins-2/other_kind.rs
+++ b/review/standins-2/other_kind.rs
@@ -15,7 +15,9 @@
         max_hold_ms: 6_000,
         beat_ms: 1_500,
     };
-    let mut specs: Vec<_> = (0..9).map(|i| worker_spec(i, "general", 16_000, &bounds)).collect();
+    let mut specs: Vec<_> = (0..9)
+        .map(|i| worker_spec(i, "general", 16_000, &bounds))
+        .collect();
     specs.push(worker_spec(9, "large", 16_000, &bounds));
     let mut deployment = Deployment::start(3, specs, &bounds, 3, dir)?;
     let record = Arc::clone(&deployment.record);
@@ -32,7 +34,10 @@
         step(",\"after\":[0]")
     );
     if !deployment.submit(ID, &body) {
-        return Ok((Verdict::NotRun("the submission was not accepted".into()), record));
+        return Ok((
+            Verdict::NotRun("the submission was not accepted".into()),
+            record,
+        ));
     }
     let (first, second) = (format!("{ID}.0.0.0"), format!("{ID}.0.1.0"));
     if !deployment.wait(10_000, |d| d.worker_of(&first) == Some(9)) {
@@ -72,21 +77,36 @@
         let up = events.iter().filter(is_it).find(|e| e.kind == Kind::Up);
         up.map_or(String::new(), |event| event.task.clone())
     };
-    let starts = events.iter().filter(|e| e.kind == Kind::Started && e.task == second);
+    let starts = events
+        .iter()
+        .filter(|e| e.kind == Kind::Started && e.task == second);
     let wrong: Vec<String> = starts
         .filter(|e| !labels_of(e).contains("large"))
-        .map(|e| format!("{} run {} on {} ({})", e.task, e.run, e.worker, labels_of(e)))
+        .map(|e| {
+            format!(
+                "{} run {} on {} ({})",
+                e.task,
+                e.run,
+                e.worker,
+                labels_of(e)
+            )
+        })
         .collect();
     let text = if wrong.is_empty() {
         "every start was on a worker with the required label".to_owned()
     } else {
-        format!("started without the required label `large`: {}", wrong.join("; "))
+        format!(
+            "started without the required label `large`: {}",
+            wrong.join("; ")
+        )
     };
     record.add(text.clone());
     if !wrong.is_empty() {
         return Ok((Verdict::Broken(text), record));
     }
-    let is_done = events.iter().any(|e| e.kind == Kind::Ended("done") && e.task == second);
+    let is_done = events
+        .iter()
+        .any(|e| e.kind == Kind::Ended("done") && e.task == second);
     let verdict = if is_done {
         Verdict::Held(text)
     } else {
--- a/review/standins-2/owner_and_worker.rs
+++ b/review/standins-2/owner_and_worker.rs
@@ -21,7 +21,9 @@
         max_hold_ms: 10_000,
         beat_ms: 1_500,
     };
-    let specs = (0..10).map(|i| worker_spec(i, "general", 16_000, &bounds)).collect();
+    let specs = (0..10)
+        .map(|i| worker_spec(i, "general", 16_000, &bounds))
+        .collect();
     let mut deployment = Deployment::start(3, specs, &bounds, 3, dir)?;
     let record = Arc::clone(&deployment.record);
     sleep_ms(4_000);
@@ -30,7 +32,10 @@
          \"estimatedDurationMs\":4000,\"antiAffinity\":2,\"longRunning\":true}}]}}"
     );
     if !deployment.submit(ID, &body) {
-        return Ok((Verdict::NotRun("the submission was not accepted".into()), record));
+        return Ok((
+            Verdict::NotRun("the submission was not accepted".into()),
+            record,
+        ));
     }
     let missing = |d: &Deployment| {
         let tasks = (0..TASKS).map(|index| format!("{ID}.0.0.{index}"));
@@ -41,7 +46,10 @@
     }
     sleep_ms(3_000);
     let Some(owner) = deployment.owner() else {
-        return Ok((Verdict::NotRun("no process owns the workers".into()), record));
+        return Ok((
+            Verdict::NotRun("no process owns the workers".into()),
+            record,
+        ));
     };
     if has_trouble() {
         let lost = deployment.worker_of(&format!("{ID}.0.0.0")).unwrap_or(0);
@@ -59,7 +67,10 @@
     let all_run = in_time || deployment.wait(20_000, |d| missing(d) == 0);
     let took = record.now() - calm_from;
     let crashes = deployment.events();
-    let lost = crashes.iter().filter(|e| e.kind == Kind::Ended("crashed")).count();
+    let lost = crashes
+        .iter()
+        .filter(|e| e.kind == Kind::Ended("crashed"))
+        .count();
     deployment.request((owner + 1) % 3, "DELETE", ID, "");
     let text = format!(
         "{lost} tasks that last lost their worker; {at_limit} did not run {ALLOWED_MS} ms after the \
