Keep the stand-ins of the second review in one file

Cause: their folder stood among the cases, and is none. Change: review/standin-2.rs holds what the folder held, as standin.rs does for the first review.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-exec rustc --edition 2024 -O -o target/review-2/review-2 review/standins-2/main.rs
+exec rustc --edition 2024 -O -o target/review-2/review-2 review/standin-2.rs
