Decode customers and pass them to the cell

Two deployments have customers with keys, weights and caps, which nothing reads. The adapter decodes them into policies, the owner passes those of the version in force to the cell, and an acceptance can name the customer of its job. No decision depends on them yet.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -22,6 +22,7 @@
 use slotmap::SlotMap;
 
 use crate::advice::AdviceCallers;
+use crate::customer::Customers;
 use crate::estimate::ShareEstimate;
 use crate::event::CellEvent;
 use crate::id::{JobId, TaskName};
@@ -149,6 +150,7 @@
     runs_by_name: FxHashMap<(TaskName, u32), RunKey>,
     /// The share of workers that the adviser of each queue allowed of those it was asked about.
     allowed_shares: FxHashMap<Arc<str>, ShareEstimate>,
+    pub(crate) customers: Customers,
     pub(crate) run_times: RunTimes,
     pub(crate) advice_callers: AdviceCallers,
     advice_calls: FxHashMap<AdviceCallId, advice_calls::AdviceCall>,
@@ -211,6 +213,7 @@
             runs: SlotMap::with_key(),
             runs_by_name: FxHashMap::default(),
             allowed_shares: FxHashMap::default(),
+            customers: Customers::default(),
             run_times: RunTimes::default(),
             advice_callers: AdviceCallers::default(),
             advice_calls: FxHashMap::default(),
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -7,6 +7,7 @@
 mod advice;
 mod cell;
 mod crash;
+mod customer;
 mod election;
 mod estimate;
 mod event;
@@ -29,6 +30,7 @@
     StartOrder, StopOrder, SubmitOutcome,
 };
 pub use crash::{Crash, Evidence};
+pub use customer::{CustomerPolicy, ResourceCap};
 pub use election::{Claim, ElectionStep, ElectionTimers, GroupRecord, Member, OwnerElection};
 pub use event::{CellEvent, CrashCause, SettleCause, StepWait};
 pub use id::{JobId, TaskName};
--- a/crates/kingcupwinch-cell/src/spec.rs
+++ b/crates/kingcupwinch-cell/src/spec.rs
@@ -218,6 +218,10 @@
     /// The instance that accepted the job. Earlier versions don't record it.
     #[serde(rename = "by", default, skip_serializing_if = "Option::is_none")]
     pub accepted_by: Option<Arc<str>>,
+    /// The customer whose key the caller sent. `None` on queues that need no key; earlier versions don't
+    /// record it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub customer: Option<Arc<str>>,
 }
 
 /// The size of the fields of a progress record that are not lists, with its key, in bytes.
--- a/crates/kingcupwinch-cell/tests/cell/harness.rs
+++ b/crates/kingcupwinch-cell/tests/cell/harness.rs
@@ -133,6 +133,7 @@
         schedule: None,
         accepted_ms: 0,
         accepted_by: None,
+        customer: None,
     }
 }
 
--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -100,6 +100,8 @@
     origins: Origins,
     freshness: Freshness,
     is_worker_list_dirty: bool,
+    /// Version of the configuration whose customers the cell has.
+    customers_version: Option<u64>,
     /// The number of steps that the recorded run times were learned from.
     recorded_steps: u64,
     leases: LeaseLimits,
@@ -138,6 +140,7 @@
             origins: args.origins,
             freshness: args.freshness,
             is_worker_list_dirty: true,
+            customers_version: None,
             recorded_steps: 0,
             leases: args.leases,
             lease_record_due: Some(args.lease_record_due),
@@ -273,6 +276,7 @@
         }
         self.cell
             .set_wall_clock(self.shared.wall_time().as_millis(), now);
+        self.update_customers();
         let actions = self.cell.decide(now);
         self.log_cell_events();
         let took = Duration::from(self.shared.now().since(now));
@@ -286,6 +290,18 @@
         metrics.used_millicores.set(self.cell.cpu_load().0 as i64);
     }
 
+    /// Passes the customers of the configuration in force to the cell, if they may have changed.
+    fn update_customers(&mut self) {
+        let copy = self.shared.configuration.snapshot();
+        let Some(version) = copy.version else { return };
+        if self.customers_version == Some(version.table.version) {
+            return;
+        }
+        self.customers_version = Some(version.table.version);
+        let customers = version.table.customers.as_deref().unwrap_or_default();
+        self.cell.set_customers(customers);
+    }
+
     /// Executes the actions whose records have been appended.
     fn execute_recorded(&mut self) {
         let now = self.shared.now();
