Look at a bounded number of workers for each call to the adviser

With 3,000 workers a round put all of them in order for each step that was about to ask, and rounds became longer the more jobs came in their time.

The options of a call end at 800 workers with room, only those that are named are put in order, and workers without the CPU for a task are not looked at. On services of up to 800 workers the choice is the same as before.

--- a/crates/kingcupwinch-cell/src/fit.rs
+++ b/crates/kingcupwinch-cell/src/fit.rs
@@ -181,7 +181,9 @@
             let indexes = allowed.filter_map(|worker| pool.index(worker));
             indexes.filter(is_startable).collect()
         } else {
-            (0..pool.candidates.len()).filter(is_startable).collect()
+            let places = 0..pool.with_cpu(demand.charge);
+            let indexes = places.map(|place| pool.nth_by_cpu(place));
+            indexes.filter(is_startable).collect()
         }
     }
 
--- a/crates/kingcupwinch-cell/src/id.rs
+++ b/crates/kingcupwinch-cell/src/id.rs
@@ -16,6 +16,11 @@
         }
         u64::from_str_radix(text, 16).ok().map(JobId)
     }
+
+    /// Returns the number that the digits stand for.
+    pub(crate) fn as_u64(self) -> u64 {
+        self.0
+    }
 }
 
 impl fmt::Display for JobId {
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -340,12 +340,11 @@
             let pace = self.worker_pace(key, now);
             let is_quarantined = worker.is_quarantined(now);
             pool.count_capacity(worker.registration.capacity, worker.available());
-            pool.indexes.insert(key, pool.candidates.len());
             pool.has_quarantined |= is_quarantined;
             if !is_quarantined {
                 pool.paces = Some(PaceRange::extend(pool.paces, pace));
             }
-            pool.candidates.push(Candidate {
+            pool.add(Candidate {
                 key,
                 available: worker.available(),
                 expected: loads.get(&key).copied().unwrap_or_default(),
@@ -359,6 +358,10 @@
             });
         }
         pools
+            .by_service
+            .values_mut()
+            .for_each(WorkerPool::sort_by_cpu);
+        pools
     }
 
     /// Returns the steps with tasks to start, the most urgent first.
--- a/crates/kingcupwinch-cell/src/placement/advice.rs
+++ b/crates/kingcupwinch-cell/src/placement/advice.rs
@@ -17,6 +17,10 @@
 /// The largest number of workers that the calls for one gang name together. The members of a gang start
 /// at one moment, so their tickets have to be valid together.
 const MAX_GANG_WORKERS: usize = 400;
+/// The number of workers with room among which those of a call are chosen. More are looked at only as long
+/// as they don't have room for a step: on thousands of workers, looking at each for each step would take
+/// longer than the jobs have time. A call names 400 at most.
+const MAX_OPTIONS: usize = 800;
 /// The capacity to ask about, as a multiple of the capacity needed, since other steps take some of
 /// it before the response arrives.
 const CAPACITY_MARGIN: f64 = 2.0;
@@ -221,7 +225,21 @@
         let asks_ahead = ready.asks_ahead(spec);
         let mut options = Vec::new();
         let mut granted = 0.0;
-        for (index, candidate) in pool.candidates.iter().enumerate() {
+        let mut likely = 0.0;
+        // Each step begins elsewhere, so that those of one round don't all ask about the same workers.
+        let roomy = pool.with_cpu(demand.charge);
+        let first = job.id.as_u64() as usize % roomy.max(1);
+        let full = if is_first_of_gang || asks_ahead {
+            roomy..pool.candidates.len()
+        } else {
+            roomy..roomy
+        };
+        for place in (first..roomy).chain(0..first).chain(full) {
+            if options.len() >= MAX_OPTIONS && likely >= ready.tasks as f64 * CAPACITY_MARGIN {
+                break;
+            }
+            let index = pool.nth_by_cpu(place);
+            let candidate = &pool.candidates[index];
             let fits = match self.room_on(demand, candidate) {
                 Ok(fits) => fits as f64,
                 Err(obstacle) if is_first_of_gang && !obstacle.is_permanent() => 0.0,
@@ -241,16 +259,13 @@
                 Access::Expired => 1.0,
                 Access::Unknown => share,
             };
+            likely += fits * chance;
             options.push(Choice {
                 index,
                 fits,
                 chance,
             });
         }
-        let likely: f64 = options
-            .iter()
-            .map(|choice| choice.fits * choice.chance)
-            .sum();
         let expected = granted + likely;
         (options, StepCapacity { granted, expected })
     }
@@ -271,7 +286,8 @@
             (choice, rank)
         });
         let mut ranked: Vec<(Choice, CandidateRank)> = ranked.collect();
-        ranked.sort_unstable_by(|(a, a_rank), (b, b_rank)| {
+        let compare = |(a, a_rank): &(Choice, CandidateRank),
+                       (b, b_rank): &(Choice, CandidateRank)| {
             let capacity_order = if spec.gang {
                 b.fits.total_cmp(&a.fits)
             } else {
@@ -282,7 +298,19 @@
                 .then(b.chance.total_cmp(&a.chance))
                 .then(capacity_order)
                 .then_with(|| a_rank.cmp(b_rank))
-        });
+        };
+        let most = if spec.gang {
+            MAX_GANG_WORKERS
+        } else {
+            MAX_CALL_WORKERS
+        };
+        // With thousands of workers most of the cost of a call would be the order of those that it
+        // does not name.
+        if ranked.len() > most {
+            ranked.select_nth_unstable_by(most, compare);
+            ranked.truncate(most);
+        }
+        ranked.sort_unstable_by(compare);
         let step = &job.steps[ready.step];
         let factor = 1_u32 << step.tickets.calls_without_start.min(MAX_CALL_DOUBLINGS);
         let wanted = ready.tasks as f64 * CAPACITY_MARGIN * f64::from(factor);
@@ -290,11 +318,6 @@
         let affordable = job.spec.policy.advice.map_or(0, affordable_workers);
         let max_ahead = affordable.max(MIN_CALL_WORKERS);
         let is_first_of_gang = is_first_call_of_gang(job, ready);
-        let most = if spec.gang {
-            MAX_GANG_WORKERS
-        } else {
-            MAX_CALL_WORKERS
-        };
         let mut requested = granted;
         let mut count = 0;
         let is_needed = |choice: &Choice| {
@@ -310,7 +333,7 @@
             !is_enough
         };
         let chosen = ranked.into_iter().map(|(choice, _)| choice);
-        chosen.take(most).take_while(is_needed).collect()
+        chosen.take_while(is_needed).collect()
     }
 }
 
--- a/crates/kingcupwinch-cell/src/placement/pool.rs
+++ b/crates/kingcupwinch-cell/src/placement/pool.rs
@@ -87,6 +87,9 @@
 pub(crate) struct WorkerPool {
     pub(crate) candidates: Vec<Candidate>,
     pub(super) indexes: SecondaryMap<WorkerKey, usize>,
+    /// The CPU that each candidate had left at the start of the round, with its index, most first. No
+    /// candidate has more later in the round.
+    by_cpu: Vec<(u64, usize)>,
     pub(crate) has_quarantined: bool,
     /// The total CPU of the workers and what is left of it, in thousandths of a core.
     total_cpu: u64,
@@ -113,6 +116,30 @@
         self.free_cpu > self.total_cpu / 2
     }
 
+    /// Adds a worker that can take new work.
+    pub(super) fn add(&mut self, candidate: Candidate) {
+        let index = self.candidates.len();
+        self.indexes.insert(candidate.key, index);
+        self.by_cpu.push((candidate.available.cpu, index));
+        self.candidates.push(candidate);
+    }
+
+    /// Puts the workers in order by the CPU that they have left. To be called once all are added.
+    pub(super) fn sort_by_cpu(&mut self) {
+        self.by_cpu.sort_unstable_by(|a, b| b.cmp(a));
+    }
+
+    /// Returns how many workers had enough CPU for a task that takes `charge` at the start of the round.
+    /// They come first in [`WorkerPool::nth_by_cpu`], so that on a full service few are looked at.
+    pub(crate) fn with_cpu(&self, charge: Resources) -> usize {
+        self.by_cpu.partition_point(|(cpu, _)| *cpu >= charge.cpu)
+    }
+
+    /// Returns the index of the worker at a place in the order of the CPU left.
+    pub(crate) fn nth_by_cpu(&self, place: usize) -> usize {
+        self.by_cpu[place].1
+    }
+
     /// Returns the index of a worker, if it is usable.
     pub(crate) fn index(&self, worker: WorkerKey) -> Option<usize> {
         self.indexes.get(worker).copied()
@@ -120,9 +147,11 @@
 
     /// Returns whether any worker has capacity for a task that takes `charge`.
     pub(super) fn has_capacity(&self, charge: Resources) -> bool {
-        self.candidates
-            .iter()
-            .any(|candidate| candidate.available.task_capacity(charge) > 0)
+        let mut places = 0..self.with_cpu(charge);
+        places.any(|place| {
+            let candidate = &self.candidates[self.nth_by_cpu(place)];
+            candidate.available.task_capacity(charge) > 0
+        })
     }
 
     /// Adds what a step that asks about workers is expected to place there.
