Order steps by the priority of their queue

Cause: the priority of a queue was stored and never used. Steps were ordered by status and slack alone, so that an urgent job that had become late came after all batch on time, and batch with little slack before urgent jobs. Change: a step goes before those of less urgent queues as long as its job can end before its late limit; steps that can't come last. Among steps of one priority the order is the former one, with a place for a rank by customer share. A step of any queue that has waited for 9 s goes first while its priority has less than a tenth of the CPU of its service. The mechanism is `priority-order`.

--- a/crates/kingcupwinch-cell/src/mechanism.rs
+++ b/crates/kingcupwinch-cell/src/mechanism.rs
@@ -49,6 +49,8 @@
     CallerSplit = "caller-split";
     /// No calls by instances whose calls are overdue.
     CallerHealth = "caller-health";
+    /// Steps of more urgent queues first, with a floor for the others.
+    PriorityOrder = "priority-order";
 }
 
 impl fmt::Display for Mechanism {
--- a/crates/kingcupwinch-cell/src/placement/pool.rs
+++ b/crates/kingcupwinch-cell/src/placement/pool.rs
@@ -108,6 +108,11 @@
         self.free_cpu = self.free_cpu.saturating_add(available.cpu);
     }
 
+    /// Returns the total CPU of the workers, in thousandths of a core.
+    pub(super) fn total_cpu(&self) -> u64 {
+        self.total_cpu
+    }
+
     /// Returns whether more than half of the CPU was free at the start of the round.
     pub(super) fn is_mostly_free(&self) -> bool {
         self.free_cpu > self.total_cpu / 2
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -20,6 +20,8 @@
 mod moves;
 mod narrow_links;
 mod occurrences;
+mod order;
+mod order_load;
 mod overload;
 mod paces;
 mod progress_log;
