Keep customers within their caps

A customer's cap was decoded and passed to the cell, which started work without regard to it. The cell now counts what each customer may have on workers, from the placement of a run until it is settled, and every start asks one function how much the cap leaves: first starts, restarts, gangs, speculative runs and, before a task is stopped, moves. Placements that wait for the log are checked again before their orders are sent. A step at its cap makes no call to the adviser and reserves no capacity; a call asks about no more tasks than the cap lets start beside those that other calls of the customer ask about. Work of customers waits until the owner has read a configuration, since its caps are not known before.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -1,6 +1,7 @@
 //! The state of a cell and the events that change it.
 
 mod advice_calls;
+mod caps;
 mod crash_weights;
 mod crashes;
 mod long_running;
@@ -108,6 +109,9 @@
     pub crashes: u64,
     /// Tasks that were given up because of such crashes.
     pub tasks_given_up: u64,
+    /// Runs that were discarded before their orders were sent, since their customers were above their
+    /// caps.
+    pub cap_withdrawals: u64,
 }
 
 /// What the log says about a run that ended.
--- a/crates/kingcupwinch-cell/src/cell/advice_calls.rs
+++ b/crates/kingcupwinch-cell/src/cell/advice_calls.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use kingcupwinch_time::{Span, Time};
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use super::{Action, Cell, INITIAL_ALLOWED_SHARE};
 use crate::advice::Ticket;
@@ -78,6 +78,19 @@
         workers.iter().map(|worker| worker.key)
     }
 
+    /// Returns the steps with calls in flight or answered since the last round, each once.
+    pub(crate) fn asked_steps(&self) -> FxHashSet<(JobKey, usize)> {
+        let calls = self.advice_calls.values();
+        let open = calls.filter(|call| !call.is_superseded);
+        let asked = open.map(|call| (call.job, call.step));
+        let answered = self.customers.answered.iter().copied();
+        let is_live = |(key, _): &(JobKey, usize)| {
+            let job = self.jobs.get(*key);
+            job.is_some_and(|job| job.end.is_none())
+        };
+        asked.chain(answered).filter(is_live).collect()
+    }
+
     /// Returns what the steps with calls in flight are expected to place on each worker.
     pub(crate) fn expected_loads(&self, now: Time) -> FxHashMap<WorkerKey, Resources> {
         let mut loads: FxHashMap<WorkerKey, Resources> = FxHashMap::default();
@@ -125,6 +138,9 @@
         let Some(job) = self.jobs.get_mut(call.job) else {
             return;
         };
+        if job.spec.customer.is_some() {
+            self.customers.answered.insert((call.job, call.step));
+        }
         let queue = Arc::clone(&job.spec.policy.queue);
         let cache = &mut job.steps[call.step].tickets;
         cache.note_response(copies);
--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -77,7 +77,8 @@
 impl Cell {
     /// Places a run of a task, given by its slot and index, on a worker that has capacity for it.
     /// The start order is sent once the placement is in the log, so that a later owner knows of
-    /// every run that may exist. Returns `None` if the worker's clock is unknown.
+    /// every run that may exist. Returns `None` if the worker's clock is unknown. The caller has checked
+    /// the cap of the customer.
     pub(crate) fn place_run(
         &mut self,
         key: JobKey,
@@ -137,8 +138,9 @@
         }
     }
 
-    /// Discards runs that wait for the log on workers where they no longer fit, those that were placed
-    /// last first: capacity may have shrunk since, or a run of an earlier owner may have been found.
+    /// Discards runs that wait for the log where they no longer fit, on their workers or under the cap of
+    /// their customer, those that were placed last first: either may have shrunk since, or a run of an
+    /// earlier owner may have been found.
     fn discard_unfit_runs(&mut self, now: Time) {
         let unsent = self.unsent_starts.iter().rev();
         let runs: SmallVec<[RunKey; 16]> = unsent.map(|(_, run, _)| *run).collect();
@@ -147,7 +149,15 @@
                 continue;
             };
             let is_unsent = matches!(run.state, RunState::Planned | RunState::Withdrawn);
-            if is_unsent && self.workers[run.worker].is_over_capacity() {
+            let worker = run.worker;
+            if !is_unsent {
+                continue;
+            }
+            let is_within_cap = self.is_within_cap(key);
+            if !is_within_cap {
+                self.note_cap_withdrawal(key);
+            }
+            if !is_within_cap || self.workers[worker].is_over_capacity() {
                 self.discard_run(key, now);
             }
         }
@@ -205,6 +215,8 @@
         let slot = job.slot(name);
         job.steps[slot].tasks[usize::from(name.index)].unsettled_runs += 1;
         let spec = self.jobs[key].step_spec(slot);
+        let customer = &self.jobs[key].spec.customer;
+        self.customers.add_run(customer, spec.resources);
         let worker = &mut self.workers[worker];
         worker.runs.insert(run);
         worker.add_run(spec);
@@ -422,6 +434,8 @@
         self.runs_by_name.remove(&(run.name, run.number));
         let job = &mut self.jobs[run.job];
         let (step, index) = (job.slot(run.name), usize::from(run.name.index));
+        let charge = job.step_spec(step).resources;
+        self.customers.remove_run(&job.spec.customer, charge);
         if let Some(worker) = self.workers.get_mut(run.worker) {
             worker.runs.remove(&key);
             worker.remove_run(job.step_spec(step));
--- a/crates/kingcupwinch-cell/src/event.rs
+++ b/crates/kingcupwinch-cell/src/event.rs
@@ -4,9 +4,11 @@
 
 use kingcupwinch_time::Span;
 
+use crate::cap::ResourceCap;
 use crate::crash::Crash;
 use crate::id::TaskName;
 use crate::run::RunEnd;
+use crate::spec::Resources;
 
 /// The evidence that nothing runs on a worker that does not respond.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -89,6 +91,27 @@
     pub kept: usize,
     /// The workers about which the adviser has to be asked.
     pub no_ticket: usize,
+    /// Whether the customer's cap lets no task start.
+    pub is_at_cap: bool,
+}
+
+/// A step that its customer's cap holds back.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CapHold {
+    /// The name of the customer.
+    pub customer: Arc<str>,
+    /// The name of the step.
+    pub step: String,
+    /// How many tasks start together: the members of a gang, or one.
+    pub together: u64,
+    /// The resources of each task.
+    pub task: Resources,
+    /// The runs of the customer that have not certainly ended.
+    pub runs: u64,
+    /// The resources of these runs.
+    pub used: Resources,
+    /// The cap.
+    pub cap: ResourceCap,
 }
 
 /// A conclusion that no single order or response shows.
@@ -155,4 +178,10 @@
     },
     /// Tasks of a step have waited for long although they could start.
     StepWaits(StepWait),
+    /// A step of a customer waits since the customer is at its cap.
+    CapReached(CapHold),
+    /// A step can never start under the cap of its customer.
+    CapExcludes(CapHold),
+    /// A run that waited for the log is discarded, since its customer is above its cap by now.
+    CapWithdraws(CapHold),
 }
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -5,6 +5,7 @@
 //! gives the same result.
 
 mod advice;
+mod cap;
 mod cell;
 mod crash;
 mod customer;
@@ -25,17 +26,19 @@
 mod worker;
 
 pub use advice::Ticket;
+pub use cap::ResourceCap;
 pub use cell::{
     Action, AdviceCallId, Cell, CellTimers, Counters, PaceOrder, RecordBatch, RunSummary,
     StartOrder, StopOrder, SubmitOutcome,
 };
 pub use crash::{Crash, Evidence};
-pub use customer::{CustomerPolicy, ResourceCap};
+pub use customer::CustomerPolicy;
 pub use election::{Claim, ElectionStep, ElectionTimers, GroupRecord, Member, OwnerElection};
-pub use event::{CellEvent, CrashCause, SettleCause, StepWait};
+pub use event::{CapHold, CellEvent, CrashCause, SettleCause, StepWait};
 pub use id::{JobId, TaskName};
 pub use job::JobState;
 pub use mechanism::{Disabled, Mechanism};
+pub use placement::CapCounts;
 pub use record::{JobRecord, PartKey, Placement, RecordError, WorkerRecord};
 pub use run::{EndReason, RunEnd, StartOutcome};
 pub use run_time::RunTimeRecord;
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -5,6 +5,7 @@
 //! workers first, the adviser is asked about as many workers as the step is likely to need.
 
 mod advice;
+mod caps;
 mod gangs;
 mod moves;
 mod pool;
@@ -28,6 +29,7 @@
 use pool::{PaceRange, pace_band};
 use rank::CandidateRank;
 
+pub use caps::CapCounts;
 pub(crate) use moves::KeptPlace;
 pub(crate) use pool::{Candidate, WorkerPool, WorkerPools};
 pub(crate) use waits::{WaitBudget, WaitState};
@@ -238,6 +240,7 @@
         self.settle_withdrawn_runs(now);
         self.open_occurrences(now);
         self.set_mean_pace(now);
+        self.customers.counts = CapCounts::default();
         let mut pools = self.usable_workers(now);
         self.mark_suspect_workers(&mut pools);
         self.reserve_kept_places(&mut pools, now);
@@ -253,6 +256,7 @@
         self.place_steps(others, &mut pools, now);
         self.start_speculative_runs(&mut pools, now);
         self.send_stops(now);
+        self.customers.answered.clear();
         self.take_actions(now)
     }
 
@@ -417,6 +421,9 @@
         pool: &mut WorkerPool,
         now: Time,
     ) -> Option<StepDemand> {
+        if self.is_held_by_cap(ready, now) {
+            return None;
+        }
         self.release_kept_places(ready.job, ready.step, pool);
         let job = &self.jobs[ready.job];
         let spec = job.step_spec(ready.step);
@@ -490,6 +497,10 @@
         now: Time,
     ) -> bool {
         let worker = pool.candidates[candidate].key;
+        let is_gang = self.jobs[key].step_spec(place.0).gang;
+        if !is_gang && self.cap_room(key, place.0) == 0 {
+            return false;
+        }
         if self.place_run(key, place, number, worker, now).is_none() {
             return false;
         }
--- a/crates/kingcupwinch-cell/src/placement/advice.rs
+++ b/crates/kingcupwinch-cell/src/placement/advice.rs
@@ -76,6 +76,9 @@
         let Some(cost) = job.spec.policy.advice else {
             return;
         };
+        let Some(ready) = &self.within_cap(ready) else {
+            return;
+        };
         let step = &job.steps[ready.step];
         let may_call = !step.tickets.is_call_pending() && step.tickets.next_call <= now;
         if !may_call || !self.advice_callers.has_free(call_time(&cost, 1), now) {
@@ -185,6 +188,9 @@
             return;
         }
         let demand = self.step_demand(ready.job, ready.step);
+        let Some(ready) = &self.within_cap(ready) else {
+            return;
+        };
         let share = self.allowed_share(&job.spec.policy.queue);
         let mut wanted = ready.tasks as f64;
         for worker in self.asked_workers(ready.job, ready.step) {
--- a/crates/kingcupwinch-cell/src/placement/moves.rs
+++ b/crates/kingcupwinch-cell/src/placement/moves.rs
@@ -54,6 +54,16 @@
         self.kept_places = kept;
     }
 
+    /// Returns the job and the step of each task that has stopped for a move and has not started again.
+    pub(crate) fn stopped_moves(&self) -> impl Iterator<Item = (JobKey, usize)> {
+        let kept = self.kept_places.iter();
+        let stopped = kept.filter(|place| {
+            let has_stopped = !self.runs.contains_key(place.run);
+            has_stopped && self.needs_place(place)
+        });
+        stopped.map(|place| (place.job, place.step))
+    }
+
     fn needs_place(&self, place: &KeptPlace) -> bool {
         let Some(job) = self.jobs.get(place.job) else {
             return false;
@@ -125,6 +135,8 @@
                 moving.push(run);
             }
         }
+        // A task that stops while its customer is above its cap could not start again.
+        moving.retain(|run| self.is_within_cap(*run));
         let limit = usize::from(spec.max_unavailable.max(1));
         moving.truncate(limit.saturating_sub(unavailable));
         moving
--- a/crates/kingcupwinch-cell/src/placement/waits.rs
+++ b/crates/kingcupwinch-cell/src/placement/waits.rs
@@ -95,6 +95,7 @@
             queue: Arc::clone(&job.spec.policy.queue),
             tasks: step.tasks.iter().filter(|task| task.is_free(now)).count(),
             age: now.since(since),
+            is_at_cap: self.cap_room(demand.job, demand.step) == 0,
             is_call_pending: step.tickets.is_call_pending(),
             unusable: listed.count() - candidates.len(),
             ..StepWait::default()
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -6,6 +6,7 @@
 mod backlog;
 mod callers;
 mod capacity;
+mod caps;
 mod contention;
 mod crashes;
 mod election;
--- a/crates/kingcupwinch-node/src/events.rs
+++ b/crates/kingcupwinch-node/src/events.rs
@@ -131,6 +131,13 @@
     TaskGivenUp = "1711", "task given up, since workers crashed under it";
     /// An order to change the pace of a best-effort task was sent to a worker.
     PaceSent = "1712", "pace order sent";
+    /// A step of a customer waits since the customer is at its cap, at most once a second per customer.
+    CapReached = "1720", "customer at its cap";
+    /// A gang is larger than its customer's cap, once per customer and version of the configuration.
+    CapExcludes = "1721", "work can never start under the cap of its customer";
+    /// A run that waited for its placement to be recorded is discarded, since the cap was lowered or a
+    /// run of an earlier owner was found.
+    CapWithdraws = "1722", "run discarded, since its customer is above its cap";
     /// A worker registered in the directory.
     WorkerListed = "1801", "worker listed";
     /// A worker left the directory.
--- a/crates/kingcupwinch-node/src/metrics.rs
+++ b/crates/kingcupwinch-node/src/metrics.rs
@@ -66,6 +66,10 @@
     pub crashes: Family<EndLabel, Counter>,
     /// Jobs that have not ended; set at the owner.
     pub live_jobs: Gauge,
+    /// Steps that caps held back in the last round; set at the owner.
+    pub cap_waiting: Gauge,
+    /// Those of them that can never start under the cap.
+    pub cap_excluded: Gauge,
     /// CPU in use, in thousandths of a core; set at the owner.
     pub used_millicores: Gauge,
     /// Term of this instance's ownership; 0 if it is not the owner.
@@ -97,6 +101,8 @@
             jobs: Family::default(),
             crashes: Family::default(),
             live_jobs: Gauge::default(),
+            cap_waiting: Gauge::default(),
+            cap_excluded: Gauge::default(),
             used_millicores: Gauge::default(),
             owned_term: Gauge::default(),
             config_version: Gauge::default(),
@@ -140,6 +146,16 @@
             m.crashes.clone(),
         );
         registry.register("live_jobs", "Jobs that have not ended", m.live_jobs.clone());
+        registry.register(
+            "cap_waiting_steps",
+            "Steps held back by the caps of their customers",
+            m.cap_waiting.clone(),
+        );
+        registry.register(
+            "cap_excluded_steps",
+            "Steps that can never start under the cap of their customer",
+            m.cap_excluded.clone(),
+        );
         registry.register(
             "used_millicores",
             "CPU in use, in thousandths of a core",
--- a/crates/kingcupwinch-node/src/owner/cell_events.rs
+++ b/crates/kingcupwinch-node/src/owner/cell_events.rs
@@ -1,6 +1,6 @@
 //! Log events and counts of what the cell concludes.
 
-use kingcupwinch_cell::{CellEvent, Evidence};
+use kingcupwinch_cell::{CapHold, CellEvent, Evidence};
 use kingcupwinch_time::Span;
 use slog::o;
 
@@ -84,6 +84,9 @@
                         "workers" => workers.join(" ")),
                 );
             }
+            CellEvent::CapReached(hold) => self.log_hold(Event::CapReached, &hold),
+            CellEvent::CapExcludes(hold) => self.log_hold(Event::CapExcludes, &hold),
+            CellEvent::CapWithdraws(hold) => self.log_hold(Event::CapWithdraws, &hold),
             CellEvent::StepWaits(wait) => log.write(
                 Event::StepWaits,
                 o!("step" => wait.step, "queue" => wait.queue.to_string(), "tasks" => wait.tasks,
@@ -91,10 +94,28 @@
                     "tickets" => wait.tickets, "startable" => wait.startable,
                     "no_ticket" => wait.no_ticket, "denied" => wait.denied,
                     "at_limit" => wait.at_limit, "full" => wait.full, "kept" => wait.kept,
-                    "slow" => wait.slow,
+                    "slow" => wait.slow, "at_cap" => wait.is_at_cap,
                     "isolated" => wait.isolated, "unlabelled" => wait.unlabelled,
                     "unusable" => wait.unusable),
             ),
         }
     }
+
+    /// Logs a step that its customer's cap holds back, with the version of the configuration that set
+    /// the cap and the age of its copy.
+    fn log_hold(&self, event: Event, hold: &CapHold) {
+        let copy = self.shared.configuration.snapshot();
+        let age = copy.age(self.shared.now());
+        self.shared.log.write(
+            event,
+            o!("customer" => hold.customer.to_string(), "step" => hold.step.clone(),
+                "together" => hold.together, "task_millicores" => hold.task.cpu,
+                "task_mb" => hold.task.memory, "task_gpus" => hold.task.gpu,
+                "runs" => hold.runs, "used_millicores" => hold.used.cpu,
+                "used_mb" => hold.used.memory, "used_gpus" => hold.used.gpu,
+                "cap_millicores" => hold.cap.cpu, "cap_mb" => hold.cap.memory,
+                "cap_gpus" => hold.cap.gpu, "version" => self.customers_version,
+                "copy_age_ms" => age.map(Span::as_millis)),
+        );
+    }
 }
--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -287,6 +287,9 @@
         }
         let metrics = &self.shared.metrics;
         metrics.live_jobs.set(self.cell.live_jobs() as i64);
+        let caps = self.cell.cap_counts();
+        metrics.cap_waiting.set(caps.held as i64);
+        metrics.cap_excluded.set(caps.excluded as i64);
         metrics.used_millicores.set(self.cell.cpu_load().0 as i64);
     }
 
@@ -308,6 +311,7 @@
         if !self.may_dispatch(now) {
             return;
         }
+        self.update_customers();
         let actions = self.cell.take_actions(now);
         self.execute(actions);
     }
--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -147,7 +147,8 @@
     let limit = shared.settings.append_limits.record;
     let mut cell = Cell::new(timers, claim.generation)
         .with_disabled(shared.disabled)
-        .with_record_limit(limit);
+        .with_record_limit(limit)
+        .with_cap_overage(shared.settings.cap_overage);
     let workers = restore_workers(shared, &mut cell, &directory, &progress, now);
     let shards = WorkerShards::new(limit, progress.items.iter().map(|item| &*item.key));
     let mut origins = Origins::default();
