Count runs of ended jobs for their customers after a takeover

A random sequence of events (2 of 10,000) had a later owner start work of a customer above its cap: a job that had ended was restored from its record without the runs that still were to be stopped, and its acceptance may be deleted by then. The record of an ended job of a customer now names what the job may have on workers, in optional fields; a later owner counts it until the worker has responded without unknown runs or its leases have expired. A job that was cancelled before its acceptance is read adopts its recorded placements, so that they are stopped and counted.

The test draws 10,000 sequences of submissions, starts, ends, lost responses, late orders, lapses of leases, takeovers and changes of caps.

--- a/crates/kingcupwinch-cell/src/cap.rs
+++ b/crates/kingcupwinch-cell/src/cap.rs
@@ -50,14 +50,14 @@
 }
 
 impl Usage {
-    pub(crate) fn add_runs(&mut self, charge: Resources, runs: u64) {
-        self.used.add(charge.times(runs));
+    pub(crate) fn add(&mut self, used: Resources, runs: u64) {
+        self.used.add(used);
         self.runs += runs;
     }
 
-    pub(crate) fn remove_run(&mut self, charge: Resources) {
-        self.used.sub(charge);
-        self.runs = self.runs.saturating_sub(1);
+    pub(crate) fn remove(&mut self, used: Resources, runs: u64) {
+        self.used.sub(used);
+        self.runs = self.runs.saturating_sub(runs);
     }
 }
 
--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -4,6 +4,7 @@
 mod caps;
 mod crash_weights;
 mod crashes;
+mod left_runs;
 mod long_running;
 mod paces;
 mod polls;
@@ -155,6 +156,8 @@
     /// The share of workers that the adviser of each queue allowed of those it was asked about.
     allowed_shares: FxHashMap<Arc<str>, ShareEstimate>,
     pub(crate) customers: Customers,
+    /// Runs of jobs that had ended before a takeover.
+    inherited_runs: Vec<left_runs::InheritedRuns>,
     pub(crate) run_times: RunTimes,
     pub(crate) advice_callers: AdviceCallers,
     advice_calls: FxHashMap<AdviceCallId, advice_calls::AdviceCall>,
@@ -218,6 +221,7 @@
             runs_by_name: FxHashMap::default(),
             allowed_shares: FxHashMap::default(),
             customers: Customers::default(),
+            inherited_runs: Vec::new(),
             run_times: RunTimes::default(),
             advice_callers: AdviceCallers::default(),
             advice_calls: FxHashMap::default(),
--- a/crates/kingcupwinch-cell/src/cell/caps.rs
+++ b/crates/kingcupwinch-cell/src/cell/caps.rs
@@ -70,7 +70,7 @@
         for (job, step) in self.stopped_moves() {
             let is_other = (job, step) != (key, slot);
             if is_other && self.customer(job) == self.customer(key) {
-                usage.add_runs(self.jobs[job].step_spec(step).resources, 1);
+                usage.add(self.jobs[job].step_spec(step).resources, 1);
             }
         }
         usage
@@ -85,7 +85,7 @@
             if is_other && self.customer(job) == self.customer(key) {
                 let waiting = self.jobs[job].steps[step].waiting as u64;
                 let charge = self.jobs[job].step_spec(step).resources;
-                usage.add_runs(charge, waiting);
+                usage.add(charge.times(waiting), waiting);
             }
         }
         usage
--- a/crates/kingcupwinch-cell/src/cell/records.rs
+++ b/crates/kingcupwinch-cell/src/cell/records.rs
@@ -107,7 +107,9 @@
             let mut record = match job.end {
                 Some(end) => {
                     self.pending_ends.push((self.batch, key));
-                    JobRecord::of_end(end)
+                    let mut record = JobRecord::of_end(end);
+                    self.add_left_runs(job, &mut record);
+                    record
                 }
                 None => JobRecord::of_progress(job, self.placements(job)),
             };
--- a/crates/kingcupwinch-cell/src/cell/restore.rs
+++ b/crates/kingcupwinch-cell/src/cell/restore.rs
@@ -24,6 +24,11 @@
         now: Time,
     ) {
         if let Some(state) = record.and_then(|record| record.end) {
+            if !self.ended_jobs.contains_key(&id) {
+                record
+                    .iter()
+                    .for_each(|record| self.restore_left_runs(record));
+            }
             self.retain_end(id, state, now);
             return;
         }
@@ -33,7 +38,8 @@
                 .extend(record.map(|record| (id, record.clone())));
             return;
         };
-        if self.submit(id, spec, now - age) != SubmitOutcome::New {
+        // The runs of a job that was cancelled have to be stopped.
+        if self.submit(id, spec, now - age) == SubmitOutcome::Known {
             return;
         }
         let key = self.jobs_by_id[&id];
--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -216,7 +216,7 @@
         job.steps[slot].tasks[usize::from(name.index)].unsettled_runs += 1;
         let spec = self.jobs[key].step_spec(slot);
         let customer = &self.jobs[key].spec.customer;
-        self.customers.add_run(customer, spec.resources);
+        self.customers.add_runs(customer, spec.resources, 1);
         let worker = &mut self.workers[worker];
         worker.runs.insert(run);
         worker.add_run(spec);
@@ -435,7 +435,7 @@
         let job = &mut self.jobs[run.job];
         let (step, index) = (job.slot(run.name), usize::from(run.name.index));
         let charge = job.step_spec(step).resources;
-        self.customers.remove_run(&job.spec.customer, charge);
+        self.customers.remove_runs(&job.spec.customer, charge, 1);
         if let Some(worker) = self.workers.get_mut(run.worker) {
             worker.runs.remove(&key);
             worker.remove_run(job.step_spec(step));
--- a/crates/kingcupwinch-cell/src/customer.rs
+++ b/crates/kingcupwinch-cell/src/customer.rs
@@ -76,14 +76,14 @@
         self.usage.get(customer).copied().unwrap_or_default()
     }
 
-    pub(crate) fn add_run(&mut self, customer: &Option<Arc<str>>, charge: Resources) {
+    pub(crate) fn add_runs(&mut self, customer: &Option<Arc<str>>, used: Resources, runs: u64) {
         let usage = self.usage.entry(customer.clone()).or_default();
-        usage.add_runs(charge, 1);
+        usage.add(used, runs);
     }
 
-    pub(crate) fn remove_run(&mut self, customer: &Option<Arc<str>>, charge: Resources) {
+    pub(crate) fn remove_runs(&mut self, customer: &Option<Arc<str>>, used: Resources, runs: u64) {
         if let Some(usage) = self.usage.get_mut(customer) {
-            usage.remove_run(charge);
+            usage.remove(used, runs);
             if usage.runs == 0 {
                 self.usage.remove(customer);
             }
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -39,7 +39,7 @@
 pub use job::JobState;
 pub use mechanism::{Disabled, Mechanism};
 pub use placement::CapCounts;
-pub use record::{JobRecord, PartKey, Placement, RecordError, WorkerRecord};
+pub use record::{JobRecord, LeftRuns, PartKey, Placement, RecordError, WorkerRecord};
 pub use run::{EndReason, RunEnd, StartOutcome};
 pub use run_time::RunTimeRecord;
 pub use spec::{AdviceCost, JobSpec, QueuePolicy, Resources, Schedule, StepSpec};
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -232,6 +232,7 @@
     /// Runs one round of scheduling and returns the resulting actions.
     pub fn decide(&mut self, now: Time) -> Vec<Action> {
         self.expire_workers(now);
+        self.release_left_runs(now);
         self.expire_tentative(now);
         self.expire_advice_calls(now);
         self.probe_callers(now);
--- a/crates/kingcupwinch-cell/src/record.rs
+++ b/crates/kingcupwinch-cell/src/record.rs
@@ -8,6 +8,7 @@
 
 use crate::crash::Crash;
 use crate::job::{Job, JobState, Step, TaskState};
+use crate::spec::Resources;
 
 mod parts;
 
@@ -76,6 +77,20 @@
     }
 }
 
+/// Runs of an ended job that may still be on a worker.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct LeftRuns {
+    /// The worker's id.
+    #[serde(rename = "w")]
+    pub worker: Arc<str>,
+    /// The number of runs.
+    #[serde(rename = "n")]
+    pub runs: u64,
+    /// The resources of all of them.
+    #[serde(rename = "u")]
+    pub used: Resources,
+}
+
 /// The progress of a job that must survive the loss of its owner.
 #[derive(Debug, Clone, Default, PartialEq, Hash, Serialize, Deserialize)]
 pub struct JobRecord {
@@ -111,6 +126,12 @@
     /// The placements of active runs.
     #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
     pub placements: Vec<Placement>,
+    /// The customer of an ended job. Earlier versions don't record it.
+    #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
+    pub customer: Option<Arc<str>>,
+    /// What an ended job of a customer may have on workers. Earlier versions don't record it.
+    #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
+    pub left: Vec<LeftRuns>,
     /// The parts that the log holds beside this record.
     #[serde(skip)]
     pub parts: Vec<PartKey>,
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod capacity;
 mod caps;
+mod caps_random;
 mod contention;
 mod crashes;
 mod election;
