--- a/crates/kingcupwinch-cell/tests/cell/caps.rs
+++ b/crates/kingcupwinch-cell/tests/cell/caps.rs
@@ -75,6 +75,8 @@
     );
     harness.run_round();
     assert_eq!(harness.cell.cap_counts().held, 1);
+    let withdrawals = harness.cell.counters().cap_withdrawals;
+    assert_eq!(withdrawals, 0, "nothing is placed that can't be sent");
 }
 
 /// Without this rule, a customer whose cap is below one task would never be served.
@@ -260,6 +262,7 @@
     harness.poll_all();
     harness.run_round();
     assert_eq!(harness.running().len(), runs);
+    assert_eq!(harness.cell.counters().cap_withdrawals, 0);
 }
 
 fn lasting(count: u16, cores: u64) -> StepSpec {
