--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -1,8 +1,10 @@
 //! The state of a cell and the events that change it.
 
 mod advice_calls;
+mod caps;
 mod crash_weights;
 mod crashes;
+mod left_runs;
 mod long_running;
 mod paces;
 mod polls;
@@ -108,6 +110,9 @@
     pub crashes: u64,
     /// Tasks that were given up because of such crashes.
     pub tasks_given_up: u64,
+    /// Runs that were discarded before their orders were sent, since their customers were above their
+    /// caps.
+    pub cap_withdrawals: u64,
 }
 
 /// What the log says about a run that ended.
@@ -151,6 +156,8 @@
     /// The share of workers that the adviser of each queue allowed of those it was asked about.
     allowed_shares: FxHashMap<Arc<str>, ShareEstimate>,
     pub(crate) customers: Customers,
+    /// Runs of jobs that had ended before a takeover.
+    inherited_runs: Vec<left_runs::InheritedRuns>,
     pub(crate) run_times: RunTimes,
     pub(crate) advice_callers: AdviceCallers,
     advice_calls: FxHashMap<AdviceCallId, advice_calls::AdviceCall>,
@@ -214,6 +221,7 @@
             runs_by_name: FxHashMap::default(),
             allowed_shares: FxHashMap::default(),
             customers: Customers::default(),
+            inherited_runs: Vec::new(),
             run_times: RunTimes::default(),
             advice_callers: AdviceCallers::default(),
             advice_calls: FxHashMap::default(),
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -6,6 +6,8 @@
 mod backlog;
 mod callers;
 mod capacity;
+mod caps;
+mod caps_random;
 mod contention;
 mod crashes;
 mod election;
