--- a/crates/kingcupwinch-node/src/test_support.rs
+++ b/crates/kingcupwinch-node/src/test_support.rs
@@ -46,6 +46,7 @@
         grace_period: Span::from_secs(6),
         status_retention: Span::from_secs(120),
         config_bound: Span::from_millis(2_000),
+        revoke_limit: None,
     };
     Shared::new(settings, Disabled::default(), EventLog::new("me"))
 }
