Keep the customer of a job for queries and cancellations

Whoever knew the id of a job could cancel it. A cancellation now has a requester, and has no effect on a job of another customer, also if it is read before the acceptance of the job. A job is reported with its customer. The record of an ended job holds the customer in the optional field `u`, as the acceptance that names it is deleted. Records of jobs without a customer are unchanged.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -3,6 +3,8 @@
 mod advice_calls;
 mod crash_weights;
 mod crashes;
+mod early_cancels;
+mod job_states;
 mod long_running;
 mod paces;
 mod polls;
@@ -36,12 +38,14 @@
 use crate::worker::{PollFailure, Registration, Worker, WorkerKey};
 
 use crashes::CrashLog;
+use early_cancels::EarlyCancels;
 use records::PendingAck;
 
 pub(crate) use long_running::READY_PERCENT;
 
 pub use advice_calls::AdviceCallId;
 pub(crate) use advice_calls::NamedWorker;
+pub use job_states::JobView;
 pub use paces::PaceOrder;
 pub use records::RecordBatch;
 pub use runs::{Action, StartOrder, StopOrder};
@@ -135,15 +139,14 @@
     run_base: u32,
     pub(crate) jobs: SlotMap<JobKey, Job>,
     jobs_by_id: FxHashMap<JobId, JobKey>,
-    ended_jobs: FxHashMap<JobId, JobState>,
+    ended_jobs: FxHashMap<JobId, JobView>,
     /// The progress that an earlier owner recorded of jobs whose acceptance was not read yet.
     unaccepted: FxHashMap<JobId, JobRecord>,
     /// When the acceptances of these jobs have certainly been read, if they are in the log.
     accepted_by: Time,
     /// When the final states of jobs expire, in order of time.
     end_expiry: VecDeque<(Time, JobId)>,
-    /// Cancellations that arrived before their jobs, with the time at which each expires.
-    early_cancels: FxHashMap<JobId, Time>,
+    early_cancels: EarlyCancels,
     pub(crate) workers: SlotMap<WorkerKey, Worker>,
     workers_by_id: FxHashMap<Arc<str>, WorkerKey>,
     pub(crate) runs: SlotMap<RunKey, Run>,
@@ -207,7 +210,7 @@
             unaccepted: FxHashMap::default(),
             accepted_by: Time::ZERO,
             end_expiry: VecDeque::new(),
-            early_cancels: FxHashMap::default(),
+            early_cancels: EarlyCancels::default(),
             workers: SlotMap::with_key(),
             workers_by_id: FxHashMap::default(),
             runs: SlotMap::with_key(),
@@ -286,7 +289,8 @@
         if let Some(record) = self.unaccepted.remove(&id) {
             self.restore_progress(key, &record, now);
         }
-        if self.early_cancels.remove(&id).is_some() {
+        let customer = self.jobs[key].spec.customer.as_deref();
+        if self.early_cancels.take(id, customer) {
             self.end_job(key, JobState::Cancelled);
             return SubmitOutcome::Cancelled;
         }
@@ -321,16 +325,6 @@
         });
     }
 
-    /// Cancels a job. The cancellation must be in the log.
-    pub fn cancel(&mut self, id: JobId, now: Time) {
-        if let Some(&key) = self.jobs_by_id.get(&id) {
-            self.end_job(key, JobState::Cancelled);
-        } else if !self.ended_jobs.contains_key(&id) {
-            self.early_cancels
-                .insert(id, now + self.timers.end_retention);
-        }
-    }
-
     /// Adds a worker listed in the directory, or updates its entry. `inherited` is set for workers
     /// that an earlier owner may have used.
     pub fn register_worker(
@@ -438,15 +432,6 @@
         }
     }
 
-    /// Returns the state of a job, or `None` if the job is unknown.
-    pub fn job_state(&self, id: JobId) -> Option<JobState> {
-        if let Some(state) = self.ended_jobs.get(&id) {
-            return Some(*state);
-        }
-        let key = self.jobs_by_id.get(&id)?;
-        Some(self.jobs[*key].state())
-    }
-
     /// Describes an unsettled run for the log, or returns `None` if there is no such run.
     pub fn describe_run(&self, task: TaskName, run: u32, now: Time) -> Option<RunSummary> {
         let run = &self.runs[*self.runs_by_name.get(&(task, run))?];
@@ -555,11 +540,11 @@
         let (Some(state), true, true) = (job.end, job.is_end_recorded, job.runs.is_empty()) else {
             return;
         };
-        let id = job.id;
+        let (id, customer) = (job.id, job.spec.customer.clone());
         self.jobs.remove(key);
         self.unindex_job(key);
         self.jobs_by_id.remove(&id);
-        self.retain_end(id, state, now);
+        self.retain_end(id, JobView { state, customer }, now);
     }
 
     fn unindex_job(&mut self, key: JobKey) {
@@ -569,13 +554,6 @@
         self.tentative.remove(&key);
     }
 
-    /// Keeps the final state of a job for the retention time.
-    fn retain_end(&mut self, id: JobId, state: JobState, now: Time) {
-        self.ended_jobs.insert(id, state);
-        self.end_expiry
-            .push_back((now + self.timers.end_retention, id));
-    }
-
     /// Returns the run time on a worker as a multiple of that on a worker of mean pace.
     pub(crate) fn worker_pace(&self, key: WorkerKey, now: Time) -> f64 {
         let worker = &self.workers[key];
--- /dev/null
+++ b/crates/kingcupwinch-cell/src/cell/early_cancels.rs
@@ -0,0 +1,46 @@
+//! Cancellations that arrive before their jobs.
+
+use kingcupwinch_time::Time;
+use rustc_hash::FxHashMap;
+use smallvec::SmallVec;
+
+use crate::id::JobId;
+use crate::requester::Requester;
+
+/// Cancellations of jobs that are not known yet, until they expire. Each holds only for a job that its
+/// requester may cancel.
+#[derive(Debug, Default)]
+pub(super) struct EarlyCancels {
+    rows: FxHashMap<JobId, SmallVec<[(Requester, Time); 1]>>,
+}
+
+impl EarlyCancels {
+    /// Adds a cancellation that expires at `until`.
+    pub(super) fn add(&mut self, id: JobId, requester: &Requester, until: Time) {
+        let of_job = self.rows.entry(id).or_default();
+        match of_job.iter_mut().find(|(known, _)| known == requester) {
+            Some((_, known)) => *known = until,
+            None => of_job.push((requester.clone(), until)),
+        }
+    }
+
+    /// Returns whether there is a cancellation of a job, for whichever customer.
+    pub(super) fn contains(&self, id: JobId) -> bool {
+        self.rows.contains_key(&id)
+    }
+
+    /// Removes the cancellations of a job; returns whether one holds for a job of this customer.
+    pub(super) fn take(&mut self, id: JobId, customer: Option<&str>) -> bool {
+        let of_job = self.rows.remove(&id).unwrap_or_default();
+        let mut of_job = of_job.iter();
+        of_job.any(|(requester, _)| requester.may_access(customer))
+    }
+
+    /// Removes what has expired.
+    pub(super) fn expire(&mut self, now: Time) {
+        self.rows.retain(|_, of_job| {
+            of_job.retain(|(_, until)| *until > now);
+            !of_job.is_empty()
+        });
+    }
+}
--- /dev/null
+++ b/crates/kingcupwinch-cell/src/cell/job_states.rs
@@ -0,0 +1,72 @@
+//! Jobs as callers see them: their states, their customers and their cancellation.
+
+use std::sync::Arc;
+
+use kingcupwinch_time::Time;
+
+use super::Cell;
+use crate::id::JobId;
+use crate::job::JobState;
+use crate::requester::Requester;
+
+/// A job as it is reported to callers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JobView {
+    /// The state.
+    pub state: JobState,
+    /// The customer whose job it is. `None` if the job has none, or if it is not known.
+    pub customer: Option<Arc<str>>,
+}
+
+impl Cell {
+    /// Returns the state of a job, or `None` if the job is unknown.
+    pub fn job_state(&self, id: JobId) -> Option<JobState> {
+        if let Some(view) = self.ended_jobs.get(&id) {
+            return Some(view.state);
+        }
+        let key = self.jobs_by_id.get(&id)?;
+        Some(self.jobs[*key].state())
+    }
+
+    /// Returns the state and the customer of a job, or `None` if the job is unknown.
+    pub fn job_view(&self, id: JobId) -> Option<JobView> {
+        if let Some(view) = self.ended_jobs.get(&id) {
+            return Some(view.clone());
+        }
+        let job = &self.jobs[*self.jobs_by_id.get(&id)?];
+        Some(JobView {
+            state: job.state(),
+            customer: job.spec.customer.clone(),
+        })
+    }
+
+    /// Cancels a job on behalf of any caller. The cancellation must be in the log.
+    pub fn cancel(&mut self, id: JobId, now: Time) {
+        self.cancel_for(id, &Requester::Anyone, now);
+    }
+
+    /// Cancels a job, unless it is one that the requester may not cancel; returns whether it was
+    /// cancelled or will be once it is known. The cancellation must be in the log.
+    pub fn cancel_for(&mut self, id: JobId, requester: &Requester, now: Time) -> bool {
+        if let Some(view) = self.ended_jobs.get(&id) {
+            return requester.may_access(view.customer.as_deref());
+        }
+        let Some(&key) = self.jobs_by_id.get(&id) else {
+            let until = now + self.timers.end_retention;
+            self.early_cancels.add(id, requester, until);
+            return true;
+        };
+        let may_cancel = requester.may_access(self.jobs[key].spec.customer.as_deref());
+        if may_cancel {
+            self.end_job(key, JobState::Cancelled);
+        }
+        may_cancel
+    }
+
+    /// Keeps the final state of a job for the retention time.
+    pub(super) fn retain_end(&mut self, id: JobId, view: JobView, now: Time) {
+        self.ended_jobs.insert(id, view);
+        self.end_expiry
+            .push_back((now + self.timers.end_retention, id));
+    }
+}
--- a/crates/kingcupwinch-cell/src/cell/records.rs
+++ b/crates/kingcupwinch-cell/src/cell/records.rs
@@ -107,7 +107,7 @@
             let mut record = match job.end {
                 Some(end) => {
                     self.pending_ends.push((self.batch, key));
-                    JobRecord::of_end(end)
+                    JobRecord::of_end(end, job.spec.customer.clone())
                 }
                 None => JobRecord::of_progress(job, self.placements(job)),
             };
@@ -133,7 +133,7 @@
             self.ended_jobs.remove(&id);
             records.expired.push(id);
         }
-        self.early_cancels.retain(|_, until| *until > now);
+        self.early_cancels.expire(now);
         // An empty batch gets a number of its own as well: what happens before it is reported as
         // appended belongs to the next batch, which is not in the log yet.
         self.batch += 1;
--- a/crates/kingcupwinch-cell/src/cell/restore.rs
+++ b/crates/kingcupwinch-cell/src/cell/restore.rs
@@ -4,7 +4,7 @@
 
 use kingcupwinch_time::{Span, Time};
 
-use super::{ACCEPTANCE_TIMEOUT, Cell, SubmitOutcome};
+use super::{ACCEPTANCE_TIMEOUT, Cell, JobView, SubmitOutcome};
 use crate::id::JobId;
 use crate::job::{JobKey, JobState};
 use crate::record::{JobRecord, Placement, WorkerRecord};
@@ -23,8 +23,11 @@
         age: Span,
         now: Time,
     ) {
-        if let Some(state) = record.and_then(|record| record.end) {
-            self.retain_end(id, state, now);
+        if let Some(record) = record
+            && let Some(state) = record.end
+        {
+            let customer = record.customer.clone();
+            self.retain_end(id, JobView { state, customer }, now);
             return;
         }
         let Some(spec) = spec else {
--- a/crates/kingcupwinch-cell/src/cell/tentative.rs
+++ b/crates/kingcupwinch-cell/src/cell/tentative.rs
@@ -23,7 +23,7 @@
         if !self.uses(Mechanism::Tentative) {
             return;
         }
-        if self.job_state(id).is_some() || self.early_cancels.contains_key(&id) {
+        if self.job_state(id).is_some() || self.early_cancels.contains(id) {
             return;
         }
         self.submit(id, spec, now);
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -18,6 +18,7 @@
 mod pace;
 mod placement;
 mod record;
+mod requester;
 mod run;
 mod run_time;
 mod spec;
@@ -26,7 +27,7 @@
 
 pub use advice::Ticket;
 pub use cell::{
-    Action, AdviceCallId, Cell, CellTimers, Counters, PaceOrder, RecordBatch, RunSummary,
+    Action, AdviceCallId, Cell, CellTimers, Counters, JobView, PaceOrder, RecordBatch, RunSummary,
     StartOrder, StopOrder, SubmitOutcome,
 };
 pub use crash::{Crash, Evidence};
@@ -37,6 +38,7 @@
 pub use job::JobState;
 pub use mechanism::{Disabled, Mechanism};
 pub use record::{JobRecord, PartKey, Placement, RecordError, WorkerRecord};
+pub use requester::Requester;
 pub use run::{EndReason, RunEnd, StartOutcome};
 pub use run_time::RunTimeRecord;
 pub use spec::{AdviceCost, JobSpec, QueuePolicy, Resources, Schedule, StepSpec};
--- a/crates/kingcupwinch-cell/src/record.rs
+++ b/crates/kingcupwinch-cell/src/record.rs
@@ -88,6 +88,10 @@
     /// The final state, once the job has ended.
     #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
     pub end: Option<JobState>,
+    /// The customer of a job that has ended, since its acceptance is deleted. Earlier versions don't
+    /// record it.
+    #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
+    pub customer: Option<Arc<str>>,
     /// The slots of steps whose tasks are all done, as half-open ranges.
     #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
     pub done_steps: Vec<(u32, u32)>,
@@ -145,10 +149,11 @@
     }
 
     /// Builds the record of a job that has ended.
-    pub(crate) fn of_end(end: JobState) -> Self {
+    pub(crate) fn of_end(end: JobState, customer: Option<Arc<str>>) -> Self {
         JobRecord {
             started: true,
             end: Some(end),
+            customer,
             ..JobRecord::default()
         }
     }
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -8,6 +8,7 @@
 mod capacity;
 mod contention;
 mod crashes;
+mod customers;
 mod election;
 mod gang_load;
 mod gangs;
