Check the keys of customers on each request

Where the configuration has customers, a request to a route that is not public needs the key of one. The pure decision in `access.rs` gets the table, the route, the key and the age of the copy: allowed on behalf of a requester, unauthorized (401), or not known yet (503, and the configuration is read at once). The acceptance names the customer.

State queries and cancellations compare the customer of the job with that of the key and answer 410 for another customer's job, as for one that does not exist. The owner tells a sibling the customer of a job in an optional field of the state response.

A cancellation with a key for a job that the owner does not know is answered with 410 instead of 200, since the difference would show whose job exists; it still holds if the acceptance is read later.

--- a/crates/kingcupwinch-node/src/callers.rs
+++ b/crates/kingcupwinch-node/src/callers.rs
@@ -4,18 +4,20 @@
 use std::time::Duration;
 
 use hyper::body::Incoming;
-use hyper::header::HOST;
+use hyper::header::{HOST, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use kingcupwinch_adapter::{
-    JobError, KeyedRecord, READY_PATH, Route, TIMEOUT_HEADER, accepted_body, decode_job,
-    error_body, state_body, waiting_body,
+    JobError, KEY_HEADER, KeyedRecord, QueueTable, READY_PATH, Route, TIMEOUT_HEADER,
+    accepted_body, decode_job, error_body, state_body, waiting_body,
 };
-use kingcupwinch_cell::JobId;
+use kingcupwinch_cell::{JobId, JobView, Requester};
 use kingcupwinch_time::Span;
 use rand::Rng;
 use slog::o;
 use tokio::time::Instant;
 
+use crate::access::{Access, CopyAge, Refusal, check};
+use crate::cancellation;
 use crate::configuration::Snapshot;
 use crate::events::{Event, abbreviated};
 use crate::hedged_append::HedgedAppender;
@@ -85,9 +87,20 @@
 struct JobRequest {
     id: JobId,
     route: Route,
+    requester: Requester,
     deadline: Instant,
 }
 
+impl JobRequest {
+    /// Returns the customer whose job it would be. Jobs of public queues have none.
+    fn customer(&self) -> Option<Arc<str>> {
+        match &self.requester {
+            Requester::Customer(name) if !self.route.is_public => Some(Arc::clone(name)),
+            _ => None,
+        }
+    }
+}
+
 impl CallerHandler {
     async fn dispatch(&self, request: Request<Incoming>, started: Instant) -> HttpResponse {
         let copy = self.shared.configuration.snapshot();
@@ -99,6 +112,10 @@
         let Some(route) = host.and_then(|host| table.find(host, path)) else {
             return self.not_found(&copy, host, path);
         };
+        let requester = match self.check_access(&copy, table, route, &request) {
+            Ok(requester) => requester,
+            Err(response) => return *response,
+        };
         let rest = &path[route.prefix.len()..];
         let deadline = started + request_timeout(&request).saturating_sub(RESPONSE_MARGIN);
         if rest.is_empty() {
@@ -114,6 +131,7 @@
         let job = JobRequest {
             id,
             route: route.clone(),
+            requester,
             deadline,
         };
         match *request.method() {
@@ -139,6 +157,7 @@
             Err(error) => return self.reject(job.id, &error),
         };
         spec.accepted_by = Some(Arc::clone(&self.shared.settings.instance));
+        spec.customer = job.customer();
         let (payload, now) = (Arc::clone(&spec.payload), self.shared.now());
         self.shared.payloads().insert(job.id, payload, now);
         let value = match serde_json::to_vec(&spec) {
@@ -157,12 +176,94 @@
     }
 
     async fn cancel(&self, job: &JobRequest) -> HttpResponse {
+        let known = self.known_job(job).await;
+        let is_public = job.route.is_public;
+        if self.is_of_another(job, known.as_ref().and_then(Option::as_ref)) {
+            // Each the same response as for a job that does not exist.
+            return match is_public {
+                true => json(StatusCode::OK, accepted_body()),
+                false => empty(StatusCode::GONE),
+            };
+        }
+        let value = match cancellation::encode(&job.requester) {
+            Ok(value) => value,
+            Err(error) => return self.refuse(&error.to_string(), Some(job.id)),
+        };
         let key = IntakeKey::Cancelled(job.id);
-        let record = KeyedRecord::with_value(key.to_key(), &b"1"[..]);
+        let record = KeyedRecord::with_value(key.to_key(), value);
         let outcome = self.appender.append(&record, job.deadline).await;
+        // The same response as for a job of another customer. The cancellation holds all the same if
+        // the acceptance of the job is still on its way.
+        if outcome == Outcome::Appended && known == Some(None) && !is_public {
+            return empty(StatusCode::GONE);
+        }
         self.append_response("cancel", job, &outcome)
     }
 
+    /// Returns the job of a request as the owner knows it, where `Some(None)` means that there is none;
+    /// `None` if the owner can't tell, or if it does not matter whose job it is.
+    async fn known_job(&self, job: &JobRequest) -> Option<Option<JobView>> {
+        if job.requester == Requester::Anyone {
+            return None;
+        }
+        match self.siblings.job_at_owner(job.id, job.deadline).await {
+            OwnerReply::Value(view) => Some(view),
+            OwnerReply::NoOwner => None,
+        }
+    }
+
+    /// Returns whether a job is one that the requester may not know of, which is logged.
+    fn is_of_another(&self, job: &JobRequest, view: Option<&JobView>) -> bool {
+        let customer = view.and_then(|view| view.customer.as_deref());
+        if job.requester.may_access(customer) {
+            return false;
+        }
+        let refusal = Refusal::OtherCustomer.as_str();
+        Metrics::count_end(&self.shared.metrics.refused_access, refusal);
+        self.shared.log.write(
+            Event::OtherCustomer,
+            o!("job" => job.id.to_string(), "customer" => customer.map(abbreviated),
+                "requester" => cancellation::customer_name(&job.requester)),
+        );
+        true
+    }
+
+    /// Checks the key of a request; `Err` holds the response if it is refused.
+    fn check_access(
+        &self,
+        copy: &Snapshot,
+        table: &QueueTable,
+        route: &Route,
+        request: &Request<Incoming>,
+    ) -> Result<Requester, Box<HttpResponse>> {
+        let shared = &*self.shared;
+        let now = shared.now();
+        let age = CopyAge {
+            is_confirmed: shared.configuration.is_confirmed(copy, now),
+            age: copy.age(now),
+            revoke_limit: shared.settings.revoke_limit,
+        };
+        let key = request.headers().get(KEY_HEADER);
+        let (refusal, status) = match check(table, route, key.map(HeaderValue::as_bytes), age) {
+            Access::Allowed(requester) => return Ok(requester),
+            Access::Unauthorized(refusal) => (refusal, StatusCode::UNAUTHORIZED),
+            Access::NotKnown(refusal) => (refusal, StatusCode::SERVICE_UNAVAILABLE),
+        };
+        Metrics::count_end(&shared.metrics.refused_access, refusal.as_str());
+        shared.log.write(
+            Event::KeyRefused,
+            o!("queue" => abbreviated(&route.policy.queue), "reason" => refusal.as_str(),
+                "status" => status.as_u16(), "version" => copy.number(),
+                "offset" => copy.offset(),
+                "confirmed_ms_ago" => age.age.map(Span::as_millis)),
+        );
+        if status == StatusCode::UNAUTHORIZED {
+            return Err(Box::new(empty(status)));
+        }
+        shared.configuration.request_read();
+        Err(Box::new(retry_after(status, random_delay_s())))
+    }
+
     fn append_response(
         &self,
         request: &'static str,
@@ -191,8 +292,11 @@
     }
 
     async fn job_state(&self, job: &JobRequest) -> HttpResponse {
-        match self.siblings.state(job.id, job.deadline).await {
-            OwnerReply::Value(Some(state)) => json(StatusCode::OK, state_body(state)),
+        match self.siblings.job(job.id, job.deadline).await {
+            OwnerReply::Value(view) if self.is_of_another(job, view.as_ref()) => {
+                empty(StatusCode::GONE)
+            }
+            OwnerReply::Value(Some(view)) => json(StatusCode::OK, state_body(view.state)),
             OwnerReply::Value(None) => empty(StatusCode::GONE),
             OwnerReply::NoOwner => retry_after(StatusCode::SERVICE_UNAVAILABLE, 1),
         }
--- a/crates/kingcupwinch-node/src/events.rs
+++ b/crates/kingcupwinch-node/src/events.rs
@@ -101,6 +101,12 @@
     RequestOutcomeUnknown = "1503", "request outcome unknown";
     /// The configuration in force has no route or job path for a request.
     NoRoute = "1504", "no route for a request";
+    /// A request was refused for its key, or because it can't be told whose it is.
+    KeyRefused = "1505", "request refused for its key";
+    /// A request for a job of another customer was refused.
+    OtherCustomer = "1506", "request for a job of another customer";
+    /// The owner did not carry out a cancellation of another customer's job.
+    CancellationIgnored = "1507", "cancellation of a job of another customer ignored";
     /// The owner received a job.
     JobAccepted = "1601", "job received by the owner";
     /// The owner received a cancellation.
--- a/crates/kingcupwinch-node/src/job_states.rs
+++ b/crates/kingcupwinch-node/src/job_states.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use kingcupwinch_adapter::StoreError;
-use kingcupwinch_cell::{JobId, JobRecord, JobState};
+use kingcupwinch_cell::{JobId, JobRecord, JobView};
 use rustc_hash::FxHashMap;
 use slog::o;
 use tokio::sync::Mutex;
@@ -36,7 +36,7 @@
 #[derive(Default)]
 struct CachedStates {
     next: Option<u64>,
-    states: FxHashMap<JobId, JobState>,
+    states: FxHashMap<JobId, JobView>,
     read_at: Option<Instant>,
     /// Number of failed refreshes since the last successful one.
     failures: u32,
@@ -45,8 +45,9 @@
 }
 
 impl JobStateCache {
-    /// Returns a job's recorded state; `None` if the log has none or can't be read.
-    pub(crate) async fn get(&self, shared: &Arc<Shared>, id: JobId) -> Option<JobState> {
+    /// Returns a job's recorded state, with its customer if the job has ended; `None` if the log has
+    /// none or can't be read.
+    pub(crate) async fn get(&self, shared: &Arc<Shared>, id: JobId) -> Option<JobView> {
         let mut cache = self.cache.lock().await;
         if cache
             .read_at
@@ -71,7 +72,7 @@
                 }
             }
         }
-        cache.states.get(&id).copied()
+        cache.states.get(&id).cloned()
     }
 }
 
@@ -127,7 +128,11 @@
         };
         match JobRecord::decode(value) {
             Ok(record) => {
-                self.states.insert(id, record.state());
+                let view = JobView {
+                    state: record.state(),
+                    customer: record.customer,
+                };
+                self.states.insert(id, view);
             }
             // The previous state may be outdated.
             Err(error) => {
--- a/crates/kingcupwinch-node/src/lib.rs
+++ b/crates/kingcupwinch-node/src/lib.rs
@@ -11,7 +11,9 @@
 pub mod cmd;
 pub mod events;
 
+mod access;
 mod callers;
+mod cancellation;
 mod configuration;
 mod hedged_append;
 mod http;
--- a/crates/kingcupwinch-node/src/metrics.rs
+++ b/crates/kingcupwinch-node/src/metrics.rs
@@ -76,6 +76,8 @@
     pub config_confirmed: Gauge<f64, AtomicU64>,
     /// Requests without a route, by whether the configuration was confirmed.
     pub no_route: Family<EndLabel, Counter>,
+    /// Requests refused for their key or their customer, by reason.
+    pub refused_access: Family<EndLabel, Counter>,
     /// Entries and records of others that were ignored or set aside, by kind.
     pub odd_inputs: Family<EndLabel, Counter>,
 }
@@ -102,6 +104,7 @@
             config_version: Gauge::default(),
             config_confirmed: Gauge::default(),
             no_route: Family::default(),
+            refused_access: Family::default(),
             odd_inputs: Family::default(),
         };
         let m = &metrics;
@@ -165,6 +168,11 @@
             "Requests without a route, by whether the configuration was confirmed",
             m.no_route.clone(),
         );
+        registry.register(
+            "refused_access",
+            "Requests refused for their key or their customer, by reason",
+            m.refused_access.clone(),
+        );
         registry.register(
             "odd_inputs",
             "Entries and records that were ignored or set aside, by kind",
--- a/crates/kingcupwinch-node/src/owner/messages.rs
+++ b/crates/kingcupwinch-node/src/owner/messages.rs
@@ -6,7 +6,7 @@
 use kameo::message::{Context, Message};
 use kingcupwinch_adapter::{OrderError, Partition, WorkerClient, decode_registration};
 use kingcupwinch_cell::{
-    AdviceCallId, JobId, JobSpec, JobState, Member, PaceOrder, PollFailure, StartOrder,
+    AdviceCallId, JobId, JobSpec, JobState, JobView, Member, PaceOrder, PollFailure, StartOrder,
     StartOutcome, StopOrder, SubmitOutcome, Ticket, WorkerKey, WorkerPoll, WorkerStatus,
 };
 use kingcupwinch_time::{Span, Time};
@@ -37,7 +37,8 @@
 /// Reports that another owner holds the cell, and who noticed.
 pub(crate) struct Superseded(pub(crate) &'static str);
 
-/// Requests a job's state; the reply is `None` if this owner can't state it with certainty.
+/// Requests a job's state and customer; the reply is `None` if this owner can't state them with
+/// certainty.
 pub(crate) struct GetJobState(pub(crate) JobId);
 
 /// Requests the number of waiting jobs of a queue; the reply is `None` if this owner can't count them
@@ -166,12 +167,12 @@
 }
 
 impl Message<GetJobState> for Owner {
-    type Reply = Option<Option<JobState>>;
+    type Reply = Option<Option<JobView>>;
 
     async fn handle(&mut self, id: GetJobState, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
-        let state = self.cell.job_state(id.0);
-        let is_certain = state.is_some() || self.is_view_fresh(MAX_LOOKUP_AGE);
-        (!self.is_retired && is_certain).then_some(state)
+        let view = self.cell.job_view(id.0);
+        let is_certain = view.is_some() || self.is_view_fresh(MAX_LOOKUP_AGE);
+        (!self.is_retired && is_certain).then_some(view)
     }
 }
 
@@ -248,10 +249,7 @@
                         self.handle_duplicate(id, read.partition);
                         continue;
                     }
-                    self.cell.cancel(id, now);
-                    self.shared
-                        .log
-                        .write(Event::JobCancelled, o!("job" => id.to_string()));
+                    self.cancel(id, &value, now);
                 }
             }
         }
--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -1,6 +1,7 @@
 //! The owner of the cell: an actor around the scheduler's state machine, and the background loops
 //! that send it events.
 
+mod cancels;
 mod cell_events;
 mod freshness;
 mod leases;
--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -25,6 +25,7 @@
 use super::loops;
 use super::worker_shards::WorkerShards;
 use super::{Freshness, Origins, Owner, OwnerArgs, TERM_TIMEOUT};
+use crate::cancellation;
 use crate::events::Event;
 use crate::layout::{
     IntakeKey, LEASES_KEY, PROGRESS, RUN_TIMES_KEY, WORKERS_KEY, intake_partitions,
@@ -399,8 +400,8 @@
     for (key, value) in loops::intake_items(intake) {
         let (id, value) = match (key, value) {
             (IntakeKey::Accepted(id), Some(value)) => (id, value),
-            (IntakeKey::Cancelled(id), Some(_)) => {
-                cell.cancel(id, now);
+            (IntakeKey::Cancelled(id), Some(value)) => {
+                cell.cancel_for(id, &cancellation::decode(&value), now);
                 continue;
             }
             _ => continue,
--- a/crates/kingcupwinch-node/src/siblings.rs
+++ b/crates/kingcupwinch-node/src/siblings.rs
@@ -11,7 +11,7 @@
 use hyper::{Method, Request, StatusCode};
 use kameo::message::Message;
 use kingcupwinch_adapter::KeyedRecord;
-use kingcupwinch_cell::{JobId, JobState, Member};
+use kingcupwinch_cell::{JobId, Member};
 use kingcupwinch_platform::{HttpClient, SendError, full_body};
 use rand::seq::SliceRandom;
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -29,9 +29,12 @@
 use crate::relay::{RelayRequest, RelayResponse, StartRelay};
 use crate::shared::Shared;
 
+mod job_lookup;
 #[cfg(test)]
 mod tests;
 
+use job_lookup::StateResponse;
+
 /// Maximum connections to one sibling.
 const CONNECTIONS: usize = 6;
 /// Maximum size of a request or response body, in bytes.
@@ -55,7 +58,7 @@
 const ALIVE_PATH: &str = "/alive";
 
 /// Reply of the owner.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum OwnerReply<T> {
     Value(T),
     /// The owner is unknown or unreachable.
@@ -94,12 +97,6 @@
     Unknown,
 }
 
-#[derive(Serialize, Deserialize)]
-struct StateResponse {
-    #[serde(rename = "shown")]
-    state: Option<JobState>,
-}
-
 #[derive(Serialize, Deserialize)]
 struct WaitingResponse {
     waiting: usize,
@@ -132,28 +129,6 @@
         }
     }
 
-    /// Returns a job's state from the owner, or from the log while the owner is unreachable.
-    pub(crate) async fn state(&self, id: JobId, deadline: Instant) -> OwnerReply<Option<JobState>> {
-        let path = format!("{STATE_PATH}{id}");
-        loop {
-            if let Some(state) = self.ask_local_owner(GetJobState(id)).await {
-                return OwnerReply::Value(state);
-            }
-            if let Some(response) = self
-                .ask_remote_owner::<StateResponse>(&path, deadline)
-                .await
-            {
-                return OwnerReply::Value(response.state);
-            }
-            if let Some(state) = self.states.get(&self.shared, id).await {
-                return OwnerReply::Value(Some(state));
-            }
-            if !self.wait_for_retry(deadline).await {
-                return OwnerReply::NoOwner;
-            }
-        }
-    }
-
     /// Returns the number of waiting jobs of a queue from the owner.
     pub(crate) async fn waiting(&self, queue: &str, deadline: Instant) -> OwnerReply<usize> {
         let path = format!("{WAITING_PATH}{queue}");
@@ -519,7 +494,7 @@
             return empty(StatusCode::MISDIRECTED_REQUEST);
         };
         match owner.ask(GetJobState(id)).await {
-            Ok(Some(state)) => encode(&StateResponse { state }),
+            Ok(Some(view)) => encode(&StateResponse::from(view)),
             _ => empty(StatusCode::MISDIRECTED_REQUEST),
         }
     }
