Have customers in the soak, with keys that come and go

Nothing checked keys from outside.

Checks: a key is not refused with 401 from the bound after its version to the next one; a withdrawn key is not served after the bound by an instance in touch with the store, nor after the limit by any; a forged key is never served, and its jobs never run; a job is cancelled only by its customer (the existing check of reported states).

--- a/crates/kingcupwinch-soak/examples/soak.rs
+++ b/crates/kingcupwinch-soak/examples/soak.rs
@@ -66,6 +66,12 @@
                 .value_parser(value_parser!(u64).range(1..))
                 .help("Bandwidth of the link of each instance to the store, in kbit/s"),
         )
+        .arg(
+            Arg::new("customers")
+                .long("customers")
+                .action(ArgAction::SetTrue)
+                .help("Has customers as callers, and adds and withdraws their keys"),
+        )
         .arg(number("at-once", "1", "Number of concurrent runs"))
         .arg(
             Arg::new("dir")
@@ -83,12 +89,13 @@
         refused,
         starts,
         lookups,
+        key_uses,
         violations,
         plan,
     } = outcome;
     println!(
         "seed {seed}: {} faults, {jobs} jobs, {accepted} accepted, {refused} refused, \
-         {starts} starts, {lookups} lookups, {} violations",
+         {starts} starts, {lookups} lookups, {key_uses} key uses, {} violations",
         plan.faults.len(),
         violations.len()
     );
@@ -110,6 +117,7 @@
             options.instances = count("instances");
             options.workers = count("workers");
             options.link_kbps = matches.get_one::<u64>("link-kbps").copied();
+            options.has_customers = matches.get_flag("customers");
             if matches.get_flag("basic") {
                 options.plan = PlanKind::Basic;
             } else if matches.get_flag("crashing") {
--- a/crates/kingcupwinch-soak/src/checks.rs
+++ b/crates/kingcupwinch-soak/src/checks.rs
@@ -10,6 +10,7 @@
 use crate::capacity::check_capacity;
 use crate::crashes::{check_crashes, may_fail_from};
 use crate::disturbances::Disturbance;
+use crate::keys::{KeyObservations, check_keys};
 use crate::operator::{Lookup, ObservedRoute};
 use crate::progress::{check_progress, check_workers};
 use crate::routes::check_routes;
@@ -60,6 +61,12 @@
     RouteFound,
     /// A route is not served once the version that removed it has to be in force.
     RouteRemoved,
+    /// A key is not refused as unknown once the version that added it has to be in force.
+    KeyServed,
+    /// A key is not served once the version that withdrew it has to be in force.
+    KeyWithdrawn,
+    /// A key that never existed is not served, and nothing that was submitted with it runs.
+    KeyForged,
     /// An instance that is asked to stop exits in time and with success.
     CleanShutdown,
 }
@@ -148,6 +155,10 @@
     pub routes: &'a [ObservedRoute],
     /// Responses to requests for these routes.
     pub lookups: &'a [Lookup],
+    /// Keys of customers, and requests with them.
+    pub keys: &'a KeyObservations,
+    /// Age of the copy of the configuration from which instances serve no key, if there is a limit.
+    pub revoke_limit: Option<Duration>,
     /// Faults that may keep an instance from applying a version.
     pub disturbances: &'a [Disturbance],
 }
@@ -205,6 +216,7 @@
     check_capacity(observations, &runs, &mut violations);
     check_progress(observations, &runs, &mut violations);
     check_routes(observations, &mut violations);
+    check_keys(observations, &runs, &mut violations);
     violations
 }
 
--- a/crates/kingcupwinch-soak/src/cluster.rs
+++ b/crates/kingcupwinch-soak/src/cluster.rs
@@ -42,6 +42,13 @@
     callers: SocketAddr,
 }
 
+/// Whether a run has customers, and how long instances out of touch serve their keys.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct KeyMode {
+    pub(crate) has_customers: bool,
+    pub(crate) revoke_limit: Option<Duration>,
+}
+
 /// The instances, workers and store of one run.
 pub(crate) struct Cluster {
     pub(crate) store: Arc<StandinStore>,
@@ -64,9 +71,10 @@
         instance_count: usize,
         worker_count: usize,
         link_kbps: Option<u64>,
+        keys: KeyMode,
     ) -> io::Result<Self> {
         let store = StandinStore::new();
-        let operator = Operator::new(Arc::clone(&store));
+        let operator = Operator::new(Arc::clone(&store), keys.has_customers);
         let history = History::default();
         let adviser = Arc::<StandinAdviser>::default();
         let adviser_address = free_address()?;
@@ -84,7 +92,7 @@
         for index in 0..instance_count {
             let (address, _) = store.start(index).await?;
             let services = (address, adviser_address);
-            instances.push(start_instance(program, dir, index, services, link_kbps).await?);
+            instances.push(start_instance(program, dir, index, services, link_kbps, keys).await?);
         }
         Ok(Cluster {
             store,
@@ -362,6 +370,7 @@
     index: usize,
     (store, adviser): (SocketAddr, SocketAddr),
     link_kbps: Option<u64>,
+    keys: KeyMode,
 ) -> io::Result<InstanceNode> {
     let store_link = Proxy::with_bandwidth(store, link_kbps).await?;
     let (callers, ready) = (free_address()?, free_address()?);
@@ -375,6 +384,7 @@
         adviser,
         max_lease_ms: MAX_LEASE_MS,
         config_bound_ms: CONFIG_BOUND.as_millis() as u64,
+        revoke_ms: keys.revoke_limit.map(|limit| limit.as_millis() as u64),
         link_kbps,
     };
     Ok(InstanceNode {
--- a/crates/kingcupwinch-soak/src/lib.rs
+++ b/crates/kingcupwinch-soak/src/lib.rs
@@ -3,7 +3,7 @@
 //! Instances run as separate processes against stand-ins of the platform. A seed determines the
 //! plan of faults, which may overlap: signals, links that loopback proxies block or delay, and a
 //! store and workers that misbehave. Callers submit jobs all the while, and the operator adds and
-//! removes routes. The responses to callers
+//! removes routes and, in some runs, keys of customers. The responses to callers
 //! and the events on workers are then checked against the invariants of the scheduler.
 
 mod capacity;
@@ -12,6 +12,7 @@
 mod crashes;
 mod disturbances;
 mod instance;
+mod keys;
 mod operator;
 mod plan;
 mod ports;
@@ -25,6 +26,7 @@
 
 pub use checks::{Invariant, Observations, ObservedJob, ObservedStep, Violation, check_invariants};
 pub use disturbances::Disturbance;
+pub use keys::{KeyObservations, KeyUse, ObservedKey};
 pub use operator::{Lookup, ObservedRoute};
 pub use plan::{Fault, InstanceFault, Plan, PlanKind, PlannedFault, Trigger};
 pub use run::{Outcome, RunError, RunOptions, run};
--- a/crates/kingcupwinch-soak/src/operator.rs
+++ b/crates/kingcupwinch-soak/src/operator.rs
@@ -4,7 +4,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use kingcupwinch_standin::{Caller, StandinStore, additional_prefix, publish_queues};
+use crate::keys::{KeyObservations, KeyUse, ObservedKey, added_key, customers, forged_key};
+use kingcupwinch_standin::{
+    CallOutcome, Caller, JobBody, PREFIX, StandinStore, StepBody, additional_prefix,
+    publish_customers,
+};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -19,6 +23,8 @@
 const LOOKED_UP_ROUTES: usize = 12;
 /// Pause between two lookups on one instance.
 const LOOKUP_INTERVAL: Duration = Duration::from_millis(30);
+/// Average number of requests with keys of which one has a forged key.
+const USES_PER_FORGERY: u32 = 5;
 /// Timeout of a lookup.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -57,6 +63,7 @@
     additional: VecDeque<u64>,
     routes: Vec<ObservedRoute>,
     lookups: Vec<Lookup>,
+    keys: KeyObservations,
 }
 
 /// The operator and callers that look up its routes; clones share them.
@@ -64,14 +71,18 @@
 pub(crate) struct Operator {
     store: Arc<StandinStore>,
     state: Arc<Mutex<State>>,
+    /// Whether the configuration has customers.
+    has_customers: bool,
 }
 
 impl Operator {
     /// Creates an operator who has published the first version.
-    pub(crate) fn new(store: Arc<StandinStore>) -> Self {
-        publish_queues(&store, 1, &[]);
+    pub(crate) fn new(store: Arc<StandinStore>, has_customers: bool) -> Self {
+        let first = has_customers.then(|| customers(std::iter::empty()));
+        publish_customers(&store, 1, &[], first.as_deref());
         Operator {
             store,
+            has_customers,
             state: Arc::new(Mutex::new(State {
                 version: 1,
                 ..State::default()
@@ -93,8 +104,24 @@
         };
         let numbers: Vec<u64> = state.additional.iter().copied().collect();
         let sent = Instant::now();
-        publish_queues(&self.store, version, &numbers);
+        // Each version adds a key as it adds a route, and withdraws the oldest one.
+        let customers = (self.has_customers).then(|| customers(numbers.iter().copied()));
+        publish_customers(&self.store, version, &numbers, customers.as_deref());
         let acknowledged = Instant::now();
+        if self.has_customers {
+            for key in &mut state.keys.keys {
+                if removed == Some(key.version) {
+                    key.withdrawal_sent = Some(sent);
+                    key.withdrawn = Some(acknowledged);
+                }
+            }
+            state.keys.keys.push(ObservedKey {
+                version,
+                added: acknowledged,
+                withdrawal_sent: None,
+                withdrawn: None,
+            });
+        }
         for route in &mut state.routes {
             if removed == Some(route.version) {
                 route.removal_sent = Some(sent);
@@ -147,6 +174,67 @@
         }
     }
 
+    /// Sends requests with recent keys, withdrawn ones among them, and with forged ones to an instance
+    /// until the task is aborted.
+    pub(crate) async fn use_keys(self, instance: usize, caller: Caller) {
+        loop {
+            tokio::time::sleep(LOOKUP_INTERVAL).await;
+            let recent = {
+                let state = self.lock();
+                let count = state.keys.keys.len();
+                let recent: Vec<usize> = (count.saturating_sub(LOOKED_UP_ROUTES)..count).collect();
+                let chosen = recent.choose(&mut rand::rng()).copied();
+                chosen.map(|key| (key, state.keys.keys[key].version))
+            };
+            let Some((key, version)) = recent else {
+                continue;
+            };
+            let is_forged = rand::rng().random_ratio(1, USES_PER_FORGERY);
+            let text = if is_forged {
+                forged_key(version)
+            } else {
+                added_key(version)
+            };
+            let caller = caller.clone().with_key(&text);
+            if is_forged {
+                self.submit_forged(&caller).await;
+            }
+            let sent = Instant::now();
+            if let Some(status) = caller.queue_status(PREFIX, LOOKUP_TIMEOUT).await {
+                self.lock().keys.uses.push(KeyUse {
+                    instance,
+                    key: (!is_forged).then_some(key),
+                    sent,
+                    received: Instant::now(),
+                    status,
+                });
+            }
+        }
+    }
+
+    /// Submits a job with a forged key, which must be refused.
+    async fn submit_forged(&self, caller: &Caller) {
+        let id = format!("{:016x}", rand::rng().random::<u64>());
+        let job = JobBody {
+            specification: "200:100".into(),
+            steps: vec![StepBody {
+                count: 1,
+                cpu: 200,
+                estimated_duration_ms: 100,
+                after: vec![],
+                anti_affinity: 0,
+                long_running: false,
+            }],
+        };
+        self.lock().keys.forged_jobs.push(id.clone());
+        let _: CallOutcome = caller.submit(&id, &job, LOOKUP_TIMEOUT).await;
+    }
+
+    /// Returns what was observed of keys so far.
+    pub(crate) fn key_observations(&self) -> KeyObservations {
+        self.lock().keys.clone()
+    }
+
     /// Returns the routes and the lookups so far.
     pub(crate) fn observations(&self) -> (Vec<ObservedRoute>, Vec<Lookup>) {
         let state = self.lock();
--- a/crates/kingcupwinch-soak/src/run.rs
+++ b/crates/kingcupwinch-soak/src/run.rs
@@ -13,7 +13,8 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::checks::{Invariant, Observations, Violation, check_invariants};
-use crate::cluster::Cluster;
+use crate::cluster::{Cluster, KeyMode};
+use crate::keys::REVOKE_LIMIT;
 use crate::plan::{Plan, PlanKind, PlannedFault};
 use crate::workers::WORKER_MILLICORES;
 use crate::workload::{Pace, Workload};
@@ -68,6 +69,9 @@
     pub workers: usize,
     /// Bandwidth of the link of each instance to the store, in kbit/s; `None` for no limit.
     pub link_kbps: Option<u64>,
+    /// Whether callers are customers, whose keys are added and withdrawn. With an even seed, no key is
+    /// served by a copy of the configuration that is too old.
+    pub has_customers: bool,
     /// Path of the program that the instances run.
     pub program: PathBuf,
     /// Directory of the settings and logs.
@@ -89,6 +93,8 @@
     pub starts: usize,
     /// Number of responses to requests for additional routes.
     pub lookups: usize,
+    /// Number of responses to requests with keys that are added, withdrawn or forged.
+    pub key_uses: usize,
     /// Violations of invariants.
     pub violations: Vec<Violation>,
 }
@@ -118,7 +124,7 @@
     );
     let mut cluster = start_cluster(options).await?;
     tokio::time::sleep(STARTUP_DELAY).await;
-    let workload = Workload::new(cluster.callers());
+    let workload = Workload::new(cluster.callers(), options.has_customers);
     let pace = match options.plan {
         PlanKind::Basic => Pace::steady(),
         PlanKind::Full
@@ -130,7 +136,7 @@
     let length = Duration::from_secs(options.seconds);
     let (seed, submitter) = (options.seed, workload.clone());
     let submissions = tokio::spawn(async move { submitter.submit_jobs(seed, length, pace).await });
-    let mut operations = start_operations(&cluster, options.seed);
+    let mut operations = start_operations(&cluster, options);
     let start = (std::time::Instant::now(), SystemTime::now());
     let (workers, submitter) = (options.workers, workload.clone());
     let mut submitters = JoinSet::new();
@@ -184,6 +190,7 @@
     std::fs::write(options.dir.join(EVENTS_FILE), render_events(start, &events))?;
     let appends = cluster.store.fenced_appends();
     let (routes, lookups) = cluster.operator.observations();
+    let keys = cluster.operator.key_observations();
     let disturbances = cluster.disturbances.all();
     let mut violations = check_invariants(&Observations {
         jobs: &jobs,
@@ -194,6 +201,8 @@
         worker_cpu: WORKER_MILLICORES,
         routes: &routes,
         lookups: &lookups,
+        keys: &keys,
+        revoke_limit: options.key_mode().revoke_limit,
         disturbances: &disturbances,
     });
     violations.extend(cluster.unclean_stops.iter().map(|detail| Violation {
@@ -208,15 +217,20 @@
         refused: jobs.iter().filter(|job| job.is_refused).count(),
         starts: events.iter().filter(is_start).count(),
         lookups: lookups.len(),
+        key_uses: keys.uses.len(),
         violations,
     })
 }
 
-/// Starts to publish versions, and to look up their routes on every instance.
-fn start_operations(cluster: &Cluster, seed: u64) -> JoinSet<()> {
+/// Starts to publish versions, and to look up their routes and use their keys on every instance.
+fn start_operations(cluster: &Cluster, options: &RunOptions) -> JoinSet<()> {
     let mut operations = JoinSet::new();
-    operations.spawn(cluster.operator.clone().publish_versions(seed));
+    operations.spawn(cluster.operator.clone().publish_versions(options.seed));
     for (index, caller) in cluster.callers().into_iter().enumerate() {
+        if options.has_customers {
+            let operator = cluster.operator.clone();
+            operations.spawn(operator.use_keys(index, caller.clone()));
+        }
         operations.spawn(cluster.operator.clone().look_up(index, caller));
     }
     operations
@@ -255,6 +269,7 @@
             options.instances,
             options.workers,
             options.link_kbps,
+            options.key_mode(),
         );
         match started.await {
             Err(error) if error.kind() == ErrorKind::AddrInUse && retries < RETRIES => retries += 1,
@@ -309,6 +324,14 @@
 }
 
 impl RunOptions {
+    fn key_mode(&self) -> KeyMode {
+        let is_closed = self.has_customers && self.seed.is_multiple_of(2);
+        KeyMode {
+            has_customers: self.has_customers,
+            revoke_limit: is_closed.then_some(REVOKE_LIMIT),
+        }
+    }
+
     /// Builds options for a run of 12 seconds with the `kingcupwinchd` in the cargo target
     /// directory of the running program.
     ///
@@ -326,6 +349,7 @@
             instances: INSTANCES,
             workers: WORKERS,
             link_kbps: None,
+            has_customers: false,
             program: profile.join("kingcupwinchd"),
             dir: dir.to_owned(),
         })
--- a/crates/kingcupwinch-soak/src/workload.rs
+++ b/crates/kingcupwinch-soak/src/workload.rs
@@ -9,6 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::checks::{ObservedJob, ObservedStep};
+use crate::keys::{REFUSED_KEY, lasting_key};
 
 /// Interval between two submissions.
 const JOB_INTERVAL: Duration = Duration::from_millis(60);
@@ -54,6 +55,8 @@
     /// Clients of the queue of the long-running jobs.
     advised_callers: Arc<Vec<Caller>>,
     jobs: Arc<Mutex<Vec<ObservedJob>>>,
+    /// Whether each job has a customer, whose key its callers send.
+    has_customers: bool,
 }
 
 /// Intervals between submissions.
@@ -100,12 +103,13 @@
 }
 
 impl Workload {
-    pub(crate) fn new(callers: Vec<Caller>) -> Self {
+    pub(crate) fn new(callers: Vec<Caller>, has_customers: bool) -> Self {
         let advised = callers.iter().cloned().map(Caller::with_advised_queue);
         Workload {
             advised_callers: Arc::new(advised.collect()),
             callers: Arc::new(callers),
             jobs: Arc::default(),
+            has_customers,
         }
     }
 
@@ -196,6 +200,9 @@
         if self.lock()[index].accepted.is_none() {
             return;
         }
+        if self.has_customers {
+            self.intrude(index).await;
+        }
         tokio::time::sleep(delay).await;
         if is_cancelled {
             self.cancel(index).await;
@@ -214,6 +221,10 @@
                     return;
                 }
                 CallOutcome::Refused => {}
+                CallOutcome::Unauthorized => {
+                    let refusal = (Instant::now(), REFUSED_KEY.to_owned());
+                    self.lock()[index].states.push(refusal);
+                }
                 CallOutcome::Gone | CallOutcome::Unknown => is_refused = false,
             }
             tokio::time::sleep(RETRY_DELAY).await;
@@ -235,12 +246,20 @@
         }
     }
 
+    /// Sends a cancellation of a job with the key of another customer, which must have no effect.
+    async fn intrude(&self, index: usize) {
+        let id = self.lock()[index].id.clone();
+        let caller = self.any_caller(index).with_key(&lasting_key(index + 1));
+        caller.cancel(&id, CALL_TIMEOUT).await;
+    }
+
     /// Requests the state of a job and records it.
     async fn poll_state(&self, index: usize) {
         let id = self.lock()[index].id.clone();
         let state = match self.any_caller(index).state(&id, CALL_TIMEOUT).await {
             CallOutcome::Succeeded(state) => state,
             CallOutcome::Gone => Some("gone".to_owned()),
+            CallOutcome::Unauthorized => Some(REFUSED_KEY.to_owned()),
             CallOutcome::Refused | CallOutcome::Unknown => None,
         };
         if let Some(state) = state {
@@ -280,7 +299,12 @@
             &self.callers
         };
         let chosen = callers.choose(&mut rand::rng());
-        chosen.unwrap_or(&callers[0]).clone()
+        let caller = chosen.unwrap_or(&callers[0]).clone();
+        if self.has_customers {
+            caller.with_key(&lasting_key(index))
+        } else {
+            caller
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<ObservedJob>> {
--- a/crates/kingcupwinch-soak/tests/checks/main.rs
+++ b/crates/kingcupwinch-soak/tests/checks/main.rs
@@ -3,12 +3,13 @@
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
 mod crashes;
+mod keys;
 
 use std::time::{Duration, Instant};
 
 use kingcupwinch_soak::{
-    Disturbance, Fault, Invariant, Lookup, Observations, ObservedJob, ObservedRoute, ObservedStep,
-    Plan, PlanKind, check_invariants,
+    Disturbance, Fault, Invariant, KeyObservations, Lookup, Observations, ObservedJob,
+    ObservedRoute, ObservedStep, Plan, PlanKind, check_invariants,
 };
 use kingcupwinch_standin::{FencedAppend, WorkerEvent, WorkerEventKind, is_allowed};
 use rstest::rstest;
@@ -25,6 +26,8 @@
     is_overloaded: bool,
     routes: Vec<ObservedRoute>,
     lookups: Vec<Lookup>,
+    keys: KeyObservations,
+    revoke_limit: Option<Duration>,
     disturbances: Vec<Disturbance>,
 }
 
@@ -51,6 +54,8 @@
             is_overloaded: false,
             routes: Vec::new(),
             lookups: Vec::new(),
+            keys: KeyObservations::default(),
+            revoke_limit: None,
             disturbances: Vec::new(),
         }
     }
@@ -115,6 +120,8 @@
             worker_cpu: 4_000,
             routes: &self.routes,
             lookups: &self.lookups,
+            keys: &self.keys,
+            revoke_limit: self.revoke_limit,
             disturbances: &self.disturbances,
         });
         let mut invariants: Vec<Invariant> =
