Test the responses to callers with keys over loopback

The soak checks keys from outside, but not what a caller gets for another customer's job. Another test holds the optional field of the state response against what earlier versions send and read.

--- a/crates/kingcupwinch-node/src/callers.rs
+++ b/crates/kingcupwinch-node/src/callers.rs
@@ -28,6 +28,9 @@
 use crate::shared::Shared;
 use crate::siblings::{OwnerReply, Siblings};
 
+#[cfg(test)]
+mod tests;
+
 /// Timeout of a request without a timeout header.
 const DEFAULT_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Subtracted from a request's timeout, so that the response arrives in time.
--- a/crates/kingcupwinch-node/src/siblings/job_lookup.rs
+++ b/crates/kingcupwinch-node/src/siblings/job_lookup.rs
@@ -29,7 +29,7 @@
 }
 
 impl StateResponse {
-    fn into_view(self) -> Option<JobView> {
+    pub(super) fn into_view(self) -> Option<JobView> {
         let customer = self.customer;
         self.state.map(|state| JobView { state, customer })
     }
--- a/crates/kingcupwinch-node/src/siblings/tests.rs
+++ b/crates/kingcupwinch-node/src/siblings/tests.rs
@@ -2,12 +2,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kingcupwinch_cell::{ElectionTimers, GroupRecord, Member, OwnerElection};
+use kingcupwinch_cell::{ElectionTimers, GroupRecord, JobState, JobView, Member, OwnerElection};
 use kingcupwinch_time::{Span, Time};
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
-use super::{CallError, MAX_HELPERS, Siblings};
+use super::{CallError, MAX_HELPERS, Siblings, StateResponse};
 use crate::relay::RelayRequest;
 use crate::test_support::{shared, unreachable_store};
 
@@ -109,3 +109,26 @@
     }
     assert!(siblings.lock_peers().len() <= 2);
 }
+
+/// An owner of an earlier version sends no customer, and one of that version must read what this one
+/// sends: a job without a customer looks as before.
+#[test]
+fn the_customer_of_a_job_is_optional_between_siblings() {
+    let earlier: StateResponse = serde_json::from_str(r#"{"shown":"Running"}"#).unwrap();
+    assert_eq!(
+        serde_json::to_string(&earlier).unwrap(),
+        r#"{"shown":"Running"}"#
+    );
+    let view = earlier.into_view().unwrap();
+    assert_eq!((view.state, view.customer), (JobState::Running, None));
+    let gone: StateResponse = serde_json::from_str(r#"{"shown":null}"#).unwrap();
+    assert_eq!(gone.into_view(), None);
+    let view = JobView {
+        state: JobState::Queued,
+        customer: Some("a".into()),
+    };
+    let text = serde_json::to_string(&StateResponse::from(Some(view.clone()))).unwrap();
+    assert_eq!(text, r#"{"shown":"Queued","customer":"a"}"#);
+    let read: StateResponse = serde_json::from_str(&text).unwrap();
+    assert_eq!(read.into_view(), Some(view));
+}
