--- a/crates/kingcupwinch-cell/src/cell/left_runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/left_runs.rs
@@ -26,7 +26,6 @@
         if job.spec.customer.is_none() {
             return;
         }
-        record.customer.clone_from(&job.spec.customer);
         for run in job.runs.iter().filter_map(|run| self.runs.get(*run)) {
             let charge = job.step_spec(job.slot(run.name)).resources;
             let worker = &self.workers[run.worker].registration.id;
--- a/crates/kingcupwinch-cell/src/cell/restore.rs
+++ b/crates/kingcupwinch-cell/src/cell/restore.rs
@@ -4,7 +4,7 @@
 
 use kingcupwinch_time::{Span, Time};
 
-use super::{ACCEPTANCE_TIMEOUT, Cell, SubmitOutcome};
+use super::{ACCEPTANCE_TIMEOUT, Cell, JobView, SubmitOutcome};
 use crate::id::JobId;
 use crate::job::{JobKey, JobState};
 use crate::record::{JobRecord, Placement, WorkerRecord};
@@ -23,13 +23,14 @@
         age: Span,
         now: Time,
     ) {
-        if let Some(state) = record.and_then(|record| record.end) {
+        if let Some(record) = record
+            && let Some(state) = record.end
+        {
             if !self.ended_jobs.contains_key(&id) {
-                record
-                    .iter()
-                    .for_each(|record| self.restore_left_runs(record));
+                self.restore_left_runs(record);
             }
-            self.retain_end(id, state, now);
+            let customer = record.customer.clone();
+            self.retain_end(id, JobView { state, customer }, now);
             return;
         }
         let Some(spec) = spec else {
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -19,6 +19,7 @@
 mod pace;
 mod placement;
 mod record;
+mod requester;
 mod run;
 mod run_time;
 mod spec;
@@ -28,7 +29,7 @@
 pub use advice::Ticket;
 pub use cap::ResourceCap;
 pub use cell::{
-    Action, AdviceCallId, Cell, CellTimers, Counters, PaceOrder, RecordBatch, RunSummary,
+    Action, AdviceCallId, Cell, CellTimers, Counters, JobView, PaceOrder, RecordBatch, RunSummary,
     StartOrder, StopOrder, SubmitOutcome,
 };
 pub use crash::{Crash, Evidence};
@@ -40,6 +41,7 @@
 pub use mechanism::{Disabled, Mechanism};
 pub use placement::CapCounts;
 pub use record::{JobRecord, LeftRuns, PartKey, Placement, RecordError, WorkerRecord};
+pub use requester::Requester;
 pub use run::{EndReason, RunEnd, StartOutcome};
 pub use run_time::RunTimeRecord;
 pub use spec::{AdviceCost, JobSpec, QueuePolicy, Resources, Schedule, StepSpec};
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -10,6 +10,7 @@
 mod caps_random;
 mod contention;
 mod crashes;
+mod customers;
 mod election;
 mod gang_load;
 mod gangs;
