Add tests of crowds of clients without limits

An instance reads a body without a deadline, keeps what arrived of it, and leaves further connections in the backlog once 600 are open.

--- /dev/null
+++ b/crates/kingcupwinch-daemon/tests/clients/crowd.rs
@@ -0,0 +1,82 @@
+//! Clients that send what they have and then keep their connections open.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+use crate::instance::Instance;
+
+/// Number of clients: more than an instance accepts connections.
+const CLIENTS: usize = 620;
+/// Time after which a client that can't send any more stops sending.
+const SEND_TIMEOUT: Duration = Duration::from_secs(2);
+/// Interval at which the descriptors of the instance are counted.
+const OBSERVE_INTERVAL: Duration = Duration::from_millis(20);
+
+/// What each client sends.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Behavior {
+    pub(crate) head: String,
+    /// Sent repeatedly after the head.
+    pub(crate) piece: Vec<u8>,
+    pub(crate) count: usize,
+    /// Pause after each piece.
+    pub(crate) pause: Option<Duration>,
+    /// Whether it reads the responses.
+    pub(crate) reads: bool,
+}
+
+/// Open connections of clients that send nothing any more; closed when dropped.
+pub(crate) struct Crowd {
+    _clients: JoinSet<()>,
+}
+
+impl Crowd {
+    /// Connects all clients, and returns when each has sent everything or can't send any more.
+    pub(crate) async fn send(behavior: Behavior, instance: &mut Instance) -> Self {
+        let (sent, mut done) = tokio::sync::mpsc::channel::<()>(1);
+        let behavior = Arc::new(behavior);
+        let mut clients = JoinSet::new();
+        for _ in 0..CLIENTS {
+            let client = run(instance.callers, Arc::clone(&behavior), sent.clone());
+            clients.spawn(client);
+        }
+        drop(sent);
+        // Each client drops its sender once it has sent everything.
+        while timeout(OBSERVE_INTERVAL, done.recv()).await.is_err() {
+            instance.observe();
+        }
+        Crowd { _clients: clients }
+    }
+}
+
+async fn run(address: SocketAddr, behavior: Arc<Behavior>, sent: tokio::sync::mpsc::Sender<()>) {
+    // An instance may refuse or close any connection of a crowd.
+    let Ok(Ok(mut stream)) = timeout(SEND_TIMEOUT, TcpStream::connect(address)).await else {
+        return;
+    };
+    let _ = send(&mut stream, &behavior).await;
+    drop(sent);
+    let mut buffer = [0; 4_096];
+    while behavior.reads && stream.read(&mut buffer).await.is_ok_and(|count| count > 0) {}
+    // Keeps the connection open until the crowd is dropped.
+    std::future::pending::<()>().await;
+}
+
+async fn send(stream: &mut TcpStream, behavior: &Behavior) -> std::io::Result<()> {
+    timeout(SEND_TIMEOUT, stream.write_all(behavior.head.as_bytes())).await??;
+    if behavior.pause.is_none() {
+        let all = behavior.piece.repeat(behavior.count);
+        return timeout(SEND_TIMEOUT, stream.write_all(&all)).await?;
+    }
+    for _ in 0..behavior.count {
+        timeout(SEND_TIMEOUT, stream.write_all(&behavior.piece)).await??;
+        sleep(behavior.pause.unwrap_or_default()).await;
+    }
+    Ok(())
+}
