Bound what clients can take of an instance

Bodies had no deadline, 600 connections with the largest body are more than the memory of an instance, each chunk took many times its bytes, responses to pipelined requests piled up while nobody read them, and at 600 connections further callers waited in the backlog.

Each listener now has a budget for its bodies and a limit of its connections, derived from memoryMb and fileDescriptors. A body arrives in one buffer that is charged as it grows; a body without progress gives way to another and is refused with 503. Header sections, bodies, responses and idle connections have deadlines. At the limit a new connection displaces the one that has made no progress for longest. Nothing is read while a peer takes no responses.

--- a/crates/kingcupwinch-node/src/callers.rs
+++ b/crates/kingcupwinch-node/src/callers.rs
@@ -130,8 +130,9 @@
         request: Request<Incoming>,
         limit: usize,
     ) -> HttpResponse {
-        let Some(body) = read_body(request.into_body(), limit).await else {
-            return empty(StatusCode::PAYLOAD_TOO_LARGE);
+        let body = match read_body(request, limit).await {
+            Ok(body) => body,
+            Err(refusal) => return refusal.into_response(),
         };
         let accepted_ms = self.shared.wall_time().as_millis();
         let mut spec = match decode_job(&body, &job.route.policy, accepted_ms) {
--- a/crates/kingcupwinch-node/src/events.rs
+++ b/crates/kingcupwinch-node/src/events.rs
@@ -49,6 +49,10 @@
     AcceptFailed = "1106", "connection could not be accepted";
     /// Nothing ends the process if its graceful stop hangs.
     WatchdogFailed = "1107", "watchdog of the stop could not be started";
+    /// A listener closed connections or refused requests in the last second to keep its limits.
+    ClientsLimited = "1108", "connections closed or requests refused to keep limits";
+    /// The limits of a listener.
+    ListenerLimits = "1109", "limits of a listener";
     /// The store does not respond.
     StoreLost = "1201", "store unreachable";
     /// The store responds again.
--- a/crates/kingcupwinch-node/src/http.rs
+++ b/crates/kingcupwinch-node/src/http.rs
@@ -1,36 +1,53 @@
 //! HTTP/1.1 server with graceful shutdown.
 
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
+use std::task::{Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use kingcupwinch_platform::{ByteCounter, Counted};
 use slog::o;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::events::Event;
 use crate::shared::Shared;
 
-/// Maximum open connections of one listener.
-const MAX_CONNECTIONS: usize = 600;
-/// Maximum size of a request's header section, in bytes.
-const MAX_HEADER_BYTES: usize = 32 << 10;
-/// Timeout for reading a request's header section; it also closes idle connections.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
+mod body;
+mod budget;
+mod connection;
+mod limits;
+mod listener;
+mod progress;
+mod stream;
+#[cfg(test)]
+mod tests;
+
+pub(crate) use body::read_body;
+pub(crate) use listener::CALLERS;
+
+use connection::{Connection, OpenConnection};
+use limits::buffer_bytes;
+use listener::Listener;
+use progress::{Phase, Reason};
+use stream::TrackedStream;
+
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Interval at which a connection to close is looked for while a new one waits for its place.
+const DISPLACE_INTERVAL: Duration = Duration::from_millis(50);
 
 /// A response with its whole body.
 pub(crate) type HttpResponse = Response<Full<Bytes>>;
@@ -57,39 +74,42 @@
     shared: Arc<Shared>,
     drain: watch::Receiver<bool>,
 ) -> std::io::Result<()> {
-    let listener = TcpListener::bind(address).await?;
+    let socket = TcpListener::bind(address).await?;
     let counter = shared.traffic.counter(purpose);
-    tokio::spawn(accept(listener, counter, handler, shared, drain));
+    tokio::spawn(accept(socket, purpose, counter, handler, shared, drain));
     Ok(())
 }
 
 async fn accept<H: Handler>(
-    listener: TcpListener,
+    socket: TcpListener,
+    purpose: &'static str,
     counter: Arc<ByteCounter>,
     handler: Arc<H>,
     shared: Arc<Shared>,
     drain: watch::Receiver<bool>,
 ) {
-    let limit = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let listener = Listener::start(purpose, Arc::clone(&shared));
+    let limit = Arc::new(Semaphore::new(listener.capacity.connections));
     let mut drained = drain.clone();
     loop {
-        // At the limit, further connections wait in the listener's backlog.
-        let Ok(permit) = Arc::clone(&limit).acquire_owned().await else {
-            return;
-        };
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = socket.accept() => accepted,
             _ = drained.wait_for(|drain| *drain) => return,
         };
         match accepted {
             Ok((stream, _)) => {
+                let permit = tokio::select! {
+                    permit = find_place(&limit, &listener) => permit,
+                    _ = drained.wait_for(|drain| *drain) => return,
+                };
                 let handler = Arc::clone(&handler);
                 let drain = drain.clone();
                 // Without TCP_NODELAY only latency suffers.
                 let _ = stream.set_nodelay(true);
                 let stream = Counted::new(stream, Arc::clone(&counter));
+                let opened = OpenConnection(listener.open());
                 tokio::spawn(async move {
-                    connection(stream, handler, drain).await;
+                    serve_connection(stream, &opened.0, handler, drain).await;
                     drop(permit);
                 });
             }
@@ -102,33 +122,88 @@
     }
 }
 
-async fn connection<H: Handler>(
+/// Returns the place of a new connection; closes another one if all are taken. While each of them is
+/// served or has just made progress, the new one waits.
+async fn find_place(limit: &Arc<Semaphore>, listener: &Listener) -> Option<OwnedSemaphorePermit> {
+    loop {
+        if let Ok(permit) = Arc::clone(limit).try_acquire_owned() {
+            return Some(permit);
+        }
+        listener.displace_connection();
+        let permit = Arc::clone(limit).acquire_owned();
+        if let Ok(permit) = timeout(DISPLACE_INTERVAL, permit).await {
+            return permit.ok();
+        }
+    }
+}
+
+async fn serve_connection<H: Handler>(
     stream: Counted<TcpStream>,
+    connection: &Arc<Connection>,
     handler: Arc<H>,
     mut drain: watch::Receiver<bool>,
 ) {
-    let service = service_fn(move |request| {
-        let handler = Arc::clone(&handler);
-        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+    let service = service_fn(|mut request: Request<Incoming>| {
+        let (handler, connection) = (Arc::clone(&handler), Arc::clone(connection));
+        async move {
+            poll_fn(|cx| connection.poll_writable(cx)).await;
+            connection.begin_request();
+            request.extensions_mut().insert(Arc::clone(&connection));
+            let response = handler.handle(request).await;
+            let timeouts = connection.listener.timeouts();
+            connection.advance(|progress, now| progress.on_response(now, &timeouts));
+            Ok::<_, Infallible>(response)
+        }
     });
+    let header_bytes = connection.listener.max_header_bytes();
     let mut builder = http1::Builder::new();
     builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_TIMEOUT)
-        .max_buf_size(MAX_HEADER_BYTES);
-    let mut served = pin!(builder.serve_connection(TokioIo::new(stream), service));
+        .header_read_timeout(None)
+        .max_buf_size(buffer_bytes(header_bytes))
+        .max_header_size(header_bytes);
+    let io = TokioIo::new(TrackedStream::new(stream, Arc::clone(connection)));
+    let mut served = pin!(builder.serve_connection(io, service));
     // Errors of a peer end only its own connection.
-    tokio::select! {
+    let ended = tokio::select! {
+        biased;
         _ = served.as_mut() => return,
-        _ = drain.wait_for(|drain| *drain) => served.as_mut().graceful_shutdown(),
-    }
-    let _ = served.await;
+        reason = end(connection) => Some(reason),
+        _ = drain.wait_for(|drain| *drain) => None,
+    };
+    let Some(reason) = ended else {
+        served.as_mut().graceful_shutdown();
+        tokio::select! {
+            biased;
+            _ = served => {}
+            reason = end(connection) => connection.listener.note_end(reason),
+        }
+        return;
+    };
+    connection.listener.note_end(reason);
 }
 
-/// Reads a request's body; `None` if it is larger than `limit` bytes or incomplete.
-pub(crate) async fn read_body(body: Incoming, limit: usize) -> Option<Bytes> {
-    let collected = Limited::new(body, limit).collect().await.ok()?;
-    Some(collected.to_bytes())
+/// Waits until a connection has to be closed, and returns why.
+async fn end(connection: &Connection) -> Reason {
+    let mut sleep = pin!(sleep_until(Instant::now()));
+    poll_fn(|cx| {
+        loop {
+            // A body has its own deadline, and a request whose body is refused still gets a response.
+            if connection.phase() == Phase::Body {
+                return Poll::Pending;
+            }
+            if let Poll::Ready(reason) = connection.poll_end(cx) {
+                return Poll::Ready(reason);
+            }
+            let Some(deadline) = connection.deadline() else {
+                return Poll::Pending;
+            };
+            if sleep.deadline() != deadline {
+                sleep.as_mut().reset(deadline);
+            }
+            ready!(sleep.as_mut().poll(cx));
+        }
+    })
+    .await
 }
 
 /// Builds a response with a JSON body.
--- /dev/null
+++ b/crates/kingcupwinch-node/src/http/limits.rs
@@ -0,0 +1,105 @@
+//! Limits of a listener, derived from the settings and the configuration.
+
+use std::time::Duration;
+
+use kingcupwinch_adapter::{ClientLimits, Settings};
+
+/// Memory in megabytes of an instance whose settings do not state it: the smallest of the deployments.
+const DEFAULT_MEMORY_MB: u64 = 120;
+/// Part of an instance's memory for the bodies of one listener, as a divisor.
+const BODY_SHARE: u64 = 8;
+/// Part of an instance's memory for the connections of one listener, as a divisor.
+const CONNECTION_SHARE: u64 = 5;
+/// Memory of one connection, in bytes: hyper's buffers for reading and writing (16 KiB each), the start
+/// of a body that is not charged to the budget (8 KiB), and the state of its task.
+const CONNECTION_BYTES: u64 = 40 << 10;
+/// Part of the file descriptors for the connections of one listener, as a divisor; most others are
+/// connections to workers and siblings.
+const DESCRIPTOR_SHARE: u64 = 4;
+/// Maximum open connections of one listener, as before there were limits by memory.
+const MAX_CONNECTIONS: u64 = 600;
+/// Minimum of that limit, so that no setting makes a listener unusable.
+const MIN_CONNECTIONS: u64 = 16;
+/// Smallest size to which hyper can bound its buffers, in bytes.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// Largest size to which they are bounded, in bytes. A configuration that allows header sections of more
+/// than 16 KiB takes more memory than `CONNECTION_BYTES`.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
+/// Time for a whole body: callers wait for 3 s, and the largest body takes 1.1 s at 2 Mbit/s.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for the next `MIN_PROGRESS` of a body: longer than callers wait for a response.
+const STALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for which a response may make no progress: longer than callers wait for it.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Timeout of each part of a request within the deployment, as before there were others: on a narrow
+/// link it may wait behind other messages.
+const INTERNAL_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Numbers of connections and bytes of one listener.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Capacity {
+    /// Maximum open connections.
+    pub(crate) connections: usize,
+    /// Maximum size of the bodies together, in bytes.
+    pub(crate) body_bytes: usize,
+}
+
+/// Limits of one connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Timeouts {
+    /// Time for a header section.
+    pub(crate) header: Duration,
+    /// Time without a request.
+    pub(crate) idle: Duration,
+    /// Time for a whole body.
+    pub(crate) body: Duration,
+    /// Time for the next part of a body.
+    pub(crate) stall: Duration,
+    /// Time without progress of a response.
+    pub(crate) write: Duration,
+}
+
+impl Capacity {
+    /// Computes the capacity of a listener of an instance.
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let memory = settings.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * 1_000_000;
+        let by_memory = memory / CONNECTION_SHARE / CONNECTION_BYTES;
+        let by_descriptors = settings.file_descriptors.map(|all| all / DESCRIPTOR_SHARE);
+        let connections = by_memory.min(by_descriptors.unwrap_or(MAX_CONNECTIONS));
+        Capacity {
+            connections: connections.clamp(MIN_CONNECTIONS, MAX_CONNECTIONS) as usize,
+            body_bytes: (memory / BODY_SHARE) as usize,
+        }
+    }
+}
+
+impl Timeouts {
+    /// Returns the timeouts of callers' connections.
+    pub(crate) fn new(limits: &ClientLimits) -> Self {
+        Timeouts {
+            header: limits.header_timeout,
+            idle: limits.idle_timeout,
+            body: BODY_TIMEOUT,
+            stall: STALL_TIMEOUT,
+            write: WRITE_TIMEOUT,
+        }
+    }
+
+    /// Returns the timeouts of connections within the deployment.
+    pub(crate) fn internal() -> Self {
+        Timeouts {
+            header: INTERNAL_TIMEOUT,
+            idle: INTERNAL_TIMEOUT,
+            body: INTERNAL_TIMEOUT,
+            stall: INTERNAL_TIMEOUT,
+            write: INTERNAL_TIMEOUT,
+        }
+    }
+}
+
+/// Returns the bound of hyper's buffers for header sections of at most `header_bytes`.
+pub(crate) fn buffer_bytes(header_bytes: usize) -> usize {
+    header_bytes.clamp(MIN_BUFFER_BYTES, MAX_BUFFER_BYTES)
+}
--- a/crates/kingcupwinch-node/src/metrics.rs
+++ b/crates/kingcupwinch-node/src/metrics.rs
@@ -46,6 +46,8 @@
     registry: Registry,
     /// Requests of callers by kind and status.
     pub requests: Family<CallLabel, Counter>,
+    /// Connections closed and requests refused to keep limits, by listener and reason.
+    pub client_limits: Family<CallLabel, Counter>,
     /// Duration of callers' requests, in seconds.
     pub response_time: Histogram,
     /// Calls to the store by kind and outcome.
@@ -87,6 +89,7 @@
         let metrics = Metrics {
             registry: Registry::default(),
             requests: Family::default(),
+            client_limits: Family::default(),
             response_time: Histogram::new(LATENCY_BUCKETS),
             store_calls: Family::default(),
             append_time: Histogram::new(LATENCY_BUCKETS),
@@ -106,6 +109,11 @@
         };
         let m = &metrics;
         registry.register("requests", "Requests of callers", m.requests.clone());
+        registry.register(
+            "client_limits",
+            "Connections closed and requests refused to keep limits",
+            m.client_limits.clone(),
+        );
         registry.register(
             "answer_seconds",
             "Duration of callers' requests, in seconds",
--- a/crates/kingcupwinch-node/src/node.rs
+++ b/crates/kingcupwinch-node/src/node.rs
@@ -16,7 +16,7 @@
 use crate::callers::{CallerHandler, ReadinessHandler};
 use crate::events::{Event, EventLog};
 use crate::hedged_append::HedgedAppender;
-use crate::http::{Handler, HttpResponse, empty, json, serve};
+use crate::http::{CALLERS, Handler, HttpResponse, empty, json, serve};
 use crate::intake::Intake;
 use crate::link::watch_link;
 use crate::ownership::{OwnershipTask, announce_member};
@@ -160,7 +160,7 @@
         });
         let clones = || (Arc::clone(shared), drained.clone());
         let (state, drain) = clones();
-        serve(settings.callers, "callers", callers, state, drain).await?;
+        serve(settings.callers, CALLERS, callers, state, drain).await?;
         let (state, drain) = clones();
         serve(settings.readiness, "readiness", readiness, state, drain).await?;
         let (state, drain) = clones();
--- a/crates/kingcupwinch-node/src/siblings.rs
+++ b/crates/kingcupwinch-node/src/siblings.rs
@@ -535,8 +535,9 @@
     }
 
     async fn append(&self, request: Request<Incoming>) -> HttpResponse {
-        let Some(body) = read_body(request.into_body(), MAX_BODY_BYTES).await else {
-            return empty(StatusCode::PAYLOAD_TOO_LARGE);
+        let body = match read_body(request, MAX_BODY_BYTES).await {
+            Ok(body) => body,
+            Err(refusal) => return refusal.into_internal_response(),
         };
         let Ok(params) = serde_json::from_slice::<AppendRequest>(&body) else {
             return empty(StatusCode::BAD_REQUEST);
@@ -559,8 +560,9 @@
     }
 
     async fn start(&self, request: Request<Incoming>) -> HttpResponse {
-        let Some(body) = read_body(request.into_body(), MAX_BODY_BYTES).await else {
-            return empty(StatusCode::PAYLOAD_TOO_LARGE);
+        let body = match read_body(request, MAX_BODY_BYTES).await {
+            Ok(body) => body,
+            Err(refusal) => return refusal.into_internal_response(),
         };
         let Ok(params) = serde_json::from_slice::<RelayRequest>(&body) else {
             return empty(StatusCode::BAD_REQUEST);
@@ -575,8 +577,9 @@
         let Some(adviser) = &self.shared.adviser else {
             return empty(StatusCode::NOT_FOUND);
         };
-        let Some(body) = read_body(request.into_body(), MAX_BODY_BYTES).await else {
-            return empty(StatusCode::PAYLOAD_TOO_LARGE);
+        let body = match read_body(request, MAX_BODY_BYTES).await {
+            Ok(body) => body,
+            Err(refusal) => return refusal.into_internal_response(),
         };
         let Ok(params) = serde_json::from_slice::<AdviceRequest>(&body) else {
             return empty(StatusCode::BAD_REQUEST);
--- a/crates/kingcupwinch-node/src/test_support.rs
+++ b/crates/kingcupwinch-node/src/test_support.rs
@@ -22,8 +22,13 @@
 
 /// Returns the state of an instance `me` that uses the store at an address.
 pub(crate) fn shared(store: SocketAddr) -> Arc<Shared> {
+    shared_with(store, |_| ())
+}
+
+/// Returns the state of an instance `me` with changed settings.
+pub(crate) fn shared_with(store: SocketAddr, change: impl FnOnce(&mut Settings)) -> Arc<Shared> {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let settings = Settings {
+    let mut settings = Settings {
         instance: "me".into(),
         domain: "a".into(),
         callers: any,
@@ -47,6 +52,7 @@
         status_retention: Span::from_secs(120),
         config_bound: Span::from_millis(2_000),
     };
+    change(&mut settings);
     Shared::new(settings, Disabled::default(), EventLog::new("me"))
 }
 
