Give new callers a place between pipelined requests

A connection whose next request always waits in the buffer makes progress all the time, so that nothing could be displaced while 585 clients with 100,000 pipelined requests each held all places (memoryMb 120): an ordinary request was not answered within 10 s.

While a connection waits for a place, the next that is responded to is closed with its response. A request that arrived together with the one before lets other connections have their turn first. A displaced body is counted once.

--- a/crates/kingcupwinch-node/src/http.rs
+++ b/crates/kingcupwinch-node/src/http.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -20,6 +20,7 @@
 use slog::o;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::events::Event;
@@ -122,16 +123,19 @@
     }
 }
 
-/// Returns the place of a new connection; closes another one if all are taken. While each of them is
-/// served or has just made progress, the new one waits.
+/// Returns the place of a new connection; closes another one if all are taken. If each of them is served
+/// or has just made progress, the next to be responded to is closed.
 async fn find_place(limit: &Arc<Semaphore>, listener: &Listener) -> Option<OwnedSemaphorePermit> {
     loop {
         if let Ok(permit) = Arc::clone(limit).try_acquire_owned() {
             return Some(permit);
         }
-        listener.displace_connection();
+        if !listener.displace_connection() {
+            listener.set_waiting(true);
+        }
         let permit = Arc::clone(limit).acquire_owned();
         if let Ok(permit) = timeout(DISPLACE_INTERVAL, permit).await {
+            listener.set_waiting(false);
             return permit.ok();
         }
     }
@@ -147,9 +151,15 @@
         let (handler, connection) = (Arc::clone(&handler), Arc::clone(connection));
         async move {
             poll_fn(|cx| connection.poll_writable(cx)).await;
-            connection.begin_request();
+            if connection.begin_request() == Phase::Idle {
+                // It arrived together with the one before: others have their turn first.
+                yield_now().await;
+            }
             request.extensions_mut().insert(Arc::clone(&connection));
-            let response = handler.handle(request).await;
+            let mut response = handler.handle(request).await;
+            if connection.listener.take_waiting() {
+                close_after(&mut response);
+            }
             let timeouts = connection.listener.timeouts();
             connection.advance(|progress, now| progress.on_response(now, &timeouts));
             Ok::<_, Infallible>(response)
@@ -206,6 +216,12 @@
     .await
 }
 
+/// Has the connection closed once a response is written, and announces that.
+fn close_after(response: &mut HttpResponse) {
+    let value = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, value);
+}
+
 /// Builds a response with a JSON body.
 pub(crate) fn json(status: StatusCode, body: Bytes) -> HttpResponse {
     let mut response = Response::new(Full::new(body));
--- a/crates/kingcupwinch-node/src/http/body.rs
+++ b/crates/kingcupwinch-node/src/http/body.rs
@@ -7,14 +7,13 @@
 
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Bytes, Frame, Incoming};
-use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, StatusCode};
 use tokio::time::{Instant, sleep_until, timeout};
 
 use super::budget::{Charge, HANDLED_COPIES};
 use super::connection::Connection;
 use super::progress::Reason;
-use super::{HttpResponse, empty, retry_after};
+use super::{HttpResponse, close_after, empty, retry_after};
 
 /// Time for a displaced body to release its memory: its task only has to be polled.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(100);
@@ -70,10 +69,9 @@
     }
 }
 
-/// Announces that the connection will be closed, as a part of the body may still arrive on it.
+/// A part of the body may still arrive on the connection.
 fn closing(mut response: HttpResponse) -> HttpResponse {
-    let value = HeaderValue::from_static("close");
-    response.headers_mut().insert(CONNECTION, value);
+    close_after(&mut response);
     response
 }
 
@@ -94,10 +92,8 @@
     connection.advance(|progress, now| progress.on_body_start(now, &timeouts));
     let result = Reader::new(&connection, limit).read(body).await;
     connection.begin_request();
-    match result {
-        Err(Refusal::Slow) => connection.listener.count(Reason::SlowBody),
-        Err(Refusal::NoMemory) => connection.listener.count(Reason::BodyMemory),
-        _ => {}
+    if matches!(result, Err(Refusal::Slow)) {
+        connection.listener.count(Reason::SlowBody);
     }
     result
 }
@@ -190,6 +186,9 @@
                 && timeout(RELEASE_TIMEOUT, released).await.is_ok()
                 && self.body.charge.raise(size);
         }
+        if !is_charged {
+            listener.count(Reason::BodyMemory);
+        }
         self.connection.set_charge(self.body.charge.bytes() > 0);
         is_charged
     }
--- a/crates/kingcupwinch-node/src/http/connection.rs
+++ b/crates/kingcupwinch-node/src/http/connection.rs
@@ -92,11 +92,14 @@
         .await
     }
 
-    /// Records that the request is being handled, which nothing interrupts any more.
-    pub(crate) fn begin_request(&self) {
+    /// Records that the request is being handled, which nothing interrupts any more; returns what the
+    /// connection was doing.
+    pub(crate) fn begin_request(&self) -> Phase {
         let mut state = self.lock();
+        let previous = state.progress.phase();
         state.displaced = None;
         state.progress.on_request(Instant::now());
+        previous
     }
 
     /// Changes the progress at the current time.
--- a/crates/kingcupwinch-node/src/http/listener.rs
+++ b/crates/kingcupwinch-node/src/http/listener.rs
@@ -1,7 +1,7 @@
 //! Open connections of one listener, and what it closed or refused.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -33,6 +33,8 @@
     pub(crate) budget: Arc<Budget>,
     connections: Mutex<FxHashMap<u64, Arc<Connection>>>,
     next_id: AtomicU64,
+    /// Whether a new connection waits for a place.
+    is_waiting: AtomicBool,
     counts: Mutex<BTreeMap<Reason, u64>>,
 }
 
@@ -48,6 +50,7 @@
             shared,
             connections: Mutex::default(),
             next_id: AtomicU64::new(0),
+            is_waiting: AtomicBool::new(false),
             counts: Mutex::default(),
         });
         listener.shared.log.write(
@@ -106,6 +109,21 @@
         self.displace(Reason::Displaced, |_| true)
     }
 
+    /// Notes whether the connection that is responded to next has to be closed.
+    pub(crate) fn set_waiting(&self, is_waiting: bool) {
+        self.is_waiting.store(is_waiting, Ordering::Relaxed);
+    }
+
+    /// Returns whether the connection of a response has to be closed after it, for one connection each
+    /// time that one waits.
+    pub(crate) fn take_waiting(&self) -> bool {
+        let is_waiting = self.is_waiting.swap(false, Ordering::Relaxed);
+        if is_waiting {
+            self.count(Reason::Displaced);
+        }
+        is_waiting
+    }
+
     /// Ends the request whose body occupies memory and has made no progress for longest; returns whether
     /// there is one.
     pub(crate) fn displace_body(&self) -> bool {
--- a/crates/kingcupwinch-node/src/http/tests.rs
+++ b/crates/kingcupwinch-node/src/http/tests.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -6,13 +7,13 @@
 use kingcupwinch_adapter::ClientLimits;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio::time::Instant;
 
 use super::budget::{Budget, Charge, FREE_BYTES};
 use super::limits::{Capacity, Timeouts};
 use super::progress::{Phase, Progress, Reason};
-use super::{Handler, HttpResponse, empty, read_body, serve};
+use super::{CALLERS, Handler, HttpResponse, empty, read_body, serve};
 use crate::test_support::{shared_with, unreachable_store};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -189,18 +190,25 @@
     String::from_utf8(buffer[..count].to_vec()).unwrap()
 }
 
-/// A caller whose body is given up for another one must learn that its job was not accepted, and the
-/// other one must be served. The memory of 1 MB has space for one large body at a time.
-#[tokio::test]
-async fn a_stalled_body_gives_way_and_is_refused() {
-    let shared = shared_with(unreachable_store(), |settings| settings.memory_mb = Some(1));
+/// Serves on a free port with so much memory.
+async fn start<H: Handler>(handler: H, memory_mb: u64) -> (SocketAddr, watch::Sender<bool>) {
+    let shared = shared_with(unreachable_store(), |settings| {
+        settings.memory_mb = Some(memory_mb);
+    });
     let (drain, drained) = watch::channel(false);
     let socket = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let address = socket.local_addr().unwrap();
     drop(socket);
-    serve(address, "callers", Arc::new(BodyHandler), shared, drained)
-        .await
-        .unwrap();
+    let served = serve(address, CALLERS, Arc::new(handler), shared, drained);
+    served.await.unwrap();
+    (address, drain)
+}
+
+/// A caller whose body is given up for another one must learn that its job was not accepted, and the
+/// other one must be served. The memory of 1 MB has space for one large body at a time.
+#[tokio::test]
+async fn a_stalled_body_gives_way_and_is_refused() {
+    let (address, _drain) = start(BodyHandler, 1).await;
     let mut stalled = TcpStream::connect(address).await.unwrap();
     send(&mut stalled, 100_000, 99_999).await;
     let mut small = TcpStream::connect(address).await.unwrap();
@@ -215,5 +223,36 @@
     assert!(response(&mut large).await.starts_with("HTTP/1.1 200 "));
     let refused = response(&mut stalled).await;
     assert!(refused.starts_with("HTTP/1.1 503 ") && refused.contains("retry-after: 1"));
-    drop(drain);
+}
+
+/// Responds to as many requests as there are permits.
+struct Gate(Arc<Semaphore>);
+
+impl Handler for Gate {
+    async fn handle(self: Arc<Self>, _: hyper::Request<Incoming>) -> HttpResponse {
+        self.0.acquire().await.unwrap().forget();
+        empty(StatusCode::OK)
+    }
+}
+
+/// While all places are taken by requests that are handled, none of them may be closed, since its job may
+/// be accepted; the next caller must get the place of the first that is responded to. A connection that
+/// always has a further request would otherwise keep its place for ever.
+#[tokio::test]
+async fn a_place_is_free_once_a_request_is_responded_to() {
+    let gate = Arc::new(Semaphore::new(0));
+    let (address, _drain) = start(Gate(Arc::clone(&gate)), 1).await;
+    let mut callers = Vec::new();
+    for _ in 0..17 {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        send(&mut stream, 0, 0).await;
+        callers.push(stream);
+    }
+    // The 17 responses need one of the 16 places twice.
+    gate.add_permits(1);
+    tokio::time::sleep(SECOND * 2).await;
+    gate.add_permits(16);
+    for stream in &mut callers {
+        assert!(response(stream).await.starts_with("HTTP/1.1 200 "));
+    }
 }
