Reduce the connections for probes and metrics

Four listeners with a quarter of the file descriptors each leave none for workers and siblings. Those for readiness and metrics, which few peers use and which read no bodies, take at most 64 connections.

A test holds that pipelined requests go on once their responses are read: with 500 responses of 64 KiB, more than the kernel's buffers, none is lost.

--- a/crates/kingcupwinch-node/src/http.rs
+++ b/crates/kingcupwinch-node/src/http.rs
@@ -37,7 +37,7 @@
 mod tests;
 
 pub(crate) use body::read_body;
-pub(crate) use listener::CALLERS;
+pub(crate) use listener::{CALLERS, SIBLINGS};
 
 use connection::{Connection, OpenConnection};
 use limits::buffer_bytes;
--- a/crates/kingcupwinch-node/src/http/limits.rs
+++ b/crates/kingcupwinch-node/src/http/limits.rs
@@ -20,6 +20,9 @@
 const MAX_CONNECTIONS: u64 = 600;
 /// Minimum of that limit, so that no setting makes a listener unusable.
 const MIN_CONNECTIONS: u64 = 16;
+/// Maximum open connections for readiness probes and metrics: load balancers and collectors have a few
+/// each.
+const FEW_CONNECTIONS: usize = 64;
 /// Smallest size to which hyper can bound its buffers, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 /// Largest size to which they are bounded, in bytes. A configuration that allows header sections of more
@@ -62,7 +65,15 @@
 }
 
 impl Capacity {
-    /// Computes the capacity of a listener of an instance.
+    /// Returns the capacity of a listener without request bodies that few peers use.
+    pub(crate) fn reduced(settings: &Settings) -> Self {
+        Capacity {
+            connections: Capacity::new(settings).connections.min(FEW_CONNECTIONS),
+            body_bytes: 0,
+        }
+    }
+
+    /// Computes the capacity of a listener for callers or siblings.
     pub(crate) fn new(settings: &Settings) -> Self {
         let memory = settings.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * 1_000_000;
         let by_memory = memory / CONNECTION_SHARE / CONNECTION_BYTES;
--- a/crates/kingcupwinch-node/src/http/listener.rs
+++ b/crates/kingcupwinch-node/src/http/listener.rs
@@ -20,6 +20,8 @@
 
 /// Purpose of the listener to which the limits of the configuration apply.
 pub(crate) const CALLERS: &str = "callers";
+/// Purpose of the listener for siblings.
+pub(crate) const SIBLINGS: &str = "siblings";
 
 /// Interval at which closed connections and refused requests are logged.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -42,7 +44,10 @@
     /// Creates a listener with the limits of the settings, and reports once a second what it closed or
     /// refused.
     pub(crate) fn start(purpose: &'static str, shared: Arc<Shared>) -> Arc<Self> {
-        let capacity = Capacity::new(&shared.settings);
+        let capacity = match purpose {
+            CALLERS | SIBLINGS => Capacity::new(&shared.settings),
+            _ => Capacity::reduced(&shared.settings),
+        };
         let listener = Arc::new(Listener {
             purpose,
             capacity,
--- a/crates/kingcupwinch-node/src/http/tests.rs
+++ b/crates/kingcupwinch-node/src/http/tests.rs
@@ -13,7 +13,7 @@
 use super::budget::{Budget, Charge, FREE_BYTES};
 use super::limits::{Capacity, Timeouts};
 use super::progress::{Phase, Progress, Reason};
-use super::{CALLERS, Handler, HttpResponse, empty, read_body, serve};
+use super::{CALLERS, Handler, HttpResponse, empty, json, read_body, serve};
 use crate::test_support::{shared_with, unreachable_store};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -256,3 +256,32 @@
         assert!(response(stream).await.starts_with("HTTP/1.1 200 "));
     }
 }
+
+/// Responds with a large body.
+struct LargeResponse;
+
+const RESPONSE_BYTES: usize = 64 << 10;
+
+impl Handler for LargeResponse {
+    async fn handle(self: Arc<Self>, _: hyper::Request<Incoming>) -> HttpResponse {
+        json(StatusCode::OK, vec![b' '; RESPONSE_BYTES].into())
+    }
+}
+
+/// Nothing is read while a peer takes no responses; a caller that reads its responses late must still
+/// get all of them. They are more than the kernel's buffers take.
+#[tokio::test]
+async fn pipelined_requests_go_on_once_their_responses_are_read() {
+    let (address, _drain) = start(LargeResponse, 120).await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    for _ in 0..499 {
+        send(&mut stream, 0, 0).await;
+    }
+    let last = b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
+    stream.write_all(last).await.unwrap();
+    tokio::time::sleep(SECOND / 2).await;
+    let mut responses = Vec::new();
+    stream.read_to_end(&mut responses).await.unwrap();
+    let heads = responses.len() - 500 * RESPONSE_BYTES;
+    assert!(heads > 0 && heads < 500 * 200);
+}
--- a/crates/kingcupwinch-node/src/node.rs
+++ b/crates/kingcupwinch-node/src/node.rs
@@ -16,7 +16,7 @@
 use crate::callers::{CallerHandler, ReadinessHandler};
 use crate::events::{Event, EventLog};
 use crate::hedged_append::HedgedAppender;
-use crate::http::{CALLERS, Handler, HttpResponse, empty, json, serve};
+use crate::http::{CALLERS, Handler, HttpResponse, SIBLINGS, empty, json, serve};
 use crate::intake::Intake;
 use crate::link::watch_link;
 use crate::ownership::{OwnershipTask, announce_member};
@@ -164,7 +164,7 @@
         let (state, drain) = clones();
         serve(settings.readiness, "readiness", readiness, state, drain).await?;
         let (state, drain) = clones();
-        serve(settings.siblings, "siblings", server, state, drain).await?;
+        serve(settings.siblings, SIBLINGS, server, state, drain).await?;
         let (state, drain) = clones();
         serve(settings.metrics, "metrics", metrics, state, drain).await?;
         Ok(())
