--- a/crates/kingcupwinch-daemon/tests/testsuite/node.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/node.rs
@@ -34,6 +34,7 @@
             max_lease_ms: 6_000,
             config_bound_ms: 2_000,
             link_kbps: None,
+            revoke_ms: None,
         };
         let dir = TempDir::new().unwrap();
         let path = dir.path().join("settings.toml");
