Build the daemon's tests with the new setting of the stand-in

The stand-in's settings have `revoke_ms` since customers are in the soak, which the test of the node's process in the daemon did not set, so that it did not compile since.

--- a/crates/kingcupwinch-daemon/tests/testsuite/node.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/node.rs
@@ -33,6 +33,7 @@
             adviser: SocketAddr::new(ip, 7_006),
             max_lease_ms: 6_000,
             config_bound_ms: 2_000,
+            revoke_ms: None,
             link_kbps: None,
         };
         let dir = TempDir::new().unwrap();
