Cut an instance off while keys change in the soak

Two faults that were put back were not found: an unknown key refused with 401 by an old copy, and a `revokeFailClosed` without effect. No instance was out of touch for long enough, too few withdrawn keys were used, and a use counted as served only if the owner responded. Runs with customers now cut one instance off from the store for 7 to 9 s, use the 18 latest keys, and send a request that is answered with 405 once its key is served, without the owner or the log.

--- a/crates/kingcupwinch-soak/src/keys.rs
+++ b/crates/kingcupwinch-soak/src/keys.rs
@@ -17,7 +17,8 @@
 pub(crate) const REFUSED_KEY: &str = "refused key";
 
 const UNAUTHORIZED: u16 = 401;
-const ACCEPTED: std::ops::Range<u16> = 200..300;
+/// Response to a request without a job whose key is served.
+const SERVED: u16 = 405;
 
 /// A key that the operator added, and withdrew later.
 #[derive(Debug, Clone)]
@@ -117,7 +118,7 @@
             status,
             ..
         } = *used;
-        let is_served = ACCEPTED.contains(&status);
+        let is_served = status == SERVED;
         let Some(key) = used.key else {
             if is_served {
                 let detail = format!("instance-{instance} served a key that never existed");
--- a/crates/kingcupwinch-soak/src/operator.rs
+++ b/crates/kingcupwinch-soak/src/operator.rs
@@ -6,8 +6,7 @@
 
 use crate::keys::{KeyObservations, KeyUse, ObservedKey, added_key, customers, forged_key};
 use kingcupwinch_standin::{
-    CallOutcome, Caller, JobBody, PREFIX, StandinStore, StepBody, additional_prefix,
-    publish_customers,
+    CallOutcome, Caller, JobBody, StandinStore, StepBody, additional_prefix, publish_customers,
 };
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -23,6 +22,8 @@
 const LOOKED_UP_ROUTES: usize = 12;
 /// Pause between two lookups on one instance.
 const LOOKUP_INTERVAL: Duration = Duration::from_millis(30);
+/// Number of the latest keys that are used: the eight in force, and those withdrawn in about the last 7 s.
+const USED_KEYS: usize = 18;
 /// Average number of requests with keys of which one has a forged key.
 const USES_PER_FORGERY: u32 = 5;
 /// Timeout of a lookup.
@@ -182,7 +183,7 @@
             let recent = {
                 let state = self.lock();
                 let count = state.keys.keys.len();
-                let recent: Vec<usize> = (count.saturating_sub(LOOKED_UP_ROUTES)..count).collect();
+                let recent: Vec<usize> = (count.saturating_sub(USED_KEYS)..count).collect();
                 let chosen = recent.choose(&mut rand::rng()).copied();
                 chosen.map(|key| (key, state.keys.keys[key].version))
             };
@@ -200,7 +201,7 @@
                 self.submit_forged(&caller).await;
             }
             let sent = Instant::now();
-            if let Some(status) = caller.queue_status(PREFIX, LOOKUP_TIMEOUT).await {
+            if let Some(status) = caller.key_status(LOOKUP_TIMEOUT).await {
                 self.lock().keys.uses.push(KeyUse {
                     instance,
                     key: (!is_forged).then_some(key),
--- a/crates/kingcupwinch-soak/src/plan.rs
+++ b/crates/kingcupwinch-soak/src/plan.rs
@@ -36,6 +36,12 @@
 /// Range of the interval between the starts of two series of owners that end at crashes in the full
 /// plan, in milliseconds.
 const OWNER_END_INTERVAL_MS: std::ops::Range<u64> = 4_000..8_000;
+/// Range of the start of the cut of an instance in runs with customers, in milliseconds: the operator
+/// withdraws keys from about 6 s on.
+const ISOLATION_START_MS: std::ops::Range<u64> = 4_000..6_000;
+/// Range of the duration of that cut, in milliseconds: more than twice the time for which an instance
+/// may serve a withdrawn key.
+const ISOLATION_MS: std::ops::Range<u64> = 7_000..9_000;
 /// Distinguish the random numbers of the kinds of series from those of the single faults.
 const SERIES_SEED: u64 = 0x5e41_e500_0000_0000;
 const RESTART_SEED: u64 = 0x4e57_a470_0000_0000;
@@ -45,6 +51,7 @@
 const RESIZE_SEED: u64 = 0x4e51_2e00_0000_0000;
 const CRASH_SEED: u64 = 0xc4a5_4000_0000_0000;
 const REJECTION_SEED: u64 = 0x4e1e_c700_0000_0000;
+const ISOLATION_SEED: u64 = 0x1501_a7e0_0000_0000;
 const LEAVE_SEED: u64 = 0x1ea7_e000_0000_0000;
 
 /// A fault of an instance.
@@ -269,6 +276,23 @@
         });
     }
 
+    /// Adds a cut of an instance from the store that lasts longer than versions take to apply, so that
+    /// keys are added and withdrawn behind its back.
+    pub fn with_isolation(mut self, seed: u64, instances: usize) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ ISOLATION_SEED);
+        let isolation = PlannedFault {
+            at_ms: rng.random_range(ISOLATION_START_MS),
+            duration_ms: rng.random_range(ISOLATION_MS),
+            fault: Fault::PartitionStore(rng.random_range(0..instances)),
+            trigger: None,
+        };
+        let next = self
+            .faults
+            .partition_point(|other| other.at_ms <= isolation.at_ms);
+        self.faults.insert(next, isolation);
+        self
+    }
+
     fn basic(seed: u64, seconds: u64, instances: usize, workers: usize) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut faults = Vec::new();
--- a/crates/kingcupwinch-soak/src/run.rs
+++ b/crates/kingcupwinch-soak/src/run.rs
@@ -115,13 +115,16 @@
 /// ports are free.
 pub async fn run(options: &RunOptions) -> Result<Outcome, RunError> {
     std::fs::create_dir_all(&options.dir)?;
-    let plan = Plan::new(
+    let mut plan = Plan::new(
         options.plan,
         options.seed,
         options.seconds,
         options.instances,
         options.workers,
     );
+    if options.has_customers {
+        plan = plan.with_isolation(options.seed, options.instances);
+    }
     let mut cluster = start_cluster(options).await?;
     tokio::time::sleep(STARTUP_DELAY).await;
     let workload = Workload::new(cluster.callers(), options.has_customers);
--- a/crates/kingcupwinch-soak/tests/checks/keys.rs
+++ b/crates/kingcupwinch-soak/tests/checks/keys.rs
@@ -37,8 +37,8 @@
 #[case::just_added(5_000 + BOUND, 401, &[])]
 #[case::not_known(5_000 + BOUND + 1, 503, &[])]
 #[case::during_withdrawal(19_996, 401, &[])]
-#[case::withdrawn(20_000 + BOUND + 1, 200, &[Invariant::KeyWithdrawn])]
-#[case::just_withdrawn(20_000 + BOUND, 200, &[])]
+#[case::withdrawn(20_000 + BOUND + 1, 405, &[Invariant::KeyWithdrawn])]
+#[case::just_withdrawn(20_000 + BOUND, 405, &[])]
 #[case::withdrawn_and_refused(20_000 + BOUND + 1, 401, &[])]
 fn a_key_holds_from_its_version_to_the_next(
     #[case] ms: u64,
@@ -57,7 +57,7 @@
     #[case] ms: u64,
     #[case] expected: &[Invariant],
 ) {
-    let mut scenario = used_at(ms, 200);
+    let mut scenario = used_at(ms, 405);
     scenario.revoke_limit = limit_ms.map(Duration::from_millis);
     scenario.disturbances.push(Disturbance {
         instance: Some(1),
@@ -69,14 +69,14 @@
 
 #[test]
 fn a_lasting_key_is_never_refused() {
-    let mut scenario = used_at(1_000, 200);
+    let mut scenario = used_at(1_000, 405);
     scenario.report_state(1_000, "refused key");
     assert_eq!(scenario.violations(), [Invariant::KeyServed]);
 }
 
 #[test]
 fn a_forged_key_is_neither_served_nor_run() {
-    let mut scenario = used_at(1_000, 200);
+    let mut scenario = used_at(1_000, 405);
     scenario.keys.uses[0].key = None;
     assert_eq!(scenario.violations(), [Invariant::KeyForged]);
     scenario.keys.uses[0].status = 401;
