Close connections after 100 pipelined requests

A peer that sends requests without waiting for responses makes progress as long as it likes. With 620 clients of up to 100,000 requests (memoryMb 120, debug build, loaded machine) connections were left 60 s after the crowd had sent everything, also with a limit of 1,000.

A connection is closed after the response once 100 of its requests arrived together with the one before. Callers, which wait for each response, send none.

--- a/crates/kingcupwinch-node/src/http.rs
+++ b/crates/kingcupwinch-node/src/http.rs
@@ -157,7 +157,10 @@
             }
             request.extensions_mut().insert(Arc::clone(&connection));
             let mut response = handler.handle(request).await;
-            if connection.listener.take_waiting() {
+            if connection.is_exhausted() {
+                connection.listener.count(Reason::Pipelined);
+                close_after(&mut response);
+            } else if connection.listener.take_waiting() {
                 close_after(&mut response);
             }
             let timeouts = connection.listener.timeouts();
--- a/crates/kingcupwinch-node/src/http/connection.rs
+++ b/crates/kingcupwinch-node/src/http/connection.rs
@@ -102,6 +102,11 @@
         previous
     }
 
+    /// Returns whether the connection has to be closed after the response.
+    pub(crate) fn is_exhausted(&self) -> bool {
+        self.lock().progress.is_exhausted()
+    }
+
     /// Changes the progress at the current time.
     pub(crate) fn advance(&self, change: impl FnOnce(&mut Progress, Instant)) {
         change(&mut self.lock().progress, Instant::now());
--- a/crates/kingcupwinch-node/src/http/listener.rs
+++ b/crates/kingcupwinch-node/src/http/listener.rs
@@ -189,7 +189,8 @@
                 "body_bytes" => self.budget.used(), "body_limit" => self.capacity.body_bytes,
                 "slow_header" => of(Reason::SlowHeader), "slow_body" => of(Reason::SlowBody),
                 "unread_response" => of(Reason::UnreadResponse),
-                "displaced" => of(Reason::Displaced), "body_memory" => of(Reason::BodyMemory)),
+                "displaced" => of(Reason::Displaced), "body_memory" => of(Reason::BodyMemory),
+                "pipelined" => of(Reason::Pipelined)),
         );
     }
 
--- a/crates/kingcupwinch-node/src/http/progress.rs
+++ b/crates/kingcupwinch-node/src/http/progress.rs
@@ -16,6 +16,10 @@
 /// 2 Mbit/s, and a lost packet is sent again within a second.
 const TRANSFER_STALL: Duration = Duration::from_millis(1_000);
 
+/// Number of pipelined requests after which a connection is closed: callers wait for each response, and
+/// 620 clients with 1,000 requests each kept an instance busy for over a minute.
+const MAX_PIPELINED: u32 = 100;
+
 /// What a connection is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -48,6 +52,8 @@
     Displaced,
     /// The bodies' memory is in use.
     BodyMemory,
+    /// Too many requests arrived together with others.
+    Pipelined,
 }
 
 impl Reason {
@@ -60,6 +66,7 @@
             Reason::UnreadResponse => "unread_response",
             Reason::Displaced => "displaced",
             Reason::BodyMemory => "body_memory",
+            Reason::Pipelined => "pipelined",
         }
     }
 }
@@ -76,6 +83,8 @@
     body_until: Instant,
     /// Bytes of the body since the last progress.
     unmoved: u64,
+    /// Number of requests that arrived together with the one before.
+    pipelined: u32,
 }
 
 impl Progress {
@@ -87,6 +96,7 @@
             deadline: Some(now + timeouts.idle),
             body_until: now,
             unmoved: 0,
+            pipelined: 0,
         }
     }
 
@@ -110,9 +120,19 @@
 
     /// Records that a whole header section arrived.
     pub(crate) fn on_request(&mut self, now: Instant) {
+        // Nothing was read since the request before.
+        if matches!(self.phase, Phase::Idle | Phase::Writing) {
+            self.pipelined += 1;
+        }
         self.enter(Phase::Handling, now, None);
     }
 
+    /// Returns whether the connection has to be closed after the response: its peer sends requests
+    /// without waiting for responses.
+    pub(crate) fn is_exhausted(&self) -> bool {
+        self.pipelined >= MAX_PIPELINED
+    }
+
     /// Records that the body is being read.
     pub(crate) fn on_body_start(&mut self, now: Instant, timeouts: &Timeouts) {
         self.body_until = now + timeouts.body;
