Run the crowds of clients also against the smallest instance

The crowds were measured with lowered limits only. An ignored test sends them with memoryMb 120, 3,075 descriptors and bodies of 262,144 bytes to the listener's limit of connections, checks the same bounds and prints when the connections are gone.

The ordinary request is answered beside each.

--- a/crates/kingcupwinch-daemon/tests/clients/crowd.rs
+++ b/crates/kingcupwinch-daemon/tests/clients/crowd.rs
@@ -13,8 +13,6 @@
 
 /// Number of clients: more than an instance accepts connections.
 const CLIENTS: usize = 620;
-/// Time after which a client that can't send any more stops sending.
-const SEND_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval at which the descriptors of the instance are counted.
 const OBSERVE_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -29,6 +27,8 @@
     pub(crate) pause: Option<Duration>,
     /// Whether it reads the responses.
     pub(crate) reads: bool,
+    /// Time after which it stops sending if it can't send any more.
+    pub(crate) send_timeout: Duration,
 }
 
 /// Open connections of clients that send nothing any more; closed when dropped.
@@ -57,7 +57,8 @@
 
 async fn run(address: SocketAddr, behavior: Arc<Behavior>, sent: tokio::sync::mpsc::Sender<()>) {
     // An instance may refuse or close any connection of a crowd.
-    let Ok(Ok(mut stream)) = timeout(SEND_TIMEOUT, TcpStream::connect(address)).await else {
+    let connected = timeout(behavior.send_timeout, TcpStream::connect(address));
+    let Ok(Ok(mut stream)) = connected.await else {
         return;
     };
     let _ = send(&mut stream, &behavior).await;
@@ -69,13 +70,14 @@
 }
 
 async fn send(stream: &mut TcpStream, behavior: &Behavior) -> std::io::Result<()> {
-    timeout(SEND_TIMEOUT, stream.write_all(behavior.head.as_bytes())).await??;
+    let limit = behavior.send_timeout;
+    timeout(limit, stream.write_all(behavior.head.as_bytes())).await??;
     if behavior.pause.is_none() {
         let all = behavior.piece.repeat(behavior.count);
-        return timeout(SEND_TIMEOUT, stream.write_all(&all)).await?;
+        return timeout(limit, stream.write_all(&all)).await?;
     }
     for _ in 0..behavior.count {
-        timeout(SEND_TIMEOUT, stream.write_all(&behavior.piece)).await??;
+        timeout(limit, stream.write_all(&behavior.piece)).await??;
         sleep(behavior.pause.unwrap_or_default()).await;
     }
     Ok(())
--- a/crates/kingcupwinch-daemon/tests/clients/instance.rs
+++ b/crates/kingcupwinch-daemon/tests/clients/instance.rs
@@ -5,19 +5,54 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kingcupwinch_standin::{HOST, InstanceSettings, PREFIX, StandinStore, publish_queues};
+use kingcupwinch_standin::{HOST, InstanceSettings, PREFIX, StandinStore, frame, keyed_record};
 use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
-/// Memory limit of the instance, in megabytes.
-const MEMORY_MB: u64 = 48;
-/// Maximum resident memory, in kilobytes: 100 of 120 MB, the target for the smallest instances.
-const MAX_RESIDENT_KB: u64 = MEMORY_MB * 1_000 * 100 / 120;
-/// Limit of open descriptors of the instance.
-const FILE_DESCRIPTORS: u64 = 400;
+/// Limits of an instance and the size of the crowd that it is to withstand.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Scale {
+    /// Memory limit of the instance, in megabytes.
+    pub(crate) memory_mb: u64,
+    /// Limit of open descriptors of the instance.
+    pub(crate) descriptors: u64,
+    /// Size of the body that a client announces: the largest that the configuration allows.
+    pub(crate) body_bytes: usize,
+    /// Size of a body's pieces and large chunks, in bytes: a divisor of a body that is one byte short.
+    pub(crate) piece_bytes: usize,
+    /// Number of chunks of one byte. Each is a frame, so that few of them already take much memory.
+    pub(crate) small_chunks: usize,
+    /// Number of pipelined requests of one client.
+    pub(crate) requests: usize,
+    /// Time after which a client that can't send any more stops sending.
+    pub(crate) send_timeout: Duration,
+}
+
+/// Lowered limits, which a crowd reaches within a second.
+pub(crate) const LOWERED: Scale = Scale {
+    memory_mb: 48,
+    descriptors: 400,
+    body_bytes: 100_000,
+    piece_bytes: 11_111,
+    small_chunks: 2_000,
+    requests: 100,
+    send_timeout: Duration::from_secs(2),
+};
+
+/// Limits of the smallest instance of the deployments.
+pub(crate) const SMALLEST: Scale = Scale {
+    memory_mb: 120,
+    descriptors: 3_075,
+    body_bytes: 262_144,
+    piece_bytes: 13_797,
+    small_chunks: 262_143,
+    requests: 100_000,
+    send_timeout: Duration::from_secs(20),
+};
+
 /// Time after which a request that gets no response fails the test.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Timeout of one attempt of an ordinary request, and the delay before the next.
@@ -31,6 +66,7 @@
 pub(crate) struct Instance {
     child: Child,
     pub(crate) callers: SocketAddr,
+    scale: Scale,
     most_descriptors: u64,
     calls: u64,
     _store: Arc<StandinStore>,
@@ -40,9 +76,9 @@
 
 impl Instance {
     /// Starts an instance and waits until it accepts jobs.
-    pub(crate) async fn start() -> Self {
+    pub(crate) async fn start(scale: Scale) -> Self {
         let store = StandinStore::new();
-        publish_queues(&store, 1, &[]);
+        publish(&store, scale.body_bytes);
         let (store_address, server) = store.start(0).await.unwrap();
         // No other process listens on the loopback address that belongs to the process id.
         let [_, a, b, c] = std::process::id().to_be_bytes();
@@ -61,8 +97,10 @@
         };
         let dir = TempDir::new().unwrap();
         let path = dir.path().join("settings.toml");
-        let limits =
-            format!("[limits]\nmemoryMb = {MEMORY_MB}\nfileDescriptors = {FILE_DESCRIPTORS}\n");
+        let limits = format!(
+            "[limits]\nmemoryMb = {}\nfileDescriptors = {}\n",
+            scale.memory_mb, scale.descriptors
+        );
         std::fs::write(&path, settings.render().replace("[limits]\n", &limits)).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_kingcupwinchd"))
             .arg("node")
@@ -75,6 +113,7 @@
         let mut instance = Instance {
             child,
             callers: settings.callers,
+            scale,
             most_descriptors: 0,
             calls: 0,
             _store: store,
@@ -102,10 +141,11 @@
     }
 
     /// Counts the open descriptors.
-    pub(crate) fn observe(&mut self) {
+    pub(crate) fn observe(&mut self) -> u64 {
         let path = format!("/proc/{}/fd", self.child.id());
         let open = std::fs::read_dir(path).map_or(0, Iterator::count) as u64;
         self.most_descriptors = self.most_descriptors.max(open);
+        open
     }
 
     /// Checks that the process is alive and stayed within its limits.
@@ -116,11 +156,14 @@
         let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
         let peak: u64 = peak.unwrap().trim_end_matches("kB").trim().parse().unwrap();
         let most = self.most_descriptors;
+        // 100 of 120 MB, the target for the smallest instances.
+        let allowed = self.scale.memory_mb * 1_000 * 100 / 120;
+        let descriptors = self.scale.descriptors;
         println!("peak resident {peak} kB, {most} descriptors");
         assert!(
-            peak < MAX_RESIDENT_KB && most < FILE_DESCRIPTORS,
-            "peak resident {peak} kB (allowed {MAX_RESIDENT_KB}), \
-             {most} descriptors (allowed {FILE_DESCRIPTORS})"
+            peak < allowed && most < descriptors,
+            "peak resident {peak} kB (allowed {allowed}), \
+             {most} descriptors (allowed {descriptors})"
         );
     }
 }
@@ -133,6 +176,18 @@
     }
 }
 
+/// Publishes a configuration with a queue and the largest body that it allows.
+fn publish(store: &StandinStore, body_bytes: usize) {
+    let config = serde_json::json!({
+        "version": 1,
+        "routes": [{"name": "queue", "host": HOST, "pathPrefix": PREFIX, "service": "s"}],
+        "limits": {"maxBodyBytes": body_bytes},
+    });
+    let record = frame(&keyed_record("config", config.to_string().as_bytes()));
+    let appended = store.with_log(|log| log.append("keyed.op", 0, record, None, None));
+    assert!(appended.is_ok());
+}
+
 /// Submits a job on a new connection; returns whether it was accepted.
 async fn submit(address: SocketAddr, number: u64) -> std::io::Result<bool> {
     let mut stream = TcpStream::connect(address).await?;
