Rank customers by their weighted shares

The order of steps needs the place of a customer while capacity is short. ShareTable gives it from what the customers with work have running: equal for those within their weighted share of the resource they use most, then by use in percent of the share. The order of steps does not use the table yet.

--- a/crates/kingcupwinch-cell/src/customer.rs
+++ b/crates/kingcupwinch-cell/src/customer.rs
@@ -63,6 +63,16 @@
         !self.is_known && customer.is_some()
     }
 
+    /// Returns whether any version in force so far has named a customer.
+    pub(crate) fn has_any(&self) -> bool {
+        !self.policies.is_empty()
+    }
+
+    pub(crate) fn weight(&self, customer: Option<&Arc<str>>) -> f64 {
+        let policy = customer.and_then(|name| self.policies.get(name));
+        policy.map_or(DEFAULT_WEIGHT, |policy| policy.weight)
+    }
+
     /// Returns the cap of a customer, if it has one.
     pub(crate) fn rule(&self, customer: Option<&Arc<str>>) -> Option<CapRule> {
         let cap = self.policies.get(customer?)?.cap;
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -21,6 +21,7 @@
 mod record;
 mod run;
 mod run_time;
+mod share;
 mod spec;
 mod tasks;
 mod worker;
@@ -42,6 +43,7 @@
 pub use record::{JobRecord, LeftRuns, PartKey, Placement, RecordError, WorkerRecord};
 pub use run::{EndReason, RunEnd, StartOutcome};
 pub use run_time::RunTimeRecord;
+pub use share::{ShareRank, ShareTable};
 pub use spec::{AdviceCost, JobSpec, QueuePolicy, Resources, Schedule, StepSpec};
 pub use worker::{
     PollFailure, Registration, RunningTask, WorkerKey, WorkerPoll, WorkerStatus, longest_expiry,
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -29,6 +29,7 @@
 mod restarts;
 mod run_times;
 mod set_aside;
+mod shares;
 mod shrinking;
 mod speculation;
 mod takeover;
