Log one event for a gang that a cap withdraws

A gang whose placements waited for the log while the cap was lowered gave one event for each of its members, since those that its first member withdraws were counted as well. Only planned runs count now.

--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -149,12 +149,12 @@
                 continue;
             };
             let is_unsent = matches!(run.state, RunState::Planned | RunState::Withdrawn);
-            let worker = run.worker;
+            let (worker, is_planned) = (run.worker, run.state == RunState::Planned);
             if !is_unsent {
                 continue;
             }
             let is_within_cap = self.is_within_cap(key);
-            if !is_within_cap {
+            if !is_within_cap && is_planned {
                 self.note_cap_withdrawal(key);
             }
             if !is_within_cap || self.workers[worker].is_over_capacity() {
--- a/crates/kingcupwinch-cell/tests/cell/caps.rs
+++ b/crates/kingcupwinch-cell/tests/cell/caps.rs
@@ -131,6 +131,23 @@
     assert_eq!(events.iter().filter(is_withdrawal).count(), 2);
 }
 
+/// A gang must not start in part, and is one decision.
+#[test]
+fn a_gang_that_waits_for_the_log_is_withdrawn_whole() {
+    let mut harness = with_cap(4, 8);
+    harness.submit(1, owned(vec![gang(4, 2)]));
+    harness.decide_without_log();
+    harness.cell.set_customers(&[capped(6)]);
+    harness.append_records();
+    assert!(harness.starts.is_empty());
+    assert_eq!(harness.cell.counters().cap_withdrawals, 1);
+    harness.run_round();
+    assert!(harness.running().is_empty());
+    harness.cell.set_customers(&[capped(8)]);
+    harness.run_round();
+    assert_eq!(harness.running().len(), 4);
+}
+
 /// A customer that a version no longer names must not become free of its cap.
 #[test]
 fn a_customer_that_is_no_longer_named_keeps_its_cap() {
--- a/crates/kingcupwinch-node/src/events.rs
+++ b/crates/kingcupwinch-node/src/events.rs
@@ -132,6 +132,7 @@
     /// An order to change the pace of a best-effort task was sent to a worker.
     PaceSent = "1712", "pace order sent";
     /// A step of a customer waits since the customer is at its cap, at most once a second per customer.
+    /// Without a version, the cap is not known yet.
     CapReached = "1720", "customer at its cap";
     /// A gang is larger than its customer's cap, once per customer and version of the configuration.
     CapExcludes = "1721", "work can never start under the cap of its customer";
