--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -22,6 +22,7 @@
 mod requester;
 mod run;
 mod run_time;
+mod share;
 mod spec;
 mod tasks;
 mod worker;
@@ -44,6 +45,7 @@
 pub use requester::Requester;
 pub use run::{EndReason, RunEnd, StartOutcome};
 pub use run_time::RunTimeRecord;
+pub use share::{ShareRank, ShareTable};
 pub use spec::{AdviceCost, JobSpec, QueuePolicy, Resources, Schedule, StepSpec};
 pub use worker::{
     PollFailure, Registration, RunningTask, WorkerKey, WorkerPoll, WorkerStatus, longest_expiry,
