Put overdue steps first within their priority

Cause: the floor for steps that have waited for 9 s ended once their priority had a tenth of the CPU. Change: a step that has waited for 9 s goes before the others of its priority, whatever the floor.

--- a/crates/kingcupwinch-cell/src/placement/order.rs
+++ b/crates/kingcupwinch-cell/src/placement/order.rs
@@ -4,8 +4,9 @@
 //! job can still be worth something; steps whose jobs can't come last. Among steps of one priority,
 //! those on time come before late ones, and else the one with the least slack is first.
 //!
-//! A floor keeps less urgent queues from starving: a step that has waited for [`MAX_WAIT`] goes before
-//! more urgent ones while its priority has less than [`FLOOR_SHARE`] of its service's CPU.
+//! A floor keeps steps from starving: one that has waited for [`MAX_WAIT`] goes before the others of its
+//! priority, and before more urgent ones while its priority has less than [`FLOOR_SHARE`] of its
+//! service's CPU.
 
 use std::cmp::Ordering;
 use std::sync::Arc;
@@ -52,6 +53,8 @@
 pub(super) struct Urgency {
     class: Class,
     priority: u32,
+    /// Whether the step has waited for less than [`MAX_WAIT`].
+    is_recent: bool,
     share: ShareRank,
 }
 
@@ -100,6 +103,7 @@
                     Class::Worthwhile
                 },
                 priority: self.jobs[step.job].spec.policy.priority,
+                is_recent: !step.is_overdue(now),
                 share: ShareRank::default(),
             };
         }
