Stop less urgent tasks for steps that have no room

Cause: a step of an urgent queue that found no room waited for the end of runs of less urgent queues, although these had slack to run again. Change: placement/preemption.rs stops tasks of less urgent queues for a step that is on time, has waited for 1 s, holds tickets and can wait for a stop. Jobs of stopped tasks stay on time or are worth nothing; members of gangs, long-running tasks and steps with max_unavailable are left alone, as are tasks that were interrupted before. The least work since the last checkpoint is lost first, less than the work of the step that gets the room, within a fiftieth of the CPU. A gang gets room for all members or none. Polls now show when a checkpoint was saved. Room is kept as for moves.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -28,7 +28,7 @@
 use crate::id::{JobId, TaskName};
 use crate::job::{Job, JobKey, JobState, TaskState};
 use crate::mechanism::{Disabled, Mechanism};
-use crate::placement::{KeptPlace, WaitBudget};
+use crate::placement::{Budgets, KeptPlace};
 use crate::record::{JobRecord, PartKey, RecordLayout, WorkerRecord};
 use crate::run::{Run, RunKey};
 use crate::run_time::{RunTimeRecord, RunTimes};
@@ -158,7 +158,7 @@
     pub(crate) actions: Vec<Action>,
     /// Conclusions that were not taken for the log yet.
     events: Vec<CellEvent>,
-    pub(crate) wait_budget: WaitBudget,
+    pub(crate) budgets: Budgets,
     crash_log: CrashLog,
     /// Whether the start of a worker's process is to be recorded for a later owner.
     is_start_unrecorded: bool,
@@ -220,7 +220,7 @@
             next_call: 0,
             actions: Vec::new(),
             events: Vec::new(),
-            wait_budget: WaitBudget::default(),
+            budgets: Budgets::default(),
             crash_log: CrashLog::default(),
             is_start_unrecorded: false,
             speculative_jobs: FxHashSet::default(),
--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -196,6 +196,7 @@
             progressed_at: now,
             missed_listings: 0,
             is_whole: false,
+            saved: None,
             pace: None,
             pace_retry_at: Time::ZERO,
         });
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -32,7 +32,7 @@
 pub use crash::{Crash, Evidence};
 pub use customer::{CustomerPolicy, ResourceCap};
 pub use election::{Claim, ElectionStep, ElectionTimers, GroupRecord, Member, OwnerElection};
-pub use event::{CellEvent, CrashCause, SettleCause, StepWait};
+pub use event::{CellEvent, CrashCause, SettleCause, StepPreempts, StepWait};
 pub use id::{JobId, TaskName};
 pub use job::JobState;
 pub use mechanism::{Disabled, Mechanism};
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -24,6 +24,7 @@
 mod order_load;
 mod overload;
 mod paces;
+mod preemption;
 mod progress_log;
 mod replaced;
 mod restarts;
--- a/crates/kingcupwinch-node/src/events.rs
+++ b/crates/kingcupwinch-node/src/events.rs
@@ -131,6 +131,8 @@
     TaskGivenUp = "1711", "task given up, since workers crashed under it";
     /// An order to change the pace of a best-effort task was sent to a worker.
     PaceSent = "1712", "pace order sent";
+    /// Tasks are stopped for a more urgent step.
+    StepPreempts = "1717", "tasks are stopped for a more urgent step";
     /// A worker registered in the directory.
     WorkerListed = "1801", "worker listed";
     /// A worker left the directory.
