--- a/crates/kingcupwinch-cell/src/mechanism.rs
+++ b/crates/kingcupwinch-cell/src/mechanism.rs
@@ -51,6 +51,10 @@
     CallerHealth = "caller-health";
     /// Steps of more urgent queues first, with a floor for the others.
     PriorityOrder = "priority-order";
+    /// First calls to the adviser about gangs that have only a part of their room.
+    GangVerdicts = "gang-verdicts";
+    /// Tasks of less urgent queues that are stopped for more urgent ones.
+    Preemption = "preemption";
 }
 
 impl fmt::Display for Mechanism {
--- a/crates/kingcupwinch-node/src/events.rs
+++ b/crates/kingcupwinch-node/src/events.rs
@@ -141,6 +141,8 @@
     TaskGivenUp = "1711", "task given up, since workers crashed under it";
     /// An order to change the pace of a best-effort task was sent to a worker.
     PaceSent = "1712", "pace order sent";
+    /// Tasks are stopped for a more urgent step.
+    StepPreempts = "1717", "tasks are stopped for a more urgent step";
     /// A step of a customer waits since the customer is at its cap, at most once a second per customer.
     /// Without a version, the cap is not known yet.
     CapReached = "1720", "customer at its cap";
