Sum up the work that is asked about once a round, and order by shares

The sum is now kept for a round. Steps of one priority come by the shares of their customers, which nothing used yet.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -1,6 +1,7 @@
 //! The state of a cell and the events that change it.
 
 mod advice_calls;
+mod asked_work;
 mod caps;
 mod crash_weights;
 mod crashes;
@@ -159,6 +160,7 @@
     /// The share of workers that the adviser of each queue allowed of those it was asked about.
     allowed_shares: FxHashMap<Arc<str>, ShareEstimate>,
     pub(crate) customers: Customers,
+    asked_work: asked_work::AskedWork,
     /// Runs of jobs that had ended before a takeover.
     inherited_runs: Vec<left_runs::InheritedRuns>,
     pub(crate) run_times: RunTimes,
@@ -224,6 +226,7 @@
             runs_by_name: FxHashMap::default(),
             allowed_shares: FxHashMap::default(),
             customers: Customers::default(),
+            asked_work: asked_work::AskedWork::default(),
             inherited_runs: Vec::new(),
             run_times: RunTimes::default(),
             advice_callers: AdviceCallers::default(),
--- a/crates/kingcupwinch-cell/src/cell/caps.rs
+++ b/crates/kingcupwinch-cell/src/cell/caps.rs
@@ -80,14 +80,8 @@
     /// adviser is being asked.
     pub(crate) fn cap_usage_with_asked(&self, key: JobKey, slot: usize) -> Usage {
         let mut usage = self.cap_usage(key, slot);
-        for (job, step) in self.asked_steps() {
-            let is_other = (job, step) != (key, slot);
-            if is_other && self.customer(job) == self.customer(key) {
-                let waiting = self.jobs[job].steps[step].waiting as u64;
-                let charge = self.jobs[job].step_spec(step).resources;
-                usage.add(charge.times(waiting), waiting);
-            }
-        }
+        let asked = self.other_asked_work(key, slot);
+        usage.add(asked.used, asked.runs);
         usage
     }
 }
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -72,6 +72,7 @@
         let mut pools = self.usable_workers(now);
         self.mark_suspect_workers(&mut pools);
         self.reserve_kept_places(&mut pools, now);
+        self.count_asked_work();
         let steps = self.ready_steps(&pools, now);
         let is_other = |step: &ReadyStep| !step.is_long_running;
         let first_other = steps.iter().position(is_other).unwrap_or(steps.len());
@@ -299,6 +300,7 @@
         if self.place_run(key, place, number, worker, now).is_none() {
             return false;
         }
+        self.note_asked_start(key, place.0);
         let spec = self.jobs[key].step_spec(place.0);
         let is_latency_sensitive = spec.latency_sensitive;
         let is_sharing = spec.best_effort && pool.candidates[candidate].has_latency_sensitive;
--- a/crates/kingcupwinch-cell/src/placement/advice.rs
+++ b/crates/kingcupwinch-cell/src/placement/advice.rs
@@ -86,14 +86,14 @@
         let Some(cost) = job.spec.policy.advice else {
             return;
         };
-        let Some(ready) = &self.within_cap(ready) else {
-            return;
-        };
         let step = &job.steps[ready.step];
         let may_call = !step.tickets.is_call_pending() && step.tickets.next_call <= now;
         if !may_call || !self.advice_callers.has_free(call_time(&cost, 1), now) {
             return;
         }
+        let Some(ready) = &self.within_cap(ready) else {
+            return;
+        };
         let spec = job.step_spec(ready.step);
         let need = if spec.gang {
             step.tasks.len() as f64
@@ -167,6 +167,7 @@
             .collect();
         let tickets = &mut self.jobs[ready.job].steps[ready.step].tickets;
         tickets.note_call(now);
+        self.add_asked_step(ready.job, ready.step);
         let caller = (Arc::clone(&instance), deadline);
         let workers = workers.to_vec();
         let call = self.add_advice_call(ready.job, ready.step, workers, caller, original);
--- a/crates/kingcupwinch-cell/src/share.rs
+++ b/crates/kingcupwinch-cell/src/share.rs
@@ -122,7 +122,6 @@
 impl Cell {
     /// Builds the table of the customers that have work. It is empty while no customer is known, so that
     /// all steps count alike.
-    #[expect(dead_code, reason = "the order of steps does not use it yet")]
     pub(crate) fn share_table(&self) -> ShareTable {
         if !self.customers.has_any() {
             return ShareTable::default();
