Record a worker again whenever its record changes

Cause: the list of workers was written again for a new process or a new address only. An address that was recorded as unknown, since a restarted worker responded before its entry was read, stayed so once the entry was read or the worker had responded. The next owner took it for disputed, didn't accept a 421 from it, and waited for its leases. Change: each response and each entry compares the worker's record before and after, and the list is written again if they differ. Test: the generated scenarios compare the recorded list with what the owner knows, each time it takes a batch.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -160,8 +160,8 @@
     events: Vec<CellEvent>,
     pub(crate) wait_budget: WaitBudget,
     crash_log: CrashLog,
-    /// Whether the start of a worker's process is to be recorded for a later owner.
-    is_start_unrecorded: bool,
+    /// Whether a worker's record for a later owner has changed since the records were last taken.
+    are_workers_changed: bool,
     /// Jobs that have speculative steps, long-running steps, or a schedule.
     speculative_jobs: FxHashSet<JobKey>,
     pub(crate) long_running_jobs: FxHashSet<JobKey>,
@@ -222,7 +222,7 @@
             events: Vec::new(),
             wait_budget: WaitBudget::default(),
             crash_log: CrashLog::default(),
-            is_start_unrecorded: false,
+            are_workers_changed: false,
             speculative_jobs: FxHashSet::default(),
             long_running_jobs: FxHashSet::default(),
             scheduled_jobs: FxHashSet::default(),
@@ -340,7 +340,7 @@
         now: Time,
     ) -> WorkerKey {
         if let Some(&key) = self.workers_by_id.get(&entry.id) {
-            self.workers[key].update_registration(entry);
+            self.change_worker(key, |worker| worker.update_registration(entry));
             return key;
         }
         let id = Arc::clone(&entry.id);
--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -63,6 +63,7 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
+        let recorded = worker.to_record();
         let is_restarted = worker.registration.is_restart(status.started_ms);
         let responded_ms = worker.responded_start();
         let known_ms = worker.registration.started_ms;
@@ -79,7 +80,7 @@
         }
         let worker = &mut self.workers[key];
         worker.note_response(status.clock_ms, now);
-        self.is_start_unrecorded |= worker.responded_start() != responded_ms;
+        self.are_workers_changed |= worker.to_record() != recorded;
         self.apply_running(key, &status.running, now);
         self.adapt_paces(key, &status.running, now);
         let are_all_applied = self.apply_ends(key, &status.ended, now);
--- a/crates/kingcupwinch-cell/src/cell/records.rs
+++ b/crates/kingcupwinch-cell/src/cell/records.rs
@@ -231,17 +231,20 @@
 
     /// Returns the workers as they are recorded for a later owner.
     pub fn worker_records(&self) -> Vec<WorkerRecord> {
-        let to_record = |worker: &Worker| WorkerRecord {
-            id: Arc::clone(&worker.registration.id),
-            address: worker.address_to_record(),
-            started_ms: worker.responded_start(),
-        };
-        self.workers.values().map(to_record).collect()
+        self.workers.values().map(Worker::to_record).collect()
+    }
+
+    /// Changes a worker, and notes whether its record for a later owner changes with it.
+    pub(super) fn change_worker(&mut self, key: WorkerKey, change: impl FnOnce(&mut Worker)) {
+        let worker = &mut self.workers[key];
+        let recorded = worker.to_record();
+        change(worker);
+        self.are_workers_changed |= worker.to_record() != recorded;
     }
 
-    /// Returns whether a worker's process has responded for the first time since the last call, so
-    /// that the records of the workers are outdated.
+    /// Returns whether the record of a known worker has changed since the last call, by a response or
+    /// by an entry of the directory, so that the recorded list of workers is outdated.
     pub fn take_worker_changes(&mut self) -> bool {
-        std::mem::take(&mut self.is_start_unrecorded)
+        std::mem::take(&mut self.are_workers_changed)
     }
 }
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -7,6 +7,7 @@
 use crate::event::SettleCause;
 use crate::id::TaskName;
 use crate::pace::PaceControl;
+use crate::record::WorkerRecord;
 use crate::run::{RunEnd, RunKey};
 use crate::run_time::WorkerPace;
 use crate::spec::{Resources, StepSpec};
@@ -276,7 +277,7 @@
     /// Returns the address to record for a later owner. It is empty if the address is unknown: the
     /// directory names another one than the last owner recorded and the worker has not responded, or
     /// the entry is not that of the process that responded.
-    pub(crate) fn address_to_record(&self) -> Arc<str> {
+    fn address_to_record(&self) -> Arc<str> {
         let address = &self.registration.address;
         let is_disputed = match &self.recorded_address {
             Some(recorded) => recorded != address,
@@ -289,6 +290,15 @@
         }
     }
 
+    /// Builds the record for a later owner.
+    pub(crate) fn to_record(&self) -> WorkerRecord {
+        WorkerRecord {
+            id: Arc::clone(&self.registration.id),
+            address: self.address_to_record(),
+            started_ms: self.responded_start(),
+        }
+    }
+
     /// Returns whether the address is that of the process that responded, if one did. An entry of
     /// another process under the same id may name another address. Without an entry, the process
     /// has responded at the recorded address.
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/checks.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/checks.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use kingcupwinch_cell::{EndReason, JobId, JobSpec, JobState, TaskName};
+use kingcupwinch_cell::{EndReason, JobId, JobSpec, JobState, TaskName, WorkerRecord};
 use kingcupwinch_time::Time;
 
 use super::log::Log;
@@ -319,6 +319,18 @@
         self.fail("an accepted job is known", Some(id), "not known".to_owned());
     }
 
+    /// An owner takes a batch of records for the log. A worker whose recorded address stays unknown, or
+    /// whose recorded start stays that of an earlier process, has the next owner wait for its leases.
+    pub(super) fn recorded_workers(&mut self, recorded: &[WorkerRecord], current: &[WorkerRecord]) {
+        let outdated = recorded.iter().find_map(|row| {
+            let now = current.iter().find(|now| now.id == row.id && *now != row)?;
+            Some(format!("{row:?} is recorded, {now:?} is known"))
+        });
+        if let Some(text) = outdated {
+            self.fail("the records of workers are current", None, text);
+        }
+    }
+
     pub(super) fn overloaded(&mut self, task: TaskName, worker: usize, cpu: u64) {
         let text = format!("{task} brings worker {worker} to {cpu}");
         self.fail("no worker over its capacity", Some(task.job), text);
--- a/crates/kingcupwinch-cell/tests/cell/lifecycle/owner.rs
+++ b/crates/kingcupwinch-cell/tests/cell/lifecycle/owner.rs
@@ -112,6 +112,8 @@
     /// Whether the batch on its way is the last one, because the owner retired before.
     is_last_batch: bool,
     is_worker_list_dirty: bool,
+    /// The list of workers that this owner recorded last.
+    recorded_workers: Vec<WorkerRecord>,
     polls: BTreeMap<WorkerKey, PollLoop>,
     intake: Reader,
     directory: Reader,
@@ -247,6 +249,7 @@
             writer: Writer::Waiting(now),
             is_last_batch: false,
             is_worker_list_dirty: true,
+            recorded_workers: Vec::new(),
             polls: BTreeMap::new(),
             intake: Reader {
                 offset: self.log.intake.len(),
@@ -458,6 +461,12 @@
         let is_dirty = std::mem::take(&mut owner.is_worker_list_dirty);
         let has_changes = owner.cell.take_worker_changes();
         let workers = (is_dirty || has_changes).then(|| owner.cell.worker_records());
+        if let Some(workers) = &workers {
+            owner.recorded_workers.clone_from(workers);
+        }
+        let current = owner.cell.worker_records();
+        self.checks
+            .recorded_workers(&owner.recorded_workers, &current);
         owner.is_last_batch = owner.is_retired;
         if records.is_empty() && workers.is_none() {
             owner.writer = Writer::Reporting;
