Check a start again when its order is sent

Cause: a placement waits for the log, and before its order went out only the capacity and whether the worker is usable were checked again. A worker that came back as another kind or for another service got a task that it must not run, and expired tickets were sent. Change: may_start, in a module of its own, checks that the worker is usable, its service, the label, the capacity and the ticket, when a run is placed and when its order is sent. The ticket that is sent is the newest one.

--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -1,5 +1,7 @@
 //! The life cycle of runs: placed, ordered, stopped and settled.
 
+mod start_check;
+
 use std::sync::Arc;
 
 use kingcupwinch_time::{Span, Time};
@@ -11,6 +13,8 @@
 use crate::run::{NewRun, Run, RunKey, RunState, StartOutcome};
 use crate::worker::WorkerKey;
 
+use start_check::PlannedStart;
+
 /// How long a stop order may remain unanswered before it is sent again.
 const STOP_RETRY: Span = Span::from_millis(600);
 
@@ -75,9 +79,9 @@
 }
 
 impl Cell {
-    /// Places a run of a task, given by its slot and index, on a worker that has capacity for it.
-    /// The start order is sent once the placement is in the log, so that a later owner knows of
-    /// every run that may exist. Returns `None` if the worker's clock is unknown.
+    /// Places a run of a task, given by its slot and index, on a worker. The start order is sent once
+    /// the placement is in the log, so that a later owner knows of every run that may exist. Returns
+    /// `None` if the run may not start there or the worker's clock is unknown.
     pub(crate) fn place_run(
         &mut self,
         key: JobKey,
@@ -87,6 +91,13 @@
         now: Time,
     ) -> Option<RunKey> {
         let (step, index) = place;
+        let start = PlannedStart {
+            job: key,
+            step,
+            worker,
+            run: None,
+        };
+        self.may_start(start, now).ok()?;
         let lease_until = self.workers[worker].grant_lease(now, self.timers.max_lease)?;
         let job = &self.jobs[key];
         let name = job.task_name(step, index);
@@ -153,23 +164,35 @@
         }
     }
 
-    /// Sends a start order, unless its run was withdrawn or its worker became unusable since the
-    /// placement.
+    /// Sends a start order, unless its run was withdrawn or may no longer start on its worker.
     fn send_start(&mut self, run: RunKey, mut order: StartOrder, now: Time) {
-        let state = self.runs.get(run).map(|run| run.state);
-        if state != Some(RunState::Planned) {
+        let planned = self.runs.get(run);
+        let Some(planned) = planned.filter(|run| run.state == RunState::Planned) else {
             return;
-        }
-        let worker = &mut self.workers[order.worker];
+        };
+        let (job, worker) = (planned.job, order.worker);
+        let step = self.jobs[job].slot(planned.name);
+        let start = PlannedStart {
+            job,
+            step,
+            worker,
+            run: Some(run),
+        };
         // No lease is granted for an order that isn't sent: it would put off the expiry of all.
-        let lease_until = worker
-            .is_usable(now)
-            .then(|| worker.grant_lease(now, self.timers.max_lease));
-        let Some(lease_until) = lease_until.flatten() else {
+        let lease_until = match self.may_start(start, now) {
+            Ok(()) => self.workers[worker].grant_lease(now, self.timers.max_lease),
+            Err(obstacle) => {
+                self.note_discarded_start(run, obstacle, now);
+                None
+            }
+        };
+        let Some(lease_until) = lease_until else {
             self.discard_run(run, now);
             return;
         };
         order.lease_until = lease_until;
+        let tickets = &self.jobs[job].steps[step].tickets;
+        order.ticket = tickets.valid_ticket(worker, now).cloned();
         let state = &mut self.runs[run];
         state.state = RunState::Starting;
         state.started_at = now;
--- a/crates/kingcupwinch-cell/src/event.rs
+++ b/crates/kingcupwinch-cell/src/event.rs
@@ -153,6 +153,19 @@
         /// The crashes.
         crashes: Vec<Crash>,
     },
+    /// A run that waited for the log is not started, since its worker has changed meanwhile.
+    StartDiscarded {
+        /// The task.
+        task: TaskName,
+        /// The run number.
+        run: u32,
+        /// The id of the worker.
+        worker: Arc<str>,
+        /// What prevents the start.
+        cause: &'static str,
+        /// The time since the run was placed.
+        age: Span,
+    },
     /// Tasks of a step have waited for long although they could start.
     StepWaits(StepWait),
 }
--- a/crates/kingcupwinch-cell/src/fit.rs
+++ b/crates/kingcupwinch-cell/src/fit.rs
@@ -21,6 +21,8 @@
 /// Why none of a step's tasks can start on a worker now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Obstacle {
+    /// The worker takes no new work, or runs another service.
+    Unusable,
     /// The worker lacks the label that the step requires.
     Label,
     /// The adviser does not allow the worker.
@@ -40,6 +42,21 @@
 }
 
 impl Obstacle {
+    /// Returns the label for log events.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Obstacle::Unusable => "unusable",
+            Obstacle::Label => "label",
+            Obstacle::Denied => "denied",
+            Obstacle::Quarantine => "quarantine",
+            Obstacle::Pace => "pace",
+            Obstacle::Isolation => "isolation",
+            Obstacle::Limit => "limit",
+            Obstacle::Capacity => "capacity",
+            Obstacle::Ticket => "ticket",
+        }
+    }
+
     /// Returns whether the obstacle stays for as long as the worker and the step are there.
     pub(crate) fn is_permanent(self) -> bool {
         matches!(self, Obstacle::Label | Obstacle::Denied)
--- a/crates/kingcupwinch-cell/src/placement/waits.rs
+++ b/crates/kingcupwinch-cell/src/placement/waits.rs
@@ -106,7 +106,7 @@
                 Ok(_) => &mut wait.startable,
                 Err(Obstacle::Label) => &mut wait.unlabelled,
                 Err(Obstacle::Denied) => &mut wait.denied,
-                Err(Obstacle::Quarantine) => &mut wait.unusable,
+                Err(Obstacle::Unusable | Obstacle::Quarantine) => &mut wait.unusable,
                 Err(Obstacle::Pace) => &mut wait.slow,
                 Err(Obstacle::Isolation) => &mut wait.isolated,
                 Err(Obstacle::Limit) => &mut wait.at_limit,
--- a/crates/kingcupwinch-node/src/events.rs
+++ b/crates/kingcupwinch-node/src/events.rs
@@ -131,6 +131,8 @@
     TaskGivenUp = "1711", "task given up, since workers crashed under it";
     /// An order to change the pace of a best-effort task was sent to a worker.
     PaceSent = "1712", "pace order sent";
+    /// A run that waited for the log is not started, since its worker has changed meanwhile.
+    StartDiscarded = "1713", "start discarded before its order was sent";
     /// A worker registered in the directory.
     WorkerListed = "1801", "worker listed";
     /// A worker left the directory.
--- a/crates/kingcupwinch-node/src/owner/cell_events.rs
+++ b/crates/kingcupwinch-node/src/owner/cell_events.rs
@@ -84,6 +84,17 @@
                         "workers" => workers.join(" ")),
                 );
             }
+            CellEvent::StartDiscarded {
+                task,
+                run,
+                worker,
+                cause,
+                age,
+            } => log.write(
+                Event::StartDiscarded,
+                o!("task" => task.to_string(), "run" => run, "worker" => worker.to_string(),
+                    "cause" => cause, "placed_ms_ago" => age.as_millis()),
+            ),
             CellEvent::StepWaits(wait) => log.write(
                 Event::StepWaits,
                 o!("step" => wait.step, "queue" => wait.queue.to_string(), "tasks" => wait.tasks,
