Apply max_unavailable to every order that takes a task away

Cause: best-effort tasks were stopped without regard to max_unavailable, when latency-sensitive tasks came to their workers and when a tail stayed over its target. Only moves kept to it. Change: spare_tasks in cell/long_running/availability.rs is the one limit for moves and for both kinds of stops. Best-effort tasks that have to stay begin at the lowest pace beside a latency-sensitive task, and at pace 0 where a tail stays over its target. As for moves, a step that states no limit loses one task at a time. Best-effort tasks that are not long-running are stopped as before. Test: availability.rs draws serving jobs, drains and tails, and checks each stop of a task at work.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -38,8 +38,6 @@
 use crashes::CrashLog;
 use records::PendingAck;
 
-pub(crate) use long_running::READY_PERCENT;
-
 pub use advice_calls::AdviceCallId;
 pub(crate) use advice_calls::NamedWorker;
 pub use paces::PaceOrder;
--- a/crates/kingcupwinch-cell/src/cell/long_running.rs
+++ b/crates/kingcupwinch-cell/src/cell/long_running.rs
@@ -1,10 +1,11 @@
 //! Long-running tasks, which are restarted whenever they end.
 
+mod availability;
+
 use kingcupwinch_time::{Span, Time};
 
 use super::Cell;
 use crate::run::{EndReason, RunKey};
-use crate::worker::WorkerKey;
 
 /// A run of a long-running task that fails sooner than this counts as short.
 const SHORT_RUN_LIMIT: Span = Span::from_millis(2_000);
@@ -14,7 +15,7 @@
 const MAX_BACKOFF_DOUBLINGS: u32 = 3;
 
 /// The progress in percent at which a long-running task is ready.
-pub(crate) const READY_PERCENT: u8 = 100;
+const READY_PERCENT: u8 = 100;
 
 impl Cell {
     /// Records the end of a long-running task's run. Delays the next start if several runs in a row
@@ -40,23 +41,4 @@
             task.not_before = now + RESTART_BACKOFF.times(1 << doublings);
         }
     }
-
-    /// Stops the best-effort tasks of a worker that gets a latency-sensitive task, which they would
-    /// slow down.
-    pub(crate) fn stop_best_effort(&mut self, worker: WorkerKey) {
-        let is_best_effort = |run: &&RunKey| {
-            let run = &self.runs[**run];
-            let job = &self.jobs[run.job];
-            job.step_spec(job.slot(run.name)).best_effort
-        };
-        let best_effort: Vec<RunKey> = self.workers[worker]
-            .runs
-            .iter()
-            .filter(is_best_effort)
-            .copied()
-            .collect();
-        for run in best_effort {
-            self.stop_run(run);
-        }
-    }
 }
--- a/crates/kingcupwinch-cell/src/cell/paces.rs
+++ b/crates/kingcupwinch-cell/src/cell/paces.rs
@@ -37,8 +37,7 @@
         } else {
             let worst = self.worst_tail(key, running);
             if self.workers[key].pace_control.update(worst, now) == PaceVerdict::Stop {
-                self.stop_best_effort(key);
-                return;
+                self.displace_best_effort(key);
             }
         }
         self.send_paces(key, now);
--- a/crates/kingcupwinch-cell/src/pace.rs
+++ b/crates/kingcupwinch-cell/src/pace.rs
@@ -87,6 +87,9 @@
             .is_some_and(|since| now.since(since) >= MAX_OVER)
         {
             self.closed_until = now + CLOSED_TIME;
+            // Tasks that have to stay available are not stopped.
+            self.limit = 0;
+            self.changed_at = now;
             return PaceVerdict::Stop;
         }
         if now.since(self.changed_at) >= CHANGE_INTERVAL
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -506,7 +506,7 @@
             self.begin_sharing(worker, now);
         }
         if is_latency_sensitive && self.uses(Mechanism::Isolation) {
-            self.stop_best_effort(worker);
+            self.isolate(worker, now);
         }
         true
     }
--- a/crates/kingcupwinch-cell/src/placement/moves.rs
+++ b/crates/kingcupwinch-cell/src/placement/moves.rs
@@ -6,10 +6,10 @@
 use kingcupwinch_time::{Span, Time};
 
 use super::{ReadyStep, WorkerPool, WorkerPools};
-use crate::cell::{Cell, READY_PERCENT};
+use crate::cell::Cell;
 use crate::fit::StepDemand;
 use crate::job::{JobKey, TaskState};
-use crate::run::{RunKey, RunState};
+use crate::run::RunKey;
 use crate::worker::WorkerKey;
 
 /// How long a place is kept for a task that moves. The platform lets a stop take up to 0.9 s, and
@@ -107,26 +107,19 @@
         if !spec.long_running || job.end.is_some() {
             return Vec::new();
         }
-        let mut unavailable = 0;
-        let mut moving = Vec::new();
-        for task in job.steps[slot].tasks.iter() {
-            let TaskState::Active(run) = task.state else {
-                unavailable += 1;
-                continue;
-            };
-            let state = &self.runs[run];
-            let worker = &self.workers[state.worker];
-            // What a silent worker runs may be gone.
-            let is_ready = state.state == RunState::Running
-                && state.percent >= READY_PERCENT
-                && worker.failed_polls == 0;
-            unavailable += usize::from(!is_ready);
-            if is_ready && worker.registration.draining {
-                moving.push(run);
-            }
+        let tasks = job.steps[slot].tasks.iter();
+        let active = tasks.filter_map(|task| match task.state {
+            TaskState::Active(run) => Some(run),
+            TaskState::Waiting | TaskState::Done => None,
+        });
+        let is_leaving = |run: &RunKey| {
+            let worker = &self.workers[self.runs[*run].worker];
+            worker.registration.draining && self.is_at_work(*run)
+        };
+        let mut moving: Vec<RunKey> = active.filter(is_leaving).collect();
+        if !moving.is_empty() {
+            moving.truncate(self.spare_tasks(key, slot));
         }
-        let limit = usize::from(spec.max_unavailable.max(1));
-        moving.truncate(limit.saturating_sub(unavailable));
         moving
     }
 
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
 mod advice;
+mod availability;
 mod backlog;
 mod callers;
 mod capacity;
