Add a failing test of crashes of one worker alone

Change: random crashes of the only worker that a task may use, with random losses of the owner, for long-running and batch tasks.

--- a/crates/kingcupwinch-cell/tests/cell/crashes.rs
+++ b/crates/kingcupwinch-cell/tests/cell/crashes.rs
@@ -1,5 +1,6 @@
 //! Tasks that crash the workers that start them.
 
+mod one_worker;
 mod play;
 mod storms;
 
