--- a/crates/kingcupwinch-cell/tests/cell/customers.rs
+++ b/crates/kingcupwinch-cell/tests/cell/customers.rs
@@ -39,6 +39,8 @@
 #[test]
 fn another_customer_cancels_nothing() {
     let mut harness = Harness::new(1, 4);
+    // Work of customers starts once a configuration was read.
+    harness.cell.set_customers(&[]);
     harness.submit(1, job_of("a"));
     harness.run_round();
     let now = harness.now;
@@ -54,6 +56,8 @@
 #[test]
 fn an_early_cancellation_holds_for_its_own_customer_only() {
     let mut harness = Harness::new(1, 4);
+    // Work of customers starts once a configuration was read.
+    harness.cell.set_customers(&[]);
     let now = harness.now;
     for name in ["b", "c"] {
         harness.cell.cancel_for(id(1), &customer(name), now);
@@ -69,6 +73,8 @@
 #[test]
 fn the_customer_of_an_ended_job_survives_a_takeover() {
     let mut harness = Harness::new(1, 4);
+    // Work of customers starts once a configuration was read.
+    harness.cell.set_customers(&[]);
     harness.submit(1, job_of("a"));
     harness.run_round();
     harness.end_all(EndReason::Done);
--- a/crates/kingcupwinch-node/src/owner/cell_events.rs
+++ b/crates/kingcupwinch-node/src/owner/cell_events.rs
@@ -87,6 +87,17 @@
             CellEvent::CapReached(hold) => self.log_hold(Event::CapReached, &hold),
             CellEvent::CapExcludes(hold) => self.log_hold(Event::CapExcludes, &hold),
             CellEvent::CapWithdraws(hold) => self.log_hold(Event::CapWithdraws, &hold),
+            CellEvent::StartDiscarded {
+                task,
+                run,
+                worker,
+                cause,
+                age,
+            } => log.write(
+                Event::StartDiscarded,
+                o!("task" => task.to_string(), "run" => run, "worker" => worker.to_string(),
+                    "cause" => cause, "placed_ms_ago" => age.as_millis()),
+            ),
             CellEvent::StepWaits(wait) => log.write(
                 Event::StepWaits,
                 o!("step" => wait.step, "queue" => wait.queue.to_string(), "tasks" => wait.tasks,
