--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -33,7 +33,7 @@
 use crate::id::{JobId, TaskName};
 use crate::job::{Job, JobKey, JobState, TaskState};
 use crate::mechanism::{Disabled, Mechanism};
-use crate::placement::{Budgets, KeptPlace};
+use crate::placement::{KeptPlace, WaitBudget};
 use crate::record::{JobRecord, PartKey, RecordLayout, WorkerRecord};
 use crate::run::{Run, RunKey};
 use crate::run_time::{RunTimeRecord, RunTimes};
@@ -168,7 +168,7 @@
     pub(crate) actions: Vec<Action>,
     /// Conclusions that were not taken for the log yet.
     events: Vec<CellEvent>,
-    pub(crate) budgets: Budgets,
+    pub(crate) wait_budget: WaitBudget,
     crash_log: CrashLog,
     /// Whether a worker's record for a later owner has changed since the records were last taken.
     are_workers_changed: bool,
@@ -232,7 +232,7 @@
             next_call: 0,
             actions: Vec::new(),
             events: Vec::new(),
-            budgets: Budgets::default(),
+            wait_budget: WaitBudget::default(),
             crash_log: CrashLog::default(),
             are_workers_changed: false,
             speculative_jobs: FxHashSet::default(),
--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -116,7 +116,6 @@
                 state.percent = entry.percent;
                 state.progressed_at = now;
             }
-            state.note_checkpoint(entry.checkpoint.as_ref(), now);
             self.project_run_time(run, now);
             let job = self.runs[run].job;
             if !self.jobs[job].started {
--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -229,7 +229,6 @@
             progressed_at: now,
             missed_listings: 0,
             is_whole: false,
-            saved: None,
             pace: None,
             pace_retry_at: Time::ZERO,
         });
--- a/crates/kingcupwinch-cell/src/event.rs
+++ b/crates/kingcupwinch-cell/src/event.rs
@@ -114,31 +114,6 @@
     pub cap: ResourceCap,
 }
 
-/// Tasks that are stopped for a more urgent step.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct StepPreempts {
-    /// The name of the step.
-    pub step: String,
-    /// The queue.
-    pub queue: Arc<str>,
-    /// The priority of the queue.
-    pub priority: u32,
-    /// What is left until the step can't end in time any more.
-    pub slack: Span,
-    /// The number of tasks that get room.
-    pub tasks: usize,
-    /// The number of runs that are stopped.
-    pub stopped: usize,
-    /// The first of these.
-    pub runs: Vec<TaskName>,
-    /// The work that is lost, in core-milliseconds.
-    pub lost_core_ms: u64,
-    /// What may still be discarded, in core-milliseconds.
-    pub left_core_ms: u64,
-    /// The time since the oldest of the responses of the workers.
-    pub response_age: Span,
-}
-
 /// A conclusion that no single order or response shows.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CellEvent {
@@ -216,8 +191,6 @@
     },
     /// Tasks of a step have waited for long although they could start.
     StepWaits(StepWait),
-    /// Tasks are stopped for a more urgent step.
-    StepPreempts(StepPreempts),
     /// A step of a customer waits since the customer is at its cap.
     CapReached(CapHold),
     /// A step can never start under the cap of its customer.
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -36,7 +36,7 @@
 pub use crash::{Crash, Evidence};
 pub use customer::CustomerPolicy;
 pub use election::{Claim, ElectionStep, ElectionTimers, GroupRecord, Member, OwnerElection};
-pub use event::{CapHold, CellEvent, CrashCause, SettleCause, StepPreempts, StepWait};
+pub use event::{CapHold, CellEvent, CrashCause, SettleCause, StepWait};
 pub use id::{JobId, TaskName};
 pub use job::JobState;
 pub use mechanism::{Disabled, Mechanism};
--- a/crates/kingcupwinch-cell/src/mechanism.rs
+++ b/crates/kingcupwinch-cell/src/mechanism.rs
@@ -53,8 +53,6 @@
     PriorityOrder = "priority-order";
     /// First calls to the adviser about gangs that have only a part of their room.
     GangVerdicts = "gang-verdicts";
-    /// Tasks of less urgent queues that are stopped for more urgent ones.
-    Preemption = "preemption";
 }
 
 impl fmt::Display for Mechanism {
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -11,7 +11,6 @@
 mod moves;
 mod order;
 mod pool;
-mod preemption;
 mod rank;
 mod ready;
 mod suspects;
@@ -28,15 +27,13 @@
 use crate::mechanism::Mechanism;
 
 use pool::{PaceRange, pace_band};
-use preemption::DiscardBudget;
 use rank::CandidateRank;
 use ready::{ReadyStep, Turn};
-use waits::WaitBudget;
 
 pub use caps::CapCounts;
 pub(crate) use moves::KeptPlace;
 pub(crate) use pool::{Candidate, WorkerPool, WorkerPools};
-pub(crate) use waits::WaitState;
+pub(crate) use waits::{WaitBudget, WaitState};
 
 /// How long a job waits for a faster worker, and others wait for a gang, while most of the service is
 /// free. Nothing but the choice of workers is in the way then, and callers expect a start within 3 s.
@@ -46,15 +43,6 @@
 /// step of very many tasks leaves time for the others.
 const MAX_STARTS_OF_STEP: usize = 1_024;
 
-/// What decisions may spend over time.
-#[derive(Debug, Default)]
-pub(crate) struct Budgets {
-    /// The reports of waiting steps.
-    waits: WaitBudget,
-    /// The work that preemption discards.
-    discards: DiscardBudget,
-}
-
 impl Cell {
     /// Runs one round of scheduling and returns the resulting actions.
     pub fn decide(&mut self, now: Time) -> Vec<Action> {
@@ -83,7 +71,6 @@
         self.place_steps(starts, &mut pools, now);
         self.keep_asked_room(starts, &mut pools, now);
         self.place_steps(others, &mut pools, now);
-        self.preempt(others, &mut pools, now);
         self.start_speculative_runs(&mut pools, now);
         self.send_stops(now);
         self.customers.answered.clear();
--- a/crates/kingcupwinch-cell/src/placement/moves.rs
+++ b/crates/kingcupwinch-cell/src/placement/moves.rs
@@ -32,30 +32,6 @@
 }
 
 impl KeptPlace {
-    /// Keeps a place for a task, given by its slot and index, until the run that has it is settled.
-    pub(super) fn new(
-        job: JobKey,
-        (step, index): (usize, usize),
-        run: RunKey,
-        worker: WorkerKey,
-        expires: Time,
-    ) -> Self {
-        KeptPlace {
-            job,
-            step,
-            index,
-            run,
-            worker,
-            expires,
-            is_reserved: false,
-        }
-    }
-
-    /// Returns whether the place is kept for a task of a step, and for which.
-    pub(super) fn index_in(&self, job: JobKey, step: usize) -> Option<usize> {
-        self.is_of(job, step).then_some(self.index)
-    }
-
     fn is_of(&self, job: JobKey, step: usize) -> bool {
         self.job == job && self.step == step
     }
--- a/crates/kingcupwinch-cell/src/placement/waits.rs
+++ b/crates/kingcupwinch-cell/src/placement/waits.rs
@@ -38,7 +38,7 @@
 
 /// The reports of all steps in the current interval.
 #[derive(Debug, Default)]
-pub(super) struct WaitBudget {
+pub(crate) struct WaitBudget {
     interval_end: Time,
     reports: u32,
 }
@@ -66,7 +66,7 @@
         }
         let since = *step.wait.since.get_or_insert(now);
         let is_due = since + REPORT_AGE <= now && step.wait.next_report <= now;
-        if !is_due || !self.budgets.waits.take(now) {
+        if !is_due || !self.wait_budget.take(now) {
             return;
         }
         step.wait.next_report = now + REPORT_INTERVAL;
--- a/crates/kingcupwinch-cell/src/run.rs
+++ b/crates/kingcupwinch-cell/src/run.rs
@@ -73,30 +73,12 @@
     /// Whether this owner saw the run begin without a checkpoint, so that it does the whole work of
     /// its task in the time since.
     pub(crate) is_whole: bool,
-    /// The last checkpoint that a poll showed, and when it was first seen.
-    pub(crate) saved: Option<(Arc<str>, Time)>,
     /// The pace in percent, if it is known, and when an order to change it may be repeated.
     pub(crate) pace: Option<u8>,
     pub(crate) pace_retry_at: Time,
 }
 
 impl Run {
-    /// Notes the checkpoint that a poll shows.
-    pub(crate) fn note_checkpoint(&mut self, checkpoint: Option<&Arc<str>>, now: Time) {
-        let known = self.saved.as_ref().map(|(known, _)| known);
-        if let Some(checkpoint) = checkpoint
-            && known != Some(checkpoint)
-        {
-            self.saved = Some((Arc::clone(checkpoint), now));
-        }
-    }
-
-    /// Returns since when the run has done work that is lost if it is stopped.
-    pub(crate) fn unsaved_since(&self) -> Time {
-        let saved_at = self.saved.as_ref().map(|(_, at)| *at);
-        saved_at.unwrap_or(self.started_at)
-    }
-
     /// Returns whether a best-effort run may be slower than its worker for its pace.
     pub(crate) fn is_paced(&self) -> bool {
         self.pace != Some(FULL_PACE)
--- a/crates/kingcupwinch-node/src/events.rs
+++ b/crates/kingcupwinch-node/src/events.rs
@@ -143,8 +143,6 @@
     PaceSent = "1712", "pace order sent";
     /// A run that waited for the log is not started, since its worker has changed meanwhile.
     StartDiscarded = "1713", "start discarded before its order was sent";
-    /// Tasks are stopped for a more urgent step.
-    StepPreempts = "1717", "tasks are stopped for a more urgent step";
     /// A step of a customer waits since the customer is at its cap, at most once a second per customer.
     /// Without a version, the cap is not known yet.
     CapReached = "1720", "customer at its cap";
--- a/crates/kingcupwinch-node/src/owner/cell_events.rs
+++ b/crates/kingcupwinch-node/src/owner/cell_events.rs
@@ -109,15 +109,6 @@
                     "isolated" => wait.isolated, "unlabelled" => wait.unlabelled,
                     "unusable" => wait.unusable),
             ),
-            CellEvent::StepPreempts(stops) => log.write(
-                Event::StepPreempts,
-                o!("step" => stops.step, "queue" => stops.queue.to_string(),
-                    "priority" => stops.priority, "slack_ms" => stops.slack.as_millis(),
-                    "tasks" => stops.tasks, "stopped" => stops.stopped,
-                    "runs" => stops.runs.iter().map(ToString::to_string).collect::<Vec<_>>().join(" "),
-                    "lost_core_ms" => stops.lost_core_ms, "left_core_ms" => stops.left_core_ms,
-                    "response_age_ms" => stops.response_age.as_millis()),
-            ),
         }
     }
 
