--- a/crates/kingcupwinch-cell/src/mechanism.rs
+++ b/crates/kingcupwinch-cell/src/mechanism.rs
@@ -51,8 +51,6 @@
     CallerHealth = "caller-health";
     /// Steps of more urgent queues first, with a floor for the others.
     PriorityOrder = "priority-order";
-    /// First calls to the adviser about gangs that have only a part of their room.
-    GangVerdicts = "gang-verdicts";
 }
 
 impl fmt::Display for Mechanism {
--- a/crates/kingcupwinch-cell/src/placement/advice.rs
+++ b/crates/kingcupwinch-cell/src/placement/advice.rs
@@ -10,7 +10,6 @@
 use crate::cell::{Action, AdviceCallId, Cell, NamedWorker};
 use crate::fit::{Access, Obstacle, StepDemand};
 use crate::job::Job;
-use crate::mechanism::Mechanism;
 use crate::spec::Resources;
 
 /// The largest number of workers that one call to the adviser names.
@@ -36,11 +35,6 @@
 /// How long a long-running step waits before the room that its call asks about is kept for it. What
 /// is left of the 3 s in which it has to start is enough for two calls.
 const KEPT_ROOM_WAIT: Span = Span::from_millis(1_000);
-/// The part of a gang's room that has to be expected before the first call about it. Which workers may run
-/// a gang never changes. Known before there is room for all members, the verdicts let later calls name
-/// the workers that have room. Behind a deep backlog, room for a part is not found either, and no
-/// call is made.
-const FIRST_CALL_ROOM: f64 = 0.25;
 
 /// How long to wait before considering a call for a step again after too little capacity was found.
 const NO_CAPACITY_BACKOFF: Span = Span::from_millis(30);
@@ -102,12 +96,6 @@
         } else {
             1.0
         };
-        let is_first_of_gang = is_first_call_of_gang(job, ready);
-        let need = if is_first_of_gang && self.uses(Mechanism::GangVerdicts) {
-            need * FIRST_CALL_ROOM
-        } else {
-            need
-        };
         let (options, capacity) = self.advice_options(ready, demand, pool, now);
         // On a full service most steps end here, so nothing is sorted before.
         let workers = if capacity.expected < need {
--- a/crates/kingcupwinch-cell/tests/cell/order_load.rs
+++ b/crates/kingcupwinch-cell/tests/cell/order_load.rs
@@ -362,16 +362,3 @@
         assert!(batch.longest_wait <= MAX_WAIT_MS, "{load:?}: {batch:?}");
     }
 }
-
-/// The own target for the value achieved on deployment N.
-const TARGET_VALUE: f64 = 0.72;
-
-/// Gangs made no call to the adviser while the workers had no room for all members, and so did not know
-/// which few workers to watch.
-#[test]
-fn gangs_are_served_in_a_long_burst() {
-    let gangs = play(&[], [1.7; 3], 12_000)[1];
-    assert!(gangs.value() >= TARGET_VALUE, "{gangs:?}");
-    let without = play(&[Mechanism::GangVerdicts], [1.7; 3], 12_000)[1];
-    assert!(without.value() < gangs.value(), "{without:?}");
-}
