--- a/crates/kingcupwinch-cell/src/placement/order.rs
+++ b/crates/kingcupwinch-cell/src/placement/order.rs
@@ -4,9 +4,6 @@
 //! job can still be worth something; steps whose jobs can't come last. Among steps of one priority,
 //! those on time come before late ones, and else the one with the least slack is first.
 //!
-//! Steps of one priority come by their customers' shares first: those of a customer that uses no more than
-//! its share of the capacity go before those of one that uses more.
-//!
 //! A floor keeps steps from starving: one that has waited for [`MAX_WAIT`] goes before the others of its
 //! priority, and before more urgent ones while its priority has less than [`FLOOR_SHARE`] of its
 //! service's CPU.
@@ -21,7 +18,6 @@
 use super::ready::{ObjectiveStatus, ReadyStep};
 use crate::cell::Cell;
 use crate::mechanism::Mechanism;
-use crate::share::ShareRank;
 
 /// How long a step waits behind more urgent ones before the floor applies to it. Callers of the least
 /// urgent queues accept a fixed part of 3 s in the objective, and an end after three times the
@@ -55,7 +51,6 @@
     priority: u32,
     /// Whether the step has waited for less than [`MAX_WAIT`].
     is_recent: bool,
-    share: ShareRank,
 }
 
 /// The work of one priority on one service.
@@ -93,7 +88,6 @@
         if !self.uses(Mechanism::PriorityOrder) {
             return;
         }
-        let shares = self.share_table();
         for step in &mut *steps {
             step.urgency = Urgency {
                 class: if step.is_long_running {
@@ -105,7 +99,6 @@
                 },
                 priority: self.jobs[step.job].spec.policy.priority,
                 is_recent: !step.is_overdue(now),
-                share: shares.rank(self.customer(step.job)),
             };
         }
         self.apply_floor(steps, pools, now);
--- a/crates/kingcupwinch-cell/src/share.rs
+++ b/crates/kingcupwinch-cell/src/share.rs
@@ -122,6 +122,10 @@
 impl Cell {
     /// Builds the table of the customers that have work. It is empty while no customer is known, so that
     /// all steps count alike.
+    #[expect(
+        dead_code,
+        reason = "the order by shares served callers worse when it was measured"
+    )]
     pub(crate) fn share_table(&self) -> ShareTable {
         if !self.customers.has_any() {
             return ShareTable::default();
