--- a/crates/kingcupwinch-cell/src/mechanism.rs
+++ b/crates/kingcupwinch-cell/src/mechanism.rs
@@ -53,6 +53,12 @@
     PriorityOrder = "priority-order";
 }
 
+impl Mechanism {
+    /// The mechanisms that an instance uses only if it is told to. With the order by priority, callers of
+    /// two deployments were served slightly worse (docs/design/order-under-load.md).
+    pub const OPT_IN: &[Mechanism] = &[Mechanism::PriorityOrder];
+}
+
 impl fmt::Display for Mechanism {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(self.as_str())
--- a/crates/kingcupwinch-node/src/cmd.rs
+++ b/crates/kingcupwinch-node/src/cmd.rs
@@ -29,16 +29,13 @@
                 .help("The settings file that the platform wrote"),
         )
         .arg(
-            Arg::new("without")
-                .long("without")
-                .value_name("MECHANISM")
-                .action(ArgAction::Append)
-                .value_delimiter(',')
-                .value_parser(PossibleValuesParser::new(
-                    Mechanism::ALL.iter().map(|mechanism| mechanism.as_str()),
-                ))
+            mechanism_list("without", Mechanism::ALL)
                 .help("Switch a mechanism off, to measure what it is worth"),
         )
+        .arg(
+            mechanism_list("with", Mechanism::OPT_IN)
+                .help("Switch a mechanism on that is off by default"),
+        )
         .arg(
             Arg::new("check")
                 .long("check")
@@ -47,6 +44,17 @@
         )
 }
 
+/// Builds an option that takes a list of these mechanisms.
+fn mechanism_list(name: &'static str, mechanisms: &'static [Mechanism]) -> Arg {
+    let names = mechanisms.iter().map(|mechanism| mechanism.as_str());
+    Arg::new(name)
+        .long(name)
+        .value_name("MECHANISM")
+        .action(ArgAction::Append)
+        .value_delimiter(',')
+        .value_parser(PossibleValuesParser::new(names))
+}
+
 /// Runs an instance until it is asked to stop.
 ///
 /// The exit code is 0 after a graceful stop, 1 if the instance could not start and 2 for invalid
@@ -83,7 +91,16 @@
 }
 
 fn disabled_mechanisms(matches: &ArgMatches) -> Disabled {
-    let names = matches.get_many::<String>("without").unwrap_or_default();
-    let is_named = |mechanism: &Mechanism| names.clone().any(|name| name == mechanism.as_str());
-    Mechanism::ALL.iter().copied().filter(is_named).collect()
+    let is_named = |option: &str, mechanism: &Mechanism| {
+        let mut names = matches.get_many::<String>(option).unwrap_or_default();
+        names.any(|name| name == mechanism.as_str())
+    };
+    let is_off = |mechanism: &Mechanism| {
+        let is_opt_in = Mechanism::OPT_IN.contains(mechanism);
+        is_named("without", mechanism) || is_opt_in && !is_named("with", mechanism)
+    };
+    Mechanism::ALL.iter().copied().filter(is_off).collect()
 }
+
+#[cfg(test)]
+mod tests;
