--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -1,8 +1,13 @@
 //! The state of a cell and the events that change it.
 
 mod advice_calls;
+mod asked_work;
+mod caps;
 mod crash_weights;
 mod crashes;
+mod early_cancels;
+mod job_states;
+mod left_runs;
 mod long_running;
 mod paces;
 mod polls;
@@ -22,6 +27,7 @@
 use slotmap::SlotMap;
 
 use crate::advice::AdviceCallers;
+use crate::customer::Customers;
 use crate::estimate::ShareEstimate;
 use crate::event::CellEvent;
 use crate::id::{JobId, TaskName};
@@ -35,12 +41,12 @@
 use crate::worker::{PollFailure, Registration, Worker, WorkerKey};
 
 use crashes::CrashLog;
+use early_cancels::EarlyCancels;
 use records::PendingAck;
 
-pub(crate) use long_running::READY_PERCENT;
-
 pub use advice_calls::AdviceCallId;
 pub(crate) use advice_calls::NamedWorker;
+pub use job_states::JobView;
 pub use paces::PaceOrder;
 pub use records::RecordBatch;
 pub use runs::{Action, StartOrder, StopOrder};
@@ -107,6 +113,9 @@
     pub crashes: u64,
     /// Tasks that were given up because of such crashes.
     pub tasks_given_up: u64,
+    /// Runs that were discarded before their orders were sent, since their customers were above their
+    /// caps.
+    pub cap_withdrawals: u64,
 }
 
 /// What the log says about a run that ended.
@@ -134,21 +143,24 @@
     run_base: u32,
     pub(crate) jobs: SlotMap<JobKey, Job>,
     jobs_by_id: FxHashMap<JobId, JobKey>,
-    ended_jobs: FxHashMap<JobId, JobState>,
+    ended_jobs: FxHashMap<JobId, JobView>,
     /// The progress that an earlier owner recorded of jobs whose acceptance was not read yet.
     unaccepted: FxHashMap<JobId, JobRecord>,
     /// When the acceptances of these jobs have certainly been read, if they are in the log.
     accepted_by: Time,
     /// When the final states of jobs expire, in order of time.
     end_expiry: VecDeque<(Time, JobId)>,
-    /// Cancellations that arrived before their jobs, with the time at which each expires.
-    early_cancels: FxHashMap<JobId, Time>,
+    early_cancels: EarlyCancels,
     pub(crate) workers: SlotMap<WorkerKey, Worker>,
     workers_by_id: FxHashMap<Arc<str>, WorkerKey>,
     pub(crate) runs: SlotMap<RunKey, Run>,
     runs_by_name: FxHashMap<(TaskName, u32), RunKey>,
     /// The share of workers that the adviser of each queue allowed of those it was asked about.
     allowed_shares: FxHashMap<Arc<str>, ShareEstimate>,
+    pub(crate) customers: Customers,
+    asked_work: asked_work::AskedWork,
+    /// Runs of jobs that had ended before a takeover.
+    inherited_runs: Vec<left_runs::InheritedRuns>,
     pub(crate) run_times: RunTimes,
     pub(crate) advice_callers: AdviceCallers,
     advice_calls: FxHashMap<AdviceCallId, advice_calls::AdviceCall>,
@@ -158,8 +170,8 @@
     events: Vec<CellEvent>,
     pub(crate) wait_budget: WaitBudget,
     crash_log: CrashLog,
-    /// Whether the start of a worker's process is to be recorded for a later owner.
-    is_start_unrecorded: bool,
+    /// Whether a worker's record for a later owner has changed since the records were last taken.
+    are_workers_changed: bool,
     /// Jobs that have speculative steps, long-running steps, or a schedule.
     speculative_jobs: FxHashSet<JobKey>,
     pub(crate) long_running_jobs: FxHashSet<JobKey>,
@@ -205,12 +217,15 @@
             unaccepted: FxHashMap::default(),
             accepted_by: Time::ZERO,
             end_expiry: VecDeque::new(),
-            early_cancels: FxHashMap::default(),
+            early_cancels: EarlyCancels::default(),
             workers: SlotMap::with_key(),
             workers_by_id: FxHashMap::default(),
             runs: SlotMap::with_key(),
             runs_by_name: FxHashMap::default(),
             allowed_shares: FxHashMap::default(),
+            customers: Customers::default(),
+            asked_work: asked_work::AskedWork::default(),
+            inherited_runs: Vec::new(),
             run_times: RunTimes::default(),
             advice_callers: AdviceCallers::default(),
             advice_calls: FxHashMap::default(),
@@ -219,7 +234,7 @@
             events: Vec::new(),
             wait_budget: WaitBudget::default(),
             crash_log: CrashLog::default(),
-            is_start_unrecorded: false,
+            are_workers_changed: false,
             speculative_jobs: FxHashSet::default(),
             long_running_jobs: FxHashSet::default(),
             scheduled_jobs: FxHashSet::default(),
@@ -283,7 +298,8 @@
         if let Some(record) = self.unaccepted.remove(&id) {
             self.restore_progress(key, &record, now);
         }
-        if self.early_cancels.remove(&id).is_some() {
+        let customer = self.jobs[key].spec.customer.as_deref();
+        if self.early_cancels.take(id, customer) {
             self.end_job(key, JobState::Cancelled);
             return SubmitOutcome::Cancelled;
         }
@@ -318,16 +334,6 @@
         });
     }
 
-    /// Cancels a job. The cancellation must be in the log.
-    pub fn cancel(&mut self, id: JobId, now: Time) {
-        if let Some(&key) = self.jobs_by_id.get(&id) {
-            self.end_job(key, JobState::Cancelled);
-        } else if !self.ended_jobs.contains_key(&id) {
-            self.early_cancels
-                .insert(id, now + self.timers.end_retention);
-        }
-    }
-
     /// Adds a worker listed in the directory, or updates its entry. `inherited` is set for workers
     /// that an earlier owner may have used.
     pub fn register_worker(
@@ -337,7 +343,7 @@
         now: Time,
     ) -> WorkerKey {
         if let Some(&key) = self.workers_by_id.get(&entry.id) {
-            self.workers[key].update_registration(entry);
+            self.change_worker(key, |worker| worker.update_registration(entry));
             return key;
         }
         let id = Arc::clone(&entry.id);
@@ -435,15 +441,6 @@
         }
     }
 
-    /// Returns the state of a job, or `None` if the job is unknown.
-    pub fn job_state(&self, id: JobId) -> Option<JobState> {
-        if let Some(state) = self.ended_jobs.get(&id) {
-            return Some(*state);
-        }
-        let key = self.jobs_by_id.get(&id)?;
-        Some(self.jobs[*key].state())
-    }
-
     /// Describes an unsettled run for the log, or returns `None` if there is no such run.
     pub fn describe_run(&self, task: TaskName, run: u32, now: Time) -> Option<RunSummary> {
         let run = &self.runs[*self.runs_by_name.get(&(task, run))?];
@@ -552,11 +549,11 @@
         let (Some(state), true, true) = (job.end, job.is_end_recorded, job.runs.is_empty()) else {
             return;
         };
-        let id = job.id;
+        let (id, customer) = (job.id, job.spec.customer.clone());
         self.jobs.remove(key);
         self.unindex_job(key);
         self.jobs_by_id.remove(&id);
-        self.retain_end(id, state, now);
+        self.retain_end(id, JobView { state, customer }, now);
     }
 
     fn unindex_job(&mut self, key: JobKey) {
@@ -566,13 +563,6 @@
         self.tentative.remove(&key);
     }
 
-    /// Keeps the final state of a job for the retention time.
-    fn retain_end(&mut self, id: JobId, state: JobState, now: Time) {
-        self.ended_jobs.insert(id, state);
-        self.end_expiry
-            .push_back((now + self.timers.end_retention, id));
-    }
-
     /// Returns the run time on a worker as a multiple of that on a worker of mean pace.
     pub(crate) fn worker_pace(&self, key: WorkerKey, now: Time) -> f64 {
         let worker = &self.workers[key];
--- a/crates/kingcupwinch-cell/src/cell/restore.rs
+++ b/crates/kingcupwinch-cell/src/cell/restore.rs
@@ -4,7 +4,7 @@
 
 use kingcupwinch_time::{Span, Time};
 
-use super::{ACCEPTANCE_TIMEOUT, Cell, SubmitOutcome};
+use super::{ACCEPTANCE_TIMEOUT, Cell, JobView, SubmitOutcome};
 use crate::id::JobId;
 use crate::job::{JobKey, JobState};
 use crate::record::{JobRecord, Placement, WorkerRecord};
@@ -23,8 +23,14 @@
         age: Span,
         now: Time,
     ) {
-        if let Some(state) = record.and_then(|record| record.end) {
-            self.retain_end(id, state, now);
+        if let Some(record) = record
+            && let Some(state) = record.end
+        {
+            if !self.ended_jobs.contains_key(&id) {
+                self.restore_left_runs(record);
+            }
+            let customer = record.customer.clone();
+            self.retain_end(id, JobView { state, customer }, now);
             return;
         }
         let Some(spec) = spec else {
@@ -33,7 +39,8 @@
                 .extend(record.map(|record| (id, record.clone())));
             return;
         };
-        if self.submit(id, spec, now - age) != SubmitOutcome::New {
+        // The runs of a job that was cancelled have to be stopped.
+        if self.submit(id, spec, now - age) == SubmitOutcome::Known {
             return;
         }
         let key = self.jobs_by_id[&id];
--- a/crates/kingcupwinch-cell/src/mechanism.rs
+++ b/crates/kingcupwinch-cell/src/mechanism.rs
@@ -49,6 +49,14 @@
     CallerSplit = "caller-split";
     /// No calls by instances whose calls are overdue.
     CallerHealth = "caller-health";
+    /// Steps of more urgent queues first, with a floor for the others.
+    PriorityOrder = "priority-order";
+}
+
+impl Mechanism {
+    /// The mechanisms that an instance uses only if it is told to. With the order by priority, callers of
+    /// two deployments were served slightly worse (docs/design/order-under-load.md).
+    pub const OPT_IN: &[Mechanism] = &[Mechanism::PriorityOrder];
 }
 
 impl fmt::Display for Mechanism {
--- a/crates/kingcupwinch-cell/src/spec.rs
+++ b/crates/kingcupwinch-cell/src/spec.rs
@@ -5,7 +5,7 @@
 use smallvec::{SmallVec, smallvec};
 
 /// Resources of a worker, as used by a task or in total.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Resources {
     /// CPU in thousandths of a core.
     pub cpu: u64,
@@ -218,6 +218,10 @@
     /// The instance that accepted the job. Earlier versions don't record it.
     #[serde(rename = "by", default, skip_serializing_if = "Option::is_none")]
     pub accepted_by: Option<Arc<str>>,
+    /// The customer whose key the caller sent. `None` on queues that need no key; earlier versions don't
+    /// record it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub customer: Option<Arc<str>>,
 }
 
 /// The size of the fields of a progress record that are not lists, with its key, in bytes.
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -3,11 +3,15 @@
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
 mod advice;
+mod availability;
 mod backlog;
 mod callers;
 mod capacity;
+mod caps;
+mod caps_random;
 mod contention;
 mod crashes;
+mod customers;
 mod election;
 mod gang_load;
 mod gangs;
@@ -20,6 +24,8 @@
 mod moves;
 mod narrow_links;
 mod occurrences;
+mod order;
+mod order_load;
 mod overload;
 mod paces;
 mod progress_log;
@@ -27,6 +33,7 @@
 mod restarts;
 mod run_times;
 mod set_aside;
+mod shares;
 mod shrinking;
 mod speculation;
 mod takeover;
--- a/crates/kingcupwinch-node/src/events.rs
+++ b/crates/kingcupwinch-node/src/events.rs
@@ -49,6 +49,10 @@
     AcceptFailed = "1106", "connection could not be accepted";
     /// Nothing ends the process if its graceful stop hangs.
     WatchdogFailed = "1107", "watchdog of the stop could not be started";
+    /// A listener closed connections or refused requests in the last second to keep its limits.
+    ClientsLimited = "1108", "connections closed or requests refused to keep limits";
+    /// The limits of a listener.
+    ListenerLimits = "1109", "limits of a listener";
     /// The store does not respond.
     StoreLost = "1201", "store unreachable";
     /// The store responds again.
@@ -101,6 +105,12 @@
     RequestOutcomeUnknown = "1503", "request outcome unknown";
     /// The configuration in force has no route or job path for a request.
     NoRoute = "1504", "no route for a request";
+    /// A request was refused for its key, or because it can't be told whose it is.
+    KeyRefused = "1505", "request refused for its key";
+    /// A request for a job of another customer was refused.
+    OtherCustomer = "1506", "request for a job of another customer";
+    /// The owner did not carry out a cancellation of another customer's job.
+    CancellationIgnored = "1507", "cancellation of a job of another customer ignored";
     /// The owner received a job.
     JobAccepted = "1601", "job received by the owner";
     /// The owner received a cancellation.
@@ -131,6 +141,16 @@
     TaskGivenUp = "1711", "task given up, since workers crashed under it";
     /// An order to change the pace of a best-effort task was sent to a worker.
     PaceSent = "1712", "pace order sent";
+    /// A run that waited for the log is not started, since its worker has changed meanwhile.
+    StartDiscarded = "1713", "start discarded before its order was sent";
+    /// A step of a customer waits since the customer is at its cap, at most once a second per customer.
+    /// Without a version, the cap is not known yet.
+    CapReached = "1720", "customer at its cap";
+    /// A gang is larger than its customer's cap, once per customer and version of the configuration.
+    CapExcludes = "1721", "work can never start under the cap of its customer";
+    /// A run that waited for its placement to be recorded is discarded, since the cap was lowered or a
+    /// run of an earlier owner was found.
+    CapWithdraws = "1722", "run discarded, since its customer is above its cap";
     /// A worker registered in the directory.
     WorkerListed = "1801", "worker listed";
     /// A worker left the directory.
--- a/crates/kingcupwinch-node/src/metrics.rs
+++ b/crates/kingcupwinch-node/src/metrics.rs
@@ -46,6 +46,8 @@
     registry: Registry,
     /// Requests of callers by kind and status.
     pub requests: Family<CallLabel, Counter>,
+    /// Connections closed and requests refused to keep limits, by listener and reason.
+    pub client_limits: Family<CallLabel, Counter>,
     /// Duration of callers' requests, in seconds.
     pub response_time: Histogram,
     /// Calls to the store by kind and outcome.
@@ -66,6 +68,10 @@
     pub crashes: Family<EndLabel, Counter>,
     /// Jobs that have not ended; set at the owner.
     pub live_jobs: Gauge,
+    /// Steps that caps held back in the last round; set at the owner.
+    pub cap_waiting: Gauge,
+    /// Those of them that can never start under the cap.
+    pub cap_excluded: Gauge,
     /// CPU in use, in thousandths of a core; set at the owner.
     pub used_millicores: Gauge,
     /// Term of this instance's ownership; 0 if it is not the owner.
@@ -76,6 +82,8 @@
     pub config_confirmed: Gauge<f64, AtomicU64>,
     /// Requests without a route, by whether the configuration was confirmed.
     pub no_route: Family<EndLabel, Counter>,
+    /// Requests refused for their key or their customer, by reason.
+    pub refused_access: Family<EndLabel, Counter>,
     /// Entries and records of others that were ignored or set aside, by kind.
     pub odd_inputs: Family<EndLabel, Counter>,
 }
@@ -87,6 +95,7 @@
         let metrics = Metrics {
             registry: Registry::default(),
             requests: Family::default(),
+            client_limits: Family::default(),
             response_time: Histogram::new(LATENCY_BUCKETS),
             store_calls: Family::default(),
             append_time: Histogram::new(LATENCY_BUCKETS),
@@ -97,15 +106,23 @@
             jobs: Family::default(),
             crashes: Family::default(),
             live_jobs: Gauge::default(),
+            cap_waiting: Gauge::default(),
+            cap_excluded: Gauge::default(),
             used_millicores: Gauge::default(),
             owned_term: Gauge::default(),
             config_version: Gauge::default(),
             config_confirmed: Gauge::default(),
             no_route: Family::default(),
+            refused_access: Family::default(),
             odd_inputs: Family::default(),
         };
         let m = &metrics;
         registry.register("requests", "Requests of callers", m.requests.clone());
+        registry.register(
+            "client_limits",
+            "Connections closed and requests refused to keep limits",
+            m.client_limits.clone(),
+        );
         registry.register(
             "answer_seconds",
             "Duration of callers' requests, in seconds",
@@ -140,6 +157,16 @@
             m.crashes.clone(),
         );
         registry.register("live_jobs", "Jobs that have not ended", m.live_jobs.clone());
+        registry.register(
+            "cap_waiting_steps",
+            "Steps held back by the caps of their customers",
+            m.cap_waiting.clone(),
+        );
+        registry.register(
+            "cap_excluded_steps",
+            "Steps that can never start under the cap of their customer",
+            m.cap_excluded.clone(),
+        );
         registry.register(
             "used_millicores",
             "CPU in use, in thousandths of a core",
@@ -165,6 +192,11 @@
             "Requests without a route, by whether the configuration was confirmed",
             m.no_route.clone(),
         );
+        registry.register(
+            "refused_access",
+            "Requests refused for their key or their customer, by reason",
+            m.refused_access.clone(),
+        );
         registry.register(
             "odd_inputs",
             "Entries and records that were ignored or set aside, by kind",
--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -1,6 +1,7 @@
 //! The owner of the cell: an actor around the scheduler's state machine, and the background loops
 //! that send it events.
 
+mod cancels;
 mod cell_events;
 mod freshness;
 mod leases;
@@ -100,6 +101,8 @@
     origins: Origins,
     freshness: Freshness,
     is_worker_list_dirty: bool,
+    /// Version of the configuration whose customers the cell has.
+    customers_version: Option<u64>,
     /// The number of steps that the recorded run times were learned from.
     recorded_steps: u64,
     leases: LeaseLimits,
@@ -138,6 +141,7 @@
             origins: args.origins,
             freshness: args.freshness,
             is_worker_list_dirty: true,
+            customers_version: None,
             recorded_steps: 0,
             leases: args.leases,
             lease_record_due: Some(args.lease_record_due),
@@ -273,6 +277,7 @@
         }
         self.cell
             .set_wall_clock(self.shared.wall_time().as_millis(), now);
+        self.update_customers();
         let actions = self.cell.decide(now);
         self.log_cell_events();
         let took = Duration::from(self.shared.now().since(now));
@@ -283,15 +288,31 @@
         }
         let metrics = &self.shared.metrics;
         metrics.live_jobs.set(self.cell.live_jobs() as i64);
+        let caps = self.cell.cap_counts();
+        metrics.cap_waiting.set(caps.held as i64);
+        metrics.cap_excluded.set(caps.excluded as i64);
         metrics.used_millicores.set(self.cell.cpu_load().0 as i64);
     }
 
+    /// Passes the customers of the configuration in force to the cell, if they may have changed.
+    fn update_customers(&mut self) {
+        let copy = self.shared.configuration.snapshot();
+        let Some(version) = copy.version else { return };
+        if self.customers_version == Some(version.table.version) {
+            return;
+        }
+        self.customers_version = Some(version.table.version);
+        let customers = version.table.customers.as_deref().unwrap_or_default();
+        self.cell.set_customers(customers);
+    }
+
     /// Executes the actions whose records have been appended.
     fn execute_recorded(&mut self) {
         let now = self.shared.now();
         if !self.may_dispatch(now) {
             return;
         }
+        self.update_customers();
         let actions = self.cell.take_actions(now);
         self.execute(actions);
     }
