Set up the large service of two tests once, and correct a module comment

Both tests of bounded looks set up the same service and callers. The comment of placement.rs said that steps are ordered by priority, which is off by default.

--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -1,7 +1,7 @@
 //! Decides which tasks start on which workers.
 //!
-//! Ready steps are handled by priority, and else in order of the slack that is left until their job's
-//! objective (see [`order`]). Each
+//! Ready steps are handled in order of the slack that is left until their job's objective, and by the
+//! priority of their queue first if that is switched on (see [`order`]). Each
 //! step starts as many tasks as fit on the workers it may use. If an adviser has to allow the
 //! workers first, the adviser is asked about as many workers as the step is likely to need.
 
--- a/crates/kingcupwinch-cell/tests/cell/backlog.rs
+++ b/crates/kingcupwinch-cell/tests/cell/backlog.rs
@@ -50,15 +50,21 @@
     assert_eq!(harness.running().len(), 54 + 3);
 }
 
-/// With 3,000 workers an owner put all of them in order for each step, its rounds took longer than the
-/// jobs that came meanwhile had time, and the next rounds took longer still.
-#[test]
-fn the_workers_that_a_step_looks_at_do_not_grow_with_the_service() {
+/// A service of 2,000 idle workers with more callers of the adviser than the steps of a test need.
+fn large_service() -> Harness {
     let mut harness = Harness::new(2_000, 4);
     let callers: Vec<_> = (0..64)
         .map(|number| format!("caller-{number}").into())
         .collect();
     harness.cell.set_advice_callers(&callers);
+    harness
+}
+
+/// With 3,000 workers an owner put all of them in order for each step, its rounds took longer than the
+/// jobs that came meanwhile had time, and the next rounds took longer still.
+#[test]
+fn the_workers_that_a_step_looks_at_do_not_grow_with_the_service() {
+    let mut harness = large_service();
     for number in 0..50 {
         harness.submit(number, with_advice(job(vec![step(3, 2, 500)]), 10.0));
     }
@@ -71,11 +77,7 @@
 /// Steps that begin their search at the same worker would all ask about the same few.
 #[test]
 fn steps_of_one_round_ask_about_different_workers() {
-    let mut harness = Harness::new(2_000, 4);
-    let callers: Vec<_> = (0..64)
-        .map(|number| format!("caller-{number}").into())
-        .collect();
-    harness.cell.set_advice_callers(&callers);
+    let mut harness = large_service();
     for number in 0..50 {
         let id = number * 0x9e37_79b9;
         harness.submit(id, with_advice(job(vec![step(3, 4, 500)]), 10.0));
