Count a process's descriptors only once it serves

A trace shows 397 to 652 descriptors at the first look, before the first request is answered, and 5 a moment later: until its exec has completed, the child still has those of the test process, which holds up to 620 connections of the crowd of the test before. An instance itself reaches 128. Counting starts once the instance serves; the bound is the same.

--- a/crates/kingcupwinch-daemon/tests/clients/instance.rs
+++ b/crates/kingcupwinch-daemon/tests/clients/instance.rs
@@ -122,6 +122,10 @@
             _dir: dir,
         };
         assert!(instance.serves().await, "the instance does not start");
+        // Until its exec has completed, a child still has the descriptors of this process, among them
+        // the crowd of the test before; only those that it has once it serves are its own.
+        instance.most_descriptors = 0;
+        instance.observe();
         instance
     }
 
