Relay start orders beyond a rate per core

At 3,000 workers an owner with 0.5 core sends some 7,000 start orders a second, each of which costs it 0.3 ms with everything around it. Beyond 1,500 orders a second for each core that the settings allow it, an owner now has the instance that accepted a job send them, in one message for all its tasks, as it already does when its link is full. Deployments whose owner starts fewer tasks are served as before.

--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -8,6 +8,7 @@
 mod loops;
 mod messages;
 mod origins;
+mod start_rate;
 mod starts;
 mod takeover;
 mod worker_shards;
@@ -33,6 +34,7 @@
 use crate::shared::Shared;
 use crate::siblings::Siblings;
 
+use start_rate::StartRate;
 use starts::Relayed;
 
 pub(crate) use freshness::{Freshness, view_time};
@@ -112,6 +114,7 @@
     write_due: Arc<Notify>,
     /// Bytes of orders that this instance may send itself; `None` if the link's bandwidth is unknown.
     budget: Option<OrderBudget>,
+    start_rate: StartRate,
 }
 
 impl Actor for Owner {
@@ -122,6 +125,7 @@
         let now = args.shared.now();
         let budget = |link_mbps| OrderBudget::new(link_mbps, now);
         let budget = args.shared.settings.link_mbps.map(budget);
+        let start_rate = StartRate::new(args.shared.settings.cpu_share, now);
         let mut owner = Owner {
             shared: args.shared,
             siblings: args.siblings,
@@ -147,6 +151,7 @@
             lease_record_due: Some(args.lease_record_due),
             write_due: Arc::default(),
             budget,
+            start_rate,
         };
         owner.schedule_restored_cleanup();
         owner.connect_workers();
--- a/crates/kingcupwinch-node/src/owner/starts.rs
+++ b/crates/kingcupwinch-node/src/owner/starts.rs
@@ -13,7 +13,7 @@
 
 use super::{Owner, messages};
 use crate::events::Event;
-use crate::link::sent_besides_orders;
+use crate::link::{OrderBudget, sent_besides_orders};
 use crate::metrics::Metrics;
 use crate::relay::{RelayRequest, RelayedStart};
 use crate::shared::Shared;
@@ -33,22 +33,25 @@
 pub(super) type Relayed = FxHashMap<(Arc<str>, JobId), Vec<(StartOrder, WorkerClient)>>;
 
 impl Owner {
-    /// Charges what was sent since the last decision to the budget of orders.
+    /// Adds what the time since the last decision has brought to the budgets of orders, and charges what
+    /// was sent in it.
     pub(super) fn refill_budget(&mut self) {
+        let now = self.shared.now();
+        self.start_rate.refill(now);
         if let Some(budget) = &mut self.budget {
-            let now = self.shared.now();
             budget.refill(sent_besides_orders(&self.shared.traffic), now);
         }
     }
 
     /// Sends a start order, or adds it to those for the instance that accepted the job if the link has
-    /// no room for the payload.
+    /// no room for the payload or this instance has sent too many itself.
     pub(super) fn start(&mut self, order: StartOrder, relayed: &mut Relayed) {
         let Some(client) = self.clients.get(&order.worker).cloned() else {
             return;
         };
         let bytes = order.payload.len() + ORDER_BYTES;
-        let is_affordable = self.budget.as_mut().is_none_or(|budget| budget.take(bytes));
+        let has_room = |budget: &mut OrderBudget| budget.take(bytes);
+        let is_affordable = self.start_rate.take() && self.budget.as_mut().is_none_or(has_room);
         let relay = if is_affordable {
             None
         } else {
