Compute the pace of each worker once a round

A profile of the owner of 3,000 workers shows 41 % of its processor time in rounds, 20 % in the pace of each worker, which was computed twice a round with a look-up of its kind each time, and 5 % in look-ups of the service's name. Both are computed once now, with the same results.

--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -16,8 +16,6 @@
 mod suspects;
 mod waits;
 
-use std::sync::Arc;
-
 use kingcupwinch_time::{Span, Time};
 
 use crate::cell::{Action, Cell};
@@ -26,7 +24,7 @@
 use crate::job::JobKey;
 use crate::mechanism::Mechanism;
 
-use pool::{PaceRange, pace_band};
+use pool::PaceRange;
 use rank::CandidateRank;
 use ready::{ReadyStep, Turn};
 
@@ -55,7 +53,6 @@
         self.stop_partial_gangs();
         self.settle_withdrawn_runs(now);
         self.open_occurrences(now);
-        self.set_mean_pace(now);
         self.customers.counts = CapCounts::default();
         let mut pools = self.usable_workers(now);
         self.mark_suspect_workers(&mut pools);
@@ -134,57 +131,6 @@
         }
     }
 
-    fn set_mean_pace(&mut self, now: Time) {
-        let workers = self.workers.values();
-        let workers = workers.filter(|worker| worker.is_usable(now) && !worker.is_quarantined(now));
-        let paces = workers.map(|worker| (worker.kind(), &worker.pace));
-        self.run_times.set_level(paces, now);
-    }
-
-    /// Returns the workers that can take new work, grouped by service.
-    fn usable_workers(&self, now: Time) -> WorkerPools {
-        let loads = self.expected_loads(now);
-        let mut pools = WorkerPools::default();
-        for (key, worker) in &self.workers {
-            if !worker.is_usable(now) {
-                continue;
-            }
-            let service = &worker.registration.service;
-            if !pools.by_service.contains_key(service) {
-                pools
-                    .by_service
-                    .insert(Arc::clone(service), WorkerPool::default());
-            }
-            let Some(pool) = pools.by_service.get_mut(service) else {
-                continue;
-            };
-            let pace = self.worker_pace(key, now);
-            let is_quarantined = worker.is_quarantined(now);
-            pool.count_capacity(worker.registration.capacity, worker.available());
-            pool.has_quarantined |= is_quarantined;
-            if !is_quarantined {
-                pool.paces = Some(PaceRange::extend(pool.paces, pace));
-            }
-            pool.add(Candidate {
-                key,
-                available: worker.available(),
-                expected: loads.get(&key).copied().unwrap_or_default(),
-                has_best_effort: worker.best_effort_runs > 0,
-                has_latency_sensitive: worker.latency_sensitive_runs > 0,
-                is_open_to_sharing: worker.pace_control.is_open(now),
-                is_quarantined,
-                suspicion: Suspicion::None,
-                pace,
-                pace_band: pace_band(pace),
-            });
-        }
-        pools
-            .by_service
-            .values_mut()
-            .for_each(WorkerPool::sort_by_cpu);
-        pools
-    }
-
     /// Returns whether a step has waited for long although most of the service is free.
     fn is_out_of_patience(ready: &ReadyStep, pool: &WorkerPool, now: Time) -> bool {
         pool.is_mostly_free() && ready.waiting_since + MAX_PATIENCE <= now
--- a/crates/kingcupwinch-cell/src/placement/pool.rs
+++ b/crates/kingcupwinch-cell/src/placement/pool.rs
@@ -2,10 +2,12 @@
 
 use std::sync::Arc;
 
+use kingcupwinch_time::Time;
 use rustc_hash::FxHashMap;
 use slotmap::SecondaryMap;
+use smallvec::SmallVec;
 
-use crate::cell::NamedWorker;
+use crate::cell::{Cell, NamedWorker};
 use crate::crash::Suspicion;
 use crate::spec::Resources;
 use crate::worker::WorkerKey;
@@ -193,3 +195,80 @@
         }
     }
 }
+
+/// A worker that can take new work, and the logarithm of its pace.
+struct Usable {
+    key: WorkerKey,
+    log_pace: f64,
+    is_quarantined: bool,
+}
+
+impl Cell {
+    /// Returns the workers that can take new work, grouped by service, and sets their mean pace to 1.
+    ///
+    /// The pace of each is computed once: with 3,000 workers it took a fifth of the owner's processor
+    /// time.
+    pub(super) fn usable_workers(&mut self, now: Time) -> WorkerPools {
+        let usable = self.usable_paces(now);
+        let known = usable.iter().filter(|worker| !worker.is_quarantined);
+        let (sum, count) = known.fold((0.0, 0.0), |(sum, count), worker| {
+            (sum + worker.log_pace, count + 1.0)
+        });
+        if count > 0.0 {
+            self.run_times.set_level(sum / count);
+        }
+        self.group_by_service(&usable, now)
+    }
+
+    fn usable_paces(&self, now: Time) -> Vec<Usable> {
+        let usable = self.workers.iter();
+        let usable = usable.filter(|(_, worker)| worker.is_usable(now));
+        let paces = usable.map(|(key, worker)| Usable {
+            key,
+            log_pace: self.run_times.log_pace(worker.kind(), &worker.pace, now),
+            is_quarantined: worker.is_quarantined(now),
+        });
+        paces.collect()
+    }
+
+    fn group_by_service(&self, usable: &[Usable], now: Time) -> WorkerPools {
+        let loads = self.expected_loads(now);
+        // Few services have workers, so a search is faster than hashing the name for each worker.
+        let mut pools: SmallVec<[(&Arc<str>, WorkerPool); 4]> = SmallVec::new();
+        for row in usable {
+            let worker = &self.workers[row.key];
+            let service = &worker.registration.service;
+            let known = pools.iter().position(|(name, _)| *name == service);
+            let index = known.unwrap_or_else(|| {
+                pools.push((service, WorkerPool::default()));
+                pools.len() - 1
+            });
+            let pool = &mut pools[index].1;
+            let pace = self.run_times.relative_pace(row.log_pace);
+            pool.count_capacity(worker.registration.capacity, worker.available());
+            pool.has_quarantined |= row.is_quarantined;
+            if !row.is_quarantined {
+                pool.paces = Some(PaceRange::extend(pool.paces, pace));
+            }
+            pool.add(Candidate {
+                key: row.key,
+                available: worker.available(),
+                expected: loads.get(&row.key).copied().unwrap_or_default(),
+                has_best_effort: worker.best_effort_runs > 0,
+                has_latency_sensitive: worker.latency_sensitive_runs > 0,
+                is_open_to_sharing: worker.pace_control.is_open(now),
+                is_quarantined: row.is_quarantined,
+                suspicion: Suspicion::None,
+                pace,
+                pace_band: pace_band(pace),
+            });
+        }
+        let sorted = pools.into_iter().map(|(service, mut pool)| {
+            pool.sort_by_cpu();
+            (Arc::clone(service), pool)
+        });
+        WorkerPools {
+            by_service: sorted.collect(),
+        }
+    }
+}
--- a/crates/kingcupwinch-cell/src/run_time.rs
+++ b/crates/kingcupwinch-cell/src/run_time.rs
@@ -240,34 +240,30 @@
         self.kinds.extend(record.kinds.iter().cloned());
     }
 
-    /// Sets the mean pace of the given workers to 1.
-    pub(crate) fn set_level<'a>(
-        &mut self,
-        workers: impl Iterator<Item = (&'a Arc<str>, &'a WorkerPace)>,
-        now: Time,
-    ) {
-        let (mut sum, mut count) = (0.0, 0.0);
-        for (kind, pace) in workers {
-            sum += self.log_pace(kind, pace, now);
-            count += 1.0;
-        }
-        if count > 0.0 {
-            self.level += sum / count;
-        }
+    /// Sets the mean of the logarithms of the pace of all workers, as [`RunTimes::log_pace`] returns them.
+    pub(crate) fn set_level(&mut self, level: f64) {
+        self.level = level;
     }
 
     /// Returns the run time on a worker as a multiple of that on a worker of mean pace.
     pub(crate) fn pace(&self, kind: &Arc<str>, worker: &WorkerPace, now: Time) -> f64 {
-        self.log_pace(kind, worker, now).exp()
+        self.relative_pace(self.log_pace(kind, worker, now))
+    }
+
+    /// Returns the same for the logarithm of a pace.
+    pub(crate) fn relative_pace(&self, log_pace: f64) -> f64 {
+        (log_pace - self.level).exp()
     }
 
-    fn log_pace(&self, kind: &Arc<str>, worker: &WorkerPace, now: Time) -> f64 {
+    /// Returns the logarithm of the pace of a worker, from which the mean of all workers is not yet
+    /// subtracted.
+    pub(crate) fn log_pace(&self, kind: &Arc<str>, worker: &WorkerPace, now: Time) -> f64 {
         let deviation = if self.disabled.uses(Mechanism::WorkerPace) {
             worker.faded(now).mean
         } else {
             0.0
         };
-        self.kind_pace(kind) + deviation - self.level
+        self.kind_pace(kind) + deviation
     }
 
     fn kind_pace(&self, kind: &Arc<str>) -> f64 {
@@ -322,7 +318,7 @@
             index,
             worker: key,
             log_elapsed,
-            log_work: log_elapsed - self.log_pace(worker.kind(), &worker.pace, now),
+            log_work: log_elapsed - (self.log_pace(worker.kind(), &worker.pace, now) - self.level),
         });
     }
 
@@ -355,7 +351,7 @@
     /// Learns the pace of a worker and of its kind from a run and the work expected of it.
     fn learn_pace(&mut self, worker: &mut Worker, log_elapsed: f64, expected: f64, now: Time) {
         let kind = Arc::clone(worker.kind());
-        let log_work = log_elapsed - self.log_pace(&kind, &worker.pace, now);
+        let log_work = log_elapsed - (self.log_pace(&kind, &worker.pace, now) - self.level);
         let surprise = (log_work - expected).clamp(-MAX_SURPRISE, MAX_SURPRISE);
         self.bias.observe(surprise, KIND_PRIOR_RUNS, KIND_RUNS);
         let surprise = surprise - self.bias.mean;
