Move the siblings' handler and scheduled occurrences to files of their own

The handler of siblings' requests goes to siblings/server.rs, the opening of occurrences to cell/occurrences.rs. No behaviour changes.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -9,6 +9,7 @@
 mod job_states;
 mod left_runs;
 mod long_running;
+mod occurrences;
 mod paces;
 mod polls;
 mod quarantine;
@@ -306,34 +307,6 @@
         SubmitOutcome::New
     }
 
-    /// Sets the wall-clock time, which decides when scheduled occurrences come due.
-    pub fn set_wall_clock(&mut self, unix_ms: u64, now: Time) {
-        self.wall_clock = Some((unix_ms, now));
-    }
-
-    /// Opens the occurrences that have come due.
-    pub(crate) fn open_occurrences(&mut self, now: Time) {
-        let Some((last_unix_ms, at)) = self.wall_clock else {
-            return;
-        };
-        let unix_ms = last_unix_ms + now.since(at).as_millis();
-        let Cell {
-            scheduled_jobs,
-            jobs,
-            run_times,
-            ..
-        } = self;
-        scheduled_jobs.retain(|key| {
-            let Some(job) = jobs.get_mut(*key) else {
-                return false;
-            };
-            if job.open_due_occurrences(unix_ms, now) {
-                job.update_paths(run_times);
-            }
-            job.has_more_occurrences()
-        });
-    }
-
     /// Adds a worker listed in the directory, or updates its entry. `inherited` is set for workers
     /// that an earlier owner may have used.
     pub fn register_worker(
