--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -6,9 +6,11 @@
 mod crash_weights;
 mod crashes;
 mod early_cancels;
+mod forecasts;
 mod job_states;
 mod left_runs;
 mod long_running;
+mod occurrences;
 mod paces;
 mod polls;
 mod quarantine;
@@ -30,6 +32,7 @@
 use crate::customer::Customers;
 use crate::estimate::ShareEstimate;
 use crate::event::CellEvent;
+use crate::forecast::Forecasts;
 use crate::id::{JobId, TaskName};
 use crate::job::{Job, JobKey, JobState, TaskState};
 use crate::mechanism::{Disabled, Mechanism};
@@ -169,6 +172,7 @@
     /// Conclusions that were not taken for the log yet.
     events: Vec<CellEvent>,
     pub(crate) wait_budget: WaitBudget,
+    forecasts: Forecasts,
     crash_log: CrashLog,
     /// Whether a worker's record for a later owner has changed since the records were last taken.
     are_workers_changed: bool,
@@ -233,6 +237,7 @@
             actions: Vec::new(),
             events: Vec::new(),
             wait_budget: WaitBudget::default(),
+            forecasts: Forecasts::default(),
             crash_log: CrashLog::default(),
             are_workers_changed: false,
             speculative_jobs: FxHashSet::default(),
@@ -281,6 +286,7 @@
         let mut job = Job::new(id, spec, now);
         job.update_paths(&self.run_times);
         job.last_run = self.run_base;
+        job.forecast = Some(self.forecasts.wait(&job.spec.policy.queue));
         let is_speculative = job.spec.steps.iter().any(|step| step.speculative);
         let is_long_running = job.spec.steps.iter().any(|step| step.long_running);
         let is_scheduled = job.spec.schedule.is_some();
@@ -306,34 +312,6 @@
         SubmitOutcome::New
     }
 
-    /// Sets the wall-clock time, which decides when scheduled occurrences come due.
-    pub fn set_wall_clock(&mut self, unix_ms: u64, now: Time) {
-        self.wall_clock = Some((unix_ms, now));
-    }
-
-    /// Opens the occurrences that have come due.
-    pub(crate) fn open_occurrences(&mut self, now: Time) {
-        let Some((last_unix_ms, at)) = self.wall_clock else {
-            return;
-        };
-        let unix_ms = last_unix_ms + now.since(at).as_millis();
-        let Cell {
-            scheduled_jobs,
-            jobs,
-            run_times,
-            ..
-        } = self;
-        scheduled_jobs.retain(|key| {
-            let Some(job) = jobs.get_mut(*key) else {
-                return false;
-            };
-            if job.open_due_occurrences(unix_ms, now) {
-                job.update_paths(run_times);
-            }
-            job.has_more_occurrences()
-        });
-    }
-
     /// Adds a worker listed in the directory, or updates its entry. `inherited` is set for workers
     /// that an earlier owner may have used.
     pub fn register_worker(
