--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -3,6 +3,7 @@
 mod advice_calls;
 mod asked_work;
 mod caps;
+mod counters;
 mod crash_weights;
 mod crashes;
 mod early_cancels;
@@ -46,6 +47,7 @@
 
 pub use advice_calls::AdviceCallId;
 pub(crate) use advice_calls::NamedWorker;
+pub use counters::Counters;
 pub use job_states::JobView;
 pub use paces::PaceOrder;
 pub use records::RecordBatch;
@@ -89,35 +91,6 @@
     Cancelled,
 }
 
-/// Event counts since the cell was created.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Counters {
-    /// Start orders sent.
-    pub starts: u64,
-    /// Runs that completed their work.
-    pub done: u64,
-    /// Runs that ended for any other reason than completion or failure, and all ended runs of
-    /// long-running tasks.
-    pub interrupted: u64,
-    /// Runs that failed.
-    pub failed: u64,
-    /// Jobs completed.
-    pub jobs_completed: u64,
-    /// Jobs that failed.
-    pub jobs_failed: u64,
-    /// Calls to advisers.
-    pub advice_calls: u64,
-    /// Workers that were put in order for a step, which is much of the cost of decisions.
-    pub ranked_workers: u64,
-    /// Crashes of workers that counted against tasks.
-    pub crashes: u64,
-    /// Tasks that were given up because of such crashes.
-    pub tasks_given_up: u64,
-    /// Runs that were discarded before their orders were sent, since their customers were above their
-    /// caps.
-    pub cap_withdrawals: u64,
-}
-
 /// What the log says about a run that ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunSummary {
