Let tasks wait for faster workers as long as that pays

Tasks that meet their objective on a slow worker took one just before a fast one became free, and tasks that don't waited for a fast one until the objective was missed or for 2 s, whatever the chance. With the mechanism delay-scheduling, the owner compares what a task gains on faster workers with how long it is expected to wait for them (expected ends of runs, and the rate of observed ends), and stores a deadline within the objective, the late limit and the validity of the step's tickets. An unknown rate means a start at once.

The mechanism is off by default, also for a cell without options, since it was not measured on a deployment. Racks of gangs and of data are not decided yet.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -142,6 +142,7 @@
     /// Conclusions that were not taken for the log yet.
     events: Vec<CellEvent>,
     pub(crate) wait_budget: WaitBudget,
+    pub(crate) delay_budget: WaitBudget,
     crash_log: CrashLog,
     /// Whether a worker's record for a later owner has changed since the records were last taken.
     are_workers_changed: bool,
@@ -206,6 +207,7 @@
             actions: Vec::new(),
             events: Vec::new(),
             wait_budget: WaitBudget::default(),
+            delay_budget: WaitBudget::default(),
             crash_log: CrashLog::default(),
             are_workers_changed: false,
             speculative_jobs: FxHashSet::default(),
--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -127,6 +127,7 @@
         };
         let run = self.add_run(key, new_run, now);
         self.runs[run].is_whole = is_whole;
+        self.runs[run].expected_end = self.expected_end(key, step, worker, now);
         let job = &mut self.jobs[key];
         job.last_run = job.last_run.max(number);
         job.start_task(step, index, run);
@@ -225,6 +226,7 @@
             worker,
             state,
             started_at: now,
+            expected_end: Time::ZERO,
             percent: 0,
             progressed_at: now,
             missed_listings: 0,
@@ -462,6 +464,10 @@
         if let Some(worker) = self.workers.get_mut(run.worker) {
             worker.runs.remove(&key);
             worker.remove_run(job.step_spec(step));
+            if !matches!(run.state, RunState::Planned | RunState::Withdrawn) {
+                let freed = job.step_spec(step).charged_resources().cpu;
+                worker.end_rate.observe(freed, now);
+            }
         }
         job.runs.remove(&key);
         let task = &mut job.steps[step].tasks[index];
--- a/crates/kingcupwinch-cell/src/event.rs
+++ b/crates/kingcupwinch-cell/src/event.rs
@@ -95,6 +95,35 @@
     pub is_at_cap: bool,
 }
 
+/// A decision whether tasks of a step wait for better workers than those that are free.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StartDelay {
+    /// The name of the step.
+    pub step: String,
+    /// The queue.
+    pub queue: Arc<str>,
+    /// The tasks that could start.
+    pub tasks: usize,
+    /// `wait`, or why the tasks start now.
+    pub outcome: &'static str,
+    /// The time until the deadline of the wait, if the tasks wait.
+    pub deadline_in: Option<Span>,
+    /// The expected time from a start now to the end of the job, on a worker that is free.
+    pub here: Span,
+    /// The same on a better worker.
+    pub better: Span,
+    /// The expected time until the tasks have better workers, if it is known.
+    pub expected_wait: Option<Span>,
+    /// The time since a run last ended on one of these.
+    pub rate_age: Span,
+    /// The CPU for which steps in front wait, in thousandths of a core.
+    pub ahead: u64,
+    /// The time left until the objective, zero once it has passed.
+    pub objective_in: Span,
+    /// Whether the decision is to be logged. All are counted, but the log takes a limited number.
+    pub is_logged: bool,
+}
+
 /// A step that its customer's cap holds back.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CapHold {
@@ -191,6 +220,8 @@
     },
     /// Tasks of a step have waited for long although they could start.
     StepWaits(StepWait),
+    /// Tasks of a step wait for better workers, or start on others.
+    StartDelayed(StartDelay),
     /// A step of a customer waits since the customer is at its cap.
     CapReached(CapHold),
     /// A step can never start under the cap of its customer.
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -10,6 +10,7 @@
 mod crash;
 mod customer;
 mod election;
+mod end_rate;
 mod estimate;
 mod event;
 mod fit;
@@ -36,7 +37,7 @@
 pub use crash::{Crash, Evidence};
 pub use customer::CustomerPolicy;
 pub use election::{Claim, ElectionStep, ElectionTimers, GroupRecord, Member, OwnerElection};
-pub use event::{CapHold, CellEvent, CrashCause, SettleCause, StepWait};
+pub use event::{CapHold, CellEvent, CrashCause, SettleCause, StartDelay, StepWait};
 pub use id::{JobId, TaskName};
 pub use job::JobState;
 pub use mechanism::{Disabled, Mechanism};
--- a/crates/kingcupwinch-cell/src/mechanism.rs
+++ b/crates/kingcupwinch-cell/src/mechanism.rs
@@ -51,12 +51,15 @@
     CallerHealth = "caller-health";
     /// Steps of more urgent queues first, with a floor for the others.
     PriorityOrder = "priority-order";
+    /// Tasks that wait for a faster worker as long as that is expected to pay.
+    DelayScheduling = "delay-scheduling";
 }
 
 impl Mechanism {
     /// The mechanisms that an instance uses only if it is told to. With the order by priority, callers of
-    /// two deployments were served slightly worse (docs/design/order-under-load.md).
-    pub const OPT_IN: &[Mechanism] = &[Mechanism::PriorityOrder];
+    /// two deployments were served slightly worse (docs/design/order-under-load.md). Delay scheduling was
+    /// not measured on a deployment yet (docs/design/delay-scheduling.md).
+    pub const OPT_IN: &[Mechanism] = &[Mechanism::PriorityOrder, Mechanism::DelayScheduling];
 }
 
 impl fmt::Display for Mechanism {
@@ -65,10 +68,17 @@
     }
 }
 
-/// The mechanisms that are switched off. None is by default.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+/// The mechanisms that are switched off. By default this is delay scheduling, which was not measured on a
+/// deployment yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Disabled(u32);
 
+impl Default for Disabled {
+    fn default() -> Self {
+        Disabled(Disabled::bit(Mechanism::DelayScheduling))
+    }
+}
+
 impl Disabled {
     /// Returns whether a mechanism is in use.
     pub(crate) fn uses(self, mechanism: Mechanism) -> bool {
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -6,7 +6,9 @@
 //! workers first, the adviser is asked about as many workers as the step is likely to need.
 
 mod advice;
+mod better_places;
 mod caps;
+mod delay;
 mod gangs;
 mod moves;
 mod order;
@@ -18,7 +20,7 @@
 
 use std::sync::Arc;
 
-use kingcupwinch_time::{Span, Time};
+use kingcupwinch_time::Time;
 
 use crate::cell::{Action, Cell};
 use crate::crash::Suspicion;
@@ -29,16 +31,13 @@
 use pool::{PaceRange, pace_band};
 use rank::CandidateRank;
 use ready::{ReadyStep, Turn};
+use waits::MAX_PATIENCE;
 
 pub use caps::CapCounts;
 pub(crate) use moves::KeptPlace;
 pub(crate) use pool::{Candidate, WorkerPool, WorkerPools};
 pub(crate) use waits::{WaitBudget, WaitState};
 
-/// How long a job waits for a faster worker, and others wait for a gang, while most of the service is
-/// free. Nothing but the choice of workers is in the way then, and callers expect a start within 3 s.
-const MAX_PATIENCE: Span = Span::from_millis(2_000);
-
 /// The largest number of tasks of a step that one round starts. The next round goes on, so that a
 /// step of very many tasks leaves time for the others.
 const MAX_STARTS_OF_STEP: usize = 1_024;
@@ -185,11 +184,6 @@
         pools
     }
 
-    /// Returns whether a step has waited for long although most of the service is free.
-    fn is_out_of_patience(ready: &ReadyStep, pool: &WorkerPool, now: Time) -> bool {
-        pool.is_mostly_free() && ready.waiting_since + MAX_PATIENCE <= now
-    }
-
     fn place_step(&mut self, ready: &ReadyStep, pool: &mut WorkerPool, now: Time) {
         if let Some(demand) = self.place_granted(ready, pool, now) {
             self.request_advice(ready, &demand, pool, now);
@@ -214,9 +208,9 @@
         if !has_capacity && !ready.asks_ahead(spec) {
             return None;
         }
-        let mut demand = self
-            .step_demand(ready.job, ready.step)
-            .with_slowest_pace(ready.slowest_pace);
+        let demand = self.step_demand(ready.job, ready.step);
+        let slowest_pace = self.slowest_pace(ready, &demand, pool, now);
+        let mut demand = demand.with_slowest_pace(slowest_pace);
         self.count_kept_places(&mut demand);
         if !has_capacity {
             return Some(demand);
--- a/crates/kingcupwinch-cell/src/placement/pool.rs
+++ b/crates/kingcupwinch-cell/src/placement/pool.rs
@@ -5,6 +5,7 @@
 use rustc_hash::FxHashMap;
 use slotmap::SecondaryMap;
 
+use super::better_places::BetterPlaces;
 use crate::cell::NamedWorker;
 use crate::crash::Suspicion;
 use crate::spec::Resources;
@@ -96,6 +97,8 @@
     free_cpu: u64,
     /// The pace of the fastest and of the slowest candidate that is not quarantined, if there is any.
     pub(super) paces: Option<PaceRange>,
+    /// When places become free, and what steps wait for them.
+    pub(super) places: BetterPlaces,
 }
 
 /// The usable workers of one round of scheduling.
--- a/crates/kingcupwinch-cell/src/placement/ready.rs
+++ b/crates/kingcupwinch-cell/src/placement/ready.rs
@@ -212,7 +212,9 @@
             let pool = pools.by_service.get(&job.spec.policy.service);
             let is_stuck = job.runs.is_empty()
                 && pool.is_some_and(|pool| Cell::is_out_of_patience(step, pool, now));
-            if is_stuck || !self.uses(Mechanism::PaceLimit) {
+            let is_unlimited =
+                !self.uses(Mechanism::PaceLimit) || self.uses(Mechanism::DelayScheduling);
+            if is_stuck || is_unlimited {
                 step.slowest_pace = f64::INFINITY;
             }
         }
--- a/crates/kingcupwinch-cell/src/placement/waits.rs
+++ b/crates/kingcupwinch-cell/src/placement/waits.rs
@@ -4,11 +4,16 @@
 
 use kingcupwinch_time::{Span, Time};
 
+use super::better_places::StepDelay;
 use super::{Candidate, ReadyStep, WorkerPool};
 use crate::cell::Cell;
 use crate::event::{CellEvent, StepWait};
 use crate::fit::{Access, Obstacle, StepDemand};
 
+/// How long a job waits for a faster worker, and others wait for a gang, while most of the service is
+/// free. Nothing but the choice of workers is in the way then, and callers expect a start within 3 s.
+pub(super) const MAX_PATIENCE: Span = Span::from_millis(2_000);
+
 /// How long tasks wait before their step is reported. Most calls to an adviser are answered sooner.
 const REPORT_AGE: Span = Span::from_millis(1_000);
 /// The time between two reports of one step.
@@ -22,6 +27,7 @@
     /// Since when the step has had startable tasks in each round.
     since: Option<Time>,
     next_report: Time,
+    pub(super) delay: StepDelay,
 }
 
 impl WaitState {
@@ -33,6 +39,7 @@
     /// Notes that the step has no startable task.
     pub(crate) fn clear(&mut self) {
         self.since = None;
+        self.delay = StepDelay::default();
     }
 }
 
@@ -45,7 +52,7 @@
 
 impl WaitBudget {
     /// Takes one report. Returns false if there are none left in the interval.
-    fn take(&mut self, now: Time) -> bool {
+    pub(super) fn take(&mut self, now: Time) -> bool {
         if self.interval_end <= now {
             self.interval_end = now + REPORT_INTERVAL;
             self.reports = 0;
@@ -56,6 +63,11 @@
 }
 
 impl Cell {
+    /// Returns whether a step has waited for long although most of the service is free.
+    pub(super) fn is_out_of_patience(ready: &ReadyStep, pool: &WorkerPool, now: Time) -> bool {
+        pool.is_mostly_free() && ready.waiting_since + MAX_PATIENCE <= now
+    }
+
     /// Notes after a round whether a step still has startable tasks, and reports it if it has had
     /// some for long. The most urgent steps are reported if there are too many.
     pub(super) fn note_wait(&mut self, ready: &ReadyStep, pool: Option<&WorkerPool>, now: Time) {
--- a/crates/kingcupwinch-cell/src/run.rs
+++ b/crates/kingcupwinch-cell/src/run.rs
@@ -65,6 +65,8 @@
     pub(crate) worker: WorkerKey,
     pub(crate) state: RunState,
     pub(crate) started_at: Time,
+    /// When the run is expected to end. Zero for a run that this owner did not place.
+    pub(crate) expected_end: Time,
     /// The last reported progress in percent, and when it last changed.
     pub(crate) percent: u8,
     pub(crate) progressed_at: Time,
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -4,6 +4,7 @@
 use kingcupwinch_time::{Drift, Span, Time};
 use rustc_hash::FxHashSet;
 
+use crate::end_rate::EndRate;
 use crate::event::SettleCause;
 use crate::id::TaskName;
 use crate::pace::PaceControl;
@@ -200,6 +201,8 @@
     /// Whether the worker lists a run whose job, and thus its size, this owner doesn't know.
     pub(crate) has_unknown_runs: bool,
     pub(crate) pace: WorkerPace,
+    /// The ends of runs on the worker.
+    pub(crate) end_rate: EndRate,
     failure_streak: u32,
     quarantines: u32,
     pub(crate) quarantined_until: Time,
@@ -232,6 +235,7 @@
             recorded_start: None,
             has_unknown_runs: false,
             pace: WorkerPace::default(),
+            end_rate: EndRate::default(),
             failure_streak: 0,
             quarantines: 0,
             quarantined_until: Time::ZERO,
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -12,6 +12,7 @@
 mod contention;
 mod crashes;
 mod customers;
+mod delay;
 mod election;
 mod gang_load;
 mod gangs;
--- a/crates/kingcupwinch-node/src/cmd/tests.rs
+++ b/crates/kingcupwinch-node/src/cmd/tests.rs
@@ -7,10 +7,15 @@
 
 /// A mechanism that served callers worse must not come into use without being asked for.
 #[rstest]
-#[case(&[], "priority-order")]
-#[case(&["--with", "priority-order"], "")]
-#[case(&["--without", "speculation"], "speculation,priority-order")]
-#[case(&["--with", "priority-order", "--without", "priority-order"], "priority-order")]
+#[case(&[], "priority-order,delay-scheduling")]
+#[case(&["--with", "priority-order"], "delay-scheduling")]
+#[case(&["--with", "delay-scheduling"], "priority-order")]
+#[case(&["--with", "priority-order,delay-scheduling"], "")]
+#[case(&["--without", "speculation"], "speculation,priority-order,delay-scheduling")]
+#[case(
+    &["--with", "priority-order", "--without", "priority-order"],
+    "priority-order,delay-scheduling"
+)]
 fn mechanisms_are_off_as_chosen(#[case] options: &[&str], #[case] expected: &str) {
     let args = std::iter::once(&"node").chain(options);
     let matches = make_subcommand().try_get_matches_from(args).unwrap();
--- a/crates/kingcupwinch-node/src/events.rs
+++ b/crates/kingcupwinch-node/src/events.rs
@@ -151,6 +151,9 @@
     /// A run that waited for its placement to be recorded is discarded, since the cap was lowered or a
     /// run of an earlier owner was found.
     CapWithdraws = "1722", "run discarded, since its customer is above its cap";
+    /// Tasks wait for faster workers than those that are free, or start on these: one line for each of the
+    /// two per wait of a step, at most 16 a second.
+    StartDelayed = "1723", "decided whether to wait for faster workers";
     /// A worker registered in the directory.
     WorkerListed = "1801", "worker listed";
     /// A worker left the directory.
--- a/crates/kingcupwinch-node/src/metrics.rs
+++ b/crates/kingcupwinch-node/src/metrics.rs
@@ -66,6 +66,8 @@
     pub jobs: Family<EndLabel, Counter>,
     /// Crashes of workers that counted against tasks, by their evidence.
     pub crashes: Family<EndLabel, Counter>,
+    /// Decisions whether to wait for faster workers, by their outcome.
+    pub start_delays: Family<EndLabel, Counter>,
     /// Jobs that have not ended; set at the owner.
     pub live_jobs: Gauge,
     /// Steps that caps held back in the last round; set at the owner.
@@ -105,6 +107,7 @@
             runs: Family::default(),
             jobs: Family::default(),
             crashes: Family::default(),
+            start_delays: Family::default(),
             live_jobs: Gauge::default(),
             cap_waiting: Gauge::default(),
             cap_excluded: Gauge::default(),
@@ -156,6 +159,11 @@
             "Crashes of workers that counted against tasks",
             m.crashes.clone(),
         );
+        registry.register(
+            "start_delays",
+            "Decisions whether tasks wait for faster workers, by their outcome",
+            m.start_delays.clone(),
+        );
         registry.register("live_jobs", "Jobs that have not ended", m.live_jobs.clone());
         registry.register(
             "cap_waiting_steps",
--- a/crates/kingcupwinch-node/src/owner/cell_events.rs
+++ b/crates/kingcupwinch-node/src/owner/cell_events.rs
@@ -1,6 +1,6 @@
 //! Log events and counts of what the cell concludes.
 
-use kingcupwinch_cell::{CapHold, CellEvent, Evidence};
+use kingcupwinch_cell::{CapHold, CellEvent, Evidence, StartDelay};
 use kingcupwinch_time::Span;
 use slog::o;
 
@@ -87,6 +87,7 @@
             CellEvent::CapReached(hold) => self.log_hold(Event::CapReached, &hold),
             CellEvent::CapExcludes(hold) => self.log_hold(Event::CapExcludes, &hold),
             CellEvent::CapWithdraws(hold) => self.log_hold(Event::CapWithdraws, &hold),
+            CellEvent::StartDelayed(delay) => self.log_delay(&delay),
             CellEvent::StartDiscarded {
                 task,
                 run,
@@ -112,6 +113,24 @@
         }
     }
 
+    /// Counts a decision whether to wait for faster workers, and logs it unless there are too many.
+    fn log_delay(&self, delay: &StartDelay) {
+        Metrics::count_end(&self.shared.metrics.start_delays, delay.outcome);
+        if !delay.is_logged {
+            return;
+        }
+        self.shared.log.write(
+            Event::StartDelayed,
+            o!("step" => delay.step.clone(), "queue" => delay.queue.to_string(),
+                "tasks" => delay.tasks, "outcome" => delay.outcome,
+                "deadline_ms" => delay.deadline_in.map(Span::as_millis),
+                "here_ms" => delay.here.as_millis(), "better_ms" => delay.better.as_millis(),
+                "wait_ms" => delay.expected_wait.map(Span::as_millis),
+                "rate_age_ms" => delay.rate_age.as_millis(), "ahead_millicores" => delay.ahead,
+                "objective_ms" => delay.objective_in.as_millis()),
+        );
+    }
+
     /// Logs a step that its customer's cap holds back, with the version of the configuration that set
     /// the cap and the age of its copy.
     fn log_hold(&self, event: Event, hold: &CapHold) {
