Read farFactor from the settings

How much longer work takes far from its data, or a gang on several racks, is stated as bounds.farFactor and was not read. It is optional; without it nothing is assumed. Nothing uses it yet.

--- a/crates/kingcupwinch-node/src/test_support.rs
+++ b/crates/kingcupwinch-node/src/test_support.rs
@@ -46,6 +46,7 @@
         memory_mb: None,
         file_descriptors: None,
         cap_overage: 0.0,
+        far_factor: None,
         max_lease: Span::from_secs(6),
         heartbeat: Span::from_millis(1_500),
         grace_period: Span::from_secs(6),
