Let gangs wait for one rack as long as that pays

A gang that is slower on several racks took them at once, also just before one rack had room for all its members. With delay-scheduling and bounds.farFactor, the owner compares both by the same rule as for tasks, stores the deadline, and keeps the room on that rack until then. Without the setting or the mechanism, gangs start as before.

Three tests play one gang on two racks: it waits for the rack that is about to be free, starts on two racks after its deadline, and starts at once without a factor. Load with gangs was not measured.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -239,7 +239,7 @@
     /// Switches mechanisms off.
     pub fn with_disabled(mut self, disabled: Disabled) -> Self {
         self.disabled = disabled;
-        self.run_times = RunTimes::default().with_disabled(disabled);
+        self.run_times = self.run_times.with_disabled(disabled);
         self.advice_callers = AdviceCallers::default().with_disabled(disabled);
         self
     }
--- a/crates/kingcupwinch-cell/src/mechanism.rs
+++ b/crates/kingcupwinch-cell/src/mechanism.rs
@@ -51,7 +51,7 @@
     CallerHealth = "caller-health";
     /// Steps of more urgent queues first, with a floor for the others.
     PriorityOrder = "priority-order";
-    /// Tasks that wait for a faster worker as long as that is expected to pay.
+    /// Tasks that wait for a faster worker, and gangs for a rack, as long as that is expected to pay.
     DelayScheduling = "delay-scheduling";
 }
 
--- a/crates/kingcupwinch-cell/src/placement.rs
+++ b/crates/kingcupwinch-cell/src/placement.rs
@@ -9,6 +9,7 @@
 mod better_places;
 mod caps;
 mod delay;
+mod gang_delay;
 mod gangs;
 mod moves;
 mod order;
--- a/crates/kingcupwinch-cell/src/placement/better_places.rs
+++ b/crates/kingcupwinch-cell/src/placement/better_places.rs
@@ -21,7 +21,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct StepDelay {
     /// When the tasks start on other workers at the latest.
-    until: Option<Time>,
+    pub(super) until: Option<Time>,
     /// Whether a decision to wait, and one to start, was reported.
     has_waited: bool,
     has_started: bool,
@@ -52,7 +52,7 @@
 pub(super) struct BetterPlaces {
     classes: FxHashMap<Option<Arc<str>>, Arc<[PlaceClass]>>,
     /// The CPU of the tasks that wait for better places in this round so far, in thousandths of a core.
-    awaited: u64,
+    pub(super) awaited: u64,
 }
 
 /// How the adviser limits the use of a class of workers.
@@ -231,18 +231,24 @@
             let class = &mut classes[index];
             class.workers += 1;
             class.pace = class.pace.max(candidate.pace);
-            class.forecast.add_worker(&worker.end_rate, now);
-            for run in worker.runs.iter().map(|run| &self.runs[*run]) {
-                let job = &self.jobs[run.job];
-                let charge = job.step_spec(job.slot(run.name)).charged_resources();
-                class.forecast.add_run(charge.cpu, run.expected_end, now);
-            }
+            self.add_to_forecast(&mut class.forecast, candidate.key, now);
         }
         let classes: Arc<[PlaceClass]> = classes.into();
         pool.places.classes.insert(label, Arc::clone(&classes));
         classes
     }
 
+    /// Adds the ends of a worker's runs to a forecast.
+    pub(super) fn add_to_forecast(&self, forecast: &mut EndForecast, key: WorkerKey, now: Time) {
+        let worker = &self.workers[key];
+        forecast.add_worker(&worker.end_rate, now);
+        for run in worker.runs.iter().map(|run| &self.runs[*run]) {
+            let job = &self.jobs[run.job];
+            let charge = job.step_spec(job.slot(run.name)).charged_resources();
+            forecast.add_run(charge.cpu, run.expected_end, now);
+        }
+    }
+
     /// Returns how the adviser limits the use of a class of workers by a step.
     fn usability(
         &self,
@@ -351,6 +357,7 @@
     }
 }
 
-fn scaled(span: Span, factor: f64) -> Span {
+/// Returns a multiple of a span.
+pub(super) fn scaled(span: Span, factor: f64) -> Span {
     Span::from_micros((span.as_micros() as f64 * factor) as u64)
 }
--- a/crates/kingcupwinch-cell/src/placement/gangs.rs
+++ b/crates/kingcupwinch-cell/src/placement/gangs.rs
@@ -65,7 +65,24 @@
         left.is_none()
     }
 
-    /// Starts a whole gang if it fits. Otherwise reserves the available capacity for it, so that
+    /// Reserves the room that workers have for members of a gang.
+    fn reserve_for_gang(
+        &self,
+        demand: &StepDemand,
+        candidates: &[usize],
+        pool: &mut WorkerPool,
+        tasks: usize,
+    ) {
+        let mut left = tasks as u64;
+        for &candidate in candidates {
+            let fits = self.room_on(demand, &pool.candidates[candidate]);
+            let fits = fits.unwrap_or(0).min(left);
+            pool.reserve(candidate, demand.charge, fits);
+            left -= fits;
+        }
+    }
+
+    /// Starts a whole gang if it fits, and doesn't wait for one rack. Otherwise reserves the available capacity for it, so that
     /// steps behind it can't starve it.
     pub(super) fn place_gang(
         &mut self,
@@ -90,16 +107,16 @@
             if !is_reserving {
                 return false;
             }
-            let mut left = tasks as u64;
-            for &candidate in eligible {
-                let fits = self.room_on(demand, &pool.candidates[candidate]);
-                let fits = fits.unwrap_or(0).min(left);
-                pool.reserve(candidate, demand.charge, fits);
-                left -= fits;
-            }
+            self.reserve_for_gang(demand, eligible, pool, tasks);
             return false;
         };
         let number = job.last_run + 1;
+        if let Some(rack) = self.awaited_rack(ready, demand, &chosen, pool, now) {
+            if self.uses(Mechanism::GangReservation) {
+                self.reserve_for_gang(demand, &rack, pool, tasks);
+            }
+            return false;
+        }
         for (index, candidate) in chosen.into_iter().enumerate() {
             self.start_on(
                 ready.job,
--- a/crates/kingcupwinch-cell/src/run_time.rs
+++ b/crates/kingcupwinch-cell/src/run_time.rs
@@ -210,6 +210,8 @@
     /// The number of steps learned from.
     learned_steps: u64,
     disabled: Disabled,
+    /// The run time of a gang on several racks as a multiple of that on one, if it is known.
+    pub(crate) far_factor: Option<f64>,
 }
 
 impl RunTimes {
--- a/crates/kingcupwinch-cell/tests/cell/delay.rs
+++ b/crates/kingcupwinch-cell/tests/cell/delay.rs
@@ -215,3 +215,69 @@
     assert!(!waits.is_empty(), "some tasks wait");
     assert!(waits.values().all(|lines| *lines == 1), "{waits:?}");
 }
+
+const GANG: u64 = 3;
+
+/// Sends a gang that has room on two racks, while a task that is about to end is in its way on the first
+/// and a long one on the second.
+fn gang_on_two_racks(far_factor: Option<f64>) -> Harness {
+    let mut harness = Harness::new(8, CORES);
+    let cell = std::mem::replace(&mut harness.cell, Harness::of_generation(1).cell);
+    let all_on: Disabled = [].into_iter().collect();
+    harness.cell = cell.with_disabled(all_on).with_far_factor(far_factor);
+    for number in 10..14 {
+        harness.submit(number, job(vec![step(8, CORES, 500)]));
+        harness.run_round();
+        harness.advance(500);
+        harness.end_all(EndReason::Done);
+        harness.poll_all();
+    }
+    for (number, estimate_ms) in [(1, 500), (2, 20_000)] {
+        let mut in_the_way = step(1, CORES, estimate_ms);
+        in_the_way.required_label = Some(format!("rack-{}", number - 1).into());
+        harness.submit(number, job(vec![in_the_way]));
+    }
+    harness.run_round();
+    let mut gang = step(4, CORES, 60_000);
+    gang.gang = true;
+    gang.same_rack = true;
+    harness.submit(GANG, job(vec![gang]));
+    harness.run_round();
+    harness
+}
+
+fn members(harness: &Harness) -> Vec<WorkerKey> {
+    let members = harness.running().into_iter();
+    let members = members.filter(|(_, task)| task.job == id(GANG));
+    members.map(|(worker, _)| worker).collect()
+}
+
+/// A gang spread over racks, and was slower for all its time, although one rack was about to be free.
+#[test]
+fn a_gang_waits_for_a_rack_that_is_about_to_be_free() {
+    let mut harness = gang_on_two_racks(Some(2.0));
+    assert_eq!(members(&harness), []);
+    let first = harness.running().into_iter();
+    let (worker, task) = first.min_by_key(|(worker, _)| *worker).unwrap();
+    harness.end(worker, task, EndReason::Done);
+    harness.poll_all();
+    harness.run_round();
+    assert_eq!(members(&harness), harness.keys()[..4]);
+}
+
+/// The task in the way did not end when it should have.
+#[test]
+fn a_gang_starts_on_two_racks_after_its_deadline() {
+    let mut harness = gang_on_two_racks(Some(2.0));
+    assert_eq!(members(&harness), []);
+    harness.advance(4_000);
+    harness.poll_all();
+    harness.run_round();
+    assert_eq!(members(&harness).len(), 4);
+}
+
+/// It is not known what a gang loses on two racks.
+#[test]
+fn a_gang_starts_at_once_without_a_far_factor() {
+    assert_eq!(members(&gang_on_two_racks(None)).len(), 4);
+}
--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -149,7 +149,8 @@
     let mut cell = Cell::new(timers, claim.generation)
         .with_disabled(shared.disabled)
         .with_record_limit(limit)
-        .with_cap_overage(shared.settings.cap_overage);
+        .with_cap_overage(shared.settings.cap_overage)
+        .with_far_factor(shared.settings.far_factor);
     let workers = restore_workers(shared, &mut cell, &directory, &progress, now);
     let shards = WorkerShards::new(limit, progress.items.iter().map(|item| &*item.key));
     let mut origins = Origins::default();
