--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -3,6 +3,7 @@
 mod advice_calls;
 mod asked_work;
 mod caps;
+mod counters;
 mod crash_weights;
 mod crashes;
 mod early_cancels;
@@ -49,6 +50,7 @@
 
 pub use advice_calls::AdviceCallId;
 pub(crate) use advice_calls::NamedWorker;
+pub use counters::Counters;
 pub use job_states::JobView;
 pub use paces::PaceOrder;
 pub use records::RecordBatch;
@@ -92,35 +94,6 @@
     Cancelled,
 }
 
-/// Event counts since the cell was created.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Counters {
-    /// Start orders sent.
-    pub starts: u64,
-    /// Runs that completed their work.
-    pub done: u64,
-    /// Runs that ended for any other reason than completion or failure, and all ended runs of
-    /// long-running tasks.
-    pub interrupted: u64,
-    /// Runs that failed.
-    pub failed: u64,
-    /// Jobs completed.
-    pub jobs_completed: u64,
-    /// Jobs that failed.
-    pub jobs_failed: u64,
-    /// Calls to advisers.
-    pub advice_calls: u64,
-    /// Workers that were put in order for a step, which is much of the cost of decisions.
-    pub ranked_workers: u64,
-    /// Crashes of workers that counted against tasks.
-    pub crashes: u64,
-    /// Tasks that were given up because of such crashes.
-    pub tasks_given_up: u64,
-    /// Runs that were discarded before their orders were sent, since their customers were above their
-    /// caps.
-    pub cap_withdrawals: u64,
-}
-
 /// What the log says about a run that ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunSummary {
@@ -173,6 +146,7 @@
     events: Vec<CellEvent>,
     pub(crate) wait_budget: WaitBudget,
     forecasts: Forecasts,
+    pub(crate) delay_budget: WaitBudget,
     crash_log: CrashLog,
     /// Whether a worker's record for a later owner has changed since the records were last taken.
     are_workers_changed: bool,
@@ -238,6 +212,7 @@
             events: Vec::new(),
             wait_budget: WaitBudget::default(),
             forecasts: Forecasts::default(),
+            delay_budget: WaitBudget::default(),
             crash_log: CrashLog::default(),
             are_workers_changed: false,
             speculative_jobs: FxHashSet::default(),
@@ -269,7 +244,7 @@
     /// Switches mechanisms off.
     pub fn with_disabled(mut self, disabled: Disabled) -> Self {
         self.disabled = disabled;
-        self.run_times = RunTimes::default().with_disabled(disabled);
+        self.run_times = self.run_times.with_disabled(disabled);
         self.advice_callers = AdviceCallers::default().with_disabled(disabled);
         self
     }
--- a/crates/kingcupwinch-cell/src/mechanism.rs
+++ b/crates/kingcupwinch-cell/src/mechanism.rs
@@ -53,13 +53,20 @@
     PriorityOrder = "priority-order";
     /// Refusal of jobs that would end after their late limit by the forecast of their queue.
     Forecast = "forecast";
+    /// Tasks that wait for a faster worker, and gangs for a rack, as long as that is expected to pay.
+    DelayScheduling = "delay-scheduling";
 }
 
 impl Mechanism {
     /// The mechanisms that an instance uses only if it is told to. With the order by priority, callers of
     /// two deployments were served slightly worse (docs/design/order-under-load.md). Admission by forecast
-    /// was not measured on a deployment yet (docs/design/admission.md).
-    pub const OPT_IN: &[Mechanism] = &[Mechanism::PriorityOrder, Mechanism::Forecast];
+    /// (docs/design/admission.md) and delay scheduling (docs/design/delay-scheduling.md) were not measured on
+    /// a deployment yet.
+    pub const OPT_IN: &[Mechanism] = &[
+        Mechanism::PriorityOrder,
+        Mechanism::Forecast,
+        Mechanism::DelayScheduling,
+    ];
 }
 
 impl fmt::Display for Mechanism {
@@ -68,10 +75,17 @@
     }
 }
 
-/// The mechanisms that are switched off. None is by default.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+/// The mechanisms that are switched off. By default this is delay scheduling, which was not measured on a
+/// deployment yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Disabled(u32);
 
+impl Default for Disabled {
+    fn default() -> Self {
+        Disabled(Disabled::bit(Mechanism::DelayScheduling))
+    }
+}
+
 impl Disabled {
     /// Returns whether a mechanism is in use.
     pub fn uses(self, mechanism: Mechanism) -> bool {
--- a/crates/kingcupwinch-cell/src/placement/pool.rs
+++ b/crates/kingcupwinch-cell/src/placement/pool.rs
@@ -7,6 +7,7 @@
 use slotmap::SecondaryMap;
 use smallvec::SmallVec;
 
+use super::better_places::BetterPlaces;
 use crate::cell::{Cell, NamedWorker};
 use crate::crash::Suspicion;
 use crate::spec::Resources;
@@ -98,6 +99,8 @@
     free_cpu: u64,
     /// The pace of the fastest and of the slowest candidate that is not quarantined, if there is any.
     pub(super) paces: Option<PaceRange>,
+    /// When places become free, and what steps wait for them.
+    pub(super) places: BetterPlaces,
 }
 
 /// The usable workers of one round of scheduling.
--- a/crates/kingcupwinch-node/src/events.rs
+++ b/crates/kingcupwinch-node/src/events.rs
@@ -151,6 +151,9 @@
     /// A run that waited for its placement to be recorded is discarded, since the cap was lowered or a
     /// run of an earlier owner was found.
     CapWithdraws = "1722", "run discarded, since its customer is above its cap";
+    /// Tasks wait for faster workers than those that are free, or start on these: one line for each of the
+    /// two per wait of a step, at most 16 a second.
+    StartDelayed = "1723", "decided whether to wait for faster workers";
     /// Jobs were refused because they would end after their late limit, at most once a second per queue.
     ForecastRefused = "1730", "jobs refused by the forecast of their queue";
     /// A worker registered in the directory.
