--- a/crates/kingcupwinch-cell/src/mechanism.rs
+++ b/crates/kingcupwinch-cell/src/mechanism.rs
@@ -58,10 +58,10 @@
 }
 
 impl Mechanism {
-    /// The mechanisms that an instance uses only if it is told to. With the order by priority, callers of
-    /// two deployments were served slightly worse (docs/design/order-under-load.md). Admission by forecast
-    /// (docs/design/admission.md) and delay scheduling (docs/design/delay-scheduling.md) were not measured on
-    /// a deployment yet.
+    /// The mechanisms that an instance uses only if it is told to. With the order by priority
+    /// (docs/design/order-under-load.md) and with admission by forecast (docs/design/admission.md), callers
+    /// were served slightly worse on deployments, with delay scheduling far worse
+    /// (docs/design/delay-scheduling.md).
     pub const OPT_IN: &[Mechanism] = &[
         Mechanism::PriorityOrder,
         Mechanism::Forecast,
@@ -75,8 +75,8 @@
     }
 }
 
-/// The mechanisms that are switched off. By default this is delay scheduling, which was not measured on a
-/// deployment yet.
+/// The mechanisms that are switched off. By default this is delay scheduling, with which callers were served
+/// worse.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Disabled(u32);
 
