Let an owner send a second's worth of starts in a burst

A bucket of 0.2 s, 75 orders on the smallest owners, would send gangs of deployments with 48 workers through relays, whose rate is far below the limit.

--- a/crates/kingcupwinch-node/src/owner/start_rate.rs
+++ b/crates/kingcupwinch-node/src/owner/start_rate.rs
@@ -9,8 +9,9 @@
 /// everything around it takes 0.3 ms of processor time (docs/CAPACITY.md), so these take less than half
 /// of the share and leave the rest for polls and decisions.
 const STARTS_PER_CORE: f64 = 1_500.0;
-/// Time over which bursts are evened out, in seconds.
-const BURST_S: f64 = 0.2;
+/// Time over which bursts are evened out, in seconds: a wide gang, or the jobs that wait at a takeover, are
+/// no reason for relays.
+const BURST_S: f64 = 1.0;
 
 /// Token bucket of the start orders that an owner sends itself. The others go through relays, in one
 /// message for all tasks of a job.
