--- a/crates/kingcupwinch-cell/tests/cell/caps_random.rs
+++ b/crates/kingcupwinch-cell/tests/cell/caps_random.rs
@@ -209,19 +209,6 @@
             };
             fits(used.cpu, cap.cpu) && fits(used.memory, cap.memory)
         };
-        if self.seed
-            == std::env::var("DBG")
-                .ok()
-                .and_then(|s| s.parse().ok())
-                .unwrap_or(u64::MAX)
-        {
-            eprintln!(
-                "start {order:?} running {:?} sent {:?} stale {:?} cap {cap:?}",
-                self.harness.running(),
-                self.harness.starts,
-                self.stale
-            );
-        }
         assert!(
             is_within(1.0) || (is_alone && is_within(share)),
             "seed {}, owner {}: {customer} has {used:?} with a cap of {cap:?}",
@@ -348,26 +335,6 @@
                 34 => self.harness.set_ready(),
                 _ => {}
             }
-            if self.seed
-                == std::env::var("DBG")
-                    .ok()
-                    .and_then(|s| s.parse().ok())
-                    .unwrap_or(u64::MAX)
-            {
-                eprintln!(
-                    "--- gen {} at {:?} running {:?} starts {:?} stale {} events {:?}",
-                    self.generation,
-                    self.harness.now,
-                    self.harness.running(),
-                    self.harness
-                        .starts
-                        .iter()
-                        .map(|s| (s.task, s.run))
-                        .collect::<Vec<_>>(),
-                    self.stale.len(),
-                    self.harness.cell.take_events()
-                );
-            }
             let ms = self.random.random_range(1..300);
             self.harness.advance(ms);
             self.run_round();
