Share the polls of runs in progress between two simulations

Both simulations computed the progress of a worker's runs from their start and end times before each poll. No check changes; 56 tests of caps, delays, orders and forecasts pass.

--- a/crates/kingcupwinch-cell/tests/cell/delay.rs
+++ b/crates/kingcupwinch-cell/tests/cell/delay.rs
@@ -129,13 +129,7 @@
         busy.sort();
         busy.dedup();
         for worker in busy {
-            let fake = harness.workers.get_mut(&worker).unwrap();
-            for run in &mut fake.running {
-                let (start, end) = self.spans[&run.task];
-                let done = (now - start).as_micros() * 100 / (end - start).as_micros();
-                run.percent = done.min(99) as u8;
-            }
-            harness.poll(worker);
+            harness.poll_in_progress(worker, &self.spans, now);
         }
     }
 
--- a/crates/kingcupwinch-cell/tests/cell/harness.rs
+++ b/crates/kingcupwinch-cell/tests/cell/harness.rs
@@ -355,6 +355,22 @@
         self.poll_started(key, 1);
     }
 
+    /// Polls a worker whose runs have progressed at `now` in proportion to their start and end times.
+    pub(crate) fn poll_in_progress(
+        &mut self,
+        key: WorkerKey,
+        spans: &HashMap<TaskName, (Time, Time)>,
+        now: Time,
+    ) {
+        let fake = self.workers.get_mut(&key).unwrap();
+        for run in &mut fake.running {
+            let (start, end) = spans[&run.task];
+            let done = (now - start).as_micros() * 100 / (end - start).as_micros();
+            run.percent = done.min(99) as u8;
+        }
+        self.poll(key);
+    }
+
     /// Polls a worker that says when its process started, in Unix milliseconds.
     pub(crate) fn poll_started(&mut self, key: WorkerKey, started_ms: u64) {
         let order = self.cell.next_poll(key, self.now).unwrap();
--- a/crates/kingcupwinch-cell/tests/cell/order_load.rs
+++ b/crates/kingcupwinch-cell/tests/cell/order_load.rs
@@ -323,13 +323,7 @@
         busy.sort();
         busy.dedup();
         for worker in busy {
-            let fake = harness.workers.get_mut(&worker).unwrap();
-            for run in &mut fake.running {
-                let (start, end) = self.spans[&run.task];
-                let done = (now - start).as_micros() * 100 / (end - start).as_micros();
-                run.percent = done.min(99) as u8;
-            }
-            harness.poll(worker);
+            harness.poll_in_progress(worker, &self.spans, now);
         }
         for (_, call, named, hash) in self.calls.extract_if(.., |(due, ..)| *due <= now) {
             let is_allowed = |id: &str| {
