--- a/crates/kingcupwinch-node/src/lib.rs
+++ b/crates/kingcupwinch-node/src/lib.rs
@@ -31,6 +31,7 @@
 mod siblings;
 #[cfg(test)]
 mod test_support;
+mod token_bucket;
 
 pub use metrics::Metrics;
 pub use node::{Node, NodeError};
--- a/crates/kingcupwinch-node/src/link.rs
+++ b/crates/kingcupwinch-node/src/link.rs
@@ -14,6 +14,7 @@
 use crate::events::Event;
 use crate::metrics::Metrics;
 use crate::shared::Shared;
+use crate::token_bucket::TokenBucket;
 
 #[cfg(test)]
 mod tests;
@@ -77,13 +78,9 @@
 /// other instances can send. Everything else that the instance sends is charged to it too.
 #[derive(Debug)]
 pub(crate) struct OrderBudget {
-    /// Bytes per second that are added.
-    rate: f64,
-    /// Bytes that may be sent now; negative after more was sent than allowed.
-    level: f64,
+    bytes: TokenBucket,
     /// Bytes sent for other purposes until the last refill.
     other_sent: u64,
-    refilled_at: Time,
 }
 
 impl OrderBudget {
@@ -91,31 +88,22 @@
     pub(crate) fn new(link_mbps: f64, now: Time) -> Self {
         let rate = link_mbps * BYTES_PER_MBIT * ORDER_SHARE;
         OrderBudget {
-            rate,
-            level: rate * BURST_S,
+            bytes: TokenBucket::new(rate, BURST_S, now),
             other_sent: 0,
-            refilled_at: now,
         }
     }
 
     /// Adds what time has brought, and subtracts what was sent for other purposes; `other_sent` is the
     /// total of the bytes sent for them so far.
     pub(crate) fn refill(&mut self, other_sent: u64, now: Time) {
-        let elapsed = now.since(self.refilled_at).as_micros() as f64 / 1e6;
         let spent = other_sent.saturating_sub(self.other_sent) as f64;
-        self.refilled_at = now;
         self.other_sent = other_sent;
-        let most = self.rate * BURST_S;
-        self.level = (self.level + self.rate * elapsed - spent).clamp(-most, most);
+        self.bytes.refill(spent, now);
     }
 
     /// Takes bytes from the budget; returns false if it is used up.
     pub(crate) fn take(&mut self, bytes: usize) -> bool {
-        let is_left = self.level >= bytes as f64;
-        if is_left {
-            self.level -= bytes as f64;
-        }
-        is_left
+        self.bytes.take(bytes as f64)
     }
 }
 
--- a/crates/kingcupwinch-node/src/owner/start_rate.rs
+++ b/crates/kingcupwinch-node/src/owner/start_rate.rs
@@ -2,6 +2,8 @@
 
 use kingcupwinch_time::Time;
 
+use crate::token_bucket::TokenBucket;
+
 #[cfg(test)]
 mod tests;
 
@@ -17,37 +19,24 @@
 /// message for all tasks of a job.
 #[derive(Debug)]
 pub(super) struct StartRate {
-    /// Orders per second.
-    rate: f64,
-    /// Orders that may be sent now.
-    level: f64,
-    refilled_at: Time,
+    orders: TokenBucket,
 }
 
 impl StartRate {
     /// Creates a full bucket for an instance that may use this many cores.
     pub(super) fn new(cpu_share: f64, now: Time) -> Self {
-        let rate = cpu_share * STARTS_PER_CORE;
         StartRate {
-            rate,
-            level: rate * BURST_S,
-            refilled_at: now,
+            orders: TokenBucket::new(cpu_share * STARTS_PER_CORE, BURST_S, now),
         }
     }
 
     /// Adds what time has brought.
     pub(super) fn refill(&mut self, now: Time) {
-        let elapsed = now.since(self.refilled_at).as_micros() as f64 / 1e6;
-        self.refilled_at = now;
-        self.level = (self.level + self.rate * elapsed).min(self.rate * BURST_S);
+        self.orders.refill(0.0, now);
     }
 
     /// Takes one order from the bucket; returns false if it is empty.
     pub(super) fn take(&mut self) -> bool {
-        let is_left = self.level >= 1.0;
-        if is_left {
-            self.level -= 1.0;
-        }
-        is_left
+        self.orders.take(1.0)
     }
 }
