Bound the bytes that connections have received and not read

Clients that open another connection as soon as one is closed took an instance to 50 MB of its 48: bytes in receive buffers count toward the memory of a machine, the kernel grows each buffer by itself, and the backlog held 1,024 connections with theirs. Resident memory alone stayed low, which is all that the tests looked at.

The listening socket gets a fixed receive buffer, which its connections inherit, and a backlog by memory; both count in the memory of a connection, so that the smallest instance accepts 523 connections in place of 585.

In chunks of one byte, a peer kept a place for as long as its chunks took to decode, and others waited meanwhile: a body whose place is needed ends at once, progress is recorded by kilobyte, and others have their turn after 32 frames.

--- a/crates/kingcupwinch-daemon/tests/clients/main.rs
+++ b/crates/kingcupwinch-daemon/tests/clients/main.rs
@@ -8,3 +8,5 @@
 mod crowd;
 mod flood;
 mod instance;
+mod returning;
+mod usage;
--- a/crates/kingcupwinch-node/src/http.rs
+++ b/crates/kingcupwinch-node/src/http.rs
@@ -18,7 +18,7 @@
 use hyper_util::rt::TokioIo;
 use kingcupwinch_platform::{ByteCounter, Counted};
 use slog::o;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -40,7 +40,7 @@
 pub(crate) use listener::{CALLERS, SIBLINGS};
 
 use connection::{Connection, OpenConnection};
-use limits::buffer_bytes;
+use limits::{Capacity, buffer_bytes};
 use listener::Listener;
 use progress::{Phase, Reason};
 use stream::TrackedStream;
@@ -75,21 +75,34 @@
     shared: Arc<Shared>,
     drain: watch::Receiver<bool>,
 ) -> std::io::Result<()> {
-    let socket = TcpListener::bind(address).await?;
+    let listener = Listener::start(purpose, Arc::clone(&shared));
+    let socket = bind(address, &listener.capacity)?;
     let counter = shared.traffic.counter(purpose);
-    tokio::spawn(accept(socket, purpose, counter, handler, shared, drain));
+    tokio::spawn(accept(socket, listener, counter, handler, shared, drain));
     Ok(())
 }
 
+/// Binds an address. Its connections inherit the size of the receive buffer, also before they are
+/// accepted.
+fn bind(address: SocketAddr, capacity: &Capacity) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_recv_buffer_size(capacity.receive_bytes as u32)?;
+    socket.bind(address)?;
+    socket.listen(capacity.backlog)
+}
+
 async fn accept<H: Handler>(
     socket: TcpListener,
-    purpose: &'static str,
+    listener: Arc<Listener>,
     counter: Arc<ByteCounter>,
     handler: Arc<H>,
     shared: Arc<Shared>,
     drain: watch::Receiver<bool>,
 ) {
-    let listener = Listener::start(purpose, Arc::clone(&shared));
     let limit = Arc::new(Semaphore::new(listener.capacity.connections));
     let mut drained = drain.clone();
     loop {
@@ -131,11 +144,11 @@
             return Some(permit);
         }
         if !listener.displace_connection() {
-            listener.set_waiting(true);
+            listener.note_waiting();
         }
         let permit = Arc::clone(limit).acquire_owned();
         if let Ok(permit) = timeout(DISPLACE_INTERVAL, permit).await {
-            listener.set_waiting(false);
+            listener.clear_waiting();
             return permit.ok();
         }
     }
--- a/crates/kingcupwinch-node/src/http/body.rs
+++ b/crates/kingcupwinch-node/src/http/body.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Bytes, Frame, Incoming};
 use hyper::{Request, StatusCode};
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout};
 
 use super::budget::{Charge, HANDLED_COPIES};
@@ -17,6 +18,10 @@
 
 /// Time for a displaced body to release its memory: its task only has to be polled.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Frames of a body after which others have their turn. A chunk of one byte is a frame.
+const FRAMES_PER_TURN: u32 = 32;
+/// Bytes of a body after which its progress is recorded.
+const PROGRESS_STEP: u64 = 1 << 10;
 /// Callers whose body did not fit into memory are asked to retry after so many seconds: stalled bodies
 /// are displaced after one.
 const RETRY_AFTER_S: u32 = 1;
@@ -90,7 +95,8 @@
     let timeouts = connection.listener.timeouts();
     connection.set_charge(false);
     connection.advance(|progress, now| progress.on_body_start(now, &timeouts));
-    let result = Reader::new(&connection, limit).read(body).await;
+    let mut body = body;
+    let result = Reader::new(&connection, limit).read(&mut body).await;
     connection.begin_request();
     if matches!(result, Err(Refusal::Slow)) {
         connection.listener.count(Reason::SlowBody);
@@ -117,21 +123,29 @@
         }
     }
 
-    async fn read(mut self, mut body: Incoming) -> Result<Body, Refusal> {
+    async fn read(mut self, body: &mut Incoming) -> Result<Body, Refusal> {
         let size = body.size_hint();
         if size.lower() > self.limit as u64 {
             return Err(Refusal::TooLarge);
         }
         let expected = size.exact().map_or(self.limit, |size| size as usize);
         let timeouts = self.connection.listener.timeouts();
-        while let Some(frame) = self.next_frame(&mut body).await? {
+        let (mut frames, mut unrecorded) = (0, 0);
+        while let Some(frame) = self.next_frame(body).await? {
+            frames += 1;
+            if frames % FRAMES_PER_TURN == 0 {
+                yield_now().await;
+            }
             let Ok(data) = frame.into_data() else {
                 continue;
             };
             self.append(&data, expected).await?;
-            let bytes = data.len() as u64;
-            self.connection
-                .advance(|progress, now| progress.on_body(now, bytes, &timeouts));
+            unrecorded += data.len() as u64;
+            if unrecorded >= PROGRESS_STEP {
+                self.connection
+                    .advance(|progress, now| progress.on_body(now, unrecorded, &timeouts));
+                unrecorded = 0;
+            }
         }
         let handled = self.body.buffer.capacity() + self.body.len() * (HANDLED_COPIES - 1);
         if !self.charge(handled).await {
@@ -143,10 +157,11 @@
     async fn next_frame(&self, body: &mut Incoming) -> Result<Option<Frame<Bytes>>, Refusal> {
         let deadline = self.connection.deadline().unwrap_or_else(Instant::now);
         tokio::select! {
-            // What has arrived counts, however late this instance reads it.
+            // What has arrived counts, however late this instance reads it, unless the place is needed:
+            // decoding what a peer sent in tiny chunks can take longer than others wait.
             biased;
-            frame = body.frame() => frame.transpose().map_err(|_| Refusal::Incomplete),
             _ = self.connection.displaced() => Err(Refusal::NoMemory),
+            frame = body.frame() => frame.transpose().map_err(|_| Refusal::Incomplete),
             () = sleep_until(deadline) => Err(Refusal::Slow),
         }
     }
--- a/crates/kingcupwinch-node/src/http/connection.rs
+++ b/crates/kingcupwinch-node/src/http/connection.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use super::listener::Listener;
-use super::progress::{Phase, Progress, Reason};
+use super::progress::{Phase, Progress, Rank, Reason};
 
 /// An open connection.
 pub(crate) struct Connection {
@@ -52,7 +52,7 @@
     }
 
     /// Returns its place among the connections that are closed for others.
-    pub(crate) fn rank(&self, now: Instant) -> Option<(bool, Instant)> {
+    pub(crate) fn rank(&self, now: Instant) -> Option<Rank> {
         let state = self.lock();
         match state.displaced {
             Some(_) => None,
--- a/crates/kingcupwinch-node/src/http/limits.rs
+++ b/crates/kingcupwinch-node/src/http/limits.rs
@@ -9,10 +9,22 @@
 /// Part of an instance's memory for the bodies of one listener, as a divisor.
 const BODY_SHARE: u64 = 8;
 /// Part of an instance's memory for the connections of one listener, as a divisor.
-const CONNECTION_SHARE: u64 = 5;
+const CONNECTION_SHARE: u64 = 4;
+/// Receive buffer of a connection, in bytes. The kernel would grow it to megabytes by itself, and what
+/// waits in it counts toward the memory of an instance. At a round trip of 30 ms the largest body still
+/// takes less than a second.
+const RECEIVE_BYTES: usize = 8 << 10;
+/// The same for connections within the deployment, whose messages are larger.
+const INTERNAL_RECEIVE_BYTES: usize = 64 << 10;
+/// Memory of a receive buffer as a multiple of its size: the kernel counts its own structures too.
+const RECEIVE_OVERHEAD: u64 = 2;
+/// Part of an instance's memory for connections that were not accepted yet, as a divisor.
+const BACKLOG_SHARE: u64 = 12;
+/// Minimum and maximum number of such connections; the kernel's default maximum is 4,096.
+const BACKLOG_RANGE: (u64, u64) = (64, 1_024);
 /// Memory of one connection, in bytes: hyper's buffers for reading and writing (16 KiB each), the start
-/// of a body that is not charged to the budget (8 KiB), and the state of its task.
-const CONNECTION_BYTES: u64 = 40 << 10;
+/// of a body that is not charged to the budget (8 KiB), the state of its task, and the receive buffer.
+const CONNECTION_BYTES: u64 = (40 << 10) + RECEIVE_OVERHEAD * RECEIVE_BYTES as u64;
 /// Part of the file descriptors for the connections of one listener, as a divisor; most others are
 /// connections to workers and siblings.
 const DESCRIPTOR_SHARE: u64 = 4;
@@ -47,6 +59,10 @@
     pub(crate) connections: usize,
     /// Maximum size of the bodies together, in bytes.
     pub(crate) body_bytes: usize,
+    /// Maximum number of connections that were not accepted yet.
+    pub(crate) backlog: u32,
+    /// Size of a connection's receive buffer, in bytes.
+    pub(crate) receive_bytes: usize,
 }
 
 /// Limits of one connection.
@@ -70,18 +86,32 @@
         Capacity {
             connections: Capacity::new(settings).connections.min(FEW_CONNECTIONS),
             body_bytes: 0,
+            backlog: FEW_CONNECTIONS as u32,
+            receive_bytes: RECEIVE_BYTES,
         }
     }
 
-    /// Computes the capacity of a listener for callers or siblings.
+    /// Returns the capacity of a listener for siblings.
+    pub(crate) fn internal(settings: &Settings) -> Self {
+        Capacity {
+            receive_bytes: INTERNAL_RECEIVE_BYTES,
+            ..Capacity::new(settings)
+        }
+    }
+
+    /// Computes the capacity of a listener for callers.
     pub(crate) fn new(settings: &Settings) -> Self {
         let memory = settings.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * 1_000_000;
         let by_memory = memory / CONNECTION_SHARE / CONNECTION_BYTES;
         let by_descriptors = settings.file_descriptors.map(|all| all / DESCRIPTOR_SHARE);
         let connections = by_memory.min(by_descriptors.unwrap_or(MAX_CONNECTIONS));
+        let waiting = memory / BACKLOG_SHARE / (RECEIVE_OVERHEAD * RECEIVE_BYTES as u64);
+        let (least, most) = BACKLOG_RANGE;
         Capacity {
             connections: connections.clamp(MIN_CONNECTIONS, MAX_CONNECTIONS) as usize,
             body_bytes: (memory / BODY_SHARE) as usize,
+            backlog: waiting.clamp(least, most) as u32,
+            receive_bytes: RECEIVE_BYTES,
         }
     }
 }
--- a/crates/kingcupwinch-node/src/http/listener.rs
+++ b/crates/kingcupwinch-node/src/http/listener.rs
@@ -45,7 +45,8 @@
     /// refused.
     pub(crate) fn start(purpose: &'static str, shared: Arc<Shared>) -> Arc<Self> {
         let capacity = match purpose {
-            CALLERS | SIBLINGS => Capacity::new(&shared.settings),
+            CALLERS => Capacity::new(&shared.settings),
+            SIBLINGS => Capacity::internal(&shared.settings),
             _ => Capacity::reduced(&shared.settings),
         };
         let listener = Arc::new(Listener {
@@ -114,9 +115,14 @@
         self.displace(Reason::Displaced, |_| true)
     }
 
-    /// Notes whether the connection that is responded to next has to be closed.
-    pub(crate) fn set_waiting(&self, is_waiting: bool) {
-        self.is_waiting.store(is_waiting, Ordering::Relaxed);
+    /// Notes that a new connection waits for a place although none can be closed for it.
+    pub(crate) fn note_waiting(&self) {
+        self.is_waiting.store(true, Ordering::Relaxed);
+    }
+
+    /// Notes that no connection waits for a place.
+    pub(crate) fn clear_waiting(&self) {
+        self.is_waiting.store(false, Ordering::Relaxed);
     }
 
     /// Returns whether the connection of a response has to be closed after it, for one connection each
--- a/crates/kingcupwinch-node/src/http/progress.rs
+++ b/crates/kingcupwinch-node/src/http/progress.rs
@@ -87,6 +87,15 @@
     pipelined: u32,
 }
 
+/// Place of a connection in the order in which connections are closed for others, the first one first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Rank {
+    /// It has made no progress since this time.
+    Stalled(Instant),
+    /// It has been unused since this time.
+    Idle(Instant),
+}
+
 impl Progress {
     /// Creates the progress of a connection that was opened at `now`.
     pub(crate) fn new(now: Instant, timeouts: &Timeouts) -> Self {
@@ -184,18 +193,17 @@
         }
     }
 
-    /// Returns the order in which connections are closed for others, the lowest first; `None` if this
-    /// one may not be. A request that is handled may be accepted, and one that makes progress is
-    /// served. Of the others, those that sent no whole request for longest come before idle ones.
-    pub(crate) fn rank(&self, now: Instant) -> Option<(bool, Instant)> {
+    /// Returns the place among the connections that are closed for others; `None` if this one may not
+    /// be. A request that is handled may be accepted, and one that makes progress is served.
+    pub(crate) fn rank(&self, now: Instant) -> Option<Rank> {
         let stall = match self.phase {
-            Phase::Idle => return Some((true, self.moved_at)),
+            Phase::Idle => return Some(Rank::Idle(self.moved_at)),
             Phase::Handling => return None,
             Phase::New | Phase::Header => HEADER_STALL,
             Phase::Body | Phase::Writing => TRANSFER_STALL,
         };
         let is_stalled = now.saturating_duration_since(self.moved_at) >= stall;
-        is_stalled.then_some((false, self.moved_at))
+        is_stalled.then_some(Rank::Stalled(self.moved_at))
     }
 
     fn enter(&mut self, phase: Phase, now: Instant, deadline: Option<Instant>) {
