Keep the connections of served callers while a crowd takes the places

A caller that keeps its connection open lost it on a third of its calls beside clients that come back at once: until a connection of the crowd has stalled for 0.5 or 1 s, the only ones to close were the unused connections of callers that had been served, and the next response announced that its connection is closed.

While more than half of the places are taken by connections that were never served and have no request that is handled, neither happens: these stall or are served within a second. Where the places are taken by served connections, the one that was unused for longest makes room as before.

--- a/crates/kingcupwinch-daemon/tests/clients/instance.rs
+++ b/crates/kingcupwinch-daemon/tests/clients/instance.rs
@@ -201,6 +201,30 @@
     }
 }
 
+/// A caller's connection that stays open between its requests.
+pub(crate) struct KeptConnection(TcpStream);
+
+impl KeptConnection {
+    /// Connects to an instance and is served once.
+    pub(crate) async fn open(address: SocketAddr) -> Self {
+        let mut connection = KeptConnection(TcpStream::connect(address).await.unwrap());
+        connection.call().await;
+        connection
+    }
+
+    /// Asks for a job that does not exist; fails unless a response arrives on this connection.
+    pub(crate) async fn call(&mut self) {
+        let request = format!("GET {PREFIX}00000000000000bb HTTP/1.1\r\nHost: {HOST}\r\n\r\n");
+        self.0.write_all(request.as_bytes()).await.unwrap();
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            let read = self.0.read_buf(&mut head).await.unwrap();
+            assert!(read > 0, "the connection was closed");
+        }
+        assert!(head.starts_with(b"HTTP/1.1 "));
+    }
+}
+
 impl Drop for Instance {
     fn drop(&mut self) {
         // The process may have ended already.
--- a/crates/kingcupwinch-daemon/tests/clients/returning.rs
+++ b/crates/kingcupwinch-daemon/tests/clients/returning.rs
@@ -4,13 +4,18 @@
 
 use std::time::Duration;
 
+use tokio::time::sleep;
+
 use crate::crowd::{Behavior, Crowd};
 use crate::flood::SERIAL;
-use crate::instance::{Instance, LOWERED};
+use crate::instance::{Instance, KeptConnection, LOWERED};
 
 /// Time for which the clients come back.
 const RETURNS_FOR: Duration = Duration::from_secs(3);
 
+/// Pause between two calls of an ordinary caller.
+const CALL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Checks that an instance stays within its limits beside clients that come back, and that it serves an
 /// ordinary caller afterwards.
 async fn withstands(behavior: Behavior) {
@@ -47,3 +52,26 @@
 async fn responses_that_nobody_reads() {
     withstands(LOWERED.pipelined(false)).await;
 }
+
+/// A caller that uses its connection must not lose it to clients that were never served.
+#[tokio::test]
+async fn a_caller_keeps_its_connection_beside_them() {
+    let _serial = SERIAL.lock().await;
+    let mut instance = Instance::start(LOWERED).await;
+    let mut caller = KeptConnection::open(instance.callers).await;
+    let behavior = Behavior {
+        returns_for: RETURNS_FOR,
+        ..LOWERED.stated(LOWERED.body_bytes - 1, None)
+    };
+    let calls = async {
+        loop {
+            caller.call().await;
+            sleep(CALL_INTERVAL).await;
+        }
+    };
+    tokio::select! {
+        _ = Crowd::send(behavior, &mut instance) => {}
+        () = calls => {}
+    }
+    caller.call().await;
+}
--- a/crates/kingcupwinch-node/src/http/connection.rs
+++ b/crates/kingcupwinch-node/src/http/connection.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// Returns whether it has not been served so far, and no request of it is being handled.
+    pub(crate) fn is_unproven(&self) -> bool {
+        self.lock().progress.is_unproven()
+    }
+
     /// Returns whether its body has charged the budget.
     pub(crate) fn has_charge(&self) -> bool {
         self.has_charge.load(Ordering::Relaxed)
--- a/crates/kingcupwinch-node/src/http/listener.rs
+++ b/crates/kingcupwinch-node/src/http/listener.rs
@@ -13,7 +13,7 @@
 use super::budget::Budget;
 use super::connection::Connection;
 use super::limits::{Capacity, Timeouts};
-use super::progress::{Phase, Reason};
+use super::progress::{Phase, Rank, Reason};
 use crate::events::Event;
 use crate::metrics::Metrics;
 use crate::shared::Shared;
@@ -110,14 +110,27 @@
     }
 
     /// Closes the connection that has made the least progress for longest, to make room for another;
-    /// returns whether there is one.
+    /// returns whether there is one. An unused connection of a caller that has been served stays open
+    /// while it is a crowd that takes the places.
     pub(crate) fn displace_connection(&self) -> bool {
-        self.displace(Reason::Displaced, |_| true)
+        let is_crowded = self.is_crowded();
+        self.displace(Reason::Displaced, |_, rank| {
+            !(is_crowded && matches!(rank, Rank::Idle(_)))
+        })
+    }
+
+    /// Returns whether more than half of the places are taken by connections that were not served so far,
+    /// and that will stall or be served soon.
+    fn is_crowded(&self) -> bool {
+        let connections = self.lock();
+        let unproven = connections.values().filter(|one| one.is_unproven());
+        2 * unproven.count() > self.capacity.connections
     }
 
     /// Notes that a new connection waits for a place although none can be closed for it.
     pub(crate) fn note_waiting(&self) {
-        self.is_waiting.store(true, Ordering::Relaxed);
+        let is_waiting = !self.is_crowded();
+        self.is_waiting.store(is_waiting, Ordering::Relaxed);
     }
 
     /// Notes that no connection waits for a place.
@@ -138,18 +151,18 @@
     /// Ends the request whose body occupies memory and has made no progress for longest; returns whether
     /// there is one.
     pub(crate) fn displace_body(&self) -> bool {
-        self.displace(Reason::BodyMemory, |connection| {
+        self.displace(Reason::BodyMemory, |connection, _| {
             connection.phase() == Phase::Body && connection.has_charge()
         })
     }
 
-    fn displace(&self, reason: Reason, is_eligible: impl Fn(&Connection) -> bool) -> bool {
+    fn displace(&self, reason: Reason, is_eligible: impl Fn(&Connection, Rank) -> bool) -> bool {
         let now = Instant::now();
         let victim = {
             let connections = self.lock();
             let ranked = connections.values().filter_map(|connection| {
                 let rank = connection.rank(now)?;
-                is_eligible(connection).then_some((rank, connection))
+                is_eligible(connection, rank).then_some((rank, connection))
             });
             let victim = ranked.min_by_key(|(rank, _)| *rank);
             victim.map(|(_, connection)| Arc::clone(connection))
--- a/crates/kingcupwinch-node/src/http/progress.rs
+++ b/crates/kingcupwinch-node/src/http/progress.rs
@@ -85,6 +85,8 @@
     unmoved: u64,
     /// Number of requests that arrived together with the one before.
     pipelined: u32,
+    /// Whether a response has been written.
+    is_served: bool,
 }
 
 /// Place of a connection in the order in which connections are closed for others, the first one first.
@@ -106,6 +108,7 @@
             body_until: now,
             unmoved: 0,
             pipelined: 0,
+            is_served: false,
         }
     }
 
@@ -160,6 +163,12 @@
         }
     }
 
+    /// Returns whether the connection takes a place without having been served so far, and without a
+    /// request that is being handled.
+    pub(crate) fn is_unproven(&self) -> bool {
+        !self.is_served && !matches!(self.phase, Phase::Handling)
+    }
+
     /// Records that a response is ready to be written.
     pub(crate) fn on_response(&mut self, now: Instant, timeouts: &Timeouts) {
         self.enter(Phase::Writing, now, Some(now + timeouts.write));
@@ -175,6 +184,7 @@
     /// Records that everything is written.
     pub(crate) fn on_flush(&mut self, now: Instant, timeouts: &Timeouts) {
         if self.phase == Phase::Writing {
+            self.is_served = true;
             self.enter(Phase::Idle, now, Some(now + timeouts.idle));
         }
     }
