Drop what a refused caller still sends until its response is read

A caller that was refused before it had sent its whole body got a broken pipe in place of the response: a connection that is closed with unread bytes is reset. It could not know that its job was not accepted.

Such a connection is the first to make room for another one, and one whose place is needed is closed at once.

The new test fails without this (broken pipe) and passes with it.

--- a/crates/kingcupwinch-node/src/http/connection.rs
+++ b/crates/kingcupwinch-node/src/http/connection.rs
@@ -82,6 +82,11 @@
         wake(&mut state);
     }
 
+    /// Returns whether the connection, or its request, is to end for this reason.
+    pub(crate) fn is_displaced(&self, reason: Reason) -> bool {
+        self.lock().displaced == Some(reason)
+    }
+
     /// Waits until the body must not be read any further.
     pub(crate) async fn displaced(&self) -> Reason {
         poll_fn(|cx| {
--- a/crates/kingcupwinch-node/src/http/limits.rs
+++ b/crates/kingcupwinch-node/src/http/limits.rs
@@ -45,6 +45,9 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for the next `MIN_PROGRESS` of a body: longer than callers wait for a response.
 const STALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for which the rest of a refused request is read and dropped. A connection that is closed before
+/// is reset, and its peer may lose the response.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for which a response may make no progress: longer than callers wait for it.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -78,6 +81,8 @@
     pub(crate) stall: Duration,
     /// Time without progress of a response.
     pub(crate) write: Duration,
+    /// Time for which the rest of a refused request is dropped.
+    pub(crate) discard: Duration,
 }
 
 impl Capacity {
@@ -125,6 +130,7 @@
             body: BODY_TIMEOUT,
             stall: STALL_TIMEOUT,
             write: WRITE_TIMEOUT,
+            discard: DISCARD_TIMEOUT,
         }
     }
 
@@ -136,6 +142,7 @@
             body: INTERNAL_TIMEOUT,
             stall: INTERNAL_TIMEOUT,
             write: INTERNAL_TIMEOUT,
+            discard: DISCARD_TIMEOUT,
         }
     }
 }
--- a/crates/kingcupwinch-node/src/http/listener.rs
+++ b/crates/kingcupwinch-node/src/http/listener.rs
@@ -188,8 +188,8 @@
     pub(crate) fn count(&self, reason: Reason) {
         let metrics = &self.shared.metrics;
         Metrics::count(&metrics.client_limits, self.purpose, reason.as_str());
-        // Closing unused connections is no sign of trouble.
-        if reason != Reason::Idle {
+        // Closing unused connections is no sign of trouble, and a refused request was counted before.
+        if !matches!(reason, Reason::Idle | Reason::Refused) {
             *self.lock_counts().entry(reason).or_default() += 1;
         }
     }
--- a/crates/kingcupwinch-node/src/http/progress.rs
+++ b/crates/kingcupwinch-node/src/http/progress.rs
@@ -35,6 +35,8 @@
     Handling,
     /// The response is being written.
     Writing,
+    /// The response to a refused request is written, and what its peer still sends is dropped.
+    Closing,
 }
 
 /// Why a connection is closed or a request refused.
@@ -54,6 +56,8 @@
     BodyMemory,
     /// Too many requests arrived together with others.
     Pipelined,
+    /// What was left of a refused request has been dropped for long enough.
+    Refused,
 }
 
 impl Reason {
@@ -67,6 +71,7 @@
             Reason::Displaced => "displaced",
             Reason::BodyMemory => "body_memory",
             Reason::Pipelined => "pipelined",
+            Reason::Refused => "refused",
         }
     }
 }
@@ -85,13 +90,17 @@
     unmoved: u64,
     /// Number of requests that arrived together with the one before.
     pipelined: u32,
-    /// Whether a response has been written.
+    /// Whether a response to a request that was not refused has been written.
     is_served: bool,
+    /// Whether the body of the request was refused.
+    is_refused: bool,
 }
 
 /// Place of a connection in the order in which connections are closed for others, the first one first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Rank {
+    /// What it sends is dropped anyway.
+    Refused(Instant),
     /// It has made no progress since this time.
     Stalled(Instant),
     /// It has been unused since this time.
@@ -109,6 +118,7 @@
             unmoved: 0,
             pipelined: 0,
             is_served: false,
+            is_refused: false,
         }
     }
 
@@ -163,6 +173,11 @@
         }
     }
 
+    /// Records that the body is refused, so that the connection ends with the response.
+    pub(crate) fn on_refusal(&mut self) {
+        self.is_refused = true;
+    }
+
     /// Returns whether the connection takes a place without having been served so far, and without a
     /// request that is being handled.
     pub(crate) fn is_unproven(&self) -> bool {
@@ -183,7 +198,12 @@
 
     /// Records that everything is written.
     pub(crate) fn on_flush(&mut self, now: Instant, timeouts: &Timeouts) {
-        if self.phase == Phase::Writing {
+        if self.phase != Phase::Writing {
+            return;
+        }
+        if self.is_refused {
+            self.enter(Phase::Closing, now, Some(now + timeouts.discard));
+        } else {
             self.is_served = true;
             self.enter(Phase::Idle, now, Some(now + timeouts.idle));
         }
@@ -199,6 +219,7 @@
             Phase::Header => Some(Reason::SlowHeader),
             Phase::Body => Some(Reason::SlowBody),
             Phase::Writing => Some(Reason::UnreadResponse),
+            Phase::Closing => Some(Reason::Refused),
             Phase::Handling => None,
         }
     }
@@ -207,6 +228,7 @@
     /// be. A request that is handled may be accepted, and one that makes progress is served.
     pub(crate) fn rank(&self, now: Instant) -> Option<Rank> {
         let stall = match self.phase {
+            Phase::Closing => return Some(Rank::Refused(self.moved_at)),
             Phase::Idle => return Some(Rank::Idle(self.moved_at)),
             Phase::Handling => return None,
             Phase::New | Phase::Header => HEADER_STALL,
--- a/crates/kingcupwinch-node/src/http/tests.rs
+++ b/crates/kingcupwinch-node/src/http/tests.rs
@@ -129,8 +129,8 @@
     assert!(!waiting.is_exhausted() && pipelining.is_exhausted());
 }
 
-/// Connections that sent no whole request are closed before the idle ones of ordinary callers, and
-/// those on which something just arrived not at all.
+/// Connections that sent no whole request are closed before the idle ones of ordinary callers, those of
+/// refused requests before both, and those on which something just arrived not at all.
 #[test]
 fn stalled_connections_are_displaced_first() {
     let (stalled, start) = opened();
@@ -143,10 +143,14 @@
     let recent = Progress::new(now, &timeouts());
     let mut handled = stalled.clone();
     handled.on_request(start);
-    let all = [&idle, &recent, &later, &handled, &stalled];
+    let mut refused = stalled.clone();
+    refused.on_refusal();
+    refused.on_response(now, &timeouts());
+    refused.on_flush(now, &timeouts());
+    let all = [&idle, &recent, &later, &handled, &stalled, &refused];
     let mut ranked: Vec<_> = all.iter().filter_map(|one| one.rank(now)).collect();
     ranked.sort();
-    let expected = [&stalled, &later, &idle];
+    let expected = [&refused, &stalled, &later, &idle];
     assert_eq!(ranked, expected.map(|one| one.rank(now).unwrap()));
 }
 
@@ -243,6 +247,21 @@
     assert!(refused.starts_with("HTTP/1.1 503 ") && refused.contains("retry-after: 1"));
 }
 
+/// A caller that is refused before it has sent its whole body must learn that: a connection that is closed
+/// with unread bytes is reset, and the response is lost.
+#[tokio::test]
+async fn a_refusal_reaches_a_caller_that_is_still_sending() {
+    let (address, _drain) = start(BodyHandler, 120).await;
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    send(&mut caller, 200_000, 100_000).await;
+    caller.readable().await.unwrap();
+    caller.write_all(&vec![b' '; 50_000]).await.unwrap();
+    caller.write_all(&vec![b' '; 50_000]).await.unwrap();
+    let mut refused = String::new();
+    caller.read_to_string(&mut refused).await.unwrap();
+    assert!(refused.starts_with("HTTP/1.1 413 "));
+}
+
 /// Responds to as many requests as there are permits.
 struct Gate(Arc<Semaphore>);
 
