Bound what is accepted by the memory of the smallest instance

Complete bodies ended the owner: jobs that no worker can run stay, an owner accepted them without end, and each later owner restores the same jobs.

The cell keeps a footprint of its jobs, final states and cancellations of unknown jobs, in bytes by slopes of resident memory. The owner reserves room for a request before it appends the record, and refuses it with 503 and a time to retry otherwise, so that the refusal is true; a repeat of a known job has its room already. The bound is a quarter of the smallest announced memory less 12 MB. An eighth of it is for small jobs, so that a crowd of large ones leaves room for ordinary callers, and each customer may use as much as is free. Responses of the owner tell siblings how much is left once that is less than half; one that does not reach the owner appends its part of that and no more, and sends no record for which there was no room just now.

Fields in stored records and messages are optional: members state their memory, requests for an append what the job takes and its customer.

Each accepted job is known to the successor, and an ordinary job is accepted in the end.

Cancellations of unknown jobs stayed in the log and in the owner's index for ever; their records are deleted once they expire.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -33,6 +33,7 @@
 use crate::customer::Customers;
 use crate::estimate::ShareEstimate;
 use crate::event::CellEvent;
+use crate::footprint::Footprint;
 use crate::forecast::Forecasts;
 use crate::id::{JobId, TaskName};
 use crate::job::{Job, JobKey, JobState, TaskState};
@@ -127,6 +128,7 @@
     /// When the final states of jobs expire, in order of time.
     end_expiry: VecDeque<(Time, JobId)>,
     early_cancels: EarlyCancels,
+    footprint: Footprint,
     pub(crate) workers: SlotMap<WorkerKey, Worker>,
     workers_by_id: FxHashMap<Arc<str>, WorkerKey>,
     pub(crate) runs: SlotMap<RunKey, Run>,
@@ -196,6 +198,7 @@
             accepted_by: Time::ZERO,
             end_expiry: VecDeque::new(),
             early_cancels: EarlyCancels::default(),
+            footprint: Footprint::default(),
             workers: SlotMap::with_key(),
             workers_by_id: FxHashMap::default(),
             runs: SlotMap::with_key(),
@@ -265,6 +268,7 @@
         let is_speculative = job.spec.steps.iter().any(|step| step.speculative);
         let is_long_running = job.spec.steps.iter().any(|step| step.long_running);
         let is_scheduled = job.spec.schedule.is_some();
+        self.footprint.add(&job.spec.demand());
         let key = self.jobs.insert(job);
         if is_speculative {
             self.speculative_jobs.insert(key);
@@ -280,7 +284,9 @@
             self.restore_progress(key, &record, now);
         }
         let customer = self.jobs[key].spec.customer.as_deref();
-        if self.early_cancels.take(id, customer) {
+        let is_cancelled = self.early_cancels.take(id, customer);
+        self.footprint.set_early_cancels(self.early_cancels.len());
+        if is_cancelled {
             self.end_job(key, JobState::Cancelled);
             return SubmitOutcome::Cancelled;
         }
@@ -426,6 +432,11 @@
         self.jobs.values().filter(|job| job.end.is_none()).count()
     }
 
+    /// Returns the memory of jobs, final states and cancellations.
+    pub fn footprint(&self) -> &Footprint {
+        &self.footprint
+    }
+
     /// Returns the CPU in use and the total CPU of all workers, in thousandths of a core.
     pub fn cpu_load(&self) -> (u64, u64) {
         self.workers.values().fold((0, 0), |(used, all), worker| {
@@ -503,12 +514,18 @@
             return;
         };
         let (id, customer) = (job.id, job.spec.customer.clone());
-        self.jobs.remove(key);
+        self.remove_job(key);
         self.unindex_job(key);
         self.jobs_by_id.remove(&id);
         self.retain_end(id, JobView { state, customer }, now);
     }
 
+    fn remove_job(&mut self, key: JobKey) -> Option<Job> {
+        let job = self.jobs.remove(key)?;
+        self.footprint.remove(&job.spec.demand());
+        Some(job)
+    }
+
     fn unindex_job(&mut self, key: JobKey) {
         self.speculative_jobs.remove(&key);
         self.long_running_jobs.remove(&key);
--- a/crates/kingcupwinch-cell/src/cell/early_cancels.rs
+++ b/crates/kingcupwinch-cell/src/cell/early_cancels.rs
@@ -12,6 +12,7 @@
 #[derive(Debug, Default)]
 pub(super) struct EarlyCancels {
     rows: FxHashMap<JobId, SmallVec<[(Requester, Time); 1]>>,
+    len: usize,
 }
 
 impl EarlyCancels {
@@ -20,10 +21,18 @@
         let of_job = self.rows.entry(id).or_default();
         match of_job.iter_mut().find(|(known, _)| known == requester) {
             Some((_, known)) => *known = until,
-            None => of_job.push((requester.clone(), until)),
+            None => {
+                of_job.push((requester.clone(), until));
+                self.len += 1;
+            }
         }
     }
 
+    /// Returns the number of cancellations.
+    pub(super) fn len(&self) -> usize {
+        self.len
+    }
+
     /// Returns whether there is a cancellation of a job, for whichever customer.
     pub(super) fn contains(&self, id: JobId) -> bool {
         self.rows.contains_key(&id)
@@ -32,15 +41,24 @@
     /// Removes the cancellations of a job; returns whether one holds for a job of this customer.
     pub(super) fn take(&mut self, id: JobId, customer: Option<&str>) -> bool {
         let of_job = self.rows.remove(&id).unwrap_or_default();
+        self.len -= of_job.len();
         let mut of_job = of_job.iter();
         of_job.any(|(requester, _)| requester.may_access(customer))
     }
 
-    /// Removes what has expired.
-    pub(super) fn expire(&mut self, now: Time) {
-        self.rows.retain(|_, of_job| {
+    /// Removes what has expired; returns the jobs that have no cancellation any more.
+    pub(super) fn expire(&mut self, now: Time) -> Vec<JobId> {
+        let mut expired = Vec::new();
+        let len = &mut self.len;
+        self.rows.retain(|id, of_job| {
+            let before = of_job.len();
             of_job.retain(|(_, until)| *until > now);
+            *len -= before - of_job.len();
+            if of_job.is_empty() {
+                expired.push(*id);
+            }
             !of_job.is_empty()
         });
+        expired
     }
 }
--- a/crates/kingcupwinch-cell/src/cell/job_states.rs
+++ b/crates/kingcupwinch-cell/src/cell/job_states.rs
@@ -54,6 +54,7 @@
         let Some(&key) = self.jobs_by_id.get(&id) else {
             let until = now + self.timers.end_retention;
             self.early_cancels.add(id, requester, until);
+            self.footprint.set_early_cancels(self.early_cancels.len());
             return true;
         };
         let may_cancel = requester.may_access(self.jobs[key].spec.customer.as_deref());
@@ -65,7 +66,9 @@
 
     /// Keeps the final state of a job for the retention time.
     pub(super) fn retain_end(&mut self, id: JobId, view: JobView, now: Time) {
-        self.ended_jobs.insert(id, view);
+        if self.ended_jobs.insert(id, view).is_none() {
+            self.footprint.add_ended();
+        }
         self.end_expiry
             .push_back((now + self.timers.end_retention, id));
     }
--- a/crates/kingcupwinch-cell/src/cell/records.rs
+++ b/crates/kingcupwinch-cell/src/cell/records.rs
@@ -32,6 +32,8 @@
     pub dropped_parts: Vec<(JobId, PartKey)>,
     /// Jobs whose progress record can be deleted.
     pub expired: Vec<JobId>,
+    /// Jobs that were not known until their cancellations expired.
+    pub expired_cancels: Vec<JobId>,
 }
 
 impl RecordBatch {
@@ -132,10 +134,13 @@
             && until <= now
         {
             self.end_expiry.pop_front();
-            self.ended_jobs.remove(&id);
+            if self.ended_jobs.remove(&id).is_some() {
+                self.footprint.remove_ended();
+            }
             records.expired.push(id);
         }
-        self.early_cancels.expire(now);
+        records.expired_cancels = self.early_cancels.expire(now);
+        self.footprint.set_early_cancels(self.early_cancels.len());
         // An empty batch gets a number of its own as well: what happens before it is reported as
         // appended belongs to the next batch, which is not in the log yet.
         self.batch += 1;
--- a/crates/kingcupwinch-cell/src/cell/tentative.rs
+++ b/crates/kingcupwinch-cell/src/cell/tentative.rs
@@ -82,7 +82,7 @@
             self.tentative.remove(&key);
             return;
         }
-        let parts = self.jobs.remove(key).map(|job| job.parts);
+        let parts = self.remove_job(key).map(|job| job.parts);
         let parts = parts.unwrap_or_default().into_keys();
         self.jobs_by_id.remove(&id);
         self.dirty.remove(&key);
--- a/crates/kingcupwinch-cell/src/election.rs
+++ b/crates/kingcupwinch-cell/src/election.rs
@@ -65,6 +65,9 @@
         /// CPU that the instance could use as the owner, in thousandths of a core.
         #[serde(rename = "size")]
         millicores: u32,
+        /// Memory of the instance in bytes. Earlier versions don't state it.
+        #[serde(rename = "memory", default, skip_serializing_if = "Option::is_none")]
+        memory_bytes: Option<u64>,
     },
 }
 
@@ -77,6 +80,8 @@
     pub address: Arc<str>,
     /// CPU that the instance could use as the owner, in thousandths of a core.
     pub millicores: u32,
+    /// Memory of the instance in bytes, if it is stated.
+    pub memory_bytes: Option<u64>,
     /// When the last record of the member was read.
     last_seen: Time,
 }
@@ -254,12 +259,14 @@
                 instance,
                 address,
                 millicores,
+                memory_bytes,
             } => {
                 self.members.retain(|member| member.instance != instance);
                 self.members.push(Member {
                     instance,
                     address,
                     millicores,
+                    memory_bytes,
                     last_seen: now,
                 });
                 // Instances of equal size are ordered by a hash of their names: names that are alike often
--- a/crates/kingcupwinch-cell/tests/cell/election.rs
+++ b/crates/kingcupwinch-cell/tests/cell/election.rs
@@ -36,6 +36,7 @@
         instance: instance.into(),
         address: "127.0.0.1:1".into(),
         millicores,
+        memory_bytes: None,
     }
 }
 
--- a/crates/kingcupwinch-cell/tests/cell/main.rs
+++ b/crates/kingcupwinch-cell/tests/cell/main.rs
@@ -14,6 +14,7 @@
 mod customers;
 mod delay;
 mod election;
+mod footprint;
 mod forecast_load;
 mod gang_load;
 mod gangs;
--- a/crates/kingcupwinch-cell/tests/cell/narrow_links.rs
+++ b/crates/kingcupwinch-cell/tests/cell/narrow_links.rs
@@ -179,6 +179,7 @@
             instance: format!("i-{number}").into(),
             address: "127.0.0.1:1".into(),
             millicores: 120,
+            memory_bytes: None,
         };
         election.apply(0, member, now);
     }
--- a/crates/kingcupwinch-daemon/tests/clients/instance.rs
+++ b/crates/kingcupwinch-daemon/tests/clients/instance.rs
@@ -52,6 +52,12 @@
     send_timeout: Duration::from_secs(2),
 };
 
+/// Limits that a large number of small requests reaches within seconds.
+pub(crate) const MINIMAL: Scale = Scale {
+    memory_mb: 30,
+    ..LOWERED
+};
+
 /// Limits of the smallest instance of the deployments.
 pub(crate) const SMALLEST: Scale = Scale {
     memory_mb: 120,
@@ -72,6 +78,13 @@
 /// A job of one task.
 const JOB: &str = r#"{"specification":"100:100","steps":[{"count":1,"cpu":100}]}"#;
 
+/// The log of a deployment.
+struct Log {
+    _store: Arc<StandinStore>,
+    address: SocketAddr,
+    _server: JoinHandle<()>,
+}
+
 /// An instance with its log, and the highest values that were seen of it.
 pub(crate) struct Instance {
     child: Child,
@@ -79,8 +92,7 @@
     scale: Scale,
     most_descriptors: u64,
     calls: u64,
-    _store: Arc<StandinStore>,
-    _server: JoinHandle<()>,
+    log: Arc<Log>,
     _dir: TempDir,
 }
 
@@ -89,17 +101,40 @@
     pub(crate) async fn start(scale: Scale) -> Self {
         let store = StandinStore::new();
         publish(&store, scale.body_bytes);
-        let (store_address, server) = store.start(0).await.unwrap();
+        let (address, server) = store.start(0).await.unwrap();
+        let log = Arc::new(Log {
+            _store: store,
+            address,
+            _server: server,
+        });
+        let mut instance = Instance::spawn(scale, log, "entry-1");
+        assert!(instance.serves().await, "the instance does not start");
+        // Until its exec has completed, a child still has the descriptors of this process, among them
+        // the crowd of the test before; only those that it has once it serves are its own.
+        instance.most_descriptors = 0;
+        instance.observe();
+        instance
+    }
+
+    /// Kills the instance; returns another one with the same log and at the same addresses, which may not
+    /// serve yet.
+    pub(crate) fn succeed(self) -> Self {
+        let (scale, log) = (self.scale, Arc::clone(&self.log));
+        drop(self);
+        Instance::spawn(scale, log, "entry-2")
+    }
+
+    fn spawn(scale: Scale, log: Arc<Log>, name: &str) -> Self {
         // No other process listens on the loopback address that belongs to the process id.
         let [_, a, b, c] = std::process::id().to_be_bytes();
         let ip = IpAddr::V4(Ipv4Addr::new(127, a | 0x80, b, c));
         let settings = InstanceSettings {
-            name: "entry-1".to_owned(),
+            name: name.to_owned(),
             domain: "a".to_owned(),
             callers: SocketAddr::new(ip, 7_011),
             ready: SocketAddr::new(ip, 7_012),
             first_port: 7_013,
-            store: store_address,
+            store: log.address,
             adviser: SocketAddr::new(ip, 7_016),
             max_lease_ms: 6_000,
             config_bound_ms: 2_000,
@@ -121,22 +156,15 @@
             .stdout(Stdio::null())
             .spawn()
             .unwrap();
-        let mut instance = Instance {
+        Instance {
             child,
             callers: settings.callers,
             scale,
             most_descriptors: 0,
             calls: 0,
-            _store: store,
-            _server: server,
+            log,
             _dir: dir,
-        };
-        assert!(instance.serves().await, "the instance does not start");
-        // Until its exec has completed, a child still has the descriptors of this process, among them
-        // the crowd of the test before; only those that it has once it serves are its own.
-        instance.most_descriptors = 0;
-        instance.observe();
-        instance
+        }
     }
 
     /// Submits a job on a new connection, as a caller that retries refused requests; returns whether
@@ -204,27 +232,64 @@
 /// A caller's connection that stays open between its requests.
 pub(crate) struct KeptConnection(TcpStream);
 
+/// The number of a response's status.
+pub(crate) type Status = u16;
+
 impl KeptConnection {
     /// Connects to an instance and is served once.
     pub(crate) async fn open(address: SocketAddr) -> Self {
-        let mut connection = KeptConnection(TcpStream::connect(address).await.unwrap());
+        let mut connection = KeptConnection::connect(address).await.unwrap();
         connection.call().await;
         connection
     }
 
+    /// Connects to an instance.
+    pub(crate) async fn connect(address: SocketAddr) -> std::io::Result<Self> {
+        Ok(KeptConnection(TcpStream::connect(address).await?))
+    }
+
     /// Asks for a job that does not exist; fails unless a response arrives on this connection.
     pub(crate) async fn call(&mut self) {
-        let request = format!("GET {PREFIX}00000000000000bb HTTP/1.1\r\nHost: {HOST}\r\n\r\n");
-        self.0.write_all(request.as_bytes()).await.unwrap();
-        let mut head = Vec::new();
-        while !head.ends_with(b"\r\n\r\n") {
-            let read = self.0.read_buf(&mut head).await.unwrap();
-            assert!(read > 0, "the connection was closed");
+        self.send("GET", "00000000000000bb", "").await.unwrap();
+    }
+
+    /// Sends a request for a job, and returns the status of its response.
+    pub(crate) async fn send(
+        &mut self,
+        method: &str,
+        job: &str,
+        body: &str,
+    ) -> std::io::Result<Status> {
+        let length = body.len();
+        let request = format!(
+            "{method} {PREFIX}{job} HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: {length}\r\n\r\n{body}"
+        );
+        self.0.write_all(request.as_bytes()).await?;
+        let mut response = Vec::new();
+        loop {
+            if self.0.read_buf(&mut response).await? == 0 {
+                return Err(std::io::ErrorKind::UnexpectedEof.into());
+            }
+            if let Some(status) = whole_response(&response) {
+                return Ok(status);
+            }
         }
-        assert!(head.starts_with(b"HTTP/1.1 "));
     }
 }
 
+/// Returns the status of a response, once it has arrived as a whole.
+fn whole_response(response: &[u8]) -> Option<Status> {
+    let text = std::str::from_utf8(response).ok()?;
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "))?;
+    if body.len() < length.parse().ok()? {
+        return None;
+    }
+    head.split(' ').nth(1)?.parse().ok()
+}
+
 impl Drop for Instance {
     fn drop(&mut self) {
         // The process may have ended already.
--- a/crates/kingcupwinch-daemon/tests/clients/main.rs
+++ b/crates/kingcupwinch-daemon/tests/clients/main.rs
@@ -5,6 +5,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
+mod accepted;
 mod crowd;
 mod flood;
 mod instance;
--- a/crates/kingcupwinch-node/src/callers.rs
+++ b/crates/kingcupwinch-node/src/callers.rs
@@ -10,7 +10,7 @@
     JobError, KEY_HEADER, KeyedRecord, QueueTable, READY_PATH, Route, TIMEOUT_HEADER,
     accepted_body, decode_job, error_body, state_body, waiting_body,
 };
-use kingcupwinch_cell::{JobId, JobSpec, JobView, Mechanism, Requester};
+use kingcupwinch_cell::{Demand, JobId, JobSpec, JobView, Mechanism, Requester, largest_job};
 use kingcupwinch_time::Span;
 use rand::Rng;
 use slog::o;
@@ -22,9 +22,10 @@
 use crate::events::{Event, abbreviated};
 use crate::hedged_append::HedgedAppender;
 use crate::http::{Handler, HttpResponse, empty, json, read_body, retry_after};
-use crate::intake::Outcome;
+use crate::intake::{IntakeRequest, Outcome};
 use crate::layout::IntakeKey;
 use crate::metrics::Metrics;
+use crate::room::NoRoom;
 use crate::shared::Shared;
 use crate::siblings::{OwnerReply, Siblings};
 
@@ -165,8 +166,6 @@
         if let Err(response) = self.check_forecast(job.id, &spec) {
             return *response;
         }
-        let (payload, now) = (Arc::clone(&spec.payload), self.shared.now());
-        self.shared.payloads().insert(job.id, payload, now);
         let value = match serde_json::to_vec(&spec) {
             Ok(value) => value,
             Err(error) => return self.refuse(&error.to_string(), Some(job.id)),
@@ -178,7 +177,19 @@
             let error = JobError::Invalid("the job is larger than a record of the log");
             return self.reject(job.id, &error);
         }
-        let outcome = self.appender.append(&record, job.deadline).await;
+        let demand = spec.demand();
+        if demand.bytes() > largest_job(self.shared.accepted_limit()) {
+            let error =
+                JobError::Invalid("the job takes more memory than an instance has for jobs");
+            return self.reject(job.id, &error);
+        }
+        if let Some(refused) = self.check_room(&job, &demand).await {
+            return refused;
+        }
+        let now = self.shared.now();
+        self.shared.payloads().insert(job.id, spec.payload, now);
+        let request = IntakeRequest::new(record, demand);
+        let outcome = self.appender.append(&request, job.deadline).await;
         self.append_response("submit", &job, &outcome)
     }
 
@@ -198,7 +209,8 @@
         };
         let key = IntakeKey::Cancelled(job.id);
         let record = KeyedRecord::with_value(key.to_key(), value);
-        let outcome = self.appender.append(&record, job.deadline).await;
+        let request = IntakeRequest::new(record, Demand::EarlyCancel);
+        let outcome = self.appender.append(&request, job.deadline).await;
         // The same response as for a job of another customer. The cancellation holds all the same if
         // the acceptance of the job is still on its way.
         if outcome == Outcome::Appended && known == Some(None) && !is_public {
@@ -299,6 +311,35 @@
         Err(Box::new(retry_after(status, seconds)))
     }
 
+    /// Refuses a job for which the owner has just told that it has no room, unless the job is known:
+    /// neither its record nor the refusal of it has to cross the owner's link then.
+    async fn check_room(&self, job: &JobRequest, demand: &Demand) -> Option<HttpResponse> {
+        let shared = &self.shared;
+        if shared.owner().is_some() || !shared.room.is_exhausted(demand, shared.now()) {
+            return None;
+        }
+        match self.siblings.job_at_owner(job.id, job.deadline).await {
+            OwnerReply::Value(None) => Some(self.refuse_for_room(
+                job.id,
+                NoRoom {
+                    retry_after_s: random_delay_s(),
+                },
+            )),
+            OwnerReply::Value(Some(_)) | OwnerReply::NoOwner => None,
+        }
+    }
+
+    /// Refuses a request for which the owner has no room; nothing was appended.
+    fn refuse_for_room(&self, id: JobId, no_room: NoRoom) -> HttpResponse {
+        let seconds = no_room.retry_after_s;
+        self.shared.metrics.no_room.inc();
+        self.shared.log.write(
+            Event::NoRoom,
+            o!("job" => id.to_string(), "retry_after_s" => seconds),
+        );
+        retry_after(StatusCode::SERVICE_UNAVAILABLE, seconds)
+    }
+
     fn append_response(
         &self,
         request: &'static str,
@@ -316,6 +357,7 @@
                 json(StatusCode::OK, accepted_body())
             }
             Outcome::Rejected(reason) => self.refuse(reason, Some(job.id)),
+            Outcome::NoRoom(no_room) => self.refuse_for_room(job.id, *no_room),
             Outcome::Unknown(reason) => {
                 self.shared.log.write(
                     Event::RequestOutcomeUnknown,
--- a/crates/kingcupwinch-node/src/events.rs
+++ b/crates/kingcupwinch-node/src/events.rs
@@ -111,6 +111,8 @@
     OtherCustomer = "1506", "request for a job of another customer";
     /// The owner did not carry out a cancellation of another customer's job.
     CancellationIgnored = "1507", "cancellation of a job of another customer ignored";
+    /// A request was refused since the owner has no memory left for further jobs.
+    NoRoom = "1508", "request refused for lack of room at the owner";
     /// The owner received a job.
     JobAccepted = "1601", "job received by the owner";
     /// The owner received a cancellation.
--- a/crates/kingcupwinch-node/src/hedged_append.rs
+++ b/crates/kingcupwinch-node/src/hedged_append.rs
@@ -9,10 +9,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kingcupwinch_adapter::KeyedRecord;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::intake::{Intake, Outcome};
+use crate::intake::{Intake, IntakeRequest, Outcome};
 use crate::shared::Shared;
 use crate::siblings::Siblings;
 
@@ -37,8 +36,8 @@
 
 impl HedgedAppender {
     /// Appends a record, and returns when its outcome is known or at the deadline.
-    pub(crate) async fn append(&self, record: &KeyedRecord, deadline: Instant) -> Outcome {
-        let attempt = || self.attempt(record, deadline);
+    pub(crate) async fn append(&self, request: &IntakeRequest, deadline: Instant) -> Outcome {
+        let attempt = || self.attempt(request, deadline);
         // While the store is unreachable a retry can't resolve the outcome, so the caller gets
         // `Unknown` at once.
         let may_retry =
@@ -46,17 +45,20 @@
         retry_while_unknown(attempt, may_retry).await
     }
 
-    async fn attempt(&self, record: &KeyedRecord, deadline: Instant) -> Outcome {
+    async fn attempt(&self, request: &IntakeRequest, deadline: Instant) -> Outcome {
         let delay = self.shared.append_timeout.timeout(0);
-        let first = self.append_at_owner(record, deadline);
-        hedged(first, delay, || self.append_without_owner(record, deadline)).await
+        let first = self.append_at_owner(request, deadline);
+        hedged(first, delay, || {
+            self.append_without_owner(request, deadline)
+        })
+        .await
     }
 
-    async fn append_at_owner(&self, record: &KeyedRecord, deadline: Instant) -> Outcome {
+    async fn append_at_owner(&self, request: &IntakeRequest, deadline: Instant) -> Outcome {
         let started = Instant::now();
         let outcome = match self.shared.owner() {
-            Some(_) => self.owner_intake.append(record.clone(), deadline).await,
-            None => self.siblings.append_at_owner(record, deadline).await,
+            Some(_) => self.owner_intake.append_as_owner(request, deadline).await,
+            None => self.siblings.append_at_owner(request, deadline).await,
         };
         if outcome == Outcome::Appended {
             self.shared
@@ -66,12 +68,15 @@
         outcome
     }
 
-    async fn append_without_owner(&self, record: &KeyedRecord, deadline: Instant) -> Outcome {
-        let outcome = self.own_intake.append(record.clone(), deadline).await;
-        if outcome == Outcome::Appended || Instant::now() + MIN_TIME_LEFT > deadline {
+    async fn append_without_owner(&self, request: &IntakeRequest, deadline: Instant) -> Outcome {
+        let outcome = self.own_intake.append_by_share(request, deadline).await;
+        if matches!(outcome, Outcome::Appended | Outcome::NoRoom(_)) {
             return outcome;
         }
-        outcome.merge(self.siblings.append_at_helpers(record, deadline).await)
+        if Instant::now() + MIN_TIME_LEFT > deadline {
+            return outcome;
+        }
+        outcome.merge(self.siblings.append_at_helpers(request, deadline).await)
     }
 }
 
@@ -89,7 +94,8 @@
     outcome
 }
 
-/// Runs `first`, and `second` as well if `first` fails or has no outcome within `hedge_delay`.
+/// Runs `first`, and `second` as well if `first` fails or has no outcome within `hedge_delay`. Where
+/// `first` finds no room, `second` must not find any.
 /// Returns the first success, or the merged outcome when both have failed.
 async fn hedged<A, B>(first: A, hedge_delay: Duration, second: impl FnOnce() -> B) -> Outcome
 where
@@ -98,8 +104,8 @@
 {
     let mut first = pin!(first);
     let early = timeout(hedge_delay, first.as_mut()).await;
-    if early == Ok(Outcome::Appended) {
-        return Outcome::Appended;
+    if let Ok(outcome @ (Outcome::Appended | Outcome::NoRoom(_))) = early {
+        return outcome;
     }
     let mut second = pin!(second());
     if let Ok(failed) = early {
--- a/crates/kingcupwinch-node/src/http/limits.rs
+++ b/crates/kingcupwinch-node/src/http/limits.rs
@@ -4,8 +4,6 @@
 
 use kingcupwinch_adapter::{ClientLimits, Settings};
 
-/// Memory in megabytes of an instance whose settings do not state it: the smallest of the deployments.
-const DEFAULT_MEMORY_MB: u64 = 120;
 /// Part of an instance's memory for the bodies of one listener, as a divisor.
 const BODY_SHARE: u64 = 8;
 /// Part of an instance's memory for the connections of one listener, as a divisor.
@@ -106,7 +104,7 @@
 
     /// Computes the capacity of a listener for callers.
     pub(crate) fn new(settings: &Settings) -> Self {
-        let memory = settings.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * 1_000_000;
+        let memory = settings.memory_bytes();
         let by_memory = memory / CONNECTION_SHARE / CONNECTION_BYTES;
         let by_descriptors = settings.file_descriptors.map(|all| all / DESCRIPTOR_SHARE);
         let connections = by_memory.min(by_descriptors.unwrap_or(MAX_CONNECTIONS));
--- a/crates/kingcupwinch-node/src/intake.rs
+++ b/crates/kingcupwinch-node/src/intake.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use kingcupwinch_adapter::{KeyedRecord, Partition, Retry, WriteError};
-use kingcupwinch_cell::JobId;
+use kingcupwinch_cell::{Demand, JobId};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, timeout_at};
 
 use crate::layout::{IntakeKey, OWNER_PARTITION, instance_partition};
-use crate::owner::{IntakeRead, JobsAnnounced, JobsNotAppended};
+use crate::owner::{GetJobState, IntakeRead, JobsAnnounced, JobsNotAppended};
+use crate::room::NoRoom;
 use crate::shared::Shared;
 
 #[cfg(test)]
@@ -30,6 +31,8 @@
     Appended,
     /// The record is not in the log and never will be; holds the reason.
     Rejected(Arc<str>),
+    /// The owner has no room for the request; the record is not in the log and never will be.
+    NoRoom(NoRoom),
     /// The record may be in the log; holds the reason why the outcome is not known.
     Unknown(Arc<str>),
 }
@@ -42,11 +45,28 @@
             (Outcome::Unknown(reason), _) | (_, Outcome::Unknown(reason)) => {
                 Outcome::Unknown(reason)
             }
+            (Outcome::NoRoom(no_room), _) | (_, Outcome::NoRoom(no_room)) => {
+                Outcome::NoRoom(no_room)
+            }
             (Outcome::Rejected(_), Outcome::Rejected(reason)) => Outcome::Rejected(reason),
         }
     }
 }
 
+/// A caller's record for the intake, with what it demands of the owner.
+#[derive(Debug, Clone)]
+pub(crate) struct IntakeRequest {
+    pub(crate) record: KeyedRecord,
+    pub(crate) demand: Demand,
+}
+
+impl IntakeRequest {
+    /// Creates the request for a record.
+    pub(crate) fn new(record: KeyedRecord, demand: Demand) -> Self {
+        IntakeRequest { record, demand }
+    }
+}
+
 struct PendingAppend {
     record: KeyedRecord,
     deadline: Instant,
@@ -81,6 +101,54 @@
         Intake { shared, queue }
     }
 
+    /// Appends a record as the owner, if there is room for the request or its job is known already.
+    pub(crate) async fn append_as_owner(
+        &self,
+        request: &IntakeRequest,
+        deadline: Instant,
+    ) -> Outcome {
+        let Some(key) = IntakeKey::parse(&request.record.key) else {
+            return Outcome::Rejected("the record is not one of the intake".into());
+        };
+        let room = &self.shared.room;
+        let reserved = room.reserve(key, &request.demand, self.shared.now());
+        if let Err(no_room) = reserved
+            && !self.is_known(key).await
+        {
+            return Outcome::NoRoom(no_room);
+        }
+        let outcome = self.append(request.record.clone(), deadline).await;
+        if matches!(outcome, Outcome::Rejected(_)) {
+            room.release(key);
+        }
+        outcome
+    }
+
+    /// Appends a record to the partition of this instance, if its part of the owner's room suffices.
+    pub(crate) async fn append_by_share(
+        &self,
+        request: &IntakeRequest,
+        deadline: Instant,
+    ) -> Outcome {
+        let shared = &self.shared;
+        let members = shared.members.borrow().len();
+        let (limit, now) = (shared.accepted_limit(), shared.now());
+        match shared.room.take_share(&request.demand, members, limit, now) {
+            Ok(()) => self.append(request.record.clone(), deadline).await,
+            Err(no_room) => Outcome::NoRoom(no_room),
+        }
+    }
+
+    /// Returns whether the owner, which is this instance, knows the job of a record.
+    async fn is_known(&self, key: IntakeKey) -> bool {
+        let (IntakeKey::Accepted(id) | IntakeKey::Cancelled(id)) = key;
+        let Some(owner) = self.shared.owner() else {
+            return false;
+        };
+        // An owner that has ended sends no reply.
+        matches!(owner.ask(GetJobState(id)).await, Ok(Some(Some(_))))
+    }
+
     /// Appends a record and returns its outcome, at the latest at the deadline. Rejects the record
     /// at once while the store is unreachable or the queue is full.
     pub(crate) async fn append(&self, record: KeyedRecord, deadline: Instant) -> Outcome {
--- a/crates/kingcupwinch-node/src/layout.rs
+++ b/crates/kingcupwinch-node/src/layout.rs
@@ -53,7 +53,7 @@
 }
 
 /// Key of an intake record: the job, and whether it was accepted or cancelled.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(crate) enum IntakeKey {
     Accepted(JobId),
     Cancelled(JobId),
--- a/crates/kingcupwinch-node/src/lib.rs
+++ b/crates/kingcupwinch-node/src/lib.rs
@@ -27,6 +27,7 @@
 mod owner;
 mod ownership;
 mod relay;
+mod room;
 mod shared;
 mod siblings;
 #[cfg(test)]
--- a/crates/kingcupwinch-node/src/metrics.rs
+++ b/crates/kingcupwinch-node/src/metrics.rs
@@ -75,6 +75,10 @@
     pub cap_waiting: Gauge,
     /// Those of them that can never start under the cap.
     pub cap_excluded: Gauge,
+    /// Memory of jobs, final states and cancellations, in bytes; set at the owner.
+    pub held_bytes: Gauge,
+    /// Requests that were refused for lack of room at the owner.
+    pub no_room: Counter,
     /// CPU in use, in thousandths of a core; set at the owner.
     pub used_millicores: Gauge,
     /// Term of this instance's ownership; 0 if it is not the owner.
@@ -118,6 +122,8 @@
             live_jobs: Gauge::default(),
             cap_waiting: Gauge::default(),
             cap_excluded: Gauge::default(),
+            held_bytes: Gauge::default(),
+            no_room: Counter::default(),
             used_millicores: Gauge::default(),
             owned_term: Gauge::default(),
             config_version: Gauge::default(),
@@ -175,6 +181,16 @@
             m.start_delays.clone(),
         );
         registry.register("live_jobs", "Jobs that have not ended", m.live_jobs.clone());
+        registry.register(
+            "held_bytes",
+            "Memory of jobs, final states and cancellations at the owner",
+            m.held_bytes.clone(),
+        );
+        registry.register(
+            "no_room",
+            "Requests refused for lack of room at the owner",
+            m.no_room.clone(),
+        );
         registry.register(
             "cap_waiting_steps",
             "Steps held back by the caps of their customers",
--- a/crates/kingcupwinch-node/src/owner/messages.rs
+++ b/crates/kingcupwinch-node/src/owner/messages.rs
@@ -194,6 +194,11 @@
 
     async fn handle(&mut self, jobs: JobsAnnounced, _: &mut Context<Self, ()>) {
         let now = self.shared.now();
+        let keys: Vec<IntakeKey> = jobs
+            .0
+            .iter()
+            .map(|(id, _)| IntakeKey::Accepted(*id))
+            .collect();
         for (id, value) in jobs.0 {
             match serde_json::from_slice(&value) {
                 Ok(spec) => self.cell.submit_tentatively(id, spec, now),
@@ -203,6 +208,7 @@
                 }
             }
         }
+        self.publish_room(keys, now);
         self.schedule_decision();
     }
 }
@@ -215,6 +221,7 @@
         for id in jobs.0 {
             self.cell.drop_tentative(id, now);
         }
+        self.publish_room([], now);
     }
 }
 
@@ -229,6 +236,7 @@
         if read.records.is_empty() {
             return;
         }
+        let keys: Vec<IntakeKey> = read.records.iter().map(|(key, _)| *key).collect();
         for (key, value) in read.records {
             // A tombstone: the record was deleted after its job ended.
             let Some(value) = value else { continue };
@@ -253,6 +261,7 @@
                 }
             }
         }
+        self.publish_room(keys, now);
         self.execute_recorded();
         self.schedule_decision();
     }
--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -157,6 +157,7 @@
             start_rate,
         };
         owner.schedule_restored_cleanup();
+        owner.publish_room([], now);
         owner.connect_workers();
         owner.start_loops(args.shards);
         Ok(owner)
@@ -295,7 +296,9 @@
         if self.cell.has_unsent_starts() {
             self.write_due.notify_one();
         }
+        self.publish_room([], now);
         let metrics = &self.shared.metrics;
+        metrics.held_bytes.set(self.cell.footprint().total() as i64);
         metrics.live_jobs.set(self.cell.live_jobs() as i64);
         let caps = self.cell.cap_counts();
         metrics.cap_waiting.set(caps.held as i64);
@@ -303,6 +306,14 @@
         metrics.used_millicores.set(self.cell.cpu_load().0 as i64);
     }
 
+    /// Publishes the room that the jobs leave, which now include the requests of `keys`.
+    fn publish_room(&self, keys: impl IntoIterator<Item = IntakeKey>, now: Time) {
+        let limit = self.shared.accepted_limit();
+        self.shared
+            .room
+            .publish(self.cell.footprint(), limit, keys, now);
+    }
+
     /// Passes the customers of the configuration in force to the cell, if they may have changed.
     fn update_customers(&mut self) {
         let copy = self.shared.configuration.snapshot();
--- a/crates/kingcupwinch-node/src/owner/starts.rs
+++ b/crates/kingcupwinch-node/src/owner/starts.rs
@@ -111,7 +111,7 @@
             }
             let outcomes = match response {
                 Ok(response) => response.outcomes,
-                Err(CallError::NotSent | CallError::Refused) => {
+                Err(CallError::NotSent | CallError::Refused | CallError::NoRoom(_)) => {
                     for (order, client) in orders {
                         let sender = sender.clone();
                         tokio::spawn(async move { sender.send(order, client).await });
--- a/crates/kingcupwinch-node/src/owner/writer.rs
+++ b/crates/kingcupwinch-node/src/owner/writer.rs
@@ -87,6 +87,10 @@
         let is_dirty = std::mem::take(&mut self.is_worker_list_dirty);
         let has_changes = self.cell.take_worker_changes();
         let workers = (is_dirty || has_changes).then(|| self.cell.worker_records());
+        let records = self.cell.take_records(now);
+        for id in &records.expired_cancels {
+            self.schedule_cleanup(*id);
+        }
         let cleanup = if take.with_cleanup {
             std::mem::take(&mut self.cleanup)
         } else {
@@ -100,7 +104,7 @@
         });
         let leases = self.lease_record_due.take_if(|due| *due <= now);
         WriteBatch {
-            records: self.cell.take_records(now),
+            records,
             workers,
             run_times,
             leases: leases.map(|_| self.leases.to_record()),
--- a/crates/kingcupwinch-node/src/ownership.rs
+++ b/crates/kingcupwinch-node/src/ownership.rs
@@ -654,6 +654,10 @@
         instance: Arc::clone(&shared.settings.instance),
         address: shared.settings.siblings.to_string().into(),
         millicores: owner_millicores(shared.settings.cpu_share, shared.settings.link_mbps),
+        memory_bytes: shared
+            .settings
+            .memory_mb
+            .map(|_| shared.settings.memory_bytes()),
     };
     while !shared.is_stopping() {
         let pause = match append(&shared, &key, &record, None, CALL_MARGIN).await {
--- a/crates/kingcupwinch-node/src/shared.rs
+++ b/crates/kingcupwinch-node/src/shared.rs
@@ -8,8 +8,8 @@
 use bytes::Bytes;
 use kameo::actor::ActorRef;
 use kingcupwinch_adapter::{
-    Adviser, Appended, EntryError, Fence, KeyedRecord, Partition, Retry, Settings, Store,
-    WriteError,
+    Adviser, Appended, DEFAULT_MEMORY_BYTES, EntryError, Fence, KeyedRecord, Partition, Retry,
+    Settings, Store, WriteError,
 };
 use kingcupwinch_cell::{Claim, Disabled, Member};
 use kingcupwinch_platform::{AdaptiveTimeout, Traffic};
@@ -25,6 +25,7 @@
 use crate::metrics::Metrics;
 use crate::owner::Owner;
 use crate::relay::Payloads;
+use crate::room::{Room, accepted_limit, smallest_memory};
 
 /// Time without a response of the store after which the instance reports itself not ready.
 const STORE_READY_TIMEOUT: Span = Span::from_millis(1_500);
@@ -53,6 +54,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) configuration: Configuration,
     pub(crate) forecasts: Forecasts,
+    pub(crate) room: Room,
     pub(crate) claim: watch::Sender<Option<Claim>>,
     pub(crate) stopping: watch::Sender<bool>,
     pub(crate) members: watch::Sender<Vec<Member>>,
@@ -81,6 +83,7 @@
             metrics: Metrics::new(),
             configuration: Configuration::new(settings.config_bound),
             forecasts: Forecasts::default(),
+            room: Room::default(),
             claim: watch::Sender::new(None),
             stopping: watch::Sender::new(false),
             members: watch::Sender::new(Vec::new()),
@@ -122,9 +125,22 @@
     }
 
     pub(crate) fn set_owner(&self, owner: Option<ActorRef<Owner>>) {
+        if owner.is_none() {
+            self.room.retire();
+        }
         *self.owner.lock().unwrap_or_else(PoisonError::into_inner) = owner;
     }
 
+    /// Returns the bound of what is accepted, in bytes: by the memory of the smallest member, since each
+    /// may own the cell next.
+    pub(crate) fn accepted_limit(&self) -> u64 {
+        let own = Some(self.settings.memory_bytes());
+        let members = self.members.borrow();
+        let known = members.iter().map(|member| member.memory_bytes);
+        let all = known.chain([own]);
+        accepted_limit(smallest_memory(all, DEFAULT_MEMORY_BYTES))
+    }
+
     /// Records whether the store responded, and logs when it is lost or reachable again.
     pub(crate) fn record_store_result(&self, error: Option<&str>) {
         match error {
--- a/crates/kingcupwinch-node/src/siblings.rs
+++ b/crates/kingcupwinch-node/src/siblings.rs
@@ -7,10 +7,10 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
-use hyper::{Method, Request, StatusCode};
+use hyper::header::RETRY_AFTER;
+use hyper::{Method, Request, Response, StatusCode};
 use kameo::message::Message;
-use kingcupwinch_adapter::KeyedRecord;
-use kingcupwinch_cell::Member;
+use kingcupwinch_cell::{Demand, Member};
 use kingcupwinch_platform::{HttpClient, SendError, full_body};
 use rand::seq::SliceRandom;
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -20,14 +20,16 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::events::Event;
-use crate::intake::Outcome;
+use crate::intake::{IntakeRequest, Outcome};
 use crate::job_states::JobStateCache;
 use crate::owner::{CountWaiting, Owner};
 use crate::relay::{RelayRequest, RelayResponse};
+use crate::room::{NoRoom, ROOM_HEADER};
 use crate::shared::Shared;
 
 mod forecasts;
 mod job_lookup;
+mod room;
 mod server;
 #[cfg(test)]
 mod tests;
@@ -86,6 +88,11 @@
     /// sender can append itself.
     #[serde(default)]
     by_owner: bool,
+    /// Memory that a job takes at the owner, in bytes, and its customer. Earlier versions state neither.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    held_bytes: Option<u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    customer: Option<Arc<str>>,
 }
 
 /// Response of a sibling that was asked to append an intake record.
@@ -175,7 +182,7 @@
     /// have.
     pub(crate) async fn append_at_helpers(
         &self,
-        record: &KeyedRecord,
+        request: &IntakeRequest,
         deadline: Instant,
     ) -> Outcome {
         for address in self.helpers() {
@@ -183,7 +190,7 @@
                 break;
             }
             let until = deadline.min(Instant::now() + ATTEMPT_TIMEOUT);
-            match self.append_at(&address, record, false, until).await {
+            match self.append_at(&address, request, false, until).await {
                 Outcome::Rejected(_) => {}
                 outcome => return outcome,
             }
@@ -192,7 +199,11 @@
     }
 
     /// Asks the owner to append an intake record, if it is another instance.
-    pub(crate) async fn append_at_owner(&self, record: &KeyedRecord, deadline: Instant) -> Outcome {
+    pub(crate) async fn append_at_owner(
+        &self,
+        request: &IntakeRequest,
+        deadline: Instant,
+    ) -> Outcome {
         let claim = self.shared.claim.borrow().clone();
         let Some(claim) = claim.filter(|claim| claim.instance != self.shared.settings.instance)
         else {
@@ -204,7 +215,8 @@
         {
             return Outcome::Rejected("the owner does not serve yet".into());
         }
-        self.append_at(&claim.address, record, true, deadline).await
+        self.append_at(&claim.address, request, true, deadline)
+            .await
     }
 
     fn lock_owner_ready(&self) -> MutexGuard<'_, Option<Instant>> {
@@ -238,11 +250,11 @@
     async fn append_at(
         &self,
         address: &Arc<str>,
-        record: &KeyedRecord,
+        request: &IntakeRequest,
         by_owner: bool,
         deadline: Instant,
     ) -> Outcome {
-        let Some(params) = encode_append_request(record, by_owner, deadline) else {
+        let Some(params) = encode_append_request(request, by_owner, deadline) else {
             return Outcome::Rejected("the record can't be encoded for a sibling".into());
         };
         let call = self.call(address, Method::POST, APPEND_PATH, params, deadline);
@@ -261,6 +273,7 @@
                 }
                 Outcome::Rejected("the sibling refused it".into())
             }
+            Err(CallError::NoRoom(no_room)) => Outcome::NoRoom(no_room),
             Err(CallError::Lost) => Outcome::Unknown("the sibling's reply was lost".into()),
         }
     }
@@ -356,6 +369,10 @@
         };
         self.note_response(address);
         self.note_forecasts(address, response.headers());
+        self.note_room(address, response.headers());
+        if let Some(no_room) = no_room(&response) {
+            return Err(CallError::NoRoom(no_room));
+        }
         if response.status().is_client_error() {
             return Err(CallError::Refused);
         }
@@ -420,6 +437,18 @@
     }
 }
 
+/// Returns when to retry if a response tells that the owner has no room.
+fn no_room<B>(response: &Response<B>) -> Option<NoRoom> {
+    if response.status() != StatusCode::TOO_MANY_REQUESTS {
+        return None;
+    }
+    // Without the header, the sibling had no memory for the body.
+    response.headers().get(ROOM_HEADER)?;
+    let seconds = response.headers().get(RETRY_AFTER)?;
+    let retry_after_s = seconds.to_str().ok()?.parse().ok()?;
+    Some(NoRoom { retry_after_s })
+}
+
 /// Error of a call to a sibling.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum CallError {
@@ -427,6 +456,8 @@
     NotSent,
     /// The sibling refused the request without acting on it.
     Refused,
+    /// The owner has no room for the request and did not act on it.
+    NoRoom(NoRoom),
     /// The response is missing or unusable; the sibling may have acted.
     Lost,
 }
@@ -441,13 +472,24 @@
 }
 
 /// Builds the body of an append request; `None` if the record has no value or isn't UTF-8.
-fn encode_append_request(record: &KeyedRecord, by_owner: bool, deadline: Instant) -> Option<Bytes> {
+fn encode_append_request(
+    request: &IntakeRequest,
+    by_owner: bool,
+    deadline: Instant,
+) -> Option<Bytes> {
+    let IntakeRequest { record, demand } = request;
+    let (held_bytes, customer) = match demand {
+        Demand::Job(bytes, customer) => (Some(*bytes), customer.clone()),
+        Demand::EarlyCancel => (None, None),
+    };
     let timeout = deadline.saturating_duration_since(Instant::now());
     let params = AppendRequest {
         key: Arc::clone(&record.key),
         value: String::from_utf8(record.value.as_ref()?.to_vec()).ok()?,
         timeout_ms: u64::try_from(timeout.as_millis()).ok()?,
         by_owner,
+        held_bytes,
+        customer,
     };
     Some(serde_json::to_vec(&params).ok()?.into())
 }
--- a/crates/kingcupwinch-node/src/siblings/server.rs
+++ b/crates/kingcupwinch-node/src/siblings/server.rs
@@ -6,24 +6,29 @@
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use kingcupwinch_adapter::KeyedRecord;
-use kingcupwinch_cell::JobId;
+use kingcupwinch_cell::{Demand, JobId};
 use serde::Serialize;
 use slog::o;
 use tokio::time::Instant;
 
 use super::forecasts::add_forecasts;
+use super::room::{add_room, refuse};
 use super::{
     ADVICE_PATH, ALIVE_PATH, APPEND_PATH, AdviceRequest, AppendRequest, AppendResponse,
     MAX_BODY_BYTES, START_PATH, STATE_PATH, StateResponse, WAITING_PATH, WaitingResponse,
 };
 use crate::events::Event;
 use crate::http::{Handler, HttpResponse, empty, json, read_body};
-use crate::intake::{Intake, Outcome};
+use crate::intake::{Intake, IntakeRequest, Outcome};
 use crate::layout::IntakeKey;
 use crate::owner::{CountWaiting, GetJobState};
 use crate::relay::{RelayRequest, StartRelay};
 use crate::shared::Shared;
 
+/// Memory of a job at the owner as a multiple of its record, for siblings that state none: that of the
+/// smallest jobs.
+const HELD_PER_RECORD_BYTE: u64 = 5;
+
 /// Handles requests of siblings.
 pub(crate) struct SiblingServer {
     pub(crate) shared: Arc<Shared>,
@@ -38,6 +43,7 @@
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> HttpResponse {
         let mut response = self.respond(request).await;
         add_forecasts(&self.shared, &mut response);
+        add_room(&self.shared, &mut response);
         response
     }
 }
@@ -97,19 +103,26 @@
         let Ok(params) = serde_json::from_slice::<AppendRequest>(&body) else {
             return empty(StatusCode::BAD_REQUEST);
         };
-        if IntakeKey::parse(&params.key).is_none() {
-            return empty(StatusCode::BAD_REQUEST);
-        }
+        let demand = match IntakeKey::parse(&params.key) {
+            Some(IntakeKey::Accepted(_)) => {
+                let estimate = params.value.len() as u64 * HELD_PER_RECORD_BYTE;
+                Demand::Job(params.held_bytes.unwrap_or(estimate), params.customer)
+            }
+            Some(IntakeKey::Cancelled(_)) => Demand::EarlyCancel,
+            None => return empty(StatusCode::BAD_REQUEST),
+        };
         let deadline = Instant::now() + Duration::from_millis(params.timeout_ms);
         let record = KeyedRecord::with_value(params.key, params.value);
+        let request = IntakeRequest::new(record, demand);
         let outcome = match self.shared.owner() {
-            Some(_) => self.owner_intake.append(record, deadline).await,
+            Some(_) => self.owner_intake.append_as_owner(&request, deadline).await,
             None if params.by_owner => return empty(StatusCode::MISDIRECTED_REQUEST),
-            None => self.own_intake.append(record, deadline).await,
+            None => self.own_intake.append_by_share(&request, deadline).await,
         };
         encode(&match outcome {
             Outcome::Appended => AppendResponse::Appended,
             Outcome::Rejected(_) => AppendResponse::Failed,
+            Outcome::NoRoom(no_room) => return refuse(no_room),
             Outcome::Unknown(_) => AppendResponse::Unknown,
         })
     }
--- a/crates/kingcupwinch-node/src/siblings/tests.rs
+++ b/crates/kingcupwinch-node/src/siblings/tests.rs
@@ -30,6 +30,7 @@
             instance: format!("instance-{number}").into(),
             address: Arc::clone(address),
             millicores: 500,
+            memory_bytes: None,
         };
         election.apply(number as u64, record, Time::ZERO);
     }
