Bound the number of payloads that an instance keeps for relays

The cache was bounded by the bytes of its payloads alone: jobs without a specification added entries without end for 60 s, each insertion looked at all of them, and refused jobs took the space of accepted ones.

An entry counts for 128 bytes more than its payload, the bound is a thirtieth of the instance's memory (4 MiB at most), entries expire in order of time, and what was refused is removed.

--- a/crates/kingcupwinch-node/src/callers.rs
+++ b/crates/kingcupwinch-node/src/callers.rs
@@ -187,9 +187,12 @@
             return refused;
         }
         let now = self.shared.now();
-        self.shared.payloads().insert(job.id, spec.payload, now);
+        let is_new = self.shared.payloads().insert(job.id, spec.payload, now);
         let request = IntakeRequest::new(record, demand);
         let outcome = self.appender.append(&request, job.deadline).await;
+        if is_new && matches!(outcome, Outcome::Rejected(_) | Outcome::NoRoom(_)) {
+            self.shared.payloads().remove(job.id);
+        }
         self.append_response("submit", &job, &outcome)
     }
 
--- a/crates/kingcupwinch-node/src/relay.rs
+++ b/crates/kingcupwinch-node/src/relay.rs
@@ -5,6 +5,8 @@
 //! without payload, and it sends them on under the owner's term. An instance that does not have the
 //! payload gets it once for all tasks of a request.
 
+use std::collections::VecDeque;
+use std::collections::hash_map::Entry;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -24,8 +26,12 @@
 
 /// Time for which the payload of an accepted job is kept.
 const PAYLOAD_RETENTION: Span = Span::from_secs(60);
-/// Maximum size of all payloads that are kept, in bytes.
+/// Maximum size of all payloads that are kept with their entries, in bytes.
 const MAX_PAYLOAD_BYTES: usize = 4 << 20;
+/// Part of an instance's memory for payloads, as a divisor.
+const PAYLOAD_SHARE: u64 = 30;
+/// Memory of an entry without its payload, in bytes.
+const ENTRY_BYTES: usize = 128;
 /// Time after which an unused connection to a worker is closed: a worker has fewer connections than
 /// there may be instances.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -98,23 +104,49 @@
 }
 
 /// The payloads of the jobs that this instance accepted last.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Payloads {
+    limit: usize,
     entries: FxHashMap<JobId, (Arc<str>, Time)>,
+    /// When entries expire, in order of time. An entry that was inserted again has a later one.
+    expiry: VecDeque<(Time, JobId)>,
     bytes: usize,
 }
 
 impl Payloads {
+    /// Creates a cache for an instance with this memory, in bytes.
+    pub(crate) fn new(memory_bytes: u64) -> Self {
+        let share = usize::try_from(memory_bytes / PAYLOAD_SHARE);
+        Payloads {
+            limit: share.unwrap_or(usize::MAX).min(MAX_PAYLOAD_BYTES),
+            entries: FxHashMap::default(),
+            expiry: VecDeque::new(),
+            bytes: 0,
+        }
+    }
+
     /// Keeps the payload of a job, and drops those that are too old. Keeps none if there is no space.
-    pub(crate) fn insert(&mut self, id: JobId, payload: Arc<str>, now: Time) {
+    /// Returns whether there was none of the job before.
+    pub(crate) fn insert(&mut self, id: JobId, payload: Arc<str>, now: Time) -> bool {
         self.remove_expired(now);
-        if self.bytes + payload.len() > MAX_PAYLOAD_BYTES {
-            return;
+        let size = entry_bytes(&payload);
+        if self.bytes + size > self.limit {
+            return false;
         }
-        self.bytes += payload.len();
+        self.bytes += size;
         let expires = now + PAYLOAD_RETENTION;
-        if let Some((replaced, _)) = self.entries.insert(id, (payload, expires)) {
-            self.bytes -= replaced.len();
+        self.expiry.push_back((expires, id));
+        let replaced = self.entries.insert(id, (payload, expires));
+        if let Some((replaced, _)) = &replaced {
+            self.bytes -= entry_bytes(replaced);
+        }
+        replaced.is_none()
+    }
+
+    /// Drops the payload of a job that was not accepted.
+    pub(crate) fn remove(&mut self, id: JobId) {
+        if let Some((payload, _)) = self.entries.remove(&id) {
+            self.bytes -= entry_bytes(&payload);
         }
     }
 
@@ -126,12 +158,21 @@
     }
 
     fn remove_expired(&mut self, now: Time) {
-        self.entries.retain(|_, (_, expires)| *expires > now);
-        let lengths = self.entries.values().map(|(payload, _)| payload.len());
-        self.bytes = lengths.sum();
+        while let Some((_, id)) = self.expiry.pop_front_if(|(expires, _)| *expires <= now) {
+            if let Entry::Occupied(entry) = self.entries.entry(id)
+                && entry.get().1 <= now
+            {
+                let (payload, _) = entry.remove();
+                self.bytes -= entry_bytes(&payload);
+            }
+        }
     }
 }
 
+fn entry_bytes(payload: &str) -> usize {
+    ENTRY_BYTES + payload.len()
+}
+
 /// Address and id of a worker, and the term of the owner.
 type ClientKey = (SocketAddr, Arc<str>, u64);
 
--- a/crates/kingcupwinch-node/src/relay/tests.rs
+++ b/crates/kingcupwinch-node/src/relay/tests.rs
@@ -13,7 +13,8 @@
 use tokio::time::Instant;
 
 use super::{
-    MAX_PAYLOAD_BYTES, PAYLOAD_RETENTION, Payloads, RelayRequest, RelayedStart, StartRelay,
+    ENTRY_BYTES, MAX_PAYLOAD_BYTES, PAYLOAD_RETENTION, Payloads, RelayRequest, RelayedStart,
+    StartRelay,
 };
 use crate::http::serve;
 use crate::intake::Intake;
@@ -151,8 +152,8 @@
 fn payloads_are_kept_for_a_while_and_within_a_size() {
     let id = |number: u64| JobId::parse(&format!("{number:016x}")).unwrap();
     let start = Time::from_millis(1_000);
-    let half: Arc<str> = "x".repeat(MAX_PAYLOAD_BYTES / 2).into();
-    let mut payloads = Payloads::default();
+    let half: Arc<str> = "x".repeat(MAX_PAYLOAD_BYTES / 2 - ENTRY_BYTES).into();
+    let mut payloads = Payloads::new(512_000_000);
     payloads.insert(id(1), Arc::clone(&half), start);
     payloads.insert(id(1), Arc::clone(&half), start);
     payloads.insert(id(2), Arc::clone(&half), start + Span::from_secs(1));
@@ -163,3 +164,15 @@
     assert_eq!(payloads.get(id(1)), None);
     assert!(payloads.get(id(2)).is_some() && payloads.get(id(3)).is_some());
 }
+
+/// A crowd of jobs with short payloads must not grow the cache, whose entries take memory too.
+#[test]
+fn entries_without_payloads_count() {
+    let mut payloads = Payloads::new(30_000_000);
+    let ids = (0..100_000).map(|number: u64| JobId::parse(&format!("{number:016x}")).unwrap());
+    for id in ids.clone() {
+        payloads.insert(id, "".into(), Time::ZERO);
+    }
+    let kept = ids.filter(|id| payloads.get(*id).is_some()).count();
+    assert_eq!(kept, 1_000_000 / ENTRY_BYTES);
+}
--- a/crates/kingcupwinch-node/src/shared.rs
+++ b/crates/kingcupwinch-node/src/shared.rs
@@ -89,7 +89,7 @@
             members: watch::Sender::new(Vec::new()),
             owner_unreachable: Notify::new(),
             owner: Mutex::new(None),
-            payloads: Mutex::default(),
+            payloads: Mutex::new(Payloads::new(settings.memory_bytes())),
             wall_time: Mutex::default(),
             odd_entries: Mutex::default(),
             store_responded_at: AtomicU64::new(0),
