Bound the request bodies that the daemon buffers together

300 clients with bodies of 256 KiB that stop one byte short took the daemon with the project's own interface to 139 MB: each connection of 4,096 could hold 256 KiB, and nothing bounded all of them.

Bodies charge a common memory as they arrive, beyond 8 KiB each (hold.memory_bytes, 8 MiB); one that does not fit is refused with 503 and Retry-After as not run, and the rest of it is dropped so that the response arrives. The buffered part has 10 s (hold.buffer_ms). Receive buffers and HTTP/2 windows are fixed, and a port accepts 1,024 connections.

--- a/crates/kingcupwinch-daemon/src/actors/tests.rs
+++ b/crates/kingcupwinch-daemon/src/actors/tests.rs
@@ -31,6 +31,7 @@
 use crate::jobs::JobIdParts;
 use crate::logging::EventLog;
 use crate::metrics::Metrics;
+use crate::server::body_memory::BodyMemory;
 use crate::settings::{Instance, Platform, Settings};
 use crate::shared::{ActiveConfig, Lifecycle, OwnershipView, ShardView, Shared};
 use crate::siblings::Siblings;
@@ -271,6 +272,7 @@
             tree: load_texts([("10-base.toml", CONFIG)]).unwrap().tree,
         }),
         ownership: ArcSwap::from_pointee(OwnershipView::default()),
+        body_memory: BodyMemory::new(0),
         lifecycle: Lifecycle::new(),
         log_unreadable: AtomicBool::new(false),
     };
--- a/crates/kingcupwinch-daemon/src/daemon.rs
+++ b/crates/kingcupwinch-daemon/src/daemon.rs
@@ -31,6 +31,7 @@
 use crate::live::LiveService;
 use crate::logging::{EventId, EventLog};
 use crate::metrics::Metrics;
+use crate::server::body_memory::BodyMemory;
 use crate::server::callers::CallerHandler;
 use crate::server::forward::ForwardHandler;
 use crate::server::listener::Listener;
@@ -120,6 +121,7 @@
             metrics: Metrics::new(),
             config: ArcSwap::from_pointee(ActiveConfig::default()),
             ownership: ArcSwap::from_pointee(OwnershipView::default()),
+            body_memory: BodyMemory::new(self.settings.hold.memory_bytes),
             lifecycle: Lifecycle::new(),
             log_unreadable: AtomicBool::new(false),
             settings: self.settings,
--- a/crates/kingcupwinch-daemon/src/live/keyed.rs
+++ b/crates/kingcupwinch-daemon/src/live/keyed.rs
@@ -84,7 +84,7 @@
         request: &LiveRequest,
     ) -> KeyDecision {
         let body = match &request.body {
-            BufferedBody::Whole(body) => Some(body),
+            BufferedBody::Whole { bytes, .. } => Some(bytes),
             BufferedBody::Partial { .. } | BufferedBody::Spent => None,
         };
         let fingerprint = fingerprint(&request.service, &request.class, body);
--- a/crates/kingcupwinch-daemon/src/server/body.rs
+++ b/crates/kingcupwinch-daemon/src/server/body.rs
@@ -11,8 +11,10 @@
 use kingcupwinch_platform::{RequestBody, ResponseBody};
 use quick_error::quick_error;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
-use tokio::time::timeout;
+use tokio::task::yield_now;
+use tokio::time::{Instant, timeout, timeout_at};
 
+use super::body_memory::{BodyMemory, Charge};
 use crate::settings::Hold;
 
 /// Error type of bodies.
@@ -21,6 +23,15 @@
 /// Body type of every message that the daemon sends.
 pub(crate) type Body = RequestBody;
 
+/// Bytes of a refused body that are dropped before its connection is closed, and the time for them: a
+/// connection that is closed with unread bytes is reset, and its caller may lose the response.
+const MAX_DISCARDED_BYTES: usize = 256 * 1024;
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Bytes that a frame counts for at least when it is dropped: to decode a chunk of one byte takes as long.
+const MIN_FRAME_BYTES: usize = 1024;
+/// Frames of a body after which others have their turn.
+const FRAMES_PER_TURN: u32 = 32;
+
 /// Maximum size of an answer that is copied for storage, in bytes.
 const MAX_COPY_BYTES: usize = 64 * 1024;
 
@@ -36,6 +47,14 @@
         Idle {
             display("the peer was idle for too long")
         }
+        /// The buffered part took too long to arrive.
+        Slow {
+            display("the body took too long")
+        }
+        /// Other bodies use up the memory for them.
+        NoMemory {
+            display("there is no memory for the body now")
+        }
         /// The connection broke.
         Broken(err: hyper::Error) {
             display("the body ended early: {err}")
@@ -55,7 +74,12 @@
 #[derive(Debug)]
 pub(crate) enum BufferedBody {
     /// The whole body, which can be sent more than once.
-    Whole(Bytes),
+    Whole {
+        /// The body.
+        bytes: Bytes,
+        /// Its memory, which is released with it.
+        _charge: Charge,
+    },
     /// A body with a part still to be read, which can be sent only once.
     Partial {
         /// The part already read.
@@ -72,34 +96,38 @@
     ///
     /// # Errors
     ///
-    /// Returns [`BodyError`] if the declared size is over the limit, the caller is idle, or the
-    /// connection breaks.
-    pub(crate) async fn read(mut body: Incoming, hold: &Hold) -> Result<BufferedBody, BodyError> {
-        use hyper::body::Body as _;
-        if body.size_hint().lower() > hold.body_bytes {
-            return Err(BodyError::TooLarge(hold.body_bytes));
-        }
-        let mut head = BytesMut::new();
-        while head.len() <= hold.request_bytes {
-            match next_data(&mut body, hold.idle_ms).await? {
-                Some(data) => head.extend_from_slice(&data),
-                None => return Ok(BufferedBody::Whole(head.freeze())),
+    /// Returns [`BodyError`] if the declared size is over the limit, the caller is idle or too slow,
+    /// there is no memory for the body, or the connection breaks.
+    pub(crate) async fn read(
+        mut body: Incoming,
+        hold: &Hold,
+        memory: &BodyMemory,
+    ) -> Result<BufferedBody, BodyError> {
+        let head = read_head(&mut body, hold, memory).await;
+        match head {
+            Ok(Head::Whole(head, charge)) => Ok(BufferedBody::Whole {
+                bytes: head.freeze(),
+                _charge: charge,
+            }),
+            Ok(Head::Partial(head)) => Ok(BufferedBody::Partial {
+                head: head.freeze(),
+                tail: body,
+            }),
+            Err(err) => {
+                tokio::spawn(timeout(DISCARD_TIMEOUT, discard(body)));
+                Err(err)
             }
         }
-        Ok(BufferedBody::Partial {
-            head: head.freeze(),
-            tail: body,
-        })
     }
 
     /// Returns the body to send, or `None` if a partial body was already sent.
     pub(crate) fn take(&mut self, hold: &Hold) -> Option<Body> {
-        if let BufferedBody::Whole(bytes) = self {
+        if let BufferedBody::Whole { bytes, .. } = self {
             return Some(full(bytes.clone()));
         }
         match std::mem::replace(self, BufferedBody::Spent) {
             BufferedBody::Partial { head, tail } => Some(stream_rest(head, tail, hold)),
-            BufferedBody::Whole(_) | BufferedBody::Spent => None,
+            BufferedBody::Whole { .. } | BufferedBody::Spent => None,
         }
     }
 
@@ -109,6 +137,55 @@
     }
 }
 
+/// The part of a body that was buffered.
+enum Head {
+    /// The whole body, with its memory.
+    Whole(BytesMut, Charge),
+    /// A part, which is sent on at once.
+    Partial(BytesMut),
+}
+
+async fn read_head(
+    body: &mut Incoming,
+    hold: &Hold,
+    memory: &BodyMemory,
+) -> Result<Head, BodyError> {
+    use hyper::body::Body as _;
+    if body.size_hint().lower() > hold.body_bytes {
+        return Err(BodyError::TooLarge(hold.body_bytes));
+    }
+    let until = Instant::now() + Duration::from_millis(hold.buffer_ms);
+    let (mut head, mut charge, mut frames) = (BytesMut::new(), memory.charge(), 0);
+    while head.len() <= hold.request_bytes {
+        let next = timeout_at(until, next_data(body, hold.idle_ms)).await;
+        match next.map_err(|_| BodyError::Slow)?? {
+            Some(data) => head.extend_from_slice(&data),
+            None => return Ok(Head::Whole(head, charge)),
+        }
+        if !charge.raise(head.capacity()) {
+            return Err(BodyError::NoMemory);
+        }
+        frames += 1;
+        if frames % FRAMES_PER_TURN == 0 {
+            yield_now().await;
+        }
+    }
+    Ok(Head::Partial(head))
+}
+
+/// Reads and drops what is left of a refused body while its response is written.
+async fn discard(mut body: Incoming) {
+    let mut left = MAX_DISCARDED_BYTES;
+    while let Some(Ok(frame)) = body.frame().await {
+        let bytes = frame.data_ref().map_or(0, Bytes::len).max(MIN_FRAME_BYTES);
+        if bytes >= left {
+            return;
+        }
+        left -= bytes;
+        yield_now().await;
+    }
+}
+
 /// Reads the next chunk of data, skipping trailers.
 async fn next_data(body: &mut Incoming, idle_ms: u64) -> Result<Option<Bytes>, BodyError> {
     loop {
--- a/crates/kingcupwinch-daemon/src/server/callers.rs
+++ b/crates/kingcupwinch-daemon/src/server/callers.rs
@@ -10,6 +10,7 @@
 use super::listener::Handler;
 use super::problem::{not_run, respond};
 use crate::jobs::JobService;
+use crate::live::refuse::DEFAULT_RETRY;
 use crate::live::{Admission, LiveService};
 use crate::metrics::Outcome;
 use crate::shared::Shared;
@@ -40,7 +41,7 @@
             Err(problem) => return respond(&problem),
         };
         let (parts, body) = request.into_parts();
-        match BufferedBody::read(body, &self.shared.settings.hold).await {
+        match self.shared.read_body(body).await {
             Ok(body) => self.live.run(admission.admit(parts, body)).await,
             Err(err) => {
                 self.shared
@@ -54,8 +55,8 @@
 
 impl CallerHandler {
     async fn submit_job(&self, request: Request<Incoming>) -> Response<Body> {
-        match BufferedBody::read(request.into_body(), &self.shared.settings.hold).await {
-            Ok(BufferedBody::Whole(body)) => self.jobs.submit(&body).await,
+        match self.shared.read_body(request.into_body()).await {
+            Ok(BufferedBody::Whole { bytes, .. }) => self.jobs.submit(&bytes).await,
             Ok(_) => {
                 let limit = self.shared.settings.hold.request_bytes;
                 respond_bad_body(&BodyError::TooLarge(
@@ -71,10 +72,15 @@
 pub(crate) fn respond_bad_body(err: &BodyError) -> Response<Body> {
     let (status, code) = match err {
         BodyError::TooLarge(_) => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
-        BodyError::Idle => (StatusCode::REQUEST_TIMEOUT, "body-too-slow"),
+        BodyError::Idle | BodyError::Slow => (StatusCode::REQUEST_TIMEOUT, "body-too-slow"),
+        BodyError::NoMemory => (StatusCode::SERVICE_UNAVAILABLE, "no-memory"),
         BodyError::Broken(_) => (StatusCode::BAD_REQUEST, "body-broken"),
     };
-    let mut response = respond(&not_run(status, code, err.to_string()));
+    let mut problem = not_run(status, code, err.to_string());
+    if matches!(err, BodyError::NoMemory) {
+        problem.retry_ms = Some(DEFAULT_RETRY.as_millis());
+    }
+    let mut response = respond(&problem);
     // The rest of the body is not read, so the connection can't carry another request.
     let close = HeaderValue::from_static("close");
     response.headers_mut().insert(CONNECTION, close);
--- a/crates/kingcupwinch-daemon/src/server/forward.rs
+++ b/crates/kingcupwinch-daemon/src/server/forward.rs
@@ -7,7 +7,7 @@
 use kingcupwinch_wire::api::Problem;
 use slog::o;
 
-use super::body::{Body, BufferedBody};
+use super::body::Body;
 use super::callers::{RUN_PATH, respond_bad_body};
 use super::headers::Hop;
 use super::listener::Handler;
@@ -40,7 +40,7 @@
             Err(problem) => return respond(&problem),
         };
         let (parts, body) = request.into_parts();
-        match BufferedBody::read(body, &self.shared.settings.hold).await {
+        match self.shared.read_body(body).await {
             Ok(body) => {
                 self.live
                     .run_forwarded(admission.admit_forwarded(parts, body, hop))
--- a/crates/kingcupwinch-daemon/src/server/listener.rs
+++ b/crates/kingcupwinch-daemon/src/server/listener.rs
@@ -13,7 +13,7 @@
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::{GracefulShutdown, Watcher};
 use slog::o;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 
 use super::body::Body;
@@ -23,6 +23,13 @@
 /// Maximum number of open streams of one HTTP/2 connection.
 const MAX_STREAMS: u32 = 512;
 
+/// Receive buffer of a connection, in bytes; the kernel would grow it to megabytes by itself.
+const RECEIVE_BYTES: u32 = 16 * 1024;
+/// Bytes that an HTTP/2 connection and each of its streams may receive before they are read.
+const WINDOW_BYTES: u32 = 64 * 1024;
+/// Maximum number of connections that were not accepted yet.
+const BACKLOG: u32 = 512;
+
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -55,7 +62,15 @@
         hold: Hold,
         log: EventLog,
     ) -> std::io::Result<Self> {
-        let socket = TcpListener::bind(address).await?;
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        // Connections inherit it, also before they are accepted.
+        socket.set_recv_buffer_size(RECEIVE_BYTES)?;
+        socket.bind(address)?;
+        let socket = socket.listen(BACKLOG)?;
         let address = socket.local_addr()?;
         Ok(Listener {
             socket,
@@ -122,6 +137,8 @@
         .http2()
         .timer(TokioTimer::new())
         .max_header_list_size(headers)
+        .initial_stream_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
         .max_concurrent_streams(MAX_STREAMS);
     builder
 }
--- a/crates/kingcupwinch-daemon/src/settings/check.rs
+++ b/crates/kingcupwinch-daemon/src/settings/check.rs
@@ -144,6 +144,7 @@
     fault(faults, small, "hold.header_bytes", "is below 8192");
     fault(faults, hold.connections == 0, "hold.connections", "is zero");
     fault(faults, hold.idle_ms == 0, "hold.idle_ms", "is zero");
+    fault(faults, hold.buffer_ms == 0, "hold.buffer_ms", "is zero");
     fault(
         faults,
         hold.answer_bytes == 0,
@@ -158,6 +159,12 @@
         "hold.request_bytes",
         "is above hold.body_bytes",
     );
+    fault(
+        faults,
+        hold.memory_bytes < hold.request_bytes,
+        "hold.memory_bytes",
+        "is below hold.request_bytes",
+    );
     fault(
         faults,
         settings.platform.poll_ms == 0,
--- a/crates/kingcupwinch-daemon/src/settings/mod.rs
+++ b/crates/kingcupwinch-daemon/src/settings/mod.rs
@@ -253,7 +253,13 @@
     pub answer_bytes: usize,
     /// Time for which a caller may send or read nothing, in milliseconds.
     pub idle_ms: u64,
-    /// Maximum number of connections per port.
+    /// Maximum size of all buffered request bodies together, in bytes; the first 8 KiB of each are not
+    /// counted.
+    pub memory_bytes: usize,
+    /// Time for the buffered part of a request body, in milliseconds.
+    pub buffer_ms: u64,
+    /// Maximum number of connections per port. Each may take the size of all headers, and a receive
+    /// buffer of 16 KiB (64 KiB on HTTP/2).
     pub connections: usize,
 }
 
@@ -265,7 +271,9 @@
             body_bytes: 64 * 1024 * 1024,
             answer_bytes: 1024 * 1024,
             idle_ms: 15_000,
-            connections: 4_096,
+            memory_bytes: 8 * 1024 * 1024,
+            buffer_ms: 10_000,
+            connections: 1_024,
         }
     }
 }
--- a/crates/kingcupwinch-daemon/src/shared.rs
+++ b/crates/kingcupwinch-daemon/src/shared.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwap;
+use hyper::body::Incoming;
 use kingcupwinch_config::Tree;
 use kingcupwinch_coord::id::{Incarnation, ShardId, Version};
 use kingcupwinch_coord::ownership::Permit;
@@ -13,6 +14,8 @@
 
 use crate::logging::EventLog;
 use crate::metrics::Metrics;
+use crate::server::body::{BodyError, BufferedBody};
+use crate::server::body_memory::BodyMemory;
 use crate::settings::Settings;
 
 /// The active configuration of this instance.
@@ -153,6 +156,8 @@
     pub(crate) config: ArcSwap<ActiveConfig>,
     /// The ownership view as last published.
     pub(crate) ownership: ArcSwap<OwnershipView>,
+    /// Memory for request bodies.
+    pub(crate) body_memory: BodyMemory,
     /// The daemon's stage.
     pub(crate) lifecycle: Lifecycle,
     /// Whether the last read of the log failed.
@@ -165,6 +170,15 @@
         self.incarnation.0.as_u64_pair().1
     }
 
+    /// Reads a request body up to the buffer limit of the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of [`BufferedBody::read`].
+    pub(crate) async fn read_body(&self, body: Incoming) -> Result<BufferedBody, BodyError> {
+        BufferedBody::read(body, &self.settings.hold, &self.body_memory).await
+    }
+
     /// Returns the current time.
     pub(crate) fn now(&self) -> Time {
         self.clock.now()
--- a/crates/kingcupwinch-daemon/tests/testsuite/main.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod caller;
 mod cluster;
 mod crashes;
+mod crowd;
 mod domains;
 mod jobs;
 mod keys;
--- a/crates/kingcupwinch-daemon/tests/testsuite/process.rs
+++ b/crates/kingcupwinch-daemon/tests/testsuite/process.rs
@@ -20,6 +20,11 @@
 
 impl Process {
     pub(crate) fn start(cluster: &Cluster, name: &str) -> Self {
+        Process::start_with(cluster, name, &[])
+    }
+
+    /// Starts a daemon with settings from environment variables.
+    pub(crate) fn start_with(cluster: &Cluster, name: &str, settings: &[(&str, &str)]) -> Self {
         let log = cluster.log_server.address().to_string();
         let list = cluster.list_server.address().to_string();
         let any = "127.0.0.1:0";
@@ -39,6 +44,7 @@
             ])
             .args(["--log-format", "off"])
             .env("KINGCUPWINCHD_STOP__BALANCER_MS", "50")
+            .envs(settings.iter().copied())
             .stdout(Stdio::piped())
             .spawn()
             .unwrap();
@@ -59,6 +65,18 @@
         }
     }
 
+    /// Returns the highest resident memory so far, in kilobytes.
+    pub(crate) fn peak_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        peak.unwrap().trim_end_matches("kB").trim().parse().unwrap()
+    }
+
+    /// Returns whether the process has not ended.
+    pub(crate) fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
     /// Sends the process a signal.
     pub(crate) fn signal(&self, signal: Signal) {
         let id = i32::try_from(self.child.id()).unwrap();
@@ -75,7 +93,7 @@
 }
 
 /// Waits until a process is ready, and returns a caller for it.
-async fn wait_until_ready(process: &Process) -> Caller {
+pub(crate) async fn wait_until_ready(process: &Process) -> Caller {
     let caller = Caller::new(process.callers);
     wait_until("the daemon is ready", || async {
         caller.get("/readyz").await.status == 200
