Test requests of odd forms, a stop beside a crowd and crowds of 1,500

Trailers and chunk extensions without end, expected continuations without a body, deeply nested bodies, bodies of escapes, each by 620 clients that come back, and a stop while a crowd takes the places.

--- a/crates/kingcupwinch-daemon/tests/clients/crowd.rs
+++ b/crates/kingcupwinch-daemon/tests/clients/crowd.rs
@@ -34,6 +34,8 @@
     pub(crate) send_timeout: Duration,
     /// Time for which it opens another connection whenever one is closed.
     pub(crate) returns_for: Duration,
+    /// Number of clients, if it is not the usual one.
+    pub(crate) clients: Option<usize>,
 }
 
 /// Open connections of clients that send nothing any more; closed when dropped.
@@ -47,7 +49,7 @@
         let (sent, mut done) = tokio::sync::mpsc::channel::<()>(1);
         let behavior = Arc::new(behavior);
         let mut clients = JoinSet::new();
-        for _ in 0..CLIENTS {
+        for _ in 0..behavior.clients.unwrap_or(CLIENTS) {
             let client = run(instance.callers, Arc::clone(&behavior), sent.clone());
             clients.spawn(client);
         }
--- a/crates/kingcupwinch-daemon/tests/clients/flood.rs
+++ b/crates/kingcupwinch-daemon/tests/clients/flood.rs
@@ -90,7 +90,7 @@
     }
 }
 
-fn submission(framing: &str) -> String {
+pub(crate) fn submission(framing: &str) -> String {
     format!("POST {PREFIX}00000000000000aa HTTP/1.1\r\nHost: {HOST}\r\n{framing}\r\n\r\n")
 }
 
--- a/crates/kingcupwinch-daemon/tests/clients/instance.rs
+++ b/crates/kingcupwinch-daemon/tests/clients/instance.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use kingcupwinch_standin::{HOST, InstanceSettings, PREFIX, StandinStore, frame, keyed_record};
+use rustix::process::{Pid, Signal, kill_process};
 use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -183,6 +184,25 @@
         false
     }
 
+    /// Sends SIGTERM and waits until the process has ended, by itself and without an error.
+    pub(crate) async fn stop(mut self, limit: Duration) {
+        let id = i32::try_from(self.child.id()).unwrap();
+        kill_process(Pid::from_raw(id).unwrap(), Signal::TERM).unwrap();
+        let deadline = Instant::now() + limit;
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                assert_eq!(
+                    status.code(),
+                    Some(0),
+                    "the process did not stop gracefully"
+                );
+                return;
+            }
+            assert!(Instant::now() < deadline, "the process does not stop");
+            sleep(RETRY_DELAY).await;
+        }
+    }
+
     /// Observes the process and the connections of its callers from now on.
     pub(crate) fn watch(&self) -> Watch {
         Watch::start(self.child.id(), self.callers)
--- a/crates/kingcupwinch-daemon/tests/clients/main.rs
+++ b/crates/kingcupwinch-daemon/tests/clients/main.rs
@@ -9,5 +9,6 @@
 mod crowd;
 mod flood;
 mod instance;
+mod odd_requests;
 mod returning;
 mod usage;
--- a/crates/kingcupwinch-daemon/tests/clients/returning.rs
+++ b/crates/kingcupwinch-daemon/tests/clients/returning.rs
@@ -8,23 +8,26 @@
 
 use crate::crowd::{Behavior, Crowd};
 use crate::flood::SERIAL;
-use crate::instance::{Instance, KeptConnection, LOWERED};
+use crate::instance::{Instance, KeptConnection, LOWERED, SMALLEST, Scale};
 
 /// Time for which the clients come back.
 const RETURNS_FOR: Duration = Duration::from_secs(3);
 
+/// Number of clients in the run by hand: three times as many as the smallest instance accepts.
+const CLIENTS_BY_HAND: usize = 1_500;
+
 /// Pause between two calls of an ordinary caller.
 const CALL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Checks that an instance stays within its limits beside clients that come back, and that it serves an
 /// ordinary caller afterwards.
-async fn withstands(behavior: Behavior) {
+pub(crate) async fn withstands(scale: Scale, behavior: Behavior) {
     let behavior = Behavior {
         returns_for: RETURNS_FOR,
         ..behavior
     };
     let _serial = SERIAL.lock().await;
-    let mut instance = Instance::start(LOWERED).await;
+    let mut instance = Instance::start(scale).await;
     let watch = instance.watch();
     let _crowd = Crowd::send(behavior, &mut instance).await;
     let is_served = instance.serves().await;
@@ -34,23 +37,23 @@
 
 #[tokio::test]
 async fn bodies_that_stop_one_byte_short() {
-    withstands(LOWERED.stated(LOWERED.body_bytes - 1, None)).await;
+    withstands(LOWERED, LOWERED.stated(LOWERED.body_bytes - 1, None)).await;
 }
 
 #[tokio::test]
 async fn bodies_in_large_chunks_without_the_last() {
     let count = LOWERED.body_bytes / LOWERED.piece_bytes;
-    withstands(LOWERED.chunked(LOWERED.piece_bytes, count)).await;
+    withstands(LOWERED, LOWERED.chunked(LOWERED.piece_bytes, count)).await;
 }
 
 #[tokio::test]
 async fn bodies_in_chunks_of_one_byte_without_the_last() {
-    withstands(LOWERED.chunked(1, LOWERED.body_bytes - 1)).await;
+    withstands(LOWERED, LOWERED.chunked(1, LOWERED.body_bytes - 1)).await;
 }
 
 #[tokio::test]
 async fn responses_that_nobody_reads() {
-    withstands(LOWERED.pipelined(false)).await;
+    withstands(LOWERED, LOWERED.pipelined(false)).await;
 }
 
 /// A caller that uses its connection must not lose it to clients that were never served.
@@ -75,3 +78,33 @@
     }
     caller.call().await;
 }
+
+/// The same with the limits of the smallest instance, for a run by hand with `--release -- --ignored`.
+#[tokio::test]
+#[ignore = "takes minutes and sends gigabytes"]
+async fn crowds_at_the_smallest_instance() {
+    let count = SMALLEST.body_bytes / SMALLEST.piece_bytes;
+    for (name, behavior) in [
+        (
+            "one byte short",
+            SMALLEST.stated(SMALLEST.body_bytes - 1, None),
+        ),
+        (
+            "large chunks",
+            SMALLEST.chunked(SMALLEST.piece_bytes, count),
+        ),
+        (
+            "chunks of one byte",
+            SMALLEST.chunked(1, SMALLEST.small_chunks),
+        ),
+        ("endless headers", SMALLEST.endless_header()),
+        ("unread responses", SMALLEST.pipelined(false)),
+    ] {
+        println!("{name}");
+        let behavior = Behavior {
+            clients: Some(CLIENTS_BY_HAND),
+            ..behavior
+        };
+        withstands(SMALLEST, behavior).await;
+    }
+}
