--- a/crates/kingcupwinch-soak/examples/soak.rs
+++ b/crates/kingcupwinch-soak/examples/soak.rs
@@ -72,6 +72,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Has customers as callers, and adds and withdraws their keys"),
         )
+        .arg(
+            Arg::new("crowds")
+                .long("crowds")
+                .action(ArgAction::SetTrue)
+                .help("Has crowds of clients take the places of instances' listeners"),
+        )
         .arg(number("at-once", "1", "Number of concurrent runs"))
         .arg(
             Arg::new("dir")
@@ -118,6 +124,7 @@
             options.workers = count("workers");
             options.link_kbps = matches.get_one::<u64>("link-kbps").copied();
             options.has_customers = matches.get_flag("customers");
+            options.has_crowds = matches.get_flag("crowds");
             if matches.get_flag("basic") {
                 options.plan = PlanKind::Basic;
             } else if matches.get_flag("crashing") {
--- a/crates/kingcupwinch-soak/src/cluster.rs
+++ b/crates/kingcupwinch-soak/src/cluster.rs
@@ -15,6 +15,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+use crate::crowd::Crowd;
 use crate::disturbances::Disturbances;
 use crate::instance::Instance;
 use crate::operator::Operator;
@@ -40,6 +41,7 @@
     instance: Instance,
     store_link: Proxy,
     callers: SocketAddr,
+    crowd: Option<Crowd>,
 }
 
 /// Whether a run has customers, and how long instances out of touch serve their keys.
@@ -169,6 +171,10 @@
                     instance.signal(Signal::HUP)?;
                 }
             }
+            Fault::Crowd(index) => {
+                let node = &mut self.instances[index];
+                node.crowd = Some(Crowd::start(node.callers));
+            }
             Fault::StoreBusy => self.store.set_mode(StoreMode::Busy),
             Fault::StoreUnresponsive => self.store.set_mode(StoreMode::Unresponsive),
             Fault::StoreSlow(ms) => {
@@ -245,6 +251,7 @@
             }
             Fault::Pause(index) => self.instances[index].instance.signal(Signal::CONT)?,
             Fault::Terminate(index) => self.restart(index)?,
+            Fault::Crowd(index) => self.instances[index].crowd = None,
             Fault::Hangup(_)
             | Fault::StoreTruncates
             | Fault::Publish
@@ -391,5 +398,6 @@
         instance: Instance::start(program, dir, &settings)?,
         store_link,
         callers,
+        crowd: None,
     })
 }
--- a/crates/kingcupwinch-soak/src/disturbances.rs
+++ b/crates/kingcupwinch-soak/src/disturbances.rs
@@ -86,6 +86,7 @@
         | Fault::StoreTruncates
         | Fault::StoreDelaysAppends => Some(None),
         Fault::Hangup(_)
+        | Fault::Crowd(_)
         | Fault::PartitionWorker(_)
         | Fault::BlockWorkerResponses(_)
         | Fault::ResetWorker(_)
--- a/crates/kingcupwinch-soak/src/lib.rs
+++ b/crates/kingcupwinch-soak/src/lib.rs
@@ -10,6 +10,7 @@
 mod checks;
 mod cluster;
 mod crashes;
+mod crowd;
 mod disturbances;
 mod instance;
 mod keys;
--- a/crates/kingcupwinch-soak/src/plan.rs
+++ b/crates/kingcupwinch-soak/src/plan.rs
@@ -42,6 +42,10 @@
 /// Range of the duration of that cut, in milliseconds: more than twice the time for which an instance
 /// may serve a withdrawn key.
 const ISOLATION_MS: std::ops::Range<u64> = 7_000..9_000;
+/// Range of the interval between the starts of two crowds, in milliseconds: they overlap.
+const CROWD_INTERVAL_MS: std::ops::Range<u64> = 800..2_000;
+/// Range of the duration of a crowd, in milliseconds.
+const CROWD_MS: std::ops::Range<u64> = 1_500..3_000;
 /// Distinguish the random numbers of the kinds of series from those of the single faults.
 const SERIES_SEED: u64 = 0x5e41_e500_0000_0000;
 const RESTART_SEED: u64 = 0x4e57_a470_0000_0000;
@@ -53,6 +57,7 @@
 const REJECTION_SEED: u64 = 0x4e1e_c700_0000_0000;
 const ISOLATION_SEED: u64 = 0x1501_a7e0_0000_0000;
 const LEAVE_SEED: u64 = 0x1ea7_e000_0000_0000;
+const CROWD_SEED: u64 = 0xc40d_0000_0000_0000;
 
 /// A fault of an instance.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -110,6 +115,8 @@
     Terminate(usize),
     /// An instance is told to reload its settings.
     Hangup(usize),
+    /// A crowd of clients takes the places of an instance's listener.
+    Crowd(usize),
     /// The store refuses every request.
     StoreBusy,
     /// The store responds to no request.
@@ -293,6 +300,21 @@
         self
     }
 
+    /// Adds crowds of clients of some of the instances.
+    pub fn with_crowds(mut self, seed: u64, seconds: u64, instances: usize) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ CROWD_SEED);
+        self.add_series(&mut rng, seconds, CROWD_INTERVAL_MS, |rng| {
+            vec![PlannedFault {
+                at_ms: 0,
+                duration_ms: rng.random_range(CROWD_MS),
+                fault: Fault::Crowd(rng.random_range(0..instances)),
+                trigger: None,
+            }]
+        });
+        self.faults.sort_by_key(|planned| planned.at_ms);
+        self
+    }
+
     fn basic(seed: u64, seconds: u64, instances: usize, workers: usize) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut faults = Vec::new();
--- a/crates/kingcupwinch-soak/src/run.rs
+++ b/crates/kingcupwinch-soak/src/run.rs
@@ -72,6 +72,8 @@
     /// Whether callers are customers, whose keys are added and withdrawn. With an even seed, no key is
     /// served by a copy of the configuration that is too old.
     pub has_customers: bool,
+    /// Whether crowds of clients take the places of instances' listeners.
+    pub has_crowds: bool,
     /// Path of the program that the instances run.
     pub program: PathBuf,
     /// Directory of the settings and logs.
@@ -125,6 +127,9 @@
     if options.has_customers {
         plan = plan.with_isolation(options.seed, options.instances);
     }
+    if options.has_crowds {
+        plan = plan.with_crowds(options.seed, options.seconds, options.instances);
+    }
     let mut cluster = start_cluster(options).await?;
     tokio::time::sleep(STARTUP_DELAY).await;
     let workload = Workload::new(cluster.callers(), options.has_customers);
@@ -353,6 +358,7 @@
             workers: WORKERS,
             link_kbps: None,
             has_customers: false,
+            has_crowds: false,
             program: profile.join("kingcupwinchd"),
             dir: dir.to_owned(),
         })
