Share the discarding of refused bodies between both listeners

The node's listener and the daemon's each had the same loop; it moves to kingcupwinch-platform, which both use for bodies.

--- a/crates/kingcupwinch-cell/src/footprint.rs
+++ b/crates/kingcupwinch-cell/src/footprint.rs
@@ -1,6 +1,6 @@
 //! Memory that a cell's jobs take at their owner, and whether it has room for another one.
 //!
-//! Only what callers can make grow without end is counted: jobs that have not ended, final states and
+//! The slopes are measured; docs/CAPACITY.md has their points. Only what callers can make grow without end is counted: jobs that have not ended, final states and
 //! cancellations that are kept for a while. What runs is bounded by the workers.
 
 use std::sync::Arc;
--- a/crates/kingcupwinch-daemon/src/server/body.rs
+++ b/crates/kingcupwinch-daemon/src/server/body.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::HeaderMap;
 use hyper::body::{Frame, Incoming};
-use kingcupwinch_platform::{RequestBody, ResponseBody};
+use kingcupwinch_platform::{RequestBody, ResponseBody, discard_body};
 use quick_error::quick_error;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::task::yield_now;
@@ -23,12 +23,8 @@
 /// Body type of every message that the daemon sends.
 pub(crate) type Body = RequestBody;
 
-/// Bytes of a refused body that are dropped before its connection is closed, and the time for them: a
-/// connection that is closed with unread bytes is reset, and its caller may lose the response.
-const MAX_DISCARDED_BYTES: usize = 256 * 1024;
+/// Time for which the rest of a refused body is dropped.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
-/// Bytes that a frame counts for at least when it is dropped: to decode a chunk of one byte takes as long.
-const MIN_FRAME_BYTES: usize = 1024;
 /// Frames of a body after which others have their turn.
 const FRAMES_PER_TURN: u32 = 32;
 
@@ -114,7 +110,7 @@
                 tail: body,
             }),
             Err(err) => {
-                tokio::spawn(timeout(DISCARD_TIMEOUT, discard(body)));
+                tokio::spawn(timeout(DISCARD_TIMEOUT, discard_body(body)));
                 Err(err)
             }
         }
@@ -173,19 +169,6 @@
     Ok(Head::Partial(head))
 }
 
-/// Reads and drops what is left of a refused body while its response is written.
-async fn discard(mut body: Incoming) {
-    let mut left = MAX_DISCARDED_BYTES;
-    while let Some(Ok(frame)) = body.frame().await {
-        let bytes = frame.data_ref().map_or(0, Bytes::len).max(MIN_FRAME_BYTES);
-        if bytes >= left {
-            return;
-        }
-        left -= bytes;
-        yield_now().await;
-    }
-}
-
 /// Reads the next chunk of data, skipping trailers.
 async fn next_data(body: &mut Incoming, idle_ms: u64) -> Result<Option<Bytes>, BodyError> {
     loop {
--- a/crates/kingcupwinch-node/src/http/body.rs
+++ b/crates/kingcupwinch-node/src/http/body.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Bytes, Frame, Incoming};
 use hyper::{Request, StatusCode};
+use kingcupwinch_platform::discard_body;
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout};
 
@@ -18,11 +19,6 @@
 
 /// Time for a displaced body to release its memory: its task only has to be polled.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(100);
-/// Bytes of a refused body that are dropped before its connection is closed: the largest body of the
-/// deployments.
-const MAX_DISCARDED_BYTES: usize = 256 << 10;
-/// Bytes that a frame counts for at least when it is dropped: to decode a chunk of one byte takes as long.
-const MIN_FRAME_BYTES: usize = 1 << 10;
 /// Frames of a body after which others have their turn. A chunk of one byte is a frame.
 const FRAMES_PER_TURN: u32 = 32;
 /// Bytes of a body after which its progress is recorded.
@@ -91,7 +87,7 @@
 ///
 /// Fails if the body is too large, breaks off or is too slow, or if there is no memory for it.
 pub(crate) async fn read_body(request: Request<Incoming>, limit: usize) -> Result<Body, Refusal> {
-    let (mut parts, body) = request.into_parts();
+    let (mut parts, mut body) = request.into_parts();
     let Some(connection) = parts.extensions.remove::<Arc<Connection>>() else {
         return Err(Refusal::Incomplete);
     };
@@ -100,7 +96,6 @@
     let timeouts = connection.listener.timeouts();
     connection.set_charge(false);
     connection.advance(|progress, now| progress.on_body_start(now, &timeouts));
-    let mut body = body;
     let result = Reader::new(&connection, limit).read(&mut body).await;
     let is_place_needed = connection.is_displaced(Reason::Displaced);
     connection.begin_request();
@@ -109,25 +104,11 @@
     }
     if result.is_err() && !is_place_needed {
         connection.advance(|progress, _| progress.on_refusal());
-        tokio::spawn(discard(body));
+        tokio::spawn(discard_body(body));
     }
     result
 }
 
-/// Reads and drops what is left of a refused body while its response is written, until the connection is
-/// closed.
-async fn discard(mut body: Incoming) {
-    let mut left = MAX_DISCARDED_BYTES;
-    while let Some(Ok(frame)) = body.frame().await {
-        let bytes = frame.data_ref().map_or(0, Bytes::len).max(MIN_FRAME_BYTES);
-        if bytes >= left {
-            return;
-        }
-        left -= bytes;
-        yield_now().await;
-    }
-}
-
 struct Reader<'a> {
     connection: &'a Connection,
     limit: usize,
--- a/crates/kingcupwinch-platform/src/body.rs
+++ b/crates/kingcupwinch-platform/src/body.rs
@@ -7,9 +7,15 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::task::yield_now;
 
 use crate::pool::PooledConnection;
 
+/// Maximum size of what is dropped of a refused body, in bytes.
+const MAX_DISCARDED_BYTES: usize = 256 << 10;
+/// Bytes that a frame counts for at least when it is dropped: to decode a chunk of one byte takes as long.
+const MIN_FRAME_BYTES: usize = 1 << 10;
+
 /// An error of a streamed body.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -80,3 +86,17 @@
         self.incoming.size_hint()
     }
 }
+
+/// Reads and drops up to 256 KiB of a refused request's body, so that the response reaches a caller that is
+/// still sending: a connection that is closed with unread bytes is reset. Ends with the connection.
+pub async fn discard_body(mut body: Incoming) {
+    let mut left = MAX_DISCARDED_BYTES;
+    while let Some(Ok(frame)) = body.frame().await {
+        let bytes = frame.data_ref().map_or(0, Bytes::len).max(MIN_FRAME_BYTES);
+        if bytes >= left {
+            return;
+        }
+        left -= bytes;
+        yield_now().await;
+    }
+}
--- a/crates/kingcupwinch-platform/src/lib.rs
+++ b/crates/kingcupwinch-platform/src/lib.rs
@@ -36,7 +36,7 @@
 mod worker;
 
 pub use adaptive_timeout::AdaptiveTimeout;
-pub use body::{BodyError, RequestBody, ResponseBody, full_body};
+pub use body::{BodyError, RequestBody, ResponseBody, discard_body, full_body};
 pub use error::{
     AppendError, InstanceListError, LostCause, NotSentCause, ReadError, SendError, WorkerError,
 };
