Weigh the crash of a single worker against the rates of its service and itself

Cause: where no other worker crashed at the same time, the chance of a hit came from 0.005 crashes a second, taken for certain. A gang on nearly all workers is hit by nearly every crash whoever causes it. Change: such a crash now weighs the likelihood ratio of the task to two rates: that of the service, known only from the time without a crash while the job did not run, and that of the worker. Crashes that point away from a task count against the others. Each crash after the fifth has to add weight, and is followed by a longer wait. The log of crashes reaches back for a minute; what read the last 10 s of it still does. The simulated owner polls workers that are down, as the node does: the first poll after a failure bounds the time of a crash.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -4,6 +4,7 @@
 mod asked_work;
 mod caps;
 mod counters;
+mod crash_evidence;
 mod crash_weights;
 mod crashes;
 mod early_cancels;
--- a/crates/kingcupwinch-cell/src/cell/crash_weights.rs
+++ b/crates/kingcupwinch-cell/src/cell/crash_weights.rs
@@ -16,8 +16,6 @@
 /// workers that crash at once respond last at different times.
 const BEFORE_CRASH: Span = Span::from_millis(2_500);
 const AFTER_CRASH: Span = Span::from_millis(2_500);
-/// The crashes a second that are expected in a service in which no others are known.
-const PRIOR_RATE: f64 = 0.005;
 /// Added to the age of a run at its worker's last response: the worker may have crashed later.
 const DETECTION_TIME: Span = Span::from_secs(2);
 /// The known suspects have to leave one in this many workers for the others to show a rate.
@@ -81,26 +79,33 @@
             let others = self.other_crashes(suspect, &window, now);
             let exposure = (crash.age + DETECTION_TIME).as_secs_f64();
             let spread = (exposure / (BEFORE_CRASH + AFTER_CRASH).as_secs_f64()).max(1.0);
-            let hits = others.share(self.members(suspect))
-                * (others.crashes * spread + PRIOR_RATE * exposure);
+            let hits = others.share(self.members(suspect)) * others.crashes * spread;
+            let evidence = if others.crashes > 0.0 {
+                -(-(-hits).exp_m1()).ln()
+            } else {
+                self.single_crash_evidence(suspect, &crash, now)
+            };
             let task = &mut self.jobs[suspect.job].steps[suspect.step].tasks[suspect.index];
-            task.crashes.weigh(crash.run, crash.weight(hits));
+            task.crashes.weigh_evidence(&crash, evidence);
             self.dirty.insert(suspect.job);
         }
         let task = &self.jobs[suspect.job].steps[suspect.step].tasks[suspect.index];
         if task.crashes.is_guilty() {
-            self.give_up(suspect);
+            self.give_up(suspect, now);
         }
     }
 
+    /// Returns whether a suspect has lost several workers.
+    fn is_known(&self, suspect: Suspect) -> bool {
+        let crashes = self.crashes_of(suspect);
+        crashes.is_some_and(|crashes| crashes.as_slice().len() > 1)
+    }
+
     /// Counts the workers of a suspect's service that responded last within a window and crashed, or may
     /// have, without those on which another suspect ran that had lost a worker before.
     fn other_crashes(&self, suspect: Suspect, window: &Range<Time>, now: Time) -> OtherCrashes {
         let service = &self.jobs[suspect.job].spec.policy.service;
-        let is_known = |other: &Suspect| {
-            let crashes = self.crashes_of(*other);
-            *other == suspect || crashes.is_some_and(|crashes| crashes.as_slice().len() > 1)
-        };
+        let is_known = |other: &Suspect| *other == suspect || self.is_known(*other);
         let mut suspected: FxHashSet<WorkerKey> = FxHashSet::default();
         for other in self
             .crash_log
@@ -112,7 +117,7 @@
         }
         let mut crashed: FxHashSet<WorkerKey> = FxHashSet::default();
         let mut explained: FxHashSet<WorkerKey> = FxHashSet::default();
-        for crash in &self.crash_log.recent {
+        for crash in &self.crash_log.crashes {
             if crash.service != *service || !window.contains(&crash.last_response) {
                 continue;
             }
@@ -142,7 +147,7 @@
             // What may have hit the suspected workers could have passed these by.
             let others_suspected = explained
                 .iter()
-                .any(|worker| !self.is_own_crash(suspect, *worker));
+                .any(|worker| !self.is_own_crash(suspect, *worker, now));
             let unseen = if others_suspected {
                 UNSEEN_CRASHES
             } else {
@@ -154,7 +159,7 @@
             }
         } else {
             // Nearly all workers are suspected, so that leaving those out would hide an outage.
-            explained.retain(|worker| !self.is_own_crash(suspect, *worker));
+            explained.retain(|worker| !self.is_own_crash(suspect, *worker, now));
             OtherCrashes {
                 crashes: (crashed.len() + explained.len()) as f64,
                 workers: all,
@@ -163,8 +168,8 @@
     }
 
     /// Returns whether a recent crash of a worker counts against a suspect.
-    fn is_own_crash(&self, suspect: Suspect, worker: WorkerKey) -> bool {
-        let recent = self.crash_log.recent.iter();
+    fn is_own_crash(&self, suspect: Suspect, worker: WorkerKey, now: Time) -> bool {
+        let recent = self.crash_log.recent(now);
         let mut of_worker = recent.filter(|crash| crash.worker == worker);
         of_worker.any(|crash| crash.counts_against(suspect))
     }
@@ -215,7 +220,7 @@
             Some(crashes) if crashes.is_critical() => LossCause::Suspected,
             _ => LossCause::Unknown,
         };
-        let crashes = self.crash_log.recent.iter();
+        let crashes = self.crash_log.recent(now);
         let crashes = crashes.filter(|crash| crash.service == *service);
         let crashes = crashes.map(|crash| Loss {
             worker: crash.worker,
@@ -230,7 +235,7 @@
             },
         });
         let is_noted = |key: WorkerKey, peer: &Worker| {
-            let mut recent = self.crash_log.recent.iter();
+            let mut recent = self.crash_log.recent(now);
             recent.any(|crash| crash.worker == key && crash.last_response == peer.last_response)
         };
         let silent = self.workers.iter().filter(|(key, peer)| {
@@ -259,7 +264,7 @@
 }
 
 /// Returns whether a worker responded lately, so that it was there to be hit.
-fn is_there(worker: &Worker, now: Time) -> bool {
+pub(super) fn is_there(worker: &Worker, now: Time) -> bool {
     let age = worker.response_age(now);
     age.is_some_and(|age| age < SILENCE.end)
 }
--- a/crates/kingcupwinch-cell/src/cell/crashes.rs
+++ b/crates/kingcupwinch-cell/src/cell/crashes.rs
@@ -25,8 +25,10 @@
 /// Workers whose last responses are no further apart than this may have crashed at once: a poll takes
 /// up to a second.
 const OUTAGE_SPREAD: Span = Span::from_millis(1_500);
-/// How long a crash is remembered, since workers that crashed at once don't come back at once.
+/// How long a crash counts as recent, since workers that crashed at once don't come back at once.
 const OUTAGE_MEMORY: Span = Span::from_secs(10);
+/// How long a crash counts towards the rate at which workers crash.
+const RATE_MEMORY: Span = Span::from_secs(60);
 /// So many workers, and more than one in so many of their service, that crash at once are an outage.
 const OUTAGE_WORKERS: usize = 3;
 const OUTAGE_DIVISOR: usize = 10;
@@ -63,7 +65,15 @@
 impl WorkerCrash {
     /// Returns whether the crash counts against a suspect.
     pub(super) fn counts_against(&self, suspect: Suspect) -> bool {
-        self.counted.iter().any(|(counted, _)| *counted == suspect)
+        self.run_of(suspect).is_some()
+    }
+
+    /// Returns the number of a suspect's run on the worker, if the crash counts against it.
+    pub(super) fn run_of(&self, suspect: Suspect) -> Option<u32> {
+        let mut counted = self.counted.iter();
+        counted
+            .find(|(counted, _)| *counted == suspect)
+            .map(|(_, run)| *run)
     }
 }
 
@@ -71,7 +81,16 @@
 #[derive(Debug, Default)]
 pub(super) struct CrashLog {
     pub(super) suspects: FxHashSet<Suspect>,
-    pub(super) recent: VecDeque<WorkerCrash>,
+    /// In the order in which they were noted.
+    pub(super) crashes: VecDeque<WorkerCrash>,
+}
+
+impl CrashLog {
+    /// Returns the recent crashes, the latest first.
+    pub(super) fn recent(&self, now: Time) -> impl Iterator<Item = &WorkerCrash> {
+        let crashes = self.crashes.iter().rev();
+        crashes.take_while(move |crash| now <= crash.noted_at + OUTAGE_MEMORY)
+    }
 }
 
 impl Cell {
@@ -108,6 +127,7 @@
             .collect();
         let worker = &self.workers[key];
         let last_response = worker.response_age(now).map_or(now, |age| now - age);
+        let ended_by = worker.silent_from.unwrap_or(now);
         for ((suspect, run), evidence) in counted.iter().zip(&evidence) {
             let crash = Crash {
                 run: *run,
@@ -127,6 +147,8 @@
                 run: *run,
                 at: last_response,
                 age: last_response.since(started_at.unwrap_or(last_response)),
+                ended_by,
+                worker: key,
                 is_shared: *evidence == Evidence::Shared,
             };
             self.count_crash(*suspect, crash, unweighed, now);
@@ -244,18 +266,18 @@
         let peers = self.workers.values();
         let peers = peers.filter(|peer| peer.registration.service == service);
         let peers = peers.count();
-        let recent = &mut self.crash_log.recent;
-        while recent
+        let crashes = &mut self.crash_log.crashes;
+        while crashes
             .front()
-            .is_some_and(|crash| crash.noted_at + OUTAGE_MEMORY < now)
+            .is_some_and(|crash| crash.noted_at + RATE_MEMORY < now)
         {
-            recent.pop_front();
+            crashes.pop_front();
         }
         let is_same =
             |crash: &&mut WorkerCrash| crash.worker == key && crash.last_response == last_response;
-        match recent.iter_mut().find(is_same) {
+        match crashes.iter_mut().find(is_same) {
             Some(crash) => crash.counted.extend_from_slice(counted),
-            None => recent.push_back(WorkerCrash {
+            None => crashes.push_back(WorkerCrash {
                 worker: key,
                 service: Arc::clone(&service),
                 last_response,
@@ -267,7 +289,7 @@
         let is_together = |crash: &&WorkerCrash| {
             crash.service == service && crash.last_response.distance(last_response) <= OUTAGE_SPREAD
         };
-        let together = || recent.iter().filter(is_together);
+        let together = || crashes.iter().filter(is_together);
         let workers: FxHashSet<WorkerKey> = together().map(|crash| crash.worker).collect();
         let crashed = workers.len();
         if crashed < OUTAGE_WORKERS || crashed * OUTAGE_DIVISOR <= peers {
@@ -394,10 +416,10 @@
         self.dirty.insert(suspect.job);
     }
 
-    pub(super) fn give_up(&mut self, suspect: Suspect) {
+    pub(super) fn give_up(&mut self, suspect: Suspect, now: Time) {
         let task = &self.jobs[suspect.job].steps[suspect.step].tasks[suspect.index];
         let crashes = task.crashes.as_slice().to_vec();
-        self.explain_crashes(suspect);
+        self.explain_crashes(suspect, now);
         let task = self.suspect_name(suspect);
         self.events.push(CellEvent::TaskGivenUp { task, crashes });
         self.counters.tasks_given_up += 1;
@@ -406,11 +428,11 @@
 
     /// Lowers the evidence against the tasks that ran on the workers that a task has certainly crashed.
     /// These crashes still count, so that the starts of a task that crashes workers too stay limited.
-    fn explain_crashes(&mut self, cause: Suspect) {
-        for crash in &mut self.crash_log.recent {
+    fn explain_crashes(&mut self, cause: Suspect, now: Time) {
+        for crash in &mut self.crash_log.crashes {
             crash.is_explained |= crash.counts_against(cause);
         }
-        let explained = self.crash_log.recent.iter();
+        let explained = self.crash_log.recent(now);
         let explained = explained.filter(|crash| crash.is_explained);
         let explained = explained.flat_map(|crash| &crash.counted);
         let others = explained.filter(|(suspect, _)| *suspect != cause);
--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -37,6 +37,7 @@
         let worker = self.workers.get_mut(key)?;
         // A lease that a silent worker may get would only put off the time at which all have expired.
         let lease_until = if worker.failed_polls > 0 {
+            worker.silent_from.get_or_insert(now);
             None
         } else {
             worker.grant_lease(now, self.timers.max_lease)
--- a/crates/kingcupwinch-cell/src/crash.rs
+++ b/crates/kingcupwinch-cell/src/crash.rs
@@ -6,14 +6,21 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
+use crate::worker::WorkerKey;
+
 /// The fewest crashes after which a task is given up.
 const MIN_CRASHES: usize = 3;
-/// The sum of the weights from which a task is given up, in hundredths: a harmless task would lose its
-/// workers as often by chance once in 40,000 times.
-const GIVE_UP_WEIGHT: u32 = 1_060;
-/// The crashes after which less has to point to a task, since the last two fell into calm times.
-const MANY_CRASHES: usize = 5;
-const MANY_CRASHES_WEIGHT: u32 = 400;
+/// The sums of the weights from which a task is given up, in hundredths, after the fewest crashes, one more
+/// and two more. A harmless task would reach the first by chance once in 40,000 times.
+const GIVE_UP_WEIGHTS: [u32; 3] = [1_060, 1_060, 400];
+/// What each further crash adds to the last of these, since those of a harmless task weigh something, too.
+const FURTHER_WEIGHT: u32 = 100;
+/// The weight from which a task is the likely cause of its crashes.
+const BLAMED_WEIGHT: u32 = 400;
+/// The most that one crash counts against the others.
+const MAX_EXONERATION: u32 = 200;
+/// How much evidence it takes to hold a worker for faulty, as few are, as a logarithm.
+const FAULTY_WORKER_EVIDENCE: f64 = 4.0;
 /// The largest weight of a crash, so that three have to point to the task, and that of a crash that
 /// another suspect may have caused.
 const MAX_WEIGHT: u16 = 400;
@@ -31,6 +38,8 @@
 /// How long the verdict on a task is put off, since the crashes of many workers at once are not
 /// detected at the same time.
 const VERDICT_DELAY: Span = Span::from_millis(1_000);
+/// The largest multiple of this delay. Callers expect a start within 3 s after 4 s without a crash.
+const MAX_VERDICT_DELAYS: u64 = 5;
 
 /// How strongly a crash points to a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -85,20 +94,33 @@
     pub(crate) at: Time,
     /// How long the run had been active by then.
     pub(crate) age: Span,
+    /// When the worker had certainly crashed.
+    pub(crate) ended_by: Time,
+    /// The worker.
+    pub(crate) worker: WorkerKey,
     /// Whether another suspect may have been the cause.
     pub(crate) is_shared: bool,
 }
 
 impl UnweighedCrash {
-    /// Returns the weight of the crash if a harmless task would have been hit so often in the mean.
-    pub(crate) fn weight(&self, hits: f64) -> u16 {
-        let chance = -(-hits).exp_m1();
+    /// Returns how long the run may have been active.
+    pub(crate) fn longest_age(&self) -> Span {
+        self.ended_by.since(self.started_at())
+    }
+
+    /// Returns when the run started.
+    pub(crate) fn started_at(&self) -> Time {
+        self.at - self.age
+    }
+
+    /// Returns the weight of the crash by the evidence against the task, which is a logarithm.
+    fn weight(&self, evidence: f64) -> u16 {
         let most = if self.is_shared {
             MAX_SHARED_WEIGHT
         } else {
             MAX_WEIGHT
         };
-        (-chance.ln() * 100.0).clamp(0.0, most.into()) as u16
+        (evidence * 100.0).clamp(0.0, most.into()) as u16
     }
 }
 
@@ -127,10 +149,16 @@
 }
 
 /// The crashes that count against a task. For a gang, the first task holds those of all members.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct TaskCrashes {
     crashes: SmallVec<[Crash; 2]>,
     unweighed: SmallVec<[UnweighedCrash; 1]>,
+    /// The runs that ended with a crash which this owner has seen: their number, start and latest end.
+    crashed_runs: SmallVec<[(u32, Time, Time); 2]>,
+    /// How strongly crashes that this owner has weighed point away from the task, in hundredths.
+    exoneration: u32,
+    /// What is left of the evidence that it takes to hold a worker for faulty.
+    faulty_evidence: f64,
     /// Until when a critical suspect waits for a time in which no other workers crash.
     hold_until: Time,
     /// Until when the task waits for a worker without other suspects.
@@ -139,6 +167,21 @@
     verdict_at: Time,
 }
 
+impl Default for TaskCrashes {
+    fn default() -> Self {
+        TaskCrashes {
+            crashes: SmallVec::new(),
+            unweighed: SmallVec::new(),
+            crashed_runs: SmallVec::new(),
+            exoneration: 0,
+            faulty_evidence: FAULTY_WORKER_EVIDENCE,
+            hold_until: Time::ZERO,
+            separate_until: Time::ZERO,
+            verdict_at: Time::ZERO,
+        }
+    }
+}
+
 impl TaskCrashes {
     /// Builds the crashes that an earlier owner recorded.
     pub(crate) fn of_record(crashes: SmallVec<[Crash; 2]>, now: Time) -> Self {
@@ -146,8 +189,8 @@
             separate_until: now + separation_wait(crashes.len()),
             verdict_at: now,
             hold_until: now + MAX_HOLD,
-            unweighed: SmallVec::new(),
             crashes,
+            ..TaskCrashes::default()
         }
     }
 
@@ -162,6 +205,9 @@
     /// Counts a crash, once for each run.
     pub(crate) fn add(&mut self, crash: Crash, unweighed: UnweighedCrash, now: Time) {
         self.unweighed.retain(|known| known.run != crash.run);
+        self.crashed_runs.retain(|(run, ..)| *run != crash.run);
+        let crashed = (crash.run, unweighed.started_at(), unweighed.ended_by);
+        self.crashed_runs.push(crashed);
         self.unweighed.push(unweighed);
         self.hold_until = now + MAX_HOLD;
         match self.crashes.iter_mut().find(|known| known.run == crash.run) {
@@ -169,7 +215,31 @@
             None => self.crashes.push(crash),
         }
         self.separate_until = now + separation_wait(self.crashes.len());
-        self.verdict_at = now + VERDICT_DELAY;
+        self.verdict_at = now + verdict_delay(self.crashes.len());
+    }
+
+    /// Returns the longest time that a run may have been active which ended with a crash, zero if this
+    /// owner has not seen it.
+    pub(crate) fn longest_age(&self, run: u32) -> Span {
+        let mut runs = self.crashed_runs.iter();
+        let run = runs.find(|(other, ..)| *other == run);
+        run.map_or(Span::ZERO, |(_, started, ended)| ended.since(*started))
+    }
+
+    /// Returns the evidence of a crash against the task, in view of that against the service's workers
+    /// and that against the one worker. The latter counts once it is enough to hold a worker for faulty.
+    pub(crate) fn allow_for_worker(&mut self, by_service: f64, by_worker: f64) -> f64 {
+        let excess = (by_service - by_worker).max(0.0);
+        let used = excess.min(self.faulty_evidence);
+        self.faulty_evidence -= used;
+        by_service - (excess - used)
+    }
+
+    /// Weighs a crash by the evidence against the task.
+    pub(crate) fn weigh_evidence(&mut self, crash: &UnweighedCrash, evidence: f64) {
+        self.weigh(crash.run, crash.weight(evidence));
+        let exoneration = (-evidence * 100.0).clamp(0.0, MAX_EXONERATION.into());
+        self.exoneration += exoneration as u32;
     }
 
     /// Returns the crashes whose weight is not known yet.
@@ -203,6 +273,9 @@
     pub(crate) fn clear(&mut self) {
         self.crashes.clear();
         self.unweighed.clear();
+        self.crashed_runs.clear();
+        self.exoneration = 0;
+        self.faulty_evidence = FAULTY_WORKER_EVIDENCE;
     }
 
     /// Returns whether the task may be given up once its crashes are weighed, so that it is not started
@@ -222,14 +295,25 @@
         earlier.count() >= MIN_CRASHES
     }
 
+    /// Returns how strongly all crashes together point to the task, in hundredths.
+    fn weight(&self) -> u32 {
+        let weight: u32 = self.crashes.iter().map(Crash::counted_weight).sum();
+        weight.saturating_sub(self.exoneration)
+    }
+
+    /// Returns whether the task is the likely cause of its crashes.
+    pub(crate) fn is_blamed(&self) -> bool {
+        self.weight() >= BLAMED_WEIGHT
+    }
+
     /// Returns whether the crashes show that the task causes them.
     pub(crate) fn is_guilty(&self) -> bool {
-        let weight: u32 = self.crashes.iter().map(Crash::counted_weight).sum();
-        match self.crashes.len() {
-            MANY_CRASHES.. => weight >= MANY_CRASHES_WEIGHT,
-            MIN_CRASHES.. => weight >= GIVE_UP_WEIGHT,
-            _ => false,
-        }
+        let Some(beyond) = self.crashes.len().checked_sub(MIN_CRASHES) else {
+            return false;
+        };
+        let last = GIVE_UP_WEIGHTS.len() - 1;
+        let further = beyond.saturating_sub(last) as u32 * FURTHER_WEIGHT;
+        self.weight() >= GIVE_UP_WEIGHTS[beyond.min(last)] + further
     }
 
     /// Returns whether the task waits for a time in which no other workers crash.
@@ -268,3 +352,10 @@
         LONG_SEPARATION_WAIT
     }
 }
+
+/// Returns how long the verdict on a task is put off, and with it the next start. A task that can't be
+/// told from a harmless one costs fewer workers if it waits longer each time.
+fn verdict_delay(crashes: usize) -> Span {
+    let further = crashes.saturating_sub(MIN_CRASHES + GIVE_UP_WEIGHTS.len() - 1) as u64;
+    VERDICT_DELAY.times((1 + further).min(MAX_VERDICT_DELAYS))
+}
--- a/crates/kingcupwinch-cell/src/lib.rs
+++ b/crates/kingcupwinch-cell/src/lib.rs
@@ -8,6 +8,7 @@
 mod cap;
 mod cell;
 mod crash;
+mod crash_rate;
 mod customer;
 mod election;
 mod end_rate;
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -183,6 +183,8 @@
     pub(crate) failed_polls: u32,
     /// When the worker last responded to a poll.
     pub(crate) last_response: Time,
+    /// When the first poll was sent after one that failed, if the worker has not responded since.
+    pub(crate) silent_from: Option<Time>,
     /// Whether the worker has not responded since polls were paused.
     pub(crate) is_overdue: bool,
     /// Whether a poll that failed since the last response found the connection closed.
@@ -226,6 +228,7 @@
             last_end_acked: 0,
             failed_polls: 0,
             last_response: Time::ZERO,
+            silent_from: None,
             is_overdue: false,
             is_connection_closed: false,
             replaced_at: None,
@@ -380,6 +383,7 @@
         self.clock_sample = Some(ClockSample { clock_ms, read_at });
         self.last_response = read_at;
         self.failed_polls = 0;
+        self.silent_from = None;
         self.is_overdue = false;
         self.is_connection_closed = false;
         self.replaced_at = None;
--- a/crates/kingcupwinch-cell/tests/cell/crashes.rs
+++ b/crates/kingcupwinch-cell/tests/cell/crashes.rs
@@ -2,6 +2,7 @@
 
 mod one_worker;
 mod play;
+mod single_crashes;
 mod storms;
 
 use std::collections::HashSet;
--- a/crates/kingcupwinch-cell/tests/cell/crashes/play.rs
+++ b/crates/kingcupwinch-cell/tests/cell/crashes/play.rs
@@ -230,6 +230,8 @@
                 self.harness.poll_started(host.key, host.started_ms);
                 continue;
             }
+            let key = host.key;
+            self.harness.cell.next_poll(key, self.harness.now);
             let failure = if host.is_replaced {
                 let sent = self.harness.now;
                 self.harness.advance(1);
