Bound all leases by the last confirmation of their owner

Cause: a successor waited for the 4 s in which an owner that can't be confirmed may give orders, then for the longest lease, and for that of the platform where the owner before was lost before it had recorded its own. The log of the takeover tells all three (handover_overlap_ms 4000, inherited_lease_ms 10000). Change: a lease ends 8.5 s after its owner was last confirmed at the latest. No owner is confirmed after its successor's fence, so that the fence bounds all leases.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -44,7 +44,7 @@
 use crate::run::{Run, RunKey};
 use crate::run_time::{RunTimeRecord, RunTimes};
 use crate::spec::JobSpec;
-use crate::worker::{PollFailure, Registration, Worker, WorkerKey};
+use crate::worker::{PollFailure, Registration, Worker, WorkerKey, longest_expiry};
 
 use crashes::CrashLog;
 use early_cancels::EarlyCancels;
@@ -115,6 +115,10 @@
 #[derive(Debug)]
 pub struct Cell {
     timers: CellTimers,
+    /// When all leases of earlier owners have certainly expired, if that is known.
+    inherited_until: Option<Time>,
+    /// When the leases that are granted now end at the latest, if there is a bound.
+    leases_until: Option<Time>,
     disabled: Disabled,
     layout: RecordLayout,
     /// Run numbers start above this value, which keeps them above those of earlier owners.
@@ -189,6 +193,8 @@
     pub fn new(timers: CellTimers, generation: u32) -> Self {
         Cell {
             timers,
+            inherited_until: None,
+            leases_until: None,
             disabled: Disabled::default(),
             layout: RecordLayout::new(DEFAULT_RECORD_BYTES),
             run_base: generation.saturating_sub(1) * RUNS_PER_GENERATION,
@@ -294,6 +300,25 @@
         SubmitOutcome::New
     }
 
+    /// Sets when all leases of earlier owners have certainly expired, if that is known.
+    #[must_use]
+    pub fn with_inherited_until(mut self, leases_expire: Option<Time>) -> Self {
+        self.inherited_until = leases_expire;
+        self
+    }
+
+    /// Has no lease last beyond a time, until it is called again.
+    pub fn bound_leases(&mut self, until: Time) {
+        self.leases_until = Some(until);
+    }
+
+    /// Returns the length of a lease that begins now.
+    fn lease_length(&self, now: Time) -> Span {
+        let longest = self.timers.max_lease;
+        self.leases_until
+            .map_or(longest, |until| longest.min(until.since(now)))
+    }
+
     /// Adds a worker listed in the directory, or updates its entry. `inherited` is set for workers
     /// that an earlier owner may have used.
     pub fn register_worker(
@@ -310,7 +335,9 @@
         let mut worker = Worker::new(entry);
         if inherited {
             let handover_until = now + self.timers.handover_overlap;
-            worker = worker.with_earlier_owner(handover_until, self.timers.inherited_lease);
+            let by_grant = handover_until + longest_expiry(self.timers.inherited_lease);
+            let leases_expire = by_grant.min(self.inherited_until.unwrap_or(by_grant));
+            worker = worker.with_earlier_owner(handover_until, leases_expire);
         }
         let key = self.workers.insert(worker);
         self.workers_by_id.insert(id, key);
--- a/crates/kingcupwinch-cell/src/cell/polls.rs
+++ b/crates/kingcupwinch-cell/src/cell/polls.rs
@@ -34,13 +34,14 @@
 impl Cell {
     /// Returns the next poll of a worker, or `None` if the worker was removed.
     pub fn next_poll(&mut self, key: WorkerKey, now: Time) -> Option<WorkerPoll> {
+        let lease = self.lease_length(now);
         let worker = self.workers.get_mut(key)?;
         // A lease that a silent worker may get would only put off the time at which all have expired.
         let lease_until = if worker.failed_polls > 0 {
             worker.silent_from.get_or_insert(now);
             None
         } else {
-            worker.grant_lease(now, self.timers.max_lease)
+            worker.grant_lease(now, lease)
         };
         let long_poll = !worker.inherited && worker.failed_polls == 0 && lease_until.is_some();
         // After a failed poll or a pause, the response may come from a later process, which numbers
--- a/crates/kingcupwinch-cell/src/cell/runs.rs
+++ b/crates/kingcupwinch-cell/src/cell/runs.rs
@@ -99,7 +99,8 @@
             run: None,
         };
         self.may_start(start, now).ok()?;
-        let lease_until = self.workers[worker].grant_lease(now, self.timers.max_lease)?;
+        let lease = self.lease_length(now);
+        let lease_until = self.workers[worker].grant_lease(now, lease)?;
         let job = &self.jobs[key];
         let name = job.task_name(step, index);
         let spec = job.step_spec(step);
@@ -189,9 +190,10 @@
             worker,
             run: Some(run),
         };
+        let lease = self.lease_length(now);
         // No lease is granted for an order that isn't sent: it would put off the expiry of all.
         let lease_until = match self.may_start(start, now) {
-            Ok(()) => self.workers[worker].grant_lease(now, self.timers.max_lease),
+            Ok(()) => self.workers[worker].grant_lease(now, lease),
             Err(obstacle) => {
                 self.note_discarded_start(run, obstacle, now);
                 None
--- a/crates/kingcupwinch-cell/src/election.rs
+++ b/crates/kingcupwinch-cell/src/election.rs
@@ -18,6 +18,8 @@
 use rustc_hash::FxBuildHasher;
 use serde::{Deserialize, Serialize};
 
+use crate::lease::LeaseBounds;
+
 /// The owner timeout on a slow store, as a multiple of the longest interval between heartbeats.
 const HEARTBEAT_MARGIN: u64 = 3;
 /// The divisor of the heartbeat interval that gives its decay with each heartbeat.
@@ -37,6 +39,10 @@
         address: Arc<str>,
         /// The number of claims so far, including this one.
         generation: u32,
+        /// The bounds on the leases of this owner and those before it, if all of them keep to one. Owners
+        /// of earlier versions don't.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        leases: Option<LeaseBounds>,
     },
     /// The owner is alive.
     #[serde(rename = "beat")]
@@ -97,6 +103,8 @@
     pub address: Arc<str>,
     /// The number of claims so far, including this one.
     pub generation: u32,
+    /// The bounds on the leases of this owner and those before it, if all of them keep to one.
+    pub leases: Option<LeaseBounds>,
 }
 
 /// The timers of the owner election.
@@ -201,6 +209,7 @@
                 instance,
                 address,
                 generation,
+                leases,
             } => {
                 if self
                     .claim
@@ -225,6 +234,7 @@
                     instance,
                     address,
                     generation,
+                    leases,
                 });
                 self.is_released = false;
                 self.heartbeat_interval = Span::ZERO;
@@ -302,6 +312,15 @@
         self.claim.as_ref()
     }
 
+    /// Returns the bounds on the leases of an owner that claims next and keeps to `own`, and of those before
+    /// it. `None` if one of these keeps to none.
+    pub fn lease_bounds(&self, own: LeaseBounds) -> Option<LeaseBounds> {
+        match &self.claim {
+            Some(claim) => claim.leases.map(|earlier| earlier.max(own)),
+            None => Some(own),
+        }
+    }
+
     /// Returns a time at which all owners that may still give orders were certainly fenced, or `None`
     /// if one of them may not have been fenced yet. That the current owner has stopped says nothing
     /// about those before it, which may not have learned of its claim.
--- a/crates/kingcupwinch-cell/src/worker.rs
+++ b/crates/kingcupwinch-cell/src/worker.rs
@@ -246,11 +246,11 @@
     }
 
     /// Marks the worker as one that an earlier owner may have used, and may use until the end of the
-    /// overlap.
-    pub(crate) fn with_earlier_owner(mut self, handover_until: Time, max_lease: Span) -> Self {
+    /// overlap. All its leases have certainly expired at `leases_expire`.
+    pub(crate) fn with_earlier_owner(mut self, handover_until: Time, leases_expire: Time) -> Self {
         self.inherited = true;
         self.handover_until = handover_until;
-        self.leases_expire = handover_until + longest_expiry(max_lease);
+        self.leases_expire = leases_expire;
         self
     }
 
@@ -453,9 +453,10 @@
     }
 
     /// Grants a lease that begins now. Returns its end on the worker's clock in milliseconds, or
-    /// `None` if the clock is unknown, and remembers when the lease has certainly expired.
+    /// `None` if the clock is unknown or the lease has no length, and remembers when the lease has
+    /// certainly expired.
     pub(crate) fn grant_lease(&mut self, now: Time, lease: Span) -> Option<u64> {
-        let sample = self.clock_sample?;
+        let sample = self.clock_sample.filter(|_| lease > Span::ZERO)?;
         let worker_now = sample.clock_ms + now.since(sample.read_at).as_millis();
         let lease_until = worker_now + lease.as_millis();
         let length = Span::from_millis(lease_until - sample.clock_ms);
--- a/crates/kingcupwinch-cell/tests/cell/election.rs
+++ b/crates/kingcupwinch-cell/tests/cell/election.rs
@@ -1,6 +1,6 @@
 //! Tests of the owner election.
 
-use kingcupwinch_cell::{ElectionStep, ElectionTimers, GroupRecord, OwnerElection};
+use kingcupwinch_cell::{ElectionStep, ElectionTimers, GroupRecord, LeaseBounds, OwnerElection};
 use kingcupwinch_time::{Span, Time};
 
 const OWNER_TIMEOUT_MS: u64 = 2_000;
@@ -45,6 +45,7 @@
         instance: instance.into(),
         address: "127.0.0.1:1".into(),
         generation,
+        leases: None,
     }
 }
 
@@ -405,3 +406,35 @@
     election.note_read(at(300_000));
     assert_eq!(election.gone_members(at(300_000)).count(), 0);
 }
+
+/// Guards against a successor that relies on bounds which an owner before it does not keep to.
+#[test]
+fn a_claim_states_lease_bounds_if_all_earlier_ones_do() {
+    let own = LeaseBounds {
+        grant_ms: 7_000,
+        term_ms: 8_500,
+    };
+    let longer = LeaseBounds {
+        grant_ms: 6_000,
+        term_ms: 9_000,
+    };
+    let bounds_after = |leases: Option<LeaseBounds>| {
+        let mut election = election("a");
+        let claim = GroupRecord::Claim {
+            instance: "z".into(),
+            address: "127.0.0.1:1".into(),
+            generation: 1,
+            leases,
+        };
+        election.apply(1, claim, at(100));
+        election.lease_bounds(own)
+    };
+    assert_eq!(election("a").lease_bounds(own), Some(own), "no owner yet");
+    assert_eq!(bounds_after(None), None, "an owner of an earlier version");
+    assert_eq!(bounds_after(Some(own)), Some(own));
+    let both = LeaseBounds {
+        grant_ms: 7_000,
+        term_ms: 9_000,
+    };
+    assert_eq!(bounds_after(Some(longer)), Some(both));
+}
--- a/crates/kingcupwinch-cell/tests/cell/narrow_links.rs
+++ b/crates/kingcupwinch-cell/tests/cell/narrow_links.rs
@@ -226,6 +226,7 @@
                         instance: Arc::clone(&self.name),
                         address: "127.0.0.1:1".into(),
                         generation,
+                        leases: None,
                     };
                     let at = Some(self.next);
                     self.sent
--- a/crates/kingcupwinch-cell/tests/cell/takeover.rs
+++ b/crates/kingcupwinch-cell/tests/cell/takeover.rs
@@ -4,7 +4,7 @@
     CellEvent, CellTimers, EndReason, JobRecord, JobState, Placement, PollFailure, RunEnd,
     RunningTask, WorkerKey,
 };
-use kingcupwinch_time::Span;
+use kingcupwinch_time::{Span, Time};
 
 use crate::harness::{
     FakeWorker, HANDOVER_OVERLAP, Harness, MAX_LEASE, id, job, registration, run_of, step, task,
@@ -159,6 +159,52 @@
     assert_eq!(harness.starts.len(), 1);
 }
 
+/// Guards against tasks that stand still for the overlap of the owners as well as for the longest lease,
+/// after their worker and its owner are lost.
+#[test]
+fn a_placement_on_an_unreachable_worker_waits_no_longer_than_its_owners_were_confirmed() {
+    let mut harness = Harness::with_timers(0, timers());
+    let expiry = MAX_LEASE + Span::from_millis(500);
+    let until = harness.now + expiry;
+    harness.cell = harness.cell.with_inherited_until(Some(until));
+    register_inherited(&mut harness, 2);
+    restore(&mut harness, 1, Some(&placed_on("i-1", 1)));
+    let keys = harness.keys();
+    harness.cell.poll_failed(keys[1], PollFailure::Unresponsive);
+    harness.advance(expiry.as_millis() - 10);
+    harness.poll(keys[0]);
+    harness.decide();
+    assert!(harness.starts.is_empty(), "a lease may be held");
+    harness.advance(20);
+    harness.poll(keys[0]);
+    harness.decide();
+    assert_eq!(harness.starts.len(), 1);
+}
+
+/// Guards against a task that starts on two workers: a lease that an owner grants without being confirmed
+/// would last beyond what its successor waits for.
+#[test]
+fn no_lease_lasts_beyond_the_bound_of_its_owner() {
+    let mut harness = Harness::new(1, 4);
+    let key = harness.keys()[0];
+    harness.poll(key);
+    let bound = harness.now + MAX_LEASE;
+    harness.cell.bound_leases(bound);
+    let clock_ms = |time: Time| time.as_micros() / 1_000;
+    let mut last = 0;
+    for _ in 0..MAX_LEASE.as_millis() / 1_000 {
+        harness.advance(999);
+        let granted = harness.cell.next_poll(key, harness.now).unwrap();
+        last = granted.lease_until.unwrap();
+        assert!(last <= clock_ms(bound), "{last}");
+        harness.poll(key);
+    }
+    assert!(last + 10 > clock_ms(bound), "the bound is used: {last}");
+    harness.advance(MAX_LEASE.as_millis());
+    let granted = harness.cell.next_poll(key, harness.now).unwrap();
+    assert_eq!(granted.lease_until, None);
+}
+
 /// Guards against a run that starts twice: a worker that has responded restarts under its id, and its
 /// new process, which knows of no later owner, takes an order that an earlier one sends before it has
 /// stopped.
--- a/crates/kingcupwinch-node/src/callers/tests.rs
+++ b/crates/kingcupwinch-node/src/callers/tests.rs
@@ -227,6 +227,7 @@
         instance: "me".into(),
         address: "127.0.0.1:1".into(),
         generation: 1,
+        leases: None,
     }));
     let row = QueueForecast {
         queue: "queue".into(),
--- a/crates/kingcupwinch-node/src/forecast/tests.rs
+++ b/crates/kingcupwinch-node/src/forecast/tests.rs
@@ -164,6 +164,7 @@
         instance: "o".into(),
         address: "127.0.0.1:1".into(),
         generation: 1,
+        leases: None,
     }));
     let mut headers = hyper::HeaderMap::new();
     let value = r#"{"a":0,"q":[["urgent",60000]]}"#.parse().unwrap();
--- a/crates/kingcupwinch-node/src/owner/messages.rs
+++ b/crates/kingcupwinch-node/src/owner/messages.rs
@@ -13,8 +13,8 @@
 use slog::o;
 use tokio::sync::oneshot;
 
-use super::Owner;
 use super::freshness::{MAX_COUNT_AGE, MAX_LOOKUP_AGE};
+use super::{LeaseLimits, Owner};
 use crate::events::Event;
 use crate::layout::{IntakeKey, OWNER_PARTITION};
 use crate::metrics::Metrics;
@@ -131,6 +131,8 @@
 
     async fn handle(&mut self, confirmed: TermConfirmed, _: &mut Context<Self, ()>) {
         self.confirmed_at = self.confirmed_at.max(confirmed.0);
+        self.cell
+            .bound_leases(LeaseLimits::end_after(self.confirmed_at));
     }
 }
 
--- a/crates/kingcupwinch-node/src/owner/mod.rs
+++ b/crates/kingcupwinch-node/src/owner/mod.rs
@@ -156,6 +156,9 @@
             budget,
             start_rate,
         };
+        owner
+            .cell
+            .bound_leases(LeaseLimits::end_after(owner.confirmed_at));
         owner.schedule_restored_cleanup();
         owner.publish_room([], now);
         owner.connect_workers();
--- a/crates/kingcupwinch-node/src/owner/takeover.rs
+++ b/crates/kingcupwinch-node/src/owner/takeover.rs
@@ -137,7 +137,10 @@
     let now = shared.now();
     let handover_overlap = overlap_after(fenced_at, now);
     let record = decode_value(shared, &progress, LEASES_KEY);
-    let leases = LeaseLimits::new(claim.generation, shared.settings.max_lease, record);
+    let max_lease = shared.settings.max_lease;
+    let leases = LeaseLimits::new(claim.generation, max_lease, claim.leases, record);
+    // No earlier owner was confirmed after the fence.
+    let inherited_until = leases.inherited_bounds.map(|b| b.expiry_after(read_at));
     let timers = CellTimers {
         max_lease: leases.granted,
         inherited_lease: leases.inherited,
@@ -148,6 +151,7 @@
     let limit = shared.settings.append_limits.record;
     let mut cell = Cell::new(timers, claim.generation)
         .with_disabled(shared.disabled)
+        .with_inherited_until(inherited_until)
         .with_record_limit(limit)
         .with_cap_overage(shared.settings.cap_overage)
         .with_far_factor(shared.settings.far_factor);
@@ -177,6 +181,7 @@
         o!("term" => claim.term, "generation" => claim.generation, "jobs" => jobs,
             "workers" => workers, "handover_overlap_ms" => handover_overlap.as_millis(),
             "inherited_lease_ms" => leases.inherited.as_millis(),
+            "inherited_for_ms" => inherited_until.map(|until| until.since(now).as_millis()),
             "since_claim_ms" => now.since(claimed_at).as_millis()),
     );
     let args = OwnerArgs {
--- a/crates/kingcupwinch-node/src/ownership.rs
+++ b/crates/kingcupwinch-node/src/ownership.rs
@@ -17,8 +17,8 @@
 use crate::events::Event;
 use crate::layout::{CLAIM_KEY, GROUP, HEARTBEAT_KEY, MEMBER_PREFIX};
 use crate::owner::{
-    Members, Owner, Release, Superseded, TERM_TIMEOUT, Takeover, TakeoverError, TermConfirmed,
-    take_over,
+    LeaseLimits, Members, Owner, Release, Superseded, TERM_TIMEOUT, Takeover, TakeoverError,
+    TermConfirmed, take_over,
 };
 use crate::shared::Shared;
 use crate::siblings::Siblings;
@@ -421,10 +421,13 @@
     async fn claim(&mut self, generation: u32, at: u64) {
         let shared = Arc::clone(&self.shared);
         let fenced_at = self.election.earlier_owners_fenced_at();
+        let own_leases = LeaseLimits::own_bounds(shared.settings.max_lease);
+        let leases = self.election.lease_bounds(own_leases);
         let record = GroupRecord::Claim {
             instance: Arc::clone(&shared.settings.instance),
             address: shared.settings.siblings.to_string().into(),
             generation,
+            leases,
         };
         self.claimed_generation = Some(generation);
         let sent = shared.now();
@@ -435,6 +438,7 @@
                     instance: Arc::clone(&shared.settings.instance),
                     address: shared.settings.siblings.to_string().into(),
                     generation,
+                    leases,
                 };
                 self.next = Some(term + 1);
                 self.election.apply(term, record, shared.now());
--- a/crates/kingcupwinch-node/src/ownership/tests.rs
+++ b/crates/kingcupwinch-node/src/ownership/tests.rs
@@ -25,6 +25,7 @@
         instance: instance.into(),
         address: "127.0.0.1:2".into(),
         generation: 1,
+        leases: None,
     }
 }
 
