--- a/crates/kingcupwinch-cell/tests/cell/worker_records.rs
+++ b/crates/kingcupwinch-cell/tests/cell/worker_records.rs
@@ -1,8 +1,11 @@
 //! The records of workers for a later owner.
 
-use kingcupwinch_cell::{PollFailure, Registration, WorkerKey, WorkerRecord};
+use kingcupwinch_cell::{JobRecord, Placement, PollFailure, Registration, WorkerKey, WorkerRecord};
+use kingcupwinch_time::Span;
 
-use crate::harness::{FakeWorker, Harness, registration};
+use crate::harness::{
+    FakeWorker, HANDOVER_OVERLAP, Harness, MAX_LEASE, job, registration, step, task,
+};
 
 fn record(started_ms: Option<u64>) -> WorkerRecord {
     let Registration { id, address, .. } = registration(0, 4);
@@ -129,3 +132,110 @@
     assert!(harness.cell.take_worker_changes());
     assert_eq!(harness.cell.worker_records(), vec![record(Some(1))]);
 }
+
+/// What an owner learns of a worker, in this order.
+#[derive(Debug, Clone, Copy)]
+enum Sight {
+    /// A response of the process that started then.
+    Response(u64),
+    /// The entry of that process, at the address of a worker with this number.
+    Entry(u64, usize),
+}
+
+/// Guards against a task that waits for all leases after its worker crashed twice: the address of the
+/// restarted worker was recorded as unknown, and the next owner did not accept that another worker answers there.
+#[rstest::rstest]
+#[case::response_first(&[Sight::Response(2), Sight::Entry(2, 0)], 0)]
+#[case::entry_first(&[Sight::Entry(2, 0), Sight::Response(2)], 0)]
+#[case::another_address(&[Sight::Response(2), Sight::Entry(2, 3)], 3)]
+#[case::back_twice(&[Sight::Response(2), Sight::Response(3), Sight::Entry(3, 0)], 0)]
+#[case::entries_of_both(&[Sight::Response(3), Sight::Entry(2, 0), Sight::Entry(3, 0)], 0)]
+fn a_later_owner_accepts_the_answer_of_another_worker_after_a_restart(
+    #[case] sights: &[Sight],
+    #[case] port: usize,
+) {
+    let logged = logged_after(sights);
+    let mut harness = successor_with_placement(&logged);
+    let lost = harness.keys()[1];
+    harness.advance(HANDOVER_OVERLAP.as_millis());
+    let sent = harness.now;
+    harness.advance(1);
+    let address = registration(port, 4).address.parse().unwrap();
+    let failure = PollFailure::Replaced { address, sent };
+    harness.cell.poll_failed(lost, failure);
+    harness.poll_started(harness.keys()[0], 1);
+    harness.decide();
+    assert_eq!(harness.starts.len(), 1, "it waits for the leases");
+}
+
+/// The worker responds, and only the entry of an earlier process at another address is read, so that
+/// nobody knows the address of the one that ran the task.
+#[test]
+fn a_later_owner_waits_for_the_leases_if_no_entry_of_the_restarted_worker_was_read() {
+    let logged = logged_after(&[Sight::Response(3), Sight::Entry(2, 9)]);
+    assert_eq!(&*logged[0].address, "");
+    let mut harness = successor_with_placement(&logged);
+    harness.advance(HANDOVER_OVERLAP.as_millis());
+    harness.poll_started(harness.keys()[0], 1);
+    harness.decide();
+    assert!(harness.starts.is_empty(), "the run may be active");
+    harness.advance(MAX_LEASE.as_millis() * 21 / 20 + 10);
+    harness.poll_started(harness.keys()[0], 1);
+    harness.decide();
+    assert_eq!(harness.starts.len(), 1);
+}
+
+/// Returns the list of workers in the log once an owner has seen a worker restart. The list is written
+/// when its owner says that it has changed.
+fn logged_after(sights: &[Sight]) -> Vec<WorkerRecord> {
+    let mut harness = Harness::new(1, 4);
+    let key = harness.keys()[0];
+    let mut logged = Vec::new();
+    for sight in sights {
+        match *sight {
+            Sight::Response(started_ms) => harness.poll_started(key, started_ms),
+            Sight::Entry(started_ms, port) => {
+                harness.cell.poll_failed(key, PollFailure::Closed);
+                let entry = Registration {
+                    started_ms: Some(started_ms),
+                    address: registration(port, 4).address,
+                    ..registration(0, 4)
+                };
+                harness.cell.register_worker(entry, false, harness.now);
+            }
+        }
+        if harness.cell.take_worker_changes() {
+            logged = harness.cell.worker_records();
+        }
+    }
+    logged
+}
+
+/// Builds the harness of a later owner with an idle worker, and with a task on the one in the log.
+fn successor_with_placement(logged: &[WorkerRecord]) -> Harness {
+    let mut harness = Harness::of_generation(2);
+    let idle = registration(7, 4);
+    let key = harness.cell.register_worker(idle, true, harness.now);
+    harness.workers.insert(key, FakeWorker::default());
+    for record in logged {
+        let lost = harness.cell.register_lost_worker(record, harness.now);
+        harness.workers.insert(lost, FakeWorker::default());
+    }
+    let placement = Placement {
+        step: 0,
+        index: 0,
+        run: 1,
+        worker: registration(0, 4).id,
+    };
+    let record = JobRecord {
+        last_run: 1,
+        placements: vec![placement],
+        ..JobRecord::default()
+    };
+    let spec = job(vec![step(1, 1, 60_000)]);
+    let id = task(1, 0, 0).job;
+    harness
+        .cell
+        .restore(id, Some(spec), Some(&record), Span::ZERO, harness.now);
+    harness
+}
