Name the fields of crashed runs, and keep foreign derives on their own lines

Cause: a reader of the crash log met a tuple of a number and two times, and the formatter merged derives that the house style keeps apart.

--- a/crates/kingcupwinch-cell/src/cell.rs
+++ b/crates/kingcupwinch-cell/src/cell.rs
@@ -307,7 +307,7 @@
         self
     }
 
-    /// Has no lease last beyond a time, until it is called again.
+    /// Bounds the end of all leases that are granted from now on.
     pub fn bound_leases(&mut self, until: Time) {
         self.leases_until = Some(until);
     }
--- a/crates/kingcupwinch-cell/src/crash.rs
+++ b/crates/kingcupwinch-cell/src/crash.rs
@@ -42,7 +42,18 @@
 const MAX_VERDICT_DELAYS: u64 = 5;
 
 /// How strongly a crash points to a task.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 pub enum Evidence {
     /// Many workers crashed at once.
     #[serde(rename = "w")]
@@ -148,13 +159,22 @@
     }
 }
 
+/// A run that ended with a crash.
+#[derive(Debug, Clone, Copy)]
+struct CrashedRun {
+    run: u32,
+    started_at: Time,
+    /// When its worker had certainly crashed.
+    ended_by: Time,
+}
+
 /// The crashes that count against a task. For a gang, the first task holds those of all members.
 #[derive(Debug)]
 pub(crate) struct TaskCrashes {
     crashes: SmallVec<[Crash; 2]>,
     unweighed: SmallVec<[UnweighedCrash; 1]>,
-    /// The runs that ended with a crash which this owner has seen: their number, start and latest end.
-    crashed_runs: SmallVec<[(u32, Time, Time); 2]>,
+    /// The runs that ended with a crash which this owner has seen.
+    crashed_runs: SmallVec<[CrashedRun; 2]>,
     /// How strongly crashes that this owner has weighed point away from the task, in hundredths.
     exoneration: u32,
     /// What is left of the evidence that it takes to hold a worker for faulty.
@@ -205,9 +225,12 @@
     /// Counts a crash, once for each run.
     pub(crate) fn add(&mut self, crash: Crash, unweighed: UnweighedCrash, now: Time) {
         self.unweighed.retain(|known| known.run != crash.run);
-        self.crashed_runs.retain(|(run, ..)| *run != crash.run);
-        let crashed = (crash.run, unweighed.started_at(), unweighed.ended_by);
-        self.crashed_runs.push(crashed);
+        self.crashed_runs.retain(|known| known.run != crash.run);
+        self.crashed_runs.push(CrashedRun {
+            run: crash.run,
+            started_at: unweighed.started_at(),
+            ended_by: unweighed.ended_by,
+        });
         self.unweighed.push(unweighed);
         self.hold_until = now + MAX_HOLD;
         match self.crashes.iter_mut().find(|known| known.run == crash.run) {
@@ -222,8 +245,8 @@
     /// owner has not seen it.
     pub(crate) fn longest_age(&self, run: u32) -> Span {
         let mut runs = self.crashed_runs.iter();
-        let run = runs.find(|(other, ..)| *other == run);
-        run.map_or(Span::ZERO, |(_, started, ended)| ended.since(*started))
+        let known = runs.find(|known| known.run == run);
+        known.map_or(Span::ZERO, |known| known.ended_by.since(known.started_at))
     }
 
     /// Returns the evidence of a crash against the task, in view of that against the service's workers
--- a/crates/kingcupwinch-cell/src/job.rs
+++ b/crates/kingcupwinch-cell/src/job.rs
@@ -24,7 +24,8 @@
 pub(crate) const LATE_LIMIT_OBJECTIVES: u64 = 3;
 
 /// The state of a job as callers see it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum JobState {
     /// No run has begun.
     Queued,
--- a/crates/kingcupwinch-cell/src/lease.rs
+++ b/crates/kingcupwinch-cell/src/lease.rs
@@ -6,7 +6,8 @@
 use crate::worker::longest_expiry;
 
 /// The bounds on the leases of an owner and of all owners before it, as its claim states them.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LeaseBounds {
     /// The longest time from the grant of a lease to its end, in milliseconds.
     pub grant_ms: u64,
--- a/crates/kingcupwinch-cell/src/run.rs
+++ b/crates/kingcupwinch-cell/src/run.rs
@@ -134,7 +134,8 @@
 }
 
 /// The outcome of a start order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum StartOutcome {
     /// The worker runs the task.
--- a/crates/kingcupwinch-cell/src/spec.rs
+++ b/crates/kingcupwinch-cell/src/spec.rs
@@ -5,7 +5,8 @@
 use smallvec::{SmallVec, smallvec};
 
 /// Resources of a worker, as used by a task or in total.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Resources {
     /// CPU in thousandths of a core.
     pub cpu: u64,
