Split the derives of the evidence of a crash

Cause: without merged derives the formatter broke this row over ten lines. Change: the foreign derives stand on a line of their own, as in the other types.

--- a/crates/kingcupwinch-cell/src/crash.rs
+++ b/crates/kingcupwinch-cell/src/crash.rs
@@ -42,18 +42,8 @@
 const MAX_VERDICT_DELAYS: u64 = 5;
 
 /// How strongly a crash points to a task.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Evidence {
     /// Many workers crashed at once.
     #[serde(rename = "w")]
